Read settings from flags and environment, all faults at once

Ruled out: commander's own checks, which end at the first fault; it splits the arguments and writes the help, the table checks the values. Secrets by flag are refused, since flags are seen by every user of a machine. Change: adapters/settings (typed table, units in values, nearest name for what is unknown), tables of entry and agent, _lib/pick-nearest-name. Before: nothing. Conclusion: a fault is told with its place and its remedy; no setting of the tables is read by a program yet.

--- /dev/null
+++ b/src/programs/_settings/entry.ts
@@ -0,0 +1,118 @@
+/** Settings of `banyanport-entry`. */
+import {defineSettings, type SettingFault, type SettingValues} from '../../adapters/settings/index.js';
+import {
+	bytesPerKibibyte, bytesPerMebibyte, msPerMinute, msPerSecond,
+} from '../../ports/units.js';
+import {checkCommonSettings, commonSettings, findPartialKeys} from './common.js';
+
+export const entrySettings = defineSettings({
+	...commonSettings,
+	callerPort: {
+		type: 'port', default: 7400, group: 'Addresses', description: 'Port for callers.',
+	},
+	peerPort: {
+		type: 'port', default: 7402, group: 'Addresses', description: 'Port for entries of other hosts.',
+	},
+	operatorPort: {
+		type: 'port', default: 7404, group: 'Addresses', description: 'Port for operators.',
+	},
+	agentAddress: {
+		type: 'address', required: true, group: 'Addresses', description: 'Peer port of this host\'s agent.',
+	},
+	tlsCertFile: {
+		type: 'file', group: 'Keys', description: 'Certificate chain shown to callers, PEM; with its key it turns TLS on.',
+	},
+	tlsKeyFile: {
+		type: 'file', group: 'Keys', description: 'Private key for --tls-cert-file, PEM.',
+	},
+	maxConnections: {
+		type: 'integer', default: 10_000, min: 1, max: 1_000_000, unit: 'connections', group: 'Limits', description: 'Callers\' connections open at once; more are closed at once.',
+	},
+	maxHeaderBytes: {
+		type: 'bytes', default: 16 * bytesPerKibibyte, min: bytesPerKibibyte, max: bytesPerMebibyte, group: 'Limits', description: 'Size of all headers of a request.',
+	},
+	maxBodyBytes: {
+		type: 'bytes', default: 8 * bytesPerMebibyte, min: bytesPerKibibyte, max: 1024 * bytesPerMebibyte, group: 'Limits', description: 'Size of a request\'s body.',
+	},
+	maxPromptTokens: {
+		type: 'integer', default: 100_000, min: 1, max: 10_000_000, unit: 'tokens', group: 'Limits', description: 'Tokens of a prompt, by estimate.',
+	},
+	maxOutputTokens: {
+		type: 'integer', default: 16_384, min: 1, max: 1_000_000, unit: 'tokens', group: 'Limits', description: 'Tokens that a caller may ask for in one answer.',
+	},
+	headerTimeout: {
+		type: 'duration', default: 10 * msPerSecond, min: 100, max: 10 * msPerMinute, group: 'Limits', description: 'Time for a caller to send all headers.',
+	},
+	bodyTimeout: {
+		type: 'duration', default: 30 * msPerSecond, min: 100, max: 60 * msPerMinute, group: 'Limits', description: 'Time for a caller to send the whole body.',
+	},
+	keepAliveTimeout: {
+		type: 'duration', default: 65 * msPerSecond, min: 0, max: 60 * msPerMinute, group: 'Limits', description: 'Time for which an idle connection of a caller stays open.',
+	},
+	writeTimeout: {
+		type: 'duration', default: 60 * msPerSecond, min: 100, max: 60 * msPerMinute, group: 'Limits', description: 'Time for which a caller may take no byte of its answer before it counts as gone.',
+	},
+	maxQueued: {
+		type: 'integer', default: 2000, min: 1, max: 1_000_000, unit: 'requests', group: 'Limits', description: 'Requests that wait at once, over all rules; each rule has its own limit besides.',
+	},
+	maxInFlight: {
+		type: 'integer', default: 4000, min: 1, max: 1_000_000, unit: 'requests', group: 'Limits', description: 'Requests in work at once.',
+	},
+	keptAnswerBytes: {
+		type: 'bytes', default: 64 * bytesPerMebibyte, min: 0, max: 16 * 1024 * bytesPerMebibyte, group: 'Limits', description: 'Memory for whole answers kept for a second call with the same key.',
+	},
+	keptAnswerAge: {
+		type: 'duration', default: 10 * msPerMinute, min: 0, max: 24 * 60 * msPerMinute, group: 'Limits', description: 'Age up to which a whole answer is kept for a second call with the same key.',
+	},
+	engineConnectTimeout: {
+		type: 'duration', default: msPerSecond, min: 10, max: msPerMinute, group: 'Backend servers', description: 'Time to connect to a backend server.',
+	},
+	reservationTtl: {
+		type: 'duration', default: 5 * msPerSecond, min: 100, max: msPerMinute, group: 'Backend servers', description: 'Life of a reservation of decode memory that is not used.',
+	},
+	drainTimeout: {
+		type: 'duration',
+		default: 15 * msPerMinute,
+		min: 0,
+		max: 24 * 60 * msPerMinute,
+		group: 'Operation',
+		description: 'Time for which a planned stop waits for requests in progress; what is left then is named in the log and ended.',
+	},
+});
+
+export type EntrySettings = SettingValues<typeof entrySettings>;
+
+/**
+ * Checks what only several settings of the entry together show.
+ *
+ * @param values - Parsed values.
+ * @returns Faults; empty when all is well.
+ */
+export function checkEntrySettings(values: EntrySettings): SettingFault[] {
+	return [
+		...checkCommonSettings(values),
+		...findPartialKeys({'--tls-cert-file': values.tlsCertFile, '--tls-key-file': values.tlsKeyFile}),
+		...findSharedPorts({'--caller-port': values.callerPort, '--peer-port': values.peerPort, '--operator-port': values.operatorPort}),
+	];
+}
+
+/**
+ * Finds ports that are given twice.
+ *
+ * @param ports - Port by flag; 0 may be given as often as one likes.
+ * @returns One fault for each port that an earlier flag has taken.
+ */
+export function findSharedPorts(ports: Readonly<Record<string, number>>): SettingFault[] {
+	const taken = new Map<number, string>();
+	const faults: SettingFault[] = [];
+	for (const [flag, port] of Object.entries(ports)) {
+		const other = taken.get(port);
+		if (port !== 0 && other !== undefined) {
+			faults.push({place: flag, message: `is ${port}, which ${other} has taken`, remedy: 'give each port its own number, or 0 for any free one'});
+		}
+
+		taken.set(port, flag);
+	}
+
+	return faults;
+}
--- /dev/null
+++ b/src/programs/_settings/index.ts
@@ -0,0 +1,10 @@
+/**
+ * Tables of settings of the programs.
+ *
+ * A program starts with `loadSettings(entrySettings, {program, description,
+ * argv, env, otherTables: [agentSettings], check: checkEntrySettings})`: the
+ * programs of a host share one environment, so each knows the names of the other.
+ */
+export {agentSettings, checkAgentSettings, type AgentSettings} from './agent.js';
+export {checkEntrySettings, entrySettings, type EntrySettings} from './entry.js';
+export {commonSettings, logLevels} from './common.js';
