--- /dev/null
+++ b/src/adapters/caller-http/_lib/answer-client-error.ts
@@ -0,0 +1,39 @@
+/**
+ * Answers to what node's HTTP parser refuses before there is a request.
+ */
+import {type Socket} from 'node:net';
+import {STATUS_CODES} from 'node:http';
+import {v7 as createUuidV7} from 'uuid';
+import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
+
+/** What the parser reports; `code` is node's. */
+export type ClientError = Error & {code?: string};
+
+const detailsByCode: Readonly<Record<string, Pick<Problem, 'kind' | 'detail'>>> = {
+	HPE_HEADER_OVERFLOW: {kind: 'header-too-large', detail: 'The request line and headers are larger than this host takes. Send fewer or shorter headers.'},
+	ERR_HTTP_REQUEST_TIMEOUT: {kind: 'slow-request', detail: 'The headers did not arrive in time. Send them at once.'},
+};
+
+const malformed: Pick<Problem, 'kind' | 'detail'> = {
+	kind: 'bad-request', detail: 'This is not an HTTP/1.1 request. Check the request line, the header lines and the framing of the body.',
+};
+
+/**
+ * Sends a problem document over a socket that has no request yet, and ends it.
+ *
+ * @param error - What the parser reports.
+ * @param socket - The caller's connection.
+ */
+export function answerClientError(error: ClientError, socket: Socket): void {
+	if (error.code === 'ECONNRESET' || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const requestId = createUuidV7();
+	const {status, headers, body} = toProblem({...detailsByCode[error.code ?? ''] ?? malformed, outcome: 'not-run'}, requestId);
+	const lines = Object.entries({
+		...headers, 'content-length': String(Buffer.byteLength(body)), connection: 'close', 'x-request-id': requestId,
+	}).map(([name, value]) => `${name}: ${value}`);
+	socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${lines.join('\r\n')}\r\n\r\n${body}`);
+}
--- /dev/null
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -0,0 +1,242 @@
+/**
+ * One request of a caller and its answer, over node's own request and response:
+ * a token that is relayed costs a string concatenation, and a write to the
+ * socket is shared by all that came in the same turn of the event loop.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {v7 as createUuidV7} from 'uuid';
+import {err, ok, type Result} from 'neverthrow';
+import {type RequestId} from '../../../ports/ids.js';
+import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
+
+export type BodyFault = 'body-too-large' | 'slow-request' | 'gone';
+
+export type ReadBodyOptions = {
+	limitBytes: number;
+	timeoutMs: number;
+};
+
+export type CallerExchange = {
+	requestId: RequestId;
+	method: string;
+	/** Path without the query. */
+	path: string;
+	/** Path and query as they came. */
+	target: string;
+	/** Lower-case names. A header that came more than once is joined with commas. */
+	headers: Readonly<Record<string, string>>;
+	/** Fires when the caller's connection ends before the answer was sent whole. */
+	gone: AbortSignal;
+	readBody: (options: ReadBodyOptions) => Promise<Result<Buffer, BodyFault>>;
+	/** The body as it comes, for bodies that are passed through. */
+	incoming: IncomingMessage;
+	sendAnswer: (status: number, headers: Readonly<Record<string, string>>, body: string) => void;
+	sendProblem: (problem: Problem) => void;
+	startStream: (status: number, headers: Readonly<Record<string, string | readonly string[]>>) => void;
+	isStarted: () => boolean;
+	/** Queues a piece of the answer. `false` asks the writer to wait for {@link CallerExchange.drained}. */
+	write: (piece: string | Uint8Array) => boolean;
+	/** Resolves once the caller has read on; `false` when it is gone or read nothing for `timeoutMs`. */
+	drained: (timeoutMs: number) => Promise<boolean>;
+	end: () => void;
+	/** Breaks the connection, so that a cut answer can't be taken for a whole one. */
+	destroy: () => void;
+};
+
+export type ExchangeOptions = {
+	isStopping: () => boolean;
+};
+
+/** Pieces that wait for one turn of the event loop at most, in characters, before they are written at once. */
+const flushAtLength = 16_384;
+
+function toHeaderRecord(req: IncomingMessage): Record<string, string> {
+	const headers: Record<string, string> = {};
+	for (const [name, value] of Object.entries(req.headers)) {
+		headers[name] = Array.isArray(value) ? value.join(', ') : value ?? '';
+	}
+
+	return headers;
+}
+
+/**
+ * Reads a body into memory, within a bound of size and time.
+ *
+ * @param req - The request.
+ * @param options - Bytes and milliseconds allowed.
+ * @returns The bytes, or why there are none.
+ */
+async function readBody(req: IncomingMessage, options: ReadBodyOptions): Promise<Result<Buffer, BodyFault>> {
+	if (Number(req.headers['content-length'] ?? 0) > options.limitBytes) {
+		return err('body-too-large');
+	}
+
+	return new Promise(resolve => {
+		const pieces: Buffer[] = [];
+		let size = 0;
+		const settle = (result: Result<Buffer, BodyFault>) => {
+			clearTimeout(timer);
+			req.off('data', take).off('end', finish).off('close', giveUp);
+			resolve(result);
+		};
+
+		const take = (piece: Buffer) => {
+			size += piece.length;
+			if (size > options.limitBytes) {
+				req.pause();
+				settle(err('body-too-large'));
+				return;
+			}
+
+			pieces.push(piece);
+		};
+
+		const finish = () => {
+			settle(ok(pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces)));
+		};
+
+		const giveUp = () => {
+			settle(err('gone'));
+		};
+
+		const timer = setTimeout(() => {
+			req.pause();
+			settle(err('slow-request'));
+		}, options.timeoutMs);
+		req.on('data', take).once('end', finish).once('close', giveUp);
+	});
+}
+
+/** Collects pieces of one turn of the event loop into one write. */
+function createCoalescedWriter(res: ServerResponse) {
+	let pending = '';
+	let isScheduled = false;
+
+	function flush(): void {
+		isScheduled = false;
+		if (pending !== '' && !res.destroyed) {
+			const text = pending;
+			pending = '';
+			res.write(text);
+		}
+	}
+
+	return {
+		flush,
+		write(piece: string | Uint8Array): boolean {
+			if (typeof piece !== 'string') {
+				flush();
+				return res.write(piece);
+			}
+
+			pending += piece;
+			if (pending.length >= flushAtLength) {
+				flush();
+			} else if (!isScheduled) {
+				isScheduled = true;
+				setImmediate(flush);
+			}
+
+			return !res.writableNeedDrain;
+		},
+		takeRest(): string {
+			const rest = pending;
+			pending = '';
+			return rest;
+		},
+	};
+}
+
+async function waitForDrain(res: ServerResponse, gone: AbortSignal, timeoutMs: number): Promise<boolean> {
+	if (gone.aborted || !res.writableNeedDrain) {
+		return !gone.aborted;
+	}
+
+	return new Promise(resolve => {
+		const settle = (isDrained: boolean) => {
+			clearTimeout(timer);
+			res.off('drain', onDrain);
+			gone.removeEventListener('abort', onGone);
+			resolve(isDrained);
+		};
+
+		const onDrain = () => {
+			settle(true);
+		};
+
+		const onGone = () => {
+			settle(false);
+		};
+
+		const timer = setTimeout(onGone, timeoutMs);
+		res.once('drain', onDrain);
+		gone.addEventListener('abort', onGone, {once: true});
+	});
+}
+
+/**
+ * Wraps a request and its response.
+ *
+ * @param req - Node's request.
+ * @param res - Node's response.
+ * @param options - Whether the process is stopping, asked at the moment of the answer.
+ * @returns The exchange.
+ */
+export function createExchange(req: IncomingMessage, res: ServerResponse, options: ExchangeOptions): CallerExchange {
+	const requestId = createUuidV7();
+	const target = req.url ?? '/';
+	const gone = new AbortController();
+	const writer = createCoalescedWriter(res);
+	res.once('close', () => {
+		if (!res.writableFinished) {
+			gone.abort();
+		}
+	});
+
+	function startHead(status: number, headers: Readonly<Record<string, string | readonly string[]>>): void {
+		// An answer that comes before the body was read ends the connection: the rest of the body has no reader.
+		const closes = options.isStopping() || !req.complete;
+		res.writeHead(status, {...headers as Record<string, string>, 'x-request-id': requestId, ...(closes && {connection: 'close'})});
+	}
+
+	function sendAnswer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
+		if (res.headersSent || res.destroyed) {
+			return;
+		}
+
+		const bytes = Buffer.from(body);
+		startHead(status, {...headers, 'content-length': String(bytes.length)});
+		res.end(bytes);
+	}
+
+	return {
+		requestId,
+		method: req.method ?? 'GET',
+		path: target.split('?', 1)[0]!,
+		target,
+		headers: toHeaderRecord(req),
+		gone: gone.signal,
+		readBody: async bodyOptions => readBody(req, bodyOptions),
+		incoming: req,
+		sendAnswer,
+		sendProblem(problem) {
+			const document = toProblem(problem, requestId);
+			sendAnswer(document.status, document.headers, document.body);
+		},
+		startStream(status, headers) {
+			startHead(status, headers);
+			res.flushHeaders();
+		},
+		isStarted: () => res.headersSent,
+		write: writer.write,
+		drained: async timeoutMs => waitForDrain(res, gone.signal, timeoutMs),
+		end() {
+			if (!res.destroyed) {
+				res.end(writer.takeRest());
+			}
+		},
+		destroy() {
+			res.destroy();
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/caller-http/index.ts
@@ -0,0 +1,223 @@
+/**
+ * The port on which callers come in. Routing is hono's; request and response
+ * stay node's own, because a relayed token must not pass through a web stream.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {createServer as createTlsServer, type Server as TlsServer} from 'node:https';
+import {type AddressInfo, type Socket} from 'node:net';
+import {type SecureContextOptions} from 'node:tls';
+import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
+import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
+import {Hono, type Context} from 'hono';
+import {answerClientError} from './_lib/answer-client-error.js';
+import {type CallerExchange, createExchange} from './_lib/exchange.js';
+
+export {type BodyFault, type CallerExchange} from './_lib/exchange.js';
+
+/** Each takes one exchange and answers it; a rejection is a fault of the program. */
+export type CallerHandlers = {
+	completion: (exchange: CallerExchange) => Promise<void>;
+	chat: (exchange: CallerExchange) => Promise<void>;
+	models: (exchange: CallerExchange) => Promise<void>;
+	/** Anything else: plain services by rule. */
+	plain: (exchange: CallerExchange) => Promise<void>;
+	/** A handler rejected. The exchange has been answered or broken off. */
+	onFault: (error: unknown, exchange: CallerExchange) => void;
+};
+
+export type CallerServerOptions = {
+	bind: string;
+	port: number;
+	maxConnections: number;
+	maxHeaderBytes: number;
+	headersTimeoutMs: number;
+	keepAliveTimeoutMs: number;
+	/** Certificate and key; absent means plain HTTP. */
+	tls?: SecureContextOptions | undefined;
+};
+
+export type CallerServer = {
+	port: number;
+	/** Exchanges that have not been answered whole. */
+	open: () => number;
+	/** Takes other keys for connections that come from now on. */
+	renewTls: (tls: SecureContextOptions) => void;
+	/** Answers say `Connection: close` from now on; connections are still taken. */
+	startStopping: () => void;
+	/** Takes no further connection, closes idle ones, and resolves when the last answer was sent. */
+	close: () => Promise<void>;
+	/** Breaks every connection. */
+	destroy: () => void;
+};
+
+const connectionCheckMs = 500;
+/** Connections above the limit are still told so, up to this many times the limit. */
+const refusedConnectionsFactor = 2;
+
+type AppEnvironment = {Bindings: HttpBindings};
+type Serve = (context: Context<AppEnvironment>, handler: (exchange: CallerExchange) => Promise<void>) => Response;
+
+function createApp(handlers: CallerHandlers, serve: Serve): Hono<AppEnvironment> {
+	const app = new Hono<AppEnvironment>();
+	const refuseMethod = async (exchange: CallerExchange) => {
+		exchange.sendProblem({kind: 'method-not-allowed', detail: `${exchange.method} is not allowed at ${exchange.path}. Completions take POST, the list of models takes GET.`, outcome: 'not-run'});
+	};
+
+	app.post('/v1/completions', context => serve(context, handlers.completion));
+	app.post('/v1/chat/completions', context => serve(context, handlers.chat));
+	app.get('/v1/models', context => serve(context, handlers.models));
+	for (const path of ['/v1/completions', '/v1/chat/completions', '/v1/models']) {
+		app.all(path, context => serve(context, refuseMethod));
+	}
+
+	app.all('*', context => serve(context, handlers.plain));
+	return app;
+}
+
+function breakOff(exchange: CallerExchange): void {
+	if (exchange.isStarted()) {
+		exchange.destroy();
+		return;
+	}
+
+	// What was sent to a backend server is unknown here, so nothing better may be said.
+	exchange.sendProblem({kind: 'internal', detail: 'The router failed. Give the operators the request id.', outcome: 'may-have-run'});
+}
+
+/** Counts connections, and marks those above the limit. */
+function watchConnections(server: Server | TlsServer, maxConnections: number): WeakSet<Socket> {
+	const refused = new WeakSet<Socket>();
+	let connections = 0;
+	server.maxConnections = maxConnections * refusedConnectionsFactor;
+	server.on('connection', (socket: Socket) => {
+		connections++;
+		if (connections > maxConnections) {
+			refused.add(socket);
+		}
+
+		socket.once('close', () => {
+			connections--;
+		});
+	});
+	return refused;
+}
+
+/**
+ * Starts the callers' port.
+ *
+ * @param options - Address, limits and keys.
+ * @param handlers - What answers each exchange.
+ * @returns The running server.
+ */
+export async function startCallerServer(options: CallerServerOptions, handlers: CallerHandlers): Promise<CallerServer> {
+	const open = new Set<CallerExchange>();
+	const busy = new WeakMap<Socket, number>();
+	let isStopping = false;
+	let onIdle: (() => void) | undefined;
+
+	function finish(exchange: CallerExchange, socket: Socket): void {
+		open.delete(exchange);
+		busy.set(socket, (busy.get(socket) ?? 1) - 1);
+		if (open.size === 0) {
+			onIdle?.();
+		}
+	}
+
+	function isRefused(socket: Socket): boolean {
+		// A TLS socket stands before the connection that was counted.
+		const {_parent: parent} = socket as Socket & {_parent?: Socket};
+		return refused.has(socket) || (parent !== undefined && refused.has(parent));
+	}
+
+	async function run(exchange: CallerExchange, handler: (exchange: CallerExchange) => Promise<void>): Promise<void> {
+		try {
+			await handler(exchange);
+		} catch (error) {
+			handlers.onFault(error, exchange);
+			breakOff(exchange);
+		}
+	}
+
+	const serve: Serve = (context, handler) => {
+		const {incoming, outgoing} = context.env;
+		const {socket} = incoming;
+		const exchange = createExchange(incoming, outgoing, {isStopping: () => isStopping || isRefused(socket)});
+		open.add(exchange);
+		busy.set(socket, (busy.get(socket) ?? 0) + 1);
+		outgoing.once('close', () => {
+			finish(exchange, socket);
+		});
+		if (isRefused(socket)) {
+			exchange.sendProblem({
+				kind: 'too-many-connections', detail: 'This host has as many connections as it takes. Use fewer, or come back.', outcome: 'not-run', retryAfterMs: options.keepAliveTimeoutMs,
+			});
+		} else {
+			void run(exchange, handler);
+		}
+
+		return RESPONSE_ALREADY_SENT;
+	};
+
+	const serverOptions = {
+		...options.tls,
+		maxHeaderSize: options.maxHeaderBytes,
+		headersTimeout: options.headersTimeoutMs,
+		// Bodies have their own bound of time, which knows what kind of request it is.
+		requestTimeout: 0,
+		keepAliveTimeout: options.keepAliveTimeoutMs,
+		connectionsCheckingInterval: connectionCheckMs,
+		noDelay: true,
+	};
+	const fetch = createApp(handlers, serve).fetch as (req: Request, env: unknown) => Response | Promise<Response>;
+	const server = createAdaptorServer({
+		fetch, overrideGlobalObjects: false, autoCleanupIncoming: false, serverOptions,
+		createServer: options.tls === undefined ? createServer : createTlsServer,
+	}) as Server | TlsServer;
+	const refused = watchConnections(server, options.maxConnections);
+
+	server.on('clientError', (error, socket) => {
+		const duplex = socket as Socket;
+		// A problem written into an answer in progress would corrupt it; such a connection is only closed.
+		if ((busy.get(duplex) ?? 0) > 0) {
+			duplex.destroy();
+			return;
+		}
+
+		answerClientError(error, duplex);
+	});
+
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({port: options.port, host: options.bind, backlog: 1024}, resolve);
+	});
+
+	return {
+		port: (server.address() as AddressInfo).port,
+		open: () => open.size,
+		renewTls(tls) {
+			if ('setSecureContext' in server) {
+				server.setSecureContext(tls);
+			}
+		},
+		startStopping() {
+			isStopping = true;
+		},
+		async close() {
+			isStopping = true;
+			server.close();
+			server.closeIdleConnections();
+			if (open.size > 0) {
+				await new Promise<void>(resolve => {
+					onIdle = resolve;
+				});
+			}
+
+			server.closeIdleConnections();
+		},
+		destroy() {
+			server.closeAllConnections();
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-sse-encoder/index.ts
@@ -0,0 +1,98 @@
+/**
+ * Server-sent events of a streamed answer, in the shape of the OpenAI-compatible API.
+ */
+import {type FinishReason} from '../../ports/engine.js';
+import {type ProblemDocument} from '../to-problem/index.js';
+
+export type AnswerKind = 'completion' | 'chat';
+
+/** What stands the same in every event of an answer. */
+export type AnswerHead = {
+	kind: AnswerKind;
+	/** The `id` field. */
+	id: string;
+	/** Wall-clock seconds since the Unix epoch. */
+	created: number;
+	model: string;
+};
+
+export type Usage = {
+	promptTokens: number;
+	cachedTokens: number;
+	completionTokens: number;
+};
+
+export type SseEncoder = {
+	text: (text: string) => string;
+	finish: (reason: FinishReason) => string;
+	usage: (usage: Usage) => string;
+	done: () => string;
+	/** Ends a broken answer: an `error` event, and never `[DONE]` after it. */
+	error: (problem: ProblemDocument) => string;
+};
+
+/** Usage as the OpenAI-compatible API writes it. */
+export function toUsageFields(usage: Usage): Record<string, unknown> {
+	return {
+		prompt_tokens: usage.promptTokens,
+		completion_tokens: usage.completionTokens,
+		total_tokens: usage.promptTokens + usage.completionTokens,
+		prompt_tokens_details: {cached_tokens: usage.cachedTokens},
+	};
+}
+
+/**
+ * Creates the encoder of one answer. What does not change is written once, so
+ * that a token costs one JSON string and one concatenation.
+ *
+ * @param head - Fields that all events share.
+ * @returns Functions that return the text of one event each.
+ *
+ * @example
+ * ```ts
+ * const sse = createSseEncoder({kind: 'completion', id: 'cmpl-1', created: 0, model: 'm'});
+ * sse.done(); // => 'data: [DONE]\n\n'
+ * ```
+ */
+export function createSseEncoder(head: AnswerHead): SseEncoder {
+	const object = head.kind === 'chat' ? 'chat.completion.chunk' : 'text_completion';
+	const fields = JSON.stringify({
+		id: head.id, object, created: head.created, model: head.model,
+	}).slice(0, -1);
+	const [before, after] = head.kind === 'chat'
+		? [',"choices":[{"index":0,"delta":{"content":', '},"finish_reason":null}]}\n\n']
+		: [',"choices":[{"index":0,"text":', ',"logprobs":null,"finish_reason":null}]}\n\n'];
+	const textStart = `data: ${fields}${before}`;
+	const lastChoice = head.kind === 'chat' ? '{"index":0,"delta":{}' : '{"index":0,"text":"","logprobs":null';
+
+	return {
+		text: text => textStart + JSON.stringify(text) + after,
+		finish: reason => `data: ${fields},"choices":[${lastChoice},"finish_reason":"${reason}"}]}\n\n`,
+		usage: usage => `data: ${fields},"choices":[],"usage":${JSON.stringify(toUsageFields(usage))}}\n\n`,
+		done: () => 'data: [DONE]\n\n',
+		error: problem => `event: error\ndata: ${problem.body}\n\n`,
+	};
+}
+
+/**
+ * Writes an answer in one piece.
+ *
+ * @param head - Fields as in each event of a streamed answer.
+ * @param answer - The whole text, why it ended, and the usage.
+ * @returns The JSON body.
+ */
+export function toAnswerBody(head: AnswerHead, answer: {text: string; finish: FinishReason; usage: Usage}): string {
+	const choice = head.kind === 'chat'
+		? {index: 0, message: {role: 'assistant', content: answer.text}, finish_reason: answer.finish}
+		: {
+			index: 0, text: answer.text, logprobs: null, finish_reason: answer.finish,
+		};
+	return JSON.stringify({
+		id: head.id,
+		object: head.kind === 'chat' ? 'chat.completion' : 'text_completion',
+		created: head.created,
+		model: head.model,
+		choices: [choice],
+		usage: toUsageFields(answer.usage),
+	});
+}
