Add admission: places, fair queues, early refusal

Ruled out for now: one queue for a whole zone (needs an owner and a store); plain deadline order (one workspace with near deadlines takes every place); throwing out queued work of a hog (a caller would hear "queued" and then "refused" without a reason of its own).

Change: createAdmission (places per pool, quick before batch, guaranteed batch share, places kept free for quick work by its recent peak, refusal by predicted finish), createFairQueue (start-time fair queueing over workspaces, deadline order inside and among level ones), toRetryAfter.

After: 23 tests pass (tables, and properties over random steps: never more running than places, none lost, no state left).

--- /dev/null
+++ b/src/domain/create-admission/index.ts
@@ -0,0 +1,129 @@
+/**
+ * Decides, for one entry process, which requests start now, which wait and
+ * which are refused at once.
+ *
+ * Each pool has places: requests that this process may have on the pool's
+ * servers at a time. Quick work goes first; batch has a guaranteed share of the
+ * places while it waits, and never takes the places that quick work is expected
+ * to need soon. Inside a class, workspaces take turns by the work they cause,
+ * and deadlines order those that are level. A request whose predicted finish
+ * misses its target is refused as soon as that is known.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type RequestId} from '../../ports/ids.js';
+import {toRetryAfter} from '../to-retry-after/index.js';
+import {createPool, type Pool} from './_lib/create-pool.js';
+import {
+	type AdmissionAnswer, type AdmissionRequest, type AdmissionTick, type FinishOutcome, type PoolCapacity, type PoolSettings, type PoolStatus,
+} from './_lib/types.js';
+
+export type {
+	AdmissionAnswer, AdmissionRequest, AdmissionTick, FinishOutcome, PoolCapacity, PoolStatus, Refusal, RefusalReason,
+} from './_lib/types.js';
+
+export type AdmissionOptions = Partial<PoolSettings>;
+
+export type Admission = {
+	/** Decides about a new request. */
+	offer: (request: AdmissionRequest, now: Milliseconds) => AdmissionAnswer;
+	/** Notes the first token of an admitted request; sharpens the prediction. */
+	noteFirstToken: (id: RequestId, now: Milliseconds) => void;
+	/** Frees the place of an admitted request and returns the requests that start now. */
+	finish: (id: RequestId, now: Milliseconds, end: {outcome: FinishOutcome}) => readonly RequestId[];
+	/** Forgets a request whose caller is gone, waiting or admitted, and returns the requests that start now. */
+	cancel: (id: RequestId, now: Milliseconds) => readonly RequestId[];
+	/** Looks again at all that wait; call it several times a second. */
+	tick: (now: Milliseconds) => AdmissionTick;
+	/** Takes a pool's capacity from the view and returns the requests that start now. */
+	setCapacity: (pool: string, capacity: PoolCapacity, now: Milliseconds) => readonly RequestId[];
+	/** Numbers for metrics and the status document. */
+	status: (now: Milliseconds) => PoolStatus[];
+};
+
+const defaults: PoolSettings = {
+	batchShare: 0.2,
+	slackShare: 0.3,
+	slackWindowMs: 10_000,
+	borrowShare: 0.5,
+	fairnessWindowCost: 512,
+	prefillTokensPerCost: 20,
+	maxQueuedPerWorkspace: 8,
+	meanWeight: 0.05,
+	refuseMargin: 1,
+};
+
+/**
+ * Creates the admission of one entry process. It knows no pool until
+ * `setCapacity` names one, and refuses with `no-capacity` until then.
+ *
+ * @param options - shares and bounds; each has a default that `docs/design/005-admission.md` explains.
+ * @returns functions that decide; `now` is monotonic milliseconds.
+ * @example
+ * const admission = createAdmission();
+ * admission.setCapacity('desk', {slots: 40, share: 0.5}, 0);
+ * admission.offer({
+ * 	id: 'r1', pool: 'desk', class: 'quick', workspace: 'w', promptTokens: 40, maxTokens: 20,
+ * 	firstTokenDeadline: 1300, deadline: 5000, queueLimit: 100,
+ * }, 0); // {kind: 'admitted'}
+ */
+export function createAdmission(options: AdmissionOptions = {}): Admission {
+	const settings: PoolSettings = {...defaults, ...options};
+	const pools = new Map<string, Pool>();
+	const poolOf = new Map<RequestId, Pool>();
+
+	function offer(request: AdmissionRequest, now: Milliseconds): AdmissionAnswer {
+		const pool = pools.get(request.pool);
+		if (!pool?.hasCapacity()) {
+			return {kind: 'refused', reason: 'no-capacity', retryAfterMs: toRetryAfter({ahead: 1, drainPerSecond: 0}, {maxMs: settings.slackWindowMs})};
+		}
+
+		if (poolOf.has(request.id)) {
+			return {kind: 'refused', reason: 'duplicate', retryAfterMs: toRetryAfter({ahead: 0, drainPerSecond: 1})};
+		}
+
+		const answer = pool.offer(request, now);
+		if (answer.kind !== 'refused') {
+			poolOf.set(request.id, pool);
+		}
+
+		return answer;
+	}
+
+	function leave(id: RequestId, step: (pool: Pool) => readonly RequestId[]): readonly RequestId[] {
+		const pool = poolOf.get(id);
+		poolOf.delete(id);
+		return pool === undefined ? [] : step(pool);
+	}
+
+	function tick(now: Milliseconds): AdmissionTick {
+		const results = [...pools.values()].map(pool => pool.tick(now));
+		const refused = results.flatMap(result => result.refused);
+		for (const {id} of refused) {
+			poolOf.delete(id);
+		}
+
+		return {admitted: results.flatMap(result => result.admitted), refused};
+	}
+
+	function setCapacity(name: string, capacity: PoolCapacity, now: Milliseconds): readonly RequestId[] {
+		let pool = pools.get(name);
+		if (pool === undefined) {
+			pool = createPool(name, settings);
+			pools.set(name, pool);
+		}
+
+		return pool.setCapacity(capacity, now);
+	}
+
+	return {
+		offer,
+		noteFirstToken(id, now) {
+			poolOf.get(id)?.noteFirstToken(id, now);
+		},
+		finish: (id, now, end) => leave(id, pool => pool.finish(id, now, end.outcome)),
+		cancel: (id, now) => leave(id, pool => pool.cancel(id, now)),
+		tick,
+		setCapacity,
+		status: now => [...pools.values()].map(pool => pool.status(now)),
+	};
+}
