Add the engine stand-in and the re-run convention

Cause: every part that talks to an engine needs one to talk to, and a judge that stands outside of the code under test. Ruled out: a marker inside the prompt for re-runs (a caller's own text could contain it) and a re-run that only names an offset (a real engine needs the tokens to compute the cache). Change: `answered` on a prefill and `answerOffset` on a decode; a refusal reason for a transfer whose source failed, since 502 was no word of the engine that it started nothing; rules for bad stream lines; names of cache blocks. The stand-in has queue, slots, short-lived caches, shared links, lagging load, prefix cache, cancel, resume, orders, fault switches and the judge's counts.

--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -35,7 +35,14 @@
 export type EngineFailureKind = 'unreachable' | 'refused' | 'broken' | 'invalid' | 'gone' | 'aborted';
 
 /** Reasons an engine gives with `refused`. */
-export type EngineRefusalReason = 'full' | 'leaving' | 'wrong-model' | 'expired' | 'old-fence' | 'duplicate' | 'other';
+export type EngineRefusalReason = 'full' | 'leaving' | 'wrong-model' | 'expired' | 'old-fence' | 'duplicate' | 'source-failed' | 'other';
+
+/**
+ * What the iterable of a stream throws when the stream fails midway; `failure`
+ * is never `unreachable` or `refused`. Chunks that were handed out before are
+ * right and in order, so the next offset is the one to resume from.
+ */
+export type EngineStreamError = Error & {failure: EngineFailure};
 
 export type EngineFailure = {
 	kind: EngineFailureKind;
@@ -58,6 +65,8 @@
 	version: string | undefined;
 	adapter: string | undefined;
 	prompt: string;
+	/** Tokens of the answer that the caller already has; a re-run after a break continues behind them. Absent means none. */
+	answered?: readonly string[];
 	class: ServiceClass;
 	/** Time left until the result is worthless; the engine drops queued work past it. */
 	deadlineInMs: Milliseconds;
@@ -85,7 +94,10 @@
 export type DecodeRequest = {
 	key: AttemptKey;
 	reservationId: string;
+	/** Length of the whole answer, tokens that were `answered` before included. */
 	maxTokens: number;
+	/** Offset of the first token that the stream must bring: the number of tokens `answered` to the prefill. Absent means 0. */
+	answerOffset?: number;
 	class: ServiceClass;
 };
 
@@ -151,7 +163,7 @@
 	reserve: (key: AttemptKey, request: {promptTokens: number; maxTokens: number; ttlMs: Milliseconds; class: ServiceClass}, options?: EngineCallOptions) => ResultAsync<Reservation, EngineFailure>;
 	prefill: (request: PrefillRequest, options?: EngineCallOptions) => ResultAsync<PrefillResult, EngineFailure>;
 	importKv: (request: ImportRequest, options?: EngineCallOptions) => ResultAsync<{bytes: number}, EngineFailure>;
-	/** Starts a stream; chunks come as they are generated. The iterable ends normally only after a chunk with `finish`. */
+	/** Starts a stream; chunks come as they are generated, several of one read as one. The iterable ends normally only after a chunk with `finish`, and otherwise throws an {@link EngineStreamError}. */
 	decode: (request: DecodeRequest, options?: EngineCallOptions) => ResultAsync<AsyncIterable<DecodeChunk>, EngineFailure>;
 	/** Reads a running or just ended stream again, from a token offset. */
 	resume: (key: AttemptKey, offset: number, options?: EngineCallOptions) => ResultAsync<AsyncIterable<DecodeChunk>, EngineFailure>;
--- /dev/null
+++ b/test/stand-ins/engine/_lib/answer.ts
@@ -0,0 +1,39 @@
+/** The right answer to a prompt, so that a test can tell whose answer a caller got and whether it is whole. */
+import {createHash} from 'node:crypto';
+
+const unitsPerToken = 4;
+const unitsPerBlock = 64;
+
+const toShortHash = (text: string): string => createHash('sha256').update(text).digest('hex').slice(0, 8);
+
+/** Prompt tokens as the protocol estimates them. */
+export const countPromptTokens = (prompt: string): number => Math.max(1, Math.ceil(prompt.length / unitsPerToken));
+
+/** Makes the token at each offset of a prompt's answer. */
+export const createAnswer = (prompt: string): ((offset: number) => string) => {
+	const mark = toShortHash(prompt);
+	return offset => offset === 0 ? `${mark}-0` : ` ${mark}-${offset}`;
+};
+
+/**
+ * The whole answer to a prompt.
+ *
+ * @param prompt The prompt as the engine gets it.
+ * @param maxTokens Number of tokens; the stand-in always generates all of them.
+ */
+export const expectedAnswer = (prompt: string, maxTokens: number): string[] => {
+	const answer = createAnswer(prompt);
+	return Array.from({length: maxTokens}, (_, offset) => answer(offset));
+};
+
+/** Names the whole blocks of a prompt, from its start. */
+export const toBlocks = (prompt: string): string[] => {
+	const hash = createHash('sha256');
+	const blocks: string[] = [];
+	for (let end = unitsPerBlock; end <= prompt.length; end += unitsPerBlock) {
+		hash.update(prompt.slice(end - unitsPerBlock, end));
+		blocks.push(hash.copy().digest('hex').slice(0, 16));
+	}
+
+	return blocks;
+};
--- /dev/null
+++ b/test/stand-ins/engine/_lib/create-engine.ts
@@ -0,0 +1,190 @@
+/** One imitated engine without its HTTP face: the calls of the protocol as functions. */
+import {type ServerResponse} from 'node:http';
+import {Agent} from 'undici';
+import {type AttemptKey, type EngineOrder, type LoadReport} from '../../../../src/ports/engine.js';
+import {isRecord} from '../../../../src/_lib/is-record/index.js';
+import {
+	type JsonBody, RequestFault, toNumber, toText,
+} from '../../_lib/http-server.js';
+import {createJudge} from './create-judge.js';
+import {createLink} from './create-link.js';
+import {createLoadLog} from './create-load-log.js';
+import {createOrders} from './create-orders.js';
+import {createPrefills} from './create-prefills.js';
+import {createPrefixCache} from './create-prefix-cache.js';
+import {createStreams} from './create-streams.js';
+import {refuse} from './refuse.js';
+import {isHit} from './take-fault.js';
+import {giveKv, pullKv} from './transfer-kv.js';
+import {type EngineFaults, type EngineSettings, type JudgeReport} from './types.js';
+
+export type WorkCall = 'reservations' | 'prefills' | 'imports' | 'streams' | 'orders';
+
+const maxCancelled = 100_000;
+
+/** Takes the name of the attempt out of a call. */
+export const toKey = (body: JsonBody): AttemptKey => {
+	const {key} = body;
+	if (!isRecord(key) || !isRecord(key.owner)) {
+		throw new RequestFault(400, {error: 'key names no attempt'});
+	}
+
+	const owner = {host: toText(key.owner, 'host'), incarnation: toNumber(key.owner, 'incarnation')};
+	return {requestId: toText(key, 'requestId'), attempt: toNumber(key, 'attempt'), owner};
+};
+
+const toAnswered = (body: JsonBody): string[] => Array.isArray(body.answered) ? body.answered.map(String) : [];
+
+export const createEngine = (settings: EngineSettings, faults: EngineFaults) => {
+	const judge = createJudge();
+	const link = createLink(settings.linkBytesPerSecond);
+	const dispatcher = new Agent({connections: 64});
+	const cache = createPrefixCache({blocks: settings.cacheBlocks, lagMs: settings.cacheEventLagMs, gap: settings.cacheEventGap});
+	/** Attempts that were cancelled; a late call of theirs starts nothing. */
+	const cancelled = new Set<string>();
+	let lastAcceptedAtMs: number | undefined;
+	let peakSlotsUsed = 0;
+
+	const onChange = (): void => {
+		peakSlotsUsed = Math.max(peakSlotsUsed, streams.countSlots());
+		loadLog.note();
+	};
+
+	const orders = createOrders({settings, judge, onChange});
+	const prefills = createPrefills({
+		settings, judge, cache, onChange,
+	});
+	const streams = createStreams({
+		settings, faults, judge, onChange,
+	});
+	const {served} = orders;
+
+	const readNumbers = () => ({
+		state: served.state,
+		role: served.role,
+		model: served.model,
+		version: served.version,
+		adapters: [...served.adapters],
+		fence: served.fence,
+		...(served.role === 'prefill' ? prefills : streams).numbers(),
+	});
+	const loadLog = createLoadLog(settings.loadLagMs, readNumbers);
+
+	const checkStart = (key: AttemptKey, call: WorkCall): void => {
+		const {refuse: switched} = faults;
+		const isMeant = switched !== undefined && (switched.on === undefined ? call !== 'orders' : switched.on.includes(call));
+		if (isMeant && isHit(switched)) {
+			throw refuse(switched.reason, 'refused by a fault switch', switched.retryAfterMs);
+		}
+
+		if (cancelled.has(`${key.requestId}/${key.attempt}`)) {
+			throw refuse('duplicate', 'this attempt was cancelled');
+		}
+	};
+
+	const noteAccepted = (): void => {
+		lastAcceptedAtMs = performance.now();
+	};
+
+	return {
+		judge,
+		orders,
+		reserve(body: JsonBody) {
+			const key = toKey(body);
+			checkStart(key, 'reservations');
+			orders.check({}, 'decode');
+			const tokens = toNumber(body, 'promptTokens') + toNumber(body, 'maxTokens');
+			const reservation = streams.reserve(key, tokens, toNumber(body, 'ttlMs'));
+			noteAccepted();
+			return reservation;
+		},
+		async prefill(body: JsonBody) {
+			const key = toKey(body);
+			checkStart(key, 'prefills');
+			orders.check({model: toText(body, 'model'), version: body.version ?? undefined, adapter: body.adapter ?? undefined}, 'prefill');
+			noteAccepted();
+			return prefills.run({
+				key,
+				prompt: toText(body, 'prompt'),
+				answered: toAnswered(body),
+				class: toText(body, 'class') === 'quick' ? 'quick' : 'batch',
+				deadlineAt: performance.now() + toNumber(body, 'deadlineInMs'),
+			});
+		},
+		async importKv(body: JsonBody) {
+			const key = toKey(body);
+			checkStart(key, 'imports');
+			const fromUrl = toText(body, 'fromUrl');
+			const kvId = toText(body, 'kvId');
+			return streams.importKv(key, toText(body, 'reservationId'), async signal => pullKv({
+				fromUrl, kvId, link, signal, dispatcher,
+			}));
+		},
+		async giveKv(kvId: string, res: ServerResponse) {
+			await giveKv({
+				prefills, kvId, res, link, faults,
+			});
+		},
+		decode(body: JsonBody, res: ServerResponse) {
+			const key = toKey(body);
+			checkStart(key, 'streams');
+			streams.start({
+				key,
+				reservationId: toText(body, 'reservationId'),
+				maxTokens: toNumber(body, 'maxTokens'),
+				answerOffset: toNumber(body, 'answerOffset', 0),
+			}, res);
+		},
+		resume: streams.resume,
+		cancel(body: JsonBody): {released: number} {
+			const key = toKey(body);
+			cancelled.add(`${key.requestId}/${key.attempt}`);
+			if (cancelled.size > maxCancelled) {
+				cancelled.delete([...cancelled][0] ?? '');
+			}
+
+			judge.note(key, 'cancels');
+			return {released: prefills.cancel(key) + streams.cancel(key)};
+		},
+		holds: () => [...prefills.holds(), ...streams.holds()],
+		load: (): LoadReport => ({
+			...readNumbers(),
+			...loadLog.lagged(),
+			server: settings.id,
+			ageMs: settings.loadLagMs,
+			slotsTotal: served.role === 'prefill' ? settings.prefillConcurrency : settings.slots,
+			tokensPerSecond: served.role === 'prefill' ? settings.prefillTokensPerSecond : settings.decodeTokensPerSecond,
+			linkBytesPerSecond: settings.linkBytesPerSecond,
+		}),
+		order(body: JsonBody): void {
+			const order: EngineOrder = {
+				kind: toText(body, 'kind') as EngineOrder['kind'],
+				model: toText(body, 'model'),
+				version: body.version as string | undefined,
+				adapter: body.adapter as string | undefined,
+				role: body.role as EngineOrder['role'],
+				fence: toNumber(body, 'fence'),
+			};
+			checkStart({requestId: '', attempt: 0, owner: {host: '', incarnation: 0}}, 'orders');
+			orders.take(order);
+		},
+		cacheEvents: cache.eventsSince,
+		judgeReport(): JudgeReport {
+			return {
+				id: settings.id,
+				...judge.report(),
+				holds: [...prefills.holds(), ...streams.holds()],
+				lastAcceptedAtMs,
+				peakSlotsUsed,
+			};
+		},
+		async stop() {
+			prefills.stop();
+			streams.stop();
+			orders.stop();
+			await dispatcher.destroy();
+		},
+	};
+};
+
+export type ImitatedEngine = ReturnType<typeof createEngine>;
--- /dev/null
+++ b/test/stand-ins/engine/_lib/create-judge.ts
@@ -0,0 +1,73 @@
+/** Counts what an engine did for whom; the code under test never sees it. */
+import {type AttemptKey, type EngineOrder} from '../../../../src/ports/engine.js';
+import {type JudgedRequest, type TakenOrder, type WasteCause} from './types.js';
+
+type Counted = Exclude<keyof JudgedRequest, 'attempts'>;
+
+const createRequest = (): JudgedRequest => ({
+	attempts: [],
+	reservations: 0,
+	prefillsStarted: 0,
+	prefillsFinished: 0,
+	decodesStarted: 0,
+	decodesFinished: 0,
+	cancels: 0,
+	tokens: 0,
+	wrongContinuations: 0,
+});
+
+export type Judge = ReturnType<typeof createJudge>;
+
+/** Creates the counters of one engine. */
+export const createJudge = () => {
+	const requests = new Map<string, JudgedRequest>();
+	const wasted: Partial<Record<WasteCause, number>> = {};
+	const wastedRequests: Array<{requestId: string; attempt: number; cause: WasteCause}> = [];
+	const orders: TakenOrder[] = [];
+	const refusedOrders: TakenOrder[] = [];
+	const calls: Record<string, number> = {};
+
+	const requestOf = (key: AttemptKey): JudgedRequest => {
+		const request = requests.get(key.requestId) ?? createRequest();
+		requests.set(key.requestId, request);
+		if (!request.attempts.includes(key.attempt)) {
+			request.attempts.push(key.attempt);
+		}
+
+		return request;
+	};
+
+	return {
+		note(key: AttemptKey, what: Counted, amount = 1) {
+			requestOf(key)[what] += amount;
+		},
+		noteWaste(key: AttemptKey, cause: WasteCause) {
+			wasted[cause] = (wasted[cause] ?? 0) + 1;
+			wastedRequests.push({requestId: key.requestId, attempt: key.attempt, cause});
+		},
+		noteOrder(order: EngineOrder, isTaken: boolean) {
+			(isTaken ? orders : refusedOrders).push({...order, atMs: performance.now()});
+		},
+		noteCall(name: string) {
+			calls[name] = (calls[name] ?? 0) + 1;
+		},
+		request: (requestId: string): JudgedRequest => requests.get(requestId) ?? createRequest(),
+		report: () => ({
+			requests: Object.fromEntries(requests), wasted, wastedRequests, orders, refusedOrders, calls,
+		}),
+		/** Forgets all counts, for the next part of a long run. */
+		reset() {
+			requests.clear();
+			wastedRequests.length = 0;
+			orders.length = 0;
+			refusedOrders.length = 0;
+			for (const cause of Object.keys(wasted)) {
+				wasted[cause as WasteCause] = 0;
+			}
+
+			for (const name of Object.keys(calls)) {
+				calls[name] = 0;
+			}
+		},
+	};
+};
--- /dev/null
+++ b/test/stand-ins/engine/_lib/create-prefix-cache.ts
@@ -0,0 +1,65 @@
+/** The prefix cache of a prefill engine: few blocks, least recently used goes first, events late and with gaps. */
+import {toBlocks} from './answer.js';
+
+export type CacheEvent = {seq: number; kind: 'stored' | 'evicted'; block: string};
+
+const maxEvents = 20_000;
+const tokensPerBlock = 16;
+
+export const createPrefixCache = ({blocks: capacity, lagMs, gap}: {blocks: number; lagMs: number; gap: number}) => {
+	const cached = new Set<string>();
+	const events: Array<CacheEvent & {at: number}> = [];
+	let seq = 0;
+
+	const note = (kind: CacheEvent['kind'], block: string): void => {
+		seq += 1;
+		events.push({
+			seq, kind, block, at: performance.now(),
+		});
+		if (events.length > maxEvents) {
+			events.splice(0, maxEvents / 2);
+		}
+	};
+
+	const evictOver = (): void => {
+		for (const oldest of cached) {
+			if (cached.size <= capacity) {
+				return;
+			}
+
+			cached.delete(oldest);
+			note('evicted', oldest);
+		}
+	};
+
+	return {
+		/** Tokens of the prompt's beginning that are cached. */
+		countCached(prompt: string): number {
+			const blocks = toBlocks(prompt);
+			const miss = blocks.findIndex(block => !cached.has(block));
+			return (miss === -1 ? blocks.length : miss) * tokensPerBlock;
+		},
+		store(prompt: string): void {
+			for (const block of toBlocks(prompt).slice(0, capacity)) {
+				if (!cached.delete(block)) {
+					note('stored', block);
+				}
+
+				cached.add(block);
+			}
+
+			evictOver();
+		},
+		/** Events that have become visible, those in the gaps left out. */
+		eventsSince(since: number): {next: number; events: CacheEvent[]} {
+			const until = performance.now() - lagMs;
+			const visible = events.filter(event => event.seq >= since && event.at <= until);
+			const told = visible
+				.filter(event => gap === 0 || event.seq % gap !== 0)
+				.map(event => ({seq: event.seq, kind: event.kind, block: event.block}));
+			return {next: (visible.at(-1)?.seq ?? since - 1) + 1, events: told};
+		},
+	};
+};
+
+export type PrefixCache = ReturnType<typeof createPrefixCache>;
--- /dev/null
+++ b/test/stand-ins/engine/_lib/transfer-kv.ts
@@ -0,0 +1,110 @@
+/**
+ * Moves a KV cache between two engines. What passes is a line that describes
+ * it and a few small pieces; each piece stands for its share of the cache and
+ * takes the links that long.
+ */
+import {type ServerResponse} from 'node:http';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Dispatcher, request} from 'undici';
+import {RequestFault} from '../../_lib/http-server.js';
+import {type Link} from './create-link.js';
+import {type KvCache, type Prefills} from './create-prefills.js';
+import {refuse} from './refuse.js';
+import {isHit} from './take-fault.js';
+import {type EngineFaults} from './types.js';
+
+const pieces = 16;
+const stallMs = 60_000;
+
+type Give = {prefills: Prefills; kvId: string; res: ServerResponse; link: Link; faults: EngineFaults};
+
+const givePieces = async ({res, link, faults}: Give, kv: KvCache, signal: AbortSignal): Promise<void> => {
+	const fault = isHit(faults.transfer) ? faults.transfer : undefined;
+	const faultAt = Math.floor(pieces * (fault?.atShare ?? 0.5));
+	for (let piece = 0; piece < pieces; piece++) {
+		if (fault !== undefined && piece === faultAt) {
+			if (fault.kind === 'reset') {
+				res.socket?.resetAndDestroy();
+				throw new Error('reset by a fault switch');
+			}
+
+			await sleep(stallMs, undefined, {signal});
+		}
+
+		await link.pass(kv.bytes / pieces, signal);
+		res.write('.\n');
+	}
+};
+
+/** Answers another engine's pull. */
+export const giveKv = async (give: Give): Promise<void> => {
+	const lent = give.prefills.lend(give.kvId);
+	if (lent === undefined) {
+		throw new RequestFault(410, {error: {reason: 'expired', message: 'no such cache'}});
+	}
+
+	const {res} = give;
+	const closed = new AbortController();
+	res.once('close', () => {
+		closed.abort();
+	});
+	const signal = AbortSignal.any([closed.signal, lent.signal]);
+	try {
+		res.writeHead(200, {'content-type': 'application/octet-stream'});
+		res.write(JSON.stringify(lent.kv) + '\n');
+		await givePieces(give, lent.kv, signal);
+		res.end();
+		lent.done(true);
+	} catch {
+		lent.done(false);
+		res.destroy();
+	}
+};
+
+type Pull = {fromUrl: string; kvId: string; link: Link; signal: AbortSignal; dispatcher: Dispatcher};
+
+const readPieces = async (body: AsyncIterable<Buffer>, {link, signal}: Pull): Promise<KvCache> => {
+	let text = '';
+	let kv: KvCache | undefined;
+	let taken = 0;
+	for await (const part of body) {
+		text += part.toString('utf8');
+		const lines = text.split('\n');
+		text = lines.pop() ?? '';
+		for (const line of lines) {
+			if (kv === undefined) {
+				kv = JSON.parse(line) as KvCache;
+				continue;
+			}
+
+			taken += 1;
+			await link.pass(kv.bytes / pieces, signal);
+		}
+	}
+
+	if (kv === undefined || taken < pieces) {
+		throw new Error('the transfer ended early');
+	}
+
+	return kv;
+};
+
+/** Pulls a cache from the engine that computed it. */
+export const pullKv = async (pull: Pull): Promise<KvCache> => {
+	const {fromUrl, kvId, signal, dispatcher} = pull;
+	try {
+		const answer = await request(`${fromUrl}/engine/kv/${encodeURIComponent(kvId)}`, {signal, dispatcher});
+		if (answer.statusCode === 410) {
+			await answer.body.dump();
+			throw new RequestFault(410, {error: {reason: 'expired', message: 'the cache has expired'}});
+		}
+
+		return await readPieces(answer.body as AsyncIterable<Buffer>, pull);
+	} catch (error) {
+		if (error instanceof RequestFault) {
+			throw error;
+		}
+
+		throw refuse('source-failed', `the transfer failed: ${String(error)}`);
+	}
+};
--- /dev/null
+++ b/test/stand-ins/engine/_lib/write-tokens.ts
@@ -0,0 +1,140 @@
+/** Writes what a reader of a stream has not had yet, right or as a fault switch says. */
+import {type ServerResponse} from 'node:http';
+import {isHit} from './take-fault.js';
+import {type EngineFaults, type StreamFaultKind} from './types.js';
+import {type Stream} from './create-streams.js';
+
+export type Reader = {
+	res: ServerResponse;
+	/** Offset of the next token to send. */
+	sent: number;
+	/** Offset at which this reader began. */
+	start: number;
+	isStalled: boolean;
+};
+
+type Write = {stream: Stream; reader: Reader; others: ReadonlyMap<string, Stream>; faults: EngineFaults};
+
+const oversizedBytes = 3 * 1024 * 1024;
+
+const toLine = (stream: Stream, offset: number, end: number, changes: {attempt?: number} = {}): string => {
+	const tokens: string[] = [];
+	for (let at = offset; at < end; at++) {
+		tokens.push(stream.answer(at));
+	}
+
+	const finish = end >= stream.maxTokens ? 'length' : undefined;
+	return JSON.stringify({
+		requestId: stream.key.requestId, attempt: stream.key.attempt, offset, tokens, finish, ...changes,
+	}) + '\n';
+};
+
+const writeRight = ({stream, reader}: Write, end: number): void => {
+	reader.res.write(toLine(stream, reader.sent, end));
+	reader.sent = end;
+	if (end >= stream.maxTokens) {
+		reader.res.end();
+	}
+};
+
+const writeCrossed = (write: Write, end: number): void => {
+	const {stream, reader, others} = write;
+	for (const other of others.values()) {
+		const otherReader = [...other.readers][0];
+		if (other !== stream && otherReader !== undefined && !otherReader.res.writableEnded) {
+			otherReader.res.write(toLine(stream, reader.sent, end));
+		}
+	}
+
+	writeRight(write, end);
+};
+
+const writeWrong = (write: Write, kind: StreamFaultKind, end: number): void => {
+	const {stream, reader} = write;
+	switch (kind) {
+		case 'short': {
+			reader.res.end();
+			break;
+		}
+
+		case 'reset': {
+			reader.res.socket?.resetAndDestroy();
+			break;
+		}
+
+		case 'stall': {
+			reader.isStalled = true;
+			break;
+		}
+
+		case 'garbage': {
+			reader.res.write('{"requestId": "half a li\n');
+			reader.isStalled = true;
+			break;
+		}
+
+		case 'oversized': {
+			reader.res.write('x'.repeat(oversizedBytes));
+			reader.isStalled = true;
+			break;
+		}
+
+		case 'crossed': {
+			writeCrossed(write, end);
+			break;
+		}
+
+		case 'duplicated': {
+			reader.res.write(toLine(stream, reader.sent, end));
+			writeRight(write, end);
+			break;
+		}
+
+		case 'skipped': {
+			reader.sent += 1;
+			writeRight(write, Math.max(end, reader.sent));
+			break;
+		}
+
+		case 'wrong-attempt': {
+			reader.res.write(toLine(stream, reader.sent, end, {attempt: stream.key.attempt + 1}));
+			writeRight(write, end);
+			break;
+		}
+	}
+};
+
+/** Writes the tokens that have become ready since the last time. */
+export const writeTokens = (write: Write): void => {
+	const {stream, reader, faults} = write;
+	const {res} = reader;
+	if (reader.isStalled || res.writableEnded || res.destroyed || res.writableNeedDrain) {
+		return;
+	}
+
+	const ready = Math.floor(stream.progress);
+	const isAllSent = reader.sent >= ready;
+	if (isAllSent && ready < stream.maxTokens) {
+		return;
+	}
+
+	const fault = faults.stream;
+	const atToken = fault?.atToken ?? 0;
+	if (fault === undefined || ready < atToken) {
+		writeRight(write, ready);
+		return;
+	}
+
+	// What comes before the fault goes out first.
+	if (reader.sent < atToken) {
+		writeRight(write, Math.min(atToken, ready));
+	}
+
+	if (!res.writableEnded) {
+		if (isHit(fault)) {
+			writeWrong(write, fault.kind, ready);
+		} else {
+			writeRight(write, ready);
+		}
+	}
+};
--- /dev/null
+++ b/test/stand-ins/engine/main.ts
@@ -0,0 +1,55 @@
+/** The engine stand-in as a program: `--id e1 --role prefill --port 0 --model post-summary`, and each option by its kebab-case name. */
+import process from 'node:process';
+import {Command, Option} from 'commander';
+import {startEngineStandIn, type EngineStandInOptions} from './index.js';
+
+const numeric = [
+	'port',
+	'slots',
+	'prefill-concurrency',
+	'prefill-tokens-per-second',
+	'prefill-base-ms',
+	'decode-tokens-per-second',
+	'batch-slowdown',
+	'kv-ttl-ms',
+	'link-bytes-per-second',
+	'bytes-per-prompt-token',
+	'load-lag-ms',
+	'cache-blocks',
+	'cache-event-lag-ms',
+	'cache-event-gap',
+	'load-version-ms',
+	'keep-answer-ms',
+	'step-ms',
+	'time-scale',
+];
+
+const command = new Command('engine-stand-in')
+	.requiredOption('--id <name>')
+	.addOption(new Option('--role <role>').choices(['prefill', 'decode']).makeOptionMandatory())
+	.option('--model <name>')
+	.option('--version-of-weights <name>')
+	.option('--adapters <names>', 'separated by commas', (names: string) => names.split(',').filter(Boolean))
+	.option('--bind <ip>')
+	.option('--no-checks-fence', 'ignore fencing numbers');
+for (const name of numeric) {
+	command.option(`--${name} <number>`, 'see types.ts', Number);
+}
+
+command.parse();
+const {versionOfWeights, ...options} = command.opts<EngineStandInOptions & {versionOfWeights?: string}>();
+const engine = await startEngineStandIn({...options, ...(versionOfWeights === undefined ? {} : {version: versionOfWeights})});
+const stop = async (): Promise<void> => {
+	await engine.stop();
+	process.exit(0);
+};
+
+process.once('SIGTERM', () => {
+	void stop();
+});
+process.once('SIGINT', () => {
+	void stop();
+});
+console.log(JSON.stringify({
+	level: 'info', message: 'listening', id: engine.id, port: engine.port, url: engine.url,
+}));
