Pick the prefill and decode pair by predicted first token

Cause: the entry needs a decision for each request: which prefill and which decode server, or why none.

Ruled out: a scan of all servers for each request (cost grows with the fleet); waiting for a fresh report (stalls when the agent is gone).

Before: nothing. Health and prefix map have no tests of their own yet, and no figure is measured yet.

Conclusion: ready for the entry to call; measurements follow.

--- /dev/null
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -0,0 +1,163 @@
+/** What a host notes of its requests on servers, from which later picks learn. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type EngineRefusalReason, type PrefillResult} from '../../../ports/engine.js';
+import {type ServerId} from '../../../ports/ids.js';
+import {type LoadEstimate} from '../../create-load-estimate/index.js';
+import {type PrefixMap} from '../../create-prefix-map/index.js';
+import {type HealthSubject, type ServerHealth} from '../../create-server-health/index.js';
+import {type Standing} from './create-standing.js';
+import {type Placement, type PlainPlacement, type ServerFailure} from './types.js';
+
+type Progress = {
+	stage: 'prefill' | 'transfer' | 'decode';
+	dispatchedAt: Milliseconds;
+	prefilledAt: Milliseconds;
+};
+
+/** What picks learn over time, shared by all pools of this host. */
+export type Learnt = {
+	kvBytesPerToken: number;
+	/** Time for which a request holds its decode slot. */
+	holdMs: Milliseconds;
+};
+
+export type NotesOptions = {
+	loads: LoadEstimate;
+	health: ServerHealth;
+	standing: Standing;
+	prefixes: PrefixMap;
+	learnt: Learnt;
+	tokensPerBlock: number;
+	toSubject: (entry: ServerEntry) => HealthSubject;
+};
+
+/** Weight of the newest request in what is learnt. */
+const gain = 0.05;
+
+/** Predictions below this are noise when slowness is worked out, milliseconds. */
+const minPredictedMs = 20;
+
+const toSlowness = (tookMs: Milliseconds, predictedMs: Milliseconds): number =>
+	Math.min(100, Math.max(0, tookMs) / Math.max(minPredictedMs, predictedMs));
+
+/**
+ * @param options - The records to keep up to date.
+ * @returns The `note…` functions of a placement. Each is idempotent for a placement and a stage.
+ */
+export const createNotes = ({loads, health, standing, prefixes, learnt, tokensPerBlock, toSubject}: NotesOptions) => {
+	const running = new WeakMap<Placement | PlainPlacement, Progress>();
+
+	const endPrefill = (placement: Placement): void => {
+		loads.removePrefill(placement.prefill.id, placement.promptTokens - placement.expectedCachedTokens);
+	};
+
+	const endTransfer = (placement: Placement): void => {
+		loads.addTransfers(placement.prefill.id, -1);
+		loads.addTransfers(placement.decode.id, -1);
+	};
+
+	/** What a refusal says against the server's last report. */
+	const corrections: Partial<Record<EngineRefusalReason, (server: ServerId, now: Milliseconds) => void>> = {
+		full: loads.noteFull,
+		leaving: standing.noteLeaving,
+		'wrong-model': standing.noteMismatch,
+	};
+
+	return {
+		/** The placement is about to be used. Call before the first byte goes out, so that the next pick sees it. */
+		noteDispatched(placement: Placement | PlainPlacement, now: Milliseconds): void {
+			if (running.has(placement)) {
+				return;
+			}
+
+			running.set(placement, {stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now});
+			if (placement.kind === 'plain') {
+				loads.addSlots(placement.server.id, 1, now);
+				return;
+			}
+
+			loads.addSlots(placement.decode.id, 1, now);
+			loads.addPrefill(placement.prefill.id, placement.promptTokens - placement.expectedCachedTokens, now);
+		},
+		/** The decode server granted the reservation. */
+		noteReserved(placement: Placement, now: Milliseconds): void {
+			health.noteSuccess(toSubject(placement.decode), now);
+		},
+		/** The prefill is done and its transfer begins. */
+		notePrefilled(placement: Placement, result: Pick<PrefillResult, 'promptTokens' | 'cachedTokens' | 'bytes'>, now: Milliseconds): void {
+			const progress = running.get(placement);
+			if (progress?.stage !== 'prefill') {
+				return;
+			}
+
+			running.set(placement, {...progress, stage: 'transfer', prefilledAt: now});
+			endPrefill(placement);
+			loads.addTransfers(placement.prefill.id, 1);
+			loads.addTransfers(placement.decode.id, 1);
+			if (result.promptTokens > 0) {
+				learnt.kvBytesPerToken += gain * ((result.bytes / result.promptTokens) - learnt.kvBytesPerToken);
+			}
+
+			prefixes.noteFeedback(placement.prefill.id, placement.prefixBlocks, Math.floor(result.cachedTokens / tokensPerBlock));
+			prefixes.note(placement.prefill.id, placement.prefixBlocks);
+			health.noteSuccess(toSubject(placement.prefill), now);
+			health.noteSlowness(toSubject(placement.prefill), toSlowness(now - progress.dispatchedAt, placement.predictedPrefillMs), now);
+		},
+		/** The first token (or the first byte of a plain answer) came. */
+		noteFirstToken(placement: Placement | PlainPlacement, now: Milliseconds): void {
+			const progress = running.get(placement);
+			if (progress === undefined) {
+				return;
+			}
+
+			if (placement.kind === 'plain') {
+				health.noteSuccess(toSubject(placement.server), now);
+				return;
+			}
+
+			if (progress.stage === 'transfer') {
+				running.set(placement, {...progress, stage: 'decode'});
+				endTransfer(placement);
+				const predictedMs = placement.predictedFirstTokenMs - placement.predictedPrefillMs;
+				health.noteSuccess(toSubject(placement.decode), now);
+				health.noteSlowness(toSubject(placement.decode), toSlowness(now - progress.prefilledAt, predictedMs), now);
+			}
+		},
+		/** The attempt has ended in any way, and the servers hold nothing of it. */
+		noteFinished(placement: Placement | PlainPlacement, now: Milliseconds): void {
+			const progress = running.get(placement);
+			if (progress === undefined) {
+				return;
+			}
+
+			running.delete(placement);
+			if (placement.kind === 'plain') {
+				loads.addSlots(placement.server.id, -1, now);
+				return;
+			}
+
+			loads.addSlots(placement.decode.id, -1, now);
+			if (progress.stage === 'prefill') {
+				endPrefill(placement);
+			} else if (progress.stage === 'transfer') {
+				endTransfer(placement);
+			} else {
+				learnt.holdMs += gain * (now - progress.dispatchedAt - learnt.holdMs);
+			}
+		},
+		/**
+		 * A server failed or refused. `refused`, `gone` and `aborted` say nothing
+		 * against its health; `full`, `leaving` and `wrong-model` correct its reports.
+		 */
+		noteFailure(server: ServerEntry, {kind, reason}: ServerFailure, now: Milliseconds): void {
+			if (kind === 'unreachable' || kind === 'broken' || kind === 'invalid') {
+				health.noteFailure(toSubject(server), kind, now);
+			} else if (kind === 'refused' && reason !== undefined) {
+				corrections[reason]?.(server.id, now);
+			}
+		},
+		/** Cache events of a prefill server; late ones and gaps are expected. */
+		noteCacheEvents: prefixes.noteEvents,
+	};
+};
--- /dev/null
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -0,0 +1,174 @@
+/** Looks for the best pair, step by step wider, and says why servers were passed over. */
+import {type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {type FleetView} from '../../../ports/view.js';
+import {type LoadEstimate, type ServerLoad} from '../../create-load-estimate/index.js';
+import {isSoft, type Standing, type Wanted} from './create-standing.js';
+import {draw} from './draw.js';
+import {toAccount} from './to-account.js';
+import {type Candidate, type Pair, toBestPair} from './to-best-pair.js';
+import {type PoolServers, type RoleServers} from './to-pool-index.js';
+import {type PassedOverReason, type PlacementAccount} from './types.js';
+
+/** One step of a search: how many servers of each kind are drawn, and whether doubtful ones count. */
+export type Scope = {
+	local: number;
+	nearby: number;
+	isLax: boolean;
+};
+
+export type Search = {
+	pool: string;
+	servers: PoolServers;
+	entries: ReadonlyMap<ServerId, ServerEntry>;
+	wanted: Wanted;
+	promptTokens: number;
+	kvBytes: number;
+	firstTokenBudgetMs: Milliseconds;
+	/** Prompt tokens expected in the prefix cache of each server that has any. */
+	cachedTokens: ReadonlyMap<ServerId, number>;
+	view: FleetView;
+	now: Milliseconds;
+	random: Random;
+};
+
+export type PairSearchOptions = {
+	zone: ZoneId;
+	draws: number;
+	crossZoneMs: Milliseconds;
+	loads: LoadEstimate;
+	standing: Standing;
+};
+
+/** Servers drawn in the region for each role once the own zone does not do. */
+const regionDraws = 8;
+
+/** Holders of the prompt's prefix that are looked at beside those drawn. */
+const maxPrefixHolders = 4;
+
+/** Share of the first token's budget up to which the own zone is kept to without a look at others. */
+const localShare = 0.5;
+
+/** Another zone must promise this much less than the own one, or small differences would send load to and fro. */
+const spillGain = 0.75;
+
+const isFull = (entry: ServerEntry, load: ServerLoad): boolean => entry.role !== 'prefill' && load.slotsUsed >= load.slotsTotal;
+
+/**
+ * @param options - Zone of this host, draws, and the records that tell of servers.
+ * @returns Functions that find servers for a search.
+ */
+export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing}: PairSearchOptions) => {
+	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad => loads.read(entry, view.servers.get(entry.id), now);
+
+	const toCandidate = (entry: ServerEntry, search: Search, isLax: boolean): Candidate | undefined => {
+		const reason = standing.toReason(entry, {...search, share: search.random()});
+		if (reason !== undefined && !(isLax && isSoft(reason))) {
+			return undefined;
+		}
+
+		const load = readLoad(entry, search);
+		return isFull(entry, load) ? undefined : {entry, load, cachedTokens: search.cachedTokens.get(entry.id) ?? 0};
+	};
+
+	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
+		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope.isLax);
+		return [...draw(role.local, scope.local, toValue, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
+	};
+
+	/** Servers of the own zone that hold the prompt's prefix, deepest first. */
+	const toHolders = (search: Search, drawn: readonly Candidate[]): Candidate[] => {
+		if (search.cachedTokens.size === 0) {
+			return [];
+		}
+
+		return [...search.cachedTokens]
+			.toSorted((a, b) => b[1] - a[1])
+			.map(([server]) => search.entries.get(server))
+			.filter(entry => entry?.pool === search.pool && entry?.zone === zone && !drawn.some(candidate => candidate.entry === entry))
+			.slice(0, maxPrefixHolders)
+			.map(entry => entry && toCandidate(entry, search, false))
+			.filter(candidate => candidate !== undefined);
+	};
+
+	const searchPair = (search: Search, scope: Scope): Pair | undefined => {
+		const prefills = drawRole(search.servers.prefill, search, scope);
+		const decodes = drawRole(search.servers.decode, search, scope);
+		return toBestPair([...prefills, ...toHolders(search, prefills)], decodes, {
+			promptTokens: search.promptTokens, kvBytes: search.kvBytes, zone, crossZoneMs,
+		});
+	};
+
+	/** Looks wider step by step, until a pair will do. */
+	const findPair = (search: Search): Pair | undefined => {
+		const keepMs = search.firstTokenBudgetMs * localShare;
+		const first = searchPair(search, {local: draws, nearby: 0, isLax: false});
+		if (first !== undefined && first.predictedFirstTokenMs <= keepMs) {
+			return first;
+		}
+
+		const local = searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first;
+		if (local !== undefined && local.predictedFirstTokenMs <= keepMs) {
+			return local;
+		}
+
+		const region = searchPair(search, {local: draws, nearby: regionDraws, isLax: false});
+		const isSpilled = region !== undefined && (local === undefined || region.predictedFirstTokenMs < local.predictedFirstTokenMs * spillGain);
+		return (isSpilled ? region : local)
+			?? searchPair(search, {local: Infinity, nearby: 0, isLax: true})
+			?? searchPair(search, {local: Infinity, nearby: regionDraws, isLax: true});
+	};
+
+	/** The least used of a few plain servers, of the own zone as long as one there has room. */
+	const findPlain = (search: Search): Candidate | undefined => {
+		const scopes: Scope[] = [
+			{local: draws, nearby: 0, isLax: false},
+			{local: 0, nearby: regionDraws, isLax: false},
+			{local: Infinity, nearby: regionDraws, isLax: true},
+		];
+		for (const scope of scopes) {
+			const [best] = drawRole(search.servers.plain, search, scope)
+				.toSorted((a, b) => (a.load.own / a.load.slotsTotal) - (b.load.own / b.load.slotsTotal));
+			if (best !== undefined) {
+				return best;
+			}
+		}
+
+		return undefined;
+	};
+
+	/** Why a server was not taken; worked out after the fact, for a person who asks. */
+	const toPassedOver = (entry: ServerEntry, search: Search): PassedOverReason => {
+		const reason = standing.toReason(entry, {...search, share: 0});
+		if (reason !== undefined) {
+			return reason;
+		}
+
+		if (isFull(entry, readLoad(entry, search))) {
+			return 'full';
+		}
+
+		if (entry.zone === zone) {
+			return 'worse';
+		}
+
+		return search.servers[entry.role].nearby.includes(entry) ? 'other-zone' : 'other-region';
+	};
+
+	return {
+		findPair,
+		findPlain,
+		/** Account of a search that took the servers `chosen` among `candidates`. */
+		toAccount: (search: Search, candidates: readonly ServerEntry[], chosen: readonly ServerId[]): PlacementAccount =>
+			toAccount(search.pool, candidates, chosen, entry => toPassedOver(entry, search)),
+		/** Whether a server in reach would do but for its memory, and nothing else was missing. */
+		isFullOnly(search: Search): boolean {
+			const {servers} = search;
+			const inReach = ({local, nearby}: RoleServers) => [...local, ...nearby];
+			const holders = [...inReach(servers.decode), ...inReach(servers.plain)];
+			const isPrefillMissing = servers.pool.kind === 'model' && inReach(servers.prefill).every(entry => standing.toReason(entry, {...search, share: 0}) !== undefined);
+			return !isPrefillMissing && holders.some(entry => toPassedOver(entry, search) === 'full');
+		},
+	};
+};
--- /dev/null
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -0,0 +1,178 @@
+/**
+ * Which servers may be considered at all: what the view says of each, what this
+ * host learnt from the server itself, and its own health record.
+ */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type LoadReport} from '../../../ports/engine.js';
+import {type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {type FleetView, type ServerStatus} from '../../../ports/view.js';
+import {type HealthSubject, type ServerHealth} from '../../create-server-health/index.js';
+import {type PassedOverReason} from './types.js';
+
+/** What a server must have. */
+export type Wanted = {
+	model: string | undefined;
+	version: string | undefined;
+	adapter: string | undefined;
+	exclude: ReadonlySet<ServerId> | undefined;
+};
+
+export type Inquiry = {
+	wanted: Wanted;
+	view: FleetView;
+	now: Milliseconds;
+	share: number;
+};
+
+/** How often the view is walked for cut zones and returning servers, milliseconds. */
+const sweepEveryMs = 200;
+
+/** How long a server's own word that it leaves, or has other weights, is kept without a newer report. */
+const ownWordMs = 30_000;
+
+/** Reasons that only make a server a worse candidate; the others keep it out. */
+const softReasons: ReadonlySet<PassedOverReason> = new Set(['returning', 'unknown-load']);
+
+export const isSoft = (reason: PassedOverReason): boolean => softReasons.has(reason);
+
+const toMismatch = (entry: ServerEntry, load: LoadReport, wanted: Wanted): PassedOverReason | undefined => {
+	if (entry.role !== load.role) {
+		return 'wrong-role';
+	}
+
+	if (wanted.model !== undefined && load.model !== wanted.model) {
+		return 'wrong-model';
+	}
+
+	if (wanted.version !== undefined && load.version !== wanted.version) {
+		return 'wrong-version';
+	}
+
+	if (wanted.adapter !== undefined && !load.adapters.includes(wanted.adapter)) {
+		return 'no-adapter';
+	}
+
+	return load.state === 'loading' ? 'not-serving' : undefined;
+};
+
+/** Zones with published hosts of which the view knows some and none is alive. */
+const toCutZones = (view: FleetView, ownZone: ZoneId): ReadonlySet<ZoneId> => {
+	const living = new Map<ZoneId, boolean>();
+	for (const host of view.hosts.values()) {
+		living.set(host.zone, living.get(host.zone) === true || host.life === 'alive');
+	}
+
+	const cut = [...living].filter(([zone, isAlive]) => !isAlive && zone !== ownZone).map(([zone]) => zone);
+	return new Set(cut);
+};
+
+export type StandingOptions = {
+	zone: ZoneId;
+	health: ServerHealth;
+	toSubject: (entry: ServerEntry) => HealthSubject;
+	staleAfterMs: Milliseconds;
+};
+
+/**
+ * @param options - Zone of this host, health record, and age at which reports go stale.
+ * @returns Functions that judge a server, and that note what servers say of themselves.
+ */
+export const createStanding = ({zone, health, toSubject, staleAfterMs}: StandingOptions) => {
+	const leavingAt = new Map<ServerId, Milliseconds>();
+	const mismatchAt = new Map<ServerId, Milliseconds>();
+	const lost = new Set<ServerId>();
+	let cutZones: ReadonlySet<ZoneId> = new Set();
+	let sweptAt = -Infinity;
+
+	/** Whether the server's own word, given at `saidAt`, still stands against its reports. */
+	const isStanding = (saidAt: Milliseconds | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
+		saidAt !== undefined && loadAt <= saidAt && now - saidAt < ownWordMs;
+
+	/**
+	 * Walks the view now and then. A server that was unreachable or behind a cut
+	 * and is back starts with a small share, as every host sees it empty at once.
+	 */
+	const sweep = (view: FleetView, servers: ReadonlyMap<ServerId, ServerEntry>, now: Milliseconds): void => {
+		if (now - sweptAt < sweepEveryMs) {
+			return;
+		}
+
+		sweptAt = now;
+		cutZones = toCutZones(view, zone);
+		for (const entry of servers.values()) {
+			const isLost = cutZones.has(entry.zone) || view.servers.get(entry.id)?.reachable === false;
+			if (isLost) {
+				lost.add(entry.id);
+			} else if (lost.delete(entry.id)) {
+				health.noteReturn(toSubject(entry), now);
+			}
+		}
+	};
+
+	/** Whether the server is, or says it is, on its way out. */
+	const isLeaving = (server: ServerId, status: ServerStatus | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
+		status?.leaving === true || status?.load?.state === 'leaving' || isStanding(leavingAt.get(server), loadAt, now);
+
+	const toHealthReason = (server: ServerId, now: Milliseconds, share: number): PassedOverReason | undefined => {
+		const healthShare = health.toShare(server, now);
+		if (healthShare === 0) {
+			return 'ejected';
+		}
+
+		return share >= healthShare ? 'returning' : undefined;
+	};
+
+	/**
+	 * @param entry - The server.
+	 * @param inquiry - What is wanted, the view, the time, and `share`: a random number in [0, 1) against which a returning server's share is held; 0 lets it pass.
+	 * @returns Why the server is no candidate, or `undefined` if it is one.
+	 */
+	const toReason = (entry: ServerEntry, {wanted, view, now, share}: Inquiry): PassedOverReason | undefined => {
+		const {id} = entry;
+		if (wanted.exclude?.has(id)) {
+			return 'excluded';
+		}
+
+		const status = view.servers.get(id);
+		const loadAt = status?.load === undefined ? -Infinity : status.loadAt;
+		if (isLeaving(id, status, loadAt, now)) {
+			return 'leaving';
+		}
+
+		if (cutZones.has(entry.zone)) {
+			return 'cut-off';
+		}
+
+		if (status?.reachable === false) {
+			return 'unreachable';
+		}
+
+		if (isStanding(mismatchAt.get(id), loadAt, now)) {
+			return 'wrong-model';
+		}
+
+		const reported = status?.load === undefined ? undefined : toMismatch(entry, status.load, wanted);
+		return reported ?? toHealthReason(id, now, share) ?? (entry.role !== 'plain' && now - loadAt > staleAfterMs ? 'unknown-load' : undefined);
+	};
+
+	return {
+		sweep,
+		toReason,
+		/** The server refused as leaving: it gets nothing new, long before the platform's list says so. */
+		noteLeaving(server: ServerId, now: Milliseconds): void {
+			leavingAt.set(server, now);
+		},
+		/** The server refused as having other weights than its last report said. */
+		noteMismatch(server: ServerId, now: Milliseconds): void {
+			mismatchAt.set(server, now);
+		},
+		forget(server: ServerId): void {
+			leavingAt.delete(server);
+			mismatchAt.delete(server);
+			lost.delete(server);
+		},
+	};
+};
+
+export type Standing = ReturnType<typeof createStanding>;
--- /dev/null
+++ b/src/domain/create-placement/_lib/to-best-pair.ts
@@ -0,0 +1,84 @@
+/** Predicts the first token of each prefill and decode pair and takes the best. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerLoad} from '../../create-load-estimate/index.js';
+import {msPerSecond} from '../../../ports/units.js';
+
+export type Candidate = {
+	entry: ServerEntry;
+	load: ServerLoad;
+	/** Prompt tokens expected in the server's prefix cache. */
+	cachedTokens: number;
+};
+
+export type Pair = {
+	prefill: Candidate;
+	decode: Candidate;
+	predictedPrefillMs: Milliseconds;
+	predictedFirstTokenMs: Milliseconds;
+	/** Predicted first token plus what speaks against the decode server. */
+	score: number;
+};
+
+export type PairRequest = {
+	promptTokens: number;
+	kvBytes: number;
+	zone: string;
+	crossZoneMs: Milliseconds;
+};
+
+/** Best servers of each role that are combined; the rest cannot win but by a link much faster than its peers'. */
+const shortlist = 4;
+
+/**
+ * Weight of a full decode server against an empty one, milliseconds. It is
+ * small beside a prefill, yet spreads streams, as each shares its server's
+ * memory and batch with the rest.
+ */
+const pressureMs = 100;
+
+const toZoneMs = (entry: ServerEntry, request: PairRequest): Milliseconds => entry.zone === request.zone ? 0 : request.crossZoneMs;
+
+const toPrefillMs = (prefill: Candidate, request: PairRequest): Milliseconds =>
+	((prefill.load.backlogTokens + Math.max(1, request.promptTokens - prefill.cachedTokens)) / prefill.load.tokensPerSecond * msPerSecond) + toZoneMs(prefill.entry, request);
+
+const toPressure = ({load}: Candidate): number => pressureMs * load.slotsUsed / Math.max(1, load.slotsTotal);
+
+/** Time of the transfer over one server's link, shared with the transfers already on it. */
+const toLinkMs = ({load}: Candidate, {kvBytes}: PairRequest): Milliseconds =>
+	kvBytes * (1 + load.transfers) / Math.max(1, load.linkBytesPerSecond) * msPerSecond;
+
+/** The slower end decides. */
+const toTransferMs = (prefill: Candidate, decode: Candidate, request: PairRequest): Milliseconds => {
+	const crossing = prefill.entry.zone === decode.entry.zone ? 0 : request.crossZoneMs;
+	return Math.max(toLinkMs(prefill, request), toLinkMs(decode, request)) + crossing;
+};
+
+const takeBest = (candidates: readonly Candidate[], toCost: (candidate: Candidate) => number): ReadonlyArray<{candidate: Candidate; cost: number}> =>
+	candidates.map(candidate => ({candidate, cost: toCost(candidate)})).toSorted((a, b) => a.cost - b.cost).slice(0, shortlist);
+
+/**
+ * @param prefills - Candidates for the prefill.
+ * @param decodes - Candidates with room for one more request.
+ * @param request - Prompt, cache size, and this host's zone.
+ * @returns The pair with the best score, or `undefined` when a side is empty.
+ */
+export const toBestPair = (prefills: readonly Candidate[], decodes: readonly Candidate[], request: PairRequest): Pair | undefined => {
+	const bestPrefills = takeBest(prefills, prefill => toPrefillMs(prefill, request));
+	const bestDecodes = takeBest(decodes, decode => toPressure(decode) + toZoneMs(decode.entry, request) + toLinkMs(decode, request));
+	let best: Pair | undefined;
+	for (const {candidate: prefill, cost: predictedPrefillMs} of bestPrefills) {
+		for (const {candidate: decode} of bestDecodes) {
+			const stepMs = msPerSecond / Math.max(1, decode.load.tokensPerSecond);
+			const predictedFirstTokenMs = predictedPrefillMs + toTransferMs(prefill, decode, request) + stepMs + toZoneMs(decode.entry, request);
+			const score = predictedFirstTokenMs + toPressure(decode);
+			if (best === undefined || score < best.score) {
+				best = {
+					prefill, decode, predictedPrefillMs, predictedFirstTokenMs, score,
+				};
+			}
+		}
+	}
+
+	return best;
+};
--- /dev/null
+++ b/src/domain/create-placement/_lib/to-pool-index.ts
@@ -0,0 +1,62 @@
+/** Servers of a configuration, ordered the way a pick looks them up. */
+import {
+	type Config, type PoolEntry, type ServerEntry, type ServerRole,
+} from '../../../ports/config.js';
+import {type RegionId, type ServerId, type ZoneId} from '../../../ports/ids.js';
+
+export type RoleServers = {
+	all: readonly ServerEntry[];
+	local: readonly ServerEntry[];
+	/** Servers of this host's region, its own zone left out. */
+	nearby: readonly ServerEntry[];
+};
+
+export type PoolServers = {
+	pool: PoolEntry;
+	prefill: RoleServers;
+	decode: RoleServers;
+	plain: RoleServers;
+};
+
+export type PoolIndex = {
+	pools: ReadonlyMap<string, PoolServers>;
+	servers: ReadonlyMap<ServerId, ServerEntry>;
+};
+
+const toRoleServers = (servers: readonly ServerEntry[], role: ServerRole, zone: ZoneId, regionOf: (zone: ZoneId) => RegionId | undefined): RoleServers => {
+	const all = servers.filter(server => server.role === role);
+	const region = regionOf(zone);
+	return {
+		all,
+		local: all.filter(server => server.zone === zone),
+		nearby: all.filter(server => server.zone !== zone && region !== undefined && regionOf(server.zone) === region),
+	};
+};
+
+/**
+ * @param config - The accepted configuration.
+ * @param zone - Zone of this host.
+ * @param regionOf - Region of a zone; `undefined` takes it from the configuration.
+ * @returns Each pool's servers by role, own zone and own region.
+ */
+export const toPoolIndex = (config: Config, zone: ZoneId, regionOf: ((zone: ZoneId) => RegionId | undefined) | undefined): PoolIndex => {
+	const regions = new Map(config.zones.map(entry => [entry.id, entry.region]));
+	const toRegion = regionOf ?? ((id: ZoneId) => regions.get(id));
+	const byPool = new Map<string, ServerEntry[]>();
+	for (const server of config.servers) {
+		const list = byPool.get(server.pool) ?? [];
+		list.push(server);
+		byPool.set(server.pool, list);
+	}
+
+	const pools = config.pools.map((pool): [string, PoolServers] => {
+		const servers = byPool.get(pool.name) ?? [];
+		return [pool.name, {
+			pool,
+			prefill: toRoleServers(servers, 'prefill', zone, toRegion),
+			decode: toRoleServers(servers, 'decode', zone, toRegion),
+			plain: toRoleServers(servers, 'plain', zone, toRegion),
+		}];
+	});
+	return {pools: new Map(pools), servers: new Map(config.servers.map(server => [server.id, server]))};
+};
--- /dev/null
+++ b/src/domain/create-placement/_lib/types.ts
@@ -0,0 +1,108 @@
+import {type Result} from 'neverthrow';
+import {type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type EngineFailureKind, type EngineRefusalReason} from '../../../ports/engine.js';
+import {type RegionId, type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {type ServiceClass} from '../../../ports/outcome.js';
+import {type FleetView} from '../../../ports/view.js';
+
+/** Why a server may not be considered, or only when nothing better is left. */
+export type StandingReason = 'excluded' | 'leaving' | 'unreachable' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
+
+/** What the server's last report says that the request does not want. */
+export type MismatchReason = 'wrong-role' | 'wrong-model' | 'wrong-version' | 'no-adapter' | 'not-serving';
+
+/** Why a server was not considered, or considered and not taken. */
+export type PassedOverReason = StandingReason | 'full' | 'other-region' | 'other-zone' | 'worse';
+
+export type PlacementAccount = {
+	pool: string;
+	chosen: readonly ServerId[];
+	/** Servers passed over, at most {@link maxAccountRows} of them. */
+	passedOver: ReadonlyArray<{server: ServerId; reason: PassedOverReason}>;
+	/** How many servers each reason kept out, over all of the pool. */
+	counts: Readonly<Partial<Record<PassedOverReason, number>>>;
+};
+
+/** Rows of an account; a pool of thousands is summed up in `counts`. */
+export const maxAccountRows = 64;
+
+export type PlacementRequest = {
+	pool: string;
+	model: string;
+	/** Version of weights; `undefined` takes the pool's own. */
+	version: string | undefined;
+	adapter: string | undefined;
+	promptTokens: number;
+	maxTokens: number;
+	class: ServiceClass;
+	/** Time left in which the first token is still of use, milliseconds. */
+	firstTokenBudgetMs: Milliseconds;
+	/** Hashes of the prompt's prefix blocks, each over all text up to its end. */
+	prefixBlocks?: readonly string[];
+	/** Servers that this request must not get, for example after a failed attempt. */
+	exclude?: ReadonlySet<ServerId>;
+};
+
+export type Placement = {
+	kind: 'pair';
+	prefill: ServerEntry;
+	decode: ServerEntry;
+	promptTokens: number;
+	prefixBlocks: readonly string[];
+	/** Prompt tokens thought to be in the prefill server's prefix cache. */
+	expectedCachedTokens: number;
+	/** Part of `predictedFirstTokenMs` until the prefill is done. */
+	predictedPrefillMs: Milliseconds;
+	predictedFirstTokenMs: Milliseconds;
+	/** Life to ask for the decode reservation, so that prefill and transfer fit within it. */
+	reservationTtlMs: Milliseconds;
+	/** Worked out only when called; keeps the view alive, so do not store it for long. */
+	account: () => PlacementAccount;
+};
+
+export type PlainPlacement = {
+	kind: 'plain';
+	server: ServerEntry;
+	account: () => PlacementAccount;
+};
+
+export type PlacementRefusalReason = 'no-config' | 'no-pool' | 'no-server' | 'no-memory' | 'would-miss-target';
+
+export type PlacementRefusal = {
+	reason: PlacementRefusalReason;
+	message: string;
+	retryAfterMs: Milliseconds;
+	account: () => PlacementAccount;
+};
+
+/** What happened on a server, as an engine failure tells it or as an adapter for plain services does. */
+export type ServerFailure = {
+	kind: EngineFailureKind;
+	reason: EngineRefusalReason | undefined;
+};
+
+export type PlacementOptions = {
+	/** Zone of this host. */
+	zone: ZoneId;
+	/** Region of a zone; the configuration's own `zones` by default. */
+	regionOf?: (zone: ZoneId) => RegionId | undefined;
+	/** Servers drawn at random for each role, of which the best is taken; `Infinity` looks at all. */
+	draws?: number;
+	/** Age at which a load report is no longer believed, milliseconds. */
+	staleAfterMs?: Milliseconds;
+	/** KV cache bytes for a prompt token until a prefill has told. */
+	kvBytesPerToken?: number;
+	/** Prompt tokens for each hash in `prefixBlocks`. */
+	tokensPerBlock?: number;
+	/** Milliseconds added for each server outside this host's zone. */
+	crossZoneMs?: Milliseconds;
+	/** Blocks that the prefix map remembers. */
+	maxPrefixBlocks?: number;
+};
+
+export type PickPair = (request: PlacementRequest, view: FleetView, now: Milliseconds, random: Random) => Result<Placement, PlacementRefusal>;
+
+export type PlainRequest = {pool: string; exclude?: ReadonlySet<ServerId>};
+
+export type PickPlain = (request: PlainRequest, view: FleetView, now: Milliseconds, random: Random) => Result<PlainPlacement, PlacementRefusal>;
--- /dev/null
+++ b/src/domain/create-placement/index.ts
@@ -0,0 +1,235 @@
+/**
+ * Where a request goes: the prefill and decode servers that give the earliest
+ * first token by this host's own estimate, or the reason why none does.
+ *
+ * A pick draws a few servers of the own zone for each role, adds those that
+ * hold the prompt's prefix, and takes the best pair. It looks wider, at the
+ * whole zone and at the region, only when that pair is missing or late, so the
+ * usual cost does not grow with the fleet. Each decision is this host's alone:
+ * the decode engine, asked for a reservation, is the arbiter of its memory.
+ */
+import {err, ok} from 'neverthrow';
+import {type Milliseconds, type Random} from '../../ports/clock.js';
+import {type ServerEntry} from '../../ports/config.js';
+import {type ServerId} from '../../ports/ids.js';
+import {type FleetView} from '../../ports/view.js';
+import {createLoadEstimate} from '../create-load-estimate/index.js';
+import {createPrefixMap} from '../create-prefix-map/index.js';
+import {createServerHealth, type ServerHealthOptions} from '../create-server-health/index.js';
+import {createNotes, type Learnt} from './_lib/create-notes.js';
+import {createPairSearch, type Search} from './_lib/create-pair-search.js';
+import {createStanding} from './_lib/create-standing.js';
+import {type Pair} from './_lib/to-best-pair.js';
+import {type PoolIndex, toPoolIndex} from './_lib/to-pool-index.js';
+import {
+	type PickPair, type PickPlain, type Placement, type PlacementAccount, type PlacementOptions, type PlacementRefusal, type PlacementRefusalReason, type PlacementRequest, type PlainRequest,
+} from './_lib/types.js';
+
+export type * from './_lib/types.js';
+
+const defaultDraws = 2;
+const defaultStaleAfterMs = 5000;
+const defaultKvBytesPerToken = 131_072;
+const defaultTokensPerBlock = 64;
+const defaultCrossZoneMs = 5;
+const defaultHoldMs = 5000;
+
+/** A reservation lives for the predicted first token, this much longer, and a fixed margin. */
+const ttlFactor = 1.5;
+const ttlMarginMs = 500;
+
+const minRetryAfterMs = 100;
+const maxRetryAfterMs = 30_000;
+const noServerRetryAfterMs = 2000;
+
+const noAccount = (pool: string): PlacementAccount => ({
+	pool, chosen: [], passedOver: [], counts: {},
+});
+
+const toRetryAfter = (ms: Milliseconds): Milliseconds => Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, ms)));
+
+const toRefusal = (reason: PlacementRefusalReason, message: string, retryAfterMs: Milliseconds, account: () => PlacementAccount): PlacementRefusal => ({
+	reason, message, retryAfterMs: toRetryAfter(retryAfterMs), account,
+});
+
+/** Why a pool cannot be looked up in a view. */
+const toLookupRefusal = (view: FleetView, pool: string): PlacementRefusal => {
+	const isEmpty = view.accepted === undefined;
+	return {
+		reason: isEmpty ? 'no-config' : 'no-pool',
+		message: isEmpty ? 'no configuration has been accepted yet' : `pool ${pool} is not in the configuration in force`,
+		retryAfterMs: noServerRetryAfterMs,
+		account: () => noAccount(pool),
+	};
+};
+
+/**
+ * Creates the placement of one host.
+ *
+ * @param options - Zone of the host and tuning; see {@link PlacementOptions}.
+ * @returns `pick` and `pickPlain`, which decide, and the `note…` functions, from which they learn.
+ *
+ * @example
+ * const placement = createPlacement({zone: 'dvorana-a'});
+ * const picked = placement.pick(request, view, now, random);
+ * if (picked.isOk()) {
+ * 	placement.noteDispatched(picked.value, now);
+ * }
+ */
+export const createPlacement = (options: PlacementOptions & {health?: ServerHealthOptions}) => {
+	const {zone} = options;
+	const draws = options.draws ?? defaultDraws;
+	const staleAfterMs = options.staleAfterMs ?? defaultStaleAfterMs;
+	const tokensPerBlock = options.tokensPerBlock ?? defaultTokensPerBlock;
+	const learnt: Learnt = {kvBytesPerToken: options.kvBytesPerToken ?? defaultKvBytesPerToken, holdMs: defaultHoldMs};
+	const loads = createLoadEstimate({staleAfterMs});
+	const prefixes = createPrefixMap({maxBlocks: options.maxPrefixBlocks});
+	const health = createServerHealth(options.health);
+	let index: PoolIndex | undefined;
+	let indexKey = '';
+
+	const toSubject = (entry: ServerEntry) => ({
+		server: entry.id,
+		group: `${entry.pool}/${entry.role}`,
+		groupSize: index?.pools.get(entry.pool)?.[entry.role].all.length ?? 1,
+	});
+	const standing = createStanding({
+		zone, health, toSubject, staleAfterMs,
+	});
+
+	/** The servers of the accepted configuration, worked out once for each. */
+	const toIndex = (view: FleetView): PoolIndex | undefined => {
+		if (view.accepted === undefined) {
+			return undefined;
+		}
+
+		const {edition, revision, digest} = view.accepted.version;
+		const key = `${edition}/${revision}/${digest}`;
+		if (index === undefined || key !== indexKey) {
+			const next = toPoolIndex(view.accepted.config, zone, options.regionOf);
+			for (const server of [...loads.servers(), ...health.servers()].filter(id => !next.servers.has(id))) {
+				loads.forget(server);
+				health.forget(server);
+				standing.forget(server);
+				prefixes.forget(server);
+			}
+
+			index = next;
+			indexKey = key;
+		}
+
+		return index;
+	};
+
+	const pairs = createPairSearch({
+		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing,
+	});
+
+	const toSearch = (request: PlacementRequest | PlainRequest, view: FleetView, now: Milliseconds, random: Random): Search | undefined => {
+		const pools = toIndex(view);
+		const servers = pools?.pools.get(request.pool);
+		if (pools === undefined || servers === undefined) {
+			return undefined;
+		}
+
+		standing.sweep(view, pools.servers, now);
+		const base = {
+			pool: request.pool, servers, entries: pools.servers, view, now, random,
+		};
+		if (!('model' in request)) {
+			return {
+				...base, wanted: {
+					model: undefined, version: undefined, adapter: undefined, exclude: request.exclude,
+				}, promptTokens: 0, kvBytes: 0, firstTokenBudgetMs: Infinity, cachedTokens: new Map(),
+			};
+		}
+
+		const {model, version, adapter, exclude, promptTokens, firstTokenBudgetMs} = request;
+		const hits = [...prefixes.toHits(request.prefixBlocks ?? [])]
+			.map(([server, blocks]): [ServerId, number] => [server, Math.min(promptTokens - 1, Math.floor(blocks * tokensPerBlock))]);
+		return {
+			...base,
+			wanted: {
+				model, version: version ?? servers.pool.version, adapter, exclude,
+			},
+			promptTokens,
+			kvBytes: promptTokens * learnt.kvBytesPerToken,
+			firstTokenBudgetMs,
+			cachedTokens: new Map(hits),
+		};
+	};
+
+	/** Refusal when nothing was found: for want of memory if a server was passed over as full alone. */
+	const toNothingFound = (search: Search, candidates: readonly ServerEntry[]): PlacementRefusal => {
+		const {pool} = search;
+		const account = () => pairs.toAccount(search, candidates, []);
+		if (!pairs.isFullOnly(search)) {
+			return toRefusal('no-server', `no server of pool ${pool} is in service with what the request needs; the account gives each server's reason`, noServerRetryAfterMs, account);
+		}
+
+		let slots = 1;
+		for (const entry of search.servers.decode.local) {
+			slots += entry.slots;
+		}
+
+		return toRefusal('no-memory', `every server of pool ${pool} that would do is full`, learnt.holdMs * 2 / slots, account);
+	};
+
+	const toPlacement = (request: PlacementRequest, pair: Pair, account: () => PlacementAccount): Placement => ({
+		kind: 'pair',
+		prefill: pair.prefill.entry,
+		decode: pair.decode.entry,
+		promptTokens: request.promptTokens,
+		prefixBlocks: request.prefixBlocks ?? [],
+		expectedCachedTokens: pair.prefill.cachedTokens,
+		predictedPrefillMs: pair.predictedPrefillMs,
+		predictedFirstTokenMs: pair.predictedFirstTokenMs,
+		reservationTtlMs: Math.ceil((pair.predictedFirstTokenMs * ttlFactor) + ttlMarginMs),
+		account,
+	});
+
+	const pick: PickPair = (request, view, now, random) => {
+		const search = toSearch(request, view, now, random);
+		if (search === undefined) {
+			return err(toLookupRefusal(view, request.pool));
+		}
+
+		const {prefill, decode} = search.servers;
+		const pair = pairs.findPair(search);
+		if (pair === undefined) {
+			return err(toNothingFound(search, [...prefill.all, ...decode.all]));
+		}
+
+		const account = () => pairs.toAccount(search, [...prefill.all, ...decode.all], [pair.prefill.entry.id, pair.decode.entry.id]);
+		const lateMs = pair.predictedFirstTokenMs - request.firstTokenBudgetMs;
+		if (lateMs > 0) {
+			const message = `the first token is predicted after ${Math.round(pair.predictedFirstTokenMs)} ms, over the ${Math.round(request.firstTokenBudgetMs)} ms left`;
+			return err(toRefusal('would-miss-target', message, lateMs, account));
+		}
+
+		return ok(toPlacement(request, pair, account));
+	};
+
+	const pickPlain: PickPlain = (request, view, now, random) => {
+		const search = toSearch(request, view, now, random);
+		if (search === undefined) {
+			return err(toLookupRefusal(view, request.pool));
+		}
+
+		const candidates = search.servers.plain.all;
+		const best = pairs.findPlain(search);
+		return best === undefined
+			? err(toNothingFound(search, candidates))
+			: ok({kind: 'plain', server: best.entry, account: () => pairs.toAccount(search, candidates, [best.entry.id])});
+	};
+
+	return {
+		pick,
+		pickPlain,
+		...createNotes({
+			loads, health, standing, prefixes, learnt, tokensPerBlock, toSubject,
+		}),
+	};
+};
+
+export type PlacementDecider = ReturnType<typeof createPlacement>;
--- /dev/null
+++ b/src/domain/create-server-health/index.ts
@@ -0,0 +1,263 @@
+/**
+ * Passive health: which backend servers this host leaves out for a while,
+ * judged by its own requests alone.
+ *
+ * Three safeguards keep a bad signal (a broken link of this host, a bad rule, a
+ * faulty adapter) from emptying a pool. At most `maxOutShare` of a group is out
+ * at a time, the first judged bad being out first. When more than `panicShare`
+ * looks bad, the signal is not believed and nobody is out. And a server comes
+ * back by itself when its time is over, with a share of its requests that grows.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type ServerId} from '../../ports/ids.js';
+import {msPerMinute, msPerSecond} from '../../ports/units.js';
+
+export type ServerHealthOptions = {
+	/** Failure score at which a server is left out; a failure adds 1 (1.5 when no connection was made), a success takes 0.5. */
+	failuresToEject?: number;
+	/** Time out after the first ejection, doubled for each that follows soon; milliseconds. */
+	ejectMs?: Milliseconds;
+	maxEjectMs?: Milliseconds;
+	/** Largest share of a group that may be out. */
+	maxOutShare?: number;
+	/** Share of a group that may look bad before the signal is not believed. */
+	panicShare?: number;
+	/** Slowness against the median of the group at which a server counts as bad. */
+	slowRatio?: number;
+	/** Answers a server must have given before it can be called slow. */
+	minSlowSamples?: number;
+	/** Time in which a returning server's share grows from `rampFrom` to 1, milliseconds. */
+	rampMs?: Milliseconds;
+	rampFrom?: number;
+};
+
+/** A server and the servers it is judged among. */
+export type HealthSubject = {
+	server: ServerId;
+	/** Name of the group, for example pool and role. */
+	group: string;
+	/** Servers in the group, those never used included. */
+	groupSize: number;
+};
+
+type Track = {
+	group: string;
+	score: number;
+	scoreAt: Milliseconds;
+	slowness: number;
+	samples: number;
+	/** End of the time in which the server is taken for bad. */
+	badUntil: Milliseconds;
+	isOut: boolean;
+	ejections: number;
+	/** Start of a gradual return, for example after the server was unreachable. */
+	returnAt: Milliseconds;
+};
+
+type Group = {size: number; members: Set<ServerId>; bad: Set<ServerId>};
+
+const defaults = {
+	failuresToEject: 3,
+	ejectMs: 5 * msPerSecond,
+	maxEjectMs: msPerMinute,
+	maxOutShare: 0.34,
+	panicShare: 0.5,
+	slowRatio: 3,
+	minSlowSamples: 10,
+	rampMs: 10 * msPerSecond,
+	rampFrom: 0.1,
+};
+
+const successCredit = 0.5;
+const unreachableWeight = 1.5;
+
+/** A failure score falls by 1 in this time, so that rare failures never add up. */
+const scoreDecayMs = 10 * msPerSecond;
+
+/** Weight of the newest answer in the moving average of slowness. */
+const slownessGain = 0.1;
+
+/** Fewest peers with samples among which a server can be called slow. */
+const minSlowPeers = 3;
+
+const createTrack = (group: string): Track => ({
+	group, score: 0, scoreAt: -Infinity, slowness: 1, samples: 0, badUntil: -Infinity, isOut: false, ejections: 0, returnAt: -Infinity,
+});
+
+const toMedian = (values: readonly number[]): number => {
+	const sorted = values.toSorted((a, b) => a - b);
+	return sorted[Math.floor((sorted.length - 1) / 2)] ?? 1;
+};
+
+/** Servers of a group that may be out: never all, and one of two or three. */
+const toOutLimit = (size: number, share: number): number =>
+	size < 2 ? 0 : Math.min(size - 1, Math.max(1, Math.floor(size * share)));
+
+/**
+ * Creates the health record of this host.
+ *
+ * @param options - Thresholds; see {@link ServerHealthOptions}.
+ * @returns Functions that note answers and failures, and tell a server's share.
+ *
+ * @example
+ * const health = createServerHealth({failuresToEject: 1});
+ * health.noteFailure({server: 'a', group: 'g', groupSize: 3}, 'broken', 0);
+ * health.toShare('a', 1); // 0
+ * health.toShare('a', 60_000); // 1
+ */
+export const createServerHealth = (options: ServerHealthOptions = {}) => {
+	const cfg = {...defaults, ...options};
+	const tracks = new Map<ServerId, Track>();
+	const groups = new Map<string, Group>();
+
+	const toTrack = (subject: HealthSubject): Track => {
+		const group = groups.get(subject.group) ?? {size: 0, members: new Set(), bad: new Set()};
+		group.size = subject.groupSize;
+		group.members.add(subject.server);
+		groups.set(subject.group, group);
+		const known = tracks.get(subject.server);
+		if (known?.group === subject.group) {
+			return known;
+		}
+
+		const track = createTrack(subject.group);
+		tracks.set(subject.server, track);
+		return track;
+	};
+
+	const decayScore = (track: Track, now: Milliseconds): void => {
+		if (track.scoreAt !== -Infinity) {
+			track.score = Math.max(0, track.score - ((now - track.scoreAt) / scoreDecayMs));
+		}
+
+		track.scoreAt = now;
+	};
+
+	/** Ends the bad time of every member of the group whose time is over. */
+	const expire = (group: Group, now: Milliseconds): void => {
+		for (const server of group.bad) {
+			const track = tracks.get(server);
+			if (track === undefined || track.badUntil <= now) {
+				group.bad.delete(server);
+				if (track?.isOut) {
+					track.isOut = false;
+					track.returnAt = track.badUntil;
+				}
+			}
+		}
+	};
+
+	const eject = (subject: HealthSubject, track: Track, now: Milliseconds): void => {
+		const group = groups.get(subject.group);
+		if (group === undefined || now < track.badUntil) {
+			return;
+		}
+
+		expire(group, now);
+		const wasLong = now - track.badUntil > cfg.maxEjectMs;
+		track.ejections = wasLong ? 1 : track.ejections + 1;
+		track.badUntil = now + Math.min(cfg.maxEjectMs, cfg.ejectMs * (2 ** (track.ejections - 1)));
+		track.score = cfg.failuresToEject - 1;
+		track.scoreAt = track.badUntil;
+		track.samples = 0;
+		track.slowness = 1;
+		let outCount = 0;
+		for (const server of group.bad) {
+			outCount += tracks.get(server)?.isOut ? 1 : 0;
+		}
+
+		track.isOut = outCount < toOutLimit(group.size, cfg.maxOutShare);
+		group.bad.add(subject.server);
+	};
+
+	const isSlow = (track: Track): boolean => {
+		if (track.samples < cfg.minSlowSamples || track.slowness < cfg.slowRatio) {
+			return false;
+		}
+
+		const peers = [...groups.get(track.group)?.members ?? []]
+			.map(server => tracks.get(server))
+			.filter(peer => peer !== undefined && peer !== track && peer.samples >= cfg.minSlowSamples)
+			.map(peer => peer?.slowness ?? 1);
+		return peers.length >= minSlowPeers - 1 && track.slowness > cfg.slowRatio * toMedian(peers);
+	};
+
+	/**
+	 * @param server - The server asked about.
+	 * @param now - Monotonic milliseconds.
+	 * @returns Share of its usual requests that the server should get: 0 while it is out, 1 normally.
+	 */
+	const toShare = (server: ServerId, now: Milliseconds): number => {
+		const track = tracks.get(server);
+		if (track === undefined) {
+			return 1;
+		}
+
+		const group = groups.get(track.group);
+		if (group !== undefined && track.badUntil > now && track.isOut) {
+			expire(group, now);
+			return group.bad.size > cfg.panicShare * group.size ? 1 : 0;
+		}
+
+		const returnAt = track.isOut ? track.badUntil : track.returnAt;
+		return now - returnAt >= cfg.rampMs ? 1 : Math.min(1, cfg.rampFrom + ((1 - cfg.rampFrom) * Math.max(0, now - returnAt) / cfg.rampMs));
+	};
+
+	return {
+		toShare,
+		noteSuccess(subject: HealthSubject, now: Milliseconds): void {
+			const track = toTrack(subject);
+			if (now < track.badUntil) {
+				return;
+			}
+
+			decayScore(track, now);
+			track.score = Math.max(0, track.score - successCredit);
+		},
+		/** @param kind - `unreachable` weighs more: the server, or the way to it, is surely gone. */
+		noteFailure(subject: HealthSubject, kind: 'unreachable' | 'broken' | 'invalid', now: Milliseconds): void {
+			const track = toTrack(subject);
+			if (now < track.badUntil) {
+				return;
+			}
+
+			decayScore(track, now);
+			track.score += kind === 'unreachable' ? unreachableWeight : 1;
+			if (track.score >= cfg.failuresToEject) {
+				eject(subject, track, now);
+			}
+		},
+		/** @param slowness - Time taken over time predicted. A moving average is compared with the group's median, so a wrong prediction for all ejects nobody. */
+		noteSlowness(subject: HealthSubject, slowness: number, now: Milliseconds): void {
+			const track = toTrack(subject);
+			if (now < track.badUntil) {
+				return;
+			}
+
+			track.slowness += slownessGain * (slowness - track.slowness);
+			track.samples++;
+			if (isSlow(track)) {
+				eject(subject, track, now);
+			}
+		},
+		/**
+		 * Starts a gradual return. Without it, a zone that comes back looks empty
+		 * to every host at once and is flooded by all of them.
+		 */
+		noteReturn(subject: HealthSubject, now: Milliseconds): void {
+			toTrack(subject).returnAt = now;
+		},
+		forget(server: ServerId): void {
+			const track = tracks.get(server);
+			if (track !== undefined) {
+				groups.get(track.group)?.members.delete(server);
+				groups.get(track.group)?.bad.delete(server);
+				tracks.delete(server);
+			}
+		},
+		/** Servers with state. */
+		servers: (): Iterable<ServerId> => tracks.keys(),
+	};
+};
+
+export type ServerHealth = ReturnType<typeof createServerHealth>;
