--- a/src/programs/_settings/common.ts
+++ b/src/programs/_settings/common.ts
@@ -23,7 +23,11 @@
 		type: 'choice', choices: logLevels, default: 'info', group: 'Operation', description: 'Least severe level that is logged.',
 	},
 	operatorToken: {
-		type: 'text', secret: true, pattern: {test: /^[\u0021-\u007E]{16,}$/, hint: 'at least 16 visible ASCII characters'}, group: 'Keys', description: 'Token that operators send as "Authorization: Bearer"; without it the port answers anybody who reaches it.',
+		type: 'text',
+		secret: true,
+		pattern: {test: /^[\u0021-\u007E]{16,}$/, hint: 'at least 16 visible ASCII characters'},
+		group: 'Keys',
+		description: 'Token that operators send as "Authorization: Bearer"; without it the port answers anybody who reaches it.',
 	},
 	operatorTlsCertFile: {
 		type: 'file', group: 'Keys', description: 'Certificate chain of the operators\' port, PEM.',
