Read configuration documents, all faults at once

Conclusion: every proper prefix of the test's document is refused. Linter: a rule's `then` needs a marked line where an object is built, since the rule no-thenable takes any such key for a promise.

--- /dev/null
+++ b/src/domain/find-dead-rules/test.ts
@@ -0,0 +1,25 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type RuleWhen} from '../../ports/config.js';
+import {findDeadRules} from './index.js';
+
+describe('findDeadRules', () => {
+	const cases: Array<[title: string, whens: RuleWhen[], dead: Array<[index: number, hiddenBy: number]>]> = [
+		['different workspaces', [{workspace: ['a']}, {workspace: ['b']}, {}], []],
+		['a workspace taken earlier', [{workspace: ['a', 'b']}, {workspace: ['b']}, {}], [[1, 0]]],
+		['workspaces taken by two rules together', [{workspace: ['a']}, {workspace: ['b']}, {workspace: ['a', 'b']}, {}], [[2, 0]]],
+		['a workspace that is left over', [{workspace: ['a']}, {workspace: ['a', 'b']}, {}], []],
+		['models and zones taken by several rules together', [{model: ['m']}, {zone: ['z']}, {model: ['m', 'n'], zone: ['z']}, {}], [[2, 0]]],
+		['a longer path after its prefix', [{path: '/desk/'}, {path: '/desk/a'}, {path: '/d'}, {}], [[1, 0]]],
+		['a header value after "present"', [{headers: {a: '*'}}, {headers: {a: '1'}}, {}], [[1, 0]]],
+		['"present" after a header value', [{headers: {a: '1'}}, {headers: {a: '*'}}, {}], []],
+		['a smaller range of prompt sizes', [{promptTokensBelow: 10}, {promptTokensAtLeast: 2, promptTokensBelow: 5}, {promptTokensAtLeast: 5}, {}], [[1, 0]]],
+		['a class after none', [{}, {class: 'quick'}], [[1, 0]]],
+		['a second catch-all', [{}, {}], [[1, 0]]],
+	];
+	for (const [title, whens, dead] of cases) {
+		it(`judges ${title}`, () => {
+			assert.deepEqual(findDeadRules(whens.map(when => ({when}))).map(({index, hiddenBy}) => [index, hiddenBy]), dead);
+		});
+	}
+});
--- /dev/null
+++ b/src/domain/parse-config/_lib/document.ts
@@ -0,0 +1,39 @@
+/** The sections of a configuration document. */
+import {
+	type HostEntry, type PoolEntry, type RuleThen, type ServerEntry, type ZoneEntry,
+} from '../../../ports/config.js';
+import {
+	optional, partialRecord, type Placed, placedListOf, required,
+} from './readers.js';
+import * as schema from './schema.js';
+
+export type DocumentForm = {
+	zones: ReadonlyArray<Placed<ZoneEntry>>;
+	hosts: ReadonlyArray<Placed<HostEntry>>;
+	servers: ReadonlyArray<Placed<ServerEntry>>;
+	pools: ReadonlyArray<Placed<PoolEntry>>;
+	routes: Readonly<Record<string, RuleThen>>;
+	rules: ReadonlyArray<Placed<schema.RuleForm>>;
+	callerTokens: Readonly<Record<string, string>>;
+	weightStoreBytesPerSecond: number;
+	edition: number;
+	follows: string;
+	end: string;
+};
+
+const defaultWeightStoreBytesPerSecond = 500_000_000;
+
+/** Reads all sections; those with faults are left out, so that the others still get their checks of meaning. */
+export const readDocument = partialRecord<DocumentForm>({
+	zones: required(placedListOf(schema.zone, 1)),
+	hosts: required(placedListOf(schema.host)),
+	servers: required(placedListOf(schema.server)),
+	pools: required(placedListOf(schema.pool, 1)),
+	routes: optional(schema.routes, {}),
+	rules: required(placedListOf(schema.rule, 1)),
+	callerTokens: optional(schema.callerTokens, {}),
+	weightStoreBytesPerSecond: optional(schema.weightStoreBytesPerSecond, defaultWeightStoreBytesPerSecond),
+	edition: optional(schema.edition, 0),
+	follows: optional(schema.digestOrNone, 'none'),
+	end: required(schema.endMark),
+});
--- /dev/null
+++ b/src/domain/parse-config/_lib/to-config.ts
@@ -0,0 +1,33 @@
+/** Turns the sections of a document without faults into the configuration that decisions use. */
+import {type Config, type Rule} from '../../../ports/config.js';
+import {type DocumentForm} from './document.js';
+import {type RuleForm} from './schema.js';
+
+/**
+ * Puts routes in the place of their names, and drops positions and end mark.
+ *
+ * @param form - Sections of a document in which no fault was found.
+ * @returns The configuration, or `undefined` when a section is missing.
+ */
+export function toConfig(form: Partial<DocumentForm>): Config | undefined {
+	const {zones, hosts, servers, pools, routes, rules, callerTokens, weightStoreBytesPerSecond} = form;
+	if (!zones || !hosts || !servers || !pools || !routes || !rules || !callerTokens || weightStoreBytesPerSecond === undefined) {
+		return undefined;
+	}
+
+	return {
+		zones: zones.map(({value}) => value),
+		hosts: hosts.map(({value}) => value),
+		servers: servers.map(({value}) => value),
+		pools: pools.map(({value}) => value),
+		rules: rules.map(({value}) => toRule(value, routes)),
+		callerTokens,
+		weightStoreBytesPerSecond,
+	};
+}
+
+function toRule({name, when, then}: RuleForm, routes: DocumentForm['routes']): Rule {
+	const decision = typeof then === 'string' ? routes[then]! : then;
+	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
+	return {name, when, then: decision};
+}
--- /dev/null
+++ b/src/domain/parse-config/index.ts
@@ -0,0 +1,112 @@
+/**
+ * Reads a configuration document, in YAML or JSON, and reports everything that
+ * is wrong with it at once, each with line, column and remedy.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {isRecord} from '../../_lib/is-record/index.js';
+import {splitConfigEnd} from '../../_lib/split-config-end/index.js';
+import {type Config} from '../../ports/config.js';
+import {addMeaningFaults} from './_lib/check-meaning.js';
+import {toConfig} from './_lib/to-config.js';
+import {createFaultSink, type FaultSink} from './_lib/faults.js';
+import {readDocument} from './_lib/document.js';
+import {readSource, type Place, type Source} from './_lib/source.js';
+
+/** One thing that is wrong with a configuration document. */
+export type ConfigFault = {
+	/** Name of the file or source; `undefined` where the text came without one. */
+	file: string | undefined;
+	/** From 1. */
+	line: number;
+	/** From 1. */
+	column: number;
+	/** What is wrong. */
+	problem: string;
+	/** What to write instead. */
+	remedy: string;
+};
+
+export type ParseConfigOptions = {
+	/** Name of the file or source, for the faults. */
+	file?: string;
+};
+
+/**
+ * Parses and validates a configuration document. Whether its seal holds is
+ * `checkSeal`'s to say; this function checks that the document has an end mark
+ * and that all of its content is valid.
+ *
+ * @param text - The whole document, YAML 1.2 or JSON.
+ * @param options - Name of the file for the faults.
+ * @returns The configuration, or all faults in the order of their lines.
+ *
+ * @example
+ * ```ts
+ * const result = parseConfig(text, {file: 'rules.yaml'});
+ * if (result.isErr()) {
+ * 	for (const fault of result.error) console.log(toFaultLine(fault));
+ * }
+ * ```
+ */
+export function parseConfig(text: string, options: ParseConfigOptions = {}): Result<Config, readonly ConfigFault[]> {
+	const toFault = ({line, column}: Place, problem: string, remedy: string): ConfigFault => ({
+		file: options.file, line, column, problem, remedy,
+	});
+	const source = readSource(text);
+	if (source.syntaxFaults.length > 0) {
+		return err(source.syntaxFaults.map(fault => toFault(fault, fault.problem, fault.remedy)));
+	}
+
+	const faults = createFaultSink();
+	const config = readConfig(source, text, faults);
+	const found = faults.list().map(({path, at, problem, remedy}) => toFault(source.toPlace(path, at), problem, remedy));
+	if (config && found.length === 0) {
+		return ok(config);
+	}
+
+	return err(found.toSorted((left, right) => left.line - right.line || left.column - right.column));
+}
+
+/**
+ * Writes a fault on one line, in the form that editors and terminals link.
+ *
+ * @param fault - A fault of {@link parseConfig}.
+ * @returns `file:line:column: problem; remedy`.
+ */
+export function toFaultLine({file, line, column, problem, remedy}: ConfigFault): string {
+	return `${file ?? 'document'}:${line}:${column}: ${problem}; ${remedy}`;
+}
+
+function readConfig(source: Source, text: string, faults: FaultSink): Config | undefined {
+	const {data} = source;
+	const form = readDocument(data, [], faults);
+	if (!form) {
+		return undefined;
+	}
+
+	addEndFaults(data, text, faults);
+	addMeaningFaults(form, data, faults);
+	return faults.list().length > 0 ? undefined : toConfig(form);
+}
+
+/** The end mark is looked for in the text itself: a parser also accepts it somewhere else, before a part that was cut off. */
+function addEndFaults(data: unknown, text: string, faults: FaultSink): void {
+	if (!isRecord(data)) {
+		return;
+	}
+
+	const end = splitConfigEnd(text);
+	if (end.kind === 'missing') {
+		const last = end.format === 'json' ? 'write "end": "banyanport" as the last key, followed by the closing brace alone' : 'write "end: banyanport" as the last line, alone and not indented';
+		faults.add('end' in data ? ['end'] : [], 'the document does not end with its end mark, so part of it may be missing', last);
+		return;
+	}
+
+	if ((data.edition ?? 0) !== end.edition) {
+		faults.add(['edition'], 'the edition does not stand right before the end mark', 'move it to the line before "end"', 'key');
+	}
+
+	if (end.kind === 'plain' && data.follows !== undefined) {
+		faults.add(['follows'], 'only sealed documents say what they follow', 'leave "follows" out, or seal the document with "banyanport seal"', 'key');
+	}
+}
--- /dev/null
+++ b/src/domain/parse-config/test.ts
@@ -0,0 +1,124 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {parseConfig, toFaultLine} from './index.js';
+
+const sound = `zones:
+  - {id: a, region: r}
+pools:
+  - {name: summaries, model: m, version: '1', classes: batch, adapters: [x]}
+  - {name: desk, kind: plain}
+hosts:
+  - {id: a-1, zone: a}
+servers:
+  - {id: p1, zone: a, url: 'http://10.0.0.1:80', role: prefill, pool: summaries}
+  - {id: d1, zone: a, url: 'http://10.0.0.2:80', role: decode, pool: summaries}
+  - {id: k1, zone: a, url: 'http://10.0.0.3:80', role: plain, pool: desk}
+routes:
+  lookup: {pool: desk, class: quick, repeatable: true}
+rules:
+  - {name: letters, when: {model: m}, then: {pool: summaries, class: batch, repeatable: true, target: {firstToken: 1.3s}}}
+  - {name: rest, then: lookup}
+end: banyanport
+`;
+
+function toFaults(text: string): string[] {
+	const result = parseConfig(text, {file: 'rules.yaml'});
+	return result.isOk() ? [] : result.error.map(fault => toFaultLine(fault));
+}
+
+describe('parseConfig', () => {
+	it('fills in routes and defaults, and reads durations', () => {
+		const config = parseConfig(sound)._unsafeUnwrap();
+		assert.deepEqual(config.rules[0]?.then.target, {firstTokenMs: 1300, perTokenMs: 250, completeMs: 600_000});
+		assert.equal(config.rules[1]?.then.pool, 'desk');
+		assert.deepEqual(config.servers.map(({slots}) => slots), [4, 20, 64]);
+	});
+
+	it('reads JSON the same way, tabs included', () => {
+		const config = parseConfig(sound)._unsafeUnwrap();
+		const json = `{
+			"zones": [{"id": "a", "region": "r"}],
+			"pools": [
+				{"name": "summaries", "model": "m", "version": "1", "classes": ["batch"], "adapters": ["x"]},
+				{"name": "desk", "kind": "plain"}
+			],
+			"hosts": ${JSON.stringify(config.hosts)},
+			"servers": ${JSON.stringify(config.servers)},
+			"rules": [
+				{"name": "letters", "when": {"model": ["m"]}, "then": {"pool": "summaries", "class": "batch", "repeatable": true, "target": {"firstToken": "1300ms"}}},
+				{"name": "rest", "then": {"pool": "desk", "class": "quick", "repeatable": true}}
+			],
+			"end": "banyanport"
+		}`;
+		assert.deepEqual(parseConfig(json)._unsafeUnwrap(), config);
+	});
+
+	/** An edit of the sound document, and for each fault expected the text to which line and column must point. */
+	type FaultCase = [title: string, from: string, to: string, ...faults: Array<[place: string, message: RegExp]>];
+
+	const cases: FaultCase[] = [
+		['an unknown key', 'region: r', 'regoin: r', ['{id: a,', /"region" is missing; add/], ['regoin', /"regoin" is not a key here; write "region"/]],
+		['an unknown pool', 'then: {pool: summaries', 'then: {pool: sumaries', ['sumaries', /no pool "sumaries"; write "summaries"/]],
+		['an unknown route', 'then: lookup', 'then: lokup', ['lokup', /no route "lokup"; write "lookup"/]],
+		['an unknown model', 'when: {model: m}', 'when: {model: mm}', ['mm}', /no pool serves a model "mm"; write "m"/]],
+		['an unknown zone in a rule', 'when: {model: m}', 'when: {model: m, zone: [a, b]}', ['b]}', /no zone "b"/]],
+		['an unknown zone of a host', '{id: a-1, zone: a}', '{id: a-1, zone: b}', ['b}', /no zone "b"; write "a"/]],
+		['a missing catch-all', 'rest, then', 'rest, when: {zone: a}, then', ['{name: rest', /the last rule, "rest", does not match every request/]],
+		['a quick rule to a batch-only pool', 'class: batch, rep', 'class: quick, rep', ['quick, repeatable: true, target', /quick work is sent to pool "summaries", which takes only batch/]],
+		['a duplicate name', 'id: d1', 'id: p1', ['p1, zone: a, url: \'http://10.0.0.2', /"p1" is already the id of entry 1 of servers/]],
+		['a duplicate key', 'then: lookup', 'then: lookup, then: lookup', ['then: lookup}', /Map keys must be unique; keep one/]],
+		['a dead rule', 'rules:\n', 'rules:\n  - {name: all, then: lookup}\n', ['{name: letters', /"letters" never decides: "all" \(rule 1\)/], ['{name: rest', /"rest" never decides/]],
+		['a pool without a needed role', 'role: decode', 'role: prefill', ['{name: summaries', /pool "summaries" has no decode server/]],
+		['a role that the pool has no use for', 'role: plain', 'role: decode', ['{name: desk', /pool "desk" has no plain server/], ['decode, pool: desk', /a decode server can't work in pool "desk"/]],
+		['a number that should be text', 'version: \'1\'', 'version: 1.5', ['1.5', /1.5 is read as a number, not as text; put it in quotes, as in '1.5'/]],
+		['a duration without unit', 'firstToken: 1.3s', 'firstToken: 1.3', ['1.3}', /1.3 is not a number with one of the units ms, s, m, h/]],
+		['a word for a truth value', 'repeatable: true}\n', 'repeatable: yes}\n', ['yes', /"yes" is neither true nor false/]],
+		['an adapter that the pool lacks', 'class: batch, rep', 'adapter: y, class: batch, rep', ['y, class', /pool "summaries" has no adapter "y"; write "x"/]],
+		['a URL with a host name', 'http://10.0.0.3:80', 'http://desk:80', ['\'http://desk', /"http:\/\/desk:80" is not an address like/]],
+		['an empty section', 'hosts:\n  - {id: a-1, zone: a}', 'hosts:', ['hosts:', /"hosts" is empty; give it a value/]],
+		['no end mark', 'end: banyanport\n', '', ['zones:', /"end" is missing/], ['zones:', /does not end with its end mark/]],
+		['a second end mark', 'routes:\n', 'end: "banyanport"\nroutes:\n', ['end: banyanport', /Map keys must be unique/]],
+		['an edition that is not before the end mark', 'zones:\n', 'edition: 4\nzones:\n', ['edition', /the edition does not stand right before the end mark/]],
+	];
+	for (const [title, from, to, ...expected] of cases) {
+		it(`reports ${title}`, () => {
+			assert.ok(sound.includes(from));
+			const edited = sound.replace(from, to);
+			const faults = toFaults(edited);
+			for (const [place, message] of expected) {
+				const before = edited.slice(0, edited.indexOf(place)).split('\n');
+				const start = `rules.yaml:${before.length}:${before.at(-1)!.length + 1}: `;
+				assert.ok(faults.some(fault => fault.startsWith(start) && message.test(fault)), `${start}${String(message)} in\n${faults.join('\n')}`);
+			}
+
+			assert.equal(faults.length, expected.length, faults.join('\n'));
+		});
+	}
+
+	it('reports broken syntax with its line', () => {
+		const faults = toFaults(sound.replace('routes:\n', 'routes: [\n'));
+		assert.match(faults[0]!, /^rules\.yaml:1\d:\d+: .*; check indentation/);
+	});
+
+	it('reports faults of several sections at once, in the order of lines', () => {
+		const faults = toFaults(sound.replace('region: r', 'region: r, x: 1')
+			.replace('repeatable: true, target', 'repeatable: 1, target')
+			.replace('then: {pool: summaries', 'then: {pool: nowhere')
+			.replace('then: lookup', 'then: lokup'));
+		assert.deepEqual(faults.map(fault => Number(fault.split(':')[1])), [2, 15, 15, 16]);
+	});
+
+	it('takes no proper prefix of a document for whole', () => {
+		for (let length = 0; length < sound.length - 1; length++) {
+			assert.ok(parseConfig(sound.slice(0, length)).isErr(), `the first ${length} characters were accepted`);
+		}
+	});
+
+	it('returns faults, and never throws, for any text', () => {
+		const pieces = fc.constantFrom('zones:', '\n', ' ', '- ', '{', '}', '[', ']', '&a', '*a', ':', 'rules', '"', '\'', '\t', '<<: ', '!!set', '|', 'end: banyanport', '1', '\0');
+		fc.assert(fc.property(fc.array(fc.oneof(pieces, fc.string()), {maxLength: 30}), parts => {
+			assert.ok(parseConfig(parts.join('')).isErr());
+		}));
+	});
+});
