Add the retry budget and backoff

Ruled out: a fixed number of retries a request (three attempts make three times the load when all fail); a budget by time alone (does not follow load).

Change: createRetryBudget (token bucket filled by successes and a small rate; a retry of work that did not start costs a quarter), toBackoff (full jitter). The answer names the servers and zones that the next attempt leaves out.

--- /dev/null
+++ b/src/domain/create-retry-budget/test.ts
@@ -0,0 +1,89 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createRetryBudget, type FailedAttempt} from './index.js';
+
+const failure = (changes: Partial<FailedAttempt> = {}): FailedAttempt => ({
+	repeatable: true,
+	bytesOffered: 100,
+	outcome: 'may-have-run',
+	attempt: 1,
+	deadline: 1000,
+	expectedMs: 200,
+	tried: [{server: 's1', zone: 'z1'}],
+	...changes,
+});
+
+const half = (): number => 0.5;
+
+describe('createRetryBudget', () => {
+	const cases: Array<{name: string; failed: FailedAttempt; now?: number; expected: string}> = [
+		{name: 'repeatable work', failed: failure(), expected: 'retry'},
+		{name: 'work that did not start, though not repeatable', failed: failure({repeatable: false, outcome: 'not-run'}), expected: 'retry'},
+		{name: 'work of which no byte was offered', failed: failure({repeatable: false, bytesOffered: 0, outcome: 'not-run'}), expected: 'retry'},
+		{name: 'unrepeatable work of unknown fate', failed: failure({repeatable: false}), expected: 'not-repeatable'},
+		{name: 'work that ran', failed: failure({outcome: 'ran'}), expected: 'ran'},
+		{name: 'a third failure', failed: failure({attempt: 3}), expected: 'attempts'},
+		{
+			name: 'a deadline that cannot be met', failed: failure(), now: 801, expected: 'deadline',
+		},
+		{
+			name: 'a deadline that can just be met', failed: failure(), now: 800, expected: 'retry',
+		},
+	];
+	for (const {name, failed, now = 0, expected} of cases) {
+		it(`answers ${expected} to ${name}`, () => {
+			const budget = createRetryBudget();
+			const answer = budget.takeRetry(failed, now, half);
+			assert.equal(answer.kind === 'retry' ? answer.kind : answer.reason, expected);
+			assert.equal(createRetryBudget().isRetryAllowed(failed, now), expected === 'retry');
+		});
+	}
+
+	it('names the servers tried, and zones in which two attempts failed', () => {
+		const tried = [{server: 's1', zone: 'z1'}, {server: 's2', zone: 'z1'}];
+		assert.deepEqual(createRetryBudget().takeRetry(failure({attempt: 2, tried}), 0, half), {
+			kind: 'retry', delayMs: 25, avoidServers: ['s1', 's2'], avoidZones: ['z1'],
+		});
+	});
+
+	it('stops a storm: when everything fails, retries are few however many requests fail', () => {
+		const budget = createRetryBudget({capacity: 10, perSecond: 1});
+		let retries = 0;
+		for (let i = 0; i < 10_000; i++) {
+			retries += budget.takeRetry(failure({deadline: 1e9}), i, half).kind === 'retry' ? 1 : 0;
+		}
+
+		assert.ok(retries <= 20, `${retries} retries`);
+	});
+
+	it('never retries unrepeatable work of unknown fate, nor past the deadline, nor beyond what was paid in', () => {
+		const step = fc.record({
+			isSuccess: fc.boolean(), repeatable: fc.boolean(), outcome: fc.constantFrom('not-run' as const, 'may-have-run' as const, 'ran' as const),
+			attempt: fc.integer({min: 1, max: 4}), elapsed: fc.nat(50), patience: fc.nat(600),
+		});
+		fc.assert(fc.property(fc.array(step, {maxLength: 200}), steps => {
+			const budget = createRetryBudget({capacity: 3, perSuccess: 0.5, perSecond: 0});
+			let paid = 3;
+			let now = 0;
+			for (const {isSuccess, patience, elapsed, ...rest} of steps) {
+				now += elapsed;
+				if (isSuccess) {
+					budget.noteSuccess(now);
+					paid += 0.5;
+					continue;
+				}
+
+				const failed = failure({...rest, deadline: now + patience});
+				const answer = budget.takeRetry(failed, now, half);
+				if (answer.kind === 'retry') {
+					paid -= rest.outcome === 'not-run' ? 0.25 : 1;
+					assert.ok(rest.outcome === 'not-run' || (rest.outcome === 'may-have-run' && rest.repeatable));
+					assert.ok(now + answer.delayMs + failed.expectedMs <= failed.deadline);
+				}
+
+				assert.ok(paid >= 0);
+			}
+		}));
+	});
+});
