Test health, zones, load estimate and prefix map

Cause: four parts of placement had no tests of their own.

Change: tables and properties for each. Three faults were found by them and mended: a returning server was not put out again by its first failure; a pair could take its KV cache across zones as cheaply as a call; a pool whose prefill servers had no report was called unserved.

--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -53,6 +53,8 @@
 /** Another zone must promise this much less than the own one, or small differences would send load to and fro. */
 const spillGain = 0.75;
 
+const isHard = (reason: PassedOverReason | undefined): boolean => reason !== undefined && !isSoft(reason);
+
 const isFull = (entry: ServerEntry, load: ServerLoad): boolean => entry.role !== 'prefill' && load.slotsUsed >= load.slotsTotal;
 
 /**
@@ -167,7 +169,7 @@
 			const {servers} = search;
 			const inReach = ({local, nearby}: RoleServers) => [...local, ...nearby];
 			const holders = [...inReach(servers.decode), ...inReach(servers.plain)];
-			const isPrefillMissing = servers.pool.kind === 'model' && inReach(servers.prefill).every(entry => standing.toReason(entry, {...search, share: 0}) !== undefined);
+			const isPrefillMissing = servers.pool.kind === 'model' && inReach(servers.prefill).every(entry => isHard(standing.toReason(entry, {...search, share: 0})));
 			return !isPrefillMissing && holders.some(entry => toPassedOver(entry, search) === 'full');
 		},
 	};
--- a/src/domain/create-placement/_lib/to-best-pair.ts
+++ b/src/domain/create-placement/_lib/to-best-pair.ts
@@ -37,6 +37,9 @@
  */
 const pressureMs = 100;
 
+/** A KV cache that crosses zones loads links which all pairs share, so it counts for more than a call that does. */
+const crossTransferFactor = 4;
+
 const toZoneMs = (entry: ServerEntry, request: PairRequest): Milliseconds => entry.zone === request.zone ? 0 : request.crossZoneMs;
 
 const toPrefillMs = (prefill: Candidate, request: PairRequest): Milliseconds =>
@@ -50,7 +53,7 @@
 
 /** The slower end decides. */
 const toTransferMs = (prefill: Candidate, decode: Candidate, request: PairRequest): Milliseconds => {
-	const crossing = prefill.entry.zone === decode.entry.zone ? 0 : request.crossZoneMs;
+	const crossing = prefill.entry.zone === decode.entry.zone ? 0 : request.crossZoneMs * crossTransferFactor;
 	return Math.max(toLinkMs(prefill, request), toLinkMs(decode, request)) + crossing;
 };
 
--- /dev/null
+++ b/src/domain/create-placement/zones.test.ts
@@ -0,0 +1,73 @@
+/**
+ * The caller of a zone is served in it as long as that is quick enough. When
+ * the zone is crowded, its requests spill to others of the region; never to a
+ * zone behind a cut, and only little by little to one that has just come back,
+ * because at that moment it looks empty to every host at once.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type ServerStatus, type HostStatus} from '../../ports/view.js';
+import {
+	toConfig, toPlacementRequest, toReport, toSeededRandom, toServer, toStatus, toView,
+} from './_lib/fixtures.js';
+import {createPlacement} from './index.js';
+
+const servers = ['a', 'b', 'far'].flatMap(zone => [1, 2, 3].flatMap(i => [
+	toServer(`${zone}-p${i}`, 'prefill', {zone}),
+	toServer(`${zone}-d${i}`, 'decode', {zone}),
+]));
+const config = toConfig(servers, {zones: [{id: 'a', region: 'r'}, {id: 'b', region: 'r'}, {id: 'far', region: 's'}]});
+
+const toHost = (zone: string, life: HostStatus['life']): HostStatus => ({
+	id: `${zone}-h`, zone, life, incarnation: 1, entryAddress: '', agentAddress: '', leaving: false,
+});
+
+type Change = {usedIn?: Record<string, number>; queuedIn?: Record<string, number>; lives?: Record<string, HostStatus['life']>; unreachable?: string};
+
+const toFleet = (now: number, {usedIn = {}, queuedIn = {}, lives = {}, unreachable}: Change) => {
+	const statuses = servers.map((entry): ServerStatus => ({
+		...toStatus(entry, now),
+		load: toReport(entry, {slotsUsed: entry.role === 'decode' ? usedIn[entry.zone] ?? 0 : 0, queuedTokens: entry.role === 'prefill' ? queuedIn[entry.zone] ?? 0 : 0}),
+		reachable: entry.zone !== unreachable,
+	}));
+	return toView(config, statuses, ['a', 'b', 'far'].map(zone => toHost(zone, lives[zone] ?? 'alive')));
+};
+
+/** Zones of the servers picked in `count` picks. */
+const pickZones = (placement: ReturnType<typeof createPlacement>, view: ReturnType<typeof toFleet>, now: number, count = 60) => {
+	const random = toSeededRandom(now + 1);
+	const zones = new Map<string, number>();
+	for (let i = 0; i < count; i++) {
+		const picked = placement.pick(toPlacementRequest(), view, now, random);
+		const name = picked.match(value => value.decode.zone, refusal => refusal.reason);
+		zones.set(name, (zones.get(name) ?? 0) + 1);
+	}
+
+	return Object.fromEntries(zones);
+};
+
+describe('createPlacement across zones', () => {
+	const rows: Array<[string, Change, Record<string, number>]> = [
+		['stays in its zone while that is quick enough', {usedIn: {a: 15}}, {a: 60}],
+		['spills to its region when its decode servers are full', {usedIn: {a: 20}}, {b: 60}],
+		['spills to its region when its prefill queues would miss the target', {queuedIn: {a: 40_000}}, {b: 60}],
+		['never leaves its region', {usedIn: {a: 20, b: 20}}, {'no-memory': 60}],
+		['never goes to a zone whose hosts are all dead', {usedIn: {a: 20}, lives: {b: 'dead'}}, {'no-memory': 60}],
+		['never goes to servers that cannot be reached', {usedIn: {a: 20}, unreachable: 'b'}, {'no-memory': 60}],
+		['serves on in its own zone when it knows no living host', {lives: {a: 'suspect', b: 'dead', far: 'dead'}}, {a: 60}],
+	];
+	for (const [name, change, expected] of rows) {
+		it(name, () => {
+			assert.deepEqual(pickZones(createPlacement({zone: 'a'}), toFleet(1000, change), 1000), expected);
+		});
+	}
+
+	it('returns little by little to a zone that was cut off', () => {
+		const placement = createPlacement({zone: 'a', health: {rampMs: 10_000, rampFrom: 0.1}});
+		const crowded = {queuedIn: {a: 9000}};
+		assert.deepEqual(pickZones(placement, toFleet(1000, {...crowded, lives: {b: 'dead'}}), 1000), {a: 60});
+		const spilled = [2000, 6000, 20_000].map(now => pickZones(placement, toFleet(now, crowded), now, 400).b ?? 0);
+		assert.ok(spilled[0]! < spilled[2]!, `${spilled.join(', ')}`);
+		assert.equal(spilled[2], 400);
+	});
+});
--- /dev/null
+++ b/src/domain/create-prefix-map/test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createPrefixMap} from './index.js';
+
+describe('createPrefixMap', () => {
+	it('counts the leading blocks a server was sent, up to the first it was not', () => {
+		const map = createPrefixMap();
+		map.note('p1', ['a', 'b', 'c']);
+		map.note('p2', ['a']);
+		const hits = map.toHits(['a', 'b', 'x', 'c']);
+		assert.equal(hits.get('p1'), 2 * map.toTrust('p1'));
+		assert.equal(hits.get('p2'), map.toTrust('p2'));
+		assert.equal(map.toHits(['x', 'a']).size, 0);
+	});
+
+	it('trusts a server less when its prefills find nothing cached, and more when they do', () => {
+		const map = createPrefixMap();
+		map.note('p1', ['a', 'b']);
+		const before = map.toTrust('p1');
+		map.noteFeedback('p1', ['a', 'b'], 0);
+		const fallen = map.toTrust('p1');
+		assert.ok(fallen < before);
+		map.noteFeedback('p1', ['a', 'b'], 2);
+		assert.ok(map.toTrust('p1') > fallen);
+	});
+
+	it('follows events, skips those seen before, and trusts less after a gap', () => {
+		const map = createPrefixMap();
+		map.noteEvents('p1', [{seq: 5, kind: 'stored', block: 'a'}, {seq: 6, kind: 'stored', block: 'b'}]);
+		const trust = map.toTrust('p1');
+		map.noteEvents('p1', [{seq: 6, kind: 'evicted', block: 'b'}]);
+		assert.equal(map.toHits(['a', 'b']).get('p1'), 2 * trust);
+		map.noteEvents('p1', [{seq: 7, kind: 'evicted', block: 'b'}]);
+		assert.equal(map.toHits(['a', 'b']).get('p1'), trust);
+		map.noteEvents('p1', [{seq: 20, kind: 'stored', block: 'c'}]);
+		assert.ok(map.toTrust('p1') < trust);
+	});
+
+	it('takes the numbers of a restarted server from the start', () => {
+		const map = createPrefixMap();
+		map.noteEvents('p1', [{seq: 900, kind: 'stored', block: 'a'}]);
+		map.noteEvents('p1', [{seq: 0, kind: 'stored', block: 'b'}, {seq: 1, kind: 'evicted', block: 'a'}]);
+		assert.equal(map.toHits(['a']).size, 0);
+		assert.equal(map.toHits(['b']).size, 1);
+	});
+
+	it('keeps within its bounds and forgets the least recently used (property)', () => {
+		const name = fc.nat(50).map(i => `b${i}`);
+		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(9), fc.array(name, {maxLength: 8})), {maxLength: 60}), notes => {
+			const map = createPrefixMap({maxBlocks: 10, maxServersPerBlock: 2});
+			for (const [server, prefix] of notes) {
+				map.note(`p${server}`, prefix);
+				assert.ok(map.size() <= 10);
+				assert.ok(prefix.length === 0 || map.toHits(prefix).has(`p${server}`));
+				assert.ok(map.toHits(prefix.slice(0, 1)).size <= 2);
+			}
+		}));
+	});
+});
--- a/src/domain/create-server-health/index.ts
+++ b/src/domain/create-server-health/index.ts
@@ -71,6 +71,9 @@
 const successCredit = 0.5;
 const unreachableWeight = 1.5;
 
+/** A returning server starts this far below ejection: one failure soon after its return puts it out again. */
+const probationMargin = 0.5;
+
 /** A failure score falls by 1 in this time, so that rare failures never add up. */
 const scoreDecayMs = 10 * msPerSecond;
 
@@ -157,7 +160,7 @@
 		const wasLong = now - track.badUntil > cfg.maxEjectMs;
 		track.ejections = wasLong ? 1 : track.ejections + 1;
 		track.badUntil = now + Math.min(cfg.maxEjectMs, cfg.ejectMs * (2 ** (track.ejections - 1)));
-		track.score = cfg.failuresToEject - 1;
+		track.score = cfg.failuresToEject - probationMargin;
 		track.scoreAt = track.badUntil;
 		track.samples = 0;
 		track.slowness = 1;
