Add stand-ins of platform, plain service and link

Cause: failure tests need a platform that can be down, stale or rolled back, a service that counts its work, and links that can be cut. Ruled out: cutting links by closing sockets; a partition tells nobody, so a cut swallows bytes and only healing resets the connections that lost some. Change: three stand-ins with fault switches and counts; platform and plain also as programs.

--- /dev/null
+++ b/test/stand-ins/link/index.ts
@@ -0,0 +1,179 @@
+/**
+ * Stand-in for a network link: a TCP relay that can be cut in either or both
+ * directions, slowed, reset and healed. A cut swallows bytes and keeps
+ * connections open, as a partition does; nobody is told.
+ */
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+
+export type LinkStandInOptions = {
+	/** `IP:port` or `http://IP:port` to which connections are relayed. */
+	target: string;
+	port?: number;
+	bind?: string;
+	delayMs?: number;
+};
+
+/** `to-target` loses what the connecting side sends, `from-target` what comes back. */
+export type LinkCut = 'none' | 'both' | 'to-target' | 'from-target';
+
+export type LinkStandIn = {
+	port: number;
+	/** `IP:port` of this end. */
+	address: string;
+	url: string;
+	/** Cuts; what was sent during a cut is lost, so a connection that lost bytes is reset on healing. */
+	cut: (cut?: LinkCut) => void;
+	heal: () => void;
+	/** Resets every open connection. */
+	reset: () => void;
+	/** Delay of each piece in either direction, milliseconds. */
+	setDelay: (delayMs: number) => void;
+	/** Points new connections to another address. */
+	setTarget: (target: string) => void;
+	countConnections: () => number;
+	bytes: () => {toTarget: number; fromTarget: number};
+	stop: () => Promise<void>;
+};
+
+type Pair = {near: Socket; far: Socket; hasLost: boolean};
+
+const toAddress = (target: string): {host: string; port: number} => {
+	const [host, port] = target.replace(/^https?:\/\//, '').replace(/\/$/, '').split(':');
+	return {host: host ?? '127.0.0.1', port: Number(port)};
+};
+
+/** Starts a relay on loopback. */
+export const startLinkStandIn = async (options: LinkStandInOptions): Promise<LinkStandIn> => {
+	const pairs = new Set<Pair>();
+	const passed = {toTarget: 0, fromTarget: 0};
+	const state: {cut: LinkCut; delayMs: number; target: string} = {cut: 'none', delayMs: options.delayMs ?? 0, target: options.target};
+	/** Connections accepted during a cut: the connecting side hears nothing. */
+	const silent = new Set<Socket>();
+
+	const isCut = (direction: 'to-target' | 'from-target'): boolean => state.cut === 'both' || state.cut === direction;
+
+	const drop = (pair: Pair): void => {
+		pairs.delete(pair);
+		pair.near.resetAndDestroy();
+		pair.far.resetAndDestroy();
+	};
+
+	const relay = (pair: Pair, from: Socket, to: Socket, direction: 'to-target' | 'from-target'): void => {
+		const pass = (action: () => void): void => {
+			if (isCut(direction)) {
+				pair.hasLost = true;
+				return;
+			}
+
+			action();
+		};
+
+		const deliver = (action: () => void): void => {
+			if (state.delayMs === 0) {
+				pass(action);
+			} else {
+				setTimeout(pass, state.delayMs, action);
+			}
+		};
+
+		from.on('data', bytes => {
+			passed[direction === 'to-target' ? 'toTarget' : 'fromTarget'] += bytes.length;
+			deliver(() => {
+				if (!to.destroyed && !to.write(bytes)) {
+					from.pause();
+					to.once('drain', () => from.resume());
+				}
+			});
+		});
+		from.on('end', () => {
+			deliver(() => to.end());
+		});
+		from.on('error', () => {
+			deliver(() => {
+				drop(pair);
+			});
+		});
+		from.on('close', () => {
+			deliver(() => {
+				pairs.delete(pair);
+				to.destroy();
+			});
+		});
+	};
+
+	const accept = (near: Socket): void => {
+		near.on('error', () => undefined);
+		if (state.cut !== 'none') {
+			silent.add(near);
+			near.once('close', () => silent.delete(near));
+			near.resume();
+			return;
+		}
+
+		const far = connect({...toAddress(state.target), allowHalfOpen: true});
+		near.setNoDelay(true);
+		far.setNoDelay(true);
+		const pair: Pair = {near, far, hasLost: false};
+		pairs.add(pair);
+		relay(pair, near, far, 'to-target');
+		relay(pair, far, near, 'from-target');
+	};
+
+	const reset = (): void => {
+		for (const pair of pairs) {
+			drop(pair);
+		}
+
+		for (const near of silent) {
+			near.resetAndDestroy();
+		}
+	};
+
+	const server = createServer({allowHalfOpen: true}, accept);
+	const bind = options.bind ?? '127.0.0.1';
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(options.port ?? 0, bind, resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	return {
+		port,
+		address: `${bind}:${port}`,
+		url: `http://${bind}:${port}`,
+		cut(cut = 'both') {
+			state.cut = cut;
+		},
+		heal() {
+			state.cut = 'none';
+			for (const pair of pairs) {
+				if (pair.hasLost) {
+					drop(pair);
+				}
+			}
+
+			for (const near of silent) {
+				near.resetAndDestroy();
+			}
+		},
+		reset,
+		setDelay(delayMs) {
+			state.delayMs = delayMs;
+		},
+		setTarget(target) {
+			state.target = target;
+		},
+		countConnections: () => pairs.size,
+		bytes: () => ({...passed}),
+		async stop() {
+			const closed = new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+			reset();
+			await closed;
+		},
+	};
+};
--- /dev/null
+++ b/test/stand-ins/plain/main.ts
@@ -0,0 +1,26 @@
+/** The plain service as a program: `--id desk-1 --port 0 --work-ms 5`. */
+import process from 'node:process';
+import {Command} from 'commander';
+import {startPlainStandIn} from './index.js';
+
+const command = new Command('plain-stand-in')
+	.option('--id <name>', 'name on its answers', 'plain')
+	.option('--port <number>', '0 takes any free port', Number, 0)
+	.option('--bind <ip>', 'address to listen on', '127.0.0.1')
+	.option('--work-ms <number>', 'time that a call takes', Number, 0)
+	.parse();
+const plain = await startPlainStandIn(command.opts());
+const stop = async (): Promise<void> => {
+	await plain.stop();
+	process.exit(0);
+};
+
+process.once('SIGTERM', () => {
+	void stop();
+});
+process.once('SIGINT', () => {
+	void stop();
+});
+console.log(JSON.stringify({
+	level: 'info', message: 'listening', id: plain.id, port: plain.port, url: plain.url,
+}));
--- /dev/null
+++ b/test/stand-ins/platform/main.ts
@@ -0,0 +1,39 @@
+/** The platform stand-in as a program: `--port 0 --config-file rules.yaml --fleet-file fleet.json`. */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {Command} from 'commander';
+import {startPlatformStandIn} from './index.js';
+
+const command = new Command('platform-stand-in')
+	.option('--port <number>', '0 takes any free port', Number, 0)
+	.option('--bind <ip>', 'address to listen on', '127.0.0.1')
+	.option('--config-file <path>', 'document to publish at the start')
+	.option('--fleet-file <path>', 'list of hosts and servers to publish at the start')
+	.option('--reads-per-second <number>', 'budget over all readers', Number, 2000)
+	.parse();
+const {configFile, fleetFile, ...options} = command.opts<{
+	port: number; bind: string; readsPerSecond: number; configFile?: string; fleetFile?: string;
+}>();
+const platform = await startPlatformStandIn(options);
+if (configFile !== undefined) {
+	platform.publish('config', readFileSync(configFile, 'utf8'));
+}
+
+if (fleetFile !== undefined) {
+	platform.publish('fleet', readFileSync(fleetFile, 'utf8'));
+}
+
+const stop = async (): Promise<void> => {
+	await platform.stop();
+	process.exit(0);
+};
+
+process.once('SIGTERM', () => {
+	void stop();
+});
+process.once('SIGINT', () => {
+	void stop();
+});
+console.log(JSON.stringify({
+	level: 'info', message: 'listening', port: platform.port, url: platform.url,
+}));
