Add the HTTP clients of engines and platform

Cause: entry and agent need both ports; "not run" may be said only when no byte was offered. Ruled out: the usual request function of undici, which does not tell a failed connect from a failed socket for certain, and parsing each line as JSON first. Change: a call reports whether it was handed to a connection (also when the client library would send it again: that is stopped).

--- /dev/null
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -0,0 +1,153 @@
+/**
+ * One HTTP call through undici, with the one thing that its usual functions do
+ * not tell: whether any byte was offered to the other side.
+ */
+import {type Buffer} from 'node:buffer';
+import {type Dispatcher} from 'undici';
+import {type Milliseconds} from '../../../ports/clock.js';
+
+/** Why a call gave no answer. */
+export type CallFault = {
+	/** `aborted` is the caller's own signal; `unreachable` that no byte was offered; `broken` anything after that. */
+	kind: 'aborted' | 'unreachable' | 'broken';
+	message: string;
+};
+
+/** Holds back and lets on the bytes of an answer, or ends it. */
+export type CallFlow = {
+	pause: () => void;
+	resume: () => void;
+	/** Closes the connection; nothing is reported afterwards. */
+	abandon: () => void;
+};
+
+export type CallSink = {
+	onStart: (status: number, headers: Record<string, string | string[] | undefined>, flow: CallFlow) => void;
+	onData: (bytes: Buffer) => void;
+	onEnd: () => void;
+	onFault: (fault: CallFault) => void;
+};
+
+export type Call = {
+	dispatcher: Dispatcher;
+	origin: string;
+	method: 'GET' | 'POST';
+	path: string;
+	/** Encoded as JSON. */
+	body?: unknown;
+	headers?: Record<string, string>;
+	/** Limit of the wait for the head of the answer. */
+	headersTimeoutMs: Milliseconds;
+	/** Limit of silence within the answer; 0 for none. */
+	idleTimeoutMs: Milliseconds;
+	signal?: AbortSignal;
+};
+
+function toMessage(error: Error): string {
+	const {code} = error as {code?: string};
+	return [code, error.message].filter(Boolean).join(': ') || error.name;
+}
+
+/**
+ * Sends one call and reports its answer to a sink. After `onEnd` or `onFault`
+ * the sink hears nothing more, and it hears exactly one of them unless it
+ * abandons the call.
+ *
+ * @param call - What to send, and the limits of waiting.
+ * @param sink - Takes the answer.
+ */
+export function dispatchCall(call: Call, sink: CallSink): void {
+	const {signal} = call;
+	let isOffered = false;
+	let isOver = false;
+	let stop: ((reason: Error) => void) | undefined;
+
+	const end = (report?: () => void): void => {
+		if (isOver) {
+			return;
+		}
+
+		isOver = true;
+		signal?.removeEventListener('abort', onAbort);
+		report?.();
+	};
+
+	const fail = (kind: CallFault['kind'], message: string): void => {
+		end(() => {
+			sink.onFault({kind, message});
+		});
+	};
+
+	function onAbort(): void {
+		fail('aborted', 'aborted by this process');
+		stop?.(new Error('aborted'));
+	}
+
+	const flowOf = (controller: Dispatcher.DispatchController): CallFlow => ({
+		pause() {
+			controller.pause();
+		},
+		resume() {
+			controller.resume();
+		},
+		abandon() {
+			end();
+			controller.abort(new Error('abandoned'));
+		},
+	});
+
+	if (signal?.aborted) {
+		onAbort();
+		return;
+	}
+
+	signal?.addEventListener('abort', onAbort, {once: true});
+	const hasBody = call.body !== undefined;
+	call.dispatcher.dispatch({
+		origin: call.origin,
+		path: call.path,
+		method: call.method,
+		body: hasBody ? JSON.stringify(call.body) : null,
+		headers: {...call.headers, ...(hasBody && {'content-type': 'application/json'})},
+		headersTimeout: call.headersTimeoutMs,
+		bodyTimeout: call.idleTimeoutMs,
+	}, {
+		onRequestStart(controller) {
+			// Given up while the connection was being made: nothing is sent.
+			if (isOver) {
+				controller.abort(new Error('given up'));
+				return;
+			}
+
+			// The client may send again after some socket errors; a call that was offered must not be offered twice.
+			if (isOffered) {
+				fail('broken', 'the connection failed after the call was sent');
+				controller.abort(new Error('sent before'));
+				return;
+			}
+
+			isOffered = true;
+			stop = reason => {
+				controller.abort(reason);
+			};
+		},
+		onResponseStart(controller, status, headers) {
+			if (!isOver && status >= 200) {
+				sink.onStart(status, headers, flowOf(controller));
+			}
+		},
+		onResponseData(_, bytes) {
+			if (!isOver) {
+				sink.onData(bytes);
+			}
+		},
+		onResponseEnd() {
+			end(() => {
+				sink.onEnd();
+			});
+		},
+		onResponseError(_, error) {
+			fail(isOffered ? 'broken' : 'unreachable', toMessage(error));
+		},
+	});
+}
--- /dev/null
+++ b/src/adapters/_lib/read-answer/index.ts
@@ -0,0 +1,53 @@
+/** Reads the whole of a small HTTP answer. */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {
+	dispatchCall, type Call, type CallFault, type CallFlow,
+} from '../dispatch-call/index.js';
+
+export type WholeAnswer = {
+	status: number;
+	headers: Record<string, string | string[] | undefined>;
+	text: string;
+};
+
+export type AnswerFault = CallFault | {kind: 'too-large'; message: string};
+
+/**
+ * Sends a call and collects its answer.
+ *
+ * @param call - What to send.
+ * @param maxBytes - Longest body that is taken; a longer one closes the connection.
+ * @returns Status, headers and text, or why there are none.
+ */
+export async function readAnswer(call: Call, maxBytes: number): Promise<Result<WholeAnswer, AnswerFault>> {
+	return new Promise(resolve => {
+		const parts: Buffer[] = [];
+		let size = 0;
+		let status = 0;
+		let headers: WholeAnswer['headers'] = {};
+		let flow: CallFlow | undefined;
+		dispatchCall(call, {
+			onStart(...start) {
+				[status, headers, flow] = start;
+			},
+			onData(bytes) {
+				size += bytes.length;
+				if (size > maxBytes) {
+					parts.length = 0;
+					flow?.abandon();
+					resolve(err({kind: 'too-large', message: `the answer is longer than ${maxBytes} bytes`}));
+					return;
+				}
+
+				parts.push(bytes);
+			},
+			onEnd() {
+				resolve(ok({status, headers, text: Buffer.concat(parts).toString('utf8')}));
+			},
+			onFault(fault) {
+				resolve(err(fault));
+			},
+		});
+	});
+}
--- /dev/null
+++ b/src/adapters/engine-http/_lib/create-chunk-stream.ts
@@ -0,0 +1,133 @@
+/**
+ * Turns the bytes of a stream into chunks for one reader. What arrives while
+ * the reader is busy is joined into one chunk; beyond a bound the connection
+ * is held back.
+ */
+import {type Buffer} from 'node:buffer';
+import {
+	type DecodeChunk, type EngineFailure, type EngineStreamError, type FinishReason, type AttemptKey,
+} from '../../../ports/engine.js';
+import {type CallFault, type CallFlow} from '../../_lib/dispatch-call/index.js';
+import {type ChunkReader} from './create-chunk-reader.js';
+
+export type ChunkStream = {
+	chunks: AsyncIterable<DecodeChunk>;
+	onData: (bytes: Buffer) => void;
+	onEnd: () => void;
+	onFault: (fault: CallFault) => void;
+};
+
+type Options = {
+	key: AttemptKey;
+	reader: ChunkReader;
+	flow: CallFlow;
+	toFailure: (kind: EngineFailure['kind'], message: string) => EngineFailure;
+};
+
+/** Tokens that wait for the reader before the connection is held back. */
+const maxWaitingTokens = 8192;
+
+function toStreamError(failure: EngineFailure): EngineStreamError {
+	return Object.assign(new Error(`stream of ${failure.server}: ${failure.message}`), {failure});
+}
+
+type Waiter = {resolve: (result: IteratorResult<DecodeChunk>) => void; reject: (error: Error) => void};
+
+/** Creates the chunks of one connection. */
+export function createChunkStream({key, reader, flow, toFailure}: Options): ChunkStream {
+	let offset = reader.offset();
+	let tokens: string[] = [];
+	let finish: FinishReason | undefined;
+	let failure: EngineFailure | undefined;
+	let isDone = false;
+	let isPaused = false;
+	let waiter: Waiter | undefined;
+
+	const takeChunk = (): DecodeChunk => {
+		const chunk: DecodeChunk = {
+			requestId: key.requestId, attempt: key.attempt, offset, tokens, finish,
+		};
+		offset += tokens.length;
+		tokens = [];
+		isDone = finish !== undefined;
+		if (isPaused) {
+			isPaused = false;
+			flow.resume();
+		}
+
+		return chunk;
+	};
+
+	const hasChunk = (): boolean => !isDone && (tokens.length > 0 || finish !== undefined);
+
+	const serve = (): void => {
+		if (waiter === undefined) {
+			return;
+		}
+
+		const {resolve, reject} = waiter;
+		if (hasChunk()) {
+			waiter = undefined;
+			resolve({done: false, value: takeChunk()});
+		} else if (isDone) {
+			waiter = undefined;
+			resolve({done: true, value: undefined});
+		} else if (failure !== undefined) {
+			waiter = undefined;
+			isDone = true;
+			reject(toStreamError(failure));
+		}
+	};
+
+	const fail = (kind: EngineFailure['kind'], message: string): void => {
+		failure ??= toFailure(kind, message);
+		serve();
+	};
+
+	const iterator: AsyncIterator<DecodeChunk> = {
+		async next() {
+			return new Promise((resolve, reject) => {
+				waiter = {resolve, reject};
+				serve();
+			});
+		},
+		async return() {
+			isDone = true;
+			tokens = [];
+			flow.abandon();
+			return {done: true, value: undefined};
+		},
+	};
+
+	return {
+		chunks: {[Symbol.asyncIterator]: () => iterator},
+		onData(bytes) {
+			const read = reader.add(bytes);
+			tokens = tokens.length === 0 ? read.tokens : [...tokens, ...read.tokens];
+			finish = read.finish;
+			if (read.fault !== undefined && finish === undefined) {
+				flow.abandon();
+				fail('invalid', read.fault);
+				return;
+			}
+
+			if (tokens.length > maxWaitingTokens && !isPaused) {
+				isPaused = true;
+				flow.pause();
+			}
+
+			serve();
+		},
+		onEnd() {
+			if (finish === undefined) {
+				fail('broken', 'the stream ended without its end mark');
+			}
+		},
+		onFault({kind, message}) {
+			// An answer that is whole stays whole, whatever becomes of its connection.
+			if (finish === undefined) {
+				fail(kind === 'aborted' ? 'aborted' : 'broken', message);
+			}
+		},
+	};
+}
