Feed the entry its view of the fleet from its host's agent

Cause: the entry decides with what its agent knows and must know how old that is, also after either of them was paused or restarted. Ruled out: sending the whole view each time (the document alone may have a megabyte); ages taken at arrival (an entry that wakes from a pause reads minutes of updates from its socket and would take them for fresh). Change: agent that watches the platform, polls loads and publishes deltas; connectViewFeed that counts ages from its own echoed clock, keeps the last view while the agent is away, and refuses an older configuration. Every agent polls every server and reads the platform itself so far; the edition of a sealed document is not yet read.

--- a/src/adapters/peer-tcp/_lib/connection.ts
+++ b/src/adapters/peer-tcp/_lib/connection.ts
@@ -177,6 +177,16 @@
 		}
 	}
 
+	function takeEvent(current: PeerConnection, name: string, body: unknown) {
+		try {
+			handlers.onEvent?.(current.peer, name, body, current);
+		} catch (error) {
+			// A body of an unexpected shape makes its handler throw. That is the
+			// peer's fault and must not end this process.
+			end(`event ${name.slice(0, 40)} was not understood: ${error instanceof Error ? error.message : 'unknown error'}`);
+		}
+	}
+
 	function takeFrame(current: PeerConnection, frame: Frame) {
 		switch (frame.type) {
 			case 'hello': {
@@ -197,7 +207,7 @@
 			}
 
 			case 'event': {
-				handlers.onEvent?.(current.peer, frame.name, frame.body, current);
+				takeEvent(current, frame.name, frame.body);
 			}
 		}
 	}
--- /dev/null
+++ b/src/adapters/view-feed/_lib/apply-update.ts
@@ -0,0 +1,96 @@
+/** Turns an update of the agent into the entry's next view. */
+import {type Result} from 'neverthrow';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type AcceptedConfig, type Config, type ConfigVersion} from '../../../ports/config.js';
+import {type FleetView, type HostStatus, type ServerStatus} from '../../../ports/view.js';
+import {type FeedServer, type FeedUpdate} from './messages.js';
+
+export const emptyView: FleetView = {
+	accepted: undefined,
+	hosts: new Map(),
+	servers: new Map(),
+	platformConfirmedAt: undefined,
+	receivedAt: -Infinity,
+};
+
+export type ApplyOptions = {
+	/** Parses the text of a configuration document. */
+	parse: (text: string) => Result<Config, unknown>;
+	/** Whether the first version replaces the second. */
+	isNewer: (candidate: ConfigVersion, current: ConfigVersion) => boolean;
+	/** A document that the agent sent did not parse here, or is older than the one in force. */
+	onRefusedConfig?: (version: ConfigVersion, reason: string) => void;
+};
+
+function toMerged<Value extends {id: string}>(prev: ReadonlyMap<string, Value>, changed: readonly Value[], gone: readonly string[], whole: boolean): ReadonlyMap<string, Value> {
+	if (changed.length === 0 && gone.length === 0 && !whole) {
+		return prev;
+	}
+
+	const merged = new Map(whole ? [] : prev);
+	for (const value of changed) {
+		merged.set(value.id, value);
+	}
+
+	for (const id of gone) {
+		merged.delete(id);
+	}
+
+	return merged;
+}
+
+function toStatus({id, leaving, load, loadAgeMs, reachable}: FeedServer, prev: ServerStatus | undefined, sentAt: Milliseconds): ServerStatus {
+	// An agent that has just started has polled nobody yet. Its entry keeps what it knew, with the age that this has.
+	const isKept = load === undefined && prev?.load !== undefined;
+	return {
+		id,
+		leaving,
+		load: isKept ? prev.load : load,
+		loadAt: isKept ? prev.loadAt : sentAt - loadAgeMs,
+		reachable: reachable ?? prev?.reachable,
+	};
+}
+
+function toAccepted(view: FleetView, {config}: FeedUpdate, {parse, isNewer, onRefusedConfig}: ApplyOptions): AcceptedConfig | undefined {
+	if (!config || config.version.digest === view.accepted?.version.digest) {
+		return view.accepted;
+	}
+
+	// A restarted agent that has heard the platform alone may hold an older document than its entry.
+	if (view.accepted && !isNewer(config.version, view.accepted.version)) {
+		onRefusedConfig?.(config.version, 'it is older than the one in force');
+		return view.accepted;
+	}
+
+	const parsed = parse(config.text);
+	if (parsed.isErr()) {
+		onRefusedConfig?.(config.version, 'it is not valid for this entry; run the same version as the agent');
+		return view.accepted;
+	}
+
+	return {...config, config: parsed.value};
+}
+
+/**
+ * Applies an update.
+ *
+ * @param view - The view so far; it is not changed.
+ * @param update - What the agent sent.
+ * @param options - How configuration documents are read and ordered.
+ * @returns The next view, its times on the entry's monotonic clock.
+ */
+export function applyUpdate(view: FleetView, update: FeedUpdate, options: ApplyOptions): FleetView {
+	// The update was sent at this time or later. Counting from the entry's own
+	// echoed clock keeps an entry that was paused, and wakes to a socket full of
+	// old updates, from taking them for fresh.
+	const sentAt = update.echoAt + update.echoAgeMs;
+	const statuses = update.servers.map(server => toStatus(server, view.servers.get(server.id), sentAt));
+	const confirmedAt = update.confirmedAgeMs === undefined ? undefined : sentAt - update.confirmedAgeMs;
+	return {
+		accepted: toAccepted(view, update, options),
+		hosts: toMerged<HostStatus>(view.hosts, update.hosts, update.hostsGone, update.whole),
+		servers: toMerged<ServerStatus>(view.servers, statuses, update.serversGone, update.whole),
+		platformConfirmedAt: confirmedAt === undefined ? view.platformConfirmedAt : Math.max(confirmedAt, view.platformConfirmedAt ?? -Infinity),
+		receivedAt: Math.max(sentAt, view.receivedAt),
+	};
+}
--- /dev/null
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -0,0 +1,65 @@
+/**
+ * What an agent and its entry tell each other. Times travel as ages, because
+ * the two processes have no common clock.
+ */
+import {type ConfigVersion} from '../../../ports/config.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type LoadReport} from '../../../ports/engine.js';
+import {type HostId, type Incarnation, type ServerId} from '../../../ports/ids.js';
+import {type HostStatus} from '../../../ports/view.js';
+
+/** Event from the entry, each second: its own clock, to be echoed. */
+export type FeedPing = {
+	at: Milliseconds;
+	/** `IP:port` on which the entry takes calls of peers. */
+	entryAddress: string;
+	/** Version that the entry decides with; lets a restarted agent learn it from its entry. */
+	configVersion: ConfigVersion | undefined;
+};
+
+export type FeedConfig = {
+	version: ConfigVersion;
+	text: string;
+};
+
+export type FeedServer = {
+	id: ServerId;
+	leaving: boolean;
+	load: LoadReport | undefined;
+	/** Age of the numbers of `load` when the update was sent. */
+	loadAgeMs: Milliseconds;
+	reachable: boolean | undefined;
+};
+
+/** Event from the agent: what changed since the update before. */
+export type FeedUpdate = {
+	/** The last clock value that the entry sent. */
+	echoAt: Milliseconds;
+	/** Time between the arrival of that value and the sending of this update, on the agent's clock. */
+	echoAgeMs: Milliseconds;
+	/** First update of a connection: it holds everything, and what it does not name is gone. */
+	whole: boolean;
+	config: FeedConfig | undefined;
+	hosts: readonly HostStatus[];
+	hostsGone: readonly HostId[];
+	servers: readonly FeedServer[];
+	serversGone: readonly ServerId[];
+	/** Age of the platform's last confirmation; `undefined` if there was none. */
+	confirmedAgeMs: Milliseconds | undefined;
+	/** Highest incarnation of this host's entry that peers have seen. */
+	entryIncarnationSeen: Incarnation;
+};
+
+export const feedEvents = {
+	ping: 'feed-ping',
+	update: 'feed-update',
+	leaving: 'feed-leaving',
+} as const;
+
+/** Call from the agent to its entry for the configuration that the entry holds. */
+export const configCall = 'feed-config';
+
+/** Event from the entry: a server said itself that it is leaving. */
+export type FeedLeaving = {
+	server: ServerId;
+};
--- /dev/null
+++ b/src/adapters/view-feed/index.ts
@@ -0,0 +1,144 @@
+/**
+ * The entry's view of the fleet, fed by its host's agent over the peer
+ * protocol.
+ */
+import {waitFor} from '../../_lib/wait-for/index.js';
+import {type Milliseconds, type Random} from '../../ports/clock.js';
+import {type Incarnation, type ServerId} from '../../ports/ids.js';
+import {type FleetView} from '../../ports/view.js';
+import {
+	connectPeer, type PeerConnection, type PeerHello, type PeerKeys,
+} from '../peer-tcp/index.js';
+import {parseConfig} from '../../domain/parse-config/index.js';
+import {isNewerVersion} from '../../domain/is-newer-version/index.js';
+import {applyUpdate, emptyView, type ApplyOptions} from './_lib/apply-update.js';
+import {
+	configCall, feedEvents, type FeedConfig, type FeedPing, type FeedUpdate,
+} from './_lib/messages.js';
+
+export {createViewPublisher, type ViewPublisher} from './publish-view.js';
+export {
+	configCall, feedEvents, type FeedConfig, type FeedLeaving, type FeedPing,
+} from './_lib/messages.js';
+
+const pingIntervalMs = 1000;
+const firstBackoffMs = 50;
+const maxBackoffMs = 2000;
+
+export type ViewFeedOptions = Partial<ApplyOptions> & {
+	/** `IP:port` of the agent's peer port. */
+	agentAddress: string;
+	hello: PeerHello | (() => PeerHello);
+	/** `IP:port` of the entry's own peer port, for the agent to tell peers. */
+	entryAddress: string;
+	/** Called with each new view; never with an older one than before. */
+	onView: (view: FleetView) => void;
+	/** Peers have seen this incarnation of this host's entry; the entry's own must be above it unless it is its own. */
+	onIncarnationSeen?: (incarnation: Incarnation) => void;
+	/** The connection was made or lost, with the reason. */
+	onState?: (state: 'connected' | 'disconnected', reason: string) => void;
+	/** Monotonic milliseconds. */
+	now: () => Milliseconds;
+	random: Random;
+	tls?: () => PeerKeys;
+};
+
+export type ViewFeed = {
+	/** The last view; empty until the first. */
+	view: () => FleetView;
+	isConnected: () => boolean;
+	/** Tells the agent, and through it the fleet, that a server refused with `leaving`. */
+	reportLeaving: (server: ServerId) => void;
+	close: () => Promise<void>;
+};
+
+/**
+ * Connects to the agent and stays connected until closed. While the agent is
+ * away the last view stays, and its `receivedAt` tells how old it is.
+ *
+ * @param options - See {@link ViewFeedOptions}.
+ * @returns The feed at once; it connects in the background.
+ */
+export function connectViewFeed(options: ViewFeedOptions): ViewFeed {
+	const {now, random} = options;
+	const applyOptions = {parse: parseConfig, isNewer: isNewerVersion, ...options};
+	const stop = new AbortController();
+	let view: FleetView = emptyView;
+	let current: PeerConnection | undefined;
+	let backoffMs = firstBackoffMs;
+
+	function takeUpdate(update: FeedUpdate) {
+		view = applyUpdate(view, update, applyOptions);
+		backoffMs = firstBackoffMs;
+		options.onIncarnationSeen?.(update.entryIncarnationSeen);
+		options.onView(view);
+	}
+
+	async function onCall(_peer: PeerHello, method: string): Promise<FeedConfig | undefined> {
+		if (method !== configCall) {
+			throw new Error(`unknown method ${method}`);
+		}
+
+		const {accepted} = view;
+		return accepted && {version: accepted.version, text: accepted.text};
+	}
+
+	function onEvent(_peer: PeerHello, name: string, body: unknown) {
+		if (name === feedEvents.update) {
+			takeUpdate(body as FeedUpdate);
+		}
+	}
+
+	function ping(connection: PeerConnection) {
+		connection.send(feedEvents.ping, {
+			at: now(), entryAddress: options.entryAddress, configVersion: view.accepted?.version,
+		} satisfies FeedPing);
+	}
+
+	async function serve(connection: PeerConnection) {
+		current = connection;
+		options.onState?.('connected', `agent of ${connection.peer.host}`);
+		ping(connection);
+		const timer = setInterval(ping, pingIntervalMs, connection);
+		const reason = await connection.closed;
+		clearInterval(timer);
+		current = undefined;
+		options.onState?.('disconnected', reason);
+	}
+
+	async function run() {
+		while (!stop.signal.aborted) {
+			const connected = await connectPeer({
+				address: options.agentAddress,
+				hello: options.hello,
+				tls: options.tls,
+				onCall,
+				onEvent,
+			});
+			if (connected.isOk() && !stop.signal.aborted) {
+				await serve(connected.value);
+			} else if (connected.isOk()) {
+				connected.value.close();
+			}
+
+			// Half of the wait is random, so that entries do not come back together.
+			await waitFor(backoffMs * (0.5 + (random() / 2)), stop.signal);
+			backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
+		}
+	}
+
+	const running = run();
+
+	return {
+		view: () => view,
+		isConnected: () => current !== undefined,
+		reportLeaving(server) {
+			current?.send(feedEvents.leaving, {server});
+		},
+		async close() {
+			stop.abort();
+			current?.close();
+			await running;
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/view-feed/publish-view.ts
@@ -0,0 +1,108 @@
+/**
+ * The agent's end of the view feed: sends the entry what changed.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type Incarnation} from '../../ports/ids.js';
+import {type FleetView, type HostStatus, type ServerStatus} from '../../ports/view.js';
+import {type PeerConnection} from '../peer-tcp/index.js';
+import {feedEvents, type FeedPing, type FeedUpdate} from './_lib/messages.js';
+
+/** An update without news still goes out this often, so that the entry knows that its agent lives. */
+const keepAliveMs = 500;
+
+type Subscriber = {
+	connection: PeerConnection;
+	ping: {at: Milliseconds; receivedAt: Milliseconds} | undefined;
+	sent: FleetView | undefined;
+	sentAt: Milliseconds;
+};
+
+export type ViewPublisher = {
+	/** A connection of this host's entry has opened. */
+	add: (connection: PeerConnection) => void;
+	/** The entry has sent its clock; until then nothing is sent to it. */
+	notePing: (connection: PeerConnection, ping: FeedPing, now: Milliseconds) => void;
+	/** Sends each entry what changed since its last update. Statuses that did not change must be the same objects as before. */
+	publish: (view: FleetView, entryIncarnationSeen: Incarnation, now: Milliseconds) => void;
+};
+
+function toChanged<Key, Value>(next: ReadonlyMap<Key, Value>, prev: ReadonlyMap<Key, Value> | undefined): Value[] {
+	const changed: Value[] = [];
+	for (const [key, value] of next) {
+		if (prev?.get(key) !== value) {
+			changed.push(value);
+		}
+	}
+
+	return changed;
+}
+
+function toGone<Key>(next: ReadonlyMap<Key, unknown>, prev: ReadonlyMap<Key, unknown> | undefined): Key[] {
+	return prev ? [...prev.keys()].filter(key => !next.has(key)) : [];
+}
+
+function toUpdate(view: FleetView, {sent, ping}: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'entryIncarnationSeen'> {
+	const {accepted} = view;
+	const isNewConfig = accepted !== undefined && sent?.accepted?.version.digest !== accepted.version.digest;
+	return {
+		echoAt: ping?.at ?? 0,
+		echoAgeMs: ping ? now - ping.receivedAt : 0,
+		whole: sent === undefined,
+		config: isNewConfig ? {version: accepted.version, text: accepted.text} : undefined,
+		hosts: toChanged<string, HostStatus>(view.hosts, sent?.hosts),
+		hostsGone: toGone(view.hosts, sent?.hosts),
+		servers: toChanged<string, ServerStatus>(view.servers, sent?.servers).map(({id, leaving, load, loadAt, reachable}) => ({
+			id, leaving, load, loadAgeMs: now - loadAt, reachable,
+		})),
+		serversGone: toGone(view.servers, sent?.servers),
+		confirmedAgeMs: view.platformConfirmedAt === undefined ? undefined : now - view.platformConfirmedAt,
+	};
+}
+
+function hasNews(update: Omit<FeedUpdate, 'entryIncarnationSeen'>): boolean {
+	return update.whole
+		|| update.config !== undefined
+		|| update.hosts.length + update.servers.length + update.hostsGone.length + update.serversGone.length > 0;
+}
+
+/**
+ * Creates the agent's end of the feed.
+ *
+ * @returns See {@link ViewPublisher}.
+ */
+export function createViewPublisher(): ViewPublisher {
+	const subscribers = new Map<PeerConnection, Subscriber>();
+
+	return {
+		add(connection) {
+			subscribers.set(connection, {
+				connection, ping: undefined, sent: undefined, sentAt: 0,
+			});
+			void (async () => {
+				await connection.closed;
+				subscribers.delete(connection);
+			})();
+		},
+		notePing(connection, {at}, now) {
+			const subscriber = subscribers.get(connection);
+			if (subscriber) {
+				subscriber.ping = {at, receivedAt: now};
+			}
+		},
+		publish(view, entryIncarnationSeen, now) {
+			for (const subscriber of subscribers.values()) {
+				if (!subscriber.ping) {
+					continue;
+				}
+
+				const update = toUpdate(view, subscriber, now);
+				const isDue = hasNews(update) || now - subscriber.sentAt >= keepAliveMs;
+				// An update that was dropped is contained in the next one, because `sent` stays as it was.
+				if (isDue && subscriber.connection.send(feedEvents.update, {...update, entryIncarnationSeen} satisfies FeedUpdate)) {
+					subscriber.sent = view;
+					subscriber.sentAt = now;
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-fleet-table/index.ts
@@ -0,0 +1,203 @@
+/**
+ * Gathers what an agent knows of the fleet, from all its sources, into one
+ * {@link FleetView}. A status that did not change stays the same object, so
+ * that whoever passes the view on can tell by identity what to send.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type AcceptedConfig} from '../../ports/config.js';
+import {type LoadReport} from '../../ports/engine.js';
+import {type HostId, type ServerId} from '../../ports/ids.js';
+import {type FleetList} from '../../ports/platform.js';
+import {type FleetView, type HostStatus, type ServerStatus} from '../../ports/view.js';
+
+/** A report must be this much younger than word of a leave before it takes the word back, milliseconds. */
+const leavingMarginMs = 1000;
+
+export type FleetTable = {
+	setConfig: (accepted: AcceptedConfig) => void;
+	/** The platform's list, with its revision; an older revision than the one held is ignored. Returns whether it was taken. */
+	setFleet: (fleet: FleetList, revision: number) => boolean;
+	/** What membership knows of the hosts; statuses keep their identity while they do not change. */
+	setHosts: (hosts: ReadonlyMap<HostId, HostStatus>) => void;
+	/** A load report, with the monotonic time at which its numbers were true. */
+	noteLoad: (load: LoadReport, loadAt: Milliseconds) => void;
+	/** A poll did not reach the server. */
+	noteUnreachable: (server: ServerId) => void;
+	/** Word of an entry or a peer that the server is leaving. Returns whether that was news. */
+	noteLeaving: (server: ServerId, now: Milliseconds) => boolean;
+	/** The platform confirmed its values at this monotonic time. */
+	noteConfirmed: (at: Milliseconds) => void;
+	accepted: () => AcceptedConfig | undefined;
+	fleet: () => {fleet: FleetList; revision: number} | undefined;
+	/** The view; `receivedAt` is `now`. */
+	view: (now: Milliseconds) => FleetView;
+};
+
+type ServerRecord = {
+	load: LoadReport | undefined;
+	loadAt: Milliseconds;
+	reachable: boolean | undefined;
+	/** When somebody said that it is leaving; `undefined` when nobody did since its last serving report. */
+	leavingSince: Milliseconds | undefined;
+};
+
+/**
+ * Creates an empty table.
+ *
+ * @returns See {@link FleetTable}.
+ *
+ * @example
+ * ```ts
+ * const table = createFleetTable();
+ * table.setConfig(accepted);
+ * table.view(now).servers.size; // => servers of the configuration
+ * ```
+ */
+export function createFleetTable(): FleetTable {
+	const records = new Map<ServerId, ServerRecord>();
+	const statuses = new Map<ServerId, ServerStatus>();
+	let accepted: AcceptedConfig | undefined;
+	let published: {fleet: FleetList; revision: number} | undefined;
+	let listedLeaving = new Set<ServerId>();
+	let listedHosts = new Map<HostId, FleetList['hosts'][number]>();
+	let hosts: ReadonlyMap<HostId, HostStatus> = new Map();
+	let confirmedAt: Milliseconds | undefined;
+	let serversView: ReadonlyMap<ServerId, ServerStatus> | undefined;
+	let hostsView: ReadonlyMap<HostId, HostStatus> | undefined;
+
+	/** Creates records for published servers alone, so that a peer's word cannot fill the memory. */
+	function addRecord(server: ServerId) {
+		if (!records.has(server)) {
+			records.set(server, {
+				load: undefined, loadAt: 0, reachable: undefined, leavingSince: undefined,
+			});
+		}
+
+		refresh(server);
+	}
+
+	function isLeaving(server: ServerId, {load, leavingSince}: ServerRecord): boolean {
+		return listedLeaving.has(server) || load?.state === 'leaving' || leavingSince !== undefined;
+	}
+
+	function refresh(server: ServerId) {
+		const record = records.get(server);
+		if (!record) {
+			return;
+		}
+
+		const leaving = isLeaving(server, record);
+		const {load, loadAt, reachable} = record;
+		const prev = statuses.get(server);
+		if (prev?.leaving === leaving && prev.load === load && prev.loadAt === loadAt && prev.reachable === reachable) {
+			return;
+		}
+
+		statuses.set(server, {
+			id: server, leaving, load, loadAt, reachable,
+		});
+		serversView = undefined;
+	}
+
+	function toServers(): ReadonlyMap<ServerId, ServerStatus> {
+		if (!serversView) {
+			const ids = accepted?.config.servers.map(({id}) => id) ?? [];
+			serversView = new Map(ids.map(id => [id, statuses.get(id)!]));
+		}
+
+		return serversView;
+	}
+
+	function toHosts(): ReadonlyMap<HostId, HostStatus> {
+		hostsView ??= new Map([...hosts].map(([id, status]) => {
+			const leaving = status.leaving || listedHosts.get(id)?.state === 'leaving';
+			return [id, leaving === status.leaving ? status : {...status, leaving}];
+		}));
+		return hostsView;
+	}
+
+	function forgetOthers(config: AcceptedConfig['config']) {
+		const known = new Set(config.servers.map(({id}) => id));
+		for (const id of statuses.keys()) {
+			if (!known.has(id)) {
+				records.delete(id);
+				statuses.delete(id);
+			}
+		}
+	}
+
+	return {
+		setConfig(next) {
+			accepted = next;
+			forgetOthers(next.config);
+			serversView = undefined;
+			for (const {id} of next.config.servers) {
+				addRecord(id);
+			}
+		},
+		setFleet(fleet, revision) {
+			if (published && revision <= published.revision) {
+				return false;
+			}
+
+			published = {fleet, revision};
+			listedLeaving = new Set(fleet.servers.filter(({state}) => state === 'leaving').map(({id}) => id));
+			listedHosts = new Map(fleet.hosts.map(host => [host.id, host]));
+			hostsView = undefined;
+			for (const id of statuses.keys()) {
+				refresh(id);
+			}
+
+			return true;
+		},
+		setHosts(next) {
+			hosts = next;
+			hostsView = undefined;
+		},
+		noteLoad(load, loadAt) {
+			const record = records.get(load.server);
+			if (!record) {
+				return;
+			}
+
+			record.reachable = true;
+			if (record.load && loadAt < record.loadAt) {
+				return;
+			}
+
+			record.load = load;
+			record.loadAt = loadAt;
+			if (load.state === 'serving' && record.leavingSince !== undefined && loadAt > record.leavingSince + leavingMarginMs) {
+				record.leavingSince = undefined;
+			}
+
+			refresh(load.server);
+		},
+		noteUnreachable(server) {
+			const record = records.get(server);
+			if (record) {
+				record.reachable = false;
+				refresh(server);
+			}
+		},
+		noteLeaving(server, now) {
+			const record = records.get(server);
+			if (!record) {
+				return false;
+			}
+
+			const wasLeaving = isLeaving(server, record);
+			record.leavingSince = now;
+			refresh(server);
+			return !wasLeaving;
+		},
+		noteConfirmed(at) {
+			confirmedAt = Math.max(at, confirmedAt ?? -Infinity);
+		},
+		accepted: () => accepted,
+		fleet: () => published,
+		view: now => ({
+			accepted, hosts: toHosts(), servers: toServers(), platformConfirmedAt: confirmedAt, receivedAt: now,
+		}),
+	};
+}
--- /dev/null
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -0,0 +1,89 @@
+/**
+ * Polls the load of servers: one task a server, so that a server that hangs
+ * holds up no other.
+ */
+import {waitFor} from '../../../_lib/wait-for/index.js';
+import {type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type Engine, type LoadReport} from '../../../ports/engine.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerId} from '../../../ports/ids.js';
+
+const minTimeoutMs = 1000;
+const refreshMs = 250;
+
+export type PollOptions = {
+	/** Servers to poll now; asked again before each poll. */
+	servers: () => readonly ServerEntry[];
+	toEngine: (server: ServerEntry) => Engine;
+	intervalMs: Milliseconds;
+	onLoad: (load: LoadReport, askedAt: Milliseconds) => void;
+	onUnreachable: (server: ServerId) => void;
+	now: () => Milliseconds;
+	random: Random;
+	signal: AbortSignal;
+};
+
+/** `AbortSignal.any` on Node 20 keeps every combined signal alive as long as its sources; a task polls for weeks. */
+async function loadWithin(engine: Engine, timeoutMs: Milliseconds, stop: AbortSignal) {
+	const call = new AbortController();
+	const abort = () => {
+		call.abort();
+	};
+
+	const timer = setTimeout(abort, timeoutMs);
+	stop.addEventListener('abort', abort, {once: true});
+	const load = await engine.load({signal: call.signal});
+	clearTimeout(timer);
+	stop.removeEventListener('abort', abort);
+	return load;
+}
+
+/** Runs until the signal aborts; starts a task for each server it is given and ends it when the server is no longer among them. */
+export async function pollLoads(options: PollOptions): Promise<void> {
+	const {servers, toEngine, intervalMs, now, random, signal} = options;
+	const tasks = new Map<ServerId, {url: string; stop: AbortController}>();
+
+	async function poll(server: ServerEntry, stop: AbortSignal) {
+		const engine = toEngine(server);
+		await waitFor(intervalMs * random(), stop);
+		while (!stop.aborted) {
+			const askedAt = now();
+			const load = await loadWithin(engine, Math.max(intervalMs, minTimeoutMs), stop);
+			if (stop.aborted) {
+				return;
+			}
+
+			if (load.isOk()) {
+				options.onLoad(load.value, askedAt);
+			} else {
+				options.onUnreachable(server.id);
+			}
+
+			await waitFor(intervalMs * (0.9 + (random() / 5)), stop);
+		}
+	}
+
+	while (!signal.aborted) {
+		const wanted = new Map(servers().map(server => [server.id, server]));
+		for (const [id, {url, stop}] of tasks) {
+			if (wanted.get(id)?.url !== url) {
+				stop.abort();
+				tasks.delete(id);
+			}
+		}
+
+		for (const [id, server] of wanted) {
+			if (!tasks.has(id)) {
+				const stop = new AbortController();
+				tasks.set(id, {url: server.url, stop});
+				void poll(server, stop.signal);
+			}
+		}
+
+		await waitFor(refreshMs, signal);
+	}
+
+	for (const {stop} of tasks.values()) {
+		stop.abort();
+	}
+}
--- /dev/null
+++ b/src/programs/agent/_lib/watch-platform.ts
@@ -0,0 +1,78 @@
+/**
+ * Follows one value of the platform: reads it, then waits for its next
+ * revision, with jittered backoff while the platform fails.
+ */
+import {waitFor} from '../../../_lib/wait-for/index.js';
+import {type Milliseconds, type Random} from '../../../ports/clock.js';
+import {
+	type Platform, type PlatformFailure, type PlatformKey, type PlatformValue,
+} from '../../../ports/platform.js';
+
+const watchWaitMs = 20_000;
+const firstBackoffMs = 250;
+const maxBackoffMs = 15_000;
+const idleMs = 250;
+
+export type WatchOptions = {
+	platform: Platform;
+	key: PlatformKey;
+	/** Whether this host is one of its zone's readers now. */
+	isReader: () => boolean;
+	/** Highest revision known, from whichever source; 0 if none. */
+	revision: () => number;
+	onValue: (value: PlatformValue) => void;
+	/** The platform answered; `askedAt` is when it was asked, monotonic. */
+	onConfirmed: (askedAt: Milliseconds) => void;
+	onFailure: (failure: PlatformFailure) => void;
+	/** Counts reads, for the budget. */
+	onRead: () => void;
+	now: () => Milliseconds;
+	random: Random;
+	signal: AbortSignal;
+};
+
+/**
+ * Runs until the signal aborts.
+ *
+ * @param options - See {@link WatchOptions}.
+ */
+export async function watchPlatform(options: WatchOptions): Promise<void> {
+	const {platform, key, isReader, revision, random, signal, now} = options;
+	let backoffMs = firstBackoffMs;
+
+	while (!signal.aborted) {
+		if (!isReader()) {
+			await waitFor(idleMs * (0.5 + random()), signal);
+			continue;
+		}
+
+		const askedAt = now();
+		const held = revision();
+		options.onRead();
+		const result = held === 0
+			? await platform.read(key)
+			: await platform.watch(key, held, watchWaitMs * (0.5 + (random() / 2)), signal);
+		if (signal.aborted) {
+			return;
+		}
+
+		if (result.isErr()) {
+			options.onFailure(result.error);
+			await waitFor(backoffMs * (0.5 + random()), signal);
+			backoffMs = Math.min(backoffMs * 2, maxBackoffMs);
+			continue;
+		}
+
+		backoffMs = firstBackoffMs;
+		options.onConfirmed(askedAt);
+		if (result.value) {
+			options.onValue(result.value);
+		}
+
+		const hasNews = result.value !== undefined && result.value.revision > held;
+		if (!hasNews) {
+			// A value that was never published, or a stale one, would otherwise be read in a tight loop.
+			await waitFor(idleMs * (0.5 + random()), signal);
+		}
+	}
+}
