Add the process harness for tests

Cause: failure tests start, kill, pause and restart the real programs. Ruled out: a fixed wait after the start; the harness waits for the `listening` line, and every wait has a deadline that names what was waited for. Children are killed when the test file exits or is told to end; a test file that is killed outright cannot do that.

--- /dev/null
+++ b/test/_lib/start-program/index.ts
@@ -0,0 +1,243 @@
+/**
+ * Starts one of our built programs as a process of its own, for tests that
+ * kill, pause and restart it. No process outlives the test file: all are killed
+ * when it exits, also when it is told to end.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {isRecord} from '../../../src/_lib/is-record/index.js';
+import {waitUntil} from '../wait-until/index.js';
+
+export type ProgramName = 'entry' | 'agent' | 'cli' | 'engine' | 'platform' | 'plain';
+
+export type ProgramOptions = {
+	program: ProgramName;
+	/** Flags by name in camel or kebab case; `undefined` leaves one out, `true` gives it alone, a list joins with commas. */
+	flags?: Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
+	env?: Readonly<Record<string, string>>;
+	/** Options of Node itself, for example `--max-old-space-size=24`. */
+	nodeOptions?: readonly string[];
+	/** Limit of the wait for `listening`, milliseconds. */
+	startDeadlineMs?: number;
+	/** Name in failures; the program's by default. */
+	label?: string;
+};
+
+export type ProgramExit = {
+	code: number | null;
+	signal: NodeJS.Signals | null;
+};
+
+export type LogLine = Record<string, unknown>;
+
+export type Program = {
+	pid: number;
+	label: string;
+	/** The `listening` line. */
+	listening: LogLine;
+	/** A port out of the `listening` line, for example `callerPort`. */
+	port: (name: string) => number;
+	/** Parsed lines of the log so far. */
+	logs: () => readonly LogLine[];
+	waitForLog: (isMeant: (line: LogLine) => boolean, options: {deadlineMs: number; what: string}) => Promise<LogLine>;
+	/** What it wrote that is no log line, last part. */
+	otherOutput: () => string;
+	kill: (signal?: NodeJS.Signals) => Promise<ProgramExit>;
+	/** Stops the process in its tracks, as a paused machine would. */
+	pause: () => void;
+	resume: () => void;
+	isRunning: () => boolean;
+	/** Sends a signal without waiting. */
+	signal: (signal: NodeJS.Signals) => void;
+	/** Waits for its end, however it comes. */
+	waitForExit: (deadlineMs: number) => Promise<ProgramExit>;
+	/** Asks it to end and fails when it does not end within the deadline. */
+	stop: (deadlineMs?: number) => Promise<ProgramExit>;
+};
+
+const root = new URL('../../../', import.meta.url);
+const maxLines = 50_000;
+const maxOtherLines = 200;
+const running = new Set<ChildProcess>();
+
+const paths: Record<ProgramName, string> = {
+	entry: 'src/programs/entry/main.js',
+	agent: 'src/programs/agent/main.js',
+	cli: 'src/programs/cli/main.js',
+	engine: 'test/stand-ins/engine/main.js',
+	platform: 'test/stand-ins/platform/main.js',
+	plain: 'test/stand-ins/plain/main.js',
+};
+
+function killAll(): void {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+}
+
+process.once('exit', killAll);
+for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) {
+	process.once(signal, () => {
+		killAll();
+		process.exit(1);
+	});
+}
+
+function toFlag(name: string): string {
+	return `--${name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)}`;
+}
+
+/** Turns named flags into arguments. */
+export function toArguments(flags: NonNullable<ProgramOptions['flags']>): string[] {
+	return Object.entries(flags).flatMap(([name, value]) => {
+		if (value === undefined || value === false) {
+			return [];
+		}
+
+		if (value === true) {
+			return [toFlag(name)];
+		}
+
+		return [toFlag(name), Array.isArray(value) ? value.join(',') : String(value)];
+	});
+}
+
+function parseLog(text: string): LogLine | undefined {
+	try {
+		const value: unknown = JSON.parse(text);
+		return isRecord(value) ? value : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+/** Keeps what a process writes. */
+function collectOutput(child: ChildProcess) {
+	const lines: LogLine[] = [];
+	const other: string[] = [];
+	for (const stream of [child.stdout, child.stderr]) {
+		if (stream !== null) {
+			createInterface({input: stream}).on('line', text => {
+				const line = parseLog(text);
+				if (line === undefined) {
+					other.push(text);
+					other.splice(0, Math.max(0, other.length - maxOtherLines));
+				} else {
+					lines.push(line);
+					lines.splice(0, Math.max(0, lines.length - maxLines));
+				}
+			});
+			// A forgotten process must not keep the test file alive.
+			(stream as unknown as {unref: () => void}).unref();
+		}
+	}
+
+	return {lines, other};
+}
+
+function spawnProgram({program, flags = {}, env = {}, nodeOptions = []}: ProgramOptions): ChildProcess {
+	const child = spawn(process.execPath, [
+		'--enable-source-maps', ...nodeOptions, fileURLToPath(new URL(paths[program], root)), ...toArguments(flags),
+	], {env: {...process.env, NODE_TEST_CONTEXT: undefined, ...env}, stdio: ['ignore', 'pipe', 'pipe']});
+	child.unref();
+	running.add(child);
+	return child;
+}
+
+/**
+ * Starts a program and waits until it says that it listens.
+ *
+ * @param options - Which program, its flags, and the deadline.
+ * @throws When it ends or the deadline passes first, with the end of its output.
+ */
+export async function startProgram(options: ProgramOptions): Promise<Program> {
+	const {startDeadlineMs = 20_000, label = options.program} = options;
+	const child = spawnProgram(options);
+	const {lines, other} = collectOutput(child);
+	let exit: ProgramExit | undefined;
+	let startFault: Error | undefined;
+	child.once('error', error => {
+		startFault = error;
+	});
+	child.once('exit', (code, signal) => {
+		running.delete(child);
+		exit = {code, signal};
+	});
+
+	const describeEnd = (): string => [...lines.slice(-5).map(line => JSON.stringify(line)), ...other.slice(-20)].join('\n');
+
+	const waitForExit = async (deadlineMs: number): Promise<ProgramExit> => waitUntil(() => exit, {deadlineMs, what: `the end of ${label}`, everyMs: 5});
+
+	const waitForLog: Program['waitForLog'] = async (isMeant, wait) => {
+		let seen = 0;
+		return waitUntil(() => {
+			// Lines that were cut off from the front make `seen` too large at worst for one look.
+			const fresh = lines.slice(seen > lines.length ? 0 : seen);
+			seen = lines.length;
+			const found = fresh.find(line => isMeant(line));
+			if (found === undefined && (exit !== undefined || startFault !== undefined)) {
+				throw new Error(`${label} ended (${JSON.stringify(exit)}) before ${wait.what}; its last output:\n${startFault?.message ?? describeEnd()}`);
+			}
+
+			return found;
+		}, wait);
+	};
+
+	const kill = async (signal: NodeJS.Signals = 'SIGKILL'): Promise<ProgramExit> => {
+		child.kill(signal);
+		return waitForExit(10_000);
+	};
+
+	let listening: LogLine;
+	try {
+		listening = await waitForLog(line => line.message === 'listening', {deadlineMs: startDeadlineMs, what: `the start of ${label}`});
+	} catch (error) {
+		child.kill('SIGKILL');
+		throw error;
+	}
+
+	return {
+		pid: child.pid ?? 0,
+		label,
+		listening,
+		port(name) {
+			const port = listening[name];
+			if (typeof port !== 'number') {
+				throw new TypeError(`${label} told no ${name}: ${JSON.stringify(listening)}`);
+			}
+
+			return port;
+		},
+		logs: () => lines,
+		waitForLog,
+		otherOutput: () => other.join('\n'),
+		kill,
+		pause() {
+			child.kill('SIGSTOP');
+		},
+		resume() {
+			child.kill('SIGCONT');
+		},
+		isRunning: () => exit === undefined,
+		signal(signal) {
+			child.kill(signal);
+		},
+		waitForExit,
+		async stop(deadlineMs = 15_000) {
+			if (exit !== undefined) {
+				return exit;
+			}
+
+			child.kill('SIGCONT');
+			child.kill('SIGTERM');
+			try {
+				return await waitForExit(deadlineMs);
+			} catch {
+				await kill();
+				throw new Error(`${label} did not end within ${deadlineMs} ms of SIGTERM; its last output:\n${describeEnd()}`);
+			}
+		},
+	};
+}
