Claim a key at a masking quorum of its witnesses

Cause: work that is not repeatable must run at most once without a store. Ruled out: two of three witnesses alone. A replaced host that runs on behind a cut gives its slot two memories, and {old i, X} and {new i, Y} both win. A lease from elector slots closes that for witnesses, but moves the same hole to the electors and needs a bound on pauses. A claim is write-once; a restarted witness abstains on keys minted before its start plus the clock bound; releases name their claim. Conclusion: no lease, leader, log or pause bound is needed.

--- /dev/null
+++ b/src/domain/create-claim-witness/index.ts
@@ -0,0 +1,188 @@
+/**
+ * Keeps, in memory alone, which claimant may run a key. A claim is write-once;
+ * a witness that may have forgotten one says so instead of granting.
+ */
+import {msPerMinute} from '../../ports/units.js';
+import {type Milliseconds} from '../../ports/clock.js';
+import {parseIdempotencyKey} from '../parse-idempotency-key/index.js';
+import {toScopedText} from '../to-scoped-text/index.js';
+import {
+	type AbstainReason, type Claim, type ClaimAnswer, type ClaimRequest, type ClaimWitness, type ClaimWitnessOptions, type ScopedKey, type WitnessHandOver,
+} from './types.js';
+
+export type * from './types.js';
+
+/** Two minutes each for the caller's and the host's clock, and a minute for the time between reading a clock and using it. */
+export const defaultClockBoundMs = 5 * msPerMinute;
+export const defaultRetentionMs = (15 * msPerMinute) + defaultClockBoundMs;
+const defaultMaxClaims = 200_000;
+
+type Kept = ScopedKey & Claim & {mintedAt: Milliseconds};
+
+function toClaim({claimId, claimant, digest, isRepeatable}: Claim): Claim {
+	return {
+		claimId, claimant, digest, isRepeatable,
+	};
+}
+
+/**
+ * Creates the witness of one incarnation of a host slot.
+ *
+ * Why a restarted witness can be trusted: it vouches only for keys whose own
+ * time is later than its start by more than clocks may differ. Such a key did
+ * not exist while an earlier incarnation ran, unless that one still runs
+ * behind a cut; the quorum masks that case, see `pick-witnesses`.
+ *
+ * @param options - Slot, incarnation, start and bounds.
+ * @returns Functions that close over the table; `now` is wall-clock milliseconds throughout, and may jump.
+ *
+ * @example
+ * ```ts
+ * const witness = createClaimWitness({slot: 'dvorana-a-1', incarnation: 1, startedAt: 0, clockBoundMs: 0});
+ * witness.claim({workspace: 'w', key, claimId: 'c1', claimant, digest: 'd', isRepeatable: false}, now).kind; // => 'granted'
+ * witness.claim({workspace: 'w', key, claimId: 'c2', claimant, digest: 'd', isRepeatable: false}, now).kind; // => 'held'
+ * ```
+ */
+export function createClaimWitness({
+	slot, incarnation, startedAt, clockBoundMs = defaultClockBoundMs, retentionMs = defaultRetentionMs, maxClaims = defaultMaxClaims, omit = [],
+}: ClaimWitnessOptions): ClaimWitness {
+	const table = new Map<string, Kept>();
+	let vouchesFrom = startedAt + clockBoundMs;
+	let floor = Number.NEGATIVE_INFINITY;
+	let stopped: 'leaving' | 'deposed' | undefined;
+
+	// The floor never falls, so a claim dropped below it cannot be granted anew after the wall clock is set back.
+	function raiseFloor(now: Milliseconds) {
+		floor = Math.max(floor, now - retentionMs);
+	}
+
+	function findReason(mintedAt: Milliseconds, now: Milliseconds): AbstainReason | undefined {
+		if (stopped !== undefined && !omit.includes('freeze')) {
+			return stopped;
+		}
+
+		if (mintedAt < floor && !omit.includes('retention-floor')) {
+			return 'expired';
+		}
+
+		if (mintedAt <= vouchesFrom && !omit.includes('restart-abstention')) {
+			return 'restarted';
+		}
+
+		if (mintedAt > now + clockBoundMs) {
+			return 'future';
+		}
+
+		return table.size >= maxClaims ? 'full' : undefined;
+	}
+
+	function toRetryAfter(reason: AbstainReason, mintedAt: Milliseconds, now: Milliseconds): Milliseconds | undefined {
+		if (reason === 'restarted') {
+			return Math.max(0, vouchesFrom - now) + 1;
+		}
+
+		if (reason === 'future') {
+			return mintedAt - now - clockBoundMs;
+		}
+
+		return reason === 'full' || reason === 'leaving' ? 1000 : undefined;
+	}
+
+	function canReplace(held: Kept, req: ClaimRequest): boolean {
+		const isTakeOver = held.isRepeatable && req.isRepeatable && req.replaces === held.claimId && req.digest === held.digest;
+		return isTakeOver || omit.includes('write-once');
+	}
+
+	function claim(req: ClaimRequest, now: Milliseconds): ClaimAnswer {
+		const parsed = parseIdempotencyKey(req.key);
+		if (parsed.isErr()) {
+			return {
+				kind: 'abstained', incarnation, reason: 'malformed', retryAfterMs: undefined,
+			};
+		}
+
+		raiseFloor(now);
+		const {key, mintedAt} = parsed.value;
+		const text = toScopedText(req);
+		const held = table.get(text);
+		if (held !== undefined && held.claimId !== req.claimId && !canReplace(held, req)) {
+			return {kind: 'held', incarnation, claim: toClaim(held)};
+		}
+
+		const reason = findReason(mintedAt, now);
+		if (reason !== undefined && (held === undefined || stopped !== undefined)) {
+			return {
+				kind: 'abstained', incarnation, reason, retryAfterMs: toRetryAfter(reason, mintedAt, now),
+			};
+		}
+
+		table.set(text, {
+			workspace: req.workspace, key, mintedAt, ...toClaim(req),
+		});
+		return {kind: 'granted', incarnation};
+	}
+
+	function release(req: ScopedKey & {claimId: string}) {
+		const text = toScopedText(req);
+		const isOwn = table.get(text)?.claimId === req.claimId || omit.includes('claim-id');
+		// A frozen table is already on its way to the successor: a release that came too late only costs a retry.
+		if (isOwn && (stopped === undefined || omit.includes('freeze'))) {
+			table.delete(text);
+		}
+	}
+
+	function sweep(now: Milliseconds) {
+		raiseFloor(now);
+		for (const [text, kept] of table) {
+			if (kept.mintedAt < floor) {
+				table.delete(text);
+			}
+		}
+	}
+
+	function freeze(now: Milliseconds): WitnessHandOver | undefined {
+		if (stopped !== undefined) {
+			return undefined;
+		}
+
+		sweep(now);
+		stopped = 'leaving';
+		return {
+			slot,
+			incarnation,
+			vouchesFrom,
+			floor,
+			claims: [...table.values()].map(kept => ({workspace: kept.workspace, key: kept.key, ...toClaim(kept)})),
+		};
+	}
+
+	function adopt(handOver: WitnessHandOver): boolean {
+		if (handOver.slot !== slot || handOver.incarnation >= incarnation || stopped !== undefined) {
+			return false;
+		}
+
+		for (const handed of handOver.claims) {
+			const parsed = parseIdempotencyKey(handed.key);
+			if (parsed.isOk() && !table.has(toScopedText(handed))) {
+				table.set(toScopedText(handed), {
+					workspace: handed.workspace, key: handed.key, mintedAt: parsed.value.mintedAt, ...toClaim(handed),
+				});
+			}
+		}
+
+		floor = Math.max(floor, handOver.floor);
+		vouchesFrom = Math.min(vouchesFrom, handOver.vouchesFrom);
+		return true;
+	}
+
+	function noteIncarnation(known: number) {
+		if (known > incarnation && stopped === undefined) {
+			stopped = 'deposed';
+		}
+	}
+
+	return {
+		claim, release, sweep, freeze, adopt, noteIncarnation,
+		stats: () => ({claims: table.size, vouchesFrom, isVouching: stopped === undefined}),
+	};
+}
