--- a/src/domain/find-dead-rules/index.ts
+++ b/src/domain/find-dead-rules/index.ts
@@ -27,34 +27,63 @@
  */
 export function findDeadRules(rules: ReadonlyArray<Pick<Rule, 'when'>>): readonly DeadRule[] {
 	const dead: DeadRule[] = [];
-	const byWorkspace = new Map<string, number[]>();
-	const anyWorkspace: number[] = [];
+	const earlier = new Map<string, number[]>();
 	for (const [index, {when}] of rules.entries()) {
-		const toEarlier = (workspace: string | undefined) => [...(workspace === undefined ? [] : byWorkspace.get(workspace) ?? []), ...anyWorkspace];
-		const hiddenBy = findHidingRule(rules, when, toEarlier);
-		if (hiddenBy !== undefined) {
+		const hiddenBy = findHidingRule(rules, when, earlier);
+		if (hiddenBy === undefined) {
+			addToBuckets(earlier, when, index);
+		} else {
 			dead.push({index, hiddenBy});
-			continue;
 		}
+	}
 
-		if (when.workspace === undefined) {
-			anyWorkspace.push(index);
-		}
+	return dead;
+}
 
-		for (const workspace of when.workspace ?? []) {
-			const bucket = byWorkspace.get(workspace) ?? [];
+/** Files a rule under its most telling condition, so that only rules which may hide a later one are looked at. */
+function addToBuckets(buckets: Map<string, number[]>, when: RuleWhen, index: number): void {
+	for (const key of toBucketKeys(when)) {
+		const bucket = buckets.get(key);
+		if (bucket) {
 			bucket.push(index);
-			byWorkspace.set(workspace, bucket);
+		} else {
+			buckets.set(key, [index]);
 		}
 	}
+}
+
+function toBucketKeys(when: RuleWhen): readonly string[] {
+	const [header] = Object.entries(when.headers ?? {});
+	if (when.workspace !== undefined) {
+		return when.workspace.map(name => `workspace ${name}`);
+	}
 
-	return dead;
+	if (when.path !== undefined) {
+		return [`path ${when.path}`];
+	}
+
+	if (header) {
+		return [`header ${header[0]} ${header[1]}`];
+	}
+
+	return when.model?.map(name => `model ${name}`) ?? ['other'];
 }
 
-function findHidingRule(rules: ReadonlyArray<Pick<Rule, 'when'>>, when: RuleWhen, toEarlier: (workspace: string | undefined) => number[]): number | undefined {
+/** Buckets of all rules that may cover a combination. */
+function toCoveringKeys({workspace, path, headers, model}: RuleWhen): readonly string[] {
+	return [
+		...(workspace ?? []).map(name => `workspace ${name}`),
+		...Array.from({length: path === undefined ? 0 : path.length}, (_, i) => `path ${path!.slice(0, i + 1)}`),
+		...Object.entries(headers ?? {}).flatMap(([name, value]) => [`header ${name} ${value}`, `header ${name} *`]),
+		...(model ?? []).map(name => `model ${name}`),
+		'other',
+	];
+}
+
+function findHidingRule(rules: ReadonlyArray<Pick<Rule, 'when'>>, when: RuleWhen, earlier: ReadonlyMap<string, readonly number[]>): number | undefined {
 	let hiddenBy: number | undefined;
 	for (const combination of toCombinations(when)) {
-		const found = toEarlier(combination.workspace?.[0]).find(earlier => covers(rules[earlier]!.when, combination));
+		const found = findCovering(rules, combination, earlier);
 		if (found === undefined) {
 			return undefined;
 		}
@@ -65,6 +94,17 @@
 	return hiddenBy;
 }
 
+function findCovering(rules: ReadonlyArray<Pick<Rule, 'when'>>, combination: RuleWhen, earlier: ReadonlyMap<string, readonly number[]>): number | undefined {
+	for (const key of toCoveringKeys(combination)) {
+		const found = earlier.get(key)?.find(index => covers(rules[index]!.when, combination));
+		if (found !== undefined) {
+			return found;
+		}
+	}
+
+	return undefined;
+}
+
 /** The condition once for each workspace, model and zone that it lists. */
 function toCombinations(when: RuleWhen): Iterable<RuleWhen> {
 	const count = (when.workspace?.length ?? 1) * (when.model?.length ?? 1) * (when.zone?.length ?? 1);
@@ -101,9 +141,9 @@
 		});
 }
 
-/** A single workspace needs no look: the candidates were found by it, and a list may have thousands. */
+/** A single workspace found the candidate by its bucket, whose list may have thousands and need not be searched. */
 function coversWorkspaces(outer: RuleWhen, inner: RuleWhen): boolean {
-	return inner.workspace?.length === 1 || coversList(outer.workspace, inner.workspace);
+	return outer.workspace === undefined || inner.workspace?.length === 1 || coversList(outer.workspace, inner.workspace);
 }
 
 function coversList(outer: readonly string[] | undefined, inner: readonly string[] | undefined): boolean {
--- a/src/domain/find-dead-rules/test.ts
+++ b/src/domain/find-dead-rules/test.ts
@@ -1,7 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import fc from 'fast-check';
 import {type RuleWhen} from '../../ports/config.js';
-import {findDeadRules} from './index.js';
+import {anyFacts, anyWhen} from '../_test/any-rules.js';
+import {toRules} from '../_test/to-rules.js';
+import {compileRules} from '../compile-rules/index.js';
+import {matchRule} from '../match-rule/index.js';
+import {findDeadRules} from './index.js'; from './index.js';
 
 describe('findDeadRules', () => {
 	const cases: Array<[title: string, whens: RuleWhen[], dead: Array<[index: number, hiddenBy: number]>]> = [
@@ -22,4 +27,20 @@
 			assert.deepEqual(findDeadRules(whens.map(when => ({when}))).map(({index, hiddenBy}) => [index, hiddenBy]), dead);
 		});
 	}
+
+	it('calls no rule dead that decides about some request', () => {
+		fc.assert(fc.property(fc.array(anyWhen, {maxLength: 20}), fc.array(anyFacts, {minLength: 20, maxLength: 20}), (whens, samples) => {
+			const rules = toRules(whens);
+			const compiled = compileRules({rules});
+			const deciding = new Set(samples.map(sample => matchRule(compiled, sample)?.name));
+			assert.ok(findDeadRules(rules).every(({index}) => !deciding.has(`rule ${index}`)));
+		}), {numRuns: 300});
+	});
+
+	it('finds each rule that repeats an earlier one', () => {
+		fc.assert(fc.property(fc.array(anyWhen, {minLength: 1, maxLength: 20}), whens => {
+			const dead = new Set(findDeadRules(toRules([...whens, ...whens])).map(({index}) => index));
+			assert.ok(whens.every((_, i) => dead.has(whens.length + i)));
+		}), {numRuns: 300});
+	});
 });
--- a/src/domain/parse-config/_lib/source.ts
+++ b/src/domain/parse-config/_lib/source.ts
@@ -23,12 +23,69 @@
 };
 
 /**
- * Reads a text.
+ * Reads a text. Sound JSON goes the short way, which the largest documents
+ * need: the YAML parser takes over a hundred times as long, and a host that
+ * reads a megabyte with it answers nobody for seconds. Places are then
+ * found by the YAML parser, only when somebody asks for one.
  *
  * @param text - YAML 1.2 or JSON, which YAML contains.
  * @returns Plain values, faults of syntax, and the places of values.
  */
 export function readSource(text: string): Source {
+	const data = readJson(text);
+	if (data === undefined) {
+		return readYaml(text);
+	}
+
+	let yaml: Source | undefined;
+	return {
+		data,
+		syntaxFaults: [],
+		toPlace(path, at) {
+			yaml ??= readYaml(text);
+			return yaml.toPlace(path, at);
+		},
+	};
+}
+
+/** A key with its colon, or any other string; strings are matched whole, so that no colon inside of one counts. */
+const jsonString = /"(?:[^"\\]|\\.)*"\s*(:?)/g;
+
+/**
+ * Reads JSON, or returns `undefined` for anything else. `JSON.parse` drops all
+ * but the last of equal keys without a word, so a document with a rule list
+ * pasted twice would lose one; the count of keys tells, and the YAML parser
+ * then names the place.
+ */
+function readJson(text: string): unknown {
+	if (!/^\s*{/.test(text)) {
+		return undefined;
+	}
+
+	try {
+		const data: unknown = JSON.parse(text);
+		let keys = 0;
+		for (const match of text.matchAll(jsonString)) {
+			keys += match[1] === ':' ? 1 : 0;
+		}
+
+		return countKeys(data) === keys ? data : undefined;
+	} catch {
+		return undefined;
+	}
+}
+
+function countKeys(value: unknown): number {
+	if (typeof value !== 'object' || value === null) {
+		return 0;
+	}
+
+	const items: unknown[] = Object.values(value);
+	const own = Array.isArray(value) ? 0 : items.length;
+	return items.reduce((sum: number, item) => sum + countKeys(item), own);
+}
+
+function readYaml(text: string): Source {
 	const lineCounter = new LineCounter();
 	const doc = parseDocument(text, {
 		lineCounter, prettyErrors: false, strict: true, uniqueKeys: true, version: '1.2', schema: 'core',
--- a/src/domain/parse-config/test.ts
+++ b/src/domain/parse-config/test.ts
@@ -96,6 +96,14 @@
 		});
 	}
 
+	it('reports a key that JSON has twice, also when both say the same', () => {
+		for (const twice of ['"a": 1, "a": 1', '"routes": {"x": 1, "x": 2}']) {
+			assert.match(toFaults(`{${twice}, "end": "banyanport"}`)[0]!, /Map keys must be unique/);
+		}
+
+		assert.doesNotMatch(toFaults(String.raw`{"zones": [{"id": "a\":\\", "region": ":"}], "end": "banyanport"}`).join('\n'), /unique/);
+	});
+
 	it('reports broken syntax with its line', () => {
 		const faults = toFaults(sound.replace('routes:\n', 'routes: [\n'));
 		assert.match(faults[0]!, /^rules\.yaml:1\d:\d+: .*; check indentation/);
