Serve completions from caller to engines through the entry program

Cause: no process owned a request from its first byte to its last.

Change: src/programs/entry: rule match, admission, placement, decode reservation, prefill, KV import, decode, relay, end, as one task a request; attempts numbered from 1, retries by the retry budget, streams resumed at their offset; cancels on every engine touched, retried by one task a server; overdue requests ended on waking from a pause; graceful stop. Beside it the domain functions for callers' workspaces, forwarded headers, prefix blocks and pool capacity.

Before: no entry.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -50,6 +50,9 @@
 /** Pieces that wait for one turn of the event loop at most, in characters, before they are written at once. */
 const flushAtLength = 16_384;
 
+/** Time for which the rest of a refused body is read and dropped, milliseconds. */
+const lingerMs = 1000;
+
 function toHeaderRecord(req: IncomingMessage): Record<string, string> {
 	const headers: Record<string, string> = {};
 	for (const [name, value] of Object.entries(req.headers)) {
@@ -174,6 +177,31 @@
 	});
 }
 
+/** Whether a body is still to come that nobody has read. */
+function hasUnreadBody(req: IncomingMessage): boolean {
+	const hasBody = req.headers['transfer-encoding'] !== undefined || Number(req.headers['content-length'] ?? 0) > 0;
+	return hasBody && !req.complete;
+}
+
+/**
+ * Ends an answer that came before its request's body was read. Closing with
+ * bytes unread makes the system reset the connection, and the caller may lose
+ * the answer that tells it why; so the rest is read and dropped for a while.
+ */
+async function endAfterBody(req: IncomingMessage, res: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		const timer = setTimeout(resolve, lingerMs);
+		const settle = () => {
+			clearTimeout(timer);
+			resolve();
+		};
+
+		req.once('end', settle).once('close', settle);
+		req.resume();
+	});
+	res.end();
+}
+
 /**
  * Wraps a request and its response.
  *
@@ -194,8 +222,7 @@
 	});
 
 	function startHead(status: number, headers: Readonly<Record<string, string | readonly string[]>>): void {
-		// An answer that comes before the body was read ends the connection: the rest of the body has no reader.
-		const closes = options.isStopping() || !req.complete;
+		const closes = options.isStopping() || hasUnreadBody(req);
 		res.writeHead(status, {...headers as Record<string, string>, 'x-request-id': requestId, ...(closes && {connection: 'close'})});
 	}
 
@@ -206,6 +233,12 @@
 
 		const bytes = Buffer.from(body);
 		startHead(status, {...headers, 'content-length': String(bytes.length)});
+		if (hasUnreadBody(req)) {
+			res.write(bytes);
+			void endAfterBody(req, res);
+			return;
+		}
+
 		res.end(bytes);
 	}
 
--- /dev/null
+++ b/src/domain/to-pool-capacity/index.ts
@@ -0,0 +1,57 @@
+import {type ServerEntry} from '../../ports/config.js';
+import {type ServerId, type ZoneId} from '../../ports/ids.js';
+import {type FleetView, type HostStatus} from '../../ports/view.js';
+
+export type PoolCapacityView = {
+	pool: string;
+	/** Requests that the pool's servers in reach hold at a time. */
+	slots: number;
+	/** Part of the slots that is this host's: one over the living hosts that send there. */
+	share: number;
+	/** Slots in use, as last reported; absent while no server has reported. */
+	used?: number;
+};
+
+function isInService(view: FleetView, server: ServerEntry): boolean {
+	const status = view.servers.get(server.id);
+	return !status?.leaving && status?.reachable !== false;
+}
+
+function toUsed(view: FleetView, servers: ReadonlyArray<{id: ServerId}>): number | undefined {
+	const reported = servers.map(server => view.servers.get(server.id)?.load?.slotsUsed).filter(used => used !== undefined);
+	return reported.length === 0 ? undefined : reported.reduce((sum, used) => sum + used, 0);
+}
+
+/**
+ * Works out what each pool can hold and which part of it is this host's. Hosts
+ * of one region send to the region's servers, so the part is one over their
+ * number; servers that leave or can't be reached don't count.
+ *
+ * @param view - The fleet as this host knows it.
+ * @param zone - This host's availability zone.
+ * @returns One entry for each pool of the configuration; none before there is one.
+ *
+ * @example
+ * ```ts
+ * toPoolCapacity(view, 'dvorana-a'); // => [{pool: 'desk', slots: 40, share: 0.5}]
+ * ```
+ */
+export function toPoolCapacity(view: FleetView, zone: ZoneId): PoolCapacityView[] {
+	const config = view.accepted?.config;
+	if (config === undefined) {
+		return [];
+	}
+
+	const regionOf = new Map(config.zones.map(entry => [entry.id, entry.region]));
+	const isNear = (other: ZoneId) => regionOf.get(other) === regionOf.get(zone);
+	const sends = (host: HostStatus) => (host.life === 'alive' || host.life === 'suspect') && isNear(host.zone);
+	const hosts = Math.max(1, [...view.hosts.values()].filter(host => sends(host)).length);
+	return config.pools.map(({name}) => {
+		const servers = config.servers.filter(server => server.pool === name && server.role !== 'prefill' && isNear(server.zone) && isInService(view, server));
+		const slots = servers.reduce((sum, server) => sum + (view.servers.get(server.id)?.load?.slotsTotal ?? server.slots), 0);
+		const used = toUsed(view, servers);
+		return {
+			pool: name, slots, share: 1 / hosts, ...(used !== undefined && {used}),
+		};
+	});
+}
--- /dev/null
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -0,0 +1,108 @@
+/** Wires the decisions to what a run needs of the program. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {okAsync} from 'neverthrow';
+import {type Log} from '../../../adapters/log/index.js';
+import {createAdmission} from '../../../domain/create-admission/index.js';
+import {createPlacement} from '../../../domain/create-placement/index.js';
+import {createRetryBudget, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
+import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type Config} from '../../../ports/config.js';
+import {type Owner, type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {type FleetView} from '../../../ports/view.js';
+import {createCancelQueue, type CancelQueueOptions} from '../cancel-queue/index.js';
+import {createGate} from '../gate/index.js';
+import {type Engines} from './engines.js';
+import {type createTally} from './tally.js';
+import {type RunServices} from './types.js';
+
+export type RunServicesOptions = {
+	clock: Clock;
+	random: Random;
+	zone: ZoneId;
+	engines: Engines;
+	counters: ReturnType<typeof createTally>;
+	log: Log;
+	reservationTtlMs: Milliseconds;
+	toView: () => FleetView | undefined;
+	toOwner: () => Owner;
+	reportLeaving: (server: ServerId) => void;
+};
+
+/** One budget for each pool, forgotten when the pool is no longer in the configuration. */
+function createRetryBudgets() {
+	const budgets = new Map<string, RetryBudget>();
+	return {
+		toRetryBudget(pool: string): RetryBudget {
+			const budget = budgets.get(pool) ?? createRetryBudget();
+			budgets.set(pool, budget);
+			return budget;
+		},
+		keepOnly(pools: ReadonlySet<string>) {
+			for (const pool of budgets.keys()) {
+				if (!pools.has(pool)) {
+					budgets.delete(pool);
+				}
+			}
+		},
+	};
+}
+
+/**
+ * Creates what runs need.
+ *
+ * @param options - Clocks, clients, counters, and what the entry knows.
+ * @returns The services, and a function to call with each configuration.
+ */
+export function createRunServices(options: RunServicesOptions): {services: RunServices; noteConfig: (config: Config) => void} {
+	const {
+		clock, random, zone, engines, counters, log, reservationTtlMs, toView, toOwner, reportLeaving,
+	} = options;
+	const budgets = createRetryBudgets();
+	let lastConfig: Config | undefined;
+	let servers: ReadonlySet<ServerId> = new Set();
+
+	const cancel: CancelQueueOptions['cancel'] = (server, key, timeoutMs) =>
+		engines.findEngine(server)?.cancel(key, {signal: AbortSignal.timeout(timeoutMs)}) ?? okAsync(undefined);
+
+	const services: RunServices = {
+		clock,
+		random,
+		toOwner,
+		toView,
+		toEngine: engines.toEngine,
+		placement: createPlacement({zone, tokensPerBlock}),
+		gate: createGate({admission: createAdmission(), zone, now: clock.now}),
+		cancels: createCancelQueue({
+			cancel,
+			isGone: server => !servers.has(server),
+			now: clock.now,
+			random,
+			sleep,
+			onSettled(server, key, end, tookMs) {
+				counters.cancels.add({end});
+				log.info('attempt cancelled on server', {
+					requestId: key.requestId, attempt: key.attempt, server, state: end, durationMs: tookMs,
+				});
+			},
+		}),
+		reportLeaving,
+		toRetryBudget: budgets.toRetryBudget,
+		tally: counters.tally,
+		reservationTtlMs,
+	};
+
+	return {
+		services,
+		noteConfig(config) {
+			if (config === lastConfig) {
+				return;
+			}
+
+			lastConfig = config;
+			servers = new Set(config.servers.map(server => server.id));
+			engines.keepOnly(servers);
+			budgets.keepOnly(new Set(config.pools.map(pool => pool.name)));
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/entry/_lib/route.ts
@@ -0,0 +1,103 @@
+/** Which rule decides about a request. */
+import {err, ok, type Result} from 'neverthrow';
+import {compileRules, type CompiledRules} from '../../../domain/compile-rules/index.js';
+import {identifyCaller} from '../../../domain/identify-caller/index.js';
+import {matchRule} from '../../../domain/match-rule/index.js';
+import {type Problem} from '../../../domain/to-problem/index.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {type Config, type PoolEntry, type Rule} from '../../../ports/config.js';
+import {type WorkspaceId, type ZoneId} from '../../../ports/ids.js';
+import {type ServiceClass} from '../../../ports/outcome.js';
+import {type FleetView} from '../../../ports/view.js';
+
+export type RouteInput = {
+	headers: Readonly<Record<string, string>>;
+	path: string;
+	model: string | undefined;
+	promptTokens: number;
+};
+
+export type Route = {
+	workspace: WorkspaceId;
+	rule: Rule;
+	pool: PoolEntry;
+	edition: number;
+};
+
+export type Router = (input: RouteInput, view: FleetView | undefined) => Result<Route, Problem>;
+
+const serviceClasses: readonly string[] = ['quick', 'batch'] satisfies ServiceClass[];
+
+function toClass(headers: RouteInput['headers']): Result<ServiceClass | undefined, Problem> {
+	const asked = headers['x-service-class'];
+	return asked === undefined || serviceClasses.includes(asked)
+		? ok(asked as ServiceClass | undefined)
+		: err({kind: 'bad-request', detail: 'x-service-class must be "quick" or "batch".', outcome: 'not-run'});
+}
+
+/**
+ * Creates the router of one host. Rules are compiled once for each accepted
+ * configuration, at the first request after it came into force.
+ *
+ * @param zone - Zone of the host, which rules may look at.
+ * @returns A function that finds the workspace, the deciding rule and its pool.
+ */
+export function createRouter(zone: ZoneId): Router {
+	let compiled: CompiledRules | undefined;
+	let compiledFrom: Config | undefined;
+
+	function toCompiled(config: Config): CompiledRules {
+		if (compiled === undefined || compiledFrom !== config) {
+			compiled = compileRules(config);
+			compiledFrom = config;
+		}
+
+		return compiled;
+	}
+
+	return (input, view) => {
+		const accepted = view?.accepted;
+		if (accepted === undefined) {
+			return err({
+				kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
+			});
+		}
+
+		const {config, version} = accepted;
+		const workspace = identifyCaller(input.headers, config.callerTokens);
+		if (workspace.isErr()) {
+			return err({kind: 'unauthorized', detail: workspace.error, outcome: 'not-run'});
+		}
+
+		return toClass(input.headers).andThen(serviceClass => {
+			const rule = matchRule(toCompiled(config), {
+				...input, workspace: workspace.value, class: serviceClass, zone,
+			});
+			const pool = config.pools.find(entry => entry.name === rule?.then.pool);
+			return rule === undefined || pool === undefined
+				? err<Route, Problem>({kind: 'no-rule', detail: 'No rule covers this request. Ask the operators for one.', outcome: 'not-run'})
+				: ok({
+					workspace: workspace.value, rule, pool, edition: version.edition,
+				});
+		});
+	};
+}
+
+/**
+ * Finds the model to run. A rule that lists the name asked for may map it to
+ * its pool's model; any other difference would answer with a model that nobody
+ * asked for.
+ *
+ * @param asked - Model named in the request.
+ * @param route - The deciding rule and its pool.
+ * @returns The pool's model, or a problem.
+ */
+export function toServedModel(asked: string, route: Route): Result<string, Problem> {
+	const {pool, rule} = route;
+	const served = pool.kind === 'model' ? pool.model : undefined;
+	if (served !== undefined && (served === asked || rule.when.model?.includes(asked))) {
+		return ok(served);
+	}
+
+	return err({kind: 'unknown-model', detail: `Rule "${rule.name}" decides, and its pool does not serve this model. GET /v1/models lists the models.`, outcome: 'not-run'});
+}
--- /dev/null
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -0,0 +1,28 @@
+/** What the handlers of callers' requests share. */
+import {type Log} from '../../../adapters/log/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type Accounts} from '../accounts/index.js';
+import {type EndedRequest} from './ended.js';
+import {type Router} from './route.js';
+import {type RunRegistry} from './run-registry.js';
+import {type RunServices} from './types.js';
+
+export type CallerLimits = {
+	maxBodyBytes: number;
+	bodyTimeoutMs: Milliseconds;
+	writeTimeoutMs: Milliseconds;
+	maxPromptTokens: number;
+	maxOutputTokens: number;
+	maxInFlight: number;
+	maxQueued: number;
+};
+
+export type ServeServices = {
+	services: RunServices;
+	limits: CallerLimits;
+	route: Router;
+	accounts: Accounts;
+	registry: RunRegistry;
+	log: Log;
+	onEnded: (ended: EndedRequest) => void;
+};
--- /dev/null
+++ b/src/programs/entry/_lib/tally.ts
@@ -0,0 +1,67 @@
+/** The entry's metrics. */
+import {latencyBoundsMs, type Metrics} from '../../../adapters/metrics/index.js';
+import {type EndedRequest} from './ended.js';
+import {type Tally} from './types.js';
+
+const classes = ['quick', 'batch'] as const;
+const ends = ['complete', 'refused', 'failed', 'caller-gone'] as const satisfies ReadonlyArray<EndedRequest['end']>;
+const outcomes = ['not-run', 'may-have-run', 'ran'] as const;
+const wasteCauses = ['caller-gone', 'deadline-passed', 'expired', 'transfer', 'server-lost', 'stopping'] as const;
+const dropCauses = ['other-request', 'other-attempt', 'repeated', 'after-end'] as const;
+const cancelEnds = ['confirmed', 'server-gone', 'too-old', 'displaced'] as const;
+
+/**
+ * Creates the entry's metrics.
+ *
+ * @param metrics - Registry of the process.
+ * @returns What a run counts, and the counters that the program itself uses.
+ */
+export function createTally(metrics: Metrics) {
+	const scale = 0.001;
+	const requests = metrics.createCounter({name: 'requests_total', help: 'Requests that a rule decided about, by how they ended.', labels: {class: classes, end: ends, outcome: outcomes}});
+	const firstToken = metrics.createHistogram({
+		name: 'first_token_seconds', help: 'Time from a request\'s arrival to its first token.', labels: {class: classes}, bounds: latencyBoundsMs, scale, step: 0.1,
+	});
+	const duration = metrics.createHistogram({
+		name: 'request_seconds', help: 'Time from a request\'s arrival to the end of its whole answer.', labels: {class: classes}, bounds: latencyBoundsMs, scale, step: 0.1,
+	});
+	const tokens = metrics.createCounter({name: 'relayed_tokens_total', help: 'Tokens of answers relayed to callers.', labels: {class: classes}});
+	const dropped = metrics.createCounter({name: 'chunks_dropped_total', help: 'Chunks of engines that were not of the answer and were not relayed.', labels: {cause: dropCauses}});
+	const resumed = metrics.createCounter({name: 'streams_resumed_total', help: 'Broken streams read again from where they broke.'});
+	const rerun = metrics.createCounter({name: 'attempts_rerun_total', help: 'Attempts that repeat work which was lost.'});
+	const wasted = metrics.createCounter({name: 'wasted_prefills_total', help: 'Prefills whose result was not used.', labels: {cause: wasteCauses}});
+	const wastedTokens = metrics.createCounter({name: 'wasted_prefill_tokens_total', help: 'Prompt tokens of prefills whose result was not used.', labels: {cause: wasteCauses}});
+	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
+	const pauses = metrics.createCounter({name: 'pauses_total', help: 'Times that the process woke up after it was paused.'});
+	const tally: Tally = {
+		firstToken(run, ms) {
+			firstToken.record({class: run.rule.then.class}, ms);
+		},
+		chunkDropped(cause) {
+			dropped.add({cause});
+		},
+		resumed() {
+			resumed.add({});
+		},
+		rerun() {
+			rerun.add({});
+		},
+		prefillWasted(cause, promptTokens) {
+			wasted.add({cause});
+			wastedTokens.add({cause}, promptTokens);
+		},
+	};
+
+	return {
+		tally,
+		cancels,
+		pauses,
+		noteEnded({run, end, outcome, completeMs}: EndedRequest) {
+			requests.add({class: run.rule.then.class, end, outcome});
+			tokens.add({class: run.rule.then.class}, run.buffer.offset());
+			if (end === 'complete') {
+				duration.record({class: run.rule.then.class}, completeMs);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/entry/gate/index.ts
@@ -0,0 +1,116 @@
+/**
+ * Where requests wait: turns the admission's decisions into promises, one for
+ * each request's task.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type RequestId, type ZoneId} from '../../../ports/ids.js';
+import {type FleetView} from '../../../ports/view.js';
+import {
+	type Admission, type AdmissionRequest, type FinishOutcome, type PoolStatus, type Refusal,
+} from '../../../domain/create-admission/index.js';
+import {toPoolCapacity} from '../../../domain/to-pool-capacity/index.js';
+
+/** Why a request may not start: refused by the admission, or ended while it waited. */
+export type GateRefusal = Refusal | {reason: 'gone'};
+
+export type Gate = {
+	/** Waits until the request may start. */
+	enter: (request: AdmissionRequest, signal: AbortSignal) => Promise<Result<void, GateRefusal>>;
+	noteFirstToken: (id: RequestId) => void;
+	/** Ends an admitted request; `gone` forgets it, whatever it was doing. */
+	leave: (id: RequestId, end: FinishOutcome | 'gone') => void;
+	setView: (view: FleetView) => void;
+	/** Looks at all that wait; the program calls it several times a second. */
+	tick: () => void;
+	waiting: () => number;
+	status: () => PoolStatus[];
+};
+
+type Waiter = (result: Result<void, GateRefusal>) => void;
+
+/**
+ * Creates the gate of one entry process.
+ *
+ * @param options - The admission that decides, the zone, and the clock.
+ * @returns The gate.
+ */
+export function createGate(options: {admission: Admission; zone: ZoneId; now: () => Milliseconds}): Gate {
+	const {admission, zone, now} = options;
+	const waiters = new Map<RequestId, Waiter>();
+	let view: FleetView | undefined;
+
+	function settle(id: RequestId, result: Result<void, GateRefusal>): void {
+		const waiter = waiters.get(id);
+		waiters.delete(id);
+		waiter?.(result);
+	}
+
+	function start(ids: readonly RequestId[]): void {
+		for (const id of ids) {
+			settle(id, ok());
+		}
+	}
+
+	function applyView(): void {
+		if (view === undefined) {
+			return;
+		}
+
+		for (const {pool, ...capacity} of toPoolCapacity(view, zone)) {
+			start(admission.setCapacity(pool, capacity, now()));
+		}
+
+		view = undefined;
+	}
+
+	async function wait(id: RequestId, signal: AbortSignal): Promise<Result<void, GateRefusal>> {
+		return new Promise(resolve => {
+			const onGone = () => {
+				start(admission.cancel(id, now()));
+				settle(id, err({reason: 'gone'}));
+			};
+
+			waiters.set(id, result => {
+				signal.removeEventListener('abort', onGone);
+				resolve(result);
+			});
+			signal.addEventListener('abort', onGone, {once: true});
+		});
+	}
+
+	return {
+		async enter(request, signal) {
+			if (signal.aborted) {
+				return err({reason: 'gone'});
+			}
+
+			applyView();
+			const answer = admission.offer(request, now());
+			if (answer.kind === 'refused') {
+				return err(answer);
+			}
+
+			return answer.kind === 'admitted' ? ok() : wait(request.id, signal);
+		},
+		noteFirstToken(id) {
+			admission.noteFirstToken(id, now());
+		},
+		leave(id, end) {
+			start(end === 'gone' ? admission.cancel(id, now()) : admission.finish(id, now(), {outcome: end}));
+		},
+		setView(next) {
+			view = next;
+		},
+		tick() {
+			applyView();
+			const {admitted, refused} = admission.tick(now());
+			start(admitted);
+			for (const {id, ...refusal} of refused) {
+				settle(id, err(refusal));
+			}
+		},
+		waiting: () => waiters.size,
+		status: () => admission.status(now()),
+	};
+}
--- /dev/null
+++ b/src/programs/entry/relay-stream/index.ts
@@ -0,0 +1,155 @@
+/**
+ * Relays the tokens of one attempt, and resumes its stream where it broke.
+ */
+import {
+	type AttemptKey, type DecodeChunk, type Engine, type EngineFailure, type EngineStreamError,
+} from '../../../ports/engine.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {createStepSignal, runStep, type StepSignal} from '../_lib/step.js';
+import {type Run, type RunServices} from '../_lib/types.js';
+
+export type RelayEnd =
+	| {kind: 'complete'}
+	| {kind: 'gone'}
+	/** The stream broke and could not be resumed. */
+	| {kind: 'failed'; failure: EngineFailure};
+
+/** A stream that brings nothing for this many times the target between tokens is resumed. */
+const stallFactor = 40;
+const minStallMs = 2 * msPerSecond;
+/** Resumes in a row that bring no token. */
+const maxIdleResumes = 2;
+const resumeTimeoutMs = 2 * msPerSecond;
+
+/** Limit of silence within a stream, milliseconds. */
+export function toStallMs(run: Run): number {
+	return Math.max(minStallMs, run.rule.then.target.perTokenMs * stallFactor);
+}
+
+function toFailure(error: unknown, server: string): EngineFailure {
+	const {failure} = error as Partial<EngineStreamError>;
+	return failure ?? {
+		kind: 'broken', reason: undefined, server, message: error instanceof Error ? error.message : 'the stream broke', retryAfterMs: undefined,
+	};
+}
+
+function toBroken(server: string, message: string): EngineFailure {
+	return {
+		kind: 'broken', reason: undefined, server, message, retryAfterMs: undefined,
+	};
+}
+
+type Reader = {
+	run: Run;
+	services: RunServices;
+	server: string;
+	step: StepSignal;
+};
+
+/** Reads one connection to its end. `undefined` means that the answer is whole. */
+async function readStream(reader: Reader, stream: AsyncIterable<DecodeChunk>): Promise<EngineFailure | undefined> {
+	const {run, services, step} = reader;
+	const {buffer, delivery} = run;
+	try {
+		for await (const chunk of stream) {
+			step.refresh();
+			const taken = buffer.accept(chunk);
+			if (taken.kind === 'gap') {
+				return toBroken(reader.server, `tokens from ${taken.offset} on are missing`);
+			}
+
+			if (taken.kind === 'dropped') {
+				services.tally.chunkDropped(taken.cause);
+				continue;
+			}
+
+			if (taken.tokens > 0 && buffer.offset() === taken.tokens) {
+				noteFirstToken(run, services);
+			}
+
+			if (!delivery.relay(taken.text) && !await delivery.drained()) {
+				return {...toBroken(reader.server, 'the caller stopped reading'), kind: 'aborted'};
+			}
+
+			if (taken.finish !== undefined) {
+				return undefined;
+			}
+		}
+
+		return toBroken(reader.server, 'the stream ended without its end mark');
+	} catch (error) {
+		return toFailure(error, reader.server);
+	}
+}
+
+function noteFirstToken(run: Run, services: RunServices): void {
+	const firstTokenMs = services.clock.now() - run.receivedAt;
+	run.ledger.noteRan();
+	services.gate.noteFirstToken(run.id);
+	services.tally.firstToken(run, firstTokenMs);
+	run.account.note('first token');
+	run.log.info('first token relayed', {firstTokenMs});
+}
+
+export type RelayOptions = {
+	run: Run;
+	services: RunServices;
+	engine: Engine;
+	key: AttemptKey;
+	server: string;
+	/** Signal under which `stream` was opened. */
+	step: StepSignal;
+	stream: AsyncIterable<DecodeChunk>;
+};
+
+/**
+ * Relays an attempt's stream to its end. A break costs a second connection at
+ * the next offset, never a second run, as long as the server still has the stream.
+ *
+ * @param options - The run, the engine, and the open stream.
+ * @returns How the attempt ended.
+ */
+export async function relayStream(options: RelayOptions): Promise<RelayEnd> {
+	const {
+		run, services, engine, key, server,
+	} = options;
+	let {stream, step} = options;
+	let idle = 0;
+	for (;;) {
+		const before = run.buffer.offset();
+		const failure = await readStream({
+			run, services, server, step,
+		}, stream);
+		step.close();
+		if (failure === undefined) {
+			return {kind: 'complete'};
+		}
+
+		if (run.signal.aborted || (failure.kind === 'aborted' && !step.isTimedOut())) {
+			return {kind: 'gone'};
+		}
+
+		idle = run.buffer.offset() > before ? 0 : idle + 1;
+		if (idle > maxIdleResumes || failure.kind === 'gone') {
+			return {kind: 'failed', failure};
+		}
+
+		const offset = run.buffer.offset();
+		run.account.note('stream broke', {
+			server, offset, failure: failure.kind, message: failure.message,
+		});
+		run.log.warn('stream broke, resuming it', {
+			attempt: key.attempt, server, offset, kind: failure.kind, reason: failure.message,
+		});
+		services.tally.resumed();
+		step = createStepSignal(run.signal, toStallMs(run));
+		const {signal} = step;
+		const resumed = await runStep({parent: run.signal, limitMs: resumeTimeoutMs, server}, () => engine.resume(key, offset, {signal}));
+		if (resumed.isErr()) {
+			step.close();
+			return run.signal.aborted ? {kind: 'gone'} : {kind: 'failed', failure: resumed.error};
+		}
+
+		stream = resumed.value;
+	}
+}
--- /dev/null
+++ b/src/programs/entry/run-attempt/index.ts
@@ -0,0 +1,236 @@
+/**
+ * One attempt of a request: reserve, prefill, transfer, decode, relay.
+ */
+import {type Result} from 'neverthrow';
+import {type Placement} from '../../../domain/create-placement/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {
+	type AttemptKey, type DecodeChunk, type EngineFailure, type PrefillResult,
+} from '../../../ports/engine.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {
+	createStepSignal, runStep, type StepFailure, type StepSignal,
+} from '../_lib/step.js';
+import {
+	type EndCause, type Run, type RunServices, type WasteCause,
+} from '../_lib/types.js';
+import {relayStream, toStallMs} from '../relay-stream/index.js';
+
+export type AttemptStep = 'reserve' | 'prefill' | 'transfer' | 'decode' | 'relay';
+
+export type AttemptFailure = {
+	kind: 'failed';
+	step: AttemptStep;
+	server: ServerEntry;
+	failure: EngineFailure;
+	/** Whether the server may have done work for it. */
+	hasOffered: boolean;
+	isTimedOut: boolean;
+};
+
+export type AttemptEnd =
+	| {kind: 'complete'; prefill: PrefillResult}
+	| {kind: 'gone'}
+	| AttemptFailure;
+
+const reserveTimeoutMs = 2 * msPerSecond;
+
+/** What an attempt holds on servers while it goes on. */
+type Attempt = {
+	run: Run;
+	services: RunServices;
+	placement: Placement;
+	key: AttemptKey;
+	/** Servers that may hold something of it. */
+	touched: Set<ServerEntry>;
+	timeLeft: () => Milliseconds;
+};
+
+/** A caller that already has a part of the answer waits for the rest also past the deadline. */
+function toTimeLeft(run: Run, now: Milliseconds): Milliseconds {
+	const left = run.deadline - now;
+	return run.buffer.offset() > 0 ? Math.max(left, run.rule.then.target.completeMs) : left;
+}
+
+/** A server that refused, or that no byte reached, holds nothing. */
+function holdsNothing(failure: StepFailure): boolean {
+	return failure.isUnsent || failure.kind === 'unreachable' || failure.kind === 'refused';
+}
+
+function toFailed(attempt: Attempt, step: AttemptStep, server: ServerEntry, failure: StepFailure): AttemptEnd {
+	if (attempt.run.signal.aborted) {
+		return {kind: 'gone'};
+	}
+
+	// A time-out is this host's own signal, but it says something about the server.
+	const told: EngineFailure = failure.isTimedOut && !failure.isUnsent ? {...failure, kind: 'broken', message: `no answer in time: ${failure.message}`} : failure;
+	attempt.services.placement.noteFailure(server, told, attempt.services.clock.now());
+	if (told.reason === 'leaving') {
+		attempt.services.reportLeaving(server.id);
+	}
+
+	return {
+		kind: 'failed', step, server, failure: told, hasOffered: attempt.run.ledger.isOffered(), isTimedOut: failure.isTimedOut,
+	};
+}
+
+async function reserve(attempt: Attempt) {
+	const {run, services, placement, key} = attempt;
+	const {decode} = placement;
+	attempt.touched.add(decode);
+	const ttlMs = Math.max(services.reservationTtlMs, placement.reservationTtlMs);
+	const result = await runStep({parent: run.signal, limitMs: Math.min(reserveTimeoutMs, attempt.timeLeft()), server: decode.id}, signal =>
+		services.toEngine(decode).reserve(key, {
+			promptTokens: run.promptTokens + run.buffer.offset(), maxTokens: run.request.maxTokens - run.buffer.offset(), ttlMs, class: run.rule.then.class,
+		}, {signal}));
+	if (result.isErr() && holdsNothing(result.error)) {
+		attempt.touched.delete(decode);
+	}
+
+	return result;
+}
+
+async function prefill(attempt: Attempt, limitMs: Milliseconds): Promise<Result<PrefillResult, StepFailure>> {
+	const {run, services, placement, key} = attempt;
+	const server = placement.prefill;
+	attempt.touched.add(server);
+	run.ledger.noteOffered();
+	const answered = run.buffer.tokens();
+	const result = await runStep({parent: run.signal, limitMs, server: server.id}, signal =>
+		services.toEngine(server).prefill({
+			key,
+			model: run.model,
+			version: run.version,
+			adapter: run.rule.then.adapter,
+			prompt: run.request.prompt,
+			...(answered.length > 0 && {answered}),
+			class: run.rule.then.class,
+			deadlineInMs: limitMs,
+		}, {signal}));
+	if (result.isErr() && holdsNothing(result.error)) {
+		attempt.touched.delete(server);
+		run.ledger.noteNotStarted();
+	}
+
+	return result;
+}
+
+async function openStream(attempt: Attempt, reservationId: string): Promise<Result<{stream: AsyncIterable<DecodeChunk>; step: StepSignal}, StepFailure>> {
+	const {run, services, placement, key} = attempt;
+	// The stream lives under its own signal, which its silence fires; opening it is bounded by the same time.
+	const step = createStepSignal(run.signal, toStallMs(run));
+	const answerOffset = run.buffer.offset();
+	const opened = await runStep({parent: run.signal, limitMs: toStallMs(run), server: placement.decode.id}, () =>
+		services.toEngine(placement.decode).decode({
+			key, reservationId, maxTokens: run.request.maxTokens, ...(answerOffset > 0 && {answerOffset}), class: run.rule.then.class,
+		}, {signal: step.signal}));
+	if (opened.isErr()) {
+		step.close();
+	}
+
+	return opened.map(stream => ({stream, step})).mapErr(failure => ({...failure, isTimedOut: failure.isTimedOut || step.isTimedOut()}));
+}
+
+/** The attempt's steps, straight down. */
+async function runSteps(attempt: Attempt, notePrefilled: (result: PrefillResult) => void): Promise<AttemptEnd> {
+	const {run, services, placement, key} = attempt;
+	const {now} = services.clock;
+	const {prefill: prefillServer, decode: decodeServer} = placement;
+	const reservedAt = now();
+	const reservation = await reserve(attempt);
+	if (reservation.isErr()) {
+		return toFailed(attempt, 'reserve', decodeServer, reservation.error);
+	}
+
+	// A prefill that ends after its place in decode memory has expired has nowhere to go.
+	const placeLeft = () => Math.min(attempt.timeLeft(), reservedAt + reservation.value.expiresInMs - now());
+	services.placement.noteReserved(placement, now());
+	run.account.note('reserved', {server: decodeServer.id, expiresInMs: reservation.value.expiresInMs});
+	const prefilled = await prefill(attempt, placeLeft());
+	if (prefilled.isErr()) {
+		return toFailed(attempt, 'prefill', prefillServer, prefilled.error);
+	}
+
+	const {kvId, promptTokens, cachedTokens, bytes} = prefilled.value;
+	notePrefilled(prefilled.value);
+	services.placement.notePrefilled(placement, prefilled.value, now());
+	run.account.note('prefilled', {
+		server: prefillServer.id, promptTokens, cachedTokens, bytes,
+	});
+	const imported = await runStep({parent: run.signal, limitMs: placeLeft(), server: decodeServer.id}, signal =>
+		services.toEngine(decodeServer).importKv({
+			key, reservationId: reservation.value.reservationId, fromUrl: prefillServer.url, kvId,
+		}, {signal}));
+	if (imported.isErr()) {
+		const isSource = imported.error.reason === 'source-failed' || imported.error.kind === 'gone';
+		return toFailed(attempt, 'transfer', isSource ? prefillServer : decodeServer, imported.error);
+	}
+
+	run.account.note('transferred', {bytes: imported.value.bytes});
+	const opened = await openStream(attempt, reservation.value.reservationId);
+	if (opened.isErr()) {
+		return toFailed(attempt, 'decode', decodeServer, opened.error);
+	}
+
+	services.placement.noteFirstToken(placement, now());
+	const relayed = await relayStream({
+		run, services, engine: services.toEngine(decodeServer), key, server: decodeServer.id, ...opened.value,
+	});
+	if (relayed.kind === 'failed') {
+		return toFailed(attempt, 'relay', decodeServer, {...relayed.failure, isTimedOut: false, isUnsent: false});
+	}
+
+	return relayed.kind === 'gone' ? relayed : {kind: 'complete', prefill: prefilled.value};
+}
+
+function toWasteCause(end: AttemptEnd, run: Run): WasteCause {
+	if (end.kind !== 'failed') {
+		return run.signal.reason as EndCause | undefined ?? 'caller-gone';
+	}
+
+	if (end.failure.kind === 'gone' || end.failure.reason === 'expired') {
+		return 'expired';
+	}
+
+	return end.step === 'transfer' ? 'transfer' : 'server-lost';
+}
+
+/**
+ * Runs one attempt. Whatever way it ends but well, every server that may hold
+ * something of it is told to let go.
+ *
+ * @param run - The request.
+ * @param services - The program around it.
+ * @param placement - Where to run it.
+ * @param attemptNumber - Position of the attempt, from 1.
+ * @returns How it ended.
+ */
+export async function runAttempt(run: Run, services: RunServices, placement: Placement, attemptNumber: number): Promise<AttemptEnd> {
+	const {clock, cancels, tally} = services;
+	const key = {requestId: run.id, attempt: attemptNumber, owner: services.toOwner()};
+	const attempt: Attempt = {
+		run, services, placement, key, touched: new Set(), timeLeft: () => toTimeLeft(run, clock.now()),
+	};
+	const tokensBefore = run.buffer.offset();
+	let prefilled: PrefillResult | undefined;
+	run.buffer.startAttempt(attemptNumber);
+	services.placement.noteDispatched(placement, clock.now());
+	try {
+		const end = await runSteps(attempt, result => {
+			prefilled = result;
+		});
+		if (end.kind === 'complete') {
+			attempt.touched.clear();
+		} else if (prefilled !== undefined && run.buffer.offset() === tokensBefore) {
+			tally.prefillWasted(toWasteCause(end, run), prefilled.promptTokens - prefilled.cachedTokens);
+		}
+
+		return end;
+	} finally {
+		services.placement.noteFinished(placement, clock.now());
+		for (const server of attempt.touched) {
+			cancels.add(server.id, key);
+		}
+	}
+}
--- /dev/null
+++ b/src/programs/entry/serve-completion/index.ts
@@ -0,0 +1,286 @@
+/**
+ * A completion request's one task, from its first byte to its last.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {countPromptTokens} from '../../../domain/count-prompt-tokens/index.js';
+import {createAnswerBuffer} from '../../../domain/create-answer-buffer/index.js';
+import {type AnswerHead, type AnswerKind} from '../../../domain/create-sse-encoder/index.js';
+import {type CompletionRequest, parseCompletionRequest} from '../../../domain/parse-completion-request/index.js';
+import {pickVersion} from '../../../domain/pick-version/index.js';
+import {toBackoff} from '../../../domain/to-backoff/index.js';
+import {toPrefixBlocks} from '../../../domain/to-prefix-blocks/index.js';
+import {type Problem} from '../../../domain/to-problem/index.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {type Account} from '../accounts/index.js';
+import {createJsonDelivery, createSseDelivery, type DeliveryOptions} from '../delivery/index.js';
+import {createOutcomeLedger} from '../outcome-ledger/index.js';
+import {type RunEnd, runRequest, toEnded} from '../run-request/index.js';
+import {toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {type EndedRequest} from '../_lib/ended.js';
+import {type Route, toServedModel} from '../_lib/route.js';
+import {type RegisteredRun} from '../_lib/run-registry.js';
+import {type ServeServices} from '../_lib/serve-types.js';
+import {type Delivery, type EndCause, type Run} from '../_lib/types.js';
+import {waitAwake} from '../_lib/wait-awake.js';
+
+const defaultMaxTokens = 256;
+
+type ParsedRequest = {
+	request: CompletionRequest;
+	promptTokens: number;
+};
+
+async function readRequest(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<Result<ParsedRequest, Problem | 'gone'>> {
+	const {limits} = serve;
+	const bodyLimits = {limitBytes: limits.maxBodyBytes, timeoutMs: limits.bodyTimeoutMs};
+	const type = exchange.headers['content-type'] ?? 'application/json';
+	if (!/^application\/(?:[\w.+\-]+\+)?json\b/iv.test(type) || exchange.headers['content-encoding'] !== undefined) {
+		return err({kind: 'wrong-media-type', detail: 'Send the body as application/json, not compressed.', outcome: 'not-run'});
+	}
+
+	const body = await exchange.readBody(bodyLimits);
+	if (body.isErr()) {
+		return err(body.error === 'gone' ? 'gone' : toBodyProblem(body.error, bodyLimits));
+	}
+
+	const parsed = parseCompletionRequest(kind, body.value.toString('utf8'), {defaultMaxTokens: Math.min(defaultMaxTokens, limits.maxOutputTokens), maxTokensLimit: limits.maxOutputTokens});
+	if (parsed.isErr()) {
+		return err({kind: parsed.error.kind, detail: parsed.error.message, outcome: 'not-run'});
+	}
+
+	const promptTokens = countPromptTokens(parsed.value.prompt);
+	return promptTokens > limits.maxPromptTokens
+		? err({kind: 'prompt-too-long', detail: `The prompt has about ${promptTokens} tokens; this host takes ${limits.maxPromptTokens}. Send a shorter one.`, outcome: 'not-run'})
+		: ok({request: parsed.value, promptTokens});
+}
+
+/** Bounds over all rules, so that no rule's own bounds add up to more than the process can hold. */
+function findOverload(serve: ServeServices): Problem | undefined {
+	const {limits, registry, services} = serve;
+	const isFull = registry.size() >= limits.maxInFlight || services.gate.waiting() >= limits.maxQueued;
+	return isFull
+		? {
+			kind: 'queue-full', detail: 'This host has as many requests as it takes.', outcome: 'not-run', retryAfterMs: msPerSecond,
+		}
+		: undefined;
+}
+
+function createDeliveryFor(exchange: CallerExchange, request: CompletionRequest, serve: ServeServices): Delivery {
+	const head: AnswerHead = {
+		kind: request.kind,
+		id: `${request.kind === 'chat' ? 'chatcmpl' : 'cmpl'}-${exchange.requestId}`,
+		created: Math.floor(serve.services.clock.wallNow() / msPerSecond),
+		model: request.model,
+	};
+	const options: DeliveryOptions = {head, includesUsage: request.includesUsage, writeTimeoutMs: serve.limits.writeTimeoutMs};
+	return request.stream ? createSseDelivery(exchange, options) : createJsonDelivery(exchange, options);
+}
+
+type RunInput = ParsedRequest & {
+	exchange: CallerExchange;
+	route: Route;
+	model: string;
+	signal: AbortSignal;
+	account: Account;
+};
+
+function createRun(input: RunInput, serve: ServeServices): Run {
+	const {exchange, route, request, promptTokens} = input;
+	const {clock, random} = serve.services;
+	const {then, name} = route.rule;
+	const receivedAt = clock.now();
+	return {
+		id: exchange.requestId,
+		workspace: route.workspace,
+		rule: route.rule,
+		request,
+		model: input.model,
+		version: pickVersion(then, random),
+		promptTokens,
+		prefixBlocks: toPrefixBlocks(request.prompt),
+		receivedAt,
+		firstTokenDeadline: receivedAt + then.target.firstTokenMs,
+		deadline: receivedAt + then.target.completeMs,
+		signal: input.signal,
+		buffer: createAnswerBuffer({requestId: exchange.requestId, keepsTokens: then.repeatable || !request.stream}),
+		ledger: createOutcomeLedger(),
+		delivery: createDeliveryFor(exchange, request, serve),
+		account: input.account,
+		log: serve.log.with({
+			requestId: exchange.requestId, workspace: route.workspace, rule: name, class: then.class, edition: route.edition,
+		}),
+	};
+}
+
+async function waitForRoom(run: Run, serve: ServeServices): Promise<RunEnd | undefined> {
+	const {gate, clock} = serve.services;
+	const {then} = run.rule;
+	const enteredAt = clock.now();
+	// A caller that already has a part of the answer waits for the rest also past the targets.
+	const latest = run.buffer.offset() > 0 ? enteredAt + then.target.completeMs : 0;
+	const entered = await gate.enter({
+		id: run.id,
+		pool: then.pool,
+		class: then.class,
+		workspace: run.workspace,
+		deadline: Math.max(run.deadline, latest),
+		firstTokenDeadline: Math.max(run.firstTokenDeadline, latest),
+		promptTokens: run.promptTokens,
+		maxTokens: run.request.maxTokens,
+		queueLimit: then.queueLimit,
+	}, run.signal);
+	if (entered.isOk()) {
+		const waitedMs = clock.now() - enteredAt;
+		run.account.note('admitted', {waitedMs});
+		return undefined;
+	}
+
+	run.account.note('not admitted', {reason: entered.error.reason});
+	return entered.error.reason === 'gone' ? toEnded(run) : {kind: 'failed', problem: toGateProblem(entered.error, run.ledger.outcome())};
+}
+
+/** Runs an admitted request, and gives its place back whatever way it ends. */
+async function runAdmitted(run: Run, serve: ServeServices, attempt: number): ReturnType<typeof runRequest> {
+	const {gate} = serve.services;
+	let outcome: Parameters<typeof gate.leave>[1] = 'failed';
+	try {
+		const ended = await runRequest(run, serve.services, attempt);
+		outcome = ended.end.kind === 'complete' ? 'completed' : ended.end.kind;
+		return ended;
+	} finally {
+		gate.leave(run.id, outcome);
+	}
+}
+
+/** Waits for room and runs; again when every decode server turned out to be full. */
+async function runToEnd(run: Run, serve: ServeServices): Promise<RunEnd> {
+	const {clock, random} = serve.services;
+	let attempt = 1;
+	for (let bounces = 1; ; bounces++) {
+		const refused = await waitForRoom(run, serve);
+		if (refused !== undefined) {
+			return refused;
+		}
+
+		const {end, nextAttempt} = await runAdmitted(run, serve, attempt);
+		attempt = nextAttempt;
+		const backoffMs = toBackoff(bounces, random);
+		if (end.kind !== 'bounced' || clock.now() + backoffMs > run.deadline) {
+			return end;
+		}
+
+		run.account.note('bounced', {backoffMs});
+		await waitAwake(run, backoffMs);
+	}
+}
+
+function deliver(run: Run, end: RunEnd): void {
+	if (end.kind === 'complete') {
+		run.delivery.complete(end, run.buffer.tokens());
+	} else if (end.kind !== 'gone') {
+		run.delivery.fail(end.problem);
+	}
+}
+
+function toEndReport(run: Run, end: RunEnd): Pick<EndedRequest, 'end' | 'outcome'> & {reason: string} {
+	if (end.kind === 'complete') {
+		return {end: 'complete', outcome: 'ran', reason: 'complete'};
+	}
+
+	if (end.kind === 'gone') {
+		return {end: 'caller-gone', outcome: run.ledger.outcome(), reason: 'caller-gone'};
+	}
+
+	const {outcome, kind} = end.problem;
+	return {end: outcome === 'not-run' ? 'refused' : 'failed', outcome, reason: kind};
+}
+
+function reportEnd(run: Run, end: RunEnd, serve: ServeServices): void {
+	const completeMs = serve.services.clock.now() - run.receivedAt;
+	const {reason, ...report} = toEndReport(run, end);
+	const outputTokens = run.buffer.offset();
+	run.account.note('ended', {outcome: report.outcome, reason, outputTokens});
+	run.log.info('request ended', {
+		outcome: report.outcome, reason, outputTokens, durationMs: completeMs,
+	});
+	serve.onEnded({run, ...report, completeMs});
+}
+
+async function runRouted(input: Omit<RunInput, 'signal'>, serve: ServeServices): Promise<void> {
+	const {exchange} = input;
+	const controller = new AbortController();
+	const run = createRun({...input, signal: controller.signal}, serve);
+	const abort = (cause: EndCause) => {
+		controller.abort(cause);
+	};
+
+	const onGone = () => {
+		abort('caller-gone');
+	};
+
+	const registered: RegisteredRun = {id: run.id, abort, isOverdue: now => now > run.deadline && run.buffer.offset() === 0};
+	serve.registry.add(registered);
+	exchange.gone.addEventListener('abort', onGone, {once: true});
+	if (exchange.gone.aborted) {
+		onGone();
+	}
+
+	run.account.note('routed', {
+		workspace: run.workspace, rule: run.rule.name, pool: run.rule.then.pool, class: run.rule.then.class, promptTokens: run.promptTokens, version: run.version,
+	});
+	run.log.info('request received', {pool: run.rule.then.pool, promptTokens: run.promptTokens});
+	try {
+		const end = await runToEnd(run, serve);
+		deliver(run, end);
+		reportEnd(run, end, serve);
+	} finally {
+		serve.registry.remove(registered);
+		exchange.gone.removeEventListener('abort', onGone);
+	}
+}
+
+/**
+ * Serves one completion or chat request.
+ *
+ * @param kind - The endpoint.
+ * @param exchange - The caller's request.
+ * @param serve - The program around it.
+ */
+export async function serveCompletion(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<void> {
+	const account = serve.accounts.open(exchange.requestId);
+	const refuse = (problem: Problem) => {
+		account.note('refused', {kind: problem.kind, outcome: problem.outcome});
+		serve.log.info('request refused', {requestId: exchange.requestId, reason: problem.kind, outcome: problem.outcome});
+		exchange.sendProblem(problem);
+	};
+
+	const overload = findOverload(serve);
+	if (overload !== undefined) {
+		refuse(overload);
+		return;
+	}
+
+	const parsed = await readRequest(kind, exchange, serve);
+	if (parsed.isErr()) {
+		if (parsed.error !== 'gone') {
+			refuse(parsed.error);
+		}
+
+		return;
+	}
+
+	const {request, promptTokens} = parsed.value;
+	const routed = serve.route({
+		headers: exchange.headers, path: exchange.path, model: request.model, promptTokens,
+	}, serve.services.toView());
+	const model = routed.andThen(route => toServedModel(request.model, route));
+	if (routed.isErr() || model.isErr()) {
+		refuse((routed.isErr() ? routed : model)._unsafeUnwrapErr());
+		return;
+	}
+
+	await runRouted({
+		exchange, account, request, promptTokens, route: routed.value, model: model.value,
+	}, serve);
+}
--- /dev/null
+++ b/src/programs/entry/serve-models/index.ts
@@ -0,0 +1,32 @@
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {identifyCaller} from '../../../domain/identify-caller/index.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {type FleetView} from '../../../ports/view.js';
+
+/**
+ * Answers `GET /v1/models` from the configuration in force.
+ *
+ * @param exchange - The caller's request.
+ * @param view - The fleet as this host knows it.
+ */
+export function serveModels(exchange: CallerExchange, view: FleetView | undefined): void {
+	const config = view?.accepted?.config;
+	if (config === undefined) {
+		exchange.sendProblem({
+			kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
+		});
+		return;
+	}
+
+	const workspace = identifyCaller(exchange.headers, config.callerTokens);
+	if (workspace.isErr()) {
+		exchange.sendProblem({kind: 'unauthorized', detail: workspace.error, outcome: 'not-run'});
+		return;
+	}
+
+	const models = new Set(config.pools.map(pool => pool.kind === 'model' ? pool.model : undefined).filter(model => model !== undefined));
+	const data = [...models].sort().map(id => ({
+		id, object: 'model', created: 0, owned_by: 'banyanport',
+	}));
+	exchange.sendAnswer(200, {'content-type': 'application/json'}, JSON.stringify({object: 'list', data}));
+}
