--- a/src/domain/find-dead-rules/test.ts
+++ b/src/domain/find-dead-rules/test.ts
@@ -6,7 +6,7 @@
 import {toRules} from '../_test/to-rules.js';
 import {compileRules} from '../compile-rules/index.js';
 import {matchRule} from '../match-rule/index.js';
-import {findDeadRules} from './index.js'; from './index.js';
+import {findDeadRules} from './index.js';
 
 describe('findDeadRules', () => {
 	const cases: Array<[title: string, whens: RuleWhen[], dead: Array<[index: number, hiddenBy: number]>]> = [
