--- a/src/domain/claim-key/index.ts
+++ b/src/domain/claim-key/index.ts
@@ -6,7 +6,7 @@
 	ResultAsync, err, ok, type Result,
 } from 'neverthrow';
 import {type Milliseconds, type Random} from '../../ports/clock.js';
-import {type HostId, type Incarnation} from '../../ports/ids.js';
+import {type HostId} from '../../ports/ids.js';
 import {type Outcome} from '../../ports/outcome.js';
 import {
 	type AbstainReason, type Claim, type ClaimAnswer, type ClaimRequest, type ScopedKey,
@@ -32,8 +32,6 @@
 	release: (slot: HostId, request: ScopedKey & {claimId: string}) => void;
 	wait: (ms: Milliseconds) => Promise<void>;
 	random: Random;
-	/** Highest incarnation of a slot that this host has heard of; answers of earlier ones do not count. */
-	newestIncarnation?: (slot: HostId) => Incarnation | undefined;
 	/** Rounds of asking while two claims share the witnesses between them. */
 	tries?: number;
 };
@@ -54,14 +52,9 @@
 	return [...new Set(sets.flatMap(set => set.slots))];
 }
 
-/** An answer of an incarnation that is known to be replaced says nothing about its slot. */
-function isStale(answer: ClaimAnswer, newest: Incarnation | undefined): boolean {
-	return answer.kind === 'granted' && newest !== undefined && answer.incarnation < newest;
-}
-
 /** Asks all witnesses at once and returns as soon as their answers decide. */
 async function askAll(options: ClaimKeyOptions): Promise<{tally: ClaimTally; answers: Answers}> {
-	const {request, sets, ask, newestIncarnation} = options;
+	const {request, sets, ask} = options;
 	const answers: Answers = new Map();
 	return new Promise(resolve => {
 		const settle = () => {
@@ -73,8 +66,7 @@
 
 		const askOne = async (slot: HostId) => {
 			const answer = await ask(slot, request);
-			const isUsable = answer.isOk() && !isStale(answer.value, newestIncarnation?.(slot));
-			answers.set(slot, isUsable ? answer.value : {kind: 'failed'});
+			answers.set(slot, answer.unwrapOr({kind: 'failed'}));
 			settle();
 		};
 
--- a/src/domain/create-claim-witness/index.ts
+++ b/src/domain/create-claim-witness/index.ts
@@ -49,7 +49,7 @@
 	const table = new Map<string, Kept>();
 	let vouchesFrom = startedAt + clockBoundMs;
 	let floor = Number.NEGATIVE_INFINITY;
-	let stopped: 'leaving' | 'deposed' | undefined;
+	let isFrozen = false;
 
 	// The floor never falls, so a claim dropped below it cannot be granted anew after the wall clock is set back.
 	function raiseFloor(now: Milliseconds) {
@@ -57,8 +57,8 @@
 	}
 
 	function findReason(mintedAt: Milliseconds, now: Milliseconds): AbstainReason | undefined {
-		if (stopped !== undefined && !omit.includes('freeze')) {
-			return stopped;
+		if (isFrozen && !omit.includes('freeze')) {
+			return 'leaving';
 		}
 
 		if (mintedAt < floor && !omit.includes('retention-floor')) {
@@ -110,7 +110,7 @@
 		}
 
 		const reason = findReason(mintedAt, now);
-		if (reason !== undefined && (held === undefined || stopped !== undefined)) {
+		if (reason !== undefined && (held === undefined || isFrozen)) {
 			return {
 				kind: 'abstained', incarnation, reason, retryAfterMs: toRetryAfter(reason, mintedAt, now),
 			};
@@ -126,7 +126,7 @@
 		const text = toScopedText(req);
 		const isOwn = table.get(text)?.claimId === req.claimId || omit.includes('claim-id');
 		// A frozen table is already on its way to the successor: a release that came too late only costs a retry.
-		if (isOwn && (stopped === undefined || omit.includes('freeze'))) {
+		if (isOwn && (!isFrozen || omit.includes('freeze'))) {
 			table.delete(text);
 		}
 	}
@@ -141,12 +141,12 @@
 	}
 
 	function freeze(now: Milliseconds): WitnessHandOver | undefined {
-		if (stopped !== undefined) {
+		if (isFrozen) {
 			return undefined;
 		}
 
 		sweep(now);
-		stopped = 'leaving';
+		isFrozen = true;
 		return {
 			slot,
 			incarnation,
@@ -157,7 +157,7 @@
 	}
 
 	function adopt(handOver: WitnessHandOver): boolean {
-		if (handOver.slot !== slot || handOver.incarnation >= incarnation || stopped !== undefined) {
+		if (handOver.slot !== slot || handOver.incarnation === incarnation || isFrozen) {
 			return false;
 		}
 
@@ -175,14 +175,8 @@
 		return true;
 	}
 
-	function noteIncarnation(known: number) {
-		if (known > incarnation && stopped === undefined) {
-			stopped = 'deposed';
-		}
-	}
-
 	return {
-		claim, release, sweep, freeze, adopt, noteIncarnation,
-		stats: () => ({claims: table.size, vouchesFrom, isVouching: stopped === undefined}),
+		claim, release, sweep, freeze, adopt,
+		stats: () => ({claims: table.size, vouchesFrom, isVouching: !isFrozen}),
 	};
 }
--- a/src/domain/create-claim-witness/types.ts
+++ b/src/domain/create-claim-witness/types.ts
@@ -40,10 +40,9 @@
  * - `future`: the key's time is further ahead than clocks may differ.
  * - `full`: there is no room for another claim.
  * - `leaving`: the table was frozen to be handed over.
- * - `deposed`: a later incarnation of this host slot is known.
  * - `malformed`: the key is no UUID of version 7.
  */
-export type AbstainReason = 'restarted' | 'expired' | 'future' | 'full' | 'leaving' | 'deposed' | 'malformed';
+export type AbstainReason = 'restarted' | 'expired' | 'future' | 'full' | 'leaving' | 'malformed';
 
 export type ClaimAnswer =
 	| {kind: 'granted'; incarnation: Incarnation}
@@ -94,10 +93,8 @@
 	sweep: (now: Milliseconds) => void;
 	/** Ends vouching for good and returns the table for the successor; `undefined` when there is nothing worth handing over. */
 	freeze: (now: Milliseconds) => WitnessHandOver | undefined;
-	/** Takes over a predecessor's table; `false` when it is another slot's or not a predecessor's. */
+	/** Takes over a predecessor's table; `false` when it is another slot's or this incarnation's own. */
 	adopt: (handOver: WitnessHandOver) => boolean;
-	/** Tells that an incarnation of this slot is known; a later one than this ends vouching. */
-	noteIncarnation: (incarnation: Incarnation) => void;
 	/** Figures for metrics and readiness. */
 	stats: () => {claims: number; vouchesFrom: Milliseconds; isVouching: boolean};
 };
