Seal configuration documents, and order them the same on every host

Ruled out: deriving a plain document's edition from what is in force where it arrives: sealed edition 5 at revision 10 and a plain one at revision 11 would then end differently on hosts that got them in another order. Revision before edition: a platform restored with lower revisions would bar every edit.

A plain document may name an edition; without one it stands at 0, and within an edition the platform's revision orders.

Conclusion: what is in force is the highest version among valid documents seen. Not covered: all hosts replaced at once while the platform is stale, since nothing of the system lasts.

--- /dev/null
+++ b/src/domain/accept-config/index.ts
@@ -0,0 +1,127 @@
+/**
+ * Decides whether a configuration document comes in force. Every host decides by
+ * itself, from what is in force there and the document alone.
+ */
+import {splitConfigEnd} from '../../_lib/split-config-end/index.js';
+import {toDigest} from '../../_lib/to-digest/index.js';
+import {type AcceptedConfig, type ConfigVersion} from '../../ports/config.js';
+import {checkSeal, type ConfigSeal} from '../check-seal/index.js';
+import {compareConfigVersions} from '../compare-config-versions/index.js';
+import {type ConfigFault, parseConfig} from '../parse-config/index.js';
+
+/** A document from the platform or a peer. */
+export type ConfigCandidate = {
+	text: string;
+	/** Revision at which the platform served it, to this host or to the peer; 0 where unknown. */
+	revision: number;
+};
+
+/**
+ * Two documents sealed from the same edition: both operators meant theirs to
+ * follow, and one edit is lost.
+ */
+export type ConfigRivalry = {
+	winner: ConfigVersion;
+	loser: ConfigVersion;
+	message: string;
+};
+
+/**
+ * - `incomplete`, `altered`, `not-text`: not a whole document.
+ * - `invalid`: whole, with faults of content.
+ * - `older`: another document that comes later in the order of versions is in force.
+ * - `rival-lost`: sealed from the same edition as the one in force, which wins.
+ */
+export type ConfigRefusalReason = 'incomplete' | 'altered' | 'not-text' | 'invalid' | 'older' | 'rival-lost';
+
+export type ConfigVerdict =
+	| {status: 'accepted'; accepted: AcceptedConfig; rivalry: ConfigRivalry | undefined; warning: string | undefined}
+	/** The same document again. Its version may have a higher revision than before, which then bars those in between. */
+	| {status: 'unchanged'; accepted: AcceptedConfig}
+	| {status: 'refused'; reason: ConfigRefusalReason; message: string; faults: readonly ConfigFault[]; rivalry: ConfigRivalry | undefined};
+
+/**
+ * Decides about a document. What is in force is always the highest version among
+ * the valid documents seen, so the order in which they come makes no difference,
+ * and nothing ever goes back.
+ *
+ * @param current - What is in force; `undefined` before the first.
+ * @param candidate - The document.
+ * @returns Whether it is accepted, is the one in force already, or is refused and why.
+ *
+ * @example
+ * ```ts
+ * const verdict = acceptConfig(current, {text, revision: 12});
+ * if (verdict.status === 'refused') log.warn(verdict.message);
+ * ```
+ */
+export function acceptConfig(current: AcceptedConfig | undefined, candidate: ConfigCandidate): ConfigVerdict {
+	const digest = toDigest(candidate.text);
+	if (current?.version.digest === digest) {
+		const revision = Math.max(current.version.revision, candidate.revision);
+		const version = {...current.version, revision};
+		return {status: 'unchanged', accepted: {...current, version}};
+	}
+
+	const seal = checkSeal(candidate.text);
+	if (seal.isErr()) {
+		return toRefusal(seal.error.kind, seal.error.message);
+	}
+
+	const version: ConfigVersion = {edition: seal.value.edition, revision: candidate.revision, digest};
+	const rivalry = current && toRivalry(current, version, seal.value);
+	if (current && compareConfigVersions(version, current.version) < 0) {
+		return rivalry
+			? {...toRefusal('rival-lost', rivalry.message), rivalry}
+			: toRefusal('older', toOlderMessage(current.version, version, seal.value));
+	}
+
+	const parsed = parseConfig(candidate.text);
+	if (parsed.isErr()) {
+		return {...toRefusal('invalid', `the document has ${parsed.error.length} faults and does not come in force: run "banyanport check" on it`), faults: parsed.error};
+	}
+
+	return {
+		status: 'accepted',
+		accepted: {version, config: parsed.value, text: candidate.text},
+		rivalry,
+		warning: current && toWarning(current.version, version, seal.value),
+	};
+}
+
+function toRefusal(reason: ConfigRefusalReason, message: string): Extract<ConfigVerdict, {status: 'refused'}> {
+	return {
+		status: 'refused', reason, message, faults: [], rivalry: undefined,
+	};
+}
+
+function toRivalry(current: AcceptedConfig, version: ConfigVersion, seal: ConfigSeal): ConfigRivalry | undefined {
+	if (seal.kind !== 'sealed' || version.edition !== current.version.edition || splitConfigEnd(current.text).kind !== 'sealed') {
+		return undefined;
+	}
+
+	const isNewer = compareConfigVersions(version, current.version) > 0;
+	const [winner, loser] = isNewer ? [version, current.version] : [current.version, version];
+	const message = `two documents were sealed as edition ${winner.edition}: ${toShown(winner)} wins and ${toShown(loser)} loses, so its edit is not in force; `
+		+ 'repeat that edit on the winner and seal it as the next edition';
+	return {winner, loser, message};
+}
+
+function toOlderMessage(current: ConfigVersion, version: ConfigVersion, seal: ConfigSeal): string {
+	const remedy = seal.kind === 'plain' && version.edition < current.edition
+		? `write "edition: ${current.edition}" on the line before "end", or seal it with "banyanport seal --follows" the one in force`
+		: 'to bring an old rule list back, publish it as a new edition';
+	return `${toShown(version)} is older than ${toShown(current)}, which is in force and stays: ${remedy}`;
+}
+
+/** A document sealed on top of something else than what is in force may have been written without its edits. */
+function toWarning(current: ConfigVersion, version: ConfigVersion, seal: ConfigSeal): string | undefined {
+	const isNext = version.edition === current.edition + 1;
+	return isNext && seal.kind === 'sealed' && seal.follows !== current.digest
+		? `${toShown(version)} follows another document than ${toShown(current)}, which was in force: compare both with "banyanport diff", an edit may be lost`
+		: undefined;
+}
+
+function toShown({edition, revision, digest}: ConfigVersion): string {
+	return `edition ${edition} (revision ${revision}, ${digest.slice(0, 12)})`;
+}
--- /dev/null
+++ b/src/domain/seal-config/index.ts
@@ -0,0 +1,73 @@
+/** Seals a configuration document, so that no part of it can be lost or changed unnoticed. */
+import {err, ok, type Result} from 'neverthrow';
+import {splitConfigEnd, addPlainEnd, type ConfigFormat} from '../../_lib/split-config-end/index.js';
+import {toDigest} from '../../_lib/to-digest/index.js';
+import {checkSeal} from '../check-seal/index.js';
+import {type ConfigFault, parseConfig, type ParseConfigOptions} from '../parse-config/index.js';
+
+export type SealedConfig = {
+	/** The complete sealed document. */
+	text: string;
+	edition: number;
+	/** SHA-256 of the document that it follows. */
+	follows: string | undefined;
+	/** SHA-256 of the sealed document. */
+	digest: string;
+};
+
+/**
+ * - `invalid`: the document to seal has faults.
+ * - `previous-broken`: the document that it shall follow is not whole, so its edition can't be trusted.
+ */
+export type SealFailure = {
+	kind: 'invalid' | 'previous-broken';
+	message: string;
+	faults: readonly ConfigFault[];
+};
+
+/**
+ * Seals a document. An earlier seal or edition of its own is replaced.
+ *
+ * @param text - A valid document, plain or sealed before and edited since.
+ * @param previous - Text of the document in force, whose edition this one follows; `undefined` for the first.
+ * @param options - Name of the file for faults.
+ * @returns The sealed document, or why it can't be sealed.
+ *
+ * @example
+ * ```ts
+ * const first = sealConfig(text, undefined)._unsafeUnwrap();
+ * first.edition; // => 1
+ * sealConfig(edited, first.text)._unsafeUnwrap().edition; // => 2
+ * ```
+ */
+export function sealConfig(text: string, previous: string | undefined, options: ParseConfigOptions = {}): Result<SealedConfig, SealFailure> {
+	const end = splitConfigEnd(text);
+	const plain = end.kind === 'missing' ? text : addPlainEnd(end.body, end.format);
+	const parsed = parseConfig(plain, options);
+	if (parsed.isErr()) {
+		return err({kind: 'invalid', message: 'the document has faults and was not sealed', faults: parsed.error});
+	}
+
+	const previousEdition = previous === undefined ? ok(0) : checkSeal(previous).map(seal => seal.edition);
+	if (previousEdition.isErr()) {
+		return err({kind: 'previous-broken', message: `the document to follow can't be used: ${previousEdition.error.message}`, faults: []});
+	}
+
+	const edition = previousEdition.value + 1;
+	const follows = previous === undefined ? undefined : toDigest(previous);
+	const body = end.kind === 'missing' ? text : end.body;
+	const sealed = addSeal(body, end.format, edition, follows ?? 'none');
+	return ok({
+		text: sealed, edition, follows, digest: toDigest(sealed),
+	});
+}
+
+function addSeal(body: string, format: ConfigFormat, edition: number, follows: string): string {
+	if (format === 'json') {
+		const covered = `${body},\n"edition": ${edition},\n"follows": "${follows}",\n"end": "sealed-`;
+		return `${covered}${toDigest(covered)}"}\n`;
+	}
+
+	const covered = `${body}edition: ${edition}\nfollows: ${follows}\nend: sealed-`;
+	return `${covered}${toDigest(covered)}\n`;
+}
