--- /dev/null
+++ b/src/domain/create-membership/_lib/create-prober.ts
@@ -0,0 +1,119 @@
+/**
+ * Probes: a ping, then the same ping through two others, then a verdict. It
+ * knows nothing of records; the caller says whom to ping and what to make of
+ * the verdict.
+ */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
+
+export type Probe = {
+	seq: number;
+	target: HostId;
+	startedAt: Milliseconds;
+	/** Others have been asked to ping the target. */
+	isIndirect: boolean;
+};
+
+/** A ping that this host sends on behalf of another. */
+type Errand = {
+	requester: HostId;
+	requestSeq: number;
+	target: HostId;
+	startedAt: Milliseconds;
+};
+
+export type Prober = {
+	/** Starts a probe and returns its number; `undefined` while one of the target is under way. */
+	start: (target: HostId, now: Milliseconds) => number | undefined;
+	/** Notes a ping for somebody else and returns its number; `undefined` when there are too many. */
+	startErrand: (requester: HostId, requestSeq: number, target: HostId, now: Milliseconds) => number | undefined;
+	/** An answer came. Returns the errand that it ends, if it ends one. */
+	takeAnswer: (seq: number, target: HostId) => Errand | undefined;
+	/** Probes that now need the help of others, and those that have failed; the failed ones are over. */
+	takeDue: (now: Milliseconds, patience: {directMs: Milliseconds; totalMs: Milliseconds}) => {helpless: readonly Probe[]; failed: readonly HostId[]};
+	/** Forgets everything under way. */
+	clear: () => void;
+	/** Ends the probe of a host that was heard from otherwise. */
+	end: (target: HostId) => void;
+};
+
+const maxErrands = 64;
+
+/**
+ * Creates a prober with nothing under way.
+ *
+ * @returns See {@link Prober}.
+ */
+export function createProber(): Prober {
+	const probes = new Map<HostId, Probe>();
+	const errands = new Map<number, Errand>();
+	let nextSeq = 1;
+
+	function takeSeq(): number {
+		nextSeq += 1;
+		return nextSeq;
+	}
+
+	return {
+		start(target, now) {
+			if (probes.has(target)) {
+				return undefined;
+			}
+
+			const seq = takeSeq();
+			probes.set(target, {
+				seq, target, startedAt: now, isIndirect: false,
+			});
+			return seq;
+		},
+		startErrand(requester, requestSeq, target, now) {
+			if (errands.size >= maxErrands) {
+				return undefined;
+			}
+
+			const seq = takeSeq();
+			errands.set(seq, {
+				requester, requestSeq, target, startedAt: now,
+			});
+			return seq;
+		},
+		takeAnswer(seq, target) {
+			if (probes.get(target)?.seq === seq) {
+				probes.delete(target);
+			}
+
+			const errand = errands.get(seq);
+			errands.delete(seq);
+			return errand?.target === target ? errand : undefined;
+		},
+		takeDue(now, {directMs, totalMs}) {
+			const helpless: Probe[] = [];
+			const failed: HostId[] = [];
+			for (const probe of probes.values()) {
+				const age = now - probe.startedAt;
+				if (age >= totalMs) {
+					failed.push(probe.target);
+					probes.delete(probe.target);
+				} else if (age >= directMs && !probe.isIndirect) {
+					probe.isIndirect = true;
+					helpless.push(probe);
+				}
+			}
+
+			for (const [seq, {startedAt}] of errands) {
+				if (now - startedAt >= totalMs) {
+					errands.delete(seq);
+				}
+			}
+
+			return {helpless, failed};
+		},
+		clear() {
+			probes.clear();
+			errands.clear();
+		},
+		end(target) {
+			probes.delete(target);
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-membership/_lib/create-targets.ts
@@ -0,0 +1,183 @@
+/** Whom to ping next, and whom to tell. */
+import {pickRanked} from '../../../_lib/pick-ranked/index.js';
+import {type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type HostId, type ZoneId} from '../../../ports/ids.js';
+import {type Records} from './create-records.js';
+import {type HostRecord} from './types.js';
+
+/** Hosts of each zone that speak with other zones. */
+const bridgesOfZone = 2;
+const pingsAnInterval = 2;
+/** Intervals between two pings to one other zone, and to one host that is gone. */
+const zoneIntervals = 3;
+const goneIntervals = 5;
+const seedIntervals = 1;
+const seedsAtOnce = 2;
+const verifiers = 3;
+const leastJurors = 2;
+
+export type Targets = {
+	/** Hosts to ping now. */
+	takeDue: (now: Milliseconds, random: Random) => HostId[];
+	/** Addresses of strangers to greet now. */
+	takeSeeds: (strangers: readonly string[], now: Milliseconds, random: Random) => string[];
+	/** A host is suspected; ping it at once if this host is among the few that look. */
+	verify: (id: HostId) => void;
+	/** Live hosts that can say whether a host is there: those of its zone, and bridges of other zones where it has fewer than two. */
+	jury: (id: HostId) => readonly HostRecord[];
+	/** Hosts to tell of something that came from a host: this zone if it is news to it, and bridges of other zones if it began here. */
+	spreadTo: (origin: HostId) => readonly HostRecord[];
+	sample: (records: readonly HostRecord[], count: number, random: Random) => HostRecord[];
+};
+
+/**
+ * Creates it.
+ *
+ * @param options - The table, who we are, and the heartbeat's interval in milliseconds.
+ * @returns See {@link Targets}.
+ */
+export function createTargets({records, ownId, ownZone, intervalMs, startedAt}: {
+	records: Records;
+	ownId: HostId;
+	ownZone: ZoneId;
+	intervalMs: Milliseconds;
+	startedAt: Milliseconds;
+}): Targets {
+	const toVerify = new Set<HostId>();
+	const queue: HostId[] = [];
+	let pingAt = startedAt;
+	let zoneAt = startedAt;
+	let goneAt = startedAt;
+	let seedAt = startedAt;
+	let turn = 0;
+	let cache: {version: number; mates: readonly HostRecord[]; bridges: ReadonlyMap<ZoneId, readonly HostRecord[]>} | undefined;
+
+	function isThere({life}: HostRecord): boolean {
+		return life === 'alive' || life === 'suspect';
+	}
+
+	function toBridges(zone: ZoneId): readonly HostRecord[] {
+		const members = records.ofZone(zone);
+		const alive = members.filter(({life}) => life === 'alive');
+		const candidates = alive.length > 0 ? alive : members.filter(record => isThere(record));
+		return pickRanked(`bridge ${zone}`, candidates.map(({id}) => id), bridgesOfZone).map(id => records.get(id)!);
+	}
+
+	function look() {
+		if (cache?.version !== records.version()) {
+			cache = {
+				version: records.version(),
+				mates: records.ofZone(ownZone).filter(({id, life}) => id !== ownId && life === 'alive'),
+				bridges: new Map(records.zones().map(zone => [zone, toBridges(zone)])),
+			};
+		}
+
+		return cache;
+	}
+
+	function isBridge(): boolean {
+		return look().bridges.get(ownZone)?.some(({id}) => id === ownId) ?? false;
+	}
+
+	function otherZones(): ZoneId[] {
+		return records.zones().filter(zone => zone !== ownZone);
+	}
+
+	function shuffle<T>(items: readonly T[], random: Random): T[] {
+		return items
+			.map(item => ({item, order: random()}))
+			.sort((a, b) => a.order - b.order)
+			.map(({item}) => item);
+	}
+
+	function toJury(id: HostId): readonly HostRecord[] {
+		const zone = records.get(id)?.zone;
+		const neighbours = (zone === undefined ? [] : records.ofZone(zone)).filter(record => record.id !== id && record.life === 'alive');
+		if (neighbours.length >= leastJurors) {
+			return neighbours;
+		}
+
+		const bridges = records.zones().filter(other => other !== zone).flatMap(other => look().bridges.get(other) ?? []);
+		return [...neighbours, ...bridges.filter(({life}) => life === 'alive')];
+	}
+
+	/** Everybody once in a random order, then again: nobody waits for a ping longer than two rounds. */
+	function takeMate(random: Random): HostId | undefined {
+		if (queue.length === 0) {
+			const mates = records.ofZone(ownZone).filter(record => record.id !== ownId && isThere(record));
+			queue.push(...shuffle(mates.map(({id}) => id), random));
+		}
+
+		return queue.shift();
+	}
+
+	function takeMates(now: Milliseconds, random: Random): HostId[] {
+		const suspected = [...toVerify];
+		toVerify.clear();
+		if (now < pingAt) {
+			return suspected;
+		}
+
+		pingAt = now + (intervalMs / pingsAnInterval * (0.9 + (random() / 5)));
+		const mate = takeMate(random);
+		return mate === undefined ? suspected : [mate, ...suspected];
+	}
+
+	function takeBridges(now: Milliseconds, random: Random): HostId[] {
+		if (now < zoneAt || !isBridge()) {
+			return [];
+		}
+
+		zoneAt = now + (zoneIntervals * intervalMs * (0.8 + (random() * 0.4)));
+		turn += 1;
+		return otherZones().flatMap(zone => {
+			const bridges = look().bridges.get(zone) ?? [];
+			const bridge = bridges[turn % bridges.length];
+			return bridge ? [bridge.id] : [];
+		});
+	}
+
+	/** A host that was buried by mistake, or came back and does not know us, is found again. */
+	function takeGone(now: Milliseconds, random: Random): HostId[] {
+		if (now < goneAt) {
+			return [];
+		}
+
+		goneAt = now + (goneIntervals * intervalMs * (0.8 + (random() * 0.4)));
+		const gone = [...records.all()].filter(({id, life, zone}) => id !== ownId && (life === 'dead' || (life === 'suspect' && zone !== ownZone)));
+		return shuffle(gone, random).slice(0, 1).map(({id}) => id);
+	}
+
+	return {
+		takeDue: (now, random) => [...new Set([...takeMates(now, random), ...takeBridges(now, random), ...takeGone(now, random)])],
+		takeSeeds(strangers, now, random) {
+			// Once the fleet is known, a stranger is an address that nobody has taken
+			// yet: worth a look now and then, and the only way back when all were cut off.
+			const intervals = records.size() > 1 ? goneIntervals : seedIntervals;
+			if (now < seedAt || strangers.length === 0) {
+				return [];
+			}
+
+			seedAt = now + (intervals * intervalMs * (0.8 + (random() * 0.4)));
+			return shuffle(strangers, random).slice(0, records.size() > 1 ? 1 : seedsAtOnce);
+		},
+		verify(id) {
+			const jurors = toJury(id).map(juror => juror.id);
+			if (pickRanked(id, jurors, verifiers).includes(ownId)) {
+				toVerify.add(id);
+			}
+		},
+		jury: toJury,
+		spreadTo(origin) {
+			const {mates, bridges} = look();
+			const originZone = records.get(origin)?.zone;
+			if (origin === ownId) {
+				return [...mates, ...otherZones().flatMap(zone => bridges.get(zone) ?? [])];
+			}
+
+			// Who began it has told its own zone and the bridges of the others; a bridge tells its zone.
+			return originZone !== ownZone && isBridge() ? mates.filter(({id}) => id !== origin) : [];
+		},
+		sample: (candidates, count, random) => shuffle(candidates, random).slice(0, count),
+	};
+}
--- /dev/null
+++ b/src/domain/create-membership/_lib/create-zone-contacts.ts
@@ -0,0 +1,49 @@
+/** When each zone was last heard from, by this host or by one of its zone. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ZoneId} from '../../../ports/ids.js';
+import {type ZoneContacts} from './types.js';
+
+const maxZones = 256;
+const unitMs = 100;
+
+export type Contacts = {
+	note: (zone: ZoneId, now: Milliseconds) => void;
+	/** Takes over what a host of the same zone knows. */
+	merge: (ages: ZoneContacts, now: Milliseconds) => void;
+	/** Ages for a message, rounded up. */
+	ages: (now: Milliseconds) => ZoneContacts;
+	staleZones: (zones: readonly ZoneId[], now: Milliseconds, patienceMs: Milliseconds) => ZoneId[];
+	/** Counts all silence from now again: after a pause it is this process's own. */
+	restart: (now: Milliseconds) => void;
+};
+
+/**
+ * Creates it with no contact known. A zone is not stale before it was heard once.
+ *
+ * @returns See {@link Contacts}.
+ */
+export function createZoneContacts(): Contacts {
+	const heardAt = new Map<ZoneId, Milliseconds>();
+
+	function note(zone: ZoneId, at: Milliseconds) {
+		if (heardAt.size < maxZones || heardAt.has(zone)) {
+			heardAt.set(zone, Math.max(at, heardAt.get(zone) ?? -Infinity));
+		}
+	}
+
+	return {
+		note,
+		merge(ages, now) {
+			for (const [zone, age] of Object.entries(ages)) {
+				note(zone, now - age);
+			}
+		},
+		ages: now => Object.fromEntries([...heardAt].map(([zone, at]) => [zone, Math.ceil((now - at) / unitMs) * unitMs])),
+		staleZones: (zones, now, patienceMs) => zones.filter(zone => now - (heardAt.get(zone) ?? now) > patienceMs),
+		restart(now) {
+			for (const zone of heardAt.keys()) {
+				heardAt.set(zone, now);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-membership/index.ts
@@ -0,0 +1,452 @@
+/**
+ * Membership between agents: who is there, who is suspected, who is dead.
+ * Why it is built so is in `docs/design/006-membership.md`.
+ *
+ * It decides and does no I/O: {@link Membership.tick} is called about ten times
+ * a second, {@link Membership.receive} for each message, and both return the
+ * messages to send.
+ */
+import {type Milliseconds, type Random} from '../../ports/clock.js';
+import {type HostId, type Incarnation, type ZoneId} from '../../ports/ids.js';
+import {type HostStatus} from '../../ports/view.js';
+import {createPauseGuard} from '../create-pause-guard/index.js';
+import {createProber} from './_lib/create-prober.js';
+import {createRecords} from './_lib/create-records.js';
+import {createSync} from './_lib/create-sync.js';
+import {createTargets} from './_lib/create-targets.js';
+import {createZoneContacts} from './_lib/create-zone-contacts.js';
+import {
+	type HostRecord, type MemberMessage, type MessageBody, type OutMessage,
+} from './_lib/types.js';
+
+export {type HostRecord, type MemberMessage, type OutMessage} from './_lib/types.js';
+
+/** Two hosts must have had no answer themselves, where there are two. */
+const witnessesNeeded = 2;
+const helpersAsked = 2;
+const updatesInMessage = 6;
+const maxSlowness = 4;
+
+/** Limits in heartbeat intervals, so that one setting scales them all. */
+const directPatience = 0.4;
+const probePatience = 1;
+const suspicionPatience = 3;
+const pausePatience = 2;
+const zonePatience = 6;
+
+export type MembershipOptions = {
+	id: HostId;
+	zone: ZoneId;
+	/** Wall-clock milliseconds at the start of the process; raised above what peers have seen. */
+	incarnation: Incarnation;
+	agentAddress: string;
+	/** Peer ports of agents whose hosts may be unknown. */
+	seeds: readonly string[];
+	/** Time between two heartbeats, milliseconds; the same on all hosts. */
+	intervalMs?: Milliseconds;
+	/** Monotonic milliseconds. */
+	startedAt: Milliseconds;
+};
+
+/** What a host says of itself. */
+export type OwnStatement = {
+	entryAddress?: string;
+	entryIncarnation?: Incarnation;
+	leaving?: boolean;
+};
+
+export type Membership = {
+	/**
+	 * Moves time on.
+	 *
+	 * @returns Messages to send, and how long the process was paused before this call (0 if it was not).
+	 */
+	tick: (now: Milliseconds, random: Random) => {messages: readonly OutMessage[]; pausedMs: Milliseconds};
+	/**
+	 * Takes a message of a host.
+	 *
+	 * @param message - The message.
+	 * @param from - The host that sent it, as its connection says.
+	 * @returns Messages to send.
+	 */
+	receive: (message: MemberMessage, from: HostId, now: Milliseconds) => readonly OutMessage[];
+	/** Changes what this host says of itself; returns the messages that tell it at once. */
+	state: (statement: OwnStatement, now: Milliseconds) => readonly OutMessage[];
+	/** Says goodbye; returns the messages. Nothing may be sent afterwards. */
+	leave: (now: Milliseconds) => readonly OutMessage[];
+	/** More addresses to try while nobody is known. */
+	addSeeds: (addresses: readonly string[]) => void;
+	/** All known hosts, this one included. The same map until something changes. */
+	hosts: (now: Milliseconds) => ReadonlyMap<HostId, HostStatus>;
+	self: () => HostRecord;
+	record: (id: HostId) => HostRecord | undefined;
+	/** Hosts that one message must reach to be known everywhere: the zone, and bridges of the others. */
+	spreadTargets: (from: HostId) => readonly HostRecord[];
+	/** Highest incarnation of this host's entry that anybody has seen. */
+	entryIncarnationSeen: () => Incarnation;
+	/** When a message of another host last came; `undefined` before the first. */
+	lastHeardAt: () => Milliseconds | undefined;
+};
+
+/**
+ * Creates the membership of one host.
+ *
+ * @param options - See {@link MembershipOptions}.
+ * @returns See {@link Membership}.
+ *
+ * @example
+ * ```ts
+ * const membership = createMembership({id: 'dvorana-a-1', zone: 'dvorana-a', incarnation: 1, agentAddress: '10.0.0.1:7500', seeds: ['10.0.0.2:7500'], startedAt: 0});
+ * const {messages} = membership.tick(100, Math.random);
+ * messages[0].address; // => '10.0.0.2:7500'
+ * ```
+ */
+export function createMembership(options: MembershipOptions): Membership {
+	const {id: ownId, zone: ownZone, intervalMs = 1000} = options;
+	const records = createRecords({spreadCount: hosts => 3 * Math.ceil(Math.log2(hosts + 1))});
+	const prober = createProber();
+	const guard = createPauseGuard({limitMs: pausePatience * intervalMs, startedAt: options.startedAt});
+	const contacts = createZoneContacts();
+	const sync = createSync({records, ownId, minGapMs: intervalMs});
+	const targets = createTargets({
+		records, ownId, ownZone, intervalMs, startedAt: options.startedAt,
+	});
+	const seeds = new Set(options.seeds);
+	const own: HostRecord = {
+		id: ownId,
+		zone: ownZone,
+		incarnation: options.incarnation,
+		revision: 0,
+		life: 'alive',
+		agentAddress: options.agentAddress,
+		entryAddress: '',
+		entryIncarnation: 0,
+		leaving: false,
+		witnesses: [],
+	};
+	let entrySeen: Incarnation = 0;
+	let heardAt: Milliseconds | undefined;
+	let quietUntil = options.startedAt;
+	let slowness = 0;
+	let tickedAt = options.startedAt;
+	let shown: {version: number; stale: string; hosts: ReadonlyMap<HostId, HostStatus>} | undefined;
+
+	records.merge(own, options.startedAt);
+
+	const self = () => records.get(ownId)!;
+
+	function toMessage(body: MessageBody, to: HostRecord | undefined, now: Milliseconds, extra: readonly HostRecord[] = []): MemberMessage {
+		const {incarnation, revision} = self();
+		// A host that is not seen alive must hear it first of all, to take it back.
+		const first = to && to.life !== 'alive' ? [to, ...extra] : extra;
+		const rest = records.takeUpdates(updatesInMessage - Math.min(first.length, updatesInMessage));
+		const updates = [...first, ...rest.filter(record => !first.some(({id}) => id === record.id))];
+		return {
+			...body, incarnation, revision, digest: records.digest(), updates, contacts: to?.zone === ownZone ? contacts.ages(now) : undefined,
+		};
+	}
+
+	function send(to: HostRecord, body: MessageBody, now: Milliseconds, extra?: readonly HostRecord[]): OutMessage {
+		return {to: to.id, address: to.agentAddress, message: toMessage(body, to, now, extra)};
+	}
+
+	/** Answers a host, which may be a stranger so far: the answer goes back over its own connection. */
+	function reply(to: HostId, body: MessageBody, now: Milliseconds, extra?: readonly HostRecord[]): OutMessage {
+		const record = records.get(to);
+		return {to, address: record?.agentAddress ?? '', message: toMessage(body, record, now, extra)};
+	}
+
+	/** Speaks for this host anew; `changes` are what it says. */
+	function restate(changes: Partial<HostRecord>, now: Milliseconds) {
+		const current = self();
+		records.merge({
+			...current, life: 'alive', witnesses: [], revision: current.revision + 1, ...changes,
+		}, now);
+	}
+
+	/** Somebody says something of this host that it has not said itself. */
+	function refute(rumour: HostRecord, now: Milliseconds): boolean {
+		const current = self();
+		entrySeen = Math.max(entrySeen, rumour.entryIncarnation === current.entryIncarnation ? 0 : rumour.entryIncarnation);
+		const isFinal = rumour.life === 'dead' || rumour.life === 'left';
+		const isOlder = rumour.incarnation < current.incarnation;
+		const isOwn = rumour.incarnation === current.incarnation && rumour.revision <= current.revision && rumour.life === 'alive';
+		if (isOlder || isOwn || current.life === 'left') {
+			return false;
+		}
+
+		if (rumour.incarnation > current.incarnation || isFinal) {
+			// An earlier process of this host had a clock that was ahead, or this one
+			// was taken for dead. Both end only with a larger incarnation.
+			restate({incarnation: rumour.incarnation + 1, revision: 0}, now);
+			return true;
+		}
+
+		if (rumour.revision >= current.revision) {
+			restate({revision: rumour.revision + 1}, now);
+			return true;
+		}
+
+		return false;
+	}
+
+	function flood(updates: readonly HostRecord[], origin: HostId, now: Milliseconds): OutMessage[] {
+		return targets.spreadTo(origin)
+			.map(to => ({to: to.id, address: to.agentAddress, message: toMessage({kind: 'news'}, undefined, now, updates)}));
+	}
+
+	function isUrgent({id, life, leaving}: HostRecord, prev: HostRecord | undefined): boolean {
+		// A zone of two needs a juror elsewhere, and gossip alone would be slow to fetch one.
+		const needsJuror = life === 'suspect' && prev?.life !== 'suspect' && targets.jury(id).some(({zone}) => zone !== records.get(id)?.zone);
+		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || needsJuror;
+	}
+
+	/** Merges what a message says and returns what must go on at once. */
+	function takeUpdates(updates: readonly HostRecord[], from: HostId, now: Milliseconds): OutMessage[] {
+		const urgent: HostRecord[] = [];
+		const refuted: HostRecord[] = [];
+		for (const update of updates) {
+			if (update.id === ownId) {
+				if (refute(update, now)) {
+					refuted.push(self());
+				}
+
+				continue;
+			}
+
+			const prev = records.get(update.id);
+			const change = records.merge(update, now);
+			if (change === 'record' && isUrgent(update, prev)) {
+				urgent.push(update);
+			}
+
+			if (change !== 'none' && update.life === 'suspect') {
+				targets.verify(update.id);
+			}
+		}
+
+		return [
+			...(urgent.length > 0 ? flood(urgent, from, now) : []),
+			...(refuted.length > 0 ? flood(refuted, ownId, now) : []),
+		];
+	}
+
+	function noteHeard(from: HostId, now: Milliseconds) {
+		heardAt = now;
+		const record = records.get(from);
+		if (!record) {
+			return;
+		}
+
+		contacts.note(record.zone, now);
+		if (record.witnesses.includes(ownId)) {
+			records.setWitnesses(from, record.witnesses.filter(witness => witness !== ownId));
+		}
+	}
+
+	function suspect(id: HostId, now: Milliseconds): OutMessage[] {
+		const record = records.get(id);
+		if (!record || record.life === 'dead' || record.life === 'left') {
+			return [];
+		}
+
+		const accused: HostRecord = {...record, life: 'suspect', witnesses: [...new Set([...record.witnesses, ownId])]};
+		records.merge(accused, now);
+		return isUrgent(accused, record) ? flood([accused], ownId, now) : [];
+	}
+
+	/** Hosts that could say now whether the suspect is there; those behind a cut cannot. */
+	function toJurors(id: HostId, now: Milliseconds): HostRecord[] {
+		const stale = staleZones(now);
+		return targets.jury(id).filter(({zone}) => !stale.includes(zone));
+	}
+
+	function staleZones(now: Milliseconds): ZoneId[] {
+		return contacts.staleZones(records.zones().filter(zone => zone !== ownZone), now, zonePatience * intervalMs);
+	}
+
+	/**
+	 * Only a host's own zone buries it: from another zone a cut looks the same
+	 * as the death of all, and the work of hosts behind a cut must be left alone.
+	 */
+	function buryDead(now: Milliseconds): OutMessage[] {
+		const patienceMs = suspicionPatience * intervalMs * (1 + (slowness / 2));
+		const dead = records.ofZone(ownZone).filter(({id, life, witnesses}) => life === 'suspect'
+			&& now - records.suspectSince(id) >= patienceMs
+			&& witnesses.length >= Math.min(witnessesNeeded, toJurors(id, now).length));
+		const buried = dead.map(record => ({...record, life: 'dead' as const, witnesses: []}));
+		for (const record of buried) {
+			records.merge(record, now);
+		}
+
+		return buried.length > 0 ? flood(buried, ownId, now) : [];
+	}
+
+	function ping(id: HostId, now: Milliseconds): OutMessage[] {
+		const target = records.get(id);
+		const seq = target && prober.start(id, now);
+		return seq === undefined ? [] : [send(target!, {kind: 'ping', seq}, now)];
+	}
+
+	function askForHelp(target: HostId, seq: number, now: Milliseconds, random: Random): OutMessage[] {
+		const helpers = toJurors(target, now).filter(({id}) => id !== ownId);
+		return targets.sample(helpers, helpersAsked, random).map(helper => send(helper, {kind: 'ping-request', seq, target}, now));
+	}
+
+	function probe(now: Milliseconds, random: Random): OutMessage[] {
+		const factor = 1 + slowness;
+		const {helpless, failed} = prober.takeDue(now, {
+			directMs: directPatience * intervalMs * factor, totalMs: probePatience * intervalMs * factor,
+		});
+		return [
+			...(now >= quietUntil ? failed.flatMap(id => suspect(id, now)) : []),
+			...helpless.flatMap(({target, seq}) => askForHelp(target, seq, now, random)),
+			...targets.takeDue(now, random).flatMap(id => ping(id, now)),
+		];
+	}
+
+	function greetSeeds(now: Milliseconds, random: Random): OutMessage[] {
+		const known = new Set([...records.all()].map(({agentAddress}) => agentAddress));
+		const strangers = [...seeds].filter(address => !known.has(address));
+		return targets.takeSeeds(strangers, now, random)
+			.map(address => ({to: undefined, address, message: toMessage({kind: 'zones', zones: sync.zones()}, undefined, now, [self()])}));
+	}
+
+	/** Notices a pause of this process before it does or says anything. */
+	function checkPause(now: Milliseconds): Milliseconds {
+		const pausedMs = guard.note(now);
+		if (pausedMs > 0) {
+			// Answers that came meanwhile are still in the sockets: nobody may be
+			// suspected for them, and no suspicion may ripen, until they are read.
+			prober.clear();
+			records.restartSuspicions(now);
+			quietUntil = now + intervalMs;
+			contacts.restart(now);
+		}
+
+		return pausedMs;
+	}
+
+	function noteSlowness(now: Milliseconds) {
+		// A process that is itself starved hears late; it is more patient with others.
+		const isLate = now - tickedAt > intervalMs / 2;
+		slowness = Math.max(0, Math.min(maxSlowness, isLate ? slowness + 1 : slowness - (0.5 * (now - tickedAt) / intervalMs)));
+		tickedAt = now;
+	}
+
+	function answer(message: MemberMessage, from: HostId, now: Milliseconds): OutMessage[] {
+		switch (message.kind) {
+			case 'ping': {
+				return [reply(from, {kind: 'ack', seq: message.seq}, now)];
+			}
+
+			case 'ack': {
+				const errand = prober.takeAnswer(message.seq, from);
+				return errand ? [reply(errand.requester, {kind: 'ping-reply', seq: errand.requestSeq, target: from}, now)] : [];
+			}
+
+			case 'ping-request': {
+				const target = records.get(message.target);
+				const seq = target && prober.startErrand(from, message.seq, target.id, now);
+				return seq === undefined ? [] : [send(target!, {kind: 'ping', seq}, now)];
+			}
+
+			case 'ping-reply': {
+				prober.takeAnswer(message.seq, message.target);
+				return [];
+			}
+
+			case 'news': {
+				return [];
+			}
+
+			case 'zones':
+			case 'stamps':
+			case 'records': {
+				const next = sync.answer(message);
+				return next ? [reply(from, next.body, now, next.updates)] : [];
+			}
+		}
+	}
+
+	/** Asks a host whose table has differed for a while where it differs. */
+	function compare({digest}: MemberMessage, from: HostId, now: Milliseconds): OutMessage[] {
+		return sync.noteDigest(from, digest, now) ? [reply(from, {kind: 'zones', zones: sync.zones()}, now)] : [];
+	}
+
+	return {
+		tick(now, random) {
+			const pausedMs = checkPause(now);
+			noteSlowness(now);
+			const messages = [
+				...(now >= quietUntil ? buryDead(now) : []),
+				...probe(now, random),
+				...greetSeeds(now, random),
+			];
+			return {messages, pausedMs};
+		},
+		receive(message, from, now) {
+			checkPause(now);
+			if (from === ownId) {
+				return [];
+			}
+
+			const onward = takeUpdates(message.updates, from, now);
+			noteHeard(from, now);
+			if (message.contacts) {
+				contacts.merge(message.contacts, now);
+			}
+
+			return [...onward, ...answer(message, from, now), ...compare(message, from, now)];
+		},
+		state(statement, now) {
+			const current = self();
+			const isChanged = Object.entries(statement).some(([key, value]) => current[key as keyof OwnStatement] !== value);
+			if (!isChanged) {
+				return [];
+			}
+
+			restate(statement, now);
+			return flood([self()], ownId, now);
+		},
+		leave(now) {
+			restate({life: 'left'}, now);
+			return flood([self()], ownId, now);
+		},
+		addSeeds(addresses) {
+			for (const address of addresses) {
+				seeds.add(address);
+			}
+		},
+		hosts(now) {
+			const stale = staleZones(now);
+			const staleKey = stale.join(' ');
+			if (shown?.version !== records.version() || shown.stale !== staleKey) {
+				shown = {version: records.version(), stale: staleKey, hosts: toHosts(records.all(), new Set(stale), shown?.hosts)};
+			}
+
+			return shown.hosts;
+		},
+		self,
+		record: records.get,
+		spreadTargets: targets.spreadTo,
+		entryIncarnationSeen: () => entrySeen,
+		lastHeardAt: () => heardAt,
+	};
+}
+
+function toHosts(all: Iterable<HostRecord>, staleZones: ReadonlySet<ZoneId>, prev: ReadonlyMap<HostId, HostStatus> | undefined): ReadonlyMap<HostId, HostStatus> {
+	const hosts = new Map<HostId, HostStatus>();
+	for (const {id, zone, life, incarnation, entryAddress, entryIncarnation, agentAddress, leaving} of all) {
+		// A zone that nobody here hears may be cut off or gone; its hosts are no longer known to be alive.
+		const shownLife = life === 'alive' && staleZones.has(zone) ? 'suspect' : life;
+		const status: HostStatus = {
+			id, zone, life: shownLife, incarnation, entryAddress, entryIncarnation, agentAddress, leaving,
+		};
+		const before = prev?.get(id);
+		const isSame = before !== undefined && Object.entries(status).every(([key, value]) => before[key as keyof HostStatus] === value);
+		hosts.set(id, isSame ? before : status);
+	}
+
+	return hosts;
+}
--- a/src/ports/view.ts
+++ b/src/ports/view.ts
@@ -20,6 +20,8 @@
 	incarnation: Incarnation;
 	/** `IP:port` on which the host's entry takes calls of peers; empty while unknown. */
 	entryAddress: string;
+	/** Incarnation of the host's entry, which owns holds on engines; 0 or absent while the entry is not there. */
+	entryIncarnation?: Incarnation;
 	/** `IP:port` on which the host's agent takes calls of peers. */
 	agentAddress: string;
 	/** The platform lists it as leaving, or it said so itself. */
