--- a/src/adapters/engine-http/_lib/create-chunk-stream.ts
+++ b/src/adapters/engine-http/_lib/create-chunk-stream.ts
@@ -3,9 +3,9 @@
  * the reader is busy is joined into one chunk; beyond a bound the connection
  * is held back.
  */
-import {type Buffer} from 'node:buffer';
+import {Buffer} from 'node:buffer';
 import {
-	type DecodeChunk, type EngineFailure, type EngineStreamError, type FinishReason, type AttemptKey,
+	type AttemptKey, type DecodeChunk, type EngineFailure, type EngineStreamError, type FinishReason,
 } from '../../../ports/engine.js';
 import {type CallFault, type CallFlow} from '../../_lib/dispatch-call/index.js';
 import {type ChunkReader} from './create-chunk-reader.js';
@@ -36,6 +36,7 @@
 /** Creates the chunks of one connection. */
 export function createChunkStream({key, reader, flow, toFailure}: Options): ChunkStream {
 	let offset = reader.offset();
+	let waiting: Buffer[] = [];
 	let tokens: string[] = [];
 	let finish: FinishReason | undefined;
 	let failure: EngineFailure | undefined;
@@ -94,36 +95,59 @@
 		async return() {
 			isDone = true;
 			tokens = [];
-			flow.abandon();
+			// After the end mark only the end of the answer is to come, and the connection can be used again.
+			if (finish === undefined) {
+				flow.abandon();
+			}
+
 			return {done: true, value: undefined};
 		},
 	};
 
+	const takeBytes = (): void => {
+		if (waiting.length === 0) {
+			return;
+		}
+
+		const bytes = waiting.length === 1 ? waiting[0]! : Buffer.concat(waiting);
+		waiting = [];
+		const read = reader.add(bytes);
+		for (const token of read.tokens) {
+			tokens.push(token);
+		}
+
+		finish = read.finish;
+		if (read.fault !== undefined && finish === undefined) {
+			flow.abandon();
+			fail('invalid', read.fault);
+			return;
+		}
+
+		if (tokens.length > maxWaitingTokens && !isPaused) {
+			isPaused = true;
+			flow.pause();
+		}
+
+		serve();
+	};
+
 	return {
 		chunks: {[Symbol.asyncIterator]: () => iterator},
 		onData(bytes) {
-			const read = reader.add(bytes);
-			tokens = tokens.length === 0 ? read.tokens : [...tokens, ...read.tokens];
-			finish = read.finish;
-			if (read.fault !== undefined && finish === undefined) {
-				flow.abandon();
-				fail('invalid', read.fault);
-				return;
+			waiting.push(bytes);
+			// An engine writes a piece for each token, and one read of the socket brings many: they are parsed together.
+			if (waiting.length === 1) {
+				queueMicrotask(takeBytes);
 			}
-
-			if (tokens.length > maxWaitingTokens && !isPaused) {
-				isPaused = true;
-				flow.pause();
-			}
-
-			serve();
 		},
 		onEnd() {
+			takeBytes();
 			if (finish === undefined) {
 				fail('broken', 'the stream ended without its end mark');
 			}
 		},
 		onFault({kind, message}) {
+			takeBytes();
 			// An answer that is whole stays whole, whatever becomes of its connection.
 			if (finish === undefined) {
 				fail(kind === 'aborted' ? 'aborted' : 'broken', message);
--- a/test/stand-ins/engine/_lib/create-engine.ts
+++ b/test/stand-ins/engine/_lib/create-engine.ts
@@ -88,7 +88,10 @@
 
 	return {
 		judge,
-		orders,
+		setState(state: LoadReport['state']) {
+			served.state = state;
+			onChange();
+		},
 		reserve(body: JsonBody) {
 			const key = toKey(body);
 			checkStart(key, 'reservations');
--- a/test/stand-ins/engine/_lib/route.ts
+++ b/test/stand-ins/engine/_lib/route.ts
@@ -117,7 +117,7 @@
 
 		case 'POST /judge/state': {
 			const {state} = await readJson(req);
-			engine.orders.served.state = state as 'serving' | 'loading' | 'leaving';
+			engine.setState(state as 'serving' | 'loading' | 'leaving');
 			sendJson(res, 200, {state});
 			return true;
 		}
--- a/test/stand-ins/engine/index.ts
+++ b/test/stand-ins/engine/index.ts
@@ -51,9 +51,7 @@
 		setFaults(next) {
 			replaceFaults(faults, next);
 		},
-		setState(state) {
-			engine.orders.served.state = state;
-		},
+		setState: engine.setState,
 		judge: engine.judgeReport,
 		judgeRequest: engine.judge.request,
 		resetJudge: engine.judge.reset,
