Cut configuration documents into chunks, so that peers send what changed

Change: toConfigChunks cuts behind lines that their own content picks, fromConfigChunks checks the whole, bench/config-chunks.

Conclusion: the seal's last lines change with each edition, so that at least two chunks differ.

--- /dev/null
+++ b/bench/config-chunks/index.ts
@@ -0,0 +1,81 @@
+/**
+ * Measures what one change of a document with 18,000 workspaces costs between
+ * two hosts: the manifest and the chunks that the other lacks, for several
+ * average lengths of a chunk, and the time to cut and to put together.
+ */
+import {Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import fc from 'fast-check';
+import {toFleetConfig} from '../../src/domain/_test/to-fleet-config.js';
+import {toConfigText} from '../../src/domain/to-config-text/index.js';
+import {fromConfigChunks} from '../../src/domain/from-config-chunks/index.js';
+import {sealConfig} from '../../src/domain/seal-config/index.js';
+import {toConfigChunks} from '../../src/domain/to-config-chunks/index.js';
+
+export type ConfigChunksRow = {
+	averageLength: number;
+	documentBytes: number;
+	changes: number;
+	manifestBytes: number;
+	/** Bytes of chunks that the other host lacks, on average of all changes. */
+	chunkBytesMean: number;
+	chunkBytesMax: number;
+	totalBytesMean: number;
+	cutMs: number;
+	joinMs: number;
+};
+
+const changeCount = 20;
+
+/**
+ * Runs the bench and prints a table and the rows as JSON.
+ *
+ * @returns The rows.
+ */
+export function runConfigChunksBench(): readonly ConfigChunksRow[] {
+	const config = toFleetConfig(11_000, 18_000);
+	const plain = toConfigText(config);
+	const sealed = sealConfig(plain, undefined)._unsafeUnwrap().text;
+	const positions = fc.sample(fc.integer({min: 1, max: config.rules.length - 2}), {numRuns: changeCount, seed: 1});
+	const edits = positions.map(position => {
+		const edited = plain.replace(`"name":"r${position}"`, `"name":"r${position} since December"`);
+		return sealConfig(edited, sealed)._unsafeUnwrap().text;
+	});
+	const rows = [1024, 2048, 4096, 8192].map(averageLength => measure(sealed, edits, averageLength));
+	console.table(rows);
+	console.log(JSON.stringify({bench: 'config-chunks', rows}));
+	return rows;
+}
+
+function measure(before: string, edits: readonly string[], averageLength: number): ConfigChunksRow {
+	const start = performance.now();
+	const held = toConfigChunks(before, {averageLength});
+	const cutMs = performance.now() - start;
+	let joinMs = 0;
+	const costs = edits.map(text => {
+		const {manifest, chunks} = toConfigChunks(text, {averageLength});
+		const missing = [...chunks].filter(([digest]) => !held.chunks.has(digest));
+		const joinStart = performance.now();
+		const joined = fromConfigChunks(manifest, digest => held.chunks.get(digest) ?? chunks.get(digest));
+		joinMs += performance.now() - joinStart;
+		if (!joined.isOk() || joined.value !== text) {
+			throw new Error('the chunks do not make up the document');
+		}
+
+		return {manifest: manifest.chunkDigests.length + 32, chunks: missing.reduce((sum, [, chunk]) => sum + Buffer.byteLength(chunk), 0)};
+	});
+	const mean = (values: readonly number[]) => Math.round(values.reduce((sum, value) => sum + value, 0) / values.length);
+	const manifestBytes = mean(costs.map(({manifest}) => manifest));
+	const chunkBytesMean = mean(costs.map(cost => cost.chunks));
+	return {
+		averageLength,
+		documentBytes: Buffer.byteLength(before),
+		changes: edits.length,
+		manifestBytes,
+		chunkBytesMean,
+		chunkBytesMax: Math.max(...costs.map(cost => cost.chunks)),
+		totalBytesMean: manifestBytes + chunkBytesMean,
+		cutMs: Math.round(cutMs * 10) / 10,
+		joinMs: Math.round(joinMs / edits.length * 10) / 10,
+	};
+}
--- /dev/null
+++ b/src/domain/from-config-chunks/index.ts
@@ -0,0 +1,49 @@
+/** Puts a document together again from its chunks. */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {toDigest} from '../../_lib/to-digest/index.js';
+import {chunkDigestBytes, type ConfigManifest} from '../to-config-chunks/index.js';
+
+/**
+ * - `missing`: chunks are not there; fetch those and try again.
+ * - `altered`: the chunks don't make up the text that the manifest names; fetch the whole document.
+ * - `invalid-manifest`: the manifest itself is malformed.
+ */
+export type ChunksFault =
+	| {kind: 'missing'; digests: readonly string[]}
+	| {kind: 'altered'}
+	| {kind: 'invalid-manifest'};
+
+/**
+ * Puts a document together.
+ *
+ * @param manifest - The document's manifest, from a peer.
+ * @param findChunk - Looks up a chunk by its truncated digest in hex, among those of the document in force and those received.
+ * @returns The text, checked by its own digest, or what is missing.
+ *
+ * @example
+ * ```ts
+ * fromConfigChunks(manifest, digest => known.get(digest)); // => ok(text) or err({kind: 'missing', digests: ['0f...']})
+ * ```
+ */
+export function fromConfigChunks(manifest: ConfigManifest, findChunk: (digest: string) => string | undefined): Result<string, ChunksFault> {
+	const {chunkDigests} = manifest;
+	if (chunkDigests.length % chunkDigestBytes > 0) {
+		return err({kind: 'invalid-manifest'});
+	}
+
+	const digests = toDigests(chunkDigests);
+	const pieces = digests.map(digest => findChunk(digest));
+	const missing = digests.filter((_, i) => pieces[i] === undefined);
+	if (missing.length > 0) {
+		return err({kind: 'missing', digests: [...new Set(missing)]});
+	}
+
+	const text = pieces.join('');
+	return toDigest(text) === manifest.digest ? ok(text) : err({kind: 'altered'});
+}
+
+function toDigests(packed: Uint8Array): readonly string[] {
+	const bytes = Buffer.from(packed.buffer, packed.byteOffset, packed.byteLength);
+	return Array.from({length: packed.length / chunkDigestBytes}, (_, i) => bytes.toString('hex', i * chunkDigestBytes, (i + 1) * chunkDigestBytes));
+}
