--- /dev/null
+++ b/test/demo/_lib/tell-story.ts
@@ -0,0 +1,33 @@
+/** Tells in plain words what became of a request, from the log lines of the entry that served it. */
+import {type LogLine} from '../../_lib/start-program/index.js';
+
+function field(line: LogLine | undefined, name: string): string {
+	const value = line?.[name];
+	return typeof value === 'string' || typeof value === 'number' ? String(value) : '?';
+}
+
+function toMs(line: LogLine | undefined, name: string): string {
+	const value = line?.[name];
+	return typeof value === 'number' ? `${value.toFixed(1)} ms` : '?';
+}
+
+/**
+ * Turns the log lines of one request into sentences.
+ *
+ * @param lines - Lines with the request's id, oldest first.
+ * @returns One sentence a line.
+ */
+export function tellStory(lines: readonly LogLine[]): string[] {
+	const find = (message: string) => lines.find(line => line.message === message);
+	const received = find('request received');
+	const attempts = lines.filter(line => line.message === 'attempt started');
+	const ended = find('request ended');
+	const refused = find('request refused');
+	return [
+		...(received ? [`rule "${field(received, 'rule')}" decided: pool ${field(received, 'pool')}`] : []),
+		...attempts.map(line => `attempt ${field(line, 'attempt')}: prefill on ${field(line, 'prefillServer')}, decode on ${field(line, 'decodeServer')}`),
+		...(find('first token relayed') ? [`first token after ${toMs(find('first token relayed'), 'firstTokenMs')}`] : []),
+		...(ended ? [`ended after ${toMs(ended, 'durationMs')}, outcome "${field(ended, 'outcome')}"`] : []),
+		...(refused ? [`refused: ${field(refused, 'reason')}, outcome "${field(refused, 'outcome')}"`] : []),
+	];
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -38,6 +38,8 @@
 			'unicorn/prevent-abbreviations': ['error', {allowList: shortNames, ignore: [/^kv/i, /Kv/, /args$/i, /params$/i]}],
 			// The codec, the engines and the OpenAI-compatible API use snake_case and upper-case wire names.
 			'@typescript-eslint/naming-convention': 'off',
+			// Rules of the users read when-then: `then` is a key of their documents, and nobody awaits a rule.
+			'unicorn/no-thenable': 'off',
 			// Wire values use null where JSON does.
 			'@typescript-eslint/no-restricted-types': 'off',
 			// One task for each connection is written straight down: its steps wait for one another by design.
