Serve claims, joins and hand-overs between entries

Cause: the claim of a key, the join of its run and the hand-over of a witness have to go over the peer protocol, and the entry needs one call for them. Ruled out: pushing an answer's pieces as events, since a slow joiner would then need a flow control of its own; the joiner reads, and the run waits. Change: createClaims and serveKeyed in programs/entry/claims. A peer that has no run for a claim of its own gives the claim back; another process at the same address says so and the work is not run again. A table is handed to one peer, and taken once. While a host list has just changed, a claim needs a quorum by the old and the new list. A broken run that is not repeatable stays closed; a failed one that is repeatable frees its key. Conclusion: ready for the entry to call.

--- a/src/domain/create-run-table/index.ts
+++ b/src/domain/create-run-table/index.ts
@@ -15,6 +15,8 @@
 
 type Entry = {
 	run: RunRecord;
+	isRepeatable: boolean;
+	isBroken: boolean;
 	onAbandoned: (() => void) | undefined;
 	isAbandoned: boolean;
 	isKept: boolean;
@@ -33,7 +35,7 @@
  * @example
  * ```ts
  * const runs = createRunTable();
- * const writer = runs.start({workspace, key, digest}, now)._unsafeUnwrap();
+ * const writer = runs.start({workspace, key, digest, isRepeatable: false}, now)._unsafeUnwrap();
  * const reader = runs.join({workspace, key, digest}, now)._unsafeUnwrap();
  * writer.writeHead(200, {'content-type': 'text/plain'});
  * writer.write(new TextEncoder().encode('Zdravo'));
@@ -89,11 +91,13 @@
 				}
 
 				run.finish(how, now);
-				if (how === 'not-run') {
+				if (how === 'retryable' || (how === 'broken' && entry.isRepeatable)) {
 					entries.delete(text);
-				} else {
-					keep(entry);
+					return;
 				}
+
+				entry.isBroken = how === 'broken';
+				keep(entry);
 			},
 		};
 	}
@@ -121,7 +125,7 @@
 	}
 
 	return {
-		start({onAbandoned, digest, ...key}, now) {
+		start({onAbandoned, digest, isRepeatable, ...key}, now) {
 			const text = toScopedText(key);
 			if (entries.has(text)) {
 				return err('exists');
@@ -133,7 +137,7 @@
 
 			const run = createRun(digest, {maxRunBytes, highWaterBytes}, now);
 			const entry: Entry = {
-				run, onAbandoned, isAbandoned: false, isKept: false,
+				run, isRepeatable, isBroken: false, onAbandoned, isAbandoned: false, isKept: false,
 			};
 			entries.set(text, entry);
 			return ok(toWriter(text, entry));
@@ -148,6 +152,10 @@
 				return err('other-body');
 			}
 
+			if (entry.isBroken) {
+				return err('broken');
+			}
+
 			const reader = entry.run.read(now);
 			return reader === undefined ? err('not-kept') : ok(reader);
 		},
--- a/src/domain/create-run-table/test.ts
+++ b/src/domain/create-run-table/test.ts
@@ -4,7 +4,7 @@
 import {type RunReader, createRunTable} from './index.js';
 
 const key = {workspace: 'glossworks', key: '01890a5d-ac96-774b-bcce-b302099a8057'};
-const run = {...key, digest: 'digest'};
+const run = {...key, digest: 'digest', isRepeatable: false};
 const encode = (text: string) => new TextEncoder().encode(text);
 
 async function readAll(reader: RunReader): Promise<string> {
@@ -61,11 +61,23 @@
 		const writer = runs.start(run, 0)._unsafeUnwrap();
 		const reader = runs.join(run, 0)._unsafeUnwrap();
 		writer.writeHead(503, {});
-		writer.end('not-run', 0);
-		assert.equal(await readAll(reader), '503:|not-run');
+		writer.end('retryable', 0);
+		assert.equal(await readAll(reader), '503:|retryable');
 		assert.ok(runs.start(run, 0).isOk());
 	});
 
+	it('frees the key of a broken run only if the work may be run again', async () => {
+		for (const isRepeatable of [true, false]) {
+			const runs = createRunTable();
+			const writer = runs.start({...run, isRepeatable}, 0)._unsafeUnwrap();
+			const reader = runs.join(run, 0)._unsafeUnwrap();
+			writer.write(encode('1'));
+			writer.end('broken', 0);
+			assert.equal(await readAll(reader), '1|broken');
+			assert.equal(runs.join(run, 0)._unsafeUnwrapErr(), isRepeatable ? 'unknown' : 'broken');
+		}
+	});
+
 	it('asks the writer to wait for a slow reader, and not when nobody reads', async () => {
 		const runs = createRunTable({highWaterBytes: 4});
 		const writer = runs.start(run, 0)._unsafeUnwrap();
--- a/src/domain/create-run-table/types.ts
+++ b/src/domain/create-run-table/types.ts
@@ -6,10 +6,10 @@
  * How a run ended.
  *
  * - `complete`: its answer is whole, be it a result or a final refusal.
- * - `broken`: the answer was cut after its head; readers must break their connection.
- * - `not-run`: nothing was dispatched. Readers get what was written; the key is free again.
+ * - `broken`: the answer was cut; readers must break their connection. The key is free again if the work is repeatable.
+ * - `retryable`: nothing was dispatched, or it may be run again. Readers get what was written; the key is free again.
  */
-export type RunEnd = 'complete' | 'broken' | 'not-run';
+export type RunEnd = 'complete' | 'broken' | 'retryable';
 
 /** A piece of an answer, in order from its head. */
 export type RunPart =
@@ -45,11 +45,13 @@
  * - `unknown`: no such key here.
  * - `other-body`: the key names other work.
  * - `not-kept`: it ran, and its answer is no longer kept from the first byte.
+ * - `broken`: it was broken off, and may not be run again.
  */
-export type JoinFault = 'unknown' | 'other-body' | 'not-kept';
+export type JoinFault = 'unknown' | 'other-body' | 'not-kept' | 'broken';
 
 export type StartRunOptions = ScopedKey & {
 	digest: string;
+	isRepeatable: boolean;
 	/** Nobody has read for longer than `abandonAfterMs`, or an answer outgrew what is kept with nobody there. */
 	onAbandoned?: () => void;
 };
--- /dev/null
+++ b/src/programs/entry/claims/_lib/create-hand-overs.ts
@@ -0,0 +1,94 @@
+import {type WitnessHandOver} from '../../../../domain/create-claim-witness/index.js';
+import {type Milliseconds} from '../../../../ports/clock.js';
+import {type HostId} from '../../../../ports/ids.js';
+import {msPerMinute} from '../../../../ports/units.js';
+import {type HandOverPart, type TakeOverReply} from './messages.js';
+
+const claimsPerPart = 2000;
+const keptForMs = 10 * msPerMinute;
+const maxSlots = 8;
+
+/** Tables of witnesses that left, held for their successors. */
+export type HandOvers = {
+	/** Takes in a part of a table; `false` when there is no room. */
+	put: (part: HandOverPart) => boolean;
+	/** Gives a part out. The first part takes the table away: no second successor gets it. */
+	take: (slot: HostId, taker: object, part: number) => TakeOverReply;
+	sweep: () => void;
+};
+
+type Held = {
+	parts: Array<HandOverPart | undefined>;
+	incarnation: number;
+	heldSince: Milliseconds;
+	/** The connection that takes it. */
+	taker: object | undefined;
+};
+
+/**
+ * Cuts a table into parts that fit a frame.
+ *
+ * @param handOver - The frozen table.
+ * @returns At least one part.
+ */
+export function toHandOverParts({claims, ...rest}: WitnessHandOver): HandOverPart[] {
+	const parts = Math.max(1, Math.ceil(claims.length / claimsPerPart));
+	return Array.from({length: parts}, (_, part) => ({
+		...rest, part, parts, claims: claims.slice(part * claimsPerPart, (part + 1) * claimsPerPart),
+	}));
+}
+
+/**
+ * Creates the store of tables that this host holds for others.
+ *
+ * @param now - Monotonic milliseconds.
+ * @returns Functions that close over the store.
+ */
+export function createHandOvers(now: () => Milliseconds): HandOvers {
+	const held = new Map<HostId, Held>();
+
+	return {
+		put(part) {
+			const known = held.get(part.slot);
+			const isNew = known?.incarnation !== part.incarnation;
+			if (isNew && (part.part !== 0 || (known === undefined && held.size >= maxSlots))) {
+				return false;
+			}
+
+			const entry: Held = isNew || known === undefined
+				? {
+					parts: Array.from({length: part.parts}), incarnation: part.incarnation, heldSince: now(), taker: undefined,
+				}
+				: known;
+			if (part.part >= entry.parts.length) {
+				return false;
+			}
+
+			entry.parts[part.part] = part;
+			held.set(part.slot, entry);
+			return true;
+		},
+		take(slot, taker, part) {
+			const found = held.get(slot);
+			const isWhole = found?.parts.every(piece => piece !== undefined) ?? false;
+			if (found === undefined || !isWhole || (found.taker !== undefined && found.taker !== taker)) {
+				return {kind: 'nothing'};
+			}
+
+			found.taker = taker;
+			const piece = found.parts[part];
+			if (piece === undefined || part === found.parts.length - 1) {
+				held.delete(slot);
+			}
+
+			return piece === undefined ? {kind: 'nothing'} : {kind: 'part', ...piece};
+		},
+		sweep() {
+			for (const [slot, {heldSince}] of held) {
+				if (now() - heldSince > keptForMs) {
+					held.delete(slot);
+				}
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/entry/claims/_lib/create-peer-pool.ts
@@ -0,0 +1,88 @@
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {type PeerConnection, type PeerFailure} from '../../../../adapters/peer-tcp/index.js';
+import {type Milliseconds} from '../../../../ports/clock.js';
+
+export type PeerPool = {
+	/** The open connection to an address, or a new one. */
+	get: (address: string) => ResultAsync<PeerConnection, PeerFailure>;
+	/** Closes connections that were not used for a while. */
+	closeIdle: () => void;
+	close: () => void;
+};
+
+export type PeerPoolOptions = {
+	connect: (address: string) => ResultAsync<PeerConnection, PeerFailure>;
+	/** Monotonic milliseconds. */
+	now: () => Milliseconds;
+	idleMs: Milliseconds;
+};
+
+type Pooled = {
+	connecting: ResultAsync<PeerConnection, PeerFailure>;
+	usedAt: Milliseconds;
+};
+
+/**
+ * Keeps one connection to each peer in use. Keys are witnessed by hosts all
+ * over the fleet, so connections come as they are needed and go when idle.
+ *
+ * @param options - How to connect, and how long an idle connection stays.
+ * @returns The pool.
+ */
+export function createPeerPool({connect, now, idleMs}: PeerPoolOptions): PeerPool {
+	const pooled = new Map<string, Pooled>();
+	let isClosed = false;
+
+	async function forgetWhenEnded(address: string, entry: Pooled) {
+		const connected = await entry.connecting;
+		if (connected.isOk()) {
+			await connected.value.closed;
+		}
+
+		if (pooled.get(address) === entry) {
+			pooled.delete(address);
+		}
+	}
+
+	function open(address: string): Pooled {
+		const entry = {connecting: connect(address), usedAt: now()};
+		pooled.set(address, entry);
+		void forgetWhenEnded(address, entry);
+		return entry;
+	}
+
+	async function end(entry: Pooled) {
+		const connected = await entry.connecting;
+		if (connected.isOk()) {
+			connected.value.close();
+		}
+	}
+
+	return {
+		get(address) {
+			if (isClosed) {
+				return errAsync({kind: 'unreachable', sent: false, message: 'This process is stopping.'});
+			}
+
+			const entry = pooled.get(address) ?? open(address);
+			entry.usedAt = now();
+			return entry.connecting.andThen(connection => okAsync(connection));
+		},
+		closeIdle() {
+			for (const [address, entry] of pooled) {
+				if (now() - entry.usedAt > idleMs) {
+					pooled.delete(address);
+					void end(entry);
+				}
+			}
+		},
+		close() {
+			isClosed = true;
+			for (const entry of pooled.values()) {
+				void end(entry);
+			}
+
+			pooled.clear();
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/entry/claims/_lib/create-remote-reader.ts
@@ -0,0 +1,46 @@
+import {type PeerConnection} from '../../../../adapters/peer-tcp/index.js';
+import {type RunPart, type RunReader} from '../../../../domain/create-run-table/index.js';
+import {msPerSecond} from '../../../../ports/units.js';
+import {events, methods, readReplySchema} from './messages.js';
+
+/** Longer than a peer holds a read that finds nothing new. */
+const readTimeoutMs = 15 * msPerSecond;
+
+const broken: RunPart = {kind: 'end', end: 'broken'};
+
+/**
+ * Reads the answer of a run on another host. A reply that is lost takes bytes
+ * with it, so any failure ends the answer as broken and never as whole; the
+ * caller may call again with the same key.
+ *
+ * @param connection - Connection to the host that runs it.
+ * @param readId - The reader that the host opened for us.
+ * @returns The reader.
+ */
+export function createRemoteReader(connection: PeerConnection, readId: number): RunReader {
+	let last: RunPart | undefined;
+
+	async function next(): Promise<RunPart> {
+		while (last === undefined) {
+			const reply = await connection.call(methods.read, {readId}, {timeoutMs: readTimeoutMs});
+			const part = readReplySchema.safeParse(reply.unwrapOr(undefined));
+			if (!part.success) {
+				last = broken;
+			} else if (part.data.kind === 'end' || part.data.kind === 'taken-over') {
+				last = part.data;
+			} else if (part.data.kind !== 'idle') {
+				return part.data;
+			}
+		}
+
+		return last;
+	}
+
+	return {
+		next,
+		close() {
+			last ??= broken;
+			connection.send(events.closeRead, {readId});
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/entry/claims/index.ts
@@ -0,0 +1,468 @@
+/**
+ * Keyed requests over the fleet: claims a key at its witnesses, witnesses the
+ * keys of others, and lets a second call join the first one's run, on whichever
+ * host it is. The reasoning is in `docs/design/007-at-most-once.md`.
+ */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {createDeferred} from '../../../_lib/create-deferred/index.js';
+import {
+	connectPeer, type PeerConnection, type PeerHello,
+} from '../../../adapters/peer-tcp/index.js';
+import {type AskFailure, claimKey} from '../../../domain/claim-key/index.js';
+import {
+	type Claim, type ClaimAnswer, type ClaimRequest, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
+} from '../../../domain/create-claim-witness/index.js';
+import {createRunTable, type RunWriter} from '../../../domain/create-run-table/index.js';
+import {pickWitnesses} from '../../../domain/pick-witnesses/index.js';
+import {toScopedText} from '../../../domain/to-scoped-text/index.js';
+import {type HostId} from '../../../ports/ids.js';
+import {msPerMinute, msPerSecond} from '../../../ports/units.js';
+import {createHandOvers, toHandOverParts} from './_lib/create-hand-overs.js';
+import {createPeerPool} from './_lib/create-peer-pool.js';
+import {createRemoteReader} from './_lib/create-remote-reader.js';
+import {createServedReads} from './_lib/create-served-reads.js';
+import {createWitnessSets} from './_lib/create-witness-sets.js';
+import {
+	claimAnswerSchema, claimRequestSchema, events, handOverSchema, joinReplySchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverReplySchema, takeOverRequestSchema,
+	type HandOverPart, type JoinReply, type TakeOverReply,
+} from './_lib/messages.js';
+import {toClaimProblem, toJoinProblem, toLostProblem} from './_lib/to-claim-problem.js';
+import {
+	type Claimed, type Claims, type ClaimsOptions, type KeyedRequest,
+} from './types.js';
+
+export {serveKeyed, type KeyedVerdict, type ServeKeyedOptions} from './serve-keyed.js';
+export {
+	type Claimed, type Claims, type ClaimsOptions, type KeyedRequest,
+} from './types.js';
+
+const defaultAskTimeoutMs = msPerSecond;
+/** A join waits for the claimant's own claim to be decided. */
+const joinTimeoutMs = 8 * msPerSecond;
+const handOverTimeoutMs = 2 * msPerSecond;
+const idleConnectionMs = msPerMinute;
+const handOverCandidates = 3;
+const rounds = 6;
+const roundWaitMs = 40;
+
+/**
+ * Creates the claims of one entry.
+ *
+ * @param options - See {@link ClaimsOptions}.
+ * @returns See {@link Claims}.
+ *
+ * @example
+ * ```ts
+ * const claims = createClaims({hello, toAddress: () => `${bind}:${peers.port}`, toView: () => view, clock, random, log});
+ * const peers = await listenPeers({bind, port, hello, onCall: claims.onCall, onEvent: claims.onEvent});
+ * // after the first view with hosts: void claims.takeOver(); every second: claims.tick()
+ *
+ * // for each request with a key, once its rule and body are known:
+ * await serveKeyed(claims, exchange, {workspace, key, digest, isRepeatable: rule.then.repeatable}, {
+ *     writeTimeoutMs,
+ *     now: clock.now,
+ *     serve: async recorded => runAsIfThisWereTheCaller(recorded), // reached on one host alone; resolves to 'complete', 'not-run' or 'failed'
+ * });
+ *
+ * // on a graceful stop, when all requests have ended:
+ * await claims.leave();
+ * claims.close();
+ * ```
+ */
+export function createClaims(options: ClaimsOptions): Claims {
+	const {
+		hello, toAddress, toView, clock, random, log, askTimeoutMs = defaultAskTimeoutMs, clockBoundMs = defaultClockBoundMs,
+	} = options;
+	const retentionMs = defaultRetentionMs - defaultClockBoundMs + clockBoundMs;
+	/** Names this process: a later one at the same address did not make its claims and cannot say what became of them. */
+	const instance = randomUUID();
+	const slot = hello().host;
+	const witness = createClaimWitness({
+		slot, incarnation: hello().incarnation, startedAt: clock.wallNow(), clockBoundMs, retentionMs,
+	});
+	const runs = createRunTable(options.runs);
+	const reads = createServedReads(clock.now);
+	const handOvers = createHandOvers(clock.now);
+	const witnessSets = createWitnessSets(retentionMs + clockBoundMs);
+	const pool = createPeerPool({
+		connect: address => connectPeer({
+			address, hello, connectTimeoutMs: askTimeoutMs, tls: options.tls,
+		}),
+		now: clock.now,
+		idleMs: idleConnectionMs,
+	});
+	/** Claims of this process that are not decided yet, by scoped key. */
+	const pending = new Map<string, {claimId: string; decided: Promise<void>}>();
+	let claimCount = 0;
+
+	function connectTo(host: HostId): ResultAsync<PeerConnection, AskFailure> {
+		const address = toView()?.hosts.get(host)?.entryAddress ?? '';
+		if (address === '') {
+			return errAsync({message: `no address of host ${host} is known`});
+		}
+
+		return pool.get(address).andThen(connection => connection.peer.host === host && connection.peer.role === 'entry'
+			? okAsync(connection)
+			: errAsync({message: `${address} is not the entry of host ${host}`}));
+	}
+
+	function ask(host: HostId, request: ClaimRequest): ResultAsync<ClaimAnswer, AskFailure> {
+		if (host === slot) {
+			return okAsync(witness.claim(request, clock.wallNow()));
+		}
+
+		return connectTo(host)
+			.andThen(connection => connection.call(methods.claim, request, {timeoutMs: askTimeoutMs}))
+			.andThen(reply => {
+				const answer = claimAnswerSchema.safeParse(reply);
+				return answer.success
+					? okAsync<ClaimAnswer, AskFailure>(answer.data as ClaimAnswer)
+					: errAsync<ClaimAnswer, AskFailure>({message: `host ${host} sent no valid answer to a claim`});
+			});
+	}
+
+	function release(host: HostId, request: {workspace: string; key: string; claimId: string}) {
+		if (host === slot) {
+			witness.release(request);
+			return;
+		}
+
+		// A release that is lost is made up for when the next claimant asks to join: see `join`.
+		void connectTo(host).map(connection => connection.send(events.release, request));
+	}
+
+	function toSets(text: string) {
+		witnessSets.setHosts(toView()?.accepted?.config.hosts ?? [], clock.now());
+		return witnessSets.pick(text, clock.now());
+	}
+
+	function releaseEverywhere(request: {workspace: string; key: string; claimId: string}) {
+		const slots = new Set(toSets(toScopedText(request)).flatMap(set => set.slots));
+		for (const host of slots) {
+			release(host, request);
+		}
+	}
+
+	/** Gives the claim back when the run left the table, so that the same key may be sent again to any host. */
+	function toReleasingWriter(writer: RunWriter, request: {workspace: string; key: string; claimId: string}): RunWriter {
+		let isEnded = false;
+		return {
+			...writer,
+			end(how, now) {
+				if (isEnded) {
+					return;
+				}
+
+				isEnded = true;
+				writer.end(how, now);
+				if (!runs.has(request)) {
+					releaseEverywhere(request);
+				}
+			},
+		};
+	}
+
+	function startRun(request: KeyedRequest, claimId: string): Claimed {
+		const {workspace, key, digest, isRepeatable, onAbandoned} = request;
+		const started = runs.start({
+			workspace, key, digest, isRepeatable, onAbandoned,
+		}, clock.now());
+		const reader = runs.join(request, clock.now());
+		if (started.isErr() || reader.isErr()) {
+			releaseEverywhere({workspace, key, claimId});
+			const problem = {
+				kind: 'queue-full', detail: 'This host keeps as many keyed requests as it can.', outcome: 'not-run', retryAfterMs: msPerSecond,
+			} as const;
+			return {kind: 'refused', problem};
+		}
+
+		return {kind: 'run', writer: toReleasingWriter(started.value, {workspace, key, claimId}), reader: reader.value};
+	}
+
+	async function callJoin(request: KeyedRequest, holder: Claim): Promise<{connection: PeerConnection; reply: JoinReply} | undefined> {
+		const {workspace, key, digest} = request;
+		const connected = await pool.get(holder.claimant.address);
+		if (connected.isErr()) {
+			return undefined;
+		}
+
+		const replied = await connected.value.call(methods.join, {
+			workspace, key, digest, claimId: holder.claimId,
+		}, {timeoutMs: joinTimeoutMs});
+		const reply = joinReplySchema.safeParse(replied.unwrapOr(undefined));
+		return reply.success ? {connection: connected.value, reply: reply.data} : undefined;
+	}
+
+	/** Joins another host's run. `again` when its claim was given back; `lost` when what became of it cannot be learnt. */
+	async function joinRemote(request: KeyedRequest, holder: Claim): Promise<Claimed | 'again' | 'lost'> {
+		const joined = await callJoin(request, holder);
+		switch (joined?.reply.kind) {
+			case 'reading': {
+				return {kind: 'join', reader: createRemoteReader(joined.connection, joined.reply.readId), host: holder.claimant.host};
+			}
+
+			case 'released': {
+				return 'again';
+			}
+
+			case 'other-body':
+			case 'not-kept':
+			case 'broken': {
+				return {kind: 'refused', problem: toJoinProblem(joined.reply.kind)};
+			}
+
+			case 'foreign':
+			case undefined: {
+				return 'lost';
+			}
+		}
+	}
+
+	async function claimOnce(request: KeyedRequest, replaces: string | undefined): Promise<Claimed | {kind: 'held'; holder: Claim}> {
+		const {workspace, key, digest, isRepeatable} = request;
+		const text = toScopedText(request);
+		claimCount++;
+		const claimId = `${instance}-${claimCount}`;
+		const decided = createDeferred();
+		pending.set(text, {claimId, decided: decided.promise});
+		try {
+			const granted = await claimKey({
+				request: {
+					workspace, key, digest, isRepeatable, claimId, replaces, claimant: {host: slot, incarnation: hello().incarnation, address: toAddress()},
+				},
+				sets: toSets(text),
+				ask,
+				release,
+				wait: async ms => sleep(ms),
+				random,
+			});
+			if (granted.isErr()) {
+				return {kind: 'refused', problem: toClaimProblem(granted.error)};
+			}
+
+			// Without a wait in between: whoever asks to join finds the claim pending or the run in the table.
+			return granted.value.kind === 'granted' ? startRun(request, claimId) : {kind: 'held', holder: granted.value.claim};
+		} finally {
+			pending.delete(text);
+			decided.resolve();
+		}
+	}
+
+	/** What to do about a key that another claim holds. */
+	async function joinHolder(request: KeyedRequest, holder: Claim): Promise<Claimed | 'again' | 'lost'> {
+		if (!holder.claimId.startsWith(instance)) {
+			return joinRemote(request, holder);
+		}
+
+		// Our own claim, and no run of it: it was given back and a witness did not hear of it.
+		if (!runs.has(request)) {
+			releaseEverywhere({workspace: request.workspace, key: request.key, claimId: holder.claimId});
+		}
+
+		return 'again';
+	}
+
+	function joinLocal(request: KeyedRequest): Claimed | undefined {
+		const joined = runs.join(request, clock.now());
+		if (joined.isOk()) {
+			return {kind: 'join', reader: joined.value, host: slot};
+		}
+
+		return joined.error === 'unknown' ? undefined : {kind: 'refused', problem: toJoinProblem(joined.error)};
+	}
+
+	async function claim(request: KeyedRequest): Promise<Claimed> {
+		const text = toScopedText(request);
+		let replaces: string | undefined;
+		for (let round = 1; round <= rounds; round++) {
+			const local = joinLocal(request);
+			if (local !== undefined) {
+				return local;
+			}
+
+			const undecided = pending.get(text);
+			if (undecided !== undefined) {
+				await undecided.decided;
+				continue;
+			}
+
+			const claimed = await claimOnce(request, replaces);
+			if (claimed.kind !== 'held') {
+				return claimed;
+			}
+
+			const joined = await joinHolder(request, claimed.holder);
+			if (joined !== 'again' && joined !== 'lost') {
+				return joined;
+			}
+
+			if (joined === 'lost' && !request.isRepeatable) {
+				return {kind: 'refused', problem: toLostProblem(claimed.holder.claimant.host)};
+			}
+
+			replaces = joined === 'lost' ? claimed.holder.claimId : undefined;
+			await sleep(joined === 'lost' ? 0 : roundWaitMs * round * (0.5 + random()));
+		}
+
+		return {kind: 'refused', problem: toLostProblem(undefined)};
+	}
+
+	async function serveJoin(body: unknown, connection: PeerConnection): Promise<JoinReply> {
+		const request = joinRequestSchema.parse(body);
+		if (!request.claimId.startsWith(instance)) {
+			return {kind: 'foreign'};
+		}
+
+		const undecided = pending.get(toScopedText(request));
+		if (undecided?.claimId === request.claimId) {
+			await undecided.decided;
+		}
+
+		const joined = runs.join(request, clock.now());
+		if (joined.isOk()) {
+			return {kind: 'reading', readId: reads.open(joined.value, connection)};
+		}
+
+		if (joined.error !== 'unknown') {
+			return {kind: joined.error};
+		}
+
+		releaseEverywhere(request);
+		return {kind: 'released'};
+	}
+
+	async function onCall(peer: PeerHello, method: string, body: unknown, connection: PeerConnection): Promise<unknown> {
+		switch (method) {
+			case methods.claim: {
+				return witness.claim(claimRequestSchema.parse(body), clock.wallNow());
+			}
+
+			case methods.join: {
+				return serveJoin(body, connection);
+			}
+
+			case methods.read: {
+				return reads.read(readRequestSchema.parse(body).readId, connection);
+			}
+
+			case methods.handOver: {
+				const part = handOverSchema.parse(body);
+				return {isTaken: part.slot === peer.host && handOvers.put(part)};
+			}
+
+			case methods.takeOver: {
+				return handOvers.take(peer.host, connection, takeOverRequestSchema.parse(body).part);
+			}
+
+			default: {
+				throw new Error(`unknown method ${method}`);
+			}
+		}
+	}
+
+	/** Peers that hold this slot's table between two of its processes, in an order that both know. */
+	function listHolders(): HostId[] {
+		const hosts = toView()?.accepted?.config.hosts.filter(host => host.id !== slot) ?? [];
+		return [...pickWitnesses(`hand-over\n${slot}`, hosts).slots];
+	}
+
+	/** A part that may have arrived ends the search: with a second copy about, two successors could take the table. */
+	async function handTo(host: HostId, parts: readonly HandOverPart[]): Promise<'done' | 'unreachable' | 'failed'> {
+		const connected = await connectTo(host);
+		if (connected.isErr()) {
+			return 'unreachable';
+		}
+
+		for (const part of parts) {
+			const reply = await connected.value.call(methods.handOver, part, {timeoutMs: handOverTimeoutMs});
+			if (reply.isErr()) {
+				return !reply.error.sent && part.part === 0 ? 'unreachable' : 'failed';
+			}
+		}
+
+		return 'done';
+	}
+
+	async function leave(): Promise<boolean> {
+		const handOver = witness.freeze(clock.wallNow());
+		if (handOver === undefined) {
+			return false;
+		}
+
+		const parts = toHandOverParts(handOver);
+		for (const host of listHolders().slice(0, handOverCandidates)) {
+			const handed = await handTo(host, parts);
+			if (handed !== 'unreachable') {
+				log.info(handed === 'done' ? 'claims handed over' : 'claims may not have been handed over', {peer: host, count: handOver.claims.length});
+				return handed === 'done';
+			}
+		}
+
+		log.warn('claims not handed over: no peer was reached', {count: handOver.claims.length});
+		return false;
+	}
+
+	async function takePart(connection: PeerConnection, part: number): Promise<TakeOverReply> {
+		const replied = await connection.call(methods.takeOver, {part}, {timeoutMs: handOverTimeoutMs});
+		const reply = takeOverReplySchema.safeParse(replied.unwrapOr(undefined));
+		return reply.success ? reply.data : {kind: 'nothing'};
+	}
+
+	async function takeFrom(host: HostId): Promise<boolean> {
+		const connected = await connectTo(host);
+		const first = connected.isOk() ? await takePart(connected.value, 0) : undefined;
+		if (connected.isErr() || first?.kind !== 'part') {
+			return false;
+		}
+
+		const claims = [...first.claims];
+		for (let part = 1; part < first.parts; part++) {
+			const next = await takePart(connected.value, part);
+			if (next.kind !== 'part') {
+				return false;
+			}
+
+			claims.push(...next.claims);
+		}
+
+		return witness.adopt({...first, claims});
+	}
+
+	async function takeOver(): Promise<boolean> {
+		for (const host of listHolders().slice(0, handOverCandidates)) {
+			if (await takeFrom(host)) {
+				log.info('claims taken over', {peer: host, count: witness.stats().claims});
+				return true;
+			}
+		}
+
+		log.info('no claims to take over');
+		return false;
+	}
+
+	return {
+		claim,
+		onCall,
+		handles: method => Object.values<string>(methods).includes(method),
+		onEvent(_peer, name, body, connection) {
+			if (name === events.release) {
+				witness.release(releaseSchema.parse(body));
+			} else if (name === events.closeRead) {
+				reads.close(readRequestSchema.parse(body).readId, connection);
+			}
+		},
+		takeOver,
+		leave,
+		tick() {
+			witness.sweep(clock.wallNow());
+			runs.sweep(clock.now());
+			reads.sweep();
+			handOvers.sweep();
+			pool.closeIdle();
+		},
+		close: pool.close,
+		stats: () => ({...runs.stats(), ...witness.stats()}),
+	};
+}
--- /dev/null
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -0,0 +1,172 @@
+/**
+ * Serves a caller's keyed request: claims the key, runs the work or joins its
+ * run, and passes the answer on, whoever computes it.
+ */
+import {Buffer} from 'node:buffer';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {type RunEnd, type RunReader, type RunWriter} from '../../../domain/create-run-table/index.js';
+import {toProblem} from '../../../domain/to-problem/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type Claims, type KeyedRequest} from './types.js';
+
+/**
+ * What became of the work, beside what was answered.
+ *
+ * - `complete`: its whole answer was written.
+ * - `not-run`: nothing was dispatched.
+ * - `failed`: anything else.
+ */
+export type KeyedVerdict = 'complete' | 'not-run' | 'failed';
+
+export type ServeKeyedOptions = {
+	/** Time for which a caller may read nothing before it counts as gone. */
+	writeTimeoutMs: Milliseconds;
+	/** Monotonic milliseconds. */
+	now: () => Milliseconds;
+	/**
+	 * Does the work and answers the exchange that it is given, which stands for
+	 * whoever reads the answer. Its `gone` fires when nobody does any more. Called
+	 * on one host alone.
+	 */
+	serve: (recorded: CallerExchange) => Promise<KeyedVerdict>;
+	/** Called when the answer comes from a run that an earlier call started. */
+	onJoin?: (host: string) => void;
+};
+
+/** Passes an answer on to a caller until it ends, the caller goes, or another connection takes the delivery over. */
+async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now}: ServeKeyedOptions): Promise<void> {
+	const onGone = () => {
+		reader.close(now());
+	};
+
+	exchange.gone.addEventListener('abort', onGone, {once: true});
+	try {
+		while (!exchange.gone.aborted) {
+			const part = await reader.next();
+			if (part.kind === 'head') {
+				exchange.startStream(part.status, part.headers);
+			} else if (part.kind === 'bytes') {
+				const isFree = exchange.write(part.bytes);
+				if (!isFree && !await exchange.drained(writeTimeoutMs)) {
+					exchange.destroy();
+					return;
+				}
+			} else if (part.kind === 'end' && part.end !== 'broken' && exchange.isStarted()) {
+				exchange.end();
+				return;
+			} else {
+				// Cut or taken over: a connection that closes normally here would pass half an answer off as whole.
+				exchange.destroy();
+				return;
+			}
+		}
+	} finally {
+		exchange.gone.removeEventListener('abort', onGone);
+		reader.close(now());
+	}
+}
+
+type Recorded = {
+	exchange: CallerExchange;
+	/** Whether the answer was ended as whole. */
+	isWhole: () => boolean;
+};
+
+/**
+ * An exchange whose answer goes into a run, to be read by whoever has the
+ * delivery. Its end is told to the run only with the verdict: a failure that is
+ * told in a whole answer must not be kept as the answer of repeatable work.
+ */
+function toRecorded(exchange: CallerExchange, writer: RunWriter, gone: AbortSignal): Recorded {
+	let isStarted = false;
+	let isWhole = false;
+
+	function start(status: number, headers: Readonly<Record<string, string | readonly string[]>>) {
+		isStarted = true;
+		writer.writeHead(status, headers);
+	}
+
+	function send(status: number, headers: Readonly<Record<string, string>>, body: string) {
+		start(status, headers);
+		writer.write(Buffer.from(body));
+		isWhole = true;
+	}
+
+	const recorded: CallerExchange = {
+		...exchange,
+		gone,
+		isStarted: () => isStarted,
+		startStream: start,
+		write: piece => writer.write(typeof piece === 'string' ? Buffer.from(piece) : piece),
+		async drained() {
+			await writer.drained();
+			return !gone.aborted;
+		},
+		sendAnswer: send,
+		sendProblem(problem) {
+			const {status, headers, body} = toProblem(problem, exchange.requestId);
+			send(status, headers, body);
+		},
+		end() {
+			isWhole = true;
+		},
+		destroy() {
+			isWhole = false;
+		},
+	};
+	return {exchange: recorded, isWhole: () => isWhole};
+}
+
+function toRunEnd(verdict: KeyedVerdict, isWhole: boolean, isRepeatable: boolean): RunEnd {
+	if (verdict === 'not-run') {
+		return 'retryable';
+	}
+
+	if (!isWhole) {
+		return 'broken';
+	}
+
+	return verdict === 'failed' && isRepeatable ? 'retryable' : 'complete';
+}
+
+/**
+ * Serves one keyed request.
+ *
+ * @param claims - Claims of this entry.
+ * @param exchange - The caller's request, its body read.
+ * @param request - The key and what it names.
+ * @param options - How to do the work; see {@link ServeKeyedOptions}.
+ * @returns Resolves when both the delivery and, if it is here, the work have ended.
+ */
+export async function serveKeyed(claims: Claims, exchange: CallerExchange, request: Omit<KeyedRequest, 'onAbandoned'>, options: ServeKeyedOptions): Promise<void> {
+	const abandoned = new AbortController();
+	const claimed = await claims.claim({
+		...request,
+		onAbandoned() {
+			abandoned.abort();
+		},
+	});
+	if (claimed.kind === 'refused') {
+		exchange.sendProblem(claimed.problem);
+		return;
+	}
+
+	if (claimed.kind === 'join') {
+		options.onJoin?.(claimed.host);
+		await deliver(claimed.reader, exchange, options);
+		return;
+	}
+
+	const work = async () => {
+		const recorded = toRecorded(exchange, claimed.writer, abandoned.signal);
+		try {
+			const verdict = await options.serve(recorded.exchange);
+			claimed.writer.end(toRunEnd(verdict, recorded.isWhole(), request.isRepeatable), options.now());
+		} finally {
+			// A fault of the program must not leave readers waiting; after a proper end this changes nothing.
+			claimed.writer.end('broken', options.now());
+		}
+	};
+
+	await Promise.all([deliver(claimed.reader, exchange, options), work()]);
+}
