--- /dev/null
+++ b/src/domain/judge-sample/index.ts
@@ -0,0 +1,94 @@
+/**
+ * Judges one ended request against its rule's target.
+ */
+import {type BadCause} from '../../_lib/slo/index.js';
+import {type Milliseconds} from '../../ports/clock.js';
+import {type LatencyTarget} from '../../ports/config.js';
+import {type WorkspaceId} from '../../ports/ids.js';
+import {type ServiceClass} from '../../ports/outcome.js';
+
+/**
+ * How a request ended.
+ *
+ * - `complete`: the whole answer went to the caller.
+ * - `refused`: it got a refusal that is not the caller's fault, such as a full queue.
+ * - `failed`: its answer broke off.
+ * - `gone`: the caller left first.
+ */
+export type SampleEnd = 'complete' | 'refused' | 'failed' | 'gone';
+
+export type SloSample = {
+	class: ServiceClass;
+	workspace: WorkspaceId;
+	rule: string;
+	end: SampleEnd;
+	/** Time from the request's last byte to the first token (first body byte, for a plain service); `undefined` if none came. */
+	firstTokenMs: Milliseconds | undefined;
+	/** Mean time between the tokens of the answer; `undefined` with fewer than two tokens. */
+	perTokenMs: Milliseconds | undefined;
+	/** Time to the end, however it ended. */
+	completeMs: Milliseconds;
+	/** Target of the rule that decided. */
+	target: LatencyTarget;
+};
+
+/** Causes of a bad request; none is a good one. `undefined` where nobody can say, and the request is not counted. */
+export type Verdict = readonly BadCause[] | undefined;
+
+/**
+ * Judges a request. A good one was answered whole, and within all three times
+ * of its target. A caller that left before its target had passed is not counted;
+ * one that left afterwards is bad, because a lookup that hangs shows in no other
+ * way than in people who leave.
+ *
+ * @param sample - How the request went.
+ * @returns Causes for which it is bad, or `undefined` when it is not counted.
+ *
+ * @example
+ * ```ts
+ * const target = {firstTokenMs: 1300, perTokenMs: 61, completeMs: 10_000};
+ * judgeSample({class: 'quick', workspace: 'w', rule: 'r', end: 'complete', firstTokenMs: 1500, perTokenMs: 20, completeMs: 3000, target});
+ * // => ['lateFirstToken']
+ * ```
+ */
+export function judgeSample(sample: SloSample): Verdict {
+	const {end, target} = sample;
+	const late = findLate(sample);
+	switch (end) {
+		case 'complete': {
+			return late;
+		}
+
+		case 'refused':
+		case 'failed': {
+			return [end, ...late];
+		}
+
+		case 'gone': {
+			const waitedMs = sample.firstTokenMs ?? sample.completeMs;
+			const isLate = late.length > 0 || waitedMs > target.firstTokenMs;
+			return isLate ? withFirstToken(late, waitedMs > target.firstTokenMs) : undefined;
+		}
+	}
+}
+
+function findLate({firstTokenMs, perTokenMs, completeMs, end, target}: SloSample): BadCause[] {
+	const causes: BadCause[] = [];
+	if (firstTokenMs !== undefined && firstTokenMs > target.firstTokenMs) {
+		causes.push('lateFirstToken');
+	}
+
+	if (perTokenMs !== undefined && perTokenMs > target.perTokenMs) {
+		causes.push('latePerToken');
+	}
+
+	if (end !== 'refused' && completeMs > target.completeMs) {
+		causes.push('lateComplete');
+	}
+
+	return causes;
+}
+
+function withFirstToken(causes: readonly BadCause[], isLate: boolean): readonly BadCause[] {
+	return isLate && !causes.includes('lateFirstToken') ? ['lateFirstToken', ...causes] : causes;
+}
