--- a/src/programs/_settings/agent.ts
+++ b/src/programs/_settings/agent.ts
@@ -16,16 +16,25 @@
 		type: 'url', required: true, group: 'Addresses', description: 'Base URL of the platform\'s configuration service.',
 	},
 	seeds: {
-		type: 'addresses', default: [], group: 'Addresses', description: 'Peer ports of agents of other hosts, to learn of the fleet before the platform is asked.',
+		type: 'addresses', default: [], group: 'Addresses', description: 'Peer ports of agents of other hosts, asked until the first answers.',
 	},
 	entryAddress: {
 		type: 'address', group: 'Addresses', description: 'Peer port of this host\'s entry, which peers are told.',
 	},
-	pollInterval: {
-		type: 'duration', default: 500, min: 50, max: msPerMinute, group: 'Timing', description: 'Time between two load reports of one backend server.',
+	platformWait: {
+		type: 'duration', default: 30 * msPerSecond, min: 100, max: 10 * msPerMinute, group: 'Platform', description: 'Longest wait of one watching read of the platform.',
+	},
+	loadPollInterval: {
+		type: 'duration', default: msPerSecond, min: 50, max: msPerMinute, group: 'Backend servers', description: 'How often a backend server is asked for its load.',
 	},
 	heartbeatInterval: {
-		type: 'duration', default: msPerSecond, min: 100, max: msPerMinute, group: 'Timing', description: 'Time between two heartbeats; the same on all hosts.',
+		type: 'duration', default: msPerSecond, min: 50, max: msPerMinute, group: 'Membership', description: 'How often each peer is told that this host is alive.',
+	},
+	suspectAfter: {
+		type: 'duration', default: 3 * msPerSecond, min: 100, max: 10 * msPerMinute, group: 'Membership', description: 'Silence after which a peer is suspected.',
+	},
+	deadAfter: {
+		type: 'duration', default: 8 * msPerSecond, min: 200, max: 60 * msPerMinute, group: 'Membership', description: 'Silence after which a peer is declared dead and its engine memory released.',
 	},
 });
 
@@ -41,5 +50,11 @@
 	return [
 		...checkCommonSettings(values),
 		...findSharedPorts({'--peer-port': values.peerPort, '--operator-port': values.operatorPort}),
+		...findWrongOrder('--suspect-after', values.suspectAfter, '--heartbeat-interval', values.heartbeatInterval),
+		...findWrongOrder('--dead-after', values.deadAfter, '--suspect-after', values.suspectAfter),
 	];
 }
+
+function findWrongOrder(flag: string, value: number, lowerFlag: string, lower: number): SettingFault[] {
+	return value > lower ? [] : [{place: flag, message: `is ${value}ms, not more than ${lowerFlag} (${lower}ms)`, remedy: 'make it longer, best three times as long'}];
+}
