Add the operators' command line

Ruled out: one process with the agent, which would load its libraries; exceptions for a user's mistakes, since they show a stack trace.

Before: a name in package.json. After: the tests of src/programs/cli pass, one of them against a real operators' port and one as a process.

Conclusion: settings shows faults of the environment only when flags are given, since a shell of an operator has no required settings.

--- a/src/domain/_test/to-fleet-config.ts
+++ b/src/domain/_test/to-fleet-config.ts
@@ -58,6 +58,5 @@
 }
 
 function toRule(name: string, when: RuleWhen, then: RuleThen): Rule {
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
 	return {name, when, then};
 }
--- a/src/domain/_test/to-rules.ts
+++ b/src/domain/_test/to-rules.ts
@@ -12,6 +12,5 @@
  * @returns Rules that differ in name and conditions.
  */
 export function toRules(whens: readonly RuleWhen[]): Rule[] {
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
 	return whens.map((when, index) => ({name: `rule ${index}`, when, then: anyThen}));
 }
--- a/src/domain/diff-configs/test.ts
+++ b/src/domain/diff-configs/test.ts
@@ -1,20 +1,12 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {type Config, type Rule} from '../../ports/config.js';
+import {createRandom} from '../_test/create-random.js';
 import {toFleetConfig} from '../_test/to-fleet-config.js';
 import {diffConfigs} from './index.js';
 
 const config = toFleetConfig(50, 20);
 
-/** A small generator, so that each run tries the same requests. */
-function createRandom(): () => number {
-	let state = 1;
-	return () => {
-		state = (state * 48_271) % 2_147_483_647;
-		return state / 2_147_483_647;
-	};
-}
-
 function changeRules(change: (rules: readonly Rule[]) => readonly Rule[]): Config {
 	return {...config, rules: change(config.rules)};
 }
--- /dev/null
+++ b/src/programs/cli/_lib/read-config.ts
@@ -0,0 +1,94 @@
+/** Reads a configuration document with all checks that a host makes. */
+import {Buffer} from 'node:buffer';
+import {err, ok, type Result} from 'neverthrow';
+import {checkSeal, type ConfigSeal} from '../../../domain/check-seal/index.js';
+import {type ConfigFault, parseConfig, toFaultLine} from '../../../domain/parse-config/index.js';
+import {type Config} from '../../../ports/config.js';
+import {bytesPerMebibyte} from '../../../ports/units.js';
+import {
+	type AccessFailure, type CliIo, type CommandResult, exitCodes, toJsonText,
+} from './io.js';
+
+/** The largest value that the platform holds. */
+export const maxDocumentBytes = bytesPerMebibyte;
+
+export type CheckedConfig = {
+	text: string;
+	bytes: number;
+	seal: ConfigSeal;
+	config: Config;
+};
+
+export type ReadConfigFailure = {kind: 'access'; failure: AccessFailure} | {kind: 'faults'; faults: readonly ConfigFault[]};
+
+/**
+ * Reads a document and checks its size, its end and its content.
+ *
+ * @param io - Reads the file.
+ * @param file - Path, or `-` for the standard input.
+ * @returns The configuration, why the file can't be read, or all faults.
+ */
+export async function readConfig(io: CliIo, file: string): Promise<Result<CheckedConfig, ReadConfigFailure>> {
+	const read = await io.readText(file);
+	if (read.isErr()) {
+		return err({kind: 'access', failure: read.error});
+	}
+
+	const text = read.value;
+	const seal = checkSeal(text);
+	const parsed = parseConfig(text, {file});
+	const bytes = Buffer.byteLength(text);
+	const lastLine = text.trimEnd().split('\n').length;
+	const faults = [
+		...(parsed.isErr() ? parsed.error : []),
+		// A missing end is already among the faults of the content.
+		...(seal.isErr() && (seal.error.kind !== 'incomplete' || parsed.isOk()) ? [toDocumentFault(file, lastLine, seal.error.message)] : []),
+		...(bytes > maxDocumentBytes ? [toDocumentFault(file, lastLine, `the document has ${bytes} bytes and the platform holds ${maxDocumentBytes}: name workspaces in lists and share routes`)] : []),
+	];
+	if (parsed.isErr() || seal.isErr() || faults.length > 0) {
+		return err({kind: 'faults', faults});
+	}
+
+	return ok({
+		text, bytes, seal: seal.value, config: parsed.value,
+	});
+}
+
+/**
+ * Ends a command whose document can't be used.
+ *
+ * @param io - Output.
+ * @param file - Path of the document.
+ * @param failure - Why.
+ * @param json - Whether to write JSON.
+ * @returns 1 with the faults written, or the failure to access the file.
+ */
+export function endUnusable(io: CliIo, file: string, failure: ReadConfigFailure, json: boolean): CommandResult {
+	if (failure.kind === 'access') {
+		return err(failure.failure);
+	}
+
+	const {faults} = failure;
+	io.write(json ? toJsonText({file, valid: false, faults}) : toFaultText(file, faults));
+	return ok(exitCodes.faults);
+}
+
+/** Messages about the whole document have their remedy behind a colon. */
+function toDocumentFault(file: string, line: number, message: string): ConfigFault {
+	const [problem, ...remedy] = message.split(': ');
+	return {
+		file, line, column: 1, problem: problem!, remedy: remedy.join(': '),
+	};
+}
+
+/**
+ * Writes faults for people, one a line, and their number.
+ *
+ * @param file - File in which they are.
+ * @param faults - The faults.
+ * @returns Text that ends with a line break.
+ */
+export function toFaultText(file: string, faults: readonly ConfigFault[]): string {
+	const count = faults.length === 1 ? '1 fault' : `${faults.length} faults`;
+	return `${faults.map(fault => toFaultLine(fault)).join('\n')}\n${file}: ${count}\n`;
+}
--- /dev/null
+++ b/src/programs/cli/_lib/to-facts-text.ts
@@ -0,0 +1,25 @@
+import {type RequestFacts} from '../../../domain/compile-rules/index.js';
+
+/**
+ * Writes what is known of a request as options of `banyanport explain`, so that
+ * it can be copied there.
+ *
+ * @param facts - Facts of a request.
+ * @returns Options on one line.
+ */
+export function toFactsText(facts: RequestFacts): string {
+	const options: ReadonlyArray<readonly [name: string, value: string | undefined]> = [
+		['workspace', facts.workspace],
+		['model', facts.model],
+		['path', facts.path],
+		['class', facts.class],
+		['prompt-tokens', String(facts.promptTokens)],
+		['zone', facts.zone],
+		...Object.entries(facts.headers).map(([name, value]) => ['header', `${name}=${value}`] as const),
+	];
+	return options.flatMap(([name, value]) => value === undefined ? [] : [`--${name} ${toQuoted(value)}`]).join(' ');
+}
+
+function toQuoted(value: string): string {
+	return /^[\w./:@=-]+$/.test(value) ? value : `'${value.replaceAll('\'', String.raw`'\''`)}'`;
+}
--- /dev/null
+++ b/src/programs/cli/run-check/index.ts
@@ -0,0 +1,60 @@
+/** `banyanport check`: everything that is wrong with a document. */
+import {ok} from 'neverthrow';
+import {
+	type CliIo, type CommandResult, exitCodes, toJsonText,
+} from '../_lib/io.js';
+import {type CheckedConfig, endUnusable, readConfig} from '../_lib/read-config.js';
+
+/** From this size on, reading YAML holds a host up for a noticeable time. */
+const largeYamlBytes = 262_144;
+
+/**
+ * Checks a document.
+ *
+ * @param io - Input and output.
+ * @param file - Path of the document, or `-`.
+ * @param options - `json` for programs.
+ * @returns 0 when it is valid, 1 when it has faults.
+ */
+export async function runCheck(io: CliIo, file: string, options: {json: boolean}): Promise<CommandResult> {
+	const read = await readConfig(io, file);
+	if (read.isOk()) {
+		const hint = toHint(read.value);
+		io.write(options.json ? toJsonText({...toSummary(file, read.value), hint}) : toText(file, read.value));
+		if (hint !== undefined && !options.json) {
+			io.writeError(`${file}: ${hint}\n`);
+		}
+
+		return ok(exitCodes.fine);
+	}
+
+	return endUnusable(io, file, read.error, options.json);
+}
+
+function toSummary(file: string, {seal, config, bytes}: CheckedConfig) {
+	return {
+		file,
+		valid: true,
+		kind: seal.kind,
+		edition: seal.edition,
+		bytes,
+		zones: config.zones.length,
+		hosts: config.hosts.length,
+		servers: config.servers.length,
+		pools: config.pools.length,
+		rules: config.rules.length,
+		faults: [],
+	};
+}
+
+function toText(file: string, checked: CheckedConfig): string {
+	const {kind, edition, zones, hosts, servers, rules} = toSummary(file, checked);
+	const end = edition > 0 ? `${kind}, edition ${edition}` : kind;
+	return `${file}: valid (${end}): ${rules} rules, ${servers} servers, ${hosts} hosts, ${zones} zones\n`;
+}
+
+function toHint({text, bytes}: CheckedConfig): string | undefined {
+	return bytes > largeYamlBytes && !text.trimStart().startsWith('{')
+		? `hosts read ${bytes} bytes of YAML slowly: publish it as JSON, written by "banyanport seal --to json"`
+		: undefined;
+}
--- /dev/null
+++ b/src/programs/cli/run-cli/index.ts
@@ -0,0 +1,204 @@
+/** The operators' command line: options, help and exit codes of all commands. */
+import {
+	Argument, Command, CommanderError, InvalidArgumentError, Option,
+} from 'commander';
+import {
+	type CliIo, type CommandResult, type ExitCode, exitCodes,
+} from '../_lib/io.js';
+import {runCheck} from '../run-check/index.js';
+import {runDiff} from '../run-diff/index.js';
+import {runExplain} from '../run-explain/index.js';
+import {runSeal} from '../run-seal/index.js';
+import {runSettings, type SettingsProgram} from '../run-settings/index.js';
+import {runSlo} from '../run-slo/index.js';
+import {runStatus} from '../run-status/index.js';
+
+const exitCodeHelp = `
+Exit codes: 0 fine; 1 faults found; 2 the command was written wrongly;
+            3 a file or a host could not be read, written or reached.
+FILE may be "-" for the standard input. Each command has --help with examples.
+`;
+
+const defaultTimeoutSeconds = 5;
+
+/**
+ * Runs one command line.
+ *
+ * @param args - Arguments after the program's name.
+ * @param io - Files, hosts and output.
+ * @returns The exit code; nothing is thrown for a user's mistake.
+ */
+export async function runCli(args: readonly string[], io: CliIo): Promise<ExitCode> {
+	const commandLine = createCommandLine(io);
+	try {
+		await commandLine.program.parseAsync([...args], {from: 'user'});
+	} catch (error) {
+		if (error instanceof CommanderError) {
+			return error.exitCode === 0 ? exitCodes.fine : exitCodes.usage;
+		}
+
+		throw error;
+	}
+
+	return commandLine.end();
+}
+
+function createCommandLine(io: CliIo): {program: Command; end: () => ExitCode} {
+	let code: ExitCode = exitCodes.fine;
+	const finish = (result: CommandResult): void => {
+		code = result.match<ExitCode>(value => value, failure => {
+			io.writeError(`${failure.message}\n`);
+			return exitCodes.unreachable;
+		});
+	};
+
+	const program = new Command('banyanport')
+		.description('Checks, seals and explains rule lists, and shows what hosts are doing.')
+		.exitOverride()
+		.configureOutput({
+			writeOut: io.write, writeErr: io.writeError, outputError(text, write) {
+				write(text.replace(/^error: /, 'banyanport: '));
+			},
+		})
+		.showHelpAfterError('Run with --help for the options and examples.')
+		.addHelpText('after', exitCodeHelp);
+	addDocumentCommands(program, io, finish);
+	addExplain(program, io, finish);
+	addHostCommands(program, io, finish);
+	addSettings(program, io, finish);
+	return {program, end: () => code};
+}
+
+type Finish = (result: CommandResult) => void;
+
+const jsonHelp = 'write JSON for programs';
+
+function addDocumentCommands(program: Command, io: CliIo, finish: Finish): void {
+	program.command('check')
+		.description('Report everything that is wrong with a document, with line, column and remedy.')
+		.argument('<file>', 'configuration document, YAML or JSON')
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport check rules.yaml', 'banyanport check rules.yaml --json'))
+		.action(async (file: string, options: {json: boolean}) => {
+			finish(await runCheck(io, file, options));
+		});
+
+	program.command('seal')
+		.description('Write the complete document with its edition, the digest of the one it follows, and its own digest.')
+		.argument('<file>', 'document to seal; an earlier seal in it is replaced')
+		.option('--follows <old>', 'the document in force, which this one follows')
+		.option('--output <out>', 'file to write (default: the standard output)')
+		.addOption(new Option('--to <format>', 'write JSON whatever the input is; hosts read large documents faster so').choices(['json']))
+		.option('--json', 'write the result as a JSON object', false)
+		.addHelpText('after', toExamples('banyanport seal rules.yaml --output first.yaml', 'banyanport seal rules.yaml --follows in-force.yaml --output next.yaml'))
+		.action(async (file: string, options: {follows?: string; output?: string; to?: 'json'; json: boolean}) => {
+			const {follows, output, to, json} = options;
+			finish(await runSeal(io, file, {
+				follows, output, to, json,
+			}));
+		});
+
+	program.command('diff')
+		.description('Show which requests change their way, on samples made from both rule lists.')
+		.argument('<old>', 'document in force')
+		.argument('<new>', 'document that shall follow')
+		.option('--samples <count>', 'mixtures of values to try beside one request a rule', toCount, 5000)
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport diff in-force.yaml rules.yaml', 'banyanport diff in-force.yaml rules.yaml --samples 50000 --json'))
+		.action(async (before: string, after: string, options: {samples: number; json: boolean}) => {
+			finish(await runDiff(io, [before, after], {mixtures: options.samples, json: options.json}));
+		});
+}
+
+type ExplainFlags = {
+	workspace?: string;
+	model?: string;
+	path?: string;
+	class?: 'quick' | 'batch';
+	promptTokens?: number;
+	zone?: string;
+	header: Readonly<Record<string, string>>;
+	json: boolean;
+};
+
+function addExplain(program: Command, io: CliIo, finish: Finish): void {
+	program.command('explain')
+		.description('Say which rule decides about a request, and why each earlier one does not.')
+		.argument('<file>', 'configuration document, YAML or JSON')
+		.option('--workspace <name>', 'workspace of the caller (default: one that no rule names)')
+		.option('--model <name>', 'model that the request names')
+		.option('--path <path>', 'path of the request (default: /v1/completions with a model, / without)')
+		.addOption(new Option('--class <class>', 'class that the caller asks for').choices(['quick', 'batch']))
+		.option('--prompt-tokens <count>', 'length of the prompt (default: 0)', toCount)
+		.option('--zone <zone>', 'zone of the host that decides (default: the first of the document)')
+		.option('--header <name=value>', 'header of the request; may be given several times', addHeader, {})
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples(
+			'banyanport explain rules.yaml --workspace kavarna-lipa --model letter-summary --prompt-tokens 900',
+			'banyanport explain rules.yaml --path /desk/mailboxes/17 --header x-genre=fantasy',
+		))
+		.action(async (file: string, {header, ...facts}: ExplainFlags) => {
+			finish(await runExplain(io, file, {...facts, headers: header}));
+		});
+}
+
+type HostFlags = {ca?: string; timeout: number; json: boolean};
+
+function addHostCommands(program: Command, io: CliIo, finish: Finish): void {
+	const add = (name: string, description: string) => program.command(name)
+		.description(`${description} The token of BANYANPORT_OPERATOR_TOKEN is sent along.`)
+		.argument('<host...>', 'operators\' ports, as IP:port or https://IP:port')
+		.option('--ca <file>', 'certificates of the authorities that sign the operators\' ports, PEM')
+		.option('--timeout <seconds>', 'longest wait for each host', toCount, defaultTimeoutSeconds)
+		.option('--json', jsonHelp, false);
+
+	add('status', 'Show what hosts say of themselves.')
+		.addHelpText('after', toExamples('banyanport status 10.20.1.5:7402 10.20.1.5:7403'))
+		.action(async (hosts: readonly string[], options: HostFlags) => {
+			finish(await runStatus(io, hosts, toHostOptions(options)));
+		});
+
+	add('slo', 'Report how fast the error budgets of both targets are being spent, over all hosts named.')
+		.option('--html <file>', 'also write a page with plots')
+		.addHelpText('after', toExamples('banyanport slo 10.20.1.5:7402 10.20.2.5:7402', 'banyanport slo 10.20.1.5:7402 --html burn.html'))
+		.action(async (hosts: readonly string[], options: HostFlags & {html?: string}) => {
+			finish(await runSlo(io, hosts, {...toHostOptions(options), html: options.html}));
+		});
+}
+
+function toHostOptions({ca, timeout, json}: HostFlags) {
+	return {caFile: ca, timeout: timeout * 1000, json};
+}
+
+function addSettings(program: Command, io: CliIo, finish: Finish): void {
+	program.command('settings')
+		.description('List every setting of a program with default, unit, value and source.')
+		.addArgument(new Argument('<program>', 'which program').choices(['entry', 'agent']))
+		.argument('[flags...]', 'flags of the program after "--", which are then checked too')
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport settings entry', 'banyanport settings agent -- --host-id dvorana-a-1 --zone dvorana-a'))
+		.action(async (name: SettingsProgram, flags: readonly string[], options: {json: boolean}) => {
+			finish(await runSettings(io, name, {flags, json: options.json}));
+		});
+}
+
+function toExamples(...lines: readonly string[]): string {
+	return `\nExamples:\n${lines.map(line => `  ${line}`).join('\n')}\n`;
+}
+
+function toCount(text: string): number {
+	if (!/^\d{1,9}$/.test(text)) {
+		throw new InvalidArgumentError('Write a whole number, for example 900.');
+	}
+
+	return Number(text);
+}
+
+function addHeader(text: string, headers: Readonly<Record<string, string>>): Readonly<Record<string, string>> {
+	const match = /^([^=\s]+)=(.*)$/.exec(text);
+	if (!match) {
+		throw new InvalidArgumentError('Write it as name=value, for example x-genre=fantasy.');
+	}
+
+	return {...headers, [match[1]!.toLowerCase()]: match[2]!};
+}
--- /dev/null
+++ b/src/programs/cli/run-cli/test.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {errAsync, okAsync} from 'neverthrow';
+import {startOperatorServer} from '../../../adapters/operator-http/index.js';
+import {createRandom} from '../../../domain/_test/create-random.js';
+import {checkSeal} from '../../../domain/check-seal/index.js';
+import {createProcessIo} from '../_lib/create-process-io.js';
+import {type CliIo} from '../_lib/io.js';
+import {runCli} from './index.js';
+
+const naslovnik = readFileSync('examples/naslovnik.yaml', 'utf8');
+const glossworks = readFileSync('examples/glossworks.yaml', 'utf8');
+const faulty = naslovnik.replace('then: question', 'then: qestion');
+
+type Run = {code: number; out: string; errors: string; written: Readonly<Record<string, string>>};
+
+/** Runs a command line on files and hosts that stand in memory. */
+async function run(args: readonly string[], files: Readonly<Record<string, string>> = {}, documents: Readonly<Record<string, unknown>> = {}): Promise<Run> {
+	const lines = {out: '', errors: ''};
+	const written: Record<string, string> = {};
+	const io: CliIo = {
+		write(text) {
+			lines.out += text;
+		},
+		writeError(text) {
+			lines.errors += text;
+		},
+		readText: path => files[path] === undefined ? errAsync({message: `${path} can't be read`}) : okAsync(files[path]),
+		writeText(path, text) {
+			written[path] = text;
+			return okAsync();
+		},
+		fetchJson: (host, path) => documents[host + path] === undefined ? errAsync({message: `${host} can't be asked`}) : okAsync(documents[host + path]),
+		env: {},
+		random: createRandom(),
+		wallNow: () => 0,
+	};
+	const code = await runCli(args, io);
+	return {code, ...lines, written};
+}
+
+const files = {'a.yaml': naslovnik, 'b.yaml': naslovnik.replace('promptTokensBelow: 2000', 'promptTokensBelow: 3000'), 'faulty.yaml': faulty};
+const slo = {version: 1, hosts: ['a-1'], series: []};
+
+describe('runCli', () => {
+	const cases: Array<[args: string, code: number, text: RegExp, documents?: Readonly<Record<string, unknown>>]> = [
+		['check a.yaml', 0, /^a\.yaml: valid \(plain\): 6 rules, 17 servers, 8 hosts, 4 zones\n$/],
+		['check faulty.yaml', 1, /^faulty\.yaml:\d+:\d+: there is no route "qestion"; write "question"\nfaulty\.yaml: 1 fault\n$/],
+		['check gone.yaml', 3, /gone\.yaml can't be read/],
+		['check', 2, /missing required argument 'file'/],
+		['check a.yaml --jsn', 2, /unknown option '--jsn'/],
+		['chek a.yaml', 2, /unknown command 'chek'[^]*Did you mean check/],
+		['', 2, /Usage: banyanport/],
+		['--help', 0, /Exit codes: 0 fine/],
+		['seal --help', 0, /Examples:\n {2}banyanport seal rules\.yaml/],
+		['seal a.yaml', 0, /edition: 1\nfollows: none\nend: sealed-[\da-f]{64}\n/],
+		['seal faulty.yaml', 1, /there is no route "qestion"[^]*was not sealed/],
+		['seal a.yaml --follows gone.yaml', 3, /gone\.yaml can't be read/],
+		['seal a.yaml --to xml', 2, /Allowed choices are json/],
+		['diff a.yaml a.yaml', 0, /^0 of \d+ sample requests change/],
+		['diff a.yaml b.yaml', 0, /changed in rules: desk questions\n[^]*rule "letters" before, rule "desk questions" after\n {2}class: batch -> quick/],
+		['diff a.yaml faulty.yaml', 1, /there is no route/],
+		['explain a.yaml --model letter-summary', 0, /rule 3 "desk questions" does not match:\n {2}class: wants quick, got nothing\n[^]*rule 5 "letters" decides:\n {2}pool: summaries/],
+		['explain a.yaml --model letter-summary --class quick --prompt-tokens 2000', 0, /promptTokensBelow: wants 2000, got 2000\n[^]*rule 5 "letters" decides/],
+		['explain a.yaml --prompt-tokens many', 2, /Write a whole number/],
+		['explain a.yaml --header genre', 2, /Write it as name=value/],
+		['explain faulty.yaml', 1, /there is no route/],
+		['status h:1', 0, /^h:1\n {2}ready: true\n/, {'h:1/status': {ready: true}}],
+		['status h:1 h:2', 3, /h:2 can't be asked[^]*ready: true/, {'h:1/status': {ready: true}}],
+		['slo h:1', 0, /Burn of 1 host: a-1/, {'h:1/slo': slo}],
+		['slo h:1 h:2', 3, /h:2: its burn report can't be read[^]*Burn of 1 host: a-1/, {'h:1/slo': slo, 'h:2/slo': {version: 2}}],
+		['slo h:1', 3, /can't be asked/],
+		['settings agent', 0, /--platform-url {2}\(BANYANPORT_PLATFORM_URL\)\n.*\n {2}takes .*; default none, required; now unset \(unset\)/],
+		['settings agent -- --bnd 3', 1, /--bnd .*--bind/],
+		['settings cli', 2, /Allowed choices are entry, agent/],
+	];
+	for (const [args, code, text, documents] of cases) {
+		it(`ends "banyanport ${args}" with ${code}`, async () => {
+			const result = await run(args.split(' ').filter(Boolean), files, documents);
+			assert.equal(result.code, code, result.out + result.errors);
+			assert.match(result.errors + result.out, text);
+		});
+	}
+
+	for (const [name, text] of Object.entries({naslovnik, glossworks})) {
+		it(`accepts the example of ${name}`, async () => {
+			const {code} = await run(['check', 'example.yaml'], {'example.yaml': text});
+			assert.equal(code, 0);
+		});
+	}
+
+	const jsonCases = [
+		'check a.yaml', 'check faulty.yaml', 'seal a.yaml', 'seal faulty.yaml', 'diff a.yaml b.yaml', 'diff faulty.yaml a.yaml', 'explain a.yaml', 'settings entry', 'status h:1', 'slo h:1',
+	];
+	for (const args of jsonCases) {
+		it(`writes one JSON document and nothing else for "${args} --json"`, async () => {
+			const {out} = await run([...args.split(' '), '--json'], files, {'h:1/status': {}, 'h:1/slo': slo});
+			assert.equal(typeof JSON.parse(out), 'object');
+		});
+	}
+
+	it('seals a chain of editions, also from YAML to JSON', async () => {
+		const first = await run(['seal', 'a.yaml', '--output', 'first.yaml'], files);
+		const second = await run(['seal', 'b.yaml', '--follows', 'first.yaml', '--to', 'json', '--output', 'second.json'], {...files, ...first.written});
+		const text = second.written['second.json']!;
+		assert.equal(checkSeal(text)._unsafeUnwrap().edition, 2);
+		const whole = await run(['check', 'second.json'], second.written);
+		assert.equal(whole.code, 0);
+		const cut = await run(['check', 'second.json'], {'second.json': text.slice(0, -9)});
+		assert.equal(cut.code, 1);
+		const altered = await run(['check', 'first.yaml'], {'first.yaml': first.written['first.yaml']!.replace('300ms', '301ms')});
+		assert.match(altered.out, /changed after it was sealed; seal it again/);
+	});
+
+	it('refuses a document that the platform cannot hold', async () => {
+		const large = `# ${'x'.repeat(1_048_576)}\n${naslovnik}`;
+		for (const command of ['check', 'seal']) {
+			const {code, out, errors} = await run([command, 'large.yaml'], {'large.yaml': large});
+			assert.equal(code, 1);
+			assert.match(out + errors, /bytes and the platform holds 1048576/);
+		}
+	});
+
+	it('asks a real operators\' port, and says so when the token is missing', async () => {
+		const started = await startOperatorServer({
+			bind: '127.0.0.1', port: 0, readiness: () => ({ready: true, reasons: []}), metrics: () => '', status: () => ({edition: 4}), token: 'a-token-of-operators',
+		});
+		const server = started._unsafeUnwrap();
+		const options = {caFile: undefined, timeout: 5000};
+		try {
+			const host = `127.0.0.1:${server.port}`;
+			const refused = await createProcessIo().fetchJson(host, '/status', options);
+			assert.match(refused._unsafeUnwrapErr().message, /set BANYANPORT_OPERATOR_TOKEN/);
+			process.env.BANYANPORT_OPERATOR_TOKEN = 'a-token-of-operators';
+			const status = await createProcessIo().fetchJson(host, '/status', options);
+			assert.deepEqual(status._unsafeUnwrap(), {edition: 4});
+			const missing = await createProcessIo().fetchJson(host, '/slo', options);
+			assert.match(missing._unsafeUnwrapErr().message, /answers 404 to \/slo/);
+		} finally {
+			delete process.env.BANYANPORT_OPERATOR_TOKEN;
+			await server.close(1000);
+		}
+
+		const gone = await createProcessIo().fetchJson(`127.0.0.1:${server.port}`, '/status', options);
+		assert.match(gone._unsafeUnwrapErr().message, /nothing listens there/);
+	});
+
+	it('ends as a process with its exit code, and shows no stack trace', () => {
+		const main = fileURLToPath(new URL('../main.js', import.meta.url));
+		const {status, stderr, stdout} = spawnSync(process.execPath, [main, 'check', 'no-such-file.yaml'], {encoding: 'utf8', timeout: 60_000});
+		assert.equal(status, 3);
+		assert.equal(stdout, '');
+		assert.equal(stderr, 'no-such-file.yaml can\'t be read: there is no such file: check the path\n');
+	});
+});
