Serve plain services and keyed requests, and drive the entry's faults

Cause: plain calls were answered with 404, keys were not looked at, and no test had driven a failure through the entry.

Change: plain services by rule, bodies streamed through under a limit, hop-by-hop headers dropped, an offered call that may not be repeated is never sent again; work that may not be repeated needs a UUIDv7 key and is claimed before dispatch.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -31,11 +31,13 @@
 export type Call = {
 	dispatcher: Dispatcher;
 	origin: string;
-	method: 'GET' | 'POST';
+	method: Dispatcher.HttpMethod;
 	path: string;
 	/** Encoded as JSON. */
 	body?: unknown;
-	headers?: Record<string, string>;
+	/** Bytes as they are, in place of `body`; nothing is taken out of an iterable before the call is offered. */
+	payload?: Buffer | AsyncIterable<Uint8Array>;
+	headers?: Record<string, string | string[]>;
 	/** Limit of the wait for the head of the answer. */
 	headersTimeoutMs: Milliseconds;
 	/** Limit of silence within the answer; 0 for none. */
@@ -107,7 +109,7 @@
 		origin: call.origin,
 		path: call.path,
 		method: call.method,
-		body: hasBody ? JSON.stringify(call.body) : null,
+		body: hasBody ? JSON.stringify(call.body) : call.payload as Buffer | undefined ?? null,
 		headers: {...call.headers, ...(hasBody && {'content-type': 'application/json'})},
 		headersTimeout: call.headersTimeoutMs,
 		bodyTimeout: call.idleTimeoutMs,
--- a/src/programs/entry/_lib/refuse.ts
+++ b/src/programs/entry/_lib/refuse.ts
@@ -3,6 +3,7 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {type GateRefusal} from '../gate/index.js';
+import {type ServeServices} from './serve-types.js';
 
 /**
  * @param fault - Why a body was not taken.
@@ -32,3 +33,20 @@
 	const retryAfterMs = 'retryAfterMs' in refusal ? refusal.retryAfterMs : undefined;
 	return {...gateProblems[refusal.reason], outcome, retryAfterMs};
 }
+
+/**
+ * Looks at the bounds over all rules, so that no rule's own bounds add up to
+ * more than the process can hold.
+ *
+ * @param serve - The program.
+ * @returns The problem when there is no room.
+ */
+export function findOverload(serve: ServeServices): Problem | undefined {
+	const {limits, registry, services} = serve;
+	const isFull = registry.size() >= limits.maxInFlight || services.gate.waiting() >= limits.maxQueued;
+	return isFull
+		? {
+			kind: 'queue-full', detail: 'This host has as many requests as it takes.', outcome: 'not-run', retryAfterMs: msPerSecond,
+		}
+		: undefined;
+}
--- a/src/programs/entry/_lib/run-registry.ts
+++ b/src/programs/entry/_lib/run-registry.ts
@@ -1,5 +1,6 @@
 /** The requests in progress, for what concerns all of them: waking up, and stopping. */
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type EndCause} from './types.js';
 
 export type RegisteredRun = {
@@ -49,3 +50,46 @@
 		},
 	};
 }
+
+export type RunControl = {
+	/** Aborted with an {@link EndCause} as its reason. */
+	signal: AbortSignal;
+	/** Takes the run out of the registry. */
+	close: () => void;
+};
+
+/**
+ * Registers a run, and ends it when its caller is gone.
+ *
+ * @param registry - The requests in progress.
+ * @param exchange - The caller's request.
+ * @param isOverdue - Whether its time has passed and its answer has not begun.
+ * @returns The run's signal.
+ */
+export function openRunControl(registry: RunRegistry, exchange: CallerExchange, isOverdue: RegisteredRun['isOverdue']): RunControl {
+	const controller = new AbortController();
+	const onGone = () => {
+		controller.abort('caller-gone' satisfies EndCause);
+	};
+
+	const run: RegisteredRun = {
+		id: exchange.requestId,
+		abort(cause) {
+			controller.abort(cause);
+		},
+		isOverdue,
+	};
+	registry.add(run);
+	exchange.gone.addEventListener('abort', onGone, {once: true});
+	if (exchange.gone.aborted) {
+		onGone();
+	}
+
+	return {
+		signal: controller.signal,
+		close() {
+			registry.remove(run);
+			exchange.gone.removeEventListener('abort', onGone);
+		},
+	};
+}
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -2,6 +2,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
+import {type Claims} from '../claims/index.js';
 import {type EndedRequest} from './ended.js';
 import {type Router} from './route.js';
 import {type RunRegistry} from './run-registry.js';
@@ -23,6 +24,8 @@
 	route: Router;
 	accounts: Accounts;
 	registry: RunRegistry;
+	/** Claims of keyed requests. */
+	claims: Claims;
 	log: Log;
 	onEnded: (ended: EndedRequest) => void;
 };
--- a/src/programs/entry/_lib/tally.ts
+++ b/src/programs/entry/_lib/tally.ts
@@ -56,11 +56,12 @@
 		tally,
 		cancels,
 		pauses,
-		noteEnded({run, end, outcome, completeMs}: EndedRequest) {
-			requests.add({class: run.rule.then.class, end, outcome});
-			tokens.add({class: run.rule.then.class}, run.buffer.offset());
+		noteEnded({rule, end, outcome, completeMs, outputTokens}: EndedRequest) {
+			const {class: serviceClass} = rule.then;
+			requests.add({class: serviceClass, end, outcome});
+			tokens.add({class: serviceClass}, outputTokens);
 			if (end === 'complete') {
-				duration.record({class: run.rule.then.class}, completeMs);
+				duration.record({class: serviceClass}, completeMs);
 			}
 		},
 	};
--- a/src/programs/entry/accounts/index.ts
+++ b/src/programs/entry/accounts/index.ts
@@ -27,7 +27,7 @@
 
 export type Accounts = {
 	open: (requestId: RequestId) => Account;
-	find: (requestId: RequestId) => AccountDocument | undefined;
+	findAccount: (requestId: RequestId) => AccountDocument | undefined;
 	size: () => number;
 };
 
@@ -71,7 +71,7 @@
 				},
 			};
 		},
-		find(requestId) {
+		findAccount(requestId) {
 			const entry = kept.get(requestId);
 			return entry && {
 				requestId, receivedAt: new Date(entry.receivedAt).toISOString(), stages: entry.stages, omitted: entry.omitted,
--- a/src/programs/entry/outcome-ledger/index.ts
+++ b/src/programs/entry/outcome-ledger/index.ts
@@ -1,3 +1,4 @@
+import {type Milliseconds} from '../../../ports/clock.js';
 import {type Outcome} from '../../../ports/outcome.js';
 
 /**
@@ -9,8 +10,10 @@
 	noteOffered: () => void;
 	/** The server itself said that it did not start the offer, or no connection was made. */
 	noteNotStarted: () => void;
-	/** The server ran it. */
-	noteRan: () => void;
+	/** The server ran it: its first token came at this monotonic time. */
+	noteRan: (now: Milliseconds) => void;
+	/** When its first token came. */
+	firstTokenAt: () => Milliseconds | undefined;
 	outcome: () => Outcome;
 	/** Whether any offer may have been taken; decides whether work that is not repeatable may be offered again. */
 	isOffered: () => boolean;
@@ -25,7 +28,7 @@
  */
 export function createOutcomeLedger(): OutcomeLedger {
 	let taken = 0;
-	let hasRun = false;
+	let firstTokenAt: Milliseconds | undefined;
 	return {
 		noteOffered() {
 			taken++;
@@ -33,10 +36,11 @@
 		noteNotStarted() {
 			taken--;
 		},
-		noteRan() {
-			hasRun = true;
+		noteRan(now) {
+			firstTokenAt ??= now;
 		},
-		outcome: () => hasRun ? 'ran' : (taken > 0 ? 'may-have-run' : 'not-run'),
+		firstTokenAt: () => firstTokenAt,
+		outcome: () => firstTokenAt === undefined ? (taken > 0 ? 'may-have-run' : 'not-run') : 'ran',
 		isOffered: () => taken > 0,
 	};
 }
--- a/src/programs/entry/relay-stream/index.ts
+++ b/src/programs/entry/relay-stream/index.ts
@@ -83,8 +83,9 @@
 }
 
 function noteFirstToken(run: Run, services: RunServices): void {
-	const firstTokenMs = services.clock.now() - run.receivedAt;
-	run.ledger.noteRan();
+	const now = services.clock.now();
+	const firstTokenMs = now - run.receivedAt;
+	run.ledger.noteRan(now);
 	services.gate.noteFirstToken(run.id);
 	services.tally.firstToken(run, firstTokenMs);
 	run.account.note('first token');
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -13,15 +13,18 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {type Account} from '../accounts/index.js';
+import {serveKeyed, type KeyedVerdict} from '../claims/index.js';
 import {createJsonDelivery, createSseDelivery, type DeliveryOptions} from '../delivery/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type RunEnd, runRequest, toEnded} from '../run-request/index.js';
-import {toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {findKey, toDigest} from '../_lib/find-key.js';
+import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {toKeyedOptions} from '../_lib/keyed.js';
 import {type EndedRequest} from '../_lib/ended.js';
 import {type Route, toServedModel} from '../_lib/route.js';
-import {type RegisteredRun} from '../_lib/run-registry.js';
+import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
-import {type Delivery, type EndCause, type Run} from '../_lib/types.js';
+import {type Delivery, type Run} from '../_lib/types.js';
 import {waitAwake} from '../_lib/wait-awake.js';
 
 const defaultMaxTokens = 256;
@@ -31,7 +34,12 @@
 	promptTokens: number;
 };
 
-async function readRequest(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<Result<ParsedRequest, Problem | 'gone'>> {
+type ReadRequest = ParsedRequest & {
+	/** Names the work, for a key that comes with it. */
+	digest: string;
+};
+
+async function readRequest(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<Result<ReadRequest, Problem | 'gone'>> {
 	const {limits} = serve;
 	const bodyLimits = {limitBytes: limits.maxBodyBytes, timeoutMs: limits.bodyTimeoutMs};
 	const type = exchange.headers['content-type'] ?? 'application/json';
@@ -52,18 +60,7 @@
 	const promptTokens = countPromptTokens(parsed.value.prompt);
 	return promptTokens > limits.maxPromptTokens
 		? err({kind: 'prompt-too-long', detail: `The prompt has about ${promptTokens} tokens; this host takes ${limits.maxPromptTokens}. Send a shorter one.`, outcome: 'not-run'})
-		: ok({request: parsed.value, promptTokens});
-}
-
-/** Bounds over all rules, so that no rule's own bounds add up to more than the process can hold. */
-function findOverload(serve: ServeServices): Problem | undefined {
-	const {limits, registry, services} = serve;
-	const isFull = registry.size() >= limits.maxInFlight || services.gate.waiting() >= limits.maxQueued;
-	return isFull
-		? {
-			kind: 'queue-full', detail: 'This host has as many requests as it takes.', outcome: 'not-run', retryAfterMs: msPerSecond,
-		}
-		: undefined;
+		: ok({request: parsed.value, promptTokens, digest: toDigest(exchange, body.value)});
 }
 
 function createDeliveryFor(exchange: CallerExchange, request: CompletionRequest, serve: ServeServices): Delivery {
@@ -204,28 +201,24 @@
 	run.log.info('request ended', {
 		outcome: report.outcome, reason, outputTokens, durationMs: completeMs,
 	});
-	serve.onEnded({run, ...report, completeMs});
+	const firstTokenAt = run.ledger.firstTokenAt();
+	serve.onEnded({
+		workspace: run.workspace, rule: run.rule, ...report, completeMs, outputTokens, firstTokenMs: firstTokenAt === undefined ? undefined : firstTokenAt - run.receivedAt,
+	});
 }
 
-async function runRouted(input: Omit<RunInput, 'signal'>, serve: ServeServices): Promise<void> {
-	const {exchange} = input;
-	const controller = new AbortController();
-	const run = createRun({...input, signal: controller.signal}, serve);
-	const abort = (cause: EndCause) => {
-		controller.abort(cause);
-	};
-
-	const onGone = () => {
-		abort('caller-gone');
-	};
-
-	const registered: RegisteredRun = {id: run.id, abort, isOverdue: now => now > run.deadline && run.buffer.offset() === 0};
-	serve.registry.add(registered);
-	exchange.gone.addEventListener('abort', onGone, {once: true});
-	if (exchange.gone.aborted) {
-		onGone();
+/** What a second call with the same key may conclude. */
+function toVerdict(run: Run, end: RunEnd): KeyedVerdict {
+	if (end.kind === 'complete') {
+		return 'complete';
 	}
 
+	return run.ledger.outcome() === 'not-run' ? 'not-run' : 'failed';
+}
+
+async function runRouted(input: Omit<RunInput, 'signal'>, serve: ServeServices): Promise<KeyedVerdict> {
+	const control = openRunControl(serve.registry, input.exchange, now => now > run.deadline && run.buffer.offset() === 0);
+	const run = createRun({...input, signal: control.signal}, serve);
 	run.account.note('routed', {
 		workspace: run.workspace, rule: run.rule.name, pool: run.rule.then.pool, class: run.rule.then.class, promptTokens: run.promptTokens, version: run.version,
 	});
@@ -234,9 +227,9 @@
 		const end = await runToEnd(run, serve);
 		deliver(run, end);
 		reportEnd(run, end, serve);
+		return toVerdict(run, end);
 	} finally {
-		serve.registry.remove(registered);
-		exchange.gone.removeEventListener('abort', onGone);
+		control.close();
 	}
 }
 
@@ -270,17 +263,24 @@
 		return;
 	}
 
-	const {request, promptTokens} = parsed.value;
+	const {request, promptTokens, digest} = parsed.value;
 	const routed = serve.route({
 		headers: exchange.headers, path: exchange.path, model: request.model, promptTokens,
 	}, serve.services.toView());
-	const model = routed.andThen(route => toServedModel(request.model, route));
-	if (routed.isErr() || model.isErr()) {
-		refuse((routed.isErr() ? routed : model)._unsafeUnwrapErr());
+	const ready = routed.andThen(route => toServedModel(request.model, route).andThen(model =>
+		findKey(exchange, route.rule.then.repeatable).map(key => ({route, model, key}))));
+	if (ready.isErr()) {
+		refuse(ready.error);
 		return;
 	}
 
-	await runRouted({
-		exchange, account, request, promptTokens, route: routed.value, model: model.value,
+	const {route, model, key} = ready.value;
+	const work = async (target: CallerExchange) => runRouted({
+		exchange: target, account, request, promptTokens, route, model,
 	}, serve);
+	await (key === undefined
+		? work(exchange)
+		: serveKeyed(serve.claims, exchange, {
+			workspace: route.workspace, key, digest, isRepeatable: route.rule.then.repeatable,
+		}, toKeyedOptions(account, serve, work)));
 }
