--- a/src/domain/find-dead-rules/index.ts
+++ b/src/domain/find-dead-rules/index.ts
@@ -108,7 +108,7 @@
 /** The condition once for each workspace, model and zone that it lists. */
 function toCombinations(when: RuleWhen): Iterable<RuleWhen> {
 	const count = (when.workspace?.length ?? 1) * (when.model?.length ?? 1) * (when.zone?.length ?? 1);
-	return count > maxCombinations ? [when] : expand(when);
+	return count === 1 || count > maxCombinations ? [when] : expand(when);
 }
 
 function * expand(when: RuleWhen): Iterable<RuleWhen> {
--- a/src/domain/parse-config/_lib/readers.ts
+++ b/src/domain/parse-config/_lib/readers.ts
@@ -147,10 +147,15 @@
 			return undefined;
 		}
 
-		return value.flatMap((entry, i) => {
+		const items: T[] = [];
+		for (const [i, entry] of value.entries()) {
 			const item = read(entry, [...path, i], faults);
-			return item === undefined ? [] : [item];
-		});
+			if (item !== undefined) {
+				items.push(item);
+			}
+		}
+
+		return items;
 	};
 }
 
@@ -217,6 +222,7 @@
 
 /** Like {@link record}, but fields with faults are left out and the sound ones returned. */
 export function partialRecord<T extends Record<string, unknown>>(fields: Fields<T>): Reader<Partial<T>> {
+	const entries = Object.entries(fields) as Array<[string, Field<unknown>]>;
 	const names = Object.keys(fields);
 	return (value, path, faults) => {
 		if (!isRecord(value)) {
@@ -226,7 +232,7 @@
 
 		addUnknownKeys(value, names, path, faults);
 		const result: Record<string, unknown> = {};
-		for (const [name, field] of Object.entries(fields) as Array<[string, Field<unknown>]>) {
+		for (const [name, field] of entries) {
 			const given = value[name];
 			if (given === undefined && !field.required) {
 				result[name] = field.fallback;
--- a/src/domain/parse-config/_lib/schema.ts
+++ b/src/domain/parse-config/_lib/schema.ts
@@ -91,7 +91,14 @@
 		faults.add([...path, 'promptTokensBelow'], `no prompt has at least ${least} and fewer than ${below} tokens`, `write a number over ${least}`);
 	}
 
-	return Object.fromEntries(Object.entries(form).filter(([, condition]) => condition !== undefined));
+	const present: Record<string, unknown> = {};
+	for (const name of Object.keys(form) as Array<keyof WhenForm>) {
+		if (form[name] !== undefined) {
+			present[name] = form[name];
+		}
+	}
+
+	return present;
 };
 
 type TargetForm = {firstToken: number | undefined; perToken: number | undefined; complete: number | undefined};
@@ -168,7 +175,7 @@
 export const rule: Reader<RuleForm> = record<RuleForm>({
 	name: required(ruleName),
 	when: optional<RuleWhen>(when, {}),
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
+
 	then: required(thenOrRoute),
 });
 
--- a/src/domain/parse-config/_lib/to-config.ts
+++ b/src/domain/parse-config/_lib/to-config.ts
@@ -28,6 +28,6 @@
 
 function toRule({name, when, then}: RuleForm, routes: DocumentForm['routes']): Rule {
 	const decision = typeof then === 'string' ? routes[then]! : then;
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
+
 	return {name, when, then: decision};
 }
