Open the entry's operators' port, load keys, and bound the drain

Cause: an operator could not ask an entry anything, callers' TLS and peer keys were not loaded, and a stop waited without a limit.

--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -42,6 +42,8 @@
 	port: number;
 	/** Exchanges that have not been answered whole. */
 	open: () => number;
+	/** Connections, idle ones included. */
+	connections: () => number;
 	/** Takes other keys for connections that come from now on. */
 	renewTls: (tls: SecureContextOptions) => void;
 	/** Answers say `Connection: close` from now on; connections are still taken. */
@@ -87,7 +89,7 @@
 }
 
 /** Counts connections, and marks those above the limit. */
-function watchConnections(server: Server | TlsServer, maxConnections: number): WeakSet<Socket> {
+function watchConnections(server: Server | TlsServer, maxConnections: number): {refused: WeakSet<Socket>; count: () => number} {
 	const refused = new WeakSet<Socket>();
 	let connections = 0;
 	server.maxConnections = maxConnections * refusedConnectionsFactor;
@@ -101,7 +103,7 @@
 			connections--;
 		});
 	});
-	return refused;
+	return {refused, count: () => connections};
 }
 
 /**
@@ -175,7 +177,7 @@
 		fetch, overrideGlobalObjects: false, autoCleanupIncoming: false, serverOptions,
 		createServer: options.tls === undefined ? createServer : createTlsServer,
 	}) as Server | TlsServer;
-	const refused = watchConnections(server, options.maxConnections);
+	const {refused, count} = watchConnections(server, options.maxConnections);
 
 	server.on('clientError', (error, socket) => {
 		const duplex = socket as Socket;
@@ -196,6 +198,7 @@
 	return {
 		port: (server.address() as AddressInfo).port,
 		open: () => open.size,
+		connections: count,
 		renewTls(tls) {
 			if ('setSecureContext' in server) {
 				server.setSecureContext(tls);
--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -70,6 +70,9 @@
 	reservationTtl: {
 		type: 'duration', default: 5 * msPerSecond, min: 100, max: msPerMinute, group: 'Backend servers', description: 'Life of a reservation of decode memory that is not used.',
 	},
+	drainDelay: {
+		type: 'duration', default: 2 * msPerSecond, min: 0, max: 10 * msPerMinute, group: 'Operation', description: 'Time for which a planned stop still takes connections, so that the balancer learns of it first.',
+	},
 	drainTimeout: {
 		type: 'duration',
 		default: 15 * msPerMinute,
--- /dev/null
+++ b/src/programs/entry/_lib/join-fleet.ts
@@ -0,0 +1,113 @@
+/** What ties the entry to its agent and to the entries of other hosts. */
+import {type Log} from '../../../adapters/log/index.js';
+import {listenPeers, type PeerHello, type PeerListener} from '../../../adapters/peer-tcp/index.js';
+import {connectViewFeed, type ViewFeed, type ViewFeedOptions} from '../../../adapters/view-feed/index.js';
+import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type Owner} from '../../../ports/ids.js';
+import {type FleetView} from '../../../ports/view.js';
+import {type ProgramKeys} from '../../_operations/index.js';
+import {type EntrySettings} from '../../_settings/index.js';
+import {createClaims, type Claims} from '../claims/index.js';
+
+/** A caller's going is noticed by the claims at this interval, after their own second of patience. */
+const claimsTickMs = 250;
+
+export type JoinFleetOptions = {
+	settings: EntrySettings;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	keys?: ProgramKeys | undefined;
+	clockBoundMs?: Milliseconds | undefined;
+	connectView?: ((options: ViewFeedOptions) => ViewFeed) | undefined;
+	onView: (view: FleetView) => void;
+};
+
+export type FleetLink = {
+	peerPort: number;
+	claims: Claims;
+	toView: () => FleetView | undefined;
+	toOwner: () => Owner;
+	isConnected: () => boolean;
+	reportLeaving: ViewFeed['reportLeaving'];
+	/** Hands the claims to a peer and closes everything; when all requests have ended. */
+	leave: () => Promise<void>;
+};
+
+/**
+ * Opens the peer port and connects to the agent.
+ *
+ * @param options - Settings, clocks, keys, and what to do with each view.
+ * @returns The link once the peer port listens.
+ */
+export async function joinFleet(options: JoinFleetOptions): Promise<FleetLink> {
+	const {
+		settings, clock, random, log, keys, onView,
+	} = options;
+	const {hostId: host, zone} = settings;
+	let incarnation = clock.wallNow();
+	let view: FleetView | undefined;
+	const hello = (): PeerHello => ({
+		host, zone, role: 'entry', incarnation,
+	});
+	const tls = keys?.peer && {tls: keys.peer};
+	const claims = createClaims({
+		...tls,
+		...(options.clockBoundMs !== undefined && {clockBoundMs: options.clockBoundMs}),
+		hello,
+		toAddress: () => `${settings.bind}:${peers.port}`,
+		toView: () => view,
+		clock,
+		random,
+		log,
+		runs: {maxKeptBytes: settings.keptAnswerBytes, keptForMs: settings.keptAnswerAge},
+	});
+	const peers: PeerListener = await listenPeers({
+		...tls, bind: settings.bind, port: settings.peerPort, hello, onCall: claims.onCall, onEvent: claims.onEvent,
+	});
+	keys?.onPeerKeys(peers.reloadKeys);
+	const feed = (options.connectView ?? connectViewFeed)({
+		...tls,
+		agentAddress: settings.agentAddress,
+		hello,
+		entryAddress: `${settings.bind}:${peers.port}`,
+		now: clock.now,
+		random,
+		onIncarnationSeen(seen) {
+			// A clock that was set back would make this process look like one that died before it.
+			incarnation = Math.max(incarnation, seen);
+		},
+		onState(state, reason) {
+			log.info(`view feed ${state}`, {reason});
+		},
+		onView(next) {
+			const isFirst = view?.accepted === undefined && next.accepted !== undefined;
+			if (next.accepted !== undefined && next.accepted.config !== view?.accepted?.config) {
+				log.info('configuration in force', {edition: next.accepted.version.edition, revision: next.accepted.version.revision});
+			}
+
+			view = next;
+			onView(next);
+			if (isFirst) {
+				void claims.takeOver();
+			}
+		},
+	});
+	const ticker = setInterval(claims.tick, claimsTickMs);
+
+	return {
+		peerPort: peers.port,
+		claims,
+		toView: () => view,
+		toOwner: () => ({host, incarnation}),
+		isConnected: feed.isConnected,
+		reportLeaving: feed.reportLeaving,
+		async leave() {
+			await claims.leave();
+			clearInterval(ticker);
+			claims.close();
+			await feed.close();
+			await peers.close();
+		},
+	};
+}
--- a/src/programs/entry/_lib/tally.ts
+++ b/src/programs/entry/_lib/tally.ts
@@ -54,6 +54,17 @@
 
 	return {
 		tally,
+		/** Tokens that a client of an engine dropped before they reached a run. */
+		noteDropped(cause: 'crossed' | 'repeated') {
+			dropped.add({cause: cause === 'crossed' ? 'other-request' : 'repeated'});
+		},
+		/** Adds gauges whose values are asked for at each exposure. */
+		sample(samples: Readonly<Record<'inProgress' | 'waiting' | 'openAnswers' | 'cancelsPending', () => number>>) {
+			metrics.createSampledGauge({name: 'requests_in_progress', help: 'Requests that a rule decided about and that have not ended.', sample: samples.inProgress});
+			metrics.createSampledGauge({name: 'requests_waiting', help: 'Requests that wait for room.', sample: samples.waiting});
+			metrics.createSampledGauge({name: 'answers_open', help: 'Answers to callers that are not sent whole.', sample: samples.openAnswers});
+			metrics.createSampledGauge({name: 'cancels_pending', help: 'Cancels that engines have not confirmed.', sample: samples.cancelsPending});
+		},
 		cancels,
 		pauses,
 		noteEnded({rule, end, outcome, completeMs, outputTokens}: EndedRequest) {
--- /dev/null
+++ b/src/programs/entry/_lib/to-entry-status.ts
@@ -0,0 +1,72 @@
+/** What operators see of an entry's state. */
+import {type ReadinessReason} from '../../../adapters/operator-http/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type FleetView} from '../../../ports/view.js';
+import {type FleetLink} from './join-fleet.js';
+import {type RunRegistry} from './run-registry.js';
+import {type RunServices} from './types.js';
+
+/** A view of this age is no longer what the fleet looks like; requests are still served by it. */
+const staleViewMs = 10_000;
+
+export type EntryStatusInput = {
+	link: FleetLink;
+	services: RunServices;
+	registry: RunRegistry;
+	isStopping: boolean;
+	openConnections: number;
+};
+
+/**
+ * Tells why the entry takes no requests.
+ *
+ * @param view - The fleet as it knows it.
+ * @param isStopping - Whether a planned stop has begun.
+ * @returns Reasons with remedies; empty when it takes requests.
+ */
+export function findNotReady(view: FleetView | undefined, isStopping: boolean): ReadinessReason[] {
+	if (isStopping) {
+		return [{reason: 'this host is stopping'}];
+	}
+
+	return view?.accepted === undefined
+		? [{reason: 'no configuration is in force', remedy: 'see whether this host\'s agent runs and reaches the platform or a peer'}]
+		: [];
+}
+
+function toAge(at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined {
+	return at === undefined || !Number.isFinite(at) ? undefined : Math.round(now - at);
+}
+
+/**
+ * Writes the status document.
+ *
+ * @param input - The parts of the entry.
+ * @param now - Monotonic milliseconds.
+ * @returns A document for JSON.
+ */
+export function toEntryStatus(input: EntryStatusInput, now: Milliseconds): unknown {
+	const {
+		link, services, registry, isStopping, openConnections,
+	} = input;
+	const view = link.toView();
+	const viewAgeMs = toAge(view?.receivedAt, now);
+	return {
+		program: 'banyanport-entry',
+		owner: link.toOwner(),
+		isStopping,
+		configuration: view?.accepted?.version,
+		view: {
+			ageMs: viewAgeMs,
+			isStale: viewAgeMs === undefined || viewAgeMs > staleViewMs,
+			isAgentConnected: link.isConnected(),
+			platformAgeMs: toAge(view?.platformConfirmedAt, now),
+			hosts: [...view?.hosts.values() ?? []].map(({id, life, leaving}) => ({id, life, leaving})),
+			servers: [...view?.servers.values() ?? []].map(({id, leaving, reachable}) => ({id, leaving, reachable})),
+		},
+		requests: {inProgress: registry.size(), waiting: services.gate.waiting(), openConnections},
+		pools: services.gate.status(),
+		cancelsPending: services.cancels.pending(),
+		claims: link.claims.stats(),
+	};
+}
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -2,35 +2,40 @@
  * The entry: takes callers' requests and owes each of them its answer. All
  * that touches the outside is handed in or listens on the ports given.
  */
-import {type CallerHandlers, startCallerServer} from '../../../adapters/caller-http/index.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
-import {listenPeers, type PeerHello, type PeerListener} from '../../../adapters/peer-tcp/index.js';
-import {connectViewFeed, type ViewFeed, type ViewFeedOptions} from '../../../adapters/view-feed/index.js';
+import {type ViewFeed, type ViewFeedOptions} from '../../../adapters/view-feed/index.js';
+import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type FleetView} from '../../../ports/view.js';
+import {
+	type ProgramKeys, reportSlo, startOperations, toSloSample,
+} from '../../_operations/index.js';
 import {type EntrySettings} from '../../_settings/index.js';
 import {createAccounts, type Accounts} from '../accounts/index.js';
-import {createClaims} from '../claims/index.js';
 import {serveCompletion} from '../serve-completion/index.js';
 import {serveModels} from '../serve-models/index.js';
 import {servePlain} from '../serve-plain/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
 import {createRunServices} from '../_lib/create-run-services.js';
 import {createEngines, type EngineClient} from '../_lib/engines.js';
+import {joinFleet, type FleetLink} from '../_lib/join-fleet.js';
 import {createPlainClients, type PlainClients} from '../_lib/plain-clients.js';
 import {createRouter} from '../_lib/route.js';
 import {createRunRegistry} from '../_lib/run-registry.js';
 import {type CallerLimits, type ServeServices} from '../_lib/serve-types.js';
 import {createTally} from '../_lib/tally.js';
+import {findNotReady, toEntryStatus} from '../_lib/to-entry-status.js';
 
 const gateTickMs = 50;
-/** A caller's going is noticed by the claims at this interval, after their own second of patience. */
-const claimsTickMs = 250;
 const pauseLimitMs = 2000;
 const accountLimit = 2000;
+/** Time for cancels to be confirmed before the process ends. */
 const cancelSettleMs = 2000;
+const operatorCloseMs = 500;
 
 export type EntryOptions = {
 	settings: EntrySettings;
@@ -38,7 +43,8 @@
 	random: Random;
 	log: Log;
 	metrics: Metrics;
-	createEngine: (server: ServerEntry) => EngineClient;
+	keys?: ProgramKeys | undefined;
+	createEngine: (server: ServerEntry, hooks: {onDropped: (cause: 'crossed' | 'repeated') => void}) => EngineClient;
 	/** Greatest difference between a caller's clock and a host's; see the claims. */
 	clockBoundMs?: Milliseconds;
 	/** Where the view comes from; this host's agent unless a test brings its own. */
@@ -48,12 +54,13 @@
 export type Entry = {
 	callerPort: number;
 	peerPort: number;
+	operatorPort: number;
 	view: () => FleetView | undefined;
 	accounts: Accounts;
 	/** Finishes everything in progress, then closes. */
 	stop: () => Promise<void>;
-	/** Ends everything in progress; returns the ids of what is abandoned. */
-	abandon: () => string[];
+	/** Ends everything in progress and waits a moment for the cancels; returns the ids of what is abandoned. */
+	abandon: () => Promise<string[]>;
 };
 
 function toLimits(settings: EntrySettings): CallerLimits {
@@ -83,6 +90,83 @@
 	};
 }
 
+async function listenForCallers(options: EntryOptions, handlers: CallerHandlers): Promise<CallerServer> {
+	const {settings, keys} = options;
+	const callers = await startCallerServer({
+		bind: settings.bind,
+		port: settings.callerPort,
+		maxConnections: settings.maxConnections,
+		maxHeaderBytes: settings.maxHeaderBytes,
+		headersTimeoutMs: settings.headerTimeout,
+		keepAliveTimeoutMs: settings.keepAliveTimeout,
+		tls: keys?.caller?.current(),
+	}, handlers);
+	keys?.caller?.listen(event => {
+		if (event.kind === 'reloaded') {
+			callers.renewTls(keys.caller!.current());
+		}
+	});
+	return callers;
+}
+
+type EntryParts = {
+	options: EntryOptions;
+	link: FleetLink;
+	serve: ServeServices;
+	callers: CallerServer;
+	counters: ReturnType<typeof createTally>;
+	toIsStopping: () => boolean;
+};
+
+async function listenForOperators(parts: EntryParts, burn: ReturnType<typeof reportSlo>) {
+	const {
+		options, link, serve, callers, counters, toIsStopping,
+	} = parts;
+	const {services, registry, accounts} = serve;
+	counters.sample({
+		inProgress: registry.size, waiting: services.gate.waiting, openAnswers: callers.open, cancelsPending: services.cancels.pending,
+	});
+	const started = await startOperations({
+		settings: options.settings,
+		log: options.log,
+		metrics: options.metrics,
+		keys: options.keys,
+		notReady: () => findNotReady(link.toView(), toIsStopping()),
+		status: () => toEntryStatus({
+			link, services, registry, isStopping: toIsStopping(), openConnections: callers.connections(),
+		}, options.clock.now()),
+		explain: accounts.findAccount,
+		...burn,
+	});
+	if (started.isErr()) {
+		throw new Error(started.error.message);
+	}
+
+	return started.value;
+}
+
+/** Closes the callers' port; what is left at the limit is named and ended. */
+async function drain(parts: EntryParts): Promise<void> {
+	const {options: {settings, log}, callers, serve} = parts;
+	const closed = callers.close();
+	const limit = new AbortController();
+	const isDrained = await Promise.race([
+		closed.then(() => true), // eslint-disable-line promise/prefer-await-to-then -- raced against the limit
+		sleep(settings.drainTimeout, false, {signal: limit.signal}),
+	]);
+	limit.abort();
+	if (isDrained) {
+		return;
+	}
+
+	for (const requestId of serve.registry.abandon()) {
+		log.error('abandoned at the limit of the drain', {requestId});
+	}
+
+	await Promise.race([closed, sleep(cancelSettleMs)]);
+	callers.destroy();
+}
+
 /**
  * Starts the entry.
  *
@@ -91,101 +175,86 @@
  */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
 	const {settings, clock, random, log, metrics} = options;
-	const {hostId: host, zone} = settings;
-	let incarnation = clock.wallNow();
-	let view: FleetView | undefined;
-	const hello = (): PeerHello => ({
-		host, zone, role: 'entry', incarnation,
-	});
-	const claims = createClaims({
-		...(options.clockBoundMs !== undefined && {clockBoundMs: options.clockBoundMs}),
-		hello,
-		toAddress: () => `${settings.bind}:${peers.port}`, toView: () => view,
+	let isStopping = false;
+	const counters = createTally(metrics);
+	const ledger = createSloLedger({host: settings.hostId});
+	const engines = createEngines(server => options.createEngine(server, {onDropped: counters.noteDropped}));
+	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
+	const registry = createRunRegistry();
+	const accounts = createAccounts({limit: accountLimit, now: clock.now, wallNow: clock.wallNow});
+	const run = createRunServices({
 		clock,
 		random,
+		zone: settings.zone,
+		engines,
+		counters,
 		log,
-		runs: {maxKeptBytes: settings.keptAnswerBytes, keptForMs: settings.keptAnswerAge},
-	});
-	const peers: PeerListener = await listenPeers({
-		bind: settings.bind, port: settings.peerPort, hello, onCall: claims.onCall, onEvent: claims.onEvent,
-	});
-	const feed = (options.connectView ?? connectViewFeed)({
-		agentAddress: settings.agentAddress,
-		hello,
-		entryAddress: `${settings.bind}:${peers.port}`,
-		now: clock.now,
-		random,
-		onIncarnationSeen(seen) {
-			// A clock that was set back would make this process look like one that died before it.
-			incarnation = Math.max(incarnation, seen);
+		reservationTtlMs: settings.reservationTtl,
+		toView: () => link.toView(),
+		toOwner: () => link.toOwner(),
+		reportLeaving(server) {
+			link.reportLeaving(server);
 		},
-		onState(state, reason) {
-			log.info(`view feed ${state}`, {reason});
-		},
-		onView(next) {
-			const isFirst = view?.accepted === undefined;
-			view = next;
-			run.services.gate.setView(next);
-			if (next.accepted !== undefined) {
-				run.noteConfig(next.accepted.config);
-				clients.keepOnly(new Set(next.accepted.config.servers.map(server => server.id)));
-				if (isFirst) {
-					void claims.takeOver();
-					log.info('configuration in force', {edition: next.accepted.version.edition});
-				}
+	});
+	const link: FleetLink = await joinFleet({
+		...options,
+		onView(view) {
+			run.services.gate.setView(view);
+			if (view.accepted !== undefined) {
+				run.noteConfig(view.accepted.config);
+				clients.keepOnly(new Set(view.accepted.config.servers.map(server => server.id)));
 			}
 		},
 	});
-	const counters = createTally(metrics);
-	const engines = createEngines(options.createEngine);
-	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
-	const registry = createRunRegistry();
-	const accounts = createAccounts({limit: accountLimit, now: clock.now, wallNow: clock.wallNow});
-	const run = createRunServices({
-		clock, random, zone, engines, counters, log, reservationTtlMs: settings.reservationTtl, toView: () => view, toOwner: () => ({host, incarnation}), reportLeaving: feed.reportLeaving,
-	});
 	const serve: ServeServices = {
-		services: run.services, limits: toLimits(settings), route: createRouter(zone), accounts, registry, claims, log, onEnded: counters.noteEnded,
+		services: run.services,
+		limits: toLimits(settings),
+		route: createRouter(settings.zone),
+		accounts,
+		registry,
+		claims: link.claims,
+		log,
+		onEnded(ended) {
+			counters.noteEnded(ended);
+			ledger.addSample(toSloSample(ended), clock.now());
+		},
 	};
-	const callers = await startCallerServer({
-		bind: settings.bind,
-		port: settings.callerPort,
-		maxConnections: settings.maxConnections,
-		maxHeaderBytes: settings.maxHeaderBytes,
-		headersTimeoutMs: settings.headerTimeout,
-		keepAliveTimeoutMs: settings.keepAliveTimeout,
-	}, createHandlers(serve, clients));
-	const tickers = [setInterval(run.services.gate.tick, gateTickMs), setInterval(claims.tick, claimsTickMs)];
+	const callers = await listenForCallers(options, createHandlers(serve, clients));
+	const parts: EntryParts = {
+		options, link, serve, callers, counters, toIsStopping: () => isStopping,
+	};
+	const operators = await listenForOperators(parts, reportSlo(ledger, clock, metrics));
+	const gateTicker = setInterval(run.services.gate.tick, gateTickMs);
 	const endPauseWatch = watchPauses({
 		now: clock.now,
 		limitMs: pauseLimitMs,
 		onWake(gapMs) {
 			counters.pauses.add({});
-			const count = registry.endOverdue(clock.now());
-			log.warn('woke up after a pause', {durationMs: gapMs, count});
+			log.warn('woke up after a pause', {durationMs: gapMs, count: registry.endOverdue(clock.now())});
 		},
 	});
 
 	return {
 		callerPort: callers.port,
-		peerPort: peers.port,
-		view: () => view,
+		peerPort: link.peerPort,
+		operatorPort: operators.port,
+		view: link.toView,
 		accounts,
 		async stop() {
+			isStopping = true;
 			callers.startStopping();
-			await callers.close();
+			await sleep(settings.drainDelay);
+			await drain(parts);
 			await run.services.cancels.settle(cancelSettleMs);
-			await claims.leave();
-			claims.close();
-			for (const ticker of tickers) {
-				clearInterval(ticker);
-			}
-
+			await link.leave();
+			clearInterval(gateTicker);
 			endPauseWatch();
-			await feed.close();
-			await peers.close();
-			await Promise.all([engines.close(), clients.close()]);
+			await Promise.all([engines.close(), clients.close(), operators.close(operatorCloseMs)]);
+		},
+		async abandon() {
+			const left = registry.abandon();
+			await run.services.cancels.settle(cancelSettleMs);
+			return left;
 		},
-		abandon: registry.abandon,
 	};
 }
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -84,6 +84,7 @@
 	callerPort: 0,
 	peerPort: 0,
 	operatorPort: 0,
+	drainDelay: 0,
 	...settings,
 });
 
--- a/test/contracts/caller-faults.test.ts
+++ b/test/contracts/caller-faults.test.ts
@@ -101,7 +101,7 @@
 	const slowPrefill = {prefillBaseMs: 3000};
 	const cases: ReadonlyArray<[string, CallerFixtureOptions, EngineFaults, (fixture: CallerFixture) => boolean]> = [
 		['in prefill', {prefill: slowPrefill}, {}, fixture => fixture.prefill.judge().holds.some(hold => hold.kind === 'prefill')],
-		['in transfer', {}, {transfer: {kind: 'stall'}}, fixture => (fixture.prefill.judge().calls.kv ?? 0) > 0],
+		['in transfer', {}, {transfer: {kind: 'stall'}}, fixture => (fixture.prefill.judge().calls['GET engine/kv'] ?? 0) > 0],
 		['between tokens', {decode: slowDecode}, {}, hasStream],
 		['between tokens, and the cancel is lost', {decode: slowDecode}, {loseCancels: {times: 2}}, hasStream],
 	];
--- a/test/contracts/caller.test.ts
+++ b/test/contracts/caller.test.ts
@@ -16,7 +16,7 @@
 
 let fixture: CallerFixture;
 
-const countPrefills = () => fixture.prefill.judge().calls.prefills;
+const countPrefills = () => fixture.prefill.judge().calls['POST engine/prefills'];
 const sendHere = async (path: string, options: SendOptions) => send(fixture, path, options);
 
 before(async () => {
@@ -32,7 +32,7 @@
 });
 
 async function assertRefused(path: string, options: SendOptions, status: number, kind: string): Promise<void> {
-	const started = fixture.prefill.judge().calls.prefills;
+	const started = fixture.prefill.judge().calls['POST engine/prefills'];
 	const answer = await send(fixture, path, options);
 	const problem = JSON.parse(answer.text) as Problem;
 	assert.equal(answer.status, status);
@@ -40,7 +40,7 @@
 	assert.equal(problem.type, `urn:banyanport:problem:${kind}`);
 	assert.equal(problem.outcome, 'not-run');
 	assert.equal(problem.requestId, answer.headers['x-request-id']);
-	assert.equal(fixture.prefill.judge().calls.prefills, started);
+	assert.equal(fixture.prefill.judge().calls['POST engine/prefills'], started);
 }
 
 /** Sends bytes as they are and reads until the other side closes. */
