Add the fleet harness, with a network that can be cut

Cause: failure tests need whole fleets, and cuts between any two places. Ruled out: advertised relay addresses (the programs tell peers their own) and cuts inside the programs (the code under test would know). A relay alone would also accept connections in a cut, which a partition does not. Change: startFleet starts agents and entries as processes, engines, plain services and the platform in the test's process, with a document that fits. With isCuttable each process connects from a loopback address of its own, through a relay before each listening port, by a module that Node preloads; a connect begun in a cut hangs. Ports lie outside of the range of outgoing ones, so restarts keep them. Linux only, as it needs 127.0.0.0/8. Before and after: two zones serve; cut off, each answers with its own servers, an edit reaches the platform's side alone, and the other side after healing.

--- /dev/null
+++ b/test/_lib/start-fleet/_lib/create-host.ts
@@ -0,0 +1,136 @@
+/** One host of a test fleet: its agent and its entry, on ports that survive restarts. */
+import {startProgram, type Program, type ProgramOptions} from '../../start-program/index.js';
+import {pickPort} from './pick-ports.js';
+import {type Network, type Site} from './network.js';
+
+export type Flags = NonNullable<ProgramOptions['flags']>;
+
+export type FleetHost = {
+	id: string;
+	zone: string;
+	/** The running process, or the last one. */
+	agent: () => Program;
+	entry: () => Program;
+	callerUrl: string;
+	agentAddress: string;
+	entryAddress: string;
+	agentOperatorUrl: string;
+	entryOperatorUrl: string;
+	startAgent: (flags?: Flags) => Promise<Program>;
+	startEntry: (flags?: Flags) => Promise<Program>;
+	/** Kills both at once. */
+	kill: () => Promise<void>;
+	pause: () => void;
+	resume: () => void;
+	/** Stops both as an operator does: the entry, then the agent. */
+	stop: (deadlineMs?: number) => Promise<void>;
+	start: () => Promise<void>;
+};
+
+export type HostOptions = {
+	id: string;
+	zone: string;
+	platformUrl: string;
+	/** Agents of all hosts; its own is left out. */
+	seeds: () => readonly string[];
+	agentFlags: Flags;
+	entryFlags: Flags;
+	network: {network: Network; site: Site} | undefined;
+};
+
+/** Gives a host its ports, without starting it. */
+export async function createHost(options: HostOptions): Promise<FleetHost> {
+	const {id, zone, network} = options;
+	const ports = {
+		callerPort: await pickPort(),
+		agentPeerPort: await pickPort(),
+		entryPeerPort: await pickPort(),
+		agentOperatorPort: await pickPort(),
+		entryOperatorPort: await pickPort(),
+	};
+
+	const agentAddress = `127.0.0.1:${ports.agentPeerPort}`;
+	const entryAddress = `127.0.0.1:${ports.entryPeerPort}`;
+	if (network !== undefined) {
+		await network.network.addTarget(network.site, ports.agentPeerPort);
+		await network.network.addTarget(network.site, ports.entryPeerPort);
+	}
+
+	let agent: Program | undefined;
+	let entry: Program | undefined;
+	const running = (program: Program | undefined, name: string): Program => {
+		if (program === undefined) {
+			throw new Error(`the ${name} of ${id} was not started`);
+		}
+
+		return program;
+	};
+
+	const host: FleetHost = {
+		id,
+		zone,
+		agent: () => running(agent, 'agent'),
+		entry: () => running(entry, 'entry'),
+		callerUrl: `http://127.0.0.1:${ports.callerPort}`,
+		agentAddress,
+		entryAddress,
+		agentOperatorUrl: `http://127.0.0.1:${ports.agentOperatorPort}`,
+		entryOperatorUrl: `http://127.0.0.1:${ports.entryOperatorPort}`,
+		async startAgent(flags = {}) {
+			agent = await startProgram({
+				program: 'agent',
+				label: `agent of ${id}`,
+				flags: {
+					hostId: id,
+					zone,
+					peerPort: ports.agentPeerPort,
+					operatorPort: ports.agentOperatorPort,
+					platformUrl: options.platformUrl,
+					seeds: options.seeds().filter(seed => seed !== agentAddress),
+					entryAddress,
+					...options.agentFlags,
+					...flags,
+				},
+				...network?.network.toProcessOptions(network.site),
+			});
+			return agent;
+		},
+		async startEntry(flags = {}) {
+			entry = await startProgram({
+				program: 'entry',
+				label: `entry of ${id}`,
+				flags: {
+					hostId: id,
+					zone,
+					callerPort: ports.callerPort,
+					peerPort: ports.entryPeerPort,
+					operatorPort: ports.entryOperatorPort,
+					agentAddress,
+					...options.entryFlags,
+					...flags,
+				},
+				...network?.network.toProcessOptions(network.site),
+			});
+			return entry;
+		},
+		async kill() {
+			await Promise.all([agent?.kill(), entry?.kill()]);
+		},
+		pause() {
+			agent?.pause();
+			entry?.pause();
+		},
+		resume() {
+			agent?.resume();
+			entry?.resume();
+		},
+		async stop(deadlineMs) {
+			await entry?.stop(deadlineMs);
+			await agent?.stop(deadlineMs);
+		},
+		async start() {
+			await Promise.all([host.startAgent(), host.startEntry()]);
+		},
+	};
+	return host;
+}
--- a/test/stand-ins/engine/_lib/create-engine.ts
+++ b/test/stand-ins/engine/_lib/create-engine.ts
@@ -38,7 +38,8 @@
 export const createEngine = (settings: EngineSettings, faults: EngineFaults) => {
 	const judge = createJudge();
 	const link = createLink(settings.linkBytesPerSecond);
-	const dispatcher = new Agent({connections: 64});
+	const {network} = settings;
+	const dispatcher = new Agent({connections: 64, ...(network && {localAddress: network.localAddress})});
 	const cache = createPrefixCache({blocks: settings.cacheBlocks, lagMs: settings.cacheEventLagMs, gap: settings.cacheEventGap});
 	/** Attempts that were cancelled; a late call of theirs starts nothing. */
 	const cancelled = new Set<string>();
@@ -120,7 +121,7 @@
 			const fromUrl = toText(body, 'fromUrl');
 			const kvId = toText(body, 'kvId');
 			return streams.importKv(key, toText(body, 'reservationId'), async signal => pullKv({
-				fromUrl, kvId, link, signal, dispatcher,
+				fromUrl: network?.toUrl(fromUrl) ?? fromUrl, kvId, link, signal, dispatcher,
 			}));
 		},
 		async giveKv(kvId: string, res: ServerResponse) {
--- a/test/stand-ins/engine/_lib/types.ts
+++ b/test/stand-ins/engine/_lib/types.ts
@@ -44,9 +44,16 @@
 	/** Time between steps at which streams send. */
 	stepMs?: number;
 	timeScale?: number;
+	/** Where its own calls to other engines come from and go to, for cuts between them. */
+	network?: EngineNetwork;
 };
 
-export type EngineSettings = Required<EngineStandInOptions>;
+export type EngineNetwork = {
+	localAddress: string;
+	toUrl: (url: string) => string;
+};
+
+export type EngineSettings = Required<Omit<EngineStandInOptions, 'network'>> & Pick<EngineStandInOptions, 'network'>;
 
 export type StreamFaultKind = 'short' | 'reset' | 'stall' | 'garbage' | 'oversized' | 'crossed' | 'duplicated' | 'skipped' | 'wrong-attempt';
 
--- a/test/stand-ins/engine/index.ts
+++ b/test/stand-ins/engine/index.ts
@@ -14,7 +14,7 @@
 
 export {expectedAnswer, countPromptTokens, toBlocks} from './_lib/answer.js';
 export type {
-	EngineFaults, EngineStandInOptions, JudgedRequest, JudgeReport, WasteCause,
+	EngineFaults, EngineNetwork, EngineStandInOptions, JudgedRequest, JudgeReport, WasteCause,
 } from './_lib/types.js';
 
 export type EngineStandIn = {
--- a/test/stand-ins/link/index.ts
+++ b/test/stand-ins/link/index.ts
@@ -13,10 +13,14 @@
 	port?: number;
 	bind?: string;
 	delayMs?: number;
+	/** Cuts by who connects, beside {@link LinkStandIn.cut}; asked for each piece. Call {@link LinkStandIn.refresh} when its answers change. */
+	isCutFor?: (sourceAddress: string, direction: LinkDirection) => boolean;
 };
 
+export type LinkDirection = 'to-target' | 'from-target';
+
 /** `to-target` loses what the connecting side sends, `from-target` what comes back. */
-export type LinkCut = 'none' | 'both' | 'to-target' | 'from-target';
+export type LinkCut = 'none' | 'both' | LinkDirection;
 
 export type LinkStandIn = {
 	port: number;
@@ -26,6 +30,8 @@
 	/** Cuts; what was sent during a cut is lost, so a connection that lost bytes is reset on healing. */
 	cut: (cut?: LinkCut) => void;
 	heal: () => void;
+	/** Resets connections that lost bytes in a cut which is over. */
+	refresh: () => void;
 	/** Resets every open connection. */
 	reset: () => void;
 	/** Delay of each piece in either direction, milliseconds. */
@@ -37,7 +43,7 @@
 	stop: () => Promise<void>;
 };
 
-type Pair = {near: Socket; far: Socket; hasLost: boolean};
+type Pair = {near: Socket; far: Socket; source: string; hasLost: boolean};
 
 const toAddress = (target: string): {host: string; port: number} => {
 	const [host, port] = target.replace(/^https?:\/\//, '').replace(/\/$/, '').split(':');
@@ -52,7 +58,10 @@
 	/** Connections accepted during a cut: the connecting side hears nothing. */
 	const silent = new Set<Socket>();
 
-	const isCut = (direction: 'to-target' | 'from-target'): boolean => state.cut === 'both' || state.cut === direction;
+	const isCut = (source: string, direction: LinkDirection): boolean => state.cut === 'both' || state.cut === direction
+		|| (options.isCutFor?.(source, direction) ?? false);
+
+	const isAnyCut = (source: string): boolean => isCut(source, 'to-target') || isCut(source, 'from-target');
 
 	const drop = (pair: Pair): void => {
 		pairs.delete(pair);
@@ -60,9 +69,9 @@
 		pair.far.resetAndDestroy();
 	};
 
-	const relay = (pair: Pair, from: Socket, to: Socket, direction: 'to-target' | 'from-target'): void => {
+	const relay = (pair: Pair, from: Socket, to: Socket, direction: LinkDirection): void => {
 		const pass = (action: () => void): void => {
-			if (isCut(direction)) {
+			if (isCut(pair.source, direction)) {
 				pair.hasLost = true;
 				return;
 			}
@@ -105,7 +114,8 @@
 
 	const accept = (near: Socket): void => {
 		near.on('error', () => undefined);
-		if (state.cut !== 'none') {
+		const source = near.remoteAddress ?? '';
+		if (isAnyCut(source)) {
 			silent.add(near);
 			near.once('close', () => silent.delete(near));
 			near.resume();
@@ -115,12 +125,28 @@
 		const far = connect({...toAddress(state.target), allowHalfOpen: true});
 		near.setNoDelay(true);
 		far.setNoDelay(true);
-		const pair: Pair = {near, far, hasLost: false};
+		const pair: Pair = {
+			near, far, source, hasLost: false,
+		};
 		pairs.add(pair);
 		relay(pair, near, far, 'to-target');
 		relay(pair, far, near, 'from-target');
 	};
 
+	const refresh = (): void => {
+		for (const pair of pairs) {
+			if (pair.hasLost && !isAnyCut(pair.source)) {
+				drop(pair);
+			}
+		}
+
+		for (const near of silent) {
+			if (!isAnyCut(near.remoteAddress ?? '')) {
+				near.resetAndDestroy();
+			}
+		}
+	};
+
 	const reset = (): void => {
 		for (const pair of pairs) {
 			drop(pair);
@@ -147,16 +173,9 @@
 		},
 		heal() {
 			state.cut = 'none';
-			for (const pair of pairs) {
-				if (pair.hasLost) {
-					drop(pair);
-				}
-			}
-
-			for (const near of silent) {
-				near.resetAndDestroy();
-			}
+			refresh();
 		},
+		refresh,
 		reset,
 		setDelay(delayMs) {
 			state.delayMs = delayMs;
