Admission: keep slack by quick work's rate, let quick work use the whole pool

Change: quick work may use any place that the last report shows free; batch stays on the router's own places less quick work's occupancy (rate x hold) and half a standard deviation, and borrows what a report shows free beyond that. A bounce stops offers until a place is freed, and then one at a time.

--- /dev/null
+++ b/bench/admission/_lib/create-backend.ts
@@ -0,0 +1,160 @@
+/**
+ * A pool's servers as places and service times: a queue and a link before each
+ * prefill server, places on each decode server. Not a model of a fleet: no
+ * network, no batching, no memory beyond places.
+ */
+import {type Agenda} from './create-agenda.js';
+import {type Arrival} from './arrivals.js';
+import {
+	decodeMsPerToken, kvLifeMs, placesPerDecodeServer, type PoolTable, toPrefillMs, toTransferMs,
+} from './fleets.js';
+
+export type Stage = 'prefill-queue' | 'prefill' | 'transfer' | 'decode' | 'ended';
+
+/** What work a request has taken, and what of it was in vain. */
+export type Work = {
+	arrival: Arrival;
+	stage: Stage;
+	decodeServer: DecodeServer;
+	prefillServer: PrefillServer;
+	prefillStartedAt: number;
+	prefillMs: number;
+	wasted: 'none' | 'caller-gone' | 'expired';
+	onFirstToken: () => void;
+	onEnd: (outcome: 'completed' | 'failed') => void;
+};
+
+type DecodeServer = {used: number; slowFactor: number};
+type PrefillServer = {queue: Work[]; busy: Work | undefined; linkFreeAt: number; queuedMs: number};
+
+export type Backend = {
+	readonly slots: number;
+	readonly used: number;
+	/** Takes a decode place and queues the prefill; `undefined` when no decode server has a place. */
+	start: (arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd'>) => Work | undefined;
+	/** Ends the work at its present stage and frees all it holds. */
+	cancel: (work: Work) => void;
+};
+
+export function createBackend(table: PoolTable, agenda: Agenda, slowFactor: number, random: () => number): Backend {
+	const decodeServers: DecodeServer[] = Array.from({length: table.decodeServers}, (_, index) => ({used: 0, slowFactor: index === 0 ? slowFactor : 1}));
+	const prefillServers: PrefillServer[] = Array.from({length: table.prefillServers}, () => ({
+		queue: [], busy: undefined, linkFreeAt: 0, queuedMs: 0,
+	}));
+
+	function start(arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd'>): Work | undefined {
+		const decodeServer = pickDecodeServer(decodeServers, random);
+		if (decodeServer === undefined) {
+			return undefined;
+		}
+
+		const prefillServer = [...prefillServers].sort((a, b) => a.queuedMs - b.queuedMs)[0]!;
+		const work: Work = {
+			arrival, stage: 'prefill-queue', decodeServer, prefillServer, prefillStartedAt: 0, prefillMs: 0, wasted: 'none', ...handlers,
+		};
+		decodeServer.used += 1;
+		prefillServer.queue.push(work);
+		prefillServer.queuedMs += toPrefillMs(arrival.shape);
+		prefillNext(prefillServer);
+		return work;
+	}
+
+	function prefillNext(server: PrefillServer): void {
+		const quickIndex = server.queue.findIndex(work => work.arrival.class === 'quick');
+		const work = server.busy === undefined ? server.queue.splice(Math.max(0, quickIndex), 1)[0] : undefined;
+		if (work === undefined) {
+			return;
+		}
+
+		server.busy = work;
+		work.stage = 'prefill';
+		work.prefillStartedAt = agenda.now;
+		agenda.schedule(agenda.now + toPrefillMs(work.arrival.shape), () => {
+			if (work.stage === 'prefill') {
+				leavePrefill(work, toPrefillMs(work.arrival.shape));
+				transfer(work);
+			}
+		});
+	}
+
+	function leavePrefill(work: Work, spentMs: number): void {
+		const server = work.prefillServer;
+		work.prefillMs = spentMs;
+		server.queuedMs -= toPrefillMs(work.arrival.shape);
+		server.busy = undefined;
+		prefillNext(server);
+	}
+
+	function transfer(work: Work): void {
+		work.stage = 'transfer';
+		const startsAt = Math.max(agenda.now, work.prefillServer.linkFreeAt);
+		if (startsAt - agenda.now > kvLifeMs) {
+			work.wasted = 'expired';
+			end(work, 'failed');
+			return;
+		}
+
+		work.prefillServer.linkFreeAt = startsAt + toTransferMs(work.arrival.shape);
+		agenda.schedule(work.prefillServer.linkFreeAt, () => {
+			if (work.stage === 'transfer') {
+				decode(work);
+			}
+		});
+	}
+
+	function decode(work: Work): void {
+		work.stage = 'decode';
+		const msPerToken = decodeMsPerToken * work.decodeServer.slowFactor;
+		agenda.schedule(agenda.now + msPerToken, work.onFirstToken);
+		agenda.schedule(agenda.now + (msPerToken * work.arrival.shape.outputTokens), () => {
+			if (work.stage === 'decode') {
+				end(work, 'completed');
+			}
+		});
+	}
+
+	function end(work: Work, outcome: 'completed' | 'failed'): void {
+		work.stage = 'ended';
+		work.decodeServer.used -= 1;
+		work.onEnd(outcome);
+	}
+
+	function cancel(work: Work): void {
+		const {stage, prefillServer, arrival} = work;
+		work.stage = 'ended';
+		work.decodeServer.used -= 1;
+		if (stage === 'prefill-queue') {
+			prefillServer.queue.splice(prefillServer.queue.indexOf(work), 1);
+			prefillServer.queuedMs -= toPrefillMs(arrival.shape);
+		}
+
+		if (stage === 'prefill') {
+			leavePrefill(work, agenda.now - work.prefillStartedAt);
+		}
+
+		if (stage === 'prefill' || stage === 'transfer') {
+			work.wasted = 'caller-gone';
+		}
+	}
+
+	return {
+		slots: table.decodeServers * placesPerDecodeServer,
+		get used() {
+			let used = 0;
+			for (const server of decodeServers) {
+				used += server.used;
+			}
+
+			return used;
+		},
+		start,
+		cancel,
+	};
+}
+
+/** The emptier of two servers drawn among those with a place. */
+function pickDecodeServer(servers: readonly DecodeServer[], random: () => number): DecodeServer | undefined {
+	const open = servers.filter(server => server.used < placesPerDecodeServer);
+	const drawn = [open[Math.floor(random() * open.length)], open[Math.floor(random() * open.length)]];
+	return (drawn[0]?.used ?? 0) <= (drawn[1]?.used ?? 0) ? drawn[0] : drawn[1];
+}
--- /dev/null
+++ b/bench/admission/_lib/measure.ts
@@ -0,0 +1,110 @@
+/** Turns what became of the requests into the figures of the table. */
+import {type ServiceClass} from '../../../src/ports/outcome.js';
+import {type Scenario, toPlaces} from './arrivals.js';
+import {type RequestResult, toNeedMs} from './simulate.js';
+
+export type Figures = {
+	/** Good answers over requests whose caller stayed. */
+	quickGood: number;
+	batchGood: number;
+	/** Good batch place time over what quick work left, or over what was offered if that is less. */
+	batchOfLeft: number;
+	quickP50: number;
+	quickP95: number;
+	quickP99: number;
+	batchOldestWaitMs: number;
+	late: number;
+	refused: number;
+	bounces: number;
+	/** Prefill time in vain over all prefill time, by cause. */
+	wastedCallerGone: number;
+	wastedExpired: number;
+	/** Jain's index over workspaces of batch work got over max-min fair share. */
+	jain: number;
+};
+
+export function measure(scenario: Scenario, results: readonly RequestResult[]): Figures {
+	const stayed = results.filter(({arrival}) => arrival.leavesAt === Infinity);
+	const quickFirst = stayed.filter(({arrival}) => arrival.class === 'quick').flatMap(({firstTokenMs}) => firstTokenMs === undefined ? [] : [firstTokenMs]).sort((a, b) => a - b);
+	const batch = results.filter(({arrival}) => arrival.class === 'batch');
+	const prefillMs = sum(results.map(result => result.prefillMs));
+	const wasted = (cause: RequestResult['wasted']): number => sum(results.filter(result => result.wasted === cause).map(result => result.prefillMs)) / Math.max(1, prefillMs);
+	return {
+		quickGood: toGoodPart(stayed, 'quick'),
+		batchGood: toGoodPart(stayed, 'batch'),
+		batchOfLeft: toBatchOfLeft(scenario, results),
+		quickP50: toPercentile(quickFirst, 0.5),
+		quickP95: toPercentile(quickFirst, 0.95),
+		quickP99: toPercentile(quickFirst, 0.99),
+		batchOldestWaitMs: Math.max(0, ...batch.map(result => result.waitMs)),
+		late: stayed.filter(({fate}) => fate === 'late' || fate === 'failed').length,
+		refused: stayed.filter(({fate}) => fate === 'refused').length,
+		bounces: sum(results.map(result => result.bounces)),
+		wastedCallerGone: wasted('caller-gone'),
+		wastedExpired: wasted('expired'),
+		jain: toJain(stayed.filter(({arrival}) => arrival.class === 'batch')),
+	};
+}
+
+function toGoodPart(results: readonly RequestResult[], serviceClass: ServiceClass): number {
+	const own = results.filter(({arrival}) => arrival.class === serviceClass);
+	return own.filter(({fate}) => fate === 'good').length / Math.max(1, own.length);
+}
+
+function toBatchOfLeft(scenario: Scenario, results: readonly RequestResult[]): number {
+	const needOf = (serviceClass: ServiceClass, isGood: boolean): number => {
+		const own = results.filter(({arrival}) => arrival.class === serviceClass && arrival.leavesAt === Infinity);
+		return sum(own.filter(({fate}) => !isGood || fate === 'good').map(result => toNeedMs(result)));
+	};
+
+	const slots = sum(scenario.fleet.pools.map(pool => toPlaces(pool, scenario.slowFactor)));
+	const left = (slots * (scenario.horizonMs - scenario.warmupMs)) - needOf('quick', true);
+	return needOf('batch', true) / Math.min(left, needOf('batch', false));
+}
+
+/**
+ * Jain's index over workspaces of what each got against what max-min fairness
+ * would have given it of the same total; 1 is as fair as can be.
+ */
+function toJain(results: readonly RequestResult[]): number {
+	const demand = new Map<string, number>();
+	const got = new Map<string, number>();
+	for (const result of results) {
+		const {workspace} = result.arrival;
+		demand.set(workspace, (demand.get(workspace) ?? 0) + toNeedMs(result));
+		got.set(workspace, (got.get(workspace) ?? 0) + (result.fate === 'good' ? toNeedMs(result) : 0));
+	}
+
+	const level = toFairLevel([...demand.values()], sum([...got.values()]));
+	const ratios = [...demand].map(([workspace, wanted]) => (got.get(workspace) ?? 0) / Math.min(wanted, level));
+	return (sum(ratios) ** 2) / (ratios.length * sum(ratios.map(ratio => ratio ** 2)));
+}
+
+/** The level up to which each demand is met when `total` is shared out max-min fairly. */
+function toFairLevel(demands: readonly number[], total: number): number {
+	const sorted = [...demands].sort((a, b) => a - b);
+	let left = total;
+	for (const [index, demand] of sorted.entries()) {
+		const even = left / (sorted.length - index);
+		if (demand >= even) {
+			return even;
+		}
+
+		left -= demand;
+	}
+
+	return sorted.at(-1) ?? 1;
+}
+
+function sum(values: readonly number[]): number {
+	let total = 0;
+	for (const value of values) {
+		total += value;
+	}
+
+	return total;
+}
+
+function toPercentile(sorted: readonly number[], part: number): number {
+	return sorted[Math.min(sorted.length - 1, Math.floor(part * sorted.length))] ?? 0;
+}
--- /dev/null
+++ b/bench/admission/_lib/simulate.ts
@@ -0,0 +1,197 @@
+/** Drives one policy through one scenario on a logical clock. */
+import {
+	type Arrival, createRandom, type Scenario, toArrivals,
+} from './arrivals.js';
+import {createAgenda} from './create-agenda.js';
+import {
+	type Backend, createBackend, type Stage, type Work,
+} from './create-backend.js';
+import {toHoldMs} from './fleets.js';
+import {type Policy, type PolicyTable} from './policies.js';
+
+export type Fate = 'good' | 'late' | 'refused' | 'caller-gone' | 'failed';
+
+export type RequestResult = {
+	arrival: Arrival;
+	fate: Fate;
+	/** Time to the first token; `undefined` without one. */
+	firstTokenMs: number | undefined;
+	/** Time until it started or was refused. */
+	waitMs: number;
+	bounces: number;
+	prefillMs: number;
+	/** Time for which it held a decode place. */
+	heldMs: number;
+	wasted: Work['wasted'];
+	/** Where a caller's leaving found it. */
+	leftAt: Stage | 'waiting' | undefined;
+};
+
+const tickEveryMs = 50;
+const queuedPerPool = 360;
+const bounceDelayMs = 40;
+
+type Tracked = RequestResult & {work: Work | undefined; isOver: boolean};
+
+/**
+ * @param scenario - load and faults.
+ * @param table - the policy and how many routers run it.
+ * @returns what became of each measured request.
+ */
+export function simulate(scenario: Scenario, table: PolicyTable): RequestResult[] {
+	const agenda = createAgenda();
+	const random = createRandom(scenario.seed + 1);
+	const backends = new Map(scenario.fleet.pools.map(pool => [pool.name, createBackend(pool, agenda, scenario.slowFactor, random)]));
+	const routers = Array.from({length: table.routers}, () => table.create());
+	const arrivals = toArrivals(scenario);
+	const tracked = new Map<string, Tracked>();
+	const endsAt = scenario.endsAtMs + 120_000;
+
+	for (const arrival of arrivals) {
+		const router = routers[Math.floor(arrival.routerChoice * routers.length)]!;
+		const request: Tracked = {
+			arrival, fate: 'failed', firstTokenMs: undefined, waitMs: 0, bounces: 0, prefillMs: 0, heldMs: 0, wasted: 'none', leftAt: undefined, work: undefined, isOver: false,
+		};
+		tracked.set(arrival.id, request);
+		agenda.schedule(arrival.at, () => {
+			offer(router, request);
+		});
+		agenda.schedule(arrival.leavesAt, () => {
+			leave(router, request);
+		});
+	}
+
+	function offer(router: Policy, request: Tracked): void {
+		const {arrival} = request;
+		if (request.isOver) {
+			return;
+		}
+
+		const answer = router.offer({
+			id: arrival.id,
+			pool: arrival.pool,
+			class: arrival.class,
+			workspace: arrival.workspace,
+			deadline: arrival.at + arrival.shape.completeMs,
+			firstTokenDeadline: arrival.at + arrival.shape.firstTokenMs,
+			promptTokens: arrival.shape.promptTokens,
+			maxTokens: arrival.shape.outputTokens,
+			queueLimit: Math.ceil(queuedPerPool / table.routers),
+		}, agenda.now);
+		if (answer.kind === 'admitted') {
+			start(router, request);
+		}
+
+		if (answer.kind === 'refused') {
+			end(request, 'refused');
+		}
+	}
+
+	function start(router: Policy, request: Tracked): void {
+		const {arrival} = request;
+		request.waitMs = agenda.now - arrival.at;
+		request.work = backends.get(arrival.pool)!.start(arrival, {
+			onFirstToken() {
+				request.firstTokenMs = agenda.now - arrival.at;
+				router.noteFirstToken(arrival.id, agenda.now);
+			},
+			onEnd(outcome) {
+				end(request, outcome === 'completed' ? toFate(request, agenda.now) : 'failed');
+				startAll(router, router.finish(arrival.id, agenda.now, {outcome}));
+			},
+		});
+		if (request.work === undefined) {
+			request.bounces += 1;
+			agenda.schedule(agenda.now + (bounceDelayMs * random()), () => {
+				offer(router, request);
+			});
+			startAll(router, router.finish(arrival.id, agenda.now, {outcome: 'bounced'}));
+		}
+	}
+
+	function startAll(router: Policy, ids: readonly string[]): void {
+		for (const id of ids) {
+			start(router, tracked.get(id)!);
+		}
+	}
+
+	function leave(router: Policy, request: Tracked): void {
+		if (request.isOver) {
+			return;
+		}
+
+		request.leftAt = request.work?.stage ?? 'waiting';
+		if (request.work !== undefined) {
+			backends.get(request.arrival.pool)!.cancel(request.work);
+		}
+
+		end(request, 'caller-gone');
+		startAll(router, router.cancel(request.arrival.id, agenda.now));
+	}
+
+	function end(request: Tracked, fate: Fate): void {
+		request.isOver = true;
+		request.fate = fate;
+		request.prefillMs = request.work?.prefillMs ?? 0;
+		request.wasted = request.work?.wasted ?? 'none';
+		if (request.work === undefined) {
+			request.waitMs = agenda.now - request.arrival.at;
+		} else {
+			request.heldMs = agenda.now - request.arrival.at - request.waitMs;
+		}
+	}
+
+	function report(name: string, backend: Backend): void {
+		const {used} = backend;
+		agenda.schedule(agenda.now + table.reportLagMs, () => {
+			for (const router of routers) {
+				const capacity = {slots: backend.slots, share: 1 / routers.length};
+				startAll(router, router.setCapacity(name, table.isUsedReported ? {...capacity, used} : capacity, agenda.now));
+			}
+		});
+		if (agenda.now < endsAt) {
+			agenda.schedule(agenda.now + table.reportEveryMs, () => {
+				report(name, backend);
+			});
+		}
+	}
+
+	function tick(router: Policy): void {
+		const {admitted, refused} = router.tick(agenda.now);
+		startAll(router, admitted);
+		for (const {id} of refused) {
+			end(tracked.get(id)!, 'refused');
+		}
+
+		if (agenda.now < endsAt) {
+			agenda.schedule(agenda.now + tickEveryMs, () => {
+				tick(router);
+			});
+		}
+	}
+
+	for (const [name, backend] of backends) {
+		for (const router of routers) {
+			router.setCapacity(name, {slots: backend.slots, share: 1 / routers.length}, 0);
+		}
+
+		report(name, backend);
+	}
+
+	for (const router of routers) {
+		tick(router);
+	}
+
+	agenda.run();
+	return [...tracked.values()].filter(({arrival}) => arrival.isMeasured);
+}
+
+function toFate({arrival, firstTokenMs}: Tracked, now: number): Fate {
+	const isGood = firstTokenMs !== undefined && firstTokenMs <= arrival.shape.firstTokenMs && now - arrival.at <= arrival.shape.completeMs;
+	return isGood ? 'good' : 'late';
+}
+
+/** Place time that a request needs, for weighing results. */
+export function toNeedMs({arrival}: RequestResult): number {
+	return toHoldMs(arrival.shape);
+}
--- a/src/domain/create-admission/_lib/create-pool.ts
+++ b/src/domain/create-admission/_lib/create-pool.ts
@@ -6,7 +6,7 @@
 import {createFairQueue, type FairQueue} from '../../create-fair-queue/index.js';
 import {toRetryAfter} from '../../to-retry-after/index.js';
 import {createMean, type Mean} from './create-mean.js';
-import {createPeak} from './create-peak.js';
+import {createRate} from './create-rate.js';
 import {
 	type AdmissionAnswer, type AdmissionRequest, type AdmissionTick, type FinishOutcome, type PoolCapacity, type PoolSettings, type PoolStatus, type QueuedRequest, type Refusal,
 } from './types.js';
@@ -50,47 +50,73 @@
 	const quick = createLane('quick', settings);
 	const batch = createLane('batch', settings);
 	const running = new Map<RequestId, Running>();
-	const quickPeak = createPeak(settings.slackWindowMs);
-	let places = 0;
+	const quickRate = createRate(settings.slackMemoryMs);
+	let capacity: PoolCapacity = {slots: 0, share: 1};
+	/** Places that are this process's own, not a whole number. */
+	let own = 0;
+	/** Running requests when the last report came, to correct the report by what was started since. */
+	let runningAtReport = 0;
+	/** Batch requests that may start on places borrowed from other processes; grows by a part of what each report shows free. */
+	let batchCredit = 0;
+	/** Running requests beyond which the servers have just bounced one. */
+	let bouncedAbove = Infinity;
 	/** Admissions of quick work since the last one of batch work. */
 	let quickInARow = 0;
 
 	const toLane = (serviceClass: ServiceClass): Lane => serviceClass === 'quick' ? quick : batch;
 
-	/** Places that batch work leaves to quick work: what it used at its recent peak, up to a bound. */
+	const guaranteed = (): number => Math.floor(own * settings.batchShare);
+
+	/** Places that quick work occupies by its recent rate (Little's law). */
+	const quickOccupancy = (now: Milliseconds): number => quickRate.at(now) * (quick.holdMs.value ?? 0);
+
+	/** Places that batch work leaves to quick work: its occupancy, and this process's share of the pool's chance variation around it. */
 	function reservedAt(now: Milliseconds): number {
-		return Math.min(quickPeak.at(now), Math.floor(places * settings.slackShare));
+		const occupied = quickOccupancy(now);
+		const variation = settings.slackDeviations * Math.sqrt(occupied * capacity.share);
+		return Math.min(occupied + variation, own * settings.slackShare);
+	}
+
+	/** Places of the whole pool that seem free: the last report, less what was started here since. */
+	function freeInPool(): number {
+		const startedSince = Math.max(0, running.size - runningAtReport);
+		return capacity.used === undefined ? 0 : Math.max(0, capacity.slots - capacity.used - startedSince);
 	}
 
 	function isBatchOwed(): boolean {
-		const guaranteed = Math.floor(places * settings.batchShare);
 		if (batch.queue.size === 0 || settings.batchShare === 0) {
 			return false;
 		}
 
 		// Too few places for a share of them: batch gets its share of the turns instead, or it would starve.
-		return guaranteed === 0
+		return guaranteed() === 0
 			? batch.running === 0 && quickInARow >= 1 / settings.batchShare
-			: batch.running < guaranteed && quick.running >= places - guaranteed;
+			: batch.running < guaranteed() && quick.running >= own - guaranteed();
 	}
 
-	function isAdmissible(lane: Lane, now: Milliseconds): boolean {
-		if (running.size >= places) {
-			return false;
-		}
-
-		if (lane === quick) {
-			return !isBatchOwed();
-		}
-
+	/** Batch work stays on this process's own places, less the reserve, and borrows with care. */
+	function isBatchAdmissible(now: Milliseconds): boolean {
 		const forQuick = Math.max(quick.running, reservedAt(now));
-		return batch.running < Math.max(places - forQuick, Math.floor(places * settings.batchShare)) || isBatchOwed();
+		// Shares are not whole places: rounding to the nearest keeps the sum over the processes right.
+		return batch.running < guaranteed()
+			|| isBatchOwed()
+			|| batch.running + forQuick + (1 / 2) <= own
+			|| batchCredit >= 1;
+	}
+
+	function isAdmissible(lane: Lane, now: Milliseconds): boolean {
+		// Any place of the pool will do for quick work: a wrong guess costs one bounced reservation, a missed place costs the target.
+		const isRoom = running.size < Math.min(own, bouncedAbove) || (freeInPool() >= 1 && running.size < bouncedAbove);
+		return isRoom && (lane === quick ? !isBatchOwed() : isBatchAdmissible(now));
 	}
 
 	function start(lane: Lane, id: RequestId, now: Milliseconds): void {
 		running.set(id, {lane, admittedAt: now, hasFirstToken: false});
 		lane.running += 1;
 		quickInARow = lane === quick ? quickInARow + 1 : 0;
+		if (lane === batch && running.size > own - reservedAt(now)) {
+			batchCredit = Math.max(0, batchCredit - 1);
+		}
 	}
 
 	function admitNext(now: Milliseconds): RequestId[] {
@@ -110,17 +136,21 @@
 	/** Requests of a lane that leave it in a millisecond, 0 while nothing is known. */
 	function drainPerMs(lane: Lane, now: Milliseconds): number {
 		if (lane === batch) {
-			const usable = Math.max(places - Math.max(quick.running, reservedAt(now)), places * settings.batchShare);
+			const usable = Math.max(own - Math.max(quick.running, reservedAt(now)), own * settings.batchShare, batch.running);
 			return toRate(usable, batch.holdMs.value);
 		}
 
-		const owed = batch.queue.size > 0 ? Math.min(batch.running, places * settings.batchShare) : 0;
-		return toRate(quick.running, quick.holdMs.value) + toRate(batch.running - owed, batch.holdMs.value);
+		const owed = batch.queue.size > 0 ? Math.min(batch.running, own * settings.batchShare) : 0;
+		// What quick work of other processes frees counts too, in the proportion of this one's share.
+		const freeing = capacity.used === undefined ? quick.running : Math.max(quick.running, Math.min(quickOccupancy(now), own));
+		return toRate(freeing, quick.holdMs.value) + toRate(batch.running - owed, batch.holdMs.value);
 	}
 
 	function isLate(lane: Lane, item: QueuedRequest, ahead: number, now: Milliseconds): boolean {
 		const drain = drainPerMs(lane, now);
-		const waitMs = drain > 0 ? (ahead + 1) / drain * settings.refuseMargin : 0;
+		// Quick work takes the next place of the whole pool, and of the requests that wait for it this process has its share.
+		const places = lane === quick && capacity.used !== undefined ? ahead + capacity.share : ahead + 1;
+		const waitMs = drain > 0 ? places / drain * settings.refuseMargin : 0;
 		return now + waitMs + (lane.firstTokenMs.value ?? 0) > item.firstTokenDeadline
 			|| now + waitMs + (lane.holdMs.value ?? 0) > item.deadline;
 	}
@@ -133,7 +163,7 @@
 	function offer(request: AdmissionRequest, now: Milliseconds): AdmissionAnswer {
 		const lane = toLane(request.class);
 		if (lane === quick) {
-			quickPeak.add(quick.running + quick.queue.size + 1, now);
+			quickRate.add(now);
 		}
 
 		const item = toItem(request, settings);
@@ -180,8 +210,8 @@
 		}
 
 		if (outcome === 'bounced') {
-			// Others took the places that this process counted on: without this it would go on offering what bounces until the next report.
-			places = Math.max(1, Math.min(places, running.size));
+			// Others took the places that this process counted on: without this it would offer in a loop what bounces.
+			bouncedAbove = running.size;
 		}
 
 		return admitNext(now);
@@ -207,16 +237,19 @@
 		return refused;
 	}
 
-	function setCapacity(capacity: PoolCapacity, now: Milliseconds): RequestId[] {
-		const own = capacity.slots > 0 ? Math.max(1, Math.ceil(capacity.slots * capacity.share)) : 0;
-		const free = capacity.used === undefined ? 0 : Math.max(0, capacity.slots - capacity.used);
-		const borrowed = running.size + Math.floor(free * capacity.share * settings.borrowShare);
-		places = capacity.used === undefined ? own : Math.min(capacity.slots, Math.max(own, borrowed));
+	function setCapacity(next: PoolCapacity, now: Milliseconds): RequestId[] {
+		capacity = next;
+		own = next.slots > 0 ? Math.max(1, next.slots * next.share) : 0;
+		runningAtReport = running.size;
+		bouncedAbove = Infinity;
+		const keptFree = settings.slackDeviations * Math.sqrt(quickOccupancy(now) / next.share);
+		const spare = Math.max(0, freeInPool() - keptFree);
+		batchCredit = Math.min(spare, batchCredit + (spare * next.share * settings.borrowShare));
 		return admitNext(now);
 	}
 
 	return {
-		hasCapacity: () => places > 0,
+		hasCapacity: () => capacity.slots > 0,
 		offer,
 		noteFirstToken(id, now) {
 			const entry = running.get(id);
@@ -228,13 +261,18 @@
 		finish,
 		cancel,
 		tick(now) {
+			if (running.size >= bouncedAbove) {
+				// Try one: a place may have been freed by another process.
+				bouncedAbove = running.size + 1;
+			}
+
 			const admitted = admitNext(now);
 			return {admitted, refused: [...refuseLate(quick, now), ...refuseLate(batch, now)]};
 		},
 		setCapacity,
 		status: now => ({
 			pool: name,
-			places,
+			places: own,
 			reserved: reservedAt(now),
 			running: {quick: quick.running, batch: batch.running},
 			waiting: {quick: quick.queue.size, batch: batch.queue.size},
--- a/src/domain/create-admission/_lib/types.ts
+++ b/src/domain/create-admission/_lib/types.ts
@@ -70,8 +70,10 @@
 	batchShare: number;
 	/** Largest part of the places that is kept free of batch work for quick work to come; 0 keeps none. */
 	slackShare: number;
-	/** Quick work's peak is remembered for one to two of these. */
-	slackWindowMs: Milliseconds;
+	/** Memory of the rate at which quick work comes. */
+	slackMemoryMs: Milliseconds;
+	/** Standard deviations of quick work's occupancy that are kept free on top of what its rate occupies. */
+	slackDeviations: number;
 	/** Part of the slots reported free, times this process's share, that it takes beyond its own. */
 	borrowShare: number;
 	/** See `createFairQueue`; in units of cost, which is one output token. */
--- a/src/domain/create-admission/index.ts
+++ b/src/domain/create-admission/index.ts
@@ -40,16 +40,20 @@
 	status: (now: Milliseconds) => PoolStatus[];
 };
 
+/** A pool without a known server may get one with the next report or two. */
+const noCapacityRetryMs = 10_000;
+
 const defaults: PoolSettings = {
 	batchShare: 0.2,
-	slackShare: 0.3,
-	slackWindowMs: 10_000,
-	borrowShare: 0.5,
+	slackShare: 0.8,
+	slackMemoryMs: 2000,
+	slackDeviations: 0.5,
+	borrowShare: 1,
 	fairnessWindowCost: 512,
 	prefillTokensPerCost: 20,
-	maxQueuedPerWorkspace: 8,
+	maxQueuedPerWorkspace: 1,
 	meanWeight: 0.05,
-	refuseMargin: 1,
+	refuseMargin: 0.8,
 };
 
 /**
@@ -74,7 +78,7 @@
 	function offer(request: AdmissionRequest, now: Milliseconds): AdmissionAnswer {
 		const pool = pools.get(request.pool);
 		if (!pool?.hasCapacity()) {
-			return {kind: 'refused', reason: 'no-capacity', retryAfterMs: toRetryAfter({ahead: 1, drainPerSecond: 0}, {maxMs: settings.slackWindowMs})};
+			return {kind: 'refused', reason: 'no-capacity', retryAfterMs: toRetryAfter({ahead: 1, drainPerSecond: 0}, {maxMs: noCapacityRetryMs})};
 		}
 
 		if (poolOf.has(request.id)) {
