Spread configuration, loads, leaves and deaths between agents

Cause: each agent read the platform and polled every server by itself, knew no peers, and nobody released what ended entries held. Ruled out: whole documents to all (chunks by digest, from whoever has them); loads to all 400 hosts (does not fit 8 KB/s: zone alone beyond 40 hosts, as often as 4 KB/s allow); releasing what a suspected host holds (it may live behind a cut); taking a lost feed connection for the entry's death (its peer port is asked first). Change: mesh of peer connections, membership task, document spread, one poller a server by rendezvous, load deltas of 15 bytes, leaves told at once, release of orphans, two readers of the platform a zone, operators' port, keys. After: four tests with four agents pass, the stale platform and the ended entry among them. Conclusion: at more than 40 hosts, loads of other zones are not known.

--- a/src/adapters/peer-tcp/index.ts
+++ b/src/adapters/peer-tcp/index.ts
@@ -21,7 +21,7 @@
 export type PeerKeys = {
 	key: string | Buffer;
 	cert: string | Buffer;
-	ca: string | Buffer;
+	ca?: string | Buffer;
 };
 
 /** The value, or a function that gives the present one. */
--- a/src/adapters/view-feed/_lib/messages.ts
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -13,6 +13,8 @@
 	at: Milliseconds;
 	/** `IP:port` on which the entry takes calls of peers. */
 	entryAddress: string;
+	/** The entry's present incarnation; it may have been raised since its hello. */
+	incarnation: Incarnation;
 	/** Version that the entry decides with; lets a restarted agent learn it from its entry. */
 	configVersion: ConfigVersion | undefined;
 };
@@ -46,8 +48,8 @@
 	serversGone: readonly ServerId[];
 	/** Age of the platform's last confirmation; `undefined` if there was none. */
 	confirmedAgeMs: Milliseconds | undefined;
-	/** Highest incarnation of this host's entry that peers have seen. */
-	entryIncarnationSeen: Incarnation;
+	/** Least incarnation that the entry may use: above those of the entries before it. */
+	incarnationFloor: Incarnation;
 };
 
 export const feedEvents = {
--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -10,7 +10,7 @@
 	connectPeer, type PeerConnection, type PeerHello, type PeerKeys,
 } from '../peer-tcp/index.js';
 import {parseConfig} from '../../domain/parse-config/index.js';
-import {isNewerVersion} from '../../domain/is-newer-version/index.js';
+import {compareConfigVersions} from '../../domain/compare-config-versions/index.js';
 import {applyUpdate, emptyView, type ApplyOptions} from './_lib/apply-update.js';
 import {
 	configCall, feedEvents, type FeedConfig, type FeedPing, type FeedUpdate,
@@ -33,7 +33,7 @@
 	entryAddress: string;
 	/** Called with each new view; never with an older one than before. */
 	onView: (view: FleetView) => void;
-	/** Peers have seen this incarnation of this host's entry; the entry's own must be above it unless it is its own. */
+	/** Least incarnation that this entry may use, above those of the entries before it; 0 when any will do. */
 	onIncarnationSeen?: (incarnation: Incarnation) => void;
 	/** The connection was made or lost, with the reason. */
 	onState?: (state: 'connected' | 'disconnected', reason: string) => void;
@@ -61,16 +61,22 @@
  */
 export function connectViewFeed(options: ViewFeedOptions): ViewFeed {
 	const {now, random} = options;
-	const applyOptions = {parse: parseConfig, isNewer: isNewerVersion, ...options};
+	const applyOptions: ApplyOptions = {
+		parse: parseConfig, isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0, ...options,
+	};
 	const stop = new AbortController();
 	let view: FleetView = emptyView;
 	let current: PeerConnection | undefined;
 	let backoffMs = firstBackoffMs;
 
+	function toHello(): PeerHello {
+		return typeof options.hello === 'function' ? options.hello() : options.hello;
+	}
+
 	function takeUpdate(update: FeedUpdate) {
 		view = applyUpdate(view, update, applyOptions);
 		backoffMs = firstBackoffMs;
-		options.onIncarnationSeen?.(update.entryIncarnationSeen);
+		options.onIncarnationSeen?.(update.incarnationFloor);
 		options.onView(view);
 	}
 
@@ -91,7 +97,7 @@
 
 	function ping(connection: PeerConnection) {
 		connection.send(feedEvents.ping, {
-			at: now(), entryAddress: options.entryAddress, configVersion: view.accepted?.version,
+			at: now(), entryAddress: options.entryAddress, incarnation: toHello().incarnation, configVersion: view.accepted?.version,
 		} satisfies FeedPing);
 	}
 
--- a/src/adapters/view-feed/publish-view.ts
+++ b/src/adapters/view-feed/publish-view.ts
@@ -23,7 +23,7 @@
 	/** The entry has sent its clock; until then nothing is sent to it. */
 	notePing: (connection: PeerConnection, ping: FeedPing, now: Milliseconds) => void;
 	/** Sends each entry what changed since its last update. Statuses that did not change must be the same objects as before. */
-	publish: (view: FleetView, entryIncarnationSeen: Incarnation, now: Milliseconds) => void;
+	publish: (view: FleetView, incarnationFloor: Incarnation, now: Milliseconds) => void;
 };
 
 function toChanged<Key, Value>(next: ReadonlyMap<Key, Value>, prev: ReadonlyMap<Key, Value> | undefined): Value[] {
@@ -41,7 +41,7 @@
 	return prev ? [...prev.keys()].filter(key => !next.has(key)) : [];
 }
 
-function toUpdate(view: FleetView, {sent, ping}: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'entryIncarnationSeen'> {
+function toUpdate(view: FleetView, {sent, ping}: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'incarnationFloor'> {
 	const {accepted} = view;
 	const isNewConfig = accepted !== undefined && sent?.accepted?.version.digest !== accepted.version.digest;
 	return {
@@ -59,7 +59,7 @@
 	};
 }
 
-function hasNews(update: Omit<FeedUpdate, 'entryIncarnationSeen'>): boolean {
+function hasNews(update: Omit<FeedUpdate, 'incarnationFloor'>): boolean {
 	return update.whole
 		|| update.config !== undefined
 		|| update.hosts.length + update.servers.length + update.hostsGone.length + update.serversGone.length > 0;
@@ -89,7 +89,7 @@
 				subscriber.ping = {at, receivedAt: now};
 			}
 		},
-		publish(view, entryIncarnationSeen, now) {
+		publish(view, incarnationFloor, now) {
 			for (const subscriber of subscribers.values()) {
 				if (!subscriber.ping) {
 					continue;
@@ -98,7 +98,7 @@
 				const update = toUpdate(view, subscriber, now);
 				const isDue = hasNews(update) || now - subscriber.sentAt >= keepAliveMs;
 				// An update that was dropped is contained in the next one, because `sent` stays as it was.
-				if (isDue && subscriber.connection.send(feedEvents.update, {...update, entryIncarnationSeen} satisfies FeedUpdate)) {
+				if (isDue && subscriber.connection.send(feedEvents.update, {...update, incarnationFloor} satisfies FeedUpdate)) {
 					subscriber.sent = view;
 					subscriber.sentAt = now;
 				}
--- /dev/null
+++ b/src/domain/create-load-spread/_lib/pack.ts
@@ -0,0 +1,77 @@
+/** Fifteen bytes for what changes in a load report. */
+import {type LoadReport} from '../../../ports/engine.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {toHash32} from '../../../_lib/pick-ranked/index.js';
+
+/** The changing part of a load report, with values rounded as the bytes round them. */
+export type LoadDelta = {
+	/** Hash of the server's name. */
+	server: number;
+	/** Hash of the part that seldom changes; a receiver that has another one asks for the whole report. */
+	rest: number;
+	state: LoadReport['state'] | 'unreachable';
+	slotsUsed: number;
+	queued: number;
+	queuedTokens: number;
+	tokensPerSecond: number;
+	linkBytesPerSecond: number;
+	ageMs: Milliseconds;
+};
+
+export const deltaBytes = 15;
+
+const states = ['serving', 'loading', 'leaving', 'unreachable'] as const;
+const ageUnitMs = 50;
+const stepsPerDoubling = 6;
+
+/** Six steps to a doubling: within 6% from 1 up to 2^42. */
+function toStep(value: number): number {
+	return value < 1 ? 0 : Math.min(255, 1 + Math.round(Math.log2(value) * stepsPerDoubling));
+}
+
+function fromStep(step: number): number {
+	return step === 0 ? 0 : Math.round(2 ** ((step - 1) / stepsPerDoubling));
+}
+
+/** Hash of the part of a report that seldom changes. */
+export function toRest({role, model, version, adapters, slotsTotal, fence}: LoadReport): number {
+	return toHash32([role, model, version, ...adapters, slotsTotal, fence].join('\n')) % (2 ** 16);
+}
+
+/** Packs deltas one after the other. */
+export function packDeltas(deltas: readonly LoadDelta[]): Uint8Array {
+	const bytes = new Uint8Array(deltas.length * deltaBytes);
+	const view = new DataView(bytes.buffer);
+	for (const [i, delta] of deltas.entries()) {
+		const at = i * deltaBytes;
+		view.setUint32(at, delta.server);
+		view.setUint16(at + 4, delta.rest);
+		view.setUint8(at + 6, states.indexOf(delta.state));
+		view.setUint16(at + 7, Math.min(65_535, delta.slotsUsed));
+		view.setUint16(at + 9, Math.min(65_535, delta.queued));
+		view.setUint8(at + 11, toStep(delta.queuedTokens));
+		view.setUint8(at + 12, toStep(delta.tokensPerSecond));
+		view.setUint8(at + 13, toStep(delta.linkBytesPerSecond));
+		view.setUint8(at + 14, Math.min(255, Math.ceil(delta.ageMs / ageUnitMs)));
+	}
+
+	return bytes;
+}
+
+/** Reads packed deltas; an incomplete last one, or one of an unknown state, is left out. */
+export function unpackDeltas(bytes: Uint8Array): LoadDelta[] {
+	const view = new DataView(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+	return Array.from({length: Math.floor(bytes.length / deltaBytes)}, (_, i) => i * deltaBytes)
+		.filter(at => view.getUint8(at + 6) < states.length)
+		.map(at => ({
+			server: view.getUint32(at),
+			rest: view.getUint16(at + 4),
+			state: states[view.getUint8(at + 6)]!,
+			slotsUsed: view.getUint16(at + 7),
+			queued: view.getUint16(at + 9),
+			queuedTokens: fromStep(view.getUint8(at + 11)),
+			tokensPerSecond: fromStep(view.getUint8(at + 12)),
+			linkBytesPerSecond: fromStep(view.getUint8(at + 13)),
+			ageMs: view.getUint8(at + 14) * ageUnitMs,
+		}));
+}
--- a/src/domain/create-membership/_lib/types.ts
+++ b/src/domain/create-membership/_lib/types.ts
@@ -15,10 +15,12 @@
 	revision: number;
 	life: HostLife;
 	agentAddress: string;
-	/** Empty while the entry is not there. */
+	/** Empty while unknown. */
 	entryAddress: string;
-	/** Incarnation of the host's entry; 0 while it is not there. */
+	/** Incarnation of the host's entry; 0 while its agent does not know. */
 	entryIncarnation: Incarnation;
+	/** Entries of the host up to this incarnation have ended, as its own agent has seen. */
+	entryGone: Incarnation;
 	/** The host drains: it finishes what it has and takes nothing new. */
 	leaving: boolean;
 	/** Hosts that probed it themselves and got no answer; empty unless suspect. */
--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -24,13 +24,15 @@
 /** Two hosts must have had no answer themselves, where there are two. */
 const witnessesNeeded = 2;
 const helpersAsked = 2;
+
+/** Share of a probe's time after which others are asked to help. */
+const directShare = 0.4;
 const updatesInMessage = 6;
 const maxSlowness = 4;
 
 /** Limits in heartbeat intervals, so that one setting scales them all. */
-const directPatience = 0.4;
-const probePatience = 1;
-const suspicionPatience = 3;
+const probeIntervals = 1;
+const suspicionIntervals = 3;
 const pausePatience = 2;
 const zonePatience = 6;
 
@@ -44,6 +46,10 @@
 	seeds: readonly string[];
 	/** Time between two heartbeats, milliseconds; the same on all hosts. */
 	intervalMs?: Milliseconds;
+	/** Time for an answer, that of the helpers included, after which a host is suspected; one interval by default. */
+	probeMs?: Milliseconds;
+	/** Time that a suspect has to take it back; three intervals by default. */
+	suspicionMs?: Milliseconds;
 	/** Monotonic milliseconds. */
 	startedAt: Milliseconds;
 };
@@ -52,6 +58,8 @@
 export type OwnStatement = {
 	entryAddress?: string;
 	entryIncarnation?: Incarnation;
+	/** Entries up to this incarnation have ended. */
+	entryGone?: Incarnation;
 	leaving?: boolean;
 };
 
@@ -82,8 +90,8 @@
 	record: (id: HostId) => HostRecord | undefined;
 	/** Hosts that one message must reach to be known everywhere: the zone, and bridges of the others. */
 	spreadTargets: (from: HostId) => readonly HostRecord[];
-	/** Highest incarnation of this host's entry that anybody has seen. */
-	entryIncarnationSeen: () => Incarnation;
+	/** Highest incarnation of an earlier entry of this host that anybody has seen, and where that was. */
+	entrySeen: () => {incarnation: Incarnation; address: string};
 	/** When a message of another host last came; `undefined` before the first. */
 	lastHeardAt: () => Milliseconds | undefined;
 };
@@ -103,6 +111,7 @@
  */
 export function createMembership(options: MembershipOptions): Membership {
 	const {id: ownId, zone: ownZone, intervalMs = 1000} = options;
+	const {probeMs = probeIntervals * intervalMs, suspicionMs = suspicionIntervals * intervalMs} = options;
 	const records = createRecords({spreadCount: hosts => 3 * Math.ceil(Math.log2(hosts + 1))});
 	const prober = createProber();
 	const guard = createPauseGuard({limitMs: pausePatience * intervalMs, startedAt: options.startedAt});
@@ -121,10 +130,11 @@
 		agentAddress: options.agentAddress,
 		entryAddress: '',
 		entryIncarnation: 0,
+		entryGone: 0,
 		leaving: false,
 		witnesses: [],
 	};
-	let entrySeen: Incarnation = 0;
+	let entrySeen = {incarnation: 0, address: ''};
 	let heardAt: Milliseconds | undefined;
 	let quietUntil = options.startedAt;
 	let slowness = 0;
@@ -167,7 +177,10 @@
 	/** Somebody says something of this host that it has not said itself. */
 	function refute(rumour: HostRecord, now: Milliseconds): boolean {
 		const current = self();
-		entrySeen = Math.max(entrySeen, rumour.entryIncarnation === current.entryIncarnation ? 0 : rumour.entryIncarnation);
+		if (rumour.entryIncarnation > entrySeen.incarnation && rumour.entryIncarnation !== current.entryIncarnation) {
+			entrySeen = {incarnation: rumour.entryIncarnation, address: rumour.entryAddress};
+		}
+
 		const isFinal = rumour.life === 'dead' || rumour.life === 'left';
 		const isOlder = rumour.incarnation < current.incarnation;
 		const isOwn = rumour.incarnation === current.incarnation && rumour.revision <= current.revision && rumour.life === 'alive';
@@ -270,7 +283,7 @@
 	 * as the death of all, and the work of hosts behind a cut must be left alone.
 	 */
 	function buryDead(now: Milliseconds): OutMessage[] {
-		const patienceMs = suspicionPatience * intervalMs * (1 + (slowness / 2));
+		const patienceMs = suspicionMs * (1 + (slowness / 2));
 		const dead = records.ofZone(ownZone).filter(({id, life, witnesses}) => life === 'suspect'
 			&& now - records.suspectSince(id) >= patienceMs
 			&& witnesses.length >= Math.min(witnessesNeeded, toJurors(id, now).length));
@@ -296,7 +309,7 @@
 	function probe(now: Milliseconds, random: Random): OutMessage[] {
 		const factor = 1 + slowness;
 		const {helpless, failed} = prober.takeDue(now, {
-			directMs: directPatience * intervalMs * factor, totalMs: probePatience * intervalMs * factor,
+			directMs: directShare * probeMs * factor, totalMs: probeMs * factor,
 		});
 		return [
 			...(now >= quietUntil ? failed.flatMap(id => suspect(id, now)) : []),
@@ -430,18 +443,20 @@
 		self,
 		record: records.get,
 		spreadTargets: targets.spreadTo,
-		entryIncarnationSeen: () => entrySeen,
+		entrySeen: () => entrySeen,
 		lastHeardAt: () => heardAt,
 	};
 }
 
 function toHosts(all: Iterable<HostRecord>, staleZones: ReadonlySet<ZoneId>, prev: ReadonlyMap<HostId, HostStatus> | undefined): ReadonlyMap<HostId, HostStatus> {
 	const hosts = new Map<HostId, HostStatus>();
-	for (const {id, zone, life, incarnation, entryAddress, entryIncarnation, agentAddress, leaving} of all) {
+	for (const {
+		id, zone, life, incarnation, entryAddress, entryIncarnation, entryGone, agentAddress, leaving,
+	} of all) {
 		// A zone that nobody here hears may be cut off or gone; its hosts are no longer known to be alive.
 		const shownLife = life === 'alive' && staleZones.has(zone) ? 'suspect' : life;
 		const status: HostStatus = {
-			id, zone, life: shownLife, incarnation, entryAddress, entryIncarnation, agentAddress, leaving,
+			id, zone, life: shownLife, incarnation, entryAddress, entryIncarnation, entryGone, agentAddress, leaving,
 		};
 		const before = prev?.get(id);
 		const isSame = before !== undefined && Object.entries(status).every(([key, value]) => before[key as keyof HostStatus] === value);
--- a/src/domain/create-membership/test.ts
+++ b/src/domain/create-membership/test.ts
@@ -191,7 +191,7 @@
 		network.run(8000);
 		network.restart('a-1', 5);
 		network.run(8000);
-		assert.equal(network.nodes.get('a-1')!.membership.entryIncarnationSeen(), 900);
+		assert.equal(network.nodes.get('a-1')!.membership.entrySeen().incarnation, 900);
 	});
 
 	it('never declares a live, connected host dead for good, whatever was cut, paused and restarted before', () => {
--- a/src/ports/view.ts
+++ b/src/ports/view.ts
@@ -20,8 +20,10 @@
 	incarnation: Incarnation;
 	/** `IP:port` on which the host's entry takes calls of peers; empty while unknown. */
 	entryAddress: string;
-	/** Incarnation of the host's entry, which owns holds on engines; 0 or absent while the entry is not there. */
+	/** Incarnation of the host's entry, which owns holds on engines; 0 or absent while unknown. */
 	entryIncarnation?: Incarnation;
+	/** Entries of the host up to this incarnation have ended; 0 or absent while none is known to have. */
+	entryGone?: Incarnation;
 	/** `IP:port` on which the host's agent takes calls of peers. */
 	agentAddress: string;
 	/** The platform lists it as leaving, or it said so itself. */
--- /dev/null
+++ b/src/programs/agent/_lib/create-mesh.ts
@@ -0,0 +1,205 @@
+/**
+ * Connections to the agents of other hosts: made when there is something to
+ * say, shared by both directions, and dropped when the other side has fallen
+ * silent, so that a healed link is used again at once.
+ */
+import {err, type Result} from 'neverthrow';
+import {
+	connectPeer, type CallHandler, type PeerConnection, type PeerFailure, type PeerHello, type PeerKeys,
+} from '../../../adapters/peer-tcp/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
+
+/** Events that wait for one connection to be made. */
+const maxQueued = 32;
+const connectTimeoutMs = 1000;
+
+export type MeshOptions = {
+	hello: () => PeerHello;
+	tls: (() => PeerKeys) | undefined;
+	onCall: CallHandler;
+	onEvent: (peer: PeerHello, name: string, body: unknown) => void;
+	/** Time without a byte from a peer that was spoken to, after which its connection is given up, milliseconds. */
+	silenceMs: Milliseconds;
+};
+
+export type Target = {
+	/** `undefined` for an address whose host is not known. */
+	to: HostId | undefined;
+	/** Empty when only an open connection will do. */
+	address: string;
+};
+
+export type Mesh = {
+	/** Sends an event, over a new connection if need be. It may be lost. */
+	send: (target: Target, name: string, body: unknown) => void;
+	call: (target: Target, method: string, body: unknown, options: {timeoutMs: Milliseconds}) => Promise<Result<unknown, PeerFailure>>;
+	/** Uses a connection that a peer has opened. */
+	adopt: (connection: PeerConnection) => void;
+	/** Drops connections that fell silent; called on every tick. */
+	dropSilent: (now: Milliseconds) => void;
+	/** Counts all silence from now again: after a pause it is this process's own. */
+	restart: (now: Milliseconds) => void;
+	bytes: () => {sent: number; received: number; connections: number};
+	close: () => void;
+};
+
+type Traffic = {sent: number; received: number; heardAt: Milliseconds; sentWhenHeard: number};
+
+/**
+ * Creates a mesh without connections.
+ *
+ * @param options - See {@link MeshOptions}.
+ * @returns See {@link Mesh}.
+ */
+export function createMesh(options: MeshOptions): Mesh {
+	const {hello, tls, onCall, onEvent, silenceMs} = options;
+	const byHost = new Map<HostId, Set<PeerConnection>>();
+	const connecting = new Map<string, Promise<PeerConnection | undefined>>();
+	const queued = new Map<string, number>();
+	const traffic = new Map<PeerConnection, Traffic>();
+	const past = {sent: 0, received: 0};
+	let isClosed = false;
+
+	function forget(connection: PeerConnection) {
+		const {host} = connection.peer;
+		const ofHost = byHost.get(host);
+		ofHost?.delete(connection);
+		if (ofHost?.size === 0) {
+			byHost.delete(host);
+		}
+
+		if (traffic.delete(connection)) {
+			const {sent, received} = connection.bytes();
+			past.sent += sent;
+			past.received += received;
+		}
+	}
+
+	async function keep(connection: PeerConnection) {
+		const {host} = connection.peer;
+		byHost.set(host, (byHost.get(host) ?? new Set()).add(connection));
+		traffic.set(connection, {
+			sent: 0, received: 0, heardAt: -1, sentWhenHeard: 0,
+		});
+		await connection.closed;
+		forget(connection);
+	}
+
+	function find(to: HostId | undefined): PeerConnection | undefined {
+		return to === undefined ? undefined : [...byHost.get(to) ?? []].at(-1);
+	}
+
+	async function open(address: string): Promise<PeerConnection | undefined> {
+		const connected = await connectPeer({
+			address, hello, tls, onCall, onEvent, connectTimeoutMs,
+		});
+		connecting.delete(address);
+		if (connected.isErr()) {
+			return undefined;
+		}
+
+		const connection = connected.value;
+		const isUnwanted = isClosed || connection.peer.role !== 'agent' || connection.peer.host === hello().host;
+		if (isUnwanted) {
+			connection.close();
+			return undefined;
+		}
+
+		void keep(connection);
+		return connection;
+	}
+
+	async function reach({to, address}: Target): Promise<PeerConnection | undefined> {
+		const known = find(to);
+		const isOutOfReach = address === '' || isClosed;
+		if (known !== undefined || isOutOfReach) {
+			return known;
+		}
+
+		const pending = connecting.get(address) ?? open(address);
+		connecting.set(address, pending);
+		return pending;
+	}
+
+	async function sendLater(target: Target, name: string, body: unknown) {
+		const count = queued.get(target.address) ?? 0;
+		if (count >= maxQueued) {
+			return;
+		}
+
+		queued.set(target.address, count + 1);
+		const connection = await reach(target);
+		connection?.send(name, body);
+		const left = (queued.get(target.address) ?? 1) - 1;
+		if (left === 0) {
+			queued.delete(target.address);
+		} else {
+			queued.set(target.address, left);
+		}
+	}
+
+	function isSilent(connection: PeerConnection, now: Milliseconds): boolean {
+		const last = traffic.get(connection)!;
+		const {sent, received} = connection.bytes();
+		if (last.heardAt === -1 || received > last.received) {
+			traffic.set(connection, {
+				sent, received, heardAt: now, sentWhenHeard: sent,
+			});
+			return false;
+		}
+
+		if (sent === last.sentWhenHeard) {
+			last.heardAt = now;
+		}
+
+		return now - last.heardAt > silenceMs;
+	}
+
+	return {
+		send(target, name, body) {
+			const connection = find(target.to);
+			if (connection) {
+				connection.send(name, body);
+			} else {
+				void sendLater(target, name, body);
+			}
+		},
+		async call(target, method, body, callOptions) {
+			const connection = await reach(target);
+			return connection
+				? connection.call(method, body, callOptions)
+				: err({kind: 'unreachable', sent: false, message: `Host ${target.to ?? target.address} was not reached.`});
+		},
+		adopt(connection) {
+			void keep(connection);
+		},
+		dropSilent(now) {
+			for (const connection of traffic.keys()) {
+				if (isSilent(connection, now)) {
+					forget(connection);
+					connection.close();
+				}
+			}
+		},
+		restart(now) {
+			for (const last of traffic.values()) {
+				last.heardAt = now;
+			}
+		},
+		bytes() {
+			const open = [...traffic.keys()].map(connection => connection.bytes());
+			return {
+				sent: open.reduce((sum, {sent}) => sum + sent, past.sent),
+				received: open.reduce((sum, {received}) => sum + received, past.received),
+				connections: open.length,
+			};
+		},
+		close() {
+			isClosed = true;
+			for (const connection of traffic.keys()) {
+				connection.close();
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/agent/_lib/follow-entry.ts
@@ -0,0 +1,138 @@
+/**
+ * What the agent knows of its own host's entry: whether it is there, as which
+ * incarnation, and up to which incarnation earlier ones have ended.
+ */
+import {
+	connectPeer, type PeerConnection, type PeerHello, type PeerKeys,
+} from '../../../adapters/peer-tcp/index.js';
+import {type FeedPing} from '../../../adapters/view-feed/index.js';
+import {waitFor} from '../../../_lib/wait-for/index.js';
+import {type OwnStatement} from '../../../domain/create-membership/index.js';
+import {type Incarnation} from '../../../ports/ids.js';
+
+/** Time in which a restarted agent waits for an entry that may be alive. */
+const startGraceMs = 3000;
+const probeTimeoutMs = 500;
+const probeGapMs = 250;
+
+export type FollowEntryOptions = {
+	hello: () => PeerHello;
+	tls: (() => PeerKeys) | undefined;
+	/** Tells the fleet. */
+	state: (statement: OwnStatement) => void;
+	/** What peers remember of an entry before this agent started. */
+	seenBefore: () => {incarnation: Incarnation; address: string};
+	onEnded: (incarnation: Incarnation) => void;
+	signal: AbortSignal;
+};
+
+export type EntryFollower = {
+	/** The entry has connected. */
+	add: (connection: PeerConnection) => void;
+	/** The entry says where it takes calls of peers, and its present incarnation. */
+	notePing: (connection: PeerConnection, ping: FeedPing) => void;
+	/** The connection to the entry, while there is one. */
+	connection: () => PeerConnection | undefined;
+	/** Least incarnation that the entry may use, above all that ended before it; 0 when its own will do. */
+	floor: () => Incarnation;
+};
+
+type Current = {
+	connection: PeerConnection;
+	incarnation: Incarnation;
+	address: string;
+};
+
+/**
+ * Starts following.
+ *
+ * @param options - See {@link FollowEntryOptions}.
+ * @returns See {@link EntryFollower}.
+ */
+export function followEntry({hello, tls, state, seenBefore, onEnded, signal}: FollowEntryOptions): EntryFollower {
+	let current: Current | undefined;
+	let gone: Incarnation = 0;
+
+	/** Whether an entry of that incarnation still answers at its peer port. */
+	async function isAnswering(address: string, incarnation: Incarnation): Promise<boolean> {
+		const connected = await connectPeer({
+			address, hello, tls, connectTimeoutMs: probeTimeoutMs,
+		});
+		if (connected.isErr()) {
+			return false;
+		}
+
+		connected.value.close();
+		return connected.value.peer.incarnation === incarnation;
+	}
+
+	function noteGone(incarnation: Incarnation) {
+		if (incarnation > gone) {
+			gone = incarnation;
+			state({entryGone: gone});
+			onEnded(gone);
+		}
+	}
+
+	/** Its feed has ended: it has died, or only its connection has. */
+	async function judge(incarnation: Incarnation, address: string) {
+		await waitFor(probeGapMs, signal);
+		while (!signal.aborted && gone < incarnation && current?.incarnation !== incarnation) {
+			if (address === '' || !await isAnswering(address, incarnation)) {
+				noteGone(incarnation);
+				return;
+			}
+
+			await waitFor(probeGapMs, signal);
+		}
+	}
+
+	async function judgeEarlier() {
+		await waitFor(startGraceMs, signal);
+		const {incarnation, address} = seenBefore();
+		if (incarnation > 0 && current?.incarnation !== incarnation) {
+			await judge(incarnation, address);
+		}
+	}
+
+	async function serve(connected: Current) {
+		current = connected;
+		state({entryIncarnation: connected.incarnation});
+		await connected.connection.closed;
+		if (current === connected) {
+			current = undefined;
+		}
+
+		await judge(connected.incarnation, connected.address);
+	}
+
+	void judgeEarlier();
+
+	return {
+		add(connection) {
+			const {incarnation} = connection.peer;
+			// A connection of an older process that ends late must not take the newer one's place.
+			if ((current?.incarnation ?? 0) <= incarnation) {
+				void serve({connection, incarnation, address: ''});
+			}
+		},
+		notePing(connection, {incarnation, entryAddress}) {
+			if (current?.connection !== connection) {
+				return;
+			}
+
+			current.address = entryAddress;
+			current.incarnation = Math.max(current.incarnation, incarnation);
+			state({entryAddress, entryIncarnation: current.incarnation});
+			// A newer entry is in the place of all before it, once it has heard how high it must be.
+			if (current.incarnation > seenBefore().incarnation) {
+				noteGone(current.incarnation - 1);
+			}
+		},
+		connection: () => current?.connection,
+		floor() {
+			const before = Math.max(gone, seenBefore().incarnation);
+			return before === current?.incarnation ? 0 : before + 1;
+		},
+	};
+}
--- a/src/programs/agent/_lib/poll-loads.ts
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -18,6 +18,8 @@
 	intervalMs: Milliseconds;
 	onLoad: (load: LoadReport, askedAt: Milliseconds) => void;
 	onUnreachable: (server: ServerId) => void;
+	/** The server is no longer among those to poll. */
+	onEnd: (server: ServerId) => void;
 	now: () => Milliseconds;
 	random: Random;
 	signal: AbortSignal;
@@ -69,6 +71,7 @@
 			if (wanted.get(id)?.url !== url) {
 				stop.abort();
 				tasks.delete(id);
+				options.onEnd(id);
 			}
 		}
 
--- /dev/null
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -0,0 +1,136 @@
+/** Passes loads and leaves between agents. */
+import {isRecord} from '../../../_lib/is-record/index.js';
+import {toHash32} from '../../../_lib/pick-ranked/index.js';
+import {createLoadSpread, readLoads, type LoadSpread} from '../../../domain/create-load-spread/index.js';
+import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type LoadReport} from '../../../ports/engine.js';
+import {type HostId, type ServerId} from '../../../ports/ids.js';
+import {type HostStatus} from '../../../ports/view.js';
+import {peerCalls, peerEvents} from './peer-messages.js';
+
+/** Up to this many hosts all pass loads to all; beyond it each zone keeps to itself, or the bytes would not fit. */
+const smallFleet = 40;
+const callTimeoutMs = 2000;
+
+export type SpreadLoadsOptions = {
+	table: FleetTable;
+	self: () => {id: HostId; zone: string};
+	hosts: () => ReadonlyMap<HostId, HostStatus>;
+	send: (host: HostStatus, name: string, body: unknown) => void;
+	call: (host: HostId, method: string, body: unknown, options: {timeoutMs: Milliseconds}) => Promise<{isOk: () => boolean; unwrapOr: (value: unknown) => unknown}>;
+	/** Hosts to tell at once of something that came from a host. */
+	spreadTargets: (origin: HostId) => readonly HostStatus[];
+	now: () => Milliseconds;
+};
+
+export type LoadsTask = {
+	spread: LoadSpread;
+	/** Sends what is due. */
+	tick: () => void;
+	/** Somebody here has learnt that servers are leaving. */
+	noteLeaving: (servers: readonly ServerId[], origin: HostId) => void;
+	/** Takes an event of a peer; returns whether it was one of these. */
+	takeEvent: (from: HostId, name: string, body: unknown) => boolean;
+	serveReports: (body: unknown) => LoadReport[];
+};
+
+function toNames(body: unknown): string[] {
+	return isRecord(body) && Array.isArray(body.servers) ? body.servers.filter(server => typeof server === 'string') : [];
+}
+
+/**
+ * Creates the task.
+ *
+ * @param options - See {@link SpreadLoadsOptions}.
+ * @returns See {@link LoadsTask}.
+ */
+export function spreadLoads({table, self, hosts, send, call, spreadTargets, now}: SpreadLoadsOptions): LoadsTask {
+	const spread = createLoadSpread();
+	const asking = new Set<HostId>();
+	let names: {accepted: unknown; byHash: Map<number, ServerId>} | undefined;
+
+	function findServer(hash: number): ServerId | undefined {
+		const accepted = table.accepted();
+		if (!names || names.accepted !== accepted) {
+			names = {accepted, byHash: new Map(accepted?.config.servers.map(({id}) => [toHash32(id), id]))};
+		}
+
+		return names.byHash.get(hash);
+	}
+
+	function findLoad(server: ServerId): LoadReport | undefined {
+		return table.view(now()).servers.get(server)?.load;
+	}
+
+	function receivers(): HostStatus[] {
+		const {id: ownId, zone: ownZone} = self();
+		const alive = [...hosts().values()].filter(({id, life}) => id !== ownId && life === 'alive');
+		return alive.length < smallFleet ? alive : alive.filter(({zone}) => zone === ownZone);
+	}
+
+	function noteLeaving(servers: readonly ServerId[], origin: HostId) {
+		const news = servers.filter(server => table.noteLeaving(server, now()));
+		if (news.length > 0) {
+			for (const host of spreadTargets(origin)) {
+				send(host, peerEvents.leaving, {servers: news});
+			}
+		}
+	}
+
+	async function ask(from: HostId, wanted: readonly number[]) {
+		if (asking.has(from)) {
+			return;
+		}
+
+		asking.add(from);
+		const reply = await call(from, peerCalls.reports, {servers: wanted}, {timeoutMs: callTimeoutMs});
+		asking.delete(from);
+		const reports = reply.unwrapOr(undefined);
+		for (const load of Array.isArray(reports) ? reports as LoadReport[] : []) {
+			if (isRecord(load) && typeof load.server === 'string' && typeof load.ageMs === 'number' && Array.isArray(load.adapters)) {
+				table.noteLoad(load, now() - load.ageMs);
+			}
+		}
+	}
+
+	function takeLoads(from: HostId, body: unknown) {
+		const {loads, unreachable, wanted} = readLoads(body instanceof Uint8Array ? body : new Uint8Array(), findServer, findLoad);
+		for (const load of loads) {
+			table.noteLoad(load, now() - load.ageMs);
+		}
+
+		for (const server of unreachable) {
+			table.noteUnreachable(server);
+		}
+
+		if (wanted.length > 0) {
+			void ask(from, wanted);
+		}
+	}
+
+	return {
+		spread,
+		tick() {
+			const to = receivers();
+			const bytes = spread.take(to.length, now());
+			for (const host of bytes ? to : []) {
+				send(host, peerEvents.loads, bytes);
+			}
+		},
+		noteLeaving,
+		takeEvent(from, name, body) {
+			if (name === peerEvents.loads) {
+				takeLoads(from, body);
+			} else if (name === peerEvents.leaving) {
+				noteLeaving(toNames(body), from);
+			}
+
+			return name === peerEvents.loads || name === peerEvents.leaving;
+		},
+		serveReports(body) {
+			const wanted = isRecord(body) && Array.isArray(body.servers) ? body.servers.filter(server => typeof server === 'number') : [];
+			return spread.reports(wanted, now());
+		},
+	};
+}
--- a/src/programs/agent/_lib/watch-platform.ts
+++ b/src/programs/agent/_lib/watch-platform.ts
@@ -8,7 +8,6 @@
 	type Platform, type PlatformFailure, type PlatformKey, type PlatformValue,
 } from '../../../ports/platform.js';
 
-const watchWaitMs = 20_000;
 const firstBackoffMs = 250;
 const maxBackoffMs = 15_000;
 const idleMs = 250;
@@ -18,8 +17,8 @@
 	key: PlatformKey;
 	/** Whether this host is one of its zone's readers now. */
 	isReader: () => boolean;
-	/** Highest revision known, from whichever source; 0 if none. */
-	revision: () => number;
+	/** Longest wait of one watching read, milliseconds. */
+	waitMs: Milliseconds;
 	onValue: (value: PlatformValue) => void;
 	/** The platform answered; `askedAt` is when it was asked, monotonic. */
 	onConfirmed: (askedAt: Milliseconds) => void;
@@ -37,8 +36,11 @@
  * @param options - See {@link WatchOptions}.
  */
 export async function watchPlatform(options: WatchOptions): Promise<void> {
-	const {platform, key, isReader, revision, random, signal, now} = options;
+	const {platform, key, isReader, random, signal, now} = options;
 	let backoffMs = firstBackoffMs;
+	// What the platform itself served last, accepted or not: waiting for anything
+	// else would ask again at once for a document that was refused.
+	let seenRevision: number | undefined;
 
 	while (!signal.aborted) {
 		if (!isReader()) {
@@ -47,11 +49,10 @@
 		}
 
 		const askedAt = now();
-		const held = revision();
 		options.onRead();
-		const result = held === 0
+		const result = seenRevision === undefined
 			? await platform.read(key)
-			: await platform.watch(key, held, watchWaitMs * (0.5 + (random() / 2)), signal);
+			: await platform.watch(key, seenRevision, options.waitMs * (0.5 + (random() / 2)), signal);
 		if (signal.aborted) {
 			return;
 		}
@@ -66,13 +67,11 @@
 		backoffMs = firstBackoffMs;
 		options.onConfirmed(askedAt);
 		if (result.value) {
+			seenRevision = result.value.revision;
 			options.onValue(result.value);
 		}
 
-		const hasNews = result.value !== undefined && result.value.revision > held;
-		if (!hasNews) {
-			// A value that was never published, or a stale one, would otherwise be read in a tight loop.
-			await waitFor(idleMs * (0.5 + random()), signal);
-		}
+		// Publications that come one upon the other, and values that were never published, are read no faster than this.
+		await waitFor(idleMs * (0.5 + random()), signal);
 	}
 }
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -1,18 +1,67 @@
 #!/usr/bin/env node
 /** `banyanport-agent`: reads the platform, keeps in touch with peers, and feeds its host's entry. */
 import {createEngineHttp} from '../../adapters/engine-http/index.js';
-import {createLog} from '../../adapters/log/index.js';
+import {loadKeys, type Keys} from '../../adapters/keys/index.js';
+import {createLog, type Log} from '../../adapters/log/index.js';
+import {addProcessMetrics, createMetrics} from '../../adapters/metrics/index.js';
+import {startOperatorServer} from '../../adapters/operator-http/index.js';
 import {createPlatformHttp} from '../../adapters/platform-http/index.js';
 import {loadSettings} from '../../adapters/settings/index.js';
-import {startAgent} from './_lib/start-agent.js';
-import {agentSettings, type AgentSettings} from './settings.js';
+import {
+	agentSettings, checkAgentSettings, entrySettings, type AgentSettings,
+} from '../_settings/index.js';
+import {startAgent, type Agent} from './_lib/start-agent.js';
+import {toStatus} from './_lib/to-status.js';
 
 const program = 'banyanport-agent';
+const logFlushMs = 1000;
+const operatorCloseMs = 500;
 
-async function run(settings: AgentSettings) {
+/** Ends the process with a message that says what to mend. */
+async function fail(log: Log, message: string): Promise<never> {
+	log.error(message);
+	await log.flush(logFlushMs);
+	process.exit(1);
+}
+
+async function loadKeyFiles(log: Log, files: {certFile: string | undefined; keyFile: string | undefined; caFile?: string | undefined}, pollInterval: number): Promise<Keys | undefined> {
+	const {certFile, keyFile, caFile} = files;
+	if (certFile === undefined || keyFile === undefined) {
+		return undefined;
+	}
+
+	const keys = await loadKeys({
+		certFile, keyFile, caFile, pollInterval,
+	});
+	return keys.isOk() ? keys.value : fail(log, keys.error.message);
+}
+
+function createAgentMetrics(agent: Agent) {
+	const metrics = createMetrics();
+	addProcessMetrics(metrics);
+	const samples = {
+		platform_reads_total: ['Reads of the platform, watches included.', () => agent.counts().platformReads],
+		orphans_released_total: ['Attempts of ended hosts that were released on servers.', () => agent.counts().orphansReleased],
+		peer_sent_bytes_total: ['Bytes sent to agents of other hosts.', () => agent.counts().sentBytes],
+		peer_received_bytes_total: ['Bytes received from agents of other hosts.', () => agent.counts().receivedBytes],
+		peer_connections: ['Open connections to agents of other hosts.', () => agent.counts().connections],
+		config_edition: ['Edition of the configuration in force.', () => agent.view().accepted?.version.edition ?? 0],
+		config_revision: ['Revision of the configuration in force.', () => agent.view().accepted?.version.revision ?? 0],
+		platform_confirmed_age_seconds: ['Age of the platform\'s last confirmation; -1 if there was none.', () => toStatus(agent.view(), performance.now()).platformConfirmedAgeMs / 1000],
+	} as const;
+	for (const [name, [help, sample]] of Object.entries(samples)) {
+		metrics.createSampledGauge({name, help, sample});
+	}
+
+	return metrics;
+}
+
+async function run(settings: AgentSettings): Promise<void> {
 	const log = createLog({
 		level: settings.logLevel, program, host: settings.hostId, zone: settings.zone, incarnation: Date.now(),
 	});
+	const peerKeys = await loadKeyFiles(log, {certFile: settings.peerTlsCertFile, keyFile: settings.peerTlsKeyFile, caFile: settings.peerTlsCaFile}, settings.keyPollInterval);
+	const operatorKeys = await loadKeyFiles(log, {certFile: settings.operatorTlsCertFile, keyFile: settings.operatorTlsKeyFile}, settings.keyPollInterval);
 	const agent = await startAgent({
 		settings,
 		clock: {wallNow: () => Date.now(), now: () => performance.now()},
@@ -20,26 +69,62 @@
 		platform: createPlatformHttp({url: settings.platformUrl}),
 		toEngine: server => createEngineHttp({server}),
 		log,
+		tls: peerKeys && (() => peerKeys.current()),
+	});
+	peerKeys?.listen(event => {
+		if (event.kind === 'reloaded') {
+			agent.reloadKeys();
+		}
+	});
+	const metrics = createAgentMetrics(agent);
+	const operator = await startOperatorServer({
+		bind: settings.operatorBind ?? settings.bind,
+		port: settings.operatorPort,
+		token: settings.operatorToken,
+		keys: operatorKeys,
+		readiness() {
+			const reasons = agent.notReady();
+			return {ready: reasons.length === 0, reasons};
+		},
+		metrics: metrics.toPrometheus,
+		status: () => ({...toStatus(agent.view(), performance.now()), counts: agent.counts()}),
 	});
-	log.info('listening', {peerPort: agent.peerPort});
+	if (operator.isErr()) {
+		return fail(log, operator.error.message);
+	}
+
+	const operatorServer = operator.value;
+
+	log.info('listening', {peerPort: agent.peerPort, operatorPort: operatorServer.port});
+	let isStopping = false;
 
 	async function stop(signal: NodeJS.Signals) {
+		if (isStopping) {
+			process.exit(1);
+		}
+
+		isStopping = true;
 		log.info('stopping', {signal});
-		await agent.stop();
-		await log.flush(1000);
+		await Promise.all([agent.stop(), operatorServer.close(operatorCloseMs)]);
+		log.info('stopped', {signal});
+		await log.flush(logFlushMs);
 		process.exit(0);
 	}
 
-	process.once('SIGTERM', signal => {
-		void stop(signal);
-	});
-	process.once('SIGINT', signal => {
-		void stop(signal);
-	});
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.on(signal, name => {
+			void stop(name);
+		});
+	}
 }
 
 const loaded = loadSettings(agentSettings, {
-	program, description: 'Reads the platform, keeps in touch with peers, and feeds its host\'s entry.', argv: process.argv.slice(2), env: process.env,
+	program,
+	description: 'Reads the platform, keeps in touch with peers, and feeds its host\'s entry.',
+	argv: process.argv.slice(2),
+	env: process.env,
+	otherTables: [entrySettings],
+	check: checkAgentSettings,
 });
 if (loaded.kind === 'exit') {
 	process.stdout.write(loaded.stdout);
--- /dev/null
+++ b/test/contracts/_lib/run-agents.ts
@@ -0,0 +1,66 @@
+/** Agents of several hosts in one process, with stand-ins of platform and engines. */
+import assert from 'node:assert/strict';
+import {Writable} from 'node:stream';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createEngineHttp} from '../../../src/adapters/engine-http/index.js';
+import {createLog} from '../../../src/adapters/log/index.js';
+import {createPlatformHttp} from '../../../src/adapters/platform-http/index.js';
+import {startAgent, type Agent, type AgentOptions} from '../../../src/programs/agent/_lib/start-agent.js';
+
+const deadlineMs = 20_000;
+
+export const now = () => performance.now();
+
+/** Waits for something with a deadline that says what did not come about. */
+export async function until(what: string, isTrue: () => boolean | Promise<boolean>): Promise<void> {
+	const end = now() + deadlineMs;
+	while (!await isTrue()) {
+		assert.ok(now() < end, `${what} did not come about within ${deadlineMs} ms`);
+		await sleep(10);
+	}
+}
+
+export type ServerOption = {id: string; zone: string; url: string; role: 'prefill' | 'decode'};
+
+/** A configuration document of so many hosts a zone. */
+export function toConfigText({zones, servers, rule = 'all'}: {
+	zones: Readonly<Record<string, number>>;
+	servers: readonly ServerOption[];
+	rule?: string;
+}): string {
+	const hosts = Object.entries(zones).flatMap(([zone, count]) => Array.from({length: count}, (_, i) => `  - {id: ${zone}-${i + 1}, zone: ${zone}}`));
+	return [
+		'zones:',
+		...Object.keys(zones).map(zone => `  - {id: ${zone}, region: si-central}`),
+		'hosts:',
+		...hosts,
+		'pools: [{name: letters, model: summary, version: "1", classes: [quick, batch]}]',
+		'servers:',
+		...servers.map(({id, zone, url, role}) => `  - {id: ${id}, zone: ${zone}, url: '${url}', role: ${role}, pool: letters, slots: 20}`),
+		'rules:',
+		`  - {name: ${rule}, then: {pool: letters, class: batch, repeatable: false, target: {firstToken: 2s, perToken: 100ms, complete: 1m}}}`,
+		'weightStoreBytesPerSecond: 300MB',
+		'end: banyanport',
+		'',
+	].join('\n');
+}
+
+/** Starts an agent with quick settings and no log. */
+export async function runAgent({hostId, zone, platformUrl, seeds = [], ...overrides}: {hostId: string; zone: string; platformUrl: string; seeds?: readonly string[]} & Partial<AgentOptions['settings']>): Promise<Agent> {
+	return startAgent({
+		settings: {
+			hostId, zone, bind: '127.0.0.1', peerPort: 0, seeds, platformWait: 1000, loadPollInterval: 50, heartbeatInterval: 200, suspectAfter: 600, deadAfter: 1600, ...overrides,
+		},
+		clock: {now, wallNow: () => Date.now()},
+		random: Math.random,
+		platform: createPlatformHttp({url: platformUrl}),
+		toEngine: server => createEngineHttp({server}),
+		log: createLog({
+			level: 'error', program: 'test', host: hostId, zone, incarnation: 1, sink: new Writable({
+				write(_chunk, _encoding, done) {
+					done();
+				},
+			}),
+		}),
+	});
+}
--- /dev/null
+++ b/test/contracts/peer-agents.test.ts
@@ -0,0 +1,162 @@
+import assert from 'node:assert/strict';
+import {after, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {createEngineHttp} from '../../src/adapters/engine-http/index.js';
+import {connectPeer, listenPeers, type PeerHello} from '../../src/adapters/peer-tcp/index.js';
+import {connectViewFeed} from '../../src/adapters/view-feed/index.js';
+import {type Agent} from '../../src/programs/agent/_lib/start-agent.js';
+import {startEngineStandIn} from '../stand-ins/engine/index.js';
+import {startPlatformStandIn} from '../stand-ins/platform/index.js';
+import {
+	now, runAgent, toConfigText, until,
+} from './_lib/run-agents.js';
+
+const zones = {a: 2, b: 2};
+const closers: Array<() => Promise<void>> = [];
+
+after(async () => {
+	for (const close of closers.reverse()) {
+		await close();
+	}
+});
+
+/** A platform, a decode engine in zone a, and an agent on each of four hosts. */
+async function startFleet() {
+	const engine = await startEngineStandIn({id: 'decode-1', role: 'decode', model: 'summary'});
+	const prefill = await startEngineStandIn({id: 'prefill-1', role: 'prefill', model: 'summary'});
+	const toText = (rule: string) => toConfigText({
+		zones,
+		rule,
+		servers: [
+			{
+				id: 'decode-1', zone: 'a', url: engine.url, role: 'decode',
+			},
+			{
+				id: 'prefill-1', zone: 'b', url: prefill.url, role: 'prefill',
+			},
+		],
+	});
+	const platform = await startPlatformStandIn({config: toText('first'), fleet: {hosts: [], servers: []}});
+	const first = await runAgent({hostId: 'a-1', zone: 'a', platformUrl: platform.url});
+	const seeds = [`127.0.0.1:${first.peerPort}`];
+	const start = async (hostId: string) => runAgent({
+		hostId, zone: hostId[0]!, platformUrl: platform.url, seeds,
+	});
+	const agents = new Map<string, Agent>([['a-1', first]]);
+	for (const hostId of ['a-2', 'b-1', 'b-2']) {
+		agents.set(hostId, await start(hostId));
+	}
+
+	closers.push(engine.stop, prefill.stop, platform.stop, async () => {
+		await Promise.all([...agents.values()].map(async agent => agent.stop()));
+	});
+	const all = () => [...agents.values()];
+	await until('everybody sees everybody', () => all().every(agent => [...agent.view().hosts.values()].filter(({life}) => life === 'alive').length === 4));
+	await until('everybody knows the load', () => all().every(agent => agent.view().servers.get('decode-1')?.load !== undefined));
+	return {
+		engine, platform, agents, all, toText, seeds, start,
+	};
+}
+
+function toRule(agent: Agent): string | undefined {
+	return agent.view().accepted?.config.rules[0]?.name;
+}
+
+describe('agents', () => {
+	it('spread configuration, loads and leaves, and few of them read the platform', async () => {
+		const {engine, platform, all, toText} = await startFleet();
+		const loadAges = all().map(agent => now() - agent.view().servers.get('decode-1')!.loadAt);
+		assert.ok(loadAges.every(age => age >= 0 && age < 10_000), loadAges.join(' '));
+
+		platform.publish('config', toText('second'));
+		await until('the edit is everywhere', () => all().every(agent => toRule(agent) === 'second'));
+		platform.publishFleet({hosts: [{id: 'a-2', state: 'leaving', peerAddress: ''}], servers: []});
+		await until('the leaving host is known everywhere', () => all().every(agent => agent.view().hosts.get('a-2')!.leaving));
+		assert.ok(all().every(agent => agent.view().platformConfirmedAt !== undefined));
+
+		engine.setState('leaving');
+		await until('the server\'s own leave is known everywhere', () => all().every(agent => agent.view().servers.get('decode-1')!.leaving));
+		engine.setState('serving');
+		await until('its return is known everywhere', () => all().every(agent => !agent.view().servers.get('decode-1')!.leaving));
+	});
+
+	it('never go back when the platform is stale: a restarted host learns from its peers', async () => {
+		const {platform, agents, all, toText, start} = await startFleet();
+		platform.publish('config', toText('second'));
+		await until('the edit is everywhere', () => all().every(agent => toRule(agent) === 'second'));
+		platform.setFaults({oldRevision: 1});
+		await agents.get('b-1')!.stop();
+		await until('the leave is seen', () => agents.get('a-1')!.view().hosts.get('b-1')!.life === 'left');
+		agents.set('b-1', await start('b-1'));
+		const seen = new Set<string | undefined>();
+		const end = now() + 5000;
+		while (now() < end) {
+			for (const agent of all()) {
+				seen.add(toRule(agent));
+			}
+
+			await sleep(20);
+		}
+
+		assert.deepEqual([...seen].filter(rule => rule !== undefined), ['second']);
+		assert.equal(toRule(agents.get('b-1')!), 'second');
+	});
+
+	it('release what an ended entry held, and leave alone what belongs to a live one', async () => {
+		const {engine, agents} = await startFleet();
+		const client = createEngineHttp({server: {id: 'decode-1', url: engine.url}});
+		const openEntry = async (host: string, incarnation: number) => {
+			const hello: PeerHello = {
+				host, zone: host[0]!, role: 'entry', incarnation,
+			};
+			const peers = await listenPeers({bind: '127.0.0.1', port: 0, hello});
+			const feed = connectViewFeed({
+				agentAddress: `127.0.0.1:${agents.get(host)!.peerPort}`, hello, entryAddress: `127.0.0.1:${peers.port}`, onView() {}, now, random: Math.random, // eslint-disable-line @typescript-eslint/no-empty-function -- the view is not looked at
+			});
+			return async () => {
+				await Promise.all([feed.close(), peers.close()]);
+			};
+		};
+
+		const closeDoomed = await openEntry('b-1', 500);
+		const closeLiving = await openEntry('b-2', 600);
+		closers.push(closeLiving);
+		for (const [requestId, host, incarnation] of [['doomed', 'b-1', 500], ['living', 'b-2', 600]] as const) {
+			const reserved = await client.reserve({requestId, attempt: 1, owner: {host, incarnation}}, {
+				promptTokens: 10, maxTokens: 10, ttlMs: 30_000, class: 'batch',
+			});
+			assert.ok(reserved.isOk());
+		}
+
+		const held = async () => {
+			const holds = await client.listHolds();
+			return holds.unwrapOr([]).map(({requestId}) => requestId).sort();
+		};
+
+		await until('the entries are known', () => [['b-1', 500], ['b-2', 600]].every(([host, incarnation]) => agents.get('a-1')!.view().hosts.get(String(host))!.entryIncarnation === incarnation));
+		assert.deepEqual(await held(), ['doomed', 'living']);
+		await closeDoomed();
+		await until('the release', async () => {
+			const left = await held();
+			return !left.includes('doomed');
+		});
+		assert.deepEqual(await held(), ['living']);
+		const closeNext = await openEntry('b-1', 501);
+		closers.push(closeNext);
+		await sleep(1000);
+		assert.deepEqual(await held(), ['living']);
+	});
+
+	it('give a stranger, and another host\'s entry, no answer beyond the hello', async () => {
+		const {agents} = await startFleet();
+		const connected = await connectPeer({
+			address: `127.0.0.1:${agents.get('a-1')!.peerPort}`, hello: {
+				host: 'b-1', zone: 'b', role: 'entry', incarnation: 1,
+			},
+		});
+		const connection = connected._unsafeUnwrap();
+		const reply = await connection.call('manifest', {kind: 'config'}, {timeoutMs: 2000});
+		assert.equal(reply._unsafeUnwrapErr().kind, 'failed');
+		connection.close();
+	});
+});
--- a/test/contracts/peer-view-feed.test.ts
+++ b/test/contracts/peer-view-feed.test.ts
@@ -75,7 +75,16 @@
 		});
 		const agent = await startAgent({
 			settings: {
-				hostId: 'dvorana-a-1', zone: 'dvorana-a', bind: '127.0.0.1', peerPort: 0, seeds: [], entryAddress: undefined, pollInterval: 50, heartbeatInterval: 1000,
+				hostId: 'dvorana-a-1',
+				zone: 'dvorana-a',
+				bind: '127.0.0.1',
+				peerPort: 0,
+				seeds: [],
+				platformWait: 1000,
+				loadPollInterval: 50,
+				heartbeatInterval: 1000,
+				suspectAfter: 2000,
+				deadAfter: 4000,
 			},
 			clock: {now, wallNow: () => Date.now()},
 			random: Math.random,
