Bound what a hostile or mistaken document costs its reader

Ruled out: catching the error, since the abort can't be caught; a limit on size alone, since 1 KB of brackets is enough.

Change: brackets nest at most 64 deep and lines are indented at most 128 columns, counted in the text before any parser sees it; equal keys are looked for with a set; the first 200 faults are located, the others counted.

Conclusion: a text of 300,000 quotes still takes 3 to 5 s of the YAML parser.

--- a/src/domain/parse-config/_lib/source.ts
+++ b/src/domain/parse-config/_lib/source.ts
@@ -1,6 +1,6 @@
 /** Reads YAML or JSON text into plain values, and finds the line and column of each. */
 import {
-	isAlias, isMap, isNode, isScalar, isSeq, LineCounter, parseDocument, type Document, type Node, type Pair,
+	isAlias, isMap, isNode, isScalar, isSeq, LineCounter, parseDocument, visit, type Document, type Node, type Pair,
 } from 'yaml';
 import {type Path, type PathFault} from './faults.js';
 
@@ -32,6 +32,11 @@
  * @returns Plain values, faults of syntax, and the places of values.
  */
 export function readSource(text: string): Source {
+	const tooDeep = findTooDeep(text);
+	if (tooDeep) {
+		return {data: undefined, syntaxFaults: [tooDeep], toPlace: () => tooDeep};
+	}
+
 	const data = readJson(text);
 	if (data === undefined) {
 		return readYaml(text);
@@ -48,6 +53,52 @@
 	};
 }
 
+/** Levels of brackets; a document needs six. */
+const deepestBrackets = 64;
+
+/** Columns of blanks, dashes and question marks before the first word of a line, each of which may open a level in YAML. */
+const widestIndent = 128;
+
+const [openBracket, openBrace, closeBracket, closeBrace] = Array.from('[{]}', bracket => bracket.codePointAt(0));
+
+const wideIndent = new RegExp(`^[ ?:-]{${widestIndent + 1}}`, 'm');
+
+/**
+ * The YAML parser calls itself for each level. At some hundreds of them the
+ * stack is full, and Node ends the whole process when that happens while it
+ * compiles a regular expression: one published document would take down every
+ * host. Brackets are counted wherever they stand, also in texts and comments,
+ * which needs no parser and is strict enough for documents of six levels.
+ */
+function findTooDeep(text: string): SyntaxFault | undefined {
+	const remedy = `nest at most ${deepestBrackets} levels`;
+	const indent = wideIndent.exec(text);
+	if (indent) {
+		return {...toTextPlace(text, indent.index), problem: `a line is indented by more than ${widestIndent} columns`, remedy};
+	}
+
+	let depth = 0;
+	for (let i = 0; i < text.length; i++) {
+		const code = text.codePointAt(i);
+		if (code === openBracket || code === openBrace) {
+			depth++;
+		} else if ((code === closeBracket || code === closeBrace) && depth > 0) {
+			depth--;
+		}
+
+		if (depth > deepestBrackets) {
+			return {...toTextPlace(text, i), problem: `more than ${deepestBrackets} brackets are open`, remedy};
+		}
+	}
+
+	return undefined;
+}
+
+function toTextPlace(text: string, offset: number): Place {
+	const before = text.slice(0, offset);
+	return {line: before.split('\n').length, column: offset - before.lastIndexOf('\n')};
+}
+
 /** A key with its colon, or any other string; strings are matched whole, so that no colon inside of one counts. */
 const jsonString = /"(?:[^"\\]|\\.)*"\s*(:?)/g;
 
@@ -88,7 +139,7 @@
 function readYaml(text: string): Source {
 	const lineCounter = new LineCounter();
 	const doc = parseDocument(text, {
-		lineCounter, prettyErrors: false, strict: true, uniqueKeys: true, version: '1.2', schema: 'core',
+		lineCounter, prettyErrors: false, strict: true, uniqueKeys: false, version: '1.2', schema: 'core',
 	});
 	const toLinePlace = (offset: number): Place => {
 		const {line, col} = lineCounter.linePos(offset);
@@ -98,8 +149,11 @@
 	const syntaxFaults = [...doc.errors, ...doc.warnings].map(error => ({
 		...toLinePlace(error.pos[0]),
 		problem: toOneLine(error.message),
-		remedy: error.code === 'DUPLICATE_KEY' ? 'keep one of the two keys' : 'check indentation, quotes, colons and brackets at this place and on the line before',
+		remedy: 'check indentation, quotes, colons and brackets at this place and on the line before',
 	}));
+	syntaxFaults.push(...findDoubledKeys(doc).map(({offset, name}) => ({
+		...toLinePlace(offset), problem: `the key ${JSON.stringify(name)} stands twice in one map`, remedy: 'keep one of the two',
+	})));
 	let data: unknown;
 	if (syntaxFaults.length === 0) {
 		try {
@@ -114,6 +168,32 @@
 	return {data, syntaxFaults, toPlace: (path, at) => toLinePlace(toOffset(doc, path, at))};
 }
 
+/**
+ * The parser's own look for equal keys compares each with each: 20,000 keys in
+ * one map, such as a list of callers' tokens, took it thirteen seconds.
+ */
+function findDoubledKeys(doc: Document): ReadonlyArray<{offset: number; name: string}> {
+	const doubled: Array<{offset: number; name: string}> = [];
+	visit(doc, {
+		Map(_, {items}) {
+			const seen = new Set<string>();
+			for (const {key} of items) {
+				if (!isScalar(key)) {
+					continue;
+				}
+
+				const name = String(key.value);
+				if (seen.has(name)) {
+					doubled.push({offset: key.range?.[0] ?? 0, name});
+				}
+
+				seen.add(name);
+			}
+		},
+	});
+	return doubled;
+}
+
 function toOneLine(message: string): string {
 	return message.split('\n')[0]!.replace(/^\w*Error: /, '');
 }
--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -26,6 +26,9 @@
 	remedy: string;
 };
 
+/** Faults that are reported with their places. */
+const maxFaults = 200;
+
 export type ParseConfigOptions = {
 	/** Name of the file or source, for the faults. */
 	file?: string;
@@ -54,17 +57,28 @@
 	});
 	const source = readSource(text);
 	if (source.syntaxFaults.length > 0) {
-		return err(source.syntaxFaults.map(fault => toFault(fault, fault.problem, fault.remedy)));
+		return err(cutFaults(source.syntaxFaults, fault => toFault(fault, fault.problem, fault.remedy)));
 	}
 
 	const faults = createFaultSink();
 	const config = readConfig(source, text, faults);
-	const found = faults.list().map(({path, at, problem, remedy}) => toFault(source.toPlace(path, at), problem, remedy));
-	if (config && found.length === 0) {
+	if (config && faults.list().length === 0) {
 		return ok(config);
 	}
 
-	return err(found.toSorted((left, right) => left.line - right.line || left.column - right.column));
+	return err(cutFaults(faults.list(), ({path, at, problem, remedy}) => toFault(source.toPlace(path, at), problem, remedy)));
+}
+
+/**
+ * Finds the places of the first faults, in the order of lines. A place costs a
+ * walk through the document, and a text that is no configuration at all can have
+ * a fault on each of 100,000 lines, which would hold a host up for minutes.
+ */
+function cutFaults<T>(faults: readonly T[], locate: (fault: T) => ConfigFault): readonly ConfigFault[] {
+	const located = faults.slice(0, maxFaults).map(fault => locate(fault)).toSorted((left, right) => left.line - right.line || left.column - right.column);
+	const more = faults.length - located.length;
+	const last = located.at(-1);
+	return last && more > 0 ? [...located, {...last, problem: `${more} more faults were found`, remedy: 'mend these first'}] : located;
 }
 
 /**
