--- /dev/null
+++ b/bench/placement/measure-picks.ts
@@ -0,0 +1,61 @@
+/** Time of one pick at several sizes of a zone, in the usual case and in the widest search. */
+import {performance} from 'node:perf_hooks';
+import {createPlacement} from '../../src/domain/create-placement/index.js';
+import {
+	toConfig, toPlacementRequest, toSeededRandom, toServer, toStatus, toView,
+} from '../../src/domain/create-placement/_lib/fixtures.js';
+
+export type PickTiming = {
+	servers: number;
+	state: 'half used' | 'all full';
+	picks: number;
+	meanMicroseconds: number;
+	p99Microseconds: number;
+};
+
+const microsecondsPerMillisecond = 1000;
+
+/** A host's arrivals at the size of the letter: 15.5 a second. */
+const arrivalEveryMs = 1000 / 15.5;
+const reportEveryMs = 1000;
+
+/** Times picks one by one, after a warm-up, with a dispatch and an end for each. */
+export const measurePicks = (serverCount: number, state: PickTiming['state'], picks: number): PickTiming => {
+	const entries = Array.from({length: serverCount}, (_, i) => toServer(`s${i}`, i % 3 === 0 ? 'prefill' : 'decode'));
+	const config = toConfig(entries);
+	const toFleet = (at: number) => toView(config, entries.map(entry => toStatus(entry, at, {slotsUsed: state === 'all full' ? 20 : 10})));
+	let view = toFleet(0);
+	const placement = createPlacement({zone: 'a'});
+	const random = toSeededRandom(7);
+	const request = toPlacementRequest({prefixBlocks: Array.from({length: 64}, (_, i) => `b${i}`)});
+	const tookMs: number[] = [];
+	let reportedAt = 0;
+	for (let i = 0; i < picks * 2; i++) {
+		const now = i * arrivalEveryMs;
+		if (now - reportedAt >= reportEveryMs) {
+			reportedAt = now;
+			view = toFleet(now);
+		}
+
+		const startedAt = performance.now();
+		const picked = placement.pick(request, view, now, random);
+		if (picked.isOk()) {
+			placement.noteDispatched(picked.value, now);
+			placement.noteFinished(picked.value, now);
+		}
+
+		if (i >= picks) {
+			tookMs.push(performance.now() - startedAt);
+		}
+	}
+
+	const sorted = tookMs.toSorted((a, b) => a - b);
+	const sum = tookMs.reduce((total, ms) => total + ms, 0);
+	return {
+		servers: serverCount,
+		state,
+		picks,
+		meanMicroseconds: sum / picks * microsecondsPerMillisecond,
+		p99Microseconds: (sorted[Math.floor(picks * 0.99)] ?? 0) * microsecondsPerMillisecond,
+	};
+};
--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -50,6 +50,8 @@
 	ownPrefills: number;
 	transfers: number;
 	fullAt: Milliseconds;
+	/** Rate read last, at which the backlog drains. */
+	tokensPerSecond: number;
 };
 
 const defaultStaleAfterMs = 5000;
@@ -59,7 +61,8 @@
 /** Changes kept for one server; with more, the oldest are taken to be in the report. */
 const maxChanges = 512;
 
-const createTrack = (): Track => ({
+const createTrack = (tokensPerSecond: number): Track => ({
+	tokensPerSecond,
 	changes: [],
 	reportAt: -Infinity,
 	slotsSince: 0,
@@ -102,7 +105,6 @@
 	const assumedTokensPerSecond = options.tokensPerSecond ?? defaultTokensPerSecond;
 	const assumedLink = options.linkBytesPerSecond ?? defaultLinkBytesPerSecond;
 	const tracks = new Map<ServerId, Track>();
-	const rates = new Map<ServerId, number>();
 
 	const toTrack = (server: ServerId): Track => {
 		const known = tracks.get(server);
@@ -110,7 +112,7 @@
 			return known;
 		}
 
-		const track = createTrack();
+		const track = createTrack(assumedTokensPerSecond);
 		tracks.set(server, track);
 		return track;
 	};
@@ -152,7 +154,7 @@
 		const isUnknown = report === undefined || now - (status?.loadAt ?? -Infinity) > staleAfterMs;
 		const reportedRate = report?.tokensPerSecond ?? 0;
 		const tokensPerSecond = reportedRate > 0 ? reportedRate : assumedTokensPerSecond;
-		rates.set(entry.id, tokensPerSecond);
+		track.tokensPerSecond = tokensPerSecond;
 		if (status !== undefined && report !== undefined && status.loadAt > track.reportAt) {
 			applyReport(track, status, tokensPerSecond);
 		}
@@ -186,7 +188,7 @@
 		/** Counts a prompt sent to a prefill server. */
 		addPrefill(server: ServerId, tokens: number, now: Milliseconds): void {
 			const track = toTrack(server);
-			track.backlogTokens = toDrained(track, now, rates.get(server) ?? assumedTokensPerSecond) + tokens;
+			track.backlogTokens = toDrained(track, now, track.tokensPerSecond) + tokens;
 			track.backlogAt = now;
 			track.ownTokens += tokens;
 			track.ownPrefills++;
@@ -214,7 +216,6 @@
 		/** Drops what is known of a server that is no longer published. */
 		forget(server: ServerId): void {
 			tracks.delete(server);
-			rates.delete(server);
 		},
 		/** Servers with state. */
 		servers: (): Iterable<ServerId> => tracks.keys(),
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -31,6 +31,8 @@
 	view: FleetView;
 	now: Milliseconds;
 	random: Random;
+	/** What the search has met so far. */
+	met: {full: boolean; soft: boolean};
 };
 
 export type PairSearchOptions = {
@@ -53,8 +55,6 @@
 /** Another zone must promise this much less than the own one, or small differences would send load to and fro. */
 const spillGain = 0.75;
 
-const isHard = (reason: PassedOverReason | undefined): boolean => reason !== undefined && !isSoft(reason);
-
 const isFull = (entry: ServerEntry, load: ServerLoad): boolean => entry.role !== 'prefill' && load.slotsUsed >= load.slotsTotal;
 
 /**
@@ -65,13 +65,22 @@
 	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad => loads.read(entry, view.servers.get(entry.id), now);
 
 	const toCandidate = (entry: ServerEntry, search: Search, isLax: boolean): Candidate | undefined => {
-		const reason = standing.toReason(entry, {...search, share: search.random()});
+		const reason = standing.toReason(entry, search, search.random());
+		if (reason !== undefined && isSoft(reason)) {
+			search.met.soft = true;
+		}
+
 		if (reason !== undefined && !(isLax && isSoft(reason))) {
 			return undefined;
 		}
 
 		const load = readLoad(entry, search);
-		return isFull(entry, load) ? undefined : {entry, load, cachedTokens: search.cachedTokens.get(entry.id) ?? 0};
+		if (isFull(entry, load)) {
+			search.met.full = true;
+			return undefined;
+		}
+
+		return {entry, load, cachedTokens: search.cachedTokens.get(entry.id) ?? 0};
 	};
 
 	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
@@ -95,13 +104,28 @@
 	};
 
 	const searchPair = (search: Search, scope: Scope): Pair | undefined => {
-		const prefills = drawRole(search.servers.prefill, search, scope);
 		const decodes = drawRole(search.servers.decode, search, scope);
+		if (decodes.length === 0) {
+			return undefined;
+		}
+
+		const prefills = drawRole(search.servers.prefill, search, scope);
 		return toBestPair([...prefills, ...toHolders(search, prefills)], decodes, {
 			promptTokens: search.promptTokens, kvBytes: search.kvBytes, zone, crossZoneMs,
 		});
 	};
 
+	/** The best pair of the region, if there is one clearly better than `local`. */
+	const spill = (search: Search, local: Pair | undefined): Pair | undefined => {
+		if (search.servers.decode.nearby.length === 0 && search.servers.prefill.nearby.length === 0) {
+			return undefined;
+		}
+
+		const region = searchPair(search, {local: draws, nearby: regionDraws, isLax: false});
+		const isBetter = region !== undefined && (local === undefined || region.predictedFirstTokenMs < local.predictedFirstTokenMs * spillGain);
+		return isBetter ? region : undefined;
+	};
+
 	/** Looks wider step by step, until a pair will do. */
 	const findPair = (search: Search): Pair | undefined => {
 		const keepMs = search.firstTokenBudgetMs * localShare;
@@ -110,16 +134,14 @@
 			return first;
 		}
 
-		const local = searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first;
+		// The first search has already walked the whole zone if it found too few, so only a late pair is worth another.
+		const local = first && (searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first);
 		if (local !== undefined && local.predictedFirstTokenMs <= keepMs) {
 			return local;
 		}
 
-		const region = searchPair(search, {local: draws, nearby: regionDraws, isLax: false});
-		const isSpilled = region !== undefined && (local === undefined || region.predictedFirstTokenMs < local.predictedFirstTokenMs * spillGain);
-		return (isSpilled ? region : local)
-			?? searchPair(search, {local: Infinity, nearby: 0, isLax: true})
-			?? searchPair(search, {local: Infinity, nearby: regionDraws, isLax: true});
+		const best = spill(search, local) ?? local;
+		return best === undefined && search.met.soft ? searchPair(search, {local: Infinity, nearby: regionDraws, isLax: true}) : best;
 	};
 
 	/** The least used of a few plain servers, of the own zone as long as one there has room. */
@@ -142,7 +164,7 @@
 
 	/** Why a server was not taken; worked out after the fact, for a person who asks. */
 	const toPassedOver = (entry: ServerEntry, search: Search): PassedOverReason => {
-		const reason = standing.toReason(entry, {...search, share: 0});
+		const reason = standing.toReason(entry, search, 0);
 		if (reason !== undefined) {
 			return reason;
 		}
@@ -164,13 +186,5 @@
 		/** Account of a search that took the servers `chosen` among `candidates`. */
 		toAccount: (search: Search, candidates: readonly ServerEntry[], chosen: readonly ServerId[]): PlacementAccount =>
 			toAccount(search.pool, candidates, chosen, entry => toPassedOver(entry, search)),
-		/** Whether a server in reach would do but for its memory, and nothing else was missing. */
-		isFullOnly(search: Search): boolean {
-			const {servers} = search;
-			const inReach = ({local, nearby}: RoleServers) => [...local, ...nearby];
-			const holders = [...inReach(servers.decode), ...inReach(servers.plain)];
-			const isPrefillMissing = servers.pool.kind === 'model' && inReach(servers.prefill).every(entry => isHard(standing.toReason(entry, {...search, share: 0})));
-			return !isPrefillMissing && holders.some(entry => toPassedOver(entry, search) === 'full');
-		},
 	};
 };
--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -22,7 +22,6 @@
 	wanted: Wanted;
 	view: FleetView;
 	now: Milliseconds;
-	share: number;
 };
 
 /** How often the view is walked for cut zones and returning servers, milliseconds. */
@@ -125,10 +124,11 @@
 
 	/**
 	 * @param entry - The server.
-	 * @param inquiry - What is wanted, the view, the time, and `share`: a random number in [0, 1) against which a returning server's share is held; 0 lets it pass.
+	 * @param inquiry - What is wanted, the view, the time.
+	 * @param share - Random number in [0, 1) against which a returning server's share is held; 0 lets it pass.
 	 * @returns Why the server is no candidate, or `undefined` if it is one.
 	 */
-	const toReason = (entry: ServerEntry, {wanted, view, now, share}: Inquiry): PassedOverReason | undefined => {
+	const toReason = (entry: ServerEntry, {wanted, view, now}: Inquiry, share: number): PassedOverReason | undefined => {
 		const {id} = entry;
 		if (wanted.exclude?.has(id)) {
 			return 'excluded';
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -16,6 +16,7 @@
 import {createLoadEstimate} from '../create-load-estimate/index.js';
 import {createPrefixMap} from '../create-prefix-map/index.js';
 import {createServerHealth, type ServerHealthOptions} from '../create-server-health/index.js';
+import {tokensPerBlock as defaultTokensPerBlock} from '../to-prefix-blocks/index.js';
 import {createNotes, type Learnt} from './_lib/create-notes.js';
 import {createPairSearch, type Search} from './_lib/create-pair-search.js';
 import {createStanding} from './_lib/create-standing.js';
@@ -30,7 +31,6 @@
 const defaultDraws = 2;
 const defaultStaleAfterMs = 5000;
 const defaultKvBytesPerToken = 131_072;
-const defaultTokensPerBlock = 64;
 const defaultCrossZoneMs = 5;
 const defaultHoldMs = 5000;
 
@@ -134,7 +134,7 @@
 
 		standing.sweep(view, pools.servers, now);
 		const base = {
-			pool: request.pool, servers, entries: pools.servers, view, now, random,
+			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false},
 		};
 		if (!('model' in request)) {
 			return {
@@ -159,11 +159,11 @@
 		};
 	};
 
-	/** Refusal when nothing was found: for want of memory if a server was passed over as full alone. */
+	/** Refusal when nothing was found: for want of memory if a server was passed over for that alone. */
 	const toNothingFound = (search: Search, candidates: readonly ServerEntry[]): PlacementRefusal => {
 		const {pool} = search;
 		const account = () => pairs.toAccount(search, candidates, []);
-		if (!pairs.isFullOnly(search)) {
+		if (!search.met.full) {
 			return toRefusal('no-server', `no server of pool ${pool} is in service with what the request needs; the account gives each server's reason`, noServerRetryAfterMs, account);
 		}
 
