Load only the part of undici that our clients use

Cause: the agent program has 64 MB, and undici's main module brings fetch, caches, proxies and mocks along.

--- /dev/null
+++ b/src/adapters/_lib/create-http-agent/undici-agent.d.ts
@@ -0,0 +1,4 @@
+declare module 'undici/lib/dispatcher/agent.js' {
+
+	export {Agent as default} from 'undici';
+}
--- a/src/adapters/engine-http/index.ts
+++ b/src/adapters/engine-http/index.ts
@@ -6,7 +6,7 @@
  * connection; that is what lets a caller be told that its request was not run.
  */
 import {ok, ResultAsync, type Result} from 'neverthrow';
-import {Agent} from 'undici';
+import {createHttpAgent} from '../_lib/create-http-agent/index.js';
 import {readAnswer} from '../_lib/read-answer/index.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {
@@ -81,10 +81,7 @@
 export function createEngineHttp(options: EngineHttpOptions): EngineHttp {
 	const settings = {...defaults, ...options};
 	const {server, callTimeoutMs} = settings;
-	// An own agent: no proxy settings of the environment, and its connections close with this client.
-	const dispatcher = new Agent({
-		connect: {timeout: settings.connectTimeoutMs}, connections: settings.connections, pipelining: 1,
-	});
+	const dispatcher = createHttpAgent(settings);
 
 	const callWhole = async <T>(call: WholeCall<T>, {signal}: EngineCallOptions = {}): Promise<Result<T, EngineFailure>> => {
 		const answer = await readAnswer({
--- a/src/adapters/platform-http/index.ts
+++ b/src/adapters/platform-http/index.ts
@@ -5,8 +5,8 @@
 import {
 	err, ok, ResultAsync, type Result,
 } from 'neverthrow';
-import {Agent} from 'undici';
 import {isRecord} from '../../_lib/is-record/index.js';
+import {createHttpAgent} from '../_lib/create-http-agent/index.js';
 import {readAnswer, type AnswerFault, type WholeAnswer} from '../_lib/read-answer/index.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {
@@ -86,7 +86,7 @@
  */
 export function createPlatformHttp(options: PlatformHttpOptions): PlatformHttp {
 	const {url, client, connectTimeoutMs = 2 * msPerSecond, answerTimeoutMs = 5 * msPerSecond} = options;
-	const dispatcher = new Agent({connect: {timeout: connectTimeoutMs}, connections: 8});
+	const dispatcher = createHttpAgent({connections: 8, connectTimeoutMs});
 
 	const get = async (path: string, waitMs: Milliseconds, signal?: AbortSignal): Promise<Result<PlatformValue | undefined, PlatformFailure>> => {
 		const answer = await readAnswer({
