Sharpen the tests of dead rules and of the end mark

Cause: trials with a safeguard taken out. A dead-rule check that looks at the first combination only went past the property (20 requests a list are too few) and was found by the table alone; without the look for the end mark in the text, no test had a mark that stands first.

Change: 300 requests a list; a document whose end mark is not last.

Before: the property passed with the fault in.

--- a/src/domain/find-dead-rules/test.ts
+++ b/src/domain/find-dead-rules/test.ts
@@ -29,7 +29,7 @@
 	}
 
 	it('calls no rule dead that decides about some request', () => {
-		fc.assert(fc.property(fc.array(anyWhen, {maxLength: 20}), fc.array(anyFacts, {minLength: 20, maxLength: 20}), (whens, samples) => {
+		fc.assert(fc.property(fc.array(anyWhen, {maxLength: 20}), fc.array(anyFacts, {minLength: 300, maxLength: 300}), (whens, samples) => {
 			const rules = toRules(whens);
 			const compiled = compileRules({rules});
 			const deciding = new Set(samples.map(sample => matchRule(compiled, sample)?.name));
--- a/src/domain/parse-config/test.ts
+++ b/src/domain/parse-config/test.ts
@@ -117,6 +117,11 @@
 		assert.deepEqual(faults.map(fault => Number(fault.split(':')[1])), [2, 15, 15, 16]);
 	});
 
+	it('refuses an end mark that is not last, since what follows it may be cut off unnoticed', () => {
+		const moved = `end: banyanport\n${sound.replace('end: banyanport\n', '')}`;
+		assert.match(toFaults(moved).join('\n'), /^rules\.yaml:1:6: the document does not end with its end mark/);
+	});
+
 	it('takes no proper prefix of a document for whole', () => {
 		for (let length = 0; length < sound.length - 1; length++) {
 			assert.ok(parseConfig(sound.slice(0, length)).isErr(), `the first ${length} characters were accepted`);
