Leave no program behind, and test the link stand-in

Cause: a test file that is killed outright cannot end what it started; the link had no test of its own; a call given up while it waits for a connection was not shown to be unsent. Ruled out: a process that watches the others, which could itself be left. Change: started programs end when the standard input from their test closes; tests of one-way cuts, silence and healing; a test of the waiting call. Conclusion: a program that is stopped (SIGSTOP) while its test is killed still waits for SIGCONT.

--- a/test/_lib/start-program/index.ts
+++ b/test/_lib/start-program/index.ts
@@ -1,7 +1,7 @@
 /**
  * Starts one of our built programs as a process of its own, for tests that
  * kill, pause and restart it. No process outlives the test file: all are killed
- * when it exits, also when it is told to end.
+ * when it exits or is told to end, and end by themselves when it is killed.
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import process from 'node:process';
@@ -58,6 +58,7 @@
 };
 
 const root = new URL('../../../', import.meta.url);
+const exitWithParent = new URL('exit-with-parent.js', import.meta.url).href;
 const maxLines = 50_000;
 const maxOtherLines = 200;
 const running = new Set<ChildProcess>();
@@ -139,9 +140,10 @@
 
 function spawnProgram({program, flags = {}, env = {}, nodeOptions = []}: ProgramOptions): ChildProcess {
 	const child = spawn(process.execPath, [
-		'--enable-source-maps', ...nodeOptions, fileURLToPath(new URL(paths[program], root)), ...toArguments(flags),
-	], {env: {...process.env, NODE_TEST_CONTEXT: undefined, ...env}, stdio: ['ignore', 'pipe', 'pipe']});
+		'--enable-source-maps', '--import', exitWithParent, ...nodeOptions, fileURLToPath(new URL(paths[program], root)), ...toArguments(flags),
+	], {env: {...process.env, NODE_TEST_CONTEXT: undefined, ...env}, stdio: ['pipe', 'pipe', 'pipe']});
 	child.unref();
+	(child.stdin as unknown as {unref: () => void}).unref();
 	running.add(child);
 	return child;
 }
--- a/test/_lib/start-program/test.ts
+++ b/test/_lib/start-program/test.ts
@@ -1,7 +1,20 @@
 import assert from 'node:assert/strict';
+import {type Buffer} from 'node:buffer';
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
 import {describe, it} from 'node:test';
+import {waitUntil} from '../wait-until/index.js';
 import {startProgram, toArguments} from './index.js';
 
+const isAlive = (pid: number): boolean => {
+	try {
+		return process.kill(pid, 0);
+	} catch {
+		return false;
+	}
+};
+
 describe('startProgram', () => {
 	it('gives the ports of a program and ends it', async () => {
 		const program = await startProgram({program: 'plain', flags: {id: 'desk-1', port: 0}});
@@ -18,6 +31,21 @@
 		assert.equal(exit.code, 0);
 	});
 
+	it('leaves no program behind when the test file is killed outright', async () => {
+		const harness = new URL('index.js', import.meta.url).href;
+		const script = `const {startProgram} = await import('${harness}'); console.log((await startProgram({program: 'plain'})).pid); setInterval(() => {}, 1000);`;
+		const parent = spawn(process.execPath, ['--input-type=module', '--eval', script], {stdio: ['ignore', 'pipe', 'inherit']});
+		try {
+			const [text] = await once(parent.stdout, 'data') as [Buffer];
+			const pid = Number(text.toString());
+			assert.ok(isAlive(pid));
+			parent.kill('SIGKILL');
+			await waitUntil(() => !isAlive(pid), {deadlineMs: 10_000, what: 'the end of the program'});
+		} finally {
+			parent.kill('SIGKILL');
+		}
+	});
+
 	it('tells what a program said that ended before it listened', async () => {
 		await assert.rejects(startProgram({program: 'engine', flags: {role: 'baker'}}), /baker/v);
 	});
--- a/test/contracts/engine.test.ts
+++ b/test/contracts/engine.test.ts
@@ -173,6 +173,32 @@
 		assert.equal(server.countCalls(), 0);
 	});
 
+	it('sends nothing for a caller who gives up while it waits for a connection', async () => {
+		let finish: (() => void) | undefined;
+		const server = await startRaw((req, res) => {
+			finish = () => {
+				answerWith(201, '{"reservationId":"r","expiresInMs":1}')(req, res);
+			};
+		});
+		const client = toClient(server, {connections: 1});
+		const first = reserve(client, toKey());
+		await waitUntil(() => finish !== undefined, {deadlineMs: 5000, what: 'the first call'});
+		const controller = new AbortController();
+		const second = reserve(client, toKey(), controller.signal);
+		controller.abort();
+		const given = await second;
+		assert.equal(given._unsafeUnwrapErr().kind, 'aborted');
+		finish?.();
+		const answered = await first;
+		assert.ok(answered.isOk());
+		const third = reserve(client, toKey());
+		await waitUntil(() => server.countCalls() === 2, {deadlineMs: 5000, what: 'the third call'});
+		finish?.();
+		const last = await third;
+		assert.ok(last.isOk());
+		assert.equal(server.countCalls(), 2);
+	});
+
 	it('refuses a load report or a list of holds that lacks a field', async () => {
 		const server = await startRaw((req, res) => {
 			answerWith(200, req.url === '/engine/load' ? '{"server":"e","role":"decode"}' : '{"holds":[{"requestId":"r"}]}')(req, res);
--- /dev/null
+++ b/test/stand-ins/link/test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+import {after, describe, it} from 'node:test';
+import {waitUntil} from '../../_lib/wait-until/index.js';
+import {startLinkStandIn} from './index.js';
+
+const stops: Array<() => unknown> = [];
+
+after(async () => {
+	for (const stop of stops.reverse()) {
+		await stop();
+	}
+});
+
+/** A link before a server that answers each piece with `echo:` and the piece, and what both ends have got. */
+const start = async () => {
+	const arrived: string[] = [];
+	const server = createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', bytes => {
+			arrived.push(bytes.toString());
+			socket.write(`echo:${bytes.toString()}`);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const link = await startLinkStandIn({target: `127.0.0.1:${(server.address() as AddressInfo).port}`});
+	stops.push(() => server.close(), link.stop);
+	const dial = async () => {
+		const socket: Socket = connect(link.port, '127.0.0.1');
+		const got: string[] = [];
+		socket.on('data', bytes => got.push(bytes.toString()));
+		socket.on('error', () => undefined);
+		stops.push(() => socket.destroy());
+		await once(socket, 'connect');
+		return {socket, got};
+	};
+
+	return {link, arrived, dial};
+};
+
+const wait = {deadlineMs: 5000, what: 'bytes'};
+
+describe('startLinkStandIn', () => {
+	it('passes bytes both ways', async () => {
+		const {arrived, dial} = await start();
+		const {socket, got} = await dial();
+		socket.write('a');
+		await waitUntil(() => got.join('') === 'echo:a', wait);
+		assert.deepEqual(arrived, ['a']);
+	});
+
+	it('loses the bytes of one direction alone, tells nobody, and resets on healing', async () => {
+		const {link, arrived, dial} = await start();
+		const {socket, got} = await dial();
+		link.cut('from-target');
+		socket.write('a');
+		await waitUntil(() => arrived.length === 1, wait);
+		await waitUntil(() => link.bytes().fromTarget === 6, wait);
+		assert.deepEqual(got, []);
+		assert.equal(socket.destroyed, false);
+		link.heal();
+		await waitUntil(() => socket.destroyed, {deadlineMs: 5000, what: 'the reset'});
+		const again = await dial();
+		again.socket.write('b');
+		await waitUntil(() => again.got.join('') === 'echo:b', wait);
+	});
+
+	it('lets nothing through while it is cut, and leaves connections that lost nothing', async () => {
+		const {link, arrived, dial} = await start();
+		const {socket, got} = await dial();
+		link.cut();
+		const silent = await dial();
+		silent.socket.write('lost');
+		link.heal();
+		await waitUntil(() => silent.socket.destroyed, {deadlineMs: 5000, what: 'the reset'});
+		socket.write('a');
+		await waitUntil(() => got.join('') === 'echo:a', wait);
+		assert.deepEqual(arrived, ['a']);
+	});
+});
