--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -70,6 +70,14 @@
 	reservationTtl: {
 		type: 'duration', default: 5 * msPerSecond, min: 100, max: msPerMinute, group: 'Backend servers', description: 'Life of a reservation of decode memory that is not used.',
 	},
+	clockBound: {
+		type: 'duration',
+		default: 5 * msPerMinute,
+		min: 0,
+		max: 60 * msPerMinute,
+		group: 'Idempotency keys',
+		description: 'Greatest difference between a caller\'s clock and a host\'s. A host that was not started gracefully vouches for no key older than its start and this.',
+	},
 	drainDelay: {
 		type: 'duration', default: 2 * msPerSecond, min: 0, max: 10 * msPerMinute, group: 'Operation', description: 'Time for which a planned stop still takes connections, so that the balancer learns of it first.',
 	},
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -30,6 +30,7 @@
 			keys: keys.match(value => value, reason => {
 				throw new Error(reason);
 			}),
+			clockBoundMs: settings.clockBound,
 			createEngine: (server, hooks) => createEngineHttp({server, connectTimeoutMs: settings.engineConnectTimeout, ...hooks}),
 		});
 	} catch (error) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -76,6 +76,8 @@
 	{
 		files: ['**/test.ts', '**/*.test.ts', 'test/**/*.ts'],
 		rules: {
+			// Cases of a table close over the fixture that the suite sets up once.
+			'@typescript-eslint/no-loop-func': 'off',
 			// `describe` and `it` of node:test return promises that the runner itself awaits.
 			'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [
 				{from: 'package', package: 'node:test', name: ['describe', 'it', 'test', 'suite', 'before', 'after', 'beforeEach', 'afterEach']},
