--- /dev/null
+++ b/src/domain/to-orders/test.ts
@@ -0,0 +1,60 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type AcceptedConfig, type Config} from '../../ports/config.js';
+import {type ServerStatus} from '../../ports/view.js';
+import {
+	toConfig, toReport, toServer, toStatus, toView,
+} from '../create-placement/_lib/fixtures.js';
+import {toOrders} from './index.js';
+
+const servers = Array.from({length: 10}, (_, i) => toServer(`d${i}`, 'decode'));
+
+const toAccepted = (change: Partial<Config> = {}): AcceptedConfig => ({version: {edition: 7, revision: 7, digest: 'x'}, config: toConfig(servers, change), text: ''});
+
+const toFleet = (first: Partial<ServerStatus>) => toView(toConfig(servers), servers.map((entry, i) => ({...toStatus(entry, 0), ...(i === 0 ? first : {})})));
+
+const toLoad = (change: Parameters<typeof toReport>[1]) => ({load: toReport(servers[0]!, change)});
+
+describe('toOrders', () => {
+	const rows: Array<[string, Partial<ServerStatus>, Record<string, unknown> | undefined]> = [
+		['nothing for a server as wanted', {}, undefined],
+		['the role first', toLoad({role: 'prefill', version: 'v0'}), {kind: 'set-role', role: 'decode'}],
+		['the version', toLoad({version: 'v0'}), {kind: 'load-version', version: 'v1'}],
+		['the model', toLoad({model: 'other'}), {kind: 'load-version', model: 'm', version: 'v1'}],
+		['the unloading of an adapter no longer wanted', toLoad({adapters: ['old']}), {kind: 'unload-adapter', adapter: 'old'}],
+		['nothing for a server that loads', toLoad({version: 'v0', state: 'loading'}), undefined],
+		['nothing for a server that leaves', {...toLoad({version: 'v0'}), leaving: true}, undefined],
+		['nothing for a server that cannot be reached', {...toLoad({version: 'v0'}), reachable: false}, undefined],
+		['nothing without a report', {load: undefined}, undefined],
+	];
+	for (const [name, first, expected] of rows) {
+		it(`gives ${name}`, () => {
+			const [wanted, ...rest] = toOrders(toFleet(first), toAccepted());
+			assert.deepEqual(rest, []);
+			assert.deepEqual(wanted && {...wanted.order, ...expected}, wanted?.order);
+			assert.equal(wanted === undefined, expected === undefined);
+			assert.equal(wanted?.order.fence ?? 7, 7);
+		});
+	}
+
+	it('shares servers between the versions of a split, each version on one at least', () => {
+		const rule = {
+			name: 'all', when: {}, then: {
+				pool: 'main',
+				class: 'quick' as const,
+				repeatable: true,
+				target: {firstTokenMs: 1, perTokenMs: 1, completeMs: 1},
+				queueLimit: 1,
+				versions: [{version: 'v1', weight: 98}, {version: 'v2', weight: 2}],
+				adapter: undefined,
+			},
+		};
+		const orders = toOrders(toFleet({}), toAccepted({rules: [rule]}));
+		assert.deepEqual(orders.map(({order}) => order.version), ['v2']);
+	});
+
+	it('gives the same orders again, as they follow from the configuration alone', () => {
+		const view = toFleet(toLoad({version: 'v0'}));
+		assert.deepEqual(toOrders(view, toAccepted()), toOrders(view, toAccepted()));
+	});
+});
