Refuse fresh keys for four minutes after a restart, not five

Cause: the clock bound held a minute for the time between reading a clock and using it. A key only grows older meanwhile, so that minute bought nothing and cost every caller of a fleet that has just started. And a successor asked for its predecessor's table once, at its first view, which may lack addresses. Change: bound 241 s (two minutes each, a second for rounding). takeOver asks for up to 30 s. A connection that is taken over or broken before its head gets a problem document; refusals can be noted in the account. Conclusion: the bound is what the promise depends on; it is a setting.

--- a/src/domain/create-claim-witness/index.ts
+++ b/src/domain/create-claim-witness/index.ts
@@ -2,7 +2,7 @@
  * Keeps, in memory alone, which claimant may run a key. A claim is write-once;
  * a witness that may have forgotten one says so instead of granting.
  */
-import {msPerMinute} from '../../ports/units.js';
+import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {parseIdempotencyKey} from '../parse-idempotency-key/index.js';
 import {parseScopedText, toScopedText} from '../to-scoped-text/index.js';
@@ -12,8 +12,8 @@
 
 export type * from './types.js';
 
-/** Two minutes each for the caller's and the host's clock, and a minute for the time between reading a clock and using it. */
-export const defaultClockBoundMs = 5 * msPerMinute;
+/** Two minutes for the caller's clock, two for the host's, and a second for rounding: what the promise depends on. */
+export const defaultClockBoundMs = (4 * msPerMinute) + msPerSecond;
 export const defaultRetentionMs = (15 * msPerMinute) + defaultClockBoundMs;
 const defaultMaxClaims = 200_000;
 /** Claimants whose description is shared between their claims. */
--- a/src/domain/create-claim-witness/types.ts
+++ b/src/domain/create-claim-witness/types.ts
@@ -75,7 +75,7 @@
 	incarnation: Incarnation;
 	/** Wall-clock time at which this incarnation's memory began. */
 	startedAt: Milliseconds;
-	/** Greatest difference between a caller's clock and this host's; 300,000 by default. */
+	/** Greatest difference between a caller's clock and this host's; 241,000 by default. */
 	clockBoundMs?: Milliseconds;
 	/** Age, by a key's own time, to which its claim is kept and above which the key is refused; 900,000 plus the clock bound by default. */
 	retentionMs?: Milliseconds;
--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -45,6 +45,8 @@
 const handOverTimeoutMs = 2 * msPerSecond;
 const idleConnectionMs = msPerMinute;
 const handOverCandidates = 3;
+const takeOverForMs = 30 * msPerSecond;
+const takeOverWaitMs = 500;
 const rounds = 6;
 const roundWaitMs = 40;
 
@@ -109,6 +111,8 @@
 	/** Claims of this process that are not decided yet, by scoped key. */
 	const pending = new Map<string, {claimId: string; decided: Promise<void>}>();
 	let claimCount = 0;
+	let hasSoughtTable = false;
+	const closing = new AbortController();
 
 	function connectTo(host: HostId): ResultAsync<PeerConnection, AskFailure> {
 		const address = toView()?.hosts.get(host)?.entryAddress ?? '';
@@ -177,21 +181,28 @@
 		};
 	}
 
+	function refuseStart({workspace, key}: KeyedRequest, claimId: string): Claimed {
+		releaseEverywhere({workspace, key, claimId});
+		return {
+			kind: 'refused',
+			problem: {
+				kind: 'queue-full', detail: 'This host keeps as many keyed requests as it can.', outcome: 'not-run', retryAfterMs: msPerSecond,
+			},
+		};
+	}
+
 	function startRun(request: KeyedRequest, claimId: string): Claimed {
 		const {workspace, key, digest, isRepeatable, onAbandoned} = request;
 		const started = runs.start({
 			workspace, key, digest, isRepeatable, onAbandoned,
 		}, clock.now());
-		const reader = runs.join(request, clock.now());
-		if (started.isErr() || reader.isErr()) {
-			releaseEverywhere({workspace, key, claimId});
-			const problem = {
-				kind: 'queue-full', detail: 'This host keeps as many keyed requests as it can.', outcome: 'not-run', retryAfterMs: msPerSecond,
-			} as const;
-			return {kind: 'refused', problem};
+		if (started.isErr()) {
+			return refuseStart(request, claimId);
 		}
 
-		return {kind: 'run', writer: toReleasingWriter(started.value, {workspace, key, claimId}), reader: reader.value};
+		// Never fails: the run has just begun, and nothing of it was dropped.
+		const reader = runs.join(request, clock.now())._unsafeUnwrap();
+		return {kind: 'run', writer: toReleasingWriter(started.value, {workspace, key, claimId}), reader};
 	}
 
 	async function callJoin(request: KeyedRequest, holder: Claim): Promise<{connection: PeerConnection; reply: JoinReply} | undefined> {
@@ -443,7 +454,7 @@
 		return witness.adopt({...first, claims});
 	}
 
-	async function takeOver(): Promise<boolean> {
+	async function takeFromAny(): Promise<boolean> {
 		for (const host of listHolders().slice(0, handOverCandidates)) {
 			if (await takeFrom(host)) {
 				log.info('claims taken over', {peer: host, count: witness.stats().claims});
@@ -451,7 +462,26 @@
 			}
 		}
 
-		log.info('no claims to take over');
+		return false;
+	}
+
+	/** Asks for a while: the first view may lack addresses, and the old process may leave after this one has started. */
+	async function takeOver(): Promise<boolean> {
+		if (hasSoughtTable) {
+			return false;
+		}
+
+		hasSoughtTable = true;
+		const giveUpAt = clock.now() + takeOverForMs;
+		while (!closing.signal.aborted && clock.now() < giveUpAt) {
+			if (await takeFromAny()) {
+				return true;
+			}
+
+			await sleep(takeOverWaitMs, undefined, {ref: false});
+		}
+
+		log.info('no claims taken over');
 		return false;
 	}
 
@@ -475,7 +505,10 @@
 			handOvers.sweep();
 			pool.closeIdle();
 		},
-		close: pool.close,
+		close() {
+			closing.abort();
+			pool.close();
+		},
 		stats: () => ({...runs.stats(), ...witness.stats()}),
 	};
 }
--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -5,7 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type RunEnd, type RunReader, type RunWriter} from '../../../domain/create-run-table/index.js';
-import {toProblem} from '../../../domain/to-problem/index.js';
+import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Claims, type KeyedRequest} from './types.js';
 
@@ -31,8 +31,22 @@
 	serve: (recorded: CallerExchange) => Promise<KeyedVerdict>;
 	/** Called when the answer comes from a run that an earlier call started. */
 	onJoin?: (host: string) => void;
+	/** Called when the key is refused, before the caller is told. */
+	onRefused?: (problem: Problem) => void;
 };
 
+/** A connection that closed normally after a part of an answer would pass it off as whole. */
+function breakOff(exchange: CallerExchange, isTakenOver: boolean) {
+	if (exchange.isStarted()) {
+		exchange.destroy();
+		return;
+	}
+
+	exchange.sendProblem(isTakenOver
+		? {kind: 'key-used', detail: 'A later request with the same Idempotency-Key took the answer over.', outcome: 'may-have-run'}
+		: {kind: 'answer-lost', detail: 'The answer was lost on its way. Send the same Idempotency-Key again to ask for it.', outcome: 'may-have-run'});
+}
+
 /** Passes an answer on to a caller until it ends, the caller goes, or another connection takes the delivery over. */
 async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now}: ServeKeyedOptions): Promise<void> {
 	const onGone = () => {
@@ -55,8 +69,7 @@
 				exchange.end();
 				return;
 			} else {
-				// Cut or taken over: a connection that closes normally here would pass half an answer off as whole.
-				exchange.destroy();
+				breakOff(exchange, part.kind === 'taken-over');
 				return;
 			}
 		}
@@ -147,6 +160,7 @@
 		},
 	});
 	if (claimed.kind === 'refused') {
+		options.onRefused?.(claimed.problem);
 		exchange.sendProblem(claimed.problem);
 		return;
 	}
--- a/src/programs/entry/claims/types.ts
+++ b/src/programs/entry/claims/types.ts
@@ -20,7 +20,7 @@
 	tls?: () => PeerKeys;
 	/** Time for one witness to answer; 1,000 by default. */
 	askTimeoutMs?: Milliseconds;
-	/** Greatest difference between a caller's clock and a host's; 300,000 by default. */
+	/** Greatest difference between a caller's clock and a host's; 241,000 by default. Work that is not repeatable is refused for this long after all hosts have lost their memory. */
 	clockBoundMs?: Milliseconds;
 	runs?: RunTableOptions;
 };
@@ -50,7 +50,7 @@
 	/** Whether a call is of this part. */
 	handles: (method: string) => boolean;
 	claim: (request: KeyedRequest) => Promise<Claimed>;
-	/** Takes over the table that the previous process of this slot left with a peer, if any; once, after the first view. */
+	/** Takes over the table that the previous process of this slot left with a peer, if any; to be called once, after the first view. Asks for up to 30 seconds. */
 	takeOver: () => Promise<boolean>;
 	/** Housekeeping; to be called every second or so. */
 	tick: () => void;
