Keep YAML that would exhaust a host's memory away from its parser

Cause: a trial with the small heap that the agent needs: 251 KB of YAML ended the process ("Ineffective mark-compacts near heap limit"), and so would a faulty JSON document, whose places the YAML parser finds. All agents read the same document, so all would go at once.

Ruled out: a larger heap (the parser takes about 95 bytes a byte, a document may have 1 MiB, and the agent has 64 MB in all).

Change: parseConfig gives the YAML parser texts of up to 65,536 bytes; larger JSON is read as before, its faults name their path in place of a line. The command line reads larger YAML, check names the limit, seal --to json writes what hosts read.

Before: abort at 251 KB with a heap of 24 MB.

--- a/src/domain/parse-config/_lib/source.ts
+++ b/src/domain/parse-config/_lib/source.ts
@@ -1,139 +1,62 @@
 /** Reads YAML or JSON text into plain values, and finds the line and column of each. */
+import {Buffer} from 'node:buffer';
 import {
 	isAlias, isMap, isNode, isScalar, isSeq, LineCounter, parseDocument, visit, type Document, type Node, type Pair,
 } from 'yaml';
 import {type Path, type PathFault} from './faults.js';
-
-/** A place in the text; line and column count from 1. */
-export type Place = {
-	line: number;
-	column: number;
-};
-
-export type SyntaxFault = Place & {
-	problem: string;
-	remedy: string;
-};
+import {findTooDeep} from './find-too-deep.js';
+import {type Place, type SyntaxFault} from './place.js';
+import {readJson, type JsonReading} from './read-json.js';
 
 export type Source = {
 	data: unknown;
 	syntaxFaults: readonly SyntaxFault[];
-	/** The place of a value or key; for something missing, the place of the nearest thing around it. */
-	toPlace: (path: Path, at: PathFault['at']) => Place;
+	/** The place of a value or key; for something missing, the place of the nearest thing around it. `undefined` in a text too large to look. */
+	toPlace: (path: Path, at: PathFault['at']) => Place | undefined;
 };
 
 /**
  * Reads a text. Sound JSON goes the short way, which the largest documents
- * need: the YAML parser takes over a hundred times as long, and a host that
- * reads a megabyte with it answers nobody for seconds. Places are then
- * found by the YAML parser, only when somebody asks for one.
+ * need. The YAML parser takes some twenty times as long and about 95 bytes of
+ * heap a byte: 250 KB of YAML end a process with a heap of 24 MB. It therefore
+ * sees only texts up to a limit; larger JSON with faults gets no places.
  *
  * @param text - YAML 1.2 or JSON, which YAML contains.
+ * @param maxYamlBytes - The largest text for the YAML parser.
  * @returns Plain values, faults of syntax, and the places of values.
  */
-export function readSource(text: string): Source {
+export function readSource(text: string, maxYamlBytes: number): Source {
 	const tooDeep = findTooDeep(text);
 	if (tooDeep) {
 		return {data: undefined, syntaxFaults: [tooDeep], toPlace: () => tooDeep};
 	}
 
-	const data = readJson(text);
-	if (data === undefined) {
-		return readYaml(text);
+	const json = readJson(text);
+	const isSmall = Buffer.byteLength(text) <= maxYamlBytes;
+	if (json.kind !== 'sound') {
+		return isSmall ? readYaml(text) : toUnread(json, maxYamlBytes);
 	}
 
 	let yaml: Source | undefined;
 	return {
-		data,
+		data: json.data,
 		syntaxFaults: [],
 		toPlace(path, at) {
-			yaml ??= readYaml(text);
-			return yaml.toPlace(path, at);
+			yaml ??= isSmall ? readYaml(text) : undefined;
+			return yaml?.toPlace(path, at);
 		},
 	};
 }
 
-/** Levels of brackets; a document needs six. */
-const deepestBrackets = 64;
-
-/** Columns of blanks, dashes and question marks before the first word of a line, each of which may open a level in YAML. */
-const widestIndent = 128;
-
-const [openBracket, openBrace, closeBracket, closeBrace] = Array.from('[{]}', bracket => bracket.codePointAt(0));
-
-const wideIndent = new RegExp(`^[ ?:-]{${widestIndent + 1}}`, 'm');
-
-/**
- * The YAML parser calls itself for each level. At some hundreds of them the
- * stack is full, and Node ends the whole process when that happens while it
- * compiles a regular expression: one published document would take down every
- * host. Brackets are counted wherever they stand, also in texts and comments,
- * which needs no parser and is strict enough for documents of six levels.
- */
-function findTooDeep(text: string): SyntaxFault | undefined {
-	const remedy = `nest at most ${deepestBrackets} levels`;
-	const indent = wideIndent.exec(text);
-	if (indent) {
-		return {...toTextPlace(text, indent.index), problem: `a line is indented by more than ${widestIndent} columns`, remedy};
-	}
-
-	let depth = 0;
-	for (let i = 0; i < text.length; i++) {
-		const code = text.codePointAt(i);
-		if (code === openBracket || code === openBrace) {
-			depth++;
-		} else if ((code === closeBracket || code === closeBrace) && depth > 0) {
-			depth--;
-		}
-
-		if (depth > deepestBrackets) {
-			return {...toTextPlace(text, i), problem: `more than ${deepestBrackets} brackets are open`, remedy};
-		}
-	}
-
-	return undefined;
-}
-
-function toTextPlace(text: string, offset: number): Place {
-	const before = text.slice(0, offset);
-	return {line: before.split('\n').length, column: offset - before.lastIndexOf('\n')};
-}
-
-/** A key with its colon, or any other string; strings are matched whole, so that no colon inside of one counts. */
-const jsonString = /"(?:[^"\\]|\\.)*"\s*(:?)/g;
-
-/**
- * Reads JSON, or returns `undefined` for anything else. `JSON.parse` drops all
- * but the last of equal keys without a word, so a document with a rule list
- * pasted twice would lose one; the count of keys tells, and the YAML parser
- * then names the place.
- */
-function readJson(text: string): unknown {
-	if (!/^\s*{/.test(text)) {
-		return undefined;
-	}
-
-	try {
-		const data: unknown = JSON.parse(text);
-		let keys = 0;
-		for (const match of text.matchAll(jsonString)) {
-			keys += match[1] === ':' ? 1 : 0;
+function toUnread(json: JsonReading, maxYamlBytes: number): Source {
+	const fault = json.kind === 'broken'
+		? {
+			line: 1, column: 1, problem: `the JSON is broken: ${json.problem}`, remedy: 'check it with "banyanport check", which finds the place',
 		}
-
-		return countKeys(data) === keys ? data : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
-function countKeys(value: unknown): number {
-	if (typeof value !== 'object' || value === null) {
-		return 0;
-	}
-
-	const items: unknown[] = Object.values(value);
-	const own = Array.isArray(value) ? 0 : items.length;
-	return items.reduce((sum: number, item) => sum + countKeys(item), own);
+		: {
+			line: 1, column: 1, problem: `YAML of more than ${maxYamlBytes} bytes is too large for hosts`, remedy: 'publish it as JSON, written by "banyanport seal --to json"',
+		};
+	return {data: undefined, syntaxFaults: [fault], toPlace: () => undefined};
 }
 
 function readYaml(text: string): Source {
--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -8,9 +8,10 @@
 import {type Config} from '../../ports/config.js';
 import {addMeaningFaults} from './_lib/check-meaning.js';
 import {toConfig} from './_lib/to-config.js';
-import {createFaultSink, type FaultSink} from './_lib/faults.js';
+import {createFaultSink, type FaultSink, type Path} from './_lib/faults.js';
 import {readDocument} from './_lib/document.js';
-import {readSource, type Place, type Source} from './_lib/source.js';
+import {type Place} from './_lib/place.js';
+import {readSource, type Source} from './_lib/source.js';
 
 /** One thing that is wrong with a configuration document. */
 export type ConfigFault = {
@@ -29,9 +30,17 @@
 /** Faults that are reported with their places. */
 const maxFaults = 200;
 
+/**
+ * The largest document in YAML, in bytes. Hosts keep to it, whose memory is
+ * small; operators' tools read larger ones to turn them into JSON.
+ */
+export const maxYamlBytes = 65_536;
+
 export type ParseConfigOptions = {
 	/** Name of the file or source, for the faults. */
 	file?: string;
+	/** The largest text that the YAML parser sees, in bytes; {@link maxYamlBytes} unless given. */
+	maxYamlBytes?: number;
 };
 
 /**
@@ -55,7 +64,7 @@
 	const toFault = ({line, column}: Place, problem: string, remedy: string): ConfigFault => ({
 		file: options.file, line, column, problem, remedy,
 	});
-	const source = readSource(text);
+	const source = readSource(text, options.maxYamlBytes ?? maxYamlBytes);
 	if (source.syntaxFaults.length > 0) {
 		return err(cutFaults(source.syntaxFaults, fault => toFault(fault, fault.problem, fault.remedy)));
 	}
@@ -66,7 +75,16 @@
 		return ok(config);
 	}
 
-	return err(cutFaults(faults.list(), ({path, at, problem, remedy}) => toFault(source.toPlace(path, at), problem, remedy)));
+	return err(cutFaults(faults.list(), ({path, at, problem, remedy}) => {
+		const place = source.toPlace(path, at);
+		return place ? toFault(place, problem, remedy) : toFault({line: 1, column: 1}, `${toPathText(path)}${problem}`, remedy);
+	}));
+}
+
+/** The path in place of line and column, positions in lists from 1. */
+function toPathText(path: Path): string {
+	const steps = path.map(step => typeof step === 'number' ? step + 1 : step);
+	return steps.length > 0 ? `${steps.join(' ')}: ` : '';
 }
 
 /**
--- a/src/programs/cli/_lib/read-config.ts
+++ b/src/programs/cli/_lib/read-config.ts
@@ -2,7 +2,9 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {checkSeal, type ConfigSeal} from '../../../domain/check-seal/index.js';
-import {type ConfigFault, parseConfig, toFaultLine} from '../../../domain/parse-config/index.js';
+import {
+	type ConfigFault, maxYamlBytes, parseConfig, toFaultLine,
+} from '../../../domain/parse-config/index.js';
 import {type Config} from '../../../ports/config.js';
 import {bytesPerMebibyte} from '../../../ports/units.js';
 import {
@@ -36,14 +38,16 @@
 
 	const text = read.value;
 	const seal = checkSeal(text);
-	const parsed = parseConfig(text, {file});
+	const parsed = parseConfig(text, {file, maxYamlBytes: Infinity});
 	const bytes = Buffer.byteLength(text);
+	const isLargeYaml = bytes > maxYamlBytes && !text.trimStart().startsWith('{');
 	const lastLine = text.trimEnd().split('\n').length;
 	const faults = [
 		...(parsed.isErr() ? parsed.error : []),
 		// A missing end is already among the faults of the content.
 		...(seal.isErr() && (seal.error.kind !== 'incomplete' || parsed.isOk()) ? [toDocumentFault(file, lastLine, seal.error.message)] : []),
 		...(bytes > maxDocumentBytes ? [toDocumentFault(file, lastLine, `the document has ${bytes} bytes and the platform holds ${maxDocumentBytes}: name workspaces in lists and share routes`)] : []),
+		...(isLargeYaml ? [toDocumentFault(file, lastLine, `the YAML has ${bytes} bytes and hosts read at most ${maxYamlBytes}: publish it as JSON, written by "banyanport seal --to json"`)] : []),
 	];
 	if (parsed.isErr() || seal.isErr() || faults.length > 0) {
 		return err({kind: 'faults', faults});
--- a/src/programs/cli/run-cli/test.ts
+++ b/src/programs/cli/run-cli/test.ts
@@ -116,10 +116,24 @@
 		assert.match(altered.out, /changed after it was sealed; seal it again/);
 	});
 
+	it('refuses YAML that hosts do not read, and turns it into JSON that they do', async () => {
+		const large = {'large.yaml': `${`# ${'x'.repeat(98)}\n`.repeat(700)}${naslovnik}`};
+		for (const command of ['check', 'seal']) {
+			const {code, out, errors} = await run([command, 'large.yaml'], large);
+			assert.equal(code, 1);
+			assert.match(out + errors, /publish it as JSON, written by "banyanport seal --to json"/);
+		}
+
+		const sealed = await run(['seal', 'large.yaml', '--to', 'json', '--output', 'sealed.json'], large);
+		const checked = await run(['check', 'sealed.json'], sealed.written);
+		assert.equal(checked.code, 0);
+	});
+
 	it('refuses a document that the platform cannot hold', async () => {
-		const large = `# ${'x'.repeat(1_048_576)}\n${naslovnik}`;
+		const sealed = await run(['seal', 'a.yaml', '--to', 'json', '--output', 'sealed.json'], files);
+		const large = sealed.written['sealed.json']!.replace('{', `{${' '.repeat(1_048_576)}`);
 		for (const command of ['check', 'seal']) {
-			const {code, out, errors} = await run([command, 'large.yaml'], {'large.yaml': large});
+			const {code, out, errors} = await run([command, 'large.json'], {'large.json': large});
 			assert.equal(code, 1);
 			assert.match(out + errors, /bytes and the platform holds 1048576/);
 		}
--- a/src/programs/cli/run-seal/index.ts
+++ b/src/programs/cli/run-seal/index.ts
@@ -52,7 +52,7 @@
 }
 
 function seal(text: string, previous: string | undefined, file: string, to: 'json' | undefined): Result<SealedConfig, SealFailure> {
-	const sealed = sealConfig(to === 'json' ? toJson(text) : text, previous, {file});
+	const sealed = to === 'json' ? sealConfig(toJson(text), previous, {file, maxYamlBytes: Infinity}) : sealConfig(text, previous, {file});
 	return sealed.andThen(result => {
 		const bytes = Buffer.byteLength(result.text);
 		return bytes <= maxDocumentBytes
@@ -69,7 +69,7 @@
 function toJson(text: string): string {
 	const end = splitConfigEnd(text);
 	const plain = end.kind === 'missing' ? text : addPlainEnd(end.body, end.format);
-	return parseConfig(plain).map(config => toConfigText(config)).unwrapOr(text);
+	return parseConfig(plain, {maxYamlBytes: Infinity}).map(config => toConfigText(config)).unwrapOr(text);
 }
 
 function writeSuccess(io: CliIo, {json, output}: RunSealOptions, {text, ...rest}: SealedConfig): void {
