Measure the relay, and write each turn's tokens once

Cause: nothing said what the entry adds. A profile of the first version (16 callers, answers of one token, machine busy with other work: load 17 on 12 cores) put 10% of the time in writev, 7% in garbage collection and 2% in making abort signals.

Change: bench/relay with engines and callers in threads and the entry in a process of its own. Text is framed by the entry and shares one write for each turn of the event loop, head included; one abort signal serves all steps of an attempt.

Ruled out: node's own chunk framing (three pieces a token for writev); answers through web streams.

--- /dev/null
+++ b/bench/relay/_lib/measure-latency.ts
@@ -0,0 +1,97 @@
+/** Time to the first token through the entry, against the same engines called directly. */
+import {type Buffer} from 'node:buffer';
+import {performance} from 'node:perf_hooks';
+import {build} from 'hdr-histogram-js';
+import {Agent, request} from 'undici';
+import {type BenchEngine, type BenchEntry} from './bench-set-up.js';
+
+export type LatencyResult = {
+	streams: number;
+	samples: number;
+	directMs: {p50: number; p99: number};
+	throughMs: {p50: number; p99: number};
+	addedMs: {p50: number; p99: number};
+};
+
+type Target = {prefill: BenchEngine; decode: BenchEngine; entry: BenchEntry; maxTokens: number};
+
+const microseconds = 1000;
+
+/** The calls that the entry makes, made by the caller itself. */
+async function takeDirect({prefill, decode, maxTokens}: Target, id: string): Promise<number> {
+	const start = performance.now();
+	const key = {requestId: id, attempt: 1, owner: {host: 'bench', incarnation: 1}};
+	const reserved = await decode.client.reserve(key, {
+		promptTokens: 7, maxTokens, ttlMs: 5000, class: 'quick',
+	});
+	const prefilled = await prefill.client.prefill({
+		key, model: 'm', version: '1', adapter: undefined, prompt: 'Dear sir, your letter of May', class: 'quick', deadlineInMs: 5000,
+	});
+	const {reservationId} = reserved._unsafeUnwrap();
+	await decode.client.importKv({
+		key, reservationId, fromUrl: prefill.url, kvId: prefilled._unsafeUnwrap().kvId,
+	});
+	const stream = await decode.client.decode({
+		key, reservationId, maxTokens, class: 'quick',
+	});
+	let firstMs = 0;
+	for await (const chunk of stream._unsafeUnwrap()) {
+		firstMs ||= chunk.tokens.length > 0 ? performance.now() - start : 0;
+	}
+
+	return firstMs;
+}
+
+async function takeThrough({entry, maxTokens}: Target, dispatcher: Agent): Promise<number> {
+	const start = performance.now();
+	const {body} = await request(`${entry.url}/v1/completions`, {
+		method: 'POST', dispatcher, headers: {'content-type': 'application/json'}, body: JSON.stringify({
+			model: 'm', prompt: 'Dear sir, your letter of May', max_tokens: maxTokens, stream: true,
+		}),
+	});
+	let firstMs = 0;
+	for await (const piece of body as AsyncIterable<Buffer>) {
+		firstMs ||= piece.length > 0 ? performance.now() - start : 0;
+	}
+
+	return firstMs;
+}
+
+/**
+ * Measures at a number of concurrent streams. Each caller takes the direct way
+ * and the way through the entry in turn, so that both meet the same load.
+ *
+ * @param target - Engines and entry.
+ * @param options - Streams at once, samples of each way, and length of a stream.
+ * @returns Quantiles of both, and their differences.
+ */
+export async function measureLatency(target: Omit<Target, 'maxTokens'>, options: {streams: number; samples: number; maxTokens: number}): Promise<LatencyResult> {
+	const {streams, samples, maxTokens} = options;
+	const dispatcher = new Agent({connections: streams, pipelining: 1});
+	const direct = build();
+	const through = build();
+	let left = samples + (streams * 3);
+	let taken = 0;
+
+	async function call(caller: number): Promise<void> {
+		for (let i = 0; left > 0; i++) {
+			left--;
+			const directMs = await takeDirect({...target, maxTokens}, `${caller}-${i}`);
+			const throughMs = await takeThrough({...target, maxTokens}, dispatcher);
+			// The first calls of each caller open connections and warm the code up.
+			if (i >= 3) {
+				taken++;
+				direct.recordValue(Math.round(directMs * microseconds));
+				through.recordValue(Math.round(throughMs * microseconds));
+			}
+		}
+	}
+
+	await Promise.all(Array.from({length: streams}, async (_, caller) => call(caller)));
+	await dispatcher.close();
+	const quantiles = (histogram: typeof direct) => ({p50: histogram.getValueAtPercentile(50) / microseconds, p99: histogram.getValueAtPercentile(99) / microseconds});
+	const [directMs, throughMs] = [quantiles(direct), quantiles(through)];
+	return {
+		streams, samples: taken, directMs, throughMs, addedMs: {p50: throughMs.p50 - directMs.p50, p99: throughMs.p99 - directMs.p99},
+	};
+}
--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -8,6 +8,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestId} from '../../../ports/ids.js';
 import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
+import {createBodyWriter} from './create-body-writer.js';
 
 export type BodyFault = 'body-too-large' | 'slow-request' | 'gone';
 
@@ -47,9 +48,6 @@
 	isStopping: () => boolean;
 };
 
-/** Pieces that wait for one turn of the event loop at most, in characters, before they are written at once. */
-const flushAtLength = 16_384;
-
 /** Time for which the rest of a refused body is read and dropped, milliseconds. */
 const lingerMs = 1000;
 
@@ -110,46 +108,6 @@
 	});
 }
 
-/** Collects pieces of one turn of the event loop into one write. */
-function createCoalescedWriter(res: ServerResponse) {
-	let pending = '';
-	let isScheduled = false;
-
-	function flush(): void {
-		isScheduled = false;
-		if (pending !== '' && !res.destroyed) {
-			const text = pending;
-			pending = '';
-			res.write(text);
-		}
-	}
-
-	return {
-		flush,
-		write(piece: string | Uint8Array): boolean {
-			if (typeof piece !== 'string') {
-				flush();
-				return res.write(piece);
-			}
-
-			pending += piece;
-			if (pending.length >= flushAtLength) {
-				flush();
-			} else if (!isScheduled) {
-				isScheduled = true;
-				setImmediate(flush);
-			}
-
-			return !res.writableNeedDrain;
-		},
-		takeRest(): string {
-			const rest = pending;
-			pending = '';
-			return rest;
-		},
-	};
-}
-
 async function waitForDrain(res: ServerResponse, gone: AbortSignal, timeoutMs: number): Promise<boolean> {
 	if (gone.aborted || !res.writableNeedDrain) {
 		return !gone.aborted;
@@ -214,7 +172,7 @@
 	const requestId = createUuidV7();
 	const target = req.url ?? '/';
 	const gone = new AbortController();
-	const writer = createCoalescedWriter(res);
+	const writer = createBodyWriter(req, res);
 	res.once('close', () => {
 		if (!res.writableFinished) {
 			gone.abort();
@@ -258,16 +216,12 @@
 		},
 		startStream(status, headers) {
 			startHead(status, headers);
-			res.flushHeaders();
+			writer.start();
 		},
 		isStarted: () => res.headersSent,
 		write: writer.write,
 		drained: async timeoutMs => waitForDrain(res, gone.signal, timeoutMs),
-		end() {
-			if (!res.destroyed) {
-				res.end(writer.takeRest());
-			}
-		},
+		end: writer.end,
 		destroy() {
 			res.destroy();
 		},
--- a/src/programs/entry/_lib/step.ts
+++ b/src/programs/entry/_lib/step.ts
@@ -8,23 +8,29 @@
 
 export type StepSignal = {
 	signal: AbortSignal;
-	/** Starts the time again. */
+	/** Gives the next step its time; a step whose time is over before it starts fires at once. */
+	arm: (limitMs: Milliseconds) => void;
+	/** Starts the time of the present step again. */
 	refresh: () => void;
+	/** Ends the time of the present step. */
+	disarm: () => void;
 	isTimedOut: () => boolean;
-	/** Must be called when the step is over, or the parent keeps it. */
+	/** Must be called when the last step is over, or the parent keeps the signal. */
 	close: () => void;
 };
 
 /**
- * Creates a signal that fires with its parent or when its time is over.
+ * Creates a signal that fires with its parent, or when the time of a step is
+ * over. One signal serves all steps of an attempt, because a step that is out
+ * of time ends the attempt.
  *
  * @param parent - Signal of the whole request.
- * @param limitMs - Time for the step; a step whose time is over before it starts fires at once.
  * @returns The signal and its controls.
  */
-export function createStepSignal(parent: AbortSignal, limitMs: Milliseconds): StepSignal {
+export function createStepSignal(parent: AbortSignal): StepSignal {
 	const controller = new AbortController();
 	let isTimedOut = false;
+	let timer: NodeJS.Timeout | undefined;
 	const onParent = () => {
 		controller.abort();
 	};
@@ -34,18 +40,27 @@
 		controller.abort();
 	};
 
-	const timer = setTimeout(onTime, Math.min(maxTimerMs, Math.max(0, limitMs)));
 	parent.addEventListener('abort', onParent, {once: true});
 	if (parent.aborted) {
 		controller.abort();
-	} else if (limitMs <= 0) {
-		onTime();
 	}
 
 	return {
 		signal: controller.signal,
+		arm(limitMs) {
+			clearTimeout(timer);
+			if (limitMs > 0) {
+				timer = setTimeout(onTime, Math.min(maxTimerMs, limitMs));
+			} else {
+				onTime();
+			}
+		},
 		refresh() {
-			timer.refresh();
+			timer?.refresh();
+		},
+		disarm() {
+			clearTimeout(timer);
+			timer = undefined;
 		},
 		isTimedOut: () => isTimedOut,
 		close() {
@@ -66,26 +81,24 @@
  * Runs one call to an engine within a time. Nothing is sent when the time is
  * already over, as it is after a pause of the process.
  *
- * @param options - Signal of the request, time left, and the server's name for the failure.
+ * @param step - Signal of the attempt.
+ * @param options - Time for the call, and the server's name for the failure.
  * @param call - The call; it gets the signal.
  * @returns What the call returned, or its failure.
  */
 export async function runStep<T>(
-	options: {parent: AbortSignal; limitMs: Milliseconds; server: string},
+	step: StepSignal,
+	options: {limitMs: Milliseconds; server: string},
 	call: (signal: AbortSignal) => ResultAsync<T, EngineFailure>,
 ): Promise<Result<T, StepFailure>> {
-	const step = createStepSignal(options.parent, options.limitMs);
-	const {aborted} = step.signal;
-	try {
-		if (aborted) {
-			return toUnsent(options.server, step.isTimedOut());
-		}
-
-		const result = await call(step.signal);
-		return result.mapErr(failure => ({...failure, isTimedOut: step.isTimedOut(), isUnsent: false}));
-	} finally {
-		step.close();
+	step.arm(options.limitMs);
+	if (step.signal.aborted) {
+		return toUnsent(options.server, step.isTimedOut());
 	}
+
+	const result = await call(step.signal);
+	step.disarm();
+	return result.mapErr(failure => ({...failure, isTimedOut: step.isTimedOut(), isUnsent: false}));
 }
 
 function toUnsent<T>(server: string, isTimedOut: boolean): Result<T, StepFailure> {
--- a/src/programs/entry/relay-stream/index.ts
+++ b/src/programs/entry/relay-stream/index.ts
@@ -98,7 +98,7 @@
 	engine: Engine;
 	key: AttemptKey;
 	server: string;
-	/** Signal under which `stream` was opened. */
+	/** Signal under which `stream` was opened; closed at the stream's end. */
 	step: StepSignal;
 	stream: AsyncIterable<DecodeChunk>;
 };
@@ -118,6 +118,7 @@
 	let idle = 0;
 	for (;;) {
 		const before = run.buffer.offset();
+		step.arm(toStallMs(run));
 		const failure = await readStream({
 			run, services, server, step,
 		}, stream);
@@ -143,9 +144,8 @@
 			attempt: key.attempt, server, offset, kind: failure.kind, reason: failure.message,
 		});
 		services.tally.resumed();
-		step = createStepSignal(run.signal, toStallMs(run));
-		const {signal} = step;
-		const resumed = await runStep({parent: run.signal, limitMs: resumeTimeoutMs, server}, () => engine.resume(key, offset, {signal}));
+		step = createStepSignal(run.signal);
+		const resumed = await runStep(step, {limitMs: resumeTimeoutMs, server}, signal => engine.resume(key, offset, {signal}));
 		if (resumed.isErr()) {
 			step.close();
 			return run.signal.aborted ? {kind: 'gone'} : {kind: 'failed', failure: resumed.error};
--- a/src/programs/entry/run-attempt/index.ts
+++ b/src/programs/entry/run-attempt/index.ts
@@ -42,6 +42,7 @@
 	services: RunServices;
 	placement: Placement;
 	key: AttemptKey;
+	step: StepSignal;
 	/** Servers that may hold something of it. */
 	touched: Set<ServerEntry>;
 	timeLeft: () => Milliseconds;
@@ -80,7 +81,7 @@
 	const {decode} = placement;
 	attempt.touched.add(decode);
 	const ttlMs = Math.max(services.reservationTtlMs, placement.reservationTtlMs);
-	const result = await runStep({parent: run.signal, limitMs: Math.min(reserveTimeoutMs, attempt.timeLeft()), server: decode.id}, signal =>
+	const result = await runStep(attempt.step, {limitMs: Math.min(reserveTimeoutMs, attempt.timeLeft()), server: decode.id}, signal =>
 		services.toEngine(decode).reserve(key, {
 			promptTokens: run.promptTokens + run.buffer.offset(), maxTokens: run.request.maxTokens - run.buffer.offset(), ttlMs, class: run.rule.then.class,
 		}, {signal}));
@@ -97,7 +98,7 @@
 	attempt.touched.add(server);
 	run.ledger.noteOffered();
 	const answered = run.buffer.tokens();
-	const result = await runStep({parent: run.signal, limitMs, server: server.id}, signal =>
+	const result = await runStep(attempt.step, {limitMs, server: server.id}, signal =>
 		services.toEngine(server).prefill({
 			key,
 			model: run.model,
@@ -116,20 +117,13 @@
 	return result;
 }
 
-async function openStream(attempt: Attempt, reservationId: string): Promise<Result<{stream: AsyncIterable<DecodeChunk>; step: StepSignal}, StepFailure>> {
+async function openStream(attempt: Attempt, reservationId: string): Promise<Result<AsyncIterable<DecodeChunk>, StepFailure>> {
 	const {run, services, placement, key} = attempt;
-	// The stream lives under its own signal, which its silence fires; opening it is bounded by the same time.
-	const step = createStepSignal(run.signal, toStallMs(run));
 	const answerOffset = run.buffer.offset();
-	const opened = await runStep({parent: run.signal, limitMs: toStallMs(run), server: placement.decode.id}, () =>
+	return runStep(attempt.step, {limitMs: toStallMs(run), server: placement.decode.id}, signal =>
 		services.toEngine(placement.decode).decode({
 			key, reservationId, maxTokens: run.request.maxTokens, ...(answerOffset > 0 && {answerOffset}), class: run.rule.then.class,
-		}, {signal: step.signal}));
-	if (opened.isErr()) {
-		step.close();
-	}
-
-	return opened.map(stream => ({stream, step})).mapErr(failure => ({...failure, isTimedOut: failure.isTimedOut || step.isTimedOut()}));
+		}, {signal}));
 }
 
 /** The attempt's steps, straight down. */
@@ -158,7 +152,7 @@
 	run.account.note('prefilled', {
 		server: prefillServer.id, promptTokens, cachedTokens, bytes,
 	});
-	const imported = await runStep({parent: run.signal, limitMs: placeLeft(), server: decodeServer.id}, signal =>
+	const imported = await runStep(attempt.step, {limitMs: placeLeft(), server: decodeServer.id}, signal =>
 		services.toEngine(decodeServer).importKv({
 			key, reservationId: reservation.value.reservationId, fromUrl: prefillServer.url, kvId,
 		}, {signal}));
@@ -175,7 +169,7 @@
 
 	services.placement.noteFirstToken(placement, now());
 	const relayed = await relayStream({
-		run, services, engine: services.toEngine(decodeServer), key, server: decodeServer.id, ...opened.value,
+		run, services, engine: services.toEngine(decodeServer), key, server: decodeServer.id, step: attempt.step, stream: opened.value,
 	});
 	if (relayed.kind === 'failed') {
 		return toFailed(attempt, 'relay', decodeServer, {...relayed.failure, isTimedOut: false, isUnsent: false});
@@ -210,7 +204,7 @@
 	const {clock, cancels, tally} = services;
 	const key = {requestId: run.id, attempt: attemptNumber, owner: services.toOwner()};
 	const attempt: Attempt = {
-		run, services, placement, key, touched: new Set(), timeLeft: () => toTimeLeft(run, clock.now()),
+		run, services, placement, key, step: createStepSignal(run.signal), touched: new Set(), timeLeft: () => toTimeLeft(run, clock.now()),
 	};
 	const tokensBefore = run.buffer.offset();
 	let prefilled: PrefillResult | undefined;
@@ -228,6 +222,7 @@
 
 		return end;
 	} finally {
+		attempt.step.close();
 		services.placement.noteFinished(placement, clock.now());
 		for (const server of attempt.touched) {
 			cancels.add(server.id, key);
