Let engine stand-ins crash and come back, and count waste by cause

Cause: failure tests lose engines and need the counts of before; a cancel in transfer was counted as a failed transfer; a cache whose stalled transfer was given up after its life stayed held for ten lives; a platform that went down left its watches waiting. Ruled out: a new engine on the old port, which would lose the judge's counts. Change: crash and revive; waste causes cancelled-in-transfer and server-lost; the cache goes with its last transfer; watches end when the platform goes down.

--- a/test/contracts/engine.test.ts
+++ b/test/contracts/engine.test.ts
@@ -481,6 +481,36 @@
 		expectReason(imported, 'source-failed');
 	});
 
+	it('loses its memory but not its counts in a crash, and comes back on its port', async () => {
+		const pair = await startPair({kvTtlMs: 20_000});
+		const key = toKey();
+		await runPrefill(pair, key);
+		await pair.prefillEngine.crash();
+		const during = await pair.prefill.load();
+		assert.equal(during._unsafeUnwrapErr().kind, 'unreachable');
+		await pair.prefillEngine.revive();
+		const after = await pair.prefill.listHolds();
+		assert.deepEqual(after._unsafeUnwrap(), []);
+		assert.deepEqual(pair.prefillEngine.judge().wasted, {'server-lost': 1});
+		assert.equal(pair.prefillEngine.judgeRequest(key.requestId).prefillsFinished, 1);
+	});
+
+	it('drops a cache whose transfer stalled as soon as its taker gives up', async () => {
+		const pair = await startPair({kvTtlMs: 100});
+		const key = toKey();
+		const reserved = await reserve(pair.decode, key);
+		const prefilled = await runPrefill(pair, key);
+		pair.prefillEngine.setFaults({transfer: {kind: 'stall', times: 1}});
+		const importing = pair.decode.importKv({
+			key, reservationId: reserved._unsafeUnwrap().reservationId, fromUrl: pair.prefillEngine.url, kvId: prefilled._unsafeUnwrap().kvId,
+		});
+		await waitUntil(() => (pair.prefillEngine.judge().holds[0]?.heldForMs ?? 0) > 200, {deadlineMs: 5000, what: 'the end of its life'});
+		await pair.decode.cancel(key);
+		expectReason(await importing, 'expired');
+		await waitUntil(() => pair.prefillEngine.judge().holds.length === 0, {deadlineMs: 500, what: 'the release'});
+		assert.deepEqual(pair.prefillEngine.judge().wasted, {'transfer-failed': 1});
+	});
+
 	it('takes quick prefills before batch ones', async () => {
 		const pair = await startPair({prefillBaseMs: 30});
 		const ended: string[] = [];
--- a/test/contracts/platform.test.ts
+++ b/test/contracts/platform.test.ts
@@ -72,6 +72,15 @@
 		assert.deepEqual(change._unsafeUnwrap(), {revision: 2, value: 'second'});
 	});
 
+	it('says unreachable when the platform goes down under a watch', async () => {
+		const {platform, client} = await start({config: 'first'});
+		const watching = client.watch('config', 1, 20_000, forever);
+		await waitUntil(() => platform.judge().reads === 1, {deadlineMs: 5000, what: 'the watch'});
+		platform.setFaults({down: true});
+		const result = await watching;
+		assert.equal(result._unsafeUnwrapErr().kind, 'unreachable');
+	});
+
 	it('ends a watch that its caller gives up', async () => {
 		const {platform, client} = await start({config: 'first'});
 		const controller = new AbortController();
--- a/test/stand-ins/engine/_lib/create-engine.ts
+++ b/test/stand-ins/engine/_lib/create-engine.ts
@@ -182,10 +182,15 @@
 				peakSlotsUsed,
 			};
 		},
+		/** Loses all memory, as the end of its process does; the judge's counts stay. */
+		clear() {
+			prefills.clear();
+			streams.clear();
+			orders.clear();
+			cache.clear();
+			cancelled.clear();
+		},
 		async stop() {
-			prefills.stop();
-			streams.stop();
-			orders.stop();
 			await dispatcher.destroy();
 		},
 	};
--- a/test/stand-ins/engine/_lib/create-orders.ts
+++ b/test/stand-ins/engine/_lib/create-orders.ts
@@ -5,14 +5,15 @@
 import {type EngineSettings} from './types.js';
 
 export const createOrders = ({settings, judge, onChange}: {settings: EngineSettings; judge: Judge; onChange: () => void}) => {
-	const served = {
+	const createServed = () => ({
 		role: settings.role,
 		model: settings.model,
 		version: settings.version,
 		adapters: new Set(settings.adapters),
 		state: 'serving' as LoadReport['state'],
 		fence: 0,
-	};
+	});
+	const served = createServed();
 	const timers = new Set<NodeJS.Timeout>();
 
 	const after = (ms: number, change: () => void): void => {
@@ -109,10 +110,14 @@
 				throw refuse('wrong-model', `this server has ${served.model} ${served.version} with ${[...served.adapters].join(', ') || 'no adapter'}`);
 			}
 		},
-		stop() {
+		/** Goes back to what the engine served at its first start. */
+		clear() {
 			for (const timer of timers) {
 				clearTimeout(timer);
 			}
+
+			timers.clear();
+			Object.assign(served, createServed());
 		},
 	};
 };
--- a/test/stand-ins/engine/_lib/create-prefills.ts
+++ b/test/stand-ins/engine/_lib/create-prefills.ts
@@ -75,6 +75,8 @@
 		onChange();
 	};
 
+	const isPast = (kv: HeldKv): boolean => performance.now() - kv.since >= settings.kvTtlMs;
+
 	const expireKv = (kv: HeldKv): void => {
 		if (kv.transfers.size === 0) {
 			dropKv(kv, kv.hadTransfer ? 'transfer-failed' : 'expired-before-transfer');
@@ -187,7 +189,8 @@
 		/** Lends a cache to a transfer; `done` says whether all of it went over. */
 		lend(kvId: string): {kv: KvCache; signal: AbortSignal; done: (isWhole: boolean) => void} | undefined {
 			const kv = held.get(kvId);
-			if (kv === undefined) {
+			// Past its life a cache is kept for transfers under way alone.
+			if (kv === undefined || isPast(kv)) {
 				return undefined;
 			}
 
@@ -200,8 +203,14 @@
 				signal: transfer.signal,
 				done(isWhole) {
 					transfers.delete(transfer);
-					if (isWhole && held.has(kvId)) {
+					if (!held.has(kvId)) {
+						return;
+					}
+
+					if (isWhole) {
 						dropKv(kv, undefined);
+					} else if (isPast(kv) && transfers.size === 0) {
+						dropKv(kv, 'transfer-failed');
 					}
 				},
 			};
@@ -214,7 +223,7 @@
 			}
 
 			for (const kv of kvs) {
-				dropKv(kv, kv.hadTransfer ? 'transfer-failed' : 'cancelled-before-transfer');
+				dropKv(kv, kv.hadTransfer ? 'cancelled-in-transfer' : 'cancelled-before-transfer');
 			}
 
 			pump();
@@ -235,22 +244,23 @@
 			queued: queue.length,
 			queuedTokens: [...queue, ...running].reduce((sum, job) => sum + job.tokens, 0),
 		}),
-		stop() {
+		/** Loses everything, as the end of the engine's process does. */
+		clear() {
 			for (const job of [...queue, ...running]) {
 				clearTimeout(job.timer);
 				job.settle.reject(new RequestFault(500, {error: 'stopped'}));
 			}
 
-			for (const kv of held.values()) {
-				clearTimeout(kv.timer);
-				for (const transfer of kv.transfers) {
-					transfer.abort();
-				}
+			for (const job of running) {
+				judge.noteWaste(job.key, 'server-lost');
 			}
 
 			queue.length = 0;
 			running.clear();
-			held.clear();
+			freeAt = 0;
+			for (const kv of held.values()) {
+				dropKv(kv, 'server-lost');
+			}
 		},
 	};
 };
--- a/test/stand-ins/engine/_lib/create-prefix-cache.ts
+++ b/test/stand-ins/engine/_lib/create-prefix-cache.ts
@@ -50,6 +50,10 @@
 
 			evictOver();
 		},
+		/** Forgets all blocks without a word, as a restart does. */
+		clear() {
+			cached.clear();
+		},
 		/** Events that have become visible, those in the gaps left out. */
 		eventsSince(since: number): {next: number; events: CacheEvent[]} {
 			const until = performance.now() - lagMs;
--- a/test/stand-ins/engine/_lib/create-streams.ts
+++ b/test/stand-ins/engine/_lib/create-streams.ts
@@ -10,7 +10,7 @@
 import {type KvCache} from './create-prefills.js';
 import {refuse} from './refuse.js';
 import {writeTokens, type Reader} from './write-tokens.js';
-import {type EngineFaults, type EngineSettings} from './types.js';
+import {type EngineFaults, type EngineSettings, type WasteCause} from './types.js';
 
 type Held = {
 	key: AttemptKey;
@@ -51,10 +51,10 @@
 
 	const countSlots = (): number => reservations.size + [...streams.values()].filter(stream => !isGenerated(stream)).length;
 
-	const dropReservation = (held: Held, waste: 'expired-before-decode' | 'cancelled-before-decode' | undefined): void => {
+	const dropReservation = (held: Held, waste: WasteCause | undefined): void => {
 		clearTimeout(held.timer);
 		reservations.delete(idOf(held.key));
-		held.importing?.abort();
+		held.importing?.abort(waste);
 		if (waste !== undefined && held.kv !== undefined) {
 			judge.noteWaste(held.key, waste);
 		}
@@ -186,7 +186,7 @@
 			try {
 				const kv = await pull(held.importing.signal);
 				if (held.importing.signal.aborted) {
-					judge.noteWaste(key, 'expired-before-decode');
+					judge.noteWaste(key, held.importing.signal.reason as WasteCause);
 					throw refuse('expired', 'the reservation ended during the import');
 				}
 
@@ -273,19 +273,18 @@
 			return [...waiting, ...running];
 		},
 		numbers: () => ({slotsUsed: countSlots(), queued: 0, queuedTokens: 0}),
-		stop() {
-			clearTimeout(ticker);
+		/** Loses everything, as the end of the engine's process does. */
+		clear() {
 			for (const held of reservations.values()) {
-				clearTimeout(held.timer);
-				held.importing?.abort();
+				dropReservation(held, 'server-lost');
 			}
 
 			for (const stream of streams.values()) {
-				clearTimeout(stream.timer);
+				dropStream(stream);
 			}
 
-			reservations.clear();
-			streams.clear();
+			clearTimeout(ticker);
+			ticker = undefined;
 		},
 	};
 };
--- a/test/stand-ins/engine/_lib/types.ts
+++ b/test/stand-ins/engine/_lib/types.ts
@@ -94,8 +94,9 @@
 };
 
 export type WasteCause =
-	| 'cancelled-in-prefill' | 'cancelled-before-transfer' | 'expired-before-transfer' | 'transfer-failed'
-	| 'cancelled-before-decode' | 'expired-before-decode';
+	| 'cancelled-in-prefill' | 'cancelled-before-transfer' | 'cancelled-in-transfer' | 'cancelled-before-decode'
+	| 'expired-before-transfer' | 'expired-before-decode'
+	| 'transfer-failed' | 'server-lost';
 
 export type TakenOrder = EngineOrder & {atMs: number};
 
--- a/test/stand-ins/engine/index.ts
+++ b/test/stand-ins/engine/index.ts
@@ -31,7 +31,11 @@
 	/** What is known of one request; zeroes if nothing. */
 	judgeRequest: (requestId: string) => JudgedRequest;
 	resetJudge: () => void;
-	/** Dies at once: every connection closes and all memory is gone. */
+	/** Dies at once: every connection closes, nothing listens, and all memory is gone; the judge's counts stay. */
+	crash: () => Promise<void>;
+	/** Starts again after a crash, on the same port and with nothing but its first model. */
+	revive: () => Promise<void>;
+	/** Ends for good. */
 	stop: () => Promise<void>;
 };
 
@@ -40,13 +44,25 @@
 	const settings = toSettings(options);
 	const faults: EngineFaults = {};
 	const engine = createEngine(settings, faults);
-	const server = await startHttpServer(async (req, res, url) => routeCall({
+	const listen = async (port: number) => startHttpServer(async (req, res, url) => routeCall({
 		engine, faults, req, res, url,
-	}), settings.port, settings.bind);
+	}), port, settings.bind);
+	let server = await listen(settings.port);
+	let isUp = true;
+	const {port, url} = server;
+
+	const crash = async (): Promise<void> => {
+		if (isUp) {
+			isUp = false;
+			engine.clear();
+			await server.stop();
+		}
+	};
+
 	return {
 		id: settings.id,
-		port: server.port,
-		url: server.url,
+		port,
+		url,
 		faults,
 		setFaults(next) {
 			replaceFaults(faults, next);
@@ -55,9 +71,16 @@
 		judge: engine.judgeReport,
 		judgeRequest: engine.judge.request,
 		resetJudge: engine.judge.reset,
+		crash,
+		async revive() {
+			if (!isUp) {
+				server = await listen(port);
+				isUp = true;
+			}
+		},
 		async stop() {
+			await crash();
 			await engine.stop();
-			await server.stop();
 		},
 	};
 };
--- a/test/stand-ins/platform/index.ts
+++ b/test/stand-ins/platform/index.ts
@@ -146,6 +146,7 @@
 			frozen = faults.frozen ? (frozen ?? new Map([...histories.keys()].map(key => [key, newest(key)]))) : undefined;
 			wake();
 		},
+		isDown: () => faults.down === true,
 		revisions: () => Object.fromEntries([...histories.keys()].map(key => [key, newest(key)?.revision ?? 0])),
 	};
 };
@@ -169,7 +170,7 @@
 
 		const check = (): void => {
 			const value = values.served(key);
-			if (value !== undefined && value.revision !== since) {
+			if (values.isDown() || (value !== undefined && value.revision !== since)) {
 				end();
 			}
 		};
