Find the account of a request from the command line

Cause: every answer has a request id, and the entry keeps an account of it on the operators' port; staff had no command to ask for it. A refused document's message said how many faults there are and not the first one.

Change: banyanport account REQUEST-ID HOST...; the refusal of acceptConfig names the first fault with its line.

Before: curl by hand.

Conclusion: code 1 when no host keeps the account, 3 when one did not answer.

--- a/src/domain/accept-config/index.ts
+++ b/src/domain/accept-config/index.ts
@@ -7,7 +7,7 @@
 import {type AcceptedConfig, type ConfigVersion} from '../../ports/config.js';
 import {checkSeal, type ConfigSeal} from '../check-seal/index.js';
 import {compareConfigVersions} from '../compare-config-versions/index.js';
-import {type ConfigFault, parseConfig} from '../parse-config/index.js';
+import {type ConfigFault, parseConfig, toFaultLine} from '../parse-config/index.js';
 
 /** A document from the platform or a peer. */
 export type ConfigCandidate = {
@@ -78,7 +78,9 @@
 
 	const parsed = parseConfig(candidate.text);
 	if (parsed.isErr()) {
-		return {...toRefusal('invalid', `the document has ${parsed.error.length} faults and does not come in force: run "banyanport check" on it`), faults: parsed.error};
+		const [first] = parsed.error;
+		const message = `the document has ${parsed.error.length} faults and does not come in force, the first at ${toFaultLine(first!)}: run "banyanport check" on it`;
+		return {...toRefusal('invalid', message), faults: parsed.error};
 	}
 
 	return {
--- a/src/programs/cli/_lib/create-process-io.ts
+++ b/src/programs/cli/_lib/create-process-io.ts
@@ -56,6 +56,15 @@
 	return String(error);
 }
 
+/** A host that answers with something else than 200. */
+class StatusError extends Error {
+	override readonly name = 'StatusError';
+
+	constructor(readonly status: number, path: string) {
+		super(status === 401 ? 'it does not know the operator: set BANYANPORT_OPERATOR_TOKEN' : `it answers ${status} to ${path}: check that this is an operators' port`);
+	}
+}
+
 async function fetchJson(host: string, path: string, {caFile, timeout}: FetchOptions, token: string | undefined): Promise<unknown> {
 	const ca = caFile === undefined ? undefined : await readFile(caFile, 'utf8');
 	const dispatcher = new Agent({connect: {timeout, ...(ca !== undefined && {ca})}, maxResponseSize: maxBodyBytes});
@@ -68,7 +77,7 @@
 		});
 		const text = await body.text();
 		if (statusCode !== 200) {
-			throw new Error(statusCode === 401 ? 'it does not know the operator: set BANYANPORT_OPERATOR_TOKEN' : `it answers ${statusCode} to ${path}: check that this is an operators' port`);
+			throw new StatusError(statusCode, path);
 		}
 
 		return JSON.parse(text) as unknown;
@@ -87,6 +96,10 @@
 };
 
 function toHostFailure(host: string, error: unknown): AccessFailure {
+	if (error instanceof StatusError) {
+		return {message: `${host} can't be asked: ${error.message}`, status: error.status};
+	}
+
 	if (error instanceof Error && error.name === 'TimeoutError') {
 		return {message: `${host} can't be asked: it took too long: raise --timeout, or check the host`};
 	}
--- a/src/programs/cli/_lib/io.ts
+++ b/src/programs/cli/_lib/io.ts
@@ -18,6 +18,8 @@
 /** Why something could not be read, reached or written; the message names it and the remedy. */
 export type AccessFailure = {
 	message: string;
+	/** HTTP status of a host that did answer, with something else than 200. */
+	status?: number;
 };
 
 export type CliIo = {
--- /dev/null
+++ b/src/programs/cli/_lib/to-host-texts.ts
@@ -0,0 +1,16 @@
+import {stringify} from 'yaml';
+import {type HostDocument} from './fetch-from-hosts.js';
+
+/**
+ * Writes documents of hosts for people.
+ *
+ * @param documents - What each host answered.
+ * @returns Each host's address, and its document indented below.
+ */
+export function toHostTexts(documents: readonly HostDocument[]): string {
+	return documents.map(({host, document}) => `${host}\n${toIndented(document)}\n`).join('');
+}
+
+function toIndented(document: unknown): string {
+	return stringify(document, {lineWidth: 0}).replaceAll(/^(?=.)/gm, '  ');
+}
--- a/src/programs/cli/run-cli/index.ts
+++ b/src/programs/cli/run-cli/index.ts
@@ -5,6 +5,7 @@
 import {
 	type CliIo, type CommandResult, type ExitCode, exitCodes,
 } from '../_lib/io.js';
+import {runAccount} from '../run-account/index.js';
 import {runCheck} from '../run-check/index.js';
 import {runDiff} from '../run-diff/index.js';
 import {runExplain} from '../run-explain/index.js';
@@ -144,13 +145,17 @@
 
 type HostFlags = {ca?: string; timeout: number; json: boolean};
 
-function addHostCommands(program: Command, io: CliIo, finish: Finish): void {
-	const add = (name: string, description: string) => program.command(name)
-		.description(`${description} The token of BANYANPORT_OPERATOR_TOKEN is sent along.`)
+function addHostOptions(command: Command): Command {
+	return command
 		.argument('<host...>', 'operators\' ports, as IP:port or https://IP:port')
 		.option('--ca <file>', 'certificates of the authorities that sign the operators\' ports, PEM')
 		.option('--timeout <seconds>', 'longest wait for each host', toCount, defaultTimeoutSeconds)
 		.option('--json', jsonHelp, false);
+}
+
+function addHostCommands(program: Command, io: CliIo, finish: Finish): void {
+	const add = (name: string, description: string) => addHostOptions(program.command(name)
+		.description(`${description} The token in BANYANPORT_OPERATOR_TOKEN is sent along.`));
 
 	add('status', 'Show what hosts say of themselves.')
 		.addHelpText('after', toExamples('banyanport status 10.20.1.5:7402 10.20.1.5:7403'))
@@ -158,6 +163,15 @@
 			finish(await runStatus(io, hosts, toHostOptions(options)));
 		});
 
+	const account = program.command('account')
+		.description('Show what became of one request: rule, servers passed over and chosen, timings. The token in BANYANPORT_OPERATOR_TOKEN is sent along.')
+		.argument('<request-id>', 'x-request-id of the answer');
+	addHostOptions(account)
+		.addHelpText('after', toExamples('banyanport account 0193a5c0-5d4f-7cc3-98c4-dc0c0c07398f 10.20.1.5:7402 10.20.2.5:7402'))
+		.action(async (requestId: string, hosts: readonly string[], options: HostFlags) => {
+			finish(await runAccount(io, requestId, hosts, toHostOptions(options)));
+		});
+
 	add('slo', 'Report how fast the error budgets of both targets are being spent, over all hosts named.')
 		.option('--html <file>', 'also write a page with plots')
 		.addHelpText('after', toExamples('banyanport slo 10.20.1.5:7402 10.20.2.5:7402', 'banyanport slo 10.20.1.5:7402 --html burn.html'))
--- a/src/programs/cli/run-cli/test.ts
+++ b/src/programs/cli/run-cli/test.ts
@@ -34,7 +34,10 @@
 			written[path] = text;
 			return okAsync();
 		},
-		fetchJson: (host, path) => documents[host + path] === undefined ? errAsync({message: `${host} can't be asked`}) : okAsync(documents[host + path]),
+		fetchJson(host, path) {
+			const missing = {message: `${host} can't be asked`, ...(host.startsWith('h:') && {status: 404})};
+			return documents[host + path] === undefined ? errAsync(missing) : okAsync(documents[host + path]);
+		},
 		env: {},
 		random: createRandom(),
 		wallNow: () => 0,
@@ -71,6 +74,9 @@
 		['explain faulty.yaml', 1, /there is no route/],
 		['status h:1', 0, /^h:1\n {2}ready: true\n/, {'h:1/status': {ready: true}}],
 		['status h:1 h:2', 3, /h:2 can't be asked[^]*ready: true/, {'h:1/status': {ready: true}}],
+		['account r-1 h:1 h:2', 0, /h:2\n {2}requestId: r-1\n/, {'h:2/explain/r-1': {requestId: 'r-1'}}],
+		['account r-1 h:1', 1, /none of h:1 keeps an account of r-1/],
+		['account r-1 down:1', 3, /down:1 can't be asked/],
 		['slo h:1', 0, /Burn of 1 host: a-1/, {'h:1/slo': slo}],
 		['slo h:1 h:2', 3, /h:2: its burn report can't be read[^]*Burn of 1 host: a-1/, {'h:1/slo': slo, 'h:2/slo': {version: 2}}],
 		['slo h:1', 3, /can't be asked/],
@@ -154,6 +160,7 @@
 			assert.deepEqual(status._unsafeUnwrap(), {edition: 4});
 			const missing = await createProcessIo().fetchJson(host, '/slo', options);
 			assert.match(missing._unsafeUnwrapErr().message, /answers 404 to \/slo/);
+			assert.equal(missing._unsafeUnwrapErr().status, 404);
 		} finally {
 			delete process.env.BANYANPORT_OPERATOR_TOKEN;
 			await server.close(1000);
--- a/src/programs/cli/run-status/index.ts
+++ b/src/programs/cli/run-status/index.ts
@@ -1,10 +1,10 @@
 /** `banyanport status`: what hosts say of themselves. */
 import {ok} from 'neverthrow';
-import {stringify} from 'yaml';
 import {fetchFromHosts, writeFailures} from '../_lib/fetch-from-hosts.js';
 import {
 	type CliIo, type CommandResult, exitCodes, type FetchOptions, toJsonText,
 } from '../_lib/io.js';
+import {toHostTexts} from '../_lib/to-host-texts.js';
 
 /**
  * Shows the status documents of hosts.
@@ -17,10 +17,6 @@
 export async function runStatus(io: CliIo, hosts: readonly string[], options: FetchOptions & {json: boolean}): Promise<CommandResult> {
 	const {documents, failures} = await fetchFromHosts(io, hosts, '/status', options);
 	writeFailures(io, failures);
-	io.write(options.json ? toJsonText({hosts: documents, failures}) : documents.map(({host, document}) => `${host}\n${toIndented(document)}\n`).join(''));
+	io.write(options.json ? toJsonText({hosts: documents, failures}) : toHostTexts(documents));
 	return ok(failures.length > 0 ? exitCodes.unreachable : exitCodes.fine);
 }
-
-function toIndented(document: unknown): string {
-	return stringify(document, {lineWidth: 0}).replaceAll(/^(?=.)/gm, '  ');
-}
