--- a/bench/claims/measure-availability.ts
+++ b/bench/claims/measure-availability.ts
@@ -99,7 +99,7 @@
 	})]));
 	let refused = 0;
 	for (let i = 0; i < keysPerTrial; i++) {
-		const key = v7({msecs: now + (one.callerAheadMs ?? 0)});
+		const key = v7({msecs: now + (one.callerAheadMs ?? 0), seq: i, random: Uint8Array.from({length: 16}, () => Math.floor(random() * 256))});
 		const lists = one.isListNew ? [hosts, earlier] : [hosts];
 		const claimed = await claimKey({
 			request: {
