Feed the burn report from ended requests

Cause: the entry knows ended requests, the ledger takes samples. Ruled out: a time between tokens measured by token, which costs a record for each of 250,000 tokens a second; the mean over an answer is used. Conclusion: the entry's report counts what its metrics count.

--- /dev/null
+++ b/src/programs/_operations/to-slo-sample.ts
@@ -0,0 +1,40 @@
+import {type SloSample} from '../../domain/create-slo-ledger/index.js';
+import {type SampleEnd} from '../../domain/judge-sample/index.js';
+import {type Milliseconds} from '../../ports/clock.js';
+import {type Rule} from '../../ports/config.js';
+import {type WorkspaceId} from '../../ports/ids.js';
+
+/** What an entry knows of a request that has ended. */
+export type EndedForSlo = {
+	workspace: WorkspaceId;
+	rule: Rule;
+	end: 'complete' | 'refused' | 'failed' | 'caller-gone';
+	firstTokenMs: Milliseconds | undefined;
+	completeMs: Milliseconds;
+	outputTokens: number;
+};
+
+const sampleEnds: Readonly<Record<EndedForSlo['end'], SampleEnd>> = {
+	complete: 'complete', refused: 'refused', failed: 'failed', 'caller-gone': 'gone',
+};
+
+/**
+ * Turns an ended request into a sample of the ledger.
+ *
+ * @param ended - The request.
+ * @returns The sample; the time between tokens is the mean over the answer.
+ */
+export function toSloSample(ended: EndedForSlo): SloSample {
+	const {rule, firstTokenMs, completeMs, outputTokens} = ended;
+	const gaps = outputTokens - 1;
+	return {
+		class: rule.then.class,
+		workspace: ended.workspace,
+		rule: rule.name,
+		end: sampleEnds[ended.end],
+		firstTokenMs,
+		perTokenMs: firstTokenMs === undefined || gaps < 1 ? undefined : (completeMs - firstTokenMs) / gaps,
+		completeMs,
+		target: rule.then.target,
+	};
+}
