--- a/src/domain/to-config-text/index.ts
+++ b/src/domain/to-config-text/index.ts
@@ -49,7 +49,6 @@
 
 function toRuleForm({name, when, then}: Rule, routes: ReadonlyMap<string, string>): Record<string, unknown> {
 	const route = routes.get(toDecision(then))!;
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
 	return {name, when, then: route};
 }
 
--- a/src/domain/to-config-text/test.ts
+++ b/src/domain/to-config-text/test.ts
@@ -7,7 +7,6 @@
 
 function toSplitRule({name, when, then}: Rule): Rule {
 	const decision = {...then, versions: [{version: 'a', weight: 9}, {version: 'b', weight: 1}]};
-	// eslint-disable-next-line unicorn/no-thenable -- a rule's `then` is data that nobody awaits
 	return {name, when, then: decision};
 }
 
