Give the whole answer or a plain word under engine faults; try a server again

Cause: with every server of a role failing once (a refused prefill, garbage, a lost answer), a repeatable letter was refused with `no-capacity` although time and retry budget were left: each failed server is avoided, and then none was left. Now, with no other server left, one that failed before is asked again; budget and backoff bound it.

Ruled out: a wrong verdict of the placement; its account showed all candidates excluded by the request itself. Ruled out too: raising the attempts; three were never used up.

The retry budget's size is a setting now (`--retry-budget`, 10 as before).

--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -70,6 +70,9 @@
 	reservationTtl: {
 		type: 'duration', default: 5 * msPerSecond, min: 100, max: msPerMinute, group: 'Backend servers', description: 'Life of a reservation of decode memory that is not used.',
 	},
+	retryBudget: {
+		type: 'integer', default: 10, min: 0, max: 100_000, unit: 'retries', group: 'Backend servers', description: 'Retries that each pool may save up; successes and time bring them back.',
+	},
 	clockBound: {
 		type: 'duration',
 		default: 5 * msPerMinute,
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -24,17 +24,19 @@
 	counters: ReturnType<typeof createTally>;
 	log: Log;
 	reservationTtlMs: Milliseconds;
+	/** Retries that one pool's budget saves up. */
+	retryBudget: number;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	reportLeaving: (server: ServerId) => void;
 };
 
 /** One budget for each pool, forgotten when the pool is no longer in the configuration. */
-function createRetryBudgets() {
+function createRetryBudgets(capacity: number) {
 	const budgets = new Map<string, RetryBudget>();
 	return {
 		toRetryBudget(pool: string): RetryBudget {
-			const budget = budgets.get(pool) ?? createRetryBudget();
+			const budget = budgets.get(pool) ?? createRetryBudget({capacity});
 			budgets.set(pool, budget);
 			return budget;
 		},
@@ -58,7 +60,7 @@
 	const {
 		clock, random, zone, engines, counters, log, reservationTtlMs, toView, toOwner, reportLeaving,
 	} = options;
-	const budgets = createRetryBudgets();
+	const budgets = createRetryBudgets(options.retryBudget);
 	let lastConfig: Config | undefined;
 	let servers: ReadonlySet<ServerId> = new Set();
 
--- a/src/programs/entry/run-request/index.ts
+++ b/src/programs/entry/run-request/index.ts
@@ -102,6 +102,19 @@
 	}, view, now, services.random);
 }
 
+/**
+ * Picks another pair while there is one. Where every server of a role has
+ * failed this request once, a refusal would be final although the fault may
+ * have been of a moment; the retry budget bounds the attempts and its backoff
+ * spaces them, so asking one of them again can't become a storm.
+ */
+function pickElsewhere(run: Run, services: RunServices, avoid: ReadonlySet<ServerId>) {
+	const picked = pick(run, services, avoid);
+	return picked?.isErr() && picked.error.reason === 'no-server' && avoid.size > 0
+		? pick(run, services, new Set())
+		: picked;
+}
+
 function logFailure(run: Run, attempt: number, failed: AttemptFailure): void {
 	const {step, server, failure} = failed;
 	run.account.note('attempt failed', {
@@ -130,7 +143,7 @@
 			return {end: toEnded(run), nextAttempt: attempt};
 		}
 
-		const picked = pick(run, services, avoid);
+		const picked = pickElsewhere(run, services, avoid);
 		if (picked === undefined || picked.isErr()) {
 			run.account.note('not placed', {...picked?.error.account(), reason: picked?.error.reason ?? 'no-config'});
 			const end: RunEnd = picked === undefined
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -190,6 +190,7 @@
 		counters,
 		log,
 		reservationTtlMs: settings.reservationTtl,
+		retryBudget: settings.retryBudget,
 		toView: () => link.toView(),
 		toOwner: () => link.toOwner(),
 		reportLeaving(server) {
--- a/test/_lib/start-program/index.ts
+++ b/test/_lib/start-program/index.ts
@@ -14,7 +14,7 @@
 
 export type ProgramOptions = {
 	program: ProgramName;
-	/** Flags by name in camel or kebab case; `undefined` leaves one out, `true` gives it alone, a list joins with commas. */
+	/** Flags by name in camel or kebab case; `undefined` or an empty list leaves one out, `true` gives it alone, a list joins with commas. */
 	flags?: Readonly<Record<string, string | number | boolean | readonly string[] | undefined>>;
 	env?: Readonly<Record<string, string>>;
 	/** Options of Node itself, for example `--max-old-space-size=24`. */
@@ -93,7 +93,7 @@
 /** Turns named flags into arguments. */
 export function toArguments(flags: NonNullable<ProgramOptions['flags']>): string[] {
 	return Object.entries(flags).flatMap(([name, value]) => {
-		if (value === undefined || value === false) {
+		if (value === undefined || value === false || (Array.isArray(value) && value.length === 0)) {
 			return [];
 		}
 
