--- a/src/adapters/caller-http/_lib/answer-client-error.ts
+++ b/src/adapters/caller-http/_lib/answer-client-error.ts
@@ -37,3 +37,16 @@
 	}).map(([name, value]) => `${name}: ${value}`);
 	socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${lines.join('\r\n')}\r\n\r\n${body}`);
 }
+
+/**
+ * Answers a request of which no URL can be made, for want of a usable Host header.
+ *
+ * @returns The answer.
+ */
+export function answerBadRequest(): Response {
+	const requestId = createUuidV7();
+	const {status, headers, body} = toProblem({
+		kind: 'bad-request', detail: 'The Host header is missing or not valid. Send one, such as "Host: 127.0.0.1:7400".', outcome: 'not-run',
+	}, requestId);
+	return new Response(body, {status, headers: {...headers, 'x-request-id': requestId, connection: 'close'}});
+}
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -8,10 +8,10 @@
 import {createServer as createTlsServer, type Server as TlsServer} from 'node:https';
 import {type AddressInfo, type Socket} from 'node:net';
 import {type SecureContextOptions} from 'node:tls';
-import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
+import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
-import {answerClientError} from './_lib/answer-client-error.js';
+import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
 import {type CallerExchange, createExchange} from './_lib/exchange.js';
 
 export {type BodyFault, type CallerExchange} from './_lib/exchange.js';
@@ -163,7 +163,8 @@
 	};
 
 	const serverOptions = {
-		...options.tls,
+		// Such a request gets a problem document instead of node's empty answer.
+		requireHostHeader: false,
 		maxHeaderSize: options.maxHeaderBytes,
 		headersTimeout: options.headersTimeoutMs,
 		// Bodies have their own bound of time, which knows what kind of request it is.
@@ -172,11 +173,8 @@
 		connectionsCheckingInterval: connectionCheckMs,
 		noDelay: true,
 	};
-	const fetch = createApp(handlers, serve).fetch as (req: Request, env: unknown) => Response | Promise<Response>;
-	const server = createAdaptorServer({
-		fetch, overrideGlobalObjects: false, autoCleanupIncoming: false, serverOptions,
-		createServer: options.tls === undefined ? createServer : createTlsServer,
-	}) as Server | TlsServer;
+	const listener = getRequestListener(createApp(handlers, serve).fetch, {overrideGlobalObjects: false, autoCleanupIncoming: false, errorHandler: answerBadRequest});
+	const server = options.tls === undefined ? createServer(serverOptions, listener) : createTlsServer({...serverOptions, ...options.tls}, listener);
 	const {refused, count} = watchConnections(server, options.maxConnections);
 
 	server.on('clientError', (error, socket) => {
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -282,5 +282,5 @@
 		? work(exchange)
 		: serveKeyed(serve.claims, exchange, {
 			workspace: route.workspace, key, digest, isRepeatable: route.rule.then.repeatable,
-		}, toKeyedOptions(account, serve, work)));
+		}, toKeyedOptions(exchange.requestId, account, serve, work)));
 }
--- a/test/contracts/caller.test.ts
+++ b/test/contracts/caller.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {createHash} from 'node:crypto';
 import {connect} from 'node:net';
 import {
 	after, before, describe, it,
@@ -139,11 +140,13 @@
 		['a plain body that comes too slowly', 'POST /desk/a HTTP/1.1\r\nhost: x\r\ncontent-length: 100\r\n\r\n{"model"', '408'],
 		['what is no HTTP', 'HELLO\r\n\r\n', '400'],
 		['a request without a host', 'GET /v1/models HTTP/1.1\r\nconnection: close\r\n\r\n', '400'],
+		['a request with a wrong host', 'GET /v1/models HTTP/1.1\r\nhost: a b/c\r\nconnection: close\r\n\r\n', '400'],
 	];
 	for (const [name, text, status] of rawCases) {
 		it(`refuses ${name}`, async () => {
 			const received = await sendRaw(text);
 			assert.match(received, new RegExp(`^HTTP/1.1 ${status} `, 'v'));
+			assert.match(received, /x-request-id: [\da-f\-]{36}[\s\S]*urn:banyanport:problem:/v);
 		});
 	}
 
@@ -158,6 +161,47 @@
 	});
 });
 
+describe('callers: limits of the host', () => {
+	it('tells a caller that there are too many connections, and takes it when there is room', async () => {
+		const small = await startCallerFixture({settings: {maxConnections: 1}});
+		const holder = connect(small.port, '127.0.0.1');
+		await new Promise(resolve => {
+			holder.once('connect', resolve);
+		});
+		const refused = await waitUntil(async () => {
+			const answer = await send(small, '/v1/models', {method: 'GET'});
+			return answer.status === 503 && answer;
+		}, {deadlineMs: 5000, what: 'a refusal'});
+		assert.match(refused.text, /too-many-connections/v);
+		assert.ok(refused.headers['retry-after'] !== undefined);
+		holder.destroy();
+		await waitUntil(async () => {
+			const answer = await send(small, '/v1/models', {method: 'GET'});
+			return answer.status === 200;
+		}, {deadlineMs: 5000, what: 'room'});
+		await small.stop();
+	});
+
+	it('answers that it has no configuration yet', async () => {
+		const bare = await startCallerFixture({hasConfig: false});
+		const answer = await send(bare, '/v1/completions', {body: toBody()});
+		assert.equal(answer.status, 503);
+		assert.match(answer.text, /no-configuration.*"outcome":"not-run"/v);
+		await bare.stop();
+	});
+
+	it('asks for a token where the configuration has tokens', async () => {
+		const digest = createHash('sha256').update('t1').digest('hex');
+		const closed = await startCallerFixture({configLines: `callerTokens: {${digest}: naslovnik}`});
+		const [without, withToken] = await Promise.all([
+			send(closed, '/v1/completions', {body: toBody()}),
+			send(closed, '/v1/completions', {body: toBody(), headers: {authorization: 'Bearer t1'}}),
+		]);
+		assert.deepEqual([without.status, withToken.status], [401, 200]);
+		await closed.stop();
+	});
+});
+
 describe('callers: the account of a request', () => {
 	it('tells its story in order, in the log and in the account, without its text', async () => {
 		const answer = await send(fixture, '/v1/completions', {body: toBody()});
