Keep a full server's refusal in mind, and pair servers of one version

Taking back a refused request cleared the mark that the server is full, so it was offered again at once. And a pool whose version changes was unserved until the first load.

Change: only the end of a request that held a slot clears the mark. A request without a version takes any on which prefill and decode agree.

Test changed: the row "with another version" said that a request without a version never gets an older one; it is replaced by two cases, one for pairs during a change and one for a request that asks for a version.

--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -50,8 +50,8 @@
 	ownPrefills: number;
 	transfers: number;
 	fullAt: Milliseconds;
-	/** Rate read last, at which the backlog drains. */
-	tokensPerSecond: number;
+	/** Tokens a second by which the backlog shrinks, as read last. */
+	drainPerSecond: number;
 };
 
 const defaultStaleAfterMs = 5000;
@@ -61,8 +61,8 @@
 /** Changes kept for one server; with more, the oldest are taken to be in the report. */
 const maxChanges = 512;
 
-const createTrack = (tokensPerSecond: number): Track => ({
-	tokensPerSecond,
+const createTrack = (drainPerSecond: number): Track => ({
+	drainPerSecond,
 	changes: [],
 	reportAt: -Infinity,
 	slotsSince: 0,
@@ -75,9 +75,9 @@
 	fullAt: -Infinity,
 });
 
-const toDrained = (track: Track, now: Milliseconds, tokensPerSecond: number): number => {
+const toDrained = (track: Track, now: Milliseconds): number => {
 	const elapsedMs = Math.max(0, now - track.backlogAt);
-	return elapsedMs === Infinity ? 0 : Math.max(0, track.backlogTokens - (elapsedMs * tokensPerSecond / msPerSecond));
+	return elapsedMs === Infinity ? 0 : Math.max(0, track.backlogTokens - (elapsedMs * track.drainPerSecond / msPerSecond));
 };
 
 /**
@@ -118,7 +118,7 @@
 	};
 
 	/** Starts again from a new report and replays the own changes that came after it. */
-	const applyReport = (track: Track, status: ServerStatus, tokensPerSecond: number): void => {
+	const applyReport = (track: Track, status: ServerStatus): void => {
 		track.reportAt = status.loadAt;
 		track.changes = track.changes.filter(change => change.at > status.loadAt);
 		track.slotsSince = 0;
@@ -127,7 +127,7 @@
 		for (const change of track.changes) {
 			track.slotsSince += change.slots;
 			if (change.tokens > 0) {
-				track.backlogTokens = toDrained(track, change.at, tokensPerSecond) + change.tokens;
+				track.backlogTokens = toDrained(track, change.at) + change.tokens;
 				track.backlogAt = change.at;
 			}
 		}
@@ -154,9 +154,9 @@
 		const isUnknown = report === undefined || now - (status?.loadAt ?? -Infinity) > staleAfterMs;
 		const reportedRate = report?.tokensPerSecond ?? 0;
 		const tokensPerSecond = reportedRate > 0 ? reportedRate : assumedTokensPerSecond;
-		track.tokensPerSecond = tokensPerSecond;
+		track.drainPerSecond = tokensPerSecond;
 		if (status !== undefined && report !== undefined && status.loadAt > track.reportAt) {
-			applyReport(track, status, tokensPerSecond);
+			applyReport(track, status);
 		}
 
 		const slotsTotal = report !== undefined && report.slotsTotal > 0 ? report.slotsTotal : entry.slots;
@@ -165,7 +165,7 @@
 		return {
 			slotsTotal,
 			slotsUsed: isFull ? Math.max(slotsTotal, corrected) : corrected,
-			backlogTokens: Math.max(toDrained(track, now, tokensPerSecond), toOwnBacklog(track)),
+			backlogTokens: Math.max(toDrained(track, now), toOwnBacklog(track)),
 			tokensPerSecond,
 			linkBytesPerSecond: report !== undefined && report.linkBytesPerSecond > 0 ? report.linkBytesPerSecond : assumedLink,
 			transfers: track.transfers,
@@ -181,14 +181,15 @@
 			const track = toTrack(server);
 			track.own = Math.max(0, track.own + slots);
 			addChange(track, {at: now, slots, tokens: 0});
-			if (slots < 0) {
-				track.fullAt = -Infinity;
-			}
+		},
+		/** A request that held a slot there has ended, so a server that was full is not any more. */
+		noteFreed(server: ServerId): void {
+			toTrack(server).fullAt = -Infinity;
 		},
 		/** Counts a prompt sent to a prefill server. */
 		addPrefill(server: ServerId, tokens: number, now: Milliseconds): void {
 			const track = toTrack(server);
-			track.backlogTokens = toDrained(track, now, track.tokensPerSecond) + tokens;
+			track.backlogTokens = toDrained(track, now) + tokens;
 			track.backlogAt = now;
 			track.ownTokens += tokens;
 			track.ownPrefills++;
@@ -208,7 +209,7 @@
 		/**
 		 * The server itself said that it is full. Without this, every request
 		 * until the next report would offer itself there first and be refused.
-		 * A later report, or a request of this host that leaves, ends it.
+		 * A later report, or {@link LoadEstimate.noteFreed}, ends it.
 		 */
 		noteFull(server: ServerId, now: Milliseconds): void {
 			toTrack(server).fullAt = now;
--- a/src/domain/create-load-estimate/test.ts
+++ b/src/domain/create-load-estimate/test.ts
@@ -39,7 +39,7 @@
 		assert.equal(loads.read(prefill, toStatus(prefill, 0), 60_000).backlogTokens, 0);
 	});
 
-	it('holds a server for full after its own refusal, until a later report or an end', () => {
+	it('holds a server for full after its own refusal, until a later report or the end of a request that held a slot', () => {
 		const loads = createLoadEstimate();
 		const status = toStatus(decode, 1000, {slotsUsed: 3});
 		loads.addSlots('d1', 1, 1010);
@@ -48,6 +48,8 @@
 		assert.equal(loads.read(decode, toStatus(decode, 1150, {slotsUsed: 19}), 1200).slotsUsed, 19);
 		loads.noteFull('d1', 1300);
 		loads.addSlots('d1', -1, 1400);
+		assert.equal(loads.read(decode, status, 1450).slotsUsed, 20);
+		loads.noteFreed('d1');
 		assert.ok(loads.read(decode, toStatus(decode, 1150, {slotsUsed: 19}), 1500).slotsUsed < 20);
 	});
 
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -13,6 +13,8 @@
 	stage: 'prefill' | 'transfer' | 'decode';
 	dispatchedAt: Milliseconds;
 	prefilledAt: Milliseconds;
+	/** The decode server has granted the reservation. */
+	isReserved: boolean;
 };
 
 /** What picks learn over time, shared by all pools of this host. */
@@ -71,7 +73,9 @@
 				return;
 			}
 
-			running.set(placement, {stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now});
+			running.set(placement, {
+				stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now, isReserved: false,
+			});
 			if (placement.kind === 'plain') {
 				loads.addSlots(placement.server.id, 1, now);
 				return;
@@ -80,9 +84,13 @@
 			loads.addSlots(placement.decode.id, 1, now);
 			loads.addPrefill(placement.prefill.id, placement.promptTokens - placement.expectedCachedTokens, now);
 		},
-		/** The decode server granted the reservation. */
+		/** The decode server granted the reservation; without this note its end will not count as room on a full server. */
 		noteReserved(placement: Placement, now: Milliseconds): void {
-			health.noteSuccess(toSubject(placement.decode), now);
+			const progress = running.get(placement);
+			if (progress !== undefined) {
+				running.set(placement, {...progress, isReserved: true});
+				health.noteSuccess(toSubject(placement.decode), now);
+			}
 		},
 		/** The prefill is done and its transfer begins. */
 		notePrefilled(placement: Placement, result: Pick<PrefillResult, 'promptTokens' | 'cachedTokens' | 'bytes'>, now: Milliseconds): void {
@@ -138,6 +146,10 @@
 			}
 
 			loads.addSlots(placement.decode.id, -1, now);
+			if (progress.isReserved) {
+				loads.noteFreed(placement.decode.id);
+			}
+
 			if (progress.stage === 'prefill') {
 				endPrefill(placement);
 			} else if (progress.stage === 'transfer') {
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -80,7 +80,9 @@
 			return undefined;
 		}
 
-		return {entry, load, cachedTokens: search.cachedTokens.get(entry.id) ?? 0};
+		return {
+			entry, load, version: search.view.servers.get(entry.id)?.load?.version, cachedTokens: search.cachedTokens.get(entry.id) ?? 0,
+		};
 	};
 
 	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
@@ -134,8 +136,9 @@
 			return first;
 		}
 
-		// The first search has already walked the whole zone if it found too few, so only a late pair is worth another.
-		const local = first && (searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first);
+		// A full server has made the first draw walk the whole zone already; a second walk would find no more.
+		const isWalked = first === undefined && search.met.full;
+		const local = isWalked ? undefined : searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first;
 		if (local !== undefined && local.predictedFirstTokenMs <= keepMs) {
 			return local;
 		}
--- a/src/domain/create-placement/_lib/to-best-pair.ts
+++ b/src/domain/create-placement/_lib/to-best-pair.ts
@@ -7,6 +7,8 @@
 export type Candidate = {
 	entry: ServerEntry;
 	load: ServerLoad;
+	/** Version of weights by the last report; `undefined` without one. */
+	version: string | undefined;
 	/** Prompt tokens expected in the server's prefix cache. */
 	cachedTokens: number;
 };
@@ -60,13 +62,7 @@
 const takeBest = (candidates: readonly Candidate[], toCost: (candidate: Candidate) => number): ReadonlyArray<{candidate: Candidate; cost: number}> =>
 	candidates.map(candidate => ({candidate, cost: toCost(candidate)})).toSorted((a, b) => a.cost - b.cost).slice(0, shortlist);
 
-/**
- * @param prefills - Candidates for the prefill.
- * @param decodes - Candidates with room for one more request.
- * @param request - Prompt, cache size, and this host's zone.
- * @returns The pair with the best score, or `undefined` when a side is empty.
- */
-export const toBestPair = (prefills: readonly Candidate[], decodes: readonly Candidate[], request: PairRequest): Pair | undefined => {
+const toBestOfVersion = (prefills: readonly Candidate[], decodes: readonly Candidate[], request: PairRequest): Pair | undefined => {
 	const bestPrefills = takeBest(prefills, prefill => toPrefillMs(prefill, request));
 	const bestDecodes = takeBest(decodes, decode => toPressure(decode) + toZoneMs(decode.entry, request) + toLinkMs(decode, request));
 	let best: Pair | undefined;
@@ -85,3 +81,30 @@
 
 	return best;
 };
+
+/**
+ * A KV cache is of use only to the weights that made it: a pair of two versions
+ * would answer with nonsense, or be refused after the prefill was paid for. So
+ * while a pool changes its version, pairs are made within each version.
+ *
+ * @param prefills - Candidates for the prefill.
+ * @param decodes - Candidates with room for one more request.
+ * @param request - Prompt, cache size, and this host's zone.
+ * @returns The pair with the best score, or `undefined` when there is none.
+ */
+export const toBestPair = (prefills: readonly Candidate[], decodes: readonly Candidate[], request: PairRequest): Pair | undefined => {
+	const versions = new Set(decodes.map(decode => decode.version));
+	if (versions.size === 1 && prefills.every(prefill => versions.has(prefill.version))) {
+		return toBestOfVersion(prefills, decodes, request);
+	}
+
+	const isOf = (version: string | undefined) => (candidate: Candidate) => version === undefined || candidate.version === undefined || candidate.version === version;
+	let best: Pair | undefined;
+	for (const version of versions) {
+		const decodesOf = decodes.filter(decode => decode.version === version);
+		const pair = toBestOfVersion(prefills.filter(isOf(version)), decodesOf, request);
+		best = best === undefined || (pair !== undefined && pair.score < best.score) ? pair : best;
+	}
+
+	return best;
+};
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -30,7 +30,10 @@
 export type PlacementRequest = {
 	pool: string;
 	model: string;
-	/** Version of weights; `undefined` takes the pool's own. */
+	/**
+	 * Version of weights that a rule asks for. `undefined` takes any version on
+	 * which a pair agrees, so that a pool serves on while its own version changes.
+	 */
 	version: string | undefined;
 	adapter: string | undefined;
 	promptTokens: number;
@@ -48,6 +51,8 @@
 	kind: 'pair';
 	prefill: ServerEntry;
 	decode: ServerEntry;
+	/** Version of weights on both servers, as far as their reports tell. */
+	version: string | undefined;
 	promptTokens: number;
 	prefixBlocks: readonly string[];
 	/** Prompt tokens thought to be in the prefill server's prefix cache. */
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -150,7 +150,7 @@
 		return {
 			...base,
 			wanted: {
-				model, version: version ?? servers.pool.version, adapter, exclude,
+				model, version, adapter, exclude,
 			},
 			promptTokens,
 			kvBytes: promptTokens * learnt.kvBytesPerToken,
@@ -179,6 +179,7 @@
 		kind: 'pair',
 		prefill: pair.prefill.entry,
 		decode: pair.decode.entry,
+		version: pair.prefill.version ?? pair.decode.version ?? request.version,
 		promptTokens: request.promptTokens,
 		prefixBlocks: request.prefixBlocks ?? [],
 		expectedCachedTokens: pair.prefill.cachedTokens,
--- a/src/domain/create-placement/test.ts
+++ b/src/domain/create-placement/test.ts
@@ -34,7 +34,6 @@
 		['loading weights', toLoad(decodes[0], {state: 'loading'}), 'not-serving'],
 		['turned to another role', toLoad(decodes[0], {role: 'prefill'}), 'wrong-role'],
 		['with another model', toLoad(decodes[0], {model: 'other'}), 'wrong-model'],
-		['with another version', toLoad(decodes[0], {version: 'v0'}), 'wrong-version'],
 		['full', toLoad(decodes[0], {slotsUsed: 20}), 'full'],
 	];
 	for (const [name, change, reason] of rows) {
@@ -48,6 +47,26 @@
 		});
 	}
 
+	it('serves on while the pool changes its version, and pairs only servers of one version', () => {
+		const mixed = toFleet({p1: toLoad(prefills[0], {version: 'v0'}), d2: toLoad(decodes[1], {version: 'v0'})});
+		const decider = toDecider(2);
+		const pairs = new Set<string>();
+		for (let i = 0; i < 100; i++) {
+			const {prefill, decode, version} = decider.pick(toPlacementRequest(), mixed, 1000, random)._unsafeUnwrap();
+			pairs.add(`${prefill.id} ${decode.id} ${version}`);
+		}
+
+		assert.deepEqual([...pairs].toSorted((a, b) => a < b ? -1 : 1), ['p1 d2 v0', 'p2 d1 v1']);
+	});
+
+	it('gives a request that asks for a version no other', () => {
+		const mixed = toFleet({p1: toLoad(prefills[0], {version: 'v0'}), d2: toLoad(decodes[1], {version: 'v0'})});
+		const placement = toDecider().pick(toPlacementRequest({version: 'v0'}), mixed, 1000, random)._unsafeUnwrap();
+		assert.deepEqual([placement.prefill.id, placement.decode.id], ['p1', 'd2']);
+		assert.deepEqual(placement.account().counts, {'wrong-version': 2});
+		assert.equal(toDecider().pick(toPlacementRequest({version: 'v9'}), mixed, 1000, random)._unsafeUnwrapErr().reason, 'no-server');
+	});
+
 	it('takes a server with the adapter', () => {
 		const change = {d2: toLoad(decodes[1], {adapters: ['legal']}), p2: toLoad(prefills[1], {adapters: ['legal']})};
 		const placement = toDecider().pick(toPlacementRequest({adapter: 'legal'}), toFleet(change), 1000, random)._unsafeUnwrap();
