Measure the heap that rules keep, at a fourth size

Change: bench/match-rule forces a collection before and after and shows the heap that configuration and index keep; 5,000 rules are measured too.

Before: no figure.

--- a/bench/match-rule/index.ts
+++ b/bench/match-rule/index.ts
@@ -4,6 +4,9 @@
  * host pays once for each accepted document: reading, validating, compiling.
  */
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+import {setFlagsFromString} from 'node:v8';
+import {runInNewContext} from 'node:vm';
 import fc from 'fast-check';
 import {compileRules, type CompiledRules, type RequestFacts} from '../../src/domain/compile-rules/index.js';
 import {matchRule} from '../../src/domain/match-rule/index.js';
@@ -17,13 +20,15 @@
 	documentBytes: number;
 	parseMs: number;
 	compileMs: number;
+	/** Heap that the parsed configuration and the compiled rules keep. */
+	heapBytes: number;
 	indexedMicroseconds: number;
 	linearMicroseconds: number;
 	/** Whether both ways found the same rule for every sample. */
 	isSame: boolean;
 };
 
-const sizes: ReadonlyArray<[rules: number, workspaces: number]> = [[10, 10], [1000, 900], [20_000, 18_000]];
+const sizes: ReadonlyArray<[rules: number, workspaces: number]> = [[10, 10], [1000, 900], [5000, 4500], [20_000, 18_000]];
 const sampleCount = 2000;
 
 /**
@@ -40,8 +45,10 @@
 
 function measure(rules: number, workspaces: number): MatchRuleRow {
 	const text = toConfigText(toFleetConfig(rules, workspaces));
+	const heapBefore = toHeapBytes();
 	const [parseMs, parsed] = time(() => parseConfig(text));
 	const [compileMs, compiled] = time(() => compileRules(parsed._unsafeUnwrap()));
+	const heapBytes = toHeapBytes() - heapBefore;
 	const samples = toSamples(rules, workspaces);
 	const linear = (facts: RequestFacts) => compiled.rules.find(({test}) => test(facts))?.rule;
 	const isSame = samples.every(facts => matchRule(compiled, facts) === linear(facts));
@@ -51,6 +58,7 @@
 		documentBytes: Buffer.byteLength(text),
 		parseMs: toRounded(parseMs),
 		compileMs: toRounded(compileMs),
+		heapBytes,
 		indexedMicroseconds: toMicroseconds(samples, facts => matchRule(compiled, facts)),
 		linearMicroseconds: toMicroseconds(samples.slice(0, 200), linear),
 		isSame,
@@ -86,6 +94,14 @@
 	return toRounded(best * 1000 / samples.length);
 }
 
+/** Heap in use after a full collection, which Node offers only behind a flag. */
+function toHeapBytes(): number {
+	setFlagsFromString('--expose-gc');
+	const collect = runInNewContext('gc') as () => void;
+	collect();
+	return process.memoryUsage().heapUsed;
+}
+
 function time<T>(run: () => T): [ms: number, result: T] {
 	const start = performance.now();
 	const result = run();
