Bound the account of a placement

Cause: the entry asks for the account of every placement, and it walked the whole pool: work that grows with the fleet for each request.

Change: an account looks at 256 servers at most, the own zone's first, counts other regions whole, and says how many it left out. The bench times it.

--- a/bench/placement/index.ts
+++ b/bench/placement/index.ts
@@ -74,7 +74,9 @@
 	console.log(`seed ${seed}, ${seconds} s simulated, ${settings.warmupMs / 1000} s at each end not counted; decode capacity ${toCapacity()} requests/s`);
 	const rows = loads.flatMap(load => toRows(load, seed, seconds));
 	printRows(rows);
-	const timings = [10, 225, 2700].flatMap(servers => [measurePicks(servers, 'half used', 5000), measurePicks(servers, 'all full', 1000)]);
+	const timings = [10, 225, 2700].flatMap(servers => [
+		measurePicks(servers, 'half used', 5000), measurePicks(servers, 'with account', 2000), measurePicks(servers, 'all full', 1000),
+	]);
 	printRow(['pick', 'servers', 'mean µs', 'p99 µs']);
 	for (const timing of timings) {
 		printRow([timing.state, timing.servers, timing.meanMicroseconds.toFixed(1), timing.p99Microseconds.toFixed(1)]);
--- a/bench/placement/measure-picks.ts
+++ b/bench/placement/measure-picks.ts
@@ -7,7 +7,7 @@
 
 export type PickTiming = {
 	servers: number;
-	state: 'half used' | 'all full';
+	state: 'half used' | 'all full' | 'with account';
 	picks: number;
 	meanMicroseconds: number;
 	p99Microseconds: number;
@@ -39,6 +39,10 @@
 
 		const startedAt = performance.now();
 		const picked = placement.pick(request, view, now, random);
+		if (state === 'with account' && picked.isOk()) {
+			picked.value.account();
+		}
+
 		if (picked.isOk()) {
 			placement.noteDispatched(picked.value, now);
 			placement.noteFinished(picked.value, now);
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -176,18 +176,14 @@
 			return 'full';
 		}
 
-		if (entry.zone === zone) {
-			return 'worse';
-		}
-
-		return search.servers[entry.role].nearby.includes(entry) ? 'other-zone' : 'other-region';
+		return entry.zone === zone ? 'worse' : 'other-zone';
 	};
 
 	return {
 		findPair,
 		findPlain,
-		/** Account of a search that took the servers `chosen` among `candidates`. */
-		toAccount: (search: Search, candidates: readonly ServerEntry[], chosen: readonly ServerId[]): PlacementAccount =>
-			toAccount(search.pool, candidates, chosen, entry => toPassedOver(entry, search)),
+		/** Account of a search for servers of `roles` that took the servers `chosen`. */
+		toAccount: (search: Search, roles: readonly RoleServers[], chosen: readonly ServerId[]): PlacementAccount =>
+			toAccount(search.pool, roles, chosen, entry => toPassedOver(entry, search)),
 	};
 };
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -20,8 +20,10 @@
 	chosen: readonly ServerId[];
 	/** Servers passed over, at most {@link maxAccountRows} of them. */
 	passedOver: ReadonlyArray<{server: ServerId; reason: PassedOverReason}>;
-	/** How many servers each reason kept out, over all of the pool. */
+	/** How many servers each reason kept out, among those looked at; other regions are counted whole. */
 	counts: Readonly<Partial<Record<PassedOverReason, number>>>;
+	/** Servers in reach that the account leaves out for its own bound. */
+	notLookedAt: number;
 };
 
 /** Rows of an account; a pool of thousands is summed up in `counts`. */
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -21,7 +21,7 @@
 import {createPairSearch, type Search} from './_lib/create-pair-search.js';
 import {createStanding} from './_lib/create-standing.js';
 import {type Pair} from './_lib/to-best-pair.js';
-import {type PoolIndex, toPoolIndex} from './_lib/to-pool-index.js';
+import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
 import {
 	type PickPair, type PickPlain, type Placement, type PlacementAccount, type PlacementOptions, type PlacementRefusal, type PlacementRefusalReason, type PlacementRequest, type PlainRequest,
 } from './_lib/types.js';
@@ -43,7 +43,7 @@
 const noServerRetryAfterMs = 2000;
 
 const noAccount = (pool: string): PlacementAccount => ({
-	pool, chosen: [], passedOver: [], counts: {},
+	pool, chosen: [], passedOver: [], counts: {}, notLookedAt: 0,
 });
 
 const toRetryAfter = (ms: Milliseconds): Milliseconds => Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, ms)));
@@ -160,9 +160,9 @@
 	};
 
 	/** Refusal when nothing was found: for want of memory if a server was passed over for that alone. */
-	const toNothingFound = (search: Search, candidates: readonly ServerEntry[]): PlacementRefusal => {
+	const toNothingFound = (search: Search, roles: readonly RoleServers[]): PlacementRefusal => {
 		const {pool} = search;
-		const account = () => pairs.toAccount(search, candidates, []);
+		const account = () => pairs.toAccount(search, roles, []);
 		if (!search.met.full) {
 			return toRefusal('no-server', `no server of pool ${pool} is in service with what the request needs; the account gives each server's reason`, noServerRetryAfterMs, account);
 		}
@@ -198,10 +198,10 @@
 		const {prefill, decode} = search.servers;
 		const pair = pairs.findPair(search);
 		if (pair === undefined) {
-			return err(toNothingFound(search, [...prefill.all, ...decode.all]));
+			return err(toNothingFound(search, [prefill, decode]));
 		}
 
-		const account = () => pairs.toAccount(search, [...prefill.all, ...decode.all], [pair.prefill.entry.id, pair.decode.entry.id]);
+		const account = () => pairs.toAccount(search, [prefill, decode], [pair.prefill.entry.id, pair.decode.entry.id]);
 		const lateMs = pair.predictedFirstTokenMs - request.firstTokenBudgetMs;
 		if (lateMs > 0) {
 			const message = `the first token is predicted after ${Math.round(pair.predictedFirstTokenMs)} ms, over the ${Math.round(request.firstTokenBudgetMs)} ms left`;
@@ -217,11 +217,11 @@
 			return err(toLookupRefusal(view, request.pool));
 		}
 
-		const candidates = search.servers.plain.all;
+		const roles = [search.servers.plain];
 		const best = pairs.findPlain(search);
 		return best === undefined
-			? err(toNothingFound(search, candidates))
-			: ok({kind: 'plain', server: best.entry, account: () => pairs.toAccount(search, candidates, [best.entry.id])});
+			? err(toNothingFound(search, roles))
+			: ok({kind: 'plain', server: best.entry, account: () => pairs.toAccount(search, roles, [best.entry.id])});
 	};
 
 	return {
--- a/src/domain/create-placement/zones.test.ts
+++ b/src/domain/create-placement/zones.test.ts
@@ -62,6 +62,16 @@
 		});
 	}
 
+	it('accounts for a large pool within a bound, and counts the rest', () => {
+		const many = Array.from({length: 600}, (_, i) => toServer(`s${i}`, i % 2 === 0 ? 'prefill' : 'decode', {zone: i < 400 ? 'a' : 'far'}));
+		const big = toConfig(many, {zones: config.zones});
+		const view = toView(big, many.map(entry => toStatus(entry, 1000)));
+		const {passedOver, counts, notLookedAt} = createPlacement({zone: 'a'}).pick(toPlacementRequest(), view, 1000, toSeededRandom(1))._unsafeUnwrap().account();
+		assert.ok(passedOver.length <= 64);
+		assert.equal(counts['other-region'], 200);
+		assert.equal(notLookedAt, 400 - 256);
+	});
+
 	it('returns little by little to a zone that was cut off', () => {
 		const placement = createPlacement({zone: 'a', health: {rampMs: 10_000, rampFrom: 0.1}});
 		const crowded = {queuedIn: {a: 9000}};
