Halve the agent's heartbeat bytes and bench membership

Cause: at 400 hosts on the logical clock a host sent 18 KB/s at the busiest while all learnt of each other (6.5 KB/s on average), and which servers a host polls was scored anew four times a second. Ruled out: fewer heartbeats (detection would suffer).

--- /dev/null
+++ b/bench/membership/index.ts
@@ -0,0 +1,35 @@
+/**
+ * Measures what it costs to keep agents in touch, and how soon a death is
+ * known: membership alone on a logical clock up to the size of the letter, and
+ * real agents up to what one machine holds.
+ */
+import process from 'node:process';
+import {measureAgents, type AgentsRow} from './_lib/measure-agents.js';
+import {measureLogical, type LogicalRow} from './_lib/measure-logical.js';
+
+/** Options for a small heap, as the page for operators gives them. */
+export const smallHeapOptions = ['--max-old-space-size=24', '--max-semi-space-size=1'];
+
+function toZones(zones: number, hosts: number): Record<string, number> {
+	return Object.fromEntries(Array.from({length: zones}, (_, i) => [`zone-${i + 1}`, Math.floor(hosts / zones) + (i < hosts % zones ? 1 : 0)]));
+}
+
+/**
+ * Runs the bench and prints tables and, after them, the rows as JSON.
+ *
+ * @returns The rows.
+ */
+export async function runMembershipBench(): Promise<{logical: readonly LogicalRow[]; agents: readonly AgentsRow[]}> {
+	const logical = [[2, 4], [4, 16], [8, 64], [12, 400]].map(([zones, hosts]) => measureLogical(toZones(zones!, hosts!)));
+	console.table(logical);
+	const sizes = [[2, 2], [4, 4], ...process.env.BENCH_SMALL === undefined ? [[4, 16]] : []];
+	const agents: AgentsRow[] = [];
+	for (const [zones, hosts] of sizes) {
+		agents.push(await measureAgents(zones!, hosts!, smallHeapOptions));
+	}
+
+	agents.push(await measureAgents(2, 2));
+	console.table(agents);
+	console.log(JSON.stringify({bench: 'membership', logical, agents}));
+	return {logical, agents};
+}
--- a/src/adapters/view-feed/publish-view.ts
+++ b/src/adapters/view-feed/publish-view.ts
@@ -27,6 +27,10 @@
 };
 
 function toChanged<Key, Value>(next: ReadonlyMap<Key, Value>, prev: ReadonlyMap<Key, Value> | undefined): Value[] {
+	if (next === prev) {
+		return [];
+	}
+
 	const changed: Value[] = [];
 	for (const [key, value] of next) {
 		if (prev?.get(key) !== value) {
@@ -38,7 +42,7 @@
 }
 
 function toGone<Key>(next: ReadonlyMap<Key, unknown>, prev: ReadonlyMap<Key, unknown> | undefined): Key[] {
-	return prev ? [...prev.keys()].filter(key => !next.has(key)) : [];
+	return prev && prev !== next ? [...prev.keys()].filter(key => !next.has(key)) : [];
 }
 
 function toUpdate(view: FleetView, {sent, ping}: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'incarnationFloor'> {
--- a/src/domain/create-load-spread/index.ts
+++ b/src/domain/create-load-spread/index.ts
@@ -13,7 +13,7 @@
 
 /** What one message costs besides its deltas: frame, IP and TCP headers, and the acknowledgement. */
 const messageBytes = 190;
-const defaultBytesPerSecond = 4000;
+const defaultBytesPerSecond = 3000;
 const minIntervalMs = 250;
 
 /** An unchanged server is sent this often, so that the age of its numbers stays small. */
--- a/src/domain/create-membership/_lib/create-targets.ts
+++ b/src/domain/create-membership/_lib/create-targets.ts
@@ -19,8 +19,8 @@
 export type Targets = {
 	/** Hosts to ping now. */
 	takeDue: (now: Milliseconds, random: Random) => HostId[];
-	/** Addresses of strangers to greet now. */
-	takeSeeds: (strangers: readonly string[], now: Milliseconds, random: Random) => string[];
+	/** Those of the addresses that no known host has and that are to be greeted now. */
+	takeSeeds: (seeds: ReadonlySet<string>, now: Milliseconds, random: Random) => string[];
 	/** A host is suspected; ping it at once if this host is among the few that look. */
 	verify: (id: HostId) => void;
 	/** Live hosts that can say whether a host is there: those of its zone, and bridges of other zones where it has fewer than two. */
@@ -150,14 +150,16 @@
 
 	return {
 		takeDue: (now, random) => [...new Set([...takeMates(now, random), ...takeBridges(now, random), ...takeGone(now, random)])],
-		takeSeeds(strangers, now, random) {
-			// Once the fleet is known, a stranger is an address that nobody has taken
-			// yet: worth a look now and then, and the only way back when all were cut off.
-			const intervals = records.size() > 1 ? goneIntervals : seedIntervals;
-			if (now < seedAt || strangers.length === 0) {
+		takeSeeds(seeds, now, random) {
+			if (now < seedAt || seeds.size === 0) {
 				return [];
 			}
 
+			// Once the fleet is known, a stranger is an address that nobody has taken
+			// yet: worth a look now and then, and the only way back when all were cut off.
+			const intervals = records.size() > 1 ? goneIntervals : seedIntervals;
+			const known = new Set([...records.all()].map(({agentAddress}) => agentAddress));
+			const strangers = [...seeds].filter(address => !known.has(address));
 			seedAt = now + (intervals * intervalMs * (0.8 + (random() * 0.4)));
 			return shuffle(strangers, random).slice(0, records.size() > 1 ? 1 : seedsAtOnce);
 		},
--- a/src/domain/create-membership/_lib/types.ts
+++ b/src/domain/create-membership/_lib/types.ts
@@ -36,7 +36,7 @@
 	revision: number;
 	digest: number;
 	updates: readonly HostRecord[];
-	/** Sent within a zone alone. */
+	/** In pings within a zone. */
 	contacts?: ZoneContacts;
 };
 
--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -28,13 +28,18 @@
 /** Share of a probe's time after which others are asked to help. */
 const directShare = 0.4;
 const updatesInMessage = 6;
+
+/** Sends of a change beyond the logarithm of the hosts; what gossip still misses, the comparison of tables finds. */
+const spareSends = 1;
 const maxSlowness = 4;
 
 /** Limits in heartbeat intervals, so that one setting scales them all. */
 const probeIntervals = 1;
 const suspicionIntervals = 3;
 const pausePatience = 2;
-const zonePatience = 6;
+
+/** A contact is made every third interval and takes a few more to be known in a large zone. */
+const zonePatience = 12;
 
 export type MembershipOptions = {
 	id: HostId;
@@ -112,7 +117,7 @@
 export function createMembership(options: MembershipOptions): Membership {
 	const {id: ownId, zone: ownZone, intervalMs = 1000} = options;
 	const {probeMs = probeIntervals * intervalMs, suspicionMs = suspicionIntervals * intervalMs} = options;
-	const records = createRecords({spreadCount: hosts => 3 * Math.ceil(Math.log2(hosts + 1))});
+	const records = createRecords({spreadCount: hosts => spareSends + Math.ceil(Math.log2(hosts + 1))});
 	const prober = createProber();
 	const guard = createPauseGuard({limitMs: pausePatience * intervalMs, startedAt: options.startedAt});
 	const contacts = createZoneContacts();
@@ -152,7 +157,7 @@
 		const rest = records.takeUpdates(updatesInMessage - Math.min(first.length, updatesInMessage));
 		const updates = [...first, ...rest.filter(record => !first.some(({id}) => id === record.id))];
 		return {
-			...body, incarnation, revision, digest: records.digest(), updates, contacts: to?.zone === ownZone ? contacts.ages(now) : undefined,
+			...body, incarnation, revision, digest: records.digest(), updates, contacts: body.kind === 'ping' && to?.zone === ownZone ? contacts.ages(now) : undefined,
 		};
 	}
 
@@ -319,9 +324,7 @@
 	}
 
 	function greetSeeds(now: Milliseconds, random: Random): OutMessage[] {
-		const known = new Set([...records.all()].map(({agentAddress}) => agentAddress));
-		const strangers = [...seeds].filter(address => !known.has(address));
-		return targets.takeSeeds(strangers, now, random)
+		return targets.takeSeeds(seeds, now, random)
 			.map(address => ({to: undefined, address, message: toMessage({kind: 'zones', zones: sync.zones()}, undefined, now, [self()])}));
 	}
 
--- a/src/programs/agent/_lib/peer-messages.ts
+++ b/src/programs/agent/_lib/peer-messages.ts
@@ -35,7 +35,8 @@
 
 export type MemberEvent = {
 	message: MemberMessage;
-	versions: KnownVersions;
+	/** With what begins an exchange; an answer leaves it out. */
+	versions?: KnownVersions;
 };
 
 const lives = new Set<unknown>(['alive', 'suspect', 'dead', 'left']);
@@ -101,7 +102,7 @@
 
 /** Whether a value is a message of membership with all its fields. */
 export function isMemberEvent(value: unknown): value is MemberEvent {
-	if (!isRecord(value) || !isRecord(value.message) || !isKnownVersions(value.versions)) {
+	if (!isRecord(value) || !isRecord(value.message) || (value.versions !== undefined && !isKnownVersions(value.versions))) {
 		return false;
 	}
 
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -16,7 +16,6 @@
 import {createFleetTable} from '../../../domain/create-fleet-table/index.js';
 import {createMembership, type OutMessage} from '../../../domain/create-membership/index.js';
 import {createPauseGuard} from '../../../domain/create-pause-guard/index.js';
-import {pickPollers} from '../../../domain/pick-pollers/index.js';
 import {type Clock, type Random} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type Engine} from '../../../ports/engine.js';
@@ -25,6 +24,7 @@
 import {type Platform, type PlatformKey} from '../../../ports/platform.js';
 import {type AgentSettings} from '../../_settings/index.js';
 import {createMesh} from './create-mesh.js';
+import {createPolled} from './create-polled.js';
 import {followEntry} from './follow-entry.js';
 import {holdDocuments} from './hold-documents.js';
 import {
@@ -184,11 +184,7 @@
 		signal,
 	});
 
-	function polledServers(): readonly ServerEntry[] {
-		const servers = table.accepted()?.config.servers.filter(({role}) => role !== 'plain') ?? [];
-		const known = [...hosts().values()];
-		return servers.filter(server => pickPollers(server, known, 1)[0] === hostId);
-	}
+	const polledServers = createPolled({table, hosts, hostId});
 
 	function mayAct(): boolean {
 		checkPause();
@@ -223,12 +219,14 @@
 
 	function versions(): KnownVersions {
 		const {platformConfirmedAt: at} = table.view(now());
-		return {config: spreads.config.version(), fleet: spreads.fleet.version(), confirmedAgeMs: at === undefined ? undefined : now() - at};
+		return {config: spreads.config.version(), fleet: spreads.fleet.version(), confirmedAgeMs: at === undefined ? undefined : Math.ceil(now() - at)};
 	}
 
 	function dispatch(messages: readonly OutMessage[]) {
 		for (const {to, address, message} of messages) {
-			mesh.send({to, address}, peerEvents.member, {message, versions: versions()} satisfies MemberEvent);
+			const isAnswer = message.kind !== 'ping' && message.kind !== 'zones';
+			const event: MemberEvent = isAnswer ? {message} : {message, versions: versions()};
+			mesh.send({to, address}, peerEvents.member, event);
 		}
 	}
 
@@ -253,7 +251,10 @@
 		if (peer.role === 'entry') {
 			takeEntryEvent(connection, name, body);
 		} else if (name === peerEvents.member && isMemberEvent(body)) {
-			takeVersions(peer.host, body.versions);
+			if (body.versions) {
+				takeVersions(peer.host, body.versions);
+			}
+
 			dispatch(membership.receive(body.message, peer.host, now()));
 		} else if (name === peerEvents.versions && isKnownVersions(body)) {
 			takeVersions(peer.host, body);
