Call a restarted peer once more, and drive claims through faults over sockets

Cause: a test that restarts hosts at their old address showed that the first claim after it found 4 of 8 witnesses unreachable: the connections at hand were dead and not yet known to be. Change: claims and joins, which are idempotent, are called once more over a new connection. A test sends keys to eight entries over loopback through kills, one old process beside its replacement, cuts, clocks off within the bound and sleeps between grant and dispatch. A process that answers for a former one at its address is found by the test of a killed host.

--- a/src/programs/entry/claims/_lib/create-peer-pool.ts
+++ b/src/programs/entry/claims/_lib/create-peer-pool.ts
@@ -5,6 +5,12 @@
 export type PeerPool = {
 	/** The open connection to an address, or a new one. */
 	get: (address: string) => ResultAsync<PeerConnection, PeerFailure>;
+	/**
+	 * Calls a peer; once more over a new connection when the one at hand turns out
+	 * to be dead. A peer that was restarted leaves such connections behind, and the
+	 * first call after it would fail for no other reason. For idempotent calls alone.
+	 */
+	callTwice: (address: string, method: string, body: unknown, timeoutMs: Milliseconds) => ResultAsync<{connection: PeerConnection; reply: unknown}, PeerFailure>;
 	/** Closes connections that were not used for a while. */
 	closeIdle: () => void;
 	close: () => void;
@@ -58,16 +64,30 @@
 		}
 	}
 
+	function get(address: string): ResultAsync<PeerConnection, PeerFailure> {
+		if (isClosed) {
+			return errAsync({kind: 'unreachable', sent: false, message: 'This process is stopping.'});
+		}
+
+		const entry = pooled.get(address) ?? open(address);
+		entry.usedAt = now();
+		return entry.connecting.andThen(connection => okAsync(connection));
+	}
+
+	function callOnce(address: string, method: string, body: unknown, timeoutMs: Milliseconds) {
+		return get(address).andThen(connection => connection.call(method, body, {timeoutMs}).map(reply => ({connection, reply})));
+	}
+
 	return {
-		get(address) {
-			if (isClosed) {
-				return errAsync({kind: 'unreachable', sent: false, message: 'This process is stopping.'});
+		get,
+		callTwice: (address, method, body, timeoutMs) => callOnce(address, method, body, timeoutMs).orElse(failure => {
+			if (failure.kind !== 'broken' && failure.kind !== 'not-sent') {
+				return errAsync(failure);
 			}
 
-			const entry = pooled.get(address) ?? open(address);
-			entry.usedAt = now();
-			return entry.connecting.andThen(connection => okAsync(connection));
-		},
+			pooled.delete(address);
+			return callOnce(address, method, body, timeoutMs);
+		}),
 		closeIdle() {
 			for (const [address, entry] of pooled) {
 				if (now() - entry.usedAt > idleMs) {
--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -114,15 +114,19 @@
 	let hasSoughtTable = false;
 	const closing = new AbortController();
 
-	function connectTo(host: HostId): ResultAsync<PeerConnection, AskFailure> {
-		const address = toView()?.hosts.get(host)?.entryAddress ?? '';
-		if (address === '') {
-			return errAsync({message: `no address of host ${host} is known`});
-		}
+	/** Empty while unknown, which no connection can be made to. */
+	function toAddressOf(host: HostId): string {
+		return toView()?.hosts.get(host)?.entryAddress ?? '';
+	}
+
+	function isEntryOf({peer}: PeerConnection, host: HostId): boolean {
+		return peer.host === host && peer.role === 'entry';
+	}
 
-		return pool.get(address).andThen(connection => connection.peer.host === host && connection.peer.role === 'entry'
+	function connectTo(host: HostId): ResultAsync<PeerConnection, AskFailure> {
+		return pool.get(toAddressOf(host)).andThen(connection => isEntryOf(connection, host)
 			? okAsync(connection)
-			: errAsync({message: `${address} is not the entry of host ${host}`}));
+			: errAsync({message: `the entry of host ${host} is not at the address known`}));
 	}
 
 	function ask(host: HostId, request: ClaimRequest): ResultAsync<ClaimAnswer, AskFailure> {
@@ -130,11 +134,11 @@
 			return okAsync(witness.claim(request, clock.wallNow()));
 		}
 
-		return connectTo(host)
-			.andThen(connection => connection.call(methods.claim, request, {timeoutMs: askTimeoutMs}))
-			.andThen(reply => {
+		return pool.callTwice(toAddressOf(host), methods.claim, request, askTimeoutMs)
+			.mapErr((failure): AskFailure => failure)
+			.andThen(({connection, reply}) => {
 				const answer = claimAnswerSchema.safeParse(reply);
-				return answer.success
+				return answer.success && isEntryOf(connection, host)
 					? okAsync<ClaimAnswer, AskFailure>(answer.data as ClaimAnswer)
 					: errAsync<ClaimAnswer, AskFailure>({message: `host ${host} sent no valid answer to a claim`});
 			});
@@ -207,16 +211,15 @@
 
 	async function callJoin(request: KeyedRequest, holder: Claim): Promise<{connection: PeerConnection; reply: JoinReply} | undefined> {
 		const {workspace, key, digest} = request;
-		const connected = await pool.get(holder.claimant.address);
-		if (connected.isErr()) {
+		const replied = await pool.callTwice(holder.claimant.address, methods.join, {
+			workspace, key, digest, claimId: holder.claimId,
+		}, joinTimeoutMs);
+		if (replied.isErr()) {
 			return undefined;
 		}
 
-		const replied = await connected.value.call(methods.join, {
-			workspace, key, digest, claimId: holder.claimId,
-		}, {timeoutMs: joinTimeoutMs});
-		const reply = joinReplySchema.safeParse(replied.unwrapOr(undefined));
-		return reply.success ? {connection: connected.value, reply: reply.data} : undefined;
+		const reply = joinReplySchema.safeParse(replied.value.reply);
+		return reply.success ? {connection: replied.value.connection, reply: reply.data} : undefined;
 	}
 
 	/** Joins another host's run. `again` when its claim was given back; `lost` when what became of it cannot be learnt. */
--- a/src/programs/entry/claims/test.ts
+++ b/src/programs/entry/claims/test.ts
@@ -19,9 +19,10 @@
 
 type Host = {
 	claims: Claims;
+	port: number;
 	/** Ends the process without a word. */
 	kill: () => Promise<void>;
-	/** Starts a new process in the slot; its memory began `ageMs` ago. */
+	/** Starts a new process in the slot, at the same address; its memory began `ageMs` ago. */
 	replace: (ageMs: number) => Promise<void>;
 };
 
@@ -32,7 +33,7 @@
 	const view = {accepted: {config: {hosts: slots}}, hosts: statuses} as unknown as FleetView;
 	let incarnation = 0;
 
-	async function start(slot: {id: string; zone: string}, ageMs: number) {
+	async function start(slot: {id: string; zone: string}, ageMs: number, port: number) {
 		const own = ++incarnation;
 		const hello = (): PeerHello => ({
 			host: slot.id, zone: slot.zone, role: 'entry', incarnation: own,
@@ -44,7 +45,7 @@
 		});
 		offset = 0;
 		const peers = await listenPeers({
-			bind: '127.0.0.1', port: 0, hello, onCall: claims.onCall, onEvent: claims.onEvent,
+			bind: '127.0.0.1', port, hello, onCall: claims.onCall, onEvent: claims.onEvent,
 		});
 		address = `127.0.0.1:${peers.port}`;
 		statuses.set(slot.id, {
@@ -57,14 +58,14 @@
 			await peers.close();
 		};
 
-		return {claims, kill};
+		return {claims, kill, port: peers.port};
 	}
 
 	const hosts = await Promise.all(slots.map(async slot => {
 		const host: Host = {
-			...await start(slot, hour),
+			...await start(slot, hour, 0),
 			async replace(ageMs) {
-				Object.assign(host, await start(slot, ageMs));
+				Object.assign(host, await start(slot, ageMs, host.port));
 			},
 		};
 		return host;
@@ -194,8 +195,10 @@
 		assert.deepEqual([problem.kind, problem.outcome], ['claim-unavailable', 'may-have-run']);
 		await runAt(hosts[1]!, repeatable);
 		await hosts[0]!.replace(0);
-		const afterwards = await refusedAt(hosts[0]!, once);
-		assert.equal(afterwards.outcome, 'may-have-run');
+		for (const host of [hosts[0]!, hosts[3]!]) {
+			const afterwards = await refusedAt(host, once);
+			assert.equal(afterwards.outcome, 'may-have-run');
+		}
 	});
 
 	it('claims with a zone and one host away and refuses with one host more', async context => {
