Refuse sooner where most witnesses are thought dead

Cause: on the small side of a cut each claim waited out the time-out. Ruled out: not asking hosts that are thought dead. Their entries may serve. Change: such a witness gets a fifth of the time-out. Before and after (a trial with eight witnesses that never answer): refused after 1,002 to 1,016 ms, now 201 to 204 ms once they are thought dead. Conclusion: a given-up request gets its answer sooner; no claim is lost to it that another witness could not grant.

--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -5,7 +5,9 @@
  */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {errAsync, okAsync, type ResultAsync} from 'neverthrow';
+import {
+	err, errAsync, okAsync, type Result, ResultAsync,
+} from 'neverthrow';
 import {createDeferred} from '../../../_lib/create-deferred/index.js';
 import {
 	connectPeer, type PeerConnection, type PeerHello,
@@ -40,6 +42,8 @@
 } from './types.js';
 
 const defaultAskTimeoutMs = msPerSecond;
+/** A witness that is thought dead gets the time-out divided by this. */
+const goneHostShare = 5;
 /** A join waits for the claimant's own claim to be decided. */
 const joinTimeoutMs = 8 * msPerSecond;
 const handOverTimeoutMs = 2 * msPerSecond;
@@ -129,12 +133,27 @@
 			: errAsync({message: `the entry of host ${host} is not at the address known`}));
 	}
 
+	function isThoughtGone(host: HostId): boolean {
+		const life = toView()?.hosts.get(host)?.life;
+		return life === 'dead' || life === 'left';
+	}
+
+	/**
+	 * On the small side of a cut most witnesses are thought dead, and callers would
+	 * all wait out the time-out for their refusal. Such a witness is asked none the
+	 * less, since a host may be thought dead whose entry serves, but for less time.
+	 */
+	async function giveUpSoon(host: HostId): Promise<Result<ClaimAnswer, AskFailure>> {
+		await sleep(askTimeoutMs / goneHostShare, undefined, {ref: false});
+		return err({message: `host ${host} is thought dead and did not answer soon`});
+	}
+
 	function ask(host: HostId, request: ClaimRequest): ResultAsync<ClaimAnswer, AskFailure> {
 		if (host === slot) {
 			return okAsync(witness.claim(request, clock.wallNow()));
 		}
 
-		return pool.callTwice(toAddressOf(host), methods.claim, request, askTimeoutMs)
+		const answered = pool.callTwice(toAddressOf(host), methods.claim, request, askTimeoutMs)
 			.mapErr((failure): AskFailure => failure)
 			.andThen(({connection, reply}) => {
 				const answer = claimAnswerSchema.safeParse(reply);
@@ -142,6 +161,7 @@
 					? okAsync<ClaimAnswer, AskFailure>(answer.data as ClaimAnswer)
 					: errAsync<ClaimAnswer, AskFailure>({message: `host ${host} sent no valid answer to a claim`});
 			});
+		return isThoughtGone(host) ? new ResultAsync(Promise.race([answered, giveUpSoon(host)])) : answered;
 	}
 
 	function release(host: HostId, request: {workspace: string; key: string; claimId: string}) {
