Give orders from the accepted configuration alone

Cause: nobody brought servers to the version and adapters that the configuration names. Ruled out: sending what was planned (a paused process would send it late). Change: the poller of a server plans with pickLoads, and checks pause, edition, fence, report and confirmation immediately before sending; the platform's confirmation is renewed every 6 s so that it can be fresh. Before: no orders. Conclusion: a test of stale hosts against both kinds of servers is not here yet.

--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -26,6 +26,7 @@
 import {createMesh} from './create-mesh.js';
 import {createPolled} from './create-polled.js';
 import {followEntry} from './follow-entry.js';
+import {giveOrders} from './give-orders.js';
 import {holdDocuments} from './hold-documents.js';
 import {
 	isKnownVersions, isMemberEvent, peerCalls, peerEvents, type KnownVersions, type MemberEvent,
@@ -40,6 +41,9 @@
 const pauseLimitMs = 2000;
 const readersOfZone = 2;
 
+/** The platform's confirmation is renewed this often, since orders need a fresh one. */
+const confirmMs = 6000;
+
 /** Without news of the platform for this long, one more host of the zone reads it; and so on. */
 const moreReadersMs = 15_000;
 const mostReaders = 6;
@@ -63,6 +67,7 @@
 export type AgentCounts = {
 	platformReads: number;
 	orphansReleased: number;
+	ordersGiven: number;
 	sentBytes: number;
 	receivedBytes: number;
 	connections: number;
@@ -102,7 +107,7 @@
 	const table = createFleetTable();
 	const publisher = createViewPublisher();
 	const guard = createPauseGuard({limitMs: pauseLimitMs, startedAt});
-	const counts = {platformReads: 0, orphansReleased: 0};
+	const counts = {platformReads: 0, orphansReleased: 0, ordersGiven: 0};
 	let heardFromPeer = false;
 	let quietUntil = startedAt;
 
@@ -361,7 +366,7 @@
 		platform,
 		key,
 		isReader,
-		waitMs: settings.platformWait,
+		waitMs: Math.min(settings.platformWait, confirmMs),
 		onValue({value, revision}) {
 			const isNews = key === 'config' ? documents.offerConfig(value, revision, 'platform') : documents.offerFleet(value, revision, 'platform');
 			if (isNews) {
@@ -417,6 +422,19 @@
 			signal,
 		}),
 		orphans.done,
+		giveOrders({
+			view: () => table.view(now()),
+			servers: polledServers,
+			toEngine,
+			mayAct,
+			onGiven() {
+				counts.ordersGiven += 1;
+			},
+			log,
+			now,
+			random,
+			signal,
+		}),
 	];
 
 	return {
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -27,6 +27,7 @@
 	const counters = {
 		platform_reads_total: ['Reads of the platform, watches included.', () => agent.counts().platformReads],
 		orphans_released_total: ['Attempts of ended hosts that were released on servers.', () => agent.counts().orphansReleased],
+		orders_given_total: ['Orders that servers took from this host.', () => agent.counts().ordersGiven],
 		peer_sent_bytes_total: ['Bytes sent to agents of other hosts.', () => agent.counts().sentBytes],
 		peer_received_bytes_total: ['Bytes received from agents of other hosts.', () => agent.counts().receivedBytes],
 	} as const;
