Split the claims of the entry into parts with one job each

Change: asking witnesses, moving a table and starting a run are files of their own; nothing else changes. Conclusion: the index wires and serves peers.

--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -5,31 +5,28 @@
  */
 import {randomUUID} from 'node:crypto';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	err, errAsync, okAsync, type Result, ResultAsync,
-} from 'neverthrow';
 import {createDeferred} from '../../../_lib/create-deferred/index.js';
 import {
 	connectPeer, type PeerConnection, type PeerHello,
 } from '../../../adapters/peer-tcp/index.js';
-import {type AskFailure, claimKey} from '../../../domain/claim-key/index.js';
+import {claimKey} from '../../../domain/claim-key/index.js';
 import {
-	type Claim, type ClaimAnswer, type ClaimRequest, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
+	type Claim, type ClaimRequest, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
 } from '../../../domain/create-claim-witness/index.js';
-import {createRunTable, type RunWriter} from '../../../domain/create-run-table/index.js';
-import {pickWitnesses} from '../../../domain/pick-witnesses/index.js';
+import {createRunTable} from '../../../domain/create-run-table/index.js';
 import {toScopedText} from '../../../domain/to-scoped-text/index.js';
-import {type HostId} from '../../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../../ports/units.js';
-import {createHandOvers, toHandOverParts} from './_lib/create-hand-overs.js';
+import {createHandOvers} from './_lib/create-hand-overs.js';
 import {createPeerPool} from './_lib/create-peer-pool.js';
 import {createRemoteReader} from './_lib/create-remote-reader.js';
+import {createRunStarter} from './_lib/create-run-starter.js';
 import {createServedReads} from './_lib/create-served-reads.js';
 import {detachText} from './_lib/detach-text.js';
+import {createTableTransfer} from './_lib/create-table-transfer.js';
+import {createWitnessClient} from './_lib/create-witness-client.js';
 import {createWitnessSets} from './_lib/create-witness-sets.js';
 import {
-	claimAnswerSchema, claimRequestSchema, events, handOverSchema, joinReplySchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverReplySchema, takeOverRequestSchema,
-	type HandOverPart, type JoinReply, type TakeOverReply,
+	claimRequestSchema, events, handOverSchema, joinReplySchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverRequestSchema, type JoinReply,
 } from './_lib/messages.js';
 import {toClaimProblem, toJoinProblem, toLostProblem} from './_lib/to-claim-problem.js';
 import {
@@ -42,15 +39,9 @@
 } from './types.js';
 
 const defaultAskTimeoutMs = msPerSecond;
-/** A witness that is thought dead gets the time-out divided by this. */
-const goneHostShare = 5;
 /** A join waits for the claimant's own claim to be decided. */
 const joinTimeoutMs = 8 * msPerSecond;
-const handOverTimeoutMs = 2 * msPerSecond;
 const idleConnectionMs = msPerMinute;
-const handOverCandidates = 3;
-const takeOverForMs = 30 * msPerSecond;
-const takeOverWaitMs = 500;
 const rounds = 6;
 const roundWaitMs = 40;
 
@@ -115,64 +106,14 @@
 	/** Claims of this process that are not decided yet, by scoped key. */
 	const pending = new Map<string, {claimId: string; decided: Promise<void>}>();
 	let claimCount = 0;
-	let hasSoughtTable = false;
 	const closing = new AbortController();
-
-	/** Empty while unknown, which no connection can be made to. */
-	function toAddressOf(host: HostId): string {
-		return toView()?.hosts.get(host)?.entryAddress ?? '';
-	}
-
-	function isEntryOf({peer}: PeerConnection, host: HostId): boolean {
-		return peer.host === host && peer.role === 'entry';
-	}
-
-	function connectTo(host: HostId): ResultAsync<PeerConnection, AskFailure> {
-		return pool.get(toAddressOf(host)).andThen(connection => isEntryOf(connection, host)
-			? okAsync(connection)
-			: errAsync({message: `the entry of host ${host} is not at the address known`}));
-	}
-
-	function isThoughtGone(host: HostId): boolean {
-		const life = toView()?.hosts.get(host)?.life;
-		return life === 'dead' || life === 'left';
-	}
-
-	/**
-	 * On the small side of a cut most witnesses are thought dead, and callers would
-	 * all wait out the time-out for their refusal. Such a witness is asked none the
-	 * less, since a host may be thought dead whose entry serves, but for less time.
-	 */
-	async function giveUpSoon(host: HostId): Promise<Result<ClaimAnswer, AskFailure>> {
-		await sleep(askTimeoutMs / goneHostShare, undefined, {ref: false});
-		return err({message: `host ${host} is thought dead and did not answer soon`});
-	}
-
-	function ask(host: HostId, request: ClaimRequest): ResultAsync<ClaimAnswer, AskFailure> {
-		if (host === slot) {
-			return okAsync(witness.claim(request, clock.wallNow()));
-		}
-
-		const answered = pool.callTwice(toAddressOf(host), methods.claim, request, askTimeoutMs)
-			.mapErr((failure): AskFailure => failure)
-			.andThen(({connection, reply}) => {
-				const answer = claimAnswerSchema.safeParse(reply);
-				return answer.success && isEntryOf(connection, host)
-					? okAsync<ClaimAnswer, AskFailure>(answer.data as ClaimAnswer)
-					: errAsync<ClaimAnswer, AskFailure>({message: `host ${host} sent no valid answer to a claim`});
-			});
-		return isThoughtGone(host) ? new ResultAsync(Promise.race([answered, giveUpSoon(host)])) : answered;
-	}
-
-	function release(host: HostId, request: {workspace: string; key: string; claimId: string}) {
-		if (host === slot) {
-			witness.release(request);
-			return;
-		}
-
-		// A release that is lost is made up for when the next claimant asks to join: see `join`.
-		void connectTo(host).map(connection => connection.send(events.release, request));
-	}
+	const {connectTo, ask, release} = createWitnessClient({
+		slot, witness, pool, toView, clock, askTimeoutMs,
+	});
+	const {leave, takeOver} = createTableTransfer({
+		slot, witness, connectTo, toView, clock, log, closing: closing.signal,
+	});
+	const startRun = createRunStarter({runs, clock, releaseEverywhere});
 
 	function toSets(text: string) {
 		witnessSets.setHosts(toView()?.accepted?.config.hosts ?? [], clock.now());
@@ -186,49 +127,6 @@
 		}
 	}
 
-	/** Gives the claim back when the run left the table, so that the same key may be sent again to any host. */
-	function toReleasingWriter(writer: RunWriter, request: {workspace: string; key: string; claimId: string}): RunWriter {
-		let isEnded = false;
-		return {
-			...writer,
-			end(how, now) {
-				if (isEnded) {
-					return;
-				}
-
-				isEnded = true;
-				writer.end(how, now);
-				if (!runs.has(request)) {
-					releaseEverywhere(request);
-				}
-			},
-		};
-	}
-
-	function refuseStart({workspace, key}: KeyedRequest, claimId: string): Claimed {
-		releaseEverywhere({workspace, key, claimId});
-		return {
-			kind: 'refused',
-			problem: {
-				kind: 'queue-full', detail: 'This host keeps as many keyed requests as it can.', outcome: 'not-run', retryAfterMs: msPerSecond,
-			},
-		};
-	}
-
-	function startRun(request: KeyedRequest, claimId: string): Claimed {
-		const {workspace, key, digest, isRepeatable, onAbandoned} = request;
-		const started = runs.start({
-			workspace, key, digest, isRepeatable, onAbandoned,
-		}, clock.now());
-		if (started.isErr()) {
-			return refuseStart(request, claimId);
-		}
-
-		// Never fails: the run has just begun, and nothing of it was dropped.
-		const reader = runs.join(request, clock.now())._unsafeUnwrap();
-		return {kind: 'run', writer: toReleasingWriter(started.value, {workspace, key, claimId}), reader};
-	}
-
 	async function callJoin(request: KeyedRequest, holder: Claim): Promise<{connection: PeerConnection; reply: JoinReply} | undefined> {
 		const {workspace, key, digest} = request;
 		const replied = await pool.callTwice(holder.claimant.address, methods.join, {
@@ -409,105 +307,6 @@
 		}
 	}
 
-	/** Peers that hold this slot's table between two of its processes, in an order that both know. */
-	function listHolders(): HostId[] {
-		const hosts = toView()?.accepted?.config.hosts.filter(host => host.id !== slot) ?? [];
-		return [...pickWitnesses(`hand-over\n${slot}`, hosts).slots];
-	}
-
-	/** A part that may have arrived ends the search: with a second copy about, two successors could take the table. */
-	async function handTo(host: HostId, parts: readonly HandOverPart[]): Promise<'done' | 'unreachable' | 'failed'> {
-		const connected = await connectTo(host);
-		if (connected.isErr()) {
-			return 'unreachable';
-		}
-
-		for (const part of parts) {
-			const reply = await connected.value.call(methods.handOver, part, {timeoutMs: handOverTimeoutMs});
-			if (reply.isErr()) {
-				return !reply.error.sent && part.part === 0 ? 'unreachable' : 'failed';
-			}
-		}
-
-		return 'done';
-	}
-
-	async function leave(): Promise<boolean> {
-		const handOver = witness.freeze(clock.wallNow());
-		if (handOver === undefined) {
-			return false;
-		}
-
-		const parts = toHandOverParts(handOver);
-		for (const host of listHolders().slice(0, handOverCandidates)) {
-			const handed = await handTo(host, parts);
-			if (handed !== 'unreachable') {
-				log.info(handed === 'done' ? 'claims handed over' : 'claims may not have been handed over', {peer: host, count: handOver.claims.length});
-				return handed === 'done';
-			}
-		}
-
-		log.warn('claims not handed over: no peer was reached', {count: handOver.claims.length});
-		return false;
-	}
-
-	async function takePart(connection: PeerConnection, part: number): Promise<TakeOverReply> {
-		const replied = await connection.call(methods.takeOver, {part}, {timeoutMs: handOverTimeoutMs});
-		const reply = takeOverReplySchema.safeParse(replied.unwrapOr(undefined));
-		return reply.success ? reply.data : {kind: 'nothing'};
-	}
-
-	async function takeFrom(host: HostId): Promise<boolean> {
-		const connected = await connectTo(host);
-		const first = connected.isOk() ? await takePart(connected.value, 0) : undefined;
-		if (connected.isErr() || first?.kind !== 'part') {
-			return false;
-		}
-
-		const claims = [...first.claims];
-		for (let part = 1; part < first.parts; part++) {
-			const next = await takePart(connected.value, part);
-			if (next.kind !== 'part') {
-				return false;
-			}
-
-			claims.push(...next.claims);
-		}
-
-		return witness.adopt({...first, claims});
-	}
-
-	async function takeFromAny(): Promise<boolean> {
-		for (const host of listHolders().slice(0, handOverCandidates)) {
-			if (await takeFrom(host)) {
-				log.info('claims taken over', {peer: host, count: witness.stats().claims});
-				return true;
-			}
-		}
-
-		return false;
-	}
-
-	/** Asks for a while: the first view may lack addresses, and the old process may leave after this one has started. */
-	async function takeOver(): Promise<boolean> {
-		if (hasSoughtTable) {
-			return false;
-		}
-
-		hasSoughtTable = true;
-		const giveUpAt = clock.now() + takeOverForMs;
-		while (!closing.signal.aborted && clock.now() < giveUpAt) {
-			if (await takeFromAny()) {
-				return true;
-			}
-
-			await sleep(takeOverWaitMs, undefined, {ref: false});
-		}
-
-		log.info('no claims taken over');
-		return false;
-	}
-
 	return {
 		claim,
 		onCall,
