Admission: borrow by time, not by the number of reports

Cause: the entry hands each view to the admission, and a view may come many times with the same load figures; each one let batch work borrow its share of the same free places again, up to all of them on every router.

Change: what a report lets batch work borrow is scaled by the time since the last one, up to 500 ms.

--- a/src/domain/create-admission/_lib/create-places.ts
+++ b/src/domain/create-admission/_lib/create-places.ts
@@ -3,6 +3,7 @@
  * report shows free beyond it, and what the servers just said by bouncing a
  * request. The servers' own refusal is the hard limit; this only guesses well.
  */
+import {type Milliseconds} from '../../../ports/clock.js';
 import {type PoolCapacity} from './types.js';
 
 export type Places = {
@@ -13,7 +14,7 @@
 	/** Whether other processes' use is reported, so that places can be borrowed. */
 	readonly isUsedKnown: boolean;
 	/** Takes a report; `keptFree` places of the whole pool are not borrowed by batch work. */
-	report: (capacity: PoolCapacity, running: number, keptFree: number) => void;
+	report: (capacity: PoolCapacity, state: {running: number; keptFree: number; now: Milliseconds}) => void;
 	/** Whether another request may be offered to the servers while `running` are there. */
 	hasRoom: (running: number) => boolean;
 	/** Whether batch work may start on a place of another process. */
@@ -24,6 +25,9 @@
 	allowTry: (running: number) => void;
 };
 
+/** Time in which batch work may borrow its share of what is free once, however many reports tell of the same free places. */
+const borrowEveryMs = 500;
+
 /**
  * @param borrowShare - part of this process's share of what a report shows free that batch work may take.
  * @returns no places, until a report comes.
@@ -37,6 +41,7 @@
 	let credit = 0;
 	/** Running requests beyond which the servers have just bounced one. */
 	let bouncedAbove = Infinity;
+	let reportedAt = -Infinity;
 
 	function freeInPool(running: number): number {
 		const startedSince = Math.max(0, running - runningAtReport);
@@ -56,13 +61,15 @@
 		get isUsedKnown() {
 			return capacity.used !== undefined;
 		},
-		report(next, running, keptFree) {
+		report(next, {running, keptFree, now}) {
 			capacity = next;
 			own = next.slots > 0 ? Math.max(1, next.slots * next.share) : 0;
 			runningAtReport = running;
 			bouncedAbove = Infinity;
 			const spare = Math.max(0, freeInPool(running) - keptFree);
-			credit = Math.min(spare, credit + (spare * next.share * borrowShare));
+			const part = Math.min(1, (now - reportedAt) / borrowEveryMs);
+			reportedAt = now;
+			credit = Math.min(spare, credit + (spare * next.share * borrowShare * part));
 		},
 		hasRoom: running => capacity.slots > 0 && running < bouncedAbove && (running < own || freeInPool(running) >= 1),
 		canBorrow: () => credit >= 1,
--- a/src/domain/create-admission/_lib/create-pool.ts
+++ b/src/domain/create-admission/_lib/create-pool.ts
@@ -239,7 +239,7 @@
 
 	function setCapacity(capacity: PoolCapacity, now: Milliseconds): RequestId[] {
 		const keptFree = settings.slackDeviations * Math.sqrt(quickOccupancy(now) / capacity.share);
-		places.report(capacity, running.size, keptFree);
+		places.report(capacity, {running: running.size, keptFree, now});
 		return admitNext(now);
 	}
 
--- a/src/domain/create-admission/test.ts
+++ b/src/domain/create-admission/test.ts
@@ -170,6 +170,16 @@
 		});
 	}
 
+	it('does not borrow more because the same report comes again and again', () => {
+		const admission = createAdmission();
+		for (let now = 0; now < 50; now++) {
+			admission.setCapacity('p', {slots: 40, share: 0.25, used: 20}, now);
+		}
+
+		const kinds = Array.from({length: 30}, (_, index) => admission.offer(request(`r${index}`), 50).kind);
+		assert.equal(kinds.filter(kind => kind === 'admitted').length, 15);
+	});
+
 	it('offers one at a time after the servers bounced a request, and as before with the next report', () => {
 		const admission = createAdmission();
 		admission.setCapacity('p', {slots: 8, share: 0.5}, 0);
