Say in the log why an entry does not reach its agent

Cause: an entry with a wrong agent address or wrong peer keys was just never ready; nothing said why. Ruled out: a line at each try, which comes every second. Change: the view feed tells each new reason once; a contract test waits for it. Before: no log line. After: "view feed disconnected" with the reason; 11 tests of operator-programs and peer-view-feed pass. Conclusion: wrong keys and addresses show at once.

--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -35,7 +35,7 @@
 	onView: (view: FleetView) => void;
 	/** Least incarnation that this entry may use, above those of the entries before it; 0 when any will do. */
 	onIncarnationSeen?: (incarnation: Incarnation) => void;
-	/** The connection was made or lost, with the reason. */
+	/** The connection was made, lost, or could not be made, with the reason. */
 	onState?: (state: 'connected' | 'disconnected', reason: string) => void;
 	/** Monotonic milliseconds. */
 	now: () => Milliseconds;
@@ -113,6 +113,8 @@
 	}
 
 	async function run() {
+		// Told once for each new reason: an entry with wrong keys or a wrong address would else just never be ready.
+		let toldReason: string | undefined;
 		while (!stop.signal.aborted) {
 			const connected = await connectPeer({
 				address: options.agentAddress,
@@ -122,9 +124,13 @@
 				onEvent,
 			});
 			if (connected.isOk() && !stop.signal.aborted) {
+				toldReason = undefined;
 				await serve(connected.value);
 			} else if (connected.isOk()) {
 				connected.value.close();
+			} else if (connected.error.message !== toldReason) {
+				toldReason = connected.error.message;
+				options.onState?.('disconnected', toldReason);
 			}
 
 			// Half of the wait is random, so that entries do not come back together.
--- a/test/contracts/operator-programs.test.ts
+++ b/test/contracts/operator-programs.test.ts
@@ -69,6 +69,12 @@
 		assert.equal(status.status, 200);
 	});
 
+	it('says in its log why it does not reach its agent', async () => {
+		const entry = await startLoneEntry();
+		const line = await entry.waitForLog(({message}) => message === 'view feed disconnected', {deadlineMs: 10_000, what: 'the reason'});
+		assert.match(String(line.reason), /127\.0\.0\.1:1 was not reached: .*ECONNREFUSED/);
+	});
+
 	it('is not reached by the callers\' port', async () => {
 		const entry = await startLoneEntry();
 		for (const route of ['/health', '/ready', '/metrics', '/status', '/slo', '/explain/r1']) {
