--- a/src/domain/create-placement/_lib/to-account.ts
+++ b/src/domain/create-placement/_lib/to-account.ts
@@ -6,6 +6,16 @@
 /** Servers looked at for an account, the own zone's first: it is made for each request, also in a pool of thousands. */
 const maxLookedAt = 256;
 
+/** The first elements of several lists, without a copy of the rest. */
+const takeFirst = (lists: ReadonlyArray<readonly ServerEntry[]>, count: number): ServerEntry[] => {
+	const taken: ServerEntry[] = [];
+	for (const list of lists) {
+		taken.push(...list.slice(0, count - taken.length));
+	}
+
+	return taken;
+};
+
 /**
  * @param pool - Name of the pool.
  * @param roles - Its servers of the roles looked for.
@@ -14,11 +24,12 @@
  * @returns The account, with a bounded number of rows.
  */
 export const toAccount = (pool: string, roles: readonly RoleServers[], chosen: readonly ServerId[], toReason: (entry: ServerEntry) => PassedOverReason): PlacementAccount => {
-	const inReach = [...roles.flatMap(role => role.local), ...roles.flatMap(role => role.nearby)];
+	const lists = [...roles.map(role => role.local), ...roles.map(role => role.nearby)];
+	const inReach = lists.reduce((sum, list) => sum + list.length, 0);
 	const total = roles.reduce((sum, role) => sum + role.all.length, 0);
 	const counts: Partial<Record<PassedOverReason, number>> = {};
 	const passedOver: Array<{server: ServerId; reason: PassedOverReason}> = [];
-	for (const entry of inReach.slice(0, maxLookedAt)) {
+	for (const entry of takeFirst(lists, maxLookedAt)) {
 		if (chosen.includes(entry.id)) {
 			continue;
 		}
@@ -30,11 +41,11 @@
 		}
 	}
 
-	if (total > inReach.length) {
-		counts['other-region'] = total - inReach.length;
+	if (total > inReach) {
+		counts['other-region'] = total - inReach;
 	}
 
 	return {
-		pool, chosen, passedOver, counts, notLookedAt: Math.max(0, inReach.length - maxLookedAt),
+		pool, chosen, passedOver, counts, notLookedAt: Math.max(0, inReach - maxLookedAt),
 	};
 };
