Show a refused edit in status and metrics of the agent

Ruled out: making the host not ready, since it serves by the document in force. Before: no trace outside the log. Conclusion: staff see with one command why an edit is not in force.

--- a/src/programs/agent/_lib/hold-documents.ts
+++ b/src/programs/agent/_lib/hold-documents.ts
@@ -12,9 +12,26 @@
 	text: string;
 };
 
+/** A configuration document that was not taken. */
+export type RefusedDocument = {
+	revision: number;
+	/** Where it came from: the platform, a peer, or this host's entry. */
+	from: string;
+	kind: string;
+	reason: string;
+};
+
+/** What staff should know of the last documents, until another one comes in force. */
+export type DocumentNotices = {
+	refused: RefusedDocument | undefined;
+	/** What the document in force displaced, where that may not have been meant. */
+	warning: string | undefined;
+};
+
 export type Documents = {
 	config: () => HeldDocument | undefined;
 	fleet: () => HeldDocument | undefined;
+	notices: () => DocumentNotices;
 	/** Judges a configuration document; `source` is for the log. Returns whether what is in force has changed. */
 	offerConfig: (text: string, revision: number, source: string) => boolean;
 	/** Judges a list of hosts and servers. Returns whether it was taken. */
@@ -24,25 +41,39 @@
 /**
  * Creates it.
  *
- * @param options - The table that shows what is in force, the log, and what is told of a new list of hosts.
+ * @param options - The table that shows what is in force, the log, and what is told of a new list of hosts and of a refused document.
  * @returns See {@link Documents}.
  */
-export function holdDocuments({table, log, onFleet}: {table: FleetTable; log: Log; onFleet: (fleet: FleetList) => void}): Documents {
+export function holdDocuments(options: {table: FleetTable; log: Log; onFleet: (fleet: FleetList) => void; onRefused: () => void}): Documents {
+	const {table, log, onFleet, onRefused} = options;
 	let fleet: HeldDocument | undefined;
+	let notices: DocumentNotices = {refused: undefined, warning: undefined};
 	let refusedDigest: string | undefined;
 
+	/** What is in force was published again after the refused one. */
+	function clearRefused(revision: number) {
+		if (notices.refused !== undefined && revision > notices.refused.revision) {
+			notices = {...notices, refused: undefined};
+			refusedDigest = undefined;
+		}
+	}
+
 	return {
 		config: table.accepted,
 		fleet: () => fleet,
+		notices: () => notices,
 		offerConfig(text, revision, source) {
 			const verdict = acceptConfig(table.accepted(), {text, revision});
 			if (verdict.status === 'refused') {
 				const digest = toDigest(text);
 				if (digest !== refusedDigest) {
 					refusedDigest = digest;
-					log.warn('configuration refused', {
+					const refused = {
 						revision, from: source, kind: verdict.reason, reason: verdict.message,
-					});
+					};
+					notices = {...notices, refused};
+					onRefused();
+					log.warn('configuration refused', refused);
 				}
 
 				return false;
@@ -50,6 +81,7 @@
 
 			table.setConfig(verdict.accepted);
 			if (verdict.status === 'unchanged') {
+				clearRefused(revision);
 				return false;
 			}
 
@@ -58,6 +90,7 @@
 				edition, revision, digest, from: source,
 			});
 			const warning = verdict.rivalry?.message ?? verdict.warning;
+			notices = {refused: undefined, warning};
 			if (warning !== undefined) {
 				log.warn('configuration accepted over another', {edition, reason: warning});
 			}
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -27,7 +27,7 @@
 import {createPolled} from './create-polled.js';
 import {followEntry} from './follow-entry.js';
 import {giveOrders} from './give-orders.js';
-import {holdDocuments} from './hold-documents.js';
+import {holdDocuments, type DocumentNotices} from './hold-documents.js';
 import {
 	isKnownVersions, isMemberEvent, peerCalls, peerEvents, type KnownVersions, type MemberEvent,
 } from './peer-messages.js';
@@ -68,6 +68,8 @@
 	platformReads: number;
 	orphansReleased: number;
 	ordersGiven: number;
+	/** Different configuration documents that were refused. */
+	configsRefused: number;
 	sentBytes: number;
 	receivedBytes: number;
 	connections: number;
@@ -77,6 +79,7 @@
 	peerPort: number;
 	view: () => FleetView;
 	counts: () => AgentCounts;
+	notices: () => DocumentNotices;
 	/** Whether it has a configuration and may be relied on; with reasons when not. */
 	notReady: () => ReadonlyArray<{reason: string; remedy: string}>;
 	/** Takes changed keys for new connections. */
@@ -107,7 +110,9 @@
 	const table = createFleetTable();
 	const publisher = createViewPublisher();
 	const guard = createPauseGuard({limitMs: pauseLimitMs, startedAt});
-	const counts = {platformReads: 0, orphansReleased: 0, ordersGiven: 0};
+	const counts = {
+		platformReads: 0, orphansReleased: 0, ordersGiven: 0, configsRefused: 0,
+	};
 	let heardFromPeer = false;
 	let quietUntil = startedAt;
 
@@ -136,6 +141,9 @@
 		onFleet(fleet) {
 			membership.addSeeds(fleet.hosts.filter(({id, state}) => id !== hostId && state === 'live').map(({peerAddress}) => peerAddress));
 		},
+		onRefused() {
+			counts.configsRefused += 1;
+		},
 	});
 	const hosts = () => membership.hosts(now());
 
@@ -446,6 +454,7 @@
 				...counts, sentBytes: sent, receivedBytes: received, connections,
 			};
 		},
+		notices: documents.notices,
 		notReady: () => table.accepted() ? [] : [{reason: 'no configuration has been accepted yet', remedy: 'see that --platform-url or one of --seeds is reached and serves a valid document'}],
 		reloadKeys: listener.reloadKeys,
 		drain() {
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -27,6 +27,7 @@
 	const counters = {
 		platform_reads_total: ['Reads of the platform, watches included.', () => agent.counts().platformReads],
 		orphans_released_total: ['Attempts of ended hosts that were released on servers.', () => agent.counts().orphansReleased],
+		configs_refused_total: ['Different configuration documents that were refused.', () => agent.counts().configsRefused],
 		orders_given_total: ['Orders that servers took from this host.', () => agent.counts().ordersGiven],
 		peer_sent_bytes_total: ['Bytes sent to agents of other hosts.', () => agent.counts().sentBytes],
 		peer_received_bytes_total: ['Bytes received from agents of other hosts.', () => agent.counts().receivedBytes],
@@ -58,12 +59,13 @@
 	}
 
 	const keys = loadedKeys.value;
+	const engines = createEngines(server => createEngineHttp({server}));
 	const agent = await startAgent({
 		settings,
 		clock: {wallNow: () => Date.now(), now: () => performance.now()},
 		random: Math.random,
 		platform: createPlatformHttp({url: settings.platformUrl}),
-		toEngine: server => createEngineHttp({server}),
+		toEngine: engines.toEngine,
 		log,
 		tls: keys.peer,
 	});
@@ -75,7 +77,7 @@
 		metrics,
 		keys,
 		notReady: agent.notReady,
-		status: () => ({...toStatus(agent.view(), performance.now()), counts: agent.counts()}),
+		status: () => ({...toStatus(agent.view(), performance.now()), ...agent.notices(), counts: agent.counts()}),
 	});
 	if (operator.isErr()) {
 		return fail(log, operator.error.message);
--- a/test/contracts/operator-programs.test.ts
+++ b/test/contracts/operator-programs.test.ts
@@ -209,3 +209,34 @@
 		}
 	});
 });
+
+describe('operators\' port of the agent', () => {
+	/*
+	 * Somebody publishes a good document, then a half-finished one. The good one
+	 * must stay in force, and staff must see that theirs was refused, and why,
+	 * without reading logs; the next good one clears the notice.
+	 */
+	it('shows the last refused document until another is in force', async () => {
+		const fleet = await startFleet({zones: ['dvorana-a'], hostsPerZone: 1});
+		try {
+			await fleet.waitUntilReady();
+			const port = fleet.hosts[0]!.agent().port('operatorPort');
+			const waitForStatus = async (pattern: RegExp, what: string) => waitUntil(async () => {
+				const {text} = await ask(port, '/status');
+				return pattern.test(text);
+			}, {deadlineMs: 15_000, what});
+			const before = fleet.configText;
+			fleet.platform.publish('config', before.slice(0, -20));
+			await waitForStatus(/"refused":{"revision":2,"from":"platform","kind":"[a-z-]+","reason":"[^"]/, 'the refused document');
+			const {text} = await ask(port, '/metrics');
+			assert.match(text, /^banyanport_configs_refused_total 1$/m);
+			assert.match(text, /^banyanport_config_revision 1$/m);
+			const entryStatus = await ask(fleet.hosts[0]!.entry().port('operatorPort'), '/ready');
+			assert.equal(entryStatus.status, 200);
+			fleet.platform.publish('config', fleet.toConfigText({}));
+			await waitForStatus(/^(?!.*"refused")/, 'the notice to go');
+		} finally {
+			await fleet.stop();
+		}
+	});
+});
