Let jurors of another zone tell a zone of two what they found

The juror of another zone spent the few sends of its verdict on its own zone, and digests do not cover witnesses, so no repair followed. Change: such a juror tells the suspect's zone directly, each time that it finds the suspect gone.

--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -213,10 +213,16 @@
 			.map(to => ({to: to.id, address: to.agentAddress, message: toMessage({kind: 'news'}, undefined, now, updates)}));
 	}
 
+	/** Whether a zone has too few hosts to judge by itself, so that bridges of other zones are its jurors. */
+	function needsJurors(id: HostId): boolean {
+		const zone = records.get(id)?.zone;
+		return targets.jury(id).some(juror => juror.zone !== zone);
+	}
+
 	function isUrgent({id, life, leaving}: HostRecord, prev: HostRecord | undefined): boolean {
-		// A zone of two needs a juror elsewhere, and gossip alone would be slow to fetch one.
-		const needsJuror = life === 'suspect' && prev?.life !== 'suspect' && targets.jury(id).some(({zone}) => zone !== records.get(id)?.zone);
-		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || needsJuror;
+		// Gossip alone would be slow to fetch a juror from another zone.
+		const isSuspicion = life === 'suspect' && prev?.life !== 'suspect' && needsJurors(id);
+		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || isSuspicion;
 	}
 
 	/** Merges what a message says and returns what must go on at once. */
@@ -269,8 +275,13 @@
 		}
 
 		const accused: HostRecord = {...record, life: 'suspect', witnesses: [...new Set([...record.witnesses, ownId])]};
-		records.merge(accused, now);
-		return isUrgent(accused, record) ? flood([accused], ownId, now) : [];
+		const change = records.merge(accused, now);
+		// A juror's verdict counts only where the suspect's own zone hears it. Gossip
+		// may spend its few sends elsewhere, and digests do not cover witnesses: a
+		// dead host would stay suspect. A juror of another zone therefore says it
+		// each time that it finds the suspect gone.
+		const isTold = needsJurors(id) && (change !== 'none' || record.zone !== ownZone);
+		return isTold ? flood([records.get(id)!], ownId, now) : [];
 	}
 
 	/** Hosts that could say now whether the suspect is there; those behind a cut cannot. */
--- a/src/domain/create-membership/test.ts
+++ b/src/domain/create-membership/test.ts
@@ -62,6 +62,16 @@
 		});
 	}
 
+	it('declares a host dead in a zone of two, whoever suspects it first', () => {
+		fc.assert(fc.property(fc.integer(), fc.constantFrom('a-1', 'a-2', 'b-1', 'b-2'), (seed, victim) => {
+			const network = createSettled(two, undefined, seed);
+			network.run(30_000);
+			network.kill(victim);
+			network.run(12_000);
+			assert.deepEqual(network.others(victim, 'dead'), []);
+		}), {numRuns: 40});
+	});
+
 	it('keeps a host that is alone in its zone suspect: its death and a cut look the same', () => {
 		const network = createSettled({a: 3, b: 1});
 		network.kill('b-1');
