Break two long lines

Cause: the linter warned of them. Ruled out: nothing. Change: layout alone; the expected log line of a test is put together from two parts and is the same text.

--- a/src/adapters/log/test.ts
+++ b/src/adapters/log/test.ts
@@ -46,7 +46,8 @@
 	it('writes one JSON object a line with the identity of the process', () => {
 		const {sink, text} = createSink();
 		createTestLog(sink).with({requestId: 'r1', attempt: 1}).info('dispatched', {server: 's1', attempt: 2});
-		assert.equal(text(), '{"level":"info","message":"dispatched","time":"1970-01-01T00:00:00.000Z","program":"p","host":"a-1","zone":"a","incarnation":7,"requestId":"r1","attempt":2,"server":"s1"}\n');
+		const identity = '"time":"1970-01-01T00:00:00.000Z","program":"p","host":"a-1","zone":"a","incarnation":7';
+		assert.equal(text(), `{"level":"info","message":"dispatched",${identity},"requestId":"r1","attempt":2,"server":"s1"}\n`);
 	});
 
 	it('does not gather fields for a level that is off', () => {
--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -82,7 +82,12 @@
 		description: 'Greatest difference between a caller\'s clock and a host\'s. A host that was not started gracefully vouches for no key older than its start and this.',
 	},
 	drainDelay: {
-		type: 'duration', default: 2 * msPerSecond, min: 0, max: 10 * msPerMinute, group: 'Operation', description: 'Time for which a planned stop still takes connections, so that the balancer learns of it first.',
+		type: 'duration',
+		default: 2 * msPerSecond,
+		min: 0,
+		max: 10 * msPerMinute,
+		group: 'Operation',
+		description: 'Time for which a planned stop still takes connections, so that the balancer learns of it first.',
 	},
 	drainTimeout: {
 		type: 'duration',
