Tick the agent less often

Change: five ticks an interval (200 ms at the default), and slower looks at who polls and who reads. The bench tells proportional memory too.

--- a/bench/membership/_lib/measure-agents.ts
+++ b/bench/membership/_lib/measure-agents.ts
@@ -24,7 +24,9 @@
 	maxCpuPercent: number;
 	meanResidentMb: number;
 	maxResidentMb: number;
-	/** Of the resident memory, what is not shared with other processes that run the same file. */
+	/** Resident memory with shared pages, such as those of Node's own file, divided among the processes that share them. */
+	meanProportionalMb: number;
+	/** Resident memory that is not of a file. */
 	meanAnonymousMb: number;
 	falseSuspicions: number;
 	/** From the kill of one agent until all others call it dead. */
@@ -40,8 +42,8 @@
 	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
 }
 
-function readMemoryMb(pid: number, name: string): number {
-	const kilobytes = new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1];
+function readMemoryMb(pid: number, name: string, file = 'status'): number {
+	const kilobytes = new RegExp(String.raw`\b${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/${file}`, 'utf8'))?.[1];
 	return Number(kilobytes) / 1024;
 }
 
@@ -126,6 +128,7 @@
 		const seconds = (performance.now() - startedAt) / 1000;
 		const memory = agents.map(agent => readMemoryMb(agent.pid, 'VmRSS'));
 		const anonymous = agents.map(agent => readMemoryMb(agent.pid, 'RssAnon'));
+		const proportional = agents.map(agent => readMemoryMb(agent.pid, 'Pss', 'smaps_rollup'));
 		const afterwards = await Promise.all(agents.map(async agent => readStatus(agent)));
 		const rates = (key: 'sentBytes' | 'receivedBytes') => afterwards.map(({counts}, i) => (counts[key] - before[i]!.status.counts[key]) / seconds);
 		const cpu = cpuSeconds.map((value, i) => (value - before[i]!.cpu) / seconds * 100);
@@ -141,6 +144,7 @@
 			maxCpuPercent: round(Math.max(...cpu)),
 			meanResidentMb: round(toMean(memory)),
 			maxResidentMb: round(Math.max(...memory)),
+			meanProportionalMb: round(toMean(proportional)),
 			meanAnonymousMb: round(toMean(anonymous)),
 			falseSuspicions: afterwards.reduce((sum, {hosts}) => sum + hosts.filter(({life}) => life !== 'alive').length, 0),
 			deadAfterMs,
--- a/src/programs/agent/_lib/poll-loads.ts
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -9,7 +9,7 @@
 import {type ServerId} from '../../../ports/ids.js';
 
 const minTimeoutMs = 1000;
-const refreshMs = 250;
+const refreshMs = 500;
 
 export type PollOptions = {
 	/** Servers to poll now; asked again before each poll. */
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -37,7 +37,8 @@
 import {spreadLoads} from './spread-loads.js';
 import {watchPlatform} from './watch-platform.js';
 
-const tickMs = 100;
+const mostTickMs = 200;
+const ticksAnInterval = 5;
 const pauseLimitMs = 2000;
 const readersOfZone = 2;
 
@@ -403,7 +404,7 @@
 		noteHosts();
 		loads.tick();
 		publish();
-	}, tickMs);
+	}, Math.min(mostTickMs, intervalMs / ticksAnInterval));
 	const tasks = [
 		watch('config'),
 		watch('fleet'),
--- a/src/programs/agent/_lib/watch-platform.ts
+++ b/src/programs/agent/_lib/watch-platform.ts
@@ -11,6 +11,7 @@
 const firstBackoffMs = 250;
 const maxBackoffMs = 15_000;
 const idleMs = 250;
+const standbyMs = 1000;
 
 export type WatchOptions = {
 	platform: Platform;
@@ -44,7 +45,7 @@
 
 	while (!signal.aborted) {
 		if (!isReader()) {
-			await waitFor(idleMs * (0.5 + random()), signal);
+			await waitFor(standbyMs * (0.5 + random()), signal);
 			continue;
 		}
 
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -9,6 +9,7 @@
 import {
 	agentSettings, checkAgentSettings, entrySettings, type AgentSettings,
 } from '../_settings/index.js';
+import {createEngines} from '../entry/_lib/engines.js';
 import {startAgent, type Agent} from './_lib/start-agent.js';
 import {toStatus} from './_lib/to-status.js';
 
