--- a/bench/placement/simulate.ts
+++ b/bench/placement/simulate.ts
@@ -56,10 +56,12 @@
 	decodeServers: 12,
 	prefillServers: 15,
 	slots: 20,
+	/** Mean length of a prompt; a fixed part, and an exponential one. */
 	promptTokens: 1600,
+	minPromptTokens: 100,
 	prefillTokensPerSecond: 8000,
 	holdMs: 4000,
-	kvBytes: 210_000_000,
+	kvBytesPerToken: 131_250,
 	linkBytesPerSecond: 3_000_000_000,
 	targetMs: 1300,
 	kvLifeMs: 800,
@@ -73,6 +75,8 @@
 
 type PrefillState = {entry: ServerEntry; busyUntil: number};
 type DecodeState = {entry: ServerEntry; used: number; waiting: Array<() => boolean>; transfers: number};
+/** One request: when it came, and its prompt. */
+type Job = {arrivedAt: number; promptTokens: number};
 type Choice = {prefill: ServerEntry; decode: ServerEntry; placement: Placement | undefined};
 
 /** Requests a second that the decode servers carry when all slots are always taken. */
@@ -167,8 +171,8 @@
 /** A router of the given strategy: chooses pairs, and learns if it is one that learns. */
 const createRouter = (fleet: Fleet, agenda: Agenda, {strategy}: Scenario, random: () => number) => {
 	const isBlind = strategy === 'round-robin' || strategy === 'least-lagged' || strategy === 'two-lagged' || strategy === 'reserve-lagged';
-	const placement = createPlacement({zone: 'a', draws: strategy === 'reserve-all' ? Infinity : 2, kvBytesPerToken: settings.kvBytes / settings.promptTokens});
-	let turn = Math.floor(random() * 1000);
+	const placement = createPlacement({zone: 'a', draws: strategy === 'reserve-all' ? Infinity : 2, kvBytesPerToken: settings.kvBytesPerToken});
+	const turns = {prefill: Math.floor(random() * 1000), decode: Math.floor(random() * 1000), plain: 0};
 
 	const toLoad = (entry: ServerEntry): number => {
 		const load = fleet.toView().servers.get(entry.id)?.load;
@@ -178,7 +182,9 @@
 	const chooseBlind = (states: ReadonlyArray<{entry: ServerEntry}>, exclude: ReadonlySet<string>): ServerEntry | undefined => {
 		const entries = states.map(state => state.entry).filter(entry => !exclude.has(entry.id));
 		if (strategy === 'round-robin') {
-			return entries[turn++ % entries.length];
+			const role = entries[0]?.role ?? 'plain';
+			turns[role]++;
+			return entries[turns[role] % entries.length];
 		}
 
 		const drawn = strategy === 'least-lagged' ? entries : [1, 2].map(() => entries[Math.floor(random() * entries.length)]!);
@@ -188,14 +194,14 @@
 	};
 
 	return {
-		choose(budgetMs: number, exclude: ReadonlySet<string>): Choice | undefined {
+		choose(promptTokens: number, budgetMs: number, exclude: ReadonlySet<string>): Choice | undefined {
 			if (isBlind) {
 				const prefill = chooseBlind(fleet.prefills, new Set());
 				const decode = chooseBlind(fleet.decodes, exclude);
 				return prefill && decode && {prefill, decode, placement: undefined};
 			}
 
-			const request = toPlacementRequest({promptTokens: settings.promptTokens, firstTokenBudgetMs: budgetMs, exclude});
+			const request = toPlacementRequest({promptTokens, firstTokenBudgetMs: budgetMs, exclude});
 			const picked = placement.pick(request, fleet.toView(), agenda.now(), random);
 			if (picked.isErr()) {
 				return undefined;
@@ -209,9 +215,9 @@
 				placement.noteReserved(choice.placement, agenda.now());
 			}
 		},
-		notePrefilled(choice: Choice): void {
+		notePrefilled(choice: Choice, promptTokens: number): void {
 			if (choice.placement) {
-				placement.notePrefilled(choice.placement, {promptTokens: settings.promptTokens, cachedTokens: 0, bytes: settings.kvBytes}, agenda.now());
+				placement.notePrefilled(choice.placement, {promptTokens, cachedTokens: 0, bytes: promptTokens * settings.kvBytesPerToken}, agenda.now());
 			}
 		},
 		noteFirstToken(choice: Choice): void {
@@ -259,9 +265,9 @@
 	};
 
 	/** Transfer and decode on a slot that is already counted. */
-	const serve = (router: Router, choice: Choice, state: DecodeState, arrivedAt: number): void => {
+	const serve = (router: Router, choice: Choice, state: DecodeState, {arrivedAt, promptTokens}: Job): void => {
 		state.transfers++;
-		agenda.after(settings.kvBytes * state.transfers / settings.linkBytesPerSecond * 1000, () => {
+		agenda.after(promptTokens * settings.kvBytesPerToken * state.transfers / settings.linkBytesPerSecond * 1000, () => {
 			state.transfers--;
 			router.noteFirstToken(choice);
 			const tookMs = agenda.now() - arrivedAt;
@@ -278,12 +284,13 @@
 	};
 
 	/** Prefill, then the decode server's slot: already held, or looked for only now. */
-	const run = (router: Router, choice: Choice, arrivedAt: number): void => {
+	const run = (router: Router, choice: Choice, job: Job): void => {
+		const {arrivedAt, promptTokens} = job;
 		const startedAt = agenda.now();
 		const prefill = fleet.toPrefill(choice.prefill);
 		const state = fleet.toDecode(choice.decode);
 		const ttlMs = choice.placement?.reservationTtlMs ?? settings.reservationMs;
-		const doneAt = Math.max(prefill.busyUntil, startedAt) + (settings.promptTokens / settings.prefillTokensPerSecond * 1000);
+		const doneAt = Math.max(prefill.busyUntil, startedAt) + (promptTokens / settings.prefillTokensPerSecond * 1000);
 		if (isArbitrated && doneAt - startedAt > ttlMs) {
 			// The engine drops queued work at its deadline, which is the end of the reservation.
 			agenda.after(ttlMs, () => {
@@ -297,16 +304,16 @@
 		prefill.busyUntil = doneAt;
 		add(arrivedAt, 'prefills');
 		agenda.after(doneAt - startedAt, () => {
-			router.notePrefilled(choice);
+			router.notePrefilled(choice, promptTokens);
 			if (isArbitrated) {
-				serve(router, choice, state, arrivedAt);
+				serve(router, choice, state, job);
 				return;
 			}
 
 			add(arrivedAt, 'offers');
 			if (state.used < settings.slots) {
 				state.used++;
-				serve(router, choice, state, arrivedAt);
+				serve(router, choice, state, job);
 				return;
 			}
 
@@ -318,7 +325,7 @@
 				isWaiting = false;
 				if (isAlive) {
 					state.used++;
-					serve(router, choice, state, arrivedAt);
+					serve(router, choice, state, job);
 				}
 
 				return isAlive;
@@ -334,15 +341,16 @@
 		});
 	};
 
-	const attempt = (router: Router, arrivedAt: number, exclude: ReadonlySet<string>): void => {
+	const attempt = (router: Router, job: Job, exclude: ReadonlySet<string>): void => {
+		const {arrivedAt, promptTokens} = job;
 		const leftMs = settings.targetMs - (agenda.now() - arrivedAt);
-		const choice = leftMs > 0 ? router.choose(leftMs, exclude) : undefined;
+		const choice = leftMs > 0 ? router.choose(promptTokens, leftMs, exclude) : undefined;
 		if (choice === undefined) {
 			if (leftMs <= settings.waitMs) {
 				add(arrivedAt, 'refused');
 			} else {
 				agenda.after(settings.waitMs * (0.5 + random()), () => {
-					attempt(router, arrivedAt, new Set());
+					attempt(router, job, new Set());
 				});
 			}
 
@@ -350,7 +358,7 @@
 		}
 
 		if (!isArbitrated) {
-			run(router, choice, arrivedAt);
+			run(router, choice, job);
 			return;
 		}
 
@@ -360,7 +368,7 @@
 			if (state.used < settings.slots) {
 				state.used++;
 				router.noteReserved(choice);
-				run(router, choice, arrivedAt);
+				run(router, choice, job);
 				return;
 			}
 
@@ -368,7 +376,7 @@
 			router.noteEnd(choice, {kind: 'refused', reason: 'full'});
 			const tried = new Set([...exclude, choice.decode.id]);
 			agenda.after(tried.size < settings.offersAtOnce ? settings.hopMs : settings.waitMs * (0.5 + random()), () => {
-				attempt(router, arrivedAt, tried.size < settings.offersAtOnce ? tried : new Set());
+				attempt(router, job, tried.size < settings.offersAtOnce ? tried : new Set());
 			});
 		});
 	};
@@ -376,7 +384,8 @@
 	const arrive = (): void => {
 		const arrivedAt = agenda.now();
 		add(arrivedAt, 'offered');
-		attempt(routers[Math.floor(random() * routers.length)]!, arrivedAt, new Set());
+		const promptTokens = Math.ceil(settings.minPromptTokens - (Math.log(1 - random()) * (settings.promptTokens - settings.minPromptTokens)));
+		attempt(routers[Math.floor(random() * routers.length)]!, {arrivedAt, promptTokens}, new Set());
 	};
 
 	// Open loop: a Poisson stream, whatever becomes of earlier requests.
--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -31,7 +31,7 @@
 const ownWordMs = 30_000;
 
 /** Reasons that only make a server a worse candidate; the others keep it out. */
-const softReasons: ReadonlySet<PassedOverReason> = new Set(['returning', 'unknown-load']);
+const softReasons: ReadonlySet<PassedOverReason> = new Set(['returning', 'unknown-load', 'doubted']);
 
 export const isSoft = (reason: PassedOverReason): boolean => softReasons.has(reason);
 
@@ -55,6 +55,29 @@
 	return load.state === 'loading' ? 'not-serving' : undefined;
 };
 
+/** Share of a group in the own zone that polls may call unreachable before they are doubted. */
+const doubtShare = 0.5;
+
+const toGroup = (entry: ServerEntry): string => `${entry.pool}/${entry.role}`;
+
+/**
+ * Groups of the own zone of which polls call more than half unreachable. That
+ * may be the agent's own trouble; taken at its word it would empty the pool, so
+ * these servers are tried when nothing else is left. A reservation that cannot
+ * be made costs no prefill.
+ */
+const toDoubtedGroups = (view: FleetView, servers: ReadonlyMap<ServerId, ServerEntry>, ownZone: ZoneId): ReadonlySet<string> => {
+	const counts = new Map<string, {total: number; lost: number}>();
+	for (const entry of servers.values()) {
+		if (entry.zone === ownZone) {
+			const {total, lost} = counts.get(toGroup(entry)) ?? {total: 0, lost: 0};
+			counts.set(toGroup(entry), {total: total + 1, lost: lost + (view.servers.get(entry.id)?.reachable === false ? 1 : 0)});
+		}
+	}
+
+	return new Set([...counts].filter(([, {total, lost}]) => lost > total * doubtShare).map(([group]) => group));
+};
+
 /** Zones with published hosts of which the view knows some and none is alive. */
 const toCutZones = (view: FleetView, ownZone: ZoneId): ReadonlySet<ZoneId> => {
 	const living = new Map<ZoneId, boolean>();
@@ -82,6 +105,7 @@
 	const mismatchAt = new Map<ServerId, Milliseconds>();
 	const lost = new Set<ServerId>();
 	let cutZones: ReadonlySet<ZoneId> = new Set();
+	let doubtedGroups: ReadonlySet<string> = new Set();
 	let sweptAt = -Infinity;
 
 	/** Whether the server's own word, given at `saidAt`, still stands against its reports. */
@@ -99,6 +123,7 @@
 
 		sweptAt = now;
 		cutZones = toCutZones(view, zone);
+		doubtedGroups = toDoubtedGroups(view, servers, zone);
 		for (const entry of servers.values()) {
 			const isLost = cutZones.has(entry.zone) || view.servers.get(entry.id)?.reachable === false;
 			if (isLost) {
@@ -145,7 +170,7 @@
 		}
 
 		if (status?.reachable === false) {
-			return 'unreachable';
+			return entry.zone === zone && doubtedGroups.has(toGroup(entry)) ? 'doubted' : 'unreachable';
 		}
 
 		if (isStanding(mismatchAt.get(id), loadAt, now)) {
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -7,7 +7,7 @@
 import {type FleetView} from '../../../ports/view.js';
 
 /** Why a server may not be considered, or only when nothing better is left. */
-export type StandingReason = 'excluded' | 'leaving' | 'unreachable' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
+export type StandingReason = 'excluded' | 'leaving' | 'unreachable' | 'doubted' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
 
 /** What the server's last report says that the request does not want. */
 export type MismatchReason = 'wrong-role' | 'wrong-model' | 'wrong-version' | 'no-adapter' | 'not-serving';
--- a/src/domain/create-placement/zones.test.ts
+++ b/src/domain/create-placement/zones.test.ts
@@ -54,6 +54,8 @@
 		['never leaves its region', {usedIn: {a: 20, b: 20}}, {'no-memory': 60}],
 		['never goes to a zone whose hosts are all dead', {usedIn: {a: 20}, lives: {b: 'dead'}}, {'no-memory': 60}],
 		['never goes to servers that cannot be reached', {usedIn: {a: 20}, unreachable: 'b'}, {'no-memory': 60}],
+		['tries its own zone though polls say that none of it can be reached, when nothing else is left', {usedIn: {b: 20}, unreachable: 'a'}, {a: 60}],
+		['prefers a zone that can be reached to one that may not', {unreachable: 'a'}, {b: 60}],
 		['serves on in its own zone when it knows no living host', {lives: {a: 'suspect', b: 'dead', far: 'dead'}}, {a: 60}],
 	];
 	for (const [name, change, expected] of rows) {
