Keep examples on documentation addresses; a restarted entry never shares a stamp

Cause: the example documents named private addresses, so starting a program with one as it stands sends polls to whatever lives there.

An entry whose clock was set back took over the incarnation of the process that died before it (`Math.max`), so engines and agents could not tell the two apart; it goes one above now.

bench/capacity measures the slopes for docs/CAPACITY.md.

--- /dev/null
+++ b/bench/capacity/measure-agent-load.ts
@@ -0,0 +1,83 @@
+/** One real agent under documents and server lists of several sizes: memory, processor time, reads of the platform. */
+import {readFileSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {toFleetConfig} from '../../src/domain/_test/to-fleet-config.js';
+import {toConfigText} from '../../src/domain/to-config-text/index.js';
+import {startProgram} from '../../test/_lib/start-program/index.js';
+import {startEngineStandIn, type EngineStandIn} from '../../test/stand-ins/engine/index.js';
+import {startPlatformStandIn} from '../../test/stand-ins/platform/index.js';
+import {smallHeapOptions} from '../membership/index.js';
+
+const settleMs = 8000;
+const measureMs = 10_000;
+const ticksPerSecond = 100;
+
+export type AgentLoadRow = {
+	workspaces: number;
+	documentBytes: number;
+	polledServers: number;
+	nodeOptions: string;
+	cpuPercent: number;
+	residentMb: number;
+	/** Highest resident memory since the start. */
+	peakMb: number;
+	platformReadsPerSecond: number;
+};
+
+function readCpuSeconds(pid: number): number {
+	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
+}
+
+function readStatusMb(pid: number, name: string): number {
+	return Number(new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1]) / 1024;
+}
+
+function toText(workspaces: number, engines: readonly EngineStandIn[]): string {
+	const config = toFleetConfig(Math.max(2, Math.round(workspaces * 11 / 18)), workspaces);
+	const servers = engines.map((engine, i) => ({...config.servers[i === 0 ? 0 : 1]!, id: engine.id, url: engine.url}));
+	return toConfigText({...config, servers});
+}
+
+/**
+ * Measures one size.
+ *
+ * @param workspaces - Workspaces that the document names.
+ * @param polledServers - Engines that the agent polls, at least two.
+ * @param isSmallHeap - Whether Node is started as the page for operators says.
+ * @returns The row. All that it started has ended.
+ */
+export async function measureAgentLoad(workspaces: number, polledServers: number, isSmallHeap = true): Promise<AgentLoadRow> {
+	const engines = await Promise.all(Array.from({length: polledServers}, async (_, i) => startEngineStandIn({
+		id: `e${i}`, role: i === 0 ? 'prefill' : 'decode', model: 'm', version: '1',
+	})));
+	const text = toText(workspaces, engines);
+	const platform = await startPlatformStandIn({config: text, fleet: {hosts: [], servers: []}});
+	const nodeOptions = isSmallHeap ? smallHeapOptions : [];
+	const agent = await startProgram({
+		program: 'agent',
+		nodeOptions,
+		flags: {
+			hostId: 'a-1', zone: 'a', platformUrl: platform.url, peerPort: 0, operatorPort: 0,
+		},
+	});
+	try {
+		await sleep(settleMs);
+		const cpuBefore = readCpuSeconds(agent.pid);
+		const readsBefore = platform.judge().reads;
+		await sleep(measureMs);
+		return {
+			workspaces,
+			documentBytes: text.length,
+			polledServers,
+			nodeOptions: nodeOptions.join(' '),
+			cpuPercent: Number(((readCpuSeconds(agent.pid) - cpuBefore) / (measureMs / 1000) * 100).toFixed(2)),
+			residentMb: Number(readStatusMb(agent.pid, 'VmRSS').toFixed(1)),
+			peakMb: Number(readStatusMb(agent.pid, 'VmHWM').toFixed(1)),
+			platformReadsPerSecond: Number(((platform.judge().reads - readsBefore) / (measureMs / 1000)).toFixed(2)),
+		};
+	} finally {
+		await agent.stop();
+		await Promise.all([platform.stop(), ...engines.map(async engine => engine.stop())]);
+	}
+}
--- /dev/null
+++ b/bench/capacity/to-fit.ts
@@ -0,0 +1,37 @@
+/** Straight lines through measured points. */
+
+export type Point = {
+	size: number;
+	value: number;
+};
+
+export type Fit = {
+	slope: number;
+	intercept: number;
+	/** Share of the points' variance that the line explains; 1 is a perfect line. */
+	r2: number;
+};
+
+/**
+ * Fits a line by least squares.
+ *
+ * @param points - At least two, of different sizes.
+ * @returns The line.
+ *
+ * @example
+ * ```ts
+ * toFit([{size: 1, value: 3}, {size: 2, value: 5}]); // => {slope: 2, intercept: 1, r2: 1}
+ * ```
+ */
+export function toFit(points: readonly Point[]): Fit {
+	const count = points.length;
+	const meanSize = points.reduce((sum, {size}) => sum + size, 0) / count;
+	const meanValue = points.reduce((sum, {value}) => sum + value, 0) / count;
+	const covariance = points.reduce((sum, {size, value}) => sum + ((size - meanSize) * (value - meanValue)), 0);
+	const variance = points.reduce((sum, {size}) => sum + ((size - meanSize) ** 2), 0);
+	const slope = covariance / variance;
+	const intercept = meanValue - (slope * meanSize);
+	const total = points.reduce((sum, {value}) => sum + ((value - meanValue) ** 2), 0);
+	const rest = points.reduce((sum, {size, value}) => sum + ((value - intercept - (slope * size)) ** 2), 0);
+	return {slope, intercept, r2: total === 0 ? 1 : 1 - (rest / total)};
+}
--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -3,6 +3,7 @@
 import {
 	bytesPerKibibyte, bytesPerMebibyte, msPerMinute, msPerSecond,
 } from '../../ports/units.js';
+import {defaultClockBoundMs} from '../../domain/create-claim-witness/index.js';
 import {checkCommonSettings, commonSettings, findPartialKeys} from './common.js';
 
 export const entrySettings = defineSettings({
@@ -75,7 +76,7 @@
 	},
 	clockBound: {
 		type: 'duration',
-		default: 5 * msPerMinute,
+		default: defaultClockBoundMs,
 		min: 0,
 		max: 60 * msPerMinute,
 		group: 'Idempotency keys',
--- a/src/programs/cli/run-cli/index.ts
+++ b/src/programs/cli/run-cli/index.ts
@@ -158,7 +158,7 @@
 		.description(`${description} The token in BANYANPORT_OPERATOR_TOKEN is sent along.`));
 
 	add('status', 'Show what hosts say of themselves.')
-		.addHelpText('after', toExamples('banyanport status 10.20.1.5:7404 10.20.1.5:7403'))
+		.addHelpText('after', toExamples('banyanport status 192.0.2.5:7404 192.0.2.5:7403'))
 		.action(async (hosts: readonly string[], options: HostFlags) => {
 			finish(await runStatus(io, hosts, toHostOptions(options)));
 		});
@@ -167,14 +167,14 @@
 		.description('Show what became of one request: rule, servers passed over and chosen, timings. The token in BANYANPORT_OPERATOR_TOKEN is sent along.')
 		.argument('<request-id>', 'x-request-id of the answer');
 	addHostOptions(account)
-		.addHelpText('after', toExamples('banyanport account 0193a5c0-5d4f-7cc3-98c4-dc0c0c07398f 10.20.1.5:7404 10.20.2.5:7404'))
+		.addHelpText('after', toExamples('banyanport account 0193a5c0-5d4f-7cc3-98c4-dc0c0c07398f 192.0.2.5:7404 192.0.2.105:7404'))
 		.action(async (requestId: string, hosts: readonly string[], options: HostFlags) => {
 			finish(await runAccount(io, requestId, hosts, toHostOptions(options)));
 		});
 
 	add('slo', 'Report how fast the error budgets of both targets are being spent, over all hosts named.')
 		.option('--html <file>', 'also write a page with plots')
-		.addHelpText('after', toExamples('banyanport slo 10.20.1.5:7404 10.20.2.5:7404', 'banyanport slo 10.20.1.5:7404 --html burn.html'))
+		.addHelpText('after', toExamples('banyanport slo 192.0.2.5:7404 192.0.2.105:7404', 'banyanport slo 192.0.2.5:7404 --html burn.html'))
 		.action(async (hosts: readonly string[], options: HostFlags & {html?: string}) => {
 			finish(await runSlo(io, hosts, {...toHostOptions(options), html: options.html}));
 		});
--- a/src/programs/entry/_lib/join-fleet.ts
+++ b/src/programs/entry/_lib/join-fleet.ts
@@ -74,8 +74,10 @@
 		now: clock.now,
 		random,
 		onIncarnationSeen(seen) {
-			// A clock that was set back would make this process look like one that died before it.
-			incarnation = Math.max(incarnation, seen);
+			// A clock that was set back would give this process the stamp of one that died before it, and the agent would release its memory as that one's.
+			if (seen > incarnation) {
+				incarnation = seen + 1;
+			}
 		},
 		onState(state, reason) {
 			log.info(`view feed ${state}`, {reason});
