Admission: lanes in their own file, bench rows as JSON after the tables

Change: create-lane holds what belongs to one class; the bench prints its rows as one JSON line, like the other benches. No decision changes.

--- a/bench/admission/index.ts
+++ b/bench/admission/index.ts
@@ -4,7 +4,6 @@
  * that leave and one slow server in each pool. Then what cancelling saves,
  * whether hedging pays, what retries add, and what the decisions cost.
  */
-import process from 'node:process';
 import {type Scenario} from './_lib/arrivals.js';
 import {runCancels} from './_lib/cancels.js';
 import {measureDecisionCost} from './_lib/decision-cost.js';
@@ -21,7 +20,7 @@
 type Row = {fleet: string; load: number; policy: string} & Partial<Figures>;
 
 /**
- * Runs the comparisons and prints tables, or JSON with `--json`.
+ * Runs the comparisons and prints tables and, after them, the rows as JSON.
  *
  * @param seed - seed of the arrivals, 1 by default.
  */
@@ -34,19 +33,15 @@
 	const hedging = runHedging(base);
 	const retries = runRetries();
 	const cost = measureDecisionCost();
-	if (process.argv.includes('--json')) {
-		console.log(JSON.stringify({
-			rows, stages, gains, hedging, retries, cost,
-		}, undefined, '\t'));
-		return;
-	}
-
 	console.log(`seed ${seed}; parts in %, times in ms\n\n${toTable(rows)}`);
 	console.log(`\nCallers of batch work that left, a third of all, load 1.1, nine routers (means a request)\n\n${toTable(stages)}`);
 	console.log(`\nGoodput of those who stayed\n\n${toTable(gains)}`);
 	console.log(`\nHedging of quick work; a stalled transfer takes 3 s more\n\n${toTable(hedging)}`);
 	console.log(`\nRetries while a part of all attempts fails: three attempts each, and the budget\n\n${toTable(retries)}`);
-	console.log(`\nProcessor time of the decisions (this machine, under whatever else it does)\n\n${toTable(cost)}`);
+	console.log(`\nProcessor time of the decisions (this machine, under whatever else it does)\n\n${toTable(cost)}\n`);
+	console.log(JSON.stringify({
+		bench: 'admission', seed, rows, stages, gains, hedging, retries, cost,
+	}));
 }
 
 function toRows(scenario: Scenario): Row[] {
--- a/src/domain/create-admission/_lib/create-pool.ts
+++ b/src/domain/create-admission/_lib/create-pool.ts
@@ -1,12 +1,12 @@
 /** The places of one pool, the two queues before them, and what is predicted for those who wait. */
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type RequestId, type WorkspaceId} from '../../../ports/ids.js';
+import {type RequestId} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
-import {createFairQueue, type FairQueue} from '../../create-fair-queue/index.js';
-import {createMean, type Mean} from './create-mean.js';
+import {
+	createLane, hasRoom, type Lane, toItem,
+} from './create-lane.js';
 import {createPlaces} from './create-places.js';
 import {createRate} from './create-rate.js';
-import {createReturnTimes, type ReturnTimes} from './create-return-times.js';
 import {
 	type AdmissionAnswer, type AdmissionRequest, type AdmissionTick, type FinishOutcome, type PoolCapacity, type PoolSettings, type PoolStatus, type QueuedRequest, type Refusal,
 } from './types.js';
@@ -27,17 +27,6 @@
 /** Time between two looks at all waiting batch work for those that will be late. */
 const batchReviewMs = 250;
 
-/** One class of a pool. */
-type Lane = {
-	queue: FairQueue<QueuedRequest>;
-	running: number;
-	/** Time for which a request holds its place. */
-	holdMs: Mean;
-	/** Time from admission to the first token. */
-	firstTokenMs: Mean;
-	returnTimes: ReturnTimes;
-};
-
 type Running = {
 	lane: Lane;
 	admittedAt: Milliseconds;
@@ -273,32 +262,6 @@
 	};
 }
 
-function createLane(settings: PoolSettings): Lane {
-	return {
-		queue: createFairQueue<QueuedRequest>({windowCost: settings.fairnessWindowCost}),
-		running: 0,
-		holdMs: createMean(settings.meanWeight),
-		firstTokenMs: createMean(settings.meanWeight),
-		returnTimes: createReturnTimes(),
-	};
-}
-
-function toItem(request: AdmissionRequest, settings: PoolSettings): QueuedRequest {
-	return {
-		id: request.id,
-		workspace: request.workspace,
-		deadline: request.deadline,
-		firstTokenDeadline: request.firstTokenDeadline,
-		cost: 1 + request.maxTokens + (request.promptTokens / settings.prefillTokensPerCost),
-	};
-}
-
 function toRate(places: number, holdMs: Milliseconds | undefined): number {
 	return holdMs === undefined ? 0 : places / Math.max(1, holdMs);
 }
-
-/** One workspace may fill only a part of what is left, so that a queue filled by one still takes others. */
-function hasRoom(lane: Lane, workspace: WorkspaceId, limit: number, settings: PoolSettings): boolean {
-	const free = limit - lane.queue.size;
-	return free > 0 && lane.queue.countOf(workspace) < free * settings.maxQueuedPerWorkspace;
-}
