--- a/bench/relay/_lib/bench-set-up.ts
+++ b/bench/relay/_lib/bench-set-up.ts
@@ -4,6 +4,7 @@
 import {fileURLToPath} from 'node:url';
 import {Worker} from 'node:worker_threads';
 import {createEngineHttp, type EngineHttp} from '../../../src/adapters/engine-http/index.js';
+import {type BareStart} from './bare-main.js';
 import {type EngineWorkerData} from './engine-worker.js';
 import {type EntryStart, type EntryUsage} from './entry-main.js';
 
@@ -79,3 +80,18 @@
 		},
 	};
 }
+
+/** Starts the control, which relays and decides nothing. */
+export async function startBareRelay(start: BareStart): Promise<{url: string; stop: () => Promise<void>}> {
+	const child = fork(fileURLToPath(new URL('bare-main.js', import.meta.url)), {execArgv: ['--enable-source-maps'], stdio: ['ignore', 'ignore', 'inherit', 'ipc']});
+	child.send(start);
+	const {url} = await receive<{url: string}>(child);
+	return {
+		url,
+		async stop() {
+			const ended = once(child, 'exit');
+			child.disconnect();
+			await ended;
+		},
+	};
+}
--- a/bench/relay/_lib/measure-latency.ts
+++ b/bench/relay/_lib/measure-latency.ts
@@ -3,14 +3,19 @@
 import {performance} from 'node:perf_hooks';
 import {build} from 'hdr-histogram-js';
 import {Agent, request} from 'undici';
-import {type BenchEngine, type BenchEntry} from './bench-set-up.js';
+import {startBareRelay, type BenchEngine, type BenchEntry} from './bench-set-up.js';
 
 export type LatencyResult = {
 	streams: number;
 	samples: number;
 	directMs: {p50: number; p99: number};
+	/** Through the control, which relays and decides nothing. */
+	bareMs: {p50: number; p99: number};
 	throughMs: {p50: number; p99: number};
+	/** Through the entry less direct. */
 	addedMs: {p50: number; p99: number};
+	/** Through the entry less through the control. */
+	overBareMs: {p50: number; p99: number};
 };
 
 type Target = {prefill: BenchEngine; decode: BenchEngine; entry: BenchEntry; maxTokens: number};
@@ -42,9 +47,9 @@
 	return firstMs;
 }
 
-async function takeThrough({entry, maxTokens}: Target, dispatcher: Agent): Promise<number> {
+async function takeThrough(url: string, maxTokens: number, dispatcher: Agent): Promise<number> {
 	const start = performance.now();
-	const {body} = await request(`${entry.url}/v1/completions`, {
+	const {body} = await request(`${url}/v1/completions`, {
 		method: 'POST', dispatcher, headers: {'content-type': 'application/json'}, body: JSON.stringify({
 			model: 'm', prompt: 'Dear sir, your letter of May', max_tokens: maxTokens, stream: true,
 		}),
@@ -69,7 +74,9 @@
 	const {streams, samples, maxTokens} = options;
 	const dispatcher = new Agent({connections: streams, pipelining: 1});
 	const direct = build();
+	const bare = build();
 	const through = build();
+	const control = await startBareRelay({prefillUrl: target.prefill.url, decodeUrl: target.decode.url, maxTokens});
 	let left = samples + (streams * 3);
 	let taken = 0;
 
@@ -77,11 +84,13 @@
 		for (let i = 0; left > 0; i++) {
 			left--;
 			const directMs = await takeDirect({...target, maxTokens}, `${caller}-${i}`);
-			const throughMs = await takeThrough({...target, maxTokens}, dispatcher);
+			const bareMs = await takeThrough(control.url, maxTokens, dispatcher);
+			const throughMs = await takeThrough(target.entry.url, maxTokens, dispatcher);
 			// The first calls of each caller open connections and warm the code up.
 			if (i >= 3) {
 				taken++;
 				direct.recordValue(Math.round(directMs * microseconds));
+				bare.recordValue(Math.round(bareMs * microseconds));
 				through.recordValue(Math.round(throughMs * microseconds));
 			}
 		}
@@ -89,9 +98,11 @@
 
 	await Promise.all(Array.from({length: streams}, async (_, caller) => call(caller)));
 	await dispatcher.close();
+	await control.stop();
 	const quantiles = (histogram: typeof direct) => ({p50: histogram.getValueAtPercentile(50) / microseconds, p99: histogram.getValueAtPercentile(99) / microseconds});
-	const [directMs, throughMs] = [quantiles(direct), quantiles(through)];
+	const [directMs, bareMs, throughMs] = [quantiles(direct), quantiles(bare), quantiles(through)];
+	const toDifference = (from: {p50: number; p99: number}) => ({p50: throughMs.p50 - from.p50, p99: throughMs.p99 - from.p99});
 	return {
-		streams, samples: taken, directMs, throughMs, addedMs: {p50: throughMs.p50 - directMs.p50, p99: throughMs.p99 - directMs.p99},
+		streams, samples: taken, directMs, bareMs, throughMs, addedMs: toDifference(directMs), overBareMs: toDifference(bareMs),
 	};
 }
--- a/bench/relay/index.ts
+++ b/bench/relay/index.ts
@@ -25,9 +25,16 @@
 	}
 }
 
-function printLatency({streams, samples, directMs, throughMs, addedMs}: LatencyResult): void {
+function printLatency(result: LatencyResult): void {
+	const {streams, samples} = result;
 	const toText = (name: string, {p50, p99}: {p50: number; p99: number}) => `${name} p50 ${toFixed(p50)} p99 ${toFixed(p99)} ms`;
-	console.log(`first token at ${streams} streams (${samples} samples): ${toText('direct', directMs)}, ${toText('through the entry', throughMs)}, ${toText('added', addedMs)}`);
+	console.log([
+		`first token at ${streams} streams (${samples} samples): ${toText('direct', result.directMs)}`,
+		toText('through a bare relay', result.bareMs),
+		toText('through the entry', result.throughMs),
+		toText('added', result.addedMs),
+		toText('over the bare relay', result.overBareMs),
+	].join('; '));
 }
 
 function printLoad(name: string, result: LoadResult): void {
