Count unreachable servers of a zone only when there are any

Cause: the usual pick in a zone of 2,700 servers rose from 60 µs to 254 µs with the doubt about polls, as each walk over the view sorted all servers by group.

Change: groups are worked out only when a server of the own zone is lost.

--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -123,15 +123,18 @@
 
 		sweptAt = now;
 		cutZones = toCutZones(view, zone);
-		doubtedGroups = toDoubtedGroups(view, servers, zone);
+		let isLocalLost = false;
 		for (const entry of servers.values()) {
 			const isLost = cutZones.has(entry.zone) || view.servers.get(entry.id)?.reachable === false;
 			if (isLost) {
+				isLocalLost ||= entry.zone === zone;
 				lost.add(entry.id);
 			} else if (lost.delete(entry.id)) {
 				health.noteReturn(toSubject(entry), now);
 			}
 		}
+
+		doubtedGroups = isLocalLost ? toDoubtedGroups(view, servers, zone) : new Set();
 	};
 
 	/** Whether the server is, or says it is, on its way out. */
