--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -15,11 +15,14 @@
 import {createSync} from './_lib/create-sync.js';
 import {createTargets} from './_lib/create-targets.js';
 import {createZoneContacts} from './_lib/create-zone-contacts.js';
+import {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
+import {toHosts} from './_lib/to-hosts.js';
 import {
 	type HostRecord, type MemberMessage, type MessageBody, type OutMessage,
 } from './_lib/types.js';
 
 export {type HostRecord, type MemberMessage, type OutMessage} from './_lib/types.js';
+export {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
 
 /** Two hosts must have had no answer themselves, where there are two. */
 const witnessesNeeded = 2;
@@ -41,66 +44,6 @@
 /** A contact is made every third interval and takes a few more to be known in a large zone. */
 const zonePatience = 12;
 
-export type MembershipOptions = {
-	id: HostId;
-	zone: ZoneId;
-	/** Wall-clock milliseconds at the start of the process; raised above what peers have seen. */
-	incarnation: Incarnation;
-	agentAddress: string;
-	/** Peer ports of agents whose hosts may be unknown. */
-	seeds: readonly string[];
-	/** Time between two heartbeats, milliseconds; the same on all hosts. */
-	intervalMs?: Milliseconds;
-	/** Time for an answer, that of the helpers included, after which a host is suspected; one interval by default. */
-	probeMs?: Milliseconds;
-	/** Time that a suspect has to take it back; three intervals by default. */
-	suspicionMs?: Milliseconds;
-	/** Monotonic milliseconds. */
-	startedAt: Milliseconds;
-};
-
-/** What a host says of itself. */
-export type OwnStatement = {
-	entryAddress?: string;
-	entryIncarnation?: Incarnation;
-	/** Entries up to this incarnation have ended. */
-	entryGone?: Incarnation;
-	leaving?: boolean;
-};
-
-export type Membership = {
-	/**
-	 * Moves time on.
-	 *
-	 * @returns Messages to send, and how long the process was paused before this call (0 if it was not).
-	 */
-	tick: (now: Milliseconds, random: Random) => {messages: readonly OutMessage[]; pausedMs: Milliseconds};
-	/**
-	 * Takes a message of a host.
-	 *
-	 * @param message - The message.
-	 * @param from - The host that sent it, as its connection says.
-	 * @returns Messages to send.
-	 */
-	receive: (message: MemberMessage, from: HostId, now: Milliseconds) => readonly OutMessage[];
-	/** Changes what this host says of itself; returns the messages that tell it at once. */
-	state: (statement: OwnStatement, now: Milliseconds) => readonly OutMessage[];
-	/** Says goodbye; returns the messages. Nothing may be sent afterwards. */
-	leave: (now: Milliseconds) => readonly OutMessage[];
-	/** More addresses to try while nobody is known. */
-	addSeeds: (addresses: readonly string[]) => void;
-	/** All known hosts, this one included. The same map until something changes. */
-	hosts: (now: Milliseconds) => ReadonlyMap<HostId, HostStatus>;
-	self: () => HostRecord;
-	record: (id: HostId) => HostRecord | undefined;
-	/** Hosts that one message must reach to be known everywhere: the zone, and bridges of the others. */
-	spreadTargets: (from: HostId) => readonly HostRecord[];
-	/** Highest incarnation of an earlier entry of this host that anybody has seen, and where that was. */
-	entrySeen: () => {incarnation: Incarnation; address: string};
-	/** When a message of another host last came; `undefined` before the first. */
-	lastHeardAt: () => Milliseconds | undefined;
-};
-
 /**
  * Creates the membership of one host.
  *
@@ -461,21 +404,3 @@
 		lastHeardAt: () => heardAt,
 	};
 }
-
-function toHosts(all: Iterable<HostRecord>, staleZones: ReadonlySet<ZoneId>, prev: ReadonlyMap<HostId, HostStatus> | undefined): ReadonlyMap<HostId, HostStatus> {
-	const hosts = new Map<HostId, HostStatus>();
-	for (const {
-		id, zone, life, incarnation, entryAddress, entryIncarnation, entryGone, agentAddress, leaving,
-	} of all) {
-		// A zone that nobody here hears may be cut off or gone; its hosts are no longer known to be alive.
-		const shownLife = life === 'alive' && staleZones.has(zone) ? 'suspect' : life;
-		const status: HostStatus = {
-			id, zone, life: shownLife, incarnation, entryAddress, entryIncarnation, entryGone, agentAddress, leaving,
-		};
-		const before = prev?.get(id);
-		const isSame = before !== undefined && Object.entries(status).every(([key, value]) => before[key as keyof HostStatus] === value);
-		hosts.set(id, isSame ? before : status);
-	}
-
-	return hosts;
-}
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -19,7 +19,7 @@
 import {type Clock, type Random} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type Engine} from '../../../ports/engine.js';
-import {type HostId} from '../../../ports/ids.js';
+import {type HostId, type ServerId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {type Platform, type PlatformKey} from '../../../ports/platform.js';
 import {type AgentSettings} from '../../_settings/index.js';
@@ -61,6 +61,8 @@
 	random: Random;
 	platform: Platform;
 	toEngine: (server: ServerEntry) => Engine;
+	/** Told of the servers of each new configuration, to let go of the clients of others. */
+	keepOnly?: (servers: ReadonlySet<ServerId>) => void;
 	log: Log;
 	tls?: () => PeerKeys;
 };
@@ -148,6 +150,15 @@
 	});
 	const hosts = () => membership.hosts(now());
 
+	function offerConfig(text: string, revision: number, source: string): boolean {
+		const isNews = documents.offerConfig(text, revision, source);
+		if (isNews) {
+			options.keepOnly?.(new Set(table.accepted()!.config.servers.map(({id}) => id)));
+		}
+
+		return isNews;
+	}
+
 	async function call(host: HostId, method: string, body: unknown, callOptions: {timeoutMs: number}) {
 		return mesh.call({to: host, address: membership.record(host)?.agentAddress ?? ''}, method, body, callOptions);
 	}
@@ -170,7 +181,7 @@
 		signal,
 	});
 	const spreads = {
-		config: createSpread('config', documents.config, documents.offerConfig),
+		config: createSpread('config', documents.config, offerConfig),
 		fleet: createSpread('fleet', documents.fleet, documents.offerFleet),
 	};
 	const loads = spreadLoads({
@@ -302,7 +313,7 @@
 
 		const reply = await connection.call(configCall, {}, {timeoutMs: joinMs});
 		const held = reply.unwrapOr(undefined) as FeedConfig | undefined;
-		if (held && documents.offerConfig(held.text, held.version.revision, 'entry')) {
+		if (held && offerConfig(held.text, held.version.revision, 'entry')) {
 			announce(hostId);
 			publish();
 		}
@@ -377,7 +388,7 @@
 		isReader,
 		waitMs: Math.min(settings.platformWait, confirmMs),
 		onValue({value, revision}) {
-			const isNews = key === 'config' ? documents.offerConfig(value, revision, 'platform') : documents.offerFleet(value, revision, 'platform');
+			const isNews = key === 'config' ? offerConfig(value, revision, 'platform') : documents.offerFleet(value, revision, 'platform');
 			if (isNews) {
 				announce(hostId);
 				publish();
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -5,7 +5,9 @@
 import {addProcessMetrics, createMetrics, type Metrics} from '../../adapters/metrics/index.js';
 import {createPlatformHttp} from '../../adapters/platform-http/index.js';
 import {loadSettings} from '../../adapters/settings/index.js';
-import {loadProgramKeys, startOperations} from '../_operations/index.js';
+// Not through the index of the folder, which loads the burn report: the agent must stay small.
+import {loadProgramKeys} from '../_operations/load-program-keys.js';
+import {startOperations} from '../_operations/start-operations.js';
 import {
 	agentSettings, checkAgentSettings, entrySettings, type AgentSettings,
 } from '../_settings/index.js';
@@ -67,6 +69,7 @@
 		random: Math.random,
 		platform: createPlatformHttp({url: settings.platformUrl}),
 		toEngine: engines.toEngine,
+		keepOnly: engines.keepOnly,
 		log,
 		tls: keys.peer,
 	});
