Tell editions that change weights from those that do not

Cause: pickLoads waits 15 s after a new edition.

Change: toWeightsKey gives what of a configuration orders follow from; the time to pass as acceptedAt is that since this key last changed. The agent still keys on the document's digest and has to take this over.

--- a/src/domain/pick-loads/index.ts
+++ b/src/domain/pick-loads/index.ts
@@ -17,9 +17,9 @@
 } from '../to-orders/index.js';
 
 export type LoadOptions = {
-	/** Monotonic time at which this host accepted the configuration. */
+	/** Monotonic time at which this host accepted the first configuration that wants of servers what the one in force does, see `toWeightsKey`. */
 	acceptedAt: Milliseconds;
-	/** Time for which an edition must have been in force here, so that all hosts have it. */
+	/** Time that must have passed since `acceptedAt`, so that all hosts want the same. */
 	settleMs?: Milliseconds;
 	/** Age beyond which a report proves nothing. */
 	maxReportAgeMs?: Milliseconds;
--- a/src/domain/to-orders/index.ts
+++ b/src/domain/to-orders/index.ts
@@ -84,6 +84,21 @@
 	return wanted;
 };
 
+/**
+ * What of a configuration orders follow from, as a text to compare. Most
+ * editions change rules alone; a wait after each of them would hold back
+ * orders for ever where an edition comes every few seconds.
+ *
+ * @param config - A configuration.
+ * @returns A text that is equal for two configurations which want the same of all servers.
+ */
+export const toWeightsKey = (config: Config): string => JSON.stringify([
+	config.pools.filter(pool => pool.kind === 'model').map(pool => [pool.name, pool.model, pool.version, pool.adapters]),
+	config.servers.map(server => [server.id, server.pool, server.role]),
+	[...toWantedVersions(config)],
+	config.weightStoreBytesPerSecond,
+]);
+
 /** The next order of one server, one at a time: role, weights, then adapters. */
 const toNextOrder = (entry: ServerEntry, pool: PoolEntry, version: string | undefined, load: LoadReport): Omit<EngineOrder, 'fence'> | undefined => {
 	const model = pool.model ?? load.model;
--- a/src/domain/to-orders/test.ts
+++ b/src/domain/to-orders/test.ts
@@ -5,7 +5,7 @@
 import {
 	toConfig, toReport, toServer, toStatus, toView,
 } from '../create-placement/_lib/fixtures.js';
-import {toOrders} from './index.js';
+import {toOrders, toWeightsKey} from './index.js';
 
 const servers = Array.from({length: 10}, (_, i) => toServer(`d${i}`, 'decode'));
 
@@ -53,6 +53,13 @@
 		assert.deepEqual(orders.map(({order}) => order.version), ['v2']);
 	});
 
+	it('tells editions that want other weights from those that change rules alone', () => {
+		const {config} = toAccepted();
+		const other = {...config, pools: config.pools.map(pool => ({...pool, version: 'v9'}))};
+		assert.equal(toWeightsKey(config), toWeightsKey({...config, callerTokens: {x: 'w'}}));
+		assert.notEqual(toWeightsKey(config), toWeightsKey(other));
+	});
+
 	it('gives the same orders again, as they follow from the configuration alone', () => {
 		const view = toFleet(toLoad({version: 'v0'}));
 		assert.deepEqual(toOrders(view, toAccepted()), toOrders(view, toAccepted()));
