Show in the demo that a key used at another host runs nothing again

Cause: the demo left the step out until claims were wired. Ruled out: judging by the answer alone; the step also asks that the second host started no attempt.

--- a/test/demo/_lib/start-demo-fleet.ts
+++ b/test/demo/_lib/start-demo-fleet.ts
@@ -53,7 +53,12 @@
 	};
 	const agent = await startProgram({program: 'agent', label: `agent of ${zone}-1`, flags: {...flags, platformUrl, seeds: seeds.length > 0 ? seeds : undefined}});
 	const entry = await startProgram({
-		program: 'entry', label: `entry of ${zone}-1`, flags: {...flags, callerPort: 0, agentAddress: `127.0.0.1:${agent.port('peerPort')}`},
+		program: 'entry',
+		label: `entry of ${zone}-1`,
+		// All clocks are this machine's, so keys count from the first moment on.
+		flags: {
+			...flags, callerPort: 0, agentAddress: `127.0.0.1:${agent.port('peerPort')}`, clockBound: '0ms', drainDelay: '0ms',
+		},
 	});
 	await entry.waitForLog(line => line.message === 'configuration in force', {deadlineMs: 20_000, what: `the configuration at ${zone}-1`});
 	return {
--- a/test/demo/main.ts
+++ b/test/demo/main.ts
@@ -87,6 +87,11 @@
 	await show('A letter, streamed, with an idempotency key', second!, summary, answer => {
 		expect(toCompletionText(answer.text) === wholeLetter && answer.text.includes('[DONE]'), 'every token, in order, to the end');
 	});
+	await show('The same letter with the same key, at the other host', first!, summary, answer => {
+		expect(toCompletionText(answer.text) === wholeLetter, 'the kept answer, whole');
+		const attempts = first!.entry.logs().filter(line => line.requestId === answer.requestId && line.message === 'attempt started');
+		expect(attempts.length === 0, 'nothing was run again');
+	});
 	await show('A mailbox lookup at the plain service', first!, {path: '/desk/mailbox', body: {box: 4711}}, answer => {
 		expect(answer.status === 200 && answer.text.includes('4711'), 'passed through');
 	});
