--- /dev/null
+++ b/src/domain/create-membership/_lib/create-own-record.ts
@@ -0,0 +1,85 @@
+/** This host's own record, which it alone may speak for. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type Incarnation} from '../../../ports/ids.js';
+import {type Records} from './create-records.js';
+import {type MembershipOptions} from './membership-types.js';
+import {type HostRecord} from './types.js';
+
+export type OwnRecord = {
+	self: () => HostRecord;
+	/** Speaks for this host anew; `changes` are what it says. */
+	restate: (changes: Partial<HostRecord>, now: Milliseconds) => void;
+	/** Takes back what somebody says of this host that it has not said itself; returns whether it had to. */
+	refute: (rumour: HostRecord, now: Milliseconds) => boolean;
+	/** Highest incarnation of an earlier entry of this host that anybody has seen, and where that was. */
+	entrySeen: () => {incarnation: Incarnation; address: string};
+};
+
+/**
+ * Creates the record and puts it into the table.
+ *
+ * @param input - The table, and the options of membership.
+ * @returns See {@link OwnRecord}.
+ */
+export function createOwnRecord({records, options}: {records: Records; options: MembershipOptions}): OwnRecord {
+	let entrySeen = {incarnation: 0, address: ''};
+
+	records.merge({
+		id: options.id,
+		zone: options.zone,
+		incarnation: options.incarnation,
+		revision: 0,
+		life: 'alive',
+		agentAddress: options.agentAddress,
+		entryAddress: '',
+		entryIncarnation: 0,
+		entryGone: 0,
+		leaving: false,
+		witnesses: [],
+	}, options.startedAt);
+
+	const self = () => records.get(options.id)!;
+
+	function restate(changes: Partial<HostRecord>, now: Milliseconds) {
+		const current = self();
+		records.merge({
+			...current, life: 'alive', witnesses: [], revision: current.revision + 1, ...changes,
+		}, now);
+	}
+
+	function noteEntry({entryIncarnation, entryAddress}: HostRecord) {
+		if (entryIncarnation > entrySeen.incarnation && entryIncarnation !== self().entryIncarnation) {
+			entrySeen = {incarnation: entryIncarnation, address: entryAddress};
+		}
+	}
+
+	return {
+		self,
+		restate,
+		refute(rumour, now) {
+			noteEntry(rumour);
+			const current = self();
+			const isFinal = rumour.life === 'dead' || rumour.life === 'left';
+			const isOlder = rumour.incarnation < current.incarnation;
+			const isOwn = rumour.incarnation === current.incarnation && rumour.revision <= current.revision && rumour.life === 'alive';
+			if (isOlder || isOwn || current.life === 'left') {
+				return false;
+			}
+
+			if (rumour.incarnation > current.incarnation || isFinal) {
+				// An earlier process of this host had a clock that was ahead, or this one
+				// was taken for dead. Both end only with a larger incarnation.
+				restate({incarnation: rumour.incarnation + 1, revision: 0}, now);
+				return true;
+			}
+
+			if (rumour.revision >= current.revision) {
+				restate({revision: rumour.revision + 1}, now);
+				return true;
+			}
+
+			return false;
+		},
+		entrySeen: () => entrySeen,
+	};
+}
--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -10,6 +10,7 @@
 import {type HostId, type Incarnation, type ZoneId} from '../../ports/ids.js';
 import {type HostStatus} from '../../ports/view.js';
 import {createPauseGuard} from '../create-pause-guard/index.js';
+import {createOwnRecord} from './_lib/create-own-record.js';
 import {createProber} from './_lib/create-prober.js';
 import {createRecords} from './_lib/create-records.js';
 import {createSync} from './_lib/create-sync.js';
@@ -69,29 +70,14 @@
 		records, ownId, ownZone, intervalMs, startedAt: options.startedAt,
 	});
 	const seeds = new Set(options.seeds);
-	const own: HostRecord = {
-		id: ownId,
-		zone: ownZone,
-		incarnation: options.incarnation,
-		revision: 0,
-		life: 'alive',
-		agentAddress: options.agentAddress,
-		entryAddress: '',
-		entryIncarnation: 0,
-		entryGone: 0,
-		leaving: false,
-		witnesses: [],
-	};
-	let entrySeen = {incarnation: 0, address: ''};
+	const own = createOwnRecord({records, options});
 	let heardAt: Milliseconds | undefined;
 	let quietUntil = options.startedAt;
 	let slowness = 0;
 	let tickedAt = options.startedAt;
 	let shown: {version: number; stale: string; hosts: ReadonlyMap<HostId, HostStatus>} | undefined;
 
-	records.merge(own, options.startedAt);
-
-	const self = () => records.get(ownId)!;
+	const {self} = own;
 
 	function toMessage(body: MessageBody, to: HostRecord | undefined, now: Milliseconds, extra: readonly HostRecord[] = []): MemberMessage {
 		const {incarnation, revision} = self();
@@ -114,43 +100,6 @@
 		return {to, address: record?.agentAddress ?? '', message: toMessage(body, record, now, extra)};
 	}
 
-	/** Speaks for this host anew; `changes` are what it says. */
-	function restate(changes: Partial<HostRecord>, now: Milliseconds) {
-		const current = self();
-		records.merge({
-			...current, life: 'alive', witnesses: [], revision: current.revision + 1, ...changes,
-		}, now);
-	}
-
-	/** Somebody says something of this host that it has not said itself. */
-	function refute(rumour: HostRecord, now: Milliseconds): boolean {
-		const current = self();
-		if (rumour.entryIncarnation > entrySeen.incarnation && rumour.entryIncarnation !== current.entryIncarnation) {
-			entrySeen = {incarnation: rumour.entryIncarnation, address: rumour.entryAddress};
-		}
-
-		const isFinal = rumour.life === 'dead' || rumour.life === 'left';
-		const isOlder = rumour.incarnation < current.incarnation;
-		const isOwn = rumour.incarnation === current.incarnation && rumour.revision <= current.revision && rumour.life === 'alive';
-		if (isOlder || isOwn || current.life === 'left') {
-			return false;
-		}
-
-		if (rumour.incarnation > current.incarnation || isFinal) {
-			// An earlier process of this host had a clock that was ahead, or this one
-			// was taken for dead. Both end only with a larger incarnation.
-			restate({incarnation: rumour.incarnation + 1, revision: 0}, now);
-			return true;
-		}
-
-		if (rumour.revision >= current.revision) {
-			restate({revision: rumour.revision + 1}, now);
-			return true;
-		}
-
-		return false;
-	}
-
 	function flood(updates: readonly HostRecord[], origin: HostId, now: Milliseconds): OutMessage[] {
 		return targets.spreadTo(origin)
 			.map(to => ({to: to.id, address: to.agentAddress, message: toMessage({kind: 'news'}, undefined, now, updates)}));
@@ -174,7 +123,7 @@
 		const refuted: HostRecord[] = [];
 		for (const update of updates) {
 			if (update.id === ownId) {
-				if (refute(update, now)) {
+				if (own.refute(update, now)) {
 					refuted.push(self());
 				}
 
@@ -376,11 +325,11 @@
 				return [];
 			}
 
-			restate(statement, now);
+			own.restate(statement, now);
 			return flood([self()], ownId, now);
 		},
 		leave(now) {
-			restate({life: 'left'}, now);
+			own.restate({life: 'left'}, now);
 			return flood([self()], ownId, now);
 		},
 		addSeeds(addresses) {
@@ -400,7 +349,7 @@
 		self,
 		record: records.get,
 		spreadTargets: targets.spreadTo,
-		entrySeen: () => entrySeen,
+		entrySeen: own.entrySeen,
 		lastHeardAt: () => heardAt,
 	};
 }
