Bound a caller that stops reading, without blaming the engine

Cause, found by reading: while the relay waited for a slow caller, the engine's silence timer ran on and gave the stream up; a caller that read nothing was called gone without its connection being closed; an answer that was ended but never read kept its connection for ever.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -46,6 +46,8 @@
 
 export type ExchangeOptions = {
 	isStopping: () => boolean;
+	/** Time for which a caller may take no byte of the end of its answer. */
+	writeTimeoutMs: number;
 };
 
 /** Time for which the rest of a refused body is read and dropped, milliseconds. */
@@ -184,6 +186,13 @@
 		res.writeHead(status, {...headers as Record<string, string>, 'x-request-id': requestId, ...(closes && {connection: 'close'})});
 	}
 
+	/** An ended answer that nobody reads would keep its connection and its bytes for ever, and a planned stop waiting. */
+	function boundEnd(): void {
+		res.setTimeout(options.writeTimeoutMs, () => {
+			res.destroy();
+		});
+	}
+
 	function sendAnswer(status: number, headers: Readonly<Record<string, string>>, body: string): void {
 		if (res.headersSent || res.destroyed) {
 			return;
@@ -191,6 +200,7 @@
 
 		const bytes = Buffer.from(body);
 		startHead(status, {...headers, 'content-length': String(bytes.length)});
+		boundEnd();
 		if (hasUnreadBody(req)) {
 			res.write(bytes);
 			void endAfterBody(req, res);
@@ -222,7 +232,10 @@
 		isStarted: () => res.headersSent,
 		write: writer.write,
 		drained: async timeoutMs => waitForDrain(res, gone.signal, timeoutMs),
-		end: writer.end,
+		end() {
+			boundEnd();
+			writer.end();
+		},
 		destroy() {
 			res.destroy();
 		},
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -34,6 +34,8 @@
 	maxHeaderBytes: number;
 	headersTimeoutMs: number;
 	keepAliveTimeoutMs: number;
+	/** Time for which a caller may take no byte of the end of its answer. */
+	writeTimeoutMs: number;
 	/** Certificate and key; absent means plain HTTP. */
 	tls?: SecureContextOptions | undefined;
 };
@@ -145,7 +147,7 @@
 	const serve: Serve = (context, handler) => {
 		const {incoming, outgoing} = context.env;
 		const {socket} = incoming;
-		const exchange = createExchange(incoming, outgoing, {isStopping: () => isStopping || isRefused(socket)});
+		const exchange = createExchange(incoming, outgoing, {isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs});
 		open.add(exchange);
 		busy.set(socket, (busy.get(socket) ?? 0) + 1);
 		outgoing.once('close', () => {
--- a/src/programs/entry/delivery/index.ts
+++ b/src/programs/entry/delivery/index.ts
@@ -45,7 +45,15 @@
 
 			return text === '' || exchange.write(sse.text(text));
 		},
-		drained: async () => exchange.drained(options.writeTimeoutMs),
+		async drained() {
+			const isReading = await exchange.drained(options.writeTimeoutMs);
+			if (!isReading) {
+				// Whatever was written for it would stay in memory for as long as it keeps the connection.
+				exchange.destroy();
+			}
+
+			return isReading;
+		},
 		complete({finish, usage}) {
 			if (!isStarted) {
 				start();
--- a/src/programs/entry/relay-stream/index.ts
+++ b/src/programs/entry/relay-stream/index.ts
@@ -67,7 +67,7 @@
 				noteFirstToken(run, services);
 			}
 
-			if (!delivery.relay(taken.text) && !await delivery.drained()) {
+			if (!delivery.relay(taken.text) && !await waitForCaller(reader)) {
 				return {...toBroken(reader.server, 'the caller stopped reading'), kind: 'aborted'};
 			}
 
@@ -82,6 +82,14 @@
 	}
 }
 
+/** The time of a slow caller is not the engine's: its silence is not counted meanwhile. */
+async function waitForCaller({run, step}: Reader): Promise<boolean> {
+	step.disarm();
+	const isReading = await run.delivery.drained();
+	step.arm(toStallMs(run));
+	return isReading;
+}
+
 function noteFirstToken(run: Run, services: RunServices): void {
 	const now = services.clock.now();
 	const firstTokenMs = now - run.receivedAt;
--- a/src/programs/entry/run-request/index.ts
+++ b/src/programs/entry/run-request/index.ts
@@ -70,7 +70,8 @@
 
 /** The end of a request that was told to end. */
 export function toEnded(run: Run): RunEnd {
-	const cause = run.signal.reason as EndCause;
+	// Without a cause the caller has stopped reading, and its connection is being closed.
+	const cause = run.signal.reason as EndCause | undefined ?? 'caller-gone';
 	if (cause === 'caller-gone') {
 		return {kind: 'gone'};
 	}
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -100,6 +100,7 @@
 		maxHeaderBytes: settings.maxHeaderBytes,
 		headersTimeoutMs: settings.headerTimeout,
 		keepAliveTimeoutMs: settings.keepAliveTimeout,
+		writeTimeoutMs: settings.writeTimeout,
 		tls: keys?.caller?.current(),
 	}, handlers);
 	keys?.caller?.listen(event => {
