--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -15,6 +15,7 @@
 import {createRecords} from './_lib/create-records.js';
 import {createSync} from './_lib/create-sync.js';
 import {createTargets} from './_lib/create-targets.js';
+import {createVerdicts} from './_lib/create-verdicts.js';
 import {createZoneContacts} from './_lib/create-zone-contacts.js';
 import {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
 import {toHosts} from './_lib/to-hosts.js';
@@ -25,8 +26,6 @@
 export {type HostRecord, type MemberMessage, type OutMessage} from './_lib/types.js';
 export {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
 
-/** Two hosts must have had no answer themselves, where there are two. */
-const witnessesNeeded = 2;
 const helpersAsked = 2;
 
 /** Share of a probe's time after which others are asked to help. */
@@ -69,6 +68,9 @@
 	const targets = createTargets({
 		records, ownId, ownZone, intervalMs, startedAt: options.startedAt,
 	});
+	const verdicts = createVerdicts({
+		records, targets, contacts, ownId, ownZone, suspicionMs, zonePatienceMs: zonePatience * intervalMs,
+	});
 	const seeds = new Set(options.seeds);
 	const own = createOwnRecord({records, options});
 	let heardAt: Milliseconds | undefined;
@@ -105,15 +107,9 @@
 			.map(to => ({to: to.id, address: to.agentAddress, message: toMessage({kind: 'news'}, undefined, now, updates)}));
 	}
 
-	/** Whether a zone has too few hosts to judge by itself, so that bridges of other zones are its jurors. */
-	function needsJurors(id: HostId): boolean {
-		const zone = records.get(id)?.zone;
-		return targets.jury(id).some(juror => juror.zone !== zone);
-	}
-
 	function isUrgent({id, life, leaving}: HostRecord, prev: HostRecord | undefined): boolean {
 		// Gossip alone would be slow to fetch a juror from another zone.
-		const isSuspicion = life === 'suspect' && prev?.life !== 'suspect' && needsJurors(id);
+		const isSuspicion = life === 'suspect' && prev?.life !== 'suspect' && verdicts.needsJurors(id);
 		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || isSuspicion;
 	}
 
@@ -160,47 +156,8 @@
 		}
 	}
 
-	function suspect(id: HostId, now: Milliseconds): OutMessage[] {
-		const record = records.get(id);
-		if (!record || record.life === 'dead' || record.life === 'left') {
-			return [];
-		}
-
-		const accused: HostRecord = {...record, life: 'suspect', witnesses: [...new Set([...record.witnesses, ownId])]};
-		const change = records.merge(accused, now);
-		// A juror's verdict counts only where the suspect's own zone hears it. Gossip
-		// may spend its few sends elsewhere, and digests do not cover witnesses: a
-		// dead host would stay suspect. A juror of another zone therefore says it
-		// each time that it finds the suspect gone.
-		const isTold = needsJurors(id) && (change !== 'none' || record.zone !== ownZone);
-		return isTold ? flood([records.get(id)!], ownId, now) : [];
-	}
-
-	/** Hosts that could say now whether the suspect is there; those behind a cut cannot. */
-	function toJurors(id: HostId, now: Milliseconds): HostRecord[] {
-		const stale = staleZones(now);
-		return targets.jury(id).filter(({zone}) => !stale.includes(zone));
-	}
-
-	function staleZones(now: Milliseconds): ZoneId[] {
-		return contacts.staleZones(records.zones().filter(zone => zone !== ownZone), now, zonePatience * intervalMs);
-	}
-
-	/**
-	 * Only a host's own zone buries it: from another zone a cut looks the same
-	 * as the death of all, and the work of hosts behind a cut must be left alone.
-	 */
-	function buryDead(now: Milliseconds): OutMessage[] {
-		const patienceMs = suspicionMs * (1 + (slowness / 2));
-		const dead = records.ofZone(ownZone).filter(({id, life, witnesses}) => life === 'suspect'
-			&& now - records.suspectSince(id) >= patienceMs
-			&& witnesses.length >= Math.min(witnessesNeeded, toJurors(id, now).length));
-		const buried = dead.map(record => ({...record, life: 'dead' as const, witnesses: []}));
-		for (const record of buried) {
-			records.merge(record, now);
-		}
-
-		return buried.length > 0 ? flood(buried, ownId, now) : [];
+	function tell(records: readonly HostRecord[], now: Milliseconds): OutMessage[] {
+		return records.length > 0 ? flood(records, ownId, now) : [];
 	}
 
 	function ping(id: HostId, now: Milliseconds): OutMessage[] {
@@ -210,7 +167,7 @@
 	}
 
 	function askForHelp(target: HostId, seq: number, now: Milliseconds, random: Random): OutMessage[] {
-		const helpers = toJurors(target, now).filter(({id}) => id !== ownId);
+		const helpers = verdicts.jurors(target, now).filter(({id}) => id !== ownId);
 		return targets.sample(helpers, helpersAsked, random).map(helper => send(helper, {kind: 'ping-request', seq, target}, now));
 	}
 
@@ -220,7 +177,7 @@
 			directMs: directShare * probeMs * factor, totalMs: probeMs * factor,
 		});
 		return [
-			...(now >= quietUntil ? failed.flatMap(id => suspect(id, now)) : []),
+			...(now >= quietUntil ? tell(verdicts.suspect(failed, now), now) : []),
 			...helpless.flatMap(({target, seq}) => askForHelp(target, seq, now, random)),
 			...targets.takeDue(now, random).flatMap(id => ping(id, now)),
 		];
@@ -298,7 +255,7 @@
 			const pausedMs = checkPause(now);
 			noteSlowness(now);
 			const messages = [
-				...(now >= quietUntil ? buryDead(now) : []),
+				...(now >= quietUntil ? tell(verdicts.buryDead(now, slowness), now) : []),
 				...probe(now, random),
 				...greetSeeds(now, random),
 			];
@@ -338,7 +295,7 @@
 			}
 		},
 		hosts(now) {
-			const stale = staleZones(now);
+			const stale = verdicts.staleZones(now);
 			const staleKey = stale.join(' ');
 			if (shown?.version !== records.version() || shown.stale !== staleKey) {
 				shown = {version: records.version(), stale: staleKey, hosts: toHosts(records.all(), new Set(stale), shown?.hosts)};
