Take nothing for fresh that waited in a socket through a pause

Cause: an agent that wakes reads what peers sent before and during its pause. Ages in it were true then, and were counted from now: the platform's confirmation looked fresh for up to 10 s, long enough to give an order. Ruled out: dropping what comes just after a pause (membership needs it at once). Change: for two intervals after a pause, ages of peers count from its start. Before: the new test failed (the confirmation was dated after the pause).

--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -22,6 +22,8 @@
 	/** Hosts to tell at once of something that came from a host. */
 	spreadTargets: (origin: HostId) => readonly HostStatus[];
 	now: () => Milliseconds;
+	/** When what is being received has arrived at the earliest, monotonic milliseconds. */
+	toArrival: () => Milliseconds;
 };
 
 export type LoadsTask = {
@@ -45,7 +47,7 @@
  * @param options - See {@link SpreadLoadsOptions}.
  * @returns See {@link LoadsTask}.
  */
-export function spreadLoads({table, self, hosts, send, call, spreadTargets, now}: SpreadLoadsOptions): LoadsTask {
+export function spreadLoads({table, self, hosts, send, call, spreadTargets, now, toArrival}: SpreadLoadsOptions): LoadsTask {
 	const spread = createLoadSpread();
 	const asking = new Set<HostId>();
 	let names: {accepted: unknown; byHash: Map<number, ServerId>} | undefined;
@@ -89,7 +91,7 @@
 		const reports = reply.unwrapOr(undefined);
 		for (const load of Array.isArray(reports) ? reports as LoadReport[] : []) {
 			if (isRecord(load) && typeof load.server === 'string' && typeof load.ageMs === 'number' && Array.isArray(load.adapters)) {
-				table.noteLoad(load, now() - load.ageMs);
+				table.noteLoad(load, toArrival() - load.ageMs);
 			}
 		}
 	}
@@ -97,7 +99,7 @@
 	function takeLoads(from: HostId, body: unknown) {
 		const {loads, unreachable, wanted} = readLoads(body instanceof Uint8Array ? body : new Uint8Array(), findServer, findLoad);
 		for (const load of loads) {
-			table.noteLoad(load, now() - load.ageMs);
+			table.noteLoad(load, toArrival() - load.ageMs);
 		}
 
 		for (const server of unreachable) {
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -118,6 +118,7 @@
 	};
 	let heardFromPeer = false;
 	let quietUntil = startedAt;
+	let pausedAt = startedAt;
 
 	const listener = await listenPeers({
 		bind: settings.bind, port: settings.peerPort, hello, tls, onCall, onConnect, onEvent, onRefused(reason) {
@@ -194,6 +195,7 @@
 		call,
 		spreadTargets: origin => membership.spreadTargets(origin).map(({id}) => hosts().get(id)).filter(status => status !== undefined),
 		now,
+		toArrival,
 	});
 	const entry = followEntry({
 		hello,
@@ -267,7 +269,7 @@
 		spreads.config.noteVersion(from, known.config);
 		spreads.fleet.noteVersion(from, known.fleet);
 		if (known.confirmedAgeMs !== undefined) {
-			table.noteConfirmed(now() - known.confirmedAgeMs);
+			table.noteConfirmed(toArrival() - known.confirmedAgeMs);
 		}
 	}
 
@@ -359,6 +361,7 @@
 		if (pausedMs > 0) {
 			// Until it has heard its peers again, this process believes what was true before.
 			quietUntil = now() + (2 * intervalMs);
+			pausedAt = now() - pausedMs;
 			mesh.restart(now());
 			log.warn('this process was paused', {durationMs: Math.round(pausedMs)});
 		}
@@ -370,6 +373,15 @@
 		return guard.toSoundTime(askedAt, now());
 	}
 
+	/**
+	 * When what a peer said has arrived, at the earliest. Just after a pause it may
+	 * have waited in a socket since before, and its age was true then.
+	 */
+	function toArrival(): number {
+		checkPause();
+		return now() < quietUntil ? pausedAt : now();
+	}
+
 	function isReader(): boolean {
 		const joined = now() - startedAt >= joinMs || settings.seeds.length === 0 || (heardFromPeer && !spreads.config.isBehind() && table.accepted() !== undefined);
 		if (!joined) {
--- a/test/contracts/_lib/run-agents.ts
+++ b/test/contracts/_lib/run-agents.ts
@@ -46,12 +46,19 @@
 }
 
 /** Starts an agent with quick settings and no log. */
-export async function runAgent({hostId, zone, platformUrl, seeds = [], ...overrides}: {hostId: string; zone: string; platformUrl: string; seeds?: readonly string[]} & Partial<AgentOptions['settings']>): Promise<Agent> {
+export async function runAgent({hostId, zone, platformUrl, seeds = [], clock = now, ...overrides}: {
+	hostId: string;
+	zone: string;
+	platformUrl: string;
+	seeds?: readonly string[];
+	/** Monotonic milliseconds; a test may make them jump, as a pause does. */
+	clock?: () => number;
+} & Partial<AgentOptions['settings']>): Promise<Agent> {
 	return startAgent({
 		settings: {
 			hostId, zone, bind: '127.0.0.1', peerPort: 0, seeds, platformWait: 1000, loadPollInterval: 50, heartbeatInterval: 200, suspectAfter: 600, deadAfter: 1600, ...overrides,
 		},
-		clock: {now, wallNow: () => Date.now()},
+		clock: {now: clock, wallNow: () => Date.now()},
 		random: Math.random,
 		platform: createPlatformHttp({url: platformUrl}),
 		toEngine: server => createEngineHttp({server}),
--- a/test/contracts/peer-agents.test.ts
+++ b/test/contracts/peer-agents.test.ts
@@ -159,4 +159,30 @@
 		assert.equal(reply._unsafeUnwrapErr().kind, 'failed');
 		connection.close();
 	});
+
+	// A paused agent wakes to a socket full of what peers said before and during
+	// the pause. Read as fresh, it would let the agent give orders on a
+	// confirmation that is as old as the pause was long.
+	it('take nothing for fresh that waited in a socket while they were paused', async () => {
+		const platform = await startPlatformStandIn({});
+		platform.setFaults({down: true});
+		let skew = 0;
+		const clock = () => now() + skew;
+		const agent = await runAgent({
+			hostId: 'a-1', zone: 'a', platformUrl: platform.url, clock,
+		});
+		closers.push(platform.stop, agent.stop);
+		const connected = await connectPeer({
+			address: `127.0.0.1:${agent.peerPort}`, hello: {
+				host: 'a-2', zone: 'a', role: 'agent', incarnation: 1,
+			},
+		});
+		const peer = connected._unsafeUnwrap();
+		const pausedAt = clock();
+		skew = 60_000;
+		peer.send('versions', {config: undefined, fleet: undefined, confirmedAgeMs: 0});
+		await until('the word of the peer', () => agent.view().platformConfirmedAt !== undefined);
+		assert.ok(agent.view().platformConfirmedAt! < pausedAt + 10_000);
+		peer.close();
+	});
 });
