Add the fleet bench: real entries and agents under open-loop load

Cause: the benches of admission and placement drive decisions on a logical clock; nothing measured goodput and wasted prefill of the programs.

Change: `npm run bench -- fleet` starts entries and agents as processes and stand-in servers in threads, sends seeded arrivals at 0.6 to 1.5 of the capacity on paper, with a burst, a lost zone and a slow server, and with 1, 3 and 9 hosts; table, out/fleet-bench.json and out/fleet-bench.svg.

Ruled out: a time scale of 3.

--- /dev/null
+++ b/bench/fleet/_lib/plan.ts
@@ -0,0 +1,118 @@
+/** What is run: both users' fleets, loads, faults and numbers of hosts. All times are those of the fleet that is imitated. */
+import {type Fleet, type WorkShape} from '../../admission/_lib/fleets.js';
+
+export type BenchFleet = {
+	/** The pool of engines, as the arrivals and the capacity on paper need it. */
+	table: Fleet;
+	zones: readonly string[];
+	/** Servers by zone, in the order of `zones`. */
+	prefills: readonly number[];
+	decodes: readonly number[];
+	desks: readonly number[];
+};
+
+export type RunPlan = {
+	fleet: BenchFleet;
+	load: number;
+	hosts: number;
+	fault: 'none' | 'burst' | 'slow server' | 'lost zone';
+	/** Load reports without age, asked for twenty times a second. */
+	isInstant: boolean;
+};
+
+/** Divides every time of the engines, the targets and the agents' polls. */
+export const timeScale = 1;
+export const deskSlots = 4;
+export const deskWorkMs = 600;
+export const deskTarget: Pick<WorkShape, 'firstTokenMs' | 'completeMs'> = {firstTokenMs: 1300, completeMs: 3000};
+export const cancelPart = 0.05;
+/** Share of the pool that batch work is promised, for the capacity on paper. */
+export const batchShare = 0.2;
+/** Quick arrivals in the burst, as a multiple. */
+export const burst = 4;
+/** Factor by which the slow server's tokens are slow. */
+export const slowFactor = 4;
+
+const quick: WorkShape = {
+	promptTokens: 400, outputTokens: 48, firstTokenMs: 1300, completeMs: 5000,
+};
+
+/** Targets of batch work are shorter than the users', so that queues are as long as they get within a run. */
+const toShapes = (outputTokens: number): Fleet['shapes'] => ({
+	quick,
+	batch: {
+		promptTokens: 2000, outputTokens, firstTokenMs: 3000, completeMs: 15_000,
+	},
+});
+
+export const naslovnik: BenchFleet = {
+	table: {
+		name: 'Naslovnik',
+		pools: [{
+			name: 'summaries', prefillServers: 5, decodeServers: 8, quickPart: 0.2,
+		}],
+		shapes: toShapes(240),
+		workspaces: 30,
+	},
+	zones: ['dvorana-a', 'dvorana-b', 'dvorana-c', 'dvorana-d'],
+	prefills: [2, 1, 1, 1],
+	decodes: [2, 2, 2, 2],
+	desks: [1, 1, 1, 1],
+};
+
+export const glossworks: BenchFleet = {
+	table: {
+		name: 'Glossworks',
+		pools: [{
+			name: 'scenes', prefillServers: 2, decodeServers: 4, quickPart: 0.2,
+		}],
+		shapes: toShapes(300),
+		workspaces: 15,
+	},
+	zones: ['studio-a', 'studio-b', 'studio-c'],
+	prefills: [1, 1, 0],
+	decodes: [1, 1, 2],
+	desks: [1, 1, 1],
+};
+
+const usual = {hosts: 3, fault: 'none', isInstant: false} as const;
+
+/**
+ * @param isSmall - Whether only one load of one fleet is run.
+ * @returns Runs; those of one deployment stand together.
+ */
+export function toPlans(isSmall: boolean): RunPlan[] {
+	if (isSmall) {
+		return [{...usual, fleet: glossworks, load: 0.9}];
+	}
+
+	const toUsual = (fleet: BenchFleet): RunPlan[] => [
+		...[0.6, 0.9, 1.1, 1.5].map(load => ({...usual, fleet, load})),
+		{
+			...usual, fleet, load: 0.9, fault: 'burst' as const,
+		},
+		{
+			...usual, fleet, load: 0.9, fault: 'lost zone' as const,
+		},
+		{
+			...usual, fleet, load: 0.9, fault: 'slow server' as const,
+		},
+	];
+	const toOthers = (fleet: BenchFleet): RunPlan[] => [
+		...[0.9, 1.5].map(load => ({
+			...usual, fleet, load, hosts: 9,
+		})),
+		...[0.9, 1.5].map(load => ({
+			...usual, fleet, load, hosts: 1,
+		})),
+		...[0.9, 1.5].map(load => ({
+			...usual, fleet, load, hosts: 1, isInstant: true,
+		})),
+	];
+	return [...toUsual(naslovnik), ...toOthers(naslovnik), ...toUsual(glossworks), ...toOthers(glossworks).filter(({load}) => load === 1.5)];
+}
+
+/** A deployment serves several runs; a lost zone or a slow server needs its own. */
+export function toDeployment({fleet, hosts, fault, isInstant}: RunPlan): string {
+	return [fleet.table.name, hosts, isInstant, fault === 'none' || fault === 'burst' ? '' : fault].join('/');
+}
