Read again only the lines of a document that changed

Cause: each change of a document of 1 MB cost agent and entry a full reading, and the entry a full compiling of its rules.

Ruled out: keeping the plain values of every entry (twice the memory), and a check by chunk (chunks do not end with entries).

Change: createConfigReader keeps the last valid document. Lines of hosts, servers and rules that stand in it keep their parsed and checked objects; new lines and the rest of the text are read as before; dead rules are looked for among those that an edit can touch. Any doubt or fault leads to the full reading, which alone reports. compileRules uses an index again when no condition changed. The agent, acceptConfig and the entry's feed use it.

Conclusion: equal to parseConfig for any edits of the property tests, faults included. With the look for touched rules or the bound on brackets taken out the property fails, as it should.

--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -9,7 +9,7 @@
 import {
 	connectPeer, type PeerConnection, type PeerHello, type PeerKeys,
 } from '../peer-tcp/index.js';
-import {parseConfig} from '../../domain/parse-config/index.js';
+import {createConfigReader} from '../../domain/parse-config/index.js';
 import {compareConfigVersions} from '../../domain/compare-config-versions/index.js';
 import {applyUpdate, emptyView, type ApplyOptions} from './_lib/apply-update.js';
 import {
@@ -62,7 +62,7 @@
 export function connectViewFeed(options: ViewFeedOptions): ViewFeed {
 	const {now, random} = options;
 	const applyOptions: ApplyOptions = {
-		parse: parseConfig, isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0, ...options,
+		parse: createConfigReader(), isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0, ...options,
 	};
 	const stop = new AbortController();
 	let view: FleetView = emptyView;
--- a/src/domain/accept-config/index.ts
+++ b/src/domain/accept-config/index.ts
@@ -2,9 +2,10 @@
  * Decides whether a configuration document comes in force. Every host decides by
  * itself, from what is in force there and the document alone.
  */
+import {type Result} from 'neverthrow';
 import {splitConfigEnd} from '../../_lib/split-config-end/index.js';
 import {toDigest} from '../../_lib/to-digest/index.js';
-import {type AcceptedConfig, type ConfigVersion} from '../../ports/config.js';
+import {type AcceptedConfig, type Config, type ConfigVersion} from '../../ports/config.js';
 import {checkSeal, type ConfigSeal} from '../check-seal/index.js';
 import {compareConfigVersions} from '../compare-config-versions/index.js';
 import {type ConfigFault, parseConfig, toFaultLine} from '../parse-config/index.js';
@@ -40,6 +41,11 @@
 	| {status: 'unchanged'; accepted: AcceptedConfig}
 	| {status: 'refused'; reason: ConfigRefusalReason; message: string; faults: readonly ConfigFault[]; rivalry: ConfigRivalry | undefined};
 
+export type AcceptConfigOptions = {
+	/** `parseConfig` unless given; a reader of `createConfigReader` costs less where documents follow each other. */
+	read?: (text: string) => Result<Config, readonly ConfigFault[]>;
+};
+
 /**
  * Decides about a document. What is in force is always the highest version among
  * the valid documents seen, so the order in which they come makes no difference,
@@ -47,6 +53,7 @@
  *
  * @param current - What is in force; `undefined` before the first.
  * @param candidate - The document.
+ * @param options - How the content is read.
  * @returns Whether it is accepted, is the one in force already, or is refused and why.
  *
  * @example
@@ -55,7 +62,7 @@
  * if (verdict.status === 'refused') log.warn(verdict.message);
  * ```
  */
-export function acceptConfig(current: AcceptedConfig | undefined, candidate: ConfigCandidate): ConfigVerdict {
+export function acceptConfig(current: AcceptedConfig | undefined, candidate: ConfigCandidate, {read = parseConfig}: AcceptConfigOptions = {}): ConfigVerdict {
 	const digest = toDigest(candidate.text);
 	if (current?.version.digest === digest) {
 		const revision = Math.max(current.version.revision, candidate.revision);
@@ -76,7 +83,7 @@
 			: toRefusal('older', toOlderMessage(current.version, version, seal.value));
 	}
 
-	const parsed = parseConfig(candidate.text);
+	const parsed = read(candidate.text);
 	if (parsed.isErr()) {
 		const [first] = parsed.error;
 		const message = `the document has ${parsed.error.length} faults and does not come in force, the first at ${toFaultLine(first!)}: run "banyanport check" on it`;
--- a/src/domain/compile-rules/index.ts
+++ b/src/domain/compile-rules/index.ts
@@ -39,6 +39,7 @@
  * list; it is paid once for each accepted configuration.
  *
  * @param config - A valid configuration, or just its rules.
+ * @param before - What was compiled before; where the conditions are still the same, its index is used again.
  * @returns The rules for `matchRule`.
  *
  * @example
@@ -47,8 +48,24 @@
  * matchRule(compiled, facts)?.then.pool; // => 'summaries'
  * ```
  */
-export function compileRules(config: Pick<Config, 'rules'>): CompiledRules {
+export function compileRules(config: Pick<Config, 'rules'>, before?: CompiledRules): CompiledRules {
+	if (before && haveSameConditions(before.rules, config.rules)) {
+		return {...before, rules: before.rules.map((compiled, i) => toCompiled(compiled, config.rules[i]!))};
+	}
+
 	const rules = config.rules.map(rule => ({rule, test: toTest(rule.when)}));
 	const whens: readonly RuleWhen[] = config.rules.map(({when}) => when);
 	return {rules, root: buildIndex(whens)};
 }
+
+/** Rules that were read again and not changed have the same object for their conditions, so few are compared as text. */
+function haveSameConditions(before: readonly CompiledRule[], rules: readonly Rule[]): boolean {
+	return before.length === rules.length && before.every(({rule: {when}}, i) => {
+		const other = rules[i]!.when;
+		return when === other || JSON.stringify(when) === JSON.stringify(other);
+	});
+}
+
+function toCompiled(compiled: CompiledRule, rule: Rule): CompiledRule {
+	return compiled.rule === rule ? compiled : {rule, test: compiled.test};
+}
--- /dev/null
+++ b/src/domain/find-dead-rules/_lib/find-touched-rules.ts
@@ -0,0 +1,81 @@
+/** Finds the rules that an edit may have made dead, and those that decide it. */
+import {type Rule, type RuleWhen} from '../../../ports/config.js';
+
+type Whens = ReadonlyArray<Pick<Rule, 'when'>>;
+
+/** Beyond this many rules to look at, all are: each of them is compared with every other. */
+const mostSuspects = 16;
+
+/**
+ * Picks the rules to look at after an edit of a list without dead rules. A rule
+ * that was alive can only have died by a new or moved rule before it that takes
+ * at least one combination of its workspaces, models and zones; and whether a
+ * rule is dead depends on those earlier ones alone that take a combination of it.
+ *
+ * @param rules - All rules in their order.
+ * @param added - Positions of new and moved ones; without them the list has no dead rule.
+ * @returns Positions in their order; `findDeadRules` finds a dead rule among these exactly when it finds one among all.
+ */
+export function findTouchedRules(rules: Whens, added: readonly number[]): readonly number[] {
+	const all = rules.map((_, i) => i);
+	if (added.length > mostSuspects) {
+		return all;
+	}
+
+	const suspects = new Set(added);
+	for (const position of added) {
+		const takes = toComparison(rules[position]!.when).someOf;
+		for (let i = position + 1; i < rules.length; i++) {
+			if (takes(rules[i]!.when)) {
+				suspects.add(i);
+			}
+		}
+	}
+
+	return suspects.size > mostSuspects ? all : addDeciding(rules, suspects);
+}
+
+function addDeciding(rules: Whens, suspects: ReadonlySet<number>): readonly number[] {
+	const touched = new Set(suspects);
+	for (const position of suspects) {
+		const isTakenBy = toComparison(rules[position]!.when).partlyBy;
+		for (let i = 0; i < position; i++) {
+			if (isTakenBy(rules[i]!.when)) {
+				touched.add(i);
+			}
+		}
+	}
+
+	return [...touched].toSorted((left, right) => left - right);
+}
+
+type Comparison = {
+	/** Whether this condition takes all requests of at least one combination of the other. */
+	someOf: (inner: RuleWhen) => boolean;
+	/** The other way round. */
+	partlyBy: (outer: RuleWhen) => boolean;
+};
+
+/** Lists may have thousands of workspaces, so those of the one side are looked up in a set. */
+function toComparison(when: RuleWhen): Comparison {
+	const workspaces = new Set(when.workspace);
+	const isShared = ({workspace}: RuleWhen) => workspace?.some(name => workspaces.has(name)) ?? false;
+	return {
+		someOf: inner => (when.workspace === undefined || isShared(inner)) && takesSome(when, inner),
+		partlyBy: outer => (outer.workspace === undefined || isShared(outer)) && takesSome(outer, when),
+	};
+}
+
+function takesSome(outer: RuleWhen, inner: RuleWhen): boolean {
+	return sharesOne(outer.model, inner.model)
+		&& sharesOne(outer.zone, inner.zone)
+		&& (outer.path === undefined || (inner.path?.startsWith(outer.path) ?? false))
+		&& (outer.class === undefined || outer.class === inner.class)
+		&& (outer.promptTokensAtLeast ?? 0) <= (inner.promptTokensAtLeast ?? 0)
+		&& (outer.promptTokensBelow ?? Infinity) >= (inner.promptTokensBelow ?? Infinity)
+		&& Object.keys(outer.headers ?? {}).every(name => inner.headers?.[name] !== undefined);
+}
+
+function sharesOne(outer: readonly string[] | undefined, inner: readonly string[] | undefined): boolean {
+	return outer === undefined || (inner?.some(entry => outer.includes(entry)) ?? false);
+}
--- a/src/domain/find-dead-rules/index.ts
+++ b/src/domain/find-dead-rules/index.ts
@@ -1,6 +1,8 @@
 /** Finds rules that can never decide, because earlier ones take all of their requests. */
 import {type Rule, type RuleWhen} from '../../ports/config.js';
 
+export {findTouchedRules} from './_lib/find-touched-rules.js';
+
 export type DeadRule = {
 	/** Position of the rule that never decides. */
 	index: number;
--- /dev/null
+++ b/src/domain/parse-config/_lib/check-end.ts
@@ -0,0 +1,33 @@
+/** Checks the end of a document against its content. */
+import {isRecord} from '../../../_lib/is-record/index.js';
+import {splitConfigEnd} from '../../../_lib/split-config-end/index.js';
+import {type FaultSink} from './faults.js';
+
+/**
+ * Adds faults of the end mark. It is looked for in the text itself: a parser
+ * also accepts it somewhere else, before a part that was cut off.
+ *
+ * @param data - The document's plain values.
+ * @param text - The document.
+ * @param faults - Where faults go.
+ */
+export function addEndFaults(data: unknown, text: string, faults: FaultSink): void {
+	if (!isRecord(data)) {
+		return;
+	}
+
+	const end = splitConfigEnd(text);
+	if (end.kind === 'missing') {
+		const last = end.format === 'json' ? 'write "end": "banyanport" as the last key, followed by the closing brace alone' : 'write "end: banyanport" as the last line, alone and not indented';
+		faults.add('end' in data ? ['end'] : [], 'the document does not end with its end mark, so part of it may be missing', last);
+		return;
+	}
+
+	if ((data.edition ?? 0) !== end.edition) {
+		faults.add(['edition'], 'the edition does not stand right before the end mark', 'move it to the line before "end"', 'key');
+	}
+
+	if (end.kind === 'plain' && data.follows !== undefined) {
+		faults.add(['follows'], 'only sealed documents say what they follow', 'leave "follows" out, or seal the document with "banyanport seal"', 'key');
+	}
+}
--- a/src/domain/parse-config/_lib/check-meaning.ts
+++ b/src/domain/parse-config/_lib/check-meaning.ts
@@ -1,12 +1,14 @@
 /** Checks what a schema can't: that names refer to something, and that the rules do what they say. */
 import {isRecord} from '../../../_lib/is-record/index.js';
 import {type PoolEntry, type RuleThen, type ServerRole} from '../../../ports/config.js';
-import {findDeadRules} from '../../find-dead-rules/index.js';
+import {findDeadRules, type DeadRule} from '../../find-dead-rules/index.js';
 import {type DocumentForm} from './document.js';
 import {type FaultSink, type Path} from './faults.js';
 import {toNameRemedy} from './readers.js';
 import {type RuleForm} from './schema.js';
 
+export type ToDeadRules = (rules: ReadonlyArray<Pick<RuleForm, 'when'>>) => readonly DeadRule[];
+
 /** Names that the document defines, also in entries with other faults, so that one fault doesn't call up others. */
 type KnownNames = {
 	zones: ReadonlySet<string>;
@@ -21,8 +23,9 @@
  * @param form - Sections that could be read.
  * @param data - The document's plain values.
  * @param faults - Where faults go.
+ * @param toDead - Finds the rules that never decide.
  */
-export function addMeaningFaults(form: Partial<DocumentForm>, data: unknown, faults: FaultSink): void {
+export function addMeaningFaults(form: Partial<DocumentForm>, data: unknown, faults: FaultSink, toDead: ToDeadRules = findDeadRules): void {
 	const known: KnownNames = {
 		zones: new Set(toNames(data, 'zones', 'id')),
 		pools: new Set(toNames(data, 'pools', 'name')),
@@ -34,7 +37,7 @@
 	addServerFaults(form, faults);
 	addRouteFaults(form, faults);
 	addRuleFaults(form, known, faults);
-	addRuleOrderFaults(form, data, faults);
+	addRuleOrderFaults(form, data, faults, toDead);
 	addEmptyPools(form, data, faults);
 }
 
@@ -185,7 +188,7 @@
 }
 
 /** The order is judged only when every rule could be read: a rule left out might be the catch-all or the one that hides. */
-function addRuleOrderFaults(form: Partial<DocumentForm>, data: unknown, faults: FaultSink): void {
+function addRuleOrderFaults(form: Partial<DocumentForm>, data: unknown, faults: FaultSink, toDead: ToDeadRules): void {
 	const rules = form.rules ?? [];
 	const last = rules.at(-1);
 	if (!last || rules.length < toEntries(data, 'rules').length) {
@@ -196,7 +199,7 @@
 		faults.add(['rules', last.index], `the last rule, ${JSON.stringify(last.value.name)}, does not match every request, so some would have no rule`, 'add a last rule without "when"');
 	}
 
-	for (const {index, hiddenBy} of findDeadRules(rules.map(({value}) => value))) {
+	for (const {index, hiddenBy} of toDead(rules.map(({value}) => value))) {
 		const {name} = rules[index]!.value;
 		const hiding = rules[hiddenBy]!.value.name;
 		const problem = `rule ${JSON.stringify(name)} never decides: ${JSON.stringify(hiding)} (rule ${hiddenBy + 1}) before it takes its requests`;
--- a/src/domain/parse-config/_lib/document.ts
+++ b/src/domain/parse-config/_lib/document.ts
@@ -23,17 +23,32 @@
 
 const defaultWeightStoreBytesPerSecond = 500_000_000;
 
-/** Reads all sections; those with faults are left out, so that the others still get their checks of meaning. */
-export const readDocument = partialRecord<DocumentForm>({
-	zones: required(placedListOf(schema.zone, 1)),
-	hosts: required(placedListOf(schema.host)),
-	servers: required(placedListOf(schema.server)),
-	pools: required(placedListOf(schema.pool, 1)),
-	routes: optional(schema.routes, {}),
-	rules: required(placedListOf(schema.rule, 1)),
+/** Sections that grow with the fleet and its customers. */
+export type LongSection = 'hosts' | 'servers' | 'rules';
+
+const zones = required(placedListOf(schema.zone, 1));
+const pools = required(placedListOf(schema.pool, 1));
+const routes = optional(schema.routes, {});
+const lastFields = {
 	callerTokens: optional(schema.callerTokens, {}),
 	weightStoreBytesPerSecond: optional(schema.weightStoreBytesPerSecond, defaultWeightStoreBytesPerSecond),
 	edition: optional(schema.edition, 0),
 	follows: optional(schema.digestOrNone, 'none'),
 	end: required(schema.endMark),
+} as const;
+
+/** Reads all sections but the long ones. */
+export const readFrame = partialRecord<Omit<DocumentForm, LongSection>>({
+	zones, pools, routes, ...lastFields,
+});
+
+/** Reads all sections; those with faults are left out, so that the others still get their checks of meaning. */
+export const readDocument = partialRecord<DocumentForm>({
+	zones,
+	hosts: required(placedListOf(schema.host)),
+	servers: required(placedListOf(schema.server)),
+	pools,
+	routes,
+	rules: required(placedListOf(schema.rule, 1)),
+	...lastFields,
 });
--- a/src/domain/parse-config/_lib/source.ts
+++ b/src/domain/parse-config/_lib/source.ts
@@ -10,6 +10,8 @@
 
 export type Source = {
 	data: unknown;
+	/** Whether the text is sound JSON. */
+	isJson: boolean;
 	syntaxFaults: readonly SyntaxFault[];
 	/** The place of a value or key; for something missing, the place of the nearest thing around it. `undefined` in a text too large to look. */
 	toPlace: (path: Path, at: PathFault['at']) => Place | undefined;
@@ -28,7 +30,9 @@
 export function readSource(text: string, maxYamlBytes: number): Source {
 	const tooDeep = findTooDeep(text);
 	if (tooDeep) {
-		return {data: undefined, syntaxFaults: [tooDeep], toPlace: () => tooDeep};
+		return {
+			data: undefined, isJson: false, syntaxFaults: [tooDeep], toPlace: () => tooDeep,
+		};
 	}
 
 	const json = readJson(text);
@@ -40,6 +44,7 @@
 	let yaml: Source | undefined;
 	return {
 		data: json.data,
+		isJson: true,
 		syntaxFaults: [],
 		toPlace(path, at) {
 			yaml ??= isSmall ? readYaml(text) : undefined;
@@ -56,7 +61,9 @@
 		: {
 			line: 1, column: 1, problem: `YAML of more than ${maxYamlBytes} bytes is too large for hosts`, remedy: 'publish it as JSON, written by "banyanport seal --to json"',
 		};
-	return {data: undefined, syntaxFaults: [fault], toPlace: () => undefined};
+	return {
+		data: undefined, isJson: false, syntaxFaults: [fault], toPlace: () => undefined,
+	};
 }
 
 function readYaml(text: string): Source {
@@ -88,7 +95,9 @@
 		}
 	}
 
-	return {data, syntaxFaults, toPlace: (path, at) => toLinePlace(toOffset(doc, path, at))};
+	return {
+		data, isJson: false, syntaxFaults, toPlace: (path, at) => toLinePlace(toOffset(doc, path, at)),
+	};
 }
 
 /**
--- a/src/domain/parse-config/_lib/to-config.ts
+++ b/src/domain/parse-config/_lib/to-config.ts
@@ -7,9 +7,10 @@
  * Puts routes in the place of their names, and drops positions and end mark.
  *
  * @param form - Sections of a document in which no fault was found.
+ * @param known - Rules to use again where they say the same, by their place in the document.
  * @returns The configuration, or `undefined` when a section is missing.
  */
-export function toConfig(form: Partial<DocumentForm>): Config | undefined {
+export function toConfig(form: Partial<DocumentForm>, known?: ReadonlyArray<Rule | undefined>): Config | undefined {
 	const {zones, hosts, servers, pools, routes, rules, callerTokens, weightStoreBytesPerSecond} = form;
 	if (!zones || !hosts || !servers || !pools || !routes || !rules || !callerTokens || weightStoreBytesPerSecond === undefined) {
 		return undefined;
@@ -20,14 +21,13 @@
 		hosts: hosts.map(({value}) => value),
 		servers: servers.map(({value}) => value),
 		pools: pools.map(({value}) => value),
-		rules: rules.map(({value}) => toRule(value, routes)),
+		rules: rules.map(({value}, i) => toRule(value, routes, known?.[i])),
 		callerTokens,
 		weightStoreBytesPerSecond,
 	};
 }
 
-function toRule({name, when, then}: RuleForm, routes: DocumentForm['routes']): Rule {
+function toRule({name, when, then}: RuleForm, routes: DocumentForm['routes'], known: Rule | undefined): Rule {
 	const decision = typeof then === 'string' ? routes[then]! : then;
-
-	return {name, when, then: decision};
+	return known?.then === decision ? known : {name, when, then: decision};
 }
--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -3,14 +3,14 @@
  * is wrong with it at once, each with line, column and remedy.
  */
 import {err, ok, type Result} from 'neverthrow';
-import {isRecord} from '../../_lib/is-record/index.js';
-import {splitConfigEnd} from '../../_lib/split-config-end/index.js';
 import {type Config} from '../../ports/config.js';
+import {addEndFaults} from './_lib/check-end.js';
 import {addMeaningFaults} from './_lib/check-meaning.js';
 import {toConfig} from './_lib/to-config.js';
 import {createFaultSink, type FaultSink, type Path} from './_lib/faults.js';
 import {readDocument} from './_lib/document.js';
 import {type Place} from './_lib/place.js';
+import {readNext, type SoundDocument} from './_lib/read-next.js';
 import {readSource, type Source} from './_lib/source.js';
 
 /** One thing that is wrong with a configuration document. */
@@ -61,6 +61,40 @@
  * ```
  */
 export function parseConfig(text: string, options: ParseConfigOptions = {}): Result<Config, readonly ConfigFault[]> {
+	return readWhole(text, options).map(({config}) => config);
+}
+
+/**
+ * Creates a reader that uses again what it has read: entries of `hosts`,
+ * `servers` and `rules` whose lines stand in the last valid document are not
+ * read and checked anew. What it returns equals what {@link parseConfig}
+ * returns for the same text, faults included. Entries that did not change stay
+ * the same objects.
+ *
+ * @param options - As of {@link parseConfig}.
+ * @returns A function in the place of `parseConfig`; it keeps the last valid document.
+ *
+ * @example
+ * ```ts
+ * const read = createConfigReader();
+ * read(text); // reads all
+ * read(textWithOneMoreRule); // reads one line
+ * ```
+ */
+export function createConfigReader(options: ParseConfigOptions = {}): (text: string) => Result<Config, readonly ConfigFault[]> {
+	let last: SoundDocument | undefined;
+	return text => {
+		const next = last && readNext(last, text);
+		const result = next ? ok(next) : readWhole(text, options);
+		if (result.isOk()) {
+			last = result.value;
+		}
+
+		return result.map(({config}) => config);
+	};
+}
+
+function readWhole(text: string, options: ParseConfigOptions): Result<SoundDocument, readonly ConfigFault[]> {
 	const toFault = ({line, column}: Place, problem: string, remedy: string): ConfigFault => ({
 		file: options.file, line, column, problem, remedy,
 	});
@@ -70,9 +104,9 @@
 	}
 
 	const faults = createFaultSink();
-	const config = readConfig(source, text, faults);
-	if (config && faults.list().length === 0) {
-		return ok(config);
+	const sound = readConfig(source, text, faults);
+	if (sound) {
+		return ok(sound);
 	}
 
 	return err(cutFaults(faults.list(), ({path, at, problem, remedy}) => {
@@ -109,8 +143,7 @@
 	return `${file ?? 'document'}:${line}:${column}: ${problem}; ${remedy}`;
 }
 
-function readConfig(source: Source, text: string, faults: FaultSink): Config | undefined {
-	const {data} = source;
+function readConfig({data, isJson}: Source, text: string, faults: FaultSink): SoundDocument | undefined {
 	const form = readDocument(data, [], faults);
 	if (!form) {
 		return undefined;
@@ -118,27 +151,8 @@
 
 	addEndFaults(data, text, faults);
 	addMeaningFaults(form, data, faults);
-	return faults.list().length > 0 ? undefined : toConfig(form);
-}
-
-/** The end mark is looked for in the text itself: a parser also accepts it somewhere else, before a part that was cut off. */
-function addEndFaults(data: unknown, text: string, faults: FaultSink): void {
-	if (!isRecord(data)) {
-		return;
-	}
-
-	const end = splitConfigEnd(text);
-	if (end.kind === 'missing') {
-		const last = end.format === 'json' ? 'write "end": "banyanport" as the last key, followed by the closing brace alone' : 'write "end: banyanport" as the last line, alone and not indented';
-		faults.add('end' in data ? ['end'] : [], 'the document does not end with its end mark, so part of it may be missing', last);
-		return;
-	}
-
-	if ((data.edition ?? 0) !== end.edition) {
-		faults.add(['edition'], 'the edition does not stand right before the end mark', 'move it to the line before "end"', 'key');
-	}
-
-	if (end.kind === 'plain' && data.follows !== undefined) {
-		faults.add(['follows'], 'only sealed documents say what they follow', 'leave "follows" out, or seal the document with "banyanport seal"', 'key');
-	}
+	const config = faults.list().length > 0 ? undefined : toConfig(form);
+	return config && {
+		text, isJson, config, routes: form.routes!,
+	};
 }
--- a/src/programs/agent/_lib/hold-documents.ts
+++ b/src/programs/agent/_lib/hold-documents.ts
@@ -2,6 +2,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {acceptConfig} from '../../../domain/accept-config/index.js';
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {createConfigReader} from '../../../domain/parse-config/index.js';
 import {parseFleetList} from '../../../domain/parse-fleet-list/index.js';
 import {toDigest} from '../../../_lib/to-digest/index.js';
 import {type ConfigVersion} from '../../../ports/config.js';
@@ -46,6 +47,7 @@
  */
 export function holdDocuments(options: {table: FleetTable; log: Log; onFleet: (fleet: FleetList) => void; onRefused: () => void}): Documents {
 	const {table, log, onFleet, onRefused} = options;
+	const read = createConfigReader();
 	let fleet: HeldDocument | undefined;
 	let notices: DocumentNotices = {refused: undefined, warning: undefined};
 	let refusedDigest: string | undefined;
@@ -63,7 +65,7 @@
 		fleet: () => fleet,
 		notices: () => notices,
 		offerConfig(text, revision, source) {
-			const verdict = acceptConfig(table.accepted(), {text, revision});
+			const verdict = acceptConfig(table.accepted(), {text, revision}, {read});
 			if (verdict.status === 'refused') {
 				const digest = toDigest(text);
 				if (digest !== refusedDigest) {
--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -48,7 +48,7 @@
 
 	function toCompiled(config: Config): CompiledRules {
 		if (compiled === undefined || compiledFrom !== config) {
-			compiled = compileRules(config);
+			compiled = compileRules(config, compiled);
 			compiledFrom = config;
 		}
 
