Prove "not run" against the engines' count; say when to come back after a stop

Cause: whole-answer.test.ts covers refusals and losses by engines. A full queue, a missed target, no server, no configuration, a stop, and keys that can't be taken were not compared with the engines' and the desk's counts. The new test showed one fault: a request that still waited when its host reached the limit of its drain was told "not run" without Retry-After, and so was one whose deadline passed before anything was offered. Ruled out: the word itself; the engines had counted nothing for it. Change: both ends name a second when nothing was offered, for completions and plain calls. Before: 15 of 16 pass ("did not say when to come back"). Conclusion: at each of these points the word and the count agree.

--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -11,6 +11,7 @@
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type Outcome} from '../../../ports/outcome.js';
+import {msPerSecond} from '../../../ports/units.js';
 import {type Account} from '../accounts/index.js';
 import {type PlainEnd, sendPlain} from '../send-plain/index.js';
 import {type PlainBody} from '../_lib/plain-body.js';
@@ -91,17 +92,24 @@
  */
 export function toCutOff(run: PlainRun, wasOffered: boolean): PlainOutcome {
 	const outcome: Outcome = wasOffered ? 'may-have-run' : 'not-run';
+	const comeBack = outcome === 'not-run' && {retryAfterMs: msPerSecond};
 	switch (run.signal.reason as EndCause) {
 		case 'caller-gone': {
 			return {end: 'caller-gone', outcome};
 		}
 
 		case 'deadline-passed': {
-			return {end: wasOffered ? 'failed' : 'refused', outcome, problem: {kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome}};
+			const problem: Problem = {
+				kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome, ...comeBack,
+			};
+			return {end: wasOffered ? 'failed' : 'refused', outcome, problem};
 		}
 
 		case 'stopping': {
-			return {end: wasOffered ? 'failed' : 'refused', outcome, problem: {kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome}};
+			const problem: Problem = {
+				kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome, ...comeBack,
+			};
+			return {end: wasOffered ? 'failed' : 'refused', outcome, problem};
 		}
 	}
 }
@@ -123,7 +131,7 @@
 		end: outcome === 'not-run' ? 'refused' : 'failed',
 		outcome,
 		problem: {
-			kind: 'backend-failed', detail: `Server ${server.id} failed: ${ended.fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: 1000}),
+			kind: 'backend-failed', detail: `Server ${server.id} failed: ${ended.fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: msPerSecond}),
 		},
 	};
 }
--- a/src/programs/entry/run-request/index.ts
+++ b/src/programs/entry/run-request/index.ts
@@ -6,6 +6,7 @@
 import {type Problem, type ProblemKind} from '../../../domain/to-problem/index.js';
 import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {msPerSecond} from '../../../ports/units.js';
 import {type AttemptFailure, runAttempt} from '../run-attempt/index.js';
 import {
 	type AnswerEnd, type EndCause, type Run, type RunServices,
@@ -76,9 +77,15 @@
 		return {kind: 'gone'};
 	}
 
+	const outcome = run.ledger.outcome();
+	const comeBack = outcome === 'not-run' && {retryAfterMs: msPerSecond};
 	const problem: Problem = cause === 'stopping'
-		? {kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome: run.ledger.outcome()}
-		: {kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome: run.ledger.outcome()};
+		? {
+			kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome, ...comeBack,
+		}
+		: {
+			kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome, ...comeBack,
+		};
 	return {kind: 'failed', problem};
 }
 
--- /dev/null
+++ b/test/failures/_lib/start-plain-call.ts
@@ -0,0 +1,51 @@
+/** A caller of a plain service: sends one call and says what came back. */
+import {Agent, request} from 'undici';
+import {type CallResult} from './start-call.js';
+
+export type PlainCallOptions = {
+	path: string;
+	body?: string;
+	key?: string;
+	workspace?: string;
+};
+
+export type PlainCallResult = Pick<CallResult, 'status' | 'isWhole' | 'outcome' | 'problem' | 'isBroken' | 'retryAfter'>;
+
+const broken: PlainCallResult = {
+	status: 0, isWhole: false, outcome: undefined, problem: undefined, isBroken: true, retryAfter: undefined,
+};
+
+function toResult(sent: string, status: number, body: string, retryAfter: string | undefined): PlainCallResult {
+	if (status === 200) {
+		return {
+			...broken, status, isWhole: body === sent, isBroken: false,
+		};
+	}
+
+	const {outcome, type: problem} = JSON.parse(body) as {outcome?: string; type?: string};
+	return {
+		status, isWhole: false, outcome, problem, isBroken: false, retryAfter,
+	};
+}
+
+/**
+ * Sends a call that changes something, on a connection of its own.
+ *
+ * @param callerUrl - Callers' URL of the entry.
+ * @param options - What is sent; the stand-in echoes the body.
+ * @returns What came back; never rejects.
+ */
+export async function startPlainCall(callerUrl: string, options: PlainCallOptions): Promise<PlainCallResult> {
+	const {path, body = 'a new address', key, workspace = 'odvetniki-breg'} = options;
+	const dispatcher = new Agent({connections: 1, headersTimeout: 0, bodyTimeout: 0});
+	try {
+		const res = await request(`${callerUrl}${path}`, {
+			dispatcher, method: 'POST', body, headers: {'x-workspace': workspace, ...(key !== undefined && {'idempotency-key': key})},
+		});
+		return toResult(body, res.statusCode, await res.body.text(), res.headers['retry-after']?.toString());
+	} catch {
+		return broken;
+	} finally {
+		await dispatcher.destroy();
+	}
+}
--- /dev/null
+++ b/test/failures/not-run.test.ts
@@ -0,0 +1,238 @@
+/*
+ * The system gives up: a queue is full, a target would be missed, no server is
+ * left, no configuration is there yet, the host stops, or a key can't be taken.
+ * The caller is told at once what it may conclude. "Not run" is compared with
+ * what the engines and the desk counted for that request: they saw nothing.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	after, afterEach, before, describe, it,
+} from 'node:test';
+import {v4 as createRandomId, v7 as createKey} from 'uuid';
+import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {
+	startCall, type CallOptions, type CallResult, type StartedCall,
+} from './_lib/start-call.js';
+import {startPlainCall} from './_lib/start-plain-call.js';
+
+const deadlineMs = 20_000;
+const hourMs = 3_600_000;
+const longText = 'All of your post of this year, in one scan. '.repeat(100);
+
+const routes = {
+	desk: {
+		pool: 'desk', class: 'quick', repeatable: true, target: {firstToken: '2s', complete: '10s'},
+	},
+	'desk-change': {
+		pool: 'desk', class: 'quick', repeatable: false, target: {firstToken: '2s', complete: '10s'},
+	},
+	question: {
+		pool: 'summaries', class: 'quick', repeatable: true, target: {firstToken: '1s', perToken: '50ms', complete: '1500ms'},
+	},
+	scene: {
+		pool: 'summaries', class: 'batch', repeatable: false, target: {firstToken: '30s', perToken: '250ms', complete: '60s'},
+	},
+	letter: {
+		pool: 'summaries', class: 'batch', repeatable: true, queueLimit: 3, target: {firstToken: '30s', perToken: '250ms', complete: '60s'},
+	},
+};
+
+type Told = CallResult & {begun: number; tookMs: number};
+
+describe('"not run"', () => {
+	let fleet: Fleet;
+	let host: FleetHost;
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: ['dvorana-a'],
+			entryFlags: {clockBound: '0ms', drainDelay: '0ms', drainTimeout: '1s'},
+			prefillEngine: {prefillTokensPerSecond: 2000},
+			decodeEngine: {decodeTokensPerSecond: 50, slots: 3},
+			config: {routes},
+		});
+		host = fleet.hosts[0]!;
+	});
+	afterEach(async () => {
+		for (const engine of fleet.engines.values()) {
+			engine.setFaults({});
+			engine.setState('serving');
+			await engine.revive();
+		}
+
+		await waitUntil(() => fleet.holds().length === 0, {deadlineMs, what: 'the release of all memory'});
+		await waitUntil(async () => {
+			const {isWhole} = await startCall(host.callerUrl, {prompt: 'Is all well again?'}).done;
+			return isWhole;
+		}, {deadlineMs, what: 'a whole answer', everyMs: 100});
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	/** Sends, and counts at the moment of the answer what began for it. */
+	function start(options: CallOptions): StartedCall & {told: Promise<Told>} {
+		const sentAt = performance.now();
+		const call = startCall(host.callerUrl, options);
+		const tell = async (): Promise<Told> => {
+			const result = await call.done;
+			const {prefillsStarted, decodesStarted} = fleet.judgeRequest(result.requestId);
+			return {...result, begun: prefillsStarted + decodesStarted, tookMs: Math.round(performance.now() - sentAt)};
+		};
+
+		return {...call, told: tell()};
+	}
+
+	function checkNotRun(told: Told, {kind, hasRetryAfter = true}: {kind: RegExp; hasRetryAfter?: boolean}): void {
+		const text = JSON.stringify(told);
+		assert.equal(told.outcome, 'not-run', text);
+		assert.match(told.problem ?? '', kind, text);
+		assert.equal(told.begun, 0, `said "not run" of work that began: ${text}`);
+		assert.equal(told.retryAfter !== undefined, hasRetryAfter, `Retry-After: ${text}`);
+	}
+
+	function checkWord(told: Told): void {
+		if (!told.isWhole) {
+			assert.ok(told.outcome !== undefined, `no word: ${JSON.stringify(told)}`);
+			assert.ok(told.outcome !== 'not-run' || told.begun === 0, `said "not run" of work that began: ${JSON.stringify(told)}`);
+			assert.ok(told.outcome !== 'not-run' || told.retryAfter !== undefined, `did not say when to come back: ${JSON.stringify(told)}`);
+		}
+	}
+
+	it('is true when the queue is full, and said at once', async t => {
+		const calls = Array.from({length: 20}, (_, i) => start({prompt: `full ${i}`, maxTokens: 60}));
+		const told = await Promise.all(calls.map(async call => call.told));
+		const refused = told.filter(({isWhole}) => !isWhole);
+		t.diagnostic(`${refused.length} of ${told.length} refused, after ${Math.max(...refused.map(({tookMs}) => tookMs))} ms at most`);
+		assert.ok(refused.length > 0, 'the queue was never full');
+		for (const one of refused) {
+			checkNotRun(one, {kind: /queue-full$/v});
+		}
+	});
+
+	it('is true when the target would be missed', async t => {
+		const calls = Array.from({length: 12}, (_, i) => start({prompt: `late ${i} ${longText}`, maxTokens: 5, isQuick: true}));
+		const told = await Promise.all(calls.map(async call => call.told));
+		const missed = told.filter(({problem}) => problem?.endsWith('target-missed'));
+		const others = told.filter(one => !missed.includes(one)).map(({outcome, problem, isWhole}) => isWhole ? 'whole' : `${outcome} ${problem}`);
+		t.diagnostic(`${missed.length} of ${told.length} would miss it, told after ${missed.map(({tookMs}) => tookMs).join(', ')} ms; others: ${others.join(', ')}`);
+		assert.ok(missed.length > 0, 'none would miss its target');
+		for (const one of told) {
+			checkWord(one);
+		}
+
+		for (const one of missed) {
+			checkNotRun(one, {kind: /target-missed$/v});
+		}
+	});
+
+	for (const role of ['prefill', 'decode'] as const) {
+		it(`is true when every ${role} engine is gone`, async t => {
+			await fleet.engine(`dvorana-a-${role}-1`).crash();
+			const first = await start({prompt: `gone ${role}`}).told;
+			checkWord(first);
+			const later = await waitUntil(async () => {
+				const told = await start({prompt: `gone ${role}, later`}).told;
+				checkWord(told);
+				return told.problem?.endsWith('no-capacity') && told;
+			}, {deadlineMs, what: 'the word that there is no server', everyMs: 200});
+			t.diagnostic(`the first: ${first.outcome} ${first.problem} after ${first.tookMs} ms; later ${later.problem} after ${later.tookMs} ms`);
+			checkNotRun(later, {kind: /no-capacity$/v});
+		});
+
+		it(`is true when every ${role} engine leaves`, async () => {
+			fleet.engine(`dvorana-a-${role}-1`).setState('leaving');
+			const told = await start({prompt: `leaves ${role}`}).told;
+			checkWord(told);
+			assert.equal(told.isWhole, false);
+		});
+	}
+
+	const minted = (offMs: number) => createKey({msecs: Date.now() + offMs});
+	const keys: ReadonlyArray<{name: string; toKey: () => string | undefined; kind: RegExp; outcome: string; hasRetryAfter: boolean}> = [
+		{
+			name: 'that is missing', toKey: () => undefined, kind: /key-required$/v, outcome: 'not-run', hasRetryAfter: false,
+		},
+		{
+			name: 'that is no UUID', toKey: () => 'box-17', kind: /key-invalid$/v, outcome: 'not-run', hasRetryAfter: false,
+		},
+		{
+			name: 'that bears no time', toKey: () => createRandomId(), kind: /key-invalid$/v, outcome: 'not-run', hasRetryAfter: false,
+		},
+		{
+			name: 'of an hour ago', toKey: () => minted(-hourMs), kind: /claim-unavailable$/v, outcome: 'may-have-run', hasRetryAfter: false,
+		},
+		{
+			name: 'of the next hour', toKey: () => minted(hourMs), kind: /claim-unavailable$/v, outcome: 'may-have-run', hasRetryAfter: true,
+		},
+	];
+	for (const {name, toKey, kind, outcome, hasRetryAfter} of keys) {
+		it(`is not said too much of a key ${name}`, async () => {
+			const key = toKey();
+			const told = await start({prompt: `a scene with a key ${name}`, isScene: true, ...(key !== undefined && {key})}).told;
+			assert.equal(told.outcome, outcome, JSON.stringify(told));
+			assert.match(told.problem ?? '', kind);
+			assert.equal(told.begun, 0, 'work of a key that was refused');
+			assert.equal(told.retryAfter !== undefined, hasRetryAfter, JSON.stringify(told));
+			const atDesk = await startPlainCall(host.callerUrl, {path: '/desk/forwarding/17', ...(key !== undefined && {key})});
+			assert.equal(atDesk.outcome, outcome);
+			assert.match(atDesk.problem ?? '', kind);
+		});
+	}
+
+	const deskFaults = [
+		{name: 'drops it before the work', faults: {drop: 'before'}},
+		{name: 'drops it after the work', faults: {drop: 'after'}},
+		{name: 'breaks off midway', faults: {drop: 'midway'}},
+	] as const;
+	for (const {name, faults} of deskFaults) {
+		it(`is not said of a change when the desk ${name}`, async () => {
+			const [plain] = fleet.plains;
+			plain!.setFaults({...faults, times: 1});
+			const key = createKey();
+			const told = await startPlainCall(host.callerUrl, {path: '/desk/forwarding/18', key});
+			assert.notEqual(told.outcome, 'not-run', JSON.stringify(told));
+			assert.ok(!told.isWhole);
+			const again = await startPlainCall(host.callerUrl, {path: '/desk/forwarding/18', key});
+			assert.ok(plain!.countWork(key) <= 1, JSON.stringify(again));
+		});
+	}
+
+	it('is true when the host stops, of what still waits alone', async t => {
+		const running = start({prompt: 'a long letter', maxTokens: 1000});
+		const early = await Promise.race([running.told, waitUntil(() => running.received().length > 0, {deadlineMs, what: 'the first token'})]);
+		assert.equal(early, true, JSON.stringify(early));
+		const others = Array.from({length: 5}, (_, i) => start({prompt: `waits ${i}`, maxTokens: 1000}));
+		await sleep(300);
+		host.entry().signal('SIGTERM');
+		const [first, ...rest] = await Promise.all([running, ...others].map(async call => call.told));
+		const words = rest.map(({outcome, problem, begun}) => `${outcome} ${problem} (${begun} begun)`);
+		t.diagnostic(`the letter in progress: ${first!.outcome} ${first!.problem}; the others: ${words.join(', ')}`);
+		await host.entry().waitForExit(deadlineMs);
+		await host.startEntry();
+		await fleet.waitUntilReady();
+		assert.ok(first!.outcome === 'ran' || first!.outcome === 'may-have-run', JSON.stringify({...first, text: ''}));
+		for (const one of rest) {
+			checkWord(one);
+		}
+
+		assert.ok(rest.some(({outcome}) => outcome === 'not-run'), 'none was waiting');
+	});
+
+	it('is true when no configuration is there yet, and when no server answers at the desk', async () => {
+		const [plain] = fleet.plains;
+		await plain!.stop();
+		const atDesk = await startPlainCall(host.callerUrl, {path: '/desk/forwarding/19', key: createKey()});
+		assert.equal(atDesk.outcome, 'not-run', JSON.stringify(atDesk));
+		assert.ok(atDesk.retryAfter !== undefined);
+		await host.kill();
+		fleet.platform.setFaults({down: true});
+		await host.start();
+		const told = await start({prompt: 'too early'}).told;
+		checkNotRun(told, {kind: /no-configuration$/v});
+		fleet.platform.setFaults({});
+		await fleet.waitUntilReady();
+	});
+});
