--- a/src/domain/create-fleet-table/test.ts
+++ b/src/domain/create-fleet-table/test.ts
@@ -10,7 +10,10 @@
 	config: {servers: [{id: 's1'}, {id: 's2'}]},
 } as unknown as AcceptedConfig;
 const load: LoadReport = {
-	server: 's1', role: 'decode', model: 'm', version: '1', adapters: [], state: 'serving', ageMs: 0, slotsTotal: 20, slotsUsed: 1, queued: 0, queuedTokens: 0, tokensPerSecond: 30, linkBytesPerSecond: 1, fence: 0,
+	server: 's1', role: 'decode', model: 'm', version: '1', adapters: [],
+	state: 'serving',
+	ageMs: 0,
+	slotsTotal: 20, slotsUsed: 1, queued: 0, queuedTokens: 0, tokensPerSecond: 30, linkBytesPerSecond: 1, fence: 0,
 };
 
 function createTable() {
--- a/src/domain/create-load-spread/test.ts
+++ b/src/domain/create-load-spread/test.ts
@@ -6,7 +6,10 @@
 import {createLoadSpread, readLoads} from './index.js';
 
 const load: LoadReport = {
-	server: 's1', role: 'decode', model: 'm', version: '1', adapters: [], state: 'serving', ageMs: 0, slotsTotal: 20, slotsUsed: 7, queued: 3, queuedTokens: 12_345, tokensPerSecond: 31, linkBytesPerSecond: 1_000_000_000, fence: 4,
+	server: 's1', role: 'decode', model: 'm', version: '1', adapters: [],
+	state: 'serving',
+	ageMs: 0,
+	slotsTotal: 20, slotsUsed: 7, queued: 3, queuedTokens: 12_345, tokensPerSecond: 31, linkBytesPerSecond: 1_000_000_000, fence: 4,
 };
 const findServer = (hash: number) => hash === toHash32('s1') ? 's1' : undefined;
 
