--- a/bench/relay/_lib/engine-worker.ts
+++ b/bench/relay/_lib/engine-worker.ts
@@ -85,7 +85,20 @@
 	'/engine/cancels': [200, {released: true}],
 	'/engine/holds': [200, {holds: []}],
 	'/engine/load': [200, {
-		server: id, role, model: 'm', version: '1', adapters: [], state: 'serving', ageMs: 0, slotsTotal: 20_000, slotsUsed: 0, queued: 0, queuedTokens: 0, tokensPerSecond: 100_000, linkBytesPerSecond: 1e9, fence: 0,
+		server: id,
+		role,
+		model: 'm',
+		version: '1',
+		adapters: [],
+		state: 'serving',
+		ageMs: 0,
+		slotsTotal: 20_000,
+		slotsUsed: 0,
+		queued: 0,
+		queuedTokens: 0,
+		tokensPerSecond: 100_000,
+		linkBytesPerSecond: 1e9,
+		fence: 0,
 	}],
 };
 
--- /dev/null
+++ b/src/domain/to-pool-capacity/test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type Config, type ServerEntry} from '../../ports/config.js';
+import {type LoadReport} from '../../ports/engine.js';
+import {type FleetView, type HostStatus, type ServerStatus} from '../../ports/view.js';
+import {toPoolCapacity} from './index.js';
+
+const server = (id: string, zone: string, rest: Partial<ServerEntry> = {}): ServerEntry => ({
+	id, zone, url: 'http://127.0.0.1:1', role: 'decode', pool: 'p', slots: 20, checksFence: false, ...rest,
+});
+
+const host = (id: string, zone: string, life: HostStatus['life'] = 'alive'): [string, HostStatus] => [id, {
+	id, zone, life, incarnation: 1, entryAddress: '', agentAddress: '', leaving: false,
+}];
+
+const status = (id: string, rest: Partial<ServerStatus>): [string, ServerStatus] => [id, {
+	id, leaving: false, load: undefined, loadAt: 0, reachable: true, ...rest,
+}];
+
+function toView(servers: readonly ServerEntry[], hosts: Array<[string, HostStatus]>, statuses: Array<[string, ServerStatus]>): FleetView {
+	const config = {
+		zones: [{id: 'a', region: 'r'}, {id: 'b', region: 'r'}, {id: 'far', region: 'q'}],
+		pools: [{name: 'p'}],
+		servers,
+	} as unknown as Config;
+	return {
+		accepted: {config, version: {edition: 1, revision: 1, digest: ''}, text: ''}, hosts: new Map(hosts), servers: new Map(statuses), platformConfirmedAt: 0, receivedAt: 0,
+	};
+}
+
+const load = (slotsTotal: number, slotsUsed: number): ServerStatus['load'] => {
+	const report: Partial<LoadReport> = {slotsTotal, slotsUsed};
+	return report as LoadReport;
+};
+
+describe('toPoolCapacity', () => {
+	const both = [server('d1', 'a'), server('d2', 'b')];
+	const cases: ReadonlyArray<[string, FleetView, Record<string, unknown>]> = [
+		['counts the region\'s servers and shares by its living hosts', toView([...both, server('d3', 'far')], [host('h1', 'a'), host('h2', 'b'), host('h3', 'far')], []), {slots: 40, share: 0.5}],
+		['counts no dead host', toView(both, [host('h1', 'a'), host('h2', 'b', 'dead')], []), {slots: 40, share: 1}],
+		['takes what servers report', toView(both, [], [status('d1', {load: load(16, 4)})]), {slots: 36, share: 1, used: 4}],
+		['counts no server that leaves or can\'t be reached', toView(both, [], [status('d1', {leaving: true}), status('d2', {reachable: false})]), {slots: 0, share: 1}],
+		['counts no prefill server', toView([server('p1', 'a', {role: 'prefill'}), server('d1', 'a')], [], []), {slots: 20, share: 1}],
+	];
+	for (const [name, view, expected] of cases) {
+		it(name, () => {
+			assert.deepEqual(toPoolCapacity(view, 'a'), [{pool: 'p', ...expected}]);
+		});
+	}
+
+	it('knows no pool before there is a configuration', () => {
+		assert.deepEqual(toPoolCapacity({...toView([], [], []), accepted: undefined}, 'a'), []);
+	});
+});
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -1,6 +1,6 @@
 /** Wires the decisions to what a run needs of the program. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {okAsync} from 'neverthrow';
+import {errAsync} from 'neverthrow';
 import {type Log} from '../../../adapters/log/index.js';
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
@@ -8,6 +8,7 @@
 import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type Config} from '../../../ports/config.js';
+import {type EngineFailure} from '../../../ports/engine.js';
 import {type Owner, type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {createCancelQueue, type CancelQueueOptions} from '../cancel-queue/index.js';
@@ -50,6 +51,13 @@
 	};
 }
 
+/** A cancel that could not be sent must not count as confirmed. */
+function toNoClient(server: ServerId): EngineFailure {
+	return {
+		kind: 'unreachable', reason: undefined, server, message: 'the server is no longer in the configuration', retryAfterMs: undefined,
+	};
+}
+
 /**
  * Creates what runs need.
  *
@@ -65,7 +73,7 @@
 	let servers: ReadonlySet<ServerId> = new Set();
 
 	const cancel: CancelQueueOptions['cancel'] = (server, key, timeoutMs) =>
-		engines.findEngine(server)?.cancel(key, {signal: AbortSignal.timeout(timeoutMs)}) ?? okAsync(undefined);
+		engines.findEngine(server)?.cancel(key, {signal: AbortSignal.timeout(timeoutMs)}) ?? errAsync(toNoClient(server));
 
 	const services: RunServices = {
 		clock,
--- a/src/programs/entry/_lib/find-key.ts
+++ b/src/programs/entry/_lib/find-key.ts
@@ -34,3 +34,20 @@
 export function toDigest(exchange: CallerExchange, body: Uint8Array): string {
 	return createHash('sha256').update(`${exchange.method} ${exchange.target}\n`).update(body).digest('hex');
 }
+
+/**
+ * Says what is true of a request that is refused before its key was claimed,
+ * for a cause that is this host's alone (no configuration yet, no room, another
+ * edition of the rules). Another host may have run the work of the key; a caller
+ * that was told `not-run` could send it again under a new key, and it would run
+ * twice. Without a claim nothing is known, and that is what is said.
+ *
+ * @param problem - Why this host refuses.
+ * @param headers - The caller's.
+ * @returns The problem, with an outcome that claims no more than is known.
+ */
+export function toUnclaimed(problem: Problem, headers: CallerExchange['headers']): Problem {
+	return problem.outcome === 'not-run' && parseIdempotencyKey(headers['idempotency-key']).isOk()
+		? {...problem, outcome: 'may-have-run'}
+		: problem;
+}
--- /dev/null
+++ b/src/programs/entry/outcome-ledger/test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createOutcomeLedger, type OutcomeLedger} from './index.js';
+
+describe('createOutcomeLedger', () => {
+	const cases: ReadonlyArray<[string, (ledger: OutcomeLedger) => void, string]> = [
+		['says not-run before any offer', () => undefined, 'not-run'],
+		['says may-have-run from the offer on', ledger => {
+			ledger.noteOffered();
+		}, 'may-have-run'],
+		['takes the server\'s word that it did not start', ledger => {
+			ledger.noteOffered();
+			ledger.noteNotStarted();
+		}, 'not-run'],
+		['keeps an open offer when a later one was not started', ledger => {
+			ledger.noteOffered();
+			ledger.noteOffered();
+			ledger.noteNotStarted();
+		}, 'may-have-run'],
+		['says ran after a token, whatever follows', ledger => {
+			ledger.noteOffered();
+			ledger.noteRan(5);
+			ledger.noteOffered();
+			ledger.noteNotStarted();
+		}, 'ran'],
+	];
+	for (const [name, act, outcome] of cases) {
+		it(name, () => {
+			const ledger = createOutcomeLedger();
+			act(ledger);
+			assert.equal(ledger.outcome(), outcome);
+		});
+	}
+});
