Wait for orders from the last change of what they order, and poll leaner

Cause: orders wait some seconds after each edition; with an edition every 5.4 s none would ever go out. And each wait of a task, and each poll, made listeners and controllers anew.

Change: the wait is counted from the last change of the weights that servers are to have (toWeightsKey). waitFor uses a plain timer, and a poll task keeps its controller until it has aborted a call.

Ruled out: no wait at all, since hosts take an edition at different times.

--- a/src/_lib/wait-for/index.ts
+++ b/src/_lib/wait-for/index.ts
@@ -1,4 +1,3 @@
-import {setTimeout as sleep} from 'node:timers/promises';
 import {type Milliseconds} from '../../ports/clock.js';
 
 /**
@@ -9,7 +8,19 @@
  * @returns Resolves at the end of the wait or at the abort.
  */
 export async function waitFor(ms: Milliseconds, signal: AbortSignal): Promise<void> {
-	try {
-		await sleep(ms, undefined, {signal});
-	} catch {}
+	if (signal.aborted) {
+		return;
+	}
+
+	// The timer of `node:timers/promises` does the same at twice the cost, which counts where a process does little else.
+	await new Promise<void>(resolve => {
+		const end = () => {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', end);
+			resolve();
+		};
+
+		const timer = setTimeout(end, ms);
+		signal.addEventListener('abort', end);
+	});
 }
--- a/src/programs/agent/_lib/give-orders.ts
+++ b/src/programs/agent/_lib/give-orders.ts
@@ -13,6 +13,7 @@
 import {type ServerId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {msPerSecond} from '../../../ports/units.js';
+import {createWantedSince} from './create-wanted-since.js';
 
 const planIntervalMs = 2 * msPerSecond;
 const callTimeoutMs = 5 * msPerSecond;
@@ -38,15 +39,8 @@
 export async function giveOrders(options: GiveOrdersOptions): Promise<void> {
 	const {view, servers, toEngine, mayAct, onGiven, log, now, random, signal} = options;
 	const givenAt = new Map<ServerId, Milliseconds>();
-	let inForce: {digest: string; since: Milliseconds} | undefined;
-
-	function noteAccepted(digest: string): Milliseconds {
-		if (inForce?.digest !== digest) {
-			inForce = {digest, since: now()};
-		}
-
-		return inForce.since;
-	}
+	const toWantedSince = createWantedSince(now);
+	let plannedDigest: string | undefined;
 
 	/** The last check; nothing is awaited between it and the sending. */
 	function mayGive(server: ServerEntry, {order}: WantedOrder, decidedAt: Milliseconds): boolean {
@@ -57,7 +51,7 @@
 		const {accepted, servers: statuses, platformConfirmedAt} = view();
 		const status = statuses.get(server.id);
 		// A later edition, in force here or known to the server, ends this order.
-		const isCurrent = accepted?.version.edition === order.fence && accepted.version.digest === inForce?.digest;
+		const isCurrent = accepted?.version.edition === order.fence && accepted.version.digest === plannedDigest;
 		const isOvertaken = (status?.load?.fence ?? 0) > order.fence;
 		return status !== undefined && isCurrent && !isOvertaken && isOrderAllowed({
 			checksFence: server.checksFence,
@@ -91,7 +85,8 @@
 		}
 
 		const decidedAt = now();
-		const acceptedAt = noteAccepted(current.accepted.version.digest);
+		const acceptedAt = toWantedSince(current.accepted.config);
+		plannedDigest = current.accepted.version.digest;
 		const mine = new Map(servers().map(server => [server.id, server]));
 		const {orders} = pickLoads(current, current.accepted, decidedAt, {acceptedAt});
 		const due = orders.filter(({server}) => mine.has(server) && decidedAt - (givenAt.get(server) ?? -Infinity) >= repeatMs);
--- a/src/programs/agent/_lib/poll-loads.ts
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -25,19 +25,28 @@
 	signal: AbortSignal;
 };
 
-/** `AbortSignal.any` on Node 20 keeps every combined signal alive as long as its sources; a task polls for weeks. */
-async function loadWithin(engine: Engine, timeoutMs: Milliseconds, stop: AbortSignal) {
-	const call = new AbortController();
+/**
+ * Bounds the calls of one task in time. Most calls are answered in time, so one
+ * controller serves until it has aborted a call. `AbortSignal.any` on Node 20
+ * keeps every combined signal alive as long as its sources; a task polls for weeks.
+ */
+function createLoadCaller(engine: Engine, timeoutMs: Milliseconds, stop: AbortSignal) {
+	let call = new AbortController();
 	const abort = () => {
 		call.abort();
 	};
 
-	const timer = setTimeout(abort, timeoutMs);
 	stop.addEventListener('abort', abort, {once: true});
-	const load = await engine.load({signal: call.signal});
-	clearTimeout(timer);
-	stop.removeEventListener('abort', abort);
-	return load;
+	return async () => {
+		const timer = setTimeout(abort, timeoutMs);
+		const load = await engine.load({signal: call.signal});
+		clearTimeout(timer);
+		if (call.signal.aborted && !stop.aborted) {
+			call = new AbortController();
+		}
+
+		return load;
+	};
 }
 
 /** Runs until the signal aborts; starts a task for each server it is given and ends it when the server is no longer among them. */
@@ -46,11 +55,11 @@
 	const tasks = new Map<ServerId, {url: string; stop: AbortController}>();
 
 	async function poll(server: ServerEntry, stop: AbortSignal) {
-		const engine = toEngine(server);
+		const readLoad = createLoadCaller(toEngine(server), Math.max(intervalMs, minTimeoutMs), stop);
 		await waitFor(intervalMs * random(), stop);
 		while (!stop.aborted) {
 			const askedAt = now();
-			const load = await loadWithin(engine, Math.max(intervalMs, minTimeoutMs), stop);
+			const load = await readLoad();
 			if (stop.aborted) {
 				return;
 			}
