End the cancel queue's tasks at a stop

Cause: since a cancel without a client counts as failed, a stopped entry went on retrying it for ten minutes; a test file that stops its entry in the same process did not end (seen: killed after 75 s with all tests passed).

Change: the queue is stopped once its cancels had their time.

Before: no end within 75 s.

--- a/src/programs/entry/cancel-queue/index.ts
+++ b/src/programs/entry/cancel-queue/index.ts
@@ -26,6 +26,8 @@
 export type CancelQueue = {
 	add: (server: ServerId, key: AttemptKey) => void;
 	pending: () => number;
+	/** Ends all tasks; what is pending is left to the servers' own expiry and to the zone's agents. */
+	stop: () => void;
 	/** Resolves when nothing is pending, or after the time given. */
 	settle: (timeoutMs: Milliseconds) => Promise<void>;
 };
@@ -55,6 +57,7 @@
 		cancel, isGone, now, random, sleep, onSettled, maxPerServer = defaultMaxPerServer,
 	} = options;
 	const byServer = new Map<ServerId, PendingCancel[]>();
+	const stopping = new AbortController();
 
 	function settleOne(server: ServerId, item: PendingCancel, end: CancelEnd): void {
 		onSettled?.(server, item.key, end, now() - item.since);
@@ -81,7 +84,7 @@
 	/** The task of one server; ends when nothing is left to cancel there. */
 	async function serveServer(server: ServerId, items: PendingCancel[]): Promise<void> {
 		let backoffMs = firstBackoffMs;
-		while (items.length > 0) {
+		while (items.length > 0 && !stopping.signal.aborted) {
 			const batch = items.splice(0, concurrentCalls);
 			const failed = await sendBatch(server, batch);
 			if (failed.length === 0) {
@@ -124,6 +127,9 @@
 			}
 		},
 		pending,
+		stop() {
+			stopping.abort();
+		},
 		async settle(timeoutMs) {
 			const end = now() + timeoutMs;
 			while (byServer.size > 0 && now() < end) {
--- a/src/programs/entry/cancel-queue/test.ts
+++ b/src/programs/entry/cancel-queue/test.ts
@@ -57,6 +57,14 @@
 		assert.deepEqual(fixture.ends, ['too-old']);
 	});
 
+	it('sends nothing more once it is stopped', async () => {
+		const fixture = createFixture({failures: Infinity});
+		fixture.queue.add('s', toKey(1));
+		fixture.queue.stop();
+		await fixture.queue.settle(3_600_000);
+		assert.equal(fixture.calls(), 1);
+	});
+
 	it('keeps a bounded number for each server', () => {
 		const fixture = createFixture({failures: Infinity, maxPerServer: 5});
 		for (let attempt = 1; attempt <= 50; attempt++) {
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -258,6 +258,7 @@
 			await sleep(settings.drainDelay);
 			await drain(parts);
 			await run.services.cancels.settle(cancelSettleMs);
+			run.services.cancels.stop();
 			await link.leave();
 			clearInterval(gateTicker);
 			endPauseWatch();
