Forget the backlog of prompts that were cancelled or never sent

Cause: when an attempt ended before its prefill was done, the estimate took the prompt out of this host's own count and left it in the backlog, until the next report. The same held for each reservation that a full decode server refused: its prompt was never sent and counted all the same, most of all under overload with many hosts.

Ruled out: taking back only what a prefill had left to do. Reports count a prompt whole until it is done, so a report from before the cancel would still leave the rest of it standing.

Change: `dropPrefill` takes it out and is replayed over reports from before.

The new test of the placement fails on the old code.

--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -117,6 +117,14 @@
 		return track;
 	};
 
+	/** Adds to the backlog as it stands then; it never falls below nothing. */
+	const addTokens = (track: Track, {at, tokens}: Change): void => {
+		if (tokens !== 0) {
+			track.backlogTokens = Math.max(0, toDrained(track, at) + tokens);
+			track.backlogAt = at;
+		}
+	};
+
 	/** Starts again from a new report and replays the own changes that came after it. */
 	const applyReport = (track: Track, status: ServerStatus): void => {
 		track.reportAt = status.loadAt;
@@ -126,10 +134,7 @@
 		track.backlogAt = status.loadAt;
 		for (const change of track.changes) {
 			track.slotsSince += change.slots;
-			if (change.tokens > 0) {
-				track.backlogTokens = toDrained(track, change.at) + change.tokens;
-				track.backlogAt = change.at;
-			}
+			addTokens(track, change);
 		}
 	};
 
@@ -174,6 +179,12 @@
 		};
 	};
 
+	const removePrefill = (server: ServerId, tokens: number): void => {
+		const track = toTrack(server);
+		track.ownTokens = Math.max(0, track.ownTokens - tokens);
+		track.ownPrefills = Math.max(0, track.ownPrefills - 1);
+	};
+
 	return {
 		read,
 		/** Counts requests of this host that come to (positive) or leave (negative) the server. */
@@ -189,17 +200,27 @@
 		/** Counts a prompt sent to a prefill server. */
 		addPrefill(server: ServerId, tokens: number, now: Milliseconds): void {
 			const track = toTrack(server);
-			track.backlogTokens = toDrained(track, now) + tokens;
-			track.backlogAt = now;
+			const change = {at: now, slots: 0, tokens};
+			addTokens(track, change);
 			track.ownTokens += tokens;
 			track.ownPrefills++;
-			addChange(track, {at: now, slots: 0, tokens});
+			addChange(track, change);
 		},
-		/** Takes back a prompt whose prefill has ended, well or not. */
-		removePrefill(server: ServerId, tokens: number): void {
-			const track = toTrack(server);
-			track.ownTokens = Math.max(0, track.ownTokens - tokens);
-			track.ownPrefills = Math.max(0, track.ownPrefills - 1);
+		/** Takes back a prompt whose prefill is done. */
+		removePrefill,
+		/**
+		 * Takes back a prompt whose prefill ended before it was done: its caller
+		 * left, or the server refused or lost it. The last report may count it for
+		 * a second more, and the next prompts would be refused for a queue that is
+		 * gone. All of it is taken back, since reports count a prompt whole until
+		 * it is done; where a part was computed, the backlog is believed that
+		 * much too short, until the next report.
+		 */
+		dropPrefill(server: ServerId, tokens: number, now: Milliseconds): void {
+			const change = {at: now, slots: 0, tokens: -tokens};
+			removePrefill(server, tokens);
+			addTokens(toTrack(server), change);
+			addChange(toTrack(server), change);
 		},
 		/** Counts KV transfers of this host over the server's link. */
 		addTransfers(server: ServerId, transfers: number): void {
--- a/src/domain/create-load-estimate/test.ts
+++ b/src/domain/create-load-estimate/test.ts
@@ -39,6 +39,18 @@
 		assert.equal(loads.read(prefill, toStatus(prefill, 0), 60_000).backlogTokens, 0);
 	});
 
+	it('forgets a prompt that was cancelled, also where a report from before still counts it', () => {
+		const loads = createLoadEstimate();
+		loads.addPrefill('p1', 27_500, 1000);
+		const counting = toStatus(prefill, 1200, {queuedTokens: 27_500, tokensPerSecond: 8000});
+		assert.equal(loads.read(prefill, counting, 1300).backlogTokens, 27_500 - 800);
+		loads.dropPrefill('p1', 27_500, 1300);
+		assert.equal(loads.read(prefill, counting, 1300).backlogTokens, 0);
+		assert.equal(loads.read(prefill, toStatus(prefill, 1250, {queuedTokens: 28_500, tokensPerSecond: 8000}), 1300).backlogTokens, 1000 - 400);
+		loads.addPrefill('p1', 500, 1300);
+		assert.equal(loads.read(prefill, toStatus(prefill, 1260, {queuedTokens: 27_500, tokensPerSecond: 8000}), 1300).backlogTokens, 500);
+	});
+
 	it('holds a server for full after its own refusal, until a later report or the end of a request that held a slot', () => {
 		const loads = createLoadEstimate();
 		const status = toStatus(decode, 1000, {slotsUsed: 3});
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -50,9 +50,7 @@
 export const createNotes = ({loads, health, standing, prefixes, learnt, tokensPerBlock, toSubject}: NotesOptions) => {
 	const running = new WeakMap<Placement | PlainPlacement, Progress>();
 
-	const endPrefill = (placement: Placement): void => {
-		loads.removePrefill(placement.prefill.id, placement.promptTokens - placement.expectedCachedTokens);
-	};
+	const toPrefillTokens = (placement: Placement): number => placement.promptTokens - placement.expectedCachedTokens;
 
 	const endTransfer = (placement: Placement): void => {
 		loads.addTransfers(placement.prefill.id, -1);
@@ -82,7 +80,7 @@
 			}
 
 			loads.addSlots(placement.decode.id, 1, now);
-			loads.addPrefill(placement.prefill.id, placement.promptTokens - placement.expectedCachedTokens, now);
+			loads.addPrefill(placement.prefill.id, toPrefillTokens(placement), now);
 		},
 		/** The decode server granted the reservation; without this note its end will not count as room on a full server. */
 		noteReserved(placement: Placement, now: Milliseconds): void {
@@ -100,7 +98,7 @@
 			}
 
 			running.set(placement, {...progress, stage: 'transfer', prefilledAt: now});
-			endPrefill(placement);
+			loads.removePrefill(placement.prefill.id, toPrefillTokens(placement));
 			loads.addTransfers(placement.prefill.id, 1);
 			loads.addTransfers(placement.decode.id, 1);
 			if (result.promptTokens > 0) {
@@ -151,7 +149,7 @@
 			}
 
 			if (progress.stage === 'prefill') {
-				endPrefill(placement);
+				loads.dropPrefill(placement.prefill.id, toPrefillTokens(placement), now);
 			} else if (progress.stage === 'transfer') {
 				endTransfer(placement);
 			} else {
--- a/src/domain/create-placement/test.ts
+++ b/src/domain/create-placement/test.ts
@@ -134,4 +134,20 @@
 			assert.equal(decider.pick(toPlacementRequest(), toFleet(), 1000 + i, random)._unsafeUnwrap().decode.id, 'd2');
 		}
 	});
+
+	it('does not count a prompt whose prefill was cancelled, or never sent because the reservation was refused', () => {
+		const entries = [prefills[0]!, decodes[0]!];
+		for (const {sent, queuedTokens} of [{sent: [27_500], queuedTokens: 27_500}, {sent: Array.from({length: 10}, () => 2000), queuedTokens: 0}]) {
+			const decider = toDecider();
+			for (const promptTokens of sent) {
+				const placement = decider.pick(toPlacementRequest({promptTokens, firstTokenBudgetMs: 30_000}), toFleet({}, entries), 1000, random)._unsafeUnwrap();
+				decider.noteDispatched(placement, 1000);
+				decider.noteFinished(placement, 1900);
+			}
+
+			// A report from before the cancel still counts it.
+			const view = toFleet({p1: {...toLoad(prefills[0], {queuedTokens}), loadAt: 1500}}, entries);
+			assert.ok(decider.pick(toPlacementRequest(), view, 1950, random)._unsafeUnwrap().predictedFirstTokenMs < 500);
+		}
+	});
 });
