Refuse at once what waits for a pool that left the configuration

Cause: the entry's gate never told the admission which pools are still configured. A pool that left kept its last capacity; its waiters stayed until their targets had passed, and its state was kept for good. Ruled out: deriving it from toPoolCapacity's list inside the admission, which sees one pool at a time. Change: with each view the gate passes the configured names on; again with each one, since a pool with running requests is only forgotten when they have ended. Before: the new test waits without end (run with the call taken out). After: it is refused as no-capacity at the next tick; 5 of 5 gate tests.

--- a/src/programs/entry/gate/index.ts
+++ b/src/programs/entry/gate/index.ts
@@ -4,6 +4,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type Config} from '../../../ports/config.js';
 import {type RequestId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {
@@ -39,6 +40,8 @@
 	const {admission, zone, now} = options;
 	const waiters = new Map<RequestId, Waiter>();
 	let view: FleetView | undefined;
+	let config: Config | undefined;
+	let poolNames: ReadonlySet<string> = new Set();
 
 	function settle(id: RequestId, result: Result<void, GateRefusal>): void {
 		const waiter = waiters.get(id);
@@ -52,11 +55,30 @@
 		}
 	}
 
+	/**
+	 * A pool that left the configuration keeps no places: what waits for it would
+	 * wait until its target had passed. Asked again with each view, since a pool
+	 * that still has requests running goes only when they have ended.
+	 */
+	function dropPools({accepted}: FleetView): void {
+		if (accepted === undefined) {
+			return;
+		}
+
+		if (accepted.config !== config) {
+			config = accepted.config;
+			poolNames = new Set(config.pools.map(pool => pool.name));
+		}
+
+		admission.keepPools(poolNames, now());
+	}
+
 	function applyView(): void {
 		if (view === undefined) {
 			return;
 		}
 
+		dropPools(view);
 		for (const {pool, ...capacity} of toPoolCapacity(view, zone)) {
 			start(admission.setCapacity(pool, capacity, now()));
 		}
--- a/src/programs/entry/gate/test.ts
+++ b/src/programs/entry/gate/test.ts
@@ -24,6 +24,9 @@
 	gate.setView(view);
 	return {
 		gate,
+		setPools(names: readonly string[]) {
+			gate.setView({...view, accepted: {...view.accepted!, config: {...config, pools: config.pools.filter(pool => names.includes(pool.name))}}});
+		},
 		setTime(next: number) {
 			time = next;
 		},
@@ -68,6 +71,20 @@
 		assert.equal(gate.waiting(), 0);
 	});
 
+	it('answers who waits at once when the pool leaves the configuration, and forgets the pool when it is empty', async () => {
+		const {gate, setPools} = createFixture();
+		await gate.enter(toRequest('r1'), never());
+		const second = gate.enter(toRequest('r2'), never());
+		setPools([]);
+		gate.tick();
+		const refused = await second;
+		assert.equal(refused._unsafeUnwrapErr().reason, 'no-capacity');
+		gate.leave('r1', 'completed');
+		setPools([]);
+		gate.tick();
+		assert.deepEqual(gate.status(), []);
+	});
+
 	it('takes nobody whose caller is already gone', async () => {
 		const {gate} = createFixture();
 		const gone = await gate.enter(toRequest('r1'), AbortSignal.abort());
