Keep the programs apart: engine clients move to a folder of both

Cause: the agent imported `entry/_lib/engines.js`. Programs wire and restart alone; one that reaches into another's private folder changes with it unseen.

Ruled out: an adapter, since it does no I/O itself, and `src/_lib`, which knows no ports.

The linter refuses an import from `programs/entry` to `programs/agent` and back; a probe file was refused.

--- a/src/programs/entry/_lib/engines.ts
+++ b/src/programs/_engines/index.ts
@@ -1,6 +1,6 @@
-import {type ServerEntry} from '../../../ports/config.js';
-import {type Engine} from '../../../ports/engine.js';
-import {type ServerId} from '../../../ports/ids.js';
+import {type ServerEntry} from '../../ports/config.js';
+import {type Engine} from '../../ports/engine.js';
+import {type ServerId} from '../../ports/ids.js';
 
 /** A client of an engine, with connections to close. */
 export type EngineClient = Engine & {close: () => Promise<void>};
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -5,13 +5,13 @@
 import {addProcessMetrics, createMetrics, type Metrics} from '../../adapters/metrics/index.js';
 import {createPlatformHttp} from '../../adapters/platform-http/index.js';
 import {loadSettings} from '../../adapters/settings/index.js';
+import {createEngines} from '../_engines/index.js';
 // Not through the index of the folder, which loads the burn report: the agent must stay small.
 import {loadProgramKeys} from '../_operations/load-program-keys.js';
 import {startOperations} from '../_operations/start-operations.js';
 import {
 	agentSettings, checkAgentSettings, entrySettings, type AgentSettings,
 } from '../_settings/index.js';
-import {createEngines} from '../entry/_lib/engines.js';
 import {startAgent, type Agent} from './_lib/start-agent.js';
 import {toStatus} from './_lib/to-status.js';
 
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -11,9 +11,9 @@
 import {type EngineFailure} from '../../../ports/engine.js';
 import {type Owner, type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
+import {type Engines} from '../../_engines/index.js';
 import {createCancelQueue, type CancelQueueOptions} from '../cancel-queue/index.js';
 import {createGate} from '../gate/index.js';
-import {type Engines} from './engines.js';
 import {type createTally} from './tally.js';
 import {type RunServices} from './types.js';
 
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -11,6 +11,7 @@
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type FleetView} from '../../../ports/view.js';
+import {createEngines, type EngineClient} from '../../_engines/index.js';
 import {
 	type ProgramKeys, reportSlo, startOperations, toSloSample,
 } from '../../_operations/index.js';
@@ -21,7 +22,6 @@
 import {servePlain} from '../serve-plain/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
 import {createRunServices} from '../_lib/create-run-services.js';
-import {createEngines, type EngineClient} from '../_lib/engines.js';
 import {joinFleet, type FleetLink} from '../_lib/join-fleet.js';
 import {createPlainClients, type PlainClients} from '../_lib/plain-clients.js';
 import {createRouter} from '../_lib/route.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -73,6 +73,14 @@
 				{object: 'Math', property: 'random', message: 'Take a random source as an argument.'}],
 		},
 	},
+	...[['entry', 'agent'], ['agent', 'entry']].map(([program, other]) => ({
+		files: [`src/programs/${program}/**/*.ts`],
+		rules: {
+			'no-restricted-imports': ['error', {
+				patterns: [{group: [`**/${other}/**`], message: 'Programs don\'t import one another: put what both need in a folder of src/programs that starts with an underscore.'}],
+			}],
+		},
+	})),
 	{
 		files: ['**/test.ts', '**/*.test.ts', 'test/**/*.ts'],
 		rules: {
