Hash names in one place

Cause: the witnesses' score repeated the hash of `pick-ranked`, finaliser and constants and all; a change to one would have split what hosts agree on.

--- a/src/domain/create-load-spread/_lib/pack.ts
+++ b/src/domain/create-load-spread/_lib/pack.ts
@@ -1,7 +1,7 @@
 /** Fifteen bytes for what changes in a load report. */
 import {type LoadReport} from '../../../ports/engine.js';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {toHash32} from '../../../_lib/pick-ranked/index.js';
+import {toHash32} from '../../../_lib/to-hash32/index.js';
 
 /** The changing part of a load report, with values rounded as the bytes round them. */
 export type LoadDelta = {
--- a/src/domain/create-load-spread/index.ts
+++ b/src/domain/create-load-spread/index.ts
@@ -3,7 +3,7 @@
  * bytes: the poller of a server sends what changed, in fifteen bytes a server,
  * and as often as the number of receivers lets it.
  */
-import {toHash32} from '../../_lib/pick-ranked/index.js';
+import {toHash32} from '../../_lib/to-hash32/index.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {type LoadReport} from '../../ports/engine.js';
 import {type ServerId} from '../../ports/ids.js';
--- a/src/domain/create-load-spread/test.ts
+++ b/src/domain/create-load-spread/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {toHash32} from '../../_lib/pick-ranked/index.js';
+import {toHash32} from '../../_lib/to-hash32/index.js';
 import {type LoadReport} from '../../ports/engine.js';
 import {createLoadSpread, readLoads} from './index.js';
 
--- a/src/domain/create-membership/_lib/create-records.ts
+++ b/src/domain/create-membership/_lib/create-records.ts
@@ -1,5 +1,5 @@
 /** The table of hosts, and the rule by which two records of one host are merged. */
-import {toHash32} from '../../../_lib/pick-ranked/index.js';
+import {toHash32} from '../../../_lib/to-hash32/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type HostId, type ZoneId} from '../../../ports/ids.js';
 import {type HostLife} from '../../../ports/view.js';
--- a/src/domain/pick-witnesses/index.ts
+++ b/src/domain/pick-witnesses/index.ts
@@ -3,9 +3,10 @@
  * The choice depends on the key and the published host list alone, so every
  * host that has the same list picks the same witnesses.
  */
+import {toHash32} from '../../_lib/to-hash32/index.js';
 import {type HostEntry} from '../../ports/config.js';
 import {type HostId, type ZoneId} from '../../ports/ids.js';
-import {toHash, toScore} from './_lib/to-score.js';
+import {toScore} from './_lib/to-score.js';
 
 /** A claim asks every witness, so their number is what a claim costs. */
 const mostWitnesses = 9;
@@ -61,11 +62,11 @@
 	const members = new Map<ZoneId, Candidate[]>();
 	for (const {id, zone} of hosts) {
 		const ofZone = members.get(zone) ?? [];
-		ofZone.push({id, hash: toHash(id)});
+		ofZone.push({id, hash: toHash32(id)});
 		members.set(zone, ofZone);
 	}
 
-	const zones = [...members].map(([id, ofZone]) => ({id, hash: toHash(id), members: ofZone}));
+	const zones = [...members].map(([id, ofZone]) => ({id, hash: toHash32(id), members: ofZone}));
 	zonesByList.set(hosts, zones);
 	return zones;
 }
@@ -178,7 +179,7 @@
  * ```
  */
 export function pickWitnesses(key: string, hosts: readonly HostEntry[], {maskedSlots = defaultMaskedSlots}: PickWitnessesOptions = {}): WitnessSet {
-	const keyHash = toHash(key);
+	const keyHash = toHash32(key);
 	const zones = rank(keyHash, toZones(hosts), mostWitnesses).map(({candidate}) => candidate.members);
 	const {perZone, quorum, maskedSlots: masked, survivesZone} = pickShape(zones.map(members => members.length), maskedSlots);
 	const slots = zones.flatMap(members => rank(keyHash, members, perZone))
--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -1,6 +1,6 @@
 /** Passes loads and leaves between agents. */
 import {isRecord} from '../../../_lib/is-record/index.js';
-import {toHash32} from '../../../_lib/pick-ranked/index.js';
+import {toHash32} from '../../../_lib/to-hash32/index.js';
 import {createLoadSpread, readLoads, type LoadSpread} from '../../../domain/create-load-spread/index.js';
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
