--- /dev/null
+++ b/src/domain/create-membership/_lib/create-answers.ts
@@ -0,0 +1,68 @@
+/** Answers messages: pings, errands for others, and the comparison of tables. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
+import {type Messages} from './create-messages.js';
+import {type Prober} from './create-prober.js';
+import {type Records} from './create-records.js';
+import {type Sync} from './create-sync.js';
+import {type MemberMessage, type OutMessage} from './types.js';
+
+export type Answers = {
+	/** Answers a message whose records were merged. */
+	answer: (message: MemberMessage, from: HostId, now: Milliseconds) => OutMessage[];
+	/** Asks a host whose table has differed for a while where it differs. */
+	compare: (message: MemberMessage, from: HostId, now: Milliseconds) => OutMessage[];
+};
+
+/**
+ * Creates it.
+ *
+ * @param input - The table, the probes under way, and what makes messages.
+ * @returns See {@link Answers}.
+ */
+export function createAnswers({records, prober, sync, messages}: {
+	records: Records;
+	prober: Prober;
+	sync: Sync;
+	messages: Messages;
+}): Answers {
+	const {send, reply} = messages;
+
+	return {
+		answer(message, from, now) {
+			switch (message.kind) {
+				case 'ping': {
+					return [reply(from, {kind: 'ack', seq: message.seq}, now)];
+				}
+
+				case 'ack': {
+					const errand = prober.takeAnswer(message.seq, from);
+					return errand ? [reply(errand.requester, {kind: 'ping-reply', seq: errand.requestSeq, target: from}, now)] : [];
+				}
+
+				case 'ping-request': {
+					const target = records.get(message.target);
+					const seq = target && prober.startErrand(from, message.seq, target.id, now);
+					return seq === undefined ? [] : [send(target!, {kind: 'ping', seq}, now)];
+				}
+
+				case 'ping-reply': {
+					prober.takeAnswer(message.seq, message.target);
+					return [];
+				}
+
+				case 'news': {
+					return [];
+				}
+
+				case 'zones':
+				case 'stamps':
+				case 'records': {
+					const next = sync.answer(message);
+					return next ? [reply(from, next.body, now, next.updates)] : [];
+				}
+			}
+		},
+		compare: ({digest}, from, now) => sync.noteDigest(from, digest, now) ? [reply(from, {kind: 'zones', zones: sync.zones()}, now)] : [],
+	};
+}
--- /dev/null
+++ b/src/domain/create-membership/_lib/create-intake.ts
@@ -0,0 +1,62 @@
+/** Merges what messages say of hosts, and finds what must go on at once. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
+import {type Messages} from './create-messages.js';
+import {type OwnRecord} from './create-own-record.js';
+import {type Records} from './create-records.js';
+import {type Targets} from './create-targets.js';
+import {type Verdicts} from './create-verdicts.js';
+import {type HostRecord, type OutMessage} from './types.js';
+
+export type Intake = {
+	/** Takes the records of a message; returns the messages that pass on what cannot wait. */
+	take: (updates: readonly HostRecord[], from: HostId, now: Milliseconds) => OutMessage[];
+};
+
+/**
+ * Creates it.
+ *
+ * @param input - The tables, and what makes messages.
+ * @returns See {@link Intake}.
+ */
+export function createIntake({records, own, targets, verdicts, messages}: {
+	records: Records;
+	own: OwnRecord;
+	targets: Targets;
+	verdicts: Verdicts;
+	messages: Messages;
+}): Intake {
+	function isUrgent({id, life, leaving}: HostRecord, prev: HostRecord | undefined): boolean {
+		// Gossip alone would be slow to fetch a juror from another zone.
+		const isSuspicion = life === 'suspect' && prev?.life !== 'suspect' && verdicts.needsJurors(id);
+		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || isSuspicion;
+	}
+
+	/** Merges a record of another host; returns whether it must go on at once. */
+	function merge(update: HostRecord, now: Milliseconds): boolean {
+		const prev = records.get(update.id);
+		const change = records.merge(update, now);
+		if (change !== 'none' && update.life === 'suspect') {
+			targets.verify(update.id);
+		}
+
+		return change === 'record' && isUrgent(update, prev);
+	}
+
+	return {
+		take(updates, from, now) {
+			const {id: ownId} = own.self();
+			const urgent: HostRecord[] = [];
+			const refuted: HostRecord[] = [];
+			for (const update of updates) {
+				if (update.id !== ownId) {
+					urgent.push(...(merge(update, now) ? [update] : []));
+				} else if (own.refute(update, now)) {
+					refuted.push(own.self());
+				}
+			}
+
+			return [...messages.flood(urgent, from, now), ...messages.flood(refuted, ownId, now)];
+		},
+	};
+}
--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -10,6 +10,9 @@
 import {type HostId, type Incarnation, type ZoneId} from '../../ports/ids.js';
 import {type HostStatus} from '../../ports/view.js';
 import {createPauseGuard} from '../create-pause-guard/index.js';
+import {createAnswers} from './_lib/create-answers.js';
+import {createIntake} from './_lib/create-intake.js';
+import {createMessages} from './_lib/create-messages.js';
 import {createOwnRecord} from './_lib/create-own-record.js';
 import {createProber} from './_lib/create-prober.js';
 import {createRecords} from './_lib/create-records.js';
@@ -19,9 +22,7 @@
 import {createZoneContacts} from './_lib/create-zone-contacts.js';
 import {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
 import {toHosts} from './_lib/to-hosts.js';
-import {
-	type HostRecord, type MemberMessage, type MessageBody, type OutMessage,
-} from './_lib/types.js';
+import {type OutMessage} from './_lib/types.js';
 
 export {type HostRecord, type MemberMessage, type OutMessage} from './_lib/types.js';
 export {type Membership, type MembershipOptions, type OwnStatement} from './_lib/membership-types.js';
@@ -30,7 +31,6 @@
 
 /** Share of a probe's time after which others are asked to help. */
 const directShare = 0.4;
-const updatesInMessage = 6;
 
 /** Sends of a change beyond the logarithm of the hosts; what gossip still misses, the comparison of tables finds. */
 const spareSends = 1;
@@ -73,6 +73,15 @@
 	});
 	const seeds = new Set(options.seeds);
 	const own = createOwnRecord({records, options});
+	const messages = createMessages({
+		records, own, contacts, targets, ownZone,
+	});
+	const intake = createIntake({
+		records, own, targets, verdicts, messages,
+	});
+	const {answer, compare} = createAnswers({
+		records, prober, sync, messages,
+	});
 	let heardAt: Milliseconds | undefined;
 	let quietUntil = options.startedAt;
 	let slowness = 0;
@@ -80,68 +89,7 @@
 	let shown: {version: number; stale: string; hosts: ReadonlyMap<HostId, HostStatus>} | undefined;
 
 	const {self} = own;
-
-	function toMessage(body: MessageBody, to: HostRecord | undefined, now: Milliseconds, extra: readonly HostRecord[] = []): MemberMessage {
-		const {incarnation, revision} = self();
-		// A host that is not seen alive must hear it first of all, to take it back.
-		const first = to && to.life !== 'alive' ? [to, ...extra] : extra;
-		const rest = records.takeUpdates(updatesInMessage - Math.min(first.length, updatesInMessage));
-		const updates = [...first, ...rest.filter(record => !first.some(({id}) => id === record.id))];
-		return {
-			...body, incarnation, revision, digest: records.digest(), updates, contacts: body.kind === 'ping' && to?.zone === ownZone ? contacts.ages(now) : undefined,
-		};
-	}
-
-	function send(to: HostRecord, body: MessageBody, now: Milliseconds, extra?: readonly HostRecord[]): OutMessage {
-		return {to: to.id, address: to.agentAddress, message: toMessage(body, to, now, extra)};
-	}
-
-	/** Answers a host, which may be a stranger so far: the answer goes back over its own connection. */
-	function reply(to: HostId, body: MessageBody, now: Milliseconds, extra?: readonly HostRecord[]): OutMessage {
-		const record = records.get(to);
-		return {to, address: record?.agentAddress ?? '', message: toMessage(body, record, now, extra)};
-	}
-
-	function flood(updates: readonly HostRecord[], origin: HostId, now: Milliseconds): OutMessage[] {
-		return targets.spreadTo(origin)
-			.map(to => ({to: to.id, address: to.agentAddress, message: toMessage({kind: 'news'}, undefined, now, updates)}));
-	}
-
-	function isUrgent({id, life, leaving}: HostRecord, prev: HostRecord | undefined): boolean {
-		// Gossip alone would be slow to fetch a juror from another zone.
-		const isSuspicion = life === 'suspect' && prev?.life !== 'suspect' && verdicts.needsJurors(id);
-		return life === 'dead' || life === 'left' || (leaving && prev?.leaving !== true) || isSuspicion;
-	}
-
-	/** Merges what a message says and returns what must go on at once. */
-	function takeUpdates(updates: readonly HostRecord[], from: HostId, now: Milliseconds): OutMessage[] {
-		const urgent: HostRecord[] = [];
-		const refuted: HostRecord[] = [];
-		for (const update of updates) {
-			if (update.id === ownId) {
-				if (own.refute(update, now)) {
-					refuted.push(self());
-				}
-
-				continue;
-			}
-
-			const prev = records.get(update.id);
-			const change = records.merge(update, now);
-			if (change === 'record' && isUrgent(update, prev)) {
-				urgent.push(update);
-			}
-
-			if (change !== 'none' && update.life === 'suspect') {
-				targets.verify(update.id);
-			}
-		}
-
-		return [
-			...(urgent.length > 0 ? flood(urgent, from, now) : []),
-			...(refuted.length > 0 ? flood(refuted, ownId, now) : []),
-		];
-	}
+	const {send, flood} = messages;
 
 	function noteHeard(from: HostId, now: Milliseconds) {
 		heardAt = now;
@@ -156,10 +104,6 @@
 		}
 	}
 
-	function tell(records: readonly HostRecord[], now: Milliseconds): OutMessage[] {
-		return records.length > 0 ? flood(records, ownId, now) : [];
-	}
-
 	function ping(id: HostId, now: Milliseconds): OutMessage[] {
 		const target = records.get(id);
 		const seq = target && prober.start(id, now);
@@ -177,7 +121,7 @@
 			directMs: directShare * probeMs * factor, totalMs: probeMs * factor,
 		});
 		return [
-			...(now >= quietUntil ? tell(verdicts.suspect(failed, now), now) : []),
+			...(now >= quietUntil ? flood(verdicts.suspect(failed, now), ownId, now) : []),
 			...helpless.flatMap(({target, seq}) => askForHelp(target, seq, now, random)),
 			...targets.takeDue(now, random).flatMap(id => ping(id, now)),
 		];
@@ -185,7 +129,7 @@
 
 	function greetSeeds(now: Milliseconds, random: Random): OutMessage[] {
 		return targets.takeSeeds(seeds, now, random)
-			.map(address => ({to: undefined, address, message: toMessage({kind: 'zones', zones: sync.zones()}, undefined, now, [self()])}));
+			.map(address => messages.greet(address, {kind: 'zones', zones: sync.zones()}, now));
 	}
 
 	/** Notices a pause of this process before it does or says anything. */
@@ -210,56 +154,16 @@
 		tickedAt = now;
 	}
 
-	function answer(message: MemberMessage, from: HostId, now: Milliseconds): OutMessage[] {
-		switch (message.kind) {
-			case 'ping': {
-				return [reply(from, {kind: 'ack', seq: message.seq}, now)];
-			}
-
-			case 'ack': {
-				const errand = prober.takeAnswer(message.seq, from);
-				return errand ? [reply(errand.requester, {kind: 'ping-reply', seq: errand.requestSeq, target: from}, now)] : [];
-			}
-
-			case 'ping-request': {
-				const target = records.get(message.target);
-				const seq = target && prober.startErrand(from, message.seq, target.id, now);
-				return seq === undefined ? [] : [send(target!, {kind: 'ping', seq}, now)];
-			}
-
-			case 'ping-reply': {
-				prober.takeAnswer(message.seq, message.target);
-				return [];
-			}
-
-			case 'news': {
-				return [];
-			}
-
-			case 'zones':
-			case 'stamps':
-			case 'records': {
-				const next = sync.answer(message);
-				return next ? [reply(from, next.body, now, next.updates)] : [];
-			}
-		}
-	}
-
-	/** Asks a host whose table has differed for a while where it differs. */
-	function compare({digest}: MemberMessage, from: HostId, now: Milliseconds): OutMessage[] {
-		return sync.noteDigest(from, digest, now) ? [reply(from, {kind: 'zones', zones: sync.zones()}, now)] : [];
-	}
-
 	return {
 		tick(now, random) {
 			const pausedMs = checkPause(now);
 			noteSlowness(now);
-			const messages = [
-				...(now >= quietUntil ? tell(verdicts.buryDead(now, slowness), now) : []),
+			const due = [
+				...(now >= quietUntil ? flood(verdicts.buryDead(now, slowness), ownId, now) : []),
 				...probe(now, random),
 				...greetSeeds(now, random),
 			];
-			return {messages, pausedMs};
+			return {messages: due, pausedMs};
 		},
 		receive(message, from, now) {
 			checkPause(now);
@@ -267,7 +171,7 @@
 				return [];
 			}
 
-			const onward = takeUpdates(message.updates, from, now);
+			const onward = intake.take(message.updates, from, now);
 			noteHeard(from, now);
 			if (message.contacts) {
 				contacts.merge(message.contacts, now);
