Tell the word on used keys truly, and on answers that were taken over

When a second call with the same key took a streamed answer over, or the host that ran it was lost, the first connection was cut off without a word (10 calls).

Change: a refusal before the claim that is this host's alone says "may-have-run" for a request with a key. A stream of events that can't go on ends with an error event where the last event is whole; elsewhere it is cut off as before.

With both safeguards taken out on a scratch copy, 2 of 49 tests of claims/test.ts and caller.test.ts fail; with them, none.

Conclusion: "not-run" is now said before the claim only for what every host would refuse alike, or without a key.

--- a/src/domain/create-sse-encoder/index.ts
+++ b/src/domain/create-sse-encoder/index.ts
@@ -70,10 +70,25 @@
 		finish: reason => `data: ${fields},"choices":[${lastChoice},"finish_reason":"${reason}"}]}\n\n`,
 		usage: usage => `data: ${fields},"choices":[],"usage":${JSON.stringify(toUsageFields(usage))}}\n\n`,
 		done: () => 'data: [DONE]\n\n',
-		error: problem => `event: error\ndata: ${problem.body}\n\n`,
+		error: toErrorEvent,
 	};
 }
 
+/**
+ * Writes the event that ends an answer which can't go on.
+ *
+ * @param problem - The problem document, as JSON.
+ * @returns The text of the event.
+ *
+ * @example
+ * ```ts
+ * toErrorEvent({body: '{"title":"Answer lost"}'}); // => 'event: error\ndata: {"title":"Answer lost"}\n\n'
+ * ```
+ */
+export function toErrorEvent(problem: {body: string}): string {
+	return `event: error\ndata: ${problem.body}\n\n`;
+}
+
 /**
  * Writes an answer in one piece.
  *
--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type RunEnd, type RunReader, type RunWriter} from '../../../domain/create-run-table/index.js';
+import {toErrorEvent} from '../../../domain/create-sse-encoder/index.js';
 import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Claims, type KeyedRequest} from './types.js';
@@ -35,16 +36,42 @@
 	onRefused?: (problem: Problem) => void;
 };
 
-/** A connection that closed normally after a part of an answer would pass it off as whole. */
-function breakOff(exchange: CallerExchange, isTakenOver: boolean) {
-	if (exchange.isStarted()) {
+/** Where a delivery stands, by what was passed on last. */
+type Position = {
+	isEventStream: boolean;
+	/** Whether the last event is whole, so that another one may follow it. */
+	isBetweenEvents: boolean;
+};
+
+const eventEnd = Buffer.from('\n\n');
+
+function isWholeEvent(bytes: Uint8Array): boolean {
+	return Buffer.from(bytes.subarray(-eventEnd.length)).equals(eventEnd);
+}
+
+function toBreakProblem(isTakenOver: boolean, isStarted: boolean): Problem {
+	const outcome = isStarted ? 'ran' : 'may-have-run';
+	return isTakenOver
+		? {kind: 'key-used', detail: 'A later request with the same Idempotency-Key took the answer over.', outcome}
+		: {kind: 'answer-lost', detail: 'The answer was lost on its way. Send the same Idempotency-Key again to ask for it.', outcome};
+}
+
+/**
+ * Ends a delivery that can't go on. A stream of events says so in an `error`
+ * event. Any other answer that has begun is cut off, since a connection that
+ * closed normally after a part of it would pass it off as whole.
+ */
+function breakOff(exchange: CallerExchange, isTakenOver: boolean, {isEventStream, isBetweenEvents}: Position) {
+	const isStarted = exchange.isStarted();
+	const problem = toBreakProblem(isTakenOver, isStarted);
+	if (!isStarted) {
+		exchange.sendProblem(problem);
+	} else if (isEventStream && isBetweenEvents) {
+		exchange.write(toErrorEvent(toProblem(problem, exchange.requestId)));
+		exchange.end();
+	} else {
 		exchange.destroy();
-		return;
 	}
-
-	exchange.sendProblem(isTakenOver
-		? {kind: 'key-used', detail: 'A later request with the same Idempotency-Key took the answer over.', outcome: 'may-have-run'}
-		: {kind: 'answer-lost', detail: 'The answer was lost on its way. Send the same Idempotency-Key again to ask for it.', outcome: 'may-have-run'});
 }
 
 /** Passes an answer on to a caller until it ends, the caller goes, or another connection takes the delivery over. */
@@ -53,13 +80,16 @@
 		reader.close(now());
 	};
 
+	const position: Position = {isEventStream: false, isBetweenEvents: true};
 	exchange.gone.addEventListener('abort', onGone, {once: true});
 	try {
 		while (!exchange.gone.aborted) {
 			const part = await reader.next();
 			if (part.kind === 'head') {
+				position.isEventStream = String(part.headers['content-type']).startsWith('text/event-stream');
 				exchange.startStream(part.status, part.headers);
 			} else if (part.kind === 'bytes') {
+				position.isBetweenEvents = isWholeEvent(part.bytes);
 				const isFree = exchange.write(part.bytes);
 				if (!isFree && !await exchange.drained(writeTimeoutMs)) {
 					exchange.destroy();
@@ -69,7 +99,7 @@
 				exchange.end();
 				return;
 			} else {
-				breakOff(exchange, part.kind === 'taken-over');
+				breakOff(exchange, part.kind === 'taken-over', position);
 				return;
 			}
 		}
--- a/src/programs/entry/claims/test.ts
+++ b/src/programs/entry/claims/test.ts
@@ -4,8 +4,10 @@
 import {listenPeers, type PeerHello} from '../../../adapters/peer-tcp/index.js';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {createLog} from '../../../adapters/log/index.js';
+import {createDeferred} from '../../../_lib/create-deferred/index.js';
 import {type RunReader} from '../../../domain/create-run-table/index.js';
 import {type FleetView, type HostStatus} from '../../../ports/view.js';
+import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
 import {
 	type Claims, type KeyedRequest, type KeyedVerdict, createClaims, serveKeyed,
 } from './index.js';
@@ -122,8 +124,8 @@
 		startStream(status: number) {
 			sent.push(`${status}:`);
 		},
-		write(piece: Uint8Array) {
-			sent.push(text.decode(piece));
+		write(piece: Uint8Array | string) {
+			sent.push(typeof piece === 'string' ? piece : text.decode(piece));
 			return true;
 		},
 		drained: async () => true,
@@ -312,4 +314,40 @@
 		await serve(hosts[1]!, request, second.exchange, answer);
 		assert.deepEqual(second.sent, ['key-used']);
 	});
+
+	const cuts = [
+		{name: 'between two events', pieces: ['data: sce\n\n'], isTold: true},
+		{name: 'within an event', pieces: ['data: sce\n\n', 'data: s'], isTold: false},
+	];
+	for (const {name, pieces, isTold} of cuts) {
+		it(`${isTold ? 'says so in a stream of events' : 'cuts a stream of events off'} that another connection takes over ${name}`, async context => {
+			const hosts = await startFleet(context);
+			const request = toRequest();
+			const first = createExchange();
+			const second = createExchange();
+			const hasBegun = createDeferred();
+			const isTakenOver = createDeferred();
+			const served = serve(hosts[0]!, request, first.exchange, async recorded => {
+				recorded.startStream(200, {'content-type': 'text/event-stream; charset=utf-8'});
+				for (const piece of pieces) {
+					recorded.write(piece);
+				}
+
+				hasBegun.resolve();
+				await isTakenOver.promise;
+				recorded.write('data: [DONE]\n\n');
+				recorded.end();
+				return 'complete';
+			});
+			await hasBegun.promise;
+			await waitUntil(() => first.sent.join('').endsWith(pieces.at(-1)!), {deadlineMs: 10_000, what: 'the beginning of the answer'});
+			const again = serve(hosts[1]!, request, second.exchange, answer);
+			await waitUntil(() => /\|\w+$/v.test(first.sent.join('')), {deadlineMs: 10_000, what: 'the end of the first delivery'});
+			isTakenOver.resolve();
+			await Promise.all([served, again]);
+			const told = first.sent.join('').slice('200:'.length + pieces.join('').length);
+			assert.match(told, isTold ? /^event: error\ndata: \{.*problem:key-used.*"outcome":"ran".*\}\n\n\|end$/v : /^\|destroyed$/v);
+			assert.equal(second.sent.join(''), `200:${pieces.join('')}data: [DONE]\n\n|end`);
+		});
+	}
 });
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -17,7 +17,7 @@
 import {createJsonDelivery, createSseDelivery, type DeliveryOptions} from '../delivery/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type RunEnd, runRequest, toEnded} from '../run-request/index.js';
-import {findKey, toDigest} from '../_lib/find-key.js';
+import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
 import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {type EndedRequest} from '../_lib/ended.js';
@@ -250,7 +250,7 @@
 
 	const overload = findOverload(serve);
 	if (overload !== undefined) {
-		refuse(overload);
+		refuse(toUnclaimed(overload, exchange.headers));
 		return;
 	}
 
@@ -267,8 +267,10 @@
 	const routed = serve.route({
 		headers: exchange.headers, path: exchange.path, model: request.model, promptTokens,
 	}, serve.services.toView());
-	const ready = routed.andThen(route => toServedModel(request.model, route).andThen(model =>
-		findKey(exchange, route.rule.then.repeatable).map(key => ({route, model, key}))));
+	const served = routed.andThen(route => toServedModel(request.model, route).map(model => ({route, model})));
+	const ready = served
+		.mapErr(problem => toUnclaimed(problem, exchange.headers))
+		.andThen(({route, model}) => findKey(exchange, route.rule.then.repeatable).map(key => ({route, model, key})));
 	if (ready.isErr()) {
 		refuse(ready.error);
 		return;
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -11,7 +11,7 @@
 	callServers, isRepeatable, toCutOff, type PlainOutcome, type PlainRun,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
-import {findKey, toDigest} from '../_lib/find-key.js';
+import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
@@ -44,7 +44,7 @@
 
 async function waitAndCall(run: PlainRun): Promise<PlainOutcome> {
 	const {exchange, route, serve, account} = run;
-	const {gate} = serve.services;
+	const {gate, clock} = serve.services;
 	const {then} = route.rule;
 	const entered = await gate.enter({
 		id: exchange.requestId,
@@ -52,7 +52,8 @@
 		class: then.class,
 		workspace: route.workspace,
 		deadline: run.deadline,
-		firstTokenDeadline: run.deadline,
+		// From here and not from its arrival: the time for which a caller sent its body says nothing of the pool.
+		firstTokenDeadline: Math.min(run.deadline, clock.now() + then.target.firstTokenMs),
 		promptTokens: 1,
 		maxTokens: 1,
 		queueLimit: then.queueLimit,
@@ -113,7 +114,7 @@
 	};
 
 	if (early !== undefined || routed.isErr()) {
-		refuse(early);
+		refuse(early && toUnclaimed(early, exchange.headers));
 		return;
 	}
 
--- a/test/contracts/caller.test.ts
+++ b/test/contracts/caller.test.ts
@@ -4,6 +4,7 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
+import {v7 as createKey} from 'uuid';
 import {expectedAnswer} from '../stand-ins/engine/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {
@@ -182,12 +183,18 @@
 		await small.stop();
 	});
 
-	it('answers that it has no configuration yet', async () => {
+	it('answers that it has no configuration yet', async t => {
 		const bare = await startCallerFixture({hasConfig: false});
+		t.after(bare.stop);
 		const answer = await send(bare, '/v1/completions', {body: toBody()});
 		assert.equal(answer.status, 503);
 		assert.match(answer.text, /no-configuration.*"outcome":"not-run"/v);
-		await bare.stop();
+		// Another host may have run the work of the key.
+		for (const path of ['/v1/completions', '/desk/forwarding/17']) {
+			const keyed = await send(bare, path, {body: toBody(), headers: {'idempotency-key': createKey()}});
+			assert.equal(keyed.status, 503);
+			assert.match(keyed.text, /no-configuration.*"outcome":"may-have-run"/v);
+		}
 	});
 
 	it('asks for a token where the configuration has tokens', async () => {
