Keep a document's lines, and start the agent with options for its size

Cause: each new document split the one before again.

Change: the reader keeps the lines. The agent's first line gives Node's options: a heap of 40 MB, young generation of 1 MB, one thread for V8, and the quick compiler alone for WebAssembly, which undici's parser is.

--- a/src/domain/parse-config/_lib/read-next.ts
+++ b/src/domain/parse-config/_lib/read-next.ts
@@ -20,8 +20,8 @@
 
 /** A document without faults. */
 export type SoundDocument = {
-	text: string;
-	isJson: boolean;
+	/** Its lines; `undefined` where it is not JSON with one entry a line. */
+	lines: SplitText | undefined;
 	config: Config;
 	/** Decisions by name; rules of `config` that name one hold the same object. */
 	routes: DocumentForm['routes'];
@@ -61,7 +61,7 @@
  * @returns What a full reading gives, or `undefined` where only that can tell: the text is written in another way, has changed too much, or has a fault.
  */
 export function readNext(last: SoundDocument, text: string): SoundDocument | undefined {
-	const before = last.isJson ? splitLines(last.text) : undefined;
+	const before = last.lines;
 	const after = before && splitLines(text);
 	if (!before || !after || findTooDeep(text)) {
 		return undefined;
@@ -98,22 +98,22 @@
 		addMeaningFaults(form, toPlain(rest, form), faults, toDeadFinder(rules.pairs));
 	}
 
-	return faults.list().length > 0 ? undefined : toSoundDocument(form, {text, isJson: true}, rules.pairs.from.map(from => last.config.rules[from]));
+	return faults.list().length > 0 ? undefined : toSoundDocument(form, after, rules.pairs.from.map(from => last.config.rules[from]));
 }
 
 /**
  * Puts a document without faults together.
  *
  * @param form - Its sections.
- * @param source - The text it was read from.
+ * @param lines - The lines of its text.
  * @param known - As of `toConfig`.
  * @returns The document, or `undefined` when a section is missing.
  */
-export function toSoundDocument(form: Partial<DocumentForm>, {text, isJson}: {text: string; isJson: boolean}, known?: ReadonlyArray<Rule | undefined>): SoundDocument | undefined {
+export function toSoundDocument(form: Partial<DocumentForm>, lines: SplitText | undefined, known?: ReadonlyArray<Rule | undefined>): SoundDocument | undefined {
 	const config = toConfig(form, known);
 	const routes = form.routes!;
 	return config && {
-		text, isJson, config, routes, frameKey: JSON.stringify([form.zones, form.pools, routes]),
+		lines, config, routes, frameKey: JSON.stringify([form.zones, form.pools, routes]),
 	};
 }
 
--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -10,6 +10,7 @@
 import {readDocument} from './_lib/document.js';
 import {type Place} from './_lib/place.js';
 import {readNext, toSoundDocument, type SoundDocument} from './_lib/read-next.js';
+import {splitLines} from './_lib/split-lines.js';
 import {readSource, type Source} from './_lib/source.js';
 
 /** One thing that is wrong with a configuration document. */
@@ -150,5 +151,5 @@
 
 	addEndFaults(data, text, faults);
 	addMeaningFaults(form, data, faults);
-	return faults.list().length > 0 ? undefined : toSoundDocument(form, {text, isJson});
+	return faults.list().length > 0 ? undefined : toSoundDocument(form, isJson ? splitLines(text) : undefined);
 }
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env node
+#!/usr/bin/env -S node --max-old-space-size=40 --max-semi-space-size=1 --single-threaded-gc --v8-pool-size=1 --liftoff-only
 /** `banyanport-agent`: reads the platform, keeps in touch with peers, and feeds its host's entry. */
 import {createEngineHttp} from '../../adapters/engine-http/index.js';
 import {createLog, type Log} from '../../adapters/log/index.js';
