Let membership notice two live processes of one host name

Cause: two processes with one name go above each other's incarnation for ever, their peers believe now the one, now the other, and nobody is told.

Ruled out: any higher incarnation under another address as the sign. An earlier process whose clock was ahead leaves that behind, too. Only a live process can have answered this one's stamp with the next higher one.

Change: `Membership.twin` gives the other's address until nothing was heard of it for 30 intervals.

A test that failed once in four runs: "never declares a live, connected host dead for good" had given all hosts 8 s to meet before it began. The output of the failed run was not kept, so that this was its cause is likely, not proved.

--- a/src/domain/create-membership/_lib/create-own-record.ts
+++ b/src/domain/create-membership/_lib/create-own-record.ts
@@ -13,6 +13,8 @@
 	refute: (rumour: HostRecord, now: Milliseconds) => boolean;
 	/** Highest incarnation of an earlier entry of this host that anybody has seen, and where that was. */
 	entrySeen: () => {incarnation: Incarnation; address: string};
+	/** Address of another live process under this host's name, heard of within the patience (milliseconds). */
+	twin: (now: Milliseconds, patienceMs: Milliseconds) => string | undefined;
 };
 
 /**
@@ -23,6 +25,7 @@
  */
 export function createOwnRecord({records, options}: {records: Records; options: MembershipOptions}): OwnRecord {
 	let entrySeen = {incarnation: 0, address: ''};
+	let twin: {address: string; heardAt: Milliseconds} | undefined;
 
 	records.merge({
 		id: options.id,
@@ -53,6 +56,20 @@
 		}
 	}
 
+	/**
+	 * Two processes with one host name overtake each other for ever, and their
+	 * peers reach now the one, now the other. What an earlier process left behind
+	 * has a stamp of its own; only a live one can have answered this one's stamp,
+	 * by the next higher.
+	 */
+	function noteTwin({agentAddress, incarnation}: HostRecord, now: Milliseconds) {
+		const current = self();
+		const isAnswer = incarnation === current.incarnation || incarnation === current.incarnation + 1;
+		if (isAnswer && agentAddress !== current.agentAddress) {
+			twin = {address: agentAddress, heardAt: now};
+		}
+	}
+
 	return {
 		self,
 		restate,
@@ -60,6 +77,10 @@
 			noteEntry(rumour);
 			const current = self();
 			const isFinal = rumour.life === 'dead' || rumour.life === 'left';
+			if (!isFinal) {
+				noteTwin(rumour, now);
+			}
+
 			const isOlder = rumour.incarnation < current.incarnation;
 			const isOwn = rumour.incarnation === current.incarnation && rumour.revision <= current.revision && rumour.life === 'alive';
 			if (isOlder || isOwn || current.life === 'left') {
@@ -81,5 +102,6 @@
 			return false;
 		},
 		entrySeen: () => entrySeen,
+		twin: (now, patienceMs) => twin && now - twin.heardAt < patienceMs ? twin.address : undefined,
 	};
 }
--- a/src/domain/create-membership/_lib/membership-types.ts
+++ b/src/domain/create-membership/_lib/membership-types.ts
@@ -60,6 +60,8 @@
 	spreadTargets: (from: HostId) => readonly HostRecord[];
 	/** Highest incarnation of an earlier entry of this host that anybody has seen, and where that was. */
 	entrySeen: () => {incarnation: Incarnation; address: string};
+	/** Address of another live agent under this host's name, while there is one; each must be told of the other. */
+	twin: (now: Milliseconds) => string | undefined;
 	/** When a message of another host last came; `undefined` before the first. */
 	lastHeardAt: () => Milliseconds | undefined;
 };
--- a/src/domain/create-membership/index.ts
+++ b/src/domain/create-membership/index.ts
@@ -44,6 +44,9 @@
 /** A contact is made every third interval and takes a few more to be known in a large zone. */
 const zonePatience = 12;
 
+/** Twins that live overtake each other within a few intervals. */
+const twinPatience = 30;
+
 /**
  * Creates the membership of one host.
  *
@@ -211,6 +214,7 @@
 		record: records.get,
 		spreadTargets: targets.spreadTo,
 		entrySeen: own.entrySeen,
+		twin: now => own.twin(now, twinPatience * intervalMs),
 		lastHeardAt: () => heardAt,
 	};
 }
--- a/src/domain/create-membership/test.ts
+++ b/src/domain/create-membership/test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {createNetwork, type Link, type Network} from './_test/create-network.js';
+import {createMembership, type HostRecord, type Membership} from './index.js';
 
 /** A small seeded generator (Lehmer's). */
 function createRandom(seed: number) {
@@ -18,6 +19,11 @@
 function createSettled(zones: Readonly<Record<string, number>>, passes?: (link: Link) => boolean, seed = 7): Network {
 	const network = createNetwork({zones, passes, random: createRandom(seed)});
 	network.run(8000);
+	// Gossip has a tail: with one seed of 400 the last record is found by the comparison of tables, after 9 s.
+	while (network.unseen().length > 0 && network.now() < 20_000) {
+		network.run(500);
+	}
+
 	assert.deepEqual(network.unseen(), []);
 	return network;
 }
@@ -46,7 +52,11 @@
 
 describe('createMembership', () => {
 	it('makes hosts that start together known to each other', () => {
-		createSettled(three);
+		assert.equal(createSettled(three).now(), 8000);
+	});
+
+	it('finds by the comparison of tables what gossip has missed', () => {
+		createSettled(three, undefined, -2_147_483_623);
 	});
 
 	const deaths: ReadonlyArray<{zones: Readonly<Record<string, number>>; victim: string}> = [
@@ -204,6 +214,49 @@
 		assert.equal(network.nodes.get('a-1')!.membership.entrySeen().incarnation, 900);
 	});
 
+	// Somebody starts the replacement of a host that still runs elsewhere. Each of the two hears from peers what the
+	// other says in its name and goes above it, for ever, and peers believe now the one, now the other.
+	describe('when another process says what this host has not said', () => {
+		const create = (agentAddress: string, incarnation: number) => createMembership({
+			id: 'a-1', zone: 'a', incarnation, agentAddress, seeds: [], startedAt: 0,
+		});
+		const hear = (membership: Membership, record: HostRecord, now: number) => membership.receive({
+			kind: 'news', incarnation: 1, revision: 0, digest: 0, updates: [record],
+		}, 'a-2', now);
+
+		it('names each of two live processes to the other, until one has been silent for a while', () => {
+			const older = create('192.0.2.5:7401', 1000);
+			const newer = create('192.0.2.9:7401', 5000);
+			for (const now of [0, 100, 200]) {
+				hear(older, newer.self(), now);
+				hear(newer, older.self(), now);
+			}
+
+			assert.equal(older.twin(200), '192.0.2.9:7401');
+			assert.equal(newer.twin(200), '192.0.2.5:7401');
+			assert.equal(newer.twin(60_000), undefined);
+		});
+
+		const {self} = create('192.0.2.9:7401', 1000);
+		const rumours: ReadonlyArray<{name: string; rumour: Partial<HostRecord>}> = [
+			{name: 'an earlier process whose clock was ahead', rumour: {incarnation: 5000}},
+			{name: 'an earlier process whose clock was behind', rumour: {incarnation: 10}},
+			{name: 'the death of an earlier process', rumour: {incarnation: 1000, life: 'dead'}},
+			{name: 'the farewell of an earlier process', rumour: {incarnation: 1000, life: 'left'}},
+			{name: 'a suspicion of itself', rumour: {agentAddress: '192.0.2.5:7401', life: 'suspect', witnesses: ['a-2']}},
+			{name: 'its own death', rumour: {agentAddress: '192.0.2.5:7401', life: 'dead'}},
+		];
+		for (const {name, rumour} of rumours) {
+			it(`takes for no such process ${name}, however often it hears of it`, () => {
+				const membership = create('192.0.2.5:7401', 1000);
+				for (const now of [0, 100, 200]) {
+					hear(membership, {...self(), ...rumour}, now);
+					assert.equal(membership.twin(now), undefined);
+				}
+			});
+		}
+	});
+
 	it('never declares a live, connected host dead for good, whatever was cut, paused and restarted before', () => {
 		const ids = Object.entries(three).flatMap(([zone, count]) => Array.from({length: count}, (_, i) => `${zone}-${i + 1}`));
 		const event = fc.oneof(
