Add a storm that judges every promise by the stand-ins' counts

Cause: each promise had its own failure test, with one fault or two; none had load from several callers while kills, pauses, restarts, cuts, broken streams, lost cancels, refusals and edits come on top of one another.

Change: test/storm/ draws all faults from one printed seed, blows, heals, and holds what callers were told against what engines and desks counted. A call of the tests now gives the error code of a connection that broke.

--- a/test/failures/_lib/start-call.ts
+++ b/test/failures/_lib/start-call.ts
@@ -27,6 +27,8 @@
 	problem: string | undefined;
 	/** Whether the connection broke or was closed before the answer said that it ended. */
 	isBroken: boolean;
+	/** Error code of a connection that broke, as far as it has one. */
+	errorCode?: string;
 	retryAfter: string | undefined;
 	headers: Record<string, string | string[] | undefined>;
 };
@@ -63,7 +65,10 @@
 	return {documents: lines.filter(line => line !== '[DONE]').map(line => parseDocument(line)), isDone: lines.at(-1) === '[DONE]'};
 }
 
-function toResult(options: CallOptions, res: {statusCode: number; headers: Record<string, string | string[] | undefined>} | undefined, body: string, isCut: boolean): CallResult {
+type Response = {statusCode: number; headers: Record<string, string | string[] | undefined>};
+
+function toResult(options: CallOptions, res: Response | undefined, body: string, cut: {isCut: boolean; errorCode: string | undefined}): CallResult {
+	const {isCut, errorCode} = cut;
 	const {documents, isDone} = toDocuments(body);
 	const text = documents.map(document => document.choices?.[0]?.text ?? '').join('');
 	const hasFinish = documents.some(document => typeof document.choices?.[0]?.finish_reason === 'string');
@@ -77,6 +82,7 @@
 		outcome: problem?.outcome,
 		problem: problem?.type,
 		isBroken: res === undefined || isCut || (!isDone && problem === undefined),
+		...(errorCode !== undefined && {errorCode}),
 		retryAfter: res?.headers['retry-after']?.toString(),
 		headers: res?.headers ?? {},
 	};
@@ -107,6 +113,7 @@
 	async function run(): Promise<CallResult> {
 		let res: Awaited<ReturnType<typeof request>> | undefined;
 		let isCut = false;
+		let errorCode: string | undefined;
 		try {
 			res = await request(`${callerUrl}/v1/completions`, {
 				dispatcher,
@@ -121,12 +128,13 @@
 			for await (const part of res.body) {
 				body += String(part);
 			}
-		} catch {
+		} catch (error) {
 			isCut = true;
+			errorCode = (error as {code?: string}).code;
 		}
 
 		await dispatcher.destroy();
-		return toResult(options, res, body, isCut);
+		return toResult(options, res, body, {isCut, errorCode});
 	}
 
 	return {
--- /dev/null
+++ b/test/storm/_lib/create-cuts.ts
@@ -0,0 +1,25 @@
+/** Cuts that overlap: the network heals all at once, so those that still last are made again. */
+import {type Network} from '../../_lib/start-fleet/_lib/network.js';
+
+export type Cuts = {
+	/** Makes a cut; what it returns ends it. */
+	add: (cut: (network: Network) => void) => () => void;
+};
+
+/** Creates the cuts of one network. */
+export function createCuts(network: Network): Cuts {
+	const lasting = new Set<(network: Network) => void>();
+	return {
+		add(cut) {
+			lasting.add(cut);
+			cut(network);
+			return () => {
+				lasting.delete(cut);
+				network.heal();
+				for (const other of lasting) {
+					other(network);
+				}
+			};
+		},
+	};
+}
--- /dev/null
+++ b/test/storm/_lib/create-documents.ts
@@ -0,0 +1,48 @@
+/** The edits of a storm: good ones, in the order of their publication, and bad ones of several kinds. */
+import {createHash} from 'node:crypto';
+import {type Fleet} from '../../_lib/start-fleet/index.js';
+
+export type Documents = ReturnType<typeof createDocuments>;
+
+const firstRateMegabytes = 600;
+
+function toDigest(text: string): string {
+	return createHash('sha256').update(text, 'utf8').digest('hex');
+}
+
+/** Each returns a text that no host may take. */
+const badForms: ReadonlyArray<(good: string, fleet: Fleet) => string> = [
+	good => good.slice(0, Math.floor(good.length * 0.6)),
+	good => good.slice(0, good.lastIndexOf('"end"')),
+	(_good, fleet) => fleet.toConfigText({rules: [{name: 'all to nowhere', then: {pool: 'summarise', class: 'batch', repeatable: true}}]}),
+	(_good, fleet) => fleet.toConfigText({rules: [{name: 'letters', when: {model: 'post-summary'}, then: 'letter'}]}),
+	(_good, fleet) => fleet.toConfigText({weightStoreBytesPerSecond: 'as fast as it goes'}),
+	() => '',
+];
+
+/** Creates the edits of a fleet; its first document counts as published. */
+export function createDocuments(fleet: Fleet) {
+	const good = [fleet.configText];
+	const order = new Map([[toDigest(fleet.configText), 0]]);
+	let badCount = 0;
+
+	return {
+		/** Publishes an edit that is whole and valid. */
+		publishGood(): void {
+			const text = fleet.toConfigText({weightStoreBytesPerSecond: `${firstRateMegabytes + good.length}MB`});
+			order.set(toDigest(text), good.length);
+			good.push(text);
+			fleet.platform.publish('config', text);
+		},
+		/** Publishes one that must be refused. */
+		publishBad(form: number): void {
+			badCount += 1;
+			fleet.platform.publish('config', badForms[form % badForms.length]!(good.at(-1)!, fleet));
+		},
+		badFormCount: badForms.length,
+		/** Position of a good edit by its digest; `undefined` for any other text. */
+		toPosition: (digest: string): number | undefined => order.get(digest),
+		newest: () => ({position: good.length - 1, digest: toDigest(good.at(-1)!)}),
+		counts: () => ({good: good.length, bad: badCount}),
+	};
+}
--- /dev/null
+++ b/test/storm/_lib/judge-storm.ts
@@ -0,0 +1,196 @@
+/** Holds what callers were told against what the stand-ins counted. Only safety is judged; how much was served is reported. */
+import {type Runs} from './count-runs.js';
+import {
+	callKinds, type FaultKind, type Reversion, type Sent, type Span, type Struck,
+} from './types.js';
+
+export type Verdict = {
+	promise: string;
+	/** Cases that were looked at. */
+	checked: number;
+	violations: readonly string[];
+	/** Cases that would be violations but for a fault that allows them. */
+	excused: number;
+};
+
+export type Evidence = {
+	sent: readonly Sent[];
+	struck: readonly Struck[];
+	/** Counts of each piece of work, by its id. */
+	runs: ReadonlyMap<string, Runs>;
+	/** What was still held on engines a while after the end. */
+	holds: readonly string[];
+	reversions: readonly Reversion[];
+	strays: readonly string[];
+	looks: number;
+	/** Programs that did not show the newest good configuration in the end. */
+	outdated: readonly string[];
+	/** Programs that were asked for it. */
+	asked: number;
+	/** Time for which a killed host vouches for no key. */
+	clockBoundMs: number;
+};
+
+type Case = {what: string; isWrong: boolean; isExcused?: boolean};
+
+const lossKinds: ReadonlySet<FaultKind> = new Set(['kill entry', 'kill host', 'pause entry', 'pause host']);
+const cutKinds: ReadonlySet<FaultKind> = new Set(['cut zone off', 'cut zones apart']);
+const shownViolations = 20;
+
+const isOverlapping = (a: Span, b: Span): boolean => a.from <= b.to && b.from <= a.to;
+
+function toVerdict(promise: string, cases: readonly Case[]): Verdict {
+	const wrong = cases.filter(({isWrong}) => isWrong);
+	const violations = wrong.filter(({isExcused = false}) => !isExcused);
+	return {
+		promise, checked: cases.length, violations: violations.slice(0, shownViolations).map(({what}) => what), excused: wrong.length - violations.length,
+	};
+}
+
+function groupByWork(sent: readonly Sent[]): ReadonlyArray<readonly Sent[]> {
+	const groups = new Map<string, Sent[]>();
+	for (const call of sent) {
+		groups.set(call.work.id, [...groups.get(call.work.id) ?? [], call]);
+	}
+
+	return [...groups.values()];
+}
+
+function toSpan(calls: readonly Sent[]): Span {
+	return {from: Math.min(...calls.map(({from}) => from)), to: Math.max(...calls.map(({to}) => to))};
+}
+
+function describeCall({work, host, answer, hasLeft, begunBefore, begunAfter, begunAsRequest}: Sent): string {
+	return JSON.stringify({
+		work, host, hasLeft, begunBefore, begunAfter, begunAsRequest, answer: {...answer, text: answer.text.slice(0, 60)},
+	});
+}
+
+const runsOf = ({runs}: Evidence, [first]: readonly Sent[]): Runs => runs.get(first!.work.id) ?? {
+	begun: 0, prefills: 0, runs: 0, requestIds: [],
+};
+
+function judgeOnce(evidence: Evidence, works: ReadonlyArray<readonly Sent[]>): Verdict {
+	const once = works.filter(([first]) => first!.work.kind === 'scene' || first!.work.kind === 'desk change');
+	return toVerdict('work that may run once only ran at most once', once.map(calls => {
+		const runs = runsOf(evidence, calls);
+		return {
+			isWrong: runs.runs > 1 || runs.prefills > 1 || runs.requestIds.length > 1,
+			what: `${JSON.stringify(runs)}: ${calls.map(call => describeCall(call)).join(', ')}`,
+		};
+	}));
+}
+
+/**
+ * Repeatable work with a key is run again when its host is lost, and without
+ * asking anybody while too few hosts can be asked.
+ */
+function judgeJoined(evidence: Evidence, works: ReadonlyArray<readonly Sent[]>): Verdict {
+	const keyed = works.filter(([first]) => first!.work.kind === 'letter' && first!.work.key !== undefined);
+	return toVerdict('a key of repeatable work was run once, but for lost hosts', keyed.map(calls => {
+		const runs = runsOf(evidence, calls);
+		const span = toSpan(calls);
+		const asked = new Set(calls.map(({host}) => host));
+		const lost = evidence.struck.filter(({kind}) => lossKinds.has(kind) || kind === 'restart host');
+		const isOwnLost = lost.some(fault => asked.has(fault.targets[0]!) && isOverlapping(fault, span));
+		const isCut = evidence.struck.some(fault => cutKinds.has(fault.kind) && isOverlapping(fault, span));
+		const away = new Set(lost.filter(fault => isOverlapping({...fault, to: fault.to + evidence.clockBoundMs}, span)).map(({targets}) => targets[0]));
+		return {
+			isWrong: runs.requestIds.length > 1,
+			isExcused: isOwnLost || isCut || away.size > 1,
+			what: `${JSON.stringify(runs)}: ${calls.map(call => describeCall(call)).join(', ')}`,
+		};
+	}));
+}
+
+function judgeTexts(works: ReadonlyArray<readonly Sent[]>): Verdict {
+	const keyed = works.filter(([first]) => first!.work.key !== undefined);
+	return toVerdict('no key was answered whole with two texts', keyed.map(calls => {
+		const texts = new Set(calls.filter(({answer}) => answer.isClaimedWhole).map(({answer}) => answer.text));
+		return {isWrong: texts.size > 1, what: calls.map(call => describeCall(call)).join(', ')};
+	}));
+}
+
+function judgeWhole(sent: readonly Sent[]): Verdict {
+	const claimed = sent.filter(({answer}) => answer.isClaimedWhole);
+	return toVerdict('an answer that says it is whole is the whole answer to its request', claimed.map(call => ({isWrong: !call.answer.isExpected, what: describeCall(call)})));
+}
+
+/** An answer in one piece that the caller itself took over by sending the key again has no place for a word once it has begun. */
+function isTakenOver(call: Sent, calls: readonly Sent[]): boolean {
+	const isInOnePiece = call.work.kind === 'desk change' || !call.work.isStreamed;
+	return isInOnePiece && call.work.key !== undefined && calls.some(other => other !== call && isOverlapping(other, call));
+}
+
+function judgeWord({sent, struck}: Evidence, works: ReadonlyArray<readonly Sent[]>): Verdict {
+	const ofWork = new Map(works.map(calls => [calls[0]!.work.id, calls]));
+	const stayed = sent.filter(({hasLeft}) => !hasLeft);
+	return toVerdict('no answer broke without a word, but for lost hosts', stayed.map(call => {
+		const own = struck.filter(({targets}) => targets[0] === call.host);
+		const isHostLost = own.some(fault => lossKinds.has(fault.kind) && isOverlapping(fault, call));
+		// A balancer sends nothing to a host that is stopping; what comes all the same finds a closed door.
+		const isDoorClosed = call.answer.status === 0 && own.some(fault => fault.kind === 'restart host' && fault.from <= call.from && call.from <= fault.to);
+		return {isWrong: call.answer.isBroken && !call.isHung, isExcused: isHostLost || isDoorClosed || isTakenOver(call, ofWork.get(call.work.id)!), what: describeCall(call)};
+	}));
+}
+
+/** Whether no other call could have begun the work between the word and the count. */
+function isAlone(call: Sent, calls: readonly Sent[]): boolean {
+	return calls.every(other => other === call || (other.to < call.from && !other.answer.isBroken) || other.from > call.to);
+}
+
+function judgeNotRun(works: ReadonlyArray<readonly Sent[]>): Verdict {
+	const cases = works.flatMap(calls => calls.filter(({answer}) => answer.outcome === 'not-run').map((call): Case => {
+		const isRepeatable = call.work.kind !== 'scene' && call.work.kind !== 'desk change';
+		const isOwnRun = (call.begunAsRequest ?? 0) > 0;
+		// The word on work that may run once only is about its key; on other work, about this call.
+		const isKeyRun = !isRepeatable && (call.begunBefore > 0 || (isAlone(call, calls) && (call.begunAfter ?? 0) > 0));
+		const isOnlyRun = calls.length === 1 && (call.begunAfter ?? 0) > 0;
+		return {isWrong: isOwnRun || isKeyRun || isOnlyRun, what: describeCall(call)};
+	}));
+	return toVerdict('what was told as not run was not run', cases);
+}
+
+/** A host that has forgotten all learns only from what it can reach. */
+function judgeReversions({reversions, struck, looks}: Evidence): Verdict {
+	const blinding = struck.filter(({kind}) => cutKinds.has(kind) || kind === 'cut zone from platform' || kind === 'stale platform' || kind === 'platform down');
+	const verdict = toVerdict('no host showed an older configuration after a newer one', reversions.map(reversion => ({
+		isWrong: true,
+		isExcused: !reversion.isSameLife && blinding.some(fault => isOverlapping(fault, {from: reversion.at, to: reversion.at})),
+		what: JSON.stringify(reversion),
+	})));
+	return {...verdict, checked: looks};
+}
+
+/**
+ * Judges a storm that has ended and healed.
+ *
+ * @param evidence - What callers were told, what struck, and what the stand-ins counted.
+ * @returns One verdict for each promise.
+ */
+export function judgeStorm(evidence: Evidence): readonly Verdict[] {
+	const {sent} = evidence;
+	const works = groupByWork(sent);
+	return [
+		judgeOnce(evidence, works),
+		judgeJoined(evidence, works),
+		judgeTexts(works),
+		judgeWhole(sent),
+		judgeWord(evidence, works),
+		toVerdict('no call was left hanging', sent.map(call => ({isWrong: call.isHung, what: describeCall(call)}))),
+		judgeNotRun(works),
+		{
+			promise: 'nothing was held on any engine in the end', checked: sent.length, violations: evidence.holds, excused: 0,
+		},
+		{
+			promise: 'the newest good configuration is in force on every host', checked: evidence.asked, violations: evidence.outdated, excused: 0,
+		},
+		judgeReversions(evidence),
+		{
+			promise: 'no refused document was ever in force', checked: evidence.looks, violations: evidence.strays, excused: 0,
+		},
+		toVerdict('some work of each kind was answered whole', callKinds.map(kind => ({
+			isWrong: !sent.some(({work, answer}) => work.kind === kind && answer.isExpected), what: `no ${kind} was`,
+		}))),
+	];
+}
--- /dev/null
+++ b/test/storm/_lib/plan-faults.ts
@@ -0,0 +1,105 @@
+/** Draws all faults of a storm before it begins. */
+import {type Random} from './create-random.js';
+import {type FaultKind, type PlannedFault} from './types.js';
+
+export type Place = {
+	hosts: readonly string[];
+	zones: readonly string[];
+	/** Model engines. */
+	engines: readonly string[];
+	desks: readonly string[];
+};
+
+export type StormSpan = {
+	durationMs: number;
+	/** Mean time between two faults. */
+	everyMs: number;
+};
+
+type Draw = {
+	weight: number;
+	forMs: readonly [number, number];
+	toTargets: (place: Place, random: Random) => readonly string[];
+};
+
+const aHost: Draw['toTargets'] = ({hosts}, random) => [random.pick(hosts)];
+const aZone: Draw['toTargets'] = ({zones}, random) => [random.pick(zones)];
+const anEngine: Draw['toTargets'] = ({engines}, random) => [random.pick(engines)];
+const nothing: Draw['toTargets'] = () => [];
+
+function twoZones({zones}: Place, random: Random): readonly string[] {
+	const first = random.pick(zones);
+	return [first, random.pick(zones.filter(zone => zone !== first))];
+}
+
+/** Pauses and cuts last from far below to beyond the time after which a host is declared dead. */
+const draws: Readonly<Record<FaultKind, Draw>> = {
+	'kill entry': {weight: 4, forMs: [200, 4000], toTargets: aHost},
+	'kill agent': {weight: 3, forMs: [200, 4000], toTargets: aHost},
+	'kill host': {weight: 3, forMs: [500, 6000], toTargets: aHost},
+	'pause entry': {weight: 3, forMs: [300, 11_000], toTargets: aHost},
+	'pause agent': {weight: 2, forMs: [300, 11_000], toTargets: aHost},
+	'pause host': {weight: 2, forMs: [300, 11_000], toTargets: aHost},
+	'restart host': {weight: 2, forMs: [0, 1000], toTargets: aHost},
+	'cut zone off': {weight: 2, forMs: [500, 10_000], toTargets: aZone},
+	'cut zones apart': {weight: 2, forMs: [500, 10_000], toTargets: twoZones},
+	'cut zone from platform': {weight: 2, forMs: [500, 8000], toTargets: aZone},
+	'stale platform': {weight: 2, forMs: [500, 8000], toTargets: nothing},
+	'platform down': {weight: 1, forMs: [500, 5000], toTargets: nothing},
+	'lose cancels': {weight: 3, forMs: [500, 4000], toTargets: anEngine},
+	'break streams': {weight: 4, forMs: [500, 4000], toTargets: anEngine},
+	'drop desk calls': {weight: 2, forMs: [500, 3000], toTargets: ({desks}, random) => [random.pick(desks)]},
+	'refuse work': {weight: 3, forMs: [500, 2500], toTargets: nothing},
+	'publish good': {weight: 3, forMs: [0, 0], toTargets: nothing},
+	'publish bad': {weight: 3, forMs: [0, 0], toTargets: nothing},
+};
+
+const forms = 1000;
+/** Where in the storm its rolling restart of all hosts begins. */
+const rollingShare = 0.4;
+
+function drawKind(random: Random): FaultKind {
+	const entries = Object.entries(draws) as Array<[FaultKind, Draw]>;
+	const total = entries.reduce((sum, [, {weight}]) => sum + weight, 0);
+	let left = random.next() * total;
+	for (const [kind, {weight}] of entries) {
+		left -= weight;
+		if (left < 0) {
+			return kind;
+		}
+	}
+
+	return 'publish good';
+}
+
+function drawFault(kind: FaultKind, atMs: number, place: Place, random: Random): PlannedFault {
+	const {forMs, toTargets} = draws[kind];
+	return {
+		kind, atMs, forMs: random.between(...forMs), targets: toTargets(place, random), form: random.between(0, forms - 1),
+	};
+}
+
+/**
+ * Draws the schedule of a storm. One planned restart goes over all hosts, one
+ * after the other; the last edit is a good one, so that it is known which must
+ * be in force in the end.
+ *
+ * @param place - What can be struck.
+ * @param span - How long and how densely.
+ * @param random - Seeded.
+ * @returns Faults in order of time.
+ */
+export function planFaults(place: Place, {durationMs, everyMs}: StormSpan, random: Random): readonly PlannedFault[] {
+	const faults: PlannedFault[] = [];
+	for (let atMs = random.between(0, everyMs); atMs < durationMs; atMs += random.between(1, 2 * everyMs)) {
+		faults.push(drawFault(drawKind(random), atMs, place, random));
+	}
+
+	const rolling = place.hosts.map((host, i): PlannedFault => ({
+		kind: 'restart host', atMs: Math.round(durationMs * (rollingShare + ((1 - rollingShare) * i / place.hosts.length))), forMs: 0, targets: [host], form: 0,
+	}));
+	const lastEdit: PlannedFault = {
+		kind: 'publish good', atMs: durationMs, forMs: 0, targets: [], form: 0,
+	};
+	return [...faults, ...rolling, lastEdit].sort((a, b) => a.atMs - b.atMs);
+}
--- /dev/null
+++ b/test/storm/_lib/run-callers.ts
@@ -0,0 +1,122 @@
+/** The load of a storm: callers that ask, leave, and send the same key again. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {v7 as createKey} from 'uuid';
+import {type Fleet, type FleetHost} from '../../_lib/start-fleet/index.js';
+import {countRuns} from './count-runs.js';
+import {createRandom, type Random} from './create-random.js';
+import {sendWork} from './send-work.js';
+import {
+	callKinds, type CallKind, type Sent, type Work,
+} from './types.js';
+
+export type CallersOptions = {
+	seed: number;
+	callers: number;
+	durationMs: number;
+	/** Hosts to which a balancer sends nothing new. */
+	isLeaving: (host: string) => boolean;
+};
+
+const callerSeeds = 10_007;
+const workspaces = 5;
+const pauseMs = [20, 160] as const;
+const leaveShare = 0.1;
+const leaveAfterMs = [1, 500] as const;
+const keyedShare = 0.7;
+const twinShare = 0.25;
+const twinAfterMs = [0, 300] as const;
+const againShare = 0.15;
+const againAfterRefusalShare = 0.5;
+const againAfterBreakShare = 0.7;
+const againAfterMs = [0, 500] as const;
+/** A balancer learns late: some calls still go to a host that is stopping. */
+const lateShare = 0.1;
+const tokens = [4, 120] as const;
+
+function needsKey(kind: CallKind): boolean {
+	return kind === 'scene' || kind === 'desk change';
+}
+
+function drawWork(id: string, random: Random): Work {
+	const kind = random.pick(callKinds);
+	const hasKey = needsKey(kind) || (kind === 'letter' && random.isHit(keyedShare));
+	return {
+		id, kind, workspace: `workspace-${random.between(1, workspaces)}`, key: hasKey ? createKey() : undefined, maxTokens: random.between(...tokens), isStreamed: random.isHit(0.6),
+	};
+}
+
+function isWorthAnother({answer, hasLeft}: Sent, random: Random): boolean {
+	if (answer.isBroken || hasLeft) {
+		return random.isHit(againAfterBreakShare);
+	}
+
+	return random.isHit(answer.outcome === 'not-run' ? againAfterRefusalShare : againShare);
+}
+
+/**
+ * Runs the callers for the time of the storm, and until their last answers.
+ *
+ * @param fleet - All its hosts are asked.
+ * @param options - How many, and from which seed.
+ * @returns Every call that was made.
+ */
+export async function runCallers(fleet: Fleet, {seed, callers, durationMs, isLeaving}: CallersOptions): Promise<readonly Sent[]> {
+	const until = performance.now() + durationMs;
+	const sent: Sent[] = [];
+
+	const send = async (work: Work, host: FleetHost, random: Random, isFirst: boolean): Promise<Sent> => {
+		const begunBefore = isFirst ? 0 : countRuns(fleet, work).begun;
+		const willLeave = random.isHit(leaveShare);
+		const from = performance.now();
+		const result = await sendWork(host, work, willLeave ? {leaveAfterMs: random.between(...leaveAfterMs)} : {});
+		const isToldNotRun = result.answer.outcome === 'not-run';
+		const judged = isToldNotRun ? fleet.judgeRequest(result.answer.requestId) : undefined;
+		const entry: Sent = {
+			...result,
+			work,
+			host: host.id,
+			from,
+			to: performance.now(),
+			begunBefore,
+			begunAfter: isToldNotRun ? countRuns(fleet, work).begun : undefined,
+			begunAsRequest: judged && judged.prefillsStarted + judged.decodesStarted,
+		};
+		sent.push(entry);
+		return entry;
+	};
+
+	const pickHost = (random: Random, others?: FleetHost): FleetHost => {
+		const hosts = fleet.hosts.filter(host => host !== others && (!isLeaving(host.id) || random.isHit(lateShare)));
+		return hosts.length > 0 ? random.pick(hosts) : random.pick(fleet.hosts);
+	};
+
+	const doWork = async (work: Work, random: Random): Promise<void> => {
+		const host = pickHost(random);
+		const first = send(work, host, random, true);
+		if (work.key === undefined) {
+			await first;
+			return;
+		}
+
+		if (random.isHit(twinShare)) {
+			await sleep(random.between(...twinAfterMs));
+			await send(work, pickHost(random, host), random, false);
+		}
+
+		if (isWorthAnother(await first, random)) {
+			await sleep(random.between(...againAfterMs));
+			await send(work, pickHost(random, host), random, false);
+		}
+	};
+
+	const call = async (caller: number): Promise<void> => {
+		const random = createRandom((seed * callerSeeds) + caller);
+		for (let i = 1; performance.now() < until; i++) {
+			await doWork(drawWork(`work-${caller}-${i}`, random), random);
+			await sleep(random.between(...pauseMs));
+		}
+	};
+
+	await Promise.all(Array.from({length: callers}, async (_, caller) => call(caller + 1)));
+	return sent;
+}
--- /dev/null
+++ b/test/storm/_lib/strike-faults.ts
@@ -0,0 +1,175 @@
+/** Brings planned faults about, and notes when each began and ended. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Fleet, type FleetHost} from '../../_lib/start-fleet/index.js';
+import {type EngineFaults} from '../../stand-ins/engine/index.js';
+import {type PlainFaults} from '../../stand-ins/plain/index.js';
+import {type PlatformFaults} from '../../stand-ins/platform/index.js';
+import {createCuts} from './create-cuts.js';
+import {type Documents} from './create-documents.js';
+import {type FaultKind, type PlannedFault, type Struck} from './types.js';
+
+const stopDeadlineMs = 90_000;
+const lostCancels = 5;
+const brokenStreams = 4;
+const droppedCalls = 3;
+const streamKinds = ['short', 'reset', 'stall', 'garbage', 'crossed', 'duplicated', 'skipped', 'wrong-attempt'] as const;
+const refusedSteps = ['reservations', 'prefills', 'imports', 'streams'] as const;
+const dropKinds = ['before', 'after', 'midway'] as const;
+
+/** Strikes, and returns what ends the fault. */
+type Strike = (fault: PlannedFault) => Promise<() => Promise<unknown> | void> | (() => Promise<unknown> | void);
+
+/** Fields of a stand-in's switches, set for a while. */
+function switchOn<T extends object>(faults: T, fields: Partial<T>): () => void {
+	Object.assign(faults, fields);
+	return () => {
+		for (const name of Object.keys(fields)) {
+			Reflect.deleteProperty(faults, name);
+		}
+	};
+}
+
+function createHostStrikes(fleet: Fleet): Partial<Record<FaultKind, Strike>> {
+	const toHost = ({targets}: PlannedFault): FleetHost => fleet.host(targets[0]!);
+	return {
+		async 'kill entry'(fault) {
+			await toHost(fault).entry().kill();
+			return async () => toHost(fault).startEntry();
+		},
+		async 'kill agent'(fault) {
+			await toHost(fault).agent().kill();
+			return async () => toHost(fault).startAgent();
+		},
+		async 'kill host'(fault) {
+			await toHost(fault).kill();
+			return async () => toHost(fault).start();
+		},
+		'pause entry'(fault) {
+			toHost(fault).entry().pause();
+			return () => {
+				toHost(fault).entry().resume();
+			};
+		},
+		'pause agent'(fault) {
+			toHost(fault).agent().pause();
+			return () => {
+				toHost(fault).agent().resume();
+			};
+		},
+		'pause host'(fault) {
+			toHost(fault).pause();
+			return () => {
+				toHost(fault).resume();
+			};
+		},
+		async 'restart host'(fault) {
+			await toHost(fault).stop(stopDeadlineMs);
+			return async () => toHost(fault).start();
+		},
+	};
+}
+
+function createOtherStrikes(fleet: Fleet, documents: Documents): Partial<Record<FaultKind, Strike>> {
+	const cuts = createCuts(fleet.network);
+	const platform: PlatformFaults = {};
+	const setPlatform = (fields: PlatformFaults): (() => void) => {
+		const undo = switchOn(platform, fields);
+		fleet.platform.setFaults({...platform});
+		return () => {
+			undo();
+			fleet.platform.setFaults({...platform});
+		};
+	};
+
+	return {
+		'cut zone off': ({targets: [zone]}) => cuts.add(network => {
+			network.isolate(zone!);
+		}),
+		'cut zones apart': ({targets: [zone, other]}) => cuts.add(network => {
+			network.cut(zone!, other!);
+		}),
+		'cut zone from platform': ({targets: [zone]}) => cuts.add(network => {
+			network.cut(zone!, 'platform');
+		}),
+		'stale platform': () => setPlatform({frozen: true}),
+		'platform down': () => setPlatform({down: true}),
+		'lose cancels': ({targets: [id]}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {loseCancels: {times: lostCancels}}),
+		'break streams': ({targets: [id], form}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {
+			stream: {kind: streamKinds[form % streamKinds.length]!, atToken: form % 7, times: brokenStreams},
+		}),
+		'drop desk calls': ({targets: [id], form}) => switchOn<PlainFaults>(fleet.plains.find(plain => plain.id === id)!.faults, {
+			drop: dropKinds[form % dropKinds.length]!, times: droppedCalls,
+		}),
+		'refuse work'({form}) {
+			const on = [refusedSteps[form % refusedSteps.length]!];
+			const ends = [...fleet.engines.values()].map(engine => switchOn<EngineFaults>(engine.faults, {refuse: {reason: 'other', on}}));
+			return () => {
+				for (const end of ends) {
+					end();
+				}
+			};
+		},
+		'publish good'() {
+			documents.publishGood();
+			return () => undefined;
+		},
+		'publish bad'({form}) {
+			documents.publishBad(form);
+			return () => undefined;
+		},
+	};
+}
+
+export type Striker = {
+	/** Strikes and, after the fault's time, ends it. Faults of one target wait for one another. */
+	strike: (fault: PlannedFault) => Promise<void>;
+	/** Ends the faults that last, and strikes no more. */
+	end: () => void;
+	struck: () => readonly Struck[];
+};
+
+/** Creates the striker of a fleet. */
+export function createStriker(fleet: Fleet, documents: Documents): Striker {
+	const strikes = {...createHostStrikes(fleet), ...createOtherStrikes(fleet, documents)};
+	const struck: Struck[] = [];
+	const turns = new Map<string, Promise<void>>();
+	const over = new AbortController();
+
+	const last = async (forMs: number): Promise<void> => {
+		try {
+			await sleep(forMs, undefined, {signal: over.signal});
+		} catch {}
+	};
+
+	const strikeNow = async (fault: PlannedFault): Promise<void> => {
+		if (over.signal.aborted) {
+			return;
+		}
+
+		const entry: Struck = {
+			kind: fault.kind, targets: fault.targets, from: performance.now(), to: Infinity,
+		};
+		struck.push(entry);
+		const end = await strikes[fault.kind]!(fault);
+		await last(fault.forMs);
+		await end();
+		entry.to = performance.now();
+	};
+
+	return {
+		async strike(fault) {
+			const name = fault.kind.startsWith('cut') ? fault.kind + fault.targets.join(' ') : (fault.targets[0] ?? fault.kind);
+			const before = turns.get(name);
+			const turn = (async () => {
+				await before;
+				await strikeNow(fault);
+			})();
+			turns.set(name, turn);
+			await turn;
+		},
+		end() {
+			over.abort();
+		},
+		struck: () => struck,
+	};
+}
--- /dev/null
+++ b/test/storm/_lib/watch-versions.ts
@@ -0,0 +1,95 @@
+/** Looks at the configuration that each program shows, again and again. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Fleet, type FleetHost} from '../../_lib/start-fleet/index.js';
+import {type Documents} from './create-documents.js';
+import {type Reversion} from './types.js';
+
+type Shown = {digest: string; revision: number};
+type ProgramName = Reversion['program'];
+type Sighting = {pid: number; position: number; shown: Shown};
+
+export type VersionWatch = {
+	reversions: () => readonly Reversion[];
+	/** Programs that showed a document that is none of the good ones. */
+	strays: () => readonly string[];
+	looks: () => number;
+	/** Highest position that any program showed. */
+	highest: () => number;
+	end: () => Promise<void>;
+};
+
+const everyMs = 200;
+const patienceMs = 1500;
+
+/** Asks a program which configuration is in force; `undefined` when it does not say. */
+export async function askVersion(host: FleetHost, program: ProgramName): Promise<Shown | undefined> {
+	try {
+		const url = program === 'agent' ? host.agentOperatorUrl : host.entryOperatorUrl;
+		const res = await fetch(`${url}/status`, {signal: AbortSignal.timeout(patienceMs)});
+		const body = await res.json() as {config?: Shown; configuration?: Shown};
+		return program === 'agent' ? body.config : body.configuration;
+	} catch {
+		return undefined;
+	}
+}
+
+function toText({digest, revision}: Shown, position: number): string {
+	return `edit ${position} (revision ${revision}, ${digest.slice(0, 12)})`;
+}
+
+/** Starts looking. */
+export function watchVersions(fleet: Fleet, documents: Documents): VersionWatch {
+	const reversions: Reversion[] = [];
+	const strays: string[] = [];
+	let looks = 0;
+	let highest = 0;
+	const ending = new AbortController();
+
+	const compare = (host: FleetHost, program: ProgramName, before: Sighting | undefined, now: Sighting): void => {
+		if (before !== undefined && now.position < before.position) {
+			reversions.push({
+				host: host.id,
+				program,
+				isSameLife: before.pid === now.pid,
+				from: toText(before.shown, before.position),
+				to: toText(now.shown, now.position),
+				at: performance.now(),
+			});
+		}
+	};
+
+	const watch = async (host: FleetHost, program: ProgramName): Promise<void> => {
+		let last: Sighting | undefined;
+		while (!ending.signal.aborted) {
+			const {pid} = host[program]();
+			const shown = await askVersion(host, program);
+			// A process that was replaced meanwhile may have answered in either life.
+			if (shown !== undefined && host[program]().pid === pid) {
+				const position = documents.toPosition(shown.digest);
+				looks += 1;
+				if (position === undefined) {
+					strays.push(`${program} of ${host.id}: ${JSON.stringify(shown)}`);
+				} else {
+					const now = {pid, position, shown};
+					compare(host, program, last, now);
+					last = now;
+					highest = Math.max(highest, position);
+				}
+			}
+
+			await sleep(everyMs);
+		}
+	};
+
+	const done = Promise.all(fleet.hosts.flatMap(host => [watch(host, 'agent'), watch(host, 'entry')]));
+	return {
+		reversions: () => reversions,
+		strays: () => strays,
+		looks: () => looks,
+		highest: () => highest,
+		async end() {
+			ending.abort();
+			await done;
+		},
+	};
+}
--- /dev/null
+++ b/test/storm/index.ts
@@ -0,0 +1,202 @@
+/**
+ * A storm: load from several callers against a whole fleet while processes are
+ * killed, paused and restarted, zones are cut, streams break and edits are
+ * published. When it has ended and all is healed, every promise is judged by
+ * what callers were told and what the stand-ins counted.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {startFleet, type Fleet} from '../_lib/start-fleet/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {countModelRuns, countRuns, type Runs} from './_lib/count-runs.js';
+import {createDocuments, type Documents} from './_lib/create-documents.js';
+import {createRandom, type Random} from './_lib/create-random.js';
+import {judgeStorm} from './_lib/judge-storm.js';
+import {planFaults} from './_lib/plan-faults.js';
+import {runCallers} from './_lib/run-callers.js';
+import {createStriker, type Striker} from './_lib/strike-faults.js';
+import {toCallsReport, type StormReport} from './_lib/to-report.js';
+import {type PlannedFault, type Sent} from './_lib/types.js';
+import {askVersion, watchVersions} from './_lib/watch-versions.js';
+
+export {toReportText, type StormReport} from './_lib/to-report.js';
+export {type Verdict} from './_lib/judge-storm.js';
+
+export type StormOptions = {
+	seed: number;
+	durationMs: number;
+	callers?: number;
+	/** Mean time between two faults. */
+	faultEveryMs?: number;
+	/** Told as the storm goes on. */
+	tell?: (text: string) => void;
+};
+
+const zones = ['dvorana-a', 'dvorana-b', 'dvorana-c'];
+const clockBoundMs = 3000;
+const settleDeadlineMs = 60_000;
+const readyDeadlineMs = 60_000;
+
+async function startStormFleet(random: Random): Promise<Fleet> {
+	const fleet = await startFleet({
+		zones,
+		hostsPerZone: random.between(1, 2),
+		decodesPerZone: 2,
+		isCuttable: true,
+		// All clocks are this machine's.
+		entryFlags: {clockBound: `${clockBoundMs}ms`, drainDelay: '500ms', drainTimeout: '60s'},
+		prefillEngine: {prefillTokensPerSecond: 5000, prefillConcurrency: 8},
+		decodeEngine: {decodeTokensPerSecond: 150, slots: 20},
+	});
+	// Until then no host vouches for a new key.
+	await sleep(clockBoundMs);
+	return fleet;
+}
+
+async function strikeAll(plan: readonly PlannedFault[], striker: Striker): Promise<void> {
+	const start = performance.now();
+	const strikes: Array<Promise<void>> = [];
+	for (const fault of plan) {
+		await sleep(Math.max(0, start + fault.atMs - performance.now()));
+		strikes.push(striker.strike(fault));
+	}
+
+	striker.end();
+	await Promise.all(strikes);
+}
+
+/** Programs that do not show the newest good document. */
+async function findOutdated(fleet: Fleet, documents: Documents): Promise<string[]> {
+	const {digest, position} = documents.newest();
+	const programs = fleet.hosts.flatMap(host => [{host, program: 'agent' as const}, {host, program: 'entry' as const}]);
+	const shown = await Promise.all(programs.map(async ({host, program}) => ({name: `${program} of ${host.id}`, version: await askVersion(host, program)})));
+	return shown.filter(({version}) => version?.digest !== digest).map(({name, version}) => `${name} shows ${JSON.stringify(version)}, not edit ${position}`);
+}
+
+/** Waits until a list is empty; gives what is left when the deadline passes. */
+async function settle(find: () => Promise<readonly string[]>): Promise<{left: readonly string[]; afterMs: number}> {
+	const start = performance.now();
+	let left: readonly string[] = [];
+	try {
+		await waitUntil(async () => {
+			left = await find();
+			return left.length === 0;
+		}, {deadlineMs: settleDeadlineMs, what: 'the storm to settle', everyMs: 100});
+	} catch {}
+
+	return {left, afterMs: Math.round(performance.now() - start)};
+}
+
+/** Bad edits after the last good one must change nothing; each host has had time to read them when it shows that it refused one. */
+async function tryBadEdits(fleet: Fleet, documents: Documents): Promise<void> {
+	for (let form = 0; form < documents.badFormCount; form++) {
+		documents.publishBad(form);
+		await sleep(300);
+	}
+
+	await waitUntil(async () => {
+		const shown = await Promise.all(fleet.hosts.map(async host => {
+			const res = await fetch(`${host.agentOperatorUrl}/status`, {signal: AbortSignal.timeout(5000)});
+			const {refused} = await res.json() as {refused?: unknown};
+			return refused !== undefined && refused !== null;
+		}));
+		return shown.some(Boolean);
+	}, {deadlineMs: settleDeadlineMs, what: 'a refused edit to be shown', everyMs: 100});
+	await sleep(1000);
+}
+
+function countAllRuns(fleet: Fleet, sent: readonly Sent[]): ReadonlyMap<string, Runs> {
+	const counted = new Map(countModelRuns(fleet));
+	for (const {work} of sent) {
+		if (work.kind.startsWith('desk') && !counted.has(work.id)) {
+			counted.set(work.id, countRuns(fleet, work));
+		}
+	}
+
+	return counted;
+}
+
+function sumWaste(fleet: Fleet): Record<string, number> {
+	const sum: Record<string, number> = {};
+	for (const engine of fleet.engines.values()) {
+		for (const [cause, count] of Object.entries(engine.judge().wasted)) {
+			sum[cause] = (sum[cause] ?? 0) + count;
+		}
+	}
+
+	return sum;
+}
+
+async function blow(fleet: Fleet, random: Random, {seed, durationMs, callers = 16, faultEveryMs = 800, tell = () => undefined}: StormOptions): Promise<StormReport> {
+	const documents = createDocuments(fleet);
+	const striker = createStriker(fleet, documents);
+	const plan = planFaults({
+		hosts: fleet.hosts.map(({id}) => id), zones, engines: [...fleet.engines.keys()], desks: fleet.plains.map(({id}) => id),
+	}, {durationMs, everyMs: faultEveryMs}, random);
+	tell(`${plan.length} faults are planned for ${fleet.hosts.length} hosts`);
+	const watch = watchVersions(fleet, documents);
+	const isLeaving = (host: string): boolean => striker.struck().some(({kind, targets, to}) => kind === 'restart host' && targets[0] === host && to === Infinity);
+	const [sent] = await Promise.all([
+		runCallers(fleet, {
+			seed, callers, durationMs, isLeaving,
+		}),
+		strikeAll(plan, striker),
+	]);
+	tell('the storm is over');
+	fleet.network.heal();
+	await waitUntil(async () => {
+		try {
+			await fleet.waitUntilReady();
+			return true;
+		} catch {
+			return false;
+		}
+	}, {deadlineMs: readyDeadlineMs, what: 'all hosts to serve again'});
+	const inForce = await settle(async () => findOutdated(fleet, documents));
+	const released = await settle(async () => fleet.holds().map(hold => JSON.stringify(hold)));
+	await tryBadEdits(fleet, documents);
+	const outdated = await findOutdated(fleet, documents);
+	await watch.end();
+	const runs = countAllRuns(fleet, sent);
+	const verdicts = judgeStorm({
+		sent,
+		struck: striker.struck(),
+		runs,
+		holds: released.left,
+		reversions: watch.reversions(),
+		strays: watch.strays(),
+		looks: watch.looks(),
+		outdated: [...inForce.left, ...outdated],
+		asked: 2 * fleet.hosts.length,
+		clockBoundMs,
+	});
+	return {
+		seed,
+		durationMs,
+		hosts: fleet.hosts.length,
+		...toCallsReport(sent, striker.struck(), runs),
+		edits: documents.counts(),
+		wastedPrefills: sumWaste(fleet),
+		heldBytes: fleet.holds().reduce((sum, {bytes}) => sum + bytes, 0),
+		releasedAfterMs: released.afterMs,
+		inForceAfterMs: inForce.afterMs,
+		verdicts,
+		isKept: verdicts.every(({violations}) => violations.length === 0),
+	};
+}
+
+/**
+ * Runs a storm from its seed.
+ *
+ * @param options - Seed and length. Faults are drawn from the seed before the storm begins.
+ * @returns The report; `isKept` says whether every promise was kept.
+ * @throws When a part of the harness fails, for example a program that does not start again.
+ */
+export async function runStorm(options: StormOptions): Promise<StormReport> {
+	const random = createRandom(options.seed);
+	const fleet = await startStormFleet(random);
+	try {
+		return await blow(fleet, random, options);
+	} finally {
+		await fleet.stop();
+	}
+}
