--- a/src/programs/entry/accounts/index.ts
+++ b/src/programs/entry/accounts/index.ts
@@ -9,7 +9,7 @@
 	/** Milliseconds since the request came in. */
 	atMs: Milliseconds;
 	/** What was decided or happened; never text of a prompt or an answer. */
-	details?: Readonly<Record<string, unknown>> | undefined;
+	details?: Details | undefined;
 };
 
 export type AccountDocument = {
@@ -21,8 +21,19 @@
 	omitted: number;
 };
 
+type Details = Readonly<Record<string, unknown>>;
+
 export type Account = {
-	note: (stage: string, details?: Readonly<Record<string, unknown>>) => void;
+	note: (stage: string, details?: Details) => void;
+	/**
+	 * Notes a stage of which a part is dear. `toRest` is called when the account
+	 * is read, or by {@link Account.workOut}, and tells what is so at that moment;
+	 * it is let go with {@link maxLazy} newer ones, and the stage then stays
+	 * without that part.
+	 */
+	noteLazy: (stage: string, details: Details, toRest: () => Details) => void;
+	/** Works out now what stages noted so far have left for a reader. */
+	workOut: () => void;
 };
 
 export type Accounts = {
@@ -31,6 +42,12 @@
 	size: () => number;
 };
 
+type Entry = {
+	receivedAt: Milliseconds;
+	stages: AccountStage[];
+	omitted: number;
+};
+
 export type AccountsOptions = {
 	/** Requests kept; the oldest makes room. */
 	limit: number;
@@ -38,6 +55,9 @@
 	wallNow: () => Milliseconds;
 };
 
+/** Parts of accounts not worked out that are kept over all requests: each may hold a view of the whole fleet. */
+export const maxLazy = 16;
+
 /** A request that is retried without end must not grow its account without end. */
 const maxStages = 100;
 
@@ -49,30 +69,63 @@
  */
 export function createAccounts(options: AccountsOptions): Accounts {
 	const {limit, now, wallNow} = options;
-	const kept = new Map<RequestId, {receivedAt: Milliseconds; stages: AccountStage[]; omitted: number}>();
+	const kept = new Map<RequestId, Entry>();
+	/** In the order in which they were noted. */
+	const lazy = new Map<AccountStage, () => Details>();
+
+	function workOut(stages: readonly AccountStage[]): void {
+		for (const stage of stages) {
+			const toRest = lazy.get(stage);
+			if (toRest !== undefined) {
+				lazy.delete(stage);
+				stage.details = {...stage.details, ...toRest()};
+			}
+		}
+	}
 
 	return {
 		open(requestId) {
 			const start = now();
-			const entry = {receivedAt: wallNow(), stages: [] as AccountStage[], omitted: 0};
+			const entry: Entry = {receivedAt: wallNow(), stages: [], omitted: 0};
 			kept.set(requestId, entry);
 			if (kept.size > limit) {
 				kept.delete(kept.keys().next().value!);
 			}
 
+			const add = (stage: string, details?: Details): AccountStage | undefined => {
+				if (entry.stages.length >= maxStages) {
+					entry.omitted++;
+					return undefined;
+				}
+
+				const added: AccountStage = {stage, atMs: Math.round((now() - start) * 100) / 100, details};
+				entry.stages.push(added);
+				return added;
+			};
+
 			return {
 				note(stage, details) {
-					if (entry.stages.length >= maxStages) {
-						entry.omitted++;
+					add(stage, details);
+				},
+				noteLazy(stage, details, toRest) {
+					const added = add(stage, details);
+					if (added === undefined) {
 						return;
 					}
 
-					entry.stages.push({stage, atMs: Math.round((now() - start) * 100) / 100, details});
+					lazy.set(added, toRest);
+					if (lazy.size > maxLazy) {
+						lazy.delete(lazy.keys().next().value!);
+					}
+				},
+				workOut() {
+					workOut(entry.stages);
 				},
 			};
 		},
 		findAccount(requestId) {
 			const entry = kept.get(requestId);
+			workOut(entry?.stages ?? []);
 			return entry && {
 				requestId, receivedAt: new Date(entry.receivedAt).toISOString(), stages: entry.stages, omitted: entry.omitted,
 			};
--- /dev/null
+++ b/src/programs/entry/accounts/test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createAccounts, maxLazy} from './index.js';
+
+const createFixture = () => createAccounts({limit: 100, now: () => 0, wallNow: () => 0});
+
+describe('createAccounts', () => {
+	it('works the dear part of a stage out once, and only for a reader', () => {
+		const accounts = createFixture();
+		let count = 0;
+		accounts.open('r').noteLazy('placed', {attempt: 1}, () => ({count: ++count}));
+		assert.equal(count, 0);
+		accounts.findAccount('r');
+		assert.deepEqual(accounts.findAccount('r')?.stages[0]?.details, {attempt: 1, count: 1});
+	});
+
+	it('lets go of what nobody read, and keeps what was worked out in time', () => {
+		const accounts = createFixture();
+		const failed = accounts.open('failed');
+		failed.noteLazy('placed', {attempt: 1}, () => ({why: 'worse'}));
+		failed.workOut();
+		accounts.open('old').noteLazy('placed', {attempt: 1}, () => ({why: 'worse'}));
+		for (let i = 0; i < maxLazy; i++) {
+			accounts.open(`r${i}`).noteLazy('placed', {attempt: 1}, () => ({why: 'worse'}));
+		}
+
+		const toDetails = (id: string) => accounts.findAccount(id)?.stages[0]?.details;
+		assert.deepEqual(toDetails('failed'), {attempt: 1, why: 'worse'});
+		assert.deepEqual(toDetails('old'), {attempt: 1});
+		assert.deepEqual(toDetails('r0'), {attempt: 1, why: 'worse'});
+	});
+
+	it('forgets the oldest request at its limit', () => {
+		const accounts = createAccounts({limit: 1, now: () => 0, wallNow: () => 0});
+		accounts.open('a');
+		accounts.open('b');
+		assert.equal(accounts.findAccount('a'), undefined);
+		assert.equal(accounts.size(), 1);
+	});
+});
