--- a/src/programs/agent/_lib/hold-documents.ts
+++ b/src/programs/agent/_lib/hold-documents.ts
@@ -93,6 +93,8 @@
 			});
 			const warning = verdict.rivalry?.message ?? verdict.warning;
 			notices = {refused: undefined, warning};
+			// Published again by mistake, it is told again.
+			refusedDigest = undefined;
 			if (warning !== undefined) {
 				log.warn('configuration accepted over another', {edition, reason: warning});
 			}
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -400,11 +400,16 @@
 		isReader,
 		waitMs: Math.min(settings.platformWait, confirmMs),
 		onValue({value, revision}) {
-			const isNews = key === 'config' ? offerConfig(value, revision, 'platform') : documents.offerFleet(value, revision, 'platform');
+			const isConfig = key === 'config';
+			const held = isConfig ? documents.config() : documents.fleet();
+			const isNews = isConfig ? offerConfig(value, revision, 'platform') : documents.offerFleet(value, revision, 'platform');
 			if (isNews) {
 				announce(hostId);
 				publish();
 			}
+
+			// The text in force under a later revision may be an old text in the place of a new one.
+			return isNews || (held !== undefined && held.version.revision >= revision && (!isConfig || held.text === value));
 		},
 		onConfirmed(askedAt) {
 			table.noteConfirmed(toSoundTime(askedAt));
--- a/src/programs/agent/_lib/watch-platform.ts
+++ b/src/programs/agent/_lib/watch-platform.ts
@@ -7,12 +7,17 @@
 import {
 	type Platform, type PlatformFailure, type PlatformKey, type PlatformValue,
 } from '../../../ports/platform.js';
+import {msPerMinute, msPerSecond} from '../../../ports/units.js';
 
 const firstBackoffMs = 250;
 const maxBackoffMs = 15_000;
 const idleMs = 250;
 const standbyMs = 1000;
 
+/** What was served and not taken is read again after this time, then twice it, and so on. */
+const firstRereadMs = msPerSecond;
+const maxRereadMs = 5 * msPerMinute;
+
 export type WatchOptions = {
 	platform: Platform;
 	key: PlatformKey;
@@ -20,7 +25,8 @@
 	isReader: () => boolean;
 	/** Longest wait of one watching read, milliseconds. */
 	waitMs: Milliseconds;
-	onValue: (value: PlatformValue) => void;
+	/** Judges a value. `false` when it is not what is held afterwards; it is then read again, see {@link createReread}. */
+	onValue: (value: PlatformValue) => boolean;
 	/** The platform answered; `askedAt` is when it was asked, monotonic. */
 	onConfirmed: (askedAt: Milliseconds) => void;
 	onFailure: (failure: PlatformFailure) => void;
@@ -31,6 +37,28 @@
 	signal: AbortSignal;
 };
 
+/**
+ * When to read a value again at the revision that was seen. A platform that
+ * serves a part of a document, or an old one, and then the right one under the
+ * same revision gives a watch nothing to report: the edit would be in force
+ * nowhere until the next one. A plain read after a wait shows it; the wait
+ * doubles, since a bad edit of staff stays as it is.
+ */
+function createReread(now: () => Milliseconds) {
+	let waitMs: Milliseconds | undefined;
+	let dueAt = Infinity;
+
+	return {
+		note(isTaken: boolean) {
+			waitMs = isTaken ? undefined : Math.min(waitMs === undefined ? firstRereadMs : waitMs * 2, maxRereadMs);
+			dueAt = waitMs === undefined ? Infinity : now() + waitMs;
+		},
+		isDue: () => now() >= dueAt,
+		/** Longest wait of a watch before the value is read again. */
+		limit: (longestMs: Milliseconds) => Math.min(longestMs, waitMs ?? Infinity),
+	};
+}
+
 /**
  * Runs until the signal aborts.
  *
@@ -42,6 +70,7 @@
 	// What the platform itself served last, accepted or not: waiting for anything
 	// else would ask again at once for a document that was refused.
 	let seenRevision: number | undefined;
+	const reread = createReread(now);
 
 	while (!signal.aborted) {
 		if (!isReader()) {
@@ -53,7 +82,7 @@
 		options.onRead();
 		const result = seenRevision === undefined
 			? await platform.read(key)
-			: await platform.watch(key, seenRevision, options.waitMs * (0.5 + (random() / 2)), signal);
+			: await platform.watch(key, seenRevision, reread.limit(options.waitMs) * (0.5 + (random() / 2)), signal);
 		if (signal.aborted) {
 			return;
 		}
@@ -69,7 +98,9 @@
 		options.onConfirmed(askedAt);
 		if (result.value) {
 			seenRevision = result.value.revision;
-			options.onValue(result.value);
+			reread.note(options.onValue(result.value));
+		} else if (reread.isDue()) {
+			seenRevision = undefined;
 		}
 
 		// Publications that come one upon the other, and values that were never published, are read no faster than this.
