Bench the reading of a changed document

Cause: the figures of reading by lines came from trials alone.

Change: npm run bench -- config-reading reads documents of 1,000, 5,000 and 11,000 rules, one rule renamed each time, whole and by lines, and compiles them with and without what was compiled before.

--- /dev/null
+++ b/bench/config-reading/index.ts
@@ -0,0 +1,56 @@
+/** What a changed document costs a host that has read the one before. */
+import {Buffer} from 'node:buffer';
+import {toFleetConfig} from '../../src/domain/_test/to-fleet-config.js';
+import {compileRules} from '../../src/domain/compile-rules/index.js';
+import {createConfigReader, parseConfig} from '../../src/domain/parse-config/index.js';
+import {toConfigText} from '../../src/domain/to-config-text/index.js';
+import {type Config} from '../../src/ports/config.js';
+
+const sizes = [[1000, 1600], [5000, 8000], [11_000, 18_000]] as const;
+const rounds = 40;
+
+function toMedian(times: readonly number[]): string {
+	return times.toSorted((a, b) => a - b)[Math.floor(times.length / 2)]!.toFixed(1);
+}
+
+function measure(run: () => unknown): number {
+	const startedAt = performance.now();
+	run();
+	return performance.now() - startedAt;
+}
+
+/** As a host gets it: a text of its own, and not one that shares parts with the one before. */
+function toEdited(config: Config, round: number): string {
+	const at = (round * 997) % (config.rules.length - 1);
+	const rules = config.rules.with(at, {...config.rules[at]!, name: `edit ${round}`});
+	return Buffer.from(toConfigText({...config, rules})).toString();
+}
+
+function measureSize(rules: number, workspaces: number) {
+	const config = toFleetConfig(rules, workspaces);
+	const read = createConfigReader();
+	const compiled = compileRules(read(toConfigText(config))._unsafeUnwrap());
+	const times: Record<'whole' | 'byLines' | 'compile' | 'compileAgain', number[]> = {
+		whole: [], byLines: [], compile: [], compileAgain: [],
+	};
+	for (let round = 1; round <= rounds; round++) {
+		const text = toEdited(config, round);
+		let next: Config | undefined;
+		times.byLines.push(measure(() => {
+			next = read(text)._unsafeUnwrap();
+		}));
+		times.compileAgain.push(measure(() => compileRules(next!, compiled)));
+		times.whole.push(measure(() => parseConfig(text)));
+		times.compile.push(measure(() => compileRules(next!)));
+	}
+
+	const medians = Object.fromEntries(Object.entries(times).map(([name, list]) => [name, toMedian(list)]));
+	return {rules, bytes: toConfigText(config).length, ...medians};
+}
+
+/** Prints a table; medians in milliseconds. */
+export function runConfigReadingBench(): void {
+	const rows = sizes.map(([rules, workspaces]) => measureSize(rules, workspaces));
+	console.table(rows);
+	console.log(JSON.stringify({bench: 'config-reading', rounds, rows}));
+}
