Hold plain calls to the first-token target of their rule

Cause: calls of plain services waited as long as their whole answer could still be in time. The rule's first-token target was not looked at, and the time to the first byte was never told to the admission. Above its capacity the front desk kept every caller until all of them were too late.

The wait is counted from when the call enters the queue, so a slow body refuses nobody.

Change: the first-token target bounds the wait; the head of an answer tells the admission the time to the first byte, and, below 500, the health record that the service works, which had never heard of a success.

The new test fails on the old code (504 at the deadline, not 503).

--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -4,6 +4,7 @@
  * offered once.
  */
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {type PlainPlacement} from '../../../domain/create-placement/index.js';
 import {type FailedAttempt} from '../../../domain/create-retry-budget/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
@@ -21,6 +22,9 @@
 import {type ServeServices} from '../_lib/serve-types.js';
 import {type EndCause} from '../_lib/types.js';
 
+/** The least status by which a service says that it failed. */
+const firstServerFault = 500;
+
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
 
 export type PlainRun = {
@@ -69,8 +73,10 @@
 	return services.placement.pickPlain({pool: run.route.pool.name, exclude}, services.toView()!, services.clock.now(), services.random);
 }
 
-async function callOnce(run: PlainRun, server: ServerEntry): Promise<PlainEnd> {
+async function callOnce(run: PlainRun, placement: PlainPlacement): Promise<PlainEnd> {
 	const {exchange, serve, clients, body, signal} = run;
+	const {services} = serve;
+	const {server} = placement;
 	return sendPlain({
 		exchange,
 		dispatcher: clients.toDispatcher(server),
@@ -78,8 +84,14 @@
 		headers: toCallHeaders(run),
 		payload: body.open(),
 		signal,
-		headersTimeoutMs: Math.max(1, run.deadline - serve.services.clock.now()),
+		headersTimeoutMs: Math.max(1, run.deadline - services.clock.now()),
 		idleTimeoutMs: serve.limits.writeTimeoutMs,
+		onStart(status) {
+			services.gate.noteFirstToken(exchange.requestId);
+			if (status < firstServerFault) {
+				services.placement.noteFirstToken(placement, services.clock.now());
+			}
+		},
 	});
 }
 
@@ -159,7 +171,7 @@
 		const {server} = picked.value;
 		account.note('placed', {attempt, ...picked.value.account()});
 		services.placement.noteDispatched(picked.value, services.clock.now());
-		const ended = await callOnce(run, server);
+		const ended = await callOnce(run, picked.value);
 		services.placement.noteFinished(picked.value, services.clock.now());
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(route.pool.name).noteSuccess(services.clock.now());
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -29,6 +29,8 @@
 	headersTimeoutMs: Milliseconds;
 	/** Limit of silence within the answer, and of a caller that does not read. */
 	idleTimeoutMs: Milliseconds;
+	/** Told of the answer's head, with its status. */
+	onStart: (status: number) => void;
 };
 
 /**
@@ -55,6 +57,7 @@
 		}, {
 			onStart(answerStatus, headers, flow) {
 				status = answerStatus;
+				send.onStart(status);
 				exchange.startStream(status, toForwardHeaders(headers, {drop: ['x-request-id']}));
 				holdBack = bytes => {
 					if (exchange.write(bytes)) {
--- a/test/contracts/caller-faults.test.ts
+++ b/test/contracts/caller-faults.test.ts
@@ -252,6 +252,23 @@
 		assert.equal(answer.wasCut, true);
 	}));
 
+	/*
+	 * The caller sees an answer in time for the whole of it, yet long after its
+	 * first-token target. A pool with more work than room keeps each call until
+	 * the later of the two: all wait, all begin late, and none of the answers
+	 * counts, although the services never stand still.
+	 */
+	it('refuses a call once it cannot begin within the first-token target, and does not send it', async () => withFixture({}, async fixture => {
+		fixture.plain.setFaults({workMs: 4000});
+		const first = Array.from({length: 20}, async () => send(fixture, '/desk/a', {body: '{}'}));
+		await waitUntil(() => fixture.plain.calls().length === 20, {deadlineMs: 10_000, what: 'calls in every place'});
+		const answer = await send(fixture, '/desk/b', {body: '{}'});
+		assert.equal(answer.status, 503);
+		assert.equal(answer.headers['retry-after'] === undefined, false);
+		await Promise.all(first);
+		assert.equal(fixture.plain.calls().length, 20);
+	}));
+
 	it('passes a service\'s own refusal on', async () => withFixture({}, async fixture => {
 		fixture.plain.setFaults({status: 503});
 		const {status} = await send(fixture, '/desk/a', {body: '{}'});
