Split the agent by job, and tell of two agents under one name

"Does that entry still answer" stood twice. And two agents of one host name were noticed by membership and shown to nobody.

Beside it: `keep-documents` (judging, spreading and watching of both documents), `serve-peers` (who is told what a peer says), `tell-peers`, `tend-servers` (polls, orphans, orders), `mind-pauses`, `is-reading-turn`, `is-entry-answering`, `agent-types`. `watch-twin` logs an error with both addresses and what to do, once a twin; the status has `twin`, `/ready` the same reason (the agent stays ready: to take both out would help nobody), metrics `host_name_twin`.

--- a/src/programs/_operations/start-operations.ts
+++ b/src/programs/_operations/start-operations.ts
@@ -18,6 +18,8 @@
 	keys?: ProgramKeys | undefined;
 	/** Why the program takes no requests; empty when it does. Called at each request. */
 	notReady: () => readonly ReadinessReason[];
+	/** What needs somebody's attention although requests are taken; told with readiness. */
+	attention?: () => readonly ReadinessReason[];
 	/** Called before metrics are exposed, to set gauges. */
 	beforeMetrics?: () => void;
 	status: () => unknown;
@@ -49,8 +51,9 @@
 		keys: keys?.operator,
 		readiness() {
 			const notReady = options.notReady();
-			const attention = (keys?.toReasons() ?? []).map(reason => ({reason}));
-			return {ready: notReady.length === 0, reasons: [...notReady, ...attention]};
+			const attention = options.attention?.() ?? [];
+			const ofKeys = (keys?.toReasons() ?? []).map(reason => ({reason}));
+			return {ready: notReady.length === 0, reasons: [...notReady, ...attention, ...ofKeys]};
 		},
 		metrics() {
 			readyGauge.set({}, options.notReady().length === 0 ? 1 : 0);
--- a/src/programs/_operations/test.ts
+++ b/src/programs/_operations/test.ts
@@ -55,6 +55,22 @@
 		const page = await request(`http://127.0.0.1:${server.port}/slo`, {headers: {accept: 'text/html'}, headersTimeout: 10_000, bodyTimeout: 10_000});
 		assert.match(await page.body.text(), /Act now/);
 	});
+
+	it('stays ready while it tells what needs attention', async context => {
+		const started = await startOperations({
+			settings: {bind: '127.0.0.1', operatorPort: 0},
+			log,
+			metrics: createMetrics(),
+			notReady: () => [],
+			attention: () => [{reason: 'two of one name', remedy: 'stop one'}],
+			status: () => ({}),
+		});
+		const server = started._unsafeUnwrap();
+		context.after(async () => server.close(1000));
+		const {statusCode, body} = await request(`http://127.0.0.1:${server.port}/ready`, {headersTimeout: 10_000, bodyTimeout: 10_000});
+		assert.equal(statusCode, 200);
+		assert.deepEqual(await body.json(), {ready: true, reasons: [{reason: 'two of one name', remedy: 'stop one'}]});
+	});
 });
 
 describe('loadProgramKeys', () => {
--- a/src/programs/agent/_lib/follow-entry.ts
+++ b/src/programs/agent/_lib/follow-entry.ts
@@ -2,13 +2,12 @@
  * What the agent knows of its own host's entry: whether it is there, as which
  * incarnation, and up to which incarnation earlier ones have ended.
  */
-import {
-	connectPeer, type PeerConnection, type PeerHello, type PeerKeys,
-} from '../../../adapters/peer-tcp/index.js';
+import {type PeerConnection, type PeerHello, type PeerKeys} from '../../../adapters/peer-tcp/index.js';
 import {type FeedPing} from '../../../adapters/view-feed/index.js';
 import {waitFor} from '../../../_lib/wait-for/index.js';
 import {type OwnStatement} from '../../../domain/create-membership/index.js';
 import {type Incarnation} from '../../../ports/ids.js';
+import {isEntryAnswering} from './is-entry-answering.js';
 
 /** Time in which a restarted agent waits for an entry that may be alive. */
 const startGraceMs = 3000;
@@ -53,18 +52,9 @@
 	let current: Current | undefined;
 	let gone: Incarnation = 0;
 
-	/** Whether an entry of that incarnation still answers at its peer port. */
-	async function isAnswering(address: string, incarnation: Incarnation): Promise<boolean> {
-		const connected = await connectPeer({
-			address, hello, tls, connectTimeoutMs: probeTimeoutMs,
-		});
-		if (connected.isErr()) {
-			return false;
-		}
-
-		connected.value.close();
-		return connected.value.peer.incarnation === incarnation;
-	}
+	const isAnswering = async (address: string, incarnation: Incarnation) => isEntryAnswering({host: hello().host, incarnation}, address, {
+		hello, tls, connectTimeoutMs: probeTimeoutMs,
+	});
 
 	function noteGone(incarnation: Incarnation) {
 		if (incarnation > gone) {
--- /dev/null
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -0,0 +1,166 @@
+/**
+ * Keeps the platform's two documents: judges what the platform, peers and this
+ * host's entry offer, tells peers of what is new, and fetches what they have newer.
+ */
+import {compareConfigVersions} from '../../../domain/compare-config-versions/index.js';
+import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ConfigVersion} from '../../../ports/config.js';
+import {type HostId} from '../../../ports/ids.js';
+import {type FleetList, type PlatformKey} from '../../../ports/platform.js';
+import {type AgentOptions} from './agent-types.js';
+import {holdDocuments, type DocumentNotices} from './hold-documents.js';
+import {type KnownVersions} from './peer-messages.js';
+import {type Pauses} from './mind-pauses.js';
+import {
+	spreadDocument, type DocumentKind, type DocumentSpread, type SpreadDocumentOptions,
+} from './spread-document.js';
+import {watchPlatform} from './watch-platform.js';
+
+/** The platform's confirmation is renewed this often, since orders need a fresh one. */
+const confirmMs = 6000;
+
+/** Time in which a starting agent learns from its peers, before it listens to a platform that may be stale. */
+const joinMs = 3000;
+
+export type KeepDocumentsOptions = Pick<AgentOptions, 'settings' | 'platform' | 'random' | 'keepOnly' | 'log'> & {
+	table: FleetTable;
+	pauses: Pauses;
+	call: SpreadDocumentOptions['call'];
+	/** A document has come in force here, from that host. */
+	onNews: (origin: HostId) => void;
+	/** A new list of hosts and servers. */
+	onFleet: (fleet: FleetList) => void;
+	/** Whether it is for this host to read the platform, which was silent for so long (milliseconds). */
+	isReadingTurn: (silentMs: Milliseconds) => boolean;
+	counts: {platformReads: number; configsRefused: number};
+	now: () => Milliseconds;
+	startedAt: Milliseconds;
+	signal: AbortSignal;
+};
+
+export type Documents = {
+	notices: () => DocumentNotices;
+	/** What this host holds, for its peers to hear. */
+	versions: () => KnownVersions;
+	/** A peer says what it holds. */
+	takeVersions: (from: HostId, known: KnownVersions) => void;
+	/** Whether the configuration is newer than what is in force here. */
+	isNews: (version: ConfigVersion | undefined) => boolean;
+	/** Judges a configuration that this host's entry still holds. */
+	takeFromEntry: (text: string, revision: number) => void;
+	/** Answers a peer's call for one of the documents. */
+	serve: (kind: DocumentKind, method: string, body: unknown) => unknown;
+	/** Settles once the signal has aborted. */
+	done: Promise<unknown>;
+};
+
+/**
+ * Starts keeping them.
+ *
+ * @param options - See {@link KeepDocumentsOptions}.
+ * @returns See {@link Documents}.
+ */
+export function keepDocuments(options: KeepDocumentsOptions): Documents {
+	const {settings, table, log, pauses, call, onNews, counts, now, startedAt, random, signal} = options;
+	const {hostId} = settings;
+	let heardFromPeer = false;
+
+	const held = holdDocuments({
+		table,
+		log,
+		onFleet: options.onFleet,
+		onRefused() {
+			counts.configsRefused += 1;
+		},
+	});
+
+	/** Judges a document; `source` is for the log. Returns whether it has come in force. */
+	function take(kind: DocumentKind, {text, revision}: {text: string; revision: number}, origin: HostId, source: string = origin): boolean {
+		const isTaken = kind === 'config' ? held.offerConfig(text, revision, source) : held.offerFleet(text, revision, source);
+		if (!isTaken) {
+			return false;
+		}
+
+		if (kind === 'config') {
+			options.keepOnly?.(new Set(table.accepted()!.config.servers.map(({id}) => id)));
+		}
+
+		onNews(origin);
+		return true;
+	}
+
+	const createSpread = (kind: DocumentKind) => spreadDocument({
+		kind,
+		held: held[kind],
+		offer(text, revision, from) {
+			take(kind, {text, revision}, from);
+		},
+		call,
+		onFailure(message, from) {
+			log.debug('a document was not fetched', {kind, peer: from, reason: message});
+		},
+		now,
+		random,
+		signal,
+	});
+	const spreads: Readonly<Record<DocumentKind, DocumentSpread>> = {config: createSpread('config'), fleet: createSpread('fleet')};
+
+	const confirmedAt = () => table.view(now()).platformConfirmedAt;
+
+	/** A restarted host hears its peers first: the platform may be stale. */
+	function hasJoined(): boolean {
+		const isInformed = heardFromPeer && !spreads.config.isBehind() && table.accepted() !== undefined;
+		return isInformed || settings.seeds.length === 0 || now() - startedAt >= joinMs;
+	}
+
+	const watch = async (key: PlatformKey) => watchPlatform({
+		platform: options.platform,
+		key,
+		isReader: () => hasJoined() && options.isReadingTurn(now() - (confirmedAt() ?? startedAt)),
+		waitMs: Math.min(settings.platformWait, confirmMs),
+		onValue({value: text, revision}) {
+			const before = held[key]();
+			const isNews = take(key, {text, revision}, hostId, 'platform');
+			// The text in force under a later revision may be an old text in the place of a new one.
+			return isNews || (before !== undefined && before.version.revision >= revision && (key === 'fleet' || before.text === text));
+		},
+		onConfirmed(askedAt) {
+			table.noteConfirmed(pauses.toSoundTime(askedAt));
+		},
+		onFailure({kind, message}) {
+			log.debug('the platform was not read', {kind, reason: message});
+		},
+		onRead() {
+			counts.platformReads += 1;
+		},
+		now,
+		random,
+		signal,
+	});
+
+	return {
+		notices: held.notices,
+		versions() {
+			const at = confirmedAt();
+			return {config: spreads.config.version(), fleet: spreads.fleet.version(), confirmedAgeMs: at === undefined ? undefined : Math.ceil(now() - at)};
+		},
+		takeVersions(from, known) {
+			heardFromPeer = true;
+			spreads.config.noteVersion(from, known.config);
+			spreads.fleet.noteVersion(from, known.fleet);
+			if (known.confirmedAgeMs !== undefined) {
+				table.noteConfirmed(pauses.toArrival() - known.confirmedAgeMs);
+			}
+		},
+		isNews(version) {
+			const own = table.accepted()?.version;
+			return version !== undefined && (own === undefined || compareConfigVersions(version, own) > 0);
+		},
+		takeFromEntry(text, revision) {
+			take('config', {text, revision}, hostId, 'entry');
+		},
+		serve: (kind, method, body) => spreads[kind].serve(method, body),
+		done: Promise.all([watch('config'), watch('fleet')]),
+	};
+}
--- /dev/null
+++ b/src/programs/agent/_lib/serve-peers.ts
@@ -0,0 +1,120 @@
+/** Takes what agents of other hosts and this host's entry say, and passes it to whom it concerns. */
+import {type PeerConnection, type PeerHello} from '../../../adapters/peer-tcp/index.js';
+import {
+	configCall, feedEvents, type FeedConfig, type FeedLeaving, type FeedPing, type ViewPublisher,
+} from '../../../adapters/view-feed/index.js';
+import {isRecord} from '../../../_lib/is-record/index.js';
+import {type Membership} from '../../../domain/create-membership/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
+import {type Mesh} from './create-mesh.js';
+import {type EntryFollower} from './follow-entry.js';
+import {type Documents} from './keep-documents.js';
+import {type Pauses} from './mind-pauses.js';
+import {
+	isKnownVersions, isMemberEvent, peerCalls, peerEvents,
+} from './peer-messages.js';
+import {type LoadsTask} from './spread-loads.js';
+import {type PeerTeller} from './tell-peers.js';
+
+const configTimeoutMs = 3000;
+
+export type ServePeersOptions = {
+	hostId: HostId;
+	membership: Membership;
+	mesh: Mesh;
+	teller: PeerTeller;
+	documents: Documents;
+	loads: LoadsTask;
+	entry: EntryFollower;
+	publisher: ViewPublisher;
+	/** Shows the entry what is known now. */
+	publish: () => void;
+	pauses: Pauses;
+	now: () => Milliseconds;
+};
+
+export type PeerService = {
+	onCall: (peer: PeerHello, method: string, body: unknown) => Promise<unknown>;
+	onEvent: (peer: PeerHello, name: string, body: unknown, connection?: PeerConnection) => void;
+	onConnect: (connection: PeerConnection) => void;
+};
+
+/**
+ * Creates it.
+ *
+ * @param options - Those whom it concerns.
+ * @returns Handlers for connections of either direction.
+ */
+export function servePeers(options: ServePeersOptions): PeerService {
+	const {hostId, membership, mesh, teller, documents, loads, entry, publisher, publish, pauses, now} = options;
+
+	/** A restarted agent takes the configuration that its entry still holds. */
+	async function learnFromEntry(connection: PeerConnection, {configVersion}: FeedPing) {
+		if (!documents.isNews(configVersion)) {
+			return;
+		}
+
+		const reply = await connection.call(configCall, {}, {timeoutMs: configTimeoutMs});
+		const held = reply.unwrapOr(undefined) as FeedConfig | undefined;
+		if (held) {
+			documents.takeFromEntry(held.text, held.version.revision);
+		}
+	}
+
+	function takeEntryEvent(connection: PeerConnection | undefined, name: string, body: unknown) {
+		if (connection?.peer.host !== hostId || !isRecord(body)) {
+			return;
+		}
+
+		if (name === feedEvents.ping) {
+			const ping = body as FeedPing;
+			publisher.notePing(connection, ping, now());
+			entry.notePing(connection, ping);
+			void learnFromEntry(connection, ping);
+			publish();
+		} else if (name === feedEvents.leaving) {
+			loads.noteLeaving([(body as FeedLeaving).server], hostId);
+		}
+	}
+
+	return {
+		async onCall({role}, method, body) {
+			const kind = isRecord(body) ? body.kind : undefined;
+			if (role === 'agent' && method === peerCalls.reports) {
+				return loads.serveReports(body);
+			}
+
+			if (role === 'agent' && (kind === 'config' || kind === 'fleet') && (method === peerCalls.manifest || method === peerCalls.chunks)) {
+				return documents.serve(kind, method, body);
+			}
+
+			throw new Error(`no method ${method} for an ${role}`);
+		},
+		onEvent(peer, name, body, connection) {
+			pauses.check();
+			if (peer.role === 'entry') {
+				takeEntryEvent(connection, name, body);
+			} else if (name === peerEvents.member && isMemberEvent(body)) {
+				if (body.versions) {
+					documents.takeVersions(peer.host, body.versions);
+				}
+
+				teller.dispatch(membership.receive(body.message, peer.host, now()));
+			} else if (name === peerEvents.versions && isKnownVersions(body)) {
+				documents.takeVersions(peer.host, body);
+			} else {
+				loads.takeEvent(peer.host, name, body);
+			}
+		},
+		onConnect(connection) {
+			const {host, role} = connection.peer;
+			if (role === 'agent' && host !== hostId) {
+				mesh.adopt(connection);
+			} else if (role === 'entry' && host === hostId) {
+				publisher.add(connection);
+				entry.add(connection);
+			}
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/agent/_lib/tend-servers.ts
@@ -0,0 +1,79 @@
+/** What this host does for the servers that are its to look after: polls them, frees orphans, and gives orders. */
+import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId, type Owner} from '../../../ports/ids.js';
+import {type HostStatus} from '../../../ports/view.js';
+import {type AgentOptions} from './agent-types.js';
+import {createPolled} from './create-polled.js';
+import {giveOrders} from './give-orders.js';
+import {type Pauses} from './mind-pauses.js';
+import {pollLoads} from './poll-loads.js';
+import {releaseOrphans, type OrphanTask} from './release-orphans.js';
+import {type LoadsTask} from './spread-loads.js';
+
+export type TendServersOptions = Pick<AgentOptions, 'settings' | 'toEngine' | 'log' | 'random'> & {
+	table: FleetTable;
+	hosts: () => ReadonlyMap<HostId, HostStatus>;
+	loads: LoadsTask;
+	pauses: Pauses;
+	/** Whether the owner's entry still answers at its peer port. */
+	isAnswering: (owner: Owner, address: string) => Promise<boolean>;
+	counts: {orphansReleased: number; ordersGiven: number};
+	now: () => Milliseconds;
+	signal: AbortSignal;
+};
+
+/**
+ * Starts the tasks.
+ *
+ * @param options - See {@link TendServersOptions}.
+ * @returns See {@link OrphanTask}.
+ */
+export function tendServers(options: TendServersOptions): OrphanTask {
+	const {settings, table, hosts, toEngine, loads, pauses, log, counts, now, random, signal} = options;
+	const {hostId} = settings;
+	const servers = createPolled({table, hosts, hostId});
+	const common = {
+		servers, toEngine, mayAct: pauses.mayAct, log, now, random, signal,
+	};
+	const orphans = releaseOrphans({
+		...common,
+		hosts,
+		isAnswering: options.isAnswering,
+		onReleased(count) {
+			counts.orphansReleased += count;
+		},
+	});
+	const polls = pollLoads({
+		...common,
+		intervalMs: settings.loadPollInterval,
+		onLoad(load, askedAt) {
+			const loadAt = pauses.toSoundTime(askedAt) - load.ageMs;
+			loads.spread.notePolled(load, loadAt);
+			if (load.state === 'leaving') {
+				loads.noteLeaving([load.server], hostId);
+			}
+
+			table.noteLoad(load, loadAt);
+		},
+		onUnreachable(server) {
+			loads.spread.noteUnreachable(server);
+			table.noteUnreachable(server);
+		},
+		onEnd: loads.spread.forget,
+	});
+	const orders = giveOrders({
+		...common,
+		view: () => table.view(now()),
+		onGiven() {
+			counts.ordersGiven += 1;
+		},
+	});
+
+	return {
+		noteHosts: orphans.noteHosts,
+		done: (async () => {
+			await Promise.all([orphans.done, polls, orders]);
+		})(),
+	};
+}
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -39,6 +39,7 @@
 		peer_connections: ['Open connections to agents of other hosts.', () => agent.counts().connections],
 		config_edition: ['Edition of the configuration in force.', () => agent.view().accepted?.version.edition ?? 0],
 		config_revision: ['Revision of the configuration in force.', () => agent.view().accepted?.version.revision ?? 0],
+		host_name_twin: ['Whether another live agent runs under this host\'s name: 1 or 0.', () => agent.twin() === undefined ? 0 : 1],
 		platform_confirmed_age_seconds: ['Age of the platform\'s last confirmation; -1 if there was none.', () => toStatus(agent.view(), performance.now()).platformConfirmedAgeMs / 1000],
 	} as const;
 	for (const [name, [help, sample]] of Object.entries(counters)) {
@@ -81,7 +82,10 @@
 		metrics,
 		keys,
 		notReady: agent.notReady,
-		status: () => ({...toStatus(agent.view(), performance.now()), ...agent.notices(), counts: agent.counts()}),
+		attention: agent.attention,
+		status: () => ({
+			...toStatus(agent.view(), performance.now()), ...agent.notices(), twin: agent.twin(), counts: agent.counts(),
+		}),
 	});
 	if (operator.isErr()) {
 		return fail(log, operator.error.message);
--- a/test/contracts/peer-agents.test.ts
+++ b/test/contracts/peer-agents.test.ts
@@ -147,6 +147,27 @@
 		assert.deepEqual(await held(), ['living']);
 	});
 
+	// Somebody starts the replacement of a host that still runs. The two go above each other in turns, peers believe
+	// now the one, now the other, and nothing else about the fleet says why a host looks restless.
+	it('tell staff of another agent under their host\'s name, with both addresses, while both run', async () => {
+		const {agents, start} = await startFleet();
+		const older = agents.get('b-2')!;
+		const newer = await start('b-2');
+		const address = (agent: Agent) => `127.0.0.1:${agent.peerPort}`;
+		await until('both know', () => older.twin() === address(newer) && newer.twin() === address(older));
+		for (const agent of [older, newer]) {
+			const [{reason, remedy}] = agent.attention() as [{reason: string; remedy: string}];
+			assert.ok(reason.includes(address(older)) && reason.includes(address(newer)), reason);
+			assert.match(remedy, /--host-id/);
+			assert.deepEqual(agent.notReady(), []);
+		}
+
+		await older.stop();
+		agents.set('b-2', newer);
+		await until('the newer one is alone', () => newer.twin() === undefined && newer.attention().length === 0);
+		await until('the others see it', () => agents.get('a-1')!.view().hosts.get('b-2')!.life === 'alive');
+	});
+
 	it('give a stranger, and another host\'s entry, no answer beyond the hello', async () => {
 		const {agents} = await startFleet();
 		const connected = await connectPeer({
