Count joined calls and refusals before a rule in the burn report

Cause: a call that joined another call's run left a line when it joined, but no end, and was not counted on the host that its caller waited at. Refusals before a run (no configuration, host full, key not claimable) were logged and not counted, so a host that refused everything showed no burn. Ruled out: counting the caller's mistakes too; they would alarm staff for a customer's bad program. Change: the delivery of a joined run tells how it ended and when it began. The host logs "joined a run" with the host that runs it, and an end, and counts it by the joining call's own times. Every refusal goes through one function, which counts those of this system's want. Without a rule they stand under the rule "(before any rule)", a name that callers can't choose. Before: /slo of a host without configuration was empty after three refusals. Not covered: a request that a fault of the program breaks off is logged, and not counted.

--- a/src/programs/_operations/to-slo-sample.ts
+++ b/src/programs/_operations/to-slo-sample.ts
@@ -7,7 +7,7 @@
 /** What an entry knows of a request that has ended. */
 export type EndedForSlo = {
 	workspace: WorkspaceId;
-	rule: Rule;
+	rule: {name: string; then: Pick<Rule['then'], 'class' | 'target'>};
 	end: 'complete' | 'refused' | 'failed' | 'caller-gone';
 	firstTokenMs: Milliseconds | undefined;
 	completeMs: Milliseconds;
--- a/src/programs/entry/_lib/ended.ts
+++ b/src/programs/entry/_lib/ended.ts
@@ -3,10 +3,16 @@
 import {type Rule} from '../../../ports/config.js';
 import {type WorkspaceId} from '../../../ports/ids.js';
 
-/** What metrics and the service-level report are told of each request that a rule decided about. */
+/** What is counted of a rule. */
+export type DecidedRule = {
+	name: string;
+	then: Pick<Rule['then'], 'class' | 'target'>;
+};
+
+/** What metrics and the service-level report are told of each request but those that are the caller's mistake. */
 export type EndedRequest = {
 	workspace: WorkspaceId;
-	rule: Rule;
+	rule: DecidedRule;
 	/** How it ended for the caller. */
 	end: 'complete' | 'refused' | 'failed' | 'caller-gone';
 	outcome: Outcome;
--- a/src/programs/entry/_lib/keyed.ts
+++ b/src/programs/entry/_lib/keyed.ts
@@ -1,29 +1,60 @@
-import {type RequestId} from '../../../ports/ids.js';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Account} from '../accounts/index.js';
-import {type ServeKeyedOptions} from '../claims/index.js';
+import {type JoinEnd, type ServeKeyedOptions} from '../claims/index.js';
+import {type EndedRequest} from './ended.js';
+import {reportRefused} from './report-refused.js';
+import {type Route} from './route.js';
 import {type ServeServices} from './serve-types.js';
 
+/** What a joined call's end means in the log and the burn report; its caller went to another connection when it was taken over. */
+const joinEnds: Readonly<Record<JoinEnd['kind'], Pick<EndedRequest, 'end' | 'outcome'>>> = {
+	complete: {end: 'complete', outcome: 'ran'},
+	refused: {end: 'refused', outcome: 'may-have-run'},
+	broken: {end: 'failed', outcome: 'may-have-run'},
+	'taken-over': {end: 'caller-gone', outcome: 'may-have-run'},
+	'caller-gone': {end: 'caller-gone', outcome: 'may-have-run'},
+};
+
 /**
- * Options of a keyed request.
+ * Options of a keyed request. A call that joins an earlier one's run is logged
+ * and counted here too, by its own times: this host's caller waited for it.
  *
- * @param requestId - Id of the call.
- * @param account - Account of the call, which may join another's run.
+ * @param call - The call and its account, and where it goes.
  * @param serve - The program.
  * @param work - Does the work for whoever reads the answer.
  * @returns What the claims need.
  */
-export function toKeyedOptions(requestId: RequestId, account: Account, serve: ServeServices, work: ServeKeyedOptions['serve']): ServeKeyedOptions {
+export function toKeyedOptions(call: {exchange: CallerExchange; account: Account; route: Route}, serve: ServeServices, work: ServeKeyedOptions['serve']): ServeKeyedOptions {
+	const {exchange: {requestId, headers}, account, route} = call;
+	const {workspace, rule} = route;
+	const {now} = serve.services.clock;
+	const receivedAt = now();
+	const about = {
+		requestId, workspace, rule: rule.name, class: rule.then.class,
+	};
 	return {
 		writeTimeoutMs: serve.limits.writeTimeoutMs,
-		now: serve.services.clock.now,
+		now,
 		serve: work,
 		onJoin(host) {
-			account.note('joined', {host});
-			serve.log.info('request joined', {requestId, peer: host});
+			account.note('joined a run', {host});
+			serve.log.info('joined a run', {...about, peer: host});
+		},
+		onJoinEnded(host, {kind, startedAt}) {
+			const completeMs = now() - receivedAt;
+			const {end, outcome} = joinEnds[kind];
+			account.note('ended', {outcome, reason: kind});
+			serve.log.info('request ended', {
+				...about, peer: host, outcome, reason: kind, durationMs: completeMs,
+			});
+			serve.onEnded({
+				workspace, rule, end, outcome, firstTokenMs: startedAt === undefined ? undefined : startedAt - receivedAt, completeMs, outputTokens: 0,
+			});
 		},
-		onRefused({kind, outcome}) {
-			account.note('refused', {kind, outcome});
-			serve.log.info('request refused', {requestId, reason: kind, outcome});
+		onRefused(problem) {
+			reportRefused(problem, {
+				requestId, account, route, headers,
+			}, serve);
 		},
 	};
 }
--- a/src/programs/entry/_lib/tally.ts
+++ b/src/programs/entry/_lib/tally.ts
@@ -18,7 +18,9 @@
  */
 export function createTally(metrics: Metrics) {
 	const scale = 0.001;
-	const requests = metrics.createCounter({name: 'requests_total', help: 'Requests that a rule decided about, by how they ended.', labels: {class: classes, end: ends, outcome: outcomes}});
+	const requests = metrics.createCounter({
+		name: 'requests_total', help: 'Requests by how they ended, but for those that were the caller\'s mistake.', labels: {class: classes, end: ends, outcome: outcomes},
+	});
 	const firstToken = metrics.createHistogram({
 		name: 'first_token_seconds', help: 'Time from a request\'s arrival to its first token.', labels: {class: classes}, bounds: latencyBoundsMs, scale, step: 0.1,
 	});
--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -33,7 +33,9 @@
 	type Claimed, type Claims, type ClaimsOptions, type KeyedRequest,
 } from './types.js';
 
-export {serveKeyed, type KeyedVerdict, type ServeKeyedOptions} from './serve-keyed.js';
+export {
+	serveKeyed, type JoinEnd, type KeyedVerdict, type ServeKeyedOptions,
+} from './serve-keyed.js';
 export {
 	type Claimed, type Claims, type ClaimsOptions, type KeyedRequest,
 } from './types.js';
--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -19,6 +19,14 @@
  */
 export type KeyedVerdict = 'complete' | 'not-run' | 'failed';
 
+/** How the delivery of a joined run's answer ended. */
+export type JoinEnd = {
+	/** `refused` is a whole answer that tells that the work could not be done. */
+	kind: 'complete' | 'refused' | 'broken' | 'taken-over' | 'caller-gone';
+	/** When the answer began, monotonic. */
+	startedAt: Milliseconds | undefined;
+};
+
 export type ServeKeyedOptions = {
 	/** Time for which a caller may read nothing before it counts as gone. */
 	writeTimeoutMs: Milliseconds;
@@ -32,6 +40,8 @@
 	serve: (recorded: CallerExchange) => Promise<KeyedVerdict>;
 	/** Called when the answer comes from a run that an earlier call started. */
 	onJoin?: (host: string) => void;
+	/** Called when the delivery of such an answer has ended. */
+	onJoinEnded?: (host: string, end: JoinEnd) => void;
 	/** Called when the key is refused, before the caller is told. */
 	onRefused?: (problem: Problem) => void;
 };
@@ -41,8 +51,22 @@
 	isEventStream: boolean;
 	/** Whether the last event is whole, so that another one may follow it. */
 	isBetweenEvents: boolean;
+	/** Whether the answer is a problem of this system, not of the caller's. */
+	isRefusal: boolean;
+	startedAt: Milliseconds | undefined;
 };
 
+/** Status from which on a server takes the blame. */
+const firstServerFault = 500;
+const tooManyRequests = 429;
+
+function toStarted(status: number, type: string, now: Milliseconds): Position {
+	const isRefusal = type.startsWith('application/problem+json') && (status === tooManyRequests || status >= firstServerFault);
+	return {
+		isEventStream: type.startsWith('text/event-stream'), isBetweenEvents: true, isRefusal, startedAt: now,
+	};
+}
+
 const eventEnd = Buffer.from('\n\n');
 
 function isWholeEvent(bytes: Uint8Array): boolean {
@@ -75,34 +99,39 @@
 }
 
 /** Passes an answer on to a caller until it ends, the caller goes, or another connection takes the delivery over. */
-async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now}: ServeKeyedOptions): Promise<void> {
+async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now}: ServeKeyedOptions): Promise<JoinEnd> {
 	const onGone = () => {
 		reader.close(now());
 	};
 
-	const position: Position = {isEventStream: false, isBetweenEvents: true};
+	let position: Position = {
+		isEventStream: false, isBetweenEvents: true, isRefusal: false, startedAt: undefined,
+	};
+	const toEnd = (kind: JoinEnd['kind']): JoinEnd => ({kind, startedAt: position.startedAt});
 	exchange.gone.addEventListener('abort', onGone, {once: true});
 	try {
 		while (!exchange.gone.aborted) {
 			const part = await reader.next();
 			if (part.kind === 'head') {
-				position.isEventStream = String(part.headers['content-type']).startsWith('text/event-stream');
+				position = toStarted(part.status, String(part.headers['content-type']), now());
 				exchange.startStream(part.status, part.headers);
 			} else if (part.kind === 'bytes') {
 				position.isBetweenEvents = isWholeEvent(part.bytes);
 				const isFree = exchange.write(part.bytes);
 				if (!isFree && !await exchange.drained(writeTimeoutMs)) {
 					exchange.destroy();
-					return;
+					return toEnd('caller-gone');
 				}
 			} else if (part.kind === 'end' && part.end !== 'broken' && exchange.isStarted()) {
 				exchange.end();
-				return;
+				return toEnd(position.isRefusal ? 'refused' : 'complete');
 			} else {
 				breakOff(exchange, part.kind === 'taken-over', position);
-				return;
+				return toEnd(part.kind === 'taken-over' ? 'taken-over' : 'broken');
 			}
 		}
+
+		return toEnd('caller-gone');
 	} finally {
 		exchange.gone.removeEventListener('abort', onGone);
 		reader.close(now());
@@ -197,7 +226,8 @@
 
 	if (claimed.kind === 'join') {
 		options.onJoin?.(claimed.host);
-		await deliver(claimed.reader, exchange, options);
+		const end = await deliver(claimed.reader, exchange, options);
+		options.onJoinEnded?.(claimed.host, end);
 		return;
 	}
 
--- a/src/programs/entry/claims/test.ts
+++ b/src/programs/entry/claims/test.ts
@@ -9,7 +9,7 @@
 import {type FleetView, type HostStatus} from '../../../ports/view.js';
 import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
 import {
-	type Claims, type KeyedRequest, type KeyedVerdict, createClaims, serveKeyed,
+	type Claims, type KeyedRequest, type KeyedVerdict, type ServeKeyedOptions, createClaims, serveKeyed,
 } from './index.js';
 
 const hour = 3_600_000;
@@ -241,8 +241,10 @@
 });
 
 describe('serveKeyed', {timeout: 60_000}, () => {
-	async function serve(host: Host, request: KeyedRequest, exchange: CallerExchange, work: (recorded: CallerExchange) => Promise<KeyedVerdict>) {
-		await serveKeyed(host.claims, exchange, request, {writeTimeoutMs: 1000, now: () => performance.now(), serve: work});
+	async function serve(host: Host, request: KeyedRequest, exchange: CallerExchange, work: (recorded: CallerExchange) => Promise<KeyedVerdict>, onJoinEnded?: ServeKeyedOptions['onJoinEnded']) { // eslint-disable-line max-params -- a helper of these tests
+		await serveKeyed(host.claims, exchange, request, {
+			writeTimeoutMs: 1000, now: () => performance.now(), serve: work, onJoinEnded,
+		});
 	}
 
 	const answer = async (recorded: CallerExchange): Promise<KeyedVerdict> => {
@@ -299,6 +301,32 @@
 		});
 	}
 
+	const kept: Array<{status: number; type: string; kind: string}> = [
+		{status: 200, type: 'application/json', kind: 'complete'},
+		{status: 404, type: 'application/problem+json', kind: 'complete'},
+		{status: 503, type: 'application/problem+json', kind: 'refused'},
+	];
+	for (const {status, type, kind} of kept) {
+		it(`tells that a call joined an answer of ${status} as ${kind}, with the host that ran it`, async context => {
+			const hosts = await startFleet(context);
+			const request = toRequest();
+			const told: unknown[] = [];
+			const note: ServeKeyedOptions['onJoinEnded'] = (host, end) => {
+				told.push([host, end.kind, end.startedAt !== undefined]);
+			};
+
+			const work = async (recorded: CallerExchange): Promise<KeyedVerdict> => {
+				recorded.sendAnswer(status, {'content-type': type}, 'scene');
+				return 'failed';
+			};
+
+			await serve(hosts[0]!, request, createExchange().exchange, work, note);
+			assert.deepEqual(told, [], 'the first call joins nothing');
+			await serve(hosts[1]!, request, createExchange().exchange, work, note);
+			assert.deepEqual(told, [['host-0', kind, true]]);
+		});
+	}
+
 	it('breaks both connections of a cut answer, the second with a reason', async context => {
 		const hosts = await startFleet(context);
 		const request = toRequest();
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -21,6 +21,7 @@
 import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {type EndedRequest} from '../_lib/ended.js';
+import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toServedModel} from '../_lib/route.js';
 import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
@@ -243,8 +244,9 @@
 export async function serveCompletion(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<void> {
 	const account = serve.accounts.open(exchange.requestId);
 	const refuse = (problem: Problem) => {
-		account.note('refused', {kind: problem.kind, outcome: problem.outcome});
-		serve.log.info('request refused', {requestId: exchange.requestId, reason: problem.kind, outcome: problem.outcome});
+		reportRefused(problem, {
+			requestId: exchange.requestId, account, route: undefined, headers: exchange.headers,
+		}, serve);
 		exchange.sendProblem(problem);
 	};
 
@@ -284,5 +286,5 @@
 		? work(exchange)
 		: serveKeyed(serve.claims, exchange, {
 			workspace: route.workspace, key, digest, isRepeatable: route.rule.then.repeatable,
-		}, toKeyedOptions(exchange.requestId, account, serve, work)));
+		}, toKeyedOptions({exchange, account, route}, serve, work)));
 }
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -16,6 +16,7 @@
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
 import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {reportRefused} from '../_lib/report-refused.js';
 import {type Route} from '../_lib/route.js';
 import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
@@ -107,8 +108,9 @@
 	const early = findOverload(serve) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
 	const refuse = (problem: Problem | 'gone' | undefined) => {
 		if (problem !== undefined && problem !== 'gone') {
-			account.note('refused', {kind: problem.kind, outcome: problem.outcome});
-			serve.log.info('request refused', {requestId: exchange.requestId, reason: problem.kind, outcome: problem.outcome});
+			reportRefused(problem, {
+				requestId: exchange.requestId, account, route: routed.unwrapOr(undefined), headers: exchange.headers,
+			}, serve);
 			exchange.sendProblem(problem);
 		}
 	};
@@ -133,7 +135,7 @@
 		? work(exchange)
 		: serveKeyed(serve.claims, exchange, {
 			workspace: route.workspace, key: key.value, digest: toDigest(exchange, toBytes(body.value)), isRepeatable: isRepeatable({exchange, route}),
-		}, toKeyedOptions(exchange.requestId, account, serve, work)));
+		}, toKeyedOptions({exchange, account, route}, serve, work)));
 }
 
 function toBytes(body: PlainBody): Uint8Array {
--- a/test/contracts/caller.test.ts
+++ b/test/contracts/caller.test.ts
@@ -5,6 +5,7 @@
 	after, before, describe, it,
 } from 'node:test';
 import {v7 as createKey} from 'uuid';
+import {type SloDocument} from '../../src/_lib/slo/index.js';
 import {expectedAnswer} from '../stand-ins/engine/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {
@@ -195,6 +196,12 @@
 			assert.equal(keyed.status, 503);
 			assert.match(keyed.text, /no-configuration.*"outcome":"may-have-run"/v);
 		}
+
+		// Lost availability must show in the burn report also where no rule is known.
+		const burn = await fetch(`http://127.0.0.1:${bare.entry.operatorPort}/slo`, {headers: {accept: 'application/json'}});
+		const {series} = await burn.json() as SloDocument;
+		const lost = series.filter(one => one.scope === 'rule');
+		assert.deepEqual(lost.map(one => [one.name, one.windows['5m'].total, one.windows['5m'].bad]), [['(before any rule)', 3, 3]]);
 	});
 
 	it('asks for a token where the configuration has tokens', async () => {
