Poll all servers of a host in one wake-up

Cause: an idle agent's processor time grew by a tenth of a per cent of a core for each polled server, since each had a timer and a wake-up of its own.

Ruled out: slower polls, which would let a leave and the loads be known later.

Change: one beat, as random as each timer was, sends all polls together. A server that hangs still holds up no other; it waits for the beat after its answer.

--- a/src/programs/agent/_lib/poll-loads.ts
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -53,10 +53,34 @@
 export async function pollLoads(options: PollOptions): Promise<void> {
 	const {servers, toEngine, intervalMs, now, random, signal} = options;
 	const tasks = new Map<ServerId, {url: string; stop: AbortController}>();
+	let waiting: Array<() => void> = [];
+
+	/** All polls of this host go out together: the process wakes once for them, and not once for each. */
+	async function nextBeat() {
+		return new Promise<void>(resolve => {
+			waiting.push(resolve);
+		});
+	}
+
+	function beat() {
+		const due = waiting;
+		waiting = [];
+		for (const go of due) {
+			go();
+		}
+	}
+
+	async function keepBeat() {
+		await waitFor(intervalMs * random(), signal);
+		while (!signal.aborted) {
+			beat();
+			await waitFor(intervalMs * (0.9 + (random() / 5)), signal);
+		}
+	}
 
 	async function poll(server: ServerEntry, stop: AbortSignal) {
 		const readLoad = createLoadCaller(toEngine(server), Math.max(intervalMs, minTimeoutMs), stop);
-		await waitFor(intervalMs * random(), stop);
+		await nextBeat();
 		while (!stop.aborted) {
 			const askedAt = now();
 			const load = await readLoad();
@@ -70,10 +94,11 @@
 				options.onUnreachable(server.id);
 			}
 
-			await waitFor(intervalMs * (0.9 + (random() / 5)), stop);
+			await nextBeat();
 		}
 	}
 
+	const beating = keepBeat();
 	while (!signal.aborted) {
 		const wanted = new Map(servers().map(server => [server.id, server]));
 		for (const [id, {url, stop}] of tasks) {
@@ -98,4 +123,7 @@
 	for (const {stop} of tasks.values()) {
 		stop.abort();
 	}
+
+	beat();
+	await beating;
 }
