Leave engines' cache events out, and say why

Cause: the client could list a server's cache events and the placement could note them, and nothing called either. Ruled out: polling them from each entry. The map is each host's own, so every entry would ask every prefill server: some 3,700 calls a second in a zone of 225 servers, half of them prefill, with 33 hosts (reckoned), for events that are late, have gaps, and tell mostly of other hosts' prompts. Prefills already tell what was cached, and the trust in a server follows. Change: listCacheEvents, noteCacheEvents and noteEvents are gone, and with them the two tests of noteEvents, which tested nothing else. The contract of the engines' own endpoint is tested as before, asked directly.

--- a/src/adapters/engine-http/_lib/parse-answers.ts
+++ b/src/adapters/engine-http/_lib/parse-answers.ts
@@ -88,25 +88,3 @@
 		&& Array.isArray(fields.adapters) && fields.adapters.every(adapter => isText(adapter));
 	return isWhole ? fields as LoadReport : undefined;
 }
-
-/** A change of a prefix cache, told late. */
-export type CacheEvent = {
-	seq: number;
-	kind: 'stored' | 'evicted';
-	block: string;
-};
-
-export type CacheEvents = {
-	/** The `since` of the next call. */
-	next: number;
-	events: readonly CacheEvent[];
-};
-
-function isCacheEvent(value: unknown): value is CacheEvent {
-	return isRecord(value) && isAmount(value.seq) && isText(value.block) && (value.kind === 'stored' || value.kind === 'evicted');
-}
-
-export function parseCacheEvents(fields: Fields): CacheEvents | undefined {
-	const {next, events} = fields;
-	return isAmount(next) && Array.isArray(events) && events.every(event => isCacheEvent(event)) ? {next, events} : undefined;
-}
--- a/src/adapters/engine-http/index.ts
+++ b/src/adapters/engine-http/index.ts
@@ -17,12 +17,11 @@
 import {type DropCause} from './_lib/create-chunk-reader.js';
 import {openStream} from './_lib/open-stream.js';
 import {
-	parseCacheEvents, parseCancel, parseHolds, parseImport, parseLoad, parsePrefill, parseReservation, type CacheEvents,
+	parseCancel, parseHolds, parseImport, parseLoad, parsePrefill, parseReservation,
 } from './_lib/parse-answers.js';
 import {toAnswer, toFaultFailure} from './_lib/to-failure.js';
 
 export {type DropCause} from './_lib/create-chunk-reader.js';
-export {type CacheEvent, type CacheEvents} from './_lib/parse-answers.js';
 
 export type EngineHttpOptions = {
 	server: {
@@ -46,8 +45,6 @@
 };
 
 export type EngineHttp = Engine & {
-	/** Changes of the server's prefix cache, late and with gaps. */
-	listCacheEvents: (since: number, options?: EngineCallOptions) => ResultAsync<CacheEvents, EngineFailure>;
 	/** Closes the connections; what runs on the server goes on. */
 	close: () => Promise<void>;
 };
@@ -138,7 +135,6 @@
 		order: (order, callOptions) => call({
 			method: 'POST', path: '/engine/orders', body: order, parse: () => true as const,
 		}, callOptions).andThen(() => ok(undefined)),
-		listCacheEvents: (since, callOptions) => call({method: 'GET', path: `/engine/cache-events?since=${since}`, parse: parseCacheEvents}, callOptions),
 		async close() {
 			await dispatcher.destroy();
 		},
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -167,7 +167,5 @@
 				corrections[reason]?.(server.id, now);
 			}
 		},
-		/** Cache events of a prefill server; late ones and gaps are expected. */
-		noteCacheEvents: prefixes.noteEvents,
 	};
 };
--- a/src/domain/create-prefix-map/index.ts
+++ b/src/domain/create-prefix-map/index.ts
@@ -4,7 +4,7 @@
  * It remembers what this host sent where, and forgets the least recently used
  * block when full. What it remembers is a guess, as engines evict on their own:
  * each server has a trust between 0 and 1 that follows the cached tokens which
- * prefills report, and that falls at a gap in the server's cache events.
+ * prefills report.
  */
 import {type ServerId} from '../../ports/ids.js';
 
@@ -15,12 +15,6 @@
 	maxServersPerBlock?: number;
 };
 
-export type CacheEvent = {
-	seq: number;
-	kind: 'stored' | 'evicted';
-	block: string;
-};
-
 const defaultMaxBlocks = 50_000;
 const defaultMaxServersPerBlock = 4;
 
@@ -30,12 +24,9 @@
 /** Trust in a server nobody has given feedback on. */
 const initialTrust = 0.8;
 
-/** Share of its trust that a server keeps when events were missed, as evictions may be among them. */
-const trustKeptAtGap = 0.5;
-
 /**
  * @param options - Bounds; memory is at most `maxBlocks` × `maxServersPerBlock` names.
- * @returns Functions that note blocks and events, and that look up a prompt.
+ * @returns Functions that note blocks, and that look up a prompt.
  *
  * @example
  * const prefixes = createPrefixMap();
@@ -48,16 +39,11 @@
 	/** Insertion order is order of last use. */
 	const blocks = new Map<string, readonly ServerId[]>();
 	const trusts = new Map<ServerId, number>();
-	const nextSeqs = new Map<ServerId, number>();
 
 	const toTrust = (server: ServerId): number => trusts.get(server) ?? initialTrust;
 
 	const setBlock = (block: string, servers: readonly ServerId[]): void => {
 		blocks.delete(block);
-		if (servers.length === 0) {
-			return;
-		}
-
 		blocks.set(block, servers);
 		if (blocks.size > maxBlocks) {
 			const [oldest] = blocks.keys();
@@ -70,13 +56,6 @@
 		setBlock(block, [server, ...others].slice(0, maxServers));
 	};
 
-	const removeHolder = (block: string, server: ServerId): void => {
-		const holders = blocks.get(block);
-		if (holders?.includes(server)) {
-			setBlock(block, holders.filter(id => id !== server));
-		}
-	};
-
 	/** Leading blocks of the prompt that each server is remembered to hold. */
 	const toDepths = (prefix: readonly string[]): ReadonlyMap<ServerId, number> => {
 		const depths = new Map<ServerId, number>();
@@ -128,35 +107,10 @@
 				trusts.set(server, toTrust(server) + (trustGain * (found - toTrust(server))));
 			}
 		},
-		/**
-		 * Takes cache events of a server. Those already seen are skipped; a gap,
-		 * or a sequence that starts again, halves the trust until feedback restores it.
-		 */
-		noteEvents(server: ServerId, events: readonly CacheEvent[]): void {
-			for (const event of events) {
-				const expected = nextSeqs.get(server) ?? event.seq;
-				const isRestart = event.seq === 0 && expected > 0;
-				if (event.seq < expected && !isRestart) {
-					continue;
-				}
-
-				if (event.seq !== expected) {
-					trusts.set(server, toTrust(server) * trustKeptAtGap);
-				}
-
-				nextSeqs.set(server, event.seq + 1);
-				if (event.kind === 'stored') {
-					addHolder(event.block, server);
-				} else {
-					removeHolder(event.block, server);
-				}
-			}
-		},
 		toTrust,
-		/** Drops the trust and event position of a server that is gone; its blocks age out. */
+		/** Drops the trust in a server that is gone; its blocks age out. */
 		forget(server: ServerId): void {
 			trusts.delete(server);
-			nextSeqs.delete(server);
 		},
 		/** Blocks remembered now. */
 		size: (): number => blocks.size,
--- a/src/domain/create-prefix-map/test.ts
+++ b/src/domain/create-prefix-map/test.ts
@@ -25,26 +25,6 @@
 		assert.ok(map.toTrust('p1') > fallen);
 	});
 
-	it('follows events, skips those seen before, and trusts less after a gap', () => {
-		const map = createPrefixMap();
-		map.noteEvents('p1', [{seq: 5, kind: 'stored', block: 'a'}, {seq: 6, kind: 'stored', block: 'b'}]);
-		const trust = map.toTrust('p1');
-		map.noteEvents('p1', [{seq: 6, kind: 'evicted', block: 'b'}]);
-		assert.equal(map.toHits(['a', 'b']).get('p1'), 2 * trust);
-		map.noteEvents('p1', [{seq: 7, kind: 'evicted', block: 'b'}]);
-		assert.equal(map.toHits(['a', 'b']).get('p1'), trust);
-		map.noteEvents('p1', [{seq: 20, kind: 'stored', block: 'c'}]);
-		assert.ok(map.toTrust('p1') < trust);
-	});
-
-	it('takes the numbers of a restarted server from the start', () => {
-		const map = createPrefixMap();
-		map.noteEvents('p1', [{seq: 900, kind: 'stored', block: 'a'}]);
-		map.noteEvents('p1', [{seq: 0, kind: 'stored', block: 'b'}, {seq: 1, kind: 'evicted', block: 'a'}]);
-		assert.equal(map.toHits(['a']).size, 0);
-		assert.equal(map.toHits(['b']).size, 1);
-	});
-
 	it('keeps within its bounds and forgets the least recently used (property)', () => {
 		const name = fc.nat(50).map(i => `b${i}`);
 		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(9), fc.array(name, {maxLength: 8})), {maxLength: 60}), notes => {
--- a/test/contracts/engine.test.ts
+++ b/test/contracts/engine.test.ts
@@ -536,8 +536,10 @@
 		assert.equal(cold._unsafeUnwrap().cachedTokens, 0);
 		assert.ok(warm._unsafeUnwrap().cachedTokens > 0);
 		const told = await waitUntil(async () => {
-			const events = await pair.prefill.listCacheEvents(1);
-			return events._unsafeUnwrap().next > 4 && events._unsafeUnwrap();
+			// No part of the product reads them; see note 004.
+			const answer = await fetch(`${pair.prefillEngine.url}/engine/cache-events?since=1`);
+			const events = await answer.json() as {next: number; events: Array<{seq: number}>};
+			return events.next > 4 && events;
 		}, {deadlineMs: 5000, what: 'cache events'});
 		assert.deepEqual(told.events.slice(0, 4).map(({seq}) => seq), [1, 2, 3, 5]);
 	});
