Tell the fleet that a host drains when its entry does

Cause: an agent could say that its host drains, and nothing called it. On the way of docs/OPERATIONS.md the entry gets SIGTERM first and may take a quarter of an hour; meanwhile its host looked like any other in `status`.

Ruled out: saying it at the agent's own SIGTERM. The agent says goodbye there already, which is more, and the entry has ended by then.

Change: the entry's ping to its agent has `stopping`, sent at once when a stop begins (`ViewFeed.reportStopping`); the agent states `leaving` to the fleet until the next entry's ping. Absent means no, for an entry of an earlier build.

Before: `leaving` stayed false through a drain. After: a contract test over real connections sees the drain, the next entry and the agent's farewell. Nothing decides by a host's `leaving` yet: it is shown.

--- a/src/adapters/view-feed/_lib/messages.ts
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -17,6 +17,8 @@
 	incarnation: Incarnation;
 	/** Version that the entry decides with; lets a restarted agent learn it from its entry. */
 	configVersion: ConfigVersion | undefined;
+	/** The entry finishes what it has and takes nothing new; absent means no. */
+	stopping?: boolean;
 };
 
 export type FeedConfig = {
--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -49,6 +49,8 @@
 	isConnected: () => boolean;
 	/** Tells the agent, and through it the fleet, that a server refused with `leaving`. */
 	reportLeaving: (server: ServerId) => void;
+	/** Tells the agent, and through it the fleet, that this entry takes nothing new any more. */
+	reportStopping: () => void;
 	close: () => Promise<void>;
 };
 
@@ -68,6 +70,7 @@
 	let view: FleetView = emptyView;
 	let current: PeerConnection | undefined;
 	let backoffMs = firstBackoffMs;
+	let isStopping = false;
 
 	function toHello(): PeerHello {
 		return typeof options.hello === 'function' ? options.hello() : options.hello;
@@ -97,7 +100,7 @@
 
 	function ping(connection: PeerConnection) {
 		connection.send(feedEvents.ping, {
-			at: now(), entryAddress: options.entryAddress, incarnation: toHello().incarnation, configVersion: view.accepted?.version,
+			at: now(), entryAddress: options.entryAddress, incarnation: toHello().incarnation, configVersion: view.accepted?.version, stopping: isStopping,
 		} satisfies FeedPing);
 	}
 
@@ -147,6 +150,12 @@
 		reportLeaving(server) {
 			current?.send(feedEvents.leaving, {server});
 		},
+		reportStopping() {
+			isStopping = true;
+			if (current) {
+				ping(current);
+			}
+		},
 		async close() {
 			stop.abort();
 			current?.close();
--- a/src/programs/agent/_lib/follow-entry.ts
+++ b/src/programs/agent/_lib/follow-entry.ts
@@ -28,7 +28,7 @@
 export type EntryFollower = {
 	/** The entry has connected. */
 	add: (connection: PeerConnection) => void;
-	/** The entry says where it takes calls of peers, and its present incarnation. */
+	/** The entry says where it takes calls of peers, its present incarnation, and whether it drains. */
 	notePing: (connection: PeerConnection, ping: FeedPing) => void;
 	/** The connection to the entry, while there is one. */
 	connection: () => PeerConnection | undefined;
@@ -106,14 +106,15 @@
 				void serve({connection, incarnation, address: ''});
 			}
 		},
-		notePing(connection, {incarnation, entryAddress}) {
+		notePing(connection, {incarnation, entryAddress, stopping}) {
 			if (current?.connection !== connection) {
 				return;
 			}
 
 			current.address = entryAddress;
 			current.incarnation = Math.max(current.incarnation, incarnation);
-			state({entryAddress, entryIncarnation: current.incarnation});
+			// Until the next entry says otherwise, the host stays a leaving one: nobody serves on it.
+			state({entryAddress, entryIncarnation: current.incarnation, leaving: stopping === true});
 			// A newer entry is in the place of all before it, once it has heard how high it must be.
 			if (current.incarnation > seenBefore().incarnation) {
 				noteGone(current.incarnation - 1);
--- a/src/programs/entry/_lib/join-fleet.ts
+++ b/src/programs/entry/_lib/join-fleet.ts
@@ -30,6 +30,7 @@
 	toOwner: () => Owner;
 	isConnected: () => boolean;
 	reportLeaving: ViewFeed['reportLeaving'];
+	reportStopping: ViewFeed['reportStopping'];
 	/** Hands the claims to a peer and closes everything; when all requests have ended. */
 	leave: () => Promise<void>;
 };
@@ -103,6 +104,7 @@
 		toOwner: () => ({host, incarnation}),
 		isConnected: feed.isConnected,
 		reportLeaving: feed.reportLeaving,
+		reportStopping: feed.reportStopping,
 		async leave() {
 			await claims.leave();
 			clearInterval(ticker);
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -255,6 +255,7 @@
 		async stop() {
 			isStopping = true;
 			callers.startStopping();
+			link.reportStopping();
 			await sleep(settings.drainDelay);
 			await drain(parts);
 			await run.services.cancels.settle(cancelSettleMs);
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -132,7 +132,7 @@
 			}
 
 			return {
-				view: () => view!, isConnected: () => true, reportLeaving: () => undefined, close: async () => undefined,
+				view: () => view!, isConnected: () => true, reportLeaving: () => undefined, reportStopping: () => undefined, close: async () => undefined,
 			};
 		},
 	});
--- a/test/contracts/peer-agents.test.ts
+++ b/test/contracts/peer-agents.test.ts
@@ -147,6 +147,30 @@
 		assert.deepEqual(await held(), ['living']);
 	});
 
+	it('tell of a host whose entry drains, until the next entry is there or the agent says goodbye', async () => {
+		const {agents} = await startFleet();
+		const seen = () => agents.get('a-1')!.view().hosts.get('b-2')!;
+		const open = (incarnation: number) => connectViewFeed({
+			agentAddress: `127.0.0.1:${agents.get('b-2')!.peerPort}`, hello: {
+				host: 'b-2', zone: 'b', role: 'entry', incarnation,
+			}, entryAddress: '127.0.0.1:7', onView() {}, now, random: Math.random, // eslint-disable-line @typescript-eslint/no-empty-function -- the view is not looked at
+		});
+		const draining = open(500);
+		await until('the entry is known', () => seen().entryIncarnation === 500);
+		assert.equal(seen().leaving, false);
+		draining.reportStopping();
+		await until('the drain is known', () => seen().leaving);
+		assert.equal(seen().life, 'alive');
+		await draining.close();
+		const next = open(501);
+		closers.push(next.close);
+		await until('the next entry is known', () => seen().entryIncarnation === 501 && !seen().leaving);
+		next.reportStopping();
+		await agents.get('b-2')!.stop();
+		await until('the farewell is known', () => seen().life === 'left');
+		agents.delete('b-2');
+	});
+
 	// Somebody starts the replacement of a host that still runs. The two go above each other in turns, peers believe
 	// now the one, now the other, and nothing else about the fleet says why a host looks restless.
 	it('tell staff of another agent under their host\'s name, with both addresses, while both run', async () => {
