--- a/bench/relay/_lib/entry-main.ts
+++ b/bench/relay/_lib/entry-main.ts
@@ -72,7 +72,7 @@
 				view: () => toView(start),
 				isConnected: () => true,
 				reportLeaving: () => undefined,
-			reportStopping: () => undefined,
+				reportStopping: () => undefined,
 				async close() {
 					clearInterval(timer);
 				},
