Say "no capacity" when the last server tried can't be reached

Cause: the failure test of "not run" with every prefill engine gone waited in vain for the word that there is no server. Nothing had been offered to a backend. Change: a request that ends on an unreachable server, with nothing run, is told no-capacity, 503, with a second to come back. The words for a failure that is not repeated name the rule, time and retry budget.

--- a/src/programs/entry/run-request/_lib/to-run-end.ts
+++ b/src/programs/entry/run-request/_lib/to-run-end.ts
@@ -52,9 +52,19 @@
 /** The end of a request that can't go on after a failed attempt. */
 export function toGivenUp(run: Run, {failure, step, server, isTimedOut}: AttemptFailure): RunEnd {
 	const outcome = run.ledger.outcome();
+	// Where no other server is left, those that look unreachable are tried; that they were is no failure of a backend.
+	if (failure.kind === 'unreachable' && outcome === 'not-run') {
+		return {
+			kind: 'failed',
+			problem: {
+				kind: 'no-capacity', detail: `Server ${server.id}, the last that was tried, can't be reached. Nothing was run; send it again.`, outcome, retryAfterMs: failure.retryAfterMs ?? msPerSecond,
+			},
+		};
+	}
+
 	const isLate = isTimedOut && outcome !== 'ran';
 	const kind: ProblemKind = isLate ? 'deadline-passed' : (outcome === 'ran' ? 'answer-lost' : 'backend-failed');
-	const again = outcome === 'not-run' ? ' Nothing was run; send it again.' : ' It was not run again, because it may not be or there was no time.';
+	const again = outcome === 'not-run' ? ' Nothing was run; send it again.' : ' It was not run again: its rule does not allow that, or time or retry budget are used up.';
 	return {
 		kind: 'failed',
 		problem: {
--- a/src/programs/entry/run-request/test.ts
+++ b/src/programs/entry/run-request/test.ts
@@ -17,10 +17,10 @@
 const decodes = ['d1', 'd2', 'd3', 'd4', 'd5', 'd6'];
 const servers = [toServer('p1', 'prefill'), ...decodes.map(id => toServer(id, 'decode'))];
 
-type Answer = 'full' | 'broken' | 'room';
+type Answer = 'full' | 'broken' | 'unreachable' | 'room';
 
 const toFailure = (server: string, answer: Exclude<Answer, 'room'>): EngineFailure => ({
-	kind: answer === 'full' ? 'refused' : 'broken', reason: answer === 'full' ? 'full' : undefined, server, message: answer, retryAfterMs: undefined,
+	kind: answer === 'full' ? 'refused' : answer, reason: answer === 'full' ? 'full' : undefined, server, message: answer, retryAfterMs: undefined,
 });
 
 async function * toStream(attempt: number): AsyncGenerator<DecodeChunk> {
@@ -123,6 +123,13 @@
 		assert.deepEqual(fixture.noted.filter(stage => stage === 'server full' || stage === 'attempt failed'), ['server full', 'server full', 'server full', 'attempt failed']);
 	});
 
+	it('says that there is no capacity when no server can be reached, and nothing of a backend that failed', async () => {
+		const fixture = createFixture(() => 'unreachable');
+		const {end} = await fixture.runRequest();
+		assert.equal(end.kind, 'failed');
+		assert.deepEqual(end.kind === 'failed' && [end.problem.kind, end.problem.outcome, end.problem.retryAfterMs], ['no-capacity', 'not-run', 1000]);
+	});
+
 	it('pays for a failure', async () => {
 		const fixture = createFixture((_server, asked) => asked === 1 ? 'broken' : 'full');
 		const {end} = await fixture.runRequest();
