Prove at most once, leaving servers and graceful stops with whole processes

Change: at-most-once (20 cases: each of six faults of the caller's host, 12 pairs with a fault of another host, all hosts killed and back, a host list changed during a cut; 24 keys a case, minted on time and two minutes ahead and behind, scenes and desk changes in four stages), leaving-server (8) and graceful-stop (1). The harness can set an entry's wall clock and the age that it seems to have; engines keep how a request's prompt begins, for the judge. Ruled out: a clock bound of 0 for these, which proves nothing of clocks. Not done: no safeguard of at-most-once was taken out in a run of whole processes yet.

--- a/test/_lib/start-fleet/_lib/create-host.ts
+++ b/test/_lib/start-fleet/_lib/create-host.ts
@@ -5,6 +5,14 @@
 
 export type Flags = NonNullable<ProgramOptions['flags']>;
 
+/** What the wall clock of a host shows; monotonic time is untouched. */
+export type HostClock = {
+	/** How far it is ahead of true time, milliseconds; behind when negative. */
+	aheadMs?: number;
+	/** Makes a process seem to have started this long ago: its clock shows that time until it listens first. */
+	startedAgoMs?: number;
+};
+
 export type FleetHost = {
 	id: string;
 	zone: string;
@@ -16,6 +24,8 @@
 	entryAddress: string;
 	agentOperatorUrl: string;
 	entryOperatorUrl: string;
+	/** Sets the wall clock of entries that are started from now on. */
+	setClock: (clock: HostClock) => void;
 	startAgent: (flags?: Flags) => Promise<Program>;
 	startEntry: (flags?: Flags) => Promise<Program>;
 	/** Kills both at once. */
@@ -35,9 +45,23 @@
 	seeds: () => readonly string[];
 	agentFlags: Flags;
 	entryFlags: Flags;
+	entryClock: HostClock;
 	network: {network: Network; site: Site} | undefined;
 };
 
+const shiftClock = new URL('shift-clock.js', import.meta.url).href;
+
+/** Environment and options of Node that give a process its network and its clock. */
+function toEntryOptions(network: HostOptions['network'], {aheadMs = 0, startedAgoMs = 0}: HostClock): Pick<ProgramOptions, 'env' | 'nodeOptions'> {
+	const own = network?.network.toProcessOptions(network.site);
+	return aheadMs === 0 && startedAgoMs === 0
+		? {...own}
+		: {
+			env: {...own?.env, FLEET_CLOCK_AHEAD: String(aheadMs), FLEET_STARTED_AGO: String(startedAgoMs)},
+			nodeOptions: [...own?.nodeOptions ?? [], '--import', shiftClock],
+		};
+}
+
 /** Gives a host its ports, without starting it. */
 export async function createHost(options: HostOptions): Promise<FleetHost> {
 	const {id, zone, network} = options;
@@ -56,6 +80,7 @@
 		await network.network.addTarget(network.site, ports.entryPeerPort);
 	}
 
+	let clock = options.entryClock;
 	let agent: Program | undefined;
 	let entry: Program | undefined;
 	const running = (program: Program | undefined, name: string): Program => {
@@ -76,6 +101,9 @@
 		entryAddress,
 		agentOperatorUrl: `http://127.0.0.1:${ports.agentOperatorPort}`,
 		entryOperatorUrl: `http://127.0.0.1:${ports.entryOperatorPort}`,
+		setClock(next) {
+			clock = next;
+		},
 		async startAgent(flags = {}) {
 			agent = await startProgram({
 				program: 'agent',
@@ -109,7 +137,7 @@
 					...options.entryFlags,
 					...flags,
 				},
-				...network?.network.toProcessOptions(network.site),
+				...toEntryOptions(network, clock),
 			});
 			return entry;
 		},
--- a/test/_lib/start-fleet/_lib/to-config-text.ts
+++ b/test/_lib/start-fleet/_lib/to-config-text.ts
@@ -12,6 +12,7 @@
 
 /** Parts of the document that a test gives itself. */
 export type ConfigParts = {
+	hosts?: readonly HostEntry[];
 	routes?: Readonly<Record<string, unknown>>;
 	rules?: readonly unknown[];
 	pools?: readonly unknown[];
--- a/test/_lib/start-fleet/index.ts
+++ b/test/_lib/start-fleet/index.ts
@@ -13,14 +13,16 @@
 import {startPlainStandIn, type PlainStandIn} from '../../stand-ins/plain/index.js';
 import {startPlatformStandIn, type PlatformStandIn} from '../../stand-ins/platform/index.js';
 import {waitUntil} from '../wait-until/index.js';
-import {createHost, type FleetHost, type Flags} from './_lib/create-host.js';
+import {
+	createHost, type FleetHost, type Flags, type HostClock,
+} from './_lib/create-host.js';
 import {createNetwork, type Network} from './_lib/network.js';
 import {pickPort} from './_lib/pick-ports.js';
 import {
 	toConfigText, toPools, type ConfigParts, type FleetShape,
 } from './_lib/to-config-text.js';
 
-export type {FleetHost} from './_lib/create-host.js';
+export type {FleetHost, HostClock} from './_lib/create-host.js';
 export type {ConfigParts} from './_lib/to-config-text.js';
 
 export type FleetOptions = {
@@ -37,6 +39,8 @@
 	readsPerSecond?: number;
 	agentFlags?: Flags;
 	entryFlags?: Flags;
+	/** Wall clock of all entries, until one is set otherwise. */
+	entryClock?: HostClock;
 	/** Parts of the document in place of the usual ones. */
 	config?: ConfigParts;
 	/** Puts a relay before everything that listens, so that {@link Fleet.network} can cut; Linux only. */
@@ -184,6 +188,7 @@
 			seeds: () => hosts.map(({agentAddress}) => agentAddress),
 			agentFlags: options.agentFlags ?? {},
 			entryFlags: options.entryFlags ?? {},
+			entryClock: options.entryClock ?? {},
 			network: cuttable && {network: cuttable, site: cuttable.addSite([id, zone, 'hosts'])},
 		}));
 	}
--- /dev/null
+++ b/test/failures/at-most-once.test.ts
@@ -0,0 +1,242 @@
+/*
+ * A caller sends a scene, or a change at the desk, that may run once only. Its
+ * host is killed, sleeps, is replaced or cut off, and perhaps another host too;
+ * the caller sends the same key to other hosts, and again when all is well. A
+ * second run would be billed twice. Keys are minted by clocks that are right,
+ * two minutes ahead or two minutes behind. The engines and the desk count.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	after, afterEach, before, beforeEach, describe, it,
+} from 'node:test';
+import {v7 as createKey} from 'uuid';
+import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {hostFaults, type HostFault, type Struck} from './_lib/host-faults.js';
+import {startCall} from './_lib/start-call.js';
+import {startPlainCall, type PlainCallResult} from './_lib/start-plain-call.js';
+
+const deadlineMs = 30_000;
+const twoMinutesMs = 120_000;
+/** So long that keys of two minutes ago are vouched for. */
+const startedAgoMs = 10 * 60_000;
+const clockBound = '241s';
+/** Of six hosts in three zones. */
+const quorum = 4;
+const hostCount = 6;
+const betweenSentMs = 2;
+
+const mints = [{mint: 'on time', offMs: 0}, {mint: 'ahead', offMs: twoMinutesMs}, {mint: 'behind', offMs: -twoMinutesMs}] as const;
+const stages = ['ended', 'in decode', 'in prefill', 'sent'] as const;
+type Stage = (typeof stages)[number];
+
+type Work = {
+	kind: 'scene' | 'desk';
+	stage: Stage;
+	mint: string;
+	key: string;
+	send: (host: FleetHost) => Promise<PlainCallResult>;
+};
+
+const longText = 'All of the scenes of this year, one after the other. '.repeat(500);
+
+function createWork(kind: Work['kind'], stage: Stage, {mint, offMs}: (typeof mints)[number]): Work {
+	const key = createKey({msecs: Date.now() + offMs});
+	const prompt = stage === 'in prefill' ? `${key} ${longText}` : `${key} a scene`;
+	return {
+		kind,
+		stage,
+		mint,
+		key,
+		send: async host => kind === 'desk'
+			? startPlainCall(host.callerUrl, {path: '/desk/forwarding/17', key})
+			: startCall(host.callerUrl, {
+				prompt, key, isScene: true, maxTokens: stage === 'in decode' ? 300 : 10,
+			}).done,
+	};
+}
+
+/** Runs of one piece of work, by the count of those that ran it. */
+function countRuns(fleet: Fleet, {key}: Work): {begun: number; runs: number} {
+	const atDesk = fleet.plains.reduce((sum, plain) => sum + plain.countWork(key), 0);
+	const judged = [...fleet.engines.values()].map(engine => engine.judge());
+	const ids = new Set(judged.flatMap(({prompts}) => Object.entries(prompts).filter(([, prompt]) => prompt.startsWith(key)).map(([id]) => id)));
+	const requests = [...ids].flatMap(id => judged.map(({requests: counted}) => counted[id])).filter(request => request !== undefined);
+	const decodes = requests.reduce((sum, request) => sum + request.decodesStarted, 0);
+	const prefills = requests.reduce((sum, request) => sum + request.prefillsStarted, 0);
+	return {begun: atDesk + prefills + decodes, runs: atDesk + decodes};
+}
+
+type Scenario = {
+	name: string;
+	first: HostFault;
+	second?: HostFault;
+	listChanges?: boolean;
+	/** The first fault strikes every host. */
+	isEverywhere?: boolean;
+};
+
+const {
+	killed, back, backAhead, backBehind, asleep, replaced, cut, stale,
+} = hostFaults;
+const pairs: ReadonlyArray<readonly [HostFault, HostFault]> = [
+	[killed, back],
+	[killed, asleep],
+	[killed, cut],
+	[killed, replaced],
+	[killed, stale],
+	[asleep, backBehind],
+	[asleep, cut],
+	[asleep, replaced],
+	[cut, backAhead],
+	[cut, asleep],
+	[cut, replaced],
+	[replaced, back],
+];
+const scenarios: readonly Scenario[] = [
+	...[killed, back, asleep, replaced, cut, stale].map((first): Scenario => ({name: `of its host: ${first.name}`, first})),
+	...pairs.map(([first, second]): Scenario => ({name: `of its host: ${first.name}; of another: ${second.name}`, first, second})),
+	{name: `of every host: ${back.name}`, first: back, isEverywhere: true},
+	{
+		name: `of its host: ${killed.name}; the host list changes while another zone is cut off`, first: killed, second: cut, listChanges: true,
+	},
+];
+
+describe('work that may run once only', () => {
+	let fleet: Fleet;
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: ['dvorana-a', 'dvorana-b', 'dvorana-c'],
+			hostsPerZone: 2,
+			isCuttable: true,
+			entryFlags: {clockBound},
+			entryClock: {startedAgoMs},
+			prefillEngine: {prefillTokensPerSecond: 5000, prefillConcurrency: 16},
+			decodeEngine: {decodeTokensPerSecond: 200, slots: 100},
+		});
+	});
+	beforeEach(() => {
+		for (const engine of fleet.engines.values()) {
+			engine.resetJudge();
+		}
+
+		for (const plain of fleet.plains) {
+			plain.setFaults({workMs: 300});
+		}
+	});
+	afterEach(async () => {
+		fleet.network.heal();
+		fleet.platform.setFaults({});
+		for (const {clear} of struck) {
+			await clear?.();
+		}
+
+		await Promise.all([...ailing].map(async host => {
+			await host.kill();
+			host.setClock({startedAgoMs});
+			await host.start();
+		}));
+		struck.length = 0;
+		ailing.clear();
+		await fleet.waitUntilReady();
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	const struck: Struck[] = [];
+	const ailing = new Set<FleetHost>();
+	const told: Array<{work: Work; result: PlainCallResult; begun: number}> = [];
+
+	/** Sends work and compares the word given with the count at that moment. */
+	async function send(work: Work, host: FleetHost): Promise<PlainCallResult> {
+		const result = await work.send(host);
+		const {begun} = countRuns(fleet, work);
+		told.push({work, result, begun});
+		if (result.outcome === 'not-run') {
+			assert.equal(begun, 0, `said "not run" of a ${work.kind} that began (${work.stage}, key ${work.mint}): ${JSON.stringify(result)}`);
+		}
+
+		return result;
+	}
+
+	async function sendAll(works: readonly Work[], host: FleetHost): Promise<PlainCallResult[]> {
+		return Promise.all(works.map(async work => send(work, host)));
+	}
+
+	async function startWorks(host: FleetHost): Promise<{works: Work[]; firsts: Promise<PlainCallResult[]>}> {
+		const works = stages.flatMap(stage => mints.flatMap(mint => [createWork('scene', stage, mint), createWork('desk', stage, mint)]));
+		await sendAll(works.filter(({stage}) => stage === 'ended'), host);
+		const early = works.filter(({stage}) => stage === 'in decode' || stage === 'in prefill');
+		const sent = sendAll(early, host);
+		await waitUntil(() => early.every(work => {
+			const {begun, runs} = countRuns(fleet, work);
+			return work.stage === 'in decode' ? runs > 0 : begun > 0;
+		}), {deadlineMs, what: 'the start of all work'});
+		const last: Array<Promise<PlainCallResult>> = [];
+		// The first of these are being claimed or dispatched when the fault strikes, the last have hardly been sent.
+		for (const work of works.filter(({stage}) => stage === 'sent')) {
+			last.push(send(work, host));
+			await sleep(betweenSentMs);
+		}
+
+		return {works, firsts: Promise.all([sent, ...last]).then(results => results.flat())}; // eslint-disable-line promise/prefer-await-to-then -- not to be awaited here
+	}
+
+	/** New keys for hosts that nothing ails; a refusal that isn't needed is a fault. */
+	async function countRefusals(hosts: readonly FleetHost[]): Promise<{asked: number; refused: PlainCallResult[]}> {
+		const asked = hosts.flatMap(host => mints.map(mint => ({host, work: createWork('desk', 'sent', mint)})));
+		const results = await Promise.all(asked.map(async ({host, work}) => send(work, host)));
+		return {asked: asked.length, refused: results.filter(result => !result.isWhole)};
+	}
+
+	for (const {
+		name, first, second, listChanges = false, isEverywhere = false,
+	} of scenarios) {
+		it(`runs at most once, ${name}`, async t => {
+			told.length = 0;
+			const [host, mate, other, , third] = fleet.hosts as [FleetHost, FleetHost, FleetHost, FleetHost, FleetHost];
+			const faults: ReadonlyArray<readonly [HostFault, FleetHost]> = isEverywhere
+				? fleet.hosts.map(each => [first, each])
+				: [[first, host], ...(second === undefined ? [] : [[second, third] as const])];
+			const {works, firsts} = await startWorks(host);
+			for (const [, target] of faults) {
+				ailing.add(target);
+			}
+
+			struck.push(...await Promise.all(faults.map(async ([fault, target]) => fault.strike(fleet, target))));
+
+			if (listChanges) {
+				fleet.platform.publish('config', fleet.toConfigText({hosts: fleet.hosts.filter(({id}) => id !== 'dvorana-b-2').map(({id, zone}) => ({id, zone}))}));
+			}
+
+			const isCutOff = (one: FleetHost) => faults.some(([fault, target]) => fault === cut && target.zone === one.zone);
+			const well = fleet.hosts.filter(one => isEverywhere || (!ailing.has(one) && !isCutOff(one)));
+			await fleet.waitUntilReady(well);
+			const [fresh] = await Promise.all([countRefusals(well), sendAll(works, other), ...(isCutOff(mate) ? [sendAll(works, mate)] : [])]);
+			await Promise.all(struck.map(async ({undo}) => undo()));
+			await firsts;
+			await sendAll(works, mate);
+			await sendAll(works, host.entry().isRunning() ? host : other);
+			await sendAll(works, third.entry().isRunning() ? third : other);
+			const counted = works.map(work => ({work, ...countRuns(fleet, work)}));
+
+			const wholes = works.filter(({key}) => told.some(({work, result}) => work.key === key && result.isWhole));
+			const neverRun = counted.filter(({begun}) => begun === 0).map(({work}) => `${work.kind} ${work.stage}, key ${work.mint}`);
+			const count = (isMeant: (runs: number) => boolean) => counted.filter(({runs}) => isMeant(runs)).length;
+			t.diagnostic(`${works.length} keys: ${count(runs => runs > 1)} ran twice, ${count(runs => runs === 1)} once, ${count(runs => runs === 0)} not to the end`);
+			t.diagnostic(`${wholes.length} got a whole answer`);
+			t.diagnostic(`refused without having begun anywhere: ${neverRun.length === 0 ? 'none' : neverRun.join('; ')}`);
+			t.diagnostic(`new keys at hosts that are well: ${fresh.refused.length} of ${fresh.asked} refused`);
+			for (const {work, runs} of counted) {
+				assert.ok(runs <= 1, `${work.kind} ${work.stage}, key ${work.mint}: ${runs} runs`);
+			}
+
+			if (hostCount - faults.reduce((sum, [{hostsOut}]) => sum + hostsOut, 0) >= quorum) {
+				assert.deepEqual(fresh.refused, [], 'a refusal that was not needed');
+			}
+		});
+	}
+});
--- /dev/null
+++ b/test/failures/graceful-stop.test.ts
@@ -0,0 +1,170 @@
+/*
+ * All hosts are restarted one after the other, as in a release, while callers
+ * send letters, scenes and desk calls and long letters stream. Callers follow
+ * readiness, as a balancer does, and `Connection: close`. They see no error and
+ * lose no token; and a key that was used before a restart is known after it.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {v7 as createKey} from 'uuid';
+import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {createKeptCaller, type KeptCaller} from './_lib/create-kept-caller.js';
+import {startCall, type CallOptions} from './_lib/start-call.js';
+
+const deadlineMs = 60_000;
+const callerCount = 8;
+const longsPerHost = 3;
+const readyEveryMs = 100;
+const betweenCallsMs = 20;
+
+/** Where a balancer sends new connections. */
+function watchReadiness(hosts: readonly FleetHost[]) {
+	const ready = new Set<FleetHost>();
+	const ending = new AbortController();
+	const look = async (host: FleetHost): Promise<void> => {
+		try {
+			const answer = await fetch(`${host.entryOperatorUrl}/ready`, {signal: AbortSignal.timeout(1000)});
+			await answer.text();
+			if (answer.status === 200) {
+				ready.add(host);
+				return;
+			}
+		} catch {}
+
+		ready.delete(host);
+	};
+
+	const done = (async () => {
+		while (!ending.signal.aborted) {
+			await Promise.all(hosts.map(async host => look(host)));
+			await sleep(readyEveryMs);
+		}
+	})();
+	return {
+		ending,
+		pick: (i: number): FleetHost | undefined => [...ready][i % Math.max(1, ready.size)],
+		isReady: (host: FleetHost) => ready.has(host),
+		async end() {
+			ending.abort();
+			await done;
+		},
+	};
+}
+
+type Told = {what: string; host: string; isWhole: boolean; detail: string};
+
+describe('a graceful stop of all hosts, one after the other', () => {
+	let fleet: Fleet;
+	/** What goes on until it is ended; a case that fails must not leave it running. */
+	const endings: AbortController[] = [];
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: ['dvorana-a', 'dvorana-b'],
+			hostsPerZone: 2,
+			// The default bound: without its hand-over, a restarted witness would vouch for nothing for four minutes.
+			entryClock: {startedAgoMs: 600_000},
+			entryFlags: {drainDelay: '1s'},
+			prefillEngine: {prefillConcurrency: 4},
+			decodeEngine: {decodeTokensPerSecond: 60, slots: 60},
+		});
+	});
+	after(async () => {
+		for (const one of endings) {
+			one.abort();
+		}
+
+		await fleet.stop();
+	});
+
+	it('cuts off nothing and forgets no key', async t => {
+		const told: Told[] = [];
+		const readiness = watchReadiness(fleet.hosts);
+		await waitUntil(() => fleet.hosts.every(host => readiness.isReady(host)), {deadlineMs, what: 'all hosts to be ready'});
+		const scene = (): CallOptions => ({
+			prompt: `scene ${createKey()}`, maxTokens: 5, isScene: true, key: createKey(),
+		});
+		const used = await Promise.all(fleet.hosts.map(async host => {
+			const options = scene();
+			const result = await startCall(host.callerUrl, options).done;
+			assert.equal(result.isWhole, true, JSON.stringify(result));
+			return options;
+		}));
+
+		const countScenes = () => [...fleet.engines.values()]
+			.flatMap(engine => Object.values(engine.judge().requests))
+			.reduce((sum, request) => sum + request.decodesStarted, 0);
+
+		const ending = new AbortController();
+		endings.push(ending, readiness.ending);
+		let asked = 0;
+		const work = async (caller: KeptCaller, number: number): Promise<void> => {
+			for (let i = number; !ending.signal.aborted; i++) {
+				const host = readiness.pick(i);
+				if (host === undefined) {
+					await sleep(readyEveryMs);
+					continue;
+				}
+
+				asked++;
+				const kind = (['letter', 'scene', 'desk lookup', 'desk change'] as const)[i % 4]!;
+				const {isWhole, detail} = await caller.ask(host.callerUrl, kind, `${number}-${i}`);
+				told.push({
+					what: kind, host: host.id, isWhole, detail,
+				});
+				await sleep(betweenCallsMs);
+			}
+		};
+
+		const callers = Array.from({length: callerCount}, () => createKeptCaller());
+		const working = Promise.all(callers.map(async (caller, number) => work(caller, number)));
+		const stops: number[] = [];
+		const longs: Array<Promise<Told>> = [];
+		const startLong = async (host: FleetHost, i: number): Promise<Told> => {
+			const result = await startCall(host.callerUrl, {prompt: `long letter ${host.id} ${i}`, maxTokens: 240}).done;
+			return {
+				what: 'long letter', host: host.id, isWhole: result.isWhole, detail: JSON.stringify({...result, text: result.text.length}),
+			};
+		};
+
+		for (const host of fleet.hosts) {
+			const own = Array.from({length: longsPerHost}, async (_, i) => startLong(host, i));
+			longs.push(...own);
+			await sleep(500);
+			const stoppedAt = performance.now();
+			await host.stop(deadlineMs);
+			stops.push(Math.round(performance.now() - stoppedAt));
+			// A clock that says nothing of an earlier start: only the hand-over lets it vouch for keys.
+			host.setClock({});
+			await host.start();
+			await waitUntil(() => readiness.isReady(host), {deadlineMs, what: `${host.id} to be ready again`});
+		}
+
+		ending.abort();
+		await working;
+		await Promise.all(callers.map(async caller => caller.close()));
+		told.push(...await Promise.all(longs));
+		await readiness.end();
+
+		const runsBefore = countScenes();
+		const again = await Promise.all(used.flatMap(options => fleet.hosts.map(async host => startCall(host.callerUrl, options).done)));
+		const words = new Map<string, number>();
+		for (const {isWhole, outcome} of again) {
+			const word = isWhole ? 'the whole answer' : (outcome ?? 'nothing');
+			words.set(word, (words.get(word) ?? 0) + 1);
+		}
+
+		const failed = told.filter(({isWhole}) => !isWhole);
+		t.diagnostic(`${asked} calls and ${longs.length} long letters during ${fleet.hosts.length} restarts: ${failed.length} not whole`);
+		t.diagnostic(`stops took ${stops.join(', ')} ms`);
+		t.diagnostic(`old keys sent to all hosts again: ${[...words].map(([word, count]) => `${count} ${word}`).join(', ')}`);
+		assert.deepEqual(failed.slice(0, 10), []);
+		assert.ok(told.some(({what}) => what === 'scene'), 'no scene was asked for');
+		assert.equal(countScenes(), runsBefore, 'a key that was used before a restart ran again');
+		assert.ok(again.every(({isWhole, outcome}) => isWhole || outcome === 'may-have-run' || outcome === 'ran'), JSON.stringify(again));
+	});
+});
--- /dev/null
+++ b/test/failures/leaving-server.test.ts
@@ -0,0 +1,256 @@
+/*
+ * A server is taken out of service. The platform's list says so late, its own
+ * load reports lag, and it may refuse before either; a host that has heard
+ * nothing learns it from a peer. Callers go on being answered by the other
+ * servers, what runs on the leaving one is finished whole, and once a host
+ * knows, nothing new is offered there.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	after, afterEach, before, beforeEach, describe, it,
+} from 'node:test';
+import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {type EngineStandIn} from '../stand-ins/engine/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {startCall, type CallResult, type StartedCall} from './_lib/start-call.js';
+import {startPlainCall} from './_lib/start-plain-call.js';
+
+const deadlineMs = 20_000;
+const callerCount = 6;
+/** Load goes on for so long after all hosts know. */
+const afterwardsMs = 2000;
+const zone = 'dvorana-a';
+
+/** Two seconds of prefill, or five of decode, and what an engine holds meanwhile. */
+const longLetters = {
+	prefill: {text: 'All of your post of this year, in one scan. '.repeat(730), maxTokens: 5, kind: 'prefill'},
+	decode: {text: 'a letter with a long summary', maxTokens: 250, kind: 'stream'},
+} as const;
+
+type Status = {view: {servers: Array<{id: string; leaving: boolean}>}};
+
+async function knows(host: FleetHost, server: string): Promise<boolean> {
+	const answer = await fetch(`${host.entryOperatorUrl}/status`, {signal: AbortSignal.timeout(deadlineMs)});
+	const {view} = await answer.json() as Status;
+	return view.servers.some(({id, leaving}) => id === server && leaving);
+}
+
+async function hasNoLeaver(fleet: Fleet): Promise<boolean> {
+	const asked = [...fleet.engines.keys()].flatMap(id => fleet.hosts.map(host => ({host, id})));
+	const told = await Promise.all(asked.map(async ({host, id}) => knows(host, id)));
+	return !told.includes(true);
+}
+
+/** What the engine's own load report says, late as it is. */
+async function readReportedState({url}: EngineStandIn): Promise<string> {
+	const answer = await fetch(`${url}/engine/load`, {signal: AbortSignal.timeout(deadlineMs)});
+	const {state} = await answer.json() as {state: string};
+	return state;
+}
+
+function hasHold(engine: EngineStandIn, kind: string): boolean {
+	return engine.judge().holds.some(hold => hold.kind === kind);
+}
+
+/** Reservations and prefills that the engine was asked for, taken or not. */
+function countOffers(engine: EngineStandIn): number {
+	const {calls} = engine.judge();
+	return (calls['POST engine/reservations'] ?? 0) + (calls['POST engine/prefills'] ?? 0);
+}
+
+const loads: Array<{end: () => Promise<void>}> = [];
+
+/** Callers that ask again and again, each host in turn, until they are ended or the case is over. */
+function startLoad(hosts: readonly FleetHost[], role: string) {
+	const results: CallResult[] = [];
+	const ending = new AbortController();
+	const callers = Array.from({length: callerCount}, async (_, caller) => {
+		for (let i = 0; !ending.signal.aborted; i++) {
+			const host = hosts[(caller + i) % hosts.length]!;
+			results.push(await startCall(host.callerUrl, {prompt: `${role} ${caller} ${i}: a letter`, maxTokens: 5}).done);
+		}
+	});
+	const load = {
+		results,
+		async end() {
+			ending.abort();
+			await Promise.all(callers);
+		},
+	};
+	loads.push(load);
+	return load;
+}
+
+type Case = {
+	name: string;
+	/** Whether callers ask while the hosts learn of it; a refusal can be learnt from only then. */
+	isAskedMeanwhile: boolean;
+	/** What its report says when all hosts know: other than `leaving` proves that they did not learn it there. */
+	reported: 'serving' | 'leaving';
+	leave: (fleet: Fleet, engine: EngineStandIn) => void;
+};
+
+function leaveByItself(_fleet: Fleet, engine: EngineStandIn): void {
+	engine.setState('leaving');
+}
+
+const cases: readonly Case[] = [
+	{
+		name: 'the platform\'s list, which its own word contradicts',
+		isAskedMeanwhile: true,
+		reported: 'serving',
+		leave(fleet, {id}) {
+			fleet.publishFleet({[id]: 'leaving'});
+		},
+	},
+	{
+		name: 'its refusal, before its lagging load report', isAskedMeanwhile: true, reported: 'serving', leave: leaveByItself,
+	},
+	{
+		name: 'its load report', isAskedMeanwhile: false, reported: 'leaving', leave: leaveByItself,
+	},
+];
+
+describe('a server that leaves', () => {
+	let fleet: Fleet;
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: [zone],
+			hostsPerZone: 3,
+			prefillsPerZone: 2,
+			decodesPerZone: 2,
+			plainsPerZone: 2,
+			isCuttable: true,
+			entryFlags: {clockBound: '0ms'},
+			engine: {loadLagMs: 5000},
+			prefillEngine: {prefillConcurrency: 4},
+			decodeEngine: {decodeTokensPerSecond: 50, slots: 60},
+		});
+	});
+	beforeEach(() => {
+		for (const engine of fleet.engines.values()) {
+			engine.resetJudge();
+		}
+	});
+	afterEach(async () => {
+		await Promise.all(loads.splice(0).map(async load => load.end()));
+		fleet.network.heal();
+		fleet.publishFleet({});
+		for (const engine of fleet.engines.values()) {
+			engine.setFaults({});
+			engine.setState('serving');
+		}
+
+		await waitUntil(async () => hasNoLeaver(fleet), {deadlineMs, what: 'the return of all servers'});
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	/** Long letters, at least one of them on the server. */
+	async function startLong(engine: EngineStandIn, role: 'prefill' | 'decode'): Promise<StartedCall[]> {
+		const calls: StartedCall[] = [];
+		const {text, maxTokens, kind} = longLetters[role];
+		await waitUntil(() => {
+			calls.push(startCall(fleet.hosts[0]!.callerUrl, {prompt: `${engine.id} ${calls.length}: ${text}`, maxTokens}));
+			return hasHold(engine, kind);
+		}, {deadlineMs, what: `a long letter on ${engine.id}`, everyMs: 200});
+		return calls;
+	}
+
+	/** Waits until all hosts know, and tells when the first did. */
+	async function waitUntilKnown(server: string): Promise<{firstMs: number; allMs: number}> {
+		let firstMs: number | undefined;
+		return waitUntil(async () => {
+			const told = await Promise.all(fleet.hosts.map(async host => knows(host, server)));
+			if (told.includes(true)) {
+				firstMs ??= performance.now();
+			}
+
+			return firstMs !== undefined && !told.includes(false) && {firstMs, allMs: performance.now()};
+		}, {deadlineMs, what: `all hosts to know that ${server} leaves`, everyMs: 10});
+	}
+
+	for (const {
+		name, isAskedMeanwhile, reported, leave,
+	} of cases) {
+		for (const role of ['decode', 'prefill'] as const) {
+			it(`gets nothing new: a ${role} engine, known from ${name}`, async t => {
+				const engine = fleet.engine(`${zone}-${role}-1`);
+				const long = await startLong(engine, role);
+				let load = startLoad(fleet.hosts, `${role} ${name}`);
+				await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
+				if (!isAskedMeanwhile) {
+					await load.end();
+				}
+
+				const before = load.results;
+				const leftAt = performance.now();
+				leave(fleet, engine);
+				const {firstMs, allMs} = await waitUntilKnown(engine.id);
+				assert.equal(await readReportedState(engine), reported);
+				// What was placed a moment before all knew may still be on its way.
+				await sleep(200);
+				const offers = countOffers(engine);
+				const {lastAcceptedAtMs} = engine.judge();
+				const answered = before.length;
+				load = isAskedMeanwhile ? load : startLoad(fleet.hosts, `${role} ${name}, later`);
+				await sleep(afterwardsMs);
+				await load.end();
+				const longs = await Promise.all(long.map(async ({done}) => done));
+				const results = [...new Set([...before, ...load.results])];
+
+				const acceptedAfterMs = Math.round((engine.judge().lastAcceptedAtMs ?? 0) - firstMs);
+				t.diagnostic(`first known ${Math.round(firstMs - leftAt)} ms, by all ${Math.round(allMs - leftAt)} ms after it left`);
+				t.diagnostic(`last new work accepted ${acceptedAfterMs} ms after the first host knew`);
+				t.diagnostic(`${results.length - answered} letters after all knew, ${countOffers(engine) - offers} offers`);
+				assert.ok(offers > 0, 'the load did not reach the server');
+				assert.ok(results.length > answered, 'no load came after all knew');
+				assert.equal(countOffers(engine), offers, 'new work was offered to a server that all knew to be leaving');
+				assert.equal(engine.judge().lastAcceptedAtMs, lastAcceptedAtMs);
+				assert.deepEqual(results.filter(({isWhole}) => !isWhole), []);
+				assert.deepEqual(longs.filter(({isWhole}) => !isWhole), [], 'a letter in progress was not finished');
+			});
+		}
+	}
+
+	it('gets nothing new from a host that only a peer told', async t => {
+		const [near, ...others] = fleet.hosts as [FleetHost, ...FleetHost[]];
+		const engine = fleet.engine(`${zone}-decode-1`);
+		// Reports lag, and nobody asks the others: they know it from the first host's refusals.
+		engine.setState('leaving');
+		const refusedAt = performance.now();
+		const load = startLoad([near], 'peer');
+		const {firstMs, allMs} = await waitUntilKnown(engine.id);
+		assert.equal(await readReportedState(engine), 'serving');
+		await load.end();
+		const offers = countOffers(engine);
+		const calls = others.flatMap((host, i) => Array.from({length: 10}, (_, j) => startCall(host.callerUrl, {prompt: `told ${i} ${j}`, maxTokens: 5})));
+		const results = await Promise.all(calls.map(async ({done}) => done));
+		t.diagnostic(`first known ${Math.round(firstMs - refusedAt)} ms, by all ${Math.round(allMs - refusedAt)} ms after the refusals began`);
+		t.diagnostic(`${results.length} letters at hosts that were told, ${countOffers(engine) - offers} offers`);
+		assert.equal(countOffers(engine), offers);
+		assert.deepEqual(results.filter(({isWhole}) => !isWhole), []);
+	});
+
+	it('gets nothing new: a plain service, known from the platform\'s list', async t => {
+		const [plain] = fleet.plains;
+		assert.ok(plain);
+		const ask = async (i: number) => startPlainCall(fleet.hosts[i % fleet.hosts.length]!.callerUrl, {path: '/desk/box/17'});
+		plain.setFaults({workMs: 1000});
+		const inProgress = await Promise.all([0, 1, 2, 3, 4, 5].map(async i => [ask(i)] as const));
+		await waitUntil(() => plain.calls().length > 0, {deadlineMs, what: 'a call in progress'});
+		const leftAt = performance.now();
+		fleet.publishFleet({[plain.id]: 'leaving'});
+		const {allMs} = await waitUntilKnown(plain.id);
+		const calls = plain.calls().length;
+		const results = await Promise.all(Array.from({length: 30}, async (_, i) => ask(i)));
+		t.diagnostic(`known by all ${Math.round(allMs - leftAt)} ms after the list was published; ${plain.calls().length - calls} of ${results.length} further calls`);
+		assert.equal(plain.calls().length, calls);
+		assert.deepEqual(results.filter(({isWhole}) => !isWhole), []);
+		const finished = await Promise.all(inProgress.map(async ([call]) => call));
+		assert.deepEqual(finished.filter(({isWhole}) => !isWhole), [], 'a call in progress was not finished');
+	});
+});
--- a/test/stand-ins/engine/_lib/create-engine.ts
+++ b/test/stand-ins/engine/_lib/create-engine.ts
@@ -104,6 +104,7 @@
 		},
 		async prefill(body: JsonBody) {
 			const key = toKey(body);
+			judge.notePrompt(key, toText(body, 'prompt'));
 			checkStart(key, 'prefills');
 			orders.check({model: toText(body, 'model'), version: body.version ?? undefined, adapter: body.adapter ?? undefined}, 'prefill');
 			noteAccepted();
--- a/test/stand-ins/engine/_lib/create-judge.ts
+++ b/test/stand-ins/engine/_lib/create-judge.ts
@@ -2,6 +2,8 @@
 import {type AttemptKey, type EngineOrder} from '../../../../src/ports/engine.js';
 import {type JudgedRequest, type TakenOrder, type WasteCause} from './types.js';
 
+const promptBeginning = 80;
+
 type Counted = Exclude<keyof JudgedRequest, 'attempts'>;
 
 const createRequest = (): JudgedRequest => ({
@@ -26,6 +28,7 @@
 	const orders: TakenOrder[] = [];
 	const refusedOrders: TakenOrder[] = [];
 	const calls: Record<string, number> = {};
+	const prompts: Record<string, string> = {};
 
 	const requestOf = (key: AttemptKey): JudgedRequest => {
 		const request = requests.get(key.requestId) ?? createRequest();
@@ -41,6 +44,10 @@
 		note(key: AttemptKey, what: Counted, amount = 1) {
 			requestOf(key)[what] += amount;
 		},
+		/** Keeps how the prompt of a request begins, by which a test finds the runs of one caller's work. */
+		notePrompt(key: AttemptKey, prompt: string) {
+			prompts[key.requestId] = prompt.slice(0, promptBeginning);
+		},
 		noteWaste(key: AttemptKey, cause: WasteCause) {
 			wasted[cause] = (wasted[cause] ?? 0) + 1;
 			wastedRequests.push({requestId: key.requestId, attempt: key.attempt, cause});
@@ -53,11 +60,15 @@
 		},
 		request: (requestId: string): JudgedRequest => requests.get(requestId) ?? createRequest(),
 		report: () => ({
-			requests: Object.fromEntries(requests), wasted, wastedRequests, orders, refusedOrders, calls,
+			requests: Object.fromEntries(requests), wasted, wastedRequests, orders, refusedOrders, calls, prompts,
 		}),
 		/** Forgets all counts, for the next part of a long run. */
 		reset() {
 			requests.clear();
+			for (const requestId of Object.keys(prompts)) {
+				Reflect.deleteProperty(prompts, requestId);
+			}
+
 			wastedRequests.length = 0;
 			orders.length = 0;
 			refusedOrders.length = 0;
--- a/test/stand-ins/engine/_lib/types.ts
+++ b/test/stand-ins/engine/_lib/types.ts
@@ -108,6 +108,8 @@
 	wastedRequests: Array<{requestId: string; attempt: number; cause: WasteCause}>;
 	orders: readonly TakenOrder[];
 	refusedOrders: readonly TakenOrder[];
+	/** How the prompts of prefills that were asked for begin, by request id. */
+	prompts: Record<string, string>;
 	/** Calls by name, from all callers. */
 	calls: Record<string, number>;
 	/** Monotonic time at which new work (reservation, prefill or stream) was last accepted. */
