Prove with whole processes who is taken for dead and who is not

test/failures/membership.test.ts: a host that sleeps beyond patience and wakes, a link cut one way within a zone and between zones, a flapping link, a zone cut off and joined again, all agents restarted, a graceful leave. Verdicts: only the sleeping host may be declared dead, all are alive for all afterwards, and each quick request at a host that the fault leaves alone is answered whole.

--- /dev/null
+++ b/test/failures/membership.test.ts
@@ -0,0 +1,248 @@
+/*
+ * A host sleeps, a link is cut one way or flaps, a zone is cut off, all agents
+ * restart, a host leaves. Callers of the other hosts go on being answered. The
+ * others suspect a silent host, and declare it dead only when nobody at all
+ * hears it; one that runs and is connected is known alive by all soon after.
+ */
+import assert from 'node:assert/strict';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	after, afterEach, before, describe, it, type TestContext,
+} from 'node:test';
+import {type HostLife} from '../../src/ports/view.js';
+import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {startCall, type CallResult} from './_lib/start-call.js';
+
+const deadlineMs = 40_000;
+const lookEveryMs = 100;
+const askEveryMs = 200;
+const near = 'dvorana-a';
+const far = 'dvorana-b';
+/** Several times the patience that the hosts of this test have. */
+const patienceMs = 3000;
+const lastingMs = 2 * patienceMs;
+const flapMs = 400;
+
+type Seen = {by: string; of: string; life: HostLife; atMs: number};
+
+async function readLives(host: FleetHost): Promise<Array<{id: string; life: HostLife}>> {
+	try {
+		const answer = await fetch(`${host.agentOperatorUrl}/status`, {signal: AbortSignal.timeout(1000)});
+		const {hosts} = await answer.json() as {hosts: Array<{id: string; life: HostLife}>};
+		return hosts;
+	} catch {
+		return [];
+	}
+}
+
+/** Keeps every change of what each host thinks of each other one. */
+function watchLives(hosts: readonly FleetHost[]) {
+	const seen: Seen[] = [];
+	const latest = new Map<string, HostLife>();
+	let hasEnded = false;
+	const isOver = () => hasEnded;
+	const look = async (host: FleetHost): Promise<void> => {
+		for (const {id, life} of await readLives(host)) {
+			const key = `${host.id} ${id}`;
+			if (latest.get(key) !== life) {
+				latest.set(key, life);
+				seen.push({
+					by: host.id, of: id, life, atMs: performance.now(),
+				});
+			}
+		}
+	};
+
+	const watches = hosts.map(async host => {
+		while (!isOver()) {
+			await look(host);
+			await sleep(lookEveryMs);
+		}
+	});
+	return {
+		since: (atMs: number) => seen.filter(change => change.atMs >= atMs),
+		async end() {
+			hasEnded = true;
+			await Promise.all(watches);
+		},
+	};
+}
+
+/** Quick requests to hosts that a case leaves alone. */
+function startAsking(hosts: readonly FleetHost[]) {
+	const calls: Array<Promise<CallResult>> = [];
+	let hasEnded = false;
+	const isOver = () => hasEnded;
+	const done = (async () => {
+		for (let i = 0; !isOver(); i++) {
+			const {callerUrl} = hosts[i % hosts.length]!;
+			calls.push(startCall(callerUrl, {prompt: `question ${i}`, maxTokens: 4, isQuick: true}).done);
+			await sleep(askEveryMs);
+		}
+	})();
+	return {
+		async end(): Promise<CallResult[]> {
+			hasEnded = true;
+			await done;
+			return Promise.all(calls);
+		},
+	};
+}
+
+type Case = {
+	name: string;
+	/** Hosts that the fault silences for others; callers ask the rest. */
+	silenced: readonly string[];
+	/** What the others must find out about those; only what is dead may be declared so, and a zone that falls silent as a whole is taken for cut off. */
+	found?: 'suspect' | 'dead';
+	run: (fleet: Fleet, waitUntilFound: () => Promise<void>) => Promise<void>;
+};
+
+const cases: readonly Case[] = [
+	{
+		name: 'a host that sleeps beyond patience and wakes',
+		silenced: [`${near}-1`],
+		found: 'dead',
+		async run(fleet, waitUntilFound) {
+			const host = fleet.host(`${near}-1`);
+			host.pause();
+			await waitUntilFound();
+			host.resume();
+		},
+	},
+	{
+		name: 'a link that is cut one way',
+		silenced: [],
+		async run(fleet) {
+			fleet.network.cut(`${near}-1`, `${near}-2`, {isOneWay: true});
+			await sleep(lastingMs);
+			fleet.network.heal();
+		},
+	},
+	{
+		name: 'a link between zones that is cut one way',
+		silenced: [],
+		async run(fleet) {
+			fleet.network.cut(`${near}-1`, `${far}-1`, {isOneWay: true});
+			await sleep(lastingMs);
+			fleet.network.heal();
+		},
+	},
+	{
+		name: 'a flapping link',
+		silenced: [],
+		async run(fleet) {
+			for (const until = performance.now() + lastingMs; performance.now() < until;) {
+				fleet.network.cut(`${near}-1`, `${near}-2`);
+				fleet.network.cut(`${near}-1`, `${far}-1`);
+				await sleep(flapMs);
+				fleet.network.heal();
+				await sleep(flapMs);
+			}
+		},
+	},
+	{
+		name: 'a zone that is cut off and joined again',
+		silenced: [`${far}-1`, `${far}-2`],
+		found: 'suspect',
+		async run(fleet, waitUntilFound) {
+			fleet.network.isolate(far);
+			await waitUntilFound();
+			await sleep(lastingMs);
+			fleet.network.heal();
+		},
+	},
+	{
+		name: 'a restart of all agents at once',
+		silenced: [],
+		async run(fleet) {
+			await Promise.all(fleet.hosts.map(async host => host.agent().kill()));
+			await Promise.all(fleet.hosts.map(async host => host.startAgent()));
+		},
+	},
+];
+
+describe('membership', () => {
+	let fleet: Fleet;
+	let watch: ReturnType<typeof watchLives>;
+
+	const others = (ids: readonly string[]) => fleet.hosts.filter(({id}) => !ids.includes(id));
+
+	async function waitUntilAllAlive(): Promise<void> {
+		await waitUntil(async () => {
+			const lives = await Promise.all(fleet.hosts.map(async host => readLives(host)));
+			return lives.every(seen => fleet.hosts.every(({id}) => seen.some(host => host.id === id && host.life === 'alive')));
+		}, {deadlineMs, what: 'all hosts to be alive for all', everyMs: lookEveryMs});
+	}
+
+	/** Waits until all others think that hosts live no longer. */
+	async function waitUntilGone(ids: readonly string[], life: HostLife): Promise<void> {
+		await waitUntil(async () => {
+			const lives = await Promise.all(others(ids).map(async host => readLives(host)));
+			return lives.every(seen => ids.every(id => seen.some(host => host.id === id && host.life === life)));
+		}, {deadlineMs, what: `${ids.join(', ')} to be ${life} for the others`, everyMs: lookEveryMs});
+	}
+
+	function report(t: TestContext, startedAt: number, results: readonly CallResult[]): void {
+		const changes = watch.since(startedAt).filter(({life}) => life !== 'alive');
+		const firstMs = (life: HostLife) => changes.filter(change => change.life === life).map(({atMs}) => Math.round(atMs - startedAt)).at(0);
+		const count = (life: HostLife) => changes.filter(change => change.life === life).length;
+		t.diagnostic(`suspected ${count('suspect')} times, first after ${firstMs('suspect') ?? '-'} ms; declared dead ${count('dead')} times, first after ${firstMs('dead') ?? '-'} ms`);
+		const refused = results.filter(({isWhole}) => !isWhole);
+		const reasons = refused.map(({status, problem, outcome, isBroken}) => `${status} ${problem ?? ''} ${outcome ?? ''}${isBroken ? ' broken' : ''}`);
+		t.diagnostic(`${results.length} quick requests, ${refused.length} not answered whole: ${reasons.join('; ') || '-'}`);
+		assert.ok(results.length > 0);
+		assert.deepEqual(refused, [], 'a host that the fault leaves alone did not answer whole');
+	}
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: [near, far],
+			hostsPerZone: 2,
+			isCuttable: true,
+			agentFlags: {heartbeatInterval: '300ms', suspectAfter: '1s', deadAfter: `${patienceMs}ms`},
+		});
+		await waitUntilAllAlive();
+		watch = watchLives(fleet.hosts);
+	});
+	afterEach(async () => {
+		fleet.network.heal();
+		await waitUntilAllAlive();
+	});
+	after(async () => {
+		await watch.end();
+		await fleet.stop();
+	});
+
+	for (const {name, silenced, found, run} of cases) {
+		it(`outlives ${name}`, async t => {
+			const asking = startAsking(others(silenced));
+			const startedAt = performance.now();
+			await run(fleet, async () => waitUntilGone(silenced, found!));
+			const undoneAt = performance.now();
+			await waitUntilAllAlive();
+			t.diagnostic(`all alive for all ${Math.round(performance.now() - undoneAt)} ms after it was over`);
+			await sleep(lookEveryMs);
+			const results = await asking.end();
+			report(t, startedAt, results);
+			const dead = watch.since(startedAt).filter(({life}) => life === 'dead');
+			assert.deepEqual(dead.filter(({of}) => found !== 'dead' || !silenced.includes(of)), [], 'a live, connected host was declared dead');
+		});
+	}
+
+	it('knows a host that leaves gracefully as left, and never as dead', async t => {
+		const host = fleet.host(`${near}-1`);
+		const asking = startAsking(others([host.id]));
+		const startedAt = performance.now();
+		await host.stop();
+		const stoppedAt = performance.now();
+		await waitUntilGone([host.id], 'left');
+		t.diagnostic(`known as left by all ${Math.round(performance.now() - stoppedAt)} ms after its end`);
+		await sleep(lastingMs);
+		await host.start();
+		await waitUntilAllAlive();
+		report(t, startedAt, await asking.end());
+		assert.deepEqual(watch.since(startedAt).filter(({life}) => life === 'dead'), []);
+	});
+});
