--- a/src/programs/_settings/agent.ts
+++ b/src/programs/_settings/agent.ts
@@ -4,6 +4,9 @@
 import {checkCommonSettings, commonSettings} from './common.js';
 import {findSharedPorts} from './entry.js';
 
+/** Each answer confirms what is in force, and an order needs a confirmation of the last ten seconds. */
+const longestPlatformWait = 6 * msPerSecond;
+
 export const agentSettings = defineSettings({
 	...commonSettings,
 	peerPort: {
@@ -16,13 +19,13 @@
 		type: 'url', required: true, group: 'Addresses', description: 'Base URL of the platform\'s configuration service.',
 	},
 	seeds: {
-		type: 'addresses', default: [], group: 'Addresses', description: 'Peer ports of agents of other hosts, asked until the first answers.',
+		type: 'addresses', default: [], group: 'Addresses', description: 'Peer ports of agents of other hosts; without them a restarted host cannot ask its peers before a platform that may be stale.',
 	},
 	entryAddress: {
 		type: 'address', group: 'Addresses', description: 'Peer port of this host\'s entry, which peers are told.',
 	},
 	platformWait: {
-		type: 'duration', default: 30 * msPerSecond, min: 100, max: 10 * msPerMinute, group: 'Platform', description: 'Longest wait of one watching read of the platform.',
+		type: 'duration', default: longestPlatformWait, min: 100, max: longestPlatformWait, group: 'Platform', description: 'Longest wait of one watching read of the platform.',
 	},
 	loadPollInterval: {
 		type: 'duration', default: msPerSecond, min: 50, max: msPerMinute, group: 'Backend servers', description: 'How often a backend server is asked for its load.',
--- a/src/programs/agent/_lib/give-orders.ts
+++ b/src/programs/agent/_lib/give-orders.ts
@@ -74,7 +74,9 @@
 			onGiven();
 			log.info('order given', fields);
 		} else {
-			log.warn('order not taken', {...fields, kind: result.error.kind, reason: result.error.message});
+			log.warn('order not taken', {
+				...fields, kind: result.error.kind, reason: result.error.message, remedy: 'none for once, it is given again; if it goes on, take that server out and tell its makers',
+			});
 		}
 	}
 
--- a/src/programs/agent/_lib/hold-documents.ts
+++ b/src/programs/agent/_lib/hold-documents.ts
@@ -108,7 +108,9 @@
 
 			const parsed = parseFleetList(text);
 			if (parsed.isErr()) {
-				log.warn('host list refused', {revision, from: source, reason: parsed.error.message});
+				log.warn('host list refused', {
+					revision, from: source, reason: parsed.error.message, remedy: 'publish a whole list under `fleet`; the one before stays in force',
+				});
 				return false;
 			}
 
--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -17,9 +17,6 @@
 } from './spread-document.js';
 import {watchPlatform} from './watch-platform.js';
 
-/** The platform's confirmation is renewed this often, since orders need a fresh one. */
-const confirmMs = 6000;
-
 /** Time in which a starting agent learns from its peers, before it listens to a platform that may be stale. */
 const joinMs = 3000;
 
@@ -118,7 +115,7 @@
 		platform: options.platform,
 		key,
 		isReader: () => hasJoined() && options.isReadingTurn(now() - (confirmedAt() ?? startedAt)),
-		waitMs: Math.min(settings.platformWait, confirmMs),
+		waitMs: settings.platformWait,
 		onValue({value: text, revision}) {
 			const before = held[key]();
 			const isNews = take(key, {text, revision}, hostId, 'platform');
--- a/src/programs/agent/_lib/release-orphans.ts
+++ b/src/programs/agent/_lib/release-orphans.ts
@@ -95,7 +95,7 @@
 		const result = await engine.cancel({requestId, attempt, owner}, {signal: AbortSignal.timeout(callTimeoutMs)});
 		if (result.isErr()) {
 			log.warn('an orphan was not released', {
-				requestId, attempt, server: server.id, reason: result.error.message,
+				requestId, attempt, server: server.id, reason: result.error.message, remedy: 'none for once, it is tried again; if it goes on, restart that server',
 			});
 			return 0;
 		}
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -99,7 +99,7 @@
 		quietMs: quietIntervals * intervalMs,
 		onPaused(pausedMs) {
 			mesh.restart(now());
-			log.warn('this process was paused', {durationMs: Math.round(pausedMs)});
+			log.warn('this process was paused', {durationMs: Math.round(pausedMs), remedy: 'nothing, if it is rare; else replace this host, whose machine is overloaded or was moved'});
 		},
 	});
 	const hosts = () => membership.hosts(now());
@@ -144,7 +144,7 @@
 		},
 		seenBefore: membership.entrySeen,
 		onEnded(ended) {
-			log.info('an entry of this host has ended', {count: ended});
+			log.info('an entry of this host has ended', {reason: `every entry up to incarnation ${ended} is gone; what it held is released`});
 			noteHosts();
 		},
 		signal,
--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -94,6 +94,12 @@
 	const operatorServer = operator.value;
 
 	log.info('listening', {peerPort: agent.peerPort, operatorPort: operatorServer.port});
+	if (settings.seeds.length === 0) {
+		log.warn('no --seeds are given', {
+			reason: 'after a restart this host takes what the platform serves, also when that is older than what its peers have', remedy: 'give --seeds the peer ports of two agents of other zones',
+		});
+	}
+
 	let isStopping = false;
 
 	async function stop(signal: NodeJS.Signals) {
