Say once what several kinds of requests are told, and what was placed

Cause: the words for a request ended by its deadline or by a stop stood twice, "no configuration yet" three times, and plain calls still worked out with each placement why other servers were passed over, and kept the view for the life of their answer. Ruled out: one step further, a common loop of attempts for completions and plain calls; their rules of repetition differ. Change: the problems stand in _lib/refuse, and notePlaced serves both. No word that a caller gets has changed.

--- a/src/programs/entry/_lib/refuse.ts
+++ b/src/programs/entry/_lib/refuse.ts
@@ -4,6 +4,7 @@
 import {msPerSecond} from '../../../ports/units.js';
 import {type GateRefusal} from '../gate/index.js';
 import {type ServeServices} from './serve-types.js';
+import {type EndCause} from './types.js';
 
 /**
  * @param fault - Why a body was not taken.
@@ -16,6 +17,27 @@
 		: {kind: 'slow-request', detail: `The body did not arrive within ${limits.timeoutMs / msPerSecond} s. Send it faster.`, outcome: 'not-run'};
 }
 
+/** Before the first view with a configuration, nothing can be decided. */
+export const noConfiguration: Problem = {
+	kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
+};
+
+const endDetails = {
+	'deadline-passed': 'The deadline passed before the answer began.',
+	stopping: 'This host was stopped before the answer was whole.',
+} as const satisfies Readonly<Partial<Record<EndCause, string>>>;
+
+/**
+ * @param cause - Why a request was told to end, its caller still there.
+ * @param outcome - What is known of it.
+ * @returns The problem.
+ */
+export function toEndProblem(cause: keyof typeof endDetails, outcome: Problem['outcome']): Problem {
+	return {
+		kind: cause, detail: endDetails[cause], outcome, ...(outcome === 'not-run' && {retryAfterMs: msPerSecond}),
+	};
+}
+
 const gateProblems: Readonly<Record<GateRefusal['reason'], Pick<Problem, 'kind' | 'detail'>>> = {
 	'no-capacity': {kind: 'no-capacity', detail: 'No server of the pool is known to serve.'},
 	'queue-full': {kind: 'queue-full', detail: 'As much as the rule lets wait is waiting.'},
--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -4,11 +4,11 @@
 import {identifyCaller} from '../../../domain/identify-caller/index.js';
 import {matchRule} from '../../../domain/match-rule/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
-import {msPerSecond} from '../../../ports/units.js';
 import {type Config, type PoolEntry, type Rule} from '../../../ports/config.js';
 import {type WorkspaceId, type ZoneId} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type FleetView} from '../../../ports/view.js';
+import {noConfiguration} from './refuse.js';
 
 export type RouteInput = {
 	headers: Readonly<Record<string, string>>;
@@ -58,9 +58,7 @@
 	return (input, view) => {
 		const accepted = view?.accepted;
 		if (accepted === undefined) {
-			return err({
-				kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
-			});
+			return err(noConfiguration);
 		}
 
 		const {config, version} = accepted;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -15,9 +15,10 @@
 import {msPerSecond} from '../../../ports/units.js';
 import {type Account} from '../accounts/index.js';
 import {type PlainEnd, sendPlain} from '../send-plain/index.js';
+import {notePlaced} from '../_lib/note-placed.js';
 import {type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
-import {toBodyProblem} from '../_lib/refuse.js';
+import {toBodyProblem, toEndProblem} from '../_lib/refuse.js';
 import {type Route} from '../_lib/route.js';
 import {type ServeServices} from '../_lib/serve-types.js';
 import {type EndCause} from '../_lib/types.js';
@@ -104,26 +105,10 @@
  */
 export function toCutOff(run: PlainRun, wasOffered: boolean): PlainOutcome {
 	const outcome: Outcome = wasOffered ? 'may-have-run' : 'not-run';
-	const comeBack = outcome === 'not-run' && {retryAfterMs: msPerSecond};
-	switch (run.signal.reason as EndCause) {
-		case 'caller-gone': {
-			return {end: 'caller-gone', outcome};
-		}
-
-		case 'deadline-passed': {
-			const problem: Problem = {
-				kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome, ...comeBack,
-			};
-			return {end: wasOffered ? 'failed' : 'refused', outcome, problem};
-		}
-
-		case 'stopping': {
-			const problem: Problem = {
-				kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome, ...comeBack,
-			};
-			return {end: wasOffered ? 'failed' : 'refused', outcome, problem};
-		}
-	}
+	const cause = run.signal.reason as EndCause;
+	return cause === 'caller-gone'
+		? {end: cause, outcome}
+		: {end: wasOffered ? 'failed' : 'refused', outcome, problem: toEndProblem(cause, outcome)};
 }
 
 function toGivenUp(run: PlainRun, server: ServerEntry, ended: Extract<PlainEnd, {kind: 'failed'}>): PlainOutcome {
@@ -169,10 +154,10 @@
 		}
 
 		const {server} = picked.value;
-		account.note('placed', {attempt, ...picked.value.account()});
-		services.placement.noteDispatched(picked.value, services.clock.now());
-		const ended = await callOnce(run, picked.value);
-		services.placement.noteFinished(picked.value, services.clock.now());
+		const placement = notePlaced(account, picked.value, {attempt, pool: route.pool.name, chosen: [server.id]});
+		services.placement.noteDispatched(placement, services.clock.now());
+		const ended = await callOnce(run, placement);
+		services.placement.noteFinished(placement, services.clock.now());
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(route.pool.name).noteSuccess(services.clock.now());
 			return {end: 'complete', outcome: 'ran'};
--- a/src/programs/entry/run-request/_lib/place.ts
+++ b/src/programs/entry/run-request/_lib/place.ts
@@ -3,7 +3,8 @@
 import {type Placement} from '../../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerId} from '../../../../ports/ids.js';
-import {msPerSecond} from '../../../../ports/units.js';
+import {notePlaced} from '../../_lib/note-placed.js';
+import {noConfiguration} from '../../_lib/refuse.js';
 import {type Run, type RunServices} from '../../_lib/types.js';
 import {type RunEnd, toNotPlaced} from './to-run-end.js';
 
@@ -56,14 +57,8 @@
 		: picked;
 }
 
-/** Servers passed over that an account keeps by name; the counts hold them all. */
-const keptRows = 16;
-
 /**
- * Places the request and notes it in its account. Why servers were passed over
- * is left to a reader of the account, because working it out costs more than
- * the pick itself. The placement handed back holds no view: kept for the life of
- * a stream, each open stream would hold a view of the whole fleet of its own.
+ * Places the request and notes it in its account.
  *
  * @param run - The request.
  * @param services - The program around it.
@@ -74,11 +69,7 @@
 export function place(run: Run, services: RunServices, history: History, attempt: number): Result<Placement, RunEnd> {
 	const picked = pickElsewhere(run, services, history);
 	if (picked === undefined) {
-		return err({
-			kind: 'failed', problem: {
-				kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
-			},
-		});
+		return err({kind: 'failed', problem: noConfiguration});
 	}
 
 	if (picked.isErr()) {
@@ -86,17 +77,8 @@
 		return err(toNotPlaced(run, picked.error, history.full.size > 0));
 	}
 
-	const {account, prefill, decode, predictedFirstTokenMs, expectedCachedTokens} = picked.value;
-	const chosen = [prefill.id, decode.id];
-	run.account.noteLazy('placed', {
-		attempt, pool: run.rule.then.pool, chosen, predictedFirstTokenMs, expectedCachedTokens,
-	}, () => {
-		const {passedOver, counts, notLookedAt} = account();
-		return {passedOver: passedOver.slice(0, keptRows), counts, notLookedAt};
-	});
-	return ok({
-		...picked.value, account: () => ({
-			pool: run.rule.then.pool, chosen, passedOver: [], counts: {}, notLookedAt: 0,
-		}),
-	});
+	const {prefill, decode, predictedFirstTokenMs, expectedCachedTokens} = picked.value;
+	return ok(notePlaced(run.account, picked.value, {
+		attempt, pool: run.rule.then.pool, chosen: [prefill.id, decode.id], predictedFirstTokenMs, expectedCachedTokens,
+	}));
 }
--- a/src/programs/entry/run-request/_lib/to-run-end.ts
+++ b/src/programs/entry/run-request/_lib/to-run-end.ts
@@ -3,6 +3,7 @@
 import {type Problem, type ProblemKind} from '../../../../domain/to-problem/index.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type AttemptFailure} from '../../run-attempt/index.js';
+import {toEndProblem} from '../../_lib/refuse.js';
 import {type AnswerEnd, type EndCause, type Run} from '../../_lib/types.js';
 
 export type RunEnd =
@@ -57,7 +58,10 @@
 		return {
 			kind: 'failed',
 			problem: {
-				kind: 'no-capacity', detail: `Server ${server.id}, the last that was tried, can't be reached. Nothing was run; send it again.`, outcome, retryAfterMs: failure.retryAfterMs ?? msPerSecond,
+				kind: 'no-capacity',
+				detail: `Server ${server.id}, the last that was tried, can't be reached. Nothing was run; send it again.`,
+				outcome,
+				retryAfterMs: failure.retryAfterMs ?? msPerSecond,
 			},
 		};
 	}
@@ -81,14 +85,5 @@
 		return {kind: 'gone'};
 	}
 
-	const outcome = run.ledger.outcome();
-	const comeBack = outcome === 'not-run' && {retryAfterMs: msPerSecond};
-	const problem: Problem = cause === 'stopping'
-		? {
-			kind: 'stopping', detail: 'This host was stopped before the answer was whole.', outcome, ...comeBack,
-		}
-		: {
-			kind: 'deadline-passed', detail: 'The deadline passed before the answer began.', outcome, ...comeBack,
-		};
-	return {kind: 'failed', problem};
+	return {kind: 'failed', problem: toEndProblem(cause, run.ledger.outcome())};
 }
--- a/src/programs/entry/serve-models/index.ts
+++ b/src/programs/entry/serve-models/index.ts
@@ -1,7 +1,7 @@
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {identifyCaller} from '../../../domain/identify-caller/index.js';
-import {msPerSecond} from '../../../ports/units.js';
 import {type FleetView} from '../../../ports/view.js';
+import {noConfiguration} from '../_lib/refuse.js';
 
 /**
  * Answers `GET /v1/models` from the configuration in force.
@@ -12,9 +12,7 @@
 export function serveModels(exchange: CallerExchange, view: FleetView | undefined): void {
 	const config = view?.accepted?.config;
 	if (config === undefined) {
-		exchange.sendProblem({
-			kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
-		});
+		exchange.sendProblem(noConfiguration);
 		return;
 	}
 
