--- a/test/_lib/start-fleet/_lib/create-host.ts
+++ b/test/_lib/start-fleet/_lib/create-host.ts
@@ -21,7 +21,6 @@
 	entry: () => Program;
 	callerUrl: string;
 	agentAddress: string;
-	entryAddress: string;
 	agentOperatorUrl: string;
 	entryOperatorUrl: string;
 	/** Sets the wall clock of entries that are started from now on. */
@@ -74,7 +73,6 @@
 	};
 
 	const agentAddress = `127.0.0.1:${ports.agentPeerPort}`;
-	const entryAddress = `127.0.0.1:${ports.entryPeerPort}`;
 	if (network !== undefined) {
 		await network.network.addTarget(network.site, ports.agentPeerPort);
 		await network.network.addTarget(network.site, ports.entryPeerPort);
@@ -98,7 +96,6 @@
 		entry: () => running(entry, 'entry'),
 		callerUrl: `http://127.0.0.1:${ports.callerPort}`,
 		agentAddress,
-		entryAddress,
 		agentOperatorUrl: `http://127.0.0.1:${ports.agentOperatorPort}`,
 		entryOperatorUrl: `http://127.0.0.1:${ports.entryOperatorPort}`,
 		setClock(next) {
@@ -115,7 +112,6 @@
 					operatorPort: ports.agentOperatorPort,
 					platformUrl: options.platformUrl,
 					seeds: options.seeds().filter(seed => seed !== agentAddress),
-					entryAddress,
 					...options.agentFlags,
 					...flags,
 				},
