Name the port that an agent cannot have, and the remedy

Cause: an agent whose peer port was taken, most often by the one before it, ended with Node's stack trace and no word on what to do.

Change: one error line with the port, the reason and the remedy; exit code 1, as docs/OPERATIONS.md has it.

--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env -S node --max-old-space-size=40 --max-semi-space-size=1 --single-threaded-gc --v8-pool-size=1 --liftoff-only
 /** `banyanport-agent`: reads the platform, keeps in touch with peers, and feeds its host's entry. */
+import {ResultAsync} from 'neverthrow';
 import {createEngineHttp} from '../../adapters/engine-http/index.js';
 import {createLog, type Log} from '../../adapters/log/index.js';
 import {addProcessMetrics, createMetrics, type Metrics} from '../../adapters/metrics/index.js';
@@ -64,7 +65,7 @@
 
 	const keys = loadedKeys.value;
 	const engines = createEngines(server => createEngineHttp({server}));
-	const agent = await startAgent({
+	const started = await ResultAsync.fromPromise(startAgent({
 		settings,
 		clock: {wallNow: () => Date.now(), now: () => performance.now()},
 		random: Math.random,
@@ -73,7 +74,12 @@
 		keepOnly: engines.keepOnly,
 		log,
 		tls: keys.peer,
-	});
+	}), error => error instanceof Error ? error.message : String(error));
+	if (started.isErr()) {
+		return fail(log, `cannot listen for peers (${started.error}): end what has that port, most often an agent that still runs, or give another --peer-port or --bind`);
+	}
+
+	const agent = started.value;
 	keys.onPeerKeys(agent.reloadKeys);
 	addAgentMetrics(metrics, agent);
 	const operator = await startOperations({
--- a/test/contracts/operator-programs.test.ts
+++ b/test/contracts/operator-programs.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {type PeerCertificate} from 'node:tls';
@@ -239,4 +240,24 @@
 			await fleet.stop();
 		}
 	});
+
+	// A supervisor starts the new agent before the old one has ended.
+	it('says which port is taken and what to do, and ends with code 1', async () => {
+		const holder = createServer();
+		await new Promise<void>(resolve => {
+			holder.listen(0, '127.0.0.1', resolve);
+		});
+		const {port} = holder.address() as AddressInfo;
+		const starting = startProgram({
+			program: 'agent',
+			flags: {
+				hostId: 'dvorana-a-1', zone: 'dvorana-a', bind: '127.0.0.1', peerPort: port, operatorPort: 0, platformUrl: 'http://127.0.0.1:1',
+			},
+		});
+		try {
+			await assert.rejects(starting, ({message}: Error) => message.includes('"code":1') && message.includes(String(port)) && message.includes('--peer-port') && !/^ {4}at /m.test(message));
+		} finally {
+			holder.close();
+		}
+	});
 });
