--- a/src/programs/_settings/agent.ts
+++ b/src/programs/_settings/agent.ts
@@ -21,9 +21,6 @@
 	seeds: {
 		type: 'addresses', default: [], group: 'Addresses', description: 'Peer ports of agents of other hosts; without them a restarted host cannot ask its peers before a platform that may be stale.',
 	},
-	entryAddress: {
-		type: 'address', group: 'Addresses', description: 'Peer port of this host\'s entry, which peers are told.',
-	},
 	platformWait: {
 		type: 'duration', default: longestPlatformWait, min: 100, max: longestPlatformWait, group: 'Platform', description: 'Longest wait of one watching read of the platform.',
 	},
