Tell once why a peer is not reached

Cause: an agent told nobody why it could not connect to another: with keys of a wrong authority or a wrong address it looked to all others like a dead host, and only `peer refused` at level debug knew more.

Before: no line.

--- a/src/programs/agent/_lib/create-mesh.ts
+++ b/src/programs/agent/_lib/create-mesh.ts
@@ -14,6 +14,9 @@
 const maxQueued = 32;
 const connectTimeoutMs = 1000;
 
+/** Addresses of hosts long gone must not gather. */
+const maxTold = 1000;
+
 export type MeshOptions = {
 	hello: () => PeerHello;
 	tls: (() => PeerKeys) | undefined;
@@ -21,6 +24,8 @@
 	onEvent: (peer: PeerHello, name: string, body: unknown) => void;
 	/** Time without a byte from a peer that was spoken to, after which its connection is given up, milliseconds. */
 	silenceMs: Milliseconds;
+	/** A peer could not be connected to, told once until it was. */
+	onUnreachable?: (address: string, reason: string) => void;
 };
 
 export type Target = {
@@ -57,6 +62,7 @@
 	const byHost = new Map<HostId, Set<PeerConnection>>();
 	const connecting = new Map<string, Promise<PeerConnection | undefined>>();
 	const queued = new Map<string, number>();
+	const toldUnreachable = new Set<string>();
 	const traffic = new Map<PeerConnection, Traffic>();
 	const past = {sent: 0, received: 0};
 	let isClosed = false;
@@ -90,15 +96,29 @@
 		return to === undefined ? undefined : [...byHost.get(to) ?? []].at(-1);
 	}
 
+	/** Keys of another authority look like a dead host to everybody else; here is the only place that knows the reason. */
+	function noteUnreachable(address: string, reason: string) {
+		if (toldUnreachable.size >= maxTold) {
+			toldUnreachable.clear();
+		}
+
+		if (!toldUnreachable.has(address) && !isClosed) {
+			toldUnreachable.add(address);
+			options.onUnreachable?.(address, reason);
+		}
+	}
+
 	async function open(address: string): Promise<PeerConnection | undefined> {
 		const connected = await connectPeer({
 			address, hello, tls, onCall, onEvent, connectTimeoutMs,
 		});
 		connecting.delete(address);
 		if (connected.isErr()) {
+			noteUnreachable(address, connected.error.message);
 			return undefined;
 		}
 
+		toldUnreachable.delete(address);
 		const connection = connected.value;
 		const isUnwanted = isClosed || connection.peer.role !== 'agent' || connection.peer.host === hello().host;
 		if (isUnwanted) {
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -91,7 +91,14 @@
 	const publisher = createViewPublisher();
 	const membership = startMembership(options, address);
 	const mesh = createMesh({
-		hello, tls, onCall, onEvent, silenceMs: silentIntervals * intervalMs,
+		hello,
+		tls,
+		onCall,
+		onEvent,
+		silenceMs: silentIntervals * intervalMs,
+		onUnreachable(peerAddress, reason) {
+			log.info('a peer is not reached', {peerAddress, reason, remedy: 'none if that host is gone; else see that its agent runs and has peer keys of the same authority'});
+		},
 	});
 	const pauses = mindPauses({
 		now,
