--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -11,22 +11,22 @@
 } from '../../../adapters/peer-tcp/index.js';
 import {claimKey} from '../../../domain/claim-key/index.js';
 import {
-	type Claim, type ClaimRequest, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
+	type Claim, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
 } from '../../../domain/create-claim-witness/index.js';
 import {createRunTable} from '../../../domain/create-run-table/index.js';
 import {toScopedText} from '../../../domain/to-scoped-text/index.js';
 import {msPerMinute, msPerSecond} from '../../../ports/units.js';
 import {createHandOvers} from './_lib/create-hand-overs.js';
 import {createPeerPool} from './_lib/create-peer-pool.js';
-import {createRemoteReader} from './_lib/create-remote-reader.js';
+import {createRemoteJoiner} from './_lib/create-remote-joiner.js';
 import {createRunStarter} from './_lib/create-run-starter.js';
 import {createServedReads} from './_lib/create-served-reads.js';
-import {detachText} from './_lib/detach-text.js';
+import {detachRequest} from './_lib/detach-text.js';
 import {createTableTransfer} from './_lib/create-table-transfer.js';
 import {createWitnessClient} from './_lib/create-witness-client.js';
 import {createWitnessSets} from './_lib/create-witness-sets.js';
 import {
-	claimRequestSchema, events, handOverSchema, joinReplySchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverRequestSchema, type JoinReply,
+	claimRequestSchema, events, handOverSchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverRequestSchema, type JoinReply,
 } from './_lib/messages.js';
 import {toClaimProblem, toJoinProblem, toLostProblem} from './_lib/to-claim-problem.js';
 import {
@@ -41,24 +41,10 @@
 } from './types.js';
 
 const defaultAskTimeoutMs = msPerSecond;
-/** A join waits for the claimant's own claim to be decided. */
-const joinTimeoutMs = 8 * msPerSecond;
 const idleConnectionMs = msPerMinute;
 const rounds = 6;
 const roundWaitMs = 40;
 
-function toDetached(request: ClaimRequest): ClaimRequest {
-	const {workspace, key, claimId, digest, claimant} = request;
-	return {
-		...request,
-		workspace: detachText(workspace),
-		key: detachText(key),
-		claimId: detachText(claimId),
-		digest: detachText(digest),
-		claimant: {...claimant, host: detachText(claimant.host), address: detachText(claimant.address)},
-	};
-}
-
 /**
  * Creates the claims of one entry.
  *
@@ -115,6 +101,7 @@
 	const {leave, takeOver} = createTableTransfer({
 		slot, witness, connectTo, toView, clock, log, closing: closing.signal,
 	});
+	const joinRemote = createRemoteJoiner(pool);
 	const startRun = createRunStarter({runs, clock, releaseEverywhere});
 
 	function toSets(text: string) {
@@ -129,44 +116,6 @@
 		}
 	}
 
-	async function callJoin(request: KeyedRequest, holder: Claim): Promise<{connection: PeerConnection; reply: JoinReply} | undefined> {
-		const {workspace, key, digest} = request;
-		const replied = await pool.callTwice(holder.claimant.address, methods.join, {
-			workspace, key, digest, claimId: holder.claimId,
-		}, joinTimeoutMs);
-		if (replied.isErr()) {
-			return undefined;
-		}
-
-		const reply = joinReplySchema.safeParse(replied.value.reply);
-		return reply.success ? {connection: replied.value.connection, reply: reply.data} : undefined;
-	}
-
-	/** Joins another host's run. `again` when its claim was given back; `lost` when what became of it cannot be learnt. */
-	async function joinRemote(request: KeyedRequest, holder: Claim): Promise<Claimed | 'again' | 'lost'> {
-		const joined = await callJoin(request, holder);
-		switch (joined?.reply.kind) {
-			case 'reading': {
-				return {kind: 'join', reader: createRemoteReader(joined.connection, joined.reply.readId), host: holder.claimant.host};
-			}
-
-			case 'released': {
-				return 'again';
-			}
-
-			case 'other-body':
-			case 'not-kept':
-			case 'broken': {
-				return {kind: 'refused', problem: toJoinProblem(joined.reply.kind)};
-			}
-
-			case 'foreign':
-			case undefined: {
-				return 'lost';
-			}
-		}
-	}
-
 	async function claimOnce(request: KeyedRequest, replaces: string | undefined): Promise<Claimed | {kind: 'held'; holder: Claim}> {
 		const {workspace, key, digest, isRepeatable} = request;
 		const text = toScopedText(request);
@@ -283,7 +232,7 @@
 	async function onCall(peer: PeerHello, method: string, body: unknown, connection: PeerConnection): Promise<unknown> {
 		switch (method) {
 			case methods.claim: {
-				return witness.claim(toDetached(claimRequestSchema.parse(body)), clock.wallNow());
+				return witness.claim(detachRequest(claimRequestSchema.parse(body)), clock.wallNow());
 			}
 
 			case methods.join: {
