Let the storm break streams where there are some, and go back in editions

Change: stream faults hit decode engines and last for twice as many streams; half of the stale platforms serve their first revision.

--- a/test/storm/_lib/plan-faults.ts
+++ b/test/storm/_lib/plan-faults.ts
@@ -5,8 +5,9 @@
 export type Place = {
 	hosts: readonly string[];
 	zones: readonly string[];
-	/** Model engines. */
+	/** Model engines, and those of them that stream answers. */
 	engines: readonly string[];
+	decodes: readonly string[];
 	desks: readonly string[];
 };
 
@@ -47,7 +48,7 @@
 	'stale platform': {weight: 2, forMs: [500, 8000], toTargets: nothing},
 	'platform down': {weight: 1, forMs: [500, 5000], toTargets: nothing},
 	'lose cancels': {weight: 3, forMs: [500, 4000], toTargets: anEngine},
-	'break streams': {weight: 4, forMs: [500, 4000], toTargets: anEngine},
+	'break streams': {weight: 4, forMs: [500, 4000], toTargets: ({decodes}, random) => [random.pick(decodes)]},
 	'drop desk calls': {weight: 2, forMs: [500, 3000], toTargets: ({desks}, random) => [random.pick(desks)]},
 	'refuse work': {weight: 3, forMs: [500, 2500], toTargets: nothing},
 	'publish good': {weight: 3, forMs: [0, 0], toTargets: nothing},
--- a/test/storm/_lib/strike-faults.ts
+++ b/test/storm/_lib/strike-faults.ts
@@ -10,7 +10,7 @@
 
 const stopDeadlineMs = 90_000;
 const lostCancels = 5;
-const brokenStreams = 4;
+const brokenStreams = 8;
 const droppedCalls = 3;
 const streamKinds = ['short', 'reset', 'stall', 'garbage', 'crossed', 'duplicated', 'skipped', 'wrong-attempt'] as const;
 const refusedSteps = ['reservations', 'prefills', 'imports', 'streams'] as const;
@@ -91,7 +91,8 @@
 		'cut zone from platform': ({targets: [zone]}) => cuts.add(network => {
 			network.cut(zone!, 'platform');
 		}),
-		'stale platform': () => setPlatform({frozen: true}),
+		// It keeps what it has, or goes back to what it had first.
+		'stale platform': ({form}) => setPlatform(form % 2 === 0 ? {frozen: true} : {oldRevision: 1}),
 		'platform down': () => setPlatform({down: true}),
 		'lose cancels': ({targets: [id]}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {loseCancels: {times: lostCancels}}),
 		'break streams': ({targets: [id], form}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {
--- a/test/storm/index.ts
+++ b/test/storm/index.ts
@@ -129,8 +129,9 @@
 async function blow(fleet: Fleet, random: Random, {seed, durationMs, callers = 16, faultEveryMs = 800, tell = () => undefined}: StormOptions): Promise<StormReport> {
 	const documents = createDocuments(fleet);
 	const striker = createStriker(fleet, documents);
+	const engines = [...fleet.engines.keys()];
 	const plan = planFaults({
-		hosts: fleet.hosts.map(({id}) => id), zones, engines: [...fleet.engines.keys()], desks: fleet.plains.map(({id}) => id),
+		hosts: fleet.hosts.map(({id}) => id), zones, engines, decodes: engines.filter(id => id.includes('-decode-')), desks: fleet.plains.map(({id}) => id),
 	}, {durationMs, everyMs: faultEveryMs}, random);
 	tell(`${plan.length} faults are planned for ${fleet.hosts.length} hosts`);
 	const watch = watchVersions(fleet, documents);
