--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -12,7 +12,7 @@
 import {run} from 'node:test';
 import {spec as SpecReporter} from 'node:test/reporters';
 
-const fileTimeoutMs = 240_000;
+const fileTimeoutMs = 600_000;
 const concurrentFiles = 4;
 const knownRedLimit = 3;
 
