Make the command line's one thrown error with modern-errors

Cause: the house style names modern-errors, and a hand-written class stood in its place; the package was installed and unused.

Before: a class.

--- a/src/programs/cli/_lib/create-process-io.ts
+++ b/src/programs/cli/_lib/create-process-io.ts
@@ -2,6 +2,7 @@
 import {readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {text as readStream} from 'node:stream/consumers';
+import ModernError from 'modern-errors';
 import {ResultAsync} from 'neverthrow';
 import {Agent, request} from 'undici';
 import {type AccessFailure, type CliIo, type FetchOptions} from './io.js';
@@ -57,12 +58,13 @@
 }
 
 /** A host that answers with something else than 200. */
-class StatusError extends Error {
-	override readonly name = 'StatusError';
+const StatusError = ModernError.subclass('StatusError', {props: {status: 0}});
 
-	constructor(readonly status: number, path: string) {
-		super(status === 401 ? 'it does not know the operator: set BANYANPORT_OPERATOR_TOKEN' : `it answers ${status} to ${path}: check that this is an operators' port`);
-	}
+function toStatusError(status: number, path: string): Error {
+	const message = status === 401
+		? 'it does not know the operator: set BANYANPORT_OPERATOR_TOKEN'
+		: `it answers ${status} to ${path}: check that this is an operators' port`;
+	return new StatusError(message, {props: {status}});
 }
 
 async function fetchJson(host: string, path: string, {caFile, timeout}: FetchOptions, token: string | undefined): Promise<unknown> {
@@ -77,7 +79,7 @@
 		});
 		const text = await body.text();
 		if (statusCode !== 200) {
-			throw new StatusError(statusCode, path);
+			throw toStatusError(statusCode, path);
 		}
 
 		return JSON.parse(text) as unknown;
