Say "not run" of a plain call only when no service had it

Cause: the calls of a plain request kept no account of earlier calls. When the first service broke after it had the call and no other was left, the caller was told `no-capacity`, `not-run`; when the next one could not be reached, `backend-failed`, `not-run`.

Change: a plain request has an outcome ledger over all its calls, as a model request has. Beside it, from the same reading: its backoff is waited out, the only service is asked again where the budget allows, an engine that refuses a duplicate counts as having the first copy, and a view without configuration does not take back an offer.

Conclusion: the word follows the ledger in every end of a plain call.

--- /dev/null
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -0,0 +1,64 @@
+/** How the calls of a plain request end without an answer, and what its caller may conclude. */
+import {type CallFault} from '../../../../adapters/_lib/dispatch-call/index.js';
+import {type PlacementRefusal} from '../../../../domain/create-placement/index.js';
+import {type ServerEntry} from '../../../../ports/config.js';
+import {type Outcome} from '../../../../ports/outcome.js';
+import {msPerSecond} from '../../../../ports/units.js';
+import {toBodyProblem, toEndProblem} from '../../_lib/refuse.js';
+import {type EndCause} from '../../_lib/types.js';
+import {type PlainOutcome, type PlainRun} from './types.js';
+
+const toEnd = (outcome: Outcome): PlainOutcome['end'] => outcome === 'not-run' ? 'refused' : 'failed';
+
+/**
+ * The end of a request that was told to end.
+ *
+ * @param run - The request.
+ * @returns How it ended.
+ */
+export function toCutOff(run: PlainRun): PlainOutcome {
+	const outcome = run.ledger.outcome();
+	const cause = run.signal.reason as EndCause;
+	return cause === 'caller-gone'
+		? {end: cause, outcome}
+		: {end: toEnd(outcome), outcome, problem: toEndProblem(cause, outcome)};
+}
+
+/**
+ * The end of a request that no server is left for. An earlier call of it may
+ * have been taken: "not run" of the last pick alone would let the caller send
+ * work again that was done.
+ */
+export function toNotPlaced(run: PlainRun, refusal: PlacementRefusal): PlainOutcome {
+	const outcome = run.ledger.outcome();
+	return {
+		end: toEnd(outcome),
+		outcome,
+		problem: {
+			kind: 'no-capacity', detail: `${refusal.message}.`, outcome, retryAfterMs: refusal.retryAfterMs,
+		},
+	};
+}
+
+/** The end of a request that is not sent again after a failed call. */
+export function toGivenUp(run: PlainRun, server: ServerEntry, fault: CallFault): PlainOutcome {
+	const bodyFault = run.body.fault();
+	const outcome = run.ledger.outcome();
+	if (bodyFault !== undefined) {
+		const {maxBodyBytes: limitBytes, bodyTimeoutMs: timeoutMs} = run.serve.limits;
+		return {end: 'failed', outcome, problem: {...toBodyProblem(bodyFault, {limitBytes, timeoutMs}), outcome}};
+	}
+
+	if (run.serve.services.clock.now() >= run.deadline) {
+		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${server.id} had not begun its answer at the deadline.`, outcome}};
+	}
+
+	const again = outcome === 'not-run' ? 'Nothing was sent; send the request again.' : 'A server had the request, whose fate is not known.';
+	return {
+		end: toEnd(outcome),
+		outcome,
+		problem: {
+			kind: 'backend-failed', detail: `Server ${server.id} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: msPerSecond}),
+		},
+	};
+}
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -3,51 +3,29 @@
  * answers or no further call is allowed. Work that may not be repeated is
  * offered once.
  */
-import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {type CallFault} from '../../../adapters/_lib/dispatch-call/index.js';
 import {type PlainPlacement} from '../../../domain/create-placement/index.js';
 import {type FailedAttempt} from '../../../domain/create-retry-budget/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
-import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
-import {type ServerId, type ZoneId} from '../../../ports/ids.js';
-import {type Outcome} from '../../../ports/outcome.js';
-import {msPerSecond} from '../../../ports/units.js';
-import {type Account} from '../accounts/index.js';
+import {type ServerId} from '../../../ports/ids.js';
 import {type PlainEnd, sendPlain} from '../send-plain/index.js';
 import {notePlaced} from '../_lib/note-placed.js';
-import {type PlainBody} from '../_lib/plain-body.js';
-import {type PlainClients} from '../_lib/plain-clients.js';
-import {toBodyProblem, toEndProblem} from '../_lib/refuse.js';
-import {type Route} from '../_lib/route.js';
-import {type ServeServices} from '../_lib/serve-types.js';
-import {type EndCause} from '../_lib/types.js';
+import {waitAwake} from '../_lib/wait-awake.js';
+import {toCutOff, toGivenUp, toNotPlaced} from './_lib/to-plain-outcome.js';
+import {type PlainOutcome, type PlainRun} from './_lib/types.js';
+
+export {toCutOff} from './_lib/to-plain-outcome.js';
+export {type PlainOutcome, type PlainRun} from './_lib/types.js';
+
+type Tried = FailedAttempt['tried'][number];
 
 /** The least status by which a service says that it failed. */
 const firstServerFault = 500;
 
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
 
-export type PlainRun = {
-	exchange: CallerExchange;
-	route: Route;
-	serve: ServeServices;
-	clients: PlainClients;
-	account: Account;
-	body: PlainBody;
-	receivedAt: Milliseconds;
-	deadline: Milliseconds;
-	/** Aborted with an {@link EndCause} as its reason. */
-	signal: AbortSignal;
-};
-
-export type PlainOutcome = {
-	end: 'complete' | 'refused' | 'failed' | 'caller-gone';
-	outcome: Outcome;
-	/** Sent to the caller unless its answer has begun. */
-	problem?: Problem;
-};
-
 /**
  * Tells whether the call may run a second time without harm.
  *
@@ -74,6 +52,12 @@
 	return services.placement.pickPlain({pool: run.route.pool.name, exclude}, services.toView()!, services.clock.now(), services.random);
 }
 
+/** Where every server has failed this request once, one of them is asked again: the retry budget bounds it, its backoff spaces it. */
+function pickElsewhere(run: PlainRun, tried: readonly Tried[]) {
+	const picked = pickServer(run, new Set(tried.map(({server}) => server)));
+	return picked.isErr() && picked.error.reason === 'no-server' && tried.length > 0 ? pickServer(run, new Set()) : picked;
+}
+
 async function callOnce(run: PlainRun, placement: PlainPlacement): Promise<PlainEnd> {
 	const {exchange, serve, clients, body, signal} = run;
 	const {services} = serve;
@@ -96,43 +80,6 @@
 	});
 }
 
-/**
- * Writes the end of a request that was told to end.
- *
- * @param run - The request.
- * @param wasOffered - Whether a server may have got a byte of it.
- * @returns How it ended.
- */
-export function toCutOff(run: PlainRun, wasOffered: boolean): PlainOutcome {
-	const outcome: Outcome = wasOffered ? 'may-have-run' : 'not-run';
-	const cause = run.signal.reason as EndCause;
-	return cause === 'caller-gone'
-		? {end: cause, outcome}
-		: {end: wasOffered ? 'failed' : 'refused', outcome, problem: toEndProblem(cause, outcome)};
-}
-
-function toGivenUp(run: PlainRun, server: ServerEntry, ended: Extract<PlainEnd, {kind: 'failed'}>): PlainOutcome {
-	const bodyFault = run.body.fault();
-	const outcome: Outcome = ended.fault.kind === 'unreachable' ? 'not-run' : 'may-have-run';
-	if (bodyFault !== undefined) {
-		const {maxBodyBytes: limitBytes, bodyTimeoutMs: timeoutMs} = run.serve.limits;
-		return {end: 'failed', outcome, problem: {...toBodyProblem(bodyFault, {limitBytes, timeoutMs}), outcome}};
-	}
-
-	if (run.serve.services.clock.now() >= run.deadline) {
-		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${server.id} had not begun its answer at the deadline.`, outcome}};
-	}
-
-	const again = outcome === 'not-run' ? 'Nothing was sent to it; send the request again.' : 'It had the request, whose fate is not known.';
-	return {
-		end: outcome === 'not-run' ? 'refused' : 'failed',
-		outcome,
-		problem: {
-			kind: 'backend-failed', detail: `Server ${server.id} failed: ${ended.fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: msPerSecond}),
-		},
-	};
-}
-
 /**
  * Calls servers until one answers or no further call is allowed.
  *
@@ -140,57 +87,79 @@
  * @returns How it ended; a problem in it has not been sent.
  */
 export async function callServers(run: PlainRun): Promise<PlainOutcome> {
-	const {serve, route, account} = run;
-	const {services} = serve;
-	const tried: Array<{server: ServerId; zone: ZoneId}> = [];
+	const {services} = run.serve;
+	const tried: Tried[] = [];
 	for (let attempt = 1; ; attempt++) {
-		const picked = pickServer(run, new Set(tried.map(({server}) => server)));
+		const picked = pickElsewhere(run, tried);
 		if (picked.isErr()) {
-			account.note('not placed', {...picked.error.account(), reason: picked.error.reason});
-			const problem: Problem = {
-				kind: 'no-capacity', detail: `${picked.error.message}.`, outcome: 'not-run', retryAfterMs: picked.error.retryAfterMs,
-			};
-			return {end: 'refused', outcome: 'not-run', problem};
+			run.account.note('not placed', {...picked.error.account(), reason: picked.error.reason});
+			return toNotPlaced(run, picked.error);
 		}
 
 		const {server} = picked.value;
-		const placement = notePlaced(account, picked.value, {attempt, pool: route.pool.name, chosen: [server.id]});
-		services.placement.noteDispatched(placement, services.clock.now());
-		const ended = await callOnce(run, placement);
-		services.placement.noteFinished(placement, services.clock.now());
+		const ended = await callPlaced(run, picked.value, attempt);
 		if (ended.kind === 'complete') {
-			services.toRetryBudget(route.pool.name).noteSuccess(services.clock.now());
+			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 			return {end: 'complete', outcome: 'ran'};
 		}
 
 		if (run.signal.aborted) {
-			return toCutOff(run, true);
+			return toCutOff(run);
 		}
 
 		if (ended.kind === 'caller-gone' || ended.kind === 'cut') {
 			run.exchange.destroy();
-			return {end: ended.kind === 'cut' ? 'failed' : 'caller-gone', outcome: 'may-have-run'};
+			return {end: ended.kind === 'cut' ? 'failed' : 'caller-gone', outcome: run.ledger.outcome()};
 		}
 
-		services.placement.noteFailure(server, {kind: ended.fault.kind, reason: undefined}, services.clock.now());
-		account.note('attempt failed', {
-			attempt, server: server.id, failure: ended.fault.kind, message: ended.fault.message,
-		});
+		noteFailed(run, server, ended.fault, attempt);
 		tried.push({server: server.id, zone: server.zone});
-		if (!mayCallAgain(run, ended, {attempt, tried})) {
-			return toGivenUp(run, server, ended);
+		const again = decideAgain(run, ended.fault, {attempt, tried});
+		if (again.kind === 'give-up') {
+			return toGivenUp(run, server, ended.fault);
 		}
+
+		await waitAwake(run, again.delayMs);
+		if (run.signal.aborted) {
+			return toCutOff(run);
+		}
+	}
+}
+
+/** One call, with what it does to the account, the ledger and the server's standing. */
+async function callPlaced(run: PlainRun, picked: PlainPlacement, attempt: number): Promise<PlainEnd> {
+	const {account, ledger, route} = run;
+	const {clock, placement} = run.serve.services;
+	const placed = notePlaced(account, picked, {attempt, pool: route.pool.name, chosen: [picked.server.id]});
+	placement.noteDispatched(placed, clock.now());
+	ledger.noteOffered();
+	const ended = await callOnce(run, placed);
+	placement.noteFinished(placed, clock.now());
+	if (ended.kind === 'failed' && ended.fault.kind === 'unreachable') {
+		ledger.noteNotStarted();
 	}
+
+	return ended;
+}
+
+function noteFailed(run: PlainRun, server: ServerEntry, fault: CallFault, attempt: number): void {
+	const {services} = run.serve;
+	services.placement.noteFailure(server, {kind: fault.kind, reason: undefined}, services.clock.now());
+	run.account.note('attempt failed', {
+		attempt, server: server.id, failure: fault.kind, message: fault.message,
+	});
 }
 
-function mayCallAgain(run: PlainRun, ended: Extract<PlainEnd, {kind: 'failed'}>, history: Pick<FailedAttempt, 'attempt' | 'tried'>): boolean {
+type Again = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
+
+function decideAgain(run: PlainRun, fault: CallFault, history: Pick<FailedAttempt, 'attempt' | 'tried'>): Again {
 	const {services} = run.serve;
-	const isOffered = ended.fault.kind !== 'unreachable';
+	const isOffered = fault.kind !== 'unreachable';
 	if (run.body.isTaken() || run.body.fault() !== undefined) {
-		return false;
+		return {kind: 'give-up'};
 	}
 
 	return services.toRetryBudget(run.route.pool.name).takeRetry({
 		...history, repeatable: isRepeatable(run), bytesOffered: isOffered ? 1 : 0, outcome: isOffered ? 'may-have-run' : 'not-run', deadline: run.deadline, expectedMs: 0,
-	}, services.clock.now(), services.random).kind === 'retry';
+	}, services.clock.now(), services.random);
 }
--- a/src/programs/entry/run-attempt/index.ts
+++ b/src/programs/entry/run-attempt/index.ts
@@ -54,9 +54,13 @@
 	return run.buffer.offset() > 0 ? Math.max(left, run.rule.then.target.completeMs) : left;
 }
 
-/** A server that refused, or that no byte reached, holds nothing. */
+/**
+ * A server that refused, or that no byte reached, holds nothing. One that
+ * refuses a duplicate has the first copy: to call that "not run" would let the
+ * caller pay twice.
+ */
 function holdsNothing(failure: StepFailure): boolean {
-	return failure.isUnsent || failure.kind === 'unreachable' || failure.kind === 'refused';
+	return failure.isUnsent || failure.kind === 'unreachable' || (failure.kind === 'refused' && failure.reason !== 'duplicate');
 }
 
 function toFailed(attempt: Attempt, step: AttemptStep, server: ServerEntry, failure: StepFailure): AttemptEnd {
--- a/src/programs/entry/run-request/_lib/place.ts
+++ b/src/programs/entry/run-request/_lib/place.ts
@@ -69,7 +69,7 @@
 export function place(run: Run, services: RunServices, history: History, attempt: number): Result<Placement, RunEnd> {
 	const picked = pickElsewhere(run, services, history);
 	if (picked === undefined) {
-		return err({kind: 'failed', problem: noConfiguration});
+		return err({kind: 'failed', problem: {...noConfiguration, outcome: run.ledger.outcome()}});
 	}
 
 	if (picked.isErr()) {
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -11,6 +11,7 @@
 	callServers, isRepeatable, toCutOff, type PlainOutcome, type PlainRun,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
+import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
@@ -61,7 +62,7 @@
 	}, run.signal);
 	if (entered.isErr()) {
 		account.note('not admitted', {reason: entered.error.reason});
-		return entered.error.reason === 'gone' ? toCutOff(run, false) : {end: 'refused', outcome: 'not-run', problem: toGateProblem(entered.error, 'not-run')};
+		return entered.error.reason === 'gone' ? toCutOff(run) : {end: 'refused', outcome: 'not-run', problem: toGateProblem(entered.error, 'not-run')};
 	}
 
 	let end: Parameters<typeof gate.leave>[1] = 'failed';
@@ -143,7 +144,7 @@
 	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger'>): Promise<KeyedVerdict> {
 	const {exchange, route, serve, account, deadline} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
 	account.note('routed', {
@@ -153,7 +154,7 @@
 		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name,
 	});
 	try {
-		const run = {...input, signal: control.signal};
+		const run = {...input, signal: control.signal, ledger: createOutcomeLedger()};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
 		return ended.end === 'complete' ? 'complete' : (ended.outcome === 'not-run' ? 'not-run' : 'failed');
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -10,6 +10,7 @@
 import {startEntry, type Entry} from '../../../src/programs/entry/start-entry/index.js';
 import {entrySettings, type EntrySettings} from '../../../src/programs/_settings/index.js';
 import {startEngineStandIn, type EngineStandIn, type EngineStandInOptions} from '../../stand-ins/engine/index.js';
+import {waitUntil} from '../../_lib/wait-until/index.js';
 import {startPlainStandIn, type PlainStandIn} from '../../stand-ins/plain/index.js';
 
 export type CallerFixture = {
@@ -19,6 +20,8 @@
 	prefill: EngineStandIn;
 	decodes: readonly EngineStandIn[];
 	plain: PlainStandIn;
+	/** All plain services, {@link CallerFixture.plain} first. */
+	plains: readonly PlainStandIn[];
 	/** Log lines so far. */
 	logs: () => ReadonlyArray<Record<string, unknown>>;
 	stop: () => Promise<void>;
@@ -28,6 +31,8 @@
 	settings?: Partial<EntrySettings>;
 	decode?: Partial<EngineStandInOptions>;
 	prefill?: Partial<EngineStandInOptions>;
+	/** Number of plain services; one by default. */
+	plains?: number;
 	/** Callers' token digests by workspace, as lines of the configuration. */
 	configLines?: string;
 	/** Whether the entry gets a configuration at all. */
@@ -62,9 +67,9 @@
 	};
 }
 
-async function toView(engines: readonly EngineStandIn[], plain: PlainStandIn, configLines: string): Promise<FleetView> {
+async function toView(engines: readonly EngineStandIn[], plains: readonly PlainStandIn[], configLines: string): Promise<FleetView> {
 	const lines = engines.map((engine, i) => `  - {id: ${engine.id}, zone: z, url: '${engine.url}', role: ${i === 0 ? 'prefill' : 'decode'}, pool: letters, slots: 20}`);
-	lines.push(`  - {id: ${plain.id}, zone: z, url: '${plain.url}', role: plain, pool: desk, slots: 20}`);
+	lines.push(...plains.map(plain => `  - {id: ${plain.id}, zone: z, url: '${plain.url}', role: plain, pool: desk, slots: 20}`));
 	const text = toConfigText(lines.join('\n'), configLines);
 	const config = parseConfig(text)._unsafeUnwrap();
 	const statuses = await Promise.all(engines.map(async engine => toStatus(engine)));
@@ -98,8 +103,8 @@
 	const decodes = await Promise.all(['d1', 'd2'].map(async id => startEngineStandIn({
 		id, role: 'decode', ...fast, ...options.decode,
 	})));
-	const plain = await startPlainStandIn({id: 'w1'});
-	const view = options.hasConfig === false ? undefined : await toView([prefill, ...decodes], plain, options.configLines ?? '');
+	const plains = await Promise.all(Array.from({length: options.plains ?? 1}, async (_, i) => startPlainStandIn({id: `w${i + 1}`})));
+	const view = options.hasConfig === false ? undefined : await toView([prefill, ...decodes], plains, options.configLines ?? '');
 	const logs: Array<Record<string, unknown>> = [];
 	const settings = toSettings(options.settings ?? {});
 	const entry = await startEntry({
@@ -136,20 +141,21 @@
 			};
 		},
 	});
-	await new Promise(resolve => {
-		setImmediate(resolve);
-	});
+	const startedAt = Date.now();
+	// A witness abstains on keys minted up to the millisecond of its start, as it must; the first call comes after that.
+	await waitUntil(() => Date.now() > startedAt, {deadlineMs: 10_000, what: 'the first millisecond in which keys are vouched for', everyMs: 1});
 	return {
 		entry,
 		url: `http://127.0.0.1:${entry.callerPort}`,
 		port: entry.callerPort,
 		prefill,
 		decodes,
-		plain,
+		plain: plains[0]!,
+		plains,
 		logs: () => logs,
 		async stop() {
 			await entry.stop();
-			await Promise.all([prefill, ...decodes, plain].map(async server => server.stop()));
+			await Promise.all([prefill, ...decodes, ...plains].map(async server => server.stop()));
 		},
 	};
 }
--- a/test/contracts/caller-faults.test.ts
+++ b/test/contracts/caller-faults.test.ts
@@ -269,6 +269,39 @@
 		assert.equal(fixture.plain.calls().length, 20);
 	}));
 
+	/*
+	 * A lookup is offered to a service that breaks after it has the call; no other
+	 * service can be reached, or none is left. The caller must not hear "not run"
+	 * of the last pick alone: the first service did the work, and work that is sent
+	 * again on that word is done twice.
+	 */
+	const brokenLookups = [
+		{name: 'no other service is left', plains: 1, stopped: 0},
+		{name: 'the other service cannot be reached', plains: 2, stopped: 1},
+		{name: 'every service breaks', plains: 3, stopped: 0},
+		{name: 'no service can be reached', plains: 2, stopped: 2},
+	];
+	for (const {name, plains, stopped} of brokenLookups) {
+		it(`says "not run" of a lookup only if no service had it: ${name}`, async () => withFixture({plains}, async fixture => {
+			for (const plain of fixture.plains) {
+				plain.setFaults({drop: 'after'});
+			}
+
+			await Promise.all(fixture.plains.slice(plains - stopped).map(async plain => plain.stop()));
+			const answer = await send(fixture, '/desk/a', {body: '{}'});
+			const calls = fixture.plains.reduce((sum, plain) => sum + plain.calls().length, 0);
+			assert.equal((JSON.parse(answer.text) as {outcome: string}).outcome, calls > 0 ? 'may-have-run' : 'not-run', `${calls} calls: ${answer.text}`);
+			assert.ok(calls > 0 || stopped === plains, 'no service was asked');
+		}));
+	}
+
+	it('asks the only service again when it broke once', async () => withFixture({}, async fixture => {
+		fixture.plain.setFaults({drop: 'before', times: 1});
+		const answer = await send(fixture, '/desk/a', {body: '{}'});
+		assert.equal(answer.status, 200);
+		assert.equal(answer.text, '{}');
+	}));
+
 	it('passes a service\'s own refusal on', async () => withFixture({}, async fixture => {
 		fixture.plain.setFaults({status: 503});
 		const {status} = await send(fixture, '/desk/a', {body: '{}'});
