Take a slot's claims over before taking requests, and don't take them back

Cause: two races of a rolling restart, seen as `claim-unavailable` refusals. 1. A host was ready with its first configuration, before it had fetched the claims that its last process left with a peer, and before it knew its peers' addresses. It abstained on keys ("restarted") and could not ask its own witnesses ("3 of 4 could not be asked"). 2. A process searches for its slot's table for 30 s after its start. Stopped within that time, its search went on while its table was handed over, and fetched the table back into the process that ended. The successor found nothing and vouched for no key for four minutes.

Ruled out: lost replies of the hand-over (logs showed it done), a table of another incarnation, a bound of slots.

Change: an entry is ready when the search has come to something, at the latest five seconds after its first view. A holder gives a table to one successor's incarnation, never to the process that left it, and to that successor again for 30 s, since a reply may be lost. A holder without room is not taken for one that has the table.

Conclusion: the hand-over is settled before the balancer sends anything.

--- a/src/programs/entry/_lib/to-entry-status.ts
+++ b/src/programs/entry/_lib/to-entry-status.ts
@@ -21,17 +21,21 @@
  * Tells why the entry takes no requests.
  *
  * @param view - The fleet as it knows it.
- * @param isStopping - Whether a planned stop has begun.
+ * @param states - Whether a planned stop has begun, and whether the claims of this slot's last process were sought.
  * @returns Reasons with remedies; empty when it takes requests.
  */
-export function findNotReady(view: FleetView | undefined, isStopping: boolean): ReadinessReason[] {
+export function findNotReady(view: FleetView | undefined, {isStopping, areClaimsSettled}: {isStopping: boolean; areClaimsSettled: boolean}): ReadinessReason[] {
 	if (isStopping) {
 		return [{reason: 'this host is stopping'}];
 	}
 
-	return view?.accepted === undefined
-		? [{reason: 'no configuration is in force', remedy: 'see whether this host\'s agent runs and reaches the platform or a peer'}]
-		: [];
+	if (view?.accepted === undefined) {
+		return [{reason: 'no configuration is in force', remedy: 'see whether this host\'s agent runs and reaches the platform or a peer'}];
+	}
+
+	return areClaimsSettled
+		? []
+		: [{reason: 'the claims of this host\'s last process are being fetched from its peers', remedy: 'wait: it takes requests after five seconds at the latest'}];
 }
 
 function toAge(at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined {
--- a/src/programs/entry/claims/_lib/create-hand-overs.test.ts
+++ b/src/programs/entry/claims/_lib/create-hand-overs.test.ts
@@ -13,7 +13,7 @@
 }
 
 describe('createHandOvers', () => {
-	it('gives a table out once, in its parts, to the one that took the first', () => {
+	it('gives a table to one successor alone, in its parts', () => {
 		const handOvers = createHandOvers(() => 0);
 		const parts = toParts(4500);
 		assert.deepEqual(parts.map(part => part.claims.length), [2000, 2000, 500]);
@@ -21,12 +21,32 @@
 			assert.equal(handOvers.put(part), true);
 		}
 
-		const first = {};
-		assert.equal(handOvers.take('host-1', first, 0).kind, 'part');
-		assert.equal(handOvers.take('host-1', {}, 0).kind, 'nothing');
-		assert.equal(handOvers.take('host-1', first, 1).kind, 'part');
-		assert.equal(handOvers.take('host-1', first, 2).kind, 'part');
-		assert.equal(handOvers.take('host-1', first, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'part');
+		assert.equal(handOvers.take('host-1', 3, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 2, 1).kind, 'part');
+		assert.equal(handOvers.take('host-1', 2, 2).kind, 'part');
+		assert.equal(handOvers.take('host-1', 2, 3).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 3, 0).kind, 'nothing');
+	});
+
+	it('gives the same successor its parts again for a while, for a reply may be lost', () => {
+		let now = 0;
+		const handOvers = createHandOvers(() => now);
+		handOvers.put(toParts(1)[0]!);
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'part');
+		now = 10_000;
+		handOvers.sweep();
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'part');
+		now = 60_000;
+		handOvers.sweep();
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'nothing');
+	});
+
+	it('does not give a table back to the process that left it', () => {
+		const handOvers = createHandOvers(() => 0);
+		handOvers.put(toParts(1)[0]!);
+		assert.equal(handOvers.take('host-1', 1, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'part');
 	});
 
 	it('gives no half table, none of another slot, and none that is too old', () => {
@@ -35,12 +55,12 @@
 		const [first, second] = toParts(2001);
 		assert.equal(handOvers.put(second!), false);
 		handOvers.put(first!);
-		assert.equal(handOvers.take('host-1', {}, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'nothing');
 		handOvers.put(second!);
-		assert.equal(handOvers.take('host-2', {}, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-2', 2, 0).kind, 'nothing');
 		now = 3_600_000;
 		handOvers.sweep();
-		assert.equal(handOvers.take('host-1', {}, 0).kind, 'nothing');
+		assert.equal(handOvers.take('host-1', 2, 0).kind, 'nothing');
 	});
 
 	it('takes no table beyond its bound of slots', () => {
--- a/src/programs/entry/claims/_lib/create-hand-overs.ts
+++ b/src/programs/entry/claims/_lib/create-hand-overs.ts
@@ -1,28 +1,35 @@
 import {type WitnessHandOver} from '../../../../domain/create-claim-witness/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type HostId} from '../../../../ports/ids.js';
-import {msPerMinute} from '../../../../ports/units.js';
+import {msPerMinute, msPerSecond} from '../../../../ports/units.js';
 import {type HandOverPart, type TakeOverReply} from './messages.js';
 
 const claimsPerPart = 2000;
 const keptForMs = 10 * msPerMinute;
+/** Long enough for a successor that lost a reply to ask for the parts again. */
+const keptOnceTakenMs = 30 * msPerSecond;
 const maxSlots = 8;
 
 /** Tables of witnesses that left, held for their successors. */
 export type HandOvers = {
 	/** Takes in a part of a table; `false` when there is no room. */
 	put: (part: HandOverPart) => boolean;
-	/** Gives a part out. The first part takes the table away: no second successor gets it. */
-	take: (slot: HostId, taker: object, part: number) => TakeOverReply;
+	/**
+	 * Gives a part out. The first part gives the table away: no second successor
+	 * gets it, while the same one may ask again, for a reply may be lost. Nor does
+	 * the process that left it, whose own search may still be under way: its table
+	 * would end with it, and the slot would vouch for nothing for minutes.
+	 */
+	take: (slot: HostId, taker: number, part: number) => TakeOverReply;
 	sweep: () => void;
 };
 
 type Held = {
 	parts: Array<HandOverPart | undefined>;
 	incarnation: number;
-	heldSince: Milliseconds;
-	/** The connection that takes it. */
-	taker: object | undefined;
+	keptUntil: Milliseconds;
+	/** Incarnation of the successor that takes it. */
+	taker: number | undefined;
 };
 
 /**
@@ -57,7 +64,7 @@
 
 			const entry: Held = isNew || known === undefined
 				? {
-					parts: Array.from({length: part.parts}), incarnation: part.incarnation, heldSince: now(), taker: undefined,
+					parts: Array.from({length: part.parts}), incarnation: part.incarnation, keptUntil: now() + keptForMs, taker: undefined,
 				}
 				: known;
 			if (part.part >= entry.parts.length) {
@@ -71,21 +78,21 @@
 		take(slot, taker, part) {
 			const found = held.get(slot);
 			const isWhole = found?.parts.every(piece => piece !== undefined) ?? false;
-			if (found === undefined || !isWhole || (found.taker !== undefined && found.taker !== taker)) {
+			if (found === undefined || !isWhole || taker === found.incarnation || (found.taker ?? taker) !== taker) {
 				return {kind: 'nothing'};
 			}
 
-			found.taker = taker;
-			const piece = found.parts[part];
-			if (piece === undefined || part === found.parts.length - 1) {
-				held.delete(slot);
+			if (found.taker === undefined) {
+				found.taker = taker;
+				found.keptUntil = Math.min(found.keptUntil, now() + keptOnceTakenMs);
 			}
 
+			const piece = found.parts[part];
 			return piece === undefined ? {kind: 'nothing'} : {kind: 'part', ...piece};
 		},
 		sweep() {
-			for (const [slot, {heldSince}] of held) {
-				if (now() - heldSince > keptForMs) {
+			for (const [slot, {keptUntil}] of held) {
+				if (now() > keptUntil) {
 					held.delete(slot);
 				}
 			}
--- a/src/programs/entry/claims/_lib/messages.ts
+++ b/src/programs/entry/claims/_lib/messages.ts
@@ -62,6 +62,9 @@
 	claims: z.array(z.object({...scoped, ...claim})),
 });
 
+/** `isTaken` is `false` where the peer has no room. */
+export const handOverReplySchema = z.object({isTaken: z.boolean()});
+
 export type HandOverPart = z.infer<typeof handOverSchema>;
 
 export const takeOverRequestSchema = z.object({part: z.int().min(0)});
--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -98,7 +98,7 @@
 	const {connectTo, ask, release} = createWitnessClient({
 		slot, witness, pool, toView, clock, askTimeoutMs,
 	});
-	const {leave, takeOver} = createTableTransfer({
+	const {leave, takeOver, isSettled} = createTableTransfer({
 		slot, witness, connectTo, toView, clock, log, closing: closing.signal,
 	});
 	const joinRemote = createRemoteJoiner(pool);
@@ -249,7 +249,7 @@
 			}
 
 			case methods.takeOver: {
-				return handOvers.take(peer.host, connection, takeOverRequestSchema.parse(body).part);
+				return handOvers.take(peer.host, peer.incarnation, takeOverRequestSchema.parse(body).part);
 			}
 
 			default: {
@@ -270,6 +270,7 @@
 			}
 		},
 		takeOver,
+		isSettled,
 		leave,
 		tick() {
 			witness.sweep(clock.wallNow());
--- a/src/programs/entry/claims/types.ts
+++ b/src/programs/entry/claims/types.ts
@@ -52,6 +52,8 @@
 	claim: (request: KeyedRequest) => Promise<Claimed>;
 	/** Takes over the table that the previous process of this slot left with a peer, if any; to be called once, after the first view. Asks for up to 30 seconds. */
 	takeOver: () => Promise<boolean>;
+	/** Whether the take-over has come to an end, or has had its time; a host takes requests from then on. */
+	isSettled: () => boolean;
 	/** Housekeeping; to be called every second or so. */
 	tick: () => void;
 	/** Ends vouching and hands the table to one peer. The last thing before `close`. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -133,7 +133,7 @@
 		log: options.log,
 		metrics: options.metrics,
 		keys: options.keys,
-		notReady: () => findNotReady(link.toView(), toIsStopping()),
+		notReady: () => findNotReady(link.toView(), {isStopping: toIsStopping(), areClaimsSettled: link.claims.isSettled()}),
 		status: () => toEntryStatus({
 			link, services, registry, isStopping: toIsStopping(), openConnections: callers.connections(),
 		}, options.clock.now()),
--- a/test/failures/graceful-stop.test.ts
+++ b/test/failures/graceful-stop.test.ts
@@ -123,6 +123,7 @@
 		const callers = Array.from({length: callerCount}, () => createKeptCaller());
 		const working = Promise.all(callers.map(async (caller, number) => work(caller, number)));
 		const stops: number[] = [];
+		const claimLines: Array<() => string[]> = [];
 		const longs: Array<Promise<Told>> = [];
 		const startLong = async (host: FleetHost, i: number): Promise<Told> => {
 			const result = await startCall(host.callerUrl, {prompt: `long letter ${host.id} ${i}`, maxTokens: 240}).done;
@@ -136,12 +137,16 @@
 			longs.push(...own);
 			await sleep(500);
 			const stoppedAt = performance.now();
+			const leaving = host.entry();
 			await host.stop(deadlineMs);
 			stops.push(Math.round(performance.now() - stoppedAt));
 			// A clock that says nothing of an earlier start: only the hand-over lets it vouch for keys.
 			host.setClock({});
 			await host.start();
 			await waitUntil(() => readiness.isReady(host), {deadlineMs, what: `${host.id} to be ready again`});
+			claimLines.push(() => [...leaving.logs(), ...host.entry().logs()]
+				.filter(({message}) => String(message).includes('claims'))
+				.map(({message, peer, count}) => `${host.id} ${String(message)} ${String(peer)} ${String(count)}`));
 		}
 
 		ending.abort();
@@ -162,6 +167,7 @@
 		t.diagnostic(`${asked} calls and ${longs.length} long letters during ${fleet.hosts.length} restarts: ${failed.length} not whole`);
 		t.diagnostic(`stops took ${stops.join(', ')} ms`);
 		t.diagnostic(`old keys sent to all hosts again: ${[...words].map(([word, count]) => `${count} ${word}`).join(', ')}`);
+		t.diagnostic(claimLines.flatMap(toLines => toLines()).join('\n'));
 		assert.deepEqual(failed.slice(0, 10), []);
 		assert.ok(told.some(({what}) => what === 'scene'), 'no scene was asked for');
 		assert.equal(countScenes(), runsBefore, 'a key that was used before a restart ran again');
