End an answer of known length with its last byte, and in a planned stop

Cause: a second call with a key gets the kept answer passed on by another host in three reads: head, bytes, end. An answer in one piece was recorded without its length, so it went out in chunks whose last one waited for the third read. When the keeping host was lost in between, the caller had every byte and a broken connection. Found by it: node takes a connection for idle once its answer was ended, read or not, so a planned stop destroyed whole answers that slow callers were still reading (3.9 of 20 MB came).

Ruled out: a missing Content-Length on answers that are not recorded; they had it.

Change: recorded answers and problems tell their length. An answer with a length begins with its first piece, so that until then a problem can take its place, and ends with its last byte, whatever comes after. A closing server keeps idle connections until no ended answer is on its way.

Conclusion: broken after the last byte is gone by construction for answers of known length; streams without one still break where their host is lost.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -9,6 +9,7 @@
 import {type RequestId} from '../../../ports/ids.js';
 import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
 import {createBodyWriter} from './create-body-writer.js';
+import {createSizedBody, hasBody, toLength} from './create-sized-body.js';
 
 export type BodyFault = 'body-too-large' | 'slow-request' | 'gone';
 
@@ -33,17 +34,23 @@
 	incoming: IncomingMessage;
 	sendAnswer: (status: number, headers: Readonly<Record<string, string>>, body: string) => void;
 	sendProblem: (problem: Problem) => void;
-	startStream: (status: number, headers: Readonly<Record<string, string | readonly string[]>>) => void;
+	/** Starts an answer whose body is written in pieces. One with a `content-length` begins with its first piece and ends with its last byte. */
+	startStream: (status: number, headers: AnswerHeaders) => void;
+	/** Whether anything of the answer has gone out, so that no other answer can take its place. */
 	isStarted: () => boolean;
+	/** Whether the answer was ended and a part of it still waits for the caller to read. */
+	isFlushing: () => boolean;
 	/** Queues a piece of the answer. `false` asks the writer to wait for {@link CallerExchange.drained}. */
 	write: (piece: string | Uint8Array) => boolean;
 	/** Resolves once the caller has read on; `false` when it is gone or read nothing for `timeoutMs`. */
 	drained: (timeoutMs: number) => Promise<boolean>;
 	end: () => void;
-	/** Breaks the connection, so that a cut answer can't be taken for a whole one. */
+	/** Breaks the connection, so that a cut answer can't be taken for a whole one. An answer of which every byte was written is left to go out. */
 	destroy: () => void;
 };
 
+export type AnswerHeaders = Readonly<Record<string, string | readonly string[]>>;
+
 export type ExchangeOptions = {
 	isStopping: () => boolean;
 	/** Time for which a caller may take no byte of the end of its answer. */
@@ -181,7 +188,7 @@
 		}
 	});
 
-	function startHead(status: number, headers: Readonly<Record<string, string | readonly string[]>>): void {
+	function startHead(status: number, headers: AnswerHeaders): void {
 		const closes = options.isStopping() || hasUnreadBody(req);
 		res.writeHead(status, {...headers as Record<string, string>, 'x-request-id': requestId, ...(closes && {connection: 'close'})});
 	}
@@ -210,6 +217,23 @@
 		res.end(bytes);
 	}
 
+	function finish(): void {
+		boundEnd();
+		writer.end();
+	}
+
+	const sized = createSizedBody({
+		open(status, headers) {
+			startHead(status, headers);
+			writer.start();
+		},
+		write: writer.write,
+		finish,
+		breakOff() {
+			res.destroy();
+		},
+	});
+
 	return {
 		requestId,
 		method: req.method ?? 'GET',
@@ -226,18 +250,13 @@
 			sendAnswer(document.status, document.headers, document.body);
 		},
 		startStream(status, headers) {
-			startHead(status, headers);
-			writer.start();
+			sized.start(status, headers, hasBody(req, status) ? toLength(headers) : undefined);
 		},
 		isStarted: () => res.headersSent,
-		write: writer.write,
+		isFlushing: () => res.writableEnded && !res.writableFinished,
+		write: sized.write,
 		drained: async timeoutMs => waitForDrain(res, gone.signal, timeoutMs),
-		end() {
-			boundEnd();
-			writer.end();
-		},
-		destroy() {
-			res.destroy();
-		},
+		end: sized.end,
+		destroy: sized.destroy,
 	};
 }
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -6,7 +6,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer, type Server as TlsServer} from 'node:https';
-import {type AddressInfo, type Socket} from 'node:net';
+import {type AddressInfo, Server as NetServer, type Socket} from 'node:net';
 import {type SecureContextOptions} from 'node:tls';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
@@ -119,11 +119,27 @@
 	const open = new Set<CallerExchange>();
 	const busy = new WeakMap<Socket, number>();
 	let isStopping = false;
+	let isClosing = false;
 	let onIdle: (() => void) | undefined;
 
+	/**
+	 * Node takes a connection for idle as soon as its answer was ended, though a
+	 * slow caller may not have read it yet: closing it then would cut a whole
+	 * answer off in a planned stop. Idle ones wait until no answer is on its way.
+	 */
+	function closeIdle(): void {
+		if (![...open].some(exchange => exchange.isFlushing())) {
+			server.closeIdleConnections();
+		}
+	}
+
 	function finish(exchange: CallerExchange, socket: Socket): void {
 		open.delete(exchange);
 		busy.set(socket, (busy.get(socket) ?? 1) - 1);
+		if (isClosing) {
+			closeIdle();
+		}
+
 		if (open.size === 0) {
 			onIdle?.();
 		}
@@ -209,15 +225,17 @@
 		},
 		async close() {
 			isStopping = true;
-			server.close();
-			server.closeIdleConnections();
+			isClosing = true;
+			// An HTTP server's own `close` also closes what it takes for idle.
+			NetServer.prototype.close.call(server);
+			closeIdle();
 			if (open.size > 0) {
 				await new Promise<void>(resolve => {
 					onIdle = resolve;
 				});
 			}
 
-			server.closeIdleConnections();
+			server.close();
 		},
 		destroy() {
 			server.closeAllConnections();
--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -159,8 +159,10 @@
 	}
 
 	function send(status: number, headers: Readonly<Record<string, string>>, body: string) {
-		start(status, headers);
-		writer.write(Buffer.from(body));
+		const bytes = Buffer.from(body);
+		// The caller's host may hear of the end much later than of the last byte, or never.
+		start(status, {...headers, 'content-length': String(bytes.length)});
+		writer.write(bytes);
 		isWhole = true;
 	}
 
