Let the storm strike with the faults that its verdicts are for

Change, load: every storm crosses streams on all engines twice, and twice serves the first document after a newer one; platform faults wait for one another, as a frozen one hid an old one. New: engines crash and come back empty, one-way cuts, a second host under the name of one that runs on, and clocks up to 1 s off either way. Versions are looked at every 100 ms, and the engines' expiry (60 s) can no longer hide what was left behind (30 s). Change, judge: parts of answers must be beginnings of the right ones; lookups must name their path; excuses are gone for pauses and takeovers of broken answers and for a platform that is down, and a cut excuses the hosts of its zones alone.

--- /dev/null
+++ b/test/storm/_lib/judge-storm.test.ts
@@ -0,0 +1,177 @@
+/*
+ * A judge that never says no proves nothing. Each verdict is shown a storm that
+ * was kept and one with the fault it is for, and each excuse once where it is
+ * true and once beside it.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {judgeStorm, type Evidence} from './judge-storm.js';
+import {
+	callKinds, type Answer, type CallKind, type Reversion, type Sent, type Struck, type Work,
+} from './types.js';
+
+const host = 'a-1';
+const otherHost = 'b-1';
+const zones = new Map([[host, 'a'], [otherHost, 'b'], ['b-2', 'b'], ['c-1', 'c']]);
+const clockBoundMs = 3000;
+
+const whole: Answer = {
+	status: 200, requestId: 'r', text: 'answer', isClaimedWhole: true, isExpected: true, isBeginning: true, outcome: undefined, problem: undefined, isBroken: false, errorCode: undefined,
+};
+const broken: Answer = {
+	...whole, isClaimedWhole: false, isExpected: false, isBroken: true,
+};
+const notRun: Answer = {
+	...whole, status: 503, text: '', isClaimedWhole: false, isExpected: false, outcome: 'not-run', problem: 'no-capacity',
+};
+
+const toWork = (kind: CallKind): Work => ({
+	id: `work of ${kind}`, kind, workspace: 'w', key: kind === 'question' || kind === 'desk lookup' ? undefined : `key of ${kind}`, maxTokens: 4, isStreamed: true,
+});
+
+/** A call from 1000 to 2000 ms. */
+const toCall = (kind: CallKind, answer: Partial<Answer> = {}, rest: Partial<Sent> = {}): Sent => ({
+	work: toWork(kind), host, from: 1000, to: 2000, hasLeft: false, isHung: false, answer: {...whole, ...answer}, begunBefore: 0, begunAfter: undefined, begunAsRequest: undefined, ...rest,
+});
+
+const kept: Evidence = {
+	sent: callKinds.map(kind => toCall(kind)),
+	struck: [],
+	runs: new Map(callKinds.map(kind => [toWork(kind).id, {
+		begun: 1, prefills: 1, runs: 1, requestIds: ['r'],
+	}])),
+	holds: [],
+	reversions: [],
+	strays: [],
+	looks: 100,
+	outdated: [],
+	asked: 4,
+	clockBoundMs,
+	zones,
+};
+
+const withCalls = (...calls: readonly Sent[]): Partial<Evidence> => ({sent: [...kept.sent.filter(({work}) => calls.every(call => call.work.id !== work.id)), ...calls]});
+
+/** Another piece of work of the same kind, so that the kind is served. */
+const another = (kind: CallKind): Sent => ({...toCall(kind), work: {...toWork(kind), id: `another ${kind}`}});
+
+const withRuns = (kind: CallKind, counts: {begun?: number; prefills?: number; runs?: number; requestIds?: readonly string[]}): Partial<Evidence> => {
+	const {id} = toWork(kind);
+	return {runs: new Map([...kept.runs, [id, {...kept.runs.get(id)!, ...counts}]])};
+};
+
+const strike = (kind: Struck['kind'], targets: readonly string[], from = 1500, to = 1600): Struck => ({
+	kind, targets, from, to,
+});
+
+/** Promises with violations, and the number of excused cases. */
+function judge(changes: Partial<Evidence>): {violated: string[]; excused: number} {
+	const verdicts = judgeStorm({...kept, ...changes});
+	return {
+		violated: verdicts.filter(({violations}) => violations.length > 0).map(({promise}) => promise),
+		excused: verdicts.reduce((sum, {excused}) => sum + excused, 0),
+	};
+}
+
+const once = 'work that may run once only ran at most once';
+const joined = 'a key of repeatable work was run once, but for lost hosts';
+const texts = 'no key was answered whole with two texts';
+const wholes = 'an answer that says it is whole is the whole answer to its request';
+const word = 'no answer broke without a word, but for lost hosts';
+const hanging = 'no call was left hanging';
+const notRuns = 'what was told as not run was not run';
+const held = 'nothing was held on any engine in the end';
+const newest = 'the newest good configuration is in force on every host';
+const older = 'no host showed an older configuration after a newer one';
+const refused = 'no refused document was ever in force';
+const served = 'some work of each kind was answered whole';
+
+const reversion: Reversion = {
+	host, program: 'agent', isSameLife: true, from: 'edit 2', to: 'edit 1', at: 1500,
+};
+const ranTwice = withRuns('letter', {requestIds: ['r', 's']});
+
+describe('judgeStorm', () => {
+	it('finds nothing in a storm in which all was kept', () => {
+		assert.deepEqual(judge({}), {violated: [], excused: 0});
+	});
+
+	const faults: ReadonlyArray<[string, Partial<Evidence>, readonly string[]]> = [
+		['a scene with two streams', withRuns('scene', {runs: 2}), [once]],
+		['a scene with two prefills', withRuns('scene', {prefills: 2}), [once]],
+		['a scene under two requests', withRuns('scene', {requestIds: ['r', 's']}), [once]],
+		['a desk change that was made twice', withRuns('desk change', {runs: 2}), [once]],
+		['a keyed letter under two requests', ranTwice, [joined]],
+		['two whole texts for one key', withCalls(toCall('letter'), toCall('letter', {text: 'other'})), [texts]],
+		['a part that passes for whole', withCalls(toCall('question', {isExpected: false, text: 'ans'}), toCall('question')), [wholes]],
+		['tokens of another answer in a broken one', withCalls(toCall('letter', {
+			...broken, isBeginning: false, outcome: 'ran', isBroken: false,
+		}), toCall('letter')), [wholes]],
+		['tokens of another answer before the caller left', withCalls(toCall('letter', {...broken, isBeginning: false}, {hasLeft: true}), toCall('letter')), [wholes]],
+		['an answer that broke without a word', withCalls(toCall('letter', broken), toCall('letter')), [word]],
+		['an answer in one piece that broke when its key was sent again', withCalls(toCall('desk change', broken), toCall('desk change', {}, {host: otherHost})), [word]],
+		['a call that nothing ended', withCalls(toCall('letter', broken, {isHung: true}), toCall('letter')), [hanging]],
+		['"not run" of a question that was begun', withCalls(toCall('question', notRun, {begunAfter: 1, begunAsRequest: 1}), another('question')), [notRuns]],
+		['"not run" of a lookup that the desk got', withCalls(toCall('desk lookup', notRun, {begunAfter: 1}), another('desk lookup')), [notRuns]],
+		['"not run" of a scene that ran before', withCalls(toCall('scene', {}, {from: 0, to: 500}), toCall('scene', notRun, {begunBefore: 1, begunAfter: 1, begunAsRequest: 0})), [notRuns]],
+		['"not run" of a scene that ran for this call alone', withCalls(toCall('scene', notRun, {begunAfter: 1, begunAsRequest: 0}), toCall('scene', {}, {from: 3000, to: 4000})), [notRuns]],
+		['memory that is still held', {holds: ['a stream']}, [held]],
+		['a host without the newest edit', {outdated: ['agent of a-1']}, [newest]],
+		['a process that goes back', {reversions: [reversion]}, [older]],
+		['a refused document in force', {strays: ['agent of a-1']}, [refused]],
+		['a kind of which nothing was whole', {sent: kept.sent.filter(({work}) => work.kind !== 'scene')}, [served]],
+	];
+	for (const [name, changes, violated] of faults) {
+		it(`reports ${name}`, () => {
+			assert.deepEqual(judge(changes), {violated, excused: 0});
+		});
+	}
+
+	it('has a fault here for each of its verdicts', () => {
+		assert.deepEqual(
+			judgeStorm(kept).map(({promise}) => promise).sort(),
+			[...new Set(faults.flatMap(fault => fault[2]))].sort(),
+		);
+	});
+
+	it('counts what it looked at', () => {
+		assert.ok(judgeStorm({...kept, ...withCalls(toCall('scene', {}), toCall('question', notRun, {begunAfter: 0}))}).every(({checked}) => checked > 0));
+	});
+});
+
+describe('judgeStorm: excuses', () => {
+	const brokenCall = withCalls(toCall('letter', broken), toCall('letter'));
+	const unanswered = withCalls(toCall('letter', {...broken, status: 0}), toCall('letter'));
+	const newLife = {reversions: [{...reversion, isSameLife: false}]};
+	const excuses: ReadonlyArray<[string, Partial<Evidence>, Struck[], boolean]> = [
+		['an answer of a host that was killed', brokenCall, [strike('kill host', [host])], true],
+		['an answer of an entry that was killed', brokenCall, [strike('kill entry', [host])], true],
+		['an answer of a host whose agent alone was killed', brokenCall, [strike('kill agent', [host])], false],
+		['an answer of a host that was only paused', brokenCall, [strike('pause host', [host])], false],
+		['an answer while another host was killed', brokenCall, [strike('kill host', [otherHost])], false],
+		['an answer after its host was killed', brokenCall, [strike('kill host', [host], 0, 900)], false],
+		['an answer while its engine crashed', brokenCall, [strike('crash engine', ['a-decode-1'])], false],
+		['an answer while its streams broke', brokenCall, [strike('break streams', ['a-decode-1'])], false],
+		['an answer that began at a host that was stopping', brokenCall, [strike('restart host', [host], 900, 5000)], false],
+		['a call to the closed door of a host that was stopping', unanswered, [strike('restart host', [host], 900, 5000)], true],
+		['a call that came before its host was stopped', unanswered, [strike('restart host', [host], 1100, 5000)], false],
+		['a key that ran twice when its host was paused', ranTwice, [strike('pause host', [host])], true],
+		['a key that ran twice when one other host was killed', ranTwice, [strike('kill host', ['c-1'])], false],
+		['a key that ran twice when two other hosts were away', ranTwice, [strike('kill host', ['c-1']), strike('kill entry', ['b-2'], 0, 900)], true],
+		['a key that ran twice when its zone was cut from another', ranTwice, [strike('cut zones one way', ['b', 'a'])], true],
+		['a key that ran twice when other zones were cut apart', ranTwice, [strike('cut zones apart', ['b', 'c'])], false],
+		['a key that ran twice when its zone was cut from the platform', ranTwice, [strike('cut zone from platform', ['a'])], false],
+		['an older edit in a new life while the platform served one', newLife, [strike('old platform', ['platform'])], true],
+		['an older edit in the same life while the platform served one', {reversions: [reversion]}, [strike('old platform', ['platform'])], false],
+		['an older edit in a new life with all in reach', newLife, [strike('old platform', ['platform'], 0, 1400)], false],
+		['an older edit in a new life while the platform was down', newLife, [strike('platform down', ['platform'])], false],
+		['an older edit in a new life in a zone without the platform', newLife, [strike('cut zone from platform', ['a'])], true],
+		['an older edit in a new life while other zones were cut apart', newLife, [strike('cut zones apart', ['b', 'c'])], false],
+	];
+	for (const [name, changes, struck, isExcused] of excuses) {
+		it(`${isExcused ? 'excuses' : 'does not excuse'} ${name}`, () => {
+			const {violated, excused} = judge({...changes, struck});
+			assert.deepEqual([violated.length, excused], isExcused ? [0, 1] : [1, 0]);
+		});
+	}
+});
--- a/test/storm/_lib/judge-storm.ts
+++ b/test/storm/_lib/judge-storm.ts
@@ -29,12 +29,16 @@
 	asked: number;
 	/** Time for which a killed host vouches for no key. */
 	clockBoundMs: number;
+	/** The zone of each host. */
+	zones: ReadonlyMap<string, string>;
 };
 
 type Case = {what: string; isWrong: boolean; isExcused?: boolean};
 
-const lossKinds: ReadonlySet<FaultKind> = new Set(['kill entry', 'kill host', 'pause entry', 'pause host']);
-const cutKinds: ReadonlySet<FaultKind> = new Set(['cut zone off', 'cut zones apart']);
+const killKinds: ReadonlySet<FaultKind> = new Set(['kill entry', 'kill host']);
+const lossKinds: ReadonlySet<FaultKind> = new Set([...killKinds, 'pause entry', 'pause host']);
+const pairCutKinds: ReadonlySet<FaultKind> = new Set(['cut zones apart', 'cut zones one way']);
+const oldPlatformKinds: ReadonlySet<FaultKind> = new Set(['stale platform', 'old platform']);
 const shownViolations = 20;
 
 const isOverlapping = (a: Span, b: Span): boolean => a.from <= b.to && b.from <= a.to;
@@ -56,6 +60,11 @@
 	return [...groups.values()];
 }
 
+/** Whether a cut keeps a zone from some of the others. A zone that is cut off is missed by all. */
+function isCutFor(zone: string | undefined, {kind, targets}: Struck): boolean {
+	return kind === 'cut zone off' || (pairCutKinds.has(kind) && targets.includes(zone!));
+}
+
 function toSpan(calls: readonly Sent[]): Span {
 	return {from: Math.min(...calls.map(({from}) => from)), to: Math.max(...calls.map(({to}) => to))};
 }
@@ -93,7 +102,7 @@
 		const asked = new Set(calls.map(({host}) => host));
 		const lost = evidence.struck.filter(({kind}) => lossKinds.has(kind) || kind === 'restart host');
 		const isOwnLost = lost.some(fault => asked.has(fault.targets[0]!) && isOverlapping(fault, span));
-		const isCut = evidence.struck.some(fault => cutKinds.has(fault.kind) && isOverlapping(fault, span));
+		const isCut = evidence.struck.some(fault => isOverlapping(fault, span) && [...asked].some(host => isCutFor(evidence.zones.get(host), fault)));
 		const away = new Set(lost.filter(fault => isOverlapping({...fault, to: fault.to + evidence.clockBoundMs}, span)).map(({targets}) => targets[0]));
 		return {
 			isWrong: runs.requestIds.length > 1,
@@ -111,26 +120,22 @@
 	}));
 }
 
+/** A part of an answer is judged too: it must be the beginning, without a token of anybody else's. */
 function judgeWhole(sent: readonly Sent[]): Verdict {
-	const claimed = sent.filter(({answer}) => answer.isClaimedWhole);
-	return toVerdict('an answer that says it is whole is the whole answer to its request', claimed.map(call => ({isWrong: !call.answer.isExpected, what: describeCall(call)})));
-}
-
-/** An answer in one piece that the caller itself took over by sending the key again has no place for a word once it has begun. */
-function isTakenOver(call: Sent, calls: readonly Sent[]): boolean {
-	const isInOnePiece = call.work.kind === 'desk change' || !call.work.isStreamed;
-	return isInOnePiece && call.work.key !== undefined && calls.some(other => other !== call && isOverlapping(other, call));
+	const begun = sent.filter(({answer}) => answer.isClaimedWhole || answer.text !== '');
+	return toVerdict('an answer that says it is whole is the whole answer to its request', begun.map(call => ({
+		isWrong: !call.answer.isBeginning || (call.answer.isClaimedWhole && !call.answer.isExpected), what: describeCall(call),
+	})));
 }
 
-function judgeWord({sent, struck}: Evidence, works: ReadonlyArray<readonly Sent[]>): Verdict {
-	const ofWork = new Map(works.map(calls => [calls[0]!.work.id, calls]));
+function judgeWord({sent, struck}: Evidence): Verdict {
 	const stayed = sent.filter(({hasLeft}) => !hasLeft);
 	return toVerdict('no answer broke without a word, but for lost hosts', stayed.map(call => {
 		const own = struck.filter(({targets}) => targets[0] === call.host);
-		const isHostLost = own.some(fault => lossKinds.has(fault.kind) && isOverlapping(fault, call));
+		const isHostLost = own.some(fault => killKinds.has(fault.kind) && isOverlapping(fault, call));
 		// A balancer sends nothing to a host that is stopping; what comes all the same finds a closed door.
 		const isDoorClosed = call.answer.status === 0 && own.some(fault => fault.kind === 'restart host' && fault.from <= call.from && call.from <= fault.to);
-		return {isWrong: call.answer.isBroken && !call.isHung, isExcused: isHostLost || isDoorClosed || isTakenOver(call, ofWork.get(call.work.id)!), what: describeCall(call)};
+		return {isWrong: call.answer.isBroken && !call.isHung, isExcused: isHostLost || isDoorClosed, what: describeCall(call)};
 	}));
 }
 
@@ -152,11 +157,12 @@
 }
 
 /** A host that has forgotten all learns only from what it can reach. */
-function judgeReversions({reversions, struck, looks}: Evidence): Verdict {
-	const blinding = struck.filter(({kind}) => cutKinds.has(kind) || kind === 'cut zone from platform' || kind === 'stale platform' || kind === 'platform down');
+function judgeReversions({reversions, struck, looks, zones}: Evidence): Verdict {
+	const isBlinded = ({host, at}: Reversion): boolean => struck.some(fault => isOverlapping(fault, {from: at, to: at})
+		&& (oldPlatformKinds.has(fault.kind) || isCutFor(zones.get(host), fault) || (fault.kind === 'cut zone from platform' && fault.targets[0] === zones.get(host))));
 	const verdict = toVerdict('no host showed an older configuration after a newer one', reversions.map(reversion => ({
 		isWrong: true,
-		isExcused: !reversion.isSameLife && blinding.some(fault => isOverlapping(fault, {from: reversion.at, to: reversion.at})),
+		isExcused: !reversion.isSameLife && isBlinded(reversion),
 		what: JSON.stringify(reversion),
 	})));
 	return {...verdict, checked: looks};
@@ -176,7 +182,7 @@
 		judgeJoined(evidence, works),
 		judgeTexts(works),
 		judgeWhole(sent),
-		judgeWord(evidence, works),
+		judgeWord(evidence),
 		toVerdict('no call was left hanging', sent.map(call => ({isWrong: call.isHung, what: describeCall(call)}))),
 		judgeNotRun(works),
 		{
--- a/test/storm/_lib/plan-faults.ts
+++ b/test/storm/_lib/plan-faults.ts
@@ -26,6 +26,8 @@
 const aHost: Draw['toTargets'] = ({hosts}, random) => [random.pick(hosts)];
 const aZone: Draw['toTargets'] = ({zones}, random) => [random.pick(zones)];
 const anEngine: Draw['toTargets'] = ({engines}, random) => [random.pick(engines)];
+/** Its faults wait for one another, so that one does not hide another. */
+const thePlatform: Draw['toTargets'] = () => ['platform'];
 const nothing: Draw['toTargets'] = () => [];
 
 function twoZones({zones}: Place, random: Random): readonly string[] {
@@ -42,13 +44,18 @@
 	'pause agent': {weight: 2, forMs: [300, 11_000], toTargets: aHost},
 	'pause host': {weight: 2, forMs: [300, 11_000], toTargets: aHost},
 	'restart host': {weight: 2, forMs: [0, 1000], toTargets: aHost},
+	'twin host': {weight: 1, forMs: [1000, 8000], toTargets: aHost},
 	'cut zone off': {weight: 2, forMs: [500, 10_000], toTargets: aZone},
 	'cut zones apart': {weight: 2, forMs: [500, 10_000], toTargets: twoZones},
+	'cut zones one way': {weight: 2, forMs: [500, 10_000], toTargets: twoZones},
 	'cut zone from platform': {weight: 2, forMs: [500, 8000], toTargets: aZone},
-	'stale platform': {weight: 2, forMs: [500, 8000], toTargets: nothing},
-	'platform down': {weight: 1, forMs: [500, 5000], toTargets: nothing},
+	'stale platform': {weight: 1, forMs: [500, 8000], toTargets: thePlatform},
+	'old platform': {weight: 1, forMs: [500, 6000], toTargets: thePlatform},
+	'platform down': {weight: 1, forMs: [500, 5000], toTargets: thePlatform},
+	'crash engine': {weight: 2, forMs: [200, 4000], toTargets: anEngine},
 	'lose cancels': {weight: 3, forMs: [500, 4000], toTargets: anEngine},
 	'break streams': {weight: 4, forMs: [500, 4000], toTargets: ({decodes}, random) => [random.pick(decodes)]},
+	'cross streams': {weight: 1, forMs: [500, 4000], toTargets: nothing},
 	'drop desk calls': {weight: 2, forMs: [500, 3000], toTargets: ({desks}, random) => [random.pick(desks)]},
 	'refuse work': {weight: 3, forMs: [500, 2500], toTargets: nothing},
 	'publish good': {weight: 3, forMs: [0, 0], toTargets: nothing},
@@ -59,6 +66,25 @@
 /** Where in the storm its rolling restart of all hosts begins. */
 const rollingShare = 0.4;
 
+/**
+ * What every storm has, whatever is drawn, by its place in the storm and its
+ * length as shares of the storm's. A verdict proves nothing in a storm without
+ * the fault it is for: an old document after a newer one, and tokens of one
+ * answer on the connection of another. The rest are too rare by chance.
+ */
+const certain: ReadonlyArray<{kind: FaultKind; at: number; lasts: number}> = [
+	{kind: 'cross streams', at: 0.05, lasts: 0.2},
+	{kind: 'crash engine', at: 0.15, lasts: 0.1},
+	{kind: 'publish good', at: 0.2, lasts: 0},
+	{kind: 'old platform', at: 0.3, lasts: 0.1},
+	{kind: 'twin host', at: 0.45, lasts: 0.3},
+	{kind: 'cut zones one way', at: 0.5, lasts: 0.1},
+	{kind: 'crash engine', at: 0.55, lasts: 0.1},
+	{kind: 'cross streams', at: 0.6, lasts: 0.2},
+	{kind: 'publish good', at: 0.65, lasts: 0},
+	{kind: 'old platform', at: 0.75, lasts: 0.1},
+];
+
 function drawKind(random: Random): FaultKind {
 	const entries = Object.entries(draws) as Array<[FaultKind, Draw]>;
 	const total = entries.reduce((sum, [, {weight}]) => sum + weight, 0);
@@ -82,7 +108,7 @@
 
 /**
  * Draws the schedule of a storm. One planned restart goes over all hosts, one
- * after the other; the last edit is a good one, so that it is known which must
+ * after the other, and the faults that verdicts are for strike at set times; the last edit is a good one, so that it is known which must
  * be in force in the end.
  *
  * @param place - What can be struck.
@@ -99,8 +125,11 @@
 	const rolling = place.hosts.map((host, i): PlannedFault => ({
 		kind: 'restart host', atMs: Math.round(durationMs * (rollingShare + ((1 - rollingShare) * i / place.hosts.length))), forMs: 0, targets: [host], form: 0,
 	}));
+	const always = certain.map(({kind, at, lasts}): PlannedFault => ({
+		kind, atMs: Math.round(durationMs * at), forMs: Math.round(durationMs * lasts), targets: draws[kind].toTargets(place, random), form: 0,
+	}));
 	const lastEdit: PlannedFault = {
 		kind: 'publish good', atMs: durationMs, forMs: 0, targets: [], form: 0,
 	};
-	return [...faults, ...rolling, lastEdit].sort((a, b) => a.atMs - b.atMs);
+	return [...faults, ...always, ...rolling, lastEdit].sort((a, b) => a.atMs - b.atMs);
 }
--- a/test/storm/_lib/run-callers.ts
+++ b/test/storm/_lib/run-callers.ts
@@ -13,6 +13,8 @@
 	seed: number;
 	callers: number;
 	durationMs: number;
+	/** Hosts besides those of the fleet that take calls now. */
+	others: () => readonly FleetHost[];
 	/** Hosts to which a balancer sends nothing new. */
 	isLeaving: (host: string) => boolean;
 };
@@ -60,7 +62,7 @@
  * @param options - How many, and from which seed.
  * @returns Every call that was made.
  */
-export async function runCallers(fleet: Fleet, {seed, callers, durationMs, isLeaving}: CallersOptions): Promise<readonly Sent[]> {
+export async function runCallers(fleet: Fleet, {seed, callers, durationMs, others, isLeaving}: CallersOptions): Promise<readonly Sent[]> {
 	const until = performance.now() + durationMs;
 	const sent: Sent[] = [];
 
@@ -85,8 +87,8 @@
 		return entry;
 	};
 
-	const pickHost = (random: Random, others?: FleetHost): FleetHost => {
-		const hosts = fleet.hosts.filter(host => host !== others && (!isLeaving(host.id) || random.isHit(lateShare)));
+	const pickHost = (random: Random, other?: FleetHost): FleetHost => {
+		const hosts = [...fleet.hosts, ...others()].filter(host => host !== other && (!isLeaving(host.id) || random.isHit(lateShare)));
 		return hosts.length > 0 ? random.pick(hosts) : random.pick(fleet.hosts);
 	};
 
--- a/test/storm/_lib/send-work.ts
+++ b/test/storm/_lib/send-work.ts
@@ -46,7 +46,16 @@
 	signal.addEventListener('abort', call.leave, {once: true});
 	const {status, requestId, text, isWhole, outcome, problem, isBroken, errorCode} = await call.done;
 	return {
-		status, requestId, text, outcome, problem, isBroken, errorCode, isClaimedWhole: status === 200 && !isBroken && outcome === undefined, isExpected: isWhole,
+		status,
+		requestId,
+		text,
+		outcome,
+		problem,
+		isBroken,
+		errorCode,
+		isClaimedWhole: status === 200 && !isBroken && outcome === undefined,
+		isExpected: isWhole,
+		isBeginning: toExpected(work).startsWith(text),
 	};
 }
 
@@ -61,10 +70,11 @@
 async function sendDeskCall(callerUrl: string, work: Work, signal: AbortSignal): Promise<Answer> {
 	const dispatcher = new Agent({connections: 1, headersTimeout: 0, bodyTimeout: 0});
 	const isChange = work.kind === 'desk change';
+	const path = `${isChange ? '/desk/forwarding/' : '/desk/box/'}${work.id}`;
 	let status = 0;
 	let requestId = '';
 	try {
-		const res = await request(`${callerUrl}${isChange ? '/desk/forwarding/' : '/desk/box/'}${work.id}`, {
+		const res = await request(callerUrl + path, {
 			dispatcher,
 			signal,
 			method: isChange ? 'POST' : 'GET',
@@ -76,13 +86,32 @@
 		const text = await res.body.text();
 		const {outcome, type: problem} = status === 200 ? {} : toProblem(text);
 		const isClaimedWhole = status === 200;
+		// The answer to a lookup has no text; the desk names the path that was asked for.
+		const isOwn = isChange || res.headers['x-echo-path'] === path;
 		return {
-			status, requestId, text, outcome, problem, isClaimedWhole, errorCode: undefined,
-			isExpected: isClaimedWhole && text === toExpected(work), isBroken: !isClaimedWhole && outcome === undefined,
+			status,
+			requestId,
+			text,
+			outcome,
+			problem,
+			isClaimedWhole,
+			errorCode: undefined,
+			isExpected: isClaimedWhole && isOwn && text === toExpected(work),
+			isBeginning: !isClaimedWhole || (isOwn && toExpected(work).startsWith(text)),
+			isBroken: !isClaimedWhole && outcome === undefined,
 		};
 	} catch (error) {
 		return {
-			status, requestId, text: '', outcome: undefined, problem: undefined, isClaimedWhole: false, isExpected: false, isBroken: true, errorCode: (error as {code?: string}).code ?? String(error),
+			status,
+			requestId,
+			text: '',
+			outcome: undefined,
+			problem: undefined,
+			isClaimedWhole: false,
+			isExpected: false,
+			isBeginning: true,
+			isBroken: true,
+			errorCode: (error as {code?: string}).code ?? String(error),
 		};
 	} finally {
 		await dispatcher.destroy();
--- a/test/storm/_lib/strike-faults.ts
+++ b/test/storm/_lib/strike-faults.ts
@@ -1,6 +1,7 @@
 /** Brings planned faults about, and notes when each began and ended. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Fleet, type FleetHost} from '../../_lib/start-fleet/index.js';
+import {createHost, type Flags} from '../../_lib/start-fleet/_lib/create-host.js';
 import {type EngineFaults} from '../../stand-ins/engine/index.js';
 import {type PlainFaults} from '../../stand-ins/plain/index.js';
 import {type PlatformFaults} from '../../stand-ins/platform/index.js';
@@ -12,7 +13,7 @@
 const lostCancels = 5;
 const brokenStreams = 8;
 const droppedCalls = 3;
-const streamKinds = ['short', 'reset', 'stall', 'garbage', 'crossed', 'duplicated', 'skipped', 'wrong-attempt'] as const;
+const streamKinds = ['short', 'reset', 'stall', 'garbage', 'duplicated', 'skipped', 'wrong-attempt'] as const;
 const refusedSteps = ['reservations', 'prefills', 'imports', 'streams'] as const;
 const dropKinds = ['before', 'after', 'midway'] as const;
 
@@ -69,6 +70,33 @@
 	};
 }
 
+/** A second host under the name of one that runs on, as after a replacement that was thought dead. It takes calls too. */
+function createTwinStrike(fleet: Fleet, entryFlags: Flags): {twins: ReadonlySet<FleetHost>; strike: Strike} {
+	const twins = new Set<FleetHost>();
+	return {
+		twins,
+		async strike({targets}) {
+			const {id, zone} = fleet.host(targets[0]!);
+			const twin = await createHost({
+				id,
+				zone,
+				platformUrl: fleet.platform.url,
+				seeds: () => fleet.hosts.map(({agentAddress}) => agentAddress),
+				agentFlags: {},
+				entryFlags,
+				entryClock: {},
+				network: {network: fleet.network, site: fleet.network.addSite([id, zone, 'hosts'])},
+			});
+			await twin.start();
+			twins.add(twin);
+			return async () => {
+				twins.delete(twin);
+				await twin.stop(stopDeadlineMs);
+			};
+		},
+	};
+}
+
 function createOtherStrikes(fleet: Fleet, documents: Documents): Partial<Record<FaultKind, Strike>> {
 	const cuts = createCuts(fleet.network);
 	const platform: PlatformFaults = {};
@@ -88,16 +116,31 @@
 		'cut zones apart': ({targets: [zone, other]}) => cuts.add(network => {
 			network.cut(zone!, other!);
 		}),
+		'cut zones one way': ({targets: [zone, other]}) => cuts.add(network => {
+			network.cut(zone!, other!, {isOneWay: true});
+		}),
 		'cut zone from platform': ({targets: [zone]}) => cuts.add(network => {
 			network.cut(zone!, 'platform');
 		}),
-		// It keeps what it has, or goes back to what it had first.
-		'stale platform': ({form}) => setPlatform(form % 2 === 0 ? {frozen: true} : {oldRevision: 1}),
+		'stale platform': () => setPlatform({frozen: true}),
+		'old platform': () => setPlatform({oldRevision: 1}),
 		'platform down': () => setPlatform({down: true}),
+		async 'crash engine'({targets: [id]}) {
+			await fleet.engine(id!).crash();
+			return async () => fleet.engine(id!).revive();
+		},
 		'lose cancels': ({targets: [id]}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {loseCancels: {times: lostCancels}}),
 		'break streams': ({targets: [id], form}) => switchOn<EngineFaults>(fleet.engine(id!).faults, {
 			stream: {kind: streamKinds[form % streamKinds.length]!, atToken: form % 7, times: brokenStreams},
 		}),
+		'cross streams'() {
+			const ends = [...fleet.engines.values()].map(engine => switchOn<EngineFaults>(engine.faults, {stream: {kind: 'crossed'}}));
+			return () => {
+				for (const end of ends) {
+					end();
+				}
+			};
+		},
 		'drop desk calls': ({targets: [id], form}) => switchOn<PlainFaults>(fleet.plains.find(plain => plain.id === id)!.faults, {
 			drop: dropKinds[form % dropKinds.length]!, times: droppedCalls,
 		}),
@@ -127,11 +170,14 @@
 	/** Ends the faults that last, and strikes no more. */
 	end: () => void;
 	struck: () => readonly Struck[];
+	/** Hosts that run now beside those of the fleet, under the names of some of them. */
+	twins: () => readonly FleetHost[];
 };
 
-/** Creates the striker of a fleet. */
-export function createStriker(fleet: Fleet, documents: Documents): Striker {
-	const strikes = {...createHostStrikes(fleet), ...createOtherStrikes(fleet, documents)};
+/** Creates the striker of a fleet; `entryFlags` are those of its hosts. */
+export function createStriker(fleet: Fleet, documents: Documents, entryFlags: Flags): Striker {
+	const twin = createTwinStrike(fleet, entryFlags);
+	const strikes = {...createHostStrikes(fleet), ...createOtherStrikes(fleet, documents), 'twin host': twin.strike};
 	const struck: Struck[] = [];
 	const turns = new Map<string, Promise<void>>();
 	const over = new AbortController();
@@ -172,5 +218,6 @@
 			over.abort();
 		},
 		struck: () => struck,
+		twins: () => [...twin.twins],
 	};
 }
--- a/test/storm/_lib/types.ts
+++ b/test/storm/_lib/types.ts
@@ -31,6 +31,8 @@
 	isClaimedWhole: boolean;
 	/** It is the whole answer to its own request. */
 	isExpected: boolean;
+	/** What came of it, be it whole or not, is the beginning of the answer to its own request. */
+	isBeginning: boolean;
 	outcome: string | undefined;
 	problem: string | undefined;
 	/** It ended without saying how. */
@@ -63,13 +65,18 @@
 	'pause agent',
 	'pause host',
 	'restart host',
+	'twin host',
 	'cut zone off',
 	'cut zones apart',
+	'cut zones one way',
 	'cut zone from platform',
 	'stale platform',
+	'old platform',
 	'platform down',
+	'crash engine',
 	'lose cancels',
 	'break streams',
+	'cross streams',
 	'drop desk calls',
 	'refuse work',
 	'publish good',
--- a/test/storm/_lib/watch-versions.ts
+++ b/test/storm/_lib/watch-versions.ts
@@ -18,7 +18,7 @@
 	end: () => Promise<void>;
 };
 
-const everyMs = 200;
+const everyMs = 100;
 const patienceMs = 1500;
 
 /** Asks a program which configuration is in force; `undefined` when it does not say. */
--- a/test/storm/index.ts
+++ b/test/storm/index.ts
@@ -33,22 +33,43 @@
 
 const zones = ['dvorana-a', 'dvorana-b', 'dvorana-c'];
 const clockBoundMs = 3000;
+/** How far the clock of an entry is off at most, either way. */
+const maxClockErrorMs = 1000;
 const settleDeadlineMs = 60_000;
 const readyDeadlineMs = 60_000;
 
+/** The engines' own expiry, so late that it hides nothing that was left behind. */
+const longExpiryMs = 60_000;
+const releaseDeadlineMs = 30_000;
+const entryFlags = {
+	reservationTtl: `${longExpiryMs}ms`, clockBound: `${clockBoundMs}ms`, drainDelay: '500ms', drainTimeout: '60s',
+};
+
 async function startStormFleet(random: Random): Promise<Fleet> {
 	const fleet = await startFleet({
+		isIdle: true,
 		zones,
 		hostsPerZone: random.between(1, 2),
 		decodesPerZone: 2,
 		isCuttable: true,
-		// All clocks are this machine's.
-		entryFlags: {clockBound: `${clockBoundMs}ms`, drainDelay: '500ms', drainTimeout: '60s'},
+		entryFlags,
 		prefillEngine: {prefillTokensPerSecond: 5000, prefillConcurrency: 8},
-		decodeEngine: {decodeTokensPerSecond: 150, slots: 20},
+		decodeEngine: {decodeTokensPerSecond: 150, slots: 20, keepAnswerMs: longExpiryMs},
 	});
+	try {
+		for (const host of fleet.hosts) {
+			host.setClock({aheadMs: random.between(-maxClockErrorMs, maxClockErrorMs)});
+		}
+
+		await Promise.all(fleet.hosts.map(async host => host.start()));
+		await fleet.waitUntilReady();
+	} catch (error) {
+		await fleet.stop();
+		throw error;
+	}
+
 	// Until then no host vouches for a new key.
-	await sleep(clockBoundMs);
+	await sleep(clockBoundMs + maxClockErrorMs);
 	return fleet;
 }
 
@@ -73,14 +94,14 @@
 }
 
 /** Waits until a list is empty; gives what is left when the deadline passes. */
-async function settle(find: () => Promise<readonly string[]>): Promise<{left: readonly string[]; afterMs: number}> {
+async function settle(find: () => Promise<readonly string[]>, deadlineMs = settleDeadlineMs): Promise<{left: readonly string[]; afterMs: number}> {
 	const start = performance.now();
 	let left: readonly string[] = [];
 	try {
 		await waitUntil(async () => {
 			left = await find();
 			return left.length === 0;
-		}, {deadlineMs: settleDeadlineMs, what: 'the storm to settle', everyMs: 100});
+		}, {deadlineMs, what: 'the storm to settle', everyMs: 100});
 	} catch {}
 
 	return {left, afterMs: Math.round(performance.now() - start)};
@@ -128,7 +149,7 @@
 
 async function blow(fleet: Fleet, random: Random, {seed, durationMs, callers = 16, faultEveryMs = 800, tell = () => undefined}: StormOptions): Promise<StormReport> {
 	const documents = createDocuments(fleet);
-	const striker = createStriker(fleet, documents);
+	const striker = createStriker(fleet, documents, entryFlags);
 	const engines = [...fleet.engines.keys()];
 	const plan = planFaults({
 		hosts: fleet.hosts.map(({id}) => id), zones, engines, decodes: engines.filter(id => id.includes('-decode-')), desks: fleet.plains.map(({id}) => id),
@@ -138,7 +159,7 @@
 	const isLeaving = (host: string): boolean => striker.struck().some(({kind, targets, to}) => kind === 'restart host' && targets[0] === host && to === Infinity);
 	const [sent] = await Promise.all([
 		runCallers(fleet, {
-			seed, callers, durationMs, isLeaving,
+			seed, callers, durationMs, others: striker.twins, isLeaving,
 		}),
 		strikeAll(plan, striker),
 	]);
@@ -153,7 +174,7 @@
 		}
 	}, {deadlineMs: readyDeadlineMs, what: 'all hosts to serve again'});
 	const inForce = await settle(async () => findOutdated(fleet, documents));
-	const released = await settle(async () => fleet.holds().map(hold => JSON.stringify(hold)));
+	const released = await settle(async () => fleet.holds().map(hold => JSON.stringify(hold)), releaseDeadlineMs);
 	await tryBadEdits(fleet, documents);
 	const outdated = await findOutdated(fleet, documents);
 	await watch.end();
@@ -169,6 +190,7 @@
 		outdated: [...inForce.left, ...outdated],
 		asked: 2 * fleet.hosts.length,
 		clockBoundMs,
+		zones: new Map(fleet.hosts.map(({id, zone}) => [id, zone])),
 	});
 	return {
 		seed,
