Write what the stand-ins do alike as programs once

Cause: the handling of signals and the listening line stood in the three main.ts of the stand-ins.

Change: runStandIn in test/stand-ins/_lib holds it; no flag or line of the stand-ins changes.

--- /dev/null
+++ b/test/stand-ins/_lib/run-stand-in.ts
@@ -0,0 +1,32 @@
+/** What the stand-ins do alike as programs: say where they listen, and end when told to. */
+import process from 'node:process';
+
+type StandIn = {
+	/** Name, where it has one. */
+	id?: string;
+	port: number;
+	url: string;
+	stop: () => Promise<void>;
+};
+
+/**
+ * Logs the `listening` line of a stand-in and stops it at SIGTERM or SIGINT.
+ *
+ * @param standIn - One that listens.
+ */
+export function runStandIn({id, port, url, stop}: StandIn): void {
+	const end = async (): Promise<void> => {
+		await stop();
+		process.exit(0);
+	};
+
+	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+		process.once(signal, () => {
+			void end();
+		});
+	}
+
+	console.log(JSON.stringify({
+		level: 'info', message: 'listening', id, port, url,
+	}));
+}
--- a/test/stand-ins/engine/main.ts
+++ b/test/stand-ins/engine/main.ts
@@ -1,6 +1,6 @@
 /** The engine stand-in as a program: `--id e1 --role prefill --port 0 --model post-summary`, and each option by its kebab-case name. */
-import process from 'node:process';
 import {Command, Option} from 'commander';
+import {runStandIn} from '../_lib/run-stand-in.js';
 import {startEngineStandIn, type EngineStandInOptions} from './index.js';
 
 const numeric = [
@@ -39,17 +39,4 @@
 command.parse();
 const {versionOfWeights, ...options} = command.opts<EngineStandInOptions & {versionOfWeights?: string}>();
 const engine = await startEngineStandIn({...options, ...(versionOfWeights === undefined ? {} : {version: versionOfWeights})});
-const stop = async (): Promise<void> => {
-	await engine.stop();
-	process.exit(0);
-};
-
-process.once('SIGTERM', () => {
-	void stop();
-});
-process.once('SIGINT', () => {
-	void stop();
-});
-console.log(JSON.stringify({
-	level: 'info', message: 'listening', id: engine.id, port: engine.port, url: engine.url,
-}));
+runStandIn(engine);
--- a/test/stand-ins/plain/main.ts
+++ b/test/stand-ins/plain/main.ts
@@ -1,6 +1,6 @@
 /** The plain service as a program: `--id desk-1 --port 0 --work-ms 5`. */
-import process from 'node:process';
 import {Command} from 'commander';
+import {runStandIn} from '../_lib/run-stand-in.js';
 import {startPlainStandIn} from './index.js';
 
 const command = new Command('plain-stand-in')
@@ -10,17 +10,4 @@
 	.option('--work-ms <number>', 'time that a call takes', Number, 0)
 	.parse();
 const plain = await startPlainStandIn(command.opts());
-const stop = async (): Promise<void> => {
-	await plain.stop();
-	process.exit(0);
-};
-
-process.once('SIGTERM', () => {
-	void stop();
-});
-process.once('SIGINT', () => {
-	void stop();
-});
-console.log(JSON.stringify({
-	level: 'info', message: 'listening', id: plain.id, port: plain.port, url: plain.url,
-}));
+runStandIn(plain);
--- a/test/stand-ins/platform/main.ts
+++ b/test/stand-ins/platform/main.ts
@@ -1,7 +1,7 @@
 /** The platform stand-in as a program: `--port 0 --config-file rules.yaml --fleet-file fleet.json`. */
 import {readFileSync} from 'node:fs';
-import process from 'node:process';
 import {Command} from 'commander';
+import {runStandIn} from '../_lib/run-stand-in.js';
 import {startPlatformStandIn} from './index.js';
 
 const command = new Command('platform-stand-in')
@@ -23,17 +23,4 @@
 	platform.publish('fleet', readFileSync(fleetFile, 'utf8'));
 }
 
-const stop = async (): Promise<void> => {
-	await platform.stop();
-	process.exit(0);
-};
-
-process.once('SIGTERM', () => {
-	void stop();
-});
-process.once('SIGINT', () => {
-	void stop();
-});
-console.log(JSON.stringify({
-	level: 'info', message: 'listening', port: platform.port, url: platform.url,
-}));
+runStandIn(platform);
