Split the contract tests of engine, peers and callers by subject

Change: one file a subject; what the files share is in test/contracts/_lib. Cases and checks are moved as they were.

--- /dev/null
+++ b/test/contracts/_lib/caller-faults.ts
@@ -0,0 +1,31 @@
+/** What the tests of faults before callers share: a fixture for one test, and looks at its engines. */
+import {expectedAnswer, type EngineStandIn} from '../../stand-ins/engine/index.js';
+import {waitUntil} from '../../_lib/wait-until/index.js';
+import {startCallerFixture, type CallerFixture, type CallerFixtureOptions} from './caller-fixture.js';
+
+const prompt = 'Dear sir, your letter of May';
+export const tokens = 60;
+export const whole = expectedAnswer(prompt, tokens).join('');
+export const slowDecode = {decodeTokensPerSecond: 100};
+
+export async function withFixture(options: CallerFixtureOptions, use: (fixture: CallerFixture) => Promise<void>): Promise<void> {
+	const fixture = await startCallerFixture(options);
+	try {
+		await use(fixture);
+	} finally {
+		await fixture.stop();
+	}
+}
+
+export const listEngines = (fixture: CallerFixture): EngineStandIn[] => [fixture.prefill, ...fixture.decodes];
+export const holdsStream = (engine: EngineStandIn): boolean => engine.judge().holds.some(hold => hold.kind === 'stream');
+export const hasStream = (fixture: CallerFixture): boolean => fixture.decodes.some(engine => holdsStream(engine));
+const countHolds = (fixture: CallerFixture): number => listEngines(fixture).reduce((sum, engine) => sum + engine.judge().holds.length, 0);
+
+export async function waitForRelease(fixture: CallerFixture): Promise<void> {
+	await waitUntil(() => countHolds(fixture) === 0, {deadlineMs: 10_000, what: 'all engine memory to be released'});
+}
+
+export function countDecodes(fixture: CallerFixture, requestId: string): number {
+	return fixture.decodes.reduce((sum, engine) => sum + engine.judgeRequest(requestId).decodesStarted, 0);
+}
--- a/test/contracts/caller-faults.test.ts
+++ b/test/contracts/caller-faults.test.ts
@@ -1,38 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {v7 as createUuidV7} from 'uuid';
-import {expectedAnswer, type EngineFaults, type EngineStandIn} from '../stand-ins/engine/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
+import {type EngineFaults} from '../stand-ins/engine/index.js';
 import {
 	send, sendAndLeave, startCallerFixture, toBody, toStreamedText, type CallerFixture, type CallerFixtureOptions,
 } from './_lib/caller-fixture.js';
-
-const prompt = 'Dear sir, your letter of May';
-const tokens = 60;
-const whole = expectedAnswer(prompt, tokens).join('');
-const slowDecode = {decodeTokensPerSecond: 100};
-
-async function withFixture(options: CallerFixtureOptions, use: (fixture: CallerFixture) => Promise<void>): Promise<void> {
-	const fixture = await startCallerFixture(options);
-	try {
-		await use(fixture);
-	} finally {
-		await fixture.stop();
-	}
-}
-
-const listEngines = (fixture: CallerFixture): EngineStandIn[] => [fixture.prefill, ...fixture.decodes];
-const holdsStream = (engine: EngineStandIn): boolean => engine.judge().holds.some(hold => hold.kind === 'stream');
-const hasStream = (fixture: CallerFixture): boolean => fixture.decodes.some(engine => holdsStream(engine));
-const countHolds = (fixture: CallerFixture): number => listEngines(fixture).reduce((sum, engine) => sum + engine.judge().holds.length, 0);
-
-async function waitForRelease(fixture: CallerFixture): Promise<void> {
-	await waitUntil(() => countHolds(fixture) === 0, {deadlineMs: 10_000, what: 'all engine memory to be released'});
-}
-
-function countDecodes(fixture: CallerFixture, requestId: string): number {
-	return fixture.decodes.reduce((sum, engine) => sum + engine.judgeRequest(requestId).decodesStarted, 0);
-}
+import {
+	countDecodes, hasStream, holdsStream, listEngines, slowDecode, tokens, waitForRelease, whole, withFixture,
+} from './_lib/caller-faults.js';
 
 /*
  * A decode engine's stream goes wrong after ten tokens. The entry reads it again
@@ -179,150 +155,6 @@
 	}));
 });
 
-/*
- * A caller's connection breaks and it sends the same work with the same key
- * again, or the work comes twice at once. The engines run it once, and one
- * connection gets the whole answer.
- */
-describe('callers: the same key twice', () => {
-	const scene = (key: string, fields: Record<string, unknown> = {}) => ({
-		headers: {'x-kind': 'scene', 'idempotency-key': key}, body: toBody({stream: true, max_tokens: tokens, ...fields}),
-	});
-	const countAllDecodes = (fixture: CallerFixture) => fixture.decodes.reduce((sum, engine) =>
-		sum + Object.values(engine.judge().requests).reduce((all, request) => all + request.decodesStarted, 0), 0);
-
-	it('joins the run, takes the delivery over, and cuts the first connection', async () => withFixture({decode: slowDecode}, async fixture => {
-		const key = createUuidV7();
-		let hasBegun = false;
-		const first = send(fixture, '/v1/completions', {
-			...scene(key),
-			onPiece() {
-				hasBegun = true;
-			},
-		});
-		await waitUntil(() => hasBegun, {deadlineMs: 10_000, what: 'the first tokens'});
-		const second = await send(fixture, '/v1/completions', scene(key));
-		const {text, wasCut} = await first;
-		assert.equal(toStreamedText(second.text), whole);
-		assert.match(second.text, /\[DONE\]/v);
-		// Cut, or told so by an event: never what a client could take for a whole answer.
-		assert.ok(!text.includes('[DONE]'));
-		assert.ok(wasCut || /event: error\ndata: .*key-used.*"outcome":"ran"/v.test(text));
-		assert.equal(countAllDecodes(fixture), 1);
-	}));
-
-	it('gives the kept answer after the end', async () => withFixture({}, async fixture => {
-		const key = createUuidV7();
-		const answers = [await send(fixture, '/v1/completions', scene(key)), await send(fixture, '/v1/completions', scene(key))];
-		assert.deepEqual(answers.map(answer => toStreamedText(answer.text)), [whole, whole]);
-		assert.equal(countAllDecodes(fixture), 1);
-	}));
-
-	it('refuses the key with another body', async () => withFixture({}, async fixture => {
-		const key = createUuidV7();
-		await send(fixture, '/v1/completions', scene(key));
-		const answer = await send(fixture, '/v1/completions', scene(key, {prompt: 'Other work'}));
-		assert.equal(answer.status, 422);
-		assert.equal(countAllDecodes(fixture), 1);
-	}));
-
-	it('releases the engines when the caller is gone and does not come back', async () => withFixture({decode: slowDecode}, async fixture => {
-		const caller = sendAndLeave(fixture, '/v1/completions', scene(createUuidV7(), {max_tokens: 400}));
-		await waitUntil(() => hasStream(fixture), {deadlineMs: 10_000, what: 'the run'});
-		await caller.leave();
-		await waitForRelease(fixture);
-	}));
-});
-
-describe('callers: plain services', () => {
-	const key = () => ({'idempotency-key': createUuidV7()});
-
-	it('sends work that may not be repeated once, and says that its fate is unknown', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({drop: 'after'});
-		const headers = key();
-		const answer = await send(fixture, '/orders/1', {headers, body: '{"n":1}'});
-		assert.equal((JSON.parse(answer.text) as {outcome: string}).outcome, 'may-have-run');
-		assert.equal(fixture.plain.countWork(headers['idempotency-key']), 1);
-		assert.equal(fixture.plain.calls().length, 1);
-	}));
-
-	it('cuts the connection of an answer that broke midway', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({drop: 'midway'});
-		const answer = await send(fixture, '/desk/a', {body: 'x'.repeat(1000)});
-		assert.equal(answer.wasCut, true);
-	}));
-
-	/*
-	 * The caller sees an answer in time for the whole of it, yet long after its
-	 * first-token target. A pool with more work than room keeps each call until
-	 * the later of the two: all wait, all begin late, and none of the answers
-	 * counts, although the services never stand still.
-	 */
-	it('refuses a call once it cannot begin within the first-token target, and does not send it', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({workMs: 4000});
-		const first = Array.from({length: 20}, async () => send(fixture, '/desk/a', {body: '{}'}));
-		await waitUntil(() => fixture.plain.calls().length === 20, {deadlineMs: 10_000, what: 'calls in every place'});
-		const answer = await send(fixture, '/desk/b', {body: '{}'});
-		assert.equal(answer.status, 503);
-		assert.equal(answer.headers['retry-after'] === undefined, false);
-		await Promise.all(first);
-		assert.equal(fixture.plain.calls().length, 20);
-	}));
-
-	/*
-	 * A lookup is offered to a service that breaks after it has the call; no other
-	 * service can be reached, or none is left. The caller must not hear "not run"
-	 * of the last pick alone: the first service did the work, and work that is sent
-	 * again on that word is done twice.
-	 */
-	const brokenLookups = [
-		{name: 'no other service is left', plains: 1, stopped: 0},
-		{name: 'the other service cannot be reached', plains: 2, stopped: 1},
-		{name: 'every service breaks', plains: 3, stopped: 0},
-		{name: 'no service can be reached', plains: 2, stopped: 2},
-	];
-	for (const {name, plains, stopped} of brokenLookups) {
-		it(`says "not run" of a lookup only if no service had it: ${name}`, async () => withFixture({plains}, async fixture => {
-			for (const plain of fixture.plains) {
-				plain.setFaults({drop: 'after'});
-			}
-
-			await Promise.all(fixture.plains.slice(plains - stopped).map(async plain => plain.stop()));
-			const answer = await send(fixture, '/desk/a', {body: '{}'});
-			const calls = fixture.plains.reduce((sum, plain) => sum + plain.calls().length, 0);
-			assert.equal((JSON.parse(answer.text) as {outcome: string}).outcome, calls > 0 ? 'may-have-run' : 'not-run', `${calls} calls: ${answer.text}`);
-			assert.ok(calls > 0 || stopped === plains, 'no service was asked');
-		}));
-	}
-
-	it('asks the only service again when it broke once', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({drop: 'before', times: 1});
-		const answer = await send(fixture, '/desk/a', {body: '{}'});
-		assert.equal(answer.status, 200);
-		assert.equal(answer.text, '{}');
-	}));
-
-	it('passes a service\'s own refusal on', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({status: 503});
-		const {status} = await send(fixture, '/desk/a', {body: '{}'});
-		assert.equal(status, 503);
-	}));
-
-	it('ends the call when the caller is gone', async () => withFixture({}, async fixture => {
-		fixture.plain.setFaults({workMs: 5000});
-		const caller = sendAndLeave(fixture, '/desk/a', {body: '{}'});
-		await waitUntil(() => fixture.plain.calls().length === 1, {deadlineMs: 10_000, what: 'the call'});
-		await caller.leave();
-		await waitUntil(() => fixture.plain.calls()[0]!.wasAborted, {deadlineMs: 10_000, what: 'the call to end'});
-	}));
-
-	it('says that nothing ran when no service can be reached', async () => withFixture({}, async fixture => {
-		await fixture.plain.stop();
-		const answer = await send(fixture, '/orders/1', {headers: key(), body: '{}'});
-		assert.equal((JSON.parse(answer.text) as {outcome: string}).outcome, 'not-run');
-	}));
-});
-
 describe('callers: a planned stop', () => {
 	it('finishes streams in progress and what waits, and says that the connection closes', async () => {
 		const fixture = await startCallerFixture({decode: {slots: 1, ...slowDecode}});
--- /dev/null
+++ b/test/contracts/engine-calls.test.ts
@@ -0,0 +1,182 @@
+/** The HTTP client of the engine interface against servers that break the protocol. */
+import assert from 'node:assert/strict';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {after, describe, it} from 'node:test';
+import {type EngineFailureKind, type EngineRefusalReason} from '../../src/ports/engine.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {
+	reserve, stopAll, stopAtEnd, toClient, toKey,
+} from './_lib/engine-fixture.js';
+
+after(stopAll);
+
+const startRaw = async (answer: (req: IncomingMessage, res: ServerResponse) => void) => {
+	let calls = 0;
+	const server = createServer((req, res) => {
+		calls += 1;
+		req.resume();
+		req.once('end', () => {
+			answer(req, res);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const stop = async (): Promise<void> => {
+		server.closeAllConnections();
+		server.close();
+	};
+
+	stopAtEnd(stop);
+	return {
+		id: 'raw', url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, countCalls: () => calls, stop,
+	};
+};
+
+const answerWith = (status: number, body: string, headers: Record<string, string> = {}) => (_: IncomingMessage, res: ServerResponse): void => {
+	res.writeHead(status, headers);
+	res.end(body);
+};
+
+type CallRow = {
+	name: string;
+	answer: (req: IncomingMessage, res: ServerResponse) => void;
+	kind: EngineFailureKind;
+	reason?: EngineRefusalReason;
+	retryAfterMs?: number;
+};
+
+const toRefusal = (reason: string): string => JSON.stringify({error: {reason, message: 'no'}});
+
+const callRows: CallRow[] = [
+	{name: 'closes without an answer', answer: (_, res) => res.destroy(), kind: 'broken'},
+	{
+		name: 'resets midway in the body',
+		answer(_, res) {
+			res.writeHead(201, {'content-length': '100'});
+			res.write('{"reservationId":', () => res.socket?.resetAndDestroy());
+		},
+		kind: 'broken',
+	},
+	{
+		name: 'is truncated',
+		answer(_, res) {
+			res.writeHead(201, {'content-length': '100'});
+			res.write('{"reservationId":"r"', () => res.destroy());
+		},
+		kind: 'broken',
+	},
+	{name: 'never answers', answer: () => undefined, kind: 'broken'},
+	{
+		name: 'refuses', answer: answerWith(409, toRefusal('full')), kind: 'refused', reason: 'full',
+	},
+	{
+		name: 'refuses for a while', answer: answerWith(503, toRefusal('leaving'), {'retry-after-ms': '250'}), kind: 'refused', reason: 'leaving', retryAfterMs: 250,
+	},
+	{
+		name: 'refuses for a reason of a later version', answer: answerWith(409, toRefusal('moon')), kind: 'refused', reason: 'other',
+	},
+	{name: 'gives 409 without its word', answer: answerWith(409, '{"error":"conflict"}'), kind: 'invalid'},
+	{name: 'gives 503 of somebody between', answer: answerWith(503, '<html>'), kind: 'invalid'},
+	{name: 'gives 410', answer: answerWith(410, '{}'), kind: 'gone'},
+	{name: 'gives 500', answer: answerWith(500, '{}'), kind: 'invalid'},
+	{name: 'gives another status of success', answer: answerWith(200, '{"reservationId":"r","expiresInMs":1}'), kind: 'invalid'},
+	{name: 'gives fields of another version', answer: answerWith(201, '{"reservation":"r","expires":1}'), kind: 'invalid'},
+	{name: 'gives no JSON', answer: answerWith(201, '{"reservationId":'), kind: 'invalid'},
+	{name: 'gives an oversized body', answer: answerWith(201, JSON.stringify({reservationId: 'r'.repeat(5000), expiresInMs: 1})), kind: 'invalid'},
+];
+
+describe('createEngineHttp', () => {
+	for (const row of callRows) {
+		it(`says ${row.kind} of a server that ${row.name}, and asks it once`, async () => {
+			const server = await startRaw(row.answer);
+			const client = toClient(server, {callTimeoutMs: 300, maxAnswerBytes: 4096});
+			const result = await reserve(client, toKey());
+			const failure = result._unsafeUnwrapErr();
+			assert.equal(failure.kind, row.kind, failure.message);
+			assert.equal(failure.reason, row.reason);
+			assert.equal(failure.retryAfterMs, row.retryAfterMs);
+			assert.equal(server.countCalls(), 1);
+		});
+	}
+
+	it('says unreachable where nobody listens', async () => {
+		const server = await startRaw(answerWith(200, ''));
+		await server.stop();
+		const result = await reserve(toClient(server), toKey());
+		assert.equal(result._unsafeUnwrapErr().kind, 'unreachable');
+	});
+
+	it('says broken, not unreachable, of a kept connection that dies under the call', async () => {
+		let calls = 0;
+		const server = await startRaw((req, res) => {
+			calls += 1;
+			if (calls === 1) {
+				answerWith(201, '{"reservationId":"r","expiresInMs":1}')(req, res);
+			} else {
+				res.destroy();
+			}
+		});
+		const client = toClient(server);
+		const first = await reserve(client, toKey());
+		assert.ok(first.isOk());
+		const second = await reserve(client, toKey());
+		assert.equal(second._unsafeUnwrapErr().kind, 'broken');
+		assert.equal(calls, 2);
+	});
+
+	it('says aborted at once when its caller gives up', async () => {
+		const server = await startRaw(() => undefined);
+		const controller = new AbortController();
+		const pending = reserve(toClient(server), toKey(), controller.signal);
+		await waitUntil(() => server.countCalls() === 1, {deadlineMs: 5000, what: 'the call'});
+		controller.abort();
+		const result = await pending;
+		assert.equal(result._unsafeUnwrapErr().kind, 'aborted');
+	});
+
+	it('sends nothing for a caller who gave up before', async () => {
+		const server = await startRaw(answerWith(201, ''));
+		const result = await reserve(toClient(server), toKey(), AbortSignal.abort());
+		assert.equal(result._unsafeUnwrapErr().kind, 'aborted');
+		assert.equal(server.countCalls(), 0);
+	});
+
+	it('sends nothing for a caller who gives up while it waits for a connection', async () => {
+		let finish: (() => void) | undefined;
+		const server = await startRaw((req, res) => {
+			finish = () => {
+				answerWith(201, '{"reservationId":"r","expiresInMs":1}')(req, res);
+			};
+		});
+		const client = toClient(server, {connections: 1});
+		const first = reserve(client, toKey());
+		await waitUntil(() => finish !== undefined, {deadlineMs: 5000, what: 'the first call'});
+		const controller = new AbortController();
+		const second = reserve(client, toKey(), controller.signal);
+		controller.abort();
+		const given = await second;
+		assert.equal(given._unsafeUnwrapErr().kind, 'aborted');
+		finish?.();
+		const answered = await first;
+		assert.ok(answered.isOk());
+		const third = reserve(client, toKey());
+		await waitUntil(() => server.countCalls() === 2, {deadlineMs: 5000, what: 'the third call'});
+		finish?.();
+		const last = await third;
+		assert.ok(last.isOk());
+		assert.equal(server.countCalls(), 2);
+	});
+
+	it('refuses a load report or a list of holds that lacks a field', async () => {
+		const server = await startRaw((req, res) => {
+			answerWith(200, req.url === '/engine/load' ? '{"server":"e","role":"decode"}' : '{"holds":[{"requestId":"r"}]}')(req, res);
+		});
+		const client = toClient(server);
+		const load = await client.load();
+		const holds = await client.listHolds();
+		assert.equal(load._unsafeUnwrapErr().kind, 'invalid');
+		assert.equal(holds._unsafeUnwrapErr().kind, 'invalid');
+	});
+});
