Split the connection between peers into its parts

Change: the types and limits, the writing of frames, our calls and their replies, and the answering of the peer's calls with its backpressure are modules of their own; open-connection keeps hellos and the life of the connection. No behaviour changes.

--- /dev/null
+++ b/src/adapters/peer-tcp/_lib/open-connection.ts
@@ -0,0 +1,178 @@
+/**
+ * The life of one connection between two of our processes, the same at both
+ * ends once the hellos have crossed.
+ */
+import {type Socket} from 'node:net';
+import {ResultAsync} from 'neverthrow';
+import {createDeferred} from '../../../_lib/create-deferred/index.js';
+import {createCallAnswerer} from './create-call-answerer.js';
+import {createCallSender} from './create-call-sender.js';
+import {createFrameWriter} from './create-frame-writer.js';
+import {
+	createFrameDecoder, protocolVersion, type Frame, type PeerHello,
+} from './frame.js';
+import {type PeerConnection, type PeerHandlers, type PeerLimits} from './peer-types.js';
+
+const maxShownNameLength = 40;
+
+/** The peer's introduction, or why its first frame is none. */
+function toHello(frame: Frame): PeerHello | string {
+	if (frame.type !== 'hello') {
+		return `the first frame is a ${frame.type} and not a hello`;
+	}
+
+	if (frame.protocol !== protocolVersion) {
+		return `the peer speaks protocol ${frame.protocol} and not ${protocolVersion}; run the same version at both ends`;
+	}
+
+	const {host, zone, role, incarnation} = frame;
+	return {
+		host, zone, role, incarnation,
+	};
+}
+
+/**
+ * Exchanges hellos on a socket and then serves it until it ends.
+ *
+ * @param socket - A connected socket, TLS handshake included.
+ * @param options - `hello`: what to say of ourselves. `speakFirst`: whether to
+ * send it at once; a listener waits for the peer's, so that a stranger learns
+ * nothing. `handlers` and `limits`: see their types.
+ * @returns The connection once the peer's hello has come; rejects with the reason otherwise.
+ */
+export async function openConnection(socket: Socket, {hello, speakFirst, handlers, limits}: {
+	hello: PeerHello;
+	speakFirst: boolean;
+	handlers: PeerHandlers;
+	limits: PeerLimits;
+}): Promise<PeerConnection> {
+	const opened = createDeferred<PeerConnection>();
+	const ended = createDeferred<string>();
+	let connection: PeerConnection | undefined;
+	let closeReason: string | undefined;
+
+	function end(reason: string) {
+		closeReason ??= reason;
+		socket.destroy();
+	}
+
+	const write = createFrameWriter(socket, limits, () => closeReason !== undefined);
+	const sender = createCallSender(write, limits);
+	const answer = createCallAnswerer({
+		socket, write, onCall: handlers.onCall, limits, end,
+	});
+	const sayHello = () => write({type: 'hello', protocol: protocolVersion, ...hello});
+
+	function takeEvent(current: PeerConnection, name: string, body: unknown) {
+		try {
+			handlers.onEvent?.(current.peer, name, body, current);
+		} catch (error) {
+			// A body of an unexpected shape makes its handler throw. That is the
+			// peer's fault and must not end this process.
+			end(`event ${name.slice(0, maxShownNameLength)} was not understood: ${error instanceof Error ? error.message : 'unknown error'}`);
+		}
+	}
+
+	function takeFrame(current: PeerConnection, frame: Frame) {
+		switch (frame.type) {
+			case 'hello': {
+				end('the peer sent a second hello');
+				return;
+			}
+
+			case 'call': {
+				void answer(current, frame);
+				return;
+			}
+
+			case 'reply': {
+				sender.takeReply(frame);
+				return;
+			}
+
+			case 'event': {
+				takeEvent(current, frame.name, frame.body);
+			}
+		}
+	}
+
+	function takeHello(frame: Frame) {
+		const peer = toHello(frame);
+		if (typeof peer === 'string') {
+			end(peer);
+			return;
+		}
+
+		if (!speakFirst) {
+			sayHello();
+		}
+
+		clearTimeout(helloTimer);
+		connection = toConnection(peer);
+		opened.resolve(connection);
+	}
+
+	function toConnection(peer: PeerHello): PeerConnection {
+		return {
+			peer,
+			call: (method, body, {timeoutMs}) => new ResultAsync(sender.call(method, body, timeoutMs)),
+			send: (name, body) => write({type: 'event', name, body}) === undefined,
+			close() {
+				closeReason ??= 'closed by this side';
+				socket.end();
+				// A peer that does not close its half would keep the socket for ever.
+				setTimeout(() => socket.destroy(), limits.helloTimeoutMs).unref();
+			},
+			closed: ended.promise,
+			bytes: () => ({sent: socket.bytesWritten, received: socket.bytesRead}),
+		};
+	}
+
+	const decoder = createFrameDecoder({limitBytes: limits.frameBytes});
+
+	function takeBytes(bytes: Uint8Array) {
+		const frames = decoder.push(bytes);
+		if (frames.isErr()) {
+			end(frames.error.message);
+			return;
+		}
+
+		for (const frame of frames.value) {
+			if (closeReason !== undefined) {
+				return;
+			}
+
+			if (connection) {
+				takeFrame(connection, frame);
+			} else {
+				takeHello(frame);
+			}
+		}
+	}
+
+	const helloTimer = setTimeout(() => {
+		end(`no hello came within ${limits.helloTimeoutMs} ms`);
+	}, limits.helloTimeoutMs);
+
+	socket.on('data', takeBytes);
+	socket.on('error', error => {
+		closeReason ??= error.message;
+	});
+	socket.on('end', () => {
+		closeReason ??= 'the peer closed the connection';
+		socket.end();
+	});
+	socket.on('close', () => {
+		clearTimeout(helloTimer);
+		closeReason ??= 'the connection ended';
+		sender.failAll(closeReason);
+		opened.reject(new Error(closeReason));
+		ended.resolve(closeReason);
+	});
+
+	if (speakFirst) {
+		sayHello();
+	}
+
+	return opened.promise;
+}
--- a/src/adapters/peer-tcp/index.ts
+++ b/src/adapters/peer-tcp/index.ts
@@ -7,15 +7,16 @@
 import tls from 'node:tls';
 import {ResultAsync} from 'neverthrow';
 import {createDeferred} from '../../_lib/create-deferred/index.js';
-import {
-	defaultLimits, openConnection, type CallHandler, type EventHandler, type PeerConnection, type PeerFailure, type PeerLimits,
-} from './_lib/connection.js';
 import {type PeerHello} from './_lib/frame.js';
+import {openConnection} from './_lib/open-connection.js';
+import {
+	defaultLimits, type CallHandler, type EventHandler, type PeerConnection, type PeerFailure, type PeerLimits,
+} from './_lib/peer-types.js';
 
 export {type PeerHello, type PeerRole} from './_lib/frame.js';
 export {
 	type CallHandler, type EventHandler, type PeerConnection, type PeerFailure, type PeerFailureKind, type PeerLimits,
-} from './_lib/connection.js';
+} from './_lib/peer-types.js';
 
 /** PEM texts of this process's key and certificate and of the authority that signs those of its peers. */
 export type PeerKeys = {
