Refuse an empty key file instead of serving without a key

Cause: a key file that is being copied is empty for a moment. When the look at the files falls into it, node:tls makes a context of the certificate and the empty key without complaint, the log says "new keys are in use", and every new caller is refused by "handshake failure" until the next look. "takes new keys without dropping a connection" met it: in each failing run "new keys are in use" was logged twice, 100 ms apart.

Ruled out: a mismatch of certificate and key and a key cut short, which are refused (tried by hand); the split of the peer connection, as the test fails without it too.

Change: the key is read by createPrivateKey as well, which refuses it; the old pair stays in use and operators are told. Keys behind EC parameters and in one file with their certificate are still taken (tried by hand). The table of broken files has an empty key and a key cut short. The contract test now waits for the complaint about the pair of the second change: with the first change seen halfway there may be an earlier one.

Not covered: a chain file copied halfway, after a whole certificate, is taken until the next look.

--- a/src/adapters/keys/read-key-pair.ts
+++ b/src/adapters/keys/read-key-pair.ts
@@ -1,4 +1,4 @@
-import {createHash, X509Certificate} from 'node:crypto';
+import {createHash, createPrivateKey, X509Certificate} from 'node:crypto';
 import {readFile} from 'node:fs/promises';
 import {createSecureContext} from 'node:tls';
 import {err, ok, type Result} from 'neverthrow';
@@ -63,6 +63,10 @@
 		cert, key, minVersion: 'TLSv1.2', ...ca === undefined ? {} : {ca, requestCert: true, rejectUnauthorized: true},
 	};
 	try {
+		// An empty key file, as a copy in progress leaves it, makes a context all the
+		// same: one without a key, that refuses every caller by "handshake failure"
+		// until the next look at the files. Reading the key by itself refuses it.
+		createPrivateKey(key);
 		createSecureContext(tls);
 	} catch {
 		return err({file: files.keyFile, message: `is no private key, or not the one of the first certificate in ${files.certFile}: give the key that the certificate was made for`});
--- a/src/adapters/keys/test.ts
+++ b/src/adapters/keys/test.ts
@@ -48,6 +48,12 @@
 		{
 			name: 'the key of another certificate', contents: {cert: testPairA.cert, key: testPairB.key, ca: testCa}, file: 'key.pem', message: /not the one of the first certificate/,
 		},
+		{
+			name: 'an empty key, as a copy in progress leaves it', contents: {cert: testPairA.cert, key: '', ca: testCa}, file: 'key.pem', message: /is no private key/,
+		},
+		{
+			name: 'a key cut short', contents: {cert: testPairA.cert, key: testPairA.key.slice(0, 100), ca: testCa}, file: 'key.pem', message: /is no private key/,
+		},
 		{
 			name: 'a file that is no certificate', contents: {cert: 'hello', key: testPairA.key, ca: testCa}, file: 'cert.pem', message: /no PEM certificate/,
 		},
--- a/test/contracts/operator-programs.test.ts
+++ b/test/contracts/operator-programs.test.ts
@@ -11,7 +11,9 @@
 } from '../_lib/keys/index.js';
 import {connectPeer, type PeerHello} from '../../src/adapters/peer-tcp/index.js';
 import {startFleet} from '../_lib/start-fleet/index.js';
-import {startProgram, type Program, type ProgramOptions} from '../_lib/start-program/index.js';
+import {
+	startProgram, type Program, type LogLine, type ProgramOptions,
+} from '../_lib/start-program/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 
 const bounds = {headersTimeout: 10_000, bodyTimeout: 10_000};
@@ -147,8 +149,12 @@
 		await entry.waitForLog(line => line.message === 'new keys are in use', {deadlineMs: 10_000, what: 'the new keys'});
 		assert.equal(await askBy(agents[0]!), first);
 		await askBy(agents[1]!);
+		// A look at the files while they are written may have complained before.
+		const earlier = new Set(entry.logs());
 		await replace({cert: testPairB.cert, key: testPairA.key});
-		await entry.waitForLog(line => line.level === 'error' && line.message === 'key files cannot be used; the old keys stay in use', {deadlineMs: 10_000, what: 'the complaint'});
+		const complaint = 'key files cannot be used; the old keys stay in use';
+		const isComplaint = ({level, message, reason}: LogLine) => level === 'error' && message === complaint && String(reason).includes('not the one of the first certificate');
+		await entry.waitForLog(line => !earlier.has(line) && isComplaint(line), {deadlineMs: 10_000, what: 'the complaint'});
 		await askBy(agents[2]!);
 		assert.deepEqual(seen, ['banyanport test only a', 'banyanport test only b', 'banyanport test only b']);
 		const metrics = await ask(entry.port('operatorPort'), '/metrics');
