Write readings of processes and usual routes once

Cause: two benches read /proc with the same functions, and a failure test repeated the routes of the test fleet to change two fields.

Change: bench/_lib/read-process has the readings; start-fleet gives its usual routes, and the test spreads its two changes over them.

After: lint and typecheck are clean, not-run passes 16 of 16, the readings were tried on one process beside its own memoryUsage. The benches were not run.

--- a/bench/capacity/measure-agent-load.ts
+++ b/bench/capacity/measure-agent-load.ts
@@ -1,17 +1,16 @@
 /** One real agent under documents and server lists of several sizes: memory, processor time, reads of the platform. */
-import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {toFleetConfig} from '../../src/domain/_test/to-fleet-config.js';
 import {toConfigText} from '../../src/domain/to-config-text/index.js';
 import {startProgram} from '../../test/_lib/start-program/index.js';
 import {startEngineStandIn, type EngineStandIn} from '../../test/stand-ins/engine/index.js';
 import {startPlatformStandIn} from '../../test/stand-ins/platform/index.js';
+import {readCpuSeconds, readMemoryMb} from '../_lib/read-process.js';
 import {smallHeapOptions} from '../membership/index.js';
 
 /** The quick sweeps after a start last 15 s. */
 const settleMs = 25_000;
 const measureMs = 10_000;
-const ticksPerSecond = 100;
 
 export type AgentLoadRow = {
 	workspaces: number;
@@ -25,15 +24,6 @@
 	platformReadsPerSecond: number;
 };
 
-function readCpuSeconds(pid: number): number {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
-}
-
-function readStatusMb(pid: number, name: string): number {
-	return Number(new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1]) / 1024;
-}
-
 function toText(workspaces: number, engines: readonly EngineStandIn[]): string {
 	const config = toFleetConfig(Math.max(2, Math.round(workspaces * 11 / 18)), workspaces);
 	const servers = engines.map((engine, i) => ({...config.servers[i === 0 ? 0 : 1]!, id: engine.id, url: engine.url}));
@@ -73,8 +63,8 @@
 			polledServers,
 			nodeOptions: nodeOptions.join(' '),
 			cpuPercent: Number(((readCpuSeconds(agent.pid) - cpuBefore) / (measureMs / 1000) * 100).toFixed(2)),
-			residentMb: Number(readStatusMb(agent.pid, 'VmRSS').toFixed(1)),
-			peakMb: Number(readStatusMb(agent.pid, 'VmHWM').toFixed(1)),
+			residentMb: Number(readMemoryMb(agent.pid, 'VmRSS').toFixed(1)),
+			peakMb: Number(readMemoryMb(agent.pid, 'VmHWM').toFixed(1)),
 			platformReadsPerSecond: Number(((platform.judge().reads - readsBefore) / (measureMs / 1000)).toFixed(2)),
 		};
 	} finally {
--- a/bench/membership/_lib/measure-agents.ts
+++ b/bench/membership/_lib/measure-agents.ts
@@ -1,14 +1,13 @@
 /** Real agents, one process each, on this machine: bytes, processor time, memory, detection. */
-import {readFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {startEngineStandIn} from '../../../test/stand-ins/engine/index.js';
 import {startPlatformStandIn} from '../../../test/stand-ins/platform/index.js';
 import {startProgram, type Program} from '../../../test/_lib/start-program/index.js';
+import {readCpuSeconds, readMemoryMb} from '../../_lib/read-process.js';
 
 const settleMs = 15_000;
 const measureMs = 20_000;
 const deathLimitMs = 30_000;
-const ticksPerSecond = 100;
 const startTogether = 4;
 
 export type AgentsRow = {
@@ -37,16 +36,6 @@
 
 type Status = {hosts: ReadonlyArray<{id: string; life: string}>; counts: {sentBytes: number; receivedBytes: number}};
 
-function readCpuSeconds(pid: number): number {
-	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
-	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
-}
-
-function readMemoryMb(pid: number, name: string, file = 'status'): number {
-	const kilobytes = new RegExp(String.raw`\b${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/${file}`, 'utf8'))?.[1];
-	return Number(kilobytes) / 1024;
-}
-
 async function readStatus(agent: Program): Promise<Status> {
 	const response = await fetch(`http://127.0.0.1:${agent.port('operatorPort')}/status`);
 	return await response.json() as Status;
--- a/test/_lib/start-fleet/_lib/to-config-text.ts
+++ b/test/_lib/start-fleet/_lib/to-config-text.ts
@@ -20,7 +20,8 @@
 	weightStoreBytesPerSecond?: string;
 };
 
-const routes = {
+/** Routes of the usual document, for tests that change some of them. */
+export const usualRoutes = {
 	desk: {
 		pool: 'desk', class: 'quick', repeatable: true, target: {firstToken: '2s', complete: '10s'},
 	},
@@ -65,7 +66,7 @@
 		hosts: shape.hosts,
 		pools: toPools(shape),
 		servers: shape.servers,
-		routes,
+		routes: usualRoutes,
 		rules: toRules(shape.model),
 		weightStoreBytesPerSecond: '500MB',
 		...parts,
--- a/test/_lib/start-fleet/index.ts
+++ b/test/_lib/start-fleet/index.ts
@@ -23,7 +23,7 @@
 } from './_lib/to-config-text.js';
 
 export type {FleetHost, HostClock} from './_lib/create-host.js';
-export type {ConfigParts} from './_lib/to-config-text.js';
+export {usualRoutes, type ConfigParts} from './_lib/to-config-text.js';
 
 export type FleetOptions = {
 	/** Names of zones; two by default. */
--- a/test/failures/not-run.test.ts
+++ b/test/failures/not-run.test.ts
@@ -10,7 +10,9 @@
 	after, afterEach, before, describe, it,
 } from 'node:test';
 import {v4 as createRandomId, v7 as createKey} from 'uuid';
-import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {
+	startFleet, usualRoutes, type Fleet, type FleetHost,
+} from '../_lib/start-fleet/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {
 	startCall, type CallOptions, type CallResult, type StartedCall,
@@ -21,22 +23,11 @@
 const hourMs = 3_600_000;
 const longText = 'All of your post of this year, in one scan. '.repeat(100);
 
+const {question, letter} = usualRoutes;
 const routes = {
-	desk: {
-		pool: 'desk', class: 'quick', repeatable: true, target: {firstToken: '2s', complete: '10s'},
-	},
-	'desk-change': {
-		pool: 'desk', class: 'quick', repeatable: false, target: {firstToken: '2s', complete: '10s'},
-	},
-	question: {
-		pool: 'summaries', class: 'quick', repeatable: true, target: {firstToken: '1s', perToken: '50ms', complete: '1500ms'},
-	},
-	scene: {
-		pool: 'summaries', class: 'batch', repeatable: false, target: {firstToken: '30s', perToken: '250ms', complete: '60s'},
-	},
-	letter: {
-		pool: 'summaries', class: 'batch', repeatable: true, queueLimit: 3, target: {firstToken: '30s', perToken: '250ms', complete: '60s'},
-	},
+	...usualRoutes,
+	question: {...question, target: {firstToken: '1s', perToken: '50ms', complete: '1500ms'}},
+	letter: {...letter, queueLimit: 3},
 };
 
 type Told = CallResult & {begun: number; tookMs: number};
