Split serving a completion into reading, running and reporting

Change: reading and checking the request, and what is told of a run once it has ended, are modules of their own. No behaviour changes.

After: lint and typecheck are clean; the tests of src/programs/entry and the contract tests of callers pass.

--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -1,12 +1,10 @@
 /**
  * A completion request's one task, from its first byte to its last.
  */
-import {err, ok, type Result} from 'neverthrow';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
-import {countPromptTokens} from '../../../domain/count-prompt-tokens/index.js';
 import {createAnswerBuffer} from '../../../domain/create-answer-buffer/index.js';
 import {type AnswerHead, type AnswerKind} from '../../../domain/create-sse-encoder/index.js';
-import {type CompletionRequest, parseCompletionRequest} from '../../../domain/parse-completion-request/index.js';
+import {type CompletionRequest} from '../../../domain/parse-completion-request/index.js';
 import {pickVersion} from '../../../domain/pick-version/index.js';
 import {toBackoff} from '../../../domain/to-backoff/index.js';
 import {toPrefixBlocks} from '../../../domain/to-prefix-blocks/index.js';
@@ -17,52 +15,17 @@
 import {createJsonDelivery, createSseDelivery, type DeliveryOptions} from '../delivery/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type RunEnd, runRequest, toEnded} from '../run-request/index.js';
-import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
-import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {findKey, toUnclaimed} from '../_lib/find-key.js';
+import {findOverload, toGateProblem} from '../_lib/refuse.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
-import {type EndedRequest} from '../_lib/ended.js';
 import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toServedModel} from '../_lib/route.js';
 import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
 import {type Delivery, type Run} from '../_lib/types.js';
 import {waitAwake} from '../_lib/wait-awake.js';
-
-const defaultMaxTokens = 256;
-
-type ParsedRequest = {
-	request: CompletionRequest;
-	promptTokens: number;
-};
-
-type ReadRequest = ParsedRequest & {
-	/** Names the work, for a key that comes with it. */
-	digest: string;
-};
-
-async function readRequest(kind: AnswerKind, exchange: CallerExchange, serve: ServeServices): Promise<Result<ReadRequest, Problem | 'gone'>> {
-	const {limits} = serve;
-	const bodyLimits = {limitBytes: limits.maxBodyBytes, timeoutMs: limits.bodyTimeoutMs};
-	const type = exchange.headers['content-type'] ?? 'application/json';
-	if (!/^application\/(?:[\w.+\-]+\+)?json\b/iv.test(type) || exchange.headers['content-encoding'] !== undefined) {
-		return err({kind: 'wrong-media-type', detail: 'Send the body as application/json, not compressed.', outcome: 'not-run'});
-	}
-
-	const body = await exchange.readBody(bodyLimits);
-	if (body.isErr()) {
-		return err(body.error === 'gone' ? 'gone' : toBodyProblem(body.error, bodyLimits));
-	}
-
-	const parsed = parseCompletionRequest(kind, body.value.toString('utf8'), {defaultMaxTokens: Math.min(defaultMaxTokens, limits.maxOutputTokens), maxTokensLimit: limits.maxOutputTokens});
-	if (parsed.isErr()) {
-		return err({kind: parsed.error.kind, detail: parsed.error.message, outcome: 'not-run'});
-	}
-
-	const promptTokens = countPromptTokens(parsed.value.prompt);
-	return promptTokens > limits.maxPromptTokens
-		? err({kind: 'prompt-too-long', detail: `The prompt has about ${promptTokens} tokens; this host takes ${limits.maxPromptTokens}. Send a shorter one.`, outcome: 'not-run'})
-		: ok({request: parsed.value, promptTokens, digest: toDigest(exchange, body.value)});
-}
+import {readRequest, type ParsedRequest} from './_lib/read-request.js';
+import {reportEnd, toVerdict} from './_lib/report-end.js';
 
 function createDeliveryFor(exchange: CallerExchange, request: CompletionRequest, serve: ServeServices): Delivery {
 	const head: AnswerHead = {
@@ -181,42 +144,6 @@
 	}
 }
 
-function toEndReport(run: Run, end: RunEnd): Pick<EndedRequest, 'end' | 'outcome'> & {reason: string} {
-	if (end.kind === 'complete') {
-		return {end: 'complete', outcome: 'ran', reason: 'complete'};
-	}
-
-	if (end.kind === 'gone') {
-		return {end: 'caller-gone', outcome: run.ledger.outcome(), reason: 'caller-gone'};
-	}
-
-	const {outcome, kind} = end.problem;
-	return {end: outcome === 'not-run' ? 'refused' : 'failed', outcome, reason: kind};
-}
-
-function reportEnd(run: Run, end: RunEnd, serve: ServeServices): void {
-	const completeMs = serve.services.clock.now() - run.receivedAt;
-	const {reason, ...report} = toEndReport(run, end);
-	const outputTokens = run.buffer.offset();
-	run.account.note('ended', {outcome: report.outcome, reason, outputTokens});
-	run.log.info('request ended', {
-		outcome: report.outcome, reason, outputTokens, durationMs: completeMs,
-	});
-	const firstTokenAt = run.ledger.firstTokenAt();
-	serve.onEnded({
-		workspace: run.workspace, rule: run.rule, ...report, completeMs, outputTokens, firstTokenMs: firstTokenAt === undefined ? undefined : firstTokenAt - run.receivedAt,
-	});
-}
-
-/** What a second call with the same key may conclude. */
-function toVerdict(run: Run, end: RunEnd): KeyedVerdict {
-	if (end.kind === 'complete') {
-		return 'complete';
-	}
-
-	return run.ledger.outcome() === 'not-run' ? 'not-run' : 'failed';
-}
-
 async function runRouted(input: Omit<RunInput, 'signal'>, serve: ServeServices): Promise<KeyedVerdict> {
 	const control = openRunControl(serve.registry, input.exchange, now => now > run.deadline && run.buffer.offset() === 0);
 	const run = createRun({...input, signal: control.signal}, serve);
