--- a/src/_lib/to-hash32/index.ts
+++ b/src/_lib/to-hash32/index.ts
@@ -7,6 +7,11 @@
  *
  * @param bits - A number, of which the low 32 bits count.
  * @returns An integer from 0 to 2^32 - 1.
+ *
+ * @example
+ * ```ts
+ * mixBits32(1); // => 1364076727
+ * ```
  */
 export function mixBits32(bits: number): number {
 	bits = Math.imul(bits ^ (bits >>> 16), 0x85_EB_CA_6B);
@@ -20,6 +25,11 @@
  *
  * @param text - Any text.
  * @returns An integer from 0 to 2^32 - 1.
+ *
+ * @example
+ * ```ts
+ * toHash32(''); // => 2872998923
+ * ```
  */
 export function toHash32(text: string): number {
 	let hash = offsetBasis;
--- a/src/_lib/wait-for/index.ts
+++ b/src/_lib/wait-for/index.ts
@@ -6,6 +6,11 @@
  * @param ms - How long, milliseconds.
  * @param signal - Ends the wait; it does not make it reject.
  * @returns Resolves at the end of the wait or at the abort.
+ *
+ * @example
+ * ```ts
+ * await waitFor(60_000, AbortSignal.abort()); // at once
+ * ```
  */
 export async function waitFor(ms: Milliseconds, signal: AbortSignal): Promise<void> {
 	if (signal.aborted) {
--- a/src/adapters/peer-tcp/index.ts
+++ b/src/adapters/peer-tcp/index.ts
@@ -145,7 +145,12 @@
 	limits?: Partial<PeerLimits>;
 };
 
-/** Splits `IP:port`; `undefined` when it is neither that nor `[IP]:port`. */
+/**
+ * Splits an address.
+ *
+ * @param address - `IP:port`, or `[IP]:port` for IPv6.
+ * @returns Its parts; `undefined` when it is neither.
+ */
 export function parseAddress(address: string): {host: string; port: number} | undefined {
 	const match = /^(?:\[(?<six>[\d:a-f]+)\]|(?<four>[^:\[\]]+)):(?<port>\d{1,5})$/iv.exec(address);
 	const port = Number(match?.groups?.port);
--- a/src/domain/create-sse-encoder/index.ts
+++ b/src/domain/create-sse-encoder/index.ts
@@ -31,7 +31,17 @@
 	error: (problem: ProblemDocument) => string;
 };
 
-/** Usage as the OpenAI-compatible API writes it. */
+/**
+ * Writes usage as the OpenAI-compatible API does.
+ *
+ * @param usage - Counts of tokens.
+ * @returns Fields of the `usage` object.
+ *
+ * @example
+ * ```ts
+ * toUsageFields({promptTokens: 7, cachedTokens: 0, completionTokens: 2}).total_tokens; // => 9
+ * ```
+ */
 export function toUsageFields(usage: Usage): Record<string, unknown> {
 	return {
 		prompt_tokens: usage.promptTokens,
@@ -95,6 +105,13 @@
  * @param head - Fields as in each event of a streamed answer.
  * @param answer - The whole text, why it ended, and the usage.
  * @returns The JSON body.
+ *
+ * @example
+ * ```ts
+ * const usage = {promptTokens: 7, cachedTokens: 0, completionTokens: 2};
+ * const body = toAnswerBody({kind: 'completion', id: 'cmpl-1', created: 0, model: 'm'}, {text: 'Dober dan', finish: 'stop', usage});
+ * JSON.parse(body).choices[0].text; // => 'Dober dan'
+ * ```
  */
 export function toAnswerBody(head: AnswerHead, answer: {text: string; finish: FinishReason; usage: Usage}): string {
 	const choice = head.kind === 'chat'
--- a/src/domain/pick-orphans/index.ts
+++ b/src/domain/pick-orphans/index.ts
@@ -23,7 +23,18 @@
 	cause: OrphanCause;
 };
 
-/** Why an owner has no more claim to its holds; `undefined` while it may have. */
+/**
+ * Tells why an owner has no more claim to its holds.
+ *
+ * @param owner - Host and incarnation of the entry that made the holds.
+ * @param hosts - Known hosts.
+ * @returns The cause; `undefined` while the owner may have a claim, also when its host is unknown or merely suspected.
+ *
+ * @example
+ * ```ts
+ * toOrphanCause({host: 'a-1', incarnation: 1}, new Map()); // => undefined
+ * ```
+ */
 export function toOrphanCause({host, incarnation}: Owner, hosts: ReadonlyMap<HostId, HostStatus>): OrphanCause | undefined {
 	const status = hosts.get(host);
 	if (!status) {
--- a/src/domain/to-scoped-text/index.ts
+++ b/src/domain/to-scoped-text/index.ts
@@ -23,6 +23,11 @@
  *
  * @param text - The text.
  * @returns Workspace and key, the key in lower case.
+ *
+ * @example
+ * ```ts
+ * parseScopedText('0189\nglossworks'); // => {workspace: 'glossworks', key: '0189'}
+ * ```
  */
 export function parseScopedText(text: string): {workspace: WorkspaceId; key: string} {
 	const end = text.indexOf('\n');
