Split the claiming of keys from the serving of claims

Change: claiming and joining in rounds are createClaimer in _lib. Whether a claim of ours is still undecided is asked there. No behaviour changes.

--- a/src/programs/entry/claims/index.ts
+++ b/src/programs/entry/claims/index.ts
@@ -4,18 +4,16 @@
  * host it is. The reasoning is in `docs/design/007-at-most-once.md`.
  */
 import {randomUUID} from 'node:crypto';
-import {setTimeout as sleep} from 'node:timers/promises';
-import {createDeferred} from '../../../_lib/create-deferred/index.js';
 import {
 	connectPeer, type PeerConnection, type PeerHello,
 } from '../../../adapters/peer-tcp/index.js';
-import {claimKey} from '../../../domain/claim-key/index.js';
 import {
-	type Claim, createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
+	createClaimWitness, defaultClockBoundMs, defaultRetentionMs,
 } from '../../../domain/create-claim-witness/index.js';
 import {createRunTable} from '../../../domain/create-run-table/index.js';
 import {toScopedText} from '../../../domain/to-scoped-text/index.js';
 import {msPerMinute, msPerSecond} from '../../../ports/units.js';
+import {createClaimer} from './_lib/create-claimer.js';
 import {createHandOvers} from './_lib/create-hand-overs.js';
 import {createPeerPool} from './_lib/create-peer-pool.js';
 import {createRemoteJoiner} from './_lib/create-remote-joiner.js';
@@ -28,9 +26,8 @@
 import {
 	claimRequestSchema, events, handOverSchema, joinRequestSchema, methods, readRequestSchema, releaseSchema, takeOverRequestSchema, type JoinReply,
 } from './_lib/messages.js';
-import {toClaimProblem, toJoinProblem, toLostProblem} from './_lib/to-claim-problem.js';
 import {
-	type Claimed, type Claims, type ClaimsOptions, type KeyedRequest,
+	type Claims, type ClaimsOptions,
 } from './types.js';
 
 export {
@@ -42,8 +39,6 @@
 
 const defaultAskTimeoutMs = msPerSecond;
 const idleConnectionMs = msPerMinute;
-const rounds = 6;
-const roundWaitMs = 40;
 
 /**
  * Creates the claims of one entry.
@@ -91,9 +86,6 @@
 		now: clock.now,
 		idleMs: idleConnectionMs,
 	});
-	/** Claims of this process that are not decided yet, by scoped key. */
-	const pending = new Map<string, {claimId: string; decided: Promise<void>}>();
-	let claimCount = 0;
 	const closing = new AbortController();
 	const {connectTo, ask, release} = createWitnessClient({
 		slot, witness, pool, toView, clock, askTimeoutMs,
@@ -101,8 +93,6 @@
 	const {leave, takeOver, isSettled} = createTableTransfer({
 		slot, witness, connectTo, toView, clock, log, closing: closing.signal,
 	});
-	const joinRemote = createRemoteJoiner(pool);
-	const startRun = createRunStarter({runs, clock, releaseEverywhere});
 
 	function toSets(text: string) {
 		witnessSets.setHosts(toView()?.accepted?.config.hosts ?? [], clock.now());
@@ -116,94 +106,20 @@
 		}
 	}
 
-	async function claimOnce(request: KeyedRequest, replaces: string | undefined): Promise<Claimed | {kind: 'held'; holder: Claim}> {
-		const {workspace, key, digest, isRepeatable} = request;
-		const text = toScopedText(request);
-		claimCount++;
-		const claimId = `${instance}-${claimCount}`;
-		const decided = createDeferred();
-		pending.set(text, {claimId, decided: decided.promise});
-		try {
-			const granted = await claimKey({
-				request: {
-					workspace, key, digest, isRepeatable, claimId, replaces, claimant: {host: slot, incarnation: hello().incarnation, address: toAddress()},
-				},
-				sets: toSets(text),
-				ask,
-				release,
-				wait: async ms => sleep(ms),
-				random,
-			});
-			if (granted.isErr()) {
-				return {kind: 'refused', problem: toClaimProblem(granted.error)};
-			}
-
-			// Without a wait in between: whoever asks to join finds the claim pending or the run in the table.
-			return granted.value.kind === 'granted' ? startRun(request, claimId) : {kind: 'held', holder: granted.value.claim};
-		} finally {
-			pending.delete(text);
-			decided.resolve();
-		}
-	}
-
-	/** What to do about a key that another claim holds. */
-	async function joinHolder(request: KeyedRequest, holder: Claim): Promise<Claimed | 'again' | 'lost'> {
-		if (!holder.claimId.startsWith(instance)) {
-			return joinRemote(request, holder);
-		}
-
-		// Our own claim, and no run of it: it was given back and a witness did not hear of it.
-		if (!runs.has(request)) {
-			releaseEverywhere({workspace: request.workspace, key: request.key, claimId: holder.claimId});
-		}
-
-		return 'again';
-	}
-
-	function joinLocal(request: KeyedRequest): Claimed | undefined {
-		const joined = runs.join(request, clock.now());
-		if (joined.isOk()) {
-			return {kind: 'join', reader: joined.value, host: slot};
-		}
-
-		return joined.error === 'unknown' ? undefined : {kind: 'refused', problem: toJoinProblem(joined.error)};
-	}
-
-	async function claim(request: KeyedRequest): Promise<Claimed> {
-		const text = toScopedText(request);
-		let replaces: string | undefined;
-		for (let round = 1; round <= rounds; round++) {
-			const local = joinLocal(request);
-			if (local !== undefined) {
-				return local;
-			}
-
-			const undecided = pending.get(text);
-			if (undecided !== undefined) {
-				await undecided.decided;
-				continue;
-			}
-
-			const claimed = await claimOnce(request, replaces);
-			if (claimed.kind !== 'held') {
-				return claimed;
-			}
-
-			const joined = await joinHolder(request, claimed.holder);
-			if (joined !== 'again' && joined !== 'lost') {
-				return joined;
-			}
-
-			if (joined === 'lost' && !request.isRepeatable) {
-				return {kind: 'refused', problem: toLostProblem(claimed.holder.claimant.host)};
-			}
-
-			replaces = joined === 'lost' ? claimed.holder.claimId : undefined;
-			await sleep(joined === 'lost' ? 0 : roundWaitMs * round * (0.5 + random()));
-		}
-
-		return {kind: 'refused', problem: toLostProblem(undefined)};
-	}
+	const {claim, waitForDecision} = createClaimer({
+		instance,
+		slot,
+		toClaimant: () => ({host: slot, incarnation: hello().incarnation, address: toAddress()}),
+		toSets,
+		ask,
+		release,
+		runs,
+		startRun: createRunStarter({runs, clock, releaseEverywhere}),
+		joinRemote: createRemoteJoiner(pool),
+		releaseEverywhere,
+		clock,
+		random,
+	});
 
 	async function serveJoin(body: unknown, connection: PeerConnection): Promise<JoinReply> {
 		const request = joinRequestSchema.parse(body);
@@ -211,11 +127,7 @@
 			return {kind: 'foreign'};
 		}
 
-		const undecided = pending.get(toScopedText(request));
-		if (undecided?.claimId === request.claimId) {
-			await undecided.decided;
-		}
-
+		await waitForDecision(request);
 		const joined = runs.join(request, clock.now());
 		if (joined.isOk()) {
 			return {kind: 'reading', readId: reads.open(joined.value, connection)};
