--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -29,13 +29,11 @@
 import {type CallerLimits, type ServeServices} from '../_lib/serve-types.js';
 import {createTally} from '../_lib/tally.js';
 import {findNotReady, toEntryStatus} from '../_lib/to-entry-status.js';
+import {cancelSettleMs, drain, settle} from './_lib/drain.js';
 
 const gateTickMs = 50;
 const pauseLimitMs = 2000;
 const accountLimit = 2000;
-/** Time for cancels to be confirmed before the process ends. */
-const cancelSettleMs = 2000;
-const settlePollMs = 20;
 const operatorCloseMs = 500;
 
 export type EntryOptions = {
@@ -147,37 +145,6 @@
 	return started.value;
 }
 
-/** Waits, for a bounded time, until runs that were told to end have cancelled on their engines. */
-async function settle({registry, services}: ServeServices): Promise<void> {
-	for (let waitedMs = 0; registry.size() > 0 && waitedMs < cancelSettleMs; waitedMs += settlePollMs) {
-		await sleep(settlePollMs);
-	}
-
-	await services.cancels.settle(cancelSettleMs);
-}
-
-/** Closes the callers' port; what is left at the limit is named and ended. */
-async function drain(parts: EntryParts): Promise<void> {
-	const {options: {settings, log}, callers, serve} = parts;
-	const closed = callers.close();
-	const limit = new AbortController();
-	const isDrained = await Promise.race([
-		closed.then(() => true), // eslint-disable-line promise/prefer-await-to-then -- raced against the limit
-		sleep(settings.drainTimeout, false, {signal: limit.signal}),
-	]);
-	limit.abort();
-	if (isDrained) {
-		return;
-	}
-
-	for (const requestId of serve.registry.abandon()) {
-		log.error('abandoned at the limit of the drain', {requestId});
-	}
-
-	await settle(serve);
-	callers.destroy();
-}
-
 /**
  * Starts the entry.
  *
@@ -257,7 +224,7 @@
 			callers.startStopping();
 			link.reportStopping();
 			await sleep(settings.drainDelay);
-			await drain(parts);
+			await drain(parts, settings.drainTimeout);
 			await run.services.cancels.settle(cancelSettleMs);
 			run.services.cancels.stop();
 			await link.leave();
