Believe one lost poll less, and keep hosts over an agent's restart

Cause of needless refusals just after restarts and cuts: one poll that failed, for whatever reason, made a server unreachable for the whole fleet at once. A cut that heals resets the polls in it; a machine that stalls for a second loses them. The next poll came up to two intervals later. Word of it carried no time, so it beat younger reports, and it was taken from any host: hosts of two zones that are cut off poll each other's servers, and after the healing told the other zone, whose servers were never out of reach. A new agent knew nothing, so its entry went on with the wrong word; and it dropped all hosts that the new agent had not heard of, and with them the witnesses' addresses and the fleet's size.

Ruled out: loads dropped or ages started anew by a restarted agent (the entry keeps both), orders that reload weights, health records of entries.

Now a failed poll is repeated at once and only the second failure counts; a time-out first lets the sockets be read; word of it has a time and loses against a younger report, and counts only from the server's zone, from one's own, or where the server's zone has nobody. The feed carries that time. Hosts that a restarted agent does not name stay for 30 s.

--- a/src/adapters/view-feed/_lib/apply-update.ts
+++ b/src/adapters/view-feed/_lib/apply-update.ts
@@ -2,10 +2,20 @@
 import {type Result} from 'neverthrow';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type AcceptedConfig, type Config, type ConfigVersion} from '../../../ports/config.js';
+import {type HostId} from '../../../ports/ids.js';
 import {type FleetView, type HostStatus, type ServerStatus} from '../../../ports/view.js';
+import {msPerSecond} from '../../../ports/units.js';
 import {type FeedServer, type FeedUpdate} from './messages.js';
 
-export const emptyView: FleetView = {
+/** Time in which a restarted agent names the hosts that its entry knows, if it reaches any peer; the rest is forgotten then. */
+const unnamedForMs = 30 * msPerSecond;
+
+/** The entry's view, and the hosts in it that its agent has not named since it started. */
+export type FedView = FleetView & {
+	unnamed?: {hosts: ReadonlySet<HostId>; since: Milliseconds} | undefined;
+};
+
+export const emptyView: FedView = {
 	accepted: undefined,
 	hosts: new Map(),
 	servers: new Map(),
@@ -22,7 +32,7 @@
 	onRefusedConfig?: (version: ConfigVersion, reason: string) => void;
 };
 
-function toMerged<Value extends {id: string}>(prev: ReadonlyMap<string, Value>, changed: readonly Value[], gone: readonly string[], whole: boolean): ReadonlyMap<string, Value> {
+function toMerged<Value extends {id: string}>(prev: ReadonlyMap<string, Value>, changed: readonly Value[], gone: readonly string[], whole = false): ReadonlyMap<string, Value> {
 	if (changed.length === 0 && gone.length === 0 && !whole) {
 		return prev;
 	}
@@ -39,18 +49,33 @@
 	return merged;
 }
 
-function toStatus({id, leaving, load, loadAgeMs, reachable}: FeedServer, prev: ServerStatus | undefined, sentAt: Milliseconds): ServerStatus {
+function toStatus({id, leaving, load, loadAgeMs, reachable, reachableAgeMs}: FeedServer, prev: ServerStatus | undefined, sentAt: Milliseconds): ServerStatus {
 	// An agent that has just started has polled nobody yet. Its entry keeps what it knew, with the age that this has.
 	const isKept = load === undefined && prev?.load !== undefined;
+	const foundAt = reachableAgeMs === undefined ? undefined : sentAt - reachableAgeMs;
 	return {
 		id,
 		leaving,
 		load: isKept ? prev.load : load,
 		loadAt: isKept ? prev.loadAt : sentAt - loadAgeMs,
 		reachable: reachable ?? prev?.reachable,
+		reachableAt: reachable === undefined ? prev?.reachableAt : foundAt,
 	};
 }
 
+/**
+ * A running agent never drops a host from its table, so a host that is missing
+ * in the first update of a new one is one of which it has not heard yet. Without
+ * this an entry would, each time its agent restarts, find no witness for a key
+ * and count on the places of all other hosts.
+ */
+function toUnnamed({unnamed, hosts}: FedView, update: FeedUpdate, sentAt: Milliseconds): FedView['unnamed'] {
+	const since = update.whole ? sentAt : unnamed?.since ?? sentAt;
+	const named = new Set(update.hosts.map(({id}) => id));
+	const left = [...(update.whole ? hosts.keys() : unnamed?.hosts ?? [])].filter(id => !named.has(id));
+	return left.length === 0 ? undefined : {hosts: new Set(left), since};
+}
+
 function toAccepted(view: FleetView, {config}: FeedUpdate, {parse, isNewer, onRefusedConfig}: ApplyOptions): AcceptedConfig | undefined {
 	if (!config || config.version.digest === view.accepted?.version.digest) {
 		return view.accepted;
@@ -79,16 +104,20 @@
  * @param options - How configuration documents are read and ordered.
  * @returns The next view, its times on the entry's monotonic clock.
  */
-export function applyUpdate(view: FleetView, update: FeedUpdate, options: ApplyOptions): FleetView {
+export function applyUpdate(view: FedView, update: FeedUpdate, options: ApplyOptions): FedView {
 	// The update was sent at this time or later. Counting from the entry's own
 	// echoed clock keeps an entry that was paused, and wakes to a socket full of
 	// old updates, from taking them for fresh.
 	const sentAt = update.echoAt + update.echoAgeMs;
 	const statuses = update.servers.map(server => toStatus(server, view.servers.get(server.id), sentAt));
 	const confirmedAt = update.confirmedAgeMs === undefined ? undefined : sentAt - update.confirmedAgeMs;
+	const unnamed = toUnnamed(view, update, sentAt);
+	const isForgotten = unnamed !== undefined && sentAt - unnamed.since > unnamedForMs;
+	const hostsGone = isForgotten ? [...update.hostsGone, ...unnamed.hosts] : update.hostsGone;
 	return {
 		accepted: toAccepted(view, update, options),
-		hosts: toMerged<HostStatus>(view.hosts, update.hosts, update.hostsGone, update.whole),
+		hosts: toMerged<HostStatus>(view.hosts, update.hosts, hostsGone),
+		unnamed: isForgotten ? undefined : unnamed,
 		servers: toMerged<ServerStatus>(view.servers, statuses, update.serversGone, update.whole),
 		platformConfirmedAt: confirmedAt === undefined ? view.platformConfirmedAt : Math.max(confirmedAt, view.platformConfirmedAt ?? -Infinity),
 		receivedAt: Math.max(sentAt, view.receivedAt),
--- a/src/adapters/view-feed/_lib/messages.ts
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -33,6 +33,8 @@
 	/** Age of the numbers of `load` when the update was sent. */
 	loadAgeMs: Milliseconds;
 	reachable: boolean | undefined;
+	/** Age of `reachable` when the update was sent. */
+	reachableAgeMs?: Milliseconds | undefined;
 };
 
 /** Event from the agent: what changed since the update before. */
@@ -41,7 +43,7 @@
 	echoAt: Milliseconds;
 	/** Time between the arrival of that value and the sending of this update, on the agent's clock. */
 	echoAgeMs: Milliseconds;
-	/** First update of a connection: it holds everything, and what it does not name is gone. */
+	/** First update of a connection: it holds everything that the agent knows. Servers that it does not name are gone, hosts may not be known to it yet. */
 	whole: boolean;
 	config: FeedConfig | undefined;
 	hosts: readonly HostStatus[];
--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -11,7 +11,9 @@
 } from '../peer-tcp/index.js';
 import {createConfigReader} from '../../domain/parse-config/index.js';
 import {compareConfigVersions} from '../../domain/compare-config-versions/index.js';
-import {applyUpdate, emptyView, type ApplyOptions} from './_lib/apply-update.js';
+import {
+	applyUpdate, emptyView, type ApplyOptions, type FedView,
+} from './_lib/apply-update.js';
 import {
 	configCall, feedEvents, type FeedConfig, type FeedPing, type FeedUpdate,
 } from './_lib/messages.js';
@@ -67,7 +69,7 @@
 		parse: createConfigReader(), isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0, ...options,
 	};
 	const stop = new AbortController();
-	let view: FleetView = emptyView;
+	let view: FedView = emptyView;
 	let current: PeerConnection | undefined;
 	let backoffMs = firstBackoffMs;
 	let isStopping = false;
--- a/src/adapters/view-feed/publish-view.ts
+++ b/src/adapters/view-feed/publish-view.ts
@@ -55,8 +55,8 @@
 		config: isNewConfig ? {version: accepted.version, text: accepted.text} : undefined,
 		hosts: toChanged<string, HostStatus>(view.hosts, sent?.hosts),
 		hostsGone: toGone(view.hosts, sent?.hosts),
-		servers: toChanged<string, ServerStatus>(view.servers, sent?.servers).map(({id, leaving, load, loadAt, reachable}) => ({
-			id, leaving, load, loadAgeMs: now - loadAt, reachable,
+		servers: toChanged<string, ServerStatus>(view.servers, sent?.servers).map(({id, leaving, load, loadAt, reachable, reachableAt}) => ({
+			id, leaving, load, loadAgeMs: now - loadAt, reachable, reachableAgeMs: reachableAt === undefined ? undefined : now - reachableAt,
 		})),
 		serversGone: toGone(view.servers, sent?.servers),
 		confirmedAgeMs: view.platformConfirmedAt === undefined ? undefined : now - view.platformConfirmedAt,
--- a/src/domain/create-fleet-table/index.ts
+++ b/src/domain/create-fleet-table/index.ts
@@ -21,8 +21,8 @@
 	setHosts: (hosts: ReadonlyMap<HostId, HostStatus>) => void;
 	/** A load report, with the monotonic time at which its numbers were true. */
 	noteLoad: (load: LoadReport, loadAt: Milliseconds) => void;
-	/** A poll did not reach the server. */
-	noteUnreachable: (server: ServerId) => void;
+	/** Polls that began at this monotonic time did not reach the server. Ignored when a report is younger. */
+	noteUnreachable: (server: ServerId, askedAt: Milliseconds) => void;
 	/** Word of an entry or a peer that the server is leaving. Returns whether that was news. */
 	noteLeaving: (server: ServerId, now: Milliseconds) => boolean;
 	/** The platform confirmed its values at this monotonic time. */
@@ -37,6 +37,7 @@
 	load: LoadReport | undefined;
 	loadAt: Milliseconds;
 	reachable: boolean | undefined;
+	reachableAt: Milliseconds | undefined;
 	/** When somebody said that it is leaving; `undefined` when nobody did since its last serving report. */
 	leavingSince: Milliseconds | undefined;
 };
@@ -69,7 +70,7 @@
 	function addRecord(server: ServerId) {
 		if (!records.has(server)) {
 			records.set(server, {
-				load: undefined, loadAt: 0, reachable: undefined, leavingSince: undefined,
+				load: undefined, loadAt: 0, reachable: undefined, reachableAt: undefined, leavingSince: undefined,
 			});
 		}
 
@@ -87,14 +88,14 @@
 		}
 
 		const leaving = isLeaving(server, record);
-		const {load, loadAt, reachable} = record;
+		const {load, loadAt, reachable, reachableAt} = record;
 		const prev = statuses.get(server);
-		if (prev?.leaving === leaving && prev.load === load && prev.loadAt === loadAt && prev.reachable === reachable) {
+		if (prev?.leaving === leaving && prev.load === load && prev.loadAt === loadAt && prev.reachable === reachable && prev.reachableAt === reachableAt) {
 			return;
 		}
 
 		statuses.set(server, {
-			id: server, leaving, load, loadAt, reachable,
+			id: server, leaving, load, loadAt, reachable, reachableAt,
 		});
 		serversView = undefined;
 	}
@@ -160,11 +161,12 @@
 				return;
 			}
 
-			record.reachable = true;
 			if (record.load && loadAt < record.loadAt) {
 				return;
 			}
 
+			record.reachable = true;
+			record.reachableAt = loadAt;
 			record.load = load;
 			record.loadAt = loadAt;
 			if (load.state === 'serving' && record.leavingSince !== undefined && loadAt > record.leavingSince + leavingMarginMs) {
@@ -173,12 +175,17 @@
 
 			refresh(load.server);
 		},
-		noteUnreachable(server) {
+		noteUnreachable(server, askedAt) {
 			const record = records.get(server);
-			if (record) {
-				record.reachable = false;
-				refresh(server);
+			// Word of a poll that hung in a cut arrives when the cut is healed and others have reached the server.
+			// Taken as news it would keep a serving server out until its poller's next report; that report tells more.
+			if (!record || askedAt < (record.reachableAt ?? -Infinity)) {
+				return;
 			}
+
+			record.reachable = false;
+			record.reachableAt = askedAt;
+			refresh(server);
 		},
 		noteLeaving(server, now) {
 			const record = records.get(server);
--- a/src/domain/create-fleet-table/test.ts
+++ b/src/domain/create-fleet-table/test.ts
@@ -42,6 +42,21 @@
 		assert.equal(table.view(400).servers.get('s1')!.load!.slotsUsed, 9);
 	});
 
+	it('takes word that polls did not reach a server only when they began after its last report', () => {
+		const table = createTable();
+		const isReachable = () => table.view(0).servers.get('s1')!.reachable;
+		table.noteLoad(load, 200);
+		table.noteUnreachable('s1', 150);
+		assert.equal(isReachable(), true);
+		table.noteUnreachable('s1', 250);
+		assert.equal(isReachable(), false);
+		table.noteLoad(load, 100);
+		assert.equal(isReachable(), false, 'the report is older than the one before');
+		table.noteLoad(load, 300);
+		assert.equal(isReachable(), true);
+		assert.equal(table.view(0).servers.get('s1')!.reachableAt, 300);
+	});
+
 	it('ignores a list of an older revision', () => {
 		const table = createTable();
 		assert.ok(table.setFleet({hosts: [], servers: [{id: 's1', state: 'leaving'}]}, 5));
--- a/src/domain/create-load-spread/index.ts
+++ b/src/domain/create-load-spread/index.ts
@@ -22,8 +22,8 @@
 export type LoadSpread = {
 	/** A server that this host polls has reported. */
 	notePolled: (load: LoadReport, loadAt: Milliseconds) => void;
-	/** A server that this host polls was not reached. */
-	noteUnreachable: (server: ServerId) => void;
+	/** A server that this host polls was not reached by polls that began at this time. */
+	noteUnreachable: (server: ServerId, askedAt: Milliseconds) => void;
 	/** This host no longer polls the server. */
 	forget: (server: ServerId) => void;
 	/** The bytes to send to each receiver now; `undefined` when nothing is due. */
@@ -35,7 +35,8 @@
 type Polled = {
 	load: LoadReport | undefined;
 	loadAt: Milliseconds;
-	isReachable: boolean;
+	/** Start of the polls that did not reach it; `undefined` while it is reached. */
+	lostAt: Milliseconds | undefined;
 	sent: string;
 	sentAt: Milliseconds;
 };
@@ -57,17 +58,17 @@
 	const polled = new Map<ServerId, Polled>();
 	let nextAt = -Infinity;
 
-	function toDelta(server: ServerId, {load, loadAt, isReachable}: Polled, now: Milliseconds): LoadDelta {
+	function toDelta(server: ServerId, {load, loadAt, lostAt}: Polled, now: Milliseconds): LoadDelta {
 		return {
 			server: toHash32(server),
 			rest: load ? toRest(load) : 0,
-			state: isReachable ? load!.state : 'unreachable',
+			state: lostAt === undefined ? load!.state : 'unreachable',
 			slotsUsed: load?.slotsUsed ?? 0,
 			queued: load?.queued ?? 0,
 			queuedTokens: load?.queuedTokens ?? 0,
 			tokensPerSecond: load?.tokensPerSecond ?? 0,
 			linkBytesPerSecond: load?.linkBytesPerSecond ?? 0,
-			ageMs: now - loadAt,
+			ageMs: now - (lostAt ?? loadAt),
 		};
 	}
 
@@ -75,13 +76,13 @@
 		notePolled(load, loadAt) {
 			const {sent = '', sentAt = -Infinity} = polled.get(load.server) ?? {};
 			polled.set(load.server, {
-				load, loadAt, isReachable: true, sent, sentAt,
+				load, loadAt, lostAt: undefined, sent, sentAt,
 			});
 		},
-		noteUnreachable(server) {
+		noteUnreachable(server, askedAt) {
 			const {load, loadAt = 0, sent = '', sentAt = -Infinity} = polled.get(server) ?? {};
 			polled.set(server, {
-				load, loadAt, isReachable: false, sent, sentAt,
+				load, loadAt, lostAt: askedAt, sent, sentAt,
 			});
 		},
 		forget(server) {
@@ -124,7 +125,8 @@
 export type ReceivedLoads = {
 	/** Reports with their age at the sending. */
 	loads: readonly LoadReport[];
-	unreachable: readonly ServerId[];
+	/** Servers that the sender did not reach, with the time since its polls began. */
+	unreachable: ReadonlyArray<{server: ServerId; ageMs: Milliseconds}>;
 	/** Hashes of servers of which this host lacks the whole report. */
 	wanted: readonly number[];
 };
@@ -139,7 +141,7 @@
  */
 export function readLoads(bytes: Uint8Array, findServer: (hash: number) => ServerId | undefined, findLoad: (server: ServerId) => LoadReport | undefined): ReceivedLoads {
 	const loads: LoadReport[] = [];
-	const unreachable: ServerId[] = [];
+	const unreachable: Array<{server: ServerId; ageMs: Milliseconds}> = [];
 	const wanted: number[] = [];
 	for (const {server: hash, rest, state, ...numbers} of unpackDeltas(bytes)) {
 		const server = findServer(hash);
@@ -149,7 +151,7 @@
 
 		const known = findLoad(server);
 		if (state === 'unreachable') {
-			unreachable.push(server);
+			unreachable.push({server, ageMs: numbers.ageMs});
 		} else if (known && toRest(known) === rest) {
 			loads.push({...known, ...numbers, state});
 		} else {
--- a/src/domain/create-load-spread/test.ts
+++ b/src/domain/create-load-spread/test.ts
@@ -62,6 +62,13 @@
 		assert.deepEqual(receive({...load, version: '2'}).wanted, [toHash32('s1')]);
 	});
 
+	it('tells how long ago the polls began that did not reach a server', () => {
+		const spread = createLoadSpread();
+		spread.notePolled(load, 1000);
+		spread.noteUnreachable('s1', 4000);
+		assert.deepEqual(readLoads(spread.take(1, 5000)!, findServer, () => load).unreachable, [{server: 's1', ageMs: 1000}]);
+	});
+
 	it('reads any bytes', () => {
 		fc.assert(fc.property(fc.uint8Array({maxLength: 100}), bytes => {
 			readLoads(bytes, () => 's1', () => load);
--- a/src/ports/view.ts
+++ b/src/ports/view.ts
@@ -41,6 +41,8 @@
 	loadAt: Milliseconds;
 	/** Whether the last poll reached it; `undefined` before the first. */
 	reachable: boolean | undefined;
+	/** Monotonic time of this process to which `reachable` goes back; absent while nothing is known. */
+	reachableAt?: Milliseconds | undefined;
 };
 
 export type FleetView = {
--- a/src/programs/agent/_lib/poll-loads.ts
+++ b/src/programs/agent/_lib/poll-loads.ts
@@ -17,7 +17,8 @@
 	toEngine: (server: ServerEntry) => Engine;
 	intervalMs: Milliseconds;
 	onLoad: (load: LoadReport, askedAt: Milliseconds) => void;
-	onUnreachable: (server: ServerId) => void;
+	/** Two polls in a row failed; the first was asked at that time. */
+	onUnreachable: (server: ServerId, askedAt: Milliseconds) => void;
 	/** The server is no longer among those to poll. */
 	onEnd: (server: ServerId) => void;
 	now: () => Milliseconds;
@@ -38,8 +39,17 @@
 
 	stop.addEventListener('abort', abort, {once: true});
 	return async () => {
-		const timer = setTimeout(abort, timeoutMs);
+		let isOver = false;
+		const timer = setTimeout(() => {
+			// A process that was held up finds the time-out and the answer together: sockets are read before this runs.
+			setImmediate(() => {
+				if (!isOver) {
+					abort();
+				}
+			});
+		}, timeoutMs);
 		const load = await engine.load({signal: call.signal});
+		isOver = true;
 		clearTimeout(timer);
 		if (call.signal.aborted && !stop.aborted) {
 			call = new AbortController();
@@ -82,8 +92,16 @@
 		const readLoad = createLoadCaller(toEngine(server), Math.max(intervalMs, minTimeoutMs), stop);
 		await nextBeat();
 		while (!stop.aborted) {
-			const askedAt = now();
-			const load = await readLoad();
+			const startedAt = now();
+			let askedAt = startedAt;
+			let load = await readLoad();
+			if (load.isErr() && !stop.aborted) {
+				// One lost poll is no proof: a cut that heals resets it, a busy machine answers late. All hosts would pass
+				// the server over for it until the next poll. A server that is gone fails the second one too.
+				askedAt = now();
+				load = await readLoad();
+			}
+
 			if (stop.aborted) {
 				return;
 			}
@@ -91,7 +109,7 @@
 			if (load.isOk()) {
 				options.onLoad(load.value, askedAt);
 			} else {
-				options.onUnreachable(server.id);
+				options.onUnreachable(server.id, startedAt);
 			}
 
 			await nextBeat();
--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -50,21 +50,38 @@
 export function spreadLoads({table, self, hosts, send, call, spreadTargets, now, toArrival}: SpreadLoadsOptions): LoadsTask {
 	const spread = createLoadSpread();
 	const asking = new Set<HostId>();
-	let names: {accepted: unknown; byHash: Map<number, ServerId>} | undefined;
+	let names: {accepted: unknown; byHash: Map<number, ServerId>; zones: Map<ServerId, string>} | undefined;
 
-	function findServer(hash: number): ServerId | undefined {
+	function toNamesInForce() {
 		const accepted = table.accepted();
 		if (!names || names.accepted !== accepted) {
-			names = {accepted, byHash: new Map(accepted?.config.servers.map(({id}) => [toHash32(id), id]))};
+			const servers = accepted?.config.servers ?? [];
+			names = {accepted, byHash: new Map(servers.map(({id}) => [toHash32(id), id])), zones: new Map(servers.map(({id, zone}) => [id, zone]))};
 		}
 
-		return names.byHash.get(hash);
+		return names;
 	}
 
+	const findServer = (hash: number): ServerId | undefined => toNamesInForce().byHash.get(hash);
+
 	function findLoad(server: ServerId): LoadReport | undefined {
 		return table.view(now()).servers.get(server)?.load;
 	}
 
+	/**
+	 * Whether a host's word that it does not reach a server says something here:
+	 * it is of the server's zone, or of this one, or the server's zone has nobody
+	 * else. Hosts of two zones that are cut off poll each other's servers. When
+	 * the cut heals, word of that reaches the other zone, where the servers were
+	 * never out of reach, and its entries would refuse all.
+	 */
+	function isConcerned(from: HostId, server: ServerId): boolean {
+		const known = hosts();
+		const zone = known.get(from)?.zone;
+		const serverZone = toNamesInForce().zones.get(server);
+		return zone === self().zone || zone === serverZone || ![...known.values()].some(host => host.zone === serverZone && host.life === 'alive');
+	}
+
 	function receivers(): HostStatus[] {
 		const {id: ownId, zone: ownZone} = self();
 		const alive = [...hosts().values()].filter(({id, life}) => id !== ownId && life === 'alive');
@@ -102,8 +119,10 @@
 			table.noteLoad(load, toArrival() - load.ageMs);
 		}
 
-		for (const server of unreachable) {
-			table.noteUnreachable(server);
+		for (const {server, ageMs} of unreachable) {
+			if (isConcerned(from, server)) {
+				table.noteUnreachable(server, toArrival() - ageMs);
+			}
 		}
 
 		if (wanted.length > 0) {
--- a/src/programs/agent/_lib/tend-servers.ts
+++ b/src/programs/agent/_lib/tend-servers.ts
@@ -56,9 +56,10 @@
 
 			table.noteLoad(load, loadAt);
 		},
-		onUnreachable(server) {
-			loads.spread.noteUnreachable(server);
-			table.noteUnreachable(server);
+		onUnreachable(server, askedAt) {
+			const soundAt = pauses.toSoundTime(askedAt);
+			loads.spread.noteUnreachable(server, soundAt);
+			table.noteUnreachable(server, soundAt);
 		},
 		onEnd: loads.spread.forget,
 	});
