Serve with servers that look bad when nothing else is left

Cause: the gate gave a pool without reachable servers no places and refused all at once ("No server of the pool is known to serve"), though the placement would have tried doubted servers; and the placement itself kept out unreachable servers of other zones, ejected ones, and for 200 ms after a change also its own zone's. Word that a server is unreachable did not age, so it outlived the agent that alone could take it back.

Now, when nothing else is left and nobody is just full, such servers are tried; a reservation that fails costs no prefill. Word older than five seconds only makes a server doubted. A zone without living hosts is used when nothing else is left, as long as others reach its servers.

The test "counts no server that leaves or can't be reached" held the fault itself: a pool with one unreachable server left had no places. It is replaced by three: one out while another is reached, all unreachable, all leaving.

--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -16,6 +16,8 @@
 	local: number;
 	nearby: number;
 	isLax: boolean;
+	/** Servers that can't be reached or were ejected count as doubtful ones: all others are out, and none of them is just full. */
+	isLastResort?: boolean;
 };
 
 export type Search = {
@@ -32,7 +34,7 @@
 	now: Milliseconds;
 	random: Random;
 	/** What the search has met so far. */
-	met: {full: boolean; soft: boolean};
+	met: {full: boolean; soft: boolean; lost: boolean};
 };
 
 export type PairSearchOptions = {
@@ -64,8 +66,9 @@
 export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing}: PairSearchOptions) => {
 	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad => loads.read(entry, view.servers.get(entry.id), now);
 
-	const toCandidate = (entry: ServerEntry, search: Search, isLax: boolean): Candidate | undefined => {
-		const reason = standing.toReason(entry, search, search.random());
+	const toCandidate = (entry: ServerEntry, search: Search, {isLax, isLastResort = false}: Pick<Scope, 'isLax' | 'isLastResort'>): Candidate | undefined => {
+		const reason = standing.toReason(entry, isLastResort ? {...search, isLastResort} : search, search.random());
+		search.met.lost ||= reason === 'unreachable' || reason === 'ejected';
 		if (reason !== undefined && isSoft(reason)) {
 			search.met.soft = true;
 		}
@@ -86,7 +89,7 @@
 	};
 
 	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
-		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope.isLax);
+		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope);
 		return [...draw(role.local, scope.local, toValue, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
 	};
 
@@ -101,7 +104,7 @@
 			.map(([server]) => search.entries.get(server))
 			.filter(entry => entry?.pool === search.pool && entry?.zone === zone && !drawn.some(candidate => candidate.entry === entry))
 			.slice(0, maxPrefixHolders)
-			.map(entry => entry && toCandidate(entry, search, false))
+			.map(entry => entry && toCandidate(entry, search, {isLax: false}))
 			.filter(candidate => candidate !== undefined);
 	};
 
@@ -144,7 +147,14 @@
 		}
 
 		const best = spill(search, local) ?? local;
-		return best === undefined && search.met.soft ? searchPair(search, {local: Infinity, nearby: regionDraws, isLax: true}) : best;
+		if (best !== undefined) {
+			return best;
+		}
+
+		const all = {local: Infinity, nearby: regionDraws, isLax: true};
+		const lax = search.met.soft ? searchPair(search, all) : undefined;
+		// Where all that is left looks bad, the word of it may be wrong or old, and a refusal for it needless.
+		return lax === undefined && search.met.lost && !search.met.full ? searchPair(search, {...all, isLastResort: true}) : lax;
 	};
 
 	/** The least used of a few plain servers, of the own zone as long as one there has room. */
@@ -162,7 +172,8 @@
 			}
 		}
 
-		return undefined;
+		const [last] = search.met.lost && !search.met.full ? drawRole(search.servers.plain, search, {...scopes.at(-1)!, isLastResort: true}) : [];
+		return last;
 	};
 
 	/** Why a server was not taken; worked out after the fact, for a person who asks. */
--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -22,6 +22,8 @@
 	wanted: Wanted;
 	view: FleetView;
 	now: Milliseconds;
+	/** Nothing else is left: servers that can't be reached by the last word, or were ejected, are only doubted. */
+	isLastResort?: boolean;
 };
 
 /** How often the view is walked for cut zones and returning servers, milliseconds. */
@@ -141,6 +143,29 @@
 	const isLeaving = (server: ServerId, status: ServerStatus | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
 		status?.leaving === true || status?.load?.state === 'leaving' || isStanding(leavingAt.get(server), loadAt, now);
 
+	const isYoung = (at: Milliseconds | undefined, now: Milliseconds): boolean => at !== undefined && now - at <= staleAfterMs;
+
+	/**
+	 * What speaks against the way to the server. Word that it can't be reached
+	 * ages: an agent that is away, or has just started, can't take it back, and
+	 * the server would stay out for as long. A zone without living hosts may have
+	 * lost its agents alone, which hosts of other zones show by reaching its servers.
+	 */
+	const toWayReason = (entry: ServerEntry, status: ServerStatus | undefined, {now, isLastResort}: Inquiry): PassedOverReason | undefined => {
+		const {reachable, reachableAt} = status ?? {};
+		if (cutZones.has(entry.zone)) {
+			return reachable === true && isYoung(reachableAt, now) ? 'doubted' : 'cut-off';
+		}
+
+		if (reachable !== false) {
+			return undefined;
+		}
+
+		const isOld = reachableAt !== undefined && !isYoung(reachableAt, now);
+		const isDoubted = isLastResort === true || isOld || (entry.zone === zone && doubtedGroups.has(toGroup(entry)));
+		return isDoubted ? 'doubted' : 'unreachable';
+	};
+
 	const toHealthReason = (server: ServerId, now: Milliseconds, share: number): PassedOverReason | undefined => {
 		const healthShare = health.toShare(server, now);
 		if (healthShare === 0) {
@@ -156,8 +181,9 @@
 	 * @param share - Random number in [0, 1) against which a returning server's share is held; 0 lets it pass.
 	 * @returns Why the server is no candidate, or `undefined` if it is one.
 	 */
-	const toReason = (entry: ServerEntry, {wanted, view, now}: Inquiry, share: number): PassedOverReason | undefined => {
+	const toReason = (entry: ServerEntry, inquiry: Inquiry, share: number): PassedOverReason | undefined => {
 		const {id} = entry;
+		const {wanted, view, now} = inquiry;
 		if (wanted.exclude?.has(id)) {
 			return 'excluded';
 		}
@@ -168,12 +194,9 @@
 			return 'leaving';
 		}
 
-		if (cutZones.has(entry.zone)) {
-			return 'cut-off';
-		}
-
-		if (status?.reachable === false) {
-			return entry.zone === zone && doubtedGroups.has(toGroup(entry)) ? 'doubted' : 'unreachable';
+		const way = toWayReason(entry, status, inquiry);
+		if (way !== undefined && !isSoft(way)) {
+			return way;
 		}
 
 		if (isStanding(mismatchAt.get(id), loadAt, now)) {
@@ -181,7 +204,9 @@
 		}
 
 		const reported = status?.load === undefined ? undefined : toMismatch(entry, status.load, wanted);
-		return reported ?? toHealthReason(id, now, share) ?? (entry.role !== 'plain' && now - loadAt > staleAfterMs ? 'unknown-load' : undefined);
+		const ownReason = toHealthReason(id, now, share);
+		const doubt = ownReason === 'ejected' && inquiry.isLastResort ? 'doubted' : ownReason;
+		return reported ?? doubt ?? way ?? (entry.role !== 'plain' && now - loadAt > staleAfterMs ? 'unknown-load' : undefined);
 	};
 
 	return {
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -134,7 +134,7 @@
 
 		standing.sweep(view, pools.servers, now);
 		const base = {
-			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false},
+			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false, lost: false},
 		};
 		if (!('model' in request)) {
 			return {
--- a/src/domain/create-placement/test.ts
+++ b/src/domain/create-placement/test.ts
@@ -121,6 +121,20 @@
 		assert.ok(toDecider().pick(toPlacementRequest(), toFleet(), 1_000_000, random).isOk());
 	});
 
+	it('serves on when polls reach no server, all of them at once', () => {
+		const lost = Object.fromEntries(servers.map(entry => [entry.id, {reachable: false, reachableAt: 1000}]));
+		const decider = toDecider();
+		assert.ok(decider.pick(toPlacementRequest(), toFleet(), 1000, random).isOk());
+		assert.ok(decider.pick(toPlacementRequest(), toFleet(lost), 1001, random).isOk());
+	});
+
+	it('tries a server again that was last found unreachable long ago, when nothing else has room', () => {
+		const view = toFleet({d1: {reachable: false, reachableAt: 1000}, d2: toLoad(decodes[1], {slotsUsed: 20})});
+		assert.equal(toDecider().pick(toPlacementRequest(), view, 2000, random)._unsafeUnwrapErr().reason, 'no-memory');
+		assert.equal(toDecider().pick(toPlacementRequest(), view, 5900, random)._unsafeUnwrapErr().reason, 'no-memory');
+		assert.equal(toDecider().pick(toPlacementRequest(), view, 6001, random)._unsafeUnwrap().decode.id, 'd1');
+	});
+
 	it('says no-config before a configuration is accepted, and no-pool for one it does not have', () => {
 		const view = toFleet();
 		assert.equal(toDecider().pick(toPlacementRequest(), {...view, accepted: undefined}, 1000, random)._unsafeUnwrapErr().reason, 'no-config');
--- a/src/domain/create-placement/zones.test.ts
+++ b/src/domain/create-placement/zones.test.ts
@@ -64,6 +64,37 @@
 		});
 	}
 
+	it('tries, for a zone without servers, those of the region though polls reach none, when nothing else is left', () => {
+		const remote = toConfig(servers.filter(({zone}) => zone !== 'a'), {zones: config.zones});
+		const view = {...toFleet(1000, {unreachable: 'b'}), accepted: toView(remote, []).accepted};
+		assert.deepEqual(pickZones(createPlacement({zone: 'a'}), view, 1000), {b: 60});
+	});
+
+	it('tries what it ejected when its only other zone is cut off, rather than refuse', () => {
+		const plains = ['a', 'b'].map(zone => toServer(`${zone}-plain`, 'plain', {zone, pool: 'web'}));
+		const pools = toConfig([...servers.filter(({id}) => /^[ab]-.1$/v.test(id)), ...plains], {zones: config.zones});
+		const view = {...toFleet(1000, {lives: {b: 'dead'}}), accepted: toView(pools, []).accepted};
+		const placement = createPlacement({zone: 'a', health: {failuresToEject: 1}});
+		assert.ok(placement.pickPlain({pool: 'web'}, view, 1000, toSeededRandom(1)).isOk());
+		for (const entry of pools.servers.filter(({zone}) => zone === 'a')) {
+			placement.noteFailure(entry, {kind: 'broken', reason: undefined}, 1000);
+		}
+
+		assert.equal(placement.pickPlain({pool: 'web'}, view, 1001, toSeededRandom(1))._unsafeUnwrap().server.id, 'a-plain');
+		assert.deepEqual(pickZones(placement, view, 1001), {a: 60});
+	});
+
+	it('uses a zone without living hosts only when nothing else is left, and while others reach its servers', () => {
+		const toReached = (change: Change, reachableAt: number) => {
+			const view = toFleet(1000, {...change, lives: {b: 'dead'}});
+			return {...view, servers: new Map([...view.servers].map(([id, status]) => [id, {...status, reachableAt}]))};
+		};
+
+		assert.deepEqual(pickZones(createPlacement({zone: 'a'}), toReached({}, 1000), 1000), {a: 60});
+		assert.deepEqual(pickZones(createPlacement({zone: 'a'}), toReached({usedIn: {a: 20}}, 1000), 1000), {b: 60});
+		assert.deepEqual(pickZones(createPlacement({zone: 'a'}), toReached({usedIn: {a: 20}}, -5000), 1000), {'no-memory': 60});
+	});
+
 	it('accounts for a large pool within a bound, and counts the rest', () => {
 		const many = Array.from({length: 600}, (_, i) => toServer(`s${i}`, i % 2 === 0 ? 'prefill' : 'decode', {zone: i < 400 ? 'a' : 'far'}));
 		const big = toConfig(many, {zones: config.zones});
--- a/src/domain/to-pool-capacity/index.ts
+++ b/src/domain/to-pool-capacity/index.ts
@@ -12,9 +12,16 @@
 	used?: number;
 };
 
-function isInService(view: FleetView, server: ServerEntry): boolean {
-	const status = view.servers.get(server.id);
-	return !status?.leaving && status?.reachable !== false;
+/**
+ * Servers that count. When polls reach none of them, all that don't leave
+ * count: a lost poll or a stall of this machine looks the same, and a pool
+ * without places refuses everybody at once. If they are truly gone, each
+ * request finds that out by a reservation, which costs no prefill.
+ */
+function toInService(view: FleetView, servers: readonly ServerEntry[]): readonly ServerEntry[] {
+	const staying = servers.filter(({id}) => !view.servers.get(id)?.leaving);
+	const reached = staying.filter(({id}) => view.servers.get(id)?.reachable !== false);
+	return reached.length > 0 ? reached : staying;
 }
 
 function toUsed(view: FleetView, servers: ReadonlyArray<{id: ServerId}>): number | undefined {
@@ -25,7 +32,8 @@
 /**
  * Works out what each pool can hold and which part of it is this host's. Hosts
  * of one region send to the region's servers, so the part is one over their
- * number; servers that leave or can't be reached don't count.
+ * number; servers that leave don't count, nor those that can't be reached as long
+ * as others can.
  *
  * @param view - The fleet as this host knows it.
  * @param zone - This host's availability zone.
@@ -47,7 +55,7 @@
 	const sends = (host: HostStatus) => (host.life === 'alive' || host.life === 'suspect') && isNear(host.zone);
 	const hosts = Math.max(1, [...view.hosts.values()].filter(host => sends(host)).length);
 	return config.pools.map(({name}) => {
-		const servers = config.servers.filter(server => server.pool === name && server.role !== 'prefill' && isNear(server.zone) && isInService(view, server));
+		const servers = toInService(view, config.servers.filter(server => server.pool === name && server.role !== 'prefill' && isNear(server.zone)));
 		const slots = servers.reduce((sum, server) => sum + (view.servers.get(server.id)?.load?.slotsTotal ?? server.slots), 0);
 		const used = toUsed(view, servers);
 		return {
--- a/src/domain/to-pool-capacity/test.ts
+++ b/src/domain/to-pool-capacity/test.ts
@@ -34,12 +34,16 @@
 };
 
 describe('toPoolCapacity', () => {
+	const left = status('d1', {leaving: true});
+	const lost = status('d2', {reachable: false});
 	const both = [server('d1', 'a'), server('d2', 'b')];
 	const cases: ReadonlyArray<[string, FleetView, Record<string, unknown>]> = [
 		['counts the region\'s servers and shares by its living hosts', toView([...both, server('d3', 'far')], [host('h1', 'a'), host('h2', 'b'), host('h3', 'far')], []), {slots: 40, share: 0.5}],
 		['counts no dead host', toView(both, [host('h1', 'a'), host('h2', 'b', 'dead')], []), {slots: 40, share: 1}],
 		['takes what servers report', toView(both, [], [status('d1', {load: load(16, 4)})]), {slots: 36, share: 1, used: 4}],
-		['counts no server that leaves or can\'t be reached', toView(both, [], [status('d1', {leaving: true}), status('d2', {reachable: false})]), {slots: 0, share: 1}],
+		['counts no server that leaves, nor one that can\'t be reached while another can', toView([...both, server('d4', 'b')], [], [left, lost]), {slots: 20, share: 1}],
+		['counts servers that can\'t be reached when no other is left', toView(both, [], [status('d1', {reachable: false}), status('d2', {reachable: false})]), {slots: 40, share: 1}],
+		['counts no server that leaves, also when no other is left', toView(both, [], [status('d1', {leaving: true}), status('d2', {leaving: true, reachable: false})]), {slots: 0, share: 1}],
 		['counts no prefill server', toView([server('p1', 'a', {role: 'prefill'}), server('d1', 'a')], [], []), {slots: 20, share: 1}],
 	];
 	for (const [name, view, expected] of cases) {
--- /dev/null
+++ b/test/failures/recovery.test.ts
@@ -0,0 +1,221 @@
+/*
+ * A caller asks an entry whose agent has just died or restarted, or whose agent
+ * was told by mistake that servers can't be reached: a poll was lost in a busy
+ * moment, or hung in a cut that has healed. All engines serve, and the entry's
+ * last view names them. A refusal would be needless: the entry serves on with
+ * what it knew, and lets the engine's own reservation decide where it doubts.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {type PeerConnection} from '../../src/adapters/peer-tcp/index.js';
+import {createViewPublisher} from '../../src/adapters/view-feed/index.js';
+import {applyUpdate, emptyView, type FedView} from '../../src/adapters/view-feed/_lib/apply-update.js';
+import {type FeedUpdate} from '../../src/adapters/view-feed/_lib/messages.js';
+import {createAdmission} from '../../src/domain/create-admission/index.js';
+import {createFleetTable} from '../../src/domain/create-fleet-table/index.js';
+import {createLoadSpread} from '../../src/domain/create-load-spread/index.js';
+import {createPlacement} from '../../src/domain/create-placement/index.js';
+import {
+	toConfig, toPlacementRequest, toReport, toSeededRandom, toServer,
+} from '../../src/domain/create-placement/_lib/fixtures.js';
+import {type AcceptedConfig} from '../../src/ports/config.js';
+import {type HostStatus} from '../../src/ports/view.js';
+import {peerEvents} from '../../src/programs/agent/_lib/peer-messages.js';
+import {spreadLoads} from '../../src/programs/agent/_lib/spread-loads.js';
+import {createGate} from '../../src/programs/entry/gate/index.js';
+import {createManualClock} from '../_lib/create-manual-clock/index.js';
+
+const tickMs = 200;
+const servers = ['a', 'b'].flatMap(zone => [toServer(`${zone}-prefill`, 'prefill', {zone}), toServer(`${zone}-decode`, 'decode', {zone})]);
+const accepted: AcceptedConfig = {version: {edition: 1, revision: 1, digest: 'd'}, text: '', config: toConfig(servers)};
+const hosts = new Map(['a-1', 'a-2', 'b-1'].map((id): [string, HostStatus] => [id, {
+	id, zone: id[0]!, life: 'alive', incarnation: 1, entryAddress: `${id}:1`, agentAddress: `${id}:2`, leaving: false,
+}]));
+
+/** Host a-1: an agent that can be restarted, and an entry that decides with what it was fed. */
+function createHost() {
+	const clock = createManualClock({monotonic: 100_000});
+	const random = toSeededRandom(1);
+	const gate = createGate({admission: createAdmission(), zone: 'a', now: clock.now});
+	const placement = createPlacement({zone: 'a'});
+	let view: FedView = emptyView;
+	let asked = 0;
+
+	const connection = {
+		closed: new Promise<never>(() => {
+			// It stays open.
+		}),
+		send(_name: string, update: unknown) {
+			view = applyUpdate(view, update as FeedUpdate, {parse: () => assert.fail('the entry has the document'), isNewer: () => false});
+			gate.setView(view);
+			return true;
+		},
+	} as unknown as PeerConnection;
+
+	function startAgent(known: ReadonlyMap<string, HostStatus>) {
+		const table = createFleetTable();
+		const publisher = createViewPublisher();
+		table.setConfig(accepted);
+		table.setHosts(known);
+		publisher.add(connection);
+		const loads = spreadLoads({
+			table,
+			self: () => ({id: 'a-1', zone: 'a'}),
+			hosts: () => hosts,
+			send: () => undefined,
+			call: async () => ({isOk: () => false, unwrapOr: value => value}),
+			spreadTargets: () => [],
+			now: clock.now,
+			toArrival: clock.now,
+		});
+		return {table, publisher, loads};
+	}
+
+	let agent: ReturnType<typeof startAgent> | undefined = startAgent(hosts);
+	view = {...emptyView, accepted};
+
+	const host = {
+		/** Time goes by; the agent, while there is one, tells its entry what it knows. */
+		pass(ms: number) {
+			for (const end = clock.now() + ms; clock.now() < end;) {
+				clock.advance(tickMs);
+				agent?.publisher.notePing(connection, {
+					at: clock.now(), entryAddress: '', incarnation: 1, configVersion: undefined,
+				}, clock.now());
+				agent?.publisher.publish(agent.table.view(clock.now()), 0, clock.now());
+			}
+		},
+		/** Reports of servers are known. */
+		report() {
+			for (const server of servers) {
+				agent?.table.noteLoad(toReport(server), clock.now());
+			}
+		},
+		/** The agent's own polls fail. */
+		lose(ids: readonly string[]) {
+			for (const id of ids) {
+				agent?.table.noteUnreachable(id, clock.now());
+			}
+		},
+		/** Another host says that its polls of servers failed. */
+		hearLost(from: string, ids: readonly string[]) {
+			const sender = createLoadSpread();
+			for (const id of ids) {
+				sender.noteUnreachable(id, clock.now());
+			}
+
+			agent?.loads.takeEvent(from, peerEvents.loads, sender.take(1, clock.now()));
+		},
+		killAgent() {
+			agent = undefined;
+		},
+		/** A new agent knows the document, which its entry told it, and nobody but itself. */
+		restartAgent() {
+			agent = startAgent(new Map([...hosts].filter(([id]) => id === 'a-1')));
+		},
+		view: () => view,
+		/** `served`, or why not. */
+		async ask(): Promise<string> {
+			const now = clock.now();
+			const id = `r${asked++}`;
+			const entered = await gate.enter({
+				id, pool: 'main', class: 'quick', workspace: 'w', promptTokens: 40, maxTokens: 20, firstTokenDeadline: now + 2000, deadline: now + 5000, queueLimit: 100,
+			}, new AbortController().signal);
+			if (entered.isErr()) {
+				return entered.error.reason;
+			}
+
+			const placed = placement.pick(toPlacementRequest(), view, now, random);
+			gate.leave(id, 'completed');
+			return placed.isOk() ? 'served' : placed.error.reason;
+		},
+	};
+	host.report();
+	host.pass(1000);
+	return host;
+}
+
+type Host = ReturnType<typeof createHost>;
+
+const all = servers.map(({id}) => id);
+const ofZone = (zone: string) => servers.filter(server => server.zone === zone).map(({id}) => id);
+
+const cases: ReadonlyArray<[string, (host: Host) => void, number]> = [
+	['all agents restart', host => {
+		host.restartAgent();
+	}, 10_000],
+	['a cut between zones has healed and all agents restart, while late word of both sides\' polls is still believed', host => {
+		host.lose(ofZone('b'));
+		host.hearLost('b-1', ofZone('a'));
+		host.pass(200);
+		host.restartAgent();
+	}, 10_000],
+	['one poll of each server was lost', host => {
+		host.lose(all);
+	}, 10_000],
+	['the agent is dead for a minute', host => {
+		host.killAgent();
+	}, 60_000],
+	['the agent is dead for a minute, and its last polls failed', host => {
+		host.lose(all);
+		host.pass(200);
+		host.killAgent();
+	}, 60_000],
+	['the agent restarts while the platform is down, and reaches no peer and no server', host => {
+		host.restartAgent();
+		host.pass(200);
+		host.lose(all);
+	}, 60_000],
+	['the reports of all servers go stale at once', () => undefined, 60_000],
+];
+
+describe('an entry that knows servers', () => {
+	for (const [name, fault, lastsMs] of cases) {
+		it(`serves on when ${name}`, async () => {
+			const host = createHost();
+			fault(host);
+			for (let passedMs = 0; passedMs < lastsMs; passedMs += tickMs) {
+				assert.equal(await host.ask(), 'served', `${passedMs} ms after it`);
+				host.pass(tickMs);
+			}
+		});
+	}
+
+	it('keeps the hosts that it knew while its agent hears of them again', () => {
+		const host = createHost();
+		host.restartAgent();
+		host.pass(1000);
+		assert.deepEqual([...host.view().hosts.keys()].sort(), ['a-1', 'a-2', 'b-1']);
+	});
+
+	it('serves on through any order of lost polls, late words, deaths and restarts of its agent', async () => {
+		const lost = fc.subarray(all);
+		const step = fc.oneof(
+			lost.map(ids => (host: Host) => {
+				host.lose(ids);
+			}),
+			fc.tuple(fc.constantFrom('a-2', 'b-1'), lost).map(([from, ids]) => (host: Host) => {
+				host.hearLost(from, ids);
+			}),
+			fc.constantFrom<(host: Host) => void>(host => {
+				host.killAgent();
+			}, host => {
+				host.restartAgent();
+			}, host => {
+				host.report();
+			}),
+			fc.integer({min: tickMs, max: 20_000}).map(ms => (host: Host) => {
+				host.pass(ms);
+			}),
+		);
+		await fc.assert(fc.asyncProperty(fc.array(step, {maxLength: 20}), async steps => {
+			const host = createHost();
+			for (const take of steps) {
+				take(host);
+				host.pass(tickMs);
+				assert.equal(await host.ask(), 'served');
+			}
+		}), {numRuns: 200});
+	});
+});
