--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -4,7 +4,9 @@
  * output of a deleted test is never run.
  *
  * Usage: `node dist/scripts/run-tests.js [path fragment ...]` runs the files
- * whose path contains one of the fragments.
+ * whose path contains one of the fragments. With `--properties` before them,
+ * only files with properties of fast-check run. What the properties draw comes
+ * from one seed, see `use-test-seed.ts`.
  */
 import {existsSync, readFileSync, readdirSync} from 'node:fs';
 import path from 'node:path';
@@ -35,18 +37,22 @@
 	return lines.map(line => ({test: line.split('|')[0]!.trim(), line}));
 }
 
-function listTestFiles(fragments: readonly string[]): string[] {
+const hasProperties = (file: string): boolean => readFileSync(file, 'utf8').includes('fc.assert');
+
+function listTestFiles(fragments: readonly string[], {onlyProperties}: {onlyProperties: boolean}): string[] {
 	const sources = ['src', 'test', 'scripts'].flatMap(root =>
 		readdirSync(root, {recursive: true, encoding: 'utf8'}).map(file => path.join(root, file)));
 	return sources
 		.filter(file => path.basename(file) === 'test.ts' || file.endsWith('.test.ts'))
 		.filter(file => fragments.length === 0 || fragments.some(fragment => file.includes(fragment)))
+		.filter(file => !onlyProperties || hasProperties(file))
 		.map(file => path.join('dist', file.replace(/\.ts$/v, '.js')))
 		.sort();
 }
 
 const knownRed = readKnownRed();
-const files = listTestFiles(process.argv.slice(2));
+const fragments = process.argv.slice(2).filter(argument => !argument.startsWith('--'));
+const files = listTestFiles(fragments, {onlyProperties: process.argv.includes('--properties')});
 const passedOver: string[] = [];
 let passed = 0;
 let failed = 0;
@@ -56,6 +62,8 @@
 	process.exit(1);
 }
 
+// The runner starts each file with the arguments of this process.
+process.execArgv.push('--import', new URL('use-test-seed.js', import.meta.url).href);
 const stream = run({files, concurrency: concurrentFiles, timeout: fileTimeoutMs});
 
 stream.on('test:pass', event => {
