--- a/bench/placement/index.ts
+++ b/bench/placement/index.ts
@@ -2,8 +2,9 @@
 import process from 'node:process';
 import {measurePicks} from './measure-picks.js';
 import {
-	settings, simulate, toCapacity, type Outcome, type Scenario, type Strategy,
-} from './simulate.js';
+	settings, toCapacity, type Outcome, type Scenario, type Strategy,
+} from './_lib/scenario.js';
+import {simulate} from './simulate.js';
 
 const loads = [0.6, 0.9, 1.1, 1.5];
 const routerCounts = [1, 3, 9];
