Send to a subset of the zone's servers first, one for each host

Cause: what nine routers lose to one is late sight. Load is seen 0.3 to 1.3 s late, and what the others send meanwhile is not seen; two draws each find the same idle server.

Change: living hosts of a zone divide its servers, by slices of a ring. A pick looks at up to four of its own slice beside its draws; a server outside must be better by 300 ms (prefill) or a full server's pressure (decode). Hosts that disagree about who lives share some servers, as all do now. Without the host's name nothing changes.

--- a/bench/placement/_lib/create-router.ts
+++ b/bench/placement/_lib/create-router.ts
@@ -15,13 +15,15 @@
 	fleet: Fleet;
 	agenda: Agenda;
 	strategy: Strategy;
+	name: string;
 	random: () => number;
 };
 
-export const createRouter = ({fleet, agenda, strategy, random}: RouterOptions) => {
+export const createRouter = ({fleet, agenda, strategy, name, random}: RouterOptions) => {
 	const isBlind = strategy === 'round-robin' || strategy === 'least-lagged' || strategy === 'two-lagged' || strategy === 'reserve-lagged';
 	const placement = createPlacement({
 		zone: 'a',
+		...(strategy === 'reserve' && {host: name}),
 		draws: strategy === 'reserve-all' ? Infinity : 2,
 		kvBytesPerToken: settings.kvBytesPerToken,
 	});
--- a/bench/placement/_lib/scenario.ts
+++ b/bench/placement/_lib/scenario.ts
@@ -7,10 +7,11 @@
  * - `round-robin`, `least-lagged`, `two-lagged`: nobody counts; the last report alone decides.
  * - `own-corrected`: createPlacement, that is two draws on reports corrected by own dispatches; nobody counts.
  * - `reserve-lagged`: `two-lagged`, and the decode engine grants or refuses.
- * - `reserve`, `reserve-all`: createPlacement with two draws or all servers, and the engine grants or refuses.
+ * - `reserve`: createPlacement as it is used, each router with a subset of its own, and the engine grants or refuses.
+ * - `reserve-drawn`, `reserve-all`: the same without subsets, with two draws or all servers.
  * - `grant`: createPlacement, and one owner host for each server grants or refuses, one hop away.
  */
-export type Strategy = 'round-robin' | 'least-lagged' | 'two-lagged' | 'own-corrected' | 'reserve-lagged' | 'reserve' | 'reserve-all' | 'grant';
+export type Strategy = 'round-robin' | 'least-lagged' | 'two-lagged' | 'own-corrected' | 'reserve-lagged' | 'reserve' | 'reserve-drawn' | 'reserve-all' | 'grant';
 
 /** Decode servers whose tokens come late from `fromMs` to `toMs` of the run. */
 export type SlowServers = {
--- a/bench/placement/index.ts
+++ b/bench/placement/index.ts
@@ -1,89 +1,109 @@
 /** Compares ways to place requests and to count a decode server's memory, and times a pick. */
 import process from 'node:process';
-import {measurePicks} from './measure-picks.js';
+import {printHead, printOutcome, printRow} from './_lib/print.js';
 import {
-	settings, toCapacity, type Outcome, type Scenario, type Strategy,
+	settings, toCapacity, type Outcome, type Scenario, type SlowServers, type Strategy,
 } from './_lib/scenario.js';
+import {measurePicks} from './measure-picks.js';
 import {simulate} from './simulate.js';
 
 const loads = [0.6, 0.9, 1.1, 1.5];
-const routerCounts = [1, 3, 9];
-const strategies: readonly Strategy[] = ['round-robin', 'least-lagged', 'two-lagged', 'own-corrected', 'reserve-lagged', 'reserve', 'reserve-all', 'grant'];
+const strategies: readonly Strategy[] = ['round-robin', 'least-lagged', 'two-lagged', 'own-corrected', 'reserve-lagged', 'reserve-drawn', 'reserve-all', 'grant', 'reserve'];
 const lagged = {reportEveryMs: 1000, reportLagMs: 300};
+const instant = {reportEveryMs: 0, reportLagMs: 0};
 const defaultSeed = 20_261_202;
 const defaultSeconds = 100;
 
-type Row = Outcome & {name: string; routers: number; load: number; ofBound: number};
+/** The zone of the target's size: 216 servers, 33 routers. */
+const zoneScale = 8;
+const zoneRouters = 33;
 
-const toPercent = (share: number): string => `${(share * 100).toFixed(1)}%`;
+type Base = {seed: number; seconds: number};
+type Row = {name: string; routers: number; load: number; outcome: Outcome};
 
-const printRow = (cells: ReadonlyArray<string | number>): void => {
-	console.log(cells.map((cell, i) => i === 0 ? String(cell).padEnd(16) : String(cell).padStart(10)).join(''));
+const run = (name: string, scenario: Scenario): Row => {
+	const {routers, load} = scenario;
+	const outcome = simulate(scenario);
+	printOutcome([name, routers, load], outcome);
+	return {
+		name, routers, load, outcome,
+	};
 };
 
-const printRows = (rows: readonly Row[]): void => {
-	printRow(['strategy', 'routers', 'load', 'goodput', 'of bound', 'overfull', 'refusals', 'wasted', 'late', 'refused', 'failed', 'p50 ms', 'p99 ms']);
-	for (const row of rows) {
-		printRow([
-			row.name,
-			row.routers,
-			row.load,
-			toPercent(row.goodput),
-			toPercent(row.ofBound),
-			toPercent(row.overfullShare),
-			row.refusalsPerRequest.toFixed(3),
-			toPercent(row.wastedPrefillShare),
-			row.late,
-			row.refused,
-			row.failed,
-			row.firstTokenP50,
-			row.firstTokenP99,
-		]);
-	}
+/** Who counts a decode server's memory. */
+const runCounting = (base: Base): Row[] => loads.flatMap(load => [
+	run('bound', {
+		...base, ...instant, load, strategy: 'reserve-all', routers: 1,
+	}),
+	...strategies.flatMap(strategy => [1, 3, 9].map(routers => run(strategy, {
+		...base, ...lagged, load, strategy, routers,
+	}))),
+]);
+
+/** What more routers cost, with and without subsets; two seeds, and the zone of the target's size. */
+const runRouters = (base: Base): Row[] => [
+	...loads.flatMap(load => (['reserve-drawn', 'reserve'] as const).flatMap(strategy => [1, 3, 9, 33].flatMap(routers => [0, 1].map(i => run(`${strategy}, seed ${i + 1}`, {
+		...base, ...lagged, load, strategy, routers, seed: base.seed + i,
+	}))))),
+	...[0.9, 1.1].flatMap(load => [
+		run('zone, reserve-drawn', {
+			...base, ...lagged, load, strategy: 'reserve-drawn', routers: 1, scale: zoneScale, seconds: 60,
+		}),
+		...(['reserve-drawn', 'reserve'] as const).map(strategy => run(`zone, ${strategy}`, {
+			...base, ...lagged, load, strategy, routers: zoneRouters, scale: zoneScale, seconds: 60,
+		})),
+	]),
+	...[9, 33].map(routers => run('reserve, 30% at one', {
+		...base, ...lagged, load: 0.9, strategy: 'reserve', routers, skew: 0.3,
+	})),
+];
+
+/** Decode servers whose tokens come at a quarter of the rate from a third of the run on. */
+const runSlow = (base: Base): Row[] => {
+	const cases: ReadonlyArray<[string, number, boolean]> = [
+		['1 slow, reported', 1, true],
+		['1 slow, not reported', 1, false],
+		['6 slow, not reported', 6, false],
+		['all slow, not reported', settings.decodeServers, false],
+	];
+	return cases.flatMap(([name, count, isReported]) => [0.6, 0.8].flatMap(load => [1, 9].map(routers => {
+		const slow: SlowServers = {
+			count, isReported, factor: 4, fromMs: base.seconds * 1000 / 3, toMs: base.seconds * 1000,
+		};
+		return run(name, {
+			...base, ...lagged, load, strategy: 'reserve', routers, slow,
+		});
+	})));
 };
 
-const toRows = (load: number, seed: number, seconds: number): Row[] => {
-	const base = {load, seed, seconds};
-	const bound = simulate({
-		...base, strategy: 'reserve-all', routers: 1, reportEveryMs: 0, reportLagMs: 0,
+const runPicks = () => {
+	printRow(['pick', 'servers', 'mean µs', 'p99 µs']);
+	return [10, 225, 2700].flatMap(servers => [
+		measurePicks(servers, 'half used', 5000), measurePicks(servers, 'with account', 2000), measurePicks(servers, 'all full', 1000),
+	]).map(timing => {
+		printRow([timing.state, timing.servers, timing.meanMicroseconds.toFixed(1), timing.p99Microseconds.toFixed(1)]);
+		return timing;
 	});
-	const rows: Row[] = [{
-		...bound, name: 'bound', routers: 1, load, ofBound: 1,
-	}];
-	for (const strategy of strategies) {
-		for (const routers of routerCounts) {
-			const scenario: Scenario = {
-				...base, ...lagged, strategy, routers,
-			};
-			const outcome = simulate(scenario);
-			rows.push({
-				...outcome, name: strategy, routers, load, ofBound: outcome.good / Math.max(1, bound.good),
-			});
-		}
-	}
+};
 
-	return rows;
+const parts: Readonly<Record<string, (base: Base) => unknown>> = {
+	counting: runCounting, routers: runRouters, slow: runSlow, picks: runPicks,
 };
 
 /**
- * Prints the comparison as a table and as one line of JSON. The seed is in
- * `BENCH_SEED` and the simulated time of a run in `BENCH_SECONDS`.
+ * Prints the comparison as tables and as one line of JSON. The seed is in
+ * `BENCH_SEED`, the simulated time of a run in `BENCH_SECONDS`, and the parts
+ * to run in `BENCH_PART`, by their names with commas between.
  */
 export const runPlacementBench = (): void => {
-	const seed = Number(process.env.BENCH_SEED ?? defaultSeed);
-	const seconds = Number(process.env.BENCH_SECONDS ?? defaultSeconds);
-	console.log(`seed ${seed}, ${seconds} s simulated, ${settings.warmupMs / 1000} s at each end not counted; decode capacity ${toCapacity()} requests/s`);
-	const rows = loads.flatMap(load => toRows(load, seed, seconds));
-	printRows(rows);
-	const timings = [10, 225, 2700].flatMap(servers => [
-		measurePicks(servers, 'half used', 5000), measurePicks(servers, 'with account', 2000), measurePicks(servers, 'all full', 1000),
-	]);
-	printRow(['pick', 'servers', 'mean µs', 'p99 µs']);
-	for (const timing of timings) {
-		printRow([timing.state, timing.servers, timing.meanMicroseconds.toFixed(1), timing.p99Microseconds.toFixed(1)]);
-	}
-
+	const base = {seed: Number(process.env.BENCH_SEED ?? defaultSeed), seconds: Number(process.env.BENCH_SECONDS ?? defaultSeconds)};
+	const names = process.env.BENCH_PART?.split(',') ?? Object.keys(parts);
+	console.log(`seed ${base.seed}, ${base.seconds} s simulated, ${settings.warmupMs / 1000} s at each end not counted; decode capacity ${toCapacity()} requests/s`);
+	const results = names.map((name): [string, unknown] => {
+		printHead(name, 'routers', 'load');
+		return [name, parts[name]?.(base)];
+	});
 	console.log(JSON.stringify({
-		bench: 'placement', seed, seconds, settings, lagged, rows, timings,
+		bench: 'placement', ...base, settings, lagged, ...Object.fromEntries(results),
 	}));
 };
--- a/bench/placement/simulate.ts
+++ b/bench/placement/simulate.ts
@@ -6,7 +6,7 @@
 import {toSeededRandom} from '../../src/domain/create-placement/_lib/fixtures.js';
 import {createAgenda} from './_lib/create-agenda.js';
 import {createCourse} from './_lib/create-course.js';
-import {createFleet} from './_lib/create-fleet.js';
+import {createFleet, toRouterName} from './_lib/create-fleet.js';
 import {createRouter} from './_lib/create-router.js';
 import {createTally} from './_lib/create-tally.js';
 import {
@@ -22,7 +22,7 @@
 	const random = toSeededRandom(scenario.seed);
 	const fleet = createFleet(agenda, scenario);
 	const routers = Array.from({length: scenario.routers}, (_, i) => createRouter({
-		fleet, agenda, strategy: scenario.strategy, random: toSeededRandom(scenario.seed + 1 + i),
+		fleet, agenda, strategy: scenario.strategy, name: toRouterName(i), random: toSeededRandom(scenario.seed + 1 + i),
 	}));
 	const isArbitrated = scenario.strategy.startsWith('reserve') || scenario.strategy === 'grant';
 	const tally = createTally(scenario, isArbitrated);
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -7,6 +7,7 @@
 import {type TokenPace} from '../../create-token-pace/index.js';
 import {createSlowness} from './create-slowness.js';
 import {isSoft, type Standing, type Wanted} from './create-standing.js';
+import {type Subsets} from './create-subsets.js';
 import {draw} from './draw.js';
 import {toAccount} from './to-account.js';
 import {type Candidate, type Pair, toBestPair} from './to-best-pair.js';
@@ -48,8 +49,20 @@
 	loads: LoadEstimate;
 	standing: Standing;
 	pace: TokenPace;
+	subsets: Subsets;
 };
 
+/** Servers of the own subset that are looked at for each role. */
+const subsetDraws = 4;
+
+/**
+ * What speaks against a server outside the own subset, milliseconds: about the
+ * time that prompts of other hosts, sent since its last report, take in a
+ * prefill queue; on a decode server the pressure of a full one, so that the
+ * own subset is filled first.
+ */
+const unseenMs = {prefill: 300, decode: 100, plain: 0};
+
 /** Servers drawn in the region for each role once the own zone does not do. */
 const regionDraws = 8;
 
@@ -68,7 +81,7 @@
  * @param options - Zone of this host, draws, and the records that tell of servers.
  * @returns Functions that find servers for a search.
  */
-export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing, pace}: PairSearchOptions) => {
+export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing, pace, subsets}: PairSearchOptions) => {
 	const slowness = createSlowness();
 
 	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad => loads.read(entry, view.servers.get(entry.id), now);
@@ -103,12 +116,15 @@
 			version: search.view.servers.get(entry.id)?.load?.version,
 			cachedTokens: search.cachedTokens.get(entry.id) ?? 0,
 			...toSlow(entry, load, search),
+			unseenMs: subsets.read(search.servers[entry.role])?.has(entry) === false ? unseenMs[entry.role] : 0,
 		};
 	};
 
 	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
 		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope);
-		return [...draw(role.local, scope.local, toValue, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
+		const own = scope.local > 0 ? draw([...subsets.read(role) ?? []], subsetDraws, toValue, search.random) : [];
+		const toOther = (entry: ServerEntry) => own.some(candidate => candidate.entry === entry) ? undefined : toValue(entry);
+		return [...own, ...draw(role.local, scope.local, toOther, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
 	};
 
 	/** Servers of the own zone that hold the prompt's prefix, deepest first. */
--- a/src/domain/create-placement/_lib/to-best-pair.ts
+++ b/src/domain/create-placement/_lib/to-best-pair.ts
@@ -15,6 +15,8 @@
 	stepMs: Milliseconds;
 	/** Time that this answer would lose to tokens slower than usual, on a decode server. */
 	slowMs: Milliseconds;
+	/** What speaks against the server because other hosts send to it, unseen. */
+	unseenMs: Milliseconds;
 };
 
 export type Pair = {
@@ -24,7 +26,7 @@
 	predictedFirstTokenMs: Milliseconds;
 	/** Predicted first token, and the time lost to slow tokens. */
 	delayMs: Milliseconds;
-	/** `delayMs` plus what else speaks against the decode server. */
+	/** `delayMs` plus what else speaks against the servers. */
 	score: number;
 };
 
@@ -56,7 +58,7 @@
 const toPressure = ({load}: Candidate): number => pressureMs * load.slotsUsed / Math.max(1, load.slotsTotal);
 
 /** What speaks against a decode server beside the first token. */
-const toDecodeCost = (decode: Candidate): Milliseconds => toPressure(decode) + decode.slowMs;
+const toDecodeCost = (decode: Candidate): Milliseconds => toPressure(decode) + decode.slowMs + decode.unseenMs;
 
 /** Time of the transfer over one server's link, shared with the transfers already on it. */
 const toLinkMs = ({load}: Candidate, {kvBytes}: PairRequest): Milliseconds =>
@@ -72,13 +74,14 @@
 	candidates.map(candidate => ({candidate, cost: toCost(candidate)})).toSorted((a, b) => a.cost - b.cost).slice(0, shortlist);
 
 const toBestOfVersion = (prefills: readonly Candidate[], decodes: readonly Candidate[], request: PairRequest): Pair | undefined => {
-	const bestPrefills = takeBest(prefills, prefill => toPrefillMs(prefill, request));
+	const bestPrefills = takeBest(prefills, prefill => toPrefillMs(prefill, request) + prefill.unseenMs);
 	const bestDecodes = takeBest(decodes, decode => toDecodeCost(decode) + toZoneMs(decode.entry, request) + toLinkMs(decode, request));
 	let best: Pair | undefined;
-	for (const {candidate: prefill, cost: predictedPrefillMs} of bestPrefills) {
+	for (const {candidate: prefill, cost} of bestPrefills) {
+		const predictedPrefillMs = cost - prefill.unseenMs;
 		for (const {candidate: decode} of bestDecodes) {
 			const predictedFirstTokenMs = predictedPrefillMs + toTransferMs(prefill, decode, request) + decode.stepMs + toZoneMs(decode.entry, request);
-			const score = predictedFirstTokenMs + toDecodeCost(decode);
+			const score = predictedFirstTokenMs + prefill.unseenMs + toDecodeCost(decode);
 			if (best === undefined || score < best.score) {
 				best = {
 					prefill, decode, predictedPrefillMs, predictedFirstTokenMs, delayMs: predictedFirstTokenMs + decode.slowMs, score,
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -2,7 +2,9 @@
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type EngineFailureKind, type EngineRefusalReason} from '../../../ports/engine.js';
-import {type RegionId, type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {
+	type HostId, type RegionId, type ServerId, type ZoneId,
+} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type FleetView} from '../../../ports/view.js';
 
@@ -99,6 +101,8 @@
 export type PlacementOptions = {
 	/** Zone of this host. */
 	zone: ZoneId;
+	/** Name of this host, by which it finds the servers to send to first; without one, all servers are alike. */
+	host?: HostId;
 	/** Region of a zone; the configuration's own `zones` by default. */
 	regionOf?: (zone: ZoneId) => RegionId | undefined;
 	/** Servers drawn at random for each role, of which the best is taken; `Infinity` looks at all. */
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -3,8 +3,9 @@
  * first token by this host's own estimate, and tokens no slower than need be, or
  * the reason why none does.
  *
- * A pick draws a few servers of its own zone for each role, adds those that
- * hold the prompt's prefix, and takes the best pair. It looks wider, at the
+ * A pick draws a few servers for each role, of those that this host sends to
+ * first and of its whole zone, adds those that hold the prompt's prefix, and
+ * takes the best pair. It looks wider, at the
  * whole zone and at the region, only when that pair is missing or late, so the
  * usual cost does not grow with the fleet. Each decision is this host's alone:
  * the decode engine, asked for a reservation, is the arbiter of its memory.
@@ -23,6 +24,7 @@
 import {createNotes, type Learnt} from './_lib/create-notes.js';
 import {createPairSearch, type Search} from './_lib/create-pair-search.js';
 import {createStanding} from './_lib/create-standing.js';
+import {createSubsets} from './_lib/create-subsets.js';
 import {type Pair} from './_lib/to-best-pair.js';
 import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
 import {
@@ -90,6 +92,7 @@
 	const health = createServerHealth(options.health);
 	const pace = createTokenPace();
 	const lengths = createAnswerLengths();
+	const subsets = createSubsets({zone, host: options.host});
 	let index: PoolIndex | undefined;
 	let indexKey = '';
 
@@ -130,7 +133,7 @@
 	};
 
 	const pairs = createPairSearch({
-		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace,
+		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets,
 	});
 
 	const toSearch = (request: PlacementRequest | PlainRequest, view: FleetView, now: Milliseconds, random: Random): Search | undefined => {
@@ -141,6 +144,7 @@
 		}
 
 		standing.sweep(view, pools.servers, now);
+		subsets.refresh(view, now);
 		const base = {
 			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false, lost: false},
 		};
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -9,7 +9,9 @@
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type Config} from '../../../ports/config.js';
 import {type EngineFailure} from '../../../ports/engine.js';
-import {type Owner, type ServerId, type ZoneId} from '../../../ports/ids.js';
+import {
+	type HostId, type Owner, type ServerId, type ZoneId,
+} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {type Engines} from '../../_engines/index.js';
 import {createCancelQueue, type CancelQueueOptions} from '../cancel-queue/index.js';
@@ -20,6 +22,7 @@
 export type RunServicesOptions = {
 	clock: Clock;
 	random: Random;
+	host: HostId;
 	zone: ZoneId;
 	engines: Engines;
 	counters: ReturnType<typeof createTally>;
@@ -66,7 +69,7 @@
  */
 export function createRunServices(options: RunServicesOptions): {services: RunServices; noteConfig: (config: Config) => void} {
 	const {
-		clock, random, zone, engines, counters, log, reservationTtlMs, toView, toOwner, reportLeaving,
+		clock, random, host, zone, engines, counters, log, reservationTtlMs, toView, toOwner, reportLeaving,
 	} = options;
 	const budgets = createRetryBudgets(options.retryBudget);
 	let lastConfig: Config | undefined;
@@ -81,7 +84,7 @@
 		toOwner,
 		toView,
 		toEngine: engines.toEngine,
-		placement: createPlacement({zone, tokensPerBlock}),
+		placement: createPlacement({zone, host, tokensPerBlock}),
 		gate: createGate({admission: createAdmission(), zone, now: clock.now}),
 		cancels: createCancelQueue({
 			cancel,
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -163,6 +163,7 @@
 	const run = createRunServices({
 		clock,
 		random,
+		host: settings.hostId,
 		zone: settings.zone,
 		engines,
 		counters,
