Measure picks as hosts make them, with a subset of their own

Cause: the bench timed picks without a host's name, so without the draws from its own subset. Change: a zone of 33 hosts in the view; a subset's list is kept beside its set, since copying the set at each pick would grow with a zone's servers where a host is alone.

--- a/bench/placement/_lib/create-fleet.ts
+++ b/bench/placement/_lib/create-fleet.ts
@@ -12,7 +12,7 @@
 
 export const toRouterName = (i: number): string => `host-${i}`;
 
-const toHost = (i: number): HostStatus => ({
+export const toHost = (i: number): HostStatus => ({
 	id: toRouterName(i), zone: 'a', life: 'alive', incarnation: 1, entryAddress: '', agentAddress: '', leaving: false,
 });
 
--- a/bench/placement/measure-picks.ts
+++ b/bench/placement/measure-picks.ts
@@ -4,6 +4,7 @@
 import {
 	toConfig, toPlacementRequest, toSeededRandom, toServer, toStatus, toView,
 } from '../../src/domain/create-placement/_lib/fixtures.js';
+import {toHost, toRouterName} from './_lib/create-fleet.js';
 
 export type PickTiming = {
 	servers: number;
@@ -19,13 +20,17 @@
 const arrivalEveryMs = 1000 / 15.5;
 const reportEveryMs = 1000;
 
+/** Hosts of a zone at that size. */
+const zoneHosts = 33;
+
 /** Times picks one by one, after a warm-up, with a dispatch and an end for each. */
 export const measurePicks = (serverCount: number, state: PickTiming['state'], picks: number): PickTiming => {
 	const entries = Array.from({length: serverCount}, (_, i) => toServer(`s${i}`, i % 3 === 0 ? 'prefill' : 'decode'));
 	const config = toConfig(entries);
-	const toFleet = (at: number) => toView(config, entries.map(entry => toStatus(entry, at, {slotsUsed: state === 'all full' ? 20 : 10})));
+	const hosts = Array.from({length: zoneHosts}, (_, i) => toHost(i));
+	const toFleet = (at: number) => toView(config, entries.map(entry => toStatus(entry, at, {slotsUsed: state === 'all full' ? 20 : 10})), hosts);
 	let view = toFleet(0);
-	const placement = createPlacement({zone: 'a'});
+	const placement = createPlacement({zone: 'a', host: toRouterName(0)});
 	const random = toSeededRandom(7);
 	const request = toPlacementRequest({prefixBlocks: Array.from({length: 64}, (_, i) => `b${i}`)});
 	const tookMs: number[] = [];
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -122,7 +122,7 @@
 
 	const drawRole = (role: RoleServers, search: Search, scope: Scope): Candidate[] => {
 		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope);
-		const own = scope.local > 0 ? draw([...subsets.read(role) ?? []], subsetDraws, toValue, search.random) : [];
+		const own = scope.local > 0 ? draw(subsets.read(role)?.servers ?? [], subsetDraws, toValue, search.random) : [];
 		const toOther = (entry: ServerEntry) => own.some(candidate => candidate.entry === entry) ? undefined : toValue(entry);
 		return [...own, ...draw(role.local, scope.local, toOther, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
 	};
--- a/src/domain/create-placement/_lib/create-subsets.ts
+++ b/src/domain/create-placement/_lib/create-subsets.ts
@@ -6,6 +6,11 @@
 import {type RoleServers} from './to-pool-index.js';
 import {toSubset} from './to-subset.js';
 
+export type Subset = {
+	servers: readonly ServerEntry[];
+	has: (entry: ServerEntry) => boolean;
+};
+
 /** How often the hosts of the view are looked through, milliseconds. */
 const refreshEveryMs = 1000;
 
@@ -29,7 +34,7 @@
 export const createSubsets = ({zone, host}: {zone: ZoneId; host: HostId | undefined}) => {
 	let hosts: ReadonlySet<HostId> = new Set();
 	let refreshedAt = -Infinity;
-	let subsets = new WeakMap<RoleServers, ReadonlySet<ServerEntry>>();
+	let subsets = new WeakMap<RoleServers, Subset>();
 
 	return {
 		refresh(view: FleetView, now: Milliseconds): void {
@@ -45,7 +50,7 @@
 			}
 		},
 		/** @returns Servers of the own zone that this host sends to first; `undefined` where all are alike. */
-		read(role: RoleServers): ReadonlySet<ServerEntry> | undefined {
+		read(role: RoleServers): Subset | undefined {
 			if (host === undefined) {
 				return undefined;
 			}
@@ -55,7 +60,9 @@
 				return known;
 			}
 
-			const subset = new Set(toSubset(role.local, hosts, host));
+			const servers = toSubset(role.local, hosts, host);
+			const members = new Set(servers);
+			const subset: Subset = {servers, has: entry => members.has(entry)};
 			subsets.set(role, subset);
 			return subset;
 		},
