Test that a relay tells of its stream's tokens while they come

Cause: only the meter had a test, not its place in the relay. Ruled out: nothing else. Before: a relay without the meter's calls passed all cases. After: one case more, which adds up the stretches of a stream that breaks and goes on.

--- a/src/domain/create-placement/_lib/create-slowness.ts
+++ b/src/domain/create-placement/_lib/create-slowness.ts
@@ -38,8 +38,8 @@
 /**
  * A server is held against the median of its pool and region. Three safeguards
  * lie in that: where all servers are slow, none is avoided and the pool is used
- * as ever; at most half can be slower than the median, so that a bad signal
- * never speaks against more; and being slow never keeps a server out, it costs
+ * as ever; no more than half can be slower than the median, so that a bad signal
+ * never speaks against more (of a large group, half of a sample); and being slow never keeps a server out, it costs
  * time in the comparison, so that it is used once the others are full.
  *
  * @returns Functions that tell the time between tokens and the time lost.
--- a/src/programs/entry/relay-stream/test.ts
+++ b/src/programs/entry/relay-stream/test.ts
@@ -126,6 +126,35 @@
 		}));
 	});
 
+	it('tells how the tokens came while the stream goes on', async () => {
+		const seen: Array<{tokens: number; tookMs: number}> = [];
+		let now = 0;
+		const tick = () => {
+			now += 80;
+			return now;
+		};
+
+		const run = createRun([]);
+		const answer = Array.from({length: 20}, (_, i) => ` ${i}`);
+		const stream = toStream(answer, 0, {pieces: answer.map(() => ({kind: 'own' as const, count: 1})), ending: 'early-end'});
+		const engine = {resume: () => okAsync(toStream(answer, 20, undefined))} as unknown as Engine;
+		await relayStream({
+			run,
+			services: {...services, clock: {now: tick, wallNow: () => 0}},
+			engine,
+			key,
+			server: 'd',
+			step: createStepSignal(run.signal, () => 0),
+			stream,
+			noteTokens(stretch) {
+				seen.push(stretch);
+			},
+		});
+		assert.ok(seen.length > 1);
+		assert.equal(seen.reduce((sum, {tokens}) => sum + tokens, 0), 19);
+		assert.ok(seen.every(({tokens, tookMs}) => tookMs / tokens >= 80));
+	});
+
 	it('fails when the server no longer has the stream', async () => {
 		const {end, text} = await relay(['a', 'b', 'c'], [{pieces: [{kind: 'own', count: 2}], ending: 'break'}], true);
 		assert.equal(end.kind, 'failed');
