--- a/src/domain/create-load-estimate/test.ts
+++ b/src/domain/create-load-estimate/test.ts
@@ -22,6 +22,12 @@
 		assert.equal(loads.read(decode, toStatus(decode, 1000, {slotsUsed: 2}), 1100).slotsUsed, 5);
 	});
 
+	it('assumes of a server that never reported what its role can do', () => {
+		const loads = createLoadEstimate({tokensPerSecond: 9000, streamTokensPerSecond: 40});
+		assert.equal(loads.read(prefill, undefined, 0).tokensPerSecond, 9000);
+		assert.equal(loads.read(decode, undefined, 0).tokensPerSecond, 40);
+	});
+
 	it('drains the backlog at the reported rate and replays later prompts over it', () => {
 		const loads = createLoadEstimate();
 		const status = toStatus(prefill, 1000, {queuedTokens: 4000, tokensPerSecond: 8000});
