--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -27,8 +27,9 @@
 import {createSubsets} from './_lib/create-subsets.js';
 import {type Pair} from './_lib/to-best-pair.js';
 import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
+import {noServerRetryAfterMs, toLookupRefusal, toRefusal} from './_lib/to-refusal.js';
 import {
-	type PickPair, type PickPlain, type Placement, type PlacementAccount, type PlacementOptions, type PlacementRefusal, type PlacementRefusalReason, type PlacementRequest, type PlainRequest,
+	type PickPair, type PickPlain, type Placement, type PlacementAccount, type PlacementOptions, type PlacementRefusal, type PlacementRequest, type PlainRequest,
 } from './_lib/types.js';
 
 export type * from './_lib/types.js';
@@ -43,31 +44,6 @@
 const ttlFactor = 1.5;
 const ttlMarginMs = 500;
 
-const minRetryAfterMs = 100;
-const maxRetryAfterMs = 30_000;
-const noServerRetryAfterMs = 2000;
-
-const noAccount = (pool: string): PlacementAccount => ({
-	pool, chosen: [], passedOver: [], counts: {}, notLookedAt: 0,
-});
-
-const toRetryAfter = (ms: Milliseconds): Milliseconds => Math.round(Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, ms)));
-
-const toRefusal = (reason: PlacementRefusalReason, message: string, retryAfterMs: Milliseconds, account: () => PlacementAccount): PlacementRefusal => ({
-	reason, message, retryAfterMs: toRetryAfter(retryAfterMs), account,
-});
-
-/** Why a pool cannot be looked up in a view. */
-const toLookupRefusal = (view: FleetView, pool: string): PlacementRefusal => {
-	const isEmpty = view.accepted === undefined;
-	return {
-		reason: isEmpty ? 'no-config' : 'no-pool',
-		message: isEmpty ? 'no configuration has been accepted yet' : `pool ${pool} is not in the configuration in force`,
-		retryAfterMs: noServerRetryAfterMs,
-		account: () => noAccount(pool),
-	};
-};
-
 /**
  * Creates the placement of one host.
  *
