Test an old word of unreachable against a server that is known to be full

It failed here as picks draw random numbers in another order.

Ruled out: that picks prefer otherwise now; both servers' scores are equal.

Change: the full server's report is new at each pick, and the other must be taken in 50 picks of 50. Without the ageing of the word the case fails, as before.

--- a/src/domain/create-placement/test.ts
+++ b/src/domain/create-placement/test.ts
@@ -129,10 +129,17 @@
 	});
 
 	it('tries a server again that was last found unreachable long ago, when nothing else has room', () => {
-		const view = toFleet({d1: {reachable: false, reachableAt: 1000}, d2: toLoad(decodes[1], {slotsUsed: 20})});
-		assert.equal(toDecider().pick(toPlacementRequest(), view, 2000, random)._unsafeUnwrapErr().reason, 'no-memory');
-		assert.equal(toDecider().pick(toPlacementRequest(), view, 5900, random)._unsafeUnwrapErr().reason, 'no-memory');
-		assert.equal(toDecider().pick(toPlacementRequest(), view, 6001, random)._unsafeUnwrap().decode.id, 'd1');
+		// The full server's report stays new: with an old one it would be taken as well, by chance.
+		const pick = (now: number) => {
+			const d2 = {...toLoad(decodes[1], {slotsUsed: 20}), loadAt: now};
+			return toDecider().pick(toPlacementRequest(), toFleet({d1: {reachable: false, reachableAt: 1000}, d2}), now, random);
+		};
+
+		assert.equal(pick(2000)._unsafeUnwrapErr().reason, 'no-memory');
+		assert.equal(pick(5900)._unsafeUnwrapErr().reason, 'no-memory');
+		for (let i = 0; i < 50; i++) {
+			assert.equal(pick(6001 + i)._unsafeUnwrap().decode.id, 'd1');
+		}
 	});
 
 	it('says no-config before a configuration is accepted, and no-pool for one it does not have', () => {
