Sum up zones and merge what zones say of themselves

Cause: beyond 40 hosts the loads of other zones are not spread, so a host knows nothing of them. This adds the decisions, not yet wired: a zone's sum by pool and role, its packed form (10 bytes a zone, 5 a row; 12 zones of 3 models and 2 roles in under 500 bytes), a merge by stamp, the two hosts of a zone that make it (as membership's bridges are picked, now in one place), and a tree for telling a zone.

Ruled out: an order by age alone, since an old copy that waited in a socket would look fresh and replace a newer one; numbers of each maker, which two makers of one zone cannot compare.

--- a/src/domain/create-load-spread/_lib/pack.ts
+++ b/src/domain/create-load-spread/_lib/pack.ts
@@ -2,6 +2,7 @@
 import {type LoadReport} from '../../../ports/engine.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {toHash32} from '../../../_lib/to-hash32/index.js';
+import {fromLogStep, toLogStep} from '../../../_lib/to-log-step/index.js';
 
 /** The changing part of a load report, with values rounded as the bytes round them. */
 export type LoadDelta = {
@@ -22,16 +23,6 @@
 
 const states = ['serving', 'loading', 'leaving', 'unreachable'] as const;
 const ageUnitMs = 50;
-const stepsPerDoubling = 6;
-
-/** Six steps to a doubling: within 6% from 1 up to 2^42. */
-function toStep(value: number): number {
-	return value < 1 ? 0 : Math.min(255, 1 + Math.round(Math.log2(value) * stepsPerDoubling));
-}
-
-function fromStep(step: number): number {
-	return step === 0 ? 0 : Math.round(2 ** ((step - 1) / stepsPerDoubling));
-}
 
 /** Hash of the part of a report that seldom changes. */
 export function toRest({role, model, version, adapters, slotsTotal, fence}: LoadReport): number {
@@ -49,9 +40,9 @@
 		view.setUint8(at + 6, states.indexOf(delta.state));
 		view.setUint16(at + 7, Math.min(65_535, delta.slotsUsed));
 		view.setUint16(at + 9, Math.min(65_535, delta.queued));
-		view.setUint8(at + 11, toStep(delta.queuedTokens));
-		view.setUint8(at + 12, toStep(delta.tokensPerSecond));
-		view.setUint8(at + 13, toStep(delta.linkBytesPerSecond));
+		view.setUint8(at + 11, toLogStep(delta.queuedTokens));
+		view.setUint8(at + 12, toLogStep(delta.tokensPerSecond));
+		view.setUint8(at + 13, toLogStep(delta.linkBytesPerSecond));
 		view.setUint8(at + 14, Math.min(255, Math.ceil(delta.ageMs / ageUnitMs)));
 	}
 
@@ -69,9 +60,9 @@
 			state: states[view.getUint8(at + 6)]!,
 			slotsUsed: view.getUint16(at + 7),
 			queued: view.getUint16(at + 9),
-			queuedTokens: fromStep(view.getUint8(at + 11)),
-			tokensPerSecond: fromStep(view.getUint8(at + 12)),
-			linkBytesPerSecond: fromStep(view.getUint8(at + 13)),
+			queuedTokens: fromLogStep(view.getUint8(at + 11)),
+			tokensPerSecond: fromLogStep(view.getUint8(at + 12)),
+			linkBytesPerSecond: fromLogStep(view.getUint8(at + 13)),
 			ageMs: view.getUint8(at + 14) * ageUnitMs,
 		}));
 }
--- a/src/domain/create-membership/_lib/create-targets.ts
+++ b/src/domain/create-membership/_lib/create-targets.ts
@@ -2,11 +2,10 @@
 import {pickRanked} from '../../../_lib/pick-ranked/index.js';
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type HostId, type ZoneId} from '../../../ports/ids.js';
+import {pickZoneContacts} from '../../pick-zone-contacts/index.js';
 import {type Records} from './create-records.js';
 import {type HostRecord} from './types.js';
 
-/** Hosts of each zone that speak with other zones. */
-const bridgesOfZone = 2;
 const pingsAnInterval = 2;
 /** Intervals between two pings to one other zone, and to one host that is gone. */
 const zoneIntervals = 3;
@@ -57,10 +56,7 @@
 	}
 
 	function toBridges(zone: ZoneId): readonly HostRecord[] {
-		const members = records.ofZone(zone);
-		const alive = members.filter(({life}) => life === 'alive');
-		const candidates = alive.length > 0 ? alive : members.filter(record => isThere(record));
-		return pickRanked(`bridge ${zone}`, candidates.map(({id}) => id), bridgesOfZone).map(id => records.get(id)!);
+		return pickZoneContacts(zone, records.ofZone(zone)).map(id => records.get(id)!);
 	}
 
 	function look() {
--- /dev/null
+++ b/src/domain/create-zone-summaries/index.ts
@@ -0,0 +1,143 @@
+/**
+ * What a host knows of whole zones: the last summary of each, its own zone's
+ * among them while this host is one of those that make it.
+ */
+import {toHash32} from '../../_lib/to-hash32/index.js';
+import {type Milliseconds} from '../../ports/clock.js';
+import {type Config} from '../../ports/config.js';
+import {type ZoneId} from '../../ports/ids.js';
+import {type SummaryRow, type ZoneSummary} from '../../ports/view.js';
+import {pickNewerSummary, type StampedRow, type StampedSummary} from '../pick-newer-summary/index.js';
+import {
+	maxRows, packSummaries, toRounded, unpackSummaries,
+} from './_lib/pack.js';
+
+/** Age at which a summary is forgotten: two rounds may get lost on its way. */
+export const summaryStaleMs = 20_000;
+
+/** A peer's word must not fill the memory. */
+const maxZones = 64;
+const maxStamp = 0xFF_FF_FF_FF;
+const keyLimit = 2 ** 16;
+const msPerStamp = 1000;
+const roles = ['prefill', 'decode'] as const;
+
+export type ZoneSummaries = {
+	/** Takes this host's own summary of its zone; `wallNow` only keeps stamps rising over restarts. */
+	make: (summary: ZoneSummary, now: Milliseconds, wallNow: Milliseconds) => void;
+	/** Takes what a peer sent; returns whether any of it was news. */
+	take: (bytes: Uint8Array, arrivedAt: Milliseconds, now: Milliseconds) => boolean;
+	/** Bytes for a peer: of one zone, or of all; `undefined` when nothing is known. */
+	pack: (now: Milliseconds, zone?: ZoneId) => Uint8Array | undefined;
+	/** Summaries by name, of the zones and pools of the configuration; the same map until something changes. */
+	view: (config: Config, now: Milliseconds) => ReadonlyMap<ZoneId, ZoneSummary>;
+};
+
+/** Hash of a pool and role; the first of two that clash keeps the key, on all hosts alike. */
+function toKeys(config: Config): Map<number, {pool: string; role: SummaryRow['role']}> {
+	const keys = new Map<number, {pool: string; role: SummaryRow['role']}>();
+	for (const {name} of config.pools) {
+		for (const role of roles) {
+			const key = toKey(name, role);
+			keys.set(key, keys.get(key) ?? {pool: name, role});
+		}
+	}
+
+	return keys;
+}
+
+const toKey = (pool: string, role: SummaryRow['role']): number => toHash32(`${pool}\n${role}`) % keyLimit;
+
+function toStampedRows(rows: readonly SummaryRow[]): StampedRow[] {
+	const stamped = new Map<number, StampedRow>();
+	for (const {pool, role, servers, free, waitMs} of rows.slice(0, maxRows)) {
+		const key = toKey(pool, role);
+		stamped.set(key, stamped.get(key) ?? toRounded({
+			key, servers, free, waitMs,
+		}));
+	}
+
+	return [...stamped.values()];
+}
+
+/**
+ * Creates it empty.
+ *
+ * @param options - Age at which a summary is forgotten, milliseconds.
+ * @returns See {@link ZoneSummaries}.
+ *
+ * @example
+ * ```ts
+ * const summaries = createZoneSummaries();
+ * summaries.make({zone: 'dvorana-a', at: now, rows}, now, Date.now());
+ * summaries.pack(now)?.length; // => 11 bytes and 5 for each row
+ * ```
+ */
+export function createZoneSummaries({staleAfterMs = summaryStaleMs}: {staleAfterMs?: Milliseconds} = {}): ZoneSummaries {
+	const known = new Map<number, StampedSummary>();
+	let version = 0;
+	let shown: {version: number; config: Config; zones: ReadonlyMap<ZoneId, ZoneSummary>} | undefined;
+
+	/**
+	 * A zone whose hosts all restarted with slower clocks stamps lower than before,
+	 * and nobody would take its word; what has gone stale bars nobody.
+	 */
+	function forgetStale(now: Milliseconds) {
+		for (const [zone, {at}] of known) {
+			if (now - at >= staleAfterMs) {
+				known.delete(zone);
+				version += 1;
+			}
+		}
+	}
+
+	function note(summary: StampedSummary, now: Milliseconds): boolean {
+		const prev = known.get(summary.zone);
+		const kept = prev === undefined ? summary : pickNewerSummary(summary, prev);
+		const isUnwanted = now - summary.at >= staleAfterMs || (prev === undefined && known.size >= maxZones);
+		if (isUnwanted || kept === prev) {
+			return false;
+		}
+
+		known.set(summary.zone, kept);
+		version += 1;
+		return kept.stamp !== prev?.stamp;
+	}
+
+	function toZones(config: Config): ReadonlyMap<ZoneId, ZoneSummary> {
+		const keys = toKeys(config);
+		return new Map(config.zones.flatMap(({id}) => {
+			const summary = known.get(toHash32(id));
+			const rows = summary?.rows.flatMap(({key, ...numbers}) => keys.has(key) ? [{...keys.get(key)!, ...numbers}] : []);
+			return summary && rows ? [[id, {zone: id, at: summary.at, rows}] as const] : [];
+		}));
+	}
+
+	return {
+		make({zone, at, rows}, now, wallNow) {
+			forgetStale(now);
+			const hash = toHash32(zone);
+			const last = known.get(hash)?.stamp ?? 0;
+			note({
+				zone: hash, stamp: Math.min(maxStamp, Math.max(last + 1, Math.floor(wallNow / msPerStamp))), at, rows: toStampedRows(rows),
+			}, now);
+		},
+		take(bytes, arrivedAt, now) {
+			forgetStale(now);
+			return unpackSummaries(bytes, arrivedAt).map(summary => note(summary, now)).includes(true);
+		},
+		pack(now, zone) {
+			forgetStale(now);
+			const wanted = [...known.values()].filter(summary => zone === undefined || summary.zone === toHash32(zone));
+			return wanted.length === 0 ? undefined : packSummaries(wanted, now);
+		},
+		view(config, now) {
+			forgetStale(now);
+			if (shown?.version !== version || shown.config !== config) {
+				shown = {version, config, zones: toZones(config)};
+			}
+
+			return shown.zones;
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-zone-summaries/test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {type SummaryRow} from '../../ports/view.js';
+import {toConfig} from '../create-placement/_lib/fixtures.js';
+import {createZoneSummaries} from './index.js';
+
+const zones = ['a', 'b', 'c'];
+const config = toConfig([], {zones: zones.map(id => ({id, region: 'r'}))});
+const toRows = (free: number): SummaryRow[] => [{
+	pool: 'main', role: 'decode', servers: 3, free, waitMs: 0,
+}];
+
+const toSummary = (zone: string, free: number, at: number) => ({zone, at, rows: toRows(free)});
+
+/** What a host shows of a zone. */
+const toFree = (summaries: ReturnType<typeof createZoneSummaries>, zone: string, now: number) => summaries.view(config, now).get(zone)?.rows[0]?.free;
+
+describe('createZoneSummaries', () => {
+	it('passes a summary on with its age', () => {
+		const [maker, bridge, host] = [createZoneSummaries(), createZoneSummaries(), createZoneSummaries()];
+		maker.make(toSummary('a', 16, 1000), 1000, 5_000_000);
+		assert.equal(bridge.take(maker.pack(1200)!, 50_000, 50_000), true);
+		assert.equal(host.take(bridge.pack(50_300)!, 900, 900), true);
+		assert.deepEqual([...host.view(config, 900).values()], [{zone: 'a', at: 400, rows: toRows(16)}]);
+		assert.equal(host.take(bridge.pack(50_300)!, 900, 900), false, 'it is known already');
+	});
+
+	it('takes 12 zones of 3 models and 2 roles in under 500 bytes', () => {
+		const summaries = createZoneSummaries();
+		const rows = ['x', 'y', 'z'].flatMap(pool => (['prefill', 'decode'] as const).map(role => ({
+			pool, role, servers: 70, free: 900, waitMs: 1234,
+		})));
+		for (let i = 0; i < 12; i++) {
+			summaries.make({zone: `zone-${i}`, at: 0, rows}, 0, 0);
+		}
+
+		assert.ok(summaries.pack(0)!.length < 500, `${summaries.pack(0)!.length}`);
+	});
+
+	it('goes on from the stamps of the zone\'s other maker, however far its own clock is behind', () => {
+		const [ahead, behind, host] = [createZoneSummaries(), createZoneSummaries(), createZoneSummaries()];
+		ahead.make(toSummary('a', 1, 0), 0, 90_000_000);
+		behind.take(ahead.pack(0)!, 0, 0);
+		host.take(ahead.pack(0)!, 0, 0);
+		behind.make(toSummary('a', 8, 2000), 2000, 1000);
+		host.take(behind.pack(2000)!, 2000, 2000);
+		assert.equal(toFree(host, 'a', 2000), 8);
+	});
+
+	it('believes a zone again that restarted with slower clocks, once what it said before is stale', () => {
+		const [before, after, host] = [createZoneSummaries(), createZoneSummaries(), createZoneSummaries()];
+		before.make(toSummary('a', 1, 0), 0, 90_000_000);
+		host.take(before.pack(0)!, 0, 0);
+		after.make(toSummary('a', 8, 0), 0, 1000);
+		host.take(after.pack(0)!, 100, 100);
+		assert.equal(toFree(host, 'a', 100), 1);
+		after.make(toSummary('a', 8, 20_000), 20_000, 21_000);
+		host.take(after.pack(20_000)!, 20_100, 20_100);
+		assert.equal(toFree(host, 'a', 20_100), 8);
+	});
+
+	it('forgets what is stale, and passes nothing stale on', () => {
+		const summaries = createZoneSummaries({staleAfterMs: 1000});
+		summaries.make(toSummary('a', 1, 0), 0, 0);
+		assert.equal(summaries.view(config, 999).size, 1);
+		assert.equal(summaries.view(config, 1000).size, 0);
+		assert.equal(summaries.pack(1000), undefined);
+	});
+
+	it('shows the same on hosts that heard the same, in any order and any number of times', () => {
+		const words = fc.array(fc.record({zone: fc.constantFrom(...zones), free: fc.integer({min: 0, max: 40})}), {minLength: 1, maxLength: 8});
+		fc.assert(fc.property(words, fc.infiniteStream(fc.nat()), (said, order) => {
+			const maker = createZoneSummaries();
+			const packets = said.map(({zone, free}, i) => {
+				maker.make(toSummary(zone, free, i), i, 0);
+				return maker.pack(i, zone)!;
+			});
+			const [one, other] = [createZoneSummaries(), createZoneSummaries()];
+			for (const packet of packets) {
+				one.take(packet, 0, 0);
+			}
+
+			const shuffled = [...packets, ...packets].map(packet => ({packet, place: Number(order.next().value)})).sort((a, b) => a.place - b.place);
+			for (const {packet} of shuffled) {
+				other.take(packet, 0, 0);
+			}
+
+			assert.deepEqual(other.view(config, 0), one.view(config, 0));
+		}));
+	});
+
+	it('never says more free, or less wait, than it was told', () => {
+		fc.assert(fc.property(fc.nat({max: 100_000}), fc.nat({max: 100_000}), (free, waitMs) => {
+			const [maker, host] = [createZoneSummaries(), createZoneSummaries()];
+			maker.make({
+				zone: 'a', at: 0, rows: [{
+					pool: 'main', role: 'prefill', servers: 1, free, waitMs,
+				}],
+			}, 0, 0);
+			host.take(maker.pack(0)!, 0, 0);
+			const [row] = host.view(config, 0).get('a')!.rows;
+			assert.ok(row!.free <= free && row!.free >= Math.floor(free * 0.88), `${free} became ${row!.free}`);
+			assert.ok(row!.waitMs >= waitMs && row!.waitMs <= Math.ceil(waitMs * 1.13), `${waitMs} became ${row!.waitMs}`);
+		}));
+	});
+
+	it('reads any bytes, and none of a format that it does not know', () => {
+		fc.assert(fc.property(fc.uint8Array({maxLength: 100}), bytes => {
+			const summaries = createZoneSummaries();
+			summaries.take(bytes, 0, 0);
+			summaries.take(Uint8Array.from([1, ...bytes]), 0, 0);
+			assert.ok(summaries.view(config, 0).size <= zones.length);
+		}));
+		const maker = createZoneSummaries();
+		maker.make(toSummary('a', 1, 0), 0, 0);
+		const next = maker.pack(0)!;
+		next[0] = 2;
+		assert.equal(createZoneSummaries().take(next, 0, 0), false);
+	});
+});
--- a/src/ports/view.ts
+++ b/src/ports/view.ts
@@ -45,11 +45,33 @@
 	reachableAt?: Milliseconds | undefined;
 };
 
+/** What a zone's servers of one pool and role have left, taken together. */
+export type SummaryRow = {
+	pool: string;
+	role: 'prefill' | 'decode';
+	/** Servers in service; at most 255. */
+	servers: number;
+	/** Requests that they could take at once, rounded down. */
+	free: number;
+	/** Mean time that a new prompt waits there, milliseconds, rounded up; 0 for decode servers. */
+	waitMs: Milliseconds;
+};
+
+/** What a host of a zone said of the zone's servers as a whole. */
+export type ZoneSummary = {
+	zone: ZoneId;
+	/** Monotonic time of this process at which it was true. */
+	at: Milliseconds;
+	rows: readonly SummaryRow[];
+};
+
 export type FleetView = {
 	/** `undefined` until a configuration has been accepted. */
 	accepted: AcceptedConfig | undefined;
 	hosts: ReadonlyMap<HostId, HostStatus>;
 	servers: ReadonlyMap<ServerId, ServerStatus>;
+	/** Summaries of other zones; absent in a small fleet, where the loads of all servers are known. */
+	zones?: ReadonlyMap<ZoneId, ZoneSummary>;
 	/** Monotonic time at which the platform last confirmed its values, relayed by peers or read directly; `undefined` if never. */
 	platformConfirmedAt: Milliseconds | undefined;
 	/** Monotonic time at which the agent last sent anything. */
