Spill by the summaries of other zones, in proportion to their room

Now a zone is drawn by chance in proportion to what its summary says is free, less its age, less what this host (and, as it must guess, each live host of its zone) sent since; the own region first, others only by a fresh summary and with the whole pair there. Inside the zone eight servers are drawn and the engine's reservation decides; unknown loads are filled with the zone's mean, so that a queue there counts. Without fresh summaries all is as before.

Ruled out: the emptiest zone, which is every host's choice at once.

--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -38,6 +38,8 @@
 	learnt: Learnt;
 	tokensPerBlock: number;
 	toSubject: (entry: ServerEntry) => HealthSubject;
+	/** Told of the decode server of each pair that is about to be used. */
+	noteSent: (server: ServerEntry, now: Milliseconds) => void;
 };
 
 /** Weight of the newest request in what is learnt. */
@@ -53,7 +55,7 @@
  * @param options - The records to keep up to date.
  * @returns The `note…` functions of a placement. Each is idempotent for a placement and a stage.
  */
-export const createNotes = ({loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject}: NotesOptions) => {
+export const createNotes = ({loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, noteSent}: NotesOptions) => {
 	const running = new WeakMap<Placement | PlainPlacement, Progress>();
 
 	const toPrefillTokens = (placement: Placement): number => placement.promptTokens - placement.expectedCachedTokens;
@@ -85,6 +87,7 @@
 				return;
 			}
 
+			noteSent(placement.decode, now);
 			loads.addSlots(placement.decode.id, 1, now);
 			loads.addPrefill(placement.prefill.id, toPrefillTokens(placement), now);
 		},
--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -4,6 +4,7 @@
 import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {type LoadEstimate, type ServerLoad} from '../../create-load-estimate/index.js';
+import {type SpillChoice, type SpillChooser} from '../../create-spill-chooser/index.js';
 import {type TokenPace} from '../../create-token-pace/index.js';
 import {createSlowness} from './create-slowness.js';
 import {isSoft, type Standing, type Wanted} from './create-standing.js';
@@ -18,6 +19,9 @@
 export type Scope = {
 	local: number;
 	nearby: number;
+	/** The one other zone to draw from, whose summary stands in for loads that are not known; any of the region if absent. */
+	zone?: ZoneId;
+	crossZoneMs?: Milliseconds;
 	isLax: boolean;
 	/** Servers that can't be reached or were ejected count as doubtful ones: all others are out, and none of them is just full. */
 	isLastResort?: boolean;
@@ -50,6 +54,7 @@
 	standing: Standing;
 	pace: TokenPace;
 	subsets: Subsets;
+	spills: SpillChooser;
 };
 
 /** Servers of the own subset that are looked at for each role. */
@@ -75,16 +80,23 @@
 /** Another zone must promise this much less than the own one, or small differences would send load to and fro. */
 const spillGain = 0.75;
 
+/** Zones that are tried by their summaries when the first turns out to have no server that will do. */
+const spillTries = 2;
+
+/** Milliseconds added for each server of another region. */
+const crossRegionMs = 40;
+
 const isFull = (entry: ServerEntry, load: ServerLoad): boolean => entry.role !== 'prefill' && load.slotsUsed >= load.slotsTotal;
 
 /**
  * @param options - Zone of this host, draws, and the records that tell of servers.
  * @returns Functions that find servers for a search.
  */
-export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing, pace, subsets}: PairSearchOptions) => {
+export const createPairSearch = ({zone, draws, crossZoneMs, loads, standing, pace, subsets, spills}: PairSearchOptions) => {
 	const slowness = createSlowness();
 
-	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad => loads.read(entry, view.servers.get(entry.id), now);
+	const readLoad = (entry: ServerEntry, {view, now}: Search): ServerLoad =>
+		spills.fill(entry, loads.read(entry, view.servers.get(entry.id), now), view, now);
 
 	const toSlow = (entry: ServerEntry, load: ServerLoad, search: Search): Pick<Candidate, 'stepMs' | 'slowMs'> =>
 		entry.role === 'decode'
@@ -93,8 +105,9 @@
 			})
 			: {stepMs: 0, slowMs: 0};
 
-	const toCandidate = (entry: ServerEntry, search: Search, {isLax, isLastResort = false}: Pick<Scope, 'isLax' | 'isLastResort'>): Candidate | undefined => {
-		const reason = standing.toReason(entry, isLastResort ? {...search, isLastResort} : search, search.random());
+	const toCandidate = (entry: ServerEntry, search: Search, {isLax, isLastResort = false, zone: summarised}: Pick<Scope, 'isLax' | 'isLastResort' | 'zone'>): Candidate | undefined => {
+		const judged = standing.toReason(entry, isLastResort ? {...search, isLastResort} : search, search.random());
+		const reason = judged === 'unknown-load' && entry.zone === summarised ? undefined : judged;
 		search.met.lost ||= reason === 'unreachable' || reason === 'ejected';
 		if (reason !== undefined && isSoft(reason)) {
 			search.met.soft = true;
@@ -124,7 +137,8 @@
 		const toValue = (entry: ServerEntry) => toCandidate(entry, search, scope);
 		const own = scope.local > 0 ? draw(subsets.read(role)?.servers ?? [], subsetDraws, toValue, search.random) : [];
 		const toOther = (entry: ServerEntry) => own.some(candidate => candidate.entry === entry) ? undefined : toValue(entry);
-		return [...own, ...draw(role.local, scope.local, toOther, search.random), ...draw(role.nearby, scope.nearby, toValue, search.random)];
+		const others = scope.zone === undefined ? role.nearby : role.byZone.get(scope.zone) ?? [];
+		return [...own, ...draw(role.local, scope.local, toOther, search.random), ...draw(others, scope.nearby, toValue, search.random)];
 	};
 
 	/** Servers of the own zone that hold the prompt's prefix, deepest first. */
@@ -149,25 +163,79 @@
 		}
 
 		const prefills = drawRole(search.servers.prefill, search, scope);
-		return toBestPair([...prefills, ...toHolders(search, prefills)], decodes, {
-			promptTokens: search.promptTokens, kvBytes: search.kvBytes, zone, crossZoneMs,
+		const holders = scope.local > 0 ? toHolders(search, prefills) : [];
+		return toBestPair([...prefills, ...holders], decodes, {
+			promptTokens: search.promptTokens, kvBytes: search.kvBytes, zone, crossZoneMs: scope.crossZoneMs ?? crossZoneMs,
 		});
 	};
 
-	/** The best pair of the region, if there is one clearly better than `local`. */
-	const spill = (search: Search, local: Pair | undefined): Pair | undefined => {
-		if (search.servers.decode.nearby.length === 0 && search.servers.prefill.nearby.length === 0) {
-			return undefined;
+	const chooseZone = (search: Search, except: ReadonlySet<ZoneId>): SpillChoice => spills.choose({
+		pool: search.pool, zones: search.servers.otherZones, view: search.view, now: search.now, random: search.random, waitLimitMs: search.firstTokenBudgetMs, except,
+	});
+
+	/** Where servers of other zones are drawn; a pair of another region stays together there, as a cache had too far to go. */
+	const toSpillScope = (choice: SpillChoice): Omit<Scope, 'isLax'> => {
+		if (choice.kind !== 'zone') {
+			return {local: draws, nearby: choice.kind === 'blind' ? regionDraws : 0};
+		}
+
+		const {zone: chosen, isFar} = choice;
+		return isFar
+			? {
+				local: 0, nearby: regionDraws, zone: chosen, crossZoneMs: crossRegionMs,
+			}
+			: {local: draws, nearby: regionDraws, zone: chosen};
+	};
+
+	const toLaxScope = (choice: SpillChoice): Omit<Scope, 'isLax'> => {
+		const isFar = choice.kind === 'zone' && choice.isFar;
+		return isFar ? {local: Infinity, nearby: 0} : {...toSpillScope(choice), local: Infinity};
+	};
+
+	const hasNear = ({servers}: Search): boolean => servers.otherZones.some(({distance}) => distance === 0);
+
+	/** The best pair with servers of another zone, and how that zone was chosen. */
+	const searchOutside = (search: Search): {outside: Pair | undefined; choice: SpillChoice} => {
+		const tried = new Set<ZoneId>();
+		for (;;) {
+			const choice = chooseZone(search, tried);
+			const isBlindAlley = choice.kind === 'none' || (choice.kind === 'blind' && !hasNear(search));
+			const outside = isBlindAlley ? undefined : searchPair(search, {...toSpillScope(choice), isLax: false});
+			if (choice.kind !== 'zone' || outside !== undefined) {
+				// Zones without room by their summaries are full, not missing.
+				search.met.full ||= choice.kind === 'none';
+				return {outside, choice};
+			}
+
+			tried.add(choice.zone);
+			if (tried.size >= spillTries) {
+				return {outside, choice};
+			}
 		}
+	};
 
-		const region = searchPair(search, {local: draws, nearby: regionDraws, isLax: false});
-		if (region === undefined || local === undefined) {
-			return region;
+	const isBetter = (outside: Pair | undefined, local: Pair | undefined, search: Search): boolean => {
+		if (outside === undefined || local === undefined) {
+			return outside !== undefined;
 		}
 
 		// Quicker tokens are no reason to miss the first one, which would be refused.
-		const isInTime = region.predictedFirstTokenMs <= Math.max(search.firstTokenBudgetMs, local.predictedFirstTokenMs);
-		return isInTime && region.delayMs < local.delayMs * spillGain ? region : undefined;
+		const isInTime = outside.predictedFirstTokenMs <= Math.max(search.firstTokenBudgetMs, local.predictedFirstTokenMs);
+		return isInTime && outside.delayMs < local.delayMs * spillGain;
+	};
+
+	/** The best pair, with servers of other zones if that is clearly better than `local`. */
+	const spill = (search: Search, local: Pair | undefined): Pair | undefined => {
+		const {outside, choice} = searchOutside(search);
+		const best = isBetter(outside, local, search) ? outside : local;
+		if (best !== undefined) {
+			return best;
+		}
+
+		const all = {...toLaxScope(choice), isLax: true};
+		const lax = search.met.soft ? searchPair(search, all) : undefined;
+		// Where all that is left looks bad, the word of it may be wrong or old, and a refusal for it needless.
+		return lax === undefined && search.met.lost && !search.met.full ? searchPair(search, {...all, isLastResort: true}) : lax;
 	};
 
 	/** Looks wider step by step, until a pair will do. */
@@ -181,19 +249,7 @@
 		// A full server has made the first draw walk the whole zone already; a second walk would find no more.
 		const isWalked = first === undefined && search.met.full;
 		const local = isWalked ? undefined : searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first;
-		if (local !== undefined && local.delayMs <= keepMs) {
-			return local;
-		}
-
-		const best = spill(search, local) ?? local;
-		if (best !== undefined) {
-			return best;
-		}
-
-		const all = {local: Infinity, nearby: regionDraws, isLax: true};
-		const lax = search.met.soft ? searchPair(search, all) : undefined;
-		// Where all that is left looks bad, the word of it may be wrong or old, and a refusal for it needless.
-		return lax === undefined && search.met.lost && !search.met.full ? searchPair(search, {...all, isLastResort: true}) : lax;
+		return local !== undefined && local.delayMs <= keepMs ? local : spill(search, local);
 	};
 
 	/** The least used of a few plain servers, of the own zone as long as one there has room. */
--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -212,6 +212,8 @@
 	return {
 		sweep,
 		toReason,
+		/** Zones behind a cut at the last sweep; another set after each. */
+		cutZones: () => cutZones,
 		/** The server refused as leaving: it gets nothing new, long before the platform's list says so. */
 		noteLeaving(server: ServerId, now: Milliseconds): void {
 			leavingAt.set(server, now);
--- a/src/domain/create-placement/_lib/to-pool-index.ts
+++ b/src/domain/create-placement/_lib/to-pool-index.ts
@@ -9,6 +9,8 @@
 	local: readonly ServerEntry[];
 	/** Servers of this host's region, its own zone left out. */
 	nearby: readonly ServerEntry[];
+	/** Servers of each other zone. */
+	byZone: ReadonlyMap<ZoneId, readonly ServerEntry[]>;
 };
 
 export type PoolServers = {
@@ -16,6 +18,8 @@
 	prefill: RoleServers;
 	decode: RoleServers;
 	plain: RoleServers;
+	/** Other zones with servers that decode or prefill for the pool; those of the own region have distance 0, others 1. */
+	otherZones: ReadonlyArray<{zone: ZoneId; distance: number}>;
 };
 
 export type PoolIndex = {
@@ -26,13 +30,27 @@
 const toRoleServers = (servers: readonly ServerEntry[], role: ServerRole, zone: ZoneId, regionOf: (zone: ZoneId) => RegionId | undefined): RoleServers => {
 	const all = servers.filter(server => server.role === role);
 	const region = regionOf(zone);
+	const byZone = new Map<ZoneId, ServerEntry[]>();
+	for (const server of all.filter(({zone: other}) => other !== zone)) {
+		const list = byZone.get(server.zone) ?? [];
+		list.push(server);
+		byZone.set(server.zone, list);
+	}
+
 	return {
+		byZone,
 		all,
 		local: all.filter(server => server.zone === zone),
 		nearby: all.filter(server => server.zone !== zone && region !== undefined && regionOf(server.zone) === region),
 	};
 };
 
+function toOtherZones(roles: readonly RoleServers[]): PoolServers['otherZones'] {
+	const zones = new Set(roles.flatMap(({byZone}) => [...byZone.keys()]));
+	const near = new Set(roles.flatMap(({nearby}) => nearby.map(server => server.zone)));
+	return [...zones].map(zone => ({zone, distance: near.has(zone) ? 0 : 1}));
+}
+
 /**
  * @param config - The accepted configuration.
  * @param zone - Zone of this host.
@@ -51,10 +69,13 @@
 
 	const pools = config.pools.map((pool): [string, PoolServers] => {
 		const servers = byPool.get(pool.name) ?? [];
+		const prefill = toRoleServers(servers, 'prefill', zone, toRegion);
+		const decode = toRoleServers(servers, 'decode', zone, toRegion);
 		return [pool.name, {
 			pool,
-			prefill: toRoleServers(servers, 'prefill', zone, toRegion),
-			decode: toRoleServers(servers, 'decode', zone, toRegion),
+			prefill,
+			decode,
+			otherZones: toOtherZones([prefill, decode]),
 			plain: toRoleServers(servers, 'plain', zone, toRegion),
 		}];
 	});
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -18,6 +18,7 @@
 import {createLoadEstimate} from '../create-load-estimate/index.js';
 import {createPrefixMap} from '../create-prefix-map/index.js';
 import {createTokenPace} from '../create-token-pace/index.js';
+import {createSpillChooser} from '../create-spill-chooser/index.js';
 import {createServerHealth, type ServerHealthOptions} from '../create-server-health/index.js';
 import {tokensPerBlock as defaultTokensPerBlock} from '../to-prefix-blocks/index.js';
 import {createAnswerLengths} from './_lib/create-answer-lengths.js';
@@ -108,8 +109,9 @@
 		return index;
 	};
 
+	const spills = createSpillChooser({zone, rampMs: options.health?.rampMs, rampFrom: options.health?.rampFrom});
 	const pairs = createPairSearch({
-		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets,
+		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets, spills,
 	});
 
 	const toSearch = (request: PlacementRequest | PlainRequest, view: FleetView, now: Milliseconds, random: Random): Search | undefined => {
@@ -121,6 +123,7 @@
 
 		standing.sweep(view, pools.servers, now);
 		subsets.refresh(view, now);
+		spills.look(view, standing.cutZones(), now);
 		const base = {
 			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false, lost: false},
 		};
@@ -220,7 +223,7 @@
 		pick,
 		pickPlain,
 		...createNotes({
-			loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject,
+			loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, noteSent: spills.noteSent,
 		}),
 	};
 };
--- /dev/null
+++ b/src/domain/create-placement/summaries.test.ts
@@ -0,0 +1,99 @@
+/**
+ * In a large fleet a host knows the loads of its own zone alone, and of other
+ * zones what their summaries say. A crowded zone sends its requests where they
+ * tell of room, and refuses when they tell of none, without offering them round.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type ServerStatus} from '../../ports/view.js';
+import {
+	toConfig, toPlacementRequest, toReport, toSeededRandom, toServer, toStatus, toView,
+} from './_lib/fixtures.js';
+import {createPlacement} from './index.js';
+
+const servers = ['a', 'b', 'c', 'far'].flatMap(zone => [1, 2, 3, 4].flatMap(i => [
+	toServer(`${zone}-p${i}`, 'prefill', {zone}),
+	toServer(`${zone}-d${i}`, 'decode', {zone}),
+]));
+const config = toConfig(servers, {zones: [{id: 'a', region: 'r'}, {id: 'b', region: 'r'}, {id: 'c', region: 'r'}, {id: 'far', region: 's'}]});
+
+type Said = {free: number; waitMs?: number; at?: number};
+
+/** Loads of zone a alone, where decode servers are full and prompts wait as long as said, and summaries of the others. */
+function toFleet(said: Readonly<Record<string, Said>>, {used = 20, queuedTokens = 0}: {used?: number; queuedTokens?: number} = {}) {
+	const statuses = servers.map((entry): ServerStatus => entry.zone === 'a'
+		? {...toStatus(entry, 1000), load: toReport(entry, entry.role === 'decode' ? {slotsUsed: used} : {queuedTokens})}
+		: {
+			id: entry.id, leaving: false, load: undefined, loadAt: 0, reachable: undefined,
+		});
+	const zones = Object.entries(said).map(([zone, {free, waitMs = 0, at = 1000}]) => [zone, {
+		zone, at, rows: [
+			{
+				pool: 'main', role: 'prefill' as const, servers: 4, free: 8, waitMs,
+			},
+			{
+				pool: 'main', role: 'decode' as const, servers: 4, free, waitMs: 0,
+			},
+		],
+	}] as const);
+	return {...toView(config, statuses), zones: new Map(zones)};
+}
+
+/** Zones of 100 picks, as prefill and decode. */
+function pickZones(view: ReturnType<typeof toFleet>): Record<string, number> {
+	const placement = createPlacement({zone: 'a'});
+	const random = toSeededRandom(1);
+	const counts = new Map<string, number>();
+	for (let i = 0; i < 100; i++) {
+		const name = placement.pick(toPlacementRequest(), view, 1000, random)
+			.match(({prefill, decode}) => `${prefill.zone} ${decode.zone}`, ({reason}) => reason);
+		counts.set(name, (counts.get(name) ?? 0) + 1);
+	}
+
+	return Object.fromEntries(counts);
+}
+
+describe('createPlacement with summaries of other zones', () => {
+	const rows: Array<[string, ReturnType<typeof toFleet>, Record<string, number>]> = [
+		['stays in its zone while that is quick enough', toFleet({b: {free: 80}}, {used: 10}), {'a a': 100}],
+		['spills where there is room', toFleet({b: {free: 80}, c: {free: 0}}), {'b b': 100}],
+		['spills prompts too when its own wait', toFleet({b: {free: 80}}, {used: 10, queuedTokens: 40_000}), {'b b': 100}],
+		['stays with its own queue when prompts wait as long there', toFleet({b: {free: 80, waitMs: 1000}}, {used: 10, queuedTokens: 9000}), {'a a': 100}],
+		['refuses when there is no room', toFleet({b: {free: 0}, c: {free: 0}}), {'no-memory': 100}],
+		['leaves its region as a pair, and only when that has no room', toFleet({b: {free: 0}, c: {free: 0}, far: {free: 10, waitMs: 300}}), {'far far': 100}],
+	];
+	for (const [name, view, expected] of rows) {
+		it(name, () => {
+			assert.deepEqual(pickZones(view), expected);
+		});
+	}
+
+	it('spills in proportion to the room', () => {
+		const {'b b': toB = 0, 'c c': toC = 0} = pickZones(toFleet({b: {free: 90}, c: {free: 30}}));
+		assert.equal(toB + toC, 100);
+		assert.ok(toB > 60 && toB < 90, `${toB}`);
+	});
+
+	it('spills blindly inside its region when all summaries are stale', () => {
+		const picked = pickZones(toFleet({b: {free: 80, at: -60_000}, far: {free: 80, at: -60_000}}));
+		assert.deepEqual(new Set(Object.keys(picked).map(name => name.split(' ')[1])), new Set(['b', 'c']));
+	});
+
+	it('counts what it sent against the summary', () => {
+		const placement = createPlacement({zone: 'a'});
+		const view = toFleet({b: {free: 12}, c: {free: 0}, far: {free: 0}});
+		const random = toSeededRandom(1);
+		let sent = 0;
+		for (;;) {
+			const picked = placement.pick(toPlacementRequest(), view, 1001, random);
+			if (picked.isErr()) {
+				break;
+			}
+
+			placement.noteDispatched(picked.value, 1001);
+			sent += 1;
+		}
+
+		assert.equal(sent, 12);
+	});
+});
--- /dev/null
+++ b/src/domain/create-spill-chooser/index.ts
@@ -0,0 +1,172 @@
+/**
+ * Where the requests of a crowded zone may go: keeps what `pickSpillZone` needs
+ * beside the summaries, that is, what this host sent away since, and which zones
+ * came back.
+ */
+import {type Milliseconds, type Random} from '../../ports/clock.js';
+import {type ServerEntry} from '../../ports/config.js';
+import {type ZoneId} from '../../ports/ids.js';
+import {msPerSecond} from '../../ports/units.js';
+import {type FleetView, type SummaryRow, type ZoneSummary} from '../../ports/view.js';
+import {type ServerLoad} from '../create-load-estimate/index.js';
+import {pickSpillZone, type SpillOptions, type SpillZone} from '../pick-spill-zone/index.js';
+
+/**
+ * - `zone`: this one, by its summary; `isFar` if it is of another region.
+ * - `blind`: no zone in reach has a summary that can be believed; any of the region may do.
+ * - `none`: by their summaries none has room.
+ */
+export type SpillChoice = {kind: 'zone'; zone: ZoneId; isFar: boolean} | {kind: 'blind' | 'none'};
+
+export type SpillInquiry = {
+	pool: string;
+	/** Other zones with servers of the pool; those of the own region have distance 0. */
+	zones: ReadonlyArray<{zone: ZoneId; distance: number}>;
+	view: FleetView;
+	now: Milliseconds;
+	random: Random;
+	/** Wait for a prefill at which a zone is of no use, milliseconds. */
+	waitLimitMs: Milliseconds;
+	/** Zones that have just shown that they won't do. */
+	except?: ReadonlySet<ZoneId>;
+};
+
+export type SpillChooserOptions = Pick<SpillOptions, 'rampMs' | 'rampFrom' | 'staleAfterMs'> & {
+	/** Zone of this host. */
+	zone: ZoneId;
+};
+
+export type SpillChooser = {
+	/** Looks at each new view, so that a zone that was away and is back is known. */
+	look: (view: FleetView, cutZones: ReadonlySet<ZoneId>, now: Milliseconds) => void;
+	choose: (inquiry: SpillInquiry) => SpillChoice;
+	/** Fills a load that is not known with what its zone's summary says of its like. */
+	fill: (entry: ServerEntry, load: ServerLoad, view: FleetView, now: Milliseconds) => ServerLoad;
+	/** A request goes to a server; counts if that is in another zone. */
+	noteSent: (server: ServerEntry, now: Milliseconds) => void;
+};
+
+type Presence = {isThere: boolean; returnedAt: Milliseconds};
+
+const defaultStaleAfterMs = 20_000;
+
+/** Own spills kept for one pool and zone; more cannot matter before the next summary. */
+const maxSpills = 512;
+
+const toKey = (pool: string, zone: ZoneId): string => `${pool}\n${zone}`;
+
+const findRow = (summary: ZoneSummary | undefined, pool: string, role: SummaryRow['role']): SummaryRow | undefined =>
+	summary?.rows.find(row => row.pool === pool && row.role === role);
+
+/** Live hosts of the own zone, which see the same summaries and spill for the same reason. */
+const countNeighbours = (view: FleetView, zone: ZoneId): number =>
+	Math.max(1, [...view.hosts.values()].filter(host => host.zone === zone && host.life === 'alive').length);
+
+/**
+ * Creates it for one host.
+ *
+ * @param options - Zone of this host; ages in milliseconds as in `pickSpillZone`.
+ * @returns See {@link SpillChooser}.
+ *
+ * @example
+ * ```ts
+ * const spills = createSpillChooser({zone: 'dvorana-a'});
+ * spills.look(view, new Set(), now);
+ * spills.choose(inquiry); // => {kind: 'zone', zone: 'dvorana-b', isFar: false}
+ * ```
+ */
+export function createSpillChooser({zone: ownZone, staleAfterMs = defaultStaleAfterMs, ...ramp}: SpillChooserOptions): SpillChooser {
+	const sentAt = new Map<string, Milliseconds[]>();
+	const presences = new Map<string, Presence>();
+	let cut: ReadonlySet<ZoneId> = new Set();
+	let seen: {zones: FleetView['zones']; cut: ReadonlySet<ZoneId>} | undefined;
+
+	const isFresh = (summary: ZoneSummary | undefined, now: Milliseconds): boolean => summary !== undefined && now - summary.at < staleAfterMs;
+
+	function notePresence(pool: string, zone: ZoneId, summary: ZoneSummary | undefined, now: Milliseconds) {
+		const key = toKey(pool, zone);
+		const prev = presences.get(key);
+		const row = findRow(summary, pool, 'decode') ?? findRow(summary, pool, 'prefill');
+		if (zone === ownZone || (row === undefined && prev === undefined)) {
+			return;
+		}
+
+		const isThere = row !== undefined && row.servers > 0 && isFresh(summary, now) && !cut.has(zone);
+		const isBack = isThere && prev?.isThere === false;
+		presences.set(key, {isThere, returnedAt: isBack ? now : prev?.returnedAt ?? -Infinity});
+	}
+
+	function countSince(pool: string, zone: ZoneId, at: Milliseconds): number {
+		return sentAt.get(toKey(pool, zone))?.filter(time => time > at).length ?? 0;
+	}
+
+	function toSpillZone({zone, distance}: {zone: ZoneId; distance: number}, {pool, view}: SpillInquiry, neighbours: number): SpillZone {
+		const summary = view.zones?.get(zone);
+		const at = summary?.at ?? -Infinity;
+		const decode = findRow(summary, pool, 'decode');
+		const prefill = findRow(summary, pool, 'prefill');
+		return {
+			zone,
+			distance,
+			isReachable: !cut.has(zone),
+			free: (decode ?? prefill)?.free ?? 0,
+			spilled: countSince(pool, zone, at) * neighbours,
+			waitMs: prefill?.waitMs ?? 0,
+			at,
+			returnedAt: presences.get(toKey(pool, zone))?.returnedAt ?? -Infinity,
+		};
+	}
+
+	return {
+		look(view, cutZones, now) {
+			cut = cutZones;
+			if (seen?.zones === view.zones && seen?.cut === cutZones) {
+				return;
+			}
+
+			seen = {zones: view.zones, cut: cutZones};
+			const config = view.zones?.size ? view.accepted?.config : undefined;
+			for (const {name} of config?.pools ?? []) {
+				for (const {id} of config?.zones ?? []) {
+					notePresence(name, id, view.zones?.get(id), now);
+				}
+			}
+		},
+		choose(inquiry) {
+			const {view, now, random, waitLimitMs} = inquiry;
+			const inReach = inquiry.zones.filter(({zone}) => !cut.has(zone));
+			if (!inReach.some(({zone}) => isFresh(view.zones?.get(zone), now))) {
+				return {kind: 'blind'};
+			}
+
+			const neighbours = countNeighbours(view, ownZone);
+			const candidates = inReach.filter(({zone}) => !inquiry.except?.has(zone));
+			const zone = pickSpillZone(candidates.map(candidate => toSpillZone(candidate, inquiry, neighbours)), now, random, {
+				...ramp, staleAfterMs, waitLimitMs,
+			});
+			const found = candidates.find(candidate => candidate.zone === zone);
+			return found ? {kind: 'zone', zone: found.zone, isFar: found.distance > 0} : {kind: 'none'};
+		},
+		fill(entry, load, view, now) {
+			const summary = entry.zone === ownZone || !load.isUnknown ? undefined : view.zones?.get(entry.zone);
+			const row = entry.role === 'plain' ? undefined : findRow(summary, entry.pool, entry.role);
+			if (!row || !isFresh(summary, now)) {
+				return load;
+			}
+
+			const freeOfServer = row.servers === 0 ? 0 : Math.ceil(row.free / row.servers);
+			return {
+				...load,
+				slotsUsed: Math.max(load.slotsUsed, load.slotsTotal - freeOfServer),
+				backlogTokens: Math.max(load.backlogTokens, row.waitMs * load.tokensPerSecond / msPerSecond),
+			};
+		},
+		noteSent({pool, zone}, now) {
+			if (zone !== ownZone) {
+				const key = toKey(pool, zone);
+				const recent = sentAt.get(key)?.filter(time => now - time < staleAfterMs) ?? [];
+				sentAt.set(key, [...recent.slice(1 - maxSpills), now]);
+			}
+		},
+	};
+}
