Tell zones' summaries between agents of a large fleet

Cause: beyond 40 hosts an entry knew nothing of other zones' loads. Now the two contacts of a zone sum it up every second interval; the summary rides on their pings to other zones, and what they hear they tell their own zone in rounds, each in a binary tree of another order. The agent's feed passes it to the entry, and its status shows it. Fleets of up to 40 hosts tell nothing new.

Old agents leave the new event and the new field alone; how messages may change is said in peer-messages.

--- a/src/adapters/view-feed/_lib/apply-update.ts
+++ b/src/adapters/view-feed/_lib/apply-update.ts
@@ -114,7 +114,9 @@
 	const unnamed = toUnnamed(view, update, sentAt);
 	const isForgotten = unnamed !== undefined && sentAt - unnamed.since > unnamedForMs;
 	const hostsGone = isForgotten ? [...update.hostsGone, ...unnamed.hosts] : update.hostsGone;
+	const zones = update.zones ? new Map(update.zones.map(({ageMs, ...summary}) => [summary.zone, {...summary, at: sentAt - ageMs}])) : view.zones;
 	return {
+		...(zones && {zones}),
 		accepted: toAccepted(view, update, options),
 		hosts: toMerged<HostStatus>(view.hosts, update.hosts, hostsGone),
 		unnamed: isForgotten ? undefined : unnamed,
--- a/src/adapters/view-feed/_lib/messages.ts
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -6,7 +6,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type LoadReport} from '../../../ports/engine.js';
 import {type HostId, type Incarnation, type ServerId} from '../../../ports/ids.js';
-import {type HostStatus} from '../../../ports/view.js';
+import {type HostStatus, type ZoneSummary} from '../../../ports/view.js';
 
 /** Event from the entry, each second: its own clock, to be echoed. */
 export type FeedPing = {
@@ -37,6 +37,11 @@
 	reachableAgeMs?: Milliseconds | undefined;
 };
 
+export type FeedZone = Omit<ZoneSummary, 'at'> & {
+	/** Age of the summary when the update was sent. */
+	ageMs: Milliseconds;
+};
+
 /** Event from the agent: what changed since the update before. */
 export type FeedUpdate = {
 	/** The last clock value that the entry sent. */
@@ -50,6 +55,8 @@
 	hostsGone: readonly HostId[];
 	servers: readonly FeedServer[];
 	serversGone: readonly ServerId[];
+	/** Summaries of other zones, all of them when any has changed; absent when none has. */
+	zones?: readonly FeedZone[];
 	/** Age of the platform's last confirmation; `undefined` if there was none. */
 	confirmedAgeMs: Milliseconds | undefined;
 	/** Least incarnation that the entry may use: above those of the entries before it. */
--- a/src/adapters/view-feed/publish-view.ts
+++ b/src/adapters/view-feed/publish-view.ts
@@ -59,6 +59,7 @@
 			id, leaving, load, loadAgeMs: now - loadAt, reachable, reachableAgeMs: reachableAt === undefined ? undefined : now - reachableAt,
 		})),
 		serversGone: toGone(view.servers, sent?.servers),
+		...(view.zones !== sent?.zones && view.zones && {zones: [...view.zones.values()].map(({at, ...summary}) => ({...summary, ageMs: now - at}))}),
 		confirmedAgeMs: view.platformConfirmedAt === undefined ? undefined : now - view.platformConfirmedAt,
 	};
 }
@@ -66,6 +67,7 @@
 function hasNews(update: Omit<FeedUpdate, 'incarnationFloor'>): boolean {
 	return update.whole
 		|| update.config !== undefined
+		|| update.zones !== undefined
 		|| update.hosts.length + update.servers.length + update.hostsGone.length + update.serversGone.length > 0;
 }
 
--- a/src/domain/create-fleet-table/index.ts
+++ b/src/domain/create-fleet-table/index.ts
@@ -6,9 +6,11 @@
 import {type Milliseconds} from '../../ports/clock.js';
 import {type AcceptedConfig} from '../../ports/config.js';
 import {type LoadReport} from '../../ports/engine.js';
-import {type HostId, type ServerId} from '../../ports/ids.js';
+import {type HostId, type ServerId, type ZoneId} from '../../ports/ids.js';
 import {type FleetList} from '../../ports/platform.js';
-import {type FleetView, type HostStatus, type ServerStatus} from '../../ports/view.js';
+import {
+	type FleetView, type HostStatus, type ServerStatus, type ZoneSummary,
+} from '../../ports/view.js';
 
 /** A report must be this much younger than word of a leave before it takes the word back, milliseconds. */
 const leavingMarginMs = 1000;
@@ -19,6 +21,8 @@
 	setFleet: (fleet: FleetList, revision: number) => boolean;
 	/** What membership knows of the hosts; statuses keep their identity while they do not change. */
 	setHosts: (hosts: ReadonlyMap<HostId, HostStatus>) => void;
+	/** Summaries of other zones; the same map while they do not change. */
+	setZones: (zones: ReadonlyMap<ZoneId, ZoneSummary>) => void;
 	/** A load report, with the monotonic time at which its numbers were true. */
 	noteLoad: (load: LoadReport, loadAt: Milliseconds) => void;
 	/** Polls that began at this monotonic time did not reach the server. Ignored when a report is younger. */
@@ -62,6 +66,7 @@
 	let listedLeaving = new Set<ServerId>();
 	let listedHosts = new Map<HostId, FleetList['hosts'][number]>();
 	let hosts: ReadonlyMap<HostId, HostStatus> = new Map();
+	let zones: ReadonlyMap<ZoneId, ZoneSummary> | undefined;
 	let confirmedAt: Milliseconds | undefined;
 	let serversView: ReadonlyMap<ServerId, ServerStatus> | undefined;
 	let hostsView: ReadonlyMap<HostId, HostStatus> | undefined;
@@ -155,6 +160,9 @@
 			hosts = next;
 			hostsView = undefined;
 		},
+		setZones(next) {
+			zones = next;
+		},
 		noteLoad(load, loadAt) {
 			const record = records.get(load.server);
 			if (!record) {
@@ -204,7 +212,7 @@
 		accepted: () => accepted,
 		fleet: () => published,
 		view: now => ({
-			accepted, hosts: toHosts(), servers: toServers(), platformConfirmedAt: confirmedAt, receivedAt: now,
+			accepted, hosts: toHosts(), servers: toServers(), platformConfirmedAt: confirmedAt, receivedAt: now, ...(zones && {zones}),
 		}),
 	};
 }
--- a/src/programs/agent/_lib/agent-types.ts
+++ b/src/programs/agent/_lib/agent-types.ts
@@ -19,6 +19,8 @@
 	/** Told of the servers of each new configuration, to let go of the clients of others. */
 	keepOnly?: (servers: ReadonlySet<ServerId>) => void;
 	log: Log;
+	/** Other live hosts from which on zones tell each other summaries and not the loads of all servers; 40 by default. */
+	smallFleet?: number;
 	tls?: () => PeerKeys;
 };
 
--- a/src/programs/agent/_lib/peer-messages.ts
+++ b/src/programs/agent/_lib/peer-messages.ts
@@ -1,7 +1,17 @@
-/** Events and calls between agents, and their checks: a peer of another version must not poison the tables. */
+/**
+ * Events and calls between agents, and their checks: a peer of another version
+ * must not poison the tables.
+ *
+ * Messages carry no number of a version. An agent leaves alone an event that it
+ * does not know and a field that it does not know, and does without a field that
+ * it misses, so new ones may be added; what they hold in packed bytes begins
+ * with a byte for its format. A change that old agents would misread needs a new
+ * name, or, for all at once, a new `protocolVersion` of the frames.
+ */
 import {isRecord} from '../../../_lib/is-record/index.js';
 import {type HostRecord, type MemberMessage} from '../../../domain/create-membership/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type HostId} from '../../../ports/ids.js';
 
 export const peerEvents = {
 	/** A message of membership, with what its sender knows. */
@@ -11,6 +21,8 @@
 	loads: 'loads',
 	/** Servers that the sender has learnt to be leaving. */
 	leaving: 'leaving',
+	/** Summaries of all zones that the sender knows, on their way through its own zone. */
+	summaries: 'summaries',
 } as const;
 
 export const peerCalls = {
@@ -37,6 +49,15 @@
 	message: MemberMessage;
 	/** With what begins an exchange; an answer leaves it out. */
 	versions?: KnownVersions;
+	/** With a ping to another zone, in a large fleet: the packed summary of the sender's zone. */
+	summaries?: Uint8Array;
+};
+
+/** A round in which a zone's contact tells its zone of all zones; who hears it passes what it knows itself on to its children in the round's tree. */
+export type SummariesEvent = {
+	root: HostId;
+	round: number;
+	bytes: Uint8Array;
 };
 
 const lives = new Set<unknown>(['alive', 'suspect', 'dead', 'left']);
@@ -113,3 +134,8 @@
 		&& (message.contacts === undefined || isNumbers(message.contacts))
 		&& hasBody(message);
 }
+
+/** Whether a value is a round's message with all its fields. */
+export function isSummariesEvent(value: unknown): value is SummariesEvent {
+	return isRecord(value) && isName(value.root) && isCount(value.round) && value.bytes instanceof Uint8Array;
+}
--- a/src/programs/agent/_lib/serve-peers.ts
+++ b/src/programs/agent/_lib/serve-peers.ts
@@ -15,6 +15,7 @@
 	isKnownVersions, isMemberEvent, peerCalls, peerEvents,
 } from './peer-messages.js';
 import {type LoadsTask} from './spread-loads.js';
+import {type SummariesTask} from './spread-summaries.js';
 import {type PeerTeller} from './tell-peers.js';
 
 const configTimeoutMs = 3000;
@@ -26,6 +27,7 @@
 	teller: PeerTeller;
 	documents: Documents;
 	loads: LoadsTask;
+	summaries: SummariesTask;
 	entry: EntryFollower;
 	publisher: ViewPublisher;
 	/** Shows the entry what is known now. */
@@ -47,7 +49,7 @@
  * @returns Handlers for connections of either direction.
  */
 export function servePeers(options: ServePeersOptions): PeerService {
-	const {hostId, membership, mesh, teller, documents, loads, entry, publisher, publish, pauses, now} = options;
+	const {hostId, membership, mesh, teller, documents, loads, summaries, entry, publisher, publish, pauses, now} = options;
 
 	/** A restarted agent takes the configuration that its entry still holds. */
 	async function learnFromEntry(connection: PeerConnection, {configVersion}: FeedPing) {
@@ -100,10 +102,14 @@
 					documents.takeVersions(peer.host, body.versions);
 				}
 
+				if (body.summaries instanceof Uint8Array) {
+					summaries.takeRider(body.summaries);
+				}
+
 				teller.dispatch(membership.receive(body.message, peer.host, now()));
 			} else if (name === peerEvents.versions && isKnownVersions(body)) {
 				documents.takeVersions(peer.host, body);
-			} else {
+			} else if (!summaries.takeEvent(name, body)) {
 				loads.takeEvent(peer.host, name, body);
 			}
 		},
--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -7,10 +7,9 @@
 import {type LoadReport} from '../../../ports/engine.js';
 import {type HostId, type ServerId} from '../../../ports/ids.js';
 import {type HostStatus} from '../../../ports/view.js';
+import {isSmallFleet} from './is-small-fleet.js';
 import {peerCalls, peerEvents} from './peer-messages.js';
 
-/** Up to this many hosts all pass loads to all; beyond it each zone keeps to itself, or the bytes would not fit. */
-const smallFleet = 40;
 const callTimeoutMs = 2000;
 
 export type SpreadLoadsOptions = {
@@ -24,6 +23,8 @@
 	now: () => Milliseconds;
 	/** When what is being received has arrived at the earliest, monotonic milliseconds. */
 	toArrival: () => Milliseconds;
+	/** Other live hosts from which on the fleet is large. */
+	smallFleet?: number;
 };
 
 export type LoadsTask = {
@@ -47,7 +48,7 @@
  * @param options - See {@link SpreadLoadsOptions}.
  * @returns See {@link LoadsTask}.
  */
-export function spreadLoads({table, self, hosts, send, call, spreadTargets, now, toArrival}: SpreadLoadsOptions): LoadsTask {
+export function spreadLoads({table, self, hosts, send, call, spreadTargets, now, toArrival, smallFleet}: SpreadLoadsOptions): LoadsTask {
 	const spread = createLoadSpread();
 	const asking = new Set<HostId>();
 	let names: {accepted: unknown; byHash: Map<number, ServerId>; zones: Map<ServerId, string>} | undefined;
@@ -85,7 +86,7 @@
 	function receivers(): HostStatus[] {
 		const {id: ownId, zone: ownZone} = self();
 		const alive = [...hosts().values()].filter(({id, life}) => id !== ownId && life === 'alive');
-		return alive.length < smallFleet ? alive : alive.filter(({zone}) => zone === ownZone);
+		return isSmallFleet(ownId, hosts(), smallFleet) ? alive : alive.filter(({zone}) => zone === ownZone);
 	}
 
 	function noteLeaving(servers: readonly ServerId[], origin: HostId) {
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -8,6 +8,7 @@
 import {createFleetTable} from '../../../domain/create-fleet-table/index.js';
 import {createMembership, type Membership} from '../../../domain/create-membership/index.js';
 import {type HostId} from '../../../ports/ids.js';
+import {type HostStatus} from '../../../ports/view.js';
 import {type Agent, type AgentOptions} from './agent-types.js';
 import {createMesh, type Target} from './create-mesh.js';
 import {followEntry} from './follow-entry.js';
@@ -17,6 +18,7 @@
 import {mindPauses} from './mind-pauses.js';
 import {servePeers, type PeerService} from './serve-peers.js';
 import {spreadLoads} from './spread-loads.js';
+import {spreadSummaries} from './spread-summaries.js';
 import {tellPeers} from './tell-peers.js';
 import {tendServers} from './tend-servers.js';
 import {watchTwin} from './watch-twin.js';
@@ -130,18 +132,26 @@
 		startedAt,
 		signal,
 	});
-	const teller = tellPeers({mesh, membership, versions: documents.versions});
+	const send = (host: HostStatus, name: string, body: unknown) => {
+		mesh.send({to: host.id, address: host.agentAddress}, name, body);
+	};
+
+	const summaries = spreadSummaries({
+		table, self: {id: hostId, zone}, hosts, send, intervalMs, now, wallNow: clock.wallNow, random, toArrival: pauses.toArrival, smallFleet: options.smallFleet,
+	});
+	const teller = tellPeers({
+		mesh, membership, versions: documents.versions, toRider: summaries.toRider,
+	});
 	const loads = spreadLoads({
 		table,
 		self: () => ({id: hostId, zone}),
 		hosts,
-		send(host, name, body) {
-			mesh.send({to: host.id, address: host.agentAddress}, name, body);
-		},
+		send,
 		call,
 		spreadTargets: origin => membership.spreadTargets(origin).map(({id}) => hosts().get(id)).filter(status => status !== undefined),
 		now,
 		toArrival: pauses.toArrival,
+		smallFleet: options.smallFleet,
 	});
 	const entry = followEntry({
 		hello,
@@ -171,7 +181,7 @@
 		signal,
 	});
 	const service = servePeers({
-		hostId, membership, mesh, teller, documents, loads, entry, publisher, publish, pauses, now,
+		hostId, membership, mesh, teller, documents, loads, summaries, entry, publisher, publish, pauses, now,
 	});
 	const twins = watchTwin({
 		hostId, address, twin: () => membership.twin(now()), log,
@@ -195,6 +205,7 @@
 		mesh.dropSilent(now());
 		noteHosts();
 		loads.tick();
+		summaries.tick();
 		twins.check();
 		publish();
 	}, Math.min(mostTickMs, intervalMs / ticksAnInterval));
--- a/src/programs/agent/_lib/tell-peers.ts
+++ b/src/programs/agent/_lib/tell-peers.ts
@@ -16,16 +16,19 @@
  * @param options - Connections, membership, and the versions that this host holds.
  * @returns See {@link PeerTeller}.
  */
-export function tellPeers({mesh, membership, versions}: {
+export function tellPeers({mesh, membership, versions, toRider}: {
 	mesh: Mesh;
 	membership: Membership;
 	versions: () => KnownVersions;
+	/** Bytes that ride on a ping to a host. */
+	toRider: (to: HostId) => Uint8Array | undefined;
 }): PeerTeller {
 	return {
 		dispatch(messages) {
 			for (const {to, address, message} of messages) {
 				const isAnswer = message.kind !== 'ping' && message.kind !== 'zones';
-				const event: MemberEvent = isAnswer ? {message} : {message, versions: versions()};
+				const rider = message.kind === 'ping' && to !== undefined ? toRider(to) : undefined;
+				const event: MemberEvent = {message, ...(!isAnswer && {versions: versions()}), ...(rider && {summaries: rider})};
 				mesh.send({to, address}, peerEvents.member, event);
 			}
 		},
--- a/src/programs/agent/_lib/to-status.ts
+++ b/src/programs/agent/_lib/to-status.ts
@@ -1,6 +1,6 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ConfigVersion} from '../../../ports/config.js';
-import {type FleetView, type HostStatus} from '../../../ports/view.js';
+import {type FleetView, type HostStatus, type SummaryRow} from '../../../ports/view.js';
 
 /** What the operators' port shows of the agent's view. */
 export type AgentStatus = {
@@ -16,6 +16,8 @@
 		slotsUsed: number | undefined;
 		queued: number | undefined;
 	}>;
+	/** What other zones say of their servers; empty in a small fleet, where the loads of all are known. */
+	zones: ReadonlyArray<{zone: string; ageMs: Milliseconds; rows: readonly SummaryRow[]}>;
 };
 
 /**
@@ -33,5 +35,6 @@
 		servers: [...view.servers.values()].map(({id, leaving, reachable, load, loadAt}) => ({
 			id, leaving, reachable, loadAgeMs: load && Math.round(now - loadAt), slotsUsed: load?.slotsUsed, queued: load?.queued,
 		})),
+		zones: [...view.zones?.values() ?? []].map(({zone, at, rows}) => ({zone, ageMs: Math.round(now - at), rows})),
 	};
 }
--- a/test/contracts/_lib/run-agents.ts
+++ b/test/contracts/_lib/run-agents.ts
@@ -46,18 +46,20 @@
 }
 
 /** Starts an agent with quick settings and no log. */
-export async function runAgent({hostId, zone, platformUrl, seeds = [], clock = now, ...overrides}: {
+export async function runAgent({hostId, zone, platformUrl, seeds = [], clock = now, smallFleet, ...overrides}: {
 	hostId: string;
 	zone: string;
 	platformUrl: string;
 	seeds?: readonly string[];
 	/** Monotonic milliseconds; a test may make them jump, as a pause does. */
 	clock?: () => number;
+	smallFleet?: number;
 } & Partial<AgentOptions['settings']>): Promise<Agent> {
 	return startAgent({
 		settings: {
 			hostId, zone, bind: '127.0.0.1', peerPort: 0, seeds, platformWait: 1000, loadPollInterval: 50, heartbeatInterval: 200, suspectAfter: 600, deadAfter: 1600, ...overrides,
 		},
+		smallFleet,
 		clock: {now: clock, wallNow: () => Date.now()},
 		random: Math.random,
 		platform: createPlatformHttp({url: platformUrl}),
