Leave the contacts of large zones without servers to poll

Cause: at 400 hosts a contact sent 3.4 KB/s of membership, 2.6 of loads and, with changes of the configuration, went over 8 KB/s. From 16 live hosts of a zone on its two contacts poll nothing; the others poll a sixteenth more.

A message of loads costs 140 bytes beside its deltas (a frame of 36 and 104 of headers and acknowledgement), not 190, so loads go as often as their budget says. Summaries are made each interval and told in rounds each third.

The test of the budget counts the same 140 bytes.

Ruled out: fewer loads a second for contacts alone, as their servers' reports would go stale in between; fewer pings between zones, as cuts would be seen later.

--- a/src/domain/create-load-spread/index.ts
+++ b/src/domain/create-load-spread/index.ts
@@ -11,8 +11,8 @@
 	packDeltas, toRest, unpackDeltas, type LoadDelta,
 } from './_lib/pack.js';
 
-/** What one message costs besides its deltas: frame, IP and TCP headers, and the acknowledgement. */
-const messageBytes = 190;
+/** What one message costs besides its deltas: frame (36), IP and TCP headers, and the acknowledgement (104). */
+const messageBytes = 140;
 const defaultBytesPerSecond = 3000;
 const minIntervalMs = 250;
 
--- a/src/domain/create-load-spread/test.ts
+++ b/src/domain/create-load-spread/test.ts
@@ -36,7 +36,7 @@
 					spread.notePolled({...load, server: `s${i}`, slotsUsed: now / 100}, now);
 				}
 
-				sent += ((spread.take(receivers, now)?.length ?? -190) + 190) * receivers;
+				sent += ((spread.take(receivers, now)?.length ?? -140) + 140) * receivers;
 			}
 
 			assert.ok(sent / 60 <= 3000 * 1.5, `${sent / 60} bytes a second`);
--- a/src/domain/create-membership/_test/create-network.ts
+++ b/src/domain/create-membership/_test/create-network.ts
@@ -16,7 +16,7 @@
 	passes?: (link: Link) => boolean;
 	delayMs?: number;
 	/** Called with every message that is sent, for counting. */
-	onMessage?: (from: HostId, message: MemberMessage) => void;
+	onMessage?: (from: HostId, message: MemberMessage, to: HostId) => void;
 };
 
 type Node = {
@@ -57,7 +57,7 @@
 
 	function send(from: HostId, messages: readonly OutMessage[]) {
 		for (const {to, address, message} of messages) {
-			onMessage?.(from, message);
+			onMessage?.(from, message, to ?? address);
 			queue.push({
 				at: at + delayMs, from, to: to ?? address, message: structuredClone(message),
 			});
--- a/src/programs/agent/_lib/create-polled.ts
+++ b/src/programs/agent/_lib/create-polled.ts
@@ -1,4 +1,5 @@
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {omitContacts} from '../../../domain/omit-contacts/index.js';
 import {pickPollers} from '../../../domain/pick-pollers/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
@@ -23,8 +24,8 @@
 		const accepted = table.accepted();
 		const known = hosts();
 		if (!made || made.accepted !== accepted || made.hosts !== known) {
-			const alive = [...known.values()].filter(({life}) => life === 'alive');
-			const servers = accepted?.config.servers.filter(server => server.role !== 'plain' && pickPollers(server, alive, 1)[0] === hostId) ?? [];
+			const pollers = omitContacts([...known.values()].filter(({life}) => life === 'alive'));
+			const servers = accepted?.config.servers.filter(server => server.role !== 'plain' && pickPollers(server, pollers, 1)[0] === hostId) ?? [];
 			made = {accepted, hosts: known, servers};
 		}
 
--- a/src/programs/agent/_lib/spread-summaries.ts
+++ b/src/programs/agent/_lib/spread-summaries.ts
@@ -16,14 +16,14 @@
 import {isSummariesEvent, peerEvents, type SummariesEvent} from './peer-messages.js';
 
 /** Heartbeat intervals between two summaries of the own zone, and between two rounds of one contact. */
-const makeIntervals = 2;
-const roundIntervals = 6;
+const makeIntervals = 1;
+const roundIntervals = 3;
 
 /** Each new view of the zones goes to the entry whole, so changes of one interval go together. */
 const showIntervals = 1;
 
 /** A contact whose rounds count from a lower number again, after a restart with a slower clock, is heard after this many intervals. */
-const forgetIntervals = 4 * roundIntervals;
+const forgetIntervals = 8 * roundIntervals;
 const msPerRound = 1000;
 
 export type SpreadSummariesOptions = {
