Let the rest of a crowded zone's work share what others had free

Now, when nothing is left by that count, all zones that had room share the rest and their engines decide. The ramp of a zone that came back bounds its room, so that it also holds where no other zone is near.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,21 @@
  */
 import process from 'node:process';
 
-const benches = ['match-rule', 'config-chunks', 'config-reading', 'placement', 'admission', 'claims', 'membership', 'zone-spread', 'spill', 'engine-stream', 'relay', 'metrics', 'slo', 'fleet', 'capacity'] as const;
+const benches = ['match-rule',
+	'config-chunks',
+	'config-reading',
+	'placement',
+	'admission',
+	'claims',
+	'membership',
+	'zone-spread',
+	'spill',
+	'engine-stream',
+	'relay',
+	'metrics',
+	'slo',
+	'fleet',
+	'capacity'] as const;
 
 type BenchName = typeof benches[number];
 type BenchModule = Record<string, (() => unknown) | undefined>;
--- /dev/null
+++ b/bench/spill/simulate.ts
@@ -0,0 +1,251 @@
+/**
+ * A table of twelve zones for the choice of where a crowded zone's requests go:
+ * decode servers with slots, hosts that share nothing, summaries that come late.
+ * Its clock is logical; nothing but the choice of zone and server is modelled.
+ */
+import {toSeededRandom} from '../../src/domain/create-placement/_lib/fixtures.js';
+import {pickSpillZone, type SpillZone} from '../../src/domain/pick-spill-zone/index.js';
+
+/**
+ * - `blind`: any servers of the region's other zones, as without summaries.
+ * - `round-robin`: the other zones in turn, wherever they are.
+ * - `greatest`: the nearest region's zone that said it has most.
+ * - `summaries`: `pickSpillZone`, and any servers there.
+ * - `summaries, own alone`: the same, with own spills not taken for those of the neighbours too.
+ * - `summaries, no ramp`: the same as `summaries`, but a zone that came back is believed at once.
+ * - `summaries, digest`: `pickSpillZone`, and one of the servers that its summary called least used.
+ */
+export type Strategy = 'blind' | 'round-robin' | 'greatest' | 'summaries' | 'summaries, own alone' | 'summaries, digest' | 'summaries, no ramp';
+
+export type SpillOutcome = {
+	strategy: Strategy;
+	seed: number;
+	/** While the zone is without servers: requests refused, of all and of those that left their zone. */
+	refused: number;
+	refusedOfSpilled: number;
+	/** Greatest share of slots in use of any zone, as a mean over that time, and its greatest over any second. */
+	worstZone: number;
+	worstSecond: number;
+	/** Offers that a full server refused, for each request that left its zone. */
+	refusals: number;
+	/** Share of the spilled that left their region. */
+	farShare: number;
+	/** Most requests of other zones that came in one second to the zone in its first ten seconds back. */
+	foreignPeak: number;
+};
+
+const regions = [0, 0, 0, 1, 1, 1, 2, 2, 3, 3, 4, 4];
+const loads = [0.7, 0.8, 0.6, 0.9, 0.75, 0.65, 0.85, 0.7, 0.8, 0.75, 0.6, 0.9];
+const lostZone = 6;
+
+/** The other zone of its region, crowded when the lost one comes back. */
+const neighbour = 7;
+const crowdedLoad = 1.3;
+const serversOfZone = 100;
+const slots = 20;
+const hostsOfZone = 33;
+const holdMs = 3000;
+const stepMs = 100;
+const lostAtMs = 30_000;
+const backAtMs = 60_000;
+const endMs = 75_000;
+
+/** Age of a summary when it comes, and time between two. */
+const lateMs = 4000;
+const everyMs = 3000;
+const offers = 3;
+const digestServers = 4;
+
+type Zone = {id: number; used: number[]; isLost: boolean; returnedAt: number};
+type Said = {at: number; free: number; least: readonly number[]};
+
+const toUsed = ({used}: Zone): number => used.reduce((sum, one) => sum + one, 0);
+
+function sayOf(zone: Zone, at: number): Said {
+	const order = zone.used.map((used, i) => ({used, i})).toSorted((a, b) => a.used - b.used);
+	return {at, free: zone.isLost ? 0 : (serversOfZone * slots) - toUsed(zone), least: order.slice(0, digestServers).map(({i}) => i)};
+}
+
+/** Poisson by its exponential gaps. */
+function drawCount(mean: number, random: () => number): number {
+	let count = 0;
+	for (let sum = -Math.log(1 - random()); sum < mean; sum -= Math.log(1 - random())) {
+		count += 1;
+	}
+
+	return count;
+}
+
+/** Runs one strategy to the end. */
+export function simulate(strategy: Strategy, seed: number): SpillOutcome {
+	const random = toSeededRandom(seed);
+	const zones: Zone[] = regions.map((_, id) => ({
+		id, used: Array.from({length: serversOfZone}, () => 0), isLost: false, returnedAt: -Infinity,
+	}));
+	const said = new Map<number, Said[]>(zones.map(({id}) => [id, []]));
+	const sent = new Map<string, number[]>();
+	const ends: Array<Array<() => void>> = Array.from({length: (endMs / stepMs) + 1}, () => []);
+	const tally = {
+		offered: 0, refused: 0, spilled: 0, spilledRefused: 0, refusals: 0, far: 0,
+	};
+	const usedSums = zones.map(() => 0);
+	const foreign = Array.from({length: endMs / 1000}, () => 0);
+	let seconds = 0;
+	let worstSecond = 0;
+	let turn = Math.floor(random() * zones.length);
+
+	/** What a zone's hosts have heard of another at a time; each pair of zones hears at moments of its own. */
+	function toHeard(from: number, of: number, now: number): Said | undefined {
+		const phase = ((from * 7) + (of * 13)) % (everyMs / 1000) * 1000;
+		const heardAt = (Math.floor((now - phase) / everyMs) * everyMs) + phase;
+		return said.get(of)![Math.floor((heardAt - lateMs) / 1000)];
+	}
+
+	function take(zone: Zone, server: number, now: number): boolean {
+		if (zone.isLost || zone.used[server]! >= slots) {
+			return false;
+		}
+
+		zone.used[server]! += 1;
+		const step = Math.ceil((now - (holdMs * Math.log(1 - random()))) / stepMs);
+		ends[Math.min(step, ends.length - 1)]!.push(() => {
+			zone.used[server]! -= zone.used[server]! > 0 ? 1 : 0;
+		});
+		return true;
+	}
+
+	function toSpillZone(from: number, host: number, {id, returnedAt}: Zone, now: number): SpillZone {
+		const heard = toHeard(from, id, now);
+		const at = heard?.at ?? -Infinity;
+		const own = sent.get(`${from} ${host} ${id}`)?.filter(time => time > at).length ?? 0;
+		return {
+			zone: `${id}`,
+			distance: regions[id] === regions[from] ? 0 : 1,
+			isReachable: true,
+			free: heard?.free ?? 0,
+			spilled: own * (strategy === 'summaries, own alone' ? 1 : hostsOfZone),
+			waitMs: 0,
+			at,
+			returnedAt: returnedAt + lateMs,
+		};
+	}
+
+	function pickZone(from: number, host: number, now: number): number | undefined {
+		const others = zones.filter(({id}) => id !== from);
+		if (strategy === 'blind') {
+			const near = others.filter(({id, isLost}) => regions[id] === regions[from] && !isLost);
+			return near[Math.floor(random() * near.length)]?.id;
+		}
+
+		if (strategy === 'round-robin') {
+			turn += 1;
+			return others[turn % others.length]!.id;
+		}
+
+		const candidates = others.map(zone => toSpillZone(from, host, zone, now));
+		if (strategy === 'greatest') {
+			const [best] = candidates.filter(({free}) => free > 0).toSorted((a, b) => a.distance - b.distance || b.free - a.free);
+			return best && Number(best.zone);
+		}
+
+		const picked = pickSpillZone(candidates, now, random, {rampFrom: strategy === 'summaries, no ramp' ? 1 : undefined});
+		return picked === undefined ? undefined : Number(picked);
+	}
+
+	function spill(from: number, now: number): boolean {
+		const host = Math.floor(random() * hostsOfZone);
+		const isCounted = now >= lostAtMs && now < backAtMs;
+		// After a refusal the product picks anew, the zone too.
+		for (let offer = 0; offer < offers; offer++) {
+			const id = pickZone(from, host, now);
+			if (id === undefined) {
+				return false;
+			}
+
+			const key = `${from} ${host} ${id}`;
+			foreign[Math.floor(now / 1000)]! += id === lostZone ? 1 : 0;
+			sent.set(key, [...(sent.get(key) ?? []).filter(time => now - time < 20_000), now]);
+			const least = toHeard(from, id, now)?.least ?? [];
+			const server = strategy === 'summaries, digest' ? least[Math.floor(random() * least.length)] ?? 0 : Math.floor(random() * serversOfZone);
+			if (take(zones[id]!, server, now)) {
+				tally.far += isCounted && regions[id] !== regions[from] ? 1 : 0;
+				return true;
+			}
+
+			tally.refusals += isCounted ? 1 : 0;
+		}
+
+		return false;
+	}
+
+	/** Of the own zone the loads are known: a server with room is found as long as there is one. */
+	function placeAtHome(zone: Zone, now: number): boolean {
+		const start = Math.floor(random() * serversOfZone);
+		return zone.used.some((_, i) => take(zone, (start + i) % serversOfZone, now));
+	}
+
+	function arrive(zone: Zone, now: number) {
+		const isHome = placeAtHome(zone, now);
+		const isPlaced = isHome || spill(zone.id, now);
+		if (now >= lostAtMs && now < backAtMs) {
+			tally.offered += 1;
+			tally.refused += isPlaced ? 0 : 1;
+			tally.spilled += isHome ? 0 : 1;
+			tally.spilledRefused += isPlaced ? 0 : 1;
+		}
+	}
+
+	function noteSecond(now: number) {
+		for (const zone of zones) {
+			said.get(zone.id)!.push(sayOf(zone, now));
+		}
+
+		if (now >= lostAtMs + 5000 && now < backAtMs) {
+			seconds += 1;
+			for (const zone of zones) {
+				const share = toUsed(zone) / serversOfZone / slots;
+				usedSums[zone.id]! += share;
+				worstSecond = Math.max(worstSecond, share);
+			}
+		}
+	}
+
+	for (let now = 0; now < endMs; now += stepMs) {
+		const lost = zones[lostZone]!;
+		if (now === lostAtMs) {
+			lost.isLost = true;
+			lost.used.fill(0);
+		} else if (now === backAtMs) {
+			lost.isLost = false;
+			lost.returnedAt = now;
+		}
+
+		for (const end of ends[now / stepMs]!) {
+			end();
+		}
+
+		if (now % 1000 === 0) {
+			noteSecond(now);
+		}
+
+		for (const zone of zones) {
+			const load = zone.id === neighbour && now >= backAtMs ? crowdedLoad : loads[zone.id]!;
+			const mean = load * serversOfZone * slots / holdMs * stepMs;
+			for (let left = drawCount(mean, random); left > 0; left--) {
+				arrive(zone, now);
+			}
+		}
+	}
+
+	return {
+		strategy,
+		seed,
+		refused: tally.refused / tally.offered,
+		refusedOfSpilled: tally.spilledRefused / tally.spilled,
+		worstZone: Math.max(...usedSums) / seconds,
+		worstSecond,
+		refusals: tally.refusals / tally.spilled,
+		farShare: tally.far / tally.spilled,
+		foreignPeak: Math.max(...foreign.slice(backAtMs / 1000, (backAtMs / 1000) + 10)),
+	};
+}
--- a/src/domain/pick-spill-zone/index.ts
+++ b/src/domain/pick-spill-zone/index.ts
@@ -25,7 +25,7 @@
 	staleAfterMs?: Milliseconds;
 	/** Wait for a prefill at which a zone is of no use, milliseconds. */
 	waitLimitMs?: Milliseconds;
-	/** Time in which the share of a zone that came back grows from `rampFrom` to 1, milliseconds. */
+	/** Time in which the believed part of the room of a zone that came back grows from `rampFrom` to 1, milliseconds. */
 	rampMs?: Milliseconds;
 	rampFrom?: number;
 };
@@ -37,34 +37,50 @@
 /**
  * A zone that was away looks empty to all hosts of all zones in the same second;
  * sent there by what it has free, the work of that second is more than it can
- * start on, and first tokens are late. Growing its share over some summaries lets
- * the first work show in the next ones.
+ * start on, and first tokens are late. Believing little of its room at first, and
+ * all of it after some summaries, lets the first work show in the next ones. It
+ * bounds the number that is sent, so it also holds where no other zone is near.
  */
 const toRamp = (elapsedMs: Milliseconds, rampMs: Milliseconds, rampFrom: number): number =>
 	elapsedMs >= rampMs ? 1 : rampFrom + ((1 - rampFrom) * Math.max(0, elapsedMs) / rampMs);
 
-function toWeight({isReachable, free, spilled, waitMs, at, returnedAt}: SpillZone, now: Milliseconds, options: SpillOptions): number {
-	const {staleAfterMs = defaultStaleAfterMs, waitLimitMs = Infinity, rampMs = defaultRampMs, rampFrom = defaultRampFrom} = options;
+/** How far a summary is believed, less where prompts wait; 0 if the zone is of no use. */
+function toTrust({isReachable, waitMs, at}: SpillZone, now: Milliseconds, {staleAfterMs = defaultStaleAfterMs, waitLimitMs = Infinity}: SpillOptions): number {
 	const ageMs = Math.max(0, now - at);
 	if (!isReachable || ageMs >= staleAfterMs) {
 		return 0;
 	}
 
-	const left = Math.max(0, (free * (1 - (ageMs / staleAfterMs))) - spilled);
 	const waitShare = waitMs === 0 ? 1 : Math.max(0, 1 - (waitMs / waitLimitMs));
-	return left * waitShare * toRamp(now - returnedAt, rampMs, rampFrom);
+	return waitShare * (1 - (ageMs / staleAfterMs));
 }
 
+const drawZone = (zones: ReadonlyArray<{zone: ZoneId; weight: number}>, random: Random): ZoneId | undefined => {
+	let left = random() * zones.reduce((sum, {weight}) => sum + weight, 0);
+	for (const {zone, weight} of zones) {
+		left -= weight;
+		if (left < 0) {
+			return zone;
+		}
+	}
+
+	return zones.at(-1)?.zone;
+};
+
 /**
  * Picks the zone that gets a request which its own zone cannot take: by chance,
  * in proportion to what each zone of the nearest region with room is thought to
  * have left. The greatest alone would be every host's choice at once.
  *
+ * What is left is guessed low, since some of what was sent has ended. So when
+ * nothing is left anywhere, all zones that had room share the rest, wherever they
+ * are, and their engines decide.
+ *
  * @param zones - Other zones that serve the pool.
  * @param now - Monotonic milliseconds.
  * @param random - Numbers in [0, 1).
  * @param options - See {@link SpillOptions}.
- * @returns The zone; `undefined` when none is thought to have room, or all that is known is stale.
+ * @returns The zone; `undefined` when none had room, or all that is known is stale.
  *
  * @example
  * ```ts
@@ -72,16 +88,18 @@
  * ```
  */
 export function pickSpillZone(zones: readonly SpillZone[], now: Milliseconds, random: Random, options: SpillOptions = {}): ZoneId | undefined {
-	const weighed = zones.map(zone => ({...zone, weight: toWeight(zone, now, options)})).filter(({weight}) => weight > 0);
-	const nearest = Math.min(...weighed.map(({distance}) => distance));
-	const near = weighed.filter(({distance}) => distance === nearest);
-	let left = random() * near.reduce((sum, {weight}) => sum + weight, 0);
-	for (const {zone, weight} of near) {
-		left -= weight;
-		if (left < 0) {
-			return zone;
-		}
+	const {rampMs = defaultRampMs, rampFrom = defaultRampFrom} = options;
+	const known = zones.flatMap(zone => {
+		const trust = toTrust(zone, now, options);
+		const room = zone.free * toRamp(now - zone.returnedAt, rampMs, rampFrom);
+		return trust * room > 0 ? [{...zone, trust, room}] : [];
+	});
+	const open = known.filter(({room, spilled}) => room > spilled);
+	if (open.length === 0) {
+		return drawZone(known.map(({zone, trust, room}) => ({zone, weight: trust * room})), random);
 	}
 
-	return near.at(-1)?.zone;
+	const nearest = Math.min(...open.map(({distance}) => distance));
+	const near = open.filter(({distance}) => distance === nearest);
+	return drawZone(near.map(({zone, trust, room, spilled}) => ({zone, weight: trust * (room - spilled)})), random);
 }
