--- a/src/programs/agent/main.ts
+++ b/src/programs/agent/main.ts
@@ -41,6 +41,7 @@
 		config_edition: ['Edition of the configuration in force.', () => agent.view().accepted?.version.edition ?? 0],
 		config_revision: ['Revision of the configuration in force.', () => agent.view().accepted?.version.revision ?? 0],
 		host_name_twin: ['Whether another live agent runs under this host\'s name: 1 or 0.', () => agent.twin() === undefined ? 0 : 1],
+		zone_summaries: ['Other zones of which this host has a summary that can be believed; 0 in a fleet of up to 40 hosts.', () => agent.view().zones?.size ?? 0],
 		platform_confirmed_age_seconds: ['Age of the platform\'s last confirmation; -1 if there was none.', () => toStatus(agent.view(), performance.now()).platformConfirmedAgeMs / 1000],
 	} as const;
 	for (const [name, [help, sample]] of Object.entries(counters)) {
