Let bounced requests wait in the gate, and trace late refusals

After each bounce the entry paused by a doubling delay of up to 2 s, bounded by the whole answer's deadline, before it went back to the gate.

Ruled out: waiting in the queue (the gate refuses what it holds in time), late sending or a busy loop (caller's and entry's times agree), plain desk calls (none among them).

Change: a bounced request goes back to the gate at once. The gate spaces the tries itself: after a bounce one request at each tick, until a place is freed or a report comes. The fleet bench asks the entries what became of late refusals and counts them by cause; the admission bench shows how late quick work is refused, and replays a sample to see what would have been in time.

Test: with every server full and chance at its upper end the caller hears within 2.9 s of a 2 s target.

--- /dev/null
+++ b/bench/admission/_lib/refusals.ts
@@ -0,0 +1,78 @@
+/** How late quick work is refused, and how much of it would have been in time. */
+import {createRandom, type Scenario} from './arrivals.js';
+import {fleets} from './fleets.js';
+import {measure} from './measure.js';
+import {policies, type PolicyTable} from './policies.js';
+import {type RequestResult, simulate} from './simulate.js';
+
+export type RefusalRow = {
+	fleet: string;
+	load: number;
+	quickGood: number;
+	batchGood: number;
+	/** Refused quick requests whose caller stayed, and the part of them refused at the arrival. */
+	refused: number;
+	atArrival: number;
+	/** Time to the refusal over the first-token target, for those that waited. */
+	refusedAtP50: number;
+	refusedAtP99: number;
+	/** Refused after half and four fifths of the target. */
+	afterHalf: number;
+	afterFourFifths: number;
+	/** Part of a sample that would have been in time, had it alone not been refused: refused at the arrival, and after a wait. */
+	wouldHaveMadeAtArrival: number;
+	wouldHaveMadeWaiting: number;
+};
+
+/** Refused requests of each kind that are replayed for one row. */
+const defaultSampleSize = 8;
+
+const nine = policies.find(policy => policy.name === '9 routers')!;
+
+/**
+ * @param base - the scenario without its load.
+ * @param options - the policy, nine routers by default, and how many refused requests of each kind are replayed.
+ * @returns a row for each fleet and load.
+ */
+export function runRefusals(base: Omit<Scenario, 'fleet' | 'load'>, options: {table?: PolicyTable; sampleSize?: number} = {}): RefusalRow[] {
+	const {table = nine, sampleSize = defaultSampleSize} = options;
+	return fleets.flatMap(fleet => [0.9, 1.1, 1.5].map(load => toRefusalRow({...base, fleet, load}, table, sampleSize)));
+}
+
+function toRefusalRow(scenario: Scenario, table: PolicyTable, sampleSize: number): RefusalRow {
+	const results = simulate(scenario, table);
+	const {quickGood, batchGood} = measure(scenario, results);
+	const refused = results.filter(({arrival, fate}) => arrival.class === 'quick' && fate === 'refused' && arrival.leavesAt === Infinity);
+	const atArrival = refused.filter(({waitMs}) => waitMs === 0);
+	const waited = refused.filter(({waitMs}) => waitMs > 0);
+	const parts = waited.map(({arrival, waitMs}) => waitMs / arrival.shape.firstTokenMs).sort((a, b) => a - b);
+	const toPart = (share: number): number => parts[Math.min(parts.length - 1, Math.floor(share * parts.length))] ?? 0;
+	return {
+		fleet: scenario.fleet.name,
+		load: scenario.load,
+		quickGood,
+		batchGood,
+		refused: refused.length,
+		atArrival: atArrival.length / Math.max(1, refused.length),
+		refusedAtP50: toPart(0.5),
+		refusedAtP99: toPart(0.99),
+		afterHalf: parts.filter(part => part > 0.5).length,
+		afterFourFifths: parts.filter(part => part > 0.8).length,
+		wouldHaveMadeAtArrival: toWouldHaveMade(scenario, table, toSample(atArrival, sampleSize, scenario.seed)),
+		wouldHaveMadeWaiting: toWouldHaveMade(scenario, table, toSample(waited, sampleSize, scenario.seed)),
+	};
+}
+
+function toSample(refused: readonly RequestResult[], size: number, seed: number): readonly RequestResult[] {
+	const random = createRandom(seed + 3);
+	return refused.length <= size ? refused : Array.from({length: size}, () => refused[Math.floor(random() * refused.length)]!);
+}
+
+/** Replays the run for each request of a sample, with that request alone never refused. */
+function toWouldHaveMade(scenario: Scenario, table: PolicyTable, sample: readonly RequestResult[]): number {
+	const made = sample.filter(({arrival: {id}}) => {
+		const replayed = simulate(scenario, table, {exemptId: id}).find(({arrival}) => arrival.id === id);
+		return replayed?.fate === 'good';
+	});
+	return made.length / Math.max(1, sample.length);
+}
--- a/bench/admission/_lib/simulate.ts
+++ b/bench/admission/_lib/simulate.ts
@@ -36,12 +36,16 @@
 
 const noWaste: Readonly<Record<WasteCause, number>> = {'caller-gone': 0, expired: 0, hedge: 0};
 
+/** Further than any target. */
+const unboundedMs = 1e9;
+
 /**
  * @param scenario - load and faults.
  * @param table - the policy and how many routers run it.
+ * @param options - `exemptId` names one request that is never refused for its prediction, to see what refusing it prevented.
  * @returns what became of each measured request.
  */
-export function simulate(scenario: Scenario, table: PolicyTable): RequestResult[] {
+export function simulate(scenario: Scenario, table: PolicyTable, options: {exemptId?: string} = {}): RequestResult[] {
 	const agenda = createAgenda();
 	const random = createRandom(scenario.seed + 1);
 	const faults = {slowFactor: scenario.slowFactor, stallPart: scenario.stallPart ?? 0, stallMs: scenario.stallMs ?? 0};
@@ -71,13 +75,14 @@
 			return;
 		}
 
+		const exemptMs = arrival.id === options.exemptId ? unboundedMs : 0;
 		const answer = router.offer({
 			id: arrival.id,
 			pool: arrival.pool,
 			class: arrival.class,
 			workspace: arrival.workspace,
-			deadline: arrival.at + arrival.shape.completeMs,
-			firstTokenDeadline: arrival.at + arrival.shape.firstTokenMs,
+			deadline: arrival.at + arrival.shape.completeMs + exemptMs,
+			firstTokenDeadline: arrival.at + arrival.shape.firstTokenMs + exemptMs,
 			promptTokens: arrival.shape.promptTokens,
 			maxTokens: arrival.shape.outputTokens,
 			queueLimit: Math.ceil(queuedPerPool / table.routers),
--- a/bench/admission/index.ts
+++ b/bench/admission/index.ts
@@ -2,7 +2,7 @@
  * Compares ways of admitting on a logical clock: the same seeded arrivals for
  * each way, both users' fleets, four loads, with a burst of quick work, callers
  * that leave and one slow server in each pool. Then what cancelling saves,
- * whether hedging pays, what retries add, and what the decisions cost.
+ * whether hedging pays, how late quick work is refused, what retries add, and what the decisions cost.
  */
 import {type Scenario} from './_lib/arrivals.js';
 import {runCancels} from './_lib/cancels.js';
@@ -11,6 +11,7 @@
 import {runHedging} from './_lib/hedging.js';
 import {type Figures, measure, toPaperBound} from './_lib/measure.js';
 import {policies} from './_lib/policies.js';
+import {runRefusals} from './_lib/refusals.js';
 import {runRetries} from './_lib/retries.js';
 import {simulate} from './_lib/simulate.js';
 
@@ -31,16 +32,18 @@
 	const rows = fleets.flatMap(fleet => loads.flatMap(load => toRows({...base, fleet, load})));
 	const {stages, gains} = runCancels({...base, load: 1.1});
 	const hedging = runHedging(base);
+	const refusals = runRefusals(base);
 	const retries = runRetries();
 	const cost = measureDecisionCost();
 	console.log(`seed ${seed}; parts in %, times in ms\n\n${toTable(rows)}`);
 	console.log(`\nCallers of batch work that left, a third of all, load 1.1, nine routers (means a request)\n\n${toTable(stages)}`);
 	console.log(`\nGoodput of those who stayed\n\n${toTable(gains)}`);
 	console.log(`\nHedging of quick work; a stalled transfer takes 3 s more\n\n${toTable(hedging)}`);
+	console.log(`\nRefused quick work, nine routers; a sample is replayed with one request never refused\n\n${toTable(refusals)}`);
 	console.log(`\nRetries while a part of all attempts fails: three attempts each, and the budget\n\n${toTable(retries)}`);
 	console.log(`\nProcessor time of the decisions (this machine, under whatever else it does)\n\n${toTable(cost)}\n`);
 	console.log(JSON.stringify({
-		bench: 'admission', seed, rows, stages, gains, hedging, retries, cost,
+		bench: 'admission', seed, rows, stages, gains, hedging, refusals, retries, cost,
 	}));
 }
 
@@ -59,7 +62,7 @@
 	return [heads, ...lines].map(line => line.map((cell, index) => cell.padEnd(widths[index]!)).join('  ').trimEnd()).join('\n');
 }
 
-const parts = new Set(['quickGood', 'batchGood', 'batchOfLeft', 'wastedCallerGone', 'wastedExpired', 'wastedHedge', 'wasted', 'stallPart', 'failPart', 'answeredFixed', 'answeredBudget']);
+const parts = new Set(['quickGood', 'batchGood', 'batchOfLeft', 'wastedCallerGone', 'wastedExpired', 'wastedHedge', 'wasted', 'stallPart', 'failPart', 'atArrival', 'refusedAtP50', 'refusedAtP99', 'wouldHaveMadeAtArrival', 'wouldHaveMadeWaiting', 'answeredFixed', 'answeredBudget']);
 
 function toCell(head: string, value: string | number | undefined): string {
 	if (typeof value !== 'number') {
--- a/bench/fleet/_lib/to-row.ts
+++ b/bench/fleet/_lib/to-row.ts
@@ -7,6 +7,7 @@
 	batchShare, burst, cancelPart, type RunPlan,
 } from './plan.js';
 import {type JudgedPrefills} from './servers-worker.js';
+import {type LateRefusal, lateShare} from './trace-late.js';
 
 export type Row = {
 	fleet: string;
@@ -42,6 +43,9 @@
 	refusedAtP99: number;
 	/** Refusals told after four fifths of the first-token target. */
 	refusedLate: number;
+	/** Those of quick work by cause, and each of them. */
+	lateCauses: Record<string, number>;
+	lateRefusals: readonly LateRefusal[];
 	/** Prompt tokens prefilled in vain over all prefilled, by cause. */
 	wasted: Record<string, number>;
 	wastedPart: number;
@@ -51,7 +55,17 @@
 	sentLateMs: number;
 };
 
-const lateShare = 0.8;
+/** What came of one run. */
+export type RunResult = {
+	windows: Windows;
+	seed: number;
+	runId: string;
+	results: readonly CallerResult[];
+	judged: JudgedPrefills;
+	lateRefusals: readonly LateRefusal[];
+	busy: number;
+	lateMs: number;
+};
 
 function toShare(part: number, all: number): number {
 	return part / Math.max(1, all);
@@ -108,8 +122,8 @@
  * @param run - Its windows, and what came of it.
  * @returns The row.
  */
-export function toRow(plan: RunPlan, run: {windows: Windows; seed: number; runId: string; results: readonly CallerResult[]; judged: JudgedPrefills; busy: number; lateMs: number}): Row {
-	const {windows, seed, runId, results, judged} = run;
+export function toRow(plan: RunPlan, run: RunResult): Row {
+	const {windows, seed, runId, results, judged, lateRefusals} = run;
 	const scenario: Scenario = {
 		...windows, fleet: plan.fleet.table, load: plan.load, seed, cancelPart, burst: plan.fault === 'burst' ? burst : 1, slowFactor: 1,
 	};
@@ -144,6 +158,8 @@
 		refusedQuick: figures.refusedQuick,
 		refusedBatch: figures.refusedBatch,
 		...toRefusals(stayed),
+		lateCauses: toCounts(lateRefusals.map(({cause}) => cause)),
+		lateRefusals,
 		...toWaste(results, judged, runId),
 		jain: figures.jain,
 		benchBusy: Math.max(run.busy, judged.busy),
--- a/bench/fleet/index.ts
+++ b/bench/fleet/index.ts
@@ -18,6 +18,7 @@
 import {startBenchFleet, type BenchDeployment} from './_lib/start-bench-fleet.js';
 import {type Row, toRow} from './_lib/to-row.js';
 import {toSvg} from './_lib/to-svg.js';
+import {traceLate} from './_lib/trace-late.js';
 
 const usualWindows: Windows = {warmupMs: 8000, horizonMs: 18_000, endsAtMs: 19_000};
 const smallWindows: Windows = {warmupMs: 3000, horizonMs: 9000, endsAtMs: 10_000};
@@ -50,7 +51,7 @@
 		row.failed,
 		toList(row.refusals, String),
 		row.withoutRetryAfter,
-		`${toPercent(row.refusedAtP99)} / ${row.refusedLate}`,
+		`${toPercent(row.refusedAtP99)} / ${row.refusedLate}: ${toList(row.lateCauses, String)}`,
 		`${toPercent(row.wastedPart)}: ${toList(row.wasted, toPercent)}`,
 		row.jain.toFixed(3),
 		`${toPercent(row.benchBusy)} / ${Math.round(row.sentLateMs)}`,
@@ -74,7 +75,7 @@
 	'failed',
 	'refusals',
 	'no Retry-After',
-	'refused at, quick p99 % of target / after 80 %',
+	'refused at, quick p99 % of target / after 80 %: quick by cause',
 	'prefill wasted %',
 	'Jain',
 	'bench busy % / sent late ms',
@@ -83,7 +84,11 @@
 async function run(plan: RunPlan, deployment: BenchDeployment, options: {windows: Windows; seed: number; runId: string}): Promise<Row> {
 	await deployment.judge();
 	const driven = await drive(plan, deployment, options);
-	return toRow(plan, {...options, ...driven, judged: await deployment.judge()});
+	const judged = await deployment.judge();
+	const lateRefusals = await traceLate(driven.results, deployment.hosts);
+	return toRow(plan, {
+		...options, ...driven, judged, lateRefusals,
+	});
 }
 
 function isWanted({fleet, load, hosts, fault, isInstant}: RunPlan): boolean {
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -6,7 +6,6 @@
 import {type AnswerHead, type AnswerKind} from '../../../domain/create-sse-encoder/index.js';
 import {type CompletionRequest} from '../../../domain/parse-completion-request/index.js';
 import {pickVersion} from '../../../domain/pick-version/index.js';
-import {toBackoff} from '../../../domain/to-backoff/index.js';
 import {toPrefixBlocks} from '../../../domain/to-prefix-blocks/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -23,7 +22,6 @@
 import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
 import {type Delivery, type Run} from '../_lib/types.js';
-import {waitAwake} from '../_lib/wait-awake.js';
 import {readRequest, type ParsedRequest} from './_lib/read-request.js';
 import {reportEnd, toVerdict} from './_lib/report-end.js';
 
@@ -114,11 +112,16 @@
 	}
 }
 
-/** Waits for room and runs; again when every decode server turned out to be full. */
+/**
+ * Waits for room and runs; again, and at once, when every decode server turned
+ * out to be full. The gate spaces the tries. A delay here would keep the
+ * request where nobody looks at its target: its caller would hear of the miss
+ * when the delay is over, up to twice the target late.
+ */
 async function runToEnd(run: Run, serve: ServeServices): Promise<RunEnd> {
-	const {clock, random} = serve.services;
+	const {clock} = serve.services;
 	let attempt = 1;
-	for (let bounces = 1; ; bounces++) {
+	for (;;) {
 		const refused = await waitForRoom(run, serve);
 		if (refused !== undefined) {
 			return refused;
@@ -126,13 +129,11 @@
 
 		const {end, nextAttempt} = await runAdmitted(run, serve, attempt);
 		attempt = nextAttempt;
-		const backoffMs = toBackoff(bounces, random);
-		if (end.kind !== 'bounced' || clock.now() + backoffMs > run.deadline) {
+		if (end.kind !== 'bounced' || clock.now() > run.deadline) {
 			return end;
 		}
 
-		run.account.note('bounced', {backoffMs});
-		await waitAwake(run, backoffMs);
+		run.account.note('bounced');
 	}
 }
 
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -37,6 +37,8 @@
 	configLines?: string;
 	/** Whether the entry gets a configuration at all. */
 	hasConfig?: boolean;
+	/** Chance of the entry, in [0, 1). */
+	random?: () => number;
 };
 
 const toConfigText = (servers: string, extra: string): string => `
@@ -50,6 +52,7 @@
 rules:
   - {name: scenes, when: {headers: {x-kind: scene}}, then: {pool: letters, class: batch, repeatable: false, target: {firstToken: 10s, perToken: 61ms, complete: 20s}}}
   - {name: hurried, when: {headers: {x-kind: hurried}}, then: {pool: letters, class: quick, repeatable: true, target: {firstToken: 700ms, perToken: 61ms, complete: 700ms}}}
+  - {name: patient, when: {headers: {x-kind: patient}}, then: {pool: letters, class: quick, repeatable: true, target: {firstToken: 2s, perToken: 61ms, complete: 20s}}}
   - {name: summaries, when: {model: summary}, then: {pool: letters, class: quick, repeatable: true, target: {firstToken: 10s, perToken: 61ms, complete: 20s}}}
   - {name: orders, when: {path: /orders/}, then: {pool: desk, class: quick, repeatable: false, target: {firstToken: 2s, complete: 5s}}}
   - {name: rest, then: {pool: desk, class: quick, repeatable: true, target: {firstToken: 2s, complete: 5s}}}
@@ -110,7 +113,7 @@
 	const entry = await startEntry({
 		settings,
 		clock: {wallNow: () => Date.now(), now: () => performance.now()},
-		random: Math.random,
+		random: options.random ?? Math.random,
 		log: createLog({
 			level: 'info',
 			program: 'banyanport-entry',
