Leave suspected hosts out of the shares of a pool

Cause: a host that died counts in the others' share until it is declared dead, 8 s. For pools of engines that is no cause of what batch work loses after a lost zone: use is reported there, and what a report shows free is borrowed within a second or two. For plain services, whose use is not reported, the dead host's places stand idle meanwhile.

Change: a suspected host (3 s of silence) does not count, unless more than half of the near hosts are suspected, when it may be this host that is cut off. Ruled out: a ramp when the zone comes back, as a smaller share only keeps new requests from starting (reasoned); borrowing by own observed load, which is what pools of engines do already.

Tests: each of the two new cases fails without its half of the rule.

--- a/bench/admission/_lib/arrivals.ts
+++ b/bench/admission/_lib/arrivals.ts
@@ -38,10 +38,19 @@
 	stallMs?: number;
 	/** Whether work of callers that left runs on to its end. */
 	isCancelIgnored?: boolean;
+	/** A zone that goes: the second router and a quarter of each pool's decode servers. */
+	loss?: ZoneLoss;
 	/** Time without a first token after which quick work is started on a second server as well; absent for never. */
 	hedgeAfterMs?: number;
 };
 
+export type ZoneLoss = {
+	atMs: number;
+	/** Time until the others stop counting the lost servers' places, and the lost router's share. */
+	placesKnownAfterMs: number;
+	shareKnownAfterMs: number;
+};
+
 /** Park and Miller's generator: enough chance for arrivals, and the same on every machine. */
 export function createRandom(seed: number): () => number {
 	const modulus = 2_147_483_647;
--- a/bench/admission/_lib/create-backend.ts
+++ b/bench/admission/_lib/create-backend.ts
@@ -26,7 +26,7 @@
 	onEnd: (outcome: 'completed' | 'failed') => void;
 };
 
-type DecodeServer = {used: number; slowFactor: number};
+type DecodeServer = {used: number; slowFactor: number; isLost: boolean; works: Set<Work>};
 type PrefillServer = {queue: Work[]; busy: Work | undefined; linkFreeAt: number; queuedMs: number};
 
 export type Backend = {
@@ -34,6 +34,12 @@
 	readonly used: number;
 	/** Takes a decode place and queues the prefill; `undefined` when no decode server has a place. */
 	start: (arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd'>) => Work | undefined;
+	/** Takes a quarter of the decode servers away, at least one, and breaks what runs there. */
+	lose: () => void;
+	/** Places that are left of `slots`. */
+	readonly slotsLeft: number;
+	/** Places in use on the servers that are left. */
+	readonly usedLeft: number;
 	/** Ends the work at its present stage and frees all it holds; a prefill whose result is then not used counts as wasted. */
 	cancel: (work: Work, cause: WasteCause) => void;
 };
@@ -46,8 +52,13 @@
 	stallMs: number;
 };
 
+/** Part of the decode servers that stands in one zone. */
+const lostPart = 0.25;
+
 export function createBackend(table: PoolTable, agenda: Agenda, faults: BackendFaults, random: () => number): Backend {
-	const decodeServers: DecodeServer[] = Array.from({length: table.decodeServers}, (_, index) => ({used: 0, slowFactor: index === 0 ? faults.slowFactor : 1}));
+	const decodeServers: DecodeServer[] = Array.from({length: table.decodeServers}, (_, index) => ({
+		used: 0, slowFactor: index === 0 ? faults.slowFactor : 1, isLost: false, works: new Set(),
+	}));
 	const prefillServers: PrefillServer[] = Array.from({length: table.prefillServers}, () => ({
 		queue: [], busy: undefined, linkFreeAt: 0, queuedMs: 0,
 	}));
@@ -63,6 +74,7 @@
 			arrival, stage: 'prefill-queue', decodeServer, prefillServer, prefillStartedAt: 0, prefillMs: 0, wasted: 'none', ...handlers,
 		};
 		decodeServer.used += 1;
+		decodeServer.works.add(work);
 		prefillServer.queue.push(work);
 		prefillServer.queuedMs += toPrefillMs(arrival.shape);
 		prefillNext(prefillServer);
@@ -127,6 +139,7 @@
 	function end(work: Work, outcome: 'completed' | 'failed'): void {
 		work.stage = 'ended';
 		work.decodeServer.used -= 1;
+		work.decodeServer.works.delete(work);
 		work.onEnd(outcome);
 	}
 
@@ -134,6 +147,7 @@
 		const {stage, prefillServer, arrival} = work;
 		work.stage = 'ended';
 		work.decodeServer.used -= 1;
+		work.decodeServer.works.delete(work);
 		if (stage === 'prefill-queue') {
 			prefillServer.queue.splice(prefillServer.queue.indexOf(work), 1);
 			prefillServer.queuedMs -= toPrefillMs(arrival.shape);
@@ -149,6 +163,18 @@
 		}
 	}
 
+	function lose(): void {
+		const lost = decodeServers.slice(-Math.ceil(decodeServers.length * lostPart));
+		for (const server of lost) {
+			server.isLost = true;
+		}
+
+		for (const work of lost.flatMap(({works}) => [...works])) {
+			cancel(work, 'caller-gone');
+			work.onEnd('failed');
+		}
+	}
+
 	return {
 		slots: table.decodeServers * placesPerDecodeServer,
 		get used() {
@@ -159,14 +185,21 @@
 
 			return used;
 		},
+		get slotsLeft() {
+			return decodeServers.filter(({isLost}) => !isLost).length * placesPerDecodeServer;
+		},
+		get usedLeft() {
+			return decodeServers.filter(({isLost}) => !isLost).reduce((sum, {used}) => sum + used, 0);
+		},
 		start,
+		lose,
 		cancel,
 	};
 }
 
 /** The emptier of two servers drawn among those with a place. */
 function pickDecodeServer(servers: readonly DecodeServer[], random: () => number): DecodeServer | undefined {
-	const open = servers.filter(server => server.used < placesPerDecodeServer);
+	const open = servers.filter(server => !server.isLost && server.used < placesPerDecodeServer);
 	const drawn = [open[Math.floor(random() * open.length)], open[Math.floor(random() * open.length)]];
 	return (drawn[0]?.used ?? 0) <= (drawn[1]?.used ?? 0) ? drawn[0] : drawn[1];
 }
--- a/bench/admission/_lib/simulate.ts
+++ b/bench/admission/_lib/simulate.ts
@@ -1,4 +1,5 @@
 /** Drives one policy through one scenario on a logical clock. */
+import {type PoolCapacity} from '../../../src/domain/create-admission/index.js';
 import {
 	type Arrival, createRandom, type Scenario, toArrivals,
 } from './arrivals.js';
@@ -31,6 +32,8 @@
 const tickEveryMs = 50;
 const queuedPerPool = 360;
 const bounceDelayMs = 40;
+/** The router that goes with a lost zone. */
+const lostRouter = 1;
 
 type Tracked = RequestResult & {works: Work[]; isOver: boolean};
 
@@ -53,10 +56,11 @@
 	const routers = Array.from({length: table.routers}, () => table.create());
 	const arrivals = toArrivals(scenario);
 	const tracked = new Map<string, Tracked>();
+	const {loss} = scenario;
 	const endsAt = scenario.endsAtMs + 120_000;
 
 	for (const arrival of arrivals) {
-		const router = routers[Math.floor(arrival.routerChoice * routers.length)]!;
+		const router = toRouter(arrival);
 		const request: Tracked = {
 			arrival, fate: 'failed', firstTokenMs: undefined, waitMs: 0, bounces: 0, prefillMs: 0, wastedMs: noWaste, heldMs: 0, leftAt: undefined, works: [], isOver: false,
 		};
@@ -69,6 +73,35 @@
 		});
 	}
 
+	/** The balancer sends nothing to a lost router. */
+	function toRouter({routerChoice, at}: Arrival): Policy {
+		const first = Math.floor(routerChoice * routers.length);
+		return routers[first === lostRouter && at >= (loss?.atMs ?? Infinity) ? (first + 1 + (Math.floor(routerChoice * 1e6) % (routers.length - 1))) % routers.length : first]!;
+	}
+
+	function loseZone(): void {
+		for (const request of tracked.values()) {
+			if (!request.isOver && request.arrival.at < agenda.now && Math.floor(request.arrival.routerChoice * routers.length) === lostRouter) {
+				leave(routers[lostRouter]!, request);
+			}
+		}
+
+		for (const backend of backends.values()) {
+			backend.lose();
+		}
+	}
+
+	/** What a router is told of a pool: lost places and the lost router's share count until they are known to be lost. */
+	function toCapacity(backend: Backend): PoolCapacity {
+		const lostForMs = agenda.now - (loss?.atMs ?? Infinity);
+		const isPlaceLossKnown = lostForMs >= (loss?.placesKnownAfterMs ?? Infinity);
+		const slots = isPlaceLossKnown ? backend.slotsLeft : backend.slots;
+		// Of servers that don't answer the last report stands: taken as full.
+		const used = backend.usedLeft + (lostForMs >= 0 && !isPlaceLossKnown ? backend.slots - backend.slotsLeft : 0);
+		const share = 1 / (routers.length - (lostForMs >= (loss?.shareKnownAfterMs ?? Infinity) ? 1 : 0));
+		return table.isUsedReported ? {slots, share, used} : {slots, share};
+	}
+
 	function offer(router: Policy, request: Tracked): void {
 		const {arrival} = request;
 		if (request.isOver) {
@@ -186,11 +219,10 @@
 	}
 
 	function report(name: string, backend: Backend): void {
-		const {used} = backend;
+		const capacity = toCapacity(backend);
 		agenda.schedule(agenda.now + table.reportLagMs, () => {
 			for (const router of routers) {
-				const capacity = {slots: backend.slots, share: 1 / routers.length};
-				startAll(router, router.setCapacity(name, table.isUsedReported ? {...capacity, used} : capacity, agenda.now));
+				startAll(router, router.setCapacity(name, capacity, agenda.now));
 			}
 		});
 		if (agenda.now < endsAt) {
@@ -226,6 +258,10 @@
 		tick(router);
 	}
 
+	if (loss !== undefined) {
+		agenda.schedule(loss.atMs, loseZone);
+	}
+
 	agenda.run();
 	return [...tracked.values()].filter(({arrival}) => arrival.isMeasured);
 }
--- a/bench/admission/index.ts
+++ b/bench/admission/index.ts
@@ -9,6 +9,7 @@
 import {measureDecisionCost} from './_lib/decision-cost.js';
 import {fleets} from './_lib/fleets.js';
 import {runHedging} from './_lib/hedging.js';
+import {runLostZone} from './_lib/lost-zone.js';
 import {type Figures, measure, toPaperBound} from './_lib/measure.js';
 import {policies} from './_lib/policies.js';
 import {runRefusals} from './_lib/refusals.js';
@@ -33,6 +34,7 @@
 	const {stages, gains} = runCancels({...base, load: 1.1});
 	const hedging = runHedging(base);
 	const refusals = runRefusals(base);
+	const lostZone = runLostZone(base);
 	const retries = runRetries();
 	const cost = measureDecisionCost();
 	console.log(`seed ${seed}; parts in %, times in ms\n\n${toTable(rows)}`);
@@ -40,10 +42,11 @@
 	console.log(`\nGoodput of those who stayed\n\n${toTable(gains)}`);
 	console.log(`\nHedging of quick work; a stalled transfer takes 3 s more\n\n${toTable(hedging)}`);
 	console.log(`\nRefused quick work, nine routers; a sample is replayed with one request never refused\n\n${toTable(refusals)}`);
+	console.log(`\nThe first 10 s after a zone is lost, load 0.9, means of six seeds\n\n${toTable(lostZone)}`);
 	console.log(`\nRetries while a part of all attempts fails: three attempts each, and the budget\n\n${toTable(retries)}`);
 	console.log(`\nProcessor time of the decisions (this machine, under whatever else it does)\n\n${toTable(cost)}\n`);
 	console.log(JSON.stringify({
-		bench: 'admission', seed, rows, stages, gains, hedging, refusals, retries, cost,
+		bench: 'admission', seed, rows, stages, gains, hedging, refusals, lostZone, retries, cost,
 	}));
 }
 
@@ -62,7 +65,24 @@
 	return [heads, ...lines].map(line => line.map((cell, index) => cell.padEnd(widths[index]!)).join('  ').trimEnd()).join('\n');
 }
 
-const parts = new Set(['quickGood', 'batchGood', 'batchOfLeft', 'wastedCallerGone', 'wastedExpired', 'wastedHedge', 'wasted', 'stallPart', 'failPart', 'atArrival', 'refusedAtP50', 'refusedAtP99', 'wouldHaveMadeAtArrival', 'wouldHaveMadeWaiting', 'answeredFixed', 'answeredBudget']);
+const parts = new Set([
+	'quickGood',
+	'batchGood',
+	'batchOfLeft',
+	'wastedCallerGone',
+	'wastedExpired',
+	'wastedHedge',
+	'wasted',
+	'stallPart',
+	'failPart',
+	'atArrival',
+	'refusedAtP50',
+	'refusedAtP99',
+	'wouldHaveMadeAtArrival',
+	'wouldHaveMadeWaiting',
+	'answeredFixed',
+	'answeredBudget',
+]);
 
 function toCell(head: string, value: string | number | undefined): string {
 	if (typeof value !== 'number') {
--- a/src/domain/to-pool-capacity/index.ts
+++ b/src/domain/to-pool-capacity/index.ts
@@ -6,7 +6,7 @@
 	pool: string;
 	/** Requests that the pool's servers in reach hold at a time. */
 	slots: number;
-	/** Part of the slots that is this host's: one over the living hosts that send there. */
+	/** Part of the slots that is this host's: one over the hosts that are taken to send there. */
 	share: number;
 	/** Slots in use, as last reported; absent while no server has reported. */
 	used?: number;
@@ -29,11 +29,31 @@
 	return reported.length === 0 ? undefined : reported.reduce((sum, used) => sum + used, 0);
 }
 
+/** Share of the near hosts that may be suspected before the suspicion is doubted. */
+const doubtShare = 0.5;
+
+/**
+ * Hosts that are taken to send to the servers near this one. A suspected host
+ * does not count: it is silent for seconds already, and until it is declared
+ * dead the places that were its own would stand idle, while calls of a plain
+ * service, which are never borrowed for, are refused. If it does live, the
+ * engines' own refusals bound what is too much, and a plain service has the
+ * load of one host too many until the suspicion ends. When more than half are
+ * suspected, it may be this host that is cut off or was asleep: then all count
+ * until they are declared dead, or each would take the whole pool for its own.
+ */
+function countSenders(hosts: readonly HostStatus[]): number {
+	const alive = hosts.filter(({life}) => life === 'alive').length;
+	const suspected = hosts.filter(({life}) => life === 'suspect').length;
+	const isDoubted = suspected > (alive + suspected) * doubtShare;
+	return Math.max(1, isDoubted ? alive + suspected : alive);
+}
+
 /**
  * Works out what each pool can hold and which part of it is this host's. Hosts
  * of one region send to the region's servers, so the part is one over their
- * number; servers that leave don't count, nor those that can't be reached as long
- * as others can.
+ * number, without those suspected; servers that leave don't count, nor those that
+ * can't be reached as long as others can.
  *
  * @param view - The fleet as this host knows it.
  * @param zone - This host's availability zone.
@@ -52,8 +72,7 @@
 
 	const regionOf = new Map(config.zones.map(entry => [entry.id, entry.region]));
 	const isNear = (other: ZoneId) => regionOf.get(other) === regionOf.get(zone);
-	const sends = (host: HostStatus) => (host.life === 'alive' || host.life === 'suspect') && isNear(host.zone);
-	const hosts = Math.max(1, [...view.hosts.values()].filter(host => sends(host)).length);
+	const hosts = countSenders([...view.hosts.values()].filter(host => isNear(host.zone)));
 	return config.pools.map(({name}) => {
 		const servers = toInService(view, config.servers.filter(server => server.pool === name && server.role !== 'prefill' && isNear(server.zone)));
 		const slots = servers.reduce((sum, server) => sum + (view.servers.get(server.id)?.load?.slotsTotal ?? server.slots), 0);
--- a/src/domain/to-pool-capacity/test.ts
+++ b/src/domain/to-pool-capacity/test.ts
@@ -40,6 +40,8 @@
 	const cases: ReadonlyArray<[string, FleetView, Record<string, unknown>]> = [
 		['counts the region\'s servers and shares by its living hosts', toView([...both, server('d3', 'far')], [host('h1', 'a'), host('h2', 'b'), host('h3', 'far')], []), {slots: 40, share: 0.5}],
 		['counts no dead host', toView(both, [host('h1', 'a'), host('h2', 'b', 'dead')], []), {slots: 40, share: 1}],
+		['counts no suspected host, whose places would stand idle', toView(both, [host('h1', 'a'), host('h2', 'b', 'suspect')], []), {slots: 40, share: 1}],
+		['counts all when most are suspected, as a cut-off host does', toView(both, [host('h1', 'a'), host('h2', 'b', 'suspect'), host('h3', 'b', 'suspect')], []), {slots: 40, share: 1 / 3}],
 		['takes what servers report', toView(both, [], [status('d1', {load: load(16, 4)})]), {slots: 36, share: 1, used: 4}],
 		['counts no server that leaves, nor one that can\'t be reached while another can', toView([...both, server('d4', 'b')], [], [left, lost]), {slots: 20, share: 1}],
 		['counts servers that can\'t be reached when no other is left', toView(both, [], [status('d1', {reachable: false}), status('d2', {reachable: false})]), {slots: 40, share: 1}],
