Give up a stalled transfer by the link's pace, and prefill again

Cause: a transfer that stalls held its request until the place on the decode server expired, past any first-token target.

Change: a transfer may take 250 ms and four times what the pace of its pair of zones makes of its bytes; unknown links have no limit. One that is given up raises the pace by a quarter of the way, so that a link that has become slow for all is soon waited for. Only a request's first failure, and only where the rule allows another run; the retry budget pays. Wasted prefill is counted under `transfer`, as before.

Tests: with no limit, with the rule's word ignored, and with given-up transfers not counted, one case each fails.

--- a/bench/admission/_lib/arrivals.ts
+++ b/bench/admission/_lib/arrivals.ts
@@ -36,6 +36,8 @@
 	/** Part of the KV transfers that stall, and for how long. */
 	stallPart?: number;
 	stallMs?: number;
+	/** Time past its expected end after which a transfer is given up and the work started again; absent for never. */
+	giveUpAfterMs?: number;
 	/** Whether work of callers that left runs on to its end. */
 	isCancelIgnored?: boolean;
 	/** A zone that goes: the second router and a quarter of each pool's decode servers. */
--- a/bench/admission/_lib/create-backend.ts
+++ b/bench/admission/_lib/create-backend.ts
@@ -11,7 +11,7 @@
 
 export type Stage = 'prefill-queue' | 'prefill' | 'transfer' | 'decode' | 'ended';
 
-export type WasteCause = 'caller-gone' | 'expired' | 'hedge';
+export type WasteCause = 'caller-gone' | 'expired' | 'hedge' | 'stalled';
 
 /** What work a request has taken, and what of it was in vain. */
 export type Work = {
@@ -24,6 +24,8 @@
 	wasted: 'none' | WasteCause;
 	onFirstToken: () => void;
 	onEnd: (outcome: 'completed' | 'failed') => void;
+	/** Its transfer was given up, and it holds nothing more. */
+	onGivenUp: () => void;
 };
 
 type DecodeServer = {used: number; slowFactor: number; isLost: boolean; works: Set<Work>};
@@ -33,7 +35,7 @@
 	readonly slots: number;
 	readonly used: number;
 	/** Takes a decode place and queues the prefill; `undefined` when no decode server has a place. */
-	start: (arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd'>) => Work | undefined;
+	start: (arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd' | 'onGivenUp'>) => Work | undefined;
 	/** Takes a quarter of the decode servers away, at least one, and breaks what runs there. */
 	lose: () => void;
 	/** Places that are left of `slots`. */
@@ -50,6 +52,7 @@
 	/** Part of the transfers that stall, and for how long. */
 	stallPart: number;
 	stallMs: number;
+	giveUpAfterMs: number;
 };
 
 /** Part of the decode servers that stands in one zone. */
@@ -63,7 +66,7 @@
 		queue: [], busy: undefined, linkFreeAt: 0, queuedMs: 0,
 	}));
 
-	function start(arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd'>): Work | undefined {
+	function start(arrival: Arrival, handlers: Pick<Work, 'onFirstToken' | 'onEnd' | 'onGivenUp'>): Work | undefined {
 		const decodeServer = pickDecodeServer(decodeServers, random);
 		if (decodeServer === undefined) {
 			return undefined;
@@ -123,6 +126,12 @@
 				decode(work);
 			}
 		});
+		agenda.schedule(work.prefillServer.linkFreeAt + faults.giveUpAfterMs, () => {
+			if (work.stage === 'transfer') {
+				cancel(work, 'stalled');
+				work.onGivenUp();
+			}
+		});
 	}
 
 	function decode(work: Work): void {
--- a/bench/admission/_lib/measure.ts
+++ b/bench/admission/_lib/measure.ts
@@ -22,6 +22,7 @@
 	wastedCallerGone: number;
 	wastedExpired: number;
 	wastedHedge: number;
+	wastedStalled: number;
 	/** Jain's index over workspaces of batch work got over max-min fair share. */
 	jain: number;
 };
@@ -47,6 +48,7 @@
 		wastedCallerGone: wasted('caller-gone'),
 		wastedExpired: wasted('expired'),
 		wastedHedge: wasted('hedge'),
+		wastedStalled: wasted('stalled'),
 		jain: toJain(stayed.filter(({arrival}) => arrival.class === 'batch')),
 	};
 }
--- a/bench/admission/_lib/simulate.ts
+++ b/bench/admission/_lib/simulate.ts
@@ -37,7 +37,9 @@
 
 type Tracked = RequestResult & {works: Work[]; isOver: boolean};
 
-const noWaste: Readonly<Record<WasteCause, number>> = {'caller-gone': 0, expired: 0, hedge: 0};
+const noWaste: Readonly<Record<WasteCause, number>> = {
+	'caller-gone': 0, expired: 0, hedge: 0, stalled: 0,
+};
 
 /** Further than any target. */
 const unboundedMs = 1e9;
@@ -51,7 +53,9 @@
 export function simulate(scenario: Scenario, table: PolicyTable, options: {exemptId?: string} = {}): RequestResult[] {
 	const agenda = createAgenda();
 	const random = createRandom(scenario.seed + 1);
-	const faults = {slowFactor: scenario.slowFactor, stallPart: scenario.stallPart ?? 0, stallMs: scenario.stallMs ?? 0};
+	const faults = {
+		slowFactor: scenario.slowFactor, stallPart: scenario.stallPart ?? 0, stallMs: scenario.stallMs ?? 0, giveUpAfterMs: scenario.giveUpAfterMs ?? Infinity,
+	};
 	const backends = new Map(scenario.fleet.pools.map(pool => [pool.name, createBackend(pool, agenda, faults, random)]));
 	const routers = Array.from({length: table.routers}, () => table.create());
 	const arrivals = toArrivals(scenario);
@@ -145,6 +149,12 @@
 					backend.cancel(other, 'hedge');
 				}
 			},
+			onGivenUp() {
+				if (!request.isOver && !startCopy(router, request)) {
+					end(request, 'failed');
+					startAll(router, router.finish(arrival.id, agenda.now, {outcome: 'failed'}));
+				}
+			},
 			onEnd(outcome) {
 				if (request.works.every(each => each.stage === 'ended')) {
 					end(request, outcome === 'completed' ? toFate(request, agenda.now) : 'failed');
--- a/bench/admission/index.ts
+++ b/bench/admission/index.ts
@@ -40,7 +40,7 @@
 	console.log(`seed ${seed}; parts in %, times in ms\n\n${toTable(rows)}`);
 	console.log(`\nCallers of batch work that left, a third of all, load 1.1, nine routers (means a request)\n\n${toTable(stages)}`);
 	console.log(`\nGoodput of those who stayed\n\n${toTable(gains)}`);
-	console.log(`\nHedging of quick work; a stalled transfer takes 3 s more\n\n${toTable(hedging)}`);
+	console.log(`\nHedging of quick work, and giving transfers up; a stalled transfer takes 3 s more\n\n${toTable(hedging)}`);
 	console.log(`\nRefused quick work, nine routers; a sample is replayed with one request never refused\n\n${toTable(refusals)}`);
 	console.log(`\nThe first 10 s after a zone is lost, load 0.9, means of six seeds\n\n${toTable(lostZone)}`);
 	console.log(`\nRetries while a part of all attempts fails: three attempts each, and the budget\n\n${toTable(retries)}`);
@@ -72,6 +72,7 @@
 	'wastedCallerGone',
 	'wastedExpired',
 	'wastedHedge',
+	'wastedStalled',
 	'wasted',
 	'stallPart',
 	'failPart',
--- a/bench/fleet/_lib/to-row.ts
+++ b/bench/fleet/_lib/to-row.ts
@@ -133,7 +133,9 @@
 	const batch = stayed.filter(({arrival}) => arrival.class === 'batch');
 	const figures = measure(scenario, measured.filter(({isDesk}) => !isDesk).map(({arrival, fate, firstTokenMs, endMs}) => ({
 		arrival, fate, firstTokenMs, waitMs: firstTokenMs ?? endMs, bounces: 0, prefillMs: arrival.shape.promptTokens / prefillTokensPerMs,
-		wastedMs: {'caller-gone': 0, expired: 0, hedge: 0}, heldMs: 0, leftAt: undefined,
+		wastedMs: {
+			'caller-gone': 0, expired: 0, hedge: 0, stalled: 0,
+		}, heldMs: 0, leftAt: undefined,
 	})));
 	const paper = toPaperBound(scenario, batchShare);
 	return {
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -5,6 +5,7 @@
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
 import {createRetryBudget, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type Config} from '../../../ports/config.js';
@@ -101,6 +102,7 @@
 		}),
 		reportLeaving,
 		toRetryBudget: budgets.toRetryBudget,
+		transferLimits: createTransferLimits(),
 		tally: counters.tally,
 		reservationTtlMs,
 	};
--- a/src/programs/entry/_lib/types.ts
+++ b/src/programs/entry/_lib/types.ts
@@ -5,6 +5,7 @@
 import {type Usage} from '../../../domain/create-sse-encoder/index.js';
 import {type CompletionRequest} from '../../../domain/parse-completion-request/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
+import {type TransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type Rule, type ServerEntry} from '../../../ports/config.js';
@@ -86,6 +87,7 @@
 	/** Tells the fleet that a server refused because it leaves. */
 	reportLeaving: (server: ServerId) => void;
 	toRetryBudget: (pool: string) => RetryBudget;
+	transferLimits: TransferLimits;
 	tally: Tally;
 	reservationTtlMs: Milliseconds;
 };
--- a/src/programs/entry/run-attempt/index.ts
+++ b/src/programs/entry/run-attempt/index.ts
@@ -1,7 +1,7 @@
 /**
  * One attempt of a request: reserve, prefill, transfer, decode, relay.
  */
-import {type Result} from 'neverthrow';
+import {err, type Result} from 'neverthrow';
 import {type Placement} from '../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
@@ -46,6 +46,8 @@
 	/** Servers that may hold something of it. */
 	touched: Set<ServerEntry>;
 	timeLeft: () => Milliseconds;
+	/** No attempt of the request has failed yet. */
+	isFirst: boolean;
 };
 
 /** A caller that already has a part of the answer waits for the rest also past the deadline. */
@@ -130,6 +132,39 @@
 		}, {signal}));
 }
 
+/**
+ * Moves the cache. A transfer that stalls would hold the request until its
+ * place expires, past any first-token target; given up in time, the work still
+ * begins elsewhere. Only where another attempt may follow: of a request that
+ * was given up once already, or whose rule allows no second run, the transfer
+ * may take what time the place has.
+ */
+async function transfer(attempt: Attempt, reservationId: string, options: {kvId: string; bytes: number; placeLeftMs: Milliseconds}): Promise<Result<{bytes: number}, StepFailure>> {
+	const {run, services, placement, key} = attempt;
+	const {prefill: from, decode: to} = placement;
+	const {transferLimits, clock} = services;
+	const {kvId, bytes, placeLeftMs} = options;
+	const link = {from: from.zone, to: to.zone};
+	const startedAt = clock.now();
+	const stallMs = attempt.isFirst && run.rule.then.repeatable ? transferLimits.toLimitMs(link, bytes) : Infinity;
+	const imported = await runStep(attempt.step, {limitMs: Math.min(placeLeftMs, stallMs), server: to.id}, signal =>
+		services.toEngine(to).importKv({
+			key, reservationId, fromUrl: from.url, kvId,
+		}, {signal}));
+	if (imported.isOk()) {
+		transferLimits.noteDone(link, bytes, clock.now() - startedAt);
+	} else if (imported.error.isTimedOut && stallMs < placeLeftMs) {
+		transferLimits.noteGivenUp(link, bytes, clock.now() - startedAt);
+		run.account.note('transfer given up', {from: from.id, to: to.id, limitMs: Math.round(stallMs)});
+		// The request's own time is not over: what follows must not say that a deadline passed.
+		return err({
+			...imported.error, kind: 'broken', message: `the transfer from ${from.id} had not ended after ${Math.round(stallMs)} ms`, isTimedOut: false,
+		});
+	}
+
+	return imported;
+}
+
 /** The attempt's steps, straight down. */
 async function runSteps(attempt: Attempt, notePrefilled: (result: PrefillResult) => void): Promise<AttemptEnd> {
 	const {run, services, placement, key} = attempt;
@@ -156,10 +191,7 @@
 	run.account.note('prefilled', {
 		server: prefillServer.id, promptTokens, cachedTokens, bytes,
 	});
-	const imported = await runStep(attempt.step, {limitMs: placeLeft(), server: decodeServer.id}, signal =>
-		services.toEngine(decodeServer).importKv({
-			key, reservationId: reservation.value.reservationId, fromUrl: prefillServer.url, kvId,
-		}, {signal}));
+	const imported = await transfer(attempt, reservation.value.reservationId, {kvId, bytes, placeLeftMs: placeLeft()});
 	if (imported.isErr()) {
 		const isSource = imported.error.reason === 'source-failed' || imported.error.kind === 'gone';
 		return toFailed(attempt, 'transfer', isSource ? prefillServer : decodeServer, imported.error);
@@ -210,14 +242,15 @@
  * @param run - The request.
  * @param services - The program around it.
  * @param placement - Where to run it.
- * @param attemptNumber - Position of the attempt, from 1.
+ * @param options - Position of the attempt, from 1, and whether none of the request has failed yet.
  * @returns How it ended.
  */
-export async function runAttempt(run: Run, services: RunServices, placement: Placement, attemptNumber: number): Promise<AttemptEnd> {
+export async function runAttempt(run: Run, services: RunServices, placement: Placement, options: {attempt: number; isFirst: boolean}): Promise<AttemptEnd> {
+	const {attempt: attemptNumber, isFirst} = options;
 	const {clock, cancels, tally} = services;
 	const key = {requestId: run.id, attempt: attemptNumber, owner: services.toOwner()};
 	const attempt: Attempt = {
-		run, services, placement, key, step: createStepSignal(run.signal, clock.now), touched: new Set(), timeLeft: () => toTimeLeft(run, clock.now()),
+		run, services, placement, key, step: createStepSignal(run.signal, clock.now), touched: new Set(), timeLeft: () => toTimeLeft(run, clock.now()), isFirst,
 	};
 	const tokensBefore = run.buffer.offset();
 	let prefilled: PrefillResult | undefined;
--- a/src/programs/entry/run-request/index.ts
+++ b/src/programs/entry/run-request/index.ts
@@ -66,7 +66,7 @@
 
 		const placement = placed.value;
 		run.log.info('attempt started', {attempt, prefillServer: placement.prefill.id, decodeServer: placement.decode.id});
-		const ended = await runAttempt(run, services, placement, attempt);
+		const ended = await runAttempt(run, services, placement, {attempt, isFirst: tried.length === 0});
 		if (ended.kind === 'complete') {
 			budget.noteSuccess(clock.now());
 			const {promptTokens, cachedTokens} = ended.prefill;
--- a/src/programs/entry/run-request/test.ts
+++ b/src/programs/entry/run-request/test.ts
@@ -7,6 +7,7 @@
 	toConfig, toSeededRandom, toServer, toStatus, toView,
 } from '../../../domain/create-placement/_lib/fixtures.js';
 import {createRetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type DecodeChunk, type Engine, type EngineFailure} from '../../../ports/engine.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
@@ -86,6 +87,7 @@
 		cancels: {add: quiet},
 		reportLeaving: quiet,
 		toRetryBudget: () => budget,
+		transferLimits: createTransferLimits(),
 		tally: {
 			firstToken: quiet, chunkDropped: quiet, resumed: quiet, rerun: quiet, prefillWasted: quiet,
 		},
--- a/test/contracts/_lib/caller-faults.ts
+++ b/test/contracts/_lib/caller-faults.ts
@@ -3,7 +3,7 @@
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {startCallerFixture, type CallerFixture, type CallerFixtureOptions} from './caller-fixture.js';
 
-const prompt = 'Dear sir, your letter of May';
+export const prompt = 'Dear sir, your letter of May';
 export const tokens = 60;
 export const whole = expectedAnswer(prompt, tokens).join('');
 export const slowDecode = {decodeTokensPerSecond: 100};
--- a/test/contracts/caller-waits.test.ts
+++ b/test/contracts/caller-waits.test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {withFixture} from './_lib/caller-faults.js';
-import {send, toBody} from './_lib/caller-fixture.js';
+import {v7 as createUuidV7} from 'uuid';
+import {expectedAnswer} from '../stand-ins/engine/index.js';
+import {countDecodes, prompt, withFixture} from './_lib/caller-faults.js';
+import {
+	send, toBody, toStreamedText, type CallerFixture,
+} from './_lib/caller-fixture.js';
 
 /*
  * The reports show room, and every decode server that is asked is full: the
@@ -23,3 +27,39 @@
 		assert.ok(tookMs < 2900, `told after ${Math.round(tookMs)} ms, with a target of 2,000 ms`);
 	}));
 });
+
+/*
+ * A transfer stops halfway and nothing breaks. A request that waited for it
+ * would wait until its place expires; given up by what the link usually takes,
+ * it is prefilled again, and its caller gets one whole answer.
+ */
+describe('callers: a transfer stalls', () => {
+	const ask = async (fixture: CallerFixture, kind = 'patient') => send(fixture, '/v1/completions', {
+		headers: {'x-kind': kind, 'idempotency-key': createUuidV7()}, body: toBody({stream: true, max_tokens: 5}),
+	});
+	const toStages = (fixture: CallerFixture, answer: Awaited<ReturnType<typeof send>>) =>
+		fixture.entry.accounts.findAccount(String(answer.headers['x-request-id']))!.stages.map(({stage}) => stage);
+
+	it('gives it up and begins again, where that is allowed', async () => withFixture({}, async fixture => {
+		for (let i = 0; i < 6; i++) {
+			await ask(fixture);
+		}
+
+		fixture.prefill.setFaults({transfer: {kind: 'stall', times: 1}});
+		const answer = await ask(fixture);
+		assert.equal(toStreamedText(answer.text), expectedAnswer(prompt, 5).join(''));
+		assert.ok(toStages(fixture, answer).includes('transfer given up'));
+		assert.equal(countDecodes(fixture, String(answer.headers['x-request-id'])), 1);
+	}));
+
+	it('waits for it where the work may run only once', async () => withFixture({}, async fixture => {
+		for (let i = 0; i < 6; i++) {
+			await ask(fixture, 'scene');
+		}
+
+		fixture.prefill.setFaults({transfer: {kind: 'stall', times: 1}});
+		const answer = await ask(fixture, 'scene');
+		const stages = toStages(fixture, answer);
+		assert.ok(stages.includes('prefilled') && !stages.includes('transfer given up'), stages.join(', '));
+	}));
+});
