Leave suspected hosts out of plain services' shares alone

Change: where use is reported a suspected host counts until it is declared dead, as before. Test: the new case fails without it.

--- a/src/domain/to-pool-capacity/index.ts
+++ b/src/domain/to-pool-capacity/index.ts
@@ -33,27 +33,30 @@
 const doubtShare = 0.5;
 
 /**
- * Hosts that are taken to send to the servers near this one. A suspected host
- * does not count: it is silent for seconds already, and until it is declared
- * dead the places that were its own would stand idle, while calls of a plain
- * service, which are never borrowed for, are refused. If it does live, the
- * engines' own refusals bound what is too much, and a plain service has the
- * load of one host too many until the suspicion ends. When more than half are
- * suspected, it may be this host that is cut off or was asleep: then all count
- * until they are declared dead, or each would take the whole pool for its own.
+ * Hosts that are taken to send to the servers near this one. Where use is not
+ * reported, as by plain services, nothing is borrowed, and the places of a
+ * silent host would stand idle until it is declared dead, while calls are
+ * refused: there a suspected host does not count. If it does live, the service
+ * has the load of one host too many until the suspicion ends. Where use is
+ * reported, what is free is borrowed within a second or two, and nothing is
+ * gained by it.
+ *
+ * When more than half are suspected, it may be this host that is cut off or was
+ * asleep: then all count until they are declared dead, or each would take the
+ * whole pool for its own.
  */
-function countSenders(hosts: readonly HostStatus[]): number {
+function countSenders(hosts: readonly HostStatus[], isUseReported: boolean): number {
 	const alive = hosts.filter(({life}) => life === 'alive').length;
 	const suspected = hosts.filter(({life}) => life === 'suspect').length;
 	const isDoubted = suspected > (alive + suspected) * doubtShare;
-	return Math.max(1, isDoubted ? alive + suspected : alive);
+	return Math.max(1, isUseReported || isDoubted ? alive + suspected : alive);
 }
 
 /**
  * Works out what each pool can hold and which part of it is this host's. Hosts
  * of one region send to the region's servers, so the part is one over their
- * number, without those suspected; servers that leave don't count, nor those that
- * can't be reached as long as others can.
+ * number, without those suspected where no use is reported; servers that leave
+ * don't count, nor those that can't be reached as long as others can.
  *
  * @param view - The fleet as this host knows it.
  * @param zone - This host's availability zone.
@@ -72,13 +75,13 @@
 
 	const regionOf = new Map(config.zones.map(entry => [entry.id, entry.region]));
 	const isNear = (other: ZoneId) => regionOf.get(other) === regionOf.get(zone);
-	const hosts = countSenders([...view.hosts.values()].filter(host => isNear(host.zone)));
+	const hosts = [...view.hosts.values()].filter(host => isNear(host.zone));
 	return config.pools.map(({name}) => {
 		const servers = toInService(view, config.servers.filter(server => server.pool === name && server.role !== 'prefill' && isNear(server.zone)));
 		const slots = servers.reduce((sum, server) => sum + (view.servers.get(server.id)?.load?.slotsTotal ?? server.slots), 0);
 		const used = toUsed(view, servers);
 		return {
-			pool: name, slots, share: 1 / hosts, ...(used !== undefined && {used}),
+			pool: name, slots, share: 1 / countSenders(hosts, used !== undefined), ...(used !== undefined && {used}),
 		};
 	});
 }
--- a/src/domain/to-pool-capacity/test.ts
+++ b/src/domain/to-pool-capacity/test.ts
@@ -42,6 +42,7 @@
 		['counts no dead host', toView(both, [host('h1', 'a'), host('h2', 'b', 'dead')], []), {slots: 40, share: 1}],
 		['counts no suspected host, whose places would stand idle', toView(both, [host('h1', 'a'), host('h2', 'b', 'suspect')], []), {slots: 40, share: 1}],
 		['counts all when most are suspected, as a cut-off host does', toView(both, [host('h1', 'a'), host('h2', 'b', 'suspect'), host('h3', 'b', 'suspect')], []), {slots: 40, share: 1 / 3}],
+		['counts suspected hosts where use is reported', toView(both, [host('h1', 'a'), host('h2', 'b', 'suspect')], [status('d1', {load: load(20, 4)})]), {slots: 40, share: 0.5, used: 4}],
 		['takes what servers report', toView(both, [], [status('d1', {load: load(16, 4)})]), {slots: 36, share: 1, used: 4}],
 		['counts no server that leaves, nor one that can\'t be reached while another can', toView([...both, server('d4', 'b')], [], [left, lost]), {slots: 20, share: 1}],
 		['counts servers that can\'t be reached when no other is left', toView(both, [], [status('d1', {reachable: false}), status('d2', {reachable: false})]), {slots: 40, share: 1}],
