Run round robin without admission as a baseline in the fleet bench

An entry of a baseline run loads two modules of the bench in place of `create-placement` and `create-admission`, by module hooks given with `--import`; the program is not changed and knows nothing of it.

--- a/bench/fleet/_lib/plan.ts
+++ b/bench/fleet/_lib/plan.ts
@@ -18,6 +18,8 @@
 	fault: 'none' | 'burst' | 'slow server' | 'lost zone';
 	/** Load reports without age, asked for twenty times a second. */
 	isInstant: boolean;
+	/** Entries place by round robin and admit everything, in place of their own decisions. */
+	isBaseline: boolean;
 };
 
 /** Divides every time of the engines, the targets and the agents' polls. */
@@ -75,7 +77,9 @@
 	desks: [1, 1, 1],
 };
 
-const usual = {hosts: 3, fault: 'none', isInstant: false} as const;
+const usual = {
+	hosts: 3, fault: 'none', isInstant: false, isBaseline: false,
+} as const;
 
 /**
  * @param isSmall - Whether only one load of one fleet is run.
@@ -97,6 +101,9 @@
 		{
 			...usual, fleet, load: 0.9, fault: 'slow server' as const,
 		},
+		...[0.9, 1.5].map(load => ({
+			...usual, fleet, load, isBaseline: true,
+		})),
 	];
 	const toOthers = (fleet: BenchFleet): RunPlan[] => [
 		...[0.9, 1.5].map(load => ({
@@ -113,6 +120,11 @@
 }
 
 /** A deployment serves several runs; a lost zone or a slow server needs its own. */
-export function toDeployment({fleet, hosts, fault, isInstant}: RunPlan): string {
-	return [fleet.table.name, hosts, isInstant, fault === 'none' || fault === 'burst' ? '' : fault].join('/');
+export function toDeployment({fleet, hosts, fault, isInstant, isBaseline}: RunPlan): string {
+	return [fleet.table.name, hosts, isInstant, isBaseline, fault === 'none' || fault === 'burst' ? '' : fault].join('/');
+}
+
+/** What is special about a run, as the table has it. */
+export function toSpecial({fault, isInstant, isBaseline}: RunPlan): string {
+	return isBaseline ? 'baseline: round robin, no admission' : (isInstant ? 'bound: instant reports' : fault);
 }
--- a/bench/fleet/_lib/start-bench-fleet.ts
+++ b/bench/fleet/_lib/start-bench-fleet.ts
@@ -133,11 +133,26 @@
 	});
 }
 
+/** Gives programs the modules of the baseline; the network itself is that of any other run. */
+const baseline: Parameters<typeof createHost>[0]['network'] = {
+	site: {names: [], localAddress: '127.0.0.1'},
+	network: {
+		addSite: () => ({names: [], localAddress: '127.0.0.1'}),
+		addTarget: async () => undefined,
+		toProcessOptions: () => ({env: {}, nodeOptions: ['--import', new URL('baseline-register.js', import.meta.url).href]}),
+		toUrl: url => url,
+		cut: () => undefined,
+		isolate: () => undefined,
+		heal: () => undefined,
+		stop: async () => undefined,
+	},
+};
+
 async function startHosts(plan: RunPlan, ids: ReadonlyArray<{id: string; zone: string}>, platformUrl: string): Promise<FleetHost[]> {
 	const hosts: FleetHost[] = [];
 	for (const {id, zone} of ids) {
 		hosts.push(await createHost({
-			id, zone, platformUrl, seeds: () => hosts.map(({agentAddress}) => agentAddress), entryFlags: {}, entryClock: {}, network: undefined,
+			id, zone, platformUrl, seeds: () => hosts.map(({agentAddress}) => agentAddress), entryFlags: {}, entryClock: {}, network: plan.isBaseline ? baseline : undefined,
 			agentFlags: {loadPollInterval: plan.isInstant ? `${shortestPollMs}ms` : toMs(pollIntervalMs)},
 		}));
 	}
--- a/bench/fleet/index.ts
+++ b/bench/fleet/index.ts
@@ -13,7 +13,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {drive, type Windows} from './_lib/drive.js';
 import {
-	type RunPlan, timeScale, toDeployment, toPlans,
+	type RunPlan, timeScale, toDeployment, toPlans, toSpecial,
 } from './_lib/plan.js';
 import {startBenchFleet, type BenchDeployment} from './_lib/start-bench-fleet.js';
 import {type Row, toRow} from './_lib/to-row.js';
@@ -91,8 +91,9 @@
 	});
 }
 
-function isWanted({fleet, load, hosts, fault, isInstant}: RunPlan): boolean {
-	const name = `${fleet.table.name} ${load} ${hosts} ${isInstant ? 'bound: instant reports' : fault}`;
+function isWanted(plan: RunPlan): boolean {
+	const {fleet, load, hosts} = plan;
+	const name = `${fleet.table.name} ${load} ${hosts} ${toSpecial(plan)}`;
 	return name.includes(process.env.BENCH_FLEET ?? '');
 }
 
