--- a/bench/fleet/_lib/baseline-placement.ts
+++ b/bench/fleet/_lib/baseline-placement.ts
@@ -3,6 +3,7 @@
 import {createPlacement as createReal, type PlacementAccount, type PlacementDecider} from '../../../src/domain/create-placement/index.js';
 import {type ServerEntry} from '../../../src/ports/config.js';
 import {type FleetView} from '../../../src/ports/view.js';
+import {decodeMsPerToken} from '../../admission/_lib/fleets.js';
 
 const retryAfterMs = 1000;
 const reservationTtlMs = 5000;
@@ -42,6 +43,9 @@
 					expectedCachedTokens: 0,
 					predictedPrefillMs: predictedMs,
 					predictedFirstTokenMs: predictedMs,
+					predictedStepMs: decodeMsPerToken,
+					maxTokens: request.maxTokens,
+					class: request.class,
 					reservationTtlMs,
 					account: toAccount(request.pool, [prefill.id, decode.id]),
 				});
