Keep to the own zone before its servers' first reports

Cause: a host that just started has no report of its own zone's servers, and the reports of other zones come with its first view. A server without a report counts as doubtful, so the search left the zone.

Not measured: what it costs callers, which is a transfer between zones for about a second after a start.

Change: when the own zone yields nothing and the search met servers there that have never reported, these are looked at before other zones, and taken if they promise to come in half the first token's budget, which is what servers with reports have to do too. Servers whose reports are old, that are doubted or that just return are judged as before. Whether a server may be considered is now a function of its own.

Tried first: looking whenever the own zone yields nothing for any soft reason. That search found nothing, but took chance from those after it, and "tries a server again that was last found unreachable long ago", whose two servers are level by then, came out the other way.

--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -25,8 +25,12 @@
 	isLax: boolean;
 	/** Servers that can't be reached or were ejected count as doubtful ones: all others are out, and none of them is just full. */
 	isLastResort?: boolean;
+	/** Servers count that have never reported, as none has to a host that just started. */
+	takesUnheard?: boolean;
 };
 
+type Looseness = Pick<Scope, 'isLax' | 'isLastResort' | 'takesUnheard' | 'zone'>;
+
 export type Search = {
 	pool: string;
 	servers: PoolServers;
@@ -43,7 +47,7 @@
 	now: Milliseconds;
 	random: Random;
 	/** What the search has met so far. */
-	met: {full: boolean; soft: boolean; lost: boolean};
+	met: {full: boolean; soft: boolean; lost: boolean; unheard: boolean};
 };
 
 export type PairSearchOptions = {
@@ -105,15 +109,22 @@
 			})
 			: {stepMs: 0, slowMs: 0};
 
-	const toCandidate = (entry: ServerEntry, search: Search, {isLax, isLastResort = false, zone: summarised}: Pick<Scope, 'isLax' | 'isLastResort' | 'zone'>): Candidate | undefined => {
-		const judged = standing.toReason(entry, isLastResort ? {...search, isLastResort} : search, search.random());
-		const reason = judged === 'unknown-load' && entry.zone === summarised ? undefined : judged;
-		search.met.lost ||= reason === 'unreachable' || reason === 'ejected';
-		if (reason !== undefined && isSoft(reason)) {
-			search.met.soft = true;
+	/** Whether the search may consider the server; it notes what it met. */
+	const isTaken = (entry: ServerEntry, search: Search, {isLax, isLastResort = false, takesUnheard = false, zone: summarised}: Looseness): boolean => {
+		const reason = standing.toReason(entry, isLastResort ? {...search, isLastResort} : search, search.random());
+		if (reason === undefined || (reason === 'unknown-load' && entry.zone === summarised)) {
+			return true;
 		}
 
-		if (reason !== undefined && !(isLax && isSoft(reason))) {
+		const isUnheard = reason === 'unknown-load' && search.view.servers.get(entry.id)?.load === undefined;
+		search.met.unheard ||= isUnheard;
+		search.met.lost ||= reason === 'unreachable' || reason === 'ejected';
+		search.met.soft ||= isSoft(reason);
+		return (isLax && isSoft(reason)) || (takesUnheard && isUnheard);
+	};
+
+	const toCandidate = (entry: ServerEntry, search: Search, looseness: Looseness): Candidate | undefined => {
+		if (!isTaken(entry, search, looseness)) {
 			return undefined;
 		}
 
@@ -249,7 +260,17 @@
 		// A full server has made the first draw walk the whole zone already; a second walk would find no more.
 		const isWalked = first === undefined && search.met.full;
 		const local = isWalked ? undefined : searchPair(search, {local: Infinity, nearby: 0, isLax: false}) ?? first;
-		return local !== undefined && local.delayMs <= keepMs ? local : spill(search, local);
+		if (local !== undefined && local.delayMs <= keepMs) {
+			return local;
+		}
+
+		// Just after a start nothing has been heard of the own zone, and of others what their hosts tell: that makes their servers no better.
+		const unheard = local === undefined && search.met.unheard
+			? searchPair(search, {
+				local: draws, nearby: 0, isLax: false, takesUnheard: true,
+			})
+			: undefined;
+		return unheard !== undefined && unheard.delayMs <= keepMs ? unheard : spill(search, local);
 	};
 
 	/** The least used of a few plain servers, of the own zone as long as one there has room. */
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -125,7 +125,9 @@
 		subsets.refresh(view, now);
 		spills.look(view, standing.cutZones(), now);
 		const base = {
-			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {full: false, soft: false, lost: false},
+			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {
+				full: false, soft: false, lost: false, unheard: false,
+			},
 		};
 		if (!('model' in request)) {
 			return {
