Hold a refusal as leaving against reports that say serving

Cause: any report a second younger took the word that a server leaves back. A server that refuses as leaving while its own report goes on saying `serving` was offered work again with each report.

Ruled out: a word with a time limit (every host offers again when it ends), a word until the list's next revision (the list comes anew with each change of any server), trying with callers' requests (each loses a try).

Change: the host that polls the server, whose reports all others hear, gives it as leaving until its own word or the list's changed and changed back, or until it accepts one small piece of work that this host asks for: 5 s after the refusal, then after twice the time, up to 5 min, at once when the server was not reached meanwhile. One wrong refusal so costs a healthy server seconds.

Other zones beyond 40 hosts hear no reports and keep a word for ever, as before.

--- /dev/null
+++ b/src/domain/create-leave-hold/test.ts
@@ -0,0 +1,96 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {toReport, toServer} from '../create-placement/_lib/fixtures.js';
+import {createLeaveHold, type JudgeContext} from './index.js';
+
+const server = 'd1';
+const load = toReport(toServer(server, 'decode'));
+
+type Step =
+	| {kind: 'refused' | 'lost'}
+	| {kind: 'report'; state?: 'serving' | 'loading' | 'leaving'; listed?: boolean; before?: Partial<JudgeContext>; gives: 'serving' | 'loading' | 'leaving'}
+	| {kind: 'probe'; accepted: boolean}
+	| {kind: 'no-probe'};
+
+const refused: Step = {kind: 'refused'};
+const held: Step = {kind: 'report', gives: 'leaving'};
+const free: Step = {kind: 'report', gives: 'serving'};
+
+/** Each row: what happens at which second. */
+const rows: ReadonlyArray<[name: string, steps: ReadonlyArray<[at: number, step: Step]>]> = [
+	['lets a report pass that nobody contradicts', [[0, free]]],
+	['holds a refusal against reports that say serving', [[0, free], [1, refused], [2, held], [100, held]]],
+	['ends it when a probe is accepted', [[0, free], [1, refused], [2, held], [5, {kind: 'no-probe'}], [6, {kind: 'probe', accepted: true}], [7, free]]],
+	['waits twice as long after each probe that fails', [
+		[0, free],
+		[1, refused],
+		[2, held],
+		[6, {kind: 'probe', accepted: false}],
+		[15, {kind: 'no-probe'}],
+		[16, {kind: 'probe', accepted: false}],
+		[35, {kind: 'no-probe'}],
+		[36, {kind: 'probe', accepted: false}],
+		[37, held],
+	]],
+	['goes on with the delay when a server that accepted a probe refuses again', [
+		[0, free], [1, refused], [2, held], [6, {kind: 'probe', accepted: true}], [7, refused], [16, {kind: 'no-probe'}], [17, {kind: 'probe', accepted: true}], [18, free],
+	]],
+	['ends it when the server took its own word back', [
+		[0, free], [1, refused], [2, held], [3, {kind: 'report', state: 'leaving', gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free],
+	]],
+	['begins anew with the first delay after a leave that the server took back', [
+		[0, free], [1, refused], [2, {kind: 'report', state: 'leaving', gives: 'leaving'}], [3, free], [4, refused], [9, {kind: 'probe', accepted: true}],
+	]],
+	['ends it when the list took its word back', [[0, free], [1, refused], [2, {kind: 'report', listed: true, gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free]]],
+	['probes at once a server that was not reached meanwhile', [[0, free], [1, refused], [2, held], [3, {kind: 'lost'}], [4, {kind: 'probe', accepted: true}], [5, free]]],
+	['lets a server load weights', [[0, free], [1, refused], [2, {kind: 'report', state: 'loading', gives: 'loading'}], [3, held]]],
+	['takes a hold over from the host that polled before', [
+		[0, {kind: 'report', before: {wasLeaving: true, stateBefore: 'leaving'}, gives: 'leaving'}], [5, {kind: 'probe', accepted: true}], [6, free],
+	]],
+	['drops a hold that the host which polled before has ended', [
+		[0, refused], [300, {kind: 'report', before: {wasLeaving: false, stateBefore: 'serving'}, gives: 'serving'}], [301, {kind: 'no-probe'}],
+	]],
+	['keeps a hold that it heard of before it polled', [[0, refused], [1, {kind: 'report', before: {wasLeaving: true, stateBefore: 'serving'}, gives: 'leaving'}]]],
+];
+
+describe('createLeaveHold', () => {
+	for (const [name, steps] of rows) {
+		it(name, () => {
+			const hold = createLeaveHold();
+			for (const [at, step] of steps) {
+				const now = at * 1000;
+				switch (step.kind) {
+					case 'refused': {
+						hold.noteRefusal(server, now);
+						break;
+					}
+
+					case 'lost': {
+						hold.noteUnreachable(server, now);
+						break;
+					}
+
+					case 'report': {
+						const {state = 'serving', listed = false, before} = step;
+						const context = {
+							wasLeaving: false, stateBefore: 'serving' as const, isListedLeaving: () => listed, ...before,
+						};
+						assert.equal(hold.judge({...load, state}, now, context).state, step.gives, `at ${at} s`);
+						break;
+					}
+
+					case 'no-probe': {
+						assert.ok(!hold.takeProbe(server, now), `at ${at} s`);
+						break;
+					}
+
+					case 'probe': {
+						assert.ok(hold.takeProbe(server, now), `at ${at} s`);
+						assert.ok(!hold.takeProbe(server, now), 'a second probe went out before the first was answered');
+						hold.noteProbe(server, step.accepted, now);
+					}
+				}
+			}
+		});
+	}
+});
--- /dev/null
+++ b/src/programs/agent/_lib/probe-leaver.ts
@@ -0,0 +1,33 @@
+import {type ServerEntry} from '../../../ports/config.js';
+import {type Engine, type LoadReport} from '../../../ports/engine.js';
+import {type Owner} from '../../../ports/ids.js';
+import {msPerSecond} from '../../../ports/units.js';
+
+const callTimeoutMs = 2 * msPerSecond;
+const ttlMs = msPerSecond;
+
+/**
+ * Asks a server that was said to be leaving for the smallest piece of work, and
+ * gives it back: the room for one token, or the prefill of one word.
+ *
+ * @param server - The server.
+ * @param options - Its engine, its last report, who asks, and a number that no other probe of that process has.
+ * @returns Whether it accepted.
+ */
+export async function probeLeaver(server: ServerEntry, {engine, load, owner, count}: {engine: Engine; load: LoadReport; owner: Owner; count: number}): Promise<boolean> {
+	const key = {requestId: `probe-${owner.host}-${owner.incarnation}-${count}`, attempt: 1, owner};
+	const options = {signal: AbortSignal.timeout(callTimeoutMs)};
+	const asked = server.role === 'decode'
+		? await engine.reserve(key, {
+			promptTokens: 1, maxTokens: 1, ttlMs, class: 'batch',
+		}, options)
+		: await engine.prefill({
+			key, model: load.model, version: undefined, adapter: undefined, prompt: 'probe', class: 'batch', deadlineInMs: ttlMs,
+		}, options);
+	if (asked.isErr() && asked.error.kind === 'refused') {
+		return false;
+	}
+
+	await engine.cancel(key, {signal: AbortSignal.timeout(callTimeoutMs)});
+	return asked.isOk();
+}
--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -3,6 +3,7 @@
 import {toHash32} from '../../../_lib/to-hash32/index.js';
 import {createLoadSpread, readLoads, type LoadSpread} from '../../../domain/create-load-spread/index.js';
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {type LeaveHold} from '../../../domain/create-leave-hold/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type LoadReport} from '../../../ports/engine.js';
 import {type HostId, type ServerId} from '../../../ports/ids.js';
@@ -14,6 +15,7 @@
 
 export type SpreadLoadsOptions = {
 	table: FleetTable;
+	hold: LeaveHold;
 	self: () => {id: HostId; zone: string};
 	hosts: () => ReadonlyMap<HostId, HostStatus>;
 	send: (host: HostStatus, name: string, body: unknown) => void;
@@ -48,7 +50,7 @@
  * @param options - See {@link SpreadLoadsOptions}.
  * @returns See {@link LoadsTask}.
  */
-export function spreadLoads({table, self, hosts, send, call, spreadTargets, now, toArrival, smallFleet}: SpreadLoadsOptions): LoadsTask {
+export function spreadLoads({table, hold, self, hosts, send, call, spreadTargets, now, toArrival, smallFleet}: SpreadLoadsOptions): LoadsTask {
 	const spread = createLoadSpread();
 	const asking = new Set<HostId>();
 	let names: {accepted: unknown; byHash: Map<number, ServerId>; zones: Map<ServerId, string>} | undefined;
@@ -90,7 +92,12 @@
 	}
 
 	function noteLeaving(servers: readonly ServerId[], origin: HostId) {
-		const news = servers.filter(server => table.noteLeaving(server, now()));
+		const published = servers.filter(server => table.view(now()).servers.has(server));
+		for (const server of published) {
+			hold.noteRefusal(server, now());
+		}
+
+		const news = published.filter(server => table.noteLeaving(server, now()));
 		if (news.length > 0) {
 			for (const host of spreadTargets(origin)) {
 				send(host, peerEvents.leaving, {servers: news});
--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -6,6 +6,7 @@
 import {createViewPublisher} from '../../../adapters/view-feed/index.js';
 import {listenPeers, type PeerHello} from '../../../adapters/peer-tcp/index.js';
 import {createFleetTable} from '../../../domain/create-fleet-table/index.js';
+import {createLeaveHold} from '../../../domain/create-leave-hold/index.js';
 import {createMembership, type Membership} from '../../../domain/create-membership/index.js';
 import {type HostId} from '../../../ports/ids.js';
 import {type HostStatus} from '../../../ports/view.js';
@@ -90,6 +91,7 @@
 		platformReads: 0, orphansReleased: 0, ordersGiven: 0, configsRefused: 0,
 	};
 	const table = createFleetTable();
+	const hold = createLeaveHold();
 	const publisher = createViewPublisher();
 	const membership = startMembership(options, address);
 	const mesh = createMesh({
@@ -144,6 +146,7 @@
 	});
 	const loads = spreadLoads({
 		table,
+		hold,
 		self: () => ({id: hostId, zone}),
 		hosts,
 		send,
@@ -174,6 +177,8 @@
 		table,
 		hosts,
 		loads,
+		hold,
+		incarnation,
 		pauses,
 		isAnswering: async (owner, entryAddress) => isEntryAnswering(owner, entryAddress, {hello, tls, connectTimeoutMs: probeTimeoutMs}),
 		isBehind: documents.isBehind,
--- a/src/programs/agent/_lib/tend-servers.ts
+++ b/src/programs/agent/_lib/tend-servers.ts
@@ -1,13 +1,18 @@
 /** What this host does for the servers that are its to look after: polls them, frees orphans, and gives orders. */
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
+import {type LeaveHold} from '../../../domain/create-leave-hold/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type HostId, type Owner} from '../../../ports/ids.js';
+import {type LoadReport} from '../../../ports/engine.js';
+import {
+	type HostId, type Incarnation, type Owner, type ServerId,
+} from '../../../ports/ids.js';
 import {type HostStatus} from '../../../ports/view.js';
 import {type AgentOptions} from './agent-types.js';
 import {createPolled} from './create-polled.js';
 import {giveOrders} from './give-orders.js';
 import {type Pauses} from './mind-pauses.js';
 import {pollLoads} from './poll-loads.js';
+import {probeLeaver} from './probe-leaver.js';
 import {releaseOrphans, type OrphanTask} from './release-orphans.js';
 import {type LoadsTask} from './spread-loads.js';
 import {watchHeld, type HeldOrders} from './watch-held.js';
@@ -16,6 +21,9 @@
 	table: FleetTable;
 	hosts: () => ReadonlyMap<HostId, HostStatus>;
 	loads: LoadsTask;
+	hold: LeaveHold;
+	/** Of this process. */
+	incarnation: Incarnation;
 	pauses: Pauses;
 	/** Whether the owner's entry still answers at its peer port. */
 	isAnswering: (owner: Owner, address: string) => Promise<boolean>;
@@ -38,7 +46,9 @@
  * @returns See {@link TendTask}.
  */
 export function tendServers(options: TendServersOptions): TendTask {
-	const {settings, table, hosts, toEngine, loads, pauses, log, counts, now, random, signal} = options;
+	const {
+		settings, table, hosts, toEngine, loads, hold, pauses, log, counts, now, random, signal,
+	} = options;
 	const {hostId} = settings;
 	const servers = createPolled({table, hosts, hostId});
 	const common = {
@@ -52,24 +62,53 @@
 			counts.orphansReleased += count;
 		},
 	});
+	let probes = 0;
+
+	async function probe(load: LoadReport) {
+		const server = servers().find(({id}) => id === load.server);
+		if (server === undefined || !pauses.mayAct() || !hold.takeProbe(server.id, now())) {
+			return;
+		}
+
+		probes += 1;
+		const isAccepted = await probeLeaver(server, {
+			engine: toEngine(server), load, owner: {host: hostId, incarnation: options.incarnation}, count: probes,
+		});
+		hold.noteProbe(server.id, isAccepted, now());
+		const reason = isAccepted ? 'it accepts work and is used again' : 'it accepts none and is asked again later, each time after twice as long';
+		log.info('asked a server that was said to be leaving', {server: server.id, reason});
+	}
+
+	function judge(load: LoadReport): LoadReport {
+		const before = table.view(now()).servers.get(load.server);
+		const isListedLeaving = () => table.fleet()?.fleet.servers.some(({id, state}) => id === load.server && state === 'leaving') === true;
+		return hold.judge(load, now(), {wasLeaving: before?.leaving === true, stateBefore: before?.load?.state, isListedLeaving});
+	}
+
 	const polls = pollLoads({
 		...common,
 		intervalMs: settings.loadPollInterval,
 		onLoad(load, askedAt) {
 			const loadAt = pauses.toSoundTime(askedAt) - load.ageMs;
-			loads.spread.notePolled(load, loadAt);
+			const judged = judge(load);
+			loads.spread.notePolled(judged, loadAt);
 			if (load.state === 'leaving') {
 				loads.noteLeaving([load.server], hostId);
 			}
 
-			table.noteLoad(load, loadAt);
+			table.noteLoad(judged, loadAt);
+			void probe(load);
 		},
 		onUnreachable(server, askedAt) {
 			const soundAt = pauses.toSoundTime(askedAt);
+			hold.noteUnreachable(server, now());
 			loads.spread.noteUnreachable(server, soundAt);
 			table.noteUnreachable(server, soundAt);
 		},
-		onEnd: loads.spread.forget,
+		onEnd(server: ServerId) {
+			hold.forget(server);
+			loads.spread.forget(server);
+		},
 	});
 	const held = watchHeld(log);
 	const orders = giveOrders({
--- a/test/failures/leaving-server.test.ts
+++ b/test/failures/leaving-server.test.ts
@@ -20,6 +20,8 @@
 const callerCount = 6;
 /** Load goes on for so long after all hosts know. */
 const afterwardsMs = 2000;
+/** Time in which reports contradict the refusal. */
+const contradictedMs = 12_000;
 const zone = 'dvorana-a';
 
 /** Two seconds of prefill, or five of decode, and what an engine holds meanwhile. */
@@ -112,6 +114,19 @@
 	},
 ];
 
+/** Waits until all hosts know, and tells when the first did. */
+async function waitUntilKnown(fleet: Fleet, server: string): Promise<{firstMs: number; allMs: number}> {
+	let firstMs: number | undefined;
+	return waitUntil(async () => {
+		const told = await Promise.all(fleet.hosts.map(async host => knows(host, server)));
+		if (told.includes(true)) {
+			firstMs ??= performance.now();
+		}
+
+		return firstMs !== undefined && !told.includes(false) && {firstMs, allMs: performance.now()};
+	}, {deadlineMs, what: `all hosts to know that ${server} leaves`, everyMs: 10});
+}
+
 describe('a server that leaves', () => {
 	let fleet: Fleet;
 
@@ -160,19 +175,6 @@
 		return calls;
 	}
 
-	/** Waits until all hosts know, and tells when the first did. */
-	async function waitUntilKnown(server: string): Promise<{firstMs: number; allMs: number}> {
-		let firstMs: number | undefined;
-		return waitUntil(async () => {
-			const told = await Promise.all(fleet.hosts.map(async host => knows(host, server)));
-			if (told.includes(true)) {
-				firstMs ??= performance.now();
-			}
-
-			return firstMs !== undefined && !told.includes(false) && {firstMs, allMs: performance.now()};
-		}, {deadlineMs, what: `all hosts to know that ${server} leaves`, everyMs: 10});
-	}
-
 	for (const {
 		name, isAskedMeanwhile, reported, leave,
 	} of cases) {
@@ -189,7 +191,7 @@
 				const before = load.results;
 				const leftAt = performance.now();
 				leave(fleet, engine);
-				const {firstMs, allMs} = await waitUntilKnown(engine.id);
+				const {firstMs, allMs} = await waitUntilKnown(fleet, engine.id);
 				assert.equal(await readReportedState(engine), reported);
 				// What was placed a moment before all knew may still be on its way.
 				await sleep(200);
@@ -223,7 +225,7 @@
 		engine.setState('leaving');
 		const refusedAt = performance.now();
 		const load = startLoad([near], 'peer');
-		const {firstMs, allMs} = await waitUntilKnown(engine.id);
+		const {firstMs, allMs} = await waitUntilKnown(fleet, engine.id);
 		assert.equal(await readReportedState(engine), 'serving');
 		await load.end();
 		const offers = countOffers(engine);
@@ -244,7 +246,7 @@
 		await waitUntil(() => plain.calls().length > 0, {deadlineMs, what: 'a call in progress'});
 		const leftAt = performance.now();
 		fleet.publishFleet({[plain.id]: 'leaving'});
-		const {allMs} = await waitUntilKnown(plain.id);
+		const {allMs} = await waitUntilKnown(fleet, plain.id);
 		const calls = plain.calls().length;
 		const results = await Promise.all(Array.from({length: 30}, async (_, i) => ask(i)));
 		t.diagnostic(`known by all ${Math.round(allMs - leftAt)} ms after the list was published; ${plain.calls().length - calls} of ${results.length} further calls`);
@@ -254,3 +256,75 @@
 		assert.deepEqual(finished.filter(({isWhole}) => !isWhole), [], 'a call in progress was not finished');
 	});
 });
+
+/*
+ * A server refuses all work as leaving, and its load reports, which are on time,
+ * go on saying that it serves. Were the newer report believed, every host would
+ * offer it work again each second, and each caller would lose a try. A healthy
+ * server that refused once by mistake has to come back by itself.
+ */
+describe('a server that refuses as leaving while its reports say that it serves', () => {
+	let fleet: Fleet;
+
+	before(async () => {
+		fleet = await startFleet({
+			zones: [zone],
+			hostsPerZone: 3,
+			prefillsPerZone: 2,
+			decodesPerZone: 2,
+			entryFlags: {clockBound: '0ms'},
+			engine: {loadLagMs: 100},
+			decodeEngine: {decodeTokensPerSecond: 50, slots: 60},
+		});
+	});
+	afterEach(async () => {
+		await Promise.all(loads.splice(0).map(async load => load.end()));
+		for (const engine of fleet.engines.values()) {
+			engine.setFaults({});
+		}
+
+		await waitUntil(async () => hasNoLeaver(fleet), {deadlineMs, what: 'the return of all servers'});
+	});
+	after(async () => {
+		await fleet.stop();
+	});
+
+	for (const role of ['decode', 'prefill'] as const) {
+		it(`gets nothing new but a rare probe: a ${role} engine`, async t => {
+			const engine = fleet.engine(`${zone}-${role}-1`);
+			const load = startLoad(fleet.hosts, `${role} contradicts itself`);
+			await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
+			engine.setFaults({refuse: {reason: 'leaving', on: ['reservations', 'prefills']}});
+			await waitUntilKnown(fleet, engine.id);
+			await sleep(200);
+			const offers = countOffers(engine);
+			const answered = load.results.length;
+			await sleep(contradictedMs);
+			const offered = countOffers(engine) - offers;
+			t.diagnostic(`${load.results.length - answered} letters in ${contradictedMs} ms after all knew, ${offered} offers; reported ${await readReportedState(engine)}`);
+			assert.ok(load.results.length > answered, 'no load came after all knew');
+			assert.ok(offered <= 2, `${offered} offers to a server that refuses all`);
+			engine.setFaults({});
+			const endedAt = performance.now();
+			await waitUntil(() => countOffers(engine) > offers + offered + 3, {deadlineMs, what: 'work for the server that accepts it again'});
+			t.diagnostic(`used again ${Math.round(performance.now() - endedAt)} ms after it accepted work again`);
+			await load.end();
+			assert.deepEqual(load.results.filter(({isWhole}) => !isWhole), []);
+		});
+	}
+
+	it('is used again soon when it refused once by mistake', async t => {
+		// Not the one of the case before, which is asked more rarely for a minute.
+		const engine = fleet.engine(`${zone}-decode-2`);
+		const load = startLoad(fleet.hosts, 'mistake');
+		await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
+		engine.setFaults({refuse: {reason: 'leaving', on: ['reservations'], times: 1}});
+		const {allMs} = await waitUntilKnown(fleet, engine.id);
+		await sleep(200);
+		const offers = countOffers(engine);
+		await waitUntil(() => countOffers(engine) > offers + 3, {deadlineMs, what: 'work for the server again'});
+		t.diagnostic(`used again ${Math.round(performance.now() - allMs)} ms after all knew`);
+		await load.end();
+		assert.deepEqual(load.results.filter(({isWhole}) => !isWhole), []);
+	});
+});
