Test that staff can let a rollout go on during a cut

Cause: `rollout: allow-gap` was tested on decisions alone, not from the published document to the servers.

Change: a case in failures/orders: the zones are cut off from one another, the pool is published with `allow-gap`, and all servers load one after the other.

--- a/test/failures/orders.test.ts
+++ b/test/failures/orders.test.ts
@@ -85,14 +85,14 @@
 	let edition = 0;
 
 	/** Publishes the next edition with its own weights; prefill engines check fences, decode engines do not. */
-	function publishNext(): string {
+	function publishNext(change: {rollout?: 'allow-gap'} = {}): string {
 		const document = JSON.parse(fleet.configText) as {servers: Array<{role: string}>; pools: Array<{name: string}>};
 		edition += 1;
 		const version = `v${edition}`;
 		const next = JSON.stringify({
 			...document,
 			servers: document.servers.map(server => ({...server, checksFence: server.role === 'prefill'})),
-			pools: document.pools.map(pool => pool.name === 'summaries' ? {...pool, version} : pool),
+			pools: document.pools.map(pool => pool.name === 'summaries' ? {...pool, version, ...change} : pool),
 			end: 'banyanport',
 		}, undefined, '\t') + '\n';
 		text = sealConfig(next, text === '' ? undefined : text)._unsafeUnwrap().text;
@@ -182,12 +182,12 @@
 	});
 
 	return {
-		fleet: () => fleet, edition: () => edition, publishNext, engines, hasLoaded, waitUntilLoaded, checkOrders, toLoads,
+		fleet: () => fleet, edition: () => edition, publishNext, engines, hasLoaded, waitUntilLoaded, checkOrders, toLoads, countOverlaps,
 	};
 }
 
 describe('orders to zones with one server in a role', () => {
-	const {fleet: toFleet, publishNext, engines, hasLoaded, waitUntilLoaded, checkOrders, toLoads} = createScene(1);
+	const {fleet: toFleet, publishNext, engines, hasLoaded, waitUntilLoaded, checkOrders, toLoads, countOverlaps} = createScene(1);
 
 	it('leave the last serving copy alone, and are given one after the other', async t => {
 		const fleet = toFleet();
@@ -228,6 +228,17 @@
 		await asking.end(t, 0);
 		checkOrders(t);
 	});
+
+	it('go out during the cut where staff allow a gap, one after the other', async t => {
+		const fleet = toFleet();
+		const [side, other] = [`${near}-1`, `${far}-1`];
+		const asking = startAsking(() => [fleet.host(side).callerUrl]);
+		fleet.network.cut(side, other);
+		await waitUntilLoaded(publishNext({rollout: 'allow-gap'}));
+		fleet.network.heal();
+		await asking.end(t);
+		assert.equal(countOverlaps(toLoads()), 0, 'two servers loaded weights at once');
+	});
 });
 
 describe('orders to zones that can spare a server', () => {
