Read, accept and seal configuration documents in parts

Change, in the domain: a root document names its parts in order, with digest and length; the entries of parts stand before the root's own. Its digest covers them, so versions are ordered as before. A root whose parts are not all there as it names them is refused as parts-missing, with the parts.

The platform stand-in counts the bytes that it serves.

--- /dev/null
+++ b/bench/config-changes/measure-changes.ts
@@ -0,0 +1,117 @@
+/** One real agent under a full document that changes as often as the target says. */
+import {readFileSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {startEngineStandIn} from '../../test/stand-ins/engine/index.js';
+import {startPlatformStandIn, type PlatformStandIn} from '../../test/stand-ins/platform/index.js';
+import {startProgram} from '../../test/_lib/start-program/index.js';
+import {type ServerEntry} from '../../src/ports/config.js';
+import {smallHeapOptions} from '../membership/index.js';
+
+/** 16,000 changes a day. */
+const changeEveryMs = 5400;
+const changes = 8;
+/** The quick sweeps after a start last 15 s. */
+const settleMs = 25_000;
+const measuredSeconds = changes * changeEveryMs / 1000;
+const ticksPerSecond = 100;
+const polledServers = 8;
+
+/** A document and its edits as they are published. */
+export type Publisher = {
+	name: string;
+	/** Publishes edit number `round`; 0 is the first document. Returns the bytes published. */
+	publish: (platform: PlatformStandIn, round: number) => number;
+};
+
+export type ChangesRow = {
+	form: string;
+	documentBytes: number;
+	publishedBytesEach: number;
+	servedBytesEach: number;
+	readsEach: number;
+	/** Of one core, between changes. */
+	restPercent: number;
+	/** Of one core, with a change each 5.4 s. */
+	cpuPercent: number;
+	cpuMsEach: number;
+	residentMb: number;
+	peakMb: number;
+};
+
+function readCpuSeconds(pid: number): number {
+	const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]!.split(' ');
+	return (Number(fields[11]) + Number(fields[12])) / ticksPerSecond;
+}
+
+function readStatusMb(pid: number, name: string): number {
+	return Number(new RegExp(String.raw`${name}:\s+(\d+)`, 'v').exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1]) / 1024;
+}
+
+/** Starts what the agent polls; `toPublisher` makes the documents that name these servers. */
+async function startEngines() {
+	const engines = await Promise.all(Array.from({length: polledServers}, async (_, i) => startEngineStandIn({
+		id: `e${i}`, role: i === 0 ? 'prefill' : 'decode', model: 'm', version: '1',
+	})));
+	const servers = engines.map((engine, i): ServerEntry => ({
+		id: engine.id, zone: 'a', url: engine.url, role: i === 0 ? 'prefill' : 'decode', pool: 'summaries', slots: 20, checksFence: true,
+	}));
+	return {servers, stop: async () => Promise.all(engines.map(async engine => engine.stop()))};
+}
+
+/**
+ * Measures one form of the document, at rest and under changes.
+ *
+ * @param toPublisher - Makes the publisher for these servers.
+ * @returns The row. All that it started has ended.
+ */
+export async function measureChanges(toPublisher: (servers: readonly ServerEntry[]) => Publisher): Promise<ChangesRow> {
+	const engines = await startEngines();
+	const publisher = toPublisher(engines.servers);
+	const platform = await startPlatformStandIn({fleet: {hosts: [], servers: []}});
+	const documentBytes = publisher.publish(platform, 0);
+	const agent = await startProgram({
+		program: 'agent',
+		nodeOptions: smallHeapOptions,
+		flags: {
+			hostId: 'a-1', zone: 'a', platformUrl: platform.url, peerPort: 0, operatorPort: 0,
+		},
+	});
+	const accepted = () => agent.logs().filter(({message}) => message === 'configuration accepted').length;
+	try {
+		await sleep(settleMs);
+		const judged = platform.judge();
+		let published = 0;
+		let [restCpu, changeCpu] = [0, 0];
+		for (let round = 1; round <= changes; round++) {
+			// By turns, so that what else the machine does falls on both.
+			const restBefore = readCpuSeconds(agent.pid);
+			await sleep(changeEveryMs);
+			const before = readCpuSeconds(agent.pid);
+			published += publisher.publish(platform, round);
+			await sleep(changeEveryMs);
+			restCpu += before - restBefore;
+			changeCpu += readCpuSeconds(agent.pid) - before;
+		}
+
+		if (accepted() !== changes + 1) {
+			throw new Error(`${accepted()} documents came in force, not ${changes + 1}`);
+		}
+
+		const {reads, servedBytes} = platform.judge();
+		return {
+			form: publisher.name,
+			documentBytes,
+			publishedBytesEach: Math.round(published / changes),
+			servedBytesEach: Math.round((servedBytes - judged.servedBytes) / changes),
+			readsEach: Number(((reads - judged.reads) / changes).toFixed(2)),
+			restPercent: Number((restCpu / measuredSeconds * 100).toFixed(2)),
+			cpuPercent: Number((changeCpu / measuredSeconds * 100).toFixed(2)),
+			cpuMsEach: Number(((changeCpu - restCpu) / changes * 1000).toFixed(0)),
+			residentMb: Number(readStatusMb(agent.pid, 'VmRSS').toFixed(1)),
+			peakMb: Number(readStatusMb(agent.pid, 'VmHWM').toFixed(1)),
+		};
+	} finally {
+		await agent.stop();
+		await Promise.all([platform.stop(), engines.stop()]);
+	}
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,22 +6,9 @@
  */
 import process from 'node:process';
 
-const benches = ['match-rule',
-	'config-chunks',
-	'config-reading',
-	'placement',
-	'admission',
-	'claims',
-	'membership',
-	'zone-spread',
-	'spill',
-	'engine-stream',
-	'relay',
-	'metrics',
-	'slo',
-	'fleet',
-	'capacity',
-	'rollout'] as const;
+const benches = [
+	'match-rule', 'config-chunks', 'config-reading', 'config-changes', 'placement', 'admission', 'claims', 'membership', 'zone-spread', 'spill', 'engine-stream', 'relay', 'metrics', 'slo', 'fleet', 'capacity', 'rollout',
+] as const;
 
 type BenchName = typeof benches[number];
 type BenchModule = Record<string, (() => unknown) | undefined>;
--- a/src/domain/accept-config/index.ts
+++ b/src/domain/accept-config/index.ts
@@ -2,19 +2,26 @@
  * Decides whether a configuration document comes in force. Every host decides by
  * itself, from what is in force there and the document alone.
  */
-import {type Result} from 'neverthrow';
 import {splitConfigEnd} from '../../_lib/split-config-end/index.js';
 import {toDigest} from '../../_lib/to-digest/index.js';
-import {type AcceptedConfig, type Config, type ConfigVersion} from '../../ports/config.js';
+import {
+	type AcceptedConfig, type ConfigVersion, type FindPart, type NamedPart,
+} from '../../ports/config.js';
 import {checkSeal, type ConfigSeal} from '../check-seal/index.js';
+import {collectParts} from '../collect-parts/index.js';
 import {compareConfigVersions} from '../compare-config-versions/index.js';
-import {type ConfigFault, parseConfig, toFaultLine} from '../parse-config/index.js';
+import {
+	type ConfigFault, parseConfig, type ReadConfig, toFaultLine,
+} from '../parse-config/index.js';
+import {toPartKey} from '../to-part-key/index.js';
 
 /** A document from the platform or a peer. */
 export type ConfigCandidate = {
 	text: string;
 	/** Revision at which the platform served it, to this host or to the peer; 0 where unknown. */
 	revision: number;
+	/** Looks for parts that are not in force; needed for a document in parts alone. Their digests are checked here. */
+	findPart?: FindPart;
 };
 
 /**
@@ -29,21 +36,22 @@
 
 /**
  * - `incomplete`, `altered`, `not-text`: not a whole document.
+ * - `parts-missing`: a root whose parts are not all there as it names them. Offered again with them it may be accepted.
  * - `invalid`: whole, with faults of content.
  * - `older`: another document that comes later in the order of versions is in force.
  * - `rival-lost`: sealed from the same edition as the one in force, which wins.
  */
-export type ConfigRefusalReason = 'incomplete' | 'altered' | 'not-text' | 'invalid' | 'older' | 'rival-lost';
+export type ConfigRefusalReason = 'incomplete' | 'altered' | 'not-text' | 'parts-missing' | 'invalid' | 'older' | 'rival-lost';
 
 export type ConfigVerdict =
 	| {status: 'accepted'; accepted: AcceptedConfig; rivalry: ConfigRivalry | undefined; warning: string | undefined}
 	/** The same document again. Its version may have a higher revision than before, which then bars those in between. */
 	| {status: 'unchanged'; accepted: AcceptedConfig}
-	| {status: 'refused'; reason: ConfigRefusalReason; message: string; faults: readonly ConfigFault[]; rivalry: ConfigRivalry | undefined};
+	| {status: 'refused'; reason: ConfigRefusalReason; message: string; faults: readonly ConfigFault[]; rivalry: ConfigRivalry | undefined; missing: readonly NamedPart[]};
 
 export type AcceptConfigOptions = {
 	/** `parseConfig` unless given; a reader of `createConfigReader` costs less where documents follow each other. */
-	read?: (text: string) => Result<Config, readonly ConfigFault[]>;
+	read?: ReadConfig;
 };
 
 /**
@@ -62,7 +70,7 @@
  * if (verdict.status === 'refused') log.warn(verdict.message);
  * ```
  */
-export function acceptConfig(current: AcceptedConfig | undefined, candidate: ConfigCandidate, {read = parseConfig}: AcceptConfigOptions = {}): ConfigVerdict {
+export function acceptConfig(current: AcceptedConfig | undefined, candidate: ConfigCandidate, {read = readAlone}: AcceptConfigOptions = {}): ConfigVerdict {
 	const digest = toDigest(candidate.text);
 	if (current?.version.digest === digest) {
 		const revision = Math.max(current.version.revision, candidate.revision);
@@ -83,24 +91,44 @@
 			: toRefusal('older', toOlderMessage(current.version, version, seal.value));
 	}
 
-	const parsed = read(candidate.text);
+	const collection = collectParts(current?.parts ?? [], candidate.findPart ?? (() => undefined));
+	const parsed = read(candidate.text, collection.find);
 	if (parsed.isErr()) {
+		const missing = parsed.error.flatMap(fault => fault.missing ?? []);
+		if (missing.length > 0) {
+			return {...toRefusal('parts-missing', toMissingMessage(version, missing)), faults: parsed.error, missing};
+		}
+
 		const [first] = parsed.error;
 		const message = `the document has ${parsed.error.length} faults and does not come in force, the first at ${toFaultLine(first!)}: run "banyanport check" on it`;
 		return {...toRefusal('invalid', message), faults: parsed.error};
 	}
 
+	const parts = collection.parts();
 	return {
 		status: 'accepted',
-		accepted: {version, config: parsed.value, text: candidate.text},
+		accepted: {
+			version, config: parsed.value, text: candidate.text, ...(parts.length > 0 && {parts}),
+		},
 		rivalry,
 		warning: current && toWarning(current.version, version, seal.value),
 	};
 }
 
+/** Names all that is missing up to a length that a line of a log can hold. */
+const shownParts = 8;
+
+function toMissingMessage(version: ConfigVersion, missing: readonly NamedPart[]): string {
+	const shown = missing.slice(0, shownParts).map(part => `${part.name} under ${toPartKey(part)}`).join(', ');
+	const more = missing.length > shownParts ? ` and ${missing.length - shownParts} more` : '';
+	return `${toShown(version)} does not come in force, since parts are missing or are not as it names them: ${shown}${more}. Publish them, or the root in force again`;
+}
+
+const readAlone: ReadConfig = (text, findPart) => parseConfig(text, findPart ? {findPart} : {});
+
 function toRefusal(reason: ConfigRefusalReason, message: string): Extract<ConfigVerdict, {status: 'refused'}> {
 	return {
-		status: 'refused', reason, message, faults: [], rivalry: undefined,
+		status: 'refused', reason, message, faults: [], rivalry: undefined, missing: [],
 	};
 }
 
--- /dev/null
+++ b/src/domain/collect-parts/index.ts
@@ -0,0 +1,66 @@
+/** Collects the parts that a root document names, each checked against the root's word. */
+import {Buffer} from 'node:buffer';
+import {toDigest} from '../../_lib/to-digest/index.js';
+import {type ConfigPart, type NamedPart, type FindPart} from '../../ports/config.js';
+
+export type PartCollection = {
+	/** Finds a part that has the named digest and length. */
+	find: FindPart;
+	/** All that were found, in the order of the first look for each. */
+	parts: () => readonly ConfigPart[];
+};
+
+/**
+ * Creates a collection for one root document.
+ *
+ * A part that was published only in part, or an older one under its key, must
+ * not come in force as if it were the one that the operator sealed; digest and
+ * length tell, since the root's own seal covers both. Parts in force were
+ * checked when they came, and are not digested again.
+ *
+ * @param held - Parts in force.
+ * @param findText - Looks for the text of a part that is not in force.
+ * @returns See {@link PartCollection}.
+ *
+ * @example
+ * ```ts
+ * const collection = collectParts(accepted.parts ?? [], ({sha256}) => fetched.get(sha256));
+ * parseConfig(rootText, {findPart: collection.find});
+ * collection.parts(); // => those of the new document
+ * ```
+ */
+export function collectParts(held: readonly ConfigPart[], findText: FindPart): PartCollection {
+	const heldByDigest = new Map(held.map(part => [part.sha256, part]));
+	const collected = new Map<string, ConfigPart>();
+
+	function findSound(part: NamedPart): string | undefined {
+		const {sha256, bytes} = part;
+		const inForce = heldByDigest.get(sha256);
+		if (inForce) {
+			return inForce.bytes === bytes ? inForce.text : undefined;
+		}
+
+		const text = findText(part);
+		return text !== undefined && Buffer.byteLength(text) === bytes && toDigest(text) === sha256 ? text : undefined;
+	}
+
+	return {
+		find(part) {
+			const {name, sha256, bytes} = part;
+			const known = collected.get(name);
+			if (known?.sha256 === sha256 && known.bytes === bytes) {
+				return known.text;
+			}
+
+			const text = findSound(part);
+			if (text !== undefined) {
+				collected.set(name, {
+					name, sha256, bytes, text,
+				});
+			}
+
+			return text;
+		},
+		parts: () => [...collected.values()],
+	};
+}
--- a/src/domain/find-dead-rules/_lib/find-touched-rules.ts
+++ b/src/domain/find-dead-rules/_lib/find-touched-rules.ts
@@ -17,9 +17,8 @@
  * @returns Positions in their order; `findDeadRules` finds a dead rule among these exactly when it finds one among all.
  */
 export function findTouchedRules(rules: Whens, added: readonly number[]): readonly number[] {
-	const all = rules.map((_, i) => i);
 	if (added.length > mostSuspects) {
-		return all;
+		return rules.map((_, i) => i);
 	}
 
 	const suspects = new Set(added);
@@ -32,7 +31,7 @@
 		}
 	}
 
-	return suspects.size > mostSuspects ? all : addDeciding(rules, suspects);
+	return suspects.size > mostSuspects ? rules.map((_, i) => i) : addDeciding(rules, suspects);
 }
 
 function addDeciding(rules: Whens, suspects: ReadonlySet<number>): readonly number[] {
@@ -59,7 +58,9 @@
 /** Lists may have thousands of workspaces, so those of the one side are looked up in a set. */
 function toComparison(when: RuleWhen): Comparison {
 	const workspaces = new Set(when.workspace);
-	const isShared = ({workspace}: RuleWhen) => workspace?.some(name => workspaces.has(name)) ?? false;
+	// One function for all rules: one a rule was a megabyte of garbage for each edit of a full document.
+	const isOurs = (name: string) => workspaces.has(name);
+	const isShared = ({workspace}: RuleWhen) => workspace?.some(isOurs) ?? false;
 	return {
 		someOf: inner => (when.workspace === undefined || isShared(inner)) && takesSome(when, inner),
 		partlyBy: outer => (outer.workspace === undefined || isShared(outer)) && takesSome(outer, when),
--- a/src/domain/parse-config/_lib/faults.ts
+++ b/src/domain/parse-config/_lib/faults.ts
@@ -2,6 +2,7 @@
  * Collects faults of a configuration document while it is read, so that all are
  * reported at once.
  */
+import {type NamedPart} from '../../../ports/config.js';
 
 /** Keys and positions from the document's root to a value. */
 export type Path = ReadonlyArray<string | number>;
@@ -13,10 +14,14 @@
 	at: 'key' | 'value';
 	problem: string;
 	remedy: string;
+	/** The part that is not there. */
+	missing?: NamedPart;
 };
 
 export type FaultSink = {
 	add: (path: Path, problem: string, remedy: string, at?: 'key' | 'value') => void;
+	/** The document names a part that is not there. */
+	addMissing: (path: Path, part: NamedPart, problem: string, remedy: string) => void;
 	list: () => readonly PathFault[];
 };
 
@@ -33,6 +38,11 @@
 				path, at, problem, remedy,
 			});
 		},
+		addMissing(path, missing, problem, remedy) {
+			faults.push({
+				path, at: 'value', problem, remedy, missing,
+			});
+		},
 		list: () => faults,
 	};
 }
--- /dev/null
+++ b/src/domain/parse-config/_lib/named-parts.ts
@@ -0,0 +1,68 @@
+/** Reads the list of parts of a root document. */
+import {type NamedPart} from '../../../ports/config.js';
+import {bytesPerMebibyte} from '../../../ports/units.js';
+import {type FaultSink, type Path} from './faults.js';
+import {
+	listOf, type Reader, record, required, text, whole,
+} from './readers.js';
+
+/** A root of 512 parts takes some 60 KB, which every change sends anew. */
+const mostParts = 512;
+
+/** Of root and parts together. A host holds all of it twice while it changes, and an entry gets it in one frame of at most 2 MiB. */
+const maxTotalBytes = 1.5 * bytesPerMebibyte;
+
+const partName = text(/^[a-zA-Z\d][\w-]{0,63}$/, 'a name of letters, digits, "-" and "_" (at most 64)');
+const digest = text(/^[\da-f]{64}$/, 'a SHA-256 in lower-case hex');
+
+const sealedPart: Reader<NamedPart> = record<NamedPart>({
+	name: required(partName), sha256: required(digest), bytes: required(whole(1, bytesPerMebibyte)),
+});
+
+/** In a folder that is not sealed yet a part is a name alone. */
+const barePart: Reader<NamedPart> = (value, path, faults) => {
+	const name = partName(value, path, faults);
+	return name === undefined ? undefined : {name, sha256: '', bytes: 0};
+};
+
+/**
+ * Reads the list.
+ *
+ * @param value - The value of `parts`.
+ * @param rootBytes - Length of the root document.
+ * @param isSource - Whether parts may be named without digest and length.
+ * @param faults - Where faults go.
+ * @returns The parts; not to be used when there were faults.
+ */
+export function readNamedParts(value: unknown, rootBytes: number, isSource: boolean, faults: FaultSink): readonly NamedPart[] {
+	const path: Path = ['parts'];
+	const readPart: Reader<NamedPart> = (entry, at, sink) => {
+		if (typeof entry !== 'string') {
+			return sealedPart(entry, at, sink);
+		}
+
+		if (!isSource) {
+			sink.add(at, `the part ${JSON.stringify(entry)} is named without its digest`, 'publish what "banyanport seal" writes for the folder');
+		}
+
+		return barePart(entry, at, sink);
+	};
+
+	const named = listOf(readPart, 1)(value, path, faults) ?? [];
+	const names = named.map(({name}) => name);
+	const doubled = names.findIndex((name, i) => names.indexOf(name) < i);
+	if (doubled !== -1) {
+		faults.add([...path, doubled], `the part ${JSON.stringify(names[doubled])} is named twice`, 'name it once');
+	}
+
+	if (named.length > mostParts) {
+		faults.add(path, `there are ${named.length} parts and hosts take ${mostParts}`, 'put several parts together');
+	}
+
+	const total = named.reduce((sum, {bytes}) => sum + bytes, rootBytes);
+	if (total > maxTotalBytes) {
+		faults.add(path, `root and parts have ${total} bytes together and hosts take ${maxTotalBytes}`, 'name workspaces in lists and share routes');
+	}
+
+	return named;
+}
--- a/src/domain/parse-config/_lib/pair-lines.ts
+++ b/src/domain/parse-config/_lib/pair-lines.ts
@@ -38,17 +38,18 @@
 		return i < after.length - tail ? positions.get(line) ?? -1 : before.length - after.length + i;
 	});
 	const fresh = from.filter(position => position === -1).length;
-	return fresh > mostFresh ? undefined : {lines: after, from, added: toAdded(from)};
+	return fresh > mostFresh ? undefined : {lines: after, from, added: toAdded(from.slice(head, from.length - tail), head)};
 }
 
-function toAdded(from: readonly number[]): readonly number[] {
+/** Lines before and behind the changed ones kept their order. */
+function toAdded(changed: readonly number[], start: number): readonly number[] {
 	const added: number[] = [];
 	let last = -1;
-	for (const [i, position] of from.entries()) {
+	for (const [i, position] of changed.entries()) {
 		if (position > last) {
 			last = position;
 		} else {
-			added.push(i);
+			added.push(start + i);
 		}
 	}
 
--- a/src/domain/parse-config/_lib/read-next.ts
+++ b/src/domain/parse-config/_lib/read-next.ts
@@ -1,7 +1,8 @@
 /** Reads a document that differs little from one that was read before. */
+import {Buffer} from 'node:buffer';
 import {isRecord} from '../../../_lib/is-record/index.js';
 import {
-	type Config, type HostEntry, type Rule, type RuleThen, type ServerEntry,
+	type Config, type FindPart, type HostEntry, type Rule, type RuleThen, type ServerEntry,
 } from '../../../ports/config.js';
 import {findDeadRules, findTouchedRules} from '../../find-dead-rules/index.js';
 import {addEndFaults} from './check-end.js';
@@ -11,18 +12,27 @@
 import {type DocumentForm, type LongSection, readFrame} from './document.js';
 import {createFaultSink, type FaultSink} from './faults.js';
 import {findTooDeep} from './find-too-deep.js';
+import {longSections, type PartText} from './join-parts.js';
 import {pairLines, type LinePairs} from './pair-lines.js';
+import {readNamedParts} from './named-parts.js';
 import {readJson} from './read-json.js';
 import {type Placed, type Reader} from './readers.js';
 import * as schema from './schema.js';
 import {splitLines, type SplitText} from './split-lines.js';
+import {splitDocument, splitFreshPart, type SplitDocument} from './split-parts.js';
 import {toConfig} from './to-config.js';
 
 /** A document without faults. */
 export type SoundDocument = {
 	/** Its lines; `undefined` where it is not JSON with one entry a line. */
-	lines: SplitText | undefined;
+	lines: SplitDocument | undefined;
 	config: Config;
+	/** Entries of the long sections with their positions. */
+	placed: {
+		hosts: DocumentForm['hosts'];
+		servers: DocumentForm['servers'];
+		rules: ReadonlyArray<Placed<Rule>>;
+	};
 	/** Decisions by name; rules of `config` that name one hold the same object. */
 	routes: DocumentForm['routes'];
 	/** Zones, pools and routes as a text to compare. */
@@ -56,30 +66,24 @@
  * are parsed one by one. What is left of the text once the lines are taken out
  * must be sound JSON by itself, so the whole is.
  *
+ * The same holds for a document in parts, text by text. Parts that were in the
+ * earlier document are not looked at again.
+ *
  * @param last - The earlier document.
- * @param text - The new one.
+ * @param text - The new one, or its root.
+ * @param findPart - Looks for its parts.
  * @returns What a full reading gives, or `undefined` where only that can tell: the text is written in another way, has changed too much, or has a fault.
  */
-export function readNext(last: SoundDocument, text: string): SoundDocument | undefined {
+export function readNext(last: SoundDocument, text: string, findPart: FindPart): SoundDocument | undefined {
 	const before = last.lines;
-	const after = before && splitLines(text);
-	if (!before || !after || findTooDeep(text)) {
-		return undefined;
-	}
-
-	const frame = readJson(after.frame);
-	if (frame.kind !== 'sound' || !isRecord(frame.data)) {
-		return undefined;
-	}
-
+	const split = before && splitNext(before, text, findPart);
 	const faults = createFaultSink();
-	const {hosts: noHosts, servers: noServers, rules: noRules, ...rest} = frame.data;
-	const areTaken = [noHosts, noServers, noRules].every(section => Array.isArray(section) && section.length === 0);
-	const others = areTaken ? readFrame(rest, [], faults) : undefined;
-	if (!others || faults.list().length > 0) {
+	const others = split && readFrame(split.rest, [], faults);
+	if (!split || !others || faults.list().length > 0) {
 		return undefined;
 	}
 
+	const {after, rest, data} = split;
 	const routes = keepRoutes(others.routes!, last.routes);
 	const isSameFrame = JSON.stringify([others.zones, others.pools, routes]) === last.frameKey;
 	const sections = readSections(last, {before, after, isSameFrame}, faults);
@@ -91,7 +95,7 @@
 	const form = {
 		...others, routes, hosts: hosts.placed, servers: servers.placed, rules: rules.placed,
 	};
-	addEndFaults(frame.data, text, faults);
+	addEndFaults(data, text, faults);
 	if (isSameFrame) {
 		addFreshFaults(form, rest, sections, faults);
 	} else {
@@ -109,54 +113,109 @@
  * @param known - As of `toConfig`.
  * @returns The document, or `undefined` when a section is missing.
  */
-export function toSoundDocument(form: Partial<DocumentForm>, lines: SplitText | undefined, known?: ReadonlyArray<Rule | undefined>): SoundDocument | undefined {
+export function toSoundDocument(form: Partial<DocumentForm>, lines: SplitDocument | undefined, known?: ReadonlyArray<Rule | undefined>): SoundDocument | undefined {
 	const config = toConfig(form, known);
-	const routes = form.routes!;
-	return config && {
-		lines, config, routes, frameKey: JSON.stringify([form.zones, form.pools, routes]),
+	if (!config) {
+		return undefined;
+	}
+
+	const {zones, hosts, servers, pools, rules, routes} = form as DocumentForm;
+	const placedRules = config.rules.map((rule, index) => {
+		const entry = rules[index]!;
+		return isPlaced(entry, rule) ? entry : {index, value: rule};
+	});
+	return {
+		lines, config, placed: {hosts, servers, rules: placedRules}, routes, frameKey: JSON.stringify([zones, pools, routes]),
 	};
 }
 
+type NextLines = {
+	after: SplitDocument;
+	/** Plain values of the frame. */
+	data: Record<string, unknown>;
+	/** The same without long sections and parts. */
+	rest: Record<string, unknown>;
+};
+
+function splitNext(before: SplitDocument, text: string, findPart: FindPart): NextLines | undefined {
+	const root = findTooDeep(text) ? undefined : splitLines(text);
+	const frame = root && readJson(root.frame);
+	if (!root || frame?.kind !== 'sound' || !isRecord(frame.data)) {
+		return undefined;
+	}
+
+	const {data} = frame;
+	const {hosts, servers, rules, parts: list, ...rest} = data;
+	const parts = list === undefined ? undefined : findParts(list, text, findPart);
+	if (list !== undefined && !parts) {
+		return undefined;
+	}
+
+	const after = splitDocument(root, parts, part => before.parts?.get(part.named.sha256) ?? splitFreshPart(part.text));
+	const areTaken = after && [hosts, servers, rules].every((section, i) => isTaken(section, parts !== undefined && after.entries[longSections[i]!].length > 0));
+	return areTaken ? {after, data, rest} : undefined;
+}
+
+/** Whether the lines were all that stood in a section; in one file each must be there, in parts somewhere. */
+function isTaken(section: unknown, isInPart: boolean): boolean {
+	return Array.isArray(section) ? section.length === 0 : section === undefined && isInPart;
+}
+
+/** `undefined` when the list has a fault or a part is not there. */
+function findParts(list: unknown, rootText: string, findPart: FindPart): readonly PartText[] | undefined {
+	const faults = createFaultSink();
+	const named = readNamedParts(list, Buffer.byteLength(rootText), false, faults);
+	if (faults.list().length > 0) {
+		return undefined;
+	}
+
+	const texts = named.map(part => findPart(part));
+	return texts.every(found => found !== undefined) ? named.map((part, i) => ({named: part, text: texts[i]!})) : undefined;
+}
+
+function isPlaced<T>(entry: Placed<unknown>, value: T): entry is Placed<T> {
+	return entry.value === value;
+}
+
 type Difference = {before: SplitText; after: SplitText; isSameFrame: boolean};
 
-function readSections({config, routes}: SoundDocument, {before, after, isSameFrame}: Difference, faults: FaultSink): Sections | undefined {
+function readSections({config, routes, placed}: SoundDocument, {before, after, isSameFrame}: Difference, faults: FaultSink): Sections | undefined {
 	const pair = (section: LongSection) => before.entries[section].length === config[section].length
 		? pairLines(before.entries[section], after.entries[section], mostFresh)
 		: undefined;
-	const hosts = readSection(pair('hosts'), config.hosts, schema.host, faults);
-	const servers = readSection(pair('servers'), config.servers, schema.server, faults);
+	const hosts = readSection(pair('hosts'), placed.hosts, schema.host, faults);
+	const servers = readSection(pair('servers'), placed.servers, schema.server, faults);
 	// With the same routes a rule may stand for its own form, its decision in the place of the name.
-	const rules = readSection<schema.RuleForm>(pair('rules'), isSameFrame ? config.rules : toForms(config.rules, routes), schema.rule, faults);
+	const rules = readSection<schema.RuleForm>(pair('rules'), isSameFrame ? placed.rules : toForms(config.rules, routes), schema.rule, faults);
 	return hosts && servers && rules && {hosts, servers, rules};
 }
 
-function toForms(rules: readonly Rule[], routes: DocumentForm['routes']): readonly schema.RuleForm[] {
+function toForms(rules: readonly Rule[], routes: DocumentForm['routes']): ReadonlyArray<Placed<schema.RuleForm>> {
 	const names = new Map<RuleThen, string>(Object.entries(routes).map(([name, then]) => [then, name]));
-	return rules.map(({name, when, then}) => ({name, when, then: names.get(then) ?? then}));
+	return rules.map(({name, when, then}, index) => ({index, value: {name, when, then: names.get(then) ?? then}}));
 }
 
-/** Entries whose lines are old are taken from `known`, others read. */
-function readSection<T>(pairs: LinePairs | undefined, known: readonly T[], read: Reader<T>, faults: FaultSink): Section<T> | undefined {
+/**
+ * Entries whose lines are old are taken from `known`, others read. What keeps
+ * its place stays the same object: a full document has 11,000 entries, and
+ * making them anew for each edit cost more than the reading.
+ */
+function readSection<T>(pairs: LinePairs | undefined, known: ReadonlyArray<Placed<T>>, read: Reader<T>, faults: FaultSink): Section<T> | undefined {
 	if (!pairs) {
 		return undefined;
 	}
 
-	const placed: Array<Placed<T>> = [];
-	const fresh: Array<Placed<T>> = [];
-	for (const [index, from] of pairs.from.entries()) {
-		const value = from === -1 ? readLine(pairs.lines[index]!, read, faults) : known[from];
-		if (value === undefined) {
-			return undefined;
-		}
+	const {from, lines} = pairs;
+	const placed = from.map((old, index) => old === -1 ? {index, value: readLine(lines[index]!, read, faults)} : toPlace(known[old]!, index));
+	return placed.every(entry => isRead(entry)) ? {placed, fresh: placed.filter((_, index) => from[index] === -1), pairs} : undefined;
+}
 
-		const entry = {index, value};
-		placed.push(entry);
-		if (from === -1) {
-			fresh.push(entry);
-		}
-	}
+function isRead<T>(entry: Placed<T | undefined>): entry is Placed<T> {
+	return entry.value !== undefined;
+}
 
-	return {placed, fresh, pairs};
+function toPlace<T>(entry: Placed<T>, index: number): Placed<T> {
+	return entry.index === index ? entry : {index, value: entry.value};
 }
 
 function readLine<T>(line: string, read: Reader<T>, faults: FaultSink): T | undefined {
--- a/src/domain/parse-config/_lib/source.ts
+++ b/src/domain/parse-config/_lib/source.ts
@@ -59,7 +59,10 @@
 			line: 1, column: 1, problem: `the JSON is broken: ${json.problem}`, remedy: 'check it with "banyanport check", which finds the place',
 		}
 		: {
-			line: 1, column: 1, problem: `YAML of more than ${maxYamlBytes} bytes is too large for hosts`, remedy: 'publish it as JSON, written by "banyanport seal --to json"',
+			line: 1,
+			column: 1,
+			problem: maxYamlBytes === 0 ? 'hosts do not read parts in YAML' : `YAML of more than ${maxYamlBytes} bytes is too large for hosts`,
+			remedy: maxYamlBytes === 0 ? 'publish what "banyanport seal" writes for the folder' : 'publish it as JSON, written by "banyanport seal --to json"',
 		};
 	return {
 		data: undefined, isJson: false, syntaxFaults: [fault], toPlace: () => undefined,
--- a/src/domain/parse-config/_lib/split-lines.ts
+++ b/src/domain/parse-config/_lib/split-lines.ts
@@ -19,7 +19,7 @@
  * for the caller to make sure.
  *
  * @param text - A document.
- * @returns Its parts, or `undefined` for one that is written in another way.
+ * @returns Its lines, none for a section that it has not; or `undefined` for one that is written in another way.
  */
 export function splitLines(text: string): SplitText | undefined {
 	const lines = text.split('\n');
@@ -47,8 +47,8 @@
 		entries[section] = found;
 	}
 
-	const {hosts, servers, rules} = entries;
-	return hosts && servers && rules && {entries: {hosts, servers, rules}, frame: frame.join('\n')};
+	const {hosts = [], servers = [], rules = []} = entries;
+	return {entries: {hosts, servers, rules}, frame: frame.join('\n')};
 }
 
 function toEntries(lines: readonly string[]): readonly string[] | undefined {
--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -2,16 +2,20 @@
  * Reads a configuration document, in YAML or JSON, and reports everything that
  * is wrong with it at once, each with line, column and remedy.
  */
+import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
-import {type Config} from '../../ports/config.js';
+import {isRecord} from '../../_lib/is-record/index.js';
+import {type Config, type NamedPart, type FindPart} from '../../ports/config.js';
 import {addEndFaults} from './_lib/check-end.js';
 import {addMeaningFaults} from './_lib/check-meaning.js';
 import {createFaultSink, type FaultSink, type Path} from './_lib/faults.js';
 import {readDocument} from './_lib/document.js';
-import {type Place} from './_lib/place.js';
+import {joinParts, type JoinedSource} from './_lib/join-parts.js';
+import {type SyntaxFault} from './_lib/place.js';
 import {readNext, toSoundDocument, type SoundDocument} from './_lib/read-next.js';
 import {splitLines} from './_lib/split-lines.js';
-import {readSource, type Source} from './_lib/source.js';
+import {readSource} from './_lib/source.js';
+import {splitDocument} from './_lib/split-parts.js';
 
 /** One thing that is wrong with a configuration document. */
 export type ConfigFault = {
@@ -25,6 +29,8 @@
 	problem: string;
 	/** What to write instead. */
 	remedy: string;
+	/** The part that is not there, where that is the fault. */
+	missing?: NamedPart;
 };
 
 /** Faults that are reported with their places. */
@@ -41,14 +47,25 @@
 	file?: string;
 	/** The largest text that the YAML parser sees, in bytes; {@link maxYamlBytes} unless given. */
 	maxYamlBytes?: number;
+	/** Looks for the parts that a root document names; without it none is there. Who gives it sees to the parts' digests, see `collectParts`. */
+	findPart?: FindPart;
+	/** Reads what is not sealed yet: parts may be named without digest, and may be YAML. */
+	isSource?: boolean;
+	/** Name of a part's file, for the faults; `part` and its name unless given. */
+	toPartFile?: (name: string) => string;
 };
 
+/** Reads a document; `findPart` looks for its parts if it has any. */
+export type ReadConfig = (text: string, findPart?: FindPart) => Result<Config, readonly ConfigFault[]>;
+
+const findNoPart: FindPart = () => undefined;
+
 /**
  * Parses and validates a configuration document. Whether its seal holds is
  * `checkSeal`'s to say; this function checks that the document has an end mark
  * and that all of its content is valid.
  *
- * @param text - The whole document, YAML 1.2 or JSON.
+ * @param text - The whole document, YAML 1.2 or JSON; of a document in parts its root, which means the same as the document that has the entries of all parts, in their order, before its own.
  * @param options - Name of the file for the faults.
  * @returns The configuration, or all faults in the order of their lines.
  *
@@ -81,11 +98,11 @@
  * read(textWithOneMoreRule); // reads one line
  * ```
  */
-export function createConfigReader(options: ParseConfigOptions = {}): (text: string) => Result<Config, readonly ConfigFault[]> {
+export function createConfigReader(options: Omit<ParseConfigOptions, 'findPart' | 'isSource'> = {}): ReadConfig {
 	let last: SoundDocument | undefined;
-	return text => {
-		const next = last && readNext(last, text);
-		const result = next ? ok(next) : readWhole(text, options);
+	return (text, findPart = findNoPart) => {
+		const next = last && readNext(last, text, findPart);
+		const result = next ? ok(next) : readWhole(text, {...options, findPart});
 		if (result.isOk()) {
 			last = result.value;
 		}
@@ -94,25 +111,48 @@
 	};
 }
 
+/**
+ * Reads the plain values of a text, for programs that write a document in another form.
+ *
+ * @param text - A document or a part of one.
+ * @returns The values, or `undefined` where `parseConfig` reports faults of syntax.
+ */
+export function readPlainValues(text: string): Record<string, unknown> | undefined {
+	const {data, syntaxFaults} = readSource(text, Infinity);
+	return syntaxFaults.length === 0 && isRecord(data) ? data : undefined;
+}
+
 function readWhole(text: string, options: ParseConfigOptions): Result<SoundDocument, readonly ConfigFault[]> {
-	const toFault = ({line, column}: Place, problem: string, remedy: string): ConfigFault => ({
-		file: options.file, line, column, problem, remedy,
-	});
-	const source = readSource(text, options.maxYamlBytes ?? maxYamlBytes);
+	const {file, findPart = findNoPart, isSource = false, toPartFile = name => `part ${name}`, ...rest} = options;
+	const yamlBytes = rest.maxYamlBytes ?? maxYamlBytes;
+	const source = readSource(text, yamlBytes);
+	const toSyntaxFaults = (faults: readonly SyntaxFault[], name: string | undefined) => faults.map(({line, column, problem, remedy}): ConfigFault => ({
+		file: name, line, column, problem, remedy,
+	}));
 	if (source.syntaxFaults.length > 0) {
-		return err(cutFaults(source.syntaxFaults, fault => toFault(fault, fault.problem, fault.remedy)));
+		return err(cutFaults(source.syntaxFaults, list => toSyntaxFaults(list, file)));
 	}
 
 	const faults = createFaultSink();
-	const sound = readConfig(source, text, faults);
+	const joined = joinParts(source, Buffer.byteLength(text), {findPart, isSource, maxYamlBytes: yamlBytes}, faults);
+	if (joined.syntaxFaults.length > 0) {
+		return err(joined.syntaxFaults.flatMap(({part, faults: list}) => cutFaults(list, cut => toSyntaxFaults(cut, toPartFile(part)))));
+	}
+
+	const sound = faults.list().length === 0 ? readConfig(joined, source.isJson, text, faults) : undefined;
 	if (sound) {
 		return ok(sound);
 	}
 
-	return err(cutFaults(faults.list(), ({path, at, problem, remedy}) => {
-		const place = source.toPlace(path, at);
-		return place ? toFault(place, problem, remedy) : toFault({line: 1, column: 1}, `${toPathText(path)}${problem}`, remedy);
-	}));
+	return err(cutFaults(faults.list(), list => list.map(({path, at, problem, remedy, missing}): ConfigFault => {
+		// A host asks for what is missing and reads again; the place would cost it more than all of the reading.
+		const {part, path: ownPath, place} = missing && !isSource ? {part: undefined, path, place: undefined} : joined.locate(path, at);
+		const {line, column} = place ?? {line: 1, column: 1};
+		const name = part === undefined ? file : toPartFile(part);
+		return {
+			file: name, line, column, problem: place ? problem : `${toPathText(ownPath)}${problem}`, remedy, ...(missing && {missing}),
+		};
+	})));
 }
 
 /** The path in place of line and column, positions in lists from 1. */
@@ -126,13 +166,17 @@
  * walk through the document, and a text that is no configuration at all can have
  * a fault on each of 100,000 lines, which would hold a host up for minutes.
  */
-function cutFaults<T>(faults: readonly T[], locate: (fault: T) => ConfigFault): readonly ConfigFault[] {
-	const located = faults.slice(0, maxFaults).map(fault => locate(fault)).toSorted((left, right) => left.line - right.line || left.column - right.column);
+function cutFaults<T>(faults: readonly T[], locate: (faults: readonly T[]) => readonly ConfigFault[]): readonly ConfigFault[] {
+	const located = locate(faults.slice(0, maxFaults)).toSorted((left, right) => compareTexts(left.file, right.file) || left.line - right.line || left.column - right.column);
 	const more = faults.length - located.length;
 	const last = located.at(-1);
 	return last && more > 0 ? [...located, {...last, problem: `${more} more faults were found`, remedy: 'mend these first'}] : located;
 }
 
+function compareTexts(left = '', right = ''): number {
+	return Number(left > right) - Number(left < right);
+}
+
 /**
  * Writes a fault on one line, in the form that editors and terminals link.
  *
@@ -143,7 +187,7 @@
 	return `${file ?? 'document'}:${line}:${column}: ${problem}; ${remedy}`;
 }
 
-function readConfig({data, isJson}: Source, text: string, faults: FaultSink): SoundDocument | undefined {
+function readConfig({data, parts}: JoinedSource, isJson: boolean, text: string, faults: FaultSink): SoundDocument | undefined {
 	const form = readDocument(data, [], faults);
 	if (!form) {
 		return undefined;
@@ -151,5 +195,10 @@
 
 	addEndFaults(data, text, faults);
 	addMeaningFaults(form, data, faults);
-	return faults.list().length > 0 ? undefined : toSoundDocument(form, isJson ? splitLines(text) : undefined);
+	if (faults.list().length > 0) {
+		return undefined;
+	}
+
+	const lines = isJson ? splitLines(text) : undefined;
+	return toSoundDocument(form, lines && splitDocument(lines, parts, part => splitLines(part.text)));
 }
--- a/src/domain/seal-config/index.ts
+++ b/src/domain/seal-config/index.ts
@@ -62,7 +62,16 @@
 	});
 }
 
-function addSeal(body: string, format: ConfigFormat, edition: number, follows: string): string {
+/**
+ * Writes the seal after a body.
+ *
+ * @param body - Text of the document without its end.
+ * @param format - Format of the body.
+ * @param edition - Edition that is sealed in.
+ * @param follows - SHA-256 of the document that it follows, or `none`.
+ * @returns The whole document.
+ */
+export function addSeal(body: string, format: ConfigFormat, edition: number, follows: string): string {
 	if (format === 'json') {
 		const covered = `${body},\n"edition": ${edition},\n"follows": "${follows}",\n"end": "sealed-`;
 		return `${covered}${toDigest(covered)}"}\n`;
--- /dev/null
+++ b/src/domain/to-lines-text/index.ts
@@ -0,0 +1,31 @@
+/**
+ * Writes the body of a JSON document with one entry on each line, so that hosts
+ * read it by lines and a small change is a small change of the text.
+ *
+ * @param values - Plain values of a document or a part; what its end says is left out.
+ * @returns The document without its end, for `addPlainEnd` or a seal.
+ *
+ * @example
+ * ```ts
+ * toLinesText({hosts: [{id: 'a-1', zone: 'a'}]}); // => '{\n"hosts": [\n{"id":"a-1","zone":"a"}\n]'
+ * ```
+ */
+export function toLinesText(values: Readonly<Record<string, unknown>>): string {
+	const {edition, follows, end, ...rest} = values;
+	const sections = Object.entries(rest).map(([name, value]) => `${JSON.stringify(name)}: ${toLines(value)}`);
+	return `{\n${sections.join(',\n')}`;
+}
+
+function toLines(value: unknown): string {
+	if (Array.isArray(value)) {
+		return `[${joinLines(value.map(entry => JSON.stringify(entry)))}]`;
+	}
+
+	return typeof value === 'object' && value !== null
+		? `{${joinLines(Object.entries(value).map(([key, entry]) => `${JSON.stringify(key)}: ${JSON.stringify(entry)}`))}}`
+		: JSON.stringify(value);
+}
+
+function joinLines(lines: readonly string[]): string {
+	return lines.length > 0 ? `\n${lines.join(',\n')}\n` : '';
+}
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -124,9 +124,28 @@
 	digest: string;
 };
 
+/** A part of a document as the root document names it; the document's digest covers it. */
+export type NamedPart = {
+	name: string;
+	/** SHA-256 of the part's text, hex. */
+	sha256: string;
+	/** Length of the part's text in UTF-8. */
+	bytes: number;
+};
+
+/** A part with its text, which was checked against digest and length. */
+export type ConfigPart = NamedPart & {
+	text: string;
+};
+
+/** Looks for the text of a part; `undefined` when it is not there. */
+export type FindPart = (part: NamedPart) => string | undefined;
+
 export type AcceptedConfig = {
 	version: ConfigVersion;
 	config: Config;
-	/** The document as it was published, byte for byte. */
+	/** The document as it was published, byte for byte; of a document in parts its root. */
 	text: string;
+	/** The parts in the root's order; empty or absent for a document in one file. */
+	parts?: readonly ConfigPart[];
 };
--- a/src/ports/platform.ts
+++ b/src/ports/platform.ts
@@ -6,7 +6,8 @@
 import {type HostId, type ServerId} from './ids.js';
 import {type Milliseconds} from './clock.js';
 
-export type PlatformKey = 'config' | 'fleet';
+/** A part of the configuration has a key of its own, see `toPartKey`. */
+export type PlatformKey = 'config' | 'fleet' | `config.${string}`;
 
 export type PlatformValue = {
 	revision: number;
--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -7,7 +7,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ConfigVersion} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
-import {type FleetList, type PlatformKey} from '../../../ports/platform.js';
+import {type FleetList} from '../../../ports/platform.js';
 import {type AgentOptions} from './agent-types.js';
 import {holdDocuments, type DocumentNotices} from './hold-documents.js';
 import {type KnownVersions, type ShortVersion} from './peer-messages.js';
@@ -117,7 +117,7 @@
 		return isInformed || settings.seeds.length === 0 || now() - startedAt >= joinMs;
 	}
 
-	const watch = async (key: PlatformKey) => watchPlatform({
+	const watch = async (key: DocumentKind) => watchPlatform({
 		platform: options.platform,
 		key,
 		isReader: () => hasJoined() && options.isReadingTurn(now() - (confirmedAt() ?? startedAt)),
--- a/test/stand-ins/platform/index.ts
+++ b/test/stand-ins/platform/index.ts
@@ -3,6 +3,7 @@
  * watched, a read budget over all readers, and switches for its faults.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type FleetList, type PlatformKey} from '../../../src/ports/platform.js';
 import {
@@ -43,6 +44,8 @@
 	/** Reads by the client's own name (`x-client`), or else by connection. */
 	readsByClient: Record<string, number>;
 	revisions: Record<string, number>;
+	/** Bytes of the values in its answers. */
+	servedBytes: number;
 };
 
 export type PlatformStandIn = {
@@ -186,7 +189,8 @@
 	const faults: PlatformFaults = {};
 	const values = createValues(faults);
 	const count = createReadCount(options.readsPerSecond ?? 2000);
-	const judge = (): PlatformJudge => ({...count.report(), revisions: values.revisions()});
+	let servedBytes = 0;
+	const judge = (): PlatformJudge => ({...count.report(), revisions: values.revisions(), servedBytes});
 
 	const setFaults = (next: PlatformFaults): void => {
 		for (const name of Object.keys(faults)) {
@@ -208,6 +212,7 @@
 			res.writeHead(204);
 			res.end();
 		} else {
+			servedBytes += Buffer.byteLength(value.value);
 			sendJson(res, 200, value);
 		}
 	};
