Take documents in parts from the platform, peers and entry

Cause: readers got 1 MB of the platform for each change, and an entry as much from its agent.

Agents fetch root and missing parts from each other as chunks by digest. The feed sends an entry the parts that it may not have; an entry that lacks one connects anew and gets all.

What was read of a part is kept only if its digest fits: before, a part that was cut off was never read again (found by the contract test). Taken out, that check, the gap between reads, either half of the feed's rule and the entry's reconnect each fail a test.

--- a/src/adapters/view-feed/_lib/apply-update.ts
+++ b/src/adapters/view-feed/_lib/apply-update.ts
@@ -1,7 +1,10 @@
 /** Turns an update of the agent into the entry's next view. */
 import {type Result} from 'neverthrow';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type AcceptedConfig, type Config, type ConfigVersion} from '../../../ports/config.js';
+import {collectParts} from '../../../domain/collect-parts/index.js';
+import {
+	type AcceptedConfig, type Config, type ConfigVersion, type FindPart,
+} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
 import {type FleetView, type HostStatus, type ServerStatus} from '../../../ports/view.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -24,12 +27,14 @@
 };
 
 export type ApplyOptions = {
-	/** Parses the text of a configuration document. */
-	parse: (text: string) => Result<Config, unknown>;
+	/** Parses the text of a configuration document, whose parts it finds. */
+	parse: (text: string, findPart: FindPart) => Result<Config, unknown>;
 	/** Whether the first version replaces the second. */
 	isNewer: (candidate: ConfigVersion, current: ConfigVersion) => boolean;
 	/** A document that the agent sent did not parse here, or is older than the one in force. */
 	onRefusedConfig?: (version: ConfigVersion, reason: string) => void;
+	/** A part that the agent took to be here is not. */
+	onMissingPart?: (version: ConfigVersion) => void;
 };
 
 function toMerged<Value extends {id: string}>(prev: ReadonlyMap<string, Value>, changed: readonly Value[], gone: readonly string[], whole = false): ReadonlyMap<string, Value> {
@@ -76,7 +81,7 @@
 	return left.length === 0 ? undefined : {hosts: new Set(left), since};
 }
 
-function toAccepted(view: FleetView, {config}: FeedUpdate, {parse, isNewer, onRefusedConfig}: ApplyOptions): AcceptedConfig | undefined {
+function toAccepted(view: FleetView, {config, whole}: FeedUpdate, {parse, isNewer, onRefusedConfig, onMissingPart}: ApplyOptions): AcceptedConfig | undefined {
 	if (!config || config.version.digest === view.accepted?.version.digest) {
 		return view.accepted;
 	}
@@ -87,13 +92,29 @@
 		return view.accepted;
 	}
 
-	const parsed = parse(config.text);
+	const {version, text} = config;
+	const sent = new Map(config.parts?.map(part => [part.sha256, part.text]));
+	let isPartMissing = false;
+	const {find, parts: collected} = collectParts(view.accepted?.parts ?? [], ({sha256}) => sent.get(sha256));
+	const parsed = parse(text, part => {
+		const found = find(part);
+		isPartMissing ||= found === undefined;
+		return found;
+	});
+	if (isPartMissing && !whole) {
+		onMissingPart?.(version);
+		return view.accepted;
+	}
+
 	if (parsed.isErr()) {
-		onRefusedConfig?.(config.version, 'it is not valid for this entry; run the same version as the agent');
+		onRefusedConfig?.(version, 'it is not valid for this entry; run the same version as the agent');
 		return view.accepted;
 	}
 
-	return {...config, config: parsed.value};
+	const parts = collected();
+	return {
+		version, text, config: parsed.value, ...(parts.length > 0 && {parts}),
+	};
 }
 
 /**
--- a/src/adapters/view-feed/_lib/messages.ts
+++ b/src/adapters/view-feed/_lib/messages.ts
@@ -21,9 +21,18 @@
 	stopping?: boolean;
 };
 
+/** A part under its digest. */
+export type FeedPart = {
+	sha256: string;
+	text: string;
+};
+
 export type FeedConfig = {
 	version: ConfigVersion;
+	/** The document, or its root. */
 	text: string;
+	/** Those of its parts that the entry may not have; absent for a document in one file. */
+	parts?: readonly FeedPart[];
 };
 
 export type FeedServer = {
--- a/src/adapters/view-feed/index.ts
+++ b/src/adapters/view-feed/index.ts
@@ -20,7 +20,7 @@
 
 export {createViewPublisher, type ViewPublisher} from './publish-view.js';
 export {
-	configCall, feedEvents, type FeedConfig, type FeedLeaving, type FeedPing,
+	configCall, feedEvents, type FeedConfig, type FeedLeaving, type FeedPing, type FeedUpdate,
 } from './_lib/messages.js';
 
 const pingIntervalMs = 1000;
@@ -66,7 +66,13 @@
 export function connectViewFeed(options: ViewFeedOptions): ViewFeed {
 	const {now, random} = options;
 	const applyOptions: ApplyOptions = {
-		parse: createConfigReader(), isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0, ...options,
+		parse: createConfigReader(),
+		isNewer: (candidate, current) => compareConfigVersions(candidate, current) > 0,
+		// The first update of a connection has all parts.
+		onMissingPart() {
+			current?.close();
+		},
+		...options,
 	};
 	const stop = new AbortController();
 	let view: FedView = emptyView;
@@ -91,7 +97,9 @@
 		}
 
 		const {accepted} = view;
-		return accepted && {version: accepted.version, text: accepted.text};
+		return accepted && {
+			version: accepted.version, text: accepted.text, ...(accepted.parts && {parts: accepted.parts.map(({sha256, text}) => ({sha256, text}))}),
+		};
 	}
 
 	function onEvent(_peer: PeerHello, name: string, body: unknown) {
--- a/src/adapters/view-feed/publish-view.ts
+++ b/src/adapters/view-feed/publish-view.ts
@@ -2,10 +2,13 @@
  * The agent's end of the view feed: sends the entry what changed.
  */
 import {type Milliseconds} from '../../ports/clock.js';
+import {type AcceptedConfig} from '../../ports/config.js';
 import {type Incarnation} from '../../ports/ids.js';
 import {type FleetView, type HostStatus, type ServerStatus} from '../../ports/view.js';
 import {type PeerConnection} from '../peer-tcp/index.js';
-import {feedEvents, type FeedPing, type FeedUpdate} from './_lib/messages.js';
+import {
+	feedEvents, type FeedConfig, type FeedPing, type FeedUpdate,
+} from './_lib/messages.js';
 
 /** An update without news still goes out this often, so that the entry knows that its agent lives. */
 const keepAliveMs = 500;
@@ -15,6 +18,8 @@
 	ping: {at: Milliseconds; receivedAt: Milliseconds} | undefined;
 	sent: FleetView | undefined;
 	sentAt: Milliseconds;
+	/** The last configuration with which the entry said that it decides. */
+	confirmed: AcceptedConfig | undefined;
 };
 
 export type ViewPublisher = {
@@ -45,14 +50,32 @@
 	return prev && prev !== next ? [...prev.keys()].filter(key => !next.has(key)) : [];
 }
 
-function toUpdate(view: FleetView, {sent, ping}: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'incarnationFloor'> {
+/**
+ * The entry decides with what it confirmed last, or with something that was sent
+ * since: what was sent last, or, had it refused that, one before. A part that
+ * stands in the first and in the last of these is there in all but an odd case,
+ * in which the entry connects anew and gets everything.
+ */
+function toFeedConfig({version, text, parts}: AcceptedConfig, {sent, confirmed}: Subscriber): FeedConfig {
+	if (!parts) {
+		return {version, text};
+	}
+
+	const toDigests = (config: AcceptedConfig | undefined) => new Set(config?.parts?.map(({sha256}) => sha256));
+	const [last, first] = [toDigests(sent?.accepted), toDigests(confirmed)];
+	const news = parts.filter(({sha256}) => !last.has(sha256) || !first.has(sha256));
+	return {version, text, parts: news.map(part => ({sha256: part.sha256, text: part.text}))};
+}
+
+function toUpdate(view: FleetView, subscriber: Subscriber, now: Milliseconds): Omit<FeedUpdate, 'incarnationFloor'> {
 	const {accepted} = view;
+	const {sent, ping} = subscriber;
 	const isNewConfig = accepted !== undefined && sent?.accepted?.version.digest !== accepted.version.digest;
 	return {
 		echoAt: ping?.at ?? 0,
 		echoAgeMs: ping ? now - ping.receivedAt : 0,
 		whole: sent === undefined,
-		config: isNewConfig ? {version: accepted.version, text: accepted.text} : undefined,
+		config: isNewConfig ? toFeedConfig(accepted, subscriber) : undefined,
 		hosts: toChanged<string, HostStatus>(view.hosts, sent?.hosts),
 		hostsGone: toGone(view.hosts, sent?.hosts),
 		servers: toChanged<string, ServerStatus>(view.servers, sent?.servers).map(({id, leaving, load, loadAt, reachable, reachableAt}) => ({
@@ -82,17 +105,19 @@
 	return {
 		add(connection) {
 			subscribers.set(connection, {
-				connection, ping: undefined, sent: undefined, sentAt: 0,
+				connection, ping: undefined, sent: undefined, sentAt: 0, confirmed: undefined,
 			});
 			void (async () => {
 				await connection.closed;
 				subscribers.delete(connection);
 			})();
 		},
-		notePing(connection, {at}, now) {
+		notePing(connection, {at, configVersion}, now) {
 			const subscriber = subscribers.get(connection);
 			if (subscriber) {
+				const last = subscriber.sent?.accepted;
 				subscriber.ping = {at, receivedAt: now};
+				subscriber.confirmed = last && last.version.digest === configVersion?.digest ? last : subscriber.confirmed;
 			}
 		},
 		publish(view, incarnationFloor, now) {
--- /dev/null
+++ b/src/programs/agent/_lib/fetch-document.ts
@@ -0,0 +1,148 @@
+/** Fetches a document from a peer, as the chunks that are not here. */
+import {err, type Result} from 'neverthrow';
+import {isRecord} from '../../../_lib/is-record/index.js';
+import {fromConfigChunks} from '../../../domain/from-config-chunks/index.js';
+import {type ConfigManifest} from '../../../domain/to-config-chunks/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type NamedPart} from '../../../ports/config.js';
+import {type HostId} from '../../../ports/ids.js';
+import {type ConfigOfferOptions} from './hold-documents.js';
+import {peerCalls} from './peer-messages.js';
+
+export const chunksInCall = 128;
+export const partsInCall = 64;
+const callTimeoutMs = 3000;
+
+export type DocumentKind = 'config' | 'fleet';
+
+/** A document as it came, to be judged. */
+export type OfferedDocument = ConfigOfferOptions & {
+	text: string;
+	revision: number;
+};
+
+export type FetchDocumentOptions = {
+	kind: DocumentKind;
+	call: (host: HostId, method: string, body: unknown, options: {timeoutMs: Milliseconds}) => Promise<Result<unknown, {message: string}>>;
+	/** Judges a document that came from a peer; returns the parts that it needs besides. */
+	offer: (document: OfferedDocument, from: HostId) => readonly NamedPart[];
+	/** Chunks by digest that are here; those that come are added. */
+	known: Map<string, string>;
+};
+
+function isManifest(value: unknown): value is ConfigManifest & {revision: number} {
+	return isRecord(value) && typeof value.digest === 'string' && value.chunkDigests instanceof Uint8Array && typeof value.revision === 'number';
+}
+
+function isChunks(value: unknown): value is string[] {
+	return Array.isArray(value) && value.every(chunk => typeof chunk === 'string');
+}
+
+/** Fetches chunks into `known`; returns why it could not. */
+async function fetchChunks(from: HostId, digests: readonly string[], {kind, call, known}: FetchDocumentOptions): Promise<string | undefined> {
+	for (let start = 0; start < digests.length; start += chunksInCall) {
+		const part = digests.slice(start, start + chunksInCall);
+		const reply = await call(from, peerCalls.chunks, {kind, digests: part}, {timeoutMs: callTimeoutMs});
+		if (reply.isErr()) {
+			return reply.error.message;
+		}
+
+		if (!isChunks(reply.value) || reply.value.length !== part.length) {
+			return 'the chunks are not what was asked for';
+		}
+
+		for (const [i, digest] of part.entries()) {
+			known.set(digest, reply.value[i]!);
+		}
+	}
+
+	return undefined;
+}
+
+/** Puts a text together from the chunks that are known and those of a peer. */
+async function fetchText(from: HostId, manifest: ConfigManifest, options: FetchDocumentOptions): Promise<Result<string, string>> {
+	const find = (digest: string) => options.known.get(digest);
+	const first = fromConfigChunks(manifest, find);
+	if (first.isErr() && first.error.kind === 'missing') {
+		const failure = await fetchChunks(from, first.error.digests, options);
+		if (failure !== undefined) {
+			return err(failure);
+		}
+	}
+
+	return fromConfigChunks(manifest, find).mapErr(({kind}) => `its chunks do not make up its document (${kind})`);
+}
+
+/** Fetches parts into `texts`; returns why it could not. */
+async function fetchParts(from: HostId, parts: readonly NamedPart[], texts: Map<string, string>, options: FetchDocumentOptions): Promise<string | undefined> {
+	const {kind, call} = options;
+	for (let start = 0; start < parts.length; start += partsInCall) {
+		const wanted = parts.slice(start, start + partsInCall).map(({sha256}) => sha256);
+		const reply = await call(from, peerCalls.manifest, {kind, parts: wanted}, {timeoutMs: callTimeoutMs});
+		if (reply.isErr()) {
+			return reply.error.message;
+		}
+
+		if (!Array.isArray(reply.value) || reply.value.length !== wanted.length) {
+			return 'the manifests of its parts are malformed';
+		}
+
+		for (const [i, digests] of (reply.value as unknown[]).entries()) {
+			if (!(digests instanceof Uint8Array)) {
+				return 'it has another document by now';
+			}
+
+			const text = await fetchText(from, {digest: wanted[i]!, chunkDigests: digests}, options);
+			if (text.isErr()) {
+				return text.error;
+			}
+
+			texts.set(wanted[i]!, text.value);
+		}
+	}
+
+	return undefined;
+}
+
+/**
+ * Fetches the document of one peer and has it judged.
+ *
+ * @param from - The peer.
+ * @param options - See {@link FetchDocumentOptions}.
+ * @returns Why it could not.
+ */
+export async function fetchDocument(from: HostId, options: FetchDocumentOptions): Promise<string | undefined> {
+	const {kind, call, offer} = options;
+	const manifest = await call(from, peerCalls.manifest, {kind}, {timeoutMs: callTimeoutMs});
+	if (manifest.isErr()) {
+		return manifest.error.message;
+	}
+
+	if (!isManifest(manifest.value)) {
+		return 'its manifest is malformed';
+	}
+
+	const {revision} = manifest.value;
+	const fetched = await fetchText(from, manifest.value, options);
+	if (fetched.isErr()) {
+		return fetched.error;
+	}
+
+	const text = fetched.value;
+	const missing = offer({text, revision, isQuiet: true}, from);
+	if (missing.length === 0) {
+		return undefined;
+	}
+
+	const texts = new Map<string, string>();
+	const failure = await fetchParts(from, missing, texts, options);
+	if (failure !== undefined) {
+		return failure;
+	}
+
+	// Missed again, they have been replaced in force meanwhile by a newer document.
+	const missed = offer({
+		text, revision, isQuiet: true, findPart: ({sha256}) => texts.get(sha256),
+	}, from);
+	return missed.length > 0 ? 'other parts are in force by now' : undefined;
+}
--- a/src/programs/agent/_lib/hold-documents.ts
+++ b/src/programs/agent/_lib/hold-documents.ts
@@ -5,12 +5,31 @@
 import {createConfigReader} from '../../../domain/parse-config/index.js';
 import {parseFleetList} from '../../../domain/parse-fleet-list/index.js';
 import {toDigest} from '../../../_lib/to-digest/index.js';
-import {type ConfigVersion} from '../../../ports/config.js';
+import {
+	type ConfigPart, type ConfigVersion, type FindPart, type NamedPart,
+} from '../../../ports/config.js';
 import {type FleetList} from '../../../ports/platform.js';
 
 export type HeldDocument = {
 	version: ConfigVersion;
 	text: string;
+	/** Of a document in parts. */
+	parts?: readonly ConfigPart[];
+};
+
+/** What came of a configuration that was offered. */
+export type ConfigOffer = {
+	/** What is in force has changed. */
+	isNews: boolean;
+	/** Parts that it names and that were not found. */
+	missing: readonly NamedPart[];
+};
+
+export type ConfigOfferOptions = {
+	/** Looks for parts that are not in force. */
+	findPart?: FindPart;
+	/** Says nothing of missing parts, which are fetched next. */
+	isQuiet?: boolean;
 };
 
 /** A configuration document that was not taken. */
@@ -33,8 +52,8 @@
 	config: () => HeldDocument | undefined;
 	fleet: () => HeldDocument | undefined;
 	notices: () => DocumentNotices;
-	/** Judges a configuration document; `source` is for the log. Returns whether what is in force has changed. */
-	offerConfig: (text: string, revision: number, source: string) => boolean;
+	/** Judges a configuration document; `source` is for the log. */
+	offerConfig: (text: string, revision: number, source: string, options?: ConfigOfferOptions) => ConfigOffer;
 	/** Judges a list of hosts and servers. Returns whether it was taken. */
 	offerFleet: (text: string, revision: number, source: string) => boolean;
 };
@@ -60,31 +79,43 @@
 		}
 	}
 
+	/** Told once, and again when other parts are missing than before. */
+	function noteRefused(digest: string, refused: RefusedDocument) {
+		const isKnown = digest === refusedDigest;
+		if (isKnown && (refused.kind !== 'parts-missing' || refused.reason === notices.refused?.reason)) {
+			return;
+		}
+
+		refusedDigest = digest;
+		notices = {...notices, refused};
+		if (!isKnown) {
+			onRefused();
+		}
+
+		log.warn('configuration refused', refused);
+	}
+
 	return {
 		config: table.accepted,
 		fleet: () => fleet,
 		notices: () => notices,
-		offerConfig(text, revision, source) {
-			const verdict = acceptConfig(table.accepted(), {text, revision}, {read});
+		offerConfig(text, revision, source, {findPart, isQuiet = false} = {}) {
+			const verdict = acceptConfig(table.accepted(), {text, revision, ...(findPart && {findPart})}, {read});
 			if (verdict.status === 'refused') {
-				const digest = toDigest(text);
-				if (digest !== refusedDigest) {
-					refusedDigest = digest;
-					const refused = {
-						revision, from: source, kind: verdict.reason, reason: verdict.message,
-					};
-					notices = {...notices, refused};
-					onRefused();
-					log.warn('configuration refused', refused);
+				const {reason: kind, message: reason, missing} = verdict;
+				if (!isQuiet || missing.length === 0) {
+					noteRefused(toDigest(text), {
+						revision, from: source, kind, reason,
+					});
 				}
 
-				return false;
+				return {isNews: false, missing};
 			}
 
 			table.setConfig(verdict.accepted);
 			if (verdict.status === 'unchanged') {
 				clearRefused(revision);
-				return false;
+				return {isNews: false, missing: []};
 			}
 
 			const {edition, digest} = verdict.accepted.version;
@@ -99,7 +130,7 @@
 				log.warn('configuration accepted over another', {edition, reason: warning});
 			}
 
-			return true;
+			return {isNews: true, missing: []};
 		},
 		offerFleet(text, revision, source) {
 			if (fleet && revision <= fleet.version.revision) {
--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -7,15 +7,15 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ConfigVersion} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
-import {type FleetList} from '../../../ports/platform.js';
+import {type FleetList, type PlatformFailure, type PlatformValue} from '../../../ports/platform.js';
 import {type AgentOptions} from './agent-types.js';
-import {holdDocuments, type DocumentNotices} from './hold-documents.js';
+import {holdDocuments, type ConfigOffer, type DocumentNotices} from './hold-documents.js';
 import {type KnownVersions, type ShortVersion} from './peer-messages.js';
 import {type Pauses} from './mind-pauses.js';
-import {
-	spreadDocument, type DocumentKind, type DocumentSpread, type SpreadDocumentOptions,
-} from './spread-document.js';
-import {watchPlatform} from './watch-platform.js';
+import {createPartReader} from './read-parts.js';
+import {type DocumentKind, type OfferedDocument} from './fetch-document.js';
+import {spreadDocument, type DocumentSpread, type SpreadDocumentOptions} from './spread-document.js';
+import {watchPlatform, type Taken} from './watch-platform.js';
 
 /** Time in which a starting agent learns from its peers, before it listens to a platform that may be stale. */
 const joinMs = 3000;
@@ -50,7 +50,7 @@
 	/** Whether a peer has lately named a newer configuration than the one in force here. */
 	isBehind: () => boolean;
 	/** Judges a configuration that this host's entry still holds. */
-	takeFromEntry: (text: string, revision: number) => void;
+	takeFromEntry: (document: OfferedDocument) => void;
 	/** Answers a peer's call for one of the documents. */
 	serve: (kind: DocumentKind, method: string, body: unknown) => unknown;
 	/** Settles once the signal has aborted. */
@@ -78,27 +78,24 @@
 		},
 	});
 
-	/** Judges a document; `source` is for the log. Returns whether it has come in force. */
-	function take(kind: DocumentKind, {text, revision}: {text: string; revision: number}, origin: HostId, source: string = origin): boolean {
-		const isTaken = kind === 'config' ? held.offerConfig(text, revision, source) : held.offerFleet(text, revision, source);
-		if (!isTaken) {
-			return false;
-		}
+	/** Judges a document; `source` is for the log. */
+	function take(kind: DocumentKind, {text, revision, ...partOptions}: OfferedDocument, origin: HostId, source: string = origin): ConfigOffer {
+		const offer = kind === 'config' ? held.offerConfig(text, revision, source, partOptions) : {isNews: held.offerFleet(text, revision, source), missing: []};
+		if (offer.isNews) {
+			if (kind === 'config') {
+				options.keepOnly?.(new Set(table.accepted()!.config.servers.map(({id}) => id)));
+			}
 
-		if (kind === 'config') {
-			options.keepOnly?.(new Set(table.accepted()!.config.servers.map(({id}) => id)));
+			onNews(origin);
 		}
 
-		onNews(origin);
-		return true;
+		return offer;
 	}
 
 	const createSpread = (kind: DocumentKind) => spreadDocument({
 		kind,
 		held: held[kind],
-		offer(text, revision, from) {
-			take(kind, {text, revision}, from);
-		},
+		offer: (document, from) => take(kind, document, from).missing,
 		call,
 		onFailure(message, from) {
 			log.debug('a document was not fetched', {kind, peer: from, reason: message});
@@ -117,26 +114,60 @@
 		return isInformed || settings.seeds.length === 0 || now() - startedAt >= joinMs;
 	}
 
+	const isReader = () => hasJoined() && options.isReadingTurn(now() - (confirmedAt() ?? startedAt));
+	const onRead = () => {
+		counts.platformReads += 1;
+	};
+
+	const onFailure = ({kind, message}: PlatformFailure) => {
+		log.debug('the platform was not read', {kind, reason: message});
+	};
+
+	const partReader = createPartReader({
+		platform: options.platform,
+		isWanted: () => isReader() && !spreads.config.isBehind(),
+		isAlone: () => !heardFromPeer,
+		onRead,
+		onFailure,
+		random,
+		signal,
+	});
+
+	/** Judges what the platform serves, and reads the parts of it that are not here. */
+	async function takeFromPlatform(key: DocumentKind, {value: text, revision}: PlatformValue): Promise<Taken> {
+		const before = held[key]();
+		let offer = take(key, {text, revision, isQuiet: true}, hostId, 'platform');
+		if (offer.missing.length > 0) {
+			const isAnswered = await partReader.read(offer.missing);
+			offer = take(key, {
+				text, revision, findPart: partReader.toText, isQuiet: !isAnswered,
+			}, hostId, 'platform');
+		}
+
+		if (offer.missing.length > 0) {
+			return 'unfinished';
+		}
+
+		if (key === 'config') {
+			partReader.forget();
+		}
+
+		// The text in force under a later revision may be an old text in the place of a new one.
+		const isHeld = before !== undefined && before.version.revision >= revision && (key === 'fleet' || before.text === text);
+		return offer.isNews || isHeld ? 'taken' : 'refused';
+	}
+
 	const watch = async (key: DocumentKind) => watchPlatform({
 		platform: options.platform,
 		key,
-		isReader: () => hasJoined() && options.isReadingTurn(now() - (confirmedAt() ?? startedAt)),
+		isReader,
 		waitMs: settings.platformWait,
-		onValue({value: text, revision}) {
-			const before = held[key]();
-			const isNews = take(key, {text, revision}, hostId, 'platform');
-			// The text in force under a later revision may be an old text in the place of a new one.
-			return isNews || (before !== undefined && before.version.revision >= revision && (key === 'fleet' || before.text === text));
-		},
+		onValue: async value => takeFromPlatform(key, value),
 		onConfirmed(askedAt) {
 			table.noteConfirmed(pauses.toSoundTime(askedAt));
 		},
-		onFailure({kind, message}) {
-			log.debug('the platform was not read', {kind, reason: message});
-		},
-		onRead() {
-			counts.platformReads += 1;
-		},
+		onFailure,
+		onRead,
 		now,
 		random,
 		signal,
@@ -168,8 +199,8 @@
 			const own = spreads.config.version();
 			return newest !== undefined && now() - newest.at < newestForMs && (own === undefined || compareConfigVersions(newest.version, own) > 0);
 		},
-		takeFromEntry(text, revision) {
-			take('config', {text, revision}, hostId, 'entry');
+		takeFromEntry(document) {
+			take('config', document, hostId, 'entry');
 		},
 		serve: (kind, method, body) => spreads[kind].serve(method, body),
 		done: Promise.all([watch('config'), watch('fleet')]),
--- a/src/programs/agent/_lib/peer-messages.ts
+++ b/src/programs/agent/_lib/peer-messages.ts
@@ -26,6 +26,7 @@
 } as const;
 
 export const peerCalls = {
+	/** Of a document, or with `parts` (digests) of parts of the one in force. */
 	manifest: 'manifest',
 	chunks: 'chunks',
 	reports: 'reports',
--- /dev/null
+++ b/src/programs/agent/_lib/read-parts.test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {errAsync, okAsync} from 'neverthrow';
+import {toNamed, toPart} from '../../../domain/_test/to-part-document.js';
+import {toPartKey} from '../../../domain/to-part-key/index.js';
+import {type PlatformFailure, type PlatformKey} from '../../../ports/platform.js';
+import {createPartReader, type ReadPartsOptions} from './read-parts.js';
+
+const parts = Array.from({length: 5}, (_, i) => toPart(`part-${i}`, `text ${i}`));
+const named = toNamed(parts);
+const overloaded: PlatformFailure = {kind: 'overloaded', message: 'budget spent'};
+
+function createReader(values: ReadonlyMap<string, string>, options: Partial<ReadPartsOptions> = {}, failAt = Infinity) {
+	const reads: PlatformKey[] = [];
+	const reader = createPartReader({
+		platform: {
+			read(key) {
+				reads.push(key);
+				const value = values.get(key);
+				return reads.length === failAt ? errAsync(overloaded) : okAsync(value === undefined ? undefined : {revision: 1, value});
+			},
+		},
+		isWanted: () => true,
+		isAlone: () => false,
+		onRead() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- reads are counted here
+		onFailure() {}, // eslint-disable-line @typescript-eslint/no-empty-function -- the result tells
+		random: () => 0,
+		signal: new AbortController().signal,
+		...options,
+	});
+	return {reader, reads};
+}
+
+const all = new Map(parts.map(part => [toPartKey(part) as string, part.text]));
+
+describe('createPartReader', () => {
+	it('reads what is missing and finds it by digest', async () => {
+		const {reader, reads} = createReader(all);
+		assert.equal(await reader.read(named), true);
+		assert.deepEqual(reads, named.map(part => toPartKey(part)));
+		assert.deepEqual(named.map(part => reader.toText(part)), parts.map(({text}) => text));
+	});
+
+	it('reads only what is left after the platform failed in between', async () => {
+		const {reader, reads} = createReader(all, {}, 3);
+		assert.equal(await reader.read(named), false);
+		assert.equal(reads.length, 3);
+		assert.equal(await reader.read(named), true);
+		assert.deepEqual(reads.slice(3), named.slice(2).map(part => toPartKey(part)));
+	});
+
+	it('reads a part again that was cut off', async () => {
+		const values = new Map([...all].map(([key, text]) => [key, text.slice(0, -1)]));
+		const {reader} = createReader(values);
+		await reader.read(named);
+		values.set(toPartKey(named[0]!), parts[0]!.text);
+		assert.equal(await reader.read(named), true);
+		assert.deepEqual(named.map(part => reader.toText(part) !== undefined), [true, false, false, false, false]);
+	});
+
+	it('forgets what is not asked for any more', async () => {
+		const {reader} = createReader(all);
+		await reader.read(named);
+		await reader.read(named.slice(0, 1));
+		assert.deepEqual(named.map(part => reader.toText(part) !== undefined), [true, false, false, false, false]);
+	});
+
+	it('answers although parts are missing, and stops asking when many are', async () => {
+		const {reader, reads} = createReader(new Map());
+		const many = toNamed(Array.from({length: 40}, (_, i) => toPart(`p${i}`, `t${i}`)));
+		assert.equal(await reader.read(many), true);
+		assert.equal(reads.length, 16);
+	});
+
+	it('stops once it is not for this host any more', async () => {
+		let left = 2;
+		const {reader, reads} = createReader(all, {
+			isWanted() {
+				left -= 1;
+				return left >= 0;
+			},
+		});
+		assert.equal(await reader.read(named), false);
+		assert.equal(reads.length, 2);
+	});
+
+	it('keeps a gap between reads behind the first ones, a longer one while it knows no other host', async () => {
+		const measure = async (isAlone: boolean) => {
+			const {reader} = createReader(all, {isAlone: () => isAlone, random: () => 0.5});
+			const startedAt = performance.now();
+			await reader.read(named);
+			return performance.now() - startedAt;
+		};
+
+		assert.ok(await measure(false) >= 140);
+		assert.ok(await measure(true) >= 900);
+	});
+});
--- a/src/programs/agent/_lib/serve-peers.ts
+++ b/src/programs/agent/_lib/serve-peers.ts
@@ -60,7 +60,8 @@
 		const reply = await connection.call(configCall, {}, {timeoutMs: configTimeoutMs});
 		const held = reply.unwrapOr(undefined) as FeedConfig | undefined;
 		if (held) {
-			documents.takeFromEntry(held.text, held.version.revision);
+			const texts = new Map(held.parts?.map(({sha256, text}) => [sha256, text]));
+			documents.takeFromEntry({text: held.text, revision: held.version.revision, findPart: ({sha256}) => texts.get(sha256)});
 		}
 	}
 
--- a/src/programs/agent/_lib/spread-document.ts
+++ b/src/programs/agent/_lib/spread-document.ts
@@ -1,22 +1,23 @@
 /**
  * Spreads one of the platform's documents between agents: whoever hears of a
- * newer version fetches it from one that has it, as the chunks it lacks.
+ * newer version fetches it from one that has it, as the chunks it lacks. Of a
+ * document in parts, the root goes first and then the parts that are not here.
  */
-import {type Result} from 'neverthrow';
 import {isRecord} from '../../../_lib/is-record/index.js';
 import {waitFor} from '../../../_lib/wait-for/index.js';
 import {compareConfigVersions} from '../../../domain/compare-config-versions/index.js';
-import {fromConfigChunks} from '../../../domain/from-config-chunks/index.js';
-import {toConfigChunks, type ConfigChunks, type ConfigManifest} from '../../../domain/to-config-chunks/index.js';
+import {toConfigChunks, type ConfigChunks} from '../../../domain/to-config-chunks/index.js';
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ConfigVersion} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
 import {bytesPerMebibyte, msPerSecond} from '../../../ports/units.js';
+import {
+	chunksInCall, fetchDocument, partsInCall, type FetchDocumentOptions,
+} from './fetch-document.js';
+import {type HeldDocument} from './hold-documents.js';
 import {peerCalls, type ShortVersion} from './peer-messages.js';
 
 const shortDigestLength = 16;
-const callTimeoutMs = 3000;
-const chunksInCall = 128;
 const retryMs = 200;
 const maxTries = 10;
 const maxHolders = 16;
@@ -24,15 +25,9 @@
 /** What one host serves its peers; beyond it they are sent to others, which have the document by then. */
 const servedBytesPerSecond = 4 * bytesPerMebibyte;
 
-export type DocumentKind = 'config' | 'fleet';
-
-export type SpreadDocumentOptions = {
-	kind: DocumentKind;
+export type SpreadDocumentOptions = Pick<FetchDocumentOptions, 'kind' | 'call' | 'offer'> & {
 	/** The document that is held. */
-	held: () => {version: ConfigVersion; text: string} | undefined;
-	/** Judges a document that came from a peer. */
-	offer: (text: string, revision: number, from: HostId) => void;
-	call: (host: HostId, method: string, body: unknown, options: {timeoutMs: Milliseconds}) => Promise<Result<unknown, {message: string}>>;
+	held: () => HeldDocument | undefined;
 	onFailure: (message: string, from: HostId) => void;
 	now: () => Milliseconds;
 	random: Random;
@@ -53,12 +48,19 @@
 	return {edition, revision, digest: digest.slice(0, shortDigestLength)};
 }
 
-function isManifest(value: unknown): value is ConfigManifest & {revision: number} {
-	return isRecord(value) && typeof value.digest === 'string' && value.chunkDigests instanceof Uint8Array && typeof value.revision === 'number';
-}
+type Cut = {
+	/** Of the document or its root. */
+	digest: string;
+	root: ConfigChunks;
+	/** By the parts' digests. */
+	parts: ReadonlyMap<string, ConfigChunks>;
+	/** Of root and parts. */
+	chunks: ReadonlyMap<string, string>;
+};
 
-function isChunks(value: unknown): value is string[] {
-	return Array.isArray(value) && value.every(chunk => typeof chunk === 'string');
+/** Manifests of parts; nothing for one that is not in force here. */
+function serveParts({parts}: Cut, digests: readonly unknown[]): ReadonlyArray<Uint8Array | undefined> {
+	return digests.slice(0, partsInCall).map(digest => parts.get(String(digest))?.manifest.chunkDigests);
 }
 
 /**
@@ -69,19 +71,26 @@
  */
 export function spreadDocument(options: SpreadDocumentOptions): DocumentSpread {
 	const {kind, held, offer, call, onFailure, now, random, signal} = options;
-	let cut: {digest: string; chunks: ConfigChunks} | undefined;
+	let cut: Cut | undefined;
 	let wanted: {version: ShortVersion; holders: Set<HostId>} | undefined;
 	let refused: string | undefined;
 	let isFetching = false;
 	let served = {bytes: 0, since: -Infinity};
 
-	function toChunks(): ConfigChunks | undefined {
+	/** Parts that stand in the next document too are not cut again. */
+	function toCut(): Cut | undefined {
 		const document = held();
 		if (document && cut?.digest !== document.version.digest) {
-			cut = {digest: document.version.digest, chunks: toConfigChunks(document.text)};
+			const {version: {digest}, text, parts = []} = document;
+			const before = cut?.parts;
+			const pieces = new Map(parts.map(part => [part.sha256, before?.get(part.sha256) ?? toConfigChunks(part.text)]));
+			const root = toConfigChunks(text);
+			cut = {
+				digest, root, parts: pieces, chunks: new Map([root, ...pieces.values()].flatMap(({chunks}) => [...chunks])),
+			};
 		}
 
-		return document && cut?.chunks;
+		return document && cut;
 	}
 
 	function countServed(bytes: number) {
@@ -97,71 +106,21 @@
 	}
 
 	function serve(method: string, body: unknown): unknown {
-		const chunks = toChunks();
-		if (!chunks) {
+		const own = toCut();
+		if (!own || !isRecord(body)) {
 			throw new Error(`no ${kind} here`);
 		}
 
 		if (method === peerCalls.manifest) {
-			return {...chunks.manifest, revision: held()!.version.revision};
+			return Array.isArray(body.parts) ? serveParts(own, body.parts) : {...own.root.manifest, revision: held()!.version.revision};
 		}
 
-		const digests = isRecord(body) && Array.isArray(body.digests) ? body.digests as unknown[] : [];
-		const found = digests.slice(0, chunksInCall).map(digest => typeof digest === 'string' ? chunks.chunks.get(digest) ?? '' : '');
+		const digests = Array.isArray(body.digests) ? body.digests as unknown[] : [];
+		const found = digests.slice(0, chunksInCall).map(digest => typeof digest === 'string' ? own.chunks.get(digest) ?? '' : '');
 		countServed(found.reduce((sum, chunk) => sum + chunk.length, 0));
 		return found;
 	}
 
-	async function fetchChunks(from: HostId, digests: readonly string[], known: Map<string, string>): Promise<string | undefined> {
-		for (let start = 0; start < digests.length; start += chunksInCall) {
-			const part = digests.slice(start, start + chunksInCall);
-			const reply = await call(from, peerCalls.chunks, {kind, digests: part}, {timeoutMs: callTimeoutMs});
-			if (reply.isErr()) {
-				return reply.error.message;
-			}
-
-			if (!isChunks(reply.value) || reply.value.length !== part.length) {
-				return 'the chunks are not what was asked for';
-			}
-
-			for (const [i, digest] of part.entries()) {
-				known.set(digest, reply.value[i]!);
-			}
-		}
-
-		return undefined;
-	}
-
-	/** Fetches the document of one peer; returns why it could not. */
-	async function fetchFrom(from: HostId): Promise<string | undefined> {
-		const manifest = await call(from, peerCalls.manifest, {kind}, {timeoutMs: callTimeoutMs});
-		if (manifest.isErr()) {
-			return manifest.error.message;
-		}
-
-		if (!isManifest(manifest.value)) {
-			return 'its manifest is malformed';
-		}
-
-		const {revision} = manifest.value;
-		const known = new Map(toChunks()?.chunks);
-		const first = fromConfigChunks(manifest.value, digest => known.get(digest));
-		if (first.isErr() && first.error.kind === 'missing') {
-			const failure = await fetchChunks(from, first.error.digests, known);
-			if (failure !== undefined) {
-				return failure;
-			}
-		}
-
-		const text = fromConfigChunks(manifest.value, digest => known.get(digest));
-		if (text.isErr()) {
-			return `its chunks do not make up its document (${text.error.kind})`;
-		}
-
-		offer(text.value, revision, from);
-		return undefined;
-	}
-
 	function isWanted(): boolean {
 		const version = held()?.version;
 		return wanted !== undefined && (!version || compareConfigVersions(wanted.version, toShort(version)) > 0);
@@ -172,7 +131,9 @@
 		for (let tries = 0; tries < maxTries && isWanted() && !signal.aborted; tries++) {
 			const holders = [...wanted!.holders];
 			const from = holders[Math.floor(random() * holders.length)]!;
-			const failure = await fetchFrom(from);
+			const failure = await fetchDocument(from, {
+				kind, call, offer, known: new Map(toCut()?.chunks),
+			});
 			if (failure === undefined) {
 				// Fetched and judged. If it is still not held it was refused, and will be again.
 				refused = isWanted() ? wanted!.version.digest : refused;
@@ -200,7 +161,7 @@
 
 			if (own && version.digest === toShort(own).digest) {
 				// The same text, which the platform has since served under a later revision.
-				offer(held()!.text, version.revision, from);
+				offer({text: held()!.text, revision: version.revision}, from);
 				return;
 			}
 
--- a/src/programs/agent/_lib/watch-platform.ts
+++ b/src/programs/agent/_lib/watch-platform.ts
@@ -18,6 +18,11 @@
 const firstRereadMs = msPerSecond;
 const maxRereadMs = 5 * msPerMinute;
 
+/** A part that was published after its root is missed for no longer than this: staff wait for it. */
+const maxPartsRereadMs = 10 * msPerSecond;
+
+export type Taken = 'taken' | 'refused' | 'unfinished';
+
 export type WatchOptions = {
 	platform: Platform;
 	key: PlatformKey;
@@ -25,8 +30,12 @@
 	isReader: () => boolean;
 	/** Longest wait of one watching read, milliseconds. */
 	waitMs: Milliseconds;
-	/** Judges a value. `false` when it is not what is held afterwards; it is then read again, see {@link createReread}. */
-	onValue: (value: PlatformValue) => boolean;
+	/**
+	 * Judges a value. `refused` when it is not what is held afterwards, and
+	 * `unfinished` when it could be once parts of it are there; it is then read
+	 * again, see {@link createReread}.
+	 */
+	onValue: (value: PlatformValue) => Promise<Taken>;
 	/** The platform answered; `askedAt` is when it was asked, monotonic. */
 	onConfirmed: (askedAt: Milliseconds) => void;
 	onFailure: (failure: PlatformFailure) => void;
@@ -49,8 +58,9 @@
 	let dueAt = Infinity;
 
 	return {
-		note(isTaken: boolean) {
-			waitMs = isTaken ? undefined : Math.min(waitMs === undefined ? firstRereadMs : waitMs * 2, maxRereadMs);
+		note(taken: Taken) {
+			const longestMs = taken === 'unfinished' ? maxPartsRereadMs : maxRereadMs;
+			waitMs = taken === 'taken' ? undefined : Math.min(waitMs === undefined ? firstRereadMs : waitMs * 2, longestMs);
 			dueAt = waitMs === undefined ? Infinity : now() + waitMs;
 		},
 		isDue: () => now() >= dueAt,
@@ -98,7 +108,7 @@
 		options.onConfirmed(askedAt);
 		if (result.value) {
 			seenRevision = result.value.revision;
-			reread.note(options.onValue(result.value));
+			reread.note(await options.onValue(result.value));
 		} else if (reread.isDue()) {
 			seenRevision = undefined;
 		}
--- /dev/null
+++ b/test/contracts/peer-parts.test.ts
@@ -0,0 +1,275 @@
+/** Documents in parts between the platform, agents and the entry. */
+import assert from 'node:assert/strict';
+import {after, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {listenPeers, type PeerConnection, type PeerHello} from '../../src/adapters/peer-tcp/index.js';
+import {
+	connectViewFeed, createViewPublisher, feedEvents, type FeedPing, type FeedUpdate,
+} from '../../src/adapters/view-feed/index.js';
+import {findAmong} from '../../src/domain/_test/to-part-document.js';
+import {toFleetConfig} from '../../src/domain/_test/to-fleet-config.js';
+import {parseConfig} from '../../src/domain/parse-config/index.js';
+import {sealParts, type SealedParts} from '../../src/domain/seal-parts/index.js';
+import {splitConfig} from '../../src/domain/split-config/index.js';
+import {toConfigText} from '../../src/domain/to-config-text/index.js';
+import {toPartKey} from '../../src/domain/to-part-key/index.js';
+import {type AcceptedConfig} from '../../src/ports/config.js';
+import {type FleetView} from '../../src/ports/view.js';
+import {type Agent} from '../../src/programs/agent/_lib/start-agent.js';
+import {startPlatformStandIn, type PlatformStandIn} from '../stand-ins/platform/index.js';
+import {now, runAgent, until} from './_lib/run-agents.js';
+
+const whole = toConfigText(toFleetConfig(2000, 900)).replace('10.0.0.1:80', '127.0.0.1:9').replace('10.0.0.2:80', '127.0.0.1:10');
+const source = splitConfig(whole, (_, position) => position % 100 === 0)._unsafeUnwrap();
+const texts = new Map(source.parts.map(({name, text}) => [name, text]));
+const closers: Array<() => Promise<void>> = [];
+
+after(async () => {
+	for (const close of closers.reverse()) {
+		await close();
+	}
+});
+
+/** The next edition, with one rule renamed and so one part changed. */
+function toEdition(previous: SealedParts | undefined, renamed: string): SealedParts {
+	const find = (name: string) => name === 'rules-003' ? texts.get(name)!.replace('"r205"', `"${renamed}"`) : texts.get(name);
+	return sealParts(source.root, find, previous?.text)._unsafeUnwrap();
+}
+
+function toChanged(next: SealedParts, before: SealedParts) {
+	return next.parts.filter(({sha256}) => !before.parts.some(part => part.sha256 === sha256));
+}
+
+function publish(platform: PlatformStandIn, {text, parts}: SealedParts): void {
+	for (const part of parts) {
+		if (!(toPartKey(part) in platform.judge().revisions)) {
+			platform.publish(toPartKey(part), part.text);
+		}
+	}
+
+	platform.publish('config', text);
+}
+
+const toEditionOf = (agent: Agent) => agent.view().accepted?.version.edition;
+
+/** A platform and six agents of one zone, two of which read it. */
+async function startZone() {
+	const platform = await startPlatformStandIn({fleet: {hosts: [], servers: []}});
+	const first = toEdition(undefined, 'first');
+	publish(platform, first);
+	const start = async (hostId: string, seeds: readonly string[]) => {
+		const agent = await runAgent({
+			hostId, zone: 'a', platformUrl: platform.url, seeds,
+		});
+		closers.push(agent.stop);
+		return agent;
+	};
+
+	const agents = [await start('a-1', [])];
+	const seeds = [`127.0.0.1:${agents[0]!.peerPort}`];
+	for (const hostId of ['a-2', 'a-3', 'a-4', 'a-5', 'a-6']) {
+		agents.push(await start(hostId, seeds));
+	}
+
+	closers.push(platform.stop);
+	await until('everybody sees everybody', () => agents.every(agent => [...agent.view().hosts.values()].filter(({life}) => life === 'alive').length === 6));
+	await until('the first edition is everywhere', () => agents.every(agent => toEditionOf(agent) === 1));
+	return {
+		platform, agents, first, seeds, start,
+	};
+}
+
+describe('a document in parts', () => {
+	it('comes in force on all hosts, and a change brings the changed part alone from the platform', async () => {
+		const {platform, agents, first} = await startZone();
+		const second = toEdition(first, 'second');
+		const before = platform.judge();
+		publish(platform, second);
+		await until('the edit is everywhere', () => agents.every(agent => toEditionOf(agent) === 2));
+		const [changed] = toChanged(second, first);
+		const expected = parseConfig(second.text, {findPart: findAmong(second.parts)})._unsafeUnwrap();
+		for (const agent of agents) {
+			assert.deepEqual(agent.view().accepted!.config, expected);
+		}
+
+		const served = platform.judge().servedBytes - before.servedBytes;
+		const most = 2 * (second.text.length + changed!.bytes);
+		assert.ok(served > 0 && served <= most, `${served} bytes by two readers, at most ${most}`);
+	});
+
+	it('stays as it is while a part of the next one is missing, which staff are told, and follows once it is there', async () => {
+		const {platform, agents, first} = await startZone();
+		const second = toEdition(first, 'second');
+		const [changed] = toChanged(second, first);
+		const revision = platform.publish('config', second.text);
+		const told = () => agents.filter(agent => agent.notices().refused?.revision === revision);
+		await until('the refusal', () => told().length > 0);
+		const {kind, reason} = told()[0]!.notices().refused!;
+		assert.equal(kind, 'parts-missing');
+		assert.ok(reason.includes(`rules-003 under ${toPartKey(changed!)}`), reason);
+		assert.ok(agents.every(agent => toEditionOf(agent) === 1));
+
+		platform.publish(toPartKey(changed!), changed!.text.slice(0, -30));
+		await sleep(2500);
+		assert.ok(agents.every(agent => toEditionOf(agent) === 1));
+
+		platform.publish(toPartKey(changed!), changed!.text);
+		await until('the edit is everywhere', () => agents.every(agent => toEditionOf(agent) === 2));
+		assert.ok(agents.every(agent => agent.notices().refused === undefined));
+	});
+
+	it('gives way to a later whole one although parts of it never come', async () => {
+		const {platform, agents, first} = await startZone();
+		const second = toEdition(first, 'second');
+		platform.publish('config', second.text);
+		const third = toEdition(second, 'third');
+		publish(platform, third);
+		await until('the later edit is everywhere', () => agents.every(agent => toEditionOf(agent) === 3));
+	});
+
+	it('reaches a new host from its peers while the platform is down or has lost a part', async () => {
+		const {platform, agents, first, seeds, start} = await startZone();
+		platform.publish(toPartKey(first.parts[2]!), 'lost');
+		const late = await start('a-7', seeds);
+		await until('the document', () => toEditionOf(late) === 1);
+		platform.setFaults({down: true});
+		const later = await start('a-8', seeds);
+		await until('the document', () => toEditionOf(later) === 1);
+		assert.deepEqual(later.view().accepted!.config, agents[0]!.view().accepted!.config);
+	});
+
+	it('reaches the entry, of a change the changed part alone, and a restarted agent from its entry', async () => {
+		const platform = await startPlatformStandIn({fleet: {hosts: [], servers: []}});
+		const first = toEdition(undefined, 'first');
+		const second = toEdition(first, 'second');
+		publish(platform, first);
+		const settings = {hostId: 'a-1', zone: 'a', platformUrl: platform.url};
+		const agent = await runAgent(settings);
+		const hello: PeerHello = {
+			host: 'a-1', zone: 'a', role: 'entry', incarnation: 7,
+		};
+		const entry = connectViewFeed({
+			agentAddress: `127.0.0.1:${agent.peerPort}`, hello, entryAddress: '127.0.0.1:7', onView() {}, now, random: Math.random, // eslint-disable-line @typescript-eslint/no-empty-function -- the view is looked at elsewhere
+		});
+		closers.push(platform.stop, entry.close);
+		await until('the first edition', () => entry.view().accepted?.version.edition === 1);
+		publish(platform, second);
+		await until('the second edition', () => entry.view().accepted?.version.edition === 2);
+		assert.deepEqual(entry.view().accepted, agent.view().accepted);
+		await agent.stop();
+
+		platform.setFaults({down: true});
+		const restarted = await runAgent({...settings, peerPort: agent.peerPort});
+		closers.push(restarted.stop);
+		await until('the document of its entry', () => toEditionOf(restarted) === 2);
+		assert.deepEqual(restarted.view().accepted!.parts, second.parts);
+	});
+});
+
+describe('createViewPublisher of parts', () => {
+	const editions = [toEdition(undefined, 'first')];
+	editions.push(toEdition(editions[0], 'second'), toEdition(editions[0], 'third'));
+
+	function toView(edition: SealedParts): FleetView {
+		const {text, parts} = edition;
+		const accepted: AcceptedConfig = {
+			version: {edition: edition.edition, revision: editions.indexOf(edition), digest: edition.digest}, config: parseConfig(text, {findPart: findAmong(parts)})._unsafeUnwrap(), text, parts,
+		};
+		return {
+			accepted, hosts: new Map(), servers: new Map(), platformConfirmedAt: undefined, receivedAt: 0,
+		};
+	}
+
+	/** A publisher whose entry is a mere list of updates. */
+	function subscribe() {
+		const updates: FeedUpdate[] = [];
+		const connection = {
+			closed: new Promise<string>(() => {}), // eslint-disable-line @typescript-eslint/no-empty-function -- it stays open
+			send(_name: string, body: unknown) {
+				updates.push(body as FeedUpdate);
+				return true;
+			},
+		} as unknown as PeerConnection;
+		const publisher = createViewPublisher();
+		publisher.add(connection);
+		const ping = (edition: SealedParts | undefined) => {
+			publisher.notePing(connection, {
+				at: 1, entryAddress: '', incarnation: 1, configVersion: edition && {edition: edition.edition, revision: 1, digest: edition.digest},
+			}, 1);
+		};
+
+		return {publisher, ping, toSent: () => updates.at(-1)!.config?.parts?.length};
+	}
+
+	const [first, second, third] = editions as [SealedParts, SealedParts, SealedParts];
+	const all = first.parts.length;
+
+	it('sends all parts until the entry confirms what it decides with, and then those that changed', () => {
+		const {publisher, ping, toSent} = subscribe();
+		ping(undefined);
+		const sent = [first, second].map(edition => {
+			publisher.publish(toView(edition), 0, 1);
+			return toSent();
+		});
+		ping(second);
+		publisher.publish(toView(third), 0, 2);
+		assert.deepEqual([...sent, toSent()], [all, all, 1]);
+	});
+
+	it('sends a part again that was away in between, and one that the entry may have refused', () => {
+		const {publisher, ping, toSent} = subscribe();
+		ping(undefined);
+		publisher.publish(toView(first), 0, 1);
+		ping(first);
+		publisher.publish(toView(second), 0, 2);
+		// The entry has not said that it took the second: it may decide with either.
+		publisher.publish(toView(third), 0, 3);
+		assert.equal(toSent(), 1);
+		publisher.publish(toView(first), 0, 4);
+		assert.equal(toSent(), 1);
+	});
+
+	it('gives everything to an entry that connects anew for want of a part', async () => {
+		const publisher = createViewPublisher();
+		const connections: PeerConnection[] = [];
+		const view = toView(first);
+		const listener = await listenPeers({
+			bind: '127.0.0.1',
+			port: 0,
+			hello: {
+				host: 'a-1', zone: 'a', role: 'agent', incarnation: 1,
+			},
+			onConnect: publisher.add,
+			onEvent(_peer, _name, body, connection) {
+				publisher.notePing(connection, body as FeedPing, 1);
+				if (connections.length > 0) {
+					publisher.publish(view, 0, 1);
+				} else {
+					// As if the entry had all the parts.
+					connection.send(feedEvents.update, {
+						echoAt: 0,
+						echoAgeMs: 0,
+						whole: false,
+						config: {version: view.accepted!.version, text: first.text, parts: []},
+						hosts: [],
+						hostsGone: [],
+						servers: [],
+						serversGone: [],
+						confirmedAgeMs: undefined,
+						incarnationFloor: 0,
+					} satisfies FeedUpdate);
+				}
+
+				connections.push(connection);
+			},
+		});
+		const entry = connectViewFeed({
+			agentAddress: `127.0.0.1:${listener.port}`, hello: {
+				host: 'a-1', zone: 'a', role: 'entry', incarnation: 2,
+			}, entryAddress: '127.0.0.1:7', onView() {}, now, random: Math.random, // eslint-disable-line @typescript-eslint/no-empty-function -- the view is looked at elsewhere
+		});
+		closers.push(listener.close, entry.close);
+		await until('the whole document', () => entry.view().accepted?.version.digest === first.digest);
+		assert.equal(new Set(connections).size, 2);
+	});
+});
