--- a/src/programs/cli/_lib/create-process-io.ts
+++ b/src/programs/cli/_lib/create-process-io.ts
@@ -1,5 +1,5 @@
 /** Files, hosts and output of the real process. */
-import {readFile, writeFile} from 'node:fs/promises';
+import {mkdir, readFile, writeFile} from 'node:fs/promises';
 import process from 'node:process';
 import {text as readStream} from 'node:stream/consumers';
 import ModernError from 'modern-errors';
@@ -28,6 +28,7 @@
 			error => toFileFailure(path, 'read', error),
 		),
 		writeText: (path, text) => ResultAsync.fromPromise(writeFile(path, text), error => toFileFailure(path, 'written', error)),
+		makeFolder: path => ResultAsync.fromPromise(mkdir(path, {recursive: true}), error => toFileFailure(path, 'made', error)).map(() => undefined),
 		fetchJson: (host, path, options) => ResultAsync.fromPromise(
 			fetchJson(host, path, options, process.env.BANYANPORT_OPERATOR_TOKEN),
 			error => toHostFailure(host, error),
@@ -41,7 +42,8 @@
 const fileRemedies: Readonly<Record<string, string>> = {
 	ENOENT: 'there is no such file: check the path',
 	EACCES: 'you may not: check its permissions',
-	EISDIR: 'it is a folder: name a file in it',
+	EISDIR: 'it is a folder without root.yaml or root.json: name a file in it',
+	EEXIST: 'a file has this name: name a folder',
 };
 
 function toFileFailure(path: string, verb: string, error: unknown): AccessFailure {
--- a/src/programs/cli/_lib/io.ts
+++ b/src/programs/cli/_lib/io.ts
@@ -28,6 +28,8 @@
 	/** Reads a file, or the standard input for `-`. */
 	readText: (path: string) => ResultAsync<string, AccessFailure>;
 	writeText: (path: string, text: string) => ResultAsync<void, AccessFailure>;
+	/** Makes a folder unless it is there. */
+	makeFolder: (path: string) => ResultAsync<void, AccessFailure>;
 	/** Gets a JSON document from an operators' port. */
 	fetchJson: (host: string, path: string, options: FetchOptions) => ResultAsync<unknown, AccessFailure>;
 	env: Readonly<Record<string, string | undefined>>;
--- a/src/programs/cli/_lib/read-config.ts
+++ b/src/programs/cli/_lib/read-config.ts
@@ -10,13 +10,19 @@
 import {
 	type AccessFailure, type CliIo, type CommandResult, exitCodes, toJsonText,
 } from './io.js';
+import {
+	findInFiles, readDocumentFiles, toFileFault, toPartFile, type DocumentFiles,
+} from './read-folder.js';
 
 /** The largest value that the platform holds. */
 export const maxDocumentBytes = bytesPerMebibyte;
 
 export type CheckedConfig = {
 	text: string;
+	/** Of all its files. */
 	bytes: number;
+	/** Number of its parts; 0 for a document in one file. */
+	parts: number;
 	seal: ConfigSeal;
 	config: Config;
 };
@@ -27,37 +33,57 @@
  * Reads a document and checks its size, its end and its content.
  *
  * @param io - Reads the file.
- * @param file - Path, or `-` for the standard input.
+ * @param file - Path of the document, or of the root or folder of one in parts; `-` for the standard input.
  * @returns The configuration, why the file can't be read, or all faults.
  */
 export async function readConfig(io: CliIo, file: string): Promise<Result<CheckedConfig, ReadConfigFailure>> {
-	const read = await io.readText(file);
+	const read = await readDocumentFiles(io, file);
 	if (read.isErr()) {
 		return err({kind: 'access', failure: read.error});
 	}
 
-	const text = read.value;
+	const files = read.value;
+	const {text} = files;
 	const seal = checkSeal(text);
-	const parsed = parseConfig(text, {file, maxYamlBytes: Infinity});
-	const bytes = Buffer.byteLength(text);
-	const isLargeYaml = bytes > maxYamlBytes && !text.trimStart().startsWith('{');
+	const parsed = parseConfig(text, {
+		file: files.file, maxYamlBytes: Infinity, isSource: files.parts !== undefined, findPart: findInFiles(files), toPartFile: toPartFile(files),
+	});
 	const lastLine = text.trimEnd().split('\n').length;
 	const faults = [
-		...(parsed.isErr() ? parsed.error : []),
+		...(parsed.isErr() ? parsed.error.map(fault => toFileFault(files, fault)) : []),
 		// A missing end is already among the faults of the content.
-		...(seal.isErr() && (seal.error.kind !== 'incomplete' || parsed.isOk()) ? [toDocumentFault(file, lastLine, seal.error.message)] : []),
-		...(bytes > maxDocumentBytes ? [toDocumentFault(file, lastLine, `the document has ${bytes} bytes and the platform holds ${maxDocumentBytes}: name workspaces in lists and share routes`)] : []),
-		...(isLargeYaml ? [toDocumentFault(file, lastLine, `the YAML has ${bytes} bytes and hosts read at most ${maxYamlBytes}: publish it as JSON, written by "banyanport seal --to json"`)] : []),
+		...(seal.isErr() && (seal.error.kind !== 'incomplete' || parsed.isOk()) ? [toDocumentFault(files.file, lastLine, seal.error.message)] : []),
+		...toSizeFaults(files, lastLine),
 	];
 	if (parsed.isErr() || seal.isErr() || faults.length > 0) {
 		return err({kind: 'faults', faults});
 	}
 
+	const texts = [text, ...[...files.parts?.values() ?? []].map(part => part.text)];
 	return ok({
-		text, bytes, seal: seal.value, config: parsed.value,
+		text,
+		bytes: texts.reduce((sum, part) => sum + Buffer.byteLength(part), 0),
+		parts: files.parts?.size ?? 0,
+		seal: seal.value,
+		config: parsed.value,
 	});
 }
 
+/** Of a folder what counts is what `seal` writes, which checks it. */
+function toSizeFaults({file, text, parts}: DocumentFiles, lastLine: number): readonly ConfigFault[] {
+	if (parts) {
+		return [];
+	}
+
+	const bytes = Buffer.byteLength(text);
+	const isLargeYaml = bytes > maxYamlBytes && !text.trimStart().startsWith('{');
+	const largeRemedy = 'name workspaces in lists, share routes, or split it with "banyanport split"';
+	return [
+		...(bytes > maxDocumentBytes ? [toDocumentFault(file, lastLine, `the document has ${bytes} bytes and the platform holds ${maxDocumentBytes}: ${largeRemedy}`)] : []),
+		...(isLargeYaml ? [toDocumentFault(file, lastLine, `the YAML has ${bytes} bytes and hosts read at most ${maxYamlBytes}: publish it as JSON, written by "banyanport seal --to json"`)] : []),
+	];
+}
+
 /**
  * Ends a command whose document can't be used.
  *
--- /dev/null
+++ b/src/programs/cli/_lib/read-folder.ts
@@ -0,0 +1,129 @@
+/** Reads a document with its parts, which stand in one folder: `root.yaml` or `root.json`, and a file for each part under the part's name. */
+import path from 'node:path';
+import {err, ok, type Result} from 'neverthrow';
+import {readPlainValues, type ConfigFault} from '../../../domain/parse-config/index.js';
+import {isRecord} from '../../../_lib/is-record/index.js';
+import {toDigest} from '../../../_lib/to-digest/index.js';
+import {type FindPart} from '../../../ports/config.js';
+import {type AccessFailure, type CliIo} from './io.js';
+
+const endings = ['.yaml', '.yml', '.json'] as const;
+
+export type TextFile = {file: string; text: string};
+
+export type DocumentFiles = TextFile & {
+	/** Files of its parts by name; `undefined` for a document in one file. A part without file is left out. */
+	parts: ReadonlyMap<string, TextFile> | undefined;
+};
+
+/**
+ * Reads the files of a document.
+ *
+ * @param io - Reads files.
+ * @param given - A document in one file, a root document, or the folder of one; `-` for the standard input.
+ * @returns The texts, or what can't be read.
+ */
+export async function readDocumentFiles(io: CliIo, given: string): Promise<Result<DocumentFiles, AccessFailure>> {
+	const root = await readRoot(io, given);
+	if (root.isErr()) {
+		return err(root.error);
+	}
+
+	const names = toPartNames(root.value.text);
+	if (!names) {
+		return ok({...root.value, parts: undefined});
+	}
+
+	const parts = new Map<string, TextFile>();
+	for (const name of names) {
+		const part = await readOneOf(io, path.join(path.dirname(root.value.file), name));
+		if (part.isErr()) {
+			return err(part.error);
+		}
+
+		if (part.value) {
+			parts.set(name, part.value);
+		}
+	}
+
+	return ok({...root.value, parts});
+}
+
+/** The given path may be a folder; what it says as a file is told when it is neither. */
+async function readRoot(io: CliIo, given: string): Promise<Result<TextFile, AccessFailure>> {
+	const text = await io.readText(given);
+	if (text.isOk() || given === '-') {
+		return text.map(value => ({file: given, text: value}));
+	}
+
+	const root = await readOneOf(io, path.join(given, 'root'));
+	return root.andThen(found => found ? ok(found) : err(text.error));
+}
+
+/** Two files for one part may be an edit in the one and not in the other. */
+async function readOneOf(io: CliIo, base: string): Promise<Result<TextFile | undefined, AccessFailure>> {
+	const found: TextFile[] = [];
+	for (const ending of endings) {
+		const text = await io.readText(base + ending);
+		if (text.isOk()) {
+			found.push({file: base + ending, text: text.value});
+		}
+	}
+
+	return found.length > 1
+		? err({message: `there are both ${found[0]!.file} and ${found[1]!.file}: keep the one that is meant`})
+		: ok(found[0]);
+}
+
+/** Names that could lead out of the folder are left to the faults of the document. */
+function toPartNames(text: string): readonly string[] | undefined {
+	const list = /\bparts"?\s*:/.test(text) ? readPlainValues(text)?.parts : undefined;
+	if (!Array.isArray(list)) {
+		return undefined;
+	}
+
+	const names = list.map((part: unknown) => isRecord(part) ? part.name : part);
+	return names.filter(name => typeof name === 'string').filter(name => /^[\w-]+$/.test(name));
+}
+
+/**
+ * Finds parts among files. A sealed root names digests, and a file that was
+ * changed since is not the part.
+ *
+ * @param files - Files of a document.
+ * @returns A function for `parseConfig`.
+ */
+export function findInFiles({parts}: DocumentFiles): FindPart {
+	return ({name, sha256}) => {
+		const text = parts?.get(name)?.text;
+		return text !== undefined && (sha256 === '' || toDigest(text) === sha256) ? text : undefined;
+	};
+}
+
+/**
+ * Names the file of a part.
+ *
+ * @param files - Files of a document.
+ * @returns A function for `parseConfig`; of a part without file it gives the name that one would have.
+ */
+export function toPartFile({file, parts}: DocumentFiles): (name: string) => string {
+	return name => parts?.get(name)?.file ?? path.join(path.dirname(file), `${name}.json`);
+}
+
+/**
+ * Says of a missing part what to do with its file, in place of what to publish.
+ *
+ * @param files - Files of a document.
+ * @param fault - A fault of the document.
+ * @returns The fault for people.
+ */
+export function toFileFault(files: DocumentFiles, fault: ConfigFault): ConfigFault {
+	if (!fault.missing || fault.missing.sha256 === '') {
+		return fault;
+	}
+
+	const {name} = fault.missing;
+	const file = toPartFile(files)(name);
+	const problem = files.parts?.has(name) ? `${file} is not the part ${JSON.stringify(name)} that this sealed root names` : `the part ${JSON.stringify(name)} is not there: no file ${file}`;
+	return {...fault, problem, remedy: 'seal the folder again with "banyanport seal", or put the file back'};
+}
--- a/src/programs/cli/run-check/index.ts
+++ b/src/programs/cli/run-check/index.ts
@@ -23,13 +23,14 @@
 	return endUnusable(io, file, read.error, options.json);
 }
 
-function toSummary(file: string, {seal, config, bytes}: CheckedConfig) {
+function toSummary(file: string, {seal, config, bytes, parts}: CheckedConfig) {
 	return {
 		file,
 		valid: true,
 		kind: seal.kind,
 		edition: seal.edition,
 		bytes,
+		parts,
 		zones: config.zones.length,
 		hosts: config.hosts.length,
 		servers: config.servers.length,
@@ -40,7 +41,7 @@
 }
 
 function toText(file: string, checked: CheckedConfig): string {
-	const {kind, edition, zones, hosts, servers, rules} = toSummary(file, checked);
-	const end = edition > 0 ? `${kind}, edition ${edition}` : kind;
+	const {kind, edition, parts, zones, hosts, servers, rules} = toSummary(file, checked);
+	const end = [kind, ...(edition > 0 ? [`edition ${edition}`] : []), ...(parts > 0 ? [`${parts} parts`] : [])].join(', ');
 	return `${file}: valid (${end}): ${rules} rules, ${servers} servers, ${hosts} hosts, ${zones} zones\n`;
 }
--- a/src/programs/cli/run-cli/index.ts
+++ b/src/programs/cli/run-cli/index.ts
@@ -12,6 +12,7 @@
 import {runSeal} from '../run-seal/index.js';
 import {runSettings, type SettingsProgram} from '../run-settings/index.js';
 import {runSlo} from '../run-slo/index.js';
+import {runSplit} from '../run-split/index.js';
 import {runStatus} from '../run-status/index.js';
 
 const exitCodeHelp = `
@@ -73,25 +74,30 @@
 type Finish = (result: CommandResult) => void;
 
 const jsonHelp = 'write JSON for programs';
+const documentHelp = 'configuration document, YAML or JSON; of one in parts its folder or its root';
 
 function addDocumentCommands(program: Command, io: CliIo, finish: Finish): void {
 	program.command('check')
 		.description('Report everything that is wrong with a document, with line, column and remedy.')
-		.argument('<file>', 'configuration document, YAML or JSON')
+		.argument('<file>', documentHelp)
 		.option('--json', jsonHelp, false)
-		.addHelpText('after', toExamples('banyanport check rules.yaml', 'banyanport check rules.yaml --json'))
+		.addHelpText('after', toExamples('banyanport check rules.yaml', 'banyanport check rules.yaml --json', 'banyanport check rules/'))
 		.action(async (file: string, options: {json: boolean}) => {
 			finish(await runCheck(io, file, options));
 		});
 
 	program.command('seal')
 		.description('Write the complete document with its edition, the digest of the one it follows, and its own digest.')
-		.argument('<file>', 'document to seal; an earlier seal in it is replaced')
-		.option('--follows <old>', 'the document in force, which this one follows')
-		.option('--output <out>', 'file to write (default: the standard output)')
+		.argument('<file>', 'document to seal, or the folder or root of one in parts; an earlier seal in it is replaced')
+		.option('--follows <old>', 'the document in force, or its folder or root, which this one follows')
+		.option('--output <out>', 'file to write (default: the standard output); for a document in parts a folder, which must be named')
 		.addOption(new Option('--to <format>', 'write JSON whatever the input is; hosts read large documents faster so').choices(['json']))
 		.option('--json', 'write the result as a JSON object', false)
-		.addHelpText('after', toExamples('banyanport seal rules.yaml --output first.yaml', 'banyanport seal rules.yaml --follows in-force.yaml --output next.yaml'))
+		.addHelpText('after', toExamples(
+			'banyanport seal rules.yaml --output first.yaml',
+			'banyanport seal rules.yaml --follows in-force.yaml --output next.yaml',
+			'banyanport seal rules/ --follows in-force/ --output next/',
+		))
 		.action(async (file: string, options: {follows?: string; output?: string; to?: 'json'; json: boolean}) => {
 			const {follows, output, to, json} = options;
 			finish(await runSeal(io, file, {
@@ -99,10 +105,21 @@
 			}));
 		});
 
+	program.command('split')
+		.description('Make a folder with a root and parts out of a document in one file, to be edited and sealed there.')
+		.argument('<file>', 'configuration document, YAML or JSON')
+		.requiredOption('--output <folder>', 'folder to write')
+		.option('--entries <count>', 'rules, servers or hosts in a part', toCount, 100)
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport split rules.yaml --output rules/', 'banyanport split rules.json --entries 50 --output rules/'))
+		.action(async (file: string, options: {output: string; entries: number; json: boolean}) => {
+			finish(await runSplit(io, file, {...options, entries: Math.max(1, options.entries)}));
+		});
+
 	program.command('diff')
 		.description('Show which requests change their way, on samples made from both rule lists.')
-		.argument('<old>', 'document in force')
-		.argument('<new>', 'document that shall follow')
+		.argument('<old>', 'document in force, or its folder or root')
+		.argument('<new>', 'document that shall follow, or its folder or root')
 		.option('--samples <count>', 'mixtures of values to try beside one request a rule', toCount, 5000)
 		.option('--json', jsonHelp, false)
 		.addHelpText('after', toExamples('banyanport diff in-force.yaml rules.yaml', 'banyanport diff in-force.yaml rules.yaml --samples 50000 --json'))
@@ -125,7 +142,7 @@
 function addExplain(program: Command, io: CliIo, finish: Finish): void {
 	program.command('explain')
 		.description('Say which rule decides about a request, and why each earlier one does not.')
-		.argument('<file>', 'configuration document, YAML or JSON')
+		.argument('<file>', documentHelp)
 		.option('--workspace <name>', 'workspace of the caller (default: one that no rule names)')
 		.option('--model <name>', 'model that the request names')
 		.option('--path <path>', 'path of the request (default: /v1/completions with a model, / without)')
--- a/src/programs/cli/run-cli/test.ts
+++ b/src/programs/cli/run-cli/test.ts
@@ -34,6 +34,7 @@
 			written[path] = text;
 			return okAsync();
 		},
+		makeFolder: () => okAsync(),
 		fetchJson(host, path) {
 			const missing = {message: `${host} can't be asked`, ...(host.startsWith('h:') && {status: 404})};
 			return documents[host + path] === undefined ? errAsync(missing) : okAsync(documents[host + path]);
@@ -122,6 +123,62 @@
 		assert.match(altered.out, /changed after it was sealed; seal it again/);
 	});
 
+	const lettersRule = '  - {name: letters, when: {model: letter-summary}, then: summary}\n';
+	const folder = {
+		'rules/root.yaml': naslovnik.replace('zones:', 'parts: [desk, letters]\nzones:').replace(/^rules:[^]*(?= {2}- {name: everything else)/m, 'rules:\n'),
+		'rules/desk.yaml': `${/^rules:[^]*(?= {2}- {name: letters)/m.exec(naslovnik)![0]}end: banyanport\n`,
+		'rules/letters.yaml': `rules:\n${lettersRule}end: banyanport\n`,
+	};
+	const faultyLetters = {...folder, 'rules/letters.yaml': folder['rules/letters.yaml'].replace('summary}\nend', 'sumary}\nend')};
+	const {'rules/letters.yaml': letters, ...withoutLetters} = folder;
+
+	const folderCases: Array<[args: string, code: number, text: RegExp, files?: Readonly<Record<string, string>>]> = [
+		['check rules', 0, /^rules: valid \(plain, 2 parts\): 6 rules, 17 servers, 8 hosts, 4 zones\n$/],
+		['check rules/root.yaml', 0, /valid \(plain, 2 parts\)/],
+		['check rules', 1, /^rules\/letters\.yaml:2:\d+: there is no route "sumary"; write "summary"/, faultyLetters],
+		['check rules', 1, /^rules\/root\.yaml:\d+:\d+: the part "letters" is not there; write the file letters\.yaml or letters\.json beside the root/, withoutLetters],
+		['check rules', 1, /rules\/letters\.yaml:\d+:\d+: the part does not end with its end mark/, {...folder, 'rules/letters.yaml': letters.replace('end: banyanport\n', '')}],
+		['check rules', 3, /both rules\/letters\.yaml and rules\/letters\.json: keep the one/, {...folder, 'rules/letters.json': '{}'}],
+		['check nowhere', 3, /nowhere can't be read/],
+		['diff a.yaml rules', 0, /^0 of \d+ sample requests change/],
+		['explain rules --model letter-summary', 0, /rule 5 "letters" decides/],
+		['seal rules', 2, /name a folder of its own/],
+		['seal rules --output rules', 2, /name a folder of its own/],
+		['seal rules --output next', 1, /rules\/letters\.yaml:2:\d+: there is no route "sumary"[^]*was not sealed/, faultyLetters],
+	];
+	for (const [args, code, text, given = folder] of folderCases) {
+		it(`ends "banyanport ${args}" of a folder with ${code} and ${String(text).slice(1, 40)}`, async () => {
+			const result = await run(args.split(' '), {...files, ...given});
+			assert.equal(result.code, code, result.out + result.errors);
+			assert.match(result.errors + result.out, text);
+		});
+	}
+
+	it('seals a folder edition by edition, and lists the changed parts and then the root to publish', async () => {
+		const first = await run(['seal', 'rules', '--follows', 'a.yaml', '--output', 'first'], {...files, ...folder});
+		const steps = first.out.replaceAll(/[\da-f]{16}/g, '#').split('\n');
+		assert.deepEqual(steps, ['publish in this order, the root last:', '  config.desk.#  first/desk.json', '  config.letters.#  first/letters.json', '  config  first/root.json', '']);
+		const edited = {...folder, 'rules/letters.yaml': letters.replace('name: letters', 'name: all letters')};
+		const second = await run(['seal', 'rules', '--follows', 'first', '--output', 'second'], {...edited, ...first.written});
+		assert.match(second.out, /:\n {2}config\.letters\.[\da-f]{16} {2}second\/letters\.json\n {2}config {2}second\/root\.json\n1 other parts/);
+		assert.equal(checkSeal(second.written['second/root.json']!)._unsafeUnwrap().edition, 2);
+		const whole = await run(['check', 'second'], second.written);
+		assert.equal(whole.code, 0, whole.out);
+		const older = await run(['check', 'second'], {...second.written, 'second/letters.json': first.written['first/letters.json']!});
+		assert.match(older.out, /second\/letters\.json is not the part "letters" that this sealed root names; seal the folder again/);
+		const undone = await run(['seal', 'first', '--follows', 'second', '--output', 'third'], {...first.written, ...second.written});
+		assert.match(undone.out, /config\.letters\./);
+	});
+
+	it('splits a document into a folder that means the same', async () => {
+		const split = await run(['split', 'a.yaml', '--entries', '2', '--output', 'folder'], files);
+		assert.match(split.out, /a root and \d+ parts are in folder; edit them there, then "banyanport seal folder/);
+		const diff = await run(['diff', 'a.yaml', 'folder'], {...files, ...split.written});
+		assert.match(diff.out, /^0 of/);
+		const faults = await run(['split', 'faulty.yaml', '--output', 'folder'], files);
+		assert.equal(faults.code, 1);
+	});
+
 	it('refuses YAML that hosts do not read, and turns it into JSON that they do', async () => {
 		const large = {'large.yaml': `${`# ${'x'.repeat(98)}\n`.repeat(700)}${naslovnik}`};
 		for (const command of ['check', 'seal']) {
--- a/src/programs/cli/run-seal/index.ts
+++ b/src/programs/cli/run-seal/index.ts
@@ -1,21 +1,24 @@
-/** `banyanport seal`: writes a complete document with edition, predecessor and digest. */
+/** `banyanport seal`: writes a complete document with edition, predecessor and digest, in one file or in parts. */
 import {Buffer} from 'node:buffer';
+import path from 'node:path';
 import {err, ok, type Result} from 'neverthrow';
 import {parseConfig} from '../../../domain/parse-config/index.js';
 import {sealConfig, type SealedConfig, type SealFailure} from '../../../domain/seal-config/index.js';
 import {toConfigText} from '../../../domain/to-config-text/index.js';
 import {splitConfigEnd, addPlainEnd} from '../../../_lib/split-config-end/index.js';
 import {
-	type CliIo, type CommandResult, exitCodes, toJsonText,
+	type AccessFailure, type CliIo, type CommandResult, exitCodes, toJsonText,
 } from '../_lib/io.js';
 import {maxDocumentBytes, toFaultText} from '../_lib/read-config.js';
+import {readDocumentFiles, type DocumentFiles} from '../_lib/read-folder.js';
+import {sealFiles, toPublishSteps, writeSealed} from '../_lib/seal-folder.js';
 
 export type RunSealOptions = {
 	/** File of the document in force; without it the result is edition 1. */
 	follows: string | undefined;
-	/** Where the sealed document goes; the standard output without it. */
+	/** Where the sealed document goes; the standard output without it. For a document in parts a folder, which must be named. */
 	output: string | undefined;
-	/** Writes JSON whatever the input is. */
+	/** Writes JSON whatever the input is, as is always done with parts. */
 	to: 'json' | undefined;
 	json: boolean;
 };
@@ -24,17 +27,22 @@
  * Seals a document.
  *
  * @param io - Input and output.
- * @param file - Path of the document, or `-`.
+ * @param file - Path of the document, or of the root or folder of one in parts; or `-`.
  * @param options - What it follows and where it goes.
  * @returns 0 when it was written, 1 when it has faults.
  */
 export async function runSeal(io: CliIo, file: string, options: RunSealOptions): Promise<CommandResult> {
-	const [text, previous] = [await io.readText(file), options.follows === undefined ? ok(undefined) : await io.readText(options.follows)];
-	if (text.isErr() || previous.isErr()) {
-		return err(text.isErr() ? text.error : previous._unsafeUnwrapErr());
+	const read = await readDocumentFiles(io, file);
+	const previous = await readPrevious(io, options.follows);
+	if (read.isErr() || previous.isErr()) {
+		return err(read.isErr() ? read.error : previous._unsafeUnwrapErr());
 	}
 
-	const sealed = seal(text.value, previous.value, file, options.to);
+	if (read.value.parts) {
+		return runSealParts(io, read.value, previous.value, options);
+	}
+
+	const sealed = seal(read.value.text, previous.value, file, options.to);
 	if (sealed.isErr()) {
 		writeFailure(io, file, options, sealed.error);
 		return ok(exitCodes.faults);
@@ -51,6 +59,53 @@
 	return ok(exitCodes.fine);
 }
 
+async function readPrevious(io: CliIo, follows: string | undefined): Promise<Result<string | undefined, AccessFailure>> {
+	if (follows === undefined) {
+		return ok(undefined);
+	}
+
+	const files = await readDocumentFiles(io, follows);
+	return files.map(({text}) => text);
+}
+
+async function runSealParts(io: CliIo, files: DocumentFiles, previous: string | undefined, options: RunSealOptions): Promise<CommandResult> {
+	const {output, json} = options;
+	if (output === undefined || path.resolve(output) === path.resolve(path.dirname(files.file))) {
+		io.writeError(`${files.file} has parts: name a folder of its own for the sealed files with --output\n`);
+		return ok(exitCodes.usage);
+	}
+
+	const sealed = sealFiles(files, previous);
+	if (sealed.isErr()) {
+		writeFailure(io, files.file, options, sealed.error);
+		return ok(exitCodes.faults);
+	}
+
+	const written = await writeSealed(io, output, sealed.value);
+	if (written.isErr()) {
+		return err(written.error);
+	}
+
+	const {edition, follows, digest, parts} = sealed.value;
+	const publish = toPublishSteps(output, sealed.value, previous);
+	if (json) {
+		io.write(toJsonText({
+			edition, follows, digest, output, publish,
+		}));
+		return ok(exitCodes.fine);
+	}
+
+	const kept = parts.length + 1 - publish.length;
+	io.writeError(`sealed as edition ${edition}, ${toFollowsText(follows)}; written to ${output}\n`);
+	io.write([
+		'publish in this order, the root last:',
+		...publish.map(step => `  ${step.key}  ${step.file}`),
+		...(kept > 0 ? [`${kept} other parts are as in the document that it follows and stay as they are on the platform`] : []),
+		'',
+	].join('\n'));
+	return ok(exitCodes.fine);
+}
+
 function seal(text: string, previous: string | undefined, file: string, to: 'json' | undefined): Result<SealedConfig, SealFailure> {
 	const sealed = to === 'json' ? sealConfig(toJson(text), previous, {file, maxYamlBytes: Infinity}) : sealConfig(text, previous, {file});
 	return sealed.andThen(result => {
@@ -82,8 +137,11 @@
 		io.write(text);
 	}
 
-	const place = rest.follows === undefined ? 'follows nothing; name the document in force with --follows if there is one' : `follows ${rest.follows.slice(0, 12)}`;
-	io.writeError(`sealed as edition ${rest.edition}, ${place}${output === undefined ? '' : `; written to ${output}`}\n`);
+	io.writeError(`sealed as edition ${rest.edition}, ${toFollowsText(rest.follows)}${output === undefined ? '' : `; written to ${output}`}\n`);
+}
+
+function toFollowsText(follows: string | undefined): string {
+	return follows === undefined ? 'follows nothing; name the document in force with --follows if there is one' : `follows ${follows.slice(0, 12)}`;
 }
 
 function writeFailure(io: CliIo, file: string, {json}: RunSealOptions, failure: SealFailure): void {
