--- a/test/failures/config-never-reverts.test.ts
+++ b/test/failures/config-never-reverts.test.ts
@@ -1,8 +1,8 @@
 /*
  * Staff publish a change and every host answers by it within seconds. Then the
  * platform serves something old, half a document or nothing, hosts restart, a
- * zone is cut off, two operators seal from one edition, or an edit is bad. What
- * callers of any host see never goes back to an earlier edition, because a host
+ * zone is cut off, two operators seal from one edition, an edit is bad, or only
+ * some parts of a document in parts are there. What callers of any host see never goes back to an earlier edition, because a host
  * takes the highest version that it has seen, from the platform or from peers.
  */
 import assert from 'node:assert/strict';
@@ -11,6 +11,10 @@
 	after, afterEach, before, describe, it, type TestContext,
 } from 'node:test';
 import {sealConfig} from '../../src/domain/seal-config/index.js';
+import {sealParts} from '../../src/domain/seal-parts/index.js';
+import {splitConfig} from '../../src/domain/split-config/index.js';
+import {toPartKey} from '../../src/domain/to-part-key/index.js';
+import {type ConfigPart} from '../../src/ports/config.js';
 import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 
@@ -72,7 +76,7 @@
 	return Number(new RegExp(String.raw`${name}(?:\{[^}]*\})? (\d+)`).exec(text)?.[1] ?? Number.NaN);
 }
 
-type Status = {refused?: {revision: number}; warning?: string};
+type Status = {refused?: {revision: number; kind: string; reason: string}; warning?: string};
 
 async function readStatus(host: FleetHost): Promise<Status> {
 	const answer = await fetch(`${host.agentOperatorUrl}/status`, {signal: AbortSignal.timeout(2000)});
@@ -100,6 +104,21 @@
 		return {marker, text: sealConfig(toPlain(marker), previous)._unsafeUnwrap().text};
 	}
 
+	/** The next edition in parts, of which the part of rules is another each time. */
+	function toSealedParts(): {marker: number; text: string; parts: readonly ConfigPart[]} {
+		marker += 1;
+		const source = splitConfig(toPlain(marker), () => true)._unsafeUnwrap();
+		const texts = new Map(source.parts.map(({name, text}) => [name, text.replace('"desk changes"', `"desk changes ${marker}"`)]));
+		const {text, parts} = sealParts(source.root, name => texts.get(name), current.text)._unsafeUnwrap();
+		return {marker, text, parts};
+	}
+
+	function publishParts(parts: readonly ConfigPart[]): void {
+		for (const part of parts) {
+			fleet.platform.publish(toPartKey(part), part.text);
+		}
+	}
+
 	function publish(document: {marker: number; text: string}): Published {
 		const at = performance.now();
 		return {...document, revision: fleet.platform.publish('config', document.text), at};
@@ -281,6 +300,56 @@
 		});
 	}
 
+	const halfEdits: Array<{name: string; toServed: (part: ConfigPart, other: ConfigPart) => string | undefined}> = [
+		{name: 'is missing', toServed: () => undefined},
+		{name: 'is cut off', toServed: ({text}) => text.slice(0, -20)},
+		{name: 'is another one', toServed: (_, {text}) => text},
+	];
+	for (const {name, toServed} of halfEdits) {
+		it(`stays while a part of the next edit ${name}, which staff are told on every host, and follows once it is there`, async t => {
+			const {newer: good} = await putInForce();
+			const {parts, ...next} = toSealedParts();
+			const late = parts.find(part => part.name === 'rules-001')!;
+			const others = parts.filter(part => part !== late);
+			const served = toServed(late, others[0]!);
+			publishParts(others);
+			if (served !== undefined) {
+				fleet.platform.publish(toPartKey(late), served);
+			}
+
+			const {revision} = publish(next);
+			await waitUntilRefused(fleet.hosts, revision);
+			for (const host of fleet.hosts) {
+				const {refused} = await readStatus(host);
+				assert.equal(refused?.kind, 'parts-missing');
+				assert.ok(refused.reason.includes(`${late.name} under ${toPartKey(late)}`), refused.reason);
+			}
+
+			// A replaced host asks its peers and the platform, and gets what is in force.
+			await restart(fleet.hosts.slice(0, 1));
+			await waitUntilSeen(good);
+			publishParts([late]);
+			current = {...next, revision, at: performance.now()};
+			const spread = await waitUntilSeen(current);
+			t.diagnostic(`in force everywhere ${Math.max(...spread)} ms after the part was there`);
+		});
+	}
+
+	it('stays and reaches replaced hosts although the platform has lost a part of it', async () => {
+		await putInForce();
+		const {parts, ...next} = toSealedParts();
+		publishParts(parts);
+		current = publish(next);
+		await waitUntilSeen(current);
+		fleet.platform.publish(toPartKey(parts.find(part => part.name === 'rules-001')!), 'lost');
+		await restart(ofZone(near));
+		await waitUntil(async () => {
+			const markers = await Promise.all(ofZone(near).map(async host => readMarker(host)));
+			return markers.every(found => found === next.marker);
+		}, {deadlineMs, what: 'the document from peers'});
+		await waitUntilSeen(current);
+	});
+
 	for (const faults of [{down: true}, {garbage: true}]) {
 		it(`stays and reaches a replaced host while the platform is ${faults.down ? 'down' : 'answering garbage'}`, async () => {
 			const {newer} = await putInForce();
