Compile only the segments of rules in which a condition changed

After an edit the segments before and behind the changed rules are used again. The property over chains of edits compares with a whole compile.

--- a/bench/config-reading/index.ts
+++ b/bench/config-reading/index.ts
@@ -30,8 +30,8 @@
 	const config = toFleetConfig(rules, workspaces);
 	const read = createConfigReader();
 	const compiled = compileRules(read(toConfigText(config))._unsafeUnwrap());
-	const times: Record<'whole' | 'byLines' | 'compile' | 'compileAgain', number[]> = {
-		whole: [], byLines: [], compile: [], compileAgain: [],
+	const times: Record<'whole' | 'byLines' | 'compile' | 'compileAgain' | 'compileChanged', number[]> = {
+		whole: [], byLines: [], compile: [], compileAgain: [], compileChanged: [],
 	};
 	for (let round = 1; round <= rounds; round++) {
 		const text = toEdited(config, round);
@@ -40,6 +40,9 @@
 			next = read(text)._unsafeUnwrap();
 		}));
 		times.compileAgain.push(measure(() => compileRules(next!, compiled)));
+		const at = (round * 997) % (next!.rules.length - 1);
+		const changed = next!.rules.with(at, {...next!.rules[at]!, when: {path: `/round-${round}/`}});
+		times.compileChanged.push(measure(() => compileRules({rules: changed}, compiled)));
 		times.whole.push(measure(() => parseConfig(text)));
 		times.compile.push(measure(() => compileRules(next!)));
 	}
--- a/src/domain/compile-rules/test.ts
+++ b/src/domain/compile-rules/test.ts
@@ -22,7 +22,7 @@
 	it('uses the index again when only names and routes have changed', () => {
 		const before = compileRules({rules: toRules([{workspace: ['w1']}, {}])});
 		const renamed = toRules([{workspace: ['w1']}, {}]).map(rule => ({...rule, name: `${rule.name} later`}));
-		assert.equal(compileRules({rules: renamed}, before).root, before.root);
+		assert.equal(compileRules({rules: renamed}, before).segments[0]!.root, before.segments[0]!.root);
 	});
 
 	const changes: Array<[string, RuleWhen[]]> = [
@@ -34,8 +34,8 @@
 		it(`builds the index anew when ${name} has changed`, () => {
 			const before = compileRules({rules: toRules([{workspace: ['w1']}, {}])});
 			const after = compileRules({rules: toRules(whens)}, before);
-			assert.notEqual(after.root, before.root);
-			assert.deepEqual(after.root, compileRules({rules: toRules(whens)}).root);
+			assert.notEqual(after.segments[0]!.root, before.segments[0]!.root);
+			assert.deepEqual(after.segments, compileRules({rules: toRules(whens)}).segments);
 		});
 	}
 
@@ -49,4 +49,30 @@
 			}
 		}), {numRuns: 200});
 	});
+
+	it('lets the same rule be found in segments that are used again, after any edits', () => {
+		const edit = fc.record({at: fc.nat(40), gone: fc.nat(12), come: fc.array(anyWhen, {maxLength: 8})});
+		fc.assert(fc.property(fc.array(anyWhen, {maxLength: 40}), fc.array(edit, {minLength: 1, maxLength: 5}), fc.array(anyFacts, {minLength: 1, maxLength: 20}), (whens, edits, samples) => {
+			let current = whens;
+			let compiled = compileRules({rules: toRules(current)}, undefined, {segmentSize: 5});
+			for (const {at, gone, come} of edits) {
+				current = current.toSpliced(at, gone, ...come);
+				const rules = toRules(current);
+				compiled = compileRules({rules}, compiled, {segmentSize: 5});
+				assert.deepEqual(compiled.rules.map(({rule}) => rule), rules);
+				assert.ok(compiled.segments.length <= 2 * Math.ceil(rules.length / 5));
+				for (const sample of samples) {
+					assert.equal(matchRule(compiled, sample), matchRule(compileRules({rules}), sample));
+				}
+			}
+		}), {numRuns: 300});
+	});
+
+	it('indexes anew only the segments in which conditions changed', () => {
+		const whens = Array.from({length: 50}, (_, i): RuleWhen => ({workspace: [`w${i}`]}));
+		const before = compileRules({rules: toRules(whens)}, undefined, {segmentSize: 10});
+		const inserted = compileRules({rules: toRules(whens.toSpliced(25, 0, {model: ['m1']}))}, before, {segmentSize: 11});
+		const roots = new Set(before.segments.map(({root}) => root));
+		assert.deepEqual(inserted.segments.map(({start, root}) => [start, roots.has(root)]), [[0, true], [10, true], [20, false], [31, true], [41, true]]);
+	});
 });
--- a/src/domain/match-rule/index.ts
+++ b/src/domain/match-rule/index.ts
@@ -1,6 +1,6 @@
 /** Finds the rule that decides about a request. */
 import {type Rule} from '../../ports/config.js';
-import {type CompiledRules, type RequestFacts} from '../compile-rules/index.js';
+import {type CompiledRules, type RequestFacts, type RuleSegment} from '../compile-rules/index.js';
 
 /**
  * Finds the first rule all of whose conditions hold.
@@ -15,12 +15,21 @@
  * ```
  */
 export function matchRule(compiled: CompiledRules, facts: RequestFacts): Rule | undefined {
-	const position = findFirst(compiled, compiled.root, facts, Infinity);
-	return compiled.rules[position]?.rule;
+	for (const segment of compiled.segments) {
+		const position = findFirst({compiled, segment, facts}, segment.root, Infinity);
+		if (position < Infinity) {
+			return compiled.rules[segment.start + position]!.rule;
+		}
+	}
+
+	return undefined;
 }
 
+type Search = {compiled: CompiledRules; segment: RuleSegment; facts: RequestFacts};
+
 /** The first matching position below a node, or `best` when none comes before it. */
-function findFirst(compiled: CompiledRules, node: CompiledRules['root'], facts: RequestFacts, best: number): number {
+function findFirst(search: Search, node: RuleSegment['root'], best: number): number {
+	const {compiled, segment, facts} = search;
 	if (node.first >= best) {
 		return best;
 	}
@@ -30,7 +39,7 @@
 			return best;
 		}
 
-		if (compiled.rules[position]!.test(facts)) {
+		if (compiled.rules[segment.start + position]!.test(facts)) {
 			return position;
 		}
 	}
@@ -42,8 +51,8 @@
 	let found = best;
 	for (const key of node.split.toKeys(facts)) {
 		const child = node.split.children.get(key);
-		found = child ? findFirst(compiled, child, facts, found) : found;
+		found = child ? findFirst(search, child, found) : found;
 	}
 
-	return node.split.any ? findFirst(compiled, node.split.any, facts, found) : found;
+	return node.split.any ? findFirst(search, node.split.any, found) : found;
 }
