Look for dead rules only where conditions changed

Cause: a renamed rule without a workspace counted as new, had more than 16 rules to compare with, and so had all 11,000 looked at: 120 of 425 ms that a profile showed for 24 edits of a document in parts.

Change: a rule in the place of one with the same condition hides nothing new. That holds only where no other rule moved; with the check of that, or of the conditions, taken out, a test fails.

--- a/src/domain/parse-config/_lib/read-next.ts
+++ b/src/domain/parse-config/_lib/read-next.ts
@@ -4,7 +4,6 @@
 import {
 	type Config, type FindPart, type HostEntry, type Rule, type RuleThen, type ServerEntry,
 } from '../../../ports/config.js';
-import {findDeadRules, findTouchedRules} from '../../find-dead-rules/index.js';
 import {addEndFaults} from './check-end.js';
 import {
 	addEntryFaults, addListFaults, addMeaningFaults, type ToDeadRules, uniqueKeys,
@@ -21,6 +20,7 @@
 import {splitLines, type SplitText} from './split-lines.js';
 import {splitDocument, splitFreshPart, type SplitDocument} from './split-parts.js';
 import {toConfig} from './to-config.js';
+import {toDeadFinder} from './to-dead-finder.js';
 
 /** A document without faults. */
 export type SoundDocument = {
@@ -96,10 +96,11 @@
 		...others, routes, hosts: hosts.placed, servers: servers.placed, rules: rules.placed,
 	};
 	addEndFaults(data, text, faults);
+	const toDead = toDeadFinder(rules.pairs, last.config.rules);
 	if (isSameFrame) {
-		addFreshFaults(form, rest, sections, faults);
+		addFreshFaults(form, rest, {...sections, toDead}, faults);
 	} else {
-		addMeaningFaults(form, toPlain(rest, form), faults, toDeadFinder(rules.pairs));
+		addMeaningFaults(form, toPlain(rest, form), faults, toDead);
 	}
 
 	return faults.list().length > 0 ? undefined : toSoundDocument(form, after, rules.pairs.from.map(from => last.config.rules[from]));
@@ -244,12 +245,13 @@
  * entry that named nothing wrong still does not. What all entries say together
  * is checked as ever.
  */
-function addFreshFaults(form: Partial<DocumentForm> & Pick<DocumentForm, LongSection>, rest: Record<string, unknown>, {hosts, servers, rules}: Sections, faults: FaultSink): void {
+function addFreshFaults(form: Partial<DocumentForm> & Pick<DocumentForm, LongSection>, rest: Record<string, unknown>, sections: Sections & {toDead: ToDeadRules}, faults: FaultSink): void {
+	const {hosts, servers, rules, toDead} = sections;
 	const freshForm = {
 		...form, hosts: hosts.fresh, servers: servers.fresh, rules: rules.fresh,
 	};
 	addEntryFaults(freshForm, toPlain(rest, freshForm), faults);
-	addListFaults(form, undefined, faults, toDeadFinder(rules.pairs));
+	addListFaults(form, undefined, faults, toDead);
 	for (const [section, key] of uniqueKeys) {
 		if ((section === 'hosts' || section === 'servers' || section === 'rules') && hasDouble(form[section], freshForm[section], key)) {
 			faults.add([section], 'two entries have one name', 'give one of them another');
@@ -263,8 +265,3 @@
 	const names = new Set(fresh.map(entry => toName(entry)));
 	return names.size > 0 && all.filter(entry => names.has(toName(entry))).length > names.size;
 }
-
-/** No rule of the earlier document was dead, so only those that a new or moved one touches can be. */
-function toDeadFinder({added}: LinePairs): ToDeadRules {
-	return rules => findDeadRules(findTouchedRules(rules, added).map(position => rules[position]!));
-}
--- a/src/domain/parse-config/next.test.ts
+++ b/src/domain/parse-config/next.test.ts
@@ -44,6 +44,28 @@
 		}), {numRuns: 150});
 	});
 
+	it('finds the rules that a rule makes dead which got other conditions in its place', () => {
+		const at = soundLines.findIndex(line => line.includes('"r0"'));
+		for (const line of strayLines.slice(2, 4)) {
+			const read = createConfigReader();
+			assertSame(read, sound);
+			const text = soundLines.with(at, line).join('\n');
+			assert.ok(read(text).isErr());
+			assertSame(read, text);
+		}
+	});
+
+	it('finds a rule that is dead although one of the same condition stands in its old place', () => {
+		const read = createConfigReader();
+		assertSame(read, sound);
+		const at = soundLines.findIndex(line => line.includes('"r3"'));
+		const copy = soundLines[at]!.replace('"r3"', '"copy of r3"');
+		const lines = soundLines.toSpliced(at, 0, copy).filter(line => !line.includes('"r9"'));
+		assert.equal(lines.length, soundLines.length);
+		assert.match(read(lines.join('\n'))._unsafeUnwrapErr()[0]!.problem, /"r3" never decides/);
+		assertSame(read, lines.join('\n'));
+	});
+
 	const doubles = [
 		['a rule\'s name', '"rules": [', '{"name":"r3","when":{"path":"/new/"},"then":"route-1"},'],
 		['a server\'s id', '"servers": [', '{"id":"p","zone":"a","url":"http://10.0.0.9:80","role":"decode","pool":"summaries"},'],
