--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,7 +7,23 @@
 import process from 'node:process';
 
 const benches = [
-	'match-rule', 'config-chunks', 'config-reading', 'config-changes', 'placement', 'admission', 'claims', 'membership', 'zone-spread', 'spill', 'engine-stream', 'relay', 'metrics', 'slo', 'fleet', 'capacity', 'rollout',
+	'match-rule',
+	'config-chunks',
+	'config-reading',
+	'config-changes',
+	'placement',
+	'admission',
+	'claims',
+	'membership',
+	'zone-spread',
+	'spill',
+	'engine-stream',
+	'relay',
+	'metrics',
+	'slo',
+	'fleet',
+	'capacity',
+	'rollout',
 ] as const;
 
 type BenchName = typeof benches[number];
