Pass a plain service's short answer on once it is whole

Cause: an answer was passed on as it came.

Ruled out: a lost host, a takeover by the same key, the recording of keyed answers (the break came from the service, whose fault was on).

Change: an answer that tells a length up to 64 KiB is held until it is whole. If its service breaks, nothing has gone out yet: a call that may be repeated is sent again, the other ends with a problem document that says may-have-run. Longer answers, and those without a length, go out as they come, and are cut off as before.

Conclusion: a short answer is whole, or there is a word.

--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -1,6 +1,6 @@
 /**
- * One call of a plain service: the caller's body out, the service's answer back
- * as it comes.
+ * One call of a plain service: the caller's body out, the service's answer back.
+ * A short answer goes out once it is whole, a longer one as it comes.
  */
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
@@ -9,6 +9,7 @@
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
+import {createRelay} from './_lib/create-relay.js';
 
 export type PlainEnd =
 	| {kind: 'complete'; status: number}
@@ -43,7 +44,7 @@
 	const {exchange, server, signal} = send;
 	return new Promise(resolve => {
 		let status = 0;
-		let holdBack: ((bytes: Buffer) => void) | undefined;
+		const relay = createRelay(send);
 		dispatchCall({
 			dispatcher: send.dispatcher,
 			origin: server.url,
@@ -58,39 +59,20 @@
 			onStart(answerStatus, headers, flow) {
 				status = answerStatus;
 				send.onStart(status);
-				exchange.startStream(status, toForwardHeaders(headers, {drop: ['x-request-id']}));
-				holdBack = bytes => {
-					if (exchange.write(bytes)) {
-						return;
-					}
-
-					flow.pause();
-					void resumeOnceRead(exchange, send.idleTimeoutMs, flow.resume);
-				};
-			},
-			onData(bytes) {
-				holdBack?.(bytes);
+				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id']}), flow);
 			},
+			onData: relay.write,
 			onEnd() {
-				exchange.end();
+				relay.end();
 				resolve({kind: 'complete', status});
 			},
 			onFault(fault) {
 				if (fault.kind === 'aborted' && exchange.gone.aborted) {
 					resolve({kind: 'caller-gone'});
 				} else {
-					resolve({kind: status === 0 ? 'failed' : 'cut', fault});
+					resolve({kind: relay.hasBegun() ? 'cut' : 'failed', fault});
 				}
 			},
 		});
 	});
 }
-
-/** A caller that reads nothing for too long is cut off, and its going ends the call. */
-async function resumeOnceRead(exchange: CallerExchange, timeoutMs: Milliseconds, resume: () => void): Promise<void> {
-	if (await exchange.drained(timeoutMs)) {
-		resume();
-	} else {
-		exchange.destroy();
-	}
-}
