Split the search for a pair by job

Change: types, candidates, draws of a role, spill and plain search are modules of their own; findPair reads straight down: draw, own zone, never reported, spill, lax, last resort. The steps that were guarded inline are functions, whose comments give the failure that they are for. 'unheard' becomes 'never reported'.

--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -23,9 +23,10 @@
 import {tokensPerBlock as defaultTokensPerBlock} from '../to-prefix-blocks/index.js';
 import {createAnswerLengths} from './_lib/create-answer-lengths.js';
 import {createNotes, type Learnt} from './_lib/create-notes.js';
-import {createPairSearch, type Search} from './_lib/create-pair-search.js';
+import {createPairSearch} from './_lib/create-pair-search.js';
 import {createStanding} from './_lib/create-standing.js';
 import {createSubsets} from './_lib/create-subsets.js';
+import {type Search} from './_lib/search-types.js';
 import {type Pair} from './_lib/to-best-pair.js';
 import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
 import {noServerRetryAfterMs, toLookupRefusal, toRefusal} from './_lib/to-refusal.js';
@@ -126,7 +127,7 @@
 		spills.look(view, standing.cutZones(), now);
 		const base = {
 			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {
-				full: false, soft: false, lost: false, unheard: false,
+				full: false, soft: false, lost: false, neverReported: false,
 			},
 		};
 		if (!('model' in request)) {
--- a/src/domain/create-placement/zones.test.ts
+++ b/src/domain/create-placement/zones.test.ts
@@ -22,10 +22,17 @@
 	id: `${zone}-h`, zone, life, incarnation: 1, entryAddress: '', agentAddress: '', leaving: false,
 });
 
-type Change = {stepIn?: Record<string, number>; usedIn?: Record<string, number>; queuedIn?: Record<string, number>; lives?: Record<string, HostStatus['life']>; unreachable?: string; unheard?: string};
+type Change = {
+	stepIn?: Record<string, number>;
+	usedIn?: Record<string, number>;
+	queuedIn?: Record<string, number>;
+	lives?: Record<string, HostStatus['life']>;
+	unreachable?: string;
+	neverReported?: string;
+};
 
-const toFleet = (now: number, {stepIn = {}, usedIn = {}, queuedIn = {}, lives = {}, unreachable, unheard}: Change) => {
-	const statuses = servers.filter(({zone}) => zone !== unheard).map((entry): ServerStatus => ({
+const toFleet = (now: number, {stepIn = {}, usedIn = {}, queuedIn = {}, lives = {}, unreachable, neverReported}: Change) => {
+	const statuses = servers.filter(({zone}) => zone !== neverReported).map((entry): ServerStatus => ({
 		...toStatus(entry, now),
 		load: toReport(entry, entry.role === 'decode'
 			? {slotsUsed: usedIn[entry.zone] ?? 0, tokensPerSecond: 1000 / (stepIn[entry.zone] ?? 20)}
@@ -55,7 +62,7 @@
 		['spills to its region when its prefill queues would miss the target', {queuedIn: {a: 40_000}}, {b: 60}],
 		['spills to its region when tokens come slowly in its own zone', {stepIn: {a: 80}}, {b: 60}],
 		['stays when they come as slowly everywhere in its region', {stepIn: {a: 80, b: 80}}, {a: 60}],
-		['keeps to its zone before the first reports of its servers, as just after a start', {unheard: 'a'}, {a: 60}],
+		['keeps to its zone before the first reports of its servers, as just after a start', {neverReported: 'a'}, {a: 60}],
 		['never leaves its region', {usedIn: {a: 20, b: 20}}, {'no-memory': 60}],
 		['never goes to a zone whose hosts are all dead', {usedIn: {a: 20}, lives: {b: 'dead'}}, {'no-memory': 60}],
 		['never goes to servers that cannot be reached', {usedIn: {a: 20}, unreachable: 'b'}, {'no-memory': 60}],
