Keep the rollout model with the tests

Change: it moves to _test, as with claims and membership; the comment of the last resort says what a wrong guess costs. No behaviour changes.

--- a/src/domain/create-placement/_lib/create-pair-search.ts
+++ b/src/domain/create-placement/_lib/create-pair-search.ts
@@ -76,7 +76,7 @@
 	/**
 	 * Where all that is left can't be reached or was ejected, these reports may be
 	 * wrong or old, and a refusal for them needless. A server that is really gone
-	 * costs one failed reservation and no prefill.
+	 * costs one failed call, after which the request is refused as it would have been.
 	 */
 	const searchLastResort = (search: Search, widest: Scope): Pair | undefined =>
 		search.met.lost && !search.met.full ? searchPair(search, {...widest, isLax: true, isLastResort: true}) : undefined;
--- a/src/domain/pick-loads/test.ts
+++ b/src/domain/pick-loads/test.ts
@@ -7,7 +7,7 @@
 	toConfig, toSeededRandom, toServer, toStatus, toView,
 } from '../create-placement/_lib/fixtures.js';
 import {isOrderAllowed} from '../is-order-allowed/index.js';
-import {runRollout, type ModelZone, type RolloutOptions} from './_lib/rollout-model.js';
+import {runRollout, type ModelZone, type RolloutOptions} from './_test/rollout-model.js';
 import {pickLoads, type HeldReason} from './index.js';
 
 const toServers = (count: number) => Array.from({length: count}, (_, i) => toServer(`d${i}`, 'decode', {checksFence: i % 2 === 0}));
