Share the two engines of the agents' contract tests

Cause: peer-summaries and peer-agents spelled out the same two engine stand-ins and their entries in the configuration.

Change: startEngines in run-agents.ts. No case changes; both files pass.

--- a/test/contracts/_lib/run-agents.ts
+++ b/test/contracts/_lib/run-agents.ts
@@ -6,6 +6,7 @@
 import {createLog} from '../../../src/adapters/log/index.js';
 import {createPlatformHttp} from '../../../src/adapters/platform-http/index.js';
 import {startAgent, type Agent, type AgentOptions} from '../../../src/programs/agent/_lib/start-agent.js';
+import {startEngineStandIn} from '../../stand-ins/engine/index.js';
 
 const deadlineMs = 20_000;
 
@@ -45,6 +46,21 @@
 	].join('\n');
 }
 
+/** A decode engine in zone a, and a prefill engine in zone b. */
+export async function startEngines() {
+	const engine = await startEngineStandIn({id: 'decode-1', role: 'decode', model: 'summary'});
+	const prefill = await startEngineStandIn({id: 'prefill-1', role: 'prefill', model: 'summary'});
+	const servers: readonly ServerOption[] = [
+		{
+			id: 'decode-1', zone: 'a', url: engine.url, role: 'decode',
+		},
+		{
+			id: 'prefill-1', zone: 'b', url: prefill.url, role: 'prefill',
+		},
+	];
+	return {engine, prefill, servers};
+}
+
 /** Starts an agent with quick settings and no log. */
 export async function runAgent({hostId, zone, platformUrl, seeds = [], clock = now, smallFleet, ...overrides}: {
 	hostId: string;
--- a/test/contracts/peer-agents.test.ts
+++ b/test/contracts/peer-agents.test.ts
@@ -5,10 +5,9 @@
 import {connectPeer, listenPeers, type PeerHello} from '../../src/adapters/peer-tcp/index.js';
 import {connectViewFeed} from '../../src/adapters/view-feed/index.js';
 import {type Agent} from '../../src/programs/agent/_lib/start-agent.js';
-import {startEngineStandIn} from '../stand-ins/engine/index.js';
 import {startPlatformStandIn} from '../stand-ins/platform/index.js';
 import {
-	now, runAgent, toConfigText, until,
+	now, runAgent, startEngines, toConfigText, until,
 } from './_lib/run-agents.js';
 
 const zones = {a: 2, b: 2};
@@ -22,20 +21,8 @@
 
 /** A platform, a decode engine in zone a, and an agent on each of four hosts. */
 async function startFleet() {
-	const engine = await startEngineStandIn({id: 'decode-1', role: 'decode', model: 'summary'});
-	const prefill = await startEngineStandIn({id: 'prefill-1', role: 'prefill', model: 'summary'});
-	const toText = (rule: string) => toConfigText({
-		zones,
-		rule,
-		servers: [
-			{
-				id: 'decode-1', zone: 'a', url: engine.url, role: 'decode',
-			},
-			{
-				id: 'prefill-1', zone: 'b', url: prefill.url, role: 'prefill',
-			},
-		],
-	});
+	const {engine, prefill, servers} = await startEngines();
+	const toText = (rule: string) => toConfigText({zones, rule, servers});
 	const platform = await startPlatformStandIn({config: toText('first'), fleet: {hosts: [], servers: []}});
 	const first = await runAgent({hostId: 'a-1', zone: 'a', platformUrl: platform.url});
 	const seeds = [`127.0.0.1:${first.peerPort}`];
--- a/test/contracts/peer-summaries.test.ts
+++ b/test/contracts/peer-summaries.test.ts
@@ -10,10 +10,9 @@
 import {pickZoneContacts} from '../../src/domain/pick-zone-contacts/index.js';
 import {type Agent} from '../../src/programs/agent/_lib/start-agent.js';
 import {type FleetView} from '../../src/ports/view.js';
-import {startEngineStandIn} from '../stand-ins/engine/index.js';
 import {startPlatformStandIn} from '../stand-ins/platform/index.js';
 import {
-	now, runAgent, toConfigText, until,
+	now, runAgent, startEngines, toConfigText, until,
 } from './_lib/run-agents.js';
 
 const hostsOfB = ['b-1', 'b-2', 'b-3'];
@@ -27,20 +26,9 @@
 
 /** A zone of two hosts with a decode engine, and one of three with a prefill engine, of which one host is no contact. */
 async function startFleet() {
-	const engine = await startEngineStandIn({id: 'decode-1', role: 'decode', model: 'summary'});
-	const prefill = await startEngineStandIn({id: 'prefill-1', role: 'prefill', model: 'summary'});
+	const {engine, prefill, servers} = await startEngines();
 	const platform = await startPlatformStandIn({
-		config: toConfigText({
-			zones: {a: 2, b: 3},
-			servers: [
-				{
-					id: 'decode-1', zone: 'a', url: engine.url, role: 'decode',
-				},
-				{
-					id: 'prefill-1', zone: 'b', url: prefill.url, role: 'prefill',
-				},
-			],
-		}),
+		config: toConfigText({zones: {a: 2, b: 3}, servers}),
 		fleet: {hosts: [], servers: []},
 	});
 	const start = async (hostId: string, seeds: readonly string[]) => runAgent({
