--- a/src/programs/entry/relay-stream/index.ts
+++ b/src/programs/entry/relay-stream/index.ts
@@ -23,24 +23,25 @@
 const maxIdleResumes = 2;
 const resumeTimeoutMs = 2 * msPerSecond;
 
-/** Limit of silence within a stream, milliseconds. */
+/**
+ * @param run - The request, whose rule has the target between tokens.
+ * @returns Limit of silence within a stream, milliseconds.
+ */
 export function toStallMs(run: Run): number {
 	return Math.max(minStallMs, run.rule.then.target.perTokenMs * stallFactor);
 }
 
-function toFailure(error: unknown, server: string): EngineFailure {
-	const {failure} = error as Partial<EngineStreamError>;
-	return failure ?? {
-		kind: 'broken', reason: undefined, server, message: error instanceof Error ? error.message : 'the stream broke', retryAfterMs: undefined,
-	};
-}
-
 function toBroken(server: string, message: string): EngineFailure {
 	return {
 		kind: 'broken', reason: undefined, server, message, retryAfterMs: undefined,
 	};
 }
 
+function toFailure(error: unknown, server: string): EngineFailure {
+	const {failure} = error as Partial<EngineStreamError>;
+	return failure ?? toBroken(server, error instanceof Error ? error.message : 'the stream broke');
+}
+
 type Reader = {
 	run: Run;
 	services: RunServices;
