Place a document's faults in a module of their own

Cause: parse-config's index mixed reading a document with finding lines for its faults; readWhole built faults of two kinds inline.

Change: place-faults has both kinds and the limit of how many are placed, with its reason.

--- a/src/domain/parse-config/index.ts
+++ b/src/domain/parse-config/index.ts
@@ -8,10 +8,10 @@
 import {type Config, type NamedPart, type FindPart} from '../../ports/config.js';
 import {addEndFaults} from './_lib/check-end.js';
 import {addMeaningFaults} from './_lib/check-meaning.js';
-import {createFaultSink, type FaultSink, type Path} from './_lib/faults.js';
+import {createFaultSink, type FaultSink} from './_lib/faults.js';
+import {toContentFaults, toSyntaxFaults} from './_lib/place-faults.js';
 import {readDocument} from './_lib/document.js';
 import {joinParts, type JoinedSource} from './_lib/join-parts.js';
-import {type SyntaxFault} from './_lib/place.js';
 import {readNext, toSoundDocument, type SoundDocument} from './_lib/read-next.js';
 import {splitLines} from './_lib/split-lines.js';
 import {readSource} from './_lib/source.js';
@@ -33,9 +33,6 @@
 	missing?: NamedPart;
 };
 
-/** Faults that are reported with their places. */
-const maxFaults = 200;
-
 /**
  * The largest document in YAML, in bytes. Hosts keep to it, whose memory is
  * small; operators' tools read larger ones to turn them into JSON.
@@ -126,55 +123,18 @@
 	const {file, findPart = findNoPart, isSource = false, toPartFile = name => `part ${name}`, ...rest} = options;
 	const yamlBytes = rest.maxYamlBytes ?? maxYamlBytes;
 	const source = readSource(text, yamlBytes);
-	const toSyntaxFaults = (faults: readonly SyntaxFault[], name: string | undefined) => faults.map(({line, column, problem, remedy}): ConfigFault => ({
-		file: name, line, column, problem, remedy,
-	}));
 	if (source.syntaxFaults.length > 0) {
-		return err(cutFaults(source.syntaxFaults, list => toSyntaxFaults(list, file)));
+		return err(toSyntaxFaults(source.syntaxFaults, file));
 	}
 
 	const faults = createFaultSink();
 	const joined = joinParts(source, Buffer.byteLength(text), {findPart, isSource, maxYamlBytes: yamlBytes}, faults);
 	if (joined.syntaxFaults.length > 0) {
-		return err(joined.syntaxFaults.flatMap(({part, faults: list}) => cutFaults(list, cut => toSyntaxFaults(cut, toPartFile(part)))));
+		return err(joined.syntaxFaults.flatMap(({part, faults: list}) => toSyntaxFaults(list, toPartFile(part))));
 	}
 
 	const sound = faults.list().length === 0 ? readConfig(joined, source.isJson, text, faults) : undefined;
-	if (sound) {
-		return ok(sound);
-	}
-
-	return err(cutFaults(faults.list(), list => list.map(({path, at, problem, remedy, missing}): ConfigFault => {
-		// A host asks for what is missing and reads again; the place would cost it more than all of the reading.
-		const {part, path: ownPath, place} = missing && !isSource ? {part: undefined, path, place: undefined} : joined.locate(path, at);
-		const {line, column} = place ?? {line: 1, column: 1};
-		const name = part === undefined ? file : toPartFile(part);
-		return {
-			file: name, line, column, problem: place ? problem : `${toPathText(ownPath)}${problem}`, remedy, ...(missing && {missing}),
-		};
-	})));
-}
-
-/** The path in place of line and column, positions in lists from 1. */
-function toPathText(path: Path): string {
-	const steps = path.map(step => typeof step === 'number' ? step + 1 : step);
-	return steps.length > 0 ? `${steps.join(' ')}: ` : '';
-}
-
-/**
- * Finds the places of the first faults, in the order of lines. A place costs a
- * walk through the document, and a text that is no configuration at all can have
- * a fault on each of 100,000 lines, which would hold a host up for minutes.
- */
-function cutFaults<T>(faults: readonly T[], locate: (faults: readonly T[]) => readonly ConfigFault[]): readonly ConfigFault[] {
-	const located = locate(faults.slice(0, maxFaults)).toSorted((left, right) => compareTexts(left.file, right.file) || left.line - right.line || left.column - right.column);
-	const more = faults.length - located.length;
-	const last = located.at(-1);
-	return last && more > 0 ? [...located, {...last, problem: `${more} more faults were found`, remedy: 'mend these first'}] : located;
-}
-
-function compareTexts(left = '', right = ''): number {
-	return Number(left > right) - Number(left < right);
+	return sound ? ok(sound) : err(toContentFaults(faults.list(), joined, {file, isSource, toPartFile}));
 }
 
 /**
