Name the step that sends orders with an allowed gap

Cause: pickLoads ended in an unnamed loop that sent what staff allow with a gap.

Change: it is sendAllowedGaps beside send; comments speak of reports and messages, not of words. No behaviour changes; tests of pick-loads (41) pass.

--- a/src/domain/pick-loads/index.ts
+++ b/src/domain/pick-loads/index.ts
@@ -11,7 +11,7 @@
  * because servers take turns in a fixed order: while the first has not been
  * seen at work or done, every host holds the second back. That, and a wait
  * after each new edition so that two editions are never rolled out at once,
- * keeps the last pair safe without a word between hosts.
+ * keeps the last pair safe without messages between hosts.
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type AcceptedConfig, type ServerEntry} from '../../ports/config.js';
@@ -43,7 +43,7 @@
  * - `settling`: the edition is new, and some hosts may not have it yet.
  * - `overtaken`: a server of the pool took an order of a later edition, so this host's is old.
  * - `unconfirmed`: the platform has not confirmed this host's configuration lately; `giveOrders` says so.
- * - `stale-report`: the server has not been heard of lately.
+ * - `stale-report`: the server has no recent load report.
  * - `last-copy`, `last-pair`, `last-zone-pair`: nothing would serve in the pool's role, the pool, the zone.
  * - `no-stand-in`: the zone would have no pair, and no other zone can answer for it.
  * - `zone-turn`: the zone would have no pair, and another zone has none or comes first.
@@ -129,9 +129,9 @@
 
 	/**
 	 * Only one zone of a pool and region is without a pair at a time, and the
-	 * first in the fixed order has the turn also while it has to wait. Were it passed over by
-	 * the one host that sees no room for it, another host would send its order
-	 * at the same moment, and two zones would have no pair.
+	 * first in the fixed order has the turn also while it has to wait. Were it
+	 * passed over by the one host that sees no room for it, another host would
+	 * send its order at the same moment, and two zones would have no pair.
 	 */
 	const toZoneReason = (entry: ServerEntry): HeldReason | undefined => {
 		const {pool, zone} = entry;
@@ -202,6 +202,22 @@
 		orders.push(wanted);
 	};
 
+	const isMoving = (pool: string): boolean => {
+		const isOrdered = orders.some(({server, isDisruptive}) => isDisruptive && entries.get(server)?.pool === pool);
+		return isOrdered || [...view.servers.values()].some(({id, load}) => entries.get(id)?.pool === pool && load?.state === 'loading');
+	};
+
+	/** Where staff allow a gap: the first server that can't be loaded without one, once nothing else of its pool moves. */
+	const sendAllowedGaps = (): void => {
+		for (const {name} of accepted.config.pools.filter(({rollout}) => rollout === 'allow-gap')) {
+			const next = held.findIndex(({server, reason}) => entries.get(server)?.pool === name && gapReasons.has(reason));
+			if (next !== -1 && freeLoads > 0 && !isMoving(name)) {
+				const [{reason: _, ...wanted}] = held.splice(next, 1) as [HeldOrder];
+				send(wanted, entries.get(wanted.server)!);
+			}
+		}
+	};
+
 	for (const wanted of toRanked(toOrders(view, accepted))) {
 		const entry = entries.get(wanted.server)!;
 		const reason = toHeldReason(wanted, entry);
@@ -212,16 +228,6 @@
 		}
 	}
 
-	// What staff allowed: the first server that can only be loaded with a gap, when nothing else of its pool moves.
-	for (const {name} of accepted.config.pools.filter(({rollout}) => rollout === 'allow-gap')) {
-		const isPool = (server: ServerId): boolean => entries.get(server)?.pool === name;
-		const isMoving = orders.some(({server, isDisruptive}) => isDisruptive && isPool(server)) || [...view.servers.values()].some(({id, load}) => isPool(id) && load?.state === 'loading');
-		const next = held.findIndex(({server, reason}) => isPool(server) && gapReasons.has(reason));
-		if (!isMoving && next !== -1 && freeLoads > 0) {
-			const [{reason: _, ...wanted}] = held.splice(next, 1) as [HeldOrder];
-			send(wanted, entries.get(wanted.server)!);
-		}
-	}
-
+	sendAllowedGaps();
 	return {orders, held};
 };
