Take three jobs out of the agent's long modules

Cause: keep-documents, spread-loads and tend-servers each kept a second state beside their own: the newest configuration that peers reported, the names of servers in force, and what a report is worth after a refusal.

Comments speak of reports where they said 'word of'; the one on unreachable reports says why the rest may be left aside.

--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -11,7 +11,8 @@
 import {type AgentOptions} from './agent-types.js';
 import {type Taken} from './create-reread.js';
 import {holdDocuments, type ConfigOffer, type DocumentNotices} from './hold-documents.js';
-import {type KnownVersions, type ShortVersion} from './peer-messages.js';
+import {createNewestReported} from './create-newest-reported.js';
+import {type KnownVersions} from './peer-messages.js';
 import {type Pauses} from './mind-pauses.js';
 import {createPartReader} from './read-parts.js';
 import {type DocumentKind, type OfferedDocument} from './fetch-document.js';
@@ -21,9 +22,6 @@
 /** Time in which a starting agent learns from its peers, before it listens to a platform that may be stale. */
 const joinMs = 3000;
 
-/** Time for which a peer's word of a newer configuration counts; heartbeats repeat it. */
-const newestForMs = 30_000;
-
 export type KeepDocumentsOptions = Pick<AgentOptions, 'settings' | 'platform' | 'random' | 'keepOnly' | 'log'> & {
 	table: FleetTable;
 	pauses: Pauses;
@@ -68,7 +66,7 @@
 	const {settings, table, log, pauses, call, onNews, counts, now, startedAt, random, signal} = options;
 	const {hostId} = settings;
 	let heardFromPeer = false;
-	let newest: {version: ShortVersion; at: Milliseconds} | undefined;
+	const newest = createNewestReported();
 
 	const held = holdDocuments({
 		table,
@@ -183,10 +181,7 @@
 		},
 		takeVersions(from, known) {
 			heardFromPeer = true;
-			if (known.config && (newest === undefined || compareConfigVersions(known.config, newest.version) >= 0 || now() - newest.at >= newestForMs)) {
-				newest = {version: known.config, at: now()};
-			}
-
+			newest.note(known.config, now());
 			spreads.config.noteVersion(from, known.config);
 			spreads.fleet.noteVersion(from, known.fleet);
 			if (known.confirmedAgeMs !== undefined) {
@@ -197,10 +192,7 @@
 			const own = table.accepted()?.version;
 			return version !== undefined && (own === undefined || compareConfigVersions(version, own) > 0);
 		},
-		isBehind() {
-			const own = spreads.config.version();
-			return newest !== undefined && now() - newest.at < newestForMs && (own === undefined || compareConfigVersions(newest.version, own) > 0);
-		},
+		isBehind: () => newest.isNewerThan(spreads.config.version(), now()),
 		takeFromEntry(document) {
 			take('config', document, hostId, 'entry');
 		},
--- a/src/programs/agent/_lib/spread-loads.ts
+++ b/src/programs/agent/_lib/spread-loads.ts
@@ -1,6 +1,5 @@
-/** Passes loads and leaves between agents. */
+/** Passes load reports, reachability reports and news of leaving servers between agents. */
 import {isRecord} from '../../../_lib/is-record/index.js';
-import {toHash32} from '../../../_lib/to-hash32/index.js';
 import {createLoadSpread, readLoads, type LoadSpread} from '../../../domain/create-load-spread/index.js';
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
 import {type LeaveHold} from '../../../domain/create-leave-hold/index.js';
@@ -8,6 +7,7 @@
 import {type LoadReport} from '../../../ports/engine.js';
 import {type HostId, type ServerId} from '../../../ports/ids.js';
 import {type HostStatus} from '../../../ports/view.js';
+import {createServerNames} from './create-server-names.js';
 import {isSmallFleet} from './is-small-fleet.js';
 import {peerCalls, peerEvents} from './peer-messages.js';
 
@@ -33,13 +33,14 @@
 	spread: LoadSpread;
 	/** Sends what is due. */
 	tick: () => void;
-	/** Somebody here has learnt that servers are leaving. */
+	/** Takes news that servers are leaving, holds it, and passes on what the table did not know. */
 	noteLeaving: (servers: readonly ServerId[], origin: HostId) => void;
 	/** Takes an event of a peer; returns whether it was one of these. */
 	takeEvent: (from: HostId, name: string, body: unknown) => boolean;
 	serveReports: (body: unknown) => LoadReport[];
 };
 
+/** @returns Names of servers in a peer's message, whatever else is in it. */
 function toNames(body: unknown): string[] {
 	return isRecord(body) && Array.isArray(body.servers) ? body.servers.filter(server => typeof server === 'string') : [];
 }
@@ -53,35 +54,25 @@
 export function spreadLoads({table, hold, self, hosts, send, call, spreadTargets, now, toArrival, smallFleet}: SpreadLoadsOptions): LoadsTask {
 	const spread = createLoadSpread();
 	const asking = new Set<HostId>();
-	let names: {accepted: unknown; byHash: Map<number, ServerId>; zones: Map<ServerId, string>} | undefined;
-
-	function toNamesInForce() {
-		const accepted = table.accepted();
-		if (!names || names.accepted !== accepted) {
-			const servers = accepted?.config.servers ?? [];
-			names = {accepted, byHash: new Map(servers.map(({id}) => [toHash32(id), id])), zones: new Map(servers.map(({id, zone}) => [id, zone]))};
-		}
-
-		return names;
-	}
-
-	const findServer = (hash: number): ServerId | undefined => toNamesInForce().byHash.get(hash);
+	const names = createServerNames(table);
 
 	function findLoad(server: ServerId): LoadReport | undefined {
 		return table.view(now()).servers.get(server)?.load;
 	}
 
 	/**
-	 * Whether a host's word that it does not reach a server says something here:
-	 * it is of the server's zone, or of this one, or the server's zone has nobody
-	 * else. Hosts of two zones that are cut off poll each other's servers. When
-	 * the cut heals, word of that reaches the other zone, where the servers were
-	 * never out of reach, and its entries would refuse all.
+	 * Whether a host's report that a server is unreachable counts here: the host
+	 * is of the server's zone, or of this one, or the server's zone has no live
+	 * host. Hosts on two sides of a cut poll each other's servers in vain. When
+	 * the cut heals, these reports reach the other zone, where the servers were
+	 * never out of reach, and its entries would refuse all. A host of the
+	 * server's zone sees it from beside it, one of this zone by the way that this
+	 * host has; where neither can tell, any report is better than none.
 	 */
-	function isConcerned(from: HostId, server: ServerId): boolean {
+	function countsHere(from: HostId, server: ServerId): boolean {
 		const known = hosts();
 		const zone = known.get(from)?.zone;
-		const serverZone = toNamesInForce().zones.get(server);
+		const serverZone = names.toZone(server);
 		return zone === self().zone || zone === serverZone || ![...known.values()].some(host => host.zone === serverZone && host.life === 'alive');
 	}
 
@@ -122,13 +113,13 @@
 	}
 
 	function takeLoads(from: HostId, body: unknown) {
-		const {loads, unreachable, wanted} = readLoads(body instanceof Uint8Array ? body : new Uint8Array(), findServer, findLoad);
+		const {loads, unreachable, wanted} = readLoads(body instanceof Uint8Array ? body : new Uint8Array(), names.findByHash, findLoad);
 		for (const load of loads) {
 			table.noteLoad(load, toArrival() - load.ageMs);
 		}
 
 		for (const {server, ageMs} of unreachable) {
-			if (isConcerned(from, server)) {
+			if (countsHere(from, server)) {
 				table.noteUnreachable(server, toArrival() - ageMs);
 			}
 		}
--- a/src/programs/agent/_lib/tend-servers.ts
+++ b/src/programs/agent/_lib/tend-servers.ts
@@ -2,7 +2,6 @@
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
 import {type LeaveHold} from '../../../domain/create-leave-hold/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type LoadReport} from '../../../ports/engine.js';
 import {
 	type HostId, type Incarnation, type Owner, type ServerId,
 } from '../../../ports/ids.js';
@@ -10,9 +9,9 @@
 import {type AgentOptions} from './agent-types.js';
 import {createPolled} from './create-polled.js';
 import {giveOrders} from './give-orders.js';
+import {judgeLeavers} from './judge-leavers.js';
 import {type Pauses} from './mind-pauses.js';
 import {pollLoads} from './poll-loads.js';
-import {probeLeaver} from './probe-leaver.js';
 import {releaseOrphans, type OrphanTask} from './release-orphans.js';
 import {type LoadsTask} from './spread-loads.js';
 import {watchHeld, type HeldOrders} from './watch-held.js';
@@ -62,42 +61,29 @@
 			counts.orphansReleased += count;
 		},
 	});
-	let probes = 0;
-
-	async function probe(load: LoadReport) {
-		const server = servers().find(({id}) => id === load.server);
-		if (server === undefined || !pauses.mayAct() || !hold.takeProbe(server.id, now())) {
-			return;
-		}
-
-		probes += 1;
-		const isAccepted = await probeLeaver(server, {
-			engine: toEngine(server), load, owner: {host: hostId, incarnation: options.incarnation}, count: probes,
-		});
-		hold.noteProbe(server.id, isAccepted, now());
-		const reason = isAccepted ? 'it accepts work and is used again' : 'it accepts none and is asked again later, each time after twice as long';
-		log.info('asked a server that was said to be leaving', {server: server.id, reason});
-	}
-
-	function judge(load: LoadReport): LoadReport {
-		const before = table.view(now()).servers.get(load.server);
-		const isListedLeaving = () => table.fleet()?.fleet.servers.some(({id, state}) => id === load.server && state === 'leaving') === true;
-		return hold.judge(load, now(), {wasLeaving: before?.leaving === true, stateBefore: before?.load?.state, isListedLeaving});
-	}
-
+	const leavers = judgeLeavers({
+		table,
+		hold,
+		servers,
+		toEngine,
+		owner: {host: hostId, incarnation: options.incarnation},
+		mayAct: pauses.mayAct,
+		log,
+		now,
+	});
 	const polls = pollLoads({
 		...common,
 		intervalMs: settings.loadPollInterval,
 		onLoad(load, askedAt) {
 			const loadAt = pauses.toSoundTime(askedAt) - load.ageMs;
-			const judged = judge(load);
+			const judged = leavers.judge(load);
 			loads.spread.notePolled(judged, loadAt);
 			if (load.state === 'leaving') {
 				loads.noteLeaving([load.server], hostId);
 			}
 
 			table.noteLoad(judged, loadAt);
-			void probe(load);
+			void leavers.probe(load);
 		},
 		onUnreachable(server, askedAt) {
 			const soundAt = pauses.toSoundTime(askedAt);
