Call reports reports, refusals refusals and samples samples

Cause: comments and names spoke of 'word of' a server, a server's 'own word' and 'stretches' of tokens, where the field says reachability report, refusal and sample.

--- a/src/adapters/engine-http/_lib/parse-answers.ts
+++ b/src/adapters/engine-http/_lib/parse-answers.ts
@@ -37,7 +37,7 @@
 	}
 }
 
-/** The engine's word that it started nothing. A reason that is new to us counts as `other`. */
+/** The engine says that it started nothing. A reason that is new to us counts as `other`. */
 export function parseRefusal(fields: Fields): {reason: EngineRefusalReason; message: string} | undefined {
 	const {error} = fields;
 	if (!isRecord(error) || !isText(error.reason)) {
--- a/src/domain/collect-parts/index.ts
+++ b/src/domain/collect-parts/index.ts
@@ -1,4 +1,4 @@
-/** Collects the parts that a root document names, each checked against the root's word. */
+/** Collects the parts that a root document names, each checked against the digest in the root. */
 import {Buffer} from 'node:buffer';
 import {toDigest} from '../../_lib/to-digest/index.js';
 import {type ConfigPart, type NamedPart, type FindPart} from '../../ports/config.js';
--- a/src/domain/create-fleet-table/index.ts
+++ b/src/domain/create-fleet-table/index.ts
@@ -12,7 +12,7 @@
 	type FleetView, type HostStatus, type ServerStatus, type ZoneSummary,
 } from '../../ports/view.js';
 
-/** A report must be this much younger than word of a leave before it takes the word back, milliseconds. */
+/** A load report must be this much younger than a refusal as leaving before it overrules it, milliseconds. */
 const leavingMarginMs = 1000;
 
 export type FleetTable = {
@@ -27,7 +27,7 @@
 	noteLoad: (load: LoadReport, loadAt: Milliseconds) => void;
 	/** Polls that began at this monotonic time did not reach the server. Ignored when a report is younger. */
 	noteUnreachable: (server: ServerId, askedAt: Milliseconds) => void;
-	/** Word of an entry or a peer that the server is leaving. Returns whether that was news. */
+	/** Takes a report by an entry or a peer that the server is leaving. Returns whether that was news. */
 	noteLeaving: (server: ServerId, now: Milliseconds) => boolean;
 	/** The platform confirmed its values at this monotonic time. */
 	noteConfirmed: (at: Milliseconds) => void;
@@ -71,7 +71,7 @@
 	let serversView: ReadonlyMap<ServerId, ServerStatus> | undefined;
 	let hostsView: ReadonlyMap<HostId, HostStatus> | undefined;
 
-	/** Creates records for published servers alone, so that a peer's word cannot fill the memory. */
+	/** Creates records for published servers alone, so that a peer's reports cannot fill the memory. */
 	function addRecord(server: ServerId) {
 		if (!records.has(server)) {
 			records.set(server, {
@@ -185,7 +185,7 @@
 		},
 		noteUnreachable(server, askedAt) {
 			const record = records.get(server);
-			// Word of a poll that hung in a cut arrives when the cut is healed and others have reached the server.
+			// The report of a poll that hung in a cut arrives when the cut is healed and others have reached the server.
 			// Taken as news it would keep a serving server out until its poller's next report; that report tells more.
 			if (!record || askedAt < (record.reachableAt ?? -Infinity)) {
 				return;
--- a/src/domain/create-fleet-table/test.ts
+++ b/src/domain/create-fleet-table/test.ts
@@ -42,7 +42,7 @@
 		assert.equal(table.view(400).servers.get('s1')!.load!.slotsUsed, 9);
 	});
 
-	it('takes word that polls did not reach a server only when they began after its last report', () => {
+	it('takes reports that polls did not reach a server only when they began after its last report', () => {
 		const table = createTable();
 		const isReachable = () => table.view(0).servers.get('s1')!.reachable;
 		table.noteLoad(load, 200);
@@ -64,7 +64,7 @@
 		assert.ok(table.view(0).servers.get('s1')!.leaving);
 	});
 
-	it('takes word of a leave back only for a report that is clearly later', () => {
+	it('overrules a report of a leave only for a load report that is clearly later', () => {
 		const table = createTable();
 		assert.ok(table.noteLeaving('s1', 1000));
 		assert.ok(!table.noteLeaving('s1', 1000), 'it is no news twice');
--- a/src/domain/create-leave-hold/index.ts
+++ b/src/domain/create-leave-hold/index.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the word that a server is leaving standing while the server's own load
- * reports go on saying `serving`. Kept by the host that polls the server, whose
- * reports all others hear.
+ * Keeps a refusal as leaving in force while the server's own load reports go on
+ * saying `serving`. Kept by the host that polls the server, whose reports all
+ * others hear.
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type LoadReport} from '../../ports/engine.js';
--- a/src/domain/create-leave-hold/test.ts
+++ b/src/domain/create-leave-hold/test.ts
@@ -35,13 +35,13 @@
 	['goes on with the delay when a server that accepted a probe refuses again', [
 		[0, free], [1, refused], [2, held], [6, {kind: 'probe', accepted: true}], [7, refused], [16, {kind: 'no-probe'}], [17, {kind: 'probe', accepted: true}], [18, free],
 	]],
-	['ends it when the server took its own word back', [
+	['ends it when the server itself reported leaving and then serving', [
 		[0, free], [1, refused], [2, held], [3, {kind: 'report', state: 'leaving', gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free],
 	]],
 	['begins anew with the first delay after a leave that the server took back', [
 		[0, free], [1, refused], [2, {kind: 'report', state: 'leaving', gives: 'leaving'}], [3, free], [4, refused], [9, {kind: 'probe', accepted: true}],
 	]],
-	['ends it when the list took its word back', [[0, free], [1, refused], [2, {kind: 'report', listed: true, gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free]]],
+	['ends it when the list had it as leaving and then as serving', [[0, free], [1, refused], [2, {kind: 'report', listed: true, gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free]]],
 	['probes at once a server that was not reached meanwhile', [[0, free], [1, refused], [2, held], [3, {kind: 'lost'}], [4, {kind: 'probe', accepted: true}], [5, free]]],
 	['lets a server load weights', [[0, free], [1, refused], [2, {kind: 'report', state: 'loading', gives: 'loading'}], [3, held]]],
 	['takes a hold over from the host that polled before', [
--- a/src/domain/create-membership/_lib/create-messages.ts
+++ b/src/domain/create-membership/_lib/create-messages.ts
@@ -1,4 +1,4 @@
-/** Makes messages: what each carries beside its own word, and whom it goes to. */
+/** Makes messages: what each carries beside its own statement, and whom it goes to. */
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type HostId, type ZoneId} from '../../../ports/ids.js';
 import {type OwnRecord} from './create-own-record.js';
--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -22,15 +22,15 @@
 	wanted: Wanted;
 	view: FleetView;
 	now: Milliseconds;
-	/** Nothing else is left: servers that can't be reached by the last word, or were ejected, are only doubted. */
+	/** Nothing else is left: servers whose last reachability report is bad, or that were ejected, are only doubted. */
 	isLastResort?: boolean;
 };
 
 /** How often the view is walked for cut zones and returning servers, milliseconds. */
 const sweepEveryMs = 200;
 
-/** How long a server's own word that it leaves, or has other weights, is kept without a newer report. */
-const ownWordMs = 30_000;
+/** How long a server's refusal as leaving, or as having other weights, counts without a newer report, milliseconds. */
+const refusalLifeMs = 30_000;
 
 /** Reasons that only make a server a worse candidate; the others keep it out. */
 const softReasons: ReadonlySet<PassedOverReason> = new Set(['returning', 'unknown-load', 'doubted']);
@@ -110,9 +110,9 @@
 	let doubtedGroups: ReadonlySet<string> = new Set();
 	let sweptAt = -Infinity;
 
-	/** Whether the server's own word, given at `saidAt`, still stands against its reports. */
-	const isStanding = (saidAt: Milliseconds | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
-		saidAt !== undefined && loadAt <= saidAt && now - saidAt < ownWordMs;
+	/** Whether the server's refusal at `refusedAt` still counts against its reports. */
+	const isRefusalValid = (refusedAt: Milliseconds | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
+		refusedAt !== undefined && loadAt <= refusedAt && now - refusedAt < refusalLifeMs;
 
 	/**
 	 * Walks the view now and then. A server that was unreachable or behind a cut
@@ -141,17 +141,17 @@
 
 	/** Whether the server is, or says it is, on its way out. */
 	const isLeaving = (server: ServerId, status: ServerStatus | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
-		status?.leaving === true || status?.load?.state === 'leaving' || isStanding(leavingAt.get(server), loadAt, now);
+		status?.leaving === true || status?.load?.state === 'leaving' || isRefusalValid(leavingAt.get(server), loadAt, now);
 
 	const isYoung = (at: Milliseconds | undefined, now: Milliseconds): boolean => at !== undefined && now - at <= staleAfterMs;
 
 	/**
-	 * What speaks against the way to the server. Word that it can't be reached
-	 * ages: an agent that is away, or has just started, can't take it back, and
-	 * the server would stay out for as long. A zone without living hosts may have
+	 * What speaks against the way to the server. A report that it can't be
+	 * reached ages: an agent that is away, or has just started, can't take it
+	 * back, and the server would stay out for as long. A zone without living hosts may have
 	 * lost its agents alone, which hosts of other zones show by reaching its servers.
 	 */
-	const toWayReason = (entry: ServerEntry, status: ServerStatus | undefined, {now, isLastResort}: Inquiry): PassedOverReason | undefined => {
+	const toReachReason = (entry: ServerEntry, status: ServerStatus | undefined, {now, isLastResort}: Inquiry): PassedOverReason | undefined => {
 		const {reachable, reachableAt} = status ?? {};
 		if (cutZones.has(entry.zone)) {
 			return reachable === true && isYoung(reachableAt, now) ? 'doubted' : 'cut-off';
@@ -194,19 +194,19 @@
 			return 'leaving';
 		}
 
-		const way = toWayReason(entry, status, inquiry);
-		if (way !== undefined && !isSoft(way)) {
-			return way;
+		const reachReason = toReachReason(entry, status, inquiry);
+		if (reachReason !== undefined && !isSoft(reachReason)) {
+			return reachReason;
 		}
 
-		if (isStanding(mismatchAt.get(id), loadAt, now)) {
+		if (isRefusalValid(mismatchAt.get(id), loadAt, now)) {
 			return 'wrong-model';
 		}
 
 		const reported = status?.load === undefined ? undefined : toMismatch(entry, status.load, wanted);
 		const ownReason = toHealthReason(id, now, share);
 		const doubt = ownReason === 'ejected' && inquiry.isLastResort ? 'doubted' : ownReason;
-		return reported ?? doubt ?? way ?? (entry.role !== 'plain' && now - loadAt > staleAfterMs ? 'unknown-load' : undefined);
+		return reported ?? doubt ?? reachReason ?? (entry.role !== 'plain' && now - loadAt > staleAfterMs ? 'unknown-load' : undefined);
 	};
 
 	return {
--- a/src/domain/create-zone-summaries/index.ts
+++ b/src/domain/create-zone-summaries/index.ts
@@ -15,7 +15,7 @@
 /** Age at which a summary is forgotten: two rounds may get lost on its way. */
 export const summaryStaleMs = 20_000;
 
-/** A peer's word must not fill the memory. */
+/** What a peer sends must not fill the memory. */
 const maxZones = 64;
 const maxStamp = 0xFF_FF_FF_FF;
 const keyLimit = 2 ** 16;
@@ -80,7 +80,7 @@
 
 	/**
 	 * A zone whose hosts all restarted with slower clocks stamps lower than before,
-	 * and nobody would take its word; what has gone stale bars nobody.
+	 * and nobody would take its summary; what has gone stale bars nobody.
 	 */
 	function forgetStale(now: Milliseconds) {
 		for (const [zone, {at}] of known) {
--- a/src/programs/agent/_lib/give-orders.ts
+++ b/src/programs/agent/_lib/give-orders.ts
@@ -49,7 +49,7 @@
 
 	/** The last check; nothing is awaited between it and the sending. */
 	function mayGive(wanted: WantedOrder, decidedAt: Milliseconds): boolean {
-		// A peer's word that the platform confirmed its newer edition confirms nothing of ours.
+		// A peer's report that the platform confirmed its newer edition confirms nothing of ours.
 		if (!mayAct() || isBehind()) {
 			return false;
 		}
--- a/src/programs/agent/_lib/spread-loads.test.ts
+++ b/src/programs/agent/_lib/spread-loads.test.ts
@@ -48,7 +48,7 @@
 
 describe('spreadLoads', () => {
 	const rows: Array<[string, Parameters<typeof hear>, boolean]> = [
-		['takes word that a server is not reached from its own zone', ['b-1', 'd-b'], false],
+		['takes a report that a server is unreachable from its own zone', ['b-1', 'd-b'], false],
 		['takes it from a host of this zone', ['a-2', 'd-b'], false],
 		['takes it from afar when the server\'s zone has nobody', ['a-2', 'd-b', {lifeOfB: 'dead'}], false],
 		['does not take it from a zone that may only be cut off from the server', ['b-1', 'd-a'], true],
--- a/src/programs/agent/_lib/tell-peers.ts
+++ b/src/programs/agent/_lib/tell-peers.ts
@@ -1,4 +1,4 @@
-/** Sends what membership says, and word of newer documents. */
+/** Sends what membership says, and the versions of newer documents. */
 import {type Membership, type OutMessage} from '../../../domain/create-membership/index.js';
 import {type HostId} from '../../../ports/ids.js';
 import {type Mesh} from './create-mesh.js';
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -30,7 +30,7 @@
  * Tells whether the call may run a second time without harm.
  *
  * @param run - The caller's request and its rule.
- * @returns `true` by the rule's word, and for methods that change nothing.
+ * @returns `true` if the rule says so, and for methods that change nothing.
  */
 export function isRepeatable(run: Pick<PlainRun, 'exchange' | 'route'>): boolean {
 	return run.route.rule.then.repeatable || safeMethods.has(run.exchange.method);
--- a/src/programs/entry/relay-stream/_lib/create-pace-meter.ts
+++ b/src/programs/entry/relay-stream/_lib/create-pace-meter.ts
@@ -5,10 +5,10 @@
 const noteEveryMs = 500;
 
 /**
- * Measures how the tokens of one stream come, in stretches.
+ * Measures how the tokens of one stream come, in samples.
  *
  * @param now - Monotonic milliseconds.
- * @param note - Gets each stretch at its end.
+ * @param note - Gets each sample at its end.
  * @returns Functions to call at each piece, and where the time that passes is not the server's.
  */
 export function createPaceMeter(now: () => Milliseconds, note: (seen: SeenTokens) => void) {
@@ -25,7 +25,7 @@
 	}
 
 	return {
-		/** Tokens came. The first of a stretch only start the clock: what they waited for is not known. */
+		/** Tokens came. The first of a sample only start the clock: what they waited for is not known. */
 		add(count: number): void {
 			lastAt = now();
 			if (startedAt === undefined) {
@@ -39,7 +39,7 @@
 				startedAt = lastAt;
 			}
 		},
-		/** Ends the stretch: the stream has ended or broken, or its reader was kept waiting by the caller. */
+		/** Ends the sample: the stream has ended or broken, or its reader was kept waiting by the caller. */
 		stop(): void {
 			end();
 			startedAt = undefined;
--- a/src/programs/entry/relay-stream/test.ts
+++ b/src/programs/entry/relay-stream/test.ts
@@ -146,8 +146,8 @@
 			server: 'd',
 			step: createStepSignal(run.signal, () => 0),
 			stream,
-			noteTokens(stretch) {
-				seen.push(stretch);
+			noteTokens(sample) {
+				seen.push(sample);
 			},
 		});
 		assert.ok(seen.length > 1);
