Keep what a request needs apart from where it is looked for

Cause: toSearch put together the needs of a model's request, those of a plain one and the state of the fleet in one function.

Change: toModelNeeds and toPlainNeeds; toSearch adds the fleet.

--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -46,6 +46,20 @@
 const ttlFactor = 1.5;
 const ttlMarginMs = 500;
 
+/** What a request needs of servers. */
+type Needs = Pick<Search, 'wanted' | 'promptTokens' | 'kvBytes' | 'firstTokenBudgetMs' | 'answer' | 'cachedTokens'>;
+
+const toPlainNeeds = ({exclude}: PlainRequest): Needs => ({
+	wanted: {
+		model: undefined, version: undefined, adapter: undefined, exclude,
+	},
+	promptTokens: 0,
+	kvBytes: 0,
+	firstTokenBudgetMs: Infinity,
+	answer: {tokens: 0, perTokenTargetMs: 0},
+	cachedTokens: new Map(),
+});
+
 /**
  * Creates the placement of one host.
  *
@@ -115,6 +129,22 @@
 		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets, spills,
 	});
 
+	const toModelNeeds = (request: PlacementRequest): Needs => {
+		const {pool, model, version, adapter, exclude, promptTokens, firstTokenBudgetMs} = request;
+		const hits = [...prefixes.toHits(request.prefixBlocks ?? [])]
+			.map(([server, blocks]): [ServerId, number] => [server, Math.min(promptTokens - 1, Math.floor(blocks * tokensPerBlock))]);
+		return {
+			wanted: {
+				model, version, adapter, exclude,
+			},
+			promptTokens,
+			kvBytes: promptTokens * learnt.kvBytesPerToken,
+			firstTokenBudgetMs,
+			answer: {tokens: lengths.toExpected(pool, request.class, request.maxTokens), perTokenTargetMs: request.perTokenTargetMs ?? 0},
+			cachedTokens: new Map(hits),
+		};
+	};
+
 	const toSearch = (request: PlacementRequest | PlainRequest, view: FleetView, now: Milliseconds, random: Random): Search | undefined => {
 		const pools = toIndex(view);
 		const servers = pools?.pools.get(request.pool);
@@ -125,32 +155,17 @@
 		standing.sweep(view, pools.servers, now);
 		subsets.refresh(view, now);
 		spills.look(view, standing.cutZones(), now);
-		const base = {
-			pool: request.pool, servers, entries: pools.servers, view, now, random, met: {
-				full: false, soft: false, lost: false, neverReported: false,
-			},
-		};
-		if (!('model' in request)) {
-			return {
-				...base, wanted: {
-					model: undefined, version: undefined, adapter: undefined, exclude: request.exclude,
-				}, promptTokens: 0, kvBytes: 0, firstTokenBudgetMs: Infinity, answer: {tokens: 0, perTokenTargetMs: 0}, cachedTokens: new Map(),
-			};
-		}
-
-		const {model, version, adapter, exclude, promptTokens, firstTokenBudgetMs} = request;
-		const hits = [...prefixes.toHits(request.prefixBlocks ?? [])]
-			.map(([server, blocks]): [ServerId, number] => [server, Math.min(promptTokens - 1, Math.floor(blocks * tokensPerBlock))]);
 		return {
-			...base,
-			wanted: {
-				model, version, adapter, exclude,
+			...('model' in request ? toModelNeeds(request) : toPlainNeeds(request)),
+			pool: request.pool,
+			servers,
+			entries: pools.servers,
+			view,
+			now,
+			random,
+			met: {
+				full: false, soft: false, lost: false, neverReported: false,
 			},
-			promptTokens,
-			kvBytes: promptTokens * learnt.kvBytesPerToken,
-			firstTokenBudgetMs,
-			answer: {tokens: lengths.toExpected(request.pool, request.class, request.maxTokens), perTokenTargetMs: request.perTokenTargetMs ?? 0},
-			cachedTokens: new Map(hits),
 		};
 	};
 
