Say what the agent's intervals are for

Cause: five constants of start-agent had a name and no unit or reason.

Change: comments with units and reasons; mostTickMs is maxTickMs. No behaviour changes.

--- a/src/programs/agent/_lib/start-agent.ts
+++ b/src/programs/agent/_lib/start-agent.ts
@@ -26,13 +26,19 @@
 
 export {type Agent, type AgentCounts, type AgentOptions} from './agent-types.js';
 
-const mostTickMs = 200;
+/** Longest time between two ticks, milliseconds, and the fewest ticks in a heartbeat interval. */
+const maxTickMs = 200;
 const ticksAnInterval = 5;
+
+/** Heartbeat intervals of silence after which a connection is dropped: it may be dead without an end. */
 const silentIntervals = 4;
 
 /** Intervals after a pause until this process has heard its peers again; before, it believes what was true then. */
 const quietIntervals = 2;
+/** Time for which another host's entry is asked whether it still answers, before its memory is released. */
 const probeTimeoutMs = 300;
+
+/** Time in which peers are told that this host leaves, before connections close. */
 const leaveFlushMs = 100;
 
 function startMembership({settings, clock}: AgentOptions, agentAddress: string): Membership {
@@ -214,7 +220,7 @@
 		summaries.tick();
 		twins.check();
 		publish();
-	}, Math.min(mostTickMs, intervalMs / ticksAnInterval));
+	}, Math.min(maxTickMs, intervalMs / ticksAnInterval));
 
 	return {
 		peerPort: listener.port,
