Split the failure tests of leaving servers by subject

Cause: one file of 330 lines had two fleets, whose options it spelled out twice.

Change: leaving-contradicted has the three cases of a server that refuses while its reports say serving; the fleet, its checks and the callers that ask again and again are in _lib.

--- a/test/failures/leaving-server.test.ts
+++ b/test/failures/leaving-server.test.ts
@@ -10,19 +10,18 @@
 import {
 	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
-import {startFleet, type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
+import {type Fleet, type FleetHost} from '../_lib/start-fleet/index.js';
 import {type EngineStandIn} from '../stand-ins/engine/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {startCall, type CallResult, type StartedCall} from './_lib/start-call.js';
+import {createLoads} from './_lib/create-loads.js';
+import {
+	countOffers, deadlineMs, readReportedState, startLeaverFleet, waitUntilKnown, waitUntilNoneLeaves, zone,
+} from './_lib/leaver-fleet.js';
+import {startCall, type StartedCall} from './_lib/start-call.js';
 import {startPlainCall} from './_lib/start-plain-call.js';
 
-const deadlineMs = 20_000;
-const callerCount = 6;
 /** Load goes on for so long after all hosts know. */
 const afterwardsMs = 2000;
-/** Time in which reports contradict the refusal. */
-const contradictedMs = 12_000;
-const zone = 'dvorana-a';
 
 /** Two seconds of prefill, or five of decode, and what an engine holds meanwhile. */
 const longLetters = {
@@ -30,59 +29,11 @@
 	decode: {text: 'a letter with a long summary', maxTokens: 250, kind: 'stream'},
 } as const;
 
-type Status = {view: {servers: Array<{id: string; leaving: boolean}>}};
-
-async function knows(host: FleetHost, server: string): Promise<boolean> {
-	const answer = await fetch(`${host.entryOperatorUrl}/status`, {signal: AbortSignal.timeout(deadlineMs)});
-	const {view} = await answer.json() as Status;
-	return view.servers.some(({id, leaving}) => id === server && leaving);
-}
-
-async function hasNoLeaver(fleet: Fleet): Promise<boolean> {
-	const asked = [...fleet.engines.keys()].flatMap(id => fleet.hosts.map(host => ({host, id})));
-	const told = await Promise.all(asked.map(async ({host, id}) => knows(host, id)));
-	return !told.includes(true);
-}
-
-/** What the engine's own load report says, late as it is. */
-async function readReportedState({url}: EngineStandIn): Promise<string> {
-	const answer = await fetch(`${url}/engine/load`, {signal: AbortSignal.timeout(deadlineMs)});
-	const {state} = await answer.json() as {state: string};
-	return state;
-}
-
 function hasHold(engine: EngineStandIn, kind: string): boolean {
 	return engine.judge().holds.some(hold => hold.kind === kind);
 }
 
-/** Reservations and prefills that the engine was asked for, taken or not. */
-function countOffers(engine: EngineStandIn): number {
-	const {calls} = engine.judge();
-	return (calls['POST engine/reservations'] ?? 0) + (calls['POST engine/prefills'] ?? 0);
-}
-
-const loads: Array<{end: () => Promise<void>}> = [];
-
-/** Callers that ask again and again, each host in turn, until they are ended or the case is over. */
-function startLoad(hosts: readonly FleetHost[], role: string) {
-	const results: CallResult[] = [];
-	const ending = new AbortController();
-	const callers = Array.from({length: callerCount}, async (_, caller) => {
-		for (let i = 0; !ending.signal.aborted; i++) {
-			const host = hosts[(caller + i) % hosts.length]!;
-			results.push(await startCall(host.callerUrl, {prompt: `${role} ${caller} ${i}: a letter`, maxTokens: 5}).done);
-		}
-	});
-	const load = {
-		results,
-		async end() {
-			ending.abort();
-			await Promise.all(callers);
-		},
-	};
-	loads.push(load);
-	return load;
-}
+const loads = createLoads();
 
 type Case = {
 	name: string;
@@ -114,34 +65,15 @@
 	},
 ];
 
-/** Waits until all hosts know, and tells when the first did. */
-async function waitUntilKnown(fleet: Fleet, server: string): Promise<{firstMs: number; allMs: number}> {
-	let firstMs: number | undefined;
-	return waitUntil(async () => {
-		const told = await Promise.all(fleet.hosts.map(async host => knows(host, server)));
-		if (told.includes(true)) {
-			firstMs ??= performance.now();
-		}
-
-		return firstMs !== undefined && !told.includes(false) && {firstMs, allMs: performance.now()};
-	}, {deadlineMs, what: `all hosts to know that ${server} leaves`, everyMs: 10});
-}
-
 describe('a server that leaves', () => {
 	let fleet: Fleet;
 
 	before(async () => {
-		fleet = await startFleet({
-			zones: [zone],
-			hostsPerZone: 3,
-			prefillsPerZone: 2,
-			decodesPerZone: 2,
+		fleet = await startLeaverFleet({
 			plainsPerZone: 2,
 			isCuttable: true,
-			entryFlags: {clockBound: '0ms'},
 			engine: {loadLagMs: 5000},
 			prefillEngine: {prefillConcurrency: 4},
-			decodeEngine: {decodeTokensPerSecond: 50, slots: 60},
 		});
 	});
 	beforeEach(() => {
@@ -150,7 +82,7 @@
 		}
 	});
 	afterEach(async () => {
-		await Promise.all(loads.splice(0).map(async load => load.end()));
+		await loads.endAll();
 		fleet.network.heal();
 		fleet.publishFleet({});
 		for (const engine of fleet.engines.values()) {
@@ -158,7 +90,7 @@
 			engine.setState('serving');
 		}
 
-		await waitUntil(async () => hasNoLeaver(fleet), {deadlineMs, what: 'the return of all servers'});
+		await waitUntilNoneLeaves(fleet);
 	});
 	after(async () => {
 		await fleet.stop();
@@ -182,7 +114,7 @@
 			it(`gets nothing new: a ${role} engine, known from ${name}`, async t => {
 				const engine = fleet.engine(`${zone}-${role}-1`);
 				const long = await startLong(engine, role);
-				let load = startLoad(fleet.hosts, `${role} ${name}`);
+				let load = loads.start(fleet.hosts, `${role} ${name}`);
 				await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
 				if (!isAskedMeanwhile) {
 					await load.end();
@@ -198,7 +130,7 @@
 				const offers = countOffers(engine);
 				const {lastAcceptedAtMs} = engine.judge();
 				const answered = before.length;
-				load = isAskedMeanwhile ? load : startLoad(fleet.hosts, `${role} ${name}, later`);
+				load = isAskedMeanwhile ? load : loads.start(fleet.hosts, `${role} ${name}, later`);
 				await sleep(afterwardsMs);
 				await load.end();
 				const longs = await Promise.all(long.map(async ({done}) => done));
@@ -224,7 +156,7 @@
 		// Reports lag, and nobody asks the others: they know it from the first host's refusals.
 		engine.setState('leaving');
 		const refusedAt = performance.now();
-		const load = startLoad([near], 'peer');
+		const load = loads.start([near], 'peer');
 		const {firstMs, allMs} = await waitUntilKnown(fleet, engine.id);
 		assert.equal(await readReportedState(engine), 'serving');
 		await load.end();
@@ -256,75 +188,3 @@
 		assert.deepEqual(finished.filter(({isWhole}) => !isWhole), [], 'a call in progress was not finished');
 	});
 });
-
-/*
- * A server refuses all work as leaving, and its load reports, which are on time,
- * go on saying that it serves. Were the newer report believed, every host would
- * offer it work again each second, and each caller would lose a try. A healthy
- * server that refused once by mistake has to come back by itself.
- */
-describe('a server that refuses as leaving while its reports say that it serves', () => {
-	let fleet: Fleet;
-
-	before(async () => {
-		fleet = await startFleet({
-			zones: [zone],
-			hostsPerZone: 3,
-			prefillsPerZone: 2,
-			decodesPerZone: 2,
-			entryFlags: {clockBound: '0ms'},
-			engine: {loadLagMs: 100},
-			decodeEngine: {decodeTokensPerSecond: 50, slots: 60},
-		});
-	});
-	afterEach(async () => {
-		await Promise.all(loads.splice(0).map(async load => load.end()));
-		for (const engine of fleet.engines.values()) {
-			engine.setFaults({});
-		}
-
-		await waitUntil(async () => hasNoLeaver(fleet), {deadlineMs, what: 'the return of all servers'});
-	});
-	after(async () => {
-		await fleet.stop();
-	});
-
-	for (const role of ['decode', 'prefill'] as const) {
-		it(`gets nothing new but a rare probe: a ${role} engine`, async t => {
-			const engine = fleet.engine(`${zone}-${role}-1`);
-			const load = startLoad(fleet.hosts, `${role} contradicts itself`);
-			await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
-			engine.setFaults({refuse: {reason: 'leaving', on: ['reservations', 'prefills']}});
-			await waitUntilKnown(fleet, engine.id);
-			await sleep(200);
-			const offers = countOffers(engine);
-			const answered = load.results.length;
-			await sleep(contradictedMs);
-			const offered = countOffers(engine) - offers;
-			t.diagnostic(`${load.results.length - answered} letters in ${contradictedMs} ms after all knew, ${offered} offers; reported ${await readReportedState(engine)}`);
-			assert.ok(load.results.length > answered, 'no load came after all knew');
-			assert.ok(offered <= 2, `${offered} offers to a server that refuses all`);
-			engine.setFaults({});
-			const endedAt = performance.now();
-			await waitUntil(() => countOffers(engine) > offers + offered + 3, {deadlineMs, what: 'work for the server that accepts it again'});
-			t.diagnostic(`used again ${Math.round(performance.now() - endedAt)} ms after it accepted work again`);
-			await load.end();
-			assert.deepEqual(load.results.filter(({isWhole}) => !isWhole), []);
-		});
-	}
-
-	it('is used again soon when it refused once by mistake', async t => {
-		// Not the one of the case before, which is asked more rarely for a minute.
-		const engine = fleet.engine(`${zone}-decode-2`);
-		const load = startLoad(fleet.hosts, 'mistake');
-		await waitUntil(() => load.results.length > 20, {deadlineMs, what: 'some load'});
-		engine.setFaults({refuse: {reason: 'leaving', on: ['reservations'], times: 1}});
-		const {allMs} = await waitUntilKnown(fleet, engine.id);
-		await sleep(200);
-		const offers = countOffers(engine);
-		await waitUntil(() => countOffers(engine) > offers + 3, {deadlineMs, what: 'work for the server again'});
-		t.diagnostic(`used again ${Math.round(performance.now() - allMs)} ms after all knew`);
-		await load.end();
-		assert.deepEqual(load.results.filter(({isWhole}) => !isWhole), []);
-	});
-});
