Split the failure tests of configurations by subject

Change: config-bad-edits has the edits that are cut off, wrong or lack a part; the fleet, its editions and the watch of its hosts are in _lib. The fleet is kept before it is waited for, so that it is stopped also when the first edition does not come.

--- /dev/null
+++ b/test/failures/_lib/create-editions.ts
@@ -0,0 +1,41 @@
+import {sealConfig} from '../../../src/domain/seal-config/index.js';
+import {sealParts} from '../../../src/domain/seal-parts/index.js';
+import {splitConfig} from '../../../src/domain/split-config/index.js';
+import {type ConfigPart} from '../../../src/ports/config.js';
+import {type Fleet} from '../../_lib/start-fleet/index.js';
+
+/** A sealed document and the marker that only this edition names. */
+export type Edition = {marker: number; text: string};
+
+/**
+ * Makes edition after edition of a fleet's document, each with a model whose
+ * name holds the edition's marker, so that callers can tell it.
+ */
+export function createEditions({configText, pools}: Pick<Fleet, 'configText' | 'pools'>) {
+	let marker = 0;
+
+	function toPlain(number: number, parts: Record<string, unknown> = {}): string {
+		const {end, ...document} = JSON.parse(configText) as Record<string, unknown>;
+		const marked = [...pools, {name: 'marker', model: `edition-${number}`, classes: ['quick']}];
+		return JSON.stringify({
+			...document, pools: marked, ...parts, end,
+		}, undefined, '\t') + '\n';
+	}
+
+	return {
+		/** A plain document for the next edition, with `parts` in the place of its own. */
+		toNextPlain: (parts: Record<string, unknown>): string => toPlain(marker + 1, parts),
+		toSealed(previous: string | undefined): Edition {
+			marker += 1;
+			return {marker, text: sealConfig(toPlain(marker), previous)._unsafeUnwrap().text};
+		},
+		/** The next edition in parts, of which the part of rules is another each time. */
+		toSealedParts(previous: string): Edition & {parts: readonly ConfigPart[]} {
+			marker += 1;
+			const source = splitConfig(toPlain(marker), () => true)._unsafeUnwrap();
+			const texts = new Map(source.parts.map(({name, text}) => [name, text.replace('"desk changes"', `"desk changes ${marker}"`)]));
+			const {text, parts} = sealParts(source.root, name => texts.get(name), previous)._unsafeUnwrap();
+			return {marker, text, parts};
+		},
+	};
+}
--- /dev/null
+++ b/test/failures/_lib/start-config-fleet.ts
@@ -0,0 +1,130 @@
+/** A fleet whose configuration is published again and again, watched through what callers of each host see. */
+import assert from 'node:assert/strict';
+import {toPartKey} from '../../../src/domain/to-part-key/index.js';
+import {type ConfigPart} from '../../../src/ports/config.js';
+import {startFleet, type FleetHost} from '../../_lib/start-fleet/index.js';
+import {waitUntil} from '../../_lib/wait-until/index.js';
+import {createEditions, type Edition} from './create-editions.js';
+import {readMarker, watchHosts} from './watch-hosts.js';
+
+export const deadlineMs = 30_000;
+export const near = 'dvorana-a';
+export const far = 'dvorana-b';
+
+/** An edition that the platform serves, and when it was published. */
+export type Published = Edition & {revision: number; at: number};
+
+export async function readMetric(host: FleetHost, name: string): Promise<number> {
+	const answer = await fetch(`${host.agentOperatorUrl}/metrics`, {signal: AbortSignal.timeout(2000)});
+	const text = await answer.text();
+	return Number(new RegExp(String.raw`${name}(?:\{[^}]*\})? (\d+)`).exec(text)?.[1] ?? Number.NaN);
+}
+
+type Status = {refused?: {revision: number; kind: string; reason: string}; warning?: string};
+
+export async function readStatus(host: FleetHost): Promise<Status> {
+	const answer = await fetch(`${host.agentOperatorUrl}/status`, {signal: AbortSignal.timeout(2000)});
+	return await answer.json() as Status;
+}
+
+/** Two zones of two hosts, to which the first edition has been published. */
+export async function startConfigFleet() {
+	const fleet = await startFleet({zones: [near, far], hostsPerZone: 2, isCuttable: true});
+	const watch = watchHosts(fleet.hosts);
+	const spreadMs: number[] = [];
+
+	const editions = createEditions(fleet);
+	let current = publish(editions.toSealed(undefined));
+
+	function publishParts(parts: readonly ConfigPart[]): void {
+		for (const part of parts) {
+			fleet.platform.publish(toPartKey(part), part.text);
+		}
+	}
+
+	function publish(document: Edition): Published {
+		const at = performance.now();
+		return {...document, revision: fleet.platform.publish('config', document.text), at};
+	}
+
+	function publishNext(): Published {
+		current = publish(editions.toSealed(current.text));
+		return current;
+	}
+
+	async function waitUntilSeen(wanted: Published, hosts: readonly FleetHost[] = fleet.hosts): Promise<number[]> {
+		await waitUntil(() => hosts.every(host => watch.latest(host)?.marker === wanted.marker), {deadlineMs, what: `edition ${wanted.marker} on ${hosts.map(({id}) => id).join(', ')}`});
+		return hosts.map(host => Math.round(watch.latest(host)!.at - wanted.at));
+	}
+
+	/** Publishes the next edition, waits for it on all hosts, and keeps how long it took. */
+	async function putInForce(): Promise<{older: Published; newer: Published}> {
+		const older = current;
+		const newer = publishNext();
+		spreadMs.push(...await waitUntilSeen(newer));
+		return {older, newer};
+	}
+
+	/** Waits until hosts say that they refused what they were offered under a revision. */
+	async function waitUntilRefused(hosts: readonly FleetHost[], revision: number): Promise<void> {
+		const isRefused = async (host: FleetHost): Promise<boolean> => {
+			const {refused} = await readStatus(host);
+			return refused?.revision === revision;
+		};
+
+		await waitUntil(async () => {
+			const refusals = await Promise.all(hosts.map(async host => isRefused(host)));
+			return refusals.every(Boolean);
+		}, {deadlineMs, what: `a refusal of revision ${revision} by ${hosts.map(({id}) => id).join(', ')}`, everyMs: 100});
+	}
+
+	async function restart(hosts: readonly FleetHost[]): Promise<void> {
+		await Promise.all(hosts.map(async host => host.kill()));
+		await Promise.all(hosts.map(async host => host.start()));
+	}
+
+	/** Waits until hosts answer by an edition now, whatever they answered before they were restarted. */
+	async function waitUntilAnswered(hosts: readonly FleetHost[], {marker}: Edition, what: string): Promise<void> {
+		await waitUntil(async () => {
+			const markers = await Promise.all(hosts.map(async host => readMarker(host)));
+			return markers.every(found => found === marker);
+		}, {deadlineMs, what});
+	}
+
+	return {
+		fleet,
+		/** What is to be in force in the end. */
+		current: () => current,
+		setCurrent(published: Published): void {
+			current = published;
+		},
+		...editions,
+		publishParts,
+		publish,
+		publishNext,
+		waitUntilSeen,
+		waitUntilAnswered,
+		putInForce,
+		waitUntilRefused,
+		restart,
+		ofZone: (zone: string) => fleet.hosts.filter(host => host.zone === zone),
+		/** Times from publishing to each host, milliseconds. */
+		spreadMs: (): readonly number[] => spreadMs,
+		assertNotReverted(): void {
+			assert.deepEqual(watch.reverted(), []);
+		},
+		/** Ends all faults, and sees that the next edition still comes in force and that none was followed by an earlier one. */
+		async recover(): Promise<void> {
+			fleet.network.heal();
+			fleet.platform.setFaults({});
+			await putInForce();
+			assert.deepEqual(watch.reverted(), []);
+		},
+		async stop(): Promise<void> {
+			await watch.end();
+			await fleet.stop();
+		},
+	};
+}
+
+export type ConfigFleet = Awaited<ReturnType<typeof startConfigFleet>>;
