--- a/src/programs/entry/run-request/test.ts
+++ b/src/programs/entry/run-request/test.ts
@@ -31,7 +31,7 @@
 }
 
 /** A request to a pool whose decode servers answer a reservation as `toAnswer` says; reports show them all empty. */
-function createFixture(toAnswer: (server: string, asked: number) => Answer) {
+function createFixture(toAnswer: (server: string, asked: number) => Answer, prefill?: EngineFailure) {
 	const asked: string[] = [];
 	const noted: string[] = [];
 	const budget = createRetryBudget({baseMs: 1, maxMs: 1});
@@ -70,9 +70,11 @@
 			const answer = toAnswer(server.id, asked.length);
 			return answer === 'room' ? okAsync({reservationId: 'v', expiresInMs: 5000}) : errAsync(toFailure(server.id, answer));
 		},
-		prefill: () => okAsync({
-			kvId: 'k', promptTokens: 100, cachedTokens: 0, bytes: 1,
-		}),
+		prefill: () => prefill === undefined
+			? okAsync({
+				kvId: 'k', promptTokens: 100, cachedTokens: 0, bytes: 1,
+			})
+			: errAsync(prefill),
 		importKv: () => okAsync({bytes: 1}),
 		decode: ({key}: Parameters<Engine['decode']>[0]) => okAsync(toStream(key.attempt)),
 	}) as unknown as Engine;
@@ -132,6 +134,16 @@
 		assert.deepEqual(end.kind === 'failed' && [end.problem.kind, end.problem.outcome, end.problem.retryAfterMs], ['no-capacity', 'not-run', 1000]);
 	});
 
+	for (const [reason, outcome] of [['duplicate', 'may-have-run'], ['leaving', 'not-run']] as const) {
+		it(`says ${outcome} when every prefill is refused as ${reason}`, async () => {
+			const refused: EngineFailure = {
+				kind: 'refused', reason, server: 'p1', message: reason, retryAfterMs: undefined,
+			};
+			const {end} = await createFixture(() => 'room', refused).runRequest();
+			assert.equal(end.kind === 'failed' && end.problem.outcome, outcome);
+		});
+	}
+
 	it('pays for a failure', async () => {
 		const fixture = createFixture((_server, asked) => asked === 1 ? 'broken' : 'full');
 		const {end} = await fixture.runRequest();
