--- a/src/adapters/metrics/index.ts
+++ b/src/adapters/metrics/index.ts
@@ -50,6 +50,8 @@
 	createGauge: <const Set extends LabelSet = Record<never, never>>(options: MetricOptions<Set>) => Gauge<Set>;
 	/** A gauge whose value is asked for at each exposure. */
 	createSampledGauge: (options: {name: string; help: string; sample: () => number}) => void;
+	/** A counter that is kept elsewhere and asked for at each exposure. */
+	createSampledCounter: (options: {name: string; help: string; sample: () => number}) => void;
 	createHistogram: <const Set extends LabelSet = Record<never, never>>(options: HistogramOptions<Set>) => HistogramMetric<Set>;
 	/** All metrics in the Prometheus text format, version 0.0.4. */
 	toPrometheus: () => string;
@@ -123,9 +125,9 @@
 		};
 	}
 
-	function createSampledGauge(options: {name: string; help: string; sample: () => number}): void {
-		register(options, 'gauge', name => [`${name} ${toNumber(options.sample())}`]);
-	}
+	const createSampled = (type: 'counter' | 'gauge') => (options: {name: string; help: string; sample: () => number}): void => {
+		register(options, type, name => [`${name} ${toNumber(options.sample())}`]);
+	};
 
 	function createHistogram<const Set extends LabelSet>(options: HistogramOptions<Set>): HistogramMetric<Set> {
 		const {bounds, scale = 1, step = 1} = options;
@@ -144,7 +146,8 @@
 	return {
 		createCounter,
 		createGauge,
-		createSampledGauge,
+		createSampledGauge: createSampled('gauge'),
+		createSampledCounter: createSampled('counter'),
 		createHistogram,
 		toPrometheus: () => `${Array.from(families.values(), toText => toText()).join('\n')}\n`,
 	};
--- a/src/adapters/metrics/process-metrics.ts
+++ b/src/adapters/metrics/process-metrics.ts
@@ -14,8 +14,8 @@
 	metrics.createSampledGauge({name: 'process_resident_memory_bytes', help: 'Resident memory of the process.', sample: () => process.memoryUsage.rss()});
 	metrics.createSampledGauge({name: 'process_heap_used_bytes', help: 'Heap in use.', sample: () => process.memoryUsage().heapUsed});
 	metrics.createSampledGauge({name: 'process_uptime_seconds', help: 'Time since the process started.', sample: () => process.uptime()});
-	metrics.createSampledGauge({
-		name: 'process_cpu_seconds',
+	metrics.createSampledCounter({
+		name: 'process_cpu_seconds_total',
 		help: 'Processor time used since the process started.',
 		sample() {
 			const {user, system} = process.cpuUsage();
--- a/src/adapters/metrics/test.ts
+++ b/src/adapters/metrics/test.ts
@@ -16,6 +16,7 @@
 		requests.bind({class: 'quick'})();
 		metrics.createGauge({name: 'queued', help: 'Waiting.'}).set({}, 4);
 		metrics.createSampledGauge({name: 'age_ms', help: 'Age.', sample: () => Number.POSITIVE_INFINITY});
+		metrics.createSampledCounter({name: 'reads_total', help: 'Reads.', sample: () => 7});
 		assert.equal(metrics.toPrometheus(), [
 			'# HELP banyanport_requests_total Requests taken.',
 			'# TYPE banyanport_requests_total counter',
@@ -27,6 +28,9 @@
 			'# HELP banyanport_age_ms Age.',
 			'# TYPE banyanport_age_ms gauge',
 			'banyanport_age_ms +Inf',
+			'# HELP banyanport_reads_total Reads.',
+			'# TYPE banyanport_reads_total counter',
+			'banyanport_reads_total 7',
 			'',
 		].join('\n'));
 	});
--- a/src/programs/_operations/start-operations.ts
+++ b/src/programs/_operations/start-operations.ts
@@ -41,7 +41,7 @@
 export async function startOperations(options: OperationsOptions): Promise<Result<OperatorServer, OperatorServerFault>> {
 	const {settings, log, metrics, keys} = options;
 	const readyGauge = metrics.createGauge({name: 'ready', help: 'Whether the program takes requests: 1 or 0.'});
-	metrics.createSampledGauge({name: 'log_lines_dropped', help: 'Log lines dropped because standard output took none.', sample: log.droppedCount});
+	metrics.createSampledCounter({name: 'log_lines_dropped_total', help: 'Log lines dropped because standard output took none.', sample: log.droppedCount});
 	return startOperatorServer({
 		bind: settings.operatorBind ?? settings.bind,
 		port: settings.operatorPort,
--- /dev/null
+++ b/test/contracts/operator-programs.test.ts
@@ -0,0 +1,205 @@
+import assert from 'node:assert/strict';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {type PeerCertificate} from 'node:tls';
+import {after, describe, it} from 'node:test';
+import {Agent, request} from 'undici';
+import {
+	foreignTestCa, foreignTestPair, testCa, testPairA, testPairB, type TestKeyPair,
+} from '../_lib/keys/index.js';
+import {connectPeer, type PeerHello} from '../../src/adapters/peer-tcp/index.js';
+import {startFleet} from '../_lib/start-fleet/index.js';
+import {startProgram, type Program, type ProgramOptions} from '../_lib/start-program/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+
+const bounds = {headersTimeout: 10_000, bodyTimeout: 10_000};
+const token = 'token-of-the-operators';
+const programs: Program[] = [];
+const directories: string[] = [];
+
+after(async () => {
+	await Promise.all(programs.map(async program => program.kill()));
+	await Promise.all(directories.map(async dir => rm(dir, {recursive: true})));
+});
+
+/** An entry whose agent is not there. */
+async function startLoneEntry(options: Partial<ProgramOptions> = {}): Promise<Program> {
+	const program = await startProgram({
+		program: 'entry',
+		...options,
+		flags: {
+			hostId: 'dvorana-a-1', zone: 'dvorana-a', callerPort: 0, peerPort: 0, operatorPort: 0, agentAddress: '127.0.0.1:1', drainDelay: '0ms', ...options.flags,
+		},
+	});
+	programs.push(program);
+	return program;
+}
+
+async function ask(port: number, route: string, authorization?: string) {
+	const {statusCode, body} = await request(`http://127.0.0.1:${port}${route}`, {headers: authorization === undefined ? {} : {authorization}, ...bounds});
+	return {status: statusCode, text: await body.text()};
+}
+
+async function writeKeys(first: TestKeyPair) {
+	const dir = await mkdtemp(path.join(tmpdir(), 'banyanport-programs-'));
+	directories.push(dir);
+	const paths = {cert: path.join(dir, 'cert.pem'), key: path.join(dir, 'key.pem'), ca: path.join(dir, 'ca.pem')};
+	const replace = async (pair: TestKeyPair) => {
+		await writeFile(paths.cert, pair.cert);
+		await writeFile(paths.key, pair.key);
+	};
+
+	await replace(first);
+	await writeFile(paths.ca, testCa);
+	return {paths, replace};
+}
+
+describe('operators\' port of the entry', () => {
+	it('says why it is not ready, and shows metrics, status and burn', async () => {
+		const entry = await startLoneEntry();
+		const port = entry.port('operatorPort');
+		const ready = await ask(port, '/ready');
+		assert.deepEqual([ready.status, ready.text.includes('no configuration is in force')], [503, true]);
+		const metrics = await ask(port, '/metrics');
+		assert.match(metrics.text, /^banyanport_ready 0$/m);
+		const slo = await ask(port, '/slo');
+		assert.match(slo.text, /^{"version":1,"hosts":\["dvorana-a-1"]/);
+		const status = await ask(port, '/status');
+		assert.equal(status.status, 200);
+	});
+
+	it('is not reached by the callers\' port', async () => {
+		const entry = await startLoneEntry();
+		for (const route of ['/health', '/ready', '/metrics', '/status', '/slo', '/explain/r1']) {
+			const answer = await ask(entry.port('callerPort'), route);
+			assert.equal(answer.status >= 400, true, route);
+			assert.doesNotMatch(answer.text, /banyanport_|"ready"|"healthy"/, route);
+		}
+	});
+
+	it('shows nothing without the token', async () => {
+		const entry = await startLoneEntry({env: {BANYANPORT_OPERATOR_TOKEN: token}});
+		for (const [authorization, status] of [[undefined, 401], ['Bearer token-of-somebody-else', 401], [`Bearer ${token}`, 200]] as const) {
+			const answer = await ask(entry.port('operatorPort'), '/metrics', authorization);
+			assert.deepEqual([answer.status, answer.text.includes('banyanport_')], [status, status === 200]);
+		}
+
+		assert.equal(JSON.stringify(entry.logs()).includes(token), false);
+	});
+});
+
+describe('settings of the programs', () => {
+	const rows: Array<[string, Partial<ProgramOptions>, readonly RegExp[]]> = [
+		['all faults at once', {flags: {callerPort: 99_999, zone: undefined, hostId: 'A B'}, env: {BANYANPORT_OPERATR_PORT: '1'}}, [
+			/--caller-port '99999'/, /--zone \(or BANYANPORT_ZONE\) is missing/, /--host-id 'A B'/, /did you mean BANYANPORT_OPERATOR_PORT/,
+		]],
+		['a key file that is not there', {flags: {tlsCertFile: 'no-such-file.pem', tlsKeyFile: 'no-such-file.pem'}}, [/no-such-file\.pem cannot be read \(ENOENT\)/]],
+		['a certificate without its key', {flags: {tlsCertFile: 'cert.pem'}}, [/--tls-key-file is missing while --tls-cert-file is given/]],
+	];
+	for (const [name, options, messages] of rows) {
+		it(`end the entry with ${name}, exit code 2 and no stack trace`, async () => {
+			await assert.rejects(startLoneEntry(options), (error: Error) => {
+				assert.match(error.message, /"code":2/);
+				for (const message of messages) {
+					assert.match(error.message, message);
+				}
+
+				return !/^\s+at /m.test(error.message.slice(error.message.indexOf('\n')));
+			});
+		});
+	}
+});
+
+describe('TLS of the callers\' port', () => {
+	/*
+	 * Keys are renewed while callers are connected. An open connection must go
+	 * on and a new one must see the new certificate; a half-replaced pair must
+	 * leave the old one in use and be shouted about.
+	 */
+	it('takes new keys without dropping a connection, and keeps the old ones when the new are broken', async () => {
+		const {paths, replace} = await writeKeys(testPairA);
+		const entry = await startLoneEntry({flags: {tlsCertFile: paths.cert, tlsKeyFile: paths.key, keyPollInterval: '100ms'}});
+		const seen: string[] = [];
+		const connect = {
+			ca: testCa,
+			checkServerIdentity(_host: string, cert: PeerCertificate) {
+				seen.push(String(cert.subject.CN));
+				return undefined;
+			},
+		};
+		const agents = Array.from({length: 3}, () => new Agent({connect, connections: 1}));
+		const askBy = async (dispatcher: Agent) => {
+			const {statusCode, body} = await request(`https://127.0.0.1:${entry.port('callerPort')}/v1/models`, {dispatcher, ...bounds});
+			await body.dump();
+			return statusCode;
+		};
+
+		const first = await askBy(agents[0]!);
+		await replace(testPairB);
+		await entry.waitForLog(line => line.message === 'new keys are in use', {deadlineMs: 10_000, what: 'the new keys'});
+		assert.equal(await askBy(agents[0]!), first);
+		await askBy(agents[1]!);
+		await replace({cert: testPairB.cert, key: testPairA.key});
+		await entry.waitForLog(line => line.level === 'error' && line.message === 'key files cannot be used; the old keys stay in use', {deadlineMs: 10_000, what: 'the complaint'});
+		await askBy(agents[2]!);
+		assert.deepEqual(seen, ['banyanport test only a', 'banyanport test only b', 'banyanport test only b']);
+		const metrics = await ask(entry.port('operatorPort'), '/metrics');
+		assert.match(metrics.text, /^banyanport_key_faults 1$/m);
+		await Promise.all(agents.map(async agent => agent.close()));
+	});
+});
+
+describe('mutual TLS between own processes', () => {
+	/*
+	 * Somebody who reaches the peer ports connects without keys, with keys of
+	 * another authority, and with such keys and our authority's certificate. He
+	 * must not even get a hello, while the host works and renews its keys.
+	 */
+	it('serves a host with keys, and gives a stranger nothing', async () => {
+		const own = await writeKeys(testPairA);
+		const stranger: PeerHello = {
+			host: 'dvorana-b-1', zone: 'dvorana-b', role: 'agent', incarnation: 1,
+		};
+		const toFlags = ({paths}: typeof own) => ({
+			peerTlsCertFile: paths.cert, peerTlsKeyFile: paths.key, peerTlsCaFile: paths.ca, keyPollInterval: '100ms',
+		});
+		const fleet = await startFleet({
+			zones: ['dvorana-a'], hostsPerZone: 1, agentFlags: toFlags(own), entryFlags: toFlags(own),
+		});
+		try {
+			await fleet.waitUntilReady();
+			const [host] = fleet.hosts;
+			const ports = [host!.agent().port('peerPort'), host!.entry().port('peerPort')];
+			const keysOf = [
+				{tls: undefined, isServed: false},
+				{tls: () => ({...foreignTestPair, ca: foreignTestCa}), isServed: false},
+				{tls: () => ({...foreignTestPair, ca: testCa}), isServed: false},
+				{tls: () => ({...testPairB, ca: testCa}), isServed: true},
+			];
+			for (const port of ports) {
+				for (const [i, {tls, isServed}] of keysOf.entries()) {
+					const connected = await connectPeer({
+						address: `127.0.0.1:${port}`, hello: stranger, connectTimeoutMs: 3000, ...tls === undefined ? {} : {tls},
+					});
+					if (connected.isOk()) {
+						connected.value.close();
+					}
+
+					assert.equal(connected.isOk(), isServed, `keys ${i} at port ${port}`);
+				}
+			}
+
+			await own.replace(testPairB);
+			await host!.agent().waitForLog(line => line.message === 'new keys are in use', {deadlineMs: 10_000, what: 'the agent\'s new keys'});
+			await host!.entry().waitForLog(line => line.message === 'new keys are in use', {deadlineMs: 10_000, what: 'the entry\'s new keys'});
+			const ready = await waitUntil(async () => {
+				const answer = await ask(host!.entry().port('operatorPort'), '/ready');
+				return answer.status === 200;
+			}, {deadlineMs: 10_000, what: 'readiness with new keys'});
+			assert.equal(ready, true);
+		} finally {
+			await fleet.stop();
+		}
+	});
+});
