--- a/bench/fleet/index.ts
+++ b/bench/fleet/index.ts
@@ -136,7 +136,7 @@
 	return rows.toSorted((a, b) => a.index - b.index).map(({row}) => row);
 }
 
-/** Runs all of it, in about six minutes. */
+/** Runs all of it, in about seven minutes. */
 export async function runFleetBench(): Promise<void> {
 	const isSmall = process.env.BENCH_SMALL === '1';
 	const seed = Number(process.env.BENCH_SEED ?? 1);
