--- a/bench/relay/_lib/entry-main.ts
+++ b/bench/relay/_lib/entry-main.ts
@@ -9,7 +9,7 @@
 import {type LoadReport} from '../../../src/ports/engine.js';
 import {type FleetView} from '../../../src/ports/view.js';
 import {entrySettings} from '../../../src/programs/_settings/index.js';
-import {startEntry} from '../../../src/programs/entry/start-entry/index.js';
+import {startFleetEntry} from '../../../src/programs/entry/start-fleet-entry/index.js';
 
 export type EntryStart = {
 	configText: string;
@@ -51,7 +51,7 @@
 
 async function run(start: EntryStart): Promise<void> {
 	const parsed = parseSettings(entrySettings, {argv: ['--host-id', 'z-1', '--zone', 'z', '--agent-address', '127.0.0.1:1'], env: {}});
-	const entry = await startEntry({
+	const entry = await startFleetEntry({
 		settings: {
 			...parsed._unsafeUnwrap().values, callerPort: 0, peerPort: 0, operatorPort: 0, drainDelay: 0, maxInFlight: 20_000, maxConnections: 20_000,
 		},
--- a/src/adapters/_lib/create-http-agent/undici-agent.d.ts
+++ /dev/null
@@ -1,4 +0,0 @@
-declare module 'undici/lib/dispatcher/agent.js' {
-
-	export {Agent as default} from 'undici';
-}
--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -19,6 +19,8 @@
 	resume: () => void;
 	/** Closes the connection; nothing is reported afterwards. */
 	abandon: () => void;
+	/** Reads the rest and drops it, so that the connection can serve again; nothing is reported afterwards. */
+	discard: () => void;
 };
 
 export type CallSink = {
@@ -96,6 +98,9 @@
 			end();
 			controller.abort(new Error('abandoned'));
 		},
+		discard() {
+			end();
+		},
 	});
 
 	if (signal?.aborted) {
--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -7,7 +7,7 @@
 import {v7 as createUuidV7} from 'uuid';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestId} from '../../../ports/ids.js';
-import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
+import {type Problem, type ProblemStyle, toProblem} from '../../../domain/to-problem/index.js';
 import {createBodyWriter} from './create-body-writer.js';
 import {createSizedBody, hasBody, toLength} from './create-sized-body.js';
 
@@ -55,8 +55,14 @@
 	isStopping: () => boolean;
 	/** Time for which a caller may take no byte of the end of its answer. */
 	writeTimeoutMs: number;
+	/** Header in which callers name their requests; without it, or without a name, the host names them. */
+	requestIdHeader?: string | undefined;
+	problemStyle?: ProblemStyle | undefined;
 };
 
+/** Longest name of a request that is taken from its caller. */
+const maxRequestIdLength = 128;
+
 /** Time for which the rest of a refused body is read and dropped, milliseconds. */
 const lingerMs = 1000;
 
@@ -69,6 +75,11 @@
 	return Buffer.from(createUuidV7(), 'latin1').toString('latin1');
 }
 
+function toNamed(req: IncomingMessage, header: string | undefined): RequestId | undefined {
+	const named = header === undefined ? undefined : req.headers[header];
+	return typeof named === 'string' && named.length > 0 && named.length <= maxRequestIdLength ? named : undefined;
+}
+
 /**
  * Reads a body into memory, within a bound of size and time.
  *
@@ -178,7 +189,7 @@
  * @returns The exchange.
  */
 export function createExchange(req: IncomingMessage, res: ServerResponse, options: ExchangeOptions): CallerExchange {
-	const requestId = createRequestId();
+	const requestId = toNamed(req, options.requestIdHeader) ?? createRequestId();
 	const target = req.url ?? '/';
 	const gone = new AbortController();
 	const writer = createBodyWriter(req, res);
@@ -246,7 +257,7 @@
 		incoming: req,
 		sendAnswer,
 		sendProblem(problem) {
-			const document = toProblem(problem, requestId);
+			const document = toProblem(problem, requestId, options.problemStyle);
 			sendAnswer(document.status, document.headers, document.body);
 		},
 		startStream(status, headers) {
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -12,7 +12,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
-import {type CallerExchange, createExchange} from './_lib/exchange.js';
+import {type CallerExchange, createExchange, type ExchangeOptions} from './_lib/exchange.js';
 
 export {type BodyFault, type CallerExchange} from './_lib/exchange.js';
 
@@ -38,9 +38,13 @@
 	writeTimeoutMs: number;
 	/** Certificate and key; absent means plain HTTP. */
 	tls?: SecureContextOptions | undefined;
-};
+	/** Passes everything to `plain`, as there is no interface of the system's own on this port. */
+	isRelayOnly?: boolean | undefined;
+} & Pick<ExchangeOptions, 'requestIdHeader' | 'problemStyle'>;
 
 export type CallerServer = {
+	/** Takes another time for which idle connections stay open. */
+	setKeepAlive: (timeoutMs: number) => void;
 	port: number;
 	/** Exchanges that have not been answered whole. */
 	open: () => number;
@@ -63,8 +67,13 @@
 type AppEnvironment = {Bindings: HttpBindings};
 type Serve = (context: Context<AppEnvironment>, handler: (exchange: CallerExchange) => Promise<void>) => Response;
 
-function createApp(handlers: CallerHandlers, serve: Serve): Hono<AppEnvironment> {
+function createApp(handlers: CallerHandlers, serve: Serve, isRelayOnly: boolean): Hono<AppEnvironment> {
 	const app = new Hono<AppEnvironment>();
+	if (isRelayOnly) {
+		app.all('*', context => serve(context, handlers.plain));
+		return app;
+	}
+
 	const refuseMethod = async (exchange: CallerExchange) => {
 		exchange.sendProblem({kind: 'method-not-allowed', detail: `${exchange.method} is not allowed at ${exchange.path}. Completions take POST, the list of models takes GET.`, outcome: 'not-run'});
 	};
@@ -163,7 +172,9 @@
 	const serve: Serve = (context, handler) => {
 		const {incoming, outgoing} = context.env;
 		const {socket} = incoming;
-		const exchange = createExchange(incoming, outgoing, {isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs});
+		const exchange = createExchange(incoming, outgoing, {
+			isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
+		});
 		open.add(exchange);
 		busy.set(socket, (busy.get(socket) ?? 0) + 1);
 		outgoing.once('close', () => {
@@ -191,7 +202,7 @@
 		connectionsCheckingInterval: connectionCheckMs,
 		noDelay: true,
 	};
-	const listener = getRequestListener(createApp(handlers, serve).fetch, {overrideGlobalObjects: false, autoCleanupIncoming: false, errorHandler: answerBadRequest});
+	const listener = getRequestListener(createApp(handlers, serve, options.isRelayOnly ?? false).fetch, {overrideGlobalObjects: false, autoCleanupIncoming: false, errorHandler: answerBadRequest});
 	const server = options.tls === undefined ? createServer(serverOptions, listener) : createTlsServer({...serverOptions, ...options.tls}, listener);
 	const {refused, count} = watchConnections(server, options.maxConnections);
 
@@ -215,6 +226,9 @@
 		port: (server.address() as AddressInfo).port,
 		open: () => open.size,
 		connections: count,
+		setKeepAlive(timeoutMs) {
+			server.keepAliveTimeout = timeoutMs;
+		},
 		renewTls(tls) {
 			if ('setSecureContext' in server) {
 				server.setSecureContext(tls);
--- a/src/domain/compile-rules/_lib/build-index.ts
+++ b/src/domain/compile-rules/_lib/build-index.ts
@@ -59,6 +59,7 @@
 const plainDimensions: readonly Dimension[] = [
 	{toValues: when => when.workspace, toLookup: toSingle(facts => facts.workspace)},
 	{toValues: when => when.model, toLookup: toSingle(facts => facts.model)},
+	{toValues: when => when.host === undefined ? undefined : [when.host], toLookup: toSingle(facts => facts.host)},
 	{toValues: when => when.path === undefined ? undefined : [when.path], toLookup: toPathLookup},
 	{toValues: when => when.zone, toLookup: toSingle(facts => facts.zone)},
 	{toValues: when => when.class === undefined ? undefined : [when.class], toLookup: toSingle(facts => facts.class)},
--- a/src/domain/compile-rules/_lib/to-test.ts
+++ b/src/domain/compile-rules/_lib/to-test.ts
@@ -21,6 +21,7 @@
 	return facts => inWorkspaces(facts.workspace)
 		&& inModels(facts.model)
 		&& inZones(facts.zone)
+		&& (when.host === undefined || when.host === facts.host)
 		&& (when.path === undefined || facts.path.startsWith(when.path))
 		&& (when.class === undefined || when.class === facts.class)
 		&& facts.promptTokens >= least
--- a/src/domain/compile-rules/index.ts
+++ b/src/domain/compile-rules/index.ts
@@ -10,6 +10,8 @@
 	workspace: WorkspaceId;
 	/** Model named in the request; `undefined` for plain services. */
 	model: string | undefined;
+	/** Value of the `Host` header; absent where rules don't ask for it. */
+	host?: string | undefined;
 	/** Path of the request without its query. */
 	path: string;
 	/** Header values by name in lower case. */
--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -198,6 +198,8 @@
 			track.own = Math.max(0, track.own + slots);
 			addChange(track, {at: now, slots, tokens: 0});
 		},
+		/** Whether the server itself said that it is full, later than `since`. */
+		isFullSince: (server: ServerId, since: Milliseconds): boolean => (tracks.get(server)?.fullAt ?? -Infinity) > since,
 		/** A request that held a slot there has ended, so a server that was full is not any more. */
 		noteFreed(server: ServerId): void {
 			toTrack(server).fullAt = -Infinity;
--- /dev/null
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -0,0 +1,98 @@
+/**
+ * Finds a prefill and a decode server where nobody polls loads: this host knows
+ * its own requests and what servers answered them, and nothing of other hosts.
+ * The decode server, asked for a reservation, is the arbiter of its memory, so a
+ * wrong guess costs one short call and no prompt computed for nothing.
+ */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerLoad} from '../../create-load-estimate/index.js';
+import {isSoft} from './create-standing.js';
+import {type PairSearchOptions, type Search} from './search-types.js';
+import {type Candidate, type Pair} from './to-best-pair.js';
+import {type RoleServers} from './to-pool-index.js';
+
+/**
+ * Time after a refusal as full in which a decode server is not asked again. Its
+ * streams last seconds and several hosts send to it, so room comes every hundred
+ * milliseconds or so; asking each waiting request's turn would be calls for nothing.
+ */
+const fullForMs: Milliseconds = 100;
+
+/**
+ * What another zone counts against a decode server, in requests of this host:
+ * less than one, so that the own zone is preferred between equals alone.
+ */
+const otherZoneRequests = 0.5;
+
+/** What crossing zones adds to a transfer that others share, milliseconds. */
+const crossTransferMs: Milliseconds = 20;
+
+type UnreportedOptions = Pick<PairSearchOptions, 'zone' | 'loads' | 'standing'>;
+
+/**
+ * @param options - Zone of this host, its own counts, and what speaks against servers.
+ * @returns A function that finds the pair with the fewest requests of this host.
+ */
+export const createUnreportedSearch = ({zone, loads, standing}: UnreportedOptions) => {
+	const isUsable = (entry: ServerEntry, search: Search, isLastResort: boolean): boolean => {
+		const inquiry = isLastResort ? {...search, isLastResort} : search;
+		const reason = standing.toReason(entry, inquiry, isLastResort ? 0 : search.random());
+		search.met.lost ||= reason === 'unreachable' || reason === 'ejected';
+		// Nobody reports here, so a load that is not known says nothing against a server.
+		return reason === undefined || reason === 'unknown-load' || (isLastResort && isSoft(reason));
+	};
+
+	const toCandidate = (entry: ServerEntry, load: ServerLoad): Candidate => ({
+		entry, load, version: undefined, cachedTokens: 0, stepMs: 0, slowMs: 0, unseenMs: 0,
+	});
+
+	const readAll = ({all}: RoleServers, search: Search, isLastResort: boolean): Candidate[] =>
+		all.filter(entry => isUsable(entry, search, isLastResort)).map(entry => toCandidate(entry, loads.read(entry, undefined, search.now)));
+
+	const readDecodes = (search: Search, isLastResort: boolean): Candidate[] =>
+		readAll(search.servers.decode, search, isLastResort).filter(({entry}) => {
+			const isFull = loads.isFullSince(entry.id, search.now - fullForMs);
+			search.met.full ||= isFull;
+			return !isFull;
+		});
+
+	const takeLeast = (candidates: readonly Candidate[], toCost: (candidate: Candidate) => number): Candidate | undefined => {
+		let least: Candidate | undefined;
+		let leastCost = Infinity;
+		for (const candidate of candidates) {
+			const cost = toCost(candidate);
+			if (cost < leastCost) {
+				least = candidate;
+				leastCost = cost;
+			}
+		}
+
+		return least;
+	};
+
+	const findAmong = (search: Search, isLastResort: boolean): Pair | undefined => {
+		const {random, promptTokens} = search;
+		const decodes = readDecodes(search, isLastResort);
+		// Chance breaks ties, or all hosts that start empty would send to the same server.
+		const decode = takeLeast(decodes, ({entry, load}) => load.own + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2));
+		if (decode === undefined) {
+			return undefined;
+		}
+
+		const toPrefillMs = ({entry, load}: Candidate): Milliseconds =>
+			((load.backlogTokens + promptTokens) / load.tokensPerSecond * 1000) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
+		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random());
+		if (prefill === undefined) {
+			return undefined;
+		}
+
+		const predictedPrefillMs = toPrefillMs(prefill);
+		return {
+			prefill, decode, predictedPrefillMs, predictedFirstTokenMs: predictedPrefillMs, delayMs: predictedPrefillMs, score: predictedPrefillMs,
+		};
+	};
+
+	return (search: Search): Pair | undefined =>
+		findAmong(search, false) ?? (search.met.full ? undefined : findAmong(search, true));
+};
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -26,6 +26,7 @@
 import {createPairSearch} from './_lib/create-pair-search.js';
 import {createStanding} from './_lib/create-standing.js';
 import {createSubsets} from './_lib/create-subsets.js';
+import {createUnreportedSearch} from './_lib/create-unreported-search.js';
 import {type Search} from './_lib/search-types.js';
 import {type Pair} from './_lib/to-best-pair.js';
 import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
@@ -129,6 +130,8 @@
 		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets, spills,
 	});
 
+	const findUnreported = createUnreportedSearch({zone, loads, standing});
+
 	const toModelNeeds = (request: PlacementRequest): Needs => {
 		const {pool, model, version, adapter, exclude, promptTokens, firstTokenBudgetMs} = request;
 		const hits = [...prefixes.toHits(request.prefixBlocks ?? [])]
@@ -209,14 +212,16 @@
 		}
 
 		const {prefill, decode} = search.servers;
-		const pair = pairs.findPair(search);
+		const isUnreported = search.servers.pool.isUnreported === true;
+		const pair = isUnreported ? findUnreported(search) : pairs.findPair(search);
 		if (pair === undefined) {
 			return err(toNothingFound(search, [prefill, decode]));
 		}
 
 		const account = () => pairs.toAccount(search, [prefill, decode], [pair.prefill.entry.id, pair.decode.entry.id]);
 		const lateMs = pair.predictedFirstTokenMs - request.firstTokenBudgetMs;
-		if (lateMs > 0) {
+		// Own counts alone are too rough a ground to refuse a request by.
+		if (lateMs > 0 && !isUnreported) {
 			const message = `the first token is predicted after ${Math.round(pair.predictedFirstTokenMs)} ms, over the ${Math.round(request.firstTokenBudgetMs)} ms left`;
 			return err(toRefusal('would-miss-target', message, lateMs, account));
 		}
--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -31,6 +31,8 @@
 	bytesOffered: number;
 	/** What is known of the attempt: `not-run` only when no byte was offered or the server said so. */
 	outcome: Outcome;
+	/** Attempts that this request may have at most, where its rule says so. */
+	maxAttempts?: number;
 	/** Number of the attempt that failed, from 1. */
 	attempt: number;
 	/** Monotonic time by which the answer is due. */
@@ -97,7 +99,7 @@
 			return refusal;
 		}
 
-		if (failed.attempt >= maxAttempts) {
+		if (failed.attempt >= (failed.maxAttempts ?? maxAttempts)) {
 			return 'attempts';
 		}
 
--- a/src/domain/explain-rules/index.ts
+++ b/src/domain/explain-rules/index.ts
@@ -57,6 +57,7 @@
 	return [
 		...toUnmetList('workspace', when.workspace, facts.workspace),
 		...toUnmetList('model', when.model, facts.model),
+		...toUnmetIf(when.host !== undefined && when.host !== facts.host, 'host', when.host!, facts.host ?? ''),
 		...toUnmetIf(when.path !== undefined && !facts.path.startsWith(when.path), 'path', `${when.path}...`, facts.path),
 		...Object.entries(when.headers ?? {}).flatMap(([name, value]) => toUnmetHeader(name, value, facts.headers)),
 		...toUnmetIf(when.class !== undefined && when.class !== facts.class, 'class', String(when.class), facts.class),
--- a/src/domain/find-dead-rules/_lib/find-touched-rules.ts
+++ b/src/domain/find-dead-rules/_lib/find-touched-rules.ts
@@ -70,6 +70,7 @@
 function takesSome(outer: RuleWhen, inner: RuleWhen): boolean {
 	return sharesOne(outer.model, inner.model)
 		&& sharesOne(outer.zone, inner.zone)
+		&& (outer.host === undefined || outer.host === inner.host)
 		&& (outer.path === undefined || (inner.path?.startsWith(outer.path) ?? false))
 		&& (outer.class === undefined || outer.class === inner.class)
 		&& (outer.promptTokensAtLeast ?? 0) <= (inner.promptTokensAtLeast ?? 0)
--- a/src/domain/find-dead-rules/index.ts
+++ b/src/domain/find-dead-rules/index.ts
@@ -144,6 +144,7 @@
 	return coversWorkspaces(outer, inner)
 		&& coversList(outer.model, inner.model)
 		&& coversList(outer.zone, inner.zone)
+		&& (outer.host === undefined || outer.host === inner.host)
 		&& (outer.path === undefined || (inner.path?.startsWith(outer.path) ?? false))
 		&& (outer.class === undefined || outer.class === inner.class)
 		&& (outer.promptTokensAtLeast ?? 0) <= (inner.promptTokensAtLeast ?? 0)
--- a/src/domain/parse-config/_lib/schema.ts
+++ b/src/domain/parse-config/_lib/schema.ts
@@ -12,6 +12,7 @@
 const ruleName = text(/^\S(?:.{0,78}\S)?$/, 'a name on one line (at most 80 letters)');
 const workspace = text(/^[\w.\-:@]{1,128}$/, 'a workspace name without blanks (at most 128)');
 const url = text(/^https?:\/\/(?:(?:25[0-5]|2[0-4]\d|1?\d?\d)(?:\.(?:25[0-5]|2[0-4]\d|1?\d?\d)){3}|\[[\da-f:]+]):\d{1,5}$/, 'an address like http://10.0.0.7:8000 (IP number and port, no path)');
+const hostName = text(/^[a-z\d][a-z\d.-]*$/, 'a host name in lower case without a port');
 const pathPrefix = text(/^\/[^\s?#]*$/, 'a path that starts with "/"');
 const headerValue = text(/^[^\r\n]+$/, 'a header value, or "*" for any');
 const serviceClass = oneOf('quick', 'batch');
@@ -78,6 +79,7 @@
 const whenForm: Reader<WhenForm> = record<WhenForm>({
 	workspace: optional<RuleWhen['workspace']>(oneOrMore(workspace), undefined),
 	model: optional<RuleWhen['model']>(oneOrMore(modelName), undefined),
+	host: optional<string | undefined>(hostName, undefined),
 	path: optional<string | undefined>(pathPrefix, undefined),
 	headers: optional<RuleWhen['headers']>(mapOf({pattern: /^[a-z\d][a-z\d_-]*$/, wanted: 'a header name in lower case'}, headerValue), undefined),
 	class: optional<ServiceClass | undefined>(serviceClass, undefined),
--- a/src/domain/pick-version/index.ts
+++ b/src/domain/pick-version/index.ts
@@ -1,4 +1,5 @@
 /** Shares requests by weight between versions of weights. */
+import {pickWeighted} from '../../_lib/pick-weighted/index.js';
 import {type Random} from '../../ports/clock.js';
 import {type RuleThen} from '../../ports/config.js';
 
@@ -15,15 +16,5 @@
  * ```
  */
 export function pickVersion(then: Pick<RuleThen, 'versions'>, random: Random): string | undefined {
-	const weighted = then.versions.filter(({weight}) => weight > 0);
-	const total = weighted.reduce((sum, {weight}) => sum + weight, 0);
-	let left = random() * total;
-	for (const {version, weight} of weighted) {
-		left -= weight;
-		if (left < 0) {
-			return version;
-		}
-	}
-
-	return weighted.at(-1)?.version;
+	return pickWeighted(then.versions, random)?.version;
 }
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -55,6 +55,38 @@
 	body: string;
 };
 
+/** How problems are written where callers expect other than the usual. */
+export type ProblemStyle = {
+	/** Statuses in place of the usual ones. */
+	statuses?: Readonly<Partial<Record<ProblemKind, number>>>;
+	/** Callers read `Retry-After` with fractions of a second. */
+	hasFractions?: boolean;
+};
+
+/** Statuses by which callers conclude that nothing ran and nothing will. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Statuses that tell a caller nothing about whether its request ran. */
+const openStatuses: ReadonlySet<number> = new Set([502, 504]);
+
+/**
+ * A caller sends its request again after a status that means "not run". Given
+ * for work that a server may have taken, it would run twice; withheld from work
+ * that nobody took, the caller would give up for nothing.
+ */
+function toHonestStatus(status: number, outcome: Outcome): number {
+	if (outcome !== 'not-run') {
+		return notRunStatuses.has(status) ? 502 : status;
+	}
+
+	return openStatuses.has(status) ? 503 : status;
+}
+
+function toRetryAfterText(retryAfterMs: Milliseconds, {hasFractions = false}: ProblemStyle): string {
+	const seconds = retryAfterMs / msPerSecond;
+	return hasFractions ? seconds.toFixed(2) : String(Math.max(1, Math.ceil(seconds)));
+}
+
 /**
  * Writes a problem as an RFC 9457 document. Its `outcome` says what the caller
  * may conclude, and `Retry-After` when to come back, so that nobody has to be
@@ -62,6 +94,7 @@
  *
  * @param problem - What went wrong.
  * @param requestId - Id of the request, by which operators find its account.
+ * @param style - Statuses and form that the callers of this host expect.
  * @returns Status, headers and body.
  *
  * @example
@@ -70,11 +103,12 @@
  * // => {'content-type': 'application/problem+json', 'retry-after': '2'}
  * ```
  */
-export function toProblem(problem: Problem, requestId: RequestId): ProblemDocument {
-	const [status, title] = problemKinds[problem.kind];
+export function toProblem(problem: Problem, requestId: RequestId, style: ProblemStyle = {}): ProblemDocument {
+	const [usualStatus, title] = problemKinds[problem.kind];
+	const status = toHonestStatus(style.statuses?.[problem.kind] ?? usualStatus, problem.outcome);
 	const headers: Record<string, string> = {'content-type': 'application/problem+json'};
 	if (problem.retryAfterMs !== undefined) {
-		headers['retry-after'] = String(Math.max(1, Math.ceil(problem.retryAfterMs / msPerSecond)));
+		headers['retry-after'] = toRetryAfterText(problem.retryAfterMs, style);
 	}
 
 	const body = JSON.stringify({
--- /dev/null
+++ b/src/domain/to-reserved-tokens/index.ts
@@ -0,0 +1,25 @@
+import {type CallerWork} from '../../ports/server-calls.js';
+
+/**
+ * Part of the guessed answer that is reserved on top of the guess. Guesses are
+ * right at the median, so reserving just the guess leaves every second answer to
+ * grow past its place; reserving the longest answer allowed keeps a third of the
+ * memory idle where answers are mostly short.
+ */
+const guessMargin = 0.25;
+
+/**
+ * Works out how much decode memory to reserve for a request.
+ *
+ * @param work - Tokens of the prompt, of the longest answer, and the caller's guess.
+ * @returns Tokens.
+ *
+ * @example
+ * ```ts
+ * toReservedTokens({promptTokens: 3000, maxTokens: 2000, guessedTokens: 800}); // => 4000
+ * ```
+ */
+export function toReservedTokens({promptTokens, maxTokens, guessedTokens}: Pick<CallerWork, 'promptTokens' | 'maxTokens' | 'guessedTokens'>): number {
+	const answer = guessedTokens === undefined ? maxTokens : Math.ceil(guessedTokens * (1 + guessMargin));
+	return promptTokens + Math.min(maxTokens, answer);
+}
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -20,6 +20,8 @@
 	pool: string;
 	/** Requests that one decode engine's memory holds, or concurrent prefills; a default for engines that report none. */
 	slots: number;
+	/** Tokens that a model server's memory holds; absent where it is counted in `slots` alone. */
+	memoryTokens?: number;
 	/** Whether the server refuses an order that carries an old fencing number. */
 	checksFence: boolean;
 };
@@ -54,6 +56,10 @@
 	classes: readonly ServiceClass[];
 	/** `keep-serving` when absent. */
 	rollout?: RolloutPolicy;
+	/** Longest life of a reservation that the pool's servers grant, where they tell it. */
+	reservationMs?: number;
+	/** Whether the pool's servers are known by this host's own requests alone: nobody polls their loads. */
+	isUnreported?: boolean;
 };
 
 export type LatencyTarget = {
@@ -69,6 +75,8 @@
 export type RuleWhen = {
 	workspace?: readonly WorkspaceId[];
 	model?: readonly string[];
+	/** Value of the `Host` header, in lower case. */
+	host?: string;
 	/** Path prefix, for example `/desk/`. */
 	path?: string;
 	/** Header name (lower case) to required value; `*` means present. */
@@ -80,7 +88,19 @@
 	zone?: readonly ZoneId[];
 };
 
+/** How requests are passed on whose bodies the system does not read. */
+export type RelayTerms = {
+	/** Servers to which one request may be sent, 1 at least. */
+	attempts: number;
+	/** Time without a first byte after which callers are taken to leave, milliseconds. */
+	patienceMs: number;
+	/** Pools that share the requests by weight; empty means the rule's own pool. */
+	split: ReadonlyArray<{pool: string; weight: number}>;
+};
+
 export type RuleThen = {
+	/** Present where requests are passed on as they are, also to servers of models. */
+	relay?: RelayTerms;
 	pool: string;
 	class: ServiceClass;
 	/** Whether the request may be run again after a backend server may have started it. */
@@ -99,6 +119,12 @@
 	then: RuleThen;
 };
 
+export type CallerBounds = {
+	maxBodyBytes: number;
+	/** Time for which an idle connection of a caller stays open. */
+	keepAliveTimeoutMs: number;
+};
+
 export type Config = {
 	zones: readonly ZoneEntry[];
 	hosts: readonly HostEntry[];
@@ -107,6 +133,8 @@
 	rules: readonly Rule[];
 	/** Caller token digests (SHA-256, hex) to workspace; empty means callers name their workspace in `x-workspace`. */
 	callerTokens: Readonly<Record<string, WorkspaceId>>;
+	/** Bounds of what callers may send, where the publisher sets them; the host's settings otherwise. */
+	callers?: CallerBounds;
 	/** Bytes a second at which the weight store may be read, over the whole fleet. */
 	weightStoreBytesPerSecond: number;
 };
--- /dev/null
+++ b/src/ports/server-calls.ts
@@ -0,0 +1,74 @@
+/**
+ * How a request that is passed on is dressed for a backend server, and how the
+ * server's answer is understood. Bodies go through unread; all that the system
+ * says to a server beside them stands in headers and in calls of their own.
+ */
+import {type Result, type ResultAsync} from 'neverthrow';
+import {type Milliseconds} from './clock.js';
+import {type ServerEntry} from './config.js';
+import {type EngineFailure, type EngineRefusalReason, type Reservation} from './engine.js';
+import {type RequestId, type WorkspaceId} from './ids.js';
+
+/** What a caller says of its request beside the body. */
+export type CallerWork = {
+	/** Time for which the caller waits, counted from its request's arrival. */
+	waitsMs: Milliseconds | undefined;
+	model: string | undefined;
+	/** Tokens of the prompt; 0 where there is none. */
+	promptTokens: number;
+	/** Tokens that the answer may have at most. */
+	maxTokens: number;
+	/** The caller's own guess of the answer's tokens: right at the median, often far off. */
+	guessedTokens: number | undefined;
+};
+
+/** The KV cache of a prompt, as its prefill server keeps it for a moment. */
+export type PromptCache = {
+	server: ServerEntry;
+	kvId: string;
+};
+
+/**
+ * What a server is asked for: `whole` runs the request as it is, `prefill`
+ * computes the prompt's KV cache and runs nothing, `decode` generates the answer
+ * from such a cache in a reserved place.
+ */
+export type CallStep =
+	| {kind: 'whole'}
+	| {kind: 'prefill'}
+	| {kind: 'decode'; reservationId: string; cache: PromptCache};
+
+export type OutgoingCall = {
+	headers: Readonly<Record<string, string>>;
+	workspace: WorkspaceId;
+	requestId: RequestId;
+	server: ServerEntry;
+	step: CallStep;
+	/** Time left until nobody wants the answer. */
+	deadlineInMs: Milliseconds;
+};
+
+export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
+/** Calls of servers that keep prefill and decode apart. */
+export type CacheCalls = {
+	/** Takes a place and memory at a decode server before the prompt is computed. */
+	reserve: (server: ServerEntry, request: {tokens: number; ttlMs: Milliseconds}, signal: AbortSignal) => ResultAsync<Reservation, EngineFailure>;
+	/** Gives a place back that won't be used. */
+	release: (server: ServerEntry, reservationId: string) => ResultAsync<void, EngineFailure>;
+	/** Reads the answer of a prefill. */
+	parsePrefill: (text: string) => Result<{kvId: string; promptTokens: number}, string>;
+	/** Frees a KV cache that won't be fetched. */
+	dropCache: (cache: PromptCache) => ResultAsync<void, EngineFailure>;
+};
+
+export type ServerCalls = {
+	readWork: (headers: Readonly<Record<string, string>>) => CallerWork;
+	toHeaders: (call: OutgoingCall) => Record<string, string | string[]>;
+	/** Why a server says that it did not run the request; `undefined` when it says no such thing. */
+	toRefusal: (status: number, headers: AnswerHeaders) => EngineRefusalReason | undefined;
+	/** Whether the answer belongs to the request; a server may send an answer again, where the next one is expected. */
+	isAnswerTo: (requestId: RequestId, headers: AnswerHeaders) => boolean;
+	/** Absent where no server keeps prefill and decode apart for passed-on requests. */
+	caches?: CacheCalls;
+};
--- a/src/programs/_settings/entry.ts
+++ b/src/programs/_settings/entry.ts
@@ -6,20 +6,9 @@
 import {defaultClockBoundMs} from '../../domain/create-claim-witness/index.js';
 import {checkCommonSettings, commonSettings, findPartialKeys} from './common.js';
 
-export const entrySettings = defineSettings({
+/** Settings of every entry, however it learns of the fleet. */
+export const entryCoreSettings = defineSettings({
 	...commonSettings,
-	callerPort: {
-		type: 'port', default: 7400, group: 'Addresses', description: 'Port for callers.',
-	},
-	peerPort: {
-		type: 'port', default: 7402, group: 'Addresses', description: 'Port for entries of other hosts.',
-	},
-	operatorPort: {
-		type: 'port', default: 7404, group: 'Addresses', description: 'Port for operators.',
-	},
-	agentAddress: {
-		type: 'address', required: true, group: 'Addresses', description: 'Peer port of this host\'s agent.',
-	},
 	tlsCertFile: {
 		type: 'file', group: 'Keys', description: 'Certificate chain shown to callers, PEM; with its key it turns TLS on.',
 	},
@@ -59,18 +48,34 @@
 	maxInFlight: {
 		type: 'integer', default: 4000, min: 1, max: 1_000_000, unit: 'requests', group: 'Limits', description: 'Requests in work at once.',
 	},
-	keptAnswerBytes: {
-		type: 'bytes', default: 64 * bytesPerMebibyte, min: 0, max: 16 * 1024 * bytesPerMebibyte, group: 'Limits', description: 'Memory for whole answers kept for a second call with the same key.',
-	},
-	keptAnswerAge: {
-		type: 'duration', default: 10 * msPerMinute, min: 0, max: 24 * 60 * msPerMinute, group: 'Limits', description: 'Age up to which a whole answer is kept for a second call with the same key.',
-	},
 	engineConnectTimeout: {
 		type: 'duration', default: msPerSecond, min: 10, max: msPerMinute, group: 'Backend servers', description: 'Time to connect to a backend server.',
 	},
 	reservationTtl: {
 		type: 'duration', default: 5 * msPerSecond, min: 100, max: msPerMinute, group: 'Backend servers', description: 'Life of a reservation of decode memory that is not used.',
 	},
+});
+
+export const entrySettings = defineSettings({
+	...entryCoreSettings,
+	callerPort: {
+		type: 'port', default: 7400, group: 'Addresses', description: 'Port for callers.',
+	},
+	peerPort: {
+		type: 'port', default: 7402, group: 'Addresses', description: 'Port for entries of other hosts.',
+	},
+	operatorPort: {
+		type: 'port', default: 7404, group: 'Addresses', description: 'Port for operators.',
+	},
+	agentAddress: {
+		type: 'address', required: true, group: 'Addresses', description: 'Peer port of this host\'s agent.',
+	},
+	keptAnswerBytes: {
+		type: 'bytes', default: 64 * bytesPerMebibyte, min: 0, max: 16 * 1024 * bytesPerMebibyte, group: 'Limits', description: 'Memory for whole answers kept for a second call with the same key.',
+	},
+	keptAnswerAge: {
+		type: 'duration', default: 10 * msPerMinute, min: 0, max: 24 * 60 * msPerMinute, group: 'Limits', description: 'Age up to which a whole answer is kept for a second call with the same key.',
+	},
 	retryBudget: {
 		type: 'integer', default: 10, min: 0, max: 100_000, unit: 'retries', group: 'Backend servers', description: 'Retries that each pool may save up; successes and time bring them back.',
 	},
--- a/src/programs/_settings/index.ts
+++ b/src/programs/_settings/index.ts
@@ -8,3 +8,6 @@
 export {agentSettings, checkAgentSettings, type AgentSettings} from './agent.js';
 export {checkEntrySettings, entrySettings, type EntrySettings} from './entry.js';
 export {commonSettings, logLevels} from './common.js';
+export {
+	checkRelaySettings, relaySettings, toZones, type RelaySettings,
+} from './relay.js';
--- /dev/null
+++ b/src/programs/_settings/relay.ts
@@ -0,0 +1,72 @@
+/** Settings of `banyanport-relay`. */
+import {defineSettings, type SettingFault, type SettingValues} from '../../adapters/settings/index.js';
+import {type ZoneEntry} from '../../ports/config.js';
+import {msPerMinute, msPerSecond} from '../../ports/units.js';
+import {checkCommonSettings, findPartialKeys} from './common.js';
+import {entryCoreSettings} from './entry.js';
+
+const zoneList = {
+	test: /^[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*(?:,[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*)*$/v,
+	hint: 'zones with their regions, such as dvorana-a=si-central,dvorana-b=si-central',
+};
+
+export const relaySettings = defineSettings({
+	...entryCoreSettings,
+	zones: {
+		type: 'text', required: true, pattern: zoneList, group: 'Identity', description: 'All availability zones with their regions.',
+	},
+	callerAddress: {
+		type: 'address', required: true, group: 'Addresses', description: 'Where callers come in.',
+	},
+	operatorAddress: {
+		type: 'address', required: true, group: 'Addresses', description: 'Where operators and the balancer ask for readiness.',
+	},
+	platformAddress: {
+		type: 'address', required: true, group: 'Addresses', description: 'Where rules and backend servers are published.',
+	},
+	retryRatio: {
+		type: 'number', default: 0.1, min: 0, max: 10, unit: 'retries a request', group: 'Backend servers', description: 'Calls beyond the first that all hosts may make for each request to a pool.',
+	},
+	retrySlack: {
+		type: 'number', default: 20, min: 0, max: 100_000, unit: 'retries', group: 'Backend servers', description: 'Calls beyond the first that all hosts together may make on top of the ratio.',
+	},
+	serverIdle: {
+		type: 'duration',
+		default: 30 * msPerSecond,
+		min: msPerSecond,
+		max: 10 * msPerMinute,
+		group: 'Backend servers',
+		description: 'Time for which an idle connection to a backend server is kept, where the server names none.',
+	},
+	stopLimit: {
+		type: 'duration', default: 30 * msPerSecond, min: msPerSecond, max: 60 * msPerMinute, group: 'Operation', description: 'Time after the signal at which a planned stop must have ended.',
+	},
+});
+
+export type RelaySettings = SettingValues<typeof relaySettings>;
+
+/**
+ * Checks what only several settings together show.
+ *
+ * @param values - Parsed values.
+ * @returns Faults; empty when all is well.
+ */
+export function checkRelaySettings(values: RelaySettings): SettingFault[] {
+	const isKnown = toZones(values.zones).some(({id}) => id === values.zone);
+	return [
+		...checkCommonSettings(values),
+		...findPartialKeys({'--tls-cert-file': values.tlsCertFile, '--tls-key-file': values.tlsKeyFile}),
+		...(isKnown ? [] : [{place: '--zones', message: `does not name ${values.zone}, the zone of this host`, remedy: 'name every zone with its region'}]),
+	];
+}
+
+/**
+ * @param text - Value of the setting `zones`.
+ * @returns The zones.
+ */
+export function toZones(text: string): ZoneEntry[] {
+	return text.split(',').map(pair => {
+		const [id, region] = pair.split('=') as [string, string];
+		return {id, region};
+	});
+}
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -4,7 +4,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
-import {createRetryBudget, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {createRetryBudget, type RetryBudget, type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -29,19 +29,19 @@
 	counters: ReturnType<typeof createTally>;
 	log: Log;
 	reservationTtlMs: Milliseconds;
-	/** Retries that one pool's budget saves up. */
-	retryBudget: number;
+	/** Bounds of each pool's retries. */
+	retryBudget: RetryBudgetOptions;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	reportLeaving: (server: ServerId) => void;
 };
 
 /** One budget for each pool, forgotten when the pool is no longer in the configuration. */
-function createRetryBudgets(capacity: number) {
+function createRetryBudgets(options: RetryBudgetOptions) {
 	const budgets = new Map<string, RetryBudget>();
 	return {
 		toRetryBudget(pool: string): RetryBudget {
-			const budget = budgets.get(pool) ?? createRetryBudget({capacity});
+			const budget = budgets.get(pool) ?? createRetryBudget(options);
 			budgets.set(pool, budget);
 			return budget;
 		},
--- a/src/programs/entry/_lib/join-fleet.ts
+++ b/src/programs/entry/_lib/join-fleet.ts
@@ -20,12 +20,18 @@
 	keys?: ProgramKeys | undefined;
 	clockBoundMs?: Milliseconds | undefined;
 	connectView?: ((options: ViewFeedOptions) => ViewFeed) | undefined;
+} & JoinOptions;
+
+export type JoinOptions = {
+	/** Told of each new view. */
 	onView: (view: FleetView) => void;
 };
 
 export type FleetLink = {
+	/** Port for entries of other hosts; 0 where the entry takes no calls of theirs. */
 	peerPort: number;
-	claims: Claims;
+	/** Absent where requests have no keys. */
+	claims?: Claims;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	isConnected: () => boolean;
--- a/src/programs/entry/_lib/plain-clients.ts
+++ b/src/programs/entry/_lib/plain-clients.ts
@@ -1,5 +1,6 @@
 /** Connections to plain services. */
-import {Agent, type Dispatcher} from 'undici';
+import {type Agent, type Dispatcher} from 'undici';
+import {createHttpAgent} from '../../../adapters/_lib/create-http-agent/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
@@ -18,11 +19,11 @@
  * @param options - Time to connect.
  * @returns The pools.
  */
-export function createPlainClients(options: {connectTimeoutMs: Milliseconds}): PlainClients {
+export function createPlainClients(options: {connectTimeoutMs: Milliseconds; idleMs?: Milliseconds}): PlainClients {
 	const pools = new Map<ServerId, Agent>();
 	return {
 		toDispatcher(server) {
-			const known = pools.get(server.id) ?? new Agent({connect: {timeout: options.connectTimeoutMs}, connections: connectionsPerServer, pipelining: 1});
+			const known = pools.get(server.id) ?? createHttpAgent({connections: connectionsPerServer, ...options});
 			pools.set(server.id, known);
 			return known;
 		},
--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -1,5 +1,6 @@
 /** Which rule decides about a request. */
 import {err, ok, type Result} from 'neverthrow';
+import {pickWeighted} from '../../../_lib/pick-weighted/index.js';
 import {compileRules, type CompiledRules} from '../../../domain/compile-rules/index.js';
 import {identifyCaller} from '../../../domain/identify-caller/index.js';
 import {matchRule} from '../../../domain/match-rule/index.js';
@@ -7,6 +8,7 @@
 import {type Config, type PoolEntry, type Rule} from '../../../ports/config.js';
 import {type WorkspaceId, type ZoneId} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
+import {type Random} from '../../../ports/clock.js';
 import {type FleetView} from '../../../ports/view.js';
 import {noConfiguration} from './refuse.js';
 
@@ -15,6 +17,10 @@
 	path: string;
 	model: string | undefined;
 	promptTokens: number;
+	/** Value of the `Host` header. */
+	host?: string | undefined;
+	/** Draws the pool where a rule shares its requests among several. */
+	random: Random;
 };
 
 export type Route = {
@@ -71,7 +77,8 @@
 			const rule = matchRule(toCompiled(config), {
 				...input, workspace: workspace.value, class: serviceClass, zone,
 			});
-			const pool = config.pools.find(entry => entry.name === rule?.then.pool);
+			const drawn = pickWeighted(rule?.then.relay?.split ?? [], input.random);
+			const pool = config.pools.find(entry => entry.name === (drawn?.pool ?? rule?.then.pool));
 			return rule === undefined || pool === undefined
 				? err<Route, Problem>({kind: 'no-rule', detail: 'No rule covers this request. Ask the operators for one.', outcome: 'not-run'})
 				: ok({
@@ -99,3 +106,11 @@
 
 	return err({kind: 'unknown-model', detail: `Rule "${rule.name}" decides, and its pool does not serve this model. GET /v1/models lists the models.`, outcome: 'not-run'});
 }
+
+/**
+ * @param header - Value of the `Host` header.
+ * @returns The host's name without its port and in lower case, as rules have it.
+ */
+export function toHostName(header: string | undefined): string | undefined {
+	return header?.toLowerCase().replace(/:\d+$/v, '');
+}
--- a/src/programs/entry/_lib/run-registry.ts
+++ b/src/programs/entry/_lib/run-registry.ts
@@ -54,6 +54,8 @@
 export type RunControl = {
 	/** Aborted with an {@link EndCause} as its reason. */
 	signal: AbortSignal;
+	/** Tells the run to end. */
+	abort: (cause: EndCause) => void;
 	/** Takes the run out of the registry. */
 	close: () => void;
 };
@@ -87,6 +89,7 @@
 
 	return {
 		signal: controller.signal,
+		abort: run.abort,
 		close() {
 			registry.remove(run);
 			exchange.gone.removeEventListener('abort', onGone);
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -2,6 +2,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
+import {type ServerCalls} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
 import {type EndedRequest} from './ended.js';
 import {type Router} from './route.js';
@@ -24,8 +25,10 @@
 	route: Router;
 	accounts: Accounts;
 	registry: RunRegistry;
-	/** Claims of keyed requests. */
-	claims: Claims;
+	/** Claims of keyed requests; absent where requests have no keys. */
+	claims: Claims | undefined;
+	/** How passed-on requests are dressed for backend servers. */
+	calls: ServerCalls;
 	log: Log;
 	onEnded: (ended: EndedRequest) => void;
 };
--- a/src/programs/entry/_lib/to-entry-status.ts
+++ b/src/programs/entry/_lib/to-entry-status.ts
@@ -71,6 +71,6 @@
 		requests: {inProgress: registry.size(), waiting: services.gate.waiting(), openConnections},
 		pools: services.gate.status(),
 		cancelsPending: services.cancels.pending(),
-		claims: link.claims.stats(),
+		claims: link.claims?.stats(),
 	};
 }
--- /dev/null
+++ b/src/programs/entry/call-pair/index.ts
@@ -0,0 +1,227 @@
+/**
+ * One attempt of a passed-on request at servers that keep prefill and decode
+ * apart: a place at the decode server first, then the prompt, then the answer.
+ * A prompt computed without a place to go is work for nothing.
+ */
+import {err, ok, type Result} from 'neverthrow';
+import {readAnswer} from '../../../adapters/_lib/read-answer/index.js';
+import {type Placement, type PlacementRefusal} from '../../../domain/create-placement/index.js';
+import {toReservedTokens} from '../../../domain/to-reserved-tokens/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type EngineFailure} from '../../../ports/engine.js';
+import {type ServerId} from '../../../ports/ids.js';
+import {type CacheCalls, type CallerWork, type PromptCache} from '../../../ports/server-calls.js';
+import {bytesPerKibibyte} from '../../../ports/units.js';
+import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
+import {type PlainRun} from '../call-plain/_lib/types.js';
+import {sendWhole, timeLeft, toCallHeaders} from '../call-plain/_lib/send-step.js';
+import {notePlaced} from '../_lib/note-placed.js';
+
+/** Longest answer of a prefill: a name and two numbers. */
+const maxPrefillAnswerBytes = 16 * bytesPerKibibyte;
+
+/** Limit of a call that takes or gives back a place: it does no work, so only a server that is lost takes longer. */
+const reserveLimitMs: Milliseconds = 1000;
+
+/** Life asked for a reservation where servers tell no longest one; prefill and transfer take a fraction of it. */
+const defaultReservationMs: Milliseconds = 2000;
+
+export type PairAttempt =
+	/** The request, or its prompt, was sent. */
+	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
+	/** No decode server that would do has room now. */
+	| {kind: 'bounced'; refusal: PlacementRefusal};
+
+type Step = {
+	run: PlainRun;
+	caches: CacheCalls;
+	work: CallerWork;
+	placement: Placement;
+	attempt: number;
+};
+
+function toFault({kind, reason, message}: EngineFailure): PlainFault {
+	switch (kind) {
+		case 'refused':
+		case 'gone': {
+			return {kind: 'refused', reason: reason ?? 'other', message};
+		}
+
+		case 'unreachable':
+		case 'aborted': {
+			return {kind, message};
+		}
+
+		case 'broken':
+		case 'invalid': {
+			return {kind: 'broken', message};
+		}
+	}
+}
+
+function pick(run: PlainRun, work: CallerWork, exclude: ReadonlySet<ServerId>) {
+	const {services} = run.serve;
+	const now = services.clock.now();
+	return services.placement.pick({
+		pool: run.route.pool.name,
+		model: work.model ?? run.route.pool.model ?? '',
+		version: undefined,
+		adapter: undefined,
+		promptTokens: work.promptTokens,
+		maxTokens: work.maxTokens,
+		class: run.route.rule.then.class,
+		firstTokenBudgetMs: run.deadline - now,
+		exclude,
+	}, services.toView()!, now, services.random);
+}
+
+/** Asks decode servers for a place, the best first, until one grants it or none is left. */
+async function reservePlace(run: PlainRun, caches: CacheCalls, work: CallerWork, attempt: number): Promise<Result<{placement: Placement; reservationId: string}, PlacementRefusal | PairAttempt>> {
+	const {services} = run.serve;
+	const asked = new Set(run.tried.map(({server}) => server));
+	const tokens = toReservedTokens(work);
+	for (;;) {
+		const picked = pick(run, work, asked);
+		if (picked.isErr()) {
+			return err(picked.error);
+		}
+
+		const {decode} = picked.value;
+		const placement = notePlaced(run.account, picked.value, {attempt, pool: run.route.pool.name, chosen: [picked.value.prefill.id, decode.id]});
+		const limit = AbortSignal.any([run.signal, AbortSignal.timeout(Math.min(reserveLimitMs, timeLeft(run)))]);
+		const reserved = await caches.reserve(decode, {tokens, ttlMs: run.route.pool.reservationMs ?? defaultReservationMs}, limit);
+		if (reserved.isOk()) {
+			return ok({placement, reservationId: reserved.value.reservationId});
+		}
+
+		const {kind, reason, message} = reserved.error;
+		run.account.note('no place', {
+			server: decode.id, failure: kind, reason, message,
+		});
+		if (run.signal.aborted) {
+			return err({
+				kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message}}, hasRun: false,
+			});
+		}
+
+		// A limit that this host set is the server's silence.
+		services.placement.noteFailure(decode, {kind: kind === 'aborted' ? 'broken' : kind, reason}, services.clock.now());
+		asked.add(decode.id);
+	}
+}
+
+/** Has the prompt computed, and nothing run. */
+async function prefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
+	const server = placement.prefill;
+	const payload = run.body.open();
+	const answer = await readAnswer({
+		dispatcher: run.clients.toDispatcher(server),
+		origin: server.url,
+		method: run.exchange.method,
+		path: run.exchange.target,
+		headers: toCallHeaders(run, server, {kind: 'prefill'}),
+		...(payload !== undefined && {payload}),
+		headersTimeoutMs: timeLeft(run),
+		idleTimeoutMs: timeLeft(run),
+		signal: run.signal,
+	}, maxPrefillAnswerBytes);
+	if (answer.isErr()) {
+		const {kind, message} = answer.error;
+		return err(kind === 'too-large' ? {kind: 'invalid', message} : {kind, message});
+	}
+
+	const {status, headers, text} = answer.value;
+	const reason = run.serve.calls.toRefusal(status, headers);
+	if (reason !== undefined) {
+		return err({kind: 'refused', reason, message: `status ${status}`});
+	}
+
+	if (status !== 200 || !run.serve.calls.isAnswerTo(run.exchange.requestId, headers)) {
+		return err({kind: 'invalid', message: `status ${status}, or the answer of another request`});
+	}
+
+	const parsed = caches.parsePrefill(text);
+	return parsed.map(({kvId}) => ({server, kvId})).mapErr(message => ({kind: 'invalid', message}));
+}
+
+function giveBack(step: Step, what: string, call: ReturnType<CacheCalls['dropCache']>): void {
+	const {run} = step;
+	void (async () => {
+		const done = await call;
+		if (done.isErr()) {
+			// It lapses by itself within a second or two, so a second try would come too late to matter.
+			run.serve.log.info('could not give back', {
+				requestId: run.exchange.requestId, step: what, server: done.error.server, reason: done.error.message,
+			});
+		}
+	})();
+}
+
+async function runPlaced(step: Step, reservationId: string): Promise<PairAttempt> {
+	const {run, caches, placement} = step;
+	const {services} = run.serve;
+	const {decode} = placement;
+	const startedAt = services.clock.now();
+	const computed = await prefill(step);
+	if (computed.isErr()) {
+		giveBack(step, 'reservation', caches.release(decode, reservationId));
+		return {
+			kind: 'called', server: placement.prefill, ended: {kind: 'failed', fault: computed.error}, hasRun: false,
+		};
+	}
+
+	const cache = computed.value;
+	const now = services.clock.now();
+	services.placement.notePrefilled(placement, {promptTokens: step.work.promptTokens, cachedTokens: 0, bytes: 0}, now);
+	run.account.note('prompt computed', {server: placement.prefill.id, tookMs: Math.round(now - startedAt)});
+	if (run.signal.aborted) {
+		giveBack(step, 'reservation', caches.release(decode, reservationId));
+		giveBack(step, 'cache', caches.dropCache(cache));
+		return {
+			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message: 'ended while its prompt was computed'}}, hasRun: false,
+		};
+	}
+
+	run.ledger.noteOffered();
+	const ended = await sendWhole(run, decode, {kind: 'decode', reservationId, cache}, () => {
+		services.placement.noteFirstToken(placement, services.clock.now());
+	});
+	if (ended.kind === 'failed' && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
+		run.ledger.noteNotStarted();
+		giveBack(step, 'cache', caches.dropCache(cache));
+		giveBack(step, 'reservation', caches.release(decode, reservationId));
+	}
+
+	return {
+		kind: 'called', server: decode, ended, hasRun: true,
+	};
+}
+
+/**
+ * Makes one attempt.
+ *
+ * @param run - The admitted request; its body is whole.
+ * @param caches - Calls of the servers.
+ * @param attempt - Number of the attempt, from 1.
+ * @returns What became of it.
+ */
+export async function callPair(run: PlainRun, caches: CacheCalls, attempt: number): Promise<PairAttempt> {
+	const {services} = run.serve;
+	const {work} = run;
+	const reserved = await reservePlace(run, caches, work, attempt);
+	if (reserved.isErr()) {
+		return 'kind' in reserved.error ? reserved.error : {kind: 'bounced', refusal: reserved.error};
+	}
+
+	const {placement, reservationId} = reserved.value;
+	services.placement.noteDispatched(placement, services.clock.now());
+	services.placement.noteReserved(placement, services.clock.now());
+	try {
+		return await runPlaced({
+			run, caches, work, placement, attempt,
+		}, reservationId);
+	} finally {
+		services.placement.noteFinished(placement, services.clock.now());
+	}
+}
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -1,13 +1,17 @@
 /** How the calls of a plain request end without an answer, and what its caller may conclude. */
-import {type CallFault} from '../../../../adapters/_lib/dispatch-call/index.js';
 import {type PlacementRefusal} from '../../../../domain/create-placement/index.js';
 import {type ServerEntry} from '../../../../ports/config.js';
+import {type Milliseconds} from '../../../../ports/clock.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
+import {type PlainFault} from '../../send-plain/index.js';
 import {toBodyProblem, toEndProblem} from '../../_lib/refuse.js';
 import {type EndCause} from '../../_lib/types.js';
 import {type PlainOutcome, type PlainRun} from './types.js';
 
+/** Half to one and a half times the delay: callers refused together don't come back together. */
+const spread = (run: PlainRun, ms: Milliseconds): Milliseconds => ms * (0.5 + run.serve.services.random());
+
 const toEnd = (outcome: Outcome): PlainOutcome['end'] => outcome === 'not-run' ? 'refused' : 'failed';
 
 /**
@@ -41,7 +45,7 @@
 }
 
 /** The end of a request that is not sent again after a failed call. */
-export function toGivenUp(run: PlainRun, server: ServerEntry, fault: CallFault): PlainOutcome {
+export function toGivenUp(run: PlainRun, server: ServerEntry, fault: PlainFault): PlainOutcome {
 	const bodyFault = run.body.fault();
 	const outcome = run.ledger.outcome();
 	if (bodyFault !== undefined) {
@@ -53,12 +57,20 @@
 		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${server.id} had not begun its answer at the deadline.`, outcome}};
 	}
 
+	if (fault.kind === 'refused' && outcome === 'not-run') {
+		return {
+			end: 'refused', outcome, problem: {
+				kind: 'no-capacity', detail: `Server ${server.id} refused the request: ${fault.reason}.`, outcome, retryAfterMs: spread(run, msPerSecond),
+			},
+		};
+	}
+
 	const again = outcome === 'not-run' ? 'Nothing was sent; send the request again.' : 'A server had the request, whose fate is not known.';
 	return {
 		end: toEnd(outcome),
 		outcome,
 		problem: {
-			kind: 'backend-failed', detail: `Server ${server.id} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: msPerSecond}),
+			kind: 'backend-failed', detail: `Server ${server.id} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: spread(run, msPerSecond)}),
 		},
 	};
 }
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -1,5 +1,7 @@
 import {type CallerExchange} from '../../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../../domain/to-problem/index.js';
+import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
+import {type CallerWork} from '../../../../ports/server-calls.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {type Account} from '../../accounts/index.js';
@@ -15,6 +17,8 @@
 	serve: ServeServices;
 	clients: PlainClients;
 	account: Account;
+	/** What the caller says of the request beside its body. */
+	work: CallerWork;
 	body: PlainBody;
 	receivedAt: Milliseconds;
 	deadline: Milliseconds;
@@ -22,10 +26,15 @@
 	signal: AbortSignal;
 	/** What may be said of all its calls together. */
 	ledger: OutcomeLedger;
+	/** Servers that failed or refused it so far, and their zones. */
+	tried: Array<FailedAttempt['tried'][number]>;
+	/** Servers to which the request itself was sent so far. */
+	sent: number;
 };
 
 export type PlainOutcome = {
-	end: 'complete' | 'refused' | 'failed' | 'caller-gone';
+	/** `bounced`: no server has room now, and nothing was sent; it may wait and come again. */
+	end: 'complete' | 'refused' | 'failed' | 'caller-gone' | 'bounced';
 	outcome: Outcome;
 	/** Sent to the caller unless its answer has begun. */
 	problem?: Problem;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -3,27 +3,21 @@
  * answers or no further call is allowed. Work that may not be repeated is
  * offered once.
  */
-import {type CallFault} from '../../../adapters/_lib/dispatch-call/index.js';
-import {type PlainPlacement} from '../../../domain/create-placement/index.js';
-import {type FailedAttempt} from '../../../domain/create-retry-budget/index.js';
-import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
+import {type PlacementRefusal} from '../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
-import {type PlainEnd, sendPlain} from '../send-plain/index.js';
+import {callPair} from '../call-pair/index.js';
+import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {notePlaced} from '../_lib/note-placed.js';
 import {waitAwake} from '../_lib/wait-awake.js';
+import {sendWhole} from './_lib/send-step.js';
 import {toCutOff, toGivenUp, toNotPlaced} from './_lib/to-plain-outcome.js';
 import {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
 export {toCutOff} from './_lib/to-plain-outcome.js';
 export {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
-type Tried = FailedAttempt['tried'][number];
-
-/** The least status by which a service says that it failed. */
-const firstServerFault = 500;
-
 const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
 
 /**
@@ -33,18 +27,9 @@
  * @returns `true` if the rule says so, and for methods that change nothing.
  */
 export function isRepeatable(run: Pick<PlainRun, 'exchange' | 'route'>): boolean {
-	return run.route.rule.then.repeatable || safeMethods.has(run.exchange.method);
-}
-
-function toCallHeaders(run: PlainRun): Record<string, string | string[]> {
-	const {exchange, route, serve} = run;
-	const hasTokens = Object.keys(serve.services.toView()?.accepted?.config.callerTokens ?? {}).length > 0;
-	return {
-		// A caller's token is for this system, and no business of the service behind it.
-		...toForwardHeaders(exchange.headers, {drop: ['host', ...(hasTokens ? ['authorization'] : [])]}) as Record<string, string>,
-		'x-request-id': exchange.requestId,
-		'x-workspace': route.workspace,
-	};
+	const {repeatable, relay} = run.route.rule.then;
+	// Where operators publish for each route whether it may be repeated, a method says nothing more.
+	return repeatable || (relay === undefined && safeMethods.has(run.exchange.method));
 }
 
 function pickServer(run: PlainRun, exclude: ReadonlySet<ServerId>) {
@@ -53,31 +38,45 @@
 }
 
 /** Where every server has failed this request once, one of them is asked again: the retry budget bounds it, its backoff spaces it. */
-function pickElsewhere(run: PlainRun, tried: readonly Tried[]) {
-	const picked = pickServer(run, new Set(tried.map(({server}) => server)));
-	return picked.isErr() && picked.error.reason === 'no-server' && tried.length > 0 ? pickServer(run, new Set()) : picked;
+function pickElsewhere(run: PlainRun) {
+	const picked = pickServer(run, new Set(run.tried.map(({server}) => server)));
+	return picked.isErr() && picked.error.reason === 'no-server' && run.tried.length > 0 ? pickServer(run, new Set()) : picked;
 }
 
-async function callOnce(run: PlainRun, placement: PlainPlacement): Promise<PlainEnd> {
-	const {exchange, serve, clients, body, signal} = run;
-	const {services} = serve;
-	const {server} = placement;
-	return sendPlain({
-		exchange,
-		dispatcher: clients.toDispatcher(server),
-		server,
-		headers: toCallHeaders(run),
-		payload: body.open(),
-		signal,
-		headersTimeoutMs: Math.max(1, run.deadline - services.clock.now()),
-		idleTimeoutMs: serve.limits.writeTimeoutMs,
-		onStart(status) {
-			services.gate.noteFirstToken(exchange.requestId);
-			if (status < firstServerFault) {
-				services.placement.noteFirstToken(placement, services.clock.now());
-			}
-		},
+type Attempted =
+	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
+	| {kind: 'bounced' | 'not-placed'; refusal: PlacementRefusal};
+
+/** One call of a plain service, with what it does to the account, the ledger and the server's standing. */
+async function callWhole(run: PlainRun, attempt: number): Promise<Attempted> {
+	const {account, ledger, route} = run;
+	const {clock, placement} = run.serve.services;
+	const picked = pickElsewhere(run);
+	if (picked.isErr()) {
+		return {kind: 'not-placed', refusal: picked.error};
+	}
+
+	const {server} = picked.value;
+	const placed = notePlaced(account, picked.value, {attempt, pool: route.pool.name, chosen: [server.id]});
+	placement.noteDispatched(placed, clock.now());
+	ledger.noteOffered();
+	const ended = await sendWhole(run, server, {kind: 'whole'}, () => {
+		placement.noteFirstToken(placed, clock.now());
 	});
+	placement.noteFinished(placed, clock.now());
+	if (ended.kind === 'failed' && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
+		ledger.noteNotStarted();
+	}
+
+	return {
+		kind: 'called', server, ended, hasRun: true,
+	};
+}
+
+async function callOnce(run: PlainRun): Promise<Attempted> {
+	const {caches} = run.serve.calls;
+	const attempt = run.tried.length + 1;
+	return run.route.pool.kind === 'model' && caches !== undefined ? callPair(run, caches, attempt) : callWhole(run, attempt);
 }
 
 /**
@@ -88,33 +87,37 @@
  */
 export async function callServers(run: PlainRun): Promise<PlainOutcome> {
 	const {services} = run.serve;
-	const tried: Tried[] = [];
-	for (let attempt = 1; ; attempt++) {
-		const picked = pickElsewhere(run, tried);
-		if (picked.isErr()) {
-			run.account.note('not placed', {...picked.error.account(), reason: picked.error.reason});
-			return toNotPlaced(run, picked.error);
+	for (;;) {
+		const attempted = await callOnce(run);
+		if (run.signal.aborted) {
+			return toCutOff(run);
+		}
+
+		if (attempted.kind !== 'called') {
+			const {refusal} = attempted;
+			run.account.note('not placed', {...refusal.account(), reason: refusal.reason});
+			return attempted.kind === 'bounced' && refusal.reason === 'no-memory' ? {end: 'bounced', outcome: run.ledger.outcome()} : toNotPlaced(run, refusal);
 		}
 
-		const {server} = picked.value;
-		const ended = await callPlaced(run, picked.value, attempt);
+		const {server, ended, hasRun} = attempted;
+		run.sent += hasRun ? 1 : 0;
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 			return {end: 'complete', outcome: 'ran'};
 		}
 
-		if (run.signal.aborted) {
-			return toCutOff(run);
-		}
-
 		if (ended.kind === 'caller-gone' || ended.kind === 'cut') {
+			if (ended.kind === 'cut') {
+				noteFailed(run, server, ended.fault);
+			}
+
 			run.exchange.destroy();
 			return {end: ended.kind === 'cut' ? 'failed' : 'caller-gone', outcome: run.ledger.outcome()};
 		}
 
-		noteFailed(run, server, ended.fault, attempt);
-		tried.push({server: server.id, zone: server.zone});
-		const again = decideAgain(run, ended.fault, {attempt, tried});
+		noteFailed(run, server, ended.fault);
+		run.tried.push({server: server.id, zone: server.zone});
+		const again = decideAgain(run, ended.fault, hasRun);
 		if (again.kind === 'give-up') {
 			return toGivenUp(run, server, ended.fault);
 		}
@@ -126,40 +129,40 @@
 	}
 }
 
-/** One call, with what it does to the account, the ledger and the server's standing. */
-async function callPlaced(run: PlainRun, picked: PlainPlacement, attempt: number): Promise<PlainEnd> {
-	const {account, ledger, route} = run;
-	const {clock, placement} = run.serve.services;
-	const placed = notePlaced(account, picked, {attempt, pool: route.pool.name, chosen: [picked.server.id]});
-	placement.noteDispatched(placed, clock.now());
-	ledger.noteOffered();
-	const ended = await callOnce(run, placed);
-	placement.noteFinished(placed, clock.now());
-	if (ended.kind === 'failed' && ended.fault.kind === 'unreachable') {
-		ledger.noteNotStarted();
-	}
-
-	return ended;
-}
-
-function noteFailed(run: PlainRun, server: ServerEntry, fault: CallFault, attempt: number): void {
-	const {services} = run.serve;
-	services.placement.noteFailure(server, {kind: fault.kind, reason: undefined}, services.clock.now());
+function noteFailed(run: PlainRun, server: ServerEntry, fault: PlainFault): void {
+	const {services, log} = run.serve;
+	const attempt = run.tried.length + 1;
+	const reason = fault.kind === 'refused' ? fault.reason : undefined;
+	services.placement.noteFailure(server, {kind: fault.kind, reason}, services.clock.now());
 	run.account.note('attempt failed', {
-		attempt, server: server.id, failure: fault.kind, message: fault.message,
+		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
+	});
+	log.info('attempt failed', {
+		requestId: run.exchange.requestId, attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message,
 	});
 }
 
 type Again = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
 
-function decideAgain(run: PlainRun, fault: CallFault, history: Pick<FailedAttempt, 'attempt' | 'tried'>): Again {
+/** Prompts that are sent to be computed before a request is given up: none of them runs the request. */
+const maxPromptTries = 3;
+
+function decideAgain(run: PlainRun, fault: PlainFault, hasRun: boolean): Again {
 	const {services} = run.serve;
-	const isOffered = fault.kind !== 'unreachable';
+	const {relay} = run.route.rule.then;
 	if (run.body.isTaken() || run.body.fault() !== undefined) {
 		return {kind: 'give-up'};
 	}
 
+	const isStarted = hasRun && fault.kind !== 'unreachable' && fault.kind !== 'refused';
 	return services.toRetryBudget(run.route.pool.name).takeRetry({
-		...history, repeatable: isRepeatable(run), bytesOffered: isOffered ? 1 : 0, outcome: isOffered ? 'may-have-run' : 'not-run', deadline: run.deadline, expectedMs: 0,
+		attempt: hasRun ? run.sent : run.tried.length,
+		...(relay && {maxAttempts: hasRun ? relay.attempts : maxPromptTries}),
+		tried: run.tried,
+		repeatable: isRepeatable(run),
+		bytesOffered: isStarted ? 1 : 0,
+		outcome: isStarted ? 'may-have-run' : 'not-run',
+		deadline: run.deadline,
+		expectedMs: 0,
 	}, services.clock.now(), services.random);
 }
--- /dev/null
+++ b/src/programs/entry/follow-published/index.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps a host's view in step with a platform that publishes servers one by
+ * one: a list first, then what changes.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type Log} from '../../../adapters/log/index.js';
+import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
+import {toBackoff} from '../../../domain/to-backoff/index.js';
+import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type ZoneEntry} from '../../../ports/config.js';
+import {type PublishedFailure, type PublishedRead, type PublishedSource} from '../../../ports/published.js';
+import {type FleetView} from '../../../ports/view.js';
+
+export type FollowOptions = {
+	source: PublishedSource;
+	zones: readonly ZoneEntry[];
+	clock: Clock;
+	random: Random;
+	log: Log;
+	onView: (view: FleetView) => void;
+};
+
+export type Follower = {
+	toView: () => FleetView | undefined;
+	/** Whether the platform answered the last read. */
+	isConnected: () => boolean;
+	stop: () => Promise<void>;
+};
+
+/**
+ * Longest wait of one watch. Short, because a connection may go silent without
+ * a reset: the next read then comes on another one, and a change of the rules
+ * is still in force within two seconds of its publication.
+ */
+const watchWaitMs = 2000;
+
+/**
+ * Pause between two watches. Each server writes a heartbeat every second or so,
+ * and a watch that is renewed at once would answer each of them by itself: with
+ * some twenty servers ten reads a second in place of one and a half.
+ */
+const gatherMs = 600;
+
+const firstBackoffMs = 100;
+const maxBackoffMs = 1000;
+
+/**
+ * Starts to follow the platform.
+ *
+ * @param options - Where to read, and what to do with each view.
+ * @returns The follower; its view is `undefined` until the first read.
+ */
+export function followPublished(options: FollowOptions): Follower {
+	const {source, clock, random, log, onView} = options;
+	const fleet = createPublishedFleet({zones: options.zones});
+	const stopping = new AbortController();
+	let view: FleetView | undefined;
+	let revision: number | undefined;
+	let isConnected = false;
+	let failures = 0;
+
+	function report({rules, servers, unreadable}: FleetChange): void {
+		const now = clock.now();
+		if (rules !== undefined) {
+			log.info('configuration in force', {edition: rules.version, rules: rules.rules.length, revision});
+		}
+
+		for (const {id, became} of servers) {
+			log.info('server changed', {server: id, state: became, revision});
+		}
+
+		for (const {key, reason} of unreadable) {
+			log.error('published entry can\'t be read, what was known stays in force', {kind: key, reason, revision});
+		}
+
+		if (view === undefined || rules !== undefined || servers.length > 0) {
+			view = fleet.toView(now);
+			onView(view);
+		}
+	}
+
+	function take(read: PublishedRead): void {
+		const isList = revision === undefined;
+		revision = read.revision;
+		if (!isConnected) {
+			isConnected = true;
+			log.info('platform answers', {revision, count: failures});
+		}
+
+		failures = 0;
+		report(isList ? fleet.replace(read.changes, clock.now()) : fleet.apply(read.changes, clock.now()));
+	}
+
+	async function noteFailed({kind, message}: PublishedFailure): Promise<void> {
+		if (kind === 'forgotten') {
+			log.warn('platform no longer knows what changed, reading all anew', {revision, reason: message});
+			revision = undefined;
+			return;
+		}
+
+		fleet.noteOutage(clock.now());
+		if (isConnected) {
+			isConnected = false;
+			log.warn('platform does not answer', {revision, kind, reason: message});
+		}
+
+		failures++;
+		await pause(toBackoff(failures, random, {baseMs: firstBackoffMs, maxMs: maxBackoffMs}));
+	}
+
+	async function pause(ms: Milliseconds): Promise<void> {
+		try {
+			await sleep(ms, undefined, {signal: stopping.signal});
+		} catch {
+			// Only the stop of the process ends a pause early.
+		}
+	}
+
+	async function run(): Promise<void> {
+		while (!stopping.signal.aborted) {
+			const {signal} = stopping;
+			const read = await (revision === undefined ? source.list(signal) : source.watch(revision, watchWaitMs, signal));
+			if (signal.aborted) {
+				return;
+			}
+
+			if (read.isErr()) {
+				await noteFailed(read.error);
+			} else {
+				take(read.value);
+				await pause(gatherMs);
+			}
+
+			report(fleet.sweep(clock.now()));
+		}
+	}
+
+	const done = run();
+	return {
+		toView: () => view,
+		isConnected: () => isConnected,
+		async stop() {
+			stopping.abort();
+			await done;
+			await source.close();
+		},
+	};
+}
--- a/src/programs/entry/main.ts
+++ b/src/programs/entry/main.ts
@@ -8,80 +8,31 @@
 	agentSettings, checkEntrySettings, entrySettings, type EntrySettings,
 } from '../_settings/index.js';
 import {loadProgramKeys} from '../_operations/index.js';
-import {startEntry, type Entry} from './start-entry/index.js';
+import {runUntilStopped} from '../_run/index.js';
+import {type Entry} from './start-entry/index.js';
+import {startFleetEntry} from './start-fleet-entry/index.js';
 
 const program = 'banyanport-entry';
-const logFlushMs = 1000;
-/** Exit codes: wrong settings end with 2 as well. */
-const startFailureCode = 2;
-const abandonedCode = 1;
 
-async function startOrExit(settings: EntrySettings, log: Log): Promise<Entry> {
+async function start(settings: EntrySettings, log: Log): Promise<Entry> {
 	const metrics = createMetrics();
 	addProcessMetrics(metrics);
 	const keys = await loadProgramKeys(settings, {log, metrics});
-	try {
-		return await startEntry({
-			settings,
-			clock: {wallNow: () => Date.now(), now: () => performance.now()},
-			random: Math.random,
-			log,
-			metrics,
-			keys: keys.match(value => value, reason => {
-				throw new Error(reason);
-			}),
-			clockBoundMs: settings.clockBound,
-			createEngine: (server, hooks) => createEngineHttp({
-				// The silence of a stream is bounded by its run, which knows the rule's target and pauses of this process.
-				server, connectTimeoutMs: settings.engineConnectTimeout, streamIdleMs: 0, ...hooks,
-			}),
-		});
-	} catch (error) {
-		log.error('cannot start', {reason: error instanceof Error ? error.message : String(error)});
-		await log.flush(logFlushMs);
-		process.exit(startFailureCode);
-	}
-}
-
-async function run(settings: EntrySettings): Promise<void> {
-	const log = createLog({
-		level: settings.logLevel, program, host: settings.hostId, zone: settings.zone, incarnation: Date.now(),
+	return startFleetEntry({
+		settings,
+		clock: {wallNow: () => Date.now(), now: () => performance.now()},
+		random: Math.random,
+		log,
+		metrics,
+		keys: keys.match(value => value, reason => {
+			throw new Error(reason);
+		}),
+		clockBoundMs: settings.clockBound,
+		createEngine: (server, hooks) => createEngineHttp({
+			// The silence of a stream is bounded by its run, which knows the rule's target and pauses of this process.
+			server, connectTimeoutMs: settings.engineConnectTimeout, streamIdleMs: 0, ...hooks,
+		}),
 	});
-	const entry = await startOrExit(settings, log);
-	log.info('listening', {callerPort: entry.callerPort, peerPort: entry.peerPort, operatorPort: entry.operatorPort});
-	let isStopping = false;
-	let isAbandoned = false;
-
-	async function exit(code: number): Promise<void> {
-		await log.flush(logFlushMs);
-		process.exit(code);
-	}
-
-	async function stop(signal: NodeJS.Signals): Promise<void> {
-		if (isStopping) {
-			isAbandoned = true;
-			for (const requestId of await entry.abandon()) {
-				log.error('abandoned', {requestId, signal});
-			}
-
-			await exit(abandonedCode);
-			return;
-		}
-
-		isStopping = true;
-		log.info('stopping', {signal});
-		await entry.stop();
-		if (!isAbandoned) {
-			log.info('stopped', {signal});
-			await exit(0);
-		}
-	}
-
-	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.on(signal, name => {
-			void stop(name);
-		});
-	}
 }
 
 const loaded = loadSettings(entrySettings, {
@@ -92,5 +43,9 @@
 	process.stderr.write(loaded.stderr);
 	process.exitCode = loaded.code;
 } else {
-	await run(loaded.settings.values);
+	const {values} = loaded.settings;
+	const log = createLog({
+		level: values.logLevel, program, host: values.hostId, zone: values.zone, incarnation: Date.now(),
+	});
+	await runUntilStopped(log, async () => start(values, log));
 }
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -4,19 +4,27 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
-import {dispatchCall, type CallFault} from '../../../adapters/_lib/dispatch-call/index.js';
+import {dispatchCall, type CallFault, type CallFlow} from '../../../adapters/_lib/dispatch-call/index.js';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
+import {type EngineRefusalReason} from '../../../ports/engine.js';
+import {type AnswerHeaders} from '../../../ports/server-calls.js';
 import {createRelay} from './_lib/create-relay.js';
 
+/** Why a call brought no answer to relay; `refused` is the server's own word that it did not run the request. */
+export type PlainFault =
+	| CallFault
+	| {kind: 'refused'; reason: EngineRefusalReason; message: string}
+	| {kind: 'invalid'; message: string};
+
 export type PlainEnd =
 	| {kind: 'complete'; status: number}
 	/** No byte of the answer has been relayed; `unreachable` means that no byte of the call was offered either. */
-	| {kind: 'failed'; fault: CallFault}
+	| {kind: 'failed'; fault: PlainFault}
 	/** The answer broke after a part of it was relayed. */
-	| {kind: 'cut'; fault: CallFault}
+	| {kind: 'cut'; fault: PlainFault}
 	| {kind: 'caller-gone'};
 
 export type PlainSend = {
@@ -30,10 +38,26 @@
 	headersTimeoutMs: Milliseconds;
 	/** Limit of silence within the answer, and of a caller that does not read. */
 	idleTimeoutMs: Milliseconds;
+	/** Looks at the answer's head; a fault in it ends the call, and nothing of the answer is relayed. */
+	checkHead?: (status: number, headers: AnswerHeaders) => PlainFault | undefined;
 	/** Told of the answer's head, with its status. */
 	onStart: (status: number) => void;
 };
 
+/**
+ * A refusal is short and its connection goes on to serve; an answer that belongs
+ * to another request says that the connection can't be trusted any more.
+ */
+function endUnread(fault: PlainFault, flow: CallFlow, resolve: (end: PlainEnd) => void): void {
+	if (fault.kind === 'invalid') {
+		flow.abandon();
+	} else {
+		flow.discard();
+	}
+
+	resolve({kind: 'failed', fault});
+}
+
 /**
  * Sends the call and relays the answer.
  *
@@ -57,6 +81,12 @@
 			signal,
 		}, {
 			onStart(answerStatus, headers, flow) {
+				const fault = send.checkHead?.(answerStatus, headers);
+				if (fault !== undefined) {
+					endUnread(fault, flow, resolve);
+					return;
+				}
+
 				status = answerStatus;
 				send.onStart(status);
 				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id']}), flow);
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -18,7 +18,7 @@
 import {findOverload, toGateProblem} from '../_lib/refuse.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {reportRefused} from '../_lib/report-refused.js';
-import {type Route, toServedModel} from '../_lib/route.js';
+import {type Route, toHostName, toServedModel} from '../_lib/route.js';
 import {openRunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
 import {type Delivery, type Run} from '../_lib/types.js';
@@ -195,7 +195,7 @@
 
 	const {request, promptTokens, digest} = parsed.value;
 	const routed = serve.route({
-		headers: exchange.headers, path: exchange.path, model: request.model, promptTokens,
+		headers: exchange.headers, path: exchange.path, model: request.model, promptTokens, host: toHostName(exchange.headers.host), random: serve.services.random,
 	}, serve.services.toView());
 	const served = routed.andThen(route => toServedModel(request.model, route).map(model => ({route, model})));
 	const ready = served
@@ -210,7 +210,7 @@
 	const work = async (target: CallerExchange) => runRouted({
 		exchange: target, account, request, promptTokens, route, model,
 	}, serve);
-	await (key === undefined
+	await (key === undefined || serve.claims === undefined
 		? work(exchange)
 		: serveKeyed(serve.claims, exchange, {
 			workspace: route.workspace, key, digest, isRepeatable: route.rule.then.repeatable,
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -6,27 +6,33 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
 import {bytesPerKibibyte} from '../../../ports/units.js';
 import {
 	callServers, isRepeatable, toCutOff, type PlainOutcome, type PlainRun,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
+import {type Gate} from '../gate/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
+import {type EndedRequest} from '../_lib/ended.js';
 import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
 import {toKeyedOptions} from '../_lib/keyed.js';
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
 import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
 import {reportRefused} from '../_lib/report-refused.js';
-import {type Route} from '../_lib/route.js';
-import {openRunControl} from '../_lib/run-registry.js';
+import {type Route, toHostName} from '../_lib/route.js';
+import {openRunControl, type RunControl} from '../_lib/run-registry.js';
 import {type ServeServices} from '../_lib/serve-types.js';
 
 /** Bodies up to this size are read whole first, so that they can be sent again. */
 const bufferedBodyBytes = 64 * bytesPerKibibyte;
 
-/** A body that a key names is read whole, because its digest must be known before the work is claimed. */
-async function takeBody(exchange: CallerExchange, serve: ServeServices, isKeyed: boolean): Promise<Result<PlainBody, Problem | 'gone'>> {
+/**
+ * A body that a key names is read whole, because its digest must be known before
+ * the work is claimed; one that is relayed, because it goes to several servers.
+ */
+async function takeBody(exchange: CallerExchange, serve: ServeServices, isWhole: boolean): Promise<Result<PlainBody, Problem | 'gone'>> {
 	const {maxBodyBytes: limitBytes, bodyTimeoutMs: timeoutMs} = serve.limits;
 	const length = exchange.headers['content-length'];
 	const hasBody = exchange.headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0;
@@ -34,7 +40,7 @@
 		return err(toBodyProblem('body-too-large', {limitBytes, timeoutMs}));
 	}
 
-	if (!hasBody || (!isKeyed && (length === undefined || Number(length) > bufferedBodyBytes))) {
+	if (!hasBody || (!isWhole && (length === undefined || Number(length) > bufferedBodyBytes))) {
 		return ok(createPlainBody(exchange, {hasBody, limitBytes, timeoutMs}));
 	}
 
@@ -44,20 +50,41 @@
 		.mapErr(fault => fault === 'gone' ? fault : toBodyProblem(fault, {limitBytes, timeoutMs}));
 }
 
-async function waitAndCall(run: PlainRun): Promise<PlainOutcome> {
+type FinalOutcome = PlainOutcome & {end: EndedRequest['end']};
+
+/** Latest time at which the first byte of an answer is still of use. */
+function toLatestStart({route, deadline, receivedAt, serve}: PlainRun): Milliseconds {
+	const {relay, target} = route.rule.then;
+	// From here and not from its arrival: the time for which a caller sent its body says nothing of the pool.
+	return Math.min(deadline, relay === undefined ? serve.services.clock.now() + target.firstTokenMs : receivedAt + relay.patienceMs);
+}
+
+/** Waits and calls; again, and at once, when every server turned out to be full. The gate spaces the tries. */
+async function waitAndCall(run: PlainRun): Promise<FinalOutcome> {
+	for (;;) {
+		const ended = await enterAndCall(run);
+		const {end} = ended;
+		if (end !== 'bounced') {
+			return {...ended, end};
+		}
+
+		run.account.note('bounced');
+	}
+}
+
+async function enterAndCall(run: PlainRun): Promise<PlainOutcome> {
 	const {exchange, route, serve, account} = run;
-	const {gate, clock} = serve.services;
+	const {gate} = serve.services;
 	const {then} = route.rule;
 	const entered = await gate.enter({
 		id: exchange.requestId,
-		pool: then.pool,
+		pool: route.pool.name,
 		class: then.class,
 		workspace: route.workspace,
 		deadline: run.deadline,
-		// From here and not from its arrival: the time for which a caller sent its body says nothing of the pool.
-		firstTokenDeadline: Math.min(run.deadline, clock.now() + then.target.firstTokenMs),
-		promptTokens: 1,
-		maxTokens: 1,
+		firstTokenDeadline: toLatestStart(run),
+		promptTokens: Math.max(1, run.work.promptTokens),
+		maxTokens: Math.max(1, run.work.guessedTokens ?? run.work.maxTokens),
 		queueLimit: then.queueLimit,
 	}, run.signal);
 	if (entered.isErr()) {
@@ -68,18 +95,31 @@
 	let end: Parameters<typeof gate.leave>[1] = 'failed';
 	try {
 		const called = await callServers(run);
-		end = called.end === 'complete' ? 'completed' : (called.end === 'caller-gone' ? 'gone' : 'failed');
+		end = gateEnds[called.end];
 		return called;
 	} finally {
 		gate.leave(exchange.requestId, end);
 	}
 }
 
-function finish(run: PlainRun, ended: PlainOutcome): void {
+const gateEnds = {
+	complete: 'completed', refused: 'failed', failed: 'failed', 'caller-gone': 'gone', bounced: 'bounced',
+} as const satisfies Record<PlainOutcome['end'], Parameters<Gate['leave']>[1]>;
+
+/** An answer that has begun can't become a problem document; left open, its caller would wait for the rest for ever. */
+function sendEnd(exchange: CallerExchange, problem: Problem): void {
+	if (exchange.isStarted()) {
+		exchange.destroy();
+	} else {
+		exchange.sendProblem(problem);
+	}
+}
+
+function finish(run: PlainRun, ended: FinalOutcome): void {
 	const {exchange, serve, route, account} = run;
 	const completeMs = serve.services.clock.now() - run.receivedAt;
 	if (ended.problem !== undefined) {
-		exchange.sendProblem(ended.problem);
+		sendEnd(exchange, ended.problem);
 	}
 
 	const reason = ended.problem?.kind ?? ended.end;
@@ -103,8 +143,9 @@
 	const {services} = serve;
 	const receivedAt = services.clock.now();
 	const account = serve.accounts.open(exchange.requestId);
+	const work = serve.calls.readWork(exchange.headers);
 	const routed = serve.route({
-		headers: exchange.headers, path: exchange.path, model: undefined, promptTokens: 0,
+		headers: exchange.headers, host: toHostName(exchange.headers.host), path: exchange.path, model: work.model, promptTokens: work.promptTokens, random: services.random,
 	}, services.toView());
 	const early = findOverload(serve) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
 	const refuse = (problem: Problem | 'gone' | undefined) => {
@@ -122,21 +163,23 @@
 	}
 
 	const route = routed.value;
-	const key = findKey(exchange, isRepeatable({exchange, route}));
-	const body = key.isErr() ? err(key.error) : await takeBody(exchange, serve, key.value !== undefined);
+	const {relay, target} = route.rule.then;
+	const key = relay === undefined ? findKey(exchange, isRepeatable({exchange, route})) : ok<string | undefined, Problem>(undefined);
+	const body = key.isErr() ? err(key.error) : await takeBody(exchange, serve, relay !== undefined || key.value !== undefined);
 	if (body.isErr() || key.isErr()) {
 		refuse(body.isErr() ? body.error : undefined);
 		return;
 	}
 
-	const work = async (target: CallerExchange) => runRouted({
-		exchange: target, route, serve, clients, account, receivedAt, body: body.value, deadline: receivedAt + route.rule.then.target.completeMs,
+	const deadline = receivedAt + Math.min(target.completeMs, work.waitsMs ?? Infinity);
+	const serveOne = async (caller: CallerExchange) => runRouted({
+		exchange: caller, route, serve, clients, account, receivedAt, work, body: body.value, deadline,
 	});
-	await (key.value === undefined
-		? work(exchange)
+	await (key.value === undefined || serve.claims === undefined
+		? serveOne(exchange)
 		: serveKeyed(serve.claims, exchange, {
 			workspace: route.workspace, key: key.value, digest: toDigest(exchange, toBytes(body.value)), isRepeatable: isRepeatable({exchange, route}),
-		}, toKeyedOptions({exchange, account, route}, serve, work)));
+		}, toKeyedOptions({exchange, account, route}, serve, serveOne)));
 }
 
 function toBytes(body: PlainBody): Uint8Array {
@@ -144,9 +187,10 @@
 	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
 	const {exchange, route, serve, account, deadline} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
+	const timer = route.rule.then.relay === undefined ? undefined : endAt(control, deadline - serve.services.clock.now());
 	account.note('routed', {
 		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class,
 	});
@@ -154,17 +198,27 @@
 		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name,
 	});
 	try {
-		const run = {...input, signal: control.signal, ledger: createOutcomeLedger()};
+		const run: PlainRun = {
+			...input, signal: control.signal, ledger: createOutcomeLedger(), tried: [], sent: 0,
+		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
 		return ended.end === 'complete' ? 'complete' : (ended.outcome === 'not-run' ? 'not-run' : 'failed');
 	} finally {
+		clearTimeout(timer);
 		control.close();
 	}
 }
 
+/** The clients of servers look at their limits every half second or so, too coarsely for a caller who is owed the end at its deadline. */
+function endAt(control: RunControl, delayMs: Milliseconds): NodeJS.Timeout {
+	return setTimeout(() => {
+		control.abort('deadline-passed');
+	}, delayMs);
+}
+
 function findNotPlain(route: Route): Problem | undefined {
-	return route.pool.kind === 'plain'
+	return route.pool.kind === 'plain' || route.rule.then.relay !== undefined
 		? undefined
 		: {kind: 'not-found', detail: `There is no service at this path: rule "${route.rule.name}" decides, and its pool serves a model. Send completions to /v1/completions.`, outcome: 'not-run'};
 }
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -3,13 +3,17 @@
  * that touches the outside is handed in or listens on the ports given.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
+import {
+	type CallerHandlers, type CallerServer, type CallerServerOptions, startCallerServer,
+} from '../../../adapters/caller-http/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
-import {type ViewFeed, type ViewFeedOptions} from '../../../adapters/view-feed/index.js';
+import {createOwnCalls} from '../../../adapters/own-calls/index.js';
+import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
-import {type ServerEntry} from '../../../ports/config.js';
+import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
+import {type ServerCalls} from '../../../ports/server-calls.js';
 import {type FleetView} from '../../../ports/view.js';
 import {createEngines, type EngineClient} from '../../_engines/index.js';
 import {
@@ -22,7 +26,7 @@
 import {servePlain} from '../serve-plain/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
 import {createRunServices} from '../_lib/create-run-services.js';
-import {joinFleet, type FleetLink} from '../_lib/join-fleet.js';
+import {type FleetLink, type JoinOptions} from '../_lib/join-fleet.js';
 import {createPlainClients, type PlainClients} from '../_lib/plain-clients.js';
 import {createRouter} from '../_lib/route.js';
 import {createRunRegistry} from '../_lib/run-registry.js';
@@ -37,19 +41,28 @@
 const operatorCloseMs = 500;
 
 export type EntryOptions = {
-	settings: EntrySettings;
+	settings: EntryCoreSettings;
 	clock: Clock;
 	random: Random;
 	log: Log;
 	metrics: Metrics;
 	keys?: ProgramKeys | undefined;
 	createEngine: (server: ServerEntry, hooks: {onDropped: (cause: 'crossed' | 'repeated') => void}) => EngineClient;
-	/** Greatest difference between a caller's clock and a host's; see the claims. */
-	clockBoundMs?: Milliseconds;
-	/** Where the view comes from; this host's agent unless a test brings its own. */
-	connectView?: (options: ViewFeedOptions) => ViewFeed;
+	/** Opens what ties the host to the rest: where its view comes from, and the claims of keyed requests. */
+	join: (options: JoinOptions) => Promise<FleetLink>;
+	/** Bounds of retries beside the number that may be saved up. */
+	retryBudget?: RetryBudgetOptions;
+	/** How passed-on requests are dressed for servers; as they came, unless callers and servers expect more. */
+	createCalls?: (toDispatcher: PlainClients['toDispatcher']) => ServerCalls;
+	/** Time for which idle connections to backend servers are kept where they name none. */
+	serverIdleMs?: Milliseconds;
+	/** What callers of this port expect, beside the usual. */
+	callers?: Pick<CallerServerOptions, 'isRelayOnly' | 'requestIdHeader' | 'problemStyle'>;
 };
 
+/** Settings that every entry needs, however it learns of the fleet. */
+export type EntryCoreSettings = Omit<EntrySettings, 'agentAddress' | 'peerPort' | 'clockBound' | 'keptAnswerBytes' | 'keptAnswerAge'>;
+
 export type Entry = {
 	callerPort: number;
 	peerPort: number;
@@ -62,7 +75,7 @@
 	abandon: () => Promise<string[]>;
 };
 
-function toLimits(settings: EntrySettings): CallerLimits {
+function toLimits(settings: EntryCoreSettings): CallerLimits {
 	return {
 		maxBodyBytes: settings.maxBodyBytes,
 		bodyTimeoutMs: settings.bodyTimeout,
@@ -100,6 +113,7 @@
 		keepAliveTimeoutMs: settings.keepAliveTimeout,
 		writeTimeoutMs: settings.writeTimeout,
 		tls: keys?.caller?.current(),
+		...options.callers,
 	}, handlers);
 	keys?.caller?.listen(event => {
 		if (event.kind === 'reloaded') {
@@ -131,7 +145,7 @@
 		log: options.log,
 		metrics: options.metrics,
 		keys: options.keys,
-		notReady: () => findNotReady(link.toView(), {isStopping: toIsStopping(), areClaimsSettled: link.claims.isSettled()}),
+		notReady: () => findNotReady(link.toView(), {isStopping: toIsStopping(), areClaimsSettled: link.claims?.isSettled() ?? true}),
 		status: () => toEntryStatus({
 			link, services, registry, isStopping: toIsStopping(), openConnections: callers.connections(),
 		}, options.clock.now()),
@@ -157,7 +171,7 @@
 	const counters = createTally(metrics);
 	const ledger = createSloLedger({host: settings.hostId});
 	const engines = createEngines(server => options.createEngine(server, {onDropped: counters.noteDropped}));
-	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
+	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout, ...(options.serverIdleMs !== undefined && {idleMs: options.serverIdleMs})});
 	const registry = createRunRegistry();
 	const accounts = createAccounts({limit: accountLimit, now: clock.now, wallNow: clock.wallNow});
 	const run = createRunServices({
@@ -169,30 +183,41 @@
 		counters,
 		log,
 		reservationTtlMs: settings.reservationTtl,
-		retryBudget: settings.retryBudget,
+		retryBudget: {capacity: settings.retryBudget, ...options.retryBudget},
 		toView: () => link.toView(),
 		toOwner: () => link.toOwner(),
 		reportLeaving(server) {
 			link.reportLeaving(server);
 		},
 	});
-	const link: FleetLink = await joinFleet({
-		...options,
+	const limits = toLimits(settings);
+	/** Views come before the callers' port is open. */
+	const opened: {callers?: CallerServer} = {};
+	const applyBounds = (bounds: CallerBounds): void => {
+		limits.maxBodyBytes = bounds.maxBodyBytes;
+		opened.callers?.setKeepAlive(bounds.keepAliveTimeoutMs);
+	};
+
+	const link: FleetLink = await options.join({
 		onView(view) {
 			run.services.gate.setView(view);
 			if (view.accepted !== undefined) {
 				run.noteConfig(view.accepted.config);
 				clients.keepOnly(new Set(view.accepted.config.servers.map(server => server.id)));
+				if (view.accepted.config.callers !== undefined) {
+					applyBounds(view.accepted.config.callers);
+				}
 			}
 		},
 	});
 	const serve: ServeServices = {
 		services: run.services,
-		limits: toLimits(settings),
+		limits,
 		route: createRouter(settings.zone),
 		accounts,
 		registry,
 		claims: link.claims,
+		calls: options.createCalls?.(clients.toDispatcher) ?? createOwnCalls({toView: () => link.toView()}),
 		log,
 		onEnded(ended) {
 			counters.noteEnded(ended);
@@ -200,6 +225,12 @@
 		},
 	};
 	const callers = await listenForCallers(options, createHandlers(serve, clients));
+	opened.callers = callers;
+	const bounds = link.toView()?.accepted?.config.callers;
+	if (bounds !== undefined) {
+		applyBounds(bounds);
+	}
+
 	const parts: EntryParts = {
 		options, link, serve, callers, counters, toIsStopping: () => isStopping,
 	};
--- /dev/null
+++ b/src/programs/relay/start-relay/index.ts
@@ -0,0 +1,117 @@
+/**
+ * An entry that needs nothing beside it on its host: it follows a platform that
+ * publishes rules and servers, and passes requests on as they are.
+ */
+import {errAsync} from 'neverthrow';
+import {type Log} from '../../../adapters/log/index.js';
+import {type Metrics} from '../../../adapters/metrics/index.js';
+import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
+import {type PublishedSource} from '../../../ports/published.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {type RelaySettings, toZones} from '../../_settings/index.js';
+import {type EngineClient} from '../../_engines/index.js';
+import {type ProgramKeys} from '../../_operations/index.js';
+import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
+import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
+import {followPublished} from '../../entry/follow-published/index.js';
+
+export type RelayOptions = Pick<EntryOptions, 'createCalls' | 'callers'> & {
+	settings: RelaySettings;
+	clock: Clock;
+	random: Random;
+	log: Log;
+	metrics: Metrics;
+	keys: ProgramKeys | undefined;
+	source: PublishedSource;
+};
+
+/**
+ * Time at the start of a planned stop in which connections are still taken: the
+ * balancer asks for readiness every second and believes the second refusal.
+ */
+const drainDelayMs: Milliseconds = 2500;
+
+/** Left of the stop's limit for closing and for the last lines of the log. */
+const closeMarginMs: Milliseconds = 500;
+
+/**
+ * Hosts among which the retries on top of the ratio are shared. No host knows
+ * how many there are, so each takes the part that is safe up to this number.
+ */
+const assumedHosts = 20;
+
+/** Part of the ratio that is used: what one host counts as a request another may count a moment later. */
+const ratioMargin = 0.8;
+
+/**
+ * Works out a host's part of the retries that all hosts together may make.
+ *
+ * The ratio needs no agreement: each host's part is its ratio of its own
+ * requests, and the parts add up whatever hosts come, go or are cut off. A call
+ * that a server refused counts like any other.
+ */
+export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>): RetryBudgetOptions {
+	return {
+		perSuccess: retryRatio * ratioMargin, perSecond: 0, capacity: Math.max(1, Math.floor(retrySlack / assumedHosts)), notRunCost: 1,
+	};
+}
+
+function toPort(address: string): number {
+	return Number(address.slice(address.lastIndexOf(':') + 1));
+}
+
+/** Pools of models are reached through passed-on calls alone here. */
+function createNoEngine(): EngineClient {
+	const refuse = () => errAsync({
+		kind: 'invalid' as const, reason: undefined, server: '', message: 'requests are passed on here, and engines are not called in the own protocol', retryAfterMs: undefined,
+	});
+	return {
+		reserve: refuse, prefill: refuse, importKv: refuse, decode: refuse, resume: refuse, cancel: refuse, listHolds: refuse, load: refuse, order: refuse, close: async () => undefined,
+	};
+}
+
+/**
+ * Starts the relay.
+ *
+ * @param options - Settings, clocks, and what speaks to the platform and its servers.
+ * @returns The running entry once it listens.
+ */
+export async function startRelay(options: RelayOptions): Promise<Entry> {
+	const {
+		settings, clock, random, log, source,
+	} = options;
+	const incarnation = clock.wallNow();
+
+	async function join({onView}: JoinOptions): Promise<FleetLink> {
+		const follower = followPublished({
+			source, zones: toZones(settings.zones), clock, random, log, onView,
+		});
+		return {
+			peerPort: 0,
+			toView: follower.toView,
+			toOwner: () => ({host: settings.hostId, incarnation}),
+			isConnected: follower.isConnected,
+			reportLeaving: () => undefined,
+			reportStopping: () => undefined,
+			leave: follower.stop,
+		};
+	}
+
+	return startEntry({
+		...options,
+		settings: {
+			...settings,
+			callerPort: toPort(settings.callerAddress),
+			operatorPort: toPort(settings.operatorAddress),
+			operatorBind: undefined,
+			drainDelay: drainDelayMs,
+			drainTimeout: Math.max(msPerSecond, settings.stopLimit - drainDelayMs - closeMarginMs),
+			retryBudget: 0,
+		},
+		join,
+		retryBudget: toRetryPart(settings),
+		serverIdleMs: settings.serverIdle,
+		createEngine: createNoEngine,
+	});
+}
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -7,7 +7,8 @@
 import {parseConfig} from '../../../src/domain/parse-config/index.js';
 import {type FleetView, type ServerStatus} from '../../../src/ports/view.js';
 import {parseSettings} from '../../../src/adapters/settings/index.js';
-import {startEntry, type Entry} from '../../../src/programs/entry/start-entry/index.js';
+import {type Entry} from '../../../src/programs/entry/start-entry/index.js';
+import {startFleetEntry} from '../../../src/programs/entry/start-fleet-entry/index.js';
 import {entrySettings, type EntrySettings} from '../../../src/programs/_settings/index.js';
 import {startEngineStandIn, type EngineStandIn, type EngineStandInOptions} from '../../stand-ins/engine/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
@@ -110,7 +111,7 @@
 	const view = options.hasConfig === false ? undefined : await toView([prefill, ...decodes], plains, options.configLines ?? '');
 	const logs: Array<Record<string, unknown>> = [];
 	const settings = toSettings(options.settings ?? {});
-	const entry = await startEntry({
+	const entry = await startFleetEntry({
 		settings,
 		clock: {wallNow: () => Date.now(), now: () => performance.now()},
 		random: options.random ?? Math.random,
--- a/xo.config.js
+++ b/xo.config.js
@@ -32,7 +32,7 @@
 
 /** @type {import('xo').FlatXoConfig} */
 const xoConfig = [
-	{ignores: ['dist/**', 'out/**', 'xo.config.js']},
+	{ignores: ['dist/**', 'out/**', 'target/**', 'xo.config.js']},
 	{
 		rules: {
 			'unicorn/prevent-abbreviations': ['error', {allowList: shortNames, ignore: [/^kv/i, /Kv/, /args$/i, /params$/i]}],
