--- a/src/adapters/_lib/create-http-agent/index.ts
+++ b/src/adapters/_lib/create-http-agent/index.ts
@@ -82,8 +82,10 @@
 	const connect = createConnector({timeout: connectTimeoutMs});
 	const connectWatched: buildConnector.connector = (options, done) => {
 		connect(options, (...result) => {
-			if (result[1] !== null) {
-				watchForResets(result[1]);
+			// Without a connection there is no socket at all, whatever the type says.
+			const [, socket] = result as readonly [unknown, Socket | null | undefined];
+			if (socket !== null && socket !== undefined) {
+				watchForResets(socket);
 			}
 
 			done(...result);
--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -28,6 +28,21 @@
 			name: 'an orderly end before the length told', head: 'content-length: 9\r\n', end: socket => socket.end(), isWhole: false,
 		},
 	];
+	it('reports a port where nobody listens as unreachable', async () => {
+		const server = createServer();
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const {port} = server.address() as AddressInfo;
+		server.close();
+		await once(server, 'close');
+		const agent = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+		after(async () => agent.destroy());
+		const answer = await readAnswer({
+			dispatcher: agent, origin: `http://127.0.0.1:${port}`, method: 'GET', path: '/', headersTimeoutMs: 5000, idleTimeoutMs: 5000,
+		}, 1000);
+		assert.equal(answer._unsafeUnwrapErr().kind, 'unreachable');
+	});
+
 	for (const {name, head, end, isWhole} of endings) {
 		it(`${isWhole ? 'takes' : 'does not take'} ${name} for the end of the answer`, async () => {
 			const server = createServer(socket => {
--- a/src/domain/create-admission/_lib/create-pool.ts
+++ b/src/domain/create-admission/_lib/create-pool.ts
@@ -21,6 +21,7 @@
 	cancel: (id: RequestId, now: Milliseconds) => readonly RequestId[];
 	tick: (now: Milliseconds) => AdmissionTick;
 	setCapacity: (capacity: PoolCapacity, now: Milliseconds) => readonly RequestId[];
+	meanHoldMs: () => Milliseconds | undefined;
 	status: (now: Milliseconds) => PoolStatus;
 };
 
@@ -252,6 +253,7 @@
 			return {admitted, refused: [...refuseHopeless(quick, now), ...refuseHopeless(batch, now)]};
 		},
 		setCapacity,
+		meanHoldMs: () => quick.holdMs.value ?? batch.holdMs.value,
 		status: now => ({
 			pool: name,
 			places: places.own,
--- a/src/domain/create-admission/index.ts
+++ b/src/domain/create-admission/index.ts
@@ -37,6 +37,8 @@
 	setCapacity: (pool: string, capacity: PoolCapacity, now: Milliseconds) => readonly RequestId[];
 	/** Forgets the pools that are not named, once nothing of them runs; what waits for them is refused with the next tick. */
 	keepPools: (names: ReadonlySet<string>, now: Milliseconds) => void;
+	/** Mean time for which requests of a pool keep their places; `undefined` while none has ended. */
+	meanHoldMs: (pool: string) => Milliseconds | undefined;
 	/** Numbers for metrics and the status document. */
 	status: (now: Milliseconds) => PoolStatus[];
 };
@@ -146,6 +148,7 @@
 		tick,
 		setCapacity,
 		keepPools,
+		meanHoldMs: name => pools.get(name)?.meanHoldMs(),
 		status: now => [...pools.values()].map(pool => pool.status(now)),
 	};
 }
--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -17,7 +17,7 @@
  * streams last seconds and several hosts send to it, so room comes every hundred
  * milliseconds or so; asking each waiting request's turn would be calls for nothing.
  */
-const fullForMs: Milliseconds = 100;
+const fullForMs: Milliseconds = 40;
 
 /**
  * What another zone counts against a decode server, in requests of this host:
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -21,6 +21,13 @@
 
 const defaultLapseGraceMs = 2500;
 
+/**
+ * Silence of the platform after which entries of living servers may have lapsed:
+ * they do after three heartbeats. A read that fails by itself is no outage; taken
+ * for one, a server that left would get requests for seconds after it ended.
+ */
+const lapseAfterMs: Milliseconds = 3000;
+
 export type FleetChange = {
 	/** Rules that came into force with this read. */
 	rules: PublishedRules | undefined;
@@ -35,8 +42,8 @@
 	replace: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
 	/** Takes what changed since the last read. */
 	apply: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
-	/** The platform did not answer. */
-	noteOutage: (now: Milliseconds) => void;
+	/** A read of the platform failed. */
+	noteFailedRead: (now: Milliseconds) => void;
 	/** Ends the grace of servers that stayed away; `true` when the view changed. */
 	sweep: (now: Milliseconds) => FleetChange;
 	toView: (now: Milliseconds) => FleetView;
@@ -183,8 +190,10 @@
 				.map((id): PublishedChange => ({kind: 'server-gone', id}));
 			return apply([...changes, ...gone], now);
 		},
-		noteOutage(now) {
-			outageAt = now;
+		noteFailedRead(now) {
+			if (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs) {
+				outageAt = now;
+			}
 		},
 		sweep(now) {
 			const overdue = [...servers]
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -59,6 +59,8 @@
 export type ProblemStyle = {
 	/** Statuses in place of the usual ones. */
 	statuses?: Readonly<Partial<Record<ProblemKind, number>>>;
+	/** Callers read the status alone, and conclude from it whether the request ran. */
+	isOutcomeInStatus?: boolean;
 	/** Callers read `Retry-After` with fractions of a second. */
 	hasFractions?: boolean;
 };
@@ -74,7 +76,7 @@
  * for work that a server may have taken, it would run twice; withheld from work
  * that nobody took, the caller would give up for nothing.
  */
-function toHonestStatus(status: number, outcome: Outcome): number {
+function toStatusOfOutcome(status: number, outcome: Outcome): number {
 	if (outcome !== 'not-run') {
 		return notRunStatuses.has(status) ? 502 : status;
 	}
@@ -105,7 +107,8 @@
  */
 export function toProblem(problem: Problem, requestId: RequestId, style: ProblemStyle = {}): ProblemDocument {
 	const [usualStatus, title] = problemKinds[problem.kind];
-	const status = toHonestStatus(style.statuses?.[problem.kind] ?? usualStatus, problem.outcome);
+	const kindStatus = style.statuses?.[problem.kind] ?? usualStatus;
+	const status = style.isOutcomeInStatus === true ? toStatusOfOutcome(kindStatus, problem.outcome) : kindStatus;
 	const headers: Record<string, string> = {'content-type': 'application/problem+json'};
 	if (problem.retryAfterMs !== undefined) {
 		headers['retry-after'] = toRetryAfterText(problem.retryAfterMs, style);
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -30,8 +30,8 @@
 export type PairAttempt =
 	/** The request, or its prompt, was sent. */
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
-	/** No decode server that would do has room now. */
-	| {kind: 'bounced'; refusal: PlacementRefusal};
+	/** `bounced`: every decode server that would do is full; `not-placed`: there is none. Nothing was sent. */
+	| {kind: 'bounced' | 'not-placed'; refusal: PlacementRefusal};
 
 type Step = {
 	run: PlainRun;
@@ -77,14 +77,15 @@
 }
 
 /** Asks decode servers for a place, the best first, until one grants it or none is left. */
-async function reservePlace(run: PlainRun, caches: CacheCalls, work: CallerWork, attempt: number): Promise<Result<{placement: Placement; reservationId: string}, PlacementRefusal | PairAttempt>> {
+async function reservePlace(run: PlainRun, caches: CacheCalls, work: CallerWork, attempt: number): Promise<Result<{placement: Placement; reservationId: string}, PairAttempt>> {
 	const {services} = run.serve;
 	const asked = new Set(run.tried.map(({server}) => server));
 	const tokens = toReservedTokens(work);
+	let isFull = false;
 	for (;;) {
 		const picked = pick(run, work, asked);
 		if (picked.isErr()) {
-			return err(picked.error);
+			return err({kind: isFull || picked.error.reason === 'no-memory' ? 'bounced' : 'not-placed', refusal: picked.error});
 		}
 
 		const {decode} = picked.value;
@@ -99,6 +100,12 @@
 		run.account.note('no place', {
 			server: decode.id, failure: kind, reason, message,
 		});
+		if (reason !== 'full') {
+			run.log.info('no place', {
+				attempt, decodeServer: decode.id, kind, reason: reason ?? message,
+			});
+		}
+
 		if (run.signal.aborted) {
 			return err({
 				kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message}}, hasRun: false,
@@ -108,6 +115,7 @@
 		// A limit that this host set is the server's silence.
 		services.placement.noteFailure(decode, {kind: kind === 'aborted' ? 'broken' : kind, reason}, services.clock.now());
 		asked.add(decode.id);
+		isFull ||= reason === 'full';
 	}
 }
 
@@ -151,8 +159,8 @@
 		const done = await call;
 		if (done.isErr()) {
 			// It lapses by itself within a second or two, so a second try would come too late to matter.
-			run.serve.log.info('could not give back', {
-				requestId: run.exchange.requestId, step: what, server: done.error.server, reason: done.error.message,
+			run.log.info('could not give back', {
+				step: what, server: done.error.server, reason: done.error.message,
 			});
 		}
 	})();
@@ -175,6 +183,9 @@
 	const now = services.clock.now();
 	services.placement.notePrefilled(placement, {promptTokens: step.work.promptTokens, cachedTokens: 0, bytes: 0}, now);
 	run.account.note('prompt computed', {server: placement.prefill.id, tookMs: Math.round(now - startedAt)});
+	run.log.info('prompt computed', {
+		attempt: step.attempt, prefillServer: placement.prefill.id, decodeServer: decode.id, durationMs: Math.round(now - startedAt), promptTokens: step.work.promptTokens,
+	});
 	if (run.signal.aborted) {
 		giveBack(step, 'reservation', caches.release(decode, reservationId));
 		giveBack(step, 'cache', caches.dropCache(cache));
@@ -211,7 +222,7 @@
 	const {work} = run;
 	const reserved = await reservePlace(run, caches, work, attempt);
 	if (reserved.isErr()) {
-		return 'kind' in reserved.error ? reserved.error : {kind: 'bounced', refusal: reserved.error};
+		return reserved.error;
 	}
 
 	const {placement, reservationId} = reserved.value;
--- /dev/null
+++ b/src/programs/entry/call-plain/_lib/decide-again.ts
@@ -0,0 +1,81 @@
+/** Whether a request that failed at one server goes to another. */
+import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
+import {type Milliseconds} from '../../../../ports/clock.js';
+import {type PlainFault} from '../../send-plain/index.js';
+import {type PlainRun} from './types.js';
+
+const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/**
+ * Tells whether the call may run a second time without harm.
+ *
+ * @param run - The caller's request and its rule.
+ * @returns `true` if the rule says so, and for methods that change nothing.
+ */
+export function isRepeatable(run: Pick<PlainRun, 'exchange' | 'route'>): boolean {
+	const {repeatable, relay} = run.route.rule.then;
+	// Where operators publish for each route whether it may be repeated, a method says nothing more.
+	return repeatable || (relay === undefined && safeMethods.has(run.exchange.method));
+}
+
+/** Prompts that are sent to be computed before a request is given up: none of them runs the request. */
+const maxPromptTries = 3;
+
+export type Again = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
+
+/** What the retry budget is told of a call: whether it ran the request, or may have. */
+function toFailedAttempt(run: PlainRun, {hasRun, isStarted, sent}: {hasRun: boolean; isStarted: boolean; sent: number}): FailedAttempt {
+	const {relay} = run.route.rule.then;
+	return {
+		attempt: hasRun ? sent : run.tried.length,
+		...(relay && {maxAttempts: hasRun ? relay.attempts : maxPromptTries}),
+		tried: run.tried,
+		repeatable: isRepeatable(run),
+		bytesOffered: isStarted ? 1 : 0,
+		outcome: isStarted ? 'may-have-run' : 'not-run',
+		deadline: run.deadline,
+		expectedMs: 0,
+	};
+}
+
+function canSendAgain({body}: PlainRun): boolean {
+	return !body.isTaken() && body.fault() === undefined;
+}
+
+/**
+ * Tells whether the request may go to another server after the answer that has
+ * just begun. A failed answer is passed on unless it may: an answer of its
+ * server is worth more to a caller than a refusal of ours.
+ *
+ * @param run - The request; its present call is not counted in `sent` yet.
+ * @returns Whether the answer should be let go.
+ */
+export function isAgainAllowed(run: PlainRun): boolean {
+	const {services} = run.serve;
+	// Own callers without relay terms get what their service answers.
+	if (run.route.rule.then.relay === undefined || !isRepeatable(run) || !canSendAgain(run)) {
+		return false;
+	}
+
+	const failed = toFailedAttempt(run, {hasRun: true, isStarted: true, sent: run.sent + 1});
+	return services.toRetryBudget(run.route.pool.name).isRetryAllowed(failed, services.clock.now());
+}
+
+/**
+ * Decides, and spends from the budget when the request goes on.
+ *
+ * @param run - The request.
+ * @param fault - Why the call brought no answer.
+ * @param hasRun - Whether the call was to run the request, and not just compute its prompt.
+ * @returns Whether to call another server, and when.
+ */
+export function decideAgain(run: PlainRun, fault: PlainFault, hasRun: boolean): Again {
+	const {services} = run.serve;
+	if (!canSendAgain(run)) {
+		return {kind: 'give-up'};
+	}
+
+	const isStarted = hasRun && fault.kind !== 'unreachable' && fault.kind !== 'refused';
+	const failed = toFailedAttempt(run, {hasRun, isStarted, sent: run.sent});
+	return services.toRetryBudget(run.route.pool.name).takeRetry(failed, services.clock.now(), services.random);
+}
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -3,6 +3,7 @@
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
+import {isAgainAllowed} from './decide-again.js';
 import {type PlainRun} from './types.js';
 
 /** The least status by which a service says that it failed. */
@@ -39,7 +40,11 @@
 	}
 
 	const reason = calls.toRefusal(status, headers);
-	return reason === undefined ? undefined : {kind: 'refused', reason, message: `status ${status}`};
+	if (reason !== undefined) {
+		return {kind: 'refused', reason, message: `status ${status}`};
+	}
+
+	return status >= firstServerFault && isAgainAllowed(run) ? {kind: 'failed-answer', message: `status ${status}`} : undefined;
 }
 
 /**
@@ -65,6 +70,7 @@
 		checkHead: (status, headers) => findHeadFault(run, status, headers),
 		onStart(status) {
 			serve.services.gate.noteFirstToken(exchange.requestId);
+			run.ledger.noteRan(serve.services.clock.now());
 			if (status < firstServerFault) {
 				onFirst();
 			}
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -1,3 +1,4 @@
+import {type Log} from '../../../../adapters/log/index.js';
 import {type CallerExchange} from '../../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../../domain/to-problem/index.js';
 import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
@@ -17,6 +18,8 @@
 	serve: ServeServices;
 	clients: PlainClients;
 	account: Account;
+	/** Carries the request's id. */
+	log: Log;
 	/** What the caller says of the request beside its body. */
 	work: CallerWork;
 	body: PlainBody;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -12,26 +12,14 @@
 import {notePlaced} from '../_lib/note-placed.js';
 import {waitAwake} from '../_lib/wait-awake.js';
 import {sendWhole} from './_lib/send-step.js';
+import {decideAgain} from './_lib/decide-again.js';
 import {toCutOff, toGivenUp, toNotPlaced} from './_lib/to-plain-outcome.js';
 import {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
+export {isRepeatable} from './_lib/decide-again.js';
 export {toCutOff} from './_lib/to-plain-outcome.js';
 export {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
-const safeMethods = new Set(['GET', 'HEAD', 'OPTIONS']);
-
-/**
- * Tells whether the call may run a second time without harm.
- *
- * @param run - The caller's request and its rule.
- * @returns `true` if the rule says so, and for methods that change nothing.
- */
-export function isRepeatable(run: Pick<PlainRun, 'exchange' | 'route'>): boolean {
-	const {repeatable, relay} = run.route.rule.then;
-	// Where operators publish for each route whether it may be repeated, a method says nothing more.
-	return repeatable || (relay === undefined && safeMethods.has(run.exchange.method));
-}
-
 function pickServer(run: PlainRun, exclude: ReadonlySet<ServerId>) {
 	const {services} = run.serve;
 	return services.placement.pickPlain({pool: run.route.pool.name, exclude}, services.toView()!, services.clock.now(), services.random);
@@ -58,6 +46,7 @@
 
 	const {server} = picked.value;
 	const placed = notePlaced(account, picked.value, {attempt, pool: route.pool.name, chosen: [server.id]});
+	run.log.info('sent', {attempt, server: server.id, zones: server.zone});
 	placement.noteDispatched(placed, clock.now());
 	ledger.noteOffered();
 	const ended = await sendWhole(run, server, {kind: 'whole'}, () => {
@@ -96,7 +85,8 @@
 		if (attempted.kind !== 'called') {
 			const {refusal} = attempted;
 			run.account.note('not placed', {...refusal.account(), reason: refusal.reason});
-			return attempted.kind === 'bounced' && refusal.reason === 'no-memory' ? {end: 'bounced', outcome: run.ledger.outcome()} : toNotPlaced(run, refusal);
+			run.log.info(attempted.kind === 'bounced' ? 'every server is full' : 'not placed', {reason: refusal.reason});
+			return attempted.kind === 'bounced' ? {end: 'bounced', outcome: run.ledger.outcome()} : toNotPlaced(run, refusal);
 		}
 
 		const {server, ended, hasRun} = attempted;
@@ -130,39 +120,14 @@
 }
 
 function noteFailed(run: PlainRun, server: ServerEntry, fault: PlainFault): void {
-	const {services, log} = run.serve;
+	const {services} = run.serve;
 	const attempt = run.tried.length + 1;
 	const reason = fault.kind === 'refused' ? fault.reason : undefined;
-	services.placement.noteFailure(server, {kind: fault.kind, reason}, services.clock.now());
+	services.placement.noteFailure(server, {kind: fault.kind === 'failed-answer' ? 'broken' : fault.kind, reason}, services.clock.now());
 	run.account.note('attempt failed', {
 		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
 	});
-	log.info('attempt failed', {
-		requestId: run.exchange.requestId, attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message,
+	run.log.info('attempt failed', {
+		attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message,
 	});
 }
-
-type Again = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
-
-/** Prompts that are sent to be computed before a request is given up: none of them runs the request. */
-const maxPromptTries = 3;
-
-function decideAgain(run: PlainRun, fault: PlainFault, hasRun: boolean): Again {
-	const {services} = run.serve;
-	const {relay} = run.route.rule.then;
-	if (run.body.isTaken() || run.body.fault() !== undefined) {
-		return {kind: 'give-up'};
-	}
-
-	const isStarted = hasRun && fault.kind !== 'unreachable' && fault.kind !== 'refused';
-	return services.toRetryBudget(run.route.pool.name).takeRetry({
-		attempt: hasRun ? run.sent : run.tried.length,
-		...(relay && {maxAttempts: hasRun ? relay.attempts : maxPromptTries}),
-		tried: run.tried,
-		repeatable: isRepeatable(run),
-		bytesOffered: isStarted ? 1 : 0,
-		outcome: isStarted ? 'may-have-run' : 'not-run',
-		deadline: run.deadline,
-		expectedMs: 0,
-	}, services.clock.now(), services.random);
-}
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -98,7 +98,7 @@
 			return;
 		}
 
-		fleet.noteOutage(clock.now());
+		fleet.noteFailedRead(clock.now());
 		if (isConnected) {
 			isConnected = false;
 			log.warn('platform does not answer', {revision, kind, reason: message});
--- a/src/programs/entry/gate/index.ts
+++ b/src/programs/entry/gate/index.ts
@@ -24,6 +24,8 @@
 	setView: (view: FleetView) => void;
 	/** Looks at all that wait; the program calls it several times a second. */
 	tick: () => void;
+	/** Mean time for which requests of a pool keep their places; `undefined` while none has ended. */
+	meanHoldMs: (pool: string) => Milliseconds | undefined;
 	waiting: () => number;
 	status: () => PoolStatus[];
 };
@@ -132,6 +134,7 @@
 				settle(id, err(refusal));
 			}
 		},
+		meanHoldMs: admission.meanHoldMs,
 		waiting: () => waiters.size,
 		status: () => admission.status(now()),
 	};
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -17,6 +17,8 @@
 export type PlainFault =
 	| CallFault
 	| {kind: 'refused'; reason: EngineRefusalReason; message: string}
+	/** The server ran the request and answered that it failed; the answer was not relayed, as another server is to be tried. */
+	| {kind: 'failed-answer'; message: string}
 	| {kind: 'invalid'; message: string};
 
 export type PlainEnd =
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -7,12 +7,17 @@
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServiceClass} from '../../../ports/outcome.js';
+import {toReturnDelay} from '../../../domain/to-return-delay/index.js';
+import {
+	toAge, toWait, type Wait, type WaitInput,
+} from '../../../domain/to-wait/index.js';
 import {bytesPerKibibyte} from '../../../ports/units.js';
 import {
 	callServers, isRepeatable, toCutOff, type PlainOutcome, type PlainRun,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
-import {type Gate} from '../gate/index.js';
+import {type Gate, type GateRefusal} from '../gate/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type EndedRequest} from '../_lib/ended.js';
 import {findKey, toDigest, toUnclaimed} from '../_lib/find-key.js';
@@ -52,44 +57,77 @@
 
 type FinalOutcome = PlainOutcome & {end: EndedRequest['end']};
 
-/** Latest time at which the first byte of an answer is still of use. */
-function toLatestStart({route, deadline, receivedAt, serve}: PlainRun): Milliseconds {
-	const {relay, target} = route.rule.then;
-	// From here and not from its arrival: the time for which a caller sent its body says nothing of the pool.
-	return Math.min(deadline, relay === undefined ? serve.services.clock.now() + target.firstTokenMs : receivedAt + relay.patienceMs);
-}
-
 /** Waits and calls; again, and at once, when every server turned out to be full. The gate spaces the tries. */
 async function waitAndCall(run: PlainRun): Promise<FinalOutcome> {
+	const {clock} = run.serve.services;
 	for (;;) {
-		const ended = await enterAndCall(run);
+		const wait = toWait(toWaitInput(run), clock.now());
+		const ended = await enterAndCall(run, wait);
 		const {end} = ended;
 		if (end !== 'bounced') {
 			return {...ended, end};
 		}
 
 		run.account.note('bounced');
+		if (wait.isOnce) {
+			return toNoRoom(run);
+		}
 	}
 }
 
-async function enterAndCall(run: PlainRun): Promise<PlainOutcome> {
-	const {exchange, route, serve, account} = run;
-	const {gate} = serve.services;
-	const {then} = route.rule;
-	const entered = await gate.enter({
+function toWaitInput({route, receivedAt, deadline, work}: PlainRun): WaitInput {
+	return {
+		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs,
+	};
+}
+
+/** When a caller may come back to a pool whose memory is full. */
+function toReturnMs({route, serve: {services}}: PlainRun): Milliseconds {
+	return toReturnDelay(services.gate.meanHoldMs(route.pool.name), services.random);
+}
+
+function toNoRoom(run: PlainRun): FinalOutcome {
+	const outcome = run.ledger.outcome();
+	return {
+		end: outcome === 'not-run' ? 'refused' : 'failed',
+		outcome,
+		problem: {
+			kind: 'no-capacity', detail: 'Every server that would do is full.', outcome, retryAfterMs: toReturnMs(run),
+		},
+	};
+}
+
+async function enter(run: PlainRun, wait: Wait): Promise<Result<void, GateRefusal>> {
+	const {exchange, route, serve} = run;
+	return serve.services.gate.enter({
 		id: exchange.requestId,
 		pool: route.pool.name,
-		class: then.class,
+		class: wait.class,
 		workspace: route.workspace,
 		deadline: run.deadline,
-		firstTokenDeadline: toLatestStart(run),
+		firstTokenDeadline: wait.latestStart,
 		promptTokens: Math.max(1, run.work.promptTokens),
 		maxTokens: Math.max(1, run.work.guessedTokens ?? run.work.maxTokens),
-		queueLimit: then.queueLimit,
+		queueLimit: route.rule.then.queueLimit,
 	}, run.signal);
+}
+
+/** The pace at which this host's requests end tells when a plain service has room; of memory that other hosts fill as well it says too little. */
+function toWaitProblem(run: PlainRun, refusal: Exclude<GateRefusal, {reason: 'gone'}>, outcome: Problem['outcome']): Problem {
+	const problem = toGateProblem(refusal, outcome);
+	return run.route.pool.kind === 'model' ? {...problem, retryAfterMs: toReturnMs(run)} : problem;
+}
+
+async function enterAndCall(run: PlainRun, wait: Wait): Promise<PlainOutcome> {
+	const {exchange, route, serve, account} = run;
+	const {gate} = serve.services;
+	const entered = await enter(run, wait);
 	if (entered.isErr()) {
 		account.note('not admitted', {reason: entered.error.reason});
-		return entered.error.reason === 'gone' ? toCutOff(run) : {end: 'refused', outcome: 'not-run', problem: toGateProblem(entered.error, 'not-run')};
+		run.log.info('not admitted', {reason: entered.error.reason, pool: route.pool.name, queued: gate.waiting()});
+		// An earlier call may have been taken before this one found every server full.
+		const outcome = run.ledger.outcome();
+		return entered.error.reason === 'gone' ? toCutOff(run) : {end: outcome === 'not-run' ? 'refused' : 'failed', outcome, problem: toWaitProblem(run, entered.error, outcome)};
 	}
 
 	let end: Parameters<typeof gate.leave>[1] = 'failed';
@@ -123,12 +161,14 @@
 	}
 
 	const reason = ended.problem?.kind ?? ended.end;
+	const firstByteAt = run.ledger.firstTokenAt();
+	const firstTokenMs = firstByteAt === undefined ? undefined : firstByteAt - run.receivedAt;
 	account.note('ended', {outcome: ended.outcome, reason});
 	serve.log.info('request ended', {
-		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, outcome: ended.outcome, reason, durationMs: completeMs,
+		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, outcome: ended.outcome, reason, durationMs: completeMs, firstTokenMs, ageMs: toAge(toWaitInput(run)),
 	});
 	serve.onEnded({
-		workspace: route.workspace, rule: route.rule, end: ended.end, outcome: ended.outcome, firstTokenMs: undefined, completeMs, outputTokens: 0,
+		workspace: route.workspace, rule: route.rule, end: ended.end, outcome: ended.outcome, firstTokenMs, completeMs, outputTokens: 0,
 	});
 }
 
@@ -187,7 +227,7 @@
 	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
 	const {exchange, route, serve, account, deadline} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : endAt(control, deadline - serve.services.clock.now());
@@ -199,7 +239,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, signal: control.signal, ledger: createOutcomeLedger(), tried: [], sent: 0,
+			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), tried: [], sent: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -35,7 +35,8 @@
 import {findNotReady, toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
 
-const gateTickMs = 50;
+/** Room at a full pool is looked for this often: a request in time has some 600 ms to find it, before those that come after it do. */
+const gateTickMs = 20;
 const pauseLimitMs = 2000;
 const accountLimit = 2000;
 const operatorCloseMs = 500;
