--- a/bench/fleet/_lib/baseline-admission.ts
+++ b/bench/fleet/_lib/baseline-admission.ts
@@ -51,6 +51,7 @@
 		},
 		setCapacity: () => [],
 		keepPools() {/* Knows no pools. */},
+		meanHoldMs: () => undefined,
 		status: () => [],
 	};
 }
--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -57,6 +57,14 @@
 };
 
 const defaultStaleAfterMs = 5000;
+
+/**
+ * Time for which a server that never reported counts as full after it said so.
+ * No report will take it back, and its queue moves on within the time of a few
+ * calls: left out for as long as a report counts, one refusal in a burst would
+ * take the server away for seconds.
+ */
+const fullUnreportedMs = 50;
 const defaultTokensPerSecond = 8000;
 const defaultStreamTokensPerSecond = 50;
 const defaultLinkBytesPerSecond = 1_000_000_000;
@@ -171,7 +179,7 @@
 
 		const slotsTotal = report !== undefined && report.slotsTotal > 0 ? report.slotsTotal : entry.slots;
 		const corrected = isUnknown ? track.own : Math.max(track.own, report.slotsUsed + track.slotsSince);
-		const isFull = track.fullAt > track.reportAt && now - track.fullAt <= staleAfterMs;
+		const isFull = track.fullAt > track.reportAt && now - track.fullAt <= (report === undefined ? fullUnreportedMs : staleAfterMs);
 		return {
 			slotsTotal,
 			slotsUsed: isFull ? Math.max(slotsTotal, corrected) : corrected,
--- /dev/null
+++ b/test/failures/relay.test.ts
@@ -0,0 +1,272 @@
+/** Faults of servers, callers and the platform, as callers of the relay meet them. */
+import assert from 'node:assert/strict';
+import {
+	after, afterEach, before, beforeEach, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {type Misdeed} from '../stand-ins/users-platform/server.js';
+import {
+	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayFixture,
+} from '../stand-ins/users-platform/start-relay-fixture.js';
+
+let fixture: RelayFixture;
+
+const toStream = (headers: Record<string, string> = {}) => ({path: '/summary/1', body: 'prompt', headers: toStreamHeaders(headers)});
+
+/*
+ * A server of the desk refuses, fails, or breaks off a request. Callers read the
+ * status alone: 503 says that nothing ran and may be sent again, 502 says
+ * nothing, and an answer with the server's mark is the server's own. A wrong
+ * status makes a lookup run twice, or be given up for nothing.
+ */
+describe('relay: a server of a plain service misbehaves', () => {
+	before(async () => {
+		fixture = await startRelayFixture();
+	});
+	after(async () => fixture.stop());
+
+	const cases: ReadonlyArray<{name: string; path: string; misdeeds: Misdeed[]; status: number; runs: number; isSealed?: boolean; hasReturn?: boolean}> = [
+		{
+			name: 'refuses a lookup', path: '/lookup/', misdeeds: ['refuse'], status: 503, runs: 1, hasReturn: true,
+		},
+		{
+			name: 'refuses a check, and another one serves it', path: '/check/', misdeeds: ['refuse'], status: 200, runs: 2, isSealed: true,
+		},
+		{
+			name: 'fails a lookup', path: '/lookup/', misdeeds: ['fail'], status: 500, runs: 1, isSealed: true,
+		},
+		{
+			name: 'fails a check, and another one serves it', path: '/check/', misdeeds: ['fail'], status: 200, runs: 2, isSealed: true,
+		},
+		{
+			name: 'resets the connection of a lookup', path: '/lookup/', misdeeds: ['reset'], status: 502, runs: 1,
+		},
+		{
+			name: 'resets the connection of a check', path: '/check/', misdeeds: ['reset'], status: 200, runs: 2, isSealed: true,
+		},
+		{
+			name: 'answers a lookup with another\'s answer', path: '/lookup/', misdeeds: ['answer-another'], status: 502, runs: 1,
+		},
+		{
+			name: 'answers a check with another\'s answer', path: '/check/', misdeeds: ['answer-another'], status: 200, runs: 2, isSealed: true,
+		},
+		{
+			name: 'is another one at the same address', path: '/lookup/', misdeeds: ['wrong-instance'], status: 503, runs: 1, hasReturn: true,
+		},
+	];
+	for (const {name, path, misdeeds, status, runs, isSealed = false, hasReturn = false} of cases) {
+		it(`${name}: ${status}`, async () => {
+			const {servers, ask} = fixture;
+			const before = servers.desk1.runs().length + servers.desk2.runs().length;
+			// What the case before said of a server no longer counts.
+			await sleep(100);
+			servers.desk1.misbehave(...misdeeds);
+			const answer = await ask({path});
+			assert.equal(answer.status, status);
+			assert.equal(servers.desk1.runs().length + servers.desk2.runs().length - before, runs);
+			assert.equal(answer.headers['server-seal'] !== undefined, isSealed);
+			assert.equal(answer.headers['retry-after'] !== undefined, hasReturn);
+		});
+	}
+
+	it('fails a check at both servers: the second one\'s own answer is passed on', async () => {
+		const {servers, ask} = fixture;
+		servers.desk1.misbehave('fail', 'fail');
+		const answer = await ask({path: '/check/'});
+		assert.equal(answer.status, 500);
+		assert.match(String(answer.headers['server-seal']), /^seal-of-desk/v);
+	});
+
+	it('breaks off an answer without a length: no whole answer comes of it', async () => {
+		const {servers, ask} = fixture;
+		servers.desk1.misbehave('cut-unframed');
+		const answer: Answer = await ask({path: '/lookup/'});
+		assert.ok(answer.status !== 200 || !answer.isWhole, `${answer.status} ${answer.body}`);
+	});
+
+	it('is silent: the caller gets its final answer at its deadline, and the server is let go', async () => {
+		const {servers, ask} = fixture;
+		servers.desk1.misbehave('silent');
+		const answer = await ask({path: '/lookup/', headers: {'deadline-ms': '400'}});
+		assert.equal(answer.status, 504);
+		assert.ok(answer.tookMs >= 390, `${answer.tookMs}`);
+		await waitUntil(() => [...servers.desk1.runs(), ...servers.desk2.runs()].some(({isLeft}) => isLeft), {deadlineMs, what: 'the server to see the call end'});
+	});
+});
+
+/*
+ * Decode memory is short, or a model server breaks an attempt off. A prompt that
+ * is computed for nothing takes time from everybody, and memory that stays
+ * reserved for a request that has gone keeps others out.
+ */
+describe('relay: model servers are full or break off', () => {
+	beforeEach(async () => {
+		fixture = await startRelayFixture();
+	});
+	afterEach(async () => fixture.stop());
+
+	const nothingHeld = async () => waitUntil(
+		() => fixture.servers.decode1.reservations() + fixture.servers.decode2.reservations() + fixture.caches.size === 0,
+		{deadlineMs, what: 'reservations and caches to be given back'},
+	);
+
+	it('asks the other decode server when one is full', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.setFreeTokens(0);
+		const answer = await ask(toStream());
+		assert.equal(answer.status, 200);
+		assert.equal(servers.decode2.runs().length, 1);
+	});
+
+	it('lets a new request wait while it can be in time, and computes no prompt before there is room', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.setFreeTokens(0);
+		servers.decode2.setFreeTokens(0);
+		const asking = ask(toStream());
+		await waitUntil(() => servers.decode1.arrivals.length > 0 && servers.decode2.arrivals.length > 0, {deadlineMs, what: 'both servers to be asked'});
+		assert.equal(servers.prefill1.arrivals.length + servers.prefill2.arrivals.length, 0);
+		servers.decode1.setFreeTokens(40_000);
+		const answer = await asking;
+		assert.equal(answer.status, 200);
+	});
+
+	it('refuses a request that can\'t be in time any more, and says when to come back', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.setFreeTokens(0);
+		servers.decode2.setFreeTokens(0);
+		const fresh = await ask(toStream());
+		assert.equal(fresh.status, 503);
+		assert.ok(fresh.tookMs < 5000, `${fresh.tookMs}`);
+		assert.ok(Number(fresh.headers['retry-after']) >= 3, String(fresh.headers['retry-after']));
+		const back = await ask(toStream({'deadline-ms': '9000'}));
+		assert.equal(back.status, 503);
+		assert.equal(servers.prefill1.arrivals.length + servers.prefill2.arrivals.length, 0);
+	});
+
+	it('gives the place back and goes to another server when the prompt is refused', async () => {
+		const {servers, ask} = fixture;
+		servers.prefill1.misbehave('refuse', 'refuse', 'refuse');
+		const answers = await Promise.all(Array.from({length: 4}, async () => ask(toStream())));
+		assert.ok(answers.some(({status}) => status === 200));
+		assert.ok(answers.every(({status}) => status === 200 || status === 503), String(answers.map(({status}) => status)));
+		await nothingHeld();
+	});
+
+	it('frees the cache when the decode server refuses after the prompt was computed', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.misbehave('refuse');
+		const answer = await ask(toStream());
+		assert.ok([200, 503].includes(answer.status), String(answer.status));
+		await nothingHeld();
+	});
+
+	it('frees all that it holds when the caller leaves', async () => {
+		await fixture.stop();
+		fixture = await startRelayFixture({workMs: 400});
+		const {servers, ask} = fixture;
+		await ask({...toStream(), leaveAfterMs: 200});
+		await nothingHeld();
+		assert.equal(servers.decode1.runs().length + servers.decode2.runs().length, 0);
+	});
+
+	it('breaks the caller\'s answer off where the stream of its server broke', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.misbehave('cut-stream');
+		const answer = await ask(toStream());
+		assert.equal(answer.status, 200);
+		assert.ok(!answer.isWhole);
+	});
+});
+
+/*
+ * The platform answers with older rules, forgets its history, fails a read, or is
+ * away for seconds while the entries of living servers lapse. Callers must not
+ * see rules go back, nor a pool without servers that serve.
+ */
+describe('relay: the platform misbehaves', () => {
+	beforeEach(async () => {
+		fixture = await startRelayFixture();
+	});
+	afterEach(async () => fixture.stop());
+
+	it('keeps newer rules when older ones are written after them', async () => {
+		const {ask, askUntil, publishRoutes} = fixture;
+		publishRoutes(9, route => route.name === 'lookups' ? undefined : route);
+		await askUntil({path: '/lookup/'}, 404);
+		publishRoutes(4);
+		await sleep(1500);
+		const answer = await ask({path: '/lookup/'});
+		assert.equal(answer.status, 404);
+	});
+
+	it('reads all anew when the history is forgotten, and drops servers that are gone', async () => {
+		const {askUntil, store, publishRoutes} = fixture;
+		store.cutWatches();
+		store.remove('servers/desk1');
+		store.remove('servers/desk2');
+		publishRoutes(5);
+		store.forget();
+		await askUntil({path: '/lookup/'}, 503);
+	});
+
+	it('does not take one failed read for an outage: a server that left gets nothing more', async () => {
+		const {ask, store, servers, logs} = fixture;
+		store.cutWatches();
+		store.remove('servers/desk1');
+		await waitUntil(() => logs().some(line => line.server === 'desk1' && line.state === 'gone'), {deadlineMs: 2000, what: 'the server to be gone'});
+		const before = servers.desk1.arrivals.length;
+		await Promise.all(Array.from({length: 6}, async () => ask({path: '/lookup/'})));
+		assert.equal(servers.desk1.arrivals.length, before);
+	});
+
+	it('serves on with servers whose entries lapsed while the platform was away, until they stay away', async () => {
+		const {ask, store, logs} = fixture;
+		store.setMood('refusing');
+		store.cutWatches();
+		await sleep(3500);
+		store.remove('servers/desk1');
+		store.remove('servers/desk2');
+		store.forget();
+		store.setMood('well');
+		await waitUntil(() => logs().some(line => line.message === 'platform answers' && Number(line.count) > 0), {deadlineMs, what: 'the platform to answer again'});
+		const answer = await ask({path: '/lookup/'});
+		assert.equal(answer.status, 200, answer.body);
+		await fixture.askUntil({path: '/lookup/'}, 503);
+	});
+
+	it('passes over an entry that it can\'t read, says so, and keeps the rules in force', async () => {
+		const {ask, store, logs} = fixture;
+		store.put('op/config', {version: 12, routes: 'none'});
+		store.put('servers/odd', {service: 7});
+		await waitUntil(() => logs().filter(line => line.level === 'error').length >= 2, {deadlineMs, what: 'both faults to be logged'});
+		const answer = await ask({path: '/lookup/'});
+		assert.equal(answer.status, 200, answer.body);
+	});
+
+	it('gets nothing to a server that is leaving', async () => {
+		const {ask, publishServer, servers, logs} = fixture;
+		publishServer(servers.desk1, {state: 'draining'});
+		await waitUntil(() => logs().some(line => line.server === 'desk1' && line.state === 'leaving'), {deadlineMs, what: 'the relay to know'});
+		await Promise.all(Array.from({length: 6}, async () => ask({path: '/lookup/'})));
+		assert.equal(servers.desk1.arrivals.length, 0);
+		assert.ok(servers.desk2.arrivals.length >= 6);
+	});
+});
+
+/*
+ * A host starts before anything is published: the balancer must not send to it,
+ * and who comes all the same is told that nothing ran, not that its path is wrong.
+ */
+describe('relay: nothing is published yet', () => {
+	it('is ready only once rules are in force', async () => {
+		const {startEmptyRelay} = await import('../stand-ins/users-platform/start-relay-fixture.js');
+		const empty = await startEmptyRelay();
+		assert.equal(await empty.isReady(), false);
+		const answer = await empty.ask({path: '/lookup/'});
+		assert.equal(answer.status, 503);
+		empty.publishRoutes(1);
+		await waitUntil(empty.isReady, {deadlineMs, what: 'readiness'});
+		await empty.stop();
+	});
+});
--- /dev/null
+++ b/test/stand-ins/users-platform/server.ts
@@ -0,0 +1,243 @@
+/** A backend server of the users as their pages tell it: plain, or one that keeps prefill and decode apart. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+/** One request that reached the server, or one of its own calls. */
+export type Arrival = {
+	step: 'whole' | 'prefill' | 'decode' | 'reserve' | 'release' | 'drop-cache';
+	method: string;
+	target: string;
+	headers: IncomingMessage['headers'];
+	body: string;
+	/** The connection ended before the answer was whole. */
+	isLeft: boolean;
+};
+
+/** What the server does with the next request that reaches it, in place of serving it. */
+export type Misdeed =
+	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | 'cut-stream';
+
+export type ServerStandIn = {
+	id: string;
+	address: string;
+	arrivals: Arrival[];
+	/** Requests that it ran. */
+	runs: () => Arrival[];
+	/** Misdeeds for the requests to come, used up one by one; calls of its own are answered well. */
+	misbehave: (...misdeeds: Misdeed[]) => void;
+	/** Tokens that are free for reservations; endless unless set. */
+	setFreeTokens: (tokens: number) => void;
+	/** Reservations that nobody used or gave back. */
+	reservations: () => number;
+	close: () => Promise<void>;
+};
+
+export type ServerStandInOptions = {
+	id: string;
+	/** Time that a run takes, milliseconds. */
+	workMs?: number;
+	/** Events of a stream. */
+	events?: number;
+	/** Misdeeds that servers commit in common, each by whichever is asked first. */
+	misdeeds?: Misdeed[];
+	/** KV caches that nobody fetched or freed, of all servers, as `IP:port/handle`. */
+	caches?: Set<string>;
+};
+
+async function readBody(req: IncomingMessage): Promise<string> {
+	const parts: Buffer[] = [];
+	for await (const part of req) {
+		parts.push(part as Buffer);
+	}
+
+	return Buffer.concat(parts).toString('utf8');
+}
+
+/**
+ * Starts a server on loopback.
+ *
+ * @param options - Its id, and how long its work takes.
+ * @returns The server.
+ */
+export async function startServerStandIn(options: ServerStandInOptions): Promise<ServerStandIn> {
+	const {id, workMs = 5, events = 3, caches = new Set(), misdeeds = []} = options;
+	const arrivals: Arrival[] = [];
+	const reservations = new Map<string, number>();
+	let freeTokens = Infinity;
+	let made = 0;
+
+	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
+		res.writeHead(status, {'content-type': 'application/json', ...headers});
+		res.end(JSON.stringify(body));
+	};
+
+	const ownHeaders = (req: IncomingMessage) => ({'request-id': String(req.headers['request-id']), 'server-seal': `seal-of-${id}`});
+
+	async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
+		res.writeHead(200, {'content-type': 'text/event-stream', ...ownHeaders(req)});
+		for (let event = 1; event <= events; event++) {
+			if (isCut && event === events) {
+				res.destroy();
+				return;
+			}
+
+			res.write(`id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}\n\n`);
+			await sleep(workMs);
+		}
+
+		res.end();
+	}
+
+	function commit(misdeed: Misdeed, req: IncomingMessage, res: ServerResponse): void {
+		const {socket} = req;
+		switch (misdeed) {
+			case 'refuse': {
+				answer(res, 503, {error: 'full'}, {'not-executed': '1'});
+				break;
+			}
+
+			case 'wrong-instance': {
+				answer(res, 421, {error: 'another'}, {'instance-id': 'i-another'});
+				break;
+			}
+
+			case 'fail': {
+				answer(res, 500, {error: 'failed'}, ownHeaders(req));
+				break;
+			}
+
+			case 'answer-another': {
+				answer(res, 200, {for: 'somebody else'}, {...ownHeaders(req), 'request-id': 'another'});
+				break;
+			}
+
+			case 'cut-unframed': {
+				socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${String(req.headers['request-id'])}\r\nserver-seal: x\r\n\r\nhalf`, () => {
+					setImmediate(() => {
+						socket.resetAndDestroy();
+					});
+				});
+				break;
+			}
+
+			case 'reset': {
+				socket.resetAndDestroy();
+				break;
+			}
+
+			case 'silent':
+			case 'cut-stream': {
+				break;
+			}
+		}
+	}
+
+	function takePlace(body: string, res: ServerResponse): void {
+		const {tokens} = JSON.parse(body) as {tokens: number};
+		if (tokens > freeTokens) {
+			answer(res, 503, {error: 'full'}, {'not-executed': '1'});
+			return;
+		}
+
+		const name = `hold-${++made}`;
+		reservations.set(name, tokens);
+		freeTokens -= tokens;
+		answer(res, 200, {hold: name});
+	}
+
+	function free(name: string): void {
+		freeTokens += reservations.get(name) ?? 0;
+		reservations.delete(name);
+	}
+
+	function toStep({method, url, headers}: IncomingMessage): Arrival['step'] {
+		if (url === '/-/hold-take') {
+			return 'reserve';
+		}
+
+		if (method === 'DELETE' && url?.startsWith('/-/') === true) {
+			return url.startsWith('/-/hold-drop/') ? 'release' : 'drop-cache';
+		}
+
+		return headers.stage === 'prefill' ? 'prefill' : (headers['kv-source'] === undefined ? 'whole' : 'decode');
+	}
+
+	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const step = toStep(req);
+		const arrival: Arrival = {
+			step, method: req.method ?? '', target: req.url ?? '', headers: req.headers, body: '', isLeft: false,
+		};
+		arrivals.push(arrival);
+		res.once('close', () => {
+			arrival.isLeft = !res.writableFinished;
+		});
+		arrival.body = await readBody(req);
+		const name = arrival.target.slice(arrival.target.lastIndexOf('/') + 1);
+		if (step === 'reserve') {
+			takePlace(arrival.body, res);
+			return;
+		}
+
+		if (step === 'release' || step === 'drop-cache') {
+			free(name);
+			caches.delete(`${address}/${name}`);
+			answer(res, 200, {});
+			return;
+		}
+
+		const misdeed = misdeeds.shift();
+		if (misdeed !== undefined && misdeed !== 'cut-stream') {
+			commit(misdeed, req, res);
+			return;
+		}
+
+		await sleep(workMs);
+		if (step === 'prefill') {
+			const handle = `cache-${++made}`;
+			caches.add(`${address}/${handle}`);
+			answer(res, 200, {kv_handle: handle, tokens: 10, version: 1}, {'request-id': String(req.headers['request-id'])});
+			return;
+		}
+
+		if (step === 'decode') {
+			free(String(req.headers['kv-hold']));
+			if (!caches.delete(String(req.headers['kv-source']))) {
+				answer(res, 503, {error: 'no such cache'}, {'not-executed': '1'});
+				return;
+			}
+
+			await stream(req, res, misdeed === 'cut-stream');
+			return;
+		}
+
+		answer(res, 200, {server: id, body: arrival.body}, ownHeaders(req));
+	}
+
+	const server = createServer((req, res) => {
+		void serve(req, res);
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return {
+		id,
+		address,
+		arrivals,
+		runs: () => arrivals.filter(({step}) => step === 'whole' || step === 'decode'),
+		misbehave(...next) {
+			misdeeds.push(...next);
+		},
+		setFreeTokens(tokens) {
+			freeTokens = tokens;
+		},
+		reservations: () => reservations.size,
+		async close() {
+			server.closeAllConnections();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+}
--- /dev/null
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -0,0 +1,247 @@
+/** A relay before a stand-in store and servers, and a caller. */
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
+import {createServer, type AddressInfo} from 'node:net';
+import {createServerCalls} from '../../../platform/server-calls.js';
+import {createStore} from '../../../platform/store.js';
+import {createLog} from '../../../src/adapters/log/index.js';
+import {createMetrics} from '../../../src/adapters/metrics/index.js';
+import {parseSettings} from '../../../src/adapters/settings/index.js';
+import {relaySettings} from '../../../src/programs/_settings/index.js';
+import {startRelay} from '../../../src/programs/relay/start-relay/index.js';
+import {waitUntil} from '../../_lib/wait-until/index.js';
+import {
+	startServerStandIn, type Misdeed, type ServerStandIn, type ServerStandInOptions,
+} from './server.js';
+import {startStoreStandIn, type StoreStandIn} from './store.js';
+
+export const deadlineMs = 20_000;
+
+export type Answer = {
+	status: number;
+	headers: IncomingMessage['headers'];
+	body: string;
+	/** The answer came to an orderly end. */
+	isWhole: boolean;
+	tookMs: number;
+};
+
+export type Asked = {
+	path?: string;
+	method?: string;
+	headers?: Record<string, string>;
+	body?: string;
+	/** Leaves after this time, milliseconds. */
+	leaveAfterMs?: number;
+};
+
+export type RelayFixture = {
+	store: StoreStandIn;
+	servers: Readonly<Record<'desk1' | 'desk2' | 'prefill1' | 'prefill2' | 'decode1' | 'decode2', ServerStandIn>>;
+	caches: Set<string>;
+	logs: () => ReadonlyArray<Record<string, unknown>>;
+	ask: (asked: Asked) => Promise<Answer>;
+	/** Asks until the answer's status is the one given. */
+	askUntil: (asked: Asked, status: number) => Promise<Answer>;
+	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
+	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
+	isReady: () => Promise<boolean>;
+	stop: () => Promise<void>;
+};
+
+const host = 'desk.example';
+const routes = [
+	{
+		name: 'lookups', prefix: '/lookup/', kind: 'unsafe', service: 'desk', max_attempts: 1, target_latency_ms: 100, timeout_ms: 1500,
+	},
+	{
+		name: 'checks', prefix: '/check/', kind: 'safe', service: 'desk', max_attempts: 2, target_latency_ms: 100, timeout_ms: 1500,
+	},
+	{
+		name: 'summaries', prefix: '/summary/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true,
+	},
+];
+const services = [
+	{name: 'desk', health_path: '/health', max_connections: 100},
+	{
+		name: 'spare', health_path: '/health', max_connections: 100,
+	},
+	{
+		name: 'model', health_path: '/health', max_connections: 100, engine: {kv_capacity_tokens: 40_000, hold_ms: 2000, models: [{name: 'm'}]},
+	},
+];
+
+async function findPort(): Promise<number> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return port;
+}
+
+async function send(port: number, asked: Asked): Promise<Answer> {
+	const startedAt = performance.now();
+	return new Promise((resolve, reject) => {
+		const req = request({
+			port, host: '127.0.0.1', path: asked.path ?? '/lookup/1', method: asked.method ?? 'POST', headers: {host, 'request-id': `r-${Math.random().toString(16).slice(2)}`, ...asked.headers}, agent: false,
+		});
+		req.once('response', async res => {
+			let body = '';
+			res.setEncoding('utf8');
+			res.on('data', (piece: string) => {
+				body += piece;
+			});
+			res.once('close', () => {
+				resolve({
+					status: res.statusCode ?? 0, headers: res.headers, body, isWhole: res.complete, tookMs: performance.now() - startedAt,
+				});
+			});
+			res.on('error', () => undefined);
+		});
+		req.once('error', error => {
+			if (asked.leaveAfterMs === undefined) {
+				reject(error);
+			} else {
+				resolve({
+					status: 0, headers: {}, body: '', isWhole: false, tookMs: performance.now() - startedAt,
+				});
+			}
+		});
+		if (asked.leaveAfterMs !== undefined) {
+			setTimeout(() => {
+				req.destroy();
+			}, asked.leaveAfterMs);
+		}
+
+		req.end(asked.body ?? '');
+	});
+}
+
+/**
+ * Starts everything.
+ *
+ * @param options - How the servers work.
+ * @returns The fixture, once the relay has rules and all servers.
+ */
+export async function startRelayFixture(options: Partial<ServerStandInOptions> = {}): Promise<RelayFixture> {
+	return start(options, true);
+}
+
+/**
+ * Starts a relay to which nothing is published yet.
+ *
+ * @returns The fixture.
+ */
+export async function startEmptyRelay(): Promise<RelayFixture> {
+	return start({}, false);
+}
+
+async function start(options: Partial<ServerStandInOptions>, isPublished: boolean): Promise<RelayFixture> {
+	const store = await startStoreStandIn();
+	const caches = new Set<string>();
+	// The relay chooses freely among servers that do the same, so these share what they do wrong.
+	const misdeeds: Record<string, Misdeed[]> = {desk: [], prefill: [], decode: []};
+	const startServer = async (id: string) => startServerStandIn({
+		...options, id, caches, misdeeds: misdeeds[id.slice(0, -1)]!,
+	});
+	const [desk1, desk2, prefill1, prefill2, decode1, decode2] = await Promise.all(['desk1', 'desk2', 'prefill1', 'prefill2', 'decode1', 'decode2'].map(async id => startServer(id))) as [ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn];
+	const servers = {
+		desk1, desk2, prefill1, prefill2, decode1, decode2,
+	};
+	const logs: Array<Record<string, unknown>> = [];
+	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
+	const settings = parseSettings(relaySettings, {
+		argv: [], env: {
+			BANYANPORT_HOST_ID: 'front-a-1', BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
+			BANYANPORT_RETRY_SLACK: '400',
+		},
+	})._unsafeUnwrap().values;
+
+	const publishServer: RelayFixture['publishServer'] = (server, change = {}) => {
+		const stage = server.id.startsWith('desk') ? undefined : server.id.replace(/\d$/v, '');
+		store.put(`servers/${server.id}`, {
+			service: stage === undefined ? 'desk' : 'model', address: server.address, zone: server.id.endsWith('1') ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
+		});
+	};
+
+	const publishRoutes: RelayFixture['publishRoutes'] = (version, change = route => route) => {
+		store.put('op/config', {
+			version,
+			routes: routes.map(route => change({...route, host})).filter(route => route !== undefined),
+			services,
+			limits: {
+				header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			},
+		});
+	};
+
+	if (isPublished) {
+		for (const server of Object.values(servers)) {
+			publishServer(server);
+		}
+
+		publishRoutes(1);
+	}
+
+	const relay = await startRelay({
+		settings,
+		clock: {wallNow: () => Date.now(), now: () => performance.now()},
+		random: Math.random,
+		log: createLog({
+			level: 'info',
+			program: 'banyanport-relay',
+			host: 'front-a-1',
+			zone: 'a',
+			incarnation: 1,
+			sink: {
+				write(text, callback) {
+					logs.push(...text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>));
+					callback?.();
+					return true;
+				},
+				writableLength: 0,
+				on: () => undefined,
+			},
+		}),
+		metrics: createMetrics(),
+		keys: undefined,
+		source: createStore(store.address),
+		createCalls: createServerCalls,
+		callers: {isRelayOnly: true, requestIdHeader: 'request-id', problemStyle: {hasFractions: true, isOutcomeInStatus: true, statuses: {'no-rule': 404}}},
+	});
+	await waitUntil(() => !isPublished || relay.view()?.servers.size === 6, {deadlineMs, what: 'the relay to know all servers'});
+	const ask = async (asked: Asked) => send(callerPort, asked);
+	return {
+		store,
+		servers,
+		caches,
+		logs: () => logs,
+		ask,
+		async askUntil(asked, status) {
+			return waitUntil(async () => {
+				const answer = await ask(asked);
+				return answer.status === status && answer;
+			}, {deadlineMs, what: `status ${status}`});
+		},
+		publishRoutes,
+		publishServer,
+		async isReady() {
+			const res = await fetch(`http://127.0.0.1:${operatorPort}/ready`);
+			return res.status === 200;
+		},
+		async stop() {
+			await relay.abandon();
+			await relay.stop();
+			await Promise.all([store.close(), ...Object.values(servers).map(async server => server.close())]);
+		},
+	};
+}
+
+/** Headers of a caller of the model: tokens of the prompt and the most of the answer, a guess, and the time left. */
+export function toStreamHeaders(over: Record<string, string> = {}): Record<string, string> {
+	return {
+		model: 'm', 'token-count': '3000,2000', 'length-hint': '800', 'prompt-prefix': 'a:200,b:2800', 'deadline-ms': '14000', ...over,
+	};
+}
--- /dev/null
+++ b/test/stand-ins/users-platform/store.ts
@@ -0,0 +1,150 @@
+/** The users' store as their pages tell it: keys with revisions, read in pages, watched from a revision. */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+type Item = {
+	key: string;
+	value: string;
+	revision: number;
+	create_rev: number;
+	lease: number;
+};
+type Change = Item | {key: string; revision: number; removed: true};
+type Waiting = {res: ServerResponse; after: number; prefix: string; timer: NodeJS.Timeout};
+
+export type StoreStandIn = {
+	/** `IP:port`. */
+	address: string;
+	put: (key: string, value: unknown) => void;
+	remove: (key: string) => void;
+	/** Drops the history: watches from before get 410. */
+	forget: () => void;
+	/** How reads are answered from now on. */
+	setMood: (mood: 'well' | 'refusing' | 'silent') => void;
+	/** Breaks off all reads that wait. */
+	cutWatches: () => void;
+	reads: () => number;
+	close: () => Promise<void>;
+};
+
+/** Items in one page; small, so that a handful of keys already takes several. */
+const pageSize = 3;
+
+/**
+ * Starts a store on loopback.
+ *
+ * @returns The store.
+ */
+export async function startStoreStandIn(): Promise<StoreStandIn> {
+	const items = new Map<string, Item>();
+	let changes: Change[] = [];
+	let revision = 0;
+	let forgotten = 0;
+	let reads = 0;
+	let mood: Parameters<StoreStandIn['setMood']>[0] = 'well';
+	let waiting: Waiting[] = [];
+
+	const toJson = (res: ServerResponse, status: number, body: unknown) => {
+		res.writeHead(status, {'content-type': 'application/json'});
+		res.end(JSON.stringify(body));
+	};
+
+	const findEvents = ({after, prefix}: Pick<Waiting, 'after' | 'prefix'>) => changes.filter(change => change.revision > after && change.key.startsWith(prefix));
+
+	const answerWatches = () => {
+		waiting = waiting.filter(watch => {
+			const events = findEvents(watch);
+			if (events.length === 0) {
+				return true;
+			}
+
+			clearTimeout(watch.timer);
+			toJson(watch.res, 200, {events, current_rev: revision});
+			return false;
+		});
+	};
+
+	const add = (change: Change) => {
+		changes.push(change);
+		answerWatches();
+	};
+
+	const server = createServer((req, res) => {
+		reads++;
+		if (mood === 'silent') {
+			return;
+		}
+
+		if (mood === 'refusing') {
+			toJson(res, 503, {error: 'down'});
+			return;
+		}
+
+		const url = new URL(req.url ?? '/', 'http://store');
+		const prefix = url.searchParams.get('prefix') ?? '';
+		const after = url.searchParams.get('after') ?? '';
+		if (url.pathname === '/-/kv-range') {
+			const found = [...items.values()].filter(item => item.key.startsWith(prefix) && item.key > after).toSorted((a, b) => a.key < b.key ? -1 : 1);
+			toJson(res, 200, {items: found.slice(0, pageSize), truncated: found.length > pageSize, current_rev: revision});
+			return;
+		}
+
+		const watch = {res, prefix, after: Number(after)};
+		if (watch.after < forgotten) {
+			toJson(res, 410, {error: 'gone'});
+			return;
+		}
+
+		const timer = setTimeout(() => {
+			waiting = waiting.filter(other => other.res !== res);
+			toJson(res, 200, {events: [], current_rev: revision});
+		}, Number(url.searchParams.get('wait_ms')));
+		waiting.push({...watch, timer});
+		answerWatches();
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+
+	const cutWatches = () => {
+		for (const {res, timer} of waiting) {
+			clearTimeout(timer);
+			res.destroy();
+		}
+
+		waiting = [];
+	};
+
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		put(key, value) {
+			revision++;
+			const item = {
+				key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision, create_rev: items.get(key)?.create_rev ?? revision, lease: 0,
+			};
+			items.set(key, item);
+			add(item);
+		},
+		remove(key) {
+			revision++;
+			items.delete(key);
+			add({key, revision, removed: true});
+		},
+		forget() {
+			forgotten = revision;
+			changes = [];
+		},
+		setMood(next) {
+			mood = next;
+		},
+		cutWatches,
+		reads: () => reads,
+		async close() {
+			cutWatches();
+			server.closeAllConnections();
+			server.close();
+			await once(server, 'close');
+		},
+	};
+}
