--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -22,6 +22,8 @@
 	maxAttempts?: number;
 	/** Cost of a retry of which the server said that it started nothing; such a one repeats no work. */
 	notRunCost?: number;
+	/** Cost of a retry after a call of which no byte was offered: no server saw it. */
+	notOfferedCost?: number;
 };
 
 export type FailedAttempt = {
@@ -82,6 +84,7 @@
  */
 export function createRetryBudget(options: RetryBudgetOptions = {}): RetryBudget {
 	const {perSuccess = 0.1, perSecond = 0.5, capacity = 10, maxAttempts = 3, notRunCost = 0.25} = options;
+	const notOfferedCost = options.notOfferedCost ?? notRunCost;
 	let tokens = capacity;
 	let filledAt: Milliseconds | undefined;
 
@@ -91,7 +94,13 @@
 		filledAt = now;
 	}
 
-	const toCost = (failed: FailedAttempt): number => failed.outcome === 'not-run' ? notRunCost : 1;
+	const toCost = (failed: FailedAttempt): number => {
+		if (failed.outcome !== 'not-run') {
+			return 1;
+		}
+
+		return failed.bytesOffered === 0 ? notOfferedCost : notRunCost;
+	};
 
 	function findReason(failed: FailedAttempt, now: Milliseconds): NoRetryReason | undefined {
 		const refusal = findFinalReason(failed);
--- a/src/domain/to-wait/index.ts
+++ b/src/domain/to-wait/index.ts
@@ -20,6 +20,8 @@
 	deadline: Milliseconds;
 	/** Time for which the caller still waited when it came; `undefined` when it does not say. */
 	waitsMs: Milliseconds | undefined;
+	/** The caller has a part of the answer, and waits for the rest. */
+	hasBegun: boolean;
 };
 
 /**
@@ -56,17 +58,23 @@
  *
  * @example
  * ```ts
- * toWait({then, poolKind: 'model', receivedAt: 0, deadline: 14_000, waitsMs: 14_000}, 0).latestStart; // => then.target.firstTokenMs
+ * toWait({then, poolKind: 'model', receivedAt: 0, deadline: 14_000, waitsMs: 14_000, hasBegun: false}, 0).latestStart; // => then.target.firstTokenMs
  * ```
  */
 export function toWait(input: WaitInput, now: Milliseconds): Wait {
-	const {then, poolKind, receivedAt, deadline} = input;
+	const {
+		then, poolKind, receivedAt, deadline, hasBegun,
+	} = input;
 	const {relay, target, class: serviceClass} = then;
 	if (relay === undefined) {
 		// From here and not from its arrival: the time for which a caller sent its body says nothing of the pool.
 		return {class: serviceClass, latestStart: Math.min(deadline, now + target.firstTokenMs), isOnce: false};
 	}
 
+	if (hasBegun) {
+		return {class: serviceClass, latestStart: Math.min(deadline, now + (relay.patienceMs * patienceShare)), isOnce: false};
+	}
+
 	if (poolKind === 'plain') {
 		return {class: serviceClass, latestStart: Math.min(deadline, receivedAt + (relay.patienceMs * patienceShare)), isOnce: false};
 	}
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -92,6 +92,8 @@
 export type RelayTerms = {
 	/** Servers to which one request may be sent, 1 at least. */
 	attempts: number;
+	/** Whether an answer that broke off may be continued by another server behind its last event. */
+	isResumable: boolean;
 	/** Time without a first byte after which callers are taken to leave, milliseconds. */
 	patienceMs: number;
 	/** Pools that share the requests by weight; empty means the rule's own pool. */
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -36,7 +36,8 @@
 export type CallStep =
 	| {kind: 'whole'}
 	| {kind: 'prefill'}
-	| {kind: 'decode'; reservationId: string; cache: PromptCache};
+	/** `lastEventId`: the caller has the answer up to this event already. */
+	| {kind: 'decode'; reservationId: string; cache: PromptCache; lastEventId: string | undefined};
 
 export type OutgoingCall = {
 	headers: Readonly<Record<string, string>>;
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -5,6 +5,9 @@
 import {checkCommonSettings, findPartialKeys} from './common.js';
 import {entryCoreSettings} from './entry.js';
 
+/** Round trips take a few milliseconds at most: a server that took no connection in this time is behind a cut, and its requests have targets of a second or less. */
+const connectTimeoutMs = 400;
+
 const zoneList = {
 	test: /^[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*(?:,[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*)*$/v,
 	hint: 'zones with their regions, such as dvorana-a=si-central,dvorana-b=si-central',
@@ -12,6 +15,7 @@
 
 export const relaySettings = defineSettings({
 	...entryCoreSettings,
+	engineConnectTimeout: {...entryCoreSettings.engineConnectTimeout, default: connectTimeoutMs},
 	zones: {
 		type: 'text', required: true, pattern: zoneList, group: 'Identity', description: 'All availability zones with their regions.',
 	},
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -5,6 +5,7 @@
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
 import {createRetryBudget, type RetryBudget, type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -31,6 +32,7 @@
 	reservationTtlMs: Milliseconds;
 	/** Bounds of each pool's retries. */
 	retryBudget: RetryBudgetOptions;
+	health?: ServerHealthOptions | undefined;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	reportLeaving: (server: ServerId) => void;
@@ -85,7 +87,9 @@
 		toOwner,
 		toView,
 		toEngine: engines.toEngine,
-		placement: createPlacement({zone, host, tokensPerBlock}),
+		placement: createPlacement({
+			zone, host, tokensPerBlock, ...(options.health && {health: options.health}),
+		}),
 		gate: createGate({admission: createAdmission(), zone, now: clock.now}),
 		cancels: createCancelQueue({
 			cancel,
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -21,12 +21,23 @@
 /** Longest answer of a prefill: a name and two numbers. */
 const maxPrefillAnswerBytes = 16 * bytesPerKibibyte;
 
-/** Limit of a call that takes or gives back a place: it does no work, so only a server that is lost takes longer. */
-const reserveLimitMs: Milliseconds = 1000;
+/** Limit of a call that takes a place: it does no work and takes a few milliseconds, so only a server that is lost takes longer. */
+const reserveLimitMs: Milliseconds = 300;
+
+/**
+ * Part of the reservation's life in which the prompt must be computed. Later the
+ * place may be gone, and a server behind a cut would hold the request for as
+ * long as its caller waits, though another could still serve it.
+ */
+const promptShare = 0.75;
 
 /** Life asked for a reservation where servers tell no longest one; prefill and transfer take a fraction of it. */
 const defaultReservationMs: Milliseconds = 2000;
 
+function toReservationMs({route}: PlainRun): Milliseconds {
+	return route.pool.reservationMs ?? defaultReservationMs;
+}
+
 export type PairAttempt =
 	/** The request, or its prompt, was sent. */
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
@@ -91,7 +102,7 @@
 		const {decode} = picked.value;
 		const placement = notePlaced(run.account, picked.value, {attempt, pool: run.route.pool.name, chosen: [picked.value.prefill.id, decode.id]});
 		const limit = AbortSignal.any([run.signal, AbortSignal.timeout(Math.min(reserveLimitMs, timeLeft(run)))]);
-		const reserved = await caches.reserve(decode, {tokens, ttlMs: run.route.pool.reservationMs ?? defaultReservationMs}, limit);
+		const reserved = await caches.reserve(decode, {tokens, ttlMs: toReservationMs(run)}, limit);
 		if (reserved.isOk()) {
 			return ok({placement, reservationId: reserved.value.reservationId});
 		}
@@ -123,6 +134,7 @@
 async function prefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
 	const server = placement.prefill;
 	const payload = run.body.open();
+	const limitMs = Math.min(timeLeft(run), promptShare * toReservationMs(run));
 	const answer = await readAnswer({
 		dispatcher: run.clients.toDispatcher(server),
 		origin: server.url,
@@ -130,13 +142,14 @@
 		path: run.exchange.target,
 		headers: toCallHeaders(run, server, {kind: 'prefill'}),
 		...(payload !== undefined && {payload}),
-		headersTimeoutMs: timeLeft(run),
-		idleTimeoutMs: timeLeft(run),
-		signal: run.signal,
+		headersTimeoutMs: limitMs,
+		idleTimeoutMs: limitMs,
+		signal: AbortSignal.any([run.signal, AbortSignal.timeout(limitMs)]),
 	}, maxPrefillAnswerBytes);
 	if (answer.isErr()) {
 		const {kind, message} = answer.error;
-		return err(kind === 'too-large' ? {kind: 'invalid', message} : {kind, message});
+		const isSilent = kind === 'aborted' && !run.signal.aborted;
+		return err(kind === 'too-large' || isSilent ? {kind: isSilent ? 'broken' : 'invalid', message} : {kind, message});
 	}
 
 	const {status, headers, text} = answer.value;
@@ -195,10 +208,12 @@
 	}
 
 	run.ledger.noteOffered();
-	const ended = await sendWhole(run, decode, {kind: 'decode', reservationId, cache}, () => {
+	const ended = await sendWhole(run, decode, {
+		kind: 'decode', reservationId, cache, lastEventId: run.events?.lastId,
+	}, () => {
 		services.placement.noteFirstToken(placement, services.clock.now());
 	});
-	if (ended.kind === 'failed' && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
+	if ((ended.kind === 'failed' || ended.kind === 'cut') && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
 		run.ledger.noteNotStarted();
 		giveBack(step, 'cache', caches.dropCache(cache));
 		giveBack(step, 'reservation', caches.release(decode, reservationId));
--- a/src/programs/entry/call-plain/_lib/decide-again.ts
+++ b/src/programs/entry/call-plain/_lib/decide-again.ts
@@ -24,14 +24,14 @@
 export type Again = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
 
 /** What the retry budget is told of a call: whether it ran the request, or may have. */
-function toFailedAttempt(run: PlainRun, {hasRun, isStarted, sent}: {hasRun: boolean; isStarted: boolean; sent: number}): FailedAttempt {
+function toFailedAttempt(run: PlainRun, {hasRun, isOffered, isStarted, sent}: {hasRun: boolean; isOffered: boolean; isStarted: boolean; sent: number}): FailedAttempt {
 	const {relay} = run.route.rule.then;
 	return {
 		attempt: hasRun ? sent : run.tried.length,
 		...(relay && {maxAttempts: hasRun ? relay.attempts : maxPromptTries}),
 		tried: run.tried,
 		repeatable: isRepeatable(run),
-		bytesOffered: isStarted ? 1 : 0,
+		bytesOffered: isOffered ? 1 : 0,
 		outcome: isStarted ? 'may-have-run' : 'not-run',
 		deadline: run.deadline,
 		expectedMs: 0,
@@ -57,7 +57,9 @@
 		return false;
 	}
 
-	const failed = toFailedAttempt(run, {hasRun: true, isStarted: true, sent: run.sent + 1});
+	const failed = toFailedAttempt(run, {
+		hasRun: true, isOffered: true, isStarted: true, sent: run.sent + 1,
+	});
 	return services.toRetryBudget(run.route.pool.name).isRetryAllowed(failed, services.clock.now());
 }
 
@@ -75,7 +77,10 @@
 		return {kind: 'give-up'};
 	}
 
-	const isStarted = hasRun && fault.kind !== 'unreachable' && fault.kind !== 'refused';
-	const failed = toFailedAttempt(run, {hasRun, isStarted, sent: run.sent});
+	const isOffered = fault.kind !== 'unreachable';
+	const isStarted = hasRun && isOffered && fault.kind !== 'refused';
+	const failed = toFailedAttempt(run, {
+		hasRun, isOffered, isStarted, sent: run.sent,
+	});
 	return services.toRetryBudget(run.route.pool.name).takeRetry(failed, services.clock.now(), services.random);
 }
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -6,6 +6,12 @@
 import {isAgainAllowed} from './decide-again.js';
 import {type PlainRun} from './types.js';
 
+/** Targets of silence after which another server is tried: three times as long as answers that are in time take at most. */
+const silentTargets = 3;
+
+/** Pauses on time of silence within a stream after which another server goes on; callers leave after eight. */
+const silentPauses = 5;
+
 /** The least status by which a service says that it failed. */
 const firstServerFault = 500;
 
@@ -44,7 +50,9 @@
 		return {kind: 'refused', reason, message: `status ${status}`};
 	}
 
-	return status >= firstServerFault && isAgainAllowed(run) ? {kind: 'failed-answer', message: `status ${status}`} : undefined;
+	// Another answer than a stream has no place behind the part that the caller has.
+	const isMisfit = run.events?.hasBegun === true && status !== 200;
+	return isMisfit || (status >= firstServerFault && isAgainAllowed(run)) ? {kind: 'failed-answer', message: `status ${status}`} : undefined;
 }
 
 /**
@@ -57,23 +65,53 @@
  * @returns How it ended; after `failed` nothing has been relayed.
  */
 export async function sendWhole(run: PlainRun, server: ServerEntry, step: CallStep, onFirst: () => void): Promise<PlainEnd> {
-	const {exchange, serve, clients, body, signal} = run;
-	return sendPlain({
+	const {exchange, serve, clients, body} = run;
+	const silence = createSilence(run);
+	const ended = await sendPlain({
 		exchange,
 		dispatcher: clients.toDispatcher(server),
 		server,
 		headers: toCallHeaders(run, server, step),
 		payload: body.open(),
-		signal,
+		events: run.events,
+		signal: silence.signal,
 		headersTimeoutMs: timeLeft(run),
-		idleTimeoutMs: serve.limits.writeTimeoutMs,
-		checkHead: (status, headers) => findHeadFault(run, status, headers),
+		idleTimeoutMs: run.events === undefined ? serve.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * silentPauses,
+		checkHead(status, headers) {
+			silence.end();
+			return findHeadFault(run, status, headers);
+		},
 		onStart(status) {
 			serve.services.gate.noteFirstToken(exchange.requestId);
-			run.ledger.noteRan(serve.services.clock.now());
+			run.firstByteAt ??= serve.services.clock.now();
 			if (status < firstServerFault) {
 				onFirst();
 			}
 		},
 	});
+	silence.end();
+	const isSilent = ended.kind === 'failed' && ended.fault.kind === 'aborted' && !run.signal.aborted;
+	return isSilent ? {kind: 'failed', fault: {kind: 'broken', message: 'the server was silent'}} : ended;
+}
+
+/**
+ * Ends a call whose server is silent for several times the target, if the
+ * request may go to another server. A server behind a cut, or a kept connection
+ * that went dead, would hold it until its caller leaves.
+ */
+function createSilence(run: PlainRun): {signal: AbortSignal; end: () => void} {
+	if (!isAgainAllowed(run)) {
+		return {signal: run.signal, end: () => undefined};
+	}
+
+	const silent = new AbortController();
+	const timer = setTimeout(() => {
+		silent.abort();
+	}, run.route.rule.then.target.firstTokenMs * silentTargets);
+	return {
+		signal: AbortSignal.any([run.signal, silent.signal]),
+		end() {
+			clearTimeout(timer);
+		},
+	};
 }
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -6,6 +6,7 @@
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {type Account} from '../../accounts/index.js';
+import {type RelayedEvents} from '../../send-plain/index.js';
 import {type OutcomeLedger} from '../../outcome-ledger/index.js';
 import {type PlainBody} from '../../_lib/plain-body.js';
 import {type PlainClients} from '../../_lib/plain-clients.js';
@@ -29,10 +30,14 @@
 	signal: AbortSignal;
 	/** What may be said of all its calls together. */
 	ledger: OutcomeLedger;
+	/** Present where a broken answer may be continued by another server. */
+	events: RelayedEvents | undefined;
 	/** Servers that failed or refused it so far, and their zones. */
 	tried: Array<FailedAttempt['tried'][number]>;
 	/** Servers to which the request itself was sent so far. */
 	sent: number;
+	/** When the first byte of an answer came, monotonic. */
+	firstByteAt?: Milliseconds;
 };
 
 export type PlainOutcome = {
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -96,18 +96,19 @@
 			return {end: 'complete', outcome: 'ran'};
 		}
 
-		if (ended.kind === 'caller-gone' || ended.kind === 'cut') {
-			if (ended.kind === 'cut') {
-				noteFailed(run, server, ended.fault);
-			}
-
+		if (ended.kind === 'caller-gone') {
 			run.exchange.destroy();
-			return {end: ended.kind === 'cut' ? 'failed' : 'caller-gone', outcome: run.ledger.outcome()};
+			return {end: 'caller-gone', outcome: run.ledger.outcome()};
 		}
 
 		noteFailed(run, server, ended.fault);
 		run.tried.push({server: server.id, zone: server.zone});
 		const again = decideAgain(run, ended.fault, hasRun);
+		if (ended.kind === 'cut' && (again.kind === 'give-up' || run.events === undefined)) {
+			run.exchange.destroy();
+			return {end: 'failed', outcome: run.ledger.outcome()};
+		}
+
 		if (again.kind === 'give-up') {
 			return toGivenUp(run, server, ended.fault);
 		}
--- a/src/programs/entry/send-plain/_lib/create-relay.ts
+++ b/src/programs/entry/send-plain/_lib/create-relay.ts
@@ -37,32 +37,42 @@
 	}
 }
 
+/** Writes to the caller, and holds the server back while the caller reads nothing. */
+export function createFlowWriter({exchange, idleTimeoutMs}: {exchange: CallerExchange; idleTimeoutMs: Milliseconds}) {
+	let flow: CallFlow | undefined;
+	return {
+		setFlow(next: CallFlow): void {
+			flow = next;
+		},
+		pass(bytes: Buffer): void {
+			if (exchange.write(bytes)) {
+				return;
+			}
+
+			flow?.pause();
+			void resumeOnceRead(exchange, idleTimeoutMs, () => {
+				flow?.resume();
+			});
+		},
+	};
+}
+
 /**
  * Creates the relay of one answer.
  *
  * @param options - The caller's connection, and how long it may read nothing.
  * @returns Its functions, called in order: start, pieces, end.
  */
-export function createRelay({exchange, idleTimeoutMs}: {exchange: CallerExchange; idleTimeoutMs: Milliseconds}): Relay {
+export function createRelay(options: {exchange: CallerExchange; idleTimeoutMs: Milliseconds}): Relay {
+	const {exchange} = options;
+	const writer = createFlowWriter(options);
 	const held: Buffer[] = [];
 	let begin: (() => void) | undefined;
 	let hasBegun = false;
-	let flow: CallFlow | undefined;
-
-	function pass(bytes: Buffer): void {
-		if (exchange.write(bytes)) {
-			return;
-		}
-
-		flow?.pause();
-		void resumeOnceRead(exchange, idleTimeoutMs, () => {
-			flow?.resume();
-		});
-	}
 
 	return {
 		start(status, headers, answerFlow) {
-			flow = answerFlow;
+			writer.setFlow(answerFlow);
 			begin = () => {
 				hasBegun = true;
 				exchange.startStream(status, headers);
@@ -75,7 +85,7 @@
 		},
 		write(bytes) {
 			if (begin === undefined) {
-				pass(bytes);
+				writer.pass(bytes);
 			} else {
 				held.push(bytes);
 			}
--- /dev/null
+++ b/src/programs/entry/send-plain/create-event-relay.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
+
+const flow = {
+	pause: () => undefined, resume: () => undefined, abandon: () => undefined, discard: () => undefined,
+};
+
+function createCaller() {
+	const got: Buffer[] = [];
+	let heads = 0;
+	let hasEnded = false;
+	const exchange = {
+		startStream() {
+			heads++;
+		},
+		write(bytes: Uint8Array) {
+			got.push(Buffer.from(bytes));
+			return true;
+		},
+		end() {
+			hasEnded = true;
+		},
+	} as unknown as CallerExchange;
+	return {
+		exchange, toText: () => Buffer.concat(got).toString('utf8'), heads: () => heads, hasEnded: () => hasEnded,
+	};
+}
+
+const toEvent = (id: number): string => `id: ${id}\ndata: pièce ${id}\n\n`;
+
+/*
+ * The caller sees one stream. Its first server breaks off at any byte, the second
+ * goes on behind the last event that went out. A piece that is missing, comes
+ * twice or is joined from two halves is what the caller would see otherwise.
+ */
+describe('createEventRelay', () => {
+	it('joins a stream that breaks at any byte and comes in any pieces', () => {
+		fc.assert(fc.property(fc.integer({min: 1, max: 12}), fc.double({min: 0, max: 1, noNaN: true}), fc.array(fc.integer({min: 1, max: 40}), {minLength: 1, maxLength: 20}), (count, cut, sizes) => {
+			const caller = createCaller();
+			const events: RelayedEvents = {hasBegun: false, lastId: undefined};
+			const open = () => createEventRelay({exchange: caller.exchange, idleTimeoutMs: 1000, events});
+			const feed = (relay: ReturnType<typeof open>, bytes: Buffer) => {
+				relay.start(200, {}, flow);
+				for (let at = 0, i = 0; at < bytes.length; i++) {
+					const size = sizes[i % sizes.length]!;
+					relay.write(bytes.subarray(at, at + size));
+					at += size;
+				}
+			};
+
+			const ids = Array.from({length: count}, (_, i) => i + 1);
+			const first = Buffer.from(ids.map(id => toEvent(id)).join(''));
+			feed(open(), first.subarray(0, Math.floor(first.length * cut)));
+			const relay = open();
+			feed(relay, Buffer.from(ids.filter(id => id > Number(events.lastId ?? 0)).map(id => toEvent(id)).join('')));
+			relay.end();
+			assert.equal(caller.toText(), first.toString('utf8'));
+			assert.equal(caller.heads(), 1);
+			assert.ok(caller.hasEnded());
+		}));
+	});
+
+	it('passes on what follows the last whole event when the server ends in order', () => {
+		const caller = createCaller();
+		const relay = createEventRelay({exchange: caller.exchange, idleTimeoutMs: 1000, events: {hasBegun: false, lastId: undefined}});
+		relay.start(200, {}, flow);
+		relay.write(Buffer.from('id: 1\ndata: x\n\n: bye'));
+		relay.end();
+		assert.equal(caller.toText(), 'id: 1\ndata: x\n\n: bye');
+	});
+});
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -11,8 +11,11 @@
 import {type ServerEntry} from '../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../ports/engine.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
+import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
 import {createRelay} from './_lib/create-relay.js';
 
+export {type RelayedEvents} from './_lib/create-event-relay.js';
+
 /** Why a call brought no answer to relay; `refused` is the server's own word that it did not run the request. */
 export type PlainFault =
 	| CallFault
@@ -40,6 +43,8 @@
 	headersTimeoutMs: Milliseconds;
 	/** Limit of silence within the answer, and of a caller that does not read. */
 	idleTimeoutMs: Milliseconds;
+	/** Present where a broken answer may be continued by another server: only whole events go out. */
+	events?: RelayedEvents | undefined;
 	/** Looks at the answer's head; a fault in it ends the call, and nothing of the answer is relayed. */
 	checkHead?: (status: number, headers: AnswerHeaders) => PlainFault | undefined;
 	/** Told of the answer's head, with its status. */
@@ -70,7 +75,8 @@
 	const {exchange, server, signal} = send;
 	return new Promise(resolve => {
 		let status = 0;
-		const relay = createRelay(send);
+		const {events} = send;
+		const relay = events === undefined ? createRelay(send) : createEventRelay({...send, events});
 		dispatchCall({
 			dispatcher: send.dispatcher,
 			origin: server.url,
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -75,9 +75,9 @@
 	}
 }
 
-function toWaitInput({route, receivedAt, deadline, work}: PlainRun): WaitInput {
+function toWaitInput({route, receivedAt, deadline, work, events}: PlainRun): WaitInput {
 	return {
-		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs,
+		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs, hasBegun: events?.hasBegun ?? false,
 	};
 }
 
@@ -161,8 +161,7 @@
 	}
 
 	const reason = ended.problem?.kind ?? ended.end;
-	const firstByteAt = run.ledger.firstTokenAt();
-	const firstTokenMs = firstByteAt === undefined ? undefined : firstByteAt - run.receivedAt;
+	const firstTokenMs = run.firstByteAt === undefined ? undefined : run.firstByteAt - run.receivedAt;
 	account.note('ended', {outcome: ended.outcome, reason});
 	serve.log.info('request ended', {
 		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, outcome: ended.outcome, reason, durationMs: completeMs, firstTokenMs, ageMs: toAge(toWaitInput(run)),
@@ -227,7 +226,7 @@
 	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
 	const {exchange, route, serve, account, deadline} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : endAt(control, deadline - serve.services.clock.now());
@@ -239,7 +238,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), tried: [], sent: 0,
+			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -9,6 +9,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
+import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -53,6 +54,8 @@
 	join: (options: JoinOptions) => Promise<FleetLink>;
 	/** Bounds of retries beside the number that may be saved up. */
 	retryBudget?: RetryBudgetOptions;
+	/** When servers are left out for what this host's own calls met. */
+	health?: ServerHealthOptions;
 	/** How passed-on requests are dressed for servers; as they came, unless callers and servers expect more. */
 	createCalls?: (toDispatcher: PlainClients['toDispatcher']) => ServerCalls;
 	/** Time for which idle connections to backend servers are kept where they name none. */
@@ -185,6 +188,7 @@
 		log,
 		reservationTtlMs: settings.reservationTtl,
 		retryBudget: {capacity: settings.retryBudget, ...options.retryBudget},
+		health: options.health,
 		toView: () => link.toView(),
 		toOwner: () => link.toOwner(),
 		reportLeaving(server) {
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -6,6 +6,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type PublishedSource} from '../../../ports/published.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -32,6 +33,15 @@
  */
 const drainDelayMs: Milliseconds = 2500;
 
+/**
+ * A server to which no connection can be made is left out after one try, and one
+ * that breaks calls off after two. A server that crashed comes back under a new
+ * name, so nothing is lost by leaving its old one alone; tried again and again,
+ * each request of a burst would pay for finding out. The first time out is short,
+ * as a lost packet looks the same.
+ */
+const relayHealth: ServerHealthOptions = {failuresToEject: 1.5, ejectMs: 1500};
+
 /** Left of the stop's limit for closing and for the last lines of the log. */
 const closeMarginMs: Milliseconds = 500;
 
@@ -49,11 +59,12 @@
  *
  * The ratio needs no agreement: each host's part is its ratio of its own
  * requests, and the parts add up whatever hosts come, go or are cut off. A call
- * that a server refused counts like any other.
+ * that a server refused counts like any other; one that reached none costs
+ * nothing there, and the tries of each request bound it.
  */
 export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>): RetryBudgetOptions {
 	return {
-		perSuccess: retryRatio * ratioMargin, perSecond: 0, capacity: Math.max(1, Math.floor(retrySlack / assumedHosts)), notRunCost: 1,
+		perSuccess: retryRatio * ratioMargin, perSecond: 0, capacity: Math.max(1, Math.floor(retrySlack / assumedHosts)), notRunCost: 1, notOfferedCost: 0,
 	};
 }
 
@@ -112,6 +123,7 @@
 		join,
 		retryBudget: toRetryPart(settings),
 		serverIdleMs: settings.serverIdle,
+		health: relayHealth,
 		createEngine: createNoEngine,
 	});
 }
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -170,6 +170,27 @@
 		assert.equal(servers.decode1.runs().length + servers.decode2.runs().length, 0);
 	});
 
+	it('continues a stream that may be resumed at the other server, behind the last whole event', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.misbehave('cut-stream');
+		const answer = await ask({...toStream({'request-id': 'notice-1'}), path: '/notice/1'});
+		assert.equal(answer.status, 200);
+		assert.ok(answer.isWhole);
+		assert.equal(answer.body, [1, 2, 3].map(event => `id: ${event}\ndata: piece ${event} of notice-1\n\n`).join(''));
+		const runs = [...servers.decode1.runs(), ...servers.decode2.runs()];
+		assert.deepEqual(new Set(runs.map(({headers}) => headers['last-event-id'])), new Set(['2', undefined]));
+		await nothingHeld();
+	});
+
+	it('breaks a stream off that no server can continue', async () => {
+		const {servers, ask} = fixture;
+		servers.decode1.misbehave('cut-stream', 'refuse');
+		const answer = await ask({...toStream(), path: '/notice/1'});
+		assert.equal(answer.status, 200);
+		assert.ok(!answer.isWhole);
+		await nothingHeld();
+	});
+
 	it('breaks the caller\'s answer off where the stream of its server broke', async () => {
 		const {servers, ask} = fixture;
 		servers.decode1.misbehave('cut-stream');
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -78,9 +78,11 @@
 
 	async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
 		res.writeHead(200, {'content-type': 'text/event-stream', ...ownHeaders(req)});
-		for (let event = 1; event <= events; event++) {
+		for (let event = Number(req.headers['last-event-id'] ?? 0) + 1; event <= events; event++) {
 			if (isCut && event === events) {
-				res.destroy();
+				res.write(`id: ${event}\ndata: pie`, () => {
+					res.destroy();
+				});
 				return;
 			}
 
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -60,6 +60,9 @@
 	{
 		name: 'summaries', prefix: '/summary/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true,
 	},
+	{
+		name: 'notices', prefix: '/notice/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true, resumable: true,
+	},
 ];
 const services = [
 	{name: 'desk', health_path: '/health', max_connections: 100},
