--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -82,10 +82,9 @@
 
 		const toPrefillMs = ({entry, load}: Candidate): Milliseconds =>
 			((load.backlogTokens + promptTokens) / load.tokensPerSecond * 1000) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
-		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random());
-		if (prefill === undefined) {
-			return undefined;
-		}
+		// Servers that are replaced may all come back as decode servers. Those compute a prompt too, slower and between
+		// the tokens of others; without that, every request would be refused while all decode memory stands free.
+		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random()) ?? decode;
 
 		const predictedPrefillMs = toPrefillMs(prefill);
 		return {
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -42,16 +42,14 @@
 	replace: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
 	/** Takes what changed since the last read. */
 	apply: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
-	/** A read of the platform failed. */
-	noteFailedRead: (now: Milliseconds) => void;
 	/** Ends the grace of servers that stayed away; `true` when the view changed. */
 	sweep: (now: Milliseconds) => FleetChange;
 	toView: (now: Milliseconds) => FleetView;
 };
 
 type Known = PublishedServer & {
-	/** When it was first found missing after an outage; absent while it is listed. */
-	missingSince?: Milliseconds;
+	/** It was missing when an outage had ended. */
+	isMissing?: boolean;
 };
 
 /** Pools and rules before any were published. */
@@ -81,6 +79,7 @@
 	let config: Config | undefined;
 	/** Counts changes of the servers, so that decisions see that their index is old. */
 	let generation = 0;
+	/** End of the last outage of the platform, or of a pause of this process, which looks the same. */
 	let outageAt = -Infinity;
 	let confirmedAt: Milliseconds | undefined;
 
@@ -109,7 +108,7 @@
 		// Right after an outage a missing entry may have lapsed for want of a platform to write to:
 		// believed at once, a whole pool would be empty for two seconds while its servers serve.
 		if (now - outageAt < lapseGraceMs && !known.leaving) {
-			servers.set(id, {...known, missingSince: known.missingSince ?? now});
+			servers.set(id, {...known, isMissing: true});
 			return [];
 		}
 
@@ -130,6 +129,10 @@
 	}
 
 	function apply(changes: readonly PublishedChange[], now: Milliseconds): FleetChange {
+		if (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs) {
+			outageAt = now;
+		}
+
 		confirmedAt = now;
 		let newRules: PublishedRules | undefined;
 		const serverChanges: Array<FleetChange['servers'][number]> = [];
@@ -190,14 +193,9 @@
 				.map((id): PublishedChange => ({kind: 'server-gone', id}));
 			return apply([...changes, ...gone], now);
 		},
-		noteFailedRead(now) {
-			if (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs) {
-				outageAt = now;
-			}
-		},
 		sweep(now) {
 			const overdue = [...servers]
-				.filter(([, {missingSince}]) => missingSince !== undefined && now - missingSince >= lapseGraceMs && now - outageAt >= lapseGraceMs)
+				.filter(([, {isMissing}]) => isMissing === true && now - outageAt >= lapseGraceMs)
 				.flatMap(([id]) => dropServer(id, now));
 			return {rules: undefined, servers: overdue, unreadable: []};
 		},
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -31,13 +31,14 @@
 /**
  * What a server is asked for: `whole` runs the request as it is, `prefill`
  * computes the prompt's KV cache and runs nothing, `decode` generates the answer
- * from such a cache in a reserved place.
+ * from such a cache in a reserved place; without a cache it computes the prompt
+ * itself, more slowly.
  */
 export type CallStep =
 	| {kind: 'whole'}
 	| {kind: 'prefill'}
 	/** `lastEventId`: the caller has the answer up to this event already. */
-	| {kind: 'decode'; reservationId: string; cache: PromptCache; lastEventId: string | undefined};
+	| {kind: 'decode'; reservationId: string; cache: PromptCache | undefined; lastEventId: string | undefined};
 
 export type OutgoingCall = {
 	headers: Readonly<Record<string, string>>;
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -179,12 +179,34 @@
 	})();
 }
 
+/** Has the prompt computed where another server than the decode server does it. */
+async function computePrompt(step: Step): Promise<Result<PromptCache | undefined, PlainFault>> {
+	const {run, placement, work, attempt} = step;
+	const {services} = run.serve;
+	const {prefill: server, decode} = placement;
+	const startedAt = services.clock.now();
+	if (server.id === decode.id) {
+		return ok(undefined);
+	}
+
+	const computed = await prefill(step);
+	if (computed.isOk()) {
+		const now = services.clock.now();
+		services.placement.notePrefilled(placement, {promptTokens: work.promptTokens, cachedTokens: 0, bytes: 0}, now);
+		run.account.note('prompt computed', {server: server.id, tookMs: Math.round(now - startedAt)});
+		run.log.info('prompt computed', {
+			attempt, prefillServer: server.id, decodeServer: decode.id, durationMs: Math.round(now - startedAt), promptTokens: work.promptTokens,
+		});
+	}
+
+	return computed;
+}
+
 async function runPlaced(step: Step, reservationId: string): Promise<PairAttempt> {
 	const {run, caches, placement} = step;
 	const {services} = run.serve;
 	const {decode} = placement;
-	const startedAt = services.clock.now();
-	const computed = await prefill(step);
+	const computed = await computePrompt(step);
 	if (computed.isErr()) {
 		giveBack(step, 'reservation', caches.release(decode, reservationId));
 		return {
@@ -193,15 +215,15 @@
 	}
 
 	const cache = computed.value;
-	const now = services.clock.now();
-	services.placement.notePrefilled(placement, {promptTokens: step.work.promptTokens, cachedTokens: 0, bytes: 0}, now);
-	run.account.note('prompt computed', {server: placement.prefill.id, tookMs: Math.round(now - startedAt)});
-	run.log.info('prompt computed', {
-		attempt: step.attempt, prefillServer: placement.prefill.id, decodeServer: decode.id, durationMs: Math.round(now - startedAt), promptTokens: step.work.promptTokens,
-	});
-	if (run.signal.aborted) {
+	const giveAllBack = () => {
 		giveBack(step, 'reservation', caches.release(decode, reservationId));
-		giveBack(step, 'cache', caches.dropCache(cache));
+		if (cache !== undefined) {
+			giveBack(step, 'cache', caches.dropCache(cache));
+		}
+	};
+
+	if (run.signal.aborted) {
+		giveAllBack();
 		return {
 			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message: 'ended while its prompt was computed'}}, hasRun: false,
 		};
@@ -215,8 +237,7 @@
 	});
 	if ((ended.kind === 'failed' || ended.kind === 'cut') && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
 		run.ledger.noteNotStarted();
-		giveBack(step, 'cache', caches.dropCache(cache));
-		giveBack(step, 'reservation', caches.release(decode, reservationId));
+		giveAllBack();
 	}
 
 	return {
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -98,7 +98,6 @@
 			return;
 		}
 
-		fleet.noteFailedRead(clock.now());
 		if (isConnected) {
 			isConnected = false;
 			log.warn('platform does not answer', {revision, kind, reason: message});
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -153,6 +153,18 @@
 		await nothingHeld();
 	});
 
+	it('serves without a prefill server: a decode server computes the prompt in its reserved place', async () => {
+		const {servers, ask, store, logs} = fixture;
+		store.remove('servers/prefill1');
+		store.remove('servers/prefill2');
+		await waitUntil(() => logs().filter(line => line.state === 'gone').length === 2, {deadlineMs, what: 'both to be gone'});
+		const answer = await ask(toStream());
+		assert.equal(answer.status, 200);
+		const [run] = [...servers.decode1.runs(), ...servers.decode2.runs()];
+		assert.deepEqual([run?.step, run?.headers['kv-source']], ['decode', undefined]);
+		await nothingHeld();
+	});
+
 	it('frees the cache when the decode server refuses after the prompt was computed', async () => {
 		const {servers, ask} = fixture;
 		servers.decode1.misbehave('refuse');
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -164,7 +164,11 @@
 			return url.startsWith('/-/hold-drop/') ? 'release' : 'drop-cache';
 		}
 
-		return headers.stage === 'prefill' ? 'prefill' : (headers['kv-source'] === undefined ? 'whole' : 'decode');
+		if (headers.stage === 'prefill') {
+			return 'prefill';
+		}
+
+		return headers['kv-hold'] === undefined ? 'whole' : 'decode';
 	}
 
 	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -206,7 +210,8 @@
 
 		if (step === 'decode') {
 			free(String(req.headers['kv-hold']));
-			if (!caches.delete(String(req.headers['kv-source']))) {
+			const source = req.headers['kv-source'];
+			if (source !== undefined && !caches.delete(String(source))) {
 				answer(res, 503, {error: 'no such cache'}, {'not-executed': '1'});
 				return;
 			}
