--- /dev/null
+++ b/src/domain/create-doubts/index.ts
@@ -0,0 +1,76 @@
+/**
+ * Servers, and zones, that this host does better not to try first: soft, unlike
+ * the ejection of single servers, whose caps give up where most of a pool looks
+ * bad. Behind a cut most of a pool is bad, for this host: each request would find
+ * that out anew, one silent server after the other.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type ServerEntry} from '../../ports/config.js';
+import {type ServerId, type ZoneId} from '../../ports/ids.js';
+import {msPerSecond} from '../../ports/units.js';
+
+/** Doubt after the first failure; it doubles with each that follows, and one success ends it. */
+const firstDoubtMs = msPerSecond;
+const maxDoubtMs = 8 * msPerSecond;
+
+/** Servers of a zone that must be in doubt for the way to the zone to be: one may have failed by itself. */
+const zoneServers = 2;
+
+type Doubt = {zone: ZoneId; failures: number; until: Milliseconds};
+
+export type Doubts = {
+	noteFailure: (server: ServerEntry, now: Milliseconds) => void;
+	noteSuccess: (server: ServerId) => void;
+	/** 0 for a server that nothing speaks against, 1 in a zone in doubt, 2 in doubt itself. */
+	toLevel: (server: ServerEntry, now: Milliseconds) => 0 | 1 | 2;
+	/** Drops what is known of servers that are no longer published. */
+	keepOnly: (servers: {has: (id: ServerId) => boolean}) => void;
+};
+
+/**
+ * Creates the record of one host.
+ *
+ * @param zone - Zone of the host, to which the way is never in doubt.
+ * @returns Functions that note and tell; `now` is monotonic milliseconds.
+ *
+ * @example
+ * ```ts
+ * const doubts = createDoubts('dvorana-a');
+ * doubts.noteFailure(server, 0);
+ * doubts.toLevel(server, 500); // => 2
+ * doubts.toLevel(server, 1500); // => 0
+ * ```
+ */
+export function createDoubts(zone: ZoneId): Doubts {
+	const doubts = new Map<ServerId, Doubt>();
+
+	function isZoneDoubted(other: ZoneId, now: Milliseconds): boolean {
+		let count = 0;
+		for (const doubt of doubts.values()) {
+			count += doubt.zone === other && doubt.until > now ? 1 : 0;
+		}
+
+		return other !== zone && count >= zoneServers;
+	}
+
+	return {
+		noteFailure(server, now) {
+			const failures = (doubts.get(server.id)?.failures ?? 0) + 1;
+			doubts.set(server.id, {zone: server.zone, failures, until: now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (failures - 1)))});
+		},
+		noteSuccess(server) {
+			doubts.delete(server);
+		},
+		toLevel(server, now) {
+			const isDoubted = (doubts.get(server.id)?.until ?? -Infinity) > now;
+			return isDoubted ? 2 : (isZoneDoubted(server.zone, now) ? 1 : 0);
+		},
+		keepOnly(servers) {
+			for (const id of doubts.keys()) {
+				if (!servers.has(id)) {
+					doubts.delete(id);
+				}
+			}
+		},
+	};
+}
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -3,6 +3,7 @@
 import {type ServerEntry} from '../../../ports/config.js';
 import {type EngineRefusalReason, type PrefillResult} from '../../../ports/engine.js';
 import {type ServerId} from '../../../ports/ids.js';
+import {type Doubts} from '../../create-doubts/index.js';
 import {type LoadEstimate} from '../../create-load-estimate/index.js';
 import {type PrefixMap} from '../../create-prefix-map/index.js';
 import {type SeenTokens, type TokenPace} from '../../create-token-pace/index.js';
@@ -37,6 +38,7 @@
 	lengths: AnswerLengths;
 	learnt: Learnt;
 	tokensPerBlock: number;
+	doubts: Doubts;
 	toSubject: (entry: ServerEntry) => HealthSubject;
 	/** Told of the decode server of each pair that is about to be used. */
 	noteSent: (server: ServerEntry, now: Milliseconds) => void;
@@ -55,7 +57,7 @@
  * @param options - The records to keep up to date.
  * @returns The `note…` functions of a placement. Each is idempotent for a placement and a stage.
  */
-export const createNotes = ({loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, noteSent}: NotesOptions) => {
+export const createNotes = ({loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent}: NotesOptions) => {
 	const running = new WeakMap<Placement | PlainPlacement, Progress>();
 
 	const toPrefillTokens = (placement: Placement): number => placement.promptTokens - placement.expectedCachedTokens;
@@ -97,6 +99,7 @@
 			if (progress !== undefined) {
 				running.set(placement, {...progress, isReserved: true});
 				health.noteSuccess(toSubject(placement.decode), now);
+				doubts.noteSuccess(placement.decode.id);
 			}
 		},
 		/** The prefill is done and its transfer begins. */
@@ -117,6 +120,7 @@
 			prefixes.noteFeedback(placement.prefill.id, placement.prefixBlocks, Math.floor(result.cachedTokens / tokensPerBlock));
 			prefixes.note(placement.prefill.id, placement.prefixBlocks);
 			health.noteSuccess(toSubject(placement.prefill), now);
+			doubts.noteSuccess(placement.prefill.id);
 			health.noteSlowness(toSubject(placement.prefill), toSlowness(now - progress.dispatchedAt, placement.predictedPrefillMs), now);
 		},
 		/** The first token (or the first byte of a plain answer) came. */
@@ -128,6 +132,7 @@
 
 			if (placement.kind === 'plain') {
 				health.noteSuccess(toSubject(placement.server), now);
+				doubts.noteSuccess(placement.server.id);
 				return;
 			}
 
@@ -181,6 +186,7 @@
 		noteFailure(server: ServerEntry, {kind, reason}: ServerFailure, now: Milliseconds): void {
 			if (kind === 'unreachable' || kind === 'broken' || kind === 'invalid') {
 				health.noteFailure(toSubject(server), kind, now);
+				doubts.noteFailure(server, now);
 			} else if (kind === 'refused' && reason !== undefined) {
 				corrections[reason]?.(server.id, now);
 			}
--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -6,6 +6,7 @@
  */
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
+import {type Doubts} from '../../create-doubts/index.js';
 import {type ServerLoad} from '../../create-load-estimate/index.js';
 import {isSoft} from './create-standing.js';
 import {type PairSearchOptions, type Search} from './search-types.js';
@@ -28,13 +29,17 @@
 /** What crossing zones adds to a transfer that others share, milliseconds. */
 const crossTransferMs: Milliseconds = 20;
 
-type UnreportedOptions = Pick<PairSearchOptions, 'zone' | 'loads' | 'standing'>;
+/** Costs beyond all others: what is in doubt is tried only when nothing else is left. */
+const doubtRequests = 1000;
+const doubtMs: Milliseconds = 1_000_000;
+
+type UnreportedOptions = Pick<PairSearchOptions, 'zone' | 'loads' | 'standing'> & {doubts: Doubts};
 
 /**
  * @param options - Zone of this host, its own counts, and what speaks against servers.
  * @returns A function that finds the pair with the fewest requests of this host.
  */
-export const createUnreportedSearch = ({zone, loads, standing}: UnreportedOptions) => {
+export const createUnreportedSearch = ({zone, loads, standing, doubts}: UnreportedOptions) => {
 	const isUsable = (entry: ServerEntry, search: Search, isLastResort: boolean): boolean => {
 		const inquiry = isLastResort ? {...search, isLastResort} : search;
 		const reason = standing.toReason(entry, inquiry, isLastResort ? 0 : search.random());
@@ -72,10 +77,10 @@
 	};
 
 	const findAmong = (search: Search, isLastResort: boolean): Pair | undefined => {
-		const {random, promptTokens} = search;
+		const {random, promptTokens, now} = search;
 		const decodes = readDecodes(search, isLastResort);
 		// Chance breaks ties, or all hosts that start empty would send to the same server.
-		const decode = takeLeast(decodes, ({entry, load}) => load.own + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2));
+		const decode = takeLeast(decodes, ({entry, load}) => load.own + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2) + (doubts.toLevel(entry, now) * doubtRequests));
 		if (decode === undefined) {
 			return undefined;
 		}
@@ -84,7 +89,7 @@
 			((load.backlogTokens + promptTokens) / load.tokensPerSecond * 1000) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
 		// Servers that are replaced may all come back as decode servers. Those compute a prompt too, slower and between
 		// the tokens of others; without that, every request would be refused while all decode memory stands free.
-		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random()) ?? decode;
+		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs)) ?? decode;
 
 		const predictedPrefillMs = toPrefillMs(prefill);
 		return {
--- a/src/domain/create-placement/_lib/search-types.ts
+++ b/src/domain/create-placement/_lib/search-types.ts
@@ -4,6 +4,7 @@
 import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView} from '../../../ports/view.js';
 import {type LoadEstimate} from '../../create-load-estimate/index.js';
+import {type Doubts} from '../../create-doubts/index.js';
 import {type SpillChooser} from '../../create-spill-chooser/index.js';
 import {type TokenPace} from '../../create-token-pace/index.js';
 import {type Standing, type Wanted} from './create-standing.js';
@@ -70,4 +71,5 @@
 	pace: TokenPace;
 	subsets: Subsets;
 	spills: SpillChooser;
+	doubts: Doubts;
 };
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -15,6 +15,7 @@
 import {type ServerEntry} from '../../ports/config.js';
 import {type ServerId} from '../../ports/ids.js';
 import {type FleetView} from '../../ports/view.js';
+import {createDoubts} from '../create-doubts/index.js';
 import {createLoadEstimate} from '../create-load-estimate/index.js';
 import {createPrefixMap} from '../create-prefix-map/index.js';
 import {createTokenPace} from '../create-token-pace/index.js';
@@ -86,6 +87,7 @@
 	const pace = createTokenPace();
 	const lengths = createAnswerLengths();
 	const subsets = createSubsets({zone, host: options.host});
+	const doubts = createDoubts(zone);
 	let index: PoolIndex | undefined;
 	let indexKey = '';
 
@@ -116,6 +118,7 @@
 				pace.forget(server);
 			}
 
+			doubts.keepOnly(next.servers);
 			lengths.keepOnly(new Set(next.pools.keys()));
 
 			index = next;
@@ -127,10 +130,12 @@
 
 	const spills = createSpillChooser({zone, rampMs: options.health?.rampMs, rampFrom: options.health?.rampFrom});
 	const pairs = createPairSearch({
-		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets, spills,
+		zone, draws, crossZoneMs: options.crossZoneMs ?? defaultCrossZoneMs, loads, standing, pace, subsets, spills, doubts,
 	});
 
-	const findUnreported = createUnreportedSearch({zone, loads, standing});
+	const findUnreported = createUnreportedSearch({
+		zone, loads, standing, doubts,
+	});
 
 	const toModelNeeds = (request: PlacementRequest): Needs => {
 		const {pool, model, version, adapter, exclude, promptTokens, firstTokenBudgetMs} = request;
@@ -246,7 +251,7 @@
 		pick,
 		pickPlain,
 		...createNotes({
-			loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, noteSent: spills.noteSent,
+			loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent: spills.noteSent,
 		}),
 	};
 };
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -124,7 +124,11 @@
 	const {services} = run.serve;
 	const attempt = run.tried.length + 1;
 	const reason = fault.kind === 'refused' ? fault.reason : undefined;
-	services.placement.noteFailure(server, {kind: fault.kind === 'failed-answer' ? 'broken' : fault.kind, reason}, services.clock.now());
+	// An answer that says that the request failed is the application's word, and all servers of a service may give it alike.
+	if (fault.kind !== 'failed-answer') {
+		services.placement.noteFailure(server, {kind: fault.kind, reason}, services.clock.now());
+	}
+
 	run.account.note('attempt failed', {
 		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
 	});
