--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -87,10 +87,12 @@
 
 		const toPrefillMs = ({entry, load}: Candidate): Milliseconds =>
 			((load.backlogTokens + promptTokens) / load.tokensPerSecond * 1000) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
-		// Servers that are replaced may all come back as decode servers. Those compute a prompt too, slower and between
-		// the tokens of others; without that, every request would be refused while all decode memory stands free.
-		const prefill = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs)) ?? decode;
-
+		const best = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs));
+		// Servers that are replaced may all come back as decode servers, and a cut may leave a zone without any other. Those
+		// compute a prompt too, slower and between the tokens of others; without that, every request would be refused, or
+		// wait for one silent prefill server after the other, while decode memory stands free.
+		const isAlone = best === undefined || doubts.toLevel(best.entry, now) > doubts.toLevel(decode.entry, now);
+		const prefill = isAlone ? decode : best;
 		const predictedPrefillMs = toPrefillMs(prefill);
 		return {
 			prefill, decode, predictedPrefillMs, predictedFirstTokenMs: predictedPrefillMs, delayMs: predictedPrefillMs, score: predictedPrefillMs,
--- /dev/null
+++ b/src/domain/create-placement/unreported.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type Config, type ServerEntry, type ServerRole} from '../../ports/config.js';
+import {type FleetView} from '../../ports/view.js';
+import {createRandom} from '../_test/create-random.js';
+import {createPlacement, type PlacementRequest} from './index.js';
+
+const toServer = (id: string, role: ServerRole, zone: string): ServerEntry => ({
+	id, role, zone, url: `http://10.0.0.1:1/${id}`, pool: 'model', slots: 100, checksFence: false,
+});
+
+const all = ['a', 'b'].flatMap(zone => [toServer(`p-${zone}`, 'prefill', zone), toServer(`d1-${zone}`, 'decode', zone), toServer(`d2-${zone}`, 'decode', zone)]);
+
+function toView(servers: readonly ServerEntry[]): FleetView {
+	const config: Config = {
+		zones: ['a', 'b'].map(id => ({id, region: 'r'})),
+		hosts: [],
+		servers,
+		pools: [{
+			name: 'model', kind: 'model', model: 'm', version: undefined, adapters: [], classes: ['quick', 'batch'], isUnreported: true,
+		}],
+		rules: [],
+		callerTokens: {},
+		weightStoreBytesPerSecond: 0,
+	};
+	return {
+		accepted: {version: {edition: 1, revision: servers.length, digest: ''}, config, text: ''},
+		hosts: new Map(),
+		servers: new Map(),
+		platformConfirmedAt: 0,
+		receivedAt: 0,
+	};
+}
+
+const request: PlacementRequest = {
+	pool: 'model', model: 'm', version: undefined, adapter: undefined, promptTokens: 3000, maxTokens: 2000, class: 'quick', firstTokenBudgetMs: 14_000,
+};
+
+const findServer = (id: string) => all.find(server => server.id === id)!;
+
+/*
+ * Nobody polls loads: a host knows its own requests and what servers answered.
+ * Streams come in bursts that fill the decode memory; a host that sends them all
+ * to one server is refused there while others are free, and one that goes on
+ * asking what lies behind a cut makes each caller wait for it.
+ */
+describe('createPlacement where no server reports', () => {
+	it('spreads its requests evenly over all decode servers, the own zone first between equals', () => {
+		const placement = createPlacement({zone: 'a'});
+		const random = createRandom();
+		const counts = new Map<string, number>();
+		for (let i = 0; i < 40; i++) {
+			const picked = placement.pick(request, toView(all), 1000 + i, random)._unsafeUnwrap();
+			placement.noteDispatched(picked, 1000 + i);
+			counts.set(picked.decode.id, (counts.get(picked.decode.id) ?? 0) + 1);
+			assert.ok(i > 0 || picked.decode.zone === 'a');
+		}
+
+		assert.deepEqual([...counts.values()].toSorted((a, b) => a - b).map(count => count >= 9 && count <= 11), [true, true, true, true]);
+	});
+
+	it('passes over a server that just said it is full, and asks it again soon', () => {
+		const placement = createPlacement({zone: 'a'});
+		const random = createRandom();
+		for (const id of ['d1-a', 'd2-a', 'd1-b', 'd2-b']) {
+			placement.noteFailure(findServer(id), {kind: 'refused', reason: 'full'}, 1000);
+		}
+
+		assert.equal(placement.pick(request, toView(all), 1010, random)._unsafeUnwrapErr().reason, 'no-memory');
+		assert.ok(placement.pick(request, toView(all), 1100, random).isOk());
+	});
+
+	it('tries a zone last of which two servers could not be reached', () => {
+		const placement = createPlacement({zone: 'a'});
+		const random = createRandom();
+		placement.noteFailure(findServer('d1-b'), {kind: 'broken', reason: undefined}, 1000);
+		placement.noteFailure(findServer('p-b'), {kind: 'broken', reason: undefined}, 1000);
+		for (let i = 0; i < 20; i++) {
+			const picked = placement.pick(request, toView(all), 1100, random)._unsafeUnwrap();
+			placement.noteDispatched(picked, 1100);
+			assert.deepEqual([picked.decode.zone, picked.prefill.zone], ['a', 'a']);
+		}
+	});
+
+	const withoutPrefill: ReadonlyArray<{name: string; servers: readonly ServerEntry[]; isCut: boolean}> = [
+		{name: 'is left', servers: all.filter(({role}) => role !== 'prefill'), isCut: false},
+		{name: 'of the own zone is left, and the others are behind a cut', servers: all.filter(({id}) => id !== 'p-a'), isCut: true},
+	];
+	for (const {name, servers, isCut} of withoutPrefill) {
+		it(`lets a decode server compute the prompt when no prefill server ${name}`, () => {
+			const placement = createPlacement({zone: 'a'});
+			if (isCut) {
+				placement.noteFailure(findServer('p-b'), {kind: 'broken', reason: undefined}, 1000);
+			}
+
+			const picked = placement.pick(request, toView(servers), 1100, createRandom())._unsafeUnwrap();
+			assert.equal(picked.prefill.id, picked.decode.id);
+		});
+	}
+});
