--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -107,7 +107,8 @@
 			return ok({placement, reservationId: reserved.value.reservationId});
 		}
 
-		const {kind, reason, message} = reserved.error;
+		const {kind, reason} = reserved.error;
+		const message = kind === 'aborted' && !run.signal.aborted ? 'no answer within the time for a reservation' : reserved.error.message;
 		run.account.note('no place', {
 			server: decode.id, failure: kind, reason, message,
 		});
@@ -149,7 +150,11 @@
 	if (answer.isErr()) {
 		const {kind, message} = answer.error;
 		const isSilent = kind === 'aborted' && !run.signal.aborted;
-		return err(kind === 'too-large' || isSilent ? {kind: isSilent ? 'broken' : 'invalid', message} : {kind, message});
+		if (isSilent) {
+			return err({kind: 'broken', message: `no prompt computed within ${Math.round(limitMs)} ms`});
+		}
+
+		return err(kind === 'too-large' ? {kind: 'invalid', message} : {kind, message});
 	}
 
 	const {status, headers, text} = answer.value;
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -36,6 +36,8 @@
 	tried: Array<FailedAttempt['tried'][number]>;
 	/** Servers to which the request itself was sent so far. */
 	sent: number;
+	/** Times that it found every server full. */
+	bounces: number;
 	/** When the first byte of an answer came, monotonic. */
 	firstByteAt?: Milliseconds;
 };
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -85,7 +85,7 @@
 		if (attempted.kind !== 'called') {
 			const {refusal} = attempted;
 			run.account.note('not placed', {...refusal.account(), reason: refusal.reason});
-			run.log.info(attempted.kind === 'bounced' ? 'every server is full' : 'not placed', {reason: refusal.reason});
+			logNoServer(run, attempted);
 			return attempted.kind === 'bounced' ? {end: 'bounced', outcome: run.ledger.outcome()} : toNotPlaced(run, refusal);
 		}
 
@@ -120,6 +120,19 @@
 	}
 }
 
+/** A request that waits asks fifty times a second; one line tells of the first time, and the account counts the others. */
+function logNoServer(run: PlainRun, {kind, refusal}: Extract<Attempted, {refusal: PlacementRefusal}>): void {
+	if (kind === 'not-placed') {
+		run.log.info('not placed', {reason: refusal.reason});
+		return;
+	}
+
+	run.bounces++;
+	if (run.bounces === 1) {
+		run.log.info('every server is full', {reason: 'no-memory'});
+	}
+}
+
 function noteFailed(run: PlainRun, server: ServerEntry, fault: PlainFault): void {
 	const {services} = run.serve;
 	const attempt = run.tried.length + 1;
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -164,7 +164,7 @@
 	const firstTokenMs = run.firstByteAt === undefined ? undefined : run.firstByteAt - run.receivedAt;
 	account.note('ended', {outcome: ended.outcome, reason});
 	serve.log.info('request ended', {
-		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, outcome: ended.outcome, reason, durationMs: completeMs, firstTokenMs, ageMs: toAge(toWaitInput(run)),
+		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, outcome: ended.outcome, reason, durationMs: Math.round(completeMs), firstTokenMs: firstTokenMs && Math.round(firstTokenMs), count: run.bounces, ageMs: toAge(toWaitInput(run)),
 	});
 	serve.onEnded({
 		workspace: route.workspace, rule: route.rule, end: ended.end, outcome: ended.outcome, firstTokenMs, completeMs, outputTokens: 0,
@@ -226,7 +226,7 @@
 	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent' | 'bounces'>): Promise<KeyedVerdict> {
 	const {exchange, route, serve, account, deadline} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : endAt(control, deadline - serve.services.clock.now());
@@ -238,7 +238,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0,
+			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0, bounces: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
