--- /dev/null
+++ b/src/domain/to-wait/test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type RuleThen} from '../../ports/config.js';
+import {toAge, toWait, type WaitInput} from './index.js';
+
+const then: RuleThen = {
+	pool: 'model',
+	class: 'quick',
+	repeatable: false,
+	target: {firstTokenMs: 900, perTokenMs: 300, completeMs: 14_000},
+	queueLimit: 100,
+	versions: [],
+	adapter: undefined,
+	relay: {
+		attempts: 1, isResumable: false, patienceMs: 3600, split: [],
+	},
+};
+
+const input: WaitInput = {
+	then, poolKind: 'model', receivedAt: 1000, deadline: 15_000, waitsMs: 14_000, hasBegun: false,
+};
+
+/*
+ * A burst brings twice what the decode memory holds. Requests that wait as long
+ * as their callers do are all served late, those of the burst and those behind
+ * it; so a request waits while it can be in time, and no longer.
+ */
+describe('toWait', () => {
+	const {relay: _, ...ownThen} = then;
+	const cases: ReadonlyArray<{name: string; over: Partial<WaitInput>; now: number; expected: ReturnType<typeof toWait>}> = [
+		{
+			name: 'a new request for a model waits while it can be in time', over: {}, now: 1000, expected: {class: 'quick', latestStart: 1900, isOnce: false},
+		},
+		{
+			name: 'one that can\'t be in time any more asks once, behind the others', over: {}, now: 1900, expected: {class: 'batch', latestStart: 15_000, isOnce: true},
+		},
+		{
+			name: 'one that comes back asks once', over: {waitsMs: 11_000, deadline: 12_000}, now: 1000, expected: {class: 'batch', latestStart: 12_000, isOnce: true},
+		},
+		{
+			name: 'one that comes back at once may still be in time', over: {waitsMs: 13_800}, now: 1000, expected: {class: 'quick', latestStart: 1700, isOnce: false},
+		},
+		{
+			name: 'one whose caller does not say how long it waits counts as new', over: {waitsMs: undefined}, now: 1000, expected: {class: 'quick', latestStart: 1900, isOnce: false},
+		},
+		{
+			name: 'no wait goes past the deadline', over: {deadline: 1400}, now: 1000, expected: {class: 'quick', latestStart: 1400, isOnce: false},
+		},
+		{
+			name: 'a stream that goes on elsewhere waits for most of its caller\'s patience', over: {hasBegun: true}, now: 6000, expected: {class: 'quick', latestStart: 8880, isOnce: false},
+		},
+		{
+			name: 'a plain service\'s request waits for most of its caller\'s patience', over: {poolKind: 'plain'}, now: 1000, expected: {class: 'quick', latestStart: 3880, isOnce: false},
+		},
+		{
+			name: 'on the own interface it waits for its first token\'s target, from now on', over: {then: ownThen, poolKind: 'plain'}, now: 2000, expected: {class: 'quick', latestStart: 2900, isOnce: false},
+		},
+	];
+	for (const {name, over, now, expected} of cases) {
+		it(name, () => {
+			assert.deepEqual(toWait({...input, ...over}, now), expected);
+		});
+	}
+});
+
+describe('toAge', () => {
+	it('is what a caller has used up of its rule\'s time, and never below nothing', () => {
+		assert.deepEqual([14_000, 11_500, 20_000, undefined].map(waitsMs => toAge({then, waitsMs})), [0, 2500, 0, 0]);
+	});
+});
--- /dev/null
+++ b/src/programs/relay/start-relay/test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createRetryBudget, type FailedAttempt} from '../../../domain/create-retry-budget/index.js';
+import {toRetryPart} from './index.js';
+
+const failed: FailedAttempt = {
+	repeatable: true, bytesOffered: 1, outcome: 'may-have-run', attempt: 1, maxAttempts: 2, deadline: 1_000_000, expectedMs: 0, tried: [],
+};
+
+/*
+ * A service fails every call. Each host sends its requests once more as long as
+ * its part of the budget lasts; no host knows of the others, which come, go and
+ * are cut off. More calls than all hosts together may make would bring down what
+ * is left of the service.
+ */
+describe('toRetryPart', () => {
+	it('adds up to no more than the ratio and the slack of all hosts, however the requests fall', () => {
+		fc.assert(fc.property(fc.array(fc.integer({min: 0, max: 300}), {minLength: 1, maxLength: 20}), requests => {
+			const limits = {retryRatio: 0.2, retrySlack: 54};
+			let retries = 0;
+			for (const count of requests) {
+				const budget = createRetryBudget(toRetryPart(limits));
+				for (let i = 0; i < count; i++) {
+					budget.noteSuccess(i);
+					retries += budget.takeRetry(failed, i, () => 0).kind === 'retry' ? 1 : 0;
+				}
+			}
+
+			const total = requests.reduce((sum, count) => sum + count, 0);
+			assert.ok(retries <= (total * limits.retryRatio) + limits.retrySlack, `${retries} for ${total}`);
+		}));
+	});
+
+	it('takes nothing for a call that reached no server', () => {
+		const budget = createRetryBudget(toRetryPart({retryRatio: 0, retrySlack: 0}));
+		const unreached: FailedAttempt = {...failed, bytesOffered: 0, outcome: 'not-run'};
+		assert.deepEqual(Array.from({length: 5}, () => budget.takeRetry(unreached, 0, () => 0).kind), Array.from({length: 5}, () => 'retry'));
+	});
+});
--- /dev/null
+++ b/test/contracts/platform-adapter.test.ts
@@ -0,0 +1,93 @@
+/** What the adapter of the users' platform makes of documents and headers, proper and not. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createServerCalls} from '../../platform/server-calls.js';
+import {toPublishedRules} from '../../platform/to-rules.js';
+import {toPublishedServer} from '../../platform/to-server.js';
+import {type ServerEntry} from '../../src/ports/config.js';
+
+const calls = createServerCalls(() => {
+	throw new Error('no call is made here');
+});
+
+const server: ServerEntry = {
+	id: 'i-1', zone: 'a', url: 'http://10.0.0.1:80', role: 'decode', pool: 'p', slots: 8, checksFence: false,
+};
+
+const route = (name: string, prefix: string, over: Record<string, unknown> = {}) => ({
+	name, host: 'Desk.Example', prefix, kind: 'unsafe', service: 's', max_attempts: 1, ...over,
+});
+
+describe('rules of the platform', () => {
+	it('match by the longest prefix first, and on the host in lower case', () => {
+		const text = JSON.stringify({version: 3, routes: [route('short', '/a/'), route('long', '/a/b/')], services: [{name: 's'}]});
+		const rules = toPublishedRules(text)._unsafeUnwrap();
+		assert.deepEqual(rules.rules.map(({name}) => name), ['long', 'short']);
+		assert.equal(rules.rules[0]!.when.host, 'desk.example');
+		assert.equal(rules.version, 3);
+	});
+
+	const repeatable: ReadonlyArray<{over: Record<string, unknown>; expected: boolean}> = [
+		{over: {kind: 'safe'}, expected: true},
+		{over: {kind: 'unsafe'}, expected: false},
+		{over: {kind: 'unsafe', resumable: true}, expected: false},
+		{over: {kind: 'stream'}, expected: false},
+		{over: {kind: 'stream', resumable: true}, expected: true},
+	];
+	for (const {over, expected} of repeatable) {
+		it(`${JSON.stringify(over)} may ${expected ? '' : 'not '}be repeated`, () => {
+			const text = JSON.stringify({version: 1, routes: [route('r', '/a/', over)], services: []});
+			const [rule] = toPublishedRules(text)._unsafeUnwrap().rules;
+			assert.equal(rule?.then.repeatable, expected);
+		});
+	}
+
+	it('rank the work of one service by its priorities', () => {
+		const text = JSON.stringify({version: 1, routes: [route('first', '/a/', {priority: 1}), route('second', '/b/', {priority: 2}), route('other', '/c/', {priority: 2, service: 't'})], services: []});
+		const classes = Object.fromEntries(toPublishedRules(text)._unsafeUnwrap().rules.map(({name, then}) => [name, then.class]));
+		assert.deepEqual(classes, {first: 'quick', second: 'batch', other: 'quick'});
+	});
+
+	it('are an error, and never a crash, when the document is anything else', () => {
+		fc.assert(fc.property(fc.oneof(fc.string(), fc.json(), fc.json().map(text => `{"version":1,"routes":[${text}],"services":[]}`)), text => {
+			assert.equal(typeof toPublishedRules(text).isOk(), 'boolean');
+			assert.equal(typeof toPublishedServer('i', text).isOk(), 'boolean');
+		}));
+	});
+});
+
+describe('headers of the platform', () => {
+	const own = {
+		stage: 'prefill', 'kv-source': 'x', 'kv-hold': 'x', 'kv-backup': 'x', 'kv-fetch': 'x', 'pin-ms': '1', 'expect-instance': 'x', 'expect-version': '1', 'request-urgency': '0',
+	};
+
+	it('that are the system\'s to set never come from a caller', () => {
+		const headers = calls.toHeaders({
+			headers: {...own, 'x-kept': '1'}, workspace: 'w', requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 99.9,
+		});
+		assert.deepEqual(headers, {'x-kept': '1', 'deadline-ms': '99', 'expect-instance': 'i-1'});
+	});
+
+	it('tell of the work, whatever a caller writes there', () => {
+		assert.deepEqual(calls.readWork({
+			'token-count': '1460,80', 'length-hint': '40', 'deadline-ms': '1000', model: 'm',
+		}), {
+			waitsMs: 1000, model: 'm', promptTokens: 1460, maxTokens: 80, guessedTokens: 40,
+		});
+		fc.assert(fc.property(fc.string(), fc.string(), fc.string(), (tokens, hint, deadline) => {
+			const work = calls.readWork({'token-count': tokens, 'length-hint': hint, 'deadline-ms': deadline});
+			for (const value of [work.promptTokens, work.maxTokens, work.guessedTokens ?? 0, work.waitsMs ?? 0]) {
+				assert.ok(Number.isFinite(value) && value >= 0);
+			}
+		}));
+	});
+
+	it('say not-run where a server says so, and nowhere else', () => {
+		assert.equal(calls.toRefusal(503, {'not-executed': '1'}), 'full');
+		assert.equal(calls.toRefusal(421, {}), 'wrong-model');
+		for (const status of [200, 429, 500, 503, 504]) {
+			assert.equal(calls.toRefusal(status, {}), undefined);
+		}
+	});
+});
