--- a/src/domain/to-problem/test.ts
+++ b/src/domain/to-problem/test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {toProblem} from './index.js';
+import {type Outcome} from '../../ports/outcome.js';
+import {toProblem, type ProblemKind} from './index.js';
 
 describe('toProblem', () => {
 	it('carries type, status, outcome and request id', () => {
@@ -24,4 +25,34 @@
 			assert.equal(headers['retry-after'], header);
 		});
 	}
+
+	/*
+	 * Callers that read the status alone send a request again after a 503 and never
+	 * after a 502. A 503 for work that a server may have taken makes it run twice; a
+	 * 502 for work that nobody took makes its caller give up for nothing.
+	 */
+	const statuses: ReadonlyArray<{kind: ProblemKind; outcome: Outcome; status: number}> = [
+		{kind: 'no-capacity', outcome: 'not-run', status: 503},
+		{kind: 'no-capacity', outcome: 'may-have-run', status: 502},
+		{kind: 'target-missed', outcome: 'may-have-run', status: 502},
+		{kind: 'queue-full', outcome: 'ran', status: 502},
+		{kind: 'slow-request', outcome: 'may-have-run', status: 502},
+		{kind: 'backend-failed', outcome: 'not-run', status: 503},
+		{kind: 'backend-failed', outcome: 'may-have-run', status: 502},
+		{kind: 'deadline-passed', outcome: 'not-run', status: 503},
+		{kind: 'deadline-passed', outcome: 'may-have-run', status: 504},
+		{kind: 'body-too-large', outcome: 'not-run', status: 413},
+	];
+	for (const {kind, outcome, status} of statuses) {
+		it(`says ${status} of ${kind} with ${outcome} to callers that read the status alone`, () => {
+			assert.equal(toProblem({kind, detail: '', outcome}, 'r1', {isOutcomeInStatus: true}).status, status);
+		});
+	}
+
+	it('writes fractions of a second, and other statuses, for callers that expect them', () => {
+		const document = toProblem({
+			kind: 'no-rule', detail: '', outcome: 'not-run', retryAfterMs: 3456,
+		}, 'r1', {hasFractions: true, statuses: {'no-rule': 404}});
+		assert.deepEqual([document.status, document.headers['retry-after']], [404, '3.46']);
+	});
 });
--- a/test/failures/relay-platform.test.ts
+++ b/test/failures/relay-platform.test.ts
@@ -67,6 +67,18 @@
 		await fixture.askUntil({path: '/lookup/'}, 503);
 	});
 
+	it('says that nothing ran when no published server can be reached', async () => {
+		const {ask, publishServer, servers, logs} = fixture;
+		for (const server of [servers.desk1, servers.desk2]) {
+			publishServer(server, {address: '127.0.0.1:1', zone: 'moved'});
+		}
+
+		await waitUntil(() => logs().filter(line => line.state === 'serving' && String(line.server).startsWith('desk')).length >= 4, {deadlineMs, what: 'the relay to know'});
+		const answer = await ask({path: '/lookup/'});
+		assert.equal(answer.status, 503);
+		assert.notEqual(answer.headers['retry-after'], undefined);
+	});
+
 	it('passes over an entry that it can\'t read, says so, and keeps the rules in force', async () => {
 		const {ask, store, logs} = fixture;
 		store.put('op/config', {version: 12, routes: 'none'});
