--- /dev/null
+++ b/src/adapters/load-datagrams/index.ts
@@ -0,0 +1,135 @@
+/**
+ * Messages between hosts about their loads, one datagram each. A lost one is
+ * made good by the next, which says everything anew.
+ */
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {Encoder} from 'cbor-x';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+import {type LoadMessage} from '../../ports/shared-loads.js';
+
+/** What a datagram may hold without being split on the way. */
+export const maxDatagramBytes = 1400;
+
+/** First item of each datagram; a host of another version is not understood, and nothing depends on it. */
+const format = 1;
+
+/** Longest name that is taken from another host. */
+const maxNameLength = 64;
+
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+
+const name = v.pipe(v.string(), v.maxLength(maxNameLength));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const schema = v.tuple([
+	v.literal(format),
+	name,
+	name,
+	count,
+	count,
+	v.array(v.tuple([name, count, count])),
+	v.array(v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v))),
+]);
+
+/**
+ * Encodes a message; loads that don't fit are left out, the smallest first.
+ *
+ * @param message - The message.
+ * @returns One datagram.
+ */
+export function encodeLoadMessage(message: LoadMessage): Uint8Array {
+	const {host, zone, incarnation, sequence, peers} = message;
+	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
+	for (;;) {
+		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
+		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, peers]);
+		if (bytes.length <= maxDatagramBytes || loads.length === 0) {
+			return bytes;
+		}
+
+		loads.length = Math.floor(loads.length * 0.8);
+	}
+}
+
+/**
+ * Decodes a datagram, whoever sent it.
+ *
+ * @param bytes - The datagram.
+ * @returns The message, or what is wrong with it.
+ */
+export function decodeLoadMessage(bytes: Uint8Array): Result<LoadMessage, string> {
+	let value: unknown;
+	try {
+		value = codec.decode(bytes);
+	} catch {
+		return err('not CBOR');
+	}
+
+	const parsed = v.safeParse(schema, value);
+	if (!parsed.success) {
+		return err(v.summarize(parsed.issues));
+	}
+
+	const [, host, zone, incarnation, sequence, rows, peers] = parsed.output;
+	return ok({
+		host, zone, incarnation, sequence, peers, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
+	});
+}
+
+export type LoadDatagrams = {
+	/** Sends to each address; what can't be sent is dropped. */
+	send: (message: LoadMessage, addresses: readonly string[]) => void;
+	close: () => Promise<void>;
+};
+
+export type LoadDatagramsOptions = {
+	/** `IP:port` to listen on. */
+	address: string;
+	onMessage: (message: LoadMessage, from: string) => void;
+	/** A datagram that is none of ours, or the socket's own fault. */
+	onFault: (reason: string) => void;
+};
+
+function toParts(address: string): {ip: string; port: number} {
+	const colon = address.lastIndexOf(':');
+	return {ip: address.slice(0, colon), port: Number(address.slice(colon + 1))};
+}
+
+/**
+ * Listens for datagrams.
+ *
+ * @param options - Where, and what to do with each.
+ * @returns The socket, once it listens.
+ */
+export async function openLoadDatagrams({address, onMessage, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
+	const socket = createSocket('udp4');
+	const {ip, port} = toParts(address);
+	socket.on('message', (bytes, {address: from, port: fromPort}) => {
+		decodeLoadMessage(bytes).match(message => {
+			onMessage(message, `${from}:${fromPort}`);
+		}, onFault);
+	});
+	socket.bind(port, ip);
+	await once(socket, 'listening');
+	socket.on('error', error => {
+		onFault(error.message);
+	});
+	return {
+		send(message, addresses) {
+			const bytes = encodeLoadMessage(message);
+			for (const to of addresses) {
+				const {ip: host, port: toPort} = toParts(to);
+				socket.send(bytes, toPort, host, error => {
+					if (error !== null) {
+						onFault(error.message);
+					}
+				});
+			}
+		},
+		async close() {
+			socket.close();
+			await once(socket, 'close');
+		},
+	};
+}
--- /dev/null
+++ b/src/adapters/load-datagrams/test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {encode} from 'cbor-x';
+import fc from 'fast-check';
+import {type LoadMessage} from '../../ports/shared-loads.js';
+import {
+	decodeLoadMessage, encodeLoadMessage, maxDatagramBytes, openLoadDatagrams,
+} from './index.js';
+
+const message: LoadMessage = {
+	host: 'front-a-1', zone: 'a', incarnation: 1_780_000_000_000, sequence: 7, loads: [{server: 'i-1', requests: 2, promptTokens: 6400}], peers: ['10.0.0.2:7380'],
+};
+
+async function findAddress(): Promise<string> {
+	const socket = createSocket('udp4');
+	socket.bind(0, '127.0.0.1');
+	await once(socket, 'listening');
+	const {port} = socket.address();
+	socket.close();
+	await once(socket, 'close');
+	return `127.0.0.1:${port}`;
+}
+
+describe('load messages', () => {
+	it('come out as they went in', () => {
+		assert.deepEqual(decodeLoadMessage(encodeLoadMessage(message))._unsafeUnwrap(), message);
+	});
+
+	it('fit into one datagram, however much a host has under way, and keep the largest loads', () => {
+		const loads = Array.from({length: 500}, (_, i) => ({server: `i-${i}`, requests: 1, promptTokens: i}));
+		const bytes = encodeLoadMessage({...message, loads});
+		assert.ok(bytes.length <= maxDatagramBytes);
+		const decoded = decodeLoadMessage(bytes)._unsafeUnwrap();
+		assert.ok(decoded.loads.some(({server}) => server === 'i-499'));
+	});
+
+	it('are an error, and never a crash, when they are anything else', () => {
+		fc.assert(fc.property(fc.oneof(fc.uint8Array(), fc.anything().map(value => {
+			try {
+				return encode(value);
+			} catch {
+				return new Uint8Array();
+			}
+		}), fc.array(fc.jsonValue()).map(rest => encode([1, 'h', 'z', ...rest]))), bytes => {
+			assert.equal(typeof decodeLoadMessage(bytes).isOk(), 'boolean');
+		}));
+	});
+
+	it('reach another host and tell where they came from; what is no message is reported', async () => {
+		const [one, other] = await Promise.all([findAddress(), findAddress()]);
+		const heard: Array<{host: string; from: string}> = [];
+		const faults: string[] = [];
+		const toOptions = (address: string) => ({
+			address,
+			onMessage({host}: LoadMessage, from: string) {
+				heard.push({host, from});
+			},
+			onFault(reason: string) {
+				faults.push(reason);
+			},
+		});
+		const [a, b] = await Promise.all([openLoadDatagrams(toOptions(one)), openLoadDatagrams(toOptions(other))]);
+		const stray = createSocket('udp4');
+		try {
+			for (let i = 0; i < 50 && (heard.length === 0 || faults.length === 0); i++) {
+				a.send(message, [other]);
+				stray.send('nonsense', Number(one.split(':')[1]), '127.0.0.1');
+				await sleep(20);
+			}
+
+			assert.deepEqual(heard[0], {host: 'front-a-1', from: one});
+			assert.ok(faults.length > 0);
+		} finally {
+			stray.close();
+			await Promise.all([a.close(), b.close()]);
+		}
+	});
+});
--- a/src/domain/create-load-estimate/index.ts
+++ b/src/domain/create-load-estimate/index.ts
@@ -6,6 +6,7 @@
 import {type Milliseconds} from '../../ports/clock.js';
 import {type ServerEntry} from '../../ports/config.js';
 import {type ServerId} from '../../ports/ids.js';
+import {type HostLoad} from '../../ports/shared-loads.js';
 import {msPerSecond} from '../../ports/units.js';
 import {type ServerStatus} from '../../ports/view.js';
 
@@ -33,6 +34,8 @@
 	transfers: number;
 	/** Requests of this host on the server now. */
 	own: number;
+	/** Prompt tokens of this host that were sent there and are not computed yet. */
+	ownPromptTokens: number;
 	/** No report, or one too old to believe: the numbers are this host's own alone. */
 	isUnknown: boolean;
 };
@@ -188,6 +191,7 @@
 			linkBytesPerSecond: report !== undefined && report.linkBytesPerSecond > 0 ? report.linkBytesPerSecond : assumedLink,
 			transfers: track.transfers,
 			own: track.own,
+			ownPromptTokens: track.ownTokens,
 			isUnknown,
 		};
 	};
@@ -254,6 +258,12 @@
 		forget(server: ServerId): void {
 			tracks.delete(server);
 		},
+		/** Prompt tokens of this host that were sent to the server and are not computed yet. */
+		ownPromptTokens: (server: ServerId): number => tracks.get(server)?.ownTokens ?? 0,
+		/** What this host has under way at each server where it has anything. */
+		ownLoads: (): HostLoad[] => [...tracks]
+			.filter(([, {own, ownTokens}]) => own > 0 || ownTokens > 0)
+			.map(([server, {own, ownTokens}]) => ({server, requests: own, promptTokens: ownTokens})),
 		/** Servers with state. */
 		servers: (): Iterable<ServerId> => tracks.keys(),
 	};
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -6,6 +6,8 @@
 import {type Doubts} from '../../create-doubts/index.js';
 import {type LoadEstimate} from '../../create-load-estimate/index.js';
 import {type PrefixMap} from '../../create-prefix-map/index.js';
+import {type PromptPace} from '../../create-prompt-pace/index.js';
+import {type SharedLoads} from '../../create-shared-loads/index.js';
 import {type SeenTokens, type TokenPace} from '../../create-token-pace/index.js';
 import {type HealthSubject, type ServerHealth} from '../../create-server-health/index.js';
 import {type AnswerLengths} from './create-answer-lengths.js';
@@ -20,6 +22,8 @@
 	isReserved: boolean;
 	/** Tokens of the answer seen. */
 	tokens: number;
+	/** When it was sent, the prefill server had nothing else to do, as far as is known. */
+	isFirstInLine: boolean;
 };
 
 /** What picks learn over time, shared by all pools of this host. */
@@ -35,6 +39,8 @@
 	standing: Standing;
 	prefixes: PrefixMap;
 	pace: TokenPace;
+	promptPace: PromptPace;
+	readOthers: SharedLoads['read'];
 	lengths: AnswerLengths;
 	learnt: Learnt;
 	tokensPerBlock: number;
@@ -57,7 +63,7 @@
  * @param options - The records to keep up to date.
  * @returns The `note…` functions of a placement. Each is idempotent for a placement and a stage.
  */
-export const createNotes = ({loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent}: NotesOptions) => {
+export const createNotes = ({loads, health, standing, prefixes, pace, promptPace, readOthers, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent}: NotesOptions) => {
 	const running = new WeakMap<Placement | PlainPlacement, Progress>();
 
 	const toPrefillTokens = (placement: Placement): number => placement.promptTokens - placement.expectedCachedTokens;
@@ -74,6 +80,9 @@
 		'wrong-model': standing.noteMismatch,
 	};
 
+	const isIdle = ({id}: ServerEntry, now: Milliseconds): boolean =>
+		loads.ownPromptTokens(id) === 0 && readOthers(id, now).promptTokens === 0;
+
 	return {
 		/** The placement is about to be used. Call before the first byte goes out, so that the next pick sees it. */
 		noteDispatched(placement: Placement | PlainPlacement, now: Milliseconds): void {
@@ -81,8 +90,9 @@
 				return;
 			}
 
+			const isFirstInLine = placement.kind === 'pair' && placement.prefill.id !== placement.decode.id && isIdle(placement.prefill, now);
 			running.set(placement, {
-				stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now, isReserved: false, tokens: 0,
+				stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now, isReserved: false, tokens: 0, isFirstInLine,
 			});
 			if (placement.kind === 'plain') {
 				loads.addSlots(placement.server.id, 1, now);
@@ -111,6 +121,10 @@
 
 			running.set(placement, {...progress, stage: 'transfer', prefilledAt: now});
 			loads.removePrefill(placement.prefill.id, toPrefillTokens(placement));
+			if (progress.isFirstInLine) {
+				promptPace.note(placement.prefill.id, toPrefillTokens(placement), now - progress.dispatchedAt);
+			}
+
 			loads.addTransfers(placement.prefill.id, 1);
 			loads.addTransfers(placement.decode.id, 1);
 			if (result.promptTokens > 0) {
--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -1,13 +1,15 @@
 /**
  * Finds a prefill and a decode server where nobody polls loads: this host knows
- * its own requests and what servers answered them, and nothing of other hosts.
- * The decode server, asked for a reservation, is the arbiter of its memory, so a
+ * its own requests, what servers answered them, and what other hosts say that
+ * they have under way. The decode server, asked for a reservation, is the arbiter of its memory, so a
  * wrong guess costs one short call and no prompt computed for nothing.
  */
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type Doubts} from '../../create-doubts/index.js';
 import {type ServerLoad} from '../../create-load-estimate/index.js';
+import {type PromptPace} from '../../create-prompt-pace/index.js';
+import {type SharedLoads} from '../../create-shared-loads/index.js';
 import {isSoft} from './create-standing.js';
 import {type PairSearchOptions, type Search} from './search-types.js';
 import {type Candidate, type Pair} from './to-best-pair.js';
@@ -21,7 +23,7 @@
 const fullForMs: Milliseconds = 40;
 
 /**
- * What another zone counts against a decode server, in requests of this host:
+ * What another zone counts against a decode server, in requests:
  * less than one, so that the own zone is preferred between equals alone.
  */
 const otherZoneRequests = 0.5;
@@ -33,13 +35,26 @@
 const doubtRequests = 1000;
 const doubtMs: Milliseconds = 1_000_000;
 
-type UnreportedOptions = Pick<PairSearchOptions, 'zone' | 'loads' | 'standing'> & {doubts: Doubts};
+/**
+ * A decode server computes a prompt at half the pace of a prefill server, and
+ * its streams wait meanwhile. Where the queue of the best prefill server is
+ * longer than this on top of that, it does so all the same: a burst of three
+ * times the usual prompts else has all of them late.
+ */
+const decodePace = 0.5;
+const overflowMs: Milliseconds = 300;
+
+type UnreportedOptions = Pick<PairSearchOptions, 'zone' | 'loads' | 'standing'> & {
+	doubts: Doubts;
+	promptPace: PromptPace;
+	readOthers: SharedLoads['read'];
+};
 
 /**
  * @param options - Zone of this host, its own counts, and what speaks against servers.
- * @returns A function that finds the pair with the fewest requests of this host.
+ * @returns A function that finds the decode server with the fewest requests and the prefill server with the shortest queue.
  */
-export const createUnreportedSearch = ({zone, loads, standing, doubts}: UnreportedOptions) => {
+export const createUnreportedSearch = ({zone, loads, standing, doubts, promptPace, readOthers}: UnreportedOptions) => {
 	const isUsable = (entry: ServerEntry, search: Search, isLastResort: boolean): boolean => {
 		const inquiry = isLastResort ? {...search, isLastResort} : search;
 		const reason = standing.toReason(entry, inquiry, isLastResort ? 0 : search.random());
@@ -80,20 +95,21 @@
 		const {random, promptTokens, now} = search;
 		const decodes = readDecodes(search, isLastResort);
 		// Chance breaks ties, or all hosts that start empty would send to the same server.
-		const decode = takeLeast(decodes, ({entry, load}) => load.own + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2) + (doubts.toLevel(entry, now) * doubtRequests));
+		const decode = takeLeast(decodes, ({entry, load}) => load.own + readOthers(entry.id, now).requests + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2) + (doubts.toLevel(entry, now) * doubtRequests));
 		if (decode === undefined) {
 			return undefined;
 		}
 
 		const toPrefillMs = ({entry, load}: Candidate): Milliseconds =>
-			((load.backlogTokens + promptTokens) / load.tokensPerSecond * 1000) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
+			((load.ownPromptTokens + readOthers(entry.id, now).promptTokens + promptTokens) / promptPace.read(entry.id)) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
 		const best = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs));
+		const aloneMs = promptTokens / promptPace.read(decode.entry.id) / decodePace;
 		// Servers that are replaced may all come back as decode servers, and a cut may leave a zone without any other. Those
 		// compute a prompt too, slower and between the tokens of others; without that, every request would be refused, or
 		// wait for one silent prefill server after the other, while decode memory stands free.
-		const isAlone = best === undefined || doubts.toLevel(best.entry, now) > doubts.toLevel(decode.entry, now);
+		const isAlone = best === undefined || doubts.toLevel(best.entry, now) > doubts.toLevel(decode.entry, now) || toPrefillMs(best) > aloneMs + overflowMs;
 		const prefill = isAlone ? decode : best;
-		const predictedPrefillMs = toPrefillMs(prefill);
+		const predictedPrefillMs = isAlone ? aloneMs : toPrefillMs(prefill);
 		return {
 			prefill, decode, predictedPrefillMs, predictedFirstTokenMs: predictedPrefillMs, delayMs: predictedPrefillMs, score: predictedPrefillMs,
 		};
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -6,6 +6,7 @@
 	type HostId, type RegionId, type ServerId, type ZoneId,
 } from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
+import {type SharedLoads} from '../../create-shared-loads/index.js';
 import {type FleetView} from '../../../ports/view.js';
 
 /** Why a server may not be considered, or only when nothing better is left. */
@@ -117,6 +118,8 @@
 	crossZoneMs?: Milliseconds;
 	/** Blocks that the prefix map remembers. */
 	maxPrefixBlocks?: number;
+	/** What other hosts have under way at a server, where hosts tell each other. */
+	readOthers?: SharedLoads['read'];
 };
 
 export type PickPair = (request: PlacementRequest, view: FleetView, now: Milliseconds, random: Random) => Result<Placement, PlacementRefusal>;
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -18,7 +18,9 @@
 import {createDoubts} from '../create-doubts/index.js';
 import {createLoadEstimate} from '../create-load-estimate/index.js';
 import {createPrefixMap} from '../create-prefix-map/index.js';
+import {createPromptPace} from '../create-prompt-pace/index.js';
 import {createTokenPace} from '../create-token-pace/index.js';
+import {type SharedLoads} from '../create-shared-loads/index.js';
 import {createSpillChooser} from '../create-spill-chooser/index.js';
 import {createServerHealth, type ServerHealthOptions} from '../create-server-health/index.js';
 import {tokensPerBlock as defaultTokensPerBlock} from '../to-prefix-blocks/index.js';
@@ -48,6 +50,9 @@
 const ttlFactor = 1.5;
 const ttlMarginMs = 500;
 
+/** Hosts that don't tell each other what they have under way. */
+const readNobody: SharedLoads['read'] = () => ({requests: 0, promptTokens: 0});
+
 /** What a request needs of servers. */
 type Needs = Pick<Search, 'wanted' | 'promptTokens' | 'kvBytes' | 'firstTokenBudgetMs' | 'answer' | 'cachedTokens'>;
 
@@ -88,6 +93,7 @@
 	const lengths = createAnswerLengths();
 	const subsets = createSubsets({zone, host: options.host});
 	const doubts = createDoubts(zone);
+	const promptPace = createPromptPace();
 	let index: PoolIndex | undefined;
 	let indexKey = '';
 
@@ -116,6 +122,7 @@
 				standing.forget(server);
 				prefixes.forget(server);
 				pace.forget(server);
+				promptPace.forget(server);
 			}
 
 			doubts.keepOnly(next.servers);
@@ -134,7 +141,7 @@
 	});
 
 	const findUnreported = createUnreportedSearch({
-		zone, loads, standing, doubts,
+		zone, loads, standing, doubts, promptPace, readOthers: options.readOthers ?? readNobody,
 	});
 
 	const toModelNeeds = (request: PlacementRequest): Needs => {
@@ -250,8 +257,10 @@
 	return {
 		pick,
 		pickPlain,
+		/** What this host has under way at each server. */
+		ownLoads: loads.ownLoads,
 		...createNotes({
-			loads, health, standing, prefixes, pace, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent: spills.noteSent,
+			loads, health, standing, prefixes, pace, promptPace, readOthers: options.readOthers ?? readNobody, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent: spills.noteSent,
 		}),
 	};
 };
--- /dev/null
+++ b/src/domain/create-shared-loads/index.ts
@@ -0,0 +1,69 @@
+/** What other hosts have under way at each server, as they told last. */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type HostId, type ServerId} from '../../ports/ids.js';
+import {type HostLoad, type LoadMessage} from '../../ports/shared-loads.js';
+
+/**
+ * Age beyond which a host's word counts for nothing. A living host speaks every
+ * 500 ms, so three messages in a row must be lost; what a killed host had at the
+ * servers ends with its connections.
+ */
+const maxAgeMs: Milliseconds = 1500;
+
+type Told = Pick<LoadMessage, 'incarnation' | 'sequence'> & {at: Milliseconds; loads: ReadonlyMap<ServerId, HostLoad>};
+
+export type SharedLoads = {
+	/** Takes what a host says; an older message than the last of the host is dropped. */
+	note: (message: LoadMessage, now: Milliseconds) => void;
+	/** Sum over the other hosts. */
+	read: (server: ServerId, now: Milliseconds) => Omit<HostLoad, 'server'>;
+};
+
+const isOlder = (message: LoadMessage, told: Told): boolean =>
+	message.incarnation < told.incarnation || (message.incarnation === told.incarnation && message.sequence <= told.sequence);
+
+/**
+ * Creates the knowledge of a host that has heard nobody yet.
+ *
+ * @returns Functions that take messages and give sums; `now` is monotonic milliseconds.
+ *
+ * @example
+ * ```ts
+ * const shared = createSharedLoads();
+ * shared.note({host: 'b', zone: 'z', incarnation: 1, sequence: 1, loads: [{server: 's', requests: 2, promptTokens: 900}], peers: []}, 0);
+ * shared.read('s', 10); // => {requests: 2, promptTokens: 900}
+ * ```
+ */
+export function createSharedLoads(): SharedLoads {
+	const hosts = new Map<HostId, Told>();
+	return {
+		note(message, now) {
+			const told = hosts.get(message.host);
+			// A host whose time of day was set back starts with a lower incarnation; once its former life is too old to count, it is taken as it is.
+			if (told !== undefined && now - told.at <= maxAgeMs && isOlder(message, told)) {
+				return;
+			}
+
+			const {incarnation, sequence, loads} = message;
+			hosts.set(message.host, {
+				incarnation, sequence, at: now, loads: new Map(loads.map(load => [load.server, load])),
+			});
+		},
+		read(server, now) {
+			let requests = 0;
+			let promptTokens = 0;
+			for (const [host, {at, loads}] of hosts) {
+				if (now - at > maxAgeMs) {
+					hosts.delete(host);
+					continue;
+				}
+
+				const load = loads.get(server);
+				requests += load?.requests ?? 0;
+				promptTokens += load?.promptTokens ?? 0;
+			}
+
+			return {requests, promptTokens};
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-shared-loads/test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type LoadMessage} from '../../ports/shared-loads.js';
+import {createSharedLoads} from './index.js';
+
+const toMessage = (over: Partial<LoadMessage> = {}): LoadMessage => ({
+	host: 'b', zone: 'z', incarnation: 1, sequence: 1, peers: [], loads: [{server: 's', requests: 2, promptTokens: 900}], ...over,
+});
+
+/*
+ * Hosts tell each other what they have at the servers; datagrams are lost, come
+ * twice or out of order, and hosts are killed. Work would be kept off a server
+ * for what ended long ago, or all hosts would send to the one nobody spoke of.
+ */
+describe('createSharedLoads', () => {
+	it('adds up what the hosts said last', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage(), 0);
+		shared.note(toMessage({host: 'c', loads: [{server: 's', requests: 1, promptTokens: 100}, {server: 't', requests: 4, promptTokens: 0}]}), 0);
+		assert.deepEqual(shared.read('s', 10), {requests: 3, promptTokens: 1000});
+		assert.deepEqual(shared.read('t', 10), {requests: 4, promptTokens: 0});
+		assert.deepEqual(shared.read('u', 10), {requests: 0, promptTokens: 0});
+	});
+
+	it('takes a server that is no longer named for one without work', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage(), 0);
+		shared.note(toMessage({sequence: 2, loads: []}), 5);
+		assert.deepEqual(shared.read('s', 10), {requests: 0, promptTokens: 0});
+	});
+
+	it('drops a message that a later one has overtaken', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage({sequence: 9, loads: []}), 0);
+		shared.note(toMessage({sequence: 8}), 1);
+		assert.equal(shared.read('s', 2).requests, 0);
+	});
+
+	it('believes a host that was restarted, also with an earlier time of day', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage({incarnation: 5, sequence: 90}), 0);
+		shared.note(toMessage({incarnation: 6, sequence: 1, loads: []}), 1);
+		assert.equal(shared.read('s', 2).requests, 0);
+		shared.note(toMessage({incarnation: 2, sequence: 1}), 2000);
+		assert.equal(shared.read('s', 2001).requests, 2);
+	});
+
+	it('forgets a host that fell silent', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage(), 0);
+		assert.equal(shared.read('s', 1400).requests, 2);
+		assert.equal(shared.read('s', 1600).requests, 0);
+	});
+});
--- a/src/domain/create-spill-chooser/test.ts
+++ b/src/domain/create-spill-chooser/test.ts
@@ -104,7 +104,7 @@
 	it('fills unknown loads of other zones alone with the mean of their zone', () => {
 		const chooser = createSpillChooser({zone: 'a'});
 		const load: ServerLoad = {
-			slotsTotal: 20, slotsUsed: 1, backlogTokens: 0, tokensPerSecond: 8000, linkBytesPerSecond: 1, transfers: 0, own: 1, isUnknown: true,
+			slotsTotal: 20, slotsUsed: 1, backlogTokens: 0, tokensPerSecond: 8000, linkBytesPerSecond: 1, transfers: 0, own: 1, ownPromptTokens: 0, isUnknown: true,
 		};
 		const view = toSummarised({a: {free: 50}, b: {free: 50, waitMs: 500}, c: {free: 50, at: -50_000}});
 		assert.equal(chooser.fill(ofB!, load, view, 0).slotsUsed, 15);
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -58,6 +58,8 @@
 	rollout?: RolloutPolicy;
 	/** Longest life of a reservation that the pool's servers grant, where they tell it. */
 	reservationMs?: number;
+	/** Time that a server of the pool takes to change between prefill and decode, milliseconds; absent where it can't be told to. */
+	roleChangeMs?: number;
 	/** Whether the pool's servers are known by this host's own requests alone: nobody polls their loads. */
 	isUnreported?: boolean;
 };
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -7,7 +7,7 @@
 import {type Milliseconds} from './clock.js';
 import {type ServerEntry} from './config.js';
 import {type EngineFailure, type EngineRefusalReason, type Reservation} from './engine.js';
-import {type RequestId, type WorkspaceId} from './ids.js';
+import {type HostId, type RequestId, type WorkspaceId} from './ids.js';
 
 /** What a caller says of its request beside the body. */
 export type CallerWork = {
@@ -64,6 +64,15 @@
 	dropCache: (cache: PromptCache) => ResultAsync<void, EngineFailure>;
 };
 
+/** An order to a server, as the host that gives it signs it. */
+export type RoleOrder = {
+	role: 'prefill' | 'decode';
+	/** The host that gives the order. */
+	host: HostId;
+	/** Fencing number: an order with a lower one than the server has seen is an old one. */
+	fence: number;
+};
+
 export type ServerCalls = {
 	readWork: (headers: Readonly<Record<string, string>>) => CallerWork;
 	toHeaders: (call: OutgoingCall) => Record<string, string | string[]>;
@@ -73,4 +82,6 @@
 	isAnswerTo: (requestId: RequestId, headers: AnswerHeaders) => boolean;
 	/** Absent where no server keeps prefill and decode apart for passed-on requests. */
 	caches?: CacheCalls;
+	/** Tells a server to change its role once its running work has ended; absent where servers take no orders. */
+	assignRole?: (server: ServerEntry, order: RoleOrder) => ResultAsync<void, EngineFailure>;
 };
--- /dev/null
+++ b/src/ports/shared-loads.ts
@@ -0,0 +1,29 @@
+/**
+ * What hosts tell each other of the requests that they have under way at backend
+ * servers. Nothing is decided by it that another host must agree with: it is
+ * hearsay that spreads work, and it may be lost, late, or missing altogether.
+ */
+import {
+	type HostId, type Incarnation, type ServerId, type ZoneId,
+} from './ids.js';
+
+/** What one host has under way at one server. */
+export type HostLoad = {
+	server: ServerId;
+	/** Requests that run there, or hold a place. */
+	requests: number;
+	/** Tokens of prompts that were sent there and are not computed yet. */
+	promptTokens: number;
+};
+
+export type LoadMessage = {
+	host: HostId;
+	zone: ZoneId;
+	incarnation: Incarnation;
+	/** Counts the host's messages within its life; the highest is the newest. */
+	sequence: number;
+	/** Servers at which the host has anything; all others have nothing of it. */
+	loads: readonly HostLoad[];
+	/** `IP:port` of other hosts that it has heard lately, for those that don't know them yet. */
+	peers: readonly string[];
+};
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -28,6 +28,21 @@
 	platformAddress: {
 		type: 'address', required: true, group: 'Addresses', description: 'Where rules and backend servers are published.',
 	},
+	controlAddress: {
+		type: 'address', group: 'Addresses', description: 'Address by which the settings of all hosts may name this host.',
+	},
+	peerAddress: {
+		type: 'address', group: 'Addresses', description: 'Where other hosts tell what they have under way (UDP); the port is the same on all hosts. Without it this host neither tells nor hears.',
+	},
+	seeds: {
+		type: 'addresses', default: [], group: 'Addresses', description: 'Control addresses of some hosts, by which all find each other; some may be away.',
+	},
+	ordersFrom: {
+		type: 'address', group: 'Backend servers', description: 'Control address of the one host that gives orders to backend servers; the same on every host. Without it nobody gives any.',
+	},
+	prefillShare: {
+		type: 'number', default: 0.33, min: 0.01, max: 0.99, unit: 'of a pool\'s servers', group: 'Backend servers', description: 'Part of a pool that computes prompts, where servers can change between prefill and decode.',
+	},
 	retryRatio: {
 		type: 'number', default: 0.1, min: 0, max: 10, unit: 'retries a request', group: 'Backend servers', description: 'Calls beyond the first that all hosts may make for each request to a pool.',
 	},
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -5,6 +5,7 @@
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
 import {createRetryBudget, type RetryBudget, type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
 import {tokensPerBlock} from '../../../domain/to-prefix-blocks/index.js';
@@ -33,6 +34,8 @@
 	/** Bounds of each pool's retries. */
 	retryBudget: RetryBudgetOptions;
 	health?: ServerHealthOptions | undefined;
+	/** What other hosts have under way at a server, where hosts tell each other. */
+	readOthers?: SharedLoads['read'] | undefined;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	reportLeaving: (server: ServerId) => void;
@@ -88,7 +91,7 @@
 		toView,
 		toEngine: engines.toEngine,
 		placement: createPlacement({
-			zone, host, tokensPerBlock, ...(options.health && {health: options.health}),
+			zone, host, tokensPerBlock, ...(options.health && {health: options.health}), ...(options.readOthers && {readOthers: options.readOthers}),
 		}),
 		gate: createGate({admission: createAdmission(), zone, now: clock.now}),
 		cancels: createCancelQueue({
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -11,10 +11,12 @@
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
 import {type ServerCalls} from '../../../ports/server-calls.js';
+import {type HostLoad} from '../../../ports/shared-loads.js';
 import {type FleetView} from '../../../ports/view.js';
 import {createEngines, type EngineClient} from '../../_engines/index.js';
 import {
@@ -42,6 +44,11 @@
 const accountLimit = 2000;
 const operatorCloseMs = 500;
 
+export type LoadSharing = {
+	read: SharedLoads['read'];
+	tick: (loads: readonly HostLoad[]) => void;
+};
+
 export type EntryOptions = {
 	settings: EntryCoreSettings;
 	clock: Clock;
@@ -60,6 +67,8 @@
 	createCalls?: (toDispatcher: PlainClients['toDispatcher']) => ServerCalls;
 	/** Time for which idle connections to backend servers are kept where they name none. */
 	serverIdleMs?: Milliseconds;
+	/** Tells other hosts what this one has under way at servers, and knows the same of them. */
+	loadSharing?: LoadSharing;
 	/** What callers of this port expect, beside the usual. */
 	callers?: Pick<CallerServerOptions, 'isRelayOnly' | 'requestIdHeader' | 'problemStyle'>;
 };
@@ -189,6 +198,7 @@
 		reservationTtlMs: settings.reservationTtl,
 		retryBudget: {capacity: settings.retryBudget, ...options.retryBudget},
 		health: options.health,
+		readOthers: options.loadSharing?.read,
 		toView: () => link.toView(),
 		toOwner: () => link.toOwner(),
 		reportLeaving(server) {
@@ -240,7 +250,10 @@
 		options, link, serve, callers, counters, toIsStopping: () => isStopping,
 	};
 	const operators = await listenForOperators(parts, reportSlo(ledger, clock, metrics));
-	const gateTicker = setInterval(run.services.gate.tick, gateTickMs);
+	const gateTicker = setInterval(() => {
+		run.services.gate.tick();
+		options.loadSharing?.tick(run.services.placement.ownLoads());
+	}, gateTickMs);
 	const endPauseWatch = watchPauses({
 		now: clock.now,
 		limitMs: pauseLimitMs,
--- /dev/null
+++ b/src/programs/relay/keep-roles/index.ts
@@ -0,0 +1,144 @@
+/**
+ * Gives the orders that bring a pool's servers to the roles that it needs.
+ *
+ * Two hosts that order one server undo each other's work, and there is no store
+ * to hold a lease in. So one host alone gives orders: the one that all hosts'
+ * settings name. No cut, pause or restart makes a second one; while it is away,
+ * servers keep the roles that they have.
+ */
+import {type Log} from '../../../adapters/log/index.js';
+import {pickRoleChanges, type RoleChange} from '../../../domain/pick-role-changes/index.js';
+import {type Clock, type Milliseconds} from '../../../ports/clock.js';
+import {type Config, type PoolEntry, type ServerEntry} from '../../../ports/config.js';
+import {type HostId, type ServerId} from '../../../ports/ids.js';
+import {type ServerCalls} from '../../../ports/server-calls.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {type FleetView} from '../../../ports/view.js';
+
+export type KeepRolesOptions = {
+	host: HostId;
+	prefillShare: number;
+	clock: Clock;
+	log: Log;
+	/** Tells a server to change its role. */
+	assignRole: NonNullable<ServerCalls['assignRole']>;
+	toView: () => FleetView | undefined;
+	/** Whether the platform answered the last read. Behind a cut, servers that were replaced look as if they still served. */
+	isConnected: () => boolean;
+};
+
+export type RoleKeeper = {
+	/** Looks at all pools, and orders what is needed; the program calls it now and then. */
+	tick: () => Promise<void>;
+};
+
+/**
+ * Time after the start in which no order is given. A host that was killed right
+ * after an order doesn't remember it. Fencing numbers come from the time of day,
+ * which may be set back by some seconds meanwhile; after this time the next one
+ * is higher all the same.
+ */
+const startGraceMs: Milliseconds = 6 * msPerSecond;
+
+/** Time beyond the change itself after which an order counts as lost: running answers end first, and they take ten seconds at most. */
+const orderMarginMs: Milliseconds = 20 * msPerSecond;
+
+/**
+ * Time after a server of a pool went away in which the pool's roles stay as they
+ * are. Entries lapse while a zone is cut off or a server restarts, and come back
+ * within five seconds: judged by what is left meanwhile, a pool of six changed
+ * its last but one prefill server, and prompts took 1.3 s from then on.
+ */
+const settleMs: Milliseconds = 10 * msPerSecond;
+
+type Ordered = {role: RoleChange['role']; until: Milliseconds};
+
+/** Remembers when each pool last lost a server. */
+function createPoolWatch() {
+	const seen = new Map<string, {ids: ReadonlySet<ServerId>; lostAt: Milliseconds}>();
+	return {
+		lastLossAt(pool: string, servers: readonly ServerEntry[], now: Milliseconds): Milliseconds {
+			const ids = new Set(servers.map(({id}) => id));
+			const known = seen.get(pool);
+			const isLoss = known !== undefined && [...known.ids].some(id => !ids.has(id));
+			const lostAt = isLoss ? now : known?.lostAt ?? -Infinity;
+			seen.set(pool, {ids, lostAt});
+			return lostAt;
+		},
+	};
+}
+
+/**
+ * Creates the keeper of one host.
+ *
+ * @param options - What is wanted, what is known, and how servers are told.
+ * @returns The keeper.
+ */
+export function keepRoles(options: KeepRolesOptions): RoleKeeper {
+	const {
+		host, prefillShare, clock, log, assignRole, toView, isConnected,
+	} = options;
+	const startedAt = clock.now();
+	const startedWall = clock.wallNow();
+	const ordered = new Map<ServerId, Ordered>();
+	const pools = createPoolWatch();
+
+	/** Seconds of the day at the start, counted on by the steady clock: within one life no step of the time of day makes it lower. */
+	const toFence = (now: Milliseconds): number => Math.floor((startedWall + now - startedAt) / msPerSecond);
+
+	/** Forgets orders that are done, lost, or whose server is gone. */
+	function forgetDone(config: Config, now: Milliseconds): void {
+		const roles = new Map(config.servers.map(({id, role}) => [id, role]));
+		for (const [id, {role, until}] of ordered) {
+			if (now >= until || !roles.has(id) || roles.get(id) === role) {
+				ordered.delete(id);
+			}
+		}
+	}
+
+	async function order(pool: PoolEntry, {server, role}: RoleChange, now: Milliseconds): Promise<void> {
+		ordered.set(server.id, {role, until: now + (pool.roleChangeMs ?? 0) + orderMarginMs});
+		const fence = toFence(now);
+		const done = await assignRole(server, {role, host, fence});
+		if (done.isOk()) {
+			log.info('server told to change its role', {
+				server: server.id, zones: server.zone, state: role, edition: fence,
+			});
+			return;
+		}
+
+		const {kind, reason, message} = done.error;
+		log.warn('server did not take the order to change its role', {
+			server: server.id, state: role, edition: fence, kind, reason: reason ?? message,
+		});
+	}
+
+	/** The pools whose servers can change roles and have been the same for a while, with their servers in service. */
+	function findSettled(view: FleetView, config: Config, now: Milliseconds): Array<{pool: PoolEntry; servers: ServerEntry[]}> {
+		return config.pools
+			.filter(pool => pool.roleChangeMs !== undefined)
+			.map(pool => ({pool, servers: config.servers.filter(({id, pool: name}) => name === pool.name && view.servers.get(id)?.leaving !== true)}))
+			.filter(({pool, servers}) => now - pools.lastLossAt(pool.name, servers, now) >= settleMs);
+	}
+
+	return {
+		async tick() {
+			const now = clock.now();
+			const view = toView();
+			if (view?.accepted === undefined) {
+				return;
+			}
+
+			const {config} = view.accepted;
+			const settled = findSettled(view, config, now);
+			forgetDone(config, now);
+			if (now - startedAt < startGraceMs || !isConnected()) {
+				return;
+			}
+
+			const changing = new Set(ordered.keys());
+			const changes = settled.flatMap(({pool, servers}) => pickRoleChanges(servers, {prefillShare, changing}).map(change => ({pool, change})));
+			await Promise.all(changes.map(async ({pool, change}) => order(pool, change, now)));
+		},
+	};
+}
--- /dev/null
+++ b/src/programs/relay/keep-roles/test.ts
@@ -0,0 +1,142 @@
+import assert from 'node:assert/strict';
+import {beforeEach, describe, it} from 'node:test';
+import {errAsync, okAsync} from 'neverthrow';
+import {createLog} from '../../../adapters/log/index.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type RoleOrder} from '../../../ports/server-calls.js';
+import {type FleetView} from '../../../ports/view.js';
+import {keepRoles, type KeepRolesOptions, type RoleKeeper} from './index.js';
+
+const toServer = (id: string, role: ServerEntry['role'], zone: string): ServerEntry => ({
+	id, role, zone, url: `http://10.0.0.1:1/${id}`, pool: 'model', slots: 100, checksFence: false,
+});
+
+const six = [
+	toServer('p1', 'prefill', 'a'), toServer('p2', 'prefill', 'b'), toServer('p3', 'prefill', 'c'), toServer('d1', 'decode', 'a'), toServer('d2', 'decode', 'b'), toServer('d3', 'decode', 'c'),
+];
+
+const toView = (servers: readonly ServerEntry[]): FleetView => ({
+	accepted: {
+		version: {edition: 1, revision: 1, digest: ''}, text: '', config: {
+			zones: [], hosts: [], servers, rules: [], callerTokens: {}, weightStoreBytesPerSecond: 0, pools: [{
+				name: 'model', kind: 'model', model: 'm', version: undefined, adapters: [], classes: [], isUnreported: true, roleChangeMs: 6000,
+			}],
+		},
+	},
+	hosts: new Map(),
+	servers: new Map(),
+	platformConfirmedAt: 0,
+	receivedAt: 0,
+});
+
+type Given = RoleOrder & {server: string; at: number};
+
+let now: number;
+let wall: number;
+let servers: readonly ServerEntry[];
+let isConnected: boolean;
+let isTaken: boolean;
+let orders: Given[];
+
+function start(): RoleKeeper {
+	const assignRole: KeepRolesOptions['assignRole'] = ({id}, order) => {
+		orders.push({...order, server: id, at: now});
+		return isTaken
+			? okAsync(undefined)
+			: errAsync({
+				kind: 'refused', reason: 'other', server: id, message: 'status 409', retryAfterMs: undefined,
+			});
+	};
+
+	return keepRoles({
+		host: 'front-a-1',
+		prefillShare: 0.33,
+		clock: {now: () => now, wallNow: () => wall},
+		log: createLog({
+			level: 'error', program: 'test', host: 'front-a-1', zone: 'a', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
+		}),
+		assignRole,
+		isConnected: () => isConnected,
+		toView: () => toView(servers),
+	});
+}
+
+/** Looks once a second, as the program does. */
+async function passTime(keeper: RoleKeeper, seconds: number): Promise<void> {
+	for (let second = 0; second < seconds; second++) {
+		now += 1000;
+		wall += 1000;
+		await keeper.tick();
+	}
+}
+
+/*
+ * An order costs a server six seconds, and there is no store to hold a lease in:
+ * the one host that gives orders may be killed right after one, cut off from the
+ * platform, or see servers lapse that are back a moment later. Callers would be
+ * refused for want of servers that change roles for nothing.
+ */
+describe('keepRoles', () => {
+	beforeEach(() => {
+		now = 1000;
+		wall = 1_780_000_000_000;
+		servers = six;
+		isConnected = true;
+		isTaken = true;
+		orders = [];
+	});
+
+	it('orders the one prefill server too many, once, and waits for it', async () => {
+		const keeper = start();
+		await passTime(keeper, 5);
+		assert.deepEqual(orders, [], 'not right after its start');
+		await passTime(keeper, 15);
+		assert.deepEqual(orders.map(({server, role, host}) => ({server, role, host})), [{server: 'p1', role: 'decode', host: 'front-a-1'}]);
+	});
+
+	it('gives the order again when it was lost', async () => {
+		isTaken = false;
+		const keeper = start();
+		await passTime(keeper, 40);
+		assert.deepEqual(orders.map(({server}) => server), ['p1', 'p1']);
+		assert.ok(orders[1]!.at - orders[0]!.at >= 26_000);
+	});
+
+	it('gives none while the platform does not answer', async () => {
+		isConnected = false;
+		const keeper = start();
+		await passTime(keeper, 30);
+		assert.deepEqual(orders, []);
+	});
+
+	it('waits ten seconds after a server went away, also one that went before it could order', async () => {
+		const keeper = start();
+		await passTime(keeper, 2);
+		servers = six.filter(({id}) => id !== 'd3');
+		await passTime(keeper, 1);
+		servers = six;
+		await passTime(keeper, 9);
+		assert.deepEqual(orders, []);
+		await passTime(keeper, 2);
+		assert.equal(orders.length, 1);
+	});
+
+	it('numbers an order after a restart higher, though the time of day was set back meanwhile', async () => {
+		isTaken = false;
+		await passTime(start(), 7);
+		wall -= 5000;
+		await passTime(start(), 7);
+		assert.equal(orders.length, 2);
+		assert.ok(orders[1]!.fence > orders[0]!.fence, JSON.stringify(orders));
+	});
+
+	it('numbers orders by the steady clock within one life', async () => {
+		isTaken = false;
+		const keeper = start();
+		await passTime(keeper, 7);
+		wall -= 3_600_000;
+		await passTime(keeper, 30);
+		assert.equal(orders.length, 2);
+		assert.ok(orders[1]!.fence > orders[0]!.fence, JSON.stringify(orders));
+	});
+});
--- /dev/null
+++ b/src/programs/relay/share-loads/test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {afterEach, describe, it} from 'node:test';
+import {createLog} from '../../../adapters/log/index.js';
+import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
+import {shareLoads, type RunningLoadSharing} from './index.js';
+
+const deadlineMs = 10_000;
+const clock = {now: () => performance.now(), wallNow: () => Date.now()};
+const log = createLog({
+	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
+});
+
+async function findAddress(): Promise<string> {
+	const socket = createSocket('udp4');
+	socket.bind(0, '127.0.0.1');
+	await once(socket, 'listening');
+	const {port} = socket.address();
+	socket.close();
+	await once(socket, 'close');
+	return `127.0.0.1:${port}`;
+}
+
+let hosts: RunningLoadSharing[] = [];
+
+async function startHost(name: string, address: string, seeds: readonly string[]): Promise<RunningLoadSharing> {
+	const host = await shareLoads({
+		address, seeds, host: name, zone: 'z', incarnation: 1, clock, log,
+	});
+	hosts.push(host);
+	return host;
+}
+
+/*
+ * Three hosts start with one seed among them, and one of them is lost. Each must
+ * hear of the work of all others, also of those that no seed names, and forget
+ * the work of the lost one, or it would keep its own requests off idle servers.
+ */
+describe('shareLoads', () => {
+	afterEach(async () => {
+		await Promise.all(hosts.map(async host => host.close()));
+		hosts = [];
+	});
+
+	it('finds hosts that only others know, and forgets one that fell silent', async () => {
+		const [first, second, third] = await Promise.all([findAddress(), findAddress(), findAddress()]);
+		const seeds = [first, '127.0.0.1:9'];
+		const a = await startHost('a', first, seeds);
+		const b = await startHost('b', second, seeds);
+		const c = await startHost('c', third, seeds);
+		const speak = (isLost: boolean) => {
+			a.tick([{server: 's', requests: 1, promptTokens: 100}]);
+			b.tick([{server: 's', requests: 2, promptTokens: 0}]);
+			if (!isLost) {
+				c.tick([{server: 's', requests: 4, promptTokens: 0}]);
+			}
+		};
+
+		const readAll = (isLost: boolean) => {
+			speak(isLost);
+			return [a, b, c].map(host => host.read('s', clock.now()).requests).join(' ');
+		};
+
+		await waitUntil(() => readAll(false) === '6 5 3', {deadlineMs, what: 'all to hear of all'});
+		assert.equal(b.read('s', clock.now()).promptTokens, 100);
+		await waitUntil(() => readAll(true).startsWith('2 1'), {deadlineMs, what: 'the silent host to be forgotten'});
+	});
+});
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -13,9 +13,12 @@
 import {type RelaySettings, toZones} from '../../_settings/index.js';
 import {type EngineClient} from '../../_engines/index.js';
 import {type ProgramKeys} from '../../_operations/index.js';
+import {createPlainClients} from '../../entry/_lib/plain-clients.js';
 import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
 import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
 import {followPublished} from '../../entry/follow-published/index.js';
+import {keepRoles} from '../keep-roles/index.js';
+import {shareLoads, type RunningLoadSharing} from '../share-loads/index.js';
 
 export type RelayOptions = Pick<EntryOptions, 'createCalls' | 'callers'> & {
 	settings: RelaySettings;
@@ -72,6 +75,11 @@
 	return Number(address.slice(address.lastIndexOf(':') + 1));
 }
 
+/** Seeds are named by their control addresses; the port for peers is the same on all hosts. */
+function toPeerAddresses(seeds: readonly string[], peerAddress: string): string[] {
+	return seeds.map(seed => `${seed.slice(0, seed.lastIndexOf(':'))}:${toPort(peerAddress)}`);
+}
+
 /** Pools of models are reached through passed-on calls alone here. */
 function createNoEngine(): EngineClient {
 	const refuse = () => errAsync({
@@ -82,6 +90,58 @@
 	};
 }
 
+/** Time between two looks at the roles of servers: what they depend on changes with servers that come and go. */
+const roleTickMs: Milliseconds = msPerSecond;
+
+/** Keeps the roles of servers on the one host that gives orders. */
+function withRoles({settings, clock, log, createCalls}: RelayOptions, entry: Entry, isConnected: () => boolean): Entry {
+	const {controlAddress, ordersFrom, prefillShare, hostId} = settings;
+	if (ordersFrom === undefined || controlAddress !== ordersFrom) {
+		return entry;
+	}
+
+	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
+	const assignRole = createCalls?.(clients.toDispatcher).assignRole;
+	if (assignRole === undefined) {
+		return entry;
+	}
+
+	log.info('this host gives orders to servers');
+	const keeper = keepRoles({
+		host: hostId, prefillShare, clock, log, assignRole, isConnected, toView: entry.view,
+	});
+	const timer = setInterval(() => {
+		void keeper.tick();
+	}, roleTickMs);
+	return {
+		...entry,
+		async stop() {
+			clearInterval(timer);
+			await entry.stop();
+			await clients.close();
+		},
+	};
+}
+
+/** Nothing depends on hearsay, so a host that can't hear others serves alone. */
+async function openSharing({settings, clock, log}: RelayOptions, incarnation: number): Promise<RunningLoadSharing | undefined> {
+	const {
+		peerAddress, seeds, hostId, zone,
+	} = settings;
+	if (peerAddress === undefined) {
+		return undefined;
+	}
+
+	try {
+		return await shareLoads({
+			address: peerAddress, seeds: toPeerAddresses(seeds, peerAddress), host: hostId, zone, incarnation, clock, log,
+		});
+	} catch (error) {
+		log.error('peers can\'t be heard, this host places its requests by what it knows itself', {peerAddress, reason: error instanceof Error ? error.message : String(error), remedy: 'free the address of --peer-address'});
+		return undefined;
+	}
+}
+
 /**
  * Starts the relay.
  *
@@ -93,11 +153,14 @@
 		settings, clock, random, log, source,
 	} = options;
 	const incarnation = clock.wallNow();
+	const loadSharing = await openSharing(options, incarnation);
+	let isConnected = () => false;
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
 			source, zones: toZones(settings.zones), clock, random, log, onView,
 		});
+		isConnected = follower.isConnected;
 		return {
 			peerPort: 0,
 			toView: follower.toView,
@@ -109,7 +172,7 @@
 		};
 	}
 
-	return startEntry({
+	const entry = await startEntry({
 		...options,
 		settings: {
 			...settings,
@@ -125,5 +188,13 @@
 		serverIdleMs: settings.serverIdle,
 		health: relayHealth,
 		createEngine: createNoEngine,
+		...(loadSharing && {loadSharing}),
 	});
+	return withRoles(options, {
+		...entry,
+		async stop() {
+			await entry.stop();
+			await loadSharing?.close();
+		},
+	}, () => isConnected());
 }
--- /dev/null
+++ b/test/contracts/relay-orders.test.ts
@@ -0,0 +1,57 @@
+/** Orders to the users' servers, as the relay gives them. */
+import assert from 'node:assert/strict';
+import {
+	afterEach, beforeEach, describe, it,
+} from 'node:test';
+import {createServerCalls} from '../../platform/server-calls.js';
+import {createHttpAgent} from '../../src/adapters/_lib/create-http-agent/index.js';
+import {type ServerEntry} from '../../src/ports/config.js';
+import {startServerStandIn, type ServerStandIn} from '../stand-ins/users-platform/server.js';
+import {startRelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+
+let server: ServerStandIn;
+const dispatcher = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+const calls = createServerCalls(() => dispatcher);
+
+const toEntry = (): ServerEntry => ({
+	id: server.id, zone: 'a', url: `http://${server.address}`, role: 'prefill', pool: 'model', slots: 8, checksFence: false,
+});
+
+describe('orders to servers', () => {
+	beforeEach(async () => {
+		server = await startServerStandIn({id: 'prefill1'});
+	});
+	afterEach(async () => server.close());
+
+	it('name the role, the host that gives them, their number, and the one start of the server that is meant', async () => {
+		const done = await calls.assignRole!(toEntry(), {role: 'decode', host: 'front-a-1', fence: 41});
+		assert.ok(done.isOk());
+		const [order] = server.arrivals;
+		assert.deepEqual(JSON.parse(order!.body), {
+			op: 'stage', stage: 'decode', holder: 'front-a-1', fence: 41,
+		});
+		assert.equal(order!.headers['expect-instance'], 'prefill1');
+	});
+
+	it('fail with a word while another is in progress', async () => {
+		server.setBusy(true);
+		const done = await calls.assignRole!(toEntry(), {role: 'decode', host: 'front-a-1', fence: 41});
+		assert.equal(done._unsafeUnwrapErr().message, 'status 409');
+	});
+});
+
+describe('a relay that gives orders', () => {
+	it('tells a prefill server too many to generate answers', async () => {
+		const fixture = await startRelayFixture();
+		try {
+			const {servers, publishServer} = fixture;
+			publishServer(servers.decode2, {stage: 'prefill'});
+			const ordered = () => Object.values(servers).flatMap(({id, arrivals}) => arrivals.filter(({step}) => step === 'order').map(() => id));
+			const [first] = await waitUntil(() => ordered().length > 0 && ordered(), {deadlineMs: 20_000, what: 'an order'});
+			assert.ok(['decode2', 'prefill2'].includes(first!), 'of the zone that has two prefill servers');
+		} finally {
+			await fixture.stop();
+		}
+	});
+});
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -7,7 +7,7 @@
 
 /** One request that reached the server, or one of its own calls. */
 export type Arrival = {
-	step: 'whole' | 'prefill' | 'decode' | 'reserve' | 'release' | 'drop-cache';
+	step: 'whole' | 'prefill' | 'decode' | 'reserve' | 'release' | 'drop-cache' | 'order';
 	method: string;
 	target: string;
 	headers: IncomingMessage['headers'];
@@ -30,6 +30,8 @@
 	misbehave: (...misdeeds: Misdeed[]) => void;
 	/** Tokens that are free for reservations; endless unless set. */
 	setFreeTokens: (tokens: number) => void;
+	/** Whether an order is in progress, so that no other is taken. */
+	setBusy: (isBusy: boolean) => void;
 	/** Reservations that nobody used or gave back. */
 	reservations: () => number;
 	close: () => Promise<void>;
@@ -67,6 +69,7 @@
 	const arrivals: Arrival[] = [];
 	const reservations = new Map<string, number>();
 	let freeTokens = Infinity;
+	let isBusy = false;
 	let made = 0;
 
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
@@ -160,6 +163,10 @@
 			return 'reserve';
 		}
 
+		if (url === '/-/order') {
+			return 'order';
+		}
+
 		if (method === 'DELETE' && url?.startsWith('/-/') === true) {
 			return url.startsWith('/-/hold-drop/') ? 'release' : 'drop-cache';
 		}
@@ -187,6 +194,11 @@
 			return;
 		}
 
+		if (step === 'order') {
+			answer(res, isBusy ? 409 : 202, {});
+			return;
+		}
+
 		if (step === 'release' || step === 'drop-cache') {
 			free(name);
 			caches.delete(`${address}/${name}`);
@@ -240,6 +252,9 @@
 		setFreeTokens(tokens) {
 			freeTokens = tokens;
 		},
+		setBusy(next) {
+			isBusy = next;
+		},
 		reservations: () => reservations.size,
 		async close() {
 			server.closeAllConnections();
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -70,7 +70,9 @@
 		name: 'spare', health_path: '/health', max_connections: 100,
 	},
 	{
-		name: 'model', health_path: '/health', max_connections: 100, engine: {kv_capacity_tokens: 40_000, hold_ms: 2000, models: [{name: 'm'}]},
+		name: 'model', health_path: '/health', max_connections: 100, engine: {
+			kv_capacity_tokens: 40_000, hold_ms: 2000, switch_s: 6, models: [{name: 'm'}],
+		},
 	},
 ];
 
@@ -159,6 +161,8 @@
 		argv: [], env: {
 			BANYANPORT_HOST_ID: 'front-a-1', BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
 			BANYANPORT_RETRY_SLACK: '400',
+			BANYANPORT_CONTROL_ADDRESS: '127.0.0.1:7990',
+			BANYANPORT_ORDERS_FROM: '127.0.0.1:7990',
 		},
 	})._unsafeUnwrap().values;
 
