--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -62,8 +62,8 @@
 export type RetryBudget = {
 	/** Notes a request that ended well; it pays for a part of a retry. */
 	noteSuccess: (now: Milliseconds) => void;
-	/** Whether {@link RetryBudget.takeRetry} would retry; spends nothing. */
-	isRetryAllowed: (failed: FailedAttempt, now: Milliseconds) => boolean;
+	/** Why {@link RetryBudget.takeRetry} would not retry, `undefined` if it would; spends nothing. */
+	findNoRetry: (failed: FailedAttempt, now: Milliseconds) => NoRetryReason | undefined;
 	/** Decides, and spends from the budget when the answer is `retry`. */
 	takeRetry: (failed: FailedAttempt, now: Milliseconds, random: Random) => RetryAnswer;
 	/** Retries that the bucket holds. */
@@ -125,7 +125,7 @@
 			fill(now);
 			tokens = Math.min(capacity, tokens + perSuccess);
 		},
-		isRetryAllowed: (failed, now) => findReason(failed, now) === undefined,
+		findNoRetry: findReason,
 		takeRetry(failed, now, random) {
 			const reason = findReason(failed, now);
 			if (reason !== undefined) {
--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -36,7 +36,7 @@
 			const budget = createRetryBudget();
 			const answer = budget.takeRetry(failed, now, half);
 			assert.equal(answer.kind === 'retry' ? answer.kind : answer.reason, expected);
-			assert.equal(createRetryBudget().isRetryAllowed(failed, now), expected === 'retry');
+			assert.equal(createRetryBudget().findNoRetry(failed, now) ?? 'retry', expected);
 		});
 	}
 
--- a/src/programs/_operations/start-operations.ts
+++ b/src/programs/_operations/start-operations.ts
@@ -1,8 +1,8 @@
-import {type Result} from 'neverthrow';
+import {ok, type Result} from 'neverthrow';
 import {type Log} from '../../adapters/log/index.js';
 import {type Metrics} from '../../adapters/metrics/index.js';
 import {
-	startOperatorServer, type OperatorServer, type OperatorServerFault, type OperatorSources, type ReadinessReason,
+	startOperatorServer, type OperatorServer, type OperatorServerFault, type OperatorServerOptions, type OperatorSources, type ReadinessReason,
 } from '../../adapters/operator-http/index.js';
 import {type ProgramKeys} from './load-program-keys.js';
 
@@ -12,6 +12,7 @@
 		operatorBind?: string | undefined;
 		operatorPort: number;
 		operatorToken?: string | undefined;
+		metricsPort?: number | undefined;
 	};
 	log: Log;
 	metrics: Metrics;
@@ -44,9 +45,8 @@
 	const {settings, log, metrics, keys} = options;
 	const readyGauge = metrics.createGauge({name: 'ready', help: 'Whether the program takes requests: 1 or 0.'});
 	metrics.createSampledCounter({name: 'log_lines_dropped_total', help: 'Log lines dropped because standard output took none.', sample: log.droppedCount});
-	return startOperatorServer({
+	const sources: Omit<OperatorServerOptions, 'port'> = {
 		bind: settings.operatorBind ?? settings.bind,
-		port: settings.operatorPort,
 		token: settings.operatorToken,
 		keys: keys?.operator,
 		readiness() {
@@ -66,5 +66,25 @@
 		onFault(path, error) {
 			log.error('a report for operators failed', {route: path, cause: error instanceof Error ? error.stack ?? error.message : String(error)});
 		},
+	};
+	const main = await startOperatorServer({...sources, port: settings.operatorPort});
+	if (main.isErr() || settings.metricsPort === undefined) {
+		return main;
+	}
+
+	const extra = await startOperatorServer({...sources, port: settings.metricsPort});
+	return extra.match(({close}) => ok(withExtra(main.value, close)), fault => {
+		// A collector that finds nothing must not keep callers out.
+		log.error('the port for metrics can\'t be opened, they are served on the operators\' port alone', {reason: fault.message});
+		return main;
 	});
 }
+
+function withExtra(main: OperatorServer, closeExtra: OperatorServer['close']): OperatorServer {
+	return {
+		port: main.port,
+		async close(timeout) {
+			await Promise.all([main.close(timeout), closeExtra(timeout)]);
+		},
+	};
+}
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -25,6 +25,9 @@
 	operatorAddress: {
 		type: 'address', required: true, group: 'Addresses', description: 'Where operators and the balancer ask for readiness.',
 	},
+	metricsPort: {
+		type: 'port', group: 'Addresses', description: 'A second port for operators, for collectors that know one port for all hosts.',
+	},
 	platformAddress: {
 		type: 'address', required: true, group: 'Addresses', description: 'Where rules and backend servers are published.',
 	},
--- a/src/programs/cli/run-cli/index.ts
+++ b/src/programs/cli/run-cli/index.ts
@@ -9,11 +9,13 @@
 import {runCheck} from '../run-check/index.js';
 import {runDiff} from '../run-diff/index.js';
 import {runExplain} from '../run-explain/index.js';
+import {runExplainRequest} from '../run-explain-request/index.js';
 import {runSeal} from '../run-seal/index.js';
 import {runSettings, type SettingsProgram} from '../run-settings/index.js';
 import {runSlo} from '../run-slo/index.js';
 import {runSplit} from '../run-split/index.js';
 import {runStatus} from '../run-status/index.js';
+import {runTimeline} from '../run-timeline/index.js';
 
 const exitCodeHelp = `
 Exit codes: 0 fine; 1 faults found; 2 the command was written wrongly;
@@ -67,6 +69,7 @@
 	addDocumentCommands(program, io, finish);
 	addExplain(program, io, finish);
 	addHostCommands(program, io, finish);
+	addLogCommands(program, io, finish);
 	addSettings(program, io, finish);
 	return {program, end: () => code};
 }
@@ -197,6 +200,28 @@
 		});
 }
 
+function addLogCommands(program: Command, io: CliIo, finish: Finish): void {
+	const logHelp = 'log files of one or several hosts';
+	program.command('explain-request')
+		.description('Tell what became of one request, from the log lines of all hosts.')
+		.argument('<file...>', logHelp)
+		.requiredOption('--id <request-id>', 'id that the caller sent or was told')
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport explain-request front-a-1.log front-b-1.log --id 9c41d07be2a35f68'))
+		.action(async (files: readonly string[], options: {id: string; json: boolean}) => {
+			finish(await runExplainRequest(io, files, options));
+		});
+
+	program.command('timeline')
+		.description('Show what hosts believed when, from their log lines: one row a change, with the first and the last host to know.')
+		.argument('<file...>', logHelp)
+		.option('--json', jsonHelp, false)
+		.addHelpText('after', toExamples('banyanport timeline front-a-1.log front-b-1.log'))
+		.action(async (files: readonly string[], options: {json: boolean}) => {
+			finish(await runTimeline(io, files, options));
+		});
+}
+
 function toHostOptions({ca, timeout, json}: HostFlags) {
 	return {caFile: ca, timeout: timeout * 1000, json};
 }
@@ -204,7 +229,7 @@
 function addSettings(program: Command, io: CliIo, finish: Finish): void {
 	program.command('settings')
 		.description('List every setting of a program with default, unit, value and source.')
-		.addArgument(new Argument('<program>', 'which program').choices(['entry', 'agent']))
+		.addArgument(new Argument('<program>', 'which program').choices(['entry', 'agent', 'relay']))
 		.argument('[flags...]', 'flags of the program after "--", which are then checked too')
 		.option('--json', jsonHelp, false)
 		.addHelpText('after', toExamples('banyanport settings entry', 'banyanport settings agent -- --host-id dvorana-a-1 --zone dvorana-a'))
--- a/src/programs/cli/run-cli/test.ts
+++ b/src/programs/cli/run-cli/test.ts
@@ -50,6 +50,16 @@
 const files = {'a.yaml': naslovnik, 'b.yaml': naslovnik.replace('promptTokensBelow: 2000', 'promptTokensBelow: 3000'), 'faulty.yaml': faulty};
 const slo = {version: 1, hosts: ['a-1'], series: []};
 
+const toLog = (at: number, host: string, message: string, fields: Readonly<Record<string, unknown>> = {}): string =>
+	`${JSON.stringify({
+		level: 'info', message, time: new Date(at).toISOString(), host, ...fields,
+	})}\n`;
+
+const logFiles = {
+	'a.log': `${toLog(0, 'a', 'server changed', {server: 's1', state: 'gone'})}${toLog(10, 'a', 'request received', {requestId: 'r1'})}${toLog(20, 'a', 'no place', {requestId: 'r1', server: 's1'})}${toLog(30, 'a', 'every server is full', {requestId: 'r1'})}${toLog(900, 'a', 'request ended', {requestId: 'r1', reason: 'no-capacity'})}`,
+	'b.log': `collected: ${toLog(400, 'b', 'server changed', {server: 's1', state: 'gone'})}nonsense\n`,
+};
+
 describe('runCli', () => {
 	const cases: Array<[args: string, code: number, text: RegExp, documents?: Readonly<Record<string, unknown>>]> = [
 		['check a.yaml', 0, /^a\.yaml: valid \(plain\): 6 rules, 17 servers, 8 hosts, 4 zones\n$/],
@@ -93,6 +103,28 @@
 		});
 	}
 
+	const logCases: Array<[args: string, code: number, text: RegExp]> = [
+		['explain-request a.log b.log --id r1', 0, /1 lines are not log lines[^]*~ +-10 ms {2}a {2}server changed[^]*no-capacity: [^]*every decode server was full/],
+		['explain-request a.log --id r2', 1, /no line names r2/],
+		['explain-request a.log', 2, /required option '--id/],
+		['explain-request gone.log --id r1', 3, /gone\.log can't be read/],
+		['timeline a.log b.log', 0, /server changed {2}server=s1 state=gone {2}a b \(all within 400 ms\)/],
+		['timeline a.log --json', 0, /"hosts": \[/],
+	];
+	for (const [args, code, text] of logCases) {
+		it(`ends "banyanport ${args}" with ${code}`, async () => {
+			const result = await run(args.split(' '), logFiles);
+			assert.equal(result.code, code, result.out + result.errors);
+			assert.match(result.errors + result.out, text);
+		});
+	}
+
+	it('lists the settings of the relay', async () => {
+		const {code, out} = await run(['settings', 'relay']);
+		assert.equal(code, 0);
+		assert.match(out, /--orders-from/);
+	});
+
 	for (const [name, text] of Object.entries({naslovnik, glossworks})) {
 		it(`accepts the example of ${name}`, async () => {
 			const {code} = await run(['check', 'example.yaml'], {'example.yaml': text});
--- a/src/programs/cli/run-settings/index.ts
+++ b/src/programs/cli/run-settings/index.ts
@@ -4,13 +4,13 @@
 	formatSettingFaults, listSettings, parseSettings, type SettingFault, type SettingRow,
 } from '../../../adapters/settings/index.js';
 import {
-	agentSettings, checkAgentSettings, checkEntrySettings, entrySettings,
+	agentSettings, checkAgentSettings, checkEntrySettings, checkRelaySettings, entrySettings, relaySettings,
 } from '../../_settings/index.js';
 import {
 	type CliIo, type CommandResult, exitCodes, toJsonText,
 } from '../_lib/io.js';
 
-export type SettingsProgram = 'entry' | 'agent';
+export type SettingsProgram = 'entry' | 'agent' | 'relay';
 
 /**
  * Lists the settings of a program, with the values that it would start with
@@ -22,7 +22,7 @@
  * @returns 0, or 1 when flags or environment are wrong; missing settings are no fault unless flags are given.
  */
 export async function runSettings(io: CliIo, program: SettingsProgram, options: {flags: readonly string[]; json: boolean}): Promise<CommandResult> {
-	const {rows, faults} = program === 'entry' ? listEntry(io, options.flags) : listAgent(io, options.flags);
+	const {rows, faults} = listings[program](io, options.flags);
 	const shownFaults = options.flags.length > 0 ? faults : [];
 	io.write(options.json ? toJsonText({program, settings: rows, faults: shownFaults}) : toText(rows));
 	if (shownFaults.length > 0 && !options.json) {
@@ -46,6 +46,16 @@
 	}).match<Listing>(parsed => ({rows: listSettings(agentSettings, parsed), faults: []}), faults => ({rows: listSettings(agentSettings), faults}));
 }
 
+function listRelay({env}: CliIo, argv: readonly string[]): Listing {
+	return parseSettings(relaySettings, {
+		argv, env, otherTables: [entrySettings, agentSettings], check: checkRelaySettings,
+	}).match<Listing>(parsed => ({rows: listSettings(relaySettings, parsed), faults: []}), faults => ({rows: listSettings(relaySettings), faults}));
+}
+
+const listings: Readonly<Record<SettingsProgram, (io: CliIo, argv: readonly string[]) => Listing>> = {
+	entry: listEntry, agent: listAgent, relay: listRelay,
+};
+
 function toText(rows: readonly SettingRow[]): string {
 	return rows.map(row => [
 		`${row.flag}  (${row.env})`,
--- a/src/programs/entry/call-plain/_lib/decide-again.ts
+++ b/src/programs/entry/call-plain/_lib/decide-again.ts
@@ -1,5 +1,5 @@
 /** Whether a request that failed at one server goes to another. */
-import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
+import {type FailedAttempt, type NoRetryReason} from '../../../../domain/create-retry-budget/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type PlainFault} from '../../send-plain/index.js';
 import {type PlainRun} from './types.js';
@@ -43,24 +43,28 @@
 }
 
 /**
- * Tells whether the request may go to another server after the answer that has
- * just begun. A failed answer is passed on unless it may: an answer of its
- * server is worth more to a caller than a refusal of ours.
+ * Tells what keeps the request from another server after the answer that has
+ * just begun. A failed answer is passed on then: an answer of its server is
+ * worth more to a caller than a refusal of ours.
  *
  * @param run - The request; its present call is not counted in `sent` yet.
- * @returns Whether the answer should be let go.
+ * @returns The reason; `undefined` if the answer may be let go.
  */
-export function isAgainAllowed(run: PlainRun): boolean {
+export function findNoAgain(run: PlainRun): NoRetryReason | 'own-answer' | undefined {
 	const {services} = run.serve;
 	// Own callers without relay terms get what their service answers.
-	if (run.route.rule.then.relay === undefined || !isRepeatable(run) || !canSendAgain(run)) {
-		return false;
+	if (run.route.rule.then.relay === undefined) {
+		return 'own-answer';
+	}
+
+	if (!isRepeatable(run) || !canSendAgain(run)) {
+		return 'not-repeatable';
 	}
 
 	const failed = toFailedAttempt(run, {
 		hasRun: true, isOffered: true, isStarted: true, sent: run.sent + 1,
 	});
-	return services.toRetryBudget(run.route.pool.name).isRetryAllowed(failed, services.clock.now());
+	return services.toRetryBudget(run.route.pool.name).findNoRetry(failed, services.clock.now());
 }
 
 /**
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -3,7 +3,7 @@
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
-import {isAgainAllowed} from './decide-again.js';
+import {findNoAgain} from './decide-again.js';
 import {type PlainRun} from './types.js';
 
 /** Targets of silence after which another server is tried: three times as long as answers that are in time take at most. */
@@ -52,7 +52,17 @@
 
 	// Another answer than a stream has no place behind the part that the caller has.
 	const isMisfit = run.events?.hasBegun === true && status !== 200;
-	return isMisfit || (status >= firstServerFault && isAgainAllowed(run)) ? {kind: 'failed-answer', message: `status ${status}`} : undefined;
+	if (!isMisfit && status < firstServerFault) {
+		return undefined;
+	}
+
+	const noAgain = isMisfit ? undefined : findNoAgain(run);
+	if (noAgain === undefined) {
+		return {kind: 'failed-answer', message: `status ${status}`};
+	}
+
+	run.log.info('failed answer passed on', {status, attempt: run.tried.length + 1, reason: noAgain});
+	return undefined;
 }
 
 /**
@@ -100,7 +110,7 @@
  * that went dead, would hold it until its caller leaves.
  */
 function createSilence(run: PlainRun): {signal: AbortSignal; end: () => void} {
-	if (!isAgainAllowed(run)) {
+	if (findNoAgain(run) !== undefined) {
 		return {signal: run.signal, end: () => undefined};
 	}
 
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -74,7 +74,7 @@
 };
 
 /** Settings that every entry needs, however it learns of the fleet. */
-export type EntryCoreSettings = Omit<EntrySettings, 'agentAddress' | 'peerPort' | 'clockBound' | 'keptAnswerBytes' | 'keptAnswerAge'>;
+export type EntryCoreSettings = Omit<EntrySettings, 'agentAddress' | 'peerPort' | 'clockBound' | 'keptAnswerBytes' | 'keptAnswerAge'> & {metricsPort?: number | undefined};
 
 export type Entry = {
 	callerPort: number;
