--- a/src/domain/create-doubts/index.ts
+++ b/src/domain/create-doubts/index.ts
@@ -16,11 +16,18 @@
 /** Servers of a zone that must be in doubt for the way to the zone to be: one may have failed by itself. */
 const zoneServers = 2;
 
+export type DoubtsOptions = {
+	/** Zone of the host, to which the way is never in doubt. */
+	zone: ZoneId;
+	/** Whether the hosts of a zone, which spoke before, have fallen silent. */
+	isZoneSilent?: (zone: ZoneId, now: Milliseconds) => boolean;
+};
+
 type Doubt = {zone: ZoneId; failures: number; until: Milliseconds};
 
 export type Doubts = {
 	noteFailure: (server: ServerEntry, now: Milliseconds) => void;
-	noteSuccess: (server: ServerId) => void;
+	noteSuccess: (server: ServerEntry, now: Milliseconds) => void;
 	/** 0 for a server that nothing speaks against, 1 in a zone in doubt, 2 in doubt itself. */
 	toLevel: (server: ServerEntry, now: Milliseconds) => 0 | 1 | 2;
 	/** Drops what is known of servers that are no longer published. */
@@ -30,36 +37,59 @@
 /**
  * Creates the record of one host.
  *
- * @param zone - Zone of the host, to which the way is never in doubt.
+ * @param options - Zone of the host, and what is heard of others.
  * @returns Functions that note and tell; `now` is monotonic milliseconds.
  *
  * @example
  * ```ts
- * const doubts = createDoubts('dvorana-a');
+ * const doubts = createDoubts({zone: 'dvorana-a'});
  * doubts.noteFailure(server, 0);
  * doubts.toLevel(server, 500); // => 2
  * doubts.toLevel(server, 1500); // => 0
  * ```
  */
-export function createDoubts(zone: ZoneId): Doubts {
+export function createDoubts({zone, isZoneSilent = () => false}: DoubtsOptions): Doubts {
 	const doubts = new Map<ServerId, Doubt>();
+	const failedAt = new Map<ZoneId, Milliseconds>();
+	const succeededAt = new Map<ZoneId, Milliseconds>();
+
+	/**
+	 * Behind a cut neither hosts nor servers of the zone answer. Silent hosts alone
+	 * may have been killed while the servers serve, and a server that failed may
+	 * have crashed by itself; both together hold until either is heard again. With
+	 * doubts of servers alone, which end after a second, the hosts of a zone that
+	 * was cut off for six tried what lay behind the cut a hundred times, 300 ms each.
+	 */
+	function isCutOff(other: ZoneId, now: Milliseconds): boolean {
+		return (failedAt.get(other) ?? -Infinity) > (succeededAt.get(other) ?? -Infinity) && isZoneSilent(other, now);
+	}
 
 	function isZoneDoubted(other: ZoneId, now: Milliseconds): boolean {
+		if (other === zone) {
+			return false;
+		}
+
+		if (isCutOff(other, now)) {
+			return true;
+		}
+
 		let count = 0;
 		for (const doubt of doubts.values()) {
 			count += doubt.zone === other && doubt.until > now ? 1 : 0;
 		}
 
-		return other !== zone && count >= zoneServers;
+		return count >= zoneServers;
 	}
 
 	return {
 		noteFailure(server, now) {
+			failedAt.set(server.zone, now);
 			const failures = (doubts.get(server.id)?.failures ?? 0) + 1;
 			doubts.set(server.id, {zone: server.zone, failures, until: now + Math.min(maxDoubtMs, firstDoubtMs * (2 ** (failures - 1)))});
 		},
-		noteSuccess(server) {
-			doubts.delete(server);
+		noteSuccess(server, now) {
+			succeededAt.set(server.zone, now);
+			doubts.delete(server.id);
 		},
 		toLevel(server, now) {
 			const isDoubted = (doubts.get(server.id)?.until ?? -Infinity) > now;
--- a/src/domain/create-doubts/test.ts
+++ b/src/domain/create-doubts/test.ts
@@ -9,7 +9,7 @@
 
 describe('createDoubts', () => {
 	it('doubts a server for a second, and longer each time it fails again', () => {
-		const doubts = createDoubts('a');
+		const doubts = createDoubts({zone: 'a'});
 		const server = toServer('s1', 'b');
 		doubts.noteFailure(server, 0);
 		assert.deepEqual([500, 1500].map(now => doubts.toLevel(server, now)), [2, 0]);
@@ -18,10 +18,10 @@
 	});
 
 	it('ends with one success', () => {
-		const doubts = createDoubts('a');
+		const doubts = createDoubts({zone: 'a'});
 		const server = toServer('s1', 'b');
 		doubts.noteFailure(server, 0);
-		doubts.noteSuccess('s1');
+		doubts.noteSuccess(server, 50);
 		assert.equal(doubts.toLevel(server, 100), 0);
 	});
 
@@ -30,7 +30,7 @@
 	 * silent server of that zone after the other, though the own zone serves.
 	 */
 	it('doubts a whole zone once two of its servers failed, and never its own', () => {
-		const doubts = createDoubts('a');
+		const doubts = createDoubts({zone: 'a'});
 		for (const id of ['b1', 'b2']) {
 			assert.equal(doubts.toLevel(toServer('b3', 'b'), 0), 0);
 			doubts.noteFailure(toServer(id, 'b'), 0);
@@ -43,8 +43,30 @@
 		assert.equal(doubts.toLevel(toServer('a3', 'a'), 100), 0);
 	});
 
+	/*
+	 * A zone is cut off for six seconds. Its hosts fall silent and its servers too;
+	 * a doubt of a server ends after a second, and each request after that would
+	 * wait for silent servers again.
+	 */
+	it('doubts a zone whose hosts fell silent after a server of it failed, until either is heard', () => {
+		let isSilent = false;
+		const doubts = createDoubts({zone: 'a', isZoneSilent: zone => zone === 'b' && isSilent});
+		const [b1, b2] = [toServer('b1', 'b'), toServer('b2', 'b')];
+		doubts.noteSuccess(b2, 0);
+		isSilent = true;
+		assert.equal(doubts.toLevel(b2, 100), 0, 'its hosts may have been killed alone');
+		doubts.noteFailure(b1, 200);
+		assert.equal(doubts.toLevel(b2, 300), 1);
+		assert.equal(doubts.toLevel(b2, 5000), 1);
+		isSilent = false;
+		assert.equal(doubts.toLevel(b2, 5100), 0);
+		isSilent = true;
+		doubts.noteSuccess(b1, 5200);
+		assert.equal(doubts.toLevel(b2, 5300), 0);
+	});
+
 	it('forgets servers that are no longer published', () => {
-		const doubts = createDoubts('a');
+		const doubts = createDoubts({zone: 'a'});
 		const server = toServer('s1', 'b');
 		doubts.noteFailure(server, 0);
 		doubts.keepOnly(new Set());
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -109,7 +109,7 @@
 			if (progress !== undefined) {
 				running.set(placement, {...progress, isReserved: true});
 				health.noteSuccess(toSubject(placement.decode), now);
-				doubts.noteSuccess(placement.decode.id);
+				doubts.noteSuccess(placement.decode, now);
 			}
 		},
 		/** The prefill is done and its transfer begins. */
@@ -134,7 +134,7 @@
 			prefixes.noteFeedback(placement.prefill.id, placement.prefixBlocks, Math.floor(result.cachedTokens / tokensPerBlock));
 			prefixes.note(placement.prefill.id, placement.prefixBlocks);
 			health.noteSuccess(toSubject(placement.prefill), now);
-			doubts.noteSuccess(placement.prefill.id);
+			doubts.noteSuccess(placement.prefill, now);
 			health.noteSlowness(toSubject(placement.prefill), toSlowness(now - progress.dispatchedAt, placement.predictedPrefillMs), now);
 		},
 		/** The first token (or the first byte of a plain answer) came. */
@@ -146,7 +146,7 @@
 
 			if (placement.kind === 'plain') {
 				health.noteSuccess(toSubject(placement.server), now);
-				doubts.noteSuccess(placement.server.id);
+				doubts.noteSuccess(placement.server, now);
 				return;
 			}
 
--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -74,6 +74,7 @@
 		readAll(search.servers.decode, search, isLastResort).filter(({entry}) => {
 			const isFull = loads.isFullSince(entry.id, search.now - fullForMs);
 			search.met.full ||= isFull;
+			search.met.isSoundFull ||= isFull && doubts.toLevel(entry, search.now) === 0;
 			return !isFull;
 		});
 
@@ -96,7 +97,8 @@
 		const decodes = readDecodes(search, isLastResort);
 		// Chance breaks ties, or all hosts that start empty would send to the same server.
 		const decode = takeLeast(decodes, ({entry, load}) => load.own + readOthers(entry.id, now).requests + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2) + (doubts.toLevel(entry, now) * doubtRequests));
-		if (decode === undefined) {
+		// Room comes back at a full server within the time that one behind a cut takes to be given up.
+		if (decode === undefined || (search.met.isSoundFull && doubts.toLevel(decode.entry, now) > 0)) {
 			return undefined;
 		}
 
--- a/src/domain/create-placement/_lib/search-types.ts
+++ b/src/domain/create-placement/_lib/search-types.ts
@@ -36,6 +36,8 @@
 /** Why servers were passed over so far, as far as that decides how to go on. */
 export type Met = {
 	full: boolean;
+	/** A full server that nothing else speaks against. */
+	isSoundFull: boolean;
 	soft: boolean;
 	/** A server that can't be reached or was ejected. */
 	lost: boolean;
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -120,6 +120,8 @@
 	maxPrefixBlocks?: number;
 	/** What other hosts have under way at a server, where hosts tell each other. */
 	readOthers?: SharedLoads['read'];
+	/** Whether the hosts of another zone fell silent, where hosts talk to each other. */
+	isZoneSilent?: SharedLoads['isZoneSilent'];
 };
 
 export type PickPair = (request: PlacementRequest, view: FleetView, now: Milliseconds, random: Random) => Result<Placement, PlacementRefusal>;
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -32,7 +32,9 @@
 import {createUnreportedSearch} from './_lib/create-unreported-search.js';
 import {type Search} from './_lib/search-types.js';
 import {type Pair} from './_lib/to-best-pair.js';
-import {type PoolIndex, type RoleServers, toPoolIndex} from './_lib/to-pool-index.js';
+import {
+	type PoolIndex, type PoolServers, type RoleServers, toPoolIndex,
+} from './_lib/to-pool-index.js';
 import {noServerRetryAfterMs, toLookupRefusal, toRefusal} from './_lib/to-refusal.js';
 import {
 	type PickPair, type PickPlain, type Placement, type PlacementAccount, type PlacementOptions, type PlacementRefusal, type PlacementRequest, type PlainRequest,
@@ -92,7 +94,7 @@
 	const pace = createTokenPace();
 	const lengths = createAnswerLengths();
 	const subsets = createSubsets({zone, host: options.host});
-	const doubts = createDoubts(zone);
+	const doubts = createDoubts({zone, ...(options.isZoneSilent && {isZoneSilent: options.isZoneSilent})});
 	const promptPace = createPromptPace();
 	let index: PoolIndex | undefined;
 	let indexKey = '';
@@ -179,7 +181,7 @@
 			now,
 			random,
 			met: {
-				full: false, soft: false, lost: false, neverReported: false,
+				full: false, isSoundFull: false, soft: false, lost: false, neverReported: false,
 			},
 		};
 	};
@@ -254,9 +256,17 @@
 			: ok({kind: 'plain', server: best.entry, account: () => pairs.toAccount(search, roles, [best.entry.id])});
 	};
 
+	/** Servers of a pool that answer requests; a prompt can be computed by any of them. */
+	const toAnswering = ({plain, decode}: PoolServers): readonly ServerEntry[] => [...plain.all, ...decode.all];
+
 	return {
 		pick,
 		pickPlain,
+		/** Whether some pool has servers, and something speaks against each of them. */
+		isOutOfReach(view: FleetView, now: Milliseconds): boolean {
+			const pools = [...toIndex(view)?.pools.values() ?? []].map(pool => toAnswering(pool));
+			return pools.some(servers => servers.length > 0 && servers.every(server => doubts.toLevel(server, now) > 0));
+		},
 		/** What this host has under way at each server. */
 		ownLoads: loads.ownLoads,
 		...createNotes({
--- a/src/domain/create-placement/unreported.test.ts
+++ b/src/domain/create-placement/unreported.test.ts
@@ -70,6 +70,57 @@
 		assert.ok(placement.pick(request, toView(all), 1100, random).isOk());
 	});
 
+	/*
+	 * A zone is cut off and has no server of one pool. Its hosts refuse every caller
+	 * of that pool, though hosts of other zones could serve them.
+	 */
+	it('knows that a pool is out of reach once something speaks against all of its servers', () => {
+		const placement = createPlacement({zone: 'c', isZoneSilent: () => true});
+		const view = toView(all);
+		assert.equal(placement.isOutOfReach(view, 1000), false);
+		placement.noteFailure(findServer('d1-a'), {kind: 'unreachable', reason: undefined}, 1000);
+		assert.equal(placement.isOutOfReach(view, 1100), false);
+		placement.noteFailure(findServer('d1-b'), {kind: 'unreachable', reason: undefined}, 1000);
+		assert.equal(placement.isOutOfReach(view, 1100), true);
+		assert.equal(placement.isOutOfReach(view, 9000), true, 'also when no request has tried for a while');
+		assert.equal(placement.isOutOfReach(toView([]), 1100), false, 'a pool without servers is nobody\'s fault here');
+	});
+
+	it('waits for room at a sound server rather than try one that just failed', () => {
+		const placement = createPlacement({zone: 'a'});
+		const random = createRandom();
+		placement.noteFailure(findServer('d1-b'), {kind: 'broken', reason: undefined}, 1000);
+		placement.noteFailure(findServer('p-b'), {kind: 'broken', reason: undefined}, 1000);
+		for (const id of ['d1-a', 'd2-a']) {
+			placement.noteFailure(findServer(id), {kind: 'refused', reason: 'full'}, 1000);
+		}
+
+		assert.equal(placement.pick(request, toView(all), 1010, random)._unsafeUnwrapErr().reason, 'no-memory');
+	});
+
+	it('leaves out a zone of which neither hosts nor servers answer', () => {
+		const placement = createPlacement({zone: 'a', isZoneSilent: zone => zone === 'b'});
+		const random = createRandom();
+		placement.noteFailure(findServer('d1-b'), {kind: 'broken', reason: undefined}, 1000);
+		for (let i = 0; i < 20; i++) {
+			const picked = placement.pick(request, toView(all), 4000 + i, random)._unsafeUnwrap();
+			placement.noteDispatched(picked, 4000 + i);
+			assert.equal(picked.decode.zone, 'a');
+		}
+	});
+
+	it('sends a prompt where neither this host nor another one has any', () => {
+		const placement = createPlacement({zone: 'a', readOthers: server => ({requests: 0, promptTokens: server === 'p-a' ? 9000 : 0})});
+		const picked = placement.pick(request, toView(all), 1000, createRandom())._unsafeUnwrap();
+		assert.equal(picked.prefill.id, 'p-b');
+	});
+
+	it('has a decode server compute its prompt where the queues of all prefill servers are long', () => {
+		const placement = createPlacement({zone: 'a', readOthers: server => ({requests: 0, promptTokens: server.startsWith('p-') ? 60_000 : 0})});
+		const picked = placement.pick(request, toView(all), 1000, createRandom())._unsafeUnwrap();
+		assert.equal(picked.prefill.id, picked.decode.id);
+	});
+
 	it('tries a zone last of which two servers could not be reached', () => {
 		const placement = createPlacement({zone: 'a'});
 		const random = createRandom();
--- a/src/domain/create-shared-loads/index.ts
+++ b/src/domain/create-shared-loads/index.ts
@@ -1,6 +1,6 @@
 /** What other hosts have under way at each server, as they told last. */
 import {type Milliseconds} from '../../ports/clock.js';
-import {type HostId, type ServerId} from '../../ports/ids.js';
+import {type HostId, type ServerId, type ZoneId} from '../../ports/ids.js';
 import {type HostLoad, type LoadMessage} from '../../ports/shared-loads.js';
 
 /**
@@ -17,6 +17,10 @@
 	note: (message: LoadMessage, now: Milliseconds) => void;
 	/** Sum over the other hosts. */
 	read: (server: ServerId, now: Milliseconds) => Omit<HostLoad, 'server'>;
+	/** Whether hosts of the zone spoke before, and none does any more. */
+	isZoneSilent: (zone: ZoneId, now: Milliseconds) => boolean;
+	/** Whether hosts of other zones spoke before, and none of any of them does any more. */
+	isIsolated: (ownZone: ZoneId, now: Milliseconds) => boolean;
 };
 
 const isOlder = (message: LoadMessage, told: Told): boolean =>
@@ -36,8 +40,10 @@
  */
 export function createSharedLoads(): SharedLoads {
 	const hosts = new Map<HostId, Told>();
+	const zoneHeardAt = new Map<ZoneId, Milliseconds>();
 	return {
 		note(message, now) {
+			zoneHeardAt.set(message.zone, now);
 			const told = hosts.get(message.host);
 			// A host whose time of day was set back starts with a lower incarnation; once its former life is too old to count, it is taken as it is.
 			if (told !== undefined && now - told.at <= maxAgeMs && isOlder(message, told)) {
@@ -65,5 +71,13 @@
 
 			return {requests, promptTokens};
 		},
+		isZoneSilent(zone, now) {
+			const heardAt = zoneHeardAt.get(zone);
+			return heardAt !== undefined && now - heardAt > maxAgeMs;
+		},
+		isIsolated(ownZone, now) {
+			const others = [...zoneHeardAt].filter(([zone]) => zone !== ownZone);
+			return others.length > 0 && others.every(([, heardAt]) => now - heardAt > maxAgeMs);
+		},
 	};
 }
--- a/src/domain/create-shared-loads/test.ts
+++ b/src/domain/create-shared-loads/test.ts
@@ -45,6 +45,25 @@
 		assert.equal(shared.read('s', 2001).requests, 2);
 	});
 
+	it('tells a zone that fell silent from one that never spoke', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage({zone: 'z'}), 0);
+		assert.deepEqual(['z', 'y'].map(zone => shared.isZoneSilent(zone, 1000)), [false, false]);
+		assert.deepEqual(['z', 'y'].map(zone => shared.isZoneSilent(zone, 2000)), [true, false]);
+		shared.note(toMessage({host: 'c', zone: 'z'}), 2100);
+		assert.equal(shared.isZoneSilent('z', 2200), false);
+	});
+
+	it('tells a host that hears no other zone from one that never had any to hear', () => {
+		const shared = createSharedLoads();
+		shared.note(toMessage({zone: 'own'}), 0);
+		assert.equal(shared.isIsolated('own', 5000), false);
+		shared.note(toMessage({host: 'c', zone: 'y'}), 5000);
+		shared.note(toMessage({host: 'd', zone: 'z'}), 8000);
+		assert.equal(shared.isIsolated('own', 9000), false);
+		assert.equal(shared.isIsolated('own', 10_000), true);
+	});
+
 	it('forgets a host that fell silent', () => {
 		const shared = createSharedLoads();
 		shared.note(toMessage(), 0);
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -34,8 +34,8 @@
 	/** Bounds of each pool's retries. */
 	retryBudget: RetryBudgetOptions;
 	health?: ServerHealthOptions | undefined;
-	/** What other hosts have under way at a server, where hosts tell each other. */
-	readOthers?: SharedLoads['read'] | undefined;
+	/** What other hosts say, where hosts talk to each other. */
+	shared?: Pick<SharedLoads, 'read' | 'isZoneSilent'> | undefined;
 	toView: () => FleetView | undefined;
 	toOwner: () => Owner;
 	reportLeaving: (server: ServerId) => void;
@@ -91,7 +91,7 @@
 		toView,
 		toEngine: engines.toEngine,
 		placement: createPlacement({
-			zone, host, tokensPerBlock, ...(options.health && {health: options.health}), ...(options.readOthers && {readOthers: options.readOthers}),
+			zone, host, tokensPerBlock, ...(options.health && {health: options.health}), ...(options.shared && {readOthers: options.shared.read, isZoneSilent: options.shared.isZoneSilent}),
 		}),
 		gate: createGate({admission: createAdmission(), zone, now: clock.now}),
 		cancels: createCancelQueue({
--- a/src/programs/entry/_lib/to-entry-status.ts
+++ b/src/programs/entry/_lib/to-entry-status.ts
@@ -21,10 +21,10 @@
  * Tells why the entry takes no requests.
  *
  * @param view - The fleet as it knows it.
- * @param states - Whether a planned stop has begun, and whether the claims of this slot's last process were sought.
+ * @param states - Whether a planned stop has begun, whether this host is cut off from what its callers need, and whether the claims of this slot's last process were sought.
  * @returns Reasons with remedies; empty when it takes requests.
  */
-export function findNotReady(view: FleetView | undefined, {isStopping, areClaimsSettled}: {isStopping: boolean; areClaimsSettled: boolean}): ReadinessReason[] {
+export function findNotReady(view: FleetView | undefined, {isStopping, isCutOff, areClaimsSettled}: {isStopping: boolean; isCutOff: boolean; areClaimsSettled: boolean}): ReadinessReason[] {
 	if (isStopping) {
 		return [{reason: 'this host is stopping'}];
 	}
@@ -33,6 +33,11 @@
 		return [{reason: 'no configuration is in force', remedy: 'see whether this host\'s agent runs and reaches the platform or a peer'}];
 	}
 
+	// Its callers are served by hosts of other zones, which reach what it does not; while it called itself ready, each was refused.
+	if (isCutOff) {
+		return [{reason: 'this host hears neither the platform nor a host of another zone, and reaches no server of some pool', remedy: 'see to the links of its zone'}];
+	}
+
 	return areClaimsSettled
 		? []
 		: [{reason: 'the claims of this host\'s last process are being fetched from its peers', remedy: 'wait: it takes requests after five seconds at the latest'}];
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -8,6 +8,7 @@
 } from '../../../adapters/caller-http/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
+import {type ReadinessReason} from '../../../adapters/operator-http/index.js';
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
@@ -44,8 +45,9 @@
 const accountLimit = 2000;
 const operatorCloseMs = 500;
 
-export type LoadSharing = {
-	read: SharedLoads['read'];
+export type LoadSharing = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
+	/** Whether hosts of other zones were heard before, and none is any more. */
+	isIsolated: () => boolean;
 	tick: (loads: readonly HostLoad[]) => void;
 };
 
@@ -145,6 +147,31 @@
 	toIsStopping: () => boolean;
 };
 
+/** Neither sign alone says that others can serve this host's callers: the platform may be down for all, and other zones' hosts may have been killed. */
+function isCutOff({options, link, serve: {services}}: EntryParts): boolean {
+	const view = link.toView();
+	return view !== undefined
+		&& options.loadSharing?.isIsolated() === true
+		&& !link.isConnected()
+		&& services.placement.isOutOfReach(view, services.clock.now());
+}
+
+/** Tells why the entry takes no requests, with a line when that changes. */
+function createReadiness(parts: EntryParts): () => ReadinessReason[] {
+	const {link, toIsStopping, serve: {log}} = parts;
+	let last = '';
+	return () => {
+		const reasons = findNotReady(link.toView(), {isStopping: toIsStopping(), isCutOff: isCutOff(parts), areClaimsSettled: link.claims?.isSettled() ?? true});
+		const text = reasons.map(({reason}) => reason).join('; ');
+		if (text !== last) {
+			log.info(text === '' ? 'ready' : 'not ready', {reason: text === '' ? undefined : text});
+			last = text;
+		}
+
+		return reasons;
+	};
+}
+
 async function listenForOperators(parts: EntryParts, burn: ReturnType<typeof reportSlo>) {
 	const {
 		options, link, serve, callers, counters, toIsStopping,
@@ -158,7 +185,7 @@
 		log: options.log,
 		metrics: options.metrics,
 		keys: options.keys,
-		notReady: () => findNotReady(link.toView(), {isStopping: toIsStopping(), areClaimsSettled: link.claims?.isSettled() ?? true}),
+		notReady: createReadiness(parts),
 		status: () => toEntryStatus({
 			link, services, registry, isStopping: toIsStopping(), openConnections: callers.connections(),
 		}, options.clock.now()),
@@ -198,7 +225,7 @@
 		reservationTtlMs: settings.reservationTtl,
 		retryBudget: {capacity: settings.retryBudget, ...options.retryBudget},
 		health: options.health,
-		readOthers: options.loadSharing?.read,
+		shared: options.loadSharing,
 		toView: () => link.toView(),
 		toOwner: () => link.toOwner(),
 		reportLeaving(server) {
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -24,8 +24,9 @@
 	log: Log;
 };
 
-export type RunningLoadSharing = {
-	read: SharedLoads['read'];
+export type RunningLoadSharing = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
+	/** Whether hosts of other zones were heard before, and none is any more. */
+	isIsolated: () => boolean;
 	/** Sends what has changed; the program calls it many times a second. */
 	tick: (loads: readonly HostLoad[]) => void;
 	close: () => Promise<void>;
@@ -109,6 +110,8 @@
 
 	return {
 		read: shared.read,
+		isZoneSilent: shared.isZoneSilent,
+		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		tick(loads) {
 			const now = clock.now();
 			const text = toText(loads);
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -46,6 +46,8 @@
 	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
 	isReady: () => Promise<boolean>;
+	/** Stops the relay as its platform does, and lets what is under way end. */
+	stopRelay: () => Promise<void>;
 	stop: () => Promise<void>;
 };
 
@@ -220,6 +222,7 @@
 	});
 	await waitUntil(() => !isPublished || relay.view()?.servers.size === 6, {deadlineMs, what: 'the relay to know all servers'});
 	const ask = async (asked: Asked) => send(callerPort, asked);
+	let isStopped = false;
 	return {
 		store,
 		servers,
@@ -238,9 +241,16 @@
 			const res = await fetch(`http://127.0.0.1:${operatorPort}/ready`);
 			return res.status === 200;
 		},
-		async stop() {
-			await relay.abandon();
+		async stopRelay() {
+			isStopped = true;
 			await relay.stop();
+		},
+		async stop() {
+			if (!isStopped) {
+				await relay.abandon();
+				await relay.stop();
+			}
+
 			await Promise.all([store.close(), ...Object.values(servers).map(async server => server.close())]);
 		},
 	};
