--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -22,10 +22,7 @@
  */
 const fullForMs: Milliseconds = 40;
 
-/**
- * What another zone counts against a decode server, in requests:
- * less than one, so that the own zone is preferred between equals alone.
- */
+/** What another zone counts against a decode server, in requests: less than one, so that the own zone is preferred between equals alone. */
 const otherZoneRequests = 0.5;
 
 /** What crossing zones adds to a transfer that others share, milliseconds. */
@@ -38,8 +35,9 @@
 /**
  * A decode server computes a prompt at half the pace of a prefill server, and
  * its streams wait meanwhile. Where the queue of the best prefill server is
- * longer than this on top of that, it does so all the same: a burst of three
- * times the usual prompts else has all of them late.
+ * longer than this on top of that, it does so all the same. A first event is owed
+ * within a second or so, and what is behind a queue of half of that is hardly in
+ * time any more, while the decode memory that it reserved stands idle.
  */
 const decodePace = 0.5;
 const overflowMs: Milliseconds = 300;
--- a/src/programs/relay/keep-roles/index.ts
+++ b/src/programs/relay/keep-roles/index.ts
@@ -102,14 +102,14 @@
 		const done = await assignRole(server, {role, host, fence});
 		if (done.isOk()) {
 			log.info('server told to change its role', {
-				server: server.id, zones: server.zone, state: role, edition: fence,
+				server: server.id, zones: server.zone, state: role, fence,
 			});
 			return;
 		}
 
 		const {kind, reason, message} = done.error;
 		log.warn('server did not take the order to change its role', {
-			server: server.id, state: role, edition: fence, kind, reason: reason ?? message,
+			server: server.id, state: role, fence, kind, reason: reason ?? message,
 		});
 	}
 
