--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -236,3 +236,28 @@
 		assert.ok(!answer.isWhole);
 	});
 });
+
+/*
+ * Prompts take long, so what is predicted for one, and three times of it, is
+ * hardly a whole number of milliseconds. Two timers of one call that differ by
+ * the fraction race, and on call read of a timeout without a time or a cause.
+ */
+describe('relay: prompts are slow', () => {
+	beforeEach(async () => {
+		fixture = await startRelayFixture({workMs: 230, events: 1});
+	});
+	afterEach(async () => fixture.stop());
+
+	it('says how long a prompt might take that brought no answer', async () => {
+		const {servers, ask, logs} = fixture;
+		await Promise.all([ask(toStream()), ask(toStream())]);
+		for (let i = 0; i < 6; i++) {
+			servers.prefill1.misbehave('silent');
+			await ask(toStream());
+		}
+
+		const reasons = logs().filter(({message}) => message === 'attempt failed').map(({reason}) => String(reason));
+		assert.equal(reasons.length, 6);
+		assert.deepEqual(reasons.filter(reason => !/within \d+ ms/v.test(reason)), []);
+	});
+});
