Let one clock end a prompt that brings no answer

The signal of a prompt's limit and the client's header timeout had one length, hardly ever a whole number of ms, and raced; the loser left a line without a time. The call has its signal alone now.

The second test counted six lines for six asked silences. A request that finds both prefill servers in doubt is served by a decode server and meets none, so the count could fall short though nothing was wrong. It now asks until six silent prompts have reached servers, wants each request served, and one line with its limit for each silence: as strict, and tied to what the servers saw.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -30,6 +30,13 @@
 	onFault: (fault: CallFault) => void;
 };
 
+/**
+ * For a call whose signal ends it in time. A second timer of the same length
+ * races with the first, and what ends the call, and the fault that its log line
+ * names, would differ from one call to the next.
+ */
+export const limitedBySignal: Milliseconds = 0;
+
 export type Call = {
 	dispatcher: Dispatcher;
 	origin: string;
@@ -40,7 +47,7 @@
 	/** Bytes as they are, in place of `body`; nothing is taken out of an iterable before the call is offered. */
 	payload?: Buffer | AsyncIterable<Uint8Array>;
 	headers?: Record<string, string | string[]>;
-	/** Limit of the wait for the head of the answer. */
+	/** Limit of the wait for the head of the answer; {@link limitedBySignal} where the signal of the call is its limit. */
 	headersTimeoutMs: Milliseconds;
 	/** Limit of silence within the answer; 0 for none. */
 	idleTimeoutMs: Milliseconds;
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -5,6 +5,7 @@
  */
 import {err, ok, type Result} from 'neverthrow';
 import {toLimitSignal} from '../../../_lib/to-limit-signal/index.js';
+import {limitedBySignal} from '../../../adapters/_lib/dispatch-call/index.js';
 import {readAnswer} from '../../../adapters/_lib/read-answer/index.js';
 import {type Placement, type PlacementRefusal} from '../../../domain/create-placement/index.js';
 import {toReservedTokens} from '../../../domain/to-reserved-tokens/index.js';
@@ -154,8 +155,8 @@
 		path: run.exchange.target,
 		headers: toCallHeaders(run, server, {kind: 'prefill'}),
 		...(payload !== undefined && {payload}),
-		headersTimeoutMs: limitMs,
-		idleTimeoutMs: limitMs,
+		headersTimeoutMs: limitedBySignal,
+		idleTimeoutMs: limitedBySignal,
 		signal: toLimitSignal(limitMs, run.signal),
 	}, maxPrefillAnswerBytes);
 	if (answer.isErr()) {
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -250,14 +250,18 @@
 
 	it('says how long a prompt might take that brought no answer', async () => {
 		const {servers, ask, logs} = fixture;
+		const toSilent = () => [...servers.prefill1.arrivals, ...servers.prefill2.arrivals].filter(({step, isLeft}) => step === 'prefill' && isLeft).length;
 		await Promise.all([ask(toStream()), ask(toStream())]);
-		for (let i = 0; i < 6; i++) {
+		// With both prefill servers in doubt a decode server computes the prompt, and nobody meets the silence.
+		for (let asked = 0; toSilent() < 6 && asked < 20; asked++) {
 			servers.prefill1.misbehave('silent');
-			await ask(toStream());
+			const answer = await ask(toStream());
+			assert.equal(answer.status, 200, answer.body);
 		}
 
+		assert.ok(toSilent() >= 6, String(toSilent()));
 		const reasons = logs().filter(({message}) => message === 'attempt failed').map(({reason}) => String(reason));
-		assert.equal(reasons.length, 6);
+		assert.equal(reasons.length, toSilent());
 		assert.deepEqual(reasons.filter(reason => !/within \d+ ms/v.test(reason)), []);
 	});
 });
