Believe of a server only what is known of its present start

Cause: a server may start again under its id. It holds nothing of before, yet health, requests under way, role orders and loads told between hosts went on under the same id. And entries from other writers passed unchecked: an address without a port threw later, slots below one counted, an unknown state read as leaving, and an unreadable entry over a known server was kept or dropped by the way in which it was read.

Change: the adapter makes one id of name and start, so each belief keyed by a server ends by itself; the name alone goes into calls. A former start's late heartbeat is dropped. An entry that is not what servers write names no server, is told of once, and the others hold.

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -5,7 +5,9 @@
 import {type Milliseconds} from '../../ports/clock.js';
 import {type Config, type ZoneEntry} from '../../ports/config.js';
 import {type ServerId} from '../../ports/ids.js';
-import {type PublishedChange, type PublishedRules, type PublishedServer} from '../../ports/published.js';
+import {
+	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
+} from '../../ports/published.js';
 import {type FleetView, type ServerStatus} from '../../ports/view.js';
 
 export type PublishedFleetOptions = {
@@ -33,8 +35,8 @@
 	rules: PublishedRules | undefined;
 	/** Servers that came, left, or said that they are leaving. */
 	servers: ReadonlyArray<{id: ServerId; became: 'serving' | 'leaving' | 'gone'}>;
-	/** Entries that could not be read. */
-	unreadable: ReadonlyArray<{key: string; reason: string}>;
+	/** What can't be read, and could be before or was something else. */
+	unreadable: ReadonlyArray<{what: 'rules' | 'server'; name: PublishedName; reason: string}>;
 };
 
 export type PublishedFleet = {
@@ -55,6 +57,18 @@
 /** Pools and rules before any were published. */
 const noRules: Pick<PublishedRules, 'pools' | 'rules'> = {pools: [], rules: []};
 
+/** Stands for the rules where servers stand by their names; no server has an empty one. */
+const rulesName: PublishedName = '';
+
+/** The server that an entry of a list names, whether it can be read or not. */
+function toListed(change: PublishedChange): PublishedName | undefined {
+	if (change.kind === 'server') {
+		return change.server.name;
+	}
+
+	return change.kind === 'unreadable-server' ? change.name : undefined;
+}
+
 function isSameServer(a: PublishedServer, b: PublishedServer): boolean {
 	return a.leaving === b.leaving && JSON.stringify(a.entry) === JSON.stringify(b.entry);
 }
@@ -74,7 +88,9 @@
  */
 export function createPublishedFleet(options: PublishedFleetOptions): PublishedFleet {
 	const {zones, lapseGraceMs = defaultLapseGraceMs} = options;
-	const servers = new Map<ServerId, Known>();
+	const servers = new Map<PublishedName, Known>();
+	/** Entries that can't be read now, with the reason that was told. */
+	const unreadable = new Map<PublishedName, string>();
 	let rules: PublishedRules | undefined;
 	let config: Config | undefined;
 	/** Counts changes of the servers, so that decisions see that their index is old. */
@@ -88,19 +104,41 @@
 		config = undefined;
 	}
 
+	/**
+	 * A server that starts again under its name holds nothing of before. Each start
+	 * has an id of its own, so all that is believed of the former one ends here:
+	 * taken for the same, it would be sent answers to go on with that it doesn't
+	 * have, and doubted for what its former life did.
+	 */
 	function takeServer(server: PublishedServer): FleetChange['servers'] {
-		const known = servers.get(server.entry.id);
-		servers.set(server.entry.id, server);
+		const {name, entry, leaving, startedAt} = server;
+		const known = servers.get(name);
+		// A heartbeat of the former start that arrives late says nothing of the present one.
+		if (known !== undefined && startedAt < known.startedAt) {
+			return [];
+		}
+
+		unreadable.delete(name);
 		if (known !== undefined && isSameServer(known, server)) {
+			servers.set(name, server);
 			return [];
 		}
 
+		const ended = known !== undefined && known.entry.id !== entry.id ? removeServer(known) : [];
+		servers.set(name, server);
+		changed();
+		return [...ended, {id: entry.id, became: leaving ? 'leaving' : 'serving'}];
+	}
+
+	function removeServer({name, entry}: PublishedServer): FleetChange['servers'] {
+		servers.delete(name);
 		changed();
-		return [{id: server.entry.id, became: server.leaving ? 'leaving' : 'serving'}];
+		return [{id: entry.id, became: 'gone'}];
 	}
 
-	function dropServer(id: ServerId, now: Milliseconds): FleetChange['servers'] {
-		const known = servers.get(id);
+	function dropServer(name: PublishedName, now: Milliseconds): FleetChange['servers'] {
+		unreadable.delete(name);
+		const known = servers.get(name);
 		if (known === undefined) {
 			return [];
 		}
@@ -108,13 +146,27 @@
 		// Right after an outage a missing entry may have lapsed for want of a platform to write to:
 		// believed at once, a whole pool would be empty for two seconds while its servers serve.
 		if (now - outageAt < lapseGraceMs && !known.leaving) {
-			servers.set(id, {...known, isMissing: true});
+			servers.set(name, {...known, isMissing: true});
 			return [];
 		}
 
-		servers.delete(id);
-		changed();
-		return [{id, became: 'gone'}];
+		return removeServer(known);
+	}
+
+	/** Told once for each reason: an entry that stays as it is may be read anew each second. */
+	function takeUnreadable(what: 'rules' | 'server', name: PublishedName, reason: string): FleetChange['unreadable'] {
+		if (unreadable.get(name) === reason) {
+			return [];
+		}
+
+		unreadable.set(name, reason);
+		return [{what, name, reason}];
+	}
+
+	/** An entry that can't be read names no server, also where it stands in the place of one that could. */
+	function takeUnreadableServer(name: PublishedName): FleetChange['servers'] {
+		const known = servers.get(name);
+		return known === undefined ? [] : removeServer(known);
 	}
 
 	function takeRules(next: PublishedRules): PublishedRules | undefined {
@@ -136,10 +188,11 @@
 		confirmedAt = now;
 		let newRules: PublishedRules | undefined;
 		const serverChanges: Array<FleetChange['servers'][number]> = [];
-		const unreadable: Array<FleetChange['unreadable'][number]> = [];
+		const newUnreadable: Array<FleetChange['unreadable'][number]> = [];
 		for (const change of changes) {
 			switch (change.kind) {
 				case 'rules': {
+					unreadable.delete(rulesName);
 					newRules = takeRules(change.rules) ?? newRules;
 					break;
 				}
@@ -150,18 +203,24 @@
 				}
 
 				case 'server-gone': {
-					serverChanges.push(...dropServer(change.id, now));
+					serverChanges.push(...dropServer(change.name, now));
+					break;
+				}
+
+				case 'unreadable-rules': {
+					newUnreadable.push(...takeUnreadable('rules', rulesName, change.reason));
 					break;
 				}
 
-				case 'unreadable': {
-					unreadable.push({key: change.key, reason: change.reason});
+				case 'unreadable-server': {
+					newUnreadable.push(...takeUnreadable('server', change.name, change.reason));
+					serverChanges.push(...takeUnreadableServer(change.name));
 					break;
 				}
 			}
 		}
 
-		return {rules: newRules, servers: serverChanges, unreadable};
+		return {rules: newRules, servers: serverChanges, unreadable: newUnreadable};
 	}
 
 	function toConfig(): Config {
@@ -187,16 +246,16 @@
 	return {
 		apply,
 		replace(changes, now) {
-			const listed = new Set(changes.flatMap(change => change.kind === 'server' ? [change.server.entry.id] : []));
-			const gone = [...servers.keys()]
-				.filter(id => !listed.has(id))
-				.map((id): PublishedChange => ({kind: 'server-gone', id}));
+			const listed = new Set(changes.map(change => toListed(change)));
+			const gone = [...servers.keys(), ...unreadable.keys()]
+				.filter(name => name !== rulesName && !listed.has(name))
+				.map((name): PublishedChange => ({kind: 'server-gone', name}));
 			return apply([...changes, ...gone], now);
 		},
 		sweep(now) {
 			const overdue = [...servers]
 				.filter(([, {isMissing}]) => isMissing === true && now - outageAt >= lapseGraceMs)
-				.flatMap(([id]) => dropServer(id, now));
+				.flatMap(([name]) => dropServer(name, now));
 			return {rules: undefined, servers: overdue, unreadable: []};
 		},
 		toView: now => ({
@@ -204,7 +263,7 @@
 				? undefined
 				: {version: {edition: rules.version, revision: generation, digest: ''}, config: toConfig(), text: ''},
 			hosts: new Map(),
-			servers: new Map([...servers].map(([id, known]) => [id, toStatus(known)])),
+			servers: new Map([...servers.values()].map(known => [known.entry.id, toStatus(known)])),
 			platformConfirmedAt: confirmedAt,
 			receivedAt: now,
 		}),
--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -6,15 +6,18 @@
 
 const zones = [{id: 'a', region: 'r'}];
 
-const toServer = (id: string, leaving = false): PublishedServer => ({
+const toServer = (name: string, leaving = false, startedAt = 0): PublishedServer => ({
+	name,
+	startedAt,
 	leaving,
 	entry: {
-		id, zone: 'a', url: `http://10.0.0.1:1/${id}`, role: 'plain', pool: 'desk', slots: 4, checksFence: false,
+		id: startedAt === 0 ? name : `${name}@${startedAt}`, name, zone: 'a', url: `http://10.0.0.1:1/${name}`, role: 'plain', pool: 'desk', slots: 4, checksFence: false,
 	},
 });
 
-const server = (id: string, leaving = false): PublishedChange => ({kind: 'server', server: toServer(id, leaving)});
-const gone = (id: string): PublishedChange => ({kind: 'server-gone', id});
+const server = (name: string, leaving = false, startedAt = 0): PublishedChange => ({kind: 'server', server: toServer(name, leaving, startedAt)});
+const gone = (name: string): PublishedChange => ({kind: 'server-gone', name});
+const unreadable = (name: string, reason = 'no JSON'): PublishedChange => ({kind: 'unreadable-server', name, reason});
 const rules = (version: number): PublishedChange => ({
 	kind: 'rules', rules: {
 		version, rules: [], pools: [], callers: undefined,
@@ -99,11 +102,65 @@
 		assert.deepEqual(toIds(fleet, 4600), ['s2']);
 	});
 
-	it('reports what can\'t be read, and keeps what it knew', () => {
+	/*
+	 * A server crashes and starts again under its name, with its old work and counts
+	 * gone. A late heartbeat of its former life may arrive after the first of the new one.
+	 */
+	it('takes a server that started again for another one, and never goes back to its former start', () => {
 		const fleet = createPublishedFleet({zones});
-		fleet.apply([rules(1), server('s1')], 0);
-		const change = fleet.apply([{kind: 'unreadable', key: 'servers/s1', reason: 'no JSON'}], 1);
-		assert.deepEqual(change.unreadable, [{key: 'servers/s1', reason: 'no JSON'}]);
-		assert.deepEqual(toIds(fleet, 1), ['s1']);
+		fleet.apply([server('s1', true, 1000)], 0);
+		assert.deepEqual(fleet.apply([server('s1', false, 2000)], 1).servers, [{id: 's1@1000', became: 'gone'}, {id: 's1@2000', became: 'serving'}]);
+		assert.deepEqual(fleet.apply([server('s1', true, 1000)], 2).servers, []);
+		assert.deepEqual(toIds(fleet, 2), ['s1@2000']);
+		assert.deepEqual(fleet.apply([gone('s1')], 3).servers, [{id: 's1@2000', became: 'gone'}]);
+	});
+
+	/*
+	 * Something else writes to a server's entry. A host that kept the old one would
+	 * send on to a server nobody vouches for; one that dropped the rest of the list
+	 * with it would serve nobody.
+	 */
+	it('uses no server whose entry can\'t be read, keeps the others, and tells once', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.apply([rules(1), server('s1'), server('s2')], 0);
+		const change = fleet.apply([unreadable('s1')], 1);
+		assert.deepEqual(change.unreadable, [{what: 'server', name: 's1', reason: 'no JSON'}]);
+		assert.deepEqual(change.servers, [{id: 's1', became: 'gone'}]);
+		assert.deepEqual(toIds(fleet, 1), ['s2']);
+		assert.deepEqual(fleet.apply([unreadable('s1')], 2), {rules: undefined, servers: [], unreadable: []});
+		assert.deepEqual(fleet.apply([server('s1')], 3).servers, [{id: 's1', became: 'serving'}]);
+		assert.equal(fleet.apply([unreadable('s1')], 4).unreadable.length, 1);
+	});
+
+	it('keeps the rules that it has when new ones can\'t be read', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.apply([rules(1)], 0);
+		const change = fleet.apply([{kind: 'unreadable-rules', reason: 'no JSON'}], 1);
+		assert.equal(change.unreadable[0]?.what, 'rules');
+		assert.equal(fleet.toView(1).accepted?.version.edition, 1);
+	});
+
+	it('knows the same servers from a list as from the changes that led to it (property)', () => {
+		const names = fc.constantFrom('s1', 's2', 's3');
+		const changes = fc.array(fc.oneof(
+			fc.tuple(names, fc.boolean(), fc.integer({min: 1, max: 3})).map(([name, leaving, startedAt]) => server(name, leaving, startedAt)),
+			names.map(name => unreadable(name)),
+			names.map(name => gone(name)),
+		));
+		fc.assert(fc.property(changes, all => {
+			const watched = createPublishedFleet({zones});
+			const last = new Map<string, PublishedChange>();
+			for (const change of all) {
+				watched.apply([change], 0);
+				const name = change.kind === 'server' ? change.server.name : (change as {name: string}).name;
+				const known = last.get(name);
+				const isLate = change.kind === 'server' && known?.kind === 'server' && change.server.startedAt < known.server.startedAt;
+				last.set(name, isLate ? known : change);
+			}
+
+			const listed = createPublishedFleet({zones});
+			listed.replace([...last.values()].filter(({kind}) => kind !== 'server-gone'), 0);
+			assert.deepEqual(toIds(watched, 0), toIds(listed, 0));
+		}));
 	});
 });
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -13,6 +13,8 @@
 
 export type ServerEntry = {
 	id: ServerId;
+	/** Name by which the server knows itself, where `id` names one start of it. */
+	name?: string;
 	zone: ZoneId;
 	/** `http://IP:port`. */
 	url: string;
--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -8,7 +8,6 @@
 import {
 	type CallerBounds, type PoolEntry, type Rule, type ServerEntry,
 } from './config.js';
-import {type ServerId} from './ids.js';
 import {type PlatformFailure} from './platform.js';
 
 export type PublishedRules = {
@@ -20,7 +19,14 @@
 	callers: CallerBounds | undefined;
 };
 
+/** Name under which a platform publishes a server; a server that starts again may keep it. */
+export type PublishedName = string;
+
 export type PublishedServer = {
+	name: PublishedName;
+	/** Wall-clock milliseconds of its start; 0 where the platform does not tell. */
+	startedAt: Milliseconds;
+	/** Its `id` names this one start: what is known of a server ends with it. */
 	entry: ServerEntry;
 	/** It gets nothing new. */
 	leaving: boolean;
@@ -29,9 +35,11 @@
 export type PublishedChange =
 	| {kind: 'rules'; rules: PublishedRules}
 	| {kind: 'server'; server: PublishedServer}
-	| {kind: 'server-gone'; id: ServerId}
-	/** Something that can't be read; what was known before stays in force. */
-	| {kind: 'unreadable'; key: string; reason: string};
+	| {kind: 'server-gone'; name: PublishedName}
+	/** Rules that can't be read; those known before stay in force. */
+	| {kind: 'unreadable-rules'; reason: string}
+	/** A server's entry that can't be read: it names no server to use. */
+	| {kind: 'unreadable-server'; name: PublishedName; reason: string};
 
 export type PublishedRead = {
 	changes: readonly PublishedChange[];
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -69,8 +69,9 @@
 			log.info('server changed', {server: id, state: became, revision});
 		}
 
-		for (const {key, reason} of unreadable) {
-			log.error('published entry can\'t be read, what was known stays in force', {kind: key, reason, revision});
+		for (const {what, name, reason} of unreadable) {
+			const message = what === 'rules' ? 'published rules can\'t be read, those known stay in force' : 'published server can\'t be read and is not used';
+			log.error(message, {server: name, reason, revision});
 		}
 
 		if (view === undefined || rules !== undefined || servers.length > 0) {
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -57,6 +57,57 @@
 	});
 });
 
+describe('entries of the platform\'s servers', () => {
+	const proper = {
+		service: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', sequence: 1,
+	};
+	const read = (over: Record<string, unknown>, name = 'i-1') => toPublishedServer(name, JSON.stringify({...proper, ...over}));
+
+	it('name one start of a server, and calls go by the name that it keeps', () => {
+		const first = read({born: 1_700_000_000_000})._unsafeUnwrap();
+		const second = read({born: 1_700_000_009_000})._unsafeUnwrap();
+		assert.notEqual(first.entry.id, second.entry.id);
+		const headers = calls.toHeaders({
+			headers: {}, workspace: 'w', requestId: 'r', server: second.entry, step: {kind: 'whole'}, deadlineInMs: 9,
+		});
+		assert.equal(headers['expect-instance'], 'i-1');
+	});
+
+	const broken: Readonly<Record<string, readonly unknown[]>> = {
+		address: [undefined, '10.0.0.1', '10.0.0.1:0', '10.0.0.1:70000', 'desk:80', '10.0.0.1:80/x', '10.0.0.1:80:80'],
+		slots: [undefined, 0, -4, 1.5, '4'],
+		state: [undefined, 'gone', true],
+		stage: ['both', null],
+		service: [undefined, 7],
+		zone: [undefined, ''],
+		born: [1.5, '1', -1],
+	};
+	for (const [field, values] of Object.entries(broken)) {
+		it(`name no server with a wrong ${field}`, () => {
+			for (const value of values) {
+				assert.ok(read({[field]: value}).isErr(), String(value));
+			}
+		});
+	}
+
+	it('name no server whose id can\'t stand in a header', () => {
+		assert.ok(read({}, 'i\n1').isErr());
+		assert.ok(read({}, '').isErr());
+	});
+
+	it('are usable or none, whatever stands in their fields (property)', () => {
+		const fields = fc.record(Object.fromEntries(['service', 'address', 'zone', 'slots', 'state', 'stage', 'born'].map(name => [name, fc.jsonValue()])), {requiredKeys: []});
+		fc.assert(fc.property(fields, over => {
+			const server = read(over);
+			if (server.isOk()) {
+				const {entry} = server.value;
+				assert.equal(new URL(entry.url).pathname, '/');
+				assert.ok(Number.isSafeInteger(entry.slots) && entry.slots > 0);
+			}
+		}));
+	});
+});
+
 describe('headers of the platform', () => {
 	const own = {
 		stage: 'prefill', 'kv-source': 'x', 'kv-hold': 'x', 'kv-backup': 'x', 'kv-fetch': 'x', 'pin-ms': '1', 'expect-instance': 'x', 'expect-version': '1', 'request-urgency': '0',
