Take a caller for one who comes back only after the delay that it was told

Cause: a request counted as one that comes back by any time missing from its rule's.

Ruled out: real returns (ages were spread evenly over 0 to 2.1 s; told delays begin at 3.6 s).

Change: a request comes back if it misses at least the least delay that callers are told; others wait for their first event's target from their arrival. The test of one that returns at once is replaced by one of a caller in a hurry: nothing tells the two apart, and the second is what callers are.

--- a/src/domain/to-return-delay/index.ts
+++ b/src/domain/to-return-delay/index.ts
@@ -8,6 +8,16 @@
 const leastHolds = 1.2;
 const spreadHolds = 0.5;
 
+/**
+ * Gives the least delay that a caller is told.
+ *
+ * @param holdMs - Mean time for which the pool's requests keep their memory; `undefined` while none has ended.
+ * @returns Milliseconds; a caller who has waited less was not told to.
+ */
+export function toLeastReturnDelay(holdMs: Milliseconds | undefined): Milliseconds {
+	return (holdMs ?? unknownHoldMs) * leastHolds;
+}
+
 /**
  * Gives the delay after which a caller may come back to a pool whose memory is
  * full. Of what fills the servers now, most has ended after the mean time for
@@ -27,5 +37,5 @@
  * ```
  */
 export function toReturnDelay(holdMs: Milliseconds | undefined, random: Random): Milliseconds {
-	return (holdMs ?? unknownHoldMs) * (leastHolds + (spreadHolds * random()));
+	return toLeastReturnDelay(holdMs) + ((holdMs ?? unknownHoldMs) * spreadHolds * random());
 }
--- a/src/domain/to-return-delay/test.ts
+++ b/src/domain/to-return-delay/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {toReturnDelay} from './index.js';
+import {toLeastReturnDelay, toReturnDelay} from './index.js';
 
 /*
  * A burst of four seconds fills the decode memory. Callers who come back while it
@@ -15,6 +15,7 @@
 		}), (holdMs, chance) => {
 			const delayMs = toReturnDelay(holdMs, () => chance);
 			assert.ok(delayMs >= holdMs * 1.2 && delayMs <= holdMs * 1.7);
+			assert.ok(delayMs >= toLeastReturnDelay(holdMs));
 		}));
 	});
 
--- a/src/domain/to-wait/index.ts
+++ b/src/domain/to-wait/index.ts
@@ -20,6 +20,8 @@
 	deadline: Milliseconds;
 	/** Time for which the caller still waited when it came; `undefined` when it does not say. */
 	waitsMs: Milliseconds | undefined;
+	/** Least delay after which this host tells callers to come back, milliseconds. */
+	leastReturnMs: Milliseconds;
 	/** The caller has a part of the answer, and waits for the rest. */
 	hasBegun: boolean;
 };
@@ -31,15 +33,26 @@
 const patienceShare = 0.8;
 
 /**
- * Tells how long a caller had waited before this attempt.
+ * Tells how long a caller may have waited before this attempt.
  *
  * @param input - The rule, and the time that the caller says is left.
- * @returns Milliseconds; one that comes back has that much less of its rule's time left.
+ * @returns Milliseconds by which it is less than its rule's time; a caller in a hurry has less from the start.
  */
 export function toAge({then, waitsMs}: Pick<WaitInput, 'then' | 'waitsMs'>): Milliseconds {
 	return waitsMs === undefined ? 0 : Math.max(0, then.target.completeMs - waitsMs);
 }
 
+/**
+ * Tells whether a caller was refused before. Nothing joins two attempts, but a
+ * caller who does as told has used up the delay that it was told. Any missing
+ * time alone is no sign: where callers' own limits differ by a seventh, that
+ * took more than half of the new requests for old ones, which were then refused
+ * at the first full server in place of waiting for room that came in time.
+ */
+function isBack(input: WaitInput): boolean {
+	return toAge(input) >= input.leastReturnMs;
+}
+
 /**
  * Decides how a request waits for room at the servers.
  *
@@ -58,7 +71,7 @@
  *
  * @example
  * ```ts
- * toWait({then, poolKind: 'model', receivedAt: 0, deadline: 14_000, waitsMs: 14_000, hasBegun: false}, 0).latestStart; // => then.target.firstTokenMs
+ * toWait({then, poolKind: 'model', receivedAt: 0, deadline: 14_000, waitsMs: 14_000, leastReturnMs: 3600, hasBegun: false}, 0).latestStart; // => then.target.firstTokenMs
  * ```
  */
 export function toWait(input: WaitInput, now: Milliseconds): Wait {
@@ -79,8 +92,8 @@
 		return {class: serviceClass, latestStart: Math.min(deadline, receivedAt + (relay.patienceMs * patienceShare)), isOnce: false};
 	}
 
-	const inTime = receivedAt + target.firstTokenMs - toAge(input);
-	return now < inTime
+	const inTime = receivedAt + target.firstTokenMs;
+	return now < inTime && !isBack(input)
 		? {class: serviceClass, latestStart: Math.min(deadline, inTime), isOnce: false}
 		: {class: 'batch', latestStart: deadline, isOnce: true};
 }
--- a/src/domain/to-wait/test.ts
+++ b/src/domain/to-wait/test.ts
@@ -17,7 +17,7 @@
 };
 
 const input: WaitInput = {
-	then, poolKind: 'model', receivedAt: 1000, deadline: 15_000, waitsMs: 14_000, hasBegun: false,
+	then, poolKind: 'model', receivedAt: 1000, deadline: 15_000, waitsMs: 14_000, leastReturnMs: 2500, hasBegun: false,
 };
 
 /*
@@ -38,7 +38,7 @@
 			name: 'one that comes back asks once', over: {waitsMs: 11_000, deadline: 12_000}, now: 1000, expected: {class: 'batch', latestStart: 12_000, isOnce: true},
 		},
 		{
-			name: 'one that comes back at once may still be in time', over: {waitsMs: 13_800}, now: 1000, expected: {class: 'quick', latestStart: 1700, isOnce: false},
+			name: 'one whose caller is in a hurry from the start is new', over: {waitsMs: 11_900, deadline: 12_900}, now: 1000, expected: {class: 'quick', latestStart: 1900, isOnce: false},
 		},
 		{
 			name: 'one whose caller does not say how long it waits counts as new', over: {waitsMs: undefined}, now: 1000, expected: {class: 'quick', latestStart: 1900, isOnce: false},
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -8,7 +8,7 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
-import {toReturnDelay} from '../../../domain/to-return-delay/index.js';
+import {toLeastReturnDelay, toReturnDelay} from '../../../domain/to-return-delay/index.js';
 import {
 	toAge, toWait, type Wait, type WaitInput,
 } from '../../../domain/to-wait/index.js';
@@ -75,9 +75,9 @@
 	}
 }
 
-function toWaitInput({route, receivedAt, deadline, work, events}: PlainRun): WaitInput {
+function toWaitInput({route, receivedAt, deadline, work, events, serve: {services}}: PlainRun): WaitInput {
 	return {
-		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs, hasBegun: events?.hasBegun ?? false,
+		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs, leastReturnMs: toLeastReturnDelay(services.gate.meanHoldMs(route.pool.name)), hasBegun: events?.hasBegun ?? false,
 	};
 }
 
