Split pools by what prompts and answers cost, as observed

Cause: a third of a pool computed prompts whatever the load.

Hypothesis: only the proportion counts of a prefill server's time for a prompt and of a decode server's time for a place, by slots or memory, whichever is shorter; one host's own requests are a sample of it. Prompts get 1.4 times their part, as a queue of them makes first events late.

Change: create-split-estimate learns both; the host that gives orders asks it, and goes by its setting until twenty of each were seen. Configurations tell the memory of a pool's servers.

--- a/bench/placement/_lib/create-router.ts
+++ b/bench/placement/_lib/create-router.ts
@@ -69,7 +69,7 @@
 		},
 		noteReserved(choice: Choice): void {
 			if (choice.placement) {
-				placement.noteReserved(choice.placement, agenda.now());
+				placement.noteReserved(choice.placement, choice.placement.promptTokens + choice.placement.maxTokens, agenda.now());
 			}
 		},
 		notePrefilled(choice: Choice, promptTokens: number): void {
--- a/bench/split-pool/_lib/simulate.ts
+++ b/bench/split-pool/_lib/simulate.ts
@@ -150,7 +150,7 @@
 
 	function start(request: Request, placement: PlacementDecider, pair: Placement, reserved: number, now: Milliseconds): void {
 		placement.noteDispatched(pair, now);
-		placement.noteReserved(pair, now);
+		placement.noteReserved(pair, reserved, now);
 		const isAlone = pair.prefill.id === pair.decode.id;
 		const computedAt = isAlone ? engines.prefillAtDecode(pair.decode.id, request.promptTokens, now) : engines.prefill(pair.prefill.id, request.promptTokens, now);
 		busyMs += isAlone ? 0 : request.promptTokens / promptTokensPerMs;
--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -67,6 +67,7 @@
 	'limit',
 	'order',
 	'fence',
+	'prefillShare',
 	'setting',
 	'remedy',
 ] as const;
--- a/src/domain/create-placement/_lib/create-notes.ts
+++ b/src/domain/create-placement/_lib/create-notes.ts
@@ -9,6 +9,7 @@
 import {type PromptPace} from '../../create-prompt-pace/index.js';
 import {type SharedLoads} from '../../create-shared-loads/index.js';
 import {type SeenTokens, type TokenPace} from '../../create-token-pace/index.js';
+import {type SplitEstimate} from '../../create-split-estimate/index.js';
 import {type HealthSubject, type ServerHealth} from '../../create-server-health/index.js';
 import {type AnswerLengths} from './create-answer-lengths.js';
 import {type Standing} from './create-standing.js';
@@ -18,8 +19,8 @@
 	stage: 'prefill' | 'transfer' | 'decode';
 	dispatchedAt: Milliseconds;
 	prefilledAt: Milliseconds;
-	/** The decode server has granted the reservation. */
-	isReserved: boolean;
+	/** What the decode server has granted, and when. */
+	reserved: {tokens: number; at: Milliseconds} | undefined;
 	/** Tokens of the answer seen. */
 	tokens: number;
 	/** When it was sent, the prefill server had nothing else to do, as far as is known. */
@@ -40,6 +41,7 @@
 	prefixes: PrefixMap;
 	pace: TokenPace;
 	promptPace: PromptPace;
+	split: SplitEstimate;
 	readOthers: SharedLoads['read'];
 	lengths: AnswerLengths;
 	learnt: Learnt;
@@ -66,7 +68,7 @@
  * @param options - The records to keep up to date.
  * @returns The `note…` functions of a placement. Each is idempotent for a placement and a stage.
  */
-export const createNotes = ({loads, health, standing, prefixes, pace, promptPace, readOthers, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent}: NotesOptions) => {
+export const createNotes = ({loads, health, standing, prefixes, pace, promptPace, split, readOthers, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent}: NotesOptions) => {
 	const running = new WeakMap<Placement | PlainPlacement, Progress>();
 
 	const toPrefillTokens = (placement: Placement): number => placement.promptTokens - placement.expectedCachedTokens;
@@ -107,7 +109,7 @@
 
 			const isFirstInLine = placement.kind === 'pair' && placement.prefill.id !== placement.decode.id && isIdle(placement.prefill, now);
 			running.set(placement, {
-				stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now, isReserved: false, tokens: 0, isFirstInLine,
+				stage: placement.kind === 'pair' ? 'prefill' : 'decode', dispatchedAt: now, prefilledAt: now, reserved: undefined, tokens: 0, isFirstInLine,
 			});
 			if (placement.kind === 'plain') {
 				loads.addSlots(placement.server.id, 1, now);
@@ -118,11 +120,11 @@
 			loads.addSlots(placement.decode.id, 1, now);
 			loads.addPrefill(placement.prefill.id, toPrefillTokens(placement), now);
 		},
-		/** The decode server granted the reservation; without this note its end will not count as room on a full server. */
-		noteReserved(placement: Placement, now: Milliseconds): void {
+		/** The decode server granted the reservation of so many tokens; without this note its end will not count as room on a full server. */
+		noteReserved(placement: Placement, tokens: number, now: Milliseconds): void {
 			const progress = running.get(placement);
 			if (progress !== undefined) {
-				running.set(placement, {...progress, isReserved: true});
+				running.set(placement, {...progress, reserved: {tokens, at: now}});
 				health.noteSuccess(toSubject(placement.decode), now);
 				doubts.noteSuccess(placement.decode, now);
 			}
@@ -138,6 +140,7 @@
 			loads.removePrefill(placement.prefill.id, toPrefillTokens(placement));
 			if (progress.isFirstInLine) {
 				promptPace.note(placement.prefill.id, toPrefillTokens(placement), now - progress.dispatchedAt);
+				split.notePrompt(placement.prefill.pool, now - progress.dispatchedAt);
 			}
 
 			loads.addTransfers(placement.prefill.id, 1);
@@ -195,7 +198,7 @@
 			}
 
 			loads.addSlots(placement.decode.id, -1, now);
-			if (progress.isReserved) {
+			if (progress.reserved !== undefined) {
 				loads.noteFreed(placement.decode.id);
 			}
 
@@ -205,6 +208,10 @@
 				endTransfer(placement);
 			} else {
 				learnt.holdMs += gain * (now - progress.dispatchedAt - learnt.holdMs);
+				if (progress.reserved !== undefined) {
+					split.notePlace(placement.decode.pool, {tokens: progress.reserved.tokens, heldMs: now - progress.reserved.at});
+				}
+
 				lengths.note(placement.decode.pool, placement.class, progress.tokens, placement.maxTokens);
 			}
 		},
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -12,7 +12,7 @@
  */
 import {err, ok} from 'neverthrow';
 import {type Milliseconds, type Random} from '../../ports/clock.js';
-import {type ServerEntry} from '../../ports/config.js';
+import {type PoolEntry, type ServerEntry} from '../../ports/config.js';
 import {type ServerId} from '../../ports/ids.js';
 import {type FleetView} from '../../ports/view.js';
 import {createDoubts} from '../create-doubts/index.js';
@@ -22,6 +22,7 @@
 import {createTokenPace} from '../create-token-pace/index.js';
 import {type SharedLoads} from '../create-shared-loads/index.js';
 import {createSpillChooser} from '../create-spill-chooser/index.js';
+import {createSplitEstimate} from '../create-split-estimate/index.js';
 import {createServerHealth, type ServerHealthOptions} from '../create-server-health/index.js';
 import {tokensPerBlock as defaultTokensPerBlock} from '../to-prefix-blocks/index.js';
 import {createAnswerLengths} from './_lib/create-answer-lengths.js';
@@ -96,6 +97,7 @@
 	const subsets = createSubsets({zone, host: options.host});
 	const doubts = createDoubts({zone, ...(options.isZoneSilent && {isZoneSilent: options.isZoneSilent})});
 	const promptPace = createPromptPace();
+	const split = createSplitEstimate();
 	let index: PoolIndex | undefined;
 	let indexKey = '';
 
@@ -129,6 +131,7 @@
 
 			doubts.keepOnly(next.servers);
 			lengths.keepOnly(new Set(next.pools.keys()));
+			split.keepOnly(new Set(next.pools.keys()));
 
 			index = next;
 			indexKey = key;
@@ -267,10 +270,15 @@
 			const pools = [...toIndex(view)?.pools.values() ?? []].map(pool => toAnswering(pool));
 			return pools.some(servers => servers.length > 0 && servers.every(server => doubts.toLevel(server, now) > 0));
 		},
+		/** Part of a pool's servers that should compute prompts, by what requests cost here; `undefined` while too little is known. */
+		toPrefillShare({name, memoryTokens}: PoolEntry, servers: readonly ServerEntry[]): number | undefined {
+			const slots = Math.min(...servers.map(server => server.slots));
+			return split.toPrefillShare(name, {slots, memoryTokens});
+		},
 		/** What this host has under way at each server. */
 		ownLoads: loads.ownLoads,
 		...createNotes({
-			loads, health, standing, prefixes, pace, promptPace, readOthers: options.readOthers ?? readNobody, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent: spills.noteSent,
+			loads, health, standing, prefixes, pace, promptPace, split, readOthers: options.readOthers ?? readNobody, lengths, learnt, tokensPerBlock, toSubject, doubts, noteSent: spills.noteSent,
 		}),
 	};
 };
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -58,6 +58,8 @@
 	classes: readonly ServiceClass[];
 	/** `keep-serving` when absent. */
 	rollout?: RolloutPolicy;
+	/** Tokens that the memory of each of the pool's model servers holds, where the platform tells it of the pool. */
+	memoryTokens?: number;
 	/** Longest life of a reservation that the pool's servers grant, where they tell it. */
 	reservationMs?: number;
 	/** Time that a server of the pool takes to change between prefill and decode, milliseconds; absent where it can't be told to. */
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -280,7 +280,7 @@
 
 	const {placement, reservationId} = reserved.value;
 	services.placement.noteDispatched(placement, services.clock.now());
-	services.placement.noteReserved(placement, services.clock.now());
+	services.placement.noteReserved(placement, toReservedTokens(work), services.clock.now());
 	try {
 		return await runPlaced({
 			run, caches, work, placement, attempt,
--- a/src/programs/entry/run-attempt/index.ts
+++ b/src/programs/entry/run-attempt/index.ts
@@ -47,7 +47,7 @@
 	const {reservationId, expiresInMs} = reservation.value;
 	// A prefill that ends after its slot has expired has nowhere to go.
 	const toSlotLeft = () => Math.min(attempt.timeLeft(), reservedAt + expiresInMs - now());
-	services.placement.noteReserved(placement, now());
+	services.placement.noteReserved(placement, placement.promptTokens + placement.maxTokens, now());
 	run.account.note('reserved', {server: decodeServer.id, expiresInMs});
 	const prefilled = await prefill(attempt, toSlotLeft());
 	if (prefilled.isErr()) {
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -12,6 +12,7 @@
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type PlacementDecider} from '../../../domain/create-placement/index.js';
 import {type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -84,6 +85,8 @@
 	operatorPort: number;
 	view: () => FleetView | undefined;
 	accounts: Accounts;
+	/** Part of a pool's servers that should compute prompts, by what requests cost here; `undefined` while too little is known. */
+	toPrefillShare: PlacementDecider['toPrefillShare'];
 	/** Finishes everything in progress, then closes. */
 	stop: () => Promise<void>;
 	/** Ends everything in progress and waits a moment for the cancels; returns the ids of what is abandoned. */
@@ -296,6 +299,7 @@
 		operatorPort: operators.port,
 		view: link.toView,
 		accounts,
+		toPrefillShare: run.services.placement.toPrefillShare,
 		async stop() {
 			isStopping = true;
 			callers.startStopping();
--- a/src/programs/relay/keep-roles/index.ts
+++ b/src/programs/relay/keep-roles/index.ts
@@ -17,7 +17,10 @@
 
 export type KeepRolesOptions = {
 	host: HostId;
+	/** Part of a pool's servers that is to compute prompts until requests have told what they cost. */
 	prefillShare: number;
+	/** The same, by what requests cost; `undefined` while too little is known. */
+	toPrefillShare: (pool: PoolEntry, servers: readonly ServerEntry[]) => number | undefined;
 	clock: Clock;
 	log: Log;
 	/** Tells a server to change its role. */
@@ -76,7 +79,7 @@
  */
 export function keepRoles(options: KeepRolesOptions): RoleKeeper {
 	const {
-		host, prefillShare, clock, log, assignRole, toView, isConnected,
+		host, prefillShare, toPrefillShare, clock, log, assignRole, toView, isConnected,
 	} = options;
 	const startedAt = clock.now();
 	const startedWall = clock.wallNow();
@@ -96,13 +99,13 @@
 		}
 	}
 
-	async function order(pool: PoolEntry, {server, role}: RoleChange, now: Milliseconds): Promise<void> {
+	async function order(pool: PoolEntry, {server, role}: RoleChange, share: number, now: Milliseconds): Promise<void> {
 		ordered.set(server.id, {role, until: now + (pool.roleChangeMs ?? 0) + orderMarginMs});
 		const fence = toFence(now);
 		const done = await assignRole(server, {role, host, fence});
 		if (done.isOk()) {
 			log.info('server told to change its role', {
-				server: server.id, zones: server.zone, state: role, fence,
+				server: server.id, zones: server.zone, state: role, prefillShare: Math.round(share * 100) / 100, fence,
 			});
 			return;
 		}
@@ -137,8 +140,11 @@
 			}
 
 			const changing = new Set(ordered.keys());
-			const changes = settled.flatMap(({pool, servers}) => pickRoleChanges(servers, {prefillShare, changing}).map(change => ({pool, change})));
-			await Promise.all(changes.map(async ({pool, change}) => order(pool, change, now)));
+			const changes = settled.flatMap(({pool, servers}) => {
+				const share = toPrefillShare(pool, servers) ?? prefillShare;
+				return pickRoleChanges(servers, {prefillShare: share, changing}).map(change => ({pool, change, share}));
+			});
+			await Promise.all(changes.map(async ({pool, change, share}) => order(pool, change, share, now)));
 		},
 	};
 }
--- a/src/programs/relay/keep-roles/test.ts
+++ b/src/programs/relay/keep-roles/test.ts
@@ -37,6 +37,7 @@
 let isConnected: boolean;
 let isTaken: boolean;
 let orders: Given[];
+let learntShare: number | undefined;
 
 function start(): RoleKeeper {
 	const assignRole: KeepRolesOptions['assignRole'] = ({id}, order) => {
@@ -51,6 +52,7 @@
 	return keepRoles({
 		host: 'front-a-1',
 		prefillShare: 0.33,
+		toPrefillShare: () => learntShare,
 		clock: {now: () => now, wallNow: () => wall},
 		log: createLog({
 			level: 'error', program: 'test', host: 'front-a-1', zone: 'a', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
@@ -84,6 +86,17 @@
 		isConnected = true;
 		isTaken = true;
 		orders = [];
+		learntShare = undefined;
+	});
+
+	it('goes by what requests cost once that is known', async () => {
+		learntShare = 0.45;
+		const keeper = start();
+		await passTime(keeper, 20);
+		assert.deepEqual(orders, []);
+		learntShare = 0.3;
+		await passTime(keeper, 1);
+		assert.deepEqual(orders.map(({role}) => role), ['decode']);
 	});
 
 	it('orders the one prefill server too many, once, and waits for it', async () => {
--- a/src/programs/relay/start-relay/_lib/with-roles.ts
+++ b/src/programs/relay/start-relay/_lib/with-roles.ts
@@ -37,7 +37,7 @@
 
 	log.info('this host gives orders to servers');
 	const keeper = keepRoles({
-		host: hostId, prefillShare, clock, log, assignRole, isConnected, toView: entry.view,
+		host: hostId, prefillShare, clock, log, assignRole, isConnected, toView: entry.view, toPrefillShare: entry.toPrefillShare,
 	});
 	const timer = setInterval(() => {
 		void keeper.tick();
