Keep streams in their zone unless two requests more run there

Cause: a stream that runs in another zone breaks when either is cut off, and its prompt takes twice as long to move; half a request of preference sent about as many streams out of their zone as random choice would.

Hypothesis: with a dozen places a server, two requests of difference cost no room, and fewer streams cross a cut.

--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -22,8 +22,12 @@
  */
 const fullForMs: Milliseconds = 40;
 
-/** What another zone counts against a decode server, in requests: less than one, so that the own zone is preferred between equals alone. */
-const otherZoneRequests = 0.5;
+/**
+ * What another zone counts against a decode server, in requests. A stream within
+ * its zone outlives a cut of the zone and moves its prompt in half the time; with
+ * two, and not a half, between servers of a dozen places the load is still even.
+ */
+const otherZoneRequests = 2;
 
 /** What crossing zones adds to a transfer that others share, milliseconds. */
 const crossTransferMs: Milliseconds = 20;
