Make lost prefill servers good after five seconds, and announced ones at once

Change: five seconds where prefill servers are missing, as entries that lapsed are back by then; a server that had said that it leaves is no loss to wait for.

--- a/src/programs/relay/keep-roles/index.ts
+++ b/src/programs/relay/keep-roles/index.ts
@@ -47,25 +47,40 @@
 const orderMarginMs: Milliseconds = 20 * msPerSecond;
 
 /**
- * Time after a server of a pool went away in which the pool's roles stay as they
- * are. Entries lapse while a zone is cut off or a server restarts, and come back
- * within five seconds: judged by what is left meanwhile, a pool of six changed
- * its last but one prefill server, and prompts took 1.3 s from then on.
+ * Time after a server of a pool went away unannounced in which no server changes
+ * to a role. Entries lapse while a zone is cut off or a server restarts, and come
+ * back within five seconds: judged by what is left meanwhile, a pool of six
+ * changed its last but one prefill server, and prompts took 1.3 s from then on.
+ * Lost prefill servers are made good sooner: where one was left of four, prompts
+ * took 0.5 s in place of 0.2 for the eighteen seconds until the next order.
  */
-const settleMs: Milliseconds = 10 * msPerSecond;
+const settleMs: Readonly<Record<RoleChange['role'], Milliseconds>> = {
+	decode: 10 * msPerSecond,
+	prefill: 5 * msPerSecond,
+};
+
+type ChangeablePool = {pool: PoolEntry; servers: readonly ServerEntry[]; sinceLossMs: Milliseconds};
+
+type PoolChange = {pool: PoolEntry; change: RoleChange; share: number};
 
 type Ordered = {role: RoleChange['role']; until: Milliseconds};
 
-/** Remembers when each pool last lost a server. */
+type PoolServers = {
+	published: readonly ServerEntry[];
+	/** Those of them that don't leave. */
+	staying: readonly ServerEntry[];
+};
+
+/** Remembers when each pool last lost a server that had not said that it would leave; one that did stays away, and nothing is gained by waiting. */
 function createPoolWatch() {
-	const seen = new Map<string, {ids: ReadonlySet<ServerId>; lostAt: Milliseconds}>();
+	const seen = new Map<string, {staying: readonly ServerEntry[]; lostAt: Milliseconds}>();
 	return {
-		lastLossAt(pool: string, servers: readonly ServerEntry[], now: Milliseconds): Milliseconds {
-			const ids = new Set(servers.map(({id}) => id));
+		lastLossAt(pool: string, {published, staying}: PoolServers, now: Milliseconds): Milliseconds {
+			const ids = new Set(published.map(({id}) => id));
 			const known = seen.get(pool);
-			const isLoss = known !== undefined && [...known.ids].some(id => !ids.has(id));
+			const isLoss = known?.staying.some(({id}) => !ids.has(id)) ?? false;
 			const lostAt = isLoss ? now : known?.lostAt ?? -Infinity;
-			seen.set(pool, {ids, lostAt});
+			seen.set(pool, {staying, lostAt});
 			return lostAt;
 		},
 	};
@@ -99,7 +114,7 @@
 		}
 	}
 
-	async function order(pool: PoolEntry, {server, role}: RoleChange, share: number, now: Milliseconds): Promise<void> {
+	async function order({pool, change: {server, role}, share}: PoolChange, now: Milliseconds): Promise<void> {
 		ordered.set(server.id, {role, until: now + (pool.roleChangeMs ?? 0) + orderMarginMs});
 		const fence = toFence(now);
 		const done = await assignRole(server, {role, host, fence});
@@ -116,12 +131,22 @@
 		});
 	}
 
-	/** The pools whose servers can change roles and have been the same for a while, with their servers in service. */
-	function findSettled(view: FleetView, config: Config, now: Milliseconds): Array<{pool: PoolEntry; servers: ServerEntry[]}> {
+	/** The pools whose servers can change roles, with their servers in service and the time since one was lost. */
+	function findChangeable(view: FleetView, config: Config, now: Milliseconds): ChangeablePool[] {
 		return config.pools
 			.filter(pool => pool.roleChangeMs !== undefined)
-			.map(pool => ({pool, servers: config.servers.filter(({id, pool: name}) => name === pool.name && view.servers.get(id)?.leaving !== true)}))
-			.filter(({pool, servers}) => now - pools.lastLossAt(pool.name, servers, now) >= settleMs);
+			.map(pool => {
+				const published = config.servers.filter(server => server.pool === pool.name);
+				const staying = published.filter(({id}) => view.servers.get(id)?.leaving !== true);
+				return {pool, servers: staying, sinceLossMs: now - pools.lastLossAt(pool.name, {published, staying}, now)};
+			});
+	}
+
+	function pickChanges({pool, servers, sinceLossMs}: ChangeablePool): PoolChange[] {
+		const share = toPrefillShare(pool, servers) ?? prefillShare;
+		return pickRoleChanges(servers, {prefillShare: share, changing: new Set(ordered.keys())})
+			.filter(({role}) => sinceLossMs >= settleMs[role])
+			.map(change => ({pool, change, share}));
 	}
 
 	return {
@@ -133,18 +158,14 @@
 			}
 
 			const {config} = view.accepted;
-			const settled = findSettled(view, config, now);
+			const changeable = findChangeable(view, config, now);
 			forgetDone(config, now);
 			if (now - startedAt < startGraceMs || !isConnected()) {
 				return;
 			}
 
-			const changing = new Set(ordered.keys());
-			const changes = settled.flatMap(({pool, servers}) => {
-				const share = toPrefillShare(pool, servers) ?? prefillShare;
-				return pickRoleChanges(servers, {prefillShare: share, changing}).map(change => ({pool, change, share}));
-			});
-			await Promise.all(changes.map(async ({pool, change, share}) => order(pool, change, share, now)));
+			const changes = changeable.flatMap(pool => pickChanges(pool));
+			await Promise.all(changes.map(async change => order(change, now)));
 		},
 	};
 }
--- a/src/programs/relay/keep-roles/test.ts
+++ b/src/programs/relay/keep-roles/test.ts
@@ -15,7 +15,7 @@
 	toServer('p1', 'prefill', 'a'), toServer('p2', 'prefill', 'b'), toServer('p3', 'prefill', 'c'), toServer('d1', 'decode', 'a'), toServer('d2', 'decode', 'b'), toServer('d3', 'decode', 'c'),
 ];
 
-const toView = (servers: readonly ServerEntry[]): FleetView => ({
+const toView = (servers: readonly ServerEntry[], leaving: readonly string[]): FleetView => ({
 	accepted: {
 		version: {edition: 1, revision: 1, digest: ''}, text: '', config: {
 			zones: [], hosts: [], servers, rules: [], callerTokens: {}, weightStoreBytesPerSecond: 0, pools: [{
@@ -24,7 +24,9 @@
 		},
 	},
 	hosts: new Map(),
-	servers: new Map(),
+	servers: new Map(leaving.map(id => [id, {
+		id, leaving: true, load: undefined, loadAt: -Infinity, reachable: undefined,
+	}])),
 	platformConfirmedAt: 0,
 	receivedAt: 0,
 });
@@ -34,6 +36,7 @@
 let now: number;
 let wall: number;
 let servers: readonly ServerEntry[];
+let leaving: readonly string[];
 let isConnected: boolean;
 let isTaken: boolean;
 let orders: Given[];
@@ -59,7 +62,7 @@
 		}),
 		assignRole,
 		isConnected: () => isConnected,
-		toView: () => toView(servers),
+		toView: () => toView(servers, leaving),
 	});
 }
 
@@ -83,6 +86,7 @@
 		now = 1000;
 		wall = 1_780_000_000_000;
 		servers = six;
+		leaving = [];
 		isConnected = true;
 		isTaken = true;
 		orders = [];
@@ -134,6 +138,29 @@
 		assert.equal(orders.length, 1);
 	});
 
+	it('makes lost prefill servers good after five seconds', async () => {
+		learntShare = 0.6;
+		const keeper = start();
+		await passTime(keeper, 10);
+		servers = six.filter(({id}) => id !== 'p1' && id !== 'p2');
+		await passTime(keeper, 5);
+		assert.deepEqual(orders, []);
+		await passTime(keeper, 1);
+		assert.deepEqual(orders.map(({role}) => role), ['prefill']);
+	});
+
+	it('does not wait after a server went away that had said so', async () => {
+		const keeper = start();
+		await passTime(keeper, 3);
+		leaving = ['d3'];
+		await passTime(keeper, 1);
+		servers = six.filter(({id}) => id !== 'd3');
+		await passTime(keeper, 1);
+		assert.deepEqual(orders, []);
+		await passTime(keeper, 2);
+		assert.deepEqual(orders.map(({role}) => role), ['decode']);
+	});
+
 	it('numbers an order after a restart higher, though the time of day was set back meanwhile', async () => {
 		isTaken = false;
 		await passTime(start(), 7);
