--- a/src/domain/pick-role-changes/index.ts
+++ b/src/domain/pick-role-changes/index.ts
@@ -71,9 +71,10 @@
  * idle: a prompt of 3,200 tokens keeps a prefill server for 0.1 s, and its answer
  * keeps a tenth of a decode server's memory for more than three. With two of six
  * servers in place of three, a pool served 86 instead of 74 in 100 of its worth
- * on a day without trouble; with one, 76, for its prompts queued. Thirteen servers
- * of which four in place of five computed prompts gained nothing, and lost a tenth
- * of the day when four of them left: hence a third, and not a quarter.
+ * on a day without trouble; with one, 76, for its prompts queued. Which share is
+ * wanted follows from the load, see `createSplitEstimate`; it keeps one server more
+ * than prompts need, as a pool of thirteen lost a tenth of a day when four of them
+ * left and one prefill server remained.
  *
  * @param servers - Servers of one pool that are in service, with the roles that they have now.
  * @param options - The share wanted, and which servers are changing already.
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -45,7 +45,13 @@
 	},
 	prefillShare: {
 		// Between what three deployments learnt, 0.25 to 0.30: roles that are right before the load comes need not change under it.
-		type: 'number', default: 0.28, min: 0.01, max: 0.99, unit: 'of a pool\'s servers', group: 'Backend servers', description: 'Part of a pool that computes prompts, where servers can change between prefill and decode, until requests have told what they cost.',
+		type: 'number',
+		default: 0.28,
+		min: 0.01,
+		max: 0.99,
+		unit: 'of a pool\'s servers',
+		group: 'Backend servers',
+		description: 'Part of a pool that computes prompts, where servers can change between prefill and decode, until requests have told what they cost.',
 	},
 	retryRatio: {
 		type: 'number', default: 0.1, min: 0, max: 10, unit: 'retries a request', group: 'Backend servers', description: 'Calls beyond the first that all hosts may make for each request to a pool.',
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -77,7 +77,13 @@
 
 function toWaitInput({route, receivedAt, deadline, work, events, serve: {services}}: PlainRun): WaitInput {
 	return {
-		then: route.rule.then, poolKind: route.pool.kind, receivedAt, deadline, waitsMs: work.waitsMs, leastReturnMs: toLeastReturnDelay(services.gate.meanHoldMs(route.pool.name)), hasBegun: events?.hasBegun ?? false,
+		then: route.rule.then,
+		poolKind: route.pool.kind,
+		receivedAt,
+		deadline,
+		waitsMs: work.waitsMs,
+		leastReturnMs: toLeastReturnDelay(services.gate.meanHoldMs(route.pool.name)),
+		hasBegun: events?.hasBegun ?? false,
 	};
 }
 
