--- a/src/_lib/to-limit-signal/test.ts
+++ b/src/_lib/to-limit-signal/test.ts
@@ -1,5 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import v8 from 'node:v8';
+import vm from 'node:vm';
 import fc from 'fast-check';
 import {toLimitSignal} from './index.js';
 
@@ -10,6 +13,28 @@
 		}));
 	});
 
+	/*
+	 * A server is silent. The limit of the call to it was collected as garbage before
+	 * it fired, so its request waited until its caller had gone, 14 s later.
+	 */
+	it('fires though garbage is collected meanwhile', async () => {
+		v8.setFlagsFromString('--expose_gc');
+		const collectGarbage = vm.runInNewContext('gc') as () => void;
+		const other = new AbortController();
+		let fired = 0;
+		for (let i = 0; i < 100; i++) {
+			toLimitSignal(50, other.signal).addEventListener('abort', () => {
+				fired++;
+			}, {once: true});
+		}
+
+		collectGarbage();
+		await sleep(10);
+		collectGarbage();
+		await sleep(1000);
+		assert.equal(fired, 100);
+	});
+
 	it('aborts with the other signal', () => {
 		const other = new AbortController();
 		const signal = toLimitSignal(60_000, other.signal);
