Tell in the log what is missing and used on, and how old a host's knowledge was

Cause for it: the incident's lines can't tell whether the first list after a cut lacked the server or still named it, nor since when the platform could have been read again.

Change: `server changed` has the state `missing`, once for each server, when its entry is gone and it stays in use; `platform answers` has the time without a good read (silentMs) and the age of the last read that failed (failedReadAgeMs). No decision changes.

--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -64,6 +64,8 @@
 	'dropped',
 	'bytes',
 	'ageMs',
+	'silentMs',
+	'failedReadAgeMs',
 	'limit',
 	'order',
 	'fence',
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -33,8 +33,8 @@
 export type FleetChange = {
 	/** Rules that came into force with this read. */
 	rules: PublishedRules | undefined;
-	/** Servers that came, left, or said that they are leaving. */
-	servers: ReadonlyArray<{id: ServerId; became: 'serving' | 'leaving' | 'gone'}>;
+	/** Servers that came, left, or said that they are leaving; `missing`: not published any more, and used until it is clear that they left. */
+	servers: ReadonlyArray<{id: ServerId; became: 'serving' | 'leaving' | 'missing' | 'gone'}>;
 	/** What can't be read, and could be before or was something else. */
 	unreadable: ReadonlyArray<{what: 'rules' | 'server'; name: PublishedName; reason: string}>;
 };
@@ -147,7 +147,7 @@
 		// believed at once, a whole pool would be empty for two seconds while its servers serve.
 		if (now - outageAt < lapseGraceMs && !known.leaving) {
 			servers.set(name, {...known, isMissing: true});
-			return [];
+			return known.isMissing === true ? [] : [{id: known.entry.id, became: 'missing'}];
 		}
 
 		return removeServer(known);
--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -86,7 +86,8 @@
 		const fleet = createPublishedFleet({zones});
 		fleet.replace([server('s1'), server('s2'), server('s3', true)], 0);
 		readUntil(fleet, 2000);
-		fleet.replace([], 7000);
+		assert.deepEqual(fleet.replace([], 7000).servers, [{id: 's1', became: 'missing'}, {id: 's2', became: 'missing'}, {id: 's3', became: 'gone'}]);
+		assert.deepEqual(fleet.replace([], 7100).servers, [], 'told twice');
 		assert.deepEqual(toIds(fleet, 7000), ['s1', 's2']);
 		fleet.apply([server('s1')], 8500);
 		assert.deepEqual(fleet.sweep(9000).servers, []);
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -44,6 +44,8 @@
 const firstBackoffMs = 100;
 const maxBackoffMs = 1000;
 
+const toAge = (at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined => at === undefined ? undefined : Math.round(now - at);
+
 /**
  * Starts to follow the platform.
  *
@@ -58,6 +60,9 @@
 	let revision: number | undefined;
 	let isConnected = false;
 	let failures = 0;
+	let answeredAt: Milliseconds | undefined;
+	/** Start of the last read that failed: what tells how long the platform may have been back unnoticed. */
+	let failedReadAt: Milliseconds | undefined;
 
 	function report({rules, servers, unreadable}: FleetChange): void {
 		const now = clock.now();
@@ -83,16 +88,20 @@
 	function take(read: PublishedRead): void {
 		const isList = revision === undefined;
 		revision = read.revision;
+		const now = clock.now();
 		if (!isConnected) {
 			isConnected = true;
-			log.info('platform answers', {revision, count: failures});
+			log.info('platform answers', {
+				revision, count: failures, silentMs: toAge(answeredAt, now), failedReadAgeMs: toAge(failedReadAt, now),
+			});
 		}
 
 		failures = 0;
-		report(isList ? fleet.replace(read.changes, clock.now()) : fleet.apply(read.changes, clock.now()));
+		answeredAt = now;
+		report(isList ? fleet.replace(read.changes, now) : fleet.apply(read.changes, now));
 	}
 
-	async function noteFailed({kind, message}: PublishedFailure): Promise<void> {
+	async function noteFailed({kind, message}: PublishedFailure, startedAt: Milliseconds): Promise<void> {
 		if (kind === 'forgotten') {
 			log.warn('platform no longer knows what changed, reading all anew', {revision, reason: message});
 			revision = undefined;
@@ -105,6 +114,7 @@
 		}
 
 		failures++;
+		failedReadAt = startedAt;
 		await pause(toBackoff(failures, random, {baseMs: firstBackoffMs, maxMs: maxBackoffMs}));
 	}
 
@@ -119,13 +129,14 @@
 	async function run(): Promise<void> {
 		while (!stopping.signal.aborted) {
 			const {signal} = stopping;
+			const startedAt = clock.now();
 			const read = await (revision === undefined ? source.list(signal) : source.watch(revision, watchWaitMs, signal));
 			if (signal.aborted) {
 				return;
 			}
 
 			if (read.isErr()) {
-				await noteFailed(read.error);
+				await noteFailed(read.error, startedAt);
 			} else {
 				take(read.value);
 				await pause(gatherMs);
