Show that a server which left during a host's cut is used after it

Cause, as the incident's lines have it: back from a cut of its own, a host takes its silence for an outage in which entries lapse, keeps what is missing for 2.5 s from its first read, and looks at the end of that time only between two reads, up to 2.6 s later.

Change: no decision. The follower's pauses are an argument, and the limit of an answer stands in the port, so that a test can play platform and host in virtual time. The test cuts a host off for ten seconds, removes a server meanwhile, and asks whether it is used 2.9 s after the cut: over 14 moments at which the way opens, refusing and silent, with and without history and rules published after.

--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -10,6 +10,9 @@
 } from './config.js';
 import {type PlatformFailure} from './platform.js';
 
+/** Limit of a read, and of what a watch may take beyond its wait: a hundred times the platform's usual answer. */
+export const answerLimitMs: Milliseconds = 1000;
+
 export type PublishedRules = {
 	/** Grows with each publication. */
 	version: number;
--- /dev/null
+++ b/src/programs/entry/follow-published/_test/start-followed.ts
@@ -0,0 +1,62 @@
+/** A host that follows a scripted platform with two servers. */
+import {createLog} from '../../../../adapters/log/index.js';
+import {type Random} from '../../../../ports/clock.js';
+import {followPublished, type Follower} from '../index.js';
+import {createScriptedPlatform, type ScriptedPlatform} from './create-scripted-platform.js';
+import {createVirtualTime, type VirtualTime} from './create-virtual-time.js';
+
+export type Followed = {
+	time: VirtualTime;
+	platform: ScriptedPlatform;
+	follower: Follower;
+	/** Names of the servers to which this host sends. */
+	used: () => string[];
+	logs: () => ReadonlyArray<Record<string, unknown>>;
+	stop: () => Promise<void>;
+};
+
+/**
+ * Starts it.
+ *
+ * @param random - Source of the pauses between failed reads.
+ * @returns The host, which has read nothing yet.
+ */
+export function startFollowed(random: Random): Followed {
+	const time = createVirtualTime();
+	const platform = createScriptedPlatform(time);
+	const logs: Array<Record<string, unknown>> = [];
+	platform.publishRules();
+	platform.put('stays');
+	platform.put('leaves');
+	const follower = followPublished({
+		source: platform.source,
+		zones: [{id: 'a', region: 'r'}],
+		clock: time.clock,
+		random,
+		log: createLog({
+			level: 'info', program: 'test', host: 'a-1', zone: 'a', incarnation: 1, sink: {
+				write(text, callback) {
+					logs.push(...text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>));
+					callback?.();
+					return true;
+				},
+				writableLength: 0,
+				on: () => undefined,
+			},
+		}),
+		onView: () => undefined,
+		sleep: time.sleep,
+	});
+	return {
+		time,
+		platform,
+		follower,
+		used: () => [...follower.toView()?.servers.values() ?? []].filter(({leaving}) => !leaving).map(({id}) => id).toSorted((a, b) => a.localeCompare(b)),
+		logs: () => logs,
+		async stop() {
+			const stopped = follower.stop();
+			await time.runUntil(time.clock.now());
+			await stopped;
+		},
+	};
+}
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -2,7 +2,7 @@
  * Keeps a host's view in step with a platform that publishes servers one by
  * one: a list first, then what changes.
  */
-import {setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout as sleepOrThrow} from 'node:timers/promises';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
 import {toBackoff} from '../../../domain/to-backoff/index.js';
@@ -18,6 +18,8 @@
 	random: Random;
 	log: Log;
 	onView: (view: FleetView) => void;
+	/** Resolves after the time, or once the signal aborts; timers of the process by default. */
+	sleep?: (ms: Milliseconds, signal: AbortSignal) => Promise<void>;
 };
 
 export type Follower = {
@@ -44,6 +46,14 @@
 const firstBackoffMs = 100;
 const maxBackoffMs = 1000;
 
+async function sleepUnlessAborted(ms: Milliseconds, signal: AbortSignal): Promise<void> {
+	try {
+		await sleepOrThrow(ms, undefined, {signal});
+	} catch {
+		// Only the stop of the process ends a pause early.
+	}
+}
+
 const toAge = (at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined => at === undefined ? undefined : Math.round(now - at);
 
 /**
@@ -53,7 +63,9 @@
  * @returns The follower; its view is `undefined` until the first read.
  */
 export function followPublished(options: FollowOptions): Follower {
-	const {source, clock, random, log, onView} = options;
+	const {
+		source, clock, random, log, onView, sleep = sleepUnlessAborted,
+	} = options;
 	const fleet = createPublishedFleet({zones: options.zones});
 	const stopping = new AbortController();
 	let view: FleetView | undefined;
@@ -115,15 +127,7 @@
 
 		failures++;
 		failedReadAt = startedAt;
-		await pause(toBackoff(failures, random, {baseMs: firstBackoffMs, maxMs: maxBackoffMs}));
-	}
-
-	async function pause(ms: Milliseconds): Promise<void> {
-		try {
-			await sleep(ms, undefined, {signal: stopping.signal});
-		} catch {
-			// Only the stop of the process ends a pause early.
-		}
+		await sleep(toBackoff(failures, random, {baseMs: firstBackoffMs, maxMs: maxBackoffMs}), stopping.signal);
 	}
 
 	async function run(): Promise<void> {
@@ -139,7 +143,7 @@
 				await noteFailed(read.error, startedAt);
 			} else {
 				take(read.value);
-				await pause(gatherMs);
+				await sleep(gatherMs, signal);
 			}
 
 			report(fleet.sweep(clock.now()));
--- /dev/null
+++ b/src/programs/entry/follow-published/test.ts
@@ -0,0 +1,95 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {startFollowed, type Followed} from './_test/start-followed.js';
+
+/**
+ * Time after the end of a trouble of its own from which a host must act on all
+ * that the platform says, less what a request may be on its way to a server.
+ */
+const mustActMs: Milliseconds = 3000 - 100;
+
+const cutAt: Milliseconds = 5000;
+const cutMs: Milliseconds = 10_000;
+
+type CutCase = {
+	path: 'refusing' | 'silent';
+	/** Between the host's attempts the way opens at any moment. */
+	phase: Milliseconds;
+	/** How much of the longest pause between failed reads is taken. */
+	pause: number;
+	isForgotten: boolean;
+	/** Whether rules are published after the cut: each answers a watch. */
+	isBusy: boolean;
+};
+
+function listCutCases(): CutCase[] {
+	const cases: CutCase[] = [];
+	for (let phase = 0; phase < 1300; phase += 97) {
+		for (const pause of [0.01, 0.99]) {
+			for (const path of ['refusing', 'silent'] as const) {
+				for (const isBusy of [false, true]) {
+					cases.push({
+						path, phase, pause, isForgotten: false, isBusy,
+					}, {
+						path, phase, pause, isForgotten: true, isBusy,
+					});
+				}
+			}
+		}
+	}
+
+	return cases;
+}
+
+async function startCutOff({path, pause}: CutCase): Promise<Followed> {
+	const followed = startFollowed(() => pause);
+	await followed.time.runUntil(cutAt);
+	assert.deepEqual(followed.used(), ['leaves', 'stays']);
+	followed.platform.setPath(path);
+	return followed;
+}
+
+async function heal({time, platform}: Followed, {phase, isForgotten, isBusy}: CutCase): Promise<Milliseconds> {
+	const healedAt = cutAt + cutMs + phase;
+	await time.runUntil(healedAt);
+	if (isForgotten) {
+		platform.forget();
+	}
+
+	platform.setPath('well');
+	if (isBusy) {
+		await time.runUntil(healedAt + 1300);
+		platform.publishRules();
+	}
+
+	return healedAt;
+}
+
+describe('followPublished', () => {
+	/*
+	 * Callers' requests reach a server that left seconds ago, and break when it ends.
+	 * One host is cut off from the platform for ten seconds; meanwhile a server is
+	 * removed, and the other hosts know. Back again, the host took its own silence
+	 * for an outage in which entries lapse, kept the server as missing for 2.5 s from
+	 * its first read, and looked at the end of that time only between two reads.
+	 */
+	it('gives up a server that left while this host was cut off, before it must act on what it reads', async () => {
+		const late: CutCase[] = [];
+		for (const cut of listCutCases()) {
+			const followed = await startCutOff(cut);
+			await followed.time.runUntil(cutAt + 500);
+			followed.platform.remove('leaves');
+			const healedAt = await heal(followed, cut);
+			await followed.time.runUntil(healedAt + mustActMs);
+			if (followed.used().includes('leaves')) {
+				late.push(cut);
+			}
+
+			assert.ok(followed.used().includes('stays'));
+			await followed.stop();
+		}
+
+		assert.deepEqual(late, []);
+	});
+});
