Give up missing servers 2.8 s after a cut at the latest

Cause: a belief was allowed to last a time from when the host noticed, not from when the trouble ended, and its end was looked at only when a read happened to return. Three parts: (1) the grace of missing servers began at the first read that succeeded, up to 4 s after the platform was back (a silent read took 3 s, the pause after it up to 1 s); (2) it lasted 2.5 s; (3) its end was looked at between reads, up to 2.6 s later.

Ruled out: a list that still named the server (the removal's revision is older than the list's; the scripted platform, which never lists it, gives the record's times to 5 ms), an old view or a kept connection (`gone` comes after the requests).

Change: the grace ends 2.8 s after the start of the last read that failed, as the platform may be back since then; reads that fail are given up after 0.5 s (1 s before) and repeated within 0.25 s (1 s); a watch and the pause after it end when the grace does, so that a fresh read decides; a failing platform ends no grace. A silence in which no read failed is a pause of the process and keeps nothing: the test of the outage now tells its failed read, and a case beside it says what holds without one.

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -21,6 +21,11 @@
 	lapseGraceMs?: Milliseconds;
 };
 
+export type ReadContext = {
+	/** Start of the last read that failed since the one before, monotonic milliseconds; none did when left out. */
+	failedReadAt?: Milliseconds | undefined;
+};
+
 const defaultLapseGraceMs = 2500;
 
 /**
@@ -30,6 +35,15 @@
  */
 const lapseAfterMs: Milliseconds = 3000;
 
+/**
+ * Longest time from the return of the platform for which a missing server may be
+ * used. A host that was cut off alone looks the same to itself as one whose
+ * platform was away, but there nothing lapsed, and what is missing has left; three
+ * seconds after its cut it has to act on that, and a request is 0.2 s on its way
+ * at most.
+ */
+const actLimitMs: Milliseconds = 2800;
+
 export type FleetChange = {
 	/** Rules that came into force with this read. */
 	rules: PublishedRules | undefined;
@@ -41,11 +55,13 @@
 
 export type PublishedFleet = {
 	/** Takes a whole list: what it does not name is gone. */
-	replace: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
+	replace: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
 	/** Takes what changed since the last read. */
-	apply: (changes: readonly PublishedChange[], now: Milliseconds) => FleetChange;
-	/** Ends the grace of servers that stayed away; `true` when the view changed. */
+	apply: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
+	/** Drops missing servers that stayed away. To be called right after a read: only that tells that they did. */
 	sweep: (now: Milliseconds) => FleetChange;
+	/** When missing servers are to be dropped; `undefined` while none is missing. */
+	missingUntil: () => Milliseconds | undefined;
 	toView: (now: Milliseconds) => FleetView;
 };
 
@@ -95,8 +111,8 @@
 	let config: Config | undefined;
 	/** Counts changes of the servers, so that decisions see that their index is old. */
 	let generation = 0;
-	/** End of the last outage of the platform, or of a pause of this process, which looks the same. */
-	let outageAt = -Infinity;
+	/** Until when missing entries may have lapsed in the last outage of the platform. */
+	let graceUntil = -Infinity;
 	let confirmedAt: Milliseconds | undefined;
 
 	function changed(): void {
@@ -145,7 +161,7 @@
 
 		// Right after an outage a missing entry may have lapsed for want of a platform to write to:
 		// believed at once, a whole pool would be empty for two seconds while its servers serve.
-		if (now - outageAt < lapseGraceMs && !known.leaving) {
+		if (now < graceUntil && !known.leaving) {
 			servers.set(name, {...known, isMissing: true});
 			return known.isMissing === true ? [] : [{id: known.entry.id, became: 'missing'}];
 		}
@@ -153,6 +169,8 @@
 		return removeServer(known);
 	}
 
+	const listMissing = (): PublishedName[] => [...servers].filter(([, {isMissing}]) => isMissing === true).map(([name]) => name);
+
 	/** Told once for each reason: an entry that stays as it is may be read anew each second. */
 	function takeUnreadable(what: 'rules' | 'server', name: PublishedName, reason: string): FleetChange['unreadable'] {
 		if (unreadable.get(name) === reason) {
@@ -180,12 +198,24 @@
 		return next;
 	}
 
-	function apply(changes: readonly PublishedChange[], now: Milliseconds): FleetChange {
-		if (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs) {
-			outageAt = now;
+	/**
+	 * Finds whether the platform was away before this read. The grace is counted
+	 * from the last read that failed, as the platform may have been back since then:
+	 * counted from the first that succeeds, a host that tried late kept sending to a
+	 * server that had left. Without a failed read it was this process that stood
+	 * still, or one connection that went silent, while servers went on writing.
+	 */
+	function noteRead(now: Milliseconds, failedReadAt: Milliseconds | undefined): void {
+		const isOutage = confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs;
+		if (isOutage && failedReadAt !== undefined) {
+			graceUntil = Math.min(now + lapseGraceMs, failedReadAt + actLimitMs);
 		}
 
 		confirmedAt = now;
+	}
+
+	function apply(changes: readonly PublishedChange[], now: Milliseconds, {failedReadAt}: ReadContext = {}): FleetChange {
+		noteRead(now, failedReadAt);
 		let newRules: PublishedRules | undefined;
 		const serverChanges: Array<FleetChange['servers'][number]> = [];
 		const newUnreadable: Array<FleetChange['unreadable'][number]> = [];
@@ -245,19 +275,18 @@
 
 	return {
 		apply,
-		replace(changes, now) {
+		replace(changes, now, context) {
 			const listed = new Set(changes.map(change => toListed(change)));
 			const gone = [...servers.keys(), ...unreadable.keys()]
 				.filter(name => name !== rulesName && !listed.has(name))
 				.map((name): PublishedChange => ({kind: 'server-gone', name}));
-			return apply([...changes, ...gone], now);
+			return apply([...changes, ...gone], now, context);
 		},
 		sweep(now) {
-			const overdue = [...servers]
-				.filter(([, {isMissing}]) => isMissing === true && now - outageAt >= lapseGraceMs)
-				.flatMap(([name]) => dropServer(name, now));
+			const overdue = now < graceUntil ? [] : listMissing().flatMap(name => dropServer(name, now));
 			return {rules: undefined, servers: overdue, unreadable: []};
 		},
+		missingUntil: () => listMissing().length === 0 ? undefined : graceUntil,
 		toView: now => ({
 			accepted: rules === undefined
 				? undefined
--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -86,13 +86,34 @@
 		const fleet = createPublishedFleet({zones});
 		fleet.replace([server('s1'), server('s2'), server('s3', true)], 0);
 		readUntil(fleet, 2000);
-		assert.deepEqual(fleet.replace([], 7000).servers, [{id: 's1', became: 'missing'}, {id: 's2', became: 'missing'}, {id: 's3', became: 'gone'}]);
+		assert.deepEqual(fleet.replace([], 7000, {failedReadAt: 6800}).servers, [{id: 's1', became: 'missing'}, {id: 's2', became: 'missing'}, {id: 's3', became: 'gone'}]);
 		assert.deepEqual(fleet.replace([], 7100).servers, [], 'told twice');
 		assert.deepEqual(toIds(fleet, 7000), ['s1', 's2']);
 		fleet.apply([server('s1')], 8500);
 		assert.deepEqual(fleet.sweep(9000).servers, []);
 		assert.deepEqual(fleet.sweep(9600).servers, [{id: 's2', became: 'gone'}]);
 		assert.deepEqual(toIds(fleet, 9600), ['s1']);
+		assert.equal(fleet.missingUntil(), undefined);
+	});
+
+	it('keeps missing servers no longer than 2.8 s from the last failed read, since which the platform may be back', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.replace([server('s1')], 0);
+		fleet.replace([], 7000, {failedReadAt: 6000});
+		assert.equal(fleet.missingUntil(), 8800);
+		assert.deepEqual(fleet.sweep(8799).servers, []);
+		assert.deepEqual(fleet.sweep(8800).servers, [{id: 's1', became: 'gone'}]);
+	});
+
+	/*
+	 * The process is paused for seconds, or its one connection goes silent, and a
+	 * server leaves meanwhile. Servers wrote to the platform all the while, so nothing
+	 * lapsed; kept as missing, the server would get requests that break when it ends.
+	 */
+	it('believes a missing entry at once after a silence in which no read failed', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.replace([server('s1'), server('s2')], 0);
+		assert.deepEqual(fleet.apply([gone('s1')], 7000).servers, [{id: 's1', became: 'gone'}]);
 	});
 
 	it('believes a missing entry at once while the platform answers, also after one failed read', () => {
--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -10,8 +10,8 @@
 } from './config.js';
 import {type PlatformFailure} from './platform.js';
 
-/** Limit of a read, and of what a watch may take beyond its wait: a hundred times the platform's usual answer. */
-export const answerLimitMs: Milliseconds = 1000;
+/** Limit of a read, and of what a watch may take beyond its wait: a hundred times the platform's usual answer, twice the slowest seen. */
+export const answerLimitMs: Milliseconds = 500;
 
 export type PublishedRules = {
 	/** Grows with each publication. */
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -44,7 +44,15 @@
 const gatherMs = 600;
 
 const firstBackoffMs = 100;
-const maxBackoffMs = 1000;
+
+/**
+ * Longest pause between two reads that fail. With the limit of an answer it
+ * bounds to 0.75 s how late the return of the platform is noticed; what is
+ * missing then is used for 2.8 s from the return, and living servers have
+ * two of them to publish themselves anew. 400 hosts that are all turned away
+ * read 1,600 times a second, under the platform's 2,000.
+ */
+const maxBackoffMs = 250;
 
 async function sleepUnlessAborted(ms: Milliseconds, signal: AbortSignal): Promise<void> {
 	try {
@@ -108,9 +116,32 @@
 			});
 		}
 
+		const context = {failedReadAt};
 		failures = 0;
 		answeredAt = now;
-		report(isList ? fleet.replace(read.changes, now) : fleet.apply(read.changes, now));
+		failedReadAt = undefined;
+		report(isList ? fleet.replace(read.changes, now, context) : fleet.apply(read.changes, now, context));
+		report(fleet.sweep(now));
+	}
+
+	/**
+	 * Waits end when the time of missing servers does, so that a fresh read decides
+	 * whether they stayed away. Looked at between reads as they came, the end was
+	 * noticed up to a watch and its pause late, and callers' requests broke at a
+	 * server that had ended meanwhile.
+	 */
+	function toWaitMs(longestMs: Milliseconds): Milliseconds {
+		const leftMs = (fleet.missingUntil() ?? Infinity) - clock.now();
+		return Math.min(longestMs, Math.max(1, Math.ceil(leftMs)));
+	}
+
+	/** After a failed read the question is whether the platform answers at all: nothing is waited for. */
+	function readNext(signal: AbortSignal): ReturnType<PublishedSource['list']> {
+		if (revision === undefined) {
+			return source.list(signal);
+		}
+
+		return source.watch(revision, failures > 0 ? 1 : toWaitMs(watchWaitMs), signal);
 	}
 
 	async function noteFailed({kind, message}: PublishedFailure, startedAt: Milliseconds): Promise<void> {
@@ -134,7 +165,7 @@
 		while (!stopping.signal.aborted) {
 			const {signal} = stopping;
 			const startedAt = clock.now();
-			const read = await (revision === undefined ? source.list(signal) : source.watch(revision, watchWaitMs, signal));
+			const read = await readNext(signal);
 			if (signal.aborted) {
 				return;
 			}
@@ -143,10 +174,8 @@
 				await noteFailed(read.error, startedAt);
 			} else {
 				take(read.value);
-				await sleep(gatherMs, signal);
+				await sleep(toWaitMs(gatherMs), signal);
 			}
-
-			report(fleet.sweep(clock.now()));
 		}
 	}
 
--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -92,4 +92,60 @@
 
 		assert.deepEqual(late, []);
 	});
+
+	/*
+	 * Callers of a pool would be refused although its server serves. The platform is
+	 * away for ten seconds, entries lapse, and the list that is read first lacks a
+	 * server that publishes itself anew two seconds after the return. Counted from
+	 * the last failed read, the grace must still last that long.
+	 */
+	it('keeps a server whose entry lapsed in an outage until it is back, two seconds after the platform', async () => {
+		const dropped: CutCase[] = [];
+		for (const cut of listCutCases()) {
+			const followed = await startCutOff(cut);
+			await followed.time.runUntil(cutAt + 4000);
+			followed.platform.remove('leaves');
+			const healedAt = await heal(followed, cut);
+			await followed.time.runUntil(healedAt + 2000);
+			followed.platform.put('leaves');
+			await followed.time.runUntil(healedAt + 6000);
+			if (followed.logs().some(line => line.server === 'leaves' && line.state === 'gone')) {
+				dropped.push(cut);
+			}
+
+			assert.deepEqual(followed.used(), ['leaves', 'stays']);
+			await followed.stop();
+		}
+
+		assert.deepEqual(dropped, []);
+	});
+
+	/*
+	 * The platform is back for a second and goes away again, before a living server
+	 * could publish itself anew. The grace of the first outage ends in the second one,
+	 * in which nothing can be heard of the server: dropped then, it would be missed
+	 * for as long as the second outage lasts.
+	 */
+	it('drops no missing server while the platform is away again', async () => {
+		for (const path of ['refusing', 'silent'] as const) {
+			const followed = startFollowed(() => 0.5);
+			const {time, platform} = followed;
+			await time.runUntil(cutAt);
+			platform.setPath(path);
+			await time.runUntil(10_000);
+			platform.remove('leaves');
+			platform.setPath('well');
+			await time.runUntil(11_000);
+			platform.setPath(path);
+			await time.runUntil(17_000);
+			assert.deepEqual(followed.used(), ['leaves', 'stays'], path);
+			platform.setPath('well');
+			await time.runUntil(18_500);
+			platform.put('leaves');
+			await time.runUntil(22_000);
+			assert.deepEqual(followed.used(), ['leaves', 'stays'], path);
+			assert.deepEqual(followed.logs().filter(({state}) => state === 'gone'), [], path);
+			await followed.stop();
+		}
+	});
 });
