Show that a connection gone silent is noticed too late

The same cause as the missing servers, looked for elsewhere: a wait that is in order by itself, but begins late and so ends after the host must act. A watch on a connection that went silent right before is given up when the pause before it, its wait and the limit of its answer are over, 0.6, 2 and 0.5 s.

--- a/src/programs/entry/follow-published/_test/create-scripted-platform.ts
+++ b/src/programs/entry/follow-published/_test/create-scripted-platform.ts
@@ -26,7 +26,7 @@
 const answerMs: Milliseconds = 4;
 
 /** Between two looks at what a waiting read could be answered with. */
-const lookMs: Milliseconds = 10;
+const lookMs: Milliseconds = 20;
 
 const unreachable = (message: string): Result<never, PublishedFailure> => err({kind: 'unreachable', message});
 
--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -148,4 +148,31 @@
 			await followed.stop();
 		}
 	});
+
+	/*
+	 * Callers' requests reach a server that left, and rules that were replaced decide.
+	 * The host's one connection to the platform goes silent without a reset, right
+	 * before both are published; the watch on it is only given up when its wait and
+	 * the limit of its answer are over. No other trouble excuses the host after 3 s.
+	 */
+	it('acts on what is published right after its connection went silent, before it must', async () => {
+		const late: Milliseconds[] = [];
+		for (let silentAt = cutAt; silentAt < cutAt + 3000; silentAt += 47) {
+			const followed = startFollowed(() => 0.99);
+			const {time, platform, follower} = followed;
+			await time.runUntil(silentAt);
+			platform.silenceConnection();
+			await time.runUntil(silentAt + 10);
+			platform.remove('leaves');
+			platform.publishRules();
+			await time.runUntil(silentAt + mustActMs);
+			if (followed.used().includes('leaves') || follower.toView()?.accepted?.version.edition !== 2) {
+				late.push(silentAt - cutAt);
+			}
+
+			await followed.stop();
+		}
+
+		assert.deepEqual(late, []);
+	});
 });
