Notice a silent connection to the platform in time to act

Ruled out: a shorter limit of an answer (half of it is what a slow platform was seen to take), a second connection asked beside the first (twice the calls for each watch), keep-alive probes of the kernel (ten of them a second apart before the connection ends).

Change: a watch waits 1.5 s at most, 2 s before.

--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -30,11 +30,12 @@
 };
 
 /**
- * Longest wait of one watch. Short, because a connection may go silent without
- * a reset: the next read then comes on another one, and a change of the rules
- * is still in force within two seconds of its publication.
+ * Longest wait of one watch. A connection may go silent without a reset, and only
+ * the end of the watch shows it: the pause before it, its wait and the limit of
+ * its answer add up to 2.6 s, so that the next read, on a new connection, brings
+ * what was published meanwhile within the 3 s after which a host must act on it.
  */
-const watchWaitMs = 2000;
+const watchWaitMs = 1500;
 
 /**
  * Pause between two watches. Each server writes a heartbeat every second or so,
