--- a/src/programs/entry/follow-published/_test/create-scripted-platform.ts
+++ b/src/programs/entry/follow-published/_test/create-scripted-platform.ts
@@ -17,6 +17,8 @@
 	forget: () => void;
 	/** What becomes of reads from now on; a read that waits when they go silent is never answered. */
 	setPath: (path: 'well' | 'refusing' | 'silent') => void;
+	/** Breaks off the read that waits; the next one is answered. */
+	cutWaiting: () => void;
 	/** The open connection goes silent for good; the next one works. */
 	silenceConnection: () => void;
 	reads: () => number;
@@ -55,6 +57,7 @@
 	let reads = 0;
 	let path: 'well' | 'refusing' | 'silent' = 'well';
 	let isConnectionDead = false;
+	let cuts = 0;
 
 	function note(change: PublishedChange): void {
 		revision++;
@@ -65,6 +68,7 @@
 	async function read(waitMs: Milliseconds, signal: AbortSignal, toAnswer: (isOver: boolean) => PublishedRead | undefined): Promise<Result<PublishedRead, PublishedFailure>> {
 		reads++;
 		const endsAt = clock.now() + waitMs;
+		const cutsBefore = cuts;
 		for (;;) {
 			await sleep(answerMs, signal);
 			if (signal.aborted) {
@@ -77,7 +81,7 @@
 				return unreachable('no answer');
 			}
 
-			if (path === 'refusing') {
+			if (path === 'refusing' || cuts > cutsBefore) {
 				return unreachable('refused');
 			}
 
@@ -130,6 +134,9 @@
 		setPath(next) {
 			path = next;
 		},
+		cutWaiting() {
+			cuts++;
+		},
 		silenceConnection() {
 			isConnectionDead = true;
 		},
--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -149,6 +149,56 @@
 		}
 	});
 
+	/*
+	 * As before, but the second outage is over before the grace of the first: it is
+	 * too short to let entries lapse, and yet the server could not publish itself in
+	 * it. The grace has to begin anew, or the server is dropped 1.3 s after the
+	 * platform came back. Found by random outages.
+	 */
+	it('gives missing servers their time anew after a short second outage', async () => {
+		for (const path of ['refusing', 'silent'] as const) {
+			const followed = startFollowed(() => 0.01);
+			const {time, platform} = followed;
+			await time.runUntil(6000);
+			platform.setPath(path);
+			platform.remove('leaves');
+			await time.runUntil(9400);
+			platform.setPath('well');
+			await time.runUntil(10_400);
+			platform.setPath(path);
+			await time.runUntil(11_500);
+			platform.setPath('well');
+			await time.runUntil(13_400);
+			assert.deepEqual(followed.used(), ['leaves', 'stays'], path);
+			await time.runUntil(11_500 + mustActMs);
+			assert.deepEqual(followed.used(), ['stays'], path);
+			await followed.stop();
+		}
+	});
+
+	/*
+	 * A watch that waits is cut once, which says nothing of the platform: the next
+	 * read is answered at once. Taken for an outage, it would prolong the grace of a
+	 * server that left, and its requests break.
+	 */
+	it('gives missing servers no more time for one watch that was cut', async () => {
+		const followed = startFollowed(() => 0.01);
+		const {time, platform} = followed;
+		await time.runUntil(cutAt);
+		platform.setPath('refusing');
+		platform.remove('leaves');
+		await time.runUntil(10_000);
+		platform.setPath('well');
+		for (const at of [11_000, 12_000]) {
+			await time.runUntil(at);
+			platform.cutWaiting();
+		}
+
+		await time.runUntil(10_000 + mustActMs);
+		assert.deepEqual(followed.used(), ['stays']);
+		await followed.stop();
+	});
+
 	/*
 	 * Callers' requests reach a server that left, and rules that were replaced decide.
 	 * The host's one connection to the platform goes silent without a reset, right
