Give missing servers their time anew when the platform goes away again

Cause: the grace of missing servers was renewed only by an outage long enough to let entries lapse. A shorter one inside it keeps living servers from publishing themselves, and their grace went on to its end.

Ruled out: any failed read as a reason. A watch that breaks off while it waits says nothing of the platform, and one each second would keep a server that left for good; that is a case of its own. So what counts is an attempt after a failure that fails too.

Change: such an attempt begins a running grace anew; while a server is missing, waits are 300 ms at most, so that a silence shows inside the grace. Up to eight reads a host after an outage (worked out).

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -22,8 +22,12 @@
 };
 
 export type ReadContext = {
-	/** Start of the last read that failed since the one before, monotonic milliseconds; none did when left out. */
-	failedReadAt?: Milliseconds | undefined;
+	/**
+	 * Start of the last attempt since the read before that was made after a failure
+	 * and failed too, monotonic milliseconds. A watch that breaks off is none: it
+	 * tells of its connection, and not whether the platform answers.
+	 */
+	failedAttemptAt?: Milliseconds | undefined;
 };
 
 const defaultLapseGraceMs = 2500;
@@ -200,22 +204,23 @@
 
 	/**
 	 * Finds whether the platform was away before this read. The grace is counted
-	 * from the last read that failed, as the platform may have been back since then:
-	 * counted from the first that succeeds, a host that tried late kept sending to a
-	 * server that had left. Without a failed read it was this process that stood
-	 * still, or one connection that went silent, while servers went on writing.
+	 * from the last attempt that failed, as the platform may have been back since
+	 * then: counted from the first read that succeeds, a host that tried late kept
+	 * sending to a server that had left. Without a failed attempt it was this process
+	 * that stood still, or one connection that went silent, while servers went on
+	 * writing. An outage of any length interrupts a grace, which begins anew.
 	 */
-	function noteRead(now: Milliseconds, failedReadAt: Milliseconds | undefined): void {
-		const isOutage = confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs;
-		if (isOutage && failedReadAt !== undefined) {
-			graceUntil = Math.min(now + lapseGraceMs, failedReadAt + actLimitMs);
+	function noteRead(now: Milliseconds, failedAttemptAt: Milliseconds | undefined): void {
+		const hasLapses = now < graceUntil || (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs);
+		if (hasLapses && failedAttemptAt !== undefined) {
+			graceUntil = Math.max(graceUntil, Math.min(now + lapseGraceMs, failedAttemptAt + actLimitMs));
 		}
 
 		confirmedAt = now;
 	}
 
-	function apply(changes: readonly PublishedChange[], now: Milliseconds, {failedReadAt}: ReadContext = {}): FleetChange {
-		noteRead(now, failedReadAt);
+	function apply(changes: readonly PublishedChange[], now: Milliseconds, {failedAttemptAt}: ReadContext = {}): FleetChange {
+		noteRead(now, failedAttemptAt);
 		let newRules: PublishedRules | undefined;
 		const serverChanges: Array<FleetChange['servers'][number]> = [];
 		const newUnreadable: Array<FleetChange['unreadable'][number]> = [];
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -44,6 +44,14 @@
  */
 const gatherMs = 600;
 
+/**
+ * Longest wait while a server is missing. Its time ends with a read, and begins
+ * anew when the platform goes away again: a silence of a second must show by then,
+ * or a living server would be dropped for want of a platform to write to. It costs
+ * up to eight reads a host after an outage.
+ */
+const missingWaitMs = 300;
+
 const firstBackoffMs = 100;
 
 /**
@@ -117,7 +125,8 @@
 			});
 		}
 
-		const context = {failedReadAt};
+		// The first read that fails in a row may have been a watch that broke off.
+		const context = {failedAttemptAt: failures > 1 ? failedReadAt : undefined};
 		failures = 0;
 		answeredAt = now;
 		failedReadAt = undefined;
@@ -132,8 +141,9 @@
 	 * server that had ended meanwhile.
 	 */
 	function toWaitMs(longestMs: Milliseconds): Milliseconds {
-		const leftMs = (fleet.missingUntil() ?? Infinity) - clock.now();
-		return Math.min(longestMs, Math.max(1, Math.ceil(leftMs)));
+		const missingUntil = fleet.missingUntil();
+		const leftMs = missingUntil === undefined ? Infinity : Math.min(missingWaitMs, Math.ceil(missingUntil - clock.now()));
+		return Math.min(longestMs, Math.max(1, leftMs));
 	}
 
 	/** After a failed read the question is whether the platform answers at all: nothing is waited for. */
--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -120,6 +120,28 @@
 		assert.deepEqual(dropped, []);
 	});
 
+	/*
+	 * As before, but the outage is the shortest that lets an entry lapse, and the host
+	 * read right before it: its own silence is no longer than the outage. Found by
+	 * random outages.
+	 */
+	it('keeps a server whose entry lapsed in an outage of two heartbeats', async () => {
+		const followed = startFollowed(() => 0.01);
+		const {time, platform} = followed;
+		await time.runUntil(cutAt);
+		platform.publishRules();
+		await time.runUntil(cutAt + 1000);
+		platform.publishRules();
+		await time.runUntil(cutAt + 1050);
+		platform.setPath('refusing');
+		platform.remove('leaves');
+		await time.runUntil(cutAt + 1050 + 2400);
+		platform.setPath('well');
+		await time.runUntil(cutAt + 1050 + 2400 + 2000);
+		assert.deepEqual(followed.used(), ['leaves', 'stays']);
+		await followed.stop();
+	});
+
 	/*
 	 * The platform is back for a second and goes away again, before a living server
 	 * could publish itself anew. The grace of the first outage ends in the second one,
