Take an outage of two heartbeats for one that lets entries lapse

Cause: entries lapse three heartbeats after the last one, so an outage of two is enough; three seconds of silence were asked for.

Ruled out: no threshold at all. A host whose own connection failed for half a second would keep what left for 2.8 s, for nothing.

Change: 2 s, two heartbeats of a second. What keeps this from prolonging the use of servers that left is the bound from the last failed attempt, not the length of the silence.

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -33,11 +33,12 @@
 const defaultLapseGraceMs = 2500;
 
 /**
- * Silence of the platform after which entries of living servers may have lapsed:
- * they do after three heartbeats. A read that fails by itself is no outage; taken
- * for one, a server that left would get requests for seconds after it ended.
+ * Silence of the platform after which entries of living servers may have lapsed.
+ * They do three heartbeats after their server's last one, so an outage of two
+ * is enough; heartbeats are a second or more apart. A shorter one is taken for
+ * what it is: a server that left in it would get requests for seconds after it ended.
  */
-const lapseAfterMs: Milliseconds = 3000;
+const lapseAfterMs: Milliseconds = 2000;
 
 /**
  * Longest time from the return of the platform for which a missing server may be
