--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -4,8 +4,9 @@
 	after, afterEach, before, beforeEach, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {createDeferred} from '../../src/_lib/create-deferred/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {type Misdeed} from '../stand-ins/users-platform/server.js';
+import {type Misdeed, type ServerStandIn} from '../stand-ins/users-platform/server.js';
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
@@ -265,3 +266,52 @@
 		assert.deepEqual(reasons.filter(reason => !/within \d+ ms/v.test(reason)), []);
 	});
 });
+
+/*
+ * A caller's stream breaks with a server that had said long before that it leaves.
+ * The decode server is chosen before the prompt is computed, which may take 1.5 s;
+ * what became known of the server meanwhile was not looked at when the request was
+ * sent there, and a server serves on for 2 s only. The publication is seen in the log
+ * before the prompt is ready, and the judge is the stand-in's count of arrivals.
+ */
+describe('relay: the chosen decode server leaves while the prompt is computed', () => {
+	beforeEach(async () => {
+		fixture = await startRelayFixture();
+	});
+	afterEach(async () => fixture.stop());
+
+	const hasStep = (server: ServerStandIn, wanted: string) => server.arrivals.some(({step}) => step === wanted);
+
+	/** Asks, and lets the prompt wait for as long as the relay takes to know that the chosen server leaves. */
+	async function askWhileLeaving(leave: (chosen: ServerStandIn) => void): Promise<{answer: Answer; chosen: ServerStandIn}> {
+		const {servers, ask, logs} = fixture;
+		const known = createDeferred();
+		servers.prefill1.holdPrompts(known.promise);
+		servers.prefill2.holdPrompts(known.promise);
+		const asking = ask(toStream());
+		await waitUntil(() => hasStep(servers.prefill1, 'prefill') || hasStep(servers.prefill2, 'prefill'), {deadlineMs, what: 'a prompt under way', everyMs: 5});
+		const chosen = hasStep(servers.decode1, 'reserve') ? servers.decode1 : servers.decode2;
+		leave(chosen);
+		await waitUntil(() => logs().some(({server, state}) => server === chosen.id && (state === 'leaving' || state === 'gone')), {deadlineMs, what: 'the relay to know', everyMs: 5});
+		known.resolve();
+		return {answer: await asking, chosen};
+	}
+
+	const cases: ReadonlyArray<{name: string; leave: (chosen: ServerStandIn) => void}> = [
+		{
+			name: 'says so', leave(chosen) {
+				fixture.publishServer(chosen, {state: 'draining'});
+			},
+		},
+	];
+	for (const {name, leave} of cases) {
+		it(`sends the request to the other one: it ${name}`, async () => {
+			// A watch that waits tells of the change at once; right after a change the next one comes later.
+			await sleep(1000);
+			const {answer, chosen} = await askWhileLeaving(leave);
+			assert.equal(answer.status, 200, answer.body);
+			assert.equal(chosen.runs().length, 0, 'the request was sent to a server that was known to leave');
+			await waitUntil(() => chosen.reservations() === 0 && fixture.caches.size === 0, {deadlineMs, what: 'the place and the first prompt to be given back'});
+		});
+	}
+});
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -28,6 +28,8 @@
 	runs: () => Arrival[];
 	/** Misdeeds for the requests to come, used up one by one; calls of its own are answered well. */
 	misbehave: (...misdeeds: Misdeed[]) => void;
+	/** Answers no prompt that comes from now on until the promise is settled. */
+	holdPrompts: (until: Promise<unknown>) => void;
 	/** Tokens that are free for reservations; endless unless set. */
 	setFreeTokens: (tokens: number) => void;
 	/** Whether an order is in progress, so that no other is taken. */
@@ -70,6 +72,7 @@
 	const reservations = new Map<string, number>();
 	let freeTokens = Infinity;
 	let isBusy = false;
+	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let made = 0;
 
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
@@ -214,6 +217,7 @@
 
 		await sleep(workMs);
 		if (step === 'prefill') {
+			await promptsHeld;
 			const handle = `cache-${++made}`;
 			caches.add(`${address}/${handle}`);
 			answer(res, 200, {kv_handle: handle, tokens: 10, version: 1}, {'request-id': String(req.headers['request-id'])});
@@ -249,6 +253,9 @@
 		misbehave(...next) {
 			misdeeds.push(...next);
 		},
+		holdPrompts(until) {
+			promptsHeld = until;
+		},
 		setFreeTokens(tokens) {
 			freeTokens = tokens;
 		},
