Send no request to a decode server that left while its prompt was computed

Cause: the decode server was chosen once, before the prompt.

Ruled out: a shorter limit of the prompt. It would have to be under 1.1 s for every deployment, and long prompts before busy servers take that.

Change: the choice is looked at again right before the request is sent. A server that leaves or is gone gets nothing; its place and the prompt's cache are given back, and the attempt is made anew, as after any refusal before a run.

Left: the cache could be used by another decode server, which would save the second prompt.

--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -219,6 +219,16 @@
 	return computed;
 }
 
+/**
+ * Whether the server, chosen before the prompt, is still to get new work. A prompt
+ * takes up to 1.5 s and a change is known 0.6 s late; a server that leaves serves on
+ * for 2 s, so the caller's stream would break with it. Computing the prompt anew
+ * elsewhere costs some 0.3 s.
+ */
+function isInService(run: PlainRun, {id}: ServerEntry): boolean {
+	return run.serve.services.toView()?.servers.get(id)?.leaving === false;
+}
+
 async function runPlaced(step: Step, reservationId: string): Promise<PairAttempt> {
 	const {run, caches, placement} = step;
 	const {services} = run.serve;
@@ -246,6 +256,13 @@
 		};
 	}
 
+	if (!isInService(run, decode)) {
+		giveAllBack();
+		return {
+			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'leaving', message: 'left while the prompt was computed'}}, hasRun: false,
+		};
+	}
+
 	run.ledger.noteOffered();
 	const ended = await sendWhole(run, decode, {
 		kind: 'decode', reservationId, cache, lastEventId: run.events?.lastId,
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -303,6 +303,11 @@
 				fixture.publishServer(chosen, {state: 'draining'});
 			},
 		},
+		{
+			name: 'is removed', leave({id}) {
+				fixture.store.remove(`servers/${id}`);
+			},
+		},
 	];
 	for (const {name, leave} of cases) {
 		it(`sends the request to the other one: it ${name}`, async () => {
