--- a/src/programs/entry/_lib/to-entry-status.ts
+++ b/src/programs/entry/_lib/to-entry-status.ts
@@ -1,4 +1,5 @@
 /** What operators see of an entry's state. */
+import {toAge} from '../../../_lib/to-age/index.js';
 import {type ReadinessReason} from '../../../adapters/operator-http/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type FleetView} from '../../../ports/view.js';
@@ -43,10 +44,6 @@
 		: [{reason: 'the claims of this host\'s last process are being fetched from its peers', remedy: 'wait: it takes requests after five seconds at the latest'}];
 }
 
-function toAge(at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined {
-	return at === undefined || !Number.isFinite(at) ? undefined : Math.round(now - at);
-}
-
 /**
  * Writes the status document.
  *
--- a/src/programs/entry/follow-published/_test/start-followed.ts
+++ b/src/programs/entry/follow-published/_test/start-followed.ts
@@ -1,4 +1,5 @@
 /** A host that follows a scripted platform with two servers. */
+import {createCollectedLines, type LogFields} from '../../../../../test/_lib/create-collected-lines/index.js';
 import {createLog} from '../../../../adapters/log/index.js';
 import {type Random} from '../../../../ports/clock.js';
 import {followPublished, type Follower} from '../index.js';
@@ -11,7 +12,7 @@
 	follower: Follower;
 	/** Names of the servers to which this host sends. */
 	used: () => string[];
-	logs: () => ReadonlyArray<Record<string, unknown>>;
+	logs: () => readonly LogFields[];
 	stop: () => Promise<void>;
 };
 
@@ -24,7 +25,7 @@
 export function startFollowed(random: Random): Followed {
 	const time = createVirtualTime();
 	const platform = createScriptedPlatform(time);
-	const logs: Array<Record<string, unknown>> = [];
+	const collected = createCollectedLines();
 	platform.publishRules();
 	platform.put('stays');
 	platform.put('leaves');
@@ -34,15 +35,7 @@
 		clock: time.clock,
 		random,
 		log: createLog({
-			level: 'info', program: 'test', host: 'a-1', zone: 'a', incarnation: 1, sink: {
-				write(text, callback) {
-					logs.push(...text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>));
-					callback?.();
-					return true;
-				},
-				writableLength: 0,
-				on: () => undefined,
-			},
+			level: 'info', program: 'test', host: 'a-1', zone: 'a', incarnation: 1, sink: collected.sink,
 		}),
 		onView: () => undefined,
 		sleep: time.sleep,
@@ -52,7 +45,7 @@
 		platform,
 		follower,
 		used: () => [...follower.toView()?.servers.values() ?? []].filter(({leaving}) => !leaving).map(({id}) => id).toSorted((a, b) => a.localeCompare(b)),
-		logs: () => logs,
+		logs: collected.lines,
 		async stop() {
 			const stopped = follower.stop();
 			await time.runUntil(time.clock.now());
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -3,6 +3,7 @@
  * one: a list first, then what changes.
  */
 import {setTimeout as sleepOrThrow} from 'node:timers/promises';
+import {toAge} from '../../../_lib/to-age/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
 import {toBackoff} from '../../../domain/to-backoff/index.js';
@@ -71,8 +72,6 @@
 	}
 }
 
-const toAge = (at: Milliseconds | undefined, now: Milliseconds): Milliseconds | undefined => at === undefined ? undefined : Math.round(now - at);
-
 /**
  * Starts to follow the platform.
  *
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -8,7 +8,6 @@
 } from '../../../adapters/caller-http/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
-import {type ReadinessReason} from '../../../adapters/operator-http/index.js';
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
@@ -37,8 +36,9 @@
 import {createRunRegistry} from '../_lib/run-registry.js';
 import {type CallerLimits, type ServeServices} from '../_lib/serve-types.js';
 import {createTally} from '../_lib/tally.js';
-import {findNotReady, toEntryStatus} from '../_lib/to-entry-status.js';
+import {toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
+import {createReadiness} from './_lib/create-readiness.js';
 
 /** Room at a full pool is looked for this often: a request in time has some 600 ms to find it, before those that come after it do. */
 const gateTickMs = 20;
@@ -150,31 +150,6 @@
 	toIsStopping: () => boolean;
 };
 
-/** Neither sign alone says that others can serve this host's callers: the platform may be down for all, and other zones' hosts may have been killed. */
-function isCutOff({options, link, serve: {services}}: EntryParts): boolean {
-	const view = link.toView();
-	return view !== undefined
-		&& options.loadSharing?.isIsolated() === true
-		&& !link.isConnected()
-		&& services.placement.isOutOfReach(view, services.clock.now());
-}
-
-/** Tells why the entry takes no requests, with a line when that changes. */
-function createReadiness(parts: EntryParts): () => ReadinessReason[] {
-	const {link, toIsStopping, serve: {log}} = parts;
-	let last = '';
-	return () => {
-		const reasons = findNotReady(link.toView(), {isStopping: toIsStopping(), isCutOff: isCutOff(parts), areClaimsSettled: link.claims?.isSettled() ?? true});
-		const text = reasons.map(({reason}) => reason).join('; ');
-		if (text !== last) {
-			log.info(text === '' ? 'ready' : 'not ready', {reason: text === '' ? undefined : text});
-			last = text;
-		}
-
-		return reasons;
-	};
-}
-
 async function listenForOperators(parts: EntryParts, burn: ReturnType<typeof reportSlo>) {
 	const {
 		options, link, serve, callers, counters, toIsStopping,
@@ -188,7 +163,9 @@
 		log: options.log,
 		metrics: options.metrics,
 		keys: options.keys,
-		notReady: createReadiness(parts),
+		notReady: createReadiness({
+			link, services, log: options.log, isIsolated: options.loadSharing?.isIsolated, isStopping: toIsStopping,
+		}),
 		status: () => toEntryStatus({
 			link, services, registry, isStopping: toIsStopping(), openConnections: callers.connections(),
 		}, options.clock.now()),
--- a/test/contracts/_lib/caller-fixture.ts
+++ b/test/contracts/_lib/caller-fixture.ts
@@ -11,6 +11,7 @@
 import {startFleetEntry} from '../../../src/programs/entry/start-fleet-entry/index.js';
 import {entrySettings, type EntrySettings} from '../../../src/programs/_settings/index.js';
 import {startEngineStandIn, type EngineStandIn, type EngineStandInOptions} from '../../stand-ins/engine/index.js';
+import {createCollectedLines, type CollectedLines} from '../../_lib/create-collected-lines/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {startPlainStandIn, type PlainStandIn} from '../../stand-ins/plain/index.js';
 
@@ -24,7 +25,7 @@
 	/** All plain services, {@link CallerFixture.plain} first. */
 	plains: readonly PlainStandIn[];
 	/** Log lines so far. */
-	logs: () => ReadonlyArray<Record<string, unknown>>;
+	logs: CollectedLines['lines'];
 	stop: () => Promise<void>;
 };
 
@@ -109,7 +110,7 @@
 	})));
 	const plains = await Promise.all(Array.from({length: options.plains ?? 1}, async (_, i) => startPlainStandIn({id: `w${i + 1}`})));
 	const view = options.hasConfig === false ? undefined : await toView([prefill, ...decodes], plains, options.configLines ?? '');
-	const logs: Array<Record<string, unknown>> = [];
+	const collected = createCollectedLines();
 	const settings = toSettings(options.settings ?? {});
 	const entry = await startFleetEntry({
 		settings,
@@ -121,15 +122,7 @@
 			host: 'z-1',
 			zone: 'z',
 			incarnation: 1,
-			sink: {
-				write(text, callback) {
-					logs.push(...text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>));
-					callback?.();
-					return true;
-				},
-				writableLength: 0,
-				on: () => undefined,
-			},
+			sink: collected.sink,
 		}),
 		metrics: createMetrics(),
 		// A witness vouches for no key older than its start by this; here all clocks are one.
@@ -156,7 +149,7 @@
 		decodes,
 		plain: plains[0]!,
 		plains,
-		logs: () => logs,
+		logs: collected.lines,
 		async stop() {
 			await entry.stop();
 			await Promise.all([prefill, ...decodes, ...plains].map(async server => server.stop()));
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -9,6 +9,7 @@
 import {parseSettings} from '../../../src/adapters/settings/index.js';
 import {relaySettings} from '../../../src/programs/_settings/index.js';
 import {startRelay} from '../../../src/programs/relay/start-relay/index.js';
+import {createCollectedLines, type CollectedLines} from '../../_lib/create-collected-lines/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {
 	startServerStandIn, type Misdeed, type ServerStandIn, type ServerStandInOptions,
@@ -39,7 +40,7 @@
 	store: StoreStandIn;
 	servers: Readonly<Record<'desk1' | 'desk2' | 'prefill1' | 'prefill2' | 'decode1' | 'decode2', ServerStandIn>>;
 	caches: Set<string>;
-	logs: () => ReadonlyArray<Record<string, unknown>>;
+	logs: CollectedLines['lines'];
 	ask: (asked: Asked) => Promise<Answer>;
 	/** Asks until the answer's status is the one given. */
 	askUntil: (asked: Asked, status: number) => Promise<Answer>;
@@ -157,7 +158,7 @@
 	const servers = {
 		desk1, desk2, prefill1, prefill2, decode1, decode2,
 	};
-	const logs: Array<Record<string, unknown>> = [];
+	const collected = createCollectedLines();
 	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
 	const settings = parseSettings(relaySettings, {
 		argv: [], env: {
@@ -204,15 +205,7 @@
 			host: 'front-a-1',
 			zone: 'a',
 			incarnation: 1,
-			sink: {
-				write(text, callback) {
-					logs.push(...text.split('\n').filter(line => line !== '').map(line => JSON.parse(line) as Record<string, unknown>));
-					callback?.();
-					return true;
-				},
-				writableLength: 0,
-				on: () => undefined,
-			},
+			sink: collected.sink,
 		}),
 		metrics: createMetrics(),
 		keys: undefined,
@@ -227,7 +220,7 @@
 		store,
 		servers,
 		caches,
-		logs: () => logs,
+		logs: collected.lines,
 		ask,
 		async askUntil(asked, status) {
 			return waitUntil(async () => {
