--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -221,6 +221,24 @@
 		await followed.stop();
 	});
 
+	/*
+	 * The platform refuses everybody for ten seconds. 400 hosts may read it 2,000 times
+	 * a second together; above that it refuses whom it could serve when it is back,
+	 * and callers of those hosts are sent by what was published before.
+	 */
+	it('reads a platform that refuses less often than five times a second', async () => {
+		let draws = 0;
+		const followed = startFollowed(() => (draws++ % 100) / 100);
+		const {time, platform} = followed;
+		await time.runUntil(cutAt);
+		platform.setPath('refusing');
+		const before = platform.reads();
+		await time.runUntil(cutAt + cutMs);
+		const aSecond = (platform.reads() - before) * 1000 / cutMs;
+		assert.ok(aSecond < 5, `${aSecond} reads a second`);
+		await followed.stop();
+	});
+
 	/*
 	 * Callers' requests reach a server that left, and rules that were replaced decide.
 	 * The host's one connection to the platform goes silent without a reset, right
