Try a refusing platform five times a second at most, and renew a grace that ended unread

Full jitter has half of its bound as its mean, so attempts came twice as often as worked out. And with the slower attempts the case of the short second outage failed on one way: the grace of the first ended within the second outage, before any read told who had stayed away, and was not renewed.

Ruled out: a longer pause. With 0.3 s between attempts living servers would have less than two seconds.

Change: 200 to 250 ms between attempts, up to 100 ms after a read that failed by itself. A grace counts as interrupted while a missing server is undecided.

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -209,11 +209,13 @@
 	 * then: counted from the first read that succeeds, a host that tried late kept
 	 * sending to a server that had left. Without a failed attempt it was this process
 	 * that stood still, or one connection that went silent, while servers went on
-	 * writing. An outage of any length interrupts a grace, which begins anew.
+	 * writing. An outage of any length interrupts a grace, also one that ended in it, as
+	 * no read has told yet who stayed away; it begins anew.
 	 */
 	function noteRead(now: Milliseconds, failedAttemptAt: Milliseconds | undefined): void {
-		const hasLapses = now < graceUntil || (confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs);
-		if (hasLapses && failedAttemptAt !== undefined) {
+		const isInterrupted = now < graceUntil || listMissing().length > 0;
+		const isLong = confirmedAt !== undefined && now - confirmedAt >= lapseAfterMs;
+		if ((isInterrupted || isLong) && failedAttemptAt !== undefined) {
 			graceUntil = Math.max(graceUntil, Math.min(now + lapseGraceMs, failedAttemptAt + actLimitMs));
 		}
 
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -6,7 +6,6 @@
 import {toAge} from '../../../_lib/to-age/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
-import {toBackoff} from '../../../domain/to-backoff/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ZoneEntry} from '../../../ports/config.js';
 import {type PublishedFailure, type PublishedRead, type PublishedSource} from '../../../ports/published.js';
@@ -53,16 +52,22 @@
  */
 const missingWaitMs = 300;
 
-const firstBackoffMs = 100;
+/** Longest pause after a read that failed by itself: it is usually its connection, and the next one is answered. */
+const firstPauseMs = 100;
 
 /**
- * Longest pause between two reads that fail. With the limit of an answer it
- * bounds to 0.75 s how late the return of the platform is noticed; what is
- * missing then is used for 2.8 s from the return, and living servers have
- * two of them to publish themselves anew. 400 hosts that are all turned away
- * read 1,600 times a second, under the platform's 2,000.
+ * Pause between two attempts while the platform does not answer, and what chance
+ * adds, so that hosts that failed together don't come back together. With the
+ * limit of an answer it bounds to 0.75 s how late the return of the platform is
+ * noticed: what is missing then is used for 2.8 s from the return, and living
+ * servers have two of them to publish themselves anew. 400 hosts that are all
+ * refused read 1,800 times a second, of the 2,000 that the platform allows.
  */
-const maxBackoffMs = 250;
+const pauseMs = 200;
+const pauseJitterMs = 50;
+
+const toPauseMs = (failures: number, random: Random): Milliseconds =>
+	failures === 1 ? random() * firstPauseMs : pauseMs + (random() * pauseJitterMs);
 
 async function sleepUnlessAborted(ms: Milliseconds, signal: AbortSignal): Promise<void> {
 	try {
@@ -168,7 +173,7 @@
 
 		failures++;
 		failedReadAt = startedAt;
-		await sleep(toBackoff(failures, random, {baseMs: firstBackoffMs, maxMs: maxBackoffMs}), stopping.signal);
+		await sleep(toPauseMs(failures, random), stopping.signal);
 	}
 
 	async function run(): Promise<void> {
