Cut enough watches that the case of a cut watch notices its safeguard

Cause: the two cuts of the case fell into pauses between watches, so it passed also with one failed read taken for an outage; another case noticed that. Seen by taking the safeguards out one by one.

Change: a cut each 70 ms over 1.4 s. The bound and the check stay as they were.

The whole suite was not run on this commit, which changes this test alone.

--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -211,7 +211,8 @@
 		platform.remove('leaves');
 		await time.runUntil(10_000);
 		platform.setPath('well');
-		for (const at of [11_000, 12_000]) {
+		// Often enough that several fall on a watch that waits, and not on the pause behind it.
+		for (let at = 11_000; at < 12_400; at += 70) {
 			await time.runUntil(at);
 			platform.cutWaiting();
 		}
