Take a peer's configuration on a new host only if the peer has heard the platform

Cause: as the test before shows, an agent without any configuration took the first one that a peer told, also from a peer that had it from its entry alone.

Change: peers tell the age of the platform's last answer only once they have heard in their own life what configuration it serves, and know of nothing newer. A host that holds nothing passes over others for its first five seconds, two more than it needs before it may ask the platform itself.

--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -8,6 +8,7 @@
 import {type ConfigVersion} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
 import {type FleetList, type PlatformFailure, type PlatformValue} from '../../../ports/platform.js';
+import {msPerSecond} from '../../../ports/units.js';
 import {type AgentOptions} from './agent-types.js';
 import {type Taken} from './create-reread.js';
 import {holdDocuments, type ConfigOffer, type DocumentNotices} from './hold-documents.js';
@@ -20,7 +21,18 @@
 import {watchPlatform} from './watch-platform.js';
 
 /** Time in which a starting agent learns from its peers, before it listens to a platform that may be stale. */
-const joinMs = 3000;
+const joinMs: Milliseconds = 3 * msPerSecond;
+
+/**
+ * Time for which a starting agent that holds nothing passes over what peers
+ * don't vouch for. An agent that restarted too may tell what its entry has held
+ * since before a pause, and callers would see an older configuration after a
+ * newer one. A peer vouches once it has heard in its life what configuration the
+ * platform serves and knows of nothing newer, so in a fleet that runs nothing is
+ * lost by this. Where none vouches, readers have asked the platform by then; without
+ * a platform, what is there is better than nothing.
+ */
+const vouchingMs: Milliseconds = joinMs + (2 * msPerSecond);
 
 export type KeepDocumentsOptions = Pick<AgentOptions, 'settings' | 'platform' | 'random' | 'keepOnly' | 'log'> & {
 	table: FleetTable;
@@ -66,6 +78,8 @@
 	const {settings, table, log, pauses, call, onNews, counts, now, startedAt, random, signal} = options;
 	const {hostId} = settings;
 	let heardFromPeer = false;
+	/** Whether the platform's configuration was heard of in this life, from itself or from a peer that vouches. */
+	let isConfigHeard = false;
 	const newest = createNewestReported();
 
 	const held = holdDocuments({
@@ -157,12 +171,31 @@
 		return offer.isNews || isHeld ? 'taken' : 'refused';
 	}
 
+	/** Whether nothing is held here, and it is too early to take what a peer can't vouch for. */
+	function isUnvouched({confirmedAgeMs}: KnownVersions): boolean {
+		return confirmedAgeMs === undefined && table.accepted() === undefined && now() - startedAt < vouchingMs;
+	}
+
+	async function takeFromWatch(key: DocumentKind, value: PlatformValue): Promise<Taken> {
+		const taken = await takeFromPlatform(key, value);
+		isConfigHeard ||= key === 'config' && taken !== 'unfinished';
+		return taken;
+	}
+
+	const isBehind = () => newest.isNewerThan(spreads.config.version(), now());
+
+	/** Age of the platform's last answer, for peers; none while something newer than what is held here is known. */
+	function toVouchedAgeMs(): Milliseconds | undefined {
+		const at = confirmedAt();
+		return at === undefined || !isConfigHeard || isBehind() ? undefined : Math.ceil(now() - at);
+	}
+
 	const watch = async (key: DocumentKind) => watchPlatform({
 		platform: options.platform,
 		key,
 		isReader,
 		waitMs: settings.platformWait,
-		onValue: async value => takeFromPlatform(key, value),
+		onValue: async value => takeFromWatch(key, value),
 		onConfirmed(askedAt) {
 			table.noteConfirmed(pauses.toSoundTime(askedAt));
 		},
@@ -175,16 +208,17 @@
 
 	return {
 		notices: held.notices,
-		versions() {
-			const at = confirmedAt();
-			return {config: spreads.config.version(), fleet: spreads.fleet.version(), confirmedAgeMs: at === undefined ? undefined : Math.ceil(now() - at)};
-		},
+		versions: () => ({config: spreads.config.version(), fleet: spreads.fleet.version(), confirmedAgeMs: toVouchedAgeMs()}),
 		takeVersions(from, known) {
 			heardFromPeer = true;
 			newest.note(known.config, now());
-			spreads.config.noteVersion(from, known.config);
+			if (!isUnvouched(known)) {
+				spreads.config.noteVersion(from, known.config);
+			}
+
 			spreads.fleet.noteVersion(from, known.fleet);
 			if (known.confirmedAgeMs !== undefined) {
+				isConfigHeard = true;
 				table.noteConfirmed(pauses.toArrival() - known.confirmedAgeMs);
 			}
 		},
@@ -192,7 +226,7 @@
 			const own = table.accepted()?.version;
 			return version !== undefined && (own === undefined || compareConfigVersions(version, own) > 0);
 		},
-		isBehind: () => newest.isNewerThan(spreads.config.version(), now()),
+		isBehind,
 		takeFromEntry(document) {
 			take('config', document, hostId, 'entry');
 		},
