Tick seldom on a host that has no request

Cause: each host looks at its waiting requests and its own loads fifty times a second, also without any.

Change: startTicker ticks each 20 ms while a request is in progress and each 250 ms otherwise; a request wakes it.

--- /dev/null
+++ b/src/programs/entry/start-entry/_lib/create-handlers.ts
@@ -0,0 +1,35 @@
+/** Who serves which kind of request. */
+import {type CallerHandlers} from '../../../../adapters/caller-http/index.js';
+import {type PlainClients} from '../../_lib/plain-clients.js';
+import {type ServeServices} from '../../_lib/serve-types.js';
+import {serveCompletion} from '../../serve-completion/index.js';
+import {serveModels} from '../../serve-models/index.js';
+import {servePlain} from '../../serve-plain/index.js';
+import {type Ticker} from '../../start-ticker/index.js';
+
+/**
+ * @param serve - What serving a request needs.
+ * @param clients - Connections to plain services.
+ * @param ticker - Woken by each request.
+ * @returns What serves the requests of callers.
+ */
+export function createHandlers(serve: ServeServices, clients: PlainClients, ticker: Ticker): CallerHandlers {
+	/** What the request begins, before it waits for anything, is what the next tick is for. */
+	async function awake(serving: Promise<void>): Promise<void> {
+		ticker.wake();
+		return serving;
+	}
+
+	return {
+		completion: async exchange => awake(serveCompletion('completion', exchange, serve)),
+		chat: async exchange => awake(serveCompletion('chat', exchange, serve)),
+		async models(exchange) {
+			serveModels(exchange, serve.services.toView());
+		},
+		plain: async exchange => awake(servePlain(exchange, serve, clients)),
+		onFault(error, exchange) {
+			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
+			serve.log.error('request broken off by a fault of the program', {requestId: exchange.requestId, reason});
+		},
+	};
+}
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -25,9 +25,7 @@
 } from '../../_operations/index.js';
 import {type EntrySettings} from '../../_settings/index.js';
 import {createAccounts, type Accounts} from '../accounts/index.js';
-import {serveCompletion} from '../serve-completion/index.js';
-import {serveModels} from '../serve-models/index.js';
-import {servePlain} from '../serve-plain/index.js';
+import {startTicker} from '../start-ticker/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
 import {createRunServices} from '../_lib/create-run-services.js';
 import {type FleetLink, type JoinOptions} from '../_lib/join-fleet.js';
@@ -38,10 +36,13 @@
 import {createTally} from '../_lib/tally.js';
 import {toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
+import {createHandlers} from './_lib/create-handlers.js';
 import {createReadiness} from './_lib/create-readiness.js';
 
 /** Room at a full pool is looked for this often: a request in time has some 600 ms to find it, before those that come after it do. */
 const gateTickMs = 20;
+/** Without requests only the own word to other hosts and changes of the platform are due; they count in half seconds. */
+const idleTickMs = 250;
 const pauseLimitMs = 2000;
 const accountLimit = 2000;
 const operatorCloseMs = 500;
@@ -105,21 +106,6 @@
 	};
 }
 
-function createHandlers(serve: ServeServices, clients: PlainClients): CallerHandlers {
-	return {
-		completion: async exchange => serveCompletion('completion', exchange, serve),
-		chat: async exchange => serveCompletion('chat', exchange, serve),
-		async models(exchange) {
-			serveModels(exchange, serve.services.toView());
-		},
-		plain: async exchange => servePlain(exchange, serve, clients),
-		onFault(error, exchange) {
-			const reason = error instanceof Error ? error.stack ?? error.message : String(error);
-			serve.log.error('request broken off by a fault of the program', {requestId: exchange.requestId, reason});
-		},
-	};
-}
-
 async function listenForCallers(options: EntryOptions, handlers: CallerHandlers): Promise<CallerServer> {
 	const {settings, keys} = options;
 	const callers = await startCallerServer({
@@ -246,7 +232,16 @@
 			ledger.addSample(toSloSample(ended), clock.now());
 		},
 	};
-	const callers = await listenForCallers(options, createHandlers(serve, clients));
+	const ticker = startTicker({
+		tick() {
+			run.services.gate.tick();
+			options.loadSharing?.tick(run.services.placement.ownLoads());
+		},
+		isBusy: () => registry.size() > 0,
+		busyMs: gateTickMs,
+		idleMs: idleTickMs,
+	});
+	const callers = await listenForCallers(options, createHandlers(serve, clients, ticker));
 	opened.callers = callers;
 	const bounds = link.toView()?.accepted?.config.callers;
 	if (bounds !== undefined) {
@@ -257,10 +252,6 @@
 		options, link, serve, callers, counters, toIsStopping: () => isStopping,
 	};
 	const operators = await listenForOperators(parts, reportSlo(ledger, clock, metrics));
-	const gateTicker = setInterval(() => {
-		run.services.gate.tick();
-		options.loadSharing?.tick(run.services.placement.ownLoads());
-	}, gateTickMs);
 	const endPauseWatch = watchPauses({
 		now: clock.now,
 		limitMs: pauseLimitMs,
@@ -286,7 +277,7 @@
 			await run.services.cancels.settle(cancelSettleMs);
 			run.services.cancels.stop();
 			await link.leave();
-			clearInterval(gateTicker);
+			ticker.stop();
 			endPauseWatch();
 			await Promise.all([engines.close(), clients.close(), operators.close(operatorCloseMs)]);
 		},
