Read the platform as often as the time to act on it asks for

The users' deployments give hosts 2 to 4 s to act on rules and leaving servers, the larger the longer.

At 2 s and by default nothing changes. Pause and wait together stay 2.1 s, so a connection that went silent is noticed as soon as before; the longest pause is bounded by the shortest outage in which entries lapse, so that it meets two reads. Without rules a host reads as often as before.

Weighed and not built here: a few readers a zone that hand on what changed. It would save more, and needs each host to notice every way in which word from others can be late; this needs no trust. Reads that may be seconds old cost a tenth, but a list that old breaks the time to act.

--- /dev/null
+++ b/src/domain/to-read-pace/index.ts
@@ -0,0 +1,52 @@
+import {type Milliseconds} from '../../ports/clock.js';
+import {msPerSecond} from '../../ports/units.js';
+
+export type ReadPace = {
+	/** Between the end of a watch and the next one. */
+	pauseMs: Milliseconds;
+	/** Longest wait of a watch. */
+	waitMs: Milliseconds;
+};
+
+/**
+ * Least pause. Each server writes a heartbeat every second or so, and a watch that
+ * is renewed at once would answer each of them by itself: with some twenty servers
+ * ten reads a second in place of one and a half.
+ */
+export const leastPauseMs: Milliseconds = 600;
+
+/**
+ * Longest pause. An outage of 2.4 s is the shortest in which entries lapse; it must
+ * meet two reads, or the servers that are missing after it are taken for gone.
+ */
+const longestPauseMs: Milliseconds = 1500;
+
+/**
+ * Time kept for all else that stands between a change and its effect: the answer of
+ * a slow platform, a busy host, and a request that is on its way already.
+ */
+const reserveMs: Milliseconds = 1.9 * msPerSecond;
+
+/**
+ * Pause and wait together. A connection may go silent without a reset, and only the
+ * end of the watch shows it; with the limit of its answer this is 2.6 s.
+ */
+const spanMs: Milliseconds = 2.1 * msPerSecond;
+
+/**
+ * Works out how often a host reads what is published. Every read costs the
+ * platform, and each of hundreds of hosts reads for itself.
+ *
+ * @param actWithinMs - Time from a publication within which a host must act on it, milliseconds.
+ * @returns The pause between two watches and the wait of one.
+ *
+ * @example
+ * ```ts
+ * toReadPace(2000); // => {pauseMs: 600, waitMs: 1500}
+ * toReadPace(4000); // => {pauseMs: 1500, waitMs: 600}
+ * ```
+ */
+export function toReadPace(actWithinMs: Milliseconds): ReadPace {
+	const pauseMs = Math.min(longestPauseMs, Math.max(leastPauseMs, actWithinMs - reserveMs));
+	return {pauseMs, waitMs: spanMs - pauseMs};
+}
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -8,6 +8,9 @@
 /** Round trips take a few milliseconds at most: a server that took no connection in this time is behind a cut, and its requests have targets of a second or less. */
 const connectTimeoutMs = 400;
 
+/** What is published is in force, and a server that leaves gets nothing new, within this time unless the platform grants more. */
+const actWithinMs = 2 * msPerSecond;
+
 const zoneList = {
 	test: /^[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*(?:,[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*)*$/v,
 	hint: 'zones with their regions, such as dvorana-a=si-central,dvorana-b=si-central',
@@ -67,6 +70,22 @@
 		group: 'Backend servers',
 		description: 'Time for which an idle connection to a backend server is kept, where the server names none.',
 	},
+	rulesWithin: {
+		type: 'duration',
+		default: actWithinMs,
+		min: msPerSecond,
+		max: msPerMinute,
+		group: 'Operation',
+		description: 'Time after the publication of rules in which they must be in force. The longer this and --leave-within are, the less often this host reads the platform.',
+	},
+	leaveWithin: {
+		type: 'duration',
+		default: actWithinMs,
+		min: msPerSecond,
+		max: msPerMinute,
+		group: 'Operation',
+		description: 'Time after a backend server has published that it leaves in which it still takes new requests.',
+	},
 	stopLimit: {
 		type: 'duration', default: 30 * msPerSecond, min: msPerSecond, max: 60 * msPerMinute, group: 'Operation', description: 'Time after the signal at which a planned stop must have ended.',
 	},
--- a/src/programs/entry/follow-published/_test/start-followed.ts
+++ b/src/programs/entry/follow-published/_test/start-followed.ts
@@ -1,7 +1,8 @@
 /** A host that follows a scripted platform with two servers. */
 import {createCollectedLines, type LogFields} from '../../../../../test/_lib/create-collected-lines/index.js';
 import {createLog} from '../../../../adapters/log/index.js';
-import {type Random} from '../../../../ports/clock.js';
+import {type Milliseconds, type Random} from '../../../../ports/clock.js';
+import {msPerSecond} from '../../../../ports/units.js';
 import {followPublished, type Follower} from '../index.js';
 import {createScriptedPlatform, type ScriptedPlatform} from './create-scripted-platform.js';
 import {createVirtualTime, type VirtualTime} from './create-virtual-time.js';
@@ -20,9 +21,10 @@
  * Starts it.
  *
  * @param random - Source of the pauses between failed reads.
+ * @param actWithinMs - Time within which the host must act on what is published.
  * @returns The host, which has read nothing yet.
  */
-export function startFollowed(random: Random): Followed {
+export function startFollowed(random: Random, actWithinMs: Milliseconds = 2 * msPerSecond): Followed {
 	const time = createVirtualTime();
 	const platform = createScriptedPlatform(time);
 	const collected = createCollectedLines();
@@ -38,6 +40,7 @@
 			level: 'info', program: 'test', host: 'a-1', zone: 'a', incarnation: 1, sink: collected.sink,
 		}),
 		onView: () => undefined,
+		actWithinMs,
 		sleep: time.sleep,
 	});
 	return {
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -6,6 +6,7 @@
 import {toAge} from '../../../_lib/to-age/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
+import {leastPauseMs, toReadPace} from '../../../domain/to-read-pace/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ZoneEntry} from '../../../ports/config.js';
 import {type PublishedFailure, type PublishedRead, type PublishedSource} from '../../../ports/published.js';
@@ -18,6 +19,8 @@
 	random: Random;
 	log: Log;
 	onView: (view: FleetView) => void;
+	/** Time from a publication within which this host must act on it. */
+	actWithinMs: Milliseconds;
 	/** Resolves after the time, or once the signal aborts; timers of the process by default. */
 	sleep?: (ms: Milliseconds, signal: AbortSignal) => Promise<void>;
 };
@@ -29,21 +32,6 @@
 	stop: () => Promise<void>;
 };
 
-/**
- * Longest wait of one watch. A connection may go silent without a reset, and only
- * the end of the watch shows it: the pause before it, its wait and the limit of
- * its answer add up to 2.6 s, so that the next read, on a new connection, brings
- * what was published meanwhile within the 3 s after which a host must act on it.
- */
-const watchWaitMs = 1500;
-
-/**
- * Pause between two watches. Each server writes a heartbeat every second or so,
- * and a watch that is renewed at once would answer each of them by itself: with
- * some twenty servers ten reads a second in place of one and a half.
- */
-const gatherMs = 600;
-
 /**
  * Longest wait while a server is missing. Its time ends with a read, and begins
  * anew when the platform goes away again: a silence of a second must show by then,
@@ -87,6 +75,7 @@
 	const {
 		source, clock, random, log, onView, sleep = sleepUnlessAborted,
 	} = options;
+	const pace = toReadPace(options.actWithinMs);
 	const fleet = createPublishedFleet({zones: options.zones});
 	const stopping = new AbortController();
 	let view: FleetView | undefined;
@@ -150,13 +139,16 @@
 		return Math.min(longestMs, Math.max(1, leftMs));
 	}
 
+	/** Without rules nobody can be served: they may be published any moment. */
+	const toPauseAfterRead = (): Milliseconds => view?.accepted === undefined ? leastPauseMs : pace.pauseMs;
+
 	/** After a failed read the question is whether the platform answers at all: nothing is waited for. */
 	function readNext(signal: AbortSignal): ReturnType<PublishedSource['list']> {
 		if (revision === undefined) {
 			return source.list(signal);
 		}
 
-		return source.watch(revision, failures > 0 ? 1 : toWaitMs(watchWaitMs), signal);
+		return source.watch(revision, failures > 0 ? 1 : toWaitMs(pace.waitMs), signal);
 	}
 
 	async function noteFailed({kind, message}: PublishedFailure, startedAt: Milliseconds): Promise<void> {
@@ -189,7 +181,7 @@
 				await noteFailed(read.error, startedAt);
 			} else {
 				take(read.value);
-				await sleep(toWaitMs(gatherMs), signal);
+				await sleep(toWaitMs(toPauseAfterRead()), signal);
 			}
 		}
 	}
--- a/src/programs/entry/follow-published/model.test.ts
+++ b/src/programs/entry/follow-published/model.test.ts
@@ -182,8 +182,14 @@
 	}
 }
 
-async function play(steps: readonly Step[], chance: number, toWrong: (world: World) => string | undefined): Promise<string | undefined> {
-	const followed = startFollowed(() => chance);
+type Host = {
+	/** What all chance of the host gives. */
+	chance: number;
+	actWithinMs: Milliseconds;
+};
+
+async function play(steps: readonly Step[], {chance, actWithinMs}: Host, toWrong: (world: World) => string | undefined): Promise<string | undefined> {
+	const followed = startFollowed(() => chance, actWithinMs);
 	const world = startWorld(followed);
 	let wrong: string | undefined;
 	const look = () => {
@@ -205,21 +211,22 @@
 	return wrong;
 }
 
-const chance = fc.constantFrom(0.01, 0.5, 0.99);
+/** Hosts that read as often as they may, and as seldom. */
+const host = fc.record({chance: fc.constantFrom(0.01, 0.5, 0.99), actWithinMs: fc.constantFrom(2000, 3000, 4000)});
 
 describe('followPublished under overlapping troubles', () => {
 	it('uses nothing that left, once it had no trouble for three seconds (property)', async () => {
 		const trouble = fc.oneof(cut, outage, moment, pause);
-		await fc.assert(fc.asyncProperty(fc.array(fc.record({afterMs, trouble}), {minLength: 2, maxLength: 8}), chance, async (steps, draw) => {
-			assert.equal(await play(steps, draw, findWrong), undefined);
+		await fc.assert(fc.asyncProperty(fc.array(fc.record({afterMs, trouble}), {minLength: 2, maxLength: 8}), host, async (steps, drawn) => {
+			assert.equal(await play(steps, drawn, findWrong), undefined);
 		}));
 	});
 
 	it('drops no living server in outages of any kind, back to back (property)', async () => {
 		const trouble = fc.oneof(outage, fc.constant<Trouble>({kind: 'rules'}), fc.constant<Trouble>({kind: 'forget'}));
 		const findDropped = ({followed}: World) => followed.used().includes('stays') || followed.follower.toView() === undefined ? undefined : `dropped at ${followed.time.clock.now()}`;
-		await fc.assert(fc.asyncProperty(fc.array(fc.record({afterMs, trouble}), {minLength: 1, maxLength: 4}), chance, async (steps, draw) => {
-			assert.equal(await play(steps, draw, findDropped), undefined);
+		await fc.assert(fc.asyncProperty(fc.array(fc.record({afterMs, trouble}), {minLength: 1, maxLength: 4}), host, async (steps, drawn) => {
+			assert.equal(await play(steps, drawn, findDropped), undefined);
 		}));
 	});
 });
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -89,7 +89,7 @@
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
-			source, zones: toZones(settings.zones), clock, random, log, onView,
+			source, zones: toZones(settings.zones), clock, random, log, onView, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
 		});
 		isConnected = follower.isConnected;
 		return {
