Let hundreds of hosts hear each other, each some and every zone

Found by a model of shareLoads in virtual time: with 200 hosts most hear nobody. Each host tells and names the sixteen that came first on its list, the seeds' own first ones, so all know and tell the same few. So nobody there takes a cut zone for silent, and loads are not shared, whatever the settings say.

Change: names travel with their zones; in a fleet of more than 16 others each host picks eight of its zone and six elsewhere by rank, so that all are picked by about as many, and asks those elsewhere to answer. It speaks once a second there: one host's requests are a small part of the load, and a message costs both ends some 85 us (profile of a relay that hears 96 a second). A host that was unknown is answered at once. Fleets of 16 others or fewer talk as before, to all of each change.

--- a/bench/split-pool/_lib/simulate.ts
+++ b/bench/split-pool/_lib/simulate.ts
@@ -128,7 +128,7 @@
 		sequence++;
 		for (const [from, host] of hosts.entries()) {
 			const message = {
-				host: `h${from}`, zone: zones[from % zones.length]!, incarnation: 1, sequence, loads: host.ownLoads(), peers: [],
+				host: `h${from}`, zone: zones[from % zones.length]!, incarnation: 1, sequence, loads: host.ownLoads(), peers: [], isAsking: false,
 			};
 			for (const [to, loads] of shared.entries()) {
 				if (to !== from) {
--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -13,7 +13,7 @@
 export const maxDatagramBytes = 1400;
 
 /** First item of each datagram; a host of another version is not understood, and nothing depends on it. */
-const format = 1;
+const format = 2;
 
 /** Longest name that is taken from another host. */
 const maxNameLength = 64;
@@ -29,7 +29,8 @@
 	count,
 	count,
 	v.array(v.tuple([name, count, count])),
-	v.array(v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v))),
+	v.array(v.tuple([v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v)), name])),
+	v.boolean(),
 ]);
 
 /**
@@ -39,11 +40,14 @@
  * @returns One datagram.
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
-	const {host, zone, incarnation, sequence, peers} = message;
+	const {
+		host, zone, incarnation, sequence, peers, isAsking,
+	} = message;
+	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, peers]);
+		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking]);
 		if (bytes.length <= maxDatagramBytes || loads.length === 0) {
 			return bytes;
 		}
@@ -71,9 +75,10 @@
 		return err(v.summarize(parsed.issues));
 	}
 
-	const [, host, zone, incarnation, sequence, rows, peers] = parsed.output;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking] = parsed.output;
+	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	return ok({
-		host, zone, incarnation, sequence, peers, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
+		host, zone, incarnation, sequence, peers, isAsking, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
 	});
 }
 
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -11,7 +11,13 @@
 } from './index.js';
 
 const message: LoadMessage = {
-	host: 'front-a-1', zone: 'a', incarnation: 1_780_000_000_000, sequence: 7, loads: [{server: 'i-1', requests: 2, promptTokens: 6400}], peers: ['10.0.0.2:7380'],
+	host: 'front-a-1',
+	zone: 'a',
+	incarnation: 1_780_000_000_000,
+	sequence: 7,
+	loads: [{server: 'i-1', requests: 2, promptTokens: 6400}],
+	peers: [{address: '10.0.0.2:7380', zone: 'b'}],
+	isAsking: true,
 };
 
 describe('load messages', () => {
@@ -34,7 +40,7 @@
 			} catch {
 				return new Uint8Array();
 			}
-		}), fc.array(fc.jsonValue()).map(rest => encode([1, 'h', 'z', ...rest]))), bytes => {
+		}), fc.array(fc.jsonValue()).map(rest => encode([2, 'h', 'z', ...rest]))), bytes => {
 			assert.equal(typeof decodeLoadMessage(bytes).isOk(), 'boolean');
 		}));
 	});
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -2,8 +2,10 @@
  * Which other hosts to talk to, where no list of hosts is published: some seeds
  * to begin with, and whoever speaks or is named by one who does.
  */
+import {pickRanked} from '../../_lib/pick-ranked/index.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {type ZoneId} from '../../ports/ids.js';
+import {type NamedPeer} from '../../ports/shared-loads.js';
 import {msPerSecond} from '../../ports/units.js';
 
 export type PeerListOptions = {
@@ -15,32 +17,84 @@
 };
 
 export type PeerList = {
-	/** A host spoke. Tells whether it was silent before. */
-	noteHeard: (address: string, zone: ZoneId, now: Milliseconds) => boolean;
-	/** A host named others. */
-	noteNamed: (addresses: readonly string[], now: Milliseconds) => void;
-	/** Hosts that spoke lately, at most {@link maxPeers}, those of the own zone first. */
-	living: (now: Milliseconds) => readonly string[];
-	/** Hosts that should hear of this one: seeds and named ones that have not spoken lately. */
+	/** A host spoke, and may ask to be answered. Tells whether it was unknown before; it is owed an answer then, as it may know nobody else. */
+	noteHeard: (peer: NamedPeer, now: Milliseconds, options?: {isAsking?: boolean}) => boolean;
+	/** A host named others that it has heard. */
+	noteNamed: (peers: readonly NamedPeer[], now: Milliseconds) => void;
+	/** All of a small fleet, to be told of each change; some of the own zone in a large one. */
+	near: (now: Milliseconds) => readonly string[];
+	/** Hosts of other zones to ask now and then; none in a small fleet. */
+	far: (now: Milliseconds) => readonly string[];
+	/** Hosts of other zones that asked lately and are not asked by this one. */
+	askers: (now: Milliseconds) => readonly string[];
+	/** Whether there are more hosts than each can tell of each change. */
+	isLarge: (now: Milliseconds) => boolean;
+	/** Seeds that have not spoken lately. */
 	toGreet: (now: Milliseconds) => readonly string[];
+	/** Hosts that are owed an answer; each is given out once. */
+	takeUnanswered: () => readonly string[];
+	/** Some hosts that spoke lately, to be named to others; others each time. */
+	toName: (now: Milliseconds) => readonly NamedPeer[];
 };
 
-/** Silence after which a host is no longer told anything but greetings: six of its messages. */
+/** Silence after which a host is named to nobody: six of its messages. */
 const silentAfterMs: Milliseconds = 3 * msPerSecond;
 
-/** Time for which a host that somebody named, and that does not speak, is greeted. */
-const greetForMs: Milliseconds = 10 * msPerSecond;
+/** Time for which a host counts as living after it spoke, or was named by one who heard it: names take some seconds through a large fleet. */
+const knownForMs: Milliseconds = 10 * msPerSecond;
+
+/** Fleets of so many other hosts at most talk all to all. */
+const mostOfSmallFleet = 16;
+
+/**
+ * Hosts of the own zone that each host of a larger fleet speaks to. Each picks its
+ * own by rank, so that all are spoken to by about as many. Were it the first ones
+ * that each knows, all would know and name the same few, and most would hear nobody.
+ */
+const nearPeers = 8;
 
 /**
- * Hosts that each host talks to. Some 300 bytes to each at four changes a second
- * are 19 KB/s with 16; with all of 400 they would be half a megabyte.
+ * Hosts of other zones that each host asks, together, and of one zone at most. They
+ * answer, so that each host hears every zone: told by chance alone, one host in
+ * twenty would take a zone that nobody happens to speak from for a silent one.
  */
-export const maxPeers = 16;
+const farPeers = 6;
+const mostFarPeersOfZone = 3;
+
+/** Time for which a question is answered: two of the rounds in which they are asked, and some delay. */
+const askedForMs: Milliseconds = 2.5 * msPerSecond;
+
+/** Hosts named in a message: a host that starts knows all of a small deployment after its first answer. */
+const namedPeers = 8;
+
+/** Hosts that are kept; an odd message must not fill the memory. */
+const maxKnown = 1024;
+
+/** Time for which a choice of hosts stands: a new one ranks all of them. */
+const choiceMs: Milliseconds = msPerSecond;
 
-/** Named hosts that are kept; an odd message must not fill the memory. */
-const maxNamed = 64;
+type Known = {
+	zone: ZoneId;
+	/** When it spoke to this host last. */
+	heardAt: Milliseconds;
+	/** When it last spoke to anybody, as far as this host can tell. */
+	knownAt: Milliseconds;
+	/** When it last asked to be answered. */
+	askedAt: Milliseconds;
+};
+
+type Choice = {near: readonly string[]; far: readonly string[]; isLarge: boolean; at: Milliseconds};
+
+function groupByZone(known: ReadonlyMap<string, Known>): Map<ZoneId, string[]> {
+	const zones = new Map<ZoneId, string[]>();
+	for (const [address, {zone}] of known) {
+		const addresses = zones.get(zone) ?? [];
+		addresses.push(address);
+		zones.set(zone, addresses);
+	}
 
-type Peer = {zone: ZoneId; at: Milliseconds};
+	return zones;
+}
 
 /**
  * Creates the list of a host that has heard nobody yet.
@@ -55,50 +109,108 @@
  * ```
  */
 export function createPeerList({self, zone, seeds}: PeerListOptions): PeerList {
-	const heard = new Map<string, Peer>();
-	const named = new Map<string, Milliseconds>();
+	const known = new Map<string, Known>();
+	/** Hosts that spoke and were unknown. */
+	const unanswered = new Set<string>();
 	const others = seeds.filter(seed => seed !== self);
-
-	const isLiving = (address: string, now: Milliseconds): boolean => now - (heard.get(address)?.at ?? -Infinity) <= silentAfterMs;
+	let choice: Choice = {
+		near: [], far: [], isLarge: false, at: -Infinity,
+	};
+	let firstNamed = 0;
 
 	function dropSilent(now: Milliseconds): void {
-		for (const address of heard.keys()) {
-			if (!isLiving(address, now)) {
-				heard.delete(address);
+		for (const [address, {knownAt}] of known) {
+			if (now - knownAt > knownForMs) {
+				known.delete(address);
+				choice.at = -Infinity;
 			}
 		}
+	}
 
-		for (const [address, at] of named) {
-			if (now - at > greetForMs) {
-				named.delete(address);
-			}
+	function add(address: string, entry: Known): boolean {
+		const isNew = !known.has(address);
+		if (isNew && known.size >= maxKnown) {
+			return false;
+		}
+
+		known.set(address, entry);
+		if (isNew && known.size <= mostOfSmallFleet) {
+			choice.at = -Infinity;
 		}
+
+		return isNew;
 	}
 
+	function choose(now: Milliseconds): Choice {
+		if (now - choice.at < choiceMs) {
+			return choice;
+		}
+
+		dropSilent(now);
+		if (known.size <= mostOfSmallFleet) {
+			choice = {
+				near: [...known.keys()], far: [], isLarge: false, at: now,
+			};
+			return choice;
+		}
+
+		const zones = groupByZone(known);
+		const near = pickRanked(self, zones.get(zone) ?? [], nearPeers);
+		zones.delete(zone);
+		const ofZone = Math.min(mostFarPeersOfZone, Math.max(1, Math.floor(farPeers / zones.size)));
+		const far = [...zones.values()].flatMap(addresses => pickRanked(self, addresses, ofZone));
+		choice = {
+			near, far, isLarge: true, at: now,
+		};
+		return choice;
+	}
+
+	const isHeard = ({heardAt}: Known, now: Milliseconds): boolean => now - heardAt <= silentAfterMs;
+
 	return {
-		noteHeard(address, peerZone, now) {
-			const isNew = !isLiving(address, now);
-			heard.set(address, {zone: peerZone, at: now});
-			named.delete(address);
+		noteHeard({address, zone: peerZone}, now, {isAsking = false} = {}) {
+			const before = known.get(address);
+			const isBack = before !== undefined && now - before.knownAt > knownForMs;
+			const askedAt = isAsking ? now : before?.askedAt ?? -Infinity;
+			const isNew = add(address, {
+				zone: peerZone, heardAt: now, knownAt: now, askedAt,
+			}) || isBack;
+			if (isNew) {
+				unanswered.add(address);
+			}
+
 			return isNew;
 		},
-		noteNamed(addresses, now) {
-			for (const address of addresses) {
-				if (address !== self && !isLiving(address, now) && (named.has(address) || named.size < maxNamed)) {
-					named.set(address, now);
+		noteNamed(peers, now) {
+			for (const {address, zone: peerZone} of peers) {
+				if (address !== self) {
+					const {heardAt, askedAt} = known.get(address) ?? {heardAt: -Infinity, askedAt: -Infinity};
+					add(address, {
+						zone: peerZone, heardAt, knownAt: now, askedAt,
+					});
 				}
 			}
 		},
-		living(now) {
-			dropSilent(now);
-			return [...heard]
-				.toSorted(([, a], [, b]) => Number(b.zone === zone) - Number(a.zone === zone))
-				.slice(0, maxPeers)
-				.map(([address]) => address);
+		near: now => choose(now).near,
+		far: now => choose(now).far,
+		askers(now) {
+			const {far, isLarge} = choose(now);
+			return isLarge ? [...known].filter(([address, peer]) => peer.zone !== zone && now - peer.askedAt <= askedForMs && !far.includes(address)).map(([address]) => address) : [];
+		},
+		isLarge: now => choose(now).isLarge,
+		toGreet: now => others.filter(seed => {
+			const entry = known.get(seed);
+			return entry === undefined || !isHeard(entry, now);
+		}),
+		takeUnanswered() {
+			const addresses = [...unanswered];
+			unanswered.clear();
+			return addresses;
 		},
-		toGreet(now) {
-			dropSilent(now);
-			return [...new Set([...others, ...named.keys()])].filter(address => !isLiving(address, now));
+		toName(now) {
+			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
+			firstNamed = heard.length <= namedPeers ? 0 : (firstNamed + namedPeers) % heard.length;
+			return [...heard, ...heard].slice(firstNamed, firstNamed + Math.min(namedPeers, heard.length));
 		},
 	};
 }
--- a/src/domain/create-shared-loads/index.ts
+++ b/src/domain/create-shared-loads/index.ts
@@ -4,11 +4,16 @@
 import {type HostLoad, type LoadMessage} from '../../ports/shared-loads.js';
 
 /**
- * Age beyond which a host's word counts for nothing. A living host speaks every
- * 500 ms, so three messages in a row must be lost; what a killed host had at the
- * servers ends with its connections.
+ * Age beyond which a host's word counts for nothing, unless told otherwise. A living
+ * host of a small fleet speaks every 500 ms, so three messages in a row must be lost;
+ * what a killed host had at the servers ends with its connections.
  */
-const maxAgeMs: Milliseconds = 1500;
+const defaultMaxAgeMs: Milliseconds = 1500;
+
+export type SharedLoadsOptions = {
+	/** Age beyond which a host's word counts for nothing now; it follows how often hosts speak. */
+	toMaxAgeMs?: (now: Milliseconds) => Milliseconds;
+};
 
 type Told = Pick<LoadMessage, 'incarnation' | 'sequence'> & {at: Milliseconds; loads: ReadonlyMap<ServerId, HostLoad>};
 
@@ -29,16 +34,17 @@
 /**
  * Creates the knowledge of a host that has heard nobody yet.
  *
+ * @param options - How long a host's word counts.
  * @returns Functions that take messages and give sums; `now` is monotonic milliseconds.
  *
  * @example
  * ```ts
  * const shared = createSharedLoads();
- * shared.note({host: 'b', zone: 'z', incarnation: 1, sequence: 1, loads: [{server: 's', requests: 2, promptTokens: 900}], peers: []}, 0);
+ * shared.note({host: 'b', zone: 'z', incarnation: 1, sequence: 1, loads: [{server: 's', requests: 2, promptTokens: 900}], peers: [], isAsking: false}, 0);
  * shared.read('s', 10); // => {requests: 2, promptTokens: 900}
  * ```
  */
-export function createSharedLoads(): SharedLoads {
+export function createSharedLoads({toMaxAgeMs = () => defaultMaxAgeMs}: SharedLoadsOptions = {}): SharedLoads {
 	const hosts = new Map<HostId, Told>();
 	const zoneHeardAt = new Map<ZoneId, Milliseconds>();
 	return {
@@ -46,7 +52,7 @@
 			zoneHeardAt.set(message.zone, now);
 			const told = hosts.get(message.host);
 			// A host whose time of day was set back starts with a lower incarnation; once its former life is too old to count, it is taken as it is.
-			if (told !== undefined && now - told.at <= maxAgeMs && isOlder(message, told)) {
+			if (told !== undefined && now - told.at <= toMaxAgeMs(now) && isOlder(message, told)) {
 				return;
 			}
 
@@ -58,6 +64,7 @@
 		read(server, now) {
 			let requests = 0;
 			let promptTokens = 0;
+			const maxAgeMs = toMaxAgeMs(now);
 			for (const [host, {at, loads}] of hosts) {
 				if (now - at > maxAgeMs) {
 					hosts.delete(host);
@@ -73,11 +80,11 @@
 		},
 		isZoneSilent(zone, now) {
 			const heardAt = zoneHeardAt.get(zone);
-			return heardAt !== undefined && now - heardAt > maxAgeMs;
+			return heardAt !== undefined && now - heardAt > toMaxAgeMs(now);
 		},
 		isIsolated(ownZone, now) {
 			const others = [...zoneHeardAt].filter(([zone]) => zone !== ownZone);
-			return others.length > 0 && others.every(([, heardAt]) => now - heardAt > maxAgeMs);
+			return others.length > 0 && others.every(([, heardAt]) => now - heardAt > toMaxAgeMs(now));
 		},
 	};
 }
--- a/src/domain/create-shared-loads/test.ts
+++ b/src/domain/create-shared-loads/test.ts
@@ -4,7 +4,7 @@
 import {createSharedLoads} from './index.js';
 
 const toMessage = (over: Partial<LoadMessage> = {}): LoadMessage => ({
-	host: 'b', zone: 'z', incarnation: 1, sequence: 1, peers: [], loads: [{server: 's', requests: 2, promptTokens: 900}], ...over,
+	host: 'b', zone: 'z', incarnation: 1, sequence: 1, peers: [], isAsking: false, loads: [{server: 's', requests: 2, promptTokens: 900}], ...over,
 });
 
 /*
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -16,6 +16,13 @@
 	promptTokens: number;
 };
 
+/** A host that has been heard lately. */
+export type NamedPeer = {
+	/** `IP:port`. */
+	address: string;
+	zone: ZoneId;
+};
+
 export type LoadMessage = {
 	host: HostId;
 	zone: ZoneId;
@@ -24,6 +31,8 @@
 	sequence: number;
 	/** Servers at which the host has anything; all others have nothing of it. */
 	loads: readonly HostLoad[];
-	/** `IP:port` of other hosts that it has heard lately, for those that don't know them yet. */
-	peers: readonly string[];
+	/** Some others that it has heard, for those that don't know them yet. */
+	peers: readonly NamedPeer[];
+	/** Whether it wants to hear of the receiver in turn. */
+	isAsking: boolean;
 };
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -10,7 +10,7 @@
 import {
 	type HostId, type Incarnation, type ZoneId,
 } from '../../../ports/ids.js';
-import {type HostLoad} from '../../../ports/shared-loads.js';
+import {type HostLoad, type NamedPeer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 
 export type ShareLoadsOptions = {
@@ -22,6 +22,8 @@
 	incarnation: Incarnation;
 	clock: Clock;
 	log: Log;
+	/** Opens the way to other hosts; UDP by default. */
+	open?: typeof openLoadDatagrams;
 };
 
 export type RunningLoadSharing = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
@@ -35,11 +37,11 @@
 /** A host that has nothing new to tell speaks this often all the same, so that its last word still counts. */
 const repeatMs: Milliseconds = 500;
 
-/** Hosts that are not known to live are greeted this often. */
-const greetMs: Milliseconds = msPerSecond;
+/** Hosts are named to others this often, and seeds greeted that are not known to live; in a large fleet nothing else is said. */
+const roundMs: Milliseconds = msPerSecond;
 
-/** Hosts named in a message: a host that starts knows all of a small deployment after its first answer. */
-const namedPeers = 8;
+/** A host's word counts until it should have spoken so many times again. */
+const spokenTimes = 3;
 
 /** Faulty datagrams are counted, and told of this often at most. */
 const faultLineMs: Milliseconds = 10 * msPerSecond;
@@ -68,16 +70,16 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<RunningLoadSharing> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log,
+		address, seeds, host, zone, incarnation, clock, log, open = openLoadDatagrams,
 	} = options;
-	const shared = createSharedLoads();
 	const peers = createPeerList({self: address, zone, seeds});
+	const shared = createSharedLoads({toMaxAgeMs: now => spokenTimes * (peers.isLarge(now) ? roundMs : repeatMs)});
 	let sequence = 0;
 	let lastText = '';
 	let sentAt: Milliseconds = -Infinity;
-	let greetedAt: Milliseconds = -Infinity;
+	let roundAt: Milliseconds = -Infinity;
 
-	const socket: LoadDatagrams = await openLoadDatagrams({
+	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
 		onMessage(message, from) {
@@ -87,7 +89,7 @@
 			}
 
 			shared.note(message, now);
-			if (peers.noteHeard(from, message.zone, now)) {
+			if (peers.noteHeard({address: from, zone: message.zone}, now, message)) {
 				log.info('peer heard', {peer: message.host, peerZone: message.zone, peerAddress: from});
 			}
 
@@ -95,17 +97,46 @@
 		},
 	});
 
-	function send(loads: readonly HostLoad[], now: Milliseconds, living: readonly string[]): void {
-		const isGreeting = now - greetedAt >= greetMs;
-		greetedAt = isGreeting ? now : greetedAt;
+	function send({loads, named = [], isAsking = false}: {loads: readonly HostLoad[]; named?: readonly NamedPeer[]; isAsking?: boolean}, to: readonly string[]): void {
+		if (to.length === 0) {
+			return;
+		}
+
 		sequence++;
-		sentAt = now;
-		// Another few each time, so that a newcomer hears of all.
-		const first = living.length <= namedPeers ? 0 : sequence % living.length;
-		const named = [...living, ...living].slice(first, first + Math.min(namedPeers, living.length));
 		socket.send({
-			host, zone, incarnation, sequence, loads, peers: named,
-		}, isGreeting ? [...living, ...peers.toGreet(now)] : living);
+			host, zone, incarnation, sequence, loads, peers: named, isAsking,
+		}, to);
+	}
+
+	/**
+	 * Whether there is something to tell before the next round. Not where there are
+	 * more hosts than one can tell all of: its own requests are a small part of the
+	 * load there, and each message costs both ends about a tenth of a millisecond.
+	 */
+	function isDue(text: string, now: Milliseconds): boolean {
+		return !peers.isLarge(now) && (text !== lastText || now - sentAt >= repeatMs);
+	}
+
+	function tell(loads: readonly HostLoad[], now: Milliseconds): void {
+		const text = toText(loads);
+		const unanswered = peers.takeUnanswered();
+		if (now - roundAt >= roundMs) {
+			roundAt = now;
+			const named = peers.toName(now);
+			const asked = new Set([...peers.near(now), ...peers.far(now), ...peers.toGreet(now)]);
+			send({loads, named, isAsking: true}, [...asked]);
+			send({loads, named}, [...new Set([...peers.askers(now), ...unanswered])].filter(address => !asked.has(address)));
+		} else {
+			send({loads, named: unanswered.length > 0 ? peers.toName(now) : []}, unanswered);
+			if (!isDue(text, now)) {
+				return;
+			}
+
+			send({loads}, peers.near(now));
+		}
+
+		lastText = text;
+		sentAt = now;
 	}
 
 	return {
@@ -113,12 +144,7 @@
 		isZoneSilent: shared.isZoneSilent,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		tick(loads) {
-			const now = clock.now();
-			const text = toText(loads);
-			if (text !== lastText || now - sentAt >= repeatMs) {
-				lastText = text;
-				send(loads, now, peers.living(now));
-			}
+			tell(loads, clock.now());
 		},
 		close: socket.close,
 	};
