Share the saved-up retries among the hosts that are known

Cause: each host took the part of one among twenty of the retries on top of the ratio. At 195 hosts and 430 retries that is 21 each, 4,095 together, ten times what the servers are promised; at 74 hosts and 188, 666.

Change: the part is one among the hosts known by their messages, twenty at least; what was known in the last minute counts, as hosts behind a cut take their part too. While a host that should hear others has heard none, it may make one. The budget counts what is owed, so that its size may change; nothing changes where it does not.

--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -33,6 +33,8 @@
 	toGreet: (now: Milliseconds) => readonly string[];
 	/** Hosts that are owed an answer; each is given out once. */
 	takeUnanswered: () => readonly string[];
+	/** Hosts that are known or were in the last minute or so, with this one; `undefined` while none ever was. */
+	count: () => number | undefined;
 	/** Some hosts that spoke lately, to be named to others; others each time. */
 	toName: (now: Milliseconds) => readonly NamedPeer[];
 };
@@ -73,6 +75,12 @@
 /** Time for which a choice of hosts stands: a new one ranks all of them. */
 const choiceMs: Milliseconds = msPerSecond;
 
+/**
+ * What is left of the count of hosts after each choice. Those behind a cut live on
+ * and have their part of what all share; forgotten at once, both sides would take it.
+ */
+const keptOfCount = 0.99;
+
 type Known = {
 	zone: ZoneId;
 	/** When it spoke to this host last. */
@@ -117,6 +125,7 @@
 		near: [], far: [], isLarge: false, at: -Infinity,
 	};
 	let firstNamed = 0;
+	let mostKnown = 0;
 
 	function dropSilent(now: Milliseconds): void {
 		for (const [address, {knownAt}] of known) {
@@ -134,6 +143,7 @@
 		}
 
 		known.set(address, entry);
+		mostKnown = Math.max(mostKnown, known.size);
 		if (isNew && known.size <= mostOfSmallFleet) {
 			choice.at = -Infinity;
 		}
@@ -147,6 +157,7 @@
 		}
 
 		dropSilent(now);
+		mostKnown = Math.max(known.size, mostKnown * keptOfCount);
 		if (known.size <= mostOfSmallFleet) {
 			choice = {
 				near: [...known.keys()], far: [], isLarge: false, at: now,
@@ -207,6 +218,7 @@
 			unanswered.clear();
 			return addresses;
 		},
+		count: () => mostKnown === 0 ? undefined : Math.round(mostKnown) + 1,
 		toName(now) {
 			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
 			firstNamed = heard.length <= namedPeers ? 0 : (firstNamed + namedPeers) % heard.length;
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -88,6 +88,22 @@
 		assert.ok(Math.max(...counts.values()) <= 30, `one is told by ${Math.max(...counts.values())}`);
 	});
 
+	it('counts hosts that fell silent together for a minute more, as they may be behind a cut', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		assert.equal(peers.count(), undefined);
+		hear(peers, 200, i => 'ab'[i % 2]!);
+		assert.equal(peers.count(), 201);
+		const count = [30, 60, 300].map(seconds => {
+			for (let now = (seconds - 30) * 1000; now < seconds * 1000; now += 1000) {
+				peers.noteHeard({address: toAddress(0), zone: 'a'}, now);
+				peers.near(now);
+			}
+
+			return peers.count()!;
+		});
+		assert.ok(count[0]! > 140 && count[1]! > 100, `${count.join(' ')}`);
+	});
+
 	it('keeps a bounded number of hosts, whatever it is told', () => {
 		const peers = createPeerList({self, zone: 'a', seeds: []});
 		peers.noteNamed(Array.from({length: 5000}, (_, i) => ({address: toAddress(i), zone: `z${i}`})), 0);
--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -18,6 +18,8 @@
 	perSecond?: number;
 	/** Retries that can be saved up. */
 	capacity?: number;
+	/** The same where it changes, for example with the number of hosts that share it. */
+	toCapacity?: () => number;
 	/** Attempts of one request, the first included. */
 	maxAttempts?: number;
 	/** Cost of a retry of which the server said that it started nothing; such a one repeats no work. */
@@ -83,14 +85,15 @@
  * }, 100, Math.random); // {kind: 'give-up', reason: 'not-repeatable'}
  */
 export function createRetryBudget(options: RetryBudgetOptions = {}): RetryBudget {
-	const {perSuccess = 0.1, perSecond = 0.5, capacity = 10, maxAttempts = 3, notRunCost = 0.25} = options;
+	const {perSuccess = 0.1, perSecond = 0.5, capacity = 10, toCapacity = () => capacity, maxAttempts = 3, notRunCost = 0.25} = options;
 	const notOfferedCost = options.notOfferedCost ?? notRunCost;
-	let tokens = capacity;
+	/** Retries that were made and not paid for yet: the bucket is full without any, however large it is by then. */
+	let owed = 0;
 	let filledAt: Milliseconds | undefined;
 
 	function fill(now: Milliseconds): void {
 		const elapsedMs = Math.max(0, now - (filledAt ?? now));
-		tokens = Math.min(capacity, tokens + (elapsedMs * perSecond / msPerSecond));
+		owed = Math.max(0, owed - (elapsedMs * perSecond / msPerSecond));
 		filledAt = now;
 	}
 
@@ -117,13 +120,13 @@
 		}
 
 		fill(now);
-		return tokens < toCost(failed) ? 'budget' : undefined;
+		return toCapacity() - owed < toCost(failed) ? 'budget' : undefined;
 	}
 
 	return {
 		noteSuccess(now) {
 			fill(now);
-			tokens = Math.min(capacity, tokens + perSuccess);
+			owed = Math.max(0, owed - perSuccess);
 		},
 		findNoRetry: findReason,
 		takeRetry(failed, now, random) {
@@ -132,7 +135,7 @@
 				return {kind: 'give-up', reason};
 			}
 
-			tokens -= toCost(failed);
+			owed += toCost(failed);
 			const latestDelayMs = failed.deadline - now - failed.expectedMs;
 			return {
 				kind: 'retry',
@@ -143,7 +146,7 @@
 		},
 		available(now) {
 			fill(now);
-			return tokens;
+			return Math.max(0, toCapacity() - owed);
 		},
 	};
 }
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -29,6 +29,8 @@
 export type RunningLoadSharing = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
 	/** Whether hosts of other zones were heard before, and none is any more. */
 	isIsolated: () => boolean;
+	/** Hosts that are known to live, with this one; `undefined` while none was ever heard. */
+	countHosts: () => number | undefined;
 	/** Sends what has changed; the program calls it many times a second. */
 	tick: (loads: readonly HostLoad[]) => void;
 	close: () => Promise<void>;
@@ -143,6 +145,7 @@
 		read: shared.read,
 		isZoneSilent: shared.isZoneSilent,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
+		countHosts: peers.count,
 		tick(loads) {
 			tell(loads, clock.now());
 		},
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -46,10 +46,7 @@
 /** Left of the stop's limit for closing and for the last lines of the log. */
 const closeMarginMs: Milliseconds = 500;
 
-/**
- * Hosts among which the retries on top of the ratio are shared. No host knows
- * how many there are, so each takes the part that is safe up to this number.
- */
+/** Hosts among which the retries on top of the ratio are shared at least; a host may not know of all others. */
 const assumedHosts = 20;
 
 /** Part of the ratio that is used: what one host counts as a request another may count a moment later. */
@@ -59,13 +56,25 @@
  * Works out a host's part of the retries that all hosts together may make.
  *
  * The ratio needs no agreement: each host's part is its ratio of its own
- * requests, and the parts add up whatever hosts come, go or are cut off. A call
- * that a server refused counts like any other; one that reached none costs
- * nothing there, and the tries of each request bound it.
+ * requests, and the parts add up whatever hosts come, go or are cut off. What it
+ * may make ahead of that is its part of the slack among the hosts that it knows,
+ * and one while it has heard nobody: hundreds that start at one moment would
+ * each take the part of one among twenty. A call that a server refused counts like
+ * any other; one that reached none costs nothing there, and the tries of each
+ * request bound it.
+ *
+ * @param settings - What all hosts may make.
+ * @param toHosts - Hosts that are known to live, with this one; `undefined` while none was heard that should be.
+ * @returns The bounds of this host's budget.
  */
-export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>): RetryBudgetOptions {
+export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>, toHosts: () => number | undefined): RetryBudgetOptions {
+	function toCapacity(): number {
+		const hosts = toHosts();
+		return hosts === undefined ? 1 : Math.max(1, Math.floor(retrySlack / Math.max(assumedHosts, hosts)));
+	}
+
 	return {
-		perSuccess: retryRatio * ratioMargin, perSecond: 0, capacity: Math.max(1, Math.floor(retrySlack / assumedHosts)), notRunCost: 1, notOfferedCost: 0,
+		perSuccess: retryRatio * ratioMargin, perSecond: 0, toCapacity, notRunCost: 1, notOfferedCost: 0,
 	};
 }
 
@@ -115,7 +124,7 @@
 			retryBudget: 0,
 		},
 		join,
-		retryBudget: toRetryPart(settings),
+		retryBudget: toRetryPart(settings, loadSharing === undefined ? () => 1 : loadSharing.countHosts),
 		serverIdleMs: settings.serverIdle,
 		health: relayHealth,
 		createEngine: createNoEngine,
--- a/src/programs/relay/start-relay/test.ts
+++ b/src/programs/relay/start-relay/test.ts
@@ -20,7 +20,7 @@
 			const limits = {retryRatio: 0.2, retrySlack: 54};
 			let retries = 0;
 			for (const count of requests) {
-				const budget = createRetryBudget(toRetryPart(limits));
+				const budget = createRetryBudget(toRetryPart(limits, () => requests.length));
 				for (let i = 0; i < count; i++) {
 					budget.noteSuccess(i);
 					retries += budget.takeRetry(failed, i, () => 0).kind === 'retry' ? 1 : 0;
@@ -32,8 +32,41 @@
 		}));
 	});
 
+	/*
+	 * Hundreds of hosts restart at one moment beside a service that fails everything:
+	 * none knows yet how many there are, and a part for twenty, taken by each, is ten
+	 * times what all may make.
+	 */
+	for (const hosts of [20, 195, 402]) {
+		it(`adds up to no more at ${hosts} hosts that just started, nor when they know each other`, () => {
+			const limits = {retryRatio: 0.2, retrySlack: 430};
+			for (const known of [undefined, hosts]) {
+				const budgets = Array.from({length: hosts}, () => createRetryBudget(toRetryPart(limits, () => known)));
+				let requests = 0;
+				// Served for some seconds, hosts save up; then all calls fail.
+				for (const budget of known === undefined ? [] : budgets) {
+					for (let i = 0; i < 200; i++) {
+						budget.noteSuccess(0);
+					}
+				}
+
+				let retries = 0;
+				for (const budget of budgets) {
+					for (let i = 0; i < 50; i++) {
+						requests++;
+						retries += budget.takeRetry(failed, 0, () => 0).kind === 'retry' ? 1 : 0;
+					}
+				}
+
+				assert.ok(retries <= (requests * limits.retryRatio) + limits.retrySlack, `${retries} for ${requests}, ${known ?? 'none'} known`);
+				assert.ok(retries <= limits.retrySlack, `${retries} out of the slack, ${known ?? 'none'} known`);
+				assert.ok(retries >= hosts * 0.9, `${retries} by ${hosts} hosts: too careful`);
+			}
+		});
+	}
+
 	it('takes nothing for a call that reached no server', () => {
-		const budget = createRetryBudget(toRetryPart({retryRatio: 0, retrySlack: 0}));
+		const budget = createRetryBudget(toRetryPart({retryRatio: 0, retrySlack: 0}, () => 0));
 		const unreached: FailedAttempt = {...failed, bytesOffered: 0, outcome: 'not-run'};
 		assert.deepEqual(Array.from({length: 5}, () => budget.takeRetry(unreached, 0, () => 0).kind), Array.from({length: 5}, () => 'retry'));
 	});
