Take a pool for full after eight of its servers said so

Cause: a request that waits for memory asked every decode server for a place, one after the other, at each of its tries.

Change: of more than eight decode servers, eight refusals within a round are the pool's; the round grows with the root of their number, and a server is asked again when the others have had their turn. Up to eight servers nothing changes.

Each of 55 servers is still asked within the second.

--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -22,6 +22,13 @@
  */
 const fullForMs: Milliseconds = 40;
 
+/**
+ * Decode servers that are asked at once. So many that say that they are full tell that
+ * the pool is: each call costs a small host a millisecond or two, and a request that
+ * waits asked all of fifty servers a thousand times a second in all.
+ */
+const askedAtOnce = 8;
+
 /**
  * What another zone counts against a decode server, in requests. A stream within
  * its zone outlives a cut of the zone and moves its prompt in half the time; with
@@ -73,13 +80,27 @@
 	const readAll = ({all}: RoleServers, search: Search, isLastResort: boolean): Candidate[] =>
 		all.filter(entry => isUsable(entry, search, isLastResort)).map(entry => toCandidate(entry, loads.read(entry, undefined, search.now)));
 
-	const readDecodes = (search: Search, isLastResort: boolean): Candidate[] =>
-		readAll(search.servers.decode, search, isLastResort).filter(({entry}) => {
-			const isFull = loads.isFullSince(entry.id, search.now - fullForMs);
-			search.met.full ||= isFull;
-			search.met.isSoundFull ||= isFull && doubts.toLevel(entry, search.now) === 0;
+	const readDecodes = (search: Search, isLastResort: boolean): Candidate[] => {
+		const {servers: {decode}, now, met} = search;
+		const rounds = Math.max(1, decode.all.length / askedAtOnce);
+		// With more servers room is rarer at each of them, and a round finds it later.
+		const roundMs = fullForMs * Math.sqrt(rounds);
+		const isFullFor = (ms: Milliseconds) => ({id}: ServerEntry): boolean => loads.isFullSince(id, now - ms);
+		if (rounds > 1 && decode.all.filter(isFullFor(roundMs)).length >= askedAtOnce) {
+			met.full = true;
+			met.isSoundFull = true;
+			return [];
+		}
+
+		// Remembered until the others have had their turn.
+		const isRemembered = isFullFor(roundMs * rounds);
+		return readAll(decode, search, isLastResort).filter(({entry}) => {
+			const isFull = isRemembered(entry);
+			met.full ||= isFull;
+			met.isSoundFull ||= isFull && doubts.toLevel(entry, now) === 0;
 			return !isFull;
 		});
+	};
 
 	const takeLeast = (candidates: readonly Candidate[], toCost: (candidate: Candidate) => number): Candidate | undefined => {
 		let least: Candidate | undefined;
--- /dev/null
+++ b/src/domain/create-placement/full-pool.test.ts
@@ -0,0 +1,81 @@
+/*
+ * Small hosts stand still in a burst. The memory of all of a pool's servers is full,
+ * and a waiting request asks each of them for a place, one after the other, again and
+ * again: a thousand calls a second where there are fifty servers, though an answer of
+ * eight of them tells that the pool is full. Proof: calls of one waiting request in a
+ * second, by the number of servers; and that each server is still asked within it.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type Milliseconds} from '../../ports/clock.js';
+import {type Config, type ServerEntry} from '../../ports/config.js';
+import {type FleetView} from '../../ports/view.js';
+import {createRandom} from '../_test/create-random.js';
+import {createPlacement, type PlacementRequest} from './index.js';
+
+const callMs: Milliseconds = 1.5;
+const tickMs: Milliseconds = 20;
+
+const request: PlacementRequest = {
+	pool: 'model', model: 'm', version: undefined, adapter: undefined, promptTokens: 3000, maxTokens: 2000, class: 'quick', firstTokenBudgetMs: 14_000,
+};
+
+function toView(decodes: number): FleetView {
+	const toServer = (i: number): ServerEntry => ({
+		id: `s${i}`, role: i === 0 ? 'prefill' : 'decode', zone: 'a', url: `http://10.0.0.1:1/${i}`, pool: 'model', slots: 100, checksFence: false,
+	});
+	const config: Config = {
+		zones: [{id: 'a', region: 'r'}],
+		hosts: [],
+		servers: Array.from({length: decodes + 1}, (_, i) => toServer(i)),
+		pools: [{
+			name: 'model', kind: 'model', model: 'm', version: undefined, adapters: [], classes: ['quick', 'batch'], isUnreported: true,
+		}],
+		rules: [],
+		callerTokens: {},
+		weightStoreBytesPerSecond: 0,
+	};
+	return {
+		accepted: {version: {edition: 1, revision: 1, digest: ''}, config, text: ''}, hosts: new Map(), servers: new Map(), platformConfirmedAt: 0, receivedAt: 0,
+	};
+}
+
+/** Calls that a request makes to full servers while it waits for a second, by server. */
+function askForSecond(decodes: number): Map<string, number> {
+	const placement = createPlacement({zone: 'a'});
+	const random = createRandom();
+	const view = toView(decodes);
+	const calls = new Map<string, number>();
+	for (let now: Milliseconds = 1000; now < 2000;) {
+		const asked = new Set<string>();
+		for (;;) {
+			const picked = placement.pick({...request, exclude: asked}, view, now, random);
+			if (picked.isErr()) {
+				break;
+			}
+
+			const {decode} = picked.value;
+			now += callMs;
+			calls.set(decode.id, (calls.get(decode.id) ?? 0) + 1);
+			placement.noteFailure(decode, {kind: 'refused', reason: 'full'}, now);
+			asked.add(decode.id);
+		}
+
+		now += tickMs;
+	}
+
+	return calls;
+}
+
+describe('a pool of many servers whose memory is full', () => {
+	for (const {decodes, most} of [{decodes: 6, most: 200}, {decodes: 25, most: 160}, {decodes: 55, most: 120}, {decodes: 200, most: 60}]) {
+		it(`is asked ${most} times in a second at most by a request that waits, with ${decodes} servers`, t => {
+			const calls = askForSecond(decodes);
+			const sum = [...calls.values()].reduce((total, count) => total + count, 0);
+			t.diagnostic(`${sum} calls to ${calls.size} servers`);
+			assert.ok(sum <= most, `${sum} calls`);
+			assert.ok(sum >= 40, `only ${sum} calls`);
+			assert.ok(decodes > 60 || calls.size === decodes, `${calls.size} of ${decodes} servers were asked`);
+		});
+	}
+});
