--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -119,8 +119,10 @@
 	const findAmong = (search: Search, isLastResort: boolean): Pair | undefined => {
 		const {random, promptTokens, now} = search;
 		const decodes = readDecodes(search, isLastResort);
+		const toRequests = ({entry, load}: Candidate): number =>
+			load.own + readOthers(entry.id, now).requests + (entry.zone === zone ? 0 : otherZoneRequests) + (doubts.toLevel(entry, now) * doubtRequests);
 		// Chance breaks ties, or all hosts that start empty would send to the same server.
-		const decode = takeLeast(decodes, ({entry, load}) => load.own + readOthers(entry.id, now).requests + (entry.zone === zone ? 0 : otherZoneRequests) + (random() / 2) + (doubts.toLevel(entry, now) * doubtRequests));
+		const decode = takeLeast(decodes, candidate => toRequests(candidate) + (random() / 2));
 		// Room comes back at a full server within the time that one behind a cut takes to be given up.
 		if (decode === undefined || (search.met.isSoundFull && doubts.toLevel(decode.entry, now) > 0)) {
 			return undefined;
--- a/src/domain/create-placement/full-pool.test.ts
+++ b/src/domain/create-placement/full-pool.test.ts
@@ -8,48 +8,30 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {type Milliseconds} from '../../ports/clock.js';
-import {type Config, type ServerEntry} from '../../ports/config.js';
-import {type FleetView} from '../../ports/view.js';
-import {createRandom} from '../_test/create-random.js';
-import {createPlacement, type PlacementRequest} from './index.js';
+import {
+	toConfig, toPlacementRequest, toSeededRandom, toServer, toView,
+} from './_lib/fixtures.js';
+import {createPlacement} from './index.js';
 
 const callMs: Milliseconds = 1.5;
 const tickMs: Milliseconds = 20;
 
-const request: PlacementRequest = {
-	pool: 'model', model: 'm', version: undefined, adapter: undefined, promptTokens: 3000, maxTokens: 2000, class: 'quick', firstTokenBudgetMs: 14_000,
+const toFullView = (decodes: number) => {
+	const servers = Array.from({length: decodes + 1}, (_, i) => toServer(`s${i}`, i === 0 ? 'prefill' : 'decode'));
+	const pools = toConfig(servers).pools.map(pool => ({...pool, version: undefined, isUnreported: true}));
+	return toView(toConfig(servers, {pools}), []);
 };
 
-function toView(decodes: number): FleetView {
-	const toServer = (i: number): ServerEntry => ({
-		id: `s${i}`, role: i === 0 ? 'prefill' : 'decode', zone: 'a', url: `http://10.0.0.1:1/${i}`, pool: 'model', slots: 100, checksFence: false,
-	});
-	const config: Config = {
-		zones: [{id: 'a', region: 'r'}],
-		hosts: [],
-		servers: Array.from({length: decodes + 1}, (_, i) => toServer(i)),
-		pools: [{
-			name: 'model', kind: 'model', model: 'm', version: undefined, adapters: [], classes: ['quick', 'batch'], isUnreported: true,
-		}],
-		rules: [],
-		callerTokens: {},
-		weightStoreBytesPerSecond: 0,
-	};
-	return {
-		accepted: {version: {edition: 1, revision: 1, digest: ''}, config, text: ''}, hosts: new Map(), servers: new Map(), platformConfirmedAt: 0, receivedAt: 0,
-	};
-}
-
 /** Calls that a request makes to full servers while it waits for a second, by server. */
 function askForSecond(decodes: number): Map<string, number> {
 	const placement = createPlacement({zone: 'a'});
-	const random = createRandom();
-	const view = toView(decodes);
+	const random = toSeededRandom(decodes);
+	const view = toFullView(decodes);
 	const calls = new Map<string, number>();
 	for (let now: Milliseconds = 1000; now < 2000;) {
 		const asked = new Set<string>();
 		for (;;) {
-			const picked = placement.pick({...request, exclude: asked}, view, now, random);
+			const picked = placement.pick(toPlacementRequest({exclude: asked}), view, now, random);
 			if (picked.isErr()) {
 				break;
 			}
