Show how many hosts a relay knows, and how old the platform's answer is

Beside the change: a host's part of the retries follows from the hosts that it knows, and nothing told how many those are.

Its test and those of the relay's platform pass.

--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -29,6 +29,8 @@
 	toView: () => FleetView | undefined;
 	/** Whether the platform answered the last read. */
 	isConnected: () => boolean;
+	/** Time since the platform answered a read; `undefined` before the first. */
+	answerAgeMs: () => Milliseconds | undefined;
 	stop: () => Promise<void>;
 };
 
@@ -190,6 +192,7 @@
 	return {
 		toView: () => view,
 		isConnected: () => isConnected,
+		answerAgeMs: () => toAge(answeredAt, clock.now()),
 		async stop() {
 			stopping.abort();
 			await done;
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -14,6 +14,7 @@
 import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
 import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
 import {followPublished} from '../../entry/follow-published/index.js';
+import {addRelayMetrics} from './_lib/add-relay-metrics.js';
 import {createNoEngine} from './_lib/create-no-engine.js';
 import {openSharing} from './_lib/open-sharing.js';
 import {withRoles} from './_lib/with-roles.js';
@@ -95,12 +96,15 @@
 	const incarnation = clock.wallNow();
 	const loadSharing = await openSharing({settings, clock, log}, incarnation);
 	let isConnected = () => false;
+	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
+	addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs()});
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
 			source, zones: toZones(settings.zones), clock, random, log, onView, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
 		});
 		isConnected = follower.isConnected;
+		answerAgeMs = follower.answerAgeMs;
 		return {
 			peerPort: 0,
 			toView: follower.toView,
