Ask other zones before a pool counts as full

Change: a pool is full when eight of the own zone and eight of all others said so. The test, a full zone beside two with room, fails without it.

--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -23,8 +23,9 @@
 const fullForMs: Milliseconds = 40;
 
 /**
- * Decode servers that are asked at once. So many that say that they are full tell that
- * the pool is: each call costs a small host a millisecond or two, and a request that
+ * Decode servers of the own zone, and of all others, that are asked at once. So many
+ * that say that they are full tell that the rest is too, but not those of the own zone
+ * alone, which is asked first and may be full by itself. Each call costs a small host a millisecond or two, and a request that
  * waits asked all of fifty servers a thousand times a second in all.
  */
 const askedAtOnce = 8;
@@ -86,7 +87,10 @@
 		// With more servers room is rarer at each of them, and a round finds it later.
 		const roundMs = fullForMs * Math.sqrt(rounds);
 		const isFullFor = (ms: Milliseconds) => ({id}: ServerEntry): boolean => loads.isFullSince(id, now - ms);
-		if (rounds > 1 && decode.all.filter(isFullFor(roundMs)).length >= askedAtOnce) {
+		const isFullPart = (part: readonly ServerEntry[]): boolean => part.filter(isFullFor(roundMs)).length >= Math.min(askedAtOnce, part.length);
+		const here = decode.all.filter(entry => entry.zone === zone);
+		const elsewhere = decode.all.filter(entry => entry.zone !== zone);
+		if (rounds > 1 && isFullPart(here) && isFullPart(elsewhere)) {
 			met.full = true;
 			met.isSoundFull = true;
 			return [];
--- a/src/domain/create-placement/full-pool.test.ts
+++ b/src/domain/create-placement/full-pool.test.ts
@@ -50,6 +50,31 @@
 }
 
 describe('a pool of many servers whose memory is full', () => {
+	/*
+	 * Callers that come back are refused once more. The servers of their host's zone
+	 * are full and are asked first; eight of them stood for the whole pool, though
+	 * those of two other zones had room.
+	 */
+	it('is not taken for full by the servers of one zone', () => {
+		const servers = Array.from({length: 37}, (_, i) => toServer(`s${i}`, i === 0 ? 'prefill' : 'decode', {zone: 'abc'[i % 3]!}));
+		const pools = toConfig(servers).pools.map(pool => ({...pool, version: undefined, isUnreported: true}));
+		const view = toView(toConfig(servers, {pools}), []);
+		const placement = createPlacement({zone: 'a'});
+		const random = toSeededRandom(1);
+		const asked = new Set<string>();
+		for (let now: Milliseconds = 1000; ; now += callMs) {
+			const {decode} = placement.pick(toPlacementRequest({exclude: asked}), view, now, random)._unsafeUnwrap();
+			if (decode.zone !== 'a') {
+				break;
+			}
+
+			placement.noteFailure(decode, {kind: 'refused', reason: 'full'}, now);
+			asked.add(decode.id);
+		}
+
+		assert.equal(asked.size, 12);
+	});
+
 	for (const {decodes, most} of [{decodes: 6, most: 200}, {decodes: 25, most: 160}, {decodes: 55, most: 120}, {decodes: 200, most: 60}]) {
 		it(`is asked ${most} times in a second at most by a request that waits, with ${decodes} servers`, t => {
 			const calls = askForSecond(decodes);
