--- a/src/ports/ids.ts
+++ b/src/ports/ids.ts
@@ -3,16 +3,16 @@
  * they survive any codec; the aliases say which one a signature means.
  */
 
-/** Published name of a host slot, for example `dvorana-a-1`. Stable across replacement of the host that fills it. */
+/** Published name of a host slot, for example `zone-a-1`. Stable across replacement of the host that fills it. */
 export type HostId = string;
 
 /** Published name of a backend server. */
 export type ServerId = string;
 
-/** Availability zone, for example `dvorana-a`. */
+/** Availability zone, for example `zone-a`. */
 export type ZoneId = string;
 
-/** Region, for example `si-central`. */
+/** Region, for example `region-1`. */
 export type RegionId = string;
 
 /** Customer on whose behalf a request is made. */
--- a/src/programs/_settings/common.ts
+++ b/src/programs/_settings/common.ts
@@ -2,7 +2,7 @@
 import {defineSettings, type SettingFault} from '../../adapters/settings/index.js';
 import {msPerSecond} from '../../ports/units.js';
 
-const slotName = {test: /^[a-z\d][a-z\d.-]{0,62}$/, hint: 'a name of lower-case letters, digits, dots and hyphens, such as dvorana-a-1'};
+const slotName = {test: /^[a-z\d][a-z\d.-]{0,62}$/, hint: 'a name of lower-case letters, digits, dots and hyphens, such as zone-a-1'};
 
 export const logLevels = ['error', 'warn', 'info', 'debug'] as const;
 
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -13,7 +13,7 @@
 
 const zoneList = {
 	test: /^[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*(?:,[a-z\d][a-z\d.\-]*=[a-z\d][a-z\d.\-]*)*$/v,
-	hint: 'zones with their regions, such as dvorana-a=si-central,dvorana-b=si-central',
+	hint: 'zones with their regions, such as zone-a=region-1,zone-b=region-1',
 };
 
 export const relaySettings = defineSettings({
--- a/src/programs/cli/run-cli/index.ts
+++ b/src/programs/cli/run-cli/index.ts
@@ -232,7 +232,7 @@
 		.addArgument(new Argument('<program>', 'which program').choices(['entry', 'agent', 'relay']))
 		.argument('[flags...]', 'flags of the program after "--", which are then checked too')
 		.option('--json', jsonHelp, false)
-		.addHelpText('after', toExamples('banyanport settings entry', 'banyanport settings agent -- --host-id dvorana-a-1 --zone dvorana-a'))
+		.addHelpText('after', toExamples('banyanport settings entry', 'banyanport settings agent -- --host-id zone-a-1 --zone zone-a'))
 		.action(async (name: SettingsProgram, flags: readonly string[], options: {json: boolean}) => {
 			finish(await runSettings(io, name, {flags, json: options.json}));
 		});
