--- a/src/programs/relay/share-loads/fleet.test.ts
+++ b/src/programs/relay/share-loads/fleet.test.ts
@@ -92,6 +92,12 @@
 			const living = hosts.filter(({isDead}) => !isDead).length;
 			return {messages: (sent.messages - before.messages) / living / seconds, bytes: (sent.bytes - before.bytes) / living / seconds};
 		},
+		/** Starts one more host. */
+		async startOne(): Promise<Host> {
+			const host = await start(hosts.length);
+			hosts.push(host);
+			return host;
+		},
 		kill(host: Host): void {
 			host.isDead = true;
 			receivers.delete(host.address);
@@ -113,6 +119,14 @@
 		});
 	}
 
+	it('answer a host that just started at once, not with their next round', async () => {
+		const fleet = await startHosts(200);
+		fleet.pass(15 * msPerSecond);
+		const newcomer = await fleet.startOne();
+		fleet.pass(3 * stepMs);
+		assert.ok(fleet.heardBy(newcomer).length > 0);
+	});
+
 	it('hear their own zone and the others, also after half of them and a zone were killed at one moment', async () => {
 		const fleet = await startHosts(200);
 		fleet.pass(15 * msPerSecond);
