Tell in the log which requests are the same

Callers' repeats have ids of their own, and no line carried path or body, so that from the lines of a request that crashed ten servers nobody could tell whether it was one request, one of its victims, or several.

'request received' and 'attempt failed' carry a fingerprint now: 72 bits of a digest of workspace, method, host, target and body; nothing of the body can be read from it. A body that goes through unread has none.

The stand-in of a server can crash and start again under another id, and the fixture can start several hosts that hear each other; both are for the tests to come.

--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -6,6 +6,7 @@
 const fieldNames = [
 	// What a request's lines tell its story with.
 	'requestId',
+	'fingerprint',
 	'attempt',
 	'workspace',
 	'rule',
--- /dev/null
+++ b/src/domain/to-fingerprint/test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {describe, it} from 'node:test';
+import {toFingerprint, type FingerprintInput} from './index.js';
+
+const input: FingerprintInput = {
+	workspace: 'glossworks', method: 'POST', host: 'desk.example', target: '/scenes/1?page=2', body: Buffer.from('a scene'),
+};
+
+describe('toFingerprint', () => {
+	it('is the same for the same request, however the name of the service is written', () => {
+		assert.equal(toFingerprint({...input, host: 'Desk.Example', body: new Uint8Array(Buffer.from('a scene'))}), toFingerprint(input));
+	});
+
+	it('fits into a log line and a datagram, and shows nothing of the body', () => {
+		assert.match(toFingerprint(input), /^[\w\-]{12}$/v);
+	});
+
+	const others: ReadonlyArray<Partial<FingerprintInput>> = [
+		{workspace: 'naslovnik'},
+		{method: 'PUT'},
+		{host: 'other.example'},
+		{host: undefined},
+		{target: '/scenes/1'},
+		{body: Buffer.from('another scene')},
+		// Where one part ends and the next begins counts too.
+		{method: 'POS', host: 'Tdesk.example'},
+	];
+	for (const other of others) {
+		it(`differs with ${JSON.stringify(Object.keys(other))}`, () => {
+			assert.notEqual(toFingerprint({...input, ...other}), toFingerprint(input));
+		});
+	}
+});
--- a/src/ports/ids.ts
+++ b/src/ports/ids.ts
@@ -21,6 +21,9 @@
 /** Names one request from its acceptance to its end; on every answer as `x-request-id`. */
 export type RequestId = string;
 
+/** Names what a request asks for: the same for each repeat of it, whatever id it has. */
+export type Fingerprint = string;
+
 /** Position of an attempt within its request, from 1. */
 export type AttemptNumber = number;
 
--- a/src/programs/entry/_lib/plain-body.ts
+++ b/src/programs/entry/_lib/plain-body.ts
@@ -7,6 +7,8 @@
 export type PlainBody = {
 	/** What to send; called once for each server that is tried. */
 	open: () => Buffer | AsyncIterable<Uint8Array> | undefined;
+	/** The whole body; `undefined` where it goes through unread. */
+	bytes: () => Uint8Array | undefined;
 	/** Whether a part was handed out that can't be had again. */
 	isTaken: () => boolean;
 	/** Why the body ended too early. */
@@ -59,6 +61,7 @@
 
 	return {
 		open: () => options.hasBody ? read() : undefined,
+		bytes: () => options.hasBody ? undefined : new Uint8Array(),
 		isTaken: () => isTaken,
 		fault: () => fault,
 	};
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -4,6 +4,7 @@
 import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
 import {type CallerWork} from '../../../../ports/server-calls.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
+import {type Fingerprint} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {type Account} from '../../accounts/index.js';
 import {type RelayedEvents} from '../../send-plain/index.js';
@@ -21,6 +22,8 @@
 	account: Account;
 	/** Carries the request's id. */
 	log: Log;
+	/** The same for each repeat of the request; `undefined` where its body goes through unread. */
+	fingerprint: Fingerprint | undefined;
 	/** What the caller says of the request beside its body. */
 	work: CallerWork;
 	body: PlainBody;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -146,6 +146,6 @@
 		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
 	});
 	run.log.info('attempt failed', {
-		attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message,
+		attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message, fingerprint: run.fingerprint,
 	});
 }
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -8,6 +8,8 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
+import {type Fingerprint} from '../../../ports/ids.js';
+import {toFingerprint} from '../../../domain/to-fingerprint/index.js';
 import {toLeastReturnDelay, toReturnDelay} from '../../../domain/to-return-delay/index.js';
 import {
 	toAge, toWait, type Wait, type WaitInput,
@@ -51,7 +53,9 @@
 
 	const whole = await exchange.readBody({limitBytes, timeoutMs});
 	return whole
-		.map((bytes: Buffer): PlainBody => ({open: () => bytes, isTaken: () => false, fault: () => undefined}))
+		.map((bytes: Buffer): PlainBody => ({
+			open: () => bytes, bytes: () => bytes, isTaken: () => false, fault: () => undefined,
+		}))
 		.mapErr(fault => fault === 'gone' ? fault : toBodyProblem(fault, {limitBytes, timeoutMs}));
 }
 
@@ -218,29 +222,34 @@
 
 	const deadline = receivedAt + Math.min(target.completeMs, work.waitsMs ?? Infinity);
 	const serveOne = async (caller: CallerExchange) => runRouted({
-		exchange: caller, route, serve, clients, account, receivedAt, work, body: body.value, deadline,
+		exchange: caller, route, serve, clients, account, receivedAt, work, body: body.value, deadline, fingerprint: toFingerprintOf(exchange, route, body.value),
 	});
 	await (key.value === undefined || serve.claims === undefined
 		? serveOne(exchange)
 		: serveKeyed(serve.claims, exchange, {
-			workspace: route.workspace, key: key.value, digest: toDigest(exchange, toBytes(body.value)), isRepeatable: isRepeatable({exchange, route}),
+			workspace: route.workspace, key: key.value, digest: toDigest(exchange, body.value.bytes() ?? new Uint8Array()), isRepeatable: isRepeatable({exchange, route}),
 		}, toKeyedOptions({exchange, account, route}, serve, serveOne)));
 }
 
-function toBytes(body: PlainBody): Uint8Array {
-	const bytes = body.open();
-	return bytes instanceof Uint8Array ? bytes : new Uint8Array();
+/** A body that goes through unread names nothing. */
+function toFingerprintOf({headers, method, target}: CallerExchange, {workspace}: Route, body: PlainBody): Fingerprint | undefined {
+	const bytes = body.bytes();
+	return bytes && toFingerprint({
+		workspace, method, host: headers.host, target, body: bytes,
+	});
 }
 
 async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent' | 'bounces'>): Promise<KeyedVerdict> {
-	const {exchange, route, serve, account, deadline} = input;
+	const {
+		exchange, route, serve, account, deadline, fingerprint,
+	} = input;
 	const control = openRunControl(serve.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : endAt(control, deadline - serve.services.clock.now());
 	account.note('routed', {
 		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class,
 	});
 	serve.log.info('request received', {
-		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name,
+		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint,
 	});
 	try {
 		const run: PlainRun = {
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -21,6 +21,7 @@
 	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | 'cut-stream';
 
 export type ServerStandIn = {
+	/** Another one after each start. */
 	id: string;
 	address: string;
 	arrivals: Arrival[];
@@ -36,6 +37,10 @@
 	setBusy: (isBusy: boolean) => void;
 	/** Reservations that nobody used or gave back. */
 	reservations: () => number;
+	/** Ends whenever it begins to run a request that is described so, and starts again at once under another id. */
+	crashOn: (isCrashing: (arrival: Arrival) => boolean) => void;
+	/** Times that it ended. */
+	crashes: () => number;
 	close: () => Promise<void>;
 };
 
@@ -74,6 +79,8 @@
 	let isBusy = false;
 	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let made = 0;
+	let isCrashing: (arrival: Arrival) => boolean = () => false;
+	let crashes = 0;
 
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
 		res.writeHead(status, {'content-type': 'application/json', ...headers});
@@ -181,6 +188,13 @@
 		return headers['kv-hold'] === undefined ? 'whole' : 'decode';
 	}
 
+	function crash(): void {
+		crashes++;
+		standIn.id = `${id}-start-${crashes + 1}`;
+		reservations.clear();
+		server.closeAllConnections();
+	}
+
 	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const step = toStep(req);
 		const arrival: Arrival = {
@@ -209,6 +223,11 @@
 			return;
 		}
 
+		if (step !== 'prefill' && isCrashing(arrival)) {
+			crash();
+			return;
+		}
+
 		const misdeed = misdeeds.shift();
 		if (misdeed !== undefined && misdeed !== 'cut-stream') {
 			commit(misdeed, req, res);
@@ -245,7 +264,7 @@
 	server.listen(0, '127.0.0.1');
 	await once(server, 'listening');
 	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
-	return {
+	const standIn: ServerStandIn = {
 		id,
 		address,
 		arrivals,
@@ -263,10 +282,15 @@
 			isBusy = next;
 		},
 		reservations: () => reservations.size,
+		crashOn(next) {
+			isCrashing = next;
+		},
+		crashes: () => crashes,
 		async close() {
 			server.closeAllConnections();
 			server.close();
 			await once(server, 'close');
 		},
 	};
+	return standIn;
 }
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -1,4 +1,4 @@
-/** A relay before a stand-in store and servers, and a caller. */
+/** One or several relays before a stand-in store and servers, and a caller. */
 import {once} from 'node:events';
 import {request, type IncomingMessage} from 'node:http';
 import {createServer, type AddressInfo} from 'node:net';
@@ -10,6 +10,7 @@
 import {relaySettings} from '../../../src/programs/_settings/index.js';
 import {startRelay} from '../../../src/programs/relay/start-relay/index.js';
 import {createCollectedLines, type CollectedLines} from '../../_lib/create-collected-lines/index.js';
+import {findUdpAddress} from '../../_lib/find-udp-address/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {
 	startServerStandIn, type Misdeed, type ServerStandIn, type ServerStandInOptions,
@@ -34,6 +35,8 @@
 	body?: string;
 	/** Leaves after this time, milliseconds. */
 	leaveAfterMs?: number;
+	/** Host that is asked, from 0. */
+	at?: number;
 };
 
 export type RelayFixture = {
@@ -46,8 +49,11 @@
 	askUntil: (asked: Asked, status: number) => Promise<Answer>;
 	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
+	/** Servers in the view of a host. */
+	knownServers: (host: number) => ReadonlySet<string>;
+	/** Whether the first host is ready. */
 	isReady: () => Promise<boolean>;
-	/** Stops the relay as its platform does, and lets what is under way end. */
+	/** Stops the hosts as their platform does, and lets what is under way end. */
 	stopRelay: () => Promise<void>;
 	stop: () => Promise<void>;
 };
@@ -89,6 +95,13 @@
 	return port;
 }
 
+/** Hosts speak to each other on the same port of their addresses. */
+async function findPeerAddresses(count: number): Promise<string[]> {
+	const address = await findUdpAddress();
+	const port = address.slice(address.lastIndexOf(':') + 1);
+	return Array.from({length: count}, (_, i) => `127.0.0.${i + 1}:${port}`);
+}
+
 async function send(port: number, asked: Asked): Promise<Answer> {
 	const startedAt = performance.now();
 	return new Promise((resolve, reject) => {
@@ -127,13 +140,18 @@
 	});
 }
 
+export type RelayFixtureOptions = Partial<ServerStandInOptions> & {
+	/** Hosts, which hear each other where there are several. */
+	hosts?: number;
+};
+
 /**
  * Starts everything.
  *
- * @param options - How the servers work.
- * @returns The fixture, once the relay has rules and all servers.
+ * @param options - How the servers work, and how many hosts there are.
+ * @returns The fixture, once the hosts have rules and all servers.
  */
-export async function startRelayFixture(options: Partial<ServerStandInOptions> = {}): Promise<RelayFixture> {
+export async function startRelayFixture(options: RelayFixtureOptions = {}): Promise<RelayFixture> {
 	return start(options, true);
 }
 
@@ -146,7 +164,48 @@
 	return start({}, false);
 }
 
-async function start(options: Partial<ServerStandInOptions>, isPublished: boolean): Promise<RelayFixture> {
+type HostOptions = {
+	name: string;
+	store: StoreStandIn;
+	collected: CollectedLines;
+	/** `IP:port` for other hosts, and where some of them are. */
+	peerAddress: string | undefined;
+	seeds: readonly string[];
+};
+
+async function startHost({name, store, collected, peerAddress, seeds}: HostOptions) {
+	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
+	const settings = parseSettings(relaySettings, {
+		argv: [], env: {
+			BANYANPORT_HOST_ID: name, BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
+			BANYANPORT_RETRY_SLACK: '400',
+			BANYANPORT_CONTROL_ADDRESS: '127.0.0.1:7990',
+			BANYANPORT_ORDERS_FROM: '127.0.0.1:7990',
+			...(peerAddress !== undefined && {BANYANPORT_PEER_ADDRESS: peerAddress, BANYANPORT_SEEDS: seeds.join(',')}),
+		},
+	})._unsafeUnwrap().values;
+	const relay = await startRelay({
+		settings,
+		clock: {wallNow: () => Date.now(), now: () => performance.now()},
+		random: Math.random,
+		log: createLog({
+			level: 'info',
+			program: 'banyanport-relay',
+			host: name,
+			zone: 'a',
+			incarnation: 1,
+			sink: collected.sink,
+		}),
+		metrics: createMetrics(),
+		keys: undefined,
+		source: createStore(store.address),
+		createCalls: createServerCalls,
+		callers: {isRelayOnly: true, requestIdHeader: 'request-id', problemStyle: {hasFractions: true, isOutcomeInStatus: true, statuses: {'no-rule': 404}}},
+	});
+	return {relay, callerPort, operatorPort};
+}
+
+async function start({hosts: hostCount = 1, ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
 	const store = await startStoreStandIn();
 	const caches = new Set<string>();
 	// The relay chooses freely among servers that do the same, so these share what they do wrong.
@@ -159,20 +218,11 @@
 		desk1, desk2, prefill1, prefill2, decode1, decode2,
 	};
 	const collected = createCollectedLines();
-	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
-	const settings = parseSettings(relaySettings, {
-		argv: [], env: {
-			BANYANPORT_HOST_ID: 'front-a-1', BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
-			BANYANPORT_RETRY_SLACK: '400',
-			BANYANPORT_CONTROL_ADDRESS: '127.0.0.1:7990',
-			BANYANPORT_ORDERS_FROM: '127.0.0.1:7990',
-		},
-	})._unsafeUnwrap().values;
-
 	const publishServer: RelayFixture['publishServer'] = (server, change = {}) => {
-		const stage = server.id.startsWith('desk') ? undefined : server.id.replace(/\d$/v, '');
+		const [kind] = /^[a-z]+/v.exec(server.id) ?? [];
+		const stage = kind === 'desk' ? undefined : kind;
 		store.put(`servers/${server.id}`, {
-			service: stage === undefined ? 'desk' : 'model', address: server.address, zone: server.id.endsWith('1') ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
+			service: stage === undefined ? 'desk' : 'model', address: server.address, zone: /^[a-z]+1/v.test(server.id) ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
 		});
 	};
 
@@ -195,26 +245,12 @@
 		publishRoutes(1);
 	}
 
-	const relay = await startRelay({
-		settings,
-		clock: {wallNow: () => Date.now(), now: () => performance.now()},
-		random: Math.random,
-		log: createLog({
-			level: 'info',
-			program: 'banyanport-relay',
-			host: 'front-a-1',
-			zone: 'a',
-			incarnation: 1,
-			sink: collected.sink,
-		}),
-		metrics: createMetrics(),
-		keys: undefined,
-		source: createStore(store.address),
-		createCalls: createServerCalls,
-		callers: {isRelayOnly: true, requestIdHeader: 'request-id', problemStyle: {hasFractions: true, isOutcomeInStatus: true, statuses: {'no-rule': 404}}},
-	});
-	await waitUntil(() => !isPublished || relay.view()?.servers.size === 6, {deadlineMs, what: 'the relay to know all servers'});
-	const ask = async (asked: Asked) => send(callerPort, asked);
+	const peerAddresses = hostCount === 1 ? [] : await findPeerAddresses(hostCount);
+	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, i) => startHost({
+		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses,
+	})));
+	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
+	const ask = async (asked: Asked) => send(hosts[asked.at ?? 0]!.callerPort, asked);
 	let isStopped = false;
 	return {
 		store,
@@ -230,18 +266,19 @@
 		},
 		publishRoutes,
 		publishServer,
+		knownServers: host => new Set(hosts[host]!.relay.view()?.servers.keys()),
 		async isReady() {
-			const res = await fetch(`http://127.0.0.1:${operatorPort}/ready`);
+			const res = await fetch(`http://127.0.0.1:${hosts[0]!.operatorPort}/ready`);
 			return res.status === 200;
 		},
 		async stopRelay() {
 			isStopped = true;
-			await relay.stop();
+			await Promise.all(hosts.map(async ({relay}) => relay.stop()));
 		},
 		async stop() {
 			if (!isStopped) {
-				await relay.abandon();
-				await relay.stop();
+				await Promise.all(hosts.map(async ({relay}) => relay.abandon()));
+				await Promise.all(hosts.map(async ({relay}) => relay.stop()));
 			}
 
 			await Promise.all([store.close(), ...Object.values(servers).map(async server => server.close())]);
