--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -11,6 +11,8 @@
 	/** `aborted` is the caller's own signal; `unreachable` that no byte was offered; `broken` anything after that. */
 	kind: 'aborted' | 'unreachable' | 'broken';
 	message: string;
+	/** The other side closed the connection after it was sent the call. */
+	isClosed?: boolean;
 };
 
 /** Holds back and lets on the bytes of an answer, or ends it. */
@@ -54,6 +56,11 @@
 	signal?: AbortSignal;
 };
 
+/** Codes of errors by which the other side's end of a connection shows. */
+const closedCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+
+const isClosing = (error: Error): boolean => closedCodes.has((error as {code?: string}).code);
+
 function toMessage(error: Error): string {
 	const {code} = error as {code?: string};
 	return [code, error.message].filter(Boolean).join(': ') || error.name;
@@ -83,9 +90,9 @@
 		report?.();
 	};
 
-	const fail = (kind: CallFault['kind'], message: string): void => {
+	const fail = (kind: CallFault['kind'], message: string, isClosed = false): void => {
 		end(() => {
-			sink.onFault({kind, message});
+			sink.onFault({kind, message, ...(isClosed && {isClosed})});
 		});
 	};
 
@@ -135,7 +142,7 @@
 
 			// The client may send again after some socket errors; a call that was offered must not be offered twice.
 			if (isOffered) {
-				fail('broken', 'the connection failed after the call was sent');
+				fail('broken', 'the connection failed after the call was sent', true);
 				controller.abort(new Error('sent before'));
 				return;
 			}
@@ -161,7 +168,7 @@
 			});
 		},
 		onResponseError(_, error) {
-			fail(isOffered ? 'broken' : 'unreachable', toMessage(error));
+			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), isOffered && isClosing(error));
 		},
 	});
 }
--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -1,5 +1,5 @@
 /**
- * Messages between hosts about their loads, one datagram each. A lost one is
+ * Messages between hosts about their loads and crashes, one datagram each. A lost one is
  * made good by the next, which says everything anew.
  */
 import {createSocket} from 'node:dgram';
@@ -7,17 +7,22 @@
 import {Encoder} from 'cbor-x';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {type CrashReport} from '../../ports/crash-reports.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
 
 /** What a datagram may hold without being split on the way. */
 export const maxDatagramBytes = 1400;
 
 /** First item of each datagram; a host of another version is not understood, and nothing depends on it. */
-const format = 2;
+const format = 3;
 
 /** Longest name that is taken from another host. */
 const maxNameLength = 64;
 
+/** Reports that are taken from one message, and crashes of each. */
+const maxReports = 64;
+const maxCrashesOfReport = 8;
+
 const codec = new Encoder({useRecords: false, mapsAsObjects: true});
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
@@ -31,28 +36,37 @@
 	v.array(v.tuple([name, count, count])),
 	v.array(v.tuple([v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v)), name])),
 	v.boolean(),
+	v.pipe(v.array(v.tuple([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))])), v.maxLength(maxReports)),
 ]);
 
+const toReportRow = ({fingerprint, idleMs, crashes}: CrashReport) => [fingerprint, Math.round(idleMs), crashes.map(({server, ageMs}) => [server, Math.round(ageMs)])];
+
+/** Part of what does not fit that is kept at each try. */
+const keptShare = 0.8;
+
 /**
- * Encodes a message; loads that don't fit are left out, the smallest first.
+ * Encodes a message. Loads that don't fit are left out, the smallest first, and
+ * then reports of crashes, the last first.
  *
  * @param message - The message.
  * @returns One datagram.
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking,
+		host, zone, incarnation, sequence, peers, isAsking, crashes,
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
+	const reports = crashes.map(report => toReportRow(report));
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking]);
-		if (bytes.length <= maxDatagramBytes || loads.length === 0) {
+		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking, reports]);
+		const cut = loads.length > 0 ? loads : reports;
+		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
 		}
 
-		loads.length = Math.floor(loads.length * 0.8);
+		cut.length = Math.floor(cut.length * keptShare);
 	}
 }
 
@@ -75,10 +89,11 @@
 		return err(v.summarize(parsed.issues));
 	}
 
-	const [, host, zone, incarnation, sequence, rows, named, isAsking] = parsed.output;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports] = parsed.output;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
+	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
 	return ok({
-		host, zone, incarnation, sequence, peers, isAsking, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
+		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
 	});
 }
 
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -16,6 +16,7 @@
 	incarnation: 1_780_000_000_000,
 	sequence: 7,
 	loads: [{server: 'i-1', requests: 2, promptTokens: 6400}],
+	crashes: [{fingerprint: 'bXkgZmlyc3Qg', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2@1780000000000', ageMs: 900}]}],
 	peers: [{address: '10.0.0.2:7380', zone: 'b'}],
 	isAsking: true,
 };
@@ -33,6 +34,16 @@
 		assert.ok(decoded.loads.some(({server}) => server === 'i-499'));
 	});
 
+	it('keep the first reports of crashes, and lose loads before them', () => {
+		const loads = Array.from({length: 500}, (_, i) => ({server: `i-${i}`, requests: 1, promptTokens: i}));
+		const crashes = Array.from({length: 40}, (_, i) => ({fingerprint: `fingerprint-${i}`, idleMs: 5000, crashes: [1, 2, 3].map(n => ({server: `i-93770e37e${n}`, ageMs: 5000}))}));
+		const bytes = encodeLoadMessage({...message, loads, crashes});
+		assert.ok(bytes.length <= maxDatagramBytes);
+		const decoded = decodeLoadMessage(bytes)._unsafeUnwrap();
+		assert.deepEqual(decoded.crashes, crashes.slice(0, decoded.crashes.length));
+		assert.ok(decoded.crashes.length >= 10, String(decoded.crashes.length));
+	});
+
 	it('are an error, and never a crash, when they are anything else', () => {
 		fc.assert(fc.property(fc.oneof(fc.uint8Array(), fc.anything().map(value => {
 			try {
@@ -40,7 +51,7 @@
 			} catch {
 				return new Uint8Array();
 			}
-		}), fc.array(fc.jsonValue()).map(rest => encode([2, 'h', 'z', ...rest]))), bytes => {
+		}), fc.array(fc.jsonValue()).map(rest => encode([3, 'h', 'z', ...rest]))), bytes => {
 			assert.equal(typeof decodeLoadMessage(bytes).isOk(), 'boolean');
 		}));
 	});
--- a/src/domain/_test/create-random.ts
+++ b/src/domain/_test/create-random.ts
@@ -7,10 +7,11 @@
 /**
  * Creates a source of numbers that is the same in each run.
  *
+ * @param seed - A whole number above 0.
  * @returns Numbers in [0, 1).
  */
-export function createRandom(): Random {
-	let state = 1;
+export function createRandom(seed = 1): Random {
+	let state = seed;
 	return () => {
 		state = (state * multiplier) % modulus;
 		return state / modulus;
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -27,6 +27,8 @@
 	far: (now: Milliseconds) => readonly string[];
 	/** Hosts of other zones that asked lately and are not asked by this one. */
 	askers: (now: Milliseconds) => readonly string[];
+	/** Hosts that collect what all others know of the key: the same few for each of them, as far as they know the same hosts, and one of the own zone. */
+	collectors: (key: string) => readonly string[];
 	/** Whether there are more hosts than each can tell of each change. */
 	isLarge: (now: Milliseconds) => boolean;
 	/** Seeds that have not spoken lately. */
@@ -63,6 +65,12 @@
 const farPeers = 6;
 const mostFarPeersOfZone = 3;
 
+/**
+ * Hosts that collect what is known of a key. One may have just started, and hosts
+ * that know different others may pick different ones.
+ */
+const collectorsOfKey = 2;
+
 /** Time for which a question is answered: two of the rounds in which they are asked, and some delay. */
 const askedForMs: Milliseconds = 2.5 * msPerSecond;
 
@@ -208,6 +216,12 @@
 			const {far, isLarge} = choose(now);
 			return isLarge ? [...known].filter(([address, peer]) => peer.zone !== zone && now - peer.askedAt <= askedForMs && !far.includes(address)).map(([address]) => address) : [];
 		},
+		collectors(key) {
+			const ofZone = [...known].filter(([, peer]) => peer.zone === zone).map(([address]) => address);
+			// With itself: all hosts must rank the same ones.
+			const picked = [...pickRanked(key, [self, ...known.keys()], collectorsOfKey), ...pickRanked(key, [self, ...ofZone], 1)];
+			return [...new Set(picked)].filter(address => address !== self);
+		},
 		isLarge: now => choose(now).isLarge,
 		toGreet: now => others.filter(seed => {
 			const entry = known.get(seed);
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -74,6 +74,28 @@
 		assert.deepEqual(peers.askers(3000), []);
 	});
 
+	it('names the same collectors of a key on all hosts that know the same ones, with one of the own zone', () => {
+		const toZone = (i: number) => ['a', 'b', 'c'][i % 3]!;
+		const lists = Array.from({length: 30}, (_, own) => {
+			const peers = createPeerList({self: toAddress(own), zone: toZone(own), seeds: []});
+			for (let i = 0; i < 30; i++) {
+				if (i !== own) {
+					peers.noteHeard({address: toAddress(i), zone: toZone(i)}, 0);
+				}
+			}
+
+			return {peers, own};
+		});
+		const collectors = new Set(lists.flatMap(({peers}) => [...peers.collectors('key')]));
+		assert.ok(collectors.size <= 5, String(collectors.size));
+		for (const {peers, own} of lists) {
+			const zone = [...peers.collectors('key'), toAddress(own)].map(address => toZone(Number(address.split(':')[0]!.split('.')[3])));
+			assert.ok(zone.includes(toZone(own)));
+			assert.ok(!peers.collectors('key').includes(toAddress(own)));
+			assert.ok(peers.collectors('key').length > 0);
+		}
+	});
+
 	it('is told by about as many hosts as any other', () => {
 		const counts = new Map<string, number>();
 		for (let host = 0; host < 60; host++) {
--- a/src/domain/create-shared-loads/index.ts
+++ b/src/domain/create-shared-loads/index.ts
@@ -15,11 +15,14 @@
 	toMaxAgeMs?: (now: Milliseconds) => Milliseconds;
 };
 
+/** What a host says of its loads. */
+export type ToldLoads = Omit<LoadMessage, 'crashes'>;
+
 type Told = Pick<LoadMessage, 'incarnation' | 'sequence'> & {at: Milliseconds; loads: ReadonlyMap<ServerId, HostLoad>};
 
 export type SharedLoads = {
 	/** Takes what a host says; an older message than the last of the host is dropped. */
-	note: (message: LoadMessage, now: Milliseconds) => void;
+	note: (message: ToldLoads, now: Milliseconds) => void;
 	/** Sum over the other hosts. */
 	read: (server: ServerId, now: Milliseconds) => Omit<HostLoad, 'server'>;
 	/** Whether hosts of the zone spoke before, and none does any more. */
@@ -28,7 +31,7 @@
 	isIsolated: (ownZone: ZoneId, now: Milliseconds) => boolean;
 };
 
-const isOlder = (message: LoadMessage, told: Told): boolean =>
+const isOlder = (message: ToldLoads, told: Told): boolean =>
 	message.incarnation < told.incarnation || (message.incarnation === told.incarnation && message.sequence <= told.sequence);
 
 /**
--- a/src/domain/create-shared-loads/test.ts
+++ b/src/domain/create-shared-loads/test.ts
@@ -1,9 +1,8 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {type LoadMessage} from '../../ports/shared-loads.js';
-import {createSharedLoads} from './index.js';
+import {createSharedLoads, type ToldLoads} from './index.js';
 
-const toMessage = (over: Partial<LoadMessage> = {}): LoadMessage => ({
+const toMessage = (over: Partial<ToldLoads> = {}): ToldLoads => ({
 	host: 'b', zone: 'z', incarnation: 1, sequence: 1, peers: [], isAsking: false, loads: [{server: 's', requests: 2, promptTokens: 900}], ...over,
 });
 
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -30,6 +30,7 @@
 	'claim-unavailable': [503, 'The request could not be claimed'],
 	'no-capacity': [503, 'No backend server can take the request'],
 	'no-configuration': [503, 'No configuration is in force yet'],
+	quarantined: [503, 'The request crashes backend servers'],
 	stopping: [503, 'This host is stopping'],
 	'too-many-connections': [503, 'Too many connections are open'],
 	'target-missed': [503, 'The request would miss its target'],
--- a/src/domain/to-request-story/index.ts
+++ b/src/domain/to-request-story/index.ts
@@ -37,6 +37,7 @@
 	'deadline-passed': 'its time was over',
 	'caller-gone': 'its caller left',
 	'no-rule': 'no rule matches it',
+	quarantined: 'several servers crashed while they ran it or a repeat of it',
 };
 
 function toVerdict(own: readonly LogLine[]): string | undefined {
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -1,8 +1,9 @@
 /**
  * What hosts tell each other of the requests that they have under way at backend
- * servers. Nothing is decided by it that another host must agree with: it is
+ * servers, and of those under which servers ended. Nothing is decided by it that another host must agree with: it is
  * hearsay that spreads work, and it may be lost, late, or missing altogether.
  */
+import {type CrashReport} from './crash-reports.js';
 import {
 	type HostId, type Incarnation, type ServerId, type ZoneId,
 } from './ids.js';
@@ -31,6 +32,8 @@
 	sequence: number;
 	/** Servers at which the host has anything; all others have nothing of it. */
 	loads: readonly HostLoad[];
+	/** Requests under which servers ended. */
+	crashes: readonly CrashReport[];
 	/** Some others that it has heard, for those that don't know them yet. */
 	peers: readonly NamedPeer[];
 	/** Whether it wants to hear of the receiver in turn. */
--- /dev/null
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -0,0 +1,57 @@
+/** What becomes of requests that crash the servers that run them. */
+import {type CallFault} from '../../../adapters/_lib/dispatch-call/index.js';
+import {type Log} from '../../../adapters/log/index.js';
+import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {type Problem} from '../../../domain/to-problem/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
+import {type Outcome} from '../../../ports/outcome.js';
+import {type ServeServices} from './serve-types.js';
+
+/**
+ * @param outcome - What is known of the request's earlier calls.
+ * @returns The problem with which a quarantined request ends.
+ */
+export function toQuarantineProblem(outcome: Outcome): Problem {
+	return {
+		kind: 'quarantined', detail: 'Several backend servers crashed while they ran this request, so it is not run again. Change the request, or ask the operators.', outcome,
+	};
+}
+
+/**
+ * Tells on-call of a request that is quarantined from now on.
+ *
+ * @param log - Where to.
+ * @param suspects - What is known of it.
+ * @param event - The request, the time, and the host that told of it unless it was seen here.
+ */
+export function logQuarantined(log: Log, suspects: CrashSuspects, {fingerprint, now, peer}: {fingerprint: Fingerprint; now: Milliseconds; peer?: string}): void {
+	const crashed = suspects.crashedServers(fingerprint, now);
+	log.warn('request quarantined', {
+		fingerprint, peer, count: crashed.length, servers: crashed.join(' '), remedy: 'find its requests by the fingerprint, and see why servers crash under them',
+	});
+}
+
+/** A call of a request that broke. */
+export type BrokenCall = {
+	fingerprint: Fingerprint | undefined;
+	server: ServerId;
+	fault: Pick<CallFault, 'isClosed'>;
+};
+
+/**
+ * Notes a call whose connection the server closed: it may have crashed under the request.
+ *
+ * @param call - The request, the server, and how the call ended.
+ * @param serve - The program around it.
+ */
+export function noteBrokenCall({fingerprint, server, fault}: BrokenCall, {suspects, services, log}: Pick<ServeServices, 'suspects' | 'services' | 'log'>): void {
+	if (fingerprint === undefined || fault.isClosed !== true) {
+		return;
+	}
+
+	const now = services.clock.now();
+	if (suspects.noteBroken(fingerprint, server, now)) {
+		logQuarantined(log, suspects, {fingerprint, now});
+	}
+}
--- a/src/programs/entry/_lib/report-refused.ts
+++ b/src/programs/entry/_lib/report-refused.ts
@@ -1,5 +1,5 @@
 import {type Problem, type ProblemKind} from '../../../domain/to-problem/index.js';
-import {type RequestId} from '../../../ports/ids.js';
+import {type Fingerprint, type RequestId} from '../../../ports/ids.js';
 import {type Account} from '../accounts/index.js';
 import {type DecidedRule} from './ended.js';
 import {type Route} from './route.js';
@@ -19,6 +19,8 @@
 	/** Where it would have gone, once that is known. */
 	route: Route | undefined;
 	headers: Readonly<Record<string, string>>;
+	/** Where the refusal is of the request itself, whatever id it has. */
+	fingerprint?: Fingerprint | undefined;
 };
 
 /** A rule for a request that none was found for; a refusal is bad whatever the target. */
@@ -41,11 +43,11 @@
  * @param request - The request, as far as it is known.
  * @param serve - The program.
  */
-export function reportRefused({kind, outcome}: Problem, {requestId, account, route, headers}: RefusedRequest, serve: ServeServices): void {
+export function reportRefused({kind, outcome}: Problem, {requestId, account, route, headers, fingerprint}: RefusedRequest, serve: ServeServices): void {
 	const rule = route?.rule ?? toUnroutedRule(headers);
 	account.note('refused', {kind, outcome});
 	serve.log.info('request refused', {
-		requestId, reason: kind, outcome, ...(route && {workspace: route.workspace, rule: rule.name, class: rule.then.class}),
+		requestId, reason: kind, outcome, fingerprint, ...(route && {workspace: route.workspace, rule: rule.name, class: rule.then.class}),
 	});
 	if (lostKinds.has(kind)) {
 		serve.onEnded({
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -1,5 +1,6 @@
 /** What the handlers of callers' requests share. */
 import {type Log} from '../../../adapters/log/index.js';
+import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
 import {type ServerCalls} from '../../../ports/server-calls.js';
@@ -29,6 +30,8 @@
 	claims: Claims | undefined;
 	/** How passed-on requests are dressed for backend servers. */
 	calls: ServerCalls;
+	/** Requests under which servers crashed. */
+	suspects: CrashSuspects;
 	log: Log;
 	onEnded: (ended: EndedRequest) => void;
 };
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -17,7 +17,9 @@
 import {bytesPerKibibyte} from '../../../ports/units.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
-import {sendWhole, timeLeft, toCallHeaders} from '../call-plain/_lib/send-step.js';
+import {
+	isQuarantined, noteAnswered, sendWhole, timeLeft, toCallHeaders,
+} from '../call-plain/_lib/send-step.js';
 import {notePlaced} from '../_lib/note-placed.js';
 
 /** Longest answer of a prefill: a name and two numbers. */
@@ -113,7 +115,12 @@
 		const {decode} = picked.value;
 		const placement = notePlaced(run.account, picked.value, {attempt, pool: run.route.pool.name, chosen: [picked.value.prefill.id, decode.id]});
 		const limit = toLimitSignal(Math.min(reserveLimitMs, timeLeft(run)), run.signal);
+		const calledAt = services.clock.now();
 		const reserved = await caches.reserve(decode, {tokens, ttlMs: toReservationMs(run)}, limit);
+		if (reserved.isOk() || reserved.error.kind === 'refused') {
+			noteAnswered(run, {server: decode.id, calledAt, refusal: reserved.isOk() ? undefined : reserved.error.reason});
+		}
+
 		if (reserved.isOk()) {
 			return ok({placement, reservationId: reserved.value.reservationId});
 		}
@@ -146,6 +153,7 @@
 async function prefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
 	const server = placement.prefill;
 	const payload = run.body.open();
+	const calledAt = run.serve.services.clock.now();
 	const expectedMs = Math.max(leastPromptLimitMs, promptFactor * placement.predictedPrefillMs);
 	const limitMs = Math.min(timeLeft(run), promptShare * toReservationMs(run), expectedMs);
 	const answer = await readAnswer({
@@ -166,11 +174,12 @@
 			return err({kind: 'broken', message: `no prompt computed within ${Math.round(limitMs)} ms`});
 		}
 
-		return err(kind === 'too-large' ? {kind: 'invalid', message} : {kind, message});
+		return err(answer.error.kind === 'too-large' ? {kind: 'invalid', message} : answer.error);
 	}
 
 	const {status, headers, text} = answer.value;
 	const reason = run.serve.calls.toRefusal(status, headers);
+	noteAnswered(run, {server: server.id, calledAt, refusal: reason});
 	if (reason !== undefined) {
 		return err({kind: 'refused', reason, message: `status ${status}`});
 	}
@@ -256,6 +265,13 @@
 		};
 	}
 
+	if (isQuarantined(run)) {
+		giveAllBack();
+		return {
+			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'other', message: 'quarantined while the prompt was computed'}}, hasRun: false,
+		};
+	}
+
 	if (!isInService(run, decode)) {
 		giveAllBack();
 		return {
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -1,6 +1,8 @@
 /** One step of a passed-on request at one server. */
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
+import {type EngineRefusalReason} from '../../../../ports/engine.js';
+import {type ServerId} from '../../../../ports/ids.js';
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
 import {findNoAgain} from './decide-again.js';
@@ -65,6 +67,29 @@
 	return undefined;
 }
 
+/**
+ * Notes that a server answered. A refusal as another server is the word of the
+ * one that has the address now.
+ *
+ * @param run - The request.
+ * @param answer - The server, when the call began, and why the server refused it if it did.
+ */
+export function noteAnswered({serve}: PlainRun, {server, calledAt, refusal}: {server: ServerId; calledAt: Milliseconds; refusal: EngineRefusalReason | undefined}): void {
+	if (refusal !== 'wrong-model') {
+		serve.suspects.noteAnswered(server, calledAt);
+	}
+}
+
+/**
+ * Tells whether the request is not to be run any more, as servers crashed under it.
+ *
+ * @param run - The request.
+ * @returns `true` from the crash that was one too many, at whichever host it was.
+ */
+export function isQuarantined({fingerprint, serve}: PlainRun): boolean {
+	return fingerprint !== undefined && serve.suspects.isQuarantined(fingerprint, serve.services.clock.now());
+}
+
 /**
  * Sends the request and relays the answer.
  *
@@ -77,6 +102,7 @@
 export async function sendWhole(run: PlainRun, server: ServerEntry, step: CallStep, onFirst: () => void): Promise<PlainEnd> {
 	const {exchange, serve, clients, body} = run;
 	const silence = createSilence(run);
+	const calledAt = serve.services.clock.now();
 	const ended = await sendPlain({
 		exchange,
 		dispatcher: clients.toDispatcher(server),
@@ -89,7 +115,9 @@
 		idleTimeoutMs: run.events === undefined ? serve.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * silentPauses,
 		checkHead(status, headers) {
 			silence.end();
-			return findHeadFault(run, status, headers);
+			const fault = findHeadFault(run, status, headers);
+			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
+			return fault;
 		},
 		onStart(status) {
 			serve.services.gate.noteFirstToken(exchange.requestId);
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -5,6 +5,7 @@
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
+import {toQuarantineProblem} from '../../_lib/quarantine.js';
 import {toBodyProblem, toEndProblem} from '../../_lib/refuse.js';
 import {type EndCause} from '../../_lib/types.js';
 import {type PlainOutcome, type PlainRun} from './types.js';
@@ -44,6 +45,12 @@
 	};
 }
 
+/** The end of a request that crashes the servers that run it. */
+export function toQuarantined(run: PlainRun): PlainOutcome {
+	const outcome = run.ledger.outcome();
+	return {end: toEnd(outcome), outcome, problem: toQuarantineProblem(outcome)};
+}
+
 /** The end of a request that is not sent again after a failed call. */
 export function toGivenUp(run: PlainRun, server: ServerEntry, fault: PlainFault): PlainOutcome {
 	const bodyFault = run.body.fault();
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -10,10 +10,13 @@
 import {callPair} from '../call-pair/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {notePlaced} from '../_lib/note-placed.js';
+import {noteBrokenCall} from '../_lib/quarantine.js';
 import {waitAwake} from '../_lib/wait-awake.js';
-import {sendWhole} from './_lib/send-step.js';
+import {isQuarantined, sendWhole} from './_lib/send-step.js';
 import {decideAgain} from './_lib/decide-again.js';
-import {toCutOff, toGivenUp, toNotPlaced} from './_lib/to-plain-outcome.js';
+import {
+	toCutOff, toGivenUp, toNotPlaced, toQuarantined,
+} from './_lib/to-plain-outcome.js';
 import {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
 export {isRepeatable} from './_lib/decide-again.js';
@@ -77,6 +80,10 @@
 export async function callServers(run: PlainRun): Promise<PlainOutcome> {
 	const {services} = run.serve;
 	for (;;) {
+		if (isQuarantined(run)) {
+			return toQuarantined(run);
+		}
+
 		const attempted = await callOnce(run);
 		if (run.signal.aborted) {
 			return toCutOff(run);
@@ -93,6 +100,7 @@
 		run.sent += hasRun ? 1 : 0;
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
+			noteCompleted(run);
 			return {end: 'complete', outcome: 'ran'};
 		}
 
@@ -103,6 +111,10 @@
 
 		noteFailed(run, server, ended.fault);
 		run.tried.push({server: server.id, zone: server.zone});
+		if (isQuarantined(run)) {
+			return toQuarantined(run);
+		}
+
 		const again = decideAgain(run, ended.fault, hasRun);
 		if (ended.kind === 'cut' && (again.kind === 'give-up' || run.events === undefined)) {
 			run.exchange.destroy();
@@ -120,6 +132,12 @@
 	}
 }
 
+function noteCompleted({fingerprint, serve}: PlainRun): void {
+	if (fingerprint !== undefined) {
+		serve.suspects.noteCompleted(fingerprint, serve.services.clock.now());
+	}
+}
+
 /** A request that waits asks fifty times a second; one line tells of the first time, and the account counts the others. */
 function logNoServer(run: PlainRun, {kind, refusal}: Extract<Attempted, {refusal: PlacementRefusal}>): void {
 	if (kind === 'not-placed') {
@@ -145,6 +163,10 @@
 	run.account.note('attempt failed', {
 		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
 	});
+	if (fault.kind === 'broken') {
+		noteBrokenCall({fingerprint: run.fingerprint, server: server.id, fault}, run.serve);
+	}
+
 	run.log.info('attempt failed', {
 		attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message, fingerprint: run.fingerprint,
 	});
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -27,6 +27,7 @@
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
 import {findOverload, toBodyProblem, toGateProblem} from '../_lib/refuse.js';
+import {toQuarantineProblem} from '../_lib/quarantine.js';
 import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toHostName} from '../_lib/route.js';
 import {openRunControl, type RunControl} from '../_lib/run-registry.js';
@@ -197,10 +198,10 @@
 		headers: exchange.headers, host: toHostName(exchange.headers.host), path: exchange.path, model: work.model, promptTokens: work.promptTokens, random: services.random,
 	}, services.toView());
 	const early = findOverload(serve) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
-	const refuse = (problem: Problem | 'gone' | undefined) => {
+	const refuse = (problem: Problem | 'gone' | undefined, fingerprint?: Fingerprint) => {
 		if (problem !== undefined && problem !== 'gone') {
 			reportRefused(problem, {
-				requestId: exchange.requestId, account, route: routed.unwrapOr(undefined), headers: exchange.headers,
+				requestId: exchange.requestId, account, route: routed.unwrapOr(undefined), headers: exchange.headers, fingerprint,
 			}, serve);
 			exchange.sendProblem(problem);
 		}
@@ -220,9 +221,16 @@
 		return;
 	}
 
+	const fingerprint = toFingerprintOf(exchange, route, body.value);
+	if (fingerprint !== undefined && serve.suspects.isQuarantined(fingerprint, services.clock.now())) {
+		serve.suspects.noteRefused(fingerprint, services.clock.now());
+		refuse(toUnclaimed(toQuarantineProblem('not-run'), exchange.headers), fingerprint);
+		return;
+	}
+
 	const deadline = receivedAt + Math.min(target.completeMs, work.waitsMs ?? Infinity);
 	const serveOne = async (caller: CallerExchange) => runRouted({
-		exchange: caller, route, serve, clients, account, receivedAt, work, body: body.value, deadline, fingerprint: toFingerprintOf(exchange, route, body.value),
+		exchange: caller, route, serve, clients, account, receivedAt, work, body: body.value, deadline, fingerprint,
 	});
 	await (key.value === undefined || serve.claims === undefined
 		? serveOne(exchange)
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -9,6 +9,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {createOwnCalls} from '../../../adapters/own-calls/index.js';
+import {createCrashSuspects, type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {type PlacementDecider} from '../../../domain/create-placement/index.js';
@@ -73,6 +74,8 @@
 	serverIdleMs?: Milliseconds;
 	/** Tells other hosts what this one has under way at servers, and knows the same of them. */
 	loadSharing?: LoadSharing;
+	/** What is known of requests under which servers crashed; this host's own where hosts don't share it. */
+	suspects?: CrashSuspects;
 	/** What callers of this port expect, beside the usual. */
 	callers?: Pick<CallerServerOptions, 'isRelayOnly' | 'requestIdHeader' | 'problemStyle'>;
 };
@@ -142,7 +145,7 @@
 	} = parts;
 	const {services, registry, accounts} = serve;
 	counters.sample({
-		inProgress: registry.size, waiting: services.gate.waiting, openAnswers: callers.open, cancelsPending: services.cancels.pending,
+		inProgress: registry.size, waiting: services.gate.waiting, openAnswers: callers.open, cancelsPending: services.cancels.pending, quarantined: () => serve.suspects.count(options.clock.now()).quarantined,
 	});
 	const started = await startOperations({
 		settings: options.settings,
@@ -172,7 +175,9 @@
  * @returns The running entry once it listens.
  */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
-	const {settings, clock, random, log, metrics} = options;
+	const {
+		settings, clock, random, log, metrics, suspects = createCrashSuspects(),
+	} = options;
 	let isStopping = false;
 	const counters = createTally(metrics);
 	const ledger = createSloLedger({host: settings.hostId});
@@ -226,6 +231,7 @@
 		registry,
 		claims: link.claims,
 		calls: options.createCalls?.(clients.toDispatcher) ?? createOwnCalls({toView: () => link.toView()}),
+		suspects,
 		log,
 		onEnded(ended) {
 			counters.noteEnded(ended);
--- /dev/null
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -0,0 +1,116 @@
+/** Hosts in virtual time, whose messages reach each other within the same step. */
+import {createLog} from '../../../../adapters/log/index.js';
+import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
+import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {type Milliseconds, type Random} from '../../../../ports/clock.js';
+import {type LoadMessage} from '../../../../ports/shared-loads.js';
+import {msPerSecond} from '../../../../ports/units.js';
+import {shareLoads, type RunningLoadSharing} from '../index.js';
+
+export const zones = ['a', 'b', 'c', 'd', 'e', 'f'];
+export const stepMs: Milliseconds = 50;
+
+export type Host = {name: string; zone: string; address: string; sharing: RunningLoadSharing; suspects: CrashSuspects; isDead: boolean};
+
+const log = createLog({
+	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
+});
+
+/**
+ * Starts hosts.
+ *
+ * @param count - How many, spread over the zones.
+ * @param network - Part of all messages that is lost, and the chance that picks them.
+ * @returns The hosts, and what lets time pass.
+ */
+export async function startHosts(count: number, {lossShare = 0, random = () => 1}: {lossShare?: number; random?: Random} = {}) {
+	let now: Milliseconds = 0;
+	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
+	const hosts: Host[] = [];
+	const sent = {messages: 0, bytes: 0};
+
+	const open: typeof openLoadDatagrams = async ({address, onMessage}) => {
+		receivers.set(address, onMessage);
+		return {
+			send(message, to) {
+				sent.messages += to.length;
+				const bytes = encodeLoadMessage(message);
+				sent.bytes += to.length * bytes.length;
+				// What does not fit into a datagram does not arrive; the rest is worth decoding only where that can matter.
+				const received = message.crashes.length === 0 ? message : decodeLoadMessage(bytes)._unsafeUnwrap();
+				for (const target of to.filter(() => random() >= lossShare)) {
+					receivers.get(target)?.(received, address);
+				}
+			},
+			close: async () => undefined,
+		};
+	};
+
+	async function start(i: number): Promise<Host> {
+		const zone = zones[i % zones.length]!;
+		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
+		const suspects = createCrashSuspects();
+		const sharing = await shareLoads({
+			address, zone, open, log, suspects, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
+		});
+		return {
+			name: `front-${zone}-${i}`, zone, address, sharing, suspects, isDead: false,
+		};
+	}
+
+	for (let i = 0; i < count; i++) {
+		hosts.push(await start(i));
+	}
+
+	/** Each host has a request under way; those of each third end, and others begin, three times a second. */
+	function tick(host: Host, i: number): void {
+		const isBusy = Math.floor(i / zones.length) % 3 === 0;
+		const requests = isBusy ? 1 + (Math.floor(now / 333) % 3) : 1;
+		host.sharing.tick([{server: `of ${host.name}`, requests, promptTokens: 3000}]);
+	}
+
+	function pass(ms: Milliseconds): void {
+		const until = now + ms;
+		while (now < until) {
+			now += stepMs;
+			for (const [i, host] of hosts.entries()) {
+				if (!host.isDead) {
+					tick(host, i);
+				}
+			}
+		}
+	}
+
+	return {
+		hosts,
+		pass,
+		now: () => now,
+		/** What one host sends a second over some seconds, on average. */
+		measure(ms: Milliseconds) {
+			const before = {...sent};
+			pass(ms);
+			const seconds = ms / msPerSecond;
+			const living = hosts.filter(({isDead}) => !isDead).length;
+			return {messages: (sent.messages - before.messages) / living / seconds, bytes: (sent.bytes - before.bytes) / living / seconds};
+		},
+		/** Starts one more host. */
+		async startOne(): Promise<Host> {
+			const host = await start(hosts.length);
+			hosts.push(host);
+			return host;
+		},
+		/** Replaces the process of a host by one that knows nothing. */
+		async restart(host: Host): Promise<void> {
+			const i = hosts.indexOf(host);
+			hosts[i] = await start(i);
+		},
+		kill(host: Host): void {
+			host.isDead = true;
+			receivers.delete(host.address);
+		},
+		/** Hosts whose requests a host knows. */
+		heardBy: ({sharing}: Host): Host[] => hosts.filter(other => sharing.read(`of ${other.name}`, now).requests > 0),
+		silentZones: ({sharing}: Host): string[] => zones.filter(zone => sharing.isZoneSilent(zone, now)),
+	};
+}
+
--- a/src/programs/relay/share-loads/fleet.test.ts
+++ b/src/programs/relay/share-loads/fleet.test.ts
@@ -7,107 +7,14 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createLog} from '../../../adapters/log/index.js';
-import {encodeLoadMessage, type openLoadDatagrams} from '../../../adapters/load-datagrams/index.js';
-import {type Milliseconds} from '../../../ports/clock.js';
-import {type LoadMessage} from '../../../ports/shared-loads.js';
 import {bytesPerKibibyte, msPerSecond} from '../../../ports/units.js';
-import {shareLoads, type RunningLoadSharing} from './index.js';
+import {
+	startHosts, stepMs, zones, type Host,
+} from './_test/start-hosts.js';
 
 /** What a host may spend on control, the brief's bound. */
 const bytesOfHost = 8 * bytesPerKibibyte;
 
-const zones = ['a', 'b', 'c', 'd', 'e', 'f'];
-const stepMs: Milliseconds = 50;
-
-type Host = {name: string; zone: string; address: string; sharing: RunningLoadSharing; isDead: boolean};
-
-const log = createLog({
-	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
-});
-
-/** Hosts whose messages reach each other within the same step. */
-async function startHosts(count: number) {
-	let now: Milliseconds = 0;
-	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
-	const hosts: Host[] = [];
-	const sent = {messages: 0, bytes: 0};
-
-	const open: typeof openLoadDatagrams = async ({address, onMessage}) => {
-		receivers.set(address, onMessage);
-		return {
-			send(message, to) {
-				sent.messages += to.length;
-				sent.bytes += to.length * encodeLoadMessage(message).length;
-				for (const target of to) {
-					receivers.get(target)?.(message, address);
-				}
-			},
-			close: async () => undefined,
-		};
-	};
-
-	async function start(i: number): Promise<Host> {
-		const zone = zones[i % zones.length]!;
-		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
-		const sharing = await shareLoads({
-			address, zone, open, log, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
-		});
-		return {
-			name: `front-${zone}-${i}`, zone, address, sharing, isDead: false,
-		};
-	}
-
-	for (let i = 0; i < count; i++) {
-		hosts.push(await start(i));
-	}
-
-	/** Each host has a request under way; those of each third end, and others begin, three times a second. */
-	function tick(host: Host, i: number): void {
-		const isBusy = Math.floor(i / zones.length) % 3 === 0;
-		const requests = isBusy ? 1 + (Math.floor(now / 333) % 3) : 1;
-		host.sharing.tick([{server: `of ${host.name}`, requests, promptTokens: 3000}]);
-	}
-
-	function pass(ms: Milliseconds): void {
-		const until = now + ms;
-		while (now < until) {
-			now += stepMs;
-			for (const [i, host] of hosts.entries()) {
-				if (!host.isDead) {
-					tick(host, i);
-				}
-			}
-		}
-	}
-
-	return {
-		hosts,
-		pass,
-		/** What one host sends a second over some seconds, on average. */
-		measure(ms: Milliseconds) {
-			const before = {...sent};
-			pass(ms);
-			const seconds = ms / msPerSecond;
-			const living = hosts.filter(({isDead}) => !isDead).length;
-			return {messages: (sent.messages - before.messages) / living / seconds, bytes: (sent.bytes - before.bytes) / living / seconds};
-		},
-		/** Starts one more host. */
-		async startOne(): Promise<Host> {
-			const host = await start(hosts.length);
-			hosts.push(host);
-			return host;
-		},
-		kill(host: Host): void {
-			host.isDead = true;
-			receivers.delete(host.address);
-		},
-		/** Hosts whose requests a host knows. */
-		heardBy: ({sharing}: Host): Host[] => hosts.filter(other => sharing.read(`of ${other.name}`, now).requests > 0),
-		silentZones: ({sharing}: Host): string[] => zones.filter(zone => sharing.isZoneSilent(zone, now)),
-	};
-}
-
 describe('hundreds of hosts that share loads', () => {
 	for (const count of [100, 200, 400]) {
 		it(`stay within the budget of control at ${count} hosts`, async t => {
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -1,17 +1,22 @@
 /**
- * Tells other hosts what this one has under way at the servers, and hears the
- * same of them. Without it, hosts send prompts behind each other's unseen ones.
+ * Tells other hosts what this one has under way at the servers, and of requests
+ * under which servers ended, and hears the same of them. Without it, hosts send
+ * prompts behind each other's unseen ones, and each finds out for itself which
+ * request crashes servers.
  */
 import {openLoadDatagrams, type LoadDatagrams} from '../../../adapters/load-datagrams/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
+import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
+import {type CrashReport} from '../../../ports/crash-reports.js';
 import {
 	type HostId, type Incarnation, type ZoneId,
 } from '../../../ports/ids.js';
 import {type HostLoad, type NamedPeer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
+import {logQuarantined} from '../../entry/_lib/quarantine.js';
 
 export type ShareLoadsOptions = {
 	/** `IP:port` of this host for its peers. */
@@ -22,6 +27,8 @@
 	incarnation: Incarnation;
 	clock: Clock;
 	log: Log;
+	/** What is known of requests under which servers ended. */
+	suspects: CrashSuspects;
 	/** Opens the way to other hosts; UDP by default. */
 	open?: typeof openLoadDatagrams;
 };
@@ -45,6 +52,18 @@
 /** A host's word counts until it should have spoken so many times again. */
 const spokenTimes = 3;
 
+/** Reports of crashes in a message that tells of them at once; most are of one crash and take some 50 bytes. */
+const maxReports = 16;
+
+/** Reports in each message of a round, of which a host of a large fleet sends some twenty a second. */
+const maxReportsOfRound = 5;
+
+/**
+ * Crashes of a request that all hosts of a large fleet are told of. The first one
+ * of each, most of them victims, goes to the few that collect what is known of it.
+ */
+const leastCrashesForAll = 2;
+
 /** Faulty datagrams are counted, and told of this often at most. */
 const faultLineMs: Milliseconds = 10 * msPerSecond;
 
@@ -72,7 +91,7 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<RunningLoadSharing> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log, open = openLoadDatagrams,
+		address, seeds, host, zone, incarnation, clock, log, suspects, open = openLoadDatagrams,
 	} = options;
 	const peers = createPeerList({self: address, zone, seeds});
 	const shared = createSharedLoads({toMaxAgeMs: now => spokenTimes * (peers.isLarge(now) ? roundMs : repeatMs)});
@@ -96,17 +115,24 @@
 			}
 
 			peers.noteNamed(message.peers, now);
+			for (const fingerprint of suspects.noteHeard(message.crashes, now)) {
+				logQuarantined(log, suspects, {fingerprint, now, peer: message.host});
+			}
 		},
 	});
 
-	function send({loads, named = [], isAsking = false}: {loads: readonly HostLoad[]; named?: readonly NamedPeer[]; isAsking?: boolean}, to: readonly string[]): void {
+	type Said = {loads: readonly HostLoad[]; crashes: readonly CrashReport[]; named?: readonly NamedPeer[]; isAsking?: boolean};
+
+	function send({
+		loads, crashes, named = [], isAsking = false,
+	}: Said, to: readonly string[]): void {
 		if (to.length === 0) {
 			return;
 		}
 
 		sequence++;
 		socket.send({
-			host, zone, incarnation, sequence, loads, peers: named, isAsking,
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking,
 		}, to);
 	}
 
@@ -119,22 +145,59 @@
 		return !peers.isLarge(now) && (text !== lastText || now - sentAt >= repeatMs);
 	}
 
+	/** Crashes that all hosts are told of; the others are for collectors. */
+	const toLeastCrashes = (now: Milliseconds): number => peers.isLarge(now) ? leastCrashesForAll : 1;
+
+	function tellCollectors(loads: readonly HostLoad[], reports: readonly CrashReport[]): void {
+		const byCollector = new Map<string, CrashReport[]>();
+		for (const report of reports) {
+			for (const collector of peers.collectors(report.fingerprint)) {
+				byCollector.set(collector, [...byCollector.get(collector) ?? [], report]);
+			}
+		}
+
+		for (const [collector, crashes] of byCollector) {
+			send({loads, crashes}, [collector]);
+		}
+	}
+
+	/** A request that crashes servers may be anywhere the next moment: each host that hears of it hands it on. */
+	function tellOfCrashes(loads: readonly HostLoad[], now: Milliseconds): void {
+		const changed = suspects.takeChanged(now, maxReports);
+		const leastCrashes = toLeastCrashes(now);
+		const crashes = changed.filter(report => report.crashes.length >= leastCrashes);
+		if (crashes.length > 0) {
+			send({loads, crashes}, [...peers.near(now), ...peers.far(now)]);
+		}
+
+		tellCollectors(loads, changed.filter(report => report.crashes.length < leastCrashes));
+	}
+
+	const toReports = (now: Milliseconds): readonly CrashReport[] => suspects.toReports(now, {leastFresh: toLeastCrashes(now), limit: maxReportsOfRound});
+
 	function tell(loads: readonly HostLoad[], now: Milliseconds): void {
 		const text = toText(loads);
 		const unanswered = peers.takeUnanswered();
+		tellOfCrashes(loads, now);
 		if (now - roundAt >= roundMs) {
 			roundAt = now;
 			const named = peers.toName(now);
+			const crashes = toReports(now);
 			const asked = new Set([...peers.near(now), ...peers.far(now), ...peers.toGreet(now)]);
-			send({loads, named, isAsking: true}, [...asked]);
-			send({loads, named}, [...new Set([...peers.askers(now), ...unanswered])].filter(address => !asked.has(address)));
+			send({
+				loads, crashes, named, isAsking: true,
+			}, [...asked]);
+			send({loads, crashes, named}, [...new Set([...peers.askers(now), ...unanswered])].filter(address => !asked.has(address)));
 		} else {
-			send({loads, named: unanswered.length > 0 ? peers.toName(now) : []}, unanswered);
+			if (unanswered.length > 0) {
+				send({loads, crashes: toReports(now), named: peers.toName(now)}, unanswered);
+			}
+
 			if (!isDue(text, now)) {
 				return;
 			}
 
-			send({loads}, peers.near(now));
+			send({loads, crashes: []}, peers.near(now));
 		}
 
 		lastText = text;
--- a/src/programs/relay/share-loads/test.ts
+++ b/src/programs/relay/share-loads/test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 import {createLog} from '../../../adapters/log/index.js';
+import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {findUdpAddress} from '../../../../test/_lib/find-udp-address/index.js';
 import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
 import {shareLoads, type RunningLoadSharing} from './index.js';
@@ -15,7 +16,7 @@
 
 async function startHost(name: string, address: string, seeds: readonly string[]): Promise<RunningLoadSharing> {
 	const host = await shareLoads({
-		address, seeds, host: name, zone: 'z', incarnation: 1, clock, log,
+		address, seeds, host: name, zone: 'z', incarnation: 1, clock, log, suspects: createCrashSuspects(),
 	});
 	hosts.push(host);
 	return host;
--- a/src/programs/relay/start-relay/_lib/open-sharing.ts
+++ b/src/programs/relay/start-relay/_lib/open-sharing.ts
@@ -1,5 +1,6 @@
 /** Talks to other hosts, where the settings say how. */
 import {type Log} from '../../../../adapters/log/index.js';
+import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
 import {type Clock} from '../../../../ports/clock.js';
 import {type Incarnation} from '../../../../ports/ids.js';
 import {type RelaySettings} from '../../../_settings/index.js';
@@ -14,11 +15,13 @@
  * Starts to share loads. Nothing depends on hearsay, so a host that can't hear
  * others serves alone.
  *
- * @param options - Settings, clock and log.
+ * @param options - Settings, clock, log, and what is known of requests under which servers ended.
  * @param incarnation - Of this process.
  * @returns What is heard; `undefined` without an address for peers, or when it can't be had.
  */
-export async function openSharing({settings, clock, log}: {settings: RelaySettings; clock: Clock; log: Log}, incarnation: Incarnation): Promise<RunningLoadSharing | undefined> {
+export async function openSharing({
+	settings, clock, log, suspects,
+}: {settings: RelaySettings; clock: Clock; log: Log; suspects: CrashSuspects}, incarnation: Incarnation): Promise<RunningLoadSharing | undefined> {
 	const {
 		peerAddress, seeds, hostId, zone,
 	} = settings;
@@ -28,7 +31,7 @@
 
 	try {
 		return await shareLoads({
-			address: peerAddress, seeds: toPeerAddresses(seeds, peerAddress), host: hostId, zone, incarnation, clock, log,
+			address: peerAddress, seeds: toPeerAddresses(seeds, peerAddress), host: hostId, zone, incarnation, clock, log, suspects,
 		});
 	} catch (error) {
 		log.error('peers can\'t be heard, this host places its requests by what it knows itself', {peerAddress, reason: error instanceof Error ? error.message : String(error), remedy: 'free the address of --peer-address'});
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -4,6 +4,7 @@
  */
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
+import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -94,7 +95,10 @@
 		settings, clock, random, log, source,
 	} = options;
 	const incarnation = clock.wallNow();
-	const loadSharing = await openSharing({settings, clock, log}, incarnation);
+	const suspects = createCrashSuspects();
+	const loadSharing = await openSharing({
+		settings, clock, log, suspects,
+	}, incarnation);
 	let isConnected = () => false;
 	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
 	addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs()});
@@ -132,6 +136,7 @@
 		serverIdleMs: settings.serverIdle,
 		health: relayHealth,
 		createEngine: createNoEngine,
+		suspects,
 		...(loadSharing && {loadSharing}),
 	});
 	const sharing: Entry = {
--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -1,8 +1,11 @@
 /** A request that crashes each server that runs it, and comes again. */
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import {createDeferred} from '../../src/_lib/create-deferred/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {type Arrival, type ServerStandIn} from '../stand-ins/users-platform/server.js';
+import {
+	startServerStandIn, type Arrival, type Misdeed, type ServerStandIn,
+} from '../stand-ins/users-platform/server.js';
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type Asked, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
@@ -20,7 +23,13 @@
 const countCrashes = (): number => allServers().reduce((sum, server) => sum + server.crashes(), 0);
 
 /** Calls of the request at any server, the computing of its prompt included. */
-const countCalls = ({body}: Asked): number => allServers().flatMap(({arrivals}) => arrivals).filter(arrival => arrival.body === body).length;
+const countCalls = ({body}: Asked, step?: Arrival['step']): number =>
+	allServers().flatMap(({arrivals}) => arrivals).filter(arrival => arrival.body === body && (step === undefined || arrival.step === step)).length;
+
+const isPromptOpen = ({body, step, isLeft}: Arrival): boolean => body === 'crashing' && step === 'prefill' && !isLeft;
+
+/** Prompts of the request that were sent, and have not been followed by its run. */
+const countHeldPrompts = (): number => allServers().flatMap(({arrivals}) => arrivals).filter(arrival => isPromptOpen(arrival)).length - countCalls(crashing, 'decode');
 
 async function startFixture(hosts: number): Promise<void> {
 	fixture = await startRelayFixture({hosts});
@@ -90,4 +99,87 @@
 		assert.equal(countCalls(crashing), callsBefore);
 		assert.deepEqual(answers.map(({status}) => status), [503, 503, 503, 503]);
 	});
+
+	it('reaches no server of a plain service either', async () => {
+		await startFixture(1);
+		await crashServers(crashingLookup, {crashes: 3, hosts: 1});
+		const answer = await fixture.ask(crashingLookup);
+		assert.equal(answer.status, 503);
+		assert.equal(countCrashes(), 3);
+	});
+
+	it('is not sent on when the third server crashes while its prompt is computed', async () => {
+		await startFixture(2);
+		await crashServers(crashing, {crashes: 2, hosts: 2});
+		const released = createDeferred();
+		for (const server of [fixture.servers.prefill1, fixture.servers.prefill2]) {
+			server.holdPrompts(released.promise);
+		}
+
+		const asking = fixture.ask({...crashing, at: 0});
+		await waitUntil(() => countHeldPrompts() === 1, {deadlineMs, what: 'its prompt under way'});
+		for (const server of [fixture.servers.prefill1, fixture.servers.prefill2]) {
+			server.holdPrompts(Promise.resolve());
+		}
+
+		await fixture.ask({...crashing, at: 1});
+		await waitUntil(() => fixture.logs().some(({message, host}) => message === 'request quarantined' && host === 'front-a-1'), {deadlineMs, what: 'the host to know'});
+		released.resolve();
+		const {status} = await asking;
+		assert.equal(status, 503);
+		assert.equal(countCrashes(), 3);
+	});
+
+	it('leaves requests alone that ran beside it: they are served when they come again', async () => {
+		await startFixture(1);
+		await crashServers(crashing, {crashes: 2, hosts: 1});
+		const stream = {...harmless, body: 'beside it'};
+		const {decode1, decode2} = fixture.servers;
+		const asking = fixture.ask(stream);
+		const hasBegun = ({arrivals}: ServerStandIn) => arrivals.some(({body, step}) => body === 'beside it' && step === 'decode');
+		await waitUntil(() => [decode1, decode2].some(server => hasBegun(server)), {deadlineMs, what: 'it to run', everyMs: 1});
+		await crashServers(crashing, {crashes: 3, hosts: 1});
+		await asking;
+		const again = await fixture.ask(stream);
+		assert.equal(again.status, 200);
+		assert.ok(again.isWhole);
+	});
+});
+
+/*
+ * Guards against refusing a request for good because living servers broke its answers off.
+ */
+describe('relay: servers break answers off and live on', () => {
+	afterEach(async () => fixture.stop());
+
+	it('serves a request that broke at as many of them as may crash under one', async () => {
+		fixture = await startRelayFixture();
+		const misdeeds: Misdeed[] = [];
+		const desks = await Promise.all([3, 4, 5, 6].map(async i => startServerStandIn({id: `desk${i}`, misdeeds})));
+		for (const desk of desks) {
+			fixture.publishServer(desk);
+		}
+
+		for (const {id} of [fixture.servers.desk1, fixture.servers.desk2]) {
+			fixture.store.remove(`servers/${id}`);
+		}
+
+		await waitUntil(() => fixture.knownServers(0).size === 8 && !fixture.knownServers(0).has('desk1'), {deadlineMs, what: 'the host to know the desks'});
+		const broken = new Set<ServerStandIn>();
+		while (broken.size < 3) {
+			misdeeds.push('reset');
+			await fixture.ask({path: '/lookup/7', body: 'unlucky'});
+			const at = desks.find(({arrivals}) => arrivals.at(-1)?.body === 'unlucky' && arrivals.at(-1)?.isLeft === true)!;
+			broken.add(at);
+			const runs = at.runs().length;
+			await waitUntil(async () => {
+				await fixture.ask({path: '/lookup/8', body: 'another'});
+				return at.runs().length > runs;
+			}, {deadlineMs, what: 'the server to answer another request'});
+		}
+
+		const answer = await fixture.ask({path: '/lookup/7', body: 'unlucky'});
+		await Promise.all(desks.map(async desk => desk.close()));
+		assert.equal(answer.status, 200);
+	});
 });
