Tell in the log that a server said in an answer that it leaves

The port of server calls reads what servers say of themselves, in answers that are passed on, of prompts, and of the port's own calls (places, caches, orders); a misdirected call is the word of another server and says nothing. The first of each server is a line. Nothing is decided by it yet.

--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -52,6 +52,12 @@
 
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
+/** What a server says of itself in an answer, whatever the answer is to. */
+export type ServerNotice = {
+	/** It ends soon and is to get nothing new. */
+	isLeaving: boolean;
+};
+
 /** Calls of servers that keep prefill and decode apart. */
 export type CacheCalls = {
 	/** Takes a place and memory at a decode server before the prompt is computed. */
@@ -73,11 +79,18 @@
 	fence: number;
 };
 
+/** Told of what servers say in answers to calls that the port itself makes. */
+export type ServerCallHooks = {
+	onNotice: (server: ServerEntry, notice: ServerNotice) => void;
+};
+
 export type ServerCalls = {
 	readWork: (headers: Readonly<Record<string, string>>) => CallerWork;
 	toHeaders: (call: OutgoingCall) => Record<string, string | string[]>;
 	/** Why a server says that it did not run the request; `undefined` when it says no such thing. */
 	toRefusal: (status: number, headers: AnswerHeaders) => EngineRefusalReason | undefined;
+	/** What the server says of itself; `undefined` when it says nothing, or when it may not be the one that was called. */
+	readNotice?: (status: number, headers: AnswerHeaders) => ServerNotice | undefined;
 	/** Whether the answer belongs to the request; a server may send an answer again, where the next one is expected. */
 	isAnswerTo: (requestId: RequestId, headers: AnswerHeaders) => boolean;
 	/** Absent where no server keeps prefill and decode apart for passed-on requests. */
--- /dev/null
+++ b/src/programs/entry/_lib/create-notices.ts
@@ -0,0 +1,30 @@
+/** What servers say of themselves in their answers. */
+import {type Log} from '../../../adapters/log/index.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerId} from '../../../ports/ids.js';
+import {type ServerNotice} from '../../../ports/server-calls.js';
+
+/** Servers of which it is kept that their word was told of. */
+const maxTold = 1024;
+
+/**
+ * Creates the function that takes notices.
+ *
+ * @param options - Where the first of each server is told.
+ * @returns The function.
+ */
+export function createNotices({log}: {log: Log}): (server: ServerEntry, notice: ServerNotice) => void {
+	const told = new Set<ServerId>();
+	return ({id}, {isLeaving}) => {
+		if (!isLeaving || told.has(id)) {
+			return;
+		}
+
+		if (told.size >= maxTold) {
+			told.clear();
+		}
+
+		told.add(id);
+		log.info('server says that it leaves', {server: id});
+	};
+}
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -3,7 +3,8 @@
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
-import {type ServerCalls} from '../../../ports/server-calls.js';
+import {type ServerEntry} from '../../../ports/config.js';
+import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
 import {type EndedRequest} from './ended.js';
 import {type Router} from './route.js';
@@ -30,6 +31,8 @@
 	claims: Claims | undefined;
 	/** How passed-on requests are dressed for backend servers. */
 	calls: ServerCalls;
+	/** Takes what a server said of itself in an answer. */
+	noteNotice: (server: ServerEntry, notice: ServerNotice) => void;
 	/** Requests under which servers crashed. */
 	suspects: CrashSuspects;
 	log: Log;
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -18,7 +18,7 @@
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	isQuarantined, noteAnswered, sendWhole, timeLeft, toCallHeaders,
+	isQuarantined, noteAnswered, sendWhole, takeNotice, timeLeft, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {notePlaced} from '../_lib/note-placed.js';
 
@@ -178,6 +178,7 @@
 	}
 
 	const {status, headers, text} = answer.value;
+	takeNotice(run, server, {status, headers});
 	const reason = run.serve.calls.toRefusal(status, headers);
 	noteAnswered(run, {server: server.id, calledAt, refusal: reason});
 	if (reason !== undefined) {
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -80,6 +80,20 @@
 	}
 }
 
+/**
+ * Takes what a server says of itself in an answer.
+ *
+ * @param run - The request.
+ * @param server - The server that was called.
+ * @param answer - Status and headers of its answer.
+ */
+export function takeNotice({serve}: PlainRun, server: ServerEntry, {status, headers}: {status: number; headers: AnswerHeaders}): void {
+	const notice = serve.calls.readNotice?.(status, headers);
+	if (notice !== undefined) {
+		serve.noteNotice(server, notice);
+	}
+}
+
 /**
  * Tells whether the request is not to be run any more, as servers crashed under it.
  *
@@ -115,6 +129,7 @@
 		idleTimeoutMs: run.events === undefined ? serve.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * silentPauses,
 		checkHead(status, headers) {
 			silence.end();
+			takeNotice(run, server, {status, headers});
 			const fault = findHeadFault(run, status, headers);
 			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
 			return fault;
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -17,7 +17,7 @@
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
-import {type ServerCalls} from '../../../ports/server-calls.js';
+import {type ServerCallHooks, type ServerCalls} from '../../../ports/server-calls.js';
 import {type HostLoad} from '../../../ports/shared-loads.js';
 import {type FleetView} from '../../../ports/view.js';
 import {createEngines, type EngineClient} from '../../_engines/index.js';
@@ -28,6 +28,7 @@
 import {createAccounts, type Accounts} from '../accounts/index.js';
 import {startTicker} from '../start-ticker/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
+import {createNotices} from '../_lib/create-notices.js';
 import {createRunServices} from '../_lib/create-run-services.js';
 import {type FleetLink, type JoinOptions} from '../_lib/join-fleet.js';
 import {createPlainClients, type PlainClients} from '../_lib/plain-clients.js';
@@ -69,7 +70,7 @@
 	/** When servers are left out for what this host's own calls met. */
 	health?: ServerHealthOptions;
 	/** How passed-on requests are dressed for servers; as they came, unless callers and servers expect more. */
-	createCalls?: (toDispatcher: PlainClients['toDispatcher']) => ServerCalls;
+	createCalls?: (toDispatcher: PlainClients['toDispatcher'], hooks: ServerCallHooks) => ServerCalls;
 	/** Time for which idle connections to backend servers are kept where they name none. */
 	serverIdleMs?: Milliseconds;
 	/** Tells other hosts what this one has under way at servers, and knows the same of them. */
@@ -91,6 +92,8 @@
 	accounts: Accounts;
 	/** Part of a pool's servers that should compute prompts, by what requests cost here; `undefined` while too little is known. */
 	toPrefillShare: PlacementDecider['toPrefillShare'];
+	/** Takes what a server said of itself in an answer to a call that was made elsewhere. */
+	noteNotice: ServeServices['noteNotice'];
 	/** Finishes everything in progress, then closes. */
 	stop: () => Promise<void>;
 	/** Ends everything in progress and waits a moment for the cancels; returns the ids of what is abandoned. */
@@ -223,6 +226,7 @@
 			}
 		},
 	});
+	const noteNotice = createNotices({log});
 	const serve: ServeServices = {
 		services: run.services,
 		limits,
@@ -230,7 +234,8 @@
 		accounts,
 		registry,
 		claims: link.claims,
-		calls: options.createCalls?.(clients.toDispatcher) ?? createOwnCalls({toView: () => link.toView()}),
+		calls: options.createCalls?.(clients.toDispatcher, {onNotice: noteNotice}) ?? createOwnCalls({toView: () => link.toView()}),
+		noteNotice,
 		suspects,
 		log,
 		onEnded(ended) {
@@ -274,6 +279,7 @@
 		view: link.toView,
 		accounts,
 		toPrefillShare: run.services.placement.toPrefillShare,
+		noteNotice,
 		async stop() {
 			isStopping = true;
 			callers.startStopping();
--- a/src/programs/relay/start-relay/_lib/with-roles.ts
+++ b/src/programs/relay/start-relay/_lib/with-roles.ts
@@ -30,7 +30,7 @@
 	}
 
 	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
-	const assignRole = createCalls?.(clients.toDispatcher).assignRole;
+	const assignRole = createCalls?.(clients.toDispatcher, {onNotice: entry.noteNotice}).assignRole;
 	if (assignRole === undefined) {
 		return entry;
 	}
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -9,7 +9,7 @@
 
 const calls = createServerCalls(() => {
 	throw new Error('no call is made here');
-});
+}, {onNotice: () => undefined});
 
 const server: ServerEntry = {
 	id: 'i-1', zone: 'a', url: 'http://10.0.0.1:80', role: 'decode', pool: 'p', slots: 8, checksFence: false,
@@ -134,6 +134,16 @@
 		}));
 	});
 
+	it('say that a server leaves where it is the one that was called, whatever the status', () => {
+		const leaving = {'server-leaving': '1'};
+		for (const status of [200, 500, 503]) {
+			assert.deepEqual(calls.readNotice!(status, leaving), {isLeaving: true});
+			assert.equal(calls.readNotice!(status, {}), undefined);
+		}
+
+		assert.equal(calls.readNotice!(421, leaving), undefined);
+	});
+
 	it('say not-run where a server says so, and nowhere else', () => {
 		assert.equal(calls.toRefusal(503, {'not-executed': '1'}), 'full');
 		assert.equal(calls.toRefusal(421, {}), 'wrong-model');
--- a/test/contracts/relay-orders.test.ts
+++ b/test/contracts/relay-orders.test.ts
@@ -12,7 +12,12 @@
 
 let server: ServerStandIn;
 const dispatcher = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
-const calls = createServerCalls(() => dispatcher);
+const notices: unknown[] = [];
+const calls = createServerCalls(() => dispatcher, {
+	onNotice(noticed, notice) {
+		notices.push({server: noticed.id, ...notice});
+	},
+});
 
 const toEntry = (): ServerEntry => ({
 	id: server.id, zone: 'a', url: `http://${server.address}`, role: 'prefill', pool: 'model', slots: 8, checksFence: false,
@@ -34,6 +39,12 @@
 		assert.equal(order!.headers['expect-instance'], 'prefill1');
 	});
 
+	it('bring what the server says of itself', async () => {
+		server.setLeaving(true);
+		await calls.assignRole!(toEntry(), {role: 'decode', host: 'front-a-1', fence: 41});
+		assert.deepEqual(notices, [{server: 'prefill1', isLeaving: true}]);
+	});
+
 	it('fail with a word while another is in progress', async () => {
 		server.setBusy(true);
 		const done = await calls.assignRole!(toEntry(), {role: 'decode', host: 'front-a-1', fence: 41});
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -33,6 +33,8 @@
 	holdPrompts: (until: Promise<unknown>) => void;
 	/** Tokens that are free for reservations; endless unless set. */
 	setFreeTokens: (tokens: number) => void;
+	/** Whether it says in its answers that it leaves. */
+	setLeaving: (isLeaving: boolean) => void;
 	/** Whether an order is in progress, so that no other is taken. */
 	setBusy: (isBusy: boolean) => void;
 	/** Reservations that nobody used or gave back. */
@@ -77,20 +79,23 @@
 	const reservations = new Map<string, number>();
 	let freeTokens = Infinity;
 	let isBusy = false;
+	let isLeaving = false;
 	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let made = 0;
 	let isCrashing: (arrival: Arrival) => boolean = () => false;
 	let crashes = 0;
 
+	const toLeavingHeader = () => isLeaving ? {'server-leaving': '1'} : {};
+
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
-		res.writeHead(status, {'content-type': 'application/json', ...headers});
+		res.writeHead(status, {'content-type': 'application/json', ...toLeavingHeader(), ...headers});
 		res.end(JSON.stringify(body));
 	};
 
 	const ownHeaders = (req: IncomingMessage) => ({'request-id': String(req.headers['request-id']), 'server-seal': `seal-of-${id}`});
 
 	async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
-		res.writeHead(200, {'content-type': 'text/event-stream', ...ownHeaders(req)});
+		res.writeHead(200, {'content-type': 'text/event-stream', ...toLeavingHeader(), ...ownHeaders(req)});
 		for (let event = Number(req.headers['last-event-id'] ?? 0) + 1; event <= events; event++) {
 			if (isCut && event === events) {
 				res.write(`id: ${event}\ndata: pie`, () => {
@@ -278,6 +283,9 @@
 		setFreeTokens(tokens) {
 			freeTokens = tokens;
 		},
+		setLeaving(next) {
+			isLeaving = next;
+		},
 		setBusy(next) {
 			isBusy = next;
 		},
