Take a server's own word that it leaves, whatever the platform says

What callers saw: a server said in its answers that it leaves, and for six more seconds the hosts that had passed those answers on sent it requests; those that were there when it ended would have broken off.

Cause: a host knew of leaving servers from the platform alone, and the platform did not answer. The header in the answers was not read.

Change: the word counts at once, from any answer of the server: passed on, of a prompt, of a place, cache or order. It is kept with the published fleet under the id of that one start, so that all that looks at a leaving server looks at it, and neither a late heartbeat, a whole list nor a lapsed and returned entry takes it back (property over random orders of words, changes, lists and starts). A decode server that grants a place and says with it that it leaves gets the place back before a prompt is computed for it.

--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -9,6 +9,7 @@
 	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
 } from '../../ports/published.js';
 import {type FleetView, type ServerStatus} from '../../ports/view.js';
+import {createLeavingWords} from './_lib/create-leaving-words.js';
 
 export type PublishedFleetOptions = {
 	/** Zones with their regions, from the host's own settings. */
@@ -63,6 +64,8 @@
 	replace: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
 	/** Takes what changed since the last read. */
 	apply: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
+	/** Takes the word of a server that it leaves. It counts whatever is published of that start, which may be late, or never come. */
+	noteLeaving: (server: ServerId) => FleetChange;
 	/** Drops missing servers that stayed away. To be called right after a read: only that tells that they did. */
 	sweep: (now: Milliseconds) => FleetChange;
 	/** When missing servers are to be dropped; `undefined` while none is missing. */
@@ -112,6 +115,7 @@
 	const servers = new Map<PublishedName, Known>();
 	/** Entries that can't be read now, with the reason that was told. */
 	const unreadable = new Map<PublishedName, string>();
+	const leavingWords = createLeavingWords();
 	let rules: PublishedRules | undefined;
 	let config: Config | undefined;
 	/** Counts changes of the servers, so that decisions see that their index is old. */
@@ -131,8 +135,10 @@
 	 * taken for the same, it would be sent answers to go on with that it doesn't
 	 * have, and doubted for what its former life did.
 	 */
-	function takeServer(server: PublishedServer): FleetChange['servers'] {
-		const {name, entry, leaving, startedAt} = server;
+	function takeServer(published: PublishedServer): FleetChange['servers'] {
+		const {name, entry, startedAt} = published;
+		const leaving = published.leaving || leavingWords.has(entry.id);
+		const server = {...published, leaving};
 		const known = servers.get(name);
 		// A heartbeat of the former start that arrives late says nothing of the present one.
 		if (known !== undefined && startedAt < known.startedAt) {
@@ -290,6 +296,11 @@
 				.map((name): PublishedChange => ({kind: 'server-gone', name}));
 			return apply([...changes, ...gone], now, context);
 		},
+		noteLeaving(server) {
+			leavingWords.add(server);
+			const known = [...servers.values()].find(({entry}) => entry.id === server);
+			return {rules: undefined, servers: known === undefined ? [] : takeServer(known), unreadable: []};
+		},
 		sweep(now) {
 			const overdue = now < graceUntil ? [] : listMissing().flatMap(name => dropServer(name, now));
 			return {rules: undefined, servers: overdue, unreadable: []};
--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -185,4 +185,61 @@
 			assert.deepEqual(toIds(watched, 0), toIds(listed, 0));
 		}));
 	});
+
+	/* Guards against requests at a server that said itself that it leaves, when an older word of the platform comes late. */
+	it('never takes back a server\'s own word that it leaves, whatever is published of that start (property)', () => {
+		const names = fc.constantFrom('s1', 's2');
+		const starts = fc.constantFrom(0, 1, 2);
+		const step = fc.oneof(
+			fc.record({
+				kind: fc.constant('published' as const), name: names, startedAt: starts, leaving: fc.boolean(),
+			}),
+			fc.record({kind: fc.constant('gone' as const), name: names}),
+			fc.record({kind: fc.constant('list' as const), names: fc.subarray(['s1', 's2'])}),
+			fc.record({kind: fc.constant('word' as const), name: names, startedAt: starts}),
+		);
+		fc.assert(fc.property(fc.array(step, {maxLength: 30}), steps => {
+			const fleet = createPublishedFleet({zones});
+			const left = new Set<string>();
+			for (const [i, one] of steps.entries()) {
+				const now = i * 700;
+				switch (one.kind) {
+					case 'published': {
+						fleet.apply([server(one.name, one.leaving, one.startedAt)], now, {failedAttemptAt: now - 10});
+						break;
+					}
+
+					case 'gone': {
+						fleet.apply([gone(one.name)], now);
+						break;
+					}
+
+					case 'list': {
+						fleet.replace(one.names.map(name => server(name)), now);
+						break;
+					}
+
+					case 'word': {
+						const {id} = toServer(one.name, false, one.startedAt).entry;
+						left.add(id);
+						fleet.noteLeaving(id);
+						break;
+					}
+				}
+
+				for (const {id, leaving} of fleet.toView(now).servers.values()) {
+					assert.ok(leaving || !left.has(id), `${id} after step ${i}`);
+				}
+			}
+		}));
+	});
+
+	it('uses the next start of a server that said that it leaves', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.apply([server('s1', false, 1)], 0);
+		assert.deepEqual(fleet.noteLeaving('s1@1').servers, [{id: 's1@1', became: 'leaving'}]);
+		assert.deepEqual(fleet.noteLeaving('s1@1').servers, [], 'told of once');
+		fleet.apply([server('s1', false, 2)], 1);
+		assert.equal(fleet.toView(1).servers.get('s1@2')?.leaving, false);
+	});
 });
--- a/src/programs/entry/_lib/create-notices.ts
+++ b/src/programs/entry/_lib/create-notices.ts
@@ -7,13 +7,19 @@
 /** Servers of which it is kept that their word was told of. */
 const maxTold = 1024;
 
+export type NoticesOptions = {
+	log: Log;
+	/** Takes a server's word that it leaves. */
+	reportLeaving: (server: ServerId) => void;
+};
+
 /**
  * Creates the function that takes notices.
  *
- * @param options - Where the first of each server is told.
+ * @param options - What to do with the first of each server.
  * @returns The function.
  */
-export function createNotices({log}: {log: Log}): (server: ServerEntry, notice: ServerNotice) => void {
+export function createNotices({log, reportLeaving}: NoticesOptions): (server: ServerEntry, notice: ServerNotice) => void {
 	const told = new Set<ServerId>();
 	return ({id}, {isLeaving}) => {
 		if (!isLeaving || told.has(id)) {
@@ -26,5 +32,6 @@
 
 		told.add(id);
 		log.info('server says that it leaves', {server: id});
+		reportLeaving(id);
 	};
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -100,11 +100,37 @@
 	}, services.toView()!, now, services.random);
 }
 
+/** Asks one decode server for a place. One that says with it that it leaves gets it back: the answer would break with its end. */
+async function askForPlace(run: PlainRun, caches: CacheCalls, decode: ServerEntry): Promise<Result<string, EngineFailure>> {
+	const {services} = run.serve;
+	const limit = toLimitSignal(Math.min(reserveLimitMs, timeLeft(run)), run.signal);
+	const calledAt = services.clock.now();
+	const reserved = await caches.reserve(decode, {tokens: toReservedTokens(run.work), ttlMs: toReservationMs(run)}, limit);
+	if (reserved.isErr()) {
+		const {kind, reason} = reserved.error;
+		if (kind === 'refused') {
+			noteAnswered(run, {server: decode.id, calledAt, refusal: reason});
+		}
+
+		return err(reserved.error);
+	}
+
+	const {reservationId} = reserved.value;
+	noteAnswered(run, {server: decode.id, calledAt, refusal: undefined});
+	if (isInService(run, decode)) {
+		return ok(reservationId);
+	}
+
+	giveBack(run, 'reservation', caches.release(decode, reservationId));
+	return err({
+		kind: 'refused', reason: 'leaving', server: decode.id, message: 'granted a place and said that it leaves', retryAfterMs: undefined,
+	});
+}
+
 /** Asks decode servers for a place, the best first, until one grants it or none is left. */
 async function reservePlace(run: PlainRun, caches: CacheCalls, work: CallerWork, attempt: number): Promise<Result<{placement: Placement; reservationId: string}, PairAttempt>> {
 	const {services} = run.serve;
 	const asked = new Set(run.tried.map(({server}) => server));
-	const tokens = toReservedTokens(work);
 	let isFull = false;
 	for (;;) {
 		const picked = pick(run, work, asked);
@@ -114,15 +140,9 @@
 
 		const {decode} = picked.value;
 		const placement = notePlaced(run.account, picked.value, {attempt, pool: run.route.pool.name, chosen: [picked.value.prefill.id, decode.id]});
-		const limit = toLimitSignal(Math.min(reserveLimitMs, timeLeft(run)), run.signal);
-		const calledAt = services.clock.now();
-		const reserved = await caches.reserve(decode, {tokens, ttlMs: toReservationMs(run)}, limit);
-		if (reserved.isOk() || reserved.error.kind === 'refused') {
-			noteAnswered(run, {server: decode.id, calledAt, refusal: reserved.isOk() ? undefined : reserved.error.reason});
-		}
-
+		const reserved = await askForPlace(run, caches, decode);
 		if (reserved.isOk()) {
-			return ok({placement, reservationId: reserved.value.reservationId});
+			return ok({placement, reservationId: reserved.value});
 		}
 
 		const {kind, reason} = reserved.error;
@@ -193,8 +213,7 @@
 	return parsed.map(({kvId}) => ({server, kvId})).mapErr(message => ({kind: 'invalid', message}));
 }
 
-function giveBack(step: Step, what: string, call: ReturnType<CacheCalls['dropCache']>): void {
-	const {run} = step;
+function giveBack(run: PlainRun, what: string, call: ReturnType<CacheCalls['dropCache']>): void {
 	void (async () => {
 		const done = await call;
 		if (done.isErr()) {
@@ -245,7 +264,7 @@
 	const {decode} = placement;
 	const computed = await computePrompt(step);
 	if (computed.isErr()) {
-		giveBack(step, 'reservation', caches.release(decode, reservationId));
+		giveBack(run, 'reservation', caches.release(decode, reservationId));
 		return {
 			kind: 'called', server: placement.prefill, ended: {kind: 'failed', fault: computed.error}, hasRun: false,
 		};
@@ -253,9 +272,9 @@
 
 	const cache = computed.value;
 	const giveAllBack = () => {
-		giveBack(step, 'reservation', caches.release(decode, reservationId));
+		giveBack(run, 'reservation', caches.release(decode, reservationId));
 		if (cache !== undefined) {
-			giveBack(step, 'cache', caches.dropCache(cache));
+			giveBack(run, 'cache', caches.dropCache(cache));
 		}
 	};
 
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -9,6 +9,7 @@
 import {leastPauseMs, toReadPace} from '../../../domain/to-read-pace/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type ZoneEntry} from '../../../ports/config.js';
+import {type ServerId} from '../../../ports/ids.js';
 import {type PublishedFailure, type PublishedRead, type PublishedSource} from '../../../ports/published.js';
 import {type FleetView} from '../../../ports/view.js';
 
@@ -31,6 +32,8 @@
 	isConnected: () => boolean;
 	/** Time since the platform answered a read; `undefined` before the first. */
 	answerAgeMs: () => Milliseconds | undefined;
+	/** Takes the word of a server that it leaves. */
+	noteLeaving: (server: ServerId) => void;
 	stop: () => Promise<void>;
 };
 
@@ -193,6 +196,9 @@
 		toView: () => view,
 		isConnected: () => isConnected,
 		answerAgeMs: () => toAge(answeredAt, clock.now()),
+		noteLeaving(server) {
+			report(fleet.noteLeaving(server));
+		},
 		async stop() {
 			stopping.abort();
 			await done;
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -226,7 +226,11 @@
 			}
 		},
 	});
-	const noteNotice = createNotices({log});
+	const noteNotice = createNotices({
+		log, reportLeaving(server) {
+			link.reportLeaving(server);
+		},
+	});
 	const serve: ServeServices = {
 		services: run.services,
 		limits,
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -114,7 +114,7 @@
 			toView: follower.toView,
 			toOwner: () => ({host: settings.hostId, incarnation}),
 			isConnected: follower.isConnected,
-			reportLeaving: () => undefined,
+			reportLeaving: follower.noteLeaving,
 			reportStopping: () => undefined,
 			leave: follower.stop,
 		};
--- a/test/failures/leaving-answer.test.ts
+++ b/test/failures/leaving-answer.test.ts
@@ -6,12 +6,13 @@
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {type ServerStandIn} from '../stand-ins/users-platform/server.js';
 import {
-	deadlineMs, startRelayFixture, type Asked, type RelayFixture,
+	deadlineMs, startRelayFixture, toStreamHeaders, type Asked, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
 
 let fixture: RelayFixture;
 
 const lookup: Asked = {path: '/lookup/1'};
+const summary: Asked = {path: '/summary/1', body: 'prompt', headers: toStreamHeaders()};
 
 /** Asks until the server has answered one more call. */
 async function askUntilAnswered(server: ServerStandIn, asked: Asked): Promise<void> {
@@ -48,4 +49,45 @@
 		await askUntilAnswered(servers.desk1, lookup);
 		assert.equal(await askOften(servers.desk1, lookup), 0);
 	});
+
+	it('gets nothing new, though the platform lists it as ready after that', async () => {
+		const {servers, publishServer, publishRoutes, logs} = fixture;
+		servers.desk1.setLeaving(true);
+		await askUntilAnswered(servers.desk1, lookup);
+		publishServer(servers.desk1, {slots: 9});
+		publishRoutes(2);
+		await waitUntil(() => logs().some(({message, edition}) => message === 'configuration in force' && edition === 2), {deadlineMs, what: 'the host to read what was published'});
+		assert.equal(await askOften(servers.desk1, lookup), 0);
+	});
+
+	it('computes no prompt for a decode server that says so with the place that it grants', async () => {
+		const {servers} = fixture;
+		servers.decode1.setLeaving(true);
+		await askUntilAnswered(servers.decode1, summary);
+		assert.equal(await askOften(servers.decode1, summary), 0);
+		assert.equal(servers.decode1.runs().length, 0);
+		const prompts = [...servers.prefill1.arrivals, ...servers.prefill2.arrivals].filter(({step}) => step === 'prefill').length;
+		assert.equal(prompts, servers.decode2.runs().length, 'a prompt was computed for nothing');
+		await waitUntil(() => servers.decode1.reservations() === 0, {deadlineMs, what: 'the place to be given back'});
+	});
+
+	it('gets no further prompt once it has computed one and said so', async () => {
+		const {servers} = fixture;
+		servers.prefill1.setLeaving(true);
+		await askUntilAnswered(servers.prefill1, summary);
+		await waitUntil(() => fixture.caches.size === 0, {deadlineMs, what: 'the prompt to be fetched'});
+		assert.equal(await askOften(servers.prefill1, summary), 0);
+	});
+
+	it('is used again from its next start', async () => {
+		const {servers, publishServer, store, knownServers} = fixture;
+		servers.desk1.setLeaving(true);
+		await askUntilAnswered(servers.desk1, lookup);
+		servers.desk1.setLeaving(false);
+		store.remove('servers/desk1');
+		servers.desk1.id = 'desk1-next';
+		publishServer(servers.desk1);
+		await waitUntil(() => knownServers(0).has('desk1-next'), {deadlineMs, what: 'the next start to be known'});
+		await askUntilAnswered(servers.desk1, lookup);
+	});
 });
