Leave a server alone for as long as it says when it turns a call away

What callers met: a server that turns a request away and names a time for which it wants nothing was asked again at once, by request after request; each paid a try for the same refusal, and the server's wish went unheard.

Cause: the time was not read; a refusal as full counts for tens of milliseconds.

Change: the time is part of what a server says of itself, in any answer with 503 that is its own. Until it is over the server is no candidate for anything, not as a last resort either, and what it keeps for this host is left to lapse. Where all servers that would do want nothing, a request that can still be in time waits for the first of them; any other is refused at once, with the time as its Retry-After. A time of more than ten minutes counts as ten.

Evidence: leaving-answer.

--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -7,6 +7,7 @@
 import {type LoadReport} from '../../../ports/engine.js';
 import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {type FleetView, type ServerStatus} from '../../../ports/view.js';
+import {msPerMinute} from '../../../ports/units.js';
 import {type HealthSubject, type ServerHealth} from '../../create-server-health/index.js';
 import {type PassedOverReason} from './types.js';
 
@@ -32,6 +33,9 @@
 /** How long a server's refusal as leaving, or as having other weights, counts without a newer report, milliseconds. */
 const refusalLifeMs = 30_000;
 
+/** Longest pause that a server is granted; a slip in its answer must not take it out of use for days. */
+const maxPauseMs: Milliseconds = 10 * msPerMinute;
+
 /** Reasons that only make a server a worse candidate; the others keep it out. */
 const softReasons: ReadonlySet<PassedOverReason> = new Set(['returning', 'unknown-load', 'doubted']);
 
@@ -105,6 +109,7 @@
 export const createStanding = ({zone, health, toSubject, staleAfterMs}: StandingOptions) => {
 	const leavingAt = new Map<ServerId, Milliseconds>();
 	const mismatchAt = new Map<ServerId, Milliseconds>();
+	const pausedUntil = new Map<ServerId, Milliseconds>();
 	const lost = new Set<ServerId>();
 	let cutZones: ReadonlySet<ZoneId> = new Set();
 	let doubtedGroups: ReadonlySet<string> = new Set();
@@ -139,6 +144,8 @@
 		doubtedGroups = isLocalLost ? toDoubtedGroups(view, servers, zone) : new Set();
 	};
 
+	const toPauseLeft = (server: ServerId, now: Milliseconds): Milliseconds => Math.max(0, (pausedUntil.get(server) ?? -Infinity) - now);
+
 	/** Whether the server is, or says it is, on its way out. */
 	const isLeaving = (server: ServerId, status: ServerStatus | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
 		status?.leaving === true || status?.load?.state === 'leaving' || isRefusalValid(leavingAt.get(server), loadAt, now);
@@ -194,6 +201,10 @@
 			return 'leaving';
 		}
 
+		if (toPauseLeft(id, now) > 0) {
+			return 'paused';
+		}
+
 		const reachReason = toReachReason(entry, status, inquiry);
 		if (reachReason !== undefined && !isSoft(reachReason)) {
 			return reachReason;
@@ -218,6 +229,13 @@
 		noteLeaving(server: ServerId, now: Milliseconds): void {
 			leavingAt.set(server, now);
 		},
+		toPauseLeft,
+		/** The server wants nothing of this host for a time. Tells whether it wanted something so far. */
+		notePause(server: ServerId, pauseMs: Milliseconds, now: Milliseconds): boolean {
+			const isNew = toPauseLeft(server, now) === 0;
+			pausedUntil.set(server, Math.max(pausedUntil.get(server) ?? -Infinity, now + Math.min(maxPauseMs, pauseMs)));
+			return isNew;
+		},
 		/** The server refused as having other weights than its last report said. */
 		noteMismatch(server: ServerId, now: Milliseconds): void {
 			mismatchAt.set(server, now);
@@ -225,6 +243,7 @@
 		forget(server: ServerId): void {
 			leavingAt.delete(server);
 			mismatchAt.delete(server);
+			pausedUntil.delete(server);
 			lost.delete(server);
 		},
 	};
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -10,7 +10,7 @@
 import {type FleetView} from '../../../ports/view.js';
 
 /** Why a server may not be considered, or only when nothing better is left. */
-export type StandingReason = 'excluded' | 'leaving' | 'unreachable' | 'doubted' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
+export type StandingReason = 'excluded' | 'leaving' | 'paused' | 'unreachable' | 'doubted' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
 
 /** What the server's last report says that the request does not want. */
 export type MismatchReason = 'wrong-role' | 'wrong-model' | 'wrong-version' | 'no-adapter' | 'not-serving';
@@ -84,7 +84,7 @@
 	account: () => PlacementAccount;
 };
 
-export type PlacementRefusalReason = 'no-config' | 'no-pool' | 'no-server' | 'no-memory' | 'would-miss-target';
+export type PlacementRefusalReason = 'no-config' | 'no-pool' | 'no-server' | 'no-memory' | 'paused' | 'would-miss-target';
 
 export type PlacementRefusal = {
 	reason: PlacementRefusalReason;
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -189,10 +189,21 @@
 		};
 	};
 
+	/** Time until the first paused server may be asked again; `undefined` when none is paused. */
+	const toShortestPause = (roles: readonly RoleServers[], now: Milliseconds): Milliseconds | undefined => {
+		const pauses = roles.flatMap(({all}) => all.map(({id}) => standing.toPauseLeft(id, now))).filter(ms => ms > 0);
+		return pauses.length === 0 ? undefined : Math.min(...pauses);
+	};
+
 	/** Refusal when nothing was found: for want of memory if a server was passed over for that alone. */
 	const toNothingFound = (search: Search, roles: readonly RoleServers[]): PlacementRefusal => {
 		const {pool} = search;
 		const account = () => pairs.toAccount(search, roles, []);
+		const pauseMs = search.met.full ? undefined : toShortestPause(roles, search.now);
+		if (pauseMs !== undefined) {
+			return toRefusal('paused', `the servers of pool ${pool} that would do want nothing for a while`, pauseMs, account);
+		}
+
 		if (!search.met.full) {
 			return toRefusal('no-server', `no server of pool ${pool} is in service with what the request needs; the account gives each server's reason`, noServerRetryAfterMs, account);
 		}
@@ -275,6 +286,9 @@
 			const slots = Math.min(...servers.map(server => server.slots));
 			return split.toPrefillShare(name, {slots, memoryTokens});
 		},
+		/** A server wants nothing of this host for a time; tells whether it wanted something so far. */
+		notePause: standing.notePause,
+		isPaused: (server: ServerId, now: Milliseconds): boolean => standing.toPauseLeft(server, now) > 0,
 		/** What this host has under way at each server. */
 		ownLoads: loads.ownLoads,
 		...createNotes({
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -56,6 +56,8 @@
 export type ServerNotice = {
 	/** It ends soon and is to get nothing new. */
 	isLeaving: boolean;
+	/** Time for which it wants nothing of this host; `undefined` when it names none. */
+	pauseMs: Milliseconds | undefined;
 };
 
 /** Calls of servers that keep prefill and decode apart. */
--- a/src/programs/entry/_lib/create-notices.ts
+++ b/src/programs/entry/_lib/create-notices.ts
@@ -1,5 +1,6 @@
 /** What servers say of themselves in their answers. */
 import {type Log} from '../../../adapters/log/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
 import {type ServerNotice} from '../../../ports/server-calls.js';
@@ -11,18 +12,21 @@
 	log: Log;
 	/** Takes a server's word that it leaves. */
 	reportLeaving: (server: ServerId) => void;
+	/** Takes the time for which a server wants nothing; tells whether it wanted something so far. */
+	notePause: (server: ServerId, pauseMs: Milliseconds) => boolean;
 };
 
 /**
  * Creates the function that takes notices.
  *
- * @param options - What to do with the first of each server.
+ * @param options - What to do with them.
  * @returns The function.
  */
-export function createNotices({log, reportLeaving}: NoticesOptions): (server: ServerEntry, notice: ServerNotice) => void {
+export function createNotices({log, reportLeaving, notePause}: NoticesOptions): (server: ServerEntry, notice: ServerNotice) => void {
 	const told = new Set<ServerId>();
-	return ({id}, {isLeaving}) => {
-		if (!isLeaving || told.has(id)) {
+
+	function noteLeaving(id: ServerId): void {
+		if (told.has(id)) {
 			return;
 		}
 
@@ -33,5 +37,15 @@
 		told.add(id);
 		log.info('server says that it leaves', {server: id});
 		reportLeaving(id);
+	}
+
+	return ({id}, {isLeaving, pauseMs}) => {
+		if (isLeaving) {
+			noteLeaving(id);
+		}
+
+		if (pauseMs !== undefined && notePause(id, pauseMs)) {
+			log.info('server wants nothing for a while', {server: id, durationMs: Math.round(pauseMs)});
+		}
 	};
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -7,7 +7,7 @@
 import {toLimitSignal} from '../../../_lib/to-limit-signal/index.js';
 import {limitedBySignal} from '../../../adapters/_lib/dispatch-call/index.js';
 import {readAnswer} from '../../../adapters/_lib/read-answer/index.js';
-import {type Placement, type PlacementRefusal} from '../../../domain/create-placement/index.js';
+import {type Placement, type PlacementRefusal, type PlacementRefusalReason} from '../../../domain/create-placement/index.js';
 import {toReservedTokens} from '../../../domain/to-reserved-tokens/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
@@ -51,6 +51,9 @@
 	return route.pool.reservationMs ?? defaultReservationMs;
 }
 
+/** Reasons for which a request may wait: room comes back by itself. */
+const waitReasons: ReadonlySet<PlacementRefusalReason> = new Set(['no-memory', 'paused']);
+
 export type PairAttempt =
 	/** The request, or its prompt, was sent. */
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
@@ -121,7 +124,7 @@
 		return ok(reservationId);
 	}
 
-	giveBack(run, 'reservation', caches.release(decode, reservationId));
+	giveBack(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 	return err({
 		kind: 'refused', reason: 'leaving', server: decode.id, message: 'granted a place and said that it leaves', retryAfterMs: undefined,
 	});
@@ -135,7 +138,7 @@
 	for (;;) {
 		const picked = pick(run, work, asked);
 		if (picked.isErr()) {
-			return err({kind: isFull || picked.error.reason === 'no-memory' ? 'bounced' : 'not-placed', refusal: picked.error});
+			return err({kind: isFull || waitReasons.has(picked.error.reason) ? 'bounced' : 'not-placed', refusal: picked.error});
 		}
 
 		const {decode} = picked.value;
@@ -213,9 +216,16 @@
 	return parsed.map(({kvId}) => ({server, kvId})).mapErr(message => ({kind: 'invalid', message}));
 }
 
-function giveBack(run: PlainRun, what: string, call: ReturnType<CacheCalls['dropCache']>): void {
+/** What a server keeps for this host lapses by itself within a second or two; one that wants nothing is left alone until then. */
+function giveBack(run: PlainRun, what: string, {server, call}: {server: ServerEntry; call: () => ReturnType<CacheCalls['dropCache']>}): void {
+	const {services} = run.serve;
+	if (services.placement.isPaused(server.id, services.clock.now())) {
+		run.log.info('not given back to a server that wants nothing', {step: what, server: server.id});
+		return;
+	}
+
 	void (async () => {
-		const done = await call;
+		const done = await call();
 		if (done.isErr()) {
 			// It lapses by itself within a second or two, so a second try would come too late to matter.
 			run.log.info('could not give back', {
@@ -264,7 +274,7 @@
 	const {decode} = placement;
 	const computed = await computePrompt(step);
 	if (computed.isErr()) {
-		giveBack(run, 'reservation', caches.release(decode, reservationId));
+		giveBack(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 		return {
 			kind: 'called', server: placement.prefill, ended: {kind: 'failed', fault: computed.error}, hasRun: false,
 		};
@@ -272,9 +282,9 @@
 
 	const cache = computed.value;
 	const giveAllBack = () => {
-		giveBack(run, 'reservation', caches.release(decode, reservationId));
+		giveBack(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 		if (cache !== undefined) {
-			giveBack(run, 'cache', caches.dropCache(cache));
+			giveBack(run, 'cache', {server: cache.server, call: () => caches.dropCache(cache)});
 		}
 	};
 
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -45,6 +45,13 @@
 	};
 }
 
+/** A request that found no room now. Servers that want nothing for a while say until when. */
+export function toBounced(run: PlainRun, {reason, retryAfterMs}: PlacementRefusal): PlainOutcome {
+	return {
+		end: 'bounced', outcome: run.ledger.outcome(), ...(reason === 'paused' && {roomAt: run.serve.services.clock.now() + retryAfterMs}),
+	};
+}
+
 /** The end of a request that crashes the servers that run it. */
 export function toQuarantined(run: PlainRun): PlainOutcome {
 	const outcome = run.ledger.outcome();
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -49,6 +49,8 @@
 	/** `bounced`: no server has room now, and nothing was sent; it may wait and come again. */
 	end: 'complete' | 'refused' | 'failed' | 'caller-gone' | 'bounced';
 	outcome: Outcome;
+	/** Before this time no server has room, monotonic; `undefined` where it may come any moment. */
+	roomAt?: Milliseconds;
 	/** Sent to the caller unless its answer has begun. */
 	problem?: Problem;
 };
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -15,7 +15,7 @@
 import {isQuarantined, sendWhole} from './_lib/send-step.js';
 import {decideAgain} from './_lib/decide-again.js';
 import {
-	toCutOff, toGivenUp, toNotPlaced, toQuarantined,
+	toBounced, toCutOff, toGivenUp, toNotPlaced, toQuarantined,
 } from './_lib/to-plain-outcome.js';
 import {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
@@ -93,7 +93,7 @@
 			const {refusal} = attempted;
 			run.account.note('not placed', {...refusal.account(), reason: refusal.reason});
 			logNoServer(run, attempted);
-			return attempted.kind === 'bounced' ? {end: 'bounced', outcome: run.ledger.outcome()} : toNotPlaced(run, refusal);
+			return attempted.kind === 'bounced' ? toBounced(run, refusal) : toNotPlaced(run, refusal);
 		}
 
 		const {server, ended, hasRun} = attempted;
--- a/src/programs/entry/run-request/_lib/to-run-end.ts
+++ b/src/programs/entry/run-request/_lib/to-run-end.ts
@@ -19,6 +19,7 @@
 	'no-pool': 'no-capacity',
 	'no-server': 'no-capacity',
 	'no-memory': 'no-capacity',
+	paused: 'no-capacity',
 	'would-miss-target': 'target-missed',
 };
 
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -74,8 +74,8 @@
 		}
 
 		run.account.note('bounced');
-		if (wait.isOnce) {
-			return toNoRoom(run);
+		if (wait.isOnce || (ended.roomAt ?? -Infinity) > wait.latestStart) {
+			return toNoRoom(run, ended.roomAt);
 		}
 	}
 }
@@ -97,13 +97,14 @@
 	return toReturnDelay(services.gate.meanHoldMs(route.pool.name), services.random);
 }
 
-function toNoRoom(run: PlainRun): FinalOutcome {
+function toNoRoom(run: PlainRun, roomAt = -Infinity): FinalOutcome {
 	const outcome = run.ledger.outcome();
+	const waitMs = roomAt - run.serve.services.clock.now();
 	return {
 		end: outcome === 'not-run' ? 'refused' : 'failed',
 		outcome,
 		problem: {
-			kind: 'no-capacity', detail: 'Every server that would do is full.', outcome, retryAfterMs: toReturnMs(run),
+			kind: 'no-capacity', detail: 'Every server that would do is full.', outcome, retryAfterMs: Math.max(waitMs, toReturnMs(run)),
 		},
 	};
 }
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -227,9 +227,11 @@
 		},
 	});
 	const noteNotice = createNotices({
-		log, reportLeaving(server) {
+		log,
+		reportLeaving(server) {
 			link.reportLeaving(server);
 		},
+		notePause: (server, pauseMs) => run.services.placement.notePause(server, pauseMs, clock.now()),
 	});
 	const serve: ServeServices = {
 		services: run.services,
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -137,13 +137,20 @@
 	it('say that a server leaves where it is the one that was called, whatever the status', () => {
 		const leaving = {'server-leaving': '1'};
 		for (const status of [200, 500, 503]) {
-			assert.deepEqual(calls.readNotice!(status, leaving), {isLeaving: true});
+			assert.deepEqual(calls.readNotice!(status, leaving), {isLeaving: true, pauseMs: undefined});
 			assert.equal(calls.readNotice!(status, {}), undefined);
 		}
 
 		assert.equal(calls.readNotice!(421, leaving), undefined);
 	});
 
+	it('say for how long a server wants nothing where it turned a call away, and nowhere else', () => {
+		assert.deepEqual(calls.readNotice!(503, {'retry-after': '2.5'}), {isLeaving: false, pauseMs: 2500});
+		for (const [status, retryAfter] of [[200, '2'], [421, '2'], [500, '2'], [503, '0'], [503, '-1'], [503, 'soon'], [503, ''], [503, ['1', '2']]] as const) {
+			assert.equal(calls.readNotice!(status, {'retry-after': retryAfter as string}), undefined, `${status} ${String(retryAfter)}`);
+		}
+	});
+
 	it('say not-run where a server says so, and nowhere else', () => {
 		assert.equal(calls.toRefusal(503, {'not-executed': '1'}), 'full');
 		assert.equal(calls.toRefusal(421, {}), 'wrong-model');
--- a/test/failures/leaving-answer.test.ts
+++ b/test/failures/leaving-answer.test.ts
@@ -14,12 +14,13 @@
 const lookup: Asked = {path: '/lookup/1'};
 const summary: Asked = {path: '/summary/1', body: 'prompt', headers: toStreamHeaders()};
 
-/** Asks until the server has answered one more call. */
-async function askUntilAnswered(server: ServerStandIn, asked: Asked): Promise<void> {
+/** Asks until the server has answered one more call; gives the time just before the request that it answered. */
+async function askUntilAnswered(server: ServerStandIn, asked: Asked): Promise<number> {
 	const before = server.arrivals.length;
-	await waitUntil(async () => {
+	return waitUntil(async () => {
+		const at = performance.now();
 		await fixture.ask(asked);
-		return server.arrivals.length > before;
+		return server.arrivals.length > before && at;
 	}, {deadlineMs, what: `${server.id} to answer a call`});
 }
 
@@ -91,3 +92,81 @@
 		await askUntilAnswered(servers.desk1, lookup);
 	});
 });
+
+/*
+ * Guards against requests at a server that has turned one away and named a time
+ * for which it wants nothing.
+ */
+describe('relay: a server turns requests away for a while', () => {
+	beforeEach(async () => {
+		fixture = await startRelayFixture();
+	});
+	afterEach(async () => fixture.stop());
+
+	const pauseMs = 2000;
+
+	/** Lets the server turn one call away, and serve all others. */
+	async function turnOneAway(server: ServerStandIn, asked: Asked): Promise<number> {
+		server.turnAway(pauseMs / 1000);
+		const at = await askUntilAnswered(server, asked);
+		server.turnAway(undefined);
+		return at;
+	}
+
+	const cases: ReadonlyArray<{name: string; server: 'desk1' | 'decode1' | 'prefill1'; asked: Asked}> = [
+		{name: 'of a plain service', server: 'desk1', asked: {path: '/check/1', method: 'GET'}},
+		{name: 'that runs streams', server: 'decode1', asked: summary},
+		{name: 'that computes prompts', server: 'prefill1', asked: summary},
+	];
+	for (const {name, server: id, asked} of cases) {
+		it(`gets nothing until that time is over, and is used again then: one ${name}`, async () => {
+			const server = fixture.servers[id];
+			const at = await turnOneAway(server, asked);
+			const before = server.arrivals.length;
+			while (performance.now() - at < 0.8 * pauseMs) {
+				const {status} = await fixture.ask(asked);
+				assert.equal(status, 200);
+			}
+
+			assert.equal(server.arrivals.length, before);
+			await askUntilAnswered(server, asked);
+			assert.ok(performance.now() - at >= pauseMs, 'asked too early');
+		});
+	}
+
+	it('refuses at once, and says when to come back, where all servers of a service want nothing', async () => {
+		const {desk1, desk2} = fixture.servers;
+		const [first] = await Promise.all([turnOneAway(desk1, lookup), turnOneAway(desk2, lookup)]);
+		const before = desk1.arrivals.length + desk2.arrivals.length;
+		const answer = await fixture.ask(lookup);
+		assert.ok(performance.now() - first < pauseMs, 'the machine was too slow for this case');
+		assert.equal(answer.status, 503);
+		const returnMs = Number(answer.headers['retry-after']) * 1000;
+		assert.ok(returnMs > 0 && returnMs <= pauseMs, String(returnMs));
+		assert.equal(desk1.arrivals.length + desk2.arrivals.length, before);
+	});
+
+	it('lets a stream wait for a decode server that wants nothing for so short that it can be in time', async () => {
+		const {decode1, decode2} = fixture.servers;
+		decode1.turnAway(0.3);
+		decode2.turnAway(0.3);
+		const asking = fixture.ask(summary);
+		await waitUntil(() => decode1.arrivals.length + decode2.arrivals.length >= 2, {deadlineMs, what: 'both to turn it away', everyMs: 5});
+		decode1.turnAway(undefined);
+		decode2.turnAway(undefined);
+		const {status} = await asking;
+		assert.equal(status, 200);
+		assert.equal([...decode1.arrivals, ...decode2.arrivals].filter(({step}) => step === 'reserve').length, 3);
+	});
+
+	it('refuses a stream at once where all decode servers want nothing for longer than it could wait', async () => {
+		const {decode1, decode2, prefill1, prefill2} = fixture.servers;
+		decode1.turnAway(20);
+		decode2.turnAway(20);
+		const {status, headers, tookMs} = await fixture.ask(summary);
+		assert.equal(status, 503);
+		assert.ok(Number(headers['retry-after']) > 10, String(headers['retry-after']));
+		assert.ok(tookMs < 800, `${tookMs}`);
+		assert.equal(prefill1.arrivals.length + prefill2.arrivals.length, 0);
+	});
+});
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -33,6 +33,8 @@
 	holdPrompts: (until: Promise<unknown>) => void;
 	/** Tokens that are free for reservations; endless unless set. */
 	setFreeTokens: (tokens: number) => void;
+	/** Turns all calls away that ask something of it, and names the seconds for which it wants nothing; until told otherwise. */
+	turnAway: (seconds: number | undefined) => void;
 	/** Whether it says in its answers that it leaves. */
 	setLeaving: (isLeaving: boolean) => void;
 	/** Whether an order is in progress, so that no other is taken. */
@@ -80,6 +82,7 @@
 	let freeTokens = Infinity;
 	let isBusy = false;
 	let isLeaving = false;
+	let pauseSeconds: number | undefined;
 	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let made = 0;
 	let isCrashing: (arrival: Arrival) => boolean = () => false;
@@ -211,6 +214,11 @@
 		});
 		arrival.body = await readBody(req);
 		const name = arrival.target.slice(arrival.target.lastIndexOf('/') + 1);
+		if (pauseSeconds !== undefined && step !== 'release' && step !== 'drop-cache') {
+			answer(res, 503, {error: 'busy'}, {'not-executed': '1', 'retry-after': String(pauseSeconds)});
+			return;
+		}
+
 		if (step === 'reserve') {
 			takePlace(arrival.body, res);
 			return;
@@ -283,6 +291,9 @@
 		setFreeTokens(tokens) {
 			freeTokens = tokens;
 		},
+		turnAway(seconds) {
+			pauseSeconds = seconds;
+		},
 		setLeaving(next) {
 			isLeaving = next;
 		},
