--- a/src/domain/create-placement/_lib/create-standing.ts
+++ b/src/domain/create-placement/_lib/create-standing.ts
@@ -230,7 +230,7 @@
 			leavingAt.set(server, now);
 		},
 		toPauseLeft,
-		/** The server wants nothing of this host for a time. Tells whether it wanted something so far. */
+		/** The server asks this host to back off. Tells whether it did not do so already. */
 		notePause(server: ServerId, pauseMs: Milliseconds, now: Milliseconds): boolean {
 			const isNew = toPauseLeft(server, now) === 0;
 			pausedUntil.set(server, Math.max(pausedUntil.get(server) ?? -Infinity, now + Math.min(maxPauseMs, pauseMs)));
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -201,7 +201,7 @@
 		const account = () => pairs.toAccount(search, roles, []);
 		const pauseMs = search.met.full ? undefined : toShortestPause(roles, search.now);
 		if (pauseMs !== undefined) {
-			return toRefusal('paused', `the servers of pool ${pool} that would do want nothing for a while`, pauseMs, account);
+			return toRefusal('paused', `the servers of pool ${pool} that would do ask to back off`, pauseMs, account);
 		}
 
 		if (!search.met.full) {
@@ -286,7 +286,7 @@
 			const slots = Math.min(...servers.map(server => server.slots));
 			return split.toPrefillShare(name, {slots, memoryTokens});
 		},
-		/** A server wants nothing of this host for a time; tells whether it wanted something so far. */
+		/** A server asks this host to back off; tells whether it did not do so already. */
 		notePause: standing.notePause,
 		isPaused: (server: ServerId, now: Milliseconds): boolean => standing.toPauseLeft(server, now) > 0,
 		/** What this host has under way at each server. */
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -9,7 +9,7 @@
 	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
 } from '../../ports/published.js';
 import {type FleetView, type ServerStatus} from '../../ports/view.js';
-import {createLeavingWords} from './_lib/create-leaving-words.js';
+import {createLeavingNotices} from './_lib/create-leaving-notices.js';
 
 export type PublishedFleetOptions = {
 	/** Zones with their regions, from the host's own settings. */
@@ -64,7 +64,7 @@
 	replace: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
 	/** Takes what changed since the last read. */
 	apply: (changes: readonly PublishedChange[], now: Milliseconds, context?: ReadContext) => FleetChange;
-	/** Takes the word of a server that it leaves. It counts whatever is published of that start, which may be late, or never come. */
+	/** Takes a server's own notice that it leaves. It counts whatever is published of that start, which may be late, or never come. */
 	noteLeaving: (server: ServerId) => FleetChange;
 	/** Drops missing servers that stayed away. To be called right after a read: only that tells that they did. */
 	sweep: (now: Milliseconds) => FleetChange;
@@ -115,7 +115,7 @@
 	const servers = new Map<PublishedName, Known>();
 	/** Entries that can't be read now, with the reason that was told. */
 	const unreadable = new Map<PublishedName, string>();
-	const leavingWords = createLeavingWords();
+	const leavingNotices = createLeavingNotices();
 	let rules: PublishedRules | undefined;
 	let config: Config | undefined;
 	/** Counts changes of the servers, so that decisions see that their index is old. */
@@ -137,7 +137,7 @@
 	 */
 	function takeServer(published: PublishedServer): FleetChange['servers'] {
 		const {name, entry, startedAt} = published;
-		const leaving = published.leaving || leavingWords.has(entry.id);
+		const leaving = published.leaving || leavingNotices.has(entry.id);
 		const server = {...published, leaving};
 		const known = servers.get(name);
 		// A heartbeat of the former start that arrives late says nothing of the present one.
@@ -297,7 +297,7 @@
 			return apply([...changes, ...gone], now, context);
 		},
 		noteLeaving(server) {
-			leavingWords.add(server);
+			leavingNotices.add(server);
 			const known = [...servers.values()].find(({entry}) => entry.id === server);
 			return {rules: undefined, servers: known === undefined ? [] : takeServer(known), unreadable: []};
 		},
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -56,7 +56,7 @@
 export type ServerNotice = {
 	/** It ends soon and is to get nothing new. */
 	isLeaving: boolean;
-	/** Time for which it wants nothing of this host; `undefined` when it names none. */
+	/** Time for which it asks this host to back off; `undefined` when it names none. */
 	pauseMs: Milliseconds | undefined;
 };
 
--- a/src/programs/entry/_lib/create-notices.ts
+++ b/src/programs/entry/_lib/create-notices.ts
@@ -5,14 +5,14 @@
 import {type ServerId} from '../../../ports/ids.js';
 import {type ServerNotice} from '../../../ports/server-calls.js';
 
-/** Servers of which it is kept that their word was told of. */
+/** Servers whose leaving was logged, so that it is logged once. */
 const maxTold = 1024;
 
 export type NoticesOptions = {
 	log: Log;
-	/** Takes a server's word that it leaves. */
+	/** Takes a server's own notice that it leaves. */
 	reportLeaving: (server: ServerId) => void;
-	/** Takes the time for which a server wants nothing; tells whether it wanted something so far. */
+	/** Takes the time for which a server asks this host to back off; tells whether it did not do so already. */
 	notePause: (server: ServerId, pauseMs: Milliseconds) => boolean;
 };
 
@@ -45,7 +45,7 @@
 		}
 
 		if (pauseMs !== undefined && notePause(id, pauseMs)) {
-			log.info('server wants nothing for a while', {server: id, durationMs: Math.round(pauseMs)});
+			log.info('server asks to back off', {server: id, durationMs: Math.round(pauseMs)});
 		}
 	};
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -103,7 +103,7 @@
 	}, services.toView()!, now, services.random);
 }
 
-/** Asks one decode server for a place. One that says with it that it leaves gets it back: the answer would break with its end. */
+/** Asks one decode server for a place. One that announces with it that it leaves gets it back: the answer would break with its end. */
 async function askForPlace(run: PlainRun, caches: CacheCalls, decode: ServerEntry): Promise<Result<string, EngineFailure>> {
 	const {services} = run.serve;
 	const limit = toLimitSignal(Math.min(reserveLimitMs, timeLeft(run)), run.signal);
@@ -126,7 +126,7 @@
 
 	giveBack(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 	return err({
-		kind: 'refused', reason: 'leaving', server: decode.id, message: 'granted a place and said that it leaves', retryAfterMs: undefined,
+		kind: 'refused', reason: 'leaving', server: decode.id, message: 'granted a place and announced that it leaves', retryAfterMs: undefined,
 	});
 }
 
@@ -216,11 +216,11 @@
 	return parsed.map(({kvId}) => ({server, kvId})).mapErr(message => ({kind: 'invalid', message}));
 }
 
-/** What a server keeps for this host lapses by itself within a second or two; one that wants nothing is left alone until then. */
+/** What a server keeps for this host lapses by itself within a second or two, so one that asks to back off needs no call for it. */
 function giveBack(run: PlainRun, what: string, {server, call}: {server: ServerEntry; call: () => ReturnType<CacheCalls['dropCache']>}): void {
 	const {services} = run.serve;
 	if (services.placement.isPaused(server.id, services.clock.now())) {
-		run.log.info('not given back to a server that wants nothing', {step: what, server: server.id});
+		run.log.info('not given back while the server asks to back off', {step: what, server: server.id});
 		return;
 	}
 
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -45,7 +45,7 @@
 	};
 }
 
-/** A request that found no room now. Servers that want nothing for a while say until when. */
+/** A request that found no room now. Servers that ask to back off say until when. */
 export function toBounced(run: PlainRun, {reason, retryAfterMs}: PlacementRefusal): PlainOutcome {
 	return {
 		end: 'bounced', outcome: run.ledger.outcome(), ...(reason === 'paused' && {roomAt: run.serve.services.clock.now() + retryAfterMs}),
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -32,7 +32,7 @@
 	isConnected: () => boolean;
 	/** Time since the platform answered a read; `undefined` before the first. */
 	answerAgeMs: () => Milliseconds | undefined;
-	/** Takes the word of a server that it leaves. */
+	/** Takes a server's own notice that it leaves. */
 	noteLeaving: (server: ServerId) => void;
 	stop: () => Promise<void>;
 };
