Show that a quarantined request waits for nothing, on arrival or in the queue

Taken out one by one on a copy, two looks at the quarantine were noticed by no test: the one on arrival (others cover for it, but the request would wait for room first) and the one before each call, for a request that waits while another host tells of its crashes. Each has its case now. The look after a failed call did nothing that the one before the next call doesn't do, and goes.

--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -111,10 +111,6 @@
 
 		noteFailed(run, server, ended.fault);
 		run.tried.push({server: server.id, zone: server.zone});
-		if (isQuarantined(run)) {
-			return toQuarantined(run);
-		}
-
 		const again = decideAgain(run, ended.fault, hasRun);
 		if (ended.kind === 'cut' && (again.kind === 'give-up' || run.events === undefined)) {
 			run.exchange.destroy();
--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -1,7 +1,10 @@
 /** A request that crashes each server that runs it, and comes again. */
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {createDeferred} from '../../src/_lib/create-deferred/index.js';
+import {openLoadDatagrams} from '../../src/adapters/load-datagrams/index.js';
+import {findUdpAddress} from '../_lib/find-udp-address/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {
 	startServerStandIn, type Arrival, type Misdeed, type ServerStandIn,
@@ -38,6 +41,24 @@
 	}
 }
 
+/** Sends what another host would tell. */
+async function tellOfCrashes(address: string, fingerprint: string): Promise<void> {
+	const from = await findUdpAddress();
+	const other = await openLoadDatagrams({address: from, onMessage: () => undefined, onFault: () => undefined});
+	other.send({
+		host: 'front-b-9',
+		zone: 'b',
+		incarnation: 1,
+		sequence: 1,
+		loads: [],
+		peers: [],
+		isAsking: false,
+		crashes: [{fingerprint, idleMs: 5, crashes: ['x', 'y', 'z'].map(server => ({server, ageMs: 5}))}],
+	}, [address]);
+	await sleep(50);
+	await other.close();
+}
+
 /** Publishes the new starts of servers that crashed, and waits until the hosts know them. */
 async function publishRestarts(hosts: number): Promise<void> {
 	const isOld = (id: string) => !allServers().some(server => server.id === id);
@@ -130,6 +151,33 @@
 		assert.equal(countCrashes(), 3);
 	});
 
+	it('is refused at once where others have to wait for room', async () => {
+		await startFixture(1);
+		await crashServers(crashing, {crashes: 3, hosts: 1});
+		fixture.servers.decode1.setFreeTokens(0);
+		fixture.servers.decode2.setFreeTokens(0);
+		const {status, tookMs} = await fixture.ask(crashing);
+		assert.equal(status, 503);
+		assert.ok(tookMs < 400, `${tookMs}`);
+	});
+
+	it('is refused while it waits for room, once another host tells of its crashes', async () => {
+		await startFixture(2);
+		const {decode1, decode2} = fixture.servers;
+		decode1.setFreeTokens(0);
+		decode2.setFreeTokens(0);
+		const asking = fixture.ask({...crashing, at: 0});
+		await waitUntil(() => decode1.arrivals.length + decode2.arrivals.length > 0, {deadlineMs, what: 'it to wait', everyMs: 2});
+		const received = fixture.logs().find(({message}) => message === 'request received');
+		await tellOfCrashes(fixture.peerAddresses[0]!, String(received?.fingerprint));
+		await waitUntil(() => fixture.logs().some(({message}) => message === 'request quarantined'), {deadlineMs, what: 'the host to know', everyMs: 2});
+		decode1.setFreeTokens(40_000);
+		const {status, body} = await asking;
+		assert.equal(status, 503);
+		assert.match(body, /quarantined/v);
+		assert.equal(countCalls(crashing), 0);
+	});
+
 	it('leaves requests alone that ran beside it: they are served when they come again', async () => {
 		await startFixture(1);
 		await crashServers(crashing, {crashes: 2, hosts: 1});
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -49,6 +49,8 @@
 	askUntil: (asked: Asked, status: number) => Promise<Answer>;
 	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
+	/** `IP:port` of each host for its peers; empty where there is one host. */
+	peerAddresses: readonly string[];
 	/** Servers in the view of a host. */
 	knownServers: (host: number) => ReadonlySet<string>;
 	/** Whether the first host is ready. */
@@ -266,6 +268,7 @@
 		},
 		publishRoutes,
 		publishServer,
+		peerAddresses,
 		knownServers: host => new Set(hosts[host]!.relay.view()?.servers.keys()),
 		async isReady() {
 			const res = await fetch(`http://127.0.0.1:${hosts[0]!.operatorPort}/ready`);
