Send no request to a decode server that asked to back off while its prompt was computed

A place is taken before the prompt, and the server may ask this host to back off meanwhile. The request was sent to it all the same, and with several prompts under way more of them than it wants.

--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -302,6 +302,13 @@
 		};
 	}
 
+	if (services.placement.isPaused(decode.id, services.clock.now())) {
+		giveAllBack();
+		return {
+			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'full', message: 'asked to back off while the prompt was computed'}}, hasRun: false,
+		};
+	}
+
 	if (!isInService(run, decode)) {
 		giveAllBack();
 		return {
--- a/test/failures/leaving-answer.test.ts
+++ b/test/failures/leaving-answer.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {createDeferred} from '../../src/_lib/create-deferred/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {type ServerStandIn} from '../stand-ins/users-platform/server.js';
 import {
@@ -169,4 +170,24 @@
 		assert.ok(tookMs < 800, `${tookMs}`);
 		assert.equal(prefill1.arrivals.length + prefill2.arrivals.length, 0);
 	});
+
+	it('gets neither the answer to run nor its place back, if it asks so while a prompt is computed for it', async () => {
+		const {decode1, decode2, prefill1, prefill2} = fixture.servers;
+		const released = createDeferred();
+		prefill1.holdPrompts(released.promise);
+		prefill2.holdPrompts(released.promise);
+		const asking = fixture.ask(summary);
+		await waitUntil(() => prefill1.arrivals.length + prefill2.arrivals.length > 0, {deadlineMs, what: 'a prompt under way', everyMs: 5});
+		const chosen = decode1.arrivals.length > 0 ? decode1 : decode2;
+		chosen.turnAway(pauseMs / 1000);
+		const other = fixture.ask(summary);
+		await waitUntil(() => fixture.logs().some(({message, server}) => message === 'server asks to back off' && server === chosen.id), {deadlineMs, what: 'the relay to know', everyMs: 5});
+		const before = chosen.arrivals.length;
+		prefill1.holdPrompts(Promise.resolve());
+		prefill2.holdPrompts(Promise.resolve());
+		released.resolve();
+		const answers = await Promise.all([asking, other]);
+		assert.deepEqual(answers.map(({status}) => status), [200, 200]);
+		assert.deepEqual(chosen.arrivals.slice(before).map(({step}) => step), []);
+	});
 });
