--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -242,4 +242,20 @@
 		fleet.apply([server('s1', false, 2)], 1);
 		assert.equal(fleet.toView(1).servers.get('s1@2')?.leaving, false);
 	});
+
+	/* Guards against requests at a server that said that it leaves after the platform had come back, and before this host read the copy. */
+	it('takes a server that leaves from the copy, and nothing else of a start that it knows', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.replace([server('s1'), server('s2', true), server('s3')], 0);
+		fleet.noteReset({latest: 2800}, 100);
+		assert.equal(fleet.wholeReadAt(), 2600);
+		assert.equal(fleet.countDifferences([server('s1', true), server('s2')]), 3);
+		const {servers} = fleet.replace([server('s1', true), server('s2')], 200);
+		assert.deepEqual(servers, [{id: 's1', became: 'leaving'}, {id: 's3', became: 'missing'}]);
+		assert.equal(fleet.toView(200).servers.get('s2')?.leaving, true);
+		fleet.replace([server('s1', true), server('s2')], 2700);
+		assert.equal(fleet.wholeReadAt(), undefined);
+		assert.equal(fleet.toView(2700).servers.get('s2')?.leaving, false);
+		assert.deepEqual(toIds(fleet, 2700), ['s1', 's2']);
+	});
 });
