--- a/src/domain/create-published-fleet/test.ts
+++ b/src/domain/create-published-fleet/test.ts
@@ -258,4 +258,20 @@
 		assert.equal(fleet.toView(2700).servers.get('s2')?.leaving, false);
 		assert.deepEqual(toIds(fleet, 2700), ['s1', 's2']);
 	});
+
+	/* Guards against a server that left and whose entries are written again one by one, the one that says ready first. */
+	it('takes no writing that it serves of a start that left or was gone, until all is written again', () => {
+		const fleet = createPublishedFleet({zones});
+		fleet.replace([server('s1', true), server('s2'), server('s3')], 0);
+		fleet.apply([gone('s2')], 50);
+		fleet.noteReset({latest: 2800}, 100);
+		fleet.replace([server('s1'), server('s2'), server('s3')], 150);
+		fleet.apply([server('s1'), server('s2'), server('s3', true)], 200);
+		const leaving = [...fleet.toView(200).servers.values()].filter(status => status.leaving).map(({id}) => id);
+		assert.deepEqual(leaving, ['s1', 's3']);
+		assert.deepEqual(toIds(fleet, 200), ['s1', 's3']);
+		fleet.replace([server('s1'), server('s2'), server('s3', true)], 2700);
+		assert.deepEqual(toIds(fleet, 2700), ['s1', 's2', 's3']);
+		assert.equal(fleet.toView(2700).servers.get('s1')?.leaving, false);
+	});
 });
