--- a/src/programs/entry/follow-published/model.test.ts
+++ b/src/programs/entry/follow-published/model.test.ts
@@ -372,7 +372,7 @@
 			name: 'keeps a living server while the platform is still on its way back', judge: findDropped, host: {chance: 0.99, actWithinMs: 2000}, steps: [{afterMs: 0, trouble: toReset({forMs: 160, rewriteMs: [0, 1941, 0]})}],
 		},
 		{
-			name: 'keeps a living server where a watch that had waited long was broken off', judge: findDropped, host: {chance: 0.5, actWithinMs: 2000}, steps: [{afterMs: 0, trouble: toReset({rewriteMs: [0, 1567, 0]})}],
+			name: 'keeps a living server where a watch that had waited long was broken off', judge: findDropped, host: {chance: 0.5, actWithinMs: 2000}, steps: [{afterMs: 0, trouble: toReset({rewriteMs: [0, 1800, 0]})}],
 		},
 		{
 			name: 'gives up what left behind a silent connection and a silent platform', judge: findWrong, host: {chance: 0.01, actWithinMs: 2000}, steps: [{afterMs: 0, trouble: {kind: 'leave'}}, {afterMs: 0, trouble: {kind: 'silence'}}, {afterMs: 0, trouble: toReset({path: 'silent', forMs: 801, isLate: true})}],
