Tell in the log what each further attempt costs and what is left for others

Of the four hypotheses about the piled-up repeats, none could be told from the lines: nothing said whether a further attempt was granted, what the host charged itself for it, or what its part of the retries was, which follows from the hosts that it knows. One line behind each failed call says all three; two metrics count the same. No logic changes.

--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -71,6 +71,8 @@
 	'silentMs',
 	'failedReadAgeMs',
 	'limit',
+	'cost',
+	'available',
 	'order',
 	'fence',
 	'prefillShare',
--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -54,6 +54,8 @@
 	| {
 		kind: 'retry';
 		delayMs: Milliseconds;
+		/** What the budget was charged. */
+		cost: number;
 		/** Servers that the next attempt must not use. */
 		avoidServers: readonly ServerId[];
 		/** Zones that the next attempt should leave if another one can serve: those in which two attempts failed. */
@@ -70,6 +72,8 @@
 	takeRetry: (failed: FailedAttempt, now: Milliseconds, random: Random) => RetryAnswer;
 	/** Retries that the bucket holds. */
 	available: (now: Milliseconds) => number;
+	/** Retries that the bucket holds when it is full. */
+	capacity: () => number;
 };
 
 /**
@@ -135,10 +139,12 @@
 				return {kind: 'give-up', reason};
 			}
 
-			owed += toCost(failed);
+			const cost = toCost(failed);
+			owed += cost;
 			const latestDelayMs = failed.deadline - now - failed.expectedMs;
 			return {
 				kind: 'retry',
+				cost,
 				delayMs: Math.min(latestDelayMs, toBackoff(failed.attempt, random, options)),
 				avoidServers: failed.tried.map(({server}) => server),
 				avoidZones: findFailedZones(failed.tried),
@@ -148,6 +154,7 @@
 			fill(now);
 			return Math.max(0, toCapacity() - owed);
 		},
+		capacity: toCapacity,
 	};
 }
 
--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -43,7 +43,7 @@
 	it('names the servers tried, and zones in which two attempts failed', () => {
 		const tried = [{server: 's1', zone: 'z1'}, {server: 's2', zone: 'z1'}];
 		assert.deepEqual(createRetryBudget().takeRetry(failure({attempt: 2, tried}), 0, half), {
-			kind: 'retry', delayMs: 25, avoidServers: ['s1', 's2'], avoidZones: ['z1'],
+			kind: 'retry', cost: 1, delayMs: 25, avoidServers: ['s1', 's2'], avoidZones: ['z1'],
 		});
 	});
 
--- a/src/programs/entry/_lib/tally.ts
+++ b/src/programs/entry/_lib/tally.ts
@@ -8,6 +8,7 @@
 const outcomes = ['not-run', 'may-have-run', 'ran'] as const;
 const wasteCauses = ['caller-gone', 'deadline-passed', 'expired', 'transfer', 'server-lost', 'stopping'] as const;
 const dropCauses = ['other-request', 'other-attempt', 'repeated', 'after-end'] as const;
+const retryDecisions = ['granted', 'ran', 'not-repeatable', 'attempts', 'deadline', 'budget'] as const;
 const cancelEnds = ['confirmed', 'server-gone', 'too-old', 'displaced'] as const;
 
 /**
@@ -31,6 +32,8 @@
 	const dropped = metrics.createCounter({name: 'chunks_dropped_total', help: 'Chunks of engines that were not of the answer and were not relayed.', labels: {cause: dropCauses}});
 	const resumed = metrics.createCounter({name: 'streams_resumed_total', help: 'Broken streams read again from where they broke.'});
 	const rerun = metrics.createCounter({name: 'attempts_rerun_total', help: 'Attempts that repeat work which was lost.'});
+	const retries = metrics.createCounter({name: 'retries_total', help: 'Failed calls by whether another attempt was granted, or why not.', labels: {decision: retryDecisions}});
+	const retryCost = metrics.createCounter({name: 'retry_cost_total', help: 'What granted attempts were charged to the retry budgets.'});
 	const wasted = metrics.createCounter({name: 'wasted_prefills_total', help: 'Prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const wastedTokens = metrics.createCounter({name: 'wasted_prefill_tokens_total', help: 'Prompt tokens of prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
@@ -48,6 +51,10 @@
 		rerun() {
 			rerun.add({});
 		},
+		retryDecided(decision, cost) {
+			retries.add({decision});
+			retryCost.add({}, cost);
+		},
 		prefillWasted(cause, promptTokens) {
 			wasted.add({cause});
 			wastedTokens.add({cause}, promptTokens);
--- a/src/programs/entry/_lib/types.ts
+++ b/src/programs/entry/_lib/types.ts
@@ -1,7 +1,7 @@
 /** What the parts of a request's task share. */
 import {type AnswerBuffer, type DropCause} from '../../../domain/create-answer-buffer/index.js';
 import {type createPlacement} from '../../../domain/create-placement/index.js';
-import {type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {type NoRetryReason, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
 import {type Usage} from '../../../domain/create-sse-encoder/index.js';
 import {type CompletionRequest} from '../../../domain/parse-completion-request/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
@@ -71,6 +71,8 @@
 	chunkDropped: (cause: DropCause) => void;
 	resumed: () => void;
 	rerun: () => void;
+	/** A call failed, and another attempt was granted or, for the reason named, not. */
+	retryDecided: (decision: 'granted' | NoRetryReason, cost: number) => void;
 	prefillWasted: (cause: WasteCause, promptTokens: number) => void;
 };
 
--- a/src/programs/entry/call-plain/_lib/decide-again.ts
+++ b/src/programs/entry/call-plain/_lib/decide-again.ts
@@ -1,5 +1,7 @@
 /** Whether a request that failed at one server goes to another. */
-import {type FailedAttempt, type NoRetryReason} from '../../../../domain/create-retry-budget/index.js';
+import {
+	type FailedAttempt, type NoRetryReason, type RetryAnswer, type RetryBudget,
+} from '../../../../domain/create-retry-budget/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type PlainFault} from '../../send-plain/index.js';
 import {type PlainRun} from './types.js';
@@ -86,5 +88,21 @@
 	const failed = toFailedAttempt(run, {
 		hasRun, isOffered, isStarted, sent: run.sent,
 	});
-	return services.toRetryBudget(run.route.pool.name).takeRetry(failed, services.clock.now(), services.random);
+	const budget = services.toRetryBudget(run.route.pool.name);
+	const answer = budget.takeRetry(failed, services.clock.now(), services.random);
+	noteDecision(run, answer, budget);
+	return answer;
 }
+
+/** What was decided, and by which state of the budget, of which each host has its own part. */
+function noteDecision({serve, route, log, tried}: PlainRun, answer: RetryAnswer, budget: RetryBudget): void {
+	const {clock, tally} = serve.services;
+	const decision = answer.kind === 'retry' ? 'granted' : answer.reason;
+	const cost = answer.kind === 'retry' ? answer.cost : 0;
+	tally.retryDecided(decision, cost);
+	log.info('retry decided', {
+		attempt: tried.length, pool: route.pool.name, reason: decision, cost, available: toHundredths(budget.available(clock.now())), limit: budget.capacity(),
+	});
+}
+
+const toHundredths = (value: number): number => Math.round(value * 100) / 100;
--- a/src/programs/entry/run-request/test.ts
+++ b/src/programs/entry/run-request/test.ts
@@ -91,7 +91,7 @@
 		toRetryBudget: () => budget,
 		transferLimits: createTransferLimits(),
 		tally: {
-			firstToken: quiet, chunkDropped: quiet, resumed: quiet, rerun: quiet, prefillWasted: quiet,
+			firstToken: quiet, chunkDropped: quiet, resumed: quiet, rerun: quiet, retryDecided: quiet, prefillWasted: quiet,
 		},
 		reservationTtlMs: 1000,
 	} as unknown as RunServices;
--- /dev/null
+++ b/test/failures/retry-calls.test.ts
@@ -0,0 +1,77 @@
+/** What further attempts send to the servers of a pool, and what the retry budget is charged for it. */
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {type Arrival, type Misdeed} from '../stand-ins/users-platform/server.js';
+import {
+	deadlineMs, startRelayFixture, toStreamHeaders, type Asked, type RelayFixture,
+} from '../stand-ins/users-platform/start-relay-fixture.js';
+
+let fixture: RelayFixture;
+
+type Case = {
+	name: string;
+	asked: Asked;
+	/** What the first servers that are asked do, in place of serving. */
+	misdeeds: Partial<Record<'desk1' | 'prefill1' | 'decode1', Misdeed[]>>;
+	/** Calls beyond the first that the servers get. */
+	extra: number;
+};
+
+const stream: Asked = {path: '/notice/1', body: 'a notice', headers: toStreamHeaders()};
+const lookup: Asked = {path: '/check/1', body: 'a check'};
+
+const cases: Case[] = [
+	{
+		name: 'a plain call is refused', asked: lookup, misdeeds: {desk1: ['refuse']}, extra: 1,
+	},
+	{
+		name: 'a plain call breaks', asked: lookup, misdeeds: {desk1: ['reset']}, extra: 1,
+	},
+	{
+		name: 'a prompt is refused', asked: stream, misdeeds: {prefill1: ['refuse']}, extra: 1,
+	},
+	{
+		name: 'two prompts are refused', asked: stream, misdeeds: {prefill1: ['refuse', 'refuse']}, extra: 2,
+	},
+	{
+		name: 'a computed prompt is lost', asked: stream, misdeeds: {prefill1: ['reset']}, extra: 1,
+	},
+];
+
+/** The refused prompts are the first ones; of the others the first one is no call that servers count. */
+function countExtra(arrivals: readonly Arrival[], refusedPrompts: number): number {
+	const prompts = arrivals.filter(({step}) => step === 'prefill').length;
+	const runs = arrivals.filter(({step}) => step === 'decode' || step === 'whole').length;
+	return refusedPrompts + Math.max(0, prompts - refusedPrompts - 1) + runs - 1;
+}
+
+/*
+ * Guards against a service that gets more calls beyond the first of each request
+ * than the retry budgets of all hosts allow.
+ */
+describe('relay: a further attempt is charged for each call that servers get', () => {
+	afterEach(async () => fixture.stop());
+
+	for (const {name, asked, misdeeds, extra} of cases) {
+		it(`when ${name}`, async () => {
+			fixture = await startRelayFixture();
+			for (const [server, list] of Object.entries(misdeeds)) {
+				fixture.servers[server as 'desk1'].misbehave(...list);
+			}
+
+			const {status, isWhole} = await fixture.ask(asked);
+			assert.deepEqual({status, isWhole}, {status: 200, isWhole: true});
+			const arrivals = Object.values(fixture.servers).flatMap(server => server.arrivals);
+			const refusedPrompts = misdeeds.prefill1?.filter(misdeed => misdeed === 'refuse').length ?? 0;
+			assert.equal(countExtra(arrivals, refusedPrompts), extra, 'the scenario sends other calls than it says');
+			const decided = await waitUntil(() => {
+				const lines = fixture.logs().filter(({message}) => message === 'retry decided');
+				return lines.length > 0 && lines;
+			}, {deadlineMs, what: 'the decisions in the log'});
+			const cost = decided.reduce((sum, line) => sum + Number(line.cost), 0);
+			assert.equal(cost, extra);
+			assert.ok(decided.every(({reason}) => reason === 'granted'));
+		});
+	}
+});
