Send a further attempt as the one call that the retry budget pays for

Cause: the budget is charged one call for each further attempt. Where prefill and decode are apart, an attempt after one whose run was refused or broke sends two: the prompt is computed anew by a prefill server, and then run. The servers count both, since only the first prompt of a request is free. Hosts that spend their whole part so send up to twice what all may: 2 x (148 + 0.16 of what was served) for 188 + 0.2 of the requests.

Evidence: with one line behind each decision, test/failures/retry-calls compares what the servers got with what was charged. Four of nine cases failed before (a run refused, a run broken, a stream resumed elsewhere, a prompt and then a run refused: one call more each).

Change: an attempt behind one that was sent is one call. The decode server computes the prompt itself, which it does anyway where prefill servers are short. Weighed: charging two, which halves the attempts that a host of 74 may make (its part is two calls, filled again by 12 served requests), and none at all where the part is one; a request that lost its server would be refused for it.

--- a/src/domain/create-placement/_lib/create-unreported-search.ts
+++ b/src/domain/create-placement/_lib/create-unreported-search.ts
@@ -134,7 +134,7 @@
 
 		const toPrefillMs = ({entry, load}: Candidate): Milliseconds =>
 			((load.ownPromptTokens + readOthers(entry.id, now).promptTokens + promptTokens) / promptPace.read(entry.id)) + (entry.zone === decode.entry.zone ? 0 : crossTransferMs);
-		const best = takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs));
+		const best = search.isOneCall ? undefined : takeLeast(readAll(search.servers.prefill, search, isLastResort), candidate => toPrefillMs(candidate) + random() + (doubts.toLevel(candidate.entry, now) * doubtMs));
 		const aloneMs = promptTokens / promptPace.read(decode.entry.id) / decodePace;
 		// Servers that are replaced may all come back as decode servers, and a cut may leave a zone without any other. Those
 		// compute a prompt too, slower and between the tokens of others; without that, every request would be refused, or
--- a/src/domain/create-placement/_lib/search-types.ts
+++ b/src/domain/create-placement/_lib/search-types.ts
@@ -56,6 +56,8 @@
 	answer: {tokens: number; perTokenTargetMs: Milliseconds};
 	/** Prompt tokens expected in the prefix cache of each server that has any. */
 	cachedTokens: ReadonlyMap<ServerId, number>;
+	/** No other server than the decode server computes the prompt. */
+	isOneCall: boolean;
 	view: FleetView;
 	now: Milliseconds;
 	random: Random;
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -52,6 +52,8 @@
 	prefixBlocks?: readonly string[];
 	/** Servers that this request must not get, for example after a failed attempt. */
 	exclude?: ReadonlySet<ServerId>;
+	/** The decode server computes the prompt as well, so that the attempt is one call; heeded where servers report no loads. */
+	isOneCall?: boolean;
 };
 
 export type Placement = {
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -57,7 +57,7 @@
 const readNobody: SharedLoads['read'] = () => ({requests: 0, promptTokens: 0});
 
 /** What a request needs of servers. */
-type Needs = Pick<Search, 'wanted' | 'promptTokens' | 'kvBytes' | 'firstTokenBudgetMs' | 'answer' | 'cachedTokens'>;
+type Needs = Pick<Search, 'wanted' | 'promptTokens' | 'kvBytes' | 'firstTokenBudgetMs' | 'answer' | 'cachedTokens' | 'isOneCall'>;
 
 const toPlainNeeds = ({exclude}: PlainRequest): Needs => ({
 	wanted: {
@@ -68,6 +68,7 @@
 	firstTokenBudgetMs: Infinity,
 	answer: {tokens: 0, perTokenTargetMs: 0},
 	cachedTokens: new Map(),
+	isOneCall: false,
 });
 
 /**
@@ -162,6 +163,7 @@
 			firstTokenBudgetMs,
 			answer: {tokens: lengths.toExpected(pool, request.class, request.maxTokens), perTokenTargetMs: request.perTokenTargetMs ?? 0},
 			cachedTokens: new Map(hits),
+			isOneCall: request.isOneCall ?? false,
 		};
 	};
 
--- a/src/domain/create-placement/unreported.test.ts
+++ b/src/domain/create-placement/unreported.test.ts
@@ -180,4 +180,13 @@
 			assert.equal(picked.prefill.id, picked.decode.id);
 		});
 	}
+
+	/* Guards against a further attempt that sends two calls where one is paid for. */
+	it('lets the decode server compute the prompt of an attempt that is to be one call, beside idle prefill servers', () => {
+		const placement = createPlacement({zone: 'a'});
+		const picked = placement.pick({...request, isOneCall: true}, toView(all), 1000, createRandom())._unsafeUnwrap();
+		assert.equal(picked.prefill.id, picked.decode.id);
+		const usual = placement.pick(request, toView(all), 1000, createRandom())._unsafeUnwrap();
+		assert.notEqual(usual.prefill.id, usual.decode.id);
+	});
 });
--- a/test/failures/retry-calls.test.ts
+++ b/test/failures/retry-calls.test.ts
@@ -37,6 +37,18 @@
 	{
 		name: 'a computed prompt is lost', asked: stream, misdeeds: {prefill1: ['reset']}, extra: 1,
 	},
+	{
+		name: 'a run is refused', asked: stream, misdeeds: {decode1: ['refuse']}, extra: 1,
+	},
+	{
+		name: 'a run breaks before its answer', asked: stream, misdeeds: {decode1: ['reset']}, extra: 1,
+	},
+	{
+		name: 'a stream breaks and goes on elsewhere', asked: stream, misdeeds: {decode1: ['cut-stream']}, extra: 1,
+	},
+	{
+		name: 'a prompt is refused, then a run', asked: stream, misdeeds: {prefill1: ['refuse'], decode1: ['refuse']}, extra: 2,
+	},
 ];
 
 /** The refused prompts are the first ones; of the others the first one is no call that servers count. */
