Divide the slack of retries only once hosts know each other after a start

What callers saw: nothing of their own; the service gets more repeats than it may at the moment when hosts come back, and is busy with them.

Cause: after its start a host hears some hosts first, and all others over some seconds. Until then it took its part of the slack as one among the twenty that are assumed at least. Seen in virtual time half a second after the start of all: the parts add up to 613 of 188 at 74 hosts, to 3,910 of 430 at 195; after a kill of more than half of them, to 201 and 743. Class: a part of what all share, reckoned by what a host has heard so far.

Evidence: share-loads/retries plays hosts that start, are killed, replaced in turn or hear others late, whose callers come back at once, before a service that fails. With the parts as before 7 of 30 courses go over what is allowed, by 54 to 920 calls; with this change none does.

Change: a host takes one retry of the slack until no further host has turned up for three seconds after its start, which is when its count is near the true one (70 of 74, 160 of 195 hosts were known 4.5 s after the start of all).

Tried and left out: no slack at all for ten seconds after a start, since the process before may have spent its part in the same window. All hosts killed at one moment after they spent everything make 3 calls a host at 74 and 195 hosts; each is of another request, so 74 hosts stay within the limit and 195 go over it by some 40 (worked out).

--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -37,6 +37,8 @@
 	takeUnanswered: () => readonly string[];
 	/** Hosts that are known or were in the last minute or so, with this one; `undefined` while none ever was. */
 	count: () => number | undefined;
+	/** Whether others were heard, and no further one turned up for some rounds; once it is, it stays so. */
+	isSettled: (now: Milliseconds) => boolean;
 	/** Some hosts that spoke lately, to be named to others; others each time. */
 	toName: (now: Milliseconds) => readonly NamedPeer[];
 };
@@ -77,6 +79,9 @@
 /** Hosts named in a message: a host that starts knows all of a small deployment after its first answer. */
 const namedPeers = 8;
 
+/** Time without a further host after which all count as known: three of the rounds in which hosts are named. */
+const settleMs: Milliseconds = 3 * msPerSecond;
+
 /** Hosts that are kept; an odd message must not fill the memory. */
 const maxKnown = 1024;
 
@@ -134,6 +139,8 @@
 	};
 	let firstNamed = 0;
 	let mostKnown = 0;
+	let grewAt = Infinity;
+	let isSettled = false;
 
 	function dropSilent(now: Milliseconds): void {
 		for (const [address, {knownAt}] of known) {
@@ -152,6 +159,10 @@
 
 		known.set(address, entry);
 		mostKnown = Math.max(mostKnown, known.size);
+		if (isNew) {
+			grewAt = entry.knownAt;
+		}
+
 		if (isNew && known.size <= mostOfSmallFleet) {
 			choice.at = -Infinity;
 		}
@@ -233,6 +244,10 @@
 			return addresses;
 		},
 		count: () => mostKnown === 0 ? undefined : Math.round(mostKnown) + 1,
+		isSettled(now) {
+			isSettled ||= now - grewAt >= settleMs;
+			return isSettled;
+		},
 		toName(now) {
 			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
 			firstNamed = heard.length <= namedPeers ? 0 : (firstNamed + namedPeers) % heard.length;
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -133,4 +133,17 @@
 		assert.ok(peers.far(1).length <= 1024);
 		assert.ok(peers.toName(1).length <= 8);
 	});
+
+	/* Guards against a part of what all hosts share that is reckoned by the first few that a host hears. */
+	it('is settled once no further host has turned up for three seconds, and stays so', () => {
+		const peers = createPeerList({self: 'a:1', zone: 'a', seeds: []});
+		assert.equal(peers.isSettled(60_000), false);
+		peers.noteHeard({address: 'b:1', zone: 'a'}, 60_000);
+		peers.noteNamed([{address: 'c:1', zone: 'b'}], 62_000);
+		peers.noteHeard({address: 'b:1', zone: 'a'}, 64_000);
+		assert.equal(peers.isSettled(64_900), false);
+		assert.equal(peers.isSettled(65_000), true);
+		peers.noteNamed([{address: 'd:1', zone: 'b'}], 65_100);
+		assert.equal(peers.isSettled(65_200), true);
+	});
 });
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -27,6 +27,7 @@
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const hosts: Host[] = [];
+	const cutOff = new Set<string>();
 	const sent = {messages: 0, bytes: 0};
 
 	const open: typeof openLoadDatagrams = async ({address, onMessage}) => {
@@ -38,7 +39,7 @@
 				sent.bytes += to.length * bytes.length;
 				// What does not fit into a datagram does not arrive; the rest is worth decoding only where that can matter.
 				const received = message.crashes.length === 0 ? message : decodeLoadMessage(bytes)._unsafeUnwrap();
-				for (const target of to.filter(() => random() >= lossShare)) {
+				for (const target of to.filter(() => random() >= lossShare).filter(target => !cutOff.has(address) && !cutOff.has(target))) {
 					receivers.get(target)?.(received, address);
 				}
 			},
@@ -104,6 +105,13 @@
 			const i = hosts.indexOf(host);
 			hosts[i] = await start(i);
 		},
+		/** Takes a host's way to all others, until healed. */
+		cut(host: Host): void {
+			cutOff.add(host.address);
+		},
+		heal(): void {
+			cutOff.clear();
+		},
 		kill(host: Host): void {
 			host.isDead = true;
 			receivers.delete(host.address);
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -38,6 +38,8 @@
 	isIsolated: () => boolean;
 	/** Hosts that are known to live, with this one; `undefined` while none was ever heard. */
 	countHosts: () => number | undefined;
+	/** The same, for dividing what all hosts share: `undefined` also while further ones turn up after the start. */
+	countSharers: () => number | undefined;
 	/** Sends what has changed; the program calls it many times a second. */
 	tick: (loads: readonly HostLoad[]) => void;
 	close: () => Promise<void>;
@@ -209,6 +211,7 @@
 		isZoneSilent: shared.isZoneSilent,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		countHosts: peers.count,
+		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
 		tick(loads) {
 			tell(loads, clock.now());
 		},
--- /dev/null
+++ b/src/programs/relay/share-loads/retries.test.ts
@@ -0,0 +1,192 @@
+/*
+ * Guards against hosts that together send a service more calls beyond the first
+ * of each request than they may: those that started a moment ago, that replace
+ * one which spent its part, or that are cut off from others.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createRandom} from '../../../domain/_test/create-random.js';
+import {createRetryBudget, type FailedAttempt, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {msPerSecond} from '../../../ports/units.js';
+import {toRetryPart} from '../start-relay/index.js';
+import {startHosts, stepMs, type Host} from './_test/start-hosts.js';
+
+const windowMs: Milliseconds = 10 * msPerSecond;
+/** Of each host, and those that come back at once to one that started again. */
+const requestsPerSecond = 0.6;
+const returningRequests = 8;
+
+/** Between the start of a host and the return of its callers. */
+const returnAfterMs: Milliseconds = 0.5 * msPerSecond;
+
+const failed: FailedAttempt = {
+	repeatable: true, bytesOffered: 1, outcome: 'may-have-run', attempt: 1, maxAttempts: 2, deadline: Infinity, expectedMs: 0, tried: [],
+};
+
+type Limits = {retryRatio: number; retrySlack: number};
+type Fleet = Awaited<ReturnType<typeof startHosts>>;
+
+/** Requests of all hosts to one service, of which a part fails, and what is sent again. */
+function createTraffic(fleet: Fleet, limits: Limits, failShare: number) {
+	const random = createRandom(7);
+	const budgets = new Map<Host, RetryBudget>();
+	const requests: number[] = [];
+	const retries: number[] = [];
+
+	function toBudget(host: Host): RetryBudget {
+		const budget = budgets.get(host) ?? createRetryBudget(toRetryPart(limits, host.sharing.countSharers));
+		budgets.set(host, budget);
+		return budget;
+	}
+
+	/** One request of a host. Tells whether it was sent again. */
+	function request(host: Host): boolean {
+		const budget = toBudget(host);
+		if (random() >= failShare) {
+			budget.noteSuccess(fleet.now());
+			return false;
+		}
+
+		return budget.takeRetry(failed, fleet.now(), random).kind === 'retry';
+	}
+
+	function send(hosts: readonly Host[]): void {
+		requests.push(hosts.length);
+		retries.push(hosts.filter(host => request(host)).length);
+	}
+
+	return {
+		pass(ms: Milliseconds) {
+			const until = fleet.now() + ms;
+			while (fleet.now() < until) {
+				fleet.pass(stepMs);
+				send(fleet.hosts.filter(({isDead}) => !isDead && random() < requestsPerSecond * stepMs / msPerSecond));
+			}
+		},
+		/** The callers of some hosts come back at once. */
+		comeBack(hosts: readonly Host[]) {
+			for (let i = 0; i < returningRequests; i++) {
+				fleet.pass(stepMs);
+				send(hosts);
+			}
+		},
+		/** Most calls beyond what is allowed, of all windows. */
+		toMostOver(): number {
+			const steps = windowMs / stepMs;
+			const sum = (counts: readonly number[], from: number) => counts.slice(from, from + steps).reduce((total, count) => total + count, 0);
+			const over = retries.map((_, from) => sum(retries, from) - (limits.retryRatio * sum(requests, from)) - limits.retrySlack);
+			return Math.max(...over);
+		},
+		sent: () => retries.reduce((total, count) => total + count, 0),
+	};
+}
+
+type Traffic = ReturnType<typeof createTraffic>;
+
+/** Starts hosts again, whose callers are back soon. */
+async function replace(fleet: Fleet, traffic: Traffic, hosts: readonly Host[]): Promise<void> {
+	const places = hosts.map(host => fleet.hosts.indexOf(host));
+	for (const host of hosts) {
+		await fleet.restart(host);
+	}
+
+	traffic.pass(returnAfterMs);
+	traffic.comeBack(places.map(place => fleet.hosts[place]!));
+}
+
+type Course = {name: string; play: (fleet: Fleet, traffic: Traffic) => Promise<void>};
+
+const courses: Course[] = [
+	{
+		name: 'that all start while the service fails',
+		async play(fleet, traffic) {
+			traffic.pass(returnAfterMs);
+			traffic.comeBack(fleet.hosts);
+			traffic.pass(windowMs);
+		},
+	},
+	{
+		name: 'of which half are killed at one moment and started again',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			traffic.pass(3 * msPerSecond);
+			const killed = fleet.hosts.filter((_, i) => i % 9 < 5);
+			for (const host of killed) {
+				fleet.kill(host);
+			}
+
+			traffic.pass(2 * msPerSecond);
+			await replace(fleet, traffic, killed);
+			traffic.pass(windowMs);
+		},
+	},
+	{
+		name: 'that are all killed and started again',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			traffic.pass(3 * msPerSecond);
+			await replace(fleet, traffic, [...fleet.hosts]);
+			traffic.pass(windowMs);
+		},
+	},
+	{
+		name: 'that are replaced one after the other',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			const atOnce = Math.ceil(fleet.hosts.length / 10);
+			for (let from = 0; from < fleet.hosts.length; from += atOnce) {
+				await replace(fleet, traffic, fleet.hosts.slice(from, from + atOnce));
+			}
+
+			traffic.pass(windowMs);
+		},
+	},
+	{
+		name: 'of which some hear the others only seconds after their start',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			const isLate = (_: Host, i: number) => i % 3 !== 0;
+			for (const host of fleet.hosts.filter((host, i) => isLate(host, i))) {
+				await fleet.restart(host);
+				fleet.cut(host);
+			}
+
+			fleet.pass(windowMs);
+			fleet.heal();
+			traffic.pass(returnAfterMs);
+			traffic.comeBack(fleet.hosts.filter((host, i) => isLate(host, i)));
+			traffic.pass(windowMs);
+		},
+	},
+	{
+		name: 'of which a zone is cut off for some seconds',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			traffic.pass(2 * msPerSecond);
+			for (const host of fleet.hosts.filter(({zone}) => zone === 'a')) {
+				fleet.cut(host);
+			}
+
+			traffic.pass(8 * msPerSecond);
+			fleet.heal();
+			traffic.pass(windowMs);
+		},
+	},
+];
+
+describe('retries of all hosts together', () => {
+	for (const [hosts, retrySlack] of [[7, 54], [74, 188], [195, 430]] as const) {
+		for (const {name, play} of courses) {
+			for (const failShare of hosts > 100 ? [1] : [1, 0.4]) {
+				it(`stay within the ratio and the slack at ${hosts} hosts ${name}, ${failShare} of the calls failing`, async () => {
+					const fleet = await startHosts(hosts);
+					const traffic = createTraffic(fleet, {retryRatio: 0.2, retrySlack}, failShare);
+					await play(fleet, traffic);
+					assert.ok(traffic.toMostOver() <= 0, `${traffic.toMostOver()} too many`);
+					assert.ok(traffic.sent() >= hosts, `${traffic.sent()} by ${hosts} hosts: too careful`);
+				});
+			}
+		}
+	}
+});
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -60,13 +60,13 @@
  * The ratio needs no agreement: each host's part is its ratio of its own
  * requests, and the parts add up whatever hosts come, go or are cut off. What it
  * may make ahead of that is its part of the slack among the hosts that it knows,
- * and one while it has heard nobody: hundreds that start at one moment would
- * each take the part of one among twenty. A call that a server refused counts like
+ * and one while it may not know most of them: hundreds that start at one moment
+ * would each take the part of one among twenty. A call that a server refused counts like
  * any other; one that reached none costs nothing there, and the tries of each
  * request bound it.
  *
  * @param settings - What all hosts may make.
- * @param toHosts - Hosts that are known to live, with this one; `undefined` while none was heard that should be.
+ * @param toHosts - Hosts that are known to live, with this one; `undefined` while that is not clear.
  * @returns The bounds of this host's budget.
  */
 export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>, toHosts: () => number | undefined): RetryBudgetOptions {
@@ -133,7 +133,7 @@
 			retryBudget: 0,
 		},
 		join,
-		retryBudget: toRetryPart(settings, loadSharing === undefined ? () => 1 : loadSharing.countHosts),
+		retryBudget: toRetryPart(settings, loadSharing === undefined ? () => 1 : loadSharing.countSharers),
 		serverIdleMs: settings.serverIdle,
 		health: relayHealth,
 		createEngine: createNoEngine,
