Notice when hosts spend the whole ratio, or take refused calls for cheap

Two safeguards of the hosts' part of the retries could be taken out without a case that failed: the fifth of the ratio that is left unused, and that a call which a server refused costs as much as any other.

--- a/src/programs/relay/start-relay/test.ts
+++ b/src/programs/relay/start-relay/test.ts
@@ -65,6 +65,29 @@
 		});
 	}
 
+	/* Guards against hosts that spend all of the ratio, though the service counts a request in another window than they do. */
+	it('leaves a fifth of the ratio unused', () => {
+		const budget = createRetryBudget(toRetryPart({retryRatio: 0.2, retrySlack: 40}, () => 20));
+		const requests = 1000;
+		let retries = 0;
+		for (let i = 0; i < requests; i++) {
+			budget.noteSuccess(i);
+			retries += budget.takeRetry(failed, i, () => 0).kind === 'retry' ? 1 : 0;
+		}
+
+		const part = 2;
+		assert.ok(retries <= part + (requests * 0.2 * 0.8), `${retries} retries`);
+		assert.ok(retries >= requests * 0.2 * 0.8, `${retries} retries: too careful`);
+	});
+
+	/* Guards against refused calls that cost less than they are: the service counts each call that reaches it. */
+	it('takes as much for a call that a server refused as for one that broke', () => {
+		const budget = createRetryBudget(toRetryPart({retryRatio: 0, retrySlack: 100}, () => 20));
+		const refused: FailedAttempt = {...failed, outcome: 'not-run'};
+		const kinds = Array.from({length: 7}, (_, i) => budget.takeRetry(i % 2 === 0 ? refused : failed, 0, () => 0).kind);
+		assert.deepEqual(kinds, ['retry', 'retry', 'retry', 'retry', 'retry', 'give-up', 'give-up']);
+	});
+
 	it('takes nothing for a call that reached no server', () => {
 		const budget = createRetryBudget(toRetryPart({retryRatio: 0, retrySlack: 0}, () => 0));
 		const unreached: FailedAttempt = {...failed, bytesOffered: 0, outcome: 'not-run'};
