Give the hosts' part of the retries a folder of its own, and test the budget's edges

toRetryPart decides and needs nothing of a program, so it moves to the domain with its tests. One condition did nothing: work that may have run was offered, so bytesOffered adds nothing to 'may-have-run'.

--- a/src/domain/compare-eras/index.ts
+++ b/src/domain/compare-eras/index.ts
@@ -20,5 +20,6 @@
 		return 'same';
 	}
 
+	// Stryker disable next-line EqualityOperator: equal eras have returned above
 	return known === undefined || answered > known ? 'newer' : 'older';
 }
--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -165,7 +165,7 @@
 	}
 
 	// Work that may run once only must not be offered again while its fate is open: it would be billed, or delivered, twice.
-	return failed.outcome === 'may-have-run' && failed.bytesOffered > 0 && !failed.repeatable ? 'not-repeatable' : undefined;
+	return failed.outcome === 'may-have-run' && !failed.repeatable ? 'not-repeatable' : undefined;
 }
 
 function findFailedZones(tried: FailedAttempt['tried']): ZoneId[] {
--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -47,6 +47,37 @@
 		});
 	});
 
+	it('leaves no zone in which one attempt failed', () => {
+		const tried = [{server: 's1', zone: 'z1'}, {server: 's2', zone: 'z2'}, {server: 's3', zone: 'z2'}];
+		const answer = createRetryBudget({maxAttempts: 4}).takeRetry(failure({attempt: 3, tried}), 0, half);
+		assert.deepEqual(answer.kind === 'retry' && answer.avoidZones, ['z2']);
+	});
+
+	it('gives up for want of budget, and saves up by time and by success', () => {
+		const budget = createRetryBudget({capacity: 2, perSecond: 0.5, perSuccess: 0.25});
+		assert.equal(budget.available(0), 2);
+		assert.equal(budget.takeRetry(failure({deadline: 1e9}), 0, half).kind, 'retry');
+		assert.equal(budget.takeRetry(failure({deadline: 1e9}), 0, half).kind, 'retry');
+		assert.deepEqual(budget.takeRetry(failure({deadline: 1e9}), 0, half), {kind: 'give-up', reason: 'budget'});
+		assert.equal(budget.available(1000), 0.5);
+		budget.noteSuccess(1000);
+		assert.equal(budget.available(1000), 0.75);
+		assert.equal(budget.available(1500), 1);
+		assert.equal(budget.findNoRetry(failure({deadline: 1e9}), 1500), undefined);
+		assert.equal(budget.available(60_000), 2);
+	});
+
+	for (const {name, options, cost} of [
+		{name: 'as much as other work that did not start', options: {notRunCost: 0.5}, cost: 0.5},
+		{name: 'its own cost', options: {notRunCost: 0.5, notOfferedCost: 0}, cost: 0},
+	]) {
+		it(`takes ${name} for a call of which nothing was offered`, () => {
+			const budget = createRetryBudget(options);
+			const answer = budget.takeRetry(failure({bytesOffered: 0, outcome: 'not-run'}), 0, half);
+			assert.equal(answer.kind === 'retry' && answer.cost, cost);
+		});
+	}
+
 	it('stops a storm: when everything fails, retries are few however many requests fail', () => {
 		const budget = createRetryBudget({capacity: 10, perSecond: 1});
 		let retries = 0;
--- a/src/programs/relay/start-relay/test.ts
+++ b/src/domain/to-retry-part/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {createRetryBudget, type FailedAttempt} from '../../../domain/create-retry-budget/index.js';
+import {createRetryBudget, type FailedAttempt} from '../create-retry-budget/index.js';
 import {toRetryPart} from './index.js';
 
 const failed: FailedAttempt = {
--- a/src/programs/relay/share-loads/retries.test.ts
+++ b/src/programs/relay/share-loads/retries.test.ts
@@ -7,9 +7,9 @@
 import {describe, it} from 'node:test';
 import {createRandom} from '../../../domain/_test/create-random.js';
 import {createRetryBudget, type FailedAttempt, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
+import {toRetryPart} from '../../../domain/to-retry-part/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {msPerSecond} from '../../../ports/units.js';
-import {toRetryPart} from '../start-relay/index.js';
 import {startHosts, stepMs, type Host} from './_test/start-hosts.js';
 
 const windowMs: Milliseconds = 10 * msPerSecond;
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -5,8 +5,8 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
-import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
+import {toRetryPart} from '../../../domain/to-retry-part/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type PublishedSource} from '../../../ports/published.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -48,38 +48,6 @@
 /** Left of the stop's limit for closing and for the last lines of the log. */
 const closeMarginMs: Milliseconds = 500;
 
-/** Hosts among which the retries on top of the ratio are shared at least; a host may not know of all others. */
-const assumedHosts = 20;
-
-/** Part of the ratio that is used: what one host counts as a request another may count a moment later. */
-const ratioMargin = 0.8;
-
-/**
- * Works out a host's part of the retries that all hosts together may make.
- *
- * The ratio needs no agreement: each host's part is its ratio of its own
- * requests, and the parts add up whatever hosts come, go or are cut off. What it
- * may make ahead of that is its part of the slack among the hosts that it knows,
- * and one while it may not know most of them: hundreds that start at one moment
- * would each take the part of one among twenty. A call that a server refused counts like
- * any other; one that reached none costs nothing there, and the tries of each
- * request bound it.
- *
- * @param settings - What all hosts may make.
- * @param toHosts - Hosts that are known to live, with this one; `undefined` while that is not clear.
- * @returns The bounds of this host's budget.
- */
-export function toRetryPart({retryRatio, retrySlack}: Pick<RelaySettings, 'retryRatio' | 'retrySlack'>, toHosts: () => number | undefined): RetryBudgetOptions {
-	function toCapacity(): number {
-		const hosts = toHosts();
-		return hosts === undefined ? 1 : Math.max(1, Math.floor(retrySlack / Math.max(assumedHosts, hosts)));
-	}
-
-	return {
-		perSuccess: retryRatio * ratioMargin, perSecond: 0, toCapacity, notRunCost: 1, notOfferedCost: 0,
-	};
-}
-
 function toPort(address: string): number {
 	return Number(address.slice(address.lastIndexOf(':') + 1));
 }
