--- /dev/null
+++ b/scripts/_mutation/modules.ts
@@ -0,0 +1,47 @@
+/** Modules whose tests are tried with mutants, worst first, and the tests that are to notice them. */
+
+export type MutatedModule = {
+	name: string;
+	/** Sources that are mutated, as globs. */
+	sources: readonly string[];
+	/** Test files, from the root of the sources. */
+	tests: readonly string[];
+};
+
+const toDomainModule = (name: string, otherTests: readonly string[] = []): MutatedModule => ({
+	name,
+	sources: [`src/domain/${name}/**/*.ts`, `!src/domain/${name}/**/*test.ts`, `!src/domain/${name}/**/_test/**`, `!src/domain/${name}/**/types.ts`],
+	tests: [`src/domain/${name}/test.ts`, ...otherTests],
+});
+
+const followTests = ['test.ts', 'pace.test.ts', 'model.test.ts'].map(file => `src/programs/entry/follow-published/${file}`);
+
+/** Each with its own tests, and with those that play it together with what stands around it. */
+export const mutatedModules: readonly MutatedModule[] = [
+	toDomainModule('create-retry-budget'),
+	toDomainModule('to-retry-part'),
+	toDomainModule('create-published-fleet', followTests),
+	toDomainModule('create-leave-hold'),
+	toDomainModule('compare-eras'),
+	{
+		name: 'follow-published',
+		sources: ['src/programs/entry/follow-published/index.ts'],
+		tests: followTests,
+	},
+	toDomainModule('create-crash-suspects', ['src/programs/relay/share-loads/crashes.test.ts']),
+	toDomainModule('create-server-health'),
+	toDomainModule('create-peer-list', ['fleet.test.ts', 'retries.test.ts'].map(file => `src/programs/relay/share-loads/${file}`)),
+	{
+		name: 'share-loads',
+		sources: ['src/programs/relay/share-loads/index.ts'],
+		tests: ['test.ts', 'crashes.test.ts', 'fleet.test.ts', 'retries.test.ts'].map(file => `src/programs/relay/share-loads/${file}`),
+	},
+	toDomainModule('create-split-estimate'),
+	toDomainModule('is-order-allowed'),
+	toDomainModule('to-orders'),
+	toDomainModule('claim-key', ['src/domain/claim-key/model.test.ts']),
+	toDomainModule('create-claim-witness'),
+	toDomainModule('create-admission', ['src/domain/create-admission/shared-memory.test.ts']),
+	toDomainModule('create-fair-queue'),
+	toDomainModule('create-transfer-limits'),
+];
--- /dev/null
+++ b/scripts/_mutation/to-mutation-table.ts
@@ -0,0 +1,47 @@
+/** The page that shows, for each module, how many of its mutants the tests notice. */
+import {msPerMinute} from '../../src/ports/units.js';
+import {type Milliseconds} from '../../src/ports/clock.js';
+
+export type MutantStatus = 'Killed' | 'Survived' | 'NoCoverage' | 'CompileError' | 'RuntimeError' | 'Timeout' | 'Ignored' | 'Pending';
+
+export type MutationRun = {
+	module: string;
+	mutants: ReadonlyArray<{status: MutantStatus; statusReason?: string | undefined}>;
+	tookMs: Milliseconds;
+};
+
+const head = [
+	'# Mutants that the tests notice',
+	'',
+	'Written by `npm run mutate -- MODULE...`, which changes a module in one small place at a time and runs its tests. A mutant is noticed when a test fails or hangs; one that stands is a missing test, code that does nothing, or the same program written otherwise. Those left out have their reason in the code.',
+	'',
+	'| module | mutants | noticed | stand | not reached by a test | left out | noticed, % | minutes |',
+	'|---|---|---|---|---|---|---|---|',
+];
+
+function toRow({module, mutants, tookMs}: MutationRun): string {
+	const count = (...statuses: MutantStatus[]): number => mutants.filter(({status}) => statuses.includes(status)).length;
+	const noticed = count('Killed', 'Timeout');
+	const survived = count('Survived');
+	const unreached = count('NoCoverage');
+	const valid = noticed + survived + unreached;
+	const share = valid === 0 ? '-' : (100 * noticed / valid).toFixed(1);
+	return `| \`${module}\` | ${valid} | ${noticed} | ${survived} | ${unreached} | ${count('Ignored')} | ${share} | ${(tookMs / msPerMinute).toFixed(1)} |`;
+}
+
+const toModule = (row: string): string => /^\| `([^`]+)`/v.exec(row)?.[1] ?? '';
+
+/**
+ * Writes the page anew with the results of a run.
+ *
+ * @param page - The page as it is; empty before the first run.
+ * @param runs - What was tried now; rows of other modules stay as they are.
+ * @param order - Names of all modules, in the order of the rows.
+ * @returns The page.
+ */
+export function toMutationTable(page: string, runs: readonly MutationRun[], order: readonly string[]): string {
+	const kept = page.split('\n').filter(line => toModule(line) !== '').map((row): [string, string] => [toModule(row), row]);
+	const rows = new Map([...kept, ...runs.map((run): [string, string] => [run.module, toRow(run)])]);
+	const ordered = order.map(name => rows.get(name)).filter(row => row !== undefined);
+	return `${[...head, ...ordered].join('\n')}\n`;
+}
