Notice what mutants of the leave hold and the retry budget showed

Rows for the minute in which a hold goes on with its delay, a second refusal, a server that says twice that it leaves or is refused late, one that was not reached, and one that is polled no more. isActive could only be read where it was false, and is gone.

--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -30,11 +30,11 @@
 	},
 	toDomainModule('create-crash-suspects', ['src/programs/relay/share-loads/crashes.test.ts']),
 	toDomainModule('create-server-health'),
-	toDomainModule('create-peer-list', ['fleet.test.ts', 'retries.test.ts'].map(file => `src/programs/relay/share-loads/${file}`)),
+	toDomainModule('create-peer-list'),
 	{
 		name: 'share-loads',
 		sources: ['src/programs/relay/share-loads/index.ts'],
-		tests: ['test.ts', 'crashes.test.ts', 'fleet.test.ts', 'retries.test.ts'].map(file => `src/programs/relay/share-loads/${file}`),
+		tests: ['test.ts', 'crashes.test.ts', 'fleet.test.ts'].map(file => `src/programs/relay/share-loads/${file}`),
 	},
 	toDomainModule('create-split-estimate'),
 	toDomainModule('is-order-allowed'),
--- a/src/domain/create-leave-hold/index.ts
+++ b/src/domain/create-leave-hold/index.ts
@@ -42,8 +42,6 @@
 	probeAt: Milliseconds;
 	/** Probes refused, and holds that began again soon after a probe was accepted. */
 	failures: number;
-	/** Whether a report of this host's was judged by it. */
-	isActive: boolean;
 	/** Whether the server said so itself, or the list, since; the end of that ends the hold. */
 	saidItself: boolean;
 	listed: boolean;
@@ -89,7 +87,7 @@
 		const last = ended.get(server);
 		const failures = last !== undefined && now - last.at < memoryMs ? last.failures + 1 : 0;
 		const hold = {
-			probeAt: now + toDelay(failures), failures, isActive: false, saidItself: false, listed: false,
+			probeAt: now + toDelay(failures), failures, saidItself: false, listed: false,
 		};
 		holds.set(server, hold);
 		return hold;
@@ -100,7 +98,7 @@
 		const isFirst = !polled.has(server);
 		polled.add(server);
 		const hold = holds.get(server);
-		if (hold !== undefined && isFirst && !hold.isActive && !wasLeaving) {
+		if (hold !== undefined && isFirst && !wasLeaving) {
 			holds.delete(server);
 			return undefined;
 		}
@@ -121,7 +119,6 @@
 				return load;
 			}
 
-			hold.isActive = true;
 			const isListed = context.isListedLeaving();
 			const isOver = (hold.saidItself && load.state === 'serving') || (hold.listed && !isListed);
 			if (isOver) {
--- a/src/domain/create-leave-hold/test.ts
+++ b/src/domain/create-leave-hold/test.ts
@@ -42,6 +42,18 @@
 		[0, free], [1, refused], [2, {kind: 'report', state: 'leaving', gives: 'leaving'}], [3, free], [4, refused], [9, {kind: 'probe', accepted: true}],
 	]],
 	['ends it when the list had it as leaving and then as serving', [[0, free], [1, refused], [2, {kind: 'report', listed: true, gives: 'leaving'}], [20, {kind: 'no-probe'}], [21, free]]],
+	['probes with the first delay a server that refuses a minute after it accepted a probe', [
+		[100, free], [101, refused], [102, held], [106, {kind: 'probe', accepted: true}], [166, refused], [170, {kind: 'no-probe'}], [171, {kind: 'probe', accepted: true}],
+	]],
+	['goes on with the delay just before that', [
+		[100, free], [101, refused], [102, held], [106, {kind: 'probe', accepted: true}], [165, refused], [170, {kind: 'no-probe'}], [175, {kind: 'probe', accepted: true}],
+	]],
+	['does not put the probe off when others are refused too', [[0, free], [1, refused], [2, held], [4, refused], [6, {kind: 'probe', accepted: true}]]],
+	['believes a server that says it leaves, is late to refuse, and serves again', [[0, free], [1, {kind: 'report', state: 'leaving', gives: 'leaving'}], [2, refused], [3, free]]],
+	['believes it after it has said so twice as well', [
+		[0, free], [1, refused], [2, {kind: 'report', state: 'leaving', gives: 'leaving'}], [3, {kind: 'report', state: 'leaving', gives: 'leaving'}], [4, refused], [5, free],
+	]],
+	['lets a server pass that was not reached and that nobody contradicts', [[0, free], [1, {kind: 'lost'}], [2, free]]],
 	['probes at once a server that was not reached meanwhile', [[0, free], [1, refused], [2, held], [3, {kind: 'lost'}], [4, {kind: 'probe', accepted: true}], [5, free]]],
 	['lets a server load weights', [[0, free], [1, refused], [2, {kind: 'report', state: 'loading', gives: 'loading'}], [3, held]]],
 	['takes a hold over from the host that polled before', [
@@ -93,4 +105,16 @@
 			}
 		});
 	}
+
+	it('knows nothing of a server that it no longer polls, nor heeds a probe that ends then', () => {
+		const context: JudgeContext = {wasLeaving: true, stateBefore: 'serving', isListedLeaving: () => false};
+		const hold = createLeaveHold();
+		hold.judge(load, 0, context);
+		hold.noteRefusal(server, 1000);
+		assert.ok(hold.takeProbe(server, 6000));
+		hold.forget(server);
+		hold.noteProbe(server, false, 6100);
+		assert.ok(!hold.takeProbe(server, 60_000));
+		assert.equal(hold.judge(load, 61_000, context).state, 'serving');
+	});
 });
--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -78,6 +78,11 @@
 		});
 	}
 
+	it('takes the cost of work that did not start for a call that a server refused', () => {
+		const answer = createRetryBudget({notRunCost: 0.5, notOfferedCost: 0}).takeRetry(failure({outcome: 'not-run'}), 0, half);
+		assert.equal(answer.kind === 'retry' && answer.cost, 0.5);
+	});
+
 	it('stops a storm: when everything fails, retries are few however many requests fail', () => {
 		const budget = createRetryBudget({capacity: 10, perSecond: 1});
 		let retries = 0;
