--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -127,6 +127,47 @@
 		assert.ok(count[0]! > 140 && count[1]! > 100, `${count.join(' ')}`);
 	});
 
+	/* Guards against hosts that take too small a part of what all share for good, once many have left. */
+	it('forgets hosts that stay away, one in a hundred a second', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		hear(peers, 200, () => 'a');
+		for (let now = 0; now < 400_000; now += 1000) {
+			peers.noteHeard({address: toAddress(0), zone: 'a'}, now);
+			peers.near(now);
+		}
+
+		assert.ok(peers.count()! < 10, `${peers.count()} counted`);
+	});
+
+	it('tells a new host of a small fleet at once', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		peers.noteHeard({address: toAddress(0), zone: 'a'}, 0);
+		assert.deepEqual(peers.near(0), [toAddress(0)]);
+		peers.noteHeard({address: toAddress(1), zone: 'b'}, 100);
+		assert.deepEqual(peers.near(100), [toAddress(0), toAddress(1)]);
+	});
+
+	/* Guards against hosts that are never named, so that those which just started don't hear of them. */
+	it('names all that it hears in a small fleet, and all in turn in a large one, eight at a time', () => {
+		const few = createPeerList({self, zone: 'a', seeds: []});
+		hear(few, 8, () => 'b');
+		assert.deepEqual(few.toName(1), Array.from({length: 8}, (_, i) => ({address: toAddress(i), zone: 'b'})));
+		assert.deepEqual(few.toName(1), few.toName(2));
+		const many = createPeerList({self, zone: 'a', seeds: []});
+		hear(many, 20, () => 'b');
+		const rounds = [many.toName(1), many.toName(1), many.toName(1)];
+		assert.deepEqual(rounds.map(({length}) => length), [8, 8, 8]);
+		assert.equal(new Set(rounds.flat().map(({address}) => address)).size, 20);
+	});
+
+	it('names nobody that it does not hear, or whose word is old', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		peers.noteHeard({address: toAddress(0), zone: 'b'}, 0);
+		peers.noteHeard({address: toAddress(1), zone: 'b'}, 1000);
+		peers.noteNamed([{address: toAddress(2), zone: 'b'}], 3000);
+		assert.deepEqual(peers.toName(3001).map(({address}) => address), [toAddress(1)]);
+	});
+
 	it('keeps a bounded number of hosts, whatever it is told', () => {
 		const peers = createPeerList({self, zone: 'a', seeds: []});
 		peers.noteNamed(Array.from({length: 5000}, (_, i) => ({address: toAddress(i), zone: `z${i}`})), 0);
