--- a/src/programs/entry/follow-published/model.test.ts
+++ b/src/programs/entry/follow-published/model.test.ts
@@ -97,7 +97,11 @@
 				afterMs: 1732, trouble: {
 					kind: 'outage', path: 'refusing', forMs: 1201, backMs: 0, lapses: false,
 				},
-			}, {afterMs: 2950, trouble: toReset({path: 'silent', copyAgeMs: 100, rewriteMs: [351, 351, 351], isLate: true})}],
+			}, {
+				afterMs: 2950, trouble: toReset({
+					path: 'silent', copyAgeMs: 100, rewriteMs: [351, 351, 351], isLate: true,
+				}),
+			}],
 		},
 		{
 			name: 'leaves a server alone that is gone and listed by the copy', judge: findBack, host: {chance: 0.5, actWithinMs: 2000}, steps: [{afterMs: 1500, trouble: {kind: 'leave'}}, {afterMs: 2500, trouble: toReset({forMs: 300, copyAgeMs: 2000, rewriteMs: [0, 0, 1900]})}],
