Stay settled from when hosts knew each other, not from when somebody asked

A host that had nothing to send again until a further host turned up counted as one that had just started, for three seconds.

--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -142,6 +142,11 @@
 	let grewAt = Infinity;
 	let isSettled = false;
 
+	function hasSettled(now: Milliseconds): boolean {
+		isSettled ||= now - grewAt >= settleMs;
+		return isSettled;
+	}
+
 	function dropSilent(now: Milliseconds): void {
 		for (const [address, {knownAt}] of known) {
 			if (now - knownAt > knownForMs) {
@@ -159,7 +164,7 @@
 
 		known.set(address, entry);
 		mostKnown = Math.max(mostKnown, known.size);
-		if (isNew) {
+		if (isNew && !hasSettled(entry.knownAt)) {
 			grewAt = entry.knownAt;
 		}
 
@@ -244,10 +249,7 @@
 			return addresses;
 		},
 		count: () => mostKnown === 0 ? undefined : Math.round(mostKnown) + 1,
-		isSettled(now) {
-			isSettled ||= now - grewAt >= settleMs;
-			return isSettled;
-		},
+		isSettled: hasSettled,
 		toName(now) {
 			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
 			firstNamed = heard.length <= namedPeers ? 0 : (firstNamed + namedPeers) % heard.length;
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -187,4 +187,11 @@
 		peers.noteNamed([{address: 'd:1', zone: 'b'}], 65_100);
 		assert.equal(peers.isSettled(65_200), true);
 	});
+
+	it('stays settled though nobody asked before a further host turned up', () => {
+		const peers = createPeerList({self: 'a:1', zone: 'a', seeds: []});
+		peers.noteHeard({address: 'b:1', zone: 'a'}, 0);
+		peers.noteHeard({address: 'c:1', zone: 'a'}, 3000);
+		assert.equal(peers.isSettled(3001), true);
+	});
 });
