Compute a prompt anew apart from the run where the budget holds the call

Cause: made each further attempt one call, whose prompt the decode server reads, slower and between the tokens of its streams.

Change: the attempt is charged for the call that computes the prompt as well, and makes it where the budget holds it; one call else. What servers get and what is charged stay equal: retry-calls has both ways, 11 of 11 pass.

--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -70,6 +70,8 @@
 	findNoRetry: (failed: FailedAttempt, now: Milliseconds) => NoRetryReason | undefined;
 	/** Decides, and spends from the budget when the answer is `retry`. */
 	takeRetry: (failed: FailedAttempt, now: Milliseconds, random: Random) => RetryAnswer;
+	/** Spends one more, for a further call of an attempt that was granted, where the bucket holds it; tells whether it did. */
+	takeAnother: (now: Milliseconds) => boolean;
 	/** Retries that the bucket holds. */
 	available: (now: Milliseconds) => number;
 	/** Retries that the bucket holds when it is full. */
@@ -150,6 +152,12 @@
 				avoidZones: findFailedZones(failed.tried),
 			};
 		},
+		takeAnother(now) {
+			fill(now);
+			const isHeld = toCapacity() - owed >= 1;
+			owed += isHeld ? 1 : 0;
+			return isHeld;
+		},
 		available(now) {
 			fill(now);
 			return Math.max(0, toCapacity() - owed);
--- a/src/programs/entry/call-pair/_lib/reserve-place.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-place.ts
@@ -46,8 +46,7 @@
 		class: run.route.rule.then.class,
 		firstTokenBudgetMs: run.deadline - now,
 		exclude,
-		// A prompt computed again by a server of its own is a call more, and the budget pays for one.
-		isOneCall: run.sent > 0,
+		isOneCall: run.isOneCall,
 	}, services.toView()!, now, services.random);
 }
 
--- a/src/programs/entry/call-plain/_lib/decide-again.ts
+++ b/src/programs/entry/call-plain/_lib/decide-again.ts
@@ -90,15 +90,32 @@
 	});
 	const budget = services.toRetryBudget(run.route.pool.name);
 	const answer = budget.takeRetry(failed, services.clock.now(), services.random);
-	noteDecision(run, answer, budget);
+	const calls = answer.kind === 'retry' && hasRun ? payForPrompt(run, budget) : 0;
+	noteDecision(run, answer, budget, calls);
 	return answer;
 }
 
+/**
+ * Servers count a prompt that is computed again as a call, beside the run itself.
+ * Where the budget holds no more, the decode server computes it: slower, and
+ * between the tokens of others.
+ *
+ * @returns What it cost.
+ */
+function payForPrompt(run: PlainRun, budget: RetryBudget): number {
+	if (run.route.pool.kind !== 'model' || run.serve.calls.caches === undefined) {
+		return 0;
+	}
+
+	run.isOneCall = !budget.takeAnother(run.serve.services.clock.now());
+	return run.isOneCall ? 0 : 1;
+}
+
 /** What was decided, and by which state of the budget, of which each host has its own part. */
-function noteDecision({serve, route, log, tried}: PlainRun, answer: RetryAnswer, budget: RetryBudget): void {
+function noteDecision({serve, route, log, tried}: PlainRun, answer: RetryAnswer, budget: RetryBudget, promptCost: number): void {
 	const {clock, tally} = serve.services;
 	const decision = answer.kind === 'retry' ? 'granted' : answer.reason;
-	const cost = answer.kind === 'retry' ? answer.cost : 0;
+	const cost = promptCost + (answer.kind === 'retry' ? answer.cost : 0);
 	tally.retryDecided(decision, cost);
 	log.info('retry decided', {
 		attempt: tried.length, pool: route.pool.name, reason: decision, cost, available: toHundredths(budget.available(clock.now())), limit: budget.capacity(),
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -39,6 +39,8 @@
 	tried: Array<FailedAttempt['tried'][number]>;
 	/** Servers to which the request itself was sent so far. */
 	sent: number;
+	/** The next attempt is to be one call, as the budget held no more; its decode server computes the prompt. */
+	isOneCall: boolean;
 	/** Times that it found every server full. */
 	bounces: number;
 	/** When the first byte of an answer came, monotonic. */
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -248,7 +248,7 @@
 	});
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent' | 'bounces'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent' | 'isOneCall' | 'bounces'>): Promise<KeyedVerdict> {
 	const {
 		exchange, route, serve, account, deadline, fingerprint,
 	} = input;
@@ -262,7 +262,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0, bounces: 0,
+			...input, log: serve.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0, isOneCall: false, bounces: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
--- a/test/failures/retry-calls.test.ts
+++ b/test/failures/retry-calls.test.ts
@@ -16,6 +16,7 @@
 	misdeeds: Partial<Record<'desk1' | 'prefill1' | 'decode1', Misdeed[]>>;
 	/** Calls beyond the first that the servers get. */
 	extra: number;
+	retrySlack?: number;
 };
 
 const stream: Asked = {path: '/notice/1', body: 'a notice', headers: toStreamHeaders()};
@@ -38,16 +39,22 @@
 		name: 'a computed prompt is lost', asked: stream, misdeeds: {prefill1: ['reset']}, extra: 1,
 	},
 	{
-		name: 'a run is refused', asked: stream, misdeeds: {decode1: ['refuse']}, extra: 1,
+		name: 'a run is refused, and its prompt computed anew', asked: stream, misdeeds: {decode1: ['refuse']}, extra: 2,
 	},
 	{
-		name: 'a run breaks before its answer', asked: stream, misdeeds: {decode1: ['reset']}, extra: 1,
+		name: 'a run breaks before its answer, and its prompt is computed anew', asked: stream, misdeeds: {decode1: ['reset']}, extra: 2,
 	},
 	{
-		name: 'a stream breaks and goes on elsewhere', asked: stream, misdeeds: {decode1: ['cut-stream']}, extra: 1,
+		name: 'a stream breaks and goes on elsewhere, with its prompt computed anew', asked: stream, misdeeds: {decode1: ['cut-stream']}, extra: 2,
 	},
 	{
-		name: 'a prompt is refused, then a run', asked: stream, misdeeds: {prefill1: ['refuse'], decode1: ['refuse']}, extra: 2,
+		name: 'a prompt is refused, then a run', asked: stream, misdeeds: {prefill1: ['refuse'], decode1: ['refuse']}, extra: 3,
+	},
+	{
+		name: 'a run is refused, and the budget holds one call', asked: stream, misdeeds: {decode1: ['refuse']}, extra: 1, retrySlack: 20,
+	},
+	{
+		name: 'a stream breaks, and the budget holds one call', asked: stream, misdeeds: {decode1: ['cut-stream']}, extra: 1, retrySlack: 20,
 	},
 ];
 
@@ -65,9 +72,9 @@
 describe('relay: a further attempt is charged for each call that servers get', () => {
 	afterEach(async () => fixture.stop());
 
-	for (const {name, asked, misdeeds, extra} of cases) {
+	for (const {name, asked, misdeeds, extra, retrySlack = 400} of cases) {
 		it(`when ${name}`, async () => {
-			fixture = await startRelayFixture();
+			fixture = await startRelayFixture({retrySlack});
 			for (const [server, list] of Object.entries(misdeeds)) {
 				fixture.servers[server as 'desk1'].misbehave(...list);
 			}
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -145,6 +145,8 @@
 export type RelayFixtureOptions = Partial<ServerStandInOptions> & {
 	/** Hosts, which hear each other where there are several. */
 	hosts?: number;
+	/** Retries on top of the ratio that all hosts together may make; each takes a twentieth. */
+	retrySlack?: number;
 };
 
 /**
@@ -173,14 +175,15 @@
 	/** `IP:port` for other hosts, and where some of them are. */
 	peerAddress: string | undefined;
 	seeds: readonly string[];
+	retrySlack: number;
 };
 
-async function startHost({name, store, collected, peerAddress, seeds}: HostOptions) {
+async function startHost({name, store, collected, peerAddress, seeds, retrySlack}: HostOptions) {
 	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
 	const settings = parseSettings(relaySettings, {
 		argv: [], env: {
 			BANYANPORT_HOST_ID: name, BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
-			BANYANPORT_RETRY_SLACK: '400',
+			BANYANPORT_RETRY_SLACK: String(retrySlack),
 			BANYANPORT_CONTROL_ADDRESS: '127.0.0.1:7990',
 			BANYANPORT_ORDERS_FROM: '127.0.0.1:7990',
 			...(peerAddress !== undefined && {BANYANPORT_PEER_ADDRESS: peerAddress, BANYANPORT_SEEDS: seeds.join(',')}),
@@ -207,7 +210,7 @@
 	return {relay, callerPort, operatorPort};
 }
 
-async function start({hosts: hostCount = 1, ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
+async function start({hosts: hostCount = 1, retrySlack = 400, ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
 	const store = await startStoreStandIn();
 	const caches = new Set<string>();
 	// The relay chooses freely among servers that do the same, so these share what they do wrong.
@@ -249,7 +252,7 @@
 
 	const peerAddresses = hostCount === 1 ? [] : await findPeerAddresses(hostCount);
 	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, i) => startHost({
-		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses,
+		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack,
 	})));
 	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
 	const ask = async (asked: Asked) => send(hosts[asked.at ?? 0]!.callerPort, asked);
