Strike a stream's fault only once there is a token for it

Cause: the engine stand-in. When a busy machine's tick made just the seven tokens ready that come before the fault, it sent those, counted the fault as struck, and repeated a line without tokens. The product had nothing to drop. The same holds for the fault of another attempt, whose line was empty then.

Ruled out: a chunk reader that drops without telling; its calls depend on the line alone, and the answer was whole.

Change: a fault waits for a token behind its place.

--- a/test/stand-ins/engine/_lib/write-tokens.ts
+++ b/test/stand-ins/engine/_lib/write-tokens.ts
@@ -120,7 +120,9 @@
 
 	const fault = faults.stream;
 	const atToken = fault?.atToken ?? 0;
-	if (fault === undefined || ready < atToken) {
+	// Without a token behind it, a fault would count as struck and send nothing wrong.
+	const isBeforeFault = ready <= atToken && ready < stream.maxTokens;
+	if (fault === undefined || isBeforeFault) {
 		writeRight(write, ready);
 		return;
 	}
