Keep what a pool has spent of its retries while a configuration leaves it out

What callers would see: with configurations in quick succession, one of which leaves a service out, every host has its whole part of that service's retries again as soon as the service is back, however much it has just made. A service that fails gets the slack of all hosts twice within the time over which it is counted.

Cause: budgets were dropped with the first configuration without their pool.

Evidence: `create-pool-budgets`, against the old behaviour moved into the module: 2 of 4 cases failed (keeps what a pool has spent; counts the time anew when it leaves again). All pass now.

--- /dev/null
+++ b/src/programs/entry/_lib/create-pool-budgets/test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {type FailedAttempt, type RetryBudget} from '../../../../domain/create-retry-budget/index.js';
+import {createPoolBudgets} from './index.js';
+
+const failed: FailedAttempt = {
+	repeatable: true, bytesOffered: 1, outcome: 'may-have-run', attempt: 1, maxAttempts: 2, deadline: Infinity, expectedMs: 0, tried: [],
+};
+const capacity = 5;
+
+function spend(budget: RetryBudget, now: number): number {
+	let granted = 0;
+	while (budget.takeRetry(failed, now, () => 0).kind === 'retry') {
+		granted++;
+	}
+
+	return granted;
+}
+
+describe('createPoolBudgets', () => {
+	it('keeps the budgets of two pools apart', () => {
+		const budgets = createPoolBudgets({capacity, perSecond: 0});
+		assert.equal(spend(budgets.toRetryBudget('letters'), 0), capacity);
+		assert.equal(spend(budgets.toRetryBudget('desk'), 0), capacity);
+		assert.equal(spend(budgets.toRetryBudget('letters'), 0), 0);
+	});
+
+	/* Guards against configurations in quick succession, one of them without a pool, that give every host its whole budget again. */
+	it('keeps what a pool has spent while a configuration leaves it out', () => {
+		const budgets = createPoolBudgets({capacity, perSecond: 0});
+		spend(budgets.toRetryBudget('letters'), 0);
+		budgets.notePools(new Set(['desk']), 100);
+		budgets.notePools(new Set(['desk', 'letters']), 2000);
+		assert.equal(spend(budgets.toRetryBudget('letters'), 2000), 0);
+	});
+
+	it('counts the time without a pool from when it left, however often other pools change', () => {
+		const budgets = createPoolBudgets({capacity, perSecond: 0});
+		spend(budgets.toRetryBudget('letters'), 0);
+		for (let now = 0; now <= 11 * 60_000; now += 60_000) {
+			budgets.notePools(new Set(['desk']), now);
+		}
+
+		assert.equal(spend(budgets.toRetryBudget('letters'), 11 * 60_000), capacity);
+	});
+
+	it('counts it anew when a pool leaves again', () => {
+		const budgets = createPoolBudgets({capacity, perSecond: 0});
+		spend(budgets.toRetryBudget('letters'), 0);
+		budgets.notePools(new Set(['desk']), 0);
+		budgets.notePools(new Set(['desk', 'letters']), 9 * 60_000);
+		budgets.notePools(new Set(['desk']), 9 * 60_000);
+		budgets.notePools(new Set(['desk']), 11 * 60_000);
+		assert.equal(spend(budgets.toRetryBudget('letters'), 11 * 60_000), 0);
+	});
+});
--- a/src/programs/entry/_lib/create-run-services.ts
+++ b/src/programs/entry/_lib/create-run-services.ts
@@ -4,7 +4,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {createAdmission} from '../../../domain/create-admission/index.js';
 import {createPlacement} from '../../../domain/create-placement/index.js';
-import {createRetryBudget, type RetryBudget, type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
+import {type RetryBudgetOptions} from '../../../domain/create-retry-budget/index.js';
 import {type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {createTransferLimits} from '../../../domain/create-transfer-limits/index.js';
@@ -19,6 +19,7 @@
 import {type Engines} from '../../_engines/index.js';
 import {createCancelQueue, type CancelQueueOptions} from '../cancel-queue/index.js';
 import {createGate} from '../gate/index.js';
+import {createPoolBudgets} from './create-pool-budgets/index.js';
 import {type createTally} from './tally.js';
 import {type RunServices} from './types.js';
 
@@ -41,25 +42,6 @@
 	reportLeaving: (server: ServerId) => void;
 };
 
-/** One budget for each pool, forgotten when the pool is no longer in the configuration. */
-function createRetryBudgets(options: RetryBudgetOptions) {
-	const budgets = new Map<string, RetryBudget>();
-	return {
-		toRetryBudget(pool: string): RetryBudget {
-			const budget = budgets.get(pool) ?? createRetryBudget(options);
-			budgets.set(pool, budget);
-			return budget;
-		},
-		keepOnly(pools: ReadonlySet<string>) {
-			for (const pool of budgets.keys()) {
-				if (!pools.has(pool)) {
-					budgets.delete(pool);
-				}
-			}
-		},
-	};
-}
-
 /** A cancel that could not be sent must not count as confirmed. */
 function toNoClient(server: ServerId): EngineFailure {
 	return {
@@ -77,7 +59,7 @@
 	const {
 		clock, random, host, zone, engines, counters, log, reservationTtlMs, toView, toOwner, reportLeaving,
 	} = options;
-	const budgets = createRetryBudgets(options.retryBudget);
+	const budgets = createPoolBudgets(options.retryBudget);
 	let lastConfig: Config | undefined;
 	let servers: ReadonlySet<ServerId> = new Set();
 
@@ -124,7 +106,7 @@
 			lastConfig = config;
 			servers = new Set(config.servers.map(server => server.id));
 			engines.keepOnly(servers);
-			budgets.keepOnly(new Set(config.pools.map(pool => pool.name)));
+			budgets.notePools(new Set(config.pools.map(pool => pool.name)), clock.now());
 		},
 	};
 }
