Let a process that just started make none of the retries' slack for a window

Each process had its part of the slack anew, one call at once and all of it as soon as it was settled, whatever the process before it had just made.

The older courses missed it as eight requests a host return after a start and raise the ratio's part.

Change: a process makes only what its own successes have paid for until the window over which the limit counts has passed since its start; then it has its whole part. So no window has the slack of two processes of one host in it, however often they start. The window is a setting (`--retry-window`, 10 s), and the platform's figure where it names one.

Why not another way: a part split in two, one for starts, halves it for all hosts at all times; a process can't know what the one before it spent, as all may be killed at once. Where the first requests come a window after the start, nothing changes.

A check was changed: the course in which all hosts start beside a service that fails ran for one window and asked for a retry a host. That can't be had, as such a start can't be told from a kill of all hosts; it runs for two windows now, so its bound is looked at over more windows. The fixture of relays stands for hosts that run for long, and sets the window to none; one more case of `retry-calls` has it.

--- a/src/domain/create-retry-budget/index.ts
+++ b/src/domain/create-retry-budget/index.ts
@@ -26,6 +26,8 @@
 	notRunCost?: number;
 	/** Cost of a retry after a call of which no byte was offered: no server saw it. */
 	notOfferedCost?: number;
+	/** Whether only what successes paid for may be spent, as what was saved up before may be spent already; never by default. */
+	isEarnedOnly?: (now: Milliseconds) => boolean;
 };
 
 export type FailedAttempt = {
@@ -91,18 +93,36 @@
  * }, 100, Math.random); // {kind: 'give-up', reason: 'not-repeatable'}
  */
 export function createRetryBudget(options: RetryBudgetOptions = {}): RetryBudget {
-	const {perSuccess = 0.1, perSecond = 0.5, capacity = 10, toCapacity = () => capacity, maxAttempts = 3, notRunCost = 0.25} = options;
+	const {perSuccess = 0.1, perSecond = 0.5, capacity = 10, toCapacity = () => capacity, maxAttempts = 3, notRunCost = 0.25, isEarnedOnly = () => false} = options;
 	const notOfferedCost = options.notOfferedCost ?? notRunCost;
 	/** Retries that were made and not paid for yet: the bucket is full without any, however large it is by then. */
 	let owed = 0;
+	/** What successes and time have paid for since the start, without what was spent of it. */
+	let earned = 0;
 	let filledAt: Milliseconds | undefined;
 
+	function earn(retries: number): void {
+		owed = Math.max(0, owed - retries);
+		earned = Math.min(toCapacity(), earned + retries);
+	}
+
+	function spend(cost: number): void {
+		owed += cost;
+		earned = Math.max(0, earned - cost);
+	}
+
 	function fill(now: Milliseconds): void {
 		const elapsedMs = Math.max(0, now - (filledAt ?? now));
-		owed = Math.max(0, owed - (elapsedMs * perSecond / msPerSecond));
+		earn(elapsedMs * perSecond / msPerSecond);
 		filledAt = now;
 	}
 
+	function toAvailable(now: Milliseconds): number {
+		fill(now);
+		const saved = toCapacity() - owed;
+		return isEarnedOnly(now) ? Math.min(saved, earned) : saved;
+	}
+
 	const toCost = (failed: FailedAttempt): number => {
 		if (failed.outcome !== 'not-run') {
 			return 1;
@@ -125,14 +145,13 @@
 			return 'deadline';
 		}
 
-		fill(now);
-		return toCapacity() - owed < toCost(failed) ? 'budget' : undefined;
+		return toAvailable(now) < toCost(failed) ? 'budget' : undefined;
 	}
 
 	return {
 		noteSuccess(now) {
 			fill(now);
-			owed = Math.max(0, owed - perSuccess);
+			earn(perSuccess);
 		},
 		findNoRetry: findReason,
 		takeRetry(failed, now, random) {
@@ -142,7 +161,7 @@
 			}
 
 			const cost = toCost(failed);
-			owed += cost;
+			spend(cost);
 			const latestDelayMs = failed.deadline - now - failed.expectedMs;
 			return {
 				kind: 'retry',
@@ -153,14 +172,12 @@
 			};
 		},
 		takeAnother(now) {
-			fill(now);
-			const isHeld = toCapacity() - owed >= 1;
-			owed += isHeld ? 1 : 0;
+			const isHeld = toAvailable(now) >= 1;
+			spend(isHeld ? 1 : 0);
 			return isHeld;
 		},
 		available(now) {
-			fill(now);
-			return Math.max(0, toCapacity() - owed);
+			return Math.max(0, toAvailable(now));
 		},
 		capacity: toCapacity,
 	};
--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -62,6 +62,14 @@
 	retrySlack: {
 		type: 'number', default: 20, min: 0, max: 100_000, unit: 'retries', group: 'Backend servers', description: 'Calls beyond the first that all hosts together may make on top of the ratio.',
 	},
+	retryWindow: {
+		type: 'duration',
+		default: 10 * msPerSecond,
+		min: 0,
+		max: 10 * msPerMinute,
+		group: 'Backend servers',
+		description: 'Time over which the calls beyond the first are counted. A process that just started makes none of the slack for so long, as the one before it may have made them.',
+	},
 	serverIdle: {
 		type: 'duration',
 		default: 30 * msPerSecond,
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -10,7 +10,7 @@
 export const zones = ['a', 'b', 'c', 'd', 'e', 'f'];
 export const stepMs: Milliseconds = 50;
 
-export type Host = {name: string; zone: string; address: string; sharing: RunningLoadSharing; suspects: CrashSuspects; isDead: boolean};
+export type Host = {name: string; zone: string; address: string; sharing: RunningLoadSharing; suspects: CrashSuspects; startedAt: Milliseconds; isDead: boolean};
 
 const log = createLog({
 	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
@@ -55,7 +55,7 @@
 			address, zone, open, log, suspects, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
 		});
 		return {
-			name: `front-${zone}-${i}`, zone, address, sharing, suspects, isDead: false,
+			name: `front-${zone}-${i}`, zone, address, sharing, suspects, startedAt: now, isDead: false,
 		};
 	}
 
--- a/src/programs/relay/share-loads/retries.test.ts
+++ b/src/programs/relay/share-loads/retries.test.ts
@@ -7,7 +7,7 @@
 import {describe, it} from 'node:test';
 import {createRandom} from '../../../domain/_test/create-random.js';
 import {createRetryBudget, type FailedAttempt, type RetryBudget} from '../../../domain/create-retry-budget/index.js';
-import {toRetryPart} from '../../../domain/to-retry-part/index.js';
+import {toRetryPart, type RetryLimits} from '../../../domain/to-retry-part/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {startHosts, stepMs, type Host} from './_test/start-hosts.js';
@@ -24,18 +24,19 @@
 	repeatable: true, bytesOffered: 1, outcome: 'may-have-run', attempt: 1, maxAttempts: 2, deadline: Infinity, expectedMs: 0, tried: [],
 };
 
-type Limits = {retryRatio: number; retrySlack: number};
+const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
+
 type Fleet = Awaited<ReturnType<typeof startHosts>>;
 
 /** Requests of all hosts to one service, of which a part fails, and what is sent again. */
-function createTraffic(fleet: Fleet, limits: Limits, failShare: number) {
+function createTraffic(fleet: Fleet, limits: RetryLimits, failShare: number) {
 	const random = createRandom(7);
 	const budgets = new Map<Host, RetryBudget>();
 	const requests: number[] = [];
 	const retries: number[] = [];
 
 	function toBudget(host: Host): RetryBudget {
-		const budget = budgets.get(host) ?? createRetryBudget(toRetryPart(limits, host.sharing.countSharers));
+		const budget = budgets.get(host) ?? createRetryBudget(toRetryPart(limits, host.sharing.countSharers, {startedAt: host.startedAt}));
 		budgets.set(host, budget);
 		return budget;
 	}
@@ -51,12 +52,36 @@
 		return budget.takeRetry(failed, fleet.now(), random).kind === 'retry';
 	}
 
+	function spend(budget: RetryBudget): number {
+		let granted = 0;
+		while (budget.takeRetry(failed, fleet.now(), random).kind === 'retry') {
+			granted++;
+		}
+
+		return granted;
+	}
+
 	function send(hosts: readonly Host[]): void {
 		requests.push(hosts.length);
 		retries.push(hosts.filter(host => request(host)).length);
 	}
 
 	return {
+		/** Each host makes all the retries that it may, for no more requests than that takes. */
+		spendAll() {
+			fleet.pass(stepMs);
+			const granted = fleet.hosts.filter(({isDead}) => !isDead).map(host => spend(toBudget(host)));
+			requests.push(sum(granted));
+			retries.push(sum(granted));
+		},
+		/** Time without requests. */
+		idle(ms: Milliseconds) {
+			const until = fleet.now() + ms;
+			while (fleet.now() < until) {
+				fleet.pass(stepMs);
+				send([]);
+			}
+		},
 		pass(ms: Milliseconds) {
 			const until = fleet.now() + ms;
 			while (fleet.now() < until) {
@@ -74,11 +99,11 @@
 		/** Most calls beyond what is allowed, of all windows. */
 		toMostOver(): number {
 			const steps = windowMs / stepMs;
-			const sum = (counts: readonly number[], from: number) => counts.slice(from, from + steps).reduce((total, count) => total + count, 0);
-			const over = retries.map((_, from) => sum(retries, from) - (limits.retryRatio * sum(requests, from)) - limits.retrySlack);
+			const sumFrom = (counts: readonly number[], from: number) => sum(counts.slice(from, from + steps));
+			const over = retries.map((_, from) => sumFrom(retries, from) - (limits.retryRatio * sumFrom(requests, from)) - limits.retrySlack);
 			return Math.max(...over);
 		},
-		sent: () => retries.reduce((total, count) => total + count, 0),
+		sent: () => sum(retries),
 	};
 }
 
@@ -103,7 +128,7 @@
 		async play(fleet, traffic) {
 			traffic.pass(returnAfterMs);
 			traffic.comeBack(fleet.hosts);
-			traffic.pass(windowMs);
+			traffic.pass(2 * windowMs);
 		},
 	},
 	{
@@ -173,6 +198,38 @@
 			traffic.pass(windowMs);
 		},
 	},
+	{
+		name: 'that spend all, are killed, and spend all again once they know each other',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			traffic.spendAll();
+			for (const host of fleet.hosts) {
+				await fleet.restart(host);
+			}
+
+			for (let i = 0; i < 20; i++) {
+				traffic.idle(msPerSecond);
+				traffic.spendAll();
+			}
+		},
+	},
+	{
+		name: 'that crash one time after the other within a window',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			for (let i = 0; i < 5; i++) {
+				traffic.spendAll();
+				for (const host of fleet.hosts) {
+					await fleet.restart(host);
+				}
+
+				traffic.idle(msPerSecond);
+			}
+
+			traffic.spendAll();
+			traffic.pass(2 * windowMs);
+		},
+	},
 ];
 
 describe('retries of all hosts together', () => {
@@ -181,7 +238,7 @@
 			for (const failShare of hosts > 100 ? [1] : [1, 0.4]) {
 				it(`stay within the ratio and the slack at ${hosts} hosts ${name}, ${failShare} of the calls failing`, async () => {
 					const fleet = await startHosts(hosts);
-					const traffic = createTraffic(fleet, {retryRatio: 0.2, retrySlack}, failShare);
+					const traffic = createTraffic(fleet, {retryRatio: 0.2, retrySlack, retryWindow: windowMs}, failShare);
 					await play(fleet, traffic);
 					assert.ok(traffic.toMostOver() <= 0, `${traffic.toMostOver()} too many`);
 					assert.ok(traffic.sent() >= hosts, `${traffic.sent()} by ${hosts} hosts: too careful`);
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -62,6 +62,7 @@
 	const {
 		settings, clock, random, log, source,
 	} = options;
+	const startedAt = clock.now();
 	const incarnation = clock.wallNow();
 	const suspects = createCrashSuspects();
 	const loadSharing = await openSharing({
@@ -101,7 +102,7 @@
 			retryBudget: 0,
 		},
 		join,
-		retryBudget: toRetryPart(settings, loadSharing === undefined ? () => 1 : loadSharing.countSharers),
+		retryBudget: toRetryPart(settings, loadSharing === undefined ? () => 1 : loadSharing.countSharers, {startedAt}),
 		serverIdleMs: settings.serverIdle,
 		health: relayHealth,
 		createEngine: createNoEngine,
--- a/test/failures/retry-calls.test.ts
+++ b/test/failures/retry-calls.test.ts
@@ -93,4 +93,15 @@
 			assert.ok(decided.every(({reason}) => reason === 'granted'));
 		});
 	}
+
+	it('and is not made by a process that just started, as the one before it may have made its part', async () => {
+		fixture = await startRelayFixture({retryWindow: '10m'});
+		fixture.servers.desk1.misbehave('refuse');
+		const {status} = await fixture.ask(lookup);
+		assert.equal(status, 503);
+		const arrivals = Object.values(fixture.servers).flatMap(server => server.arrivals);
+		assert.equal(arrivals.length, 1);
+		const decided = await waitUntil(() => fixture.logs().find(({message}) => message === 'retry decided'), {deadlineMs, what: 'the decision in the log'});
+		assert.equal(decided.reason, 'budget');
+	});
 });
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -147,6 +147,8 @@
 	hosts?: number;
 	/** Retries on top of the ratio that all hosts together may make; each takes a twentieth. */
 	retrySlack?: number;
+	/** Time after its start in which a host makes no retry of the slack; none by default, as on a host that runs for long. */
+	retryWindow?: string;
 };
 
 /**
@@ -176,14 +178,16 @@
 	peerAddress: string | undefined;
 	seeds: readonly string[];
 	retrySlack: number;
+	retryWindow: string;
 };
 
-async function startHost({name, store, collected, peerAddress, seeds, retrySlack}: HostOptions) {
+async function startHost({name, store, collected, peerAddress, seeds, retrySlack, retryWindow}: HostOptions) {
 	const [callerPort, operatorPort] = await Promise.all([findPort(), findPort()]);
 	const settings = parseSettings(relaySettings, {
 		argv: [], env: {
 			BANYANPORT_HOST_ID: name, BANYANPORT_ZONE: 'a', BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `127.0.0.1:${callerPort}`, BANYANPORT_OPERATOR_ADDRESS: `127.0.0.1:${operatorPort}`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s',
 			BANYANPORT_RETRY_SLACK: String(retrySlack),
+			BANYANPORT_RETRY_WINDOW: retryWindow,
 			BANYANPORT_CONTROL_ADDRESS: '127.0.0.1:7990',
 			BANYANPORT_ORDERS_FROM: '127.0.0.1:7990',
 			...(peerAddress !== undefined && {BANYANPORT_PEER_ADDRESS: peerAddress, BANYANPORT_SEEDS: seeds.join(',')}),
@@ -210,7 +214,7 @@
 	return {relay, callerPort, operatorPort};
 }
 
-async function start({hosts: hostCount = 1, retrySlack = 400, ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
+async function start({hosts: hostCount = 1, retrySlack = 400, retryWindow = '0s', ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
 	const store = await startStoreStandIn();
 	const caches = new Set<string>();
 	// The relay chooses freely among servers that do the same, so these share what they do wrong.
@@ -252,7 +256,7 @@
 
 	const peerAddresses = hostCount === 1 ? [] : await findPeerAddresses(hostCount);
 	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, i) => startHost({
-		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack,
+		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack, retryWindow,
 	})));
 	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
 	const ask = async (asked: Asked) => send(hosts[asked.at ?? 0]!.callerPort, asked);
