Count hosts whole for minutes after they fell silent

What callers would see: a zone is cut off for minutes, or all hosts from each other, while calls fail. Each side forgot one in a hundred of the others a second and took their part of the retries' slack; both together made more than the service may get.

`create-peer-list` counts the hosts behind a cut of three minutes whole, whenever it begins in a period; on the old count it fails from the first second after they are dropped.

Change: the count is the most that were known at once in this period of three minutes and the one before, so it holds for three to six minutes and then falls to what is known. The two tests of the count before it keep their checks; the one named after the old pace is renamed.

What it costs: hosts of a fleet that shrinks for good take a smaller part of the slack for up to six minutes; the ratio's part is not touched.

--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -6,7 +6,7 @@
 import {type Milliseconds} from '../../ports/clock.js';
 import {type ZoneId} from '../../ports/ids.js';
 import {type NamedPeer} from '../../ports/shared-loads.js';
-import {msPerSecond} from '../../ports/units.js';
+import {msPerMinute, msPerSecond} from '../../ports/units.js';
 
 export type PeerListOptions = {
 	/** `IP:port` of this host, which is no peer of its own. */
@@ -35,7 +35,7 @@
 	toGreet: (now: Milliseconds) => readonly string[];
 	/** Hosts that are owed an answer; each is given out once. */
 	takeUnanswered: () => readonly string[];
-	/** Hosts that are known or were in the last minute or so, with this one; `undefined` while none ever was. */
+	/** Most hosts that were known at once in the last minutes, with this one; `undefined` while none was. */
 	count: () => number | undefined;
 	/** Whether others were heard, and no further one turned up for some rounds; once it is, it stays so. */
 	isSettled: (now: Milliseconds) => boolean;
@@ -89,10 +89,11 @@
 const choiceMs: Milliseconds = msPerSecond;
 
 /**
- * What is left of the count of hosts after each choice. Those behind a cut live on
- * and have their part of what all share; forgotten at once, both sides would take it.
+ * Time for which hosts that fell silent count at least, and twice that at most.
+ * Those behind a cut live on and have their part of what all share; forgotten
+ * during the cut, both sides would take it.
  */
-const keptOfCount = 0.99;
+const countPeriodMs: Milliseconds = 3 * msPerMinute;
 
 type Known = {
 	zone: ZoneId;
@@ -138,7 +139,10 @@
 		near: [], far: [], isLarge: false, at: -Infinity,
 	};
 	let firstNamed = 0;
+	/** Most hosts that were known at once in this period, and in the one before. */
 	let mostKnown = 0;
+	let mostBefore = 0;
+	let periodAt: Milliseconds | undefined;
 	let grewAt = Infinity;
 	let isSettled = false;
 
@@ -175,13 +179,24 @@
 		return isNew;
 	}
 
+	function noteCount(now: Milliseconds): void {
+		periodAt ??= now;
+		if (now - periodAt >= countPeriodMs) {
+			mostBefore = mostKnown;
+			mostKnown = 0;
+			periodAt = now;
+		}
+
+		mostKnown = Math.max(mostKnown, known.size);
+	}
+
 	function choose(now: Milliseconds): Choice {
 		if (now - choice.at < choiceMs) {
 			return choice;
 		}
 
 		dropSilent(now);
-		mostKnown = Math.max(known.size, mostKnown * keptOfCount);
+		noteCount(now);
 		if (known.size <= mostOfSmallFleet) {
 			choice = {
 				near: [...known.keys()], far: [], isLarge: false, at: now,
@@ -248,7 +263,10 @@
 			unanswered.clear();
 			return addresses;
 		},
-		count: () => mostKnown === 0 ? undefined : Math.round(mostKnown) + 1,
+		count() {
+			const most = Math.max(mostKnown, mostBefore);
+			return most === 0 ? undefined : most + 1;
+		},
 		isSettled: hasSettled,
 		toName(now) {
 			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -111,7 +111,7 @@
 		assert.ok(Math.max(...counts.values()) <= 30, `one is told by ${Math.max(...counts.values())}`);
 	});
 
-	it('counts hosts that fell silent together for a minute more, as they may be behind a cut', () => {
+	it('counts hosts that fell silent together for minutes more, as they may be behind a cut', () => {
 		const peers = createPeerList({self, zone: 'a', seeds: []});
 		assert.equal(peers.count(), undefined);
 		hear(peers, 200, i => 'ab'[i % 2]!);
@@ -127,8 +127,29 @@
 		assert.ok(count[0]! > 140 && count[1]! > 100, `${count.join(' ')}`);
 	});
 
+	/* Guards against both sides of a cut that take each other's part of what all share. */
+	for (const startSeconds of [0, 100, 179, 180]) {
+		it(`counts hosts whole that were heard ${startSeconds} s after the first one, and are behind a cut of three minutes`, () => {
+			const peers = createPeerList({self, zone: 'a', seeds: []});
+			for (let seconds = 0; seconds < startSeconds; seconds++) {
+				peers.noteHeard({address: toAddress(0), zone: 'a'}, seconds * 1000);
+				peers.near(seconds * 1000);
+			}
+
+			for (let i = 0; i < 200; i++) {
+				peers.noteHeard({address: toAddress(i), zone: 'a'}, startSeconds * 1000);
+			}
+
+			for (let seconds = startSeconds; seconds < startSeconds + 180; seconds++) {
+				peers.noteHeard({address: toAddress(0), zone: 'a'}, seconds * 1000);
+				peers.near(seconds * 1000);
+				assert.equal(peers.count(), 201, `after ${seconds - startSeconds} s`);
+			}
+		});
+	}
+
 	/* Guards against hosts that take too small a part of what all share for good, once many have left. */
-	it('forgets hosts that stay away, one in a hundred a second', () => {
+	it('forgets hosts that stay away for minutes', () => {
 		const peers = createPeerList({self, zone: 'a', seeds: []});
 		hear(peers, 200, () => 'a');
 		for (let now = 0; now < 400_000; now += 1000) {
--- a/src/programs/relay/share-loads/retries.test.ts
+++ b/src/programs/relay/share-loads/retries.test.ts
@@ -230,6 +230,20 @@
 			traffic.pass(2 * windowMs);
 		},
 	},
+	{
+		name: 'of which a zone is cut off for minutes, and both sides spend all',
+		async play(fleet, traffic) {
+			fleet.pass(15 * msPerSecond);
+			for (const host of fleet.hosts.filter(({zone}) => zone === 'a' || zone === 'b')) {
+				fleet.cut(host);
+			}
+
+			fleet.pass(3 * 60 * msPerSecond);
+			traffic.spendAll();
+			fleet.heal();
+			traffic.pass(windowMs);
+		},
+	},
 ];
 
 describe('retries of all hosts together', () => {
