Tell how the calls ended where a storm answered none of a kind whole

The violation names each call's host, times and end now, so that the next one tells whether hosts were away or refused what they could serve. The check is as it was.

--- a/test/storm/_lib/judge-storm.ts
+++ b/test/storm/_lib/judge-storm.ts
@@ -1,7 +1,7 @@
 /** Holds what callers were told against what the stand-ins counted. Only safety is judged; how much was served is reported. */
 import {type Runs} from './count-runs.js';
 import {
-	callKinds, type FaultKind, type Reversion, type Sent, type Span, type Struck,
+	callKinds, type CallKind, type FaultKind, type Reversion, type Sent, type Span, type Struck,
 } from './types.js';
 
 export type Verdict = {
@@ -156,6 +156,20 @@
 	return toVerdict('what was told as not run was not run', cases);
 }
 
+function describeEnd({from, to, host, hasLeft, answer}: Sent, begunAt: number): string {
+	const end = hasLeft ? 'left' : `${answer.status} ${answer.problem ?? answer.errorCode ?? ''}`.trim();
+	return `${host} ${Math.round(from - begunAt)} to ${Math.round(to - begunAt)} ms: ${end}`;
+}
+
+function judgeServed(kind: CallKind, sent: readonly Sent[]): Case {
+	const begunAt = toSpan(sent).from;
+	const calls = sent.filter(({work}) => work.kind === kind);
+	return {
+		isWrong: !calls.some(({answer}) => answer.isExpected),
+		what: `no ${kind} was: ${calls.map(call => describeEnd(call, begunAt)).join(', ')}`,
+	};
+}
+
 /** A host that has forgotten all learns only from what it can reach. */
 function judgeReversions({reversions, struck, looks, zones}: Evidence): Verdict {
 	const isBlinded = ({host, at}: Reversion): boolean => struck.some(fault => isOverlapping(fault, {from: at, to: at})
@@ -195,8 +209,6 @@
 		{
 			promise: 'no refused document was ever in force', checked: evidence.looks, violations: evidence.strays, excused: 0,
 		},
-		toVerdict('some work of each kind was answered whole', callKinds.map(kind => ({
-			isWrong: !sent.some(({work, answer}) => work.kind === kind && answer.isExpected), what: `no ${kind} was`,
-		}))),
+		toVerdict('some work of each kind was answered whole', callKinds.map(kind => judgeServed(kind, sent))),
 	];
 }
