Notice orders before the second whole read, and a position that outlives its era

- A position ends with its era: taken out, a host that learnt of the new era from a refusal watches on from its old revision and does not hear of a server that was written below it.

--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -296,4 +296,28 @@
 		assert.equal(edition(), 2);
 		await followed.stop();
 	});
+
+	/* Guards against a watch from a revision of the lost era: what is written below it would be heard seconds later. */
+	it('reads everything at once after a refusal that names a new era', async () => {
+		const followed = startFollowed(() => 0.5);
+		const {time, platform} = followed;
+		await time.runUntil(3000);
+		const copy = platform.copy();
+		for (const name of ['lost-1', 'lost-2', 'lost-3']) {
+			platform.put(name);
+		}
+
+		await time.runUntil(6000);
+		platform.setPath('refusing');
+		platform.comeBackFrom(copy);
+		await time.runUntil(7000);
+		for (const name of ['below', 'above-1', 'above-2', 'above-3']) {
+			platform.put(name);
+		}
+
+		platform.setPath('well');
+		await time.runUntil(7500);
+		assert.ok(followed.used().includes('below'), followed.used().join(' '));
+		await followed.stop();
+	});
 });
--- a/test/contracts/relay-orders.test.ts
+++ b/test/contracts/relay-orders.test.ts
@@ -65,4 +65,28 @@
 			await fixture.stop();
 		}
 	});
+
+	/* Guards against roles that are changed by what a copy of the platform says, which may have changed since. */
+	it('gives none between the return of the platform from an older copy and the read of what was written again', async () => {
+		const fixture = await startRelayFixture();
+		try {
+			const {servers, store, publishServer, logs} = fixture;
+			const findPlaces = (wanted: string) => logs().flatMap(({message}, place) => message === wanted ? [place] : []);
+			const findWholeReads = () => findPlaces('platform read anew after its return');
+			const findOrders = () => findPlaces('server told to change its role');
+			publishServer(servers.decode2, {stage: 'prefill'});
+			const [first] = await waitUntil(() => findOrders().length > 0 && findOrders(), {deadlineMs: 20_000, what: 'an order'});
+			const changed = Object.values(servers).find(({id}) => id === logs()[first!]!.server)!;
+			publishServer(changed, {stage: 'decode'});
+			await waitUntil(() => logs().slice(first).some(({message, server, state}) => message === 'server changed' && server === changed.id && state === 'serving'), {deadlineMs: 20_000, what: 'the new role to be known'});
+			store.comeBackFrom(store.copy());
+			await waitUntil(() => findWholeReads().length > 0, {deadlineMs: 20_000, what: 'the copy to be read', everyMs: 5});
+			publishServer(changed, {stage: 'prefill'});
+			const [, second] = await waitUntil(() => findOrders().length > 1 && findOrders(), {deadlineMs: 20_000, what: 'an order after the return'});
+			const [, secondRead = Infinity] = findWholeReads();
+			assert.ok(secondRead < second!, 'an order came before the second whole read');
+		} finally {
+			await fixture.stop();
+		}
+	});
 });
