--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -20,6 +20,11 @@
 export const mutatedModules: readonly MutatedModule[] = [
 	toDomainModule('create-retry-budget'),
 	toDomainModule('to-retry-part'),
+	{
+		name: 'create-pool-budgets',
+		sources: ['src/programs/entry/_lib/create-pool-budgets/index.ts'],
+		tests: ['src/programs/entry/_lib/create-pool-budgets/test.ts'],
+	},
 	toDomainModule('create-published-fleet', followTests),
 	toDomainModule('create-leave-hold'),
 	toDomainModule('compare-eras'),
--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {createRetryBudget, type FailedAttempt} from './index.js';
+import {createRetryBudget, type FailedAttempt, type RetryBudget} from './index.js';
 
 const failure = (changes: Partial<FailedAttempt> = {}): FailedAttempt => ({
 	repeatable: true,
@@ -129,4 +129,58 @@
 			}
 		}));
 	});
+
+	/* Guards against a budget that spends what the process before it may have spent already. */
+	describe('while only what was earned may be spent', () => {
+		const heldUntil = 1000;
+		const isEarnedOnly = (now: number): boolean => now < heldUntil;
+		const late = failure({deadline: 10_000});
+
+		function earn(budget: RetryBudget, successes: number): void {
+			for (let i = 0; i < successes; i++) {
+				budget.noteSuccess(0);
+			}
+		}
+
+		it('holds what successes paid for, less what was spent, and its capacity at most', () => {
+			const budget = createRetryBudget({
+				capacity: 3, perSuccess: 0.5, perSecond: 0, isEarnedOnly,
+			});
+			assert.equal(budget.available(0), 0);
+			assert.equal(budget.findNoRetry(late, 0), 'budget');
+			earn(budget, 3);
+			assert.equal(budget.available(0), 1.5);
+			assert.equal(budget.takeRetry(late, 0, half).kind, 'retry');
+			assert.equal(budget.available(0), 0.5);
+			assert.equal(budget.takeRetry(late, 0, half).kind, 'give-up');
+			earn(budget, 20);
+			assert.equal(budget.available(0), 3);
+		});
+
+		it('holds what time paid for', () => {
+			const budget = createRetryBudget({capacity: 3, perSecond: 2, isEarnedOnly});
+			assert.equal(budget.available(0), 0);
+			assert.equal(budget.available(500), 1);
+		});
+
+		it('holds no more than a capacity that shrank', () => {
+			let capacity = 3;
+			const budget = createRetryBudget({
+				toCapacity: () => capacity, perSuccess: 0.5, perSecond: 0, isEarnedOnly,
+			});
+			earn(budget, 6);
+			capacity = 1;
+			assert.equal(budget.available(0), 1);
+		});
+
+		it('holds its capacity once that has passed, less what was spent meanwhile', () => {
+			const budget = createRetryBudget({
+				capacity: 3, perSuccess: 0.5, perSecond: 0, isEarnedOnly,
+			});
+			earn(budget, 2);
+			assert.equal(budget.takeAnother(0), true);
+			assert.equal(budget.available(heldUntil - 1), 0);
+			assert.equal(budget.available(heldUntil), 2);
+		});
+	});
 });
