--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -45,6 +45,16 @@
 		assert.equal(peers.noteHeard({address: toAddress(1), zone: 'a'}, 12_000), true, 'not new after a long silence');
 	});
 
+	/* Guards against an answer to each message of every host, which is a second message for each. */
+	it('owes no answer to a host that goes on speaking, nor to one that it can\'t keep', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		hear(peers, 1024, () => 'a');
+		assert.equal(peers.takeUnanswered().length, 1024);
+		assert.equal(peers.noteHeard({address: toAddress(1), zone: 'a'}, 500), false);
+		assert.equal(peers.noteHeard({address: '10.9.9.9:7381', zone: 'a'}, 500), false);
+		assert.deepEqual(peers.takeUnanswered(), []);
+	});
+
 	it('tells all of a small fleet of each change, whatever their zones', () => {
 		const peers = createPeerList({self, zone: 'a', seeds: []});
 		hear(peers, 16, i => i % 2 === 0 ? 'a' : 'b');
@@ -58,7 +68,35 @@
 		hear(peers, 300, i => 'abcdef'[i % 6]!);
 		assert.equal(peers.isLarge(1), true);
 		assert.equal(peers.near(1).length, 8);
-		assert.equal(peers.far(1).length, 5);
+		const toZone = (address: string): string => 'abcdef'[Array.from({length: 300}, (_, i) => toAddress(i)).indexOf(address) % 6]!;
+		assert.deepEqual(new Set(peers.near(1).map(address => toZone(address))), new Set(['a']));
+		assert.deepEqual(peers.far(1).map(address => toZone(address)).toSorted((left, right) => left.localeCompare(right)), ['b', 'c', 'd', 'e', 'f']);
+	});
+
+	for (const [zones, perZone] of [['ab', 3], ['abc', 3], ['abcd', 2], ['abcdefgh', 1]] as const) {
+		it(`asks ${perZone} hosts of each other zone where there are ${zones.length}`, () => {
+			const peers = createPeerList({self, zone: 'a', seeds: []});
+			hear(peers, 120, i => zones[i % zones.length]!);
+			assert.equal(peers.far(1).length, perZone * (zones.length - 1));
+		});
+	}
+
+	/* Guards against hosts that rank hundreds of others again for each message. */
+	it('keeps its choice in a large fleet for a second, also when another host turns up', () => {
+		const peers = createPeerList({self, zone: 'a', seeds: []});
+		hear(peers, 100, () => 'a');
+		const near = peers.near(0);
+		peers.noteHeard({address: toAddress(100), zone: 'a'}, 500);
+		assert.equal(peers.near(999), near);
+		assert.notEqual(peers.near(1000), near);
+	});
+
+	it('counts up to sixteen others as a small fleet', () => {
+		for (const [count, isLarge] of [[16, false], [17, true]] as const) {
+			const peers = createPeerList({self, zone: 'a', seeds: []});
+			hear(peers, count, () => 'a');
+			assert.equal(peers.isLarge(1), isLarge, `${count} others`);
+		}
 	});
 
 	it('answers hosts of other zones that ask, for some seconds', () => {
--- a/src/programs/entry/_lib/create-pool-budgets/test.ts
+++ b/src/programs/entry/_lib/create-pool-budgets/test.ts
@@ -44,6 +44,16 @@
 		assert.equal(spend(budgets.toRetryBudget('letters'), 11 * 60_000), capacity);
 	});
 
+	it('keeps it for ten minutes, and no longer', () => {
+		for (const [afterMs, granted] of [[(10 * 60_000) - 1, 0], [10 * 60_000, capacity]] as const) {
+			const budgets = createPoolBudgets({capacity, perSecond: 0});
+			spend(budgets.toRetryBudget('letters'), 0);
+			budgets.notePools(new Set(['desk']), 0);
+			budgets.notePools(new Set(['desk']), afterMs);
+			assert.equal(spend(budgets.toRetryBudget('letters'), afterMs), granted, `after ${afterMs} ms`);
+		}
+	});
+
 	it('counts it anew when a pool leaves again', () => {
 		const budgets = createPoolBudgets({capacity, perSecond: 0});
 		spend(budgets.toRetryBudget('letters'), 0);
