--- a/src/programs/relay/share-loads/retries.test.ts
+++ b/src/programs/relay/share-loads/retries.test.ts
@@ -231,7 +231,7 @@
 		},
 	},
 	{
-		name: 'of which a zone is cut off for minutes, and both sides spend all',
+		name: 'of which two zones are cut off for minutes, and all sides spend all',
 		async play(fleet, traffic) {
 			fleet.pass(15 * msPerSecond);
 			for (const host of fleet.hosts.filter(({zone}) => zone === 'a' || zone === 'b')) {
