--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -14,7 +14,7 @@
 	tests: [`src/domain/${name}/test.ts`, ...otherTests],
 });
 
-const followTests = ['test.ts', 'pace.test.ts', 'model.test.ts'].map(file => `src/programs/entry/follow-published/${file}`);
+const followTests = ['test.ts', 'eras.test.ts', 'pace.test.ts', 'model.test.ts'].map(file => `src/programs/entry/follow-published/${file}`);
 
 /** Each with its own tests, and with those that play it together with what stands around it. */
 export const mutatedModules: readonly MutatedModule[] = [
