--- a/test/_lib/start-fleet/_lib/create-host.ts
+++ b/test/_lib/start-fleet/_lib/create-host.ts
@@ -20,6 +20,8 @@
 	agent: () => Program;
 	/** Returns the entry's process that was started last, also if it has exited. */
 	entry: () => Program;
+	/** Returns all processes of this host so far, also those that have exited. */
+	programs: () => readonly Program[];
 	callerUrl: string;
 	agentAddress: string;
 	agentOperatorUrl: string;
@@ -82,6 +84,7 @@
 	let clock = options.entryClock;
 	let agent: Program | undefined;
 	let entry: Program | undefined;
+	const programs: Program[] = [];
 	const requireStarted = (program: Program | undefined, name: string): Program => {
 		if (program === undefined) {
 			throw new Error(`the ${name} of host ${id} has not been started yet`);
@@ -95,6 +98,7 @@
 		zone,
 		agent: () => requireStarted(agent, 'agent'),
 		entry: () => requireStarted(entry, 'entry'),
+		programs: () => programs,
 		callerUrl: `http://127.0.0.1:${ports.callerPort}`,
 		agentAddress,
 		agentOperatorUrl: `http://127.0.0.1:${ports.agentOperatorPort}`,
@@ -118,6 +122,7 @@
 				},
 				...network?.network.toProcessOptions(network.site),
 			});
+			programs.push(agent);
 			return agent;
 		},
 		async startEntry(flags = {}) {
@@ -136,6 +141,7 @@
 				},
 				...toEntryOptions(network, clock),
 			});
+			programs.push(entry);
 			return entry;
 		},
 		async kill() {
--- a/test/storm/index.ts
+++ b/test/storm/index.ts
@@ -14,6 +14,7 @@
 import {planFaults} from './_lib/plan-faults.js';
 import {runCallers} from './_lib/run-callers.js';
 import {createFaultInjector, type FaultInjector} from './_lib/inject-faults.js';
+import {saveLogs} from './_lib/save-logs.js';
 import {toCallsReport, type StormReport} from './_lib/to-report.js';
 import {type PlannedFault, type Sent} from './_lib/types.js';
 import {fetchVersion, watchVersions} from './_lib/watch-versions.js';
@@ -27,6 +28,8 @@
 	callers?: number;
 	/** Mean time between two faults. */
 	faultEveryMs?: number;
+	/** Folder in which faults and logs are saved when a promise is broken. */
+	logFolder?: string;
 	/** Called with progress messages. */
 	onProgress?: (text: string) => void;
 };
@@ -147,7 +150,7 @@
 	return sum;
 }
 
-async function runStormOn(fleet: Fleet, random: Random, {seed, durationMs, callers = 16, faultEveryMs = 800, onProgress = () => undefined}: StormOptions): Promise<StormReport> {
+async function runStormOn(fleet: Fleet, random: Random, {seed, durationMs, callers = 16, faultEveryMs = 800, logFolder, onProgress = () => undefined}: StormOptions): Promise<StormReport> {
 	const documents = createDocuments(fleet);
 	const faultInjector = createFaultInjector(fleet, documents, entryFlags);
 	const engines = [...fleet.engines.keys()];
@@ -192,6 +195,13 @@
 		clockBoundMs,
 		zones: new Map(fleet.hosts.map(({id, zone}) => [id, zone])),
 	});
+	const isKept = verdicts.every(({violations}) => violations.length === 0);
+	if (!isKept && logFolder !== undefined) {
+		saveLogs(logFolder, {
+			hosts: fleet.hosts, injectedFaults: faultInjector.injected(), sent, reversions: watch.reversions(),
+		});
+	}
+
 	return {
 		seed,
 		durationMs,
@@ -203,7 +213,7 @@
 		releasedAfterMs: released.afterMs,
 		inForceAfterMs: inForce.afterMs,
 		verdicts,
-		isKept: verdicts.every(({violations}) => violations.length === 0),
+		isKept,
 	};
 }
 
--- a/test/storm/main.ts
+++ b/test/storm/main.ts
@@ -4,7 +4,7 @@
 import {Command, InvalidArgumentError} from 'commander';
 import {runStorm, toReportText} from './index.js';
 
-type Options = {seconds: number; seed: number; callers: number; faultEveryMs: number; json?: string};
+type Options = {seconds: number; seed: number; callers: number; faultEveryMs: number; json?: string; logs?: string};
 
 const maxSeed = 1_000_000;
 
@@ -22,12 +22,13 @@
 	.option('--seed <number>', 'seed of all random draws', parseCount, 1 + Math.floor(Math.random() * maxSeed))
 	.option('--callers <number>', 'callers at once', parseCount, 16)
 	.option('--fault-every-ms <number>', 'mean time between two faults', parseCount, 800)
+	.option('--logs <folder>', 'save faults and logs of all hosts there when a promise is broken')
 	.option('--json <file>', 'also write the report as JSON')
 	.parse();
-const {seconds, seed, json, ...options} = command.opts<Options>();
+const {seconds, seed, json, logs, ...options} = command.opts<Options>();
 console.log(`seed ${seed}`);
 const report = await runStorm({
-	...options, seed, durationMs: seconds * 1000, onProgress: console.log,
+	...options, seed, durationMs: seconds * 1000, onProgress: console.log, ...(logs !== undefined && {logFolder: logs}),
 });
 console.log(toReportText(report));
 if (json === undefined) {
