Excuse claims that no call could make when others broke at killed hosts

Hypotheses: a claim refused with all hosts there; a call broken at a host that was not lost; no claim possible at any time. They were told apart by the saved calls and faults of the failed run. Evidence: of 154 calls that stayed, each was refused a claim while one of the three hosts was away (host b was killed from 0.14 s and paused until 10.03 s), or broke at a host that was killed at the time or had closed its port. Claims in a fleet of three hosts need all three. So the product did what it promises, and the check lacked the excuse for broken calls that its sister check has. Change: the verdict counts a call that broke at a lost host, by the same condition as the verdict on broken answers, beside refused claims. Still a violation: only broken calls, a call broken at another host or before its host was killed, a refusal with all hosts there, a larger fleet.

--- a/test/storm/_lib/judge-storm.test.ts
+++ b/test/storm/_lib/judge-storm.test.ts
@@ -198,3 +198,20 @@
 		});
 	}
 });
+
+describe('judgeStorm: work of which no call was answered whole', () => {
+	const brokenScene = toCall('scene', {...broken, status: 0, text: ''});
+	const cases: ReadonlyArray<[string, Partial<Evidence>, InjectedFault[], boolean]> = [
+		['scenes that found no claim or broke at a host that was killed', toScenes(refusedScene, brokenScene), [createFault('kill entry', [host])], true],
+		['scenes that found no claim or broke at a host that was not killed', toScenes(refusedScene, brokenScene), [createFault('pause host', ['c-1'])], false],
+		['scenes that found no claim or broke before their host was killed', toScenes(refusedScene, {...brokenScene, from: 0, to: 500}), [createFault('kill entry', [host])], false],
+		['scenes that found no claim in a larger fleet or broke at a host that was killed', withCalls(refusedScene, brokenScene), [createFault('kill entry', [host])], false],
+		['scenes that all broke at a host that was killed', toScenes(brokenScene), [createFault('kill entry', [host])], false],
+	];
+	for (const [name, changes, injectedFaults, isExcused] of cases) {
+		it(`${isExcused ? 'excuses' : 'does not excuse'} ${name}`, () => {
+			const verdict = judgeStorm({...passing, ...changes, injectedFaults}).find(({promise}) => promise === served)!;
+			assert.deepEqual([verdict.violations.length, verdict.excused], isExcused ? [0, 1] : [1, 0]);
+		});
+	}
+});
--- a/test/storm/_lib/judge-storm.ts
+++ b/test/storm/_lib/judge-storm.ts
@@ -134,15 +134,20 @@
 	})));
 }
 
+/** Whether the host of a call was killed during the call, or had closed its port before it. */
+function isHostLost(call: Sent, injectedFaults: readonly InjectedFault[]): boolean {
+	const own = injectedFaults.filter(({targets}) => targets[0] === call.host);
+	const isKilled = own.some(fault => killKinds.has(fault.kind) && isOverlapping(fault, call));
+	// A load balancer sends no calls to a stopping host; a call that arrives there anyway finds the port closed.
+	const isPortClosed = call.answer.status === 0 && own.some(fault => fault.kind === 'restart host' && fault.from <= call.from && call.from <= fault.to);
+	return isKilled || isPortClosed;
+}
+
 function judgeBrokenAnswers({sent, injectedFaults}: Evidence): Verdict {
 	const stayed = sent.filter(({hasLeft}) => !hasLeft);
-	return toVerdict('no answer broke without a word, but for lost hosts', stayed.map(call => {
-		const own = injectedFaults.filter(({targets}) => targets[0] === call.host);
-		const isHostLost = own.some(fault => killKinds.has(fault.kind) && isOverlapping(fault, call));
-		// A load balancer sends no calls to a stopping host; a call that arrives there anyway finds the port closed.
-		const isPortClosed = call.answer.status === 0 && own.some(fault => fault.kind === 'restart host' && fault.from <= call.from && call.from <= fault.to);
-		return {isWrong: call.answer.isBroken && !call.isHung, isExcused: isHostLost || isPortClosed, what: describeCall(call)};
-	}));
+	return toVerdict('no answer broke without a word, but for lost hosts', stayed.map(call => ({
+		isWrong: call.answer.isBroken && !call.isHung, isExcused: isHostLost(call, injectedFaults), what: describeCall(call),
+	})));
 }
 
 /** Whether no other call could have started the work between the `not-run` answer and the count. */
@@ -183,13 +188,19 @@
 	return zones.size <= maxHostsAllClaiming && claimRefusals.has(call.answer.problem ?? '') && away.some(span => isOverlapping(span, call));
 }
 
+/** Whether a kind of work could not be claimed at any time: each of its calls was refused a claim, or broke at a lost host. */
+function isNeverClaimable(stayed: readonly Sent[], evidence: Evidence): boolean {
+	const unserved = stayed.filter(call => !isClaimRefused(call, evidence));
+	return unserved.length < stayed.length && unserved.every(call => call.answer.isBroken && isHostLost(call, evidence.injectedFaults));
+}
+
 function judgeServed(kind: CallKind, evidence: Evidence): Case {
 	const begunAt = toSpan(evidence.sent).from;
 	const calls = evidence.sent.filter(({work}) => work.kind === kind);
 	const stayed = calls.filter(({hasLeft}) => !hasLeft);
 	return {
 		isWrong: !calls.some(({answer}) => answer.isExpected),
-		isExcused: nonRepeatableKinds.has(kind) && stayed.length > 0 && stayed.every(call => isClaimRefused(call, evidence)),
+		isExcused: nonRepeatableKinds.has(kind) && isNeverClaimable(stayed, evidence),
 		what: `no ${kind} was: ${calls.map(call => describeEnd(call, begunAt)).join(', ')}`,
 	};
 }
