Reset sockets of the stand-ins without leaking them

What was seen: failures/storm.test passed its tests and never ended: at a full core until its limit of 600 s (1 of 2 whole runs), 3 of 15 runs six side by side. Cause: resetAndDestroy() on a socket whose shutdown is in progress. libuv refuses the reset (EINVAL), Node 20 marks the handle as closing and never closes it; at exit Node waits for it without end. A socket that was ended while connecting ends up the same way, since Node puts its reset off until the shutdown begins. Ruled out: the product. Nothing in src, in its packages or in Node's modules calls resetAndDestroy, and destroy() in a shutdown closes the handle. Change: resetSocket waits for a shutdown in progress and destroys a socket that isn't connected yet; link, engine and platform stand-ins use it.

--- a/test/stand-ins/_lib/http-server.ts
+++ b/test/stand-ins/_lib/http-server.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {isRecord} from '../../../src/_lib/is-record/index.js';
+import {resetSocket} from '../../_lib/reset-socket/index.js';
 
 export type JsonBody = Record<string, unknown>;
 
@@ -38,6 +39,13 @@
 	res.end(text);
 };
 
+/** Resets the connection of an answer, if it is still open. */
+export const resetConnection = ({socket}: ServerResponse): void => {
+	if (socket !== null) {
+		resetSocket(socket);
+	}
+};
+
 /** Reads a whole body as bytes. */
 export const readBytes = async (req: IncomingMessage): Promise<Buffer> => {
 	const parts: Buffer[] = [];
--- a/test/stand-ins/engine/_lib/transfer-kv.ts
+++ b/test/stand-ins/engine/_lib/transfer-kv.ts
@@ -6,7 +6,7 @@
 import {type ServerResponse} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Dispatcher, request} from 'undici';
-import {RequestFault} from '../../_lib/http-server.js';
+import {RequestFault, resetConnection} from '../../_lib/http-server.js';
 import {type Link} from './create-link.js';
 import {type KvCache, type Prefills} from './create-prefills.js';
 import {refuse} from './refuse.js';
@@ -24,7 +24,7 @@
 	for (let piece = 0; piece < pieceCount; piece++) {
 		if (fault !== undefined && piece === faultAt) {
 			if (fault.kind === 'reset') {
-				res.socket?.resetAndDestroy();
+				resetConnection(res);
 				throw new Error('reset by a fault switch');
 			}
 
--- a/test/stand-ins/engine/_lib/write-tokens.ts
+++ b/test/stand-ins/engine/_lib/write-tokens.ts
@@ -1,5 +1,6 @@
 /** Writes the tokens that a reader of a stream has not received yet, correctly or with the fault that a switch sets. */
 import {type ServerResponse} from 'node:http';
+import {resetConnection} from '../../_lib/http-server.js';
 import {takeFault} from './take-fault.js';
 import {type EngineFaults, type StreamFaultKind} from './types.js';
 import {type Stream} from './create-streams.js';
@@ -58,7 +59,7 @@
 		}
 
 		case 'reset': {
-			reader.res.socket?.resetAndDestroy();
+			resetConnection(reader.res);
 			break;
 		}
 
--- a/test/stand-ins/link/index.ts
+++ b/test/stand-ins/link/index.ts
@@ -6,6 +6,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import {resetSocket} from '../../_lib/reset-socket/index.js';
 
 export type LinkStandInOptions = {
 	/** `IP:port` or `http://IP:port` to which connections are relayed. */
@@ -65,8 +66,8 @@
 
 	const drop = (pair: Pair): void => {
 		pairs.delete(pair);
-		pair.near.resetAndDestroy();
-		pair.far.resetAndDestroy();
+		resetSocket(pair.near);
+		resetSocket(pair.far);
 	};
 
 	const relay = (pair: Pair, from: Socket, to: Socket, direction: LinkDirection): void => {
@@ -142,7 +143,7 @@
 
 		for (const near of unansweredSockets) {
 			if (!isAnyCut(near.remoteAddress ?? '')) {
-				near.resetAndDestroy();
+				resetSocket(near);
 			}
 		}
 	};
@@ -153,7 +154,7 @@
 		}
 
 		for (const near of unansweredSockets) {
-			near.resetAndDestroy();
+			resetSocket(near);
 		}
 	};
 
--- a/test/stand-ins/link/test.ts
+++ b/test/stand-ins/link/test.ts
@@ -3,6 +3,7 @@
 import {
 	connect, createServer, type AddressInfo, type Socket,
 } from 'node:net';
+import process from 'node:process';
 import {after, describe, it} from 'node:test';
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {startLinkStandIn} from './index.js';
@@ -42,6 +43,37 @@
 	return {link, arrived, dial};
 };
 
+/** Starts a link to a server that keeps connections half open. The `onPass` callback runs before each chunk or end is passed on. */
+const startHalfOpen = async (onPass: () => void) => {
+	const open = new Set<Socket>();
+	const server = createServer({allowHalfOpen: true}, socket => {
+		open.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => open.delete(socket));
+		socket.resume();
+		// A socket that has received the end of the stream notices a reset only when it writes.
+		const writes = setInterval(() => socket.write('x'), 10);
+		socket.once('close', () => {
+			clearInterval(writes);
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const link = await startLinkStandIn({
+		target: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+		isCutFor() {
+			onPass();
+			return false;
+		},
+	});
+	stops.push(() => server.close(), link.stop, () => {
+		for (const socket of open) {
+			socket.destroy();
+		}
+	});
+	return {link, open};
+};
+
 const wait = {deadlineMs: 5000, what: 'bytes'};
 
 describe('startLinkStandIn', () => {
@@ -81,4 +113,25 @@
 		await waitUntil(() => got.join('') === 'echo:a', wait);
 		assert.deepEqual(arrived, ['a']);
 	});
+
+	// Guards against a process that never exits because the descriptor of a reset connection leaked.
+	it('closes both ends of a connection that is reset while it passes on the end of the stream', async () => {
+		let onPass = (): void => undefined;
+		const {link, open} = await startHalfOpen(() => {
+			onPass();
+		});
+		const socket: Socket = connect({port: link.port, host: '127.0.0.1', allowHalfOpen: true});
+		stops.push(() => socket.destroy());
+		socket.on('error', () => undefined);
+		socket.resume();
+		await once(socket, 'connect');
+		await waitUntil(() => open.size === 1, wait);
+		onPass = () => {
+			process.nextTick(link.reset);
+		};
+
+		socket.end();
+		await waitUntil(() => open.size === 0, {deadlineMs: 5000, what: 'the server to see the reset'});
+		assert.equal(link.countConnections(), 0);
+	});
 });
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -4,6 +4,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {resetSocket} from '../../_lib/reset-socket/index.js';
 
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
@@ -140,14 +141,14 @@
 			case 'cut-unframed': {
 				socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${String(req.headers['request-id'])}\r\nserver-seal: x\r\n\r\nhalf`, () => {
 					setImmediate(() => {
-						socket.resetAndDestroy();
+						resetSocket(socket);
 					});
 				});
 				break;
 			}
 
 			case 'reset': {
-				socket.resetAndDestroy();
+				resetSocket(socket);
 				break;
 			}
 
