--- a/src/programs/agent/_lib/keep-documents.ts
+++ b/src/programs/agent/_lib/keep-documents.ts
@@ -4,18 +4,14 @@
  * and fetches newer ones from them.
  */
 import {compareConfigVersions} from '../../../domain/compare-config-versions/index.js';
-import {checkSeal} from '../../../domain/check-seal/index.js';
-import {createVersionGate, type ReportedVersion} from '../../../domain/create-version-gate/index.js';
 import {type FleetTable} from '../../../domain/create-fleet-table/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ConfigVersion} from '../../../ports/config.js';
 import {type HostId} from '../../../ports/ids.js';
 import {type FleetList, type PlatformFailure, type PlatformValue} from '../../../ports/platform.js';
 import {msPerSecond} from '../../../ports/units.js';
-import {toDigest} from '../../../_lib/to-digest/index.js';
-import {waitFor} from '../../../_lib/wait-for/index.js';
 import {type AgentOptions} from './agent-types.js';
-import {askSeeds, type AskSeedsOptions} from './ask-seeds.js';
+import {createReportComparison, type ReportComparisonOptions} from './create-report-comparison.js';
 import {type ValueVerdict} from './create-reread-schedule.js';
 import {createDocumentStore, type ConfigOfferResult, type DocumentNotices} from './create-document-store.js';
 import {createNewestReportedVersion} from './create-newest-reported-version.js';
@@ -50,15 +46,12 @@
  */
 const unvouchedWaitMs: Milliseconds = peerWaitMs + (2 * msPerSecond);
 
-/** Longest delay of the platform's document while a newer one that a peer reported is fetched. */
-const fetchWaitMs: Milliseconds = 2 * msPerSecond;
-
 export type KeepDocumentsOptions = Pick<AgentOptions, 'settings' | 'platform' | 'random' | 'keepOnly' | 'log'> & {
 	table: FleetTable;
 	pauses: PauseTracker;
 	call: SpreadDocumentOptions['call'];
 	/** Calls the agent at an address whose host may not be known. */
-	callAddress: AskSeedsOptions['call'];
+	callAddress: ReportComparisonOptions['callAddress'];
 	/** Called when a document has come in force here, with the host it came from. */
 	onDocumentChange: (origin: HostId) => void;
 	/** Called with each new list of hosts and servers. */
@@ -104,7 +97,6 @@
 	/** Whether this process has learned which configuration the platform serves, from the platform or from a peer that vouches. */
 	let isPlatformConfigKnown = false;
 	const newest = createNewestReportedVersion();
-	const gate = createVersionGate({startedAt, vouchedWaitMs: peerWaitMs, unvouchedWaitMs});
 
 	const held = createDocumentStore({
 		table,
@@ -173,31 +165,6 @@
 		signal,
 	});
 
-	/** Fetches versions that peers reported, the newest first; the older ones are then known to be older. */
-	function useReports(reports: readonly ReportedVersion[]) {
-		for (const {from, version} of reports) {
-			spreads.config.noteVersion(from, version);
-		}
-	}
-
-	/** Fetches the newest version that peers reported, if it is above the platform's and this host has no configuration yet. */
-	async function preferReported({value: text, revision}: PlatformValue) {
-		const seal = checkSeal(text);
-		if (table.accepted() !== undefined || seal.isErr()) {
-			return;
-		}
-
-		const newer = gate.listNewerThan({edition: seal.value.edition, revision, digest: toDigest(text)});
-		if (newer.length === 0) {
-			return;
-		}
-
-		const [{from, version}] = newer as [ReportedVersion, ...ReportedVersion[]];
-		log.info('configuration of a peer preferred to the platform\'s', {peer: from, revision: version.revision, revisionBefore: revision});
-		useReports(newer);
-		await Promise.race([spreads.config.whenFetched(), waitFor(fetchWaitMs, signal)]);
-	}
-
 	/** Validates a document that the platform serves, after reading the parts that this host lacks. */
 	async function takeFromPlatform(key: DocumentKind, {value: text, revision}: PlatformValue): Promise<ValueVerdict> {
 		const before = held[key]();
@@ -223,20 +190,10 @@
 		return offer.isChanged || isHeld ? 'taken' : 'refused';
 	}
 
-	/** Fetches the version that a peer reports. While this host has no configuration, reports are compared first. */
-	function noteReport(from: HostId, {config: version, confirmedAgeMs}: KnownVersions) {
-		if (table.accepted() !== undefined) {
-			spreads.config.noteVersion(from, version);
-		} else if (version !== undefined) {
-			gate.note({from, version, isVouched: confirmedAgeMs !== undefined});
-			useReports(gate.listUsable(now()));
-		}
-	}
-
 	function receiveVersions(from: HostId, known: KnownVersions) {
 		hasHeardFromPeer = true;
 		newest.note(known.config, now());
-		noteReport(from, known);
+		reports.note(from, known);
 		spreads.fleet.noteVersion(from, known.fleet);
 		if (known.confirmedAgeMs !== undefined) {
 			isPlatformConfigKnown = true;
@@ -244,25 +201,22 @@
 		}
 	}
 
-	async function compareSeeds() {
-		await askSeeds({
-			seeds: settings.seeds,
-			call: options.callAddress,
-			onVersions: receiveVersions,
-			onFailure(address, reason) {
-				log.debug('asking a seed for its versions failed', {peerAddress: address, reason});
-			},
-			signal,
-		});
-		gate.noteSeedsAsked();
-		if (table.accepted() === undefined) {
-			useReports(gate.listUsable(now()));
-		}
-	}
+	const reports = createReportComparison({
+		seeds: settings.seeds,
+		callAddress: options.callAddress,
+		onVersions: receiveVersions,
+		hasConfig: () => table.accepted() !== undefined,
+		spread: spreads.config,
+		waits: {vouchedWaitMs: peerWaitMs, unvouchedWaitMs},
+		startedAt,
+		now,
+		log,
+		signal,
+	});
 
 	async function takeFromWatch(key: DocumentKind, value: PlatformValue): Promise<ValueVerdict> {
 		if (key === 'config') {
-			await preferReported(value);
+			await reports.preferReported(value);
 		}
 
 		const taken = await takeFromPlatform(key, value);
@@ -307,6 +261,6 @@
 			judgeDocument('config', document, hostId, 'entry');
 		},
 		serve: (kind, method, body) => spreads[kind].serve(method, body),
-		done: Promise.all([watch('config'), watch('fleet'), compareSeeds()]),
+		done: Promise.all([watch('config'), watch('fleet'), reports.askSeeds()]),
 	};
 }
