--- a/test/storm/_lib/judge-storm.test.ts
+++ b/test/storm/_lib/judge-storm.test.ts
@@ -201,7 +201,16 @@
 
 describe('judgeStorm: work of which no call was answered whole', () => {
 	const brokenScene = toCall('scene', {...broken, status: 0, text: ''});
+	const lostRun: Partial<Answer> = {...notRun, outcome: 'may-have-run', problem: 'urn:banyanport:problem:answer-lost'};
+	const joinedScene = toCall('scene', lostRun, {host: otherHost});
+	const takenOverScene = toCall('scene', {...lostRun, problem: 'urn:banyanport:problem:key-used'});
+	const refusedOther = {...refusedScene, work: {...toWork('scene'), id: 'refused scene'}};
 	const cases: ReadonlyArray<[string, Partial<Evidence>, InjectedFault[], boolean]> = [
+		['scenes whose run ended when its host was killed', toScenes(refusedOther, takenOverScene, joinedScene), [createFault('kill entry', [host])], true],
+		['scenes whose run was lost while another host was killed', toScenes(refusedOther, takenOverScene, joinedScene), [createFault('kill entry', ['c-1'])], false],
+		['scenes whose run was lost before its host was killed', toScenes(refusedOther, ...[takenOverScene, joinedScene].map(call => ({...call, from: 0, to: 900}))), [createFault('kill entry', [host]), createFault('cut zone off', ['b'])], false],
+		['scenes whose run was lost while its host was paused', toScenes(refusedOther, takenOverScene, joinedScene), [createFault('pause host', [host])], false],
+		['scenes that did not run while their host was killed', toScenes(refusedOther, toCall('scene', notRun)), [createFault('kill entry', [host])], false],
 		['scenes that found no claim or broke at a host that was killed', toScenes(refusedScene, brokenScene), [createFault('kill entry', [host])], true],
 		['scenes that found no claim or broke at a host that was not killed', toScenes(refusedScene, brokenScene), [createFault('pause host', ['c-1'])], false],
 		['scenes that found no claim or broke before their host was killed', toScenes(refusedScene, {...brokenScene, from: 0, to: 500}), [createFault('kill entry', [host])], false],
