Keep the logs of a storm that fails in the tests

A keyed letter was run by two hosts in one of 18 runs of failures/storm.test, and the run left nothing to trace it by. The test now saves faults, calls and logs under out/ when a promise is broken; its checks, seed and length are as before.

--- a/test/failures/storm.test.ts
+++ b/test/failures/storm.test.ts
@@ -7,11 +7,14 @@
  * faults are drawn from a seed before the storm begins; only safety is checked.
  */
 import assert from 'node:assert/strict';
+import process from 'node:process';
 import {before, describe, it} from 'node:test';
 import {runStorm, toReportText, type StormReport} from '../storm/index.js';
 
 const seed = 20_261_202;
 const durationMs = 25_000;
+/** A broken promise leaves the faults, calls and logs here, to be traced. */
+const logFolder = `out/storm-${seed}-${process.pid}`;
 
 const promises = [
 	'work that may run once only ran at most once',
@@ -32,7 +35,7 @@
 	let report: StormReport;
 
 	before(async () => {
-		report = await runStorm({seed, durationMs});
+		report = await runStorm({seed, durationMs, logFolder});
 	});
 
 	it('is reported', t => {
