Pass over only what an entry's own command runs

The entry on graceful-stop is about hosts of two builds, and its command would have passed over a failure of the ordinary run as well.

--- a/scripts/run-tests.ts
+++ b/scripts/run-tests.ts
@@ -19,7 +19,7 @@
 
 type KnownRed = {
 	test: string;
-	/** Part of the path of the test's file, from an entry whose command runs test files; an entry of another command passes over nothing here. */
+	/** Part of the path of the test's file, from an entry whose command is `npm test -- PART`; an entry of another command passes over nothing here. */
 	file: string | undefined;
 	line: string;
 };
@@ -33,7 +33,7 @@
 	return readFileSync('KNOWN-RED.txt', 'utf8')
 		.split('\n')
 		.filter(line => line.trim() !== '')
-		.map(line => ({test: line.split('|')[0]!.trim(), file: /npm test -- (?<file>[\w\-\/.]+)/v.exec(line)?.groups?.file, line}));
+		.map(line => ({test: line.split('|')[0]!.trim(), file: /\| npm test -- (?<file>[\w\-\/.]+)$/v.exec(line)?.groups?.file, line}));
 }
 
 const hasProperties = (file: string): boolean => readFileSync(file, 'utf8').includes('fc.assert');
