Identify callers by their keys on the users' platform

Callers saw: their key went on to backend servers, which were not told the workspace; a request with an unknown key, or with a key that had been taken away, was served.

Cause: the adapter read neither tenants nor public routes, and the published fleet had no keys, so every caller was anonymous.

Change: published rules carry digests of keys and terms of workspaces (class, limit). The router identifies callers by key, serves public rules without one, and lets a workspace's class go before the rule's. The adapter sends the workspace's name and never the key. Workspaces without any key left keep the system closed. A host that the platform does not answer refuses an unknown key or path as not run, as a newer configuration may allow it.

--- a/src/adapters/native-calls/index.ts
+++ b/src/adapters/native-calls/index.ts
@@ -1,4 +1,5 @@
 /** Server calls of plain services behind the system's native interface. */
+import {needsKey} from '../../domain/identify-caller/index.js';
 import {toForwardHeaders} from '../../domain/to-forward-headers/index.js';
 import {type RequestHints, type ServerCalls} from '../../ports/server-calls.js';
 import {type FleetView} from '../../ports/view.js';
@@ -20,7 +21,8 @@
 	return {
 		parseHints: () => noHints,
 		toHeaders({headers, requestId, workspace}) {
-			const hasTokens = Object.keys(toView()?.accepted?.config.callerTokens ?? {}).length > 0;
+			const config = toView()?.accepted?.config;
+			const hasTokens = config !== undefined && needsKey(config);
 			return {
 				// A caller's token authenticates it to this system and must not reach the service behind it.
 				...toForwardHeaders(headers, {drop: ['host', ...(hasTokens ? ['authorization'] : [])]}) as Record<string, string>,
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -279,6 +279,7 @@
 			pools: (rules ?? noRules).pools,
 			rules: (rules ?? noRules).rules,
 			callerTokens: {},
+			...rules?.workspaces,
 			...(rules?.callers && {callers: rules.callers}),
 			weightStoreBytesPerSecond: 0,
 		};
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -106,7 +106,28 @@
 	split: ReadonlyArray<{pool: string; weight: number}>;
 };
 
+/** What a workspace may use of all hosts together: a token bucket. */
+export type WorkspaceLimit = {
+	/** `tokens`: a request counts as its prompt tokens and the most tokens of its answer. */
+	unit: 'requests' | 'tokens';
+	/** Sustained rate, units a second. */
+	perSecond: number;
+	/** Units that may be used at once after a time without use. */
+	burst: number;
+	/** Tokens that a request counts as if it states none. */
+	unstatedTokens: number;
+};
+
+export type WorkspaceTerms = {
+	/** Class of all requests of the workspace; takes precedence over the class of the rule. */
+	class?: ServiceClass;
+	/** Absent where the workspace may use any amount. */
+	limit?: WorkspaceLimit;
+};
+
 export type RuleThen = {
+	/** Whether callers need no key. */
+	isPublic?: boolean;
 	/** Present where requests are relayed unread, to model servers too. */
 	relay?: RelayPolicy;
 	pool: string;
@@ -139,8 +160,10 @@
 	servers: readonly ServerEntry[];
 	pools: readonly PoolEntry[];
 	rules: readonly Rule[];
-	/** Workspaces by the digest (SHA-256, hex) of the caller's token; when empty, callers name their workspace in `x-workspace`. */
+	/** Workspaces by the digest (SHA-256, hex) of the caller's key; a workspace may have several keys. When empty and without `workspaces`, callers name their workspace in `x-workspace`. */
 	callerTokens: Readonly<Record<string, WorkspaceId>>;
+	/** Terms of the workspaces; where present, callers need a key even if no key is left. */
+	workspaces?: Readonly<Record<WorkspaceId, WorkspaceTerms>>;
 	/** Limits for callers that the publisher sets; where absent, the host's settings apply. */
 	callers?: CallerBounds;
 	/** Bytes a second that the whole fleet together may read from the weight store. */
--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -6,7 +6,7 @@
 import {type ResultAsync} from 'neverthrow';
 import {type Milliseconds} from './clock.js';
 import {
-	type CallerBounds, type PoolEntry, type Rule, type ServerEntry,
+	type CallerBounds, type Config, type PoolEntry, type Rule, type ServerEntry,
 } from './config.js';
 import {type PlatformFailure} from './platform.js';
 
@@ -20,6 +20,8 @@
 	rules: readonly Rule[];
 	pools: readonly PoolEntry[];
 	callers: CallerBounds | undefined;
+	/** Keys and terms of workspaces; absent where callers need no key. */
+	workspaces?: Required<Pick<Config, 'callerTokens' | 'workspaces'>>;
 };
 
 /** Name under which a platform publishes a server; a restarted server may have the same name. */
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -43,6 +43,8 @@
 export type OutgoingCall = {
 	headers: Readonly<Record<string, string>>;
 	workspace: WorkspaceId;
+	/** Whether a key of the caller determined the workspace. */
+	isAuthenticated: boolean;
 	requestId: RequestId;
 	server: ServerEntry;
 	step: CallStep;
--- a/src/programs/entry/_lib/problems.ts
+++ b/src/programs/entry/_lib/problems.ts
@@ -22,6 +22,16 @@
 	kind: 'no-configuration', detail: 'This host has no configuration yet.', outcome: 'not-run', retryAfterMs: msPerSecond,
 };
 
+/**
+ * @param detail - Why the host's own configuration does not allow the request.
+ * @returns Answer of a host that may lack a newer configuration, which may allow the request.
+ */
+export function toBehindProblem(detail: string): Problem {
+	return {
+		kind: 'no-configuration', detail: `${detail} This host may lack the newest configuration; send the request again.`, outcome: 'not-run', retryAfterMs: msPerSecond,
+	};
+}
+
 const endDetails = {
 	'deadline-passed': 'The deadline passed before the answer began.',
 	stopping: 'This host was stopped before the answer was whole.',
--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -2,15 +2,18 @@
 import {err, ok, type Result} from 'neverthrow';
 import {pickWeighted} from '../../../_lib/pick-weighted/index.js';
 import {compileRules, type CompiledRules} from '../../../domain/compile-rules/index.js';
-import {identifyCaller} from '../../../domain/identify-caller/index.js';
+import {
+	anonymousWorkspace, type CallerFault, identifyCaller, type IdentifiedCaller,
+} from '../../../domain/identify-caller/index.js';
 import {matchRule} from '../../../domain/match-rule/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Config, type PoolEntry, type Rule} from '../../../ports/config.js';
-import {type WorkspaceId, type ZoneId} from '../../../ports/ids.js';
+import {type ZoneId} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type Random} from '../../../ports/clock.js';
 import {type FleetView} from '../../../ports/view.js';
-import {noConfiguration} from './problems.js';
+import {createRuleClasses} from './create-rule-classes.js';
+import {noConfiguration, toBehindProblem} from './problems.js';
 
 export type RouteInput = {
 	headers: Readonly<Record<string, string>>;
@@ -23,8 +26,8 @@
 	random: Random;
 };
 
-export type Route = {
-	workspace: WorkspaceId;
+export type Route = IdentifiedCaller & {
+	/** The matching rule, with the workspace's class if it has one. */
 	rule: Rule;
 	pool: PoolEntry;
 	edition: number;
@@ -41,14 +44,28 @@
 		: err({kind: 'bad-request', detail: 'x-service-class must be "quick" or "batch".', outcome: 'not-run'});
 }
 
+export type RouterOptions = {
+	/** Whether a newer configuration may be in force that this host does not have yet. */
+	isBehind?: () => boolean;
+};
+
+/** A host without a newer key or rule must not deny what another host allows. Callers take a denial as final. */
+const toDenied = (problem: Problem, isBehind: boolean): Problem => isBehind ? toBehindProblem(problem.detail) : problem;
+
+const noRule: Problem = {kind: 'no-rule', detail: 'No rule matches this request. Ask the operators to add one.', outcome: 'not-run'};
+
+const toUnauthorized = ({detail}: CallerFault): Problem => ({kind: 'unauthorized', detail, outcome: 'not-run'});
+
 /**
  * Creates the router of one host. Rules are compiled once for each accepted
  * configuration, at the first request after it came into force.
  *
  * @param zone - Zone of the host, which rules may match.
+ * @param options - Whether the host may lack a newer configuration; by default it does not.
  * @returns A function that finds the workspace, the matching rule and its pool.
  */
-export function createRouter(zone: ZoneId): Router {
+export function createRouter(zone: ZoneId, {isBehind = () => false}: RouterOptions = {}): Router {
+	const ruleClasses = createRuleClasses();
 	let compiled: CompiledRules | undefined;
 	let compiledFrom: Config | undefined;
 
@@ -68,21 +85,25 @@
 		}
 
 		const {config, version} = accepted;
-		const workspace = identifyCaller(input.headers, config.callerTokens);
-		if (workspace.isErr()) {
-			return err({kind: 'unauthorized', detail: workspace.error, outcome: 'not-run'});
-		}
-
+		const identified = identifyCaller(input.headers, config);
+		const isUnknownKey = identified.isErr() && identified.error.kind === 'unknown-key';
+		// Public rules serve requests without a known key.
+		const caller = identified.unwrapOr({workspace: anonymousWorkspace, isAuthenticated: false});
+		const {workspace} = caller;
 		return toClass(input.headers).andThen(serviceClass => {
 			const rule = matchRule(toCompiled(config), {
-				...input, workspace: workspace.value, class: serviceClass, zone,
+				...input, workspace, class: serviceClass, zone,
 			});
+			if (identified.isErr() && rule?.then.isPublic !== true) {
+				return err<Route, Problem>(toDenied(toUnauthorized(identified.error), isUnknownKey && isBehind()));
+			}
+
 			const pickedTarget = pickWeighted(rule?.then.relay?.split ?? [], input.random);
 			const pool = config.pools.find(entry => entry.name === (pickedTarget?.pool ?? rule?.then.pool));
 			return rule === undefined || pool === undefined
-				? err<Route, Problem>({kind: 'no-rule', detail: 'No rule matches this request. Ask the operators to add one.', outcome: 'not-run'})
+				? err<Route, Problem>(toDenied(noRule, isBehind()))
 				: ok({
-					workspace: workspace.value, rule, pool, edition: version.edition,
+					...caller, rule: ruleClasses.toRule(rule, config.workspaces?.[workspace]?.class), pool, edition: version.edition,
 				});
 		});
 	};
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -31,7 +31,7 @@
 export function toCallHeaders(run: PlainRun, server: ServerEntry, step: CallStep): Record<string, string | string[]> {
 	const {exchange, ctx} = run;
 	return ctx.calls.toHeaders({
-		headers: exchange.headers, workspace: run.route.workspace, requestId: exchange.requestId, server, step, deadlineInMs: toRemainingMs(run),
+		headers: exchange.headers, workspace: run.route.workspace, isAuthenticated: run.route.isAuthenticated, requestId: exchange.requestId, server, step, deadlineInMs: toRemainingMs(run),
 	});
 }
 
--- a/src/programs/entry/serve-models/index.ts
+++ b/src/programs/entry/serve-models/index.ts
@@ -16,9 +16,9 @@
 		return;
 	}
 
-	const workspace = identifyCaller(exchange.headers, config.callerTokens);
-	if (workspace.isErr()) {
-		exchange.sendProblem({kind: 'unauthorized', detail: workspace.error, outcome: 'not-run'});
+	const caller = identifyCaller(exchange.headers, config);
+	if (caller.isErr()) {
+		exchange.sendProblem({kind: 'unauthorized', detail: caller.error.detail, outcome: 'not-run'});
 		return;
 	}
 
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -257,7 +257,7 @@
 	const control = openRunControl(ctx.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : abortAfter(control, deadline - ctx.services.clock.now());
 	account.addStage('routed', {
-		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class,
+		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class, isAuthenticated: route.isAuthenticated,
 	});
 	ctx.log.info('request received', {
 		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint,
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -236,7 +236,7 @@
 	const ctx: ServeContext = {
 		services: run.services,
 		limits,
-		route: createRouter(settings.zone),
+		route: createRouter(settings.zone, {isBehind: () => !link.isConnected()}),
 		accounts,
 		registry,
 		claims: link.claims,
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -7,6 +7,7 @@
 import fc from 'fast-check';
 import {createServerCalls} from '../../platform/server-calls.js';
 import {createStore} from '../../platform/store.js';
+import {toDigest} from '../../src/_lib/to-digest/index.js';
 import {toPublishedRules} from '../../platform/to-rules.js';
 import {toPublishedServer} from '../../platform/to-server.js';
 import {type ServerEntry} from '../../src/ports/config.js';
@@ -62,6 +63,49 @@
 	});
 });
 
+describe('tenants of the platform', () => {
+	const read = (...tenants: Array<Record<string, unknown>>) => toPublishedRules(JSON.stringify({
+		version: 1, routes: [], services: [], tenants,
+	}))._unsafeUnwrap().workspaces!;
+
+	it('become workspaces that are known by digests of their keys', () => {
+		const {callerTokens} = read({name: 'a', api_keys: ['k1', 'k2']}, {name: 'b', api_keys: ['k3']});
+		assert.deepEqual(callerTokens, {[toDigest('k1')]: 'a', [toDigest('k2')]: 'a', [toDigest('k3')]: 'b'});
+	});
+
+	it('stay known as workspaces after their last key was taken away', () => {
+		assert.deepEqual(read({name: 'a', api_keys: []}), {callerTokens: {}, workspaces: {a: {}}});
+	});
+
+	it('have a limit in tokens or requests, and none without a rate', () => {
+		const {workspaces} = read(
+			{
+				name: 'a', unit: 'token_stream', plain_tokens: 200, rate_per_s: 9000, burst: 18_000,
+			},
+			{name: 'b', rate_per_s: 5, burst: 0},
+			{name: 'c', rate_per_s: 0, burst: 7},
+		);
+		assert.deepEqual(workspaces, {
+			a: {
+				limit: {
+					unit: 'tokens', perSecond: 9000, burst: 18_000, unstatedTokens: 200,
+				},
+			},
+			b: {
+				limit: {
+					unit: 'requests', perSecond: 5, burst: 0, unstatedTokens: 0,
+				},
+			},
+			c: {},
+		});
+	});
+
+	it('have the class quick with the highest priority of all, and batch with any other', () => {
+		const {workspaces} = read({name: 'a', priority: 1}, {name: 'b', priority: 2}, {name: 'c'});
+		assert.deepEqual(workspaces, {a: {class: 'quick'}, b: {class: 'batch'}, c: {}});
+	});
+});
+
 describe('entries of the platform\'s servers', () => {
 	const proper = {
 		service: 's', address: '10.0.0.1:80', zone: 'a', slots: 4, state: 'ready', sequence: 1,
@@ -73,7 +117,7 @@
 		const second = read({born: 1_700_000_009_000})._unsafeUnwrap();
 		assert.notEqual(first.entry.id, second.entry.id);
 		const headers = calls.toHeaders({
-			headers: {}, workspace: 'w', requestId: 'r', server: second.entry, step: {kind: 'whole'}, deadlineInMs: 9,
+			headers: {}, workspace: 'w', isAuthenticated: false, requestId: 'r', server: second.entry, step: {kind: 'whole'}, deadlineInMs: 9,
 		});
 		assert.equal(headers['expect-instance'], 'i-1');
 	});
@@ -115,16 +159,23 @@
 
 describe('headers of the platform', () => {
 	const own = {
-		stage: 'prefill', 'kv-source': 'x', 'kv-hold': 'x', 'kv-backup': 'x', 'kv-fetch': 'x', 'pin-ms': '1', 'expect-instance': 'x', 'expect-version': '1', 'request-urgency': '0',
+		authorization: 'Bearer k', tenant: 'x', stage: 'prefill', 'kv-source': 'x', 'kv-hold': 'x', 'kv-backup': 'x', 'kv-fetch': 'x', 'pin-ms': '1', 'expect-instance': 'x', 'expect-version': '1', 'request-urgency': '0',
 	};
 
 	it('that only banyanport sets are never taken from a caller', () => {
 		const headers = calls.toHeaders({
-			headers: {...own, 'x-kept': '1'}, workspace: 'w', requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 99.9,
+			headers: {...own, 'x-kept': '1'}, workspace: 'w', isAuthenticated: false, requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 99.9,
 		});
 		assert.deepEqual(headers, {'x-kept': '1', 'deadline-ms': '99', 'expect-instance': 'i-1'});
 	});
 
+	it('name the workspace whose key the caller sent, in place of any name from the caller', () => {
+		const headers = calls.toHeaders({
+			headers: {authorization: 'Bearer k', tenant: 'another'}, workspace: 'naslovnik', isAuthenticated: true, requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 9,
+		});
+		assert.deepEqual(headers, {tenant: 'naslovnik', 'deadline-ms': '9', 'expect-instance': 'i-1'});
+	});
+
 	it('are parsed to hints, which stay finite and non-negative for any values', () => {
 		assert.deepEqual(calls.parseHints({
 			'token-count': '1460,80', 'length-hint': '40', 'deadline-ms': '1000', model: 'm',
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -48,6 +48,8 @@
 	/** Repeats the call until the answer has the given status. */
 	askUntil: (asked: RelayCall, status: number) => Promise<Answer>;
 	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
+	/** Sets the tenants that later publications of routes contain; without them callers need no key. */
+	setTenants: (tenants: ReadonlyArray<Record<string, unknown>>) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
 	/** `IP:port` of each host for its peers; empty with a single host. */
 	peerAddresses: readonly string[];
@@ -236,11 +238,13 @@
 		});
 	};
 
+	let tenants: ReadonlyArray<Record<string, unknown>> | undefined;
 	const publishRoutes: RelayFixture['publishRoutes'] = (version, change = route => route) => {
 		store.put('op/config', {
 			version,
 			routes: routes.map(route => change({...route, host})).filter(route => route !== undefined),
 			services,
+			...(tenants && {tenants}),
 			limits: {
 				header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
 			},
@@ -275,6 +279,9 @@
 			}, {deadlineMs, what: `status ${status}`});
 		},
 		publishRoutes,
+		setTenants(next) {
+			tenants = next;
+		},
 		publishServer,
 		peerAddresses,
 		knownServers: host => new Set(hosts[host]!.relay.view()?.servers.keys()),
