Keep workspaces within their limits over all hosts

Change: each workspace has a keeper, the first host in a ranking that all hosts compute alike, which counts the use of all hosts in a token bucket. A host asks it before a request waits or is sent; one datagram each way. The keeper tells the next host in the ranking what it granted, so that this one can take over. A host that gets no answer from two asks grants 0.6 of its equal part. A host in a zone that is cut off grants its zone's part of the limit. A host that has just started lets the next one decide. A refusal is 429, not run, with the time at which there is room again; a request that is not run is given back. Without an exchange between hosts each grants an equal part.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -1,5 +1,6 @@
 /**
- * Messages between hosts about their loads and crashes, one UDP datagram each.
+ * Messages between hosts about their loads and crashes, one UDP datagram each, and
+ * the socket that they share with messages about limits.
  * Each message contains the sender's whole state, so the next message makes up
  * for a lost one.
  */
@@ -8,7 +9,9 @@
 import {Encoder} from 'cbor-x';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {decodeQuotaMessage, encodeQuotaMessage, isQuotaDatagram} from '../quota-datagrams/index.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
+import {type QuotaMessage} from '../../ports/quotas.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
 
 /** Largest datagram that is not fragmented by the network. */
@@ -28,7 +31,8 @@
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
-const schema = v.tuple([
+/** Senders of a later build may add items. */
+const schema = v.tupleWithRest([
 	v.literal(format),
 	name,
 	name,
@@ -38,7 +42,10 @@
 	v.array(v.tuple([v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v)), name])),
 	v.boolean(),
 	v.pipe(v.array(v.tuple([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))])), v.maxLength(maxReports)),
-]);
+], v.unknown());
+
+/** Item after those of every build. */
+const reachedShareSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
 
 const toReportRow = ({fingerprint, idleMs, crashes}: CrashReport) => [fingerprint, Math.round(idleMs), crashes.map(({server, ageMs}) => [server, Math.round(ageMs)])];
 
@@ -54,14 +61,14 @@
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking, crashes,
+		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare,
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
 	const reports = crashes.map(report => toReportRow(report));
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking, reports]);
+		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined ? [] : [reachedShare])]);
 		const cut = loads.length > 0 ? loads : reports;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
@@ -90,17 +97,19 @@
 		return err(v.summarize(parsed.issues));
 	}
 
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports] = parsed.output;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare] = parsed.output;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
 	return ok({
-		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
+		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})), ...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
 	});
 }
 
 export type LoadDatagrams = {
 	/** Sends a message to each address; a datagram that can't be sent is dropped. */
 	send: (message: LoadMessage, addresses: readonly string[]) => void;
+	/** Sends a message about limits; a datagram that can't be sent is dropped. */
+	sendQuota: (message: QuotaMessage, address: string) => void;
 	close: () => Promise<void>;
 };
 
@@ -108,6 +117,8 @@
 	/** `IP:port` to listen on. */
 	address: string;
 	onMessage: (message: LoadMessage, from: string) => void;
+	/** Called for a message about limits of workspaces. */
+	onQuota?: (message: QuotaMessage, from: string) => void;
 	/** Called for a datagram that is not a valid message, and for an error of the socket. */
 	onFault: (reason: string) => void;
 };
@@ -123,12 +134,20 @@
  * @param options - Address, and handlers of messages and faults.
  * @returns The socket once it listens; rejects when the address can't be bound.
  */
-export async function openLoadDatagrams({address, onMessage, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
+export async function openLoadDatagrams({address, onMessage, onQuota = () => undefined, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
 	const socket = createSocket('udp4');
 	const {ip, port} = toParts(address);
 	socket.on('message', (bytes, {address: from, port: fromPort}) => {
+		const sender = `${from}:${fromPort}`;
+		if (isQuotaDatagram(bytes)) {
+			decodeQuotaMessage(bytes).match(message => {
+				onQuota(message, sender);
+			}, onFault);
+			return;
+		}
+
 		decodeLoadMessage(bytes).match(message => {
-			onMessage(message, `${from}:${fromPort}`);
+			onMessage(message, sender);
 		}, onFault);
 	});
 	socket.bind(port, ip);
@@ -136,18 +155,26 @@
 	socket.on('error', error => {
 		onFault(error.message);
 	});
+
+	function sendBytes(bytes: Uint8Array, to: string): void {
+		const {ip: host, port: toPort} = toParts(to);
+		socket.send(bytes, toPort, host, error => {
+			if (error !== null) {
+				onFault(error.message);
+			}
+		});
+	}
+
 	return {
 		send(message, addresses) {
 			const bytes = encodeLoadMessage(message);
 			for (const to of addresses) {
-				const {ip: host, port: toPort} = toParts(to);
-				socket.send(bytes, toPort, host, error => {
-					if (error !== null) {
-						onFault(error.message);
-					}
-				});
+				sendBytes(bytes, to);
 			}
 		},
+		sendQuota(message, to) {
+			sendBytes(encodeQuotaMessage(message), to);
+		},
 		async close() {
 			socket.close();
 			await once(socket, 'close');
--- /dev/null
+++ b/src/adapters/quota-datagrams/index.ts
@@ -0,0 +1,107 @@
+/** Messages between hosts about limits of workspaces, one UDP datagram each. */
+import {Encoder} from 'cbor-x';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+import {type QuotaMessage, type QuotaSpend} from '../../ports/quotas.js';
+
+/** Format number, the first item of each datagram, by which a socket tells these messages from others. */
+export const quotaFormat = 16;
+
+const maxNameLength = 128;
+
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+
+const name = v.pipe(v.string(), v.maxLength(maxNameLength));
+const address = v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
+const spendItems = [name, v.pipe(v.number(), v.finite()), count, amount, amount] as const;
+const schema = v.union([
+	v.tuple([v.literal(quotaFormat), v.literal('ask'), ...spendItems, count, address, v.boolean(), v.union([address, v.literal('')])]),
+	v.tuple([v.literal(quotaFormat), v.literal('verdict'), count, v.boolean(), amount]),
+	v.tuple([v.literal(quotaFormat), v.literal('spent'), ...spendItems]),
+]);
+
+/** A validated row that begins as rows about use do. */
+type SpendRow = readonly [number, string, ...ReturnType<typeof toSpendItems>, ...unknown[]];
+
+const toSpendItems = ({workspace, cost, edition, rate}: QuotaSpend): [string, number, number, number, number] => [workspace, cost, edition, rate.perSecond, rate.burst];
+
+function toSpend(row: SpendRow): QuotaSpend {
+	return {
+		workspace: row[2], cost: row[3], edition: row[4], rate: {perSecond: row[5], burst: row[6]},
+	};
+}
+
+function toRow(message: QuotaMessage): unknown[] {
+	switch (message.kind) {
+		case 'ask': {
+			return ['ask', ...toSpendItems(message.spend), message.id, message.origin, message.isFinal, message.successor];
+		}
+
+		case 'verdict': {
+			return ['verdict', message.id, message.isGranted, message.waitMs];
+		}
+
+		case 'spent': {
+			return ['spent', ...toSpendItems(message.spend)];
+		}
+	}
+}
+
+/**
+ * @param bytes - A datagram of any format.
+ * @returns Whether it has the format of this module: an array of fewer than 24 items, the first of which is the format number.
+ */
+export function isQuotaDatagram(bytes: Uint8Array): boolean {
+	return bytes[1] === quotaFormat;
+}
+
+/**
+ * Encodes a message.
+ *
+ * @param message - The message.
+ * @returns One datagram.
+ */
+export function encodeQuotaMessage(message: QuotaMessage): Uint8Array {
+	return codec.encode([quotaFormat, ...toRow(message)]);
+}
+
+/**
+ * Decodes and validates a datagram from any sender.
+ *
+ * @param bytes - The datagram.
+ * @returns The message, or the reason why it is invalid.
+ */
+export function decodeQuotaMessage(bytes: Uint8Array): Result<QuotaMessage, string> {
+	let value: unknown;
+	try {
+		value = codec.decode(bytes);
+	} catch {
+		return err('not CBOR');
+	}
+
+	const parsed = v.safeParse(schema, value);
+	if (!parsed.success) {
+		return err(v.summarize(parsed.issues));
+	}
+
+	const row = parsed.output;
+	switch (row[1]) {
+		case 'ask': {
+			return ok({
+				kind: 'ask', id: row[7], origin: row[8], spend: toSpend(row), isFinal: row[9], successor: row[10],
+			});
+		}
+
+		case 'verdict': {
+			return ok({
+				kind: 'verdict', id: row[2], isGranted: row[3], waitMs: row[4],
+			});
+		}
+
+		case 'spent': {
+			return ok({kind: 'spent', spend: toSpend(row)});
+		}
+	}
+}
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -18,7 +18,7 @@
 
 export type PeerList = {
 	/** Records a message of a host, which may ask for an answer. Returns whether the host was unknown; {@link PeerList.takeUnanswered} returns it then, as it may know no other host. */
-	noteHeard: (peer: NamedPeer, now: Milliseconds, options?: {isAsking?: boolean}) => boolean;
+	noteHeard: (peer: NamedPeer, now: Milliseconds, options?: {isAsking?: boolean; reachedShare?: number}) => boolean;
 	/** Records the hosts that another host advertised in a message. */
 	noteAdvertised: (peers: readonly NamedPeer[], now: Milliseconds) => void;
 	/** Hosts to send each change to: all in a small fleet, some of the own zone in a large one. */
@@ -39,6 +39,14 @@
 	count: () => number | undefined;
 	/** Whether other hosts are known and none was added for some rounds; stays `true` from then on. */
 	isSettled: (now: Milliseconds) => boolean;
+	/** Hosts that may keep the counts of a key, this one included, best first: the same few on all hosts that reach each other. */
+	rankKeepers: (key: string, now: Milliseconds) => readonly string[];
+	/** Share of all hosts, also of those lost in the last minutes, that are in zones which this host hears, with a margin. */
+	toOwnReachedShare: (now: Milliseconds) => number;
+	/** The same by the hosts of the own zone that know the fewest; a host that has just started in a zone that is cut off does not know what it lacks. */
+	toReachedShare: (now: Milliseconds) => number;
+	/** Whether no other host was heard lately. */
+	isAlone: (now: Milliseconds) => boolean;
 	/** Takes some hosts that sent a message lately, to advertise them to others; the choice rotates. */
 	takeAdvertised: (now: Milliseconds) => readonly NamedPeer[];
 };
@@ -96,6 +104,22 @@
  */
 const countPeriodMs: Milliseconds = 3 * msPerMinute;
 
+/**
+ * Silence after which a zone counts as cut off for shared limits. Each host hears
+ * from several hosts of each zone every second.
+ */
+const zoneSilentAfterMs: Milliseconds = 2.5 * msPerSecond;
+
+/** Hosts that may keep the counts of a key: the keeper, its successor, and one more. */
+const keepersOfKey = 3;
+
+/** Time for which the hosts that this one reaches are cached, and number of keys whose ranking is. */
+const reachedMs: Milliseconds = 100;
+const maxKeys = 4096;
+
+/** Factor on the share of reached hosts, as zones are known by some of their hosts alone. */
+const reachedMargin = 1.1;
+
 type Known = {
 	zone: ZoneId;
 	/** When this host last received a message of it. */
@@ -104,8 +128,13 @@
 	knownAt: Milliseconds;
 	/** When it last asked for an answer. */
 	askedAt: Milliseconds;
+	/** Share of all hosts that it reaches by its last message; 1 if it told none. */
+	reachedShare: number;
 };
 
+/** Hosts in the zones that are heard, their share of all hosts, and the rankings among them that were needed. */
+type Reached = {at: Milliseconds; addresses: readonly string[]; share: number; keepers: Map<string, readonly string[]>};
+
 type Choice = {near: readonly string[]; far: readonly string[]; isLarge: boolean; at: Milliseconds};
 
 function groupByZone(known: ReadonlyMap<string, Known>): Map<ZoneId, string[]> {
@@ -143,6 +172,9 @@
 	/** Maximum number of hosts known at once in this period, and in the one before. */
 	let mostKnown = 0;
 	let mostBefore = 0;
+	/** The same by zone. */
+	let mostOfZones = new Map<ZoneId, number>();
+	let mostOfZonesBefore: ReadonlyMap<ZoneId, number> = new Map();
 	let periodAt: Milliseconds | undefined;
 	let grewAt = Infinity;
 	let isSettled = false;
@@ -185,10 +217,25 @@
 		if (now - periodAt >= countPeriodMs) {
 			mostBefore = mostKnown;
 			mostKnown = 0;
+			mostOfZonesBefore = mostOfZones;
+			mostOfZones = new Map();
 			periodAt = now;
 		}
 
 		mostKnown = Math.max(mostKnown, known.size);
+		for (const [id, addresses] of groupByZone(known)) {
+			mostOfZones.set(id, Math.max(mostOfZones.get(id) ?? 0, addresses.length));
+		}
+	}
+
+	/** Returns the most hosts of each zone known at once in the last minutes, with this one. */
+	function countOfZones(): ReadonlyMap<ZoneId, number> {
+		const counts = new Map(mostOfZones);
+		for (const [id, count] of mostOfZonesBefore) {
+			counts.set(id, Math.max(count, counts.get(id) ?? 0));
+		}
+
+		return counts.set(zone, (counts.get(zone) ?? 0) + 1);
 	}
 
 	function choose(now: Milliseconds): Choice {
@@ -216,15 +263,51 @@
 		return choice;
 	}
 
+	let reached: Reached = {
+		at: -Infinity, addresses: [], share: 1, keepers: new Map(),
+	};
+
+	/** Finds the zones from which a host was heard lately; always the own one. */
+	const findHeardZones = (now: Milliseconds): ReadonlySet<ZoneId> =>
+		new Set([zone, ...[...known.values()].filter(({heardAt}) => now - heardAt <= zoneSilentAfterMs).map(peer => peer.zone)]);
+
+	function findReached(now: Milliseconds): Reached {
+		const heard = findHeardZones(now);
+		const counts = [...countOfZones()];
+		const sum = (list: typeof counts): number => list.reduce((total, [, count]) => total + count, 0);
+		return {
+			at: now,
+			addresses: [...known].filter(([, peer]) => heard.has(peer.zone) && now - peer.knownAt <= knownForMs).map(([address]) => address),
+			share: Math.min(1, reachedMargin * sum(counts.filter(([id]) => heard.has(id))) / sum(counts)),
+			keepers: new Map(),
+		};
+	}
+
+	function toReached(now: Milliseconds): Reached {
+		if (now - reached.at >= reachedMs) {
+			reached = findReached(now);
+		}
+
+		return reached;
+	}
+
+	/** A host that has just started has not heard every zone yet, which does not show that any is cut off. */
+	const toOwnReachedShare = (now: Milliseconds): number => hasSettled(now) ? toReached(now).share : 1;
+
+	function countKnown(): number | undefined {
+		const most = Math.max(mostKnown, mostBefore);
+		return most === 0 ? undefined : most + 1;
+	}
+
 	const isHeard = ({heardAt}: Known, now: Milliseconds): boolean => now - heardAt <= silentAfterMs;
 
 	return {
-		noteHeard({address, zone: peerZone}, now, {isAsking = false} = {}) {
+		noteHeard({address, zone: peerZone}, now, {isAsking = false, reachedShare = 1} = {}) {
 			const before = known.get(address);
 			const isBack = before !== undefined && now - before.knownAt > knownForMs;
 			const askedAt = isAsking ? now : before?.askedAt ?? -Infinity;
 			const isNew = add(address, {
-				zone: peerZone, heardAt: now, knownAt: now, askedAt,
+				zone: peerZone, heardAt: now, knownAt: now, askedAt, reachedShare,
 			}) || isBack;
 			if (isNew) {
 				unanswered.add(address);
@@ -235,9 +318,9 @@
 		noteAdvertised(peers, now) {
 			for (const {address, zone: peerZone} of peers) {
 				if (address !== self) {
-					const {heardAt, askedAt} = known.get(address) ?? {heardAt: -Infinity, askedAt: -Infinity};
+					const {heardAt, askedAt, reachedShare} = known.get(address) ?? {heardAt: -Infinity, askedAt: -Infinity, reachedShare: 1};
 					add(address, {
-						zone: peerZone, heardAt, knownAt: now, askedAt,
+						zone: peerZone, heardAt, knownAt: now, askedAt, reachedShare,
 					});
 				}
 			}
@@ -264,11 +347,28 @@
 			unanswered.clear();
 			return addresses;
 		},
-		count() {
-			const most = Math.max(mostKnown, mostBefore);
-			return most === 0 ? undefined : most + 1;
-		},
+		count: countKnown,
 		isSettled: hasSettled,
+		rankKeepers(key, now) {
+			// Hosts that have just started know different hosts, but the same seeds.
+			if (!hasSettled(now) && seeds.length > 0) {
+				return pickRanked(key, seeds, keepersOfKey);
+			}
+
+			const {addresses, keepers} = toReached(now);
+			const ranked = keepers.get(key) ?? pickRanked(key, [self, ...addresses], keepersOfKey);
+			if (keepers.size < maxKeys) {
+				keepers.set(key, ranked);
+			}
+
+			return ranked;
+		},
+		toOwnReachedShare,
+		toReachedShare(now) {
+			const told = [...known.values()].filter(peer => peer.zone === zone && now - peer.heardAt <= zoneSilentAfterMs).map(({reachedShare}) => reachedShare);
+			return Math.min(toOwnReachedShare(now), ...told);
+		},
+		isAlone: now => [...known.values()].every(({heardAt}) => now - heardAt > zoneSilentAfterMs),
 		takeAdvertised(now) {
 			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address, {zone: peerZone}]) => ({address, zone: peerZone}));
 			firstNamed = heard.length <= namedPeers ? 0 : (firstNamed + namedPeers) % heard.length;
--- /dev/null
+++ b/src/domain/create-workspace-quotas/index.ts
@@ -0,0 +1,272 @@
+/**
+ * Keeps workspaces within their limits over all hosts together. For each
+ * workspace all hosts choose the same keeper, which counts what all of them use.
+ * A host asks the keeper before it runs a request, and the keeper tells the next
+ * host in the ranking what it granted, so that this one can take over.
+ */
+import {type Milliseconds} from '../../ports/clock.js';
+import {type WorkspaceId} from '../../ports/ids.js';
+import {type QuotaMessage, type QuotaSpend, type QuotaVerdict} from '../../ports/quotas.js';
+import {msPerSecond} from '../../ports/units.js';
+import {createQuotaKeeper} from '../create-quota-keeper/index.js';
+
+/** Time for an answer: a busy host answers within a few tens of milliseconds, and callers wait for two such times at most. */
+const answerTimeoutMs: Milliseconds = 100;
+
+/**
+ * Unanswered questions in a row after which a host counts as silent, and the time
+ * for which it is not asked then, unless it is heard before. One lost message must
+ * not divide the hosts between two keepers, each of which grants the whole limit.
+ */
+const missesToSilence = 2;
+const silentForMs: Milliseconds = 3 * msPerSecond;
+
+/** Time after a start in which a host lets the next one in the ranking decide, which has counted longer. */
+const startupMs: Milliseconds = 10 * msPerSecond;
+
+/** Share of its equal part that a host may grant while it reaches no other, since the others may use more than their equal parts. */
+const aloneShare = 0.6;
+
+/** Number of hosts assumed by a host that has just started and has heard of no other. */
+const assumedHosts = 20;
+
+export type QuotaPeers = {
+	/** Hosts that may keep a workspace, this one included, best first: the same few on all hosts that reach each other. */
+	rankKeepers: (workspace: WorkspaceId, now: Milliseconds) => readonly string[];
+	/** Share of all hosts that this host can be reached by. */
+	toReachedShare: (now: Milliseconds) => number;
+	/** Number of hosts, including those lost in the last minutes; `undefined` while no other was heard of. */
+	count: () => number | undefined;
+	/** Whether no other host was heard lately. */
+	isAlone: (now: Milliseconds) => boolean;
+};
+
+export type WorkspaceQuotasOptions = {
+	/** `IP:port` of this host for its peers. */
+	self: string;
+	/** Monotonic time at which this process started. */
+	startedAt: Milliseconds;
+	peers: QuotaPeers;
+	/** Sends a message, which may be lost. */
+	send: (message: QuotaMessage, to: string) => void;
+};
+
+export type WorkspaceQuotas = {
+	/** Asks for leave to use a workspace's limit; settles once, at the latest after two unanswered questions. */
+	take: (spend: QuotaSpend, now: Milliseconds, settle: (verdict: QuotaVerdict) => void) => void;
+	/** Gives back what was granted, because the request was not run. */
+	giveBack: (spend: QuotaSpend, now: Milliseconds) => void;
+	receive: (message: QuotaMessage, from: string, now: Milliseconds) => void;
+	/** Asks another host where an answer is overdue. */
+	tick: (now: Milliseconds) => void;
+	/** When the next answer is overdue; `undefined` while none is due. */
+	dueAt: () => Milliseconds | undefined;
+};
+
+type Pending = {
+	spend: QuotaSpend;
+	settle: (verdict: QuotaVerdict) => void;
+	asked: readonly string[];
+	dueAt: Milliseconds;
+};
+
+/** Hosts that are asked for one request. */
+const maxAsked = 2;
+
+/**
+ * Creates the quotas of one host.
+ *
+ * @param options - This host, its peers, and how to send to them.
+ * @returns See {@link WorkspaceQuotas}; `now` is monotonic milliseconds.
+ */
+export function createWorkspaceQuotas({self, startedAt, peers, send}: WorkspaceQuotasOptions): WorkspaceQuotas {
+	const keeper = createQuotaKeeper({startedAt, startupMs});
+	/** Counts what this host grants while it reaches no other. */
+	const aloneKeeper = createQuotaKeeper({startedAt, startupMs});
+	/** In the order in which answers are due, as all have the same timeout. */
+	const pending = new Map<number, Pending>();
+	const misses = new Map<string, {count: number; silentUntil: Milliseconds}>();
+	const deniedUntil = new Map<WorkspaceId, Milliseconds>();
+	let lastId = 0;
+
+	const isSilent = (address: string, now: Milliseconds): boolean => now < (misses.get(address)?.silentUntil ?? -Infinity);
+
+	function noteMiss(address: string, now: Milliseconds): void {
+		const count = (misses.get(address)?.count ?? 0) + 1;
+		misses.set(address, {count, silentUntil: count >= missesToSilence ? now + silentForMs : -Infinity});
+	}
+
+	function decideAlone(spend: QuotaSpend, now: Milliseconds): QuotaVerdict {
+		const hosts = peers.count() ?? (now - startedAt < startupMs ? assumedHosts : 1);
+		return aloneKeeper.decide(spend, {share: hosts === 1 ? 1 : aloneShare / hosts}, now);
+	}
+
+	/** Decides as the keeper or in its place, and tells those that may decide beside this host or after it. */
+	function decide(spend: QuotaSpend, isSubstitute: boolean, now: Milliseconds): QuotaVerdict {
+		const verdict = keeper.decide(spend, {share: peers.toReachedShare(now), isSubstitute}, now);
+		if (verdict.isGranted) {
+			for (const address of findInformed(spend.workspace, now)) {
+				send({kind: 'spent', spend}, address);
+			}
+		}
+
+		return verdict;
+	}
+
+	/** Returns the hosts ranked before this one that answer; if there are none, the next one in the ranking. */
+	function findInformed(workspace: WorkspaceId, now: Milliseconds): readonly string[] {
+		const ranked = rankAnswering(workspace, now);
+		const position = ranked.indexOf(self);
+		const before = position === -1 ? ranked : ranked.slice(0, position);
+		return before.length > 0 ? before : ranked.slice(1, 2);
+	}
+
+	/** Returns the ranked hosts without those that did not answer lately. */
+	const rankAnswering = (workspace: WorkspaceId, now: Milliseconds): readonly string[] =>
+		peers.rankKeepers(workspace, now).filter(address => address === self || !isSilent(address, now));
+
+	const isStarting = (now: Milliseconds): boolean => now - startedAt < startupMs;
+
+	/** Returns the host to which a question is forwarded, because it knows the use better; `undefined` if this one is to decide. */
+	function findBetterKeeper({spend, successor}: Extract<QuotaMessage, {kind: 'ask'}>, now: Milliseconds): string | undefined {
+		// A host that has just started neither knows the use nor all hosts.
+		if (isStarting(now)) {
+			return successor === '' || successor === self ? undefined : successor;
+		}
+
+		const [first = self] = rankAnswering(spend.workspace, now);
+		return first === self ? undefined : first;
+	}
+
+	function settle({settle: end, spend}: Pick<Pending, 'settle' | 'spend'>, verdict: QuotaVerdict, now: Milliseconds): void {
+		if (verdict.waitMs > 0) {
+			deniedUntil.set(spend.workspace, now + verdict.waitMs);
+		}
+
+		end(verdict);
+	}
+
+	function ask(to: string, question: Pick<Pending, 'spend' | 'settle'> & {asked: readonly string[]; isFinal: boolean; successor?: string}, now: Milliseconds): void {
+		lastId++;
+		const {spend, isFinal, asked, successor = ''} = question;
+		pending.set(lastId, {
+			spend, settle: question.settle, asked: [...asked, to], dueAt: now + answerTimeoutMs,
+		});
+		send({
+			kind: 'ask', id: lastId, origin: self, spend, isFinal, successor,
+		}, to);
+	}
+
+	function askNext({spend, settle: end, asked}: Pending, now: Milliseconds): void {
+		const next = asked.length < maxAsked
+			? peers.rankKeepers(spend.workspace, now).find(address => !asked.includes(address) && !isSilent(address, now))
+			: undefined;
+		if (next === undefined) {
+			settle({spend, settle: end}, decideAlone(spend, now), now);
+			return;
+		}
+
+		if (next === self) {
+			settle({spend, settle: end}, decide(spend, true, now), now);
+			return;
+		}
+
+		ask(next, {
+			spend, settle: end, asked, isFinal: true,
+		}, now);
+	}
+
+	function answer({id, origin, spend, isFinal}: Extract<QuotaMessage, {kind: 'ask'}>, now: Milliseconds): void {
+		const verdict = decide(spend, isFinal, now);
+		if (origin === self) {
+			takeVerdict(id, verdict, now);
+		} else {
+			send({kind: 'verdict', id, ...verdict}, origin);
+		}
+	}
+
+	function takeVerdict(id: number, verdict: QuotaVerdict, now: Milliseconds): void {
+		const question = pending.get(id);
+		if (question !== undefined) {
+			pending.delete(id);
+			settle(question, verdict, now);
+		}
+	}
+
+	return {
+		take(spend, now, end) {
+			const waitMs = (deniedUntil.get(spend.workspace) ?? -Infinity) - now;
+			if (waitMs > 0) {
+				end({isGranted: false, waitMs});
+				return;
+			}
+
+			deniedUntil.delete(spend.workspace);
+			if (peers.isAlone(now)) {
+				settle({spend, settle: end}, decideAlone(spend, now), now);
+				return;
+			}
+
+			const [first = self, successor = ''] = rankAnswering(spend.workspace, now);
+			const isUsual = first === peers.rankKeepers(spend.workspace, now)[0];
+			if (first !== self) {
+				ask(first, {
+					spend, settle: end, asked: [], isFinal: !isUsual, successor,
+				}, now);
+			} else if (isStarting(now) && successor !== '') {
+				ask(successor, {
+					spend, settle: end, asked: [], isFinal: true,
+				}, now);
+			} else {
+				settle({spend, settle: end}, decide(spend, !isUsual, now), now);
+			}
+		},
+		giveBack(spend, now) {
+			const given = {...spend, cost: -spend.cost};
+			for (const address of peers.rankKeepers(spend.workspace, now).slice(0, maxAsked)) {
+				if (address === self) {
+					keeper.note(given, now);
+				} else {
+					send({kind: 'spent', spend: given}, address);
+				}
+			}
+		},
+		receive(message, from, now) {
+			misses.delete(from);
+			switch (message.kind) {
+				case 'ask': {
+					const better = message.isFinal ? undefined : findBetterKeeper(message, now);
+					if (better === undefined) {
+						answer(message, now);
+					} else {
+						send({...message, isFinal: true}, better);
+					}
+
+					break;
+				}
+
+				case 'verdict': {
+					takeVerdict(message.id, {isGranted: message.isGranted, waitMs: message.waitMs}, now);
+					break;
+				}
+
+				case 'spent': {
+					keeper.note(message.spend, now);
+					break;
+				}
+			}
+		},
+		tick(now) {
+			for (const [id, question] of pending) {
+				if (question.dueAt > now) {
+					return;
+				}
+
+				pending.delete(id);
+				noteMiss(question.asked.at(-1)!, now);
+				askNext(question, now);
+			}
+		},
+		dueAt: () => pending.values().next().value?.dueAt,
+	};
+}
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -24,6 +24,7 @@
 	'wrong-media-type': [415, 'The body is not of a supported type'],
 	'key-reused': [422, 'The Idempotency-Key was used with another body'],
 	'queue-full': [429, 'Too much is waiting'],
+	'over-limit': [429, 'The workspace has used its limit'],
 	'header-too-large': [431, 'The headers are too large'],
 	'answer-lost': [502, 'The answer was lost'],
 	'backend-failed': [502, 'The backend server failed'],
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -39,4 +39,6 @@
 	peers: readonly NamedPeer[];
 	/** Whether the sender asks the receiver for a message in return. */
 	isAsking: boolean;
+	/** Share of all hosts that the sender reaches; absent from hosts that do not tell it. */
+	reachedShare?: number;
 };
--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -7,7 +7,9 @@
 } from '../../../domain/identify-caller/index.js';
 import {matchRule} from '../../../domain/match-rule/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
-import {type Config, type PoolEntry, type Rule} from '../../../ports/config.js';
+import {
+	type Config, type PoolEntry, type Rule, type WorkspaceLimit,
+} from '../../../ports/config.js';
 import {type ZoneId} from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type Random} from '../../../ports/clock.js';
@@ -31,6 +33,8 @@
 	rule: Rule;
 	pool: PoolEntry;
 	edition: number;
+	/** Limit of the workspace; absent where it may use any amount. */
+	limit?: WorkspaceLimit | undefined;
 };
 
 export type Router = (input: RouteInput, view: FleetView | undefined) => Result<Route, Problem>;
@@ -90,6 +94,7 @@
 		// Public rules serve requests without a known key.
 		const caller = identified.unwrapOr({workspace: anonymousWorkspace, isAuthenticated: false});
 		const {workspace} = caller;
+		const terms = config.workspaces?.[workspace];
 		return toClass(input.headers).andThen(serviceClass => {
 			const rule = matchRule(toCompiled(config), {
 				...input, workspace, class: serviceClass, zone,
@@ -103,7 +108,7 @@
 			return rule === undefined || pool === undefined
 				? err<Route, Problem>(toDenied(noRule, isBehind()))
 				: ok({
-					...caller, rule: ruleClasses.toRule(rule, config.workspaces?.[workspace]?.class), pool, edition: version.edition,
+					...caller, rule: ruleClasses.toRule(rule, terms?.class), pool, edition: version.edition, limit: terms?.limit,
 				});
 		});
 	};
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -12,6 +12,7 @@
 import {msPerSecond} from '../../../ports/units.js';
 import {type Account} from '../accounts/index.js';
 import {serveKeyed, type KeyedVerdict} from '../claims/index.js';
+import {serveCharged} from '../charge-request/index.js';
 import {createJsonDelivery, createSseDelivery, type DeliveryOptions} from '../delivery/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type RunEnd, runRequest, toEnded} from '../run-request/index.js';
@@ -208,9 +209,11 @@
 	}
 
 	const {route, model, key} = ready.value;
-	const work = async (target: CallerExchange) => runRouted({
+	const work = async (target: CallerExchange): Promise<KeyedVerdict> => serveCharged(async () => runRouted({
 		exchange: target, account, request, promptTokens, route, model,
-	}, ctx);
+	}, ctx), {
+		route, hints: {promptTokens, maxTokens: request.maxTokens}, account, quotas: ctx.quotas, random: ctx.services.random, refuse,
+	});
 	await (key === undefined || ctx.claims === undefined
 		? work(exchange)
 		: serveKeyed(ctx.claims, exchange, {
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -20,6 +20,7 @@
 	callServers, isRepeatable, toAborted, type PlainOutcome, type PlainRun,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
+import {serveCharged} from '../charge-request/index.js';
 import {type Gate, type GateRefusal} from '../gate/index.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {type EndedRequest} from '../_lib/ended-request.js';
@@ -232,8 +233,10 @@
 	}
 
 	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity);
-	const serveOne = async (caller: CallerExchange) => runRouted({
+	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => serveCharged(async () => runRouted({
 		exchange: caller, route, ctx, clients, account, receivedAt, work, body: body.value, deadline, fingerprint,
+	}), {
+		route, hints: work, account, quotas: ctx.quotas, random: services.random, refuse,
 	});
 	await (key.value === undefined || ctx.claims === undefined
 		? serveOne(exchange)
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -17,6 +17,7 @@
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
+import {type Quotas} from '../../../ports/quotas.js';
 import {type ServerCallHooks, type ServerCalls} from '../../../ports/server-calls.js';
 import {type HostLoad} from '../../../ports/shared-loads.js';
 import {type FleetView} from '../../../ports/view.js';
@@ -28,6 +29,7 @@
 import {createAccounts, type Accounts} from '../accounts/index.js';
 import {startTicker} from '../start-ticker/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
+import {createLocalQuotas} from '../_lib/create-local-quotas.js';
 import {createNoticeHandler} from '../_lib/create-notice-handler.js';
 import {createRunServices} from '../_lib/create-run-services.js';
 import {type FleetLink, type JoinOptions} from '../_lib/join-fleet.js';
@@ -75,6 +77,8 @@
 	serverIdleMs?: Milliseconds;
 	/** Exchanges loads with other hosts: the requests that each has in flight at servers. */
 	loadSharing?: LoadSharing;
+	/** Limits of workspaces as all hosts keep them together; by default this host grants an equal part of each limit. */
+	quotas?: Quotas;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
 	/** Options of the callers' port that differ from the defaults. */
@@ -242,6 +246,7 @@
 		claims: link.claims,
 		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
+		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
 		log,
 		onEnded(ended) {
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -1,8 +1,10 @@
 /** Starts hosts in virtual time, whose messages arrive within the step in which they are sent. */
 import {createLog} from '../../../../adapters/log/index.js';
+import {encodeQuotaMessage} from '../../../../adapters/quota-datagrams/index.js';
 import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
 import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds, type Random} from '../../../../ports/clock.js';
+import {type QuotaMessage} from '../../../../ports/quotas.js';
 import {type LoadMessage} from '../../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {shareLoads, type LoadExchange} from '../index.js';
@@ -26,12 +28,23 @@
 export async function startHosts(count: number, {lossShare = 0, random = () => 1}: {lossShare?: number; random?: Random} = {}) {
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
+	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
 	const hosts: Host[] = [];
 	const cutOff = new Set<string>();
+	const cutZones = new Set<string>();
 	const sent = {messages: 0, bytes: 0};
+	const quotaSent = {messages: 0, bytes: 0};
 
-	const open: typeof openLoadDatagrams = async ({address, onMessage}) => {
+	const zoneOf = new Map<string, string>();
+
+	function isReached(from: string, to: string): boolean {
+		const isAcrossCut = zoneOf.get(from) !== zoneOf.get(to) && [from, to].some(address => cutZones.has(zoneOf.get(address)!));
+		return !cutOff.has(from) && !cutOff.has(to) && !isAcrossCut;
+	}
+
+	const open: typeof openLoadDatagrams = async ({address, onMessage, onQuota}) => {
 		receivers.set(address, onMessage);
+		quotaReceivers.set(address, onQuota!);
 		return {
 			send(message, to) {
 				sent.messages += to.length;
@@ -39,10 +52,17 @@
 				sent.bytes += to.length * bytes.length;
 				// Reports that do not fit into a datagram are cut off, so messages with reports are decoded as received; the others are passed on without decoding to save time.
 				const received = message.crashes.length === 0 ? message : decodeLoadMessage(bytes)._unsafeUnwrap();
-				for (const target of to.filter(() => random() >= lossShare).filter(target => !cutOff.has(address) && !cutOff.has(target))) {
+				for (const target of to.filter(() => random() >= lossShare).filter(target => isReached(address, target))) {
 					receivers.get(target)?.(received, address);
 				}
 			},
+			sendQuota(message, target) {
+				quotaSent.messages++;
+				quotaSent.bytes += encodeQuotaMessage(message).length;
+				if (random() >= lossShare && isReached(address, target)) {
+					quotaReceivers.get(target)?.(message, address);
+				}
+			},
 			close: async () => undefined,
 		};
 	};
@@ -50,6 +70,7 @@
 	async function start(i: number): Promise<Host> {
 		const zone = zones[i % zones.length]!;
 		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
+		zoneOf.set(address, zone);
 		const suspects = createCrashSuspects();
 		const sharing = await shareLoads({
 			address, zone, open, log, suspects, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
@@ -67,6 +88,7 @@
 	function tick(host: Host, i: number): void {
 		const isBusy = Math.floor(i / zones.length) % 3 === 0;
 		const requests = isBusy ? 1 + (Math.floor(now / 333) % 3) : 1;
+		host.sharing.quotas.tick(now);
 		host.sharing.tick([{server: `of ${host.name}`, requests, promptTokens: 3000}]);
 	}
 
@@ -109,13 +131,21 @@
 		cut(host: Host): void {
 			cutOff.add(host.address);
 		},
+		/** Cuts a zone off from the others until `heal` is called. */
+		cutZone(zone: string): void {
+			cutZones.add(zone);
+		},
 		heal(): void {
 			cutOff.clear();
+			cutZones.clear();
 		},
 		kill(host: Host): void {
 			host.isDead = true;
 			receivers.delete(host.address);
+			quotaReceivers.delete(host.address);
 		},
+		/** Messages about limits since the start. */
+		quotaSent: () => ({...quotaSent}),
 		/** Returns the hosts whose loads a host knows. */
 		heardBy: ({sharing}: Host): Host[] => hosts.filter(other => sharing.read(`of ${other.name}`, now).requests > 0),
 		silentZones: ({sharing}: Host): string[] => zones.filter(zone => sharing.isZoneSilent(zone, now)),
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -8,6 +8,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
+import {createWorkspaceQuotas, type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport} from '../../../ports/crash-reports.js';
@@ -34,6 +35,8 @@
 };
 
 export type LoadExchange = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
+	/** Limits of workspaces, which the hosts keep together. */
+	quotas: WorkspaceQuotas;
 	/** Whether hosts of other zones were heard before and none is heard now. */
 	isIsolated: () => boolean;
 	/** Number of hosts known to be alive, including this one; `undefined` until another host has been heard. */
@@ -103,9 +106,20 @@
 	let sentAt: Milliseconds = -Infinity;
 	let roundAt: Milliseconds = -Infinity;
 
+	const quotas = createWorkspaceQuotas({
+		self: address,
+		startedAt: clock.now(),
+		peers,
+		send(message, to) {
+			socket.sendQuota(message, to);
+		},
+	});
 	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
+		onQuota(message, from) {
+			quotas.receive(message, from, clock.now());
+		},
 		onMessage(message, from) {
 			const now = clock.now();
 			if (message.host === host) {
@@ -135,7 +149,7 @@
 
 		sequence++;
 		socket.send({
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking,
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(clock.now()),
 		}, to);
 	}
 
@@ -210,6 +224,7 @@
 	return {
 		read: shared.read,
 		isZoneSilent: shared.isZoneSilent,
+		quotas,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
