Count only calls that may have run as attempts of a relayed request

Cause: the limit of attempts counted calls that carried the request, also those that a server refused or that never reached it. The limit is one on runs.

Change: runs alone count. A call that was not run may be followed by another as long as there were fewer than three calls, which the retry budget pays as before.

--- a/src/programs/entry/call-plain/_lib/decide-retry.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.ts
@@ -20,17 +20,25 @@
 	return repeatable || (relay === undefined && safeMethods.has(run.exchange.method));
 }
 
-/** Maximum number of prefills of a request that has not run. A prefill does not run the request, so the route's limit of attempts does not apply. */
-const maxPrefillAttempts = 3;
+/** Maximum number of calls of a request whose last call did not run it: a prefill, or a call that a server refused or that did not reach it. The route's limit of attempts counts runs alone. */
+const maxCallsNotRun = 3;
+
+/**
+ * @param fault - Why a call that carried the request failed.
+ * @returns Whether the server may have begun to run the request.
+ */
+export function mayHaveStarted({kind}: PlainFault): boolean {
+	return kind !== 'unreachable' && kind !== 'refused';
+}
 
 export type RetryDecision = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
 
 /** Describes a failed call for the retry budget. */
-function toFailedAttempt(run: PlainRun, {hasRun, isOffered, isStarted, sent}: {hasRun: boolean; isOffered: boolean; isStarted: boolean; sent: number}): FailedAttempt {
+function toFailedAttempt(run: PlainRun, {isOffered, isStarted, runs}: {isOffered: boolean; isStarted: boolean; runs: number}): FailedAttempt {
 	const {relay} = run.route.rule.then;
 	return {
-		attempt: hasRun ? sent : run.tried.length,
-		...(relay && {maxAttempts: hasRun ? relay.attempts : maxPrefillAttempts}),
+		attempt: isStarted ? runs : run.tried.length,
+		...(relay && {maxAttempts: isStarted ? relay.attempts : maxCallsNotRun}),
 		tried: run.tried,
 		repeatable: isRepeatable(run),
 		bytesOffered: isOffered ? 1 : 0,
@@ -49,7 +57,7 @@
  * begun reports a failure. With a reason, the failed answer is relayed to the
  * caller, because it is more useful than a refusal by this host.
  *
- * @param run - The request; its current call is not counted in `sent` yet.
+ * @param run - The request; its current call is not counted in `runs` yet.
  * @returns The reason; `undefined` if the answer may be dropped for a retry.
  */
 export function findNoRetryReason(run: PlainRun): NoRetryReason | 'own-answer' | undefined {
@@ -64,7 +72,7 @@
 	}
 
 	const failed = toFailedAttempt(run, {
-		hasRun: true, isOffered: true, isStarted: true, sent: run.sent + 1,
+		isOffered: true, isStarted: true, runs: run.runs + 1,
 	});
 	return services.toRetryBudget(run.route.pool.name).findNoRetryReason(failed, services.clock.now());
 }
@@ -84,10 +92,8 @@
 	}
 
 	const isOffered = fault.kind !== 'unreachable';
-	const isStarted = hasRun && isOffered && fault.kind !== 'refused';
-	const failed = toFailedAttempt(run, {
-		hasRun, isOffered, isStarted, sent: run.sent,
-	});
+	const isStarted = hasRun && mayHaveStarted(fault);
+	const failed = toFailedAttempt(run, {isOffered, isStarted, runs: run.runs});
 	const budget = services.toRetryBudget(run.route.pool.name);
 	const answer = budget.takeRetry(failed, services.clock.now(), services.random);
 	const calls = answer.kind === 'retry' && hasRun ? chargePrefill(run, budget) : 0;
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -37,8 +37,8 @@
 	events: RelayedEvents | undefined;
 	/** Servers that failed or refused the request so far, and their zones. */
 	tried: Array<FailedAttempt['tried'][number]>;
-	/** Number of calls so far that carried the request itself, not only its prefill. */
-	sent: number;
+	/** Number of calls so far that may have run the request: neither prefills nor calls that a server refused or that did not reach it. */
+	runs: number;
 	/** Whether the decode server of the next attempt also does the prefill, because the retry budget did not allow a separate prefill call. */
 	isDecodeOnly: boolean;
 	/** Number of times that every server was full. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -13,7 +13,7 @@
 import {noteBrokenCall} from '../_lib/quarantine.js';
 import {waitUnlessAborted} from '../_lib/wait-unless-aborted.js';
 import {isQuarantined, sendRequest} from './_lib/send-step.js';
-import {decideRetry} from './_lib/decide-retry.js';
+import {decideRetry, mayHaveStarted} from './_lib/decide-retry.js';
 import {
 	toBounced, toAborted, toGivenUp, toNotPlaced, toQuarantined,
 } from './_lib/to-plain-outcome.js';
@@ -97,7 +97,6 @@
 		}
 
 		const {server, ended, hasRun} = attempted;
-		run.sent += hasRun ? 1 : 0;
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 			noteCompleted(run);
@@ -109,6 +108,7 @@
 			return {end: 'caller-gone', outcome: run.ledger.outcome()};
 		}
 
+		run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
 		reportFailure(run, server, ended.fault);
 		run.tried.push({server: server.id, zone: server.zone});
 		const decision = decideRetry(run, ended.fault, hasRun);
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -253,7 +253,7 @@
 	});
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'sent' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'runs' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
 	const {
 		exchange, route, ctx, account, deadline, fingerprint,
 	} = input;
@@ -267,7 +267,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], sent: 0, isDecodeOnly: false, bounces: 0,
+			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], runs: 0, isDecodeOnly: false, bounces: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
