Give open questions to other hosts a module of their own

Timeouts, misses and silent hosts of create-workspace-quotas move to create-questions, as counts of places at servers need the same.

--- a/src/domain/create-workspace-quotas/index.ts
+++ b/src/domain/create-workspace-quotas/index.ts
@@ -8,6 +8,7 @@
 import {type WorkspaceId} from '../../ports/ids.js';
 import {type QuotaMessage, type QuotaSpend, type QuotaVerdict} from '../../ports/quotas.js';
 import {msPerSecond} from '../../ports/units.js';
+import {createQuestions} from '../create-questions/index.js';
 import {createQuotaKeeper} from '../create-quota-keeper/index.js';
 
 /** Time for an answer: a busy host answers within a few tens of milliseconds, and callers wait for two such times at most. */
@@ -63,11 +64,10 @@
 	dueAt: () => Milliseconds | undefined;
 };
 
-type Pending = {
+type Request = {
 	spend: QuotaSpend;
 	settle: (verdict: QuotaVerdict) => void;
 	asked: readonly string[];
-	dueAt: Milliseconds;
 };
 
 /** Hosts that are asked for one request. */
@@ -83,18 +83,9 @@
 	const keeper = createQuotaKeeper({startedAt, startupMs});
 	/** Counts what this host grants while it reaches no other. */
 	const aloneKeeper = createQuotaKeeper({startedAt, startupMs});
-	/** In the order in which answers are due, as all have the same timeout. */
-	const pending = new Map<number, Pending>();
-	const misses = new Map<string, {count: number; silentUntil: Milliseconds}>();
+	const questions = createQuestions<QuotaVerdict>({timeoutMs: answerTimeoutMs, missesToSilence, silentForMs});
 	const deniedUntil = new Map<WorkspaceId, Milliseconds>();
-	let lastId = 0;
-
-	const isSilent = (address: string, now: Milliseconds): boolean => now < (misses.get(address)?.silentUntil ?? -Infinity);
-
-	function noteMiss(address: string, now: Milliseconds): void {
-		const count = (misses.get(address)?.count ?? 0) + 1;
-		misses.set(address, {count, silentUntil: count >= missesToSilence ? now + silentForMs : -Infinity});
-	}
+	const {isSilent} = questions;
 
 	function decideAlone(spend: QuotaSpend, now: Milliseconds): QuotaVerdict {
 		const hosts = peers.count() ?? (now - startedAt < startupMs ? assumedHosts : 1);
@@ -138,7 +129,7 @@
 		return first === self ? undefined : first;
 	}
 
-	function settle({settle: end, spend}: Pick<Pending, 'settle' | 'spend'>, verdict: QuotaVerdict, now: Milliseconds): void {
+	function settle({settle: end, spend}: Request, verdict: QuotaVerdict, now: Milliseconds): void {
 		if (verdict.waitMs > 0) {
 			deniedUntil.set(spend.workspace, now + verdict.waitMs);
 		}
@@ -146,53 +137,40 @@
 		end(verdict);
 	}
 
-	function ask(to: string, question: Pick<Pending, 'spend' | 'settle'> & {asked: readonly string[]; isFinal: boolean; successor?: string}, now: Milliseconds): void {
-		lastId++;
-		const {spend, isFinal, asked, successor = ''} = question;
-		pending.set(lastId, {
-			spend, settle: question.settle, asked: [...asked, to], dueAt: now + answerTimeoutMs,
-		});
+	function ask(to: string, request: Request, {isFinal, successor = ''}: {isFinal: boolean; successor?: string}, now: Milliseconds): void {
+		const id = questions.begin(to, (verdict, endedAt) => {
+			if (verdict === undefined) {
+				askNext({...request, asked: [...request.asked, to]}, endedAt);
+			} else {
+				settle(request, verdict, endedAt);
+			}
+		}, now);
 		send({
-			kind: 'ask', id: lastId, origin: self, spend, isFinal, successor,
+			kind: 'ask', id, origin: self, spend: request.spend, isFinal, successor,
 		}, to);
 	}
 
-	function askNext({spend, settle: end, asked}: Pending, now: Milliseconds): void {
-		const next = asked.length < maxAsked
-			? peers.rankKeepers(spend.workspace, now).find(address => !asked.includes(address) && !isSilent(address, now))
-			: undefined;
+	function askNext(request: Request, now: Milliseconds): void {
+		const {spend, asked} = request;
+		const next = asked.length < maxAsked ? rankAnswering(spend.workspace, now).find(address => !asked.includes(address)) : undefined;
 		if (next === undefined) {
-			settle({spend, settle: end}, decideAlone(spend, now), now);
-			return;
-		}
-
-		if (next === self) {
-			settle({spend, settle: end}, decide(spend, true, now), now);
-			return;
+			settle(request, decideAlone(spend, now), now);
+		} else if (next === self) {
+			settle(request, decide(spend, true, now), now);
+		} else {
+			ask(next, request, {isFinal: true}, now);
 		}
-
-		ask(next, {
-			spend, settle: end, asked, isFinal: true,
-		}, now);
 	}
 
 	function answer({id, origin, spend, isFinal}: Extract<QuotaMessage, {kind: 'ask'}>, now: Milliseconds): void {
 		const verdict = decide(spend, isFinal, now);
 		if (origin === self) {
-			takeVerdict(id, verdict, now);
+			questions.answer(id, verdict, now);
 		} else {
 			send({kind: 'verdict', id, ...verdict}, origin);
 		}
 	}
 
-	function takeVerdict(id: number, verdict: QuotaVerdict, now: Milliseconds): void {
-		const question = pending.get(id);
-		if (question !== undefined) {
-			pending.delete(id);
-			settle(question, verdict, now);
-		}
-	}
-
 	return {
 		take(spend, now, end) {
 			const waitMs = (deniedUntil.get(spend.workspace) ?? -Infinity) - now;
@@ -202,23 +180,20 @@
 			}
 
 			deniedUntil.delete(spend.workspace);
+			const request: Request = {spend, settle: end, asked: []};
 			if (peers.isAlone(now)) {
-				settle({spend, settle: end}, decideAlone(spend, now), now);
+				settle(request, decideAlone(spend, now), now);
 				return;
 			}
 
 			const [first = self, successor = ''] = rankAnswering(spend.workspace, now);
 			const isUsual = first === peers.rankKeepers(spend.workspace, now)[0];
 			if (first !== self) {
-				ask(first, {
-					spend, settle: end, asked: [], isFinal: !isUsual, successor,
-				}, now);
+				ask(first, request, {isFinal: !isUsual, successor}, now);
 			} else if (isStarting(now) && successor !== '') {
-				ask(successor, {
-					spend, settle: end, asked: [], isFinal: true,
-				}, now);
+				ask(successor, request, {isFinal: true}, now);
 			} else {
-				settle({spend, settle: end}, decide(spend, !isUsual, now), now);
+				settle(request, decide(spend, !isUsual, now), now);
 			}
 		},
 		giveBack(spend, now) {
@@ -232,7 +207,7 @@
 			}
 		},
 		receive(message, from, now) {
-			misses.delete(from);
+			questions.noteHeard(from);
 			switch (message.kind) {
 				case 'ask': {
 					const better = message.isFinal ? undefined : findBetterKeeper(message, now);
@@ -246,7 +221,7 @@
 				}
 
 				case 'verdict': {
-					takeVerdict(message.id, {isGranted: message.isGranted, waitMs: message.waitMs}, now);
+					questions.answer(message.id, {isGranted: message.isGranted, waitMs: message.waitMs}, now);
 					break;
 				}
 
@@ -256,17 +231,7 @@
 				}
 			}
 		},
-		tick(now) {
-			for (const [id, question] of pending) {
-				if (question.dueAt > now) {
-					return;
-				}
-
-				pending.delete(id);
-				noteMiss(question.asked.at(-1)!, now);
-				askNext(question, now);
-			}
-		},
-		dueAt: () => pending.values().next().value?.dueAt,
+		tick: questions.tick,
+		dueAt: questions.dueAt,
 	};
 }
