Count places at servers that report no load over all hosts

Cause: 58 hosts share five servers of six places. Each host prefers its own zone's server and knows only its own one or two requests there, so that a zone with one server queues while another is idle.

A host that gets no answer in 50 ms sends uncounted, as before.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -1,6 +1,7 @@
 /**
  * Messages between hosts about their loads and crashes, one UDP datagram each, and
- * the socket that they share with messages about limits.
+ * the socket that they share with messages about limits
+ * and places.
  * Each message contains the sender's whole state, so the next message makes up
  * for a lost one.
  */
@@ -9,8 +10,10 @@
 import {Encoder} from 'cbor-x';
 import {err, ok, type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {decodePlaceMessage, encodePlaceMessage, isPlaceDatagram} from '../place-datagrams/index.js';
 import {decodeQuotaMessage, encodeQuotaMessage, isQuotaDatagram} from '../quota-datagrams/index.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
+import {type PlaceMessage} from '../../ports/places.js';
 import {type QuotaMessage} from '../../ports/quotas.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
 
@@ -110,6 +113,8 @@
 	send: (message: LoadMessage, addresses: readonly string[]) => void;
 	/** Sends a message about limits; a datagram that can't be sent is dropped. */
 	sendQuota: (message: QuotaMessage, address: string) => void;
+	/** The same for a message about places at servers. */
+	sendPlace: (message: PlaceMessage, address: string) => void;
 	close: () => Promise<void>;
 };
 
@@ -119,6 +124,8 @@
 	onMessage: (message: LoadMessage, from: string) => void;
 	/** Called for a message about limits of workspaces. */
 	onQuota?: (message: QuotaMessage, from: string) => void;
+	/** Called for a message about places at servers. */
+	onPlace?: (message: PlaceMessage, from: string) => void;
 	/** Called for a datagram that is not a valid message, and for an error of the socket. */
 	onFault: (reason: string) => void;
 };
@@ -134,7 +141,7 @@
  * @param options - Address, and handlers of messages and faults.
  * @returns The socket once it listens; rejects when the address can't be bound.
  */
-export async function openLoadDatagrams({address, onMessage, onQuota = () => undefined, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
+export async function openLoadDatagrams({address, onMessage, onQuota = () => undefined, onPlace = () => undefined, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
 	const socket = createSocket('udp4');
 	const {ip, port} = toParts(address);
 	socket.on('message', (bytes, {address: from, port: fromPort}) => {
@@ -146,6 +153,13 @@
 			return;
 		}
 
+		if (isPlaceDatagram(bytes)) {
+			decodePlaceMessage(bytes).match(message => {
+				onPlace(message, sender);
+			}, onFault);
+			return;
+		}
+
 		decodeLoadMessage(bytes).match(message => {
 			onMessage(message, sender);
 		}, onFault);
@@ -175,6 +189,9 @@
 		sendQuota(message, to) {
 			sendBytes(encodeQuotaMessage(message), to);
 		},
+		sendPlace(message, to) {
+			sendBytes(encodePlaceMessage(message), to);
+		},
 		async close() {
 			socket.close();
 			await once(socket, 'close');
--- /dev/null
+++ b/src/adapters/place-datagrams/index.ts
@@ -0,0 +1,93 @@
+/** Messages between hosts about places at servers, one UDP datagram each. */
+import {Encoder} from 'cbor-x';
+import {err, ok, type Result} from 'neverthrow';
+import * as v from 'valibot';
+import {type PlaceMessage} from '../../ports/places.js';
+
+/** Format number, the first item of each datagram, by which a socket tells these messages from others. */
+export const placeFormat = 17;
+
+const maxNameLength = 128;
+
+const codec = new Encoder({useRecords: false, mapsAsObjects: true});
+
+const name = v.pipe(v.string(), v.maxLength(maxNameLength));
+const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const schema = v.union([
+	v.tuple([v.literal(placeFormat), v.literal('ask'), count, name, count, v.boolean()]),
+	v.tuple([v.literal(placeFormat), v.literal('answer'), count, v.boolean(), count]),
+	v.tuple([v.literal(placeFormat), v.literal('leave'), count, name]),
+]);
+
+function toRow(message: PlaceMessage): unknown[] {
+	switch (message.kind) {
+		case 'ask': {
+			return ['ask', message.id, message.server, message.slots, message.isForced];
+		}
+
+		case 'answer': {
+			return ['answer', message.id, message.isTaken, message.count];
+		}
+
+		case 'leave': {
+			return ['leave', message.id, message.server];
+		}
+	}
+}
+
+/**
+ * @param bytes - A datagram of any format.
+ * @returns Whether it has the format of this module: an array of fewer than 24 items, the first of which is the format number.
+ */
+export function isPlaceDatagram(bytes: Uint8Array): boolean {
+	return bytes[1] === placeFormat;
+}
+
+/**
+ * Encodes a message.
+ *
+ * @param message - The message.
+ * @returns One datagram.
+ */
+export function encodePlaceMessage(message: PlaceMessage): Uint8Array {
+	return codec.encode([placeFormat, ...toRow(message)]);
+}
+
+/**
+ * Decodes and validates a datagram from any sender.
+ *
+ * @param bytes - The datagram.
+ * @returns The message, or the reason why it is invalid.
+ */
+export function decodePlaceMessage(bytes: Uint8Array): Result<PlaceMessage, string> {
+	let value: unknown;
+	try {
+		value = codec.decode(bytes);
+	} catch {
+		return err('not CBOR');
+	}
+
+	const parsed = v.safeParse(schema, value);
+	if (!parsed.success) {
+		return err(v.summarize(parsed.issues));
+	}
+
+	const row = parsed.output;
+	switch (row[1]) {
+		case 'ask': {
+			return ok({
+				kind: 'ask', id: row[2], server: row[3], slots: row[4], isForced: row[5],
+			});
+		}
+
+		case 'answer': {
+			return ok({
+				kind: 'answer', id: row[2], isTaken: row[3], count: row[4],
+			});
+		}
+
+		case 'leave': {
+			return ok({kind: 'leave', id: row[2], server: row[3]});
+		}
+	}
+}
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -4,6 +4,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
+import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
@@ -34,6 +35,8 @@
 	calls: ServerCalls;
 	/** Handles a notice that a server sent about itself in an answer. */
 	handleNotice: (server: ServerEntry, notice: ServerNotice) => void;
+	/** Places at servers that report no load; absent where hosts do not count them together. */
+	places: Places | undefined;
 	/** Limits of workspaces. */
 	quotas: Quotas;
 	/** Tracks requests under which servers crashed. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -13,6 +13,7 @@
 import {noteBrokenCall} from '../_lib/quarantine.js';
 import {waitUnlessAborted} from '../_lib/wait-unless-aborted.js';
 import {isQuarantined, sendRequest} from './_lib/send-step.js';
+import {pickWithPlace} from './_lib/pick-with-place.js';
 import {decideRetry, mayHaveStarted} from './_lib/decide-retry.js';
 import {
 	toBounced, toAborted, toGivenUp, toNotPlaced, toQuarantined,
@@ -29,8 +30,8 @@
 }
 
 /** Picks a server that has not failed this request, or any server if all have failed it once; the retry budget bounds such retries and its backoff spaces them. */
-function pickUntried(run: PlainRun) {
-	const picked = pickServer(run, new Set(run.tried.map(({server}) => server)));
+function pickUntried(run: PlainRun, exclude: ReadonlySet<ServerId>) {
+	const picked = pickServer(run, exclude);
 	return picked.isErr() && picked.error.reason === 'no-server' && run.tried.length > 0 ? pickServer(run, new Set()) : picked;
 }
 
@@ -42,13 +43,14 @@
 async function callPlainServer(run: PlainRun, attempt: number): Promise<AttemptResult> {
 	const {account, ledger, route} = run;
 	const {clock, placement} = run.ctx.services;
-	const picked = pickUntried(run);
-	if (picked.isErr()) {
-		return {kind: 'not-placed', refusal: picked.error};
+	const chosen = await pickWithPlace(run, exclude => pickUntried(run, exclude));
+	if (chosen.isErr()) {
+		return {kind: 'not-placed', refusal: chosen.error};
 	}
 
-	const {server} = picked.value;
-	const placed = recordPlacement(account, picked.value, {attempt, pool: route.pool.name, chosen: [server.id]});
+	const {picked, leave} = chosen.value;
+	const {server} = picked;
+	const placed = recordPlacement(account, picked, {attempt, pool: route.pool.name, chosen: [server.id]});
 	run.log.info('sent', {attempt, server: server.id, zones: server.zone});
 	placement.noteDispatched(placed, clock.now());
 	ledger.noteOffered();
@@ -56,6 +58,7 @@
 		placement.noteFirstToken(placed, clock.now());
 	});
 	placement.noteFinished(placed, clock.now());
+	leave();
 	if (ended.kind === 'failed' && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
 		ledger.noteNotStarted();
 	}
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -17,6 +17,7 @@
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
+import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
 import {type ServerCallHooks, type ServerCalls} from '../../../ports/server-calls.js';
 import {type HostLoad} from '../../../ports/shared-loads.js';
@@ -79,6 +80,8 @@
 	loadSharing?: LoadSharing;
 	/** Limits of workspaces as all hosts keep them together; by default this host grants an equal part of each limit. */
 	quotas?: Quotas;
+	/** Places at servers that report no load, as all hosts count them together; by default each host knows its own requests alone. */
+	places?: Places;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
 	/** Options of the callers' port that differ from the defaults. */
@@ -246,6 +249,7 @@
 		claims: link.claims,
 		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
+		places: options.places,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
 		log,
--- a/src/programs/relay/ask-quotas/index.ts
+++ b/src/programs/relay/ask-quotas/index.ts
@@ -2,6 +2,7 @@
 import {type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
 import {type Clock} from '../../../ports/clock.js';
 import {type Quotas, type QuotaVerdict} from '../../../ports/quotas.js';
+import {createOverdueTimer} from '../_lib/create-overdue-timer.js';
 
 /**
  * Turns the decisions of a host's quotas into one promise for each request, and
@@ -12,27 +13,12 @@
  * @returns The quotas for callers' requests.
  */
 export function askQuotas(quotas: WorkspaceQuotas, {now}: Pick<Clock, 'now'>): Quotas {
-	let timer: NodeJS.Timeout | undefined;
-
-	/** Schedules one timer for the answer that is due first; answers that come in time leave the timer without work. */
-	function schedule(): void {
-		const dueAt = quotas.dueAt();
-		if (timer !== undefined || dueAt === undefined) {
-			return;
-		}
-
-		timer = setTimeout(() => {
-			timer = undefined;
-			quotas.tick(now());
-			schedule();
-		}, Math.max(1, Math.ceil(dueAt - now())));
-	}
-
+	const timer = createOverdueTimer(quotas, now);
 	return {
 		async take(spend) {
 			return new Promise<QuotaVerdict>(resolve => {
 				quotas.take(spend, now(), resolve);
-				schedule();
+				timer.schedule();
 			});
 		},
 		giveBack(spend) {
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -4,6 +4,7 @@
 import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
 import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds, type Random} from '../../../../ports/clock.js';
+import {type PlaceMessage} from '../../../../ports/places.js';
 import {type QuotaMessage} from '../../../../ports/quotas.js';
 import {type LoadMessage} from '../../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../../ports/units.js';
@@ -29,6 +30,7 @@
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
+	const placeReceivers = new Map<string, (message: PlaceMessage, from: string) => void>();
 	const hosts: Host[] = [];
 	const cutOff = new Set<string>();
 	const cutZones = new Set<string>();
@@ -42,9 +44,10 @@
 		return !cutOff.has(from) && !cutOff.has(to) && !isAcrossCut;
 	}
 
-	const open: typeof openLoadDatagrams = async ({address, onMessage, onQuota}) => {
+	const open: typeof openLoadDatagrams = async ({address, onMessage, onQuota, onPlace}) => {
 		receivers.set(address, onMessage);
 		quotaReceivers.set(address, onQuota!);
+		placeReceivers.set(address, onPlace!);
 		return {
 			send(message, to) {
 				sent.messages += to.length;
@@ -63,6 +66,11 @@
 					quotaReceivers.get(target)?.(message, address);
 				}
 			},
+			sendPlace(message, target) {
+				if (random() >= lossShare && isReached(address, target)) {
+					placeReceivers.get(target)?.(message, address);
+				}
+			},
 			close: async () => undefined,
 		};
 	};
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -7,6 +7,7 @@
 import {openLoadDatagrams, type LoadDatagrams} from '../../../adapters/load-datagrams/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
+import {createServerPlaces, type ServerPlaces} from '../../../domain/create-server-places/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createWorkspaceQuotas, type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
@@ -37,6 +38,8 @@
 export type LoadExchange = Pick<SharedLoads, 'read' | 'isZoneSilent'> & {
 	/** Limits of workspaces, which the hosts keep together. */
 	quotas: WorkspaceQuotas;
+	/** Places at servers that report no load, which the hosts count together. */
+	places: ServerPlaces;
 	/** Whether hosts of other zones were heard before and none is heard now. */
 	isIsolated: () => boolean;
 	/** Number of hosts known to be alive, including this one; `undefined` until another host has been heard. */
@@ -114,12 +117,22 @@
 			socket.sendQuota(message, to);
 		},
 	});
+	const places = createServerPlaces({
+		self: address,
+		rankKeepers: peers.rankKeepers,
+		send(message, to) {
+			socket.sendPlace(message, to);
+		},
+	});
 	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
 		onQuota(message, from) {
 			quotas.receive(message, from, clock.now());
 		},
+		onPlace(message, from) {
+			places.receive(message, from, clock.now());
+		},
 		onMessage(message, from) {
 			const now = clock.now();
 			if (message.host === host) {
@@ -225,6 +238,7 @@
 		read: shared.read,
 		isZoneSilent: shared.isZoneSilent,
 		quotas,
+		places,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -15,6 +15,7 @@
 import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
 import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
 import {followPublished} from '../../entry/follow-published/index.js';
+import {askPlaces} from '../ask-places/index.js';
 import {askQuotas} from '../ask-quotas/index.js';
 import {addRelayMetrics} from './_lib/add-relay-metrics.js';
 import {createUnusedEngine} from './_lib/create-unused-engine.js';
@@ -108,7 +109,7 @@
 		health: relayHealth,
 		createEngine: createUnusedEngine,
 		suspects,
-		...(loadSharing && {loadSharing, quotas: askQuotas(loadSharing.quotas, clock)}),
+		...(loadSharing && {loadSharing, quotas: askQuotas(loadSharing.quotas, clock), places: askPlaces(loadSharing.places, clock)}),
 	});
 	const sharing: Entry = {
 		...entry,
