Grant small requests first in a workspace above its limit

Cause: in debt the bucket refused every request, whatever it cost, and each prompt puts the bucket into debt for 150 ms.

Change: a request that costs at most a quarter of what a usual unit is used in is granted in a debt of up to two usual costs. Only the keeper does so, not a host that decides in its place.

A host that is asked third now grants its zone's part. The margin of a tenth on the reached share is gone, as the share counts whole zones.

--- a/src/adapters/quota-datagrams/index.ts
+++ b/src/adapters/quota-datagrams/index.ts
@@ -17,7 +17,7 @@
 const amount = v.pipe(v.number(), v.finite(), v.minValue(0));
 const spendItems = [name, v.pipe(v.number(), v.finite()), count, amount, amount] as const;
 const schema = v.union([
-	v.tuple([v.literal(quotaFormat), v.literal('ask'), ...spendItems, count, address, v.boolean(), v.union([address, v.literal('')])]),
+	v.tuple([v.literal(quotaFormat), v.literal('ask'), ...spendItems, count, address, v.boolean(), v.union([address, v.literal('')]), count]),
 	v.tuple([v.literal(quotaFormat), v.literal('verdict'), count, v.boolean(), amount]),
 	v.tuple([v.literal(quotaFormat), v.literal('spent'), ...spendItems]),
 ]);
@@ -36,7 +36,7 @@
 function toRow(message: QuotaMessage): unknown[] {
 	switch (message.kind) {
 		case 'ask': {
-			return ['ask', ...toSpendItems(message.spend), message.id, message.origin, message.isFinal, message.successor];
+			return ['ask', ...toSpendItems(message.spend), message.id, message.origin, message.isFinal, message.successor, message.skipped];
 		}
 
 		case 'verdict': {
@@ -90,7 +90,7 @@
 	switch (row[1]) {
 		case 'ask': {
 			return ok({
-				kind: 'ask', id: row[7], origin: row[8], spend: toSpend(row), isFinal: row[9], successor: row[10],
+				kind: 'ask', id: row[7], origin: row[8], spend: toSpend(row), isFinal: row[9], successor: row[10], skipped: row[11],
 			});
 		}
 
--- a/src/adapters/quota-datagrams/test.ts
+++ b/src/adapters/quota-datagrams/test.ts
@@ -11,7 +11,7 @@
 
 const messages: readonly QuotaMessage[] = [
 	{
-		kind: 'ask', id: 4, origin: '10.0.0.2:7380', spend, isFinal: true, successor: '10.0.0.3:7380',
+		kind: 'ask', id: 4, origin: '10.0.0.2:7380', spend, isFinal: true, successor: '10.0.0.3:7380', skipped: 1,
 	},
 	{
 		kind: 'verdict', id: 4, isGranted: false, waitMs: 120,
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -41,10 +41,12 @@
 	isSettled: (now: Milliseconds) => boolean;
 	/** Hosts that may keep the counts of a key, this one included, best first: the same few on all hosts that reach each other. */
 	rankKeepers: (key: string, now: Milliseconds) => readonly string[];
-	/** Share of all hosts, also of those lost in the last minutes, that are in zones which this host hears, with a margin. */
+	/** Share of all hosts, also of those lost in the last minutes, that are in zones which this host hears. */
 	toOwnReachedShare: (now: Milliseconds) => number;
 	/** The same by the hosts of the own zone that know the fewest; a host that has just started in a zone that is cut off does not know what it lacks. */
 	toReachedShare: (now: Milliseconds) => number;
+	/** Share of all hosts, also of those lost in the last minutes, that are in the own zone. */
+	toZoneShare: () => number;
 	/** Whether no other host was heard lately. */
 	isAlone: (now: Milliseconds) => boolean;
 	/** Takes some hosts that sent a message lately, to advertise them to others; the choice rotates. */
@@ -117,9 +119,6 @@
 const reachedMs: Milliseconds = 100;
 const maxKeys = 4096;
 
-/** Factor on the share of reached hosts, as zones are known by some of their hosts alone. */
-const reachedMargin = 1.1;
-
 type Known = {
 	zone: ZoneId;
 	/** When this host last received a message of it. */
@@ -271,14 +270,19 @@
 	const findHeardZones = (now: Milliseconds): ReadonlySet<ZoneId> =>
 		new Set([zone, ...[...known.values()].filter(({heardAt}) => now - heardAt <= zoneSilentAfterMs).map(peer => peer.zone)]);
 
-	function findReached(now: Milliseconds): Reached {
-		const heard = findHeardZones(now);
+	/** Returns the share of all hosts that are in some zones. */
+	function toShareOf(zones: ReadonlySet<ZoneId>): number {
 		const counts = [...countOfZones()];
 		const sum = (list: typeof counts): number => list.reduce((total, [, count]) => total + count, 0);
+		return sum(counts.filter(([id]) => zones.has(id))) / sum(counts);
+	}
+
+	function findReached(now: Milliseconds): Reached {
+		const heard = findHeardZones(now);
 		return {
 			at: now,
 			addresses: [...known].filter(([, peer]) => heard.has(peer.zone) && now - peer.knownAt <= knownForMs).map(([address]) => address),
-			share: Math.min(1, reachedMargin * sum(counts.filter(([id]) => heard.has(id))) / sum(counts)),
+			share: toShareOf(heard),
 			keepers: new Map(),
 		};
 	}
@@ -364,6 +368,7 @@
 			return ranked;
 		},
 		toOwnReachedShare,
+		toZoneShare: () => toShareOf(new Set([zone])),
 		toReachedShare(now) {
 			const told = [...known.values()].filter(peer => peer.zone === zone && now - peer.heardAt <= zoneSilentAfterMs).map(({reachedShare}) => reachedShare);
 			return Math.min(toOwnReachedShare(now), ...told);
--- a/src/domain/create-quota-keeper/index.ts
+++ b/src/domain/create-quota-keeper/index.ts
@@ -10,6 +10,19 @@
  */
 const startShare = 0.25;
 
+/**
+ * A request is small if it costs at most this share of what a usual unit is used in
+ * (the mean cost weighted by cost). Beside large requests small ones hardly add to
+ * the use, so they are granted in a debt of up to this many usual costs, in which
+ * large ones wait. Without that a workspace above its
+ * limit would lose as many of its small requests as of its large ones.
+ */
+const smallShare = 0.25;
+const smallDebtCosts = 2;
+
+/** Weight of one request in the mean cost of a workspace. */
+const meanWeight = 0.05;
+
 /** Number of workspaces from which on full buckets are dropped; a dropped one is created anew as full. */
 const minKept = 256;
 
@@ -28,7 +41,7 @@
 };
 
 export type QuotaKeeper = {
-	/** Grants the use if the workspace has any units left of this host's share of the limit. */
+	/** Grants the use if the workspace has any units left of this host's share of the limit, or a small one if it has just gone into debt. */
 	decide: (spend: QuotaSpend, options: QuotaDecision, now: Milliseconds) => QuotaVerdict;
 	/** Counts use that another host granted, or that is given back. */
 	note: (spend: QuotaSpend, now: Milliseconds) => void;
@@ -42,6 +55,9 @@
 	rate: BucketRate;
 	/** This host's share of the rate at the last decision. */
 	granted: BucketRate;
+	/** Means over the requests that were asked for here. */
+	meanCost: number;
+	meanSquare: number;
 };
 
 const toShareOf = ({perSecond, burst}: BucketRate, share: number): BucketRate => ({perSecond: perSecond * share, burst: burst * share});
@@ -72,13 +88,20 @@
 		keptCount = Math.max(minKept, 2 * entries.size);
 	}
 
-	function create({edition, rate}: QuotaSpend, isSubstitute: boolean, now: Milliseconds): Entry {
+	function create({edition, rate, cost}: QuotaSpend, isSubstitute: boolean, now: Milliseconds): Entry {
 		const isUseUnknown = isSubstitute || now - startedAt < startupMs;
 		return {
-			bucket: createTokenBucket(isUseUnknown ? rate.burst * startShare : rate.burst, now), edition, rate, granted: rate,
+			bucket: createTokenBucket(isUseUnknown ? rate.burst * startShare : rate.burst, now), edition, rate, granted: rate, meanCost: Math.abs(cost), meanSquare: cost ** 2,
 		};
 	}
 
+	/** Returns the mean cost weighted by cost. */
+	function addToMeans(entry: Entry, cost: number): number {
+		entry.meanCost += meanWeight * (cost - entry.meanCost);
+		entry.meanSquare += meanWeight * ((cost ** 2) - entry.meanSquare);
+		return entry.meanSquare / Math.max(1, entry.meanCost);
+	}
+
 	function find(spend: QuotaSpend, isSubstitute: boolean, now: Milliseconds): Entry {
 		const known = entries.get(spend.workspace);
 		if (known === undefined) {
@@ -107,12 +130,15 @@
 			const {bucket} = entry;
 			const granted = toShareOf(entry.rate, share);
 			entry.granted = granted;
-			const isGranted = bucket.level(granted, now) > 0;
-			if (isGranted) {
-				bucket.spend(spend.cost, granted, now);
+			const usualCost = addToMeans(entry, spend.cost);
+			const isSmall = !isSubstitute && spend.cost <= smallShare * usualCost;
+			const leastLevel = isSmall ? -smallDebtCosts * usualCost : 0;
+			if (bucket.level(granted, now) <= leastLevel) {
+				return {isGranted: false, waitMs: bucket.waitMs(leastLevel, granted, now)};
 			}
 
-			return {isGranted, waitMs: bucket.waitMs(granted, now)};
+			bucket.spend(spend.cost, granted, now);
+			return {isGranted: true, waitMs: bucket.waitMs(leastLevel, granted, now)};
 		},
 		note(spend, now) {
 			const {bucket, rate} = find(spend, false, now);
--- a/src/domain/create-token-bucket/index.ts
+++ b/src/domain/create-token-bucket/index.ts
@@ -11,8 +11,8 @@
 	level: (rate: BucketRate, now: Milliseconds) => number;
 	/** Removes units whatever the level is; a negative number adds units. */
 	spend: (units: number, rate: BucketRate, now: Milliseconds) => void;
-	/** Time until the level is above 0. */
-	waitMs: (rate: BucketRate, now: Milliseconds) => Milliseconds;
+	/** Time until the level is above the given one. */
+	waitMs: (above: number, rate: BucketRate, now: Milliseconds) => Milliseconds;
 };
 
 /**
@@ -28,7 +28,7 @@
  * ```ts
  * const bucket = createTokenBucket(10, 0);
  * bucket.spend(30, {perSecond: 10, burst: 10}, 0);
- * bucket.waitMs({perSecond: 10, burst: 10}, 0); // => 2000
+ * bucket.waitMs(0, {perSecond: 10, burst: 10}, 0); // => 2000
  * ```
  */
 export function createTokenBucket(level: number, startedAt: Milliseconds): TokenBucket {
@@ -50,9 +50,9 @@
 			const floor = Math.min(units, -(rate.burst + (rate.perSecond * maxDebtMs / msPerSecond)));
 			units = Math.min(rate.burst, Math.max(floor, units - spent));
 		},
-		waitMs(rate, now) {
+		waitMs(above, rate, now) {
 			fill(rate, now);
-			return units > 0 ? 0 : Math.ceil(msPerSecond * -units / rate.perSecond);
+			return units > above ? 0 : Math.ceil(msPerSecond * (above - units) / rate.perSecond);
 		},
 	};
 }
--- a/src/domain/create-workspace-quotas/index.ts
+++ b/src/domain/create-workspace-quotas/index.ts
@@ -36,6 +36,8 @@
 	rankKeepers: (workspace: WorkspaceId, now: Milliseconds) => readonly string[];
 	/** Share of all hosts that this host can be reached by. */
 	toReachedShare: (now: Milliseconds) => number;
+	/** Share of all hosts that are in the zone of this one. */
+	toZoneShare: () => number;
 	/** Number of hosts, including those lost in the last minutes; `undefined` while no other was heard of. */
 	count: () => number | undefined;
 	/** Whether no other host was heard lately. */
@@ -84,17 +86,18 @@
 	/** Counts what this host grants while it reaches no other. */
 	const aloneKeeper = createQuotaKeeper({startedAt, startupMs});
 	const questions = createQuestions<QuotaVerdict>({timeoutMs: answerTimeoutMs, missesToSilence, silentForMs});
-	const deniedUntil = new Map<WorkspaceId, Milliseconds>();
+	/** Until when requests that cost at least as much are denied without a question. */
+	const denials = new Map<WorkspaceId, {until: Milliseconds; cost: number}>();
 	const {isSilent} = questions;
 
 	function decideAlone(spend: QuotaSpend, now: Milliseconds): QuotaVerdict {
 		const hosts = peers.count() ?? (now - startedAt < startupMs ? assumedHosts : 1);
-		return aloneKeeper.decide(spend, {share: hosts === 1 ? 1 : aloneShare / hosts}, now);
+		return aloneKeeper.decide(spend, {share: hosts === 1 ? 1 : aloneShare / hosts, isSubstitute: hosts > 1}, now);
 	}
 
 	/** Decides as the keeper or in its place, and tells those that may decide beside this host or after it. */
-	function decide(spend: QuotaSpend, isSubstitute: boolean, now: Milliseconds): QuotaVerdict {
-		const verdict = keeper.decide(spend, {share: peers.toReachedShare(now), isSubstitute}, now);
+	function decide(spend: QuotaSpend, {isSubstitute, skipped}: {isSubstitute: boolean; skipped: number}, now: Milliseconds): QuotaVerdict {
+		const verdict = keeper.decide(spend, {share: toShare(skipped, now), isSubstitute}, now);
 		if (verdict.isGranted) {
 			for (const address of findInformed(spend.workspace, now)) {
 				send({kind: 'spent', spend}, address);
@@ -104,6 +107,16 @@
 		return verdict;
 	}
 
+	/**
+	 * Returns the share that this host grants. If neither the keeper nor its successor
+	 * answered, the zone of the host that asks is likely cut off, which is known only
+	 * some seconds later.
+	 */
+	function toShare(skipped: number, now: Milliseconds): number {
+		const reached = peers.toReachedShare(now);
+		return skipped < maxAsked ? reached : Math.min(reached, peers.toZoneShare());
+	}
+
 	/** Returns the hosts ranked before this one that answer; if there are none, the next one in the ranking. */
 	function findInformed(workspace: WorkspaceId, now: Milliseconds): readonly string[] {
 		const ranked = rankAnswering(workspace, now);
@@ -131,13 +144,18 @@
 
 	function settle({settle: end, spend}: Request, verdict: QuotaVerdict, now: Milliseconds): void {
 		if (verdict.waitMs > 0) {
-			deniedUntil.set(spend.workspace, now + verdict.waitMs);
+			denials.set(spend.workspace, {until: now + verdict.waitMs, cost: spend.cost});
 		}
 
 		end(verdict);
 	}
 
+	/** Returns the number of hosts ranked before one that this host would not ask. */
+	const countSkipped = (address: string, workspace: WorkspaceId, now: Milliseconds): number =>
+		Math.max(0, peers.rankKeepers(workspace, now).indexOf(address));
+
 	function ask(to: string, request: Request, {isFinal, successor = ''}: {isFinal: boolean; successor?: string}, now: Milliseconds): void {
+		const {spend} = request;
 		const id = questions.begin(to, (verdict, endedAt) => {
 			if (verdict === undefined) {
 				askNext({...request, asked: [...request.asked, to]}, endedAt);
@@ -146,7 +164,7 @@
 			}
 		}, now);
 		send({
-			kind: 'ask', id, origin: self, spend: request.spend, isFinal, successor,
+			kind: 'ask', id, origin: self, spend, isFinal, skipped: isFinal ? countSkipped(to, spend.workspace, now) : 0, successor,
 		}, to);
 	}
 
@@ -156,14 +174,14 @@
 		if (next === undefined) {
 			settle(request, decideAlone(spend, now), now);
 		} else if (next === self) {
-			settle(request, decide(spend, true, now), now);
+			settle(request, decide(spend, {isSubstitute: true, skipped: countSkipped(self, spend.workspace, now)}, now), now);
 		} else {
 			ask(next, request, {isFinal: true}, now);
 		}
 	}
 
-	function answer({id, origin, spend, isFinal}: Extract<QuotaMessage, {kind: 'ask'}>, now: Milliseconds): void {
-		const verdict = decide(spend, isFinal, now);
+	function answer({id, origin, spend, isFinal, skipped}: Extract<QuotaMessage, {kind: 'ask'}>, now: Milliseconds): void {
+		const verdict = decide(spend, {isSubstitute: isFinal, skipped}, now);
 		if (origin === self) {
 			questions.answer(id, verdict, now);
 		} else {
@@ -173,13 +191,13 @@
 
 	return {
 		take(spend, now, end) {
-			const waitMs = (deniedUntil.get(spend.workspace) ?? -Infinity) - now;
-			if (waitMs > 0) {
-				end({isGranted: false, waitMs});
+			const denial = denials.get(spend.workspace);
+			if (denial !== undefined && now < denial.until && spend.cost >= denial.cost) {
+				end({isGranted: false, waitMs: denial.until - now});
 				return;
 			}
 
-			deniedUntil.delete(spend.workspace);
+			denials.delete(spend.workspace);
 			const request: Request = {spend, settle: end, asked: []};
 			if (peers.isAlone(now)) {
 				settle(request, decideAlone(spend, now), now);
@@ -193,7 +211,7 @@
 			} else if (isStarting(now) && successor !== '') {
 				ask(successor, request, {isFinal: true}, now);
 			} else {
-				settle(request, decide(spend, !isUsual, now), now);
+				settle(request, decide(spend, {isSubstitute: !isUsual, skipped: countSkipped(self, spend.workspace, now)}, now), now);
 			}
 		},
 		giveBack(spend, now) {
--- a/src/ports/quotas.ts
+++ b/src/ports/quotas.ts
@@ -24,7 +24,7 @@
 
 export type QuotaVerdict = {
 	isGranted: boolean;
-	/** Time until the workspace may use more; 0 if it may now. */
+	/** Time until the next request of this cost may be granted; 0 if it may now. */
 	waitMs: Milliseconds;
 };
 
@@ -38,6 +38,8 @@
 		spend: QuotaSpend;
 		/** Whether the receiver must decide itself; otherwise it may forward the question. */
 		isFinal: boolean;
+		/** Number of hosts ranked before the receiver that did not answer the host that asks. */
+		skipped: number;
 		/** Host that the sender would ask next, and that knows what the receiver granted; empty if there is none. */
 		successor: string;
 	}
