Read workspaces with keys and limits from the system's own documents

An operator of the own interface could give callers keys (callerTokens), but no limit, no class of a workspace and no rule without a key. The section workspaces holds digests of keys, class and limit; callerTokens is read as before. A key that two workspaces hold, one that is no digest, and a limit that allows nothing are faults with place and remedy. Rules may be public.

Tests: parse-config, to-config-text (both directions).

--- a/src/domain/parse-config/_lib/check-semantics.ts
+++ b/src/domain/parse-config/_lib/check-semantics.ts
@@ -50,6 +50,22 @@
 	addServerFaults(form, faults);
 	addRouteFaults(form, faults);
 	addRuleFaults(form, known, faults);
+	addKeyFaults(form, faults);
+}
+
+/** Finds keys that two workspaces hold: such a key would name whichever comes last. */
+function addKeyFaults({callerTokens = {}, workspaces = {}}: Partial<DocumentForm>, faults: FaultSink): void {
+	const holders = new Map(Object.entries(callerTokens));
+	for (const [name, {keys}] of Object.entries(workspaces)) {
+		for (const [i, digest] of keys.entries()) {
+			const holder = holders.get(digest);
+			if (holder !== undefined && holder !== name) {
+				faults.add(['workspaces', name, 'keys', i], `workspace "${holder}" holds the same key`, 'give each workspace a key of its own');
+			}
+
+			holders.set(digest, name);
+		}
+	}
 }
 
 /**
--- a/src/domain/parse-config/_lib/document.ts
+++ b/src/domain/parse-config/_lib/document.ts
@@ -15,6 +15,8 @@
 	routes: Readonly<Record<string, RuleThen>>;
 	rules: ReadonlyArray<Indexed<schema.RuleForm>>;
 	callerTokens: Readonly<Record<string, string>>;
+	/** Absent where callers need a key only if `callerTokens` has any. */
+	workspaces: Readonly<Record<string, schema.WorkspaceForm>> | undefined;
 	weightStoreBytesPerSecond: number;
 	edition: number;
 	follows: string;
@@ -31,6 +33,7 @@
 const routes = optional(schema.routes, {});
 const lastFields = {
 	callerTokens: optional(schema.callerTokens, {}),
+	workspaces: optional<DocumentForm['workspaces']>(schema.workspaces, undefined),
 	weightStoreBytesPerSecond: optional(schema.weightStoreBytesPerSecond, defaultWeightStoreBytesPerSecond),
 	edition: optional(schema.edition, 0),
 	follows: optional(schema.digestOrNone, 'none'),
--- a/src/domain/parse-config/_lib/schema.ts
+++ b/src/domain/parse-config/_lib/schema.ts
@@ -1,6 +1,6 @@
 /** The keys of a configuration document and the values that they may have. */
 import {
-	type HostEntry, type LatencyTarget, type PoolEntry, type RolloutPolicy, type RuleThen, type RuleWhen, type ServerEntry, type ZoneEntry,
+	type HostEntry, type LatencyTarget, type PoolEntry, type RolloutPolicy, type RuleThen, type RuleWhen, type ServerEntry, type WorkspaceLimit, type ZoneEntry,
 } from '../../../ports/config.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {
@@ -126,7 +126,8 @@
 /** Number of requests that may wait at one host for a rule that states no limit. */
 export const defaultQueueLimits: Readonly<Record<ServiceClass, number>> = {quick: 64, batch: 1000};
 
-type ThenForm = Omit<RuleThen, 'target' | 'queueLimit' | 'versions'> & {
+type ThenForm = Omit<RuleThen, 'target' | 'queueLimit' | 'versions' | 'isPublic' | 'relay'> & {
+	public: boolean;
 	target: TargetForm;
 	queueLimit: number | undefined;
 	versions: Readonly<Record<string, number>>;
@@ -140,6 +141,7 @@
 	queueLimit: optional<number | undefined>(integer(0, 1_000_000), undefined),
 	versions: optional<Readonly<Record<string, number>>>(mapOf({pattern: /^[\w.-]{1,64}$/, wanted: 'the name of a version'}, integer(0, 1_000_000)), {}),
 	adapter: optional<string | undefined>(name, undefined),
+	public: optional(flag, false),
 });
 
 const readThen: Reader<RuleThen> = (value, path, faults) => {
@@ -163,8 +165,10 @@
 		faults.add([...path, 'target'], 'the target for the complete answer is shorter than the one for its first token', 'write a longer "complete" or a shorter "firstToken"');
 	}
 
+	const {public: isPublic, ...rest} = form;
 	return {
-		...form,
+		...rest,
+		...(isPublic && {isPublic}),
 		target,
 		queueLimit: form.queueLimit ?? defaultQueueLimits[form.class],
 		versions,
@@ -190,6 +194,37 @@
 export const routes = mapOf({pattern: /^[a-zA-Z\d][\w.-]{0,63}$/, wanted: 'the name of a route'}, readThen);
 export const callerTokens = mapOf({pattern: /^[\da-f]{64}$/, wanted: 'the SHA-256 of a token: 64 digits in lower-case hex'}, workspace);
 
+const keyDigest = text(/^[\da-f]{64}$/, 'the SHA-256 of a key: 64 digits in lower-case hex');
+const maxUnits = 1_000_000_000;
+
+type LimitForm = Omit<WorkspaceLimit, 'burst'> & {burst: number | undefined};
+
+const limitForm: Reader<LimitForm> = record<LimitForm>({
+	unit: optional(oneOf('requests', 'tokens'), 'requests'),
+	perSecond: required(integer(1, maxUnits)),
+	burst: optional<number | undefined>(integer(0, maxUnits), undefined),
+	unstatedTokens: optional(integer(0, maxUnits), 0),
+});
+
+const limit: Reader<WorkspaceLimit> = (value, path, faults) => {
+	const form = limitForm(value, path, faults);
+	return form && {...form, burst: form.burst ?? form.perSecond};
+};
+
+export type WorkspaceForm = {
+	keys: readonly string[];
+	class: ServiceClass | undefined;
+	limit: WorkspaceLimit | undefined;
+};
+
+const workspaceForm: Reader<WorkspaceForm> = record<WorkspaceForm>({
+	keys: required(listOf(keyDigest)),
+	class: optional<ServiceClass | undefined>(serviceClass, undefined),
+	limit: optional<WorkspaceLimit | undefined>(limit, undefined),
+});
+
+export const workspaces = mapOf({pattern: /^[\w.\-:@]{1,128}$/, wanted: 'a workspace name without blanks (at most 128)'}, workspaceForm);
+
 export const edition = integer(1, Number.MAX_SAFE_INTEGER);
 export const digestOrNone = text(/^(?:none|[\da-f]{64})$/, 'a SHA-256 in lower-case hex or "none"');
 export const endMark = text(/^(?:banyanport|sealed-[\da-f]{64})$/, '"banyanport" (or the seal that "banyanport seal" writes)');
--- a/src/domain/parse-config/_lib/to-config.ts
+++ b/src/domain/parse-config/_lib/to-config.ts
@@ -11,7 +11,7 @@
  * @returns The configuration, or `undefined` when a section is missing.
  */
 export function toConfig(form: Partial<DocumentForm>, known?: ReadonlyArray<Rule | undefined>): Config | undefined {
-	const {zones, hosts, servers, pools, routes, rules, callerTokens, weightStoreBytesPerSecond} = form;
+	const {zones, hosts, servers, pools, routes, rules, callerTokens, workspaces, weightStoreBytesPerSecond} = form;
 	if (!zones || !hosts || !servers || !pools || !routes || !rules || !callerTokens || weightStoreBytesPerSecond === undefined) {
 		return undefined;
 	}
@@ -22,11 +22,23 @@
 		servers: servers.map(({value}) => value),
 		pools: pools.map(({value}) => value),
 		rules: rules.map(({value}, i) => toRule(value, routes, known?.[i])),
-		callerTokens,
+		...toCallerKeys(callerTokens, workspaces),
 		weightStoreBytesPerSecond,
 	};
 }
 
+/** Joins the keys of both sections, and drops them from the terms of workspaces. */
+function toCallerKeys(callerTokens: DocumentForm['callerTokens'], workspaces: DocumentForm['workspaces']): Pick<Config, 'callerTokens' | 'workspaces'> {
+	if (workspaces === undefined) {
+		return {callerTokens};
+	}
+
+	const entries = Object.entries(workspaces);
+	const keys = entries.flatMap(([name, {keys: digests}]) => digests.map(digest => [digest, name] as const));
+	const terms = entries.map(([name, {class: serviceClass, limit}]) => [name, {...(serviceClass && {class: serviceClass}), ...(limit && {limit})}] as const);
+	return {callerTokens: {...callerTokens, ...Object.fromEntries(keys)}, workspaces: Object.fromEntries(terms)};
+}
+
 function toRule({name, when, then}: RuleForm, routes: DocumentForm['routes'], known: Rule | undefined): Rule {
 	const decision = typeof then === 'string' ? routes[then]! : then;
 	return known?.then === decision ? known : {name, when, then: decision};
--- a/src/domain/parse-config/test.ts
+++ b/src/domain/parse-config/test.ts
@@ -41,6 +41,36 @@
 		assert.equal(toRollout(validText.replace('classes: batch, ', 'classes: batch, rollout: allow-gap, ')), 'allow-gap');
 	});
 
+	describe('workspaces', () => {
+		const key = '0a'.repeat(32);
+		const withWorkspaces = (lines: string, more = '') => validText.replace('end: banyanport', `workspaces:\n${lines}\n${more}end: banyanport`);
+
+		it('are read with keys, class and limit', () => {
+			const {callerTokens, workspaces} = parseConfig(withWorkspaces(`  lipa: {keys: ['${key}'], class: batch, limit: {unit: tokens, perSecond: 900}}\n  breg: {keys: []}`))._unsafeUnwrap();
+			assert.deepEqual(callerTokens, {[key]: 'lipa'});
+			assert.deepEqual(workspaces, {
+				lipa: {
+					class: 'batch', limit: {
+						unit: 'tokens', perSecond: 900, burst: 900, unstatedTokens: 0,
+					},
+				},
+				breg: {},
+			});
+		});
+
+		const faulty: ReadonlyArray<[string, string, string, RegExp]> = [
+			['a key of two workspaces', `  lipa: {keys: ['${key}']}\n  breg: {keys: ['${key}']}`, '', /workspace "lipa" holds the same key.*a key of its own/v],
+			['a key that callerTokens gives to another', `  breg: {keys: ['${key}']}`, `callerTokens: {'${key}': lipa}\n`, /workspace "lipa" holds the same key/v],
+			['a key that is no digest', '  lipa: {keys: [secret]}', '', /SHA-256 of a key/v],
+			['a limit that allows nothing', '  lipa: {keys: [], limit: {perSecond: 0}}', '', /18:39: 0 is not a whole number from 1/v],
+		];
+		for (const [name, lines, more, message] of faulty) {
+			it(`are refused with ${name}`, () => {
+				assert.match(toFaults(withWorkspaces(lines, more)).join('\n'), message);
+			});
+		}
+	});
+
 	it('reads JSON the same way, tabs included', () => {
 		const config = parseConfig(validText)._unsafeUnwrap();
 		const json = `{
--- a/src/domain/to-config-text/index.ts
+++ b/src/domain/to-config-text/index.ts
@@ -23,12 +23,23 @@
 		toSection('servers', config.servers),
 		`"routes": ${toMapLines(Object.fromEntries([...routes].map(([decision, name]) => [name, JSON.parse(decision) as unknown])))}`,
 		toSection('rules', config.rules.map(rule => toRuleForm(rule, routes))),
-		`"callerTokens": ${toMapLines(config.callerTokens)}`,
+		...toKeySections(config),
 		`"weightStoreBytesPerSecond": "${config.weightStoreBytesPerSecond}B"`,
 	];
 	return addPlainEnd(`{${sections.join(',\n')}`, 'json');
 }
 
+/** Writes the keys with their workspaces if the configuration has terms of workspaces. */
+function toKeySections({callerTokens, workspaces}: Config): string[] {
+	if (workspaces === undefined) {
+		return [`"callerTokens": ${toMapLines(callerTokens)}`];
+	}
+
+	const names = [...new Set([...Object.keys(workspaces), ...Object.values(callerTokens)])];
+	const forms = names.map(name => [name, {keys: Object.keys(callerTokens).filter(digest => callerTokens[digest] === name), ...workspaces[name]}] as const);
+	return [`"workspaces": ${toMapLines(Object.fromEntries(forms))}`];
+}
+
 function toSection(name: string, entries: readonly unknown[]): string {
 	return `${JSON.stringify(name)}: [${toLines(entries.map(entry => JSON.stringify(entry)))}]`;
 }
@@ -59,5 +70,8 @@
 		complete: `${then.target.completeMs}ms`,
 	};
 	const versions = Object.fromEntries(then.versions.map(({version, weight}) => [version, weight]));
-	return JSON.stringify({...then, target, versions});
+	const {isPublic = false, ...rest} = then;
+	return JSON.stringify({
+		...rest, ...(isPublic && {public: true}), target, versions,
+	});
 }
--- a/src/domain/to-config-text/test.ts
+++ b/src/domain/to-config-text/test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {type Rule} from '../../ports/config.js';
+import {type Config, type Rule} from '../../ports/config.js';
 import {toFleetConfig} from '../_test/to-fleet-config.js';
 import {parseConfig} from '../parse-config/index.js';
 import {toConfigText} from './index.js';
@@ -17,4 +17,23 @@
 		const changed = {...base, rules, callerTokens: {['0a'.repeat(32)]: 'ws-00001'}};
 		assert.deepEqual(parseConfig(toConfigText(changed))._unsafeUnwrap(), changed);
 	});
+
+	it('writes workspaces with their keys, and public rules', () => {
+		const base = toFleetConfig(20, 5);
+		const rules = base.rules.map(({name, when, then}) => ({name, when, then: {...then, isPublic: true}}));
+		const changed: Config = {
+			...base,
+			rules,
+			callerTokens: {['0a'.repeat(32)]: 'ws-00001', ['0b'.repeat(32)]: 'ws-00001'},
+			workspaces: {
+				'ws-00001': {
+					class: 'quick', limit: {
+						unit: 'tokens', perSecond: 9000, burst: 18_000, unstatedTokens: 200,
+					},
+				},
+				'ws-00002': {},
+			},
+		};
+		assert.deepEqual(parseConfig(toConfigText(changed))._unsafeUnwrap(), changed);
+	});
 });
