--- a/src/domain/create-quota-keeper/index.ts
+++ b/src/domain/create-quota-keeper/index.ts
@@ -71,7 +71,7 @@
  * @example
  * ```ts
  * const keeper = createQuotaKeeper({startedAt: -Infinity, startupMs: 10_000});
- * keeper.decide({workspace: 'a', cost: 5, edition: 1, rate: {perSecond: 1, burst: 2}}, {share: 1}, 0); // => {isGranted: true, waitMs: 3000}
+ * keeper.decide({workspace: 'a', cost: 5, edition: 1, rate: {perSecond: 1, burst: 2}}, {share: 1}, 0); // => {isGranted: true, waitMs: 3001}
  * ```
  */
 export function createQuotaKeeper({startedAt, startupMs}: QuotaKeeperOptions): QuotaKeeper {
--- a/src/domain/create-quota-keeper/test.ts
+++ b/src/domain/create-quota-keeper/test.ts
@@ -24,8 +24,8 @@
 		keeper.decide(toSpend(36_000), whole, 1);
 		const {isGranted, waitMs} = keeper.decide(toSpend(36_000), whole, 1);
 		assert.equal(isGranted, false);
-		assert.equal(keeper.decide(toSpend(36_000), whole, waitMs).isGranted, false);
-		assert.equal(keeper.decide(toSpend(36_000), whole, waitMs + 2).isGranted, true);
+		assert.equal(keeper.decide(toSpend(36_000), whole, waitMs - 1).isGranted, false);
+		assert.equal(keeper.decide(toSpend(36_000), whole, waitMs + 1).isGranted, true);
 	});
 
 	it('grants its share of a limit alone', () => {
--- a/src/domain/create-token-bucket/index.ts
+++ b/src/domain/create-token-bucket/index.ts
@@ -28,7 +28,7 @@
  * ```ts
  * const bucket = createTokenBucket(10, 0);
  * bucket.spend(30, {perSecond: 10, burst: 10}, 0);
- * bucket.waitMs(0, {perSecond: 10, burst: 10}, 0); // => 2000
+ * bucket.waitMs(0, {perSecond: 10, burst: 10}, 0); // => 2001
  * ```
  */
 export function createTokenBucket(level: number, startedAt: Milliseconds): TokenBucket {
@@ -52,7 +52,7 @@
 		},
 		waitMs(above, rate, now) {
 			fill(rate, now);
-			return units > above ? 0 : Math.ceil(msPerSecond * (above - units) / rate.perSecond);
+			return units > above ? 0 : Math.floor(msPerSecond * (above - units) / rate.perSecond) + 1;
 		},
 	};
 }
--- a/src/domain/create-token-bucket/test.ts
+++ b/src/domain/create-token-bucket/test.ts
@@ -15,7 +15,7 @@
 	it('goes into debt, and says when the debt is repaid', () => {
 		const bucket = createTokenBucket(5, 0);
 		bucket.spend(15, rate, 0);
-		assert.equal(bucket.waitMs(0, rate, 0), 1000);
+		assert.equal(bucket.waitMs(0, rate, 0), 1001);
 		assert.ok(bucket.level(rate, 1001) > 0);
 	});
 
@@ -28,7 +28,7 @@
 	it('limits a debt', () => {
 		const bucket = createTokenBucket(0, 0);
 		bucket.spend(1e9, rate, 0);
-		assert.equal(bucket.waitMs(0, rate, 0), 4000);
+		assert.equal(bucket.waitMs(0, rate, 0), 4001);
 	});
 
 	it('applies a lowered limit at once', () => {
--- a/src/domain/create-workspace-quotas/index.ts
+++ b/src/domain/create-workspace-quotas/index.ts
@@ -150,6 +150,17 @@
 		end(verdict);
 	}
 
+	/** Returns the time for which a request is denied without a question; 0 if it is not. */
+	function toDeniedForMs({workspace, cost}: QuotaSpend, now: Milliseconds): Milliseconds {
+		const denial = denials.get(workspace);
+		if (denial === undefined || now >= denial.until) {
+			denials.delete(workspace);
+			return 0;
+		}
+
+		return cost >= denial.cost ? denial.until - now : 0;
+	}
+
 	/** Returns the number of hosts ranked before one that this host would not ask. */
 	const countSkipped = (address: string, workspace: WorkspaceId, now: Milliseconds): number =>
 		Math.max(0, peers.rankKeepers(workspace, now).indexOf(address));
@@ -191,13 +202,12 @@
 
 	return {
 		take(spend, now, end) {
-			const denial = denials.get(spend.workspace);
-			if (denial !== undefined && now < denial.until && spend.cost >= denial.cost) {
-				end({isGranted: false, waitMs: denial.until - now});
+			const deniedForMs = toDeniedForMs(spend, now);
+			if (deniedForMs > 0) {
+				end({isGranted: false, waitMs: deniedForMs});
 				return;
 			}
 
-			denials.delete(spend.workspace);
 			const request: Request = {spend, settle: end, asked: []};
 			if (peers.isAlone(now)) {
 				settle(request, decideAlone(spend, now), now);
