--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -7,11 +7,11 @@
  */
 import {createSocket} from 'node:dgram';
 import {once} from 'node:events';
-import {Encoder} from 'cbor-x';
-import {err, ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import * as v from 'valibot';
-import {decodePlaceMessage, encodePlaceMessage, isPlaceDatagram} from '../place-datagrams/index.js';
-import {decodeQuotaMessage, encodeQuotaMessage, isQuotaDatagram} from '../quota-datagrams/index.js';
+import {decodePlaceMessage, encodePlaceMessage, placeFormat} from '../place-datagrams/index.js';
+import {decodeQuotaMessage, encodeQuotaMessage, quotaFormat} from '../quota-datagrams/index.js';
+import {decodeRow, encodeRow, toFormat} from '../_lib/datagram-rows/index.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
 import {type PlaceMessage} from '../../ports/places.js';
 import {type QuotaMessage} from '../../ports/quotas.js';
@@ -30,8 +30,6 @@
 const maxReports = 64;
 const maxCrashesOfReport = 8;
 
-const codec = new Encoder({useRecords: false, mapsAsObjects: true});
-
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 /** Senders of a later build may add items. */
@@ -71,7 +69,7 @@
 	const reports = crashes.map(report => toReportRow(report));
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = codec.encode([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined ? [] : [reachedShare])]);
+		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined ? [] : [reachedShare])]);
 		const cut = loads.length > 0 ? loads : reports;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
@@ -81,6 +79,15 @@
 	}
 }
 
+function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare] = row;
+	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
+	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
+	return {
+		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})), ...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
+	};
+}
+
 /**
  * Decodes and validates a datagram from any sender.
  *
@@ -88,24 +95,7 @@
  * @returns The message, or the reason why it is invalid.
  */
 export function decodeLoadMessage(bytes: Uint8Array): Result<LoadMessage, string> {
-	let value: unknown;
-	try {
-		value = codec.decode(bytes);
-	} catch {
-		return err('not CBOR');
-	}
-
-	const parsed = v.safeParse(schema, value);
-	if (!parsed.success) {
-		return err(v.summarize(parsed.issues));
-	}
-
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare] = parsed.output;
-	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
-	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
-	return ok({
-		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})), ...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
-	});
+	return decodeRow(bytes, schema).map(row => toMessage(row));
 }
 
 export type LoadDatagrams = {
@@ -146,14 +136,14 @@
 	const {ip, port} = toParts(address);
 	socket.on('message', (bytes, {address: from, port: fromPort}) => {
 		const sender = `${from}:${fromPort}`;
-		if (isQuotaDatagram(bytes)) {
+		if (toFormat(bytes) === quotaFormat) {
 			decodeQuotaMessage(bytes).match(message => {
 				onQuota(message, sender);
 			}, onFault);
 			return;
 		}
 
-		if (isPlaceDatagram(bytes)) {
+		if (toFormat(bytes) === placeFormat) {
 			decodePlaceMessage(bytes).match(message => {
 				onPlace(message, sender);
 			}, onFault);
--- a/src/adapters/place-datagrams/index.ts
+++ b/src/adapters/place-datagrams/index.ts
@@ -1,7 +1,7 @@
 /** Messages between hosts about places at servers, one UDP datagram each. */
-import {Encoder} from 'cbor-x';
-import {err, ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {decodeRow, encodeRow} from '../_lib/datagram-rows/index.js';
 import {type PlaceMessage} from '../../ports/places.js';
 
 /** Format number, the first item of each datagram, by which a socket tells these messages from others. */
@@ -9,8 +9,6 @@
 
 const maxNameLength = 128;
 
-const codec = new Encoder({useRecords: false, mapsAsObjects: true});
-
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 const schema = v.union([
@@ -35,14 +33,6 @@
 	}
 }
 
-/**
- * @param bytes - A datagram of any format.
- * @returns Whether it has the format of this module: an array of fewer than 24 items, the first of which is the format number.
- */
-export function isPlaceDatagram(bytes: Uint8Array): boolean {
-	return bytes[1] === placeFormat;
-}
-
 /**
  * Encodes a message.
  *
@@ -50,44 +40,35 @@
  * @returns One datagram.
  */
 export function encodePlaceMessage(message: PlaceMessage): Uint8Array {
-	return codec.encode([placeFormat, ...toRow(message)]);
+	return encodeRow([placeFormat, ...toRow(message)]);
 }
 
-/**
- * Decodes and validates a datagram from any sender.
- *
- * @param bytes - The datagram.
- * @returns The message, or the reason why it is invalid.
- */
-export function decodePlaceMessage(bytes: Uint8Array): Result<PlaceMessage, string> {
-	let value: unknown;
-	try {
-		value = codec.decode(bytes);
-	} catch {
-		return err('not CBOR');
-	}
-
-	const parsed = v.safeParse(schema, value);
-	if (!parsed.success) {
-		return err(v.summarize(parsed.issues));
-	}
-
-	const row = parsed.output;
+function toMessage(row: v.InferOutput<typeof schema>): PlaceMessage {
 	switch (row[1]) {
 		case 'ask': {
-			return ok({
+			return {
 				kind: 'ask', id: row[2], server: row[3], slots: row[4], isForced: row[5],
-			});
+			};
 		}
 
 		case 'answer': {
-			return ok({
+			return {
 				kind: 'answer', id: row[2], isTaken: row[3], count: row[4],
-			});
+			};
 		}
 
 		case 'leave': {
-			return ok({kind: 'leave', id: row[2], server: row[3]});
+			return {kind: 'leave', id: row[2], server: row[3]};
 		}
 	}
 }
+
+/**
+ * Decodes and validates a datagram from any sender.
+ *
+ * @param bytes - The datagram.
+ * @returns The message, or the reason why it is invalid.
+ */
+export function decodePlaceMessage(bytes: Uint8Array): Result<PlaceMessage, string> {
+	return decodeRow(bytes, schema).map(row => toMessage(row));
+}
--- a/src/adapters/place-datagrams/test.ts
+++ b/src/adapters/place-datagrams/test.ts
@@ -3,7 +3,8 @@
 import {encode} from 'cbor-x';
 import fc from 'fast-check';
 import {type PlaceMessage} from '../../ports/places.js';
-import {decodePlaceMessage, encodePlaceMessage, isPlaceDatagram} from './index.js';
+import {toFormat} from '../_lib/datagram-rows/index.js';
+import {decodePlaceMessage, encodePlaceMessage, placeFormat} from './index.js';
 
 const messages: readonly PlaceMessage[] = [
 	{
@@ -19,7 +20,7 @@
 	for (const message of messages) {
 		it(`of kind ${message.kind} are the same after encoding and decoding`, () => {
 			const bytes = encodePlaceMessage(message);
-			assert.ok(isPlaceDatagram(bytes));
+			assert.equal(toFormat(bytes), placeFormat);
 			assert.deepEqual(decodePlaceMessage(bytes)._unsafeUnwrap(), message);
 		});
 	}
--- a/src/adapters/quota-datagrams/index.ts
+++ b/src/adapters/quota-datagrams/index.ts
@@ -1,7 +1,7 @@
 /** Messages between hosts about limits of workspaces, one UDP datagram each. */
-import {Encoder} from 'cbor-x';
-import {err, ok, type Result} from 'neverthrow';
+import {type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {decodeRow, encodeRow} from '../_lib/datagram-rows/index.js';
 import {type QuotaMessage, type QuotaSpend} from '../../ports/quotas.js';
 
 /** Format number, the first item of each datagram, by which a socket tells these messages from others. */
@@ -9,8 +9,6 @@
 
 const maxNameLength = 128;
 
-const codec = new Encoder({useRecords: false, mapsAsObjects: true});
-
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const address = v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
@@ -49,14 +47,6 @@
 	}
 }
 
-/**
- * @param bytes - A datagram of any format.
- * @returns Whether it has the format of this module: an array of fewer than 24 items, the first of which is the format number.
- */
-export function isQuotaDatagram(bytes: Uint8Array): boolean {
-	return bytes[1] === quotaFormat;
-}
-
 /**
  * Encodes a message.
  *
@@ -64,44 +54,35 @@
  * @returns One datagram.
  */
 export function encodeQuotaMessage(message: QuotaMessage): Uint8Array {
-	return codec.encode([quotaFormat, ...toRow(message)]);
+	return encodeRow([quotaFormat, ...toRow(message)]);
 }
 
-/**
- * Decodes and validates a datagram from any sender.
- *
- * @param bytes - The datagram.
- * @returns The message, or the reason why it is invalid.
- */
-export function decodeQuotaMessage(bytes: Uint8Array): Result<QuotaMessage, string> {
-	let value: unknown;
-	try {
-		value = codec.decode(bytes);
-	} catch {
-		return err('not CBOR');
-	}
-
-	const parsed = v.safeParse(schema, value);
-	if (!parsed.success) {
-		return err(v.summarize(parsed.issues));
-	}
-
-	const row = parsed.output;
+function toMessage(row: v.InferOutput<typeof schema>): QuotaMessage {
 	switch (row[1]) {
 		case 'ask': {
-			return ok({
+			return {
 				kind: 'ask', id: row[7], origin: row[8], spend: toSpend(row), isFinal: row[9], successor: row[10], skipped: row[11],
-			});
+			};
 		}
 
 		case 'verdict': {
-			return ok({
+			return {
 				kind: 'verdict', id: row[2], isGranted: row[3], waitMs: row[4],
-			});
+			};
 		}
 
 		case 'spent': {
-			return ok({kind: 'spent', spend: toSpend(row)});
+			return {kind: 'spent', spend: toSpend(row)};
 		}
 	}
 }
+
+/**
+ * Decodes and validates a datagram from any sender.
+ *
+ * @param bytes - The datagram.
+ * @returns The message, or the reason why it is invalid.
+ */
+export function decodeQuotaMessage(bytes: Uint8Array): Result<QuotaMessage, string> {
+	return decodeRow(bytes, schema).map(row => toMessage(row));
+}
--- a/src/adapters/quota-datagrams/test.ts
+++ b/src/adapters/quota-datagrams/test.ts
@@ -3,7 +3,8 @@
 import {encode} from 'cbor-x';
 import fc from 'fast-check';
 import {type QuotaMessage} from '../../ports/quotas.js';
-import {decodeQuotaMessage, encodeQuotaMessage, isQuotaDatagram} from './index.js';
+import {toFormat} from '../_lib/datagram-rows/index.js';
+import {decodeQuotaMessage, encodeQuotaMessage, quotaFormat} from './index.js';
 
 const spend = {
 	workspace: 'naslovnik', cost: 5340, edition: 7, rate: {perSecond: 278_335, burst: 278_335},
@@ -23,7 +24,7 @@
 	for (const message of messages) {
 		it(`of kind ${message.kind} are the same after encoding and decoding`, () => {
 			const bytes = encodeQuotaMessage(message);
-			assert.ok(isQuotaDatagram(bytes));
+			assert.equal(toFormat(bytes), quotaFormat);
 			assert.deepEqual(decodeQuotaMessage(bytes)._unsafeUnwrap(), message);
 		});
 	}
