Stay at a full server when the next one may be cut off

Callers would have seen: a lookup whose own zone's server is full is sent over a cut to a zone in cooldown, where it waits for its timeout and, as it may run only once, fails.

Cause: the pick with counted places asked for the second best server without regard to its cooldown; the placement returns one in cooldown when no other is left.

Change: a plain placement tells its cooldown. If the next server's is worse, the request goes into the queue of the first.

--- a/bench/fleet/_lib/baseline-placement.ts
+++ b/bench/fleet/_lib/baseline-placement.ts
@@ -52,7 +52,11 @@
 		},
 		pickPlain(request, view) {
 			const server = pickNext(view, request.pool, 'plain', request.exclude);
-			return server === undefined ? toRefusal(request.pool) : ok({kind: 'plain', server, account: toAccount(request.pool, [server.id])});
+			return server === undefined
+				? toRefusal(request.pool)
+				: ok({
+					kind: 'plain', cooldown: 0, server, account: toAccount(request.pool, [server.id]),
+				});
 		},
 	};
 }
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -83,6 +83,8 @@
 export type PlainPlacement = {
 	kind: 'plain';
 	server: ServerEntry;
+	/** Level of the server's cooldown: 0 normally, 1 if its zone is in cooldown, 2 if the server itself is. */
+	cooldown: 0 | 1 | 2;
 	account: () => PlacementAccount;
 };
 
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -269,7 +269,9 @@
 		const best = pairs.findPlain(search);
 		return best === undefined
 			? err(toNothingFound(search, roles))
-			: ok({kind: 'plain', server: best.entry, account: () => pairs.toAccount(search, roles, [best.entry.id])});
+			: ok({
+				kind: 'plain', server: best.entry, cooldown: cooldowns.toLevel(best.entry, now), account: () => pairs.toAccount(search, roles, [best.entry.id]),
+			});
 	};
 
 	/** Servers of a pool that generate answers; each of them can also compute a prompt. */
--- a/src/programs/entry/call-plain/_lib/pick-with-place.ts
+++ b/src/programs/entry/call-plain/_lib/pick-with-place.ts
@@ -52,7 +52,8 @@
 	}
 
 	const second = pick(new Set([...tried, first.value.server.id]));
-	if (second.isErr()) {
+	// A place in a queue costs a caller some milliseconds, a server that may be cut off a timeout.
+	if (second.isErr() || second.value.cooldown > first.value.cooldown) {
 		return ok(force(first.value, run));
 	}
 
--- a/src/programs/entry/call-plain/few-servers.test.ts
+++ b/src/programs/entry/call-plain/few-servers.test.ts
@@ -124,7 +124,7 @@
 		const left = servers.filter(({id}) => !exclude.has(id));
 		const near = left.filter(server => server.zone === zone);
 		const list = near.length > 0 ? near : left;
-		return ok({kind: 'plain', server: list[Math.floor(pickRandom() * list.length)]!} as unknown as PlainPlacement);
+		return ok({kind: 'plain', cooldown: 0, server: list[Math.floor(pickRandom() * list.length)]!} as unknown as PlainPlacement);
 	}
 
 	async function request(host: number): Promise<void> {
