--- a/src/domain/create-workspace-quotas/test.ts
+++ b/src/domain/create-workspace-quotas/test.ts
@@ -140,9 +140,11 @@
 	});
 
 	// Guards against a host that has just started, knows nothing of the use, and grants a burst again.
-	it('lets the successor decide while the keeper has just started', () => {
-		const {sent, countGranted} = createHosts({[keeper]: {startedAt: 99_000}});
-		assert.equal(countGranted(third, 25), 1);
-		assert.ok(sent.some(({message, to}) => message.kind === 'ask' && message.isFinal && to === successor));
-	});
+	for (const [name, asker] of [['of another host', third], ['of its own', keeper]] as const) {
+		it(`lets the successor decide a request ${name} while the keeper has just started`, () => {
+			const {sent, countGranted} = createHosts({[keeper]: {startedAt: 99_000}});
+			assert.equal(countGranted(asker, 25), 1);
+			assert.ok(sent.some(({message, to}) => message.kind === 'ask' && message.isFinal && to === successor));
+		});
+	}
 });
