Count refusals for a limit by workspace

On-call could see refusals for a limit in log lines alone. over_limit_total names the first 20 workspaces that a host sees and counts the others together.

Test: charge-request, a refusal is counted once for its workspace.

--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of the entry. */
 import {latencyBoundsMs, type Metrics} from '../../../adapters/metrics/index.js';
+import {type WorkspaceId} from '../../../ports/ids.js';
 import {type EndedRequest} from './ended-request.js';
 import {type RunMetrics} from './types.js';
 
@@ -9,6 +10,9 @@
 const wasteCauses = ['caller-gone', 'deadline-passed', 'expired', 'transfer', 'server-lost', 'stopping'] as const;
 const dropCauses = ['other-request', 'other-attempt', 'repeated', 'after-end'] as const;
 const retryDecisions = ['granted', 'ran', 'not-repeatable', 'attempts', 'deadline', 'budget'] as const;
+/** Workspaces that are named in metrics; others are counted together. */
+const maxNamedWorkspaces = 20;
+
 const cancelEnds = ['confirmed', 'server-gone', 'too-old', 'displaced'] as const;
 
 /**
@@ -38,6 +42,9 @@
 	const wastedTokens = metrics.createCounter({name: 'wasted_prefill_tokens_total', help: 'Prompt tokens of prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
 	const pauses = metrics.createCounter({name: 'pauses_total', help: 'Times that the process woke up after it was paused.'});
+	const overLimit = metrics.createCounter({
+		name: 'over_limit_total', help: 'Requests refused because their workspace had used its limit.', labels: {workspace: {max: maxNamedWorkspaces}},
+	});
 	const runMetrics: RunMetrics = {
 		firstToken(run, ms) {
 			firstToken.record({class: run.rule.then.class}, ms);
@@ -77,6 +84,9 @@
 		},
 		cancels,
 		pauses,
+		countOverLimit(workspace: WorkspaceId) {
+			overLimit.add({workspace});
+		},
 		recordEndedRequest({rule, end, outcome, completeMs, outputTokens}: EndedRequest) {
 			const {class: serviceClass} = rule.then;
 			requests.add({class: serviceClass, end, outcome});
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -4,6 +4,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
+import {type WorkspaceId} from '../../../ports/ids.js';
 import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
@@ -39,6 +40,8 @@
 	places: Places | undefined;
 	/** Limits of workspaces. */
 	quotas: Quotas;
+	/** Counts a request that was refused because its workspace had used its limit. */
+	countOverLimit: (workspace: WorkspaceId) => void;
 	/** Tracks requests under which servers crashed. */
 	suspects: CrashSuspects;
 	log: Log;
--- a/src/programs/entry/charge-request/index.ts
+++ b/src/programs/entry/charge-request/index.ts
@@ -4,6 +4,7 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {type WorkspaceLimit} from '../../../ports/config.js';
+import {type WorkspaceId} from '../../../ports/ids.js';
 import {type Quotas, type QuotaSpend} from '../../../ports/quotas.js';
 import {type RequestHints} from '../../../ports/server-calls.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -21,6 +22,8 @@
 	quotas: Quotas;
 	account: Account;
 	random: Random;
+	/** Counts a request that was refused because its workspace had used its limit. */
+	countOverLimit: (workspace: WorkspaceId) => void;
 };
 
 /** The most that one request may cost; a larger one would exceed the limit by itself. */
@@ -34,7 +37,7 @@
  * @param options - The quotas, the account of the request, and a source of randomness that spreads retries.
  * @returns What was charged, to be given back if the request is not run; `undefined` without a limit. An error is the answer to the caller.
  */
-export async function chargeRequest({workspace, limit, edition}: Pick<Route, 'workspace' | 'limit' | 'edition'>, hints: Pick<RequestHints, 'promptTokens' | 'maxTokens'>, {quotas, account, random}: ChargeOptions): Promise<Result<QuotaSpend | undefined, Problem>> {
+export async function chargeRequest({workspace, limit, edition}: Pick<Route, 'workspace' | 'limit' | 'edition'>, hints: Pick<RequestHints, 'promptTokens' | 'maxTokens'>, {quotas, account, random, countOverLimit}: ChargeOptions): Promise<Result<QuotaSpend | undefined, Problem>> {
 	if (limit === undefined) {
 		return ok(undefined);
 	}
@@ -49,11 +52,14 @@
 	};
 	const {isGranted, waitMs} = await quotas.take(spend);
 	account.addStage(isGranted ? 'charged' : 'over limit', {workspace, cost});
-	return isGranted
-		? ok(spend)
-		: err({
-			kind: 'over-limit', detail: `The workspace has used its limit of ${limit.perSecond} ${limit.unit} a second.`, outcome: 'not-run', retryAfterMs: Math.max(minRetryMs, waitMs) + (random() * retrySpreadMs),
-		});
+	if (isGranted) {
+		return ok(spend);
+	}
+
+	countOverLimit(workspace);
+	return err({
+		kind: 'over-limit', detail: `The workspace has used its limit of ${limit.perSecond} ${limit.unit} a second.`, outcome: 'not-run', retryAfterMs: Math.max(minRetryMs, waitMs) + (random() * retrySpreadMs),
+	});
 }
 
 export type ServeChargedOptions = ChargeOptions & {
--- a/src/programs/entry/charge-request/test.ts
+++ b/src/programs/entry/charge-request/test.ts
@@ -16,6 +16,7 @@
 	const taken: QuotaSpend[] = [];
 	const given: QuotaSpend[] = [];
 	const problems: Problem[] = [];
+	const counted: string[] = [];
 	let runs = 0;
 	const result = await serveCharged(async () => {
 		runs++;
@@ -25,6 +26,9 @@
 		hints: over.hints ?? hints,
 		account: {addStage: () => undefined} as unknown as Account,
 		random: () => 0.5,
+		countOverLimit(workspace) {
+			counted.push(workspace);
+		},
 		quotas: {
 			async take(spend) {
 				taken.push(spend);
@@ -39,7 +43,7 @@
 		},
 	});
 	return {
-		taken, given, problems, runs, result,
+		taken, given, problems, counted, runs, result,
 	};
 }
 
@@ -58,8 +62,8 @@
 	});
 
 	it('refuses as not run, with the time when there is room, and runs nothing', async () => {
-		const {problems, runs, result} = await serve({verdict: {isGranted: false, waitMs: 4000}});
-		assert.deepEqual([runs, result], [0, 'not-run']);
+		const {problems, counted, runs, result} = await serve({verdict: {isGranted: false, waitMs: 4000}});
+		assert.deepEqual([runs, result, counted], [0, 'not-run', ['w']]);
 		assert.deepEqual(problems.map(({kind, outcome, retryAfterMs}) => [kind, outcome, retryAfterMs]), [['over-limit', 'not-run', 5000]]);
 	});
 
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -212,7 +212,7 @@
 	const work = async (target: CallerExchange): Promise<KeyedVerdict> => serveCharged(async () => runRouted({
 		exchange: target, account, request, promptTokens, route, model,
 	}, ctx), {
-		route, hints: {promptTokens, maxTokens: request.maxTokens}, account, quotas: ctx.quotas, random: ctx.services.random, refuse,
+		route, hints: {promptTokens, maxTokens: request.maxTokens}, account, quotas: ctx.quotas, random: ctx.services.random, countOverLimit: ctx.countOverLimit, refuse,
 	});
 	await (key === undefined || ctx.claims === undefined
 		? work(exchange)
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -236,7 +236,7 @@
 	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => serveCharged(async () => runRouted({
 		exchange: caller, route, ctx, clients, account, receivedAt, work, body: body.value, deadline, fingerprint,
 	}), {
-		route, hints: work, account, quotas: ctx.quotas, random: services.random, refuse,
+		route, hints: work, account, quotas: ctx.quotas, random: services.random, countOverLimit: ctx.countOverLimit, refuse,
 	});
 	await (key.value === undefined || ctx.claims === undefined
 		? serveOne(exchange)
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -250,6 +250,7 @@
 		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
 		places: options.places,
+		countOverLimit: counters.countOverLimit,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
 		log,
