--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -30,6 +30,8 @@
 	runs: () => Arrival[];
 	/** Adds faults for the next requests, one fault per request. Calls that manage reservations, caches or orders are not affected. */
 	addFaults: (...misdeeds: ServerFault[]) => void;
+	/** Removes the faults that no request has met yet. */
+	clearFaults: () => void;
 	/** Delays the answers to later prefills until the promise has settled. */
 	delayPrefillsUntil: (until: Promise<unknown>) => void;
 	/** Sets the number of tokens free for reservations; unlimited by default. */
@@ -286,6 +288,9 @@
 		addFaults(...next) {
 			sharedFaults.push(...next);
 		},
+		clearFaults() {
+			sharedFaults.length = 0;
+		},
 		delayPrefillsUntil(until) {
 			promptsHeld = until;
 		},
