Keep a computed prompt when the decode server is lost before it fetches it

What callers saw: a stream whose reserved decode server had restarted, left or asked to back off while the prompt was computed had its prompt computed a second time, some 230 ms later, and the retry cost two calls of the retry budget, not one.

The next attempt reserves another decode server and lets it fetch the cache; its prefill is not charged. After any other refusal the cache itself may be the cause, so it is freed as before. Whatever is kept when the request ends is freed.

Kept because each retry needs one call less and the caller waits a prefill less.

--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -26,6 +26,8 @@
 export type PromptCache = {
 	server: ServerEntry;
 	kvId: string;
+	/** Monotonic time at which the prefill ended. */
+	computedAt: Milliseconds;
 };
 
 /**
--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -11,6 +11,7 @@
 import {noteAnswered, toRemainingMs} from '../../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../../call-plain/_lib/types.js';
 import {recordPlacement} from '../../_lib/record-placement.js';
+import {hasKeptCache} from './kept-cache.js';
 import {releaseHeld} from './release-held.js';
 import {isInService} from './is-in-service.js';
 import {type PairAttempt} from './types.js';
@@ -46,7 +47,7 @@
 		class: run.route.rule.then.class,
 		firstTokenBudgetMs: run.deadline - now,
 		exclude,
-		isOneCall: run.isDecodeOnly,
+		isOneCall: run.isDecodeOnly || hasKeptCache(run),
 	}, services.toView()!, now, services.random);
 }
 
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -17,11 +17,13 @@
 import {
 	isQuarantined, noteAnswered, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
+import {dropKeptCache, isCacheLeft, takeKeptCache} from './_lib/kept-cache.js';
 import {releaseHeld} from './_lib/release-held.js';
 import {isInService} from './_lib/is-in-service.js';
 import {reserveDecodeServer, toReservationMs} from './_lib/reserve-decode-server.js';
 import {type PairAttempt} from './_lib/types.js';
 
+export {dropKeptCache} from './_lib/kept-cache.js';
 export {type PairAttempt} from './_lib/types.js';
 
 /** Maximum size of a prefill's answer, which has a handle and a few numbers. */
@@ -94,15 +96,23 @@
 	}
 
 	const parsed = caches.parsePrefill(text);
-	return parsed.map(({kvId}) => ({server, kvId})).mapErr(message => ({kind: 'invalid', message}));
+	return parsed.map(({kvId}) => ({server, kvId, computedAt: run.ctx.services.clock.now()})).mapErr(message => ({kind: 'invalid', message}));
 }
 
-/** Runs the prefill, unless the decode server is to do it as part of its own call. */
+/** Runs the prefill, unless an earlier attempt did it or the decode server is to do it as part of its own call. */
 async function computePrompt(step: Step): Promise<Result<PromptCache | undefined, PlainFault>> {
 	const {run, placement, work, attempt} = step;
 	const {services} = run.ctx;
 	const {prefill: server, decode} = placement;
 	const startedAt = services.clock.now();
+	const kept = takeKeptCache(run);
+	if (kept !== undefined) {
+		run.log.info('prompt cache reused', {
+			attempt, prefillServer: kept.server.id, decodeServer: decode.id, ageMs: Math.round(startedAt - kept.computedAt),
+		});
+		return ok(kept);
+	}
+
 	if (server.id === decode.id) {
 		return ok(undefined);
 	}
@@ -133,36 +143,38 @@
 	}
 
 	const cache = computed.value;
-	const releaseAll = () => {
+	/** Releases the reservation, and keeps the cache for the next attempt or frees it. */
+	const endUnused = ({isKept}: {isKept: boolean}) => {
 		releaseHeld(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
-		if (cache !== undefined) {
-			releaseHeld(run, 'cache', {server: cache.server, call: () => caches.dropCache(cache)});
+		run.kept = cache;
+		if (!isKept) {
+			dropKeptCache(run);
 		}
 	};
 
 	if (run.signal.aborted) {
-		releaseAll();
+		endUnused({isKept: false});
 		return {
 			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message: 'the request was aborted during its prefill'}}, hasRun: false,
 		};
 	}
 
 	if (isQuarantined(run)) {
-		releaseAll();
+		endUnused({isKept: false});
 		return {
 			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'other', message: 'the request was quarantined during its prefill'}}, hasRun: false,
 		};
 	}
 
 	if (services.placement.isPaused(decode.id, services.clock.now())) {
-		releaseAll();
+		endUnused({isKept: true});
 		return {
 			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'full', message: 'the decode server asked to back off during the prefill'}}, hasRun: false,
 		};
 	}
 
 	if (!isInService(run, decode)) {
-		releaseAll();
+		endUnused({isKept: true});
 		return {
 			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'leaving', message: 'the decode server left during the prefill'}}, hasRun: false,
 		};
@@ -176,7 +188,7 @@
 	});
 	if ((ended.kind === 'failed' || ended.kind === 'cut') && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
 		run.ledger.noteNotStarted();
-		releaseAll();
+		endUnused({isKept: isCacheLeft(ended.fault)});
 	}
 
 	return {
--- a/src/programs/entry/call-plain/_lib/decide-retry.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.ts
@@ -109,7 +109,7 @@
  * @returns The charged cost.
  */
 function chargePrefill(run: PlainRun, budget: RetryBudget): number {
-	if (run.route.pool.kind !== 'model' || run.ctx.calls.caches === undefined) {
+	if (run.route.pool.kind !== 'model' || run.ctx.calls.caches === undefined || run.kept !== undefined) {
 		return 0;
 	}
 
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -2,7 +2,7 @@
 import {type CallerExchange} from '../../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../../domain/to-problem/index.js';
 import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
-import {type RequestHints} from '../../../../ports/server-calls.js';
+import {type PromptCache, type RequestHints} from '../../../../ports/server-calls.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type Fingerprint} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
@@ -41,6 +41,8 @@
 	runs: number;
 	/** Whether the decode server of the next attempt also does the prefill, because the retry budget did not allow a separate prefill call. */
 	isDecodeOnly: boolean;
+	/** Cache of the prompt that the last attempt computed and whose decode server was lost before it fetched the cache. */
+	kept?: PromptCache | undefined;
 	/** Number of times that every server was full. */
 	bounces: number;
 	/** Monotonic time of the first byte of an answer. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -7,7 +7,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
-import {callPair} from '../call-pair/index.js';
+import {callPair, dropKeptCache} from '../call-pair/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {recordPlacement} from '../_lib/record-placement.js';
 import {noteBrokenCall} from '../_lib/quarantine.js';
@@ -81,6 +81,14 @@
  * @returns How the request ended; its problem, if any, has not been sent to the caller.
  */
 export async function callServers(run: PlainRun): Promise<PlainOutcome> {
+	try {
+		return await callUntilAnswered(run);
+	} finally {
+		dropKeptCache(run);
+	}
+}
+
+async function callUntilAnswered(run: PlainRun): Promise<PlainOutcome> {
 	const {services} = run.ctx;
 	for (;;) {
 		if (isQuarantined(run)) {
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -121,6 +121,17 @@
 		await waitUntilNothingHeld();
 	});
 
+	it('computes the prompt once when the reserved decode server was replaced meanwhile', async () => {
+		const {servers, ask, logs} = fixture;
+		servers.decode1.addFaults('wrong-instance');
+		const answer = await ask(toStream());
+		assert.equal(answer.status, 200);
+		assert.equal([...servers.prefill1.arrivals, ...servers.prefill2.arrivals].filter(({step}) => step === 'prefill').length, 1);
+		assert.equal(servers.decode1.runs().length + servers.decode2.runs().length, 2);
+		assert.equal(logs().filter(({message}) => message === 'prompt cache reused').length, 1);
+		await waitUntilNothingHeld();
+	});
+
 	it('releases all that it holds when the caller disconnects', async () => {
 		await fixture.stop();
 		fixture = await startRelayFixture({workMs: 400});
