Tell callers that a request was not run if its deadline passed while connecting

What callers saw: in a zone that is cut off and has no server of a pool, lookups ended with 504 and 'may-have-run' although no byte of them had been sent. A caller must not repeat a lookup after that, and gave up.

Cause: an offer is recorded before the call, as it must be, and taken back only after a call that was unreachable or refused, not after one that was aborted while its connection was being opened, though such a call is never sent.

Change: an aborted call reports whether it was unsent; it then counts as not started. The reservation and the cache of such an attempt are freed at once.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -13,6 +13,8 @@
 	message: string;
 	/** Whether the server closed the connection after the call was sent. */
 	isClosed?: boolean;
+	/** Whether an aborted call was still waiting for its connection, so that no byte was or will be offered. */
+	isUnsent?: boolean;
 };
 
 /** Controls the bytes of an answer: pauses and resumes them, or ends the answer. */
@@ -90,14 +92,16 @@
 		report?.();
 	};
 
-	const fail = (kind: CallFault['kind'], message: string, isClosed = false): void => {
+	const fail = (kind: CallFault['kind'], message: string, {isClosed = false, isUnsent = false}: Pick<CallFault, 'isClosed' | 'isUnsent'> = {}): void => {
 		end(() => {
-			sink.onFault({kind, message, ...(isClosed && {isClosed})});
+			sink.onFault({
+				kind, message, ...(isClosed && {isClosed}), ...(isUnsent && {isUnsent}),
+			});
 		});
 	};
 
 	function onAbort(): void {
-		fail('aborted', 'aborted by this process');
+		fail('aborted', 'aborted by this process', {isUnsent: !isOffered});
 		stop?.(new Error('aborted'));
 	}
 
@@ -142,7 +146,7 @@
 
 			// Undici may retry after some socket errors. A call that was offered must not be offered twice, because it could run twice.
 			if (isOffered) {
-				fail('broken', 'the connection failed after the call was sent', true);
+				fail('broken', 'the connection failed after the call was sent', {isClosed: true});
 				controller.abort(new Error('sent before'));
 				return;
 			}
@@ -168,7 +172,7 @@
 			});
 		},
 		onResponseError(_, error) {
-			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), isOffered && isClosing(error));
+			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), {isClosed: isOffered && isClosing(error)});
 		},
 	});
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -17,6 +17,7 @@
 import {
 	isQuarantined, noteAnswered, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
+import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {dropKeptCache, isCacheLeft, takeKeptCache} from './_lib/kept-cache.js';
 import {releaseHeld} from './_lib/release-held.js';
 import {isInService} from './_lib/is-in-service.js';
@@ -186,7 +187,7 @@
 	}, () => {
 		services.placement.noteFirstToken(placement, services.clock.now());
 	});
-	if ((ended.kind === 'failed' || ended.kind === 'cut') && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
+	if ((ended.kind === 'failed' || ended.kind === 'cut') && !mayHaveStarted(ended.fault)) {
 		run.ledger.noteNotStarted();
 		endUnused({isKept: isCacheLeft(ended.fault)});
 	}
--- a/src/programs/entry/call-plain/_lib/decide-retry.test.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import {createRetryBudget} from '../../../../domain/create-retry-budget/index.js';
 import {type PlainFault} from '../../send-plain/index.js';
-import {decideRetry} from './decide-retry.js';
+import {decideRetry, mayHaveStarted} from './decide-retry.js';
 import {type PlainRun} from './types.js';
 
 const refused: PlainFault = {kind: 'refused', reason: 'full', message: 'status 503'};
@@ -100,3 +100,20 @@
 		});
 	}
 });
+
+describe('mayHaveStarted', () => {
+	const cases: ReadonlyArray<[PlainFault, boolean]> = [
+		[refused, false],
+		[broken, true],
+		[{kind: 'unreachable', message: ''}, false],
+		[{kind: 'aborted', message: ''}, true],
+		[{kind: 'aborted', message: '', isUnsent: true}, false],
+		[{kind: 'failed-answer', message: ''}, true],
+		[{kind: 'invalid', message: ''}, true],
+	];
+	for (const [fault, isStarted] of cases) {
+		it(`is ${isStarted} after ${JSON.stringify(fault)}`, () => {
+			assert.equal(mayHaveStarted(fault), isStarted);
+		});
+	}
+});
--- a/src/programs/entry/call-plain/_lib/decide-retry.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.ts
@@ -27,8 +27,9 @@
  * @param fault - Why a call that carried the request failed.
  * @returns Whether the server may have begun to run the request.
  */
-export function mayHaveStarted({kind}: PlainFault): boolean {
-	return kind !== 'unreachable' && kind !== 'refused';
+export function mayHaveStarted(fault: PlainFault): boolean {
+	const isUnsent = fault.kind === 'aborted' && fault.isUnsent === true;
+	return fault.kind !== 'unreachable' && fault.kind !== 'refused' && !isUnsent;
 }
 
 export type RetryDecision = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -145,8 +145,11 @@
 		},
 	});
 	headTimeout.end();
-	const isSilent = ended.kind === 'failed' && ended.fault.kind === 'aborted' && !run.signal.aborted;
-	return isSilent ? {kind: 'failed', fault: {kind: 'broken', message: 'the server did not begin its answer in time'}} : ended;
+	if (ended.kind !== 'failed' || ended.fault.kind !== 'aborted' || run.signal.aborted) {
+		return ended;
+	}
+
+	return {kind: 'failed', fault: {kind: ended.fault.isUnsent === true ? 'unreachable' : 'broken', message: 'the server did not begin its answer in time'}};
 }
 
 /**
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -59,7 +59,7 @@
 	});
 	placement.noteFinished(placed, clock.now());
 	leave();
-	if (ended.kind === 'failed' && (ended.fault.kind === 'unreachable' || ended.fault.kind === 'refused')) {
+	if (ended.kind === 'failed' && !mayHaveStarted(ended.fault)) {
 		ledger.noteNotStarted();
 	}
 
