Know within two seconds that this host is cut off from all other zones

What callers saw: in a zone that is cut off and has no server of a pool, hosts went on taking lookups for that pool for 2.9 to 3.8 s, and the load balancer took them out two seconds later; all of these lookups ended at their deadlines.

Cause: a host is not ready if it hears no other zone, not the platform, and no server of some pool. In a fleet of more than 16 others a zone counts as silent after three rounds of a second, and so did all zones together. But several hosts of each other zone send to each host every second, so the silence of all of them is certain after one round and a half.

Change: isolation is decided by 1.5 s of silence of all other zones in fleets of any size. The silence of one zone takes as long as before, and the two other signs are needed as before.

--- a/src/domain/create-shared-loads/index.ts
+++ b/src/domain/create-shared-loads/index.ts
@@ -10,6 +10,13 @@
  */
 const defaultMaxAgeMs: Milliseconds = 1500;
 
+/**
+ * Silence of all other zones after which this host counts as isolated. In a fleet of
+ * any size several hosts of other zones send to each host every second, so that
+ * their silence together is certain sooner than the silence of one zone.
+ */
+const isolatedAfterMs: Milliseconds = 1500;
+
 export type SharedLoadsOptions = {
 	/** Age beyond which a host's loads are ignored now; it depends on how often hosts send. */
 	toMaxAgeMs?: (now: Milliseconds) => Milliseconds;
@@ -27,7 +34,7 @@
 	read: (server: ServerId, now: Milliseconds) => Omit<HostLoad, 'server'>;
 	/** Whether hosts of the zone sent messages before, and none has within the maximum age. */
 	isZoneSilent: (zone: ZoneId, now: Milliseconds) => boolean;
-	/** Whether hosts of other zones sent messages before, and none of any other zone has within the maximum age. */
+	/** Whether hosts of other zones sent messages before, and none of any other zone has within a second and a half. */
 	isIsolated: (ownZone: ZoneId, now: Milliseconds) => boolean;
 };
 
@@ -87,7 +94,7 @@
 		},
 		isIsolated(ownZone, now) {
 			const others = [...zoneHeardAt].filter(([zone]) => zone !== ownZone);
-			return others.length > 0 && others.every(([, heardAt]) => now - heardAt > toMaxAgeMs(now));
+			return others.length > 0 && others.every(([, heardAt]) => now - heardAt > isolatedAfterMs);
 		},
 	};
 }
--- a/src/domain/create-shared-loads/test.ts
+++ b/src/domain/create-shared-loads/test.ts
@@ -63,6 +63,14 @@
 		assert.equal(shared.isIsolated('own', 10_000), true);
 	});
 
+	it('counts a host as isolated sooner than one zone as silent where hosts send rarely', () => {
+		const shared = createSharedLoads({toMaxAgeMs: () => 3000});
+		shared.note(toMessage({host: 'c', zone: 'y'}), 0);
+		shared.note(toMessage({host: 'd', zone: 'z'}), 100);
+		assert.deepEqual([1600, 1601].map(now => shared.isIsolated('own', now)), [false, true]);
+		assert.deepEqual(['y', 'z'].map(zone => shared.isZoneSilent(zone, 3000)), [false, false]);
+	});
+
 	it('forgets a host that fell silent', () => {
 		const shared = createSharedLoads();
 		shared.note(toMessage(), 0);
--- a/src/domain/to-retry-share/index.ts
+++ b/src/domain/to-retry-share/index.ts
@@ -57,6 +57,9 @@
  * all of it. A call that a server refused costs as much as any other. A call that
  * reached no server costs nothing; the attempts of each request limit such calls.
  *
+ * Where the hosts share a part of the slack, a host keeps half of its part and at
+ * least one retry. Own parts and the shared part sum up to the slack at most.
+ *
  * @param limits - Limits for all hosts together.
  * @param toHosts - Number of hosts known to be alive, including this one; `undefined` while the number is unknown.
  * @param options - When this process started, long ago by default; and whether hosts share a part of the slack.
--- a/src/programs/relay/share-loads/fleet.test.ts
+++ b/src/programs/relay/share-loads/fleet.test.ts
@@ -7,6 +7,7 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {createRandom} from '../../../domain/_test/create-random.js';
 import {bytesPerKibibyte, msPerSecond} from '../../../ports/units.js';
 import {
 	startHosts, stepMs, zones, type Host,
@@ -53,4 +54,25 @@
 		assert.ok(silent.filter(zone => zone === 'f').length >= left.length * 0.9, 'the dead zone is not noticed');
 		assert.deepEqual(silent.filter(zone => zone !== 'f'), []);
 	});
+
+	// Guards against hosts that go on taking callers for seconds although their zone is cut off, and against hosts that think so when some messages are lost.
+	for (const count of [58, 400]) {
+		it(`know within two seconds that their zone is cut off at ${count} hosts, and never without a cut`, async () => {
+			const fleet = await startHosts(count, {lossShare: 0.1, random: createRandom(1)});
+			fleet.pass(15 * msPerSecond);
+			const countIsolated = (isOfZone: boolean) => fleet.hosts.filter(({zone, sharing}) => (zone === 'c') === isOfZone && sharing.isIsolated()).length;
+			for (let i = 0; i < 20 * msPerSecond; i += 5 * stepMs) {
+				fleet.pass(5 * stepMs);
+				assert.equal(countIsolated(true) + countIsolated(false), 0);
+			}
+
+			fleet.cutZone('c');
+			fleet.pass(2 * msPerSecond);
+			assert.equal(countIsolated(true), fleet.hosts.filter(({zone}) => zone === 'c').length);
+			assert.equal(countIsolated(false), 0);
+			fleet.heal();
+			fleet.pass(2 * msPerSecond);
+			assert.equal(countIsolated(true), 0);
+		});
+	}
 });
