Find what speaks against a reserved decode server in one function

runReserved listed four ends of the same shape. Each now is a fault and whether the prompt's cache is kept. The tables of decide-retry's test name their fields.

--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -10,6 +10,7 @@
 import {type Placement} from '../../../domain/create-placement/index.js';
 import {toReservedTokens} from '../../../domain/to-reserved-tokens/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type ServerEntry} from '../../../ports/config.js';
 import {type CacheCalls, type RequestHints, type PromptCache} from '../../../ports/server-calls.js';
 import {bytesPerKibibyte} from '../../../ports/units.js';
 import {type PlainFault} from '../send-plain/index.js';
@@ -131,6 +132,26 @@
 	return computed;
 }
 
+/** Finds what speaks against the reserved decode server after the prefill, and whether the cache is kept for another one. */
+function findObstacle(run: PlainRun, decode: ServerEntry): {fault: PlainFault; isKept: boolean} | undefined {
+	const {services} = run.ctx;
+	if (run.signal.aborted) {
+		return {fault: {kind: 'aborted', message: 'the request was aborted during its prefill'}, isKept: false};
+	}
+
+	if (isQuarantined(run)) {
+		return {fault: {kind: 'refused', reason: 'other', message: 'the request was quarantined during its prefill'}, isKept: false};
+	}
+
+	if (services.placement.isPaused(decode.id, services.clock.now())) {
+		return {fault: {kind: 'refused', reason: 'full', message: 'the decode server asked to back off during the prefill'}, isKept: true};
+	}
+
+	return isInService(run, decode)
+		? undefined
+		: {fault: {kind: 'refused', reason: 'leaving', message: 'the decode server left during the prefill'}, isKept: true};
+}
+
 async function runReserved(step: Step, reservationId: string): Promise<PairAttempt> {
 	const {run, caches, placement} = step;
 	const {services} = run.ctx;
@@ -153,31 +174,12 @@
 		}
 	};
 
-	if (run.signal.aborted) {
-		endUnused({isKept: false});
-		return {
-			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'aborted', message: 'the request was aborted during its prefill'}}, hasRun: false,
-		};
-	}
-
-	if (isQuarantined(run)) {
-		endUnused({isKept: false});
-		return {
-			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'other', message: 'the request was quarantined during its prefill'}}, hasRun: false,
-		};
-	}
-
-	if (services.placement.isPaused(decode.id, services.clock.now())) {
-		endUnused({isKept: true});
-		return {
-			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'full', message: 'the decode server asked to back off during the prefill'}}, hasRun: false,
-		};
-	}
-
-	if (!isInService(run, decode)) {
-		endUnused({isKept: true});
+	const obstacle = findObstacle(run, decode);
+	if (obstacle !== undefined) {
+		const {fault, isKept} = obstacle;
+		endUnused({isKept});
 		return {
-			kind: 'called', server: decode, ended: {kind: 'failed', fault: {kind: 'refused', reason: 'leaving', message: 'the decode server left during the prefill'}}, hasRun: false,
+			kind: 'called', server: decode, ended: {kind: 'failed', fault}, hasRun: false,
 		};
 	}
 
--- a/src/programs/entry/call-plain/_lib/decide-retry.test.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.test.ts
@@ -8,7 +8,18 @@
 const refused: PlainFault = {kind: 'refused', reason: 'full', message: 'status 503'};
 const broken: PlainFault = {kind: 'broken', message: 'reset'};
 
-type Case = {own: number; shared?: number; kept?: boolean; isDecodeOnly?: boolean; tried?: number; isRepeatable?: boolean};
+type Case = {
+	/** Retries in the budget of this host. */
+	own: number;
+	/** Retries that the hosts share; without it they share none. */
+	shared?: number;
+	/** Whether the cache of the failed attempt is kept. */
+	kept?: boolean;
+	isDecodeOnly?: boolean;
+	/** Number of calls so far. */
+	tried?: number;
+	isRepeatable?: boolean;
+};
 
 /** Creates a request to a model pool with one failed call, and the shared retries it may use. */
 function createRun({own, shared, kept = false, isDecodeOnly = false, tried = 1, isRepeatable = true}: Case) {
@@ -53,8 +64,21 @@
 	return {run, asked, decisions};
 }
 
+type Expected = {
+	name: string;
+	given: Case;
+	fault?: PlainFault;
+	hasRun?: boolean;
+	kind: 'retry' | 'give-up';
+	/** Retries asked for, one number a question. */
+	asked: number[];
+	/** Reason and cost that are counted. */
+	decision: [string, number];
+	isDecodeOnly?: boolean;
+};
+
 describe('decideRetry', () => {
-	const cases: ReadonlyArray<{name: string; given: Case; fault?: PlainFault; hasRun?: boolean; kind: 'retry' | 'give-up'; asked: number[]; decision: [string, number]; isDecodeOnly?: boolean}> = [
+	const cases: readonly Expected[] = [
 		{
 			name: 'pays from the budget of this host first', given: {own: 2, shared: 9}, kind: 'retry', asked: [], decision: ['granted', 2],
 		},
@@ -86,7 +110,12 @@
 			name: 'asks for nothing after the last allowed call', given: {own: 0, shared: 9, tried: 3}, kind: 'give-up', asked: [], decision: ['attempts', 0],
 		},
 		{
-			name: 'asks for nothing if the request may have run and is not repeatable', given: {own: 0, shared: 9, isRepeatable: false}, fault: broken, kind: 'give-up', asked: [], decision: ['not-repeatable', 0],
+			name: 'asks for nothing if the request may have run and is not repeatable',
+			given: {own: 0, shared: 9, isRepeatable: false},
+			fault: broken,
+			kind: 'give-up',
+			asked: [],
+			decision: ['not-repeatable', 0],
 		},
 	];
 	for (const {name, given, fault = refused, hasRun = true, kind, asked, decision, isDecodeOnly = false} of cases) {
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -86,7 +86,11 @@
 	} = parts;
 	const {services, registry, accounts} = ctx;
 	counters.sample({
-		inProgress: registry.size, waiting: services.gate.waiting, openAnswers: callers.openExchanges, cancelsPending: services.cancels.pending, quarantined: () => ctx.suspects.count(options.clock.now()).quarantined,
+		inProgress: registry.size,
+		waiting: services.gate.waiting,
+		openAnswers: callers.openExchanges,
+		cancelsPending: services.cancels.pending,
+		quarantined: () => ctx.suspects.count(options.clock.now()).quarantined,
 	});
 	const started = await startOperations({
 		settings: options.settings,
