Do not deny a path that a newer public rule may serve

What callers would have seen: a request without a key, at a host whose last read of the platform failed, to a path that a newer configuration serves without keys, is denied with 401. Callers take that as final.

Cause: a host that may be behind took back its denial for an unknown key alone; for a missing key it denied although it had no rule for the path.

Change: without a rule for the path, the host answers 503, not run, as for an unknown path with a known key.

Test: route, red before ('unauthorized' in place of 'no-configuration').

--- a/src/programs/entry/_lib/route.ts
+++ b/src/programs/entry/_lib/route.ts
@@ -100,7 +100,9 @@
 				...input, workspace, class: serviceClass, zone,
 			});
 			if (identified.isErr() && rule?.then.isPublic !== true) {
-				return err<Route, Problem>(toDenied(toUnauthorized(identified.error), isUnknownKey && isBehind()));
+				// A newer configuration may know the key, or have a public rule for the path.
+				const mayBeAllowed = isUnknownKey || rule === undefined;
+				return err<Route, Problem>(toDenied(toUnauthorized(identified.error), mayBeAllowed && isBehind()));
 			}
 
 			const pickedTarget = pickWeighted(rule?.then.relay?.split ?? [], input.random);
