--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -14,6 +14,9 @@
 	tests: [`src/domain/${name}/test.ts`, ...otherTests],
 });
 
+/** A module in a file of its own, with its test beside it. */
+const toProgramModule = (name: string, folder: string): MutatedModule => ({name, sources: [`${folder}/${name}.ts`], tests: [`${folder}/${name}.test.ts`]});
+
 const followTests = ['test.ts', 'eras.test.ts', 'pace.test.ts', 'model.test.ts'].map(file => `src/programs/entry/follow-published/${file}`);
 
 /** Each module with its own tests, and with those that run it together with the code around it. */
@@ -25,6 +28,22 @@
 		sources: ['src/programs/entry/_lib/create-pool-budgets/index.ts'],
 		tests: ['src/programs/entry/_lib/create-pool-budgets/test.ts'],
 	},
+	toDomainModule('create-shared-retries'),
+	toProgramModule('decide-retry', 'src/programs/entry/call-plain/_lib'),
+	toProgramModule('kept-cache', 'src/programs/entry/call-pair/_lib'),
+	toDomainModule('create-quota-keeper'),
+	toDomainModule('create-workspace-quotas'),
+	{
+		name: 'charge-request',
+		sources: ['src/programs/entry/charge-request/index.ts'],
+		tests: ['src/programs/entry/charge-request/test.ts'],
+	},
+	toDomainModule('identify-caller'),
+	toDomainModule('create-place-keeper'),
+	toDomainModule('create-server-places'),
+	toDomainModule('create-questions'),
+	toProgramModule('pick-with-place', 'src/programs/entry/call-plain/_lib'),
+	toDomainModule('create-shared-loads'),
 	toDomainModule('create-published-fleet', followTests),
 	toDomainModule('create-leaving-overrides'),
 	toDomainModule('compare-eras'),
