Give faults and calls of the users' stand-ins files of their own

The faults of a server and the calls to a relay are now modules beside them; what they do is unchanged. 65 tests of relay, relay-plain, retry-calls, crashing-request, caller-keys, relay-orders and shared-retries pass.

--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -6,8 +6,9 @@
 import {openLoadDatagrams} from '../../src/adapters/load-datagrams/index.js';
 import {findUdpAddress} from '../_lib/find-udp-address/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
+import {type ServerFault} from '../stand-ins/users-platform/apply-server-fault.js';
 import {
-	startServerStandIn, type Arrival, type ServerFault, type ServerStandIn,
+	startServerStandIn, type Arrival, type ServerStandIn,
 } from '../stand-ins/users-platform/server.js';
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayCall, type RelayFixture,
--- a/test/failures/relay-plain.test.ts
+++ b/test/failures/relay-plain.test.ts
@@ -5,7 +5,7 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {type ServerFault} from '../stand-ins/users-platform/server.js';
+import {type ServerFault} from '../stand-ins/users-platform/apply-server-fault.js';
 import {
 	deadlineMs, startRelayFixture, type Answer, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
--- a/test/failures/relay.test.ts
+++ b/test/failures/relay.test.ts
@@ -6,7 +6,8 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createDeferred} from '../../src/_lib/create-deferred/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {type ServerFault, type ServerStandIn} from '../stand-ins/users-platform/server.js';
+import {type ServerFault} from '../stand-ins/users-platform/apply-server-fault.js';
+import {type ServerStandIn} from '../stand-ins/users-platform/server.js';
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
--- a/test/failures/retry-calls.test.ts
+++ b/test/failures/retry-calls.test.ts
@@ -2,7 +2,8 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {type Arrival, type ServerFault} from '../stand-ins/users-platform/server.js';
+import {type ServerFault} from '../stand-ins/users-platform/apply-server-fault.js';
+import {type Arrival} from '../stand-ins/users-platform/server.js';
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type RelayCall, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -4,7 +4,7 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {resetSocket} from '../../_lib/reset-socket/index.js';
+import {applyServerFault, type ServerFault} from './apply-server-fault.js';
 
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
@@ -17,10 +17,6 @@
 	isLeft: boolean;
 };
 
-/** Fault with which the server treats the next request instead of serving it. */
-export type ServerFault =
-	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | 'cut-stream';
-
 export type ServerStandIn = {
 	/** Id of the server; changes with each restart. */
 	id: string;
@@ -117,50 +113,6 @@
 		res.end();
 	}
 
-	function applyMisdeed(misdeed: ServerFault, req: IncomingMessage, res: ServerResponse): void {
-		const {socket} = req;
-		switch (misdeed) {
-			case 'refuse': {
-				answer(res, 503, {error: 'full'}, {'not-executed': '1'});
-				break;
-			}
-
-			case 'wrong-instance': {
-				answer(res, 421, {error: 'another'}, {'instance-id': 'i-another'});
-				break;
-			}
-
-			case 'fail': {
-				answer(res, 500, {error: 'failed'}, ownHeaders(req));
-				break;
-			}
-
-			case 'answer-another': {
-				answer(res, 200, {for: 'somebody else'}, {...ownHeaders(req), 'request-id': 'another'});
-				break;
-			}
-
-			case 'cut-unframed': {
-				socket.write(`HTTP/1.1 200 OK\r\nrequest-id: ${String(req.headers['request-id'])}\r\nserver-seal: x\r\n\r\nhalf`, () => {
-					setImmediate(() => {
-						resetSocket(socket);
-					});
-				});
-				break;
-			}
-
-			case 'reset': {
-				resetSocket(socket);
-				break;
-			}
-
-			case 'silent':
-			case 'cut-stream': {
-				break;
-			}
-		}
-	}
-
 	function reserve(body: string, res: ServerResponse): void {
 		const {tokens} = JSON.parse(body) as {tokens: number};
 		if (tokens > freeTokens) {
@@ -246,7 +198,9 @@
 
 		const misdeed = sharedFaults.shift();
 		if (misdeed !== undefined && misdeed !== 'cut-stream') {
-			applyMisdeed(misdeed, req, res);
+			applyServerFault(misdeed, {
+				req, res, answer, ownHeaders: ownHeaders(req),
+			});
 			return;
 		}
 
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -1,6 +1,5 @@
 /** Starts one or several relays with a stand-in store and stand-in servers, and sends calls to them. */
 import {once} from 'node:events';
-import {request, type IncomingMessage} from 'node:http';
 import {createServer, type AddressInfo} from 'node:net';
 import {createServerCalls} from '../../../platform/server-calls.js';
 import {createStore} from '../../../platform/store.js';
@@ -12,32 +11,14 @@
 import {createCollectedLines, type CollectedLines} from '../../_lib/create-collected-lines/index.js';
 import {findUdpAddress} from '../../_lib/find-udp-address/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
-import {
-	startServerStandIn, type ServerFault, type ServerStandIn, type ServerStandInOptions,
-} from './server.js';
+import {type ServerFault} from './apply-server-fault.js';
+import {sendCall, type Answer, type RelayCall} from './send-call.js';
+import {startServerStandIn, type ServerStandIn, type ServerStandInOptions} from './server.js';
 import {startStoreStandIn, type StoreStandIn} from './store.js';
 
-export const deadlineMs = 20_000;
-
-export type Answer = {
-	status: number;
-	headers: IncomingMessage['headers'];
-	body: string;
-	/** Whether the answer ended in order. */
-	isWhole: boolean;
-	tookMs: number;
-};
+export {type Answer, type RelayCall} from './send-call.js';
 
-export type RelayCall = {
-	path?: string;
-	method?: string;
-	headers?: Record<string, string>;
-	body?: string;
-	/** Time in milliseconds after which the caller disconnects. */
-	leaveAfterMs?: number;
-	/** Index of the host that receives the call; 0 by default. */
-	at?: number;
-};
+export const deadlineMs = 20_000;
 
 export type RelayFixture = {
 	store: StoreStandIn;
@@ -106,44 +87,6 @@
 	return Array.from({length: count}, (_, i) => `127.0.0.${i + 1}:${port}`);
 }
 
-async function send(port: number, asked: RelayCall): Promise<Answer> {
-	const startedAt = performance.now();
-	return new Promise((resolve, reject) => {
-		const req = request({
-			port, host: '127.0.0.1', path: asked.path ?? '/lookup/1', method: asked.method ?? 'POST', headers: {host, 'request-id': `r-${Math.random().toString(16).slice(2)}`, ...asked.headers}, agent: false,
-		});
-		req.once('response', async res => {
-			let body = '';
-			res.setEncoding('utf8');
-			res.on('data', (piece: string) => {
-				body += piece;
-			});
-			res.once('close', () => {
-				resolve({
-					status: res.statusCode ?? 0, headers: res.headers, body, isWhole: res.complete, tookMs: performance.now() - startedAt,
-				});
-			});
-			res.on('error', () => undefined);
-		});
-		req.once('error', error => {
-			if (asked.leaveAfterMs === undefined) {
-				reject(error);
-			} else {
-				resolve({
-					status: 0, headers: {}, body: '', isWhole: false, tookMs: performance.now() - startedAt,
-				});
-			}
-		});
-		if (asked.leaveAfterMs !== undefined) {
-			setTimeout(() => {
-				req.destroy();
-			}, asked.leaveAfterMs);
-		}
-
-		req.end(asked.body ?? '');
-	});
-}
-
 export type RelayFixtureOptions = Partial<ServerStandInOptions> & {
 	/** Number of hosts; several hosts gossip with each other. */
 	hosts?: number;
@@ -264,7 +207,7 @@
 		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack, retryWindow,
 	})));
 	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
-	const ask = async (asked: RelayCall) => send(hosts[asked.at ?? 0]!.callerPort, asked);
+	const ask = async (asked: RelayCall) => sendCall(hosts[asked.at ?? 0]!.callerPort, {host, asked});
 	let isStopped = false;
 	return {
 		store,
