Test the safeguards of shared retries that no test of their module noticed

Mutation testing of the changed modules left alive: passing on what a process may still spend itself (retries spent twice), passing on anything at all, a retry that others paid being granted against another reason than the budget, and the pool whose earnings are passed on. No fault was behind them. Each has a case now, red with the safeguard taken out; the limits of attempts, the repeatable methods and the reasons for which an answer is not dropped are tested at decide-retry itself.

--- a/src/domain/create-retry-budget/test.ts
+++ b/src/domain/create-retry-budget/test.ts
@@ -183,4 +183,71 @@
 			assert.equal(budget.available(heldUntil), 2);
 		});
 	});
+
+	describe('that shares what it can\'t keep', () => {
+		const notRun = failure({outcome: 'not-run'});
+
+		function createSharing(isEarnedOnly: (now: number) => boolean = () => false) {
+			const surplus: Array<[number, number]> = [];
+			const budget = createRetryBudget({
+				capacity: 2, perSecond: 0, perSuccess: 0.5, isEarnedOnly, onSurplus(retries, now) {
+					surplus.push([retries, now]);
+				},
+			});
+			return {budget, surplus};
+		}
+
+		it('passes on what a success earns while it is full', () => {
+			const {budget, surplus} = createSharing();
+			budget.noteSuccess(1);
+			budget.noteSuccess(2);
+			assert.deepEqual(surplus, [[0.5, 1], [0.5, 2]]);
+			assert.equal(budget.available(2), 2);
+		});
+
+		it('fills itself first, and passes on the rest', () => {
+			const {budget, surplus} = createSharing();
+			budget.takeRetry(notRun, 0, half);
+			budget.noteSuccess(1);
+			assert.deepEqual(surplus, [[0.25, 1]]);
+			budget.takeRetry(failure(), 2, half);
+			budget.noteSuccess(3);
+			budget.noteSuccess(4);
+			assert.equal(surplus.length, 1, 'nothing is left when it is just full again');
+			assert.equal(budget.available(4), 2);
+		});
+
+		/* Guards against retries that are spent twice: by this process and, passed on, by others. */
+		it('passes on nothing while it may spend what it earned', () => {
+			const {budget, surplus} = createSharing(now => now < 10);
+			budget.noteSuccess(9);
+			assert.deepEqual(surplus, []);
+			budget.noteSuccess(10);
+			assert.deepEqual(surplus, [[0.5, 10]]);
+		});
+	});
+
+	describe('with a retry that others have paid', () => {
+		it('grants it although the bucket is empty, and spends nothing', () => {
+			const budget = createRetryBudget({capacity: 0, perSecond: 0});
+			assert.equal(budget.findNoRetryReason(failure(), 0), 'budget');
+			const answer = budget.takeRetry(failure(), 0, half, {isPaid: true});
+			assert.deepEqual([answer.kind, answer.kind === 'retry' && answer.cost], ['retry', 0]);
+			const full = createRetryBudget({capacity: 2, perSecond: 0});
+			full.takeRetry(failure(), 0, half, {isPaid: true});
+			assert.equal(full.available(0), 2);
+		});
+
+		for (const [reason, failed] of [['not-repeatable', failure({repeatable: false})], ['attempts', failure({attempt: 3})], ['deadline', failure({expectedMs: 1001})]] as const) {
+			it(`does not grant it against another reason: ${reason}`, () => {
+				const answer = createRetryBudget({capacity: 0, perSecond: 0}).takeRetry(failed, 0, half, {isPaid: true});
+				assert.deepEqual(answer, {kind: 'give-up', reason});
+			});
+		}
+	});
+
+	it('states the cost of another attempt', () => {
+		const budget = createRetryBudget({notRunCost: 0.3, notOfferedCost: 0.1});
+		assert.deepEqual([failure(), failure({outcome: 'not-run'}), failure({outcome: 'not-run', bytesOffered: 0})].map(failed => budget.toCost(failed)), [1, 0.3, 0.1]);
+	});
 });
--- a/src/domain/to-retry-share/test.ts
+++ b/src/domain/to-retry-share/test.ts
@@ -76,6 +76,14 @@
 		}));
 	});
 
+	it('shares nine tenths of what the own parts leave, a tenth of it over a window', () => {
+		const {hosts, rate} = toRetryShare({retryRatio: 0.2, retrySlack: 156, retryWindow: 10_000}, () => 58, {isShared: true}).toSharedPart(0)!;
+		assert.equal(hosts, 58);
+		const shared = 0.9 * (156 - 58);
+		assert.ok(Math.abs(rate.burst - (0.9 * shared)) < 1e-9, `${rate.burst}`);
+		assert.ok(Math.abs(rate.perSecond - (0.1 * shared / 10)) < 1e-9, `${rate.perSecond}`);
+	});
+
 	it('shares nothing while a host is starting or does not know the others', () => {
 		const limits = {retryRatio: 0.2, retrySlack: 156, retryWindow: 10_000};
 		assert.equal(toRetryShare(limits, () => 58, {isShared: true, startedAt: 5000}).toSharedPart(14_999), undefined);
--- a/src/programs/entry/_lib/create-pool-budgets/test.ts
+++ b/src/programs/entry/_lib/create-pool-budgets/test.ts
@@ -63,4 +63,22 @@
 		budgets.setPools(new Set(['desk']), 11 * 60_000);
 		assert.equal(spend(budgets.toRetryBudget('letters'), 11 * 60_000), 0);
 	});
+
+	it('tells which pool earned what its budget can\'t keep', () => {
+		const surplus: Array<[string, number, number]> = [];
+		const budgets = createPoolBudgets({capacity, perSecond: 0, perSuccess: 0.5}, {
+			onSurplus(...told) {
+				surplus.push(told);
+			},
+		});
+		budgets.toRetryBudget('letters').noteSuccess(1);
+		budgets.toRetryBudget('desk').noteSuccess(2);
+		assert.deepEqual(surplus, [['letters', 0.5, 1], ['desk', 0.5, 2]]);
+	});
+
+	it('needs nobody who takes what a budget can\'t keep', () => {
+		const budget = createPoolBudgets({capacity, perSecond: 0}).toRetryBudget('letters');
+		budget.noteSuccess(1);
+		assert.equal(budget.available(1), capacity);
+	});
 });
--- a/src/programs/entry/call-plain/_lib/decide-retry.test.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.test.ts
@@ -2,7 +2,9 @@
 import {describe, it} from 'node:test';
 import {createRetryBudget} from '../../../../domain/create-retry-budget/index.js';
 import {type PlainFault} from '../../send-plain/index.js';
-import {decideRetry, mayHaveStarted} from './decide-retry.js';
+import {
+	decideRetry, findNoRetryReason, isRepeatable, mayHaveStarted,
+} from './decide-retry.js';
 import {type PlainRun} from './types.js';
 
 const refused: PlainFault = {kind: 'refused', reason: 'full', message: 'status 503'};
@@ -19,10 +21,14 @@
 	/** Number of calls so far. */
 	tried?: number;
 	isRepeatable?: boolean;
+	/** Number of calls that may have run. */
+	runs?: number;
+	/** Whether the body was sent and can't be sent again. */
+	isTaken?: boolean;
 };
 
 /** Creates a request to a model pool with one failed call, and the shared retries it may use. */
-function createRun({own, shared, kept = false, isDecodeOnly = false, tried = 1, isRepeatable = true}: Case) {
+function createRun({own, shared, kept = false, isDecodeOnly = false, tried = 1, isRepeatable = true, runs = 0, isTaken = false}: Case) {
 	const asked: number[] = [];
 	const decisions: Array<[string, number]> = [];
 	const budget = createRetryBudget({capacity: own, perSecond: 0, notRunCost: 1});
@@ -30,10 +36,10 @@
 	const run = {
 		route: {pool: {name: 'model', kind: 'model'}, rule: {then: {repeatable: isRepeatable, relay: {attempts: 2}}}},
 		exchange: {method: 'POST'},
-		body: {isTaken: () => false, fault: () => undefined},
+		body: {isTaken: () => isTaken, fault: () => undefined},
 		log: {info: () => undefined},
 		tried: Array.from({length: tried}, (_, i) => ({server: `s${i}`, zone: 'a'})),
-		runs: 0,
+		runs,
 		deadline: 10_000,
 		isDecodeOnly,
 		kept: kept ? {} : undefined,
@@ -72,8 +78,8 @@
 	kind: 'retry' | 'give-up';
 	/** Retries asked for, one number a question. */
 	asked: number[];
-	/** Reason and cost that are counted. */
-	decision: [string, number];
+	/** Reason and cost that are counted, if the budget was asked. */
+	decision: [string, number] | undefined;
 	isDecodeOnly?: boolean;
 };
 
@@ -106,6 +112,19 @@
 		{
 			name: 'uses a prefill server again once that is paid', given: {own: 0, shared: 9, isDecodeOnly: true}, kind: 'retry', asked: [2], decision: ['granted-shared', 2],
 		},
+		{
+			name: 'gives up without a question if the body can\'t be sent again', given: {own: 9, shared: 9, isTaken: true}, kind: 'give-up', asked: [], decision: undefined,
+		},
+		{
+			name: 'counts runs, not calls, where the call may have run', given: {
+				own: 9, shared: 9, tried: 3, runs: 1,
+			}, fault: broken, kind: 'retry', asked: [], decision: ['granted', 2],
+		},
+		{
+			name: 'asks for nothing after the last allowed run', given: {
+				own: 9, shared: 9, runs: 2,
+			}, fault: broken, kind: 'give-up', asked: [], decision: ['attempts', 0],
+		},
 		{
 			name: 'asks for nothing after the last allowed call', given: {own: 0, shared: 9, tried: 3}, kind: 'give-up', asked: [], decision: ['attempts', 0],
 		},
@@ -124,7 +143,7 @@
 			const decided = await decideRetry(played.run, fault, hasRun);
 			assert.equal(decided.kind, kind);
 			assert.deepEqual(played.asked, asked);
-			assert.deepEqual(played.decisions, [decision]);
+			assert.deepEqual(played.decisions, decision === undefined ? [] : [decision]);
 			assert.equal(played.run.isDecodeOnly, isDecodeOnly);
 		});
 	}
@@ -146,3 +165,50 @@
 		});
 	}
 });
+
+describe('isRepeatable', () => {
+	const cases: ReadonlyArray<[string, {method: string; repeatable: boolean; hasRelay: boolean}, boolean]> = [
+		['a rule that says so', {method: 'POST', repeatable: true, hasRelay: true}, true],
+		['a safe method without a relay policy', {method: 'GET', repeatable: false, hasRelay: false}, true],
+		['another safe method', {method: 'HEAD', repeatable: false, hasRelay: false}, true],
+		['the third safe method', {method: 'OPTIONS', repeatable: false, hasRelay: false}, true],
+		['a safe method with a relay policy', {method: 'GET', repeatable: false, hasRelay: true}, false],
+		['an unsafe method', {method: 'POST', repeatable: false, hasRelay: false}, false],
+	];
+	for (const [name, {method, repeatable, hasRelay}, expected] of cases) {
+		it(`is ${expected} for ${name}`, () => {
+			const run = {exchange: {method}, route: {rule: {then: {repeatable, relay: hasRelay ? {attempts: 1} : undefined}}}} as unknown as PlainRun;
+			assert.equal(isRepeatable(run), expected);
+		});
+	}
+});
+
+describe('findNoRetryReason', () => {
+	it('finds none while the budget of this host holds a retry', () => {
+		assert.equal(findNoRetryReason(createRun({own: 1}).run), undefined);
+	});
+
+	it('looks at the budget of this host alone, as an answer can\'t wait for others', () => {
+		const {run, asked} = createRun({own: 0, shared: 9});
+		assert.equal(findNoRetryReason(run), 'budget');
+		assert.deepEqual(asked, []);
+	});
+
+	it('counts the current call as a run', () => {
+		const {run} = createRun({own: 9});
+		run.runs = 1;
+		assert.equal(findNoRetryReason(run), 'attempts');
+	});
+
+	it('does not repeat what may run once, or has no body to send again', () => {
+		assert.equal(findNoRetryReason(createRun({own: 9, isRepeatable: false}).run), 'not-repeatable');
+		const {run} = createRun({own: 9});
+		assert.equal(findNoRetryReason({...run, body: {...run.body, isTaken: () => true}}), 'not-repeatable');
+	});
+
+	it('leaves a service\'s answer to it without a relay policy', () => {
+		const {run} = createRun({own: 9});
+		const {rule} = run.route;
+		assert.equal(findNoRetryReason({...run, route: {...run.route, rule: {...rule, then: {...rule.then, relay: undefined}}}}), 'own-answer');
+	});
+});
