Test what hosts tell each other about limits, and each part that a host grants

Mutation testing left alive, in the tests of create-workspace-quotas and create-quota-keeper, the word to the successor (the case named after it passed without it, as a fifth of the burst came back meanwhile), the zone's part of the rate, questions that are passed on or come back, what is given back to whom, the parts of a host alone, and a workspace that is forgotten while it is in debt. share-loads/limits notices some of them, in minutes.

--- a/src/domain/create-quota-keeper/test.ts
+++ b/src/domain/create-quota-keeper/test.ts
@@ -30,8 +30,9 @@
 
 	it('grants its share of a limit alone', () => {
 		const keeper = createQuotaKeeper(longAgo);
-		const granted = Array.from({length: 10}, () => keeper.decide(toSpend(3000), {share: 0.25}, 0)).filter(({isGranted}) => isGranted);
-		assert.equal(granted.length, 3);
+		const countGranted = (now: number) => Array.from({length: 10}, () => keeper.decide(toSpend(3000), {share: 0.25}, now)).filter(({isGranted}) => isGranted).length;
+		assert.equal(countGranted(0), 3);
+		assert.equal(countGranted(500), 2, 'half of its share of the rate');
 	});
 
 	for (const [name, keeper, decision] of [
@@ -52,6 +53,8 @@
 		keeper.decide(toSpend(100, {edition: 2, rate: low}), whole, 0);
 		keeper.decide(toSpend(1000), whole, 0);
 		assert.equal(keeper.decide(toSpend(100), whole, 0).isGranted, false);
+		const granted = Array.from({length: 40}, () => keeper.decide(toSpend(100), whole, 2000)).filter(({isGranted}) => isGranted);
+		assert.equal(granted.length, 10, 'the burst of the later edition came back');
 	});
 
 	it('counts what other hosts granted, and what is given back', () => {
@@ -84,6 +87,20 @@
 		assert.ok(small.granted >= 0.98 * small.asked, `${small.granted} of ${small.asked}`);
 	});
 
+	// Guards against a second burst for a workspace that is forgotten too early.
+	it('keeps what a workspace used while it forgets others', () => {
+		const keeper = createQuotaKeeper(longAgo);
+		const spent = {...toSpend(36_000), workspace: 'busy', rate: {perSecond: 1, burst: 36_000}};
+		keeper.decide(spent, whole, 0);
+		for (let i = 0; i < 2000; i++) {
+			keeper.decide({...toSpend(10), workspace: `w${i}`}, whole, i * 10);
+		}
+
+		assert.ok(keeper.size() <= 512, String(keeper.size()));
+		assert.equal(keeper.decide(spent, whole, 20_000).isGranted, true, '20 units came back');
+		assert.equal(keeper.decide(spent, whole, 20_000).isGranted, false);
+	});
+
 	it('forgets workspaces that use nothing', () => {
 		const keeper = createQuotaKeeper(longAgo);
 		for (let i = 0; i < 2000; i++) {
--- a/src/domain/create-workspace-quotas/test.ts
+++ b/src/domain/create-workspace-quotas/test.ts
@@ -9,7 +9,10 @@
 const ranking = [keeper, successor, third];
 const rate = {perSecond: 100, burst: 100};
 
-type Settings = {startedAt?: number; isAlone?: boolean; reachedShare?: number};
+type Settings = {startedAt?: number; isAlone?: boolean; reachedShare?: number; count?: number | undefined};
+
+/** So slow that no room comes back while a lost host is waited for. */
+const slow = {perSecond: 0.01, burst: 100};
 
 /** Creates hosts whose messages arrive at once, except those to lost hosts. */
 function createHosts(settings: Partial<Record<string, Settings>> = {}) {
@@ -18,12 +21,13 @@
 	const hosts = new Map<string, WorkspaceQuotas>();
 	const time = {now: 100_000};
 	for (const self of ranking) {
-		const {startedAt = 0, isAlone = false, reachedShare = 1} = settings[self] ?? {};
+		const {startedAt = 0, isAlone = false, reachedShare = 1, ...own} = settings[self] ?? {};
+		const count = 'count' in own ? own.count : 10;
 		hosts.set(self, createWorkspaceQuotas({
 			self,
 			startedAt,
 			peers: {
-				rankKeepers: () => ranking, toReachedShare: () => reachedShare, toZoneShare: () => 0.25, count: () => 10, isAlone: () => isAlone,
+				rankKeepers: () => ranking, toReachedShare: () => reachedShare, toZoneShare: () => 0.25, count: () => count, isAlone: () => isAlone,
 			},
 			send(message, to) {
 				sent.push({message, to});
@@ -34,11 +38,11 @@
 		}));
 	}
 
-	function take(host: string, cost: number): QuotaVerdict | undefined {
+	function take(host: string, cost: number, limit = rate): QuotaVerdict | undefined {
 		const quotas = hosts.get(host)!;
 		const settled: QuotaVerdict[] = [];
 		quotas.take({
-			workspace: 'w', cost, edition: 1, rate,
+			workspace: 'w', cost, edition: 1, rate: limit,
 		}, time.now, verdict => {
 			settled.push(verdict);
 		});
@@ -51,9 +55,9 @@
 	}
 
 	/** Takes requests of the same cost until one is refused; returns how many were granted. */
-	function countGranted(host: string, cost: number): number {
+	function countGranted(host: string, cost: number, limit = rate): number {
 		let count = 0;
-		while (take(host, cost)?.isGranted) {
+		while (take(host, cost, limit)?.isGranted) {
 			count++;
 		}
 
@@ -95,8 +99,10 @@
 	it('asks for a smaller request, and still denies the larger one afterwards', () => {
 		const {sent, take, countGranted} = createHosts();
 		countGranted(third, 25);
+		const before = sent.length;
 		take(third, 1);
 		const count = sent.length;
+		assert.ok(count > before);
 		assert.equal(take(third, 30)?.isGranted, false);
 		assert.equal(sent.length, count);
 	});
@@ -110,6 +116,86 @@
 		assert.ok(countGranted(third, 25) <= 1);
 	});
 
+	it('lets the next host grant nothing more if no room came back', () => {
+		const {lost, countGranted} = createHosts();
+		assert.equal(countGranted(third, 25, slow), 4);
+		lost.add(keeper);
+		assert.equal(countGranted(third, 25, slow), 0);
+	});
+
+	it('tells the successor each grant, and nothing of a denial', () => {
+		const {sent, countGranted} = createHosts();
+		countGranted(third, 25, slow);
+		const told = sent.filter(({message}) => message.kind === 'spent');
+		assert.deepEqual(told.map(({message, to}) => [message.kind === 'spent' && message.spend.cost, to]), Array.from({length: 4}, () => [25, successor]));
+	});
+
+	it('asks the successor to decide itself once the keeper is lost, which then grants a quarter of the burst', () => {
+		const {lost, sent, countGranted} = createHosts();
+		lost.add(keeper);
+		assert.equal(countGranted(third, 10, slow), 3);
+		const asked = sent.flatMap(({message, to}) => message.kind === 'ask' ? [[to, message.isFinal, message.skipped]] : []);
+		assert.deepEqual(asked.slice(0, 2), [[keeper, false, 0], [successor, true, 1]]);
+		assert.deepEqual(asked.at(-1), [successor, true, 1]);
+	});
+
+	it('decides as a substitute on the successor itself once the keeper is lost', () => {
+		const {lost, sent, countGranted} = createHosts();
+		lost.add(keeper);
+		assert.equal(countGranted(successor, 10, slow), 3);
+		assert.deepEqual(sent.filter(({message}) => message.kind === 'ask').map(({to}) => to), [keeper, keeper]);
+	});
+
+	it('decides alone after two unanswered questions', () => {
+		const {lost, sent, take} = createHosts();
+		lost.add(keeper);
+		lost.add(successor);
+		assert.equal(take(third, 6, slow)?.isGranted, true);
+		assert.deepEqual(sent.map(({to}) => to), [keeper, successor]);
+		assert.equal(take(third, 6, slow)?.isGranted, false, 'its part of the equal part is spent');
+	});
+
+	it('passes a question on to the host that it ranks first, which answers the one that asked', () => {
+		const {hosts, sent, time} = createHosts();
+		const spend = {
+			workspace: 'w', cost: 5, edition: 1, rate,
+		};
+		hosts.get(successor)!.receive({
+			kind: 'ask', id: 7, origin: third, spend, isFinal: false, skipped: 0, successor: keeper,
+		}, third, time.now);
+		assert.deepEqual(sent.map(({message, to}) => [message.kind, to]), [['ask', keeper], ['spent', successor], ['verdict', third]]);
+		const {message} = sent[0]!;
+		assert.ok(message.kind === 'ask' && message.isFinal);
+	});
+
+	for (const [name, named] of [['names no other', ''], ['names it', keeper]] as const) {
+		it(`decides although it has just started if the host that asks ${name}`, () => {
+			const {hosts, sent, time} = createHosts({[keeper]: {startedAt: 99_000}});
+			hosts.get(keeper)!.receive({
+				kind: 'ask', id: 7, origin: third, spend: {
+					workspace: 'w', cost: 5, edition: 1, rate,
+				}, isFinal: false, skipped: 0, successor: named,
+			}, third, time.now);
+			assert.deepEqual(sent.map(({message, to}) => [message.kind, to]), [['spent', successor], ['verdict', third]]);
+		});
+	}
+
+	it('answers its own question when it comes back to it', () => {
+		const {lost, hosts, sent, time} = createHosts();
+		lost.add(keeper);
+		const verdicts: boolean[] = [];
+		const spend = {
+			workspace: 'w', cost: 5, edition: 1, rate,
+		};
+		hosts.get(third)!.take(spend, time.now, ({isGranted}) => {
+			verdicts.push(isGranted);
+		});
+		const message = sent[0]!.message as Extract<QuotaMessage, {kind: 'ask'}>;
+		hosts.get(third)!.receive({...message, isFinal: true}, successor, time.now);
+		assert.deepEqual(verdicts, [true]);
+		assert.equal(hosts.get(third)!.dueAt(), undefined);
+	});
+
 	// Guards against a whole limit on each side of a cut.
 	it('grants the share of the hosts that the keeper reaches', () => {
 		const {countGranted} = createHosts({[keeper]: {reachedShare: 0.5}});
@@ -122,6 +208,30 @@
 		assert.deepEqual(sent, []);
 	});
 
+	it('grants the whole limit on the only host', () => {
+		const {sent, countGranted} = createHosts({[third]: {isAlone: true, count: 1}});
+		assert.equal(countGranted(third, 25, slow), 4);
+		assert.deepEqual(sent, []);
+	});
+
+	for (const [startedAt, granted] of [[90_001, 1], [90_000, 4]] as const) {
+		it(`grants ${granted === 1 ? 'the part of one of twenty hosts' : 'the whole limit'} ${100_000 - startedAt} ms after the start of a host that heard of no other`, () => {
+			const {countGranted} = createHosts({[third]: {isAlone: true, count: undefined, startedAt}});
+			assert.equal(countGranted(third, 25, slow), granted);
+		});
+	}
+
+	it('gives back to the keeper and its successor alone', () => {
+		const {hosts, sent, time, take, countGranted} = createHosts();
+		countGranted(third, 25, slow);
+		const before = sent.length;
+		hosts.get(keeper)!.giveBack({
+			workspace: 'w', cost: 50, edition: 1, rate: slow,
+		}, time.now);
+		assert.deepEqual(sent.slice(before).map(({to}) => to), [successor]);
+		assert.equal(take(successor, 25, slow)?.isGranted, true);
+	});
+
 	it('grants the zone\'s part where neither of the first two hosts answers', () => {
 		const {lost, hosts, time, countGranted} = createHosts();
 		lost.add(keeper);
@@ -137,6 +247,9 @@
 		}
 
 		assert.equal(countGranted(third, 5), 5);
+		// What comes back in a second is the zone's part of the rate as well.
+		time.now += 1000;
+		assert.equal(countGranted(third, 5), 5);
 	});
 
 	// Guards against a host that has just started, knows nothing of the use, and grants a burst again.
