--- a/src/domain/create-server-places/test.ts
+++ b/src/domain/create-server-places/test.ts
@@ -78,4 +78,34 @@
 		assert.equal(take(asker).place?.isTaken, true);
 		assert.equal(sent.filter(({kind}) => kind === 'ask').length, 4);
 	});
+
+	it('counts the keeper\'s own requests without a message, each by itself', () => {
+		const {sent, take} = createHosts();
+		const first = take(keeper);
+		assert.equal(first.place?.isTaken, true);
+		const forced = take(keeper, true);
+		assert.equal(forced.place?.count, 1);
+		assert.equal(take(keeper).place?.count, 2);
+		first.place.leave();
+		forced.place.leave();
+		assert.equal(take(keeper).place?.count, 0);
+		assert.deepEqual(sent, []);
+	});
+
+	it('asks a silent keeper again after three seconds', () => {
+		const {hosts, lost, sent, time, take} = createHosts();
+		lost.add(keeper);
+		for (const _ of [1, 2]) {
+			take(asker);
+			time.now += 50;
+			hosts.get(asker)!.tick(time.now);
+		}
+
+		time.now += 2999;
+		const before = sent.length;
+		assert.equal(take(asker).place?.isTaken, true, 'by the successor');
+		time.now += 1;
+		assert.equal(take(asker).isSettled, false, 'the keeper is asked and does not answer');
+		assert.deepEqual(sent.slice(before).map(({kind}) => kind), ['ask', 'answer', 'ask']);
+	});
 });
--- a/src/programs/entry/call-plain/_lib/pick-with-place.test.ts
+++ b/src/programs/entry/call-plain/_lib/pick-with-place.test.ts
@@ -54,6 +54,7 @@
 		['asks no third one', [{id: 'a', ...full}, {id: 'b', ...full}, {id: 'c'}], {server: 'a', asked: ['a', 'b', 'a!'], left: 1}],
 		['takes the only one although it is full', [{id: 'a', ...full}], {server: 'a', asked: ['a', 'a!'], left: 1}],
 		['takes a server whose keeper does not answer', [{id: 'a', isSilent: true}, {id: 'b'}], {server: 'a', asked: ['a'], left: 0}],
+		['takes the next one if its keeper does not answer', [{id: 'a', ...full}, {id: 'b', isSilent: true}], {server: 'b', asked: ['a', 'b'], left: 0}],
 		['finds none', [], {server: 'none', asked: [], left: 0}],
 		// Guards against lookups that are sent over a cut, because the servers on this side of it are full.
 		['stays at a full server if the next one is in cooldown', [{id: 'a', ...full}, {id: 'b', cooldown: 1}], {server: 'a', asked: ['a', 'a!'], left: 1}],
@@ -69,4 +70,12 @@
 		const {server} = await play([{id: 'a'}, {id: 'b'}], ['a']);
 		assert.equal(server, 'b');
 	});
+
+	it('takes the best server where places are not counted', async () => {
+		const run = {tried: [], ctx: {places: undefined}} as unknown as PlainRun;
+		const placed = await pickWithPlace(run, () => ok({kind: 'plain', server: {id: 'a', slots}, cooldown: 0} as unknown as PlainPlacement));
+		const {picked, leave} = placed._unsafeUnwrap();
+		assert.equal(picked.server.id, 'a');
+		leave();
+	});
 });
