--- a/src/domain/identify-caller/test.ts
+++ b/src/domain/identify-caller/test.ts
@@ -23,6 +23,8 @@
 	const refused: ReadonlyArray<[string, Record<string, string>, CallerKeys, CallerFault['kind'], RegExp]> = [
 		['refuses x-workspace that disagrees', {authorization: 'Bearer t1', 'x-workspace': 'glossworks'}, closed, 'other-workspace', /another workspace/v],
 		['refuses a missing key', {'x-workspace': 'naslovnik'}, closed, 'no-key', /Send a caller token/v],
+		['refuses a scheme that ends alike', {authorization: 'xBearer t1'}, closed, 'no-key', /Send a caller token/v],
+		['refuses a key with something behind it', {authorization: 'Bearer t1 t2'}, closed, 'no-key', /Send a caller token/v],
 		['refuses an unknown key', {authorization: 'Bearer t2'}, closed, 'unknown-key', /not known/v],
 		['refuses another scheme', {authorization: 'Basic t1'}, closed, 'no-key', /Send a caller token/v],
 		['refuses a key that is the digest of a known one', {authorization: `Bearer ${Object.keys(callerTokens)[0]}`}, closed, 'unknown-key', /not known/v],
--- a/src/programs/entry/charge-request/test.ts
+++ b/src/programs/entry/charge-request/test.ts
@@ -70,10 +70,20 @@
 	it('refuses a request that is too large for the limit without a time to come back', async () => {
 		const {problems, taken} = await serve({hints: {promptTokens: 3000, maxTokens: 1}});
 		assert.deepEqual(taken, []);
-		assert.equal(problems[0]?.retryAfterMs, undefined);
+		assert.deepEqual(problems.map(({kind, outcome, retryAfterMs}) => [kind, outcome, retryAfterMs]), [['over-limit', 'not-run', undefined]]);
 		assert.match(problems[0]!.detail, /counts as 3001 tokens/v);
 	});
 
+	it('asks for the largest request that the limit allows', async () => {
+		const {taken} = await serve({hints: {promptTokens: 2999, maxTokens: 1}});
+		assert.deepEqual(taken.map(({cost}) => cost), [3000]);
+	});
+
+	it('gives nothing back where there is no limit', async () => {
+		const {given, result} = await serve({limit: undefined, ran: 'not-run'});
+		assert.deepEqual([given, result], [[], 'not-run']);
+	});
+
 	it('asks nobody where there is no limit', async () => {
 		const {taken, runs} = await serve({limit: undefined});
 		assert.deepEqual([taken.length, runs], [0, 1]);
