Log how answers that end with their connection stopped

Two truncated streams looked complete to their callers, and the log can't tell how: 'request ended' names neither the framing of the answer nor where its bytes stopped. Each answer now has a judge (create-answer-judge: framing by RFC 9112, stated length, place within a stream of events); its verdict is logged for answers that end with their connection. Nothing is decided by it yet.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -4,6 +4,8 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
+import {createAnswerJudge, type AnswerJudge, type AnswerVerdict} from '../../../domain/create-answer-judge/index.js';
+import {type AnswerFraming} from '../../../domain/find-answer-framing/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 
 /** Why a call has no answer. */
@@ -27,10 +29,13 @@
 	discard: () => void;
 };
 
+/** How an answer ended. */
+export type AnswerEnd = {framing: AnswerFraming; verdict: AnswerVerdict};
+
 export type CallSink = {
 	onStart: (status: number, headers: Record<string, string | string[] | undefined>, flow: CallFlow) => void;
 	onData: (bytes: Buffer) => void;
-	onEnd: () => void;
+	onEnd: (end: AnswerEnd) => void;
 	onFault: (fault: CallFault) => void;
 };
 
@@ -81,6 +86,7 @@
 	let isOffered = false;
 	let isOver = false;
 	let stop: ((reason: Error) => void) | undefined;
+	let answer: AnswerJudge | undefined;
 
 	const end = (report?: () => void): void => {
 		if (isOver) {
@@ -158,17 +164,19 @@
 		},
 		onResponseStart(controller, status, headers) {
 			if (!isOver && status >= 200) {
+				answer = createAnswerJudge({method: call.method, status, headers});
 				sink.onStart(status, headers, toFlow(controller));
 			}
 		},
 		onResponseData(_, bytes) {
 			if (!isOver) {
+				answer!.add(bytes);
 				sink.onData(bytes);
 			}
 		},
 		onResponseEnd() {
 			end(() => {
-				sink.onEnd();
+				sink.onEnd({framing: answer!.framing, verdict: answer!.judge('ended')});
 			});
 		},
 		onResponseError(_, error) {
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -3,6 +3,7 @@
  * answers or no further call is allowed. A request that is not repeatable is sent
  * to only one server.
  */
+import {type AnswerEnd} from '../../../adapters/_lib/dispatch-call/index.js';
 import {type PlacementRefusal} from '../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
@@ -111,6 +112,7 @@
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 			noteCompleted(run);
+			logConnectionEnd(run, server, ended.answer);
 			return {end: 'complete', outcome: 'ran'};
 		}
 
@@ -145,6 +147,13 @@
 	}
 }
 
+/** Logs the end of an answer that ended with its connection, where only the content tells whether it was whole. */
+function logConnectionEnd({log, tried}: PlainRun, server: ServerEntry, {framing, verdict}: AnswerEnd): void {
+	if (framing === 'connection') {
+		log.info('answer ended with its connection', {attempt: tried.length + 1, server: server.id, reason: verdict});
+	}
+}
+
 /** Logs that no server was found. A waiting request tries fifty times a second, so only the first time that all servers are full is logged; the account records each. */
 function logNoServer(run: PlainRun, {kind, refusal}: Extract<AttemptResult, {refusal: PlacementRefusal}>): void {
 	if (kind === 'not-placed') {
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -4,7 +4,9 @@
  */
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
-import {dispatchCall, type CallFault, type CallFlow} from '../../../adapters/_lib/dispatch-call/index.js';
+import {
+	dispatchCall, type AnswerEnd, type CallFault, type CallFlow,
+} from '../../../adapters/_lib/dispatch-call/index.js';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
@@ -25,7 +27,7 @@
 	| {kind: 'invalid'; message: string};
 
 export type PlainEnd =
-	| {kind: 'complete'; status: number}
+	| {kind: 'complete'; status: number; answer: AnswerEnd}
 	/** No byte of the answer has been relayed; `unreachable` means that no byte of the call was offered either. */
 	| {kind: 'failed'; fault: PlainFault}
 	/** The answer broke after a part of it was relayed. */
@@ -101,9 +103,9 @@
 				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id']}), flow);
 			},
 			onData: relay.write,
-			onEnd() {
+			onEnd(answer) {
 				relay.end();
-				resolve({kind: 'complete', status});
+				resolve({kind: 'complete', status, answer});
 			},
 			onFault(fault) {
 				if (fault.kind === 'aborted' && exchange.disconnectSignal.aborted) {
