Test streams that end with their connection inside an event, which fails

Callers receive a truncated stream as complete when its server closes the connection in order in the middle of an event.

--- a/test/stand-ins/users-platform/apply-server-fault.ts
+++ b/test/stand-ins/users-platform/apply-server-fault.ts
@@ -4,7 +4,23 @@
 
 /** Fault with which the server treats the next request instead of serving it. */
 export type ServerFault =
-	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | 'cut-stream';
+	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | StreamFault;
+
+/**
+ * Faults of a stream while it is written. Without framing, the stream ends with its
+ * connection; a cut stream stops in the middle of its last event.
+ */
+export type StreamFault = 'cut-stream' | 'unframed-stream' | 'cut-unframed-stream';
+
+const streamFaults: ReadonlySet<string> = new Set(['cut-stream', 'unframed-stream', 'cut-unframed-stream'] satisfies StreamFault[]);
+
+/**
+ * @param fault - Fault of a server, if any.
+ * @returns Whether the server serves the request, but not the whole stream as usual.
+ */
+export function isStreamFault(fault: ServerFault | undefined): fault is StreamFault {
+	return fault !== undefined && streamFaults.has(fault);
+}
 
 type FaultContext = {
 	req: IncomingMessage;
@@ -15,13 +31,12 @@
 };
 
 /**
- * Treats a request with a fault instead of serving it. A silent server does nothing;
- * a stream is cut while it is written.
+ * Treats a request with a fault instead of serving it. A silent server does nothing.
  *
  * @param fault - The fault.
  * @param context - The request, and how the server answers.
  */
-export function applyServerFault(fault: ServerFault, {req, res, answer, ownHeaders}: FaultContext): void {
+export function applyServerFault(fault: Exclude<ServerFault, StreamFault>, {req, res, answer, ownHeaders}: FaultContext): void {
 	const {socket} = req;
 	switch (fault) {
 		case 'refuse': {
@@ -58,8 +73,7 @@
 			break;
 		}
 
-		case 'silent':
-		case 'cut-stream': {
+		case 'silent': {
 			break;
 		}
 	}
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -4,7 +4,9 @@
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
 import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {applyServerFault, type ServerFault} from './apply-server-fault.js';
+import {
+	applyServerFault, isStreamFault, type ServerFault, type StreamFault,
+} from './apply-server-fault.js';
 
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
@@ -96,16 +98,26 @@
 
 	const ownHeaders = (req: IncomingMessage) => ({'request-id': String(req.headers['request-id']), 'server-seal': `seal-of-${id}`});
 
-	async function stream(req: IncomingMessage, res: ServerResponse, isCut: boolean): Promise<void> {
+	async function stream(req: IncomingMessage, res: ServerResponse, fault: StreamFault | undefined): Promise<void> {
+		if (fault === 'unframed-stream' || fault === 'cut-unframed-stream') {
+			res.useChunkedEncodingByDefault = false;
+			res.shouldKeepAlive = false;
+		}
+
 		res.writeHead(200, {'content-type': 'text/event-stream', ...toLeavingHeader(), ...ownHeaders(req)});
 		for (let event = Number(req.headers['last-event-id'] ?? 0) + 1; event <= events; event++) {
-			if (isCut && event === events) {
+			if (event === events && fault === 'cut-stream') {
 				res.write(`id: ${event}\ndata: pie`, () => {
 					res.destroy();
 				});
 				return;
 			}
 
+			if (event === events && fault === 'cut-unframed-stream') {
+				res.end(`id: ${event}\ndata: pie`);
+				return;
+			}
+
 			res.write(`id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}\n\n`);
 			await sleep(workMs);
 		}
@@ -197,7 +209,8 @@
 		}
 
 		const misdeed = sharedFaults.shift();
-		if (misdeed !== undefined && misdeed !== 'cut-stream') {
+		const streamFault = isStreamFault(misdeed) ? misdeed : undefined;
+		if (misdeed !== undefined && !isStreamFault(misdeed)) {
 			applyServerFault(misdeed, {
 				req, res, answer, ownHeaders: ownHeaders(req),
 			});
@@ -221,7 +234,7 @@
 				return;
 			}
 
-			await stream(req, res, misdeed === 'cut-stream');
+			await stream(req, res, streamFault);
 			return;
 		}
 
