Judge each answer in one place, and break a stream that ended inside an event

What callers saw: a stream of events that its server had broken off reached them with a valid end, so nothing told them that the rest was missing.

Cause: an answer with neither a length nor chunks ends with its connection, and each orderly end of the connection counted as the end of the answer. A server that fails in the middle may close its connection in order. The class of fault: an end of the transport taken for an end of the content.

Change: dispatch-call, through which every answer of a server, a store and an engine is read, asks create-answer-judge for the verdict, and reports an answer that is not whole as a broken call. The relay then does what it does for each broken stream: it continues at another server if that is allowed, and breaks the caller's connection if not.

Ruled out for framed answers: their cases of create-http-agent (an orderly end after a chunk, and before the stated length) pass on the code before.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -29,8 +29,8 @@
 	discard: () => void;
 };
 
-/** How an answer ended. */
-export type AnswerEnd = {framing: AnswerFraming; verdict: AnswerVerdict};
+/** A whole answer. */
+export type AnswerEnd = {framing: AnswerFraming};
 
 export type CallSink = {
 	onStart: (status: number, headers: Record<string, string | string[] | undefined>, flow: CallFlow) => void;
@@ -66,6 +66,15 @@
 /** Error codes that mean that the server closed the connection. */
 const closedCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
 
+/** Messages of answers that their transport ended and that are not whole. */
+const brokenAnswers: Readonly<Record<Exclude<AnswerVerdict, 'whole'>, string>> = {
+	reset: 'the connection was reset in the middle of an answer',
+	short: 'the answer has fewer bytes than its head states',
+	long: 'the answer has more bytes than its head states',
+	'inside-event': 'the stream ended inside an event',
+	'no-event': 'the stream ended with its connection before the first event',
+};
+
 const isClosing = (error: Error): boolean => closedCodes.has((error as {code?: string}).code);
 
 function toMessage(error: Error): string {
@@ -175,9 +184,15 @@
 			}
 		},
 		onResponseEnd() {
-			end(() => {
-				sink.onEnd({framing: answer!.framing, verdict: answer!.judge('ended')});
-			});
+			const {framing, judge} = answer!;
+			const verdict = judge('ended');
+			if (verdict === 'whole') {
+				end(() => {
+					sink.onEnd({framing});
+				});
+			} else {
+				fail('broken', brokenAnswers[verdict], {isClosed: true});
+			}
 		},
 		onResponseError(_, error) {
 			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), {isClosed: isOffered && isClosing(error)});
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -147,10 +147,10 @@
 	}
 }
 
-/** Logs the end of an answer that ended with its connection, where only the content tells whether it was whole. */
-function logConnectionEnd({log, tried}: PlainRun, server: ServerEntry, {framing, verdict}: AnswerEnd): void {
+/** Logs an answer that ended with its connection, whose end is known from its content alone. */
+function logConnectionEnd({log, tried}: PlainRun, server: ServerEntry, {framing}: AnswerEnd): void {
 	if (framing === 'connection') {
-		log.info('answer ended with its connection', {attempt: tried.length + 1, server: server.id, reason: verdict});
+		log.info('answer ended with its connection', {attempt: tried.length + 1, server: server.id});
 	}
 }
 
