Reset the connection of an HTTP/1.0 caller whose answer breaks

What such a caller saw: a truncated answer that ended in order. An answer to HTTP/1.0 has no chunks and, if its length is unknown, ends with its connection; the connection was closed, which is also how a whole answer ends.

Change: the connection of such an answer is reset. With chunks a close is enough, and the bytes before it still arrive, so that the caller can resume after its last event.

The test was red before: the connection ended without an error.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -4,6 +4,7 @@
  * event loop are sent in one write to the socket.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {TLSSocket} from 'node:tls';
 import {v7 as createUuidV7} from 'uuid';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestId} from '../../../ports/ids.js';
@@ -181,6 +182,21 @@
 	res.end();
 }
 
+/**
+ * Breaks the connection of an answer. An answer without chunks may end with its
+ * connection, as for each caller of HTTP/1.0: after an orderly end that caller would
+ * take the truncated answer for a complete one, so its connection is reset. TLS
+ * shows the truncation by itself.
+ */
+function breakConnection(res: ServerResponse): void {
+	const {socket} = res;
+	if (socket === null || res.useChunkedEncodingByDefault || socket instanceof TLSSocket) {
+		res.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
+
 /**
  * Wraps a request and its response.
  *
@@ -242,7 +258,7 @@
 		write: writer.write,
 		finish,
 		breakOff() {
-			res.destroy();
+			breakConnection(res);
 		},
 	});
 
--- a/src/adapters/caller-http/test.ts
+++ b/src/adapters/caller-http/test.ts
@@ -81,6 +81,28 @@
 		});
 	}
 
+	// Guards against a caller without chunked framing that takes a broken answer for a complete one.
+	it('resets the connection of a caller without chunks if its answer breaks', async context => {
+		const server = await start(context, exchange => {
+			exchange.startStream(200, {});
+			exchange.write('half');
+			setTimeout(() => {
+				exchange.destroy();
+			}, 20);
+		});
+		const socket = connect(server.port, '127.0.0.1');
+		context.after(() => socket.destroy());
+		let code: string | undefined;
+		socket.resume().once('error', (error: NodeJS.ErrnoException) => {
+			code = error.code;
+		});
+		socket.write('GET /any HTTP/1.0\r\nhost: a\r\n\r\n');
+		await new Promise(resolve => {
+			socket.once('close', resolve);
+		});
+		assert.equal(code, 'ECONNRESET');
+	});
+
 	it('closes idle connections at once when it closes', async context => {
 		const server = await start(context, exchange => {
 			exchange.sendAnswer(200, {}, 'whole');
