Break the connection of another service's stream that can't go on

What callers saw: when the delivery of a keyed stream could not go on, because the host that ran it was lost or another connection took it over, the stream of a plain service got an event 'error' of this system and ended in order. Callers of an opaque service know no such event; to them the truncated stream was complete.

Cause: the convention of this system's own completions was applied to each answer with the type of an event stream.

Change: serveKeyed is told that an answer is opaque, and breaks its connection. The own completions keep their error event. The new case of serve-keyed-fleet fails with the condition taken out.

--- a/src/programs/entry/claims/serve-keyed-fleet.test.ts
+++ b/src/programs/entry/claims/serve-keyed-fleet.test.ts
@@ -43,9 +43,9 @@
 }
 
 describe('serveKeyed', {timeout: 60_000}, () => {
-	async function serve(host: Host, request: KeyedRequest, exchange: CallerExchange, work: (recorded: CallerExchange) => Promise<KeyedVerdict>, onJoinEnded?: ServeKeyedOptions['onJoinEnded']) { // eslint-disable-line max-params -- a helper of these tests
+	async function serve(host: Host, request: KeyedRequest, exchange: CallerExchange, work: (recorded: CallerExchange) => Promise<KeyedVerdict>, options: Pick<ServeKeyedOptions, 'onJoinEnded' | 'isOpaque'> = {}) { // eslint-disable-line max-params -- a helper of these tests
 		await serveKeyed(host.claims, exchange, request, {
-			writeTimeoutMs: 1000, now: () => performance.now(), serve: work, onJoinEnded,
+			writeTimeoutMs: 1000, now: () => performance.now(), serve: work, ...options,
 		});
 	}
 
@@ -122,9 +122,9 @@
 				return 'failed';
 			};
 
-			await serve(hosts[0]!, request, createExchange().exchange, work, note);
+			await serve(hosts[0]!, request, createExchange().exchange, work, {onJoinEnded: note});
 			assert.deepEqual(told, [], 'the first call joins nothing');
-			await serve(hosts[1]!, request, createExchange().exchange, work, note);
+			await serve(hosts[1]!, request, createExchange().exchange, work, {onJoinEnded: note});
 			assert.deepEqual(told, [['host-0', kind, true]]);
 		});
 	}
@@ -148,8 +148,12 @@
 	const cuts = [
 		{name: 'between two events', pieces: ['data: sce\n\n'], isTold: true},
 		{name: 'within an event', pieces: ['data: sce\n\n', 'data: s'], isTold: false},
+		// Guards against a truncated stream that looks complete: its callers know no error event of this system.
+		{
+			name: 'between two events of another service', pieces: ['data: sce\n\n'], isTold: false, isOpaque: true,
+		},
 	];
-	for (const {name, pieces, isTold} of cuts) {
+	for (const {name, pieces, isTold, isOpaque} of cuts) {
 		it(`${isTold ? 'ends a stream of events with an error event' : 'destroys the connection of a stream of events'} when another connection takes over ${name}`, async context => {
 			const hosts = await startFleet(context);
 			const request = toRequest();
@@ -168,7 +172,7 @@
 				recorded.write('data: [DONE]\n\n');
 				recorded.end();
 				return 'complete';
-			});
+			}, {isOpaque});
 			await hasBegun.promise;
 			await waitUntil(() => first.sent.join('').endsWith(pieces.at(-1)!), {deadlineMs: 10_000, what: 'the beginning of the answer'});
 			const again = serve(hosts[1]!, request, second.exchange, answer);
--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -3,7 +3,7 @@
  * here or joins the run on another host, and relays the answer to the caller.
  */
 import {Buffer} from 'node:buffer';
-import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {type AnswerHeaders, type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type RunEnd, type RunReader, type RunWriter} from '../../../domain/create-run-table/index.js';
 import {toErrorEvent} from '../../../domain/create-sse-encoder/index.js';
 import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
@@ -38,6 +38,8 @@
 	 * left. Of all hosts, only the one that was granted the claim calls this.
 	 */
 	serve: (recorded: CallerExchange) => Promise<KeyedVerdict>;
+	/** Whether the answer is another service's, in which this system puts no event of its own. */
+	isOpaque?: boolean;
 	/** Called when the answer comes from a run that an earlier call started. */
 	onJoin?: (host: string) => void;
 	/** Called when the delivery of such an answer has ended. */
@@ -48,7 +50,8 @@
 
 /** State of a delivery after the last part that was relayed. */
 type DeliveryState = {
-	isEventStream: boolean;
+	/** Whether the answer is a stream of this system's events, in which callers expect an `error` event. */
+	hasErrorEvents: boolean;
 	/** Whether the last event was relayed to its end, so that another event may follow. */
 	isBetweenEvents: boolean;
 	/** Whether the answer reports a failure of this system rather than of the caller's request. */
@@ -60,10 +63,11 @@
 const minServerErrorStatus = 500;
 const tooManyRequests = 429;
 
-function toInitialState(status: number, type: string, now: Milliseconds): DeliveryState {
+function toInitialState({status, headers}: {status: number; headers: AnswerHeaders}, isOpaque: boolean, now: Milliseconds): DeliveryState {
+	const type = String(headers['content-type']);
 	const isRefusal = type.startsWith('application/problem+json') && (status === tooManyRequests || status >= minServerErrorStatus);
 	return {
-		isEventStream: type.startsWith('text/event-stream'), isBetweenEvents: true, isRefusal, startedAt: now,
+		hasErrorEvents: !isOpaque && type.startsWith('text/event-stream'), isBetweenEvents: true, isRefusal, startedAt: now,
 	};
 }
 
@@ -81,16 +85,16 @@
 }
 
 /**
- * Ends a delivery that can't go on. A stream of events ends with an `error`
- * event. For any other answer that has begun, the connection is destroyed: if it
+ * Ends a delivery that can't go on. A stream of this system's events ends with an
+ * `error` event. For any other answer that has begun, the connection is destroyed: if it
  * closed normally, the caller would take the partial answer for a complete one.
  */
-function abortDelivery(exchange: CallerExchange, isTakenOver: boolean, {isEventStream, isBetweenEvents}: DeliveryState) {
+function abortDelivery(exchange: CallerExchange, isTakenOver: boolean, {hasErrorEvents, isBetweenEvents}: DeliveryState) {
 	const isStarted = exchange.isStarted();
 	const problem = toAbortProblem(isTakenOver, isStarted);
 	if (!isStarted) {
 		exchange.sendProblem(problem);
-	} else if (isEventStream && isBetweenEvents) {
+	} else if (hasErrorEvents && isBetweenEvents) {
 		exchange.write(toErrorEvent(toProblem(problem, exchange.requestId)));
 		exchange.end();
 	} else {
@@ -99,13 +103,13 @@
 }
 
 /** Relays an answer to a caller until the answer ends, the caller disconnects, or another connection takes the delivery over. */
-async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now}: ServeKeyedOptions): Promise<JoinEnd> {
+async function deliver(reader: RunReader, exchange: CallerExchange, {writeTimeoutMs, now, isOpaque = false}: ServeKeyedOptions): Promise<JoinEnd> {
 	const onDisconnect = () => {
 		reader.close(now());
 	};
 
 	let state: DeliveryState = {
-		isEventStream: false, isBetweenEvents: true, isRefusal: false, startedAt: undefined,
+		hasErrorEvents: false, isBetweenEvents: true, isRefusal: false, startedAt: undefined,
 	};
 	const toEnd = (kind: JoinEnd['kind']): JoinEnd => ({kind, startedAt: state.startedAt});
 	exchange.disconnectSignal.addEventListener('abort', onDisconnect, {once: true});
@@ -113,7 +117,7 @@
 		while (!exchange.disconnectSignal.aborted) {
 			const part = await reader.next();
 			if (part.kind === 'head') {
-				state = toInitialState(part.status, String(part.headers['content-type']), now());
+				state = toInitialState(part, isOpaque, now());
 				exchange.startStream(part.status, part.headers);
 			} else if (part.kind === 'bytes') {
 				state.isBetweenEvents = isWholeEvent(part.bytes);
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -242,7 +242,7 @@
 		? serveOne(exchange)
 		: serveKeyed(ctx.claims, exchange, {
 			workspace: route.workspace, key: key.value, digest: toRequestDigest(exchange, body.value.bytes() ?? new Uint8Array()), isRepeatable: isRepeatable({exchange, route}),
-		}, toKeyedOptions({exchange, account, route}, ctx, serveOne)));
+		}, {...toKeyedOptions({exchange, account, route}, ctx, serveOne), isOpaque: true}));
 }
 
 /** Computes the fingerprint of a request; a streamed body has none. */
