--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -3,6 +3,7 @@
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {after, describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {dispatchCall} from '../dispatch-call/index.js';
 import {readAnswer} from '../read-answer/index.js';
 import {createHttpAgent} from './index.js';
 
@@ -103,4 +104,48 @@
 			assert.equal(answer.isOk(), isWhole);
 		});
 	}
+
+	const pausedEndings: ReadonlyArray<{name: string; end: (socket: Socket) => void; isWhole: boolean}> = [
+		{name: 'a reset', end: socket => socket.resetAndDestroy(), isWhole: false},
+		{name: 'an orderly end', end: socket => socket.end(), isWhole: true},
+	];
+	for (const {name, end, isWhole} of pausedEndings) {
+		it(`${isWhole ? 'treats' : 'does not treat'} ${name} as the end of an answer without a length whose reader was paused`, async () => {
+			const server = createServer(socket => {
+				socket.on('error', () => undefined);
+				socket.once('data', () => {
+					socket.write('HTTP/1.1 200 OK\r\n\r\nfirst', () => {
+						setTimeout(() => {
+							socket.write('second', () => {
+								end(socket);
+							});
+						}, 20);
+					});
+				});
+			});
+			server.listen(0, '127.0.0.1');
+			await once(server, 'listening');
+			after(() => server.close());
+			const agent = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+			after(async () => agent.destroy());
+			const ended = await new Promise<'end' | 'fault'>(resolve => {
+				dispatchCall({
+					dispatcher: agent, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', path: '/', headersTimeoutMs: 5000, idleTimeoutMs: 5000,
+				}, {
+					onStart(_status, _headers, flow) {
+						flow.pause();
+						setTimeout(flow.resume, 100);
+					},
+					onData: () => undefined,
+					onEnd() {
+						resolve('end');
+					},
+					onFault() {
+						resolve('fault');
+					},
+				});
+			});
+			assert.equal(ended === 'end', isWhole);
+		});
+	}
 });
