Watch whether this host reaches a pool's servers, and tell other hosts

Four of seven hosts lost their links to all servers and served 1 of 93 first attempts. The log can't tell whether such a host could know: it names failed calls one by one, not when a pool last answered, nor what other hosts have.

Each host now records its calls by pool (create-pool-links), tells the others which pools answered it and when (load messages, create-peer-links), and probes a pool's servers once a call is overdue, while another host had an answer after that. It logs when a pool is lost and when it is back, with the silence; the metric pools_lost shows the number. Nothing is decided by it yet.

A first form counted any answer of another host since the call began: a pool that was lost for everyone then looked lost to this host alone.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -30,6 +30,9 @@
 const maxReports = 64;
 const maxCrashesOfReport = 8;
 
+/** Maximum number of pools in one message of which a host tells that their servers answered. */
+export const maxAnswers = 16;
+
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 /** Senders of a later build may add items. */
@@ -45,8 +48,9 @@
 	v.pipe(v.array(v.tuple([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))])), v.maxLength(maxReports)),
 ], v.unknown());
 
-/** Item after those of every build. */
+/** Items after those of every build. */
 const reachedShareSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+const answersSchema = v.pipe(v.array(v.tuple([count, count])), v.maxLength(maxAnswers));
 
 const toReportRow = ({fingerprint, idleMs, crashes}: CrashReport) => [fingerprint, Math.round(idleMs), crashes.map(({server, ageMs}) => [server, Math.round(ageMs)])];
 
@@ -62,14 +66,15 @@
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare,
+		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare, answers,
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
 	const reports = crashes.map(report => toReportRow(report));
+	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined ? [] : [reachedShare])]);
+		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined && answerRows === undefined ? [] : [reachedShare ?? null]), ...(answerRows === undefined ? [] : [answerRows])]);
 		const cut = loads.length > 0 ? loads : reports;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
@@ -80,11 +85,20 @@
 }
 
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare] = row;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
 	return {
-		host, zone, incarnation, sequence, peers, isAsking, crashes, loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})), ...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
+		host,
+		zone,
+		incarnation,
+		sequence,
+		peers,
+		isAsking,
+		crashes,
+		loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
+		...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
+		...(v.is(answersSchema, answerRows) && {answers: answerRows.map(([pool, ageMs]) => ({pool, ageMs}))}),
 	};
 }
 
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -26,6 +26,12 @@
 		assert.deepEqual(decodeLoadMessage(encodeLoadMessage(message))._unsafeUnwrap(), message);
 	});
 
+	it('keep the pools whose servers answered, with and without the share of hosts that the sender reaches', () => {
+		for (const more of [{answers: [{pool: 4_000_000_000, ageMs: 12}]}, {answers: [], reachedShare: 0.5}]) {
+			assert.deepEqual(decodeLoadMessage(encodeLoadMessage({...message, ...more}))._unsafeUnwrap(), {...message, ...more});
+		}
+	});
+
 	it('fit into one datagram, however much a host has in flight, and keep the largest loads', () => {
 		const loads = Array.from({length: 500}, (_, i) => ({server: `i-${i}`, requests: 1, promptTokens: i}));
 		const bytes = encodeLoadMessage({...message, loads});
--- /dev/null
+++ b/src/domain/create-peer-links/index.ts
@@ -0,0 +1,55 @@
+/** From which pools the other hosts have had answers lately, as they tell each other. */
+import {type Milliseconds, type Random} from '../../ports/clock.js';
+import {type PoolAnswer} from '../../ports/shared-loads.js';
+import {msPerSecond} from '../../ports/units.js';
+
+export type PeerLinks = {
+	/** Notes what a host tells of itself; each message replaces the one before. */
+	note: (address: string, answers: readonly PoolAnswer[], now: Milliseconds) => void;
+	/** Last time at which any other host had an answer from the pool. */
+	toAnsweredAt: (pool: number) => Milliseconds;
+	/** Picks a host that had an answer from the pool lately and was heard lately; `undefined` if there is none. */
+	pick: (pool: number, options: {exclude: ReadonlySet<string>; now: Milliseconds; random: Random}) => string | undefined;
+};
+
+/** Age beyond which a message or an answer no longer shows that a host reaches the pool; a host of a large fleet is heard each second. */
+const maxAgeMs: Milliseconds = 2 * msPerSecond;
+
+/** Age after which a host is forgotten. */
+const forgetMs: Milliseconds = 10 * msPerSecond;
+
+type Told = {at: Milliseconds; answeredAt: ReadonlyMap<number, Milliseconds>};
+
+/**
+ * Creates the record of a host that has heard no other.
+ *
+ * @returns Functions that record messages and pick hosts; `now` is monotonic milliseconds.
+ *
+ * @example
+ * ```ts
+ * const peers = createPeerLinks();
+ * peers.note('10.0.0.2:7380', [{pool: 7, ageMs: 20}], 1000);
+ * peers.pick(7, {exclude: new Set(), now: 1100, random: Math.random}); // => '10.0.0.2:7380'
+ * ```
+ */
+export function createPeerLinks(): PeerLinks {
+	const hosts = new Map<string, Told>();
+
+	return {
+		note(address, answers, now) {
+			hosts.set(address, {at: now, answeredAt: new Map(answers.map(({pool, ageMs}) => [pool, now - ageMs]))});
+			for (const [other, {at}] of hosts) {
+				if (now - at > forgetMs) {
+					hosts.delete(other);
+				}
+			}
+		},
+		toAnsweredAt: pool => Math.max(-Infinity, ...Array.from(hosts.values(), ({answeredAt}) => answeredAt.get(pool) ?? -Infinity)),
+		pick(pool, {exclude, now, random}) {
+			const reaching = [...hosts]
+				.filter(([address, {at, answeredAt}]) => !exclude.has(address) && now - at <= maxAgeMs && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs)
+				.map(([address]) => address);
+			return reaching[Math.floor(random() * reaching.length)];
+		},
+	};
+}
--- /dev/null
+++ b/src/domain/create-peer-links/test.ts
@@ -0,0 +1,44 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createPeerLinks} from './index.js';
+
+const none = new Set<string>();
+const random = () => 0.99;
+
+describe('createPeerLinks', () => {
+	it('knows when another host last had an answer', () => {
+		const peers = createPeerLinks();
+		assert.equal(peers.toAnsweredAt(7), -Infinity);
+		peers.note('a', [{pool: 7, ageMs: 300}], 1000);
+		peers.note('b', [{pool: 7, ageMs: 100}, {pool: 8, ageMs: 0}], 1000);
+		assert.equal(peers.toAnsweredAt(7), 900);
+		peers.note('b', [], 1100);
+		assert.equal(peers.toAnsweredAt(7), 700);
+	});
+
+	it('picks any host that reaches the pool, but none that is excluded', () => {
+		const peers = createPeerLinks();
+		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('b', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('c', [{pool: 8, ageMs: 0}], 1000);
+		assert.equal(peers.pick(7, {exclude: none, now: 1100, random}), 'b');
+		assert.equal(peers.pick(7, {exclude: none, now: 1100, random: () => 0}), 'a');
+		assert.equal(peers.pick(7, {exclude: new Set(['b']), now: 1100, random}), 'a');
+		assert.equal(peers.pick(7, {exclude: new Set(['a', 'b']), now: 1100, random}), undefined);
+	});
+
+	it('picks no host that was not heard lately or has had no answer lately', () => {
+		const peers = createPeerLinks();
+		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('b', [{pool: 7, ageMs: 1900}], 2900);
+		assert.equal(peers.pick(7, {exclude: none, now: 2900, random}), 'b');
+		assert.equal(peers.pick(7, {exclude: none, now: 3001, random}), undefined);
+	});
+
+	it('forgets hosts that fell silent', () => {
+		const peers = createPeerLinks();
+		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('b', [], 11_001);
+		assert.equal(peers.toAnsweredAt(7), -Infinity);
+	});
+});
--- /dev/null
+++ b/src/domain/create-pool-links/test.ts
@@ -0,0 +1,179 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {createRandom} from '../_test/create-random.js';
+import {
+	playLinks, type LinkScenario, type LinkSight, type LinkTrouble,
+} from './_test/play-links.js';
+import {createPoolLinks} from './index.js';
+
+/** Time after the first call in a cut at which that call is overdue in any pool. */
+const overdueMs = 1000;
+/** Time within which a host must know that its links are lost, once another host has had an answer after that. */
+const noticeMs = 1000;
+/** Age up to which an answer of another host shows that the pool serves it. */
+const recentMs = 1000;
+/** Time within which a host must know that its links are back. */
+const recoverMs = 1000;
+
+describe('createPoolLinks', () => {
+	it('is lost once a call is silent, another host has had an answer since, and no probed server accepts a connection', () => {
+		const links = createPoolLinks();
+		links.open(0);
+		assert.equal(links.isProbeDue(280, 240), false, 'the call is not overdue');
+		assert.equal(links.isProbeDue(240, 300), false, 'no other host had an answer after the call was overdue');
+		assert.equal(links.isProbeDue(280, 300), true);
+		links.noteProbing();
+		assert.equal(links.isProbeDue(280, 300), false, 'one probe at a time');
+		links.noteProbed(false, 600);
+		assert.equal(links.state(), 'lost');
+		assert.equal(links.toSilenceMs(600), 600);
+	});
+
+	it('is reached if a server answers during the probe', () => {
+		const links = createPoolLinks();
+		const call = links.open(0);
+		links.noteProbing();
+		call.answer(400);
+		links.noteProbed(false, 600);
+		assert.equal(links.state(), 'reached');
+		assert.equal(links.answeredAt(), 400);
+	});
+
+	it('is reached again with the first connection, and does not count calls from before', () => {
+		const links = createPoolLinks();
+		links.open(0);
+		links.noteProbed(false, 600);
+		links.noteProbed(true, 1000);
+		assert.equal(links.state(), 'reached');
+		assert.equal(links.isProbeDue(Infinity, 5000), false);
+	});
+
+	it('waits longer in a pool whose servers take long to answer', () => {
+		const links = createPoolLinks();
+		for (let i = 0; i < 50; i++) {
+			links.open(i * 1000).answer((i * 1000) + 300);
+		}
+
+		links.open(60_000);
+		assert.equal(links.isProbeDue(Infinity, 60_500), false);
+		assert.equal(links.isProbeDue(Infinity, 61_000), true);
+	});
+
+	it('does not count a call that this host ended early', () => {
+		const links = createPoolLinks();
+		links.open(0).abandon(100);
+		assert.equal(links.toSilenceMs(1000), 0);
+		links.open(1000).abandon(1400);
+		assert.equal(links.toSilenceMs(2000), 1000);
+	});
+});
+
+const durationMs = 16_000;
+
+const toTrouble = (hosts: number, servers: number, zones: number): fc.Arbitrary<LinkTrouble> => fc.tuple(
+	fc.integer({min: 2000, max: 10_000}),
+	fc.integer({min: 300, max: 5000}),
+	fc.oneof(
+		fc.record({kind: fc.constant('hosts-cut' as const), hosts: fc.uniqueArray(fc.nat(hosts - 1), {minLength: 1, maxLength: hosts}), isReset: fc.boolean()}),
+		fc.record({kind: fc.constant('zone-cut' as const), zone: fc.nat(zones - 1)}),
+		fc.record({kind: fc.constant('server-silent' as const), server: fc.nat(servers - 1)}),
+		fc.record({kind: fc.constant('server-lost' as const), server: fc.nat(servers - 1)}),
+		fc.constant({kind: 'pool-lost' as const}),
+	),
+).map(([from, lengthMs, what]) => ({...what, from, to: from + (what.kind === 'server-silent' ? Math.min(lengthMs, 1200) : lengthMs)}));
+
+const scenarios: fc.Arbitrary<LinkScenario> = fc.record({
+	hosts: fc.integer({min: 2, max: 7}), servers: fc.integer({min: 1, max: 4}), zones: fc.integer({min: 1, max: 3}),
+}).chain(({hosts, servers, zones}) => fc.record({
+	hosts: fc.constant(hosts),
+	servers: fc.constant(servers),
+	zones: fc.constant(zones),
+	callsPerSecond: fc.constantFrom(2, 5, 20),
+	answerMs: fc.constantFrom(10, 40, 150, 300),
+	durationMs: fc.constant(durationMs),
+	troubles: fc.array(toTrouble(hosts, servers, zones), {minLength: 1, maxLength: 4}),
+}));
+
+/** The sights of one host, in order of time. */
+const toHostSights = (sights: readonly LinkSight[], host: number): readonly LinkSight[] => sights.filter(one => one.host === host);
+
+/** Whether a condition held in each sight of the last `ms` before one of them. */
+function heldFor(sights: readonly LinkSight[], at: number, ms: number, holds: (sight: LinkSight) => boolean): boolean {
+	const {now} = sights[at]!;
+	for (let i = at; i >= 0 && now - sights[i]!.now <= ms; i--) {
+		if (!holds(sights[i]!)) {
+			return false;
+		}
+	}
+
+	return now >= ms;
+}
+
+/** Finds the first sight in which a host is lost although it reached servers for long enough. */
+const findFalselyLost = (sights: readonly LinkSight[]): LinkSight | undefined => sights.find((sight, i) => sight.isLost && heldFor(sights, i, recoverMs, ({reachesServers}) => reachesServers));
+
+/** Finds the first sight in which a host is not lost, although it reached nothing for long enough, called, and heard of a host that had answers. */
+function findUnnoticed(sights: readonly LinkSight[]): LinkSight | undefined {
+	let firstCallAt: number | undefined;
+	let toldAt: number | undefined;
+	for (const sight of sights) {
+		const {now, hasCalled, reachesServers, othersAnsweredAt, isLost} = sight;
+		if (reachesServers || othersAnsweredAt === -Infinity) {
+			firstCallAt = undefined;
+			toldAt = undefined;
+			continue;
+		}
+
+		firstCallAt ??= hasCalled ? now : undefined;
+		const isTold = firstCallAt !== undefined && othersAnsweredAt >= firstCallAt + overdueMs && now - othersAnsweredAt <= recentMs;
+		toldAt = isTold ? toldAt ?? now : undefined;
+		if (toldAt !== undefined && !isLost && now - toldAt > noticeMs) {
+			return sight;
+		}
+	}
+
+	return undefined;
+}
+
+/*
+ * Guards against hosts that go on taking requests without reaching a server, and
+ * against sound hosts that hand their requests over: hosts, servers, zones and the
+ * pool fail at random and at the same time.
+ */
+describe('createPoolLinks in a fleet', () => {
+	it('finds each host that has lost its links, and no other', () => {
+		fc.assert(fc.property(scenarios, fc.integer({min: 1, max: 2_000_000_000}), (scenario, seed) => {
+			const sights = playLinks(scenario, createRandom(seed));
+			for (let host = 0; host < scenario.hosts; host++) {
+				const own = toHostSights(sights, host);
+				assert.deepEqual(findFalselyLost(own), undefined, 'lost, though it reaches servers');
+				assert.deepEqual(findUnnoticed(own), undefined, 'not lost, though it reaches none');
+			}
+		}), {numRuns: 150});
+	});
+
+	const harmless: ReadonlyArray<{name: string; troubles: readonly LinkTrouble[]}> = [
+		{
+			name: 'one server is silent for a second', troubles: [{
+				kind: 'server-silent', server: 0, from: 3000, to: 4200,
+			}],
+		},
+		{
+			name: 'one server is lost', troubles: [{
+				kind: 'server-lost', server: 0, from: 3000, to: 8000,
+			}],
+		},
+		{name: 'the whole pool is lost', troubles: [{kind: 'pool-lost', from: 3000, to: 8000}]},
+	];
+	for (const {name, troubles} of harmless) {
+		it(`keeps every host while ${name}`, () => {
+			for (let seed = 1; seed <= 20; seed++) {
+				const sights = playLinks({
+					hosts: 6, servers: 3, zones: 3, callsPerSecond: 5, answerMs: 40, durationMs, troubles,
+				}, createRandom(seed));
+				assert.deepEqual(sights.find(({isLost}) => isLost), undefined, `seed ${seed}`);
+			}
+		});
+	}
+});
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -4,6 +4,7 @@
  * spread load: no decision on which hosts must agree depends on them, so a
  * message may be lost, late, or missing altogether.
  */
+import {type Milliseconds} from './clock.js';
 import {type CrashReport} from './crash-reports.js';
 import {
 	type HostId, type Incarnation, type ServerId, type ZoneId,
@@ -25,6 +26,9 @@
 	zone: ZoneId;
 };
 
+/** A pool by the hash of its name, and the time since a server of it last answered the host. */
+export type PoolAnswer = {pool: number; ageMs: Milliseconds};
+
 export type LoadMessage = {
 	host: HostId;
 	zone: ZoneId;
@@ -41,4 +45,6 @@
 	isAsking: boolean;
 	/** Share of all hosts that the sender reaches; absent from hosts that do not tell it. */
 	reachedShare?: number;
+	/** Pools whose servers answered the sender lately; absent from hosts that do not tell it. */
+	answers?: readonly PoolAnswer[];
 };
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -7,6 +7,7 @@
 import {type WorkspaceId} from '../../../ports/ids.js';
 import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
+import {type Reach} from '../../../ports/reach.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
 import {type EndedRequest} from './ended-request.js';
@@ -38,6 +39,8 @@
 	handleNotice: (server: ServerEntry, notice: ServerNotice) => void;
 	/** Places at servers that report no load; absent where hosts do not count them together. */
 	places: Places | undefined;
+	/** Whether this host reaches the servers of a pool; absent where hosts do not tell each other. */
+	reach?: Reach | undefined;
 	/** Limits of workspaces. */
 	quotas: Quotas;
 	/** Counts a request that was refused because its workspace had used its limit. */
--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -8,7 +8,7 @@
 import {type EngineFailure} from '../../../../ports/engine.js';
 import {type ServerId} from '../../../../ports/ids.js';
 import {type CacheCalls} from '../../../../ports/server-calls.js';
-import {noteAnswered, toRemainingMs} from '../../call-plain/_lib/send-step.js';
+import {noteAnswered, noteLinkEnd, toRemainingMs} from '../../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../../call-plain/_lib/types.js';
 import {recordPlacement} from '../../_lib/record-placement.js';
 import {hasKeptCache} from './kept-cache.js';
@@ -56,7 +56,14 @@
 	const {services} = run.ctx;
 	const limit = createTimeoutSignal(Math.min(reserveTimeoutMs, toRemainingMs(run)), run.signal);
 	const calledAt = services.clock.now();
+	const link = run.ctx.reach?.openCall(run.route.pool.name);
 	const reserved = await caches.reserve(decode, {tokens: toReservedTokens(run.work), ttlMs: toReservationMs(run)}, limit);
+	if (reserved.isOk() || reserved.error.kind === 'refused') {
+		link?.answer(services.clock.now());
+	} else {
+		noteLinkEnd(run, link);
+	}
+
 	if (reserved.isErr()) {
 		const {kind, reason} = reserved.error;
 		if (kind === 'refused') {
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -16,7 +16,7 @@
 import {type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	isQuarantined, noteAnswered, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
+	isQuarantined, noteAnswered, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {dropKeptCache, isCacheLeft, takeKeptCache} from './_lib/kept-cache.js';
@@ -64,6 +64,7 @@
 	const calledAt = run.ctx.services.clock.now();
 	const expectedMs = Math.max(minPrefillTimeoutMs, prefillTimeoutFactor * placement.predictedPrefillMs);
 	const limitMs = Math.min(toRemainingMs(run), prefillTimeShare * toReservationMs(run), expectedMs);
+	const link = run.ctx.reach?.openCall(run.route.pool.name);
 	const answer = await readAnswer({
 		dispatcher: run.clients.toDispatcher(server),
 		origin: server.url,
@@ -76,6 +77,7 @@
 		signal: createTimeoutSignal(limitMs, run.signal),
 	}, maxPrefillAnswerBytes);
 	if (answer.isErr()) {
+		noteLinkEnd(run, link);
 		const {kind, message} = answer.error;
 		const isSilent = kind === 'aborted' && !run.signal.aborted;
 		if (isSilent) {
@@ -85,6 +87,7 @@
 		return err(answer.error.kind === 'too-large' ? {kind: 'invalid', message} : answer.error);
 	}
 
+	link?.answer(run.ctx.services.clock.now());
 	const {status, headers, text} = answer.value;
 	handleAnswerNotice(run, server, {status, headers});
 	const reason = run.ctx.calls.toRefusal(status, headers);
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -3,6 +3,7 @@
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
 import {type ServerId} from '../../../../ports/ids.js';
+import {type LinkCall} from '../../../../ports/reach.js';
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
 import {findNoRetryReason} from './decide-retry.js';
@@ -106,6 +107,21 @@
 	return fingerprint !== undefined && ctx.suspects.isQuarantined(fingerprint, ctx.services.clock.now());
 }
 
+/**
+ * Notes the end of a call. Without an answer, it tells about the link to the
+ * server unless the request itself was aborted.
+ *
+ * @param run - The request.
+ * @param link - The call.
+ */
+export function noteLinkEnd({signal, ctx}: PlainRun, link: LinkCall | undefined): void {
+	if (signal.aborted) {
+		link?.abandon(ctx.services.clock.now());
+	} else {
+		link?.fail();
+	}
+}
+
 /**
  * Sends the request and relays the answer.
  *
@@ -119,6 +135,7 @@
 	const {exchange, ctx, clients, body} = run;
 	const headTimeout = createHeadTimeout(run);
 	const calledAt = ctx.services.clock.now();
+	const link = ctx.reach?.openCall(run.route.pool.name);
 	const ended = await sendPlain({
 		exchange,
 		dispatcher: clients.toDispatcher(server),
@@ -131,6 +148,7 @@
 		idleTimeoutMs: run.events === undefined ? ctx.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * idleTimeoutFactor,
 		checkHead(status, headers) {
 			headTimeout.end();
+			link?.answer(ctx.services.clock.now());
 			handleAnswerNotice(run, server, {status, headers});
 			const fault = findHeadFault(run, status, headers);
 			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
@@ -145,6 +163,7 @@
 		},
 	});
 	headTimeout.end();
+	noteLinkEnd(run, link);
 	if (ended.kind !== 'failed' || ended.fault.kind !== 'aborted' || run.signal.aborted) {
 		return ended;
 	}
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -11,6 +11,7 @@
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type Places} from '../../../../ports/places.js';
 import {type Quotas} from '../../../../ports/quotas.js';
+import {type Reach} from '../../../../ports/reach.js';
 import {type SharedRetryPool} from '../../../../ports/retries.js';
 import {type ServerCallHooks, type ServerCalls} from '../../../../ports/server-calls.js';
 import {type HostLoad} from '../../../../ports/shared-loads.js';
@@ -55,6 +56,8 @@
 	quotas?: Quotas;
 	/** Places at servers that report no load, as all hosts count them together; by default each host knows its own requests alone. */
 	places?: Places;
+	/** Whether this host reaches the servers of a pool, by its own calls and by what other hosts tell. */
+	reach?: Reach;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
 	/** Options of the callers' port that differ from the defaults. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -186,6 +186,7 @@
 		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
 		places: options.places,
+		reach: options.reach,
 		countOverLimit: counters.countOverLimit,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
@@ -199,6 +200,7 @@
 		tick() {
 			run.services.gate.tick();
 			options.loadSharing?.tick(run.services.placement.ownLoads());
+			options.reach?.tick();
 		},
 		isBusy: () => registry.size() > 0,
 		busyMs: gateTickMs,
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -16,7 +16,7 @@
 import {
 	type HostId, type Incarnation, type ZoneId,
 } from '../../../ports/ids.js';
-import {type HostLoad, type NamedPeer} from '../../../ports/shared-loads.js';
+import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {logQuarantined} from '../../entry/_lib/quarantine.js';
 
@@ -31,6 +31,10 @@
 	log: Log;
 	/** Requests suspected of crashing servers. */
 	suspects: CrashSuspects;
+	/** Pools whose servers answered this host lately. */
+	toAnswers?: (now: Milliseconds) => readonly PoolAnswer[];
+	/** Called for what another host tells of the pools whose servers answered it. */
+	onAnswers?: (from: string, answers: readonly PoolAnswer[]) => void;
 	/** Opens the transport to other hosts; UDP by default. */
 	open?: typeof openLoadDatagrams;
 };
@@ -100,7 +104,7 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<LoadExchange> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log, suspects, open = openLoadDatagrams,
+		address, seeds, host, zone, incarnation, clock, log, suspects, toAnswers, onAnswers, open = openLoadDatagrams,
 	} = options;
 	const peers = createPeerList({self: address, zone, seeds});
 	const shared = createSharedLoads({toMaxAgeMs: now => maxMissedMessages * (peers.isLarge(now) ? roundMs : keepAliveMs)});
@@ -144,6 +148,7 @@
 				log.info('peer heard', {peer: message.host, peerZone: message.zone, peerAddress: from});
 			}
 
+			onAnswers?.(from, message.answers ?? []);
 			peers.noteAdvertised(message.peers, now);
 			for (const fingerprint of suspects.mergeReports(message.crashes, now)) {
 				logQuarantined(log, suspects, {fingerprint, now, peer: message.host});
@@ -160,9 +165,11 @@
 			return;
 		}
 
+		const now = clock.now();
+		const answers = toAnswers?.(now);
 		sequence++;
 		socket.send({
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(clock.now()),
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}),
 		}, to);
 	}
 
--- a/src/programs/relay/start-relay/_lib/add-relay-metrics.ts
+++ b/src/programs/relay/start-relay/_lib/add-relay-metrics.ts
@@ -8,6 +8,8 @@
 	countHosts: () => number;
 	/** Time since the platform answered a read; `undefined` before the first. */
 	answerAgeMs: () => Milliseconds | undefined;
+	/** Number of pools of which this host reaches no server, although other hosts do. */
+	lostPools: () => number;
 };
 
 /** Shown until the platform has answered once. */
@@ -20,7 +22,7 @@
  * @param sources - Functions called at each scrape.
  * @returns Function to call when the platform has come back from an older copy.
  */
-export function addRelayMetrics(metrics: Metrics, {countHosts, answerAgeMs}: RelayMetricSources): {noteReset: () => void} {
+export function addRelayMetrics(metrics: Metrics, {countHosts, answerAgeMs, lostPools}: RelayMetricSources): {noteReset: () => void} {
 	metrics.createSampledGauge({name: 'hosts_known', help: 'Hosts known to this one, including itself; the retry budget is divided by this number.', sample: countHosts});
 	metrics.createSampledGauge({
 		name: 'platform_age_seconds',
@@ -30,6 +32,7 @@
 			return ageMs === undefined ? noAnswer : ageMs / msPerSecond;
 		},
 	});
+	metrics.createSampledGauge({name: 'pools_lost', help: 'Pools of which this host reaches no server, although other hosts do.', sample: lostPools});
 	const resetCounter = metrics.createCounter({name: 'platform_resets_total', help: 'Times that the platform came back from an older copy.'});
 	return {
 		noteReset() {
--- a/src/programs/relay/start-relay/_lib/open-load-sharing.ts
+++ b/src/programs/relay/start-relay/_lib/open-load-sharing.ts
@@ -5,6 +5,7 @@
 import {type Incarnation} from '../../../../ports/ids.js';
 import {type RelaySettings} from '../../../_settings/index.js';
 import {shareLoads, type LoadExchange} from '../../share-loads/index.js';
+import {type LinkWatch} from '../../watch-links/index.js';
 
 /** Returns the peer addresses of seeds, which the settings list by control address; the peer port is the same on all hosts. */
 function toPeerAddresses(seeds: readonly string[], peerAddress: string): string[] {
@@ -15,13 +16,13 @@
  * Starts to share loads. Loads of other hosts only improve placement, so a host
  * that can't receive them serves without them.
  *
- * @param options - Settings, clock, log, and the requests suspected of crashing servers.
+ * @param options - Settings, clock, log, the requests suspected of crashing servers, and the links of this host.
  * @param incarnation - Incarnation of this process.
  * @returns The running exchange; `undefined` without an address for peers, or if that address can't be opened.
  */
 export async function openLoadSharing({
-	settings, clock, log, suspects,
-}: {settings: RelaySettings; clock: Clock; log: Log; suspects: CrashSuspects}, incarnation: Incarnation): Promise<LoadExchange | undefined> {
+	settings, clock, log, suspects, links,
+}: {settings: RelaySettings; clock: Clock; log: Log; suspects: CrashSuspects; links: Pick<LinkWatch, 'toAnswers' | 'noteAnswers'>}, incarnation: Incarnation): Promise<LoadExchange | undefined> {
 	const {
 		peerAddress, seeds, hostId, zone,
 	} = settings;
@@ -31,7 +32,7 @@
 
 	try {
 		return await shareLoads({
-			address: peerAddress, seeds: toPeerAddresses(seeds, peerAddress), host: hostId, zone, incarnation, clock, log, suspects,
+			address: peerAddress, seeds: toPeerAddresses(seeds, peerAddress), host: hostId, zone, incarnation, clock, log, suspects, toAnswers: links.toAnswers, onAnswers: links.noteAnswers,
 		});
 	} catch (error) {
 		log.error('cannot open the peer address; this host places requests without the loads of other hosts', {peerAddress, reason: error instanceof Error ? error.message : String(error), remedy: 'free the address of --peer-address'});
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -4,6 +4,7 @@
  */
 import {type Log} from '../../../adapters/log/index.js';
 import {type Metrics} from '../../../adapters/metrics/index.js';
+import {probeConnection} from '../../../adapters/probe-connection/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {toRetryShare} from '../../../domain/to-retry-share/index.js';
@@ -18,6 +19,7 @@
 import {askPlaces} from '../ask-places/index.js';
 import {askQuotas} from '../ask-quotas/index.js';
 import {shareRetries} from '../share-retries/index.js';
+import {watchLinks} from '../watch-links/index.js';
 import {addRelayMetrics} from './_lib/add-relay-metrics.js';
 import {createUnusedEngine} from './_lib/create-unused-engine.js';
 import {openLoadSharing} from './_lib/open-load-sharing.js';
@@ -68,12 +70,16 @@
 	const startedAt = clock.now();
 	const incarnation = clock.wallNow();
 	const suspects = createCrashSuspects();
+	let toView: FleetLink['toView'] = () => undefined;
+	const links = watchLinks({
+		clock, random, log, toView: () => toView(), probe: probeConnection,
+	});
 	const loadSharing = await openLoadSharing({
-		settings, clock, log, suspects,
+		settings, clock, log, suspects, links,
 	}, incarnation);
 	let isConnected = () => false;
 	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
-	const relayMetrics = addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs()});
+	const relayMetrics = addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs(), lostPools: () => links.lostPools().length});
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
@@ -82,6 +88,7 @@
 		// While the platform's content may be older than what this host knows, roles must not be changed.
 		isConnected = () => follower.isConnected() && !follower.isReset();
 		answerAgeMs = follower.platformAnswerAgeMs;
+		toView = follower.toView;
 		return {
 			peerPort: 0,
 			toView: follower.toView,
@@ -112,7 +119,7 @@
 		health: relayHealth,
 		createEngine: createUnusedEngine,
 		suspects,
-		...(loadSharing && {loadSharing, places: askPlaces(loadSharing.places, clock)}),
+		...(loadSharing && {loadSharing, reach: links, places: askPlaces(loadSharing.places, clock)}),
 		...(quotas && {quotas, sharedRetries: shareRetries({toPart: retryShare.toSharedPart}, quotas, clock)}),
 	});
 	const sharing: Entry = {
