Test a host that has lost its links to all servers of a pool, which fails

Callers of such a host are refused, 40 of 40 lookups in the test, although two other hosts that it hears reach the servers. A host of the fixture can now have links of its own to the plain servers.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -19,6 +19,14 @@
 	timeoutMs: number;
 };
 
+/** What another host states about a request that it passed on to this one. */
+export type PassedRequest = {
+	/** Time left until the request's deadline. */
+	deadlineInMs: number;
+	/** Edition of the configuration by which the other host allowed the request. */
+	edition: number;
+};
+
 export type CallerExchange = {
 	requestId: RequestId;
 	method: string;
@@ -30,6 +38,8 @@
 	headers: Readonly<Record<string, string>>;
 	/** Aborts when the caller's connection ends before the complete answer was sent. */
 	disconnectSignal: AbortSignal;
+	/** Present if another host passed the request on. */
+	passed?: PassedRequest;
 	readBody: (options: ReadBodyOptions) => Promise<Result<Buffer, BodyFault>>;
 	/** Node's request, for bodies that are relayed as they arrive. */
 	incoming: IncomingMessage;
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -65,6 +65,8 @@
 	isOutcomeInStatus?: boolean;
 	/** Whether callers accept fractions of a second in `Retry-After`. */
 	hasFractionalSeconds?: boolean;
+	/** Header that tells the outcome, so that other hosts tell a problem from the answer of a server. */
+	outcomeHeader?: string;
 };
 
 /** Statuses from which callers conclude that the request did not run and will not run. */
@@ -117,6 +119,10 @@
 		headers['retry-after'] = toRetryAfterText(problem.retryAfterMs, style);
 	}
 
+	if (style.outcomeHeader !== undefined) {
+		headers[style.outcomeHeader] = problem.outcome;
+	}
+
 	const body = JSON.stringify({
 		type: `urn:banyanport:problem:${problem.kind}`,
 		title,
--- /dev/null
+++ b/test/failures/lost-links.test.ts
@@ -0,0 +1,77 @@
+/** Hosts that lose their links to every server of a pool, while callers and other hosts still reach them. */
+import assert from 'node:assert/strict';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {deadlineMs, startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
+
+/** Time after which the loss must not show any more. */
+const noticeMs = 3000;
+const asked = 40;
+
+describe('a host that has lost its links to all servers of a pool', {timeout: 120_000}, () => {
+	let fixture: RelayFixture;
+	/** Ends the requests that keep all hosts busy. */
+	const ended = new AbortController();
+	let busy: Promise<unknown>;
+	let nextId = 0;
+	before(async () => {
+		fixture = await startRelayFixture({hosts: 3, hasLinks: true});
+		busy = Promise.all([0, 1, 2].map(async at => {
+			while (!ended.signal.aborted) {
+				await fixture.ask({path: '/check/1', at, headers: {'deadline-ms': '1000'}});
+				await sleep(50);
+			}
+		}));
+	});
+	after(async () => {
+		ended.abort();
+		await busy;
+		await fixture.stop();
+	});
+
+	/** Sends lookups, which may run once at most, to one host, and returns their ids and statuses. */
+	async function askLookups(at: number): Promise<ReadonlyArray<{id: string; status: number; seal: unknown}>> {
+		const answers = [];
+		for (let i = 0; i < asked; i++) {
+			const id = `lookup-${++nextId}`;
+			const {status, headers} = await fixture.ask({at, headers: {'request-id': id, 'deadline-ms': '1000'}});
+			answers.push({id, status, seal: headers['server-seal']});
+		}
+
+		return answers;
+	}
+
+	const countRuns = (id: string): number => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id).length;
+
+	// Guards against a host that goes on taking requests which it can't send to any server.
+	it('serves requests at the first attempt, each of them run once, while other hosts reach the servers', async () => {
+		await fixture.askUntil({at: 0}, 200);
+		await fixture.cutLinks(0);
+		await sleep(noticeMs);
+		const answers = await askLookups(0);
+		assert.deepEqual(answers.filter(({status}) => status !== 200), []);
+		for (const {id, seal} of answers) {
+			assert.equal(countRuns(id), 1);
+			assert.match(String(seal), /^seal-of-desk/v);
+		}
+	});
+
+	it('calls the servers itself within a second after the links are back', async () => {
+		await fixture.healLinks(0);
+		await waitUntil(() => fixture.logs().some(({message}) => message === 'servers of the pool can be reached again'), {deadlineMs, what: 'the links'});
+		const answers = await askLookups(0);
+		assert.deepEqual(answers.filter(({status}) => status !== 200), []);
+	});
+
+	it('refuses at once as not run if no host reaches the servers', async () => {
+		await Promise.all([0, 1, 2].map(async host => fixture.cutLinks(host)));
+		await sleep(noticeMs);
+		const {status, headers, tookMs} = await fixture.ask({at: 0, headers: {'deadline-ms': '5000'}});
+		assert.equal(status, 503);
+		assert.notEqual(headers['retry-after'], undefined);
+		assert.ok(tookMs < 2500, `${tookMs} ms`);
+	});
+});
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -12,6 +12,7 @@
 import {findUdpAddress} from '../../_lib/find-udp-address/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {type ServerFault} from './apply-server-fault.js';
+import {startHostLinks} from './host-links.js';
 import {sendCall, type Answer, type RelayCall} from './send-call.js';
 import {startServerStandIn, type ServerStandIn, type ServerStandInOptions} from './server.js';
 import {startStoreStandIn, type StoreStandIn} from './store.js';
@@ -32,6 +33,9 @@
 	/** Sets the tenants that later publications of routes contain; without them callers need no key. */
 	setTenants: (tenants: ReadonlyArray<Record<string, unknown>>) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
+	/** Cuts the links of a host to all plain servers; only with `hasLinks`. */
+	cutLinks: (host: number) => Promise<void>;
+	healLinks: (host: number) => Promise<void>;
 	/** `IP:port` of each host for its peers; empty with a single host. */
 	peerAddresses: readonly string[];
 	/** Servers in the view of a host. */
@@ -90,6 +94,8 @@
 export type RelayFixtureOptions = Partial<ServerStandInOptions> & {
 	/** Number of hosts; several hosts gossip with each other. */
 	hosts?: number;
+	/** Whether each host has links of its own to the plain servers. */
+	hasLinks?: boolean;
 	/** Retries beyond the ratio that all hosts together may make; each host may make a twentieth of them. */
 	retrySlack?: number;
 	/** Time after its start in which a host makes no retries from the slack; `0s` by default, as on a host that has run for long. */
@@ -160,8 +166,7 @@
 	return {relay, callerPort, operatorPort};
 }
 
-async function start({hosts: hostCount = 1, retrySlack = 400, retryWindow = '0s', ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
-	const store = await startStoreStandIn();
+async function start({hosts: hostCount = 1, hasLinks = false, retrySlack = 400, retryWindow = '0s', ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
 	const caches = new Set<string>();
 	// The relay may choose any server of a kind, so the servers of a kind share their faults.
 	const sharedFaults: Record<string, ServerFault[]> = {desk: [], prefill: [], decode: []};
@@ -173,17 +178,24 @@
 		desk1, desk2, prefill1, prefill2, decode1, decode2,
 	};
 	const collected = createCollectedLines();
+	const links = await Promise.all(Array.from({length: hasLinks ? hostCount : 0}, async () => startHostLinks([desk1.address, desk2.address])));
+	// A host with links of its own reads the addresses of its links in a store of its own.
+	const stores = await Promise.all(Array.from({length: Math.max(1, links.length)}, async () => startStoreStandIn()));
+	const store = stores[0]!;
 	const publishServer: RelayFixture['publishServer'] = (server, change = {}) => {
 		const [kind] = /^[a-z]+/v.exec(server.id) ?? [];
 		const stage = kind === 'desk' ? undefined : kind;
-		store.put(`servers/${server.id}`, {
-			service: stage === undefined ? 'desk' : 'model', address: server.address, zone: /^[a-z]+1/v.test(server.id) ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
-		});
+		const entry = {
+			service: stage === undefined ? 'desk' : 'model', zone: /^[a-z]+1/v.test(server.id) ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
+		};
+		for (const [i, one] of stores.entries()) {
+			one.put(`servers/${server.id}`, {address: links[i]?.toAddress(server.address) ?? server.address, ...entry});
+		}
 	};
 
 	let tenants: ReadonlyArray<Record<string, unknown>> | undefined;
 	const publishRoutes: RelayFixture['publishRoutes'] = (version, change = route => route) => {
-		store.put('op/config', {
+		const published = {
 			version,
 			routes: routes.map(route => change({...route, host})).filter(route => route !== undefined),
 			services,
@@ -191,7 +203,10 @@
 			limits: {
 				header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
 			},
-		});
+		};
+		for (const one of stores) {
+			one.put('op/config', published);
+		}
 	};
 
 	if (isPublished) {
@@ -204,7 +219,7 @@
 
 	const peerAddresses = hostCount === 1 ? [] : await findPeerAddresses(hostCount);
 	const hosts = await Promise.all(Array.from({length: hostCount}, async (_, i) => startHost({
-		name: `front-a-${i + 1}`, store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack, retryWindow,
+		name: `front-a-${i + 1}`, store: stores[i] ?? store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack, retryWindow,
 	})));
 	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
 	const ask = async (asked: RelayCall) => sendCall(hosts[asked.at ?? 0]!.callerPort, {host, asked});
@@ -226,6 +241,8 @@
 			tenants = next;
 		},
 		publishServer,
+		cutLinks: async host => links[host]!.cut(),
+		healLinks: async host => links[host]!.heal(),
 		peerAddresses,
 		knownServers: host => new Set(hosts[host]!.relay.view()?.servers.keys()),
 		async isReady() {
@@ -242,7 +259,7 @@
 				await Promise.all(hosts.map(async ({relay}) => relay.stop()));
 			}
 
-			await Promise.all([store.close(), ...Object.values(servers).map(async server => server.close())]);
+			await Promise.all([...links.map(async one => one.stop()), ...stores.map(async one => one.close()), ...Object.values(servers).map(async server => server.close())]);
 		},
 	};
 }
