Pass requests on to a host that reaches the pool's servers

What callers saw: a host that had lost its links to all servers of a pool, or of any, took their requests all the same; each ended at its deadline or with 502 or 503.

Cause: nothing concluded anything from all servers of a pool failing at once. Health ejects single servers and ignores the signal when most look bad; being cut off needs the platform and the other zones to be silent too. The class of fault: a failure of this host's own links treated as failures of servers.

Change: while a pool is lost (create-pool-links), or two of its servers could not be reached for a request, the request goes to a host that told of answers from the pool in the last two seconds, on the TCP port of its peer address. That host serves it within its own limits, never passes it on, doesn't charge the workspace again, and refuses it if its configuration is older. Its own problems carry their outcome in a header; 'not-run' lets the request go to another host, anything else counts as may have run. Hosts whose callers use TLS don't take part, as requests are passed on in plain text.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -8,6 +8,7 @@
 import {v7 as createUuidV7} from 'uuid';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestId} from '../../../ports/ids.js';
+import {type PassedRequest} from '../../../ports/reach.js';
 import {type Problem, type ProblemStyle, toProblem} from '../../../domain/to-problem/index.js';
 import {createBodyWriter} from './create-body-writer.js';
 import {createSizedBody, hasBody, toLength} from './create-sized-body.js';
@@ -19,14 +20,6 @@
 	timeoutMs: number;
 };
 
-/** What another host states about a request that it passed on to this one. */
-export type PassedRequest = {
-	/** Time left until the request's deadline. */
-	deadlineInMs: number;
-	/** Edition of the configuration by which the other host allowed the request. */
-	edition: number;
-};
-
 export type CallerExchange = {
 	requestId: RequestId;
 	method: string;
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -15,9 +15,7 @@
 import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
 import {type CallerExchange, createExchange, type ExchangeOptions} from './_lib/exchange.js';
 
-export {
-	type AnswerHeaders, type BodyFault, type CallerExchange, type PassedRequest,
-} from './_lib/exchange.js';
+export {type AnswerHeaders, type BodyFault, type CallerExchange} from './_lib/exchange.js';
 
 /** Handlers that answer an exchange each. A rejection is a fault of the program. */
 export type CallerHandlers = {
--- a/src/ports/reach.ts
+++ b/src/ports/reach.ts
@@ -14,6 +14,14 @@
 	abandon: (now: Milliseconds) => void;
 };
 
+/** What a host states about a request that it passes on to another one. */
+export type PassedRequest = {
+	/** Time left until the request's deadline. */
+	deadlineInMs: Milliseconds;
+	/** Edition of the configuration by which the host allowed the request. */
+	edition: number;
+};
+
 export type Reach = {
 	/** Notes the start of a call to a server of the pool. */
 	openCall: (pool: string) => LinkCall;
--- a/src/programs/entry/_lib/passed-headers.ts
+++ b/src/programs/entry/_lib/passed-headers.ts
@@ -1,6 +1,7 @@
 /** Headers that a request and its answer carry between two hosts only. */
-import {type CallerExchange, type PassedRequest} from '../../../adapters/caller-http/index.js';
+import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Outcome} from '../../../ports/outcome.js';
+import {type PassedRequest} from '../../../ports/reach.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
 
 const deadlineHeader = 'x-banyanport-deadline-ms';
--- a/src/programs/entry/_lib/plain-clients.ts
+++ b/src/programs/entry/_lib/plain-clients.ts
@@ -6,7 +6,7 @@
 import {type ServerId} from '../../../ports/ids.js';
 
 export type PlainClients = {
-	toDispatcher: (server: ServerEntry) => Dispatcher;
+	toDispatcher: (server: Pick<ServerEntry, 'id'>) => Dispatcher;
 	keepOnly: (servers: ReadonlySet<ServerId>) => void;
 	close: () => Promise<void>;
 };
--- a/src/programs/entry/_lib/problems.ts
+++ b/src/programs/entry/_lib/problems.ts
@@ -1,5 +1,5 @@
 /** Problems shared by the handlers of all kinds of requests. */
-import {type BodyFault} from '../../../adapters/caller-http/index.js';
+import {type BodyFault, type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {type GateRefusal} from '../gate/index.js';
@@ -32,6 +32,19 @@
 	};
 }
 
+/**
+ * Finds whether this host lacks the configuration by which another host passed a
+ * request on. If it decided by an older one, the caller would see rules go back.
+ *
+ * @param exchange - The request.
+ * @param ctx - Services of the entry.
+ * @returns The problem if it does; `undefined` for a request of a caller of this host.
+ */
+export function findBehind({passed}: CallerExchange, {services}: ServeContext): Problem | undefined {
+	const edition = services.toView()?.accepted?.version.edition ?? 0;
+	return passed !== undefined && edition < passed.edition ? toBehindProblem(`The request was allowed by edition ${passed.edition}.`) : undefined;
+}
+
 const endDetails = {
 	'deadline-passed': 'The deadline passed before the answer began.',
 	stopping: 'This host was stopped before the answer was whole.',
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -1,4 +1,5 @@
 /** Types shared by the handlers of callers' requests. */
+import {type Dispatcher} from 'undici';
 import {type Log} from '../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
@@ -41,6 +42,8 @@
 	places: Places | undefined;
 	/** Whether this host reaches the servers of a pool; absent where hosts do not tell each other. */
 	reach?: Reach | undefined;
+	/** Returns the connections to another host, by its `IP:port`. */
+	toPeerDispatcher: (address: string) => Dispatcher;
 	/** Limits of workspaces. */
 	quotas: Quotas;
 	/** Counts a request that was refused because its workspace had used its limit. */
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -1,4 +1,5 @@
 /** Sends one step of a relayed request to one server. */
+import {type Dispatcher} from 'undici';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
@@ -42,8 +43,13 @@
  * A server that answers twice or late may send the answer to another request on a
  * kept-alive connection. If that were relayed, one caller would read the answer of
  * another.
+ *
+ * @param run - The request.
+ * @param status - Status of the answer.
+ * @param headers - Its headers by lower-case name.
+ * @returns Why the answer is not relayed; `undefined` if it is.
  */
-function findHeadFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
+export function findHeadFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
 	const {calls} = run.ctx;
 	if (!calls.isAnswerTo(run.exchange.requestId, headers)) {
 		return {kind: 'invalid', message: `status ${status}, an answer to another request`};
@@ -132,15 +138,51 @@
  * @returns How the call ended; after `failed` nothing has been relayed.
  */
 export async function sendRequest(run: PlainRun, server: ServerEntry, step: CallStep, onFirst: () => void): Promise<PlainEnd> {
-	const {exchange, ctx, clients, body} = run;
-	const headTimeout = createHeadTimeout(run);
+	const {ctx, clients} = run;
 	const calledAt = ctx.services.clock.now();
 	const link = ctx.reach?.openCall(run.route.pool.name);
-	const ended = await sendPlain({
-		exchange,
+	const ended = await sendTo(run, {
+		url: server.url,
 		dispatcher: clients.toDispatcher(server),
-		server,
 		headers: toCallHeaders(run, server, step),
+		findFault(status, headers) {
+			link?.answer(ctx.services.clock.now());
+			handleAnswerNotice(run, server, {status, headers});
+			const fault = findHeadFault(run, status, headers);
+			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
+			return fault;
+		},
+		onFirst,
+	});
+	noteLinkEnd(run, link);
+	return ended;
+}
+
+/** Where a request is sent. */
+export type Destination = {
+	/** Origin of the server, or of another host. */
+	url: string;
+	dispatcher: Dispatcher;
+	headers: Record<string, string | string[]>;
+	/** Checks the head of the answer; a fault ends the call, and nothing of the answer is relayed. */
+	findFault: (status: number, headers: AnswerHeaders) => PlainFault | undefined;
+	/** Called at the head of an answer that does not report a failure of the server. */
+	onFirst?: () => void;
+};
+
+/**
+ * Sends the request to a server or to another host, and relays the answer.
+ *
+ * @param run - The request.
+ * @param destination - See {@link Destination}.
+ * @returns How the call ended; after `failed` nothing has been relayed.
+ */
+export async function sendTo(run: PlainRun, {findFault, onFirst, ...destination}: Destination): Promise<PlainEnd> {
+	const {exchange, ctx, body} = run;
+	const headTimeout = createHeadTimeout(run);
+	const ended = await sendPlain({
+		...destination,
+		exchange,
 		payload: body.open(),
 		events: run.events,
 		signal: headTimeout.signal,
@@ -148,22 +190,17 @@
 		idleTimeoutMs: run.events === undefined ? ctx.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * idleTimeoutFactor,
 		checkHead(status, headers) {
 			headTimeout.end();
-			link?.answer(ctx.services.clock.now());
-			handleAnswerNotice(run, server, {status, headers});
-			const fault = findHeadFault(run, status, headers);
-			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
-			return fault;
+			return findFault(status, headers);
 		},
 		onStart(status) {
 			ctx.services.gate.noteFirstToken(exchange.requestId);
 			run.firstByteAt ??= ctx.services.clock.now();
 			if (status < minServerErrorStatus) {
-				onFirst();
+				onFirst?.();
 			}
 		},
 	});
 	headTimeout.end();
-	noteLinkEnd(run, link);
 	if (ended.kind !== 'failed' || ended.fault.kind !== 'aborted' || run.signal.aborted) {
 		return ended;
 	}
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -1,7 +1,7 @@
 /** Outcomes of plain requests that end without an answer, with the problems that their callers are told. */
 import {type PlacementRefusal} from '../../../../domain/create-placement/index.js';
-import {type ServerEntry} from '../../../../ports/config.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
+import {type ServerId} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
@@ -59,7 +59,7 @@
 }
 
 /** Returns the outcome of a request that is not retried after a failed call. */
-export function toGivenUp(run: PlainRun, server: ServerEntry, fault: PlainFault): PlainOutcome {
+export function toGivenUp(run: PlainRun, called: ServerId, fault: PlainFault): PlainOutcome {
 	const bodyFault = run.body.fault();
 	const outcome = run.ledger.outcome();
 	if (bodyFault !== undefined) {
@@ -68,13 +68,13 @@
 	}
 
 	if (run.ctx.services.clock.now() >= run.deadline) {
-		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${server.id} had not begun its answer when the deadline passed.`, outcome}};
+		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${called} had not begun its answer when the deadline passed.`, outcome}};
 	}
 
 	if (fault.kind === 'refused' && outcome === 'not-run') {
 		return {
 			end: 'refused', outcome, problem: {
-				kind: 'no-capacity', detail: `Server ${server.id} refused the request: ${fault.reason}.`, outcome, retryAfterMs: addJitter(run, msPerSecond),
+				kind: 'no-capacity', detail: `Server ${called} refused the request: ${fault.reason}.`, outcome, retryAfterMs: addJitter(run, msPerSecond),
 			},
 		};
 	}
@@ -84,7 +84,7 @@
 		end: toEnd(outcome),
 		outcome,
 		problem: {
-			kind: 'backend-failed', detail: `Server ${server.id} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: addJitter(run, msPerSecond)}),
+			kind: 'backend-failed', detail: `Server ${called} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: addJitter(run, msPerSecond)}),
 		},
 	};
 }
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -43,6 +43,10 @@
 	isDecodeOnly: boolean;
 	/** Cache of the prompt that the last attempt computed and whose decode server was lost before it fetched the cache. */
 	kept?: PromptCache | undefined;
+	/** `IP:port` of the hosts to which the request was passed on. */
+	peersTried: Set<string>;
+	/** Number of servers to which no connection could be made. */
+	unreached: number;
 	/** Number of times that every server was full. */
 	bounces: number;
 	/** Monotonic time of the first byte of an answer. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -9,6 +9,7 @@
 import {type ServerEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
 import {callPair, dropKeptCache} from '../call-pair/index.js';
+import {findPeer, passOn} from '../pass-on/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {recordPlacement} from '../_lib/record-placement.js';
 import {noteBrokenCall} from '../_lib/quarantine.js';
@@ -38,8 +39,13 @@
 
 type AttemptResult =
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
+	| {kind: 'passed-on'; peer: string; ended: PlainEnd}
 	| {kind: 'bounced' | 'not-placed'; refusal: PlacementRefusal};
 
+type CalledResult = Extract<AttemptResult, {ended: PlainEnd}>;
+
+const isNotCalled = (result: AttemptResult): result is Exclude<AttemptResult, CalledResult> => result.kind === 'bounced' || result.kind === 'not-placed';
+
 /** Calls one server of a plain service, and updates the account, the outcome ledger and the placement. */
 async function callPlainServer(run: PlainRun, attempt: number): Promise<AttemptResult> {
 	const {account, ledger, route} = run;
@@ -70,6 +76,11 @@
 }
 
 async function runAttempt(run: PlainRun): Promise<AttemptResult> {
+	const peer = findPeer(run);
+	if (peer !== undefined) {
+		return {kind: 'passed-on', peer, ended: await passOn(run, peer)};
+	}
+
 	const {caches} = run.ctx.calls;
 	const attempt = run.tried.length + 1;
 	return run.route.pool.kind === 'model' && caches !== undefined ? callPair(run, caches, attempt) : callPlainServer(run, attempt);
@@ -101,18 +112,24 @@
 			return toAborted(run);
 		}
 
-		if (attempted.kind !== 'called') {
+		if (isNotCalled(attempted)) {
+			if (findPeer(run) !== undefined) {
+				continue;
+			}
+
 			const {refusal} = attempted;
 			run.account.addStage('not placed', {...refusal.account(), reason: refusal.reason});
 			logNoServer(run, attempted);
 			return attempted.kind === 'bounced' ? toBounced(run, refusal) : toNotPlaced(run, refusal);
 		}
 
-		const {server, ended, hasRun} = attempted;
+		const {ended} = attempted;
+		const hasRun = attempted.kind === 'passed-on' || attempted.hasRun;
+		const calledId = attempted.kind === 'passed-on' ? attempted.peer : attempted.server.id;
 		if (ended.kind === 'complete') {
 			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 			noteCompleted(run);
-			logConnectionEnd(run, server, ended.answer);
+			logConnectionEnd(run, calledId, ended.answer);
 			return {end: 'complete', outcome: 'ran'};
 		}
 
@@ -122,8 +139,8 @@
 		}
 
 		run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
-		reportFailure(run, server, ended.fault);
-		run.tried.push({server: server.id, zone: server.zone});
+		reportFailure(run, attempted, ended.fault);
+		run.tried.push({server: calledId, zone: attempted.kind === 'passed-on' ? '' : attempted.server.zone});
 		const decision = await decideRetry(run, ended.fault, hasRun);
 		if (ended.kind === 'cut' && (decision.kind === 'give-up' || run.events === undefined)) {
 			run.exchange.destroy();
@@ -131,7 +148,7 @@
 		}
 
 		if (decision.kind === 'give-up') {
-			return toGivenUp(run, server, ended.fault);
+			return toGivenUp(run, calledId, ended.fault);
 		}
 
 		await waitUnlessAborted(run, decision.delayMs);
@@ -148,9 +165,9 @@
 }
 
 /** Logs an answer that ended with its connection, whose end is known from its content alone. */
-function logConnectionEnd({log, tried}: PlainRun, server: ServerEntry, {framing}: AnswerEnd): void {
+function logConnectionEnd({log, tried}: PlainRun, server: string, {framing}: AnswerEnd): void {
 	if (framing === 'connection') {
-		log.info('answer ended with its connection', {attempt: tried.length + 1, server: server.id});
+		log.info('answer ended with its connection', {attempt: tried.length + 1, server});
 	}
 }
 
@@ -167,7 +184,25 @@
 	}
 }
 
-function reportFailure(run: PlainRun, server: ServerEntry, fault: PlainFault): void {
+/** Reports a failed call of another host, which says nothing about a server. */
+function reportPeerFailure(run: PlainRun, peer: string, fault: PlainFault): void {
+	const attempt = run.tried.length + 1;
+	run.account.addStage('attempt failed', {
+		attempt, peer, failure: fault.kind, message: fault.message,
+	});
+	run.log.info('attempt failed', {
+		attempt, peerAddress: peer, kind: fault.kind, reason: fault.message,
+	});
+}
+
+function reportFailure(run: PlainRun, attempted: CalledResult, fault: PlainFault): void {
+	if (attempted.kind === 'passed-on') {
+		reportPeerFailure(run, attempted.peer, fault);
+		return;
+	}
+
+	const {server} = attempted;
+	run.unreached += fault.kind === 'unreachable' ? 1 : 0;
 	const {services} = run.ctx;
 	const attempt = run.tried.length + 1;
 	const reason = fault.kind === 'refused' ? fault.reason : undefined;
--- /dev/null
+++ b/src/programs/entry/pass-on/index.ts
@@ -0,0 +1,79 @@
+/**
+ * Passes a request on to another host, because this one has lost its links to the
+ * servers of the pool. The other host serves it within its own limits, as if its
+ * caller had sent it there, and never passes it on again.
+ */
+import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
+import {type AnswerHeaders} from '../../../ports/server-calls.js';
+import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
+import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
+import {findHeadFault, sendTo, toRemainingMs} from '../call-plain/_lib/send-step.js';
+import {type PlainRun} from '../call-plain/_lib/types.js';
+import {readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
+
+/** Number of servers that could not be reached, after which a request is passed on before the links count as lost. */
+const maxUnreached = 2;
+
+/**
+ * Finds the host to which a request is passed on next.
+ *
+ * @param run - The request.
+ * @returns `IP:port` of the host; `undefined` if this host is to call a server.
+ */
+export function findPeer(run: PlainRun): string | undefined {
+	const {exchange, body, route, ctx, peersTried, unreached} = run;
+	const {reach} = ctx;
+	if (reach === undefined || exchange.passed !== undefined || body.isTaken()) {
+		return undefined;
+	}
+
+	const isDue = reach.isLost(route.pool.name) || unreached >= maxUnreached;
+	return isDue ? reach.pickPeer(route.pool.name, peersTried) : undefined;
+}
+
+/** Checks the head of the other host's answer, which is either the answer of a server or a problem of that host. */
+function findPeerFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
+	const outcome = readOutcome(headers);
+	if (outcome === undefined) {
+		return findHeadFault(run, status, headers);
+	}
+
+	const message = `the other host answered ${status}`;
+	return outcome === 'not-run' ? {kind: 'refused', reason: 'other', message} : {kind: 'failed-answer', message};
+}
+
+function toHeaders(run: PlainRun): Record<string, string | string[]> {
+	const {exchange, route, events} = run;
+	return {
+		...toForwardHeaders(exchange.headers) as Record<string, string>,
+		...toPassedHeaders({deadlineInMs: toRemainingMs(run), edition: route.edition}),
+		...(events?.lastId !== undefined && {'last-event-id': events.lastId}),
+	};
+}
+
+/**
+ * Passes a request on and relays the answer.
+ *
+ * @param run - The request.
+ * @param address - `IP:port` of the other host.
+ * @returns How the call ended; after `failed` nothing has been relayed.
+ */
+export async function passOn(run: PlainRun, address: string): Promise<PlainEnd> {
+	const {account, ledger, ctx, log, peersTried} = run;
+	const attempt = run.tried.length + 1;
+	account.addStage('passed on', {attempt, peer: address});
+	log.info('passed on', {attempt, peerAddress: address, pool: run.route.pool.name});
+	peersTried.add(address);
+	ledger.noteOffered();
+	const ended = await sendTo(run, {
+		url: `http://${address}`,
+		dispatcher: ctx.toPeerDispatcher(address),
+		headers: toHeaders(run),
+		findFault: (status, headers) => findPeerFault(run, status, headers),
+	});
+	if (ended.kind === 'failed' && !mayHaveStarted(ended.fault)) {
+		ledger.noteNotStarted();
+	}
+
+	return ended;
+}
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -10,7 +10,6 @@
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type ServerEntry} from '../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../ports/engine.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
 import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
@@ -37,7 +36,8 @@
 export type PlainCall = {
 	exchange: CallerExchange;
 	dispatcher: Dispatcher;
-	server: ServerEntry;
+	/** URL of the server, or of the host that passes the request on to one. */
+	url: string;
 	headers: Record<string, string | string[]>;
 	payload: Buffer | AsyncIterable<Uint8Array> | undefined;
 	signal: AbortSignal;
@@ -75,14 +75,14 @@
  * @returns How the call ended; after `failed` nothing was sent to the caller.
  */
 export async function sendPlain(call: PlainCall): Promise<PlainEnd> {
-	const {exchange, server, signal} = call;
+	const {exchange, url, signal} = call;
 	return new Promise(resolve => {
 		let status = 0;
 		const {events} = call;
 		const relay = events === undefined ? createRelay(call) : createEventRelay({...call, events});
 		dispatchCall({
 			dispatcher: call.dispatcher,
-			origin: server.url,
+			origin: url,
 			method: exchange.method,
 			path: exchange.target,
 			headers: call.headers,
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -28,7 +28,9 @@
 import {toKeyedOptions} from '../_lib/to-keyed-options.js';
 import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
-import {findOverload, toBodyProblem, toGateProblem} from '../_lib/problems.js';
+import {
+	findBehind, findOverload, toBodyProblem, toGateProblem,
+} from '../_lib/problems.js';
 import {toQuarantineProblem} from '../_lib/quarantine.js';
 import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toHostName} from '../_lib/route.js';
@@ -201,7 +203,7 @@
 	const routed = ctx.route({
 		headers: exchange.headers, host: toHostName(exchange.headers.host), path: exchange.path, model: work.model, promptTokens: work.promptTokens, random: services.random,
 	}, services.toView());
-	const refusal = findOverload(ctx) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
+	const refusal = findOverload(ctx) ?? findBehind(exchange, ctx) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
 	const refuse = (problem: Problem | 'gone' | undefined, fingerprint?: Fingerprint) => {
 		if (problem !== undefined && problem !== 'gone') {
 			reportRefused(problem, {
@@ -232,12 +234,16 @@
 		return;
 	}
 
-	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity);
-	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => serveCharged(async () => runRouted({
+	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity, exchange.passed?.deadlineInMs ?? Infinity);
+	const run = async (caller: CallerExchange): Promise<KeyedVerdict> => runRouted({
 		exchange: caller, route, ctx, clients, account, receivedAt, work, body: body.value, deadline, fingerprint,
-	}), {
-		route, hints: work, account, quotas: ctx.quotas, random: services.random, countOverLimit: ctx.countOverLimit, refuse,
 	});
+	// The host that passed a request on has charged it.
+	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => caller.passed === undefined
+		? serveCharged(async () => run(caller), {
+			route, hints: work, account, quotas: ctx.quotas, random: services.random, countOverLimit: ctx.countOverLimit, refuse,
+		})
+		: run(caller);
 	await (key.value === undefined || ctx.claims === undefined
 		? serveOne(exchange)
 		: serveKeyed(ctx.claims, exchange, {
@@ -253,7 +259,7 @@
 	});
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'runs' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'peersTried' | 'unreached' | 'runs' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
 	const {
 		exchange, route, ctx, account, deadline, fingerprint,
 	} = input;
@@ -267,7 +273,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], runs: 0, isDecodeOnly: false, bounces: 0,
+			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], peersTried: new Set(), unreached: 0, runs: 0, isDecodeOnly: false, bounces: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
--- /dev/null
+++ b/src/programs/entry/start-entry/_lib/listen-for-peers.ts
@@ -0,0 +1,47 @@
+/** The port on which other hosts pass requests on to this one. */
+import {startCallerServer, type CallerHandlers, type CallerServer} from '../../../../adapters/caller-http/index.js';
+import {outcomeHeader, readPassed} from '../../_lib/passed-headers.js';
+import {type EntryOptions} from './types.js';
+
+/**
+ * Starts the port. Without it this host still serves its own callers, so a port that
+ * can't be opened is only logged.
+ *
+ * @param options - Options of the entry; nothing is started without an address for peers.
+ * @param handlers - Handlers of callers' requests.
+ * @returns The running server, or none.
+ */
+export async function listenForPeers({peerListener, settings, log, callers}: EntryOptions, handlers: CallerHandlers): Promise<readonly CallerServer[]> {
+	if (peerListener === undefined) {
+		return [];
+	}
+
+	try {
+		return [await startCallerServer({
+			bind: peerListener.bind,
+			port: peerListener.port,
+			maxConnections: settings.maxConnections,
+			maxHeaderBytes: settings.maxHeaderBytes,
+			headersTimeoutMs: settings.headerTimeout,
+			keepAliveTimeoutMs: settings.keepAliveTimeout,
+			writeTimeoutMs: settings.writeTimeout,
+			isRelayOnly: true,
+			requestIdHeader: callers?.requestIdHeader,
+			problemStyle: {outcomeHeader},
+		}, {
+			...handlers,
+			async plain(exchange) {
+				const passed = readPassed(exchange);
+				if (passed === undefined) {
+					exchange.sendProblem({kind: 'bad-request', detail: 'This port takes requests that another host passes on.', outcome: 'not-run'});
+					return;
+				}
+
+				await handlers.plain(passed);
+			},
+		})];
+	} catch (error) {
+		log.error('cannot open the port for requests of other hosts; they can pass none on to this host', {...peerListener, reason: error instanceof Error ? error.message : String(error)});
+		return [];
+	}
+}
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -60,6 +60,8 @@
 	reach?: Reach;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
+	/** Address on which other hosts pass requests on to this one; by default they can't. */
+	peerListener?: {bind: string; port: number} | undefined;
 	/** Options of the callers' port that differ from the defaults. */
 	callers?: Pick<CallerServerOptions, 'isRelayOnly' | 'requestIdHeader' | 'problemStyle'>;
 };
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -24,6 +24,8 @@
 import {createEntryMetrics} from '../_lib/create-entry-metrics.js';
 import {toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
+import {joinCallerServers} from './_lib/join-caller-servers.js';
+import {listenForPeers} from './_lib/listen-for-peers.js';
 import {createHandlers} from './_lib/create-handlers.js';
 import {createReadiness} from './_lib/create-readiness.js';
 import {type Entry, type EntryCoreSettings, type EntryOptions} from './_lib/types.js';
@@ -128,6 +130,7 @@
 	const ledger = createSloLedger({host: settings.hostId});
 	const engines = createEngines(server => options.createEngine(server, {onDropped: counters.countDroppedTokens}));
 	const clients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout, ...(options.serverIdleMs !== undefined && {idleMs: options.serverIdleMs})});
+	const peerClients = createPlainClients({connectTimeoutMs: settings.engineConnectTimeout});
 	const registry = createRunRegistry();
 	const accounts = createAccounts({limit: maxAccounts, now: clock.now, wallNow: clock.wallNow});
 	const run = createRunServices({
@@ -187,6 +190,7 @@
 		handleNotice,
 		places: options.places,
 		reach: options.reach,
+		toPeerDispatcher: address => peerClients.toDispatcher({id: address}),
 		countOverLimit: counters.countOverLimit,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
@@ -206,7 +210,8 @@
 		busyMs: gateTickMs,
 		idleMs: idleTickMs,
 	});
-	const callers = await listenForCallers(options, createHandlers(ctx, clients, ticker));
+	const handlers = createHandlers(ctx, clients, ticker);
+	const callers = joinCallerServers(await listenForCallers(options, handlers), await listenForPeers(options, handlers));
 	opened.callers = callers;
 	const bounds = link.toView()?.accepted?.config.callers;
 	if (bounds !== undefined) {
@@ -245,7 +250,7 @@
 			await link.leave();
 			ticker.stop();
 			stopPauseWatch();
-			await Promise.all([engines.close(), clients.close(), operators.close(operatorCloseTimeoutMs)]);
+			await Promise.all([engines.close(), clients.close(), peerClients.close(), operators.close(operatorCloseTimeoutMs)]);
 		},
 		async abandon() {
 			const left = registry.abandon();
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -57,6 +57,13 @@
 	return Number(address.slice(address.lastIndexOf(':') + 1));
 }
 
+/** Returns the address on which other hosts pass requests on to this one. They do so in plain text, so not where callers use TLS. */
+function toPeerListener({settings: {peerAddress}, keys}: RelayOptions): EntryOptions['peerListener'] {
+	return peerAddress === undefined || keys?.caller !== undefined
+		? undefined
+		: {bind: peerAddress.slice(0, peerAddress.lastIndexOf(':')), port: toPort(peerAddress)};
+}
+
 /**
  * Starts the relay.
  *
@@ -119,7 +126,9 @@
 		health: relayHealth,
 		createEngine: createUnusedEngine,
 		suspects,
-		...(loadSharing && {loadSharing, reach: links, places: askPlaces(loadSharing.places, clock)}),
+		...(loadSharing && {
+			loadSharing, reach: links, peerListener: toPeerListener(options), places: askPlaces(loadSharing.places, clock),
+		}),
 		...(quotas && {quotas, sharedRetries: shareRetries({toPart: retryShare.toSharedPart}, quotas, clock)}),
 	});
 	const sharing: Entry = {
