--- a/src/programs/relay/watch-links/index.ts
+++ b/src/programs/relay/watch-links/index.ts
@@ -56,6 +56,7 @@
  */
 export function watchLinks({clock, random, log, toView, probe}: WatchLinksOptions): LinkWatch {
 	const pools = new Map<string, PoolLinks>();
+	const logged = new Set<string>();
 	const peers = createPeerLinks();
 
 	function toLinks(pool: string): PoolLinks {
@@ -65,14 +66,25 @@
 	}
 
 	async function probePool(pool: string, links: PoolLinks): Promise<void> {
-		const before = links.state();
-		const silenceMs = Math.round(links.toSilenceMs(clock.now()));
 		const servers = pickServers(toView()?.accepted?.config.servers.filter(server => server.pool === pool) ?? [], random);
 		links.noteProbing();
 		const connected = await Promise.all(servers.map(async ({url}) => probe(url, probeTimeoutMs)));
 		links.noteProbed(servers.length === 0 || connected.includes(true), clock.now());
-		if (links.state() !== before) {
-			log.warn(before === 'reached' ? 'no server of the pool can be reached' : 'servers of the pool can be reached again', {pool, count: servers.length, durationMs: silenceMs});
+	}
+
+	/** Logs a change, whether a probe or an answer showed it. */
+	function logChange(pool: string, links: PoolLinks, now: Milliseconds): void {
+		const isLost = links.state() === 'lost';
+		if (isLost === logged.has(pool)) {
+			return;
+		}
+
+		if (isLost) {
+			logged.add(pool);
+			log.warn('no server of the pool can be reached', {pool, durationMs: Math.round(links.toSilenceMs(now))});
+		} else {
+			logged.delete(pool);
+			log.warn('servers of the pool can be reached again', {pool});
 		}
 	}
 
@@ -92,6 +104,7 @@
 		tick() {
 			const now = clock.now();
 			for (const [pool, links] of pools) {
+				logChange(pool, links, now);
 				if (links.isProbeDue(peers.toAnsweredAt(toHash32(pool)), now)) {
 					void probePool(pool, links);
 				}
