--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -13,8 +13,12 @@
 /** Workspaces that are named in metrics; others are counted together. */
 const maxNamedWorkspaces = 20;
 
+const passedEnds = ['served', 'not-run', 'failed'] as const;
 const cancelEnds = ['confirmed', 'server-gone', 'too-old', 'displaced'] as const;
 
+/** How a request that was passed on to another host ended there. */
+export type PassedEnd = typeof passedEnds[number];
+
 /**
  * Creates the entry's metrics.
  *
@@ -45,6 +49,7 @@
 	const overLimit = metrics.createCounter({
 		name: 'over_limit_total', help: 'Requests refused because their workspace had used its limit.', labels: {workspace: {max: maxNamedWorkspaces}},
 	});
+	const passedOn = metrics.createCounter({name: 'passed_on_total', help: 'Requests passed on to another host that reaches the servers, by how they ended there.', labels: {end: passedEnds}});
 	const runMetrics: RunMetrics = {
 		firstToken(run, ms) {
 			firstToken.record({class: run.rule.then.class}, ms);
@@ -70,6 +75,9 @@
 
 	return {
 		runMetrics,
+		countPassedOn(end: PassedEnd) {
+			passedOn.add({end});
+		},
 		/** Counts tokens that an engine client dropped before they reached a run. */
 		countDroppedTokens(cause: 'crossed' | 'repeated') {
 			dropped.add({cause: cause === 'crossed' ? 'other-request' : 'repeated'});
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -11,6 +11,7 @@
 import {type Reach} from '../../../ports/reach.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
+import {type PassedEnd} from './create-entry-metrics.js';
 import {type EndedRequest} from './ended-request.js';
 import {type Router} from './route.js';
 import {type RunRegistry} from './run-registry.js';
@@ -44,6 +45,8 @@
 	reach?: Reach | undefined;
 	/** Returns the connections to another host, by its `IP:port`. */
 	toPeerDispatcher: (address: string) => Dispatcher;
+	/** Counts a request that was passed on to another host. */
+	countPassedOn: (end: PassedEnd) => void;
 	/** Limits of workspaces. */
 	quotas: Quotas;
 	/** Counts a request that was refused because its workspace had used its limit. */
--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -71,9 +71,11 @@
 		headers: toHeaders(run),
 		findFault: (status, headers) => findPeerFault(run, status, headers),
 	});
-	if (ended.kind === 'failed' && !mayHaveStarted(ended.fault)) {
+	const isNotRun = ended.kind === 'failed' && !mayHaveStarted(ended.fault);
+	if (isNotRun) {
 		ledger.noteNotStarted();
 	}
 
+	ctx.countPassedOn(ended.kind === 'complete' ? 'served' : (isNotRun ? 'not-run' : 'failed'));
 	return ended;
 }
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -192,6 +192,7 @@
 		reach: options.reach,
 		toPeerDispatcher: address => peerClients.toDispatcher({id: address}),
 		countOverLimit: counters.countOverLimit,
+		countPassedOn: counters.countPassedOn,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
 		log,
--- /dev/null
+++ b/test/contracts/peer-requests.test.ts
@@ -0,0 +1,64 @@
+/** The port on which hosts pass requests on to each other. */
+import assert from 'node:assert/strict';
+import {request, type IncomingHttpHeaders} from 'node:http';
+import {
+	after, before, describe, it,
+} from 'node:test';
+import {startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
+
+type PeerAnswer = {status: number; headers: IncomingHttpHeaders; isWhole: boolean};
+
+describe('requests that a host passes on', () => {
+	let fixture: RelayFixture;
+	before(async () => {
+		fixture = await startRelayFixture({hosts: 2});
+	});
+	after(async () => fixture.stop());
+
+	async function send(headers: Record<string, string>): Promise<PeerAnswer> {
+		const [host, port] = fixture.peerAddresses[1]!.split(':');
+		return new Promise((resolve, reject) => {
+			const req = request({
+				host, port, path: '/lookup/1', method: 'POST', agent: false, headers: {host: 'desk.example', ...headers},
+			}, res => {
+				res.resume().once('close', () => {
+					resolve({status: res.statusCode!, headers: res.headers, isWhole: res.complete});
+				});
+			});
+			req.once('error', reject);
+			req.end();
+		});
+	}
+
+	const findRun = (id: string) => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).find(({headers}) => headers['request-id'] === id);
+
+	it('are served like those of callers, without the headers between hosts', async () => {
+		const answer = await send({'request-id': 'passed-1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1'});
+		assert.equal(answer.status, 200);
+		assert.equal(answer.headers['x-banyanport-outcome'], undefined);
+		assert.match(String(answer.headers['server-seal']), /^seal-of-desk/v);
+		const {headers} = findRun('passed-1')!;
+		assert.deepEqual(Object.keys(headers).filter(name => name.startsWith('x-banyanport')), []);
+		assert.ok(Number(headers['deadline-ms']) <= 700);
+	});
+
+	it('are refused as not run by a host with an older configuration', async () => {
+		const answer = await send({'request-id': 'passed-2', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '99'});
+		assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [503, 'not-run']);
+		assert.equal(findRun('passed-2'), undefined);
+	});
+
+	for (const [name, headers] of [['no deadline', {'x-banyanport-edition': '1'}], ['no edition', {'x-banyanport-deadline-ms': '700'}], ['a deadline that is no number', {'x-banyanport-deadline-ms': 'soon', 'x-banyanport-edition': '1'}]] as const) {
+		it(`are refused with ${name}`, async () => {
+			const answer = await send({'request-id': `passed-${name.length}`, ...headers});
+			assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [400, 'not-run']);
+		});
+	}
+
+	it('report the end of their deadline as a problem of the host', async () => {
+		fixture.servers.desk1.addFaults('silent');
+		const answer = await send({'request-id': 'passed-late', 'x-banyanport-deadline-ms': '300', 'x-banyanport-edition': '1'});
+		assert.equal(answer.status, 504);
+		assert.equal(answer.headers['x-banyanport-outcome'], 'may-have-run');
+	});
+});
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -44,6 +44,8 @@
 		return answers;
 	}
 
+	const countPassed = (): number => fixture.logs().filter(({message}) => message === 'passed on').length;
+
 	const countRuns = (id: string): number => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id).length;
 
 	// Guards against a host that goes on taking requests which it can't send to any server.
@@ -62,8 +64,24 @@
 	it('calls the servers itself within a second after the links are back', async () => {
 		await fixture.healLinks(0);
 		await waitUntil(() => fixture.logs().some(({message}) => message === 'servers of the pool can be reached again'), {deadlineMs, what: 'the links'});
+		const passedBefore = countPassed();
+		const answers = await askLookups(0);
+		assert.deepEqual(answers.filter(({status}) => status !== 200), []);
+		assert.equal(countPassed(), passedBefore);
+	});
+
+	it('passes no request on a second time', async () => {
+		await Promise.all([0, 1].map(async host => fixture.cutLinks(host)));
+		await sleep(noticeMs);
 		const answers = await askLookups(0);
 		assert.deepEqual(answers.filter(({status}) => status !== 200), []);
+		const passed = fixture.logs().filter(({message}) => message === 'passed on');
+		for (const {requestId} of passed) {
+			const hosts = passed.filter(line => line.requestId === requestId).map(({host}) => host);
+			assert.equal(new Set(hosts).size, 1, String(requestId));
+		}
+
+		await Promise.all([0, 1].map(async host => fixture.healLinks(host)));
 	});
 
 	it('refuses at once as not run if no host reaches the servers', async () => {
