Test what is passed on before the loss is known, what broke at the other host, and charges

Each safeguard of passed requests, taken out by hand, now fails one case: the bound on hops, the edition, the charge, the outcome of the other host's problem, and the two servers that could not be reached. The last one and the charge stood unnoticed before.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -25,6 +25,7 @@
 	'capacity',
 	'rollout',
 	'split-pool',
+	'lost-links',
 ] as const;
 
 type BenchName = typeof benches[number];
--- a/test/contracts/peer-requests.test.ts
+++ b/test/contracts/peer-requests.test.ts
@@ -4,7 +4,8 @@
 import {
 	after, before, describe, it,
 } from 'node:test';
-import {startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
+import {deadlineMs, startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
 
 type PeerAnswer = {status: number; headers: IncomingHttpHeaders; isWhole: boolean};
 
@@ -61,4 +62,18 @@
 		assert.equal(answer.status, 504);
 		assert.equal(answer.headers['x-banyanport-outcome'], 'may-have-run');
 	});
+
+	it('are not charged to their workspace again', async () => {
+		fixture.setTenants([{
+			name: 'limited', api_keys: ['key-1'], unit: 'token_stream', plain_tokens: 100, rate_per_s: 1, burst: 100,
+		}]);
+		fixture.publishRoutes(2);
+		await waitUntil(() => fixture.logs().filter(line => line.edition === 2).length >= 2, {deadlineMs, what: 'the limit in force'});
+		for (let i = 0; i < 5; i++) {
+			const answer = await send({
+				'request-id': `passed-charged-${i}`, authorization: 'Bearer key-1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '2',
+			});
+			assert.equal(answer.status, 200);
+		}
+	});
 });
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -10,6 +10,8 @@
 /** Time after which the loss must not show any more. */
 const noticeMs = 3000;
 const asked = 40;
+/** Runs that break, shared with the requests that keep the hosts busy. */
+const brokenRuns = 12;
 
 describe('a host that has lost its links to all servers of a pool', {timeout: 120_000}, () => {
 	let fixture: RelayFixture;
@@ -48,10 +50,15 @@
 
 	const countRuns = (id: string): number => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id).length;
 
-	// Guards against a host that goes on taking requests which it can't send to any server.
-	it('serves requests at the first attempt, each of them run once, while other hosts reach the servers', async () => {
+	it('serves requests for which two servers refuse connections, before the loss is known', async () => {
 		await fixture.askUntil({at: 0}, 200);
 		await fixture.cutLinks(0);
+		const answers = await Promise.all(Array.from({length: 5}, async () => fixture.ask({at: 0, headers: {'deadline-ms': '1000'}})));
+		assert.deepEqual(answers.map(({status}) => status), [200, 200, 200, 200, 200]);
+	});
+
+	// Guards against a host that goes on taking requests which it can't send to any server.
+	it('serves requests at the first attempt, each of them run once, while other hosts reach the servers', async () => {
 		await sleep(noticeMs);
 		const answers = await askLookups(0);
 		assert.deepEqual(answers.filter(({status}) => status !== 200), []);
@@ -61,6 +68,16 @@
 		}
 	});
 
+	// Guards against work that runs twice: the other host's server has had the request.
+	it('runs no request again that broke at a server of the other host', async () => {
+		fixture.servers.desk1.addFaults(...Array.from({length: brokenRuns}, () => 'reset' as const));
+		const answers = await askLookups(0);
+		const broken = answers.filter(({status}) => status !== 200);
+		assert.deepEqual(broken.filter(({status}) => status !== 502), []);
+		assert.ok(broken.length > 0);
+		assert.ok(answers.every(({id}) => countRuns(id) <= 1));
+	});
+
 	it('calls the servers itself within a second after the links are back', async () => {
 		await fixture.healLinks(0);
 		await waitUntil(() => fixture.logs().some(({message}) => message === 'servers of the pool can be reached again'), {deadlineMs, what: 'the links'});
