Find the latest answer of other hosts without going through all of them

Each host asks for it up to fifty times a second for each pool, and in a fleet of hundreds would have gone through every host that it heard in ten seconds. The latest answer of each pool is now kept as messages arrive.

--- a/src/domain/create-peer-links/index.ts
+++ b/src/domain/create-peer-links/index.ts
@@ -6,7 +6,7 @@
 export type PeerLinks = {
 	/** Notes what a host tells of itself; each message replaces the one before. */
 	note: (address: string, answers: readonly PoolAnswer[], now: Milliseconds) => void;
-	/** Last time at which any other host had an answer from the pool. */
+	/** Latest time at which another host had an answer from the pool. */
 	toAnsweredAt: (pool: number) => Milliseconds;
 	/** Picks a host that had an answer from the pool lately and was heard lately; `undefined` if there is none. */
 	pick: (pool: number, options: {exclude: ReadonlySet<string>; now: Milliseconds; random: Random}) => string | undefined;
@@ -15,7 +15,7 @@
 /** Age beyond which a message or an answer no longer shows that a host reaches the pool; a host of a large fleet is heard each second. */
 const maxAgeMs: Milliseconds = 2 * msPerSecond;
 
-/** Age after which a host is forgotten. */
+/** Age after which hosts and answers are forgotten. */
 const forgetMs: Milliseconds = 10 * msPerSecond;
 
 type Told = {at: Milliseconds; answeredAt: ReadonlyMap<number, Milliseconds>};
@@ -34,17 +34,33 @@
  */
 export function createPeerLinks(): PeerLinks {
 	const hosts = new Map<string, Told>();
+	const latest = new Map<number, Milliseconds>();
+
+	function forgetOld(now: Milliseconds): void {
+		for (const [address, {at}] of hosts) {
+			if (now - at > forgetMs) {
+				hosts.delete(address);
+			}
+		}
+
+		for (const [pool, answeredAt] of latest) {
+			if (now - answeredAt > forgetMs) {
+				latest.delete(pool);
+			}
+		}
+	}
 
 	return {
 		note(address, answers, now) {
-			hosts.set(address, {at: now, answeredAt: new Map(answers.map(({pool, ageMs}) => [pool, now - ageMs]))});
-			for (const [other, {at}] of hosts) {
-				if (now - at > forgetMs) {
-					hosts.delete(other);
-				}
+			const answeredAt = new Map(answers.map(({pool, ageMs}) => [pool, now - ageMs]));
+			hosts.set(address, {at: now, answeredAt});
+			for (const [pool, at] of answeredAt) {
+				latest.set(pool, Math.max(at, latest.get(pool) ?? -Infinity));
 			}
+
+			forgetOld(now);
 		},
-		toAnsweredAt: pool => Math.max(-Infinity, ...Array.from(hosts.values(), ({answeredAt}) => answeredAt.get(pool) ?? -Infinity)),
+		toAnsweredAt: pool => latest.get(pool) ?? -Infinity,
 		pick(pool, {exclude, now, random}) {
 			const reaching = [...hosts]
 				.filter(([address, {at, answeredAt}]) => !exclude.has(address) && now - at <= maxAgeMs && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs)
