Pass a request on after two decode servers gave no answer to a reservation

What callers saw: streams were refused with 503 on a host whose decode servers refused its connections while its prefill servers and the rest of the pool still answered, for instance when open connections live on and new ones are refused. The pool doesn't count as lost then.

Cause: only calls that carry the request counted as servers that could not be reached; a reservation comes before them, and three that failed ended as 'not placed'. Found by reading; the new case of failures/lost-links was red before (503), the stream is now served by another host, whole.

--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -131,6 +131,7 @@
 		// A call that this host's timeout aborted counts as broken, because the server did not answer.
 		services.placement.noteFailure(decode, {kind: kind === 'aborted' ? 'broken' : kind, reason}, services.clock.now());
 		asked.add(decode.id);
+		run.unreached += kind === 'refused' ? 0 : 1;
 		isFull ||= reason === 'full';
 	}
 }
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -45,7 +45,7 @@
 	kept?: PromptCache | undefined;
 	/** `IP:port` of the hosts to which the request was passed on. */
 	peersTried: Set<string>;
-	/** Number of servers to which no connection could be made. */
+	/** Number of servers that could not be connected, or gave no answer to a reservation. */
 	unreached: number;
 	/** Number of times that every server was full. */
 	bounces: number;
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -5,7 +5,9 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {waitUntil} from '../_lib/wait-until/index.js';
-import {deadlineMs, startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
+import {
+	deadlineMs, startRelayFixture, toStreamHeaders, type RelayFixture,
+} from '../stand-ins/users-platform/start-relay-fixture.js';
 
 /** Time after which the loss must not show any more. */
 const noticeMs = 3000;
@@ -24,6 +26,9 @@
 		busy = Promise.all([0, 1, 2].map(async at => {
 			while (!ended.signal.aborted) {
 				await fixture.ask({path: '/check/1', at, headers: {'deadline-ms': '1000'}});
+				await fixture.ask({
+					path: '/summary/1', body: 'prompt', at, headers: toStreamHeaders(),
+				});
 				await sleep(50);
 			}
 		}));
@@ -57,6 +62,15 @@
 		assert.deepEqual(answers.map(({status}) => status), [200, 200, 200, 200, 200]);
 	});
 
+	it('serves streams for which two decode servers refuse connections', async () => {
+		const {status, body, isWhole} = await fixture.ask({
+			path: '/summary/1', body: 'prompt', at: 0, headers: toStreamHeaders({'request-id': 'stream-1'}),
+		});
+		assert.equal(status, 200);
+		assert.match(body, /piece 3 of stream-1\n\n$/v);
+		assert.ok(isWhole);
+	});
+
 	// Guards against a host that goes on taking requests which it can't send to any server.
 	it('serves requests at the first attempt, each of them run once, while other hosts reach the servers', async () => {
 		await sleep(noticeMs);
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -33,7 +33,7 @@
 	/** Sets the tenants that later publications of routes contain; without them callers need no key. */
 	setTenants: (tenants: ReadonlyArray<Record<string, unknown>>) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
-	/** Cuts the links of a host to all plain servers; only with `hasLinks`. */
+	/** Cuts the links of a host to all plain and decode servers; only with `hasLinks`. */
 	cutLinks: (host: number) => Promise<void>;
 	healLinks: (host: number) => Promise<void>;
 	/** `IP:port` of each host for its peers; empty with a single host. */
@@ -94,7 +94,7 @@
 export type RelayFixtureOptions = Partial<ServerStandInOptions> & {
 	/** Number of hosts; several hosts gossip with each other. */
 	hosts?: number;
-	/** Whether each host has links of its own to the plain servers. */
+	/** Whether each host has links of its own to the plain and decode servers. */
 	hasLinks?: boolean;
 	/** Retries beyond the ratio that all hosts together may make; each host may make a twentieth of them. */
 	retrySlack?: number;
@@ -178,7 +178,7 @@
 		desk1, desk2, prefill1, prefill2, decode1, decode2,
 	};
 	const collected = createCollectedLines();
-	const links = await Promise.all(Array.from({length: hasLinks ? hostCount : 0}, async () => startHostLinks([desk1.address, desk2.address])));
+	const links = await Promise.all(Array.from({length: hasLinks ? hostCount : 0}, async () => startHostLinks([desk1, desk2, decode1, decode2].map(({address}) => address))));
 	// A host with links of its own reads the addresses of its links in a store of its own.
 	const stores = await Promise.all(Array.from({length: Math.max(1, links.length)}, async () => startStoreStandIn()));
 	const store = stores[0]!;
