Let a probe see a connection that opened during a pause of the process

After a pause longer than the probe's timeout, the timer fires before the connection is reported, and a sound host could take its links for lost and pass requests on until the next probe.

--- a/src/adapters/probe-connection/index.ts
+++ b/src/adapters/probe-connection/index.ts
@@ -18,7 +18,10 @@
 			resolve(isConnected);
 		};
 
-		const timer = setTimeout(settle, timeoutMs, false);
+		// After a pause of this process, the timer fires before a connection that is open by then is reported.
+		const timer = setTimeout(() => {
+			setImmediate(settle, false);
+		}, timeoutMs);
 		socket.once('connect', () => {
 			settle(true);
 		}).on('error', () => {
