Count the runs and retries of passed requests once over both hosts

What servers saw: a repeatable request that had run at one server could be passed on and then run as often as its route allows again, as the other host began to count anew; and both hosts earned retries for it, so that the fleet could spend more than its budget.

The new case of contracts/peer-requests (one run more at most) fails with the count taken out. Found by reading.

--- a/src/ports/reach.ts
+++ b/src/ports/reach.ts
@@ -20,6 +20,8 @@
 	deadlineInMs: Milliseconds;
 	/** Edition of the configuration by which the host allowed the request. */
 	edition: number;
+	/** Number of calls so far that may have run the request. */
+	runs: number;
 };
 
 export type Reach = {
--- a/src/programs/entry/_lib/passed-headers.ts
+++ b/src/programs/entry/_lib/passed-headers.ts
@@ -6,6 +6,7 @@
 
 const deadlineHeader = 'x-banyanport-deadline-ms';
 const editionHeader = 'x-banyanport-edition';
+const runsHeader = 'x-banyanport-runs';
 
 /** Header of a problem, as opposed to the answer of a server. */
 export const outcomeHeader = 'x-banyanport-outcome';
@@ -14,8 +15,8 @@
  * @param passed - What is stated about a request that is passed on.
  * @returns Its headers.
  */
-export function toPassedHeaders({deadlineInMs, edition}: PassedRequest): Record<string, string> {
-	return {[deadlineHeader]: String(Math.floor(deadlineInMs)), [editionHeader]: String(edition)};
+export function toPassedHeaders({deadlineInMs, edition, runs}: PassedRequest): Record<string, string> {
+	return {[deadlineHeader]: String(Math.floor(deadlineInMs)), [editionHeader]: String(edition), [runsHeader]: String(runs)};
 }
 
 function toNumber(header: string | undefined): number | undefined {
@@ -31,11 +32,13 @@
  * @returns The request as its caller sent it; `undefined` if the statements are missing or invalid.
  */
 export function readPassed(exchange: CallerExchange): CallerExchange | undefined {
-	const {[deadlineHeader]: deadline, [editionHeader]: edition, ...headers} = exchange.headers;
-	const passed = {deadlineInMs: toNumber(deadline), edition: toNumber(edition)};
-	return passed.deadlineInMs === undefined || passed.edition === undefined
+	const {[deadlineHeader]: deadline, [editionHeader]: editionText, [runsHeader]: runsText, ...headers} = exchange.headers;
+	const deadlineInMs = toNumber(deadline);
+	const edition = toNumber(editionText);
+	const runs = toNumber(runsText);
+	return deadlineInMs === undefined || edition === undefined || runs === undefined
 		? undefined
-		: {...exchange, headers, passed: {deadlineInMs: passed.deadlineInMs, edition: passed.edition}};
+		: {...exchange, headers, passed: {deadlineInMs, edition, runs}};
 }
 
 /**
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -7,7 +7,7 @@
 import {type PlacementRefusal} from '../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServerEntry} from '../../../ports/config.js';
-import {type ServerId} from '../../../ports/ids.js';
+import {type ServerId, type ZoneId} from '../../../ports/ids.js';
 import {callPair, dropKeptCache} from '../call-pair/index.js';
 import {findPeer, passOn} from '../pass-on/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
@@ -44,7 +44,19 @@
 
 type CalledResult = Extract<AttemptResult, {ended: PlainEnd}>;
 
-const isNotCalled = (result: AttemptResult): result is Exclude<AttemptResult, CalledResult> => result.kind === 'bounced' || result.kind === 'not-placed';
+type NotCalledResult = Exclude<AttemptResult, CalledResult>;
+
+const isNotCalled = (result: AttemptResult): result is NotCalledResult => result.kind === 'bounced' || result.kind === 'not-placed';
+
+/** Names the server or the host that was called, and whether it was sent the request itself. */
+function toCallee(attempted: CalledResult): {id: string; zone: ZoneId; hasRun: boolean} {
+	if (attempted.kind === 'passed-on') {
+		return {id: attempted.peer, zone: '', hasRun: true};
+	}
+
+	const {server: {id, zone}, hasRun} = attempted;
+	return {id, zone, hasRun};
+}
 
 /** Calls one server of a plain service, and updates the account, the outcome ledger and the placement. */
 async function callPlainServer(run: PlainRun, attempt: number): Promise<AttemptResult> {
@@ -101,7 +113,6 @@
 }
 
 async function callUntilAnswered(run: PlainRun): Promise<PlainOutcome> {
-	const {services} = run.ctx;
 	for (;;) {
 		if (isQuarantined(run)) {
 			return toQuarantined(run);
@@ -112,50 +123,65 @@
 			return toAborted(run);
 		}
 
-		if (isNotCalled(attempted)) {
-			if (findPeer(run) !== undefined) {
-				continue;
-			}
-
-			const {refusal} = attempted;
-			run.account.addStage('not placed', {...refusal.account(), reason: refusal.reason});
-			logNoServer(run, attempted);
-			return attempted.kind === 'bounced' ? toBounced(run, refusal) : toNotPlaced(run, refusal);
+		const outcome = isNotCalled(attempted) ? endNotCalled(run, attempted) : await endCalled(run, attempted);
+		if (outcome !== undefined) {
+			return outcome;
 		}
+	}
+}
 
-		const {ended} = attempted;
-		const hasRun = attempted.kind === 'passed-on' || attempted.hasRun;
-		const calledId = attempted.kind === 'passed-on' ? attempted.peer : attempted.server.id;
-		if (ended.kind === 'complete') {
-			services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
-			noteCompleted(run);
-			logConnectionEnd(run, calledId, ended.answer);
-			return {end: 'complete', outcome: 'ran'};
-		}
+/** Ends a request for which no server was found; `undefined` if another host may reach one. */
+function endNotCalled(run: PlainRun, attempted: NotCalledResult): PlainOutcome | undefined {
+	if (findPeer(run) !== undefined) {
+		return undefined;
+	}
 
-		if (ended.kind === 'caller-gone') {
-			run.exchange.destroy();
-			return {end: 'caller-gone', outcome: run.ledger.outcome()};
-		}
+	const {refusal} = attempted;
+	run.account.addStage('not placed', {...refusal.account(), reason: refusal.reason});
+	logNoServer(run, attempted);
+	return attempted.kind === 'bounced' ? toBounced(run, refusal) : toNotPlaced(run, refusal);
+}
 
-		run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
-		reportFailure(run, attempted, ended.fault);
-		run.tried.push({server: calledId, zone: attempted.kind === 'passed-on' ? '' : attempted.server.zone});
-		const decision = await decideRetry(run, ended.fault, hasRun);
-		if (ended.kind === 'cut' && (decision.kind === 'give-up' || run.events === undefined)) {
-			run.exchange.destroy();
-			return {end: 'failed', outcome: run.ledger.outcome()};
-		}
+/** Ends a request whose call has ended; `undefined` after a failure that allows another call. */
+async function endCalled(run: PlainRun, attempted: CalledResult): Promise<PlainOutcome | undefined> {
+	const {ended} = attempted;
+	if (ended.kind === 'complete') {
+		return endComplete(run, attempted, ended.answer);
+	}
 
-		if (decision.kind === 'give-up') {
-			return toGivenUp(run, calledId, ended.fault);
-		}
+	if (ended.kind === 'caller-gone') {
+		run.exchange.destroy();
+		return {end: 'caller-gone', outcome: run.ledger.outcome()};
+	}
 
-		await waitUnlessAborted(run, decision.delayMs);
-		if (run.signal.aborted) {
-			return toAborted(run);
-		}
+	const {id, zone, hasRun} = toCallee(attempted);
+	run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
+	reportFailure(run, attempted, ended.fault);
+	run.tried.push({server: id, zone});
+	const decision = await decideRetry(run, ended.fault, hasRun);
+	if (ended.kind === 'cut' && (decision.kind === 'give-up' || run.events === undefined)) {
+		run.exchange.destroy();
+		return {end: 'failed', outcome: run.ledger.outcome()};
+	}
+
+	if (decision.kind === 'give-up') {
+		return toGivenUp(run, id, ended.fault);
 	}
+
+	await waitUnlessAborted(run, decision.delayMs);
+	return run.signal.aborted ? toAborted(run) : undefined;
+}
+
+function endComplete(run: PlainRun, attempted: CalledResult, answer: AnswerEnd): PlainOutcome {
+	const {services} = run.ctx;
+	// The host that served a request which was passed on earns the retries for it.
+	if (attempted.kind === 'called') {
+		services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
+	}
+
+	noteCompleted(run);
+	logConnectionEnd(run, toCallee(attempted).id, answer);
+	return {end: 'complete', outcome: 'ran'};
 }
 
 function noteCompleted({fingerprint, ctx}: PlainRun): void {
@@ -172,7 +198,7 @@
 }
 
 /** Logs that no server was found. A waiting request tries fifty times a second, so only the first time that all servers are full is logged; the account records each. */
-function logNoServer(run: PlainRun, {kind, refusal}: Extract<AttemptResult, {refusal: PlacementRefusal}>): void {
+function logNoServer(run: PlainRun, {kind, refusal}: NotCalledResult): void {
 	if (kind === 'not-placed') {
 		run.log.info('not placed', {reason: refusal.reason});
 		return;
--- a/test/contracts/peer-requests.test.ts
+++ b/test/contracts/peer-requests.test.ts
@@ -16,11 +16,11 @@
 	});
 	after(async () => fixture.stop());
 
-	async function send(headers: Record<string, string>): Promise<PeerAnswer> {
+	async function send({path = '/lookup/1', ...headers}: Record<string, string>): Promise<PeerAnswer> {
 		const [host, port] = fixture.peerAddresses[1]!.split(':');
 		return new Promise((resolve, reject) => {
 			const req = request({
-				host, port, path: '/lookup/1', method: 'POST', agent: false, headers: {host: 'desk.example', ...headers},
+				host, port, path, method: 'POST', agent: false, headers: {host: 'desk.example', 'x-banyanport-runs': '0', ...headers},
 			}, res => {
 				res.resume().once('close', () => {
 					resolve({status: res.statusCode!, headers: res.headers, isWhole: res.complete});
@@ -31,14 +31,14 @@
 		});
 	}
 
-	const findRun = (id: string) => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).find(({headers}) => headers['request-id'] === id);
+	const findRuns = (id: string) => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id);
 
 	it('are served like those of callers, without the headers between hosts', async () => {
 		const answer = await send({'request-id': 'passed-1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1'});
 		assert.equal(answer.status, 200);
 		assert.equal(answer.headers['x-banyanport-outcome'], undefined);
 		assert.match(String(answer.headers['server-seal']), /^seal-of-desk/v);
-		const {headers} = findRun('passed-1')!;
+		const {headers} = findRuns('passed-1')[0]!;
 		assert.deepEqual(Object.keys(headers).filter(name => name.startsWith('x-banyanport')), []);
 		assert.ok(Number(headers['deadline-ms']) <= 700);
 	});
@@ -46,16 +46,26 @@
 	it('are refused as not run by a host with an older configuration', async () => {
 		const answer = await send({'request-id': 'passed-2', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '99'});
 		assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [503, 'not-run']);
-		assert.equal(findRun('passed-2'), undefined);
+		assert.equal(findRuns('passed-2').length, 0);
 	});
 
-	for (const [name, headers] of [['no deadline', {'x-banyanport-edition': '1'}], ['no edition', {'x-banyanport-deadline-ms': '700'}], ['a deadline that is no number', {'x-banyanport-deadline-ms': 'soon', 'x-banyanport-edition': '1'}]] as const) {
+	for (const [name, headers] of [['no deadline', {'x-banyanport-edition': '1'}], ['no edition', {'x-banyanport-deadline-ms': '700'}], ['a deadline that is no number', {'x-banyanport-deadline-ms': 'soon', 'x-banyanport-edition': '1'}], ['a negative number of runs', {'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '-1'}]] as const) {
 		it(`are refused with ${name}`, async () => {
 			const answer = await send({'request-id': `passed-${name.length}`, ...headers});
 			assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [400, 'not-run']);
 		});
 	}
 
+	it('are run no more often than their route allows, with the runs before', async () => {
+		fixture.servers.desk1.addFaults('fail', 'fail');
+		const answer = await send({
+			'request-id': 'passed-runs', path: '/check/1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '1',
+		});
+		fixture.servers.desk1.clearFaults();
+		assert.equal(answer.status, 500);
+		assert.equal(findRuns('passed-runs').length, 1);
+	});
+
 	it('report the end of their deadline as a problem of the host', async () => {
 		fixture.servers.desk1.addFaults('silent');
 		const answer = await send({'request-id': 'passed-late', 'x-banyanport-deadline-ms': '300', 'x-banyanport-edition': '1'});
