Pass no request on in plain text from a host whose callers use TLS

Such a host opened no port for others, but would still have passed its own requests on if it lost its links. Found by reading; the users' machines use no TLS.

--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -19,7 +19,7 @@
 import {askPlaces} from '../ask-places/index.js';
 import {askQuotas} from '../ask-quotas/index.js';
 import {shareRetries} from '../share-retries/index.js';
-import {watchLinks} from '../watch-links/index.js';
+import {watchLinks, type LinkWatch} from '../watch-links/index.js';
 import {addRelayMetrics} from './_lib/add-relay-metrics.js';
 import {createUnusedEngine} from './_lib/create-unused-engine.js';
 import {openLoadSharing} from './_lib/open-load-sharing.js';
@@ -57,11 +57,11 @@
 	return Number(address.slice(address.lastIndexOf(':') + 1));
 }
 
-/** Returns the address on which other hosts pass requests on to this one. They do so in plain text, so not where callers use TLS. */
-function toPeerListener({settings: {peerAddress}, keys}: RelayOptions): EntryOptions['peerListener'] {
+/** Lets hosts pass requests on to each other. They do so in plain text, so not where callers use TLS. */
+function toPassing({settings: {peerAddress}, keys}: RelayOptions, links: LinkWatch): Pick<EntryOptions, 'reach' | 'peerListener'> {
 	return peerAddress === undefined || keys?.caller !== undefined
-		? undefined
-		: {bind: peerAddress.slice(0, peerAddress.lastIndexOf(':')), port: toPort(peerAddress)};
+		? {}
+		: {reach: links, peerListener: {bind: peerAddress.slice(0, peerAddress.lastIndexOf(':')), port: toPort(peerAddress)}};
 }
 
 /**
@@ -127,7 +127,7 @@
 		createEngine: createUnusedEngine,
 		suspects,
 		...(loadSharing && {
-			loadSharing, reach: links, peerListener: toPeerListener(options), places: askPlaces(loadSharing.places, clock),
+			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock),
 		}),
 		...(quotas && {quotas, sharedRetries: shareRetries({toPart: retryShare.toSharedPart}, quotas, clock)}),
 	});
