--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -12,6 +12,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type EngineRefusalReason} from '../../../ports/engine.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
+import {outcomeHeader} from '../_lib/passed-headers.js';
 import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
 import {createRelay} from './_lib/create-relay.js';
 
@@ -100,7 +101,7 @@
 
 				status = answerStatus;
 				call.onStart(status);
-				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id']}), flow);
+				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id', outcomeHeader]}), flow);
 			},
 			onData: relay.write,
 			onEnd(answer) {
