--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -68,7 +68,6 @@
 
 /** Messages of answers that their transport ended and that are not whole. */
 const brokenAnswers: Readonly<Record<Exclude<AnswerVerdict, 'whole'>, string>> = {
-	reset: 'the connection was reset in the middle of an answer',
 	short: 'the answer has fewer bytes than its head states',
 	long: 'the answer has more bytes than its head states',
 	'inside-event': 'the stream ended inside an event',
@@ -184,8 +183,12 @@
 			}
 		},
 		onResponseEnd() {
+			if (isOver) {
+				return;
+			}
+
 			const {framing, judge} = answer!;
-			const verdict = judge('ended');
+			const verdict = judge();
 			if (verdict === 'whole') {
 				end(() => {
 					sink.onEnd({framing});
--- a/src/domain/create-answer-judge/index.ts
+++ b/src/domain/create-answer-judge/index.ts
@@ -5,29 +5,20 @@
 import {createEventScanner} from '../create-event-scanner/index.js';
 import {findAnswerFraming, type AnswerFraming, type AnswerHead} from '../find-answer-framing/index.js';
 
-/**
- * How the transport ended an answer.
- *
- * - `ended`: it reached the end that the framing states or, without any, its peer closed the connection in order.
- * - `reset`: the connection was reset.
- */
-export type TransportEnd = 'ended' | 'reset';
-
 /**
  * - `whole`: nothing is missing.
- * - `reset`: the connection was reset before the end of a body without a length.
  * - `short` or `long`: the body has fewer or more bytes than the head states.
  * - `inside-event`: a stream of events stopped before the end of an event.
  * - `no-event`: a stream of events whose end is the end of its connection has none.
  */
-export type AnswerVerdict = 'whole' | 'reset' | 'short' | 'long' | 'inside-event' | 'no-event';
+export type AnswerVerdict = 'whole' | 'short' | 'long' | 'inside-event' | 'no-event';
 
 export type AnswerJudge = {
 	framing: AnswerFraming;
 	/** Takes the next bytes of the body. */
 	add: (bytes: Uint8Array) => void;
-	/** Judges the answer once its transport has ended. */
-	judge: (end: TransportEnd) => AnswerVerdict;
+	/** Judges the answer once its transport has ended without an error: at the end that the framing states or, without one, because the server closed the connection in order. */
+	judge: () => AnswerVerdict;
 };
 
 const toWord = (header: AnswerHead['headers'][string]): string => String(header ?? '').split(';', 1)[0]!.trim().toLowerCase();
@@ -61,7 +52,7 @@
  * ```ts
  * const judge = createAnswerJudge({method: 'GET', status: 200, headers: {'content-type': 'text/event-stream'}});
  * judge.add(Buffer.from('id: 1\ndata: x'));
- * judge.judge('ended'); // => 'inside-event'
+ * judge.judge(); // => 'inside-event'
  * ```
  */
 export function createAnswerJudge(head: AnswerHead): AnswerJudge {
@@ -69,11 +60,7 @@
 	const events = framing === 'connection' && isEventStream(head) ? createEventScanner() : undefined;
 	let received = 0;
 
-	function judgeEnd(end: TransportEnd): AnswerVerdict {
-		if (end === 'reset') {
-			return 'reset';
-		}
-
+	function judgeEvents(): AnswerVerdict {
 		if (events?.isBetweenEvents() === false) {
 			return 'inside-event';
 		}
@@ -87,12 +74,6 @@
 			received += bytes.length;
 			events?.add(bytes);
 		},
-		judge(end) {
-			if (framing === 'none') {
-				return 'whole';
-			}
-
-			return framing === 'length' ? judgeLength(received, head) : judgeEnd(end);
-		},
+		judge: () => framing === 'length' ? judgeLength(received, head) : judgeEvents(),
 	};
 }
