--- a/bench/lost-links/index.ts
+++ b/bench/lost-links/index.ts
@@ -1,9 +1,9 @@
 /** Compares what hosts can do that have lost their links to all servers. */
 import {
-	simulate, type Outcome, type Scenario, type Way,
+	simulate, type Outcome, type Scenario, type Strategy,
 } from './simulate.js';
 
-const ways: readonly Way[] = ['none', 'leave', 'refuse', 'pass'];
+const strategies: readonly Strategy[] = ['none', 'leave', 'refuse', 'pass'];
 const seeds = [1, 2, 3];
 
 const toRange = (length: number, first = 0, step = 1): readonly number[] => Array.from({length}, (_, i) => first + (i * step));
@@ -26,12 +26,12 @@
 const toShort = (value: string | number): string | number => typeof value === 'number' ? Math.round(value * 1000) / 1000 : value;
 
 /**
- * Runs the bench. Prints a row for each scenario, way and seed, then all rows as JSON.
+ * Runs the bench. Prints a row for each scenario, strategy and seed, then all rows as JSON.
  *
  * @returns The printed rows.
  */
 export function runLostLinksBench(): readonly Outcome[] {
-	const rows = scenarios.flatMap(scenario => ways.flatMap(way => seeds.map(seed => simulate(scenario, way, seed))));
+	const rows = scenarios.flatMap(scenario => strategies.flatMap(strategy => seeds.map(seed => simulate(scenario, strategy, seed))));
 	console.table(rows.map(row => Object.fromEntries(Object.entries(row).map(([key, value]) => [key, toShort(value)]))));
 	console.log(JSON.stringify({bench: 'lost-links', rows}));
 	return rows;
--- a/bench/lost-links/simulate.ts
+++ b/bench/lost-links/simulate.ts
@@ -1,6 +1,6 @@
 /**
  * Simulates hosts that have lost their links to all servers behind a load balancer,
- * on a logical clock: who serves their callers, and how soon. Only the way out is
+ * on a logical clock: who serves their callers, and how soon. Only the response is
  * modelled, not how a host learns of the loss.
  */
 import {toSeededRandom} from '../../src/domain/create-placement/_lib/fixtures.js';
@@ -13,7 +13,7 @@
  * - `refuse`: it refuses each request at once, with a time after which to retry.
  * - `pass`: it passes each request on to a host that reaches the servers.
  */
-export type Way = 'none' | 'leave' | 'refuse' | 'pass';
+export type Strategy = 'none' | 'leave' | 'refuse' | 'pass';
 
 export type Scenario = {
 	name: string;
@@ -25,7 +25,7 @@
 
 export type Outcome = {
 	scenario: string;
-	way: Way;
+	strategy: Strategy;
 	/** Fraction of the first attempts of callers of cut hosts that were served, from three seconds after the loss. */
 	firstServed: number;
 	/** The same with one retry. */
@@ -65,8 +65,8 @@
 	return inRotation.length * 2 < own.length ? own : inRotation;
 }
 
-/** Simulates one way. */
-export function simulate({name, zones, hostsPerZone, cut}: Scenario, way: Way, seed: number): Outcome {
+/** Simulates one strategy. */
+export function simulate({name, zones, hostsPerZone, cut}: Scenario, strategy: Strategy, seed: number): Outcome {
 	const random = toSeededRandom(seed);
 	const hosts: Host[] = Array.from({length: zones * hostsPerZone}, (_, i) => ({
 		zone: i % zones, isCut: cut.includes(i), misses: 0, isIn: true, servedBySecond: Array.from({length: (endMs / 1000) + 2}, () => 0),
@@ -81,7 +81,7 @@
 	/** Serves an attempt, and returns the time it took; `undefined` for a failure that may not be repeated, a negative time for a refusal. */
 	function attempt(host: Host, now: number): number | undefined {
 		const second = Math.floor(now / 1000);
-		if (knows(host, now) && way === 'pass') {
+		if (knows(host, now) && strategy === 'pass') {
 			const other = pick(hosts.filter(one => !isLost(one, now)));
 			if (other !== undefined) {
 				other.servedBySecond[second]! += 1;
@@ -89,7 +89,7 @@
 			}
 		}
 
-		if (knows(host, now) && way !== 'none') {
+		if (knows(host, now) && strategy !== 'none') {
 			return -1;
 		}
 
@@ -103,7 +103,7 @@
 
 	function check(now: number): void {
 		for (const host of hosts) {
-			host.misses = way === 'leave' && knows(host, now) ? host.misses + 1 : 0;
+			host.misses = strategy === 'leave' && knows(host, now) ? host.misses + 1 : 0;
 			host.isIn = host.misses < missesToLeave;
 		}
 	}
@@ -145,6 +145,6 @@
 
 	const sound = hosts.filter(({isCut}) => !isCut).flatMap(({servedBySecond}) => servedBySecond);
 	return {
-		scenario: name, way, firstServed: tally.firstServed / tally.first, served: tally.served / tally.first, meanMs: tally.spentMs / tally.served, peak: Math.max(...sound) / requestsPerSecond,
+		scenario: name, strategy, firstServed: tally.firstServed / tally.first, served: tally.served / tally.first, meanMs: tally.spentMs / tally.served, peak: Math.max(...sound) / requestsPerSecond,
 	};
 }
--- a/src/domain/create-pool-links/_test/play-links.ts
+++ b/src/domain/create-pool-links/_test/simulate-links.ts
@@ -1,9 +1,9 @@
-/** Hosts and servers of one pool in virtual time, with overlapping troubles of their links. */
+/** Hosts and servers of one pool in virtual time, with overlapping faults of their links. */
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {createPeerLinks} from '../../create-peer-links/index.js';
 import {createPoolLinks} from '../index.js';
 
-export type LinkTrouble = {from: Milliseconds; to: Milliseconds} & (
+export type LinkFault = {from: Milliseconds; to: Milliseconds} & (
 	/** These hosts reach no server; calls hang or are reset. */
 	| {kind: 'hosts-cut'; hosts: readonly number[]; isReset: boolean}
 	/** The hosts and servers of a zone reach nothing outside of it, and nothing outside reaches them. */
@@ -25,11 +25,11 @@
 	/** Time that a server takes to answer. */
 	answerMs: Milliseconds;
 	durationMs: Milliseconds;
-	troubles: readonly LinkTrouble[];
+	faults: readonly LinkFault[];
 };
 
-/** What the play saw of one host in one step. */
-export type LinkSight = {
+/** State of one host in one step. */
+export type HostSample = {
 	now: Milliseconds;
 	host: number;
 	isLost: boolean;
@@ -39,8 +39,6 @@
 	othersAnsweredAt: Milliseconds;
 	/** Whether the host began a call in this step. */
 	hasCalled: boolean;
-	/** Whether any trouble is in progress. */
-	isTroubled: boolean;
 };
 
 const stepMs: Milliseconds = 10;
@@ -52,21 +50,21 @@
 const pool = 1;
 
 /**
- * Plays a scenario.
+ * Simulates a scenario.
  *
- * @param scenario - Size of the fleet, its load and its troubles.
- * @param random - Chance of the play.
- * @returns What was seen, host by host in each step.
+ * @param scenario - Size of the fleet, its load and its faults.
+ * @param random - Random numbers of the simulation.
+ * @returns The state of each host in each step.
  */
-export function playLinks(scenario: LinkScenario, random: Random): readonly LinkSight[] {
-	const {hosts, servers, zones, callsPerSecond, answerMs, durationMs, troubles} = scenario;
+export function simulateLinks(scenario: LinkScenario, random: Random): readonly HostSample[] {
+	const {hosts, servers, zones, callsPerSecond, answerMs, durationMs, faults} = scenario;
 	const own = Array.from({length: hosts}, () => createPoolLinks());
 	const peers = Array.from({length: hosts}, () => createPeerLinks());
 	const due: Array<{at: Milliseconds; run: () => void}> = [];
-	const seen: LinkSight[] = [];
+	const seen: HostSample[] = [];
 	let now: Milliseconds = 0;
 
-	const toActive = (): readonly LinkTrouble[] => troubles.filter(({from, to}) => now >= from && now < to);
+	const toActive = (): readonly LinkFault[] => faults.filter(({from, to}) => now >= from && now < to);
 	const isZoneCut = (zoneA: number, zoneB: number): boolean => zoneA !== zoneB && toActive().some(one => one.kind === 'zone-cut' && (one.zone === zoneA || one.zone === zoneB));
 
 	function toLink(host: number, server: number): 'open' | 'hangs' | 'reset' {
@@ -162,7 +160,7 @@
 			}
 
 			seen.push({
-				now, host, isLost, hasCalled, reachesServers: reaches(host), isTroubled: toActive().length > 0, othersAnsweredAt: toOthersAnsweredAt(host),
+				now, host, isLost, hasCalled, reachesServers: reaches(host), othersAnsweredAt: toOthersAnsweredAt(host),
 			});
 		}
 	}
--- a/src/domain/create-pool-links/test.ts
+++ b/src/domain/create-pool-links/test.ts
@@ -3,8 +3,8 @@
 import fc from 'fast-check';
 import {createRandom} from '../_test/create-random.js';
 import {
-	playLinks, type LinkScenario, type LinkSight, type LinkTrouble,
-} from './_test/play-links.js';
+	simulateLinks, type LinkScenario, type HostSample, type LinkFault,
+} from './_test/simulate-links.js';
 import {createPoolLinks} from './index.js';
 
 /** Time after the first call in a cut at which that call is overdue in any pool. */
@@ -71,7 +71,7 @@
 
 const durationMs = 16_000;
 
-const toTrouble = (hosts: number, servers: number, zones: number): fc.Arbitrary<LinkTrouble> => fc.tuple(
+const toFault = (hosts: number, servers: number, zones: number): fc.Arbitrary<LinkFault> => fc.tuple(
 	fc.integer({min: 2000, max: 10_000}),
 	fc.integer({min: 300, max: 5000}),
 	fc.oneof(
@@ -92,17 +92,17 @@
 	callsPerSecond: fc.constantFrom(2, 5, 20),
 	answerMs: fc.constantFrom(10, 40, 150, 300),
 	durationMs: fc.constant(durationMs),
-	troubles: fc.array(toTrouble(hosts, servers, zones), {minLength: 1, maxLength: 4}),
+	faults: fc.array(toFault(hosts, servers, zones), {minLength: 1, maxLength: 4}),
 }));
 
-/** The sights of one host, in order of time. */
-const toHostSights = (sights: readonly LinkSight[], host: number): readonly LinkSight[] => sights.filter(one => one.host === host);
+/** The samples of one host, in order of time. */
+const toHostSamples = (samples: readonly HostSample[], host: number): readonly HostSample[] => samples.filter(one => one.host === host);
 
-/** Whether a condition held in each sight of the last `ms` before one of them. */
-function heldFor(sights: readonly LinkSight[], at: number, ms: number, holds: (sight: LinkSight) => boolean): boolean {
-	const {now} = sights[at]!;
-	for (let i = at; i >= 0 && now - sights[i]!.now <= ms; i--) {
-		if (!holds(sights[i]!)) {
+/** Whether a condition held in each sample of the last `ms` before one of them. */
+function heldFor(samples: readonly HostSample[], at: number, ms: number, holds: (sample: HostSample) => boolean): boolean {
+	const {now} = samples[at]!;
+	for (let i = at; i >= 0 && now - samples[i]!.now <= ms; i--) {
+		if (!holds(samples[i]!)) {
 			return false;
 		}
 	}
@@ -110,15 +110,15 @@
 	return now >= ms;
 }
 
-/** Finds the first sight in which a host is lost although it reached servers for long enough. */
-const findFalselyLost = (sights: readonly LinkSight[]): LinkSight | undefined => sights.find((sight, i) => sight.isLost && heldFor(sights, i, recoverMs, ({reachesServers}) => reachesServers));
+/** Finds the first sample in which a host is lost although it reached servers for long enough. */
+const findFalselyLost = (samples: readonly HostSample[]): HostSample | undefined => samples.find((sample, i) => sample.isLost && heldFor(samples, i, recoverMs, ({reachesServers}) => reachesServers));
 
-/** Finds the first sight in which a host is not lost, although it reached nothing for long enough, called, and heard of a host that had answers. */
-function findUnnoticed(sights: readonly LinkSight[]): LinkSight | undefined {
+/** Finds the first sample in which a host is not lost, although it reached nothing for long enough, called, and heard of a host that had answers. */
+function findUnnoticed(samples: readonly HostSample[]): HostSample | undefined {
 	let firstCallAt: number | undefined;
 	let toldAt: number | undefined;
-	for (const sight of sights) {
-		const {now, hasCalled, reachesServers, othersAnsweredAt, isLost} = sight;
+	for (const sample of samples) {
+		const {now, hasCalled, reachesServers, othersAnsweredAt, isLost} = sample;
 		if (reachesServers || othersAnsweredAt === -Infinity) {
 			firstCallAt = undefined;
 			toldAt = undefined;
@@ -129,7 +129,7 @@
 		const isTold = firstCallAt !== undefined && othersAnsweredAt >= firstCallAt + overdueMs && now - othersAnsweredAt <= recentMs;
 		toldAt = isTold ? toldAt ?? now : undefined;
 		if (toldAt !== undefined && !isLost && now - toldAt > noticeMs) {
-			return sight;
+			return sample;
 		}
 	}
 
@@ -144,35 +144,35 @@
 describe('createPoolLinks in a fleet', () => {
 	it('finds each host that has lost its links, and no other', () => {
 		fc.assert(fc.property(scenarios, fc.integer({min: 1, max: 2_000_000_000}), (scenario, seed) => {
-			const sights = playLinks(scenario, createRandom(seed));
+			const samples = simulateLinks(scenario, createRandom(seed));
 			for (let host = 0; host < scenario.hosts; host++) {
-				const own = toHostSights(sights, host);
+				const own = toHostSamples(samples, host);
 				assert.deepEqual(findFalselyLost(own), undefined, 'lost, though it reaches servers');
 				assert.deepEqual(findUnnoticed(own), undefined, 'not lost, though it reaches none');
 			}
 		}), {numRuns: 150});
 	});
 
-	const harmless: ReadonlyArray<{name: string; troubles: readonly LinkTrouble[]}> = [
+	const harmless: ReadonlyArray<{name: string; faults: readonly LinkFault[]}> = [
 		{
-			name: 'one server is silent for a second', troubles: [{
+			name: 'one server is silent for a second', faults: [{
 				kind: 'server-silent', server: 0, from: 3000, to: 4200,
 			}],
 		},
 		{
-			name: 'one server is lost', troubles: [{
+			name: 'one server is lost', faults: [{
 				kind: 'server-lost', server: 0, from: 3000, to: 8000,
 			}],
 		},
-		{name: 'the whole pool is lost', troubles: [{kind: 'pool-lost', from: 3000, to: 8000}]},
+		{name: 'the whole pool is lost', faults: [{kind: 'pool-lost', from: 3000, to: 8000}]},
 	];
-	for (const {name, troubles} of harmless) {
+	for (const {name, faults} of harmless) {
 		it(`keeps every host while ${name}`, () => {
 			for (let seed = 1; seed <= 20; seed++) {
-				const sights = playLinks({
-					hosts: 6, servers: 3, zones: 3, callsPerSecond: 5, answerMs: 40, durationMs, troubles,
+				const samples = simulateLinks({
+					hosts: 6, servers: 3, zones: 3, callsPerSecond: 5, answerMs: 40, durationMs, faults,
 				}, createRandom(seed));
-				assert.deepEqual(sights.find(({isLost}) => isLost), undefined, `seed ${seed}`);
+				assert.deepEqual(samples.find(({isLost}) => isLost), undefined, `seed ${seed}`);
 			}
 		});
 	}
--- a/src/programs/entry/send-plain/broken-answers.test.ts
+++ b/src/programs/entry/send-plain/broken-answers.test.ts
@@ -3,7 +3,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {type Dispatcher} from 'undici';
-import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {createCaller} from './_test/create-caller.js';
 import {sendPlain, type PlainEnd, type RelayedEvents} from './index.js';
 
 type Framing = 'length' | 'chunks' | 'connection';
@@ -13,25 +13,6 @@
 
 const toEvent = (id: number): string => `id: ${id}\ndata: pièce ${id}\n\n`;
 
-function createCaller() {
-	const got: Buffer[] = [];
-	let hasEnded = false;
-	const exchange = {
-		method: 'POST',
-		target: '/',
-		disconnectSignal: new AbortController().signal,
-		startStream: () => undefined,
-		write(bytes: Uint8Array) {
-			got.push(Buffer.from(bytes));
-			return true;
-		},
-		end() {
-			hasEnded = true;
-		},
-	} as unknown as CallerExchange;
-	return {exchange, toText: () => Buffer.concat(got).toString('utf8'), hasEnded: () => hasEnded};
-}
-
 function toHead(framing: Framing, length: number): Record<string, string> {
 	const type = {'content-type': 'text/event-stream'};
 	if (framing === 'connection') {
--- a/src/programs/entry/send-plain/create-event-relay.test.ts
+++ b/src/programs/entry/send-plain/create-event-relay.test.ts
@@ -2,34 +2,13 @@
 import {Buffer} from 'node:buffer';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {type CallerExchange} from '../../../adapters/caller-http/index.js';
+import {createCaller} from './_test/create-caller.js';
 import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
 
 const flow = {
 	pause: () => undefined, resume: () => undefined, abandon: () => undefined, discard: () => undefined,
 };
 
-function createCaller() {
-	const got: Buffer[] = [];
-	let heads = 0;
-	let hasEnded = false;
-	const exchange = {
-		startStream() {
-			heads++;
-		},
-		write(bytes: Uint8Array) {
-			got.push(Buffer.from(bytes));
-			return true;
-		},
-		end() {
-			hasEnded = true;
-		},
-	} as unknown as CallerExchange;
-	return {
-		exchange, toText: () => Buffer.concat(got).toString('utf8'), heads: () => heads, hasEnded: () => hasEnded,
-	};
-}
-
 const toEvent = (id: number): string => `id: ${id}\ndata: pièce ${id}\n\n`;
 
 /*
