--- a/src/programs/_settings/relay.ts
+++ b/src/programs/_settings/relay.ts
@@ -40,7 +40,7 @@
 	peerAddress: {
 		type: 'address',
 		group: 'Addresses',
-		description: 'Address at which other hosts report their requests in flight (UDP); the port is the same on all hosts. Without it this host neither sends nor receives such reports.',
+		description: 'Address at which other hosts report their requests in flight (UDP) and pass on requests whose servers they do not reach (TCP); the port is the same on all hosts, and only hosts may reach it. Without it this host does neither.',
 	},
 	seeds: {
 		type: 'addresses', default: [], group: 'Addresses', description: 'Control addresses of some hosts, through which all hosts find each other; some of them may be down.',
