--- a/src/programs/entry/claims/serve-keyed.ts
+++ b/src/programs/entry/claims/serve-keyed.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {type AnswerHeaders, type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type RunEnd, type RunReader, type RunWriter} from '../../../domain/create-run-table/index.js';
+import {createEventScanner, type EventScanner} from '../../../domain/create-event-scanner/index.js';
 import {toErrorEvent} from '../../../domain/create-sse-encoder/index.js';
 import {type Problem, toProblem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
@@ -50,10 +51,8 @@
 
 /** State of a delivery after the last part that was relayed. */
 type DeliveryState = {
-	/** Whether the answer is a stream of this system's events, in which callers expect an `error` event. */
-	hasErrorEvents: boolean;
-	/** Whether the last event was relayed to its end, so that another event may follow. */
-	isBetweenEvents: boolean;
+	/** Present if the answer is a stream of this system's events, in which callers expect an `error` event. */
+	events: EventScanner | undefined;
 	/** Whether the answer reports a failure of this system rather than of the caller's request. */
 	isRefusal: boolean;
 	startedAt: Milliseconds | undefined;
@@ -67,16 +66,10 @@
 	const type = String(headers['content-type']);
 	const isRefusal = type.startsWith('application/problem+json') && (status === tooManyRequests || status >= minServerErrorStatus);
 	return {
-		hasErrorEvents: !isOpaque && type.startsWith('text/event-stream'), isBetweenEvents: true, isRefusal, startedAt: now,
+		events: !isOpaque && type.startsWith('text/event-stream') ? createEventScanner() : undefined, isRefusal, startedAt: now,
 	};
 }
 
-const eventEnd = Buffer.from('\n\n');
-
-function isWholeEvent(bytes: Uint8Array): boolean {
-	return Buffer.from(bytes.subarray(-eventEnd.length)).equals(eventEnd);
-}
-
 function toAbortProblem(isTakenOver: boolean, isStarted: boolean): Problem {
 	const outcome = isStarted ? 'ran' : 'may-have-run';
 	return isTakenOver
@@ -86,15 +79,16 @@
 
 /**
  * Ends a delivery that can't go on. A stream of this system's events ends with an
- * `error` event. For any other answer that has begun, the connection is destroyed: if it
- * closed normally, the caller would take the partial answer for a complete one.
+ * `error` event between two events. For any other answer that has begun, the
+ * connection is destroyed: if it closed normally, the caller would take the partial
+ * answer for a complete one.
  */
-function abortDelivery(exchange: CallerExchange, isTakenOver: boolean, {hasErrorEvents, isBetweenEvents}: DeliveryState) {
+function abortDelivery(exchange: CallerExchange, isTakenOver: boolean, {events}: DeliveryState) {
 	const isStarted = exchange.isStarted();
 	const problem = toAbortProblem(isTakenOver, isStarted);
 	if (!isStarted) {
 		exchange.sendProblem(problem);
-	} else if (hasErrorEvents && isBetweenEvents) {
+	} else if (events?.isBetweenEvents() === true) {
 		exchange.write(toErrorEvent(toProblem(problem, exchange.requestId)));
 		exchange.end();
 	} else {
@@ -109,7 +103,7 @@
 	};
 
 	let state: DeliveryState = {
-		hasErrorEvents: false, isBetweenEvents: true, isRefusal: false, startedAt: undefined,
+		events: undefined, isRefusal: false, startedAt: undefined,
 	};
 	const toEnd = (kind: JoinEnd['kind']): JoinEnd => ({kind, startedAt: state.startedAt});
 	exchange.disconnectSignal.addEventListener('abort', onDisconnect, {once: true});
@@ -120,7 +114,7 @@
 				state = toInitialState(part, isOpaque, now());
 				exchange.startStream(part.status, part.headers);
 			} else if (part.kind === 'bytes') {
-				state.isBetweenEvents = isWholeEvent(part.bytes);
+				state.events?.add(part.bytes);
 				const isFree = exchange.write(part.bytes);
 				if (!isFree && !await exchange.drained(writeTimeoutMs)) {
 					exchange.destroy();
