--- a/src/programs/entry/_lib/passed-headers.ts
+++ b/src/programs/entry/_lib/passed-headers.ts
@@ -4,7 +4,8 @@
 import {type PassedRequest} from '../../../ports/reach.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
 
-const deadlineHeader = 'x-banyanport-deadline-ms';
+/** Milliseconds until the deadline. */
+const timeLeftHeader = 'x-banyanport-time-left';
 const editionHeader = 'x-banyanport-edition';
 const runsHeader = 'x-banyanport-runs';
 
@@ -16,7 +17,7 @@
  * @returns Its headers.
  */
 export function toPassedHeaders({deadlineInMs, edition, runs}: PassedRequest): Record<string, string> {
-	return {[deadlineHeader]: String(Math.floor(deadlineInMs)), [editionHeader]: String(edition), [runsHeader]: String(runs)};
+	return {[timeLeftHeader]: String(Math.floor(deadlineInMs)), [editionHeader]: String(edition), [runsHeader]: String(runs)};
 }
 
 function toNumber(header: string | undefined): number | undefined {
@@ -32,8 +33,8 @@
  * @returns The request as its caller sent it; `undefined` if the statements are missing or invalid.
  */
 export function readPassed(exchange: CallerExchange): CallerExchange | undefined {
-	const {[deadlineHeader]: deadline, [editionHeader]: editionText, [runsHeader]: runsText, ...headers} = exchange.headers;
-	const deadlineInMs = toNumber(deadline);
+	const {[timeLeftHeader]: timeLeft, [editionHeader]: editionText, [runsHeader]: runsText, ...headers} = exchange.headers;
+	const deadlineInMs = toNumber(timeLeft);
 	const edition = toNumber(editionText);
 	const runs = toNumber(runsText);
 	return deadlineInMs === undefined || edition === undefined || runs === undefined
--- a/test/contracts/peer-requests.test.ts
+++ b/test/contracts/peer-requests.test.ts
@@ -34,7 +34,7 @@
 	const findRuns = (id: string) => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id);
 
 	it('are served like those of callers, without the headers between hosts', async () => {
-		const answer = await send({'request-id': 'passed-1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1'});
+		const answer = await send({'request-id': 'passed-1', 'x-banyanport-time-left': '700', 'x-banyanport-edition': '1'});
 		assert.equal(answer.status, 200);
 		assert.equal(answer.headers['x-banyanport-outcome'], undefined);
 		assert.match(String(answer.headers['server-seal']), /^seal-of-desk/v);
@@ -44,12 +44,12 @@
 	});
 
 	it('are refused as not run by a host with an older configuration', async () => {
-		const answer = await send({'request-id': 'passed-2', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '99'});
+		const answer = await send({'request-id': 'passed-2', 'x-banyanport-time-left': '700', 'x-banyanport-edition': '99'});
 		assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [503, 'not-run']);
 		assert.equal(findRuns('passed-2').length, 0);
 	});
 
-	for (const [name, headers] of [['no deadline', {'x-banyanport-edition': '1'}], ['no edition', {'x-banyanport-deadline-ms': '700'}], ['a deadline that is no number', {'x-banyanport-deadline-ms': 'soon', 'x-banyanport-edition': '1'}], ['a negative number of runs', {'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '-1'}]] as const) {
+	for (const [name, headers] of [['no deadline', {'x-banyanport-edition': '1'}], ['no edition', {'x-banyanport-time-left': '700'}], ['a deadline that is no number', {'x-banyanport-time-left': 'soon', 'x-banyanport-edition': '1'}], ['a negative number of runs', {'x-banyanport-time-left': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '-1'}]] as const) {
 		it(`are refused with ${name}`, async () => {
 			const answer = await send({'request-id': `passed-${name.length}`, ...headers});
 			assert.deepEqual([answer.status, answer.headers['x-banyanport-outcome']], [400, 'not-run']);
@@ -59,7 +59,7 @@
 	it('are run no more often than their route allows, with the runs before', async () => {
 		fixture.servers.desk1.addFaults('fail', 'fail');
 		const answer = await send({
-			'request-id': 'passed-runs', path: '/check/1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '1',
+			'request-id': 'passed-runs', path: '/check/1', 'x-banyanport-time-left': '700', 'x-banyanport-edition': '1', 'x-banyanport-runs': '1',
 		});
 		fixture.servers.desk1.clearFaults();
 		assert.equal(answer.status, 500);
@@ -68,7 +68,7 @@
 
 	it('report the end of their deadline as a problem of the host', async () => {
 		fixture.servers.desk1.addFaults('silent');
-		const answer = await send({'request-id': 'passed-late', 'x-banyanport-deadline-ms': '300', 'x-banyanport-edition': '1'});
+		const answer = await send({'request-id': 'passed-late', 'x-banyanport-time-left': '300', 'x-banyanport-edition': '1'});
 		assert.equal(answer.status, 504);
 		assert.equal(answer.headers['x-banyanport-outcome'], 'may-have-run');
 	});
@@ -81,7 +81,7 @@
 		await waitUntil(() => fixture.logs().filter(line => line.edition === 2).length >= 2, {deadlineMs, what: 'the limit in force'});
 		for (let i = 0; i < 5; i++) {
 			const answer = await send({
-				'request-id': `passed-charged-${i}`, authorization: 'Bearer key-1', 'x-banyanport-deadline-ms': '700', 'x-banyanport-edition': '2',
+				'request-id': `passed-charged-${i}`, authorization: 'Bearer key-1', 'x-banyanport-time-left': '700', 'x-banyanport-edition': '2',
 			});
 			assert.equal(answer.status, 200);
 		}
