List the modules of answers and links for mutation testing, and drop an implied condition

Mutants of create-peer-links showed that 'heard lately' is implied by 'had an answer lately', as an answer is never younger than the message that tells of it: the condition goes. Survivors of the judge and the scanner get a case each (a coding named identity, a blank line before the first event).

--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -47,6 +47,11 @@
 	toDomainModule('create-published-fleet', followTests),
 	toDomainModule('create-leaving-overrides'),
 	toDomainModule('compare-eras'),
+	toDomainModule('create-answer-judge'),
+	toDomainModule('create-event-scanner'),
+	toDomainModule('find-answer-framing'),
+	toDomainModule('create-pool-links'),
+	toDomainModule('create-peer-links'),
 	{
 		name: 'follow-published',
 		sources: ['src/programs/entry/follow-published/index.ts'],
--- a/src/domain/create-answer-judge/test.ts
+++ b/src/domain/create-answer-judge/test.ts
@@ -40,6 +40,9 @@
 		{
 			name: 'an encoded stream, whose bytes are no events', headers: {'content-type': streamType, 'content-encoding': 'gzip'}, body: 'xx', verdict: 'whole',
 		},
+		{
+			name: 'a stream in the identity coding that stops inside an event', headers: {'content-type': ' text/event-stream ; charset=utf-8', 'content-encoding': 'identity'}, body: 'id: 1', verdict: 'inside-event',
+		},
 		{
 			name: 'an answer to HEAD', method: 'HEAD', headers: {'content-length': '9', 'content-type': streamType}, body: '', verdict: 'whole',
 		},
--- a/src/domain/create-event-scanner/test.ts
+++ b/src/domain/create-event-scanner/test.ts
@@ -36,6 +36,9 @@
 		{
 			name: 'CRLF line ends', text: 'id: 1\r\n\r\nid: 2\r\n', isBetweenEvents: false, count: 1,
 		},
+		{
+			name: 'a blank line before the first event', text: '\nid: 1\n\n', isBetweenEvents: true, count: 1,
+		},
 		{
 			name: 'CR line ends', text: 'id: 1\r\rid: 2\r\r', isBetweenEvents: true, count: 2,
 		},
--- a/src/domain/create-peer-links/index.ts
+++ b/src/domain/create-peer-links/index.ts
@@ -8,11 +8,11 @@
 	note: (address: string, answers: readonly PoolAnswer[], now: Milliseconds) => void;
 	/** Latest time at which another host had an answer from the pool. */
 	toAnsweredAt: (pool: number) => Milliseconds;
-	/** Picks a host that had an answer from the pool lately and was heard lately; `undefined` if there is none. */
+	/** Picks a host that had an answer from the pool lately; `undefined` if there is none. */
 	pick: (pool: number, options: {exclude: ReadonlySet<string>; now: Milliseconds; random: Random}) => string | undefined;
 };
 
-/** Age beyond which a message or an answer no longer shows that a host reaches the pool; a host of a large fleet is heard each second. */
+/** Age beyond which an answer no longer shows that a host reaches the pool; a host of a large fleet is heard each second. */
 const maxAgeMs: Milliseconds = 2 * msPerSecond;
 
 /** Age after which hosts and answers are forgotten. */
@@ -63,7 +63,7 @@
 		toAnsweredAt: pool => latest.get(pool) ?? -Infinity,
 		pick(pool, {exclude, now, random}) {
 			const reaching = [...hosts]
-				.filter(([address, {at, answeredAt}]) => !exclude.has(address) && now - at <= maxAgeMs && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs)
+				.filter(([address, {answeredAt}]) => !exclude.has(address) && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs)
 				.map(([address]) => address);
 			return reaching[Math.floor(random() * reaching.length)];
 		},
--- a/src/domain/create-peer-links/test.ts
+++ b/src/domain/create-peer-links/test.ts
@@ -27,17 +27,20 @@
 		assert.equal(peers.pick(7, {exclude: new Set(['a', 'b']), now: 1100, random}), undefined);
 	});
 
-	it('picks no host that was not heard lately or has had no answer lately', () => {
+	it('picks no host that has had no answer for two seconds, heard or not', () => {
 		const peers = createPeerLinks();
 		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
 		peers.note('b', [{pool: 7, ageMs: 1900}], 2900);
-		assert.equal(peers.pick(7, {exclude: none, now: 2900, random}), 'b');
+		assert.equal(peers.pick(7, {exclude: new Set(['b']), now: 3000, random}), 'a');
+		assert.equal(peers.pick(7, {exclude: new Set(['a']), now: 3000, random}), 'b');
 		assert.equal(peers.pick(7, {exclude: none, now: 3001, random}), undefined);
 	});
 
 	it('forgets hosts and answers', () => {
 		const peers = createPeerLinks();
 		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('b', [], 11_000);
+		assert.equal(peers.toAnsweredAt(7), 1000);
 		peers.note('b', [], 11_001);
 		assert.equal(peers.toAnsweredAt(7), -Infinity);
 	});
