--- a/src/domain/create-answer-judge/index.ts
+++ b/src/domain/create-answer-judge/index.ts
@@ -29,12 +29,12 @@
 }
 
 function judgeLength(received: number, {headers}: AnswerHead): AnswerVerdict {
-	const stated = Number(headers['content-length']);
-	if (received === stated) {
+	const missing = Number(headers['content-length']) - received;
+	if (missing === 0) {
 		return 'whole';
 	}
 
-	return received < stated ? 'short' : 'long';
+	return missing > 0 ? 'short' : 'long';
 }
 
 /**
--- a/test/contracts/peer-requests.test.ts
+++ b/test/contracts/peer-requests.test.ts
@@ -16,8 +16,8 @@
 	});
 	after(async () => fixture.stop());
 
-	async function send({path = '/lookup/1', ...headers}: Record<string, string>): Promise<PeerAnswer> {
-		const [host, port] = fixture.peerAddresses[1]!.split(':');
+	async function send({path = '/lookup/1', ...headers}: Record<string, string>, to = fixture): Promise<PeerAnswer> {
+		const [host, port] = to.peerAddresses[1]!.split(':');
 		return new Promise((resolve, reject) => {
 			const req = request({
 				host, port, path, method: 'POST', agent: false, headers: {host: 'desk.example', 'x-banyanport-runs': '0', ...headers},
@@ -73,6 +73,20 @@
 		assert.equal(answer.headers['x-banyanport-outcome'], 'may-have-run');
 	});
 
+	// Guards against a planned stop of a host that breaks off what other hosts passed on to it.
+	it('are answered whole during a planned stop, and refused after it', async context => {
+		const stopping = await startRelayFixture({hosts: 2, workMs: 500});
+		context.after(async () => stopping.stop());
+		const headers = {'x-banyanport-time-left': '5000', 'x-banyanport-edition': '1'};
+		const answering = send({'request-id': 'passed-stop', ...headers}, stopping);
+		await waitUntil(() => [stopping.servers.desk1, stopping.servers.desk2].some(server => server.runs().length > 0), {deadlineMs, what: 'the run'});
+		await stopping.stopRelay();
+		const answer = await answering;
+		assert.equal(answer.status, 200);
+		assert.ok(answer.isWhole);
+		await assert.rejects(send({'request-id': 'passed-after', ...headers}, stopping), {code: 'ECONNREFUSED'});
+	});
+
 	it('are not charged to their workspace again', async () => {
 		fixture.setTenants([{
 			name: 'limited', api_keys: ['key-1'], unit: 'token_stream', plain_tokens: 100, rate_per_s: 1, burst: 100,
