Explain requests that another host served

What operators saw: explain-request showed the lines of both hosts and took the later end for the caller's, which with clocks apart may be that of the host which served it, and left out that the first host reached no server. The verdict now names the host that passed the request on and its own end. The new case was red before: its verdict was 'complete'.

--- a/src/domain/to-request-history/index.ts
+++ b/src/domain/to-request-history/index.ts
@@ -21,7 +21,7 @@
 
 /** Messages that concern the whole host rather than one server. */
 const hostWideMessages = new Set([
-	'configuration in force', 'platform answers', 'platform does not answer', 'platform no longer knows what changed, reading all anew', 'woke up after a pause', 'stopping', 'listening',
+	'configuration in force', 'platform answers', 'platform does not answer', 'platform no longer knows what changed, reading all anew', 'woke up after a pause', 'stopping', 'listening', 'no server of the pool can be reached', 'servers of the pool can be reached again',
 ]);
 
 function toServers(lines: readonly LogLine[]): ReadonlySet<string> {
@@ -41,7 +41,9 @@
 };
 
 function toVerdict(own: readonly LogLine[]): string | undefined {
-	const end = own.findLast(({message}) => message === 'request ended' || message === 'request refused');
+	const passed = own.find(({message}) => message === 'passed on');
+	// A host that served a request for another one logs an end too; the caller saw that of the host which passed it on.
+	const end = own.findLast(({message, host}) => (message === 'request ended' || message === 'request refused') && (passed === undefined || host === passed.host));
 	if (end === undefined) {
 		return undefined;
 	}
@@ -51,7 +53,8 @@
 	const last = failures.at(-1);
 	const why = last === undefined ? '' : `; the last failure, of ${failures.length}: ${toFieldsText(last)}`;
 	const full = own.some(({message}) => message === 'every server is full') ? '; every decode server was full' : '';
-	return `${reason}: ${explanations[reason] ?? 'see the last line of the request'}${full}${why}`;
+	const by = passed === undefined ? '' : `; passed on by ${passed.host}, which reached no server of the pool`;
+	return `${reason}: ${explanations[reason] ?? 'see the last line of the request'}${full}${by}${why}`;
 }
 
 /**
--- a/src/domain/to-request-history/test.ts
+++ b/src/domain/to-request-history/test.ts
@@ -42,6 +42,21 @@
 		assert.match(toRequestHistory(lines, 'r').verdict!, /^no-capacity: .*every decode server was full/v);
 	});
 
+	it('explains a request that another host served, by the end that its caller saw', () => {
+		const lines = [
+			toLine(0, 'no server of the pool can be reached', {pool: 'desk'}),
+			ofRequest(1000, 'request received'),
+			ofRequest(1001, 'passed on', {peerAddress: '10.0.0.2:7380'}),
+			toLine(1002, 'request received', {requestId: 'r'}, 'b'),
+			ofRequest(1500, 'request ended', {reason: 'deadline-passed'}),
+			// The clock of the other host is ahead.
+			toLine(1600, 'request ended', {requestId: 'r', reason: 'complete'}, 'b'),
+		];
+		const {beliefs, verdict} = toRequestHistory(lines, 'r');
+		assert.match(verdict!, /^deadline-passed: .*passed on by a/v);
+		assert.deepEqual(beliefs.map(({message}) => message), ['no server of the pool can be reached']);
+	});
+
 	it('has no verdict for a request that no host logged, or whose end is missing', () => {
 		assert.deepEqual(toRequestHistory(logLines, 'other'), {own: [], beliefs: [], verdict: undefined});
 		assert.equal(toRequestHistory([ofRequest(0, 'request received')], 'r').verdict, undefined);
