Charge no prefill for a host that did not run a passed request, and name hosts as hosts

What a pool's servers and callers saw: after another host refused a request that was passed on, a retry at a model pool was charged one prefill, though no server had had the request, and the decode server might then compute the prompt itself. A caller's problem named the host as 'Server IP:port'.

Cause: the refusal of a host used the fault of a server that could not be connected, and each passed request counted as sent to a server. It now has a fault of its own, 'not-run'. Found by reading. The new case of decide-retry fails if 'not-run' counts as offered.

--- a/src/programs/entry/call-plain/_lib/decide-retry.test.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.test.ts
@@ -31,7 +31,7 @@
 function createRun({own, shared, kept = false, isDecodeOnly = false, tried = 1, isRepeatable = true, runs = 0, isTaken = false}: Case) {
 	const asked: number[] = [];
 	const decisions: Array<[string, number]> = [];
-	const budget = createRetryBudget({capacity: own, perSecond: 0, notRunCost: 1});
+	const budget = createRetryBudget({capacity: own, perSecond: 0, notRunCost: 1, notOfferedCost: 0});
 	let left = shared ?? 0;
 	const run = {
 		route: {pool: {name: 'model', kind: 'model'}, rule: {then: {repeatable: isRepeatable, relay: {attempts: 2}}}},
@@ -97,6 +97,9 @@
 		{
 			name: 'asks for the call alone if the prefill failed', given: {own: 0, shared: 9}, hasRun: false, kind: 'retry', asked: [1], decision: ['granted-shared', 1],
 		},
+		{
+			name: 'costs nothing after a host that did not run the request', given: {own: 0}, fault: {kind: 'not-run', message: 'the other host answered 503'}, hasRun: false, kind: 'retry', asked: [], decision: ['granted', 0],
+		},
 		{
 			name: 'gives up if the shared part is spent too', given: {own: 0, shared: 1}, kind: 'give-up', asked: [2], decision: ['budget', 0],
 		},
@@ -154,6 +157,7 @@
 		[refused, false],
 		[broken, true],
 		[{kind: 'unreachable', message: ''}, false],
+		[{kind: 'not-run', message: ''}, false],
 		[{kind: 'aborted', message: ''}, true],
 		[{kind: 'aborted', message: '', isUnsent: true}, false],
 		[{kind: 'failed-answer', message: ''}, true],
--- a/src/programs/entry/call-plain/_lib/decide-retry.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.ts
@@ -23,13 +23,19 @@
 /** Maximum number of calls of a request whose last call did not run it: a prefill, or a call that a server refused or that did not reach it. The route's limit of attempts counts runs alone. */
 const maxCallsNotRun = 3;
 
+/** Faults after which no server has been offered the request by the failed call. */
+const notOfferedKinds: ReadonlySet<PlainFault['kind']> = new Set(['unreachable', 'not-run']);
+
+/** Faults after which no server has begun to run the request of the failed call. */
+const notStartedKinds: ReadonlySet<PlainFault['kind']> = new Set([...notOfferedKinds, 'refused']);
+
 /**
  * @param fault - Why a call that carried the request failed.
  * @returns Whether the server may have begun to run the request.
  */
 export function mayHaveStarted(fault: PlainFault): boolean {
 	const isUnsent = fault.kind === 'aborted' && fault.isUnsent === true;
-	return fault.kind !== 'unreachable' && fault.kind !== 'refused' && !isUnsent;
+	return !notStartedKinds.has(fault.kind) && !isUnsent;
 }
 
 export type RetryDecision = {kind: 'give-up'} | {kind: 'retry'; delayMs: Milliseconds};
@@ -110,7 +116,7 @@
 		return {kind: 'give-up'};
 	}
 
-	const isOffered = fault.kind !== 'unreachable';
+	const isOffered = !notOfferedKinds.has(fault.kind);
 	const isStarted = hasRun && mayHaveStarted(fault);
 	const failed = toFailedAttempt(run, {isOffered, isStarted, runs: run.runs});
 	const budget = toRetryBudget(run.route.pool.name);
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -1,7 +1,6 @@
 /** Outcomes of plain requests that end without an answer, with the problems that their callers are told. */
 import {type PlacementRefusal} from '../../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
-import {type ServerId} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
@@ -58,8 +57,15 @@
 	return {end: toEnd(outcome), outcome, problem: toQuarantineProblem(outcome)};
 }
 
-/** Returns the outcome of a request that is not retried after a failed call. */
-export function toGivenUp(run: PlainRun, called: ServerId, fault: PlainFault): PlainOutcome {
+/**
+ * Returns the outcome of a request that is not retried after a failed call.
+ *
+ * @param run - The request.
+ * @param called - Names the server or the host that was called, at the start of a sentence.
+ * @param fault - Why the call failed.
+ * @returns The outcome.
+ */
+export function toGivenUp(run: PlainRun, called: string, fault: PlainFault): PlainOutcome {
 	const bodyFault = run.body.fault();
 	const outcome = run.ledger.outcome();
 	if (bodyFault !== undefined) {
@@ -68,13 +74,13 @@
 	}
 
 	if (run.ctx.services.clock.now() >= run.deadline) {
-		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `Server ${called} had not begun its answer when the deadline passed.`, outcome}};
+		return {end: 'failed', outcome, problem: {kind: 'deadline-passed', detail: `${called} had not begun its answer when the deadline passed.`, outcome}};
 	}
 
 	if (fault.kind === 'refused' && outcome === 'not-run') {
 		return {
 			end: 'refused', outcome, problem: {
-				kind: 'no-capacity', detail: `Server ${called} refused the request: ${fault.reason}.`, outcome, retryAfterMs: addJitter(run, msPerSecond),
+				kind: 'no-capacity', detail: `${called} refused the request: ${fault.reason}.`, outcome, retryAfterMs: addJitter(run, msPerSecond),
 			},
 		};
 	}
@@ -84,7 +90,7 @@
 		end: toEnd(outcome),
 		outcome,
 		problem: {
-			kind: 'backend-failed', detail: `Server ${called} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: addJitter(run, msPerSecond)}),
+			kind: 'backend-failed', detail: `${called} failed: ${fault.kind}. ${again}`, outcome, ...(outcome === 'not-run' && {retryAfterMs: addJitter(run, msPerSecond)}),
 		},
 	};
 }
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -48,10 +48,11 @@
 
 const isNotCalled = (result: AttemptResult): result is NotCalledResult => result.kind === 'bounced' || result.kind === 'not-placed';
 
-/** Names the server or the host that was called, and whether it was sent the request itself. */
+/** Names the server or the host that was called, and whether the request itself was sent to a server. */
 function toCallee(attempted: CalledResult): {id: string; zone: ZoneId; hasRun: boolean} {
 	if (attempted.kind === 'passed-on') {
-		return {id: attempted.peer, zone: '', hasRun: true};
+		const {peer, ended} = attempted;
+		return {id: peer, zone: '', hasRun: ended.kind !== 'failed' || mayHaveStarted(ended.fault)};
 	}
 
 	const {server: {id, zone}, hasRun} = attempted;
@@ -165,7 +166,7 @@
 	}
 
 	if (decision.kind === 'give-up') {
-		return toGivenUp(run, id, ended.fault);
+		return toGivenUp(run, attempted.kind === 'passed-on' ? `Host ${id}` : `Server ${id}`, ended.fault);
 	}
 
 	await waitUnlessAborted(run, decision.delayMs);
@@ -233,7 +234,7 @@
 	const attempt = run.tried.length + 1;
 	const reason = fault.kind === 'refused' ? fault.reason : undefined;
 	// A failed answer comes from the application, and all servers of a service may give the same one, so it says nothing about the server's health.
-	if (fault.kind !== 'failed-answer') {
+	if (fault.kind !== 'failed-answer' && fault.kind !== 'not-run') {
 		services.placement.noteFailure(server, {kind: fault.kind, reason}, services.clock.now());
 	}
 
--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -31,7 +31,7 @@
 	return isDue ? reach.pickPeer(route.pool.name, peersTried) : undefined;
 }
 
-/** Checks the head of the other host's answer, which is either the answer of a server or a problem of that host. After `not-run` no server has been reached yet, so that another call costs no retry. */
+/** Checks the head of the other host's answer, which is either the answer of a server or a problem of that host. */
 function findPeerFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
 	const outcome = readOutcome(headers);
 	if (outcome === undefined) {
@@ -39,7 +39,7 @@
 	}
 
 	const message = `the other host answered ${status}`;
-	return outcome === 'not-run' ? {kind: 'unreachable', message} : {kind: 'failed-answer', message};
+	return outcome === 'not-run' ? {kind: 'not-run', message} : {kind: 'failed-answer', message};
 }
 
 function toHeaders(run: PlainRun): Record<string, string | string[]> {
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -24,7 +24,9 @@
 	| {kind: 'refused'; reason: EngineRefusalReason; message: string}
 	/** The server ran the request and reported a failure; the answer was not relayed, because another server is to be tried. */
 	| {kind: 'failed-answer'; message: string}
-	| {kind: 'invalid'; message: string};
+	| {kind: 'invalid'; message: string}
+	/** Another host, to which the request was passed on, did not run it. */
+	| {kind: 'not-run'; message: string};
 
 export type PlainEnd =
 	| {kind: 'complete'; status: number; answer: AnswerEnd}
