--- a/src/programs/entry/call-plain/_lib/decide-retry.test.ts
+++ b/src/programs/entry/call-plain/_lib/decide-retry.test.ts
@@ -31,7 +31,9 @@
 function createRun({own, shared, kept = false, isDecodeOnly = false, tried = 1, isRepeatable = true, runs = 0, isTaken = false}: Case) {
 	const asked: number[] = [];
 	const decisions: Array<[string, number]> = [];
-	const budget = createRetryBudget({capacity: own, perSecond: 0, notRunCost: 1, notOfferedCost: 0});
+	const budget = createRetryBudget({
+		capacity: own, perSecond: 0, notRunCost: 1, notOfferedCost: 0,
+	});
 	let left = shared ?? 0;
 	const run = {
 		route: {pool: {name: 'model', kind: 'model'}, rule: {then: {repeatable: isRepeatable, relay: {attempts: 2}}}},
