Pass no request on while a server of the pool answers that it is full

Cause: servers that could not be reached were counted over all rounds of a request that waits for room, so that one crashed server counted again in each round, and answers of other servers in between did not matter.

Change: distinct servers count, and each answer of any server starts anew. The new case of failures/lost-links was red before ('passed on' while a full server answers), and is without the reset.

--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -8,7 +8,9 @@
 import {type EngineFailure} from '../../../../ports/engine.js';
 import {type ServerId} from '../../../../ports/ids.js';
 import {type CacheCalls} from '../../../../ports/server-calls.js';
-import {noteAnswered, noteLinkEnd, toRemainingMs} from '../../call-plain/_lib/send-step.js';
+import {
+	noteAnswered, noteLinkAnswer, noteLinkEnd, toRemainingMs,
+} from '../../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../../call-plain/_lib/types.js';
 import {recordPlacement} from '../../_lib/record-placement.js';
 import {hasKeptCache} from './kept-cache.js';
@@ -59,7 +61,7 @@
 	const link = run.ctx.reach?.openCall(run.route.pool.name);
 	const reserved = await caches.reserve(decode, {tokens: toReservedTokens(run.work), ttlMs: toReservationMs(run)}, limit);
 	if (reserved.isOk() || reserved.error.kind === 'refused') {
-		link?.answer(services.clock.now());
+		noteLinkAnswer(run, link);
 	} else {
 		noteLinkEnd(run, link);
 	}
@@ -131,7 +133,10 @@
 		// A call that this host's timeout aborted counts as broken, because the server did not answer.
 		services.placement.noteFailure(decode, {kind: kind === 'aborted' ? 'broken' : kind, reason}, services.clock.now());
 		asked.add(decode.id);
-		run.unreached += kind === 'refused' ? 0 : 1;
+		if (kind !== 'refused') {
+			run.unreached.add(decode.id);
+		}
+
 		isFull ||= reason === 'full';
 	}
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -16,7 +16,7 @@
 import {type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	isQuarantined, noteAnswered, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
+	isQuarantined, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {dropKeptCache, isCacheLeft, takeKeptCache} from './_lib/kept-cache.js';
@@ -87,7 +87,7 @@
 		return err(answer.error.kind === 'too-large' ? {kind: 'invalid', message} : answer.error);
 	}
 
-	link?.answer(run.ctx.services.clock.now());
+	noteLinkAnswer(run, link);
 	const {status, headers, text} = answer.value;
 	handleAnswerNotice(run, server, {status, headers});
 	const reason = run.ctx.calls.toRefusal(status, headers);
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -113,6 +113,17 @@
 	return fingerprint !== undefined && ctx.suspects.isQuarantined(fingerprint, ctx.services.clock.now());
 }
 
+/**
+ * Notes that a server answered, so that the pool can be reached.
+ *
+ * @param run - The request.
+ * @param link - The call.
+ */
+export function noteLinkAnswer({unreached, ctx}: PlainRun, link: LinkCall | undefined): void {
+	unreached.clear();
+	link?.answer(ctx.services.clock.now());
+}
+
 /**
  * Notes the end of a call. Without an answer, it tells about the link to the
  * server unless the request itself was aborted.
@@ -146,7 +157,7 @@
 		dispatcher: clients.toDispatcher(server),
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
-			link?.answer(ctx.services.clock.now());
+			noteLinkAnswer(run, link);
 			handleAnswerNotice(run, server, {status, headers});
 			const fault = findHeadFault(run, status, headers);
 			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -4,7 +4,7 @@
 import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
 import {type PromptCache, type RequestHints} from '../../../../ports/server-calls.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
-import {type Fingerprint} from '../../../../ports/ids.js';
+import {type Fingerprint, type ServerId} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {type Account} from '../../accounts/index.js';
 import {type RelayedEvents} from '../../send-plain/index.js';
@@ -45,8 +45,8 @@
 	kept?: PromptCache | undefined;
 	/** `IP:port` of the hosts to which the request was passed on. */
 	peersTried: Set<string>;
-	/** Number of servers that could not be connected, or gave no answer to a reservation. */
-	unreached: number;
+	/** Servers that could not be connected, or gave no answer to a reservation, since any server last answered the request. */
+	unreached: Set<ServerId>;
 	/** Number of times that every server was full. */
 	bounces: number;
 	/** Monotonic time of the first byte of an answer. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -229,7 +229,10 @@
 	}
 
 	const {server} = attempted;
-	run.unreached += fault.kind === 'unreachable' ? 1 : 0;
+	if (fault.kind === 'unreachable') {
+		run.unreached.add(server.id);
+	}
+
 	const {services} = run.ctx;
 	const attempt = run.tried.length + 1;
 	const reason = fault.kind === 'refused' ? fault.reason : undefined;
--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -11,7 +11,7 @@
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
 
-/** Number of servers that could not be reached, after which a request is passed on before the links count as lost. */
+/** Number of servers that could not be reached and none that answered, after which a request is passed on before the links count as lost. */
 const maxUnreached = 2;
 
 /**
@@ -27,7 +27,7 @@
 		return undefined;
 	}
 
-	const isDue = reach.isLost(route.pool.name) || unreached >= maxUnreached;
+	const isDue = reach.isLost(route.pool.name) || unreached.size >= maxUnreached;
 	return isDue ? reach.pickPeer(route.pool.name, peersTried) : undefined;
 }
 
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -273,7 +273,7 @@
 	});
 	try {
 		const run: PlainRun = {
-			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], peersTried: new Set(), unreached: 0, runs: exchange.passed?.runs ?? 0, isDecodeOnly: false, bounces: 0,
+			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], peersTried: new Set(), unreached: new Set(), runs: exchange.passed?.runs ?? 0, isDecodeOnly: false, bounces: 0,
 		};
 		const ended = await waitAndCall(run);
 		finish(run, ended);
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -12,6 +12,8 @@
 /** Time after which the loss must not show any more. */
 const noticeMs = 3000;
 const asked = 40;
+/** Time for which a server stays full; requests to it are tried again many times meanwhile. */
+const waitMs = 700;
 /** Runs that break, shared with the requests that keep the hosts busy. */
 const brokenRuns = 12;
 
@@ -124,3 +126,25 @@
 		assert.ok(tookMs < 2500, `${tookMs} ms`);
 	});
 });
+
+// Guards against requests that are handed from host to host, and refused, instead of waiting for a server that is full.
+describe('a host that reaches a full server, and another server not at all', {timeout: 60_000}, () => {
+	it('lets its requests wait', async context => {
+		const fixture = await startRelayFixture({hosts: 2});
+		context.after(async () => fixture.stop());
+		const ask = async (at: number, id: string) => fixture.ask({
+			path: '/summary/1', body: 'prompt', at, headers: toStreamHeaders({'request-id': id}),
+		});
+		const {decode1, decode2} = fixture.servers;
+		fixture.publishServer(decode1, {address: '127.0.0.1:1'});
+		await waitUntil(() => fixture.logs().filter(({message, server}) => message === 'server changed' && server === 'decode1').length >= 4, {deadlineMs, what: 'the address in force'});
+		await ask(1, 'before');
+		decode2.setFreeTokens(0);
+		const asking = ask(0, 'waiting');
+		await sleep(waitMs);
+		decode2.setFreeTokens(Infinity);
+		const answer = await asking;
+		assert.equal(answer.status, 200);
+		assert.deepEqual(fixture.logs().filter(({message}) => message === 'passed on'), []);
+	});
+});
