--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -133,10 +133,9 @@
 		// A call that this host's timeout aborted counts as broken, because the server did not answer.
 		services.placement.noteFailure(decode, {kind: kind === 'aborted' ? 'broken' : kind, reason}, services.clock.now());
 		asked.add(decode.id);
-		if (kind !== 'refused') {
+		isFull ||= reason === 'full';
+		if (kind !== 'refused' && !isFull) {
 			run.unreached.add(decode.id);
 		}
-
-		isFull ||= reason === 'full';
 	}
 }
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -128,7 +128,7 @@
 });
 
 // Guards against requests that are handed from host to host, and refused, instead of waiting for a server that is full.
-describe('a host that reaches a full server, and another server not at all', {timeout: 60_000}, () => {
+describe('a host that reaches a full server, and two other servers not at all', {timeout: 60_000}, () => {
 	it('lets its requests wait', async context => {
 		const fixture = await startRelayFixture({hosts: 2});
 		context.after(async () => fixture.stop());
@@ -136,8 +136,12 @@
 			path: '/summary/1', body: 'prompt', at, headers: toStreamHeaders({'request-id': id}),
 		});
 		const {decode1, decode2} = fixture.servers;
-		fixture.publishServer(decode1, {address: '127.0.0.1:1'});
-		await waitUntil(() => fixture.logs().filter(({message, server}) => message === 'server changed' && server === 'decode1').length >= 4, {deadlineMs, what: 'the address in force'});
+		const lost = ['decode1', 'decode3'];
+		for (const id of lost) {
+			fixture.publishServer({...decode1, id}, {address: '127.0.0.1:1'});
+		}
+
+		await waitUntil(() => fixture.knownServers(0).has('decode3') && fixture.knownServers(1).has('decode3'), {deadlineMs, what: 'the addresses in force'});
 		await ask(1, 'before');
 		decode2.setFreeTokens(0);
 		const asking = ask(0, 'waiting');
