Prefer hosts that were heard just now for requests that are passed on

Change: of the hosts with answers, those heard within 0.6 s go first; without any, the others stand as before. The new case of create-peer-links was red before (a host heard a second ago was picked).

--- a/src/domain/create-peer-links/index.ts
+++ b/src/domain/create-peer-links/index.ts
@@ -8,13 +8,16 @@
 	note: (address: string, answers: readonly PoolAnswer[], now: Milliseconds) => void;
 	/** Latest time at which another host had an answer from the pool. */
 	toAnsweredAt: (pool: number) => Milliseconds;
-	/** Picks a host that had an answer from the pool lately; `undefined` if there is none. */
+	/** Picks a host that had an answer from the pool lately, one of those heard just now if there are any; `undefined` if there is none. */
 	pick: (pool: number, options: {exclude: ReadonlySet<string>; now: Milliseconds; random: Random}) => string | undefined;
 };
 
 /** Age beyond which an answer no longer shows that a host reaches the pool; a host of a large fleet is heard each second. */
 const maxAgeMs: Milliseconds = 2 * msPerSecond;
 
+/** Age up to which a message shows that its host can be reached. Hosts of a small fleet send each half second, and some of a large one at any time. */
+const freshMs: Milliseconds = 600;
+
 /** Age after which hosts and answers are forgotten. */
 const forgetMs: Milliseconds = 10 * msPerSecond;
 
@@ -62,10 +65,10 @@
 		},
 		toAnsweredAt: pool => latest.get(pool) ?? -Infinity,
 		pick(pool, {exclude, now, random}) {
-			const reaching = [...hosts]
-				.filter(([address, {answeredAt}]) => !exclude.has(address) && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs)
-				.map(([address]) => address);
-			return reaching[Math.floor(random() * reaching.length)];
+			const reaching = [...hosts].filter(([address, {answeredAt}]) => !exclude.has(address) && now - (answeredAt.get(pool) ?? -Infinity) <= maxAgeMs);
+			const fresh = reaching.filter(([, {at}]) => now - at <= freshMs);
+			const candidates = fresh.length > 0 ? fresh : reaching;
+			return candidates[Math.floor(random() * candidates.length)]?.[0];
 		},
 	};
 }
--- a/src/domain/create-peer-links/test.ts
+++ b/src/domain/create-peer-links/test.ts
@@ -45,6 +45,19 @@
 		assert.equal(peers.toAnsweredAt(7), -Infinity);
 	});
 
+	// Guards against passing requests on to hosts of a zone that was cut off a second ago.
+	it('prefers hosts that were heard just now', () => {
+		const peers = createPeerLinks();
+		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
+		peers.note('b', [{pool: 7, ageMs: 900}], 1900);
+		for (const chance of [0, 0.99]) {
+			assert.equal(peers.pick(7, {exclude: none, now: 2000, random: () => chance}), 'b');
+		}
+
+		assert.equal(peers.pick(7, {exclude: new Set(['b']), now: 2000, random}), 'a');
+		assert.equal(peers.pick(7, {exclude: none, now: 2600, random: () => 0}), 'a');
+	});
+
 	it('takes the newest message of a host alone', () => {
 		const peers = createPeerLinks();
 		peers.note('a', [{pool: 7, ageMs: 0}], 1000);
