Test what mutants of create-pool-links left unnoticed

Among those that stood: failed calls that don't count, calls from before an answer that do, a mean without bounds, a lost pool that is probed only on word of others, probes without a pace. Each has a case now; what is left are bounds that are off by one step of the clock.

--- a/src/domain/create-pool-links/test.ts
+++ b/src/domain/create-pool-links/test.ts
@@ -56,13 +56,51 @@
 		}
 
 		links.open(60_000);
-		assert.equal(links.isProbeDue(Infinity, 60_500), false);
-		assert.equal(links.isProbeDue(Infinity, 61_000), true);
+		assert.equal(links.isProbeDue(Infinity, 60_850), false);
+		assert.equal(links.isProbeDue(Infinity, 60_900), true);
+	});
+
+	it('counts a call that failed at once, but none that an answer of the pool has followed', () => {
+		const links = createPoolLinks();
+		links.open(0).fail();
+		assert.equal(links.toSilenceMs(100), 100);
+		const before = links.open(100);
+		links.open(110).answer(120);
+		before.fail();
+		assert.equal(links.toSilenceMs(2000), 0);
+	});
+
+	it('counts silence from the first of several calls', () => {
+		const links = createPoolLinks();
+		const first = links.open(0);
+		const second = links.open(50);
+		second.fail();
+		first.fail();
+		assert.equal(links.toSilenceMs(400), 400);
+	});
+
+	it('takes no answer of a call that has ended', () => {
+		const links = createPoolLinks();
+		const call = links.open(0);
+		call.fail();
+		call.answer(50);
+		assert.equal(links.answeredAt(), -Infinity);
+		assert.equal(links.toSilenceMs(100), 100);
+	});
+
+	it('probes a lost pool every 400 ms, and one that accepted a connection after a second', () => {
+		const links = createPoolLinks();
+		links.open(0);
+		links.noteProbed(false, 600);
+		assert.deepEqual([links.isProbeDue(Infinity, 999), links.isProbeDue(-Infinity, 1000)], [false, true], 'whatever other hosts tell');
+		links.noteProbed(true, 1100);
+		links.open(1100);
+		assert.deepEqual([links.isProbeDue(Infinity, 2099), links.isProbeDue(Infinity, 2100)], [false, true]);
 	});
 
 	it('does not count a call that this host ended early', () => {
 		const links = createPoolLinks();
-		links.open(0).abandon(100);
+		links.open(500).abandon(600);
 		assert.equal(links.toSilenceMs(1000), 0);
 		links.open(1000).abandon(1400);
 		assert.equal(links.toSilenceMs(2000), 1000);
