Log the software version of servers, and the stream that a request takes up

Callers got streams with events of two software versions. The lines could not tell streams that went on elsewhere within one answer from callers that came back: none named a version, and nothing said that a request takes up a stream.

The platform's entry of a server has the version; it is now decoded into softwareVersion, apart from the version of weights. The headers with which a caller names the stream that it goes on with are decoded into a hint. Both are logged; nothing decides by them yet.

--- a/src/domain/create-published-fleet/_lib/types.ts
+++ b/src/domain/create-published-fleet/_lib/types.ts
@@ -1,7 +1,7 @@
 /** Options, inputs and results of the published fleet. */
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ZoneEntry} from '../../../ports/config.js';
-import {type ServerId} from '../../../ports/ids.js';
+import {type ServerId, type SoftwareVersion} from '../../../ports/ids.js';
 import {type PublishedChange, type PublishedName, type PublishedRules} from '../../../ports/published.js';
 import {type FleetView} from '../../../ports/view.js';
 
@@ -34,7 +34,7 @@
 	/** Rules that came into force with this read. */
 	rules: PublishedRules | undefined;
 	/** Servers that joined, left, or announced that they leave; `missing`: no longer published, and used until the grace period ends. */
-	servers: ReadonlyArray<{id: ServerId; became: 'serving' | 'leaving' | 'missing' | 'gone'}>;
+	servers: ReadonlyArray<{id: ServerId; softwareVersion?: SoftwareVersion; became: 'serving' | 'leaving' | 'missing' | 'gone'}>;
 	/** Entries that became unreadable, or are unreadable for another reason than before. */
 	unreadable: ReadonlyArray<{what: 'rules' | 'server'; name: PublishedName; reason: string}>;
 };
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -3,7 +3,7 @@
  * them. Rules never go back to an older version within the life of the process.
  */
 import {type Milliseconds} from '../../ports/clock.js';
-import {type Config, type ZoneEntry} from '../../ports/config.js';
+import {type Config, type ServerEntry, type ZoneEntry} from '../../ports/config.js';
 import {type ServerId} from '../../ports/ids.js';
 import {
 	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
@@ -54,6 +54,8 @@
 	return change.kind === 'unreadable-server' ? change.name : undefined;
 }
 
+const toNamed = ({id, softwareVersion}: ServerEntry): Omit<FleetChange['servers'][number], 'became'> => ({id, ...(softwareVersion !== undefined && {softwareVersion})});
+
 function isSameServer(a: PublishedServer, b: PublishedServer): boolean {
 	return a.leaving === b.leaving && JSON.stringify(a.entry) === JSON.stringify(b.entry);
 }
@@ -116,7 +118,7 @@
 		const ended = known !== undefined && known.entry.id !== entry.id ? removeServer(known) : [];
 		servers.set(name, server);
 		changed();
-		return [...ended, {id: entry.id, became: leaving ? 'leaving' : 'serving'}];
+		return [...ended, {...toNamed(entry), became: leaving ? 'leaving' : 'serving'}];
 	}
 
 	/**
@@ -161,7 +163,7 @@
 		servers.delete(name);
 		resetHold.noteGone(entry.id);
 		changed();
-		return [{id: entry.id, became: 'gone'}];
+		return [{...toNamed(entry), became: 'gone'}];
 	}
 
 	function dropServer(name: PublishedName, now: Milliseconds): FleetChange['servers'] {
@@ -175,7 +177,7 @@
 		// If such servers were dropped at once, a whole pool would be empty for two seconds while its servers serve.
 		if (now < graceUntil && !known.leaving) {
 			servers.set(name, {...known, isMissing: true});
-			return known.isMissing === true ? [] : [{id: known.entry.id, became: 'missing'}];
+			return known.isMissing === true ? [] : [{...toNamed(known.entry), became: 'missing'}];
 		}
 
 		return removeServer(known);
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -4,7 +4,7 @@
  * `domain/parse-config` and the folders beside it.
  */
 import {
-	type HostId, type RegionId, type ServerId, type WorkspaceId, type ZoneId,
+	type HostId, type RegionId, type ServerId, type SoftwareVersion, type WorkspaceId, type ZoneId,
 } from './ids.js';
 import {type ServiceClass} from './outcome.js';
 
@@ -26,6 +26,8 @@
 	memoryTokens?: number;
 	/** Whether the server refuses an order that carries a stale fencing token. */
 	checksFence: boolean;
+	/** Version of the server's software, not of the weights that it has loaded; absent where it is not published. */
+	softwareVersion?: SoftwareVersion;
 };
 
 export type HostEntry = {
--- a/src/ports/ids.ts
+++ b/src/ports/ids.ts
@@ -9,6 +9,9 @@
 /** Published name of a backend server. */
 export type ServerId = string;
 
+/** Version of a backend server's software, for example `v1.2`. The weights that the server has loaded have a version of their own. */
+export type SoftwareVersion = string;
+
 /** Availability zone, for example `zone-a`. */
 export type ZoneId = string;
 
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -20,6 +20,16 @@
 	maxTokens: number;
 	/** The caller's estimate of the answer's tokens: right at the median, often far off for a single request. */
 	estimatedTokens: number | undefined;
+	/** Present if the request continues a stream that the caller has a part of. */
+	resumption?: Resumption;
+};
+
+/** What a caller states about the stream that it continues. */
+export type Resumption = {
+	/** Id of the caller's request whose answer brought the first event; `undefined` when not stated. */
+	resumes: RequestId | undefined;
+	/** Last event that the caller has; `undefined` when not stated. */
+	lastEventId: string | undefined;
 };
 
 /** The KV cache of a prompt, which its prefill server holds for a short time. */
--- a/src/programs/entry/follow-published/_lib/log-published.ts
+++ b/src/programs/entry/follow-published/_lib/log-published.ts
@@ -15,8 +15,10 @@
 		log.info('configuration in force', {edition: rules.version, rules: rules.rules.length, revision});
 	}
 
-	for (const {id, became} of servers) {
-		log.info('server changed', {server: id, state: became, revision});
+	for (const {id, softwareVersion, became} of servers) {
+		log.info('server changed', {
+			server: id, softwareVersion, state: became, revision,
+		});
 	}
 
 	for (const {what, name, reason} of unreadable) {
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -261,7 +261,7 @@
 
 async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'peersTried' | 'unreached' | 'runs' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
 	const {
-		exchange, route, ctx, account, deadline, fingerprint,
+		exchange, route, ctx, account, work, deadline, fingerprint,
 	} = input;
 	const control = openRunControl(ctx.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : abortAfter(control, deadline - ctx.services.clock.now());
@@ -269,7 +269,7 @@
 		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class, isAuthenticated: route.isAuthenticated,
 	});
 	ctx.log.info('request received', {
-		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint,
+		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint, ...work.resumption,
 	});
 	try {
 		const run: PlainRun = {
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -122,6 +122,11 @@
 		assert.equal(headers['expect-instance'], 'i-1');
 	});
 
+	it('have the version of the server\'s software if it is published', () => {
+		assert.equal(read({version: 'v1.2', models: [{name: 'm', version: 7}]})._unsafeUnwrap().entry.softwareVersion, 'v1.2');
+		assert.equal(read({})._unsafeUnwrap().entry.softwareVersion, undefined);
+	});
+
 	const broken: Readonly<Record<string, readonly unknown[]>> = {
 		address: [undefined, '10.0.0.1', '10.0.0.1:0', '10.0.0.1:70000', 'desk:80', '10.0.0.1:80/x', '10.0.0.1:80:80'],
 		slots: [undefined, 0, -4, 1.5, '4'],
@@ -129,6 +134,7 @@
 		stage: ['both', null],
 		service: [undefined, 7],
 		zone: [undefined, ''],
+		version: ['', 7, null, 'v'.repeat(129)],
 		born: [1.5, '1', -1],
 	};
 	for (const [field, values] of Object.entries(broken)) {
@@ -190,6 +196,13 @@
 		}));
 	});
 
+	it('name the stream that a request continues, and nothing for a request that begins one', () => {
+		assert.deepEqual(calls.parseHints({resumes: '9c41', 'last-event-id': '17'}).resumption, {resumes: '9c41', lastEventId: '17'});
+		assert.deepEqual(calls.parseHints({'last-event-id': '17'}).resumption, {resumes: undefined, lastEventId: '17'});
+		assert.deepEqual(calls.parseHints({resumes: '9c41'}).resumption, {resumes: '9c41', lastEventId: undefined});
+		assert.equal(calls.parseHints({model: 'm'}).resumption, undefined);
+	});
+
 	it('announce that a server is leaving, with any status except 421, which comes from another instance', () => {
 		const leaving = {'server-leaving': '1'};
 		for (const status of [200, 500, 503]) {
