--- a/test/_lib/start-program/index.ts
+++ b/test/_lib/start-program/index.ts
@@ -13,7 +13,7 @@
 import {isRecord} from '../../../src/_lib/is-record/index.js';
 import {waitUntil} from '../wait-until/index.js';
 
-export type ProgramName = 'entry' | 'agent' | 'cli' | 'engine' | 'platform' | 'plain';
+export type ProgramName = 'entry' | 'agent' | 'cli' | 'engine' | 'platform' | 'plain' | 'relay';
 
 export type ProgramOptions = {
 	program: ProgramName;
@@ -77,6 +77,7 @@
 	engine: 'test/stand-ins/engine/main.js',
 	platform: 'test/stand-ins/platform/main.js',
 	plain: 'test/stand-ins/plain/main.js',
+	relay: 'test/stand-ins/users-platform/relay.js',
 };
 
 function killAll(): void {
--- a/test/stand-ins/users-platform/send-call.ts
+++ b/test/stand-ins/users-platform/send-call.ts
@@ -25,14 +25,14 @@
  * Sends a call, and reads its answer or what there is of it.
  *
  * @param port - Callers' port of a host.
- * @param call - Name in the `Host` header, and the call.
+ * @param call - Name in the `Host` header, address of the host, and the call.
  * @returns The answer.
  */
-export async function sendCall(port: number, {host, asked}: {host: string; asked: RelayCall}): Promise<Answer> {
+export async function sendCall(port: number, {host, address = '127.0.0.1', asked}: {host: string; address?: string; asked: RelayCall}): Promise<Answer> {
 	const startedAt = performance.now();
 	return new Promise((resolve, reject) => {
 		const req = request({
-			port, host: '127.0.0.1', path: asked.path ?? '/lookup/1', method: asked.method ?? 'POST', headers: {host, 'request-id': `r-${Math.random().toString(16).slice(2)}`, ...asked.headers}, agent: false,
+			port, host: address, path: asked.path ?? '/lookup/1', method: asked.method ?? 'POST', headers: {host, 'request-id': `r-${Math.random().toString(16).slice(2)}`, ...asked.headers}, agent: false,
 		});
 		req.once('response', async res => {
 			let body = '';
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -55,6 +55,8 @@
 	workMs?: number;
 	/** Number of events in a stream. */
 	events?: number;
+	/** Version of the server's software, which each of its events names. */
+	version?: string;
 	/** Faults shared by several servers; each is applied by the server that receives the next request. */
 	sharedFaults?: ServerFault[];
 	/** KV caches of all servers that were neither fetched nor dropped, as `IP:port/handle`. */
@@ -77,7 +79,10 @@
  * @returns The running server.
  */
 export async function startServerStandIn(options: ServerStandInOptions): Promise<ServerStandIn> {
-	const {id, workMs = 5, events = 3, caches = new Set(), sharedFaults = []} = options;
+	const {
+		id, workMs = 5, events = 3, version, caches = new Set(), sharedFaults = [],
+	} = options;
+	const versionText = version === undefined ? '' : ` at ${version}`;
 	const arrivals: Arrival[] = [];
 	const reservations = new Map<string, number>();
 	let freeTokens = Infinity;
@@ -118,7 +123,7 @@
 				return;
 			}
 
-			res.write(`id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}\n\n`);
+			res.write(`id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}${versionText}\n\n`);
 			await sleep(workMs);
 		}
 
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -13,6 +13,7 @@
 import {waitUntil} from '../../_lib/wait-until/index.js';
 import {type ServerFault} from './apply-server-fault.js';
 import {startHostLinks} from './host-links.js';
+import {callerHost, routes, toRulesDocument} from './published.js';
 import {sendCall, type Answer, type RelayCall} from './send-call.js';
 import {startServerStandIn, type ServerStandIn, type ServerStandInOptions} from './server.js';
 import {startStoreStandIn, type StoreStandIn} from './store.js';
@@ -47,33 +48,6 @@
 	stop: () => Promise<void>;
 };
 
-const host = 'desk.example';
-const routes = [
-	{
-		name: 'lookups', prefix: '/lookup/', kind: 'unsafe', service: 'desk', max_attempts: 1, target_latency_ms: 100, timeout_ms: 1500,
-	},
-	{
-		name: 'checks', prefix: '/check/', kind: 'safe', service: 'desk', max_attempts: 2, target_latency_ms: 100, timeout_ms: 1500,
-	},
-	{
-		name: 'summaries', prefix: '/summary/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true,
-	},
-	{
-		name: 'notices', prefix: '/notice/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true, resumable: true,
-	},
-];
-const services = [
-	{name: 'desk', health_path: '/health', max_connections: 100},
-	{
-		name: 'spare', health_path: '/health', max_connections: 100,
-	},
-	{
-		name: 'model', health_path: '/health', max_connections: 100, engine: {
-			kv_capacity_tokens: 40_000, hold_ms: 2000, switch_s: 6, models: [{name: 'm'}],
-		},
-	},
-];
-
 async function findPort(): Promise<number> {
 	const server = createServer();
 	server.listen(0, '127.0.0.1');
@@ -195,15 +169,7 @@
 
 	let tenants: ReadonlyArray<Record<string, unknown>> | undefined;
 	const publishRoutes: RelayFixture['publishRoutes'] = (version, change = route => route) => {
-		const published = {
-			version,
-			routes: routes.map(route => change({...route, host})).filter(route => route !== undefined),
-			services,
-			...(tenants && {tenants}),
-			limits: {
-				header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
-		};
+		const published = toRulesDocument(version, {routes: routes.map(route => change({...route, host: callerHost})).filter(route => route !== undefined), tenants});
 		for (const one of stores) {
 			one.put('op/config', published);
 		}
@@ -222,7 +188,7 @@
 		name: `front-a-${i + 1}`, store: stores[i] ?? store, collected, peerAddress: peerAddresses[i], seeds: peerAddresses, retrySlack, retryWindow,
 	})));
 	await waitUntil(() => !isPublished || hosts.every(({relay}) => relay.view()?.servers.size === 6), {deadlineMs, what: 'the hosts to know all servers'});
-	const ask = async (asked: RelayCall) => sendCall(hosts[asked.at ?? 0]!.callerPort, {host, asked});
+	const ask = async (asked: RelayCall) => sendCall(hosts[asked.at ?? 0]!.callerPort, {host: callerHost, asked});
 	let isStopped = false;
 	return {
 		store,
