Keep the origins of streams on several hosts

The host on which a stream begins tells a few others its pool and software version; whoever is asked to continue it asks them. All hosts of a small fleet keep a record, in a large one three of different zones and one of the own. Records are kept by a digest of workspace and request id, for a limited time and in a bounded number; two origins under one key count as unknown, and a keeper that started anew says that it has no record, which is no answer. A restarted keeper gets the records of streams that are still under way.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -1,7 +1,6 @@
 /**
  * Messages between hosts about their loads and crashes, one UDP datagram each, and
- * the socket that they share with messages about limits
- * and places.
+ * the socket that they share with messages about limits, places and streams.
  * Each message contains the sender's whole state, so the next message makes up
  * for a lost one.
  */
@@ -9,12 +8,14 @@
 import {once} from 'node:events';
 import {type Result} from 'neverthrow';
 import * as v from 'valibot';
+import {decodeOriginMessage, encodeOriginMessage, originFormat} from '../origin-datagrams/index.js';
 import {decodePlaceMessage, encodePlaceMessage, placeFormat} from '../place-datagrams/index.js';
 import {decodeQuotaMessage, encodeQuotaMessage, quotaFormat} from '../quota-datagrams/index.js';
 import {decodeRow, encodeRow, toFormat} from '../_lib/datagram-rows/index.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
 import {type PlaceMessage} from '../../ports/places.js';
 import {type QuotaMessage} from '../../ports/quotas.js';
+import {type OriginMessage} from '../../ports/stream-origins.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
 
 /** Largest datagram that is not fragmented by the network. */
@@ -119,6 +120,8 @@
 	sendQuota: (message: QuotaMessage, address: string) => void;
 	/** The same for a message about places at servers. */
 	sendPlace: (message: PlaceMessage, address: string) => void;
+	/** The same for a message about the origins of streams. */
+	sendOrigin: (message: OriginMessage, address: string) => void;
 	close: () => Promise<void>;
 };
 
@@ -130,6 +133,8 @@
 	onQuota?: (message: QuotaMessage, from: string) => void;
 	/** Called for a message about places at servers. */
 	onPlace?: (message: PlaceMessage, from: string) => void;
+	/** Called for a message about the origins of streams. */
+	onOrigin?: (message: OriginMessage, from: string) => void;
 	/** Called for a datagram that is not a valid message, and for an error of the socket. */
 	onFault: (reason: string) => void;
 };
@@ -145,28 +150,43 @@
  * @param options - Address, and handlers of messages and faults.
  * @returns The socket once it listens; rejects when the address can't be bound.
  */
-export async function openLoadDatagrams({address, onMessage, onQuota = () => undefined, onPlace = () => undefined, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
+export async function openLoadDatagrams({address, onMessage, onQuota = () => undefined, onPlace = () => undefined, onOrigin = () => undefined, onFault}: LoadDatagramsOptions): Promise<LoadDatagrams> {
 	const socket = createSocket('udp4');
 	const {ip, port} = toParts(address);
-	socket.on('message', (bytes, {address: from, port: fromPort}) => {
-		const sender = `${from}:${fromPort}`;
-		if (toFormat(bytes) === quotaFormat) {
-			decodeQuotaMessage(bytes).match(message => {
-				onQuota(message, sender);
-			}, onFault);
-			return;
-		}
 
-		if (toFormat(bytes) === placeFormat) {
-			decodePlaceMessage(bytes).match(message => {
-				onPlace(message, sender);
-			}, onFault);
-			return;
+	function receive(bytes: Uint8Array, from: string): void {
+		switch (toFormat(bytes)) {
+			case quotaFormat: {
+				decodeQuotaMessage(bytes).match(message => {
+					onQuota(message, from);
+				}, onFault);
+				break;
+			}
+
+			case placeFormat: {
+				decodePlaceMessage(bytes).match(message => {
+					onPlace(message, from);
+				}, onFault);
+				break;
+			}
+
+			case originFormat: {
+				decodeOriginMessage(bytes).match(message => {
+					onOrigin(message, from);
+				}, onFault);
+				break;
+			}
+
+			default: {
+				decodeLoadMessage(bytes).match(message => {
+					onMessage(message, from);
+				}, onFault);
+			}
 		}
+	}
 
-		decodeLoadMessage(bytes).match(message => {
-			onMessage(message, sender);
-		}, onFault);
+	socket.on('message', (bytes, {address: from, port: fromPort}) => {
+		receive(bytes, `${from}:${fromPort}`);
 	});
 	socket.bind(port, ip);
 	await once(socket, 'listening');
@@ -196,6 +216,9 @@
 		sendPlace(message, to) {
 			sendBytes(encodePlaceMessage(message), to);
 		},
+		sendOrigin(message, to) {
+			sendBytes(encodeOriginMessage(message), to);
+		},
 		async close() {
 			socket.close();
 			await once(socket, 'close');
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -9,6 +9,7 @@
 import {msPerSecond} from '../../ports/units.js';
 import {createKnownCounts} from './_lib/create-known-counts.js';
 import {createReachedHosts, type ReachedHosts} from './_lib/create-reached-hosts.js';
+import {pickRecordKeepers} from './_lib/pick-record-keepers.js';
 import {knownForMs, type KnownPeer} from './_lib/known-peer.js';
 
 export type PeerListOptions = {
@@ -32,6 +33,8 @@
 	remoteRequesters: (now: Milliseconds) => readonly string[];
 	/** Hosts that collect the reports of all others on a key: the same few on all hosts that know the same hosts, and one of the own zone. */
 	collectors: (key: string) => readonly string[];
+	/** Hosts that keep a record beside this one; hosts that know the same hosts pick the same, but for one of the own zone. */
+	recordKeepers: (key: string, now: Milliseconds) => readonly string[];
 	/** Whether there are too many hosts for each to send every change to all others. */
 	isLarge: (now: Milliseconds) => boolean;
 	/** Seeds that have sent no message lately. */
@@ -227,6 +230,9 @@
 			const picked = [...pickRanked(key, [self, ...known.keys()], collectorsOfKey), ...pickRanked(key, [self, ...ofZone], 1)];
 			return [...new Set(picked)].filter(address => address !== self);
 		},
+		recordKeepers: (key, now) => pickRecordKeepers(key, {
+			self, zone, others: [...known].map(([address, peer]) => ({address, zone: peer.zone})), isLarge: choose(now).isLarge,
+		}),
 		isLarge: now => choose(now).isLarge,
 		silentSeeds: now => others.filter(seed => {
 			const entry = known.get(seed);
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -1,5 +1,6 @@
 /** Starts hosts in virtual time, whose messages arrive within the step in which they are sent. */
 import {createLog} from '../../../../adapters/log/index.js';
+import {encodeOriginMessage} from '../../../../adapters/origin-datagrams/index.js';
 import {encodeQuotaMessage} from '../../../../adapters/quota-datagrams/index.js';
 import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
 import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
@@ -7,6 +8,7 @@
 import {type PlaceMessage} from '../../../../ports/places.js';
 import {type QuotaMessage} from '../../../../ports/quotas.js';
 import {type LoadMessage} from '../../../../ports/shared-loads.js';
+import {type OriginMessage} from '../../../../ports/stream-origins.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {shareLoads, type LoadExchange} from '../index.js';
 
@@ -31,11 +33,13 @@
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
 	const placeReceivers = new Map<string, (message: PlaceMessage, from: string) => void>();
+	const originReceivers = new Map<string, (message: OriginMessage, from: string) => void>();
 	const hosts: Host[] = [];
 	const cutOff = new Set<string>();
 	const cutZones = new Set<string>();
 	const sent = {messages: 0, bytes: 0};
 	const quotaSent = {messages: 0, bytes: 0};
+	const originSent = {messages: 0, bytes: 0};
 
 	const zoneOf = new Map<string, string>();
 
@@ -44,10 +48,11 @@
 		return !cutOff.has(from) && !cutOff.has(to) && !isAcrossCut;
 	}
 
-	const open: typeof openLoadDatagrams = async ({address, onMessage, onQuota, onPlace}) => {
+	const open: typeof openLoadDatagrams = async ({address, onMessage, onQuota, onPlace, onOrigin}) => {
 		receivers.set(address, onMessage);
 		quotaReceivers.set(address, onQuota!);
 		placeReceivers.set(address, onPlace!);
+		originReceivers.set(address, onOrigin!);
 		return {
 			send(message, to) {
 				sent.messages += to.length;
@@ -71,6 +76,13 @@
 					placeReceivers.get(target)?.(message, address);
 				}
 			},
+			sendOrigin(message, target) {
+				originSent.messages++;
+				originSent.bytes += encodeOriginMessage(message).length;
+				if (random() >= lossShare && isReached(address, target)) {
+					originReceivers.get(target)?.(message, address);
+				}
+			},
 			close: async () => undefined,
 		};
 	};
@@ -97,6 +109,7 @@
 		const isBusy = Math.floor(i / zones.length) % 3 === 0;
 		const requests = isBusy ? 1 + (Math.floor(now / 333) % 3) : 1;
 		host.sharing.quotas.tick(now);
+		host.sharing.origins.tick(now);
 		host.sharing.tick([{server: `of ${host.name}`, requests, promptTokens: 3000}]);
 	}
 
@@ -151,9 +164,12 @@
 			host.isDead = true;
 			receivers.delete(host.address);
 			quotaReceivers.delete(host.address);
+			originReceivers.delete(host.address);
 		},
 		/** Messages about limits since the start. */
 		quotaSent: () => ({...quotaSent}),
+		/** Messages about the origins of streams since the start. */
+		originSent: () => ({...originSent}),
 		/** Returns the hosts whose loads a host knows. */
 		heardBy: ({sharing}: Host): Host[] => hosts.filter(other => sharing.read(`of ${other.name}`, now).requests > 0),
 		silentZones: ({sharing}: Host): string[] => zones.filter(zone => sharing.isZoneSilent(zone, now)),
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -1,6 +1,7 @@
 /**
  * Exchanges loads and crash reports with other hosts: the requests that each host
- * has in flight at the servers, and the requests during which servers crashed.
+ * has in flight at the servers, and the requests during which servers crashed. What
+ * hosts keep together, such as the origins of streams, uses the same socket.
  * Without the exchange, hosts queue prompts behind each other's unseen ones, and
  * each host has to find out for itself which request crashes servers.
  */
@@ -9,6 +10,7 @@
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
 import {createServerPlaces, type ServerPlaces} from '../../../domain/create-server-places/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
+import {createStreamOrigins, type StreamOriginsTable} from '../../../domain/create-stream-origins/index.js';
 import {createWorkspaceQuotas, type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
@@ -19,6 +21,7 @@
 import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {logQuarantined} from '../../entry/_lib/quarantine.js';
+import {createStartWatch} from './_lib/create-start-watch.js';
 
 export type ShareLoadsOptions = {
 	/** `IP:port` of this host for its peers. */
@@ -44,6 +47,8 @@
 	quotas: WorkspaceQuotas;
 	/** Places at servers that report no load, which the hosts count together. */
 	places: ServerPlaces;
+	/** Origins of streams, which the hosts keep together. */
+	origins: StreamOriginsTable;
 	/** Whether hosts of other zones were heard before and none is heard now. */
 	isIsolated: () => boolean;
 	/** Number of hosts known to be alive, including this one; `undefined` until another host has been heard. */
@@ -128,6 +133,13 @@
 			socket.sendPlace(message, to);
 		},
 	});
+	const origins = createStreamOrigins({
+		pickKeepers: peers.recordKeepers,
+		send(message, to) {
+			socket.sendOrigin(message, to);
+		},
+	});
+	const hasStarted = createStartWatch();
 	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
@@ -137,6 +149,9 @@
 		onPlace(message, from) {
 			places.receive(message, from, clock.now());
 		},
+		onOrigin(message, from) {
+			origins.receive(message, from, clock.now());
+		},
 		onMessage(message, from) {
 			const now = clock.now();
 			if (message.host === host) {
@@ -148,6 +163,10 @@
 				log.info('peer heard', {peer: message.host, peerZone: message.zone, peerAddress: from});
 			}
 
+			if (hasStarted(from, message.incarnation)) {
+				origins.noteStarted(from, now);
+			}
+
 			onAnswers?.(from, message.answers ?? []);
 			peers.noteAdvertised(message.peers, now);
 			for (const fingerprint of suspects.mergeReports(message.crashes, now)) {
@@ -246,6 +265,7 @@
 		isZoneSilent: shared.isZoneSilent,
 		quotas,
 		places,
+		origins,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
