Continue streams only at the software version that began them

Cause: two runs of a request counted as interchangeable. A stream that broke went on at any server of the pool, and a caller that came back with Last-Event-Id was placed like one that begins; the published version of a server's software was not read, and no host knew where a stream of another host had begun.

Change: which pool and version a stream is bound to is one decision (create-stream-binding), made with the first event that may have reached the caller. The answer's head goes out with that event, so a server that is lost before it binds nothing. The decision is asked wherever a server is picked:

- within an answer, and while a stream waits for one of its servers (it waits as long as any caller with a part of its answer);
- for a caller that comes back: its host knows the stream or asks the keepers; if nobody that answers knows it, it is refused at once as not run (origin-unknown, Retry-After 1 s); if no server of the version is left, too, without a time (origin-gone), as only a new stream helps;
- for a request passed on to another host: the binding goes along, the answer's head tells where its events come from, and an older host that tells nothing can't continue a bound stream.
The host that answers the caller keeps records.

Placement sees only the servers of the version, prefill included; a lone decode server computes the prompt itself.

Tried and dropped: to pick the server that broke a stream again when it is the last of its version; a case that expects a break without a second try went red. The fixture of processes gives a single host no peers, as the other fixture does, so that its retries are not those of a host that waits for others.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -24,6 +24,9 @@
 /** Format number, the first item of each datagram. Datagrams of another format are dropped; no decision depends on them. */
 const format = 3;
 
+/** Stands for the format of a datagram that is too short to have one. */
+const unknownFormat = -1;
+
 /** Longest name that is accepted from another host. */
 const maxNameLength = 64;
 
@@ -155,7 +158,7 @@
 	const {ip, port} = toParts(address);
 
 	function receive(bytes: Uint8Array, from: string): void {
-		switch (toFormat(bytes)) {
+		switch (toFormat(bytes) ?? unknownFormat) {
 			case quotaFormat: {
 				decodeQuotaMessage(bytes).match(message => {
 					onQuota(message, from);
--- a/src/adapters/origin-datagrams/index.ts
+++ b/src/adapters/origin-datagrams/index.ts
@@ -72,6 +72,14 @@
 
 const toOrigin = ([pool, softwareVersion]: OriginRow): StreamOrigin => ({pool, softwareVersion: softwareVersion ?? undefined});
 
+function toKnown(item: OriginRow | typeof ambiguous | null): KnownOrigin | undefined {
+	if (item === null) {
+		return undefined;
+	}
+
+	return item === ambiguous ? item : toOrigin(item);
+}
+
 function toMessage(row: v.InferOutput<typeof schema>): OriginMessage {
 	switch (row[1]) {
 		case 'records': {
@@ -83,8 +91,7 @@
 		}
 
 		case 'answer': {
-			const [,, id, known] = row;
-			return {kind: 'answer', id, known: typeof known === 'string' ? known : (known === null ? undefined : toOrigin(known))};
+			return {kind: 'answer', id: row[2], known: toKnown(row[3])};
 		}
 	}
 }
--- a/src/domain/create-placement/_lib/to-pool-index.ts
+++ b/src/domain/create-placement/_lib/to-pool-index.ts
@@ -45,7 +45,7 @@
 	};
 };
 
-function toOtherZones(roles: readonly RoleServers[]): PoolServers['otherZones'] {
+export function toOtherZones(roles: readonly RoleServers[]): PoolServers['otherZones'] {
 	const zones = new Set(roles.flatMap(({byZone}) => [...byZone.keys()]));
 	const near = new Set(roles.flatMap(({nearby}) => nearby.map(server => server.zone)));
 	return [...zones].map(zone => ({zone, distance: near.has(zone) ? 0 : 1}));
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -7,6 +7,7 @@
 } from '../../../ports/ids.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type SharedLoads} from '../../create-shared-loads/index.js';
+import {type StreamOrigin} from '../../../ports/stream-origins.js';
 import {type FleetView} from '../../../ports/view.js';
 
 /** Why a server is not eligible, or eligible only when no better one is left. */
@@ -52,6 +53,8 @@
 	prefixBlocks?: readonly string[];
 	/** Servers that this request must not get, for example after a failed attempt. */
 	exclude?: ReadonlySet<ServerId>;
+	/** Where the stream began that the servers are to continue; absent for a stream that begins. */
+	origin?: StreamOrigin | undefined;
 	/** Whether the decode server also computes the prompt, so that the attempt is one call; only honoured where servers report no loads. */
 	isOneCall?: boolean;
 };
@@ -130,6 +133,6 @@
 
 export type PickPair = (request: PlacementRequest, view: FleetView, now: Milliseconds, random: Random) => Result<Placement, PlacementRefusal>;
 
-export type PlainRequest = {pool: string; exclude?: ReadonlySet<ServerId>};
+export type PlainRequest = Pick<PlacementRequest, 'pool' | 'exclude' | 'origin'>;
 
 export type PickPlain = (request: PlainRequest, view: FleetView, now: Milliseconds, random: Random) => Result<PlainPlacement, PlacementRefusal>;
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -29,6 +29,7 @@
 import {createFeedback, type LearnedValues} from './_lib/create-feedback.js';
 import {createPairSearch} from './_lib/create-pair-search.js';
 import {createEligibility} from './_lib/create-eligibility.js';
+import {createVersionFilter} from './_lib/create-version-filter.js';
 import {createSubsets} from './_lib/create-subsets.js';
 import {createUnreportedSearch} from './_lib/create-unreported-search.js';
 import {type Search} from './_lib/search-types.js';
@@ -99,6 +100,7 @@
 	const cooldowns = createServerCooldowns({zone, ...(options.isZoneSilent && {isZoneSilent: options.isZoneSilent})});
 	const prefillThroughput = createPrefillThroughput();
 	const split = createSplitEstimate();
+	const keepVersion = createVersionFilter();
 	let index: PoolIndex | undefined;
 	let indexKey = '';
 
@@ -169,11 +171,12 @@
 
 	const toSearch = (request: PlacementRequest | PlainRequest, view: FleetView, now: Milliseconds, random: Random): Search | undefined => {
 		const pools = toIndex(view);
-		const servers = pools?.pools.get(request.pool);
-		if (pools === undefined || servers === undefined) {
+		const ofPool = pools?.pools.get(request.pool);
+		if (pools === undefined || ofPool === undefined) {
 			return undefined;
 		}
 
+		const servers = keepVersion(ofPool, request.origin);
 		eligibility.sweep(view, pools.servers, now);
 		subsets.refresh(view, now);
 		spills.update(view, eligibility.partitionedZones(), now);
--- a/src/domain/create-stream-origins/_lib/create-origin-records.ts
+++ b/src/domain/create-stream-origins/_lib/create-origin-records.ts
@@ -6,7 +6,8 @@
 export type OriginRecords = {
 	/** Adds a record, or makes it last longer; a second origin makes the record ambiguous. */
 	add: (record: OriginRecord, now: Milliseconds) => void;
-	find: (key: StreamKey, now: Milliseconds) => KnownOrigin | undefined;
+	/** What is known of a stream; `undefined` without a record. */
+	toKnown: (key: StreamKey, now: Milliseconds) => KnownOrigin | undefined;
 	size: () => number;
 };
 
@@ -30,7 +31,7 @@
 	/** In the order in which the records were last added. */
 	const entries = new Map<StreamKey, Entry>();
 
-	function find(key: StreamKey, now: Milliseconds): KnownOrigin | undefined {
+	function toKnown(key: StreamKey, now: Milliseconds): KnownOrigin | undefined {
 		const entry = entries.get(key);
 		return entry !== undefined && now < entry.until ? entry.known : undefined;
 	}
@@ -48,13 +49,13 @@
 	return {
 		add(record, now) {
 			const {key, lifeMs} = record;
-			const known = merge(find(key, now), record);
+			const known = merge(toKnown(key, now), record);
 			const until = Math.max(now + lifeMs, entries.get(key)?.until ?? -Infinity);
 			entries.delete(key);
 			entries.set(key, {known, until});
 			dropOldest(now);
 		},
-		find,
+		toKnown,
 		size: () => entries.size,
 	};
 }
--- a/src/domain/create-stream-origins/index.ts
+++ b/src/domain/create-stream-origins/index.ts
@@ -88,7 +88,7 @@
  * ```
  */
 export function createStreamOrigins({pickKeepers, send, maxRecords = defaultMaxRecords}: StreamOriginsOptions): StreamOriginsTable {
-	const records = createOriginRecords(maxRecords);
+	const table = createOriginRecords(maxRecords);
 	// A keeper that missed questions is asked all the same: it may be the only one that knows.
 	const questions = createQuestions<KeeperAnswer>({timeoutMs: answerTimeoutMs, missesToSilence: Infinity, silentForMs: 0});
 	/** Records of streams that began or went on here, oldest first. */
@@ -128,7 +128,7 @@
 	return {
 		note(record, now) {
 			const keepers = pickKeepers(record.key, now);
-			records.add(record, now);
+			table.add(record, now);
 			own.delete(record.key);
 			own.set(record.key, {record, keepers, notedAt: now});
 			dropOldOwn(now);
@@ -140,7 +140,7 @@
 			const search: Search = {
 				key, openQuestions: 0, isSettled: false, settle,
 			};
-			const known = records.find(key, now);
+			const known = table.toKnown(key, now);
 			if (known === undefined) {
 				for (const keeper of pickKeepers(key, now)) {
 					ask(keeper, search, 1, now);
@@ -153,14 +153,14 @@
 			switch (message.kind) {
 				case 'records': {
 					for (const record of message.records) {
-						records.add(record, now);
+						table.add(record, now);
 					}
 
 					break;
 				}
 
 				case 'ask': {
-					send({kind: 'answer', id: message.id, known: records.find(message.key, now)}, from);
+					send({kind: 'answer', id: message.id, known: table.toKnown(message.key, now)}, from);
 					break;
 				}
 
@@ -179,6 +179,6 @@
 		},
 		tick: questions.tick,
 		dueAt: questions.dueAt,
-		size: records.size,
+		size: table.size,
 	};
 }
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -30,6 +30,8 @@
 	'backend-failed': [502, 'The backend server failed'],
 	'claim-unavailable': [503, 'The request could not be claimed'],
 	'no-capacity': [503, 'No backend server can take the request'],
+	'origin-gone': [503, 'No server can continue the stream'],
+	'origin-unknown': [503, 'It is not known which servers can continue the stream'],
 	'no-configuration': [503, 'No configuration is in force yet'],
 	quarantined: [503, 'The request crashes backend servers'],
 	stopping: [503, 'This host is stopping'],
--- a/src/domain/to-request-history/index.ts
+++ b/src/domain/to-request-history/index.ts
@@ -37,6 +37,8 @@
 	'deadline-passed': 'the deadline had passed',
 	'caller-gone': 'the caller disconnected',
 	'no-rule': 'no rule matches the request',
+	'origin-gone': 'no server of the software version that began the stream is left',
+	'origin-unknown': 'no host that answers knows which servers began the stream',
 	quarantined: 'several servers crashed while they ran the request or a repetition of it',
 };
 
--- a/src/ports/reach.ts
+++ b/src/ports/reach.ts
@@ -3,6 +3,7 @@
  * which other host reaches them if it does not.
  */
 import {type Milliseconds} from './clock.js';
+import {type StreamOrigin} from './stream-origins.js';
 
 /** One call to a server, from its start to the head of its answer. */
 export type LinkCall = {
@@ -22,6 +23,8 @@
 	edition: number;
 	/** Number of calls so far that may have run the request. */
 	runs: number;
+	/** Where the stream of the request began, and no origin if it has not begun; absent from hosts that do not tell it. */
+	stream?: {origin: StreamOrigin | undefined};
 };
 
 export type Reach = {
--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -14,11 +14,15 @@
 const maxNamedWorkspaces = 20;
 
 const passedEnds = ['served', 'not-run', 'failed'] as const;
+const streamEnds = ['recorded', 'found', 'unknown', 'gone'] as const;
 const cancelEnds = ['confirmed', 'server-gone', 'too-old', 'displaced'] as const;
 
 /** How a request that was passed on to another host ended there. */
 export type PassedEnd = typeof passedEnds[number];
 
+/** What became of a stream's origin: told to other hosts, found for a request that continues the stream, not found, or without a server that is left. */
+export type StreamEnd = typeof streamEnds[number];
+
 /**
  * Creates the entry's metrics.
  *
@@ -50,6 +54,7 @@
 		name: 'over_limit_total', help: 'Requests refused because their workspace had used its limit.', labels: {workspace: {max: maxNamedWorkspaces}},
 	});
 	const passedOn = metrics.createCounter({name: 'passed_on_total', help: 'Requests passed on to another host that reaches the servers, by how they ended there.', labels: {end: passedEnds}});
+	const streams = metrics.createCounter({name: 'stream_origins_total', help: 'Origins of streams: recorded, found for requests that continue a stream, unknown, or without a server that is left.', labels: {end: streamEnds}});
 	const runMetrics: RunMetrics = {
 		firstToken(run, ms) {
 			firstToken.record({class: run.rule.then.class}, ms);
@@ -78,6 +83,9 @@
 		countPassedOn(end: PassedEnd) {
 			passedOn.add({end});
 		},
+		countStream(end: StreamEnd) {
+			streams.add({end});
+		},
 		/** Counts tokens that an engine client dropped before they reached a run. */
 		countDroppedTokens(cause: 'crossed' | 'repeated') {
 			dropped.add({cause: cause === 'crossed' ? 'other-request' : 'repeated'});
--- a/src/programs/entry/_lib/report-refused.ts
+++ b/src/programs/entry/_lib/report-refused.ts
@@ -7,7 +7,7 @@
 
 /** Kinds of problems that this system causes, not a mistake of the caller; they count as lost availability. */
 const unavailabilityKinds: ReadonlySet<ProblemKind> = new Set([
-	'queue-full', 'answer-lost', 'backend-failed', 'claim-unavailable', 'no-capacity', 'no-configuration', 'stopping', 'target-missed', 'deadline-passed', 'internal',
+	'queue-full', 'answer-lost', 'backend-failed', 'claim-unavailable', 'no-capacity', 'no-configuration', 'origin-gone', 'origin-unknown', 'stopping', 'target-missed', 'deadline-passed', 'internal',
 ]);
 
 /** Names in the service-level report for requests refused before a rule was matched. Constants, so that callers can't add rows to the report. */
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -8,10 +8,11 @@
 import {type WorkspaceId} from '../../../ports/ids.js';
 import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
+import {type StreamOrigins} from '../../../ports/stream-origins.js';
 import {type Reach} from '../../../ports/reach.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
-import {type PassedEnd} from './create-entry-metrics.js';
+import {type PassedEnd, type StreamEnd} from './create-entry-metrics.js';
 import {type EndedRequest} from './ended-request.js';
 import {type Router} from './route.js';
 import {type RunRegistry} from './run-registry.js';
@@ -47,6 +48,10 @@
 	toPeerDispatcher: (address: string) => Dispatcher;
 	/** Counts a request that was passed on to another host. */
 	countPassedOn: (end: PassedEnd) => void;
+	/** Origins of streams, as all hosts keep them together; absent where they do not. */
+	streamOrigins?: StreamOrigins | undefined;
+	/** Counts what became of a stream's origin. */
+	countStream: (end: StreamEnd) => void;
 	/** Limits of workspaces. */
 	quotas: Quotas;
 	/** Counts a request that was refused because its workspace had used its limit. */
--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -49,6 +49,7 @@
 		class: run.route.rule.then.class,
 		firstTokenBudgetMs: run.deadline - now,
 		exclude,
+		origin: run.stream.origin(),
 		isOneCall: run.isDecodeOnly || hasKeptCache(run),
 	}, services.toView()!, now, services.random);
 }
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -6,7 +6,9 @@
 import {type ServerId} from '../../../../ports/ids.js';
 import {type LinkCall} from '../../../../ports/reach.js';
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
+import {type StreamOrigin} from '../../../../ports/stream-origins.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
+import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
 import {type PlainRun} from './types.js';
 
@@ -154,6 +156,7 @@
 	const link = ctx.reach?.openCall(run.route.pool.name);
 	const ended = await sendTo(run, {
 		url: server.url,
+		toOrigin: () => ({pool: server.pool, softwareVersion: server.softwareVersion}),
 		dispatcher: clients.toDispatcher(server),
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
@@ -175,6 +178,8 @@
 	url: string;
 	dispatcher: Dispatcher;
 	headers: Record<string, string | string[]>;
+	/** Origin of the answer's events, called after its head was accepted; `undefined` if another host does not tell it. */
+	toOrigin: () => StreamOrigin | undefined;
 	/** Checks the head of the answer; a fault ends the call, and nothing of the answer is relayed. */
 	findFault: (status: number, headers: AnswerHeaders) => PlainFault | undefined;
 	/** Called at the head of an answer that does not report a failure of the server. */
@@ -188,7 +193,7 @@
  * @param destination - See {@link Destination}.
  * @returns How the call ended; after `failed` nothing has been relayed.
  */
-export async function sendTo(run: PlainRun, {findFault, onFirst, ...destination}: Destination): Promise<PlainEnd> {
+export async function sendTo(run: PlainRun, {findFault, onFirst, toOrigin, ...destination}: Destination): Promise<PlainEnd> {
 	const {exchange, ctx, body} = run;
 	const headTimeout = createHeadTimeout(run);
 	const ended = await sendPlain({
@@ -196,6 +201,10 @@
 		exchange,
 		payload: body.open(),
 		events: run.events,
+		onEvents() {
+			run.stream.noteEvents(toOrigin());
+		},
+		addedHeaders: exchange.passed === undefined ? {} : toOriginHeader(toOrigin()),
 		signal: headTimeout.signal,
 		headersTimeoutMs: toRemainingMs(run),
 		idleTimeoutMs: run.events === undefined ? ctx.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * idleTimeoutFactor,
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -4,6 +4,7 @@
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
+import {hasServerOf, toOriginGone} from '../../_lib/origin-gone.js';
 import {toQuarantineProblem} from '../../_lib/quarantine.js';
 import {toBodyProblem, toEndProblem} from '../../_lib/problems.js';
 import {type EndCause} from '../../_lib/types.js';
@@ -35,6 +36,11 @@
  */
 export function toNotPlaced(run: PlainRun, refusal: PlacementRefusal): PlainOutcome {
 	const outcome = run.ledger.outcome();
+	const origin = run.stream.origin();
+	if (origin !== undefined && !hasServerOf(origin, run.ctx.services.toView())) {
+		return {end: toEnd(outcome), outcome, problem: toOriginGone(origin, outcome)};
+	}
+
 	return {
 		end: toEnd(outcome),
 		outcome,
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -10,6 +10,7 @@
 import {type RelayedEvents} from '../../send-plain/index.js';
 import {type OutcomeLedger} from '../../outcome-ledger/index.js';
 import {type PlainBody} from '../../_lib/plain-body.js';
+import {type RunStream} from '../../_lib/create-run-stream.js';
 import {type PlainClients} from '../../_lib/plain-clients.js';
 import {type Route} from '../../_lib/route.js';
 import {type ServeContext} from '../../_lib/serve-types.js';
@@ -35,6 +36,8 @@
 	ledger: OutcomeLedger;
 	/** Present if another server may continue a broken answer. */
 	events: RelayedEvents | undefined;
+	/** At which servers the stream may go on. */
+	stream: RunStream;
 	/** Servers that failed or refused the request so far, and their zones. */
 	tried: Array<FailedAttempt['tried'][number]>;
 	/** Number of calls so far that may have run the request: neither prefills nor calls that a server refused or that did not reach it. */
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -22,13 +22,14 @@
 } from './_lib/to-plain-outcome.js';
 import {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
+export {createPlainRun, type PlainRunInput} from './_lib/create-plain-run.js';
 export {isRepeatable} from './_lib/decide-retry.js';
 export {toAborted} from './_lib/to-plain-outcome.js';
 export {type PlainOutcome, type PlainRun} from './_lib/types.js';
 
 function pickServer(run: PlainRun, exclude: ReadonlySet<ServerId>) {
 	const {services} = run.ctx;
-	return services.placement.pickPlain({pool: run.route.pool.name, exclude}, services.toView()!, services.clock.now(), services.random);
+	return services.placement.pickPlain({pool: run.route.pool.name, exclude, origin: run.stream.origin()}, services.toView()!, services.clock.now(), services.random);
 }
 
 /** Picks a server that has not failed this request, or any server if all have failed it once; the retry budget bounds such retries and its backoff spaces them. */
@@ -159,7 +160,7 @@
 	run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
 	reportFailure(run, attempted, ended.fault);
 	run.tried.push({server: id, zone});
-	const decision = await decideRetry(run, ended.fault, hasRun);
+	const decision = run.stream.isStranded() ? {kind: 'give-up' as const} : await decideRetry(run, ended.fault, hasRun);
 	if (ended.kind === 'cut' && (decision.kind === 'give-up' || run.events === undefined)) {
 		run.exchange.destroy();
 		return {end: 'failed', outcome: run.ledger.outcome()};
--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -4,12 +4,13 @@
  * caller had sent it there, and never passes it on again.
  */
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
+import {type StreamOrigin} from '../../../ports/stream-origins.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {findHeadFault, sendTo, toRemainingMs} from '../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
-import {readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
+import {readOrigin, readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
 
 /** Number of servers that could not be reached and none that answered, after which a request is passed on before the links count as lost. */
 const maxUnreached = 2;
@@ -35,7 +36,9 @@
 function findPeerFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
 	const outcome = readOutcome(headers);
 	if (outcome === undefined) {
-		return findHeadFault(run, status, headers);
+		return run.stream.accepts(readOrigin(headers))
+			? findHeadFault(run, status, headers)
+			: {kind: 'invalid', message: 'the other host does not tell that its server continues the stream'};
 	}
 
 	const message = `the other host answered ${status}`;
@@ -46,7 +49,9 @@
 	const {exchange, route, events} = run;
 	return {
 		...toForwardHeaders(exchange.headers) as Record<string, string>,
-		...toPassedHeaders({deadlineInMs: toRemainingMs(run), edition: route.edition, runs: run.runs}),
+		...toPassedHeaders({
+			deadlineInMs: toRemainingMs(run), edition: route.edition, runs: run.runs, stream: {origin: run.stream.origin()},
+		}),
 		...(events?.lastId !== undefined && {'last-event-id': events.lastId}),
 	};
 }
@@ -65,11 +70,16 @@
 	log.info('passed on', {attempt, peerAddress: address, pool: run.route.pool.name});
 	peersTried.add(address);
 	ledger.noteOffered();
+	let origin: StreamOrigin | undefined;
 	const ended = await sendTo(run, {
 		url: `http://${address}`,
+		toOrigin: () => origin,
 		dispatcher: ctx.toPeerDispatcher(address),
 		headers: toHeaders(run),
-		findFault: (status, headers) => findPeerFault(run, status, headers),
+		findFault(status, headers) {
+			origin = readOrigin(headers);
+			return findPeerFault(run, status, headers);
+		},
 	});
 	const isNotRun = ended.kind === 'failed' && !mayHaveStarted(ended.fault);
 	if (isNotRun) {
--- a/src/programs/entry/send-plain/_lib/create-event-relay.ts
+++ b/src/programs/entry/send-plain/_lib/create-event-relay.ts
@@ -11,12 +11,22 @@
 
 /** Part of a stream that the caller has received, from all servers that sent some of it. */
 export type RelayedEvents = {
-	/** Whether the caller has received the head of the answer. */
+	/** Whether the caller has received the head of the answer and a part of its body. */
 	hasBegun: boolean;
 	/** Id of the last complete event that was relayed. */
 	lastId: string | undefined;
 };
 
+export type EventRelayOptions = {
+	exchange: CallerExchange;
+	/** Idle timeout of a caller that does not read. */
+	idleTimeoutMs: Milliseconds;
+	/** Part of the stream that the caller has. */
+	events: RelayedEvents;
+	/** Called once, before the first event of this server is relayed. */
+	onEvents?: (() => void) | undefined;
+};
+
 /** A blank line ends an event, with either kind of line ending. */
 const eventEnds = ['\n\n', '\r\n\r\n'].map(text => Buffer.from(text));
 const idLine = /^id:[ ]?(?<id>.*)$/gmv;
@@ -33,23 +43,34 @@
 }
 
 /**
- * Creates the relay of one server's part of a stream.
+ * Creates the relay of one server's part of a stream. The head is sent with the first
+ * event: a server that is lost before it leaves the caller with nothing that binds
+ * the stream, so that any other server may begin it.
  *
- * @param options - The caller's connection, its idle timeout in milliseconds, and the part of the stream that it has.
+ * @param options - See {@link EventRelayOptions}.
  * @returns Functions to call in this order: `start`, `write` for each chunk, `end`.
  */
-export function createEventRelay(options: {exchange: CallerExchange; idleTimeoutMs: Milliseconds; events: RelayedEvents}): Relay {
-	const {exchange, events} = options;
+export function createEventRelay(options: EventRelayOptions): Relay {
+	const {exchange, events, onEvents} = options;
 	const writer = createFlowWriter(options);
 	let incomplete: Buffer = Buffer.alloc(0);
+	let begin: (() => void) | undefined;
+
+	function beginOnce(): void {
+		begin?.();
+		begin = undefined;
+	}
 
 	return {
 		start(status, headers, flow: CallFlow) {
 			writer.setFlow(flow);
-			if (!events.hasBegun) {
-				events.hasBegun = true;
-				exchange.startStream(status, headers);
-			}
+			begin = () => {
+				onEvents?.();
+				if (!events.hasBegun) {
+					events.hasBegun = true;
+					exchange.startStream(status, headers);
+				}
+			};
 		},
 		write(bytes) {
 			const all = incomplete.length === 0 ? bytes : Buffer.concat([incomplete, bytes]);
@@ -57,11 +78,13 @@
 			incomplete = all.subarray(length);
 			if (length > 0) {
 				const whole = all.subarray(0, length);
+				beginOnce();
 				events.lastId = findLastId(whole.toString('utf8')) ?? events.lastId;
 				writer.pass(whole);
 			}
 		},
 		end() {
+			beginOnce();
 			if (incomplete.length > 0) {
 				writer.pass(incomplete);
 			}
--- a/src/programs/entry/send-plain/create-event-relay.test.ts
+++ b/src/programs/entry/send-plain/create-event-relay.test.ts
@@ -51,4 +51,39 @@
 		relay.end();
 		assert.equal(caller.toText(), 'id: 1\ndata: x\n\n: bye');
 	});
+
+	// Guards against a stream that is bound to a server which was lost before the caller had any event of it.
+	it('sends no head before the first whole event, so that another server may begin the stream', () => {
+		const caller = createCaller();
+		const events: RelayedEvents = {hasBegun: false, lastId: undefined};
+		const begun: string[] = [];
+		const open = (server: string) => createEventRelay({
+			exchange: caller.exchange, idleTimeoutMs: 1000, events, onEvents() {
+				assert.equal(events.hasBegun, begun.length > 0);
+				begun.push(server);
+			},
+		});
+		const lost = open('first');
+		lost.start(200, {}, flow);
+		lost.write(Buffer.from('id: 1\ndata: x'));
+		assert.equal(caller.heads(), 0);
+		assert.equal(lost.hasBegun(), false);
+		const next = open('second');
+		next.start(200, {}, flow);
+		next.write(Buffer.from(toEvent(1)));
+		next.write(Buffer.from(toEvent(2)));
+		next.end();
+		assert.deepEqual(begun, ['second']);
+		assert.equal(caller.heads(), 1);
+		assert.equal(caller.toText(), toEvent(1) + toEvent(2));
+	});
+
+	it('sends the head of an answer without any event at its end', () => {
+		const caller = createCaller();
+		const relay = createEventRelay({exchange: caller.exchange, idleTimeoutMs: 1000, events: {hasBegun: false, lastId: undefined}});
+		relay.start(404, {}, flow);
+		relay.end();
+		assert.equal(caller.heads(), 1);
+		assert.ok(caller.hasEnded());
+	});
 });
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -12,7 +12,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type EngineRefusalReason} from '../../../ports/engine.js';
 import {type AnswerHeaders} from '../../../ports/server-calls.js';
-import {outcomeHeader} from '../_lib/passed-headers.js';
+import {originHeader, outcomeHeader} from '../_lib/passed-headers.js';
 import {createEventRelay, type RelayedEvents} from './_lib/create-event-relay.js';
 import {createRelay} from './_lib/create-relay.js';
 
@@ -50,6 +50,10 @@
 	idleTimeoutMs: Milliseconds;
 	/** Present if another server may continue a broken answer; only complete events are relayed then. */
 	events?: RelayedEvents | undefined;
+	/** Called once, before the first event is relayed. */
+	onEvents?: () => void;
+	/** Headers added to the answer's. */
+	addedHeaders?: Record<string, string>;
 	/** Checks the answer's head; a fault ends the call, and nothing of the answer is relayed. */
 	checkHead?: (status: number, headers: AnswerHeaders) => PlainFault | undefined;
 	/** Called with the status once the head is accepted. */
@@ -103,7 +107,7 @@
 
 				status = answerStatus;
 				call.onStart(status);
-				relay.start(status, toForwardHeaders(headers, {drop: ['x-request-id', outcomeHeader]}), flow);
+				relay.start(status, {...toForwardHeaders(headers, {drop: ['x-request-id', outcomeHeader, originHeader]}), ...call.addedHeaders}, flow);
 			},
 			onData: relay.write,
 			onEnd(answer) {
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -3,7 +3,6 @@
  * the body, waits for admission, calls servers, and reports the end. Large bodies
  * without a key are streamed.
  */
-import {type Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
@@ -15,55 +14,25 @@
 import {
 	toEarlierWaitMs, toWaitPolicy, type WaitPolicy, type WaitPolicyInput,
 } from '../../../domain/to-wait-policy/index.js';
-import {bytesPerKibibyte} from '../../../ports/units.js';
 import {
-	callServers, isRepeatable, toAborted, type PlainOutcome, type PlainRun,
+	callServers, createPlainRun, isRepeatable, toAborted, type PlainOutcome, type PlainRun, type PlainRunInput,
 } from '../call-plain/index.js';
 import {type KeyedVerdict, serveKeyed} from '../claims/index.js';
 import {serveCharged} from '../charge-request/index.js';
 import {type Gate, type GateRefusal} from '../gate/index.js';
-import {createOutcomeLedger} from '../outcome-ledger/index.js';
+import {openStream} from '../open-stream/index.js';
 import {type EndedRequest} from '../_lib/ended-request.js';
 import {findIdempotencyKey, toRequestDigest, toUnclaimedProblem} from '../_lib/find-idempotency-key.js';
 import {toKeyedOptions} from '../_lib/to-keyed-options.js';
-import {createPlainBody, type PlainBody} from '../_lib/plain-body.js';
+import {type PlainBody} from '../_lib/plain-body.js';
 import {type PlainClients} from '../_lib/plain-clients.js';
-import {
-	findBehind, findOverload, toBodyProblem, toGateProblem,
-} from '../_lib/problems.js';
+import {findBehind, findOverload, toGateProblem} from '../_lib/problems.js';
 import {toQuarantineProblem} from '../_lib/quarantine.js';
 import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toHostName} from '../_lib/route.js';
 import {openRunControl, type RunControl} from '../_lib/run-registry.js';
 import {type ServeContext} from '../_lib/serve-types.js';
-
-/** Bodies up to this size are buffered, so that they can be sent again. */
-const bufferedBodyBytes = 64 * bytesPerKibibyte;
-
-/**
- * Reads the whole body, or returns it as a stream. The body of a keyed request is
- * read whole because its digest must be known before the key is claimed; the body
- * of a relayed request, because it is sent to several servers.
- */
-async function readOrStreamBody(exchange: CallerExchange, ctx: ServeContext, isWhole: boolean): Promise<Result<PlainBody, Problem | 'gone'>> {
-	const {maxBodyBytes: limitBytes, bodyTimeoutMs: timeoutMs} = ctx.limits;
-	const length = exchange.headers['content-length'];
-	const hasBody = exchange.headers['transfer-encoding'] !== undefined || Number(length ?? 0) > 0;
-	if (Number(length ?? 0) > limitBytes) {
-		return err(toBodyProblem('body-too-large', {limitBytes, timeoutMs}));
-	}
-
-	if (!hasBody || (!isWhole && (length === undefined || Number(length) > bufferedBodyBytes))) {
-		return ok(createPlainBody(exchange, {hasBody, limitBytes, timeoutMs}));
-	}
-
-	const whole = await exchange.readBody({limitBytes, timeoutMs});
-	return whole
-		.map((bytes: Buffer): PlainBody => ({
-			open: () => bytes, bytes: () => bytes, isTaken: () => false, fault: () => undefined,
-		}))
-		.mapErr(fault => fault === 'gone' ? fault : toBodyProblem(fault, {limitBytes, timeoutMs}));
-}
+import {readOrStreamBody} from './_lib/read-or-stream-body.js';
 
 type FinalOutcome = PlainOutcome & {end: EndedRequest['end']};
 
@@ -85,7 +54,7 @@
 	}
 }
 
-function toWaitInput({route, receivedAt, deadline, work, events, ctx: {services}}: PlainRun): WaitPolicyInput {
+function toWaitInput({route, receivedAt, deadline, work, stream, ctx: {services}}: PlainRun): WaitPolicyInput {
 	return {
 		then: route.rule.then,
 		poolKind: route.pool.kind,
@@ -93,7 +62,7 @@
 		deadline,
 		callerTimeoutMs: work.timeoutMs,
 		minRetryAfterMs: toMinFullPoolRetryAfter(services.gate.meanHoldMs(route.pool.name)),
-		hasPartialAnswer: events?.hasBegun ?? false,
+		hasPartialAnswer: stream.origin() !== undefined,
 	};
 }
 
@@ -234,9 +203,18 @@
 		return;
 	}
 
+	const log = ctx.log.with({requestId: exchange.requestId});
+	const opened = await openStream({
+		exchange, route, work, ctx, account, log,
+	});
+	if (opened.isErr()) {
+		refuse(toUnclaimedProblem(opened.error, exchange.headers));
+		return;
+	}
+
 	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity, exchange.passed?.deadlineInMs ?? Infinity);
 	const run = async (caller: CallerExchange): Promise<KeyedVerdict> => runRouted({
-		exchange: caller, route, ctx, clients, account, receivedAt, work, body: body.value, deadline, fingerprint,
+		exchange: caller, ...opened.value, ctx, clients, account, log, receivedAt, work, body: body.value, deadline, fingerprint,
 	});
 	// The host that passed a request on has charged it.
 	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => caller.passed === undefined
@@ -259,7 +237,7 @@
 	});
 }
 
-async function runRouted(input: Omit<PlainRun, 'signal' | 'ledger' | 'log' | 'events' | 'tried' | 'peersTried' | 'unreached' | 'runs' | 'isDecodeOnly' | 'bounces'>): Promise<KeyedVerdict> {
+async function runRouted(input: Omit<PlainRunInput, 'signal'>): Promise<KeyedVerdict> {
 	const {
 		exchange, route, ctx, account, work, deadline, fingerprint,
 	} = input;
@@ -272,9 +250,7 @@
 		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint, ...work.resumption,
 	});
 	try {
-		const run: PlainRun = {
-			...input, log: ctx.log.with({requestId: exchange.requestId}), signal: control.signal, ledger: createOutcomeLedger(), events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined, tried: [], peersTried: new Set(), unreached: new Set(), runs: exchange.passed?.runs ?? 0, isDecodeOnly: false, bounces: 0,
-		};
+		const run = createPlainRun({...input, signal: control.signal});
 		const ended = await waitAndCall(run);
 		finish(run, ended);
 		return ended.end === 'complete' ? 'complete' : (ended.outcome === 'not-run' ? 'not-run' : 'failed');
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -13,6 +13,7 @@
 import {type Quotas} from '../../../../ports/quotas.js';
 import {type Reach} from '../../../../ports/reach.js';
 import {type SharedRetryPool} from '../../../../ports/retries.js';
+import {type StreamOrigins} from '../../../../ports/stream-origins.js';
 import {type ServerCallHooks, type ServerCalls} from '../../../../ports/server-calls.js';
 import {type HostLoad} from '../../../../ports/shared-loads.js';
 import {type FleetView} from '../../../../ports/view.js';
@@ -58,6 +59,8 @@
 	places?: Places;
 	/** Whether this host reaches the servers of a pool, by its own calls and by what other hosts tell. */
 	reach?: Reach;
+	/** Origins of streams, as all hosts keep them together; without them no stream that broke at another host goes on. */
+	streamOrigins?: StreamOrigins;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
 	/** Address on which other hosts pass requests on to this one; by default they can't. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -193,6 +193,8 @@
 		toPeerDispatcher: address => peerClients.toDispatcher({id: address}),
 		countOverLimit: counters.countOverLimit,
 		countPassedOn: counters.countPassedOn,
+		streamOrigins: options.streamOrigins,
+		countStream: counters.countStream,
 		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
 		suspects,
 		log,
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -16,6 +16,7 @@
 import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
 import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
 import {followPublished} from '../../entry/follow-published/index.js';
+import {askOrigins} from '../ask-origins/index.js';
 import {askPlaces} from '../ask-places/index.js';
 import {askQuotas} from '../ask-quotas/index.js';
 import {shareRetries} from '../share-retries/index.js';
@@ -127,7 +128,7 @@
 		createEngine: createUnusedEngine,
 		suspects,
 		...(loadSharing && {
-			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock),
+			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock), streamOrigins: askOrigins(loadSharing.origins, clock),
 		}),
 		...(quotas && {quotas, sharedRetries: shareRetries({toPart: retryShare.toSharedPart}, quotas, clock)}),
 	});
--- a/test/stand-ins/users-platform/start-relay-processes.ts
+++ b/test/stand-ins/users-platform/start-relay-processes.ts
@@ -58,7 +58,7 @@
 		build: build?.(host),
 		startDeadlineMs,
 		env: {
-			BANYANPORT_HOST_ID: `front-${host}`, BANYANPORT_BIND: toIp(host), BANYANPORT_ZONE: toZone(host), BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `${toIp(host)}:0`, BANYANPORT_OPERATOR_ADDRESS: `${toIp(host)}:0`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s', BANYANPORT_RETRY_SLACK: '400', BANYANPORT_RETRY_WINDOW: '0s', BANYANPORT_PEER_ADDRESS: `${toIp(host)}:${peerPort}`, BANYANPORT_SEEDS: seeds,
+			BANYANPORT_HOST_ID: `front-${host}`, BANYANPORT_BIND: toIp(host), BANYANPORT_ZONE: toZone(host), BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `${toIp(host)}:0`, BANYANPORT_OPERATOR_ADDRESS: `${toIp(host)}:0`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s', BANYANPORT_RETRY_SLACK: '400', BANYANPORT_RETRY_WINDOW: '0s', ...(hostCount > 1 && {BANYANPORT_PEER_ADDRESS: `${toIp(host)}:${peerPort}`, BANYANPORT_SEEDS: seeds}),
 		},
 	});
 
