Continue an engine's answer only at engines of the same software version

The own engine interface retries a broken answer at any pair of the pool: it goes on behind the tokens accepted so far, so the answer is generated by two engines, of whatever software.

The run has the same binding as a relayed stream, made with its first token, and each attempt is placed by it. Documents may state softwareVersion for a server; servers without it count as one version, so nothing changes where it is absent. If no server of the version is left, the problem is origin-gone.

--- a/src/domain/create-stream-binding/index.ts
+++ b/src/domain/create-stream-binding/index.ts
@@ -3,6 +3,7 @@
  * versions write does not fit together, and no server checks it: joined, the parts
  * look like a valid stream with wrong content.
  */
+import {type ServerEntry} from '../../ports/config.js';
 import {type StreamOrigin} from '../../ports/stream-origins.js';
 
 /**
@@ -30,6 +31,14 @@
 	return a.pool === b.pool && a.softwareVersion === b.softwareVersion;
 }
 
+/**
+ * @param server - A backend server.
+ * @returns The origin of what it writes.
+ */
+export function toStreamOrigin({pool, softwareVersion}: ServerEntry): StreamOrigin {
+	return {pool, softwareVersion};
+}
+
 /**
  * Creates the binding of one request.
  *
--- a/src/domain/parse-config/_lib/schema.ts
+++ b/src/domain/parse-config/_lib/schema.ts
@@ -22,7 +22,7 @@
 
 const slotsByRole = {prefill: 4, decode: 20, plain: 64} as const;
 
-type ServerForm = Omit<ServerEntry, 'slots'> & {slots: number | undefined};
+type ServerForm = Omit<ServerEntry, 'slots' | 'softwareVersion'> & {slots: number | undefined; softwareVersion: string | undefined};
 
 const serverForm: Reader<ServerForm> = record<ServerForm>({
 	id: required(name),
@@ -32,11 +32,17 @@
 	pool: required(name),
 	slots: optional<number | undefined>(integer(1, 100_000), undefined),
 	checksFence: optional(flag, false),
+	softwareVersion: optional<string | undefined>(name, undefined),
 });
 
 export const server: Reader<ServerEntry> = (value, path, faults) => {
 	const form = serverForm(value, path, faults);
-	return form && {...form, slots: form.slots ?? slotsByRole[form.role]};
+	if (form === undefined) {
+		return undefined;
+	}
+
+	const {softwareVersion, ...entry} = form;
+	return {...entry, slots: form.slots ?? slotsByRole[form.role], ...(softwareVersion !== undefined && {softwareVersion})};
 };
 
 type PoolForm = Omit<PoolEntry, 'kind' | 'rollout'> & {kind: PoolEntry['kind'] | undefined; rollout: RolloutPolicy | undefined};
--- a/src/programs/entry/_lib/origin-gone.ts
+++ b/src/programs/entry/_lib/origin-gone.ts
@@ -1,4 +1,5 @@
 /** Streams that can't go on, because no server that began them is left. */
+import {isSameOrigin, toStreamOrigin} from '../../../domain/create-stream-binding/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type StreamOrigin} from '../../../ports/stream-origins.js';
 import {type FleetView} from '../../../ports/view.js';
@@ -8,9 +9,9 @@
  * @param view - The fleet as this host knows it.
  * @returns Whether some server of the origin takes new work and generates answers.
  */
-export function hasServerOf({pool, softwareVersion}: StreamOrigin, view: FleetView | undefined): boolean {
+export function hasServerOf(origin: StreamOrigin, view: FleetView | undefined): boolean {
 	const servers = view?.accepted?.config.servers ?? [];
-	return servers.some(server => server.pool === pool && server.softwareVersion === softwareVersion && server.role !== 'prefill' && view?.servers.get(server.id)?.leaving === false);
+	return servers.some(server => isSameOrigin(toStreamOrigin(server), origin) && server.role !== 'prefill' && view?.servers.get(server.id)?.leaving === false);
 }
 
 /**
--- a/src/programs/entry/_lib/types.ts
+++ b/src/programs/entry/_lib/types.ts
@@ -19,6 +19,7 @@
 import {type CancelQueue} from '../cancel-queue/index.js';
 import {type Gate} from '../gate/index.js';
 import {type OutcomeLedger} from '../outcome-ledger/index.js';
+import {type RunStream} from './create-run-stream.js';
 
 /** Why a run was aborted. */
 export type EndCause = 'caller-gone' | 'deadline-passed' | 'stopping';
@@ -59,6 +60,8 @@
 	buffer: AnswerBuffer;
 	ledger: OutcomeLedger;
 	delivery: Delivery;
+	/** At which servers the answer may go on. */
+	stream: RunStream;
 	account: Account;
 	log: Log;
 };
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -1,5 +1,6 @@
 /** Sends one step of a relayed request to one server. */
 import {type Dispatcher} from 'undici';
+import {toStreamOrigin} from '../../../../domain/create-stream-binding/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
@@ -156,7 +157,7 @@
 	const link = ctx.reach?.openCall(run.route.pool.name);
 	const ended = await sendTo(run, {
 		url: server.url,
-		toOrigin: () => ({pool: server.pool, softwareVersion: server.softwareVersion}),
+		toOrigin: () => toStreamOrigin(server),
 		dispatcher: clients.toDispatcher(server),
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
--- a/src/programs/entry/open-stream/test.ts
+++ b/src/programs/entry/open-stream/test.ts
@@ -8,6 +8,7 @@
 import {type PassedRequest} from '../../../ports/reach.js';
 import {type Resumption} from '../../../ports/server-calls.js';
 import {type OriginRecord, type StreamOrigin} from '../../../ports/stream-origins.js';
+import {type Account} from '../accounts/index.js';
 import {type Route} from '../_lib/route.js';
 import {type ServeContext} from '../_lib/serve-types.js';
 import {openStream} from './index.js';
@@ -60,6 +61,7 @@
 	const rule: unknown = {
 		name: 'r', then: {pool: 'letters', target: {completeMs: 14_000}, relay: {isResumable: given.isResumable ?? true, split: given.split ?? []}},
 	};
+	const account: unknown = {addStage: () => undefined};
 	const opening = openStream({
 		exchange: {requestId: 'own', headers: {}, ...(given.passed && {passed: given.passed})} as unknown as CallerExchange,
 		route: {workspace, rule: rule as Rule, pool: pools[0]!} as unknown as Route,
@@ -67,7 +69,7 @@
 			timeoutMs: 9000, model: undefined, promptTokens: 0, maxTokens: 0, estimatedTokens: undefined, ...(given.resumption && {resumption: given.resumption}),
 		},
 		ctx: ctx as ServeContext,
-		account: {addStage: () => undefined} as never,
+		account: account as Account,
 		log,
 	});
 	return {opening, recorded, counted};
--- a/src/programs/entry/relay-stream/index.ts
+++ b/src/programs/entry/relay-stream/index.ts
@@ -6,6 +6,7 @@
 import {
 	type AttemptKey, type DecodeChunk, type Engine, type EngineFailure, type EngineStreamError,
 } from '../../../ports/engine.js';
+import {type StreamOrigin} from '../../../ports/stream-origins.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {createStepSignal, runStep, type StepSignal} from '../_lib/step.js';
 import {type Run, type RunServices} from '../_lib/types.js';
@@ -47,6 +48,7 @@
 	run: Run;
 	services: RunServices;
 	server: string;
+	origin: StreamOrigin;
 	step: StepSignal;
 	meter: PaceMeter;
 };
@@ -75,7 +77,7 @@
 			}
 
 			if (accepted.tokens > 0 && buffer.offset() === accepted.tokens) {
-				noteFirstToken(run, services);
+				noteFirstToken(reader);
 			}
 
 			if (!delivery.relay(accepted.text) && !await waitForCaller(reader)) {
@@ -102,10 +104,11 @@
 	return isReading;
 }
 
-function noteFirstToken(run: Run, services: RunServices): void {
+function noteFirstToken({run, services, origin}: Reader): void {
 	const now = services.clock.now();
 	const firstTokenMs = now - run.receivedAt;
 	run.ledger.noteRan(now);
+	run.stream.noteEvents(origin);
 	services.gate.noteFirstToken(run.id);
 	services.runMetrics.firstToken(run, firstTokenMs);
 	run.account.addStage('first token');
@@ -118,6 +121,8 @@
 	engine: Engine;
 	key: AttemptKey;
 	server: string;
+	/** Pool and software version of the server. */
+	origin: StreamOrigin;
 	/** Signal with which `stream` was opened; closed at the end of the stream. */
 	step: StepSignal;
 	stream: AsyncIterable<DecodeChunk>;
@@ -135,7 +140,7 @@
  */
 export async function relayStream(options: RelayOptions): Promise<RelayEnd> {
 	const {
-		run, services, engine, key, server, noteTokens,
+		run, services, engine, key, server, origin, noteTokens,
 	} = options;
 	let {stream, step} = options;
 	const meter = createPaceMeter(services.clock.now, noteTokens);
@@ -144,7 +149,7 @@
 		const before = run.buffer.offset();
 		step.arm(toStallTimeoutMs(run));
 		const failure = await readStream({
-			run, services, server, step, meter,
+			run, services, server, origin, step, meter,
 		}, stream);
 		meter.stop();
 		step.close();
--- a/src/programs/entry/relay-stream/test.ts
+++ b/src/programs/entry/relay-stream/test.ts
@@ -2,10 +2,12 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {errAsync, okAsync} from 'neverthrow';
+import {type Log} from '../../../adapters/log/index.js';
 import {createAnswerBuffer} from '../../../domain/create-answer-buffer/index.js';
 import {type DecodeChunk, type Engine} from '../../../ports/engine.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
 import {createStepSignal} from '../_lib/step.js';
+import {createRunStream} from '../_lib/create-run-stream.js';
 import {type Run, type RunServices} from '../_lib/types.js';
 import {relayStream} from './index.js';
 
@@ -72,6 +74,7 @@
 		},
 		account: {addStage: quiet},
 		log: {info: quiet, warn: quiet},
+		stream: createRunStream({origin: undefined, log: {info: quiet} as unknown as Log}),
 	} as unknown as Run;
 }
 
@@ -94,7 +97,7 @@
 			: okAsync(toNext(offset)),
 	} as unknown as Engine;
 	const end = await relayStream({
-		run, services, engine, key, server: 'd', step: createStepSignal(run.signal, () => 0), stream: toNext(0), noteTokens: () => undefined,
+		run, services, engine, key, server: 'd', origin: {pool: 'main', softwareVersion: undefined}, step: createStepSignal(run.signal, () => 0), stream: toNext(0), noteTokens: () => undefined,
 	});
 	return {end, text: relayed.join(''), run};
 }
@@ -144,6 +147,7 @@
 			engine,
 			key,
 			server: 'd',
+			origin: {pool: 'main', softwareVersion: undefined},
 			step: createStepSignal(run.signal, () => 0),
 			stream,
 			noteTokens(sample) {
--- a/src/programs/entry/run-attempt/index.ts
+++ b/src/programs/entry/run-attempt/index.ts
@@ -1,6 +1,7 @@
 /**
  * One attempt of a request: reserve, prefill, transfer, decode, relay.
  */
+import {toStreamOrigin} from '../../../domain/create-stream-binding/index.js';
 import {type Placement} from '../../../domain/create-placement/index.js';
 import {type DecodeChunk, type PrefillResult} from '../../../ports/engine.js';
 import {createStepSignal} from '../_lib/step.js';
@@ -25,6 +26,7 @@
 		engine: services.toEngine(decode),
 		key,
 		server: decode.id,
+		origin: toStreamOrigin(decode),
 		step,
 		stream,
 		noteTokens(seen) {
--- a/src/programs/entry/run-request/_lib/place.ts
+++ b/src/programs/entry/run-request/_lib/place.ts
@@ -3,6 +3,7 @@
 import {type Placement} from '../../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerId} from '../../../../ports/ids.js';
+import {hasServerOf, toOriginGone} from '../../_lib/origin-gone.js';
 import {recordPlacement} from '../../_lib/record-placement.js';
 import {noConfiguration} from '../../_lib/problems.js';
 import {type Run, type RunServices} from '../../_lib/types.js';
@@ -40,6 +41,7 @@
 		perTokenTargetMs: run.rule.then.target.perTokenMs,
 		prefixBlocks: run.prefixBlocks,
 		exclude: options.exclude,
+		origin: run.stream.origin(),
 	}, view, now, services.random);
 }
 
@@ -58,6 +60,12 @@
 		: picked;
 }
 
+/** Ends a request whose answer no engine can continue. */
+function findGone({stream, ledger}: Run, {toView}: RunServices): RunEnd | undefined {
+	const origin = stream.origin();
+	return origin === undefined || hasServerOf(origin, toView()) ? undefined : {kind: 'failed', problem: toOriginGone(origin, ledger.outcome())};
+}
+
 /**
  * Picks the servers of an attempt and records them in the request's account.
  *
@@ -75,7 +83,7 @@
 
 	if (picked.isErr()) {
 		run.account.addStage('not placed', {...picked.error.account(), reason: picked.error.reason});
-		return err(toNotPlaced(run, picked.error, history.full.size > 0));
+		return err(findGone(run, services) ?? toNotPlaced(run, picked.error, history.full.size > 0));
 	}
 
 	const {
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -19,6 +19,7 @@
 import {findIdempotencyKey, toUnclaimedProblem} from '../_lib/find-idempotency-key.js';
 import {findOverload, toGateProblem} from '../_lib/problems.js';
 import {toKeyedOptions} from '../_lib/to-keyed-options.js';
+import {createRunStream} from '../_lib/create-run-stream.js';
 import {reportRefused} from '../_lib/report-refused.js';
 import {type Route, toHostName, toServedModel} from '../_lib/route.js';
 import {openRunControl} from '../_lib/run-registry.js';
@@ -51,6 +52,9 @@
 	const {clock, random} = ctx.services;
 	const {then, name} = route.rule;
 	const receivedAt = clock.now();
+	const log = ctx.log.with({
+		requestId: exchange.requestId, workspace: route.workspace, rule: name, class: then.class, edition: route.edition,
+	});
 	return {
 		id: exchange.requestId,
 		workspace: route.workspace,
@@ -67,10 +71,10 @@
 		buffer: createAnswerBuffer({requestId: exchange.requestId, keepsTokens: then.repeatable || !request.stream}),
 		ledger: createOutcomeLedger(),
 		delivery: createDeliveryFor(exchange, request, ctx),
+		// A caller that comes back joins the run of its key, or begins anew; it never continues the stream of another run.
+		stream: createRunStream({origin: undefined, log}),
 		account: input.account,
-		log: ctx.log.with({
-			requestId: exchange.requestId, workspace: route.workspace, rule: name, class: then.class, edition: route.edition,
-		}),
+		log,
 	};
 }
 
