Pass a stream on when no server of its version can be connected

What callers saw: a host whose link to the only server of a version was cut refused streams of that version as no-capacity, while another host reached the server; seen in the new case of lost-links (fewer than half of 16 streams ended whole). Two servers that refuse connections show that a pool is lost; a version may have fewer than two.

A bound stream is now passed on as soon as none of the servers that can continue it could be connected. Green: lost-links with a host that loses its links, beside servers of two versions; contracts/peer-requests for the header between hosts (a named version only, the version told back, an older host that names none and a version without a server refused as not run).

--- a/src/programs/entry/_lib/origin-gone.ts
+++ b/src/programs/entry/_lib/servers-of-origin.ts
@@ -1,17 +1,27 @@
-/** Streams that can't go on, because no server that began them is left. */
+/** Servers that can continue a stream, and streams that none is left for. */
 import {isSameOrigin, toStreamOrigin} from '../../../domain/create-stream-binding/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
+import {type ServerEntry} from '../../../ports/config.js';
 import {type StreamOrigin} from '../../../ports/stream-origins.js';
 import {type FleetView} from '../../../ports/view.js';
 
 /**
  * @param origin - Where a stream began.
  * @param view - The fleet as this host knows it.
- * @returns Whether some server of the origin takes new work and generates answers.
+ * @returns The servers of the origin that take new work and generate answers.
  */
-export function hasServerOf(origin: StreamOrigin, view: FleetView | undefined): boolean {
+export function listServersOf(origin: StreamOrigin, view: FleetView | undefined): readonly ServerEntry[] {
 	const servers = view?.accepted?.config.servers ?? [];
-	return servers.some(server => isSameOrigin(toStreamOrigin(server), origin) && server.role !== 'prefill' && view?.servers.get(server.id)?.leaving === false);
+	return servers.filter(server => isSameOrigin(toStreamOrigin(server), origin) && server.role !== 'prefill' && view?.servers.get(server.id)?.leaving === false);
+}
+
+/**
+ * @param origin - Where a stream began.
+ * @param view - The fleet as this host knows it.
+ * @returns Whether some server can continue the stream.
+ */
+export function hasServerOf(origin: StreamOrigin, view: FleetView | undefined): boolean {
+	return listServersOf(origin, view).length > 0;
 }
 
 /**
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -4,7 +4,7 @@
 import {type Outcome} from '../../../../ports/outcome.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
-import {hasServerOf, toOriginGone} from '../../_lib/origin-gone.js';
+import {hasServerOf, toOriginGone} from '../../_lib/servers-of-origin.js';
 import {toQuarantineProblem} from '../../_lib/quarantine.js';
 import {toBodyProblem, toEndProblem} from '../../_lib/problems.js';
 import {type EndCause} from '../../_lib/types.js';
--- a/src/programs/entry/open-stream/index.ts
+++ b/src/programs/entry/open-stream/index.ts
@@ -16,7 +16,7 @@
 import {msPerMinute, msPerSecond} from '../../../ports/units.js';
 import {type Account} from '../accounts/index.js';
 import {createRunStream, type RunStream} from '../_lib/create-run-stream.js';
-import {hasServerOf, toOriginGone} from '../_lib/origin-gone.js';
+import {hasServerOf, toOriginGone} from '../_lib/servers-of-origin.js';
 import {type Route} from '../_lib/route.js';
 import {type ServeContext} from '../_lib/serve-types.js';
 
--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -10,11 +10,18 @@
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {findHeadFault, sendTo, toRemainingMs} from '../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
+import {listServersOf} from '../_lib/servers-of-origin.js';
 import {readOrigin, readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
 
 /** Number of servers that could not be reached and none that answered, after which a request is passed on before the links count as lost. */
 const maxUnreached = 2;
 
+/** Whether none of the servers that can continue the request's stream could be connected; a version may have too few of them to show that the pool is lost. */
+function isOriginUnreached({stream, unreached, ctx}: PlainRun): boolean {
+	const origin = stream.origin();
+	return origin !== undefined && unreached.size > 0 && listServersOf(origin, ctx.services.toView()).every(({id}) => unreached.has(id));
+}
+
 /**
  * Finds the host to which a request is passed on next.
  *
@@ -28,7 +35,7 @@
 		return undefined;
 	}
 
-	const isDue = reach.isLost(route.pool.name) || unreached.size >= maxUnreached;
+	const isDue = reach.isLost(route.pool.name) || unreached.size >= maxUnreached || isOriginUnreached(run);
 	return isDue ? reach.pickPeer(route.pool.name, peersTried) : undefined;
 }
 
--- a/src/programs/entry/run-request/_lib/place.ts
+++ b/src/programs/entry/run-request/_lib/place.ts
@@ -3,7 +3,7 @@
 import {type Placement} from '../../../../domain/create-placement/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerId} from '../../../../ports/ids.js';
-import {hasServerOf, toOriginGone} from '../../_lib/origin-gone.js';
+import {hasServerOf, toOriginGone} from '../../_lib/servers-of-origin.js';
 import {recordPlacement} from '../../_lib/record-placement.js';
 import {noConfiguration} from '../../_lib/problems.js';
 import {type Run, type RunServices} from '../../_lib/types.js';
--- a/test/contracts/peer-requests.test.ts
+++ b/test/contracts/peer-requests.test.ts
@@ -7,7 +7,28 @@
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {deadlineMs, startRelayFixture, type RelayFixture} from '../stand-ins/users-platform/start-relay-fixture.js';
 
-type PeerAnswer = {status: number; headers: IncomingHttpHeaders; isWhole: boolean};
+type PassedAnswer = {status: number; headers: IncomingHttpHeaders; body: string; isWhole: boolean};
+
+/** Sends a request to the second host, as the first one passes it on. */
+async function sendPassed(fixture: RelayFixture, {path = '/lookup/1', ...headers}: Record<string, string>): Promise<PassedAnswer> {
+	const [host, port] = fixture.peerAddresses[1]!.split(':');
+	return new Promise((resolve, reject) => {
+		const req = request({
+			host, port, path, method: 'POST', agent: false, headers: {host: 'desk.example', 'x-banyanport-runs': '0', ...headers},
+		}, res => {
+			let body = '';
+			res.setEncoding('utf8').on('data', (piece: string) => {
+				body += piece;
+			}).once('close', () => {
+				resolve({
+					status: res.statusCode!, headers: res.headers, body, isWhole: res.complete,
+				});
+			});
+		});
+		req.once('error', reject);
+		req.end();
+	});
+}
 
 describe('requests that a host passes on', () => {
 	let fixture: RelayFixture;
@@ -16,20 +37,7 @@
 	});
 	after(async () => fixture.stop());
 
-	async function send({path = '/lookup/1', ...headers}: Record<string, string>, to = fixture): Promise<PeerAnswer> {
-		const [host, port] = to.peerAddresses[1]!.split(':');
-		return new Promise((resolve, reject) => {
-			const req = request({
-				host, port, path, method: 'POST', agent: false, headers: {host: 'desk.example', 'x-banyanport-runs': '0', ...headers},
-			}, res => {
-				res.resume().once('close', () => {
-					resolve({status: res.statusCode!, headers: res.headers, isWhole: res.complete});
-				});
-			});
-			req.once('error', reject);
-			req.end();
-		});
-	}
+	const send = async (headers: Record<string, string>, to = fixture): Promise<PassedAnswer> => sendPassed(to, headers);
 
 	const findRuns = (id: string) => [fixture.servers.desk1, fixture.servers.desk2].flatMap(server => server.runs()).filter(({headers}) => headers['request-id'] === id);
 
@@ -101,3 +109,47 @@
 		}
 	});
 });
+
+describe('streams that a host passes on, beside servers of two software versions', () => {
+	let fixture: RelayFixture;
+	before(async () => {
+		fixture = await startRelayFixture({hosts: 2, versions: {decode2: 'v2'}});
+	});
+	after(async () => fixture.stop());
+
+	let nextId = 0;
+
+	async function send(over: Record<string, string>): Promise<PassedAnswer> {
+		nextId++;
+		return sendPassed(fixture, {
+			path: '/notice/1', 'request-id': `stream-${nextId}`, model: 'm', 'token-count': '300,200', 'x-banyanport-time-left': '5000', 'x-banyanport-edition': '1', ...over,
+		});
+	}
+
+	it('run only at the version that the other host names, and say where they run', async () => {
+		for (let i = 0; i < 8; i++) {
+			const {status, headers, body} = await send({'x-banyanport-origin': 'pool=model&software-version=v2', 'last-event-id': '1'});
+			assert.equal(status, 200);
+			assert.equal(headers['x-banyanport-origin'], 'pool=model&software-version=v2');
+			assert.deepEqual(body.match(/ at v\d/gv), [' at v2', ' at v2']);
+		}
+	});
+
+	it('run at any version if the other host says that they have not begun, and say where they run', async () => {
+		const {status, headers, body} = await send({'x-banyanport-origin': 'none'});
+		assert.equal(status, 200);
+		const [version] = /v\d/v.exec(body) ?? [];
+		assert.equal(headers['x-banyanport-origin'], `pool=model&software-version=${version}`);
+	});
+
+	// Guards against a host of an older build whose streams this host would continue at any version.
+	it('are refused as not run if the other host does not say where they began', async () => {
+		const {status, headers} = await send({'last-event-id': '1'});
+		assert.deepEqual([status, headers['x-banyanport-outcome']], [503, 'not-run']);
+	});
+
+	it('are refused as not run if no server of the version is left', async () => {
+		const {status, headers} = await send({'x-banyanport-origin': 'pool=model&software-version=v9', 'last-event-id': '1'});
+		assert.deepEqual([status, headers['x-banyanport-outcome']], [503, 'not-run']);
+	});
+});
--- a/test/failures/lost-links.test.ts
+++ b/test/failures/lost-links.test.ts
@@ -8,6 +8,7 @@
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
+import {followStream, isOneStream} from './_lib/follow-stream.js';
 
 /** Time after which the loss must not show any more. */
 const noticeMs = 3000;
@@ -152,3 +153,42 @@
 		assert.deepEqual(fixture.logs().filter(({message}) => message === 'passed on'), []);
 	});
 });
+
+/** Streams that are under way when their host loses its links. */
+const streams = 16;
+const midStreamMs = 300;
+/** Pause after which a caller comes back. */
+const returnMs = 1000;
+
+// Guards against a stream whose host has lost its links, and which another host continues at a server of another software version.
+describe('streams of a host that loses its links, beside servers of two software versions', {timeout: 120_000}, () => {
+	let fixture: RelayFixture;
+	/** Ends the requests that show which hosts reach the servers. */
+	const ended = new AbortController();
+	let busy: Promise<unknown>;
+	before(async () => {
+		fixture = await startRelayFixture({
+			hosts: 2, hasLinks: true, events: 12, workMs: 60, versions: {decode2: 'v2'},
+		});
+		busy = Promise.all([0, 1].map(async at => {
+			while (!ended.signal.aborted) {
+				await fixture.ask({path: '/summary/1', at, headers: toStreamHeaders()});
+			}
+		}));
+	});
+	after(async () => {
+		ended.abort();
+		await busy;
+		await fixture.stop();
+	});
+
+	it('go on through another host at the version that began them, when their callers come back', async () => {
+		const asked = Promise.all(Array.from({length: streams}, async (_, i) => followStream(fixture.ask, {requestId: `cut-${i}`, hosts: [0, 0, 0, 0], pauseMs: returnMs})));
+		await sleep(midStreamMs);
+		await fixture.cutLinks(0);
+		const followed = await asked;
+		assert.deepEqual(followed.filter(held => !isOneStream(held.events)).map(({events}) => events), []);
+		assert.ok(followed.filter(({isWhole}) => isWhole).length >= streams / 2);
+		assert.ok(fixture.logs().some(({message}) => message === 'passed on'));
+	});
+});
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -22,6 +22,9 @@
 
 export const deadlineMs = 20_000;
 
+/** Software version of servers without another one. */
+const usualVersion = 'v1';
+
 export type RelayFixture = {
 	store: StoreStandIn;
 	servers: Readonly<Record<'desk1' | 'desk2' | 'prefill1' | 'prefill2' | 'decode1' | 'decode2', ServerStandIn>>;
@@ -70,6 +73,8 @@
 	hosts?: number;
 	/** Whether each host has links of its own to the plain and decode servers. */
 	hasLinks?: boolean;
+	/** Software version of each server that is not of version `v1`; only with it do events name a version. */
+	versions?: Readonly<Record<string, string>>;
 	/** Retries beyond the ratio that all hosts together may make; each host may make a twentieth of them. */
 	retrySlack?: number;
 	/** Time after its start in which a host makes no retries from the slack; `0s` by default, as on a host that has run for long. */
@@ -140,12 +145,13 @@
 	return {relay, callerPort, operatorPort};
 }
 
-async function start({hosts: hostCount = 1, hasLinks = false, retrySlack = 400, retryWindow = '0s', ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
+async function start({hosts: hostCount = 1, hasLinks = false, versions, retrySlack = 400, retryWindow = '0s', ...options}: RelayFixtureOptions, isPublished: boolean): Promise<RelayFixture> {
 	const caches = new Set<string>();
 	// The relay may choose any server of a kind, so the servers of a kind share their faults.
 	const sharedFaults: Record<string, ServerFault[]> = {desk: [], prefill: [], decode: []};
+	const toVersion = (id: string): string => versions?.[id] ?? usualVersion;
 	const startServer = async (id: string) => startServerStandIn({
-		...options, id, caches, sharedFaults: sharedFaults[id.slice(0, -1)]!,
+		...options, ...(versions && {version: toVersion(id)}), id, caches, sharedFaults: sharedFaults[id.slice(0, -1)]!,
 	});
 	const [desk1, desk2, prefill1, prefill2, decode1, decode2] = await Promise.all(['desk1', 'desk2', 'prefill1', 'prefill2', 'decode1', 'decode2'].map(async id => startServer(id))) as [ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn, ServerStandIn];
 	const servers = {
@@ -160,7 +166,7 @@
 		const [kind] = /^[a-z]+/v.exec(server.id) ?? [];
 		const stage = kind === 'desk' ? undefined : kind;
 		const entry = {
-			service: stage === undefined ? 'desk' : 'model', zone: /^[a-z]+1/v.test(server.id) ? 'a' : 'b', version: 'v1', slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
+			service: stage === undefined ? 'desk' : 'model', zone: /^[a-z]+1/v.test(server.id) ? 'a' : 'b', version: toVersion(server.id), slots: 8, state: 'ready', cold_remaining_ms: 0, ...(stage !== undefined && {stage, models: [{name: 'm', version: 1, adapters: []}]}), sequence: 1, ...change,
 		};
 		for (const [i, one] of stores.entries()) {
 			one.put(`servers/${server.id}`, {address: links[i]?.toAddress(server.address) ?? server.address, ...entry});
