--- a/bench/main.ts
+++ b/bench/main.ts
@@ -26,6 +26,7 @@
 	'rollout',
 	'split-pool',
 	'lost-links',
+	'stream-origins',
 ] as const;
 
 type BenchName = typeof benches[number];
--- a/src/programs/entry/_lib/create-run-stream.ts
+++ b/src/programs/entry/_lib/create-run-stream.ts
@@ -1,5 +1,4 @@
 /** The stream of one request: which servers may continue it, and what other hosts are told of it. */
-import {type Log} from '../../../adapters/log/index.js';
 import {createStreamBinding, type StreamBinding} from '../../../domain/create-stream-binding/index.js';
 import {type StreamOrigin} from '../../../ports/stream-origins.js';
 
@@ -16,8 +15,7 @@
 	/** Origin of the stream that the request continues; `undefined` for a request that begins one. */
 	origin: StreamOrigin | undefined;
 	/** Tells other hosts where the stream began; absent where this host does not answer the caller itself. */
-	record?: (origin: StreamOrigin) => void;
-	log: Log;
+	record?: ((origin: StreamOrigin) => void) | undefined;
 };
 
 /**
@@ -26,7 +24,7 @@
  * @param options - See {@link RunStreamOptions}.
  * @returns See {@link RunStream}.
  */
-export function createRunStream({origin: continued, record, log}: RunStreamOptions): RunStream {
+export function createRunStream({origin: continued, record}: RunStreamOptions): RunStream {
 	const binding = createStreamBinding(continued);
 	let isRecorded = false;
 
@@ -40,15 +38,12 @@
 		origin: toBoundOrigin,
 		isStranded: () => binding.state().kind === 'untold',
 		noteEvents(next) {
-			const isNew = binding.noteEvent(next);
+			binding.noteEvent(next);
 			const origin = toBoundOrigin();
-			if (origin === undefined || isRecorded) {
-				return;
+			if (origin !== undefined && !isRecorded) {
+				isRecorded = true;
+				record?.(origin);
 			}
-
-			isRecorded = true;
-			log.info(isNew ? 'stream began' : 'stream continued', {...origin});
-			record?.(origin);
 		},
 	};
 }
--- a/src/programs/entry/open-stream/index.ts
+++ b/src/programs/entry/open-stream/index.ts
@@ -95,7 +95,9 @@
 
 /** Returns the function that tells other hosts where the stream began. The host that answers the caller does so, not one to which the request was passed on. */
 function toRecord(input: OpenStreamInput, began: RequestId): ((origin: StreamOrigin) => void) | undefined {
-	const {exchange, route, ctx} = input;
+	const {
+		exchange, route, ctx, log,
+	} = input;
 	if (exchange.passed !== undefined) {
 		return undefined;
 	}
@@ -103,6 +105,7 @@
 	const key = toStreamKey(route.workspace, began);
 	return origin => {
 		ctx.countStream('recorded');
+		log.info(began === exchange.requestId ? 'stream began' : 'stream continued', {...origin});
 		ctx.streamOrigins?.note({key, origin, lifeMs: toLifeMs(input)});
 	};
 }
@@ -116,7 +119,7 @@
 		return err(toOriginGone(origin, 'not-run'));
 	}
 
-	return ok({stream: createRunStream({origin, record: toRecord(input, began), log}), route});
+	return ok({stream: createRunStream({origin, record: toRecord(input, began)}), route});
 }
 
 /**
@@ -126,7 +129,7 @@
  * @returns The stream and its route; a problem if the request continues a stream whose origin is unknown or gone.
  */
 export async function openStream(input: OpenStreamInput): Promise<Result<OpenedStream, Problem>> {
-	const {exchange, route, work, log} = input;
+	const {exchange, route, work} = input;
 	const told = exchange.passed?.stream;
 	const resumption = told === undefined ? toResumption(work, route.rule.then.relay) : undefined;
 	const began = resumption?.resumes ?? exchange.requestId;
@@ -139,5 +142,5 @@
 		return origin.andThen(found => openAt(found, input, began));
 	}
 
-	return ok({stream: createRunStream({origin: undefined, record: toRecord(input, began), log}), route});
+	return ok({stream: createRunStream({origin: undefined, record: toRecord(input, began)}), route});
 }
--- a/src/programs/entry/relay-stream/test.ts
+++ b/src/programs/entry/relay-stream/test.ts
@@ -2,7 +2,6 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {errAsync, okAsync} from 'neverthrow';
-import {type Log} from '../../../adapters/log/index.js';
 import {createAnswerBuffer} from '../../../domain/create-answer-buffer/index.js';
 import {type DecodeChunk, type Engine} from '../../../ports/engine.js';
 import {createOutcomeLedger} from '../outcome-ledger/index.js';
@@ -74,7 +73,7 @@
 		},
 		account: {addStage: quiet},
 		log: {info: quiet, warn: quiet},
-		stream: createRunStream({origin: undefined, log: {info: quiet} as unknown as Log}),
+		stream: createRunStream({origin: undefined}),
 	} as unknown as Run;
 }
 
--- a/src/programs/entry/run-request/_test/create-fixture.ts
+++ b/src/programs/entry/run-request/_test/create-fixture.ts
@@ -1,6 +1,5 @@
 /** A request to a pool of model servers, without sockets. */
 import {errAsync, okAsync} from 'neverthrow';
-import {type Log} from '../../../../adapters/log/index.js';
 import {createAnswerBuffer} from '../../../../domain/create-answer-buffer/index.js';
 import {createPlacement} from '../../../../domain/create-placement/index.js';
 import {
@@ -80,7 +79,7 @@
 		delivery: {relay: () => true, drained: async () => true},
 		account,
 		log: {info: quiet, warn: quiet},
-		stream: createRunStream({origin: undefined, log: {info: quiet} as unknown as Log}),
+		stream: createRunStream({origin: undefined}),
 	} as unknown as Run;
 	const toEngine = (server: ServerEntry) => ({
 		reserve() {
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -72,7 +72,7 @@
 		ledger: createOutcomeLedger(),
 		delivery: createDeliveryFor(exchange, request, ctx),
 		// A caller that comes back joins the run of its key, or begins anew; it never continues the stream of another run.
-		stream: createRunStream({origin: undefined, log}),
+		stream: createRunStream({origin: undefined}),
 		account: input.account,
 		log,
 	};
