--- a/src/adapters/origin-datagrams/index.ts
+++ b/src/adapters/origin-datagrams/index.ts
@@ -19,7 +19,7 @@
 const ambiguous = 'ambiguous';
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
-const key = v.pipe(v.string(), v.regex(/^[\da-f]{24}$/v));
+const key = v.pipe(v.string(), v.regex(/^[\w\-]{16}$/v));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 /** A pool and a software version; servers that publish none have `null`. */
 const origin = v.tuple([name, v.nullable(name)]);
--- a/src/adapters/origin-datagrams/test.ts
+++ b/src/adapters/origin-datagrams/test.ts
@@ -6,7 +6,7 @@
 import {toFormat} from '../_lib/datagram-rows/index.js';
 import {decodeOriginMessage, encodeOriginMessage, originFormat} from './index.js';
 
-const key = '9c41d07be2a35f68aa00ff01';
+const key = '9c41d07be2a3_-Zz';
 const origin = {pool: 'letters', softwareVersion: 'v1.2'};
 const messages: readonly OriginMessage[] = [
 	{kind: 'records', records: [{key, origin, lifeMs: 28_000}, {key, origin: {pool: 'letters', softwareVersion: undefined}, lifeMs: 1000}]},
--- a/src/domain/to-request-history/test.ts
+++ b/src/domain/to-request-history/test.ts
@@ -57,6 +57,15 @@
 		assert.deepEqual(beliefs.map(({message}) => message), ['no server of the pool can be reached']);
 	});
 
+	it('leads from a request that continues a stream to the one that began it', () => {
+		const toVerdict = (message: string, fields: LogLine['fields']) => toRequestHistory([
+			ofRequest(0, 'request received', fields), ofRequest(1, message, fields), ofRequest(2, 'request ended', {reason: 'complete'}),
+		], 'r').verdict!;
+		assert.match(toVerdict('stream origin found', {resumes: '9c41', softwareVersion: 'v1'}), /began with request 9c41 at software version v1/v);
+		assert.match(toVerdict('stream origin unknown', {resumes: '9c41'}), /began with request 9c41$/v);
+		assert.match(toVerdict('stream origin unknown', {lastEventId: '3'}), /its caller did not name$/v);
+	});
+
 	it('has no verdict for a request that no host logged, or whose end is missing', () => {
 		assert.deepEqual(toRequestHistory(logLines, 'other'), {own: [], beliefs: [], verdict: undefined});
 		assert.equal(toRequestHistory([ofRequest(0, 'request received')], 'r').verdict, undefined);
