--- a/src/adapters/origin-datagrams/index.ts
+++ b/src/adapters/origin-datagrams/index.ts
@@ -16,6 +16,9 @@
 /** Longest life that another host may give a record, seconds. */
 const maxLifeSeconds = 10 * msPerMinute / msPerSecond;
 
+/** Kinds of messages as sent: hosts send some of them for each stream, so they are short. */
+const sentKinds = {records: 'r', ask: 'q', answer: 'a'} as const;
+
 const ambiguous = 'ambiguous';
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
@@ -25,9 +28,9 @@
 const origin = v.tuple([name, v.nullable(name)]);
 const lifeSeconds = v.pipe(count, v.maxValue(maxLifeSeconds));
 const schema = v.union([
-	v.tuple([v.literal(originFormat), v.literal('records'), v.pipe(v.array(v.tuple([key, origin, lifeSeconds])), v.maxLength(maxRecords))]),
-	v.tuple([v.literal(originFormat), v.literal('ask'), count, key]),
-	v.tuple([v.literal(originFormat), v.literal('answer'), count, v.union([origin, v.literal(ambiguous), v.null()])]),
+	v.tuple([v.literal(originFormat), v.literal(sentKinds.records), v.pipe(v.array(v.tuple([key, origin, lifeSeconds])), v.maxLength(maxRecords))]),
+	v.tuple([v.literal(originFormat), v.literal(sentKinds.ask), count, key]),
+	v.tuple([v.literal(originFormat), v.literal(sentKinds.answer), count, v.union([origin, v.literal(ambiguous), v.null()])]),
 ]);
 
 type OriginRow = v.InferOutput<typeof origin>;
@@ -47,15 +50,15 @@
 function toRow(message: OriginMessage): unknown[] {
 	switch (message.kind) {
 		case 'records': {
-			return ['records', message.records.map(record => toRecordRow(record))];
+			return [sentKinds.records, message.records.map(record => toRecordRow(record))];
 		}
 
 		case 'ask': {
-			return ['ask', message.id, message.key];
+			return [sentKinds.ask, message.id, message.key];
 		}
 
 		case 'answer': {
-			return ['answer', message.id, toKnownItem(message.known)];
+			return [sentKinds.answer, message.id, toKnownItem(message.known)];
 		}
 	}
 }
@@ -82,15 +85,15 @@
 
 function toMessage(row: v.InferOutput<typeof schema>): OriginMessage {
 	switch (row[1]) {
-		case 'records': {
+		case sentKinds.records: {
 			return {kind: 'records', records: row[2].map(([ofStream, began, seconds]) => ({key: ofStream, origin: toOrigin(began), lifeMs: seconds * msPerSecond}))};
 		}
 
-		case 'ask': {
+		case sentKinds.ask: {
 			return {kind: 'ask', id: row[2], key: row[3]};
 		}
 
-		case 'answer': {
+		case sentKinds.answer: {
 			return {kind: 'answer', id: row[2], known: toKnown(row[3])};
 		}
 	}
--- a/src/programs/entry/open-stream/index.ts
+++ b/src/programs/entry/open-stream/index.ts
@@ -9,7 +9,6 @@
 import {toStreamKey} from '../../../domain/to-stream-key/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
-import {type RelayPolicy} from '../../../ports/config.js';
 import {type RequestId} from '../../../ports/ids.js';
 import {type RequestHints, type Resumption} from '../../../ports/server-calls.js';
 import {type StreamOrigin} from '../../../ports/stream-origins.js';
@@ -42,9 +41,10 @@
 /** A stream, and the route with the pool in which it began. */
 export type OpenedStream = {stream: RunStream; route: Route};
 
-/** Returns what the caller states about the stream that it continues; `undefined` for a request that begins one. Without a rule that lets streams be resumed, an event id alone says nothing. */
-function toResumption({resumption}: RequestHints, relay: RelayPolicy | undefined): Resumption | undefined {
-	const isNamed = resumption?.resumes !== undefined;
+/** Returns what the caller states about the stream that it continues; `undefined` for a request that begins one. Without a rule that lets streams be resumed, an event id alone says nothing, and a plain service has no streams that servers continue. */
+function toResumption({resumption}: RequestHints, {rule, pool}: Route): Resumption | undefined {
+	const {relay} = rule.then;
+	const isNamed = resumption?.resumes !== undefined && pool.kind === 'model';
 	return relay !== undefined && (relay.isResumable || isNamed) ? resumption : undefined;
 }
 
@@ -131,7 +131,7 @@
 export async function openStream(input: OpenStreamInput): Promise<Result<OpenedStream, Problem>> {
 	const {exchange, route, work} = input;
 	const told = exchange.passed?.stream;
-	const resumption = told === undefined ? toResumption(work, route.rule.then.relay) : undefined;
+	const resumption = told === undefined ? toResumption(work, route) : undefined;
 	const began = resumption?.resumes ?? exchange.requestId;
 	if (told?.origin !== undefined) {
 		return openAt(told.origin, input, began);
--- a/src/programs/entry/open-stream/test.ts
+++ b/src/programs/entry/open-stream/test.ts
@@ -31,15 +31,16 @@
 	leaving?: readonly string[];
 	split?: ReadonlyArray<{pool: string; weight: number}>;
 	isResumable?: boolean;
+	kind?: 'model' | 'plain';
 	workspace?: string;
 };
 
 function open(given: Given) {
-	const {servers = [toServer('s1', v1), toServer('s2', v2)], leaving = [], workspace = 'w'} = given;
+	const {servers = [toServer('s1', v1), toServer('s2', v2)], leaving = [], workspace = 'w', kind = 'model'} = given;
 	const recorded: OriginRecord[] = [];
 	const counted: string[] = [];
 	const pools = ['letters', 'scenes'].map(name => ({
-		name, kind: 'model' as const, model: 'm', version: undefined, adapters: [], classes: [],
+		name, kind, model: 'm', version: undefined, adapters: [], classes: [],
 	}));
 	const view: unknown = {
 		accepted: {version: {edition: 1, revision: 1, digest: ''}, config: {servers, pools}, text: ''},
@@ -131,6 +132,11 @@
 		assert.equal(stream.origin(), undefined);
 	});
 
+	it('lets a plain service serve a request that names a stream', async () => {
+		const {stream} = await openOne({resumption: {resumes: 'other', lastEventId: undefined}, isResumable: false, kind: 'plain'});
+		assert.equal(stream.origin(), undefined);
+	});
+
 	const gone: ReadonlyArray<{what: string; given: Given}> = [
 		{what: 'has no server left', given: {servers: [toServer('s2', v2)]}},
 		{what: 'has only leaving servers left', given: {leaving: ['s1']}},
