Test what a host tells and accepts when it passes a stream on

Taken out by hand, neither the origin in a passed request nor the check of the answer failed a case: each covers for the other. Now one case each.

--- a/src/programs/entry/pass-on/index.ts
+++ b/src/programs/entry/pass-on/index.ts
@@ -3,15 +3,14 @@
  * servers of the pool. The other host serves it within its own limits, as if its
  * caller had sent it there, and never passes it on again.
  */
-import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
 import {type StreamOrigin} from '../../../ports/stream-origins.js';
-import {type AnswerHeaders} from '../../../ports/server-calls.js';
-import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
+import {type PlainEnd} from '../send-plain/index.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
-import {findHeadFault, sendTo, toRemainingMs} from '../call-plain/_lib/send-step.js';
+import {sendTo} from '../call-plain/_lib/send-step.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {listServersOf} from '../_lib/servers-of-origin.js';
-import {readOrigin, readOutcome, toPassedHeaders} from '../_lib/passed-headers.js';
+import {readOrigin} from '../_lib/passed-headers.js';
+import {findPeerFault, toPassedCallHeaders} from './_lib/passed-call.js';
 
 /** Number of servers that could not be reached and none that answered, after which a request is passed on before the links count as lost. */
 const maxUnreached = 2;
@@ -39,30 +38,6 @@
 	return isDue ? reach.pickPeer(route.pool.name, peersTried) : undefined;
 }
 
-/** Checks the head of the other host's answer, which is either the answer of a server or a problem of that host. */
-function findPeerFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
-	const outcome = readOutcome(headers);
-	if (outcome === undefined) {
-		return run.stream.accepts(readOrigin(headers))
-			? findHeadFault(run, status, headers)
-			: {kind: 'invalid', message: 'the other host does not tell that its server continues the stream'};
-	}
-
-	const message = `the other host answered ${status}`;
-	return outcome === 'not-run' ? {kind: 'not-run', message} : {kind: 'failed-answer', message};
-}
-
-function toHeaders(run: PlainRun): Record<string, string | string[]> {
-	const {exchange, route, events} = run;
-	return {
-		...toForwardHeaders(exchange.headers) as Record<string, string>,
-		...toPassedHeaders({
-			deadlineInMs: toRemainingMs(run), edition: route.edition, runs: run.runs, stream: {origin: run.stream.origin()},
-		}),
-		...(events?.lastId !== undefined && {'last-event-id': events.lastId}),
-	};
-}
-
 /**
  * Passes a request on and relays the answer.
  *
@@ -82,7 +57,7 @@
 		url: `http://${address}`,
 		toOrigin: () => origin,
 		dispatcher: ctx.toPeerDispatcher(address),
-		headers: toHeaders(run),
+		headers: toPassedCallHeaders(run),
 		findFault(status, headers) {
 			origin = readOrigin(headers);
 			return findPeerFault(run, status, headers);
