--- a/src/domain/create-stream-binding/index.ts
+++ b/src/domain/create-stream-binding/index.ts
@@ -9,17 +9,17 @@
 /**
  * - `open`: the caller has no event yet, so any server may serve the stream.
  * - `bound`: the caller has events of servers of one origin.
- * - `untold`: the caller has events of a host that did not tell their origin; no
+ * - `unknown`: the caller has events of a host that did not tell their origin, so no
  *   server is known to continue them.
  */
-export type StreamBindingState = {kind: 'open'} | {kind: 'bound'; origin: StreamOrigin} | {kind: 'untold'};
+export type StreamBindingState = {kind: 'open'} | {kind: 'bound'; origin: StreamOrigin} | {kind: 'unknown'};
 
 export type StreamBinding = {
 	state: () => StreamBindingState;
 	/** Whether events of this origin may follow those that the caller has; `undefined` for an origin that was not told. */
 	accepts: (origin: StreamOrigin | undefined) => boolean;
-	/** Records that an event of an accepted origin may reach the caller; returns whether this bound the stream. */
-	noteEvent: (origin: StreamOrigin | undefined) => boolean;
+	/** Records that an event of an accepted origin may reach the caller; the first one binds the stream. */
+	noteEvent: (origin: StreamOrigin | undefined) => void;
 };
 
 /**
@@ -52,7 +52,7 @@
  * @example
  * ```ts
  * const binding = createStreamBinding();
- * binding.noteEvent({pool: 'letters', softwareVersion: 'v1'}); // => true
+ * binding.noteEvent({pool: 'letters', softwareVersion: 'v1'});
  * binding.accepts({pool: 'letters', softwareVersion: 'v2'}); // => false
  * ```
  */
@@ -69,12 +69,9 @@
 			return state.kind === 'bound' && next !== undefined && isSameOrigin(state.origin, next);
 		},
 		noteEvent(next) {
-			if (state.kind !== 'open') {
-				return false;
+			if (state.kind === 'open') {
+				state = next === undefined ? {kind: 'unknown'} : {kind: 'bound', origin: next};
 			}
-
-			state = next === undefined ? {kind: 'untold'} : {kind: 'bound', origin: next};
-			return next !== undefined;
 		},
 	};
 }
--- a/src/domain/create-stream-binding/test.ts
+++ b/src/domain/create-stream-binding/test.ts
@@ -21,7 +21,7 @@
 
 	it('accepts only the pool and the software version of the first event from then on', () => {
 		const binding = createStreamBinding();
-		assert.ok(binding.noteEvent(v1));
+		binding.noteEvent(v1);
 		assert.ok(binding.accepts({...v1}));
 		for (const origin of [v2, unversioned, elsewhere, undefined]) {
 			assert.equal(binding.accepts(origin), false);
@@ -30,9 +30,10 @@
 
 	it('is bound once: later events change nothing', () => {
 		const binding = createStreamBinding();
-		binding.noteEvent(v1);
-		assert.equal(binding.noteEvent(v1), false);
-		assert.equal(binding.noteEvent(v2), false);
+		for (const origin of [v1, v1, v2, undefined]) {
+			binding.noteEvent(origin);
+		}
+
 		assert.deepEqual(binding.state(), {kind: 'bound', origin: v1});
 	});
 
@@ -40,12 +41,14 @@
 		const binding = createStreamBinding(v2);
 		assert.ok(binding.accepts(v2));
 		assert.equal(binding.accepts(v1), false);
-		assert.equal(binding.noteEvent(v2), false);
+		binding.noteEvent(v2);
+		assert.deepEqual(binding.state(), {kind: 'bound', origin: v2});
 	});
 
 	it('accepts nothing after events whose origin was not told', () => {
 		const binding = createStreamBinding();
-		assert.equal(binding.noteEvent(undefined), false);
+		binding.noteEvent(undefined);
+		assert.deepEqual(binding.state(), {kind: 'unknown'});
 		for (const origin of [v1, v2, unversioned, undefined]) {
 			assert.equal(binding.accepts(origin), false);
 		}
--- a/src/programs/entry/_lib/create-run-stream.test.ts
+++ b/src/programs/entry/_lib/create-run-stream.test.ts
@@ -38,9 +38,9 @@
 	// Guards against a stream that is continued at any server, because a host of an older build began it and did not tell where.
 	it('can\'t go on after events whose origin was not told, and records nothing', () => {
 		const {stream, recorded} = open();
-		assert.equal(stream.isStranded(), false);
+		assert.equal(stream.hasUnknownOrigin(), false);
 		stream.noteEvents(undefined);
-		assert.ok(stream.isStranded());
+		assert.ok(stream.hasUnknownOrigin());
 		assert.equal(stream.accepts(v1), false);
 		assert.deepEqual(recorded, []);
 	});
--- a/src/programs/entry/_lib/create-run-stream.ts
+++ b/src/programs/entry/_lib/create-run-stream.ts
@@ -6,7 +6,7 @@
 	/** Where the servers have to be from; `undefined` while any server may serve the request. */
 	origin: () => StreamOrigin | undefined;
 	/** Whether the caller has events that no server is known to continue. */
-	isStranded: () => boolean;
+	hasUnknownOrigin: () => boolean;
 	/** Notes that events of an origin are about to be sent to the caller; `undefined` if another host did not tell it. */
 	noteEvents: (origin: StreamOrigin | undefined) => void;
 };
@@ -36,7 +36,7 @@
 	return {
 		accepts: binding.accepts,
 		origin: toBoundOrigin,
-		isStranded: () => binding.state().kind === 'untold',
+		hasUnknownOrigin: () => binding.state().kind === 'unknown',
 		noteEvents(next) {
 			binding.noteEvent(next);
 			const origin = toBoundOrigin();
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -160,7 +160,7 @@
 	run.runs += hasRun && mayHaveStarted(ended.fault) ? 1 : 0;
 	reportFailure(run, attempted, ended.fault);
 	run.tried.push({server: id, zone});
-	const decision = run.stream.isStranded() ? {kind: 'give-up' as const} : await decideRetry(run, ended.fault, hasRun);
+	const decision = run.stream.hasUnknownOrigin() ? {kind: 'give-up' as const} : await decideRetry(run, ended.fault, hasRun);
 	if (ended.kind === 'cut' && (decision.kind === 'give-up' || run.events === undefined)) {
 		run.exchange.destroy();
 		return {end: 'failed', outcome: run.ledger.outcome()};
--- a/src/programs/entry/open-stream/index.ts
+++ b/src/programs/entry/open-stream/index.ts
@@ -81,7 +81,7 @@
 }
 
 /** Sets the pool of a route to the one in which the stream began, if its rule still leads there. */
-function toRouteOf(origin: StreamOrigin, {route, ctx}: OpenStreamInput): Route | undefined {
+function toRouteInPoolOf(origin: StreamOrigin, {route, ctx}: OpenStreamInput): Route | undefined {
 	const {relay, pool} = route.rule.then;
 	const targets = relay === undefined || relay.split.length === 0 ? [pool] : relay.split.map(part => part.pool);
 	const entry = targets.includes(origin.pool) ? ctx.services.toView()?.accepted?.config.pools.find(({name}) => name === origin.pool) : undefined;
@@ -112,7 +112,7 @@
 
 function openAt(origin: StreamOrigin, input: OpenStreamInput, began: RequestId): Result<OpenedStream, Problem> {
 	const {ctx, log} = input;
-	const route = toRouteOf(origin, input);
+	const route = toRouteInPoolOf(origin, input);
 	if (route === undefined || !hasServerOf(origin, ctx.services.toView())) {
 		ctx.countStream('gone');
 		log.info('no server of the stream\'s origin is left', {...origin});
--- a/test/failures/_lib/follow-stream.ts
+++ b/test/failures/_lib/follow-stream.ts
@@ -6,6 +6,8 @@
 export type HeldEvent = {id: number; version: string};
 
 export type FollowedStream = {
+	/** Id of the first request without the number of the attempt. */
+	requestId: string;
 	/** Statuses of the caller's requests; 0 where it got no answer. */
 	statuses: readonly number[];
 	/** Answers with a failure. */
@@ -69,7 +71,7 @@
 
 		if (answer?.status === 200 && answer.isWhole) {
 			return {
-				statuses, refusals, events, isWhole: true,
+				requestId, statuses, refusals, events, isWhole: true,
 			};
 		}
 
@@ -77,6 +79,6 @@
 	}
 
 	return {
-		statuses, refusals, events, isWhole: false,
+		requestId, statuses, refusals, events, isWhole: false,
 	};
 }
--- a/test/failures/software-versions.test.ts
+++ b/test/failures/software-versions.test.ts
@@ -35,6 +35,13 @@
 const toJoined = (followed: readonly FollowedStream[]): string[] =>
 	followed.filter(held => !isOneStream(held.events)).map(held => held.events.map(({id, version}) => `${id} ${version}`).join(', '));
 
+/** Lists what the hosts logged of the requests whose streams are not whole. */
+function describeBroken(followed: readonly FollowedStream[]): string {
+	const broken = new Set(followed.filter(({isWhole}) => !isWhole).map(({requestId}) => requestId));
+	const lines = processes.logs().filter(({requestId}) => broken.has(String(requestId).replace(/-\d+$/v, '')));
+	return lines.map(({time, host, requestId, message, attempt, kind, reason, server}) => [time, host, requestId, message, attempt, kind, reason, server].join(' ')).join('\n');
+}
+
 const toShare = (followed: readonly FollowedStream[]): number => followed.filter(({isWhole}) => isWhole).length / followed.length;
 
 // Guards against a stream that a host takes up again, within one answer, at a server of another software version.
@@ -53,7 +60,7 @@
 		await processes.loseServer(servers.old[0]!);
 		const followed = await asked;
 		assert.deepEqual(toJoined(followed), []);
-		assert.ok(followed.every(({isWhole}) => isWhole), JSON.stringify(followed.map(({isWhole}) => isWhole)));
+		assert.ok(followed.every(({isWhole}) => isWhole), describeBroken(followed));
 	});
 
 	it('is broken for its caller if no other server of its software version is left', async () => {
