--- a/scripts/_mutation/modules.ts
+++ b/scripts/_mutation/modules.ts
@@ -52,6 +52,14 @@
 	toDomainModule('find-answer-framing'),
 	toDomainModule('create-pool-links'),
 	toDomainModule('create-peer-links'),
+	toDomainModule('create-stream-binding'),
+	toDomainModule('create-stream-origins'),
+	toDomainModule('rank-across-zones'),
+	{
+		name: 'open-stream',
+		sources: ['src/programs/entry/open-stream/index.ts'],
+		tests: ['src/programs/entry/open-stream/test.ts'],
+	},
 	{
 		name: 'follow-published',
 		sources: ['src/programs/entry/follow-published/index.ts'],
