Test what mutants of create-stream-origins left unnoticed

Batches, own records of the last seconds, only to the keepers concerned, no question where the stream is known, none after a keeper has told, and records that outlived their life.

--- a/src/domain/create-stream-binding/test.ts
+++ b/src/domain/create-stream-binding/test.ts
@@ -2,7 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {type StreamOrigin} from '../../ports/stream-origins.js';
-import {createStreamBinding, isSameOrigin} from './index.js';
+import {createStreamBinding, isSameOrigin, toStreamOrigin} from './index.js';
 
 const v1: StreamOrigin = {pool: 'letters', softwareVersion: 'v1'};
 const v2: StreamOrigin = {pool: 'letters', softwareVersion: 'v2'};
@@ -77,3 +77,13 @@
 		}));
 	});
 });
+
+describe('toStreamOrigin', () => {
+	it('is the pool and the software version of a server', () => {
+		const server = {
+			id: 's', zone: 'a', url: 'http://10.0.0.1:1', role: 'decode' as const, pool: 'letters', slots: 8, checksFence: false,
+		};
+		assert.deepEqual(toStreamOrigin({...server, softwareVersion: 'v1'}), v1);
+		assert.deepEqual(toStreamOrigin(server), unversioned);
+	});
+});
--- a/src/domain/create-stream-origins/test.ts
+++ b/src/domain/create-stream-origins/test.ts
@@ -114,12 +114,53 @@
 		hosts.start('b');
 		hosts.sent.length = 0;
 		hosts.of('a').noteStarted('b', 100);
-		assert.ok(hosts.sent.every(({to}) => to === 'b') && hosts.sent.length < 20);
+		const batches = hosts.sent.map(({to, message}) => ({to, keys: message.kind === 'records' ? message.records.map(({key}) => key) : []}));
+		assert.ok(batches.every(({to, keys}) => to === 'b' && keys.length <= 8));
+		assert.deepEqual(batches.flatMap(({keys}) => keys), Array.from({length: 20}, (_, i) => `k${i}`));
 		hosts.stop('a');
 		hosts.stop('c');
 		assert.deepEqual(find(hosts.of('b'), 'k19', 200), v1);
 	});
 
+	it('sends a keeper that has started anew only what it keeps, and only of the last seconds', () => {
+		const sent: string[] = [];
+		const table = createStreamOrigins({
+			pickKeepers: key => [key === 'of-c' ? 'c' : 'b'],
+			send(message, to) {
+				sent.push(...(message.kind === 'records' ? message.records.map(({key}) => `${key} to ${to}`) : []));
+			},
+		});
+		for (const [key, at] of [['old', 0], ['of-c', 15_000], ['new', 15_000]] as const) {
+			table.note({key, origin: v1, lifeMs}, at);
+		}
+
+		sent.length = 0;
+		table.noteStarted('b', 19_999);
+		assert.deepEqual(sent, ['old to b', 'new to b']);
+		sent.length = 0;
+		table.noteStarted('b', 20_000);
+		assert.deepEqual(sent, ['new to b']);
+	});
+
+	it('asks nobody for a stream that it knows, and asks no more once a keeper has told', () => {
+		const hosts = createHosts(['a', 'b', 'c']);
+		hosts.of('a').note({key: 'k', origin: v1, lifeMs}, 0);
+		hosts.sent.length = 0;
+		assert.deepEqual(find(hosts.of('b'), 'k', 10), v1);
+		assert.equal(hosts.sent.length, 0);
+		hosts.start('b');
+		hosts.stop('c');
+		assert.deepEqual(find(hosts.of('b'), 'k', 10, 500), v1);
+		assert.equal(hosts.sent.filter(({message}) => message.kind === 'ask').length, 2);
+	});
+
+	it('drops what has outlived its life when a record is added', () => {
+		const table = createStreamOrigins({pickKeepers: () => [], send: () => undefined});
+		table.note({key: 'k', origin: v1, lifeMs}, 0);
+		table.note({key: 'j', origin: v1, lifeMs}, lifeMs);
+		assert.equal(table.size(), 1);
+	});
+
 	it('forgets a record after its life, which lasts longer when the stream goes on', () => {
 		const hosts = createHosts(['a', 'b']);
 		hosts.of('a').note({key: 'k', origin: v1, lifeMs}, 0);
