Record no stream for answers that are none

Seen while reading the change: a server's 404 or 500 on a resumable route was logged as 'stream began' and told to other hosts, as its body was relayed like events.

--- a/src/programs/entry/send-plain/_lib/create-event-relay.ts
+++ b/src/programs/entry/send-plain/_lib/create-event-relay.ts
@@ -27,6 +27,9 @@
 	onEvents?: (() => void) | undefined;
 };
 
+/** Status of a stream; an answer with another one is no stream, whatever its body. */
+const streamStatus = 200;
+
 /** A blank line ends an event, with either kind of line ending. */
 const eventEnds = ['\n\n', '\r\n\r\n'].map(text => Buffer.from(text));
 const idLine = /^id:[ ]?(?<id>.*)$/gmv;
@@ -55,17 +58,26 @@
 	const writer = createFlowWriter(options);
 	let incomplete: Buffer = Buffer.alloc(0);
 	let begin: (() => void) | undefined;
+	/** Whether the answer is a stream, and none of its events has been relayed. */
+	let isSilentStream = false;
 
 	function beginOnce(): void {
 		begin?.();
 		begin = undefined;
 	}
 
+	function noteEvents(): void {
+		if (isSilentStream) {
+			isSilentStream = false;
+			onEvents?.();
+		}
+	}
+
 	return {
 		start(status, headers, flow: CallFlow) {
 			writer.setFlow(flow);
+			isSilentStream = status === streamStatus;
 			begin = () => {
-				onEvents?.();
 				if (!events.hasBegun) {
 					events.hasBegun = true;
 					exchange.startStream(status, headers);
@@ -78,6 +90,7 @@
 			incomplete = all.subarray(length);
 			if (length > 0) {
 				const whole = all.subarray(0, length);
+				noteEvents();
 				beginOnce();
 				events.lastId = findLastId(whole.toString('utf8')) ?? events.lastId;
 				writer.pass(whole);
--- a/src/programs/entry/send-plain/create-event-relay.test.ts
+++ b/src/programs/entry/send-plain/create-event-relay.test.ts
@@ -78,12 +78,20 @@
 		assert.equal(caller.toText(), toEvent(1) + toEvent(2));
 	});
 
-	it('sends the head of an answer without any event at its end', () => {
-		const caller = createCaller();
-		const relay = createEventRelay({exchange: caller.exchange, idleTimeoutMs: 1000, events: {hasBegun: false, lastId: undefined}});
-		relay.start(404, {}, flow);
-		relay.end();
-		assert.equal(caller.heads(), 1);
-		assert.ok(caller.hasEnded());
-	});
+	for (const [status, body] of [[404, ''], [404, 'none here'], [500, 'failed\n\n'], [200, '']] as const) {
+		it(`relays an answer with status ${status} and ${body.length} bytes as it is, which begins no stream`, () => {
+			const caller = createCaller();
+			const relay = createEventRelay({
+				exchange: caller.exchange, idleTimeoutMs: 1000, events: {hasBegun: false, lastId: undefined}, onEvents() {
+					assert.fail('the answer counts as the beginning of a stream');
+				},
+			});
+			relay.start(status, {}, flow);
+			relay.write(Buffer.from(body));
+			relay.end();
+			assert.equal(caller.heads(), 1);
+			assert.equal(caller.toText(), body);
+			assert.ok(caller.hasEnded());
+		});
+	}
 });
