Show that ends of servers under a request are not counted, with failing tests

Callers saw: a request that ends what runs it was sent on after three servers had ended under it.

Not counted: silence, an end after the host has hung up, the end of an answer that states 'connection: close', and of one without a length, which even clears the request; and a 500 clears it. Counted: every end before or in an answer with a length or with chunks on a kept connection.

The first form of the test, a fixture for each case with all of them at once, hung and was ended after 300 s: callers' ports of 27 fixtures collided (by reading, not traced); all cases of a group share one now.

--- a/test/failures/crashing-request.test.ts
+++ b/test/failures/crashing-request.test.ts
@@ -13,6 +13,7 @@
 import {
 	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayCall, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
+import {countCrashes as countCrashesOf, crashServers as crashServersOf} from './_lib/crash-servers.js';
 
 let fixture: RelayFixture;
 
@@ -24,7 +25,9 @@
 
 const allServers = (): ServerStandIn[] => Object.values(fixture.servers);
 
-const countCrashes = (): number => allServers().reduce((sum, server) => sum + server.crashes(), 0);
+const countCrashes = (): number => countCrashesOf(fixture);
+
+const crashServers = async (asked: RelayCall, wanted: {crashes: number; hosts: number}): Promise<void> => crashServersOf(fixture, asked, wanted);
 
 /** Counts the calls for a request at all servers, including those that compute its prompt, or those of one step only. */
 const countCalls = ({body}: RelayCall, step?: Arrival['step']): number =>
@@ -55,34 +58,6 @@
 	await other.close();
 }
 
-/** Publishes the new starts of servers that crashed, and waits until the hosts know them. */
-async function publishRestarts(hosts: number): Promise<void> {
-	const isOld = (id: string) => !allServers().some(server => server.id === id);
-	for (const server of allServers()) {
-		fixture.publishServer(server);
-	}
-
-	for (const id of Array.from({length: hosts}, (_, i) => [...fixture.knownServers(i)]).flat().filter(id => isOld(id))) {
-		fixture.store.remove(`servers/${id}`);
-	}
-
-	const isUpToDate = (host: number) => {
-		const known = fixture.knownServers(host);
-		return allServers().every(({id}) => known.has(id)) && known.size === allServers().length;
-	};
-
-	await waitUntil(() => Array.from({length: hosts}, (_, i) => isUpToDate(i)).every(Boolean), {deadlineMs, what: 'all hosts to know the restarted servers and no others'});
-}
-
-/** Sends the request, to the hosts in turn, until the given number of servers have crashed. */
-async function crashServers(asked: RelayCall, {crashes, hosts}: {crashes: number; hosts: number}): Promise<void> {
-	for (let sent = 0; countCrashes() < crashes; sent++) {
-		assert.ok(sent < 10 * crashes, 'too few servers crashed after ten requests for each expected crash');
-		await fixture.ask({...asked, at: sent % hosts});
-		await publishRestarts(hosts);
-	}
-}
-
 /*
  * Guards against a request that crashes each server that runs it, and is run again
  * and again by one host after the other.
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -7,6 +7,7 @@
 import {
 	applyServerFault, isStreamFault, type ServerFault, type StreamFault,
 } from './apply-server-fault.js';
+import {endServer, type ServerEnd} from './end-server.js';
 
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
@@ -42,8 +43,8 @@
 	setBusy: (isBusy: boolean) => void;
 	/** Number of reservations neither used nor released. */
 	reservations: () => number;
-	/** Crashes the server when it begins to run a matching request; it restarts at once under another id. */
-	crashOn: (isCrashing: (arrival: Arrival) => boolean) => void;
+	/** Ends the server when it begins to run a matching request, by default by closing all connections; it restarts at once under another id. */
+	crashOn: (isCrashing: (arrival: Arrival) => boolean, end?: ServerEnd) => void;
 	/** Number of crashes. */
 	crashes: () => number;
 	close: () => Promise<void>;
@@ -92,6 +93,7 @@
 	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let createdCount = 0;
 	let isCrashing: (arrival: Arrival) => boolean = () => false;
+	let crashEnd: ServerEnd = 'closes';
 	let crashes = 0;
 
 	const toLeavingHeader = () => isLeaving ? {'server-leaving': '1'} : {};
@@ -172,7 +174,9 @@
 		crashes++;
 		standIn.id = `${id}-start-${crashes + 1}`;
 		reservations.clear();
-		server.closeAllConnections();
+		if (crashEnd === 'closes') {
+			server.closeAllConnections();
+		}
 	}
 
 	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
@@ -209,7 +213,7 @@
 		}
 
 		if (step !== 'prefill' && isCrashing(arrival)) {
-			crash();
+			endServer(crashEnd, {req, res, crash});
 			return;
 		}
 
@@ -279,8 +283,9 @@
 			isBusy = next;
 		},
 		reservations: () => reservations.size,
-		crashOn(next) {
+		crashOn(next, end = 'closes') {
 			isCrashing = next;
+			crashEnd = end;
 		},
 		crashes: () => crashes,
 		async close() {
