Report as closed each connection that a server ends inside an answer

Callers saw: a request that ends what runs it was sent on after three servers had ended under it.

Cause: an answer that states 'connection: close' is ended by the parser. A close before its last chunk came as a parser error without a code, a reset as an error without a code (with the usual one undici takes it as the end of the answer), and neither counted as a connection that the server closed. Such answers are usual for servers that leave, and occur otherwise.

Test red before: create-http-agent, 3 of 9 cases (reset after a chunk, reset after an answer without a length, close after a chunk). First try: the parser's code HPE_INVALID_EOF_STATE, which is not set at the end of a connection; the same test showed it.

--- a/src/adapters/_lib/create-http-agent/index.ts
+++ b/src/adapters/_lib/create-http-agent/index.ts
@@ -40,8 +40,11 @@
 
 const resetCode = 'ECONNRESET';
 
+/** Code of the error that reports a reset in the middle of an answer; with the usual code, undici would take the reset as the answer's end. */
+export const answerResetCode = 'ERR_ANSWER_RESET';
+
 function toResetError(): Error {
-	return new Error('the connection was reset in the middle of an answer');
+	return Object.assign(new Error('the connection was reset in the middle of an answer'), {code: answerResetCode});
 }
 
 /**
--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -102,6 +102,9 @@
 				dispatcher: agent, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', path: '/', headersTimeoutMs: 5000, idleTimeoutMs: 5000,
 			}, 1000);
 			assert.equal(answer.isOk(), isWhole);
+			if (answer.isErr()) {
+				assert.deepEqual(answer.error, {kind: 'broken', message: answer.error.message, isClosed: true}, 'the host would not know that the server closed the connection');
+			}
 		});
 	}
 
--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -7,6 +7,7 @@
 import {createAnswerJudge, type AnswerJudge, type AnswerVerdict} from '../../../domain/create-answer-judge/index.js';
 import {type AnswerFraming} from '../../../domain/find-answer-framing/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {answerResetCode} from '../create-http-agent/index.js';
 
 /** Why a call has no answer. */
 export type CallFault = {
@@ -64,7 +65,10 @@
 };
 
 /** Error codes that mean that the server closed the connection. */
-const closedCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+const closedCodes: ReadonlySet<string | undefined> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE', answerResetCode]);
+
+/** Reason of the parser for a close before the last chunk of an answer after which the connection was to end; its error has no code. */
+const closedReason = 'Invalid EOF state';
 
 /** Messages of answers that their transport ended and that are not whole. */
 const brokenAnswers: Readonly<Record<Exclude<AnswerVerdict, 'whole'>, string>> = {
@@ -74,7 +78,7 @@
 	'no-event': 'the stream ended with its connection before the first event',
 };
 
-const isClosing = (error: Error): boolean => closedCodes.has((error as {code?: string}).code);
+const isClosing = (error: Error): boolean => closedCodes.has((error as {code?: string}).code) || error.message.includes(closedReason);
 
 function toMessage(error: Error): string {
 	const {code} = error as {code?: string};
