Count every end of a server under a request, and clear it only by a proof

Callers saw: a request that ends what runs it was sent on after three servers had ended under it.

Cause: each place that handled the end of a call had its own idea of a crash. Only a connection that the server closed counted. A call that this host ended itself, for a caller that left, a deadline or a silent server, returned before its failure was reported; a machine that is gone closes nothing. Any answer relayed to its end cleared the request and shut out the crashes before it: one without a length, whose end is the end of its connection, an error of a server that may not have run the request, an answer of another host.

Change: judge-run-end is the one decision, for runs and prompts alike. A whole successful answer with a length or chunks proves that the server survived. A closed connection counts until the server answers a later call, as before. Everything else waits in create-unresolved-runs: it counts once the server is known to have ended, by connections that broke beside it or by its entry, which is removed though it had not announced that it leaves and its zone is not cut off; it is dropped, or clears the request if the answer looked whole, once the server answers a later call. Answers of other hosts tell nothing here; the host that called the server judges. A line is logged for each such end, which earlier left none.

--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -2,13 +2,14 @@
  * Finds requests that crash the servers that run them. A host can't see why a server
  * ended, so every request that ran there is a suspect; a request that was running when
  * several servers ended is quarantined. Requests that failed only because they ran
- * beside it are rarely present at as many crashes, and are cleared once one of their
- * attempts completes.
+ * beside it are rarely present at as many crashes, and are cleared once a server is
+ * known to have survived one of their runs.
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
+import {createUnresolvedRuns, type EndPeriod} from '../create-unresolved-runs/index.js';
 
 export type CrashSuspectsOptions = {
 	/** Number of servers that must have ended while they ran a request before it is quarantined. */
@@ -24,8 +25,12 @@
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
 	/** Records that the server answered a call that started at this time; connections that broke before were not crashes. */
 	noteAnswered: (server: ServerId, calledAt: Milliseconds) => void;
-	/** Records that the request completed; it did not cause earlier crashes. */
-	noteCompleted: (fingerprint: Fingerprint, now: Milliseconds) => void;
+	/** Records that a server survived a run of the request, which did not cause earlier crashes. */
+	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
+	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
+	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
+	/** Records that a server ended, as known from elsewhere than a call of the request; returns the requests that are newly quarantined. */
+	noteServerEnded: (server: ServerId, period: EndPeriod, now: Milliseconds) => readonly Fingerprint[];
 	/** Records that the request was received again and refused. */
 	noteRefused: (fingerprint: Fingerprint, now: Milliseconds) => void;
 	/** Merges reports of another host; returns the requests that are newly quarantined. */
@@ -84,6 +89,7 @@
 	/** Start time of the latest call that each server answered. */
 	const answeredAt = new Map<ServerId, Milliseconds>();
 	const changed = new Set<Fingerprint>();
+	const unresolved = createUnresolvedRuns();
 	let reportOffset = 0;
 
 	const isCrash = ({clearedAt}: Suspect, server: ServerId, at: Milliseconds): boolean =>
@@ -166,6 +172,13 @@
 		return !hadEnoughCrashes && hasEnoughCrashes(suspect);
 	}
 
+	function noteSurvived(fingerprint: Fingerprint, at: Milliseconds): void {
+		const suspect = suspects.get(fingerprint);
+		if (suspect !== undefined) {
+			suspect.clearedAt = Math.max(suspect.clearedAt, at);
+		}
+	}
+
 	function toReport(fingerprint: Fingerprint, suspect: Suspect, now: Milliseconds): CrashReport {
 		return {
 			fingerprint,
@@ -187,6 +200,10 @@
 			return noteCrashes(fingerprint, {seenAt: now, crashes: [[server, now]]}, now);
 		},
 		noteAnswered(server, calledAt) {
+			for (const {fingerprint, endedAt} of unresolved.takeSurvived(server, calledAt).filter(({isWhole}) => isWhole)) {
+				noteSurvived(fingerprint, endedAt);
+			}
+
 			if (calledAt <= (answeredAt.get(server) ?? -Infinity)) {
 				return;
 			}
@@ -198,11 +215,17 @@
 
 			answeredAt.set(server, calledAt);
 		},
-		noteCompleted(fingerprint, now) {
-			const suspect = suspects.get(fingerprint);
-			if (suspect !== undefined) {
-				suspect.clearedAt = now;
-			}
+		noteSurvived,
+		noteUnresolved({fingerprint, server, startedAt, isWhole}, now) {
+			const endedAt = unresolved.add({
+				fingerprint, server, startedAt, endedAt: now, isWhole,
+			});
+			return endedAt !== undefined && noteCrashes(fingerprint, {seenAt: now, crashes: [[server, endedAt]]}, now);
+		},
+		noteServerEnded(server, period, now) {
+			return unresolved.takeEnded(server, period)
+				.filter(({fingerprint, at}) => noteCrashes(fingerprint, {seenAt: at, crashes: [[server, at]]}, now))
+				.map(({fingerprint}) => fingerprint);
 		},
 		noteRefused(fingerprint, now) {
 			if (find(fingerprint, now) !== undefined) {
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -46,10 +46,10 @@
 	});
 
 	/* Guards against quarantine of requests that run beside the one that crashes servers. */
-	it('clears a request that completed', () => {
+	it('clears a request that a server survived', () => {
 		const suspects = createCrashSuspects();
 		crash(suspects, 'f', ['a', 'b']);
-		suspects.noteCompleted('f', 3000);
+		suspects.noteSurvived('f', 3000);
 		crash(suspects, 'f', ['c', 'd'], 4000);
 		assert.equal(suspects.isQuarantined('f', 6000), false);
 		suspects.mergeReports([toReport('f', ['a', 'b'], 5000)], 6000);
@@ -58,6 +58,50 @@
 		assert.equal(suspects.isQuarantined('f', 7000), true);
 	});
 
+	/* Guards against a request that ends servers without closing connections, or after this host has closed them. */
+	it('counts runs without an answer once their server is known to have ended, and only then', () => {
+		const suspects = createCrashSuspects();
+		for (const server of ['a', 'b', 'c', 'd']) {
+			assert.equal(suspects.noteUnresolved({
+				fingerprint: 'f', server, startedAt: 0, isWhole: false,
+			}, 1000), false);
+		}
+
+		assert.equal(suspects.count(1000).suspects, 0);
+		suspects.noteAnswered('a', 1500);
+		const ended = ['a', 'b', 'c'].map(server => suspects.noteServerEnded(server, {from: 500, to: 4000}, 4000));
+		assert.deepEqual(ended, [[], [], []]);
+		assert.deepEqual(suspects.crashedServers('f', 4000), ['b', 'c']);
+		assert.deepEqual(suspects.noteServerEnded('d', {from: 500, to: 4000}, 4000), ['f']);
+	});
+
+	it('counts a run that ends without an answer after its server is known to have ended', () => {
+		const suspects = createCrashSuspects();
+		crash(suspects, 'f', ['a', 'b']);
+		suspects.noteServerEnded('c', {from: 3000, to: 3000}, 3100);
+		assert.equal(suspects.noteUnresolved({
+			fingerprint: 'f', server: 'c', startedAt: 2500, isWhole: false,
+		}, 4000), true);
+	});
+
+	it('clears a request whose answer ended with its connection once the server answers a later call, and counts it if the server has ended', () => {
+		const suspects = createCrashSuspects();
+		for (const fingerprint of ['f', 'g']) {
+			crash(suspects, fingerprint, ['a', 'b']);
+		}
+
+		suspects.noteUnresolved({
+			fingerprint: 'f', server: 'c', startedAt: 2500, isWhole: true,
+		}, 3000);
+		suspects.noteUnresolved({
+			fingerprint: 'g', server: 'd', startedAt: 2500, isWhole: true,
+		}, 3000);
+		assert.deepEqual(suspects.crashedServers('f', 3000), ['a', 'b']);
+		suspects.noteAnswered('c', 3100);
+		assert.deepEqual(suspects.crashedServers('f', 3200), []);
+		assert.deepEqual(suspects.noteServerEnded('d', {from: 2000, to: 6000}, 6000), ['g']);
+	});
+
 	it('adds up the crashes that several hosts have seen', () => {
 		const hosts = ['a', 'b', 'c'].map(server => {
 			const suspects = createCrashSuspects();
--- a/src/programs/entry/_lib/quarantine.test.ts
+++ b/src/programs/entry/_lib/quarantine.test.ts
@@ -3,7 +3,8 @@
 import {createLog} from '../../../adapters/log/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {createCollectedLines} from '../../../../test/_lib/create-collected-lines/index.js';
-import {noteBrokenCall} from './quarantine.js';
+import {type RunEnd} from '../../../domain/judge-run-end/index.js';
+import {noteRunEnd} from './quarantine.js';
 import {type ServeContext} from './serve-types.js';
 
 function createServe() {
@@ -16,14 +17,16 @@
 	return {ctx, suspects, lines: collected.lines};
 }
 
-describe('noteBrokenCall', () => {
-	it('logs once, with the fingerprint of the request and the crashed servers', () => {
+describe('noteRunEnd', () => {
+	it('logs a quarantine once, with the fingerprint of the request and the crashed servers', () => {
 		const {ctx, lines} = createServe();
 		for (const server of ['a', 'b', 'c', 'd']) {
-			noteBrokenCall({fingerprint: 'f', server, fault: {isClosed: true}}, ctx);
+			noteRunEnd({
+				fingerprint: 'f', server, startedAt: 0, end: {kind: 'closed'},
+			}, ctx);
 		}
 
-		const told = lines().map(({message, fingerprint, servers, count}) => ({
+		const told = lines().filter(({message}) => message === 'request quarantined').map(({message, fingerprint, servers, count}) => ({
 			message, fingerprint, servers, count,
 		}));
 		assert.deepEqual(told, [{
@@ -31,14 +34,65 @@
 		}]);
 	});
 
-	/* Guards against quarantine because of servers that did not answer or sent an invalid answer. */
-	it('counts only connections that the server closed, and only requests with a fingerprint', () => {
+	/* Guards against quarantine because of servers that did not answer, sent an invalid answer, or did not run the request. */
+	it('counts only connections that the server closed while nothing else is known, and only requests with a fingerprint', () => {
 		const {ctx, suspects} = createServe();
 		for (const server of ['a', 'b', 'c']) {
-			noteBrokenCall({fingerprint: 'f', server, fault: {}}, ctx);
-			noteBrokenCall({fingerprint: undefined, server, fault: {isClosed: true}}, ctx);
+			for (const kind of ['without-answer', 'failed', 'not-run'] as const) {
+				noteRunEnd({
+					fingerprint: 'f', server, startedAt: 0, end: {kind},
+				}, ctx);
+			}
+
+			noteRunEnd({
+				fingerprint: undefined, server, startedAt: 0, end: {kind: 'closed'},
+			}, ctx);
 		}
 
 		assert.deepEqual(suspects.count(0), {suspects: 0, quarantined: 0});
 	});
+
+	/* Guards against a request that ends servers silently, or after its callers have left. */
+	it('counts runs without an answer when connections of another request show that the server ended', () => {
+		const {ctx, suspects, lines} = createServe();
+		for (const server of ['a', 'b', 'c']) {
+			noteRunEnd({
+				fingerprint: 'f', server, startedAt: 0, end: {kind: 'without-answer'},
+			}, ctx);
+			noteRunEnd({
+				fingerprint: `beside-${server}`, server, startedAt: 0, end: {kind: 'closed'},
+			}, ctx);
+		}
+
+		assert.ok(suspects.isQuarantined('f', 0));
+		assert.deepEqual(lines().filter(({message}) => message === 'request quarantined').map(({fingerprint}) => fingerprint), ['f']);
+	});
+
+	it('clears a request by an answer that proves that its server survived, and by no other', () => {
+		const {ctx, suspects} = createServe();
+		const note = (end: RunEnd, server = 'a') => {
+			noteRunEnd({
+				fingerprint: 'f', server, startedAt: 0, end,
+			}, ctx);
+		};
+
+		for (const server of ['a', 'b']) {
+			note({kind: 'closed'}, server);
+		}
+
+		for (const status of [400, 500]) {
+			note({
+				kind: 'answered', status, framing: 'length', isRun: true,
+			});
+		}
+
+		note({
+			kind: 'answered', status: 200, framing: 'connection', isRun: true,
+		});
+		assert.equal(suspects.crashedServers('f', 0).length, 2);
+		note({
+			kind: 'answered', status: 200, framing: 'chunks', isRun: true,
+		});
+		assert.equal(suspects.crashedServers('f', 0).length, 0);
+	});
 });
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -1,7 +1,8 @@
 /** Handles requests that crash the servers that run them. */
-import {type CallFault} from '../../../adapters/_lib/dispatch-call/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {type EndPeriod} from '../../../domain/create-unresolved-runs/index.js';
+import {judgeRunEnd, type RunEnd} from '../../../domain/judge-run-end/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
@@ -32,27 +33,75 @@
 	});
 }
 
-/** A call whose connection broke. */
-export type BrokenCall = {
+/** A call that carried the request, and how it ended. */
+export type EndedCall = {
 	fingerprint: Fingerprint | undefined;
 	server: ServerId;
-	fault: Pick<CallFault, 'isClosed'>;
+	startedAt: Milliseconds;
+	end: RunEnd;
 };
 
+type QuarantineContext = Pick<ServeContext, 'suspects' | 'services' | 'log'>;
+
+/** Time by which hosts may differ on when a server closed its connections. */
+const closeSpreadMs: Milliseconds = 100;
+
+/**
+ * Counts the runs without an answer at a server that ended, as known from elsewhere
+ * than those runs.
+ *
+ * @param server - The server.
+ * @param period - When it ended.
+ * @param ctx - Crashes by request, clock and log.
+ */
+export function noteServerEnded(server: ServerId, period: EndPeriod, {suspects, now, log}: {suspects: CrashSuspects; now: Milliseconds; log: Log}): void {
+	for (const fingerprint of suspects.noteServerEnded(server, period, now)) {
+		logQuarantined(log, suspects, {fingerprint, now});
+	}
+}
+
 /**
- * Counts a call whose connection the server closed, because the request may have
- * crashed the server.
+ * Records what the end of a call tells about the request: whether its server
+ * survived, or may have ended under it.
  *
- * @param call - The request, the server, and how the call ended.
+ * @param call - See {@link EndedCall}.
  * @param ctx - Services of the entry.
  */
-export function noteBrokenCall({fingerprint, server, fault}: BrokenCall, {suspects, services, log}: Pick<ServeContext, 'suspects' | 'services' | 'log'>): void {
-	if (fingerprint === undefined || fault.isClosed !== true) {
+export function noteRunEnd({fingerprint, server, startedAt, end}: EndedCall, {suspects, services, log}: QuarantineContext): void {
+	if (fingerprint === undefined) {
 		return;
 	}
 
 	const now = services.clock.now();
-	if (suspects.noteBroken(fingerprint, server, now)) {
+	const verdict = judgeRunEnd(end);
+	let isNew = false;
+	switch (verdict) {
+		case 'none': {
+			return;
+		}
+
+		case 'survived': {
+			suspects.noteSurvived(fingerprint, now);
+			return;
+		}
+
+		case 'crashed-unless-alive': {
+			isNew = suspects.noteBroken(fingerprint, server, now);
+			noteServerEnded(server, {from: now - closeSpreadMs, to: now}, {suspects, now, log});
+			break;
+		}
+
+		case 'survived-if-alive':
+		case 'crashed-if-ended': {
+			isNew = suspects.noteUnresolved({
+				fingerprint, server, startedAt, isWhole: verdict === 'survived-if-alive',
+			}, now);
+			break;
+		}
+	}
+
+	log.info('run ended without proof that its server survived', {fingerprint, server, reason: verdict});
+	if (isNew) {
 		logQuarantined(log, suspects, {fingerprint, now});
 	}
 }
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -19,6 +19,8 @@
 	isQuarantined, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
+import {toFailedRunEnd} from '../call-plain/_lib/to-run-end.js';
+import {noteRunEnd} from '../_lib/quarantine.js';
 import {dropKeptCache, isCacheLeft, takeKeptCache} from './_lib/kept-cache.js';
 import {releaseHeld} from './_lib/release-held.js';
 import {isInService} from './_lib/is-in-service.js';
@@ -57,8 +59,21 @@
 	attempt: number;
 };
 
-/** Calls the prefill server. */
-async function prefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
+/** Calls the prefill server, and records whether it may have ended under the request. */
+async function prefill(step: Step): Promise<Result<PromptCache, PlainFault>> {
+	const {run, placement: {prefill: server}} = step;
+	const startedAt = run.ctx.services.clock.now();
+	const computed = await callPrefill(step);
+	if (computed.isErr()) {
+		noteRunEnd({
+			fingerprint: run.fingerprint, server: server.id, startedAt, end: toFailedRunEnd(computed.error),
+		}, run.ctx);
+	}
+
+	return computed;
+}
+
+async function callPrefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
 	const server = placement.prefill;
 	const payload = run.body.open();
 	const calledAt = run.ctx.services.clock.now();
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -9,8 +9,10 @@
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type StreamOrigin} from '../../../../ports/stream-origins.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
+import {noteRunEnd} from '../../_lib/quarantine.js';
 import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
+import {toRunEnd} from './to-run-end.js';
 import {type PlainRun} from './types.js';
 
 /** Timeout of an answer's head, as a multiple of the first-token target: three times as long as an answer within the target takes. */
@@ -170,6 +172,9 @@
 		onFirst,
 	});
 	noteLinkEnd(run, link);
+	noteRunEnd({
+		fingerprint: run.fingerprint, server: server.id, startedAt: calledAt, end: toRunEnd(ended),
+	}, ctx);
 	return ended;
 }
 
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -12,7 +12,6 @@
 import {findPeer, passOn} from '../pass-on/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {recordPlacement} from '../_lib/record-placement.js';
-import {noteBrokenCall} from '../_lib/quarantine.js';
 import {waitUnlessAborted} from '../_lib/wait-unless-aborted.js';
 import {isQuarantined, sendRequest} from './_lib/send-step.js';
 import {pickWithPlace} from './_lib/pick-with-place.js';
@@ -181,17 +180,10 @@
 		services.toRetryBudget(run.route.pool.name).noteSuccess(services.clock.now());
 	}
 
-	noteCompleted(run);
 	logConnectionEnd(run, toCallee(attempted).id, answer);
 	return {end: 'complete', outcome: 'ran'};
 }
 
-function noteCompleted({fingerprint, ctx}: PlainRun): void {
-	if (fingerprint !== undefined) {
-		ctx.suspects.noteCompleted(fingerprint, ctx.services.clock.now());
-	}
-}
-
 /** Logs an answer that ended with its connection, whose end is known from its content alone. */
 function logConnectionEnd({log, tried}: PlainRun, server: string, {framing}: AnswerEnd): void {
 	if (framing === 'connection') {
@@ -245,10 +237,6 @@
 	run.account.addStage('attempt failed', {
 		attempt, server: server.id, failure: fault.kind, reason, message: fault.message,
 	});
-	if (fault.kind === 'broken') {
-		noteBrokenCall({fingerprint: run.fingerprint, server: server.id, fault}, run.ctx);
-	}
-
 	run.log.info('attempt failed', {
 		attempt, server: server.id, kind: fault.kind, reason: reason ?? fault.message, fingerprint: run.fingerprint,
 	});
--- a/src/programs/entry/follow-published/_test/start-followed.ts
+++ b/src/programs/entry/follow-published/_test/start-followed.ts
@@ -13,6 +13,8 @@
 	follower: Follower;
 	/** Names of the servers to which this host sends requests. */
 	used: () => string[];
+	/** Names of the servers that were lost without having announced that they leave. */
+	lost: () => readonly string[];
 	logs: () => readonly LogFields[];
 	stop: () => Promise<void>;
 };
@@ -28,6 +30,7 @@
 	const time = createVirtualTime();
 	const platform = createScriptedPlatform(time);
 	const collected = createCollectedLines();
+	const lost: string[] = [];
 	platform.publishRules();
 	platform.put('stays');
 	platform.put('leaves');
@@ -40,6 +43,9 @@
 			level: 'info', program: 'test', host: 'a-1', zone: 'a', incarnation: 1, sink: collected.sink,
 		}),
 		onView: () => undefined,
+		onServerLost({id}) {
+			lost.push(id);
+		},
 		actWithinMs,
 		sleep: time.sleep,
 	});
@@ -48,6 +54,7 @@
 		platform,
 		follower,
 		used: () => [...follower.toView()?.servers.values() ?? []].filter(({leaving}) => !leaving).map(({id}) => id).toSorted((a, b) => a.localeCompare(b)),
+		lost: () => lost,
 		logs: collected.lines,
 		async stop() {
 			const stopped = follower.stop();
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -9,7 +9,7 @@
 import {createPublishedFleet, type FleetChange} from '../../../domain/create-published-fleet/index.js';
 import {minPauseMs, toReadPace} from '../../../domain/to-read-pace/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
-import {type ZoneEntry} from '../../../ports/config.js';
+import {type ServerEntry, type ZoneEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
 import {
 	platformTimeoutMs, type PublishedEra, type PublishedFailure, type PublishedPosition, type PublishedRead, type PublishedSource,
@@ -26,6 +26,8 @@
 	onView: (view: FleetView) => void;
 	/** Time after a publication within which this host must act on it. */
 	actWithinMs: Milliseconds;
+	/** Called for each server that is published no more although it had not announced that it leaves. */
+	onServerLost?: (server: ServerEntry) => void;
 	/** Called each time the platform has come back from an older copy. */
 	onReset?: () => void;
 	/** Resolves after the given time, or once the signal aborts; uses the process's timers by default. */
@@ -111,7 +113,7 @@
  */
 export function followPublished(options: FollowOptions): Follower {
 	const {
-		source, clock, random, log, onView, onReset = () => undefined, sleep = sleepUnlessAborted,
+		source, clock, random, log, onView, onServerLost = () => undefined, onReset = () => undefined, sleep = sleepUnlessAborted,
 	} = options;
 	const pace = toReadPace(options.actWithinMs);
 	const fleet = createPublishedFleet({zones: options.zones});
@@ -133,8 +135,18 @@
 	/** Last time at which the platform is known to have been away: the start of a read that timed out, or the end of one that was broken off. */
 	let lastOutageSignAt: Milliseconds | undefined;
 
+	function reportLost({servers}: FleetChange): void {
+		for (const {id} of servers.filter(({became}) => became === 'gone')) {
+			const entry = view?.accepted?.config.servers.find(server => server.id === id);
+			if (entry !== undefined && view?.servers.get(id)?.leaving === false) {
+				onServerLost(entry);
+			}
+		}
+	}
+
 	function report(change: FleetChange): void {
 		logFleetChange(log, change, position?.revision);
+		reportLost(change);
 		if (view === undefined || change.rules !== undefined || change.servers.length > 0) {
 			view = fleet.toView(clock.now());
 			onView(view);
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -34,7 +34,8 @@
 	| {kind: 'failed'; fault: PlainFault}
 	/** The answer broke after a part of it was relayed. */
 	| {kind: 'cut'; fault: PlainFault}
-	| {kind: 'caller-gone'};
+	/** `isUnsent`: no byte of the call was offered to the server. */
+	| {kind: 'caller-gone'; isUnsent?: boolean};
 
 export type PlainCall = {
 	exchange: CallerExchange;
@@ -116,7 +117,7 @@
 			},
 			onFault(fault) {
 				if (fault.kind === 'aborted' && exchange.disconnectSignal.aborted) {
-					resolve({kind: 'caller-gone'});
+					resolve({kind: 'caller-gone', ...(fault.isUnsent && {isUnsent: true})});
 				} else {
 					resolve({kind: relay.hasBegun() ? 'cut' : 'failed', fault});
 				}
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -22,6 +22,7 @@
 import {shareRetries} from '../share-retries/index.js';
 import {watchLinks, type LinkWatch} from '../watch-links/index.js';
 import {addRelayMetrics} from './_lib/add-relay-metrics.js';
+import {createLostServers} from './_lib/create-lost-servers.js';
 import {createUnusedEngine} from './_lib/create-unused-engine.js';
 import {openLoadSharing} from './_lib/open-load-sharing.js';
 import {withRoles} from './_lib/with-roles.js';
@@ -89,9 +90,13 @@
 	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
 	const relayMetrics = addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs(), lostPools: () => links.lostPools().length});
 
+	const onServerLost = createLostServers({
+		suspects, clock, log, isZoneSilent: (zone, now) => loadSharing?.isZoneSilent(zone, now) === true,
+	});
+
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
-			source, zones: toZones(settings.zones), clock, random, log, onView, onReset: relayMetrics.noteReset, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
+			source, zones: toZones(settings.zones), clock, random, log, onView, onServerLost, onReset: relayMetrics.noteReset, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
 		});
 		// While the platform's content may be older than what this host knows, roles must not be changed.
 		isConnected = () => follower.isConnected() && !follower.isReset();
