Tell other hosts that a server survived a request

Callers saw: a request that ran beside one that ends servers, or only near crashes, was refused as quarantined, although a host had served it in between.

Cause: only crashes were told. A host that served the request cleared it for itself; all others kept what they knew of it, and told it on.

Change: a report says how long ago a server last survived the request, and is sent where the crashes it clears were sent. A host that has served a request whose first crash only few hosts know contradicts the second one, which all are told; it remembers the last 4,096 requests that it served. Older builds drop the added item of a report and keep what they knew.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -49,14 +49,19 @@
 	v.array(v.tuple([name, count, count])),
 	v.array(v.tuple([v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v)), name])),
 	v.boolean(),
-	v.pipe(v.array(v.tuple([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))])), v.maxLength(maxReports)),
+	v.pipe(v.array(v.tupleWithRest([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))], v.unknown())), v.maxLength(maxReports)),
 ], v.unknown());
 
 /** Items after those of every build. */
 const reachedShareSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
 const answersSchema = v.pipe(v.array(v.tuple([count, count])), v.maxLength(maxAnswers));
 
-const toReportRow = ({fingerprint, idleMs, crashes}: CrashReport) => [fingerprint, Math.round(idleMs), crashes.map(({server, ageMs}) => [server, Math.round(ageMs)])];
+const toReportRow = ({fingerprint, idleMs, crashes, survivedMs}: CrashReport) => [
+	fingerprint,
+	Math.round(idleMs),
+	crashes.map(({server, ageMs}) => [server, Math.round(ageMs)]),
+	...(survivedMs === undefined ? [] : [Math.round(survivedMs)]),
+];
 
 /** Share of the rows that is kept each time the encoded message is too long. */
 const keptShare = 0.8;
@@ -91,7 +96,9 @@
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
 	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
-	const crashes = reports.map(([fingerprint, idleMs, seen]) => ({fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs}))}));
+	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs]) => ({
+		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}),
+	}));
 	return {
 		host,
 		zone,
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -16,7 +16,7 @@
 	incarnation: 1_780_000_000_000,
 	sequence: 7,
 	loads: [{server: 'i-1', requests: 2, promptTokens: 6400}],
-	crashes: [{fingerprint: 'bXkgZmlyc3Qg', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2@1780000000000', ageMs: 900}]}],
+	crashes: [{fingerprint: 'bXkgZmlyc3Qg', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2@1780000000000', ageMs: 900}]}, {fingerprint: 'c2Vjb25kIG9u', idleMs: 30, crashes: [], survivedMs: 40}],
 	peers: [{address: '10.0.0.2:7380', zone: 'b'}],
 	isAsking: true,
 };
--- /dev/null
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -0,0 +1,39 @@
+/** Options and functions of the record of crashes. */
+import {type Milliseconds} from '../../../ports/clock.js';
+import {type CrashReport, type DueReport} from '../../../ports/crash-reports.js';
+import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
+import {type EndPeriod} from '../../create-unresolved-runs/index.js';
+
+export type CrashSuspectsOptions = {
+	/** Number of servers that must have ended while they ran a request before it is quarantined. */
+	crashesToQuarantine?: number;
+	/** Time after which a request that has not recurred is forgotten, milliseconds. */
+	forgetMs?: Milliseconds;
+	/** Maximum number of suspects; when it is exceeded, suspects that are not quarantined are evicted first, least recently seen first. */
+	maxSuspects?: number;
+};
+
+export type CrashSuspects = {
+	/** Records that the server closed the connection on which it was running the request; returns whether this puts the request in quarantine. */
+	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
+	/** Records that the server answered a call that started at this time; connections that broke before were not crashes. */
+	noteAnswered: (server: ServerId, calledAt: Milliseconds) => void;
+	/** Records that a server survived a run of the request, which did not cause earlier crashes. */
+	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
+	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
+	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
+	/** Records that a server ended, as known from elsewhere than a call of the request; returns the requests that are newly quarantined. */
+	noteServerEnded: (server: ServerId, period: EndPeriod, now: Milliseconds) => readonly Fingerprint[];
+	/** Records that the request was received again and refused. */
+	noteRefused: (fingerprint: Fingerprint, now: Milliseconds) => void;
+	/** Merges reports of another host; returns the requests that are newly quarantined. */
+	mergeReports: (reports: readonly CrashReport[], now: Milliseconds) => readonly Fingerprint[];
+	isQuarantined: (fingerprint: Fingerprint, now: Milliseconds) => boolean;
+	/** Servers that ended while they ran the request. */
+	crashedServers: (fingerprint: Fingerprint, now: Milliseconds) => readonly ServerId[];
+	/** Reports for other hosts: all requests with repeated crashes, and requests with recent crashes of at least `minFreshCrashes` servers; rotates through them if there are more than `limit`. */
+	toReports: (now: Milliseconds, options: {minFreshCrashes: number; limit: number}) => readonly CrashReport[];
+	/** Reports of the requests that have changed since they were last taken. */
+	takeChanged: (now: Milliseconds, limit: number) => readonly DueReport[];
+	count: (now: Milliseconds) => {suspects: number; quarantined: number};
+};
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -9,47 +9,26 @@
 import {type CrashReport} from '../../ports/crash-reports.js';
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
-import {createUnresolvedRuns, type EndPeriod} from '../create-unresolved-runs/index.js';
-
-export type CrashSuspectsOptions = {
-	/** Number of servers that must have ended while they ran a request before it is quarantined. */
-	crashesToQuarantine?: number;
-	/** Time after which a request that has not recurred is forgotten, milliseconds. */
-	forgetMs?: Milliseconds;
-	/** Maximum number of suspects; when it is exceeded, suspects that are not quarantined are evicted first, least recently seen first. */
-	maxSuspects?: number;
-};
+import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
+import {createLatestTimes} from './_lib/create-latest-times.js';
+import {type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
 
-export type CrashSuspects = {
-	/** Records that the server closed the connection on which it was running the request; returns whether this puts the request in quarantine. */
-	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
-	/** Records that the server answered a call that started at this time; connections that broke before were not crashes. */
-	noteAnswered: (server: ServerId, calledAt: Milliseconds) => void;
-	/** Records that a server survived a run of the request, which did not cause earlier crashes. */
-	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
-	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
-	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
-	/** Records that a server ended, as known from elsewhere than a call of the request; returns the requests that are newly quarantined. */
-	noteServerEnded: (server: ServerId, period: EndPeriod, now: Milliseconds) => readonly Fingerprint[];
-	/** Records that the request was received again and refused. */
-	noteRefused: (fingerprint: Fingerprint, now: Milliseconds) => void;
-	/** Merges reports of another host; returns the requests that are newly quarantined. */
-	mergeReports: (reports: readonly CrashReport[], now: Milliseconds) => readonly Fingerprint[];
-	isQuarantined: (fingerprint: Fingerprint, now: Milliseconds) => boolean;
-	/** Servers that ended while they ran the request. */
-	crashedServers: (fingerprint: Fingerprint, now: Milliseconds) => readonly ServerId[];
-	/** Reports for other hosts: all requests with repeated crashes, and requests with recent crashes of at least `minFreshCrashes` servers; rotates through them if there are more than `limit`. */
-	toReports: (now: Milliseconds, options: {minFreshCrashes: number; limit: number}) => readonly CrashReport[];
-	/** Reports of the requests that have changed since they were last taken. */
-	takeChanged: (now: Milliseconds, limit: number) => readonly CrashReport[];
-	count: (now: Milliseconds) => {suspects: number; quarantined: number};
-};
+export type * from './_lib/types.js';
 
 type Suspect = {
 	/** Time at which each server ended while it ran the request. */
 	crashes: Map<ServerId, Milliseconds>;
 	seenAt: Milliseconds;
 	clearedAt: Milliseconds;
+	/** Largest number of crashes that counted at once. */
+	mostCrashes: number;
+};
+
+type SeenCrashes = {
+	seenAt: Milliseconds;
+	crashes: ReadonlyArray<[ServerId, Milliseconds]>;
+	/** End of a run of the request that cleared it. */
+	clearedAt?: Milliseconds;
 };
 
 const defaultCrashesToQuarantine = 3;
@@ -62,6 +41,9 @@
 /** Maximum number of servers whose latest answer is kept, so that restarts under new names can't fill the memory. */
 const maxAnsweringServers = 8192;
 
+/** Maximum number of requests whose survived runs are kept. */
+const maxSurvivedRequests = 4096;
+
 /** Time for which a request's first crash is reported; after it, all hosts have received the report or the request was not the cause. */
 const freshCrashMs: Milliseconds = 5 * msPerSecond;
 
@@ -87,13 +69,15 @@
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
 	/** Start time of the latest call that each server answered. */
-	const answeredAt = new Map<ServerId, Milliseconds>();
+	const answeredAt = createLatestTimes(maxAnsweringServers);
+	/** End of the latest run of each request that its server survived, also of requests under which only other hosts have seen crashes. */
+	const survivedAt = createLatestTimes(maxSurvivedRequests);
 	const changed = new Set<Fingerprint>();
 	const unresolved = createUnresolvedRuns();
 	let reportOffset = 0;
 
 	const isCrash = ({clearedAt}: Suspect, server: ServerId, at: Milliseconds): boolean =>
-		at > clearedAt && at >= (answeredAt.get(server) ?? -Infinity);
+		at > clearedAt && at >= answeredAt.get(server);
 
 	const toCrashes = (suspect: Suspect): Array<[ServerId, Milliseconds]> => [...suspect.crashes].filter(([server, at]) => isCrash(suspect, server, at));
 
@@ -131,13 +115,24 @@
 			makeRoom();
 		}
 
-		const suspect = known ?? {crashes: new Map(), seenAt, clearedAt: -Infinity};
+		const suspect = known ?? {
+			crashes: new Map(), seenAt, clearedAt: survivedAt.get(fingerprint), mostCrashes: 0,
+		};
 		suspect.seenAt = Math.max(suspect.seenAt, seenAt);
 		suspects.delete(fingerprint);
 		suspects.set(fingerprint, suspect);
 		return suspect;
 	}
 
+	/** Clears a request of the crashes before a run that its server survived. Other hosts have to know if that cleared any. */
+	function clear(fingerprint: Fingerprint, suspect: Suspect, at: Milliseconds): void {
+		const before = toCrashes(suspect).length;
+		suspect.clearedAt = Math.max(suspect.clearedAt, at);
+		if (toCrashes(suspect).length < before) {
+			changed.add(fingerprint);
+		}
+	}
+
 	/** Adds a crash unless it is known or is not a crash; returns whether it was added. */
 	function addCrash(suspect: Suspect, server: ServerId, at: Milliseconds): boolean {
 		const known = suspect.crashes.get(server);
@@ -159,11 +154,15 @@
 	}
 
 	/** Adds crashes of a request; returns whether they put the request in quarantine. */
-	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes}: {seenAt: Milliseconds; crashes: ReadonlyArray<[ServerId, Milliseconds]>}, now: Milliseconds): boolean {
+	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes, clearedAt = -Infinity}: SeenCrashes, now: Milliseconds): boolean {
 		const suspect = touch(fingerprint, seenAt, now);
 		const hadEnoughCrashes = hasEnoughCrashes(suspect);
+		clear(fingerprint, suspect, clearedAt);
 		const added = crashes.filter(([server, at]) => addCrash(suspect, server, at));
-		if (added.length > 0) {
+		// The host that reports crashes does not know of a run that cleared them.
+		const isContradicted = clearedAt < suspect.clearedAt && crashes.some(([, at]) => at <= suspect.clearedAt);
+		suspect.mostCrashes = Math.max(suspect.mostCrashes, toCrashes(suspect).length, isContradicted ? crashes.length : 0);
+		if (added.length > 0 || isContradicted) {
 			changed.add(fingerprint);
 		} else if (suspect.crashes.size === 0) {
 			forget(fingerprint);
@@ -173,9 +172,10 @@
 	}
 
 	function noteSurvived(fingerprint: Fingerprint, at: Milliseconds): void {
+		survivedAt.note(fingerprint, at);
 		const suspect = suspects.get(fingerprint);
 		if (suspect !== undefined) {
-			suspect.clearedAt = Math.max(suspect.clearedAt, at);
+			clear(fingerprint, suspect, at);
 		}
 	}
 
@@ -184,6 +184,7 @@
 			fingerprint,
 			idleMs: now - suspect.seenAt,
 			crashes: toCrashes(suspect).slice(0, crashesToQuarantine).map(([server, at]) => ({server, ageMs: now - at})),
+			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
 		};
 	}
 
@@ -204,16 +205,7 @@
 				noteSurvived(fingerprint, endedAt);
 			}
 
-			if (calledAt <= (answeredAt.get(server) ?? -Infinity)) {
-				return;
-			}
-
-			if (!answeredAt.has(server) && answeredAt.size >= maxAnsweringServers) {
-				const [oldest] = answeredAt.keys();
-				answeredAt.delete(oldest!);
-			}
-
-			answeredAt.set(server, calledAt);
+			answeredAt.note(server, calledAt);
 		},
 		noteSurvived,
 		noteUnresolved({fingerprint, server, startedAt, isWhole}, now) {
@@ -235,8 +227,8 @@
 		mergeReports(reports, now) {
 			return reports
 				.filter(({idleMs}) => idleMs <= forgetMs)
-				.filter(({fingerprint, idleMs, crashes}) => noteCrashes(fingerprint, {
-					seenAt: now - idleMs, crashes: crashes.map(({server, ageMs}) => [server, now - ageMs]),
+				.filter(({fingerprint, idleMs, crashes, survivedMs = Infinity}) => noteCrashes(fingerprint, {
+					seenAt: now - idleMs, crashes: crashes.map(({server, ageMs}) => [server, now - ageMs]), clearedAt: now - survivedMs,
 				}, now))
 				.map(({fingerprint}) => fingerprint);
 		},
@@ -260,11 +252,11 @@
 		},
 		takeChanged(now, limit) {
 			const taken = [...changed].slice(0, limit);
-			for (const fingerprint of taken) {
+			return taken.map(fingerprint => {
 				changed.delete(fingerprint);
-			}
-
-			return taken.map(fingerprint => toReport(fingerprint, suspects.get(fingerprint)!, now));
+				const suspect = suspects.get(fingerprint)!;
+				return {...toReport(fingerprint, suspect, now), mostCrashes: suspect.mostCrashes};
+			});
 		},
 		count(now) {
 			sweep(now);
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -170,4 +170,30 @@
 		crash(suspects, 'twice', ['b', 'c'], 3000);
 		assert.deepEqual(taken(10), ['twice']);
 	});
+
+	/* Guards against refusing a request that another host has served since. */
+	it('clears a request that a server survived at another host', () => {
+		const [first, second] = [createCrashSuspects(), createCrashSuspects()];
+		crash(first, 'f', ['a', 'b']);
+		crash(second, 'f', ['a', 'b']);
+		first.noteSurvived('f', 2000);
+		second.mergeReports(first.takeChanged(3000, 10), 3000);
+		assert.deepEqual(second.crashedServers('f', 3000), []);
+		assert.equal(second.noteBroken('f', 'c', 4000), false);
+	});
+
+	it('contradicts the report of a host that does not know of a run that a server survived, once', () => {
+		const [serving, other] = [createCrashSuspects(), createCrashSuspects()];
+		serving.noteSurvived('f', 3000);
+		crash(other, 'f', ['a', 'b']);
+		serving.mergeReports(other.toReports(4000, all), 4000);
+		const contradiction = serving.takeChanged(4000, 10);
+		assert.deepEqual(contradiction, [{
+			fingerprint: 'f', idleMs: 3000, crashes: [], survivedMs: 1000, mostCrashes: 2,
+		}]);
+		other.mergeReports(contradiction, 4000);
+		assert.deepEqual(other.crashedServers('f', 4000), []);
+		serving.mergeReports(other.toReports(4100, all), 4100);
+		assert.deepEqual(serving.takeChanged(4100, 10), []);
+	});
 });
--- a/src/ports/crash-reports.ts
+++ b/src/ports/crash-reports.ts
@@ -19,4 +19,12 @@
 	/** Time since the reporting host last saw the request. */
 	idleMs: Milliseconds;
 	crashes: readonly SeenCrash[];
+	/** Time since a server last survived the request; absent if none did, as far as the reporting host knows. */
+	survivedMs?: Milliseconds;
+};
+
+/** A report that is due to be sent. */
+export type DueReport = CrashReport & {
+	/** Largest number of crashes known of the request at once; those that a survived run has cleared count too. */
+	mostCrashes: number;
 };
--- /dev/null
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -0,0 +1,77 @@
+/**
+ * Sends reports of crashes to other hosts: changes at once, known crashes to hosts
+ * that have missed them, and repeated crashes in the messages of each round.
+ */
+import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {type PeerList} from '../../../../domain/create-peer-list/index.js';
+import {type Milliseconds} from '../../../../ports/clock.js';
+import {type CrashReport} from '../../../../ports/crash-reports.js';
+import {type HostLoad} from '../../../../ports/shared-loads.js';
+
+/** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
+const maxReports = 16;
+
+/** Bound on crash reports in a round's message; a host of a large fleet sends some twenty of these messages a second. */
+const maxReportsPerRound = 5;
+
+/**
+ * Number of crashes of one request from which on all hosts of a large fleet are
+ * told. The first crash, after which most suspects are only victims of another
+ * request, is reported only to the few hosts that collect reports of this request.
+ */
+const minCrashesToBroadcast = 2;
+
+export type CrashReporterOptions = {
+	suspects: CrashSuspects;
+	peers: PeerList;
+	/** Sends a message to each address. */
+	send: (message: {loads: readonly HostLoad[]; crashes: readonly CrashReport[]}, to: readonly string[]) => void;
+};
+
+export type CrashReporter = {
+	/** Sends what has changed; called many times a second. */
+	sendChanged: (loads: readonly HostLoad[], now: Milliseconds) => void;
+	/** Reports for the messages of a round. */
+	toRoundReports: (now: Milliseconds) => readonly CrashReport[];
+};
+
+/**
+ * Creates the sender of one host's reports.
+ *
+ * @param options - See {@link CrashReporterOptions}.
+ * @returns See {@link CrashReporter}.
+ */
+export function createCrashReporter({suspects, peers, send}: CrashReporterOptions): CrashReporter {
+	/** Returns the number of crashes from which on a request is reported to all hosts; below it, only collectors are told. */
+	const toMinCrashes = (now: Milliseconds): number => peers.isLarge(now) ? minCrashesToBroadcast : 1;
+
+	function sendToCollectors(loads: readonly HostLoad[], reports: readonly CrashReport[]): void {
+		const byCollector = new Map<string, CrashReport[]>();
+		for (const report of reports) {
+			for (const collector of peers.collectors(report.fingerprint)) {
+				byCollector.set(collector, [...byCollector.get(collector) ?? [], report]);
+			}
+		}
+
+		for (const [collector, crashes] of byCollector) {
+			send({loads, crashes}, [collector]);
+		}
+	}
+
+	/** Sends new crash reports at once. A request that crashes servers may reach any host next, so each host that receives a report forwards it. */
+	function sendChanged(loads: readonly HostLoad[], now: Milliseconds): void {
+		const changed = suspects.takeChanged(now, maxReports);
+		const leastCrashes = toMinCrashes(now);
+		const crashes = changed.filter(report => report.mostCrashes >= leastCrashes);
+		if (crashes.length > 0) {
+			send({loads, crashes}, [...peers.directPeers(now), ...peers.remotePeers(now)]);
+		}
+
+		sendToCollectors(loads, changed.filter(report => report.mostCrashes < leastCrashes));
+	}
+
+	return {
+		sendChanged,
+		toRoundReports: now => suspects.toReports(now, {minFreshCrashes: toMinCrashes(now), limit: maxReportsPerRound}),
+	};
+}
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -21,6 +21,7 @@
 import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {logQuarantined} from '../../entry/_lib/quarantine.js';
+import {createCrashReporter} from './_lib/create-crash-reporter.js';
 import {createStartWatch} from './_lib/create-start-watch.js';
 
 export type ShareLoadsOptions = {
@@ -69,19 +70,6 @@
 /** A host's loads expire after this many of its messages are due. */
 const maxMissedMessages = 3;
 
-/** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
-const maxReports = 16;
-
-/** Bound on crash reports in a round's message; a host of a large fleet sends some twenty of these messages a second. */
-const maxReportsPerRound = 5;
-
-/**
- * Number of crashes of one request from which on all hosts of a large fleet are
- * told. The first crash, after which most suspects are only victims of another
- * request, is reported only to the few hosts that collect reports of this request.
- */
-const minCrashesToBroadcast = 2;
-
 /** Shortest interval between log lines about faulty datagrams, which are counted in between. */
 const faultLogIntervalMs: Milliseconds = 10 * msPerSecond;
 
@@ -140,6 +128,7 @@
 		},
 	});
 	const hasStarted = createStartWatch();
+	const reporter = createCrashReporter({suspects, peers, send});
 	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
@@ -201,44 +190,14 @@
 		return !peers.isLarge(now) && (text !== lastText || now - sentAt >= keepAliveMs);
 	}
 
-	/** Returns the number of crashes from which on a request is reported to all hosts; below it, only collectors are told. */
-	const toMinCrashes = (now: Milliseconds): number => peers.isLarge(now) ? minCrashesToBroadcast : 1;
-
-	function sendToCollectors(loads: readonly HostLoad[], reports: readonly CrashReport[]): void {
-		const byCollector = new Map<string, CrashReport[]>();
-		for (const report of reports) {
-			for (const collector of peers.collectors(report.fingerprint)) {
-				byCollector.set(collector, [...byCollector.get(collector) ?? [], report]);
-			}
-		}
-
-		for (const [collector, crashes] of byCollector) {
-			send({loads, crashes}, [collector]);
-		}
-	}
-
-	/** Sends new crash reports at once. A request that crashes servers may reach any host next, so each host that receives a report forwards it. */
-	function sendCrashReports(loads: readonly HostLoad[], now: Milliseconds): void {
-		const changed = suspects.takeChanged(now, maxReports);
-		const leastCrashes = toMinCrashes(now);
-		const crashes = changed.filter(report => report.crashes.length >= leastCrashes);
-		if (crashes.length > 0) {
-			send({loads, crashes}, [...peers.directPeers(now), ...peers.remotePeers(now)]);
-		}
-
-		sendToCollectors(loads, changed.filter(report => report.crashes.length < leastCrashes));
-	}
-
-	const toRoundReports = (now: Milliseconds): readonly CrashReport[] => suspects.toReports(now, {minFreshCrashes: toMinCrashes(now), limit: maxReportsPerRound});
-
 	function sendUpdates(loads: readonly HostLoad[], now: Milliseconds): void {
 		const text = toLoadsText(loads);
 		const unanswered = peers.takeUnanswered();
-		sendCrashReports(loads, now);
+		reporter.sendChanged(loads, now);
 		if (now - roundAt >= roundMs) {
 			roundAt = now;
 			const named = peers.takeAdvertised(now);
-			const crashes = toRoundReports(now);
+			const crashes = reporter.toRoundReports(now);
 			const asked = new Set([...peers.directPeers(now), ...peers.remotePeers(now), ...peers.silentSeeds(now)]);
 			send({
 				loads, crashes, named, isAsking: true,
@@ -246,7 +205,7 @@
 			send({loads, crashes, named}, [...new Set([...peers.remoteRequesters(now), ...unanswered])].filter(address => !asked.has(address)));
 		} else {
 			if (unanswered.length > 0) {
-				send({loads, crashes: toRoundReports(now), named: peers.takeAdvertised(now)}, unanswered);
+				send({loads, crashes: reporter.toRoundReports(now), named: peers.takeAdvertised(now)}, unanswered);
 			}
 
 			if (!isDue(text, now)) {
