Keep the first crash under a request known while hosts are replaced

Callers saw: a request that ends what runs it was sent on after three servers had ended under it.

Cause: a first crash was told for five seconds. Hosts that started later did not know it; once all that knew it were replaced, in a roll of the fleet or one kill after the other, its count began again.

Change: in a small fleet, a host that starts, or that was not heard for three seconds, is sent all reports, 64 at most. In a large one a host hears few others and can't tell who has started, so whoever knows of a first crash tells its collectors again every ten seconds, five a second at most. From the second crash on all hosts repeat it, as before.

--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -35,5 +35,9 @@
 	toReports: (now: Milliseconds, options: {minFreshCrashes: number; limit: number}) => readonly CrashReport[];
 	/** Reports of the requests that have changed since they were last taken. */
 	takeChanged: (now: Milliseconds, limit: number) => readonly DueReport[];
+	/** Reports of first crashes that were not taken lately, for hosts that have replaced those which knew them. */
+	takeOverdue: (now: Milliseconds, limit: number) => readonly CrashReport[];
+	/** Reports of all requests with crashes, for a host that has just started. */
+	listReports: (now: Milliseconds) => readonly CrashReport[];
 	count: (now: Milliseconds) => {suspects: number; quarantined: number};
 };
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -22,6 +22,7 @@
 	clearedAt: Milliseconds;
 	/** Largest number of crashes that counted at once. */
 	mostCrashes: number;
+	reportedAt: Milliseconds;
 };
 
 type SeenCrashes = {
@@ -47,6 +48,9 @@
 /** Time for which a request's first crash is reported; after it, all hosts have received the report or the request was not the cause. */
 const freshCrashMs: Milliseconds = 5 * msPerSecond;
 
+/** Time after which a first crash is reported again: its reports are kept by few hosts, which may have been replaced since. */
+const reportAgainMs: Milliseconds = 10 * msPerSecond;
+
 /** Number of crashes from which a request is reported for as long as it is a suspect. */
 const minCrashesToRepeat = 2;
 
@@ -116,7 +120,7 @@
 		}
 
 		const suspect = known ?? {
-			crashes: new Map(), seenAt, clearedAt: survivedAt.get(fingerprint), mostCrashes: 0,
+			crashes: new Map(), seenAt, clearedAt: survivedAt.get(fingerprint), mostCrashes: 0, reportedAt: now,
 		};
 		suspect.seenAt = Math.max(suspect.seenAt, seenAt);
 		suspects.delete(fingerprint);
@@ -255,9 +259,21 @@
 			return taken.map(fingerprint => {
 				changed.delete(fingerprint);
 				const suspect = suspects.get(fingerprint)!;
+				suspect.reportedAt = now;
 				return {...toReport(fingerprint, suspect, now), mostCrashes: suspect.mostCrashes};
 			});
 		},
+		takeOverdue(now, limit) {
+			const overdue = [...suspects].filter(([, suspect]) => now - suspect.reportedAt >= reportAgainMs && toCrashes(suspect).length === 1).slice(0, limit);
+			return overdue.map(([fingerprint, suspect]) => {
+				suspect.reportedAt = now;
+				return toReport(fingerprint, suspect, now);
+			});
+		},
+		listReports(now) {
+			sweep(now);
+			return [...suspects].filter(([, suspect]) => toCrashes(suspect).length > 0).map(([fingerprint, suspect]) => toReport(fingerprint, suspect, now));
+		},
 		count(now) {
 			sweep(now);
 			return {suspects: suspects.size, quarantined: [...suspects.values()].filter(suspect => hasEnoughCrashes(suspect)).length};
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -196,4 +196,14 @@
 		serving.mergeReports(other.toReports(4100, all), 4100);
 		assert.deepEqual(serving.takeChanged(4100, 10), []);
 	});
+
+	it('repeats reports of first crashes after a time, and lists all for a host that starts', () => {
+		const suspects = createCrashSuspects();
+		crash(suspects, 'once', ['a']);
+		crash(suspects, 'twice', ['a', 'b']);
+		suspects.takeChanged(2000, 10);
+		const overdue = (now: number) => suspects.takeOverdue(now, 10).map(({fingerprint}) => fingerprint);
+		assert.deepEqual([overdue(11_000), overdue(12_000), overdue(13_000), overdue(22_000)], [[], ['once'], [], ['once']]);
+		assert.deepEqual(suspects.listReports(30_000).map(({fingerprint}) => fingerprint), ['once', 'twice']);
+	});
 });
--- a/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -6,7 +6,9 @@
 import {type PeerList} from '../../../../domain/create-peer-list/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type CrashReport} from '../../../../ports/crash-reports.js';
+import {type Incarnation} from '../../../../ports/ids.js';
 import {type HostLoad} from '../../../../ports/shared-loads.js';
+import {createNewPeerWatch} from './create-new-peer-watch.js';
 
 /** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
 const maxReports = 16;
@@ -14,6 +16,9 @@
 /** Bound on crash reports in a round's message; a host of a large fleet sends some twenty of these messages a second. */
 const maxReportsPerRound = 5;
 
+/** Bound on crash reports for a host of a small fleet that has just started or was not heard for some time. */
+const maxReportsToNewPeer = 64;
+
 /**
  * Number of crashes of one request from which on all hosts of a large fleet are
  * told. The first crash, after which most suspects are only victims of another
@@ -29,8 +34,12 @@
 };
 
 export type CrashReporter = {
+	/** Records that a host was heard, which may have missed earlier reports. */
+	noteHeard: (address: string, incarnation: Incarnation, now: Milliseconds) => void;
 	/** Sends what has changed; called many times a second. */
 	sendChanged: (loads: readonly HostLoad[], now: Milliseconds) => void;
+	/** Sends what other hosts may have missed; called once a round. */
+	sendKnown: (loads: readonly HostLoad[], now: Milliseconds) => void;
 	/** Reports for the messages of a round. */
 	toRoundReports: (now: Milliseconds) => readonly CrashReport[];
 };
@@ -42,6 +51,10 @@
  * @returns See {@link CrashReporter}.
  */
 export function createCrashReporter({suspects, peers, send}: CrashReporterOptions): CrashReporter {
+	const isNewPeer = createNewPeerWatch();
+	/** Hosts that may have missed reports. */
+	const newPeers = new Set<string>();
+
 	/** Returns the number of crashes from which on a request is reported to all hosts; below it, only collectors are told. */
 	const toMinCrashes = (now: Milliseconds): number => peers.isLarge(now) ? minCrashesToBroadcast : 1;
 
@@ -70,8 +83,34 @@
 		sendToCollectors(loads, changed.filter(report => report.mostCrashes < leastCrashes));
 	}
 
+	/**
+	 * Reports known crashes to hosts that may have missed them. In a large fleet, where
+	 * a host hears few others, it can't tell which hosts these are, so it repeats first
+	 * crashes to their collectors; others are repeated in each round.
+	 */
+	function sendKnown(loads: readonly HostLoad[], now: Milliseconds): void {
+		if (peers.isLarge(now)) {
+			sendToCollectors(loads, suspects.takeOverdue(now, maxReportsPerRound));
+		}
+
+		const reports = newPeers.size === 0 || peers.isLarge(now) ? [] : suspects.listReports(now).slice(-maxReportsToNewPeer);
+		for (const address of newPeers) {
+			for (let first = 0; first < reports.length; first += maxReports) {
+				send({loads: [], crashes: reports.slice(first, first + maxReports)}, [address]);
+			}
+		}
+
+		newPeers.clear();
+	}
+
 	return {
+		noteHeard(address, incarnation, now) {
+			if (isNewPeer(address, incarnation, now)) {
+				newPeers.add(address);
+			}
+		},
 		sendChanged,
+		sendKnown,
 		toRoundReports: now => suspects.toReports(now, {minFreshCrashes: toMinCrashes(now), limit: maxReportsPerRound}),
 	};
 }
--- a/src/programs/relay/share-loads/crash-memory.test.ts
+++ b/src/programs/relay/share-loads/crash-memory.test.ts
@@ -50,6 +50,46 @@
 	}
 }
 
+describe('hosts that share reports of crashes know of the first one', () => {
+	for (const count of counts) {
+		it(`after all of them were replaced in turn: ${count} hosts`, async () => {
+			const fleet = await startFleet(count);
+			crash(fleet, fleet.hosts[3]!, 's1');
+			fleet.pass(6 * msPerSecond);
+			await restartInTurn(fleet, count > 100 ? 100 : msPerSecond);
+			assert.deepEqual(endTwoMore(fleet), []);
+		});
+
+		it(`after the zone that saw it was cut off: ${count} hosts`, async () => {
+			const fleet = await startFleet(count);
+			const [zone] = zones;
+			fleet.cutZone(zone!);
+			crash(fleet, fleet.hosts.find(host => host.zone === zone)!, 's1');
+			fleet.pass(20 * msPerSecond);
+			fleet.heal();
+			fleet.pass(11 * msPerSecond);
+			assert.deepEqual(endTwoMore(fleet), []);
+		});
+	}
+
+	it('after most of them were killed at once: 7 hosts', async () => {
+		const fleet = await startFleet(7);
+		crash(fleet, fleet.hosts[3]!, 's1');
+		fleet.pass(6 * msPerSecond);
+		const killed = fleet.hosts.slice(0, 5);
+		for (const host of killed) {
+			fleet.kill(host);
+		}
+
+		for (const host of killed) {
+			await fleet.restart(host);
+		}
+
+		fleet.pass(spreadMs);
+		assert.deepEqual(endTwoMore(fleet), []);
+	});
+});
+
 describe('hosts that share reports of crashes know of a run that a server survived', () => {
 	for (const count of counts) {
 		for (const crashes of [1, 2]) {
@@ -72,3 +112,24 @@
 		}
 	}
 });
+
+describe('hosts that keep reports of crashes', () => {
+	for (const count of counts) {
+		it(`stay within the bound on control traffic while one of them starts: ${count} hosts`, async t => {
+			const fleet = await startFleet(count);
+			for (let n = 0; n < 4; n++) {
+				for (let victim = 0; victim < 40; victim++) {
+					crash(fleet, fleet.hosts[victim % count]!, `s${n}`, `beside-${n}-${victim}`);
+				}
+
+				fleet.pass(msPerSecond);
+			}
+
+			fleet.pass(6 * msPerSecond);
+			await fleet.restart(fleet.hosts[2]!);
+			const {bytes} = fleet.measure(10 * msPerSecond);
+			t.diagnostic(`${(bytes / bytesPerKibibyte).toFixed(2)} KB a second and host`);
+			assert.ok(bytes <= maxControlBytes, `${bytes} bytes a second`);
+		});
+	}
+});
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -156,6 +156,8 @@
 				origins.noteStarted(from, now);
 			}
 
+			reporter.noteHeard(from, message.incarnation, now);
+
 			onAnswers?.(from, message.answers ?? []);
 			peers.noteAdvertised(message.peers, now);
 			for (const fingerprint of suspects.mergeReports(message.crashes, now)) {
@@ -196,6 +198,7 @@
 		reporter.sendChanged(loads, now);
 		if (now - roundAt >= roundMs) {
 			roundAt = now;
+			reporter.sendKnown(loads, now);
 			const named = peers.takeAdvertised(now);
 			const crashes = reporter.toRoundReports(now);
 			const asked = new Set([...peers.directPeers(now), ...peers.remotePeers(now), ...peers.silentSeeds(now)]);
