--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -42,7 +42,8 @@
 		const answer = await readAnswer({
 			dispatcher: agent, origin: `http://127.0.0.1:${port}`, method: 'GET', path: '/', headersTimeoutMs: 5000, idleTimeoutMs: 5000,
 		}, 1000);
-		assert.equal(answer._unsafeUnwrapErr().kind, 'unreachable');
+		const fault = answer._unsafeUnwrapErr();
+		assert.deepEqual(fault, {kind: 'unreachable', message: fault.message, isRefused: true});
 	});
 
 	/*
--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -16,6 +16,8 @@
 	message: string;
 	/** Whether the server closed the connection after the call was sent. */
 	isClosed?: boolean;
+	/** Whether the server's address refused the connection, so that no process listens there. */
+	isRefused?: boolean;
 	/** Whether an aborted call was still waiting for its connection, so that no byte was or will be offered. */
 	isUnsent?: boolean;
 };
@@ -80,6 +82,8 @@
 
 const isClosing = (error: Error): boolean => closedCodes.has((error as {code?: string}).code) || error.message.includes(closedReason);
 
+const isRefusal = (error: Error): boolean => (error as {code?: string}).code === 'ECONNREFUSED';
+
 function toMessage(error: Error): string {
 	const {code} = error as {code?: string};
 	return [code, error.message].filter(Boolean).join(': ') || error.name;
@@ -110,10 +114,10 @@
 		report?.();
 	};
 
-	const fail = (kind: CallFault['kind'], message: string, {isClosed = false, isUnsent = false}: Pick<CallFault, 'isClosed' | 'isUnsent'> = {}): void => {
+	const fail = (kind: CallFault['kind'], message: string, {isClosed = false, isRefused = false, isUnsent = false}: Pick<CallFault, 'isClosed' | 'isRefused' | 'isUnsent'> = {}): void => {
 		end(() => {
 			sink.onFault({
-				kind, message, ...(isClosed && {isClosed}), ...(isUnsent && {isUnsent}),
+				kind, message, ...(isClosed && {isClosed}), ...(isRefused && {isRefused}), ...(isUnsent && {isUnsent}),
 			});
 		});
 	};
@@ -202,7 +206,7 @@
 			}
 		},
 		onResponseError(_, error) {
-			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), {isClosed: isOffered && isClosing(error)});
+			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), {isClosed: isOffered && isClosing(error), isRefused: !isOffered && isRefusal(error)});
 		},
 	});
 }
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -7,6 +7,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
 import {type Outcome} from '../../../ports/outcome.js';
+import {msPerSecond} from '../../../ports/units.js';
 import {type ServeContext} from './serve-types.js';
 
 /**
@@ -43,6 +44,9 @@
 
 type QuarantineContext = Pick<ServeContext, 'suspects' | 'services' | 'log'>;
 
+/** Longest time from the end of a server to the removal of its entry, which expires after three missed heartbeats. */
+export const entryLifetimeMs: Milliseconds = 6 * msPerSecond;
+
 /** Time by which hosts may differ on when a server closed its connections. */
 const closeSpreadMs: Milliseconds = 100;
 
--- a/src/programs/entry/call-plain/_lib/send-step.test.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createCrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
-import {noteAnswered} from './send-step.js';
+import {type PlainEnd} from '../../send-plain/index.js';
+import {noteAnswered, noteRefusedConnection} from './send-step.js';
 import {type PlainRun} from './types.js';
 
 /* A crashed server must not count as alive because another server answers at its address. */
@@ -21,3 +23,33 @@
 		});
 	}
 });
+
+/* Guards against a request that ends servers after its callers have left, while no other request runs beside it. */
+describe('noteRefusedConnection', () => {
+	const message = 'ECONNREFUSED';
+	const cases: ReadonlyArray<{what: string; ended: PlainEnd; leaving: boolean; isCounted: boolean}> = [
+		{
+			what: 'a refused connection', ended: {kind: 'failed', fault: {kind: 'unreachable', message, isRefused: true}}, leaving: false, isCounted: true,
+		},
+		{
+			what: 'a refused connection of a leaving server', ended: {kind: 'failed', fault: {kind: 'unreachable', message, isRefused: true}}, leaving: true, isCounted: false,
+		},
+		{
+			what: 'a connection that could not be opened in time', ended: {kind: 'failed', fault: {kind: 'unreachable', message}}, leaving: false, isCounted: false,
+		},
+		{
+			what: 'a closed connection', ended: {kind: 'failed', fault: {kind: 'broken', message, isClosed: true}}, leaving: false, isCounted: false,
+		},
+	];
+	for (const {what, ended, leaving, isCounted} of cases) {
+		it(`${isCounted ? 'counts' : 'does not count'} the server as ended after ${what}`, () => {
+			const suspects = createCrashSuspects({crashesToQuarantine: 1});
+			suspects.noteUnresolved({
+				fingerprint: 'f', server: 'a', startedAt: 0, isWhole: false,
+			}, 100);
+			const ctx = {suspects, log: {info: () => undefined, warn: () => undefined}, services: {clock: {now: () => 1000}, toView: () => ({servers: new Map([['a', {leaving}]])})}};
+			noteRefusedConnection({ctx} as unknown as PlainRun, {id: 'a'} as unknown as ServerEntry, ended);
+			assert.equal(suspects.isQuarantined('f', 1000), isCounted);
+		});
+	}
+});
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -9,7 +9,7 @@
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type StreamOrigin} from '../../../../ports/stream-origins.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
-import {noteRunEnd} from '../../_lib/quarantine.js';
+import {entryLifetimeMs, noteRunEnd, noteServerEnded} from '../../_lib/quarantine.js';
 import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
 import {toRunEnd} from './to-run-end.js';
@@ -144,6 +144,22 @@
 	}
 }
 
+/**
+ * Notes that a server has ended, if its address refuses connections. A leaving
+ * server has ended as planned.
+ *
+ * @param run - The request.
+ * @param server - The server that was called.
+ * @param ended - How the call ended.
+ */
+export function noteRefusedConnection({ctx: {services, suspects, log}}: PlainRun, {id}: ServerEntry, ended: PlainEnd): void {
+	const isRefused = ended.kind === 'failed' && ended.fault.kind === 'unreachable' && ended.fault.isRefused === true;
+	if (isRefused && services.toView()?.servers.get(id)?.leaving === false) {
+		const now = services.clock.now();
+		noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {suspects, now, log});
+	}
+}
+
 /**
  * Sends the request and relays the answer.
  *
@@ -175,6 +191,7 @@
 	noteRunEnd({
 		fingerprint: run.fingerprint, server: server.id, startedAt: calledAt, end: toRunEnd(ended),
 	}, ctx);
+	noteRefusedConnection(run, server, ended);
 	return ended;
 }
 
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -17,7 +17,7 @@
 
 export type Host = {name: string; zone: string; address: string; sharing: LoadExchange; suspects: CrashSuspects; startedAt: Milliseconds; isDead: boolean};
 
-const log = createLog({
+export const log = createLog({
 	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
 });
 
--- a/src/programs/relay/start-relay/_lib/create-lost-servers.ts
+++ b/src/programs/relay/start-relay/_lib/create-lost-servers.ts
@@ -4,11 +4,7 @@
 import {type Clock, type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type ZoneId} from '../../../../ports/ids.js';
-import {msPerSecond} from '../../../../ports/units.js';
-import {noteServerEnded} from '../../../entry/_lib/quarantine.js';
-
-/** Longest time from the end of a server to the removal of its entry, which expires after three missed heartbeats. */
-const entryLifetimeMs: Milliseconds = 6 * msPerSecond;
+import {entryLifetimeMs, noteServerEnded} from '../../../entry/_lib/quarantine.js';
 
 export type LostServersOptions = {
 	suspects: CrashSuspects;
