--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -37,6 +37,8 @@
 	setFreeTokens: (tokens: number) => void;
 	/** Refuses all calls except releases, with this back-off in seconds; `undefined` ends the refusals. */
 	setBackoffSeconds: (seconds: number | undefined) => void;
+	/** Sets the limit that answers state in requests a second, as written; `undefined` states none. */
+	setRequestLimit: (limit: string | undefined) => void;
 	/** Sets whether answers announce that the server is leaving. */
 	setLeaving: (isLeaving: boolean) => void;
 	/** Sets whether an order is in progress, during which the server refuses others. */
@@ -89,6 +91,7 @@
 	let freeTokens = Infinity;
 	let isBusy = false;
 	let isLeaving = false;
+	let requestLimit: string | undefined;
 	let pauseSeconds: number | undefined;
 	let promptsHeld: Promise<unknown> = Promise.resolve();
 	let createdCount = 0;
@@ -96,10 +99,10 @@
 	let crashEnd: ServerEnd = 'closes';
 	let crashes = 0;
 
-	const toLeavingHeader = () => isLeaving ? {'server-leaving': '1'} : {};
+	const toNoticeHeaders = () => ({...(isLeaving && {'server-leaving': '1'}), ...(requestLimit !== undefined && {'server-limit': requestLimit})});
 
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
-		res.writeHead(status, {'content-type': 'application/json', ...toLeavingHeader(), ...headers});
+		res.writeHead(status, {'content-type': 'application/json', ...toNoticeHeaders(), ...headers});
 		res.end(JSON.stringify(body));
 	};
 
@@ -111,7 +114,7 @@
 			res.shouldKeepAlive = false;
 		}
 
-		res.writeHead(200, {'content-type': 'text/event-stream', ...toLeavingHeader(), ...ownHeaders(req)});
+		res.writeHead(200, {'content-type': 'text/event-stream', ...toNoticeHeaders(), ...ownHeaders(req)});
 		for (let event = Number(req.headers['last-event-id'] ?? 0) + 1; event <= events; event++) {
 			if (event === events && fault === 'cut-stream') {
 				res.write(`id: ${event}\ndata: pie`, () => {
@@ -276,6 +279,9 @@
 		setBackoffSeconds(seconds) {
 			pauseSeconds = seconds;
 		},
+		setRequestLimit(limit) {
+			requestLimit = limit;
+		},
 		setLeaving(next) {
 			isLeaving = next;
 		},
