Keep the requests of all hosts at a server within the limit that it states

A server that stated how many requests a second it takes got up to three times as many: nothing read the statement.

Cause: of what a server states in its answers, hosts read that it leaves and that it wants to be left alone. A rate for all hosts together had no place in the product.

Change: the head of each answer to the request itself, and of each reservation, tells the limit or that there is none; the answer of the later call holds, one that can't be read changes nothing. Hosts tell each other what they learnt. Before any call a host takes room for it from the counts that the hosts keep together for workspaces: one for a run, two for a reservation and its run, one for a prompt. A server without room is passed over until there is some, without a cool-down, and placement takes the next; where all servers of a pool are, callers are told at once, with the time until the next request may be sent, and the refusal names the limit. Reservations and caches at such a server expire by themselves.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -37,6 +37,9 @@
 /** Maximum number of pools in one message of which a host tells that their servers answered. */
 export const maxAnswers = 16;
 
+/** Maximum number of limits of servers in one message. */
+const maxLimits = 16;
+
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
 /** Senders of a later build may add items. */
@@ -54,6 +57,7 @@
 
 /** Items after those of every build. */
 const reachedShareSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
+const limitsSchema = v.pipe(v.array(v.tuple([name, v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))), count])), v.maxLength(maxLimits));
 const answersSchema = v.pipe(v.array(v.tuple([count, count])), v.maxLength(maxAnswers));
 
 const toReportRow = ({fingerprint, idleMs, crashes, survivedMs}: CrashReport) => [
@@ -66,6 +70,12 @@
 /** Share of the rows that is kept each time the encoded message is too long. */
 const keptShare = 0.8;
 
+/** Returns the items that later builds added, up to the last that is present. */
+function toAddedItems(items: readonly unknown[]): unknown[] {
+	const last = items.findLastIndex(item => item !== undefined);
+	return items.slice(0, last + 1).map(item => item ?? null);
+}
+
 /**
  * Encodes a message. If it does not fit into one datagram, loads are left out,
  * the smallest first, and then crash reports, the last first.
@@ -75,15 +85,17 @@
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare, answers,
+		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare, answers, limits = [],
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
 	const reports = crashes.map(report => toReportRow(report));
 	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
+	const limitRows = limits.map(({server, perSecond, ageMs}) => [server, perSecond ?? null, Math.round(ageMs)]);
+	const added = toAddedItems([reachedShare, answerRows, limitRows.length === 0 ? undefined : limitRows]);
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...(reachedShare === undefined && answerRows === undefined ? [] : [reachedShare ?? null]), ...(answerRows === undefined ? [] : [answerRows])]);
+		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...added]);
 		const cut = loads.length > 0 ? loads : reports;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
@@ -94,7 +106,7 @@
 }
 
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows] = row;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs]) => ({
 		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}),
@@ -110,6 +122,7 @@
 		loads: rows.map(([server, requests, promptTokens]) => ({server, requests, promptTokens})),
 		...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
 		...(v.is(answersSchema, answerRows) && {answers: answerRows.map(([pool, ageMs]) => ({pool, ageMs}))}),
+		...(v.is(limitsSchema, limitRows) && {limits: limitRows.map(([server, perSecond, ageMs]) => ({server, perSecond: perSecond ?? undefined, ageMs}))}),
 	};
 }
 
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -16,7 +16,9 @@
 	incarnation: 1_780_000_000_000,
 	sequence: 7,
 	loads: [{server: 'i-1', requests: 2, promptTokens: 6400}],
-	crashes: [{fingerprint: 'bXkgZmlyc3Qg', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2@1780000000000', ageMs: 900}]}, {fingerprint: 'c2Vjb25kIG9u', idleMs: 30, crashes: [], survivedMs: 40}],
+	crashes: [{fingerprint: 'bXkgZmlyc3Qg', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2@1780000000000', ageMs: 900}]}, {
+		fingerprint: 'c2Vjb25kIG9u', idleMs: 30, crashes: [], survivedMs: 40,
+	}],
 	peers: [{address: '10.0.0.2:7380', zone: 'b'}],
 	isAsking: true,
 };
@@ -32,6 +34,13 @@
 		}
 	});
 
+	it('keep the limits of servers and their ends, with and without what comes before them', () => {
+		const limits = [{server: 'i-1', perSecond: 4.8, ageMs: 20}, {server: 'i-2', perSecond: undefined, ageMs: 900}];
+		for (const more of [{limits}, {limits, answers: []}, {limits, reachedShare: 0.5, answers: [{pool: 7, ageMs: 12}]}]) {
+			assert.deepEqual(decodeLoadMessage(encodeLoadMessage({...message, ...more}))._unsafeUnwrap(), {...message, ...more});
+		}
+	});
+
 	it('fit into one datagram, however much a host has in flight, and keep the largest loads', () => {
 		const loads = Array.from({length: 500}, (_, i) => ({server: `i-${i}`, requests: 1, promptTokens: i}));
 		const bytes = encodeLoadMessage({...message, loads});
--- a/src/domain/create-placement/_lib/create-eligibility.ts
+++ b/src/domain/create-placement/_lib/create-eligibility.ts
@@ -112,6 +112,7 @@
 	const leavingAt = new Map<ServerId, Milliseconds>();
 	const mismatchAt = new Map<ServerId, Milliseconds>();
 	const pausedUntil = new Map<ServerId, Milliseconds>();
+	const limitedUntil = new Map<ServerId, Milliseconds>();
 	const unreachable = new Set<ServerId>();
 	let partitionedZones: ReadonlySet<ZoneId> = new Set();
 	let suspectGroups: ReadonlySet<string> = new Set();
@@ -149,6 +150,8 @@
 
 	const toRemainingPauseMs = (server: ServerId, now: Milliseconds): Milliseconds => Math.max(0, (pausedUntil.get(server) ?? -Infinity) - now);
 
+	const toRemainingLimitMs = (server: ServerId, now: Milliseconds): Milliseconds => Math.max(0, (limitedUntil.get(server) ?? -Infinity) - now);
+
 	/** Whether the server is leaving, by the platform's list, its own report or a refusal. */
 	const isLeaving = (server: ServerId, status: ServerStatus | undefined, loadAt: Milliseconds, now: Milliseconds): boolean =>
 		status?.leaving === true || status?.load?.state === 'leaving' || isRefusalValid(leavingAt.get(server), loadAt, now);
@@ -209,6 +212,10 @@
 			return 'paused';
 		}
 
+		if (toRemainingLimitMs(id, now) > 0) {
+			return 'limited';
+		}
+
 		const reachReason = toReachabilityReason(entry, status, query);
 		if (reachReason !== undefined && !isSoft(reachReason)) {
 			return reachReason;
@@ -240,6 +247,11 @@
 			pausedUntil.set(server, Math.max(pausedUntil.get(server) ?? -Infinity, now + Math.min(maxPauseMs, pauseMs)));
 			return isNew;
 		},
+		toRemainingLimitMs,
+		/** Records that the server may get no request for a time, because of the limit that it states. */
+		noteLimited(server: ServerId, limitedMs: Milliseconds, now: Milliseconds): void {
+			limitedUntil.set(server, now + Math.min(maxPauseMs, limitedMs));
+		},
 		/** Records a refusal because the server has other weights than its last report says. */
 		noteMismatch(server: ServerId, now: Milliseconds): void {
 			mismatchAt.set(server, now);
@@ -248,6 +260,7 @@
 			leavingAt.delete(server);
 			mismatchAt.delete(server);
 			pausedUntil.delete(server);
+			limitedUntil.delete(server);
 			unreachable.delete(server);
 		},
 	};
--- a/src/domain/create-placement/_lib/types.ts
+++ b/src/domain/create-placement/_lib/types.ts
@@ -11,7 +11,7 @@
 import {type FleetView} from '../../../ports/view.js';
 
 /** Why a server is not eligible, or eligible only when no better one is left. */
-export type IneligibilityReason = 'excluded' | 'leaving' | 'paused' | 'unreachable' | 'doubted' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
+export type IneligibilityReason = 'excluded' | 'leaving' | 'paused' | 'limited' | 'unreachable' | 'doubted' | 'cut-off' | 'ejected' | 'returning' | MismatchReason | 'unknown-load';
 
 /** How the server's last report differs from what the request requires. */
 export type MismatchReason = 'wrong-role' | 'wrong-model' | 'wrong-version' | 'no-adapter' | 'not-serving';
@@ -91,7 +91,7 @@
 	account: () => PlacementAccount;
 };
 
-export type PlacementRefusalReason = 'no-config' | 'no-pool' | 'no-server' | 'no-memory' | 'paused' | 'would-miss-target';
+export type PlacementRefusalReason = 'no-config' | 'no-pool' | 'no-server' | 'no-memory' | 'paused' | 'limited' | 'would-miss-target';
 
 export type PlacementRefusal = {
 	reason: PlacementRefusalReason;
--- a/src/domain/create-placement/index.ts
+++ b/src/domain/create-placement/index.ts
@@ -194,21 +194,26 @@
 		};
 	};
 
-	/** Time until the first paused server may be called again, milliseconds; `undefined` when none is paused. */
-	const toShortestPause = (roles: readonly RoleServers[], now: Milliseconds): Milliseconds | undefined => {
-		const pauses = roles.flatMap(({all}) => all.map(({id}) => eligibility.toRemainingPauseMs(id, now))).filter(ms => ms > 0);
-		return pauses.length === 0 ? undefined : Math.min(...pauses);
+	/** Time until the first paused or limited server may be called again, milliseconds; `undefined` when there is none. */
+	const toShortestWait = (roles: readonly RoleServers[], toRemainingMs: (server: ServerId) => Milliseconds): Milliseconds | undefined => {
+		const waits = roles.flatMap(({all}) => all.map(({id}) => toRemainingMs(id))).filter(ms => ms > 0);
+		return waits.length === 0 ? undefined : Math.min(...waits);
 	};
 
 	/** Refusal when no server was found; the reason is memory if a server was passed over only because it was full. */
 	const toNothingFound = (search: Search, roles: readonly RoleServers[]): PlacementRefusal => {
 		const {pool} = search;
 		const account = () => pairs.toAccount(search, roles, []);
-		const pauseMs = search.findings.full ? undefined : toShortestPause(roles, search.now);
+		const pauseMs = search.findings.full ? undefined : toShortestWait(roles, id => eligibility.toRemainingPauseMs(id, search.now));
 		if (pauseMs !== undefined) {
 			return toRefusal('paused', `the suitable servers of pool ${pool} have asked to back off`, pauseMs, account);
 		}
 
+		const limitedMs = search.findings.full ? undefined : toShortestWait(roles, id => eligibility.toRemainingLimitMs(id, search.now));
+		if (limitedMs !== undefined) {
+			return toRefusal('limited', `the suitable servers of pool ${pool} have got as many requests as the limit that they state allows`, limitedMs, account);
+		}
+
 		if (!search.findings.full) {
 			return toRefusal('no-server', `no server of pool ${pool} in service meets the request's requirements; the account gives the reason for each server`, noServerRetryAfterMs, account);
 		}
@@ -296,6 +301,8 @@
 		/** Records that a server asks this host to back off; returns whether the server was not paused before. */
 		notePause: eligibility.notePause,
 		isPaused: (server: ServerId, now: Milliseconds): boolean => eligibility.toRemainingPauseMs(server, now) > 0,
+		/** Passes a server over for a time, because of the limit that it states. */
+		noteLimited: eligibility.noteLimited,
 		/** In-flight load of this host at each server. */
 		ownLoads: loads.ownLoads,
 		...createFeedback({
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -8,6 +8,7 @@
 import {type ServerEntry} from './config.js';
 import {type EngineFailure, type EngineRefusalReason, type Reservation} from './engine.js';
 import {type HostId, type RequestId, type WorkspaceId} from './ids.js';
+import {type StatedLimit} from './request-limits.js';
 
 /** What a caller states about its request in headers. */
 export type RequestHints = {
@@ -98,6 +99,8 @@
 /** Callbacks for the answers to calls that the port itself makes. */
 export type ServerCallHooks = {
 	onNotice: (server: ServerEntry, notice: ServerNotice) => void;
+	/** Called as a call begins; returns the function that is called with the head of its answer. */
+	onCall?: (server: ServerEntry) => (status: number, headers: AnswerHeaders) => void;
 };
 
 export type ServerCalls = {
@@ -107,6 +110,8 @@
 	toRefusal: (status: number, headers: AnswerHeaders) => EngineRefusalReason | undefined;
 	/** The server's notice about itself; `undefined` when there is none, or when the answer may come from another server than the one called. */
 	readNotice?: (status: number, headers: AnswerHeaders) => ServerNotice | undefined;
+	/** The limit that an answer states for its server; `undefined` when the answer may come from another server than the one called. */
+	readLimit?: (status: number, headers: AnswerHeaders) => StatedLimit | undefined;
 	/** Whether the answer belongs to the request. A server may send an answer twice, so that the second copy arrives in place of the next request's answer. */
 	isAnswerTo: (requestId: RequestId, headers: AnswerHeaders) => boolean;
 	/** Absent where no server separates prefill and decode for relayed requests. */
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -6,6 +6,7 @@
  */
 import {type Milliseconds} from './clock.js';
 import {type CrashReport} from './crash-reports.js';
+import {type SharedLimit} from './request-limits.js';
 import {
 	type HostId, type Incarnation, type ServerId, type ZoneId,
 } from './ids.js';
@@ -47,4 +48,6 @@
 	reachedShare?: number;
 	/** Pools whose servers answered the sender lately; absent from hosts that do not tell it. */
 	answers?: readonly PoolAnswer[];
+	/** Limits that servers state, or state no more; absent from hosts that do not tell them. */
+	limits?: readonly SharedLimit[];
 };
--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -46,6 +46,7 @@
 	const rerun = metrics.createCounter({name: 'attempts_rerun_total', help: 'Attempts that repeat work which was lost.'});
 	const retries = metrics.createCounter({name: 'retries_total', help: 'Failed calls by whether another attempt was granted, or why not.', labels: {decision: retryDecisions}});
 	const retryCost = metrics.createCounter({name: 'retry_cost_total', help: 'What granted attempts were charged to the retry budgets.'});
+	const heldBack = metrics.createCounter({name: 'requests_held_back_total', help: 'Requests that were not sent to a server because of the limit that it states; most went to another server.'});
 	const wasted = metrics.createCounter({name: 'wasted_prefills_total', help: 'Prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const wastedTokens = metrics.createCounter({name: 'wasted_prefill_tokens_total', help: 'Prompt tokens of prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
@@ -100,6 +101,9 @@
 		},
 		cancels,
 		pauses,
+		countHeldBack() {
+			heldBack.add({});
+		},
 		countOverLimit(workspace: WorkspaceId) {
 			overLimit.add({workspace});
 		},
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -8,6 +8,7 @@
 import {type WorkspaceId} from '../../../ports/ids.js';
 import {type Places} from '../../../ports/places.js';
 import {type Quotas} from '../../../ports/quotas.js';
+import {type ServerLimits} from '../../../ports/request-limits.js';
 import {type StreamOrigins} from '../../../ports/stream-origins.js';
 import {type Reach} from '../../../ports/reach.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
@@ -54,6 +55,8 @@
 	countStream: (end: StreamEnd) => void;
 	/** Limits of workspaces. */
 	quotas: Quotas;
+	/** Limits that servers state. */
+	serverLimits: ServerLimits;
 	/** Counts a request that was refused because its workspace had used its limit. */
 	countOverLimit: (workspace: WorkspaceId) => void;
 	/** Tracks requests under which servers crashed. */
--- a/src/programs/entry/call-pair/_lib/kept-cache.test.ts
+++ b/src/programs/entry/call-pair/_lib/kept-cache.test.ts
@@ -16,6 +16,7 @@
 	const run = {
 		kept,
 		ctx: {
+			serverLimits: {isLimited: () => false},
 			services: {clock: {now: () => now}, placement: {isPaused: () => false}},
 			calls: {
 				caches: {
--- a/src/programs/entry/call-pair/_lib/release-held.ts
+++ b/src/programs/entry/call-pair/_lib/release-held.ts
@@ -4,20 +4,25 @@
 
 /**
  * Releases a reservation or a cache that a server holds for this host. Both expire
- * by themselves within a second or two, so a server that asks to back off is not
- * called for it.
+ * by themselves within a second or two, so a server that asks to back off or limits
+ * its requests is not called for it.
  *
  * @param run - The request.
  * @param label - Kind of what is released, for the log.
  * @param held - The server, and the call that releases.
  */
 export function releaseHeld(run: PlainRun, label: string, {server, call}: {server: ServerEntry; call: () => ReturnType<CacheCalls['dropCache']>}): void {
-	const {services} = run.ctx;
+	const {services, serverLimits} = run.ctx;
 	if (services.placement.isPaused(server.id, services.clock.now())) {
 		run.log.info('not given back while the server asks to back off', {step: label, server: server.id});
 		return;
 	}
 
+	if (serverLimits.isLimited(server)) {
+		run.log.info('not given back while the server limits its requests', {step: label, server: server.id});
+		return;
+	}
+
 	void (async () => {
 		const done = await call();
 		if (done.isErr()) {
--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -33,7 +33,7 @@
 }
 
 /** Reasons after which a request may wait, because capacity is freed again as other requests end. */
-const retryableReasons: ReadonlySet<PlacementRefusalReason> = new Set(['no-memory', 'paused']);
+const retryableReasons: ReadonlySet<PlacementRefusalReason> = new Set(['no-memory', 'paused', 'limited']);
 
 function pick(run: PlainRun, exclude: ReadonlySet<ServerId>) {
 	const {work} = run;
@@ -88,6 +88,25 @@
 	});
 }
 
+/** Calls of a request at its decode server: the reservation and the run. */
+const decodeCalls = 2;
+
+/** Takes room for the calls of an attempt within the limits that its servers state; returns the server that has none. */
+async function findHeldBack(run: PlainRun, {prefill, decode}: Placement): Promise<ServerEntry | undefined> {
+	const {serverLimits} = run.ctx;
+	if (!await serverLimits.take(decode, decodeCalls)) {
+		return decode;
+	}
+
+	const isPrefilled = prefill.id === decode.id || hasKeptCache(run);
+	if (isPrefilled || await serverLimits.take(prefill, 1)) {
+		return undefined;
+	}
+
+	serverLimits.giveBack(decode, decodeCalls);
+	return prefill;
+}
+
 /**
  * Requests a reservation from decode servers, the best first, until one grants it
  * or none is left.
@@ -108,6 +127,12 @@
 		}
 
 		const {decode} = picked.value;
+		const heldBack = await findHeldBack(run, picked.value);
+		if (heldBack !== undefined) {
+			run.account.addStage('held back', {server: heldBack.id});
+			continue;
+		}
+
 		const placement = recordPlacement(run.account, picked.value, {attempt, pool: run.route.pool.name, chosen: [picked.value.prefill.id, decode.id]});
 		const reserved = await requestReservation(run, caches, decode);
 		if (reserved.isOk()) {
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -104,7 +104,7 @@
 
 	noteLinkAnswer(run, link);
 	const {status, headers, text} = answer.value;
-	handleAnswerNotice(run, server, {status, headers});
+	handleAnswerNotice(run, server, {status, headers, calledAt});
 	const reason = run.ctx.calls.toRefusal(status, headers);
 	noteAnswered(run, {server: server.id, calledAt, refusal: reason});
 	if (reason !== undefined) {
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -9,6 +9,7 @@
 import {type CallStep, type AnswerHeaders} from '../../../../ports/server-calls.js';
 import {type StreamOrigin} from '../../../../ports/stream-origins.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
+import {noteStatedLimit} from '../../_lib/note-stated-limit.js';
 import {entryLifetimeMs, noteRunEnd, noteServerEnded} from '../../_lib/quarantine.js';
 import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
@@ -95,17 +96,23 @@
 }
 
 /**
- * Handles a notice that a server sends about itself in an answer.
+ * Handles what a server states about itself in an answer.
  *
  * @param run - The request.
  * @param server - The server that was called.
- * @param answer - Status and headers of its answer.
+ * @param answer - Status and headers of its answer, and the monotonic time at which the call began.
  */
-export function handleAnswerNotice({ctx}: PlainRun, server: ServerEntry, {status, headers}: {status: number; headers: AnswerHeaders}): void {
+export function handleAnswerNotice({ctx, exchange}: PlainRun, server: ServerEntry, answer: {status: number; headers: AnswerHeaders; calledAt: Milliseconds}): void {
+	const {status, headers} = answer;
 	const notice = ctx.calls.readNotice?.(status, headers);
 	if (notice !== undefined) {
 		ctx.handleNotice(server, notice);
 	}
+
+	// The answer to an earlier request, sent again, states an earlier limit.
+	if (ctx.calls.isAnswerTo(exchange.requestId, headers)) {
+		noteStatedLimit(ctx, server, answer);
+	}
 }
 
 /**
@@ -180,7 +187,7 @@
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
 			noteLinkAnswer(run, link);
-			handleAnswerNotice(run, server, {status, headers});
+			handleAnswerNotice(run, server, {status, headers, calledAt});
 			const fault = findHeadFault(run, status, headers);
 			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
 			return fault;
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -53,7 +53,7 @@
 /** Returns the outcome of a request that found all servers full. Servers that ask to back off also set the time from which they have capacity. */
 export function toBounced(run: PlainRun, {reason, retryAfterMs}: PlacementRefusal): PlainOutcome {
 	return {
-		end: 'bounced', outcome: run.ledger.outcome(), ...(reason === 'paused' && {capacityAt: run.ctx.services.clock.now() + retryAfterMs}),
+		end: 'bounced', outcome: run.ledger.outcome(), ...((reason === 'paused' || reason === 'limited') && {capacityAt: run.ctx.services.clock.now() + retryAfterMs}),
 	};
 }
 
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -37,6 +37,19 @@
 	return picked.isErr() && picked.error.reason === 'no-server' && run.tried.length > 0 ? pickServer(run, new Set()) : picked;
 }
 
+/** Picks a server that may get the request within the limit that it states, if it states one. */
+async function pickWithin(run: PlainRun): ReturnType<typeof pickWithPlace> {
+	for (;;) {
+		const chosen = await pickWithPlace(run, exclude => pickUntried(run, exclude));
+		if (chosen.isErr() || await run.ctx.serverLimits.take(chosen.value.picked.server, 1)) {
+			return chosen;
+		}
+
+		chosen.value.leave();
+		run.account.addStage('held back', {server: chosen.value.picked.server.id});
+	}
+}
+
 type AttemptResult =
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
 	| {kind: 'passed-on'; peer: string; ended: PlainEnd}
@@ -63,7 +76,7 @@
 async function callPlainServer(run: PlainRun, attempt: number): Promise<AttemptResult> {
 	const {account, ledger, route} = run;
 	const {clock, placement} = run.ctx.services;
-	const chosen = await pickWithPlace(run, exclude => pickUntried(run, exclude));
+	const chosen = await pickWithin(run);
 	if (chosen.isErr()) {
 		return {kind: 'not-placed', refusal: chosen.error};
 	}
--- a/src/programs/entry/run-request/_lib/to-run-end.ts
+++ b/src/programs/entry/run-request/_lib/to-run-end.ts
@@ -20,6 +20,7 @@
 	'no-server': 'no-capacity',
 	'no-memory': 'no-capacity',
 	paused: 'no-capacity',
+	limited: 'no-capacity',
 	'would-miss-target': 'target-missed',
 };
 
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -10,6 +10,7 @@
 import {type Clock, type Milliseconds, type Random} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type Places} from '../../../../ports/places.js';
+import {type RequestLimits} from '../../../../domain/create-request-limits/index.js';
 import {type Quotas} from '../../../../ports/quotas.js';
 import {type Reach} from '../../../../ports/reach.js';
 import {type SharedRetryPool} from '../../../../ports/retries.js';
@@ -55,6 +56,8 @@
 	loadSharing?: LoadSharing;
 	/** Limits of workspaces as all hosts keep them together; by default this host grants an equal part of each limit. */
 	quotas?: Quotas;
+	/** Limits that servers state, if hosts tell each other. */
+	requestLimits?: RequestLimits;
 	/** Places at servers that report no load, as all hosts count them together; by default each host knows its own requests alone. */
 	places?: Places;
 	/** Whether this host reaches the servers of a pool, by its own calls and by what other hosts tell. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -6,14 +6,18 @@
 import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
 import {createNativeCalls} from '../../../adapters/native-calls/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
-import {type CallerBounds} from '../../../ports/config.js';
+import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
+import {type AnswerHeaders} from '../../../ports/server-calls.js';
 import {createEngines} from '../../_engines/index.js';
 import {reportSlo, startOperations, toSloSample} from '../../_operations/index.js';
 import {createAccounts} from '../accounts/index.js';
+import {createServerLimits} from '../server-limits/index.js';
 import {startTicker} from '../start-ticker/index.js';
 import {watchPauses} from '../watch-pauses/index.js';
 import {createLocalQuotas} from '../_lib/create-local-quotas.js';
+import {noteStatedLimit} from '../_lib/note-stated-limit.js';
 import {createNoticeHandler} from '../_lib/create-notice-handler.js';
 import {createRunServices} from '../_lib/create-run-services.js';
 import {type FleetLink} from '../_lib/join-fleet.js';
@@ -179,6 +183,17 @@
 		},
 		notePause: (server, pauseMs) => run.services.placement.notePause(server, pauseMs, clock.now()),
 	});
+	const quotas = options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1});
+	const serverLimits = createServerLimits({
+		limits: options.requestLimits ?? createRequestLimits(),
+		quotas,
+		clock,
+		log,
+		noteLimited(server, limitedMs) {
+			run.services.placement.noteLimited(server, limitedMs, clock.now());
+		},
+		countHeldBack: counters.countHeldBack,
+	});
 	const ctx: ServeContext = {
 		services: run.services,
 		limits,
@@ -186,7 +201,7 @@
 		accounts,
 		registry,
 		claims: link.claims,
-		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice}) ?? createNativeCalls({toView: () => link.toView()}),
+		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice, onCall: noteCall}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
 		places: options.places,
 		reach: options.reach,
@@ -195,7 +210,8 @@
 		countPassedOn: counters.countPassedOn,
 		streamOrigins: options.streamOrigins,
 		countStream: counters.countStream,
-		quotas: options.quotas ?? createLocalQuotas({clock, countHosts: () => link.toView()?.accepted?.config.hosts.length ?? 1}),
+		quotas,
+		serverLimits,
 		suspects,
 		log,
 		onEnded(ended) {
@@ -203,6 +219,13 @@
 			ledger.addSample(toSloSample(ended), clock.now());
 		},
 	};
+	function noteCall(server: ServerEntry) {
+		const calledAt = clock.now();
+		return (status: number, headers: AnswerHeaders): void => {
+			noteStatedLimit(ctx, server, {status, headers, calledAt});
+		};
+	}
+
 	const ticker = startTicker({
 		tick() {
 			run.services.gate.tick();
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -12,6 +12,7 @@
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createStreamOrigins, type StreamOriginsTable} from '../../../domain/create-stream-origins/index.js';
 import {createWorkspaceQuotas, type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
+import {type RequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport} from '../../../ports/crash-reports.js';
@@ -21,6 +22,7 @@
 import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {logQuarantined} from '../../entry/_lib/quarantine.js';
+import {logLimit} from '../../entry/server-limits/index.js';
 import {createCrashReporter} from './_lib/create-crash-reporter.js';
 import {createStartWatch} from './_lib/create-start-watch.js';
 
@@ -35,6 +37,8 @@
 	log: Log;
 	/** Requests suspected of crashing servers. */
 	suspects: CrashSuspects;
+	/** Limits that servers state; hosts that are not given any tell none. */
+	limits?: RequestLimits;
 	/** Pools whose servers answered this host lately. */
 	toAnswers?: (now: Milliseconds) => readonly PoolAnswer[];
 	/** Called for what another host tells of the pools whose servers answered it. */
@@ -97,7 +101,7 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<LoadExchange> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log, suspects, toAnswers, onAnswers, open = openLoadDatagrams,
+		address, seeds, host, zone, incarnation, clock, log, suspects, limits, toAnswers, onAnswers, open = openLoadDatagrams,
 	} = options;
 	const peers = createPeerList({self: address, zone, seeds});
 	const shared = createSharedLoads({toMaxAgeMs: now => maxMissedMessages * (peers.isLarge(now) ? roundMs : keepAliveMs)});
@@ -159,6 +163,10 @@
 			reporter.noteHeard(from, message.incarnation, now);
 
 			onAnswers?.(from, message.answers ?? []);
+			for (const server of limits?.merge(message.limits ?? [], now) ?? []) {
+				logLimit(log, server, limits?.toPerSecond(server, now));
+			}
+
 			peers.noteAdvertised(message.peers, now);
 			for (const fingerprint of suspects.mergeReports(message.crashes, now)) {
 				logQuarantined(log, suspects, {fingerprint, now, peer: message.host});
@@ -177,9 +185,10 @@
 
 		const now = clock.now();
 		const answers = toAnswers?.(now);
+		const stated = limits?.toShared(now) ?? [];
 		sequence++;
 		socket.send({
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}),
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}),
 		}, to);
 	}
 
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -6,6 +6,7 @@
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {probeConnection} from '../../../adapters/probe-connection/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {toRetryShare} from '../../../domain/to-retry-share/index.js';
 import {type Clock, type Milliseconds, type Random} from '../../../ports/clock.js';
@@ -83,8 +84,9 @@
 	const links = watchLinks({
 		clock, random, log, toView: () => toView(), probe: probeConnection,
 	});
+	const requestLimits = createRequestLimits();
 	const loadSharing = await openLoadSharing({
-		settings, clock, log, suspects, links,
+		settings, clock, log, suspects, requestLimits, links,
 	}, incarnation);
 	let isConnected = () => false;
 	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
@@ -132,6 +134,7 @@
 		health: relayHealth,
 		createEngine: createUnusedEngine,
 		suspects,
+		requestLimits,
 		...(loadSharing && {
 			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock), streamOrigins: askOrigins(loadSharing.origins, clock),
 		}),
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -203,6 +203,29 @@
 		assert.equal(calls.parseHints({model: 'm'}).resumption, undefined);
 	});
 
+	it('reads how many requests a second a server takes', () => {
+		const cases: ReadonlyArray<[string | string[] | undefined, number | 'none' | 'unreadable']> = [
+			[undefined, 'none'],
+			['4.8', 4.8],
+			['0', 0],
+			['1e9', 1e9],
+			['4.8, 1.9', 1.9],
+			[['4.8', '1.9'], 1.9],
+			['many, 1.9', 1.9],
+			['-1', 'unreadable'],
+			['', 'unreadable'],
+			['many', 'unreadable'],
+			['Infinity', 'unreadable'],
+		];
+		for (const [header, limit] of cases) {
+			for (const status of [200, 500, 503]) {
+				assert.equal(calls.readLimit!(status, {'server-limit': header}), limit, `${status} ${String(header)}`);
+			}
+		}
+
+		assert.equal(calls.readLimit!(421, {'server-limit': '4.8'}), undefined, 'another server answered');
+	});
+
 	it('announce that a server is leaving, with any status except 421, which comes from another instance', () => {
 		const leaving = {'server-leaving': '1'};
 		for (const status of [200, 500, 503]) {
