--- a/bench/main.ts
+++ b/bench/main.ts
@@ -27,6 +27,7 @@
 	'split-pool',
 	'lost-links',
 	'stream-origins',
+	'server-limits',
 ] as const;
 
 type BenchName = typeof benches[number];
