Date a server's limit by the answer that stated it, and never pick it twice at once

Read once more: a host that had not heard of a lower limit dated the one it knew by the time of its question, and so overrode the lower one at the keeper until it was told. And a denial without a time to wait, as a malformed message can state it, would have let a pick return the same server again and again.

--- a/src/domain/create-request-limits/index.ts
+++ b/src/domain/create-request-limits/index.ts
@@ -11,6 +11,8 @@
 	merge: (shared: readonly SharedLimit[], now: Milliseconds) => readonly ServerId[];
 	/** Requests a second that the server takes; `undefined` without a limit. */
 	toPerSecond: (server: ServerId, now: Milliseconds) => number | undefined;
+	/** Time since the call began whose answer last stated something; `undefined` if nothing is known. */
+	toAgeMs: (server: ServerId, now: Milliseconds) => Milliseconds | undefined;
 	/** Limits and ends of limits for other hosts, the latest first. */
 	toShared: (now: Milliseconds) => readonly SharedLimit[];
 };
@@ -90,6 +92,10 @@
 			const entry = known.get(server);
 			return entry === undefined || now - entry.statedAt > keepMs ? undefined : entry.perSecond;
 		},
+		toAgeMs(server, now) {
+			const entry = known.get(server);
+			return entry && now - entry.statedAt;
+		},
 		toShared(now) {
 			dropOld(now);
 			return [...known].slice(-maxShared).toReversed().map(([server, {perSecond, statedAt}]) => ({server, perSecond, ageMs: now - statedAt}));
--- a/src/domain/create-request-limits/test.ts
+++ b/src/domain/create-request-limits/test.ts
@@ -9,6 +9,8 @@
 		assert.equal(limits.noteAnswer('a', 'none', 50), false);
 		assert.equal(limits.noteAnswer('a', 4.8, 200), false);
 		assert.equal(limits.toPerSecond('a', 200), 4.8);
+		assert.equal(limits.toAgeMs('a', 250), 50);
+		assert.equal(limits.toAgeMs('b', 250), undefined);
 		assert.equal(limits.noteAnswer('a', 1.9, 300), true);
 		assert.equal(limits.toPerSecond('a', 300), 1.9);
 	});
--- a/src/programs/entry/server-limits/index.ts
+++ b/src/programs/entry/server-limits/index.ts
@@ -28,6 +28,9 @@
 /** Room for a request that needs two calls at a server, above what comes at once. */
 const burstRequests = 2;
 
+/** Shortest time for which a server without room is passed over, so that another pick does not return it at once. */
+const minLimitedMs: Milliseconds = 10;
+
 /** Sets the counts of servers apart from those of workspaces. */
 const toQuotaName = (server: ServerId): string => `server-limit/${server}`;
 
@@ -39,13 +42,19 @@
  */
 export function createServerLimits({limits, quotas, clock, log, noteLimited, countHeldBack}: ServerLimitsOptions): ServerLimits {
 	function toSpend(server: ServerId, requests: number): QuotaSpend | undefined {
-		const perSecond = limits.toPerSecond(server, clock.now());
-		return perSecond === undefined
-			? undefined
-			: {
-				// All hosts must agree which of two limits is the later one, and share nothing but the time of day.
-				workspace: toQuotaName(server), cost: requests, edition: Math.floor(clock.wallNow()), rate: {perSecond, burst: burstRequests + (perSecond * burstSeconds)},
-			};
+		const now = clock.now();
+		const perSecond = limits.toPerSecond(server, now);
+		if (perSecond === undefined) {
+			return undefined;
+		}
+
+		return {
+			workspace: toQuotaName(server),
+			cost: requests,
+			// Where hosts know different limits, the later one applies, by the time of day as all hosts have it.
+			edition: Math.floor(clock.wallNow() - (limits.toAgeMs(server, now) ?? 0)),
+			rate: {perSecond, burst: burstRequests + (perSecond * burstSeconds)},
+		};
 	}
 
 	return {
@@ -56,14 +65,15 @@
 			}
 
 			const {isGranted, waitMs} = await quotas.take(spend);
-			if (waitMs > 0) {
-				noteLimited(id, waitMs);
-			}
-
 			if (!isGranted) {
 				countHeldBack();
 			}
 
+			const limitedMs = isGranted ? waitMs : Math.max(minLimitedMs, waitMs);
+			if (limitedMs > 0) {
+				noteLimited(id, limitedMs);
+			}
+
 			return isGranted;
 		},
 		giveBack({id}, requests) {
