Take crashes that other hosts report as the ends of their servers

Callers saw: a request that ends what runs it was sent on after three servers had ended under it.

Cause: design/022 names connections that broke at another host among the signs that a server has ended, and the code took only this host's own; found by reading the change once more. Where the requests beside the culprit run at other hosts, a run without an answer waited for the lapse of the entry.

Change: mergeCrashReports gives each reported crash to the runs without proof; one that turns out to live drops it, as before. Test red without it by construction (the function is new).

--- a/src/programs/entry/_lib/quarantine.test.ts
+++ b/src/programs/entry/_lib/quarantine.test.ts
@@ -4,7 +4,7 @@
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {createCollectedLines} from '../../../../test/_lib/create-collected-lines/index.js';
 import {type RunEnd} from '../../../domain/judge-run-end/index.js';
-import {noteRunEnd} from './quarantine.js';
+import {mergeCrashReports, noteRunEnd} from './quarantine.js';
 import {type ServeContext} from './serve-types.js';
 
 function createServe() {
@@ -96,3 +96,27 @@
 		assert.equal(suspects.crashedServers('f', 0).length, 0);
 	});
 });
+
+/* Guards against a request that ends servers after its callers have left, while the requests beside it run at other hosts. */
+describe('mergeCrashReports', () => {
+	it('counts runs without an answer at a server of which another host reports that it closed connections', () => {
+		const {ctx, suspects, lines} = createServe();
+		for (const server of ['a', 'b', 'c']) {
+			noteRunEnd({
+				fingerprint: 'f', server, startedAt: -1000, end: {kind: 'without-answer'},
+			}, ctx);
+		}
+
+		const toReport = (server: string, ageMs: number) => ({fingerprint: `beside-${server}`, idleMs: ageMs, crashes: [{server, ageMs}]});
+		const merge = (reports: ReadonlyArray<ReturnType<typeof toReport>>) => {
+			mergeCrashReports(reports, {
+				suspects, now: 0, log: ctx.log, peer: 'another',
+			});
+		};
+
+		merge([toReport('a', 10), toReport('b', 10), toReport('c', 5000)]);
+		assert.deepEqual(suspects.crashedServers('f', 0), ['a', 'b'], 'one server ended before the run began');
+		merge([toReport('c', 10)]);
+		assert.deepEqual(lines().filter(({message}) => message === 'request quarantined').map(({fingerprint}) => fingerprint), ['f']);
+	});
+});
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -5,6 +5,7 @@
 import {judgeRunEnd, type RunEnd} from '../../../domain/judge-run-end/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {type CrashReport} from '../../../ports/crash-reports.js';
 import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
 import {type Outcome} from '../../../ports/outcome.js';
 import {msPerSecond} from '../../../ports/units.js';
@@ -64,6 +65,23 @@
 	}
 }
 
+/**
+ * Merges reports of another host. The server of a reported crash may have ended under
+ * runs of this host too, which had no answer.
+ *
+ * @param reports - The reports.
+ * @param ctx - Crashes by request, clock and log, and the reporting host.
+ */
+export function mergeCrashReports(reports: readonly CrashReport[], {suspects, now, log, peer}: {suspects: CrashSuspects; now: Milliseconds; log: Log; peer: string}): void {
+	for (const fingerprint of suspects.mergeReports(reports, now)) {
+		logQuarantined(log, suspects, {fingerprint, now, peer});
+	}
+
+	for (const {server, ageMs} of reports.flatMap(({crashes}) => crashes).filter(crash => crash.ageMs <= entryLifetimeMs)) {
+		noteServerEnded(server, {from: now - ageMs - closeSpreadMs, to: now - ageMs}, {suspects, now, log});
+	}
+}
+
 /**
  * Records what the end of a call tells about the request: whether its server
  * survived, or may have ended under it.
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -21,7 +21,7 @@
 } from '../../../ports/ids.js';
 import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
-import {logQuarantined} from '../../entry/_lib/quarantine.js';
+import {mergeCrashReports} from '../../entry/_lib/quarantine.js';
 import {logLimit} from '../../entry/server-limits/index.js';
 import {createCrashReporter} from './_lib/create-crash-reporter.js';
 import {createStartWatch} from './_lib/create-start-watch.js';
@@ -168,9 +168,9 @@
 			}
 
 			peers.noteAdvertised(message.peers, now);
-			for (const fingerprint of suspects.mergeReports(message.crashes, now)) {
-				logQuarantined(log, suspects, {fingerprint, now, peer: message.host});
-			}
+			mergeCrashReports(message.crashes, {
+				suspects, now, log, peer: message.host,
+			});
 		},
 	});
 
