Let a host that decides alone about a server's limit wait for its part first

While hosts were killed one after the other, a server with a limit got more than it takes.

Cause: a host whose questions neither the keeper nor its successor answered granted a request by its own count, whatever its share: a bucket grants while it is above 0, and its debt is bounded. For a workspace's limit that is a small part; for 4.8 requests a second one request of each of 74 hosts is fifteen seconds of it.

Change: a spend can say that its limit is scarce; a host that decides alone then grants none at first, and one each time its part has paid for it.

Limits of workspaces are decided as before: nothing marks them.

--- a/src/domain/create-workspace-quotas/index.ts
+++ b/src/domain/create-workspace-quotas/index.ts
@@ -28,6 +28,9 @@
 /** Share of its equal part that a host may grant while it reaches no other, since the others may use more than their equal parts. */
 const aloneShare = 0.6;
 
+/** Maximum number of scarce limits that are counted; when it is exceeded, hosts wait for their part anew. */
+const maxScarce = 1024;
+
 /** Number of hosts assumed by a host that has just started and has heard of no other. */
 const assumedHosts = 20;
 
@@ -85,13 +88,33 @@
 	const keeper = createQuotaKeeper({startedAt, startupMs});
 	/** Counts what this host grants while it reaches no other. */
 	const aloneKeeper = createQuotaKeeper({startedAt, startupMs});
+	/** When this host may grant the next request of a scarce limit by itself. */
+	const scarceAt = new Map<WorkspaceId, Milliseconds>();
 	const questions = createQuestions<QuotaVerdict>({timeoutMs: answerTimeoutMs, missesToSilence, silentForMs});
 	/** Until when requests that cost at least as much are denied without a question. */
 	const denials = new Map<WorkspaceId, {until: Milliseconds; cost: number}>();
 	const {isSilent} = questions;
 
+	/** Grants a request each time this host's part of a scarce limit has paid for one, and none at first. */
+	function decideScarce({workspace, cost, rate}: QuotaSpend, share: number, now: Milliseconds): QuotaVerdict {
+		const everyMs = msPerSecond * cost / (rate.perSecond * share);
+		const earnedAt = scarceAt.get(workspace) ?? now + everyMs;
+		const isGranted = now >= earnedAt;
+		const nextAt = isGranted ? now + everyMs : earnedAt;
+		if (scarceAt.size >= maxScarce) {
+			scarceAt.clear();
+		}
+
+		scarceAt.set(workspace, nextAt);
+		return {isGranted, waitMs: Math.ceil(nextAt - now)};
+	}
+
 	function decideAlone(spend: QuotaSpend, now: Milliseconds): QuotaVerdict {
 		const hosts = peers.count() ?? (now - startedAt < startupMs ? assumedHosts : 1);
+		if (hosts > 1 && spend.isScarce === true) {
+			return decideScarce(spend, aloneShare / hosts, now);
+		}
+
 		return aloneKeeper.decide(spend, {share: hosts === 1 ? 1 : aloneShare / hosts, isSubstitute: hosts > 1}, now);
 	}
 
--- a/src/domain/create-workspace-quotas/test.ts
+++ b/src/domain/create-workspace-quotas/test.ts
@@ -38,11 +38,11 @@
 		}));
 	}
 
-	function take(host: string, cost: number, limit = rate): QuotaVerdict | undefined {
+	function take(host: string, cost: number, limit = rate, {isScarce = false} = {}): QuotaVerdict | undefined {
 		const quotas = hosts.get(host)!;
 		const settled: QuotaVerdict[] = [];
 		quotas.take({
-			workspace: 'w', cost, edition: 1, rate: limit,
+			workspace: 'w', cost, edition: 1, rate: limit, isScarce,
 		}, time.now, verdict => {
 			settled.push(verdict);
 		});
@@ -221,6 +221,20 @@
 		});
 	}
 
+	/* Guards against a server that gets a request from each host at once while the host that counts its requests is lost. */
+	it('grants none of a scarce limit at once where it decides alone, and later its part', () => {
+		const {take, time} = createHosts({[third]: {isAlone: true}});
+		const limit = {perSecond: 5, burst: 5};
+		assert.deepEqual(take(third, 1, limit, {isScarce: true}), {isGranted: false, waitMs: 3334});
+		let granted = 0;
+		const from = time.now;
+		for (; time.now < from + 100_000; time.now += 100) {
+			granted += take(third, 1, limit, {isScarce: true})!.isGranted ? 1 : 0;
+		}
+
+		assert.ok(granted >= 28 && granted <= 30, `${granted} of 30`);
+	});
+
 	it('gives back to the keeper and its successor alone', () => {
 		const {hosts, sent, time, take, countGranted} = createHosts();
 		countGranted(third, 25, slow);
--- a/src/ports/quotas.ts
+++ b/src/ports/quotas.ts
@@ -20,6 +20,8 @@
 	/** Edition of the sender's configuration; of two limits the one of the later edition applies. */
 	edition: number;
 	rate: BucketRate;
+	/** Whether one request of each host at once would exceed the limit, so that a host that decides alone must first wait for its part. Not told to other hosts. */
+	isScarce?: boolean;
 };
 
 export type QuotaVerdict = {
--- a/src/programs/entry/server-limits/index.ts
+++ b/src/programs/entry/server-limits/index.ts
@@ -54,6 +54,7 @@
 			// Where hosts know different limits, the later one applies, by the time of day as all hosts have it.
 			edition: Math.floor(clock.wallNow() - (limits.toAgeMs(server, now) ?? 0)),
 			rate: {perSecond, burst: burstRequests + (perSecond * burstSeconds)},
+			isScarce: true,
 		};
 	}
 
--- a/src/programs/relay/share-loads/_test/create-limited-server.ts
+++ b/src/programs/relay/share-loads/_test/create-limited-server.ts
@@ -95,7 +95,7 @@
 		}
 
 		take(host, {
-			workspace: `server-limit/${limitedServer.id}`, cost: 1, edition: now, rate: {perSecond, burst: 2 + (perSecond / 4)},
+			workspace: `server-limit/${limitedServer.id}`, cost: 1, edition: now, rate: {perSecond, burst: 2 + (perSecond / 4)}, isScarce: true,
 		}, now, ({isGranted, waitMs}) => {
 			passedOverUntil.set(host, fleet.now() + waitMs);
 			if (isGranted) {
