Name the parts that a request's prompt shares in its log line

The parts are parsed in platform/ (Prompt-Prefix, all but the last; malformed, repeated and endless headers have a defined result), keyed by pool and model, and written to `request received`. Nothing is decided by them.

--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -7,6 +7,7 @@
 	// Course of a request.
 	'requestId',
 	'fingerprint',
+	'parts',
 	'attempt',
 	'workspace',
 	'rule',
--- a/src/adapters/native-calls/index.ts
+++ b/src/adapters/native-calls/index.ts
@@ -6,7 +6,7 @@
 
 /** The native interface has no headers with hints about a plain request. */
 const noHints: RequestHints = {
-	timeoutMs: undefined, model: undefined, promptTokens: 0, maxTokens: 0, estimatedTokens: undefined,
+	timeoutMs: undefined, model: undefined, promptTokens: 0, maxTokens: 0, sharedParts: [], estimatedTokens: undefined,
 };
 
 /**
--- a/src/ports/ids.ts
+++ b/src/ports/ids.ts
@@ -27,6 +27,9 @@
 /** Identifies the content of a request: equal for all repeats of the request, which have different request ids. */
 export type Fingerprint = string;
 
+/** Identifies a part of a prompt among the requests of one pool and model: equal for all requests whose prompts share the part. */
+export type PartKey = string;
+
 /** Number of an attempt within its request, starting at 1. */
 export type AttemptNumber = number;
 
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -19,6 +19,8 @@
 	promptTokens: number;
 	/** Maximum number of tokens of the answer. */
 	maxTokens: number;
+	/** Ids of the parts of the prompt that other requests may share, in order. */
+	sharedParts: readonly string[];
 	/** The caller's estimate of the answer's tokens: right at the median, often far off for a single request. */
 	estimatedTokens: number | undefined;
 	/** Present if the request continues a stream that the caller has a part of. */
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -4,7 +4,7 @@
 import {type FailedAttempt} from '../../../../domain/create-retry-budget/index.js';
 import {type PromptCache, type RequestHints} from '../../../../ports/server-calls.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
-import {type Fingerprint, type ServerId} from '../../../../ports/ids.js';
+import {type Fingerprint, type PartKey, type ServerId} from '../../../../ports/ids.js';
 import {type Outcome} from '../../../../ports/outcome.js';
 import {type Account} from '../../accounts/index.js';
 import {type RelayedEvents} from '../../send-plain/index.js';
@@ -25,6 +25,8 @@
 	log: Log;
 	/** The same for each repeat of the request; `undefined` if its body is streamed. */
 	fingerprint: Fingerprint | undefined;
+	/** Parts of the prompt that other requests may share. */
+	parts: readonly PartKey[];
 	/** Hints about the request from the caller's headers. */
 	work: RequestHints;
 	body: PlainBody;
--- a/src/programs/entry/open-stream/test.ts
+++ b/src/programs/entry/open-stream/test.ts
@@ -67,7 +67,7 @@
 		exchange: {requestId: 'own', headers: {}, ...(given.passed && {passed: given.passed})} as unknown as CallerExchange,
 		route: {workspace, rule: rule as Rule, pool: pools[0]!} as unknown as Route,
 		work: {
-			timeoutMs: 9000, model: undefined, promptTokens: 0, maxTokens: 0, estimatedTokens: undefined, ...(given.resumption && {resumption: given.resumption}),
+			timeoutMs: 9000, model: undefined, promptTokens: 0, maxTokens: 0, sharedParts: [], estimatedTokens: undefined, ...(given.resumption && {resumption: given.resumption}),
 		},
 		ctx: ctx as ServeContext,
 		account: account as Account,
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -10,6 +10,7 @@
 import {type ServiceClass} from '../../../ports/outcome.js';
 import {type Fingerprint} from '../../../ports/ids.js';
 import {toFingerprint} from '../../../domain/to-fingerprint/index.js';
+import {toPartKeys} from '../../../domain/to-part-keys/index.js';
 import {toMinFullPoolRetryAfter, toFullPoolRetryAfter} from '../../../domain/to-full-pool-retry-after/index.js';
 import {
 	toEarlierWaitMs, toWaitPolicy, type WaitPolicy, type WaitPolicyInput,
@@ -213,8 +214,9 @@
 	}
 
 	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity, exchange.passed?.deadlineInMs ?? Infinity);
+	const parts = toPartKeys(work.sharedParts, {pool: opened.value.route.pool.name, model: work.model});
 	const run = async (caller: CallerExchange): Promise<KeyedVerdict> => runRouted({
-		exchange: caller, ...opened.value, ctx, clients, account, log, receivedAt, work, body: body.value, deadline, fingerprint,
+		exchange: caller, ...opened.value, ctx, clients, account, log, receivedAt, work, body: body.value, deadline, fingerprint, parts,
 	});
 	// The host that passed a request on has charged it.
 	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => caller.passed === undefined
@@ -239,7 +241,7 @@
 
 async function runRouted(input: Omit<PlainRunInput, 'signal'>): Promise<KeyedVerdict> {
 	const {
-		exchange, route, ctx, account, work, deadline, fingerprint,
+		exchange, route, ctx, account, work, deadline, fingerprint, parts,
 	} = input;
 	const control = openRunControl(ctx.registry, exchange, now => now > deadline && !exchange.isStarted());
 	const timer = route.rule.then.relay === undefined ? undefined : abortAfter(control, deadline - ctx.services.clock.now());
@@ -247,7 +249,7 @@
 		workspace: route.workspace, rule: route.rule.name, pool: route.pool.name, class: route.rule.then.class, isAuthenticated: route.isAuthenticated,
 	});
 	ctx.log.info('request received', {
-		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint, ...work.resumption,
+		requestId: exchange.requestId, workspace: route.workspace, rule: route.rule.name, class: route.rule.then.class, edition: route.edition, pool: route.pool.name, fingerprint, ...(parts.length > 0 && {parts: parts.join(' ')}), ...work.resumption,
 	});
 	try {
 		const run = createPlainRun({...input, signal: control.signal});
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -186,7 +186,7 @@
 		assert.deepEqual(calls.parseHints({
 			'token-count': '1460,80', 'length-hint': '40', 'deadline-ms': '1000', model: 'm',
 		}), {
-			timeoutMs: 1000, model: 'm', promptTokens: 1460, maxTokens: 80, estimatedTokens: 40,
+			timeoutMs: 1000, model: 'm', promptTokens: 1460, maxTokens: 80, sharedParts: [], estimatedTokens: 40,
 		});
 		fc.assert(fc.property(fc.string(), fc.string(), fc.string(), (tokens, hint, deadline) => {
 			const work = calls.parseHints({'token-count': tokens, 'length-hint': hint, 'deadline-ms': deadline});
@@ -196,6 +196,18 @@
 		}));
 	});
 
+	it('name the parts of a prompt that requests share: all but the last, once each, without what is malformed', () => {
+		const toParts = (prefix: string | undefined) => calls.parseHints({...(prefix !== undefined && {'prompt-prefix': prefix})}).sharedParts;
+		assert.deepEqual(toParts('5c1e07a2:800,91bd3f06:410,e4402b7d:250'), ['5c1e07a2', '91bd3f06']);
+		assert.deepEqual(toParts('a:1, b:2 ,a:3,c:4'), ['a', 'b']);
+		assert.deepEqual(['e4402b7d:250', '', ',', undefined].map(prefix => toParts(prefix)), [[], [], [], []]);
+		assert.deepEqual(toParts(`a:1,,:5,a b:1,${'x'.repeat(65)}:1,b,c:1`), ['a', 'b']);
+		assert.equal(toParts(Array.from({length: 5000}, (_, i) => `${i}:1`).join(',')).length, 64);
+		fc.assert(fc.property(fc.string(), prefix => {
+			assert.ok(toParts(prefix).every(id => id.length <= 64));
+		}));
+	});
+
 	it('name the stream that a request continues, and nothing for a request that begins one', () => {
 		assert.deepEqual(calls.parseHints({resumes: '9c41', 'last-event-id': '17'}).resumption, {resumes: '9c41', lastEventId: '17'});
 		assert.deepEqual(calls.parseHints({'last-event-id': '17'}).resumption, {resumes: undefined, lastEventId: '17'});
