--- a/test/failures/_lib/crash-servers.ts
+++ b/test/failures/_lib/crash-servers.ts
@@ -32,11 +32,12 @@
 	await waitUntil(() => Array.from({length: hosts}, (_, i) => isUpToDate(i)).every(Boolean), {deadlineMs, what: 'all hosts to know the restarted servers and no others'});
 }
 
-/** Sends the request, to the hosts in turn, until the given number of servers have crashed. */
-export async function crashServers(fixture: RelayFixture, asked: RelayCall, {crashes, hosts}: {crashes: number; hosts: number}): Promise<void> {
+/** Sends the request, or the one that a function returns for each call, to the hosts in turn, until the given number of servers have crashed. */
+export async function crashServers(fixture: RelayFixture, asked: RelayCall | ((sent: number) => RelayCall), {crashes, hosts}: {crashes: number; hosts: number}): Promise<void> {
 	for (let sent = 0; countCrashes(fixture) < crashes; sent++) {
 		assert.ok(sent < 10 * crashes, 'too few servers crashed after ten requests for each expected crash');
-		await fixture.ask({...asked, at: sent % hosts});
+		const call = typeof asked === 'function' ? asked(sent) : asked;
+		await fixture.ask({...call, at: sent % hosts});
 		await sleep(endMs);
 		await publishRestarts(fixture, hosts);
 	}
