--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -17,6 +17,7 @@
 import {type QuotaMessage} from '../../ports/quotas.js';
 import {type OriginMessage} from '../../ports/stream-origins.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
+import {fromPartRows, partRowsSchema, toPartRows} from './_lib/part-rows.js';
 
 /** Largest datagram that is not fragmented by the network. */
 export const maxDatagramBytes = 1400;
@@ -78,25 +79,27 @@
 
 /**
  * Encodes a message. If it does not fit into one datagram, loads are left out,
- * the smallest first, and then crash reports, the last first.
+ * the smallest first, then crash reports of requests and then those of parts, the
+ * last first.
  *
  * @param message - The message.
  * @returns One datagram.
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking, crashes, reachedShare, answers, limits = [],
+		host, zone, incarnation, sequence, peers, isAsking, crashes, partCrashes = [], reachedShare, answers, limits = [],
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
 	const reports = crashes.map(report => toReportRow(report));
 	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
 	const limitRows = limits.map(({server, perSecond, ageMs}) => [server, perSecond ?? null, Math.round(ageMs)]);
-	const added = toAddedItems([reachedShare, answerRows, limitRows.length === 0 ? undefined : limitRows]);
+	const parts = [...partCrashes];
 	for (;;) {
 		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
+		const added = toAddedItems([reachedShare, answerRows, limitRows.length === 0 ? undefined : limitRows, parts.length === 0 ? undefined : toPartRows(parts)]);
 		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...added]);
-		const cut = loads.length > 0 ? loads : reports;
+		const cut = [loads, reports].find(({length}) => length > 0) ?? parts;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
 		}
@@ -106,7 +109,7 @@
 }
 
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows] = row;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs]) => ({
 		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}),
@@ -123,6 +126,7 @@
 		...(v.is(reachedShareSchema, reachedShare) && {reachedShare}),
 		...(v.is(answersSchema, answerRows) && {answers: answerRows.map(([pool, ageMs]) => ({pool, ageMs}))}),
 		...(v.is(limitsSchema, limitRows) && {limits: limitRows.map(([server, perSecond, ageMs]) => ({server, perSecond: perSecond ?? undefined, ageMs}))}),
+		...(v.is(partRowsSchema, partRows) && {partCrashes: fromPartRows(partRows)}),
 	};
 }
 
--- a/src/domain/create-crash-suspects/_lib/create-latest-times.ts
+++ b/src/domain/create-crash-suspects/_lib/create-latest-times.ts
@@ -5,6 +5,7 @@
 	note: (key: string, at: Milliseconds) => void;
 	/** The latest time of the key; `-Infinity` if none is known. */
 	get: (key: string) => Milliseconds;
+	entries: () => ReadonlyArray<[string, Milliseconds]>;
 };
 
 /**
@@ -32,5 +33,6 @@
 			times.set(key, at);
 		},
 		get,
+		entries: () => [...times],
 	};
 }
--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -9,10 +9,17 @@
 	crashesToQuarantine?: number;
 	/** Time after which a request that has not recurred is forgotten, milliseconds. */
 	forgetMs?: Milliseconds;
-	/** Maximum number of suspects; when it is exceeded, suspects that are not quarantined are evicted first, least recently seen first. */
+	/** Maximum number of suspects; when it is exceeded, suspects that are not quarantined are evicted first, those with the fewest crashes and of these the least recently seen first. */
 	maxSuspects?: number;
+	/** Maximum number of crashes kept per request. */
+	maxCrashes?: number;
+	/** Picks the crash that makes room for a later one; without it, crashes beyond the maximum are not kept. */
+	pickSurplus?: (crashes: readonly Crash[]) => ServerId;
 };
 
+/** The end of a server while it ran the request. */
+export type Crash = {server: ServerId; at: Milliseconds};
+
 export type CrashSuspects = {
 	/** Records that the server closed the connection on which it was running the request; returns whether this puts the request in quarantine. */
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
@@ -29,6 +36,10 @@
 	/** Merges reports of another host; returns the requests that are newly quarantined. */
 	mergeReports: (reports: readonly CrashReport[], now: Milliseconds) => readonly Fingerprint[];
 	isQuarantined: (fingerprint: Fingerprint, now: Milliseconds) => boolean;
+	/** Crashes of the requests that have at least so many. */
+	listCrashes: (now: Milliseconds, minCrashes: number) => ReadonlyArray<{fingerprint: Fingerprint; crashes: readonly Crash[]}>;
+	/** Ends of servers under any request. */
+	listEnds: () => readonly Crash[];
 	/** Servers that ended while they ran the request. */
 	crashedServers: (fingerprint: Fingerprint, now: Milliseconds) => readonly ServerId[];
 	/** Reports for other hosts: all requests with repeated crashes, and requests with recent crashes of at least `minFreshCrashes` servers; rotates through them if there are more than `limit`. */
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -11,8 +11,9 @@
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
 import {createLatestTimes} from './_lib/create-latest-times.js';
-import {type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
+import {type Crash, type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
 
+export {createLatestTimes} from './_lib/create-latest-times.js';
 export type * from './_lib/types.js';
 
 type Suspect = {
@@ -36,12 +37,15 @@
 const defaultForgetMs: Milliseconds = 60 * msPerMinute;
 const defaultMaxSuspects = 2048;
 
-/** Maximum number of crashes kept per request, above the quarantine threshold as some may turn out not to be crashes. */
-const maxCrashesOfSuspect = 8;
+/** Above the quarantine threshold, as some crashes may turn out not to be any. */
+const defaultMaxCrashes = 8;
 
 /** Maximum number of servers whose latest answer is kept, so that restarts under new names can't fill the memory. */
 const maxAnsweringServers = 8192;
 
+/** Maximum number of servers whose end is kept. */
+const maxEndedServers = 256;
+
 /** Maximum number of requests whose survived runs are kept. */
 const maxSurvivedRequests = 4096;
 
@@ -69,13 +73,17 @@
  * ```
  */
 export function createCrashSuspects(options: CrashSuspectsOptions = {}): CrashSuspects {
-	const {crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects} = options;
+	const {
+		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, pickSurplus,
+	} = options;
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
 	/** Start time of the latest call that each server answered. */
 	const answeredAt = createLatestTimes(maxAnsweringServers);
 	/** End of the latest run of each request that its server survived, also of requests under which only other hosts have seen crashes. */
 	const survivedAt = createLatestTimes(maxSurvivedRequests);
+	/** Time at which each server ended, as far as it is known. */
+	const endedAt = createLatestTimes(maxEndedServers);
 	const changed = new Set<Fingerprint>();
 	const unresolved = createUnresolvedRuns();
 	let reportOffset = 0;
@@ -107,8 +115,20 @@
 			return;
 		}
 
-		const [oldest] = suspects.keys();
-		const [evicted = oldest] = [...suspects].find(([, suspect]) => !hasEnoughCrashes(suspect)) ?? [];
+		let evicted: Fingerprint | undefined;
+		let fewest = Infinity;
+		for (const [fingerprint, suspect] of suspects) {
+			const count = Math.min(crashesToQuarantine, toCrashes(suspect).length);
+			if (count < fewest) {
+				evicted = fingerprint;
+				fewest = count;
+			}
+
+			if (count === 0) {
+				break;
+			}
+		}
+
 		forget(evicted!);
 	}
 
@@ -139,22 +159,32 @@
 
 	/** Adds a crash unless it is known or is not a crash; returns whether it was added. */
 	function addCrash(suspect: Suspect, server: ServerId, at: Milliseconds): boolean {
+		endedAt.note(server, at);
 		const known = suspect.crashes.get(server);
 		const isKnown = known !== undefined && isCrash(suspect, server, known);
 		if (isKnown || !isCrash(suspect, server, at)) {
 			return false;
 		}
 
-		if (suspect.crashes.size >= maxCrashesOfSuspect) {
+		if (suspect.crashes.size >= maxCrashes) {
 			suspect.crashes = new Map(toCrashes(suspect));
 		}
 
-		const hasRoom = suspect.crashes.size < maxCrashesOfSuspect;
-		if (hasRoom) {
+		if (suspect.crashes.size < maxCrashes) {
 			suspect.crashes.set(server, at);
+			return true;
 		}
 
-		return hasRoom;
+		return replaceSurplus(suspect, {server, at});
+	}
+
+	/** Replaces a crash by one that tells more; returns whether there was any. */
+	function replaceSurplus(suspect: Suspect, crash: Crash): boolean {
+		const crashes = [...toCrashes(suspect).map(([server, at]) => ({server, at})), crash];
+		const surplus = pickSurplus?.(crashes) ?? crash.server;
+		suspect.crashes.set(crash.server, crash.at);
+		suspect.crashes.delete(surplus);
+		return surplus !== crash.server;
 	}
 
 	/** Adds crashes of a request; returns whether they put the request in quarantine. */
@@ -187,7 +217,7 @@
 		return {
 			fingerprint,
 			idleMs: now - suspect.seenAt,
-			crashes: toCrashes(suspect).slice(0, crashesToQuarantine).map(([server, at]) => ({server, ageMs: now - at})),
+			crashes: toCrashes(suspect).slice(0, pickSurplus === undefined ? crashesToQuarantine : maxCrashes).map(([server, at]) => ({server, ageMs: now - at})),
 			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
 		};
 	}
@@ -213,10 +243,10 @@
 		},
 		noteSurvived,
 		noteUnresolved({fingerprint, server, startedAt, isWhole}, now) {
-			const endedAt = unresolved.add({
+			const end = unresolved.add({
 				fingerprint, server, startedAt, endedAt: now, isWhole,
 			});
-			return endedAt !== undefined && noteCrashes(fingerprint, {seenAt: now, crashes: [[server, endedAt]]}, now);
+			return end !== undefined && noteCrashes(fingerprint, {seenAt: now, crashes: [[server, end]]}, now);
 		},
 		noteServerEnded(server, period, now) {
 			return unresolved.takeEnded(server, period)
@@ -240,6 +270,15 @@
 			const suspect = find(fingerprint, now);
 			return suspect !== undefined && hasEnoughCrashes(suspect);
 		},
+		listCrashes(now, minCrashes) {
+			return [...suspects]
+				.filter(([, {crashes, seenAt}]) => crashes.size >= minCrashes && now - seenAt <= forgetMs)
+				.map(([fingerprint, suspect]) => ({fingerprint, crashes: toCrashes(suspect).map(([server, at]) => ({server, at}))}))
+				.filter(({crashes}) => crashes.length >= minCrashes);
+		},
+		listEnds() {
+			return endedAt.entries().map(([server, at]) => ({server, at})).filter(({server, at}) => at >= answeredAt.get(server));
+		},
 		crashedServers(fingerprint, now) {
 			const suspect = find(fingerprint, now);
 			return suspect === undefined ? [] : toCrashes(suspect).map(([server]) => server);
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -33,6 +33,8 @@
 	remoteRequesters: (now: Milliseconds) => readonly string[];
 	/** Hosts that collect the reports of all others on a key: the same few on all hosts that know the same hosts, and one of the own zone. */
 	collectors: (key: string) => readonly string[];
+	/** Whether this host is ranked first for a key; hosts that know the same hosts rank the same one first. */
+	isFirstFor: (key: string) => boolean;
 	/** Hosts that keep a record beside this one; hosts that know the same hosts pick the same, but for one of the own zone. */
 	recordKeepers: (key: string, now: Milliseconds) => readonly string[];
 	/** Whether there are too many hosts for each to send every change to all others. */
@@ -230,6 +232,7 @@
 			const picked = [...pickRanked(key, [self, ...known.keys()], collectorsOfKey), ...pickRanked(key, [self, ...ofZone], 1)];
 			return [...new Set(picked)].filter(address => address !== self);
 		},
+		isFirstFor: key => pickRanked(key, [self, ...known.keys()], 1)[0] === self,
 		recordKeepers: (key, now) => pickRecordKeepers(key, {
 			self, zone, others: [...known].map(([address, peer]) => ({address, zone: peer.zone})), isLarge: choose(now).isLarge,
 		}),
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -34,6 +34,7 @@
 	'origin-unknown': [503, 'It is not known which servers can continue the stream'],
 	'no-configuration': [503, 'No configuration is in force yet'],
 	quarantined: [503, 'The request crashes backend servers'],
+	'part-quarantined': [503, 'A part of the prompt crashes backend servers'],
 	stopping: [503, 'This host is stopping'],
 	'too-many-connections': [503, 'Too many connections are open'],
 	'target-missed': [503, 'The request would miss its target'],
--- a/src/domain/to-request-history/index.ts
+++ b/src/domain/to-request-history/index.ts
@@ -39,6 +39,7 @@
 	'no-rule': 'no rule matches the request',
 	'origin-gone': 'no server of the software version that began the stream is left',
 	'origin-unknown': 'no host that answers knows which servers began the stream',
+	'part-quarantined': 'several servers crashed while they ran requests that share a part of its prompt (parts)',
 	quarantined: 'several servers crashed while they ran the request or a repetition of it',
 };
 
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -40,6 +40,8 @@
 	loads: readonly HostLoad[];
 	/** Requests during which servers crashed. */
 	crashes: readonly CrashReport[];
+	/** Parts of prompts during whose requests servers crashed, each with its key in place of a fingerprint; absent from hosts that do not tell them. */
+	partCrashes?: readonly CrashReport[];
 	/** Some of the hosts that the sender knows, for receivers that don't know them yet. */
 	peers: readonly NamedPeer[];
 	/** Whether the sender asks the receiver for a message in return. */
--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -92,12 +92,13 @@
 			dropped.add({cause: cause === 'crossed' ? 'other-request' : 'repeated'});
 		},
 		/** Registers the gauges that are sampled at each scrape. */
-		sample(samples: Readonly<Record<'inProgress' | 'waiting' | 'openAnswers' | 'cancelsPending' | 'quarantined', () => number>>) {
+		sample(samples: Readonly<Record<'inProgress' | 'waiting' | 'openAnswers' | 'cancelsPending' | 'quarantined' | 'quarantinedParts', () => number>>) {
 			metrics.createSampledGauge({name: 'requests_in_progress', help: 'Requests that a rule decided about and that have not ended.', sample: samples.inProgress});
 			metrics.createSampledGauge({name: 'requests_waiting', help: 'Requests that wait for room.', sample: samples.waiting});
 			metrics.createSampledGauge({name: 'answers_open', help: 'Answers to callers that are not sent whole.', sample: samples.openAnswers});
 			metrics.createSampledGauge({name: 'cancels_pending', help: 'Cancels that engines have not confirmed.', sample: samples.cancelsPending});
 			metrics.createSampledGauge({name: 'quarantined_requests', help: 'Requests that are not run any more, as servers crashed under them.', sample: samples.quarantined});
+			metrics.createSampledGauge({name: 'quarantined_parts', help: 'Parts of prompts, or groups of them, whose requests are not run any more, as servers crashed under them.', sample: samples.quarantinedParts});
 		},
 		cancels,
 		pauses,
--- a/src/programs/entry/_lib/quarantine.test.ts
+++ b/src/programs/entry/_lib/quarantine.test.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import {createLog} from '../../../adapters/log/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createCollectedLines} from '../../../../test/_lib/create-collected-lines/index.js';
 import {type RunEnd} from '../../../domain/judge-run-end/index.js';
 import {mergeCrashReports, noteRunEnd} from './quarantine.js';
@@ -13,7 +14,9 @@
 	const log = createLog({
 		level: 'info', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: collected.sink,
 	});
-	const ctx = {suspects, log, services: {clock: {now: () => 0, wallNow: () => 0}}} as unknown as ServeContext;
+	const ctx = {
+		suspects, partQuarantine: createPartQuarantine(), log, services: {clock: {now: () => 0, wallNow: () => 0}},
+	} as unknown as ServeContext;
 	return {ctx, suspects, lines: collected.lines};
 }
 
@@ -22,7 +25,7 @@
 		const {ctx, lines} = createServe();
 		for (const server of ['a', 'b', 'c', 'd']) {
 			noteRunEnd({
-				fingerprint: 'f', server, startedAt: 0, end: {kind: 'closed'},
+				fingerprint: 'f', parts: [], server, startedAt: 0, end: {kind: 'closed'},
 			}, ctx);
 		}
 
@@ -40,12 +43,12 @@
 		for (const server of ['a', 'b', 'c']) {
 			for (const kind of ['without-answer', 'failed', 'not-run'] as const) {
 				noteRunEnd({
-					fingerprint: 'f', server, startedAt: 0, end: {kind},
+					fingerprint: 'f', parts: [], server, startedAt: 0, end: {kind},
 				}, ctx);
 			}
 
 			noteRunEnd({
-				fingerprint: undefined, server, startedAt: 0, end: {kind: 'closed'},
+				fingerprint: undefined, parts: [], server, startedAt: 0, end: {kind: 'closed'},
 			}, ctx);
 		}
 
@@ -57,10 +60,10 @@
 		const {ctx, suspects, lines} = createServe();
 		for (const server of ['a', 'b', 'c']) {
 			noteRunEnd({
-				fingerprint: 'f', server, startedAt: 0, end: {kind: 'without-answer'},
+				fingerprint: 'f', parts: [], server, startedAt: 0, end: {kind: 'without-answer'},
 			}, ctx);
 			noteRunEnd({
-				fingerprint: `beside-${server}`, server, startedAt: 0, end: {kind: 'closed'},
+				fingerprint: `beside-${server}`, parts: [], server, startedAt: 0, end: {kind: 'closed'},
 			}, ctx);
 		}
 
@@ -72,7 +75,7 @@
 		const {ctx, suspects} = createServe();
 		const note = (end: RunEnd, server = 'a') => {
 			noteRunEnd({
-				fingerprint: 'f', server, startedAt: 0, end,
+				fingerprint: 'f', parts: [], server, startedAt: 0, end,
 			}, ctx);
 		};
 
@@ -103,14 +106,14 @@
 		const {ctx, suspects, lines} = createServe();
 		for (const server of ['a', 'b', 'c']) {
 			noteRunEnd({
-				fingerprint: 'f', server, startedAt: -1000, end: {kind: 'without-answer'},
+				fingerprint: 'f', parts: [], server, startedAt: -1000, end: {kind: 'without-answer'},
 			}, ctx);
 		}
 
 		const toReport = (server: string, ageMs: number) => ({fingerprint: `beside-${server}`, idleMs: ageMs, crashes: [{server, ageMs}]});
 		const merge = (reports: ReadonlyArray<ReturnType<typeof toReport>>) => {
-			mergeCrashReports(reports, {
-				suspects, now: 0, log: ctx.log, peer: 'another',
+			mergeCrashReports({crashes: reports, partCrashes: []}, {
+				suspects, partQuarantine: ctx.partQuarantine, now: 0, log: ctx.log, peer: 'another',
 			});
 		};
 
--- a/src/programs/entry/_lib/report-refused.ts
+++ b/src/programs/entry/_lib/report-refused.ts
@@ -1,5 +1,5 @@
 import {type Problem, type ProblemKind} from '../../../domain/to-problem/index.js';
-import {type Fingerprint, type RequestId} from '../../../ports/ids.js';
+import {type Fingerprint, type PartKey, type RequestId} from '../../../ports/ids.js';
 import {type Account} from '../accounts/index.js';
 import {type MatchedRule} from './ended-request.js';
 import {type Route} from './route.js';
@@ -21,6 +21,8 @@
 	headers: Readonly<Record<string, string>>;
 	/** Present if the refusal concerns the content of the request, under whichever id it is sent. */
 	fingerprint?: Fingerprint | undefined;
+	/** Present if the refusal concerns parts of the request's prompt. */
+	parts?: readonly PartKey[];
 };
 
 /** Stand-in rule for a request that matched none. Its targets are never compared, as a refusal counts as bad whatever the target. */
@@ -44,11 +46,11 @@
  * @param request - What is known of the request.
  * @param ctx - Services of the entry.
  */
-export function reportRefused({kind, outcome}: Problem, {requestId, account, route, headers, fingerprint}: RefusedRequest, ctx: ServeContext): void {
+export function reportRefused({kind, outcome}: Problem, {requestId, account, route, headers, fingerprint, parts}: RefusedRequest, ctx: ServeContext): void {
 	const rule = route?.rule ?? toUnroutedRule(headers);
 	account.addStage('refused', {kind, outcome});
 	ctx.log.info('request refused', {
-		requestId, reason: kind, outcome, fingerprint, ...(route && {workspace: route.workspace, rule: rule.name, class: rule.then.class}),
+		requestId, reason: kind, outcome, fingerprint, parts: parts?.join(' '), ...(route && {workspace: route.workspace, rule: rule.name, class: rule.then.class}),
 	});
 	if (unavailabilityKinds.has(kind)) {
 		ctx.onEnded({
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -2,6 +2,7 @@
 import {type Dispatcher} from 'undici';
 import {type Log} from '../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {type PartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
@@ -61,6 +62,8 @@
 	countOverLimit: (workspace: WorkspaceId) => void;
 	/** Tracks requests under which servers crashed. */
 	suspects: CrashSuspects;
+	/** Tracks parts of prompts under which servers crashed. */
+	partQuarantine: PartQuarantine;
 	log: Log;
 	onEnded: (ended: EndedRequest) => void;
 };
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -16,7 +16,7 @@
 import {type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	isQuarantined, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
+	findRunQuarantine, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {toFailedRunEnd} from '../call-plain/_lib/to-run-end.js';
@@ -66,7 +66,7 @@
 	const computed = await callPrefill(step);
 	if (computed.isErr()) {
 		noteRunEnd({
-			fingerprint: run.fingerprint, server: server.id, startedAt, end: toFailedRunEnd(computed.error),
+			fingerprint: run.fingerprint, parts: run.parts, server: server.id, startedAt, end: toFailedRunEnd(computed.error),
 		}, run.ctx);
 	}
 
@@ -174,9 +174,10 @@
 		releaseHeld(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 	};
 
-	if (isQuarantined(run)) {
+	const quarantine = findRunQuarantine(run);
+	if (quarantine !== undefined) {
 		releaseReservation();
-		return {kind: 'quarantined'};
+		return {kind: 'quarantined', cause: quarantine};
 	}
 
 	const computed = await computePrompt(step);
@@ -197,9 +198,10 @@
 		}
 	};
 
-	if (isQuarantined(run)) {
+	const laterQuarantine = findRunQuarantine(run);
+	if (laterQuarantine !== undefined) {
 		endUnused({isKept: false});
-		return {kind: 'quarantined'};
+		return {kind: 'quarantined', cause: laterQuarantine};
 	}
 
 	const obstacle = findObstacle(run, decode);
--- a/src/programs/entry/call-plain/_lib/create-plain-run.ts
+++ b/src/programs/entry/call-plain/_lib/create-plain-run.ts
@@ -2,7 +2,7 @@
 import {type PlainRun} from './types.js';
 
 /** What is known of a request before its first call. */
-export type PlainRunInput = Pick<PlainRun, 'exchange' | 'route' | 'ctx' | 'clients' | 'account' | 'log' | 'fingerprint' | 'parts' | 'work' | 'body' | 'receivedAt' | 'deadline' | 'signal' | 'stream'>;
+export type PlainRunInput = Pick<PlainRun, 'exchange' | 'route' | 'ctx' | 'clients' | 'account' | 'log' | 'fingerprint' | 'parts' | 'isTrial' | 'work' | 'body' | 'receivedAt' | 'deadline' | 'signal' | 'stream'>;
 
 /**
  * Creates the run of a request that has not been sent to any server.
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -10,7 +10,9 @@
 import {type StreamOrigin} from '../../../../ports/stream-origins.js';
 import {type PlainEnd, type PlainFault, sendPlain} from '../../send-plain/index.js';
 import {noteStatedLimit} from '../../_lib/note-stated-limit.js';
-import {entryLifetimeMs, noteRunEnd, noteServerEnded} from '../../_lib/quarantine.js';
+import {
+	entryLifetimeMs, findQuarantine, noteRunEnd, noteServerEnded, type QuarantineCause,
+} from '../../_lib/quarantine.js';
 import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
 import {toRunEnd} from './to-run-end.js';
@@ -92,6 +94,7 @@
 export function noteAnswered({ctx}: PlainRun, {server, calledAt, refusal}: {server: ServerId; calledAt: Milliseconds; refusal: EngineRefusalReason | undefined}): void {
 	if (refusal !== 'wrong-model') {
 		ctx.suspects.noteAnswered(server, calledAt);
+		ctx.partQuarantine.suspects.noteAnswered(server, calledAt);
 	}
 }
 
@@ -116,13 +119,15 @@
 }
 
 /**
- * Whether a request is quarantined because servers crashed under it.
+ * Finds whether a request is quarantined because servers crashed under it, or under
+ * parts of its prompt.
  *
  * @param run - The request.
- * @returns `true` once the number of crashes, counted over all hosts, has reached the limit.
+ * @returns Why it may not be sent to a server; `undefined` if it may.
  */
-export function isQuarantined({fingerprint, ctx}: PlainRun): boolean {
-	return fingerprint !== undefined && ctx.suspects.isQuarantined(fingerprint, ctx.services.clock.now());
+export function findRunQuarantine(run: PlainRun): QuarantineCause | undefined {
+	const {suspects, partQuarantine, services} = run.ctx;
+	return findQuarantine(run, {suspects, partQuarantine, now: services.clock.now()});
 }
 
 /**
@@ -159,11 +164,13 @@
  * @param server - The server that was called.
  * @param ended - How the call ended.
  */
-export function noteRefusedConnection({ctx: {services, suspects, log}}: PlainRun, {id}: ServerEntry, ended: PlainEnd): void {
+export function noteRefusedConnection({ctx: {services, suspects, partQuarantine, log}}: PlainRun, {id}: ServerEntry, ended: PlainEnd): void {
 	const isRefused = ended.kind === 'failed' && ended.fault.kind === 'unreachable' && ended.fault.isRefused === true;
 	if (isRefused && services.toView()?.servers.get(id)?.leaving === false) {
 		const now = services.clock.now();
-		noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {suspects, now, log});
+		noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {
+			suspects, partQuarantine, now, log,
+		});
 	}
 }
 
@@ -196,7 +203,7 @@
 	});
 	noteLinkEnd(run, link);
 	noteRunEnd({
-		fingerprint: run.fingerprint, server: server.id, startedAt: calledAt, end: toRunEnd(ended),
+		fingerprint: run.fingerprint, parts: run.parts, server: server.id, startedAt: calledAt, end: toRunEnd(ended),
 	}, ctx);
 	noteRefusedConnection(run, server, ended);
 	return ended;
--- a/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
+++ b/src/programs/entry/call-plain/_lib/to-plain-outcome.ts
@@ -5,7 +5,7 @@
 import {msPerSecond} from '../../../../ports/units.js';
 import {type PlainFault} from '../../send-plain/index.js';
 import {hasServerOf, toOriginGone} from '../../_lib/servers-of-origin.js';
-import {toQuarantineProblem} from '../../_lib/quarantine.js';
+import {toQuarantineProblem, type QuarantineCause} from '../../_lib/quarantine.js';
 import {toBodyProblem, toEndProblem} from '../../_lib/problems.js';
 import {type EndCause} from '../../_lib/types.js';
 import {type PlainOutcome, type PlainRun} from './types.js';
@@ -58,9 +58,9 @@
 }
 
 /** Returns the outcome of a quarantined request. */
-export function toQuarantined(run: PlainRun): PlainOutcome {
+export function toQuarantined(run: PlainRun, cause: QuarantineCause): PlainOutcome {
 	const outcome = run.ledger.outcome();
-	return {end: toEnd(outcome), outcome, problem: toQuarantineProblem(outcome)};
+	return {end: toEnd(outcome), outcome, problem: toQuarantineProblem(cause, outcome)};
 }
 
 /**
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -27,6 +27,8 @@
 	fingerprint: Fingerprint | undefined;
 	/** Parts of the prompt that other requests may share. */
 	parts: readonly PartKey[];
+	/** Whether the request is a trial of parts that are quarantined. */
+	isTrial: boolean;
 	/** Hints about the request from the caller's headers. */
 	work: RequestHints;
 	body: PlainBody;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -12,8 +12,9 @@
 import {findPeer, passOn} from '../pass-on/index.js';
 import {type PlainEnd, type PlainFault} from '../send-plain/index.js';
 import {recordPlacement} from '../_lib/record-placement.js';
+import {type QuarantineCause} from '../_lib/quarantine.js';
 import {waitUnlessAborted} from '../_lib/wait-unless-aborted.js';
-import {isQuarantined, sendRequest} from './_lib/send-step.js';
+import {findRunQuarantine, sendRequest} from './_lib/send-step.js';
 import {pickWithPlace} from './_lib/pick-with-place.js';
 import {decideRetry, mayHaveStarted} from './_lib/decide-retry.js';
 import {
@@ -53,7 +54,7 @@
 type AttemptResult =
 	| {kind: 'called'; server: ServerEntry; ended: PlainEnd; hasRun: boolean}
 	| {kind: 'passed-on'; peer: string; ended: PlainEnd}
-	| {kind: 'quarantined'}
+	| {kind: 'quarantined'; cause: QuarantineCause}
 	| {kind: 'bounced' | 'not-placed'; refusal: PlacementRefusal};
 
 type CalledResult = Extract<AttemptResult, {ended: PlainEnd}>;
@@ -84,10 +85,11 @@
 
 	const {picked, leave} = chosen.value;
 	const {server} = picked;
-	if (isQuarantined(run)) {
+	const quarantine = findRunQuarantine(run);
+	if (quarantine !== undefined) {
 		leave();
 		run.ctx.serverLimits.giveBack(server, 1);
-		return {kind: 'quarantined'};
+		return {kind: 'quarantined', cause: quarantine};
 	}
 
 	const placed = recordPlacement(account, picked, {attempt, pool: route.pool.name, chosen: [server.id]});
@@ -135,8 +137,9 @@
 
 async function callUntilAnswered(run: PlainRun): Promise<PlainOutcome> {
 	for (;;) {
-		if (isQuarantined(run)) {
-			return toQuarantined(run);
+		const quarantine = findRunQuarantine(run);
+		if (quarantine !== undefined) {
+			return toQuarantined(run, quarantine);
 		}
 
 		const attempted = await runAttempt(run);
@@ -145,7 +148,7 @@
 		}
 
 		if (attempted.kind === 'quarantined') {
-			return toQuarantined(run);
+			return toQuarantined(run, attempted.cause);
 		}
 
 		const outcome = isNotCalled(attempted) ? endNotCalled(run, attempted) : await endCalled(run, attempted);
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -8,7 +8,7 @@
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ServiceClass} from '../../../ports/outcome.js';
-import {type Fingerprint} from '../../../ports/ids.js';
+import {type Fingerprint, type PartKey} from '../../../ports/ids.js';
 import {toFingerprint} from '../../../domain/to-fingerprint/index.js';
 import {toPartKeys} from '../../../domain/to-part-keys/index.js';
 import {toMinFullPoolRetryAfter, toFullPoolRetryAfter} from '../../../domain/to-full-pool-retry-after/index.js';
@@ -174,10 +174,10 @@
 		headers: exchange.headers, host: toHostName(exchange.headers.host), path: exchange.path, model: work.model, promptTokens: work.promptTokens, random: services.random,
 	}, services.toView());
 	const refusal = findOverload(ctx) ?? findBehind(exchange, ctx) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
-	const refuse = (problem: Problem | 'gone' | undefined, fingerprint?: Fingerprint) => {
+	const refuse = (problem: Problem | 'gone' | undefined, concerned: {fingerprint?: Fingerprint | undefined; parts?: readonly PartKey[]} = {}) => {
 		if (problem !== undefined && problem !== 'gone') {
 			reportRefused(problem, {
-				requestId: exchange.requestId, account, route: routed.unwrapOr(undefined), headers: exchange.headers, fingerprint,
+				requestId: exchange.requestId, account, route: routed.unwrapOr(undefined), headers: exchange.headers, ...concerned,
 			}, ctx);
 			exchange.sendProblem(problem);
 		}
@@ -200,7 +200,7 @@
 	const fingerprint = toFingerprintOf(exchange, route, body.value);
 	if (fingerprint !== undefined && ctx.suspects.isQuarantined(fingerprint, services.clock.now())) {
 		ctx.suspects.noteRefused(fingerprint, services.clock.now());
-		refuse(toUnclaimedProblem(toQuarantineProblem('not-run'), exchange.headers), fingerprint);
+		refuse(toUnclaimedProblem(toQuarantineProblem('request', 'not-run'), exchange.headers), {fingerprint});
 		return;
 	}
 
@@ -215,8 +215,19 @@
 
 	const deadline = receivedAt + Math.min(target.completeMs, work.timeoutMs ?? Infinity, exchange.passed?.deadlineInMs ?? Infinity);
 	const parts = toPartKeys(work.sharedParts, {pool: opened.value.route.pool.name, model: work.model});
+	const verdict = ctx.partQuarantine.decide(parts, services.clock.now());
+	if (verdict.kind === 'refuse') {
+		refuse(toUnclaimedProblem(toQuarantineProblem('parts', 'not-run'), exchange.headers), {fingerprint, parts: verdict.blamed.parts});
+		return;
+	}
+
+	const isTrial = verdict.kind === 'trial';
+	if (isTrial) {
+		log.info('trial of quarantined prompt parts', {parts: verdict.blamed.parts.join(' ')});
+	}
+
 	const run = async (caller: CallerExchange): Promise<KeyedVerdict> => runRouted({
-		exchange: caller, ...opened.value, ctx, clients, account, log, receivedAt, work, body: body.value, deadline, fingerprint, parts,
+		exchange: caller, ...opened.value, ctx, clients, account, log, receivedAt, work, body: body.value, deadline, fingerprint, parts, isTrial,
 	});
 	// The host that passed a request on has charged it.
 	const serveOne = async (caller: CallerExchange): Promise<KeyedVerdict> => caller.passed === undefined
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -3,6 +3,7 @@
 import {type Log} from '../../../../adapters/log/index.js';
 import {type Metrics} from '../../../../adapters/metrics/index.js';
 import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {type PartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {type ServerHealthOptions} from '../../../../domain/create-server-health/index.js';
 import {type RetryBudgetOptions} from '../../../../domain/create-retry-budget/index.js';
 import {type PlacementDecider} from '../../../../domain/create-placement/index.js';
@@ -66,6 +67,8 @@
 	streamOrigins?: StreamOrigins;
 	/** Requests under which servers crashed; by default those that this host saw itself. */
 	suspects?: CrashSuspects;
+	/** Parts of prompts under which servers crashed; by default those that this host saw itself. */
+	partQuarantine?: PartQuarantine;
 	/** Address on which other hosts pass requests on to this one; by default they can't. */
 	peerListener?: {bind: string; port: number} | undefined;
 	/** Options of the callers' port that differ from the defaults. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -6,6 +6,7 @@
 import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
 import {createNativeCalls} from '../../../adapters/native-calls/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
 import {type CallerBounds, type ServerEntry} from '../../../ports/config.js';
@@ -97,6 +98,7 @@
 		openAnswers: callers.openExchanges,
 		cancelsPending: services.cancels.pending,
 		quarantined: () => ctx.suspects.count(options.clock.now()).quarantined,
+		quarantinedParts: () => ctx.partQuarantine.count(options.clock.now()),
 	});
 	const started = await startOperations({
 		settings: options.settings,
@@ -127,7 +129,7 @@
  */
 export async function startEntry(options: EntryOptions): Promise<Entry> {
 	const {
-		settings, clock, random, log, metrics, suspects = createCrashSuspects(),
+		settings, clock, random, log, metrics, suspects = createCrashSuspects(), partQuarantine = createPartQuarantine(),
 	} = options;
 	let isStopping = false;
 	const counters = createEntryMetrics(metrics);
@@ -213,6 +215,7 @@
 		quotas,
 		serverLimits,
 		suspects,
+		partQuarantine,
 		log,
 		onEnded(ended) {
 			counters.recordEndedRequest(ended);
--- a/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -13,6 +13,9 @@
 /** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
 const maxReports = 16;
 
+/** The same bound where most reports are of suspects of one server, and take some 12 bytes. */
+const maxReportsOfMany = 48;
+
 /** Bound on crash reports in a round's message; a host of a large fleet sends some twenty of these messages a second. */
 const maxReportsPerRound = 5;
 
@@ -28,6 +31,8 @@
 
 export type CrashReporterOptions = {
 	suspects: CrashSuspects;
+	/** Whether first crashes are reported to their collectors alone also in a small fleet, because a server that ends makes many suspects. */
+	hasManySuspects?: boolean;
 	peers: PeerList;
 	/** Sends a message to each address. */
 	send: (message: {loads: readonly HostLoad[]; crashes: readonly CrashReport[]}, to: readonly string[]) => void;
@@ -50,13 +55,15 @@
  * @param options - See {@link CrashReporterOptions}.
  * @returns See {@link CrashReporter}.
  */
-export function createCrashReporter({suspects, peers, send}: CrashReporterOptions): CrashReporter {
+export function createCrashReporter({suspects, hasManySuspects = false, peers, send}: CrashReporterOptions): CrashReporter {
 	const isNewPeer = createNewPeerWatch();
 	/** Hosts that may have missed reports. */
 	const newPeers = new Set<string>();
 
+	const hasCollectors = (now: Milliseconds): boolean => hasManySuspects || peers.isLarge(now);
+
 	/** Returns the number of crashes from which on a request is reported to all hosts; below it, only collectors are told. */
-	const toMinCrashes = (now: Milliseconds): number => peers.isLarge(now) ? minCrashesToBroadcast : 1;
+	const toMinCrashes = (now: Milliseconds): number => hasCollectors(now) ? minCrashesToBroadcast : 1;
 
 	function sendToCollectors(loads: readonly HostLoad[], reports: readonly CrashReport[]): void {
 		const byCollector = new Map<string, CrashReport[]>();
@@ -73,7 +80,7 @@
 
 	/** Sends new crash reports at once. A request that crashes servers may reach any host next, so each host that receives a report forwards it. */
 	function sendChanged(loads: readonly HostLoad[], now: Milliseconds): void {
-		const changed = suspects.takeChanged(now, maxReports);
+		const changed = suspects.takeChanged(now, hasManySuspects ? maxReportsOfMany : maxReports);
 		const leastCrashes = toMinCrashes(now);
 		const crashes = changed.filter(report => report.mostCrashes >= leastCrashes);
 		if (crashes.length > 0) {
@@ -89,7 +96,7 @@
 	 * crashes to their collectors; others are repeated in each round.
 	 */
 	function sendKnown(loads: readonly HostLoad[], now: Milliseconds): void {
-		if (peers.isLarge(now)) {
+		if (hasCollectors(now)) {
 			sendToCollectors(loads, suspects.takeOverdue(now, maxReportsPerRound));
 		}
 
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -4,6 +4,7 @@
 import {encodeQuotaMessage} from '../../../../adapters/quota-datagrams/index.js';
 import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
 import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine, type PartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits, type RequestLimits} from '../../../../domain/create-request-limits/index.js';
 import {type Milliseconds, type Random} from '../../../../ports/clock.js';
 import {type PlaceMessage} from '../../../../ports/places.js';
@@ -16,7 +17,7 @@
 export const zones = ['a', 'b', 'c', 'd', 'e', 'f'];
 export const stepMs: Milliseconds = 50;
 
-export type Host = {name: string; zone: string; address: string; sharing: LoadExchange; suspects: CrashSuspects; limits: RequestLimits; startedAt: Milliseconds; isDead: boolean};
+export type Host = {name: string; zone: string; address: string; sharing: LoadExchange; suspects: CrashSuspects; partQuarantine: PartQuarantine; limits: RequestLimits; startedAt: Milliseconds; isDead: boolean};
 
 export const log = createLog({
 	level: 'error', program: 'test', host: 'h', zone: 'z', incarnation: 1, sink: {write: () => true, writableLength: 0, on: () => undefined},
@@ -60,7 +61,7 @@
 				const bytes = encodeLoadMessage(message);
 				sent.bytes += to.length * bytes.length;
 				// Reports that do not fit into a datagram are cut off, so messages with reports are decoded as received; the others are passed on without decoding to save time.
-				const received = message.crashes.length === 0 ? message : decodeLoadMessage(bytes)._unsafeUnwrap();
+				const received = message.crashes.length === 0 && message.partCrashes === undefined ? message : decodeLoadMessage(bytes)._unsafeUnwrap();
 				for (const target of to.filter(() => random() >= lossShare).filter(target => isReached(address, target))) {
 					receivers.get(target)?.(received, address);
 				}
@@ -93,12 +94,15 @@
 		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
 		zoneOf.set(address, zone);
 		const suspects = createCrashSuspects();
+		let isFirstFor = (_key: string): boolean => true;
+		const partQuarantine = createPartQuarantine({isPicked: key => isFirstFor(key)});
 		const limits = createRequestLimits();
 		const sharing = await shareLoads({
-			address, zone, open, log, suspects, limits, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
+			address, zone, open, log, suspects, partQuarantine, limits, seeds: ['10.0.0.1:7380', '10.0.0.2:7380', '10.0.0.3:7380'], host: `front-${zone}-${i}`, incarnation: now, clock: {now: () => now, wallNow: () => now},
 		});
+		isFirstFor = sharing.isFirstFor;
 		return {
-			name: `front-${zone}-${i}`, zone, address, sharing, suspects, limits, startedAt: now, isDead: false,
+			name: `front-${zone}-${i}`, zone, address, sharing, suspects, partQuarantine, limits, startedAt: now, isDead: false,
 		};
 	}
 
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -12,6 +12,7 @@
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createStreamOrigins, type StreamOriginsTable} from '../../../domain/create-stream-origins/index.js';
 import {createWorkspaceQuotas, type WorkspaceQuotas} from '../../../domain/create-workspace-quotas/index.js';
+import {type PartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {type RequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
@@ -37,6 +38,8 @@
 	log: Log;
 	/** Requests suspected of crashing servers. */
 	suspects: CrashSuspects;
+	/** Parts of prompts suspected of crashing servers. */
+	partQuarantine: PartQuarantine;
 	/** Limits that servers state; hosts that are not given any tell none. */
 	limits?: RequestLimits;
 	/** Pools whose servers answered this host lately. */
@@ -54,6 +57,8 @@
 	places: ServerPlaces;
 	/** Origins of streams, which the hosts keep together. */
 	origins: StreamOriginsTable;
+	/** Whether this host is the first for a key among the hosts that it knows. */
+	isFirstFor: (key: string) => boolean;
 	/** Whether hosts of other zones were heard before and none is heard now. */
 	isIsolated: () => boolean;
 	/** Number of hosts known to be alive, including this one; `undefined` until another host has been heard. */
@@ -101,7 +106,7 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<LoadExchange> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log, suspects, limits, toAnswers, onAnswers, open = openLoadDatagrams,
+		address, seeds, host, zone, incarnation, clock, log, suspects, partQuarantine, limits, toAnswers, onAnswers, open = openLoadDatagrams,
 	} = options;
 	const peers = createPeerList({self: address, zone, seeds});
 	const shared = createSharedLoads({toMaxAgeMs: now => maxMissedMessages * (peers.isLarge(now) ? roundMs : keepAliveMs)});
@@ -132,7 +137,17 @@
 		},
 	});
 	const hasStarted = createStartWatch();
-	const reporter = createCrashReporter({suspects, peers, send});
+	const reporters = [
+		createCrashReporter({suspects, peers, send}),
+		createCrashReporter({
+			suspects: partQuarantine.suspects,
+			hasManySuspects: true,
+			peers,
+			send({loads, crashes}, to) {
+				send({loads, crashes: [], partCrashes: crashes}, to);
+			},
+		}),
+	] as const;
 	const socket: LoadDatagrams = await open({
 		address,
 		onFault: createFaultLog(options),
@@ -160,7 +175,9 @@
 				origins.noteStarted(from, now);
 			}
 
-			reporter.noteHeard(from, message.incarnation, now);
+			for (const reporter of reporters) {
+				reporter.noteHeard(from, message.incarnation, now);
+			}
 
 			onAnswers?.(from, message.answers ?? []);
 			for (const server of limits?.merge(message.limits ?? [], now) ?? []) {
@@ -168,16 +185,16 @@
 			}
 
 			peers.noteAdvertised(message.peers, now);
-			mergeCrashReports(message.crashes, {
-				suspects, now, log, peer: message.host,
+			mergeCrashReports({crashes: message.crashes, partCrashes: message.partCrashes ?? []}, {
+				suspects, partQuarantine, now, log, peer: message.host,
 			});
 		},
 	});
 
-	type OutgoingMessage = {loads: readonly HostLoad[]; crashes: readonly CrashReport[]; named?: readonly NamedPeer[]; isAsking?: boolean};
+	type OutgoingMessage = {loads: readonly HostLoad[]; crashes: readonly CrashReport[]; partCrashes?: readonly CrashReport[]; named?: readonly NamedPeer[]; isAsking?: boolean};
 
 	function send({
-		loads, crashes, named = [], isAsking = false,
+		loads, crashes, partCrashes = [], named = [], isAsking = false,
 	}: OutgoingMessage, to: readonly string[]): void {
 		if (to.length === 0) {
 			return;
@@ -188,7 +205,7 @@
 		const stated = limits?.toShared(now) ?? [];
 		sequence++;
 		socket.send({
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}),
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}), ...(partCrashes.length > 0 && {partCrashes}),
 		}, to);
 	}
 
@@ -201,23 +218,34 @@
 		return !peers.isLarge(now) && (text !== lastText || now - sentAt >= keepAliveMs);
 	}
 
+	function toRoundReports(now: Milliseconds): {crashes: readonly CrashReport[]; partCrashes: readonly CrashReport[]} {
+		const [requests, parts] = reporters;
+		return {crashes: requests.toRoundReports(now), partCrashes: parts.toRoundReports(now)};
+	}
+
 	function sendUpdates(loads: readonly HostLoad[], now: Milliseconds): void {
 		const text = toLoadsText(loads);
 		const unanswered = peers.takeUnanswered();
-		reporter.sendChanged(loads, now);
+		for (const reporter of reporters) {
+			reporter.sendChanged(loads, now);
+		}
+
 		if (now - roundAt >= roundMs) {
 			roundAt = now;
-			reporter.sendKnown(loads, now);
+			for (const reporter of reporters) {
+				reporter.sendKnown(loads, now);
+			}
+
 			const named = peers.takeAdvertised(now);
-			const crashes = reporter.toRoundReports(now);
+			const reports = toRoundReports(now);
 			const asked = new Set([...peers.directPeers(now), ...peers.remotePeers(now), ...peers.silentSeeds(now)]);
 			send({
-				loads, crashes, named, isAsking: true,
+				loads, ...reports, named, isAsking: true,
 			}, [...asked]);
-			send({loads, crashes, named}, [...new Set([...peers.remoteRequesters(now), ...unanswered])].filter(address => !asked.has(address)));
+			send({loads, ...reports, named}, [...new Set([...peers.remoteRequesters(now), ...unanswered])].filter(address => !asked.has(address)));
 		} else {
 			if (unanswered.length > 0) {
-				send({loads, crashes: reporter.toRoundReports(now), named: peers.takeAdvertised(now)}, unanswered);
+				send({loads, ...toRoundReports(now), named: peers.takeAdvertised(now)}, unanswered);
 			}
 
 			if (!isDue(text, now)) {
@@ -237,6 +265,7 @@
 		quotas,
 		places,
 		origins,
+		isFirstFor: peers.isFirstFor,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
--- a/src/programs/relay/share-loads/server-ends.test.ts
+++ b/src/programs/relay/share-loads/server-ends.test.ts
@@ -46,10 +46,12 @@
 	const pick = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]!;
 
 	function note({fingerprint, host, startedAt}: Run, server: ServerId, end: RunEnd): void {
-		const {suspects} = host;
+		const {suspects, partQuarantine} = host;
 		noteRunEnd({
-			fingerprint, server, startedAt, end,
-		}, {suspects, log, services: {clock: {now: fleet.now}}} as unknown as ServeContext);
+			fingerprint, parts: [], server, startedAt, end,
+		}, {
+			suspects, partQuarantine, log, services: {clock: {now: fleet.now}},
+		} as unknown as ServeContext);
 	}
 
 	function finish(run: Run, server: ServerId): void {
@@ -85,10 +87,10 @@
 		}
 
 		after(lapseMs, () => {
-			for (const {suspects, isDead} of fleet.hosts) {
+			for (const {suspects, partQuarantine, isDead} of fleet.hosts) {
 				if (!isDead) {
 					createLostServers({
-						suspects, log, clock: {now: fleet.now, wallNow: fleet.now}, isZoneSilent: () => false,
+						suspects, partQuarantine, log, clock: {now: fleet.now, wallNow: fleet.now}, isZoneSilent: () => false,
 					})({id: server, zone: 'a'});
 				}
 			}
--- a/src/programs/relay/share-loads/test.ts
+++ b/src/programs/relay/share-loads/test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {afterEach, describe, it} from 'node:test';
 import {createLog} from '../../../adapters/log/index.js';
+import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {findUdpAddress} from '../../../../test/_lib/find-udp-address/index.js';
 import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
@@ -16,7 +17,7 @@
 
 async function startHost(name: string, address: string, seeds: readonly string[]): Promise<LoadExchange> {
 	const host = await shareLoads({
-		address, seeds, host: name, zone: 'z', incarnation: 1, clock, log, suspects: createCrashSuspects(),
+		address, seeds, host: name, zone: 'z', incarnation: 1, clock, log, suspects: createCrashSuspects(), partQuarantine: createPartQuarantine(),
 	});
 	hosts.push(host);
 	return host;
--- a/src/programs/relay/start-relay/_lib/create-lost-servers.test.ts
+++ b/src/programs/relay/start-relay/_lib/create-lost-servers.test.ts
@@ -3,6 +3,7 @@
 import {createCollectedLines} from '../../../../../test/_lib/create-collected-lines/index.js';
 import {createLog} from '../../../../adapters/log/index.js';
 import {createCrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {createLostServers} from './create-lost-servers.js';
 
 const log = createLog({
@@ -13,7 +14,7 @@
 function loseServers({silentMs, isCut}: {silentMs: number; isCut: boolean}): boolean {
 	const suspects = createCrashSuspects();
 	const onLost = createLostServers({
-		suspects, log, clock: {now: () => 10_000, wallNow: () => 0}, isZoneSilent: zone => isCut && zone === 'b',
+		suspects, partQuarantine: createPartQuarantine(), log, clock: {now: () => 10_000, wallNow: () => 0}, isZoneSilent: zone => isCut && zone === 'b',
 	});
 	for (const id of ['s1', 's2', 's3']) {
 		suspects.noteUnresolved({
--- a/src/programs/relay/start-relay/_lib/create-lost-servers.ts
+++ b/src/programs/relay/start-relay/_lib/create-lost-servers.ts
@@ -1,6 +1,7 @@
 /** Attributes the end of a server that is published no more to the requests that ran there. */
 import {type Log} from '../../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {type PartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {type Clock, type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type ZoneId} from '../../../../ports/ids.js';
@@ -8,6 +9,7 @@
 
 export type LostServersOptions = {
 	suspects: CrashSuspects;
+	partQuarantine: PartQuarantine;
 	clock: Clock;
 	log: Log;
 	/** Whether hosts of the zone were heard before, and none is heard now. */
@@ -21,11 +23,13 @@
  * @param options - See {@link LostServersOptions}.
  * @returns Function that handles one server.
  */
-export function createLostServers({suspects, clock, log, isZoneSilent}: LostServersOptions): (server: Pick<ServerEntry, 'id' | 'zone'>) => void {
+export function createLostServers({suspects, partQuarantine, clock, log, isZoneSilent}: LostServersOptions): (server: Pick<ServerEntry, 'id' | 'zone'>) => void {
 	return ({id, zone}) => {
 		const now = clock.now();
 		if (!isZoneSilent(zone, now)) {
-			noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {suspects, now, log});
+			noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {
+				suspects, partQuarantine, now, log,
+			});
 		}
 	};
 }
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -6,6 +6,7 @@
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {probeConnection} from '../../../adapters/probe-connection/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
 import {toRetryShare} from '../../../domain/to-retry-share/index.js';
@@ -80,20 +81,23 @@
 	const startedAt = clock.now();
 	const incarnation = clock.wallNow();
 	const suspects = createCrashSuspects();
+	let isFirstFor: (key: string) => boolean = () => true;
+	const partQuarantine = createPartQuarantine({isPicked: key => isFirstFor(key)});
 	let toView: FleetLink['toView'] = () => undefined;
 	const links = watchLinks({
 		clock, random, log, toView: () => toView(), probe: probeConnection,
 	});
 	const requestLimits = createRequestLimits();
 	const loadSharing = await openLoadSharing({
-		settings, clock, log, suspects, requestLimits, links,
+		settings, clock, log, suspects, partQuarantine, requestLimits, links,
 	}, incarnation);
+	isFirstFor = loadSharing?.isFirstFor ?? isFirstFor;
 	let isConnected = () => false;
 	let answerAgeMs: () => Milliseconds | undefined = () => undefined;
 	const relayMetrics = addRelayMetrics(options.metrics, {countHosts: () => loadSharing?.countHosts() ?? 1, answerAgeMs: () => answerAgeMs(), lostPools: () => links.lostPools().length});
 
 	const onServerLost = createLostServers({
-		suspects, clock, log, isZoneSilent: (zone, now) => loadSharing?.isZoneSilent(zone, now) === true,
+		suspects, partQuarantine, clock, log, isZoneSilent: (zone, now) => loadSharing?.isZoneSilent(zone, now) === true,
 	});
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
@@ -134,6 +138,7 @@
 		health: relayHealth,
 		createEngine: createUnusedEngine,
 		suspects,
+		partQuarantine,
 		requestLimits,
 		...(loadSharing && {
 			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock), streamOrigins: askOrigins(loadSharing.origins, clock),
--- a/test/failures/prompt-parts.test.ts
+++ b/test/failures/prompt-parts.test.ts
@@ -4,13 +4,15 @@
 	after, afterEach, before, describe, it,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type Program} from '../_lib/start-program/index.js';
+import {waitUntil} from '../_lib/wait-until/index.js';
 import {type ServerEnd} from '../stand-ins/users-platform/end-server.js';
 import {type Arrival, type ServerStandIn} from '../stand-ins/users-platform/server.js';
 import {startRelayProcesses, type RelayProcesses, type VersionedServer} from '../stand-ins/users-platform/start-relay-processes.js';
 import {
 	startRelayFixture, toStreamHeaders, type RelayCall, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
-import {countCrashes, crashServers} from './_lib/crash-servers.js';
+import {countCrashes, publishRestarts} from './_lib/crash-servers.js';
 
 /** Number of ended servers after which a part counts as one that ends servers. */
 const ends = 5;
@@ -24,6 +26,9 @@
 /** Time between two requests with the part. */
 const gapMs = 400;
 
+/** Time within which a server that ends after its answer has ended. */
+const endMs = 50;
+
 const hosts = 3;
 
 const hasPart = (part: string) => ({headers}: Pick<Arrival, 'headers'>): boolean => String(headers['prompt-prefix']).includes(`${part}:`);
@@ -58,8 +63,8 @@
 
 	const published = new Map<VersionedServer, string>();
 
-	/** Publishes the new starts of servers that ended. */
-	function publishStarts(): void {
+	/** Publishes the new starts of servers that ended, and waits until the hosts know them. */
+	async function publishStarts(): Promise<void> {
 		for (const server of servers) {
 			const before = published.get(server);
 			if (before !== undefined && before !== server.id) {
@@ -69,6 +74,9 @@
 			published.set(server, server.id);
 			processes.publish(server);
 		}
+
+		const isKnown = (host: Program, id: string) => host.logs().some(({message, server}) => message === 'server changed' && server === id);
+		await waitUntil(() => processes.hosts().every(host => servers.every(({id}) => isKnown(host, id))), {deadlineMs: spreadMs, what: 'the hosts to know the restarted servers'});
 	}
 
 	/** Sends a sound stream to each host; returns how many were answered whole. */
@@ -82,10 +90,10 @@
 			server.crashOn(hasPart('fatal'));
 		}
 
-		publishStarts();
+		await publishStarts();
 		for (let sent = 0; countEnds() < ends && sent < 10 * ends; sent++) {
 			await processes.ask({...toStream(['first', 'fatal', 'usual']), at: sent % hosts});
-			publishStarts();
+			await publishStarts();
 			await countServed();
 			await sleep(gapMs);
 		}
@@ -97,7 +105,7 @@
 		for (let n = 0; n < 4 * hosts; n++) {
 			const answer = await processes.ask({...toStream(['first', 'fatal', 'usual']), at: n % hosts});
 			statuses.push(answer.status);
-			publishStarts();
+			await publishStarts();
 			served += await countServed();
 		}
 
@@ -130,7 +138,14 @@
 				server.crashOn(hasPart(part), way);
 			}
 
-			await crashServers(fixture, toFatal, {crashes: countCrashes(fixture) + ends, hosts: 2});
+			const endsBefore = countCrashes(fixture);
+			for (let sent = 0; countCrashes(fixture) < endsBefore + ends && sent < 3 * ends; sent++) {
+				await fixture.ask({...toFatal(), at: sent % 2});
+				await sleep(endMs);
+				await publishRestarts(fixture, 2);
+			}
+
+			assert.ok(countCrashes(fixture) > endsBefore);
 			await sleep(spreadMs);
 			const reached = () => new Set(allServers().flatMap(({arrivals}) => arrivals).filter(arrival => hasPart(part)(arrival)).map(({body}) => body)).size;
 			const reachedBefore = reached();
