Bound what hosts tell each other of parts of prompts

What callers would see: nothing; hosts would spend more on control than the 8 KB a second that CAPACITY.md allows. Cause: a server that ends under a hundred requests of five parts makes five hundred suspects, and each host forwards what it hears. Evidence: share-loads/prompt-parts, "stay within the bound on control traffic", red before at 7 hosts (17.4 KB a second and host); not measured before at 74 and 400. Change: reports of changes are spread over time, those with the most crashes first; a round repeats one report; a report names at most six crashes.

--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -13,6 +13,8 @@
 	maxSuspects?: number;
 	/** Maximum number of crashes kept per request. */
 	maxCrashes?: number;
+	/** Maximum number of crashes in a report to other hosts; by default as many as lead to quarantine. */
+	maxReportedCrashes?: number;
 	/** Picks the crash that makes room for a later one; without it, crashes beyond the maximum are not kept. */
 	pickSurplus?: (crashes: readonly Crash[]) => ServerId;
 };
@@ -44,7 +46,7 @@
 	crashedServers: (fingerprint: Fingerprint, now: Milliseconds) => readonly ServerId[];
 	/** Reports for other hosts: all requests with repeated crashes, and requests with recent crashes of at least `minFreshCrashes` servers; rotates through them if there are more than `limit`. */
 	toReports: (now: Milliseconds, options: {minFreshCrashes: number; limit: number}) => readonly CrashReport[];
-	/** Reports of the requests that have changed since they were last taken. */
+	/** Reports of the requests that have changed since they were last taken, those with the most crashes first. */
 	takeChanged: (now: Milliseconds, limit: number) => readonly DueReport[];
 	/** Reports of first crashes that were not taken lately, for hosts that have replaced those which knew them. */
 	takeOverdue: (now: Milliseconds, limit: number) => readonly CrashReport[];
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -74,7 +74,7 @@
  */
 export function createCrashSuspects(options: CrashSuspectsOptions = {}): CrashSuspects {
 	const {
-		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, pickSurplus,
+		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = crashesToQuarantine, pickSurplus,
 	} = options;
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
@@ -213,11 +213,22 @@
 		}
 	}
 
+	/** Picks the crashes that a report has room for. */
+	function toReportedCrashes(suspect: Suspect): Crash[] {
+		const crashes = new Map(toCrashes(suspect));
+		const listKept = (): Crash[] => [...crashes].map(([server, at]) => ({server, at}));
+		for (let surplus = pickSurplus === undefined ? 0 : crashes.size - maxReportedCrashes; surplus > 0; surplus--) {
+			crashes.delete(pickSurplus!(listKept()));
+		}
+
+		return listKept().slice(0, maxReportedCrashes);
+	}
+
 	function toReport(fingerprint: Fingerprint, suspect: Suspect, now: Milliseconds): CrashReport {
 		return {
 			fingerprint,
 			idleMs: now - suspect.seenAt,
-			crashes: toCrashes(suspect).slice(0, pickSurplus === undefined ? crashesToQuarantine : maxCrashes).map(([server, at]) => ({server, ageMs: now - at})),
+			crashes: toReportedCrashes(suspect).map(({server, at}) => ({server, ageMs: now - at})),
 			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
 		};
 	}
@@ -294,7 +305,7 @@
 				.map(({fingerprint, suspect}) => toReport(fingerprint, suspect, now));
 		},
 		takeChanged(now, limit) {
-			const taken = [...changed].slice(0, limit);
+			const taken = [...changed].toSorted((a, b) => suspects.get(b)!.mostCrashes - suspects.get(a)!.mostCrashes).slice(0, limit);
 			return taken.map(fingerprint => {
 				changed.delete(fingerprint);
 				const suspect = suspects.get(fingerprint)!;
--- a/src/domain/create-part-quarantine/index.ts
+++ b/src/domain/create-part-quarantine/index.ts
@@ -54,6 +54,9 @@
 /** Maximum number of crashes kept per part; more than count for a blame, since several servers may end at one moment. */
 const maxCrashes = 16;
 
+/** Maximum number of crashes of a part that hosts tell each other: enough for a blame while servers end without the part. */
+const maxReportedCrashes = 6;
+
 const toGroupKey = ({parts}: BlamedParts): string => parts.join(' ');
 
 /** Returns the time at which a trial of blamed parts is due. */
@@ -80,7 +83,7 @@
  */
 export function createPartQuarantine({isPicked = () => true}: PartQuarantineOptions = {}): PartQuarantine {
 	const suspects = createCrashSuspects({
-		crashesToQuarantine: minBlameWeight, maxSuspects, maxCrashes, pickSurplus: pickSurplusCrash,
+		crashesToQuarantine: minBlameWeight, maxSuspects, maxCrashes, maxReportedCrashes, pickSurplus: pickSurplusCrash,
 	});
 	/** Blamed groups as last taken, by key. */
 	let known = new Map<string, BlamedParts>();
--- a/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -2,12 +2,15 @@
  * Sends reports of crashes to other hosts: changes at once, known crashes to hosts
  * that have missed them, and repeated crashes in the messages of each round.
  */
+import {createTokenBucket} from '../../../../domain/create-token-bucket/index.js';
 import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
 import {type PeerList} from '../../../../domain/create-peer-list/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type CrashReport} from '../../../../ports/crash-reports.js';
 import {type Incarnation} from '../../../../ports/ids.js';
+import {type BucketRate} from '../../../../ports/quotas.js';
 import {type HostLoad} from '../../../../ports/shared-loads.js';
+import {bytesPerKibibyte} from '../../../../ports/units.js';
 import {createNewPeerWatch} from './create-new-peer-watch.js';
 
 /** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
@@ -19,6 +22,16 @@
 /** Bound on crash reports in a round's message; a host of a large fleet sends some twenty of these messages a second. */
 const maxReportsPerRound = 5;
 
+/** The same bound where there are many suspects, with more crashes each. */
+const maxReportsOfManyPerRound = 1;
+
+/** Bytes a second for reports of changes where there are many suspects; those with the most crashes go first. */
+const manyRate: BucketRate = {perSecond: bytesPerKibibyte, burst: 4 * bytesPerKibibyte};
+
+/** Estimated size of a report, and of each crash in it. */
+const reportBytes = 16;
+const crashBytes = 18;
+
 /** Bound on crash reports for a host of a small fleet that has just started or was not heard for some time. */
 const maxReportsToNewPeer = 64;
 
@@ -31,7 +44,10 @@
 
 export type CrashReporterOptions = {
 	suspects: CrashSuspects;
-	/** Whether first crashes are reported to their collectors alone also in a small fleet, because a server that ends makes many suspects. */
+	/**
+	 * Whether a server that ends makes many suspects. First crashes are then reported to
+	 * their collectors alone also in a small fleet, and reports are spread over time.
+	 */
 	hasManySuspects?: boolean;
 	peers: PeerList;
 	/** Sends a message to each address. */
@@ -49,6 +65,14 @@
 	toRoundReports: (now: Milliseconds) => readonly CrashReport[];
 };
 
+/** Number of hosts that collect the reports of a request or part. */
+const maxCollectors = 3;
+
+function toBytes(reports: readonly CrashReport[]): number {
+	const crashes = reports.flatMap(report => report.crashes);
+	return (reports.length * reportBytes) + (crashes.length * crashBytes);
+}
+
 /**
  * Creates the sender of one host's reports.
  *
@@ -60,6 +84,8 @@
 	/** Hosts that may have missed reports. */
 	const newPeers = new Set<string>();
 
+	const bucket = createTokenBucket(manyRate.burst, 0);
+
 	const hasCollectors = (now: Milliseconds): boolean => hasManySuspects || peers.isLarge(now);
 
 	/** Returns the number of crashes from which on a request is reported to all hosts; below it, only collectors are told. */
@@ -80,14 +106,21 @@
 
 	/** Sends new crash reports at once. A request that crashes servers may reach any host next, so each host that receives a report forwards it. */
 	function sendChanged(loads: readonly HostLoad[], now: Milliseconds): void {
+		if (hasManySuspects && bucket.level(manyRate, now) <= 0) {
+			return;
+		}
+
 		const changed = suspects.takeChanged(now, hasManySuspects ? maxReportsOfMany : maxReports);
 		const leastCrashes = toMinCrashes(now);
 		const crashes = changed.filter(report => report.mostCrashes >= leastCrashes);
+		const others = [...peers.directPeers(now), ...peers.remotePeers(now)];
 		if (crashes.length > 0) {
-			send({loads, crashes}, [...peers.directPeers(now), ...peers.remotePeers(now)]);
+			send({loads, crashes}, others);
 		}
 
-		sendToCollectors(loads, changed.filter(report => report.mostCrashes < leastCrashes));
+		const ofCollectors = changed.filter(report => report.mostCrashes < leastCrashes);
+		sendToCollectors(loads, ofCollectors);
+		bucket.spend((toBytes(crashes) * others.length) + (toBytes(ofCollectors) * maxCollectors), manyRate, now);
 	}
 
 	/**
@@ -118,6 +151,6 @@
 		},
 		sendChanged,
 		sendKnown,
-		toRoundReports: now => suspects.toReports(now, {minFreshCrashes: toMinCrashes(now), limit: maxReportsPerRound}),
+		toRoundReports: now => suspects.toReports(now, {minFreshCrashes: toMinCrashes(now), limit: hasManySuspects ? maxReportsOfManyPerRound : maxReportsPerRound}),
 	};
 }
--- a/src/programs/relay/share-loads/prompt-parts.test.ts
+++ b/src/programs/relay/share-loads/prompt-parts.test.ts
@@ -189,3 +189,28 @@
 		}
 	}
 });
+
+describe('hosts that report crashes by parts of prompts', () => {
+	for (const count of [smallFleet, ...largeFleets]) {
+		it(`stay within the bound on control traffic while servers end under a hundred requests of five parts: ${count} hosts`, async t => {
+			const random = createRandom(count);
+			const fleet = await startHosts(count, {lossShare: 0.05, random});
+			fleet.pass(10 * msPerSecond);
+			const seconds = 10;
+			let bytes = 0;
+			for (let second = 0; second < seconds; second++) {
+				for (let run = 0; run < (second % 2 === 0 ? 100 : 0); run++) {
+					const {partQuarantine} = fleet.hosts[Math.floor(random() * count)]!;
+					for (const part of [first, ...Array.from({length: 4}, () => `other-${Math.floor(random() * 400)}`)]) {
+						partQuarantine.suspects.noteBroken(part, `i-93770e37e${second}`, fleet.now());
+					}
+				}
+
+				bytes += fleet.measure(msPerSecond).bytes / seconds;
+			}
+
+			t.diagnostic(`${(bytes / bytesPerKibibyte).toFixed(2)} KB a second and host`);
+			assert.ok(bytes <= maxControlBytes, `${bytes} bytes a second`);
+		});
+	}
+});
