--- a/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -26,7 +26,10 @@
 const maxReportsOfManyPerRound = 1;
 
 /** Bytes a second for reports of changes where there are many suspects; those with the most crashes go first. */
-const manyRate: BucketRate = {perSecond: bytesPerKibibyte, burst: 4 * bytesPerKibibyte};
+const manyRate = {
+	small: {perSecond: 3 * bytesPerKibibyte, burst: 6 * bytesPerKibibyte},
+	large: {perSecond: bytesPerKibibyte, burst: 4 * bytesPerKibibyte},
+} as const satisfies Record<string, BucketRate>;
 
 /** Estimated size of a report, and of each crash in it. */
 const reportBytes = 16;
@@ -84,7 +87,7 @@
 	/** Hosts that may have missed reports. */
 	const newPeers = new Set<string>();
 
-	const bucket = createTokenBucket(manyRate.burst, 0);
+	const bucket = createTokenBucket(manyRate.small.burst, 0);
 
 	const hasCollectors = (now: Milliseconds): boolean => hasManySuspects || peers.isLarge(now);
 
@@ -106,7 +109,8 @@
 
 	/** Sends new crash reports at once. A request that crashes servers may reach any host next, so each host that receives a report forwards it. */
 	function sendChanged(loads: readonly HostLoad[], now: Milliseconds): void {
-		if (hasManySuspects && bucket.level(manyRate, now) <= 0) {
+		const rate = peers.isLarge(now) ? manyRate.large : manyRate.small;
+		if (hasManySuspects && bucket.level(rate, now) <= 0) {
 			return;
 		}
 
@@ -120,7 +124,7 @@
 
 		const ofCollectors = changed.filter(report => report.mostCrashes < leastCrashes);
 		sendToCollectors(loads, ofCollectors);
-		bucket.spend((toBytes(crashes) * others.length) + (toBytes(ofCollectors) * maxCollectors), manyRate, now);
+		bucket.spend((toBytes(crashes) * others.length) + (toBytes(ofCollectors) * maxCollectors), rate, now);
 	}
 
 	/**
