--- a/bench/main.ts
+++ b/bench/main.ts
@@ -28,6 +28,7 @@
 	'lost-links',
 	'stream-origins',
 	'server-limits',
+	'prompt-parts',
 ] as const;
 
 type BenchName = typeof benches[number];
