Test the rows that report crashes by parts of prompts

Round trip with and without the items before them, one naming of a server for all its suspects, datagrams that are full, and rows that are not valid.

--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -2,7 +2,7 @@
 import {createSocket} from 'node:dgram';
 import {describe, it} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {encode} from 'cbor-x';
+import {decode, encode} from 'cbor-x';
 import fc from 'fast-check';
 import {findUdpAddress} from '../../../test/_lib/find-udp-address/index.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
@@ -41,6 +41,34 @@
 		}
 	});
 
+	it('keep crashes by parts of prompts, with and without what comes before them', () => {
+		const partCrashes = [
+			...['a@LMB3un', 'b@LMB3un'].map(fingerprint => ({fingerprint, idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}]})),
+			{fingerprint: 'c@LMB3un', idleMs: 5, crashes: [{server: 'i-1', ageMs: 20}, {server: 'i-2', ageMs: 900}]},
+			{
+				fingerprint: 'd@LMB3un', idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}], survivedMs: 40,
+			},
+		];
+		for (const more of [{partCrashes}, {partCrashes, limits: [{server: 'i-1', perSecond: 4.8, ageMs: 20}]}]) {
+			assert.deepEqual(decodeLoadMessage(encodeLoadMessage({...message, ...more}))._unsafeUnwrap(), {...message, ...more});
+		}
+	});
+
+	it('name a server once for all parts of which it is the only crash, and keep the first parts that fit', () => {
+		const partCrashes = Array.from({length: 500}, (_, i) => ({fingerprint: `${i}@LMB3un`, idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}]}));
+		const bytes = encodeLoadMessage({...message, partCrashes: partCrashes.slice(0, 48)});
+		assert.ok(bytes.length < 48 * 16);
+		const decoded = decodeLoadMessage(encodeLoadMessage({...message, partCrashes}))._unsafeUnwrap();
+		assert.deepEqual(decoded.partCrashes?.slice(0, 40), partCrashes.slice(0, 40));
+	});
+
+	it('leave out crashes by parts that are not valid', () => {
+		const row = decode(encodeLoadMessage(message)) as unknown[];
+		for (const parts of [[[['i-1', -1, ['a']]], []], [[], [['a', 5, [['i-1', 20]], 'x']]], 'nonsense', [[['i-1', 20, ['x'.repeat(65)]]], []]]) {
+			assert.equal(decodeLoadMessage(encode([...row, null, null, null, parts]))._unsafeUnwrap().partCrashes, undefined);
+		}
+	});
+
 	it('fit into one datagram, however much a host has in flight, and keep the largest loads', () => {
 		const loads = Array.from({length: 500}, (_, i) => ({server: `i-${i}`, requests: 1, promptTokens: i}));
 		const bytes = encodeLoadMessage({...message, loads});
