Look for newly blamed parts once a message, and split the record of crashes

What callers saw: nothing. A message of another host that reports crashes of several servers had all suspects compared once for each server, up to seven times; now once. Of the reading: create-latest-times is a folder of its own with its test, pick-evicted and pick-reported-crashes leave create-crash-suspects, an alias of a type goes.

--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -10,10 +10,11 @@
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
-import {createLatestTimes} from './_lib/create-latest-times.js';
+import {createLatestTimes} from '../create-latest-times/index.js';
+import {pickEvicted} from './_lib/pick-evicted.js';
+import {pickReportedCrashes} from './_lib/pick-reported-crashes.js';
 import {type Crash, type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
 
-export {createLatestTimes} from './_lib/create-latest-times.js';
 export type * from './_lib/types.js';
 
 type Suspect = {
@@ -93,6 +94,8 @@
 
 	const toCrashes = (suspect: Suspect): Array<[ServerId, Milliseconds]> => [...suspect.crashes].filter(([server, at]) => isCrash(suspect, server, at));
 
+	const listCrashes = (suspect: Suspect): Crash[] => toCrashes(suspect).map(([server, at]) => ({server, at}));
+
 	const hasEnoughCrashes = (suspect: Suspect): boolean => toCrashes(suspect).length >= crashesToQuarantine;
 
 	function forget(fingerprint: Fingerprint): void {
@@ -110,25 +113,19 @@
 		return suspect;
 	}
 
+	/** Counts the crashes of each suspect up to quarantine, the least recently seen first. */
+	function * countCrashes(): Generator<[Fingerprint, number]> {
+		for (const [fingerprint, suspect] of suspects) {
+			yield [fingerprint, Math.min(crashesToQuarantine, toCrashes(suspect).length)];
+		}
+	}
+
 	function makeRoom(): void {
 		if (suspects.size < maxSuspects) {
 			return;
 		}
 
-		let evicted: Fingerprint | undefined;
-		let fewest = Infinity;
-		for (const [fingerprint, suspect] of suspects) {
-			const count = Math.min(crashesToQuarantine, toCrashes(suspect).length);
-			if (count < fewest) {
-				evicted = fingerprint;
-				fewest = count;
-			}
-
-			if (count === 0) {
-				break;
-			}
-		}
-
+		const evicted = pickEvicted(countCrashes());
 		forget(evicted!);
 	}
 
@@ -180,7 +177,7 @@
 
 	/** Replaces a crash by one that tells more; returns whether there was any. */
 	function replaceSurplus(suspect: Suspect, crash: Crash): boolean {
-		const crashes = [...toCrashes(suspect).map(([server, at]) => ({server, at})), crash];
+		const crashes = [...listCrashes(suspect), crash];
 		const surplus = pickSurplus?.(crashes) ?? crash.server;
 		suspect.crashes.set(crash.server, crash.at);
 		suspect.crashes.delete(surplus);
@@ -213,22 +210,11 @@
 		}
 	}
 
-	/** Picks the crashes that a report has room for. */
-	function toReportedCrashes(suspect: Suspect): Crash[] {
-		const crashes = new Map(toCrashes(suspect));
-		const listKept = (): Crash[] => [...crashes].map(([server, at]) => ({server, at}));
-		for (let surplus = pickSurplus === undefined ? 0 : crashes.size - maxReportedCrashes; surplus > 0; surplus--) {
-			crashes.delete(pickSurplus!(listKept()));
-		}
-
-		return listKept().slice(0, maxReportedCrashes);
-	}
-
 	function toReport(fingerprint: Fingerprint, suspect: Suspect, now: Milliseconds): CrashReport {
 		return {
 			fingerprint,
 			idleMs: now - suspect.seenAt,
-			crashes: toReportedCrashes(suspect).map(({server, at}) => ({server, ageMs: now - at})),
+			crashes: pickReportedCrashes(listCrashes(suspect), maxReportedCrashes, pickSurplus).map(({server, at}) => ({server, ageMs: now - at})),
 			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
 		};
 	}
@@ -284,7 +270,7 @@
 		listCrashes(now, minCrashes) {
 			return [...suspects]
 				.filter(([, {crashes, seenAt}]) => crashes.size >= minCrashes && now - seenAt <= forgetMs)
-				.map(([fingerprint, suspect]) => ({fingerprint, crashes: toCrashes(suspect).map(([server, at]) => ({server, at}))}))
+				.map(([fingerprint, suspect]) => ({fingerprint, crashes: listCrashes(suspect)}))
 				.filter(({crashes}) => crashes.length >= minCrashes);
 		},
 		listEnds() {
--- a/src/domain/create-crash-suspects/_lib/create-latest-times.ts
+++ b/src/domain/create-latest-times/index.ts
@@ -1,4 +1,4 @@
-import {type Milliseconds} from '../../../ports/clock.js';
+import {type Milliseconds} from '../../ports/clock.js';
 
 export type LatestTimes = {
 	/** Keeps the time if it is later than the known one. */
@@ -14,6 +14,14 @@
  *
  * @param maxKeys - Number of keys that are kept.
  * @returns See {@link LatestTimes}.
+ *
+ * @example
+ * ```ts
+ * const times = createLatestTimes(100);
+ * times.note('a', 7);
+ * times.note('a', 5);
+ * times.get('a'); // => 7
+ * ```
  */
 export function createLatestTimes(maxKeys: number): LatestTimes {
 	const times = new Map<string, Milliseconds>();
--- a/src/domain/create-crash-suspects/_lib/create-latest-times.test.ts
+++ b/src/domain/create-latest-times/test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {createLatestTimes} from './create-latest-times.js';
+import {createLatestTimes} from './index.js';
 
 describe('createLatestTimes', () => {
 	it('keeps the latest time of each key', () => {
@@ -18,5 +18,6 @@
 		times.note('a', 30);
 		times.note('c', 40);
 		assert.deepEqual(['a', 'b', 'c'].map(key => times.get(key)), [30, -Infinity, 40]);
+		assert.deepEqual(times.entries(), [['a', 30], ['c', 40]]);
 	});
 });
--- a/src/domain/create-part-quarantine/index.ts
+++ b/src/domain/create-part-quarantine/index.ts
@@ -6,7 +6,8 @@
 import {type Milliseconds} from '../../ports/clock.js';
 import {type PartKey} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
-import {createCrashSuspects, createLatestTimes, type CrashSuspects} from '../create-crash-suspects/index.js';
+import {createCrashSuspects, type CrashSuspects} from '../create-crash-suspects/index.js';
+import {createLatestTimes} from '../create-latest-times/index.js';
 import {
 	findBlamedParts, minBlameWeight, minSuspectCrashes, pickSurplusCrash, type BlamedParts,
 } from '../find-blamed-parts/index.js';
@@ -87,7 +88,7 @@
 	});
 	/** Blamed groups as last taken, by key. */
 	let known = new Map<string, BlamedParts>();
-	/** Time slot in which this host last tried a group. */
+	/** Start of the time slot in which this host last tried a group, by the group's key. */
 	const triedSlots = createLatestTimes(maxTriedGroups);
 
 	const listBlamed = (now: Milliseconds): BlamedParts[] =>
--- a/src/domain/find-blamed-parts/index.ts
+++ b/src/domain/find-blamed-parts/index.ts
@@ -9,15 +9,13 @@
 import {msPerSecond} from '../../ports/units.js';
 import {type Crash} from '../create-crash-suspects/index.js';
 
-/** The end of a server while it ran a request with a part, if no request with that part has survived since. */
-export type PartCrash = Crash;
-
-export type SuspectPart = {part: PartKey; crashes: readonly PartCrash[]};
+/** A part, and the ends of servers under requests with it since a server last survived one. */
+export type SuspectPart = {part: PartKey; crashes: readonly Crash[]};
 
 /** Parts that together are blamed: they were at the same ends, so only requests with all of them are known to end servers. */
 export type BlamedParts = {
 	parts: readonly PartKey[];
-	crashes: readonly PartCrash[];
+	crashes: readonly Crash[];
 	/** See {@link toCrashWeight}. */
 	weight: number;
 };
@@ -44,8 +42,8 @@
 export const minSuspectCrashes = minBlameWeight - maxCrashesApart;
 
 /** Groups crashes by moment, in order of time. */
-function toMoments(crashes: readonly PartCrash[]): PartCrash[][] {
-	const moments: PartCrash[][] = [];
+function toMoments(crashes: readonly Crash[]): Crash[][] {
+	const moments: Crash[][] = [];
 	for (const crash of crashes.toSorted((a, b) => a.at - b.at || (a.server < b.server ? -1 : 1))) {
 		const moment = moments.at(-1);
 		if (moment === undefined || crash.at - moment[0]!.at >= momentMs) {
@@ -64,7 +62,7 @@
  * @param crashes - The crashes, in any order.
  * @returns The weight.
  */
-export function toCrashWeight(crashes: readonly PartCrash[]): number {
+export function toCrashWeight(crashes: readonly Crash[]): number {
 	let weight = 0;
 	for (const {length} of toMoments(crashes)) {
 		weight += Math.min(length, maxCrashesOfMoment);
@@ -84,7 +82,7 @@
  * present, from shortly before its first crash. Where servers end without the part, it
  * takes more evidence that they end because of it.
  */
-function toAbsences(crashes: readonly PartCrash[], ends: readonly PartCrash[]): number {
+function toAbsences(crashes: readonly Crash[], ends: readonly Crash[]): number {
 	const own = new Set(crashes.map(({server}) => server));
 	const times = crashes.map(({at}) => at);
 	const [from, to] = [Math.min(...times) - recentMs, Math.max(...times)];
@@ -97,7 +95,7 @@
 	return Math.ceil(absent / crashes.length);
 }
 
-function toWeighed({part, crashes}: SuspectPart, ends: readonly PartCrash[]): WeighedPart {
+function toWeighed({part, crashes}: SuspectPart, ends: readonly Crash[]): WeighedPart {
 	const weight = toCrashWeight(crashes);
 	return {
 		part, crashes, weight, margin: weight - minBlameWeight - toAbsences(crashes, ends),
@@ -131,9 +129,9 @@
  * // => [{parts: ['a'], crashes, weight: 4}]
  * ```
  */
-export function findBlamedParts(suspects: readonly SuspectPart[], ends: readonly PartCrash[]): BlamedParts[] {
+export function findBlamedParts(suspects: readonly SuspectPart[], ends: readonly Crash[]): BlamedParts[] {
 	const explained = new Set<ServerId>();
-	const isOpen = ({server}: PartCrash): boolean => !explained.has(server);
+	const isOpen = ({server}: Crash): boolean => !explained.has(server);
 	const blamed: BlamedParts[] = [];
 	for (;;) {
 		const openEnds = ends.filter(end => isOpen(end));
@@ -161,7 +159,7 @@
  * @param crashes - At least one crash.
  * @returns Its server.
  */
-export function pickSurplusCrash(crashes: readonly PartCrash[]): ServerId {
+export function pickSurplusCrash(crashes: readonly Crash[]): ServerId {
 	const moments = toMoments(crashes);
 	const fullest = moments.toSorted((a, b) => b.length - a.length)[0]!;
 	return fullest.length > maxCrashesOfMoment ? fullest.at(-1)!.server : moments[0]![0]!.server;
--- a/src/domain/find-blamed-parts/test.ts
+++ b/src/domain/find-blamed-parts/test.ts
@@ -1,20 +1,21 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
+import {type Crash} from '../create-crash-suspects/index.js';
 import {
-	findBlamedParts, pickSurplusCrash, toCrashWeight, type PartCrash, type SuspectPart,
+	findBlamedParts, pickSurplusCrash, toCrashWeight, type SuspectPart,
 } from './index.js';
 
 const gapMs = 2000;
 
 /** Crashes of servers, named by their numbers, in time order. */
-const toCrashes = (...servers: readonly number[]): PartCrash[] => servers.map(n => ({server: `s${n}`, at: n * gapMs}));
+const toCrashes = (...servers: readonly number[]): Crash[] => servers.map(n => ({server: `s${n}`, at: n * gapMs}));
 
-const toSuspects = (crashes: Readonly<Record<string, readonly PartCrash[]>>): SuspectPart[] => Object.entries(crashes).map(([part, own]) => ({part, crashes: own}));
+const toSuspects = (crashes: Readonly<Record<string, readonly Crash[]>>): SuspectPart[] => Object.entries(crashes).map(([part, own]) => ({part, crashes: own}));
 
-const toEnds = (suspects: readonly SuspectPart[]): PartCrash[] => [...new Map(suspects.flatMap(({crashes}) => crashes).map(crash => [crash.server, crash])).values()];
+const toEnds = (suspects: readonly SuspectPart[]): Crash[] => [...new Map(suspects.flatMap(({crashes}) => crashes).map(crash => [crash.server, crash])).values()];
 
-function toBlamed(crashes: Readonly<Record<string, readonly PartCrash[]>>, others: readonly PartCrash[] = []): string[] {
+function toBlamed(crashes: Readonly<Record<string, readonly Crash[]>>, others: readonly Crash[] = []): string[] {
 	const suspects = toSuspects(crashes);
 	return findBlamedParts(suspects, [...toEnds(suspects), ...others]).map(({parts}) => parts.join('+'));
 }
--- a/src/programs/entry/_lib/quarantine.test.ts
+++ b/src/programs/entry/_lib/quarantine.test.ts
@@ -5,7 +5,7 @@
 import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createCollectedLines} from '../../../../test/_lib/create-collected-lines/index.js';
 import {type RunEnd} from '../../../domain/judge-run-end/index.js';
-import {mergeCrashReports, noteRunEnd} from './quarantine.js';
+import {findQuarantine, mergeCrashReports, noteRunEnd} from './quarantine.js';
 import {type ServeContext} from './serve-types.js';
 
 function createServe() {
@@ -123,3 +123,36 @@
 		assert.deepEqual(lines().filter(({message}) => message === 'request quarantined').map(({fingerprint}) => fingerprint), ['f']);
 	});
 });
+
+/* Guards against parts of prompts that are blamed or cleared otherwise than the requests that have them. */
+describe('noteRunEnd for parts of a prompt', () => {
+	it('counts crashes and survivals for each part, logs a quarantine and its end once, and refuses no trial', () => {
+		const {ctx, lines} = createServe();
+		let now = 0;
+		ctx.services.clock.now = () => now;
+		const endRun = (server: string, parts: readonly string[], end: RunEnd) => {
+			noteRunEnd({
+				fingerprint: `f-${server}`, parts, server, startedAt: now, end,
+			}, ctx);
+		};
+
+		const toCause = (parts: readonly string[], isTrial = false) => findQuarantine({fingerprint: undefined, parts, isTrial}, {...ctx, now});
+		for (const server of ['a', 'b', 'c', 'd']) {
+			now += 2000;
+			endRun(server, ['first', 'fatal'], {kind: 'closed'});
+			endRun('alive', ['first'], {
+				kind: 'answered', status: 200, framing: 'chunks', isRun: true,
+			});
+		}
+
+		assert.equal(toCause(['other', 'fatal']), 'parts');
+		assert.equal(toCause(['first']), undefined);
+		assert.equal(toCause(['fatal'], true), undefined);
+		endRun('alive', ['fatal'], {
+			kind: 'answered', status: 200, framing: 'length', isRun: true,
+		});
+		assert.equal(toCause(['fatal']), undefined);
+		const told = lines().filter(({parts}) => parts !== undefined).map(({message, parts, count}) => ({message, parts, count}));
+		assert.deepEqual(told, [{message: 'prompt parts quarantined', parts: 'fatal', count: 4}, {message: 'prompt parts released', parts: 'fatal', count: undefined}]);
+	});
+});
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -95,6 +95,14 @@
 /** Time by which hosts may differ on when a server closed its connections. */
 const closeSpreadMs: Milliseconds = 100;
 
+function countEndedRuns(server: ServerId, period: EndPeriod, {suspects, partQuarantine, now, log}: CrashContext): void {
+	for (const fingerprint of suspects.noteServerEnded(server, period, now)) {
+		logQuarantined(log, suspects, {fingerprint, now});
+	}
+
+	partQuarantine.suspects.noteServerEnded(server, period, now);
+}
+
 /**
  * Counts the runs without an answer at a server that ended, as known from elsewhere
  * than those runs.
@@ -104,12 +112,7 @@
  * @param ctx - Crashes by request and by part, time and log.
  */
 export function noteServerEnded(server: ServerId, period: EndPeriod, ctx: CrashContext): void {
-	const {suspects, partQuarantine, now, log} = ctx;
-	for (const fingerprint of suspects.noteServerEnded(server, period, now)) {
-		logQuarantined(log, suspects, {fingerprint, now});
-	}
-
-	partQuarantine.suspects.noteServerEnded(server, period, now);
+	countEndedRuns(server, period, ctx);
 	logPartChanges(ctx);
 }
 
@@ -129,17 +132,17 @@
 		logQuarantined(log, suspects, {fingerprint, now, peer});
 	}
 
-	if (partCrashes.length > 0) {
-		partQuarantine.suspects.mergeReports(partCrashes, now);
-		logPartChanges(ctx, peer);
-	}
-
+	partQuarantine.suspects.mergeReports(partCrashes, now);
 	const ended = new Map([...crashes, ...partCrashes].flatMap(report => report.crashes).map(({server, ageMs}) => [server, ageMs]));
 	for (const [server, ageMs] of ended) {
 		if (ageMs <= entryLifetimeMs) {
-			noteServerEnded(server, {from: now - ageMs - closeSpreadMs, to: now - ageMs}, ctx);
+			countEndedRuns(server, {from: now - ageMs - closeSpreadMs, to: now - ageMs}, ctx);
 		}
 	}
+
+	if (ended.size > 0 || partCrashes.length > 0) {
+		logPartChanges(ctx, peer);
+	}
 }
 
 /**
@@ -173,7 +176,7 @@
 	}
 
 	if (verdict === 'crashed-unless-alive') {
-		noteServerEnded(server, {from: now - closeSpreadMs, to: now}, ctx);
+		countEndedRuns(server, {from: now - closeSpreadMs, to: now}, ctx);
 	}
 
 	logPartChanges(ctx);
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -174,10 +174,10 @@
 		releaseHeld(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 	};
 
-	const quarantine = findRunQuarantine(run);
-	if (quarantine !== undefined) {
+	const causeBefore = findRunQuarantine(run);
+	if (causeBefore !== undefined) {
 		releaseReservation();
-		return {kind: 'quarantined', cause: quarantine};
+		return {kind: 'quarantined', cause: causeBefore};
 	}
 
 	const computed = await computePrompt(step);
@@ -198,10 +198,10 @@
 		}
 	};
 
-	const laterQuarantine = findRunQuarantine(run);
-	if (laterQuarantine !== undefined) {
+	const causeAfter = findRunQuarantine(run);
+	if (causeAfter !== undefined) {
 		endUnused({isKept: false});
-		return {kind: 'quarantined', cause: laterQuarantine};
+		return {kind: 'quarantined', cause: causeAfter};
 	}
 
 	const obstacle = findObstacle(run, decode);
--- a/src/programs/entry/call-plain/_lib/send-step.test.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {createCrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {createPartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
 import {type PlainEnd} from '../../send-plain/index.js';
@@ -17,9 +18,12 @@
 	for (const {refusal, isAlive} of cases) {
 		it(`counts a refusal as ${String(refusal)} as ${isAlive ? 'an answer of the server' : 'an answer of another server'}`, () => {
 			const suspects = createCrashSuspects({crashesToQuarantine: 1});
+			const partQuarantine = createPartQuarantine();
 			suspects.noteBroken('f', 'a', 10);
-			noteAnswered({ctx: {suspects}} as unknown as PlainRun, {server: 'a', calledAt: 20, refusal});
+			partQuarantine.suspects.noteBroken('part', 'a', 10);
+			noteAnswered({ctx: {suspects, partQuarantine}} as unknown as PlainRun, {server: 'a', calledAt: 20, refusal});
 			assert.equal(suspects.isQuarantined('f', 30), !isAlive);
+			assert.deepEqual(partQuarantine.suspects.crashedServers('part', 30), isAlive ? [] : ['a']);
 		});
 	}
 });
@@ -44,12 +48,19 @@
 	for (const {what, ended, leaving, isCounted} of cases) {
 		it(`${isCounted ? 'counts' : 'does not count'} the server as ended after ${what}`, () => {
 			const suspects = createCrashSuspects({crashesToQuarantine: 1});
-			suspects.noteUnresolved({
-				fingerprint: 'f', server: 'a', startedAt: 0, isWhole: false,
-			}, 100);
-			const ctx = {suspects, log: {info: () => undefined, warn: () => undefined}, services: {clock: {now: () => 1000}, toView: () => ({servers: new Map([['a', {leaving}]])})}};
+			const partQuarantine = createPartQuarantine();
+			for (const [record, fingerprint] of [[suspects, 'f'], [partQuarantine.suspects, 'part']] as const) {
+				record.noteUnresolved({
+					fingerprint, server: 'a', startedAt: 0, isWhole: false,
+				}, 100);
+			}
+
+			const ctx = {
+				suspects, partQuarantine, log: {info: () => undefined, warn: () => undefined}, services: {clock: {now: () => 1000}, toView: () => ({servers: new Map([['a', {leaving}]])})},
+			};
 			noteRefusedConnection({ctx} as unknown as PlainRun, {id: 'a'} as unknown as ServerEntry, ended);
 			assert.equal(suspects.isQuarantined('f', 1000), isCounted);
+			assert.deepEqual(partQuarantine.suspects.crashedServers('part', 1000), isCounted ? ['a'] : []);
 		});
 	}
 });
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -85,11 +85,11 @@
 
 	const {picked, leave} = chosen.value;
 	const {server} = picked;
-	const quarantine = findRunQuarantine(run);
-	if (quarantine !== undefined) {
+	const cause = findRunQuarantine(run);
+	if (cause !== undefined) {
 		leave();
 		run.ctx.serverLimits.giveBack(server, 1);
-		return {kind: 'quarantined', cause: quarantine};
+		return {kind: 'quarantined', cause};
 	}
 
 	const placed = recordPlacement(account, picked, {attempt, pool: route.pool.name, chosen: [server.id]});
@@ -137,9 +137,9 @@
 
 async function callUntilAnswered(run: PlainRun): Promise<PlainOutcome> {
 	for (;;) {
-		const quarantine = findRunQuarantine(run);
-		if (quarantine !== undefined) {
-			return toQuarantined(run, quarantine);
+		const cause = findRunQuarantine(run);
+		if (cause !== undefined) {
+			return toQuarantined(run, cause);
 		}
 
 		const attempted = await runAttempt(run);
