Give the requests of server-ends prompts that share no part

Cause: the fixture gives all streams the prompt parts a and b, so after four ends without a survival part a was rightly blamed, and the next request was refused before three servers had ended under it. The test is of whole requests: its streams have a prompt of one part now, which is never blamed. Each check, bound and way is as before.

--- a/test/failures/server-ends.test.ts
+++ b/test/failures/server-ends.test.ts
@@ -26,7 +26,8 @@
 
 const countCalls = (wanted: string): number => allServers().flatMap(({arrivals}) => arrivals).filter(({body}) => body === wanted).length;
 
-const toStream = (body: string): RelayCall => ({path: '/summary/9', body, headers: toStreamHeaders({'deadline-ms': String(waitMs)})});
+/** Creates a stream whose prompt shares no part with others, so that only the request itself can be quarantined. */
+const toStream = (body: string): RelayCall => ({path: '/summary/9', body, headers: toStreamHeaders({'prompt-prefix': 'own:3000', 'deadline-ms': String(waitMs)})});
 
 const toLookup = (body: string): RelayCall => ({path: '/lookup/9', body, headers: {'deadline-ms': String(waitMs)}});
 
