Show that a request goes on ending busy servers, with failing tests

What callers see: streams that break off whenever one request reaches a server, at any host, long after it has ended three. Three hosts as processes, four decode servers that also serve nine sound streams at a time, a repeat each 400 ms for 12 s.

The version case is one of chance: which server a run meets is drawn.

The stand-in answered calls for its earlier start as that start, which would have hidden an end; it refuses them now as another instance, as the servers do.

--- /dev/null
+++ b/test/failures/_lib/busy-fleet.ts
@@ -0,0 +1,141 @@
+/**
+ * Hosts as processes before model servers that are busy with sound streams, and one
+ * request that is sent again and again and ends servers.
+ */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type ServerEnd} from '../../stand-ins/users-platform/end-server.js';
+import {type RelayCall} from '../../stand-ins/users-platform/send-call.js';
+import {startRelayProcesses, type RelayProcesses, type VersionedServer} from '../../stand-ins/users-platform/start-relay-processes.js';
+import {toStreamHeaders} from '../../stand-ins/users-platform/start-relay-fixture.js';
+
+const hostCount = 3;
+
+/** Sound streams that each host serves at a time. */
+const streamsPerHost = 3;
+
+/** Time from the end of a server to the removal of its entry. */
+const lapseMs = 3500;
+
+/** Time between two looks at the servers. */
+const pollMs = 20;
+
+/** Time after the third end from which no host may send the request on. */
+export const spreadMs = 3000;
+
+/** Number of ends after which a request must be sent to no further server. */
+const endsAllowed = 3;
+
+/** Runs of the culprit that may come later. */
+export const maxLateRuns = 3;
+
+const culpritBody = 'culprit';
+
+export type BusyFleet = {
+	processes: RelayProcesses;
+	servers: readonly VersionedServer[];
+	/** Sets which runs of the culprit end their server, and how. */
+	setEnds: (isFatal: (server: VersionedServer, run: number) => boolean, end: ServerEnd) => void;
+	/** Sends the culprit to the hosts in turn for some time, one call each `gapMs`. */
+	repeat: (options: {call?: Partial<RelayCall>; gapMs: number; forMs: number}) => Promise<void>;
+	/** What has become of the requests so far. */
+	tally: () => {ended: number; lateRuns: number; sound: number; soundServed: number; soundQuarantined: number};
+	stop: () => Promise<void>;
+};
+
+/** Folder of another build that the hosts run, with a closing slash, from the environment variable `RELAY_BUILD`. */
+function findBuild(): URL | undefined {
+	const folder = process.env.RELAY_BUILD;
+	return folder === undefined ? undefined : new URL(folder, 'file:///');
+}
+
+/**
+ * Starts the fleet and its sound traffic. A server that ends is back at once under
+ * another id; the entry of the one that ended lapses later.
+ *
+ * @returns The fleet.
+ */
+export async function startBusyFleet(): Promise<BusyFleet> {
+	const processes = await startRelayProcesses({hosts: hostCount, build: findBuild});
+	const ids = [['prefill1', 'v1'], ['prefill2', 'v1'], ['decode1', 'v1'], ['decode2', 'v1'], ['decode3', 'v2'], ['decode4', 'v2']] as const;
+	const servers = await Promise.all(ids.map(async ([id, version]) => processes.startServer(id, version, {workMs: 40, events: 6})));
+	await processes.waitForServers();
+	const published = new Map(servers.map(server => [server, server.id]));
+	const endedAt: number[] = [];
+	const stopping = new AbortController();
+	let created = 0;
+	const sound = {sent: 0, served: 0, quarantined: 0};
+
+	function watchEnds(): void {
+		for (const server of servers) {
+			const before = published.get(server)!;
+			if (before !== server.id) {
+				endedAt.push(performance.now());
+				published.set(server, server.id);
+				processes.publish(server);
+				setTimeout(() => {
+					processes.store.remove(`servers/${before}`);
+				}, lapseMs).unref();
+			}
+		}
+	}
+
+	const polling = setInterval(watchEnds, pollMs);
+
+	async function sendSound(at: number): Promise<void> {
+		while (!stopping.signal.aborted) {
+			const id = `sound${++created}`;
+			sound.sent++;
+			const {status, isWhole, body} = await processes.ask({
+				path: '/summary/1', body: id, at, headers: toStreamHeaders({'prompt-prefix': `${id}:200`, 'deadline-ms': '4000'}),
+			});
+			sound.served += status === 200 && isWhole ? 1 : 0;
+			sound.quarantined += body.includes('quarantined') ? 1 : 0;
+		}
+	}
+
+	const traffic = Array.from({length: hostCount * streamsPerHost}, async (_, n) => sendSound(n % hostCount));
+	const runsAt: number[] = [];
+	let seen = 0;
+
+	return {
+		processes,
+		servers,
+		setEnds(isFatal, end) {
+			for (const server of servers) {
+				server.crashOn(({body}) => {
+					if (body !== culpritBody) {
+						return false;
+					}
+
+					runsAt.push(performance.now());
+					return isFatal(server, seen++);
+				}, end);
+			}
+		},
+		async repeat({call = {}, gapMs, forMs}) {
+			const calls: Array<Promise<unknown>> = [];
+			const until = performance.now() + forMs;
+			for (let n = 0; performance.now() < until; n++) {
+				calls.push(processes.ask({
+					path: '/summary/9', body: culpritBody, at: n % hostCount, headers: toStreamHeaders({'prompt-prefix': 'culprit:200', 'deadline-ms': '2000'}), ...call,
+				}));
+				await sleep(gapMs);
+			}
+
+			await Promise.all(calls);
+		},
+		tally() {
+			const third = endedAt[endsAllowed - 1] ?? Infinity;
+			return {
+				ended: endedAt.length, lateRuns: runsAt.filter(at => at > third + spreadMs).length, sound: sound.sent, soundServed: sound.served, soundQuarantined: sound.quarantined,
+			};
+		},
+		async stop() {
+			stopping.abort();
+			clearInterval(polling);
+			await Promise.allSettled(traffic);
+			await processes.stop();
+		},
+	};
+}
--- a/test/stand-ins/users-platform/end-server.ts
+++ b/test/stand-ins/users-platform/end-server.ts
@@ -5,13 +5,17 @@
 /**
  * What the server has sent before it ends, and what becomes of the connection.
  * `silent`: nothing was sent, and the connection stays open, as if the machine lost
- * power. `once-left`: it ends only after the host has closed the connection.
+ * power. `once-left`: it ends only after the host has closed the connection;
+ * `lingers once-left`: it goes on with its work for some time before it ends.
  */
-export type ServerEnd = 'closes' | 'silent' | 'once-left'
+export type ServerEnd = 'closes' | 'silent' | 'once-left' | 'lingers once-left'
 	| `${'closes' | 'resets' | 'falls silent'} ${'in half a head' | 'in a body with a length' | 'in chunks' | 'in last chunks' | 'without a length'}`;
 
 type Sent = ServerEnd extends infer End ? End extends `${string} ${'in' | 'without'} ${string}` ? End : never : never;
 
+/** Time for which a server goes on with a request after the host has closed the connection. */
+const lingerMs = 500;
+
 /** Time between the last bytes and the end of the connection, so that the host has read them. */
 const sentBeforeMs = 30;
 
@@ -59,6 +63,13 @@
 		return;
 	}
 
+	if (end === 'lingers once-left') {
+		res.once('close', () => {
+			setTimeout(crash, lingerMs);
+		});
+		return;
+	}
+
 	socket.write(toBytes(end, req), () => {
 		setTimeout(() => {
 			if (end.startsWith('resets')) {
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -8,10 +8,11 @@
 	applyServerFault, isStreamFault, type ServerFault, type StreamFault,
 } from './apply-server-fault.js';
 import {endServer, type ServerEnd} from './end-server.js';
+import {toServerStep, type ServerStep} from './to-server-step.js';
 
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
-	step: 'whole' | 'prefill' | 'decode' | 'reserve' | 'release' | 'drop-cache' | 'order';
+	step: ServerStep;
 	method: string;
 	target: string;
 	headers: IncomingMessage['headers'];
@@ -156,37 +157,33 @@
 		reservations.delete(name);
 	}
 
-	function toStep({method, url, headers}: IncomingMessage): Arrival['step'] {
-		if (url === '/-/hold-take') {
-			return 'reserve';
-		}
-
-		if (url === '/-/order') {
-			return 'order';
-		}
-
-		if (method === 'DELETE' && url?.startsWith('/-/') === true) {
-			return url.startsWith('/-/hold-drop/') ? 'release' : 'drop-cache';
-		}
-
-		if (headers.stage === 'prefill') {
-			return 'prefill';
-		}
-
-		return headers['kv-hold'] === undefined ? 'whole' : 'decode';
-	}
-
 	function crash(): void {
 		crashes++;
 		standIn.id = `${id}-start-${crashes + 1}`;
 		reservations.clear();
-		if (crashEnd === 'closes') {
+		if (crashEnd === 'closes' || crashEnd === 'lingers once-left') {
 			server.closeAllConnections();
 		}
 	}
 
+	/** Refuses a call that is meant for another start of the server, or for which it has no room. */
+	function isRefused({headers}: IncomingMessage, res: ServerResponse, step: ServerStep): boolean {
+		const expected = headers['expect-instance'];
+		if (expected !== undefined && expected !== standIn.id) {
+			answer(res, 421, {error: 'another'}, {'instance-id': standIn.id});
+			return true;
+		}
+
+		if (pauseSeconds === undefined || step === 'release' || step === 'drop-cache') {
+			return false;
+		}
+
+		answer(res, 503, {error: 'busy'}, {'not-executed': '1', 'retry-after': String(pauseSeconds)});
+		return true;
+	}
+
 	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const step = toStep(req);
+		const step = toServerStep(req);
 		const arrival: Arrival = {
 			step, method: req.method ?? '', target: req.url ?? '', headers: req.headers, body: '', isLeft: false,
 		};
@@ -196,8 +193,7 @@
 		});
 		arrival.body = await readBody(req);
 		const name = arrival.target.slice(arrival.target.lastIndexOf('/') + 1);
-		if (pauseSeconds !== undefined && step !== 'release' && step !== 'drop-cache') {
-			answer(res, 503, {error: 'busy'}, {'not-executed': '1', 'retry-after': String(pauseSeconds)});
+		if (isRefused(req, res, step)) {
 			return;
 		}
 
