Take an answer as proof of survival only if the server was done with the run

What callers saw: a request that comes back went on ending servers while other requests ran there, if its caller left before its server ended.

Cause: a run whose caller had left was dropped as soon as its server answered any call that began after the host had hung up. The server may still be at work on the run; the answer shows that it lived then. Three places read answers as proof, each in its own way: runs without proof, crashes dated at the hang-up by a lapse, and answers that ended with their connection. Now judge-survival decides for all of them, on the time by which the server was done with the run; a run is kept until that is proved, also if an end of its server turns out to be none; and a connection that the server closed counts again if the server ends within a second although it had answered another call.

Two assertions of create-crash-suspects held the fault (a call begun 0.1 and 0.5 s after the hang-up as proof); they ask for 1.1 s now, and the earlier call is checked to prove nothing. The line 'server survived a run that ended without proof' tells why a run counts no more.

--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -2,7 +2,7 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport, type DueReport} from '../../../ports/crash-reports.js';
 import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
-import {type EndPeriod} from '../../create-unresolved-runs/index.js';
+import {type EndPeriod} from '../../judge-survival/index.js';
 
 export type CrashSuspectsOptions = {
 	/** Number of servers that must have ended while they ran a request before it is quarantined. */
@@ -17,6 +17,8 @@
 	maxReportedCrashes?: number;
 	/** Picks the crash that makes room for a later one; without it, crashes beyond the maximum are not kept. */
 	pickSurplus?: (crashes: readonly Crash[]) => ServerId;
+	/** Time for which a server may go on with a request after the connection was closed. */
+	lingerMs?: Milliseconds;
 };
 
 /** The end of a server while it ran the request. */
@@ -25,8 +27,8 @@
 export type CrashSuspects = {
 	/** Records that the server closed the connection on which it was running the request; returns whether this puts the request in quarantine. */
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
-	/** Records that the server answered a call that started at this time; connections that broke before were not crashes. */
-	noteAnswered: (server: ServerId, calledAt: Milliseconds) => void;
+	/** Records that the server answered a call that started at this time; returns the requests of runs that it is now known to have survived. */
+	noteAnswered: (server: ServerId, calledAt: Milliseconds) => readonly Fingerprint[];
 	/** Records that a server survived a run of the request, which did not cause earlier crashes. */
 	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
 	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -10,6 +10,7 @@
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
+import {judgeSurvival} from '../judge-survival/index.js';
 import {createLatestTimes} from '../create-latest-times/index.js';
 import {pickEvicted} from './_lib/pick-evicted.js';
 import {pickReportedCrashes} from './_lib/pick-reported-crashes.js';
@@ -75,7 +76,7 @@
  */
 export function createCrashSuspects(options: CrashSuspectsOptions = {}): CrashSuspects {
 	const {
-		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = crashesToQuarantine, pickSurplus,
+		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = crashesToQuarantine, pickSurplus, lingerMs,
 	} = options;
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
@@ -86,11 +87,11 @@
 	/** Time at which each server ended, as far as it is known. */
 	const endedAt = createLatestTimes(maxEndedServers);
 	const changed = new Set<Fingerprint>();
-	const unresolved = createUnresolvedRuns();
+	const unresolved = createUnresolvedRuns({toAnsweredAt: answeredAt.get, ...(lingerMs !== undefined && {lingerMs})});
 	let reportOffset = 0;
 
 	const isCrash = ({clearedAt}: Suspect, server: ServerId, at: Milliseconds): boolean =>
-		at > clearedAt && at >= answeredAt.get(server);
+		at > clearedAt && judgeSurvival({startedAt: at, overAt: at}, {answeredAt: answeredAt.get(server)}).kind !== 'survived';
 
 	const toCrashes = (suspect: Suspect): Array<[ServerId, Milliseconds]> => [...suspect.crashes].filter(([server, at]) => isCrash(suspect, server, at));
 
@@ -229,14 +230,20 @@
 
 	return {
 		noteBroken(fingerprint, server, now) {
+			// A server that answers another call may yet end soon after it closed the connection.
+			unresolved.add({
+				fingerprint, server, startedAt: now, endedAt: now, isWhole: false,
+			});
 			return noteCrashes(fingerprint, {seenAt: now, crashes: [[server, now]]}, now);
 		},
 		noteAnswered(server, calledAt) {
-			for (const {fingerprint, endedAt} of unresolved.takeSurvived(server, calledAt).filter(({isWhole}) => isWhole)) {
+			answeredAt.note(server, calledAt);
+			const survived = unresolved.takeSurvived(server);
+			for (const {fingerprint, endedAt} of survived.filter(({isWhole}) => isWhole)) {
 				noteSurvived(fingerprint, endedAt);
 			}
 
-			answeredAt.note(server, calledAt);
+			return survived.map(({fingerprint}) => fingerprint);
 		},
 		noteSurvived,
 		noteUnresolved({fingerprint, server, startedAt, isWhole}, now) {
@@ -246,7 +253,7 @@
 			return end !== undefined && noteCrashes(fingerprint, {seenAt: now, crashes: [[server, end]]}, now);
 		},
 		noteServerEnded(server, period, now) {
-			return unresolved.takeEnded(server, period)
+			return unresolved.noteEnded(server, period)
 				.filter(({fingerprint, at}) => noteCrashes(fingerprint, {seenAt: at, crashes: [[server, at]]}, now))
 				.map(({fingerprint}) => fingerprint);
 		},
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -68,13 +68,34 @@
 		}
 
 		assert.equal(suspects.count(1000).suspects, 0);
-		suspects.noteAnswered('a', 1500);
+		suspects.noteAnswered('a', 2100);
 		const ended = ['a', 'b', 'c'].map(server => suspects.noteServerEnded(server, {from: 500, to: 4000}, 4000));
 		assert.deepEqual(ended, [[], [], []]);
 		assert.deepEqual(suspects.crashedServers('f', 4000), ['b', 'c']);
 		assert.deepEqual(suspects.noteServerEnded('d', {from: 500, to: 4000}, 4000), ['f']);
 	});
 
+	/* Guards against an answer to another call that is taken as proof that the server survived a run which it was still at work on. */
+	it('counts a run although its server answered another call before it ended', () => {
+		for (const period of [{from: 500, to: 600}, {from: -2000, to: 4000}]) {
+			const suspects = createCrashSuspects({crashesToQuarantine: 1});
+			suspects.noteUnresolved({
+				fingerprint: 'f', server: 'a', startedAt: 0, isWhole: false,
+			}, 250);
+			suspects.noteAnswered('a', 300);
+			assert.deepEqual(suspects.noteServerEnded('a', period, period.to), ['f']);
+		}
+	});
+
+	it('counts a closed connection again if its server ended soon after it had answered another call', () => {
+		const suspects = createCrashSuspects({crashesToQuarantine: 1});
+		suspects.noteBroken('f', 'a', 250);
+		suspects.noteAnswered('a', 300);
+		assert.equal(suspects.isQuarantined('f', 400), false);
+		assert.deepEqual(suspects.noteServerEnded('a', {from: 500, to: 600}, 600), ['f']);
+		assert.equal(suspects.isQuarantined('f', 700), true);
+	});
+
 	it('counts a run that ends without an answer after its server is known to have ended', () => {
 		const suspects = createCrashSuspects();
 		crash(suspects, 'f', ['a', 'b']);
@@ -98,7 +119,9 @@
 		}, 3000);
 		assert.deepEqual(suspects.crashedServers('f', 3000), ['a', 'b']);
 		suspects.noteAnswered('c', 3100);
-		assert.deepEqual(suspects.crashedServers('f', 3200), []);
+		assert.deepEqual(suspects.crashedServers('f', 3200), ['a', 'b']);
+		suspects.noteAnswered('c', 4100);
+		assert.deepEqual(suspects.crashedServers('f', 4200), []);
 		assert.deepEqual(suspects.noteServerEnded('d', {from: 2000, to: 6000}, 6000), ['g']);
 	});
 
--- a/src/domain/create-unresolved-runs/index.ts
+++ b/src/domain/create-unresolved-runs/index.ts
@@ -1,10 +1,12 @@
 /**
- * Runs of which it is not known yet whether their server survived them, until the
- * server answers a later call or is known to have ended.
+ * Runs of which it is not known yet whether their server survived them. Each is kept
+ * until a later answer of the server proves that it did; a known end of the server
+ * may turn out to be none.
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
 import {msPerSecond} from '../../ports/units.js';
+import {judgeSurvival, type EndPeriod} from '../judge-survival/index.js';
 
 export type UnresolvedRun = {
 	fingerprint: Fingerprint;
@@ -16,22 +18,21 @@
 	isWhole: boolean;
 };
 
-/** Period within which a server ended, monotonic milliseconds. */
-export type EndPeriod = {from: Milliseconds; to: Milliseconds};
-
 export type UnresolvedRuns = {
 	/** Adds a run; returns when its server ended during it, if that is known already. */
 	add: (run: UnresolvedRun) => Milliseconds | undefined;
-	/** Takes the runs of a server that ended before a call which the server answered. */
-	takeSurvived: (server: ServerId, calledAt: Milliseconds) => readonly UnresolvedRun[];
-	/** Takes the runs during which a server ended, with the time of that. */
-	takeEnded: (server: ServerId, period: EndPeriod) => ReadonlyArray<{fingerprint: Fingerprint; at: Milliseconds}>;
+	/** Removes and returns the runs that a server is now known to have survived. */
+	takeSurvived: (server: ServerId) => readonly UnresolvedRun[];
+	/** Notes the end of a server; returns the runs during which it ended, with the latest time of that. */
+	noteEnded: (server: ServerId, period: EndPeriod) => ReadonlyArray<{fingerprint: Fingerprint; at: Milliseconds}>;
 };
 
 export type UnresolvedRunsOptions = {
+	/** Returns the start of the latest call that a server answered, `-Infinity` if it answered none. */
+	toAnsweredAt: (server: ServerId) => Milliseconds;
 	/** Time for which a run is kept; an end is known at the latest when the server's entry expires. */
 	keepMs?: Milliseconds;
-	/** Time for which a server may go on with a request after this host has closed the connection. */
+	/** Time for which a server may go on with a request after the connection was closed. */
 	lingerMs?: Milliseconds;
 	maxRuns?: number;
 };
@@ -46,48 +47,44 @@
 /**
  * Creates the record of one host.
  *
- * @param options - How long and how much is remembered.
+ * @param options - What else is known of servers, how long and how much is remembered.
  * @returns See {@link UnresolvedRuns}.
  *
  * @example
  * ```ts
- * const runs = createUnresolvedRuns();
- * runs.add({fingerprint: 'f', server: 'a', startedAt: 0, endedAt: 700, isWhole: false});
- * runs.takeEnded('a', {from: 500, to: 4000}); // => [{fingerprint: 'f', at: 700}]
+ * const runs = createUnresolvedRuns({toAnsweredAt: () => 300});
+ * runs.add({fingerprint: 'f', server: 'a', startedAt: 0, endedAt: 250, isWhole: false});
+ * runs.takeSurvived('a'); // => []
+ * runs.noteEnded('a', {from: 500, to: 600}); // => [{fingerprint: 'f', at: 600}]
  * ```
  */
-export function createUnresolvedRuns({keepMs = defaultKeepMs, lingerMs = defaultLingerMs, maxRuns = defaultMaxRuns}: UnresolvedRunsOptions = {}): UnresolvedRuns {
+export function createUnresolvedRuns({toAnsweredAt, keepMs = defaultKeepMs, lingerMs = defaultLingerMs, maxRuns = defaultMaxRuns}: UnresolvedRunsOptions): UnresolvedRuns {
 	/** Runs in the order in which they ended. */
 	let runs: UnresolvedRun[] = [];
 	const ends = new Map<ServerId, EndPeriod>();
 
-	const overlaps = ({startedAt, endedAt}: UnresolvedRun, {from, to}: EndPeriod): boolean => startedAt <= to && from <= endedAt + lingerMs;
-
-	const toEndOf = ({endedAt}: UnresolvedRun, {from, to}: EndPeriod): Milliseconds => Math.min(to, Math.max(from, endedAt));
+	const judge = ({server, startedAt, endedAt}: UnresolvedRun) =>
+		judgeSurvival({startedAt, overAt: endedAt + lingerMs}, {answeredAt: toAnsweredAt(server), ended: ends.get(server)});
 
-	function take(isTaken: (run: UnresolvedRun) => boolean): UnresolvedRun[] {
-		const taken = runs.filter(run => isTaken(run));
-		if (taken.length > 0) {
-			runs = runs.filter(run => !isTaken(run));
-		}
-
-		return taken;
+	function toCrashedAt(run: UnresolvedRun): Milliseconds | undefined {
+		const survival = judge(run);
+		return survival.kind === 'crashed' ? survival.at : undefined;
 	}
 
 	return {
 		add(run) {
-			const end = ends.get(run.server);
-			if (end !== undefined && overlaps(run, end)) {
-				return toEndOf(run, end);
-			}
-
 			runs = [...runs.filter(({endedAt}) => run.endedAt - endedAt <= keepMs), run].slice(-maxRuns);
-			return undefined;
+			return toCrashedAt(run);
 		},
-		takeSurvived(server, calledAt) {
-			return runs.length === 0 ? [] : take(run => run.server === server && run.endedAt < calledAt);
+		takeSurvived(server) {
+			const survived = runs.filter(run => run.server === server && judge(run).kind === 'survived');
+			if (survived.length > 0) {
+				runs = runs.filter(run => !survived.includes(run));
+			}
+
+			return survived;
 		},
-		takeEnded(server, period) {
+		noteEnded(server, period) {
 			ends.delete(server);
 			ends.set(server, period);
 			if (ends.size > maxEnds) {
@@ -95,7 +92,10 @@
 				ends.delete(oldest!);
 			}
 
-			return take(run => run.server === server && overlaps(run, period)).map(run => ({fingerprint: run.fingerprint, at: toEndOf(run, period)}));
+			return runs.filter(run => run.server === server).flatMap(run => {
+				const at = toCrashedAt(run);
+				return at === undefined ? [] : [{fingerprint: run.fingerprint, at}];
+			});
 		},
 	};
 }
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -1,8 +1,8 @@
 /** Handles requests, and parts of prompts, under which servers crash. */
 import {type Log} from '../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
-import {type EndPeriod} from '../../../domain/create-unresolved-runs/index.js';
 import {judgeRunEnd, type RunEnd, type RunVerdict} from '../../../domain/judge-run-end/index.js';
+import {type EndPeriod} from '../../../domain/judge-survival/index.js';
 import {type Problem} from '../../../domain/to-problem/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport} from '../../../ports/crash-reports.js';
--- a/src/programs/entry/call-plain/_lib/send-step.test.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.test.ts
@@ -21,7 +21,7 @@
 			const partQuarantine = createPartQuarantine();
 			suspects.noteBroken('f', 'a', 10);
 			partQuarantine.suspects.noteBroken('part', 'a', 10);
-			noteAnswered({ctx: {suspects, partQuarantine}} as unknown as PlainRun, {server: 'a', calledAt: 20, refusal});
+			noteAnswered({ctx: {suspects, partQuarantine, log: {info: () => undefined}}} as unknown as PlainRun, {server: 'a', calledAt: 20, refusal});
 			assert.equal(suspects.isQuarantined('f', 30), !isAlive);
 			assert.deepEqual(partQuarantine.suspects.crashedServers('part', 30), isAlive ? [] : ['a']);
 		});
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -92,9 +92,13 @@
  * @param answer - The server, the monotonic time at which the call began, and the reason of a refusal.
  */
 export function noteAnswered({ctx}: PlainRun, {server, calledAt, refusal}: {server: ServerId; calledAt: Milliseconds; refusal: EngineRefusalReason | undefined}): void {
-	if (refusal !== 'wrong-model') {
-		ctx.suspects.noteAnswered(server, calledAt);
-		ctx.partQuarantine.suspects.noteAnswered(server, calledAt);
+	if (refusal === 'wrong-model') {
+		return;
+	}
+
+	ctx.partQuarantine.suspects.noteAnswered(server, calledAt);
+	for (const fingerprint of ctx.suspects.noteAnswered(server, calledAt)) {
+		ctx.log.info('server survived a run that ended without proof', {fingerprint, server});
 	}
 }
 
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -27,10 +27,10 @@
  * Starts hosts.
  *
  * @param count - Number of hosts, spread over the zones.
- * @param network - Share of messages that is lost, and the source of randomness that picks them.
+ * @param options - Share of messages that is lost, the source of randomness that picks them, and how long servers may go on with a request whose caller has left.
  * @returns The hosts, and functions to advance time and inject faults.
  */
-export async function startHosts(count: number, {lossShare = 0, random = () => 1}: {lossShare?: number; random?: Random} = {}) {
+export async function startHosts(count: number, {lossShare = 0, random = () => 1, lingerMs}: {lossShare?: number; random?: Random; lingerMs?: Milliseconds} = {}) {
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
@@ -93,7 +93,7 @@
 		const zone = zones[i % zones.length]!;
 		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
 		zoneOf.set(address, zone);
-		const suspects = createCrashSuspects();
+		const suspects = createCrashSuspects({...(lingerMs !== undefined && {lingerMs})});
 		let isFirstFor = (_key: string): boolean => true;
 		const partQuarantine = createPartQuarantine({isPicked: key => isFirstFor(key)});
 		const limits = createRequestLimits();
