Weigh survived runs against crashes instead of forgetting the crashes

What callers saw: a request that ends servers of one software version, or only some of its runs, went on ending servers without end: each run that a server survived cleared it of all crashes before, on all hosts.

Now a survival takes away a quarter of a crash, never more than there is, and what is left at three puts the request in quarantine (weigh-crashes, one pure function). Survived runs of a suspect are told between hosts with its crashes; those within 0.2 s count as one, so that hosts that date a run differently count it once. Parts of prompts keep the rule that a survival clears them: other requests with the part survive all the time.

A request that ends one run in four or fewer is found slowly or never.

Tests that held the old rule ask for four survivals a crash in place of one: two crashes and one survival no longer excuse two more (create-crash-suspects, crash-memory, quarantine). Hosts of the build before ignore survivals that do not clear a request, and clear all by one.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -35,6 +35,9 @@
 const maxReports = 64;
 const maxCrashesOfReport = 8;
 
+/** Maximum number of survived runs in a report. */
+const maxSurvivals = 16;
+
 /** Maximum number of pools in one message of which a host tells that their servers answered. */
 export const maxAnswers = 16;
 
@@ -61,11 +64,16 @@
 const limitsSchema = v.pipe(v.array(v.tuple([name, v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))), count])), v.maxLength(maxLimits));
 const answersSchema = v.pipe(v.array(v.tuple([count, count])), v.maxLength(maxAnswers));
 
-const toReportRow = ({fingerprint, idleMs, crashes, survivedMs}: CrashReport) => [
+const survivalAgesSchema = v.pipe(v.array(count), v.maxLength(maxSurvivals));
+
+const toReportRow = ({fingerprint, idleMs, crashes, survivedMs, survivalAgesMs}: CrashReport) => [
 	fingerprint,
 	Math.round(idleMs),
 	crashes.map(({server, ageMs}) => [server, Math.round(ageMs)]),
-	...(survivedMs === undefined ? [] : [Math.round(survivedMs)]),
+	...toAddedItems([
+		survivedMs === undefined ? undefined : Math.round(survivedMs),
+		survivalAgesMs?.map(ageMs => Math.round(ageMs)),
+	]),
 ];
 
 /** Share of the rows that is kept each time the encoded message is too long. */
@@ -111,8 +119,8 @@
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
 	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
-	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs]) => ({
-		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}),
+	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs, survivalAgesMs]) => ({
+		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}), ...(v.is(survivalAgesSchema, survivalAgesMs) && {survivalAgesMs}),
 	}));
 	return {
 		host,
--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -13,12 +13,14 @@
 	maxSuspects?: number;
 	/** Maximum number of crashes kept per request. */
 	maxCrashes?: number;
-	/** Maximum number of crashes in a report to other hosts; by default as many as lead to quarantine. */
+	/** Maximum number of crashes in a report to other hosts; by default all that are kept. */
 	maxReportedCrashes?: number;
 	/** Picks the crash that makes room for a later one; without it, crashes beyond the maximum are not kept. */
 	pickSurplus?: (crashes: readonly Crash[]) => ServerId;
 	/** Time for which a server may go on with a request after the connection was closed. */
 	lingerMs?: Milliseconds;
+	/** What a survived run takes away, as a share of a crash; `Infinity` to clear all crashes before it. */
+	survivalWeight?: number;
 };
 
 /** The end of a server while it ran the request. */
@@ -29,7 +31,7 @@
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
 	/** Records that the server answered a call that started at this time; returns the requests of runs that it is now known to have survived. */
 	noteAnswered: (server: ServerId, calledAt: Milliseconds) => readonly Fingerprint[];
-	/** Records that a server survived a run of the request, which did not cause earlier crashes. */
+	/** Records that a server survived a run of the request, which speaks against its earlier crashes. */
 	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
 	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
 	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -12,6 +12,8 @@
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
 import {judgeSurvival} from '../judge-survival/index.js';
 import {createLatestTimes} from '../create-latest-times/index.js';
+import {weighCrashes} from '../weigh-crashes/index.js';
+import {addSurvival} from './_lib/add-survival.js';
 import {pickEvicted} from './_lib/pick-evicted.js';
 import {pickReportedCrashes} from './_lib/pick-reported-crashes.js';
 import {type Crash, type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
@@ -21,7 +23,10 @@
 type Suspect = {
 	/** Time at which each server ended while it ran the request. */
 	crashes: Map<ServerId, Milliseconds>;
+	/** Ends of runs that servers survived, after which earlier crashes still count. */
+	survivals: readonly Milliseconds[];
 	seenAt: Milliseconds;
+	/** End of a survived run up to which nothing counts any more. */
 	clearedAt: Milliseconds;
 	/** Largest number of crashes that counted at once. */
 	mostCrashes: number;
@@ -33,12 +38,17 @@
 	crashes: ReadonlyArray<[ServerId, Milliseconds]>;
 	/** End of a run of the request that cleared it. */
 	clearedAt?: Milliseconds;
+	/** Ends of runs that servers survived since. */
+	survivals?: readonly Milliseconds[];
 };
 
 const defaultCrashesToQuarantine = 3;
 const defaultForgetMs: Milliseconds = 60 * msPerMinute;
 const defaultMaxSuspects = 2048;
 
+/** A request that ends half of the servers that run it gains weight by three quarters of a crash in two runs. */
+const defaultSurvivalWeight = 0.25;
+
 /** Above the quarantine threshold, as some crashes may turn out not to be any. */
 const defaultMaxCrashes = 8;
 
@@ -76,7 +86,7 @@
  */
 export function createCrashSuspects(options: CrashSuspectsOptions = {}): CrashSuspects {
 	const {
-		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = crashesToQuarantine, pickSurplus, lingerMs,
+		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = maxCrashes, pickSurplus, lingerMs, survivalWeight = defaultSurvivalWeight,
 	} = options;
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
@@ -97,7 +107,9 @@
 
 	const listCrashes = (suspect: Suspect): Crash[] => toCrashes(suspect).map(([server, at]) => ({server, at}));
 
-	const hasEnoughCrashes = (suspect: Suspect): boolean => toCrashes(suspect).length >= crashesToQuarantine;
+	const weigh = (suspect: Suspect) => weighCrashes({crashes: toCrashes(suspect).map(([, at]) => at), survivals: suspect.survivals}, survivalWeight);
+
+	const hasEnoughCrashes = (suspect: Suspect): boolean => suspect.crashes.size >= crashesToQuarantine && weigh(suspect).weight >= crashesToQuarantine;
 
 	function forget(fingerprint: Fingerprint): void {
 		suspects.delete(fingerprint);
@@ -130,6 +142,8 @@
 		forget(evicted!);
 	}
 
+	const toKnownSurvivals = (fingerprint: Fingerprint): Milliseconds[] => [survivedAt.get(fingerprint)].filter(at => Number.isFinite(at));
+
 	/** Moves the request to the end, as the most recently seen suspect. */
 	function touch(fingerprint: Fingerprint, seenAt: Milliseconds, now: Milliseconds): Suspect {
 		const known = find(fingerprint, now);
@@ -138,7 +152,7 @@
 		}
 
 		const suspect = known ?? {
-			crashes: new Map(), seenAt, clearedAt: survivedAt.get(fingerprint), mostCrashes: 0, reportedAt: now,
+			crashes: new Map(), survivals: toKnownSurvivals(fingerprint), seenAt, clearedAt: -Infinity, mostCrashes: 0, reportedAt: now,
 		};
 		suspect.seenAt = Math.max(suspect.seenAt, seenAt);
 		suspects.delete(fingerprint);
@@ -146,15 +160,28 @@
 		return suspect;
 	}
 
-	/** Clears a request of the crashes before a run that its server survived. Other hosts have to know if that cleared any. */
-	function clear(fingerprint: Fingerprint, suspect: Suspect, at: Milliseconds): void {
-		const before = toCrashes(suspect).length;
-		suspect.clearedAt = Math.max(suspect.clearedAt, at);
-		if (toCrashes(suspect).length < before) {
+	/** Adds what speaks against the crashes of a request. Other hosts have to know if there are any. */
+	function excuse(fingerprint: Fingerprint, suspect: Suspect, {clearedAt, survivals}: {clearedAt: Milliseconds; survivals: readonly Milliseconds[]}): void {
+		const crashesBefore = toCrashes(suspect).length;
+		const {length: survivalsBefore} = suspect.survivals;
+		suspect.clearedAt = Math.max(suspect.clearedAt, clearedAt);
+		for (const at of survivals) {
+			suspect.survivals = addSurvival(suspect.survivals, at);
+		}
+
+		settle(suspect);
+		const isExcused = toCrashes(suspect).length < crashesBefore || suspect.survivals.length > survivalsBefore;
+		if (crashesBefore > 0 && isExcused) {
 			changed.add(fingerprint);
 		}
 	}
 
+	/** Forgets what counts no more. */
+	function settle(suspect: Suspect): void {
+		suspect.clearedAt = Math.max(suspect.clearedAt, weigh(suspect).clearedAt);
+		suspect.survivals = suspect.survivals.filter(at => at > suspect.clearedAt);
+	}
+
 	/** Adds a crash unless it is known or is not a crash; returns whether it was added. */
 	function addCrash(suspect: Suspect, server: ServerId, at: Milliseconds): boolean {
 		endedAt.note(server, at);
@@ -185,16 +212,22 @@
 		return surplus !== crash.server;
 	}
 
+	/** Whether a host that reports these does not know of runs which speak against its crashes. */
+	const isContradicted = (suspect: Suspect, {crashes, clearedAt, survivals}: Required<SeenCrashes>): boolean =>
+		(clearedAt < suspect.clearedAt && crashes.some(([, at]) => at <= suspect.clearedAt))
+		|| (crashes.length > 0 && suspect.survivals.length > survivals.length);
+
 	/** Adds crashes of a request; returns whether they put the request in quarantine. */
-	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes, clearedAt = -Infinity}: SeenCrashes, now: Milliseconds): boolean {
+	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes, clearedAt = -Infinity, survivals = []}: SeenCrashes, now: Milliseconds): boolean {
 		const suspect = touch(fingerprint, seenAt, now);
 		const hadEnoughCrashes = hasEnoughCrashes(suspect);
-		clear(fingerprint, suspect, clearedAt);
 		const added = crashes.filter(([server, at]) => addCrash(suspect, server, at));
-		// The host that reports crashes does not know of a run that cleared them.
-		const isContradicted = clearedAt < suspect.clearedAt && crashes.some(([, at]) => at <= suspect.clearedAt);
-		suspect.mostCrashes = Math.max(suspect.mostCrashes, toCrashes(suspect).length, isContradicted ? crashes.length : 0);
-		if (added.length > 0 || isContradicted) {
+		excuse(fingerprint, suspect, {clearedAt, survivals});
+		const isUnknown = isContradicted(suspect, {
+			seenAt, crashes, clearedAt, survivals,
+		});
+		suspect.mostCrashes = Math.max(suspect.mostCrashes, toCrashes(suspect).length, isUnknown ? crashes.length : 0);
+		if (added.length > 0 || isUnknown) {
 			changed.add(fingerprint);
 		} else if (suspect.crashes.size === 0) {
 			forget(fingerprint);
@@ -207,7 +240,7 @@
 		survivedAt.note(fingerprint, at);
 		const suspect = suspects.get(fingerprint);
 		if (suspect !== undefined) {
-			clear(fingerprint, suspect, at);
+			excuse(fingerprint, suspect, {clearedAt: -Infinity, survivals: [at]});
 		}
 	}
 
@@ -217,6 +250,7 @@
 			idleMs: now - suspect.seenAt,
 			crashes: pickReportedCrashes(listCrashes(suspect), maxReportedCrashes, pickSurplus).map(({server, at}) => ({server, ageMs: now - at})),
 			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
+			...(suspect.survivals.length > 0 && {survivalAgesMs: suspect.survivals.map(at => now - at)}),
 		};
 	}
 
@@ -265,8 +299,8 @@
 		mergeReports(reports, now) {
 			return reports
 				.filter(({idleMs}) => idleMs <= forgetMs)
-				.filter(({fingerprint, idleMs, crashes, survivedMs = Infinity}) => noteCrashes(fingerprint, {
-					seenAt: now - idleMs, crashes: crashes.map(({server, ageMs}) => [server, now - ageMs]), clearedAt: now - survivedMs,
+				.filter(({fingerprint, idleMs, crashes, survivedMs = Infinity, survivalAgesMs = []}) => noteCrashes(fingerprint, {
+					seenAt: now - idleMs, crashes: crashes.map(({server, ageMs}) => [server, now - ageMs]), clearedAt: now - survivedMs, survivals: survivalAgesMs.map(ageMs => now - ageMs),
 				}, now))
 				.map(({fingerprint}) => fingerprint);
 		},
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -9,6 +9,16 @@
 	return servers.map((server, i) => suspects.noteBroken(fingerprint, server, from + (i * msPerSecond)));
 }
 
+/** Records so many runs of the request that servers survived, four a second; returns the time of the last one. */
+function survive(suspects: CrashSuspects, fingerprint: string, count: number, from: number): number {
+	const times = Array.from({length: count}, (_, i) => from + (i * msPerSecond / 4));
+	for (const at of times) {
+		suspects.noteSurvived(fingerprint, at);
+	}
+
+	return times.at(-1)!;
+}
+
 const all = {minFreshCrashes: 1, limit: 10};
 
 const toReport = (fingerprint: string, servers: readonly string[], ageMs = 0): CrashReport => ({
@@ -46,10 +56,10 @@
 	});
 
 	/* Guards against quarantine of requests that run beside the one that crashes servers. */
-	it('clears a request that a server survived', () => {
+	it('clears a request that servers survived four times for each crash', () => {
 		const suspects = createCrashSuspects();
 		crash(suspects, 'f', ['a', 'b']);
-		suspects.noteSurvived('f', 3000);
+		assert.equal(survive(suspects, 'f', 8, 2000), 3750);
 		crash(suspects, 'f', ['c', 'd'], 4000);
 		assert.equal(suspects.isQuarantined('f', 6000), false);
 		suspects.mergeReports([toReport('f', ['a', 'b'], 5000)], 6000);
@@ -58,6 +68,31 @@
 		assert.equal(suspects.isQuarantined('f', 7000), true);
 	});
 
+	/* Guards against a request that goes on ending servers because some survive it in between. */
+	it('quarantines a request of which each second run ends its server, on all hosts', () => {
+		const [first, second] = [createCrashSuspects(), createCrashSuspects()];
+		const quarantined: boolean[] = [];
+		for (let n = 0; n < 4; n++) {
+			const now = n * 2 * msPerSecond;
+			(n % 2 === 0 ? first : second).noteBroken('f', `s${n}`, now);
+			first.noteSurvived('f', now + msPerSecond);
+			second.mergeReports(first.takeChanged(now + 1100, 10), now + 1100);
+			first.mergeReports(second.takeChanged(now + 1200, 10), now + 1200);
+			quarantined.push(first.isQuarantined('f', now + 1200) && second.isQuarantined('f', now + 1200));
+		}
+
+		assert.deepEqual(quarantined, [false, false, false, true]);
+	});
+
+	it('counts a survived run once, although hosts date it differently', () => {
+		const suspects = createCrashSuspects();
+		crash(suspects, 'f', ['a', 'b', 'c']);
+		suspects.noteSurvived('f', 3000);
+		assert.equal(suspects.isQuarantined('f', 3000), false);
+		suspects.mergeReports([{...toReport('f', ['c'], 1500), survivalAgesMs: [450]}], 3500);
+		assert.deepEqual(suspects.listReports(3500).map(({survivalAgesMs}) => survivalAgesMs), [[500]]);
+	});
+
 	/* Guards against a request that ends servers without closing connections, or after this host has closed them. */
 	it('counts runs without an answer once their server is known to have ended, and only then', () => {
 		const suspects = createCrashSuspects();
@@ -121,7 +156,7 @@
 		suspects.noteAnswered('c', 3100);
 		assert.deepEqual(suspects.crashedServers('f', 3200), ['a', 'b']);
 		suspects.noteAnswered('c', 4100);
-		assert.deepEqual(suspects.crashedServers('f', 4200), []);
+		assert.deepEqual(suspects.listReports(4200).map(({fingerprint, survivalAgesMs}) => [fingerprint, survivalAgesMs]), [['f', [1200]], ['g', undefined]]);
 		assert.deepEqual(suspects.noteServerEnded('d', {from: 2000, to: 6000}, 6000), ['g']);
 	});
 
@@ -199,10 +234,10 @@
 		const [first, second] = [createCrashSuspects(), createCrashSuspects()];
 		crash(first, 'f', ['a', 'b']);
 		crash(second, 'f', ['a', 'b']);
-		first.noteSurvived('f', 2000);
-		second.mergeReports(first.takeChanged(3000, 10), 3000);
-		assert.deepEqual(second.crashedServers('f', 3000), []);
-		assert.equal(second.noteBroken('f', 'c', 4000), false);
+		survive(first, 'f', 8, 2000);
+		second.mergeReports(first.takeChanged(4000, 10), 4000);
+		assert.deepEqual(second.crashedServers('f', 4000), []);
+		assert.equal(second.noteBroken('f', 'c', 5000), false);
 	});
 
 	it('contradicts the report of a host that does not know of a run that a server survived, once', () => {
@@ -211,11 +246,9 @@
 		crash(other, 'f', ['a', 'b']);
 		serving.mergeReports(other.toReports(4000, all), 4000);
 		const contradiction = serving.takeChanged(4000, 10);
-		assert.deepEqual(contradiction, [{
-			fingerprint: 'f', idleMs: 3000, crashes: [], survivedMs: 1000, mostCrashes: 2,
-		}]);
+		assert.deepEqual(contradiction.map(({survivalAgesMs, mostCrashes}) => ({survivalAgesMs, mostCrashes})), [{survivalAgesMs: [1000], mostCrashes: 2}]);
 		other.mergeReports(contradiction, 4000);
-		assert.deepEqual(other.crashedServers('f', 4000), []);
+		assert.deepEqual(other.listReports(4000).map(({survivalAgesMs}) => survivalAgesMs), [[1000]]);
 		serving.mergeReports(other.toReports(4100, all), 4100);
 		assert.deepEqual(serving.takeChanged(4100, 10), []);
 	});
--- a/src/domain/create-part-quarantine/index.ts
+++ b/src/domain/create-part-quarantine/index.ts
@@ -84,7 +84,7 @@
  */
 export function createPartQuarantine({isPicked = () => true}: PartQuarantineOptions = {}): PartQuarantine {
 	const suspects = createCrashSuspects({
-		crashesToQuarantine: minBlameWeight, maxSuspects, maxCrashes, maxReportedCrashes, pickSurplus: pickSurplusCrash,
+		crashesToQuarantine: minBlameWeight, maxSuspects, maxCrashes, maxReportedCrashes, pickSurplus: pickSurplusCrash, survivalWeight: Infinity,
 	});
 	/** Blamed groups as last taken, by key. */
 	let known = new Map<string, BlamedParts>();
--- a/src/ports/crash-reports.ts
+++ b/src/ports/crash-reports.ts
@@ -19,8 +19,10 @@
 	/** Time since the reporting host last saw the request. */
 	idleMs: Milliseconds;
 	crashes: readonly SeenCrash[];
-	/** Time since a server last survived the request; absent if none did, as far as the reporting host knows. */
+	/** Time since the end of a run which cleared the request of all that was before it; absent if there was none. */
 	survivedMs?: Milliseconds;
+	/** Time since the end of each run since then that its server survived. */
+	survivalAgesMs?: readonly Milliseconds[];
 };
 
 /** A report that is due to be sent. */
--- a/src/programs/entry/_lib/quarantine.test.ts
+++ b/src/programs/entry/_lib/quarantine.test.ts
@@ -71,8 +71,10 @@
 		assert.deepEqual(lines().filter(({message}) => message === 'request quarantined').map(({fingerprint}) => fingerprint), ['f']);
 	});
 
-	it('clears a request by an answer that proves that its server survived, and by no other', () => {
+	it('clears a request by answers that prove that their servers survived, and by no others', () => {
 		const {ctx, suspects} = createServe();
+		let now = 0;
+		ctx.services.clock.now = () => now;
 		const note = (end: RunEnd, server = 'a') => {
 			noteRunEnd({
 				fingerprint: 'f', parts: [], server, startedAt: 0, end,
@@ -92,11 +94,15 @@
 		note({
 			kind: 'answered', status: 200, framing: 'connection', isRun: true,
 		});
-		assert.equal(suspects.crashedServers('f', 0).length, 2);
-		note({
-			kind: 'answered', status: 200, framing: 'chunks', isRun: true,
-		});
-		assert.equal(suspects.crashedServers('f', 0).length, 0);
+		assert.deepEqual(suspects.listReports(now).map(({survivalAgesMs}) => survivalAgesMs), [undefined]);
+		for (let n = 0; n < 8; n++) {
+			now += 250;
+			note({
+				kind: 'answered', status: 200, framing: 'chunks', isRun: true,
+			});
+		}
+
+		assert.equal(suspects.crashedServers('f', now).length, 0);
 	});
 });
 
--- a/src/programs/relay/share-loads/_test/play-end-course.ts
+++ b/src/programs/relay/share-loads/_test/play-end-course.ts
@@ -1,5 +1,6 @@
 /** Plays a request that ends servers beside harmless ones, and counts what reaches servers too late. */
 import {createRandom} from '../../../../domain/_test/create-random.js';
+import {type CrashSuspectsOptions} from '../../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerId} from '../../../../ports/ids.js';
 import {msPerSecond} from '../../../../ports/units.js';
@@ -40,10 +41,11 @@
 	leaveShare?: number;
 	isFatal?: (server: ServerId, run: number) => boolean;
 	forMs?: Milliseconds;
-	lingerMs?: Milliseconds;
+	/** Time after which the harmless requests recur. */
+	recurMs?: Milliseconds;
+	/** How hosts judge crashes. */
+	record?: Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight'>;
 	seed?: number;
-	/** Called each step with the number of servers that have ended, to disturb hosts. */
-	disturb?: (fleet: Awaited<ReturnType<typeof startHosts>>, ended: number, step: number) => Promise<void>;
 };
 
 export type EndTally = {ended: number; lateRuns: number; harmless: number; refused: number};
@@ -53,8 +55,7 @@
 
 const endsAllowed = 3;
 
-/** Time after which the harmless requests recur. */
-const recurMs: Milliseconds = 2 * msPerSecond;
+const defaultRecurMs: Milliseconds = 2 * msPerSecond;
 
 /** Time after which a caller that leaves early does so. */
 const harmlessLeaveMs: Milliseconds = 100;
@@ -73,10 +74,10 @@
  * @returns Servers that the culprit ended, its runs that began later than hosts must know, harmless requests, and how many of these were refused.
  */
 export async function playEndCourse({
-	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, lingerMs, seed = hosts + gapMs, disturb = async () => undefined,
+	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, recurMs = defaultRecurMs, record = {}, seed = hosts + gapMs,
 }: EndCourse): Promise<EndTally> {
 	const random = createRandom(seed);
-	const fleet = await startHosts(hosts, {lossShare: 0.05, random, ...(lingerMs !== undefined && {lingerMs})});
+	const fleet = await startHosts(hosts, {lossShare: 0.05, random, ...record});
 	fleet.pass(10 * msPerSecond);
 	const traffic = createEndTraffic({
 		fleet, random, servers, ...(isFatal && {isFatal}),
@@ -100,7 +101,6 @@
 			traffic.endAny();
 		}
 
-		await disturb(fleet, traffic.counts.ended, step);
 		traffic.pass(stepMs);
 	}
 
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -3,7 +3,7 @@
 import {encodeOriginMessage} from '../../../../adapters/origin-datagrams/index.js';
 import {encodeQuotaMessage} from '../../../../adapters/quota-datagrams/index.js';
 import {decodeLoadMessage, encodeLoadMessage, type openLoadDatagrams} from '../../../../adapters/load-datagrams/index.js';
-import {createCrashSuspects, type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
+import {createCrashSuspects, type CrashSuspects, type CrashSuspectsOptions} from '../../../../domain/create-crash-suspects/index.js';
 import {createPartQuarantine, type PartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits, type RequestLimits} from '../../../../domain/create-request-limits/index.js';
 import {type Milliseconds, type Random} from '../../../../ports/clock.js';
@@ -27,10 +27,10 @@
  * Starts hosts.
  *
  * @param count - Number of hosts, spread over the zones.
- * @param options - Share of messages that is lost, the source of randomness that picks them, and how long servers may go on with a request whose caller has left.
+ * @param options - Share of messages that is lost, the source of randomness that picks them, and how crashes are judged.
  * @returns The hosts, and functions to advance time and inject faults.
  */
-export async function startHosts(count: number, {lossShare = 0, random = () => 1, lingerMs}: {lossShare?: number; random?: Random; lingerMs?: Milliseconds} = {}) {
+export async function startHosts(count: number, {lossShare = 0, random = () => 1, ...record}: {lossShare?: number; random?: Random} & Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight'> = {}) {
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
@@ -93,7 +93,7 @@
 		const zone = zones[i % zones.length]!;
 		const address = `10.0.${Math.floor(i / 250)}.${1 + (i % 250)}:7380`;
 		zoneOf.set(address, zone);
-		const suspects = createCrashSuspects({...(lingerMs !== undefined && {lingerMs})});
+		const suspects = createCrashSuspects(record);
 		let isFirstFor = (_key: string): boolean => true;
 		const partQuarantine = createPartQuarantine({isPicked: key => isFirstFor(key)});
 		const limits = createRequestLimits();
--- a/src/programs/relay/share-loads/crash-memory.test.ts
+++ b/src/programs/relay/share-loads/crash-memory.test.ts
@@ -90,7 +90,10 @@
 	});
 });
 
-describe('hosts that share reports of crashes know of a run that a server survived', () => {
+/** Number of survived runs that clear a request of one crash. */
+const survivalsPerCrash = 4;
+
+describe('hosts that share reports of crashes know of the runs that servers survived', () => {
 	for (const count of counts) {
 		for (const crashes of [1, 2]) {
 			it(`after ${crashes} crashes under it: ${count} hosts`, async () => {
@@ -100,7 +103,11 @@
 					fleet.pass(spreadMs);
 				}
 
-				fleet.hosts[4]!.suspects.noteSurvived(request, fleet.now());
+				for (let n = 0; n < crashes * survivalsPerCrash; n++) {
+					fleet.hosts[4]!.suspects.noteSurvived(request, fleet.now());
+					fleet.pass(msPerSecond / 4);
+				}
+
 				fleet.pass(spreadMs);
 				for (let n = 0; n < 2; n++) {
 					crash(fleet, fleet.hosts[fleet.hosts.length - 1 - n]!, `after-${n}`);
