Bound the rest of an answer that is discarded

What operators saw: a server that answers with a refusal or a failure and sends bytes without end holds a connection and the host's loop for ever: 2 GB in under 4 s, without a caller, deadline or bound in bytes.

Cause: discard ended the call's own bookkeeping and read on. Now the connection is closed after 64 KB or 1 s of such a rest, whichever comes first; what is judged of the run stays as it was, since its head was.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -7,6 +7,7 @@
 import {createAnswerJudge, type AnswerJudge, type AnswerVerdict} from '../../../domain/create-answer-judge/index.js';
 import {type AnswerFraming} from '../../../domain/find-answer-framing/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {bytesPerKibibyte, msPerSecond} from '../../../ports/units.js';
 import {answerResetCode} from '../create-http-agent/index.js';
 
 /** Why a call has no answer. */
@@ -28,7 +29,7 @@
 	resume: () => void;
 	/** Closes the connection; nothing is reported afterwards. */
 	abandon: () => void;
-	/** Reads and discards the rest, so that the connection can be reused; nothing is reported afterwards. */
+	/** Reads and discards the rest, so that the connection can be reused; a rest that is too long closes it. Nothing is reported afterwards. */
 	discard: () => void;
 };
 
@@ -49,6 +50,10 @@
  */
 export const limitedBySignal: Milliseconds = 0;
 
+/** Bounds on the rest of an answer that is discarded; above them a new connection costs less. */
+const maxDiscardedBytes = 64 * bytesPerKibibyte;
+const maxDiscardMs: Milliseconds = msPerSecond;
+
 export type Call = {
 	dispatcher: Dispatcher;
 	origin: string;
@@ -103,6 +108,8 @@
 	let isOver = false;
 	let stop: ((reason: Error) => void) | undefined;
 	let answer: AnswerJudge | undefined;
+	let discardTimer: NodeJS.Timeout | undefined;
+	let discardedBytes = 0;
 
 	const end = (report?: () => void): void => {
 		if (isOver) {
@@ -140,6 +147,9 @@
 		},
 		discard() {
 			end();
+			discardTimer = setTimeout(() => {
+				controller.abort(new Error('the rest of the answer takes too long'));
+			}, maxDiscardMs);
 		},
 	});
 
@@ -184,13 +194,20 @@
 				sink.onStart(status, headers, toFlow(controller));
 			}
 		},
-		onResponseData(_, bytes) {
+		onResponseData(controller, bytes) {
 			if (!isOver) {
 				answer!.add(bytes);
 				sink.onData(bytes);
+				return;
+			}
+
+			discardedBytes += bytes.length;
+			if (discardedBytes > maxDiscardedBytes) {
+				controller.abort(new Error('the rest of the answer is too long'));
 			}
 		},
 		onResponseEnd() {
+			clearTimeout(discardTimer);
 			if (isOver) {
 				return;
 			}
@@ -206,6 +223,7 @@
 			}
 		},
 		onResponseError(_, error) {
+			clearTimeout(discardTimer);
 			fail(isOffered ? 'broken' : 'unreachable', toMessage(error), {isClosed: isOffered && isClosing(error), isRefused: !isOffered && isRefusal(error)});
 		},
 	});
--- a/src/adapters/_lib/dispatch-call/test.ts
+++ b/src/adapters/_lib/dispatch-call/test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {once} from 'node:events';
 import {describe, it} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Dispatcher} from 'undici';
+import {createDeferred} from '../../../_lib/create-deferred/index.js';
+import {createHttpAgent} from '../create-http-agent/index.js';
 import {dispatchCall, type CallFault} from './index.js';
 
 /** Dispatches a call through a dispatcher whose connection is opened by hand. */
@@ -58,3 +64,83 @@
 		assert.deepEqual(call.aborted, ['aborted']);
 	});
 });
+
+// Guards against a server whose refusal never ends, so that a host reads it for ever.
+describe('dispatchCall, discarding the rest of an answer', () => {
+	const head = 'HTTP/1.1 503 Service Unavailable\r\ntransfer-encoding: chunked\r\n\r\n';
+	const chunk = Buffer.from(`4000\r\n${'x'.repeat(0x40_00)}\r\n`);
+
+	/** Discards the answer of a server; returns whether the server sees its connection closed within this time. */
+	async function isClosedWithin(waitMs: number, send: (socket: Socket) => void): Promise<boolean> {
+		const sockets = new Set<Socket>();
+		const closed = createDeferred();
+		const server = createServer(socket => {
+			sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.once('close', () => {
+				closed.resolve();
+			});
+			socket.once('data', () => {
+				socket.write(head);
+				send(socket);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const dispatcher = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+		dispatchCall({
+			dispatcher, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', path: '/', headersTimeoutMs: 5000, idleTimeoutMs: 60_000,
+		}, {
+			onStart(_, __, flow) {
+				flow.discard();
+			},
+			onData: () => undefined,
+			onEnd: () => undefined,
+			onFault: () => undefined,
+		});
+		const isClosed = await Promise.race([
+			(async () => {
+				await closed.promise;
+				return true;
+			})(),
+			sleep(waitMs, false),
+		]);
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		await dispatcher.destroy();
+		server.close();
+		return isClosed;
+	}
+
+	it('closes the connection of a server that sends without end', async () => {
+		assert.ok(await isClosedWithin(10_000, socket => {
+			const send = (): void => {
+				while (!socket.destroyed && socket.write(chunk)) {
+					// Write until the window is full.
+				}
+			};
+
+			socket.on('drain', send);
+			send();
+		}));
+	});
+
+	it('closes the connection of a server that sends a little all the time', async () => {
+		assert.ok(await isClosedWithin(10_000, socket => {
+			const timer = setInterval(() => {
+				socket.write('1\r\nx\r\n');
+			}, 50);
+			socket.once('close', () => {
+				clearInterval(timer);
+			});
+		}));
+	});
+
+	it('keeps the connection of a server whose answer ends', async () => {
+		assert.equal(await isClosedWithin(2000, socket => {
+			socket.write('1\r\nx\r\n0\r\n\r\n');
+		}), false);
+	});
+});
