End the call of a server whose event does not end

What callers saw: one server that sends a stream without a blank line held up every other request of its host: the event relay joined and searched all of it again for each piece, 8 MB in pieces of 1 KB for 20.7 s, and kept it all.

An answer that is no stream, on a route of streams, is kept until its end as before and so has the same bound now.

--- a/src/programs/entry/send-plain/_lib/create-event-relay.ts
+++ b/src/programs/entry/send-plain/_lib/create-event-relay.ts
@@ -3,10 +3,11 @@
  * the middle of an event; without the incomplete part, another server can continue
  * the stream after the last complete event.
  */
-import {Buffer} from 'node:buffer';
 import {type CallFlow} from '../../../../adapters/_lib/dispatch-call/index.js';
 import {type CallerExchange} from '../../../../adapters/caller-http/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
+import {bytesPerMebibyte} from '../../../../ports/units.js';
+import {createEventBuffer} from './create-event-buffer.js';
 import {createFlowWriter, type Relay} from './create-relay.js';
 
 /** Part of a stream that the caller has received, from all servers that sent some of it. */
@@ -30,15 +31,10 @@
 /** Status of a stream; an answer with another one is no stream, whatever its body. */
 const streamStatus = 200;
 
-/** A blank line ends an event, with either kind of line ending. */
-const eventEnds = ['\n\n', '\r\n\r\n'].map(text => Buffer.from(text));
 const idLine = /^id:[ ]?(?<id>.*)$/gmv;
 
-/** Length up to the end of the last complete event; 0 if there is none. */
-function findLastEnd(bytes: Buffer, end: Buffer): number {
-	const at = bytes.lastIndexOf(end);
-	return at === -1 ? 0 : at + end.length;
-}
+/** Longest event that is relayed. An event can't be passed on before its end, so a host would have to keep all of it. */
+const maxEventBytes = bytesPerMebibyte;
 
 /** Finds the id of the last event that has one. */
 function findLastId(events: string): string | undefined {
@@ -56,7 +52,7 @@
 export function createEventRelay(options: EventRelayOptions): Relay {
 	const {exchange, events, onEvents} = options;
 	const writer = createFlowWriter(options);
-	let incomplete: Buffer = Buffer.alloc(0);
+	const buffer = createEventBuffer();
 	let begin: (() => void) | undefined;
 	/** Whether the answer is a stream, and none of its events has been relayed. */
 	let isSilentStream = false;
@@ -85,21 +81,20 @@
 			};
 		},
 		write(bytes) {
-			const all = incomplete.length === 0 ? bytes : Buffer.concat([incomplete, bytes]);
-			const length = Math.max(...eventEnds.map(end => findLastEnd(all, end)));
-			incomplete = all.subarray(length);
-			if (length > 0) {
-				const whole = all.subarray(0, length);
+			const whole = buffer.add(bytes);
+			if (whole !== undefined) {
 				noteEvents();
 				beginOnce();
 				events.lastId = findLastId(whole.toString('utf8')) ?? events.lastId;
 				writer.pass(whole);
 			}
+
+			return buffer.size() > maxEventBytes ? `an event is longer than ${maxEventBytes} bytes` : undefined;
 		},
 		end() {
 			beginOnce();
-			if (incomplete.length > 0) {
-				writer.pass(incomplete);
+			if (buffer.size() > 0) {
+				writer.pass(buffer.rest());
 			}
 
 			exchange.end();
--- a/src/programs/entry/send-plain/_lib/create-relay.ts
+++ b/src/programs/entry/send-plain/_lib/create-relay.ts
@@ -17,7 +17,8 @@
 
 export type Relay = {
 	start: (status: number, headers: Headers, flow: CallFlow) => void;
-	write: (bytes: Buffer) => void;
+	/** Relays bytes; returns why no more of the answer can be relayed, if so. */
+	write: (bytes: Buffer) => string | undefined;
 	end: () => void;
 	/** Whether any part was relayed, after which no other answer can replace this one. */
 	hasBegun: () => boolean;
@@ -89,6 +90,8 @@
 			} else {
 				heldChunks.push(bytes);
 			}
+
+			return undefined;
 		},
 		end() {
 			begin?.();
--- a/src/programs/entry/send-plain/broken-answers.test.ts
+++ b/src/programs/entry/send-plain/broken-answers.test.ts
@@ -88,3 +88,37 @@
 		});
 	}
 });
+
+// Guards against a server whose event never ends: a host would keep and search all of it, and its other requests would wait.
+describe('sendPlain, with an event that does not end', () => {
+	for (const [what, start, kind] of [['of a stream that has not begun', '', 'failed'], ['after another event', toEvent(1), 'cut']] as const) {
+		it(`ends the call: ${what}`, async () => {
+			const caller = createCaller();
+			const body = Buffer.concat([Buffer.from(start), Buffer.alloc(8 * 1024 * 1024, 'x')]);
+			let sentBytes = 0;
+			const aborted = new AbortController();
+			const dispatcher = {
+				dispatch(_: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler) {
+					const controller = {
+						abort() {
+							aborted.abort();
+						},
+					} as unknown as Dispatcher.DispatchController;
+					handler.onRequestStart!(controller, undefined);
+					handler.onResponseStart!(controller, 200, toHead('chunks', 0));
+					for (; sentBytes < body.length && !aborted.signal.aborted; sentBytes += 1024) {
+						handler.onResponseData!(controller, body.subarray(sentBytes, sentBytes + 1024));
+					}
+
+					return true;
+				},
+			} as unknown as Dispatcher;
+			const ended = await sendPlain({
+				exchange: caller.exchange, dispatcher, url: 'http://10.0.0.1', headers: {}, payload: undefined, signal: new AbortController().signal, headersTimeoutMs: 1000, idleTimeoutMs: 1000, onStart: () => undefined, events: {hasBegun: false, lastId: undefined},
+			});
+			assert.deepEqual({kind: ended.kind, fault: ended.kind === 'complete' || ended.kind === 'caller-gone' ? undefined : ended.fault.kind}, {kind, fault: 'invalid'});
+			assert.ok(sentBytes <= 2 * 1024 * 1024, `${sentBytes} bytes were read`);
+			assert.equal(caller.toText(), start);
+		});
+	}
+});
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -86,6 +86,7 @@
 	const {exchange, url, signal} = call;
 	return new Promise(resolve => {
 		let status = 0;
+		let flow: CallFlow | undefined;
 		const {events} = call;
 		const relay = events === undefined ? createRelay(call) : createEventRelay({...call, events});
 		dispatchCall({
@@ -99,18 +100,25 @@
 			idleTimeoutMs: call.idleTimeoutMs,
 			signal,
 		}, {
-			onStart(answerStatus, headers, flow) {
+			onStart(answerStatus, headers, answerFlow) {
+				flow = answerFlow;
 				const fault = call.checkHead?.(answerStatus, headers);
 				if (fault !== undefined) {
-					rejectAnswer(fault, flow, resolve);
+					rejectAnswer(fault, answerFlow, resolve);
 					return;
 				}
 
 				status = answerStatus;
 				call.onStart(status);
-				relay.start(status, {...toForwardHeaders(headers, {drop: ['x-request-id', outcomeHeader, originHeader]}), ...call.addedHeaders}, flow);
+				relay.start(status, {...toForwardHeaders(headers, {drop: ['x-request-id', outcomeHeader, originHeader]}), ...call.addedHeaders}, answerFlow);
+			},
+			onData(bytes) {
+				const message = relay.write(bytes);
+				if (message !== undefined) {
+					flow?.abandon();
+					resolve({kind: relay.hasBegun() ? 'cut' : 'failed', fault: {kind: 'invalid', message}});
+				}
 			},
-			onData: relay.write,
 			onEnd(answer) {
 				relay.end();
 				resolve({kind: 'complete', status, answer});
