End the call of a server that sends informational heads without end

What callers saw: nothing until the deadline of their request, while a server sent 103 heads for as long as it liked.

Cause: each informational head restarts the timeout of the answer's head, and dispatchCall skipped any number of them. The class is bytes of a server that are no answer and do not end.

Change: a call with more than 16 informational heads is broken, and its connection is closed.

Red before: "end the call if there are too many" got nothing within 5 s. Green now, with the case of three heads before an answer.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -54,6 +54,9 @@
 const maxDiscardedBytes = 64 * bytesPerKibibyte;
 const maxDiscardMs: Milliseconds = msPerSecond;
 
+/** Each informational head puts off the timeout of the answer's head. */
+const maxInformationalHeads = 16;
+
 export type Call = {
 	dispatcher: Dispatcher;
 	origin: string;
@@ -110,6 +113,7 @@
 	let answer: AnswerJudge | undefined;
 	let discardTimer: NodeJS.Timeout | undefined;
 	let discardedBytes = 0;
+	let informationalHeads = 0;
 
 	const end = (report?: () => void): void => {
 		if (isOver) {
@@ -189,9 +193,20 @@
 			};
 		},
 		onResponseStart(controller, status, headers) {
-			if (!isOver && status >= 200) {
+			if (isOver) {
+				return;
+			}
+
+			if (status >= 200) {
 				answer = createAnswerJudge({method: call.method, status, headers});
 				sink.onStart(status, headers, toFlow(controller));
+				return;
+			}
+
+			informationalHeads++;
+			if (informationalHeads > maxInformationalHeads) {
+				fail('broken', `the server sent more than ${maxInformationalHeads} informational heads`);
+				controller.abort(new Error('too many informational heads'));
 			}
 		},
 		onResponseData(controller, bytes) {
--- a/src/adapters/_lib/dispatch-call/test.ts
+++ b/src/adapters/_lib/dispatch-call/test.ts
@@ -144,3 +144,51 @@
 		}), false);
 	});
 });
+
+// Guards against a server that sends informational heads without end, which put off the timeout of its answer's head.
+describe('dispatchCall, informational heads', () => {
+	/** Calls a server that sends these bytes again and again, then the rest; returns how the call ended. */
+	async function call(heads: number, rest: string): Promise<string> {
+		const server = createServer(socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				for (let n = 0; n < heads; n++) {
+					socket.write('HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n');
+				}
+
+				socket.write(rest);
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const dispatcher = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+		const ended = await Promise.race([
+			new Promise<string>(resolve => {
+				dispatchCall({
+					dispatcher, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'GET', path: '/', headersTimeoutMs: 60_000, idleTimeoutMs: 60_000,
+				}, {
+					onStart: () => undefined,
+					onData: () => undefined,
+					onEnd() {
+						resolve('ended');
+					},
+					onFault({kind, message}) {
+						resolve(`${kind}: ${message}`);
+					},
+				});
+			}),
+			sleep(5000, 'nothing'),
+		]);
+		await dispatcher.destroy();
+		server.close();
+		return ended;
+	}
+
+	it('are skipped before an answer', async () => {
+		assert.equal(await call(3, 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n'), 'ended');
+	});
+
+	it('end the call if there are too many', async () => {
+		assert.match(await call(200, ''), /^broken: the server sent more than 16 informational heads/v);
+	});
+});
