Play a request that ends servers beside dark machines, restarts and a pause

The stand-in server can go dark: it leaves all calls of that start unanswered, also those that carry its id later. The check of late runs moves to the fixture that both files use, unchanged.

--- a/test/failures/_lib/busy-fleet.ts
+++ b/test/failures/_lib/busy-fleet.ts
@@ -2,10 +2,12 @@
  * Hosts as processes before model servers that are busy with sound streams, and one
  * request that is sent again and again and ends servers.
  */
+import assert from 'node:assert/strict';
 import process from 'node:process';
+import {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ServerEnd} from '../../stand-ins/users-platform/end-server.js';
-import {type RelayCall} from '../../stand-ins/users-platform/send-call.js';
+import {type Answer, type RelayCall} from '../../stand-ins/users-platform/send-call.js';
 import {startRelayProcesses, type RelayProcesses, type VersionedServer} from '../../stand-ins/users-platform/start-relay-processes.js';
 import {toStreamHeaders} from '../../stand-ins/users-platform/start-relay-fixture.js';
 
@@ -27,17 +29,24 @@
 const endsAllowed = 3;
 
 /** Runs of the culprit that may come later. */
-export const maxLateRuns = 3;
+const maxLateRuns = 3;
+
+/** Time after which a caller tries again whose host does not listen. */
+const reconnectMs = 50;
 
 const culpritBody = 'culprit';
 
+export type Repeats = {call?: Partial<RelayCall>; gapMs: number; forMs: number};
+
 export type BusyFleet = {
 	processes: RelayProcesses;
 	servers: readonly VersionedServer[];
 	/** Sets which runs of the culprit end their server, and how. */
 	setEnds: (isFatal: (server: VersionedServer, run: number) => boolean, end: ServerEnd) => void;
 	/** Sends the culprit to the hosts in turn for some time, one call each `gapMs`. */
-	repeat: (options: {call?: Partial<RelayCall>; gapMs: number; forMs: number}) => Promise<void>;
+	repeat: (options: Repeats) => Promise<void>;
+	/** Sends the culprit once. */
+	sendCulprit: (call?: Partial<RelayCall>) => Promise<void>;
 	/** What has become of the requests so far. */
 	tally: () => {ended: number; lateRuns: number; sound: number; soundServed: number; soundQuarantined: number};
 	stop: () => Promise<void>;
@@ -82,15 +91,31 @@
 
 	const polling = setInterval(watchEnds, pollMs);
 
+	/** Sends a call; resolves without an answer if its host does not listen. */
+	async function ask(call: RelayCall): Promise<Answer | undefined> {
+		try {
+			return await processes.ask(call);
+		} catch {
+			await sleep(reconnectMs);
+			return undefined;
+		}
+	}
+
+	async function sendCulprit(call: Partial<RelayCall> = {}): Promise<void> {
+		await ask({
+			path: '/summary/9', body: culpritBody, headers: toStreamHeaders({'prompt-prefix': 'culprit:200', 'deadline-ms': '2000'}), ...call,
+		});
+	}
+
 	async function sendSound(at: number): Promise<void> {
 		while (!stopping.signal.aborted) {
 			const id = `sound${++created}`;
 			sound.sent++;
-			const {status, isWhole, body} = await processes.ask({
+			const answer = await ask({
 				path: '/summary/1', body: id, at, headers: toStreamHeaders({'prompt-prefix': `${id}:200`, 'deadline-ms': '4000'}),
 			});
-			sound.served += status === 200 && isWhole ? 1 : 0;
-			sound.quarantined += body.includes('quarantined') ? 1 : 0;
+			sound.served += answer?.status === 200 && answer.isWhole ? 1 : 0;
+			sound.quarantined += answer?.body.includes('quarantined') === true ? 1 : 0;
 		}
 	}
 
@@ -117,14 +142,13 @@
 			const calls: Array<Promise<unknown>> = [];
 			const until = performance.now() + forMs;
 			for (let n = 0; performance.now() < until; n++) {
-				calls.push(processes.ask({
-					path: '/summary/9', body: culpritBody, at: n % hostCount, headers: toStreamHeaders({'prompt-prefix': 'culprit:200', 'deadline-ms': '2000'}), ...call,
-				}));
+				calls.push(sendCulprit({at: n % hostCount, ...call}));
 				await sleep(gapMs);
 			}
 
 			await Promise.all(calls);
 		},
+		sendCulprit,
 		tally() {
 			const third = endedAt[endsAllowed - 1] ?? Infinity;
 			return {
@@ -139,3 +163,20 @@
 		},
 	};
 }
+
+/**
+ * Sends the culprit again and again, and checks that few runs of it come later than
+ * hosts must know, and that no sound request is refused.
+ *
+ * @param t - Receives the figures.
+ * @param fleet - The fleet.
+ * @param repeats - The calls, and for how long.
+ */
+export async function checkLateRuns(t: TestContext, fleet: BusyFleet, repeats: Repeats): Promise<void> {
+	await fleet.repeat(repeats);
+	const {ended, lateRuns, sound, soundServed, soundQuarantined} = fleet.tally();
+	t.diagnostic(`${ended} servers ended, ${lateRuns} late runs; ${soundServed} of ${sound} sound requests served, ${soundQuarantined} refused as the culprit`);
+	assert.ok(ended >= 3, `only ${ended} servers ended`);
+	assert.ok(lateRuns <= maxLateRuns, `${lateRuns} late runs`);
+	assert.equal(soundQuarantined, 0);
+}
--- a/test/stand-ins/users-platform/end-server.ts
+++ b/test/stand-ins/users-platform/end-server.ts
@@ -5,10 +5,11 @@
 /**
  * What the server has sent before it ends, and what becomes of the connection.
  * `silent`: nothing was sent, and the connection stays open, as if the machine lost
- * power. `once-left`: it ends only after the host has closed the connection;
+ * power. `goes dark`: all connections stay open, and none is answered any more.
+ * `once-left`: it ends only after the host has closed the connection;
  * `lingers once-left`: it goes on with its work for some time before it ends.
  */
-export type ServerEnd = 'closes' | 'silent' | 'once-left' | 'lingers once-left'
+export type ServerEnd = 'closes' | 'silent' | 'goes dark' | 'once-left' | 'lingers once-left'
 	| `${'closes' | 'resets' | 'falls silent'} ${'in half a head' | 'in a body with a length' | 'in chunks' | 'in last chunks' | 'without a length'}`;
 
 type Sent = ServerEnd extends infer End ? End extends `${string} ${'in' | 'without'} ${string}` ? End : never : never;
@@ -47,7 +48,7 @@
  */
 export function endServer(end: ServerEnd, {req, res, crash}: {req: IncomingMessage; res: ServerResponse; crash: () => void}): void {
 	const {socket} = req;
-	if (end === 'closes') {
+	if (end === 'closes' || end === 'goes dark') {
 		crash();
 		return;
 	}
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -102,6 +102,9 @@
 	let isCrashing: (arrival: Arrival) => boolean = () => false;
 	let crashEnd: ServerEnd = 'closes';
 	let crashes = 0;
+	const open = new Set<ServerResponse>();
+	/** Earlier starts that went dark. */
+	const darkIds = new Set<string>();
 
 	const toNoticeHeaders = () => ({...(isLeaving && {'server-leaving': '1'}), ...(requestLimit !== undefined && {'server-limit': requestLimit})});
 
@@ -157,7 +160,21 @@
 		reservations.delete(name);
 	}
 
+	/** Leaves all calls of this start without an answer. */
+	function goDark(): void {
+		darkIds.add(standIn.id);
+		for (const res of open) {
+			res.detachSocket(res.socket!);
+		}
+
+		open.clear();
+	}
+
 	function crash(): void {
+		if (crashEnd === 'goes dark') {
+			goDark();
+		}
+
 		crashes++;
 		standIn.id = `${id}-start-${crashes + 1}`;
 		reservations.clear();
@@ -170,6 +187,10 @@
 	function isRefused({headers}: IncomingMessage, res: ServerResponse, step: ServerStep): boolean {
 		const expected = headers['expect-instance'];
 		if (expected !== undefined && expected !== standIn.id) {
+			if (darkIds.has(String(expected))) {
+				return true;
+			}
+
 			answer(res, 421, {error: 'another'}, {'instance-id': standIn.id});
 			return true;
 		}
@@ -254,6 +275,10 @@
 	}
 
 	const server = createServer((req, res) => {
+		open.add(res);
+		res.once('close', () => {
+			open.delete(res);
+		});
 		void serve(req, res);
 	});
 	server.listen(0, '127.0.0.1');
