Count runs at drained servers that went on after the announcement

What callers saw: streams that break off whenever one request reaches a server that is drained, at any host, however many it has ended.

Cause: the end of a server that had announced its leave was counted for no run at all, as it may have ended as planned.

Change: followPublished tells which servers left and since when they had announced it. Runs whose connections were open then or later, and of which nothing proves that they were survived, count as crashes; runs that were over before do not.

Not covered: a server of which the announcement reaches the host only after the run was over, and refused connections of a server that is leaving.

--- a/src/domain/create-unresolved-runs/index.ts
+++ b/src/domain/create-unresolved-runs/index.ts
@@ -38,7 +38,10 @@
 };
 
 const defaultKeepMs: Milliseconds = 15 * msPerSecond;
-const defaultLingerMs: Milliseconds = msPerSecond;
+
+/** Default time for which a server may go on with a request after the connection was closed. */
+export const defaultLingerMs: Milliseconds = msPerSecond;
+
 const defaultMaxRuns = 4096;
 
 /** Maximum number of servers whose end is remembered. */
--- a/src/programs/entry/follow-published/_test/start-followed.ts
+++ b/src/programs/entry/follow-published/_test/start-followed.ts
@@ -15,6 +15,8 @@
 	used: () => string[];
 	/** Names of the servers that were lost without having announced that they leave. */
 	lost: () => readonly string[];
+	/** Servers that are gone, and the time for which each had been known to leave. */
+	left: () => ReadonlyArray<{id: string; sinceMs: Milliseconds}>;
 	logs: () => readonly LogFields[];
 	stop: () => Promise<void>;
 };
@@ -31,6 +33,7 @@
 	const platform = createScriptedPlatform(time);
 	const collected = createCollectedLines();
 	const lost: string[] = [];
+	const left: Array<{id: string; sinceMs: Milliseconds}> = [];
 	platform.publishRules();
 	platform.put('stays');
 	platform.put('leaves');
@@ -46,6 +49,9 @@
 		onServerLost({id}) {
 			lost.push(id);
 		},
+		onServerLeft({id}, leavingSince) {
+			left.push({id, sinceMs: time.clock.now() - leavingSince});
+		},
 		actWithinMs,
 		sleep: time.sleep,
 	});
@@ -55,6 +61,7 @@
 		follower,
 		used: () => [...follower.toView()?.servers.values() ?? []].filter(({leaving}) => !leaving).map(({id}) => id).toSorted((a, b) => a.localeCompare(b)),
 		lost: () => lost,
+		left: () => left,
 		logs: collected.lines,
 		async stop() {
 			const stopped = follower.stop();
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -28,6 +28,8 @@
 	actWithinMs: Milliseconds;
 	/** Called for each server that is published no more although it had not announced that it leaves. */
 	onServerLost?: (server: ServerEntry) => void;
+	/** Called for each server that is published no more after it had announced, by this monotonic time, that it leaves. */
+	onServerLeft?: (server: ServerEntry, leavingSince: Milliseconds) => void;
 	/** Called each time the platform has come back from an older copy. */
 	onReset?: () => void;
 	/** Resolves after the given time, or once the signal aborts; uses the process's timers by default. */
@@ -113,7 +115,7 @@
  */
 export function followPublished(options: FollowOptions): Follower {
 	const {
-		source, clock, random, log, onView, onServerLost = () => undefined, onReset = () => undefined, sleep = sleepUnlessAborted,
+		source, clock, random, log, onView, onServerLost = () => undefined, onServerLeft = () => undefined, onReset = () => undefined, sleep = sleepUnlessAborted,
 	} = options;
 	const pace = toReadPace(options.actWithinMs);
 	const fleet = createPublishedFleet({zones: options.zones});
@@ -127,6 +129,7 @@
 	let isReturning = false;
 	/** Number of consecutive answers that named an older era. */
 	let staleAnswers = 0;
+	const leavingSince = new Map<ServerId, Milliseconds>();
 	let isConnected = false;
 	let failures = 0;
 	let answeredAt: Milliseconds | undefined;
@@ -135,18 +138,42 @@
 	/** Last time at which the platform is known to have been away: the start of a read that timed out, or the end of one that was broken off. */
 	let lastOutageSignAt: Milliseconds | undefined;
 
-	function reportLost({servers}: FleetChange): void {
+	function reportGone(id: ServerId): void {
+		const entry = view?.accepted?.config.servers.find(server => server.id === id);
+		const since = leavingSince.get(id);
+		if (entry === undefined) {
+			return;
+		}
+
+		if (since === undefined) {
+			onServerLost(entry);
+		} else {
+			onServerLeft(entry, since);
+		}
+	}
+
+	function noteAnnounced({id, became}: FleetChange['servers'][number]): void {
+		if (became === 'leaving' && !leavingSince.has(id)) {
+			leavingSince.set(id, clock.now());
+		} else if (became === 'serving' || became === 'gone') {
+			leavingSince.delete(id);
+		}
+	}
+
+	/** A server that announces and is gone in the same read had announced nothing before. */
+	function reportEnds({servers}: FleetChange): void {
 		for (const {id} of servers.filter(({became}) => became === 'gone')) {
-			const entry = view?.accepted?.config.servers.find(server => server.id === id);
-			if (entry !== undefined && view?.servers.get(id)?.leaving === false) {
-				onServerLost(entry);
-			}
+			reportGone(id);
+		}
+
+		for (const change of servers) {
+			noteAnnounced(change);
 		}
 	}
 
 	function report(change: FleetChange): void {
 		logFleetChange(log, change, position?.revision);
-		reportLost(change);
+		reportEnds(change);
 		if (view === undefined || change.rules !== undefined || change.servers.length > 0) {
 			view = fleet.toView(clock.now());
 			onView(view);
--- a/src/programs/relay/share-loads/_test/create-end-traffic.ts
+++ b/src/programs/relay/share-loads/_test/create-end-traffic.ts
@@ -23,6 +23,8 @@
 	seen?: RunEnd;
 	/** Whether the connections of a server that ended stay open. */
 	isDark?: boolean;
+	/** Whether the server announces that it leaves when the run starts. */
+	isDrained?: boolean;
 };
 
 export type EndTrafficOptions = {
@@ -44,6 +46,9 @@
 /** How a server ends for another reason than a request. */
 const otherWay: EndWay = {name: 'closes'};
 
+/** Time for which a server that leaves as planned goes on. */
+const drainMs: Milliseconds = 2 * msPerSecond;
+
 /** Time from the end of a server to the removal of its entry. */
 export const lapseMs: Milliseconds = 3500;
 
@@ -59,6 +64,7 @@
 export function createEndTraffic({fleet, random, servers, isFatal = () => true}: EndTrafficOptions) {
 	let pending: Array<{at: Milliseconds; act: () => void}> = [];
 	const running = new Map<ServerId, Set<Run>>(Array.from({length: servers}, (_, i) => [`s-${i}`, new Set()]));
+	const leavingSince = new Map<ServerId, Milliseconds>();
 	const counts = {
 		ended: 0, culpritRunsAt: [] as Milliseconds[], endedAt: [] as Milliseconds[], harmless: 0, refused: 0,
 	};
@@ -97,19 +103,23 @@
 		}
 	}
 
+	function announceLeave(server: ServerId): void {
+		leavingSince.set(server, fleet.now());
+	}
+
 	/** Removes the entry of a server that has ended. */
 	function lapse(server: ServerId): void {
 		for (const {suspects, partQuarantine, isDead} of fleet.hosts) {
 			if (!isDead) {
 				createLostServers({
 					suspects, partQuarantine, log, clock: {now: fleet.now, wallNow: fleet.now}, isZoneSilent: () => false,
-				})({id: server, zone: 'a'});
+				})({id: server, zone: 'a'}, leavingSince.get(server));
 			}
 		}
 	}
 
 	/** Ends a server, and starts another one in its place. */
-	function endServer(server: ServerId, way: EndWay): void {
+	function endServer(server: ServerId, way: EndWay, {isPlanned = false} = {}): void {
 		const runs = running.get(server);
 		if (runs === undefined) {
 			return;
@@ -117,6 +127,13 @@
 
 		running.delete(server);
 		running.set(`s-${started++}`, new Set());
+		breakRuns(runs, server, way);
+		after(isPlanned ? 0 : lapseMs, () => {
+			lapse(server);
+		});
+	}
+
+	function breakRuns(runs: ReadonlySet<Run>, server: ServerId, way: EndWay): void {
 		for (const run of [...runs].filter(({isLeft}) => !isLeft)) {
 			if (way.isDark === true) {
 				after(silentMs, () => {
@@ -126,10 +143,6 @@
 				note(run, server, run.fingerprint === culprit && way.seen !== undefined ? way.seen : {kind: 'closed'});
 			}
 		}
-
-		after(lapseMs, () => {
-			lapse(server);
-		});
 	}
 
 	/** Starts a run at a random host and server, unless the host refuses the request. */
@@ -144,7 +157,7 @@
 		const run: Run = {
 			fingerprint, host, startedAt: now, isLeft: false,
 		};
-		const server = pick([...running.keys()]);
+		const server = pick([...running.keys()].filter(id => !leavingSince.has(id)));
 		running.get(server)!.add(run);
 		return {run, server};
 	}
@@ -186,6 +199,10 @@
 
 			const {run, server} = begun;
 			counts.culpritRunsAt.push(fleet.now());
+			if (way.isDrained === true) {
+				announceLeave(server);
+			}
+
 			if (!isFatal(server, counts.culpritRunsAt.length)) {
 				serve(begun);
 				return;
@@ -209,6 +226,14 @@
 		endAny(): void {
 			endServer(pick([...running.keys()]), otherWay);
 		},
+		/** A random server leaves as planned: it gets no more requests, and ends later. */
+		drainAny(): void {
+			const server = pick([...running.keys()].filter(id => !leavingSince.has(id)));
+			announceLeave(server);
+			after(drainMs, () => {
+				endServer(server, otherWay, {isPlanned: true});
+			});
+		},
 		/** A server that goes on breaks off one of its runs. */
 		breakOff(end: RunEnd): void {
 			const server = pick([...running.keys()]);
--- a/src/programs/relay/share-loads/_test/play-end-course.ts
+++ b/src/programs/relay/share-loads/_test/play-end-course.ts
@@ -25,6 +25,11 @@
 	{name: 'ends 0.9 s after the caller has left', leaveMs: 250, endMs: 1150},
 ];
 
+/** A way in which servers end that have announced that they leave. */
+export const drainedWay: EndWay = {
+	name: 'ends once the caller has left, while it is drained', leaveMs: 200, endMs: 250, isDrained: true,
+};
+
 export type EndCourse = {
 	hosts: number;
 	way?: EndWay;
@@ -37,6 +42,8 @@
 	hasFaults?: boolean;
 	/** Time between two ends of servers for other reasons. */
 	otherEndsMs?: Milliseconds;
+	/** Whether servers that end for other reasons leave as planned. */
+	isPlanned?: boolean;
 	/** Share of the callers of harmless requests that leave early. */
 	leaveShare?: number;
 	isFatal?: (server: ServerId, run: number) => boolean;
@@ -64,8 +71,8 @@
 
 const isEach = (step: number, periodMs: Milliseconds): boolean => (step * stepMs) % periodMs === 0;
 
-/** Returns the time after the third end from which no host may send the request on; an end that closes no connection is known once the entry has lapsed. */
-const toKnownMs = (way: EndWay): Milliseconds => way.isDark === true ? spreadMs + lapseMs : spreadMs;
+/** Returns the time after the third end from which no host may send the request on; an end that closes no connection, or of a server that has announced that it leaves, is known once the entry has lapsed. */
+const toKnownMs = (way: EndWay): Milliseconds => way.isDark === true || way.isDrained === true ? spreadMs + lapseMs : spreadMs;
 
 /**
  * Plays a course.
@@ -74,7 +81,7 @@
  * @returns Servers that the culprit ended, its runs that began later than hosts must know, harmless requests, and how many of these were refused.
  */
 export async function playEndCourse({
-	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, recurMs = defaultRecurMs, record = {}, seed = hosts + gapMs,
+	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, isPlanned = false, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, recurMs = defaultRecurMs, record = {}, seed = hosts + gapMs,
 }: EndCourse): Promise<EndTally> {
 	const random = createRandom(seed);
 	const fleet = await startHosts(hosts, {lossShare: 0.05, random, ...record});
@@ -98,7 +105,11 @@
 		}
 
 		if (otherEndsMs !== undefined && isEach(step, otherEndsMs)) {
-			traffic.endAny();
+			if (isPlanned) {
+				traffic.drainAny();
+			} else {
+				traffic.endAny();
+			}
 		}
 
 		traffic.pass(stepMs);
--- a/src/programs/relay/share-loads/server-ends.test.ts
+++ b/src/programs/relay/share-loads/server-ends.test.ts
@@ -5,7 +5,7 @@
 import {describe, it} from 'node:test';
 import {msPerSecond} from '../../../ports/units.js';
 import {busyPerStep, checkEndCourse} from './_test/check-end-course.js';
-import {lateWays, promptWays} from './_test/play-end-course.js';
+import {drainedWay, lateWays, promptWays} from './_test/play-end-course.js';
 
 describe('hosts whose servers end under a request', () => {
 	for (const hosts of [7, 74]) {
@@ -49,3 +49,25 @@
 		});
 	}
 });
+
+// Guards against a request that goes on ending servers which have announced that they leave, and against harmless requests that are refused because their servers left as planned.
+describe('hosts whose servers are drained', () => {
+	for (const hosts of [7, 74, 400]) {
+		const forMs = (hosts > 100 ? 15 : 30) * msPerSecond;
+		it(`do not send on a request under which they end, and refuse no harmless one: ${hosts} hosts`, async t => {
+			await checkEndCourse(text => {
+				t.diagnostic(text);
+			}, {
+				hosts, way: drainedWay, perStep: busyPerStep, forMs,
+			});
+		});
+
+		it(`refuse few harmless ones when servers leave as planned and callers leave: ${hosts} hosts`, async t => {
+			await checkEndCourse(text => {
+				t.diagnostic(text);
+			}, {
+				hosts, perStep: busyPerStep, leaveShare: 0.25, otherEndsMs: 2 * msPerSecond, isPlanned: true, hasFaults: true, forMs,
+			});
+		});
+	}
+});
--- a/src/programs/relay/start-relay/_lib/create-lost-servers.ts
+++ b/src/programs/relay/start-relay/_lib/create-lost-servers.ts
@@ -2,6 +2,7 @@
 import {type Log} from '../../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../../domain/create-crash-suspects/index.js';
 import {type PartQuarantine} from '../../../../domain/create-part-quarantine/index.js';
+import {defaultLingerMs} from '../../../../domain/create-unresolved-runs/index.js';
 import {type Clock, type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type ZoneId} from '../../../../ports/ids.js';
@@ -17,17 +18,20 @@
 };
 
 /**
- * Creates the handler of servers whose entries were removed although they had not
- * announced that they leave. The servers of a zone that is cut off may live on.
+ * Creates the handler of servers whose entries were removed. The servers of a zone
+ * that is cut off may live on. A server that had announced that it leaves may have
+ * ended as planned, and lived when it announced it: only runs count whose connections
+ * were open then or later.
  *
  * @param options - See {@link LostServersOptions}.
- * @returns Function that handles one server.
+ * @returns Function that handles one server, with the time by which it had announced that it leaves, if it had.
  */
-export function createLostServers({suspects, partQuarantine, clock, log, isZoneSilent}: LostServersOptions): (server: Pick<ServerEntry, 'id' | 'zone'>) => void {
-	return ({id, zone}) => {
+export function createLostServers({suspects, partQuarantine, clock, log, isZoneSilent}: LostServersOptions): (server: Pick<ServerEntry, 'id' | 'zone'>, leavingSince?: Milliseconds) => void {
+	return ({id, zone}, leavingSince = -Infinity) => {
 		const now = clock.now();
-		if (!isZoneSilent(zone, now)) {
-			noteServerEnded(id, {from: now - entryLifetimeMs, to: now}, {
+		const from = Math.max(now - entryLifetimeMs, leavingSince + defaultLingerMs);
+		if (from <= now && !isZoneSilent(zone, now)) {
+			noteServerEnded(id, {from, to: now}, {
 				suspects, partQuarantine, now, log,
 			});
 		}
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -102,7 +102,7 @@
 
 	async function join({onView}: JoinOptions): Promise<FleetLink> {
 		const follower = followPublished({
-			source, zones: toZones(settings.zones), clock, random, log, onView, onServerLost, onReset: relayMetrics.noteReset, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
+			source, zones: toZones(settings.zones), clock, random, log, onView, onServerLost, onServerLeft: onServerLost, onReset: relayMetrics.noteReset, actWithinMs: Math.min(settings.rulesWithin, settings.leaveWithin),
 		});
 		// While the platform's content may be older than what this host knows, roles must not be changed.
 		isConnected = () => follower.isConnected() && !follower.isReset();
--- a/test/failures/server-ends-faults.test.ts
+++ b/test/failures/server-ends-faults.test.ts
@@ -48,6 +48,15 @@
 		await checkLateRuns(t, fleet, {gapMs: 250, forMs: 12_000, call: {leaveAfterMs: 700}});
 	});
 
+	// Guards against a request that goes on ending servers which have announced that they leave.
+	it('send it on no more, when servers that are drained end', async t => {
+		fleet.setEnds(server => {
+			fleet.processes.publish(server, {state: 'draining'});
+			return true;
+		}, 'once-left');
+		await checkLateRuns(t, fleet, {...toRepeats, call: {leaveAfterMs: 700}});
+	});
+
 	// Guards against a request that goes on ending servers because the hosts that knew of it were restarted.
 	it('send it on no more, although they are killed and restarted in turn after the second end', async t => {
 		fleet.setEnds(() => true, 'closes');
