Let survivals at another software version take nothing from crashes

What callers saw: streams that break off at servers of one of two software versions, whichever host gets the request, while servers of the other one serve it in between.

Cause: a survival takes away a quarter of a crash wherever it happened. A survival at a server of version 2.0 proves nothing about servers of 2.1.

Change: survivals are not counted while all servers that ended under the request had other known versions than the one that survived. Versions of ended servers are kept, as their entries are removed soon after. Nothing new is told between hosts: each decides for the survivals that it sees.

Not covered: once servers of both versions ended, survivals at either count.

--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -1,7 +1,7 @@
 /** Options and functions of the record of crashes. */
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport, type DueReport} from '../../../ports/crash-reports.js';
-import {type Fingerprint, type ServerId} from '../../../ports/ids.js';
+import {type Fingerprint, type ServerId, type SoftwareVersion} from '../../../ports/ids.js';
 import {type EndPeriod} from '../../judge-survival/index.js';
 
 export type CrashSuspectsOptions = {
@@ -21,6 +21,8 @@
 	lingerMs?: Milliseconds;
 	/** What a survived run takes away, as a share of a crash; `Infinity` to clear all crashes before it. */
 	survivalWeight?: number;
+	/** Returns the software version of a server that is published; by default none is known. */
+	toVersion?: (server: ServerId) => SoftwareVersion | undefined;
 };
 
 /** The end of a server while it ran the request. */
@@ -31,8 +33,8 @@
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
 	/** Records that the server answered a call that started at this time; returns the requests of runs that it is now known to have survived. */
 	noteAnswered: (server: ServerId, calledAt: Milliseconds) => readonly Fingerprint[];
-	/** Records that a server survived a run of the request, which speaks against its earlier crashes. */
-	noteSurvived: (fingerprint: Fingerprint, now: Milliseconds) => void;
+	/** Records that a server survived a run of the request, which speaks against its earlier crashes unless all of them were of servers of other software versions. */
+	noteSurvived: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => void;
 	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
 	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
 	/** Records that a server ended, as known from elsewhere than a call of the request; returns the requests that are newly quarantined. */
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -7,13 +7,14 @@
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type CrashReport} from '../../ports/crash-reports.js';
-import {type Fingerprint, type ServerId} from '../../ports/ids.js';
+import {type Fingerprint, type ServerId, type SoftwareVersion} from '../../ports/ids.js';
 import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
 import {judgeSurvival} from '../judge-survival/index.js';
 import {createLatestTimes} from '../create-latest-times/index.js';
 import {weighCrashes} from '../weigh-crashes/index.js';
 import {addSurvival} from './_lib/add-survival.js';
+import {createEndedVersions} from './_lib/create-ended-versions.js';
 import {pickEvicted} from './_lib/pick-evicted.js';
 import {pickReportedCrashes} from './_lib/pick-reported-crashes.js';
 import {type Crash, type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
@@ -58,8 +59,8 @@
 /** Maximum number of servers whose end is kept. */
 const maxEndedServers = 256;
 
-/** Maximum number of requests whose survived runs are kept. */
-const maxSurvivedRequests = 4096;
+/** Maximum number of requests, and of requests by software version, whose survived runs are kept. */
+const maxSurvivedRequests = 8192;
 
 /** Time for which a request's first crash is reported; after it, all hosts have received the report or the request was not the cause. */
 const freshCrashMs: Milliseconds = 5 * msPerSecond;
@@ -70,6 +71,8 @@
 /** Number of crashes from which a request is reported for as long as it is a suspect. */
 const minCrashesToRepeat = 2;
 
+const toVersionKey = (fingerprint: Fingerprint, version: SoftwareVersion): string => `${fingerprint} ${version}`;
+
 /**
  * Creates the record of one host.
  *
@@ -86,16 +89,17 @@
  */
 export function createCrashSuspects(options: CrashSuspectsOptions = {}): CrashSuspects {
 	const {
-		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = maxCrashes, pickSurplus, lingerMs, survivalWeight = defaultSurvivalWeight,
+		crashesToQuarantine = defaultCrashesToQuarantine, forgetMs = defaultForgetMs, maxSuspects = defaultMaxSuspects, maxCrashes = defaultMaxCrashes, maxReportedCrashes = maxCrashes, pickSurplus, lingerMs, survivalWeight = defaultSurvivalWeight, toVersion = () => undefined,
 	} = options;
 	/** Suspects by time of last occurrence, oldest first. */
 	const suspects = new Map<Fingerprint, Suspect>();
 	/** Start time of the latest call that each server answered. */
 	const answeredAt = createLatestTimes(maxAnsweringServers);
-	/** End of the latest run of each request that its server survived, also of requests under which only other hosts have seen crashes. */
+	/** End of the latest run of each request that its server survived, of all servers and by software version; also of requests under which only other hosts have seen crashes. */
 	const survivedAt = createLatestTimes(maxSurvivedRequests);
 	/** Time at which each server ended, as far as it is known. */
 	const endedAt = createLatestTimes(maxEndedServers);
+	const endedVersions = createEndedVersions(toVersion, maxEndedServers);
 	const changed = new Set<Fingerprint>();
 	const unresolved = createUnresolvedRuns({toAnsweredAt: answeredAt.get, ...(lingerMs !== undefined && {lingerMs})});
 	let reportOffset = 0;
@@ -142,17 +146,22 @@
 		forget(evicted!);
 	}
 
-	const toKnownSurvivals = (fingerprint: Fingerprint): Milliseconds[] => [survivedAt.get(fingerprint)].filter(at => Number.isFinite(at));
+	/** Returns the ends of the latest survived runs that speak against crashes of these servers. */
+	function toKnownSurvivals(fingerprint: Fingerprint, servers: readonly ServerId[]): Milliseconds[] {
+		const versions = endedVersions.list(servers);
+		const keys = versions === undefined ? [fingerprint] : versions.map(version => toVersionKey(fingerprint, version));
+		return [...new Set(keys)].map(key => survivedAt.get(key)).filter(at => Number.isFinite(at));
+	}
 
 	/** Moves the request to the end, as the most recently seen suspect. */
-	function touch(fingerprint: Fingerprint, seenAt: Milliseconds, now: Milliseconds): Suspect {
+	function touch(fingerprint: Fingerprint, {seenAt, crashes = []}: Pick<SeenCrashes, 'seenAt'> & Partial<SeenCrashes>, now: Milliseconds): Suspect {
 		const known = find(fingerprint, now);
 		if (known === undefined) {
 			makeRoom();
 		}
 
 		const suspect = known ?? {
-			crashes: new Map(), survivals: toKnownSurvivals(fingerprint), seenAt, clearedAt: -Infinity, mostCrashes: 0, reportedAt: now,
+			crashes: new Map(), survivals: toKnownSurvivals(fingerprint, crashes.map(([server]) => server)), seenAt, clearedAt: -Infinity, mostCrashes: 0, reportedAt: now,
 		};
 		suspect.seenAt = Math.max(suspect.seenAt, seenAt);
 		suspects.delete(fingerprint);
@@ -219,7 +228,11 @@
 
 	/** Adds crashes of a request; returns whether they put the request in quarantine. */
 	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes, clearedAt = -Infinity, survivals = []}: SeenCrashes, now: Milliseconds): boolean {
-		const suspect = touch(fingerprint, seenAt, now);
+		for (const [server] of crashes) {
+			endedVersions.note(server);
+		}
+
+		const suspect = touch(fingerprint, {seenAt, crashes}, now);
 		const hadEnoughCrashes = hasEnoughCrashes(suspect);
 		const added = crashes.filter(([server, at]) => addCrash(suspect, server, at));
 		excuse(fingerprint, suspect, {clearedAt, survivals});
@@ -236,10 +249,15 @@
 		return !hadEnoughCrashes && hasEnoughCrashes(suspect);
 	}
 
-	function noteSurvived(fingerprint: Fingerprint, at: Milliseconds): void {
+	function noteSurvived(fingerprint: Fingerprint, server: ServerId, at: Milliseconds): void {
+		const version = toVersion(server);
 		survivedAt.note(fingerprint, at);
+		if (version !== undefined) {
+			survivedAt.note(toVersionKey(fingerprint, version), at);
+		}
+
 		const suspect = suspects.get(fingerprint);
-		if (suspect !== undefined) {
+		if (suspect !== undefined && endedVersions.isAmong(version, toCrashes(suspect).map(([ended]) => ended))) {
 			excuse(fingerprint, suspect, {clearedAt: -Infinity, survivals: [at]});
 		}
 	}
@@ -274,7 +292,7 @@
 			answeredAt.note(server, calledAt);
 			const survived = unresolved.takeSurvived(server);
 			for (const {fingerprint, endedAt} of survived.filter(({isWhole}) => isWhole)) {
-				noteSurvived(fingerprint, endedAt);
+				noteSurvived(fingerprint, server, endedAt);
 			}
 
 			return survived.map(({fingerprint}) => fingerprint);
@@ -293,7 +311,7 @@
 		},
 		noteRefused(fingerprint, now) {
 			if (find(fingerprint, now) !== undefined) {
-				touch(fingerprint, now, now);
+				touch(fingerprint, {seenAt: now}, now);
 			}
 		},
 		mergeReports(reports, now) {
--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -13,7 +13,7 @@
 function survive(suspects: CrashSuspects, fingerprint: string, count: number, from: number): number {
 	const times = Array.from({length: count}, (_, i) => from + (i * msPerSecond / 4));
 	for (const at of times) {
-		suspects.noteSurvived(fingerprint, at);
+		suspects.noteSurvived(fingerprint, 'well', at);
 	}
 
 	return times.at(-1)!;
@@ -75,7 +75,7 @@
 		for (let n = 0; n < 4; n++) {
 			const now = n * 2 * msPerSecond;
 			(n % 2 === 0 ? first : second).noteBroken('f', `s${n}`, now);
-			first.noteSurvived('f', now + msPerSecond);
+			first.noteSurvived('f', 'well', now + msPerSecond);
 			second.mergeReports(first.takeChanged(now + 1100, 10), now + 1100);
 			first.mergeReports(second.takeChanged(now + 1200, 10), now + 1200);
 			quarantined.push(first.isQuarantined('f', now + 1200) && second.isQuarantined('f', now + 1200));
@@ -84,10 +84,50 @@
 		assert.deepEqual(quarantined, [false, false, false, true]);
 	});
 
+	/* Guards against a request that goes on ending servers of one software version because servers of another survive it. */
+	it('lets survivals at another software version than that of all crashes take nothing away', () => {
+		const toVersion = (server: string) => server.startsWith('new') ? '2.1' : '2.0';
+		const [first, second] = [createCrashSuspects({toVersion}), createCrashSuspects({toVersion})];
+		second.noteSurvived('f', 'old1', 900);
+		crash(first, 'f', ['new1', 'new2']);
+		second.mergeReports(first.toReports(1500, all), 1500);
+		for (let n = 0; n < 8; n++) {
+			first.noteSurvived('f', 'old1', 2000 + (n * 250));
+			second.noteSurvived('f', 'old2', 2000 + (n * 250));
+		}
+
+		assert.equal(second.noteBroken('f', 'new3', 5000), true);
+		assert.deepEqual(first.mergeReports(second.toReports(5100, all), 5100), ['f']);
+	});
+
+	it('lets survivals at a software version of the crashes take them away, and all of them once servers of several versions crashed', () => {
+		const toVersion = (server: string) => server.startsWith('new') ? '2.1' : '2.0';
+		for (const [crashed, survived] of [[['new1', 'new2'], 'new3'], [['new1', 'old1'], 'old2']] as const) {
+			const suspects = createCrashSuspects({toVersion});
+			crash(suspects, 'f', crashed);
+			for (let n = 0; n < 8; n++) {
+				suspects.noteSurvived('f', survived, 2000 + (n * 250));
+			}
+
+			assert.deepEqual(suspects.crashedServers('f', 4000), []);
+		}
+	});
+
+	it('knows the software version of a server that is published no more when its survivals are compared', () => {
+		const published = new Set(['new1', 'old1']);
+		const suspects = createCrashSuspects({toVersion: server => published.has(server) ? server.slice(0, 3) : undefined});
+		crash(suspects, 'f', ['new1']);
+		published.delete('new1');
+		suspects.noteSurvived('f', 'old1', 1000);
+		assert.deepEqual(suspects.listReports(2000).map(({survivalAgesMs}) => survivalAgesMs), [undefined]);
+		suspects.noteSurvived('f', 'unknown', 1500);
+		assert.deepEqual(suspects.listReports(2000).map(({survivalAgesMs}) => survivalAgesMs), [[500]]);
+	});
+
 	it('counts a survived run once, although hosts date it differently', () => {
 		const suspects = createCrashSuspects();
 		crash(suspects, 'f', ['a', 'b', 'c']);
-		suspects.noteSurvived('f', 3000);
+		suspects.noteSurvived('f', 'well', 3000);
 		assert.equal(suspects.isQuarantined('f', 3000), false);
 		suspects.mergeReports([{...toReport('f', ['c'], 1500), survivalAgesMs: [450]}], 3500);
 		assert.deepEqual(suspects.listReports(3500).map(({survivalAgesMs}) => survivalAgesMs), [[500]]);
@@ -242,7 +282,7 @@
 
 	it('contradicts the report of a host that does not know of a run that a server survived, once', () => {
 		const [serving, other] = [createCrashSuspects(), createCrashSuspects()];
-		serving.noteSurvived('f', 3000);
+		serving.noteSurvived('f', 'well', 3000);
 		crash(other, 'f', ['a', 'b']);
 		serving.mergeReports(other.toReports(4000, all), 4000);
 		const contradiction = serving.takeChanged(4000, 10);
--- a/src/domain/create-part-quarantine/test.ts
+++ b/src/domain/create-part-quarantine/test.ts
@@ -34,7 +34,7 @@
 		const endedAt = endServers(quarantine, ['first', 'fatal']);
 		assert.deepEqual(kinds(quarantine, ['first', 'fatal'], [endedAt]), ['refuse']);
 		assert.deepEqual(kinds(quarantine, ['first', 'other'], [endedAt]), ['run']);
-		quarantine.suspects.noteSurvived('first', endedAt + 100);
+		quarantine.suspects.noteSurvived('first', 'well', endedAt + 100);
 		assert.deepEqual(kinds(quarantine, ['fatal', 'other'], [endedAt + 200]), ['refuse']);
 		assert.deepEqual(kinds(quarantine, ['first', 'other'], [endedAt + 200]), ['run']);
 	});
@@ -46,7 +46,7 @@
 		assert.deepEqual(kinds(quarantine, ['fatal'], [second(19), second(20), second(20.1), second(29), second(30)]), ['refuse', 'trial', 'refuse', 'refuse', 'trial']);
 		quarantine.suspects.noteBroken('fatal', 'e', second(31));
 		assert.deepEqual(kinds(quarantine, ['fatal'], [second(52), second(90), second(91)]), ['refuse', 'refuse', 'trial']);
-		quarantine.suspects.noteSurvived('fatal', second(92));
+		quarantine.suspects.noteSurvived('fatal', 'well', second(92));
 		assert.deepEqual(kinds(quarantine, ['fatal'], [second(92)]), ['run']);
 	});
 
@@ -69,7 +69,7 @@
 		const [blamed] = quarantine.takeChanges(endedAt).blamed;
 		assert.deepEqual(blamed?.parts, ['fatal']);
 		assert.deepEqual(quarantine.takeChanges(endedAt), {blamed: [], freed: []});
-		quarantine.suspects.noteSurvived('fatal', endedAt + 1);
+		quarantine.suspects.noteSurvived('fatal', 'well', endedAt + 1);
 		assert.deepEqual(quarantine.takeChanges(endedAt + 1), {blamed: [], freed: [['fatal']]});
 	});
 
--- a/src/programs/entry/_lib/quarantine.ts
+++ b/src/programs/entry/_lib/quarantine.ts
@@ -192,7 +192,7 @@
 function noteVerdict(record: CrashSuspects, {fingerprint, server, startedAt, verdict}: JudgedRun, now: Milliseconds): boolean {
 	switch (verdict) {
 		case 'survived': {
-			record.noteSurvived(fingerprint, now);
+			record.noteSurvived(fingerprint, server, now);
 			return false;
 		}
 
--- a/src/programs/relay/share-loads/_test/play-end-course.ts
+++ b/src/programs/relay/share-loads/_test/play-end-course.ts
@@ -2,7 +2,7 @@
 import {createRandom} from '../../../../domain/_test/create-random.js';
 import {type CrashSuspectsOptions} from '../../../../domain/create-crash-suspects/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
-import {type ServerId} from '../../../../ports/ids.js';
+import {type ServerId, type SoftwareVersion} from '../../../../ports/ids.js';
 import {msPerSecond} from '../../../../ports/units.js';
 import {createEndTraffic, lapseMs, type EndWay} from './create-end-traffic.js';
 import {startHosts, stepMs} from './start-hosts.js';
@@ -51,10 +51,13 @@
 	/** Time after which the harmless requests recur. */
 	recurMs?: Milliseconds;
 	/** How hosts judge crashes. */
-	record?: Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight'>;
+	record?: Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight' | 'toVersion'>;
 	seed?: number;
 };
 
+/** Spreads the servers over two software versions, which are published. */
+export const toOneOfTwoVersions = (server: ServerId): SoftwareVersion => Number(server.slice('s-'.length)) % 2 === 0 ? 'v2' : 'v1';
+
 export type EndTally = {ended: number; lateRuns: number; harmless: number; refused: number};
 
 /** Time after the third end from which no host may send the request on. */
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -30,7 +30,7 @@
  * @param options - Share of messages that is lost, the source of randomness that picks them, and how crashes are judged.
  * @returns The hosts, and functions to advance time and inject faults.
  */
-export async function startHosts(count: number, {lossShare = 0, random = () => 1, ...record}: {lossShare?: number; random?: Random} & Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight'> = {}) {
+export async function startHosts(count: number, {lossShare = 0, random = () => 1, ...record}: {lossShare?: number; random?: Random} & Pick<CrashSuspectsOptions, 'lingerMs' | 'survivalWeight' | 'toVersion'> = {}) {
 	let now: Milliseconds = 0;
 	const receivers = new Map<string, (message: LoadMessage, from: string) => void>();
 	const quotaReceivers = new Map<string, (message: QuotaMessage, from: string) => void>();
--- a/src/programs/relay/share-loads/crash-memory.test.ts
+++ b/src/programs/relay/share-loads/crash-memory.test.ts
@@ -104,7 +104,7 @@
 				}
 
 				for (let n = 0; n < crashes * survivalsPerCrash; n++) {
-					fleet.hosts[4]!.suspects.noteSurvived(request, fleet.now());
+					fleet.hosts[4]!.suspects.noteSurvived(request, 'well', fleet.now());
 					fleet.pass(msPerSecond / 4);
 				}
 
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -80,10 +80,12 @@
 	} = options;
 	const startedAt = clock.now();
 	const incarnation = clock.wallNow();
-	const suspects = createCrashSuspects();
+	let toView: FleetLink['toView'] = () => undefined;
+	const suspects = createCrashSuspects({
+		toVersion: server => toView()?.accepted?.config.servers.find(({id}) => id === server)?.softwareVersion,
+	});
 	let isFirstFor: (key: string) => boolean = () => true;
 	const partQuarantine = createPartQuarantine({isPicked: key => isFirstFor(key)});
-	let toView: FleetLink['toView'] = () => undefined;
 	const links = watchLinks({
 		clock, random, log, toView: () => toView(), probe: probeConnection,
 	});
