--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -28,6 +28,20 @@
 /** The end of a server while it ran the request. */
 export type Crash = {server: ServerId; at: Milliseconds};
 
+/** What one host knows of a request under which servers ended. */
+export type Suspect = {
+	/** Time at which each server ended while it ran the request. */
+	crashes: Map<ServerId, Milliseconds>;
+	/** Ends of runs that servers survived, after which earlier crashes still count. */
+	survivals: readonly Milliseconds[];
+	seenAt: Milliseconds;
+	/** End of a survived run up to which nothing counts any more. */
+	clearedAt: Milliseconds;
+	/** Largest number of crashes that counted at once. */
+	mostCrashes: number;
+	reportedAt: Milliseconds;
+};
+
 export type CrashSuspects = {
 	/** Records that the server closed the connection on which it was running the request; returns whether this puts the request in quarantine. */
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -6,34 +6,24 @@
  * known to have survived one of their runs.
  */
 import {type Milliseconds} from '../../ports/clock.js';
-import {type CrashReport} from '../../ports/crash-reports.js';
-import {type Fingerprint, type ServerId, type SoftwareVersion} from '../../ports/ids.js';
-import {msPerMinute, msPerSecond} from '../../ports/units.js';
+import {type Fingerprint, type ServerId} from '../../ports/ids.js';
+import {msPerMinute} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
 import {judgeSurvival} from '../judge-survival/index.js';
 import {createLatestTimes} from '../create-latest-times/index.js';
 import {weighCrashes} from '../weigh-crashes/index.js';
 import {addSurvival} from './_lib/add-survival.js';
-import {createEndedVersions} from './_lib/create-ended-versions.js';
+import {createKnownSurvivals} from './_lib/create-known-survivals.js';
+import {createReportQueue} from './_lib/create-report-queue.js';
 import {pickEvicted} from './_lib/pick-evicted.js';
 import {pickReportedCrashes} from './_lib/pick-reported-crashes.js';
-import {type Crash, type CrashSuspects, type CrashSuspectsOptions} from './_lib/types.js';
+import {toCrashReport} from './_lib/to-crash-report.js';
+import {
+	type Crash, type CrashSuspects, type CrashSuspectsOptions, type Suspect,
+} from './_lib/types.js';
 
 export type * from './_lib/types.js';
 
-type Suspect = {
-	/** Time at which each server ended while it ran the request. */
-	crashes: Map<ServerId, Milliseconds>;
-	/** Ends of runs that servers survived, after which earlier crashes still count. */
-	survivals: readonly Milliseconds[];
-	seenAt: Milliseconds;
-	/** End of a survived run up to which nothing counts any more. */
-	clearedAt: Milliseconds;
-	/** Largest number of crashes that counted at once. */
-	mostCrashes: number;
-	reportedAt: Milliseconds;
-};
-
 type SeenCrashes = {
 	seenAt: Milliseconds;
 	crashes: ReadonlyArray<[ServerId, Milliseconds]>;
@@ -62,17 +52,6 @@
 /** Maximum number of requests, and of requests by software version, whose survived runs are kept. */
 const maxSurvivedRequests = 8192;
 
-/** Time for which a request's first crash is reported; after it, all hosts have received the report or the request was not the cause. */
-const freshCrashMs: Milliseconds = 5 * msPerSecond;
-
-/** Time after which a first crash is reported again: its reports are kept by few hosts, which may have been replaced since. */
-const reportAgainMs: Milliseconds = 10 * msPerSecond;
-
-/** Number of crashes from which a request is reported for as long as it is a suspect. */
-const minCrashesToRepeat = 2;
-
-const toVersionKey = (fingerprint: Fingerprint, version: SoftwareVersion): string => `${fingerprint} ${version}`;
-
 /**
  * Creates the record of one host.
  *
@@ -95,15 +74,12 @@
 	const suspects = new Map<Fingerprint, Suspect>();
 	/** Start time of the latest call that each server answered. */
 	const answeredAt = createLatestTimes(maxAnsweringServers);
-	/** End of the latest run of each request that its server survived, of all servers and by software version; also of requests under which only other hosts have seen crashes. */
-	const survivedAt = createLatestTimes(maxSurvivedRequests);
 	/** Time at which each server ended, as far as it is known. */
 	const endedAt = createLatestTimes(maxEndedServers);
-	const endedVersions = createEndedVersions(toVersion, maxEndedServers);
-	const changed = new Set<Fingerprint>();
+	const knownSurvivals = createKnownSurvivals({toVersion, maxServers: maxEndedServers, maxRequests: maxSurvivedRequests});
 	const unresolved = createUnresolvedRuns({toAnsweredAt: answeredAt.get, ...(lingerMs !== undefined && {lingerMs})});
-	let reportOffset = 0;
 
+	/** A crash is dated by the latest time that fits, so it is judged as a run that was over then. */
 	const isCrash = ({clearedAt}: Suspect, server: ServerId, at: Milliseconds): boolean =>
 		at > clearedAt && judgeSurvival({startedAt: at, overAt: at}, {answeredAt: answeredAt.get(server)}).kind !== 'survived';
 
@@ -115,9 +91,15 @@
 
 	const hasEnoughCrashes = (suspect: Suspect): boolean => suspect.crashes.size >= crashesToQuarantine && weigh(suspect).weight >= crashesToQuarantine;
 
+	const queue = createReportQueue({
+		suspects,
+		listCrashes,
+		toReport: (fingerprint, suspect, now) => toCrashReport({...suspect, fingerprint, crashes: pickReportedCrashes(listCrashes(suspect), maxReportedCrashes, pickSurplus)}, now),
+	});
+
 	function forget(fingerprint: Fingerprint): void {
 		suspects.delete(fingerprint);
-		changed.delete(fingerprint);
+		queue.forget(fingerprint);
 	}
 
 	function find(fingerprint: Fingerprint, now: Milliseconds): Suspect | undefined {
@@ -146,13 +128,6 @@
 		forget(evicted!);
 	}
 
-	/** Returns the ends of the latest survived runs that speak against crashes of these servers. */
-	function toKnownSurvivals(fingerprint: Fingerprint, servers: readonly ServerId[]): Milliseconds[] {
-		const versions = endedVersions.list(servers);
-		const keys = versions === undefined ? [fingerprint] : versions.map(version => toVersionKey(fingerprint, version));
-		return [...new Set(keys)].map(key => survivedAt.get(key)).filter(at => Number.isFinite(at));
-	}
-
 	/** Moves the request to the end, as the most recently seen suspect. */
 	function touch(fingerprint: Fingerprint, {seenAt, crashes = []}: Pick<SeenCrashes, 'seenAt'> & Partial<SeenCrashes>, now: Milliseconds): Suspect {
 		const known = find(fingerprint, now);
@@ -161,7 +136,7 @@
 		}
 
 		const suspect = known ?? {
-			crashes: new Map(), survivals: toKnownSurvivals(fingerprint, crashes.map(([server]) => server)), seenAt, clearedAt: -Infinity, mostCrashes: 0, reportedAt: now,
+			crashes: new Map(), survivals: knownSurvivals.list(fingerprint, crashes.map(([server]) => server)), seenAt, clearedAt: -Infinity, mostCrashes: 0, reportedAt: now,
 		};
 		suspect.seenAt = Math.max(suspect.seenAt, seenAt);
 		suspects.delete(fingerprint);
@@ -181,7 +156,7 @@
 		settle(suspect);
 		const isExcused = toCrashes(suspect).length < crashesBefore || suspect.survivals.length > survivalsBefore;
 		if (crashesBefore > 0 && isExcused) {
-			changed.add(fingerprint);
+			queue.noteChanged(fingerprint);
 		}
 	}
 
@@ -229,7 +204,7 @@
 	/** Adds crashes of a request; returns whether they put the request in quarantine. */
 	function noteCrashes(fingerprint: Fingerprint, {seenAt, crashes, clearedAt = -Infinity, survivals = []}: SeenCrashes, now: Milliseconds): boolean {
 		for (const [server] of crashes) {
-			endedVersions.note(server);
+			knownSurvivals.noteEnded(server);
 		}
 
 		const suspect = touch(fingerprint, {seenAt, crashes}, now);
@@ -241,7 +216,7 @@
 		});
 		suspect.mostCrashes = Math.max(suspect.mostCrashes, toCrashes(suspect).length, isUnknown ? crashes.length : 0);
 		if (added.length > 0 || isUnknown) {
-			changed.add(fingerprint);
+			queue.noteChanged(fingerprint);
 		} else if (suspect.crashes.size === 0) {
 			forget(fingerprint);
 		}
@@ -250,28 +225,13 @@
 	}
 
 	function noteSurvived(fingerprint: Fingerprint, server: ServerId, at: Milliseconds): void {
-		const version = toVersion(server);
-		survivedAt.note(fingerprint, at);
-		if (version !== undefined) {
-			survivedAt.note(toVersionKey(fingerprint, version), at);
-		}
-
+		knownSurvivals.note(fingerprint, server, at);
 		const suspect = suspects.get(fingerprint);
-		if (suspect !== undefined && endedVersions.isAmong(version, toCrashes(suspect).map(([ended]) => ended))) {
+		if (suspect !== undefined && knownSurvivals.isComparable(server, toCrashes(suspect).map(([ended]) => ended))) {
 			excuse(fingerprint, suspect, {clearedAt: -Infinity, survivals: [at]});
 		}
 	}
 
-	function toReport(fingerprint: Fingerprint, suspect: Suspect, now: Milliseconds): CrashReport {
-		return {
-			fingerprint,
-			idleMs: now - suspect.seenAt,
-			crashes: pickReportedCrashes(listCrashes(suspect), maxReportedCrashes, pickSurplus).map(({server, at}) => ({server, ageMs: now - at})),
-			...(Number.isFinite(suspect.clearedAt) && {survivedMs: now - suspect.clearedAt}),
-			...(suspect.survivals.length > 0 && {survivalAgesMs: suspect.survivals.map(at => now - at)}),
-		};
-	}
-
 	function sweep(now: Milliseconds): void {
 		for (const [fingerprint, {seenAt}] of suspects) {
 			if (now - seenAt > forgetMs) {
@@ -339,35 +299,15 @@
 			const suspect = find(fingerprint, now);
 			return suspect === undefined ? [] : toCrashes(suspect).map(([server]) => server);
 		},
-		toReports(now, {minFreshCrashes, limit}) {
+		toReports(now, picked) {
 			sweep(now);
-			const reportable = [...suspects]
-				.map(([fingerprint, suspect]) => ({fingerprint, suspect, crashes: toCrashes(suspect)}))
-				.filter(({crashes}) => crashes.length >= minCrashesToRepeat || (crashes.length >= minFreshCrashes && crashes.some(([, at]) => now - at <= freshCrashMs)));
-			reportOffset = reportable.length <= limit ? 0 : (reportOffset + limit) % reportable.length;
-			return [...reportable, ...reportable]
-				.slice(reportOffset, reportOffset + Math.min(limit, reportable.length))
-				.map(({fingerprint, suspect}) => toReport(fingerprint, suspect, now));
-		},
-		takeChanged(now, limit) {
-			const taken = [...changed].toSorted((a, b) => suspects.get(b)!.mostCrashes - suspects.get(a)!.mostCrashes).slice(0, limit);
-			return taken.map(fingerprint => {
-				changed.delete(fingerprint);
-				const suspect = suspects.get(fingerprint)!;
-				suspect.reportedAt = now;
-				return {...toReport(fingerprint, suspect, now), mostCrashes: suspect.mostCrashes};
-			});
-		},
-		takeOverdue(now, limit) {
-			const overdue = [...suspects].filter(([, suspect]) => now - suspect.reportedAt >= reportAgainMs && toCrashes(suspect).length === 1).slice(0, limit);
-			return overdue.map(([fingerprint, suspect]) => {
-				suspect.reportedAt = now;
-				return toReport(fingerprint, suspect, now);
-			});
+			return queue.toReports(now, picked);
 		},
+		takeChanged: queue.takeChanged,
+		takeOverdue: queue.takeOverdue,
 		listReports(now) {
 			sweep(now);
-			return [...suspects].filter(([, suspect]) => toCrashes(suspect).length > 0).map(([fingerprint, suspect]) => toReport(fingerprint, suspect, now));
+			return queue.listReports(now);
 		},
 		count(now) {
 			sweep(now);
