--- a/src/programs/relay/share-loads/_test/create-end-traffic.ts
+++ b/src/programs/relay/share-loads/_test/create-end-traffic.ts
@@ -6,6 +6,7 @@
 import {noteRunEnd} from '../../../entry/_lib/quarantine.js';
 import {type ServeContext} from '../../../entry/_lib/serve-types.js';
 import {createLostServers} from '../../start-relay/_lib/create-lost-servers.js';
+import {createTimers} from './create-timers.js';
 import {log, type Host, type startHosts} from './start-hosts.js';
 
 export type Fleet = Awaited<ReturnType<typeof startHosts>>;
@@ -62,7 +63,7 @@
  * @returns Functions that send requests, inject faults and advance time, and what became of the requests.
  */
 export function createEndTraffic({fleet, random, servers, isFatal = () => true}: EndTrafficOptions) {
-	let pending: Array<{at: Milliseconds; act: () => void}> = [];
+	const {after, pass} = createTimers(fleet);
 	const running = new Map<ServerId, Set<Run>>(Array.from({length: servers}, (_, i) => [`s-${i}`, new Set()]));
 	const leavingSince = new Map<ServerId, Milliseconds>();
 	const counts = {
@@ -70,10 +71,6 @@
 	};
 	let started = servers;
 
-	const after = (ms: Milliseconds, act: () => void) => {
-		pending.push({at: fleet.now() + ms, act});
-	};
-
 	const pick = <T>(of: readonly T[]): T => of[Math.floor(random() * of.length)]!;
 
 	function note({fingerprint, host, startedAt}: Run, server: ServerId, end: RunEnd): void {
@@ -243,13 +240,6 @@
 				note(run, server, end);
 			}
 		},
-		pass(ms: Milliseconds): void {
-			fleet.pass(ms);
-			const due = pending.filter(({at}) => at <= fleet.now());
-			pending = pending.filter(({at}) => at > fleet.now());
-			for (const {act} of due) {
-				act();
-			}
-		},
+		pass,
 	};
 }
--- a/src/programs/relay/share-loads/_test/create-part-traffic.ts
+++ b/src/programs/relay/share-loads/_test/create-part-traffic.ts
@@ -5,6 +5,7 @@
 import {type RunEnd} from '../../../../domain/judge-run-end/index.js';
 import {noteRunEnd} from '../../../entry/_lib/quarantine.js';
 import {type ServeContext} from '../../../entry/_lib/serve-types.js';
+import {createTimers} from './create-timers.js';
 import {log, type Host, type startHosts} from './start-hosts.js';
 
 export type Fleet = Awaited<ReturnType<typeof startHosts>>;
@@ -43,16 +44,12 @@
  * @returns Functions that send requests, end servers and advance time, and what became of the requests.
  */
 export function createPartTraffic({fleet, random, servers, isFatal, isAdmitted = isAdmittedByQuarantine}: PartTrafficOptions) {
-	let pending: Array<{at: Milliseconds; act: () => void}> = [];
+	const {after, pass} = createTimers(fleet);
 	const running = new Map<ServerId, Set<Run>>();
 	const sent: Sent[] = [];
 	const endsOfServers: Milliseconds[] = [];
 	let started = 0;
 
-	const after = (ms: Milliseconds, act: () => void) => {
-		pending.push({at: fleet.now() + ms, act});
-	};
-
 	const pick = <T>(of: readonly T[]): T | undefined => of[Math.floor(random() * of.length)];
 
 	function startServer(): void {
@@ -135,13 +132,6 @@
 				endServer(server);
 			}
 		},
-		pass(ms: Milliseconds): void {
-			fleet.pass(ms);
-			const due = pending.filter(({at}) => at <= fleet.now());
-			pending = pending.filter(({at}) => at > fleet.now());
-			for (const {act} of due) {
-				act();
-			}
-		},
+		pass,
 	};
 }
