--- a/src/domain/create-crash-suspects/_lib/create-known-survivals.ts
+++ b/src/domain/create-crash-suspects/_lib/create-known-survivals.ts
@@ -6,6 +6,7 @@
 export type KnownSurvivals = {
 	/** Keeps the software version of a server that ended, as its entry is removed soon after. */
 	noteEnded: (server: ServerId) => void;
+	/** Records that a run of the request, which its server survived, ended at this time. */
 	note: (fingerprint: Fingerprint, server: ServerId, at: Milliseconds) => void;
 	/** Whether a survived run at the server speaks against crashes of the others: not if all of these had another software version. */
 	isComparable: (server: ServerId, ended: readonly ServerId[]) => boolean;
