Count one survival in 2 s at another software version than the servers that ended

Cause: survivals at another version counted for nothing at all. Found by a course that the first measurement lacked: servers of one version of two end for other reasons.

--- a/src/domain/create-crash-suspects/_lib/types.ts
+++ b/src/domain/create-crash-suspects/_lib/types.ts
@@ -47,7 +47,7 @@
 	noteBroken: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => boolean;
 	/** Records that the server answered a call that started at this time; returns the requests of runs that it is now known to have survived. */
 	noteAnswered: (server: ServerId, calledAt: Milliseconds) => readonly Fingerprint[];
-	/** Records that a server survived a run of the request, which speaks against its earlier crashes unless all of them were of servers of other software versions. */
+	/** Records that a server survived a run of the request, which speaks against its earlier crashes; one of several in short order if all of these were of servers of other software versions. */
 	noteSurvived: (fingerprint: Fingerprint, server: ServerId, now: Milliseconds) => void;
 	/** Records a run whose server may have ended under it; returns whether this puts the request in quarantine, because the server is known to have ended. */
 	noteUnresolved: (run: {fingerprint: Fingerprint; server: ServerId; startedAt: Milliseconds; isWhole: boolean}, now: Milliseconds) => boolean;
--- a/src/domain/create-crash-suspects/index.ts
+++ b/src/domain/create-crash-suspects/index.ts
@@ -7,7 +7,7 @@
  */
 import {type Milliseconds} from '../../ports/clock.js';
 import {type Fingerprint, type ServerId} from '../../ports/ids.js';
-import {msPerMinute} from '../../ports/units.js';
+import {msPerMinute, msPerSecond} from '../../ports/units.js';
 import {createUnresolvedRuns} from '../create-unresolved-runs/index.js';
 import {judgeSurvival} from '../judge-survival/index.js';
 import {createLatestTimes} from '../create-latest-times/index.js';
@@ -40,6 +40,13 @@
 /** A request that ends half of the servers that run it gains weight by three quarters of a crash in two runs. */
 const defaultSurvivalWeight = 0.25;
 
+/**
+ * Time without a survival after which one at another software version than that of
+ * all servers that ended counts. If none did, a release whose servers crash under
+ * everything would quarantine requests that the servers before it serve.
+ */
+const otherVersionPauseMs: Milliseconds = 2 * msPerSecond;
+
 /** Above the quarantine threshold, as some crashes may turn out not to be any. */
 const defaultMaxCrashes = 8;
 
@@ -224,10 +231,16 @@
 		return !hadEnoughCrashes && hasEnoughCrashes(suspect);
 	}
 
+	/** Whether a survived run speaks against the crashes. */
+	function isTelling(suspect: Suspect, server: ServerId, at: Milliseconds): boolean {
+		const ended = toCrashes(suspect).map(([crashed]) => crashed);
+		return knownSurvivals.isComparable(server, ended) || suspect.survivals.every(known => Math.abs(at - known) >= otherVersionPauseMs);
+	}
+
 	function noteSurvived(fingerprint: Fingerprint, server: ServerId, at: Milliseconds): void {
 		knownSurvivals.note(fingerprint, server, at);
 		const suspect = suspects.get(fingerprint);
-		if (suspect !== undefined && knownSurvivals.isComparable(server, toCrashes(suspect).map(([ended]) => ended))) {
+		if (suspect !== undefined && isTelling(suspect, server, at)) {
 			excuse(fingerprint, suspect, {clearedAt: -Infinity, survivals: [at]});
 		}
 	}
--- a/src/programs/relay/share-loads/_test/create-end-traffic.ts
+++ b/src/programs/relay/share-loads/_test/create-end-traffic.ts
@@ -219,9 +219,9 @@
 				}
 			});
 		},
-		/** Ends a random server for another reason than a request. */
-		endAny(): void {
-			endServer(pick([...running.keys()]), otherWay);
+		/** Ends a random server, of those that are picked, for another reason than a request. */
+		endAny(isPicked: (server: ServerId) => boolean = () => true): void {
+			endServer(pick([...running.keys()].filter(id => isPicked(id))), otherWay);
 		},
 		/** A random server leaves as planned: it gets no more requests, and ends later. */
 		drainAny(): void {
--- a/src/programs/relay/share-loads/_test/play-end-course.ts
+++ b/src/programs/relay/share-loads/_test/play-end-course.ts
@@ -42,6 +42,8 @@
 	hasFaults?: boolean;
 	/** Time between two ends of servers for other reasons. */
 	otherEndsMs?: Milliseconds;
+	/** Picks the servers that end for other reasons; all by default. */
+	isEnding?: (server: ServerId) => boolean;
 	/** Whether servers that end for other reasons leave as planned. */
 	isPlanned?: boolean;
 	/** Share of the callers of harmless requests that leave early. */
@@ -84,7 +86,7 @@
  * @returns Servers that the culprit ended, its runs that began later than hosts must know, harmless requests, and how many of these were refused.
  */
 export async function playEndCourse({
-	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, isPlanned = false, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, recurMs = defaultRecurMs, record = {}, seed = hosts + gapMs,
+	hosts, way, gapMs = msPerSecond, perStep = 1, servers = 12, hasFaults = false, otherEndsMs, isEnding, isPlanned = false, leaveShare = 0, isFatal, forMs = 30 * msPerSecond, recurMs = defaultRecurMs, record = {}, seed = hosts + gapMs,
 }: EndCourse): Promise<EndTally> {
 	const random = createRandom(seed);
 	const fleet = await startHosts(hosts, {lossShare: 0.05, random, ...record});
@@ -111,7 +113,7 @@
 			if (isPlanned) {
 				traffic.drainAny();
 			} else {
-				traffic.endAny();
+				traffic.endAny(isEnding);
 			}
 		}
 
--- a/src/programs/relay/share-loads/server-ends-versions.test.ts
+++ b/src/programs/relay/share-loads/server-ends-versions.test.ts
@@ -22,4 +22,15 @@
 			});
 		});
 	}
+
+	// Guards against requests that are refused because the servers of a bad release end under everything.
+	for (const hosts of [7, 74]) {
+		it(`refuse few lookups that recur all the time while servers of one version end for other reasons: ${hosts} hosts`, async t => {
+			await checkEndCourse(text => {
+				t.diagnostic(text);
+			}, {
+				hosts, perStep: busyPerStep, recurMs: 200, leaveShare: 0.25, otherEndsMs: 2 * msPerSecond, isEnding: server => toOneOfTwoVersions(server) === 'v2', record: {toVersion: toOneOfTwoVersions},
+			});
+		});
+	}
 });
