Test the bytes that are read of a discarded answer, apart from its time

The case of a server that sends without end passed with the bound of 64 KiB taken out, as the bound of 1 s closes the connection too. It checks now that no more than the sockets hold was sent: 397,801,120 bytes without the bound, red; green with it.

--- a/src/adapters/_lib/dispatch-call/test.ts
+++ b/src/adapters/_lib/dispatch-call/test.ts
@@ -68,6 +68,8 @@
 // Guards against a server whose refusal never ends, so that a host reads it for ever.
 describe('dispatchCall, discarding the rest of an answer', () => {
 	const head = 'HTTP/1.1 503 Service Unavailable\r\ntransfer-encoding: chunked\r\n\r\n';
+	/** Bytes that the sockets of both sides hold at most, besides those that are read. */
+	const maxBufferedBytes = 16 * 1024 * 1024;
 	const chunk = Buffer.from(`4000\r\n${'x'.repeat(0x40_00)}\r\n`);
 
 	/** Discards the answer of a server; returns whether the server sees its connection closed within this time. */
@@ -114,7 +116,8 @@
 		return isClosed;
 	}
 
-	it('closes the connection of a server that sends without end', async () => {
+	it('closes the connection of a server that sends without end, after few bytes', async () => {
+		let sentBytes = 0;
 		assert.ok(await isClosedWithin(10_000, socket => {
 			const send = (): void => {
 				while (!socket.destroyed && socket.write(chunk)) {
@@ -123,8 +126,12 @@
 			};
 
 			socket.on('drain', send);
+			socket.once('close', () => {
+				sentBytes = socket.bytesWritten;
+			});
 			send();
 		}));
+		assert.ok(sentBytes <= maxBufferedBytes, `${sentBytes} bytes were sent`);
 	});
 
 	it('closes the connection of a server that sends a little all the time', async () => {
