Test that reports of known crashes are contradicted by survived runs

With that safeguard taken out every case passed: the one that names it adds crashes with the report, which tells other hosts anyway. The new case reports crashes that are known already; red without the safeguard, green with it.

--- a/src/domain/create-crash-suspects/test.ts
+++ b/src/domain/create-crash-suspects/test.ts
@@ -298,6 +298,19 @@
 		assert.deepEqual(serving.takeChanged(4100, 10), []);
 	});
 
+	/* Guards against a host that refuses a request because it was told of crashes, but not of survived runs. */
+	it('contradicts the report of known crashes by a host that does not know of a survived run', () => {
+		const [serving, other] = [createCrashSuspects(), createCrashSuspects()];
+		for (const suspects of [serving, other]) {
+			crash(suspects, 'f', ['a', 'b']);
+		}
+
+		serving.noteSurvived('f', 'well', 3000);
+		serving.takeChanged(3000, 10);
+		serving.mergeReports(other.toReports(4000, all), 4000);
+		assert.deepEqual(serving.takeChanged(4000, 10).map(({survivalAgesMs}) => survivalAgesMs), [[1000]]);
+	});
+
 	it('repeats reports of first crashes after a time, and lists all for a host that starts', () => {
 		const suspects = createCrashSuspects();
 		crash(suspects, 'once', ['a']);
