--- a/test/stand-ins/users-platform/start-relay-processes.ts
+++ b/test/stand-ins/users-platform/start-relay-processes.ts
@@ -1,4 +1,4 @@
-/** Starts relays as processes of their own, with a stand-in store and model servers of several software versions. */
+/** Starts relays as processes of their own, with a stand-in store, plain servers, and model servers of several software versions. */
 import {findUdpAddress} from '../../_lib/find-udp-address/index.js';
 import {startProgram, type LogLine, type Program} from '../../_lib/start-program/index.js';
 import {waitUntil} from '../../_lib/wait-until/index.js';
@@ -9,11 +9,12 @@
 
 const startDeadlineMs = 20_000;
 
-export type VersionedServer = ServerStandIn & {version: string; stage: 'prefill' | 'decode'};
+/** A server of the model's pool, or of the plain service if it has no stage. */
+export type VersionedServer = ServerStandIn & {version: string; stage?: 'prefill' | 'decode'};
 
 export type RelayProcesses = {
 	store: StoreStandIn;
-	/** Starts a model server and publishes it. */
+	/** Starts a server and publishes it; its kind is the begin of its id: `prefill`, `decode`, or `desk` for a plain one. */
 	startServer: (id: string, version: string, options?: Partial<ServerStandInOptions>) => Promise<VersionedServer>;
 	/** Publishes the entry of a server again, with some fields changed. */
 	publish: (server: VersionedServer, change?: Record<string, unknown>) => void;
@@ -32,13 +33,35 @@
 	stop: () => Promise<void>;
 };
 
+export type RelayProcessesOptions = {
+	/** Number of hosts, which like the servers belong to two zones by turns. */
+	hosts: number;
+	/** Build of each host if it is not this one. */
+	build?: (host: number) => URL | undefined;
+	/** Options of Node itself for the hosts. */
+	nodeOptions?: readonly string[];
+};
+
+/** Published state of a server that depends on its kind. */
+const toKind = ({stage}: VersionedServer): Record<string, unknown> => stage === undefined
+	? {service: 'desk'}
+	: {service: 'model', stage, models: [{name: 'm', version: 1, adapters: []}]};
+
+const toStage = (id: string): Pick<VersionedServer, 'stage'> => {
+	if (id.startsWith('desk')) {
+		return {};
+	}
+
+	return {stage: id.startsWith('prefill') ? 'prefill' : 'decode'};
+};
+
 /**
  * Starts the store and the hosts.
  *
- * @param options - Number of hosts, which like the servers belong to two zones by turns, and the build of each host if it is not this one.
+ * @param options - See {@link RelayProcessesOptions}.
  * @returns The processes, once all of them listen.
  */
-export async function startRelayProcesses({hosts: hostCount, build}: {hosts: number; build?: (host: number) => URL | undefined}): Promise<RelayProcesses> {
+export async function startRelayProcesses({hosts: hostCount, build, nodeOptions}: RelayProcessesOptions): Promise<RelayProcesses> {
 	const store = await startStoreStandIn();
 	store.put('op/config', toRulesDocument(1));
 	const peerAddress = await findUdpAddress();
@@ -56,6 +79,7 @@
 		program: 'relay',
 		label: `host ${host}`,
 		build: build?.(host),
+		...(nodeOptions && {nodeOptions}),
 		startDeadlineMs,
 		env: {
 			BANYANPORT_HOST_ID: `front-${host}`, BANYANPORT_BIND: toIp(host), BANYANPORT_ZONE: toZone(host), BANYANPORT_ZONES: 'a=r,b=r', BANYANPORT_CALLER_ADDRESS: `${toIp(host)}:0`, BANYANPORT_OPERATOR_ADDRESS: `${toIp(host)}:0`, BANYANPORT_PLATFORM_ADDRESS: store.address, BANYANPORT_STOP_LIMIT: '4s', BANYANPORT_RETRY_SLACK: '400', BANYANPORT_RETRY_WINDOW: '0s', ...(hostCount > 1 && {BANYANPORT_PEER_ADDRESS: `${toIp(host)}:${peerPort}`, BANYANPORT_SEEDS: seeds}),
@@ -64,7 +88,7 @@
 
 	const publish: RelayProcesses['publish'] = (server, change = {}) => {
 		store.put(`servers/${server.id}`, {
-			service: 'model', address: server.address, zone: toZone(servers.indexOf(server)), version: server.version, slots: 32, state: 'ready', cold_remaining_ms: 0, stage: server.stage, models: [{name: 'm', version: 1, adapters: []}], sequence: 1, ...change,
+			...toKind(server), address: server.address, zone: toZone(servers.indexOf(server)), version: server.version, slots: 32, state: 'ready', cold_remaining_ms: 0, sequence: 1, ...change,
 		});
 	};
 
@@ -81,7 +105,7 @@
 			const started = await startServerStandIn({
 				...options, id, version, caches,
 			});
-			const server: VersionedServer = Object.assign(started, {version, stage: id.startsWith('prefill') ? 'prefill' as const : 'decode' as const});
+			const server: VersionedServer = Object.assign(started, {version, ...toStage(id)});
 			servers.push(server);
 			publish(server);
 			return server;
