Log and count a late event loop

On-call could not tell a host that reads its callers late from one whose servers are slow: nothing but a pause of 2 s left a line. Any delay of a tick over 200 ms now does (the event loop was late, with the delay and the requests in progress), and a counter sums the delays. Needed to tell the hypotheses of the present incident apart.

--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -51,6 +51,7 @@
 	const wastedTokens = metrics.createCounter({name: 'wasted_prefill_tokens_total', help: 'Prompt tokens of prefills whose result was not used.', labels: {cause: wasteCauses}});
 	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
 	const pauses = metrics.createCounter({name: 'pauses_total', help: 'Times that the process woke up after it was paused.'});
+	const loopDelay = metrics.createCounter({name: 'event_loop_late_milliseconds_total', help: 'Time by which the event loop was late, where it was more than 200 ms; what arrived meanwhile was read late.'});
 	const overLimit = metrics.createCounter({
 		name: 'over_limit_total', help: 'Requests refused because their workspace had used its limit.', labels: {workspace: {max: maxNamedWorkspaces}},
 	});
@@ -102,6 +103,7 @@
 		},
 		cancels,
 		pauses,
+		loopDelay,
 		countHeldBack() {
 			heldBack.add({});
 		},
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -258,6 +258,10 @@
 			counters.pauses.add({});
 			log.warn('woke up after a pause', {durationMs: gapMs, count: registry.endOverdue(clock.now())});
 		},
+		onLate(delayMs) {
+			counters.loopDelay.add({}, delayMs);
+			log.info('the event loop was late', {durationMs: Math.round(delayMs), count: registry.size()});
+		},
 	});
 
 	return {
--- a/src/programs/entry/watch-pauses/index.ts
+++ b/src/programs/entry/watch-pauses/index.ts
@@ -3,6 +3,20 @@
 
 const tickMs = 250;
 
+/** Delay of a tick from which the event loop counts as late; timers alone are a few milliseconds late. */
+const lateMs: Milliseconds = 200;
+
+export type PauseWatchOptions = {
+	/** Monotonic clock. */
+	now: () => Milliseconds;
+	/** Gap between two ticks that counts as a pause. */
+	limitMs: Milliseconds;
+	/** Called at the end of a pause. */
+	onWake: (gapMs: Milliseconds) => void;
+	/** Called with the time by which the event loop was late. */
+	onLate: (delayMs: Milliseconds) => void;
+};
+
 /**
  * Detects pauses of this process. After a pause the state of the process is stale:
  * without this check, the process would send a call or a late byte for a request
@@ -11,15 +25,25 @@
  * pauses within one turn of the event loop, each step of an attempt also checks its
  * own timeout.
  *
- * @param options - Monotonic clock, the gap in milliseconds that counts as a pause, and a callback for the end of a pause.
+ * Reports a late event loop too: requests and closes that arrived meanwhile were
+ * read late.
+ *
+ * @param options - See {@link PauseWatchOptions}.
  * @returns Function that stops the detection.
  */
-export function watchPauses(options: {now: () => Milliseconds; limitMs: Milliseconds; onWake: (gapMs: Milliseconds) => void}): () => void {
-	const guard = createPauseGuard({limitMs: options.limitMs, startedAt: options.now()});
+export function watchPauses({now, limitMs, onWake, onLate}: PauseWatchOptions): () => void {
+	const pauses = createPauseGuard({limitMs, startedAt: now()});
+	const delays = createPauseGuard({limitMs: tickMs + lateMs, startedAt: now()});
 	const timer = setInterval(() => {
-		const gapMs = guard.note(options.now());
+		const tickedAt = now();
+		const gapMs = pauses.note(tickedAt);
+		const delayedMs = delays.note(tickedAt);
 		if (gapMs > 0) {
-			options.onWake(gapMs);
+			onWake(gapMs);
+		}
+
+		if (delayedMs > 0) {
+			onLate(delayedMs - tickMs);
 		}
 	}, tickMs);
 	return () => {
