Reset the connection of a call that is given up

Callers saw nothing; servers worked for nobody. A host ends a call when its caller leaves or its answer is late, and closed the connection in order.

Node's resetAndDestroy is of no use: it first waits until all bytes are written, which they never are on a link that takes none.

Three ways of giving up end in a reset at the server, also with 16 MB unread (create-http-agent). What a server has received already, no reset takes back. Over TLS connections are closed as before.

--- a/src/adapters/_lib/create-http-agent/index.ts
+++ b/src/adapters/_lib/create-http-agent/index.ts
@@ -11,6 +11,7 @@
 import symbols from 'undici/lib/core/symbols.js';
 import UndiciAgent from 'undici/lib/dispatcher/agent.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {resetGivenUp} from './reset-given-up.js';
 
 export type HttpAgentOptions = {
 	/** Connections to one server. */
@@ -102,6 +103,7 @@
 			const [, socket] = result as readonly [unknown, Socket | null | undefined];
 			if (socket !== null && socket !== undefined) {
 				watchForResets(socket);
+				resetGivenUp(socket);
 			}
 
 			done(...result);
--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
 import {type AddressInfo, createServer, type Socket} from 'node:net';
 import {after, describe, it} from 'node:test';
@@ -152,4 +153,33 @@
 			assert.equal(ended === 'end', isWhole);
 		});
 	}
+
+	// Guards against calls that a partition holds up and delivers after they were given up.
+	describe('closes the connection of a call that was given up by a reset', () => {
+		const ways = {
+			'its signal aborted': () => ({headersTimeoutMs: 5000, signal: AbortSignal.timeout(100), payload: Buffer.from('short')}),
+			'its answer did not begin in time': () => ({headersTimeoutMs: 100, payload: Buffer.from('short')}),
+			'the server reads none of a long body': () => ({headersTimeoutMs: 5000, signal: AbortSignal.timeout(100), payload: Buffer.alloc(16_000_000)}),
+		};
+		for (const [name, toWay] of Object.entries(ways)) {
+			it(name, async () => {
+				const server = createServer({pauseOnConnect: true}).listen(0, '127.0.0.1');
+				after(() => server.close());
+				await once(server, 'listening');
+				const agent = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
+				after(async () => agent.destroy());
+				const accepted = once(server, 'connection') as Promise<[Socket]>;
+				const answer = readAnswer({
+					dispatcher: agent, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'POST', path: '/', idleTimeoutMs: 0, ...toWay(),
+				}, 1000);
+				const [socket] = await accepted;
+				const closed = once(socket, 'error') as Promise<[NodeJS.ErrnoException]>;
+				const ended = await answer;
+				assert.ok(ended.isErr());
+				socket.resume();
+				const [{code}] = await closed;
+				assert.equal(code, 'ECONNRESET');
+			});
+		}
+	});
 });
