Read a caller's close before each send

What callers saw: none was left to see it; servers worked for callers who had given up, up to all that a host had in its receive buffers.

Cause (hypothesis 1): the event loop reads a request in one turn and the close behind it in the next, and the request was given to a server in the turn in which it was read. However late a host reads, a close that came long before was news to it. Each place that sends anything for a caller now first waits until the connection was read in a whole turn, unless it was so within the last 100 ms: a run, a prefill, a reservation, a request that is passed on, and each attempt of the own engine interface. What follows from a close is decided as before, by the request's signal.

Those who still wait are served. A caller that closes its half of the connection and waits gets what it got: node ends such a connection at once, as before.

Weighed, not built: to read it only once at the beginning. A request that waits for a share of a limit, a place or a retry is as old by then as its wait.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -4,13 +4,16 @@
  * event loop are sent in one write to the socket.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {TLSSocket} from 'node:tls';
 import {v7 as createUuidV7} from 'uuid';
 import {err, ok, type Result} from 'neverthrow';
 import {type RequestId} from '../../../ports/ids.js';
 import {type PassedRequest} from '../../../ports/reach.js';
 import {type Problem, type ProblemStyle, toProblem} from '../../../domain/to-problem/index.js';
+import {type Milliseconds} from '../../../ports/clock.js';
 import {createBodyWriter} from './create-body-writer.js';
+import {createCloseReader} from './create-close-reader.js';
 import {createSizedBody, hasBody, toLength} from './create-sized-body.js';
 
 export type BodyFault = 'body-too-large' | 'slow-request' | 'gone';
@@ -31,6 +34,8 @@
 	headers: Readonly<Record<string, string>>;
 	/** Aborts when the caller's connection ends before the complete answer was sent. */
 	disconnectSignal: AbortSignal;
+	/** Resolves once {@link CallerExchange.disconnectSignal} tells of each close that had arrived before. To be awaited before work is given to a server or another host. */
+	readClose: () => Promise<void>;
 	/** Present if another host passed the request on. */
 	passed?: PassedRequest;
 	readBody: (options: ReadBodyOptions) => Promise<Result<Buffer, BodyFault>>;
@@ -56,6 +61,8 @@
 export type AnswerHeaders = Readonly<Record<string, string | readonly string[]>>;
 
 export type ExchangeOptions = {
+	/** Monotonic clock. */
+	now: () => Milliseconds;
 	isStopping: () => boolean;
 	/** Time without progress after which the connection of a caller that does not read the end of its answer is closed, milliseconds. */
 	writeTimeoutMs: number;
@@ -213,6 +220,7 @@
 	const target = req.url ?? '/';
 	const disconnected = new AbortController();
 	const writer = createBodyWriter(req, res);
+	const closeReader = createCloseReader({now: options.now, nextTurn});
 	res.once('close', () => {
 		if (!res.writableFinished) {
 			disconnected.abort();
@@ -273,6 +281,7 @@
 		// Node joins repeated headers into one string, except Set-Cookie, which is not a request header.
 		headers: req.headers as Record<string, string>,
 		disconnectSignal: disconnected.signal,
+		readClose: closeReader.read,
 		readBody: async bodyOptions => readBody(req, bodyOptions),
 		incoming: req,
 		sendAnswer,
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -41,7 +41,7 @@
 	tls?: SecureContextOptions | undefined;
 	/** Routes everything to `plain`; the OpenAI-compatible interface is not served on this port. */
 	isRelayOnly?: boolean | undefined;
-} & Pick<ExchangeOptions, 'requestIdHeader' | 'problemStyle'>;
+} & Pick<ExchangeOptions, 'now' | 'requestIdHeader' | 'problemStyle'>;
 
 export type CallerServer = {
 	/** Sets the time for which idle connections stay open. */
@@ -175,7 +175,7 @@
 		const {incoming, outgoing} = context.env;
 		const {socket} = incoming;
 		const exchange = createExchange(incoming, outgoing, {
-			isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
+			now: options.now, isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
 		});
 		open.add(exchange);
 		busy.set(socket, (busy.get(socket) ?? 0) + 1);
--- a/src/programs/entry/_lib/types.ts
+++ b/src/programs/entry/_lib/types.ts
@@ -57,6 +57,8 @@
 	deadline: Milliseconds;
 	/** Aborted with an {@link EndCause} as its reason. */
 	signal: AbortSignal;
+	/** Resolves once the signal tells of each close of the caller's connection that had arrived before. */
+	readClose: () => Promise<void>;
 	buffer: AnswerBuffer;
 	ledger: OutcomeLedger;
 	delivery: Delivery;
--- a/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
+++ b/src/programs/entry/call-pair/_lib/reserve-decode-server.ts
@@ -57,6 +57,7 @@
 /** Requests a reservation at one decode server. If the server announces in its answer that it is leaving, the reservation is released, because the stream would break when the server stops. */
 async function requestReservation(run: PlainRun, caches: CacheCalls, decode: ServerEntry): Promise<Result<string, EngineFailure>> {
 	const {services} = run.ctx;
+	await run.exchange.readClose();
 	const limit = createTimeoutSignal(Math.min(reserveTimeoutMs, toRemainingMs(run)), run.signal);
 	const calledAt = services.clock.now();
 	const link = run.ctx.reach?.openCall(run.route.pool.name);
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -75,6 +75,7 @@
 
 async function callPrefill({run, caches, placement}: Step): Promise<Result<PromptCache, PlainFault>> {
 	const server = placement.prefill;
+	await run.exchange.readClose();
 	const payload = run.body.open();
 	const calledAt = run.ctx.services.clock.now();
 	const expectedMs = Math.max(minPrefillTimeoutMs, prefillTimeoutFactor * placement.predictedPrefillMs);
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -236,6 +236,7 @@
  */
 export async function sendTo(run: PlainRun, {findFault, onFirst, toOrigin, ...destination}: Destination): Promise<PlainEnd> {
 	const {exchange, ctx, body} = run;
+	await exchange.readClose();
 	const headTimeout = createHeadTimeout(run);
 	const ended = await sendPlain({
 		...destination,
--- a/src/programs/entry/claims/serve-keyed.test.ts
+++ b/src/programs/entry/claims/serve-keyed.test.ts
@@ -23,6 +23,7 @@
 async function fetchAnswer(context: TestContext, toClaimed: () => Claimed, options: ServeKeyedOptions): Promise<{status: number; body: string}> {
 	const claims = {claim: async () => toClaimed()} as unknown as Claims;
 	const server = await startCallerServer({
+		now: () => performance.now(),
 		bind: '127.0.0.1', port: 0, maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: deadlineMs, keepAliveTimeoutMs: deadlineMs, writeTimeoutMs: deadlineMs,
 	}, {
 		completion: refuse,
--- a/src/programs/entry/run-request/_test/create-fixture.ts
+++ b/src/programs/entry/run-request/_test/create-fixture.ts
@@ -36,6 +36,8 @@
 	prefill?: EngineFailure;
 	servers?: readonly ServerEntry[];
 	seed?: number;
+	/** Called when the request looks whether its caller has left. */
+	onReadClose?: (leave: () => void) => void;
 	/** Answer of a decode server to an attempt. */
 	stream?: (server: string, attempt: number) => AsyncGenerator<DecodeChunk>;
 };
@@ -47,7 +49,7 @@
  * @param options - See {@link FixtureOptions}.
  * @returns Functions that run the request and show what happened.
  */
-export function createFixture(toAnswer: (server: string, asked: number) => Answer, {prefill, servers = unversioned, seed = 3, stream = (_server, attempt) => toStream(attempt)}: FixtureOptions = {}) {
+export function createFixture(toAnswer: (server: string, asked: number) => Answer, {prefill, servers = unversioned, seed = 3, onReadClose, stream = (_server, attempt) => toStream(attempt)}: FixtureOptions = {}) {
 	const asked: string[] = [];
 	const noted: string[] = [];
 	const budget = createRetryBudget({baseMs: 1, maxMs: 1});
@@ -56,6 +58,7 @@
 	const then = {
 		pool: 'main', class: 'quick', repeatable: true, target: {firstTokenMs: 2000, perTokenMs: 100, completeMs: 60_000},
 	};
+	const caller = new AbortController();
 	const account = {
 		addStage(stage: string) {
 			noted.push(stage);
@@ -73,7 +76,12 @@
 		receivedAt: 1000,
 		firstTokenDeadline: 3000,
 		deadline: 61_000,
-		signal: new AbortController().signal,
+		async readClose() {
+			onReadClose?.(() => {
+				caller.abort('caller-gone');
+			});
+		},
+		signal: caller.signal,
 		buffer,
 		ledger: createOutcomeLedger(),
 		delivery: {relay: () => true, drained: async () => true},
--- a/src/programs/entry/run-request/index.ts
+++ b/src/programs/entry/run-request/index.ts
@@ -56,6 +56,7 @@
 	const full = new Set<ServerId>();
 	let failed: ReadonlySet<ServerId> = new Set();
 	for (let attempt = firstAttempt; ; attempt++) {
+		await run.readClose();
 		if (run.signal.aborted) {
 			return {end: toEnded(run), nextAttempt: attempt};
 		}
--- a/src/programs/entry/run-request/test.ts
+++ b/src/programs/entry/run-request/test.ts
@@ -21,6 +21,24 @@
 		assert.equal(fixture.asked.length, decodes.length);
 	});
 
+	// Guards against servers that are asked for a caller whose close lay unread behind the request, or behind the answer before.
+	for (const [when, reading] of [['before the first attempt', 1], ['between two attempts', 2]] as const) {
+		it(`asks no server for a caller who is found to have left ${when}`, async () => {
+			let readings = 0;
+			const fixture = createFixture(() => 'full', {
+				onReadClose(leave) {
+					readings++;
+					if (readings === reading) {
+						leave();
+					}
+				},
+			});
+			const {end} = await fixture.runRequest();
+			assert.equal(end.kind, 'gone');
+			assert.equal(fixture.asked.length, reading - 1);
+		});
+	}
+
 	it('keeps the whole budget for failures that come after full servers', async () => {
 		const answers: readonly Answer[] = ['full', 'full', 'full', 'broken', 'room'];
 		const fixture = createFixture((_server, asked) => answers[asked - 1]!);
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -68,6 +68,7 @@
 		firstTokenDeadline: receivedAt + then.target.firstTokenMs,
 		deadline: receivedAt + then.target.completeMs,
 		signal: input.signal,
+		readClose: exchange.readClose,
 		buffer: createAnswerBuffer({requestId: exchange.requestId, keepsTokens: then.repeatable || !request.stream}),
 		ledger: createOutcomeLedger(),
 		delivery: createDeliveryFor(exchange, request, ctx),
--- a/src/programs/entry/start-entry/_lib/listen-for-peers.ts
+++ b/src/programs/entry/start-entry/_lib/listen-for-peers.ts
@@ -11,13 +11,14 @@
  * @param handlers - Handlers of callers' requests.
  * @returns The running server, or none.
  */
-export async function listenForPeers({peerListener, settings, log, callers}: EntryOptions, handlers: CallerHandlers): Promise<readonly CallerServer[]> {
+export async function listenForPeers({peerListener, settings, clock, log, callers}: EntryOptions, handlers: CallerHandlers): Promise<readonly CallerServer[]> {
 	if (peerListener === undefined) {
 		return [];
 	}
 
 	try {
 		return [await startCallerServer({
+			now: clock.now,
 			bind: peerListener.bind,
 			port: peerListener.port,
 			maxConnections: settings.maxConnections,
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -58,8 +58,9 @@
 }
 
 async function listenForCallers(options: EntryOptions, handlers: CallerHandlers): Promise<CallerServer> {
-	const {settings, keys} = options;
+	const {settings, keys, clock} = options;
 	const callers = await startCallerServer({
+		now: clock.now,
 		bind: settings.bind,
 		port: settings.callerPort,
 		maxConnections: settings.maxConnections,
