Start the requests of those who still wait when a host is behind

What callers saw: after all hosts had been away, each was busy and none answered; callers gave up, came back, and gave up again.

The host stays behind although it has the processor time for all (a metastable failure).

Deadlines of relayed requests count from the reading. Those who left are counted and logged (requests_left_unstarted_total), as is what waits.

--- a/src/adapters/caller-http/_lib/create-close-reader.test.ts
+++ b/src/adapters/caller-http/_lib/create-close-reader.test.ts
@@ -31,6 +31,14 @@
 		assert.equal(state.turns, 4);
 	});
 
+	it('relies on a turn that was noted', async () => {
+		const {state, reader} = createReader();
+		state.now = 1000;
+		reader.noteRead(950);
+		await reader.read();
+		assert.equal(state.turns, 0);
+	});
+
 	// Guards against a reading that counts as new because the turn which it waited for was long.
 	it('counts the age from the moment at which it was asked', async () => {
 		const state = {now: 0, turns: 0};
--- a/src/adapters/caller-http/_lib/create-close-reader.ts
+++ b/src/adapters/caller-http/_lib/create-close-reader.ts
@@ -8,6 +8,8 @@
 export type CloseReader = {
 	/** Resolves once a close that had arrived before the call has been read, unless one was read a moment ago. */
 	read: () => Promise<void>;
+	/** Notes that the connection has been read in the turn of the event loop that began at this time. */
+	noteRead: (turnAt: Milliseconds) => void;
 };
 
 export type CloseReaderOptions = {
@@ -29,6 +31,9 @@
 	let readAt = -Infinity;
 
 	return {
+		noteRead(turnAt) {
+			readAt = Math.max(readAt, turnAt);
+		},
 		async read() {
 			const askedAt = now();
 			if (askedAt - readAt <= maxAgeMs) {
--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -25,6 +25,10 @@
 
 export type CallerExchange = {
 	requestId: RequestId;
+	/** Monotonic time at which the request's head was read. */
+	receivedAt: Milliseconds;
+	/** Whether the request has waited too long to be started, and is to be refused. */
+	isOverdue: () => boolean;
 	method: string;
 	/** Path without the query. */
 	path: string;
@@ -58,6 +62,13 @@
 	destroy: () => void;
 };
 
+/** An exchange, and what its port tells of it. */
+export type OpenExchange = {
+	exchange: CallerExchange;
+	/** Notes that the request is started or refused, and the turn of the event loop in which its connection was last read. */
+	noteStart: (how: {isOverdue: boolean; turnAt: Milliseconds}) => void;
+};
+
 export type AnswerHeaders = Readonly<Record<string, string | readonly string[]>>;
 
 export type ExchangeOptions = {
@@ -172,6 +183,11 @@
 	return hasBody && !req.complete;
 }
 
+/** Whether the request's connection is read on: not while a body waits that fills its buffer, and no close is seen then. */
+function isReadOn({complete, readableLength, readableHighWaterMark}: IncomingMessage): boolean {
+	return complete && readableLength < readableHighWaterMark;
+}
+
 /**
  * Ends an answer that was sent before the request's body was read. Closing a
  * socket with unread bytes makes the operating system reset the connection, and
@@ -213,14 +229,16 @@
  * @param req - Node's request.
  * @param res - Node's response.
  * @param options - See {@link ExchangeOptions}.
- * @returns The exchange.
+ * @returns See {@link OpenExchange}.
  */
-export function createExchange(req: IncomingMessage, res: ServerResponse, options: ExchangeOptions): CallerExchange {
+export function createExchange(req: IncomingMessage, res: ServerResponse, options: ExchangeOptions): OpenExchange {
 	const requestId = toNamed(req, options.requestIdHeader) ?? createRequestId();
 	const target = req.url ?? '/';
 	const disconnected = new AbortController();
 	const writer = createBodyWriter(req, res);
 	const closeReader = createCloseReader({now: options.now, nextTurn});
+	const receivedAt = options.now();
+	let isOverdue = false;
 	res.once('close', () => {
 		if (!res.writableFinished) {
 			disconnected.abort();
@@ -273,8 +291,10 @@
 		},
 	});
 
-	return {
+	const exchange: CallerExchange = {
 		requestId,
+		receivedAt,
+		isOverdue: () => isOverdue,
 		method: req.method ?? 'GET',
 		path: target.split('?', 1)[0]!,
 		target,
@@ -299,4 +319,14 @@
 		end: sized.end,
 		destroy: sized.destroy,
 	};
+
+	return {
+		exchange,
+		noteStart(how) {
+			isOverdue = how.isOverdue;
+			if (isReadOn(req)) {
+				closeReader.noteRead(how.turnAt);
+			}
+		},
+	};
 }
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -13,6 +13,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
+import {createStarter, type Startable} from './_lib/create-starter.js';
 import {type CallerExchange, createExchange, type ExchangeOptions} from './_lib/exchange.js';
 
 export {type AnswerHeaders, type BodyFault, type CallerExchange} from './_lib/exchange.js';
@@ -41,6 +42,10 @@
 	tls?: SecureContextOptions | undefined;
 	/** Routes everything to `plain`; the OpenAI-compatible interface is not served on this port. */
 	isRelayOnly?: boolean | undefined;
+	/** Time for which a request may wait to be started before it is refused, milliseconds. */
+	toMaxWaitMs: (headers: CallerExchange['headers']) => number;
+	/** Called when a caller has left whose request was read and not started. */
+	onLeftUnstarted?: ((exchange: CallerExchange) => void) | undefined;
 } & Pick<ExchangeOptions, 'now' | 'requestIdHeader' | 'problemStyle'>;
 
 export type CallerServer = {
@@ -49,6 +54,8 @@
 	port: number;
 	/** Number of exchanges whose answer has not been sent completely. */
 	openExchanges: () => number;
+	/** Number of requests that were read and not started. */
+	unstarted: () => number;
 	/** Number of connections, including idle ones. */
 	connections: () => number;
 	/** Uses other keys for new connections. */
@@ -128,6 +135,12 @@
 export async function startCallerServer(options: CallerServerOptions, handlers: CallerHandlers): Promise<CallerServer> {
 	const open = new Set<CallerExchange>();
 	const busy = new WeakMap<Socket, number>();
+	const starter = createStarter({
+		now: options.now,
+		schedule(runTurn) {
+			setImmediate(runTurn);
+		},
+	});
 	let isStopping = false;
 	let isClosing = false;
 	let onIdle: (() => void) | undefined;
@@ -171,10 +184,22 @@
 		}
 	}
 
+	/** Starts the request when its turn has come, unless its caller leaves before. */
+	function startInTurn(exchange: CallerExchange, start: Startable['start']): void {
+		const {receivedAt, headers, disconnectSignal} = exchange;
+		const request: Startable = {readAt: receivedAt, maxWaitMs: options.toMaxWaitMs(headers), start};
+		disconnectSignal.addEventListener('abort', () => {
+			if (starter.remove(request)) {
+				options.onLeftUnstarted?.(exchange);
+			}
+		}, {once: true});
+		starter.add(request);
+	}
+
 	const serve: Serve = (context, handler) => {
 		const {incoming, outgoing} = context.env;
 		const {socket} = incoming;
-		const exchange = createExchange(incoming, outgoing, {
+		const {exchange, noteStart} = createExchange(incoming, outgoing, {
 			now: options.now, isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
 		});
 		open.add(exchange);
@@ -187,7 +212,10 @@
 				kind: 'too-many-connections', detail: 'This host has reached its limit of connections. Use fewer, or retry later.', outcome: 'not-run', retryAfterMs: options.keepAliveTimeoutMs,
 			});
 		} else {
-			void run(exchange, handler);
+			startInTurn(exchange, how => {
+				noteStart(how);
+				void run(exchange, handler);
+			});
 		}
 
 		return RESPONSE_ALREADY_SENT;
@@ -207,6 +235,7 @@
 	const listener = getRequestListener(createApp(handlers, serve, options.isRelayOnly ?? false).fetch, {overrideGlobalObjects: false, autoCleanupIncoming: false, errorHandler: answerBadRequest});
 	const server = options.tls === undefined ? createServer(serverOptions, listener) : createTlsServer({...serverOptions, ...options.tls}, listener);
 	const {refused, count} = watchConnections(server, options.maxConnections);
+	server.on('connection', starter.noteAccepted);
 
 	server.on('clientError', (error, socket) => {
 		const duplex = socket as Socket;
@@ -227,6 +256,7 @@
 	return {
 		port: (server.address() as AddressInfo).port,
 		openExchanges: () => open.size,
+		unstarted: starter.size,
 		connections: count,
 		setKeepAliveTimeout(timeoutMs) {
 			server.keepAliveTimeout = timeoutMs;
--- a/src/adapters/caller-http/test.ts
+++ b/src/adapters/caller-http/test.ts
@@ -23,6 +23,7 @@
 
 	const server = await startCallerServer({
 		now: () => performance.now(),
+		toMaxWaitMs: () => 1000,
 		bind: '127.0.0.1', port: 0, maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: deadlineMs, keepAliveTimeoutMs: deadlineMs, writeTimeoutMs: deadlineMs,
 	}, {
 		completion: serve, chat: serve, models: serve, plain: serve,
--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -52,6 +52,7 @@
 	const cancels = metrics.createCounter({name: 'cancels_total', help: 'Cancels of attempts on engines, by how they ended.', labels: {end: cancelEnds}});
 	const pauses = metrics.createCounter({name: 'pauses_total', help: 'Times that the process woke up after it was paused.'});
 	const loopDelay = metrics.createCounter({name: 'event_loop_late_milliseconds_total', help: 'Time by which the event loop was late, where it was more than 200 ms; what arrived meanwhile was read late.'});
+	const leftUnstarted = metrics.createCounter({name: 'requests_left_unstarted_total', help: 'Requests that were read and not started before their callers had left.'});
 	const overLimit = metrics.createCounter({
 		name: 'over_limit_total', help: 'Requests refused because their workspace had used its limit.', labels: {workspace: {max: maxNamedWorkspaces}},
 	});
@@ -93,10 +94,11 @@
 			dropped.add({cause: cause === 'crossed' ? 'other-request' : 'repeated'});
 		},
 		/** Registers the gauges that are sampled at each scrape. */
-		sample(samples: Readonly<Record<'inProgress' | 'waiting' | 'openAnswers' | 'cancelsPending' | 'quarantined' | 'quarantinedParts', () => number>>) {
+		sample(samples: Readonly<Record<'inProgress' | 'waiting' | 'openAnswers' | 'unstarted' | 'cancelsPending' | 'quarantined' | 'quarantinedParts', () => number>>) {
 			metrics.createSampledGauge({name: 'requests_in_progress', help: 'Requests that a rule decided about and that have not ended.', sample: samples.inProgress});
 			metrics.createSampledGauge({name: 'requests_waiting', help: 'Requests that wait for room.', sample: samples.waiting});
 			metrics.createSampledGauge({name: 'answers_open', help: 'Answers to callers that are not sent whole.', sample: samples.openAnswers});
+			metrics.createSampledGauge({name: 'requests_unstarted', help: 'Requests that were read and not started, because this host is behind.', sample: samples.unstarted});
 			metrics.createSampledGauge({name: 'cancels_pending', help: 'Cancels that engines have not confirmed.', sample: samples.cancelsPending});
 			metrics.createSampledGauge({name: 'quarantined_requests', help: 'Requests that are not run any more, as servers crashed under them.', sample: samples.quarantined});
 			metrics.createSampledGauge({name: 'quarantined_parts', help: 'Parts of prompts, or groups of them, whose requests are not run any more, as servers crashed under them.', sample: samples.quarantinedParts});
@@ -104,6 +106,7 @@
 		cancels,
 		pauses,
 		loopDelay,
+		leftUnstarted,
 		countHeldBack() {
 			heldBack.add({});
 		},
--- a/src/programs/entry/_lib/problems.ts
+++ b/src/programs/entry/_lib/problems.ts
@@ -80,14 +80,21 @@
 }
 
 /**
- * Checks the limits of the whole process. Each rule has limits of its own, whose
- * sum may be more than the process can hold.
+ * Checks whether this host is behind, and the limits of the whole process. Each rule
+ * has limits of its own, whose sum may be more than the process can hold.
  *
+ * @param exchange - The request.
  * @param ctx - Services of the entry.
- * @returns The problem if a limit is reached.
+ * @returns The problem if the request has waited too long to be started, or if a limit is reached.
  */
-export function findOverload(ctx: ServeContext): Problem | undefined {
+export function findOverload(exchange: CallerExchange, ctx: ServeContext): Problem | undefined {
 	const {limits, registry, services} = ctx;
+	if (exchange.isOverdue()) {
+		return {
+			kind: 'queue-full', detail: 'This host is behind and could not start the request in time.', outcome: 'not-run', retryAfterMs: msPerSecond * (0.5 + services.random()),
+		};
+	}
+
 	const isFull = registry.size() >= limits.maxInFlight || services.gate.waiting() >= limits.maxQueued;
 	return isFull
 		? {
--- a/src/programs/entry/claims/serve-keyed.test.ts
+++ b/src/programs/entry/claims/serve-keyed.test.ts
@@ -24,6 +24,7 @@
 	const claims = {claim: async () => toClaimed()} as unknown as Claims;
 	const server = await startCallerServer({
 		now: () => performance.now(),
+		toMaxWaitMs: () => 1000,
 		bind: '127.0.0.1', port: 0, maxConnections: 10, maxHeaderBytes: 16_384, headersTimeoutMs: deadlineMs, keepAliveTimeoutMs: deadlineMs, writeTimeoutMs: deadlineMs,
 	}, {
 		completion: refuse,
--- a/src/programs/entry/serve-completion/index.ts
+++ b/src/programs/entry/serve-completion/index.ts
@@ -185,7 +185,7 @@
 		exchange.sendProblem(problem);
 	};
 
-	const overload = findOverload(ctx);
+	const overload = findOverload(exchange, ctx);
 	if (overload !== undefined) {
 		refuse(toUnclaimedProblem(overload, exchange.headers));
 		return;
--- a/src/programs/entry/serve-plain/index.ts
+++ b/src/programs/entry/serve-plain/index.ts
@@ -167,13 +167,13 @@
  */
 export async function servePlain(exchange: CallerExchange, ctx: ServeContext, clients: PlainClients): Promise<void> {
 	const {services} = ctx;
-	const receivedAt = services.clock.now();
+	const {receivedAt} = exchange;
 	const account = ctx.accounts.open(exchange.requestId);
 	const work = ctx.calls.parseHints(exchange.headers);
 	const routed = ctx.route({
 		headers: exchange.headers, host: toHostName(exchange.headers.host), path: exchange.path, model: work.model, promptTokens: work.promptTokens, random: services.random,
 	}, services.toView());
-	const refusal = findOverload(ctx) ?? findBehind(exchange, ctx) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
+	const refusal = findOverload(exchange, ctx) ?? findBehind(exchange, ctx) ?? (routed.isErr() ? routed.error : findNotPlain(routed.value));
 	const refuse = (problem: Problem | 'gone' | undefined, concerned: {fingerprint?: Fingerprint | undefined; parts?: readonly PartKey[]} = {}) => {
 		if (problem !== undefined && problem !== 'gone') {
 			reportRefused(problem, {
--- a/src/programs/entry/start-entry/_lib/join-caller-servers.ts
+++ b/src/programs/entry/start-entry/_lib/join-caller-servers.ts
@@ -15,6 +15,7 @@
 	return {
 		port: first.port,
 		openExchanges: () => toSum(all.map(server => server.openExchanges())),
+		unstarted: () => toSum(all.map(server => server.unstarted())),
 		connections: () => toSum(all.map(server => server.connections())),
 		setKeepAliveTimeout(timeoutMs) {
 			for (const server of all) {
--- a/src/programs/entry/start-entry/_lib/listen-for-peers.ts
+++ b/src/programs/entry/start-entry/_lib/listen-for-peers.ts
@@ -1,7 +1,7 @@
 /** The port on which other hosts pass requests on to this one. */
 import {startCallerServer, type CallerHandlers, type CallerServer} from '../../../../adapters/caller-http/index.js';
 import {outcomeHeader, readPassed} from '../../_lib/passed-headers.js';
-import {type EntryOptions} from './types.js';
+import {type CallerWaits, type EntryOptions} from './types.js';
 
 /**
  * Starts the port. Without it this host still serves its own callers, so a port that
@@ -9,15 +9,17 @@
  *
  * @param options - Options of the entry; nothing is started without an address for peers.
  * @param handlers - Handlers of callers' requests.
+ * @param waits - How long requests wait to be started.
  * @returns The running server, or none.
  */
-export async function listenForPeers({peerListener, settings, clock, log, callers}: EntryOptions, handlers: CallerHandlers): Promise<readonly CallerServer[]> {
+export async function listenForPeers({peerListener, settings, clock, log, callers}: EntryOptions, handlers: CallerHandlers, waits: CallerWaits): Promise<readonly CallerServer[]> {
 	if (peerListener === undefined) {
 		return [];
 	}
 
 	try {
 		return [await startCallerServer({
+			...waits,
 			now: clock.now,
 			bind: peerListener.bind,
 			port: peerListener.port,
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -33,6 +33,9 @@
 	tick: (loads: readonly HostLoad[]) => void;
 };
 
+/** How requests wait to be started. */
+export type CallerWaits = Pick<CallerServerOptions, 'toMaxWaitMs' | 'onLeftUnstarted'>;
+
 export type EntryOptions = {
 	settings: EntryCoreSettings;
 	clock: Clock;
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -26,6 +26,7 @@
 import {createRouter} from '../_lib/route.js';
 import {createRunRegistry} from '../_lib/run-registry.js';
 import {type CallerLimits, type ServeContext} from '../_lib/serve-types.js';
+import {toMaxWaitMs} from '../_lib/to-max-wait.js';
 import {createEntryMetrics} from '../_lib/create-entry-metrics.js';
 import {toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
@@ -33,7 +34,9 @@
 import {listenForPeers} from './_lib/listen-for-peers.js';
 import {createHandlers} from './_lib/create-handlers.js';
 import {createReadiness} from './_lib/create-readiness.js';
-import {type Entry, type EntryCoreSettings, type EntryOptions} from './_lib/types.js';
+import {
+	type CallerWaits, type Entry, type EntryCoreSettings, type EntryOptions,
+} from './_lib/types.js';
 
 export type * from './_lib/types.js';
 
@@ -57,9 +60,10 @@
 	};
 }
 
-async function listenForCallers(options: EntryOptions, handlers: CallerHandlers): Promise<CallerServer> {
+async function listenForCallers(options: EntryOptions, handlers: CallerHandlers, waits: CallerWaits): Promise<CallerServer> {
 	const {settings, keys, clock} = options;
 	const callers = await startCallerServer({
+		...waits,
 		now: clock.now,
 		bind: settings.bind,
 		port: settings.callerPort,
@@ -97,6 +101,7 @@
 		inProgress: registry.size,
 		waiting: services.gate.waiting,
 		openAnswers: callers.openExchanges,
+		unstarted: callers.unstarted,
 		cancelsPending: services.cancels.pending,
 		quarantined: () => ctx.suspects.count(options.clock.now()).quarantined,
 		quarantinedParts: () => ctx.partQuarantine.count(options.clock.now()),
@@ -241,7 +246,14 @@
 		idleMs: idleTickMs,
 	});
 	const handlers = createHandlers(ctx, clients, ticker);
-	const callers = joinCallerServers(await listenForCallers(options, handlers), await listenForPeers(options, handlers));
+	const waits: CallerWaits = {
+		toMaxWaitMs: headers => toMaxWaitMs(ctx.calls.parseHints(headers).timeoutMs),
+		onLeftUnstarted({requestId, receivedAt}) {
+			counters.leftUnstarted.add({});
+			log.info('caller left before its request was started', {requestId, durationMs: Math.round(clock.now() - receivedAt)});
+		},
+	};
+	const callers = joinCallerServers(await listenForCallers(options, handlers, waits), await listenForPeers(options, handlers, waits));
 	opened.callers = callers;
 	const bounds = link.toView()?.accepted?.config.callers;
 	if (bounds !== undefined) {
