--- a/test/failures/_lib/busy-fleet.ts
+++ b/test/failures/_lib/busy-fleet.ts
@@ -3,13 +3,13 @@
  * request that is sent again and again and ends servers.
  */
 import assert from 'node:assert/strict';
-import process from 'node:process';
 import {type TestContext} from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ServerEnd} from '../../stand-ins/users-platform/end-server.js';
 import {type Answer, type RelayCall} from '../../stand-ins/users-platform/send-call.js';
 import {startRelayProcesses, type RelayProcesses, type VersionedServer} from '../../stand-ins/users-platform/start-relay-processes.js';
 import {toStreamHeaders} from '../../stand-ins/users-platform/start-relay-fixture.js';
+import {findBuild} from './find-build.js';
 
 const hostCount = 3;
 
@@ -52,12 +52,6 @@
 	stop: () => Promise<void>;
 };
 
-/** Folder of another build that the hosts run, with a closing slash, from the environment variable `RELAY_BUILD`. */
-function findBuild(): URL | undefined {
-	const folder = process.env.RELAY_BUILD;
-	return folder === undefined ? undefined : new URL(folder, 'file:///');
-}
-
 /**
  * Starts the fleet and its sound traffic. A server that ends is back at once under
  * another id; the entry of the one that ended lapses later.
--- a/test/failures/left-callers.test.ts
+++ b/test/failures/left-callers.test.ts
@@ -4,11 +4,13 @@
 	after, afterEach, before, beforeEach, describe, it, type TestContext,
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {toPassedHeaders} from '../../src/programs/entry/_lib/passed-headers.js';
 import {type Program} from '../_lib/start-program/index.js';
 import {waitUntil} from '../_lib/wait-until/index.js';
 import {startHoldingLink, type HoldingLink} from '../stand-ins/holding-link/index.js';
 import {toStreamHeaders} from '../stand-ins/users-platform/start-relay-fixture.js';
 import {startRelayProcesses, type RelayProcesses, type VersionedServer} from '../stand-ins/users-platform/start-relay-processes.js';
+import {findBuild} from './_lib/find-build.js';
 import {
 	leaveAfterMs, openConnections, sendAndLeave, warmUp, type Leaving, type LeavingCall,
 } from './_lib/leaving-callers.js';
@@ -33,6 +35,16 @@
 	method: 'POST', path: '/summary/1', headers: toStreamHeaders(), body: 'prompt',
 };
 
+const passedStream: LeavingCall = {
+	...stream,
+	headers: {
+		...stream.headers,
+		...toPassedHeaders({
+			deadlineInMs: 4000, edition: 1, runs: 0, stream: {origin: undefined},
+		}),
+	},
+};
+
 const serverIds = ['desk1', 'desk2', 'prefill1', 'prefill2', 'decode1', 'decode2'];
 
 let processes: RelayProcesses;
@@ -41,8 +53,8 @@
 /** Calls that reached servers, but for those that give back what was taken. */
 const countArrivals = (): number => servers.flatMap(({arrivals}) => arrivals).filter(({step}) => step !== 'release' && step !== 'drop-cache').length;
 
-async function startHost(): Promise<void> {
-	processes = await startRelayProcesses({hosts: 1, nodeOptions: ['--import', blockOnSignal]});
+async function startHosts(hosts: number): Promise<void> {
+	processes = await startRelayProcesses({hosts, build: findBuild, nodeOptions: ['--import', blockOnSignal]});
 	servers = await Promise.all(serverIds.map(async id => processes.startServer(id, 'v1')));
 	await processes.waitForServers();
 }
@@ -62,12 +74,19 @@
 	},
 };
 
-type Scene = {callers: number; call: LeavingCall; leaving: Leaving; isKept?: boolean};
+type Scene = {
+	callers: number;
+	call: LeavingCall;
+	leaving: Leaving;
+	isKept?: boolean;
+	/** Whether the callers are another host, which passes requests on. */
+	isPassedOn?: boolean;
+};
 
 /** Lets callers send and leave while the host reads nothing; returns the number of calls that reached servers. */
-async function countSentOn(t: TestContext, standStill: Standstill, {callers, call, leaving, isKept = false}: Scene): Promise<number> {
+async function countSentOn(t: TestContext, standStill: Standstill, {callers, call, leaving, isKept = false, isPassedOn = false}: Scene): Promise<number> {
 	const [host] = processes.hosts() as [Program];
-	const address = {ip: hostIp, port: host.port('callerPort')};
+	const address = {ip: hostIp, port: isPassedOn ? processes.peerPort : host.port('callerPort')};
 	const opened = isKept ? await openConnections(address, callers) : [];
 	await warmUp(opened, call);
 	const arrivedBefore = countArrivals();
@@ -100,9 +119,19 @@
 	},
 };
 
+const scenesOfSeveral: Readonly<Record<string, Scene>> = {
+	'60 streams, closed in order': {callers: 60, call: stream, leaving: 'in order'},
+	'60 streams that another host passed on, closed in order': {
+		callers: 60, call: passedStream, leaving: 'in order', isPassedOn: true,
+	},
+	'60 streams that another host passed on, reset': {
+		callers: 60, call: passedStream, leaving: 'by a reset', isPassedOn: true,
+	},
+};
+
 // Guards against servers that work for callers who left before their host had read the request.
 describe('a host that reads late what its callers sent', {timeout: 180_000}, () => {
-	before(startHost);
+	before(async () => startHosts(1));
 	after(async () => processes.stop());
 
 	for (const [cause, standStill] of Object.entries(standstills)) {
@@ -124,12 +153,26 @@
 	});
 });
 
+// Guards against servers that work for callers of another host, whose close both have read late.
+describe('one of several hosts that reads late what it was sent', {timeout: 120_000}, () => {
+	before(async () => startHosts(2));
+	after(async () => processes.stop());
+
+	for (const [cause, standStill] of Object.entries(standstills)) {
+		for (const [what, scene] of Object.entries(scenesOfSeveral)) {
+			it(`and ${cause} sends none on whose callers have left: ${what}`, async t => {
+				assert.equal(await countSentOn(t, standStill, scene), 0);
+			});
+		}
+	}
+});
+
 // Guards against a partition that delivers calls to servers when it heals, although this host has given them up.
 describe('a host whose link to its servers holds bytes up', {timeout: 120_000}, () => {
 	let links: readonly HoldingLink[];
 	const desks = () => servers.filter(({stage}) => stage === undefined);
 	beforeEach(async () => {
-		await startHost();
+		await startHosts(1);
 		links = await Promise.all(desks().map(async ({address}) => startHoldingLink(address)));
 		for (const [i, desk] of desks().entries()) {
 			processes.publish(desk, {address: links[i]!.address, sequence: 2});
--- a/test/stand-ins/users-platform/start-relay-processes.ts
+++ b/test/stand-ins/users-platform/start-relay-processes.ts
@@ -21,6 +21,8 @@
 	/** Ends a server and removes its entry. */
 	loseServer: (server: VersionedServer) => Promise<void>;
 	hosts: () => readonly Program[];
+	/** TCP port on which each host takes requests that others pass on, if there are several. */
+	peerPort: number;
 	/** Kills the process of a host. */
 	kill: (host: number) => Promise<void>;
 	/** Starts the process of a host that was killed or stopped; it keeps its addresses. */
@@ -117,6 +119,7 @@
 			store.remove(`servers/${server.id}`);
 		},
 		hosts: () => hosts,
+		peerPort,
 		async kill(host) {
 			await hosts[host]!.kill();
 			endedLogs.push(...hosts[host]!.logs());
