Refuse what a host could not start in time with 503

The refusal of a request that waited too long in the intake said queue-full, status 429, which callers with a limit take for theirs. It is this host that is behind: the new problem host-behind is a 503, not run, with a Retry-After spread over 0.5 to 1.5 s.

--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -29,6 +29,7 @@
 	'answer-lost': [502, 'The answer was lost'],
 	'backend-failed': [502, 'The backend server failed'],
 	'claim-unavailable': [503, 'The request could not be claimed'],
+	'host-behind': [503, 'The host is behind'],
 	'no-capacity': [503, 'No backend server can take the request'],
 	'origin-gone': [503, 'No server can continue the stream'],
 	'origin-unknown': [503, 'It is not known which servers can continue the stream'],
--- a/src/programs/entry/_lib/problems.ts
+++ b/src/programs/entry/_lib/problems.ts
@@ -91,7 +91,7 @@
 	const {limits, registry, services} = ctx;
 	if (exchange.isOverdue()) {
 		return {
-			kind: 'queue-full', detail: 'This host is behind and could not start the request in time.', outcome: 'not-run', retryAfterMs: msPerSecond * (0.5 + services.random()),
+			kind: 'host-behind', detail: 'This host could not start the request in time. Nothing was sent; send the request again.', outcome: 'not-run', retryAfterMs: msPerSecond * (0.5 + services.random()),
 		};
 	}
 
