--- a/bench/main.ts
+++ b/bench/main.ts
@@ -29,6 +29,7 @@
 	'stream-origins',
 	'server-limits',
 	'prompt-parts',
+	'caller-waits',
 ] as const;
 
 type BenchName = typeof benches[number];
