Refuse no request that can be started at once, and name the start queue

A host that stood still for longer than a request may wait, and has nothing else to do, refused it as overdue although it could serve it at once: after a pause of 1.8 s with a stream read just before it. Now the newest are picked first, and only what has waited too long behind them is refused.

--- a/src/adapters/caller-http/_lib/create-close-reader.ts
+++ b/src/adapters/caller-http/_lib/create-close-reader.ts
@@ -18,7 +18,7 @@
 	nextTurn: () => Promise<unknown>;
 };
 
-/** Age up to which the last reading is relied upon; callers notice no work that goes on for so long. */
+/** Age up to which the last reading is relied upon; work for a caller who left so recently costs servers little. */
 const maxAgeMs: Milliseconds = 100;
 
 /**
--- a/src/adapters/caller-http/_lib/create-starter.ts
+++ b/src/adapters/caller-http/_lib/create-request-starter.ts
@@ -1,5 +1,5 @@
-/** Starts requests in turns of the event loop, in the order of the intake. */
-import {createIntake} from '../../../domain/create-intake/index.js';
+/** Starts requests in turns of the event loop, in the order of the start queue. */
+import {createStartQueue} from '../../../domain/create-start-queue/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 
 /** A request that was read. */
@@ -11,7 +11,7 @@
 	start: (how: {isOverdue: boolean; turnAt: Milliseconds}) => void;
 };
 
-export type Starter = {
+export type RequestStarter = {
 	add: (request: Startable) => void;
 	/** Forgets a request whose caller has left; returns whether it was waiting. */
 	remove: (request: Startable) => boolean;
@@ -27,14 +27,14 @@
  * @param options - Monotonic clock, and a function that schedules a callback after the sockets of this turn of the event loop were read.
  * @returns The starter. It schedules nothing while no request waits.
  */
-export function createStarter({now, schedule}: {now: () => Milliseconds; schedule: (run: () => void) => void}): Starter {
-	const intake = createIntake<Startable>();
+export function createRequestStarter({now, schedule}: {now: () => Milliseconds; schedule: (run: () => void) => void}): RequestStarter {
+	const queue = createStartQueue<Startable>();
 	let hasAccepted = false;
 	let isScheduled = false;
 	let turnAt = -Infinity;
 
 	function scheduleTurn(): void {
-		if (!isScheduled && intake.size() > 0) {
+		if (!isScheduled && queue.size() > 0) {
 			isScheduled = true;
 			schedule(runTurn);
 		}
@@ -44,7 +44,7 @@
 		isScheduled = false;
 		const lastTurnAt = turnAt;
 		turnAt = now();
-		const {started, refused} = intake.take(turnAt, {hasAccepted});
+		const {started, refused} = queue.take(turnAt, {hasAccepted});
 		hasAccepted = false;
 		for (const request of started) {
 			request.start({isOverdue: false, turnAt: lastTurnAt});
@@ -59,13 +59,13 @@
 
 	return {
 		add(request) {
-			intake.add(request, request);
+			queue.add(request, request);
 			scheduleTurn();
 		},
-		remove: intake.remove,
+		remove: queue.remove,
 		noteAccepted() {
 			hasAccepted = true;
 		},
-		size: intake.size,
+		size: queue.size,
 	};
 }
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -13,7 +13,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
-import {createStarter, type Startable} from './_lib/create-starter.js';
+import {createRequestStarter, type Startable} from './_lib/create-request-starter.js';
 import {type CallerExchange, createExchange, type ExchangeOptions} from './_lib/exchange.js';
 
 export {type AnswerHeaders, type BodyFault, type CallerExchange} from './_lib/exchange.js';
@@ -135,7 +135,7 @@
 export async function startCallerServer(options: CallerServerOptions, handlers: CallerHandlers): Promise<CallerServer> {
 	const open = new Set<CallerExchange>();
 	const busy = new WeakMap<Socket, number>();
-	const starter = createStarter({
+	const starter = createRequestStarter({
 		now: options.now,
 		schedule(runTurn) {
 			setImmediate(runTurn);
--- a/src/domain/create-intake/_test/play-crowd.ts
+++ b/src/domain/create-start-queue/_test/play-crowd.ts
@@ -6,10 +6,10 @@
  */
 import {type Milliseconds, type Random} from '../../../ports/clock.js';
 import {msPerSecond} from '../../../ports/units.js';
-import {createIntake, type IntakeOptions} from '../index.js';
+import {createStartQueue, type StartQueueOptions} from '../index.js';
 
-/** When a host starts a request: in the turn in which it is read; in order, once a close behind it was read; or once the intake returns it. */
-export type StartPolicy = 'as-read' | 'in-order' | 'by-intake';
+/** When a host starts a request: in the turn in which it is read; in order, once a close behind it was read; or once the queue returns it. */
+export type StartPolicy = 'as-read' | 'in-order' | 'by-queue';
 
 export type CrowdOptions = {
 	hosts: number;
@@ -57,8 +57,8 @@
 
 const lateMs: Milliseconds = 500;
 
-/** An intake that only waits for a close. */
-const inOrder: IntakeOptions = {behindMs: Infinity, startsPerTurn: Infinity, acceptFirstMs: 0};
+/** A queue that only waits for a close. */
+const inOrder: StartQueueOptions = {behindMs: Infinity, startsPerTurn: Infinity, acceptFirstMs: 0};
 
 /** Connections that a host's operating system keeps until they are accepted. */
 const backlog = 1024;
@@ -75,13 +75,13 @@
 type Host = {
 	/** Time up to which its event loop has run. */
 	ranUntil: Milliseconds;
-	/** Connections to accept. */
-	queued: Attempt[];
+	/** Connections that wait to be accepted. */
+	unaccepted: Attempt[];
 	/** Connections whose request is read in the next turn. */
 	accepted: Attempt[];
 	/** Requests whose connection shows a close in the next turn. */
 	open: Set<Attempt>;
-	intake: ReturnType<typeof createIntake<Attempt>>;
+	queue: ReturnType<typeof createStartQueue<Attempt>>;
 };
 
 /**
@@ -92,7 +92,7 @@
  */
 export function playCrowd({hosts: hostCount, policy, perSecond, awayMs, lengthMs, random}: CrowdOptions): CrowdCourse {
 	const hosts: Host[] = Array.from({length: hostCount}, () => ({
-		ranUntil: awayMs, queued: [], accepted: [], open: new Set(), intake: createIntake<Attempt>(policy === 'in-order' ? inOrder : {}),
+		ranUntil: awayMs, unaccepted: [], accepted: [], open: new Set(), queue: createStartQueue<Attempt>(policy === 'in-order' ? inOrder : {}),
 	}));
 	const events = new Map<Milliseconds, Array<(now: Milliseconds) => void>>();
 	const asked = new Map<number, number>();
@@ -119,12 +119,12 @@
 			askedAt, number, leavesAt: now + patienceMs, isAnswered: false, isRefused: false,
 		};
 		const host = hosts[Math.floor(random() * hostCount)]!;
-		if (now < awayMs || host.queued.length >= backlog) {
+		if (now < awayMs || host.unaccepted.length >= backlog) {
 			comeBack(attempt, now + noticeMs + (random() * patienceMs));
 			return;
 		}
 
-		host.queued.push(attempt);
+		host.unaccepted.push(attempt);
 		host.ranUntil = Math.max(host.ranUntil, now);
 		schedule(attempt.leavesAt, at => {
 			if (!attempt.isAnswered && !attempt.isRefused) {
@@ -161,7 +161,7 @@
 		for (const attempt of closed) {
 			host.ranUntil += costs.drop;
 			host.open.delete(attempt);
-			host.intake.remove(attempt);
+			host.queue.remove(attempt);
 		}
 	}
 
@@ -173,20 +173,20 @@
 		}
 
 		host.open.add(attempt);
-		host.intake.add(attempt, {readAt: host.ranUntil, maxWaitMs: policy === 'in-order' ? Infinity : patienceMs});
+		host.queue.add(attempt, {readAt: host.ranUntil, maxWaitMs: policy === 'in-order' ? Infinity : patienceMs});
 	}
 
 	function runTurn(host: Host): void {
 		host.ranUntil += costs.turn;
 		readCloses(host);
 		const arrived = host.accepted;
-		host.accepted = host.queued.splice(0, 1);
+		host.accepted = host.unaccepted.splice(0, 1);
 		host.ranUntil += host.accepted.length * costs.accept;
 		for (const attempt of arrived) {
 			read(host, attempt);
 		}
 
-		const {started, refused} = host.intake.take(host.ranUntil, {hasAccepted: host.accepted.length > 0});
+		const {started, refused} = host.queue.take(host.ranUntil, {hasAccepted: host.accepted.length > 0});
 		for (const attempt of refused) {
 			refuse(host, attempt);
 		}
@@ -196,7 +196,7 @@
 		}
 	}
 
-	const isIdle = ({queued, accepted, intake}: Host): boolean => queued.length + accepted.length + intake.size() === 0;
+	const isIdle = ({unaccepted, accepted, queue}: Host): boolean => unaccepted.length + accepted.length + queue.size() === 0;
 
 	for (let now = 0; now < lengthMs; now++) {
 		for (let host = 0; host < hostCount; host++) {
--- a/src/domain/create-intake/index.ts
+++ b/src/domain/create-start-queue/index.ts
@@ -4,11 +4,11 @@
  * A host that is behind and starts the oldest request first reaches each one after
  * its caller has left, and stays behind for as long as others come. Once the oldest
  * has waited for some time, the newest are started first, because their callers
- * still wait (adaptive LIFO); those that have waited too long are refused.
+ * still wait (adaptive LIFO); others that have waited too long are refused.
  */
 import {type Milliseconds} from '../../ports/clock.js';
 
-export type IntakeOptions = {
+export type StartQueueOptions = {
 	/** Wait of the oldest request from which the newest are started first; below it requests are started in the order in which they were read. */
 	behindMs?: Milliseconds;
 	/** Requests that are started in one turn of the event loop. What arrives meanwhile is read in between. */
@@ -17,13 +17,13 @@
 	acceptFirstMs?: Milliseconds;
 };
 
-export type IntakeTurn<Request> = {
+export type StartTurn<Request> = {
 	started: readonly Request[];
 	refused: readonly Request[];
 };
 
-export type Intake<Request> = {
-	/** Adds a request that was read; it is refused once it has waited for longer than `maxWaitMs`. */
+export type StartQueue<Request> = {
+	/** Adds a request that was read; once it has waited for longer than `maxWaitMs`, it is refused unless its turn has come. */
 	add: (request: Request, waiting: {readAt: Milliseconds; maxWaitMs: Milliseconds}) => void;
 	/** Removes a request whose caller has left; returns whether it was waiting. */
 	remove: (request: Request) => boolean;
@@ -32,36 +32,34 @@
 	 * in each turn of the event loop: a request is returned after a whole turn, in
 	 * which a close behind it was read.
 	 */
-	take: (now: Milliseconds, turn: {hasAccepted: boolean}) => IntakeTurn<Request>;
+	take: (now: Milliseconds, turn: {hasAccepted: boolean}) => StartTurn<Request>;
 	size: () => number;
-	/** Time for which the oldest request has waited. */
-	oldestWaitMs: (now: Milliseconds) => Milliseconds;
 };
 
 type Waiting = {
 	readAt: Milliseconds;
 	maxWaitMs: Milliseconds;
 	/** Whether a turn of the event loop has passed since it was added. */
-	isRipe: boolean;
+	hasWaitedTurn: boolean;
 };
 
-const defaults: Required<IntakeOptions> = {behindMs: 100, startsPerTurn: 4, acceptFirstMs: 50};
+const defaults: Required<StartQueueOptions> = {behindMs: 100, startsPerTurn: 4, acceptFirstMs: 50};
 
 /**
- * Creates an empty intake.
+ * Creates an empty queue.
  *
- * @param options - See {@link IntakeOptions}.
- * @returns See {@link Intake}; `now` is monotonic milliseconds.
+ * @param options - See {@link StartQueueOptions}.
+ * @returns See {@link StartQueue}; `now` is monotonic milliseconds.
  *
  * @example
  * ```ts
- * const intake = createIntake<string>();
- * intake.add('r1', {readAt: 0, maxWaitMs: 1000});
- * intake.take(0, {hasAccepted: false}); // => {started: [], refused: []}
- * intake.take(1, {hasAccepted: false}); // => {started: ['r1'], refused: []}
+ * const queue = createStartQueue<string>();
+ * queue.add('r1', {readAt: 0, maxWaitMs: 1000});
+ * queue.take(0, {hasAccepted: false}); // => {started: [], refused: []}
+ * queue.take(1, {hasAccepted: false}); // => {started: ['r1'], refused: []}
  * ```
  */
-export function createIntake<Request>(options: IntakeOptions = {}): Intake<Request> {
+export function createStartQueue<Request>(options: StartQueueOptions = {}): StartQueue<Request> {
 	const {behindMs, startsPerTurn, acceptFirstMs} = {...defaults, ...options};
 	/** In the order in which they were read. */
 	const waiting = new Map<Request, Waiting>();
@@ -95,32 +93,36 @@
 		return requests;
 	}
 
-	function ripen(): void {
+	function noteTurn(): void {
 		for (const request of waiting.values()) {
-			request.isRipe = true;
+			request.hasWaitedTurn = true;
 		}
 	}
 
 	function listStartable(now: Milliseconds): Request[] {
 		const isBehind = oldestWaitMs(now) > behindMs;
-		const ripe = [...waiting].filter(([, {isRipe}]) => isRipe).map(([request]) => request);
-		return isBehind ? ripe.reverse() : ripe;
+		const startable = [...waiting].filter(([, {hasWaitedTurn}]) => hasWaitedTurn).map(([request]) => request);
+		return isBehind ? startable.reverse() : startable;
+	}
+
+	function listOverdue(now: Milliseconds): Request[] {
+		return [...waiting]
+			.filter(([, {hasWaitedTurn, readAt, maxWaitMs}]) => hasWaitedTurn && now - readAt > maxWaitMs)
+			.map(([request]) => request);
 	}
 
 	return {
 		add(request, {readAt, maxWaitMs}) {
-			waiting.set(request, {readAt, maxWaitMs, isRipe: false});
+			waiting.set(request, {readAt, maxWaitMs, hasWaitedTurn: false});
 		},
 		remove: request => waiting.delete(request),
 		take(now, {hasAccepted}) {
-			const mustAccept = isAccepting(now, hasAccepted);
-			const overdue = [...waiting].filter(([, {isRipe, readAt, maxWaitMs}]) => isRipe && now - readAt > maxWaitMs);
-			const refused = extract(overdue.map(([request]) => request));
-			const started = mustAccept ? [] : extract(listStartable(now).slice(0, startsPerTurn));
-			ripen();
+			const isPutOff = isAccepting(now, hasAccepted);
+			const started = isPutOff ? [] : extract(listStartable(now).slice(0, startsPerTurn));
+			const refused = isPutOff ? [] : extract(listOverdue(now));
+			noteTurn();
 			return {started, refused};
 		},
 		size: () => waiting.size,
-		oldestWaitMs,
 	};
 }
