Reset given-up calls by node's own method, and test it by what a server sees

Three cases of create-http-agent that came with the resets waited for an error at the server. They now read to the end and write a byte, which fails at once after a reset, and have a timeout. With the reset taken out all three fail.

So the public method is used.

--- a/src/adapters/_lib/create-http-agent/reset-given-up.ts
+++ b/src/adapters/_lib/create-http-agent/reset-given-up.ts
@@ -8,9 +8,6 @@
 /** Reason with which undici destroys the connection of a call that was aborted; its code is that of other reasons too. */
 const abortedReason = 'aborted';
 
-/** The part of node's state of a socket that chooses how it is closed. Its public method for a reset waits until all bytes are written, for ever on a link that takes none. */
-type ClosingState = {resetAndClosing?: boolean};
-
 function isGivenUp(error: Error | undefined): boolean {
 	return error !== undefined && (error.message === abortedReason || timeoutCodes.has((error as {code?: string}).code));
 }
@@ -29,11 +26,15 @@
 	}
 
 	const destroy = socket.destroy.bind(socket);
+	let reason: Error | undefined;
 	socket.destroy = (error?: Error) => {
-		if (isGivenUp(error) && !socket.writableEnded) {
-			(socket as ClosingState).resetAndClosing = true;
+		// Node can't reset a socket while its orderly end is in progress.
+		if (reason === undefined && isGivenUp(error) && !socket.writableEnded) {
+			reason = error;
+			// Calls this function again, without the reason.
+			return socket.resetAndDestroy();
 		}
 
-		return destroy(error);
+		return destroy(error ?? reason);
 	};
 }
--- a/src/adapters/_lib/create-http-agent/test.ts
+++ b/src/adapters/_lib/create-http-agent/test.ts
@@ -8,6 +8,20 @@
 import {readAnswer} from '../read-answer/index.js';
 import {createHttpAgent} from './index.js';
 
+/** Reads a connection to its end; a reset behind bytes shows as an end, after which nothing can be written. */
+async function isReset(socket: Socket): Promise<boolean> {
+	return new Promise(resolve => {
+		socket.once('error', () => {
+			resolve(true);
+		});
+		socket.once('end', () => {
+			socket.write('any');
+			resolve(socket.errored !== null);
+		});
+		socket.resume();
+	});
+}
+
 /*
  * A server crashes in the middle of an answer without a length, whose end is the
  * end of its connection. The truncated answer must not be relayed as a complete
@@ -155,7 +169,7 @@
 	}
 
 	// Guards against calls that a partition holds up and delivers after they were given up.
-	describe('closes the connection of a call that was given up by a reset', () => {
+	describe('closes the connection of a call that was given up by a reset', {timeout: 10_000}, () => {
 		const ways = {
 			'its signal aborted': () => ({headersTimeoutMs: 5000, signal: AbortSignal.timeout(100), payload: Buffer.from('short')}),
 			'its answer did not begin in time': () => ({headersTimeoutMs: 100, payload: Buffer.from('short')}),
@@ -163,7 +177,7 @@
 		};
 		for (const [name, toWay] of Object.entries(ways)) {
 			it(name, async () => {
-				const server = createServer({pauseOnConnect: true}).listen(0, '127.0.0.1');
+				const server = createServer({pauseOnConnect: true, allowHalfOpen: true}).listen(0, '127.0.0.1');
 				after(() => server.close());
 				await once(server, 'listening');
 				const agent = createHttpAgent({connections: 1, connectTimeoutMs: 1000});
@@ -173,12 +187,9 @@
 					dispatcher: agent, origin: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, method: 'POST', path: '/', idleTimeoutMs: 0, ...toWay(),
 				}, 1000);
 				const [socket] = await accepted;
-				const closed = once(socket, 'error') as Promise<[NodeJS.ErrnoException]>;
 				const ended = await answer;
 				assert.ok(ended.isErr());
-				socket.resume();
-				const [{code}] = await closed;
-				assert.equal(code, 'ECONNRESET');
+				assert.equal(await isReset(socket), true);
 			});
 		}
 	});
