--- a/src/programs/entry/_lib/create-entry-metrics.ts
+++ b/src/programs/entry/_lib/create-entry-metrics.ts
@@ -106,7 +106,9 @@
 		cancels,
 		pauses,
 		loopDelay,
-		leftUnstarted,
+		countLeftUnstarted() {
+			leftUnstarted.add({});
+		},
 		countHeldBack() {
 			heldBack.add({});
 		},
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -25,17 +25,18 @@
 import {createPlainClients} from '../_lib/plain-clients.js';
 import {createRouter} from '../_lib/route.js';
 import {createRunRegistry} from '../_lib/run-registry.js';
-import {type CallerLimits, type ServeContext} from '../_lib/serve-types.js';
-import {toMaxWaitMs} from '../_lib/to-max-wait.js';
+import {type ServeContext} from '../_lib/serve-types.js';
 import {createEntryMetrics} from '../_lib/create-entry-metrics.js';
 import {toEntryStatus} from '../_lib/to-entry-status.js';
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
 import {joinCallerServers} from './_lib/join-caller-servers.js';
 import {listenForPeers} from './_lib/listen-for-peers.js';
+import {toLimits} from './_lib/to-limits.js';
+import {createCallerWaits} from './_lib/create-caller-waits.js';
 import {createHandlers} from './_lib/create-handlers.js';
 import {createReadiness} from './_lib/create-readiness.js';
 import {
-	type CallerWaits, type Entry, type EntryCoreSettings, type EntryOptions,
+	type CallerWaits, type Entry, type EntryOptions,
 } from './_lib/types.js';
 
 export type * from './_lib/types.js';
@@ -48,18 +49,6 @@
 const maxAccounts = 2000;
 const operatorCloseTimeoutMs = 500;
 
-function toLimits(settings: EntryCoreSettings): CallerLimits {
-	return {
-		maxBodyBytes: settings.maxBodyBytes,
-		bodyTimeoutMs: settings.bodyTimeout,
-		writeTimeoutMs: settings.writeTimeout,
-		maxPromptTokens: settings.maxPromptTokens,
-		maxOutputTokens: settings.maxOutputTokens,
-		maxInFlight: settings.maxInFlight,
-		maxQueued: settings.maxQueued,
-	};
-}
-
 async function listenForCallers(options: EntryOptions, handlers: CallerHandlers, waits: CallerWaits): Promise<CallerServer> {
 	const {settings, keys, clock} = options;
 	const callers = await startCallerServer({
@@ -246,13 +235,9 @@
 		idleMs: idleTickMs,
 	});
 	const handlers = createHandlers(ctx, clients, ticker);
-	const waits: CallerWaits = {
-		toMaxWaitMs: headers => toMaxWaitMs(ctx.calls.parseHints(headers).timeoutMs),
-		onLeftUnstarted({requestId, receivedAt}) {
-			counters.leftUnstarted.add({});
-			log.info('caller left before its request was started', {requestId, durationMs: Math.round(clock.now() - receivedAt)});
-		},
-	};
+	const waits = createCallerWaits({
+		calls: ctx.calls, clock, log, countLeft: counters.countLeftUnstarted,
+	});
 	const callers = joinCallerServers(await listenForCallers(options, handlers, waits), await listenForPeers(options, handlers, waits));
 	opened.callers = callers;
 	const bounds = link.toView()?.accepted?.config.callers;
