Pick ports of hosts for tests that no outgoing connection can take

The address of hosts for each other was picked as a free port of datagrams from the ephemeral range; a connection of another test had the same port for TCP, and the host could not listen there. Traced by a program: with a connection whose local port is N, a socket for datagrams binds to N, and listening there fails with EADDRINUSE. Now the port lies outside that range and is free for both (pick-port, which was private to the fleet of the suite).

--- a/bench/fleet/_lib/start-bench-fleet.ts
+++ b/bench/fleet/_lib/start-bench-fleet.ts
@@ -3,7 +3,7 @@
 import {Worker} from 'node:worker_threads';
 import {type ServerEntry} from '../../../src/ports/config.js';
 import {createHost, type FleetHost} from '../../../test/_lib/start-fleet/_lib/create-host.js';
-import {pickPort} from '../../../test/_lib/start-fleet/_lib/pick-ports.js';
+import {pickPort} from '../../../test/_lib/pick-port/index.js';
 import {toConfigText} from '../../../test/_lib/start-fleet/_lib/to-config-text.js';
 import {waitUntil} from '../../../test/_lib/wait-until/index.js';
 import {startPlatformStandIn} from '../../../test/stand-ins/platform/index.js';
--- a/test/_lib/start-fleet/_lib/create-host.ts
+++ b/test/_lib/start-fleet/_lib/create-host.ts
@@ -1,6 +1,6 @@
 /** One host of a test fleet: an agent and an entry that keep their ports across restarts. */
 import {startProgram, type Program, type ProgramOptions} from '../../start-program/index.js';
-import {pickPort} from './pick-ports.js';
+import {pickPort} from '../../pick-port/index.js';
 import {type Network, type Site} from './network.js';
 
 export type Flags = NonNullable<ProgramOptions['flags']>;
--- a/test/_lib/start-fleet/index.ts
+++ b/test/_lib/start-fleet/index.ts
@@ -16,11 +16,11 @@
 import {startPlainStandIn, type PlainStandIn} from '../../stand-ins/plain/index.js';
 import {startPlatformStandIn, type PlatformStandIn} from '../../stand-ins/platform/index.js';
 import {waitUntil} from '../wait-until/index.js';
+import {pickPort} from '../pick-port/index.js';
 import {
 	createHost, type FleetHost, type Flags, type HostClock,
 } from './_lib/create-host.js';
 import {createNetwork, type Network} from './_lib/network.js';
-import {pickPort} from './_lib/pick-ports.js';
 import {
 	toConfigText, toPools, type ConfigParts, type FleetShape,
 } from './_lib/to-config-text.js';
