--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 test -f target/banyanport-relay.cjs || { echo "run the build of deploy/system.toml first" >&2; exit 1; }
-for file in review/lib/*.js review/[2-5]/main.js; do
+for file in review/lib/*.js review/[1-5]/main.js; do
 	node --check "$file"
 done
