--- a/review/3/main.js
+++ b/review/3/main.js
@@ -19,18 +19,23 @@
 const controlMs = 25;
 /** Requests for each answer that is sent twice: 0.03 of the answers at most. */
 const requestsOfRound = 40;
-const rounds = 3;
+const rounds = 4;
 /** The decode call of the request sent so long after the first falls into the time of the next reservation. */
 const thirdAfterMs = 155;
 
 /** Id of the request whose answer is sent twice. */
 let repeated;
+/** Whether the model server has no room for the reservation after the extra answer; so in the last round. */
+let isFull = false;
+let round = 0;
+const runs = new Set();
 
 const store = await startStore();
 store.put('op/config', toConfig(1, {routes: [toStreamRoute('scene-dialogue', '/scene/')]}));
 const shared = {
 	events, stepMs: 10, prefillMs: 105, controlMs,
 	onRun({id, requestId}) {
+		runs.add(requestId);
 		record(`server ${id} runs ${requestId}`);
 		return {
 			end(how) {
@@ -38,9 +43,15 @@
 			},
 		};
 	},
+	hasRoom() {
+		const isRefused = isFull;
+		isFull = false;
+		return !isRefused;
+	},
 	toExtra: ({requestId}) => isTrouble && requestId === repeated,
 	onControl({id, requestId, before}) {
 		record(`server ${id} sends its answer to ${requestId} once more, before that to ${before}`);
+		isFull = round === rounds;
 	},
 };
 const engines = await Promise.all([
@@ -56,6 +67,7 @@
 	index: 1, ip, ports, zone: 'a', zones: {a: 'r', b: 'r'}, seeds: [], platform: store.address,
 }));
 let broken = 0;
+let refused = 0;
 let served = 0;
 let sent = 0;
 
@@ -71,6 +83,11 @@
 		record(`MIXED: ${requestId} is answered with ${JSON.stringify(answer.body.slice(0, 200))}`);
 	}
 
+	if (answer.status === 503 && runs.has(requestId)) {
+		refused++;
+		record(`REFUSED: ${requestId} is answered 503 and has run`);
+	}
+
 	served += isSuccess && !isWrong && answer.isWhole ? 1 : 0;
 }
 
@@ -94,13 +111,14 @@
 try {
 	await relay.waitUntilReady();
 	await sleep(1000);
-	for (let i = 0; i < rounds; i++) {
+	while (round < rounds) {
+		round++;
 		await playRound();
 	}
 
 	await sleep(1000);
-	record(`${sent} sent, ${served} served whole, ${broken} answered with other bytes than their own`);
-	code = broken > 0 ? 1 : (served > sent / 2 ? 0 : 2);
+	record(`${sent} sent, ${served} served whole, ${broken} answered with other bytes than their own, ${refused} answered 503 and run`);
+	code = broken + refused > 0 ? 1 : (served > sent / 2 ? 0 : 2);
 } catch (error) {
 	record(`could not run: ${error.stack}`);
 } finally {
--- a/review/lib/engine.js
+++ b/review/lib/engine.js
@@ -26,12 +26,13 @@
  * @param options - `id`; `stage`, absent for a plain server; `events` of a stream and `stepMs` between two;
  * `prefillMs`; `controlMs` for reservations and releases; `workMs` of a plain request; `isStreaming`, if a plain server answers with a stream;
  * `onRun`, called when a request runs; `onOrder`; `toExtra`, which tells whether a whole answer is sent once
- * more where the next answer is expected; `toPauseMs`, the pause before an event.
+ * more where the next answer is expected; `toPauseMs`, the pause before an event; `hasRoom`, which
+ * tells whether a reservation is granted.
  */
 export async function startEngine(options) {
 	const {
 		id, ip = '127.0.0.1', stage, events = 20, stepMs = 10, prefillMs = 100, controlMs = 4, workMs = 20, isStreaming = false,
-		onRun = () => undefined, onOrder = () => undefined, toExtra = () => false, toPauseMs = () => 0, onControl = () => undefined,
+		onRun = () => undefined, onOrder = () => undefined, toExtra = () => false, toPauseMs = () => 0, onControl = () => undefined, hasRoom = () => true,
 	} = options;
 	const extras = new WeakMap();
 	const holds = new Set();
@@ -120,6 +121,11 @@
 
 			await sleep(controlMs);
 			const name = req.url.slice(req.url.lastIndexOf('/') + 1);
+			if (req.url === '/-/hold-take' && !hasRoom({id})) {
+				answer(res, 503, {}, {'not-executed': '1'});
+				return;
+			}
+
 			if (req.url === '/-/hold-take') {
 				const hold = `${id}-hold-${++handles}`;
 				holds.add(hold);
