--- a/test/failures/_lib/busy-fleet.ts
+++ b/test/failures/_lib/busy-fleet.ts
@@ -11,7 +11,7 @@
 import {toStreamHeaders} from '../../stand-ins/users-platform/start-relay-fixture.js';
 import {findBuild} from './find-build.js';
 
-const hostCount = 3;
+const defaultHosts = 3;
 
 /** Sound streams that each host serves at a time. */
 const streamsPerHost = 3;
@@ -31,7 +31,7 @@
 /** Runs of the culprit that may come later. */
 const maxLateRuns = 3;
 
-/** Time after which a caller tries again whose host does not listen. */
+/** Time after which a caller of a sound request tries again whose host does not listen. */
 const reconnectMs = 50;
 
 const culpritBody = 'culprit';
@@ -56,9 +56,10 @@
  * Starts the fleet and its sound traffic. A server that ends is back at once under
  * another id; the entry of the one that ended lapses later.
  *
+ * @param hostCount - Number of hosts.
  * @returns The fleet.
  */
-export async function startBusyFleet(): Promise<BusyFleet> {
+export async function startBusyFleet(hostCount = defaultHosts): Promise<BusyFleet> {
 	const processes = await startRelayProcesses({hosts: hostCount, build: findBuild});
 	const ids = [['prefill1', 'v1'], ['prefill2', 'v1'], ['decode1', 'v1'], ['decode2', 'v1'], ['decode3', 'v2'], ['decode4', 'v2']] as const;
 	const servers = await Promise.all(ids.map(async ([id, version]) => processes.startServer(id, version, {workMs: 40, events: 6})));
--- a/test/stand-ins/users-platform/start-relay-processes.ts
+++ b/test/stand-ins/users-platform/start-relay-processes.ts
@@ -9,6 +9,9 @@
 
 const startDeadlineMs = 20_000;
 
+/** Hosts that all settings name. */
+const maxSeeds = 3;
+
 /** A server of the model's pool, or of the plain service if it has no stage. */
 export type VersionedServer = ServerStandIn & {version: string; stage?: 'prefill' | 'decode'};
 
@@ -69,7 +72,7 @@
 	const peerAddress = await findUdpAddress();
 	const peerPort = Number(peerAddress.slice(peerAddress.lastIndexOf(':') + 1));
 	const toIp = (host: number) => `127.0.0.${host + 1}`;
-	const seeds = Array.from({length: hostCount}, (_, i) => `${toIp(i)}:${peerPort}`).join(',');
+	const seeds = Array.from({length: Math.min(hostCount, maxSeeds)}, (_, i) => `${toIp(i)}:${peerPort}`).join(',');
 	const caches = new Set<string>();
 	const servers: VersionedServer[] = [];
 	const lost = new Set<VersionedServer>();
