Let a host that starts or comes back serve once it knows what the others know

Cause: a host listened for callers at once, and acted as if what it had not been told were not so. What peers know of crashes came with their next round, up to a second later. The lines of nine restarts show it: listening, one to four runs within 60 to 230 ms, peers heard meanwhile, then quarantined by the report of a peer.

Change: one decision, create-catch-up, for all that hosts keep together. The host asks two hosts at a time for all that they know; they answer at once in as many datagrams as it takes, and lost ones are noticed. It serves once two have told it, one after 0.2 s, none after 0.6 s. While it starts, its port is closed; after a pause or an isolation requests wait before each attempt. Peers no longer send reports with their round to hosts that start.

Virtual time, restarts.test.ts: no host sends it on at 9, 74, 400 hosts in turn, six of ten at once with the seeds, and after a cut of the zone.

A test run of mine hung on a timer that went on after the wait; the timer now ends with it (create-catch-up, dueAt).

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -16,7 +16,8 @@
 import {type PlaceMessage} from '../../ports/places.js';
 import {type QuotaMessage} from '../../ports/quotas.js';
 import {type OriginMessage} from '../../ports/stream-origins.js';
-import {type LoadMessage} from '../../ports/shared-loads.js';
+import {type HostLoad, type LoadMessage} from '../../ports/shared-loads.js';
+import {catchUpSchema, fromCatchUpRow, toCatchUpRow} from './_lib/catch-up-row.js';
 import {fromPartRows, partRowsSchema, toPartRows} from './_lib/part-rows.js';
 
 /** Largest datagram that is not fragmented by the network. */
@@ -85,6 +86,27 @@
 	return items.slice(0, last + 1).map(item => item ?? null);
 }
 
+/** Encodes the rows of a message, of which there may be too many for one datagram. */
+function createRowEncoder(message: LoadMessage): (rows: {loads: readonly HostLoad[]; reports: readonly unknown[]; parts: readonly CrashReport[]}) => Uint8Array {
+	const {
+		host, zone, incarnation, sequence, peers, isAsking, reachedShare, answers, limits = [], catchUp,
+	} = message;
+	const named = peers.map(peer => [peer.address, peer.zone]);
+	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
+	const limitRows = limits.map(({server, perSecond, ageMs}) => [server, perSecond ?? null, Math.round(ageMs)]);
+	return ({loads, reports, parts}) => {
+		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
+		const added = toAddedItems([
+			reachedShare,
+			answerRows,
+			limitRows.length === 0 ? undefined : limitRows,
+			parts.length === 0 ? undefined : toPartRows(parts),
+			catchUp && toCatchUpRow(catchUp),
+		]);
+		return encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...added]);
+	};
+}
+
 /**
  * Encodes a message. If it does not fit into one datagram, loads are left out,
  * the smallest first, then crash reports of requests and then those of parts, the
@@ -94,19 +116,12 @@
  * @returns One datagram.
  */
 export function encodeLoadMessage(message: LoadMessage): Uint8Array {
-	const {
-		host, zone, incarnation, sequence, peers, isAsking, crashes, partCrashes = [], reachedShare, answers, limits = [],
-	} = message;
-	const named = peers.map(peer => [peer.address, peer.zone]);
+	const encode = createRowEncoder(message);
 	const loads = message.loads.toSorted((a, b) => b.promptTokens - a.promptTokens || b.requests - a.requests);
-	const reports = crashes.map(report => toReportRow(report));
-	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
-	const limitRows = limits.map(({server, perSecond, ageMs}) => [server, perSecond ?? null, Math.round(ageMs)]);
-	const parts = [...partCrashes];
+	const reports = message.crashes.map(report => toReportRow(report));
+	const parts = [...message.partCrashes ?? []];
 	for (;;) {
-		const rows = loads.map(({server, requests, promptTokens}) => [server, requests, promptTokens]);
-		const added = toAddedItems([reachedShare, answerRows, limitRows.length === 0 ? undefined : limitRows, parts.length === 0 ? undefined : toPartRows(parts)]);
-		const bytes = encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...added]);
+		const bytes = encode({loads, reports, parts});
 		const cut = [loads, reports].find(({length}) => length > 0) ?? parts;
 		if (bytes.length <= maxDatagramBytes || cut.length === 0) {
 			return bytes;
@@ -116,8 +131,30 @@
 	}
 }
 
+/**
+ * Splits a message whose reports do not fit into one datagram.
+ *
+ * @param message - The message.
+ * @returns Messages of which each fits, in the order of the reports; one if all of them fit.
+ */
+export function splitLoadMessage(message: LoadMessage): readonly LoadMessage[] {
+	const {crashes, partCrashes = []} = message;
+	const count = crashes.length + partCrashes.length;
+	const bytes = createRowEncoder(message)({loads: message.loads, reports: crashes.map(report => toReportRow(report)), parts: partCrashes});
+	if (count <= 1 || (bytes.length <= maxDatagramBytes && crashes.length <= maxReports)) {
+		return [message];
+	}
+
+	const half = Math.ceil(count / 2);
+	const first = {...message, crashes: crashes.slice(0, half), partCrashes: partCrashes.slice(0, Math.max(0, half - crashes.length))};
+	const second = {
+		...message, loads: [], crashes: crashes.slice(half), partCrashes: partCrashes.slice(Math.max(0, half - crashes.length)),
+	};
+	return [...splitLoadMessage(first), ...splitLoadMessage(second)];
+}
+
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows] = row;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows, catchUpRow] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs, survivalAgesMs]) => ({
 		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}), ...(v.is(survivalAgesSchema, survivalAgesMs) && {survivalAgesMs}),
@@ -135,6 +172,7 @@
 		...(v.is(answersSchema, answerRows) && {answers: answerRows.map(([pool, ageMs]) => ({pool, ageMs}))}),
 		...(v.is(limitsSchema, limitRows) && {limits: limitRows.map(([server, perSecond, ageMs]) => ({server, perSecond: perSecond ?? undefined, ageMs}))}),
 		...(v.is(partRowsSchema, partRows) && {partCrashes: fromPartRows(partRows)}),
+		...(v.is(catchUpSchema, catchUpRow) && {catchUp: fromCatchUpRow(catchUpRow)}),
 	};
 }
 
--- a/src/adapters/load-datagrams/test.ts
+++ b/src/adapters/load-datagrams/test.ts
@@ -7,7 +7,7 @@
 import {findUdpAddress} from '../../../test/_lib/find-udp-address/index.js';
 import {type LoadMessage} from '../../ports/shared-loads.js';
 import {
-	decodeLoadMessage, encodeLoadMessage, maxDatagramBytes, openLoadDatagrams,
+	decodeLoadMessage, encodeLoadMessage, maxDatagramBytes, openLoadDatagrams, splitLoadMessage,
 } from './index.js';
 
 const message: LoadMessage = {
@@ -54,6 +54,27 @@
 		}
 	});
 
+	it('keep a question for all that is known, and the marks of an answer', () => {
+		const answer = {
+			kind: 'answer', id: 3, part: 1, parts: 2, isStarting: true,
+		} as const;
+		for (const catchUp of [{kind: 'ask', id: 3} as const, answer]) {
+			assert.deepEqual(decodeLoadMessage(encodeLoadMessage({...message, catchUp}))._unsafeUnwrap(), {...message, catchUp});
+		}
+	});
+
+	// Guards against reports that are cut off because they do not fit into one datagram, on a host that starts and asks for all.
+	it('are split so that no report is cut off', () => {
+		const toReports = (kind: string, count: number) => Array.from({length: count}, (_, i) => ({
+			fingerprint: `${kind}-${i}`, idleMs: 20, crashes: Array.from({length: 1 + (i % 8)}, (_, n) => ({server: `server-with-a-long-name-${n}@1780000000000`, ageMs: 900 + n})),
+		}));
+		const whole = {...message, crashes: toReports('request', 100), partCrashes: toReports('part', 60)};
+		const received = splitLoadMessage(whole).map(part => decodeLoadMessage(encodeLoadMessage(part))._unsafeUnwrap());
+		assert.deepEqual(received.flatMap(({crashes}) => crashes), whole.crashes);
+		assert.deepEqual(received.flatMap(({partCrashes}) => partCrashes ?? []).map(({fingerprint}) => fingerprint).toSorted(), whole.partCrashes.map(({fingerprint}) => fingerprint).toSorted());
+		assert.equal(splitLoadMessage(message).length, 1);
+	});
+
 	it('name a server once for all parts of which it is the only crash, and keep the first parts that fit', () => {
 		const partCrashes = Array.from({length: 500}, (_, i) => ({fingerprint: `${i}@LMB3un`, idleMs: 20, crashes: [{server: 'i-1', ageMs: 20}]}));
 		const bytes = encodeLoadMessage({...message, partCrashes: partCrashes.slice(0, 48)});
--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -41,6 +41,8 @@
 	isLarge: (now: Milliseconds) => boolean;
 	/** Seeds that have sent no message lately. */
 	silentSeeds: (now: Milliseconds) => readonly string[];
+	/** Hosts that may answer a question, the likeliest first: those heard lately, silent seeds, and hosts that others advertised. */
+	likelyPeers: (now: Milliseconds) => readonly string[];
 	/** Takes the hosts that are waiting for an answer; each is returned once. */
 	takeUnanswered: () => readonly string[];
 	/** Maximum number of hosts known at once in the last minutes, with this one; `undefined` while no other host was known. */
@@ -196,6 +198,11 @@
 
 	const isHeard = ({heardAt}: KnownPeer, now: Milliseconds): boolean => now - heardAt <= silentAfterMs;
 
+	const silentSeeds = (now: Milliseconds): string[] => others.filter(seed => {
+		const entry = known.get(seed);
+		return entry === undefined || !isHeard(entry, now);
+	});
+
 	return {
 		noteHeard({address, zone: peerZone}, now, {isAsking = false, reachedShare = 1} = {}) {
 			const before = known.get(address);
@@ -237,10 +244,11 @@
 			self, zone, others: [...known].map(([address, peer]) => ({address, zone: peer.zone})), isLarge: choose(now).isLarge,
 		}),
 		isLarge: now => choose(now).isLarge,
-		silentSeeds: now => others.filter(seed => {
-			const entry = known.get(seed);
-			return entry === undefined || !isHeard(entry, now);
-		}),
+		silentSeeds,
+		likelyPeers(now) {
+			const heard = [...known].filter(([, entry]) => isHeard(entry, now)).map(([address]) => address);
+			return [...new Set([...heard, ...silentSeeds(now), ...known.keys()])];
+		},
 		takeUnanswered() {
 			const addresses = [...unanswered];
 			unanswered.clear();
--- a/src/domain/create-shared-loads/index.ts
+++ b/src/domain/create-shared-loads/index.ts
@@ -30,6 +30,8 @@
 export type SharedLoads = {
 	/** Records a host's message; a message older than the host's latest one is dropped. */
 	note: (message: ToldLoads, now: Milliseconds) => void;
+	/** Records that a host of the zone was heard, by a message that has no loads. */
+	noteZone: (zone: ZoneId, now: Milliseconds) => void;
 	/** Sums the load of a server over the other hosts. */
 	read: (server: ServerId, now: Milliseconds) => Omit<HostLoad, 'server'>;
 	/** Whether hosts of the zone sent messages before, and none has within the maximum age. */
@@ -88,6 +90,9 @@
 
 			return {requests, promptTokens};
 		},
+		noteZone(zone, now) {
+			zoneHeardAt.set(zone, now);
+		},
 		isZoneSilent(zone, now) {
 			const heardAt = zoneHeardAt.get(zone);
 			return heardAt !== undefined && now - heardAt > toMaxAgeMs(now);
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -4,6 +4,7 @@
  * spread load: no decision on which hosts must agree depends on them, so a
  * message may be lost, late, or missing altogether.
  */
+import {type CatchUpNote} from './catch-up.js';
 import {type Milliseconds} from './clock.js';
 import {type CrashReport} from './crash-reports.js';
 import {type SharedLimit} from './request-limits.js';
@@ -52,4 +53,6 @@
 	answers?: readonly PoolAnswer[];
 	/** Limits that servers state, or state no more; absent from hosts that do not tell them. */
 	limits?: readonly SharedLimit[];
+	/** Asks for all that the receiver knows, or marks the message as a part of such an answer. */
+	catchUp?: CatchUpNote;
 };
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -64,6 +64,8 @@
 	suspects: CrashSuspects;
 	/** Tracks parts of prompts under which servers crashed. */
 	partQuarantine: PartQuarantine;
+	/** Resolves once this host knows what the other hosts know. Without it, nothing waits for that. */
+	untilCaughtUp?: (() => Promise<void>) | undefined;
 	log: Log;
 	onEnded: (ended: EndedRequest) => void;
 };
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -175,7 +175,7 @@
 		releaseHeld(run, 'reservation', {server: decode, call: () => caches.release(decode, reservationId)});
 	};
 
-	const causeBefore = findRunQuarantine(run);
+	const causeBefore = await findRunQuarantine(run);
 	if (causeBefore !== undefined) {
 		releaseReservation();
 		return {kind: 'quarantined', cause: causeBefore};
@@ -199,7 +199,7 @@
 		}
 	};
 
-	const causeAfter = findRunQuarantine(run);
+	const causeAfter = await findRunQuarantine(run);
 	if (causeAfter !== undefined) {
 		endUnused({isKept: false});
 		return {kind: 'quarantined', cause: causeAfter};
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -124,13 +124,15 @@
 
 /**
  * Finds whether a request is quarantined because servers crashed under it, or under
- * parts of its prompt.
+ * parts of its prompt. On a host that comes back, waits until other hosts have told
+ * what happened meanwhile.
  *
  * @param run - The request.
  * @returns Why it may not be sent to a server; `undefined` if it may.
  */
-export function findRunQuarantine(run: PlainRun): QuarantineCause | undefined {
-	const {suspects, partQuarantine, services} = run.ctx;
+export async function findRunQuarantine(run: PlainRun): Promise<QuarantineCause | undefined> {
+	const {suspects, partQuarantine, services, untilCaughtUp} = run.ctx;
+	await untilCaughtUp?.();
 	return findQuarantine(run, {suspects, partQuarantine, now: services.clock.now()});
 }
 
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -85,7 +85,7 @@
 
 	const {picked, leave} = chosen.value;
 	const {server} = picked;
-	const cause = findRunQuarantine(run);
+	const cause = await findRunQuarantine(run);
 	if (cause !== undefined) {
 		leave();
 		run.ctx.serverLimits.giveBack(server, 1);
@@ -137,7 +137,7 @@
 
 async function callUntilAnswered(run: PlainRun): Promise<PlainOutcome> {
 	for (;;) {
-		const cause = findRunQuarantine(run);
+		const cause = await findRunQuarantine(run);
 		if (cause !== undefined) {
 			return toQuarantined(run, cause);
 		}
--- a/src/programs/entry/start-entry/_lib/types.ts
+++ b/src/programs/entry/start-entry/_lib/types.ts
@@ -58,6 +58,8 @@
 	serverIdleMs?: Milliseconds;
 	/** Exchanges loads with other hosts: the requests that each has in flight at servers. */
 	loadSharing?: LoadSharing;
+	/** Resolves once this host knows what the other hosts know. Without it, nothing waits for that. */
+	untilCaughtUp?: () => Promise<void>;
 	/** Limits of workspaces as all hosts keep them together; by default this host grants an equal part of each limit. */
 	quotas?: Quotas;
 	/** Limits that servers state, if hosts tell each other. */
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -211,6 +211,7 @@
 		serverLimits,
 		suspects,
 		partQuarantine,
+		untilCaughtUp: options.untilCaughtUp,
 		log,
 		onEnded(ended) {
 			counters.recordEndedRequest(ended);
@@ -238,6 +239,8 @@
 	const waits = createCallerWaits({
 		calls: ctx.calls, clock, log, countLeft: counters.countLeftUnstarted,
 	});
+	// A port that is closed sends callers to hosts that know more; requests that wait here would all be sent at once.
+	await options.untilCaughtUp?.();
 	const callers = joinCallerServers(await listenForCallers(options, handlers, waits), await listenForPeers(options, handlers, waits));
 	opened.callers = callers;
 	const bounds = link.toView()?.accepted?.config.callers;
--- a/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
+++ b/src/programs/relay/share-loads/_lib/create-crash-reporter.ts
@@ -11,7 +11,7 @@
 import {type BucketRate} from '../../../../ports/quotas.js';
 import {type HostLoad} from '../../../../ports/shared-loads.js';
 import {bytesPerKibibyte} from '../../../../ports/units.js';
-import {createNewPeerWatch} from './create-new-peer-watch.js';
+import {createSilenceWatch} from './create-silence-watch.js';
 
 /** Bound on crash reports in a message sent right after a crash; most reports are of one crash and take some 50 bytes. */
 const maxReports = 16;
@@ -35,8 +35,8 @@
 const reportBytes = 16;
 const crashBytes = 18;
 
-/** Bound on crash reports for a host of a small fleet that has just started or was not heard for some time. */
-const maxReportsToNewPeer = 64;
+/** Bound on crash reports for a host of a small fleet that was not heard for some time. */
+const maxReportsToSilent = 64;
 
 /**
  * Number of crashes of one request from which on all hosts of a large fleet are
@@ -83,9 +83,9 @@
  * @returns See {@link CrashReporter}.
  */
 export function createCrashReporter({suspects, hasManySuspects = false, peers, send}: CrashReporterOptions): CrashReporter {
-	const isNewPeer = createNewPeerWatch();
+	const wasSilent = createSilenceWatch();
 	/** Hosts that may have missed reports. */
-	const newPeers = new Set<string>();
+	const behind = new Set<string>();
 
 	const bucket = createTokenBucket(manyRate.small.burst, 0);
 
@@ -137,20 +137,20 @@
 			sendToCollectors(loads, suspects.takeOverdue(now, maxReportsPerRound));
 		}
 
-		const reports = newPeers.size === 0 || peers.isLarge(now) ? [] : suspects.listReports(now).slice(-maxReportsToNewPeer);
-		for (const address of newPeers) {
+		const reports = behind.size === 0 || peers.isLarge(now) ? [] : suspects.listReports(now).slice(-maxReportsToSilent);
+		for (const address of behind) {
 			for (let first = 0; first < reports.length; first += maxReports) {
 				send({loads: [], crashes: reports.slice(first, first + maxReports)}, [address]);
 			}
 		}
 
-		newPeers.clear();
+		behind.clear();
 	}
 
 	return {
 		noteHeard(address, incarnation, now) {
-			if (isNewPeer(address, incarnation, now)) {
-				newPeers.add(address);
+			if (wasSilent(address, incarnation, now)) {
+				behind.add(address);
 			}
 		},
 		sendChanged,
--- a/src/programs/relay/share-loads/_lib/create-new-peer-watch.ts
+++ b/src/programs/relay/share-loads/_lib/create-silence-watch.ts
@@ -1,4 +1,4 @@
-/** Notices hosts that may have missed what the others told: those that start, and those that were cut off. */
+/** Notices hosts that may have missed what the others told, as no message of them arrived for some time. Hosts that start ask by themselves. */
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type Incarnation} from '../../../../ports/ids.js';
 import {msPerSecond} from '../../../../ports/units.js';
@@ -12,9 +12,9 @@
 /**
  * Creates the watch.
  *
- * @returns A function that records a message of a host, and tells whether the host is new, runs another process than before, or was silent.
+ * @returns A function that records a message of a host, and tells whether the same process was silent before.
  */
-export function createNewPeerWatch(): (address: string, incarnation: Incarnation, now: Milliseconds) => boolean {
+export function createSilenceWatch(): (address: string, incarnation: Incarnation, now: Milliseconds) => boolean {
 	const heard = new Map<string, {incarnation: Incarnation; at: Milliseconds}>();
 	return (address, incarnation, now) => {
 		const before = heard.get(address);
@@ -22,6 +22,6 @@
 			heard.set(address, {incarnation, at: now});
 		}
 
-		return before?.incarnation !== incarnation || now - before.at > silentAfterMs;
+		return before?.incarnation === incarnation && now - before.at > silentAfterMs;
 	};
 }
--- a/src/programs/relay/share-loads/_test/start-hosts.ts
+++ b/src/programs/relay/share-loads/_test/start-hosts.ts
@@ -172,6 +172,8 @@
 			quotaReceivers.delete(host.address);
 			originReceivers.delete(host.address);
 		},
+		/** Messages about loads and crashes since the start. */
+		sent: () => ({...sent}),
 		/** Messages about limits since the start. */
 		quotaSent: () => ({...quotaSent}),
 		/** Messages about the origins of streams since the start. */
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -7,6 +7,7 @@
  */
 import {openLoadDatagrams, type LoadDatagrams} from '../../../adapters/load-datagrams/index.js';
 import {type Log} from '../../../adapters/log/index.js';
+import {createCatchUp, type CatchUp} from '../../../domain/create-catch-up/index.js';
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
 import {createServerPlaces, type ServerPlaces} from '../../../domain/create-server-places/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
@@ -15,16 +16,21 @@
 import {type PartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {type RequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {type CatchUpNote} from '../../../ports/catch-up.js';
 import {type Clock, type Milliseconds} from '../../../ports/clock.js';
 import {type CrashReport} from '../../../ports/crash-reports.js';
 import {
 	type HostId, type Incarnation, type ZoneId,
 } from '../../../ports/ids.js';
-import {type HostLoad, type NamedPeer, type PoolAnswer} from '../../../ports/shared-loads.js';
+import {
+	type HostLoad, type LoadMessage, type NamedPeer, type PoolAnswer,
+} from '../../../ports/shared-loads.js';
 import {msPerSecond} from '../../../ports/units.js';
 import {mergeCrashReports} from '../../entry/_lib/quarantine.js';
 import {logLimit} from '../../entry/server-limits/index.js';
+import {createCatchUpAnswers} from './_lib/create-catch-up-answers.js';
 import {createCrashReporter} from './_lib/create-crash-reporter.js';
+import {logCaughtUp} from './_lib/log-caught-up.js';
 import {createStartWatch} from './_lib/create-start-watch.js';
 
 export type ShareLoadsOptions = {
@@ -57,6 +63,8 @@
 	places: ServerPlaces;
 	/** Origins of streams, which the hosts keep together. */
 	origins: StreamOriginsTable;
+	/** Whether this host knows what the others know, as far as that is needed to serve callers. */
+	catchUp: CatchUp;
 	/** Whether this host is the first for a key among the hosts that it knows. */
 	isFirstFor: (key: string) => boolean;
 	/** Whether hosts of other zones were heard before and none is heard now. */
@@ -136,6 +144,19 @@
 			socket.sendOrigin(message, to);
 		},
 	});
+	const catchUp = createCatchUp({
+		startedAt: clock.now(),
+		toPeers: peers.likelyPeers,
+		ask(id, to) {
+			send({loads: [], crashes: [], catchUp: {kind: 'ask', id}}, to);
+		},
+		onEnd(ended) {
+			logCaughtUp(log, ended);
+		},
+	});
+	const toAnswer = createCatchUpAnswers({suspects, partSuspects: partQuarantine.suspects, isStarting: catchUp.isStarting});
+	/** Whether nothing was heard lately of what happens elsewhere. */
+	const isCutOff = (now: Milliseconds): boolean => peers.isAlone(now) || shared.isIsolated(zone, now);
 	const hasStarted = createStartWatch();
 	const reporters = [
 		createCrashReporter({suspects, peers, send}),
@@ -166,7 +187,13 @@
 				return;
 			}
 
-			shared.note(message, now);
+			const wasCutOff = isCutOff(now);
+			if (message.catchUp === undefined) {
+				shared.note(message, now);
+			} else {
+				shared.noteZone(message.zone, now);
+			}
+
 			if (peers.noteHeard({address: from, zone: message.zone}, now, message)) {
 				log.info('peer heard', {peer: message.host, peerZone: message.zone, peerAddress: from});
 			}
@@ -185,28 +212,56 @@
 			}
 
 			peers.noteAdvertised(message.peers, now);
+			if (wasCutOff && !isCutOff(now)) {
+				catchUp.begin('isolation', now);
+			}
+
 			mergeCrashReports({crashes: message.crashes, partCrashes: message.partCrashes ?? []}, {
 				suspects, partQuarantine, now, log, peer: message.host,
 			});
+			handleCatchUp(message.catchUp, from, now);
 		},
 	});
 
-	type OutgoingMessage = {loads: readonly HostLoad[]; crashes: readonly CrashReport[]; partCrashes?: readonly CrashReport[]; named?: readonly NamedPeer[]; isAsking?: boolean};
-
-	function send({
-		loads, crashes, partCrashes = [], named = [], isAsking = false,
-	}: OutgoingMessage, to: readonly string[]): void {
-		if (to.length === 0) {
-			return;
-		}
+	type OutgoingMessage = {
+		loads: readonly HostLoad[];
+		crashes: readonly CrashReport[];
+		partCrashes?: readonly CrashReport[];
+		named?: readonly NamedPeer[];
+		isAsking?: boolean;
+		catchUp?: CatchUpNote;
+	};
 
+	function toMessage({
+		loads, crashes, partCrashes = [], named = [], isAsking = false, catchUp: note,
+	}: OutgoingMessage): LoadMessage {
 		const now = clock.now();
 		const answers = toAnswers?.(now);
 		const stated = limits?.toShared(now) ?? [];
 		sequence++;
-		socket.send({
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}), ...(partCrashes.length > 0 && {partCrashes}),
-		}, to);
+		return {
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}), ...(partCrashes.length > 0 && {partCrashes}), ...(note && {catchUp: note}),
+		};
+	}
+
+	function send(message: OutgoingMessage, to: readonly string[]): void {
+		if (to.length > 0) {
+			socket.send(toMessage(message), to);
+		}
+	}
+
+	/** Answers a question of a host that starts or comes back, or records what one was answered. Its reports are merged before. */
+	function handleCatchUp(note: CatchUpNote | undefined, from: string, now: Milliseconds): void {
+		if (note?.kind === 'answer') {
+			catchUp.noteAnswer(from, note, now);
+		}
+
+		if (note?.kind === 'ask') {
+			const named = peers.takeAdvertised(now);
+			for (const message of toAnswer(note.id, content => toMessage({...content, loads: [], named}), now)) {
+				socket.send(message, [from]);
+			}
+		}
 	}
 
 	/**
@@ -259,7 +314,9 @@
 		sentAt = now;
 	}
 
+	catchUp.begin('start', clock.now());
 	return {
+		catchUp,
 		read: shared.read,
 		isZoneSilent: shared.isZoneSilent,
 		quotas,
@@ -270,7 +327,9 @@
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
 		tick(loads) {
-			sendUpdates(loads, clock.now());
+			const now = clock.now();
+			catchUp.tick(now);
+			sendUpdates(loads, now);
 		},
 		close: socket.close,
 	};
--- /dev/null
+++ b/src/programs/relay/share-loads/restarts.test.ts
@@ -0,0 +1,88 @@
+/*
+ * Guards against hosts that serve callers before they know what the others know: a
+ * request that ends servers is sent on by each host that has just started or was
+ * away, although all others refuse it.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {createRandom} from '../../../domain/_test/create-random.js';
+import {type Milliseconds} from '../../../ports/clock.js';
+import {bytesPerKibibyte, msPerSecond} from '../../../ports/units.js';
+import {playRestarts, type RestartTally} from './_test/play-restarts.js';
+import {startHosts, zones} from './_test/start-hosts.js';
+
+const counts = [9, 74, 400];
+
+/** Hosts that are restarted in turn. */
+const maxInTurn = 6;
+
+/** Bound on the control traffic of a host, in bytes a second. */
+const maxControlBytes = 8 * bytesPerKibibyte;
+
+/** Longest time for which a host that starts may wait for others. */
+const maxWaitMs: Milliseconds = 650;
+
+/** Hosts that are killed at once: six of ten, the seeds among them. */
+const toSome = (count: number): number[] => Array.from({length: Math.round(0.6 * count)}, (_, i) => i);
+
+const toAll = (count: number): number[] => Array.from({length: count}, (_, i) => i);
+
+const describeTally = ({unaware, waitMs, bytes}: RestartTally): string => `${unaware} hosts sent it on; waited ${waitMs.mean.toFixed(0)} ms, at most ${waitMs.max}; ${(bytes / bytesPerKibibyte).toFixed(2)} KB a second and host`;
+
+describe('hosts that start do not send on what all others refuse', () => {
+	for (const count of counts) {
+		it(`in turn: ${count} hosts`, async t => {
+			const tally = await playRestarts({hosts: count, groups: toAll(maxInTurn).map(host => [host]), gapMs: msPerSecond});
+			t.diagnostic(describeTally(tally));
+			assert.equal(tally.unaware, 0);
+			assert.ok(tally.bytes <= maxControlBytes);
+		});
+
+		it(`six of ten at once, the seeds among them: ${count} hosts`, async t => {
+			const tally = await playRestarts({hosts: count, groups: [toSome(count)], gapMs: 3 * msPerSecond});
+			t.diagnostic(describeTally(tally));
+			assert.equal(tally.unaware, 0);
+			assert.ok(tally.bytes <= maxControlBytes);
+		});
+
+		it(`all at once serve within the bound: ${count} hosts`, async t => {
+			const tally = await playRestarts({hosts: count, groups: [toAll(count)], gapMs: 2 * msPerSecond});
+			t.diagnostic(describeTally(tally));
+			assert.ok(tally.waitMs.max <= maxWaitMs);
+			assert.ok(tally.bytes <= maxControlBytes);
+		});
+	}
+});
+
+describe('hosts that come back do not send on what was refused meanwhile', () => {
+	for (const count of counts) {
+		it(`after their zone was cut off: ${count} hosts`, async () => {
+			const fleet = await startHosts(count, {lossShare: 0.05, random: createRandom(count)});
+			fleet.pass(10 * msPerSecond);
+			const [zone] = zones;
+			fleet.cutZone(zone!);
+			fleet.pass(5 * msPerSecond);
+			for (const server of ['s1', 's2', 's3']) {
+				fleet.hosts.find(host => host.zone !== zone)!.suspects.noteBroken('ends-servers', server, fleet.now());
+			}
+
+			fleet.pass(4 * msPerSecond);
+			const inZone = fleet.hosts.filter(host => host.zone === zone);
+			const heard = new Set<string>();
+			const unaware = new Set<string>();
+			fleet.heal();
+			for (let waitedMs = 0; waitedMs < 3 * msPerSecond; waitedMs += 50) {
+				fleet.pass(50);
+				for (const host of inZone.filter(({sharing}) => !sharing.isIsolated())) {
+					heard.add(host.name);
+					if (!host.sharing.catchUp.isBehind(fleet.now()) && !host.suspects.isQuarantined('ends-servers', fleet.now())) {
+						unaware.add(host.name);
+					}
+				}
+			}
+
+			assert.equal(heard.size, inZone.length);
+			assert.deepEqual([...unaware], []);
+		});
+	}
+});
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -21,6 +21,7 @@
 import {askOrigins} from '../ask-origins/index.js';
 import {askPlaces} from '../ask-places/index.js';
 import {askQuotas} from '../ask-quotas/index.js';
+import {awaitCatchUp} from '../await-catch-up/index.js';
 import {shareRetries} from '../share-retries/index.js';
 import {watchLinks, type LinkWatch} from '../watch-links/index.js';
 import {addRelayMetrics} from './_lib/add-relay-metrics.js';
@@ -143,7 +144,7 @@
 		partQuarantine,
 		requestLimits,
 		...(loadSharing && {
-			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock), streamOrigins: askOrigins(loadSharing.origins, clock),
+			loadSharing, ...toPassing(options, links), places: askPlaces(loadSharing.places, clock), streamOrigins: askOrigins(loadSharing.origins, clock), untilCaughtUp: awaitCatchUp(loadSharing.catchUp, clock),
 		}),
 		...(quotas && {quotas, sharedRetries: shareRetries({toPart: retryShare.toSharedPart}, quotas, clock)}),
 	});
