Send a plain service the last event that the caller has

Cause: only the step 'decode' carried Last-Event-Id; the step 'whole', by which plain services are called, carried none, so the second server began anew.

The stand-in streams for callers that accept events.

--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -50,9 +50,9 @@
  * computes the prompt itself, more slowly.
  */
 export type CallStep =
-	| {kind: 'whole'}
-	| {kind: 'prefill'}
 	/** `lastEventId`: last event of the answer that the caller already has. */
+	| {kind: 'whole'; lastEventId: string | undefined}
+	| {kind: 'prefill'}
 	| {kind: 'decode'; reservationId: string; cache: PromptCache | undefined; lastEventId: string | undefined};
 
 export type OutgoingCall = {
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -96,7 +96,7 @@
 	run.log.info('sent', {attempt, server: server.id, zones: server.zone});
 	placement.noteDispatched(placed, clock.now());
 	ledger.noteOffered();
-	const ended = await sendRequest(run, server, {kind: 'whole'}, () => {
+	const ended = await sendRequest(run, server, {kind: 'whole', lastEventId: run.events?.lastId}, () => {
 		placement.noteFirstToken(placed, clock.now());
 	});
 	placement.noteFinished(placed, clock.now());
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -117,7 +117,7 @@
 		const second = read({born: 1_700_000_009_000})._unsafeUnwrap();
 		assert.notEqual(first.entry.id, second.entry.id);
 		const headers = calls.toHeaders({
-			headers: {}, workspace: 'w', isAuthenticated: false, requestId: 'r', server: second.entry, step: {kind: 'whole'}, deadlineInMs: 9,
+			headers: {}, workspace: 'w', isAuthenticated: false, requestId: 'r', server: second.entry, step: {kind: 'whole', lastEventId: undefined}, deadlineInMs: 9,
 		});
 		assert.equal(headers['expect-instance'], 'i-1');
 	});
@@ -170,14 +170,14 @@
 
 	it('that only banyanport sets are never taken from a caller', () => {
 		const headers = calls.toHeaders({
-			headers: {...own, 'x-kept': '1'}, workspace: 'w', isAuthenticated: false, requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 99.9,
+			headers: {...own, 'x-kept': '1'}, workspace: 'w', isAuthenticated: false, requestId: 'r', server, step: {kind: 'whole', lastEventId: undefined}, deadlineInMs: 99.9,
 		});
 		assert.deepEqual(headers, {'x-kept': '1', 'deadline-ms': '99', 'expect-instance': 'i-1'});
 	});
 
 	it('name the workspace whose key the caller sent, in place of any name from the caller', () => {
 		const headers = calls.toHeaders({
-			headers: {authorization: 'Bearer k', tenant: 'another'}, workspace: 'naslovnik', isAuthenticated: true, requestId: 'r', server, step: {kind: 'whole'}, deadlineInMs: 9,
+			headers: {authorization: 'Bearer k', tenant: 'another'}, workspace: 'naslovnik', isAuthenticated: true, requestId: 'r', server, step: {kind: 'whole', lastEventId: undefined}, deadlineInMs: 9,
 		});
 		assert.deepEqual(headers, {tenant: 'naslovnik', 'deadline-ms': '9', 'expect-instance': 'i-1'});
 	});
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -273,6 +273,11 @@
 			return;
 		}
 
+		if (req.headers.accept === 'text/event-stream') {
+			await stream(req, res, streamFault);
+			return;
+		}
+
 		answer(res, 200, {server: id, body: arrival.body}, ownHeaders(req));
 	}
 
