--- a/src/domain/create-catch-up/index.ts
+++ b/src/domain/create-catch-up/index.ts
@@ -147,7 +147,7 @@
 	}
 
 	function begin(cause: CatchUpCause, now: Milliseconds): void {
-		if (wait !== undefined && !wait.isOverdue) {
+		if (isWaiting()) {
 			return;
 		}
 
