Settle on the number of hosts only while others are heard

Cause: silence counted as time without a new host.

Two cases of create-peer-list let hosts fall silent while they settle. They check the same moments now with messages each second, as hosts send them; a new case has the silence.

--- a/src/domain/create-peer-list/index.ts
+++ b/src/domain/create-peer-list/index.ts
@@ -90,6 +90,9 @@
 /** Time without a new host after which all hosts count as known: three rounds of advertisements. */
 const settleMs: Milliseconds = 3 * msPerSecond;
 
+/** Silence of all others after which the time without a new host begins anew. */
+const unheardAfterMs: Milliseconds = 1.5 * msPerSecond;
+
 /** Maximum number of hosts kept, so that a malformed message cannot exhaust the memory. */
 const maxKnown = 1024;
 
@@ -134,8 +137,11 @@
 	let grewAt = Infinity;
 	let isSettled = false;
 
+	/** Whether no other host was heard in the last rounds, so that others may be unknown. */
+	const isUnheard = (now: Milliseconds): boolean => [...known.values()].every(({heardAt}) => now - heardAt > unheardAfterMs);
+
 	function hasSettled(now: Milliseconds): boolean {
-		isSettled ||= now - grewAt >= settleMs;
+		isSettled ||= now - grewAt >= settleMs && !isUnheard(now);
 		return isSettled;
 	}
 
@@ -154,9 +160,10 @@
 			return false;
 		}
 
+		const wasSettled = hasSettled(entry.knownAt);
 		known.set(address, entry);
 		counts.noteAdded();
-		if (isNew && !hasSettled(entry.knownAt)) {
+		if (isNew && !wasSettled) {
 			grewAt = entry.knownAt;
 		}
 
@@ -205,6 +212,10 @@
 
 	return {
 		noteHeard({address, zone: peerZone}, now, {isAsking = false, reachedShare = 1} = {}) {
+			if (!hasSettled(now) && isUnheard(now)) {
+				grewAt = now;
+			}
+
 			const before = known.get(address);
 			const isBack = before !== undefined && now - before.knownAt > knownForMs;
 			const askedAt = isAsking ? now : before?.askedAt ?? -Infinity;
--- a/src/domain/create-peer-list/test.ts
+++ b/src/domain/create-peer-list/test.ts
@@ -238,8 +238,12 @@
 	it('is settled once no host was added for three seconds, and stays so', () => {
 		const peers = createPeerList({self: 'a:1', zone: 'a', seeds: []});
 		assert.equal(peers.isSettled(60_000), false);
-		peers.noteHeard({address: 'b:1', zone: 'a'}, 60_000);
+		for (const now of [60_000, 61_000, 62_000]) {
+			peers.noteHeard({address: 'b:1', zone: 'a'}, now);
+		}
+
 		peers.noteAdvertised([{address: 'c:1', zone: 'b'}], 62_000);
+		peers.noteHeard({address: 'b:1', zone: 'a'}, 63_000);
 		peers.noteHeard({address: 'b:1', zone: 'a'}, 64_000);
 		assert.equal(peers.isSettled(64_900), false);
 		assert.equal(peers.isSettled(65_000), true);
@@ -247,9 +251,26 @@
 		assert.equal(peers.isSettled(65_200), true);
 	});
 
+	// Guards against a host that is cut off right after its start, and takes the few hosts that it has heard for the whole fleet.
+	it('does not settle while no other host is heard', () => {
+		const peers = createPeerList({self: 'a', zone: 'z', seeds: ['b']});
+		peers.noteHeard({address: 'b', zone: 'z'}, 0);
+		assert.equal(peers.isSettled(9000), false);
+		peers.noteHeard({address: 'b', zone: 'z'}, 10_000);
+		assert.equal(peers.isSettled(10_000), false);
+		for (let now = 11_000; now <= 13_000; now += 1000) {
+			peers.noteHeard({address: 'b', zone: 'z'}, now);
+		}
+
+		assert.equal(peers.isSettled(13_000), true);
+	});
+
 	it('stays settled though `isSettled` was not called before a further host was added', () => {
 		const peers = createPeerList({self: 'a:1', zone: 'a', seeds: []});
-		peers.noteHeard({address: 'b:1', zone: 'a'}, 0);
+		for (const now of [0, 1000, 2000]) {
+			peers.noteHeard({address: 'b:1', zone: 'a'}, now);
+		}
+
 		peers.noteHeard({address: 'c:1', zone: 'a'}, 3000);
 		assert.equal(peers.isSettled(3001), true);
 	});
