Let a host that was told nothing count as starting after a pause too

A host that had started, was told nothing within the bound and then paused began a wait of another cause: it no longer told others that it may know nothing, and took the answers of hosts that start too for knowledge. Hosts that start after it could so serve by its empty memory and send on what others refuse. Found by reading; never seen in a run.

The start is remembered until the host was told something, three seconds at most, whatever began the wait. The case was red before.

--- a/src/domain/create-catch-up/index.ts
+++ b/src/domain/create-catch-up/index.ts
@@ -131,6 +131,10 @@
 	let wait: Wait | undefined;
 	let waiting: Array<() => void> = [];
 	let lastId = 0;
+	/** Start of a process that has not been told anything yet. */
+	let unknowingSince: Milliseconds | undefined;
+
+	const isStarting = (now: Milliseconds): boolean => unknowingSince !== undefined && now - unknowingSince < settledMs;
 
 	const isWaiting = (): boolean => wait !== undefined && !wait.isOverdue;
 
@@ -152,8 +156,12 @@
 		}
 
 		lastId++;
+		if (cause === 'start') {
+			unknowingSince = now;
+		}
+
 		wait = {
-			id: lastId, cause, beganAt: now, askedAt: now, asked: new Map(), answers: new Map(), isOverdue: false,
+			id: lastId, cause: isStarting(now) ? 'start' : cause, beganAt: now, askedAt: now, asked: new Map(), answers: new Map(), isOverdue: false,
 		};
 		askMore(wait, now);
 	}
@@ -176,6 +184,7 @@
 		const wanted = waitedMs >= oneAnswerMs ? 1 : Math.min(wantedAnswers, Math.max(1, toPeers(now).length));
 		if (answers >= wanted) {
 			wait = undefined;
+			unknowingSince = undefined;
 			release({...current, isOverdue: false}, answers, now);
 		} else if (waitedMs >= maxWaitMs && !current.isOverdue) {
 			current.isOverdue = true;
@@ -220,7 +229,7 @@
 			checkTime(now);
 			return isWaiting();
 		},
-		isStarting: now => wait?.cause === 'start' && now - wait.beganAt < settledMs,
+		isStarting,
 		whenDone(act, now) {
 			checkTime(now);
 			if (isWaiting()) {
--- a/src/domain/create-catch-up/test.ts
+++ b/src/domain/create-catch-up/test.ts
@@ -102,6 +102,20 @@
 		assert.deepEqual(ended.map(({answers}) => answers), [0, 1]);
 	});
 
+	// Guards against a host that has been told nothing, pauses, and then passes for one that knows.
+	it('still counts as starting after a pause, and learns nothing from hosts that start', () => {
+		const {catchUp} = create();
+		catchUp.begin('start', 0);
+		catchUp.tick(maxWaitMs);
+		assert.equal(catchUp.isBehind(2000), true);
+		assert.equal(catchUp.isStarting(2000), true);
+		catchUp.noteAnswer('a', {...whole, id: 2, isStarting: true}, 2005);
+		catchUp.noteAnswer('b', {...whole, id: 2, isStarting: true}, 2006);
+		assert.equal(catchUp.isBehind(2006), true);
+		assert.equal(catchUp.isStarting(2999), true);
+		assert.equal(catchUp.isStarting(3000), false);
+	});
+
 	it('is told enough by hosts that start if it has only been away', () => {
 		const {catchUp} = create();
 		catchUp.begin('isolation', 0);
