--- a/src/programs/entry/call-plain/_lib/send-step.test.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.test.ts
@@ -5,7 +5,7 @@
 import {type ServerEntry} from '../../../../ports/config.js';
 import {type EngineRefusalReason} from '../../../../ports/engine.js';
 import {type PlainEnd} from '../../send-plain/index.js';
-import {noteAnswered, noteRefusedConnection} from './send-step.js';
+import {findRunQuarantine, noteAnswered, noteRefusedConnection} from './send-step.js';
 import {type PlainRun} from './types.js';
 
 /* A crashed server must not count as alive because another server answers at its address. */
@@ -64,3 +64,19 @@
 		});
 	}
 });
+
+// Guards against a host that comes back and sends on a request under which servers ended while it was away.
+describe('findRunQuarantine', () => {
+	it('waits until other hosts have told what they know, and looks then', async () => {
+		const suspects = createCrashSuspects({crashesToQuarantine: 1});
+		const ctx = {
+			suspects,
+			partQuarantine: createPartQuarantine(),
+			services: {clock: {now: () => 10}},
+			async untilCaughtUp() {
+				suspects.noteBroken('f', 'a', 5);
+			},
+		};
+		assert.equal(await findRunQuarantine({ctx, fingerprint: 'f', parts: [], isTrial: false} as unknown as PlainRun), 'request');
+	});
+});
