--- a/src/programs/entry/call-plain/_lib/send-step.test.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.test.ts
@@ -77,6 +77,8 @@
 				suspects.noteBroken('f', 'a', 5);
 			},
 		};
-		assert.equal(await findRunQuarantine({ctx, fingerprint: 'f', parts: [], isTrial: false} as unknown as PlainRun), 'request');
+		assert.equal(await findRunQuarantine({
+			ctx, fingerprint: 'f', parts: [], isTrial: false,
+		} as unknown as PlainRun), 'request');
 	});
 });
