Test that a question of a host keeps its loads and is answered at once

A host that asks others for what they know sends no loads with the question. Nothing would have noticed if the question replaced its loads by none, so that others queue behind them.

--- a/src/programs/relay/share-loads/test.ts
+++ b/src/programs/relay/share-loads/test.ts
@@ -5,7 +5,8 @@
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {findUdpAddress} from '../../../../test/_lib/find-udp-address/index.js';
 import {waitUntil} from '../../../../test/_lib/wait-until/index.js';
-import {shareLoads, type LoadExchange} from './index.js';
+import {type LoadMessage} from '../../../ports/shared-loads.js';
+import {shareLoads, type LoadExchange, type ShareLoadsOptions} from './index.js';
 
 const deadlineMs = 10_000;
 const clock = {now: () => performance.now(), wallNow: () => Date.now()};
@@ -57,4 +58,42 @@
 		assert.equal(b.read('s', clock.now()).promptTokens, 100);
 		await waitUntil(() => readAll(true).startsWith('2 1'), {deadlineMs, what: 'the silent host to be forgotten'});
 	});
+
+	// Guards against loads of a host that are forgotten because it asks others for what they know.
+	it('keeps the loads of a host that asks, and answers it at once', async () => {
+		const sent: LoadMessage[] = [];
+		let receive: Parameters<NonNullable<ShareLoadsOptions['open']>>[0]['onMessage'] | undefined;
+		const host = await shareLoads({
+			address: '10.0.0.1:7380',
+			seeds: [],
+			host: 'a',
+			zone: 'z',
+			incarnation: 1,
+			clock,
+			log,
+			suspects: createCrashSuspects(),
+			partQuarantine: createPartQuarantine(),
+			async open({onMessage}) {
+				receive = onMessage;
+				return {
+					send(message) {
+						sent.push(message);
+					},
+					sendQuota: () => undefined,
+					sendPlace: () => undefined,
+					sendOrigin: () => undefined,
+					close: async () => undefined,
+				};
+			},
+		});
+		const message: LoadMessage = {
+			host: 'b', zone: 'z', incarnation: 1, sequence: 1, loads: [{server: 's', requests: 2, promptTokens: 0}], crashes: [], peers: [], isAsking: false,
+		};
+		receive!(message, '10.0.0.2:7380');
+		receive!({
+			...message, sequence: 2, loads: [], catchUp: {kind: 'ask', id: 9},
+		}, '10.0.0.2:7380');
+		assert.equal(host.read('s', clock.now()).requests, 2);
+		assert.deepEqual(sent.map(({catchUp}) => catchUp).filter(note => note?.kind === 'answer').map(({id}) => id), [9]);
+	});
 });
