Leave orders to servers to the host that was named last

Cause: a host compared the setting with its own address once, at its start. When the seeds changed and the host named now was started, the one named before went on. Nothing told either of the other, and both took the time of day as fence.

Change: one decision, create-order-authority. The settings are read again once a second; a host that they name claims the orders, hosts pass the newest claim on in the messages of a round, and a host that hears a newer claim stops. The first order comes 10 s after the claim (6 s after a start before), none while other hosts exist and are not heard.

--- a/src/adapters/load-datagrams/index.ts
+++ b/src/adapters/load-datagrams/index.ts
@@ -47,6 +47,7 @@
 
 const name = v.pipe(v.string(), v.maxLength(maxNameLength));
 const count = v.pipe(v.number(), v.integer(), v.minValue(0));
+const peerAddress = v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v));
 /** Senders of a later build may add items. */
 const schema = v.tupleWithRest([
 	v.literal(format),
@@ -55,7 +56,7 @@
 	count,
 	count,
 	v.array(v.tuple([name, count, count])),
-	v.array(v.tuple([v.pipe(name, v.regex(/^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v)), name])),
+	v.array(v.tuple([peerAddress, name])),
 	v.boolean(),
 	v.pipe(v.array(v.tupleWithRest([name, count, v.pipe(v.array(v.tuple([name, count])), v.maxLength(maxCrashesOfReport))], v.unknown())), v.maxLength(maxReports)),
 ], v.unknown());
@@ -63,6 +64,7 @@
 /** Items after those of every build. */
 const reachedShareSchema = v.pipe(v.number(), v.minValue(0), v.maxValue(1));
 const limitsSchema = v.pipe(v.array(v.tuple([name, v.nullable(v.pipe(v.number(), v.finite(), v.minValue(0))), count])), v.maxLength(maxLimits));
+const claimSchema = v.tuple([peerAddress, count, count]);
 const answersSchema = v.pipe(v.array(v.tuple([count, count])), v.maxLength(maxAnswers));
 
 const survivalAgesSchema = v.pipe(v.array(count), v.maxLength(maxSurvivals));
@@ -89,7 +91,7 @@
 /** Encodes the rows of a message, of which there may be too many for one datagram. */
 function createRowEncoder(message: LoadMessage): (rows: {loads: readonly HostLoad[]; reports: readonly unknown[]; parts: readonly CrashReport[]}) => Uint8Array {
 	const {
-		host, zone, incarnation, sequence, peers, isAsking, reachedShare, answers, limits = [], catchUp,
+		host, zone, incarnation, sequence, peers, isAsking, reachedShare, answers, limits = [], catchUp, orderClaim,
 	} = message;
 	const named = peers.map(peer => [peer.address, peer.zone]);
 	const answerRows = answers?.map(({pool, ageMs}) => [pool, Math.round(ageMs)]);
@@ -102,6 +104,7 @@
 			limitRows.length === 0 ? undefined : limitRows,
 			parts.length === 0 ? undefined : toPartRows(parts),
 			catchUp && toCatchUpRow(catchUp),
+			orderClaim && [orderClaim.address, orderClaim.sinceMs, Math.round(orderClaim.ageMs)],
 		]);
 		return encodeRow([format, host, zone, incarnation, sequence, rows, named, isAsking, reports, ...added]);
 	};
@@ -154,7 +157,7 @@
 }
 
 function toMessage(row: v.InferOutput<typeof schema>): LoadMessage {
-	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows, catchUpRow] = row;
+	const [, host, zone, incarnation, sequence, rows, named, isAsking, reports, reachedShare, answerRows, limitRows, partRows, catchUpRow, claimRow] = row;
 	const peers = named.map(([address, peerZone]) => ({address, zone: peerZone}));
 	const crashes = reports.map(([fingerprint, idleMs, seen, survivedMs, survivalAgesMs]) => ({
 		fingerprint, idleMs, crashes: seen.map(([server, ageMs]) => ({server, ageMs})), ...(v.is(count, survivedMs) && {survivedMs}), ...(v.is(survivalAgesSchema, survivalAgesMs) && {survivalAgesMs}),
@@ -173,6 +176,7 @@
 		...(v.is(limitsSchema, limitRows) && {limits: limitRows.map(([server, perSecond, ageMs]) => ({server, perSecond: perSecond ?? undefined, ageMs}))}),
 		...(v.is(partRowsSchema, partRows) && {partCrashes: fromPartRows(partRows)}),
 		...(v.is(catchUpSchema, catchUpRow) && {catchUp: fromCatchUpRow(catchUpRow)}),
+		...(v.is(claimSchema, claimRow) && {orderClaim: {address: claimRow[0], sinceMs: claimRow[1], ageMs: claimRow[2]}}),
 	};
 }
 
--- a/src/ports/shared-loads.ts
+++ b/src/ports/shared-loads.ts
@@ -7,6 +7,7 @@
 import {type CatchUpNote} from './catch-up.js';
 import {type Milliseconds} from './clock.js';
 import {type CrashReport} from './crash-reports.js';
+import {type OrderClaim} from './order-claims.js';
 import {type SharedLimit} from './request-limits.js';
 import {
 	type HostId, type Incarnation, type ServerId, type ZoneId,
@@ -55,4 +56,6 @@
 	limits?: readonly SharedLimit[];
 	/** Asks for all that the receiver knows, or marks the message as a part of such an answer. */
 	catchUp?: CatchUpNote;
+	/** The newest claim to give orders that the sender knows. */
+	orderClaim?: OrderClaim;
 };
--- a/src/programs/relay/create-role-manager/index.ts
+++ b/src/programs/relay/create-role-manager/index.ts
@@ -4,8 +4,8 @@
  *
  * Two hosts that give orders to the same server undo each other's work, and there
  * is no store to hold a lease in. So only the host that is named in the settings of
- * all hosts gives orders. No network cut, pause or restart makes a second host give
- * orders; while that host is down, servers keep their roles.
+ * all hosts gives orders, and none while it hears no other host. While that host is
+ * down, servers keep their roles.
  */
 import {type Log} from '../../../adapters/log/index.js';
 import {pickRoleChanges, type RoleChange} from '../../../domain/pick-role-changes/index.js';
@@ -27,7 +27,7 @@
 	/** Tells a server to change its role. */
 	assignRole: NonNullable<ServerCalls['assignRole']>;
 	toView: () => FleetView | undefined;
-	/** Whether the platform answered the last read. On a host that is cut off, servers that have been replaced still look as if they served. */
+	/** Whether this host may give orders, as it is in touch with the platform and with other hosts. On a host that is cut off, servers that have been replaced still look as if they served, and another host may give orders. */
 	isConnected: () => boolean;
 };
 
--- a/src/programs/relay/run-relay/index.ts
+++ b/src/programs/relay/run-relay/index.ts
@@ -40,9 +40,28 @@
 			throw new Error(reason);
 		}),
 		source: options.createSource(settings),
+		readOrdersFrom: createOrdersReader(options, settings, log),
 	});
 }
 
+/** Reads which host gives orders by the settings in force. Settings that can't be read leave the last known host. */
+function createOrdersReader(options: RunRelayOptions, {ordersFrom}: RelaySettings, log: Log): () => string | undefined {
+	let last = ordersFrom;
+	let isValid = true;
+	return () => {
+		const loaded = loadRelaySettings(options);
+		if (loaded.kind === 'run') {
+			last = loaded.settings.values.ordersFrom;
+			isValid = true;
+		} else if (isValid) {
+			isValid = false;
+			log.error('settings cannot be read; the host that they named last gives orders', {reason: loaded.stderr});
+		}
+
+		return last;
+	};
+}
+
 /** Logs which settings have changed. They take effect only at the next start, and the log line keeps operators from assuming that they are in force. */
 function checkChangedSettings(options: RunRelayOptions, settings: RelaySettings, log: Log): void {
 	const loaded = loadRelaySettings(options);
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -9,6 +9,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {createCatchUp, type Answerer, type CatchUp} from '../../../domain/create-catch-up/index.js';
 import {createPeerList} from '../../../domain/create-peer-list/index.js';
+import {type OrderAuthority} from '../../../domain/create-order-authority/index.js';
 import {createServerPlaces, type ServerPlaces} from '../../../domain/create-server-places/index.js';
 import {createSharedLoads, type SharedLoads} from '../../../domain/create-shared-loads/index.js';
 import {createStreamOrigins, type StreamOriginsTable} from '../../../domain/create-stream-origins/index.js';
@@ -52,6 +53,8 @@
 	toAnswers?: (now: Milliseconds) => readonly PoolAnswer[];
 	/** Called for what another host tells of the pools whose servers answered it. */
 	onAnswers?: (from: string, answers: readonly PoolAnswer[]) => void;
+	/** Which host gives orders to servers; hosts that are not given it tell no claims. */
+	orderAuthority?: Pick<OrderAuthority, 'noteClaim' | 'toClaim'>;
 	/** Opens the transport to other hosts; UDP by default. */
 	open?: typeof openLoadDatagrams;
 };
@@ -69,6 +72,8 @@
 	isFirstFor: (key: string) => boolean;
 	/** Whether hosts of other zones were heard before and none is heard now. */
 	isIsolated: () => boolean;
+	/** Whether this host may miss what others tell: it hears no other host, or none of another zone, though there are some. */
+	isOutOfTouch: () => boolean;
 	/** Number of hosts known to be alive, including this one; `undefined` until another host has been heard. */
 	countHosts: () => number | undefined;
 	/** Number of hosts among which a fleet-wide budget is divided; also `undefined` while more hosts are being discovered after the start. */
@@ -114,10 +119,11 @@
  */
 export async function shareLoads(options: ShareLoadsOptions): Promise<LoadExchange> {
 	const {
-		address, seeds, host, zone, incarnation, clock, log, suspects, partQuarantine, limits, toAnswers, onAnswers, open = openLoadDatagrams,
+		address, seeds, host, zone, incarnation, clock, log, suspects, partQuarantine, limits, toAnswers, onAnswers, orderAuthority, open = openLoadDatagrams,
 	} = options;
 	const peers = createPeerList({self: address, zone, seeds});
 	const shared = createSharedLoads({toMaxAgeMs: now => maxMissedMessages * (peers.isLarge(now) ? roundMs : keepAliveMs)});
+	const hasOtherSeeds = seeds.some(seed => seed !== address);
 	let sequence = 0;
 	let lastText = '';
 	let sentAt: Milliseconds = -Infinity;
@@ -213,6 +219,10 @@
 			}
 
 			onAnswers?.(from, message.answers ?? []);
+			if (message.orderClaim !== undefined) {
+				orderAuthority?.noteClaim(message.orderClaim, now);
+			}
+
 			for (const server of limits?.merge(message.limits ?? [], now) ?? []) {
 				logLimit(log, server, limits?.toPerSecond(server, now));
 			}
@@ -244,9 +254,10 @@
 		const now = clock.now();
 		const answers = toAnswers?.(now);
 		const stated = limits?.toShared(now) ?? [];
+		const orderClaim = named.length === 0 ? undefined : orderAuthority?.toClaim(now);
 		sequence++;
 		return {
-			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}), ...(partCrashes.length > 0 && {partCrashes}), ...(note && {catchUp: note}),
+			host, zone, incarnation, sequence, loads, crashes, peers: named, isAsking, reachedShare: peers.toOwnReachedShare(now), ...(answers && {answers}), ...(stated.length > 0 && {limits: stated}), ...(partCrashes.length > 0 && {partCrashes}), ...(note && {catchUp: note}), ...(orderClaim && {orderClaim}),
 		};
 	}
 
@@ -330,6 +341,7 @@
 		origins,
 		isFirstFor: peers.isFirstFor,
 		isIsolated: () => shared.isIsolated(zone, clock.now()),
+		isOutOfTouch: () => (hasOtherSeeds || peers.count() !== undefined) && isCutOff(clock.now()),
 		countHosts: peers.count,
 		countSharers: () => peers.isSettled(clock.now()) ? peers.count() : undefined,
 		tick(loads) {
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -6,6 +6,7 @@
 import {type Metrics} from '../../../adapters/metrics/index.js';
 import {probeConnection} from '../../../adapters/probe-connection/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createOrderAuthority} from '../../../domain/create-order-authority/index.js';
 import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {type ServerHealthOptions} from '../../../domain/create-server-health/index.js';
@@ -38,6 +39,8 @@
 	metrics: Metrics;
 	keys: ProgramKeys | undefined;
 	source: PublishedSource;
+	/** Reads the control address of the host that gives orders, by the settings in force; `settings` have it by default. */
+	readOrdersFrom?: () => string | undefined;
 };
 
 /**
@@ -91,8 +94,14 @@
 		clock, random, log, toView: () => toView(), probe: probeConnection,
 	});
 	const requestLimits = createRequestLimits();
+	const orderAuthority = createOrderAuthority({
+		self: settings.peerAddress ?? settings.callerAddress,
+		onYield(address) {
+			log.info('another host gives orders to servers now', {peerAddress: address});
+		},
+	});
 	const loadSharing = await openLoadSharing({
-		settings, clock, log, suspects, partQuarantine, requestLimits, links,
+		settings, clock, log, suspects, partQuarantine, requestLimits, links, orderAuthority,
 	}, incarnation);
 	isFirstFor = loadSharing?.isFirstFor ?? isFirstFor;
 	let isConnected = () => false;
@@ -155,5 +164,5 @@
 			await loadSharing?.close();
 		},
 	};
-	return withRoles(sharing, {...options, isConnected: () => isConnected()});
+	return withRoles(sharing, {...options, orderAuthority, isConnected: () => isConnected() && loadSharing?.isOutOfTouch() !== true});
 }
--- a/test/contracts/relay-orders.test.ts
+++ b/test/contracts/relay-orders.test.ts
@@ -3,6 +3,7 @@
 import {
 	afterEach, beforeEach, describe, it,
 } from 'node:test';
+import {setTimeout} from 'node:timers/promises';
 import {createServerCalls} from '../../platform/server-calls.js';
 import {createHttpAgent} from '../../src/adapters/_lib/create-http-agent/index.js';
 import {type ServerEntry} from '../../src/ports/config.js';
@@ -53,6 +54,22 @@
 });
 
 describe('a relay that gives orders', () => {
+	// Guards against two hosts that undo each other's orders, as the settings that each of them read name it.
+	it('leaves the orders to the host that was named last', async () => {
+		const fixture = await startRelayFixture({hosts: 2});
+		try {
+			const {servers, publishServer} = fixture;
+			publishServer(servers.decode2, {stage: 'prefill'});
+			const orders = () => Object.values(servers).flatMap(({arrivals}) => arrivals.filter(({step}) => step === 'order'));
+			await waitUntil(() => orders().length > 0, {deadlineMs: 30_000, what: 'a server to receive an order'});
+			await setTimeout(3000);
+			const holders = orders().map(({body}) => (JSON.parse(body) as {holder: string}).holder);
+			assert.equal(new Set(holders).size, 1, `orders of ${holders.join(', ')}`);
+		} finally {
+			await fixture.stop();
+		}
+	});
+
 	it('changes a surplus prefill server to the decode role', async () => {
 		const fixture = await startRelayFixture();
 		try {
