Close the connection of a call that is answered with another answer

Cause: a server may send an answer once more just before the next one on the connection. A reservation took it for its own, found it unreadable, and left the connection in the pool, on which its own answer was still due: the next request read that one. A prefill checked the request's id, but left the connection too.

Change: readAnswer asks its caller whether the head is an answer to the call, and closes the connection if not, as streams and plain calls do.

--- a/src/adapters/_lib/read-answer/index.ts
+++ b/src/adapters/_lib/read-answer/index.ts
@@ -11,16 +11,26 @@
 	text: string;
 };
 
-export type AnswerFault = CallFault | {kind: 'too-large'; message: string};
+/** `foreign`: the answer belongs to another request. */
+export type AnswerFault = CallFault | {kind: 'too-large'; message: string} | {kind: 'foreign'; message: string};
+
+export type ReadAnswerOptions = {
+	/**
+	 * Whether the answer belongs to this call. If not, the connection is closed, as the
+	 * call's own answer is still due on it, and would be read as that of the next call.
+	 */
+	isOwn?: (headers: WholeAnswer['headers']) => boolean;
+};
 
 /**
  * Sends a call and collects its answer.
  *
  * @param call - The call.
  * @param maxBytes - Longest body that is accepted; a longer one closes the connection.
+ * @param options - See {@link ReadAnswerOptions}.
  * @returns Status, headers and text, or the fault.
  */
-export async function readAnswer(call: Call, maxBytes: number): Promise<Result<WholeAnswer, AnswerFault>> {
+export async function readAnswer(call: Call, maxBytes: number, {isOwn = () => true}: ReadAnswerOptions = {}): Promise<Result<WholeAnswer, AnswerFault>> {
 	return new Promise(resolve => {
 		const parts: Buffer[] = [];
 		let size = 0;
@@ -30,6 +40,10 @@
 		dispatchCall(call, {
 			onStart(...start) {
 				[status, headers, flow] = start;
+				if (!isOwn(headers)) {
+					flow.abandon();
+					resolve(err({kind: 'foreign', message: `status ${status}, an answer to another request`}));
+				}
 			},
 			onData(bytes) {
 				size += bytes.length;
--- a/src/adapters/engine-http/_lib/to-failure.ts
+++ b/src/adapters/engine-http/_lib/to-failure.ts
@@ -13,7 +13,7 @@
 }
 
 export function toFaultFailure(server: ServerId, {kind, message}: AnswerFault): EngineFailure {
-	return toFailure(server, kind === 'too-large' ? 'invalid' : kind, message);
+	return toFailure(server, kind === 'too-large' || kind === 'foreign' ? 'invalid' : kind, message);
 }
 
 function toRetryAfter(headers: WholeAnswer['headers']): number | undefined {
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -91,16 +91,21 @@
 		headersTimeoutMs: limitedBySignal,
 		idleTimeoutMs: limitedBySignal,
 		signal: createTimeoutSignal(limitMs, run.signal),
-	}, maxPrefillAnswerBytes);
+	}, maxPrefillAnswerBytes, {isOwn: headers => run.ctx.calls.isAnswerTo(run.exchange.requestId, headers)});
 	if (answer.isErr()) {
+		const {error} = answer;
+		if (error.kind === 'foreign') {
+			noteLinkAnswer(run, link);
+			return err({kind: 'invalid', message: error.message});
+		}
+
 		noteLinkEnd(run, link);
-		const {kind, message} = answer.error;
-		const isSilent = kind === 'aborted' && !run.signal.aborted;
+		const isSilent = error.kind === 'aborted' && !run.signal.aborted;
 		if (isSilent) {
 			return err({kind: 'broken', message: `the prefill did not end within ${Math.round(limitMs)} ms`});
 		}
 
-		return err(answer.error.kind === 'too-large' ? {kind: 'invalid', message} : answer.error);
+		return err(error.kind === 'too-large' ? {kind: 'invalid', message: error.message} : error);
 	}
 
 	noteLinkAnswer(run, link);
@@ -112,8 +117,8 @@
 		return err({kind: 'refused', reason, message: `status ${status}`});
 	}
 
-	if (status !== 200 || !run.ctx.calls.isAnswerTo(run.exchange.requestId, headers)) {
-		return err({kind: 'invalid', message: `status ${status}, or an answer to another request`});
+	if (status !== 200) {
+		return err({kind: 'invalid', message: `status ${status}`});
 	}
 
 	const parsed = caches.parsePrefill(text);
