Cut a silent stream only while another attempt may continue it

Cause: a stream got an idle timeout of five times its gap target, so that another server continues it, whether or not another attempt was allowed. With none left the caller's connection was closed instead.

Change: the limit asks, each time that long has passed in silence, whether an attempt is left (the same question as for the head), and ends the stream only then. What else bounds a call holds: the write timeout and the deadline.

Two forms of the test passed on the old code: the stand-in held the head back until its first event.

Undici's body timeout has steps of about a second (1.9 s for 1.5 s in a log); the new limit is exact, so silent servers are left up to a second sooner.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -9,6 +9,9 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {bytesPerKibibyte, msPerSecond} from '../../../ports/units.js';
 import {answerResetCode} from '../create-http-agent/index.js';
+import {createSilenceTimer, type SilenceLimit} from './_lib/create-silence-timer.js';
+
+export {type SilenceLimit} from './_lib/create-silence-timer.js';
 
 /** Why a call has no answer. */
 export type CallFault = {
@@ -71,6 +74,8 @@
 	headersTimeoutMs: Milliseconds;
 	/** Maximum time without a byte within the answer; 0 for no limit. */
 	idleTimeoutMs: Milliseconds;
+	/** Ends a silent answer sooner where that helps; no limit besides `idleTimeoutMs` by default. */
+	silence?: SilenceLimit;
 	signal?: AbortSignal;
 };
 
@@ -121,6 +126,7 @@
 		}
 
 		isOver = true;
+		silence?.stop();
 		signal?.removeEventListener('abort', onAbort);
 		report?.();
 	};
@@ -138,11 +144,18 @@
 		stop?.(new Error('aborted'));
 	}
 
+	const silence = call.silence && createSilenceTimer(call.silence, () => {
+		fail('broken', `the server sent nothing for ${call.silence!.afterMs} ms`);
+		stop?.(new Error('silent'));
+	});
+
 	const toFlow = (controller: Dispatcher.DispatchController): CallFlow => ({
 		pause() {
+			silence?.stop();
 			controller.pause();
 		},
 		resume() {
+			silence?.restart();
 			controller.resume();
 		},
 		abandon() {
@@ -199,6 +212,7 @@
 
 			if (status >= 200) {
 				answer = createAnswerJudge({method: call.method, status, headers});
+				silence?.restart();
 				sink.onStart(status, headers, toFlow(controller));
 				return;
 			}
@@ -212,6 +226,7 @@
 		onResponseData(controller, bytes) {
 			if (!isOver) {
 				answer!.add(bytes);
+				silence?.restart();
 				sink.onData(bytes);
 				return;
 			}
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -1,5 +1,6 @@
 /** Sends one step of a relayed request to one server. */
 import {type Dispatcher} from 'undici';
+import {type SilenceLimit} from '../../../../adapters/_lib/dispatch-call/index.js';
 import {toStreamOrigin} from '../../../../domain/create-stream-binding/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
@@ -21,8 +22,8 @@
 /** Timeout of an answer's head, as a multiple of the first-token target: three times as long as an answer within the target takes. */
 const headTimeoutFactor = 3;
 
-/** Idle timeout within a stream, as a multiple of the per-token target. Callers disconnect after eight times that target, so another server must continue before. */
-const idleTimeoutFactor = 5;
+/** Silence within a stream after which another server continues it, as a multiple of the per-token target. Callers disconnect after eight times that target, so another server must continue before. */
+const silenceFactor = 5;
 
 /** Lowest status with which a service reports that it failed. */
 const minServerErrorStatus = 500;
@@ -251,7 +252,8 @@
 		addedHeaders: exchange.passed === undefined ? {} : toOriginHeader(toOrigin()),
 		signal: headTimeout.signal,
 		headersTimeoutMs: toRemainingMs(run),
-		idleTimeoutMs: run.events === undefined ? ctx.limits.writeTimeoutMs : run.route.rule.then.target.perTokenMs * idleTimeoutFactor,
+		idleTimeoutMs: ctx.limits.writeTimeoutMs,
+		...(run.events !== undefined && {silence: toSilenceLimit(run)}),
 		checkHead(status, headers) {
 			headTimeout.end();
 			return findFault(status, headers);
@@ -272,6 +274,14 @@
 	return {kind: 'failed', fault: {kind: ended.fault.isUnsent === true ? 'unreachable' : 'broken', message: 'the server did not begin its answer in time'}};
 }
 
+/** Ends a silent stream only while another attempt may continue it: a stream that is cut without one is lost to its caller, though its server may go on. */
+function toSilenceLimit(run: PlainRun): SilenceLimit {
+	return {
+		afterMs: run.route.rule.then.target.perTokenMs * silenceFactor,
+		mayEnd: () => !run.stream.hasUnknownOrigin() && findNoRetryReason(run) === undefined,
+	};
+}
+
 /**
  * Aborts a call whose server sends no head within several times the first-token
  * target, if the request may be retried. Without this timeout, a server behind a
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -5,7 +5,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Dispatcher} from 'undici';
 import {
-	dispatchCall, type AnswerEnd, type CallFault, type CallFlow,
+	dispatchCall, type AnswerEnd, type CallFault, type CallFlow, type SilenceLimit,
 } from '../../../adapters/_lib/dispatch-call/index.js';
 import {type CallerExchange} from '../../../adapters/caller-http/index.js';
 import {toForwardHeaders} from '../../../domain/to-forward-headers/index.js';
@@ -49,6 +49,8 @@
 	headersTimeoutMs: Milliseconds;
 	/** Idle timeout within the answer, and of a caller that does not read. */
 	idleTimeoutMs: Milliseconds;
+	/** Ends a silent answer sooner where that helps. */
+	silence?: SilenceLimit;
 	/** Present if another server may continue a broken answer; only complete events are relayed then. */
 	events?: RelayedEvents | undefined;
 	/** Called once, before the first event is relayed. */
@@ -98,6 +100,7 @@
 			...(call.payload !== undefined && {payload: call.payload}),
 			headersTimeoutMs: call.headersTimeoutMs,
 			idleTimeoutMs: call.idleTimeoutMs,
+			...(call.silence && {silence: call.silence}),
 			signal,
 		}, {
 			onStart(answerStatus, headers, answerFlow) {
--- a/test/stand-ins/users-platform/apply-server-fault.ts
+++ b/test/stand-ins/users-platform/apply-server-fault.ts
@@ -12,11 +12,12 @@
 
 /**
  * Faults of a stream while it is written. Without framing, the stream ends with its
- * connection; a cut stream stops in the middle of its last event.
+ * connection; a cut stream stops in the middle of its last event, and a paused one
+ * waits before it.
  */
-export type StreamFault = 'cut-stream' | 'unframed-stream' | 'cut-unframed-stream';
+export type StreamFault = 'cut-stream' | 'paused-stream' | 'unframed-stream' | 'cut-unframed-stream';
 
-const streamFaults: ReadonlySet<string> = new Set(['cut-stream', 'unframed-stream', 'cut-unframed-stream'] satisfies StreamFault[]);
+const streamFaults: ReadonlySet<string> = new Set(['cut-stream', 'paused-stream', 'unframed-stream', 'cut-unframed-stream'] satisfies StreamFault[]);
 
 /**
  * @param fault - Fault of a server, if any.
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -10,6 +10,9 @@
 import {endServer, type ServerEnd} from './end-server.js';
 import {toServerStep, type ServerStep} from './to-server-step.js';
 
+/** Time for which a paused stream sends nothing, as after a preemption. */
+export const pausedStreamMs = 3000;
+
 /** One request that reached the server, or one call that manages its reservations, caches or orders. */
 export type Arrival = {
 	step: ServerStep;
@@ -132,6 +135,11 @@
 				return;
 			}
 
+			if (event === events && fault === 'paused-stream') {
+				res.flushHeaders();
+				await sleep(pausedStreamMs);
+			}
+
 			if (event === events && fault === 'cut-unframed-stream') {
 				res.end(`id: ${event}\ndata: pie`);
 				return;
