Read all anew when what changed is too long for one answer

Cause: thirteen versions of a configuration of 289 KB came in one answer to the watch, over the bound of 4 MiB. The host dropped it and asked for the same again, several times a second, until the store had forgotten its position.

Change: changes that are too long for one answer count like forgotten ones: the position is dropped, and the full read, which comes in pages, follows at once. A page that is too long stays a failure.

--- a/src/domain/to-request-history/index.ts
+++ b/src/domain/to-request-history/index.ts
@@ -21,7 +21,7 @@
 
 /** Messages that concern the whole host rather than one server. */
 const hostWideMessages = new Set([
-	'configuration in force', 'platform answers', 'platform does not answer', 'platform no longer knows what changed, reading all anew', 'woke up after a pause', 'stopping', 'listening', 'no server of the pool can be reached', 'servers of the pool can be reached again',
+	'configuration in force', 'platform answers', 'platform does not answer', 'platform no longer knows what changed, reading all anew', 'changes are too long for one answer, reading all anew', 'woke up after a pause', 'stopping', 'listening', 'no server of the pool can be reached', 'servers of the pool can be reached again',
 ]);
 
 function toServers(lines: readonly LogLine[]): ReadonlySet<string> {
--- a/src/programs/entry/follow-published/_test/create-scripted-platform.ts
+++ b/src/programs/entry/follow-published/_test/create-scripted-platform.ts
@@ -17,6 +17,8 @@
 	rewriteRules: () => void;
 	/** Drops the history: a watch from an earlier revision is refused as `forgotten`. */
 	forget: () => void;
+	/** Sets the number of changes that an answer to a watch may have; more are `too-large`. */
+	limitChanges: (max: number) => void;
 	/** Sets how reads are answered from now on; a read that is waiting when the platform goes silent is never answered. */
 	setReachability: (path: 'well' | 'refusing' | 'silent') => void;
 	/** Breaks off the waiting read; the next read is answered. */
@@ -136,6 +138,7 @@
 		note(change);
 	}
 
+	let maxChanges = Infinity;
 	const findChanges = (after: number): PublishedChange[] => history.filter(({revision: at}) => at > after).map(({change}) => change);
 
 	return {
@@ -147,7 +150,7 @@
 					const changes = findChanges(after);
 					return isOver || changes.length > 0 || isUnknown() ? {changes, position: {era, revision}} : undefined;
 				}));
-				return watched.andThen(answer => answer.position.era === era && isUnknown() ? errAsync<PublishedRead, PublishedFailure>({kind: 'forgotten', message: 'history gone', era}) : okAsync(answer));
+				return watched.andThen(answer => answer.changes.length > maxChanges ? errAsync<PublishedRead, PublishedFailure>({kind: 'too-large', message: 'more changes than fit'}) : okAsync(answer)).andThen(answer => answer.position.era === era && isUnknown() ? errAsync<PublishedRead, PublishedFailure>({kind: 'forgotten', message: 'history gone', era}) : okAsync(answer));
 			},
 			close: async () => undefined,
 		},
@@ -169,6 +172,9 @@
 			forgotten = revision;
 			history = [];
 		},
+		limitChanges(max) {
+			maxChanges = max;
+		},
 		backup: () => ({items: new Map(items), history: [...history], revision}),
 		restoreFrom(copy) {
 			lost = {changes: findChanges(copy.revision), position: {era, revision}};
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -229,13 +229,20 @@
 		return source.watch(position, waitMs, signal);
 	}
 
-	async function handleFailure({kind, message}: PublishedFailure, {startedAt, isUnanswered}: {startedAt: Milliseconds; isUnanswered: boolean}): Promise<void> {
+	async function handleFailure({kind, message}: PublishedFailure, {startedAt, isUnanswered, isWhole}: {startedAt: Milliseconds; isUnanswered: boolean; isWhole: boolean}): Promise<void> {
 		if (kind === 'forgotten') {
 			log.warn('platform no longer knows what changed, reading all anew', {revision: position?.revision, reason: message});
 			position = undefined;
 			return;
 		}
 
+		// The same changes would be too long again, while a full read comes in pages.
+		if (kind === 'too-large' && !isWhole) {
+			log.warn('changes are too long for one answer, reading all anew', {revision: position?.revision, reason: message});
+			position = undefined;
+			return;
+		}
+
 		if (isConnected) {
 			isConnected = false;
 			log.warn('platform does not answer', {revision: position?.revision, kind, reason: message});
@@ -315,7 +322,7 @@
 			});
 			const isReturn = read.error.kind === 'forgotten' && era !== eraBefore;
 			const isUnanswered = clock.now() - startedAt >= platformTimeoutMs + (isWhole ? 0 : waitMs);
-			await (isReturn ? pauseBeforeReset(signal) : handleFailure(read.error, {startedAt, isUnanswered}));
+			await (isReturn ? pauseBeforeReset(signal) : handleFailure(read.error, {startedAt, isUnanswered, isWhole}));
 			return;
 		}
 
--- a/src/programs/entry/follow-published/test.ts
+++ b/src/programs/entry/follow-published/test.ts
@@ -67,6 +67,26 @@
 }
 
 describe('followPublished', () => {
+	// Guards against a host that serves by an old configuration, as it asks for changes again and again that are too long for one answer.
+	it('reads all anew when the changes since a cut are too long for one answer', async () => {
+		const followed = startFollowed(() => 0.5);
+		const {time, platform} = followed;
+		await time.runUntil(cutAt);
+		platform.limitChanges(5);
+		platform.setReachability('refusing');
+		for (let n = 0; n < 6; n++) {
+			platform.publishRules();
+		}
+
+		platform.remove('leaves');
+		await time.runUntil(cutAt + cutMs);
+		platform.setReachability('well');
+		await time.runUntil(cutAt + cutMs + actDeadlineMs);
+		assert.deepEqual(followed.used(), ['stays']);
+		assert.equal(followed.logs().filter(({message}) => message === 'changes are too long for one answer, reading all anew').length, 1);
+		await followed.stop();
+	});
+
 	/*
 	 * Guards against requests that break at a server which left seconds ago. One host
 	 * is cut off from the platform for ten seconds, and a server is removed meanwhile.
