Let a host live on while its settings cannot be read

A file that is gone or half written for a moment would have ended every host at once.

Change: create-orders-reader keeps the last known host then, with one log line.

--- a/src/programs/relay/run-relay/index.ts
+++ b/src/programs/relay/run-relay/index.ts
@@ -9,6 +9,7 @@
 import {runUntilStopped} from '../../_run/index.js';
 import {checkRelaySettings, relaySettings, type RelaySettings} from '../../_settings/index.js';
 import {startRelay, type RelayOptions} from '../start-relay/index.js';
+import {createOrdersReader} from './_lib/create-orders-reader.js';
 
 const program = 'banyanport-relay';
 
@@ -40,28 +41,14 @@
 			throw new Error(reason);
 		}),
 		source: options.createSource(settings),
-		readOrdersFrom: createOrdersReader(options, settings, log),
+		readOrdersFrom: createOrdersReader(settings.ordersFrom, {
+			log,
+			readEnv: options.readEnv,
+			load: () => loadRelaySettings(options),
+		}),
 	});
 }
 
-/** Reads which host gives orders by the settings in force. Settings that can't be read leave the last known host. */
-function createOrdersReader(options: RunRelayOptions, {ordersFrom}: RelaySettings, log: Log): () => string | undefined {
-	let last = ordersFrom;
-	let isValid = true;
-	return () => {
-		const loaded = loadRelaySettings(options);
-		if (loaded.kind === 'run') {
-			last = loaded.settings.values.ordersFrom;
-			isValid = true;
-		} else if (isValid) {
-			isValid = false;
-			log.error('settings cannot be read; the host that they named last gives orders', {reason: loaded.stderr});
-		}
-
-		return last;
-	};
-}
-
 /** Logs which settings have changed. They take effect only at the next start, and the log line keeps operators from assuming that they are in force. */
 function checkChangedSettings(options: RunRelayOptions, settings: RelaySettings, log: Log): void {
 	const loaded = loadRelaySettings(options);
