--- a/src/programs/relay/run-relay/_lib/create-orders-reader.test.ts
+++ b/src/programs/relay/run-relay/_lib/create-orders-reader.test.ts
@@ -19,7 +19,7 @@
 	let env: NodeJS.ProcessEnv | Error = base;
 	let parsed = 0;
 	const collected = createCollectedLines();
-	function toEnv(): NodeJS.ProcessEnv {
+	function readCurrent(): NodeJS.ProcessEnv {
 		if (env instanceof Error) {
 			throw env;
 		}
@@ -31,11 +31,11 @@
 		log: createLog({
 			level: 'info', program: 'test', host: 'a', zone: 'a', incarnation: 1, sink: collected.sink,
 		}),
-		readEnv: toEnv,
+		readEnv: readCurrent,
 		load() {
 			parsed++;
 			return loadSettings(relaySettings, {
-				program: 'test', description: 'test', argv: [], env: toEnv(),
+				program: 'test', description: 'test', argv: [], env: readCurrent(),
 			});
 		},
 	});
--- a/src/programs/relay/share-loads/index.ts
+++ b/src/programs/relay/share-loads/index.ts
@@ -31,8 +31,12 @@
 import {logLimit} from '../../entry/server-limits/index.js';
 import {createCatchUpAnswers} from './_lib/create-catch-up-answers.js';
 import {createCrashReporter} from './_lib/create-crash-reporter.js';
-import {logCaughtUp} from './_lib/log-caught-up.js';
+import {createFaultLog} from './_lib/create-fault-log.js';
+import {
+	createRounds, keepAliveMs, roundMs, type OutgoingMessage,
+} from './_lib/create-rounds.js';
 import {createStartWatch} from './_lib/create-start-watch.js';
+import {logCaughtUp} from './_lib/log-caught-up.js';
 
 export type ShareLoadsOptions = {
 	/** `IP:port` of this host for its peers. */
@@ -83,34 +87,9 @@
 	close: () => Promise<void>;
 };
 
-/** Interval at which a host without changes repeats its loads, so that they don't expire at its peers. */
-const keepAliveMs: Milliseconds = 500;
-
-/** Interval of the rounds, in which known hosts are advertised and silent seeds are contacted. In a large fleet, loads are sent in rounds only. */
-const roundMs: Milliseconds = msPerSecond;
-
 /** A host's loads expire after this many of its messages are due. */
 const maxMissedMessages = 3;
 
-/** Shortest interval between log lines about faulty datagrams, which are counted in between. */
-const faultLogIntervalMs: Milliseconds = 10 * msPerSecond;
-
-const toLoadsText = (loads: readonly HostLoad[]): string => loads.map(({server, requests, promptTokens}) => `${server} ${requests} ${promptTokens}`).join(',');
-
-function createFaultLog({clock, log}: Pick<ShareLoadsOptions, 'clock' | 'log'>): (reason: string) => void {
-	let count = 0;
-	let loggedAt: Milliseconds | undefined;
-	return reason => {
-		count++;
-		const now = clock.now();
-		if (loggedAt === undefined || now - loggedAt >= faultLogIntervalMs) {
-			log.warn('message of a peer lost or not understood', {count, reason});
-			loggedAt = now;
-			count = 0;
-		}
-	};
-}
-
 /**
  * Starts the exchange of loads and crash reports.
  *
@@ -125,9 +104,6 @@
 	const shared = createSharedLoads({toMaxAgeMs: now => maxMissedMessages * (peers.isLarge(now) ? roundMs : keepAliveMs)});
 	const hasOtherSeeds = seeds.some(seed => seed !== address);
 	let sequence = 0;
-	let lastText = '';
-	let sentAt: Milliseconds = -Infinity;
-	let roundAt: Milliseconds = -Infinity;
 
 	const quotas = createWorkspaceQuotas({
 		self: address,
@@ -239,15 +215,6 @@
 		},
 	});
 
-	type OutgoingMessage = {
-		loads: readonly HostLoad[];
-		crashes: readonly CrashReport[];
-		partCrashes?: readonly CrashReport[];
-		named?: readonly NamedPeer[];
-		isAsking?: boolean;
-		catchUp?: CatchUpNote;
-	};
-
 	function toMessage({
 		loads, crashes, partCrashes = [], named = [], isAsking = false, catchUp: note,
 	}: OutgoingMessage): LoadMessage {
@@ -281,55 +248,7 @@
 		}
 	}
 
-	/**
-	 * Whether to send loads before the next round. Never in a fleet with more hosts
-	 * than one host can send to: there its own requests are a small part of the load,
-	 * and each message costs both ends about a tenth of a millisecond.
-	 */
-	function isDue(text: string, now: Milliseconds): boolean {
-		return !peers.isLarge(now) && (text !== lastText || now - sentAt >= keepAliveMs);
-	}
-
-	function toRoundReports(now: Milliseconds): {crashes: readonly CrashReport[]; partCrashes: readonly CrashReport[]} {
-		const [requests, parts] = reporters;
-		return {crashes: requests.toRoundReports(now), partCrashes: parts.toRoundReports(now)};
-	}
-
-	function sendUpdates(loads: readonly HostLoad[], now: Milliseconds): void {
-		const text = toLoadsText(loads);
-		const unanswered = peers.takeUnanswered();
-		for (const reporter of reporters) {
-			reporter.sendChanged(loads, now);
-		}
-
-		if (now - roundAt >= roundMs) {
-			roundAt = now;
-			for (const reporter of reporters) {
-				reporter.sendKnown(loads, now);
-			}
-
-			const named = peers.takeAdvertised(now);
-			const reports = toRoundReports(now);
-			const asked = new Set([...peers.directPeers(now), ...peers.remotePeers(now), ...peers.silentSeeds(now)]);
-			send({
-				loads, ...reports, named, isAsking: true,
-			}, [...asked]);
-			send({loads, ...reports, named}, [...new Set([...peers.remoteRequesters(now), ...unanswered])].filter(address => !asked.has(address)));
-		} else {
-			if (unanswered.length > 0) {
-				send({loads, ...toRoundReports(now), named: peers.takeAdvertised(now)}, unanswered);
-			}
-
-			if (!isDue(text, now)) {
-				return;
-			}
-
-			send({loads, crashes: []}, peers.directPeers(now));
-		}
-
-		lastText = text;
-		sentAt = now;
-	}
+	const rounds = createRounds({peers, reporters, send});
 
 	catchUp.begin('start', clock.now());
 	return {
@@ -347,7 +266,7 @@
 		tick(loads) {
 			const now = clock.now();
 			catchUp.tick(now);
-			sendUpdates(loads, now);
+			rounds.tick(loads, now);
 		},
 		close: socket.close,
 	};
