--- a/src/domain/create-catch-up/index.ts
+++ b/src/domain/create-catch-up/index.ts
@@ -207,16 +207,18 @@
 
 	/** Ends the wait if enough is known, and lets requests go on if it has lasted too long. */
 	function settle(current: Wait, now: Milliseconds): void {
+		const {cause} = current;
 		const whole = [...current.answers.values()].filter(answer => isWhole(answer));
-		const complete = whole.filter(({knowledge}) => knowledge === 'current').length;
+		const ofCurrent = whole.filter(({knowledge}) => knowledge === 'current');
+		const fallbacks = whole.filter(answer => answer.knowledge !== 'current' && isFallback(answer, cause, ownZone));
 		const waitedMs = now - current.beganAt;
 		const isAnyEnough = waitedMs >= anyAnswerMs;
-		const answers = isAnyEnough ? whole.filter(answer => answer.knowledge === 'current' || isFallback(answer, current.cause, ownZone)).length : complete;
-		const wanted = isAnyEnough ? 1 : Math.min(wantedAnswers, Math.max(1, toPeers(current.cause, now).length));
+		const answers = ofCurrent.length + (isAnyEnough ? fallbacks.length : 0);
+		const wanted = isAnyEnough ? 1 : Math.min(wantedAnswers, Math.max(1, toPeers(cause, now).length));
 		if (answers >= wanted) {
 			wait = undefined;
 			unknowingSince = undefined;
-			isToldInPart = current.cause === 'start' && complete === 0;
+			isToldInPart = cause === 'start' && ofCurrent.length === 0;
 			release({...current, isOverdue: false}, answers, now);
 		} else if (waitedMs >= maxWaitMs && !current.isOverdue) {
 			current.isOverdue = true;
--- a/src/domain/create-order-authority/index.ts
+++ b/src/domain/create-order-authority/index.ts
@@ -45,7 +45,11 @@
 	mayGiveOrders: (now: Milliseconds) => boolean;
 };
 
-type OwnClaim = {sinceMs: number; at: Milliseconds};
+type OwnClaim = {
+	sinceMs: number;
+	/** Monotonic time of the claim. */
+	at: Milliseconds;
+};
 
 /** A claim of another host, and when that host last told it. */
 type HeardClaim = Pick<OrderClaim, 'address' | 'sinceMs'> & {toldAt: Milliseconds};
