--- a/src/domain/create-catch-up/index.ts
+++ b/src/domain/create-catch-up/index.ts
@@ -79,6 +79,7 @@
 	dueAt: () => Milliseconds | undefined;
 };
 
+/** A host that answers, by the address of its messages. */
 export type Answerer = {address: string; zone: ZoneId};
 
 type Answers = {parts: Set<number>; count: number; zone: ZoneId; knowledge: Knowledge};
@@ -159,7 +160,7 @@
 	/** Start of a process that has not been told anything yet. */
 	let unknowingSince: Milliseconds | undefined;
 
-	/** Whether this host has only been told by hosts that were away. */
+	/** See {@link CatchUp.isToldInPart}. */
 	let isToldInPart = false;
 
 	const isStarting = (now: Milliseconds): boolean => unknowingSince !== undefined && now - unknowingSince < settledMs;
