Decide by one rule to which call an answer belongs

Cause: each kind of call decided for itself whether an answer was its own, and all of them took an answer without a request id for their own. Reservations and releases are answered without one, so that a copy of such an answer passed for that of a run.

Change: judge-answer-owner decides for runs, prefills and control calls. An answer to a request has to name it, and a success of a run has to have the seal. A refusal without a name counts only where it is true for any call on the connection: another server has the address; a prefill; or connections that carry runs alone, which are closed after each such refusal. After a foreign answer the connection closes, and the request may have run. Notices in foreign answers no longer count. The stand-in names requests in refusals as the servers do; the unnamed form is a fault of its own.

Tried and left out: connections of their own for control calls, with which an unnamed refusal of a decode server counts too.

Not covered: a decode server whose refusals name no request fails its caller with 502; the native interface, whose answers name nothing.

--- a/src/adapters/_lib/read-answer/index.ts
+++ b/src/adapters/_lib/read-answer/index.ts
@@ -1,6 +1,7 @@
 /** Reads a small HTTP answer completely. */
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
+import {type AnswerOwner} from '../../../domain/judge-answer-owner/index.js';
 import {
 	dispatchCall, type Call, type CallFault, type CallFlow,
 } from '../dispatch-call/index.js';
@@ -11,17 +12,21 @@
 	text: string;
 };
 
-/** `foreign`: the answer belongs to another request. */
+/** `foreign`: the answer belongs to another call. */
 export type AnswerFault = CallFault | {kind: 'too-large'; message: string} | {kind: 'foreign'; message: string};
 
 export type ReadAnswerOptions = {
-	/**
-	 * Whether the answer belongs to this call. If not, the connection is closed, as the
-	 * call's own answer is still due on it, and would be read as that of the next call.
-	 */
-	isOwn?: (headers: WholeAnswer['headers']) => boolean;
+	/** Decides by the head whether the answer belongs to this call. The connection is closed after a foreign answer, and after one that names no call, of which only the head is read. */
+	toOwner?: (status: number, headers: WholeAnswer['headers']) => AnswerOwner;
 };
 
+/**
+ * @param status - Status of the answer.
+ * @param owner - Why the answer does not belong to its call.
+ * @returns Message for the log.
+ */
+export const toForeignMessage = (status: number, {reason}: Extract<AnswerOwner, {kind: 'foreign'}>): string => `status ${status}, an answer to another call: ${reason}`;
+
 /**
  * Sends a call and collects its answer.
  *
@@ -30,7 +35,7 @@
  * @param options - See {@link ReadAnswerOptions}.
  * @returns Status, headers and text, or the fault.
  */
-export async function readAnswer(call: Call, maxBytes: number, {isOwn = () => true}: ReadAnswerOptions = {}): Promise<Result<WholeAnswer, AnswerFault>> {
+export async function readAnswer(call: Call, maxBytes: number, {toOwner}: ReadAnswerOptions = {}): Promise<Result<WholeAnswer, AnswerFault>> {
 	return new Promise(resolve => {
 		const parts: Buffer[] = [];
 		let size = 0;
@@ -40,9 +45,13 @@
 		dispatchCall(call, {
 			onStart(...start) {
 				[status, headers, flow] = start;
-				if (!isOwn(headers)) {
+				const owner = toOwner?.(status, headers);
+				if (owner?.kind === 'foreign') {
+					flow.abandon();
+					resolve(err({kind: 'foreign', message: toForeignMessage(status, owner)}));
+				} else if (owner?.isNamed === false) {
 					flow.abandon();
-					resolve(err({kind: 'foreign', message: `status ${status}, an answer to another request`}));
+					resolve(ok({status, headers, text: ''}));
 				}
 			},
 			onData(bytes) {
--- a/src/adapters/native-calls/index.ts
+++ b/src/adapters/native-calls/index.ts
@@ -31,6 +31,5 @@
 			};
 		},
 		toRefusal: () => undefined,
-		isAnswerTo: () => true,
 	};
 }
--- /dev/null
+++ b/src/domain/judge-answer-owner/index.ts
@@ -0,0 +1,73 @@
+/**
+ * Decides whether an answer belongs to the call that read it.
+ *
+ * A server may send an answer once more in place of the next one on the connection.
+ * The order of answers on a connection therefore proves nothing, and what an answer
+ * shows of its call decides instead.
+ */
+import {type RequestId} from '../../ports/ids.js';
+import {type AnswerMarks} from '../../ports/server-calls.js';
+
+export type CallIdentity =
+	/** `isShared`: whether control calls use the same connections. */
+	| {kind: 'run'; requestId: RequestId; isShared: boolean}
+	| {kind: 'prefill'; requestId: RequestId}
+	/** A call that manages what a server holds, and names no request. */
+	| {kind: 'control'};
+
+export type AnswerOwner =
+	/** `isNamed`: whether the answer is known to be the one that was due. Otherwise its connection is to be closed, as a copy of it would pass for the answer to the next call. */
+	| {kind: 'own'; isNamed: boolean}
+	/** The call's own answer is still due, so its connection is to be closed, and whether the call was carried out is unknown. */
+	| {kind: 'foreign'; reason: string};
+
+const toForeign = (reason: string): AnswerOwner => ({kind: 'foreign', reason});
+
+/** Whether an answer that names no request is true for the call that read it, even if it was sent for another one. */
+function isTrueUnnamed(call: Exclude<CallIdentity, {kind: 'control'}>, {kind}: AnswerMarks): boolean {
+	// The same server is at the other end for each call on a connection.
+	if (kind === 'misdirected') {
+		return true;
+	}
+
+	// Callers are told nothing of a prefill, and no earlier refusal was left on a connection that carries runs alone.
+	return kind === 'refusal' && (call.kind === 'prefill' || !call.isShared);
+}
+
+/**
+ * Decides whether an answer belongs to a call.
+ *
+ * An answer to a request has to name it, and a success has to be sealed, but for
+ * that of a prefill. A refusal that names none counts only where it can't be a copy
+ * of an earlier one, as the connection is closed after each of them.
+ *
+ * @param call - The call that read the answer. No earlier call on its connection may have sent the same request.
+ * @param marks - What the answer shows of its call; `undefined` where answers show nothing.
+ * @returns The owner; an answer without marks counts as the call's own.
+ *
+ * @example
+ * ```ts
+ * judgeAnswerOwner({kind: 'run', requestId: 'r1', isShared: false}, {kind: 'success', requestId: 'r2', isSealed: true});
+ * // => {kind: 'foreign', reason: 'it names another request'}
+ * ```
+ */
+export function judgeAnswerOwner(call: CallIdentity, marks: AnswerMarks | undefined): AnswerOwner {
+	if (marks === undefined) {
+		return {kind: 'own', isNamed: true};
+	}
+
+	if (call.kind === 'control') {
+		return marks.requestId === undefined ? {kind: 'own', isNamed: true} : toForeign('it names a request');
+	}
+
+	if (marks.requestId === undefined) {
+		return isTrueUnnamed(call, marks) ? {kind: 'own', isNamed: false} : toForeign('it names no request');
+	}
+
+	if (marks.requestId !== call.requestId) {
+		return toForeign('it names another request');
+	}
+
+	const needsSeal = call.kind === 'run' && marks.kind === 'success';
+	return needsSeal && !marks.isSealed ? toForeign('it is a success without a seal') : {kind: 'own', isNamed: true};
+}
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -69,6 +69,16 @@
 
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
 
+/** What the head of an answer shows of the call that it answers. */
+export type AnswerMarks = {
+	/** Id of the request that the answer names; `undefined` if it names none. */
+	requestId: RequestId | undefined;
+	/** `refusal`: the server states that it did not run the request. `misdirected`: another server than the one addressed states so. `failure`: none of these. */
+	kind: 'success' | 'refusal' | 'misdirected' | 'failure';
+	/** Whether the server has sealed the body of the answer, as it does for each run. */
+	isSealed: boolean;
+};
+
 /** What a server states about itself in an answer, independent of the request. */
 export type ServerNotice = {
 	/** Whether the server drains and is to get no new work. */
@@ -114,8 +124,8 @@
 	readNotice?: (status: number, headers: AnswerHeaders) => ServerNotice | undefined;
 	/** The limit that an answer states for its server; `undefined` when the answer may come from another server than the one called. */
 	readLimit?: (status: number, headers: AnswerHeaders) => StatedLimit | undefined;
-	/** Whether the answer belongs to the request. A server may send an answer twice, so that the second copy arrives in place of the next request's answer. */
-	isAnswerTo: (requestId: RequestId, headers: AnswerHeaders) => boolean;
+	/** What an answer shows of its call; absent where answers name no request. */
+	readMarks?: (status: number, headers: AnswerHeaders) => AnswerMarks;
 	/** Absent where no server separates prefill and decode for relayed requests. */
 	caches?: CacheCalls;
 	/** Orders a server to change its role once its running work has ended; absent where servers accept no orders. */
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -16,7 +16,7 @@
 import {type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	findRunQuarantine, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toRemainingMs, toCallHeaders,
+	findRunQuarantine, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toAnswerOwner, toRemainingMs, toCallHeaders,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {toFailedRunEnd} from '../call-plain/_lib/to-run-end.js';
@@ -91,7 +91,7 @@
 		headersTimeoutMs: limitedBySignal,
 		idleTimeoutMs: limitedBySignal,
 		signal: createTimeoutSignal(limitMs, run.signal),
-	}, maxPrefillAnswerBytes, {isOwn: headers => run.ctx.calls.isAnswerTo(run.exchange.requestId, headers)});
+	}, maxPrefillAnswerBytes, {toOwner: (status, headers) => toAnswerOwner(run, 'prefill', {status, headers})});
 	if (answer.isErr()) {
 		const {error} = answer;
 		if (error.kind === 'foreign') {
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -1,6 +1,8 @@
 /** Sends one step of a relayed request to one server. */
 import {type Dispatcher} from 'undici';
 import {type SilenceLimit} from '../../../../adapters/_lib/dispatch-call/index.js';
+import {toForeignMessage} from '../../../../adapters/_lib/read-answer/index.js';
+import {judgeAnswerOwner, type AnswerOwner} from '../../../../domain/judge-answer-owner/index.js';
 import {toStreamOrigin} from '../../../../domain/create-stream-binding/index.js';
 import {type Milliseconds} from '../../../../ports/clock.js';
 import {type ServerEntry} from '../../../../ports/config.js';
@@ -47,11 +49,20 @@
 }
 
 /**
- * Checks the head of an answer.
+ * Decides whether an answer belongs to a call of a request.
  *
- * A server that answers twice or late may send the answer to another request on a
- * kept-alive connection. If that were relayed, one caller would read the answer of
- * another.
+ * @param run - The request.
+ * @param kind - What the call asked for.
+ * @param answer - Status of the answer, and headers by lower-case name.
+ * @returns The owner.
+ */
+export function toAnswerOwner({ctx, exchange: {requestId}, route}: PlainRun, kind: 'run' | 'prefill', {status, headers}: {status: number; headers: AnswerHeaders}): AnswerOwner {
+	const isShared = route.pool.kind === 'model' && ctx.calls.caches !== undefined;
+	return judgeAnswerOwner({kind, requestId, isShared}, ctx.calls.readMarks?.(status, headers));
+}
+
+/**
+ * Checks the head of an answer.
  *
  * @param run - The request.
  * @param status - Status of the answer.
@@ -59,14 +70,16 @@
  * @returns Why the answer is not relayed; `undefined` if it is.
  */
 export function findHeadFault(run: PlainRun, status: number, headers: AnswerHeaders): PlainFault | undefined {
-	const {calls} = run.ctx;
-	if (!calls.isAnswerTo(run.exchange.requestId, headers)) {
-		return {kind: 'invalid', message: `status ${status}, an answer to another request`};
+	const owner = toAnswerOwner(run, 'run', {status, headers});
+	if (owner.kind === 'foreign') {
+		return {kind: 'invalid', message: toForeignMessage(status, owner)};
 	}
 
-	const reason = calls.toRefusal(status, headers);
+	const reason = run.ctx.calls.toRefusal(status, headers);
 	if (reason !== undefined) {
-		return {kind: 'refused', reason, message: `status ${status}`};
+		return {
+			kind: 'refused', reason, message: `status ${status}`, isNamed: owner.isNamed,
+		};
 	}
 
 	// Once the caller has part of a stream, only the rest of that stream can follow.
@@ -104,23 +117,20 @@
 }
 
 /**
- * Handles what a server states about itself in an answer.
+ * Handles what a server states about itself in an answer to the call.
  *
  * @param run - The request.
  * @param server - The server that was called.
  * @param answer - Status and headers of its answer, and the monotonic time at which the call began.
  */
-export function handleAnswerNotice({ctx, exchange}: PlainRun, server: ServerEntry, answer: {status: number; headers: AnswerHeaders; calledAt: Milliseconds}): void {
+export function handleAnswerNotice({ctx}: PlainRun, server: ServerEntry, answer: {status: number; headers: AnswerHeaders; calledAt: Milliseconds}): void {
 	const {status, headers} = answer;
 	const notice = ctx.calls.readNotice?.(status, headers);
 	if (notice !== undefined) {
 		ctx.handleNotice(server, notice);
 	}
 
-	// The answer to an earlier request, sent again, states an earlier limit.
-	if (ctx.calls.isAnswerTo(exchange.requestId, headers)) {
-		noteStatedLimit(ctx, server, answer);
-	}
+	noteStatedLimit(ctx, server, answer);
 }
 
 /**
@@ -201,9 +211,13 @@
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
 			noteLinkAnswer(run, link);
-			handleAnswerNotice(run, server, {status, headers, calledAt});
 			const fault = findHeadFault(run, status, headers);
-			noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
+			// What an answer to another call states may no longer hold.
+			if (fault?.kind !== 'invalid') {
+				handleAnswerNotice(run, server, {status, headers, calledAt});
+				noteAnswered(run, {server: server.id, calledAt, refusal: fault?.kind === 'refused' ? fault.reason : undefined});
+			}
+
 			return fault;
 		},
 		onFirst,
--- a/src/programs/entry/pass-on/_lib/passed-call.test.ts
+++ b/src/programs/entry/pass-on/_lib/passed-call.test.ts
@@ -12,12 +12,12 @@
 function toRun(origin?: StreamOrigin): PlainRun {
 	const run: unknown = {
 		exchange: {requestId: 'r', headers: {accept: 'text/event-stream'}},
-		route: {edition: 3},
+		route: {edition: 3, pool: {kind: 'plain'}},
 		runs: 1,
 		deadline: 1000,
 		events: {hasBegun: origin !== undefined, lastId: origin && '4'},
 		stream: createRunStream({origin}),
-		ctx: {services: {clock: {now: () => 0}}, calls: {isAnswerTo: () => true, toRefusal: () => undefined}},
+		ctx: {services: {clock: {now: () => 0}}, calls: {toRefusal: () => undefined}},
 	};
 	return run as PlainRun;
 }
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -18,10 +18,10 @@
 
 export {type RelayedEvents} from './_lib/create-event-relay.js';
 
-/** Why a call brought no answer to relay; `refused` means that the server itself reported that it did not run the request. */
+/** Why a call brought no answer to relay; `refused` means that the server itself reported that it did not run the request, in an answer that names the request if `isNamed`. */
 export type PlainFault =
 	| CallFault
-	| {kind: 'refused'; reason: EngineRefusalReason; message: string}
+	| {kind: 'refused'; reason: EngineRefusalReason; message: string; isNamed?: boolean}
 	/** The server ran the request and reported a failure; the answer was not relayed, because another server is to be tried. */
 	| {kind: 'failed-answer'; message: string}
 	| {kind: 'invalid'; message: string}
@@ -66,10 +66,11 @@
 /**
  * Ends a call whose answer is not relayed. The rest of a refusal is short and is
  * read, so that the connection can be reused. After an invalid answer, such as one
- * to another request, the connection is closed, as its next answer may be wrong too.
+ * to another request, the connection is closed, as its next answer may be wrong too;
+ * after a refusal that names no request, as a copy of it would refuse the next one.
  */
 function rejectAnswer(fault: PlainFault, flow: CallFlow, resolve: (end: PlainEnd) => void): void {
-	if (fault.kind === 'invalid') {
+	if (fault.kind === 'invalid' || (fault.kind === 'refused' && fault.isNamed === false)) {
 		flow.abandon();
 	} else {
 		flow.discard();
--- a/test/stand-ins/users-platform/apply-server-fault.ts
+++ b/test/stand-ins/users-platform/apply-server-fault.ts
@@ -5,7 +5,7 @@
 
 /** Fault with which the server treats the next request instead of serving it. */
 export type ServerFault =
-	| 'refuse' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | EndlessFault | StreamFault;
+	| 'refuse' | 'refuse-unnamed' | 'wrong-instance' | 'fail' | 'answer-another' | 'cut-unframed' | 'reset' | 'silent' | EndlessFault | StreamFault;
 
 /** Bytes that are no answer and go on until the connection is closed. */
 export type EndlessFault = 'endless-refusal' | 'endless-heads' | 'endless-chunk-extension' | 'endless-event';
@@ -76,6 +76,12 @@
 			break;
 		}
 
+		case 'refuse-unnamed': {
+			delete req.headers['request-id'];
+			answer(res, 503, {error: 'full'}, {'not-executed': '1'});
+			break;
+		}
+
 		case 'wrong-instance': {
 			answer(res, 421, {error: 'another'}, {'instance-id': 'i-another'});
 			break;
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -7,8 +7,9 @@
 import {
 	applyServerFault, isStreamFault, type ServerFault, type StreamFault,
 } from './apply-server-fault.js';
+import {createAnswerRepeater, type AnswerRepeater} from './create-answer-repeater.js';
 import {endServer, type ServerEnd} from './end-server.js';
-import {toServerStep, type ServerStep} from './to-server-step.js';
+import {isControl, toServerStep, type ServerStep} from './to-server-step.js';
 
 /** Time for which a paused stream sends nothing, as after a preemption. */
 export const pausedStreamMs = 3000;
@@ -24,6 +25,8 @@
 	arrivedAt: number;
 	/** Whether the connection ended before the answer was complete. */
 	isLeft: boolean;
+	/** Whether the server ran the request, and answered as a server without faults does. */
+	isRun: boolean;
 };
 
 export type ServerStandIn = {
@@ -51,6 +54,10 @@
 	setLeaving: (isLeaving: boolean) => void;
 	/** Sets whether an order is in progress, during which the server refuses others. */
 	setBusy: (isBusy: boolean) => void;
+	/** Sets which answers the server sends once more, before the next one on the connection. */
+	repeatAnswers: AnswerRepeater['repeat'];
+	/** Number of answers sent once more. */
+	repeatedAnswers: () => number;
 	/** Number of reservations neither used nor released. */
 	reservations: () => number;
 	/** Ends the server when it begins to run a matching request, by default by closing all connections; it restarts at once under another id. */
@@ -64,6 +71,8 @@
 	id: string;
 	/** Duration of a run in milliseconds. */
 	workMs?: number;
+	/** Duration of a call that manages reservations, caches or orders, in milliseconds; 0 by default. */
+	controlMs?: number;
 	/** Number of events in a stream. */
 	events?: number;
 	/** Version of the server's software, which each of its events names. */
@@ -91,7 +100,7 @@
  */
 export async function startServerStandIn(options: ServerStandInOptions): Promise<ServerStandIn> {
 	const {
-		id, workMs = 5, events = 3, version, caches = new Set(), sharedFaults = [],
+		id, workMs = 5, controlMs = 0, events = 3, version, caches = new Set(), sharedFaults = [],
 	} = options;
 	const versionText = version === undefined ? '' : ` at ${version}`;
 	const arrivals: Arrival[] = [];
@@ -108,14 +117,25 @@
 	let crashEnd: ServerEnd = 'closes';
 	let crashes = 0;
 	const open = new Set<ServerResponse>();
+	const repeater = createAnswerRepeater();
 	/** Earlier starts that went dark. */
 	const darkIds = new Set<string>();
 
 	const toNoticeHeaders = () => ({...(isLeaving && {'server-leaving': '1'}), ...(requestLimit !== undefined && {'server-limit': requestLimit})});
 
+	/** Answers in JSON, and names the request if the call did. */
 	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
-		res.writeHead(status, {'content-type': 'application/json', ...toNoticeHeaders(), ...headers});
-		res.end(JSON.stringify(body));
+		const named = res.req.headers['request-id'];
+		const sent = {
+			status,
+			headers: {
+				'content-type': 'application/json', ...(named !== undefined && {'request-id': String(named)}), ...toNoticeHeaders(), ...headers,
+			},
+			body: JSON.stringify(body),
+		};
+		res.writeHead(status, sent.headers);
+		res.end(sent.body);
+		repeater.note(res.req, toServerStep(res.req), sent);
 	};
 
 	const ownHeaders = (req: IncomingMessage) => ({'request-id': String(req.headers['request-id']), 'server-seal': `seal-of-${id}`});
@@ -126,7 +146,8 @@
 			res.shouldKeepAlive = false;
 		}
 
-		res.writeHead(200, {'content-type': 'text/event-stream', ...toNoticeHeaders(), ...ownHeaders(req)});
+		const sent = {status: 200, headers: {'content-type': 'text/event-stream', ...toNoticeHeaders(), ...ownHeaders(req)}, body: ''};
+		res.writeHead(sent.status, sent.headers);
 		for (let event = Number(req.headers['last-event-id'] ?? 0) + 1; event <= events; event++) {
 			if (event === events && fault === 'cut-stream') {
 				res.write(`id: ${event}\ndata: pie`, () => {
@@ -145,11 +166,14 @@
 				return;
 			}
 
-			res.write(`id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}${versionText}\n\n`);
+			const piece = `id: ${event}\ndata: piece ${event} of ${String(req.headers['request-id'])}${versionText}\n\n`;
+			sent.body += piece;
+			res.write(piece);
 			await sleep(workMs);
 		}
 
 		res.end();
+		repeater.note(req, toServerStep(req), sent);
 	}
 
 	function reserve(body: string, res: ServerResponse): void {
@@ -216,9 +240,10 @@
 	async function serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const step = toServerStep(req);
 		const arrival: Arrival = {
-			step, method: req.method ?? '', target: req.url ?? '', headers: req.headers, body: '', arrivedAt: performance.now(), isLeft: false,
+			step, method: req.method ?? '', target: req.url ?? '', headers: req.headers, body: '', arrivedAt: performance.now(), isLeft: false, isRun: false,
 		};
 		arrivals.push(arrival);
+		repeater.sendDue(req);
 		res.once('close', () => {
 			arrival.isLeft = !res.writableFinished;
 		});
@@ -228,6 +253,10 @@
 			return;
 		}
 
+		if (isControl(step) && controlMs > 0) {
+			await sleep(controlMs);
+		}
+
 		if (step === 'reserve') {
 			await reservationsHeld;
 			reserve(arrival.body, res);
@@ -265,7 +294,7 @@
 			await promptsHeld;
 			const handle = `cache-${++createdCount}`;
 			caches.add(`${address}/${handle}`);
-			answer(res, 200, {kv_handle: handle, tokens: 10, version: 1}, {'request-id': String(req.headers['request-id'])});
+			answer(res, 200, {kv_handle: handle, tokens: 10, version: 1});
 			return;
 		}
 
@@ -277,10 +306,12 @@
 				return;
 			}
 
+			arrival.isRun = true;
 			await stream(req, res, streamFault);
 			return;
 		}
 
+		arrival.isRun = true;
 		if (req.headers.accept === 'text/event-stream') {
 			await stream(req, res, streamFault);
 			return;
@@ -331,6 +362,8 @@
 		setBusy(next) {
 			isBusy = next;
 		},
+		repeatAnswers: repeater.repeat,
+		repeatedAnswers: repeater.count,
 		reservations: () => reservations.size,
 		crashOn(next, end = 'closes') {
 			isCrashing = next;
--- a/test/stand-ins/users-platform/to-server-step.ts
+++ b/test/stand-ins/users-platform/to-server-step.ts
@@ -26,3 +26,11 @@
 
 	return headers['kv-hold'] === undefined ? 'whole' : 'decode';
 }
+
+const controlSteps: ReadonlySet<ServerStep> = new Set(['reserve', 'release', 'drop-cache', 'order'] satisfies ServerStep[]);
+
+/**
+ * @param step - What a call asks of the server.
+ * @returns Whether it manages reservations, caches or orders, and sends no request.
+ */
+export const isControl = (step: ServerStep): boolean => controlSteps.has(step);
