Send a request to a server again on a connection of its own

A caller got the failure of an earlier try, although a later try at the same server had succeeded; the answer of that try was left on the connection.

Cause: an answer is told by the id of its request, and the tries of one request have the same id. If a server sends its answer to the first try once more, it is read as that to the second one on the connection.

Change: servers that were sent the request are noted, and a further call opens a connection for itself. It costs a connection for each such try, which needs all servers of the service to have failed the request once.

A false refusal as not run by this path was tried and not found: a server that refused as full is not asked again by the same request for a while.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -61,7 +61,7 @@
 const maxInformationalHeads = 16;
 
 export type Call = {
-	dispatcher: Dispatcher;
+	dispatcher: Pick<Dispatcher, 'dispatch'>;
 	origin: string;
 	method: Dispatcher.HttpMethod;
 	path: string;
--- a/src/programs/entry/_lib/plain-clients.ts
+++ b/src/programs/entry/_lib/plain-clients.ts
@@ -7,6 +7,8 @@
 
 export type PlainClients = {
 	toDispatcher: (server: Pick<ServerEntry, 'id'>) => Dispatcher;
+	/** Creates a connection for a single call. */
+	createConnection: () => Pick<Dispatcher, 'dispatch'>;
 	keepOnly: (servers: ReadonlySet<ServerId>) => void;
 	close: () => Promise<void>;
 };
@@ -27,6 +29,17 @@
 			agents.set(server.id, agent);
 			return agent;
 		},
+		createConnection() {
+			const agent = createHttpAgent({connections: 1, ...options});
+			return {
+				dispatch(call, handler) {
+					const isFree = agent.dispatch(call, handler);
+					// Waits for the call that has just been dispatched.
+					void agent.close();
+					return isFree;
+				},
+			};
+		},
 		keepOnly(servers) {
 			for (const [server, pool] of agents) {
 				if (!servers.has(server)) {
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -16,7 +16,7 @@
 import {type PlainFault} from '../send-plain/index.js';
 import {type PlainRun} from '../call-plain/_lib/types.js';
 import {
-	findRunQuarantine, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toAnswerOwner, toRemainingMs, toCallHeaders,
+	findRunQuarantine, noteAnswered, noteLinkAnswer, noteLinkEnd, sendRequest, handleAnswerNotice, toAnswerOwner, toRemainingMs, toCallHeaders, toRequestDispatcher,
 } from '../call-plain/_lib/send-step.js';
 import {mayHaveStarted} from '../call-plain/_lib/decide-retry.js';
 import {toFailedRunEnd} from '../call-plain/_lib/to-run-end.js';
@@ -82,7 +82,7 @@
 	const limitMs = Math.min(toRemainingMs(run), prefillTimeShare * toReservationMs(run), expectedMs);
 	const link = run.ctx.reach?.openCall(run.route.pool.name);
 	const answer = await readAnswer({
-		dispatcher: run.clients.toDispatcher(server),
+		dispatcher: toRequestDispatcher(run, server),
 		origin: server.url,
 		method: run.exchange.method,
 		path: run.exchange.target,
--- a/src/programs/entry/call-plain/_lib/create-plain-run.ts
+++ b/src/programs/entry/call-plain/_lib/create-plain-run.ts
@@ -17,6 +17,7 @@
 		ledger: createOutcomeLedger(),
 		events: route.rule.then.relay?.isResumable === true ? {hasBegun: false, lastId: undefined} : undefined,
 		tried: [],
+		sentTo: new Set(),
 		peersTried: new Set(),
 		unreached: new Set(),
 		runs: exchange.passed?.runs ?? 0,
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -61,6 +61,21 @@
 	return judgeAnswerOwner({kind, requestId, isShared}, ctx.calls.readMarks?.(status, headers));
 }
 
+/**
+ * Picks the connections for a call that sends the request. On a connection that has
+ * carried the request before, a copy of the earlier answer would name it too, so a
+ * second call to a server gets a connection of its own.
+ *
+ * @param run - The request; the server is noted as one that was sent it.
+ * @param server - Server to call.
+ * @returns Dispatcher for one call.
+ */
+export function toRequestDispatcher({clients, sentTo}: PlainRun, server: ServerEntry): Pick<Dispatcher, 'dispatch'> {
+	const isSentBefore = sentTo.has(server.id);
+	sentTo.add(server.id);
+	return isSentBefore ? clients.createConnection() : clients.toDispatcher(server);
+}
+
 /**
  * Checks the head of an answer.
  *
@@ -201,13 +216,13 @@
  * @returns How the call ended; after `failed` nothing has been relayed.
  */
 export async function sendRequest(run: PlainRun, server: ServerEntry, step: CallStep, onFirst: () => void): Promise<PlainEnd> {
-	const {ctx, clients} = run;
+	const {ctx} = run;
 	const calledAt = ctx.services.clock.now();
 	const link = ctx.reach?.openCall(run.route.pool.name);
 	const ended = await sendTo(run, {
 		url: server.url,
 		toOrigin: () => toStreamOrigin(server),
-		dispatcher: clients.toDispatcher(server),
+		dispatcher: toRequestDispatcher(run, server),
 		headers: toCallHeaders(run, server, step),
 		findFault(status, headers) {
 			noteLinkAnswer(run, link);
@@ -234,7 +249,7 @@
 export type Destination = {
 	/** Origin of the server, or of another host. */
 	url: string;
-	dispatcher: Dispatcher;
+	dispatcher: Pick<Dispatcher, 'dispatch'>;
 	headers: Record<string, string | string[]>;
 	/** Origin of the answer's events, called after its head was accepted; `undefined` if another host does not tell it. */
 	toOrigin: () => StreamOrigin | undefined;
--- a/src/programs/entry/call-plain/_lib/types.ts
+++ b/src/programs/entry/call-plain/_lib/types.ts
@@ -44,6 +44,8 @@
 	stream: RunStream;
 	/** Servers that failed or refused the request so far, and their zones. */
 	tried: Array<FailedAttempt['tried'][number]>;
+	/** Servers to which a call has sent the request, also for a prefill. */
+	sentTo: Set<ServerId>;
 	/** Number of calls so far that may have run the request: neither prefills nor calls that a server refused or that did not reach it. */
 	runs: number;
 	/** Whether the decode server of the next attempt also does the prefill, because the retry budget did not allow a separate prefill call. */
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -39,7 +39,7 @@
 
 export type PlainCall = {
 	exchange: CallerExchange;
-	dispatcher: Dispatcher;
+	dispatcher: Pick<Dispatcher, 'dispatch'>;
 	/** URL of the server, or of the host that passes the request on to one. */
 	url: string;
 	headers: Record<string, string | string[]>;
--- a/test/contracts/repeated-answers.test.ts
+++ b/test/contracts/repeated-answers.test.ts
@@ -5,9 +5,10 @@
 } from 'node:test';
 import {setTimeout as sleep} from 'node:timers/promises';
 import fc from 'fast-check';
+import {waitUntil} from '../_lib/wait-until/index.js';
 import {type ServerStep} from '../stand-ins/users-platform/to-server-step.js';
 import {
-	startRelayFixture, toStreamHeaders, type Answer, type RelayFixture,
+	deadlineMs, startRelayFixture, toStreamHeaders, type Answer, type RelayFixture,
 } from '../stand-ins/users-platform/start-relay-fixture.js';
 
 const callsPerRun = 60;
@@ -133,3 +134,29 @@
 		assert.equal(status, 502);
 	});
 });
+
+// Guards against a caller that gets the failure of an earlier try, though a later one at the same server succeeded.
+describe('an answer that a server sends once more for the same request', {timeout: 60_000}, () => {
+	before(async () => {
+		fixture = await startRelayFixture();
+	});
+	after(async () => fixture.stop());
+
+	it('is not read as that of the next try', async () => {
+		fixture.publishRoutes(2, route => ({...route, max_attempts: 4}));
+		await waitUntil(() => fixture.logs().some(({message, edition}) => message === 'configuration in force' && edition === 2), {deadlineMs, what: 'the new rules'});
+		const {desk1, desk2} = fixture.servers;
+		for (const desk of [desk1, desk2]) {
+			desk.repeatAnswers((_, status) => status === 500);
+		}
+
+		for (let n = 0; n < 10; n++) {
+			desk1.addFaults('fail', 'fail');
+			const {status, body} = await fixture.ask({path: '/check/1', body: `body ${n}`});
+			assert.equal(status, 200);
+			assert.ok(body.includes(`body ${n}`));
+		}
+
+		assert.ok(desk1.repeatedAnswers() + desk2.repeatedAnswers() > 0);
+	});
+});
