Tell a repeated grant of a reservation from a new one

Two requests got one reservation, and the connection on which the second one's own grant was due stayed in use: the call that read it failed its caller, or, were it a reservation too, got the grant of another request.

Change: a reservation's answer has to be a grant that the server has not made before, and a release's answer no grant. The body is judged while it arrives, so that the connection can be closed.

Test: contracts/extra-answers, five of its six cases red before, green now.

Not covered: a copy of a refused reservation, which shows nothing. It is taken for a refusal, the grant lapses, and the next call on the connection fails unless the grant arrives first.

--- a/src/adapters/_lib/read-answer/index.ts
+++ b/src/adapters/_lib/read-answer/index.ts
@@ -18,14 +18,18 @@
 export type ReadAnswerOptions = {
 	/** Decides by the head whether the answer belongs to this call. The connection is closed after a foreign answer, and after one that names no call, of which only the head is read. */
 	toOwner?: (status: number, headers: WholeAnswer['headers']) => AnswerOwner;
+	/** Whether the body may be that of the call's own answer; asked with each piece for all that has arrived, and whether that is the length that the head states. The connection is closed after a body that can't be. */
+	mayBeOwn?: (status: number, text: string, isWhole: boolean) => boolean;
 };
 
+const toText = (parts: readonly Buffer[]): string => Buffer.concat(parts).toString('utf8');
+
 /**
  * @param status - Status of the answer.
  * @param owner - Why the answer does not belong to its call.
  * @returns Message for the log.
  */
-export const toForeignMessage = (status: number, {reason}: Extract<AnswerOwner, {kind: 'foreign'}>): string => `status ${status}, an answer to another call: ${reason}`;
+export const toForeignMessage = (status: number, {reason}: Pick<Extract<AnswerOwner, {kind: 'foreign'}>, 'reason'>): string => `status ${status}, an answer to another call: ${reason}`;
 
 /**
  * Sends a call and collects its answer.
@@ -35,13 +39,21 @@
  * @param options - See {@link ReadAnswerOptions}.
  * @returns Status, headers and text, or the fault.
  */
-export async function readAnswer(call: Call, maxBytes: number, {toOwner}: ReadAnswerOptions = {}): Promise<Result<WholeAnswer, AnswerFault>> {
+export async function readAnswer(call: Call, maxBytes: number, {toOwner, mayBeOwn}: ReadAnswerOptions = {}): Promise<Result<WholeAnswer, AnswerFault>> {
 	return new Promise(resolve => {
 		const parts: Buffer[] = [];
 		let size = 0;
 		let status = 0;
 		let headers: WholeAnswer['headers'] = {};
 		let flow: CallFlow | undefined;
+		const checkBody = (): void => {
+			const isWhole = headers['content-length'] === String(size);
+			if (mayBeOwn?.(status, toText(parts), isWhole) === false) {
+				flow?.abandon();
+				resolve(err({kind: 'foreign', message: toForeignMessage(status, {reason: 'it has the body of another answer'})}));
+			}
+		};
+
 		dispatchCall(call, {
 			onStart(...start) {
 				[status, headers, flow] = start;
@@ -52,6 +64,8 @@
 				} else if (owner?.isNamed === false) {
 					flow.abandon();
 					resolve(ok({status, headers, text: ''}));
+				} else if (headers['content-length'] === '0') {
+					checkBody();
 				}
 			},
 			onData(bytes) {
@@ -64,9 +78,10 @@
 				}
 
 				parts.push(bytes);
+				checkBody();
 			},
 			onEnd() {
-				resolve(ok({status, headers, text: Buffer.concat(parts).toString('utf8')}));
+				resolve(ok({status, headers, text: toText(parts)}));
 			},
 			onFault(fault) {
 				resolve(err(fault));
--- a/src/ports/ids.ts
+++ b/src/ports/ids.ts
@@ -45,3 +45,9 @@
 	host: HostId;
 	incarnation: Incarnation;
 };
+
+/** Ids that were seen a short time ago. */
+export type RecentIds = {
+	has: (id: string) => boolean;
+	add: (id: string) => void;
+};
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -7,7 +7,9 @@
 import {type Milliseconds} from './clock.js';
 import {type ServerEntry} from './config.js';
 import {type EngineFailure, type EngineRefusalReason, type Reservation} from './engine.js';
-import {type HostId, type RequestId, type WorkspaceId} from './ids.js';
+import {
+	type HostId, type RecentIds, type RequestId, type WorkspaceId,
+} from './ids.js';
 import {type StatedLimit} from './request-limits.js';
 
 /** What a caller states about its request in headers. */
@@ -108,8 +110,10 @@
 	fence: number;
 };
 
-/** Callbacks for the answers to calls that the port itself makes. */
+/** Callbacks for the answers to calls that the port itself makes, and what earlier ones brought. */
 export type ServerCallHooks = {
+	/** Reservations that were granted before; a server grants each of them once. */
+	granted?: RecentIds;
 	onNotice: (server: ServerEntry, notice: ServerNotice) => void;
 	/** Called as a call begins; returns the function that is called with the head of its answer. */
 	onCall?: (server: ServerEntry) => (status: number, headers: AnswerHeaders) => void;
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -6,6 +6,7 @@
 import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
 import {createNativeCalls} from '../../../adapters/native-calls/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
+import {createRecentIds} from '../../../domain/create-recent-ids/index.js';
 import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
 import {createRequestLimits} from '../../../domain/create-request-limits/index.js';
 import {createSloLedger} from '../../../domain/create-slo-ledger/index.js';
@@ -48,6 +49,8 @@
 const pauseThresholdMs = 2000;
 const maxAccounts = 2000;
 const operatorCloseTimeoutMs = 500;
+/** Number of granted reservations that are kept; a copy of a grant comes within a few calls. */
+const maxGranted = 4096;
 
 async function listenForCallers(options: EntryOptions, handlers: CallerHandlers, waits: CallerWaits): Promise<CallerServer> {
 	const {settings, keys, clock} = options;
@@ -198,7 +201,7 @@
 		accounts,
 		registry,
 		claims: link.claims,
-		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice, onCall: noteCall}) ?? createNativeCalls({toView: () => link.toView()}),
+		calls: options.createCalls?.(clients.toDispatcher, {onNotice: handleNotice, onCall: noteCall, granted: createRecentIds({limit: maxGranted})}) ?? createNativeCalls({toView: () => link.toView()}),
 		handleNotice,
 		places: options.places,
 		reach: options.reach,
--- a/test/contracts/extra-answers.test.ts
+++ b/test/contracts/extra-answers.test.ts
@@ -9,28 +9,38 @@
 import {createServerCalls} from '../../platform/server-calls.js';
 import {createHttpAgent} from '../../src/adapters/_lib/create-http-agent/index.js';
 import {readAnswer} from '../../src/adapters/_lib/read-answer/index.js';
+import {createRecentIds} from '../../src/domain/create-recent-ids/index.js';
 import {type ServerEntry} from '../../src/ports/config.js';
+import {type CacheCalls} from '../../src/ports/server-calls.js';
 
-/** Time that the server takes for a reservation. */
-const reserveMs = 25;
+/** Time that the server takes for a control call after an extra answer. */
+const controlMs = 25;
 const timeoutMs = 1000;
 
 const toAnswer = (body: string, requestId?: string): string => `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n${requestId === undefined ? '' : `request-id: ${requestId}\r\n`}\r\n${body}`;
 
-let address: string;
 let close: () => void;
 
-/** Answers a reservation with an extra answer to an earlier request first, and every other request with its path. */
+/** Answer that is sent before the next one to a control call. */
+let extra: string | undefined;
+let grants = 0;
+
+/** Answers a control call with the extra answer first, if there is one, and every other request with its path. */
 async function answerRequest(socket: Socket, head: string): Promise<void> {
 	const path = /^\S+ (?<path>\S+)/v.exec(head)!.groups!.path!;
-	if (path === '/-/hold-take') {
-		socket.write(toAnswer('data: earlier', 'earlier'));
-		await setTimeout(reserveMs);
-		socket.write(toAnswer('{"hold":"h1"}'));
+	if (!path.startsWith('/-/')) {
+		socket.write(toAnswer(path));
 		return;
 	}
 
-	socket.write(toAnswer(path));
+	if (extra !== undefined) {
+		socket.write(extra);
+		extra = undefined;
+		await setTimeout(controlMs);
+	}
+
+	grants++;
+	socket.write(toAnswer(path === '/-/hold-take' ? `{"hold":"h${grants}"}` : ''));
 }
 
 async function answerRequests(socket: Socket): Promise<void> {
@@ -43,19 +53,35 @@
 	}
 }
 
-describe('an extra answer on the connection of a reservation', () => {
+describe('an extra answer on the connection of a control call', () => {
 	const dispatcher = createHttpAgent({connections: 1, connectTimeoutMs: timeoutMs});
+	const server: ServerEntry = {
+		id: 'decode-1', zone: 'a', url: 'http://none', role: 'decode', pool: 'model', slots: 8, checksFence: false,
+	};
+	let caches: CacheCalls;
+
+	const reserve = async () => caches.reserve(server, {tokens: 10, ttlMs: timeoutMs}, AbortSignal.timeout(timeoutMs));
+
+	/** Asserts that the connection is not used any more, on which the answer to the call before is still due. */
+	async function assertNextIsOwn(): Promise<void> {
+		const next = await readAnswer({
+			dispatcher, origin: server.url, method: 'GET', path: '/next', headersTimeoutMs: timeoutMs, idleTimeoutMs: timeoutMs,
+		}, 1000);
+		assert.equal(next._unsafeUnwrap().text, '/next');
+	}
 
 	beforeEach(async () => {
 		const sockets = new Set<Socket>();
-		const server = createServer(socket => {
+		const listener = createServer(socket => {
 			sockets.add(socket);
 			void answerRequests(socket);
 		}).listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+		await once(listener, 'listening');
+		server.url = `http://127.0.0.1:${(listener.address() as AddressInfo).port}`;
+		caches = createServerCalls(() => dispatcher, {onNotice: () => undefined, granted: createRecentIds({limit: 10})}).caches!;
+		extra = undefined;
 		close = () => {
-			server.close();
+			listener.close();
 			for (const socket of sockets) {
 				socket.destroy();
 			}
@@ -65,17 +91,40 @@
 		close();
 	});
 
-	// Guards against a caller that is answered with what a server sent for the reservation of another request.
-	it('is not read as that of the reservation, and the next request gets its own answer', async () => {
-		const server: ServerEntry = {
-			id: 'decode-1', zone: 'a', url: `http://${address}`, role: 'decode', pool: 'model', slots: 8, checksFence: false,
-		};
-		const {caches} = createServerCalls(() => dispatcher, {onNotice: () => undefined});
-		const reserved = await caches!.reserve(server, {tokens: 10, ttlMs: timeoutMs}, AbortSignal.timeout(timeoutMs));
-		assert.equal(reserved._unsafeUnwrapErr().kind, 'invalid');
-		const next = await readAnswer({
-			dispatcher, origin: server.url, method: 'GET', path: '/next', headersTimeoutMs: timeoutMs, idleTimeoutMs: timeoutMs,
-		}, 1000);
-		assert.equal(next._unsafeUnwrap().text, '/next');
+	const extras: Readonly<Record<string, string>> = {
+		'the answer to a request': toAnswer('data: earlier', 'earlier'),
+		'the answer to a release': toAnswer(''),
+		'the answer to a release, with a body': toAnswer('{}'),
+		'a body that is no JSON': toAnswer('data: earlier'),
+	};
+	for (const [what, text] of Object.entries(extras)) {
+		// Guards against a caller that is answered with what a server sent for the reservation of another request.
+		it(`is not read as that of a reservation, and the next request gets its own answer: ${what}`, async () => {
+			extra = text;
+			const reserved = await reserve();
+			assert.equal(reserved._unsafeUnwrapErr().kind, 'invalid');
+			await assertNextIsOwn();
+		});
+	}
+
+	// Guards against two requests that get the same reservation, and a connection on which a grant is still due.
+	it('is not read as that of a reservation: the grant of an earlier one', async () => {
+		const first = await reserve();
+		extra = toAnswer(JSON.stringify({hold: first._unsafeUnwrap().reservationId}));
+		const second = await reserve();
+		assert.equal(second._unsafeUnwrapErr().kind, 'invalid');
+		await assertNextIsOwn();
+		const third = await reserve();
+		assert.notEqual(third._unsafeUnwrap().reservationId, first._unsafeUnwrap().reservationId);
+	});
+
+	// Guards against a connection on which the answer to a release is still due.
+	it('is not read as that of a release: the grant of a reservation', async () => {
+		const first = await reserve();
+		const {reservationId} = first._unsafeUnwrap();
+		extra = toAnswer(JSON.stringify({hold: reservationId}));
+		const released = await caches.release(server, reservationId);
+		assert.equal(released._unsafeUnwrapErr().kind, 'invalid');
+		await assertNextIsOwn();
 	});
 });
