--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -1,17 +1,13 @@
 /** Tests of the adapter for the users' platform with valid and invalid documents and headers. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {once} from 'node:events';
-import {createServer} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import fc from 'fast-check';
 import {createServerCalls} from '../../platform/server-calls.js';
-import {createStore} from '../../platform/store.js';
 import {toDigest} from '../../src/_lib/to-digest/index.js';
 import {toPublishedRules} from '../../platform/to-rules.js';
 import {toPublishedServer} from '../../platform/to-server.js';
 import {type ServerEntry} from '../../src/ports/config.js';
-import {type PublishedSource} from '../../src/ports/published.js';
+import {withStore} from './_lib/with-store.js';
 
 const calls = createServerCalls(() => {
 	throw new Error('these tests must not send a call');
@@ -265,26 +261,6 @@
 });
 
 describe('eras of the store', () => {
-	type Reply = {status?: number; headers?: Record<string, string>; body?: unknown};
-
-	/** Starts a store that answers each read with the next reply. */
-	async function withStore<Value>(replies: Reply[], use: (source: PublishedSource) => Promise<Value>): Promise<Value> {
-		const server = createServer((_, res) => {
-			const {status = 200, headers = {}, body = {}} = replies.shift() ?? {};
-			res.writeHead(status, headers);
-			res.end(JSON.stringify(body));
-		});
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const source = createStore(`127.0.0.1:${(server.address() as AddressInfo).port}`);
-		try {
-			return await use(source);
-		} finally {
-			await source.close();
-			server.close();
-		}
-	}
-
 	const {signal} = new AbortController();
 	const at = {era: undefined, revision: 1};
 	const list = (revision: number, isTruncated = false) => ({items: [{key: `servers/i-${revision}`, value: ''}], truncated: isTruncated, current_rev: revision});
