--- a/test/contracts/extra-answers.test.ts
+++ b/test/contracts/extra-answers.test.ts
@@ -127,4 +127,14 @@
 		assert.equal(released._unsafeUnwrapErr().kind, 'invalid');
 		await assertNextIsOwn();
 	});
+
+	// Guards against a process that ends because an id which a server assigned can't be sent back.
+	for (const id of [String.raw`\ud800`, String.raw`a\r\nb`, 'a/b', '', 'x'.repeat(300)]) {
+		it(`is no grant if its id can't be sent back: ${JSON.stringify(id.slice(0, 10))}`, async () => {
+			extra = toAnswer(`{"hold":"${id}"}`);
+			const reserved = await reserve();
+			assert.equal(reserved._unsafeUnwrapErr().kind, 'invalid');
+			assert.ok(caches.parsePrefill(`{"kv_handle":"${id}","tokens":1}`).isErr());
+		});
+	}
 });
