Test the fleet list with odd and deeply nested entries

It refuses a list with an odd entry as a whole, with its place, as its doc says and because a host without its entry would count as gone; the list before stays in force. The property and the three nested forms pass without a change.

--- a/src/domain/parse-fleet-list/test.ts
+++ b/src/domain/parse-fleet-list/test.ts
@@ -28,4 +28,19 @@
 			parseFleetList(text);
 		}));
 	});
+
+	// Guards against an agent that ends, or acts on a part of a list, because of one odd entry in it.
+	it('refuses a list with an odd entry as a whole, with the place of the entry (property)', () => {
+		fc.assert(fc.property(fc.array(fc.constant(host), {maxLength: 3}), fc.jsonValue(), (hosts, odd) => {
+			const parsed = parseFleetList(JSON.stringify({hosts: [...hosts, odd], servers: []}));
+			assert.match(parsed._unsafeUnwrapErr().message, new RegExp(`Item ${hosts.length} of hosts`, 'v'));
+		}));
+	});
+
+	it('refuses values that are nested deeply', () => {
+		const nested = `${'['.repeat(100_000)}${']'.repeat(100_000)}`;
+		for (const text of [nested, `{"hosts": [${nested}], "servers": []}`, `{"hosts": [], "servers": [{"id": ${nested}, "state": "live"}]}`]) {
+			assert.ok(parseFleetList(text).isErr());
+		}
+	});
 });
