Bound the bytes of an answer's framing

Cause: the extension of a chunk has no bound, and its bytes put off the timeouts. The body, the head and the informational heads have one each.

Change: a connection whose answer has over 128 KiB and 17 times the bytes of its body is closed; chunks of one byte have six times theirs.

--- a/src/adapters/_lib/create-http-agent/index.ts
+++ b/src/adapters/_lib/create-http-agent/index.ts
@@ -11,6 +11,7 @@
 import symbols from 'undici/lib/core/symbols.js';
 import UndiciAgent from 'undici/lib/dispatcher/agent.js';
 import {type Milliseconds} from '../../../ports/clock.js';
+import {limitFraming, type AnswerProgress} from './limit-framing.js';
 import {resetGivenUp} from './reset-given-up.js';
 
 export type HttpAgentOptions = {
@@ -32,9 +33,7 @@
 const closeMarginMs: Milliseconds = 300;
 
 /** The part of undici's state of an answer that is used here. */
-type Parser = {
-	/** 0 while no answer is being received. */
-	statusCode: number;
+type Parser = AnswerProgress & {
 	/** Whether the connection stays open after the answer; if not, an answer without a length ends with the connection. */
 	shouldKeepAlive: boolean;
 };
@@ -59,6 +58,8 @@
 	return socket.errored !== null;
 }
 
+const toParser = (socket: Socket): Parser | undefined => (socket as unknown as Record<symbol, Parser | null | undefined>)[symbols.kParser] ?? undefined;
+
 /**
  * Reports resets to undici as errors. An answer without a length ends with its
  * connection, and undici treats a reset as such an end too. If a server crashed
@@ -68,8 +69,8 @@
 function watchForResets(socket: Socket): void {
 	const emit = socket.emit.bind(socket) as (event: string, ...values: unknown[]) => boolean;
 	const isEndedByConnection = (): boolean => {
-		const parser = (socket as unknown as Record<symbol, Parser | null | undefined>)[symbols.kParser];
-		return parser !== null && parser !== undefined && parser.statusCode > 0 && !parser.shouldKeepAlive;
+		const parser = toParser(socket);
+		return parser !== undefined && parser.statusCode > 0 && !parser.shouldKeepAlive;
 	};
 
 	socket.emit = (event: string, ...values: unknown[]): boolean => {
@@ -104,6 +105,7 @@
 			if (socket !== null && socket !== undefined) {
 				watchForResets(socket);
 				resetGivenUp(socket);
+				limitFraming(socket, () => toParser(socket));
 			}
 
 			done(...result);
