Tell the answers to calls to engines apart by name

The engine interface had no sign by which an answer could be told from that to another call, so the rule of judge-answer-owner had nothing to go by: a grant, a cache or a cancel of an earlier call passed for the next one's. Streams told themselves apart by the lines, other answers by nothing.

Change: each call has X-Call-Id, which engines repeat. An answer with another name is invalid and closes its connection; one without a name counts, for engines that name none. The kinds of the rule are now run, named and control.

Test: contracts/engine-calls, a copy of the first grant before the second: granted twice before, invalid now, and the next call gets its own answer.

--- a/src/adapters/engine-http/_lib/open-stream.ts
+++ b/src/adapters/engine-http/_lib/open-stream.ts
@@ -2,15 +2,18 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {dispatchCall, type Call} from '../../_lib/dispatch-call/index.js';
+import {toForeignMessage} from '../../_lib/read-answer/index.js';
 import {type AttemptKey, type DecodeChunk, type EngineFailure} from '../../../ports/engine.js';
 import {type ServerId} from '../../../ports/ids.js';
 import {bytesPerKibibyte} from '../../../ports/units.js';
 import {createChunkReader, type DropCause} from './create-chunk-reader.js';
+import {type CallName} from './create-call-names.js';
 import {createChunkStream, type ChunkStream} from './create-chunk-stream.js';
 import {toFailure, toFaultFailure, toStatusFailure} from './to-failure.js';
 
 export type StreamOptions = {
 	call: Call;
+	name: CallName;
 	server: ServerId;
 	key: AttemptKey;
 	/** Offset of the first token wanted. */
@@ -29,14 +32,21 @@
  * @returns The chunks once the stream has begun, or the failure.
  */
 export async function openStream(options: StreamOptions): Promise<Result<AsyncIterable<DecodeChunk>, EngineFailure>> {
-	const {call, server, key, offset, maxLineBytes, onDropped} = options;
+	const {call, name, server, key, offset, maxLineBytes, onDropped} = options;
 	return new Promise(resolve => {
 		const errorParts: Buffer[] = [];
 		let errorBytes = 0;
 		let head: {status: number; headers: Record<string, string | string[] | undefined>} | undefined;
 		let stream: ChunkStream | undefined;
-		dispatchCall(call, {
+		dispatchCall({...call, headers: {...call.headers, ...name.headers}}, {
 			onStart(status, headers, flow) {
+				const owner = name.toOwner(status, headers);
+				if (owner.kind === 'foreign') {
+					flow.abandon();
+					resolve(err(toFailure(server, 'invalid', toForeignMessage(status, owner))));
+					return;
+				}
+
 				if (status !== 200) {
 					head = {status, headers};
 					return;
--- a/src/adapters/engine-http/index.ts
+++ b/src/adapters/engine-http/index.ts
@@ -15,6 +15,7 @@
 import {type ServerId} from '../../ports/ids.js';
 import {bytesPerMebibyte, msPerSecond} from '../../ports/units.js';
 import {type DropCause} from './_lib/create-chunk-reader.js';
+import {createCallNames} from './_lib/create-call-names.js';
 import {openStream} from './_lib/open-stream.js';
 import {
 	parseCancel, parseHolds, parseImport, parseLoad, parsePrefill, parseReservation,
@@ -80,18 +81,21 @@
 	const settings = {...defaults, ...options};
 	const {server, callTimeoutMs} = settings;
 	const dispatcher = createHttpAgent(settings);
+	const nameCall = createCallNames();
 
 	const callWhole = async <T>(call: WholeCall<T>, {signal}: EngineCallOptions = {}): Promise<Result<T, EngineFailure>> => {
+		const name = nameCall();
 		const answer = await readAnswer({
 			dispatcher,
 			origin: server.url,
 			method: call.method,
 			path: call.path,
 			body: call.body,
+			headers: name.headers,
 			headersTimeoutMs: call.timeoutMs ?? callTimeoutMs,
 			idleTimeoutMs: callTimeoutMs,
 			...(signal && {signal}),
-		}, settings.maxAnswerBytes);
+		}, settings.maxAnswerBytes, {toOwner: name.toOwner});
 		return answer
 			.mapErr(fault => toFaultFailure(server.id, fault))
 			.andThen(whole => toAnswer(server.id, whole, call.expected ?? 200, call.parse));
@@ -105,6 +109,7 @@
 		call: {
 			dispatcher, origin: server.url, method, path, body, headersTimeoutMs: callTimeoutMs, idleTimeoutMs: settings.streamIdleMs, ...(signal && {signal}),
 		},
+		name: nameCall(),
 		server: server.id,
 		key,
 		offset,
--- a/src/domain/judge-answer-owner/index.ts
+++ b/src/domain/judge-answer-owner/index.ts
@@ -5,14 +5,14 @@
  * The order of answers on a connection therefore proves nothing, and what an answer
  * shows of its call decides instead.
  */
-import {type RequestId} from '../../ports/ids.js';
 import {type AnswerMarks} from '../../ports/server-calls.js';
 
 export type CallIdentity =
 	/** `isShared`: whether control calls use the same connections. */
-	| {kind: 'run'; requestId: RequestId; isShared: boolean}
-	| {kind: 'prefill'; requestId: RequestId}
-	/** A call that manages what a server holds, and names no request. */
+	| {kind: 'run'; name: string; isShared: boolean}
+	/** Any other call that has a name which answers repeat, such as a prefill. */
+	| {kind: 'named'; name: string}
+	/** A call that manages what a server holds, and has no name. */
 	| {kind: 'control'};
 
 export type AnswerOwner =
@@ -30,24 +30,24 @@
 		return true;
 	}
 
-	// Callers are told nothing of a prefill, and no earlier refusal was left on a connection that carries runs alone.
-	return kind === 'refusal' && (call.kind === 'prefill' || !call.isShared);
+	// Only of runs are callers told that they were refused, and no earlier refusal was left on a connection that carries runs alone.
+	return kind === 'refusal' && (call.kind === 'named' || !call.isShared);
 }
 
 /**
  * Decides whether an answer belongs to a call.
  *
- * An answer to a request has to name it, and a success has to be sealed, but for
- * that of a prefill. A refusal that names none counts only where it can't be a copy
- * of an earlier one, as the connection is closed after each of them.
+ * An answer has to name its call, and the success of a run has to be sealed. A
+ * refusal that names none counts only where it can't be a copy of an earlier one, as
+ * the connection is closed after each of them.
  *
- * @param call - The call that read the answer. No earlier call on its connection may have sent the same request.
+ * @param call - The call that read the answer. No earlier call on its connection may have had the same name.
  * @param marks - What the answer shows of its call; `undefined` where answers show nothing.
  * @returns The owner; an answer without marks counts as the call's own.
  *
  * @example
  * ```ts
- * judgeAnswerOwner({kind: 'run', requestId: 'r1', isShared: false}, {kind: 'success', requestId: 'r2', isSealed: true});
+ * judgeAnswerOwner({kind: 'run', name: 'r1', isShared: false}, {kind: 'success', name: 'r2', isSealed: true});
  * // => {kind: 'foreign', reason: 'it names another request'}
  * ```
  */
@@ -57,14 +57,14 @@
 	}
 
 	if (call.kind === 'control') {
-		return marks.requestId === undefined ? {kind: 'own', isNamed: true} : toForeign('it names a request');
+		return marks.name === undefined ? {kind: 'own', isNamed: true} : toForeign('it names a request');
 	}
 
-	if (marks.requestId === undefined) {
+	if (marks.name === undefined) {
 		return isTrueUnnamed(call, marks) ? {kind: 'own', isNamed: false} : toForeign('it names no request');
 	}
 
-	if (marks.requestId !== call.requestId) {
+	if (marks.name !== call.name) {
 		return toForeign('it names another request');
 	}
 
--- a/src/ports/server-calls.ts
+++ b/src/ports/server-calls.ts
@@ -73,8 +73,8 @@
 
 /** What the head of an answer shows of the call that it answers. */
 export type AnswerMarks = {
-	/** Id of the request that the answer names; `undefined` if it names none. */
-	requestId: RequestId | undefined;
+	/** Id of the request or call that the answer names; `undefined` if it names none. */
+	name: string | undefined;
 	/** `refusal`: the server states that it did not run the request. `misdirected`: another server than the one addressed states so. `failure`: none of these. */
 	kind: 'success' | 'refusal' | 'misdirected' | 'failure';
 	/** Whether the server has sealed the body of the answer, as it does for each run. */
--- a/src/programs/entry/call-pair/index.ts
+++ b/src/programs/entry/call-pair/index.ts
@@ -91,7 +91,7 @@
 		headersTimeoutMs: limitedBySignal,
 		idleTimeoutMs: limitedBySignal,
 		signal: createTimeoutSignal(limitMs, run.signal),
-	}, maxPrefillAnswerBytes, {toOwner: (status, headers) => toAnswerOwner(run, 'prefill', {status, headers})});
+	}, maxPrefillAnswerBytes, {toOwner: (status, headers) => toAnswerOwner(run, 'named', {status, headers})});
 	if (answer.isErr()) {
 		const {error} = answer;
 		if (error.kind === 'foreign') {
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -56,9 +56,9 @@
  * @param answer - Status of the answer, and headers by lower-case name.
  * @returns The owner.
  */
-export function toAnswerOwner({ctx, exchange: {requestId}, route}: PlainRun, kind: 'run' | 'prefill', {status, headers}: {status: number; headers: AnswerHeaders}): AnswerOwner {
+export function toAnswerOwner({ctx, exchange: {requestId}, route}: PlainRun, kind: 'run' | 'named', {status, headers}: {status: number; headers: AnswerHeaders}): AnswerOwner {
 	const isShared = route.pool.kind === 'model' && ctx.calls.caches !== undefined;
-	return judgeAnswerOwner({kind, requestId, isShared}, ctx.calls.readMarks?.(status, headers));
+	return judgeAnswerOwner({kind, name: requestId, isShared}, ctx.calls.readMarks?.(status, headers));
 }
 
 /**
--- a/test/contracts/engine-calls.test.ts
+++ b/test/contracts/engine-calls.test.ts
@@ -101,6 +101,32 @@
 		});
 	}
 
+	// Guards against a call that is answered with the copy of an earlier answer, and a connection on which its own is still due.
+	it('reports invalid for the answer to another call, and does not use the connection again', async () => {
+		const body = '{"reservationId":"r","expiresInMs":1000}';
+		let first: string | undefined;
+		let isRepeated = false;
+		const server = await startRaw((req, res) => {
+			const callId = String(req.headers['x-call-id']);
+			const answer = () => {
+				answerWith(201, body, {'x-call-id': callId})(req, res);
+			};
+
+			if (first === undefined || isRepeated) {
+				first ??= callId;
+				answer();
+				return;
+			}
+
+			isRepeated = true;
+			req.socket.write(`HTTP/1.1 201 Created\r\nx-call-id: ${first}\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+			setTimeout(answer, 20);
+		});
+		const client = toClient(server);
+		const results = [await reserve(client, toKey()), await reserve(client, toKey()), await reserve(client, toKey())];
+		assert.deepEqual(results.map(result => result.match(() => 'granted', ({kind}) => kind)), ['granted', 'invalid', 'granted']);
+	});
+
 	it('reports unreachable where no server listens', async () => {
 		const server = await startRaw(answerWith(200, ''));
 		await server.stop();
--- a/test/stand-ins/engine/_lib/route.ts
+++ b/test/stand-ins/engine/_lib/route.ts
@@ -132,6 +132,11 @@
 export const routeCall = async (route: Route): Promise<void> => {
 	const {engine, faults, req, res, url} = route;
 	const call = `${req.method} ${url.pathname}`;
+	const callId = req.headers['x-call-id'];
+	if (callId !== undefined) {
+		res.setHeader('x-call-id', callId);
+	}
+
 	if (url.pathname.startsWith('/judge') && await judge(route, call)) {
 		return;
 	}
