Test orders where settings change back and forth and clocks are stepped

Up to four hosts, each named for up to three spans, each clock stepped once by up to 2.5 s (they differ by 5 s): in 2,000 courses never two at once, three seconds between two, and fences that never fall. No fault found.

Not covered: steps of more than the bound on clocks; hosts that do not hear each other.

--- a/src/domain/create-order-authority/test.ts
+++ b/src/domain/create-order-authority/test.ts
@@ -108,4 +108,44 @@
 			}
 		}));
 	});
+
+	// Guards against the same, where settings name hosts for a while, again and again, and clocks are stepped between claims.
+	it('leaves one host in charge while settings change back and forth and clocks are stepped', () => {
+		const spans = fc.array(fc.record({from: fc.nat(80), lengthS: fc.integer({min: 1, max: 60})}), {minLength: 1, maxLength: 3});
+		const steps = fc.record({at: fc.nat(100), lengthS: fc.nat(20), byMs: fc.integer({min: -2500, max: 2500})});
+		fc.assert(fc.property(fc.array(fc.record({spans, steps}), {minLength: 2, maxLength: 4}), plans => {
+			const hosts = plans.map((plan, i) => ({...plan, authority: create(`10.0.0.${i + 1}:1`).authority, claimedAt: undefined as number | undefined, claimedWall: 0}));
+			let before: {host: number; second: number; fence: number} | undefined;
+			for (let second = 0; second <= 180; second++) {
+				const now = second * 1000;
+				for (const host of hosts) {
+					const {at, lengthS, byMs} = host.steps;
+					const wallNow = wall + now + (second >= at && second < at + lengthS ? byMs : 0);
+					host.authority.noteNamed(host.spans.some(span => second >= span.from && second < span.from + span.lengthS), now, wallNow);
+					const isClaiming = host.authority.isClaiming();
+					host.claimedWall = isClaiming && host.claimedAt === undefined ? wallNow : host.claimedWall;
+					host.claimedAt = isClaiming ? host.claimedAt ?? now : undefined;
+				}
+
+				if (second % 3 === 0) {
+					const claims = hosts.map(({authority}) => authority.toClaim(now));
+					for (const {authority} of hosts) {
+						for (const claim of claims.filter(told => told !== undefined)) {
+							authority.noteClaim(claim, now);
+						}
+					}
+				}
+
+				const givers = [...hosts.keys()].filter(i => hosts[i]!.authority.mayGiveOrders(now));
+				assert.ok(givers.length <= 1, `${givers.join(', ')} give orders`);
+				const [giver] = givers;
+				if (giver !== undefined) {
+					const {claimedAt, claimedWall} = hosts[giver]!;
+					const fence = Math.floor((claimedWall + now - claimedAt!) / 1000);
+					assert.ok(before === undefined || (before.host === giver ? fence >= before.fence : fence > before.fence && second - before.second >= 3), `fence ${fence} of host ${giver} at ${second} s after ${JSON.stringify(before)}`);
+					before = {host: giver, second, fence};
+				}
+			}
+		}), {numRuns: 2000});
+	});
 });
