--- a/src/domain/create-order-authority/test.ts
+++ b/src/domain/create-order-authority/test.ts
@@ -114,7 +114,9 @@
 		const spans = fc.array(fc.record({from: fc.nat(80), lengthS: fc.integer({min: 1, max: 60})}), {minLength: 1, maxLength: 3});
 		const steps = fc.record({at: fc.nat(100), lengthS: fc.nat(20), byMs: fc.integer({min: -2500, max: 2500})});
 		fc.assert(fc.property(fc.array(fc.record({spans, steps}), {minLength: 2, maxLength: 4}), plans => {
-			const hosts = plans.map((plan, i) => ({...plan, authority: create(`10.0.0.${i + 1}:1`).authority, claimedAt: undefined as number | undefined, claimedWall: 0}));
+			const hosts = plans.map((plan, i) => ({
+				...plan, authority: create(`10.0.0.${i + 1}:1`).authority, claimedAt: undefined as number | undefined, claimedWall: 0,
+			}));
 			let before: {host: number; second: number; fence: number} | undefined;
 			for (let second = 0; second <= 180; second++) {
 				const now = second * 1000;
