Say whether a connection may be used again, and split a property of orders

Read as a newcomer: isNamed was true of answers to control calls, which name nothing; what follows from it is whether the connection may be used again. The property of orders is a model of a host and a rule on two orders.

--- a/src/adapters/_lib/read-answer/index.ts
+++ b/src/adapters/_lib/read-answer/index.ts
@@ -16,7 +16,7 @@
 export type AnswerFault = CallFault | {kind: 'too-large'; message: string} | {kind: 'foreign'; message: string};
 
 export type ReadAnswerOptions = {
-	/** Decides by the head whether the answer belongs to this call. The connection is closed after a foreign answer, and after one that names no call, of which only the head is read. */
+	/** Decides by the head whether the answer belongs to this call. The connection is closed after a foreign answer, and after one that leaves it unusable, of which only the head is read. */
 	toOwner?: (status: number, headers: WholeAnswer['headers']) => AnswerOwner;
 	/** Whether the body may be that of the call's own answer; asked with each piece for all that has arrived, and whether that is the length that the head states. The connection is closed after a body that can't be. */
 	mayBeOwn?: (status: number, text: string, isWhole: boolean) => boolean;
@@ -61,7 +61,7 @@
 				if (owner?.kind === 'foreign') {
 					flow.abandon();
 					resolve(err({kind: 'foreign', message: toForeignMessage(status, owner)}));
-				} else if (owner?.isNamed === false) {
+				} else if (owner?.isReusable === false) {
 					flow.abandon();
 					resolve(ok({status, headers, text: ''}));
 				} else if (headers['content-length'] === '0') {
--- a/src/domain/create-order-authority/test.ts
+++ b/src/domain/create-order-authority/test.ts
@@ -18,6 +18,54 @@
 	return {authority, yields};
 }
 
+/** Lets all hosts tell each other the newest claim that they know. */
+function exchangeClaims(hosts: readonly OrderAuthority[], now: number): void {
+	const claims = hosts.map(host => host.toClaim(now)).filter(claim => claim !== undefined);
+	for (const host of hosts) {
+		for (const claim of claims) {
+			host.noteClaim(claim, now);
+		}
+	}
+}
+
+type Span = {from: number; lengthS: number};
+/** When the settings name a host, and when its clock is stepped by how much. */
+type Course = {named: Span[]; step: Span & {byMs: number}};
+type GivenOrder = {host: string; second: number; fence: number};
+
+const courses: fc.Arbitrary<Course> = fc.record({
+	named: fc.array(fc.record({from: fc.nat(80), lengthS: fc.integer({min: 1, max: 60})}), {minLength: 1, maxLength: 3}),
+	step: fc.record({from: fc.nat(100), lengthS: fc.nat(20), byMs: fc.integer({min: -2500, max: 2500})}),
+});
+
+const isWithin = (second: number, {from, lengthS}: Span): boolean => second >= from && second < from + lengthS;
+
+/** A host whose fencing tokens are the wall clock at its claim and the time since. */
+function createModelHost(address: string, {named, step}: Course) {
+	const {authority} = create(address);
+	let claim: {second: number; wallNow: number} | undefined;
+	return {
+		authority,
+		readSettings(second: number): void {
+			const wallNow = wall + (second * 1000) + (isWithin(second, step) ? step.byMs : 0);
+			authority.noteNamed(named.some(span => isWithin(second, span)), second * 1000, wallNow);
+			claim = authority.isClaiming() ? claim ?? {second, wallNow} : undefined;
+		},
+		toOrder(second: number): GivenOrder | undefined {
+			return authority.mayGiveOrders(second * 1000) && claim !== undefined ? {host: address, second, fence: Math.floor(claim.wallNow / 1000) + second - claim.second} : undefined;
+		},
+	};
+}
+
+/** Whether an order keeps three seconds and a higher fence to one of another host, and a fence as high to one of the same host. */
+function mayFollow(order: GivenOrder | undefined, before: GivenOrder | undefined): boolean {
+	if (order === undefined || before === undefined) {
+		return true;
+	}
+
+	return order.host === before.host ? order.fence >= before.fence : order.fence > before.fence && order.second - before.second >= 3;
+}
+
 describe('createOrderAuthority', () => {
 	it('lets the named host give orders after the grace period, and no other one', () => {
 		const {authority} = create();
@@ -89,12 +137,7 @@
 				}
 
 				if (second % 3 === 0) {
-					const claims = hosts.map(host => host.toClaim(now));
-					for (const host of hosts) {
-						for (const claim of claims.filter(told => told !== undefined)) {
-							host.noteClaim(claim, now);
-						}
-					}
+					exchangeClaims(hosts, now);
 				}
 
 				const givers = [...hosts.keys()].filter(i => hosts[i]!.mayGiveOrders(now));
@@ -111,42 +154,22 @@
 
 	// Guards against the same, where settings name hosts for a while, again and again, and clocks are stepped between claims.
 	it('leaves one host in charge while settings change back and forth and clocks are stepped', () => {
-		const spans = fc.array(fc.record({from: fc.nat(80), lengthS: fc.integer({min: 1, max: 60})}), {minLength: 1, maxLength: 3});
-		const steps = fc.record({at: fc.nat(100), lengthS: fc.nat(20), byMs: fc.integer({min: -2500, max: 2500})});
-		fc.assert(fc.property(fc.array(fc.record({spans, steps}), {minLength: 2, maxLength: 4}), plans => {
-			const hosts = plans.map((plan, i) => ({
-				...plan, authority: create(`10.0.0.${i + 1}:1`).authority, claimedAt: undefined as number | undefined, claimedWall: 0,
-			}));
-			let before: {host: number; second: number; fence: number} | undefined;
+		fc.assert(fc.property(fc.array(courses, {minLength: 2, maxLength: 4}), plans => {
+			const hosts = plans.map((course, i) => createModelHost(`10.0.0.${i + 1}:1`, course));
+			let before: GivenOrder | undefined;
 			for (let second = 0; second <= 180; second++) {
-				const now = second * 1000;
 				for (const host of hosts) {
-					const {at, lengthS, byMs} = host.steps;
-					const wallNow = wall + now + (second >= at && second < at + lengthS ? byMs : 0);
-					host.authority.noteNamed(host.spans.some(span => second >= span.from && second < span.from + span.lengthS), now, wallNow);
-					const isClaiming = host.authority.isClaiming();
-					host.claimedWall = isClaiming && host.claimedAt === undefined ? wallNow : host.claimedWall;
-					host.claimedAt = isClaiming ? host.claimedAt ?? now : undefined;
+					host.readSettings(second);
 				}
 
 				if (second % 3 === 0) {
-					const claims = hosts.map(({authority}) => authority.toClaim(now));
-					for (const {authority} of hosts) {
-						for (const claim of claims.filter(told => told !== undefined)) {
-							authority.noteClaim(claim, now);
-						}
-					}
+					exchangeClaims(hosts.map(({authority}) => authority), second * 1000);
 				}
 
-				const givers = [...hosts.keys()].filter(i => hosts[i]!.authority.mayGiveOrders(now));
-				assert.ok(givers.length <= 1, `${givers.join(', ')} give orders`);
-				const [giver] = givers;
-				if (giver !== undefined) {
-					const {claimedAt, claimedWall} = hosts[giver]!;
-					const fence = Math.floor((claimedWall + now - claimedAt!) / 1000);
-					assert.ok(before === undefined || (before.host === giver ? fence >= before.fence : fence > before.fence && second - before.second >= 3), `fence ${fence} of host ${giver} at ${second} s after ${JSON.stringify(before)}`);
-					before = {host: giver, second, fence};
-				}
+				const orders = hosts.map(host => host.toOrder(second)).filter(order => order !== undefined);
+				assert.ok(orders.length <= 1, `${orders.map(({host}) => host).join(', ')} give orders`);
+				assert.ok(mayFollow(orders[0], before), JSON.stringify([before, orders[0]]));
+				before = orders[0] ?? before;
 			}
 		}), {numRuns: 2000});
 	});
--- a/src/domain/judge-answer-owner/index.ts
+++ b/src/domain/judge-answer-owner/index.ts
@@ -16,8 +16,8 @@
 	| {kind: 'control'};
 
 export type AnswerOwner =
-	/** `isNamed`: whether the answer is known to be the one that was due. Otherwise its connection is to be closed, as a copy of it would pass for the answer to the next call. */
-	| {kind: 'own'; isNamed: boolean}
+	/** `isReusable`: whether the connection may be used again. A copy of an answer without a name would pass for the answer to the next call. */
+	| {kind: 'own'; isReusable: boolean}
 	/** The call's own answer is still due, so its connection is to be closed, and whether the call was carried out is unknown. */
 	| {kind: 'foreign'; reason: string};
 
@@ -53,15 +53,15 @@
  */
 export function judgeAnswerOwner(call: CallIdentity, marks: AnswerMarks | undefined): AnswerOwner {
 	if (marks === undefined) {
-		return {kind: 'own', isNamed: true};
+		return {kind: 'own', isReusable: true};
 	}
 
 	if (call.kind === 'control') {
-		return marks.name === undefined ? {kind: 'own', isNamed: true} : toForeign('it names a request');
+		return marks.name === undefined ? {kind: 'own', isReusable: true} : toForeign('it names a request');
 	}
 
 	if (marks.name === undefined) {
-		return isTrueUnnamed(call, marks) ? {kind: 'own', isNamed: false} : toForeign('it names no request');
+		return isTrueUnnamed(call, marks) ? {kind: 'own', isReusable: false} : toForeign('it names no request');
 	}
 
 	if (marks.name !== call.name) {
@@ -69,5 +69,5 @@
 	}
 
 	const needsSeal = call.kind === 'run' && marks.kind === 'success';
-	return needsSeal && !marks.isSealed ? toForeign('it is a success without a seal') : {kind: 'own', isNamed: true};
+	return needsSeal && !marks.isSealed ? toForeign('it is a success without a seal') : {kind: 'own', isReusable: true};
 }
--- a/src/domain/judge-answer-owner/test.ts
+++ b/src/domain/judge-answer-owner/test.ts
@@ -26,7 +26,7 @@
 	it('lets no connection be used after a refusal that names none', () => {
 		fc.assert(fc.property(named, toMarks(undefined), (call, marks) => {
 			const owner = judgeAnswerOwner(call, marks);
-			return owner.kind === 'foreign' || !owner.isNamed;
+			return owner.kind === 'foreign' || !owner.isReusable;
 		}));
 	});
 
@@ -43,6 +43,6 @@
 	});
 
 	it('counts answers that can show nothing as the call\'s own', () => {
-		assert.deepEqual(judgeAnswerOwner({kind: 'run', name: 'own', isShared: true}, undefined), {kind: 'own', isNamed: true});
+		assert.deepEqual(judgeAnswerOwner({kind: 'run', name: 'own', isShared: true}, undefined), {kind: 'own', isReusable: true});
 	});
 });
--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -93,7 +93,7 @@
 	const reason = run.ctx.calls.toRefusal(status, headers);
 	if (reason !== undefined) {
 		return {
-			kind: 'refused', reason, message: `status ${status}`, isNamed: owner.isNamed,
+			kind: 'refused', reason, message: `status ${status}`, isReusable: owner.isReusable,
 		};
 	}
 
--- a/src/programs/entry/send-plain/index.ts
+++ b/src/programs/entry/send-plain/index.ts
@@ -18,10 +18,10 @@
 
 export {type RelayedEvents} from './_lib/create-event-relay.js';
 
-/** Why a call brought no answer to relay; `refused` means that the server itself reported that it did not run the request, in an answer that names the request if `isNamed`. */
+/** Why a call brought no answer to relay; `refused` means that the server itself reported that it did not run the request; its connection may be used again unless `isReusable` is `false`. */
 export type PlainFault =
 	| CallFault
-	| {kind: 'refused'; reason: EngineRefusalReason; message: string; isNamed?: boolean}
+	| {kind: 'refused'; reason: EngineRefusalReason; message: string; isReusable?: boolean}
 	/** The server ran the request and reported a failure; the answer was not relayed, because another server is to be tried. */
 	| {kind: 'failed-answer'; message: string}
 	| {kind: 'invalid'; message: string}
@@ -70,7 +70,7 @@
  * after a refusal that names no request, as a copy of it would refuse the next one.
  */
 function rejectAnswer(fault: PlainFault, flow: CallFlow, resolve: (end: PlainEnd) => void): void {
-	if (fault.kind === 'invalid' || (fault.kind === 'refused' && fault.isNamed === false)) {
+	if (fault.kind === 'invalid' || (fault.kind === 'refused' && fault.isReusable === false)) {
 		flow.abandon();
 	} else {
 		flow.discard();
--- a/test/stand-ins/users-platform/apply-server-fault.ts
+++ b/test/stand-ins/users-platform/apply-server-fault.ts
@@ -30,7 +30,7 @@
 type FaultContext = {
 	req: IncomingMessage;
 	res: ServerResponse;
-	answer: (res: ServerResponse, status: number, body: unknown, headers?: Record<string, string>) => void;
+	answer: (res: ServerResponse, status: number, body: unknown, headers?: Record<string, string | undefined>) => void;
 	/** Headers with which the server marks its own answers. */
 	ownHeaders: Record<string, string>;
 };
@@ -77,8 +77,7 @@
 		}
 
 		case 'refuse-unnamed': {
-			delete req.headers['request-id'];
-			answer(res, 503, {error: 'full'}, {'not-executed': '1'});
+			answer(res, 503, {error: 'full'}, {'not-executed': '1', 'request-id': undefined});
 			break;
 		}
 
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -124,15 +124,12 @@
 	const toNoticeHeaders = () => ({...(isLeaving && {'server-leaving': '1'}), ...(requestLimit !== undefined && {'server-limit': requestLimit})});
 
 	/** Answers in JSON, and names the request if the call did. */
-	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}) => {
-		const named = res.req.headers['request-id'];
-		const sent = {
-			status,
-			headers: {
-				'content-type': 'application/json', ...(named !== undefined && {'request-id': String(named)}), ...toNoticeHeaders(), ...headers,
-			},
-			body: JSON.stringify(body),
+	const answer = (res: ServerResponse, status: number, body: unknown, headers: Record<string, string | undefined> = {}) => {
+		const {'request-id': named} = res.req.headers;
+		const all = {
+			'content-type': 'application/json', 'request-id': named?.toString(), ...toNoticeHeaders(), ...headers,
 		};
+		const sent = {status, headers: Object.fromEntries(Object.entries(all).flatMap(([name, value]) => value === undefined ? [] : [[name, value]])), body: JSON.stringify(body)};
 		res.writeHead(status, sent.headers);
 		res.end(sent.body);
 		repeater.note(res.req, toServerStep(res.req), sent);
