--- a/test/contracts/repeated-answers.test.ts
+++ b/test/contracts/repeated-answers.test.ts
@@ -25,7 +25,9 @@
 	{what: 'a run', isOf: (step, status) => status === 200 && (step === 'whole' || step === 'decode')},
 	{what: 'a prefill', isOf: step => step === 'prefill'},
 	{what: 'a reservation', isOf: (step, status) => status === 200 && step === 'reserve'},
-	{what: 'a release', isOf: step => step === 'release' || step === 'drop-cache', refuses: true, share: 1},
+	{
+		what: 'a release', isOf: step => step === 'release' || step === 'drop-cache', refuses: true, share: 1,
+	},
 	{what: 'a refused request or reservation', isOf: (_, status) => status === 503, refuses: true},
 	{what: 'any', isOf: () => true, refuses: true},
 ];
