Test three safeguards that no test noticed

Read as on call for the change, each safeguard of the rule on answers was taken out in a scratch clone. Three passed their tests without it: the connection that is closed after a refusal without a name (relayed requests; calls read whole), and notices in answers to other requests.

No code is changed.

--- a/test/contracts/repeated-answers.test.ts
+++ b/test/contracts/repeated-answers.test.ts
@@ -37,27 +37,33 @@
 
 const toServers = (): Array<RelayFixture['servers']['desk1']> => Object.values(fixture.servers);
 
-async function sendOne(): Promise<{requestId: string; isStream: boolean; answer: Answer}> {
+async function sendOne(): Promise<{requestId: string; isStream: boolean; isResumable: boolean; answer: Answer}> {
 	const requestId = `call-${++callCount}`;
 	const isStream = callCount % 3 > 0;
+	const isResumable = isStream && callCount % 2 > 0;
 	const asked = isStream
-		? {path: callCount % 2 === 0 ? '/summary/1' : '/notice/1', headers: toStreamHeaders({'request-id': requestId})}
+		? {path: isResumable ? '/notice/1' : '/summary/1', headers: toStreamHeaders({'request-id': requestId})}
 		: {path: '/lookup/1', headers: {'request-id': requestId, 'deadline-ms': '4000'}};
-	return {requestId, isStream, answer: await fixture.ask({...asked, body: `body of ${requestId}`})};
+	const answer = await fixture.ask({...asked, body: `body of ${requestId}`});
+	return {
+		requestId, isStream, isResumable, answer,
+	};
 }
 
 const toStream = (requestId: string): string => Array.from({length: events}, (_, i) => `id: ${i + 1}\ndata: piece ${i + 1} of ${requestId}\n\n`).join('');
 
-/** Asserts that the caller got its own answer or a failure, and that a refusal as not run is true. */
-function assertOwnAnswer({requestId, isStream, answer}: Awaited<ReturnType<typeof sendOne>>, runs: ReadonlySet<string>): void {
-	const details = JSON.stringify({requestId, answer});
+/** Asserts that the caller got its own answer or a failure, that a refusal as not run is true, and that a request which may run once did not run more often. */
+function assertOwnAnswer({requestId, isStream, isResumable, answer}: Awaited<ReturnType<typeof sendOne>>, runs: readonly string[]): void {
+	const runCount = runs.filter(id => id === requestId).length;
+	const details = JSON.stringify({requestId, runCount, answer});
 	if (answer.status >= 200 && answer.status < 300) {
 		assert.ok(answer.headers['server-seal'] !== undefined, details);
 		assert.equal(answer.headers['request-id'], requestId, details);
 		assert.ok(!answer.isWhole || (isStream ? answer.body === toStream(requestId) : answer.body.includes(`body of ${requestId}`)), details);
 	}
 
-	assert.ok(!statusesNotRun.has(answer.status) || !runs.has(requestId), details);
+	assert.ok(!statusesNotRun.has(answer.status) || runCount === 0, details);
+	assert.ok(isResumable || runCount <= 1, details);
 }
 
 async function sendCalls(refuses: boolean): Promise<Array<Awaited<ReturnType<typeof sendOne>>>> {
@@ -98,7 +104,7 @@
 				}
 
 				const sent = await sendCalls(refuses);
-				const runs = new Set(toServers().flatMap(server => server.runs()).filter(({isRun}) => isRun).map(({headers}) => String(headers['request-id'])));
+				const runs = toServers().flatMap(server => server.runs()).filter(({isRun}) => isRun).map(({headers}) => String(headers['request-id']));
 				for (const one of sent) {
 					assertOwnAnswer(one, runs);
 				}
@@ -139,6 +145,56 @@
 	});
 });
 
+// Guards against a request that runs twice, as the copy of a refusal without a name passes for its own.
+describe('a refusal that names no request and is sent once more', {timeout: 60_000}, () => {
+	before(async () => {
+		fixture = await startRelayFixture({workMs: 20});
+	});
+	after(async () => fixture.stop());
+
+	it('is read by no other request, as its connection is closed', async () => {
+		const desks = [fixture.servers.desk1, fixture.servers.desk2];
+		for (const desk of desks) {
+			desk.repeatAnswers((_, status) => status === 503);
+		}
+
+		for (let n = 0; n < 20; n++) {
+			desks[0]!.addFaults('refuse-unnamed');
+			await fixture.ask({path: '/lookup/1', headers: {'request-id': `refused-${n}`}});
+			await Promise.all([1, 2].map(async i => fixture.ask({path: '/lookup/1', headers: {'request-id': `after-${n}-${i}`}})));
+			await sleep(30);
+		}
+
+		const runs = desks.flatMap(desk => desk.runs()).filter(({isRun}) => isRun).map(({headers}) => String(headers['request-id']));
+		assert.deepEqual(runs.filter((id, i) => runs.indexOf(id) !== i), []);
+		assert.equal(desks[0]!.repeatedAnswers() + desks[1]!.repeatedAnswers(), 0);
+	});
+});
+
+// Guards against a sound server that is left out because of what an answer to another call states.
+describe('an answer to another request', {timeout: 60_000}, () => {
+	before(async () => {
+		fixture = await startRelayFixture();
+	});
+	after(async () => fixture.stop());
+
+	it('says nothing about its server', async () => {
+		const desks = [fixture.servers.desk1, fixture.servers.desk2];
+		desks[0]!.addFaults('answer-another');
+		for (const desk of desks) {
+			desk.setLeaving(true);
+		}
+
+		const {status} = await fixture.ask({path: '/lookup/1'});
+		for (const desk of desks) {
+			desk.setLeaving(false);
+		}
+
+		assert.equal(status, 502);
+		assert.ok(fixture.logs().every(({message}) => message !== 'server says that it leaves'));
+	});
+});
+
 // Guards against a caller that gets the failure of an earlier try, though a later one at the same server succeeded.
 describe('an answer that a server sends once more for the same request', {timeout: 60_000}, () => {
 	before(async () => {
