Call a read of the platform late when it stands still, not when it is long

Callers got 503 on each route of the last configuration, for as long as the host ran: on a link of 7 Mbit/s a value of 1 MB takes 1.5 s, and each answer of the store was cut off 500 ms after its wait, and asked for again from the same position. A host that started got never ready. While such an answer arrives, the host also learned of no server that drains.

Cause: one limit on a whole answer, from its first byte to its last.

The failure says for how long nothing had come, which dates the outage. That costs calls only while such an answer arrives; two watches all the time would double the calls. The pause after a long read is shorter by the time that it took.

Weighed: a limit by the announced length and the time to apply; where the link is slower than that, ending the answer only starts it again.

--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -10,7 +10,7 @@
 } from './config.js';
 import {type PlatformFailure} from './platform.js';
 
-/** Timeout of a read, and the time that a watch may take beyond its wait. A hundred times the platform's usual response time, and twice the response time of a platform that is sixty times as slow. */
+/** Time to the first byte of a read, beyond the wait of a watch, and longest pause between two bytes of it. A hundred times the platform's usual response time, and twice the response time of a platform that is sixty times as slow. */
 export const platformTimeoutMs: Milliseconds = 500;
 
 export type PublishedRules = {
@@ -37,7 +37,12 @@
 	leaving: boolean;
 };
 
-export type PublishedChange =
+export type PublishedChange = PublishedContent & {
+	/** Revision at which this was written. */
+	revision?: number;
+};
+
+export type PublishedContent =
 	| {kind: 'rules'; rules: PublishedRules}
 	| {kind: 'server'; server: PublishedServer}
 	| {kind: 'server-gone'; name: PublishedName}
@@ -72,12 +77,21 @@
 	message: string;
 	/** Era stated in the platform's answer; absent when there was no answer. */
 	era?: PublishedEra | undefined;
+	/** Time for which the platform had sent nothing when the read was given up; absent for any other failure. */
+	silentMs?: Milliseconds;
+};
+
+export type WatchOptions = {
+	/** Called once if the answer is so long that it may take a second on a slow link. */
+	onLong?: () => void;
 };
 
 export type PublishedSource = {
 	/** Reads everything. */
 	list: (signal: AbortSignal) => ResultAsync<PublishedRead, PublishedFailure>;
 	/** Waits for changes after a position; returns no changes when the wait ends first. */
-	watch: (after: PublishedPosition, waitMs: Milliseconds, signal: AbortSignal) => ResultAsync<PublishedRead, PublishedFailure>;
+	watch: (after: PublishedPosition, waitMs: Milliseconds, signal: AbortSignal, options?: WatchOptions) => ResultAsync<PublishedRead, PublishedFailure>;
+	/** Waits for changes of servers alone. */
+	watchServers: (after: PublishedPosition, waitMs: Milliseconds, signal: AbortSignal) => ResultAsync<PublishedRead, PublishedFailure>;
 	close: () => Promise<void>;
 };
--- a/src/programs/entry/follow-published/_test/create-scripted-platform.ts
+++ b/src/programs/entry/follow-published/_test/create-scripted-platform.ts
@@ -31,6 +31,8 @@
 	setEra: (next: PublishedEra) => void;
 	/** Answers a read that began before the last restore with the lost content, once the platform is reachable. */
 	delayAnswer: () => void;
+	/** Sets the time for which an answer with rules arrives; it is long if that is more than none. */
+	setTransferMs: (ms: Milliseconds) => void;
 	/** Makes the open connection silent for good; the next connection works. */
 	hangConnection: () => void;
 	reads: () => number;
@@ -138,19 +140,40 @@
 		note(change);
 	}
 
+	let transferMs: Milliseconds = 0;
+
+	/** Delays an answer that has rules, as on a slow link. */
+	async function transfer(answered: Promise<Result<PublishedRead, PublishedFailure>>, signal: AbortSignal, onLong: () => void): Promise<Result<PublishedRead, PublishedFailure>> {
+		const answer = await answered;
+		if (transferMs > 0 && answer.isOk() && answer.value.changes.some(({kind}) => kind === 'rules')) {
+			onLong();
+			await sleep(transferMs, signal);
+		}
+
+		return answer;
+	}
+
 	let maxChanges = Infinity;
-	const findChanges = (after: number): PublishedChange[] => history.filter(({revision: at}) => at > after).map(({change}) => change);
+	const findChanges = (after: number): PublishedChange[] => history.filter(({revision: at}) => at > after).map(({revision: at, change}) => ({...change, revision: at}));
 
 	return {
 		source: {
 			list: signal => new ResultAsync(read(0, signal, () => ({changes: [...items.values()], position: {era, revision}}))),
-			watch({revision: after}, waitMs, signal) {
+			watch({revision: after}, waitMs, signal, {onLong = () => undefined} = {}) {
 				const isUnknown = () => after < forgotten || after > revision;
-				const watched = new ResultAsync(read(waitMs, signal, isOver => {
+				const answered = read(waitMs, signal, isOver => {
 					const changes = findChanges(after);
 					return isOver || changes.length > 0 || isUnknown() ? {changes, position: {era, revision}} : undefined;
+				});
+				return new ResultAsync(transfer(answered, signal, onLong))
+					.andThen(answer => answer.changes.length > maxChanges ? errAsync<PublishedRead, PublishedFailure>({kind: 'too-large', message: 'more changes than fit'}) : okAsync(answer))
+					.andThen(answer => answer.position.era === era && isUnknown() ? errAsync<PublishedRead, PublishedFailure>({kind: 'forgotten', message: 'history gone', era}) : okAsync(answer));
+			},
+			watchServers(after, waitMs, signal) {
+				return new ResultAsync(read(waitMs, signal, isOver => {
+					const changes = findChanges(after.revision).filter(({kind}) => kind === 'server' || kind === 'server-gone');
+					return isOver || changes.length > 0 ? {changes, position: {era, revision}} : undefined;
 				}));
-				return watched.andThen(answer => answer.changes.length > maxChanges ? errAsync<PublishedRead, PublishedFailure>({kind: 'too-large', message: 'more changes than fit'}) : okAsync(answer)).andThen(answer => answer.position.era === era && isUnknown() ? errAsync<PublishedRead, PublishedFailure>({kind: 'forgotten', message: 'history gone', era}) : okAsync(answer));
 			},
 			close: async () => undefined,
 		},
@@ -196,6 +219,9 @@
 		breakWaitingRead() {
 			cuts++;
 		},
+		setTransferMs(ms) {
+			transferMs = ms;
+		},
 		hangConnection() {
 			isConnectionDead = true;
 		},
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -3,6 +3,7 @@
  * separately: lists all of them first, then watches for changes.
  */
 import {setTimeout as sleepOrThrow} from 'node:timers/promises';
+import {ResultAsync} from 'neverthrow';
 import {toAge} from '../../../_lib/to-age/index.js';
 import {type Log} from '../../../adapters/log/index.js';
 import {compareEras} from '../../../domain/compare-eras/index.js';
@@ -12,9 +13,10 @@
 import {type ServerEntry, type ZoneEntry} from '../../../ports/config.js';
 import {type ServerId} from '../../../ports/ids.js';
 import {
-	platformTimeoutMs, type PublishedEra, type PublishedFailure, type PublishedPosition, type PublishedRead, type PublishedSource,
+	platformTimeoutMs, type PublishedChange, type PublishedEra, type PublishedFailure, type PublishedPosition, type PublishedRead, type PublishedSource,
 } from '../../../ports/published.js';
 import {type FleetView} from '../../../ports/view.js';
+import {followServersBeside} from './_lib/follow-servers-beside.js';
 import {logFleetChange, logWholeRead} from './_lib/log-published.js';
 
 export type FollowOptions = {
@@ -123,6 +125,8 @@
 	let view: FleetView | undefined;
 	/** Position up to which this host has read; `undefined` if a full read is due. */
 	let position: PublishedPosition | undefined;
+	/** Revision up to which the changes of servers were read beside a long answer. */
+	let serversReadTo = -Infinity;
 	/** Newest era named by any answer. */
 	let era: PublishedEra | undefined;
 	/** Whether the newest era was named by a failed answer only; the platform may not be back yet. */
@@ -180,6 +184,20 @@
 		}
 	}
 
+	/** Whether a change was not yet applied by a read beside a long answer. Later ones of the same server may have been, so it must not be applied again. */
+	const isNew = ({kind, revision}: PublishedChange): boolean => kind === 'rules' || kind === 'unreadable-rules' || revision === undefined || revision > serversReadTo;
+
+	/** Applies a read of the servers that was made while a long answer arrived. */
+	function acceptServers({changes, position: {era: readEra, revision}}: PublishedRead): boolean {
+		if (compareEras(readEra, era) !== 'same') {
+			return false;
+		}
+
+		report(fleet.apply(changes.filter(change => isNew(change)), clock.now()));
+		serversReadTo = revision;
+		return true;
+	}
+
 	function acceptRead(read: PublishedRead, {isWhole}: {isWhole: boolean}): void {
 		position = read.position;
 		const now = clock.now();
@@ -200,7 +218,7 @@
 			logWholeRead(log, read, fleet.countDifferences(read.changes));
 		}
 
-		report(isWhole ? fleet.replace(read.changes, now, context) : fleet.apply(read.changes, now, context));
+		report(isWhole ? fleet.replace(read.changes, now, context) : fleet.apply(read.changes.filter(change => isNew(change)), now, context));
 		report(fleet.sweep(now));
 	}
 
@@ -217,8 +235,13 @@
 		return Math.min(maxMs, Math.max(1, Math.min(missingLeftMs, toWholeReadMs)));
 	}
 
-	/** Reads again soon while there are no rules: without them no request can be served, and they may be published at any moment. */
-	const toPauseAfterRead = (): Milliseconds => view?.accepted === undefined ? minPauseMs : pace.pauseMs;
+	/**
+	 * Pause after a read that took some time beyond its wait; the pause is shorter by
+	 * this, as a long answer must not delay the next read. Reads again soon while there
+	 * are no rules: without them no request can be served, and they may be published at
+	 * any moment.
+	 */
+	const toPauseAfterRead = (transferMs: Milliseconds): Milliseconds => Math.max(0, (view?.accepted === undefined ? minPauseMs : pace.pauseMs) - transferMs);
 
 	/** Lists everything, or watches from the position reached. */
 	function readNext(signal: AbortSignal, {isWhole, waitMs}: {isWhole: boolean; waitMs: Milliseconds}): ReturnType<PublishedSource['list']> {
@@ -226,10 +249,27 @@
 			return source.list(signal);
 		}
 
-		return source.watch(position, waitMs, signal);
+		return new ResultAsync(watchWithServers(position, waitMs, signal));
+	}
+
+	/** Watches from a position, and follows the servers alone while a long answer arrives. */
+	async function watchWithServers(after: PublishedPosition, waitMs: Milliseconds, signal: AbortSignal): Promise<Awaited<ReturnType<PublishedSource['watch']>>> {
+		const over = new AbortController();
+		let beside: Promise<void> | undefined;
+		const read = await source.watch(after, waitMs, signal, {
+			onLong() {
+				log.info('a long answer of the platform arrives, reading the servers beside it', {revision: after.revision});
+				beside = followServersBeside(after, AbortSignal.any([signal, over.signal]), {
+					source, log, waitMs: pace.waitMs, pauseMs: pace.pauseMs, sleep, onRead: acceptServers,
+				});
+			},
+		});
+		over.abort();
+		await beside;
+		return read;
 	}
 
-	async function handleFailure({kind, message}: PublishedFailure, {startedAt, isUnanswered, isWhole}: {startedAt: Milliseconds; isUnanswered: boolean; isWhole: boolean}): Promise<void> {
+	async function handleFailure({kind, message, silentMs}: PublishedFailure, {startedAt, isUnanswered, isWhole}: {startedAt: Milliseconds; isUnanswered: boolean; isWhole: boolean}): Promise<void> {
 		if (kind === 'forgotten') {
 			log.warn('platform no longer knows what changed, reading all anew', {revision: position?.revision, reason: message});
 			position = undefined;
@@ -250,7 +290,7 @@
 
 		failures++;
 		failedReadAt = startedAt;
-		lastOutageSignAt = isUnanswered ? startedAt : clock.now();
+		lastOutageSignAt = silentMs === undefined && isUnanswered ? startedAt : clock.now() - (silentMs ?? 0);
 		await sleep(toRetryDelayMs(failures, random), stopping.signal);
 	}
 
@@ -284,6 +324,7 @@
 		}
 
 		era = next;
+		serversReadTo = -Infinity;
 		isReturning = answeredAt !== undefined && answered === undefined;
 		position = undefined;
 	}
@@ -340,7 +381,8 @@
 		}
 
 		acceptRead(read.value, {isWhole});
-		await sleep(toWaitMs(toPauseAfterRead()), signal);
+		const transferMs = Math.max(0, clock.now() - startedAt - (isWhole ? 0 : waitMs));
+		await sleep(toWaitMs(toPauseAfterRead(transferMs)), signal);
 	}
 
 	async function run(): Promise<void> {
