Order the entries of a server by the numbers that it gives them

Requests reached a draining server 2.2 to 2.7 s after the store had acknowledged that it drains (drain_ms 2,000); a server that ends then would have lost them. The store carried out a check-in of before, ready with sequence 8, after the entry with sequence 11 that said draining.

Cause: the adapter dropped `sequence`, and the entry that was written last counted as the newest.

Change: an entry with a lower number than one of the same start that was read within 8 s is kept back (a write is carried out up to 6 s late, and read up to 2 s after). What the platform still publishes after that time is no late write: it is applied, so that a number of another writer, also 2^53 - 1, shuts no server out for good. A server that is gone comes back only with a higher number; each start of a server (born, or its id) begins anew; what was kept back is dropped once its entry is removed or replaced. Numbers that are no safe integers count as none. Address, slots, stage and software version of a late entry are kept back with it. The hold after a restore from an older copy is as before, and goes first. Log line `older entry of a server came late and is kept back`.

Rules are compared by version already, also in pages of a list.

Weighed: to make leaving final for a start. Another writer's entry that says leaving would shut the server out, and addresses and versions of late entries stay.

--- a/src/adapters/log/fields.ts
+++ b/src/adapters/log/fields.ts
@@ -55,6 +55,7 @@
 	'revisionBefore',
 	'era',
 	'eraBefore',
+	'sequence',
 	'digest',
 	'follows',
 	'file',
--- a/src/domain/create-published-fleet/_lib/types.ts
+++ b/src/domain/create-published-fleet/_lib/types.ts
@@ -2,7 +2,9 @@
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type ZoneEntry} from '../../../ports/config.js';
 import {type ServerId, type SoftwareVersion} from '../../../ports/ids.js';
-import {type PublishedChange, type PublishedName, type PublishedRules} from '../../../ports/published.js';
+import {
+	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
+} from '../../../ports/published.js';
 import {type FleetView} from '../../../ports/view.js';
 
 export type PublishedFleetOptions = {
@@ -14,6 +16,8 @@
 	 * be written to, and live servers need about two seconds to write them again.
 	 */
 	lapseGraceMs?: Milliseconds;
+	/** Called with an entry that is not applied, as the server had written a newer one that arrived before. */
+	onKeptBack?: (server: PublishedServer) => void;
 };
 
 export type ReadContext = {
--- a/src/domain/create-published-fleet/index.ts
+++ b/src/domain/create-published-fleet/index.ts
@@ -9,6 +9,7 @@
 	type PublishedChange, type PublishedName, type PublishedRules, type PublishedServer,
 } from '../../ports/published.js';
 import {type FleetView, type ServerStatus} from '../../ports/view.js';
+import {createWriteOrder} from './_lib/create-write-order.js';
 import {createResetHold} from './_lib/create-reset-hold.js';
 import {type FleetChange, type PublishedFleet, type PublishedFleetOptions} from './_lib/types.js';
 import {createLeavingNotices} from './_lib/create-leaving-notices.js';
@@ -54,6 +55,12 @@
 	return change.kind === 'unreadable-server' ? change.name : undefined;
 }
 
+function toPublished({name, startedAt, sequence, entry, leaving}: Known): PublishedServer {
+	return {
+		name, startedAt, entry, leaving, ...(sequence !== undefined && {sequence}),
+	};
+}
+
 const toNamed = ({id, softwareVersion}: ServerEntry): Omit<FleetChange['servers'][number], 'became'> => ({id, ...(softwareVersion !== undefined && {softwareVersion})});
 
 function isSameServer(a: PublishedServer, b: PublishedServer): boolean {
@@ -74,12 +81,13 @@
  * ```
  */
 export function createPublishedFleet(options: PublishedFleetOptions): PublishedFleet {
-	const {zones, lapseGraceMs = defaultLapseGraceMs} = options;
+	const {zones, lapseGraceMs = defaultLapseGraceMs, onKeptBack = () => undefined} = options;
 	const servers = new Map<PublishedName, Known>();
 	/** Entries that can't be read now, with the reason that was reported. */
 	const unreadable = new Map<PublishedName, string>();
 	const leavingNotices = createLeavingNotices();
 	const resetHold = createResetHold();
+	const writeOrder = createWriteOrder();
 	let rules: PublishedRules | undefined;
 	let config: Config | undefined;
 	/** Number of changes of rules and servers, so that decisions detect that their index is stale. */
@@ -99,7 +107,7 @@
 	 * treated as the same server, the new start would be asked to resume streams that
 	 * it doesn't have, and would be penalised for failures of the former start.
 	 */
-	function takeServer(published: PublishedServer): FleetChange['servers'] {
+	function takeServer(published: PublishedServer, now: Milliseconds): FleetChange['servers'] {
 		const {name, entry, startedAt} = published;
 		const leaving = published.leaving || leavingNotices.has(entry.id);
 		const server = {...published, leaving};
@@ -110,6 +118,12 @@
 		}
 
 		unreadable.delete(name);
+		if (writeOrder.isOvertaken(published, now)) {
+			onKeptBack(published);
+			return [];
+		}
+
+		writeOrder.noteTaken(published, now);
 		if (known !== undefined && isSameServer(known, server)) {
 			servers.set(name, server);
 			return [];
@@ -133,22 +147,20 @@
 		const isKnown = servers.get(name)?.entry.id === entry.id;
 		const isOlder = resetHold.isOn(now) && (isKnown || resetHold.wasGone(entry.id));
 		if (!isOlder) {
-			return takeServer(published);
+			return takeServer(published, now);
 		}
 
 		const known = servers.get(name);
 		return known === undefined
 			? []
-			: takeServer({
-				name, startedAt: known.startedAt, entry: known.entry, leaving: known.leaving || published.leaving,
-			});
+			: takeServer({...toPublished(known), leaving: known.leaving || published.leaving}, now);
 	}
 
 	/** Applies an entry that was written after the restore. A leaving server may write its entry as ready before it writes it as leaving, so leaving and gone servers stay so during the hold. */
 	function takeWritten(published: PublishedServer, now: Milliseconds): FleetChange['servers'] {
 		const known = servers.get(published.name);
 		if (!resetHold.isOn(now)) {
-			return takeServer(published);
+			return takeServer(published, now);
 		}
 
 		if (resetHold.wasGone(published.entry.id)) {
@@ -156,11 +168,12 @@
 		}
 
 		const hasLeft = known?.leaving === true && known.entry.id === published.entry.id;
-		return takeServer(hasLeft ? {...published, leaving: true} : published);
+		return takeServer(hasLeft ? {...published, leaving: true} : published, now);
 	}
 
 	function removeServer({name, entry}: PublishedServer): FleetChange['servers'] {
 		servers.delete(name);
+		writeOrder.noteGone(entry.id);
 		resetHold.noteGone(entry.id);
 		changed();
 		return [{...toNamed(entry), became: 'gone'}];
@@ -168,6 +181,7 @@
 
 	function dropServer(name: PublishedName, now: Milliseconds): FleetChange['servers'] {
 		unreadable.delete(name);
+		writeOrder.dropKeptBack(name);
 		const known = servers.get(name);
 		if (known === undefined) {
 			return [];
@@ -183,6 +197,16 @@
 		return removeServer(known);
 	}
 
+	function markLeaving(known: Known): FleetChange['servers'] {
+		if (known.leaving) {
+			return [];
+		}
+
+		servers.set(known.name, {...known, leaving: true});
+		changed();
+		return [{...toNamed(known.entry), became: 'leaving'}];
+	}
+
 	const listMissing = (): PublishedName[] => [...servers].filter(([, {isMissing}]) => isMissing === true).map(([name]) => name);
 
 	/** Reports an unreadable entry once for each reason: an unchanged entry may be read again each second. */
@@ -197,6 +221,7 @@
 
 	/** Removes the server of an entry that can't be read, also if the entry could be read before. */
 	function takeUnreadableServer(name: PublishedName): FleetChange['servers'] {
+		writeOrder.dropKeptBack(name);
 		const known = servers.get(name);
 		return known === undefined ? [] : removeServer(known);
 	}
@@ -306,7 +331,7 @@
 			}
 
 			const listed = new Set(changes.map(change => toListedName(change)));
-			const gone = [...servers.keys(), ...unreadable.keys()]
+			const gone = [...servers.keys(), ...unreadable.keys(), ...writeOrder.keptBack()]
 				.filter(name => name !== rulesName && !listed.has(name))
 				.map((name): PublishedChange => ({kind: 'server-gone', name}));
 			return take([...changes, ...gone], now, takeListed);
@@ -314,11 +339,12 @@
 		noteLeaving(server) {
 			leavingNotices.add(server);
 			const known = [...servers.values()].find(({entry}) => entry.id === server);
-			return {rules: undefined, servers: known === undefined ? [] : takeServer(known), unreadable: []};
+			return {rules: undefined, servers: known === undefined ? [] : markLeaving(known), unreadable: []};
 		},
 		sweep(now) {
 			const overdue = now < graceUntil ? [] : listMissing().flatMap(name => dropServer(name, now));
-			return {rules: undefined, servers: overdue, unreadable: []};
+			const due = writeOrder.takeDue(now).flatMap(server => takeWritten(server, now));
+			return {rules: undefined, servers: [...overdue, ...due], unreadable: []};
 		},
 		noteReset({latestActAt}, now) {
 			graceUntil = Math.max(graceUntil, Math.min(now + lapseGraceMs, latestActAt));
--- a/src/ports/published.ts
+++ b/src/ports/published.ts
@@ -31,6 +31,8 @@
 	name: PublishedName;
 	/** Wall-clock milliseconds of the server's start; 0 where the platform does not publish it. */
 	startedAt: Milliseconds;
+	/** Number that the server gave this write of its entry; it grows with each write of one start. Absent where the platform publishes none. */
+	sequence?: number;
 	/** The `id` of the entry identifies this start of the server, so that nothing known of an earlier start is applied to it. */
 	entry: ServerEntry;
 	/** Whether the server drains: no new work is sent to it. */
--- a/src/programs/entry/follow-published/index.ts
+++ b/src/programs/entry/follow-published/index.ts
@@ -120,7 +120,12 @@
 		source, clock, random, log, onView, onServerLost = () => undefined, onServerLeft = () => undefined, onReset = () => undefined, sleep = sleepUnlessAborted,
 	} = options;
 	const pace = toReadPace(options.actWithinMs);
-	const fleet = createPublishedFleet({zones: options.zones});
+	const fleet = createPublishedFleet({
+		zones: options.zones,
+		onKeptBack({entry: {id}, sequence, leaving}) {
+			log.info('older entry of a server came late and is kept back', {server: id, sequence, state: leaving ? 'leaving' : 'serving'});
+		},
+	});
 	const stopping = new AbortController();
 	let view: FleetView | undefined;
 	/** Position up to which this host has read; `undefined` if a full read is due. */
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -123,6 +123,13 @@
 		assert.equal(read({})._unsafeUnwrap().entry.softwareVersion, undefined);
 	});
 
+	it('have the number of their write, and are usable with any other value of it', () => {
+		assert.equal(read({sequence: 41})._unsafeUnwrap().sequence, 41);
+		for (const sequence of [undefined, null, '41', -1, 1.5, 2 ** 53]) {
+			assert.equal(read({sequence})._unsafeUnwrap().sequence, undefined, String(sequence));
+		}
+	});
+
 	const broken: Readonly<Record<string, readonly unknown[]>> = {
 		address: [undefined, '10.0.0.1', '10.0.0.1:0', '10.0.0.1:70000', 'desk:80', '10.0.0.1:80/x', '10.0.0.1:80:80'],
 		slots: [undefined, 0, -4, 1.5, '4'],
--- a/test/contracts/slow-store.test.ts
+++ b/test/contracts/slow-store.test.ts
@@ -68,7 +68,8 @@
 			assert.ok(Buffer.byteLength(body) > 1_000_000, `${Buffer.byteLength(body)} bytes`);
 			const read = await withWriter(async res => writeSlowly(res, body), async source => how === 'watch' ? source.watch(position, 100, signal) : source.list(signal));
 			const [change] = read._unsafeUnwrap().changes;
-			assert.equal(change?.kind === 'rules' && change.rules.rules.length, 4900);
+			assert.ok(change?.kind === 'rules', change?.kind);
+			assert.equal(change.rules.rules.length, 4900);
 		});
 	}
 
