Apply each limit of a configuration to callers' connections, or refuse it

After a configuration raised header_bytes from 16,384 to 32,768, each of 200 requests with 20 KB of headers got 431, which callers don't repeat, for as long as the hosts ran.

Cause: of the four limits only max_body_bytes and idle_timeout_ms reached the callers' port; header_bytes and header_timeout_ms were dropped by the adapter. A configuration without limits kept those of the one before.

Change: all four are applied; one that is no whole number from 1 to its largest value makes the configuration unreadable, with its place. Where one is absent the host's setting applies again. Node fixes the limit of a connection when it opens: after a change, idle connections with another limit are closed at once, others after their next answer, which says so. What overflows the limit of such a connection but may fit the one in force is refused as not run (503, `connection-outdated`), not with 431. The port for other hosts accepts any head that a configuration may allow, as the host that took the request has checked it: its connections must not be closed, as a request that crosses the close may not be repeated.

Weighed: a parser limit that is always enough, with a check of our own. It would let a caller fill a host's memory with heads that are refused only once they are whole.

The stand-in for servers accepts long heads, as the users' servers do.

--- a/src/_lib/create-timeout-signal/index.ts
+++ b/src/_lib/create-timeout-signal/index.ts
@@ -1,7 +1,4 @@
-import {type Milliseconds} from '../../ports/clock.js';
-
-/** Longest delay of a timer in Node; a timer with a longer one fires at once. */
-const maxTimerMs: Milliseconds = 0x7F_FF_FF_FF;
+import {maxTimerMs, type Milliseconds} from '../../ports/clock.js';
 
 /**
  * Creates a signal that aborts after a timeout, or together with another signal.
--- a/src/adapters/caller-http/_lib/answer-client-error.ts
+++ b/src/adapters/caller-http/_lib/answer-client-error.ts
@@ -9,11 +9,18 @@
 /** Error of node's HTTP parser, with node's `code`. */
 export type ClientError = Error & {code?: string};
 
+const overflowCode = 'HPE_HEADER_OVERFLOW';
+
 const detailsByCode: Readonly<Record<string, Pick<Problem, 'kind' | 'detail'>>> = {
-	HPE_HEADER_OVERFLOW: {kind: 'header-too-large', detail: 'The request line and headers are larger than this host accepts. Send fewer or shorter headers.'},
+	[overflowCode]: {kind: 'header-too-large', detail: 'The request line and headers are larger than this host accepts. Send fewer or shorter headers.'},
 	ERR_HTTP_REQUEST_TIMEOUT: {kind: 'slow-request', detail: 'The headers did not arrive in time. Send all headers without delay.'},
 };
 
+/** The client may send its headers again at once, on a new connection. */
+const limitRaised: Pick<Problem, 'kind' | 'detail' | 'retryAfterMs'> = {
+	kind: 'connection-outdated', detail: 'The headers are larger than was accepted when this connection was opened. Send the request again on a new connection.', retryAfterMs: 0,
+};
+
 const malformed: Pick<Problem, 'kind' | 'detail'> = {
 	kind: 'bad-request', detail: 'This is not an HTTP/1.1 request. Check the request line, the header lines and the framing of the body.',
 };
@@ -23,15 +30,17 @@
  *
  * @param error - Error of the parser.
  * @param socket - The caller's connection.
+ * @param options - `isLimitRaised`: whether new connections accept larger headers than this one.
  */
-export function answerClientError(error: ClientError, socket: Socket): void {
+export function answerClientError(error: ClientError, socket: Socket, {isLimitRaised}: {isLimitRaised: boolean}): void {
 	if (error.code === 'ECONNRESET' || !socket.writable) {
 		socket.destroy();
 		return;
 	}
 
 	const requestId = createUuidV7();
-	const {status, headers, body} = toProblem({...detailsByCode[error.code ?? ''] ?? malformed, outcome: 'not-run'}, requestId);
+	const problem = isLimitRaised && error.code === overflowCode ? limitRaised : detailsByCode[error.code ?? ''] ?? malformed;
+	const {status, headers, body} = toProblem({...problem, outcome: 'not-run'}, requestId);
 	const lines = Object.entries({
 		...headers, 'content-length': String(Buffer.byteLength(body)), connection: 'close', 'x-request-id': requestId,
 	}).map(([name, value]) => `${name}: ${value}`);
--- a/src/adapters/caller-http/index.ts
+++ b/src/adapters/caller-http/index.ts
@@ -13,6 +13,7 @@
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {Hono, type Context} from 'hono';
 import {answerBadRequest, answerClientError} from './_lib/answer-client-error.js';
+import {createConnectionLimits} from './_lib/create-connection-limits.js';
 import {createRequestStarter, type Startable} from './_lib/create-request-starter.js';
 import {type CallerExchange, createExchange, type ExchangeOptions} from './_lib/exchange.js';
 
@@ -29,13 +30,20 @@
 	onFault: (error: unknown, exchange: CallerExchange) => void;
 };
 
-export type CallerServerOptions = {
-	bind: string;
-	port: number;
-	maxConnections: number;
+/** Limits that may change while the server runs. */
+export type ConnectionBounds = {
+	/** Bytes of the head of a request. */
 	maxHeaderBytes: number;
+	/** Time for the head of a request, milliseconds. */
 	headersTimeoutMs: number;
+	/** Time for which idle connections stay open, milliseconds. */
 	keepAliveTimeoutMs: number;
+};
+
+export type CallerServerOptions = ConnectionBounds & {
+	bind: string;
+	port: number;
+	maxConnections: number;
 	/** Time without progress after which the connection of a caller that does not read the end of its answer is closed, milliseconds. */
 	writeTimeoutMs: number;
 	/** Certificate and key; absent means plain HTTP. */
@@ -49,8 +57,8 @@
 } & Pick<ExchangeOptions, 'now' | 'requestIdHeader' | 'problemStyle'>;
 
 export type CallerServer = {
-	/** Sets the time for which idle connections stay open. */
-	setKeepAliveTimeout: (timeoutMs: number) => void;
+	/** Changes the limits. Connections that are open close after their next answer, or at once if they are idle, where Node fixed their limit when they opened. */
+	setBounds: (bounds: ConnectionBounds) => void;
 	port: number;
 	/** Number of exchanges whose answer has not been sent completely. */
 	openExchanges: () => number;
@@ -141,6 +149,7 @@
 			setImmediate(runTurn);
 		},
 	});
+	const isBusy = (socket: Socket): boolean => (busy.get(socket) ?? 0) > 0;
 	let isStopping = false;
 	let isClosing = false;
 	let onIdle: (() => void) | undefined;
@@ -162,6 +171,8 @@
 		busy.set(socket, (busy.get(socket) ?? 1) - 1);
 		if (isClosing) {
 			closeIdle();
+		} else if (!isBusy(socket)) {
+			limits.noteIdle(socket);
 		}
 
 		if (open.size === 0) {
@@ -200,7 +211,7 @@
 		const {incoming, outgoing} = context.env;
 		const {socket} = incoming;
 		const {exchange, noteStart} = createExchange(incoming, outgoing, {
-			now: options.now, isStopping: () => isStopping || isRefused(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
+			now: options.now, isStopping: () => isStopping || isRefused(socket) || limits.isOutdated(socket), writeTimeoutMs: options.writeTimeoutMs, requestIdHeader: options.requestIdHeader, problemStyle: options.problemStyle,
 		});
 		open.add(exchange);
 		busy.set(socket, (busy.get(socket) ?? 0) + 1);
@@ -235,17 +246,18 @@
 	const listener = getRequestListener(createApp(handlers, serve, options.isRelayOnly ?? false).fetch, {overrideGlobalObjects: false, autoCleanupIncoming: false, errorHandler: answerBadRequest});
 	const server = options.tls === undefined ? createServer(serverOptions, listener) : createTlsServer({...serverOptions, ...options.tls}, listener);
 	const {refused, count} = watchConnections(server, options.maxConnections);
+	const limits = createConnectionLimits(server, isBusy);
 	server.on('connection', starter.noteAccepted);
 
 	server.on('clientError', (error, socket) => {
 		const duplex = socket as Socket;
 		// A problem written into an answer in progress would corrupt that answer, so the connection is only closed.
-		if ((busy.get(duplex) ?? 0) > 0) {
+		if (isBusy(duplex)) {
 			duplex.destroy();
 			return;
 		}
 
-		answerClientError(error, duplex);
+		answerClientError(error, duplex, {isLimitRaised: limits.isTooLow(duplex)});
 	});
 
 	await new Promise<void>((resolve, reject) => {
@@ -258,8 +270,10 @@
 		openExchanges: () => open.size,
 		unstarted: starter.size,
 		connections: count,
-		setKeepAliveTimeout(timeoutMs) {
-			server.keepAliveTimeout = timeoutMs;
+		setBounds({maxHeaderBytes, headersTimeoutMs, keepAliveTimeoutMs}) {
+			server.headersTimeout = headersTimeoutMs;
+			server.keepAliveTimeout = keepAliveTimeoutMs;
+			limits.set(maxHeaderBytes);
 		},
 		renewTls(tls) {
 			if ('setSecureContext' in server) {
--- a/src/domain/to-problem/index.ts
+++ b/src/domain/to-problem/index.ts
@@ -29,6 +29,7 @@
 	'answer-lost': [502, 'The answer was lost'],
 	'backend-failed': [502, 'The backend server failed'],
 	'claim-unavailable': [503, 'The request could not be claimed'],
+	'connection-outdated': [503, 'The connection has an older limit'],
 	'host-behind': [503, 'The host is behind'],
 	'no-capacity': [503, 'No backend server can take the request'],
 	'origin-gone': [503, 'No server can continue the stream'],
--- a/src/ports/clock.ts
+++ b/src/ports/clock.ts
@@ -6,6 +6,9 @@
 /** Wall-clock time in milliseconds since the Unix epoch, or monotonic milliseconds since an arbitrary start. */
 export type Milliseconds = number;
 
+/** Longest delay of a timer in Node; a timer with a longer one fires at once. */
+export const maxTimerMs: Milliseconds = 0x7F_FF_FF_FF;
+
 export type Clock = {
 	/** Wall-clock milliseconds since the Unix epoch. May jump; never used for a duration. */
 	wallNow: () => Milliseconds;
--- a/src/ports/config.ts
+++ b/src/ports/config.ts
@@ -7,6 +7,7 @@
 	type HostId, type RegionId, type ServerId, type SoftwareVersion, type WorkspaceId, type ZoneId,
 } from './ids.js';
 import {type ServiceClass} from './outcome.js';
+import {bytesPerMebibyte} from './units.js';
 
 /** What an engine does: compute the KV cache of a prompt, generate from one, or serve plain HTTP. */
 export type ServerRole = 'prefill' | 'decode' | 'plain';
@@ -150,10 +151,18 @@
 	then: RuleThen;
 };
 
+/** Largest limit on the head of a request; hosts accept heads of this size from each other. */
+export const maxHeaderLimitBytes = 16 * bytesPerMebibyte;
+
+/** Limits for callers; where one is absent, the host's setting applies. */
 export type CallerBounds = {
-	maxBodyBytes: number;
+	/** Bytes of the head of a request; {@link maxHeaderLimitBytes} at most. */
+	maxHeaderBytes?: number;
+	maxBodyBytes?: number;
+	/** Time for the head of a request, milliseconds. */
+	headersTimeoutMs?: number;
 	/** Time for which an idle connection of a caller stays open, milliseconds. */
-	keepAliveTimeoutMs: number;
+	keepAliveTimeoutMs?: number;
 };
 
 export type Config = {
--- a/src/programs/entry/start-entry/_lib/join-caller-servers.ts
+++ b/src/programs/entry/start-entry/_lib/join-caller-servers.ts
@@ -6,7 +6,7 @@
 /**
  * Joins servers into one.
  *
- * @param first - Server whose port the joined server names.
+ * @param first - Server whose port the joined server names, and whose bounds it sets.
  * @param others - Further servers.
  * @returns The joined server: what it counts is the sum, what it does is done by all.
  */
@@ -17,11 +17,7 @@
 		openExchanges: () => toSum(all.map(server => server.openExchanges())),
 		unstarted: () => toSum(all.map(server => server.unstarted())),
 		connections: () => toSum(all.map(server => server.connections())),
-		setKeepAliveTimeout(timeoutMs) {
-			for (const server of all) {
-				server.setKeepAliveTimeout(timeoutMs);
-			}
-		},
+		setBounds: first.setBounds,
 		renewTls: first.renewTls,
 		startStopping() {
 			for (const server of all) {
--- a/src/programs/entry/start-entry/_lib/listen-for-peers.ts
+++ b/src/programs/entry/start-entry/_lib/listen-for-peers.ts
@@ -1,8 +1,13 @@
 /** The port on which other hosts pass requests on to this one. */
 import {startCallerServer, type CallerHandlers, type CallerServer} from '../../../../adapters/caller-http/index.js';
+import {maxHeaderLimitBytes} from '../../../../ports/config.js';
+import {bytesPerKibibyte} from '../../../../ports/units.js';
 import {outcomeHeader, readPassed} from '../../_lib/passed-headers.js';
 import {type CallerWaits, type EntryOptions} from './types.js';
 
+/** Bytes by which the headers of hosts make the head of a request longer. */
+const addedHeaderBytes = 16 * bytesPerKibibyte;
+
 /**
  * Starts the port. Without it this host still serves its own callers, so a port that
  * can't be opened is only logged.
@@ -24,7 +29,8 @@
 			bind: peerListener.bind,
 			port: peerListener.port,
 			maxConnections: settings.maxConnections,
-			maxHeaderBytes: settings.maxHeaderBytes,
+			// The host that took the request has checked its head, by a limit that may be newer than this host's.
+			maxHeaderBytes: maxHeaderLimitBytes + addedHeaderBytes,
 			headersTimeoutMs: settings.headerTimeout,
 			keepAliveTimeoutMs: settings.keepAliveTimeout,
 			writeTimeoutMs: settings.writeTimeout,
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -32,6 +32,7 @@
 import {cancelSettleMs, drain, settle} from './_lib/drain.js';
 import {joinCallerServers} from './_lib/join-caller-servers.js';
 import {listenForPeers} from './_lib/listen-for-peers.js';
+import {toConnectionBounds} from './_lib/to-connection-bounds.js';
 import {toLimits} from './_lib/to-limits.js';
 import {createCallerWaits} from './_lib/create-caller-waits.js';
 import {createHandlers} from './_lib/create-handlers.js';
@@ -60,9 +61,7 @@
 		bind: settings.bind,
 		port: settings.callerPort,
 		maxConnections: settings.maxConnections,
-		maxHeaderBytes: settings.maxHeaderBytes,
-		headersTimeoutMs: settings.headerTimeout,
-		keepAliveTimeoutMs: settings.keepAliveTimeout,
+		...toConnectionBounds(settings),
 		writeTimeoutMs: settings.writeTimeout,
 		tls: keys?.caller?.current(),
 		...options.callers,
@@ -159,9 +158,9 @@
 	const limits = toLimits(settings);
 	/** Set once the callers' port is open; views may arrive earlier. */
 	const opened: {callers?: CallerServer} = {};
-	const applyBounds = (bounds: CallerBounds): void => {
-		limits.maxBodyBytes = bounds.maxBodyBytes;
-		opened.callers?.setKeepAliveTimeout(bounds.keepAliveTimeoutMs);
+	const applyBounds = (bounds: CallerBounds = {}): void => {
+		limits.maxBodyBytes = bounds.maxBodyBytes ?? settings.maxBodyBytes;
+		opened.callers?.setBounds(toConnectionBounds(settings, bounds));
 	};
 
 	const link: FleetLink = await options.join({
@@ -170,9 +169,7 @@
 			if (view.accepted !== undefined) {
 				run.applyConfig(view.accepted.config);
 				clients.keepOnly(new Set(view.accepted.config.servers.map(server => server.id)));
-				if (view.accepted.config.callers !== undefined) {
-					applyBounds(view.accepted.config.callers);
-				}
+				applyBounds(view.accepted.config.callers);
 			}
 		},
 	});
@@ -246,10 +243,7 @@
 	await options.untilCaughtUp?.();
 	const callers = joinCallerServers(await listenForCallers(options, handlers, waits), await listenForPeers(options, handlers, waits));
 	opened.callers = callers;
-	const bounds = link.toView()?.accepted?.config.callers;
-	if (bounds !== undefined) {
-		applyBounds(bounds);
-	}
+	applyBounds(link.toView()?.accepted?.config.callers);
 
 	const parts: EntryParts = {
 		options, link, ctx, callers, counters, toIsStopping: () => isStopping,
--- a/test/contracts/platform-adapter.test.ts
+++ b/test/contracts/platform-adapter.test.ts
@@ -59,6 +59,35 @@
 	});
 });
 
+describe('limits of the platform', () => {
+	const read = (limits?: Record<string, unknown>) => toPublishedRules(JSON.stringify({
+		version: 1, routes: [], services: [], ...(limits && {limits}),
+	}));
+
+	it('are all applied, and each may be absent', () => {
+		const limits = {
+			header_bytes: 32_768, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+		};
+		assert.deepEqual(read(limits)._unsafeUnwrap().callers, {
+			maxHeaderBytes: 32_768, maxBodyBytes: 4_194_304, headersTimeoutMs: 3000, keepAliveTimeoutMs: 15_000,
+		});
+		for (const name of Object.keys(limits)) {
+			assert.equal(Object.keys(read({...limits, [name]: undefined})._unsafeUnwrap().callers ?? {}).length, 3, name);
+		}
+
+		assert.equal(read()._unsafeUnwrap().callers, undefined);
+	});
+
+	// Guards against a limit that is neither applied nor refused.
+	it('make the configuration unreadable if they can\'t be applied (property)', () => {
+		const name = fc.constantFrom('header_bytes', 'max_body_bytes', 'header_timeout_ms', 'idle_timeout_ms');
+		fc.assert(fc.property(name, fc.jsonValue().filter(value => !Number.isSafeInteger(value) || Number(value) < 1), (limit, value) => {
+			assert.ok(read({[limit]: value}).isErr());
+		}));
+		assert.ok(read({header_bytes: 1024 ** 4}).isErr());
+	});
+});
+
 describe('tenants of the platform', () => {
 	const read = (...tenants: Array<Record<string, unknown>>) => toPublishedRules(JSON.stringify({
 		version: 1, routes: [], services: [], tenants,
--- a/test/stand-ins/users-platform/published.ts
+++ b/test/stand-ins/users-platform/published.ts
@@ -17,6 +17,11 @@
 		name: 'notices', prefix: '/notice/', kind: 'stream', service: 'model', max_attempts: 2, target_latency_ms: 900, timeout_ms: 14_000, gap_target_ms: 300, sticky: true, resumable: true,
 	},
 ];
+/** Limits for callers, unless a test publishes others. */
+const usualLimits: Readonly<Record<string, number>> = {
+	header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+};
+
 const services = [
 	{name: 'desk', health_path: '/health', max_connections: 100},
 	{
@@ -33,18 +38,16 @@
  * Creates the value of the store's key for rules.
  *
  * @param version - Grows with each publication.
- * @param published - Routes with their host, and tenants, without whom callers need no key.
+ * @param published - Routes with their host, tenants, without whom callers need no key, and limits; none with `null`.
  * @returns The value.
  */
-export function toRulesDocument(version: number, published: {routes?: ReadonlyArray<Record<string, unknown>>; tenants?: ReadonlyArray<Record<string, unknown>> | undefined} = {}): Record<string, unknown> {
-	const {routes: ofHost = routes.map(route => ({...route, host: callerHost})), tenants} = published;
+export function toRulesDocument(version: number, published: {routes?: ReadonlyArray<Record<string, unknown>>; tenants?: ReadonlyArray<Record<string, unknown>> | undefined; limits?: Readonly<Record<string, number>> | null} = {}): Record<string, unknown> {
+	const {routes: ofHost = routes.map(route => ({...route, host: callerHost})), tenants, limits = usualLimits} = published;
 	return {
 		version,
 		routes: ofHost,
 		services,
 		...(tenants && {tenants}),
-		limits: {
-			header_bytes: 16_384, max_body_bytes: 65_536, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-		},
+		...(limits && {limits}),
 	};
 }
--- a/test/stand-ins/users-platform/server.ts
+++ b/test/stand-ins/users-platform/server.ts
@@ -92,6 +92,9 @@
 	return Buffer.concat(parts).toString('utf8');
 }
 
+/** Servers set no limit on heads of their own; callers stay within that of the configuration. */
+const maxHeadBytes = 1_048_576;
+
 /**
  * Starts a server on loopback.
  *
@@ -317,7 +320,7 @@
 		answer(res, 200, {server: id, body: arrival.body}, ownHeaders(req));
 	}
 
-	const server = createServer((req, res) => {
+	const server = createServer({maxHeaderSize: maxHeadBytes}, (req, res) => {
 		open.add(res);
 		res.once('close', () => {
 			open.delete(res);
--- a/test/stand-ins/users-platform/start-relay-fixture.ts
+++ b/test/stand-ins/users-platform/start-relay-fixture.ts
@@ -36,12 +36,16 @@
 	publishRoutes: (version: number, change?: (route: Record<string, unknown>) => Record<string, unknown> | undefined) => void;
 	/** Sets the tenants that later publications of routes contain; without them callers need no key. */
 	setTenants: (tenants: ReadonlyArray<Record<string, unknown>>) => void;
+	/** Sets the limits that later publications of routes contain; none with `null`. */
+	setLimits: (limits: Readonly<Record<string, number>> | null) => void;
 	publishServer: (server: ServerStandIn, change?: Record<string, unknown>) => void;
 	/** Cuts the links of a host to all plain and decode servers; only with `hasLinks`. */
 	cutLinks: (host: number) => Promise<void>;
 	healLinks: (host: number) => Promise<void>;
 	/** `IP:port` of each host for its peers; empty with a single host. */
 	peerAddresses: readonly string[];
+	/** Port on which a host takes calls. */
+	callerPort: (host: number) => number;
 	/** Servers in the view of a host. */
 	knownServers: (host: number) => ReadonlySet<string>;
 	/** Whether the first host is ready. */
@@ -174,8 +178,9 @@
 	};
 
 	let tenants: ReadonlyArray<Record<string, unknown>> | undefined;
+	let limits: Readonly<Record<string, number>> | null | undefined;
 	const publishRoutes: RelayFixture['publishRoutes'] = (version, change = route => route) => {
-		const published = toRulesDocument(version, {routes: routes.map(route => change({...route, host: callerHost})).filter(route => route !== undefined), tenants});
+		const published = toRulesDocument(version, {routes: routes.map(route => change({...route, host: callerHost})).filter(route => route !== undefined), tenants, ...(limits !== undefined && {limits})});
 		for (const one of stores) {
 			one.put('op/config', published);
 		}
@@ -212,10 +217,14 @@
 		setTenants(next) {
 			tenants = next;
 		},
+		setLimits(next) {
+			limits = next;
+		},
 		publishServer,
 		cutLinks: async host => links[host]!.cut(),
 		healLinks: async host => links[host]!.heal(),
 		peerAddresses,
+		callerPort: host => hosts[host]!.callerPort,
 		knownServers: host => new Set(hosts[host]!.relay.view()?.servers.keys()),
 		async isReady() {
 			const res = await fetch(`http://127.0.0.1:${hosts[0]!.operatorPort}/ready`);
