--- a/src/adapters/_lib/create-http-agent/undici-parts.d.ts
+++ b/src/adapters/_lib/create-http-agent/undici-parts.d.ts
@@ -7,6 +7,6 @@
 }
 
 declare module 'undici/lib/core/symbols.js' {
-	const symbols: Readonly<Record<'kParser', symbol>>;
+	const symbols: Readonly<Record<'kParser' | 'kWriting' | 'kError', symbol>>;
 	export default symbols;
 }
