Take a status outside of HTTP for no answer

Cause: the parser accepts any three digits. Change: a status outside of 100 to 599 (RFC 9110, 15) fails its call and closes the connection, for all calls, as they are all made in one place.

Test, red before: dispatch-call/statuses, a property over odd statuses.

--- a/src/adapters/_lib/dispatch-call/index.ts
+++ b/src/adapters/_lib/dispatch-call/index.ts
@@ -57,6 +57,9 @@
 const maxDiscardedBytes = 64 * bytesPerKibibyte;
 const maxDiscardMs: Milliseconds = msPerSecond;
 
+/** Statuses of HTTP (RFC 9110, 15). */
+const isStatus = (status: number): boolean => status >= 100 && status <= 599;
+
 /** Each informational head puts off the timeout of the answer's head. */
 const maxInformationalHeads = 16;
 
@@ -210,6 +213,12 @@
 				return;
 			}
 
+			if (!isStatus(status)) {
+				fail('broken', `the server sent the status ${status}, which HTTP has not`);
+				controller.abort(new Error('no status of HTTP'));
+				return;
+			}
+
 			if (status >= 200) {
 				answer = createAnswerJudge({method: call.method, status, headers});
 				silence?.restart();
