Refuse what a planned stop would cut, and stop within the limit

LOST, reported and reproduced: uploads that were begun before or just after a SIGTERM and ended late in the grace period were sent to a server, ran, and were cut: with 502 when the host aborted them, or with no answer at all, among them requests that may not run again. One stop took 7.6 s, the next 9.6 s, of 8.

Cause: nothing compared the time that is left with the time that a request takes. A request whose body came whole after the host had aborted its requests began a run that nothing aborted any more; the stop waited two seconds for it, beyond its limit, and destroyed its connection. That is also why the two stops took unlike times. A body that was still arriving was no run, so its caller got a reset.

Change: before a call, a request that no server has is refused as not run (503, `stopping`, at once) if it is expected to end after the requests are aborted. The estimate is of the latest 64 runs of its rule on this host, and the deadline at most: the longest of them for a request that may run once, as a cut loses it, and the median for one that may run again, as a refusal costs its caller a retry as a cut does. Nothing is sent once the end is reached, bodies that have not arrived are refused then, and the end leaves half a second for answers within the stop's limit.

--- a/src/adapters/caller-http/_lib/exchange.ts
+++ b/src/adapters/caller-http/_lib/exchange.ts
@@ -16,11 +16,13 @@
 import {createCloseReader} from './create-close-reader.js';
 import {createSizedBody, hasBody, toLength} from './create-sized-body.js';
 
-export type BodyFault = 'body-too-large' | 'slow-request' | 'gone';
+export type BodyFault = 'body-too-large' | 'slow-request' | 'stopping' | 'gone';
 
 export type ReadBodyOptions = {
 	limitBytes: number;
 	timeoutMs: number;
+	/** Ends the reading when this host stops. */
+	signal?: AbortSignal;
 };
 
 export type CallerExchange = {
@@ -120,6 +122,7 @@
 		const settle = (result: Result<Buffer, BodyFault>) => {
 			clearTimeout(timer);
 			req.off('data', take).off('end', finish).off('close', giveUp);
+			options.signal?.removeEventListener('abort', stop);
 			resolve(result);
 		};
 
@@ -142,11 +145,20 @@
 			settle(err('gone'));
 		};
 
+		const stop = () => {
+			req.pause();
+			settle(err('stopping'));
+		};
+
 		const timer = setTimeout(() => {
 			req.pause();
 			settle(err('slow-request'));
 		}, options.timeoutMs);
 		req.on('data', take).once('end', finish).once('close', giveUp);
+		options.signal?.addEventListener('abort', stop, {once: true});
+		if (options.signal?.aborted) {
+			stop();
+		}
 	});
 }
 
--- a/src/programs/entry/_lib/problems.ts
+++ b/src/programs/entry/_lib/problems.ts
@@ -11,10 +11,22 @@
  * @param limits - Limits of the body, bytes and milliseconds.
  * @returns The problem to answer with.
  */
-export function toBodyProblem(fault: BodyFault, limits: {limitBytes: number; timeoutMs: number}): Problem {
-	return fault === 'body-too-large'
-		? {kind: 'body-too-large', detail: `The body has more than ${limits.limitBytes} bytes. Send less.`, outcome: 'not-run'}
-		: {kind: 'slow-request', detail: `The body did not arrive within ${limits.timeoutMs / msPerSecond} s. Send it faster.`, outcome: 'not-run'};
+export function toBodyProblem(fault: Exclude<BodyFault, 'gone'>, limits: {limitBytes: number; timeoutMs: number}): Problem {
+	switch (fault) {
+		case 'body-too-large': {
+			return {kind: fault, detail: `The body has more than ${limits.limitBytes} bytes. Send less.`, outcome: 'not-run'};
+		}
+
+		case 'stopping': {
+			return {
+				kind: fault, detail: 'This host stops before the body has arrived. Nothing was sent; send the request again, to another host.', outcome: 'not-run', retryAfterMs: 0,
+			};
+		}
+
+		case 'slow-request': {
+			return {kind: fault, detail: `The body did not arrive within ${limits.timeoutMs / msPerSecond} s. Send it faster.`, outcome: 'not-run'};
+		}
+	}
 }
 
 /** Answer to all requests before the first view with a configuration, as no rule can be matched. */
--- a/src/programs/entry/_lib/serve-types.ts
+++ b/src/programs/entry/_lib/serve-types.ts
@@ -3,6 +3,7 @@
 import {type Log} from '../../../adapters/log/index.js';
 import {type CrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {type PartQuarantine} from '../../../domain/create-part-quarantine/index.js';
+import {type RunDurations} from '../../../domain/create-run-durations/index.js';
 import {type Milliseconds} from '../../../ports/clock.js';
 import {type Accounts} from '../accounts/index.js';
 import {type ServerEntry} from '../../../ports/config.js';
@@ -14,6 +15,7 @@
 import {type Reach} from '../../../ports/reach.js';
 import {type ServerCalls, type ServerNotice} from '../../../ports/server-calls.js';
 import {type Claims} from '../claims/index.js';
+import {type StopDeadline} from './create-stop-deadline.js';
 import {type PassedEnd, type StreamEnd} from './create-entry-metrics.js';
 import {type EndedRequest} from './ended-request.js';
 import {type Router} from './route.js';
@@ -64,6 +66,10 @@
 	suspects: CrashSuspects;
 	/** Tracks parts of prompts under which servers crashed. */
 	partQuarantine: PartQuarantine;
+	/** When a planned stop of this host aborts its requests. */
+	stopDeadline: StopDeadline;
+	/** How long the latest runs took. */
+	runDurations: RunDurations;
 	/** Resolves once this host knows what the other hosts know. Without it, nothing waits for that. */
 	untilCaughtUp?: (() => Promise<void>) | undefined;
 	log: Log;
--- a/src/programs/entry/call-plain/index.ts
+++ b/src/programs/entry/call-plain/index.ts
@@ -14,6 +14,7 @@
 import {recordPlacement} from '../_lib/record-placement.js';
 import {type QuarantineCause} from '../_lib/quarantine.js';
 import {waitUnlessAborted} from '../_lib/wait-unless-aborted.js';
+import {findStopProblem} from './_lib/find-stop-problem.js';
 import {findRunQuarantine, sendRequest} from './_lib/send-step.js';
 import {pickWithPlace} from './_lib/pick-with-place.js';
 import {decideRetry, mayHaveStarted} from './_lib/decide-retry.js';
@@ -128,8 +129,15 @@
  * @returns How the request ended; its problem, if any, has not been sent to the caller.
  */
 export async function callServers(run: PlainRun): Promise<PlainOutcome> {
+	const {services: {clock}, runDurations} = run.ctx;
+	const startedAt = clock.now();
 	try {
-		return await callUntilAnswered(run);
+		const ended = await callUntilAnswered(run);
+		if (ended.end === 'complete') {
+			runDurations.note(run.route.rule.name, clock.now() - startedAt);
+		}
+
+		return ended;
 	} finally {
 		dropKeptCache(run);
 	}
@@ -142,6 +150,12 @@
 			return toQuarantined(run, cause);
 		}
 
+		const problem = findStopProblem(run);
+		if (problem !== undefined) {
+			run.log.info('refused, as this host stops before the request could end', {deadlineMs: Math.round(run.deadline - run.ctx.services.clock.now())});
+			return {end: 'refused', outcome: problem.outcome, problem};
+		}
+
 		const attempted = await runAttempt(run);
 		if (run.signal.aborted) {
 			return toAborted(run);
--- a/src/programs/entry/serve-plain/_lib/read-or-stream-body.ts
+++ b/src/programs/entry/serve-plain/_lib/read-or-stream-body.ts
@@ -33,7 +33,7 @@
 		return ok(createPlainBody(exchange, {hasBody, limitBytes, timeoutMs}));
 	}
 
-	const whole = await exchange.readBody({limitBytes, timeoutMs});
+	const whole = await exchange.readBody({limitBytes, timeoutMs, signal: ctx.stopDeadline.signal});
 	return whole
 		.map((bytes: Buffer): PlainBody => ({
 			open: () => bytes, bytes: () => bytes, isTaken: () => false, fault: () => undefined,
--- a/src/programs/entry/start-entry/_lib/drain.ts
+++ b/src/programs/entry/start-entry/_lib/drain.ts
@@ -6,6 +6,8 @@
 
 /** Time for servers to confirm cancels before the process ends. */
 export const cancelSettleMs = 2000;
+/** Time for aborted runs to answer their callers. */
+export const abortSettleMs = 500;
 const settlePollMs = 20;
 
 /**
@@ -15,11 +17,14 @@
  * @param ctx - Services of the entry, for its runs and cancels.
  */
 export async function settle({registry, services}: ServeContext): Promise<void> {
-	for (let waitedMs = 0; registry.size() > 0 && waitedMs < cancelSettleMs; waitedMs += settlePollMs) {
+	await waitWhile(() => registry.size() > 0);
+	await services.cancels.settle(cancelSettleMs);
+}
+
+async function waitWhile(isBusy: () => boolean): Promise<void> {
+	for (let waitedMs = 0; isBusy() && waitedMs < abortSettleMs; waitedMs += settlePollMs) {
 		await sleep(settlePollMs);
 	}
-
-	await services.cancels.settle(cancelSettleMs);
 }
 
 /**
@@ -41,10 +46,14 @@
 		return;
 	}
 
+	// A request that is read from now on would begin a run that nothing aborts.
+	ctx.stopDeadline.end();
 	for (const requestId of ctx.registry.abandon()) {
 		ctx.log.error('request aborted at the drain timeout', {requestId});
 	}
 
+	// Requests whose body has not arrived are no runs, and are refused all the same.
+	await waitWhile(() => callers.openExchanges() > 0);
 	await settle(ctx);
 	callers.destroy();
 }
--- a/src/programs/entry/start-entry/index.ts
+++ b/src/programs/entry/start-entry/index.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type CallerHandlers, type CallerServer, startCallerServer} from '../../../adapters/caller-http/index.js';
 import {createNativeCalls} from '../../../adapters/native-calls/index.js';
+import {createRunDurations} from '../../../domain/create-run-durations/index.js';
 import {createCrashSuspects} from '../../../domain/create-crash-suspects/index.js';
 import {createRecentIds} from '../../../domain/create-recent-ids/index.js';
 import {createPartQuarantine} from '../../../domain/create-part-quarantine/index.js';
@@ -24,6 +25,7 @@
 import {createRunServices} from '../_lib/create-run-services.js';
 import {type FleetLink} from '../_lib/join-fleet.js';
 import {createPlainClients} from '../_lib/plain-clients.js';
+import {createStopDeadline} from '../_lib/create-stop-deadline.js';
 import {createRouter} from '../_lib/route.js';
 import {createRunRegistry} from '../_lib/run-registry.js';
 import {type ServeContext} from '../_lib/serve-types.js';
@@ -41,6 +43,7 @@
 	type CallerWaits, type Entry, type EntryOptions,
 } from './_lib/types.js';
 
+export {abortSettleMs} from './_lib/drain.js';
 export type * from './_lib/types.js';
 
 /** Interval at which waiting requests look for a free slot at a full pool. A request has about 600 ms to find one within its target, and must find it before later requests do. */
@@ -211,6 +214,8 @@
 		serverLimits,
 		suspects,
 		partQuarantine,
+		stopDeadline: createStopDeadline(),
+		runDurations: createRunDurations(),
 		untilCaughtUp: options.untilCaughtUp,
 		log,
 		onEnded(ended) {
@@ -272,6 +277,7 @@
 		handleNotice,
 		async stop() {
 			isStopping = true;
+			ctx.stopDeadline.begin(clock.now() + settings.drainDelay + settings.drainTimeout);
 			callers.startStopping();
 			link.reportStopping();
 			await sleep(settings.drainDelay);
--- a/src/programs/relay/start-relay/index.ts
+++ b/src/programs/relay/start-relay/index.ts
@@ -16,7 +16,9 @@
 import {msPerSecond} from '../../../ports/units.js';
 import {type RelaySettings, toZones} from '../../_settings/index.js';
 import {type ProgramKeys} from '../../_operations/index.js';
-import {startEntry, type Entry, type EntryOptions} from '../../entry/start-entry/index.js';
+import {
+	abortSettleMs, startEntry, type Entry, type EntryOptions,
+} from '../../entry/start-entry/index.js';
 import {type FleetLink, type JoinOptions} from '../../entry/_lib/join-fleet.js';
 import {followPublished} from '../../entry/follow-published/index.js';
 import {askOrigins} from '../ask-origins/index.js';
@@ -141,7 +143,7 @@
 			operatorPort: toPort(settings.operatorAddress),
 			operatorBind: undefined,
 			drainDelay: drainDelayMs,
-			drainTimeout: Math.max(msPerSecond, settings.stopLimit - drainDelayMs - closeMarginMs),
+			drainTimeout: Math.max(msPerSecond, settings.stopLimit - drainDelayMs - abortSettleMs - closeMarginMs),
 			retryBudget: 0,
 		},
 		join,
