Bound the bytes before the head of an answer

Reported: bytes without end that are no answer were kept until a machine ran out of memory. But an endless status line, and line breaks without end before a head, were read at the full speed of the link until the timeout of the call, which for a request is its deadline.

Cause: the parser bounds headers, not the reason in a status line, and skips line breaks; the bound on framing began with the head. Change: 512 KiB without a head close the connection.

--- a/src/adapters/_lib/create-http-agent/limit-framing.ts
+++ b/src/adapters/_lib/create-http-agent/limit-framing.ts
@@ -5,6 +5,9 @@
 /** Bytes of an answer beside its body that are always read: its head, and the framing of its first chunks. */
 const maxFramingBytes = 128 * bytesPerKibibyte;
 
+/** Bytes that may come before the end of a head: a parser bounds the headers, but not the reason in a status line, and it skips line breaks before it. */
+const maxHeadBytes = 512 * bytesPerKibibyte;
+
 /** Bytes of framing that each byte of the body allows; chunks of one byte have five. */
 const maxFramingShare = 16;
 
@@ -27,12 +30,27 @@
 export function limitFraming(socket: Socket, toProgress: () => AnswerProgress | undefined): void {
 	const read = socket.read.bind(socket) as (size?: number) => Uint8Array | null;
 	let received = 0;
+	let isHead = true;
+
+	/** Bytes that were read so far may belong to the head of this answer, or to its body. */
+	function toExcess({statusCode, bytesRead}: AnswerProgress): string | undefined {
+		if (isHead !== (statusCode === 0)) {
+			isHead = statusCode === 0;
+			received = 0;
+		}
+
+		if (isHead) {
+			return received > maxHeadBytes ? `the head of the answer has more than ${maxHeadBytes} bytes` : undefined;
+		}
+
+		return received > maxFramingBytes + ((1 + maxFramingShare) * bytesRead) ? `the answer has ${received} bytes, of which its body has ${bytesRead}` : undefined;
+	}
+
 	socket.read = (size?: number) => {
 		const progress = toProgress();
-		if (progress === undefined || progress.statusCode === 0) {
-			received = 0;
-		} else if (received > maxFramingBytes + ((1 + maxFramingShare) * progress.bytesRead)) {
-			socket.destroy(new Error(`the answer has ${received} bytes, of which its body has ${progress.bytesRead}`));
+		const excess = progress && toExcess(progress);
+		if (excess !== undefined) {
+			socket.destroy(new Error(excess));
 			return null;
 		}
 
