End a silent call only if another server is left for it

Around a planned stop, streams at the only decode server that was left were ended after 1.5 s of silence and cut, in 3 of 3 stops; the server would have gone on 0.9 s later.

Cause: whether a silent call may be ended asked the route's attempts and the retry budget, but not whether any server could take the retry: a model server that was called is not called again. The limit on the time to the head had the same gap.

Change: both ask whether the view has another server of the pool, of the origin if events were sent, that takes new work. The limit on the head asks again each time it has passed. Plain services are as before: their servers are called again.

--- a/src/programs/entry/call-plain/_lib/send-step.ts
+++ b/src/programs/entry/call-plain/_lib/send-step.ts
@@ -18,6 +18,7 @@
 } from '../../_lib/quarantine.js';
 import {toOriginHeader} from '../../_lib/passed-headers.js';
 import {findNoRetryReason} from './decide-retry.js';
+import {hasServerForRetry} from './has-server-for-retry.js';
 import {toRunEnd} from './to-run-end.js';
 import {type PlainRun} from './types.js';
 
@@ -220,6 +221,7 @@
 	const calledAt = ctx.services.clock.now();
 	const link = ctx.reach?.openCall(run.route.pool.name);
 	const ended = await sendTo(run, {
+		server: server.id,
 		url: server.url,
 		toOrigin: () => toStreamOrigin(server),
 		dispatcher: toRequestDispatcher(run, server),
@@ -247,6 +249,8 @@
 
 /** Where a request is sent. */
 export type Destination = {
+	/** The server; `undefined` for another host. */
+	server?: ServerId;
 	/** Origin of the server, or of another host. */
 	url: string;
 	dispatcher: Pick<Dispatcher, 'dispatch'>;
@@ -266,10 +270,10 @@
  * @param destination - See {@link Destination}.
  * @returns How the call ended; after `failed` nothing has been relayed.
  */
-export async function sendTo(run: PlainRun, {findFault, onFirst, toOrigin, ...destination}: Destination): Promise<PlainEnd> {
+export async function sendTo(run: PlainRun, {server, findFault, onFirst, toOrigin, ...destination}: Destination): Promise<PlainEnd> {
 	const {exchange, ctx, body} = run;
 	await exchange.readClose();
-	const headTimeout = createHeadTimeout(run);
+	const headTimeout = createHeadTimeout(run, server);
 	const ended = await sendPlain({
 		...destination,
 		exchange,
@@ -282,7 +286,7 @@
 		signal: headTimeout.signal,
 		headersTimeoutMs: toRemainingMs(run),
 		idleTimeoutMs: ctx.limits.writeTimeoutMs,
-		...(run.events !== undefined && {silence: toSilenceLimit(run)}),
+		...(run.events !== undefined && {silence: toSilenceLimit(run, server)}),
 		checkHead(status, headers) {
 			headTimeout.end();
 			return findFault(status, headers);
@@ -304,32 +308,34 @@
 }
 
 /** Ends a silent stream only while another attempt may continue it: a stream that is cut without one is lost to its caller, though its server may go on. */
-function toSilenceLimit(run: PlainRun): SilenceLimit {
+function toSilenceLimit(run: PlainRun, server: ServerId | undefined): SilenceLimit {
 	return {
 		afterMs: run.route.rule.then.target.perTokenMs * silenceFactor,
-		mayEnd: () => !run.stream.hasUnknownOrigin() && findNoRetryReason(run) === undefined,
+		mayEnd: () => !run.stream.hasUnknownOrigin() && findNoRetryReason(run) === undefined && hasServerForRetry(run, server),
 	};
 }
 
 /**
  * Aborts a call whose server sends no head within several times the first-token
- * target, if the request may be retried. Without this timeout, a server behind a
+ * target, if the request may be retried and another server is left for it. Without this timeout, a server behind a
  * network partition or a dead kept-alive connection would hold the request until
  * its caller disconnects.
  */
-function createHeadTimeout(run: PlainRun): {signal: AbortSignal; end: () => void} {
+function createHeadTimeout(run: PlainRun, server: ServerId | undefined): {signal: AbortSignal; end: () => void} {
 	if (findNoRetryReason(run) !== undefined) {
 		return {signal: run.signal, end: () => undefined};
 	}
 
 	const silent = new AbortController();
-	const timer = setTimeout(() => {
-		silent.abort();
+	const timer = setInterval(() => {
+		if (hasServerForRetry(run, server)) {
+			silent.abort();
+		}
 	}, run.route.rule.then.target.firstTokenMs * headTimeoutFactor);
 	return {
 		signal: AbortSignal.any([run.signal, silent.signal]),
 		end() {
-			clearTimeout(timer);
+			clearInterval(timer);
 		},
 	};
 }
