Give up an answer of the own platform that comes byte by byte

It has the same limits now as the users' platform, with its own times. Completions stop reading a body at the end of a planned stop too, as relayed requests do.

--- a/src/adapters/platform-http/index.ts
+++ b/src/adapters/platform-http/index.ts
@@ -7,12 +7,13 @@
 } from 'neverthrow';
 import {isRecord} from '../../_lib/is-record/index.js';
 import {createHttpAgent} from '../_lib/create-http-agent/index.js';
+import {limitedBySignal} from '../_lib/dispatch-call/index.js';
 import {readAnswer, type AnswerFault, type WholeAnswer} from '../_lib/read-answer/index.js';
 import {type Milliseconds} from '../../ports/clock.js';
 import {
 	type Platform, type PlatformFailure, type PlatformKey, type PlatformValue,
 } from '../../ports/platform.js';
-import {bytesPerMebibyte, msPerSecond} from '../../ports/units.js';
+import {bytesPerKibibyte, bytesPerMebibyte, msPerSecond} from '../../ports/units.js';
 
 export type PlatformHttpOptions = {
 	/** `http://IP:port`. */
@@ -20,7 +21,7 @@
 	/** Name of this reader, sent in `x-client` for the platform's own statistics. */
 	client?: string;
 	connectTimeoutMs?: Milliseconds;
-	/** Timeout of a read, and the time that a watch may take beyond its wait. */
+	/** Time to the head of an answer, beyond the wait of a watch, and longest pause between two bytes of it. */
 	answerTimeoutMs?: Milliseconds;
 };
 
@@ -33,6 +34,9 @@
 /** JSON encodes one byte of a value in at most six (`\u0000`); the rest of the document is small. */
 const maxAnswerBytes = (6 * maxValueBytes) + 1024;
 
+/** A platform that sends less is treated as one that stands still. */
+const minBytesPerSecond = 16 * bytesPerKibibyte;
+
 function toFailure(kind: PlatformFailure['kind'], message: string): PlatformFailure {
 	return {kind, message};
 }
@@ -96,10 +100,10 @@
 			method: 'GET',
 			path,
 			headers: client === undefined ? {} : {'x-client': client},
-			headersTimeoutMs: waitMs + answerTimeoutMs,
-			idleTimeoutMs: answerTimeoutMs,
+			headersTimeoutMs: limitedBySignal,
+			idleTimeoutMs: limitedBySignal,
 			...(signal && {signal}),
-		}, maxAnswerBytes);
+		}, maxAnswerBytes, {arrival: {headMs: waitMs + answerTimeoutMs, silentMs: answerTimeoutMs, minBytesPerSecond}});
 		return answer.mapErr(fault => toFaultFailure(fault)).andThen(whole => toValue(whole));
 	};
 
--- a/src/programs/entry/serve-completion/_lib/read-request.ts
+++ b/src/programs/entry/serve-completion/_lib/read-request.ts
@@ -37,7 +37,7 @@
 		return err({kind: 'wrong-media-type', detail: 'Send the body as application/json, not compressed.', outcome: 'not-run'});
 	}
 
-	const body = await exchange.readBody(bodyLimits);
+	const body = await exchange.readBody({...bodyLimits, signal: ctx.stopDeadline.signal});
 	if (body.isErr()) {
 		return err(body.error === 'gone' ? 'gone' : toBodyProblem(body.error, bodyLimits));
 	}
