Forget old numbers of servers in the order in which they were taken

Found on comparing processor time: each entry that was taken looked through the numbers of all servers.

--- a/src/domain/create-published-fleet/_lib/create-write-order.ts
+++ b/src/domain/create-published-fleet/_lib/create-write-order.ts
@@ -38,6 +38,7 @@
  * @returns Functions that compare and record entries; `now` is monotonic milliseconds.
  */
 export function createWriteOrder(): WriteOrder {
+	/** In the order in which the numbers were taken. */
 	const latest = new Map<ServerId, Latest>();
 	const keptBack = new Map<PublishedName, PublishedServer>();
 
@@ -45,9 +46,11 @@
 
 	function forgetOld(now: Milliseconds): void {
 		for (const [id, write] of latest) {
-			if (!isRecent(write, now)) {
-				latest.delete(id);
+			if (isRecent(write, now)) {
+				return;
 			}
+
+			latest.delete(id);
 		}
 	}
 
@@ -74,6 +77,7 @@
 			forgetOld(now);
 			const known = latest.get(entry.id);
 			if (sequence !== undefined && (known === undefined || sequence > known.sequence)) {
+				latest.delete(entry.id);
 				latest.set(entry.id, {sequence, takenAt: now, isGone: false});
 			}
 		},
